--- /dev/null
+++ b/drumbay/comm/authentication.py
@@ -0,0 +1,232 @@
+"""Authentication of frames with the cluster key, and refusal of replays.
+
+Each frame carries an HMAC-SHA-256 tag truncated to 128 bits (RFC 2104, section 5) over its
+header, its payload and the destination. The header names the sender's boot and a counter that
+grows with every frame of that boot. A receiver keeps a sliding window over the counters of
+each boot (as IPsec does, RFC 4303, section 3.4.3), so a frame is accepted once.
+
+The wall clock matters only for the first frame of a boot that the receiver does not know: it
+must be recent, and not older than the receiver itself, which bounds what can be replayed to a
+process that has restarted and forgotten its windows.
+"""
+
+import hashlib
+import hmac
+
+import msgspec
+
+from drumbay.clock import Clock
+from drumbay.comm.codec import FrameError, InvalidFrameError
+from drumbay.exceptions import ConfigurationError
+from drumbay.identifiers import BootId
+
+MIN_CLUSTER_KEY_BYTES = 16
+TAG_BYTES = 16
+REPLAY_WINDOW_FRAMES = 1024
+FIRST_FRAME_MAX_AGE_SECONDS = 60.0
+CLOCK_SKEW_ALLOWANCE_SECONDS = 5.0
+SENDER_IDLE_SECONDS = 2 * FIRST_FRAME_MAX_AGE_SECONDS
+MAX_SENDERS = 8192
+
+
+class InvalidClusterKeyError(ConfigurationError):
+    """The cluster key is too short."""
+
+    code = "invalid_cluster_key"
+
+
+class BadTagError(FrameError):
+    """The tag of a frame does not fit: another key, another destination or altered bytes."""
+
+    code = "bad_frame_tag"
+
+
+class ReplayedFrameError(FrameError):
+    """A frame was seen before, or is too old to tell."""
+
+    code = "replayed_frame"
+
+
+class TooManySendersError(FrameError):
+    """More boots are in use than the receiver keeps windows for."""
+
+    code = "too_many_senders"
+
+
+class FrameHeader(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Who sealed a frame and when.
+
+    Attributes:
+        boot_id: Boot of the sender.
+        counter: Number of the frame within the boot, from 1.
+        wall_seconds: The sender's wall clock.
+    """
+
+    boot_id: BootId
+    counter: int
+    wall_seconds: float
+
+
+class SealedFrame(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A frame as it travels: tag, encoded header and payload."""
+
+    tag: bytes
+    header: bytes
+    payload: bytes
+
+
+class OpenedFrame(msgspec.Struct, frozen=True, kw_only=True):
+    """A frame whose tag and counter were accepted."""
+
+    boot_id: BootId
+    payload: bytes
+
+
+_SEALED_DECODER = msgspec.msgpack.Decoder(SealedFrame)
+_HEADER_DECODER = msgspec.msgpack.Decoder(FrameHeader)
+
+
+def _compute_tag(key: bytes, destination: str, header: bytes, payload: bytes) -> bytes:
+    # NOTE: msgpack delimits the three parts, so no two frames share the signed bytes.
+    signed = msgspec.msgpack.encode((destination, header, payload))
+    return hmac.digest(key, signed, hashlib.sha256)[:TAG_BYTES]
+
+
+def _check_key(cluster_key: bytes) -> bytes:
+    if len(cluster_key) < MIN_CLUSTER_KEY_BYTES:
+        raise InvalidClusterKeyError(f"the cluster key needs {MIN_CLUSTER_KEY_BYTES} bytes")
+    return cluster_key
+
+
+class FrameSealer:
+    """Signs the frames that one boot sends."""
+
+    def __init__(self, cluster_key: bytes, boot_id: BootId, clock: Clock) -> None:
+        """Create a sealer whose counter starts at 1.
+
+        Raises:
+            InvalidClusterKeyError: The key is too short.
+        """
+        self._key = _check_key(cluster_key)
+        self._boot_id = boot_id
+        self._clock = clock
+        self._counter = 0
+
+    def seal(self, destination: str, payload: bytes) -> bytes:
+        """Return a frame for ``destination`` that carries ``payload``."""
+        self._counter += 1
+        header = msgspec.msgpack.encode(
+            FrameHeader(
+                boot_id=self._boot_id,
+                counter=self._counter,
+                wall_seconds=self._clock.wall(),
+            )
+        )
+        tag = _compute_tag(self._key, destination, header, payload)
+        return msgspec.msgpack.encode(SealedFrame(tag=tag, header=header, payload=payload))
+
+
+class ReplayWindow:
+    """The counters of one sender that were accepted lately."""
+
+    def __init__(self) -> None:
+        """Create a window that has accepted nothing."""
+        self._highest = 0
+        self._seen = 0
+        self.last_used_seconds = 0.0
+
+    def accept(self, counter: int) -> bool:
+        """Record a counter; return whether it is new and inside the window."""
+        if counter < 1:
+            return False
+        if counter > self._highest:
+            # NOTE: a shift by the whole distance would build a huge integer after a long gap.
+            shift = min(counter - self._highest, REPLAY_WINDOW_FRAMES)
+            mask = (1 << REPLAY_WINDOW_FRAMES) - 1
+            self._seen = ((self._seen << shift) | 1) & mask
+            self._highest = counter
+            return True
+        distance = self._highest - counter
+        if distance >= REPLAY_WINDOW_FRAMES:
+            return False
+        bit = 1 << distance
+        if self._seen & bit:
+            return False
+        self._seen |= bit
+        return True
+
+
+class FrameOpener:
+    """Verifies frames of one channel (requests, replies or datagrams).
+
+    Channels have windows of their own, since a frame on one may be much delayed against
+    frames on another.
+    """
+
+    def __init__(self, cluster_key: bytes, clock: Clock) -> None:
+        """Create an opener that knows no sender.
+
+        Raises:
+            InvalidClusterKeyError: The key is too short.
+        """
+        self._key = _check_key(cluster_key)
+        self._clock = clock
+        self._started_wall_seconds = clock.wall()
+        self._windows: dict[BootId, ReplayWindow] = {}
+
+    def open(self, destination: str, frame: bytes) -> OpenedFrame:
+        """Verify a frame that should be for ``destination``.
+
+        Raises:
+            InvalidFrameError: The bytes are not a sealed frame.
+            BadTagError: The tag does not fit.
+            ReplayedFrameError: The frame was seen before or is too old to tell.
+            TooManySendersError: The sender is new and the table of senders is full.
+        """
+        try:
+            sealed = _SEALED_DECODER.decode(frame)
+        except msgspec.MsgspecError as error:
+            raise InvalidFrameError(str(error)) from error
+        expected = _compute_tag(self._key, destination, sealed.header, sealed.payload)
+        if not hmac.compare_digest(expected, sealed.tag):
+            raise BadTagError("the tag does not fit the frame")
+        try:
+            header = _HEADER_DECODER.decode(sealed.header)
+        except msgspec.MsgspecError as error:
+            raise InvalidFrameError(str(error)) from error
+        window = self._window_of(header)
+        if not window.accept(header.counter):
+            raise ReplayedFrameError(f"counter {header.counter} was seen or is too old")
+        window.last_used_seconds = self._clock.monotonic()
+        return OpenedFrame(boot_id=header.boot_id, payload=sealed.payload)
+
+    def _window_of(self, header: FrameHeader) -> ReplayWindow:
+        window = self._windows.get(header.boot_id)
+        if window is not None:
+            return window
+        self._check_first_frame(header)
+        if len(self._windows) >= MAX_SENDERS:
+            self._forget_idle_senders()
+        if len(self._windows) >= MAX_SENDERS:
+            raise TooManySendersError(f"{MAX_SENDERS} senders are in use")
+        window = ReplayWindow()
+        self._windows[header.boot_id] = window
+        return window
+
+    def _check_first_frame(self, header: FrameHeader) -> None:
+        age_seconds = self._clock.wall() - header.wall_seconds
+        if abs(age_seconds) > FIRST_FRAME_MAX_AGE_SECONDS:
+            raise ReplayedFrameError(f"first frame of a boot is {age_seconds:.1f} s old")
+        oldest_seconds = self._started_wall_seconds - CLOCK_SKEW_ALLOWANCE_SECONDS
+        if header.wall_seconds < oldest_seconds:
+            raise ReplayedFrameError("first frame of a boot is older than this process")
+
+    def _forget_idle_senders(self) -> None:
+        """Drop windows idle for so long that a replay would fail the age check.
+
+        NOTE: forgetting one any earlier would let its last frames be replayed.
+        """
+        oldest_seconds = self._clock.monotonic() - SENDER_IDLE_SECONDS
+        for boot_id, window in list(self._windows.items()):
+            if window.last_used_seconds < oldest_seconds:
+                del self._windows[boot_id]
--- /dev/null
+++ b/drumbay/comm/session.py
@@ -0,0 +1,64 @@
+"""What all connections of one transport share: key, registry, clock and tasks."""
+
+from drumbay.clock import Clock
+from drumbay.comm.authentication import FrameOpener, FrameSealer
+from drumbay.comm.codec import FrameError, MessageRegistry
+from drumbay.comm.interface import Address
+from drumbay.identifiers import BootId
+from drumbay.observability.logs import log_event
+from drumbay.tasks import TaskOwner
+
+REFUSAL_LOG_INTERVAL_SECONDS = 10.0
+
+
+class TransportSession:
+    """Shared state of a transport's connections and datagram endpoint.
+
+    Attributes:
+        boot_id: Boot of this process; replies to its calls are sealed for it.
+        clock: Time of this process.
+        task_owner: Owner of the connections' tasks.
+        registry: Decoder of messages.
+        sealer: Signs every frame sent.
+        request_opener: Verifies requests.
+        reply_opener: Verifies replies.
+        datagram_opener: Verifies datagrams.
+    """
+
+    def __init__(
+        self, cluster_key: bytes, boot_id: BootId, clock: Clock, task_owner: TaskOwner
+    ) -> None:
+        """Create the state of a transport that has not started."""
+        self.boot_id = boot_id
+        self.clock = clock
+        self.task_owner = task_owner
+        self.registry = MessageRegistry()
+        self.sealer = FrameSealer(cluster_key, boot_id, clock)
+        self.request_opener = FrameOpener(cluster_key, clock)
+        self.reply_opener = FrameOpener(cluster_key, clock)
+        self.datagram_opener = FrameOpener(cluster_key, clock)
+        self.refusal_counts: dict[str, int] = {}
+        self._refusal_logged_seconds: dict[str, float] = {}
+
+    def note_refusal(self, peer: Address, error: FrameError) -> None:
+        """Count a refused frame, and log it at most once per interval and code."""
+        count = self.refusal_counts.get(error.code, 0) + 1
+        self.refusal_counts[error.code] = count
+        now = self.clock.monotonic()
+        logged = self._refusal_logged_seconds.get(error.code)
+        if logged is not None and now - logged < REFUSAL_LOG_INTERVAL_SECONDS:
+            return
+        self._refusal_logged_seconds[error.code] = now
+        log_event(
+            "frame_refused",
+            level="WARNING",
+            peer=destination_of(peer),
+            error=error.code,
+            detail=str(error),
+            refused_total=count,
+        )
+
+
+def destination_of(address: Address) -> str:
+    """Return the name under which frames for an address are signed."""
+    return f"{address.host}:{address.port}"
