--- /dev/null
+++ b/drumbay/membership/member_table.py
@@ -0,0 +1,197 @@
+"""The members that one node knows, the order of news, and digests for anti-entropy.
+
+News about a member is ordered by incarnation, then by state (SWIM, section 4.2). Members
+that are not reachable take no part in the digests: nodes forget them at different times,
+and that alone must not make two nodes exchange records.
+"""
+
+import msgspec
+import xxhash
+
+from drumbay.comm.interface import Address
+from drumbay.identifiers import NodeId
+from drumbay.membership.records import (
+    Member,
+    MemberChangeKind,
+    MemberState,
+    StateUpdate,
+    boot_mark_of,
+)
+
+DIGEST_BUCKETS = 64
+
+
+def bucket_of(node_id: NodeId) -> int:
+    """Return the digest bucket of a member."""
+    return xxhash.xxh32_intdigest(node_id.encode()) % DIGEST_BUCKETS
+
+
+def _hash_member(member: Member) -> int:
+    text = f"{member.node_id}\0{member.boot_id}\0{member.incarnation}"
+    return xxhash.xxh64_intdigest(text.encode())
+
+
+def _kind_of_change(previous: Member, member: Member) -> MemberChangeKind | None:
+    if member.state is MemberState.LEFT:
+        return MemberChangeKind.LEFT
+    if member.state is MemberState.DEAD:
+        return MemberChangeKind.DIED
+    if previous.boot_id != member.boot_id:
+        return MemberChangeKind.RESTARTED
+    if member.state is MemberState.SUSPECT:
+        return MemberChangeKind.SUSPECTED
+    if previous.state is MemberState.SUSPECT:
+        return MemberChangeKind.REFUTED
+    if not previous.is_reachable:
+        return MemberChangeKind.RETURNED
+    return None
+
+
+class News(msgspec.Struct, frozen=True, kw_only=True):
+    """News that the table took in.
+
+    Attributes:
+        member: The member as it is now known.
+        previous: The member as it was known before; ``None`` if it was not.
+        kind: What happened; ``None`` for a larger incarnation alone.
+    """
+
+    member: Member
+    previous: Member | None
+    kind: MemberChangeKind | None
+
+
+class MemberTable:
+    """All known members, the node itself included, in the order in which they became known."""
+
+    def __init__(self, self_member: Member) -> None:
+        """Create a table that knows the node itself."""
+        self._self_id = self_member.node_id
+        self._members: dict[NodeId, Member] = {}
+        self._by_address: dict[Address, NodeId] = {}
+        self._reachable: dict[NodeId, None] = {}
+        self._changed_seconds: dict[NodeId, float] = {}
+        self._digests = [0] * DIGEST_BUCKETS
+        self._bucket_members: list[dict[NodeId, None]] = [{} for _ in range(DIGEST_BUCKETS)]
+        self._store(0.0, None, self_member)
+
+    @property
+    def self_member(self) -> Member:
+        """Return the node itself."""
+        return self._members[self._self_id]
+
+    def set_self(self, now: float, member: Member) -> None:
+        """Replace the record of the node itself."""
+        self._store(now, self.self_member, member)
+
+    def get(self, node_id: NodeId) -> Member | None:
+        """Return a member, or ``None`` if it is not known."""
+        return self._members.get(node_id)
+
+    def at_address(self, address: Address) -> Member | None:
+        """Return the member last known at an address."""
+        node_id = self._by_address.get(address)
+        return None if node_id is None else self._members[node_id]
+
+    def members(self) -> tuple[Member, ...]:
+        """Return every known member."""
+        return tuple(self._members.values())
+
+    def reachable(self) -> list[NodeId]:
+        """Return the other members that are alive or merely suspected."""
+        return list(self._reachable)
+
+    @property
+    def reachable_count(self) -> int:
+        """Return how many other members are alive or merely suspected."""
+        return len(self._reachable)
+
+    def dead(self) -> list[Member]:
+        """Return the members that were declared dead and are still remembered."""
+        return [each for each in self._members.values() if each.state is MemberState.DEAD]
+
+    def bucket(self, index: int) -> list[Member]:
+        """Return the members of a digest bucket, in any state."""
+        return [self._members[node_id] for node_id in self._bucket_members[index]]
+
+    def digests(self) -> list[int]:
+        """Return one digest per bucket over its reachable members."""
+        return list(self._digests)
+
+    def apply_record(self, now: float, record: Member) -> News | None:
+        """Take in a full record; return it, or ``None`` if it was not news."""
+        known = self._members.get(record.node_id)
+        if known is None:
+            if not record.is_reachable:
+                # NOTE: to take these in would keep members alive as dead ones for ever, since
+                # nodes that have forgotten them would learn of them again.
+                return None
+            self._store(now, None, record)
+            return News(member=record, previous=None, kind=MemberChangeKind.JOINED)
+        if not _overrides(record.incarnation, record.state, known):
+            return None
+        if record.boot_id == known.boot_id:
+            revision = max(record.application_revision, known.application_revision)
+            record = msgspec.structs.replace(record, application_revision=revision)
+        return self._change(now, known, record)
+
+    def apply_update(self, now: float, update: StateUpdate) -> News | None:
+        """Take in compact news; return it, or ``None`` if it was not news."""
+        known = self._members.get(update.node_id)
+        if known is None or boot_mark_of(known.boot_id) != update.boot_mark:
+            return None
+        if not _overrides(update.incarnation, update.state, known):
+            return None
+        member = msgspec.structs.replace(known, incarnation=update.incarnation, state=update.state)
+        return self._change(now, known, member)
+
+    def note_application_revision(self, node_id: NodeId, revision: int) -> None:
+        """Record what a member itself said about its application."""
+        known = self._members.get(node_id)
+        if known is not None and known.application_revision != revision:
+            self._members[node_id] = msgspec.structs.replace(known, application_revision=revision)
+
+    def forget_before(self, dead_seconds: float, left_seconds: float) -> None:
+        """Forget members that died, or left, before these times."""
+        for member in list(self._members.values()):
+            limit = left_seconds if member.state is MemberState.LEFT else dead_seconds
+            expired = self._changed_seconds[member.node_id] < limit
+            if expired and not member.is_reachable and member.node_id != self._self_id:
+                self._remove(member)
+
+    def _change(self, now: float, known: Member, member: Member) -> News:
+        self._store(now, known, member)
+        return News(member=member, previous=known, kind=_kind_of_change(known, member))
+
+    def _store(self, now: float, known: Member | None, member: Member) -> None:
+        bucket = bucket_of(member.node_id)
+        if known is not None:
+            self._forget_address(known)
+            if known.is_reachable:
+                self._digests[bucket] ^= _hash_member(known)
+        if member.is_reachable:
+            self._digests[bucket] ^= _hash_member(member)
+        if member.is_reachable and member.node_id != self._self_id:
+            self._reachable[member.node_id] = None
+        else:
+            self._reachable.pop(member.node_id, None)
+        self._members[member.node_id] = member
+        self._by_address[member.address] = member.node_id
+        self._bucket_members[bucket][member.node_id] = None
+        self._changed_seconds[member.node_id] = now
+
+    def _remove(self, member: Member) -> None:
+        self._forget_address(member)
+        del self._members[member.node_id]
+        del self._changed_seconds[member.node_id]
+        del self._bucket_members[bucket_of(member.node_id)][member.node_id]
+
+    def _forget_address(self, member: Member) -> None:
+        if self._by_address.get(member.address) == member.node_id:
+            del self._by_address[member.address]
+
+
+def _overrides(incarnation: int, state: MemberState, known: Member) -> bool:
+    if incarnation != known.incarnation:
+        return incarnation > known.incarnation
+    return state > known.state
--- /dev/null
+++ b/drumbay/membership/outbox.py
@@ -0,0 +1,53 @@
+"""Datagrams that the state machine wants sent, filled with news."""
+
+import msgspec
+
+from drumbay.comm.codec import MAX_DATAGRAM_MESSAGE_BYTES
+from drumbay.comm.interface import Address
+from drumbay.identifiers import NodeId
+from drumbay.membership.dissemination import DisseminationQueue
+from drumbay.membership.member_table import MemberTable
+from drumbay.membership.messages import MembershipDatagram, OutgoingDatagram
+from drumbay.membership.records import MemberState, StateUpdate, state_update_of
+
+
+class Outbox:
+    """Collects datagrams until the shell takes them."""
+
+    def __init__(self, table: MemberTable, queue: DisseminationQueue) -> None:
+        """Create an empty outbox."""
+        self._table = table
+        self._queue = queue
+        self._datagrams: list[OutgoingDatagram] = []
+
+    def send(self, address: Address, recipient: NodeId | None, message: MembershipDatagram) -> None:
+        """Send a message with news; a recipient hears first what is said against it.
+
+        Telling a member of its own suspicion (Lifeguard's buddy system, section IV.C) lets it
+        refute at once; telling it of its death lets a woken or cut off member return.
+        """
+        revision = self._table.self_member.application_revision
+        message = msgspec.structs.replace(message, application_revision=revision)
+        message = self._queue.attach(
+            message,
+            MAX_DATAGRAM_MESSAGE_BYTES,
+            self._table.reachable_count + 1,
+            first=self._accusation_of(recipient),
+        )
+        self._datagrams.append(OutgoingDatagram(address=address, message=message))
+
+    def send_plain(self, address: Address, message: MembershipDatagram) -> None:
+        """Send a message that has no room for news."""
+        self._datagrams.append(OutgoingDatagram(address=address, message=message))
+
+    def take(self) -> tuple[OutgoingDatagram, ...]:
+        """Return the collected datagrams and start anew."""
+        taken = tuple(self._datagrams)
+        self._datagrams.clear()
+        return taken
+
+    def _accusation_of(self, recipient: NodeId | None) -> StateUpdate | None:
+        member = None if recipient is None else self._table.get(recipient)
+        if member is None or member.state is MemberState.ALIVE:
+            return None
+        return state_update_of(member)
--- /dev/null
+++ b/drumbay/membership/swim.py
@@ -0,0 +1,262 @@
+"""The membership state machine of one node.
+
+SWIM (Das, Gupta and Motivala 2002) with suspicion and incarnations, parts of Lifeguard (Dadgar,
+Phillips and Currey 2018), anti-entropy, and contacts to dead members so that a healed cut closes
+by itself. Pure: time and datagrams come in, datagrams and changes go out.
+"""
+
+import math
+import random
+
+import msgspec
+
+from drumbay.comm.interface import Address
+from drumbay.identifiers import NodeId
+from drumbay.membership.anti_entropy import AntiEntropy
+from drumbay.membership.dissemination import DisseminationQueue
+from drumbay.membership.local_health import LocalHealth
+from drumbay.membership.member_table import MemberTable
+from drumbay.membership.messages import (
+    Ack,
+    Gossip,
+    IndirectPing,
+    MembershipDatagram,
+    Nack,
+    OutgoingDatagram,
+    Ping,
+    SyncRecords,
+    SyncRequest,
+)
+from drumbay.membership.news import NewsHandler
+from drumbay.membership.outbox import Outbox
+from drumbay.membership.probe_schedule import ProbeSchedule
+from drumbay.membership.prober import Prober
+from drumbay.membership.records import (
+    Member,
+    MemberChange,
+    MembershipSettings,
+)
+from drumbay.membership.suspicion import SuspicionTimers
+
+FORGET_INTERVAL_SECONDS = 60.0
+LEAVE_FANOUT = 8
+
+
+class Output(msgspec.Struct, frozen=True, kw_only=True):
+    """What one event led to.
+
+    Attributes:
+        datagrams: Datagrams to send.
+        changes: Changes of the membership, in order.
+    """
+
+    datagrams: tuple[OutgoingDatagram, ...]
+    changes: tuple[MemberChange, ...]
+
+
+class Swim:
+    """Membership as one node knows it."""
+
+    def __init__(
+        self,
+        self_member: Member,
+        seeds: tuple[Address, ...],
+        settings: MembershipSettings,
+        rng: random.Random,
+    ) -> None:
+        """Create a node that knows only itself and the addresses of seeds."""
+        self._settings = settings
+        self._random = rng
+        self._seeds = tuple(seed for seed in seeds if seed != self_member.address)
+        self._table = MemberTable(self_member)
+        self._queue = DisseminationQueue(settings.retransmit_multiplier)
+        self._outbox = Outbox(self._table, self._queue)
+        self._suspicions = SuspicionTimers(settings)
+        self._health = LocalHealth(settings.max_local_health)
+        self._schedule = ProbeSchedule(self._table, settings, rng)
+        self._prober = Prober(self._table, self._schedule, self._outbox, self._health, settings)
+        self._anti_entropy = AntiEntropy(self._table, self._outbox, rng)
+        self._news = NewsHandler(
+            self._table, self._queue, self._suspicions, self._schedule, self._health
+        )
+        self._next_gossip_at = -math.inf
+        self._next_sync_at = -math.inf
+        self._next_reconnect_at = -math.inf
+        self._next_forget_at = -math.inf
+        self._expected_tick_at = math.inf
+
+    @property
+    def self_member(self) -> Member:
+        """Return the node itself, as it announces itself."""
+        return self._table.self_member
+
+    @property
+    def local_health(self) -> int:
+        """Return the local health score; 0 is healthy."""
+        return self._health.score
+
+    @property
+    def reachable_count(self) -> int:
+        """Return how many other members are alive or merely suspected."""
+        return self._table.reachable_count
+
+    def members(self) -> tuple[Member, ...]:
+        """Return every known member, the node itself included."""
+        return self._table.members()
+
+    def member(self, node_id: NodeId) -> Member | None:
+        """Return one member, or ``None`` if it is not known."""
+        return self._table.get(node_id)
+
+    def set_application_revision(self, revision: int) -> None:
+        """Set the number that this node's datagrams announce."""
+        member = msgspec.structs.replace(self.self_member, application_revision=revision)
+        self._table.set_self(0.0, member)
+
+    def next_deadline(self) -> float:
+        """Return when :meth:`tick` should run next, in the time of ``now``."""
+        deadline = min(
+            self._prober.next_deadline,
+            self._suspicions.next_deadline(self._member_count()),
+            self._next_sync_at,
+            self._next_reconnect_at,
+            self._next_forget_at,
+        )
+        if len(self._queue) > 0:
+            deadline = min(deadline, self._next_gossip_at)
+        return deadline
+
+    def tick(self, now: float) -> Output:
+        """Do what is due at ``now`` (monotonic seconds)."""
+        self._check_pause(now)
+        silent = self._prober.tick(now)
+        if silent is not None:
+            self._news.suspect(now, silent)
+        self._news.end_suspicions(now)
+        self._gossip(now)
+        self._sync(now)
+        self._reconnect(now)
+        self._forget(now)
+        return self._output(now)
+
+    def receive(self, now: float, sender: Address, message: MembershipDatagram) -> Output:
+        """Take in a datagram that arrived at ``now`` from the address ``sender``."""
+        self._check_pause(now)
+        self._table.note_application_revision(message.sender, message.application_revision)
+        for record in message.records:
+            self._news.merge_record(now, record)
+        for update in message.updates:
+            self._news.merge_update(now, update)
+        self._handle(now, sender, message)
+        return self._output(now)
+
+    def leave(self, now: float) -> Output:
+        """Announce that this node leaves; it goes on answering until it is stopped."""
+        self._news.announce_left(now)
+        for node_id in self._sample(LEAVE_FANOUT):
+            self._send_gossip(node_id)
+        return self._output(now)
+
+    def _output(self, now: float) -> Output:
+        changes = self._news.take_changes()
+        self._expected_tick_at = max(now, self.next_deadline())
+        return Output(datagrams=self._outbox.take(), changes=changes)
+
+    def _member_count(self) -> int:
+        return self._table.reachable_count + 1
+
+    def _check_pause(self, now: float) -> None:
+        """Notice that this process did not run for a while, and don't blame the others.
+
+        Its timers have run out only because nobody looked at the answers in between.
+        """
+        paused_seconds = now - self._expected_tick_at
+        if paused_seconds < self._settings.probe_interval_seconds:
+            return
+        self._expected_tick_at = now
+        self._suspicions.extend(paused_seconds)
+        self._prober.abandon(now)
+        self._health.note_trouble()
+        # Ask at once what was said meanwhile: the node may have been declared dead.
+        self._next_sync_at = now
+
+    def _handle(self, now: float, sender: Address, message: MembershipDatagram) -> None:
+        if isinstance(message, Ping):
+            self._prober.handle_ping(sender, message)
+        elif isinstance(message, Ack):
+            self._prober.handle_ack(message)
+        elif isinstance(message, IndirectPing):
+            self._prober.handle_indirect_ping(now, message)
+        elif isinstance(message, Nack):
+            self._prober.handle_nack(message)
+        elif isinstance(message, SyncRequest):
+            self._news.merge_record(now, message.record)
+            self._anti_entropy.handle_request(sender, message)
+        elif isinstance(message, SyncRecords):
+            for record in message.bucket_members:
+                if self._news.merge_synced(now, message.sender, record):
+                    self._sync_again_soon(now)
+            self._anti_entropy.handle_records(sender, message)
+
+    def _sample(self, count: int) -> list[NodeId]:
+        reachable = self._table.reachable()
+        return self._random.sample(reachable, min(count, len(reachable)))
+
+    def _gossip(self, now: float) -> None:
+        if len(self._queue) == 0 or now < self._next_gossip_at:
+            return
+        self._next_gossip_at = now + self._settings.gossip_interval_seconds
+        for node_id in self._sample(self._settings.gossip_fanout):
+            if len(self._queue) > 0:
+                self._send_gossip(node_id)
+
+    def _send_gossip(self, node_id: NodeId) -> None:
+        member = self._table.get(node_id)
+        if member is not None:
+            message = Gossip(sender=self.self_member.node_id)
+            self._outbox.send(member.address, node_id, message)
+
+    def _jittered(self, mean_seconds: float) -> float:
+        return mean_seconds * self._random.uniform(0.5, 1.5)
+
+    def _sync(self, now: float) -> None:
+        if now < self._next_sync_at:
+            return
+        self._next_sync_at = now + self._jittered(self._settings.sync_interval_seconds)
+        for node_id in self._sample(1):
+            member = self._table.get(node_id)
+            if member is not None:
+                self._anti_entropy.start(member.address, node_id)
+
+    def _sync_again_soon(self, now: float) -> None:
+        soon = now + self._settings.sync_retry_seconds
+        self._next_sync_at = min(self._next_sync_at, soon)
+
+    def _reconnect(self, now: float) -> None:
+        """Contact a dead member or an unknown seed, so that a healed cut is noticed."""
+        if now < self._next_reconnect_at:
+            return
+        mean_seconds = self._settings.reconnect_interval_seconds
+        if self._table.reachable_count == 0:
+            # A node that knows nobody has nothing else to do.
+            mean_seconds = self._settings.probe_interval_seconds
+        self._next_reconnect_at = now + self._jittered(mean_seconds)
+        targets: list[tuple[Address, NodeId | None]] = [
+            (each.address, each.node_id) for each in self._table.dead()
+        ]
+        targets += [(seed, None) for seed in self._seeds if not self._is_known(seed)]
+        if targets and self.self_member.is_reachable:
+            address, node_id = self._random.choice(targets)
+            self._anti_entropy.start(address, node_id)
+
+    def _is_known(self, seed: Address) -> bool:
+        return self._table.at_address(seed) is not None
+
+    def _forget(self, now: float) -> None:
+        if now < self._next_forget_at:
+            return
+        self._next_forget_at = now + FORGET_INTERVAL_SECONDS
+        self._table.forget_before(
+            now - self._settings.dead_retention_seconds,
+            now - self._settings.left_retention_seconds,
+        )
