--- a/drumbay/membership/hollow.py
+++ b/drumbay/membership/hollow.py
@@ -222,7 +222,7 @@
         for change in output.changes:
             for observer in self.observers:
                 observer(self.now, node.member.node_id, change)
-        self._schedule_tick(node, max(self.now, node.swim.next_deadline()))
+        self._schedule_tick(node, output.next_tick_at)
 
     def _send(self, node: HollowNode, address: Address, message: MembershipDatagram) -> None:
         payload = encode_envelope(FrameKind.DATAGRAM, 0, message)
--- a/drumbay/membership/news.py
+++ b/drumbay/membership/news.py
@@ -112,7 +112,7 @@
 
     def end_suspicions(self, now: float) -> None:
         """Declare dead the members whose suspicion has run out."""
-        for node_id in self._suspicions.expired(now, self._member_count()):
+        for node_id in self._suspicions.expired(now):
             self._suspicions.end(node_id)
             member = self._table.get(node_id)
             if member is not None and member.state is MemberState.SUSPECT:
--- a/drumbay/membership/service.py
+++ b/drumbay/membership/service.py
@@ -157,8 +157,9 @@
 
         Stop the transport afterwards; until then probes are still answered.
         """
-        self._handle_output(self._swim.leave(self._clock.monotonic()))
-        self._timer.wake_before(self._swim.next_deadline())
+        output = self._swim.leave(self._clock.monotonic())
+        self._handle_output(output)
+        self._timer.wake_before(output.next_tick_at)
         await self._clock.sleep(LEAVE_LINGER_SECONDS)
 
     @property
@@ -169,12 +170,14 @@
 
     async def _run(self) -> None:
         while True:
-            self._handle_output(self._swim.tick(self._clock.monotonic()))
-            await self._timer.wait_until(self._swim.next_deadline())
+            output = self._swim.tick(self._clock.monotonic())
+            self._handle_output(output)
+            await self._timer.wait_until(output.next_tick_at)
 
     def _handle_datagram(self, sender: Address, message: MembershipDatagram) -> None:
-        self._handle_output(self._swim.receive(self._clock.monotonic(), sender, message))
-        self._timer.wake_before(self._swim.next_deadline())
+        output = self._swim.receive(self._clock.monotonic(), sender, message)
+        self._handle_output(output)
+        self._timer.wake_before(output.next_tick_at)
 
     def _handle_output(self, output: Output) -> None:
         for datagram in output.datagrams:
--- a/drumbay/membership/swim.py
+++ b/drumbay/membership/swim.py
@@ -50,10 +50,12 @@
     Attributes:
         datagrams: Datagrams to send.
         changes: Changes of the membership, in order.
+        next_tick_at: When :meth:`Swim.tick` should run next, in the time of ``now``.
     """
 
     datagrams: tuple[OutgoingDatagram, ...]
     changes: tuple[MemberChange, ...]
+    next_tick_at: float
 
 
 class Swim:
@@ -116,11 +118,10 @@
         member = msgspec.structs.replace(self.self_member, application_revision=revision)
         self._table.set_self(0.0, member)
 
-    def next_deadline(self) -> float:
-        """Return when :meth:`tick` should run next, in the time of ``now``."""
+    def _next_deadline(self) -> float:
         deadline = min(
             self._prober.next_deadline,
-            self._suspicions.next_deadline(self._member_count()),
+            self._suspicions.next_deadline,
             self._next_sync_at,
             self._next_reconnect_at,
             self._next_forget_at,
@@ -162,11 +163,12 @@
 
     def _output(self, now: float) -> Output:
         changes = self._news.take_changes()
-        self._expected_tick_at = max(now, self.next_deadline())
-        return Output(datagrams=self._outbox.take(), changes=changes)
-
-    def _member_count(self) -> int:
-        return self._table.reachable_count + 1
+        self._expected_tick_at = max(now, self._next_deadline())
+        return Output(
+            datagrams=self._outbox.take(),
+            changes=changes,
+            next_tick_at=self._expected_tick_at,
+        )
 
     def _check_pause(self, now: float) -> None:
         """Notice that this process did not run for a while, and don't blame the others.
--- a/tests/test_membership_parts.py
+++ b/tests/test_membership_parts.py
@@ -136,15 +136,15 @@
         for accuser in range(SETTINGS.suspicion_confirmations + 1):
             self.assertTrue(timers.accuse(0.0, node, 1, NodeId(f"accuser-{accuser}"), 100))
             self.assertFalse(timers.accuse(0.0, node, 1, NodeId(f"accuser-{accuser}"), 100))
-            deadlines.append(timers.next_deadline(100))
+            deadlines.append(timers.next_deadline)
         self.assertEqual(deadlines, sorted(deadlines, reverse=True))
         shortest = 2 * SETTINGS.suspicion_multiplier
         self.assertAlmostEqual(deadlines[0], shortest * SETTINGS.suspicion_max_factor)
         self.assertAlmostEqual(deadlines[-1], shortest)
         self.assertFalse(timers.accuse(0.0, node, 1, NodeId("one too many"), 100))
-        self.assertEqual(timers.expired(shortest, 100), [node])
+        self.assertEqual(timers.expired(shortest), [node])
         timers.extend(60.0)
-        self.assertEqual(timers.expired(shortest, 100), [])
+        self.assertEqual(timers.expired(shortest), [])
 
 
 class LocalHealthTest(unittest.TestCase):
