Exchange states in short form, and never accuse in an exchange

Cause: after a region cut an exchange turned each death held by the other side into a suspicion, so that all members had to refute at once; and whole records made exchanges large.

Change: exchanges tell of buckets in compact form, full records follow only for unknown boots; a member that a peer holds for dead is probed next, not suspected; the first member back from the dead makes the node look for others at once.

--- a/drumbay/bench/membership.py
+++ b/drumbay/bench/membership.py
@@ -6,6 +6,7 @@
 
 import statistics
 import time
+from collections.abc import Callable
 
 import msgspec
 
@@ -43,7 +44,8 @@
         freeze_detection_seconds: Until all hold a frozen node for dead.
         freeze_return_seconds: From its waking until all hold it for alive again.
         cut_detection_seconds: Until each side of a region cut holds the other for dead.
-        heal_seconds: From the end of the cut until every node knows all as alive.
+        cut_peak_bytes_per_second: Largest mean bytes per node in one second of the cut.
+        heal_seconds: From the end of the cut until every node holds all for alive.
         heal_peak_bytes_per_second: Largest mean bytes per node in one second of the healing.
         false_suspicions_steady: Distinct suspicions of running nodes, steady and settling.
         false_suspicions_loss: The same in a minute of 1 % datagram loss.
@@ -64,6 +66,7 @@
     freeze_detection_seconds: float | None
     freeze_return_seconds: float | None
     cut_detection_seconds: float | None
+    cut_peak_bytes_per_second: float
     heal_seconds: float | None
     heal_peak_bytes_per_second: float
     false_suspicions_steady: int
@@ -97,7 +100,6 @@
         self.false_suspicions: dict[tuple[NodeId, int], None] = {}
         self.false_deaths: dict[tuple[NodeId, int], None] = {}
         self.first_death_at: dict[NodeId, float] = {}
-        self.is_tolerant = False
         cluster.observers.append(self._observe)
 
     def _observe(self, now: float, observer: NodeId, change: MemberChange) -> None:
@@ -105,15 +107,17 @@
         key = (subject, change.member.incarnation)
         if change.kind is MemberChangeKind.DIED:
             self.first_death_at.setdefault(subject, now)
-            if self._is_well(observer, subject):
+            if self._is_well(observer, change.member):
                 self.false_deaths[key] = None
-        if change.kind is MemberChangeKind.SUSPECTED and self._is_well(observer, subject):
+        if change.kind is MemberChangeKind.SUSPECTED and self._is_well(observer, change.member):
             self.false_suspicions[key] = None
 
-    def _is_well(self, observer: NodeId, subject: NodeId) -> bool:
-        """Return whether the subject runs and its datagrams reach the observer."""
-        watched = self._cluster.nodes[self._index[subject]]
+    def _is_well(self, observer: NodeId, subject: Member) -> bool:
+        """Return whether this boot of the subject runs and its datagrams reach the observer."""
+        watched = self._cluster.nodes[self._index[subject.node_id]]
         watcher = self._cluster.nodes[self._index[observer]]
+        if watched.member.boot_id != subject.boot_id:
+            return False
         if not watched.is_up or watched.frozen_until > self._cluster.now:
             return False
         return not self._cluster.is_cut(watched.member, watcher.member)
@@ -141,7 +145,7 @@
         freeze_detection, freeze_return = self._measure_freeze()
         false_steady = len(self._watcher.false_suspicions)
         false_loss = self._measure_loss()
-        cut_detection, heal, heal_peak = self._measure_cut()
+        cut_detection, cut_peak, heal, heal_peak = self._measure_cut()
         return MembershipMeasurement(
             node_count=len(cluster.nodes),
             join_seconds=join_seconds,
@@ -156,6 +160,7 @@
             freeze_detection_seconds=freeze_detection,
             freeze_return_seconds=freeze_return,
             cut_detection_seconds=cut_detection,
+            cut_peak_bytes_per_second=cut_peak,
             heal_seconds=heal,
             heal_peak_bytes_per_second=heal_peak,
             false_suspicions_steady=false_steady,
@@ -249,22 +254,31 @@
         self._cluster.run_for(SETTLE_SECONDS)
         return count
 
-    def _measure_cut(self) -> tuple[float | None, float | None, float]:
+    def _measure_cut(self) -> tuple[float | None, float, float | None, float]:
         cut_at = self._cluster.now
         self._cluster.is_cut = lambda sender, receiver: sender.region != receiver.region
-        detection = self._cluster.run_until(self._sides_are_apart, CUT_SECONDS - 1.0)
+        detection, cut_peak = self._watch(self._sides_are_apart)
         self._cluster.run_for(cut_at + CUT_SECONDS - self._cluster.now)
         self._cluster.is_cut = lambda sender, receiver: False
-        healed_at = self._cluster.now
+        heal, heal_peak = self._watch(self._all_hold_all_alive)
+        return detection, cut_peak, heal, heal_peak
+
+    def _watch(self, condition: Callable[[], bool]) -> tuple[float | None, float]:
+        """Run until a condition holds; return the seconds and the peak of bytes per second."""
+        started = self._cluster.now
         peak = 0.0
-        healed: float | None = None
-        while healed is None and self._cluster.now - healed_at < LIMIT_SECONDS:
+        while self._cluster.now - started < LIMIT_SECONDS:
             before, _ = self._sent()
-            if self._cluster.run_until(self._all_know_all, 1.0) is not None:
-                healed = self._cluster.now - healed_at
+            took = self._cluster.run_until(condition, 1.0)
             after, _ = self._sent()
             peak = max(peak, (after - before) / len(self._cluster.nodes))
-        return detection, healed, peak
+            if took is not None:
+                return self._cluster.now - started, peak
+        return None, peak
+
+    def _all_hold_all_alive(self) -> bool:
+        count = len(self._cluster.nodes)
+        return all(each.swim.alive_count == count for each in self._cluster.nodes)
 
     def _sides_are_apart(self) -> bool:
         regions: dict[str, int] = {}
--- a/drumbay/membership/anti_entropy.py
+++ b/drumbay/membership/anti_entropy.py
@@ -1,12 +1,13 @@
-"""Exchange of whole records between two nodes whose tables differ.
+"""Exchange of what two nodes know when their tables differ.
 
 Anti-entropy (Demers et al. 1987, section 1.3) repairs what gossip has missed: a new node's empty
 table, news lost with datagrams, and all that happened on the far side of a cut. Members are
-spread over buckets by hash; only the buckets whose digests differ are sent, a few at a time, so
-that an exchange costs bytes in proportion to the difference.
+spread over buckets by hash. Only buckets whose digests differ are told of, in compact form, a
+bounded number at a time; full records follow only for members that the receiver does not know.
 """
 
 import random
+from typing import TypeVar
 
 import msgspec
 
@@ -14,18 +15,20 @@
 from drumbay.comm.interface import Address
 from drumbay.identifiers import NodeId
 from drumbay.membership.member_table import DIGEST_BUCKETS, MemberTable, bucket_of
-from drumbay.membership.messages import SyncRecords, SyncRequest
+from drumbay.membership.messages import SyncMembers, SyncRequest, SyncUpdates, SyncWanted
 from drumbay.membership.outbox import Outbox
-from drumbay.membership.records import Member
+from drumbay.membership.records import Member, StateUpdate, boot_mark_of, state_update_of
 
-MAX_BUCKETS_PER_EXCHANGE = 16
+MAX_BUCKETS_PER_EXCHANGE = 32
+
+ItemT = TypeVar("ItemT", Member, StateUpdate)
 
 
 class AntiEntropy:
-    """Starts and answers exchanges."""
+    """Starts and answers exchanges; keeps no state between datagrams."""
 
     def __init__(self, table: MemberTable, outbox: Outbox, rng: random.Random) -> None:
-        """Create without exchanges; the protocol keeps no state between datagrams."""
+        """Create exchanges over a table."""
         self._table = table
         self._outbox = outbox
         self._random = rng
@@ -33,58 +36,83 @@
     def start(self, peer: Address, peer_id: NodeId | None) -> None:
         """Ask a peer to compare tables."""
         request = SyncRequest(
-            sender=self._table.self_member.node_id,
+            sender=self._self_id(),
             record=self._table.self_member,
             digests=tuple(self._table.digests()),
         )
         self._outbox.send(peer, peer_id, request)
 
     def handle_request(self, sender: Address, request: SyncRequest) -> None:
-        """Answer with the members of differing buckets, and ask for the sender's."""
-        own_digests = self._table.digests()
+        """Tell of the members of differing buckets, and ask for the sender's view of them."""
         if len(request.digests) != DIGEST_BUCKETS:
             return
+        own_digests = self._table.digests()
         # The two nodes' own buckets come first, so that each learns at once what the other
         # says against it; the others in random rotation, so that exchanges cover them all.
-        own_id = self._table.self_member.node_id
         start = self._random.randrange(DIGEST_BUCKETS)
         rotation = [(start + step) % DIGEST_BUCKETS for step in range(DIGEST_BUCKETS)]
-        order = dict.fromkeys([bucket_of(request.sender), bucket_of(own_id), *rotation])
+        order = dict.fromkeys([bucket_of(request.sender), bucket_of(self._self_id()), *rotation])
         differing = [each for each in order if own_digests[each] != request.digests[each]]
         chosen = differing[:MAX_BUCKETS_PER_EXCHANGE]
         if chosen:
-            self._send_buckets(sender, chosen, wanted=tuple(chosen))
+            self._tell_of_buckets(sender, chosen, wanted=tuple(chosen))
+
+    def handle_updates(self, sender: Address, message: SyncUpdates) -> None:
+        """Ask for unknown members, and tell of the buckets that the peer wants."""
+        unknown = [each.node_id for each in message.bucket_updates if self._is_unknown(each)]
+        if unknown:
+            wanted = SyncWanted(sender=self._self_id(), node_ids=tuple(unknown))
+            self._outbox.send_plain(sender, wanted)
+        buckets = [each for each in message.wanted_buckets if 0 <= each < DIGEST_BUCKETS]
+        if buckets:
+            self._tell_of_buckets(sender, buckets[:MAX_BUCKETS_PER_EXCHANGE], wanted=())
+
+    def handle_wanted(self, sender: Address, message: SyncWanted) -> None:
+        """Send the full records that the peer asked for."""
+        found = [self._table.get(node_id) for node_id in message.node_ids]
+        members = [member for member in found if member is not None]
+        empty = SyncMembers(sender=self._self_id(), members=())
+        for page in _pages(members, _room_bytes(empty)):
+            self._outbox.send_plain(sender, msgspec.structs.replace(empty, members=tuple(page)))
 
-    def handle_records(self, sender: Address, message: SyncRecords) -> None:
-        """Send the members that the peer wants; the caller merges the received ones first."""
-        wanted = [each for each in message.wanted_buckets if 0 <= each < DIGEST_BUCKETS]
-        if wanted:
-            self._send_buckets(sender, wanted[:MAX_BUCKETS_PER_EXCHANGE], wanted=())
+    def _self_id(self) -> NodeId:
+        return self._table.self_member.node_id
 
-    def _send_buckets(self, peer: Address, buckets: list[int], wanted: tuple[int, ...]) -> None:
+    def _is_unknown(self, update: StateUpdate) -> bool:
+        """Return whether only a full record can tell this node of the member."""
+        known = self._table.get(update.node_id)
+        if known is None:
+            return update.is_reachable
+        is_other_boot = boot_mark_of(known.boot_id) != update.boot_mark
+        return is_other_boot and update.incarnation >= known.incarnation
+
+    def _tell_of_buckets(self, peer: Address, buckets: list[int], wanted: tuple[int, ...]) -> None:
         members = [member for bucket in buckets for member in self._table.bucket(bucket)]
-        empty = SyncRecords(
-            sender=self._table.self_member.node_id, bucket_members=(), wanted_buckets=wanted
-        )
-        room = MAX_DATAGRAM_MESSAGE_BYTES - encoded_size_bytes(empty) - 2
-        pages = _pages(members, room)
+        updates = [state_update_of(member) for member in members]
+        empty = SyncUpdates(sender=self._self_id(), bucket_updates=(), wanted_buckets=wanted)
+        pages = _pages(updates, _room_bytes(empty))
         for number, page in enumerate(pages):
-            last = number == len(pages) - 1
+            is_last = number == len(pages) - 1
             message = msgspec.structs.replace(
-                empty, bucket_members=tuple(page), wanted_buckets=wanted if last else ()
+                empty, bucket_updates=tuple(page), wanted_buckets=wanted if is_last else ()
             )
             self._outbox.send_plain(peer, message)
 
 
-def _pages(members: list[Member], room_bytes: int) -> list[list[Member]]:
-    """Split members into lists whose encoding fits ``room_bytes`` each; at least one list."""
-    pages: list[list[Member]] = [[]]
+def _room_bytes(empty: SyncUpdates | SyncMembers) -> int:
+    # Two bytes: a longer array needs a longer length prefix.
+    return MAX_DATAGRAM_MESSAGE_BYTES - encoded_size_bytes(empty) - 2
+
+
+def _pages(items: list[ItemT], room_bytes: int) -> list[list[ItemT]]:
+    """Split items into lists whose encoding fits ``room_bytes`` each; at least one list."""
+    pages: list[list[ItemT]] = [[]]
     left = room_bytes
-    for member in members:
-        size = len(msgspec.msgpack.encode(member))
+    for item in items:
+        size = len(msgspec.msgpack.encode(item))
         if size > left and pages[-1]:
             pages.append([])
             left = room_bytes
-        pages[-1].append(member)
+        pages[-1].append(item)
         left -= size
     return pages
--- a/drumbay/membership/messages.py
+++ b/drumbay/membership/messages.py
@@ -87,18 +87,38 @@
     digests: tuple[int, ...]
 
 
-class SyncRecords(MembershipDatagram, frozen=True, kw_only=True, array_like=True):
-    """Carries the members of buckets that differ.
+class SyncUpdates(MembershipDatagram, frozen=True, kw_only=True, array_like=True):
+    """Tells, in short, of the members of buckets that differ.
 
     Attributes:
-        bucket_members: The members.
-        wanted_buckets: Buckets whose members the receiver should send in return.
+        bucket_updates: The members' states.
+        wanted_buckets: Buckets whose members the receiver should tell of in return.
     """
 
-    bucket_members: tuple[Member, ...]
+    bucket_updates: tuple[StateUpdate, ...]
     wanted_buckets: tuple[int, ...] = ()
 
 
+class SyncWanted(MembershipDatagram, frozen=True, kw_only=True, array_like=True):
+    """Asks for the full records of members that the sender does not know.
+
+    Attributes:
+        node_ids: The members.
+    """
+
+    node_ids: tuple[NodeId, ...]
+
+
+class SyncMembers(MembershipDatagram, frozen=True, kw_only=True, array_like=True):
+    """Carries full records that were asked for.
+
+    Attributes:
+        members: The members.
+    """
+
+    members: tuple[Member, ...]
+
+
 class OutgoingDatagram(msgspec.Struct, frozen=True, kw_only=True):
     """A datagram to send."""
 
--- a/drumbay/membership/news.py
+++ b/drumbay/membership/news.py
@@ -73,32 +73,49 @@
         else:
             self._correct(update)
 
-    def merge_synced(self, now: float, sender: NodeId, record: Member) -> bool:
-        """Take in a record of an anti-entropy exchange; return whether it was news.
+    def merge_synced_updates(self, now: float, updates: tuple[StateUpdate, ...]) -> bool:
+        """Take in what an anti-entropy exchange tells; return whether any of it was news.
 
-        NOTE: after a cut each side holds the other side's members for dead. If the sides
-        believed each other, everyone would be dead until it refuted. So a death learned in an
-        exchange is only a suspicion, and everyone gets the time to refute.
+        NOTE: an exchange never accuses. After a cut each side holds the other side's members
+        for dead; if the sides believed each other, everyone would be dead until it refuted.
+        A member that a peer holds for dead is probed next instead.
         """
-        if record.node_id == self._table.self_member.node_id:
-            self._hear_of_self(now, state_update_of(record))
-            return False
-        known = self._table.get(record.node_id)
-        if known is not None and known.is_reachable and record.state is MemberState.DEAD:
-            record = msgspec.structs.replace(record, state=MemberState.SUSPECT)
-        news = self._table.apply_record(now, record)
-        if news is None:
-            return False
-        self._react(now, news, sender)
-        if news.previous is None:
-            # Others know it already, or will learn of it from the new member itself.
-            return True
-        if news.previous.boot_id == record.boot_id:
-            accuser = sender if record.state is MemberState.SUSPECT else NO_ACCUSER
-            self._queue.add(state_update_of(news.member, accuser))
-        else:
-            self._queue.add(news.member)
-        return True
+        any_news = False
+        for update in updates:
+            if update.node_id == self._table.self_member.node_id:
+                self._hear_of_self(now, update)
+                continue
+            known = self._table.get(update.node_id)
+            if known is not None and known.is_reachable and update.state is MemberState.DEAD:
+                self._schedule.probe_soon(known)
+                continue
+            if update.state is MemberState.SUSPECT:
+                update = msgspec.structs.replace(update, state=MemberState.ALIVE)
+            news = self._table.apply_update(now, update)
+            if news is not None:
+                self._react(now, news, NO_ACCUSER)
+                self._queue.add(update)
+                any_news = True
+        return any_news
+
+    def merge_synced_members(self, now: float, members: tuple[Member, ...]) -> bool:
+        """Take in records that this node asked for; return whether any was news."""
+        any_news = False
+        for record in members:
+            if record.node_id == self._table.self_member.node_id:
+                self._hear_of_self(now, state_update_of(record))
+                continue
+            if record.state is MemberState.SUSPECT:
+                record = msgspec.structs.replace(record, state=MemberState.ALIVE)
+            news = self._table.apply_record(now, record)
+            if news is None:
+                continue
+            any_news = True
+            self._react(now, news, NO_ACCUSER)
+            if news.previous is not None:
+                # A new member is announced by itself; a restarted one may have been missed.
+                self._queue.add(record)
+        return any_news
 
     def suspect(self, now: float, target: Member) -> None:
         """Suspect a member that did not answer this node's probe."""
--- a/drumbay/membership/probe_schedule.py
+++ b/drumbay/membership/probe_schedule.py
@@ -13,6 +13,9 @@
 from drumbay.membership.member_table import MemberTable
 from drumbay.membership.records import Member, MembershipSettings
 
+MAX_URGENT_MEMBERS = 16
+"""Bound on the members that come before their turn; the rest are left to the traversal."""
+
 
 class _ProbeOrder:
     """One shuffled traversal, renewed when it is through."""
@@ -21,14 +24,25 @@
         self._random = rng
         self._order: list[NodeId] = []
         self._position = 0
+        self._urgent: dict[NodeId, None] = {}
 
     def insert(self, node_id: NodeId) -> None:
         """Put a new member at a random place of the present traversal."""
         place = self._random.randint(self._position, len(self._order))
         self._order.insert(place, node_id)
 
+    def put_first(self, node_id: NodeId) -> None:
+        """Return a member before its turn."""
+        if len(self._urgent) < MAX_URGENT_MEMBERS:
+            self._urgent[node_id] = None
+
     def next(self, candidates: dict[NodeId, None]) -> NodeId | None:
         """Return the next of the candidates; the order is renewed at its end."""
+        while self._urgent:
+            node_id = next(iter(self._urgent))
+            del self._urgent[node_id]
+            if node_id in candidates:
+                return node_id
         for _ in range(2):
             while self._position < len(self._order):
                 node_id = self._order[self._position]
@@ -67,6 +81,11 @@
             self._local[member.node_id] = None
             self._local_order.insert(member.node_id)
 
+    def probe_soon(self, member: Member) -> None:
+        """Probe a member next: somebody holds it for dead."""
+        order = self._remote_order if self.is_remote(member) else self._local_order
+        order.put_first(member.node_id)
+
     def remove(self, node_id: NodeId) -> None:
         """Stop probing a member."""
         self._local.pop(node_id, None)
--- a/drumbay/membership/records.py
+++ b/drumbay/membership/records.py
@@ -71,6 +71,11 @@
     state: MemberState
     accuser: NodeId = NO_ACCUSER
 
+    @property
+    def is_reachable(self) -> bool:
+        """Return whether the member counts as running."""
+        return self.state <= MemberState.SUSPECT
+
 
 def boot_mark_of(boot_id: BootId) -> int:
     """Return the short hash of a boot that compact updates carry."""
--- a/drumbay/membership/service.py
+++ b/drumbay/membership/service.py
@@ -16,8 +16,10 @@
     MembershipDatagram,
     Nack,
     Ping,
-    SyncRecords,
+    SyncMembers,
     SyncRequest,
+    SyncUpdates,
+    SyncWanted,
 )
 from drumbay.membership.records import (
     Member,
@@ -40,7 +42,9 @@
     Nack,
     Gossip,
     SyncRequest,
-    SyncRecords,
+    SyncUpdates,
+    SyncWanted,
+    SyncMembers,
 )
 
 ChangeListener = Callable[[MemberChange], None]
--- a/drumbay/membership/swim.py
+++ b/drumbay/membership/swim.py
@@ -24,8 +24,10 @@
     Nack,
     OutgoingDatagram,
     Ping,
-    SyncRecords,
+    SyncMembers,
     SyncRequest,
+    SyncUpdates,
+    SyncWanted,
 )
 from drumbay.membership.news import NewsHandler
 from drumbay.membership.outbox import Outbox
@@ -34,7 +36,9 @@
 from drumbay.membership.records import (
     Member,
     MemberChange,
+    MemberChangeKind,
     MembershipSettings,
+    MemberState,
 )
 from drumbay.membership.suspicion import SuspicionTimers
 
@@ -105,6 +109,11 @@
         """Return how many other members are alive or merely suspected."""
         return self._table.reachable_count
 
+    @property
+    def alive_count(self) -> int:
+        """Return how many members are alive and not suspected, the node itself included."""
+        return sum(1 for each in self._table.members() if each.state is MemberState.ALIVE)
+
     def members(self) -> tuple[Member, ...]:
         """Return every known member, the node itself included."""
         return self._table.members()
@@ -163,6 +172,8 @@
 
     def _output(self, now: float) -> Output:
         changes = self._news.take_changes()
+        if any(each.kind is MemberChangeKind.RETURNED for each in changes):
+            self._reconnect_soon(now)
         self._expected_tick_at = max(now, self._next_deadline())
         return Output(
             datagrams=self._outbox.take(),
@@ -194,14 +205,23 @@
             self._prober.handle_indirect_ping(now, message)
         elif isinstance(message, Nack):
             self._prober.handle_nack(message)
-        elif isinstance(message, SyncRequest):
+        else:
+            self._handle_sync(now, sender, message)
+
+    def _handle_sync(self, now: float, sender: Address, message: MembershipDatagram) -> None:
+        any_news = False
+        if isinstance(message, SyncRequest):
             self._news.merge_record(now, message.record)
             self._anti_entropy.handle_request(sender, message)
-        elif isinstance(message, SyncRecords):
-            for record in message.bucket_members:
-                if self._news.merge_synced(now, message.sender, record):
-                    self._sync_again_soon(now)
-            self._anti_entropy.handle_records(sender, message)
+        elif isinstance(message, SyncUpdates):
+            any_news = self._news.merge_synced_updates(now, message.bucket_updates)
+            self._anti_entropy.handle_updates(sender, message)
+        elif isinstance(message, SyncWanted):
+            self._anti_entropy.handle_wanted(sender, message)
+        elif isinstance(message, SyncMembers):
+            any_news = self._news.merge_synced_members(now, message.members)
+        if any_news:
+            self._sync_again_soon(now)
 
     def _sample(self, count: int) -> list[NodeId]:
         reachable = self._table.reachable()
@@ -259,6 +279,11 @@
             address, node_id = self._random.choice(targets)
             self._anti_entropy.start(address, node_id)
 
+    def _reconnect_soon(self, now: float) -> None:
+        """A dead member is back: a cut may have healed, and the others are back as well."""
+        soon = now + self._jittered(self._settings.sync_retry_seconds)
+        self._next_reconnect_at = min(self._next_reconnect_at, soon)
+
     def _is_known(self, seed: Address) -> bool:
         return self._table.at_address(seed) is not None
 
--- a/tests/test_membership_failures.py
+++ b/tests/test_membership_failures.py
@@ -9,11 +9,11 @@
 from drumbay.membership.hollow import HollowCluster
 from drumbay.membership.news import NewsHandler
 from drumbay.membership.records import (
-    Member,
     MemberChange,
     MemberChangeKind,
     MembershipSettings,
     MemberState,
+    StateUpdate,
 )
 from drumbay.membership.swim import Swim
 
@@ -37,6 +37,8 @@
         nodes = {each.member.node_id: each for each in self.cluster.nodes}
         subject, watcher = nodes[member.node_id], nodes[observer]
         runs = subject.is_up and subject.frozen_until <= now
+        # The death of a former boot is true, however late it is heard of.
+        runs = runs and subject.member.boot_id == member.boot_id
         if runs and not self.cluster.is_cut(subject.member, watcher.member):
             if kind is MemberChangeKind.SUSPECTED:
                 self.false_suspicions.append(member.node_id)
@@ -180,10 +182,12 @@
         self.assertTrue(self.heal_after_cut()[0])
 
     def test_deaths_learned_over_the_healed_cut_are_not_believed(self) -> None:
-        def believe(handler: NewsHandler, now: float, sender: NodeId, record: Member) -> bool:
-            return handler.merge_record(now, record)
+        def believe(handler: NewsHandler, now: float, updates: tuple[StateUpdate, ...]) -> bool:
+            for update in updates:
+                handler.merge_update(now, update)
+            return False
 
-        with mock.patch.object(NewsHandler, "merge_synced", believe):
+        with mock.patch.object(NewsHandler, "merge_synced_updates", believe):
             self.assertGreater(len(self.heal_after_cut()[1].false_deaths), 0)
         healed, history = self.heal_after_cut()
         self.assertTrue(healed)
--- a/tests/test_membership_parts.py
+++ b/tests/test_membership_parts.py
@@ -11,10 +11,18 @@
 from drumbay.comm.codec import MAX_DATAGRAM_MESSAGE_BYTES, encoded_size_bytes
 from drumbay.comm.interface import Address
 from drumbay.identifiers import BootId, NodeId
+from drumbay.membership.anti_entropy import MAX_BUCKETS_PER_EXCHANGE
 from drumbay.membership.dissemination import DisseminationQueue, retransmit_limit
 from drumbay.membership.local_health import LocalHealth
-from drumbay.membership.member_table import MemberTable
-from drumbay.membership.messages import Ack, Gossip, Ping
+from drumbay.membership.member_table import DIGEST_BUCKETS, MemberTable
+from drumbay.membership.messages import (
+    Ack,
+    Gossip,
+    MembershipDatagram,
+    Ping,
+    SyncRequest,
+    SyncUpdates,
+)
 from drumbay.membership.probe_schedule import ProbeSchedule
 from drumbay.membership.records import (
     Member,
@@ -235,6 +243,45 @@
         assert known is not None
         self.assertEqual(known.application_revision, 42)
 
+    def test_new_node_learns_a_large_table_in_few_exchanges_of_bounded_datagrams(self) -> None:
+        joiner, seed = swim_of(0), swim_of(1)
+        for number in range(2, 410):
+            record = member_of(number, zone="zone-with-a-long-name")
+            seed.receive(0.0, record.address, Gossip(sender=record.node_id, records=(record,)))
+        swims = {joiner.self_member.address: joiner, seed.self_member.address: seed}
+        exchanges = 0
+        while joiner.reachable_count < 409:
+            exchanges += 1
+            request = SyncRequest(
+                sender=joiner.self_member.node_id,
+                record=joiner.self_member,
+                digests=tuple(joiner._table.digests()),
+            )
+            on_the_way: list[tuple[Address, Address, MembershipDatagram]]
+            on_the_way = [(joiner.self_member.address, seed.self_member.address, request)]
+            while on_the_way:
+                sender, receiver, message = on_the_way.pop(0)
+                self.assertLessEqual(encoded_size_bytes(message), MAX_DATAGRAM_MESSAGE_BYTES)
+                output = swims[receiver].receive(0.0, sender, message)
+                on_the_way += [
+                    (receiver, each.address, each.message)
+                    for each in output.datagrams
+                    if each.address in swims
+                ]
+        self.assertEqual(exchanges, DIGEST_BUCKETS // MAX_BUCKETS_PER_EXCHANGE)
+
+    def test_member_that_a_peer_holds_for_dead_is_probed_next_and_not_accused(self) -> None:
+        swim = swim_of(1)
+        records = tuple(member_of(number) for number in range(2, 100))
+        address = Address("10.0.0.1", 2)
+        swim.receive(0.0, address, Gossip(sender=NodeId("node-2"), records=records))
+        dead = state_update_of(member_of(77, state=MemberState.DEAD))
+        told = SyncUpdates(sender=NodeId("node-2"), bucket_updates=(dead,))
+        self.assertEqual(swim.receive(0.0, address, told).changes, ())
+        pings = [each.message for each in swim.tick(0.0).datagrams]
+        targets = [each.target for each in pings if isinstance(each, Ping)]
+        self.assertEqual(targets, [NodeId("node-77")])
+
     @settings(derandomize=True, max_examples=100, deadline=None)
     @given(st.data())
     def test_any_news_leaves_a_node_sure_of_itself(self, data: st.DataObject) -> None:
