Add the key-value service: model, in-memory store, etcd gateway client and server

Cause: configuration, ownership and their simulations need the platform's key-value service, with the faults it is known for.

Ruled out: tornado's curl client for requests, since libcurl resends a request by itself when a reused connection dies before the answer, and a compare-and-swap that took effect would then report a failed compare. For watches neither of tornado's clients can abort a request (the curl client's close() left timers that failed), so they use HTTP1Connection.

Change: KeyValueModel (revisions, transactions, leases, watches, compaction, bounded history, execution log) with switchable faults: outage, delay before and after the effect, lost requests and lost answers, rate limit, broken and stalled watches. In front of it MemoryKeyValueStore, and the etcd v3 JSON gateway as server and client. Only an answer that proves it counts as "no effect".

Not run: the client against a real etcd, which was not at hand.

--- /dev/null
+++ b/drumbay/standins/kv_model.py
@@ -0,0 +1,311 @@
+"""In-process model of the etcd v3 data model: revisions, transactions, leases, watches.
+
+The model is synchronous and reads only the clock it is given, so that it runs on virtual
+time as well. Faults are decided by :attr:`KeyValueModel.injector`; the stores and servers
+in front of the model act them out.
+"""
+
+import math
+import random
+from collections import deque
+from collections.abc import Callable
+
+import msgspec
+
+from drumbay.clock import Clock
+from drumbay.identifiers import Revision
+from drumbay.kv.interface import (
+    Delete,
+    KeyValue,
+    LeaseGrant,
+    LeaseNotFoundError,
+    ModRevisionIs,
+    Put,
+    RangeResult,
+    TransactionResult,
+    WatchBatch,
+    WatchCompactedError,
+    WatchEvent,
+)
+from drumbay.standins.kv_faults import FaultInjector, KeyValueFaults
+from drumbay.standins.kv_records import (
+    ChangeCause,
+    LeaseAction,
+    LogEntry,
+    LoggedChange,
+    LoggedLease,
+)
+
+FIRST_LEASE_ID = 2**53 + 1
+"""Larger than a double can hold exactly, so that a client which reads it as one is found out."""
+
+FIRST_REVISION = Revision(1)
+"""Revision of an empty store, as in etcd."""
+
+DEFAULT_HISTORY_LIMIT = 10_000
+
+
+class _Lease(msgspec.Struct, kw_only=True):
+    """A live lease; ``keys`` is a dict because it keeps insertion order."""
+
+    ttl_seconds: float
+    expires_at: float
+    keys: dict[str, None] = {}
+
+
+class KeyValueModel:
+    """The state of one key-value service and the log of every change it applied.
+
+    Attributes:
+        clock: Source of time of the service.
+        injector: The faults in force.
+        log: Every applied change, oldest first.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        *,
+        generator: random.Random | None = None,
+        history_limit: int = DEFAULT_HISTORY_LIMIT,
+        log_renewals: bool = True,
+    ) -> None:
+        """Create an empty store.
+
+        Args:
+            clock: Source of time.
+            generator: Source of random faults; a fixed seed if not given.
+            history_limit: Most changed revisions kept for watches; older are compacted.
+            log_renewals: Whether lease renewals go into the log.
+        """
+        self.injector = FaultInjector(generator or random.Random(0))
+        self.log: list[LogEntry] = []
+        self.clock = clock
+        self._history_limit = history_limit
+        self._log_renewals = log_renewals
+        self._revision = FIRST_REVISION
+        self._compacted_revision = Revision(0)
+        self._items: dict[str, KeyValue] = {}
+        self._leases: dict[int, _Lease] = {}
+        self._next_lease_id = FIRST_LEASE_ID
+        self._history: deque[LoggedChange] = deque()
+        self._listeners: dict[Callable[[], None], None] = {}
+
+    @property
+    def revision(self) -> Revision:
+        """Return the current revision."""
+        self.expire_leases()
+        return self._revision
+
+    @property
+    def compacted_revision(self) -> Revision:
+        """Return the oldest revision from which a watch may still start."""
+        return self._compacted_revision
+
+    @property
+    def listener_count(self) -> int:
+        """Return how many listeners are registered, which is the number of open watches."""
+        return len(self._listeners)
+
+    def now(self) -> float:
+        """Return the time on the model's monotonic clock in seconds."""
+        return self.clock.monotonic()
+
+    def set_faults(self, faults: KeyValueFaults) -> None:
+        """Replace the faults in force and let watches notice."""
+        self.injector.set_faults(faults, self.now())
+        self._notify()
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after every change of keys, leases or faults."""
+        self._listeners[listener] = None
+
+    def remove_listener(self, listener: Callable[[], None]) -> None:
+        """Stop calling ``listener``."""
+        self._listeners.pop(listener, None)
+
+    def range_prefix(self, prefix: str) -> RangeResult:
+        """Return every key that starts with ``prefix``, sorted."""
+        self.expire_leases()
+        keys = sorted(key for key in self._items if key.startswith(prefix))
+        items = tuple(self._items[key] for key in keys)
+        return RangeResult(revision=self._revision, items=items)
+
+    def transact(
+        self,
+        compares: tuple[ModRevisionIs, ...],
+        operations: tuple[Put | Delete, ...],
+    ) -> TransactionResult:
+        """Carry out ``operations`` in one revision if all ``compares`` hold.
+
+        Raises:
+            LeaseNotFoundError: A put names a lease that is gone; nothing was changed.
+        """
+        self.expire_leases()
+        if not all(self._holds(compare) for compare in compares):
+            return TransactionResult(succeeded=False, revision=self._revision)
+        self._check_leases(operations)
+        self._apply(operations, ChangeCause.TRANSACTION, self.now())
+        return TransactionResult(succeeded=True, revision=self._revision)
+
+    def grant_lease(self, ttl_seconds: float) -> LeaseGrant:
+        """Grant a lease; the time to live is rounded up to whole seconds, as etcd does."""
+        self.expire_leases()
+        ttl = float(max(1, math.ceil(ttl_seconds)))
+        lease_id = self._next_lease_id
+        self._next_lease_id += 1
+        self._leases[lease_id] = _Lease(ttl_seconds=ttl, expires_at=self.now() + ttl)
+        self._log_lease(lease_id, LeaseAction.GRANTED, ttl, self.now())
+        self._notify()
+        return LeaseGrant(lease_id=lease_id, ttl_seconds=ttl)
+
+    def keep_lease_alive(self, lease_id: int) -> float:
+        """Renew a lease and return its remaining time in seconds.
+
+        Raises:
+            LeaseNotFoundError: The lease is gone.
+        """
+        self.expire_leases()
+        lease = self._find_lease(lease_id)
+        lease.expires_at = self.now() + lease.ttl_seconds
+        if self._log_renewals:
+            self._log_lease(lease_id, LeaseAction.RENEWED, lease.ttl_seconds, self.now())
+        return lease.ttl_seconds
+
+    def revoke_lease(self, lease_id: int) -> None:
+        """End a lease and remove its keys.
+
+        Raises:
+            LeaseNotFoundError: The lease is gone.
+        """
+        self.expire_leases()
+        lease = self._find_lease(lease_id)
+        self._end_lease(lease_id, lease, LeaseAction.REVOKED, self.now())
+        self._notify()
+
+    def expire_leases(self) -> None:
+        """End every lease whose time has passed, in the order of expiry."""
+        now = self.now()
+        due = [entry for entry in self._leases.items() if entry[1].expires_at <= now]
+        for lease_id, lease in sorted(due, key=lambda entry: (entry[1].expires_at, entry[0])):
+            self._end_lease(lease_id, lease, LeaseAction.EXPIRED, lease.expires_at)
+
+    def next_expiry(self) -> float | None:
+        """Return when the next lease expires unless renewed; ``None`` without leases."""
+        return min((lease.expires_at for lease in self._leases.values()), default=None)
+
+    def read_changes(self, prefix: str, start_revision: Revision) -> WatchBatch:
+        """Return the changes of ``prefix`` from ``start_revision`` up to now.
+
+        Raises:
+            WatchCompactedError: The start revision is no longer held.
+        """
+        self.expire_leases()
+        if start_revision < self._compacted_revision:
+            raise WatchCompactedError(
+                f"revision {start_revision} is compacted; oldest is {self._compacted_revision}"
+            )
+        events: list[WatchEvent] = []
+        for change in reversed(self._history):
+            if change.revision < start_revision:
+                break
+            events.extend(e for e in reversed(change.events) if e.key.startswith(prefix))
+        events.reverse()
+        return WatchBatch(revision=self._revision, events=tuple(events))
+
+    def compact(self, revision: Revision) -> None:
+        """Drop the history before ``revision``; watches from before it fail."""
+        self._compacted_revision = max(self._compacted_revision, min(revision, self._revision))
+        while self._history and self._history[0].revision < self._compacted_revision:
+            self._history.popleft()
+        self._notify()
+
+    def _holds(self, compare: ModRevisionIs) -> bool:
+        item = self._items.get(compare.key)
+        current = item.mod_revision if item is not None else Revision(0)
+        return current == compare.mod_revision
+
+    def _check_leases(self, operations: tuple[Put | Delete, ...]) -> None:
+        for operation in operations:
+            if isinstance(operation, Put) and operation.lease_id:
+                self._find_lease(operation.lease_id)
+
+    def _find_lease(self, lease_id: int) -> _Lease:
+        lease = self._leases.get(lease_id)
+        if lease is None:
+            raise LeaseNotFoundError(f"lease {lease_id} not found")
+        return lease
+
+    def _apply(
+        self, operations: tuple[Put | Delete, ...], cause: ChangeCause, at_seconds: float
+    ) -> None:
+        """Carry out operations in one new revision; no revision if nothing changes."""
+        revision = Revision(self._revision + 1)
+        events: list[WatchEvent] = []
+        for operation in operations:
+            if isinstance(operation, Put):
+                events.append(self._put(operation, revision))
+            elif operation.key in self._items:
+                events.append(self._delete(operation.key, revision))
+        if not events:
+            return
+        self._revision = revision
+        change = LoggedChange(
+            at_seconds=at_seconds, revision=revision, cause=cause, events=tuple(events)
+        )
+        self.log.append(change)
+        self._history.append(change)
+        if len(self._history) > self._history_limit:
+            self._history.popleft()
+            self._compacted_revision = self._history[0].revision
+        self._notify()
+
+    def _put(self, operation: Put, revision: Revision) -> WatchEvent:
+        previous = self._items.get(operation.key)
+        if previous is not None:
+            self._detach(previous)
+        item = KeyValue(
+            key=operation.key,
+            value=operation.value,
+            create_revision=previous.create_revision if previous else revision,
+            mod_revision=revision,
+            version=previous.version + 1 if previous else 1,
+            lease_id=operation.lease_id,
+        )
+        self._items[operation.key] = item
+        if operation.lease_id:
+            self._leases[operation.lease_id].keys[operation.key] = None
+        return WatchEvent(key=operation.key, mod_revision=revision, item=item)
+
+    def _delete(self, key: str, revision: Revision) -> WatchEvent:
+        self._detach(self._items.pop(key))
+        return WatchEvent(key=key, mod_revision=revision, item=None)
+
+    def _detach(self, item: KeyValue) -> None:
+        lease = self._leases.get(item.lease_id)
+        if lease is not None:
+            lease.keys.pop(item.key, None)
+
+    def _end_lease(
+        self, lease_id: int, lease: _Lease, action: LeaseAction, at_seconds: float
+    ) -> None:
+        del self._leases[lease_id]
+        self._log_lease(lease_id, action, lease.ttl_seconds, at_seconds)
+        cause = (
+            ChangeCause.LEASE_EXPIRED
+            if action is LeaseAction.EXPIRED
+            else ChangeCause.LEASE_REVOKED
+        )
+        self._apply(tuple(Delete(key=key) for key in sorted(lease.keys)), cause, at_seconds)
+
+    def _log_lease(
+        self, lease_id: int, action: LeaseAction, ttl_seconds: float, at_seconds: float
+    ) -> None:
+        entry = LoggedLease(
+            at_seconds=at_seconds, lease_id=lease_id, action=action, ttl_seconds=ttl_seconds
+        )
+        self.log.append(entry)
+
+    def _notify(self) -> None:
+        for listener in list(self._listeners):
+            listener()
--- /dev/null
+++ b/tests/test_kv_memory.py
@@ -0,0 +1,30 @@
+"""The in-process key-value store keeps the contract."""
+
+import random
+import unittest
+
+from drumbay.kv.interface import KeyValueStore
+from drumbay.kv.memory import MemoryKeyValueStore
+from drumbay.standins.kv_faults import FaultInjector, KeyValueFaults, WriteFate
+from tests.kv_contract import ANSWER_TIMEOUT_SECONDS, KeyValueContract
+
+
+class MemoryKeyValueStoreTest(KeyValueContract):
+    async def make_store(self) -> KeyValueStore:
+        return MemoryKeyValueStore(self.model, self.clock, timeout_seconds=ANSWER_TIMEOUT_SECONDS)
+
+
+class RandomFaultsTest(unittest.TestCase):
+    def test_fates_follow_the_seed(self) -> None:
+        faults = KeyValueFaults(lost_answer_probability=0.5, lost_request_probability=0.25)
+        runs: list[list[WriteFate]] = []
+        for _ in range(2):
+            injector = FaultInjector(random.Random(7))
+            injector.set_faults(faults, 0.0)
+            runs.append([injector.draw_write_fate() for _ in range(50)])
+        self.assertEqual(runs[0], runs[1])
+        self.assertEqual(set(runs[0]), set(WriteFate))
+
+
+# NOTE: the loader would otherwise run the contract without a store.
+del KeyValueContract
