--- /dev/null
+++ b/drumbay/api/base.py
@@ -0,0 +1,157 @@
+"""Base of the HTTP handlers: typed bodies, typed errors, bearer tokens."""
+
+import hashlib
+import hmac
+from typing import Any, ClassVar, TypeVar
+
+import msgspec
+from tornado.web import RequestHandler
+
+from drumbay.api.interface import NodeInterface
+from drumbay.api.schema import ErrorBody, ErrorDetail
+from drumbay.exceptions import DrumbayError, Execution, RequestFailedError
+from drumbay.identifiers import RequestId
+from drumbay.observability.logs import log_event
+from drumbay.requests.errors import (
+    AuthenticationRequiredError,
+    PermissionDeniedError,
+    not_run,
+)
+from drumbay.resources.schema import Role
+
+BodyT = TypeVar("BodyT")
+
+JSON_CONTENT_TYPE = "application/json"
+REQUEST_ID_HEADER = "X-Request-Id"
+TIMEOUT_HEADER = "Drumbay-Timeout-Seconds"
+BEARER_PREFIX = "Bearer "
+
+
+class ApiHandler(RequestHandler):
+    """A handler that speaks JSON and turns exceptions into typed error bodies."""
+
+    allowed_roles: ClassVar[tuple[Role, ...]] = (Role.OPERATOR,)
+
+    def initialize(self, node: NodeInterface, authentication: bool) -> None:
+        """Take the node that carries out the operations."""
+        self.node = node
+        self.authentication = authentication
+        self.request_id: RequestId | None = None
+
+    def prepare(self) -> None:
+        """Refuse a request whose bearer token does not allow it."""
+        if self.authentication:
+            self._check_role(self._role_of_bearer())
+
+    def _check_role(self, role: Role) -> None:
+        if role not in self.allowed_roles:
+            raise PermissionDeniedError(
+                f"the role {role} may not do this", execution=Execution.NOT_RUN
+            )
+
+    def _role_of_bearer(self) -> Role:
+        header = self.request.headers.get("Authorization", "")
+        digest = hashlib.sha256(header.removeprefix(BEARER_PREFIX).encode()).hexdigest()
+        for token in self.node.access_tokens():
+            if hmac.compare_digest(token.sha256, digest):
+                return token.role
+        raise AuthenticationRequiredError("no valid bearer token", execution=Execution.NOT_RUN)
+
+    def decode_body(self, body_type: type[BodyT]) -> BodyT:
+        """Return the JSON body as a typed record.
+
+        Raises:
+            InvalidRequestError: The body is not valid.
+        """
+        try:
+            return msgspec.json.decode(self.request.body, type=body_type)
+        except (msgspec.ValidationError, msgspec.DecodeError) as error:
+            raise not_run(str(error)) from error
+
+    def integer_argument(self, name: str, default: int | None = None) -> int:
+        """Return a query argument as an integer of at least 0.
+
+        Raises:
+            InvalidRequestError: It is missing or no such integer.
+        """
+        text = self.get_query_argument(name, None)
+        if text is None and default is not None:
+            return default
+        if text is None or not text.isdecimal():
+            raise not_run(f"query argument {name}: expected an integer of at least 0")
+        return int(text)
+
+    def caller_timeout_seconds(self) -> float | None:
+        """Return the time limit the caller stated, if any.
+
+        Raises:
+            InvalidRequestError: The header is no positive number.
+        """
+        text = self.request.headers.get(TIMEOUT_HEADER)
+        if text is None:
+            return None
+        try:
+            seconds = float(text)
+        except ValueError as error:
+            raise not_run(f"{TIMEOUT_HEADER}: expected a number of seconds") from error
+        if not seconds > 0:
+            raise not_run(f"{TIMEOUT_HEADER}: expected a positive number")
+        return seconds
+
+    def new_request_id(self) -> RequestId:
+        """Give this request an id and name it in the answer."""
+        request_id = self.node.new_request_id()
+        self.request_id = request_id
+        self.set_header(REQUEST_ID_HEADER, request_id)
+        return request_id
+
+    def write_record(self, record: msgspec.Struct, status: int = 200) -> None:
+        """Answer with a record as JSON."""
+        self.set_status(status)
+        self.set_header("Content-Type", JSON_CONTENT_TYPE)
+        self.finish(msgspec.json.encode(record))
+
+    def error_detail(self, error: BaseException) -> ErrorDetail:
+        """Return an exception as callers see it."""
+        if isinstance(error, RequestFailedError):
+            return ErrorDetail(
+                code=error.code,
+                detail=error.detail,
+                run=error.execution.value,
+                retry_after_seconds=error.retry_after_seconds,
+                request_id=self.request_id,
+            )
+        code = error.code if isinstance(error, DrumbayError) else DrumbayError.code
+        return ErrorDetail(
+            code=code,
+            detail=str(error),
+            run=Execution.MAY_HAVE_RUN.value,
+            request_id=self.request_id,
+        )
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Answer with the typed body of the exception that ended the handler."""
+        exception_info = kwargs.get("exc_info")
+        error = exception_info[1] if exception_info else None
+        if error is None:
+            return
+        detail = self.error_detail(error)
+        if isinstance(error, RequestFailedError):
+            self.set_status(error.http_status)
+        if detail.retry_after_seconds is not None:
+            self.set_header("Retry-After", str(max(1, round(detail.retry_after_seconds))))
+        self.set_header("Content-Type", JSON_CONTENT_TYPE)
+        self.finish(msgspec.json.encode(ErrorBody(error=detail)))
+
+    def log_exception(self, *arguments: Any) -> None:
+        """Log a failed request as one event; refusals are ordinary."""
+        error = arguments[1]
+        level = "INFO" if isinstance(error, RequestFailedError) else "ERROR"
+        log_event(
+            "request_failed",
+            level=level,
+            path=self.request.path,
+            request_id=self.request_id,
+            error=type(error).__name__,
+            detail=str(error),
+        )
--- /dev/null
+++ b/drumbay/api/diagnostics.py
@@ -0,0 +1,67 @@
+"""Explanations, status, health and metrics."""
+
+from typing import ClassVar
+
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from tornado.web import RequestHandler
+
+from drumbay.api.base import ApiHandler
+from drumbay.api.interface import NodeInterface
+from drumbay.explain.records import SubjectKind
+from drumbay.requests.errors import not_run
+from drumbay.resources.schema import Role
+
+
+class ExplainHandler(ApiHandler):
+    """``GET /v1/explain/{kind}/{id}``."""
+
+    allowed_roles: ClassVar[tuple[Role, ...]] = (Role.OPERATOR, Role.CALLER, Role.TRAINER)
+
+    async def get(self, kind: str, subject_id: str) -> None:
+        """Return the decision records of a request, a sample or a back end."""
+        try:
+            subject_kind = SubjectKind(kind)
+        except ValueError as error:
+            raise not_run(f"unknown kind {kind}: expected request, sample or backend") from error
+        self.write_record(await self.node.explain(subject_kind, subject_id))
+
+
+class StatusHandler(ApiHandler):
+    """``GET /v1/status``."""
+
+    def get(self) -> None:
+        """Return the node's state."""
+        self.write_record(self.node.status())
+
+
+class _ProbeHandler(RequestHandler):
+    def initialize(self, node: NodeInterface) -> None:
+        self.node = node
+
+
+class HealthHandler(_ProbeHandler):
+    """``GET /healthz``: the process runs its event loop."""
+
+    def get(self) -> None:
+        """Answer that the process is alive."""
+        self.finish("ok\n")
+
+
+class ReadyHandler(_ProbeHandler):
+    """``GET /readyz``: the node has a configuration and takes new work."""
+
+    def get(self) -> None:
+        """Answer 200 if the node takes new work, else 503."""
+        status = self.node.status()
+        ready = status.ready and not status.draining
+        self.set_status(200 if ready else 503)
+        self.finish("ok\n" if ready else "not ready\n")
+
+
+class MetricsHandler(RequestHandler):
+    """``GET /metrics`` for Prometheus."""
+
+    def get(self) -> None:
+        """Return the metrics of this process."""
+        self.set_header("Content-Type", CONTENT_TYPE_LATEST)
+        self.finish(generate_latest())
--- /dev/null
+++ b/drumbay/api/rollouts.py
@@ -0,0 +1,49 @@
+"""Rollout submissions and the trainers' side: pulls and weight announcements."""
+
+from typing import ClassVar
+
+from drumbay.api.base import ApiHandler
+from drumbay.api.schema import RolloutSubmission, WeightAnnouncement
+from drumbay.identifiers import Cursor, StreamName, WeightVersion
+from drumbay.resources.schema import Role
+
+DEFAULT_MAXIMUM_SAMPLES = 64
+
+
+class RolloutsHandler(ApiHandler):
+    """``POST /v1/rollouts``."""
+
+    allowed_roles: ClassVar[tuple[Role, ...]] = (Role.TRAINER, Role.OPERATOR)
+
+    async def post(self) -> None:
+        """Take the samples of one step."""
+        receipt = await self.node.submit_rollouts(self.decode_body(RolloutSubmission))
+        self.write_record(receipt, status=202)
+
+
+class SamplesHandler(ApiHandler):
+    """``GET /v1/streams/{stream}/samples?cursor=&max=&oldest_version=``."""
+
+    allowed_roles: ClassVar[tuple[Role, ...]] = (Role.TRAINER, Role.OPERATOR)
+
+    async def get(self, stream: str) -> None:
+        """Return the batch at a cursor."""
+        batch = await self.node.pull(
+            StreamName(stream),
+            Cursor(self.integer_argument("cursor")),
+            self.integer_argument("max", DEFAULT_MAXIMUM_SAMPLES),
+            WeightVersion(self.integer_argument("oldest_version")),
+        )
+        self.write_record(batch)
+
+
+class WeightVersionsHandler(ApiHandler):
+    """``POST /v1/models/{model}/versions``."""
+
+    allowed_roles: ClassVar[tuple[Role, ...]] = (Role.TRAINER, Role.OPERATOR)
+
+    async def post(self, model: str) -> None:
+        """Take note of a published version."""
+        await self.node.announce_weights(model, self.decode_body(WeightAnnouncement))
+        self.set_status(202)
+        await self.finish()
--- /dev/null
+++ b/drumbay/api/schema.py
@@ -0,0 +1,216 @@
+"""Typed records of the HTTP interface (JSON). One documented schema for every client."""
+
+import msgspec
+
+from drumbay.explain.records import DecisionRecord
+from drumbay.identifiers import BackendId, BootId, NodeId, Revision, SampleId, WeightVersion
+from drumbay.resources.schema import AnyResource
+
+
+class ApiRecord(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Base of request bodies: an unknown field is refused."""
+
+
+class ErrorDetail(msgspec.Struct, frozen=True, kw_only=True):
+    """A failure as callers see it.
+
+    Attributes:
+        code: Stable name of the failure.
+        detail: One sentence for a person.
+        run: ``not_run`` or ``may_have_run``; empty where nothing could run.
+        retry_after_seconds: When to come back; ``None`` if coming back does not help.
+        request_id: The request, for ``drumbay explain request``.
+    """
+
+    code: str
+    detail: str
+    run: str = ""
+    retry_after_seconds: float | None = None
+    request_id: str | None = None
+
+
+class ErrorBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Body of every answer with a status of 400 or more."""
+
+    error: ErrorDetail
+
+
+class CompletionBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Body of ``POST /v1/completions``; unknown OpenAI fields are ignored."""
+
+    model: str
+    prompt: str
+    max_tokens: int = 256
+    stream: bool = False
+    seed: int = 0
+    target_tokens: int | None = None
+
+
+class ChatMessage(msgspec.Struct, frozen=True, kw_only=True):
+    """One message of a chat."""
+
+    role: str
+    content: str
+
+
+class ChatCompletionBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Body of ``POST /v1/chat/completions``; unknown OpenAI fields are ignored."""
+
+    model: str
+    messages: tuple[ChatMessage, ...]
+    max_tokens: int = 256
+    stream: bool = False
+    seed: int = 0
+    target_tokens: int | None = None
+
+
+class VersionSpan(msgspec.Struct, frozen=True, kw_only=True):
+    """Consecutive tokens made by one run of one engine under one version."""
+
+    weight_version: WeightVersion
+    backend_id: BackendId
+    boot_id: BootId
+    first_index: int
+    token_count: int
+
+
+class CompletionAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Whole answer of a completion request."""
+
+    id: str
+    model: str
+    text: str
+    token_ids: tuple[int, ...]
+    finish_reason: str
+    spans: tuple[VersionSpan, ...]
+
+
+class RolloutPrompt(ApiRecord, frozen=True, kw_only=True):
+    """One sample to generate."""
+
+    index: int
+    prompt: str
+    max_tokens: int = 1024
+    seed: int = 0
+    target_tokens: int | None = None
+
+
+class RolloutSubmission(ApiRecord, frozen=True, kw_only=True):
+    """Body of ``POST /v1/rollouts``: the samples of one step of one stream."""
+
+    stream: str
+    step: int
+    model: str
+    prompts: tuple[RolloutPrompt, ...]
+
+
+class RolloutReceipt(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer to a rollout submission."""
+
+    stream: str
+    step: int
+    accepted: int
+    already_known: int
+    owner: NodeId
+
+
+class DeliveredSample(msgspec.Struct, frozen=True, kw_only=True):
+    """One sample as a trainer receives it."""
+
+    sample_id: SampleId
+    step: int
+    index: int
+    prompt: str
+    text: str
+    token_ids: tuple[int, ...]
+    spans: tuple[VersionSpan, ...]
+
+
+class BatchBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer to a pull: the batch that is fixed at this cursor."""
+
+    stream: str
+    cursor: int
+    next_cursor: int
+    oldest_version: WeightVersion
+    samples: tuple[DeliveredSample, ...]
+
+
+class WeightAnnouncement(ApiRecord, frozen=True, kw_only=True):
+    """Body of ``POST /v1/models/{model}/versions``: a published version."""
+
+    version: WeightVersion
+
+
+class ResourceBody(msgspec.Struct, frozen=True, kw_only=True):
+    """One resource with the revision of its last change."""
+
+    resource: AnyResource
+    mod_revision: Revision
+
+
+class ResourceListBody(msgspec.Struct, frozen=True, kw_only=True):
+    """All resources of a query, at one configuration revision of the answering node."""
+
+    revision: Revision
+    items: tuple[ResourceBody, ...]
+
+
+class ApplyBody(ApiRecord, frozen=True, kw_only=True):
+    """Body of ``PUT /v1/resources/{kind}/{name}``.
+
+    Attributes:
+        resource: The resource as it shall be.
+        operation_id: Identity of this change; the same id is applied once.
+        expected_revision: Revision the writer has seen; 0 if it shall be new; ``None``
+            overwrites whatever is there.
+    """
+
+    resource: AnyResource
+    operation_id: str
+    expected_revision: Revision | None = None
+
+
+class ApplyOutcomeBody(msgspec.Struct, frozen=True, kw_only=True):
+    """What became of a change: ``accepted`` or ``unknown`` (ask again by the id)."""
+
+    outcome: str
+    operation_id: str
+    mod_revision: Revision | None = None
+
+
+class ExplanationBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Decision records of one subject, oldest first.
+
+    Attributes:
+        records: Records of every node that answered.
+        nodes_asked: Nodes that were asked.
+        nodes_answered: Nodes that answered.
+    """
+
+    records: tuple[DecisionRecord, ...]
+    nodes_asked: int
+    nodes_answered: int
+
+
+class MemberBody(msgspec.Struct, frozen=True, kw_only=True):
+    """One node as the answering node sees it."""
+
+    node_id: NodeId
+    zone: str
+    region: str
+    state: str
+    incarnation: int
+
+
+class StatusBody(msgspec.Struct, frozen=True, kw_only=True):
+    """State of one node."""
+
+    node_id: NodeId
+    boot_id: BootId
+    version: str
+    ready: bool
+    draining: bool
+    configuration_revision: Revision
+    members: tuple[MemberBody, ...]
+    owned: tuple[str, ...]
--- /dev/null
+++ b/drumbay/requests/errors.py
@@ -0,0 +1,106 @@
+"""Final answers to requests that were not served. Each says whether the request ran."""
+
+from typing import ClassVar
+
+from drumbay.exceptions import Execution, RequestFailedError
+
+
+class NoRouteError(RequestFailedError):
+    """No route carries the request."""
+
+    code = "no_route"
+    http_status: ClassVar[int] = 404
+
+
+class InvalidRequestError(RequestFailedError):
+    """The request itself is not valid."""
+
+    code = "invalid_request"
+    http_status: ClassVar[int] = 400
+
+
+class PermissionDeniedError(RequestFailedError):
+    """The bearer may not do this."""
+
+    code = "permission_denied"
+    http_status: ClassVar[int] = 403
+
+
+class AuthenticationRequiredError(RequestFailedError):
+    """No valid bearer token came with the request."""
+
+    code = "authentication_required"
+    http_status: ClassVar[int] = 401
+
+
+class NotReadyError(RequestFailedError):
+    """This node has no configuration yet, or is stopping."""
+
+    code = "not_ready"
+
+
+class OverloadedError(RequestFailedError):
+    """A limit of the route is reached."""
+
+    code = "overloaded"
+    http_status: ClassVar[int] = 429
+
+
+class NoBackendError(RequestFailedError):
+    """No back end can serve the request now."""
+
+    code = "no_backend"
+
+
+class BackendFailedError(RequestFailedError):
+    """The back end broke off; the request may have run."""
+
+    code = "backend_failed"
+    http_status: ClassVar[int] = 502
+
+
+class RequestTimeoutError(RequestFailedError):
+    """The request's time limit passed."""
+
+    code = "request_timeout"
+    http_status: ClassVar[int] = 504
+
+
+class KeyReusedError(RequestFailedError):
+    """The idempotency key was used before for another request."""
+
+    code = "idempotency_key_reused"
+    http_status: ClassVar[int] = 422
+
+
+class ClaimHeldError(RequestFailedError):
+    """Another attempt under the key is in progress, or its outcome is not known."""
+
+    code = "claim_held"
+    http_status: ClassVar[int] = 409
+
+
+class ClaimUnavailableError(RequestFailedError):
+    """No majority of replicas granted the claim: the request was not run."""
+
+    code = "claim_unavailable"
+
+
+class NotOwnerError(RequestFailedError):
+    """No node owns the stream at present."""
+
+    code = "no_stream_owner"
+
+
+class StaleBatchRefusedError(RequestFailedError):
+    """The batch fixed at this cursor is older than the trainer now accepts."""
+
+    code = "stale_batch"
+    http_status: ClassVar[int] = 410
+
+
+def not_run(detail: str, retry_after_seconds: float | None = None) -> InvalidRequestError:
+    """Return the error of a malformed request."""
+    return InvalidRequestError(
+        detail, execution=Execution.NOT_RUN, retry_after_seconds=retry_after_seconds
+    )
--- /dev/null
+++ b/drumbay/settings.py
@@ -0,0 +1,219 @@
+"""Settings of one node: a TOML file, checked, with flags that override single values."""
+
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from drumbay.comm.interface import Address
+from drumbay.exceptions import ConfigurationError
+from drumbay.resources.schema import Name
+
+Port = Annotated[int, Meta(ge=1, le=65535)]
+HostAddress = Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:]+$")]
+"""An IP address; nodes talk to each other by IP numbers."""
+
+PeerAddress = Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]+$")]
+
+MINIMUM_CLUSTER_KEY_BYTES = 32
+
+
+class SettingsError(ConfigurationError):
+    """A settings file is not valid.
+
+    Attributes:
+        file: The file.
+        key: Dotted path of the offending key; empty if the file as a whole is meant.
+        expected: What was expected there.
+    """
+
+    code = "invalid_settings"
+
+    def __init__(self, file: Path, key: str, expected: str) -> None:
+        """Name the file, the key and what was expected."""
+        super().__init__(f"{file}: {key or '(file)'}: {expected}")
+        self.file = file
+        self.key = key
+        self.expected = expected
+
+
+class _Section(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Base of the sections: an unknown key is an error."""
+
+
+class HttpSettings(_Section, frozen=True, kw_only=True):
+    """Where callers, trainers and operators reach the node.
+
+    Attributes:
+        host: IP address to listen on.
+        port: TCP port.
+        certificate_file: PEM certificate chain; TLS is used if set.
+        private_key_file: PEM private key of the certificate.
+        authentication: Whether bearer tokens are required.
+    """
+
+    host: HostAddress
+    port: Port
+    certificate_file: str | None = None
+    private_key_file: str | None = None
+    authentication: bool = False
+
+
+class PeerSettings(_Section, frozen=True, kw_only=True):
+    """How the node talks to other nodes (TCP and UDP on one port).
+
+    Attributes:
+        host: IP address to listen on and to announce.
+        port: Port number, TCP and UDP.
+        cluster_key_file: File with the key that authenticates frames.
+        seeds: Addresses ``IP:port`` of nodes to join through.
+    """
+
+    host: HostAddress
+    port: Port
+    cluster_key_file: str
+    seeds: tuple[PeerAddress, ...] = ()
+
+    @property
+    def address(self) -> Address:
+        """Return the address announced to other nodes."""
+        return Address(host=self.host, port=self.port)
+
+    def seed_addresses(self) -> tuple[Address, ...]:
+        """Return the seeds as addresses, without this node itself."""
+        addresses = (_parse_peer_address(seed) for seed in self.seeds)
+        return tuple(address for address in addresses if address != self.address)
+
+
+class KeyValueSettings(_Section, frozen=True, kw_only=True):
+    """Where the platform's key-value service is reached."""
+
+    urls: Annotated[tuple[str, ...], Meta(min_length=1)]
+
+
+class MachineListSettings(_Section, frozen=True, kw_only=True):
+    """Where the platform's list of live and leaving machines is read."""
+
+    url: str
+    poll_interval_seconds: Annotated[float, Meta(gt=0)] = 1.0
+
+
+class LogSettings(_Section, frozen=True, kw_only=True):
+    """What is logged."""
+
+    level: str = "INFO"
+
+
+class NodeSettings(_Section, frozen=True, kw_only=True):
+    """Settings of one node.
+
+    Attributes:
+        node_id: Name of the node, unique in the cluster.
+        zone: Availability zone.
+        region: Region of the zone.
+        http: Address for callers, trainers and operators.
+        peers: Address and key for other nodes.
+        key_value: The platform's key-value service.
+        machine_list: The platform's machine list, if there is one.
+        data_folder: Folder for bulk data; a node without one keeps nothing on disk.
+        logs: Logging.
+    """
+
+    node_id: Name
+    zone: Name
+    region: Name
+    http: HttpSettings
+    peers: PeerSettings
+    key_value: KeyValueSettings
+    machine_list: MachineListSettings | None = None
+    data_folder: str | None = None
+    logs: LogSettings = LogSettings()
+
+
+class SettingsOverrides(msgspec.Struct, frozen=True, kw_only=True):
+    """Values given as flags; ``None`` keeps the file's value."""
+
+    node_id: str | None = None
+    zone: str | None = None
+    region: str | None = None
+    http_port: int | None = None
+    peer_port: int | None = None
+    data_folder: str | None = None
+
+
+def _parse_peer_address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return Address(host=host.strip("[]"), port=int(port))
+
+
+def load_settings(file: Path, overrides: SettingsOverrides | None = None) -> NodeSettings:
+    """Read and check a settings file.
+
+    Raises:
+        SettingsError: The file cannot be read, or a value is not valid.
+    """
+    try:
+        raw = msgspec.toml.decode(file.read_bytes())
+    except OSError as error:
+        raise SettingsError(file, "", f"a readable file ({error.strerror})") from error
+    except msgspec.DecodeError as error:
+        raise SettingsError(file, "", f"TOML ({error})") from error
+    _apply_overrides(raw, overrides or SettingsOverrides())
+    try:
+        settings = msgspec.convert(raw, NodeSettings)
+    except msgspec.ValidationError as error:
+        expected, key = split_validation_error(error)
+        raise SettingsError(file, key, expected) from error
+    _check_addresses(file, settings)
+    return settings
+
+
+def split_validation_error(error: msgspec.ValidationError) -> tuple[str, str]:
+    """Return what was expected and the dotted key of a validation error."""
+    expected, _, path = str(error).partition(" - at `")
+    key = path.removesuffix("`").removeprefix("$").lstrip(".")
+    return expected, key
+
+
+def _apply_overrides(raw: dict[str, object], overrides: SettingsOverrides) -> None:
+    for name in ("node_id", "zone", "region", "data_folder"):
+        value = getattr(overrides, name)
+        if value is not None:
+            raw[name] = value
+    for section, port in (("http", overrides.http_port), ("peers", overrides.peer_port)):
+        table = raw.get(section)
+        if port is not None and isinstance(table, dict):
+            table["port"] = port
+
+
+def _check_addresses(file: Path, settings: NodeSettings) -> None:
+    http = settings.http
+    if (http.host, http.port) == (settings.peers.host, settings.peers.port):
+        raise SettingsError(file, "peers.port", "an address other than that of http")
+    if (http.certificate_file is None) != (http.private_key_file is None):
+        raise SettingsError(file, "http", "certificate_file and private_key_file together")
+    if len(set(settings.peers.seeds)) != len(settings.peers.seeds):
+        raise SettingsError(file, "peers.seeds", "each address once")
+
+
+def load_cluster_key(settings: NodeSettings, settings_file: Path) -> bytes:
+    """Read the cluster key; a relative path starts at the settings file's folder.
+
+    Raises:
+        SettingsError: The file cannot be read or the key is too short.
+    """
+    path = settings_file.parent / settings.peers.cluster_key_file
+    try:
+        key = path.read_bytes().strip()
+    except OSError as error:
+        raise SettingsError(
+            settings_file, "peers.cluster_key_file", f"a readable file ({error.strerror})"
+        ) from error
+    if len(key) < MINIMUM_CLUSTER_KEY_BYTES:
+        raise SettingsError(
+            settings_file,
+            "peers.cluster_key_file",
+            f"a key of at least {MINIMUM_CLUSTER_KEY_BYTES} bytes",
+        )
+    return key
