Add virtual time, simulated hosts and the simulated network

Cause: the promises are to be proved by running the same node code on a virtual clock with faults injected, every run repeatable from its seed.

Ruled out: the one-millisecond timer resolution that aiotools' patch_loop sets. With zones half a millisecond apart, messages would be exchanged without time passing; the loop uses one microsecond. Freezing by holding back whole tasks was ruled out too, since asyncio gives no hook for it: instead every event from outside (timer, message, answer of a service) passes one gate per process, which defers it while frozen and drops it after a kill.

Change: run_simulation on a plain asyncio loop under aiotools.VirtualClock, with typed errors for a wedge, sockets and threads; hosts with boots, freeze, wake, kill and wall-clock errors; a network with delay, loss, duplication, reordering and one-way cuts by host, zone and region; a transport that really encodes each message; a trace digest. Tasks are recorded per process through a task factory, so a kill ends also those that no TaskOwner holds.

--- /dev/null
+++ b/drumbay/simulation/gated_clients.py
@@ -0,0 +1,128 @@
+"""Clients of outside services as one simulated process sees them.
+
+Each call runs outside the process and its outcome passes the process's gate: a frozen
+process sees it late, a killed one never.
+"""
+
+from collections.abc import AsyncIterator
+
+from drumbay.backends.interface import (
+    ApplicationAnswer,
+    ApplicationClient,
+    ApplicationRequest,
+    BackendAddress,
+    CacheEvent,
+    EngineClient,
+    EngineStatus,
+    FencedOrder,
+    GenerationRequest,
+    TokenChunk,
+)
+from drumbay.identifiers import AttemptId, Revision
+from drumbay.kv.interface import (
+    Delete,
+    KeyValueStore,
+    LeaseGrant,
+    ModRevisionIs,
+    Put,
+    RangeResult,
+    TransactionResult,
+    WatchBatch,
+)
+from drumbay.simulation.process import SimulatedProcess
+
+
+class GatedKeyValueStore:
+    """A key-value store as one process sees it."""
+
+    def __init__(self, process: SimulatedProcess, store: KeyValueStore) -> None:
+        """Give ``process`` access to ``store``."""
+        self._process = process
+        self._store = store
+
+    async def range_prefix(self, prefix: str) -> RangeResult:
+        """Return every key that starts with ``prefix``."""
+        return await self._process.call_out(self._store.range_prefix(prefix))
+
+    async def transact(
+        self,
+        compares: tuple[ModRevisionIs, ...],
+        operations: tuple[Put | Delete, ...],
+    ) -> TransactionResult:
+        """Carry out ``operations`` atomically if all ``compares`` hold."""
+        return await self._process.call_out(self._store.transact(compares, operations))
+
+    async def grant_lease(self, ttl_seconds: float) -> LeaseGrant:
+        """Grant a lease."""
+        return await self._process.call_out(self._store.grant_lease(ttl_seconds))
+
+    async def keep_lease_alive(self, lease_id: int) -> float:
+        """Renew a lease and return its remaining time in seconds."""
+        return await self._process.call_out(self._store.keep_lease_alive(lease_id))
+
+    async def revoke_lease(self, lease_id: int) -> None:
+        """End a lease and remove its keys."""
+        await self._process.call_out(self._store.revoke_lease(lease_id))
+
+    def watch_prefix(self, prefix: str, start_revision: Revision) -> AsyncIterator[WatchBatch]:
+        """Yield the changes of ``prefix`` from ``start_revision`` on."""
+        return self._process.iterate_out(self._store.watch_prefix(prefix, start_revision))
+
+
+class GatedEngineClient:
+    """Model engines as one process sees them."""
+
+    def __init__(self, process: SimulatedProcess, client: EngineClient) -> None:
+        """Give ``process`` access to the engines behind ``client``."""
+        self._process = process
+        self._client = client
+
+    def generate(
+        self, engine: BackendAddress, request: GenerationRequest, *, timeout_seconds: float
+    ) -> AsyncIterator[TokenChunk]:
+        """Yield the chunks of one attempt."""
+        chunks = self._client.generate(engine, request, timeout_seconds=timeout_seconds)
+        return self._process.iterate_out(chunks)
+
+    async def cancel(self, engine: BackendAddress, attempt_id: AttemptId) -> None:
+        """Ask an engine to stop an attempt."""
+        await self._process.call_out(self._client.cancel(engine, attempt_id))
+
+    async def order(
+        self, engine: BackendAddress, order: FencedOrder, *, timeout_seconds: float
+    ) -> EngineStatus:
+        """Give a fenced order and return the engine's status after it."""
+        return await self._process.call_out(
+            self._client.order(engine, order, timeout_seconds=timeout_seconds)
+        )
+
+    async def status(self, engine: BackendAddress, *, timeout_seconds: float) -> EngineStatus:
+        """Return the engine's own report."""
+        return await self._process.call_out(
+            self._client.status(engine, timeout_seconds=timeout_seconds)
+        )
+
+    async def cache_events(
+        self, engine: BackendAddress, after_sequence: int, *, timeout_seconds: float
+    ) -> tuple[CacheEvent, ...]:
+        """Return the cache events that are published after ``after_sequence``."""
+        return await self._process.call_out(
+            self._client.cache_events(engine, after_sequence, timeout_seconds=timeout_seconds)
+        )
+
+
+class GatedApplicationClient:
+    """Application servers as one process sees them."""
+
+    def __init__(self, process: SimulatedProcess, client: ApplicationClient) -> None:
+        """Give ``process`` access to the servers behind ``client``."""
+        self._process = process
+        self._client = client
+
+    async def exchange(
+        self, server: BackendAddress, request: ApplicationRequest, *, timeout_seconds: float
+    ) -> ApplicationAnswer:
+        """Run one request and return its whole answer."""
+        return await self._process.call_out(
+            self._client.exchange(server, request, timeout_seconds=timeout_seconds)
+        )
--- /dev/null
+++ b/drumbay/simulation/latency.py
@@ -0,0 +1,49 @@
+"""Delays of simulated messages."""
+
+from random import Random
+
+import msgspec
+
+from drumbay.simulation.host import Location
+
+
+class LatencyModel(msgspec.Struct, frozen=True, kw_only=True):
+    """One-way delays by distance, and the share of messages that fare worse.
+
+    Attributes:
+        same_zone_seconds: Delay within a zone.
+        same_region_seconds: Delay between zones of one region.
+        between_regions_seconds: Delay between regions.
+        jitter_share: Mean of the exponential jitter, as a share of the delay.
+        loss_probability: Datagrams lost; a call is sent again and arrives later.
+        duplicate_probability: Datagrams that arrive twice.
+        reorder_probability: Messages held back so that later ones overtake them.
+        reorder_delay_seconds: Most that such a message is held back.
+        retransmission_delay_seconds: Extra delay of a call whose frame was lost.
+    """
+
+    same_zone_seconds: float = 0.0002
+    same_region_seconds: float = 0.0005
+    between_regions_seconds: float = 0.005
+    jitter_share: float = 0.2
+    loss_probability: float = 0.0
+    duplicate_probability: float = 0.0
+    reorder_probability: float = 0.0
+    reorder_delay_seconds: float = 0.05
+    retransmission_delay_seconds: float = 0.2
+
+    def base_seconds(self, source: Location, target: Location) -> float:
+        """Return the delay without jitter."""
+        if source.region != target.region:
+            return self.between_regions_seconds
+        if source.zone != target.zone:
+            return self.same_region_seconds
+        return self.same_zone_seconds
+
+    def draw_seconds(self, random: Random, source: Location, target: Location) -> float:
+        """Return the delay of one message."""
+        delay = self.base_seconds(source, target)
+        delay += delay * self.jitter_share * random.expovariate(1.0)
+        if random.random() < self.reorder_probability:
+            delay += random.uniform(0.0, self.reorder_delay_seconds)
+        return delay
