Add a durable record log under the data folder

Cause: claims on idempotency keys and the replicated sample log must be on disk before they are acknowledged.

Ruled out: a file format of our own. WAL mode with exclusive locking keeps the WAL index on the heap, so that no shared memory is used and a second opener is refused.

Conclusion: the 7 tests of tests.test_storage pass, among them a cut of the write-ahead file at every 1021st byte, which always leaves a prefix that holds every acknowledged record.

--- /dev/null
+++ b/drumbay/storage/interface.py
@@ -0,0 +1,85 @@
+"""The record log interface and its exceptions."""
+
+from collections.abc import Iterator, Sequence
+from typing import NewType, Protocol
+
+from drumbay.exceptions import UnavailableError
+
+StoreId = NewType("StoreId", str)
+"""Identity of one store, written when it is first made; an emptied disk has another."""
+
+
+class StorageError(UnavailableError):
+    """A record log could not be read or written; its last appends may not be durable."""
+
+    code = "storage"
+
+
+class StorageFullError(StorageError):
+    """The disk or the log's size limit is full; the append had no effect."""
+
+    code = "storage_full"
+
+
+class StorageCorruptError(StorageError):
+    """What the disk returned is not what was written."""
+
+    code = "storage_corrupt"
+
+
+class StorageClosedError(StorageError):
+    """The log was closed, or an earlier write of it failed."""
+
+    code = "storage_closed"
+
+
+class RecordLog(Protocol):
+    """An append-only log of opaque records that outlives the process.
+
+    Operations take effect in the order in which they are called, also when the caller does
+    not await one before it starts the next. After a failed write the log refuses every
+    later one until it is opened again, so that no append is kept whose predecessor is lost.
+    """
+
+    @property
+    def store_id(self) -> StoreId:
+        """Return the identity given when the store was first made."""
+        ...
+
+    @property
+    def size_bytes(self) -> int:
+        """Return the space taken on the disk in bytes."""
+        ...
+
+    def replay(self) -> Iterator[bytes]:
+        """Yield every record in order, from the last snapshot on.
+
+        Call it before the first append.
+
+        Raises:
+            StorageCorruptError: A record differs from what was written.
+            StorageError: The disk could not be read.
+        """
+        ...
+
+    async def append(self, records: Sequence[bytes]) -> None:
+        """Append records atomically; on return they are durable.
+
+        Raises:
+            StorageFullError: There is no room.
+            StorageError: The write failed.
+        """
+        ...
+
+    async def snapshot(self, records: Sequence[bytes]) -> None:
+        """Atomically replace everything appended before this call by ``records``.
+
+        Raises:
+            StorageFullError: There is no room.
+            StorageError: The write failed.
+        """
+        ...
+
+    async def close(self) -> None:
+        """Wait for the writes under way and release the files."""
+        ...
--- /dev/null
+++ b/tests/test_storage.py
@@ -0,0 +1,112 @@
+"""The durable log keeps what it acknowledged and refuses to go on after a failed write."""
+
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+
+from drumbay.storage.durable_log import DurableLog
+from drumbay.storage.interface import (
+    StorageClosedError,
+    StorageCorruptError,
+    StorageError,
+    StorageFullError,
+    StoreId,
+)
+
+NAME = "records"
+
+
+class DurableLogTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        temporary = tempfile.TemporaryDirectory()
+        self.addCleanup(temporary.cleanup)
+        self.folder = Path(temporary.name)
+
+    def open(self, store_id: str = "first", max_bytes: int = 1 << 24) -> DurableLog:
+        return DurableLog.open(
+            self.folder, NAME, new_store_id=StoreId(store_id), max_bytes=max_bytes
+        )
+
+    async def test_records_and_identity_outlive_the_process(self) -> None:
+        log = self.open()
+        await log.append([b"a", b"b"])
+        await log.append([b"c"])
+        await log.close()
+        again = self.open("second")
+        self.assertEqual(again.store_id, "first")
+        self.assertEqual(list(again.replay()), [b"a", b"b", b"c"])
+        await again.close()
+
+    async def test_concurrent_appends_share_commits_and_keep_their_order(self) -> None:
+        log = self.open()
+        payloads = [b"%d" % index for index in range(200)]
+        await asyncio.gather(*(log.append([payload]) for payload in payloads))
+        self.assertEqual(list(log.replay()), payloads)
+        self.assertLess(log.commits, 20)
+        await log.close()
+
+    async def test_snapshot_replaces_only_what_came_before(self) -> None:
+        log = self.open()
+        await asyncio.gather(log.append([b"old"]), log.snapshot([b"state"]), log.append([b"new"]))
+        self.assertEqual(list(log.replay()), [b"state", b"new"])
+        await log.close()
+
+    async def test_full_store_fails_typed_and_takes_no_later_write(self) -> None:
+        log = self.open(max_bytes=64 * 1024)
+        await log.append([b"kept"])
+        with self.assertRaises(StorageFullError):
+            await log.append([bytes(256 * 1024)])
+        with self.assertRaises(StorageClosedError):
+            await log.append([b"later"])
+        self.assertEqual(list(log.replay()), [b"kept"])
+        await log.close()
+
+    async def test_second_opener_is_refused(self) -> None:
+        log = self.open()
+        with self.assertRaises(StorageError):
+            self.open()
+        await log.close()
+
+    def copy_cut_to(self, cut_bytes: int, copy: Path) -> None:
+        """Copy the files as a crash leaves them, the write-ahead file cut short."""
+        copy.mkdir()
+        for source in self.folder.glob(f"{NAME}*"):
+            (copy / source.name).write_bytes(source.read_bytes())
+        with (copy / f"{NAME}.sqlite3-wal").open("r+b") as wal:
+            wal.truncate(cut_bytes)
+
+    async def replay_cut_to(self, cut_bytes: int, copy: Path) -> list[bytes]:
+        """Return what is replayed when the write-ahead file ends after ``cut_bytes``."""
+        self.copy_cut_to(cut_bytes, copy)
+        log = DurableLog.open(copy, NAME, new_store_id=StoreId("new"))
+        records = list(log.replay())
+        await log.close()
+        return records
+
+    async def test_torn_tail_at_any_point_leaves_a_prefix(self) -> None:
+        log = self.open()
+        payloads = [b"record %d " % index * 40 for index in range(12)]
+        wal = self.folder / f"{NAME}.sqlite3-wal"
+        durable_at: list[int] = []
+        for payload in payloads:
+            await log.append([payload])
+            durable_at.append(wal.stat().st_size)
+        for cut in range(durable_at[0], durable_at[-1] + 1, 1021):
+            with tempfile.TemporaryDirectory() as other:
+                records = await self.replay_cut_to(cut, Path(other) / "copy")
+            acknowledged = sum(1 for size in durable_at if size <= cut)
+            self.assertEqual(records, payloads[: len(records)])
+            self.assertGreaterEqual(len(records), acknowledged)
+        await log.close()
+
+    async def test_changed_record_is_reported(self) -> None:
+        log = self.open()
+        await log.append([b"the original content"])
+        await log.close()
+        path = self.folder / f"{NAME}.sqlite3"
+        path.write_bytes(path.read_bytes().replace(b"the original", b"xxx original"))
+        again = self.open()
+        with self.assertRaises(StorageCorruptError):
+            list(again.replay())
+        await again.close()
