Add the choice of back ends and the limits of a node

RejectionReason gains NOT_SAMPLED, because an eligible back end that was not compared has no higher cost.

--- a/drumbay/explain/records.py
+++ b/drumbay/explain/records.py
@@ -27,6 +27,7 @@
     MODEL = "model"
     ALREADY_TRIED = "already_tried"
     OVERLOADED = "overloaded"
+    NOT_SAMPLED = "not_sampled"
     HIGHER_COST = "higher_cost"
 
 
--- /dev/null
+++ b/drumbay/limits/deadline.py
@@ -0,0 +1,70 @@
+"""Deadlines of requests, handed on between processes as the remaining seconds.
+
+Clocks of two machines differ, so a point in time cannot be handed on; the time in transit
+is not subtracted and must be small against the deadline (gRPC's ``grpc-timeout`` does the
+same).
+"""
+
+import math
+
+import msgspec
+
+from drumbay.exceptions import DrumbayError
+
+TIMEOUT_HEADER = "Drumbay-Timeout-Seconds"
+MAX_TIMEOUT_SECONDS = 86_400.0
+
+
+class InvalidTimeoutError(DrumbayError):
+    """A remaining time is not a positive, finite number of seconds."""
+
+    code = "invalid_timeout"
+
+
+class Deadline(msgspec.Struct, frozen=True, kw_only=True):
+    """Point on this process's monotonic clock by which an answer must be there."""
+
+    expires_at: float
+
+    @classmethod
+    def after(cls, seconds: float, now: float) -> "Deadline":
+        """Return the deadline that lies ``seconds`` ahead."""
+        return cls(expires_at=now + seconds)
+
+    def remaining_seconds(self, now: float) -> float:
+        """Return the remaining time in seconds, 0 once it has passed."""
+        return max(0.0, self.expires_at - now)
+
+    def is_expired(self, now: float) -> bool:
+        """Return whether the deadline has passed."""
+        return now >= self.expires_at
+
+    def attempt_timeout_seconds(self, now: float, limit_seconds: float) -> float:
+        """Return the time limit of one attempt: the remaining time, at most the limit."""
+        return min(self.remaining_seconds(now), limit_seconds)
+
+    def shortened(self, seconds: float, now: float) -> "Deadline":
+        """Return the earlier of this deadline and one ``seconds`` ahead."""
+        return Deadline(expires_at=min(self.expires_at, now + seconds))
+
+    def header_value(self, now: float) -> str:
+        """Return the remaining seconds as text for ``TIMEOUT_HEADER``."""
+        return f"{self.remaining_seconds(now):.3f}"
+
+
+def parse_timeout_seconds(text: str) -> float:
+    """Read the remaining seconds from a ``TIMEOUT_HEADER``.
+
+    Raises:
+        InvalidTimeoutError: Not a number, not finite, not positive, or over
+            ``MAX_TIMEOUT_SECONDS``.
+    """
+    try:
+        seconds = float(text)
+    except ValueError as error:
+        raise InvalidTimeoutError("the remaining time is not a number of seconds") from error
+    if not math.isfinite(seconds) or not 0 < seconds <= MAX_TIMEOUT_SECONDS:
+        raise InvalidTimeoutError(
+            f"the remaining time must be over 0 and at most {MAX_TIMEOUT_SECONDS:.0f} seconds"
+        )
+    return seconds
--- /dev/null
+++ b/drumbay/routing/engine_choice.py
@@ -0,0 +1,271 @@
+"""Choice of the back end that serves one attempt.
+
+Candidates that may not serve the request are removed, each with its reason. Among the
+eligible ones the cheapest of a few random samples is taken: the power of d choices
+(Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", IEEE TPDS 12(10),
+2001). Sampling keeps nodes that share lagging load reports from all taking the same back
+end. The eligible candidate with the best prefix affinity is sampled in addition.
+"""
+
+import random as random_module
+from collections.abc import Mapping, Sequence
+
+import msgspec
+
+from drumbay.explain.records import CandidateVerdict, RejectionReason
+from drumbay.identifiers import BackendId, Fence, WeightVersion
+from drumbay.routing.selectors import MODEL_LABEL, LabelPredicate
+
+
+class BackendView(msgspec.Struct, frozen=True, kw_only=True):
+    """What this node knows of one back end.
+
+    Attributes:
+        backend_id: The back end.
+        labels: Its labels, implied ones included.
+        zone: Its zone.
+        running: Requests in its batch by its last report.
+        waiting: Requests in its queue by its last report.
+        reported_at: Monotonic time to which the report refers; ``None`` without a report.
+        own_outstanding: This node's attempts that have not ended.
+        own_started_since_report: Those of them that the report cannot contain.
+        own_finished_since_report: This node's attempts that the report still counts.
+        weight_version: Version that serves new requests; ``None`` if unknown.
+        highest_fence: Newest fence the back end is known to have seen.
+        is_reachable: Whether the back end answers.
+        circuit_admits: Whether its circuit breaker admits a request.
+        is_draining: An operator's drain covers it.
+        is_leaving: It is leaving the cluster.
+    """
+
+    backend_id: BackendId
+    labels: Mapping[str, str]
+    zone: str
+    running: int = 0
+    waiting: int = 0
+    reported_at: float | None = None
+    own_outstanding: int = 0
+    own_started_since_report: int = 0
+    own_finished_since_report: int = 0
+    weight_version: WeightVersion | None = None
+    highest_fence: Fence = Fence(0)
+    is_reachable: bool = True
+    circuit_admits: bool = True
+    is_draining: bool = False
+    is_leaving: bool = False
+
+
+class ChoiceRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """What one attempt needs.
+
+    Attributes:
+        now: Monotonic time in seconds.
+        zone: Zone of this node.
+        selects: Compiled selector of the route.
+        model: Model that must be loaded; ``None`` for applications.
+        required_version: The only version accepted.
+        oldest_version: Oldest version accepted.
+        newest_version: Newest version accepted.
+        already_tried: Back ends of earlier attempts, not to be taken again.
+        priority: Larger is served first.
+        prefix_affinity: Estimated share of the prompt, 0 to 1, that each back end holds in
+            its prefix cache; absent back ends hold none.
+    """
+
+    now: float
+    zone: str
+    selects: LabelPredicate
+    model: str | None = None
+    required_version: WeightVersion | None = None
+    oldest_version: WeightVersion | None = None
+    newest_version: WeightVersion | None = None
+    already_tried: frozenset[BackendId] = frozenset()
+    priority: int = 0
+    prefix_affinity: Mapping[BackendId, float] = {}
+
+
+class ChoicePolicy(msgspec.Struct, frozen=True, kw_only=True):
+    """Weights and limits of the choice; costs are in units of one outstanding request.
+
+    Attributes:
+        sample_count: Random candidates compared, the d of the power of d choices.
+        max_load: Estimated load from which a back end is overloaded.
+        reserved_load: Part of ``max_load`` kept for prioritized requests.
+        reserved_priority: Priority from which a request may use the reserved part.
+        priority_waiting_weight: Cost of a queued request to a prioritized one; engines
+            honour priorities, so it overtakes most of the queue.
+        other_zone_cost: Cost of leaving this node's zone.
+        prefix_affinity_gain: Cost saved when the whole prompt is cached.
+        stale_report_cost: Cost of a back end whose report is missing or too old.
+        max_report_age_seconds: Age from which a report is too old.
+    """
+
+    sample_count: int = 2
+    max_load: int = 256
+    reserved_load: int = 32
+    reserved_priority: int = 1
+    priority_waiting_weight: float = 0.25
+    other_zone_cost: float = 1.0
+    prefix_affinity_gain: float = 4.0
+    stale_report_cost: float = 2.0
+    max_report_age_seconds: float = 10.0
+
+
+class Choice(msgspec.Struct, frozen=True, kw_only=True):
+    """Outcome of a choice.
+
+    Attributes:
+        chosen: The back end to use; ``None`` if no candidate is eligible.
+        candidates: The candidates as the choice saw them.
+        rejections: Per candidate, why it was not taken; ``None`` for the chosen one.
+        costs: Costs by index of the candidates that were compared.
+    """
+
+    chosen: BackendView | None
+    candidates: Sequence[BackendView]
+    rejections: Sequence[RejectionReason | None]
+    costs: Mapping[int, float]
+
+    def verdicts(self) -> tuple[CandidateVerdict, ...]:
+        """Return one verdict per candidate, the chosen one first."""
+        verdicts = [
+            CandidateVerdict(
+                backend_id=view.backend_id,
+                rejection=self.rejections[index],
+                cost=self.costs.get(index),
+                weight_version=view.weight_version,
+                outstanding=view.own_outstanding,
+            )
+            for index, view in enumerate(self.candidates)
+        ]
+        verdicts.sort(key=lambda verdict: verdict.rejection is not None)
+        return tuple(verdicts)
+
+
+def estimated_load(view: BackendView, waiting_weight: float = 1.0) -> float:
+    """Return the requests a back end is thought to hold now.
+
+    The lagging report is corrected by what this node itself started and finished since;
+    this node's own outstanding attempts are a lower bound.
+    """
+    correction = view.own_started_since_report - view.own_finished_since_report
+    reported = view.running + waiting_weight * view.waiting
+    return max(view.own_outstanding, reported + correction)
+
+
+def choose_backend(
+    request: ChoiceRequest,
+    candidates: Sequence[BackendView],
+    policy: ChoicePolicy,
+    random: random_module.Random,
+) -> Choice:
+    """Choose the back end of one attempt.
+
+    Args:
+        request: What the attempt needs.
+        candidates: Back ends this node knows, in any fixed order.
+        policy: Weights and limits.
+        random: Source of the samples.
+
+    Returns:
+        The chosen back end, and why each other candidate was not taken.
+    """
+    load_limit = policy.max_load
+    if request.priority < policy.reserved_priority:
+        load_limit -= policy.reserved_load
+    rejections: list[RejectionReason | None] = []
+    eligible: list[int] = []
+    for index, view in enumerate(candidates):
+        reason = _rejection(request, view, load_limit)
+        rejections.append(reason)
+        if reason is None:
+            eligible.append(index)
+    if not eligible:
+        return Choice(chosen=None, candidates=candidates, rejections=rejections, costs={})
+    sampled = _sample(request, candidates, eligible, policy.sample_count, random)
+    costs = {index: _cost(request, candidates[index], policy) for index in sampled}
+    chosen = min(sampled, key=costs.__getitem__)
+    for index in eligible:
+        rejections[index] = RejectionReason.NOT_SAMPLED
+    for index in sampled:
+        rejections[index] = RejectionReason.HIGHER_COST
+    rejections[chosen] = None
+    return Choice(
+        chosen=candidates[chosen], candidates=candidates, rejections=rejections, costs=costs
+    )
+
+
+def _rejection(
+    request: ChoiceRequest, view: BackendView, load_limit: int
+) -> RejectionReason | None:
+    if not request.selects(view.labels):
+        return RejectionReason.SELECTOR
+    if request.model is not None and view.labels.get(MODEL_LABEL) != request.model:
+        return RejectionReason.MODEL
+    reason = _state_rejection(view)
+    if reason is not None:
+        return reason
+    if not accepts_version(request, view.weight_version):
+        return RejectionReason.VERSION
+    if view.backend_id in request.already_tried:
+        return RejectionReason.ALREADY_TRIED
+    if estimated_load(view) >= load_limit:
+        return RejectionReason.OVERLOADED
+    return None
+
+
+def _state_rejection(view: BackendView) -> RejectionReason | None:
+    if view.is_draining:
+        return RejectionReason.DRAINED
+    if view.is_leaving:
+        return RejectionReason.LEAVING
+    if not view.is_reachable:
+        return RejectionReason.UNREACHABLE
+    if not view.circuit_admits:
+        return RejectionReason.CIRCUIT_OPEN
+    return None
+
+
+def accepts_version(request: ChoiceRequest, version: WeightVersion | None) -> bool:
+    """Return whether a request may be served by a version; an unknown one only if any may."""
+    required = request.required_version
+    oldest = request.oldest_version
+    newest = request.newest_version
+    if version is None:
+        return required is None and oldest is None and newest is None
+    if required is not None and version != required:
+        return False
+    if oldest is not None and version < oldest:
+        return False
+    return newest is None or version <= newest
+
+
+def _sample(
+    request: ChoiceRequest,
+    candidates: Sequence[BackendView],
+    eligible: list[int],
+    sample_count: int,
+    random: random_module.Random,
+) -> list[int]:
+    if len(eligible) <= sample_count:
+        # NOTE: min() takes the first of equal costs, so the order must be random too.
+        return random.sample(eligible, len(eligible))
+    sampled = random.sample(eligible, sample_count)
+    affinity = request.prefix_affinity
+    if affinity:
+        best = max(eligible, key=lambda index: affinity.get(candidates[index].backend_id, 0.0))
+        if best not in sampled and affinity.get(candidates[best].backend_id, 0.0) > 0:
+            sampled.append(best)
+    return sampled
+
+
+def _cost(request: ChoiceRequest, view: BackendView, policy: ChoicePolicy) -> float:
+    is_prioritized = request.priority >= policy.reserved_priority
+    waiting_weight = policy.priority_waiting_weight if is_prioritized else 1.0
+    cost = estimated_load(view, waiting_weight)
+    if view.zone != request.zone:
+        cost += policy.other_zone_cost
+    reported_at = view.reported_at
+    if reported_at is None or request.now - reported_at > policy.max_report_age_seconds:
+        cost += policy.stale_report_cost
+    return cost - policy.prefix_affinity_gain * request.prefix_affinity.get(view.backend_id, 0.0)
--- /dev/null
+++ b/drumbay/routing/prefix_index.py
@@ -0,0 +1,152 @@
+"""Which prompt prefixes each engine is thought to hold in its cache.
+
+A prompt is cut into blocks of characters; the hash of block *i* covers everything up to its
+end, so equal hashes mean equal prefixes. Engines publish which hashes they stored and
+evicted, late and with gaps. The index is a guess: a wrong entry costs only speed.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import xxhash
+
+from drumbay.backends.interface import CacheEvent, CacheEventKind
+from drumbay.identifiers import BackendId, WeightVersion
+
+PREFIX_BLOCK_CHARACTERS = 64
+MAX_HASHED_BLOCKS = 64
+DEFAULT_MAX_ENTRIES_PER_BACKEND = 4096
+_NO_SEQUENCE = -1
+
+
+def prefix_hashes(prompt: str) -> tuple[str, ...]:
+    """Return the hashes of the prompt's prefixes, shortest first.
+
+    Only whole blocks count, and at most ``MAX_HASHED_BLOCKS`` of them.
+    """
+    digest = xxhash.xxh3_64()
+    hashes: list[str] = []
+    block_count = min(len(prompt) // PREFIX_BLOCK_CHARACTERS, MAX_HASHED_BLOCKS)
+    for index in range(block_count):
+        start = index * PREFIX_BLOCK_CHARACTERS
+        digest.update(prompt[start : start + PREFIX_BLOCK_CHARACTERS].encode())
+        hashes.append(digest.hexdigest())
+    return tuple(hashes)
+
+
+@dataclass
+class _EngineCache:
+    """Guess of one engine's cache: prefix hash to version, least recently stored first."""
+
+    versions: OrderedDict[str, WeightVersion] = field(default_factory=OrderedDict)
+    last_sequence: int = _NO_SEQUENCE
+
+
+class PrefixIndex:
+    """Guess of the prefix caches of the engines assigned to this node."""
+
+    def __init__(self, max_entries_per_backend: int = DEFAULT_MAX_ENTRIES_PER_BACKEND) -> None:
+        """Create an empty index that keeps at most this many prefixes per engine."""
+        self._max_entries = max_entries_per_backend
+        self._caches: dict[BackendId, _EngineCache] = {}
+        self._holders: dict[str, dict[BackendId, WeightVersion]] = {}
+
+    def last_sequence(self, backend_id: BackendId) -> int:
+        """Return the newest event taken in, to ask the engine for later ones; -1 if none."""
+        cache = self._caches.get(backend_id)
+        return _NO_SEQUENCE if cache is None else cache.last_sequence
+
+    def apply_events(self, backend_id: BackendId, events: Iterable[CacheEvent]) -> int:
+        """Take in cache events of one engine.
+
+        Events already seen are ignored. After a gap in the sequence numbers everything
+        known of the engine is dropped and learned anew from the later events, because an
+        eviction may have been lost.
+
+        Returns:
+            The number of gaps met.
+        """
+        cache = self._caches.setdefault(backend_id, _EngineCache())
+        gap_count = 0
+        for event in sorted(events, key=lambda entry: entry.sequence):
+            if event.sequence <= cache.last_sequence:
+                continue
+            is_first = cache.last_sequence == _NO_SEQUENCE
+            if not is_first and event.sequence > cache.last_sequence + 1:
+                gap_count += 1
+                self._clear(backend_id, cache)
+            cache.last_sequence = event.sequence
+            self._apply(backend_id, cache, event)
+        return gap_count
+
+    def record_dispatch(
+        self, backend_id: BackendId, hashes: tuple[str, ...], weight_version: WeightVersion
+    ) -> None:
+        """Expect an engine to hold a prompt that is being sent to it, ahead of its events."""
+        cache = self._caches.setdefault(backend_id, _EngineCache())
+        for prefix_hash in hashes:
+            self._store(backend_id, cache, prefix_hash, weight_version)
+
+    def remove_backend(self, backend_id: BackendId) -> None:
+        """Forget an engine, e.g. because it restarted."""
+        cache = self._caches.pop(backend_id, None)
+        if cache is not None:
+            self._clear(backend_id, cache)
+
+    def affinities(
+        self, hashes: tuple[str, ...], weight_version: WeightVersion | None = None
+    ) -> dict[BackendId, float]:
+        """Return the share of a prompt's prefix blocks that each engine is thought to hold.
+
+        Args:
+            hashes: Result of :func:`prefix_hashes`.
+            weight_version: Count only prefixes computed with this version; ``None``: any.
+
+        Returns:
+            Shares above 0 and up to 1 by engine; engines that hold none are absent.
+        """
+        shares: dict[BackendId, float] = {}
+        for position in range(len(hashes), 0, -1):
+            holders = self._holders.get(hashes[position - 1])
+            if holders is None:
+                continue
+            share = position / len(hashes)
+            for backend_id, version in holders.items():
+                if weight_version is None or version == weight_version:
+                    shares.setdefault(backend_id, share)
+        return shares
+
+    def _apply(self, backend_id: BackendId, cache: _EngineCache, event: CacheEvent) -> None:
+        if event.kind is CacheEventKind.STORED:
+            self._store(backend_id, cache, event.prefix_hash, event.weight_version)
+        elif cache.versions.get(event.prefix_hash) == event.weight_version:
+            del cache.versions[event.prefix_hash]
+            self._remove_holder(event.prefix_hash, backend_id)
+
+    def _store(
+        self,
+        backend_id: BackendId,
+        cache: _EngineCache,
+        prefix_hash: str,
+        weight_version: WeightVersion,
+    ) -> None:
+        cache.versions[prefix_hash] = weight_version
+        cache.versions.move_to_end(prefix_hash)
+        self._holders.setdefault(prefix_hash, {})[backend_id] = weight_version
+        if len(cache.versions) > self._max_entries:
+            oldest, _ = cache.versions.popitem(last=False)
+            self._remove_holder(oldest, backend_id)
+
+    def _clear(self, backend_id: BackendId, cache: _EngineCache) -> None:
+        for prefix_hash in cache.versions:
+            self._remove_holder(prefix_hash, backend_id)
+        cache.versions.clear()
+
+    def _remove_holder(self, prefix_hash: str, backend_id: BackendId) -> None:
+        holders = self._holders.get(prefix_hash)
+        if holders is None:
+            return
+        holders.pop(backend_id, None)
+        if not holders:
+            del self._holders[prefix_hash]
--- /dev/null
+++ b/tests/test_routing_choice.py
@@ -0,0 +1,256 @@
+"""The choice never takes an ineligible back end, and spreads load under lagging reports."""
+
+import random
+import unittest
+from collections.abc import Mapping
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from drumbay.backends.interface import CacheEvent, CacheEventKind, EngineStatus
+from drumbay.explain.records import RejectionReason
+from drumbay.identifiers import AttemptId, BackendId, BootId, Fence, WeightVersion
+from drumbay.routing.engine_choice import (
+    BackendView,
+    ChoicePolicy,
+    ChoiceRequest,
+    accepts_version,
+    choose_backend,
+    estimated_load,
+)
+from drumbay.routing.load_view import BackendFlags, LoadView
+from drumbay.routing.prefix_index import PREFIX_BLOCK_CHARACTERS, PrefixIndex, prefix_hashes
+from drumbay.routing.selectors import MODEL_LABEL
+
+POLICY = ChoicePolicy(max_load=8, reserved_load=2)
+ENGINE = BackendId("engine")
+
+
+def is_selected(labels: Mapping[str, str]) -> bool:
+    return labels.get("tier") == "gold"
+
+
+def view(name: str, **changes: object) -> BackendView:
+    plain = BackendView(
+        backend_id=BackendId(name),
+        labels={"tier": "gold", MODEL_LABEL: "m"},
+        zone="z1",
+        reported_at=0.0,
+        weight_version=WeightVersion(5),
+    )
+    return msgspec.structs.replace(plain, **changes)
+
+
+def choice_request(**changes: object) -> ChoiceRequest:
+    plain = ChoiceRequest(now=1.0, zone="z1", selects=is_selected, model="m")
+    return msgspec.structs.replace(plain, **changes)
+
+
+VIEWS = st.lists(
+    st.builds(
+        view,
+        st.sampled_from(["a", "b", "c", "d", "e"]),
+        labels=st.sampled_from(
+            [{"tier": "gold", MODEL_LABEL: "m"}, {MODEL_LABEL: "m"}, {"tier": "gold"}]
+        ),
+        zone=st.sampled_from(["z1", "z2"]),
+        running=st.integers(0, 9),
+        waiting=st.integers(0, 3),
+        reported_at=st.sampled_from([None, -60.0, 0.0]),
+        own_outstanding=st.integers(0, 9),
+        own_started_since_report=st.integers(0, 4),
+        own_finished_since_report=st.integers(0, 4),
+        weight_version=st.sampled_from([None, WeightVersion(4), WeightVersion(5)]),
+        is_reachable=st.sampled_from([True, True, True, False]),
+        circuit_admits=st.sampled_from([True, True, True, False]),
+        is_draining=st.sampled_from([False, False, False, True]),
+        is_leaving=st.sampled_from([False, False, False, True]),
+    ),
+    unique_by=lambda entry: entry.backend_id,
+)
+REQUESTS = st.builds(
+    choice_request,
+    required_version=st.sampled_from([None, WeightVersion(5)]),
+    oldest_version=st.sampled_from([None, WeightVersion(5)]),
+    newest_version=st.sampled_from([None, WeightVersion(4)]),
+    already_tried=st.frozensets(st.sampled_from([BackendId("a"), BackendId("b")])),
+    priority=st.integers(0, 1),
+    prefix_affinity=st.dictionaries(
+        st.sampled_from([BackendId("a"), BackendId("d")]), st.floats(0, 1)
+    ),
+)
+
+
+class ChoiceTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(REQUESTS, VIEWS, st.integers(0, 3))
+    def test_never_takes_an_ineligible_back_end(
+        self, request: ChoiceRequest, views: list[BackendView], seed: int
+    ) -> None:
+        limit = 8 if request.priority else 6
+        eligible = [
+            entry.backend_id
+            for entry in views
+            if entry.labels == {"tier": "gold", MODEL_LABEL: "m"}
+            and entry.is_reachable
+            and entry.circuit_admits
+            and not entry.is_draining
+            and not entry.is_leaving
+            and entry.backend_id not in request.already_tried
+            and accepts_version(request, entry.weight_version)
+            and estimated_load(entry) < limit
+        ]
+        choice = choose_backend(request, views, POLICY, random.Random(seed))
+        verdicts = choice.verdicts()
+        self.assertEqual(
+            [entry.backend_id for entry in verdicts if not entry.rejection],
+            ([choice.chosen.backend_id] if choice.chosen else []),
+        )
+        self.assertEqual(len(verdicts), len(views))
+        self.assertEqual(choice.chosen is not None, bool(eligible))
+        if choice.chosen is not None:
+            self.assertIn(choice.chosen.backend_id, eligible)
+            self.assertEqual(verdicts[0].backend_id, choice.chosen.backend_id)
+
+    def test_each_rejection_has_its_reason(self) -> None:
+        cases = {
+            RejectionReason.SELECTOR: view("x", labels={}),
+            RejectionReason.MODEL: view("x", labels={"tier": "gold", MODEL_LABEL: "other"}),
+            RejectionReason.DRAINED: view("x", is_draining=True),
+            RejectionReason.LEAVING: view("x", is_leaving=True),
+            RejectionReason.UNREACHABLE: view("x", is_reachable=False),
+            RejectionReason.CIRCUIT_OPEN: view("x", circuit_admits=False),
+            RejectionReason.VERSION: view("x", weight_version=WeightVersion(4)),
+            RejectionReason.ALREADY_TRIED: view("tried"),
+            RejectionReason.OVERLOADED: view("x", running=6),
+            RejectionReason.HIGHER_COST: view("x", running=5),
+        }
+        request = choice_request(
+            oldest_version=WeightVersion(5), already_tried=frozenset({BackendId("tried")})
+        )
+        for reason, rejected in cases.items():
+            choice = choose_backend(request, [rejected, view("ok")], POLICY, random.Random(1))
+            self.assertEqual(
+                [entry.rejection for entry in choice.verdicts()], [None, reason], reason
+            )
+
+    def test_prefix_holder_is_compared_even_if_not_sampled(self) -> None:
+        views = [view(f"e{index}", running=1) for index in range(50)]
+        request = choice_request(prefix_affinity={BackendId("e33"): 1.0})
+        choice = choose_backend(request, views, POLICY, random.Random(2))
+        assert choice.chosen is not None
+        self.assertEqual(choice.chosen.backend_id, "e33")
+
+
+class LoadViewTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.loads = LoadView()
+        self.loads.set_backend(ENGINE, {}, "z1")
+
+    def report(self, *, running: int, received_at: float, age: float, fence: int = 1) -> bool:
+        status = EngineStatus(
+            backend_id=ENGINE,
+            boot_id=BootId("b"),
+            model="m",
+            weight_version=WeightVersion(fence),
+            highest_fence=Fence(fence),
+            running=running,
+            waiting=0,
+            observed_age_seconds=age,
+        )
+        return self.loads.record_report(status, received_at)
+
+    def test_report_is_corrected_by_own_attempts(self) -> None:
+        self.loads.start_attempt(ENGINE, AttemptId("before"), 1.0)
+        self.loads.start_attempt(ENGINE, AttemptId("after"), 3.0)
+        self.report(running=10, received_at=4.0, age=2.0)
+        self.assertEqual(estimated_load(self.loads.views()[0]), 11)
+        self.loads.finish_attempt(ENGINE, AttemptId("before"))
+        self.assertEqual(estimated_load(self.loads.views()[0]), 10)
+        self.loads.finish_attempt(ENGINE, AttemptId("after"))
+        self.loads.finish_attempt(ENGINE, AttemptId("after"))
+        self.assertEqual(estimated_load(self.loads.views()[0]), 9)
+
+    def test_older_reports_are_ignored(self) -> None:
+        self.assertTrue(self.report(running=1, received_at=4.0, age=0.0, fence=2))
+        self.assertFalse(self.report(running=9, received_at=5.0, age=2.0, fence=2))
+        self.assertFalse(self.report(running=9, received_at=6.0, age=0.0, fence=1))
+        self.assertEqual(self.loads.views()[0].running, 1)
+        self.assertEqual(self.loads.views()[0].weight_version, 2)
+
+    def test_flags_reach_the_view(self) -> None:
+        self.loads.set_flags(ENGINE, BackendFlags(is_leaving=True))
+        self.assertTrue(self.loads.views()[0].is_leaving)
+
+    def test_own_attempts_spread_load_between_reports(self) -> None:
+        """Without the correction one lagging report draws every request to one engine."""
+
+        def most_loaded(*, counts_own_attempts: bool) -> int:
+            loads = LoadView()
+            for index in range(4):
+                loads.set_backend(BackendId(f"e{index}"), {"tier": "gold"}, "z1")
+            generator = random.Random(5)
+            counts = dict.fromkeys(range(4), 0)
+            for number in range(40):
+                choice = choose_backend(
+                    choice_request(model=None), loads.views(), ChoicePolicy(), generator
+                )
+                assert choice.chosen is not None
+                counts[int(choice.chosen.backend_id[1:])] += 1
+                if counts_own_attempts:
+                    attempt = AttemptId(str(number))
+                    loads.start_attempt(choice.chosen.backend_id, attempt, 0.0)
+            return max(counts.values())
+
+        self.assertLessEqual(most_loaded(counts_own_attempts=True), 11)
+        self.assertGreater(most_loaded(counts_own_attempts=False), 11)
+
+
+def stored(sequence: int, prefix_hash: str, version: int = 1) -> CacheEvent:
+    return CacheEvent(
+        sequence=sequence,
+        kind=CacheEventKind.STORED,
+        prefix_hash=prefix_hash,
+        weight_version=WeightVersion(version),
+    )
+
+
+def evicted(sequence: int, prefix_hash: str) -> CacheEvent:
+    return msgspec.structs.replace(stored(sequence, prefix_hash), kind=CacheEventKind.EVICTED)
+
+
+class PrefixIndexTest(unittest.TestCase):
+    def test_hashes_cover_whole_blocks_only(self) -> None:
+        prompt = "x" * (2 * PREFIX_BLOCK_CHARACTERS + 5)
+        self.assertEqual(len(prefix_hashes(prompt)), 2)
+        self.assertEqual(prefix_hashes(prompt)[:1], prefix_hashes("x" * PREFIX_BLOCK_CHARACTERS))
+
+    def test_share_of_the_longest_prefix(self) -> None:
+        index = PrefixIndex()
+        index.apply_events(ENGINE, [stored(0, "h1"), stored(1, "h2")])
+        self.assertEqual(index.affinities(("h1", "h2", "h3", "h4")), {ENGINE: 0.5})
+        self.assertEqual(index.affinities(("h1",), WeightVersion(2)), {})
+        index.apply_events(ENGINE, [evicted(2, "h2"), stored(1, "h2")])
+        self.assertEqual(index.affinities(("h1", "h2", "h3", "h4")), {ENGINE: 0.25})
+
+    def test_a_gap_drops_what_was_known(self) -> None:
+        index = PrefixIndex()
+        self.assertEqual(index.apply_events(ENGINE, [stored(4, "h1"), stored(5, "h2")]), 0)
+        self.assertEqual(index.apply_events(ENGINE, [stored(7, "h3")]), 1)
+        self.assertEqual(index.last_sequence(ENGINE), 7)
+        self.assertEqual(index.affinities(("h1",)), {})
+        self.assertEqual(index.affinities(("h3",)), {ENGINE: 1.0})
+
+    @settings(derandomize=True, max_examples=50, deadline=None)
+    @given(st.lists(st.tuples(st.integers(0, 30), st.integers(0, 9), st.booleans())))
+    def test_is_bounded(self, entries: list[tuple[int, int, bool]]) -> None:
+        index = PrefixIndex(max_entries_per_backend=3)
+        for sequence, number, is_stored in entries:
+            make_event = stored if is_stored else evicted
+            index.apply_events(ENGINE, [make_event(sequence, f"h{number}")])
+            index.record_dispatch(ENGINE, (f"h{number + 1}",), WeightVersion(1))
+        held = sum(1 for number in range(11) if index.affinities((f"h{number}",)))
+        self.assertLessEqual(held, 3)
+        index.remove_backend(ENGINE)
+        self.assertFalse(any(index.affinities((f"h{number}",)) for number in range(11)))
