Add the configuration service: truth in the key-value service, gossip, replicas

Cause: an accepted configuration must be in force everywhere and never revert. Change: state with prefix-complete revisions, digests and pulls, replica majorities with joint set changes, operators' writes settled by an operation record.

--- /dev/null
+++ b/drumbay/configuration/applied.py
@@ -0,0 +1,120 @@
+"""The configuration in force on this node: state, view, and who waits for changes."""
+
+import asyncio
+from collections.abc import Callable
+
+from drumbay.clock import Clock
+from drumbay.configuration.messages import (
+    ConfigurationReadiness,
+    ConfigurationUpdate,
+    ReadinessReason,
+)
+from drumbay.configuration.state import ApplyOutcome, ConfigurationState
+from drumbay.configuration.view import ConfigurationView, ViewBuilder
+from drumbay.exceptions import DeadlineExceededError
+from drumbay.identifiers import Revision
+
+CURRENT_LIMIT_SECONDS = 60.0
+"""Longest time since the last confirmation for a configuration to count as current."""
+
+ChangeCallback = Callable[[ConfigurationView], None]
+
+
+class AppliedConfiguration:
+    """Holds what is in force and tells those concerned when it changes."""
+
+    def __init__(self, clock: Clock, state: ConfigurationState) -> None:
+        """Start empty and not ready."""
+        self._clock = clock
+        self._state = state
+        self._builder = ViewBuilder()
+        self._view = ConfigurationView()
+        self._callbacks: list[ChangeCallback] = []
+        self._changed = asyncio.Event()
+        self._loaded = False
+        self._confirmed_at: float | None = None
+
+    @property
+    def state(self) -> ConfigurationState:
+        """Return the applied state."""
+        return self._state
+
+    @property
+    def revision(self) -> Revision:
+        """Return the applied revision."""
+        return self._state.revision
+
+    @property
+    def view(self) -> ConfigurationView:
+        """Return the typed view."""
+        return self._view
+
+    @property
+    def loaded(self) -> bool:
+        """Return whether a configuration has been loaded since the process started."""
+        return self._loaded
+
+    def add_callback(self, callback: ChangeCallback) -> None:
+        """Call ``callback`` with the new view after each change; it must not raise."""
+        self._callbacks.append(callback)
+
+    def apply(self, update: ConfigurationUpdate) -> ApplyOutcome:
+        """Put an update in force that is stored by a majority of the replicas."""
+        outcome = self._state.apply(update)
+        if outcome is ApplyOutcome.APPLIED:
+            self._view = self._builder.build(self._state)
+            self._changed.set()
+            self._changed = asyncio.Event()
+            for callback in self._callbacks:
+                callback(self._view)
+        return outcome
+
+    def mark_loaded(self) -> None:
+        """Record that the start is over."""
+        self._loaded = True
+
+    def confirm(self, at_seconds: float) -> None:
+        """Record that nothing newer than the applied revision was in force then.
+
+        Args:
+            at_seconds: Time on this node's monotonic clock.
+        """
+        if self._confirmed_at is None or at_seconds > self._confirmed_at:
+            self._confirmed_at = at_seconds
+
+    def confirmed_age_seconds(self) -> float | None:
+        """Return the time since the last confirmation; ``None`` if there was none."""
+        if self._confirmed_at is None:
+            return None
+        return max(0.0, self._clock.monotonic() - self._confirmed_at)
+
+    def readiness(self) -> ConfigurationReadiness:
+        """Return what ``/readyz`` says."""
+        age_seconds = self.confirmed_age_seconds()
+        current = self._loaded and age_seconds is not None and age_seconds <= CURRENT_LIMIT_SECONDS
+        if not self._loaded:
+            reason = ReadinessReason.STARTING
+        elif current:
+            reason = ReadinessReason.CURRENT
+        else:
+            reason = ReadinessReason.UNCONFIRMED
+        return ConfigurationReadiness(
+            ready=self._loaded,
+            current=current,
+            reason=reason,
+            revision=self.revision,
+            confirmed_age_seconds=age_seconds,
+        )
+
+    async def wait_for_revision(self, revision: Revision, timeout_seconds: float) -> bool:
+        """Wait until ``revision`` is in force here; tell whether it came in time."""
+        deadline = self._clock.monotonic() + timeout_seconds
+        while self.revision < revision:
+            remaining_seconds = deadline - self._clock.monotonic()
+            if remaining_seconds <= 0:
+                return False
+            try:
+                await self._clock.wait_for(self._changed.wait(), remaining_seconds)
+            except DeadlineExceededError:
+                return self.revision >= revision
+        return True
--- /dev/null
+++ b/drumbay/configuration/dissemination.py
@@ -0,0 +1,158 @@
+"""Exchange of digests and changes with other nodes."""
+
+import random
+from collections.abc import Callable
+from typing import cast
+
+from drumbay.clock import Clock
+from drumbay.comm.interface import Address, Transport, TransportError
+from drumbay.configuration.applied import AppliedConfiguration
+from drumbay.configuration.gossip import DigestReaction, PeerDirectory, react_to_digest
+from drumbay.configuration.messages import (
+    ConfigurationDigest,
+    ConfigurationPull,
+    ConfigurationPullReply,
+    ConfigurationUpdate,
+)
+from drumbay.configuration.state import ApplyOutcome
+from drumbay.identifiers import NodeId
+from drumbay.observability.logs import log_event
+from drumbay.tasks import TaskOwner
+
+DIGEST_PERIOD_SECONDS = 2.0
+RUMOUR_REPEAT_SECONDS = 0.5
+"""A second round of digests after a change, so that few nodes wait for the periodic one."""
+
+PULL_TIMEOUT_SECONDS = 2.0
+JITTER_SHARE = 0.25
+
+
+class Dissemination:
+    """Spreads the applied configuration to peers and fetches what they have newer."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        transport: Transport,
+        node_id: NodeId,
+        applied: AppliedConfiguration,
+        directory: Callable[[], PeerDirectory],
+        generator: random.Random,
+        task_owner: TaskOwner,
+        accept: Callable[[ConfigurationUpdate], ApplyOutcome],
+    ) -> None:
+        """Create the exchange.
+
+        Args:
+            clock: Time.
+            transport: Messages to and from peers.
+            node_id: This node.
+            applied: Configuration in force here.
+            directory: Returns the live peers.
+            generator: Source of random choices.
+            task_owner: Owner of the background tasks.
+            accept: Puts an update in force that a peer has in force.
+        """
+        self._clock = clock
+        self._transport = transport
+        self._node_id = node_id
+        self._applied = applied
+        self._directory = directory
+        self._generator = generator
+        self._task_owner = task_owner
+        self._accept = accept
+        self._pulling = False
+
+    def start(self) -> None:
+        """Register the handlers and start the periodic exchange."""
+        self._transport.handle_datagrams(ConfigurationDigest, self._handle_digest)
+        self._transport.handle_calls(ConfigurationPull, self._handle_pull)
+        self._task_owner.spawn(self._run(), "configuration digests")
+
+    async def _run(self) -> None:
+        while True:
+            share = self._generator.uniform(1 - JITTER_SHARE, 1 + JITTER_SHARE)
+            await self._clock.sleep(DIGEST_PERIOD_SECONDS * share)
+            peer = self._directory().anti_entropy_target(self._generator)
+            if peer is not None and self._applied.loaded:
+                self._send_digest(peer.address, is_reply=False)
+
+    def spread(self) -> None:
+        """Tell peers at once that a new revision is in force here."""
+        self._send_rumour()
+        self._task_owner.spawn(self._repeat_rumour(), "configuration rumour")
+
+    async def _repeat_rumour(self) -> None:
+        revision = self._applied.revision
+        await self._clock.sleep(RUMOUR_REPEAT_SECONDS)
+        if self._applied.revision == revision:
+            self._send_rumour()
+
+    def _send_rumour(self) -> None:
+        for peer in self._directory().rumour_targets(self._generator):
+            self._send_digest(peer.address, is_reply=False)
+
+    def _send_digest(self, address: Address, *, is_reply: bool) -> None:
+        digest = ConfigurationDigest(
+            sender=self._node_id,
+            reply_to=self._transport.address,
+            revision=self._applied.revision,
+            content_hash=self._applied.state.content_hash,
+            confirmed_age_seconds=self._applied.confirmed_age_seconds(),
+            is_reply=is_reply,
+        )
+        self._transport.send_datagram(address, digest)
+
+    def _handle_digest(self, _source: Address, digest: ConfigurationDigest) -> None:
+        # NOTE: a starting node must not take a peer's configuration: the peer may be
+        # behind what was in force here before the restart.
+        if not self._applied.loaded:
+            return
+        state = self._applied.state
+        match react_to_digest(digest, state.revision, state.content_hash):
+            case DigestReaction.PULL:
+                self._start_pull(digest.reply_to)
+            case DigestReaction.ANSWER:
+                self._send_digest(digest.reply_to, is_reply=True)
+            case DigestReaction.REPORT_DIVERGENCE:
+                log_event(
+                    "configuration_divergence",
+                    level="ERROR",
+                    peer=digest.sender,
+                    revision=digest.revision,
+                )
+            case DigestReaction.NOTHING:
+                pass
+        self._take_confirmation(digest)
+
+    def _take_confirmation(self, digest: ConfigurationDigest) -> None:
+        if digest.confirmed_age_seconds is None or digest.revision > self._applied.revision:
+            return
+        self._applied.confirm(self._clock.monotonic() - digest.confirmed_age_seconds)
+
+    def _start_pull(self, address: Address) -> None:
+        if self._pulling:
+            return
+        self._pulling = True
+        self._task_owner.spawn(self._pull(address), "configuration pull")
+
+    async def _pull(self, address: Address) -> None:
+        try:
+            request = ConfigurationPull(after_revision=self._applied.revision)
+            reply = await self._transport.call(
+                address, request, timeout_seconds=PULL_TIMEOUT_SECONDS
+            )
+            update = cast(ConfigurationPullReply, reply).update
+            if update is not None:
+                self._accept(update)
+        except TransportError as error:
+            log_event("configuration_pull_failed", level="DEBUG", error=error.code)
+        finally:
+            self._pulling = False
+
+    async def _handle_pull(self, request: ConfigurationPull) -> ConfigurationPullReply:
+        if not self._applied.loaded:
+            return ConfigurationPullReply(update=None)
+        update = self._applied.state.update_since(request.after_revision)
+        return ConfigurationPullReply(update=update)
--- /dev/null
+++ b/drumbay/configuration/errors.py
@@ -0,0 +1,47 @@
+"""Failures of the configuration service and of operators' writes."""
+
+from drumbay.exceptions import ConfigurationError, DrumbayError, UnavailableError
+from drumbay.identifiers import Revision
+
+
+class ConflictError(ConfigurationError):
+    """Another operator changed the resource first; nothing was written.
+
+    Attributes:
+        key: Key of the resource.
+        expected_revision: Modification revision the writer expected.
+        found_revision: Modification revision found (0: the key is absent).
+    """
+
+    code = "conflict"
+
+    def __init__(self, key: str, expected_revision: Revision, found_revision: Revision) -> None:
+        """Store the revision expected and the one found."""
+        super().__init__(f"{key}: expected revision {expected_revision}, found {found_revision}")
+        self.key = key
+        self.expected_revision = expected_revision
+        self.found_revision = found_revision
+
+
+class OperationReusedError(ConfigurationError):
+    """The operation identifier already names a write to another key."""
+
+    code = "operation_reused"
+
+
+class ConfigurationNotCurrentError(UnavailableError):
+    """The node cannot know that its configuration is current; it refuses writes."""
+
+    code = "configuration_not_current"
+
+
+class ReplicaMajorityError(UnavailableError):
+    """Fewer than a majority of the configuration's replicas answered."""
+
+    code = "replica_majority"
+
+
+class ReplicaFileError(DrumbayError):
+    """The configuration file of a replica cannot be read; it must be removed by hand."""
+
+    code = "replica_file"
--- /dev/null
+++ b/drumbay/configuration/operators.py
@@ -0,0 +1,345 @@
+"""Operators' writes: compare-and-swap, and outcomes that are never guessed."""
+
+from enum import StrEnum
+
+import msgspec
+
+from drumbay.clock import Clock
+from drumbay.configuration.errors import (
+    ConfigurationNotCurrentError,
+    ConflictError,
+    OperationReusedError,
+)
+from drumbay.configuration.messages import (
+    NO_REVISION,
+    REPLICA_SET_KEY,
+    OperationRecord,
+    ReplicaSet,
+    StoredRecord,
+    operation_key,
+    resource_key,
+)
+from drumbay.configuration.service import ConfigurationService
+from drumbay.identifiers import NodeId, Revision
+from drumbay.kv.interface import (
+    KeyValue,
+    KeyValueError,
+    KeyValueOutcomeUnknownError,
+    KeyValueStore,
+    KeyValueUnavailableError,
+    LeaseNotFoundError,
+    ModRevisionIs,
+    Put,
+)
+from drumbay.observability.logs import log_event
+from drumbay.resources.schema import AnyResource
+
+SETTLE_ATTEMPTS = 4
+"""Read-backs after a lost answer before the outcome is reported as not known yet."""
+
+SETTLE_RETRY_SECONDS = 0.5
+IN_FORCE_TIMEOUT_SECONDS = 10.0
+"""How long a write waits for its revision to be in force on this node."""
+
+OPERATION_RECORD_TTL_SECONDS = 7200.0
+"""How long an operation can be asked about; its record then leaves the store."""
+
+
+class WriteOutcome(StrEnum):
+    """What an operator is told about a write."""
+
+    ACCEPTED = "accepted"
+    """Committed, stored by a majority of the replicas, and in force on this node."""
+
+    REFUSED = "refused"
+    """Certainly not committed, now or later."""
+
+    UNKNOWN_YET = "unknown_yet"
+    """Ask again with the operation identifier."""
+
+
+class WriteResult(msgspec.Struct, frozen=True, kw_only=True):
+    """Outcome of an operator's write.
+
+    Attributes:
+        outcome: What is known.
+        operation_id: Identifier to ask again with.
+        committed_revision: Revision of the commit, if it is known to have happened.
+        detail: One sentence for a person.
+    """
+
+    outcome: WriteOutcome
+    operation_id: str
+    committed_revision: Revision | None = None
+    detail: str = ""
+
+
+class _Verdict(StrEnum):
+    COMMITTED = "committed"
+    CANCELLED = "cancelled"
+    ABSENT = "absent"
+
+
+class _Settled(msgspec.Struct, frozen=True, kw_only=True):
+    verdict: _Verdict
+    revision: Revision = NO_REVISION
+
+
+class OperatorService:
+    """Writes resources for operators.
+
+    A write and its operation record are one transaction. The record is the proof: it
+    exists if and only if the write was committed, whatever happened to the answer.
+    """
+
+    def __init__(
+        self, *, clock: Clock, store: KeyValueStore, configuration: ConfigurationService
+    ) -> None:
+        """Write through ``store`` and wait for ``configuration``."""
+        self._clock = clock
+        self._store = store
+        self._configuration = configuration
+        self._lease_id: int | None = None
+        self._lease_granted_at = 0.0
+
+    async def apply(
+        self, resource: AnyResource, expected_revision: Revision | None, operation_id: str
+    ) -> WriteResult:
+        """Create or change a resource.
+
+        Args:
+            resource: The new content.
+            expected_revision: Modification revision that is replaced (0: must not exist);
+                ``None`` replaces whatever is there.
+            operation_id: Identifier chosen by the caller, unique for each intended write;
+                repeating a call with the same identifier writes at most once.
+
+        Raises:
+            ConflictError: The resource has another revision; nothing was written.
+            ConfigurationNotCurrentError: This node must not write now.
+            OperationReusedError: The identifier belongs to a write to another key.
+        """
+        return await self._write(resource, expected_revision, operation_id, deleted=False)
+
+    async def delete(
+        self, resource: AnyResource, expected_revision: Revision | None, operation_id: str
+    ) -> WriteResult:
+        """Delete a resource; arguments and exceptions as for :meth:`apply`."""
+        return await self._write(resource, expected_revision, operation_id, deleted=True)
+
+    async def operation_status(self, operation_id: str) -> WriteResult:
+        """Settle what became of an operation.
+
+        If it was not committed it is cancelled, so that a write still on its way cannot
+        be committed later; only then is it reported as refused.
+        """
+        try:
+            settled = await self._read_operation(operation_id, None)
+            if settled.verdict is _Verdict.ABSENT:
+                settled = await self._cancel(operation_id)
+        except KeyValueError as error:
+            return _unknown(operation_id, f"key-value service: {error.code}")
+        return await self._report(operation_id, settled)
+
+    async def force_replica_set(self, members: tuple[NodeId, ...]) -> Revision | None:
+        """Replace a replica set whose majority is lost for good.
+
+        Revisions that only the lost majority stored are not lost: they are in the
+        key-value service. Never use it while a lost replica may come back unchanged.
+
+        Returns:
+            The revision of the change, or ``None`` if another change came first.
+
+        Raises:
+            KeyValueError: The service did not carry it out, or its answer was lost; it
+                is safe to repeat.
+        """
+        expected = await self._found_revision(REPLICA_SET_KEY)
+        replica_set = ReplicaSet(members=tuple(sorted(members)))
+        result = await self._store.transact(
+            (ModRevisionIs(key=REPLICA_SET_KEY, mod_revision=expected),),
+            (Put(key=REPLICA_SET_KEY, value=msgspec.msgpack.encode(replica_set)),),
+        )
+        return result.revision if result.succeeded else None
+
+    async def _write(
+        self,
+        resource: AnyResource,
+        expected_revision: Revision | None,
+        operation_id: str,
+        *,
+        deleted: bool,
+    ) -> WriteResult:
+        if not self._configuration.readiness().current:
+            raise ConfigurationNotCurrentError("this node cannot confirm its configuration")
+        key = resource_key(type(resource).__name__, resource.name)
+        record = StoredRecord(resource=resource, operation_id=operation_id, deleted=deleted)
+        value = msgspec.msgpack.encode(record)
+        try:
+            lease_id = await self._operation_lease()
+            expected = expected_revision
+            if expected is None:
+                expected = await self._found_revision(key)
+        except KeyValueError as error:
+            return _refused(operation_id, f"nothing was sent: {error.code}")
+        put = Put(key=key, value=value)
+        return await self._commit(put, expected, operation_id, lease_id)
+
+    async def _commit(
+        self, put: Put, expected: Revision, operation_id: str, lease_id: int
+    ) -> WriteResult:
+        try:
+            result = await self._transact(put, expected, operation_id, lease_id)
+        except KeyValueOutcomeUnknownError:
+            return await self._settle(put, expected, operation_id, lease_id)
+        except (KeyValueUnavailableError, LeaseNotFoundError) as error:
+            self._lease_id = None
+            return _refused(operation_id, f"key-value service: {error.code}")
+        if result is not None:
+            return await self._report(
+                operation_id, _Settled(verdict=_Verdict.COMMITTED, revision=result)
+            )
+        return await self._settle(put, expected, operation_id, lease_id)
+
+    async def _transact(
+        self, put: Put, expected: Revision, operation_id: str, lease_id: int
+    ) -> Revision | None:
+        """Return the commit's revision, or ``None`` if a compare failed."""
+        record = OperationRecord(key=put.key)
+        result = await self._store.transact(
+            (
+                ModRevisionIs(key=put.key, mod_revision=expected),
+                ModRevisionIs(key=operation_key(operation_id), mod_revision=NO_REVISION),
+            ),
+            (
+                put,
+                Put(
+                    key=operation_key(operation_id),
+                    value=msgspec.msgpack.encode(record),
+                    lease_id=lease_id,
+                ),
+            ),
+        )
+        return result.revision if result.succeeded else None
+
+    async def _settle(
+        self, put: Put, expected: Revision, operation_id: str, lease_id: int
+    ) -> WriteResult:
+        """Find out by reading back what became of a write.
+
+        Raises:
+            ConflictError: The write can never be committed: its compare no longer holds.
+        """
+        for _ in range(SETTLE_ATTEMPTS):
+            try:
+                settled = await self._read_back(put, expected, operation_id)
+                if settled is None:
+                    # NOTE: sending again is safe. The operation record must be absent for
+                    # the commit, so of all copies on their way one at most has an effect.
+                    settled = await self._send_again(put, expected, operation_id, lease_id)
+                if settled is not None:
+                    return await self._report(operation_id, settled)
+            except KeyValueError as error:
+                log_event("operation_not_settled", operation=operation_id, error=error.code)
+            await self._clock.sleep(SETTLE_RETRY_SECONDS)
+        return _unknown(operation_id, "the write may still be on its way")
+
+    async def _send_again(
+        self, put: Put, expected: Revision, operation_id: str, lease_id: int
+    ) -> _Settled | None:
+        revision = await self._transact(put, expected, operation_id, lease_id)
+        if revision is None:
+            return None
+        return _Settled(verdict=_Verdict.COMMITTED, revision=revision)
+
+    async def _read_back(self, put: Put, expected: Revision, operation_id: str) -> _Settled | None:
+        """Return what is certain about a write; ``None`` if it may still be committed.
+
+        Raises:
+            ConflictError: The write can never be committed.
+        """
+        # NOTE: the resource is read first. Once its revision differs from the expected one
+        # the write cannot be committed any more, so the later look at the record is final.
+        found = await self._found_revision(put.key)
+        settled = await self._read_operation(operation_id, put.key)
+        if settled.verdict is not _Verdict.ABSENT:
+            return settled
+        if found != expected:
+            raise ConflictError(put.key, expected, found)
+        return None
+
+    async def _read_operation(self, operation_id: str, expected_key: str | None) -> _Settled:
+        """Read the operation record.
+
+        Raises:
+            OperationReusedError: It belongs to another key than ``expected_key``.
+        """
+        item = await self._read_key(operation_key(operation_id))
+        if item is None:
+            return _Settled(verdict=_Verdict.ABSENT)
+        record = msgspec.msgpack.decode(item.value, type=OperationRecord)
+        if record.cancelled:
+            return _Settled(verdict=_Verdict.CANCELLED)
+        if expected_key is not None and record.key != expected_key:
+            raise OperationReusedError(f"{operation_id} wrote {record.key}")
+        return _Settled(verdict=_Verdict.COMMITTED, revision=item.mod_revision)
+
+    async def _cancel(self, operation_id: str) -> _Settled:
+        key = operation_key(operation_id)
+        record = OperationRecord(key="", cancelled=True)
+        lease_id = await self._operation_lease()
+        result = await self._store.transact(
+            (ModRevisionIs(key=key, mod_revision=NO_REVISION),),
+            (Put(key=key, value=msgspec.msgpack.encode(record), lease_id=lease_id),),
+        )
+        if result.succeeded:
+            return _Settled(verdict=_Verdict.CANCELLED)
+        return await self._read_operation(operation_id, None)
+
+    async def _report(self, operation_id: str, settled: _Settled) -> WriteResult:
+        if settled.verdict is not _Verdict.COMMITTED:
+            return _refused(operation_id, "cancelled before it was committed")
+        in_force = await self._configuration.applied.wait_for_revision(
+            settled.revision, IN_FORCE_TIMEOUT_SECONDS
+        )
+        if in_force:
+            return WriteResult(
+                outcome=WriteOutcome.ACCEPTED,
+                operation_id=operation_id,
+                committed_revision=settled.revision,
+            )
+        return WriteResult(
+            outcome=WriteOutcome.UNKNOWN_YET,
+            operation_id=operation_id,
+            committed_revision=settled.revision,
+            detail="committed, but not yet known to be stored by a majority of the replicas",
+        )
+
+    async def _found_revision(self, key: str) -> Revision:
+        item = await self._read_key(key)
+        return NO_REVISION if item is None else item.mod_revision
+
+    async def _read_key(self, key: str) -> KeyValue | None:
+        result = await self._store.range_prefix(key)
+        for item in result.items:
+            if item.key == key:
+                return item
+        return None
+
+    async def _operation_lease(self) -> int:
+        """Return a lease with at least half its life left; renewed by replacement."""
+        now = self._clock.monotonic()
+        age_seconds = now - self._lease_granted_at
+        if self._lease_id is None or age_seconds > OPERATION_RECORD_TTL_SECONDS / 2:
+            grant = await self._store.grant_lease(OPERATION_RECORD_TTL_SECONDS)
+            self._lease_id = grant.lease_id
+            self._lease_granted_at = now
+        return self._lease_id
+
+
+def _refused(operation_id: str, detail: str) -> WriteResult:
+    return WriteResult(outcome=WriteOutcome.REFUSED, operation_id=operation_id, detail=detail)
+
+
+def _unknown(operation_id: str, detail: str) -> WriteResult:
+    return WriteResult(outcome=WriteOutcome.UNKNOWN_YET, operation_id=operation_id, detail=detail)
--- /dev/null
+++ b/drumbay/configuration/replica.py
@@ -0,0 +1,156 @@
+"""The durable configuration of a node with a disk, and its file."""
+
+import os
+from pathlib import Path
+
+import msgspec
+import xxhash
+
+from drumbay.configuration.errors import ReplicaFileError
+from drumbay.configuration.messages import (
+    ConfigurationUpdate,
+    ReplicaRead,
+    ReplicaReadReply,
+    ReplicaStore,
+    ReplicaStoreReply,
+)
+from drumbay.configuration.state import ApplyOutcome, ConfigurationState
+from drumbay.identifiers import NodeId, Revision
+from drumbay.observability.logs import log_event
+
+FILE_NAME = "configuration.msgpack"
+FILE_FORMAT = 1
+
+
+class ReplicaContent(msgspec.Struct, frozen=True, kw_only=True):
+    """What the file holds.
+
+    Attributes:
+        complete: The replica has recovered since its disk was last empty.
+        snapshot: The whole configuration.
+    """
+
+    complete: bool
+    snapshot: ConfigurationUpdate
+
+
+class _FileEnvelope(msgspec.Struct, frozen=True, kw_only=True):
+    file_format: int
+    checksum: int
+    content: bytes
+
+
+class ReplicaFile:
+    """One file that is replaced atomically; a write that returned survives a crash."""
+
+    def __init__(self, data_folder: Path) -> None:
+        """Use ``configuration.msgpack`` in ``data_folder``."""
+        self._path = data_folder / FILE_NAME
+
+    def load(self) -> ReplicaContent | None:
+        """Return the content; ``None`` if the file does not exist.
+
+        Raises:
+            ReplicaFileError: The file is damaged or has an unknown format.
+        """
+        try:
+            envelope = msgspec.msgpack.decode(self._path.read_bytes(), type=_FileEnvelope)
+            if envelope.file_format != FILE_FORMAT:
+                raise ReplicaFileError(f"{self._path}: file format {envelope.file_format}")
+            if envelope.checksum != xxhash.xxh3_64_intdigest(envelope.content):
+                raise ReplicaFileError(f"{self._path}: checksum mismatch")
+            return msgspec.msgpack.decode(envelope.content, type=ReplicaContent)
+        except FileNotFoundError:
+            return None
+        except (OSError, msgspec.MsgspecError) as error:
+            raise ReplicaFileError(f"{self._path}: {error}") from error
+
+    def save(self, content: ReplicaContent) -> None:
+        """Replace the file durably.
+
+        Raises:
+            OSError: The disk refused; the earlier content is still there.
+        """
+        encoded = msgspec.msgpack.encode(content)
+        envelope = _FileEnvelope(
+            file_format=FILE_FORMAT,
+            checksum=xxhash.xxh3_64_intdigest(encoded),
+            content=encoded,
+        )
+        self._path.parent.mkdir(parents=True, exist_ok=True)
+        temporary = self._path.with_suffix(".tmp")
+        with temporary.open("wb") as stream:
+            stream.write(msgspec.msgpack.encode(envelope))
+            stream.flush()
+            os.fsync(stream.fileno())
+        temporary.replace(self._path)
+        # NOTE: without this the rename itself may be lost in a power failure.
+        folder = os.open(self._path.parent, os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+
+
+class ConfigurationReplica:
+    """Keeps the newest configuration it was given on disk and serves it to others.
+
+    The replica may hold a revision that is not in force yet; the node's own applied
+    configuration is separate.
+    """
+
+    def __init__(self, node_id: NodeId, file: ReplicaFile) -> None:
+        """Load the file; a damaged one counts as an empty disk."""
+        self._node_id = node_id
+        self._file = file
+        self._state = ConfigurationState()
+        self._complete = False
+        try:
+            content = file.load()
+        except ReplicaFileError as error:
+            log_event("configuration_file_damaged", level="ERROR", detail=str(error))
+            content = None
+        if content is not None:
+            self._state.apply(content.snapshot)
+            self._complete = content.complete
+
+    @property
+    def revision(self) -> Revision:
+        """Return the durable revision."""
+        return self._state.revision
+
+    def store(self, request: ReplicaStore) -> ReplicaStoreReply:
+        """Make an update durable and return the revision that is durable now.
+
+        Raises:
+            OSError: The disk refused; the earlier revision is still held.
+        """
+        if self._state.classify(request.update) is ApplyOutcome.APPLIED:
+            candidate = self._state.copy()
+            candidate.apply(request.update)
+            self._file.save(ReplicaContent(complete=self._complete, snapshot=candidate.snapshot()))
+            self._state.apply(request.update)
+        return ReplicaStoreReply(revision=self._state.revision)
+
+    def read(self, request: ReplicaRead) -> ReplicaReadReply:
+        """Return what is held beyond the revision asked for."""
+        return ReplicaReadReply(
+            node_id=self._node_id,
+            complete=self._complete,
+            revision=self._state.revision,
+            update=self._state.update_since(request.after_revision),
+        )
+
+    def mark_complete(self, recovered: ConfigurationUpdate) -> None:
+        """Record that the replica holds all that it ever acknowledged.
+
+        Args:
+            recovered: Snapshot read from the key-value service or a majority of replicas.
+
+        Raises:
+            OSError: The disk refused; the replica stays incomplete.
+        """
+        self.store(ReplicaStore(update=recovered))
+        if not self._complete:
+            self._file.save(ReplicaContent(complete=True, snapshot=self._state.snapshot()))
+            self._complete = True
--- /dev/null
+++ b/drumbay/configuration/replication.py
@@ -0,0 +1,173 @@
+"""Majority reads and writes of the replicas."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+from typing import TypeVar, cast
+
+from drumbay.comm.interface import Message, Transport, TransportError
+from drumbay.configuration.errors import ReplicaMajorityError
+from drumbay.configuration.messages import (
+    ConfigurationUpdate,
+    PeerView,
+    ReplicaRead,
+    ReplicaReadReply,
+    ReplicaSet,
+    ReplicaStore,
+    ReplicaStoreReply,
+)
+from drumbay.configuration.replica import ConfigurationReplica
+from drumbay.configuration.replica_set import has_majority
+from drumbay.configuration.state import ConfigurationState, replica_set_in
+from drumbay.identifiers import NodeId
+from drumbay.tasks import TaskOwner
+
+REPLICA_CALL_TIMEOUT_SECONDS = 2.0
+
+ReplyT = TypeVar("ReplyT", bound=Message)
+
+
+class ReplicaClient:
+    """Reads and writes the replicas from one node; its own replica without network."""
+
+    def __init__(
+        self,
+        *,
+        node_id: NodeId,
+        transport: Transport,
+        members: Callable[[], tuple[PeerView, ...]],
+        own_replica: ConfigurationReplica | None,
+        task_owner: TaskOwner,
+    ) -> None:
+        """Use ``members`` to find the replicas' addresses."""
+        self._node_id = node_id
+        self._transport = transport
+        self._members = members
+        self._own_replica = own_replica
+        self._task_owner = task_owner
+
+    async def store(self, state: ConfigurationState, update: ConfigurationUpdate) -> None:
+        """Make an update durable on a majority of the replicas.
+
+        Args:
+            state: Applied state that the update leads on from.
+            update: An update that ``state`` could apply.
+
+        Raises:
+            ReplicaMajorityError: Too few replicas acknowledged.
+        """
+        replica_set = replica_set_in(update) or state.replica_set
+        if not replica_set.members:
+            return
+        complete_state = state.copy()
+        complete_state.apply(update)
+        snapshot = complete_state.snapshot()
+        acknowledged: list[NodeId] = []
+
+        async def ask(node_id: NodeId) -> None:
+            reply = await self._store_on(node_id, update)
+            if reply.revision < update.revision:
+                reply = await self._store_on(node_id, snapshot)
+            if reply.revision >= update.revision:
+                acknowledged.append(node_id)
+
+        targets = sorted({*replica_set.members, *replica_set.previous})
+        durable = await self._ask_until(
+            targets, ask, lambda: has_majority(replica_set, acknowledged)
+        )
+        if not durable:
+            raise ReplicaMajorityError(
+                f"revision {update.revision}: {len(acknowledged)} of {len(targets)} stored it"
+            )
+
+    async def read(self, state: ConfigurationState) -> ConfigurationUpdate | None:
+        """Return the newest update that a majority of the replicas vouches for.
+
+        What is returned may be held by one replica only; the caller stores it on a
+        majority before it applies it (Attiya, Bar-Noy and Dolev, "Sharing Memory Robustly
+        in Message-Passing Systems", 1995: a reader writes back what it read).
+
+        Returns:
+            ``None`` if no replica has anything newer than ``state``.
+
+        Raises:
+            ReplicaMajorityError: Too few replicas answered, or no replica set is known.
+        """
+        replies: list[ReplicaReadReply] = []
+
+        async def ask(node_id: NodeId) -> None:
+            request = ReplicaRead(after_revision=state.revision)
+            replies.append(await self._read_on(node_id, request))
+
+        known = {peer.node_id for peer in self._members() if peer.has_data_folder}
+        targets = sorted(known | {*state.replica_set.members, *state.replica_set.previous})
+        await self._ask_until(targets, ask, lambda: _has_read_majority(state, replies))
+        if not _has_read_majority(state, replies):
+            raise ReplicaMajorityError(f"{len(replies)} of {len(targets)} replicas answered")
+        return _newest_update(replies)
+
+    async def _store_on(self, node_id: NodeId, update: ConfigurationUpdate) -> ReplicaStoreReply:
+        request = ReplicaStore(update=update)
+        if node_id == self._node_id and self._own_replica is not None:
+            return self._own_replica.store(request)
+        return cast(ReplicaStoreReply, await self._call(node_id, request))
+
+    async def _read_on(self, node_id: NodeId, request: ReplicaRead) -> ReplicaReadReply:
+        if node_id == self._node_id and self._own_replica is not None:
+            return self._own_replica.read(request)
+        return cast(ReplicaReadReply, await self._call(node_id, request))
+
+    async def _call(self, node_id: NodeId, request: Message) -> Message:
+        for peer in self._members():
+            if peer.node_id == node_id:
+                return await self._transport.call(
+                    peer.address, request, timeout_seconds=REPLICA_CALL_TIMEOUT_SECONDS
+                )
+        raise ReplicaMajorityError(f"replica {node_id} is not a live member")
+
+    async def _ask_until(
+        self,
+        targets: Sequence[NodeId],
+        ask: Callable[[NodeId], Awaitable[None]],
+        decided: Callable[[], bool],
+    ) -> bool:
+        """Ask all targets at once; return early when decided. A slow one delays nobody."""
+        finished = asyncio.Event()
+        open_count = len(targets)
+
+        async def ask_one(node_id: NodeId) -> None:
+            nonlocal open_count
+            try:
+                await ask(node_id)
+            except (TransportError, ReplicaMajorityError, OSError):
+                pass  # NOTE: no acknowledgement is the whole meaning; the count decides.
+            finally:
+                open_count -= 1
+                if open_count == 0 or decided():
+                    finished.set()
+
+        for node_id in targets:
+            self._task_owner.spawn(ask_one(node_id), f"ask replica {node_id}")
+        if targets:
+            await finished.wait()
+        return decided()
+
+
+def _newest_update(replies: Sequence[ReplicaReadReply]) -> ConfigurationUpdate | None:
+    newest: ConfigurationUpdate | None = None
+    for reply in replies:
+        update = reply.update
+        if update is not None and (newest is None or update.revision > newest.revision):
+            newest = update
+    return newest
+
+
+def _has_read_majority(state: ConfigurationState, replies: Sequence[ReplicaReadReply]) -> bool:
+    """Tell whether complete replies hold a majority of the newest replica set seen."""
+    replica_set: ReplicaSet = state.replica_set
+    newest = _newest_update(replies)
+    if newest is not None:
+        replica_set = replica_set_in(newest) or replica_set
+    if not replica_set.members:
+        return False
+    voters = [reply.node_id for reply in replies if reply.complete]
+    return has_majority(replica_set, voters)
--- /dev/null
+++ b/drumbay/configuration/service.py
@@ -0,0 +1,294 @@
+"""The configuration service of one node."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from drumbay.clock import Clock
+from drumbay.comm.interface import Transport
+from drumbay.configuration.applied import AppliedConfiguration, ChangeCallback
+from drumbay.configuration.dissemination import Dissemination
+from drumbay.configuration.errors import ReplicaMajorityError
+from drumbay.configuration.gossip import PeerDirectory, is_watcher
+from drumbay.configuration.messages import (
+    NO_REVISION,
+    REPLICA_SET_KEY,
+    RESOURCE_PREFIX,
+    ConfigurationReadiness,
+    ConfigurationUpdate,
+    PeerView,
+    ReplicaRead,
+    ReplicaReadReply,
+    ReplicaStore,
+    ReplicaStoreReply,
+)
+from drumbay.configuration.replica import ConfigurationReplica, ReplicaFile
+from drumbay.configuration.replica_set import plan_replica_set
+from drumbay.configuration.replication import ReplicaClient
+from drumbay.configuration.state import ApplyOutcome, ConfigurationState
+from drumbay.configuration.view import ConfigurationView
+from drumbay.configuration.watcher import Backoff, ConfigurationWatcher, update_from_range
+from drumbay.identifiers import NodeId, Revision
+from drumbay.kv.interface import KeyValueError, KeyValueStore, ModRevisionIs, Put
+from drumbay.observability.logs import log_event
+from drumbay.tasks import TaskOwner
+
+ROLE_PERIOD_SECONDS = 1.0
+CONFIRM_PERIOD_SECONDS = 5.0
+
+
+class ConfigurationService:
+    """Keeps the operators' configuration in force on one node.
+
+    Start with :meth:`start`; it ends with the task owner. The live members must include
+    the node itself.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        transport: Transport,
+        store: KeyValueStore,
+        node_id: NodeId,
+        members: Callable[[], tuple[PeerView, ...]],
+        generator: random.Random,
+        task_owner: TaskOwner,
+        data_folder: Path | None = None,
+    ) -> None:
+        """Create the service; a node with a data folder is a candidate for a replica."""
+        self._clock = clock
+        self._transport = transport
+        self._store = store
+        self._node_id = node_id
+        self._members = members
+        self._generator = generator
+        self._task_owner = task_owner
+        self._applied = AppliedConfiguration(clock, self._new_state())
+        self._replica = self._open_replica(data_folder)
+        self._replicas = ReplicaClient(
+            node_id=node_id,
+            transport=transport,
+            members=members,
+            own_replica=self._replica,
+            task_owner=task_owner,
+        )
+        self._dissemination = Dissemination(
+            clock=clock,
+            transport=transport,
+            node_id=node_id,
+            applied=self._applied,
+            directory=self._directory,
+            generator=generator,
+            task_owner=task_owner,
+            accept=self._put_in_force,
+        )
+        self._watch_task: asyncio.Task[Any] | None = None
+        self._absent_since: dict[NodeId, float] = {}
+        self._known_members: tuple[PeerView, ...] = ()
+        self._known_directory: PeerDirectory | None = None
+
+    @property
+    def applied(self) -> AppliedConfiguration:
+        """Return what is in force, for the operators' service."""
+        return self._applied
+
+    @property
+    def watching(self) -> bool:
+        """Return whether this node watches the key-value service."""
+        return self._watch_task is not None
+
+    def snapshot(self) -> ConfigurationView:
+        """Return the configuration in force on this node."""
+        return self._applied.view
+
+    def readiness(self) -> ConfigurationReadiness:
+        """Return what ``/readyz`` says about the configuration."""
+        return self._applied.readiness()
+
+    def on_change(self, callback: ChangeCallback) -> None:
+        """Call ``callback`` with the new view after each change; it must not raise."""
+        self._applied.add_callback(callback)
+
+    def start(self) -> None:
+        """Register the message handlers and start the background tasks."""
+        if self._replica is not None:
+            self._transport.handle_calls(ReplicaStore, self._handle_store)
+            self._transport.handle_calls(ReplicaRead, self._handle_read)
+        self._dissemination.start()
+        self._task_owner.spawn(self._run(), "configuration service")
+
+    def _new_state(self) -> ConfigurationState:
+        return ConfigurationState()
+
+    def _open_replica(self, data_folder: Path | None) -> ConfigurationReplica | None:
+        if data_folder is None:
+            return None
+        return ConfigurationReplica(self._node_id, ReplicaFile(data_folder))
+
+    def _directory(self) -> PeerDirectory:
+        members = self._members()
+        if self._known_directory is None or members is not self._known_members:
+            self._known_members = members
+            self._known_directory = PeerDirectory(self._own_view(members), members)
+        return self._known_directory
+
+    def _own_view(self, members: tuple[PeerView, ...]) -> PeerView:
+        for peer in members:
+            if peer.node_id == self._node_id:
+                return peer
+        return PeerView(node_id=self._node_id, address=self._transport.address, zone="", region="")
+
+    async def _handle_store(self, request: ReplicaStore) -> ReplicaStoreReply:
+        assert self._replica is not None
+        return self._replica.store(request)
+
+    async def _handle_read(self, request: ReplicaRead) -> ReplicaReadReply:
+        assert self._replica is not None
+        return self._replica.read(request)
+
+    async def _run(self) -> None:
+        await self._load()
+        next_confirmation = self._clock.monotonic()
+        while True:
+            self._elect()
+            if self.watching and self._clock.monotonic() >= next_confirmation:
+                next_confirmation = self._clock.monotonic() + CONFIRM_PERIOD_SECONDS
+                await self._confirm()
+                await self._maintain_replica_set()
+            await self._clock.sleep(ROLE_PERIOD_SECONDS)
+
+    async def _load(self) -> None:
+        backoff = Backoff(self._generator)
+        while not await self._confirm():
+            await self._clock.sleep(backoff.next_delay_seconds())
+        self._applied.mark_loaded()
+        if self._replica is not None:
+            self._mark_replica_complete(self._replica)
+        log_event("configuration_loaded", node=self._node_id, revision=self._applied.revision)
+
+    def _mark_replica_complete(self, replica: ConfigurationReplica) -> None:
+        try:
+            replica.mark_complete(self._applied.state.snapshot())
+        except OSError as error:
+            log_event("configuration_store_failed", level="ERROR", detail=str(error))
+
+    async def _confirm(self) -> bool:
+        """Learn whether anything newer is in force, put it in force, and report success.
+
+        A majority of the replicas is asked first, which costs the rate-limited key-value
+        service nothing; it is read when no majority answers.
+        """
+        asked_at = self._clock.monotonic()
+        try:
+            update = await self._read_newest()
+            if update is not None:
+                await self._commit(update)
+        except (ReplicaMajorityError, KeyValueError) as error:
+            log_event("configuration_unconfirmed", level="WARNING", detail=str(error))
+            return False
+        self._applied.confirm(asked_at)
+        return True
+
+    async def _read_newest(self) -> ConfigurationUpdate | None:
+        try:
+            return await self._replicas.read(self._applied.state)
+        except ReplicaMajorityError:
+            result = await self._store.range_prefix(RESOURCE_PREFIX)
+        update = update_from_range(result)
+        return None if self._has_content_of(update) else update
+
+    def _has_content_of(self, update: ConfigurationUpdate) -> bool:
+        if not self._applied.loaded:
+            return False
+        fresh = ConfigurationState()
+        fresh.apply(update)
+        return fresh.content_hash == self._applied.state.content_hash
+
+    async def _commit(self, update: ConfigurationUpdate) -> None:
+        """Store an update on a majority of the replicas, then put it in force.
+
+        Raises:
+            ReplicaMajorityError: It is not durable; the configuration is unchanged.
+        """
+        if self._applied.state.classify(update) is not ApplyOutcome.APPLIED:
+            return
+        await self._replicas.store(self._applied.state, update)
+        self._put_in_force(update)
+
+    def _put_in_force(self, update: ConfigurationUpdate) -> ApplyOutcome:
+        outcome = self._applied.apply(update)
+        if outcome is not ApplyOutcome.APPLIED:
+            return outcome
+        log_event(
+            "configuration_applied",
+            level="DEBUG",
+            node=self._node_id,
+            revision=self._applied.revision,
+        )
+        self._catch_up_own_replica()
+        self._dissemination.spread()
+        return outcome
+
+    def _catch_up_own_replica(self) -> None:
+        replica = self._replica
+        if replica is None or replica.revision >= self._applied.revision:
+            return
+        update = self._applied.state.update_since(replica.revision)
+        if update is None:
+            return
+        try:
+            replica.store(ReplicaStore(update=update))
+        except OSError as error:
+            log_event("configuration_store_failed", level="ERROR", detail=str(error))
+
+    def _elect(self) -> None:
+        members = self._members()
+        chosen = is_watcher(self._own_view(members), members)
+        if self._watch_task is not None and self._watch_task.done():
+            self._watch_task = None
+        if chosen and self._watch_task is None:
+            watcher = ConfigurationWatcher(
+                clock=self._clock,
+                store=self._store,
+                generator=self._generator,
+                applied_revision=lambda: self._applied.revision,
+                deliver=self._commit,
+            )
+            self._watch_task = self._task_owner.spawn(watcher.run(), "configuration watch")
+        elif not chosen and self._watch_task is not None:
+            self._watch_task.cancel()
+            self._watch_task = None
+
+    async def _maintain_replica_set(self) -> None:
+        """Propose a new replica set when disks came or went (first watcher only)."""
+        members = self._members()
+        watchers = [peer.node_id for peer in members if is_watcher(peer, members)]
+        if min(watchers, default=self._node_id) != self._node_id:
+            return
+        current = self._applied.state.replica_set
+        live = sorted(peer.node_id for peer in members if peer.has_data_folder)
+        now = self._clock.monotonic()
+        self._absent_since = {
+            node_id: self._absent_since.get(node_id, now)
+            for node_id in current.members
+            if node_id not in live
+        }
+        absent = {node_id: now - since for node_id, since in self._absent_since.items()}
+        planned = plan_replica_set(current, live, absent)
+        if planned is None:
+            return
+        entry = self._applied.state.entry(REPLICA_SET_KEY)
+        expected = NO_REVISION if entry is None else entry.mod_revision
+        try:
+            await self._store.transact(
+                (ModRevisionIs(key=REPLICA_SET_KEY, mod_revision=Revision(expected)),),
+                (Put(key=REPLICA_SET_KEY, value=msgspec.msgpack.encode(planned)),),
+            )
+        except KeyValueError as error:
+            # NOTE: a lost answer needs no settling: the watch brings what was written.
+            log_event("replica_set_change_failed", level="WARNING", error=error.code)
--- /dev/null
+++ b/drumbay/configuration/view.py
@@ -0,0 +1,104 @@
+"""The typed view of the configuration that the rest of a node reads."""
+
+import msgspec
+
+from drumbay.configuration.messages import (
+    NO_REVISION,
+    REPLICA_SET_KEY,
+    RESOURCE_PREFIX,
+    ConfigurationEntry,
+    StoredRecord,
+)
+from drumbay.configuration.state import ConfigurationState
+from drumbay.identifiers import Revision
+from drumbay.observability.logs import log_event
+from drumbay.resources.schema import (
+    AccessToken,
+    AnyResource,
+    BackendGroup,
+    Drain,
+    Route,
+    WeightPolicy,
+)
+
+
+class ConfigurationView(msgspec.Struct, frozen=True, kw_only=True):
+    """The operators' resources in force on one node, by name.
+
+    Attributes:
+        revision: Revision of the key-value service they are complete up to.
+        resource_revisions: Modification revision by ``<Kind>/<name>``, deleted resources
+            included; an operator's write names it as the revision expected.
+    """
+
+    revision: Revision = NO_REVISION
+    groups: dict[str, BackendGroup] = {}
+    routes: dict[str, Route] = {}
+    policies: dict[str, WeightPolicy] = {}
+    drains: dict[str, Drain] = {}
+    tokens: dict[str, AccessToken] = {}
+    resource_revisions: dict[str, Revision] = {}
+
+
+class ViewBuilder:
+    """Builds views; entries that did not change are not decoded again."""
+
+    def __init__(self) -> None:
+        """Create a builder that has seen no entry."""
+        self._decoded: dict[str, tuple[Revision, StoredRecord | None]] = {}
+
+    def build(self, state: ConfigurationState) -> ConfigurationView:
+        """Return the view of a state."""
+        view = ConfigurationView(revision=state.revision)
+        decoded: dict[str, tuple[Revision, StoredRecord | None]] = {}
+        for entry in state.entries():
+            if entry.key == REPLICA_SET_KEY:
+                continue
+            record = self._record(entry)
+            decoded[entry.key] = (entry.mod_revision, record)
+            view.resource_revisions[entry.key.removeprefix(RESOURCE_PREFIX)] = entry.mod_revision
+            if record is not None and not record.deleted:
+                _add(view, record.resource)
+        self._decoded = decoded
+        return view
+
+    def _record(self, entry: ConfigurationEntry) -> StoredRecord | None:
+        known = self._decoded.get(entry.key)
+        if known is not None and known[0] == entry.mod_revision:
+            return known[1]
+        return decode_record(entry)
+
+
+def decode_record(entry: ConfigurationEntry) -> StoredRecord | None:
+    """Return the record of an entry; ``None`` if this version cannot read it.
+
+    A newer version of drumbay may know kinds or fields that this one does not. The entry
+    still counts towards revision and digest; only the view leaves it out.
+    """
+    if entry.value is None:
+        return None
+    try:
+        return msgspec.msgpack.decode(entry.value, type=StoredRecord)
+    except msgspec.MsgspecError as error:
+        log_event(
+            "configuration_entry_unreadable",
+            level="ERROR",
+            key=entry.key,
+            mod_revision=entry.mod_revision,
+            detail=str(error),
+        )
+        return None
+
+
+def _add(view: ConfigurationView, resource: AnyResource) -> None:
+    match resource:
+        case BackendGroup():
+            view.groups[resource.name] = resource
+        case Route():
+            view.routes[resource.name] = resource
+        case WeightPolicy():
+            view.policies[resource.name] = resource
+        case Drain():
+            view.drains[resource.name] = resource
+        case AccessToken():
+            view.tokens[resource.name] = resource
--- /dev/null
+++ b/drumbay/configuration/watcher.py
@@ -0,0 +1,144 @@
+"""Watch of the key-value service by the few nodes that are chosen for it."""
+
+import random
+from collections.abc import Awaitable, Callable
+
+from drumbay.clock import Clock
+from drumbay.configuration.errors import ReplicaMajorityError
+from drumbay.configuration.messages import (
+    RESOURCE_PREFIX,
+    ConfigurationEntry,
+    ConfigurationUpdate,
+)
+from drumbay.identifiers import Revision
+from drumbay.kv.interface import (
+    KeyValueError,
+    KeyValueStore,
+    RangeResult,
+    WatchBatch,
+    WatchCompactedError,
+)
+from drumbay.observability.logs import log_event
+
+FIRST_RETRY_SECONDS = 0.2
+LONGEST_RETRY_SECONDS = 5.0
+
+
+class Backoff:
+    """Exponential backoff with full jitter."""
+
+    def __init__(self, generator: random.Random) -> None:
+        """Start at the first delay."""
+        self._generator = generator
+        self._limit_seconds = FIRST_RETRY_SECONDS
+
+    def reset(self) -> None:
+        """Start again at the first delay."""
+        self._limit_seconds = FIRST_RETRY_SECONDS
+
+    def next_delay_seconds(self) -> float:
+        """Return the next delay."""
+        limit_seconds = self._limit_seconds
+        self._limit_seconds = min(2 * limit_seconds, LONGEST_RETRY_SECONDS)
+        return self._generator.uniform(0.5 * limit_seconds, limit_seconds)
+
+
+def update_from_range(result: RangeResult) -> ConfigurationUpdate:
+    """Return the snapshot that a range read of the configuration's prefix gives."""
+    entries = [
+        ConfigurationEntry(key=item.key, mod_revision=item.mod_revision, value=item.value)
+        for item in result.items
+    ]
+    entries.sort(key=lambda entry: (entry.mod_revision, entry.key))
+    return ConfigurationUpdate(revision=result.revision, base_revision=None, entries=tuple(entries))
+
+
+def update_from_batch(batch: WatchBatch, base_revision: Revision) -> ConfigurationUpdate:
+    """Return the delta that a watch batch gives."""
+    entries = [
+        ConfigurationEntry(
+            key=event.key,
+            mod_revision=event.mod_revision,
+            value=None if event.item is None else event.item.value,
+        )
+        for event in batch.events
+    ]
+    return ConfigurationUpdate(
+        revision=batch.revision, base_revision=base_revision, entries=tuple(entries)
+    )
+
+
+class ConfigurationWatcher:
+    """Hands every change of the configuration to ``deliver``, over breaks and compaction."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        store: KeyValueStore,
+        generator: random.Random,
+        applied_revision: Callable[[], Revision],
+        deliver: Callable[[ConfigurationUpdate], Awaitable[None]],
+    ) -> None:
+        """Create a watcher.
+
+        Args:
+            clock: Time.
+            store: The key-value service.
+            generator: Source of jitter.
+            applied_revision: Revision that is applied on this node.
+            deliver: Takes an update; raises ReplicaMajorityError if it must be repeated.
+        """
+        self._clock = clock
+        self._store = store
+        self._applied_revision = applied_revision
+        self._deliver = deliver
+        self._generator = generator
+        self._backoff = Backoff(generator)
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            try:
+                await self._watch_once()
+            except WatchCompactedError:
+                await self._read_whole()
+            except KeyValueError as error:
+                log_event("configuration_watch_broken", level="WARNING", error=error.code)
+            await self._clock.sleep(self._backoff.next_delay_seconds())
+
+    async def _watch_once(self) -> None:
+        # NOTE: an empty batch moves the watch on but is not delivered, so the base of the
+        # next update is the last revision that was.
+        base_revision = self._applied_revision()
+        start_revision = Revision(base_revision + 1)
+        async for batch in self._store.watch_prefix(RESOURCE_PREFIX, start_revision):
+            self._backoff.reset()
+            if not batch.events:
+                continue
+            await self._deliver_until_durable(update_from_batch(batch, base_revision))
+            base_revision = batch.revision
+
+    async def _read_whole(self) -> None:
+        log_event("configuration_watch_compacted", revision=self._applied_revision())
+        try:
+            result = await self._store.range_prefix(RESOURCE_PREFIX)
+        except KeyValueError as error:
+            log_event("configuration_read_failed", level="WARNING", error=error.code)
+            return
+        await self._deliver_until_durable(update_from_range(result))
+
+    async def _deliver_until_durable(self, update: ConfigurationUpdate) -> None:
+        backoff = Backoff(self._generator)
+        while update.revision > self._applied_revision():
+            try:
+                await self._deliver(update)
+                return
+            except ReplicaMajorityError as error:
+                log_event(
+                    "configuration_not_durable",
+                    level="WARNING",
+                    revision=update.revision,
+                    detail=str(error),
+                )
+                await self._clock.sleep(backoff.next_delay_seconds())
