Add the request path, operators' commands and explanations

Cause: requests need one path from route to answer, whose failures say whether they ran. Ruled out: a central index of decisions (the id of a request names its node; for samples and back ends the live nodes are asked); curl for exchanges that may not be repeated (it resends on a reused connection that dies).

--- /dev/null
+++ b/drumbay/cli/client.py
@@ -0,0 +1,106 @@
+"""Blocking HTTP client of one node, for the commands of operators."""
+
+from typing import TypeVar
+from urllib.parse import quote
+
+import msgspec
+from tornado.httpclient import HTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
+
+from drumbay.api.schema import (
+    ApplyBody,
+    ApplyOutcomeBody,
+    ErrorBody,
+    ExplanationBody,
+    ResourceListBody,
+    StatusBody,
+)
+from drumbay.cli.errors import ServerRefusedError, ServerUnreachableError
+from drumbay.explain.records import SubjectKind
+from drumbay.identifiers import Revision
+
+REQUEST_TIMEOUT_SECONDS = 30.0
+
+RecordT = TypeVar("RecordT")
+
+
+class NodeClient:
+    """Operations on one node over its HTTP interface.
+
+    Args:
+        server: Base URL of the node.
+        token: Bearer token, if the node requires one.
+    """
+
+    def __init__(self, server: str, token: str | None = None) -> None:
+        """Use the node at ``server``."""
+        self._server = server.rstrip("/")
+        self._token = token
+
+    def resources(self, kind: str | None = None, name: str | None = None) -> ResourceListBody:
+        """Return the resources in force at the node."""
+        parts = [quote(part, safe="") for part in (kind, name) if part]
+        path = "/".join(["/v1/resources", *parts])
+        return self._decode(self._fetch("GET", path), ResourceListBody)
+
+    def apply(self, body: ApplyBody) -> ApplyOutcomeBody:
+        """Create or change a resource."""
+        kind = type(body.resource).__name__
+        path = f"/v1/resources/{kind}/{quote(body.resource.name, safe='')}"
+        response = self._fetch("PUT", path, msgspec.json.encode(body))
+        return self._decode(response, ApplyOutcomeBody)
+
+    def delete(
+        self, kind: str, name: str, operation_id: str, expected_revision: Revision | None
+    ) -> ApplyOutcomeBody:
+        """Remove a resource."""
+        path = f"/v1/resources/{quote(kind, safe='')}/{quote(name, safe='')}"
+        query = f"?operation_id={quote(operation_id, safe='')}"
+        if expected_revision is not None:
+            query += f"&expected_revision={expected_revision}"
+        return self._decode(self._fetch("DELETE", path + query), ApplyOutcomeBody)
+
+    def operation(self, operation_id: str) -> ApplyOutcomeBody:
+        """Return what became of an earlier change."""
+        path = f"/v1/operations/{quote(operation_id, safe='')}"
+        return self._decode(self._fetch("GET", path), ApplyOutcomeBody)
+
+    def explain(self, kind: SubjectKind, subject_id: str) -> ExplanationBody:
+        """Return the decision records of a subject."""
+        path = f"/v1/explain/{kind.value}/{quote(subject_id, safe='')}"
+        return self._decode(self._fetch("GET", path), ExplanationBody)
+
+    def status(self) -> StatusBody:
+        """Return the node's state."""
+        return self._decode(self._fetch("GET", "/v1/status"), StatusBody)
+
+    def _fetch(self, method: str, path: str, body: bytes | None = None) -> HTTPResponse:
+        headers = {"Authorization": f"Bearer {self._token}"} if self._token else {}
+        request = HTTPRequest(
+            self._server + path,
+            method=method,
+            body=body,
+            headers=headers,
+            request_timeout=REQUEST_TIMEOUT_SECONDS,
+        )
+        client = HTTPClient()
+        try:
+            return client.fetch(request)
+        except HTTPClientError as error:
+            raise _refusal(error) from error
+        except OSError as error:
+            raise ServerUnreachableError(f"{self._server}: {error}") from error
+        finally:
+            client.close()
+
+    def _decode(self, response: HTTPResponse, record_type: type[RecordT]) -> RecordT:
+        return msgspec.json.decode(response.body, type=record_type)
+
+
+def _refusal(error: HTTPClientError) -> ServerRefusedError | ServerUnreachableError:
+    if error.response is None or not error.response.body:
+        return ServerUnreachableError(str(error))
+    try:
+        detail = msgspec.json.decode(error.response.body, type=ErrorBody).error
+    except msgspec.MsgspecError:
+        return ServerRefusedError(str(error.code), str(error))
+    return ServerRefusedError(detail.code, detail.detail)
--- /dev/null
+++ b/drumbay/cli/errors.py
@@ -0,0 +1,66 @@
+"""Exit codes of the command line, and how failures are shown."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from enum import IntEnum
+
+import typer
+
+from drumbay.exceptions import ConfigurationError, DrumbayError
+
+
+class ExitCode(IntEnum):
+    """Exit codes, documented in ``docs/OPERATIONS.md``."""
+
+    SUCCESS = 0
+    FAILED = 1
+    INVALID_INPUT = 2
+    REFUSED = 3
+    UNKNOWN_OUTCOME = 4
+    UNREACHABLE = 5
+
+
+class ServerUnreachableError(DrumbayError):
+    """The node named by ``--server`` could not be reached."""
+
+    code = "server_unreachable"
+
+
+class ServerRefusedError(DrumbayError):
+    """The node refused the operation.
+
+    Attributes:
+        remote_code: Code of the failure at the node.
+    """
+
+    code = "server_refused"
+
+    def __init__(self, remote_code: str, detail: str) -> None:
+        """Store the node's code and detail."""
+        super().__init__(f"{remote_code}: {detail}")
+        self.remote_code = remote_code
+
+
+def exit_code_of(error: DrumbayError) -> ExitCode:
+    """Return the exit code of a failure."""
+    if isinstance(error, ConfigurationError):
+        return ExitCode.INVALID_INPUT
+    if isinstance(error, ServerRefusedError):
+        return ExitCode.REFUSED
+    if isinstance(error, ServerUnreachableError):
+        return ExitCode.UNREACHABLE
+    return ExitCode.FAILED
+
+
+@contextmanager
+def typed_exit(echo: Callable[[str], None] | None = None) -> Iterator[None]:
+    """Show a failure of the block as one line and end with its exit code."""
+    try:
+        yield
+    except DrumbayError as error:
+        line = f"error: {error.code}: {error}"
+        if echo is None:
+            typer.echo(line, err=True)
+        else:
+            echo(line)
+        raise typer.Exit(exit_code_of(error)) from error
--- a/drumbay/cli/main.py
+++ b/drumbay/cli/main.py
@@ -3,8 +3,13 @@
 import typer
 
 from drumbay import __version__
+from drumbay.cli import explain, operators, token
 
-app = typer.Typer(name="drumbay", no_args_is_help=True, help="Rollout service for RL.")
+app = typer.Typer(
+    name="drumbay",
+    no_args_is_help=True,
+    help="A rollout service for reinforcement learning beside live traffic.",
+)
 
 
 @app.callback()
@@ -18,6 +23,16 @@
     typer.echo(__version__)
 
 
+app.command()(operators.apply)
+app.command()(operators.get)
+app.command()(operators.describe)
+app.command()(operators.delete)
+app.command()(operators.operation)
+app.command()(operators.status)
+app.command()(explain.explain)
+app.command()(token.token)
+
+
 def run() -> None:
     """Run the command line."""
     app()
--- /dev/null
+++ b/drumbay/cli/operators.py
@@ -0,0 +1,178 @@
+"""Commands of operators: apply, get, describe, delete, operation, status."""
+
+import secrets
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from drumbay.api.schema import ApplyBody, ApplyOutcomeBody, ResourceBody
+from drumbay.cli.client import NodeClient
+from drumbay.cli.errors import ExitCode, typed_exit
+from drumbay.cli.output import OutputFormat, print_record, print_table
+from drumbay.identifiers import Revision
+from drumbay.resources.files import load_resources
+
+DEFAULT_SERVER = "http://127.0.0.1:8080"
+OPERATION_ID_BYTES = 12
+UNKNOWN_OUTCOME = "unknown"
+
+Server = Annotated[
+    str, typer.Option("--server", "-s", envvar="DRUMBAY_SERVER", help="Base URL of a node.")
+]
+Token = Annotated[str | None, typer.Option("--token", envvar="DRUMBAY_TOKEN", help="Bearer token.")]
+Output = Annotated[OutputFormat, typer.Option("--output", "-o", help="Output format.")]
+ExpectedRevision = Annotated[
+    int | None,
+    typer.Option(help="Refuse the change unless the resource has this revision (0: absent)."),
+]
+
+
+def apply(
+    file: Annotated[Path, typer.Option("--file", "-f", help="YAML file with resources.")],
+    server: Server = DEFAULT_SERVER,
+    token: Token = None,
+    expected_revision: ExpectedRevision = None,
+    output: Output = OutputFormat.TABLE,
+) -> None:
+    """Create or change resources from a YAML file.
+
+    Example: drumbay apply -f groups.yaml --server http://127.0.0.1:8080
+    """
+    with typed_exit():
+        client = NodeClient(server, token)
+        revision = None if expected_revision is None else Revision(expected_revision)
+        for resource in load_resources(file):
+            body = ApplyBody(
+                resource=resource,
+                operation_id=secrets.token_hex(OPERATION_ID_BYTES),
+                expected_revision=revision,
+            )
+            label = f"{type(resource).__name__}/{resource.name}"
+            _print_outcome(label, client.apply(body), output)
+
+
+def get(
+    kind: Annotated[str | None, typer.Argument(help="Kind, e.g. Route.")] = None,
+    name: Annotated[str | None, typer.Argument(help="Name of one resource.")] = None,
+    server: Server = DEFAULT_SERVER,
+    token: Token = None,
+    output: Output = OutputFormat.TABLE,
+) -> None:
+    """List the resources in force at a node.
+
+    Example: drumbay get BackendGroup -o yaml
+    """
+    with typed_exit():
+        listing = NodeClient(server, token).resources(kind, name)
+        if output is not OutputFormat.TABLE:
+            print_record(listing, output)
+            return
+        rows = [_resource_row(item) for item in listing.items]
+        print_table(("kind", "name", "revision", "summary"), rows)
+
+
+def describe(
+    kind: Annotated[str, typer.Argument(help="Kind, e.g. Route.")],
+    name: Annotated[str, typer.Argument(help="Name of the resource.")],
+    server: Server = DEFAULT_SERVER,
+    token: Token = None,
+) -> None:
+    """Show one resource with every field.
+
+    Example: drumbay describe Route drafting
+    """
+    with typed_exit():
+        listing = NodeClient(server, token).resources(kind, name)
+        if not listing.items:
+            typer.echo(f"error: not_found: {kind}/{name}", err=True)
+            raise typer.Exit(ExitCode.FAILED)
+        print_record(listing.items[0], OutputFormat.YAML)
+
+
+def delete(
+    kind: Annotated[str, typer.Argument(help="Kind, e.g. Drain.")],
+    name: Annotated[str, typer.Argument(help="Name of the resource.")],
+    server: Server = DEFAULT_SERVER,
+    token: Token = None,
+    expected_revision: ExpectedRevision = None,
+    output: Output = OutputFormat.TABLE,
+) -> None:
+    """Remove one resource.
+
+    Example: drumbay delete Drain maintenance
+    """
+    with typed_exit():
+        revision = None if expected_revision is None else Revision(expected_revision)
+        operation_id = secrets.token_hex(OPERATION_ID_BYTES)
+        outcome = NodeClient(server, token).delete(kind, name, operation_id, revision)
+        _print_outcome(f"{kind}/{name}", outcome, output)
+
+
+def operation(
+    operation_id: Annotated[str, typer.Argument(help="Id printed by apply or delete.")],
+    server: Server = DEFAULT_SERVER,
+    token: Token = None,
+    output: Output = OutputFormat.TABLE,
+) -> None:
+    """Ask what became of an earlier change whose outcome was not known.
+
+    Example: drumbay operation 3f0c9a0d2b7e4c51
+    """
+    with typed_exit():
+        _print_outcome("operation", NodeClient(server, token).operation(operation_id), output)
+
+
+def status(
+    server: Server = DEFAULT_SERVER,
+    token: Token = None,
+    output: Output = OutputFormat.TABLE,
+) -> None:
+    """Show a node's state and the members it sees.
+
+    Example: drumbay status -o json
+    """
+    with typed_exit():
+        state = NodeClient(server, token).status()
+        if output is not OutputFormat.TABLE:
+            print_record(state, output)
+            return
+        typer.echo(
+            f"node {state.node_id} boot {state.boot_id} ready {state.ready} "
+            f"draining {state.draining} revision {state.configuration_revision}"
+        )
+        rows = [
+            (member.node_id, member.zone, member.region, member.state, str(member.incarnation))
+            for member in state.members
+        ]
+        print_table(("node", "zone", "region", "state", "incarnation"), rows)
+
+
+def _resource_row(item: ResourceBody) -> tuple[str, ...]:
+    resource = item.resource
+    return (
+        type(resource).__name__,
+        resource.name,
+        str(item.mod_revision),
+        _summary(item),
+    )
+
+
+def _summary(item: ResourceBody) -> str:
+    resource = item.resource
+    backends = getattr(resource, "backends", None)
+    if backends is not None:
+        return f"{len(backends)} back ends"
+    route_kind = getattr(resource, "route_kind", None)
+    return str(route_kind) if route_kind else ""
+
+
+def _print_outcome(label: str, outcome: ApplyOutcomeBody, output: OutputFormat) -> None:
+    """Print what became of a change; an unknown outcome ends with its own exit code."""
+    if output is OutputFormat.TABLE:
+        revision = "-" if outcome.mod_revision is None else str(outcome.mod_revision)
+        typer.echo(f"{label} {outcome.outcome} revision {revision} id {outcome.operation_id}")
+    else:
+        print_record(outcome, output)
+    if outcome.outcome == UNKNOWN_OUTCOME:
+        raise typer.Exit(ExitCode.UNKNOWN_OUTCOME)
--- /dev/null
+++ b/drumbay/cli/output.py
@@ -0,0 +1,35 @@
+"""Output formats of the command line: tables for people, JSON and YAML for programs."""
+
+from collections.abc import Sequence
+from enum import StrEnum
+
+import msgspec
+import typer
+from rich.console import Console
+from rich.table import Table
+
+
+class OutputFormat(StrEnum):
+    """How a command prints its result."""
+
+    TABLE = "table"
+    JSON = "json"
+    YAML = "yaml"
+
+
+def print_record(record: object, output: OutputFormat) -> None:
+    """Print a typed record as JSON or YAML."""
+    if output is OutputFormat.YAML:
+        typer.echo(msgspec.yaml.encode(record).decode(), nl=False)
+        return
+    typer.echo(msgspec.json.format(msgspec.json.encode(record)).decode())
+
+
+def print_table(columns: tuple[str, ...], rows: Sequence[tuple[str, ...]]) -> None:
+    """Print rows under column headings."""
+    table = Table(box=None, pad_edge=False)
+    for column in columns:
+        table.add_column(column.upper(), overflow="fold")
+    for row in rows:
+        table.add_row(*row)
+    Console(soft_wrap=True).print(table)
--- /dev/null
+++ b/drumbay/requests/progress.py
@@ -0,0 +1,105 @@
+"""Progress of one completion over several attempts: tokens, and the versions behind them."""
+
+from drumbay.api.schema import VersionSpan
+from drumbay.backends.interface import (
+    AnswerMismatchError,
+    FinishReason,
+    GenerationRequest,
+    TokenChunk,
+)
+from drumbay.identifiers import AttemptId, BackendId, WeightVersion
+
+
+class CompletionProgress:
+    """Tokens delivered so far, checked for order, and spans of the stamped versions."""
+
+    def __init__(self) -> None:
+        """Start with no token."""
+        self._token_ids: list[int] = []
+        self._spans: list[VersionSpan] = []
+        self.finish_reason: FinishReason | None = None
+
+    @property
+    def token_ids(self) -> tuple[int, ...]:
+        """Return the tokens delivered so far."""
+        return tuple(self._token_ids)
+
+    @property
+    def spans(self) -> tuple[VersionSpan, ...]:
+        """Return the version spans of the tokens delivered so far."""
+        return tuple(self._spans)
+
+    @property
+    def last_version(self) -> WeightVersion | None:
+        """Return the version of the last token; ``None`` before the first."""
+        return self._spans[-1].weight_version if self._spans else None
+
+    def accept(self, backend_id: BackendId, request: GenerationRequest, chunk: TokenChunk) -> None:
+        """Take in the next chunk.
+
+        Raises:
+            AnswerMismatchError: It belongs to another attempt or is out of order.
+        """
+        if chunk.attempt_id != request.attempt_id:
+            raise AnswerMismatchError(f"a chunk of attempt {chunk.attempt_id}")
+        if chunk.first_index != len(self._token_ids):
+            raise AnswerMismatchError(
+                f"a chunk from token {chunk.first_index}, expected {len(self._token_ids)}"
+            )
+        self._token_ids.extend(chunk.token_ids)
+        self.finish_reason = chunk.finish_reason
+        if chunk.token_ids:
+            self._extend_spans(backend_id, chunk)
+
+    def _extend_spans(self, backend_id: BackendId, chunk: TokenChunk) -> None:
+        last = self._spans[-1] if self._spans else None
+        continues = (
+            last is not None
+            and last.weight_version == chunk.weight_version
+            and last.boot_id == chunk.boot_id
+            and last.backend_id == backend_id
+        )
+        if last is None or not continues:
+            self._spans.append(
+                VersionSpan(
+                    weight_version=chunk.weight_version,
+                    backend_id=backend_id,
+                    boot_id=chunk.boot_id,
+                    first_index=chunk.first_index,
+                    token_count=len(chunk.token_ids),
+                )
+            )
+            return
+        self._spans[-1] = VersionSpan(
+            weight_version=last.weight_version,
+            backend_id=last.backend_id,
+            boot_id=last.boot_id,
+            first_index=last.first_index,
+            token_count=last.token_count + len(chunk.token_ids),
+        )
+
+
+def attempt_request(
+    *,
+    attempt_id: AttemptId,
+    model: str,
+    prompt: str,
+    max_tokens: int,
+    progress: CompletionProgress,
+    priority: int,
+    seed: int,
+    target_tokens: int | None,
+    weight_version: WeightVersion | None = None,
+) -> GenerationRequest:
+    """Return the request of an attempt that goes on where ``progress`` stands."""
+    return GenerationRequest(
+        attempt_id=attempt_id,
+        model=model,
+        prompt=prompt,
+        max_tokens=max_tokens,
+        resume_tokens=progress.token_ids,
+        weight_version=weight_version,
+        priority=priority,
+        seed=seed,
+        target_tokens=target_tokens,
+    )
