--- /dev/null
+++ b/drumbay/standins/batch_slots.py
@@ -0,0 +1,101 @@
+"""Places in the batch of an emulated engine, and the queue for them."""
+
+import asyncio
+import heapq
+from collections import deque
+from collections.abc import Callable
+
+import msgspec
+
+
+class Ticket:
+    """One request's place in the queue or in the batch."""
+
+    def __init__(self) -> None:
+        """Create a ticket that is not granted yet."""
+        self.granted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.left = False
+
+
+class BatchSlots:
+    """A bounded batch with a queue ordered by priority, then by arrival."""
+
+    def __init__(self, max_batch: int, on_change: Callable[[], None]) -> None:
+        """Create an empty batch; ``on_change`` is called after each change of the counts."""
+        self._max_batch = max_batch
+        self._on_change = on_change
+        self._queue: list[tuple[int, int, Ticket]] = []
+        self._arrivals = 0
+        self.running = 0
+        self.waiting = 0
+
+    @property
+    def full(self) -> bool:
+        """Whether a new request would have to wait."""
+        return self.running >= self._max_batch
+
+    def enqueue(self, priority: int) -> Ticket:
+        """Queue a request; a larger priority is granted first."""
+        ticket = Ticket()
+        self._arrivals += 1
+        self.waiting += 1
+        heapq.heappush(self._queue, (-priority, self._arrivals, ticket))
+        self._grant()
+        self._on_change()
+        return ticket
+
+    def leave(self, ticket: Ticket) -> None:
+        """Give up a place in the batch or in the queue; later calls do nothing."""
+        if ticket.left:
+            return
+        ticket.left = True
+        if ticket.granted.done():
+            self.running -= 1
+        else:
+            self.waiting -= 1
+            ticket.granted.cancel()
+        self._grant()
+        self._on_change()
+
+    def _grant(self) -> None:
+        while self._queue and self.running < self._max_batch:
+            ticket = heapq.heappop(self._queue)[2]
+            if ticket.left:
+                continue
+            self.waiting -= 1
+            self.running += 1
+            ticket.granted.set_result(None)
+
+
+class LoadSample(msgspec.Struct, frozen=True, kw_only=True):
+    """Load of an engine at one moment."""
+
+    time_seconds: float
+    running: int
+    waiting: int
+
+
+class LoadHistory:
+    """Recent load of an engine, so that it can be reported with a lag."""
+
+    def __init__(self, lag_seconds: float) -> None:
+        """Create a history whose reports are at least ``lag_seconds`` old."""
+        self._lag_seconds = lag_seconds
+        self._samples: deque[LoadSample] = deque()
+
+    def record(self, sample: LoadSample) -> None:
+        """Add the load after a change."""
+        self._samples.append(sample)
+        self._discard(sample.time_seconds - self._lag_seconds)
+
+    def report(self, now: float) -> LoadSample:
+        """Return the load that is reported at ``now``."""
+        moment = now - self._lag_seconds
+        self._discard(moment)
+        if not self._samples or self._samples[0].time_seconds > moment:
+            return LoadSample(time_seconds=moment, running=0, waiting=0)
+        return self._samples[0]
+
+    def _discard(self, moment: float) -> None:
+        while len(self._samples) > 1 and self._samples[1].time_seconds <= moment:
+            self._samples.popleft()
--- /dev/null
+++ b/drumbay/standins/engine_orders.py
@@ -0,0 +1,142 @@
+"""Fenced orders on an emulated engine: which weights are loaded, and which it claims."""
+
+from typing import Protocol
+
+from drumbay.backends.interface import BackendError, FencedOrder, OrderKind, StaleFenceError
+from drumbay.identifiers import BackendId, Fence, WeightVersion
+from drumbay.standins.engine_context import EngineContext
+from drumbay.standins.execution_log import OrderOutcome
+from drumbay.standins.faults import FaultKind
+
+
+class WeightSource(Protocol):
+    """Where an engine fetches weights from."""
+
+    async def fetch(self, model: str, version: WeightVersion, reader: BackendId) -> None:
+        """Return once the whole weights are fetched.
+
+        Raises:
+            DrumbayError: The version is unknown or the store is not available.
+        """
+        ...
+
+
+class LoadedWeights:
+    """The weights of one run of an engine process.
+
+    Attributes:
+        model: Model that is loaded.
+        version: Version that truly produces tokens.
+        claimed_version: Version that the engine believes to be loaded.
+        highest_fence: Newest fence seen.
+        role: Role last set by an order.
+        adapters: Adapters loaded, in the order of loading.
+    """
+
+    def __init__(self, model: str, version: WeightVersion, highest_fence: Fence) -> None:
+        """Create the state after a start."""
+        self.model = model
+        self.version = version
+        self.claimed_version = version
+        self.highest_fence = highest_fence
+        self.role: str | None = None
+        self.adapters: list[str] = []
+        self._loads = 0
+
+    def admit(self, order: FencedOrder) -> None:
+        """Check the fence of an order and remember it.
+
+        Raises:
+            StaleFenceError: A newer fence was seen.
+        """
+        if order.fence < self.highest_fence:
+            raise StaleFenceError(f"fence {order.fence} is below {self.highest_fence}")
+        self.highest_fence = order.fence
+
+    def begin_load(self) -> int:
+        """Return the number of a new load; it supersedes loads under way."""
+        self._loads += 1
+        return self._loads
+
+    def check_current(self, order: FencedOrder, load: int) -> None:
+        """Check that no later order superseded a load while it ran.
+
+        Raises:
+            StaleFenceError: An order with a newer fence came in.
+            BackendError: A later order with the same fence came in.
+        """
+        if order.fence < self.highest_fence:
+            raise StaleFenceError(f"fence {order.fence} is below {self.highest_fence}")
+        if load != self._loads:
+            raise BackendError(f"the load of version {order.weight_version} was superseded")
+
+
+class OrderExecutor:
+    """Carries out fenced orders of one run of an engine."""
+
+    def __init__(
+        self, context: EngineContext, weights: LoadedWeights, weight_source: WeightSource | None
+    ) -> None:
+        """Create an executor; without a weight source the weights are at hand."""
+        self._context = context
+        self._weights = weights
+        self._weight_source = weight_source
+
+    async def execute(self, order: FencedOrder) -> OrderOutcome:
+        """Carry out an admitted order.
+
+        Raises:
+            StaleFenceError: A newer fence came in while the order ran.
+            DrumbayError: The order failed.
+        """
+        if order.kind is OrderKind.CHANGE_ROLE:
+            self._weights.role = order.role
+            return OrderOutcome.DONE
+        if order.kind is OrderKind.LOAD_ADAPTER:
+            return await self._load_adapter(order)
+        return await self._load_version(order)
+
+    async def _load_adapter(self, order: FencedOrder) -> OrderOutcome:
+        if order.adapter is None:
+            raise BackendError("the order names no adapter")
+        await self._context.work(self._context.parameters.swap_pause_seconds)
+        if order.fence < self._weights.highest_fence:
+            raise StaleFenceError(f"fence {order.fence} is below {self._weights.highest_fence}")
+        if order.adapter not in self._weights.adapters:
+            self._weights.adapters.append(order.adapter)
+        return OrderOutcome.DONE
+
+    async def _load_version(self, order: FencedOrder) -> OrderOutcome:
+        version = order.weight_version
+        if version is None:
+            raise BackendError("the order names no weight version")
+        weights = self._weights
+        load = weights.begin_load()
+        if order.model == weights.model and version == weights.version:
+            weights.claimed_version = version
+            return OrderOutcome.DONE
+        if self._weight_source is not None:
+            await self._weight_source.fetch(order.model, version, self._context.backend_id)
+        await self._context.work(self._context.parameters.load_seconds)
+        weights.check_current(order, load)
+        if self._context.faults.strikes(FaultKind.SWAP_FAILS):
+            raise BackendError(f"version {version} could not be loaded")
+        if self._context.faults.strikes(FaultKind.SWAP_FAILS_ACKNOWLEDGED):
+            weights.claimed_version = version
+            return OrderOutcome.FAILED_ACKNOWLEDGED
+        await self._swap(order, version, load)
+        return OrderOutcome.DONE
+
+    async def _swap(self, order: FencedOrder, version: WeightVersion, load: int) -> None:
+        weights = self._weights
+        # NOTE: one hold for each load: a superseded swap must not end its successor's hold.
+        hold = f"load-{load}"
+        self._context.swap_gate.hold(hold)
+        try:
+            await self._context.work(self._context.parameters.swap_pause_seconds)
+            weights.check_current(order, load)
+            weights.model = order.model
+            weights.version = version
+            weights.claimed_version = version
+        finally:
+            self._context.swap_gate.release(hold)
--- /dev/null
+++ b/drumbay/standins/generation.py
@@ -0,0 +1,84 @@
+"""One generation that runs on an emulated engine."""
+
+import asyncio
+
+from drumbay.backends.interface import BackendError, GenerationRequest, TokenChunk
+from drumbay.identifiers import BootId, WeightVersion
+from drumbay.standins.batch_slots import Ticket
+from drumbay.standins.execution_log import GenerationEnded, GenerationOutcome, VersionSpan
+from drumbay.standins.token_source import completion_length, tokens_digest
+
+CHARACTERS_PER_TOKEN = 4
+
+
+class Generation:
+    """State of one generation; the engine drives it."""
+
+    def __init__(self, request: GenerationRequest, boot_id: BootId, ticket: Ticket) -> None:
+        """Create a generation that has not started."""
+        self.request = request
+        self.boot_id = boot_id
+        self.ticket = ticket
+        self.next_index = len(request.resume_tokens)
+        self.started_at_seconds: float | None = None
+        self.outcome: GenerationOutcome | None = None
+        self.truncated = False
+        self.late = False
+        self.crossed_with: GenerationRequest | None = None
+        self.chunks: asyncio.Queue[TokenChunk | BackendError] = asyncio.Queue()
+        self.task: asyncio.Task[None] | None = None
+        self._spans: list[VersionSpan] = []
+        self._tokens: list[int] = []
+
+    @property
+    def natural_length(self) -> int:
+        """Tokens after which the model itself stops."""
+        if self.request.target_tokens is not None:
+            return self.request.target_tokens
+        return completion_length(self.request.model, self.request.seed, self.request.prompt)
+
+    @property
+    def length(self) -> int:
+        """Index after the last token of the whole completion."""
+        return min(self.natural_length, self.request.max_tokens)
+
+    @property
+    def truncation_index(self) -> int:
+        """Index at which the fault ``truncated_answer`` ends the stream."""
+        first = len(self.request.resume_tokens)
+        return first + max(self.length - first, 0) // 2
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Length of the prompt in tokens."""
+        return len(self.request.prompt) // CHARACTERS_PER_TOKEN + 1
+
+    def add_tokens(self, version: WeightVersion, tokens: tuple[int, ...]) -> None:
+        """Note tokens that ``version`` produced."""
+        last = self._spans[-1] if self._spans else None
+        if last is not None and last.weight_version == version:
+            self._spans[-1] = VersionSpan(
+                weight_version=version,
+                first_index=last.first_index,
+                count=last.count + len(tokens),
+            )
+        else:
+            span = VersionSpan(
+                weight_version=version, first_index=self.next_index, count=len(tokens)
+            )
+            self._spans.append(span)
+        self._tokens.extend(tokens)
+        self.next_index += len(tokens)
+
+    def ended_record(self, now: float, source: str, outcome: GenerationOutcome) -> GenerationEnded:
+        """Return the log record of the end."""
+        return GenerationEnded(
+            time_seconds=now,
+            source=source,
+            boot_id=self.boot_id,
+            attempt_id=self.request.attempt_id,
+            outcome=outcome,
+            spans=tuple(self._spans),
+            digest=tokens_digest(self._tokens),
+            started_at_seconds=self.started_at_seconds,
+        )
--- /dev/null
+++ b/drumbay/standins/process_context.py
@@ -0,0 +1,72 @@
+"""What the parts of an emulated process share over restarts."""
+
+import random
+
+from drumbay.clock import Clock
+from drumbay.identifiers import BackendId, BootId
+from drumbay.standins.execution_log import ExecutionLog, ProcessCrashed, ProcessStarted
+from drumbay.standins.faults import SLOW_FACTOR, FaultKind, FaultSwitches
+from drumbay.standins.process_gate import ProcessGate
+from drumbay.tasks import TaskOwner
+
+FREEZE_HOLD = "freeze"
+BOOT_ID_BITS = 48
+
+
+class ProcessContext:
+    """Clock, log, faults and freeze gate of one emulated process.
+
+    Attributes:
+        clock: Time of the process.
+        backend_id: Name of the process.
+        random_source: Source of everything that is drawn at random.
+        log: What the process truly did.
+        faults: Switchable faults.
+        freeze_gate: Held while the process is frozen.
+        tasks: Owner of the background tasks.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        backend_id: BackendId,
+        random_source: random.Random,
+        supported_faults: tuple[FaultKind, ...],
+    ) -> None:
+        """Create the context of a process."""
+        self.clock = clock
+        self.backend_id = backend_id
+        self.random_source = random_source
+        self.log = ExecutionLog()
+        self.faults = FaultSwitches(supported_faults)
+        self.freeze_gate = ProcessGate()
+        self.tasks = TaskOwner()
+
+    def freeze(self) -> None:
+        """Stop all work; requests are taken from the network but nothing is answered."""
+        self.freeze_gate.hold(FREEZE_HOLD)
+
+    def thaw(self) -> None:
+        """Let a frozen process go on where it stood."""
+        self.freeze_gate.release(FREEZE_HOLD)
+
+    async def work(self, seconds: float) -> None:
+        """Spend time on work that a freeze interrupts and the fault ``slow`` stretches."""
+        slowed = SLOW_FACTOR if self.faults.strikes(FaultKind.SLOW) else 1.0
+        await self.clock.sleep(seconds * slowed)
+        await self.freeze_gate.passed()
+
+    def start_run(self) -> BootId:
+        """Draw the identity of a new run of the process and log its start."""
+        bits = self.random_source.getrandbits(BOOT_ID_BITS)
+        boot_id = BootId(f"{self.backend_id}-{bits:012x}")
+        now = self.clock.monotonic()
+        record = ProcessStarted(time_seconds=now, source=self.backend_id, boot_id=boot_id)
+        self.log.append(record)
+        return boot_id
+
+    def log_crash(self, boot_id: BootId) -> None:
+        """Log the death of a run."""
+        now = self.clock.monotonic()
+        record = ProcessCrashed(time_seconds=now, source=self.backend_id, boot_id=boot_id)
+        self.log.append(record)
--- /dev/null
+++ b/drumbay/standins/process_gate.py
@@ -0,0 +1,34 @@
+"""Stopping and resuming the work of an emulated process."""
+
+import asyncio
+
+
+class ProcessGate:
+    """Holds back all work while at least one hold is placed."""
+
+    def __init__(self) -> None:
+        """Create an open gate."""
+        self._holds: dict[str, None] = {}
+        self._open = asyncio.Event()
+        self._open.set()
+
+    @property
+    def is_open(self) -> bool:
+        """Whether no hold is placed."""
+        return not self._holds
+
+    def hold(self, name: str) -> None:
+        """Place the hold ``name``; placing it twice is the same as once."""
+        self._holds[name] = None
+        self._open.clear()
+
+    def release(self, name: str) -> None:
+        """Remove the hold ``name`` if it is placed."""
+        self._holds.pop(name, None)
+        if not self._holds:
+            self._open.set()
+
+    async def passed(self) -> None:
+        """Wait until no hold is placed."""
+        while self._holds:
+            await self._open.wait()
