Add typed histories and a checker for each promise

Cause: the promises are decided from what callers, back ends and trainers saw, never from drumbay's own claims, in simulation and on logs of real processes alike.

Ruled out: a linearizability library; a search of the package index for one found none in Python (linearization of other kinds only).

--- /dev/null
+++ b/drumbay/simulation/checkers/at_most_once.py
@@ -0,0 +1,32 @@
+"""A request that may not be repeated runs at most once."""
+
+from drumbay.simulation.checkers.violation import Limits, Promise, Violation
+from drumbay.simulation.history import ExecutionStarted, History, RequestInvoked
+
+
+def check_at_most_once(history: History, _limits: Limits) -> tuple[Violation, ...]:
+    """Report each operation that may not be repeated and ran more than once."""
+    guarded = {
+        invoked.operation_id for invoked in history.of(RequestInvoked) if not invoked.repeatable
+    }
+    first_runs: dict[str, ExecutionStarted] = {}
+    violations = []
+    for started in history.of(ExecutionStarted):
+        if started.operation_id not in guarded:
+            continue
+        first = first_runs.setdefault(started.operation_id, started)
+        if first is not started:
+            violations.append(_describe(first, started))
+    return tuple(violations)
+
+
+def _describe(first: ExecutionStarted, second: ExecutionStarted) -> Violation:
+    return Violation(
+        promise=Promise.AT_MOST_ONCE,
+        subject=second.operation_id,
+        time_seconds=second.time_seconds,
+        detail=(
+            f"ran on {second.backend_id} after it had run on {first.backend_id}"
+            f" at {first.time_seconds:.3f} s"
+        ),
+    )
--- /dev/null
+++ b/drumbay/simulation/checkers/configuration.py
@@ -0,0 +1,148 @@
+"""An accepted configuration is in force everywhere within seconds and never reverts."""
+
+from bisect import bisect_right
+
+import msgspec
+
+from drumbay.identifiers import NodeId, Revision
+from drumbay.simulation.checkers.linearizability import is_linearizable
+from drumbay.simulation.checkers.violation import Limits, Promise, Violation
+from drumbay.simulation.history import (
+    ConfigurationAccepted,
+    ConfigurationInForce,
+    History,
+    NodeDisturbed,
+    NodeRestored,
+    NodeStarted,
+    RegisterOperation,
+)
+
+
+def check_configuration_linearizable(history: History, _limits: Limits) -> tuple[Violation, ...]:
+    """Report keys whose operations are not those of one register."""
+    by_key: dict[str, list[RegisterOperation]] = {}
+    for operation in history.of(RegisterOperation):
+        by_key.setdefault(operation.key, []).append(operation)
+    return tuple(
+        Violation(
+            promise=Promise.CONFIGURATION_LINEARIZABLE,
+            subject=key,
+            time_seconds=operations[-1].time_seconds,
+            detail=f"no order explains the outcomes of its {len(operations)} operations",
+        )
+        for key, operations in by_key.items()
+        if not is_linearizable(operations)
+    )
+
+
+def check_configuration_monotonic(history: History, _limits: Limits) -> tuple[Violation, ...]:
+    """Report nodes that went back to an older revision, restarts included."""
+    highest: dict[NodeId, Revision] = {}
+    violations = []
+    for event in history.of(ConfigurationInForce):
+        before = highest.get(event.node_id, event.revision)
+        if event.revision < before:
+            detail = f"went back from revision {before} to {event.revision}"
+            violations.append(
+                Violation(
+                    promise=Promise.CONFIGURATION_MONOTONIC,
+                    subject=event.node_id,
+                    time_seconds=event.time_seconds,
+                    detail=detail,
+                )
+            )
+        highest[event.node_id] = max(before, event.revision)
+    return tuple(violations)
+
+
+def check_configuration_in_force(history: History, limits: Limits) -> tuple[Violation, ...]:
+    """Report nodes on which an accepted change was not in force in time.
+
+    A node owes a change only if it was undisturbed from the acceptance, or from its start
+    or restoration after that, for the whole limit.
+    """
+    accepted = history.of(ConfigurationAccepted)
+    in_force = _revisions_by_node(history)
+    violations = []
+    for span in _undisturbed_spans(history):
+        revisions = in_force.get(span.node_id, _NodeRevisions())
+        for change in accepted:
+            due = max(change.time_seconds, span.start_seconds) + limits.configuration_seconds
+            if due <= span.end_seconds and revisions.at(due) < change.revision:
+                violations.append(_late_change(span.node_id, change, due))
+    return tuple(violations)
+
+
+def _late_change(node_id: NodeId, change: ConfigurationAccepted, due: float) -> Violation:
+    return Violation(
+        promise=Promise.CONFIGURATION_IN_FORCE,
+        subject=node_id,
+        time_seconds=due,
+        detail=(
+            f"revision {change.revision}, accepted at {change.time_seconds:.3f} s,"
+            f" not in force at {due:.3f} s"
+        ),
+    )
+
+
+class _Span(msgspec.Struct, frozen=True, kw_only=True):
+    """A time in which nothing disturbed a node."""
+
+    node_id: NodeId
+    start_seconds: float
+    end_seconds: float
+
+
+def _undisturbed_spans(history: History) -> list[_Span]:
+    events: list[NodeStarted | NodeDisturbed | NodeRestored] = [
+        *history.of(NodeStarted),
+        *history.of(NodeDisturbed),
+        *history.of(NodeRestored),
+    ]
+    events.sort(key=lambda event: event.time_seconds)
+    disturbances: dict[NodeId, int] = {}
+    since: dict[NodeId, float] = {}
+    spans = []
+    for event in events:
+        node_id = event.node_id
+        now = event.time_seconds
+        if isinstance(event, NodeDisturbed):
+            disturbances[node_id] = disturbances.get(node_id, 0) + 1
+            if node_id in since:
+                start = since.pop(node_id)
+                spans.append(_Span(node_id=node_id, start_seconds=start, end_seconds=now))
+            continue
+        if isinstance(event, NodeRestored):
+            disturbances[node_id] = max(0, disturbances.get(node_id, 0) - 1)
+        if disturbances.get(node_id, 0) == 0:
+            since.setdefault(node_id, now)
+    end = history.end_seconds()
+    for node_id, start in since.items():
+        spans.append(_Span(node_id=node_id, start_seconds=start, end_seconds=end))
+    return spans
+
+
+class _NodeRevisions:
+    """The newest revision in force on one node over time."""
+
+    def __init__(self) -> None:
+        self._times: list[float] = []
+        self._revisions: list[Revision] = []
+
+    def add(self, time_seconds: float, revision: Revision) -> None:
+        """Add the next revision, in order of time."""
+        self._times.append(time_seconds)
+        self._revisions.append(max(revision, self._revisions[-1] if self._revisions else revision))
+
+    def at(self, time_seconds: float) -> Revision:
+        """Return the newest revision at a time, -1 before the first."""
+        position = bisect_right(self._times, time_seconds)
+        return self._revisions[position - 1] if position else Revision(-1)
+
+
+def _revisions_by_node(history: History) -> dict[NodeId, _NodeRevisions]:
+    revisions: dict[NodeId, _NodeRevisions] = {}
+    for event in history.of(ConfigurationInForce):
+        node_revisions = revisions.setdefault(event.node_id, _NodeRevisions())
+        node_revisions.add(event.time_seconds, event.revision)
+    return revisions
--- /dev/null
+++ b/drumbay/simulation/checkers/token_log.py
@@ -0,0 +1,76 @@
+"""What the engines' logs say about each token of each operation."""
+
+import msgspec
+
+from drumbay.identifiers import WeightVersion
+from drumbay.simulation.history import History, TokensProduced, VersionSpan
+
+
+class Token(msgspec.Struct, frozen=True, kw_only=True):
+    """One token of an operation, and the weights that produced it."""
+
+    operation_id: str
+    index: int
+    token_id: int
+    weight_version: WeightVersion
+
+
+class TokenLog:
+    """Index over the tokens that engines have truly produced."""
+
+    def __init__(self, history: History) -> None:
+        """Read the engines' logs of a history."""
+        self._tokens: set[Token] = set()
+        self._versions: dict[tuple[str, int, int], list[WeightVersion]] = {}
+        self._lengths: set[tuple[str, int]] = set()
+        for produced in history.of(TokensProduced):
+            self._add(produced)
+
+    def _add(self, produced: TokensProduced) -> None:
+        operation_id = produced.operation_id
+        for offset, token_id in enumerate(produced.token_ids):
+            index = produced.first_index + offset
+            version = produced.weight_version
+            self._tokens.add(
+                Token(
+                    operation_id=operation_id,
+                    index=index,
+                    token_id=token_id,
+                    weight_version=version,
+                )
+            )
+            self._versions.setdefault((operation_id, index, token_id), []).append(version)
+        if produced.finished:
+            length = produced.first_index + len(produced.token_ids)
+            self._lengths.add((operation_id, length))
+
+    def was_produced(self, operation_id: str, index: int, token_id: int) -> bool:
+        """Return whether an engine produced this token at this place."""
+        return (operation_id, index, token_id) in self._versions
+
+    def was_produced_by(self, token: Token) -> bool:
+        """Return whether an engine with these weights produced this token."""
+        return token in self._tokens
+
+    def versions_of(self, operation_id: str, index: int, token_id: int) -> list[WeightVersion]:
+        """Return the weights that produced a token, in order of time."""
+        return self._versions.get((operation_id, index, token_id), [])
+
+    def ended_at(self, operation_id: str, length: int) -> bool:
+        """Return whether an engine ended the operation after ``length`` tokens."""
+        return (operation_id, length) in self._lengths
+
+
+def first_gap(spans: tuple[VersionSpan, ...]) -> int | None:
+    """Return the index at which spans are not consecutive from 0, ``None`` if they are."""
+    expected = 0
+    for span in spans:
+        if span.first_index != expected:
+            return expected
+        expected += len(span.token_ids)
+    return None
+
+
+def total_length(spans: tuple[VersionSpan, ...]) -> int:
+    """Return the number of tokens in all spans."""
+    return sum(len(span.token_ids) for span in spans)
