--- a/drumbay/simulation/checkers/violation.py
+++ b/drumbay/simulation/checkers/violation.py
@@ -38,7 +38,7 @@
     detail: str
 
 
-class Limits(msgspec.Struct, frozen=True, kw_only=True):
+class Limits(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Bounds that the promises leave open.
 
     Attributes:
--- /dev/null
+++ b/drumbay/simulation/fault_injector.py
@@ -0,0 +1,237 @@
+"""Carries out a plan of faults on whatever runs: hosts, network, services, back ends."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from drumbay.simulation.faults import (
+    AnyFault,
+    CompactKeyValue,
+    CrashBackend,
+    CutPath,
+    DegradeNetwork,
+    DelayMachineList,
+    DisturbKeyValue,
+    FailSwaps,
+    FaultPlan,
+    FillDisk,
+    FreezeHost,
+    JumpClock,
+    KeyValueCondition,
+    KillHost,
+    LoseDisk,
+)
+from drumbay.simulation.network import Cut
+
+
+class FaultEnvironment(Protocol):
+    """What a fault injector acts on.
+
+    Each method takes the state that shall hold now. Overlapping faults are resolved by the
+    injector, so that the environment sees each state change once.
+    """
+
+    async def kill_host(self, host: str) -> None:
+        """End the process of a host; no effect without one."""
+        ...
+
+    async def start_host(self, host: str) -> None:
+        """Start a new process on a host that has none."""
+        ...
+
+    def freeze_host(self, host: str) -> None:
+        """Stop the process of a host; no effect without a process."""
+        ...
+
+    def wake_host(self, host: str) -> None:
+        """Continue the process of a host; no effect without a process."""
+        ...
+
+    def cut(self, cut: Cut, *, both_ways: bool) -> None:
+        """Cut a path."""
+        ...
+
+    def heal(self, cut: Cut, *, both_ways: bool) -> None:
+        """Undo one cut of a path."""
+        ...
+
+    def degrade_network(self, faults: tuple[DegradeNetwork, ...]) -> None:
+        """Put these degradations in force, and no others."""
+        ...
+
+    def disturb_key_value(self, conditions: tuple[KeyValueCondition, ...]) -> None:
+        """Put the key-value service into these conditions, and no others."""
+        ...
+
+    def compact_key_value(self) -> None:
+        """Make the key-value service drop its history."""
+        ...
+
+    def crash_backend(self, backend: str) -> None:
+        """End the process of a back end."""
+        ...
+
+    def restart_backend(self, backend: str) -> None:
+        """Start the process of a back end."""
+        ...
+
+    def fail_swaps(self, backend: str, count: int, *, acknowledged: bool) -> None:
+        """Let the next weight swaps of an engine fail."""
+        ...
+
+    def set_machine_list_lag(self, lag_seconds: float | None) -> None:
+        """Set how late the machine list shows changes; ``None`` for the usual lag."""
+        ...
+
+    def jump_clock(self, host: str, seconds: float) -> None:
+        """Move the wall clock of a host."""
+        ...
+
+    def set_disk_full(self, host: str, *, full: bool) -> None:
+        """Let the disk of a host refuse writes, or take them again."""
+        ...
+
+    def lose_disk(self, host: str) -> None:
+        """Empty the disk of a host."""
+        ...
+
+
+class FaultInjector:
+    """Carries out a plan in virtual time."""
+
+    def __init__(
+        self,
+        plan: FaultPlan,
+        environment: FaultEnvironment,
+        on_change: Callable[[AnyFault, bool], None],
+    ) -> None:
+        """Create an injector.
+
+        Args:
+            plan: What to inject.
+            environment: What to act on.
+            on_change: Told of each fault that begins (true) or has ended (false).
+        """
+        self._plan = plan
+        self._environment = environment
+        self._on_change = on_change
+        self._active: list[AnyFault] = []
+
+    @property
+    def active(self) -> tuple[AnyFault, ...]:
+        """Return the faults in force, in order of their beginning."""
+        return tuple(self._active)
+
+    async def run(self) -> None:
+        """Carry out the whole plan and return when all faults have ended."""
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        tasks = []
+        for fault in self._plan.faults:
+            await asyncio.sleep(started_at + fault.at_seconds - loop.time())
+            tasks.append(loop.create_task(self._carry_out(fault)))
+        await asyncio.gather(*tasks)
+
+    async def _carry_out(self, fault: AnyFault) -> None:
+        self._on_change(fault, True)
+        self._active.append(fault)
+        await self._begin(fault)
+        await asyncio.sleep(fault.duration_seconds)
+        # NOTE: a fault that comes twice is two equal records; either may be removed.
+        self._active.remove(fault)
+        await self._end(fault)
+        self._on_change(fault, False)
+
+    async def _begin(self, fault: AnyFault) -> None:
+        match fault:
+            case KillHost() | LoseDisk() | FreezeHost() | FillDisk() | JumpClock():
+                await self._begin_on_host(fault)
+            case CutPath():
+                self._environment.cut(fault.cut, both_ways=fault.both_ways)
+            case CompactKeyValue():
+                self._environment.compact_key_value()
+            case CrashBackend():
+                self._environment.crash_backend(fault.backend)
+            case FailSwaps():
+                self._environment.fail_swaps(
+                    fault.backend, fault.count, acknowledged=fault.acknowledged
+                )
+            case DegradeNetwork() | DisturbKeyValue() | DelayMachineList():
+                self._apply_conditions(fault)
+
+    async def _begin_on_host(
+        self, fault: KillHost | LoseDisk | FreezeHost | FillDisk | JumpClock
+    ) -> None:
+        environment = self._environment
+        match fault:
+            case KillHost():
+                await environment.kill_host(fault.host)
+            case LoseDisk():
+                await environment.kill_host(fault.host)
+                environment.lose_disk(fault.host)
+            case FreezeHost():
+                environment.freeze_host(fault.host)
+            case FillDisk():
+                environment.set_disk_full(fault.host, full=True)
+            case JumpClock():
+                environment.jump_clock(fault.host, fault.jump_seconds)
+
+    async def _end(self, fault: AnyFault) -> None:
+        match fault:
+            case KillHost() | LoseDisk() | FreezeHost() | FillDisk():
+                await self._end_on_host(fault)
+            case CutPath():
+                self._environment.heal(fault.cut, both_ways=fault.both_ways)
+            case CrashBackend():
+                if not self._is_crashed(fault.backend):
+                    self._environment.restart_backend(fault.backend)
+            case DegradeNetwork() | DisturbKeyValue() | DelayMachineList():
+                self._apply_conditions(fault)
+            case CompactKeyValue() | FailSwaps() | JumpClock():
+                pass
+
+    async def _end_on_host(self, fault: KillHost | LoseDisk | FreezeHost | FillDisk) -> None:
+        environment = self._environment
+        match fault:
+            case KillHost() | LoseDisk():
+                if not self._is_down(fault.host):
+                    await environment.start_host(fault.host)
+            case FreezeHost():
+                if not self._is_frozen(fault.host):
+                    environment.wake_host(fault.host)
+            case FillDisk():
+                environment.set_disk_full(fault.host, full=self._is_full(fault.host))
+
+    def _apply_conditions(
+        self, changed: DegradeNetwork | DisturbKeyValue | DelayMachineList
+    ) -> None:
+        environment = self._environment
+        active = self._active
+        match changed:
+            case DegradeNetwork():
+                degradations = [fault for fault in active if isinstance(fault, DegradeNetwork)]
+                environment.degrade_network(tuple(degradations))
+            case DisturbKeyValue():
+                disturbances = [fault for fault in active if isinstance(fault, DisturbKeyValue)]
+                conditions = dict.fromkeys(fault.condition for fault in disturbances)
+                environment.disturb_key_value(tuple(conditions))
+            case DelayMachineList():
+                delays = [fault for fault in active if isinstance(fault, DelayMachineList)]
+                lags = [fault.lag_seconds for fault in delays]
+                environment.set_machine_list_lag(max(lags, default=None))
+
+    def _is_down(self, host: str) -> bool:
+        return any(
+            isinstance(fault, KillHost | LoseDisk) and fault.host == host for fault in self._active
+        )
+
+    def _is_frozen(self, host: str) -> bool:
+        return any(isinstance(fault, FreezeHost) and fault.host == host for fault in self._active)
+
+    def _is_full(self, host: str) -> bool:
+        return any(isinstance(fault, FillDisk) and fault.host == host for fault in self._active)
+
+    def _is_crashed(self, backend: str) -> bool:
+        return any(
+            isinstance(fault, CrashBackend) and fault.backend == backend for fault in self._active
+        )
--- /dev/null
+++ b/drumbay/simulation/fault_plan.py
@@ -0,0 +1,222 @@
+"""Draws a plan of faults from a seed: alone, together, and twice."""
+
+from collections.abc import Callable
+from random import Random
+
+import msgspec
+
+from drumbay.simulation.faults import (
+    AnyFault,
+    CompactKeyValue,
+    CrashBackend,
+    CutPath,
+    DegradeNetwork,
+    DelayMachineList,
+    DisturbKeyValue,
+    FailSwaps,
+    FaultKind,
+    FaultPlan,
+    FillDisk,
+    FreezeHost,
+    JumpClock,
+    KeyValueCondition,
+    KillHost,
+    LoseDisk,
+)
+from drumbay.simulation.network import Cut, Scope
+
+TOGETHER_PROBABILITY = 0.3
+"""Share of arrivals at which several faults begin at nearly the same time."""
+
+TWICE_PROBABILITY = 0.2
+"""Share of arrivals at which one fault comes again, during or shortly after the first."""
+
+MOST_TOGETHER = 3
+TOGETHER_SPREAD_SECONDS = 2.0
+TWICE_SPREAD = 1.5
+"""The second fault begins within this many durations of the first."""
+
+
+class FaultTargets(msgspec.Struct, frozen=True, kw_only=True):
+    """What faults can strike, by name, in a fixed order."""
+
+    hosts: tuple[str, ...]
+    hosts_with_disk: tuple[str, ...] = ()
+    zones: tuple[str, ...] = ()
+    regions: tuple[str, ...] = ()
+    engines: tuple[str, ...] = ()
+    applications: tuple[str, ...] = ()
+
+
+class FaultSchedule(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """How often and how long faults strike.
+
+    Attributes:
+        kinds: Kinds that are drawn.
+        mean_interval_seconds: Mean time between arrivals.
+        first_seconds: Time without faults at the start.
+        quiet_seconds: Time without faults at the end.
+        longest_freeze_seconds: Longest freeze; longer than every lease.
+        longest_outage_seconds: Longest outage of the key-value service and of cuts.
+    """
+
+    kinds: tuple[FaultKind, ...] = tuple(FaultKind)
+    mean_interval_seconds: float = 30.0
+    first_seconds: float = 30.0
+    quiet_seconds: float = 120.0
+    longest_freeze_seconds: float = 60.0
+    longest_outage_seconds: float = 120.0
+
+
+def draw_fault_plan(
+    random: Random, targets: FaultTargets, schedule: FaultSchedule, run_seconds: float
+) -> FaultPlan:
+    """Draw the faults of one run; all have ended before its quiet time."""
+    drawer = _FaultDrawer(random, targets, schedule)
+    latest = run_seconds - schedule.quiet_seconds
+    faults: list[AnyFault] = []
+    kinds = drawer.possible_kinds()
+    now = schedule.first_seconds
+    while kinds and now < latest:
+        faults += drawer.draw_arrival(kinds, now)
+        now += random.expovariate(1.0 / schedule.mean_interval_seconds)
+    timely = [_end_by(fault, latest) for fault in faults if fault.at_seconds < latest]
+    return FaultPlan(faults=tuple(sorted(timely, key=lambda fault: fault.at_seconds)))
+
+
+def _end_by(fault: AnyFault, latest: float) -> AnyFault:
+    duration = min(fault.duration_seconds, latest - fault.at_seconds)
+    return msgspec.structs.replace(fault, duration_seconds=duration)
+
+
+class _FaultDrawer:
+    """Draws single faults and groups of them."""
+
+    def __init__(self, random: Random, targets: FaultTargets, schedule: FaultSchedule) -> None:
+        self._random = random
+        self._targets = targets
+        self._schedule = schedule
+        self._draws: dict[FaultKind, Callable[[float], AnyFault]] = {
+            FaultKind.KILL: self._draw_kill,
+            FaultKind.FREEZE: self._draw_freeze,
+            FaultKind.CUT: self._draw_cut,
+            FaultKind.BAD_NETWORK: self._draw_bad_network,
+            FaultKind.KEY_VALUE: self._draw_key_value,
+            FaultKind.COMPACTION: lambda at: CompactKeyValue(at_seconds=at),
+            FaultKind.ENGINE_CRASH: self._draw_engine_crash,
+            FaultKind.SWAP_FAILURE: self._draw_swap_failure,
+            FaultKind.APPLICATION_CRASH: self._draw_application_crash,
+            FaultKind.MACHINE_LIST_LAG: self._draw_machine_list_lag,
+            FaultKind.CLOCK: self._draw_clock,
+            FaultKind.DISK: self._draw_disk,
+        }
+
+    def possible_kinds(self) -> tuple[FaultKind, ...]:
+        """Return the kinds asked for that have something to strike."""
+        targets = self._targets
+        needs = {
+            FaultKind.KILL: targets.hosts,
+            FaultKind.FREEZE: targets.hosts,
+            FaultKind.CLOCK: targets.hosts,
+            FaultKind.CUT: targets.hosts[1:],
+            FaultKind.DISK: targets.hosts_with_disk,
+            FaultKind.ENGINE_CRASH: targets.engines,
+            FaultKind.SWAP_FAILURE: targets.engines,
+            FaultKind.APPLICATION_CRASH: targets.applications,
+        }
+        return tuple(kind for kind in self._schedule.kinds if needs.get(kind, ("always",)))
+
+    def draw_arrival(self, kinds: tuple[FaultKind, ...], at: float) -> list[AnyFault]:
+        """Draw one fault, several together, or one twice."""
+        first = self._draw(kinds, at)
+        draw = self._random.random()
+        if draw < TOGETHER_PROBABILITY:
+            others = self._random.randint(1, MOST_TOGETHER - 1)
+            spread = TOGETHER_SPREAD_SECONDS
+            later = [at + self._random.uniform(0.0, spread) for _ in range(others)]
+            return [first, *(self._draw(kinds, time) for time in later)]
+        if draw < TOGETHER_PROBABILITY + TWICE_PROBABILITY:
+            span = max(1.0, first.duration_seconds) * TWICE_SPREAD
+            again = at + self._random.uniform(0.0, span)
+            return [first, msgspec.structs.replace(first, at_seconds=again)]
+        return [first]
+
+    def _draw(self, kinds: tuple[FaultKind, ...], at: float) -> AnyFault:
+        return self._draws[self._random.choice(kinds)](at)
+
+    def _draw_kill(self, at: float) -> AnyFault:
+        host = self._random.choice(self._targets.hosts)
+        duration = self._random.uniform(0.5, 30.0)
+        return KillHost(at_seconds=at, duration_seconds=duration, host=host)
+
+    def _draw_freeze(self, at: float) -> AnyFault:
+        host = self._random.choice(self._targets.hosts)
+        duration = self._random.uniform(0.5, self._schedule.longest_freeze_seconds)
+        return FreezeHost(at_seconds=at, duration_seconds=duration, host=host)
+
+    def _draw_cut(self, at: float) -> AnyFault:
+        duration = self._random.uniform(1.0, self._schedule.longest_outage_seconds)
+        both_ways = self._random.random() < 0.5
+        cut = self._draw_path()
+        return CutPath(at_seconds=at, duration_seconds=duration, cut=cut, both_ways=both_ways)
+
+    def _draw_path(self) -> Cut:
+        names_by_scope = {
+            Scope.HOST: self._targets.hosts,
+            Scope.ZONE: self._targets.zones,
+            Scope.REGION: self._targets.regions,
+        }
+        scopes = [scope for scope, names in names_by_scope.items() if len(names) > 1]
+        scope = self._random.choice(scopes)
+        source, target = self._random.sample(names_by_scope[scope], 2)
+        return Cut(scope=scope, source=source, target=target)
+
+    def _draw_bad_network(self, at: float) -> AnyFault:
+        return DegradeNetwork(
+            at_seconds=at,
+            duration_seconds=self._random.uniform(5.0, 60.0),
+            delay_factor=self._random.uniform(1.0, 50.0),
+            loss_probability=self._random.uniform(0.0, 0.3),
+            duplicate_probability=self._random.uniform(0.0, 0.2),
+            reorder_probability=self._random.uniform(0.0, 0.3),
+        )
+
+    def _draw_key_value(self, at: float) -> AnyFault:
+        duration = self._random.uniform(2.0, self._schedule.longest_outage_seconds)
+        condition = self._random.choice(tuple(KeyValueCondition))
+        return DisturbKeyValue(at_seconds=at, duration_seconds=duration, condition=condition)
+
+    def _draw_engine_crash(self, at: float) -> AnyFault:
+        backend = self._random.choice(self._targets.engines)
+        duration = self._random.uniform(1.0, 60.0)
+        return CrashBackend(at_seconds=at, duration_seconds=duration, backend=backend)
+
+    def _draw_application_crash(self, at: float) -> AnyFault:
+        backend = self._random.choice(self._targets.applications)
+        duration = self._random.uniform(1.0, 30.0)
+        return CrashBackend(at_seconds=at, duration_seconds=duration, backend=backend)
+
+    def _draw_swap_failure(self, at: float) -> AnyFault:
+        return FailSwaps(
+            at_seconds=at,
+            backend=self._random.choice(self._targets.engines),
+            count=self._random.randint(1, 2),
+            acknowledged=self._random.random() < 0.7,
+        )
+
+    def _draw_machine_list_lag(self, at: float) -> AnyFault:
+        duration = self._random.uniform(10.0, 60.0)
+        lag = self._random.uniform(5.0, 30.0)
+        return DelayMachineList(at_seconds=at, duration_seconds=duration, lag_seconds=lag)
+
+    def _draw_clock(self, at: float) -> AnyFault:
+        host = self._random.choice(self._targets.hosts)
+        jump = self._random.choice((-1.0, 1.0)) * self._random.uniform(1.0, 3600.0)
+        return JumpClock(at_seconds=at, host=host, jump_seconds=jump)
+
+    def _draw_disk(self, at: float) -> AnyFault:
+        host = self._random.choice(self._targets.hosts_with_disk)
+        duration = self._random.uniform(5.0, 60.0)
+        if self._random.random() < 0.5:
+            return FillDisk(at_seconds=at, duration_seconds=duration, host=host)
+        return LoseDisk(at_seconds=at, duration_seconds=duration, host=host)
--- /dev/null
+++ b/drumbay/simulation/faults.py
@@ -0,0 +1,151 @@
+"""Faults as typed records with times."""
+
+from enum import StrEnum
+
+import msgspec
+
+from drumbay.simulation.network import Cut
+
+
+class FaultKind(StrEnum):
+    """Kinds of faults that a scenario can ask for."""
+
+    KILL = "kill"
+    FREEZE = "freeze"
+    CUT = "cut"
+    BAD_NETWORK = "bad_network"
+    KEY_VALUE = "key_value"
+    COMPACTION = "compaction"
+    ENGINE_CRASH = "engine_crash"
+    SWAP_FAILURE = "swap_failure"
+    APPLICATION_CRASH = "application_crash"
+    MACHINE_LIST_LAG = "machine_list_lag"
+    CLOCK = "clock"
+    DISK = "disk"
+
+
+class Fault(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Base class of faults.
+
+    Attributes:
+        at_seconds: Virtual time at which it begins.
+        duration_seconds: Time until it ends; 0 for one that only happens.
+    """
+
+    at_seconds: float
+    duration_seconds: float = 0.0
+
+
+class KillHost(Fault, frozen=True, kw_only=True):
+    """A process dies at once; after the duration another starts with nothing kept."""
+
+    host: str
+
+
+class FreezeHost(Fault, frozen=True, kw_only=True):
+    """A process stops and continues after the duration, unaware."""
+
+    host: str
+
+
+class CutPath(Fault, frozen=True, kw_only=True):
+    """Messages between hosts, zones or regions are lost, one way or both ways."""
+
+    cut: Cut
+    both_ways: bool
+
+
+class DegradeNetwork(Fault, frozen=True, kw_only=True):
+    """Messages are delayed, lost, duplicated and reordered."""
+
+    delay_factor: float
+    loss_probability: float
+    duplicate_probability: float
+    reorder_probability: float
+
+
+class KeyValueCondition(StrEnum):
+    """States of the key-value service other than healthy."""
+
+    OUTAGE = "outage"
+    SLOW = "slow"
+    RATE_LIMITED = "rate_limited"
+    ANSWERS_LOST = "answers_lost"
+    WATCHES_BROKEN = "watches_broken"
+    WATCHES_STALLED = "watches_stalled"
+
+
+class DisturbKeyValue(Fault, frozen=True, kw_only=True):
+    """The key-value service is in another state than healthy."""
+
+    condition: KeyValueCondition
+
+
+class CompactKeyValue(Fault, frozen=True, kw_only=True):
+    """The key-value service drops its history, so that old watches cannot go on."""
+
+
+class CrashBackend(Fault, frozen=True, kw_only=True):
+    """An engine or application server dies and restarts after the duration."""
+
+    backend: str
+
+
+class FailSwaps(Fault, frozen=True, kw_only=True):
+    """An engine's next weight swaps fail, some acknowledged as done."""
+
+    backend: str
+    count: int
+    acknowledged: bool
+
+
+class DelayMachineList(Fault, frozen=True, kw_only=True):
+    """The list of machines shows changes later than usual."""
+
+    lag_seconds: float
+
+
+class JumpClock(Fault, frozen=True, kw_only=True):
+    """A host's wall clock jumps."""
+
+    host: str
+    jump_seconds: float
+
+
+class FillDisk(Fault, frozen=True, kw_only=True):
+    """A host's disk takes no more writes."""
+
+    host: str
+
+
+class LoseDisk(Fault, frozen=True, kw_only=True):
+    """A host loses its disk and its process; after the duration it starts anew."""
+
+    host: str
+
+
+AnyFault = (
+    KillHost
+    | FreezeHost
+    | CutPath
+    | DegradeNetwork
+    | DisturbKeyValue
+    | CompactKeyValue
+    | CrashBackend
+    | FailSwaps
+    | DelayMachineList
+    | JumpClock
+    | FillDisk
+    | LoseDisk
+)
+
+
+class FaultPlan(msgspec.Struct, frozen=True, kw_only=True):
+    """All faults of one run, in order of time."""
+
+    faults: tuple[AnyFault, ...]
+
+    def until_seconds(self) -> float:
+        """Return when the last fault has ended."""
+        ends = (fault.at_seconds + fault.duration_seconds for fault in self.faults)
+        return max(ends, default=0.0)
--- a/drumbay/simulation/host.py
+++ b/drumbay/simulation/host.py
@@ -12,6 +12,7 @@
 from drumbay.identifiers import BootId
 from drumbay.simulation.exceptions import SimulationError
 from drumbay.simulation.process import SimulatedProcess
+from drumbay.storage.simulated_log import SimulatedDisk
 
 ResultT = TypeVar("ResultT")
 
@@ -121,7 +122,8 @@
         name: Name of the machine.
         address: Where its process is reached.
         location: Zone and region of the machine.
-        data_folder: Folder that outlives processes; ``None`` on a machine without disk.
+        data_folder: Folder for bulk data; ``None`` on a machine without disk.
+        disk: Content of the machine's disk, which outlives processes; ``None`` without one.
         wall_clock: Error of the machine's wall clock.
     """
 
@@ -132,6 +134,7 @@
         location: Location,
         *,
         data_folder: Path | None = None,
+        disk: SimulatedDisk | None = None,
         wall_clock: WallClockOffset | None = None,
     ) -> None:
         """Create a machine without a process."""
@@ -139,6 +142,7 @@
         self.address = address
         self.location = location
         self.data_folder = data_folder
+        self.disk = disk
         self.wall_clock = wall_clock if wall_clock is not None else WallClockOffset()
         self._boots = 0
         self._process: SimulatedProcess | None = None
