Prove that a configuration never reverts, on virtual time

Cause: outages, restarts without disk, slow watches, cuts, compaction and lost answers must neither undo an accepted change nor give an operator a wrong verdict.

--- a/drumbay/configuration/replication.py
+++ b/drumbay/configuration/replication.py
@@ -72,7 +72,7 @@
 
         targets = sorted({*replica_set.members, *replica_set.previous})
         durable = await self._ask_until(
-            targets, ask, lambda: has_majority(replica_set, acknowledged)
+            targets, ask, lambda: self._decides(replica_set, acknowledged)
         )
         if not durable:
             raise ReplicaMajorityError(
@@ -100,11 +100,27 @@
 
         known = {peer.node_id for peer in self._members() if peer.has_data_folder}
         targets = sorted(known | {*state.replica_set.members, *state.replica_set.previous})
-        await self._ask_until(targets, ask, lambda: _has_read_majority(state, replies))
-        if not _has_read_majority(state, replies):
+        await self._ask_until(targets, ask, lambda: self._vouch(state, replies))
+        if not self._vouch(state, replies):
             raise ReplicaMajorityError(f"{len(replies)} of {len(targets)} replicas answered")
         return _newest_update(replies)
 
+    def _decides(self, replica_set: ReplicaSet, voters: Sequence[NodeId]) -> bool:
+        return has_majority(replica_set, voters)
+
+    def _vouch(self, state: ConfigurationState, replies: Sequence[ReplicaReadReply]) -> bool:
+        """Tell whether the replies decide for the newest replica set among them."""
+        replica_set = state.replica_set
+        newest = _newest_update(replies)
+        if newest is not None:
+            replica_set = replica_set_in(newest) or replica_set
+        if not replica_set.members:
+            return False
+        return self._decides(replica_set, self._voters(replies))
+
+    def _voters(self, replies: Sequence[ReplicaReadReply]) -> list[NodeId]:
+        return [reply.node_id for reply in replies if reply.complete]
+
     async def _store_on(self, node_id: NodeId, update: ConfigurationUpdate) -> ReplicaStoreReply:
         request = ReplicaStore(update=update)
         if node_id == self._node_id and self._own_replica is not None:
@@ -159,15 +175,3 @@
         if update is not None and (newest is None or update.revision > newest.revision):
             newest = update
     return newest
-
-
-def _has_read_majority(state: ConfigurationState, replies: Sequence[ReplicaReadReply]) -> bool:
-    """Tell whether complete replies hold a majority of the newest replica set seen."""
-    replica_set: ReplicaSet = state.replica_set
-    newest = _newest_update(replies)
-    if newest is not None:
-        replica_set = replica_set_in(newest) or replica_set
-    if not replica_set.members:
-        return False
-    voters = [reply.node_id for reply in replies if reply.complete]
-    return has_majority(replica_set, voters)
--- a/drumbay/configuration/service.py
+++ b/drumbay/configuration/service.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, ClassVar
 
 import msgspec
 
@@ -46,8 +46,19 @@
 
     Start with :meth:`start`; it ends with the task owner. The live members must include
     the node itself.
+
+    Attributes:
+        state_type: Class of the applied state.
+        replica_client_type: Class of the client of the replicas.
+        dissemination_type: Class of the exchange with peers.
+        watcher_type: Class of the watch.
     """
 
+    state_type: ClassVar[type[ConfigurationState]] = ConfigurationState
+    replica_client_type: ClassVar[type[ReplicaClient]] = ReplicaClient
+    dissemination_type: ClassVar[type[Dissemination]] = Dissemination
+    watcher_type: ClassVar[type[ConfigurationWatcher]] = ConfigurationWatcher
+
     def __init__(
         self,
         *,
@@ -68,16 +79,16 @@
         self._members = members
         self._generator = generator
         self._task_owner = task_owner
-        self._applied = AppliedConfiguration(clock, self._new_state())
+        self._applied = AppliedConfiguration(clock, self.state_type())
         self._replica = self._open_replica(data_folder)
-        self._replicas = ReplicaClient(
+        self._replicas = self.replica_client_type(
             node_id=node_id,
             transport=transport,
             members=members,
             own_replica=self._replica,
             task_owner=task_owner,
         )
-        self._dissemination = Dissemination(
+        self._dissemination = self.dissemination_type(
             clock=clock,
             transport=transport,
             node_id=node_id,
@@ -122,9 +133,6 @@
         self._dissemination.start()
         self._task_owner.spawn(self._run(), "configuration service")
 
-    def _new_state(self) -> ConfigurationState:
-        return ConfigurationState()
-
     def _open_replica(self, data_folder: Path | None) -> ConfigurationReplica | None:
         if data_folder is None:
             return None
@@ -252,7 +260,7 @@
         if self._watch_task is not None and self._watch_task.done():
             self._watch_task = None
         if chosen and self._watch_task is None:
-            watcher = ConfigurationWatcher(
+            watcher = self.watcher_type(
                 clock=self._clock,
                 store=self._store,
                 generator=self._generator,
--- a/drumbay/configuration/watcher.py
+++ b/drumbay/configuration/watcher.py
@@ -130,7 +130,7 @@
 
     async def _deliver_until_durable(self, update: ConfigurationUpdate) -> None:
         backoff = Backoff(self._generator)
-        while update.revision > self._applied_revision():
+        while True:
             try:
                 await self._deliver(update)
                 return
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,294 @@
+"""An accepted configuration is in force everywhere and never reverts: whole clusters."""
+
+import asyncio
+import shutil
+import tempfile
+import unittest
+from collections.abc import Awaitable, Callable, Sequence
+from pathlib import Path
+from typing import ClassVar
+
+from loguru import logger
+
+from drumbay.bench.configuration_cluster import (
+    ConfigurationCluster,
+    ServiceType,
+    find_reversions,
+)
+from drumbay.configuration.dissemination import Dissemination
+from drumbay.configuration.errors import ConfigurationNotCurrentError
+from drumbay.configuration.messages import (
+    ConfigurationEntry,
+    ConfigurationUpdate,
+    ReadinessReason,
+    ReplicaReadReply,
+    ReplicaSet,
+)
+from drumbay.configuration.operators import WriteOutcome
+from drumbay.configuration.replication import ReplicaClient
+from drumbay.configuration.service import ConfigurationService
+from drumbay.configuration.state import ApplyOutcome, ConfigurationState
+from drumbay.configuration.watcher import ConfigurationWatcher
+from drumbay.identifiers import NodeId, Revision
+from drumbay.resources.schema import Route, RouteKind, Selector
+from drumbay.simulation.host import Location
+from drumbay.simulation.network import Cut, Scope
+from drumbay.simulation.virtual_time import run_simulation
+from drumbay.standins.kv_faults import KeyValueFaults
+
+LIMA = tuple(Location(zone=zone, region="lima") for zone in ("miraflores", "surquillo"))
+TWO_REGIONS = (*LIMA, Location(zone="zwolle-hal", region="nl-oost"))
+OUTAGE = KeyValueFaults(outage=True)
+
+
+def setUpModule() -> None:
+    logger.remove()
+
+
+def route(priority: int, name: str = "consulta") -> Route:
+    return Route(name=name, route_kind=RouteKind.LIVE, selector=Selector(), priority=priority)
+
+
+class AnyReplicaDecides(ReplicaClient):
+    """Fault: one replica is taken for a majority."""
+
+    def _decides(self, replica_set: ReplicaSet, voters: Sequence[NodeId]) -> bool:
+        return len(voters) > 0
+
+
+class EmptyDisksVote(ReplicaClient):
+    """Fault: a replica that lost its disk still vouches for what it holds."""
+
+    def _voters(self, replies: Sequence[ReplicaReadReply]) -> list[NodeId]:
+        return [reply.node_id for reply in replies]
+
+
+class UncheckedState(ConfigurationState):
+    """Fault: revisions are not compared; what comes last wins."""
+
+    def classify(self, update: ConfigurationUpdate) -> ApplyOutcome:
+        return ApplyOutcome.APPLIED
+
+    def _is_newer(self, entry: ConfigurationEntry) -> bool:
+        return True
+
+
+class SilentDissemination(Dissemination):
+    """Fault: no digest is sent."""
+
+    def _send_digest(self, address: object, *, is_reply: bool) -> None:
+        pass
+
+
+class ForgetfulWatcher(ConfigurationWatcher):
+    """Fault: a compacted watch is started anew without reading the whole."""
+
+    async def _read_whole(self) -> None:
+        pass
+
+
+class OneReplicaService(ConfigurationService):
+    replica_client_type: ClassVar[type[ReplicaClient]] = AnyReplicaDecides
+
+
+class EmptyDiskService(ConfigurationService):
+    replica_client_type: ClassVar[type[ReplicaClient]] = EmptyDisksVote
+
+
+class UncheckedService(ConfigurationService):
+    state_type: ClassVar[type[ConfigurationState]] = UncheckedState
+
+
+class SilentService(ConfigurationService):
+    dissemination_type: ClassVar[type[Dissemination]] = SilentDissemination
+
+
+class ForgetfulService(ConfigurationService):
+    watcher_type: ClassVar[type[ConfigurationWatcher]] = ForgetfulWatcher
+
+
+Scenario = Callable[[ConfigurationCluster], Awaitable[None]]
+
+
+class ConfigurationScenarioTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.folder = Path(tempfile.mkdtemp(prefix="drumbay-configuration-"))
+        self.addCleanup(shutil.rmtree, self.folder)
+        self.runs = 0
+
+    def run_cluster(
+        self,
+        scenario: Scenario,
+        service_type: ServiceType = ConfigurationService,
+        *,
+        locations: tuple[Location, ...] = LIMA,
+        node_count: int = 6,
+        disk_count: int = 3,
+        history_limit: int = 1000,
+    ) -> ConfigurationCluster:
+        self.runs += 1
+
+        async def main() -> ConfigurationCluster:
+            cluster = ConfigurationCluster(
+                seed=7,
+                locations=locations,
+                node_count=node_count,
+                disk_count=disk_count,
+                folder=self.folder / str(self.runs),
+                history_limit=history_limit,
+            )
+            cluster.start_all(service_type)
+            await cluster.wait_loaded()
+            # The nodes with disks enter the replica set in two steps.
+            await asyncio.sleep(20)
+            await scenario(cluster)
+            return cluster
+
+        return run_simulation(main)
+
+    async def accept(
+        self, cluster: ConfigurationCluster, priority: int, name: str = "node-005"
+    ) -> Revision:
+        result = await cluster.nodes[name].operators.apply(route(priority), None, f"set-{priority}")
+        self.assertEqual(result.outcome, WriteOutcome.ACCEPTED, result.detail)
+        assert result.committed_revision is not None
+        return result.committed_revision
+
+    def test_restart_without_disk_during_an_outage_keeps_what_was_in_force(self) -> None:
+        async def scenario(cluster: ConfigurationCluster) -> None:
+            await cluster.wait_in_force(await self.accept(cluster, 1))
+            await cluster.nodes["node-000"].kill()
+            await cluster.wait_in_force(await self.accept(cluster, 2))
+            cluster.model.set_faults(OUTAGE)
+            service_type = type(cluster.nodes["node-005"].service)
+            await cluster.nodes["node-005"].kill()
+            for behind in ("node-001", "node-002"):
+                await cluster.nodes[behind].kill()
+            cluster.nodes["node-000"].start(service_type)
+            cluster.nodes["node-005"].start(service_type)
+            await asyncio.sleep(10)
+            self.stale_ready = cluster.nodes["node-005"].service.readiness().ready
+            cluster.nodes["node-001"].start(service_type)
+            await asyncio.sleep(10)
+            self.assertTrue(cluster.nodes["node-005"].service.readiness().ready)
+
+        green = self.run_cluster(scenario)
+        self.assertFalse(self.stale_ready)
+        self.assertEqual(find_reversions(green.observations), [])
+        self.assertEqual(green.nodes["node-005"].service.snapshot().routes["consulta"].priority, 2)
+        red = self.run_cluster(scenario, OneReplicaService)
+        self.assertTrue(self.stale_ready)
+        self.assertNotEqual(find_reversions(red.observations), [])
+
+    def test_replica_with_an_emptied_disk_does_not_vouch(self) -> None:
+        async def scenario(cluster: ConfigurationCluster) -> None:
+            service_type = type(cluster.nodes["node-005"].service)
+            await cluster.wait_in_force(await self.accept(cluster, 1))
+            await cluster.nodes["node-002"].kill()
+            await cluster.wait_in_force(await self.accept(cluster, 2))
+            cluster.model.set_faults(OUTAGE)
+            for name in ("node-000", "node-001", "node-005"):
+                await cluster.nodes[name].kill()
+            lost = cluster.nodes["node-001"].host.data_folder
+            assert lost is not None
+            shutil.rmtree(lost)
+            for name in ("node-001", "node-002", "node-005"):
+                cluster.nodes[name].start(service_type)
+            await asyncio.sleep(20)
+
+        green = self.run_cluster(scenario)
+        self.assertFalse(green.nodes["node-005"].service.readiness().ready)
+        self.assertEqual(find_reversions(green.observations), [])
+        red = self.run_cluster(scenario, EmptyDiskService)
+        self.assertNotEqual(find_reversions(red.observations), [])
+
+    def test_slow_watcher_delivers_old_events(self) -> None:
+        async def scenario(cluster: ConfigurationCluster) -> None:
+            slow = next(node for node in cluster.nodes.values() if node.service.watching)
+            slow.store.batch_delay_seconds = 5.0
+            for priority in range(1, 6):
+                await self.accept(cluster, priority)
+                await asyncio.sleep(1)
+            await asyncio.sleep(40)
+
+        green = self.run_cluster(scenario)
+        self.assertEqual(find_reversions(green.observations), [])
+        for node in green.nodes.values():
+            self.assertEqual(node.service.snapshot().routes["consulta"].priority, 5)
+        red = self.run_cluster(scenario, UncheckedService)
+        self.assertNotEqual(find_reversions(red.observations), [])
+
+    def test_cut_region_says_so_refuses_writes_and_catches_up(self) -> None:
+        cut = Cut(scope=Scope.REGION, source="nl-oost", target="lima")
+
+        async def scenario(cluster: ConfigurationCluster) -> None:
+            await cluster.wait_in_force(await self.accept(cluster, 1, "node-000"))
+            far = [node for node in cluster.nodes.values() if node.host.location.region != "lima"]
+            cluster.network.cut(cut, both_ways=True)
+            for node in far:
+                node.store.cut = True
+            accepted = await self.accept(cluster, 2, "node-000")
+            await asyncio.sleep(70)
+            for node in far:
+                self.assertEqual(node.service.readiness().reason, ReadinessReason.UNCONFIRMED)
+                self.assertEqual(node.service.snapshot().routes["consulta"].priority, 1)
+                with self.assertRaises(ConfigurationNotCurrentError):
+                    await node.operators.apply(route(9), None, "from-the-cut")
+            self.assertTrue(cluster.nodes["node-001"].service.readiness().current)
+            cluster.network.heal(cut, both_ways=True)
+            self.seconds = await cluster.wait_in_force(accepted, 16.0)
+
+        green = self.run_cluster(scenario, locations=TWO_REGIONS, node_count=9, disk_count=5)
+        self.assertEqual(find_reversions(green.observations), [])
+        with self.assertRaises(TimeoutError):
+            self.run_cluster(
+                scenario_without_currency(cut),
+                SilentService,
+                locations=TWO_REGIONS,
+                node_count=9,
+                disk_count=5,
+            )
+
+    def test_compaction_while_watches_are_broken(self) -> None:
+        async def scenario(cluster: ConfigurationCluster) -> None:
+            await cluster.wait_in_force(await self.accept(cluster, 1))
+            cluster.model.set_faults(KeyValueFaults(watches_broken=True))
+            operators = cluster.nodes["node-005"].operators
+            writes = [
+                cluster.nodes["node-005"].host.process.spawn(
+                    operators.apply(route(priority, f"ruta-{priority}"), None, f"set-{priority}"),
+                    "write",
+                )
+                for priority in range(2, 12)
+            ]
+            await asyncio.gather(*writes, return_exceptions=True)
+            self.assertGreater(
+                cluster.model.compacted_revision,
+                cluster.nodes["node-005"].service.snapshot().revision,
+            )
+            cluster.model.set_faults(KeyValueFaults())
+            await cluster.wait_in_force(cluster.model.revision, 16.0)
+
+        green = self.run_cluster(scenario, history_limit=3)
+        self.assertEqual(find_reversions(green.observations), [])
+        with self.assertRaises(TimeoutError):
+            self.run_cluster(scenario, ForgetfulService, history_limit=3)
+
+
+def scenario_without_currency(cut: Cut) -> Scenario:
+    """A cut that heals between nodes while the far region stays without the service."""
+
+    async def scenario(cluster: ConfigurationCluster) -> None:
+        cluster.network.cut(cut, both_ways=True)
+        for node in cluster.nodes.values():
+            node.store.cut = node.host.location.region != "lima"
+        result = await cluster.nodes["node-000"].operators.apply(route(2), None, "set-2")
+        assert result.committed_revision is not None
+        cluster.network.heal(cut, both_ways=True)
+        await cluster.wait_in_force(result.committed_revision, 16.0)
+
+    return scenario
+
+
+if __name__ == "__main__":
+    unittest.main()
