--- /dev/null
+++ b/drumbay/claims/record_table.py
@@ -0,0 +1,208 @@
+"""The keys of one replica: a write-once register per idempotency key.
+
+Pure: it takes the replica's running time and returns what must become durable before the
+reply is sent. Each key is an acceptor of single-decree agreement restricted to one ballot;
+competing claims that split the replicas all give up instead of being ordered by ballots.
+"""
+
+from enum import StrEnum
+
+import msgspec
+
+from drumbay.claims.exceptions import TableFullError
+from drumbay.claims.records import (
+    MAX_RELEASED_ATTEMPTS,
+    AnsweredClaim,
+    Claim,
+    KeyRecord,
+    merge_records,
+)
+from drumbay.identifiers import AttemptId, IdempotencyKey
+
+EXPIRY_INTERVAL_SECONDS = 1.0
+"""Shortest time between two removals of expired records."""
+
+
+class TableLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """Bounds of one replica.
+
+    Attributes:
+        retention_seconds: How long a key is remembered after its last change.
+        max_records: Keys held; beyond it claims on new keys are refused.
+        max_bytes: Encoded bytes held; beyond it claims on new keys are refused and
+            answers are recorded without their body.
+        max_answer_bytes: Larger answers are recorded without their body.
+    """
+
+    retention_seconds: float = 86_400.0
+    max_records: int = 1_000_000
+    max_bytes: int = 512 * 1024**2
+    max_answer_bytes: int = 64 * 1024
+
+
+class ClaimVerdict(StrEnum):
+    """What a replica makes of a claim."""
+
+    GRANTED = "granted"
+    HELD = "held"
+    ANSWERED = "answered"
+    RELEASED = "released"
+    FULL = "full"
+
+
+class ClaimDecision(msgspec.Struct, frozen=True, kw_only=True):
+    """A verdict, the key's record after it, and the row to make durable first."""
+
+    verdict: ClaimVerdict
+    record: KeyRecord
+    row: bytes | None = None
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(KeyRecord).decode
+
+
+class RecordTable:
+    """The records of one replica, held in their encoded form.
+
+    Encoded records take a fraction of the memory of objects, and a snapshot is a copy of
+    references. The dictionary is kept in the order of the last change, oldest first. A
+    record that was imported from another replica stands behind younger ones; it is treated
+    as absent once expired, and its memory is freed when those before it expire.
+    """
+
+    def __init__(self, limits: TableLimits) -> None:
+        """Create an empty table."""
+        self._limits = limits
+        self._rows: dict[IdempotencyKey, bytes] = {}
+        self._size_bytes = 0
+        self._next_expiry_seconds = 0.0
+
+    def __len__(self) -> int:
+        """Return the number of records, expired ones included until they are removed."""
+        return len(self._rows)
+
+    @property
+    def size_bytes(self) -> int:
+        """Return the encoded size of all records."""
+        return self._size_bytes
+
+    def rows(self) -> list[bytes]:
+        """Return every record in its encoded form."""
+        return list(self._rows.values())
+
+    def keys(self) -> list[IdempotencyKey]:
+        """Return every key, sorted."""
+        return sorted(self._rows)
+
+    def get(self, key: IdempotencyKey, now: float) -> KeyRecord | None:
+        """Return the record of a key unless it has expired."""
+        row = self._rows.get(key)
+        if row is None:
+            return None
+        record = _decode(row)
+        return None if self._is_expired(record, now) else record
+
+    def put(self, record: KeyRecord) -> bytes:
+        """Set a key's record and return the row to make durable."""
+        row = _encode(record)
+        replaced = self._rows.pop(record.key, b"")
+        self._rows[record.key] = row
+        self._size_bytes += len(row) - len(replaced)
+        return row
+
+    def claim(self, key: IdempotencyKey, claim: Claim, now: float) -> ClaimDecision:
+        """Grant a claim if no other unreleased claim and no answer stands against it."""
+        self.expire(now)
+        found = self.get(key, now)
+        record = found or KeyRecord(key=key, updated_at_seconds=now)
+        verdict = self._judge(record, claim)
+        if verdict is ClaimVerdict.GRANTED and found is None and self._is_full():
+            verdict = ClaimVerdict.FULL
+        if verdict is not ClaimVerdict.GRANTED:
+            return ClaimDecision(verdict=verdict, record=record)
+        granted = msgspec.structs.replace(record, updated_at_seconds=now, holders=(claim,))
+        # NOTE: a repeated claim is written again. Its first write may still be under way,
+        # and the reply must not overtake it.
+        return ClaimDecision(verdict=verdict, record=granted, row=self.put(granted))
+
+    @staticmethod
+    def _judge(record: KeyRecord, claim: Claim) -> ClaimVerdict:
+        if record.answered is not None:
+            return ClaimVerdict.ANSWERED
+        if claim.attempt_id in record.released:
+            return ClaimVerdict.RELEASED
+        if any(holder.attempt_id != claim.attempt_id for holder in record.holders):
+            return ClaimVerdict.HELD
+        return ClaimVerdict.GRANTED
+
+    def release(
+        self, key: IdempotencyKey, attempt_ids: tuple[AttemptId, ...], now: float
+    ) -> bytes | None:
+        """Remember that attempts have given up; return the row to make durable.
+
+        Nothing is remembered of an unknown key while the table is full: a lost release
+        costs no safety (see :data:`~drumbay.claims.records.MAX_RELEASED_ATTEMPTS`).
+        """
+        found = self.get(key, now)
+        if found is None and self._is_full():
+            return None
+        record = found or KeyRecord(key=key, updated_at_seconds=now)
+        if record.answered is not None:
+            return None
+        new = tuple(each for each in attempt_ids if each not in record.released)
+        kept = tuple(each for each in record.holders if each.attempt_id not in attempt_ids)
+        released = (record.released + new)[-MAX_RELEASED_ATTEMPTS:]
+        return self.put(
+            msgspec.structs.replace(record, updated_at_seconds=now, holders=kept, released=released)
+        )
+
+    def store_answer(self, key: IdempotencyKey, answered: AnsweredClaim, now: float) -> bytes:
+        """Record that an attempt has run; return the row to make durable.
+
+        Raises:
+            TableFullError: The key is unknown here and there is no room for it.
+        """
+        found = self.get(key, now)
+        if found is None and self._is_full():
+            raise TableFullError("no room for another key")
+        record = found or KeyRecord(key=key, updated_at_seconds=now)
+        kept = record.answered or self._without_large_body(answered)
+        return self.put(
+            msgspec.structs.replace(record, updated_at_seconds=now, holders=(), answered=kept)
+        )
+
+    def merge(self, imported: KeyRecord, now: float) -> bytes:
+        """Add what another replica knew of a key; return the row to make durable."""
+        own = self.get(imported.key, now)
+        return self.put(imported if own is None else merge_records(own, imported))
+
+    def expire(self, now: float) -> int:
+        """Remove expired records, oldest first; return how many."""
+        if now < self._next_expiry_seconds:
+            return 0
+        self._next_expiry_seconds = now + EXPIRY_INTERVAL_SECONDS
+        expired: list[IdempotencyKey] = []
+        for key, row in self._rows.items():
+            if not self._is_expired(_decode(row), now):
+                break
+            expired.append(key)
+        for key in expired:
+            self._size_bytes -= len(self._rows.pop(key))
+        return len(expired)
+
+    def _is_expired(self, record: KeyRecord, now: float) -> bool:
+        return now - record.updated_at_seconds > self._limits.retention_seconds
+
+    def _is_full(self) -> bool:
+        too_many = len(self._rows) >= self._limits.max_records
+        return too_many or self._size_bytes >= self._limits.max_bytes
+
+    def _without_large_body(self, answered: AnsweredClaim) -> AnsweredClaim:
+        answer = answered.answer
+        if answer is None:
+            return answered
+        fits = len(answer.body) <= self._limits.max_answer_bytes
+        if fits and self._size_bytes + len(answer.body) <= self._limits.max_bytes:
+            return answered
+        return msgspec.structs.replace(answered, answer=None)
--- /dev/null
+++ b/drumbay/claims/voting.py
@@ -0,0 +1,122 @@
+"""The exchange of one claim with the members of the replica set."""
+
+import asyncio
+
+import msgspec
+
+from drumbay.claims.claimant import (
+    AwaitReplies,
+    Claimant,
+    ClaimantDecision,
+    DispatchPermitted,
+    GaveUp,
+    RepairMember,
+)
+from drumbay.claims.messages import ClaimKey, ReleaseClaim
+from drumbay.claims.records import Claim
+from drumbay.claims.replica_set import ReplicaMember, ReplicaSet
+from drumbay.clock import Clock
+from drumbay.comm.interface import Message, Transport, TransportError
+from drumbay.exceptions import DeadlineExceededError
+from drumbay.identifiers import AttemptId, IdempotencyKey, NodeId
+from drumbay.tasks import TaskOwner
+
+
+class _Vote(msgspec.Struct, frozen=True, kw_only=True):
+    """A member's reply, or ``None`` if there was none."""
+
+    node_id: NodeId
+    reply: Message | None
+
+
+class VotingRound:
+    """Sends one claim to every member and feeds the replies to a claimant."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        transport: Transport,
+        task_owner: TaskOwner,
+        key: IdempotencyKey,
+        claim: Claim,
+        replica_set: ReplicaSet,
+        claimant: Claimant,
+        timeout_seconds: float,
+    ) -> None:
+        """Create a round that has sent nothing.
+
+        Args:
+            clock: Time of this process.
+            transport: Where the claim is sent.
+            task_owner: Owner of the calls; they go on after the decision, so that every
+                member learns of the claim.
+            key: The key to claim.
+            claim: The claim.
+            replica_set: An active set.
+            claimant: Decides on the replies.
+            timeout_seconds: Time limit of the whole round.
+        """
+        self._clock = clock
+        self._transport = transport
+        self._task_owner = task_owner
+        self._key = key
+        self._claim = claim
+        self._members = {member.node_id: member for member in replica_set.members}
+        self._epoch = replica_set.epoch
+        self._claimant = claimant
+        self._timeout_seconds = timeout_seconds
+        self._votes: asyncio.Queue[_Vote] = asyncio.Queue()
+
+    async def run(self) -> DispatchPermitted | GaveUp:
+        """Return the decision; a claim that is not permitted then never will be."""
+        deadline = self._clock.monotonic() + self._timeout_seconds
+        for member in self._members.values():
+            self._ask(member, ())
+        while True:
+            remaining_seconds = deadline - self._clock.monotonic()
+            try:
+                vote = await self._clock.wait_for(self._votes.get(), remaining_seconds)
+            except DeadlineExceededError:
+                return self._claimant.on_timeout()
+            decision = self._decide(vote)
+            while isinstance(decision, RepairMember):
+                self._ask(self._members[decision.node_id], decision.attempt_ids)
+                decision = self._claimant.next_decision()
+            if not isinstance(decision, AwaitReplies):
+                return decision
+
+    def _decide(self, vote: _Vote) -> ClaimantDecision:
+        if vote.reply is None:
+            return self._claimant.on_failure(vote.node_id)
+        return self._claimant.on_reply(vote.node_id, vote.reply)
+
+    def _ask(self, member: ReplicaMember, released: tuple[AttemptId, ...]) -> None:
+        self._task_owner.spawn(self._call(member, released), "claim-vote")
+
+    async def _call(self, member: ReplicaMember, released: tuple[AttemptId, ...]) -> None:
+        """Claim at one member, after telling it of releases that it missed."""
+        reply: Message | None = None
+        try:
+            if released:
+                await self._send(
+                    member,
+                    ReleaseClaim(store_id=member.store_id, key=self._key, attempt_ids=released),
+                )
+            reply = await self._send(
+                member,
+                ClaimKey(
+                    store_id=member.store_id,
+                    epoch=self._epoch,
+                    key=self._key,
+                    claim=self._claim,
+                ),
+            )
+        except TransportError:
+            pass
+        self._votes.put_nowait(_Vote(node_id=member.node_id, reply=reply))
+
+    async def _send(self, member: ReplicaMember, request: Message) -> Message:
+        return await self._transport.call(
+            member.address, request, timeout_seconds=self._timeout_seconds
+        )
--- a/drumbay/storage/simulated_log.py
+++ b/drumbay/storage/simulated_log.py
@@ -7,6 +7,8 @@
 
 from collections.abc import Iterator, Sequence
 
+import msgspec
+
 from drumbay.clock import Clock
 from drumbay.storage.interface import StorageClosedError, StorageFullError, StoreId
 
@@ -25,6 +27,14 @@
         self.full = False
 
 
+class _PendingWrite(msgspec.Struct, frozen=True, kw_only=True):
+    """One append or snapshot that is not on the disk yet."""
+
+    number: int
+    records: Sequence[bytes]
+    replaces_all: bool
+
+
 class SimulatedLog:
     """A :class:`~drumbay.storage.interface.RecordLog` on a :class:`SimulatedDisk`."""
 
@@ -44,6 +54,8 @@
         self._store_id = disk.store_ids.setdefault(name, new_store_id)
         self._records = disk.records.setdefault(name, [])
         self._failed = False
+        self._pending: list[_PendingWrite] = []
+        self._writes = 0
 
     @property
     def store_id(self) -> StoreId:
@@ -66,8 +78,7 @@
             StorageFullError: The disk is full.
             StorageClosedError: An earlier write failed.
         """
-        await self._wait_for_commit()
-        self._records.extend(records)
+        await self._write(records, replaces_all=False)
 
     async def snapshot(self, records: Sequence[bytes]) -> None:
         """Replace every record after the commit time.
@@ -76,18 +87,32 @@
             StorageFullError: The disk is full.
             StorageClosedError: An earlier write failed.
         """
-        await self._wait_for_commit()
-        self._records[:] = records
-
-    async def _wait_for_commit(self) -> None:
-        # NOTE: equal sleeps end in the order in which they began, which keeps the order of
-        # writes.
+        await self._write(records, replaces_all=True)
+
+    async def _write(self, records: Sequence[bytes], *, replaces_all: bool) -> None:
+        self._writes += 1
+        number = self._writes
+        self._pending.append(
+            _PendingWrite(number=number, records=records, replaces_all=replaces_all)
+        )
         await self._clock.sleep(self._commit_seconds)
         if self._failed:
             raise StorageClosedError("an earlier write failed")
         if self._disk.full:
             self._failed = True
             raise StorageFullError("the simulated disk is full")
+        self._commit_through(number)
+
+    def _commit_through(self, number: int) -> None:
+        """Put every write up to ``number`` on the disk, in the order of the calls.
+
+        NOTE: timers due at the same instant fire in any order.
+        """
+        while self._pending and self._pending[0].number <= number:
+            write = self._pending.pop(0)
+            if write.replaces_all:
+                self._records.clear()
+            self._records.extend(write.records)
 
     async def close(self) -> None:
         """Refuse later writes."""
