--- /dev/null
+++ b/drumbay/rollout/runner.py
@@ -0,0 +1,290 @@
+"""Shell of the rollout scheduler: runs its decisions on engines."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable, Iterable
+
+import msgspec
+
+from drumbay.backends.interface import (
+    BackendAddress,
+    BackendError,
+    BackendNotReachedError,
+    BackendRefusedError,
+    EngineClient,
+    ExchangeBrokenError,
+    GenerationRequest,
+    TokenChunk,
+)
+from drumbay.clock import Clock
+from drumbay.exceptions import DeadlineExceededError
+from drumbay.identifiers import AttemptId, BackendId, BootId, StreamName
+from drumbay.observability.logs import log_event
+from drumbay.rollout.events import (
+    AttemptFailure,
+    Cancel,
+    ChunkReceived,
+    Dispatch,
+    RolloutEvent,
+    SampleFailed,
+    SampleFinished,
+    TimePassed,
+    WantedSample,
+    WorkChanged,
+)
+from drumbay.rollout.exceptions import SampleError
+from drumbay.rollout.sample import Sample, SampleBuilder, SampleKey
+from drumbay.rollout.scheduler import RolloutScheduler
+from drumbay.tasks import TaskOwner
+
+VERSION_NOT_LOADED = "version_not_loaded"
+"""Reason with which an engine refuses a version that it does not serve."""
+
+
+class RunnerParameters(msgspec.Struct, frozen=True, kw_only=True):
+    """Time limits of the runner.
+
+    Attributes:
+        attempt_timeout_seconds: Longest time of one attempt.
+        chunk_timeout_seconds: Longest time without a chunk.
+        tick_seconds: Time between decisions when nothing happens.
+    """
+
+    attempt_timeout_seconds: float = 1800.0
+    chunk_timeout_seconds: float = 30.0
+    tick_seconds: float = 0.25
+
+
+class RunningAttempt(msgspec.Struct, frozen=True, kw_only=True):
+    """An attempt under way."""
+
+    attempt: int
+    attempt_id: AttemptId
+    engine: BackendAddress
+    task: asyncio.Task[None]
+
+
+class RolloutRunner:
+    """Generates the samples of one stream while this node owns it."""
+
+    def __init__(
+        self,
+        stream: StreamName,
+        model: str,
+        boot_id: BootId,
+        scheduler: RolloutScheduler,
+        engines: EngineClient,
+        address_of: Callable[[BackendId], BackendAddress | None],
+        clock: Clock,
+        tasks: TaskOwner,
+        *,
+        on_finished: Callable[[Sample], None],
+        may_send: Callable[[], bool] = lambda: True,
+        builder_type: type[SampleBuilder] = SampleBuilder,
+        parameters: RunnerParameters | None = None,
+    ) -> None:
+        """Create a runner; ``start`` makes it decide over time as well.
+
+        Args:
+            stream: The sample stream.
+            model: Model that the engines serve.
+            boot_id: Identity of this run of the process; makes attempt ids unique.
+            scheduler: Takes the decisions.
+            engines: Reaches the engines.
+            address_of: Address of an engine, or ``None`` once it left.
+            clock: Time.
+            tasks: Owner of the attempts.
+            on_finished: Takes each finished sample.
+            may_send: Whether the ownership lease still holds; asked right before a send.
+            builder_type: Collects the chunks of a sample.
+            parameters: Time limits.
+        """
+        self._stream = stream
+        self._model = model
+        self._boot_id = boot_id
+        self._scheduler = scheduler
+        self._engines = engines
+        self._address_of = address_of
+        self._clock = clock
+        self._tasks = tasks
+        self._on_finished = on_finished
+        self._may_send = may_send
+        self._builder_type = builder_type
+        self._parameters = parameters or RunnerParameters()
+        self._builders: dict[SampleKey, SampleBuilder] = {}
+        self._running: dict[SampleKey, RunningAttempt] = {}
+        self._ticker: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Decide every ``tick_seconds`` from now on."""
+        self._ticker = self._tasks.spawn(self._tick(), name=f"rollout_tick_{self._stream}")
+
+    def stop(self) -> None:
+        """Cancel every attempt, e.g. after the stream got another owner."""
+        if self._ticker is not None:
+            self._ticker.cancel()
+        for key in list(self._running):
+            self._cancel_attempt(key)
+
+    async def _tick(self) -> None:
+        while True:
+            await self._clock.sleep(self._parameters.tick_seconds)
+            self.handle(TimePassed())
+
+    def set_wanted(self, wanted: Iterable[WantedSample]) -> None:
+        """Take the whole set of samples that have to be generated now."""
+        samples = tuple(wanted)
+        keys = {sample.key for sample in samples}
+        self.handle(WorkChanged(wanted=samples))
+        for key in [key for key in self._builders if key not in keys]:
+            del self._builders[key]
+
+    def handle(self, event: RolloutEvent) -> None:
+        """Give an event to the scheduler and perform its decisions."""
+        for decision in self._scheduler.handle(event, self._clock.monotonic()):
+            match decision:
+                case Dispatch():
+                    self._dispatch(decision)
+                case Cancel(key=key, reason=reason):
+                    log_event(
+                        "rollout_cancelled", sample=key.sample_id(self._stream), reason=reason
+                    )
+                    self._cancel_attempt(key)
+
+    def _cancel_attempt(self, key: SampleKey) -> None:
+        running = self._running.pop(key, None)
+        if running is None:
+            return
+        running.task.cancel()
+        self._cancel_on_engine(running.engine, running.attempt_id)
+
+    def _cancel_on_engine(self, engine: BackendAddress, attempt_id: AttemptId) -> None:
+        cancel = self._engines.cancel(engine, attempt_id)
+        self._tasks.spawn(cancel, name=f"rollout_cancel_{attempt_id}")
+
+    def _dispatch(self, decision: Dispatch) -> None:
+        key = decision.key
+        builder = self._builders.get(key)
+        if builder is None:
+            builder = self._builder_type(key, decision.prompt)
+            self._builders[key] = builder
+        engine = self._address_of(decision.backend_id)
+        attempt_id = AttemptId(f"{key.sample_id(self._stream)}/{self._boot_id}/{decision.attempt}")
+        attempt = self._attempt(decision, builder, engine, attempt_id)
+        task = self._tasks.spawn(attempt, name=f"rollout_{attempt_id}")
+        if engine is not None:
+            self._running[key] = RunningAttempt(
+                attempt=decision.attempt, attempt_id=attempt_id, engine=engine, task=task
+            )
+
+    async def _attempt(
+        self,
+        decision: Dispatch,
+        builder: SampleBuilder,
+        engine: BackendAddress | None,
+        attempt_id: AttemptId,
+    ) -> None:
+        """Run one attempt and report its end to the scheduler."""
+        try:
+            if engine is None or not self._may_send():
+                raise BackendNotReachedError(decision.backend_id)
+            builder.keep_tokens(decision.kept_tokens)
+            builder.start_attempt(attempt_id)
+            await self._collect(decision, builder, engine, attempt_id)
+            sample = builder.finish()
+        except (BackendError, SampleError, DeadlineExceededError) as error:
+            self._report_failure(decision, engine, attempt_id, error)
+            return
+        self._forget(decision)
+        self._builders.pop(decision.key, None)
+        self.handle(SampleFinished(key=decision.key, attempt=decision.attempt))
+        self._on_finished(sample)
+
+    async def _collect(
+        self,
+        decision: Dispatch,
+        builder: SampleBuilder,
+        engine: BackendAddress,
+        attempt_id: AttemptId,
+    ) -> None:
+        """Take chunks until the stream ends."""
+        request = GenerationRequest(
+            attempt_id=attempt_id,
+            model=self._model,
+            prompt=decision.prompt.text,
+            max_tokens=decision.prompt.max_tokens,
+            resume_tokens=builder.token_ids,
+            weight_version=decision.version,
+            priority=decision.priority,
+            seed=decision.prompt.seed,
+            target_tokens=decision.prompt.target_tokens,
+        )
+        chunks = self._engines.generate(
+            engine, request, timeout_seconds=self._parameters.attempt_timeout_seconds
+        )
+        while (chunk := await self._next_chunk(chunks)) is not None:
+            if not self._is_current(decision):
+                # NOTE: a wait that ends in the moment of its cancellation returns its result.
+                raise ExchangeBrokenError("the attempt was cancelled")
+            builder.add_chunk(chunk)
+            self.handle(
+                ChunkReceived(
+                    key=decision.key,
+                    attempt=decision.attempt,
+                    version=chunk.weight_version,
+                    spans=builder.spans,
+                )
+            )
+
+    async def _next_chunk(self, chunks: AsyncIterator[TokenChunk]) -> TokenChunk | None:
+        return await self._clock.wait_for(
+            anext(chunks, None), self._parameters.chunk_timeout_seconds
+        )
+
+    def _report_failure(
+        self,
+        decision: Dispatch,
+        engine: BackendAddress | None,
+        attempt_id: AttemptId,
+        error: Exception,
+    ) -> None:
+        self._forget(decision)
+        failure = _classify(error)
+        log_event(
+            "rollout_attempt_failed",
+            level="WARNING",
+            attempt=attempt_id,
+            backend=decision.backend_id,
+            failure=failure,
+            error=type(error).__name__,
+        )
+        if engine is not None and failure is AttemptFailure.BROKEN:
+            self._cancel_on_engine(engine, attempt_id)
+        retry_after_seconds = (
+            error.retry_after_seconds if isinstance(error, BackendRefusedError) else None
+        )
+        self.handle(
+            SampleFailed(
+                key=decision.key,
+                attempt=decision.attempt,
+                failure=failure,
+                retry_after_seconds=retry_after_seconds,
+            )
+        )
+
+    def _is_current(self, decision: Dispatch) -> bool:
+        running = self._running.get(decision.key)
+        return running is not None and running.attempt == decision.attempt
+
+    def _forget(self, decision: Dispatch) -> None:
+        if self._is_current(decision):
+            del self._running[decision.key]
+
+
+def _classify(error: Exception) -> AttemptFailure:
+    if isinstance(error, BackendNotReachedError):
+        return AttemptFailure.NOT_REACHED
+    if isinstance(error, BackendRefusedError):
+        if error.reason == VERSION_NOT_LOADED:
+            return AttemptFailure.VERSION_NOT_LOADED
+        return AttemptFailure.REFUSED
+    return AttemptFailure.BROKEN
--- a/drumbay/rollout/sample.py
+++ b/drumbay/rollout/sample.py
@@ -90,7 +90,7 @@
         self.key = key
         self.prompt = prompt
         self._token_ids: list[int] = []
-        self._text: list[str] = []
+        self._text: list[tuple[int, str]] = []
         self._spans: list[TokenSpan] = []
         self._attempt_id: AttemptId | None = None
         self._finish_reason: FinishReason | None = None
@@ -119,12 +119,21 @@
         """Take chunks of this attempt only, from now on."""
         self._attempt_id = attempt_id
 
-    def restart(self) -> None:
-        """Drop every token, so that the sample is generated anew."""
-        self._token_ids.clear()
-        self._text.clear()
-        self._spans.clear()
-        self._attempt_id = None
+    def keep_tokens(self, token_count: int) -> None:
+        """Drop the tokens from an index on.
+
+        Args:
+            token_count: How many leading tokens are kept; whole spans.
+
+        Raises:
+            ChunkOutOfSequenceError: The index lies inside a span or past the end.
+        """
+        kept_spans = [span for span in self._spans if span.first_index < token_count]
+        if sum(span.token_count for span in kept_spans) != token_count:
+            raise ChunkOutOfSequenceError(f"no span ends at token {token_count}")
+        self._spans = kept_spans
+        del self._token_ids[token_count:]
+        self._text = [(index, text) for index, text in self._text if index < token_count]
         self._finish_reason = None
 
     def add_chunk(self, chunk: TokenChunk) -> None:
@@ -142,7 +151,7 @@
             )
         self._extend_spans(chunk)
         self._token_ids.extend(chunk.token_ids)
-        self._text.append(chunk.text)
+        self._text.append((chunk.first_index, chunk.text))
         # NOTE: an engine ends a cancelled attempt with CANCELLED; the sample is not whole.
         if chunk.finish_reason in (FinishReason.STOP, FinishReason.LENGTH):
             self._finish_reason = chunk.finish_reason
@@ -176,7 +185,7 @@
             key=self.key,
             prompt=self.prompt,
             token_ids=self.token_ids,
-            text="".join(self._text),
+            text="".join(text for _, text in self._text),
             spans=self.spans,
             finish_reason=self._finish_reason,
         )
