--- /dev/null
+++ b/tests/claims_world.py
@@ -0,0 +1,289 @@
+"""A simulated cluster of claim replicas and dispatchers, and the checker of its history."""
+
+import asyncio
+from dataclasses import dataclass, field
+from random import Random
+
+from drumbay.backends.interface import (
+    BackendNotReachedError,
+    BackendRefusedError,
+    ExchangeBrokenError,
+)
+from drumbay.claims.acceptor import Acceptor
+from drumbay.claims.outcomes import ClaimAnswered, ClaimFailed, ClaimOutcome
+from drumbay.claims.reconfigurator import Reconfigurator, ReplicaCandidate
+from drumbay.claims.record_table import TableLimits
+from drumbay.claims.records import StoredAnswer
+from drumbay.claims.replacement import ReplacementPolicy
+from drumbay.claims.replica import ClaimReplica
+from drumbay.claims.replica_set import ReplicaSet
+from drumbay.claims.replica_set_watcher import ReplicaSetWatcher
+from drumbay.claims.service import ClaimPolicy, ClaimService, Dispatch
+from drumbay.comm.interface import Address
+from drumbay.exceptions import Execution
+from drumbay.identifiers import AttemptId, IdempotencyKey, NodeId
+from drumbay.kv.memory import MemoryKeyValueStore
+from drumbay.simulation.gated_clients import GatedKeyValueStore
+from drumbay.simulation.host import Location, SimulatedHost
+from drumbay.simulation.latency import LatencyModel
+from drumbay.simulation.network import Cut, Scope, SimulatedNetwork
+from drumbay.simulation.trace import Trace
+from drumbay.simulation.transport import SimulatedTransport
+from drumbay.standins.kv_model import KeyValueModel
+from drumbay.storage.interface import RecordLog, StoreId
+from drumbay.storage.simulated_log import SimulatedDisk, SimulatedLog
+from drumbay.tasks import TaskOwner
+
+
+@dataclass(kw_only=True)
+class ApplicationRun:
+    """One execution that the application really carried out."""
+
+    key: IdempotencyKey
+    attempt_id: AttemptId
+    at: float
+
+
+@dataclass(kw_only=True)
+class Call:
+    """One call of a caller; ``outcome`` stays ``None`` if its node died."""
+
+    key: IdempotencyKey
+    started: float
+    outcome: ClaimOutcome | None = None
+    ended: float | None = None
+
+
+@dataclass(kw_only=True)
+class Classes:
+    """The implementation under test; a mutation replaces one class."""
+
+    acceptor: type[Acceptor] = Acceptor
+    replica: type[ClaimReplica] = ClaimReplica
+    service: type[ClaimService] = ClaimService
+    reconfigurator: type[Reconfigurator] = Reconfigurator
+
+
+@dataclass(kw_only=True)
+class Settings:
+    """Numbers of a simulated cluster."""
+
+    seed: int = 1
+    disk_nodes: int = 3
+    commit_seconds: float = 0.0005
+    limits: TableLimits = field(default_factory=TableLimits)
+    policy: ClaimPolicy = field(default_factory=ClaimPolicy)
+    replacement: ReplacementPolicy = field(
+        default_factory=lambda: ReplacementPolicy(replace_after_seconds=3.0)
+    )
+    coordinate: bool = True
+
+
+class Node:
+    """The parts of one node that the claims need, in one simulated process."""
+
+    def __init__(self, world: "World", host: SimulatedHost) -> None:
+        self.world = world
+        self.process = host.start()
+        clock = host.clock()
+        self.clock = clock
+        self.owner = TaskOwner()
+        node_id = NodeId(host.name)
+        random = Random(f"{world.settings.seed} {self.process.boot_id}")
+        transport = SimulatedTransport(world.network, host.address, self.process)
+        store = GatedKeyValueStore(self.process, MemoryKeyValueStore(world.kv, world.clock))
+        self.watcher = ReplicaSetWatcher(clock=clock, key_value_store=store, random=random)
+        self.view = self.watcher.replica_set
+        self.service = world.classes.service(
+            clock=clock,
+            transport=transport,
+            node_id=node_id,
+            boot_id=self.process.boot_id,
+            random=random,
+            replica_set_view=lambda: self.view(),
+            task_owner=self.owner,
+            policy=world.settings.policy,
+        )
+        self.process.spawn(self.watcher.run(), "watch")
+        disk = world.disks.get(host.name)
+        if disk is None:
+            return
+
+        class Replica(world.classes.replica):  # type: ignore[name-defined,misc]
+            def create_acceptor(self, log: RecordLog) -> Acceptor:
+                return world.classes.acceptor(log.store_id, world.settings.limits)
+
+        self.replica = Replica(
+            node_id=node_id,
+            clock=clock,
+            transport=transport,
+            open_log=lambda: SimulatedLog(
+                disk,
+                "claims",
+                clock=clock,
+                new_store_id=StoreId(f"store-{world.random.getrandbits(64):x}"),
+                commit_seconds=world.settings.commit_seconds,
+            ),
+            limits=world.settings.limits,
+            task_owner=self.owner,
+        )
+        self.process.run(self.replica.start)
+        self.reconfigurator = world.classes.reconfigurator(
+            clock=clock,
+            transport=transport,
+            key_value_store=store,
+            random=random,
+            watcher=self.watcher,
+            candidates=world.candidates,
+            policy=world.settings.replacement,
+        )
+        if world.settings.coordinate:
+            self.process.spawn(self.reconfigurator.run(), "reconfigure")
+
+
+class World:
+    """Disk nodes ``d1``... and diskless dispatchers ``n1`` and ``n2``."""
+
+    def __init__(self, classes: Classes | None = None, settings: Settings | None = None) -> None:
+        self.classes = classes or Classes()
+        self.settings = settings or Settings()
+        self.random = Random(self.settings.seed)
+        self.network = SimulatedNetwork(self.random, LatencyModel(), Trace())
+        platform = SimulatedHost("kv", Address("10.0.1.0", 1), Location(zone="kv", region="one"))
+        platform.start()
+        self.clock = platform.clock()
+        self.kv = KeyValueModel(self.clock)
+        self.hosts: dict[str, SimulatedHost] = {}
+        self.disks: dict[str, SimulatedDisk] = {}
+        self.nodes: dict[str, Node] = {}
+        self.executions: list[ApplicationRun] = []
+        self.calls: list[Call] = []
+        names = [f"d{index + 1}" for index in range(self.settings.disk_nodes)]
+        self.disks = {name: SimulatedDisk() for name in names}
+        for index, name in enumerate([*names, "n1", "n2"]):
+            location = Location(zone=f"zone-{index % 3}", region="one")
+            host = SimulatedHost(name, Address(f"10.0.0.{index + 1}", 7000), location)
+            self.network.add_host(host)
+            self.hosts[name] = host
+
+    def candidates(self) -> tuple[ReplicaCandidate, ...]:
+        """Return the disk nodes, dead ones included: the reconfigurator probes them."""
+        return tuple(
+            ReplicaCandidate(
+                node_id=NodeId(name),
+                address=self.hosts[name].address,
+                zone=self.hosts[name].location.zone,
+            )
+            for name in self.disks
+        )
+
+    def start(self, name: str) -> None:
+        self.nodes[name] = Node(self, self.hosts[name])
+
+    async def kill(self, name: str) -> None:
+        await self.hosts[name].kill()
+
+    async def restart(self, name: str, *, lose_disk: bool = False) -> None:
+        if self.hosts[name].running:
+            await self.kill(name)
+        if lose_disk:
+            self.disks[name] = SimulatedDisk()
+        self.start(name)
+
+    def cut(self, first: str, second: str) -> None:
+        self.network.cut(Cut(scope=Scope.HOST, source=first, target=second), both_ways=True)
+
+    def heal(self, first: str, second: str) -> None:
+        self.network.heal(Cut(scope=Scope.HOST, source=first, target=second), both_ways=True)
+
+    def replica_set(self) -> ReplicaSet | None:
+        """Return the newest set that any live node knows."""
+        known = [self.nodes[name].watcher.replica_set() for name in self.nodes]
+        return max((each for each in known if each), key=lambda each: each.epoch, default=None)
+
+    async def start_all(self) -> None:
+        """Start every node and wait for the first epoch, or a minute."""
+        for name in self.hosts:
+            self.start(name)
+        for _ in range(600):
+            await self.clock.sleep(0.1)
+            views = [node.watcher.replica_set() for node in self.nodes.values()]
+            if all(view is not None and view.is_active for view in views):
+                return
+
+    def execute(self, key: IdempotencyKey, attempt_id: AttemptId) -> StoredAnswer:
+        """Act as the application: run the request and return its answer."""
+        at = self.clock.monotonic()
+        self.executions.append(ApplicationRun(key=key, attempt_id=attempt_id, at=at))
+        return StoredAnswer(status=200, content_type="text/plain", body=attempt_id.encode())
+
+    def dispatch(self, name: str, key: str, fate: str = "ok", delay: float = 0.001) -> Dispatch:
+        """Return a dispatch with a given fate from one node."""
+        clock = self.nodes[name].clock
+
+        async def run(attempt_id: AttemptId) -> StoredAnswer:
+            await clock.sleep(delay)
+            if fate == "not_reached":
+                raise BackendNotReachedError("refused connection")
+            if fate == "refused":
+                raise BackendRefusedError("overloaded")
+            if fate == "late":
+                asyncio.get_running_loop().call_later(
+                    2.0, self.execute, IdempotencyKey(key), attempt_id
+                )
+                raise ExchangeBrokenError("timeout")
+            answer = self.execute(IdempotencyKey(key), attempt_id)
+            if fate == "broken":
+                raise ExchangeBrokenError("connection reset")
+            return answer
+
+        return run
+
+    async def call(
+        self, name: str, key: str, fate: str = "ok", *, delay: float = 0.001, patience: float = 8.0
+    ) -> ClaimOutcome | None:
+        """Call one node as a caller; ``None`` if no answer came."""
+        if not self.hosts[name].running:
+            return None
+        call = Call(key=IdempotencyKey(key), started=self.clock.monotonic())
+        self.calls.append(call)
+        running = self.nodes[name].service.run_once(
+            call.key, key.encode(), self.dispatch(name, key, fate, delay)
+        )
+        task = self.nodes[name].process.spawn(running, "request")
+        await asyncio.wait([task], timeout=patience)
+        if not task.done() or task.cancelled():
+            return None
+        call.outcome = task.result()
+        call.ended = self.clock.monotonic()
+        return call.outcome
+
+    def violations(self) -> list[str]:
+        """Compare what the application ran with what callers were told."""
+        found: list[str] = []
+        for key in dict.fromkeys(call.key for call in self.calls):
+            executed = [each for each in self.executions if each.key == key]
+            if len(executed) > 1:
+                found.append(f"{key} ran {len(executed)} times")
+            calls = [call for call in self.calls if call.key == key]
+            for call in calls:
+                found.extend(self._false_statements(call, executed))
+            if executed and all(_says_not_run(call) for call in calls):
+                found.append(f"{key} ran though every caller was told that it did not")
+        return found
+
+    @staticmethod
+    def _false_statements(call: Call, executed: list[ApplicationRun]) -> list[str]:
+        outcome = call.outcome
+        if _says_not_run(call) and any(each.at < call.started for each in executed):
+            return [f"{call.key} was said not to have run after it ran"]
+        if isinstance(outcome, ClaimAnswered):
+            true_answers = [each.attempt_id.encode() for each in executed]
+            if outcome.answer.body not in true_answers:
+                return [f"{call.key} got an answer that no execution gave"]
+        return []
+
+
+def _says_not_run(call: Call) -> bool:
+    outcome = call.outcome
+    return isinstance(outcome, ClaimFailed) and outcome.execution is Execution.NOT_RUN
