--- a/drumbay/rollout/runner.py
+++ b/drumbay/rollout/runner.py
@@ -226,6 +226,7 @@
                 # NOTE: a wait that ends in the moment of its cancellation returns its result.
                 raise ExchangeBrokenError("the attempt was cancelled")
             builder.add_chunk(chunk)
+            self._report_version(decision, chunk)
             self.handle(
                 ChunkReceived(
                     key=decision.key,
@@ -235,6 +236,18 @@
                 )
             )
 
+    def _report_version(self, decision: Dispatch, chunk: TokenChunk) -> None:
+        """Log that an engine produced tokens with older weights than it accepted to."""
+        first_of_attempt = chunk.first_index == decision.kept_tokens
+        if first_of_attempt and chunk.weight_version < decision.version:
+            log_event(
+                "engine_version_mismatch",
+                level="WARNING",
+                backend=decision.backend_id,
+                requested_version=decision.version,
+                stamped_version=chunk.weight_version,
+            )
+
     async def _next_chunk(self, chunks: AsyncIterator[TokenChunk]) -> TokenChunk | None:
         return await self._clock.wait_for(
             anext(chunks, None), self._parameters.chunk_timeout_seconds
--- a/drumbay/rollout/scheduler.py
+++ b/drumbay/rollout/scheduler.py
@@ -1,6 +1,6 @@
 """Pure decisions about rollouts: which sample runs where, and which one is stopped."""
 
-from drumbay.identifiers import BackendId, WeightVersion
+from drumbay.identifiers import BackendId
 from drumbay.rollout.decode_rate import DecodeRateModel
 from drumbay.rollout.events import (
     AttemptFailure,
@@ -48,7 +48,7 @@
             case WorkChanged():
                 decisions.extend(self._change_work(event))
             case EngineReported():
-                self._update_engine(event)
+                self._update_engine(event, now)
             case EngineLost(backend_id=backend_id):
                 self._state.engines.pop(backend_id, None)
             case FloorChanged(forecast=forecast):
@@ -79,12 +79,12 @@
         self._state.update_step_sizes()
         return cancels
 
-    def _update_engine(self, report: EngineReported) -> None:
+    def _update_engine(self, report: EngineReported, now: float) -> None:
         engine = self._state.engines.get(report.backend_id)
         if engine is None:
             engine = TrackedEngine(report=report, rate=DecodeRateModel())
             self._state.engines[report.backend_id] = engine
-        engine.update(report)
+        engine.update(report, now)
 
     def _take_chunk(self, event: ChunkReceived, now: float) -> tuple[RolloutDecision, ...]:
         sample = self._state.attempt(event.key, event.attempt)
@@ -95,16 +95,15 @@
         sample.spans = event.spans
         produced = sample.token_count - before
         if engine is not None:
-            engine.observe_stamp(event.version)
+            engine.observe_stamp(event.version, now)
             if produced > 0:
                 seconds_per_token = (now - sample.last_chunk_at) / produced
                 engine.rate.observe(self._state.batch_on(sample.backend_id), seconds_per_token)
         sample.last_chunk_at = now
-        accepted = self._state.forecast.accepted
-        if not _is_stale(sample, accepted):
+        if not self._is_stale(sample):
             return ()
         cancel = self._cancel(sample, CancelReason.STALE_TOKENS)
-        sample.keep_accepted(accepted)
+        sample.keep_accepted(self._state.forecast.accepted)
         return (cancel,)
 
     def _finish(self, event: SampleFinished) -> None:
@@ -132,15 +131,14 @@
     def _stop_stale(self, now: float) -> list[RolloutDecision]:
         """Stop running samples whose tokens are, or will end, outside the bound."""
         decisions: list[RolloutDecision] = []
-        accepted = self._state.forecast.accepted
         for sample in self._state.running():
-            if _is_stale(sample, accepted):
+            if self._is_stale(sample):
                 decisions.append(self._cancel(sample, CancelReason.STALE_TOKENS))
             elif self._policy.avoid_expiry and self._placement.is_doomed(sample, now):
                 decisions.append(self._cancel(sample, CancelReason.WOULD_EXPIRE))
                 sample.spans = ()
         for sample in self._state.samples.values():
-            sample.keep_accepted(accepted)
+            sample.keep_accepted(self._state.forecast.accepted)
         return decisions
 
     def _dispatch_queued(self, now: float) -> list[RolloutDecision]:
@@ -166,7 +164,7 @@
         return (key.step, expected, key.index, key.reroll)
 
     def _start(self, sample: TrackedSample, backend_id: BackendId, now: float) -> Dispatch:
-        version = self._state.engines[backend_id].version
+        version = self._state.engines[backend_id].named_version
         assert version is not None
         self._attempts += 1
         self._state.start_attempt(sample, self._attempts, backend_id, version, now)
@@ -213,13 +211,13 @@
             sample.spans = ()
         return cancel
 
+    def _is_stale(self, sample: TrackedSample) -> bool:
+        """Return whether an attempt holds, or names, a version that is not accepted.
 
-def _is_stale(sample: TrackedSample, accepted: WeightVersion) -> bool:
-    """Return whether an attempt holds, or names, a version that is not accepted.
-
-    An attempt that has produced tokens is judged by their stamps alone: its engine may
-    have moved on since the dispatch.
-    """
-    if accepted_prefix(sample.spans, accepted) < sample.token_count:
-        return True
-    return sample.awaits_tokens and sample.version is not None and sample.version < accepted
+        An attempt that has produced tokens is judged by their stamps alone: its engine may
+        have moved on since the dispatch.
+        """
+        accepted = self._state.forecast.accepted
+        if accepted_prefix(sample.spans, accepted) < sample.token_count:
+            return True
+        return sample.awaits_tokens and sample.version is not None and sample.version < accepted
--- a/drumbay/rollout/scheduler_state.py
+++ b/drumbay/rollout/scheduler_state.py
@@ -8,6 +8,9 @@
 from drumbay.rollout.sample import RolloutPrompt, SampleKey, TokenSpan
 from drumbay.rollout.staleness import FloorForecast, accepted_prefix
 
+STAMP_VALIDITY_SECONDS = 30.0
+"""How long a stamp overrides the version that its engine reports."""
+
 NO_FORECAST = FloorForecast(accepted=WeightVersion(0))
 
 
@@ -69,31 +72,50 @@
         report: Newest report.
         stamped_version: Version that the engine stamped under this reported version, where
             it differs. A swap that failed though acknowledged shows up here.
+        stamped_at: When a chunk was stamped last.
         not_before: Earliest time of the next dispatch.
         rate: Time per token by batch size.
     """
 
     report: EngineReported
     stamped_version: WeightVersion | None = None
+    stamped_at: float = 0.0
     not_before: float = 0.0
     rate: DecodeRateModel
 
     @property
     def version(self) -> WeightVersion | None:
-        """Return the version that new requests are expected to be served by."""
-        if self.report.version is None:
-            return None
-        return self.report.version if self.stamped_version is None else self.stamped_version
-
-    def update(self, report: EngineReported) -> None:
-        """Take a newer report; a stamp is forgotten once the reported version changes."""
-        if report.version != self.report.version:
+        """Return the version that is expected to produce the next tokens."""
+        if self.report.version is None or self.stamped_version is None:
+            return self.report.version
+        return self.stamped_version
+
+    @property
+    def named_version(self) -> WeightVersion | None:
+        """Return the version that a request must name for the engine to take it.
+
+        An engine whose swap failed though acknowledged claims the newer version; a report
+        that lags behind a swap claims the older one.
+        """
+        if self.report.version is None or self.stamped_version is None:
+            return self.report.version
+        return max(self.report.version, self.stamped_version)
+
+    def update(self, report: EngineReported, now: float) -> None:
+        """Take a newer report.
+
+        A stamp is forgotten once the reported version changes, and after a while: the
+        engine may have been mended under the same version.
+        """
+        expired = now - self.stamped_at >= STAMP_VALIDITY_SECONDS
+        if report.version != self.report.version or expired:
             self.stamped_version = None
         self.report = report
 
-    def observe_stamp(self, version: WeightVersion) -> None:
+    def observe_stamp(self, version: WeightVersion, now: float) -> None:
         """Take the version of a chunk, which is the truth whatever was reported."""
         self.stamped_version = None if version == self.report.version else version
+        self.stamped_at = now
 
 
 class SchedulerState:
--- /dev/null
+++ b/tests/test_rollout_scheduler.py
@@ -0,0 +1,236 @@
+"""Decisions of the rollout scheduler."""
+
+import random
+import unittest
+
+from drumbay.identifiers import AttemptId, BackendId, BootId, WeightVersion
+from drumbay.resources.schema import RolloutObjective
+from drumbay.rollout.events import (
+    AttemptFailure,
+    Cancel,
+    CancelReason,
+    ChunkReceived,
+    Dispatch,
+    EngineReported,
+    FloorChanged,
+    RolloutDecision,
+    RolloutEvent,
+    SampleFailed,
+    SampleFinished,
+    TimePassed,
+    WantedSample,
+    WorkChanged,
+)
+from drumbay.rollout.policy import BASELINE_POLICY, policy_for
+from drumbay.rollout.sample import RolloutPrompt, SampleKey, TokenSpan
+from drumbay.rollout.scheduler import RolloutScheduler
+from drumbay.rollout.staleness import FloorForecast, accepted_prefix
+
+IDLE_TIME = policy_for(RolloutObjective.IDLE_TIME)
+STALENESS = policy_for(RolloutObjective.STALENESS)
+
+
+def wanted(count: int, step: int = 0) -> WorkChanged:
+    return WorkChanged(
+        wanted=tuple(
+            WantedSample(
+                key=SampleKey(step, index),
+                prompt=RolloutPrompt(text="p", group=f"g{index}", max_tokens=1000),
+            )
+            for index in range(count)
+        )
+    )
+
+
+def engine(name: str, version: int, slots: int = 4, other_load: int = 0) -> EngineReported:
+    return EngineReported(
+        backend_id=BackendId(name),
+        version=WeightVersion(version),
+        slots=slots,
+        other_load=other_load,
+    )
+
+
+def floor(accepted: int, next_rise_at: float = 1e9) -> FloorChanged:
+    forecast = FloorForecast(
+        accepted=WeightVersion(accepted), next_rise_at=next_rise_at, rise_interval_seconds=1e9
+    )
+    return FloorChanged(forecast=forecast)
+
+
+def span(version: int, first: int, count: int) -> TokenSpan:
+    return TokenSpan(
+        weight_version=WeightVersion(version),
+        boot_id=BootId("b"),
+        attempt_id=AttemptId("a"),
+        first_index=first,
+        token_count=count,
+    )
+
+
+def chunk(dispatch: Dispatch, *spans: TokenSpan) -> ChunkReceived:
+    version = spans[-1].weight_version
+    return ChunkReceived(key=dispatch.key, attempt=dispatch.attempt, version=version, spans=spans)
+
+
+class Driver:
+    """Feeds events and keeps the attempts that a runner would have under way."""
+
+    def __init__(self, scheduler: RolloutScheduler) -> None:
+        self.scheduler = scheduler
+        self.now = 0.0
+        self.running: dict[SampleKey, Dispatch] = {}
+
+    def feed(self, *events: RolloutEvent) -> list[RolloutDecision]:
+        decisions: list[RolloutDecision] = []
+        for event in events:
+            if isinstance(event, SampleFinished | SampleFailed):
+                del self.running[event.key]
+            decisions.extend(self.scheduler.handle(event, self.now))
+            for decision in decisions[-64:]:
+                self._track(decision)
+        return decisions
+
+    def _track(self, decision: RolloutDecision) -> None:
+        held = self.running.get(decision.key)
+        if isinstance(decision, Dispatch):
+            assert held is None or held.attempt <= decision.attempt
+            self.running[decision.key] = decision
+        elif held is not None and held.attempt == decision.attempt:
+            del self.running[decision.key]
+
+
+class SchedulerTest(unittest.TestCase):
+    def test_longest_group_first(self) -> None:
+        driver = Driver(RolloutScheduler(IDLE_TIME))
+        driver.feed(engine("e1", 1, slots=3), wanted(3))
+        for key, length in ((SampleKey(0, 0), 10), (SampleKey(0, 1), 500), (SampleKey(0, 2), 50)):
+            dispatch = driver.running[key]
+            driver.feed(chunk(dispatch, span(1, 0, length)))
+            driver.feed(SampleFinished(key=key, attempt=dispatch.attempt))
+        decisions = driver.feed(wanted(3, step=1))
+        order = [decision.key.index for decision in decisions]
+        self.assertEqual(order, [1, 2, 0])
+        priorities = [d.priority for d in decisions if isinstance(d, Dispatch)]
+        self.assertEqual(priorities, [0, 0, 0])
+
+    def test_last_of_step_gets_priority(self) -> None:
+        driver = Driver(RolloutScheduler(IDLE_TIME))
+        driver.feed(engine("e1", 1, slots=3), wanted(4))
+        key = SampleKey(0, 0)
+        decisions: list[RolloutDecision] = []
+        for index in range(3):
+            dispatch = driver.running[SampleKey(0, index)]
+            if index == 2:
+                held = driver.running[SampleKey(0, 3)]
+                decisions = driver.feed(
+                    SampleFailed(key=held.key, attempt=held.attempt, failure=AttemptFailure.BROKEN)
+                )
+                driver.now += 1
+            decisions += driver.feed(SampleFinished(key=dispatch.key, attempt=dispatch.attempt))
+        last = [d for d in decisions if isinstance(d, Dispatch)][-1]
+        self.assertNotEqual(last.key, key)
+        self.assertEqual((last.key.index, last.priority), (3, 2))
+
+    def test_long_sample_moves_to_emptier_engine_with_its_tokens(self) -> None:
+        for policy, moves in ((IDLE_TIME, 1), (BASELINE_POLICY, 0)):
+            driver = Driver(RolloutScheduler(policy))
+            driver.feed(engine("busy", 1, slots=20), wanted(8))
+            driver.now = 10.0
+            for dispatch in list(driver.running.values()):
+                driver.feed(chunk(dispatch, span(1, 0, 100)))
+            driver.feed(engine("busy", 1, slots=20, other_load=8))
+            driver.now = 30.0
+            for dispatch in list(driver.running.values()):
+                driver.feed(chunk(dispatch, span(1, 0, 200)))
+            decisions = driver.feed(engine("empty", 1))
+            cancels = [d for d in decisions if isinstance(d, Cancel)]
+            self.assertEqual([cancel.reason for cancel in cancels], [CancelReason.MOVE] * moves)
+            kept = [d.kept_tokens for d in decisions if isinstance(d, Dispatch)]
+            self.assertEqual(kept, [200] * moves)
+
+    def test_objective_chooses_newer_weights_or_emptier_engine(self) -> None:
+        chosen = []
+        for policy in (IDLE_TIME, STALENESS):
+            driver = Driver(RolloutScheduler(policy))
+            driver.feed(engine("old", 1), engine("new", 2, other_load=2))
+            decisions = driver.feed(wanted(1))
+            chosen += [d.backend_id for d in decisions if isinstance(d, Dispatch)]
+        self.assertEqual(chosen, ["old", "new"])
+
+    def test_no_start_that_would_expire_while_newer_weights_exist(self) -> None:
+        for policy, expected in ((IDLE_TIME, []), (BASELINE_POLICY, ["old"])):
+            driver = Driver(RolloutScheduler(policy))
+            driver.feed(engine("old", 1), engine("new", 2, slots=1, other_load=1))
+            driver.feed(floor(1, next_rise_at=1.0))
+            decisions = driver.feed(wanted(1))
+            self.assertEqual([d.backend_id for d in decisions if isinstance(d, Dispatch)], expected)
+
+    def test_floor_cancels_stale_tokens_and_keeps_accepted_ones(self) -> None:
+        self.assertEqual(accepted_prefix((span(2, 0, 5), span(1, 5, 5)), WeightVersion(2)), 5)
+        driver = Driver(RolloutScheduler(IDLE_TIME))
+        driver.feed(engine("e1", 2), wanted(2))
+        first, second = driver.running.values()
+        driver.feed(chunk(first, span(2, 0, 5), span(1, 5, 5)), chunk(second, span(1, 0, 5)))
+        driver.feed(chunk(first, span(2, 0, 5), span(1, 5, 5), span(2, 10, 5)))
+        decisions = driver.feed(floor(2))
+        reasons = [d.reason for d in decisions if isinstance(d, Cancel)]
+        self.assertEqual(reasons, [CancelReason.STALE_TOKENS] * 2)
+        kept = {d.key.index: d.kept_tokens for d in decisions if isinstance(d, Dispatch)}
+        self.assertEqual(kept, {0: 5, 1: 0})
+
+    def test_engine_that_lies_about_its_version_gets_nothing_outside_the_bound(self) -> None:
+        driver = Driver(RolloutScheduler(IDLE_TIME))
+        driver.feed(floor(2), engine("liar", 2), wanted(1))
+        dispatch = next(iter(driver.running.values()))
+        decisions = driver.feed(chunk(dispatch, span(1, 0, 5)), TimePassed())
+        self.assertEqual([type(decision) for decision in decisions], [Cancel])
+
+    def test_random_events_never_break_the_invariants(self) -> None:
+        for seed in range(30):
+            for policy in (IDLE_TIME, STALENESS, BASELINE_POLICY):
+                with self.subTest(seed=seed):
+                    self.run_random(random.Random(seed), Driver(RolloutScheduler(policy)))
+
+    def run_random(self, generator: random.Random, driver: Driver) -> None:
+        accepted, step, attempts = 0, 0, set[int]()
+        for _ in range(150):
+            driver.now += generator.random()
+            running = list(driver.running.values())
+            choice = generator.random()
+            if choice < 0.2 or not running:
+                name = generator.choice(("e1", "e2", "e3"))
+                event: RolloutEvent = engine(name, accepted + generator.randint(-1, 2))
+            elif choice < 0.3:
+                accepted += 1
+                event = floor(accepted, driver.now + generator.random() * 20)
+            elif choice < 0.4:
+                step += 1
+                event = wanted(8, step)
+            else:
+                dispatch = generator.choice(running)
+                event = self.random_outcome(generator, dispatch)
+            decisions = driver.feed(event)
+            for decision in decisions:
+                if isinstance(decision, Dispatch):
+                    self.assertGreaterEqual(decision.version, accepted)
+                    self.assertNotIn(decision.attempt, attempts)
+                    attempts.add(decision.attempt)
+            for name in ("e1", "e2", "e3"):
+                load = [d for d in driver.running.values() if d.backend_id == name]
+                self.assertLessEqual(len(load), 4)
+
+    def random_outcome(self, generator: random.Random, dispatch: Dispatch) -> RolloutEvent:
+        key, attempt = dispatch.key, dispatch.attempt
+        choice = generator.random()
+        if choice < 0.6:
+            kept = (span(dispatch.version, 0, dispatch.kept_tokens),)
+            return chunk(dispatch, *kept, span(dispatch.version, dispatch.kept_tokens, 9))
+        if choice < 0.8:
+            return SampleFinished(key=key, attempt=attempt)
+        failure = generator.choice(list(AttemptFailure))
+        return SampleFailed(key=key, attempt=attempt, failure=failure)
+
+
+if __name__ == "__main__":
+    unittest.main()
