--- /dev/null
+++ b/drumbay/backends/wire.py
@@ -0,0 +1,217 @@
+"""Bodies of the HTTP protocol between drumbay and its back ends.
+
+The protocol is OpenAI's completions API with server-sent events, extended by the fields
+that name the attempt, the engine's run and the weights of each chunk.
+"""
+
+import msgspec
+
+from drumbay.backends.interface import CacheEvent, FinishReason, GenerationRequest, TokenChunk
+from drumbay.exceptions import Execution
+from drumbay.identifiers import AttemptId, BackendId, BootId, WeightVersion
+
+COMPLETIONS_PATH = "/v1/completions"
+CHAT_COMPLETIONS_PATH = "/v1/chat/completions"
+ORDERS_PATH = "/admin/orders"
+STATUS_PATH = "/admin/status"
+CACHE_EVENTS_PATH = "/admin/cache-events"
+CANCEL_PATH = "/admin/cancel"
+
+REQUEST_ID_HEADER = "X-Request-Id"
+IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
+RETRY_AFTER_HEADER = "Retry-After"
+JSON_TYPE = "application/json"
+EVENT_STREAM_TYPE = "text/event-stream"
+DONE_EVENT = b"[DONE]"
+
+
+class CompletionBody(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Body of ``POST /v1/completions``; the last four fields are drumbay's."""
+
+    model: str
+    prompt: str
+    max_tokens: int = 16
+    stream: bool = False
+    seed: int = 0
+    priority: int = 0
+    resume_tokens: tuple[int, ...] = ()
+    weight_version: WeightVersion | None = None
+    target_tokens: int | None = None
+
+    def request(self, attempt_id: AttemptId) -> GenerationRequest:
+        """Return the generation request of an attempt."""
+        return GenerationRequest(
+            attempt_id=attempt_id,
+            model=self.model,
+            prompt=self.prompt,
+            max_tokens=self.max_tokens,
+            resume_tokens=self.resume_tokens,
+            weight_version=self.weight_version,
+            priority=self.priority,
+            seed=self.seed,
+            target_tokens=self.target_tokens,
+        )
+
+
+def completion_body(request: GenerationRequest) -> CompletionBody:
+    """Return the streamed body that asks an engine for a generation."""
+    return CompletionBody(
+        model=request.model,
+        prompt=request.prompt,
+        max_tokens=request.max_tokens,
+        stream=True,
+        seed=request.seed,
+        priority=request.priority,
+        resume_tokens=request.resume_tokens,
+        weight_version=request.weight_version,
+        target_tokens=request.target_tokens,
+    )
+
+
+class ChatMessage(msgspec.Struct, frozen=True, kw_only=True):
+    """One message of a chat."""
+
+    role: str
+    content: str
+
+
+class ChatCompletionBody(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Body of ``POST /v1/chat/completions``."""
+
+    model: str
+    messages: tuple[ChatMessage, ...]
+    max_tokens: int = 16
+    stream: bool = False
+    seed: int = 0
+    priority: int = 0
+    weight_version: WeightVersion | None = None
+
+    def completion(self) -> CompletionBody:
+        """Return the completion of the messages as one prompt."""
+        lines = [f"{message.role}: {message.content}" for message in self.messages]
+        return CompletionBody(
+            model=self.model,
+            prompt="\n".join([*lines, "assistant:"]),
+            max_tokens=self.max_tokens,
+            stream=self.stream,
+            seed=self.seed,
+            priority=self.priority,
+            weight_version=self.weight_version,
+        )
+
+
+class ChatDelta(msgspec.Struct, frozen=True, kw_only=True):
+    """New text of a streamed chat message."""
+
+    content: str
+
+
+class Choice(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """The one choice of an answer.
+
+    Attributes:
+        text: Text of a completion.
+        delta: New text of a streamed chat message.
+        message: A whole chat message.
+        index: Always 0.
+        finish_reason: Set once the completion has ended.
+    """
+
+    index: int = 0
+    text: str | None = None
+    delta: ChatDelta | None = None
+    message: ChatMessage | None = None
+    finish_reason: FinishReason | None = None
+
+
+class CompletionChunk(msgspec.Struct, frozen=True, kw_only=True):
+    """One server-sent event of a streamed completion; ``id`` is the attempt."""
+
+    id: AttemptId
+    object: str
+    model: str
+    choices: tuple[Choice, ...]
+    boot_id: BootId
+    weight_version: WeightVersion
+    first_index: int
+    token_ids: tuple[int, ...]
+
+    def chunk(self) -> TokenChunk:
+        """Return the typed chunk."""
+        choice = self.choices[0] if self.choices else Choice()
+        return TokenChunk(
+            attempt_id=self.id,
+            boot_id=self.boot_id,
+            weight_version=self.weight_version,
+            first_index=self.first_index,
+            token_ids=self.token_ids,
+            text=choice.text or "",
+            finish_reason=choice.finish_reason,
+        )
+
+
+class Usage(msgspec.Struct, frozen=True, kw_only=True):
+    """Token counts of an answer."""
+
+    prompt_tokens: int
+    completion_tokens: int
+    total_tokens: int
+
+
+class WholeCompletion(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer to a request that is not streamed.
+
+    Attributes:
+        id: The attempt.
+        object: Kind of answer.
+        model: Name of the model.
+        choices: The one choice.
+        usage: Token counts.
+        boot_id: Run of the engine process.
+        weight_versions: Versions that produced the tokens, in order and without repeats.
+        token_ids: All tokens.
+    """
+
+    id: AttemptId
+    object: str
+    model: str
+    choices: tuple[Choice, ...]
+    usage: Usage
+    boot_id: BootId
+    weight_versions: tuple[WeightVersion, ...]
+    token_ids: tuple[int, ...]
+
+
+class ErrorDetail(msgspec.Struct, frozen=True, kw_only=True):
+    """What failed, and whether the request ran."""
+
+    code: str
+    message: str = ""
+    run: Execution | None = None
+
+
+class ErrorBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Body of every error answer."""
+
+    error: ErrorDetail
+
+
+class CancelBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Body of ``POST /admin/cancel``."""
+
+    attempt_id: AttemptId
+
+
+class CacheEventPage(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer of ``GET /admin/cache-events``."""
+
+    events: tuple[CacheEvent, ...]
+
+
+class ServiceStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer of ``GET /admin/status`` of an application or scoring service."""
+
+    backend_id: BackendId
+    boot_id: BootId
+    running: int
+    waiting: int
--- a/drumbay/standins/engine_model.py
+++ b/drumbay/standins/engine_model.py
@@ -7,7 +7,7 @@
 """
 
 import random
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 from contextlib import aclosing
 
 from drumbay.backends.interface import (
@@ -92,6 +92,10 @@
         """Version that truly produces tokens, whatever the engine claims."""
         return self._run.weights.version
 
+    def watch_crashes(self, on_crash: Callable[[], None]) -> None:
+        """Have ``on_crash`` called whenever the process dies."""
+        self._context.on_crash = on_crash
+
     def crash(self) -> None:
         """End the process at once; every stream breaks and nothing is kept."""
         if self._run.ended:
--- a/drumbay/standins/process_context.py
+++ b/drumbay/standins/process_context.py
@@ -1,6 +1,7 @@
 """What the parts of an emulated process share over restarts."""
 
 import random
+from collections.abc import Callable
 
 from drumbay.clock import Clock
 from drumbay.identifiers import BackendId, BootId
@@ -24,6 +25,7 @@
         faults: Switchable faults.
         freeze_gate: Held while the process is frozen.
         tasks: Owner of the background tasks.
+        on_crash: Called when the process dies; a server closes its connections.
     """
 
     def __init__(
@@ -41,6 +43,7 @@
         self.faults = FaultSwitches(supported_faults)
         self.freeze_gate = ProcessGate()
         self.tasks = TaskOwner()
+        self.on_crash: Callable[[], None] | None = None
 
     def freeze(self) -> None:
         """Stop all work; requests are taken from the network but nothing is answered."""
@@ -66,7 +69,9 @@
         return boot_id
 
     def log_crash(self, boot_id: BootId) -> None:
-        """Log the death of a run."""
+        """Log the death of a run and report it."""
         now = self.clock.monotonic()
         record = ProcessCrashed(time_seconds=now, source=self.backend_id, boot_id=boot_id)
         self.log.append(record)
+        if self.on_crash is not None:
+            self.on_crash()
--- a/drumbay/standins/service_model.py
+++ b/drumbay/standins/service_model.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -53,6 +54,21 @@
     overload_retry_seconds: float = 0.5
 
 
+class TruncatedAnswerError(ExchangeBrokenError):
+    """Only a part of the answer arrives.
+
+    Attributes:
+        answer: The whole answer, of which a server sends a part.
+    """
+
+    code = "truncated_answer"
+
+    def __init__(self, answer: ApplicationAnswer) -> None:
+        """Store the whole answer."""
+        super().__init__("the answer was cut off")
+        self.answer = answer
+
+
 class ExecutionContext(msgspec.Struct, frozen=True, kw_only=True):
     """Where and when an operation runs, for its log record."""
 
@@ -143,6 +159,10 @@
         """Requests that queue now."""
         return self._run.slots.waiting
 
+    def watch_crashes(self, on_crash: Callable[[], None]) -> None:
+        """Have ``on_crash`` called whenever the process dies."""
+        self._context.on_crash = on_crash
+
     def crash(self) -> None:
         """End the process at once; every exchange breaks. Effects that happened stay."""
         run = self._run
@@ -256,7 +276,7 @@
         if faults.strikes(FaultKind.LATE_ANSWER):
             await self._context.work(self._parameters.late_answer_seconds)
         if faults.strikes(FaultKind.TRUNCATED_ANSWER):
-            self._settle(run, answer, ExchangeBrokenError("the answer was cut off"))
+            self._settle(run, answer, TruncatedAnswerError(result.answer))
             return
         previous = run.previous_answer
         run.previous_answer = result.answer
