--- a/drumbay/standins/machine_list_model.py
+++ b/drumbay/standins/machine_list_model.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from drumbay.clock import Clock
+from drumbay.standins.simple_process import SimpleProcess
 
 
 class MachineState(StrEnum):
@@ -39,11 +40,12 @@
     machine: Machine
 
 
-class MachineListModel:
+class MachineListModel(SimpleProcess):
     """The list; a change becomes visible after a lag."""
 
     def __init__(self, clock: Clock, lag_seconds: float = 5.0) -> None:
         """Create an empty list."""
+        super().__init__()
         self._clock = clock
         self._lag_seconds = lag_seconds
         self._changes: list[MachineChange] = []
--- a/drumbay/standins/weight_store_model.py
+++ b/drumbay/standins/weight_store_model.py
@@ -5,7 +5,8 @@
 from drumbay.clock import Clock
 from drumbay.exceptions import DrumbayError, UnavailableError
 from drumbay.identifiers import BackendId, WeightVersion
-from drumbay.standins.execution_log import ExecutionLog, VersionPublished, WeightsFetched
+from drumbay.standins.execution_log import VersionPublished, WeightsFetched
+from drumbay.standins.simple_process import SimpleProcess
 
 
 class UnknownVersionError(DrumbayError):
@@ -21,7 +22,7 @@
 
 
 class WeightStoreDownError(UnavailableError):
-    """The store is switched off."""
+    """The store is down."""
 
     code = "weight_store_down"
 
@@ -40,20 +41,14 @@
     part_bytes: int = 100_000_000
 
 
-class WeightStoreModel:
-    """Versions of models, served to readers at a limited rate.
-
-    Attributes:
-        log: What the store truly did.
-        down: Whether the store is switched off.
-    """
+class WeightStoreModel(SimpleProcess):
+    """Versions of models, served to readers at a limited rate; they outlive a crash."""
 
     def __init__(
         self, clock: Clock, name: str, parameters: WeightStoreParameters | None = None
     ) -> None:
         """Create an empty store."""
-        self.log = ExecutionLog()
-        self.down = False
+        super().__init__()
         self._clock = clock
         self._name = name
         self._parameters = parameters or WeightStoreParameters()
@@ -69,7 +64,7 @@
         """Add a version, newer than all others of the model.
 
         Raises:
-            WeightStoreDownError: The store is switched off.
+            WeightStoreDownError: The store is down.
             VersionConflictError: The version is not newer than the newest one.
         """
         self._check_up()
@@ -90,7 +85,7 @@
         """Return the versions of a model, oldest first.
 
         Raises:
-            WeightStoreDownError: The store is switched off.
+            WeightStoreDownError: The store is down.
         """
         self._check_up()
         return tuple(self._versions.get(model, ()))
@@ -99,7 +94,7 @@
         """Check that the store can serve a version.
 
         Raises:
-            WeightStoreDownError: The store is switched off.
+            WeightStoreDownError: The store is down.
             UnknownVersionError: There is no such version.
         """
         self._check_up()
@@ -112,12 +107,13 @@
         start = max(now, self._free_at_seconds)
         self._free_at_seconds = start + part_bytes / self._parameters.bytes_per_second
         await self._clock.sleep(self._free_at_seconds - now)
+        await self._gate.passed()
 
     async def fetch(self, model: str, version: WeightVersion, reader: BackendId) -> None:
         """Return once a reader has the whole weights of a version.
 
         Raises:
-            WeightStoreDownError: The store is or was switched off.
+            WeightStoreDownError: The store is down.
             UnknownVersionError: There is no such version.
         """
         remaining = self._parameters.version_bytes
@@ -142,5 +138,5 @@
         )
 
     def _check_up(self) -> None:
-        if self.down:
-            raise WeightStoreDownError(f"{self._name} is switched off")
+        if self.crashed:
+            raise WeightStoreDownError(f"{self._name} is down")
