Measure how long a configuration change takes at 10 to 410 nodes

Change: run_configuration_bench; any watcher may propose a replica set, because computing the first of all watchers costs every watcher a hash per pair of nodes.

--- /dev/null
+++ b/drumbay/bench/configuration.py
@@ -0,0 +1,234 @@
+"""Time until a configuration change is in force everywhere, and what it costs.
+
+Run with ``python -m drumbay.bench.configuration``. Nodes are simulated on virtual time;
+bytes are those of the encoded messages without TCP, UDP and IP headers.
+"""
+
+import asyncio
+import sys
+import tempfile
+import time
+from collections.abc import Sequence
+from pathlib import Path
+
+import msgspec
+import numpy
+from loguru import logger
+
+from drumbay.bench.configuration_cluster import (
+    ConfigurationCluster,
+    commit_times,
+    find_reversions,
+)
+from drumbay.identifiers import Revision
+from drumbay.resources.schema import Route, RouteKind, Selector
+from drumbay.simulation.host import Location
+from drumbay.simulation.latency import LatencyModel
+from drumbay.simulation.virtual_time import run_simulation
+from drumbay.standins.kv_faults import KeyValueFaults
+
+DEFAULT_NODE_COUNTS = (10, 50, 100, 200, 410)
+ZONES_PER_REGION = 3
+REGIONS = ("lima", "nl-oost")
+DISK_COUNT = 5
+RESOURCE_COUNT = 50
+CHANGE_COUNT = 10
+CHANGE_PERIOD_SECONDS = 3.0
+SETTLE_SECONDS = 30.0
+IDLE_SECONDS = 60.0
+PREPARATION_PAUSE_SECONDS = 0.5
+"""Keeps the preparation below the rate limit of the key-value service."""
+
+LOSS_PROBABILITY = 0.01
+STORE_RATE_PER_SECOND = 50.0
+STORE_BURST = 50
+
+
+class ConfigurationMeasurement(msgspec.Struct, frozen=True, kw_only=True):
+    """Figures of one cluster size.
+
+    Attributes:
+        nodes: Nodes in the cluster.
+        load_seconds: From the start of all nodes at once until the last is ready.
+        load_store_operations: Operations sent to the key-value service meanwhile.
+        in_force_seconds: For each change, from commit until in force on every node.
+        idle_bytes_per_node_per_second: Sent without changes.
+        change_bytes_per_node: Sent for one change beyond the idle rate.
+        idle_store_operations_per_second: Sent without changes, by all nodes.
+        change_store_operations: Sent for one change, the operator's own included.
+        longest_confirmation_age_seconds: Oldest confirmation on any node when idle.
+        reversions: Resources that went back on any node.
+        real_seconds: Processor time of the simulation.
+    """
+
+    nodes: int
+    load_seconds: float
+    load_store_operations: int
+    in_force_seconds: tuple[float, ...]
+    idle_bytes_per_node_per_second: float
+    change_bytes_per_node: float
+    idle_store_operations_per_second: float
+    change_store_operations: float
+    longest_confirmation_age_seconds: float
+    reversions: int
+    real_seconds: float
+
+
+class ConfigurationReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Figures of all sizes, and their growth.
+
+    Attributes:
+        seed: Seed of the runs.
+        measurements: One for each size.
+        seconds_per_doubling: Slope of the longest time in force over log2 of the nodes.
+        idle_bytes_per_node_per_added_node: Slope of the idle bytes over the nodes.
+    """
+
+    seed: int
+    measurements: tuple[ConfigurationMeasurement, ...]
+    seconds_per_doubling: float
+    idle_bytes_per_node_per_added_node: float
+
+
+def _route(index: int, priority: int) -> Route:
+    return Route(
+        name=f"ruta-{index}",
+        route_kind=RouteKind.LIVE,
+        selector=Selector(match_labels={"pool": "modelos", "zone": "miraflores"}),
+        model="modelos",
+        priority=priority,
+    )
+
+
+def _locations() -> tuple[Location, ...]:
+    return tuple(
+        Location(zone=f"{region}-{zone}", region=region)
+        for region in REGIONS
+        for zone in range(ZONES_PER_REGION)
+    )
+
+
+class _Run:
+    """One cluster size."""
+
+    def __init__(self, node_count: int, seed: int, folder: Path) -> None:
+        self._node_count = node_count
+        self._cluster = ConfigurationCluster(
+            seed=seed,
+            locations=_locations(),
+            node_count=node_count,
+            disk_count=min(DISK_COUNT, node_count),
+            folder=folder,
+            latency=LatencyModel(loss_probability=LOSS_PROBABILITY),
+        )
+
+    async def measure(self) -> ConfigurationMeasurement:
+        started = time.process_time()
+        cluster = self._cluster
+        cluster.model.set_faults(
+            KeyValueFaults(
+                rate_limit_per_second=STORE_RATE_PER_SECOND, rate_limit_burst=STORE_BURST
+            )
+        )
+        cluster.start_all()
+        load_seconds = await cluster.wait_loaded(limit_seconds=300.0)
+        load_operations = cluster.operations()
+        for index in range(RESOURCE_COUNT):
+            await self._change(index, 0)
+            await asyncio.sleep(PREPARATION_PAUSE_SECONDS)
+        await asyncio.sleep(SETTLE_SECONDS)
+        idle_bytes, idle_operations, age_seconds = await self._idle()
+        bytes_before = cluster.network.bytes_sent
+        operations_before = cluster.operations()
+        changes_started = cluster.clock.monotonic()
+        in_force = [await self._timed_change(turn) for turn in range(CHANGE_COUNT)]
+        span_seconds = cluster.clock.monotonic() - changes_started
+        change_bytes = cluster.network.bytes_sent - bytes_before - idle_bytes * span_seconds
+        change_operations = cluster.operations() - operations_before
+        return ConfigurationMeasurement(
+            nodes=self._node_count,
+            load_seconds=load_seconds,
+            load_store_operations=load_operations,
+            in_force_seconds=tuple(in_force),
+            idle_bytes_per_node_per_second=idle_bytes / self._node_count,
+            change_bytes_per_node=change_bytes / CHANGE_COUNT / self._node_count,
+            idle_store_operations_per_second=idle_operations,
+            change_store_operations=change_operations / CHANGE_COUNT,
+            longest_confirmation_age_seconds=age_seconds,
+            reversions=len(find_reversions(cluster.observations)),
+            real_seconds=time.process_time() - started,
+        )
+
+    async def _change(self, index: int, priority: int) -> Revision:
+        operators = self._cluster.nodes["node-009"].operators
+        result = await operators.apply(_route(index, priority), None, f"set-{index}-{priority}")
+        if result.committed_revision is None:
+            raise RuntimeError(f"change was not committed: {result.detail}")
+        return result.committed_revision
+
+    async def _timed_change(self, turn: int) -> float:
+        """Change one resource; return the seconds from commit to in force everywhere."""
+        cluster = self._cluster
+        started = cluster.clock.monotonic()
+        first_observation = len(cluster.observations)
+        revision = await self._change(turn, turn + 1)
+        await cluster.wait_in_force(revision, limit_seconds=60.0)
+        spent_seconds = cluster.clock.monotonic() - started
+        await asyncio.sleep(max(0.0, CHANGE_PERIOD_SECONDS - spent_seconds))
+        arrivals: dict[str, float] = {}
+        for observation in cluster.observations[first_observation:]:
+            if observation.revision >= revision:
+                arrivals.setdefault(observation.node, observation.at_seconds)
+        return max(arrivals.values()) - commit_times(cluster.model)[revision]
+
+    async def _idle(self) -> tuple[float, float, float]:
+        """Return bytes/s and store operations/s of all nodes, and the oldest confirmation."""
+        cluster = self._cluster
+        bytes_before = cluster.network.bytes_sent
+        operations_before = cluster.operations()
+        oldest_seconds = 0.0
+        for _ in range(int(IDLE_SECONDS)):
+            await asyncio.sleep(1.0)
+            ages = [node.service.applied.confirmed_age_seconds() for node in cluster.running()]
+            oldest_seconds = max(oldest_seconds, *(age or 0.0 for age in ages))
+        sent_bytes = cluster.network.bytes_sent - bytes_before
+        operations = cluster.operations() - operations_before
+        return sent_bytes / IDLE_SECONDS, operations / IDLE_SECONDS, oldest_seconds
+
+
+def run_configuration_bench(
+    node_counts: Sequence[int] = DEFAULT_NODE_COUNTS, seed: int = 1
+) -> ConfigurationReport:
+    """Measure every size on virtual time and fit the slopes."""
+    measurements = []
+    for node_count in node_counts:
+        with tempfile.TemporaryDirectory(prefix="drumbay-bench-") as folder:
+
+            async def main(
+                count: int = node_count, data: Path = Path(folder)
+            ) -> ConfigurationMeasurement:
+                return await _Run(count, seed, data).measure()
+
+            measurements.append(run_simulation(main))
+    longest = [max(one.in_force_seconds) for one in measurements]
+    idle = [one.idle_bytes_per_node_per_second for one in measurements]
+    return ConfigurationReport(
+        seed=seed,
+        measurements=tuple(measurements),
+        seconds_per_doubling=_slope([float(numpy.log2(n)) for n in node_counts], longest),
+        idle_bytes_per_node_per_added_node=_slope([float(n) for n in node_counts], idle),
+    )
+
+
+def _slope(x: Sequence[float], y: Sequence[float]) -> float:
+    if len(x) < 2:
+        return 0.0
+    return float(numpy.polyfit(x, y, 1)[0])
+
+
+if __name__ == "__main__":
+    logger.remove()
+    sizes = tuple(int(argument) for argument in sys.argv[1:]) or DEFAULT_NODE_COUNTS
+    sys.stdout.buffer.write(
+        msgspec.json.format(msgspec.json.encode(run_configuration_bench(sizes))) + b"\n"
+    )
--- a/drumbay/configuration/service.py
+++ b/drumbay/configuration/service.py
@@ -39,6 +39,7 @@
 
 ROLE_PERIOD_SECONDS = 1.0
 CONFIRM_PERIOD_SECONDS = 5.0
+PROPOSAL_PROBABILITY = 0.25
 
 
 class ConfigurationService:
@@ -102,6 +103,7 @@
         self._absent_since: dict[NodeId, float] = {}
         self._known_members: tuple[PeerView, ...] = ()
         self._known_directory: PeerDirectory | None = None
+        self._chosen_to_watch = False
 
     @property
     def applied(self) -> AppliedConfiguration:
@@ -142,7 +144,9 @@
         members = self._members()
         if self._known_directory is None or members is not self._known_members:
             self._known_members = members
-            self._known_directory = PeerDirectory(self._own_view(members), members)
+            own = self._own_view(members)
+            self._known_directory = PeerDirectory(own, members)
+            self._chosen_to_watch = is_watcher(own, members)
         return self._known_directory
 
     def _own_view(self, members: tuple[PeerView, ...]) -> PeerView:
@@ -255,8 +259,8 @@
             log_event("configuration_store_failed", level="ERROR", detail=str(error))
 
     def _elect(self) -> None:
-        members = self._members()
-        chosen = is_watcher(self._own_view(members), members)
+        self._directory()
+        chosen = self._chosen_to_watch
         if self._watch_task is not None and self._watch_task.done():
             self._watch_task = None
         if chosen and self._watch_task is None:
@@ -273,11 +277,8 @@
             self._watch_task = None
 
     async def _maintain_replica_set(self) -> None:
-        """Propose a new replica set when disks came or went (first watcher only)."""
+        """Propose a new replica set when disks came or went."""
         members = self._members()
-        watchers = [peer.node_id for peer in members if is_watcher(peer, members)]
-        if min(watchers, default=self._node_id) != self._node_id:
-            return
         current = self._applied.state.replica_set
         live = sorted(peer.node_id for peer in members if peer.has_data_folder)
         now = self._clock.monotonic()
@@ -288,7 +289,9 @@
         }
         absent = {node_id: now - since for node_id, since in self._absent_since.items()}
         planned = plan_replica_set(current, live, absent)
-        if planned is None:
+        # NOTE: every watcher may propose, as any of them may be cut off from the service;
+        # chance keeps them apart and compare-and-swap lets one win.
+        if planned is None or self._generator.random() > PROPOSAL_PROBABILITY:
             return
         entry = self._applied.state.entry(REPLICA_SET_KEY)
         expected = NO_REVISION if entry is None else entry.mod_revision
