--- a/drumbay/claims/acceptor.py
+++ b/drumbay/claims/acceptor.py
@@ -148,9 +148,7 @@
         if request.epoch > self.epochs.active_epoch:
             raise WrongEpochError(f"active in {self.epochs.active_epoch}, not {request.epoch}")
         sealed_epoch = max(request.epoch, self.epochs.sealed_epoch)
-        self.epochs = EpochState(
-            active_epoch=self.epochs.active_epoch, sealed_epoch=sealed_epoch
-        )
+        self.epochs = EpochState(active_epoch=self.epochs.active_epoch, sealed_epoch=sealed_epoch)
         return AcceptorDecision(reply=ReplicaSealed(), rows=(_encode(self.epochs),))
 
     def export(self, request: ExportRecords, now: float) -> AcceptorDecision:
--- a/drumbay/standins/batch_slots.py
+++ b/drumbay/standins/batch_slots.py
@@ -14,6 +14,7 @@
     def __init__(self) -> None:
         """Create a ticket that is not granted yet."""
         self.granted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.in_batch = False
         self.left = False
 
 
@@ -49,7 +50,7 @@
         if ticket.left:
             return
         ticket.left = True
-        if ticket.granted.done():
+        if ticket.in_batch:
             self.running -= 1
         else:
             self.waiting -= 1
@@ -64,7 +65,11 @@
                 continue
             self.waiting -= 1
             self.running += 1
-            ticket.granted.set_result(None)
+            ticket.in_batch = True
+            # NOTE: cancelling a task that waits for its place cancels this future; the task
+            # then leaves by itself.
+            if not ticket.granted.done():
+                ticket.granted.set_result(None)
 
 
 class LoadSample(msgspec.Struct, frozen=True, kw_only=True):
