--- a/drumbay/routing/load_view.py
+++ b/drumbay/routing/load_view.py
@@ -5,6 +5,7 @@
 correct the reported load. Time is passed in; nothing here does I/O.
 """
 
+from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -14,6 +15,9 @@
 from drumbay.identifiers import AttemptId, BackendId, BootId, Fence, WeightVersion
 from drumbay.routing.engine_choice import BackendView
 
+MAX_FINISHED_ATTEMPTS = 1024
+"""Ended attempts remembered per back end until a report that knows of them arrives."""
+
 _NO_FENCE = Fence(0)
 
 
@@ -26,6 +30,13 @@
     is_leaving: bool = False
 
 
+class _FinishedAttempt(msgspec.Struct, frozen=True, kw_only=True):
+    """Monotonic times between which one of this node's attempts ran."""
+
+    started_at: float
+    finished_at: float
+
+
 @dataclass
 class _Entry:
     """Mutable state of one back end."""
@@ -42,8 +53,22 @@
     started_at: dict[AttemptId, float] = field(default_factory=dict)
     started_since_report: int = 0
     finished_since_report: int = 0
+    finished: deque[_FinishedAttempt] = field(
+        default_factory=lambda: deque(maxlen=MAX_FINISHED_ATTEMPTS)
+    )
     view: BackendView | None = None
 
+    def correct_from(self, refers_to: float) -> None:
+        """Count anew what a report that refers to a moment cannot know."""
+        while self.finished and self.finished[0].finished_at <= refers_to:
+            self.finished.popleft()
+        self.started_since_report = sum(
+            1 for started_at in self.started_at.values() if started_at > refers_to
+        )
+        self.finished_since_report = sum(
+            1 for attempt in self.finished if attempt.started_at <= refers_to
+        )
+
 
 class LoadView:
     """Back ends assigned to this node, with their load as this node sees it."""
@@ -82,7 +107,7 @@
         entry.started_since_report += 1
         entry.view = None
 
-    def finish_attempt(self, backend_id: BackendId, attempt_id: AttemptId) -> None:
+    def finish_attempt(self, backend_id: BackendId, attempt_id: AttemptId, now: float) -> None:
         """Count an attempt as ended, however it ended; a second call has no effect."""
         entry = self._entries.get(backend_id)
         if entry is None:
@@ -90,6 +115,7 @@
         started_at = entry.started_at.pop(attempt_id, None)
         if started_at is None:
             return
+        entry.finished.append(_FinishedAttempt(started_at=started_at, finished_at=now))
         if entry.reported_at is None or started_at > entry.reported_at:
             entry.started_since_report -= 1
         else:
@@ -123,10 +149,7 @@
         entry.weight_version = status.weight_version
         entry.highest_fence = status.highest_fence
         entry.reported_at = refers_to
-        entry.started_since_report = sum(
-            1 for started_at in entry.started_at.values() if started_at > refers_to
-        )
-        entry.finished_since_report = 0
+        entry.correct_from(refers_to)
         entry.view = None
         return True
 
--- a/tests/test_routing_choice.py
+++ b/tests/test_routing_choice.py
@@ -166,10 +166,18 @@
         self.loads.start_attempt(ENGINE, AttemptId("after"), 3.0)
         self.report(running=10, received_at=4.0, age=2.0)
         self.assertEqual(estimated_load(self.loads.views()[0]), 11)
-        self.loads.finish_attempt(ENGINE, AttemptId("before"))
+        self.loads.finish_attempt(ENGINE, AttemptId("before"), 4.5)
         self.assertEqual(estimated_load(self.loads.views()[0]), 10)
-        self.loads.finish_attempt(ENGINE, AttemptId("after"))
-        self.loads.finish_attempt(ENGINE, AttemptId("after"))
+        self.loads.finish_attempt(ENGINE, AttemptId("after"), 4.6)
+        self.loads.finish_attempt(ENGINE, AttemptId("after"), 4.6)
+        self.assertEqual(estimated_load(self.loads.views()[0]), 9)
+
+    def test_attempt_that_ended_before_the_report_arrived(self) -> None:
+        self.loads.start_attempt(ENGINE, AttemptId("a"), 1.0)
+        self.loads.finish_attempt(ENGINE, AttemptId("a"), 3.0)
+        self.report(running=10, received_at=4.0, age=2.0)
+        self.assertEqual(estimated_load(self.loads.views()[0]), 9)
+        self.report(running=9, received_at=5.0, age=1.0)
         self.assertEqual(estimated_load(self.loads.views()[0]), 9)
 
     def test_older_reports_are_ignored(self) -> None:
