Let back ends cross, cut off and delay answers in fault plans

Also ends of planned stops no longer hide requests that they cut off: the checker took the end of the process for an injected fault. The checker's test shows it red before (a cut-off at the stop's end was accepted).

--- a/drumbay/simulation/checkers/planned_stop.py
+++ b/drumbay/simulation/checkers/planned_stop.py
@@ -41,7 +41,9 @@
     times = [
         disturbed.time_seconds
         for disturbed in history.of(NodeDisturbed)
-        if disturbed.node_id == stop.node_id and disturbed.time_seconds >= stop.time_seconds
+        if disturbed.node_id == stop.node_id
+        and disturbed.time_seconds >= stop.time_seconds
+        and not disturbed.planned
     ]
     return min(times, default=float("inf"))
 
--- a/drumbay/simulation/fault_injector.py
+++ b/drumbay/simulation/fault_injector.py
@@ -11,6 +11,7 @@
     CutPath,
     DegradeNetwork,
     DelayMachineList,
+    DisturbAnswers,
     DisturbKeyValue,
     FailSwaps,
     FaultPlan,
@@ -22,6 +23,7 @@
     LoseDisk,
 )
 from drumbay.simulation.network import Cut
+from drumbay.standins.faults import FaultKind as BackendFaultKind
 
 
 class FaultEnvironment(Protocol):
@@ -79,6 +81,10 @@
         """Let the next weight swaps of an engine fail."""
         ...
 
+    def disturb_answers(self, backend: str, kind: BackendFaultKind, count: int) -> None:
+        """Let the next answers of a back end be crossed, cut off or late."""
+        ...
+
     def set_machine_list_lag(self, lag_seconds: float | None) -> None:
         """Set how late the machine list shows changes; ``None`` for the usual lag."""
         ...
@@ -156,6 +162,8 @@
                 self._environment.fail_swaps(
                     fault.backend, fault.count, acknowledged=fault.acknowledged
                 )
+            case DisturbAnswers():
+                self._environment.disturb_answers(fault.backend, fault.disturbance, fault.count)
             case DegradeNetwork() | DisturbKeyValue() | DelayMachineList():
                 self._apply_conditions(fault)
 
@@ -187,7 +195,7 @@
                     self._environment.restart_backend(fault.backend)
             case DegradeNetwork() | DisturbKeyValue() | DelayMachineList():
                 self._apply_conditions(fault)
-            case CompactKeyValue() | FailSwaps() | JumpClock():
+            case CompactKeyValue() | FailSwaps() | DisturbAnswers() | JumpClock():
                 pass
 
     async def _end_on_host(self, fault: KillHost | LoseDisk | FreezeHost | FillDisk) -> None:
--- a/drumbay/simulation/fault_plan.py
+++ b/drumbay/simulation/fault_plan.py
@@ -12,6 +12,7 @@
     CutPath,
     DegradeNetwork,
     DelayMachineList,
+    DisturbAnswers,
     DisturbKeyValue,
     FailSwaps,
     FaultKind,
@@ -24,6 +25,7 @@
     LoseDisk,
 )
 from drumbay.simulation.network import Cut, Scope
+from drumbay.standins.faults import FaultKind as BackendFaultKind
 
 TOGETHER_PROBABILITY = 0.3
 """Share of arrivals at which several faults begin at nearly the same time."""
@@ -106,6 +108,7 @@
             FaultKind.ENGINE_CRASH: self._draw_engine_crash,
             FaultKind.SWAP_FAILURE: self._draw_swap_failure,
             FaultKind.APPLICATION_CRASH: self._draw_application_crash,
+            FaultKind.ANSWERS: self._draw_answers,
             FaultKind.MACHINE_LIST_LAG: self._draw_machine_list_lag,
             FaultKind.CLOCK: self._draw_clock,
             FaultKind.DISK: self._draw_disk,
@@ -123,6 +126,7 @@
             FaultKind.ENGINE_CRASH: targets.engines,
             FaultKind.SWAP_FAILURE: targets.engines,
             FaultKind.APPLICATION_CRASH: targets.applications,
+            FaultKind.ANSWERS: targets.engines + targets.applications,
         }
         return tuple(kind for kind in self._schedule.kinds if needs.get(kind, ("always",)))
 
@@ -204,6 +208,20 @@
             acknowledged=self._random.random() < 0.7,
         )
 
+    def _draw_answers(self, at: float) -> AnyFault:
+        kinds = (
+            BackendFaultKind.CROSSED_ANSWER,
+            BackendFaultKind.TRUNCATED_ANSWER,
+            BackendFaultKind.LATE_ANSWER,
+        )
+        backends = self._targets.engines + self._targets.applications
+        return DisturbAnswers(
+            at_seconds=at,
+            backend=self._random.choice(backends),
+            disturbance=self._random.choice(kinds),
+            count=self._random.randint(1, 5),
+        )
+
     def _draw_machine_list_lag(self, at: float) -> AnyFault:
         duration = self._random.uniform(10.0, 60.0)
         lag = self._random.uniform(5.0, 30.0)
--- a/drumbay/simulation/faults.py
+++ b/drumbay/simulation/faults.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from drumbay.simulation.network import Cut
+from drumbay.standins.faults import FaultKind as BackendFaultKind
 
 
 class FaultKind(StrEnum):
@@ -19,6 +20,7 @@
     ENGINE_CRASH = "engine_crash"
     SWAP_FAILURE = "swap_failure"
     APPLICATION_CRASH = "application_crash"
+    ANSWERS = "answers"
     MACHINE_LIST_LAG = "machine_list_lag"
     CLOCK = "clock"
     DISK = "disk"
@@ -99,6 +101,14 @@
     acknowledged: bool
 
 
+class DisturbAnswers(Fault, frozen=True, kw_only=True):
+    """The next answers of a back end are crossed, cut off or late."""
+
+    backend: str
+    disturbance: BackendFaultKind
+    count: int
+
+
 class DelayMachineList(Fault, frozen=True, kw_only=True):
     """The list of machines shows changes later than usual."""
 
@@ -133,6 +143,7 @@
     | CompactKeyValue
     | CrashBackend
     | FailSwaps
+    | DisturbAnswers
     | DelayMachineList
     | JumpClock
     | FillDisk
--- a/drumbay/simulation/history.py
+++ b/drumbay/simulation/history.py
@@ -188,9 +188,10 @@
 
 
 class NodeDisturbed(HistoryEvent, frozen=True, kw_only=True):
-    """From now on a node is down, frozen or cut off."""
+    """From now on a node is down, frozen or cut off; ``planned`` if it ended as asked."""
 
     node_id: NodeId
+    planned: bool = False
 
 
 class NodeRestored(HistoryEvent, frozen=True, kw_only=True):
--- a/drumbay/simulation/latency.py
+++ b/drumbay/simulation/latency.py
@@ -47,3 +47,22 @@
         if random.random() < self.reorder_probability:
             delay += random.uniform(0.0, self.reorder_delay_seconds)
         return delay
+
+    def degraded(
+        self,
+        *,
+        delay_factor: float,
+        loss_probability: float,
+        duplicate_probability: float,
+        reorder_probability: float,
+    ) -> "LatencyModel":
+        """Return this model with longer delays and worse chances."""
+        return msgspec.structs.replace(
+            self,
+            same_zone_seconds=self.same_zone_seconds * delay_factor,
+            same_region_seconds=self.same_region_seconds * delay_factor,
+            between_regions_seconds=self.between_regions_seconds * delay_factor,
+            loss_probability=max(self.loss_probability, loss_probability),
+            duplicate_probability=max(self.duplicate_probability, duplicate_probability),
+            reorder_probability=max(self.reorder_probability, reorder_probability),
+        )
--- /dev/null
+++ b/drumbay/simulation/load.py
@@ -0,0 +1,49 @@
+"""When callers act: Poisson arrivals with bursts."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from drumbay.simulation.scenario import LoadSection
+
+
+class BurstClock:
+    """Tells whether a burst is on; bursts come at random times."""
+
+    def __init__(self, random: Random, load: LoadSection) -> None:
+        """Draw the first burst."""
+        self._random = random
+        self._load = load
+        self._starts_at = self._draw_gap()
+
+    def factor(self, now: float) -> float:
+        """Return the factor on the usual rates at a time; times must not decrease."""
+        while now >= self._starts_at + self._load.burst_seconds:
+            self._starts_at += self._load.burst_seconds + self._draw_gap()
+        return self._load.burst_factor if now >= self._starts_at else 1.0
+
+    def _draw_gap(self) -> float:
+        return self._random.expovariate(1.0 / self._load.burst_interval_seconds)
+
+
+async def generate_arrivals(
+    random: Random,
+    rate_per_second: float,
+    bursts: BurstClock,
+    until_seconds: float,
+    act: Callable[[int], Awaitable[None]],
+) -> None:
+    """Start ``act(number)`` at random times and return when all have ended."""
+    if rate_per_second <= 0:
+        return
+    loop = asyncio.get_running_loop()
+    tasks = []
+    number = 0
+    while True:
+        rate = rate_per_second * bursts.factor(loop.time())
+        await asyncio.sleep(random.expovariate(rate))
+        if loop.time() >= until_seconds:
+            break
+        tasks.append(asyncio.ensure_future(act(number)))
+        number += 1
+    await asyncio.gather(*tasks)
--- /dev/null
+++ b/drumbay/simulation/outside_clock.py
@@ -0,0 +1,37 @@
+"""The clock of everything that is no simulated process: platform, back ends and callers."""
+
+import asyncio
+from collections.abc import Awaitable
+from typing import TypeVar
+
+from drumbay.exceptions import DeadlineExceededError
+from drumbay.simulation.host import SIMULATION_EPOCH_SECONDS
+
+ResultT = TypeVar("ResultT")
+
+
+class OutsideClock:
+    """Virtual time without skew, freezes and kills; implements :class:`drumbay.clock.Clock`."""
+
+    def monotonic(self) -> float:
+        """Return virtual time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    def wall(self) -> float:
+        """Return the true wall clock in seconds since the Unix epoch."""
+        return SIMULATION_EPOCH_SECONDS + self.monotonic()
+
+    async def sleep(self, seconds: float) -> None:
+        """Suspend the calling task for ``seconds``."""
+        await asyncio.sleep(seconds)
+
+    async def wait_for(self, awaitable: Awaitable[ResultT], timeout_seconds: float) -> ResultT:
+        """Await with a time limit.
+
+        Raises:
+            DeadlineExceededError: The limit passed first.
+        """
+        try:
+            return await asyncio.wait_for(awaitable, timeout_seconds)
+        except TimeoutError as error:
+            raise DeadlineExceededError(f"no result within {timeout_seconds:.3f} s") from error
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -240,6 +240,8 @@
         self.assert_good(request, stop, returned(2, request, RequestOutcome.NOT_RUN))
         self.assert_good(request, stop, kill, cut_off)
         self.assert_bad(Promise.PLANNED_STOP, request, stop, cut_off)
+        ended = NodeDisturbed(time_seconds=1.5, node_id=NODE, planned=True)
+        self.assert_bad(Promise.PLANNED_STOP, request, stop, ended, cut_off)
 
     def test_planned_stop_of_a_backend(self) -> None:
         run = started(1)
--- a/tests/test_simulation_faults.py
+++ b/tests/test_simulation_faults.py
@@ -22,6 +22,7 @@
 from drumbay.simulation.network import Cut
 from drumbay.simulation.scenario import ScenarioError, find_scenario, shipped_scenarios
 from drumbay.simulation.virtual_time import run_simulation
+from drumbay.standins.faults import FaultKind as BackendFaultKind
 
 TARGETS = FaultTargets(
     hosts=("n1", "n2", "n3"),
@@ -78,6 +79,9 @@
     def fail_swaps(self, backend: str, count: int, *, acknowledged: bool) -> None:
         self.note(f"fail swaps {backend}")
 
+    def disturb_answers(self, backend: str, kind: BackendFaultKind, count: int) -> None:
+        self.note(f"{kind} {backend}")
+
     def set_machine_list_lag(self, lag_seconds: float | None) -> None:
         self.note(f"lag {lag_seconds}")
 
