Let time move on for waits below the clock resolution in simulations

Cause: a process that waits for 'deadline minus now' can wake a rounding error early; the next wait is shorter than the loop's clock resolution (1 us), so the loop runs it without moving time, and the process wakes for ever at the same instant. Seen as a simulation of lease expiry that used a whole core for over three minutes (stack: HostClock.wait_for). Ruled out: a coarser clock resolution (it had let processes exchange messages for ever). Change: a positive wait of a simulated process lasts at least 2 us. Conclusion: waits always advance virtual time.

--- a/drumbay/simulation/process.py
+++ b/drumbay/simulation/process.py
@@ -14,6 +14,9 @@
 
 ResultT = TypeVar("ResultT")
 
+SHORTEST_WAIT_SECONDS = 2e-6
+"""Above the clock resolution of the simulation loop."""
+
 _current_process: ContextVar["SimulatedProcess | None"] = ContextVar(
     "current_process", default=None
 )
@@ -97,9 +100,15 @@
         callback()
 
     def schedule(self, seconds: float, callback: Callable[[], None]) -> asyncio.TimerHandle:
-        """Deliver ``callback`` after ``seconds``."""
+        """Deliver ``callback`` after ``seconds``, rounded up to the shortest wait.
+
+        NOTE: the loop runs timers that are due within its clock resolution without moving
+        time. A process that waits for "deadline minus now" and is woken a rounding error
+        early would then wait again and again for ever while time stands still.
+        """
         loop = asyncio.get_running_loop()
-        return loop.call_later(max(0.0, seconds), self.deliver, callback)
+        delay_seconds = max(seconds, SHORTEST_WAIT_SECONDS) if seconds > 0 else 0.0
+        return loop.call_later(delay_seconds, self.deliver, callback)
 
     def require_alive(self) -> None:
         """End clean-up code of a killed process at its first use of the outside.
