--- a/tests/claims_world.py
+++ b/tests/claims_world.py
@@ -1,6 +1,7 @@
 """A simulated cluster of claim replicas and dispatchers, and the checker of its history."""
 
 import asyncio
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from random import Random
 
@@ -16,12 +17,20 @@
 from drumbay.claims.records import StoredAnswer
 from drumbay.claims.replacement import ReplacementPolicy
 from drumbay.claims.replica import ClaimReplica
-from drumbay.claims.replica_set import ReplicaSet
+from drumbay.claims.replica_set import (
+    REPLICA_SET_KEY,
+    ReplicaMember,
+    ReplicaSet,
+    begin_change,
+    decode_replica_set,
+    encode_replica_set,
+)
 from drumbay.claims.replica_set_watcher import ReplicaSetWatcher
 from drumbay.claims.service import ClaimPolicy, ClaimService, Dispatch
 from drumbay.comm.interface import Address
 from drumbay.exceptions import Execution
 from drumbay.identifiers import AttemptId, IdempotencyKey, NodeId
+from drumbay.kv.interface import Put
 from drumbay.kv.memory import MemoryKeyValueStore
 from drumbay.simulation.gated_clients import GatedKeyValueStore
 from drumbay.simulation.host import Location, SimulatedHost
@@ -201,6 +210,25 @@
         known = [self.nodes[name].watcher.replica_set() for name in self.nodes]
         return max((each for each in known if each), key=lambda each: each.epoch, default=None)
 
+    def members(self, names: Sequence[str]) -> tuple[ReplicaMember, ...]:
+        """Return the stores of running disk nodes as members."""
+        return tuple(
+            ReplicaMember(
+                node_id=NodeId(name),
+                store_id=self.nodes[name].replica.acceptor.store_id,
+                address=self.hosts[name].address,
+                zone=self.hosts[name].location.zone,
+            )
+            for name in names
+        )
+
+    def order_change(self, current: ReplicaSet, target: tuple[ReplicaMember, ...]) -> None:
+        """Start a change of members unless the record has changed meanwhile."""
+        (item,) = self.kv.range_prefix(REPLICA_SET_KEY).items
+        if decode_replica_set(item.value) == current:
+            value = encode_replica_set(begin_change(current, target))
+            self.kv.transact((), (Put(key=REPLICA_SET_KEY, value=value),))
+
     async def start_all(self) -> None:
         """Start every node and wait for the first epoch, or a minute."""
         for name in self.hosts:
--- a/tests/test_claims_scenarios.py
+++ b/tests/test_claims_scenarios.py
@@ -15,17 +15,10 @@
 from drumbay.claims.record_table import TableLimits
 from drumbay.claims.records import Claim
 from drumbay.claims.replica import ClaimReplica
-from drumbay.claims.replica_set import (
-    REPLICA_SET_KEY,
-    ReplicaMember,
-    ReplicaSet,
-    begin_change,
-    encode_replica_set,
-)
+from drumbay.claims.replica_set import ReplicaMember, ReplicaSet
 from drumbay.claims.service import ClaimPolicy, ClaimService
 from drumbay.comm.interface import Message
-from drumbay.identifiers import Epoch, NodeId
-from drumbay.kv.interface import Put
+from drumbay.identifiers import Epoch
 from drumbay.simulation.latency import LatencyModel
 from drumbay.simulation.virtual_time import run_simulation
 from tests.claims_world import Classes, Settings, World
@@ -129,17 +122,7 @@
     """Order a change to these nodes and wait until it is complete."""
     current = world.replica_set()
     assert current is not None
-    target = tuple(
-        ReplicaMember(
-            node_id=NodeId(name),
-            store_id=world.nodes[name].replica.acceptor.store_id,
-            address=world.hosts[name].address,
-            zone=world.hosts[name].location.zone,
-        )
-        for name in names
-    )
-    value = encode_replica_set(begin_change(current, target))
-    world.kv.transact((), (Put(key=REPLICA_SET_KEY, value=value),))
+    world.order_change(current, world.members(names))
     while (newest := world.replica_set()) is None or newest.epoch == current.epoch:
         await world.clock.sleep(0.1)
 
