Add the weight rollout: pure planner, fenced orders, operators' rollback

Cause: new weights must reach every engine within the capacity floor, never go back except by an operator's rollback, and survive the death or pause of their owner. Change: a planner whose target follows from published versions and the configuration alone; orders carry the lease's fence and a growing number below it; a new owner plans from the engines' reports. WeightRollback is a new kind of resource.

--- /dev/null
+++ b/drumbay/bench/weights_cluster.py
@@ -0,0 +1,241 @@
+"""Emulated engines, a weight store and rollout services on one virtual clock."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from drumbay.backends.interface import BackendAddress, EngineClient, EngineStatus, FencedOrder
+from drumbay.backends.memory import BackendNetwork, MemoryEngineClient
+from drumbay.clock import Clock
+from drumbay.comm.interface import Address
+from drumbay.configuration.view import ConfigurationView
+from drumbay.explain.records import DecisionRecord
+from drumbay.identifiers import BackendId, Fence, NodeId, StreamName, WeightVersion
+from drumbay.resources.schema import Selector, WeightPolicy, WeightRollback
+from drumbay.simulation.gated_clients import GatedEngineClient
+from drumbay.simulation.host import Location, SimulatedHost
+from drumbay.standins.engine_model import EngineModel
+from drumbay.standins.engine_parameters import EngineParameters
+from drumbay.standins.execution_log import OrderHandled, OrderOutcome
+from drumbay.standins.weight_store_model import WeightStoreModel, WeightStoreParameters
+from drumbay.tasks import TaskOwner
+from drumbay.weights.events import VersionNeed
+from drumbay.weights.service import WeightRolloutService
+
+MODEL = "modelos"
+FIRST_VERSION = WeightVersion(1)
+
+
+class Load(msgspec.Struct, frozen=True, kw_only=True):
+    """One order as the engine received it."""
+
+    engine: BackendId
+    fence: Fence
+    version: WeightVersion | None
+    started_at: float
+
+
+class ObservedEngine(EngineModel):
+    """An engine that notes when it receives an order."""
+
+    loads: list[Load]
+
+    async def order(self, order: FencedOrder) -> EngineStatus:
+        """Note an order and carry it out."""
+        clock = self._context.clock
+        load = Load(
+            engine=self.backend_id,
+            fence=order.fence,
+            version=order.weight_version,
+            started_at=clock.monotonic(),
+        )
+        self.loads.append(load)
+        return await super().order(order)
+
+
+class RolloutNode:
+    """A simulated machine with a rollout service.
+
+    Attributes:
+        host: The machine.
+        lease_fence: Fence that the node believes to hold; ``None`` if it is not the owner.
+        records: Decisions the node explained.
+        service: The service.
+    """
+
+    def __init__(
+        self,
+        cluster: "RolloutCluster",
+        name: str,
+        service_type: type[WeightRolloutService],
+        client: EngineClient,
+    ) -> None:
+        """Start the machine and its service."""
+        self.host = SimulatedHost(name, Address(name, 1), Location(zone="z", region="r"))
+        process = self.host.start()
+        self.lease_fence: Fence | None = None
+        self.records: list[DecisionRecord] = []
+        self.service = service_type(
+            clock=self.host.clock(),
+            engine_client=GatedEngineClient(process, client),
+            node_id=NodeId(name),
+            view=lambda: cluster.view,
+            engines_of=lambda _policy: cluster.addresses,
+            lease_fence=lambda _model: self.lease_fence,
+            needs=lambda _model: cluster.needs,
+            record=self.records.append,
+            task_owner=TaskOwner(),
+            max_concurrent_loads=cluster.max_concurrent_loads,
+        )
+        process.run(self.service.start)
+
+
+class RolloutCluster:
+    """Engines of one model with their weight store.
+
+    Attributes:
+        clock: Time of the platform.
+        store: The weight store.
+        engines: The engines.
+        addresses: Where the engines are reached.
+        network: Network between nodes and engines.
+        view: The configuration in force on every node.
+        needs: Versions that running samples need.
+        loads: Orders as the engines saw them.
+    """
+
+    def __init__(
+        self,
+        *,
+        engine_count: int,
+        min_serving_share: float = 0.5,
+        max_concurrent_loads: int = 64,
+        engine_parameters: EngineParameters | None = None,
+        store_parameters: WeightStoreParameters | None = None,
+    ) -> None:
+        """Create the engines with the first version loaded."""
+        platform = SimulatedHost("platform", Address("platform", 1), Location(zone="z", region="r"))
+        platform.start()
+        self.clock: Clock = platform.clock()
+        self.max_concurrent_loads = max_concurrent_loads
+        self.store = WeightStoreModel(self.clock, "weights", store_parameters)
+        self.store.publish(MODEL, FIRST_VERSION)
+        self.loads: list[Load] = []
+        self.engines = [
+            self._engine(index, engine_parameters or EngineParameters())
+            for index in range(engine_count)
+        ]
+        self.addresses = tuple(
+            BackendAddress(engine.backend_id, f"http://{engine.backend_id}")
+            for engine in self.engines
+        )
+        self.network = BackendNetwork(self.clock)
+        by_url = {f"http://{engine.backend_id}": engine for engine in self.engines}
+        self.client = MemoryEngineClient(self.clock, by_url, self.network)
+        self.needs: tuple[VersionNeed, ...] = ()
+        policy = WeightPolicy(
+            name=MODEL,
+            model=MODEL,
+            stream=StreamName(MODEL),
+            selector=Selector(),
+            min_serving_share=min_serving_share,
+        )
+        self.view = ConfigurationView(policies={MODEL: policy})
+
+    def _engine(self, index: int, parameters: EngineParameters) -> ObservedEngine:
+        engine = ObservedEngine(
+            self.clock,
+            BackendId(f"engine-{index:03d}"),
+            MODEL,
+            FIRST_VERSION,
+            random.Random(index),
+            parameters,
+            self.store,
+        )
+        engine.loads = self.loads
+        return engine
+
+    def add_node(
+        self,
+        name: str,
+        service_type: type[WeightRolloutService] = WeightRolloutService,
+        client: EngineClient | None = None,
+    ) -> RolloutNode:
+        """Start a node that owns nothing yet."""
+        return RolloutNode(self, name, service_type, client or self.client)
+
+    def publish(self, version: int, *nodes: RolloutNode) -> None:
+        """Publish a version and tell nodes."""
+        self.store.publish(MODEL, WeightVersion(version))
+        for node in nodes:
+            node.service.publish(MODEL, WeightVersion(version))
+
+    def roll_back(self, keep: int, withdrawn_through: int) -> None:
+        """Put an operator's rollback in force."""
+        rollback = WeightRollback(
+            name=f"keep-{keep}", model=MODEL, keep=keep, withdrawn_through=withdrawn_through
+        )
+        self.view = msgspec.structs.replace(
+            self.view, rollbacks={**self.view.rollbacks, rollback.name: rollback}
+        )
+
+    def true_versions(self) -> list[int]:
+        """Return the version that truly serves on each engine."""
+        return [int(engine.true_version) for engine in self.engines]
+
+    async def wait_until(self, condition: Callable[[], bool], limit_seconds: float) -> float:
+        """Wait for a condition, checked every 50 ms; return the seconds it took.
+
+        Raises:
+            TimeoutError: It did not come true in time.
+        """
+        start = self.clock.monotonic()
+        while not condition():
+            if self.clock.monotonic() - start > limit_seconds:
+                raise TimeoutError(f"not true within {limit_seconds} s")
+            await asyncio.sleep(0.05)
+        return self.clock.monotonic() - start
+
+    async def wait_for_version(self, version: int, limit_seconds: float = 120.0) -> float:
+        """Wait until every engine truly serves a version; return the seconds."""
+        return await self.wait_until(
+            lambda: all(one == version for one in self.true_versions()), limit_seconds
+        )
+
+    def most_busy(self) -> int:
+        """Return the largest number of engines that worked on orders at once."""
+        # NOTE: an engine goes on with an order whose giver died; its own log has the end.
+        ends = {
+            (engine.backend_id, entry.fence): entry.time_seconds
+            for engine in self.engines
+            for entry in engine.log.records()
+            if isinstance(entry, OrderHandled)
+        }
+        changes: list[tuple[float, int, BackendId]] = []
+        for load in self.loads:
+            changes.append((load.started_at, 1, load.engine))
+            ended_at = ends.get((load.engine, load.fence))
+            if ended_at is not None:
+                changes.append((ended_at, -1, load.engine))
+        changes.sort(key=lambda change: (change[0], change[1]))
+        open_loads: dict[BackendId, int] = {}
+        most = 0
+        for _at, step, engine in changes:
+            open_loads[engine] = open_loads.get(engine, 0) + step
+            most = max(most, sum(1 for count in open_loads.values() if count > 0))
+        return most
+
+    def steps_back(self) -> list[OrderHandled]:
+        """Return the loads, by the engines' own logs, after which an engine served less."""
+        back: list[OrderHandled] = []
+        for engine in self.engines:
+            newest = FIRST_VERSION
+            for entry in engine.log.records():
+                if not isinstance(entry, OrderHandled) or entry.outcome is not OrderOutcome.DONE:
+                    continue
+                if entry.weight_version is not None and entry.weight_version < newest:
+                    back.append(entry)
+                newest = entry.weight_version or newest
+        return back
--- a/drumbay/configuration/view.py
+++ b/drumbay/configuration/view.py
@@ -19,6 +19,7 @@
     Drain,
     Route,
     WeightPolicy,
+    WeightRollback,
 )
 
 
@@ -35,6 +36,7 @@
     groups: dict[str, BackendGroup] = {}
     routes: dict[str, Route] = {}
     policies: dict[str, WeightPolicy] = {}
+    rollbacks: dict[str, WeightRollback] = {}
     drains: dict[str, Drain] = {}
     tokens: dict[str, AccessToken] = {}
     resource_revisions: dict[str, Revision] = {}
@@ -98,6 +100,8 @@
             view.routes[resource.name] = resource
         case WeightPolicy():
             view.policies[resource.name] = resource
+        case WeightRollback():
+            view.rollbacks[resource.name] = resource
         case Drain():
             view.drains[resource.name] = resource
         case AccessToken():
--- a/drumbay/resources/schema.py
+++ b/drumbay/resources/schema.py
@@ -148,6 +148,21 @@
     samples_per_step: PositiveInteger = 64
 
 
+class WeightRollback(Resource, frozen=True, kw_only=True, tag_field="kind"):
+    """An operator's rollback: versions of a model that must not be served any more.
+
+    Attributes:
+        model: Name of the model.
+        keep: Newest version that stays allowed; the engines go back to it.
+        withdrawn_through: Versions above ``keep`` up to this one are withdrawn. A version
+            published later is above it and is rolled out as usual.
+    """
+
+    model: str
+    keep: NonNegativeInteger
+    withdrawn_through: NonNegativeInteger
+
+
 class Drain(Resource, frozen=True, kw_only=True, tag_field="kind"):
     """An operator's order: the selected back ends get no new work."""
 
@@ -170,4 +185,4 @@
     sha256: Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
 
 
-AnyResource = BackendGroup | Route | WeightPolicy | Drain | AccessToken
+AnyResource = BackendGroup | Route | WeightPolicy | WeightRollback | Drain | AccessToken
--- /dev/null
+++ b/drumbay/weights/service.py
@@ -0,0 +1,263 @@
+"""Rollout of weights by the nodes that own it, one model at a time."""
+
+import asyncio
+from collections.abc import Callable
+from typing import ClassVar
+
+from drumbay.backends.interface import (
+    BackendAddress,
+    BackendError,
+    BackendNotReachedError,
+    BackendRefusedError,
+    EngineClient,
+    FencedOrder,
+    OrderKind,
+    StaleFenceError,
+)
+from drumbay.clock import Clock
+from drumbay.configuration.view import ConfigurationView
+from drumbay.explain.records import DecisionRecord, SubjectKind
+from drumbay.identifiers import BackendId, BootId, Fence, NodeId, WeightVersion
+from drumbay.observability.logs import log_event
+from drumbay.resources.schema import WeightPolicy
+from drumbay.tasks import TaskOwner
+from drumbay.weights.events import (
+    EnginesChanged,
+    LoadEngine,
+    NeedsChanged,
+    OrderFailed,
+    OrderSucceeded,
+    OwnershipChanged,
+    PolicyChanged,
+    RolloutDecision,
+    RolloutDone,
+    RolloutEvent,
+    RolloutPolicy,
+    RolloutStarted,
+    SetAside,
+    StampObserved,
+    StatusMissed,
+    StatusReported,
+    Tick,
+    VersionNeed,
+    VersionPublished,
+    Withdrawal,
+)
+from drumbay.weights.planner import RolloutPlanner
+
+TICK_SECONDS = 0.5
+STATUS_PERIOD_SECONDS = 5.0
+STATUS_TIMEOUT_SECONDS = 2.0
+CONCURRENT_STATUS_CALLS = 64
+ORDER_TIMEOUT_SECONDS = 90.0
+DEFAULT_CONCURRENT_LOADS = 64
+
+
+def withdrawals_of(view: ConfigurationView, model: str) -> tuple[Withdrawal, ...]:
+    """Return the operators' rollbacks of a model."""
+    return tuple(
+        Withdrawal(
+            keep=WeightVersion(rollback.keep),
+            through=WeightVersion(rollback.withdrawn_through),
+        )
+        for _name, rollback in sorted(view.rollbacks.items())
+        if rollback.model == model
+    )
+
+
+class WeightRolloutService:
+    """Rolls out weights on this node's own rollouts.
+
+    Every node runs one. Only the owner of a model's rollout gives orders: the node for
+    which ``lease_fence`` returns a fence. Start with :meth:`start`; it ends with the task
+    owner.
+
+    Attributes:
+        planner_type: Class of the planners.
+    """
+
+    planner_type: ClassVar[type[RolloutPlanner]] = RolloutPlanner
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        engine_client: EngineClient,
+        node_id: NodeId,
+        view: Callable[[], ConfigurationView],
+        engines_of: Callable[[WeightPolicy], tuple[BackendAddress, ...]],
+        lease_fence: Callable[[str], Fence | None],
+        needs: Callable[[str], tuple[VersionNeed, ...]],
+        record: Callable[[DecisionRecord], None],
+        task_owner: TaskOwner,
+        max_concurrent_loads: int = DEFAULT_CONCURRENT_LOADS,
+    ) -> None:
+        """Create the service.
+
+        Args:
+            clock: Time.
+            engine_client: Operations on engines.
+            node_id: This node, for the decision records.
+            view: The configuration in force.
+            engines_of: Returns the engines that a policy selects.
+            lease_fence: Returns the fence of the lease on a model's rollout while this
+                node owns it, else ``None``.
+            needs: Returns the versions of a model that running samples need.
+            record: Takes each decision.
+            task_owner: Owner of the background tasks.
+            max_concurrent_loads: Most engines that read from the weight store at once.
+        """
+        self._clock = clock
+        self._engine_client = engine_client
+        self._node_id = node_id
+        self._view = view
+        self._engines_of = engines_of
+        self._lease_fence = lease_fence
+        self._needs = needs
+        self._record = record
+        self._task_owner = task_owner
+        self._max_concurrent_loads = max_concurrent_loads
+        self._planners: dict[str, RolloutPlanner] = {}
+        self._published: dict[str, list[WeightVersion]] = {}
+        self._addresses: dict[BackendId, BackendAddress] = {}
+        self._next_status_at: dict[BackendId, float] = {}
+        self._owned: dict[str, bool] = {}
+        self._status_calls = asyncio.Semaphore(CONCURRENT_STATUS_CALLS)
+
+    def start(self) -> None:
+        """Start the background task."""
+        self._task_owner.spawn(self._run(), "weight rollout")
+
+    def publish(self, model: str, version: WeightVersion) -> None:
+        """Take in that the trainer published a version; call it on every node."""
+        versions = self._published.setdefault(model, [])
+        if version not in versions:
+            versions.append(version)
+        self._handle(model, VersionPublished(version=version))
+
+    def observe_stamp(
+        self, model: str, engine: BackendId, boot_id: BootId, version: WeightVersion
+    ) -> None:
+        """Take in the version that a chunk of tokens names."""
+        self._handle(model, StampObserved(engine=engine, boot_id=boot_id, version=version))
+
+    def target(self, model: str) -> WeightVersion | None:
+        """Return the version this node rolls out, if it owns the model's rollout."""
+        planner = self._planners.get(model)
+        return planner.target if planner is not None else None
+
+    def busy_engines(self, model: str) -> tuple[BackendId, ...]:
+        """Return the engines that are loading by this node's orders."""
+        planner = self._planners.get(model)
+        return planner.busy_engines() if planner is not None else ()
+
+    async def _run(self) -> None:
+        while True:
+            view = self._view()
+            for _name, policy in sorted(view.policies.items()):
+                self._refresh(policy, view)
+            await self._clock.sleep(TICK_SECONDS)
+
+    def _refresh(self, policy: WeightPolicy, view: ConfigurationView) -> None:
+        model = policy.model
+        if model not in self._planners:
+            self._planners[model] = self.planner_type(self._limits(policy))
+            for version in self._published.get(model, []):
+                self._handle(model, VersionPublished(version=version))
+        fence = self._lease_fence(model)
+        engines = self._engines_of(policy)
+        for engine in engines:
+            self._addresses[engine.backend_id] = engine
+        changed = PolicyChanged(
+            policy=self._limits(policy), withdrawals=withdrawals_of(view, model)
+        )
+        # NOTE: ownership is told last, so that the first plan knows everything else.
+        self._handle(model, changed)
+        self._handle(model, EnginesChanged(engines=tuple(one.backend_id for one in engines)))
+        self._handle(model, NeedsChanged(needs=self._needs(model)))
+        self._handle(model, OwnershipChanged(lease_fence=fence))
+        self._handle(model, Tick())
+        if fence is not None:
+            self._poll(model, engines, renew=not self._owned.get(model, False))
+        self._owned[model] = fence is not None
+
+    def _limits(self, policy: WeightPolicy) -> RolloutPolicy:
+        return RolloutPolicy(
+            min_serving_share=policy.min_serving_share,
+            max_staleness_versions=policy.max_staleness_versions,
+            max_concurrent_loads=self._max_concurrent_loads,
+        )
+
+    def _poll(self, model: str, engines: tuple[BackendAddress, ...], *, renew: bool) -> None:
+        now = self._clock.monotonic()
+        for engine in engines:
+            if renew or now >= self._next_status_at.get(engine.backend_id, 0.0):
+                self._next_status_at[engine.backend_id] = now + STATUS_PERIOD_SECONDS
+                self._task_owner.spawn(self._ask_status(model, engine), "engine status")
+
+    async def _ask_status(self, model: str, engine: BackendAddress) -> None:
+        async with self._status_calls:
+            try:
+                status = await self._engine_client.status(
+                    engine, timeout_seconds=STATUS_TIMEOUT_SECONDS
+                )
+            except BackendError:
+                self._handle(model, StatusMissed(engine=engine.backend_id))
+                return
+        self._handle(model, StatusReported(status=status))
+
+    def _handle(self, model: str, event: RolloutEvent) -> None:
+        planner = self._planners.get(model)
+        if planner is None:
+            return
+        for decision in planner.handle(event, self._clock.monotonic()):
+            self._explain(model, decision)
+            if isinstance(decision, LoadEngine):
+                self._task_owner.spawn(self._give(model, decision), "weight order")
+
+    async def _give(self, model: str, decision: LoadEngine) -> None:
+        order = FencedOrder(
+            fence=decision.fence,
+            kind=OrderKind.LOAD_VERSION,
+            model=model,
+            weight_version=decision.version,
+        )
+        outcome: RolloutEvent
+        try:
+            status = await self._engine_client.order(
+                self._addresses[decision.engine], order, timeout_seconds=ORDER_TIMEOUT_SECONDS
+            )
+            outcome = OrderSucceeded(engine=decision.engine, fence=decision.fence, status=status)
+        except BackendError as error:
+            outcome = OrderFailed(
+                engine=decision.engine,
+                fence=decision.fence,
+                reason=error.code,
+                uncertain=not isinstance(error, BackendNotReachedError | BackendRefusedError),
+                stale=isinstance(error, StaleFenceError),
+            )
+        self._handle(model, outcome)
+
+    def _explain(self, model: str, decision: RolloutDecision) -> None:
+        match decision:
+            case LoadEngine(engine=engine, detail=detail):
+                event, subject_id = "weights_load_ordered", str(engine)
+            case SetAside(engine=engine, detail=detail):
+                event, subject_id = "weights_engine_set_aside", str(engine)
+            case RolloutStarted(detail=detail):
+                event, subject_id = "weights_rollout_started", model
+            case RolloutDone(detail=detail):
+                event, subject_id = "weights_rollout_done", model
+        level = "DEBUG" if isinstance(decision, LoadEngine) else "INFO"
+        log_event(event, level=level, model=model, subject=subject_id, detail=detail)
+        self._record(
+            DecisionRecord(
+                subject_kind=SubjectKind.BACKEND,
+                subject_id=subject_id,
+                event=event,
+                node_id=self._node_id,
+                wall_time_seconds=self._clock.wall(),
+                configuration_revision=self._view().revision,
+                detail=detail,
+            )
+        )
