--- a/drumbay/limits/circuit_breaker.py
+++ b/drumbay/limits/circuit_breaker.py
@@ -5,7 +5,7 @@
 closes it; one failure opens it again for longer.
 
 ``pybreaker`` was weighed and not taken: it reads the clock itself, wraps the call it guards,
-and has no limit on the number of concurrent probes. See ``docs/design/limits.md``.
+and lets every call through while half open. See ``docs/design/limits.md``.
 """
 
 from enum import StrEnum
--- a/drumbay/limits/token_bucket.py
+++ b/drumbay/limits/token_bucket.py
@@ -1,7 +1,8 @@
 """A token bucket whose time is passed in.
 
-Written here because the token buckets of the registry read the clock themselves, which
-would make simulations depend on real time; see ``docs/design/limits.md``.
+Written here because ``aiolimiter``, ``token-bucket`` and ``limits`` read the clock
+themselves, which would make simulations depend on real time, and ``pyrate-limiter`` keeps
+one entry per event and takes no deposits; see ``docs/design/limits.md``.
 """
 
 
--- a/drumbay/routing/engine_choice.py
+++ b/drumbay/routing/engine_choice.py
@@ -32,10 +32,8 @@
         own_finished_since_report: This node's attempts that the report still counts.
         weight_version: Version that serves new requests; ``None`` if unknown.
         highest_fence: Newest fence the back end is known to have seen.
-        is_reachable: Whether the back end answers.
-        circuit_admits: Whether its circuit breaker admits a request.
-        is_draining: An operator's drain covers it.
-        is_leaving: It is leaving the cluster.
+        unavailability: Why it may not be used at all (drained, leaving, unreachable, circuit
+            open); ``None`` if it may.
     """
 
     backend_id: BackendId
@@ -49,10 +47,7 @@
     own_finished_since_report: int = 0
     weight_version: WeightVersion | None = None
     highest_fence: Fence = Fence(0)
-    is_reachable: bool = True
-    circuit_admits: bool = True
-    is_draining: bool = False
-    is_leaving: bool = False
+    unavailability: RejectionReason | None = None
 
 
 class ChoiceRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -173,13 +168,8 @@
     load_limit = policy.max_load
     if request.priority < policy.reserved_priority:
         load_limit -= policy.reserved_load
-    rejections: list[RejectionReason | None] = []
-    eligible: list[int] = []
-    for index, view in enumerate(candidates):
-        reason = _rejection(request, view, load_limit)
-        rejections.append(reason)
-        if reason is None:
-            eligible.append(index)
+    rejections = [_rejection(request, view, load_limit) for view in candidates]
+    eligible = [index for index, reason in enumerate(rejections) if reason is None]
     if not eligible:
         return Choice(chosen=None, candidates=candidates, rejections=rejections, costs={})
     sampled = _sample(request, candidates, eligible, policy.sample_count, random)
@@ -198,13 +188,13 @@
 def _rejection(
     request: ChoiceRequest, view: BackendView, load_limit: int
 ) -> RejectionReason | None:
-    if not request.selects(view.labels):
+    labels = view.labels
+    if not request.selects(labels):
         return RejectionReason.SELECTOR
-    if request.model is not None and view.labels.get(MODEL_LABEL) != request.model:
+    if request.model is not None and labels.get(MODEL_LABEL) != request.model:
         return RejectionReason.MODEL
-    reason = _state_rejection(view)
-    if reason is not None:
-        return reason
+    if view.unavailability is not None:
+        return view.unavailability
     if not accepts_version(request, view.weight_version):
         return RejectionReason.VERSION
     if view.backend_id in request.already_tried:
@@ -214,18 +204,6 @@
     return None
 
 
-def _state_rejection(view: BackendView) -> RejectionReason | None:
-    if view.is_draining:
-        return RejectionReason.DRAINED
-    if view.is_leaving:
-        return RejectionReason.LEAVING
-    if not view.is_reachable:
-        return RejectionReason.UNREACHABLE
-    if not view.circuit_admits:
-        return RejectionReason.CIRCUIT_OPEN
-    return None
-
-
 def accepts_version(request: ChoiceRequest, version: WeightVersion | None) -> bool:
     """Return whether a request may be served by a version; an unknown one only if any may."""
     required = request.required_version
@@ -252,9 +230,12 @@
         return random.sample(eligible, len(eligible))
     sampled = random.sample(eligible, sample_count)
     affinity = request.prefix_affinity
-    if affinity:
-        best = max(eligible, key=lambda index: affinity.get(candidates[index].backend_id, 0.0))
-        if best not in sampled and affinity.get(candidates[best].backend_id, 0.0) > 0:
+    if not affinity:
+        return sampled
+    holders = [index for index in eligible if candidates[index].backend_id in affinity]
+    if holders:
+        best = max(holders, key=lambda index: affinity[candidates[index].backend_id])
+        if best not in sampled:
             sampled.append(best)
     return sampled
 
--- a/drumbay/routing/load_view.py
+++ b/drumbay/routing/load_view.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from drumbay.backends.interface import EngineStatus
+from drumbay.explain.records import RejectionReason
 from drumbay.identifiers import AttemptId, BackendId, BootId, Fence, WeightVersion
 from drumbay.routing.engine_choice import BackendView
 
@@ -22,13 +23,32 @@
 
 
 class BackendFlags(msgspec.Struct, frozen=True, kw_only=True):
-    """Whether a back end may be used at all, as other parts of the node know it."""
+    """Whether a back end may be used at all, as other parts of the node know it.
+
+    Attributes:
+        is_reachable: Whether the back end answers.
+        circuit_admits: Whether its circuit breaker admits a request.
+        is_draining: An operator's drain covers it.
+        is_leaving: It is leaving the cluster.
+    """
 
     is_reachable: bool = True
     circuit_admits: bool = True
     is_draining: bool = False
     is_leaving: bool = False
 
+    def unavailability(self) -> RejectionReason | None:
+        """Return why the back end may not be used, or ``None``."""
+        if self.is_draining:
+            return RejectionReason.DRAINED
+        if self.is_leaving:
+            return RejectionReason.LEAVING
+        if not self.is_reachable:
+            return RejectionReason.UNREACHABLE
+        if not self.circuit_admits:
+            return RejectionReason.CIRCUIT_OPEN
+        return None
+
 
 class _FinishedAttempt(msgspec.Struct, frozen=True, kw_only=True):
     """Monotonic times between which one of this node's attempts ran."""
@@ -179,9 +199,6 @@
         own_finished_since_report=entry.finished_since_report,
         weight_version=entry.weight_version,
         highest_fence=entry.highest_fence,
-        is_reachable=entry.flags.is_reachable,
-        circuit_admits=entry.flags.circuit_admits,
-        is_draining=entry.flags.is_draining,
-        is_leaving=entry.flags.is_leaving,
+        unavailability=entry.flags.unavailability(),
     )
     return entry.view
--- a/drumbay/routing/selectors.py
+++ b/drumbay/routing/selectors.py
@@ -67,7 +67,10 @@
         for key, value in equalities:
             if labels.get(key) != value:
                 return False
-        return all(requirement(labels) for requirement in requirements)
+        for requirement in requirements:  # noqa: SIM110 - a generator doubles the cost
+            if not requirement(labels):
+                return False
+        return True
 
     return predicate
 
