Name prompt prefixes on nodes as engines do

Cause: the node hashed prompts by its own rule, and engines by another that includes the model, so no prefix was ever known to be cached.

Change: the index uses the engines' rule, over the first 64 blocks so that the cost of a choice does not grow with the prompt. The directory hands the time to the view of loads when an attempt ends.

Conclusion: a test asserts that both names are the same.

--- a/drumbay/requests/dispatcher.py
+++ b/drumbay/requests/dispatcher.py
@@ -16,7 +16,7 @@
 from drumbay.requests.route_table import CompiledRoute
 from drumbay.routing.directory import AttemptOutcome, BackendDirectory
 from drumbay.routing.engine_choice import ChoicePolicy, ChoiceRequest, choose_backend
-from drumbay.routing.prefix_index import prefix_hashes
+from drumbay.routing.prefix_index import affinity_hashes
 
 NO_BACKEND_RETRY_AFTER_SECONDS = 1.0
 
@@ -83,7 +83,7 @@
         now = self._clock.monotonic()
         route = needs.compiled.route
         affinity = self._directory.prefixes.affinities(
-            prefix_hashes(needs.prompt), needs.required_version
+            affinity_hashes(route.model, needs.prompt), needs.required_version
         )
         request = ChoiceRequest(
             now=now,
--- a/drumbay/routing/directory.py
+++ b/drumbay/routing/directory.py
@@ -191,7 +191,7 @@
         now: float,
     ) -> None:
         """Count an attempt as ended."""
-        self._load.finish_attempt(backend_id, attempt_id)
+        self._load.finish_attempt(backend_id, attempt_id, now)
         entry = self._entries.get(backend_id)
         if entry is None:
             return
--- a/drumbay/routing/prefix_index.py
+++ b/drumbay/routing/prefix_index.py
@@ -1,38 +1,32 @@
 """Which prompt prefixes each engine is thought to hold in its cache.
 
-A prompt is cut into blocks of characters; the hash of block *i* covers everything up to its
-end, so equal hashes mean equal prefixes. Engines publish which hashes they stored and
-evicted, late and with gaps. The index is a guess: a wrong entry costs only speed.
+A prompt is known by the hashes of its prefixes (``drumbay.backends.prefix_hash``). Engines
+publish which of them they stored and evicted, late and with gaps. The index is a guess: a
+wrong entry costs only speed.
 """
 
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-import xxhash
-
 from drumbay.backends.interface import CacheEvent, CacheEventKind
+from drumbay.backends.prefix_hash import BLOCK_CHARACTERS, prefix_hashes
 from drumbay.identifiers import BackendId, WeightVersion
 
-PREFIX_BLOCK_CHARACTERS = 64
-MAX_HASHED_BLOCKS = 64
+MAX_AFFINITY_BLOCKS = 64
 DEFAULT_MAX_ENTRIES_PER_BACKEND = 4096
 _NO_SEQUENCE = -1
 
 
-def prefix_hashes(prompt: str) -> tuple[str, ...]:
-    """Return the hashes of the prompt's prefixes, shortest first.
+def affinity_hashes(model: str | None, prompt: str) -> tuple[str, ...]:
+    """Return the hashes of a prompt's first blocks, as engines name them; shortest first.
 
-    Only whole blocks count, and at most ``MAX_HASHED_BLOCKS`` of them.
+    Only whole blocks count, and at most ``MAX_AFFINITY_BLOCKS`` of them, so that the cost
+    of a choice does not grow with the prompt. A request without a model has none.
     """
-    digest = xxhash.xxh3_64()
-    hashes: list[str] = []
-    block_count = min(len(prompt) // PREFIX_BLOCK_CHARACTERS, MAX_HASHED_BLOCKS)
-    for index in range(block_count):
-        start = index * PREFIX_BLOCK_CHARACTERS
-        digest.update(prompt[start : start + PREFIX_BLOCK_CHARACTERS].encode())
-        hashes.append(digest.hexdigest())
-    return tuple(hashes)
+    if model is None:
+        return ()
+    return prefix_hashes(model, prompt[: MAX_AFFINITY_BLOCKS * BLOCK_CHARACTERS])
 
 
 @dataclass
@@ -100,7 +94,7 @@
         """Return the share of a prompt's prefix blocks that each engine is thought to hold.
 
         Args:
-            hashes: Result of :func:`prefix_hashes`.
+            hashes: Result of :func:`affinity_hashes`.
             weight_version: Count only prefixes computed with this version; ``None``: any.
 
         Returns:
--- a/tests/test_routing_choice.py
+++ b/tests/test_routing_choice.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from drumbay.backends.interface import CacheEvent, CacheEventKind, EngineStatus
+from drumbay.backends.prefix_hash import BLOCK_CHARACTERS, prefix_hashes
 from drumbay.explain.records import RejectionReason
 from drumbay.identifiers import AttemptId, BackendId, BootId, Fence, WeightVersion
 from drumbay.routing.engine_choice import (
@@ -20,7 +21,7 @@
     estimated_load,
 )
 from drumbay.routing.load_view import BackendFlags, LoadView
-from drumbay.routing.prefix_index import PREFIX_BLOCK_CHARACTERS, PrefixIndex, prefix_hashes
+from drumbay.routing.prefix_index import MAX_AFFINITY_BLOCKS, PrefixIndex, affinity_hashes
 from drumbay.routing.selectors import MODEL_LABEL
 
 POLICY = ChoicePolicy(max_load=8, reserved_load=2)
@@ -264,10 +265,14 @@
 
 
 class PrefixIndexTest(unittest.TestCase):
-    def test_hashes_cover_whole_blocks_only(self) -> None:
-        prompt = "x" * (2 * PREFIX_BLOCK_CHARACTERS + 5)
-        self.assertEqual(len(prefix_hashes(prompt)), 2)
-        self.assertEqual(prefix_hashes(prompt)[:1], prefix_hashes("x" * PREFIX_BLOCK_CHARACTERS))
+    def test_hashes_are_those_of_engines(self) -> None:
+        """An engine and a node must name the same prefix alike, or affinity never holds."""
+        prompt = "x" * (2 * BLOCK_CHARACTERS + 5)
+        hashes = affinity_hashes("m", prompt)
+        self.assertEqual(hashes, prefix_hashes("m", prompt))
+        self.assertEqual(len(hashes), 2)
+        self.assertEqual(len(affinity_hashes("m", prompt * 100)), MAX_AFFINITY_BLOCKS)
+        self.assertNotEqual(affinity_hashes("other", prompt), hashes)
 
     def test_share_of_the_longest_prefix(self) -> None:
         index = PrefixIndex()
