--- a/drumbay/backends/connector.py
+++ b/drumbay/backends/connector.py
@@ -4,15 +4,14 @@
 the promises of :mod:`drumbay.backends.interface` and are switched off:
 
 * libcurl sends a request again by itself when a reused connection dies before any byte of
-  the answer. The engine or application may then run it twice. A request with a body refuses
-  the rewind that this needs; one without a body gets a connection of its own.
+  the answer. The engine or application may then run it twice. The callback that libcurl makes
+  before it sends a request admits the first sending only, and tells whether any byte may have left.
 * tornado queues requests when all handles are busy, and cancelling the caller leaves them
   in the queue. A request that finds no free handle is refused here before it is queued.
 * tornado cannot abort a request. The progress callback of libcurl aborts it here.
 """
 
 import asyncio
-from collections.abc import Callable
 
 import msgspec
 from tornado.curl_httpclient import CurlAsyncHTTPClient
@@ -67,7 +66,7 @@
         self._connect_timeout_seconds = connect_timeout_seconds
         self._certificate_authority_file = certificate_authority_file
         self._in_flight = 0
-        self._client = _CurlClient(
+        self._client = CurlAsyncHTTPClient(
             force_instance=True, max_clients=max_connections, max_body_size=MAX_ANSWER_BYTES
         )
 
@@ -103,8 +102,8 @@
     def _release(self, response: "asyncio.Future[HTTPResponse]") -> None:
         self._in_flight -= 1
 
-    def _request(self, call: HttpCall, transfer: Transfer) -> "_TransferRequest":
-        request = _TransferRequest(
+    def _request(self, call: HttpCall, transfer: Transfer) -> HTTPRequest:
+        return HTTPRequest(
             call.url,
             method=call.method,
             headers=HTTPHeaders(call.headers),
@@ -120,26 +119,3 @@
             ca_certs=self._certificate_authority_file,
             allow_nonstandard_methods=True,
         )
-        request.transfer = transfer
-        return request
-
-
-class _TransferRequest(HTTPRequest):
-    """A request that knows its transfer."""
-
-    transfer: Transfer
-
-
-class _CurlClient(CurlAsyncHTTPClient):
-    """tornado's client, which hands libcurl's report over also when a request fails."""
-
-    def fetch_impl(self, request: HTTPRequest, callback: Callable[[HTTPResponse], None]) -> None:
-        """Run a request and note its end before the caller learns of it."""
-        # NOTE: tornado passes a proxy of the request, which has its attributes only.
-        transfer: Transfer = request.transfer  # type: ignore[attr-defined]
-
-        def handle(response: HTTPResponse) -> None:
-            transfer.note_end(response)
-            callback(response)
-
-        super().fetch_impl(request, handle)
--- a/drumbay/backends/transfer.py
+++ b/drumbay/backends/transfer.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 import pycurl
-from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPResponse
 from tornado.httputil import HTTPHeaders
 
@@ -16,13 +15,6 @@
 RESUME_BELOW_BYTES = 64 << 10
 ABORT_TRANSFER = 1
 CONTINUE_TRANSFER = 0
-NO_CONNECTION_ERRORS = (
-    pycurl.E_UNSUPPORTED_PROTOCOL,
-    pycurl.E_URL_MALFORMAT,
-    pycurl.E_COULDNT_RESOLVE_PROXY,
-    pycurl.E_COULDNT_RESOLVE_HOST,
-    pycurl.E_COULDNT_CONNECT,
-)
 FIRST_FINAL_STATUS = 200
 """Statuses below are interim answers that a final one follows."""
 
@@ -91,16 +83,13 @@
         self._pending_bytes = 0
         self._paused = False
         self._aborted = False
-        self._certainly_unsent = False
+        self._sent = False
         self._changed = asyncio.Event()
 
     def prepare(self, curl: pycurl.Curl) -> None:
         """Set what tornado leaves at libcurl's defaults; see :mod:`drumbay.backends.connector`."""
         self._curl = curl
-        has_body = bool(self._curl.info["request"].body)
-        self._curl.setopt(pycurl.FRESH_CONNECT, 0 if has_body else 1)
-        if has_body:
-            self._curl.setopt(pycurl.SEEKFUNCTION, _refuse_rewind)
+        self._curl.setopt(pycurl.PREREQFUNCTION, self._admit_sending)
         self._curl.setopt(pycurl.NOPROGRESS, 0)
         self._curl.setopt(pycurl.XFERINFOFUNCTION, self._progress)
 
@@ -109,10 +98,6 @@
         self._response = response
         response.add_done_callback(self._finished)
 
-    def note_end(self, response: HTTPResponse) -> None:
-        """Take the outcome as libcurl reports it, before the caller sees it."""
-        self._certainly_unsent = _is_certainly_unsent(response)
-
     async def head(self) -> HttpAnswer:
         """Return the answer once its head has arrived.
 
@@ -185,6 +170,16 @@
         # NOTE: tornado gives the handle to another request as soon as the answer is done.
         return self._response is not None and not self._response.done()
 
+    def _admit_sending(self, *_connection: Any) -> int:
+        """Admit the first sending of the request.
+
+        libcurl calls this when a connection is there, be it new or reused, and before the
+        first byte of the request leaves; it calls again before it sends the request again.
+        """
+        admitted: int = pycurl.PREREQFUNC_ABORT if self._sent else pycurl.PREREQFUNC_OK
+        self._sent = True
+        return admitted
+
     def _progress(self, *_counts: int) -> int:
         return ABORT_TRANSFER if self._aborted else CONTINUE_TRANSFER
 
@@ -205,33 +200,11 @@
         error = self._response.exception()
         if error is None:
             return None
-        if self._certainly_unsent:
-            return BackendNotReachedError(str(error))
-        return ExchangeBrokenError(str(error))
+        if self._sent:
+            return ExchangeBrokenError(str(error))
+        return BackendNotReachedError(str(error))
 
     def _raise_if_broken(self) -> None:
         failure = self._failure()
         if failure is not None:
             raise failure
-
-
-def _is_certainly_unsent(response: HTTPResponse) -> bool:
-    """Return whether a failed request never had a connection.
-
-    libcurl leaves the time ``connect`` at 0 when a connection was not established, but also
-    when one was reused; only a new one has a time for the look-up of its address.
-    """
-    times = response.time_info
-    if not times:
-        return True  # It could not even be set up.
-    if times["connect"] > 0.0 or not isinstance(response.error, CurlError):
-        return False
-    if response.error.errno in NO_CONNECTION_ERRORS:
-        return True
-    timed_out = response.error.errno == pycurl.E_OPERATION_TIMEDOUT
-    return timed_out and times["namelookup"] > 0.0
-
-
-def _refuse_rewind(offset: int, origin: int) -> int:
-    refused: int = pycurl.SEEKFUNC_FAIL
-    return refused
--- a/tests/test_backend_http.py
+++ b/tests/test_backend_http.py
@@ -1,7 +1,9 @@
 """The HTTP clients tell truly whether a request may have run, against servers on loopback."""
 
 import asyncio
+import contextlib
 import random
+import socket
 import unittest
 from collections.abc import Awaitable, Callable
 from unittest import mock
@@ -71,6 +73,7 @@
         self.requests = 0
         self._server: asyncio.Server | None = None
         self._tasks = TaskOwner()
+        self._writers: list[asyncio.StreamWriter] = []
 
     async def start(self, serve: ServeConnection) -> BackendAddress:
         async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -82,6 +85,7 @@
                 writer.close()
 
         def connected(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self._writers.append(writer)
             self._tasks.spawn(handle(reader, writer), "connection")
 
         self._server = await asyncio.start_server(connected, LOOPBACK, 0)
@@ -98,10 +102,16 @@
         await read_request(reader)
         self.requests += 1
 
-    async def close(self) -> None:
+    def stop_listening(self) -> None:
         assert self._server is not None
         self._server.close()
+
+    async def close(self) -> None:
+        self.stop_listening()
         await self._tasks.close()
+        for writer in self._writers:
+            writer.close()
+        await asyncio.sleep(0)
 
 
 class TrustingTransfer(Transfer):
@@ -153,6 +163,42 @@
             with self.assertRaises(BackendNotReachedError):
                 await self.exchange(server, method)
 
+    async def test_a_request_that_was_sent_is_broken_also_when_no_new_connection_is_had(
+        self,
+    ) -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read_request(reader)
+            writer.write(answer_head(2) + b"ok")
+            await read_request(reader)
+            self.raw.stop_listening()
+
+        for method in ("GET", "POST"):
+            with self.subTest(method=method):
+                self.raw = RawServer()
+                server = await self.raw.start(serve)
+                await self.exchange(server, method)
+                with self.assertRaises(ExchangeBrokenError):
+                    await self.exchange(server, method)
+                await self.raw.close()
+
+    async def test_a_connection_that_is_not_accepted_in_time_is_not_reached(self) -> None:
+        connector = HttpConnector(connect_timeout_seconds=0.1)
+        client = HttpApplicationClient(connector)
+        with contextlib.ExitStack() as sockets:
+            listener = sockets.enter_context(socket.socket())
+            listener.bind((LOOPBACK, 0))
+            listener.listen(0)
+            for _ in range(4):
+                waiting = sockets.enter_context(socket.socket())
+                waiting.setblocking(False)
+                waiting.connect_ex(listener.getsockname())
+            port = listener.getsockname()[1]
+            server = BackendAddress(BackendId("full"), f"http://{LOOPBACK}:{port}")
+            request = ApplicationRequest(attempt_id=AttemptId("a"), method="POST", path="/")
+            with self.assertRaises(BackendNotReachedError):
+                await client.exchange(server, request, timeout_seconds=TIMEOUT_SECONDS)
+        connector.close()
+
     async def test_a_request_that_finds_no_connection_is_not_queued(self) -> None:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await read_request(reader)
