Keep the rest of a body when a finished transfer cannot be paused

Cause: in a run of the emulators as processes, an engine that fetched 16 MB of weights logged 'pause/unpause failed': tornado hands over the last parts after it took the handle from libcurl. Change: a refused pause is passed over, for the outcome is reported anyway. The test raised pycurl.error before the change and passes after it.

--- a/drumbay/backends/transfer.py
+++ b/drumbay/backends/transfer.py
@@ -1,6 +1,7 @@
 """One HTTP transfer between libcurl's callbacks and the coroutine that waits for it."""
 
 import asyncio
+import contextlib
 from collections import deque
 from collections.abc import AsyncGenerator
 from typing import Any
@@ -136,8 +137,8 @@
         self._changed.set()
         # NOTE: libcurl looks at the progress callback when a transfer is resumed; without
         # this, one that receives nothing would hold its connection until its time limit.
-        self._curl.pause(pycurl.PAUSE_RECV)
-        self._curl.pause(pycurl.PAUSE_CONT)
+        self._pause(pycurl.PAUSE_RECV)
+        self._pause(pycurl.PAUSE_CONT)
 
     def add_header_line(self, line: str) -> None:
         """Take one line of the head, as libcurl hands it over."""
@@ -159,12 +160,18 @@
         self._changed.set()
         if self._pending_bytes > PAUSE_ABOVE_BYTES and not self._paused and self._is_running():
             self._paused = True
-            self._curl.pause(pycurl.PAUSE_RECV)
+            self._pause(pycurl.PAUSE_RECV)
 
     def _resume(self) -> None:
         self._paused = False
         if self._is_running():
-            self._curl.pause(pycurl.PAUSE_CONT)
+            self._pause(pycurl.PAUSE_CONT)
+
+    def _pause(self, mode: int) -> None:
+        # NOTE: libcurl refuses when the transfer has ended and tornado hands over the rest of
+        # the body, or when it failed while it was paused; its outcome is reported anyway.
+        with contextlib.suppress(pycurl.error):
+            self._curl.pause(mode)
 
     def _is_running(self) -> bool:
         # NOTE: tornado gives the handle to another request as soon as the answer is done.
--- a/tests/test_backend_http.py
+++ b/tests/test_backend_http.py
@@ -9,6 +9,7 @@
 from unittest import mock
 
 import pycurl
+from tornado.httpclient import HTTPRequest, HTTPResponse
 
 from drumbay.backends.connector import HttpCall, HttpConnector
 from drumbay.backends.http_application import HttpApplicationClient
@@ -278,6 +279,23 @@
         await self.raw.close()
 
 
+class TransferTest(unittest.IsolatedAsyncioTestCase):
+    async def test_the_rest_of_a_body_is_kept_when_the_transfer_can_no_longer_be_paused(
+        self,
+    ) -> None:
+        curl = mock.Mock()
+        curl.pause.side_effect = pycurl.error(43, "pause/unpause failed")
+        response: asyncio.Future[HTTPResponse] = asyncio.get_running_loop().create_future()
+        transfer = Transfer()
+        transfer.prepare(curl)
+        transfer.follow(response)
+        whole = bytes(2 * PAUSE_ABOVE_BYTES)
+        transfer.add_part(whole)
+        response.set_result(HTTPResponse(HTTPRequest("http://x"), 200))
+        self.assertEqual(await transfer.next_part(), whole)
+        self.assertIsNone(await transfer.next_part())
+
+
 class EngineClientTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         clock = SystemClock()
