--- a/drumbay/backends/http_engine.py
+++ b/drumbay/backends/http_engine.py
@@ -30,8 +30,8 @@
     ORDERS_PATH,
     REQUEST_ID_HEADER,
     STATUS_PATH,
+    AttemptBody,
     CacheEventPage,
-    CancelBody,
     CompletionChunk,
     completion_body,
 )
@@ -87,7 +87,7 @@
             method="POST",
             url=engine.base_url + CANCEL_PATH,
             headers=JSON_HEADERS,
-            body=msgspec.json.encode(CancelBody(attempt_id=attempt_id)),
+            body=msgspec.json.encode(AttemptBody(attempt_id=attempt_id)),
             timeout_seconds=CANCEL_TIMEOUT_SECONDS,
         )
         try:
--- a/drumbay/backends/wire.py
+++ b/drumbay/backends/wire.py
@@ -16,6 +16,8 @@
 STATUS_PATH = "/admin/status"
 CACHE_EVENTS_PATH = "/admin/cache-events"
 CANCEL_PATH = "/admin/cancel"
+CACHE_EXPORT_PATH = "/admin/kv-cache/export"
+CACHE_IMPORT_PATH = "/admin/kv-cache/import"
 
 REQUEST_ID_HEADER = "X-Request-Id"
 IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
@@ -196,8 +198,8 @@
     error: ErrorDetail
 
 
-class CancelBody(msgspec.Struct, frozen=True, kw_only=True):
-    """Body of ``POST /admin/cancel``."""
+class AttemptBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Body of the admin requests that name one attempt."""
 
     attempt_id: AttemptId
 
--- a/drumbay/standins/engine_decoder.py
+++ b/drumbay/standins/engine_decoder.py
@@ -49,6 +49,9 @@
     async def _prefill(self, generation: Generation) -> None:
         request = generation.request
         version = self._weights.version
+        generation.prefill_version = version
+        if generation.cache_imported:
+            return
         hashes = prefix_hashes(request.model, request.prompt)
         cached_tokens = self._cache.cached_blocks(version, hashes) * BLOCK_TOKENS
         missing = generation.prompt_tokens + len(request.resume_tokens) - cached_tokens
--- a/drumbay/standins/engine_model.py
+++ b/drumbay/standins/engine_model.py
@@ -21,6 +21,7 @@
 )
 from drumbay.clock import Clock
 from drumbay.identifiers import AttemptId, BackendId, BootId, Fence, WeightVersion
+from drumbay.standins.cache_transfer import CacheExport
 from drumbay.standins.engine_context import EngineContext
 from drumbay.standins.engine_orders import LoadedWeights, WeightSource
 from drumbay.standins.engine_parameters import EngineParameters
@@ -183,6 +184,29 @@
         run = await self._reach()
         return run.cache_events(after_sequence)
 
+    async def export_cache(self, attempt_id: AttemptId) -> CacheExport:
+        """Return the keys and values of an attempt, running or ended.
+
+        Raises:
+            BackendNotReachedError: The process is down.
+            UnknownAttemptError: They are not held.
+            MixedVersionsError: The weights changed while they were computed.
+        """
+        run = await self._reach()
+        return run.cache_transfers.export(attempt_id)
+
+    async def import_cache(self, export: CacheExport) -> None:
+        """Take keys and values for a completion that is resumed here.
+
+        Raises:
+            BackendNotReachedError: The process is down.
+            BackendRefusedError: Other weights are loaded.
+        """
+        run = await self._reach()
+        rate = self._context.parameters.cache_transfer_bytes_per_second
+        await self._context.work(export.size_bytes / rate)
+        run.cache_transfers.accept(export)
+
     def _start(self, fence: Fence) -> EngineRun:
         boot_id = self._context.start_run()
         weights = LoadedWeights(self._initial_model, self._initial_version, fence)
--- a/drumbay/standins/engine_parameters.py
+++ b/drumbay/standins/engine_parameters.py
@@ -17,6 +17,7 @@
         cache_event_delay_seconds: Delay from a cache change to its publication.
         cache_event_loss: Share of cache events that are never published.
         cache_event_backlog: Published events that are held for readers.
+        cache_transfer_bytes_per_second: Rate of an import of keys and values.
         load_report_lag_seconds: Age of the load figures in a status.
         load_seconds: Time to load weights once they are fetched.
         swap_pause_seconds: Time that decoding stands still while weights are exchanged.
@@ -33,6 +34,7 @@
     cache_event_delay_seconds: float = 0.5
     cache_event_loss: float = 0.01
     cache_event_backlog: int = 8192
+    cache_transfer_bytes_per_second: float = 5.0e9
     load_report_lag_seconds: float = 0.5
     load_seconds: float = 2.0
     swap_pause_seconds: float = 0.2
--- a/drumbay/standins/engine_run.py
+++ b/drumbay/standins/engine_run.py
@@ -15,6 +15,7 @@
 )
 from drumbay.identifiers import AttemptId, BootId
 from drumbay.standins.batch_slots import BatchSlots, LoadHistory, LoadSample
+from drumbay.standins.cache_transfer import CacheTransfers
 from drumbay.standins.engine_context import EngineContext
 from drumbay.standins.engine_decoder import EngineDecoder
 from drumbay.standins.engine_orders import LoadedWeights, OrderExecutor, WeightSource
@@ -36,6 +37,7 @@
         boot_id: Identity of the run.
         weights: Weights that are loaded.
         orders: Orders under way.
+        cache_transfers: Caches exported and imported.
         ended: Whether the process has died.
     """
 
@@ -63,6 +65,7 @@
         )
         executor = OrderExecutor(context, weights, weight_source)
         self.orders = OrderQueue(context, boot_id, weights, executor, self._order_done)
+        self.cache_transfers = CacheTransfers(weights)
         self._generations: dict[AttemptId, Generation] = {}
         self._previous_request: GenerationRequest | None = None
 
@@ -78,6 +81,8 @@
             retry_after = self._context.parameters.overload_retry_seconds
             raise BackendRefusedError(reason, retry_after)
         generation = Generation(request, self.boot_id, self._slots.enqueue(request.priority))
+        generation.cache_imported = self.cache_transfers.take(request)
+        self.cache_transfers.hold(generation)
         self._apply_answer_faults(generation)
         self._previous_request = request
         self._generations[request.attempt_id] = generation
@@ -153,7 +158,7 @@
             return "attempt_id_in_use"
         if self._slots.full and self._slots.waiting >= self._context.parameters.max_waiting:
             return "overloaded"
-        return None
+        return self.cache_transfers.refusal_reason(request)
 
     def _apply_answer_faults(self, generation: Generation) -> None:
         faults = self._context.faults
--- a/drumbay/standins/engine_server.py
+++ b/drumbay/standins/engine_server.py
@@ -1,222 +1,37 @@
-"""An emulated engine as an HTTP server with OpenAI-compatible completions."""
+"""An emulated engine as an HTTP server: completions and admin requests."""
 
 import ssl
-from collections.abc import AsyncGenerator
-from contextlib import aclosing
 
 import msgspec
-from tornado.iostream import StreamClosedError
 
 from drumbay.backends.interface import (
     BackendError,
-    BackendRefusedError,
     FencedOrder,
-    GenerationRequest,
-    StaleFenceError,
-    TokenChunk,
 )
-from drumbay.backends.sse import encode_event
 from drumbay.backends.wire import (
     CACHE_EVENTS_PATH,
+    CACHE_EXPORT_PATH,
+    CACHE_IMPORT_PATH,
     CANCEL_PATH,
     CHAT_COMPLETIONS_PATH,
     COMPLETIONS_PATH,
-    DONE_EVENT,
-    EVENT_STREAM_TYPE,
     ORDERS_PATH,
-    REQUEST_ID_HEADER,
     STATUS_PATH,
+    AttemptBody,
     CacheEventPage,
-    CancelBody,
-    ChatCompletionBody,
-    ChatDelta,
-    ChatMessage,
-    Choice,
-    CompletionBody,
-    CompletionChunk,
-    Usage,
-    WholeCompletion,
 )
 from drumbay.clock import Clock
-from drumbay.exceptions import Execution
-from drumbay.identifiers import AttemptId, BackendId
+from drumbay.identifiers import BackendId
+from drumbay.standins.cache_transfer import CacheExport
+from drumbay.standins.engine_completions import (
+    ChatCompletionsHandler,
+    CompletionsHandler,
+    EngineHandler,
+)
 from drumbay.standins.engine_model import EngineModel
-from drumbay.standins.generation import CHARACTERS_PER_TOKEN
-from drumbay.standins.http_shell import HTTP_BAD_REQUEST, EmulatorServer, JsonHandler
+from drumbay.standins.http_shell import HTTP_BAD_REQUEST, EmulatorServer
 from drumbay.tasks import TaskOwner
 
-HTTP_CONFLICT = 409
-HTTP_TOO_MANY_REQUESTS = 429
-HTTP_SERVER_ERROR = 500
-HTTP_UNAVAILABLE = 503
-OVERLOADED = "overloaded"
-
-
-class EngineHandler(JsonHandler):
-    """Base class of the engine's handlers."""
-
-    def initialize(self, engine: EngineModel, tasks: TaskOwner) -> None:
-        """Store the engine and the owner of background tasks."""
-        self.engine = engine
-        self.tasks = tasks
-
-    def send_backend_error(self, error: BackendError) -> None:
-        """Answer a failure, or drop the connection where a real process would."""
-        if isinstance(error, BackendRefusedError):
-            status = HTTP_TOO_MANY_REQUESTS if error.reason == OVERLOADED else HTTP_UNAVAILABLE
-            self.send_error_body(
-                status,
-                error.reason,
-                "refused without running",
-                run=Execution.NOT_RUN,
-                retry_after_seconds=error.retry_after_seconds,
-            )
-        elif isinstance(error, StaleFenceError):
-            self.send_error_body(HTTP_CONFLICT, error.code, str(error))
-        elif self.engine.crashed:
-            self.drop_connection()
-        else:
-            self.send_error_body(HTTP_SERVER_ERROR, error.code, str(error))
-
-
-class CompletionsHandler(EngineHandler):
-    """``POST /v1/completions``."""
-
-    object_name = "text_completion"
-    _attempt_id = AttemptId("")
-
-    async def post(self) -> None:
-        """Generate a completion, streamed or whole."""
-        self._attempt_id = AttemptId(self.request.headers.get(REQUEST_ID_HEADER, ""))
-        self.set_header(REQUEST_ID_HEADER, self._attempt_id)
-        try:
-            body = self.decode_body()
-        except msgspec.DecodeError as error:
-            self.send_error_body(
-                HTTP_BAD_REQUEST, "invalid_body", str(error), run=Execution.NOT_RUN
-            )
-            return
-        request = body.request(self._attempt_id)
-        async with aclosing(self.engine.generate(request)) as chunks:
-            if body.stream:
-                await self._send_stream(request, chunks)
-            else:
-                await self._send_whole(request, chunks)
-
-    def on_connection_close(self) -> None:
-        """Stop the generation when the caller has gone."""
-        self.tasks.spawn(self._cancel(), f"cancel-{self._attempt_id}")
-
-    def decode_body(self) -> CompletionBody:
-        """Return the body of the request.
-
-        Raises:
-            msgspec.DecodeError: The body is not valid.
-        """
-        return msgspec.json.decode(self.request.body, type=CompletionBody)
-
-    def delta_choice(self, chunk: TokenChunk) -> Choice:
-        """Return the choice of a streamed chunk."""
-        return Choice(text=chunk.text, finish_reason=chunk.finish_reason)
-
-    def whole_choice(self, text: str, last: TokenChunk) -> Choice:
-        """Return the choice of a whole answer."""
-        return Choice(text=text, finish_reason=last.finish_reason)
-
-    async def _cancel(self) -> None:
-        try:
-            await self.engine.cancel(self._attempt_id)
-        except BackendError:
-            return
-
-    async def _send_stream(
-        self, request: GenerationRequest, chunks: AsyncGenerator[TokenChunk]
-    ) -> None:
-        started = False
-        try:
-            async for chunk in chunks:
-                if not started:
-                    self.set_header("Content-Type", EVENT_STREAM_TYPE)
-                    started = True
-                self.write(encode_event(msgspec.json.encode(self._event(request, chunk))))
-                await self.flush()
-            self.write(encode_event(DONE_EVENT))
-        except StreamClosedError:
-            return
-        except BackendRefusedError as error:
-            self.send_backend_error(error)
-        except BackendError:
-            self.drop_connection()
-
-    async def _send_whole(
-        self, request: GenerationRequest, chunks: AsyncGenerator[TokenChunk]
-    ) -> None:
-        received: list[TokenChunk] = []
-        try:
-            async for chunk in chunks:
-                received.append(chunk)
-        except BackendRefusedError as error:
-            self.send_backend_error(error)
-            return
-        except BackendError:
-            self.drop_connection()
-            return
-        self.send(self._whole(request, received))
-
-    def _event(self, request: GenerationRequest, chunk: TokenChunk) -> CompletionChunk:
-        return CompletionChunk(
-            id=chunk.attempt_id,
-            object=self.object_name,
-            model=request.model,
-            choices=(self.delta_choice(chunk),),
-            boot_id=chunk.boot_id,
-            weight_version=chunk.weight_version,
-            first_index=chunk.first_index,
-            token_ids=chunk.token_ids,
-        )
-
-    def _whole(self, request: GenerationRequest, chunks: list[TokenChunk]) -> WholeCompletion:
-        tokens = tuple(token for chunk in chunks for token in chunk.token_ids)
-        prompt_tokens = len(request.prompt) // CHARACTERS_PER_TOKEN + 1
-        last = chunks[-1]
-        return WholeCompletion(
-            id=last.attempt_id,
-            object=self.object_name,
-            model=request.model,
-            choices=(self.whole_choice("".join(chunk.text for chunk in chunks), last),),
-            usage=Usage(
-                prompt_tokens=prompt_tokens,
-                completion_tokens=len(tokens),
-                total_tokens=prompt_tokens + len(tokens),
-            ),
-            boot_id=last.boot_id,
-            weight_versions=tuple(dict.fromkeys(chunk.weight_version for chunk in chunks)),
-            token_ids=tokens,
-        )
-
-
-class ChatCompletionsHandler(CompletionsHandler):
-    """``POST /v1/chat/completions``."""
-
-    object_name = "chat.completion"
-
-    def decode_body(self) -> CompletionBody:
-        """Return the body with its messages as one prompt.
-
-        Raises:
-            msgspec.DecodeError: The body is not valid.
-        """
-        return msgspec.json.decode(self.request.body, type=ChatCompletionBody).completion()
-
-    def delta_choice(self, chunk: TokenChunk) -> Choice:
-        """Return the choice of a streamed chunk."""
-        return Choice(delta=ChatDelta(content=chunk.text), finish_reason=chunk.finish_reason)
-
-    def whole_choice(self, text: str, last: TokenChunk) -> Choice:
-        """Return the choice of a whole answer."""
-        message = ChatMessage(role="assistant", content=text)
-        return Choice(message=message, finish_reason=last.finish_reason)
-
 
 class OrdersHandler(EngineHandler):
     """``POST /admin/orders``."""
@@ -264,7 +79,7 @@
     async def post(self) -> None:
         """Stop an attempt."""
         try:
-            body = msgspec.json.decode(self.request.body, type=CancelBody)
+            body = msgspec.json.decode(self.request.body, type=AttemptBody)
             await self.engine.cancel(body.attempt_id)
         except msgspec.DecodeError as error:
             self.send_error_body(HTTP_BAD_REQUEST, "invalid_body", str(error))
@@ -275,6 +90,35 @@
         self.send(body)
 
 
+class CacheExportHandler(EngineHandler):
+    """``POST /admin/kv-cache/export``."""
+
+    async def post(self) -> None:
+        """Answer with the cache of an attempt."""
+        try:
+            body = msgspec.json.decode(self.request.body, type=AttemptBody)
+            self.send(await self.engine.export_cache(body.attempt_id))
+        except msgspec.DecodeError as error:
+            self.send_error_body(HTTP_BAD_REQUEST, "invalid_body", str(error))
+        except BackendError as error:
+            self.send_backend_error(error)
+
+
+class CacheImportHandler(EngineHandler):
+    """``POST /admin/kv-cache/import``."""
+
+    async def post(self) -> None:
+        """Take the cache of an attempt that ran elsewhere."""
+        try:
+            export = msgspec.json.decode(self.request.body, type=CacheExport)
+            await self.engine.import_cache(export)
+            self.send(export)
+        except msgspec.DecodeError as error:
+            self.send_error_body(HTTP_BAD_REQUEST, "invalid_body", str(error))
+        except BackendError as error:
+            self.send_backend_error(error)
+
+
 class EngineServer:
     """Serves one emulated engine."""
 
@@ -300,6 +144,8 @@
                 (STATUS_PATH, StatusHandler, arguments),
                 (CACHE_EVENTS_PATH, CacheEventsHandler, arguments),
                 (CANCEL_PATH, CancelHandler, arguments),
+                (CACHE_EXPORT_PATH, CacheExportHandler, arguments),
+                (CACHE_IMPORT_PATH, CacheImportHandler, arguments),
             ],
             clock,
             host=host,
--- a/drumbay/standins/generation.py
+++ b/drumbay/standins/generation.py
@@ -21,6 +21,8 @@
         self.ticket = ticket
         self.next_index = len(request.resume_tokens)
         self.started_at_seconds: float | None = None
+        self.prefill_version: WeightVersion | None = None
+        self.cache_imported = False
         self.outcome: GenerationOutcome | None = None
         self.truncated = False
         self.late = False
@@ -53,6 +55,18 @@
         """Length of the prompt in tokens."""
         return len(self.request.prompt) // CHARACTERS_PER_TOKEN + 1
 
+    @property
+    def all_tokens(self) -> tuple[int, ...]:
+        """Tokens of the completion so far, resumed ones included."""
+        return (*self.request.resume_tokens, *self._tokens)
+
+    @property
+    def versions(self) -> tuple[WeightVersion, ...]:
+        """Versions whose weights computed the cache of the completion so far."""
+        prefill = () if self.prefill_version is None else (self.prefill_version,)
+        produced = (span.weight_version for span in self._spans)
+        return tuple(dict.fromkeys((*prefill, *produced)))
+
     def add_tokens(self, version: WeightVersion, tokens: tuple[int, ...]) -> None:
         """Note tokens that ``version`` produced."""
         last = self._spans[-1] if self._spans else None
--- a/tests/test_engine_model.py
+++ b/tests/test_engine_model.py
@@ -6,6 +6,8 @@
 from collections.abc import Awaitable, Callable
 from unittest import mock
 
+import msgspec
+
 from drumbay.backends.interface import (
     BackendAddress,
     BackendRefusedError,
@@ -22,6 +24,7 @@
 from drumbay.clock import SystemClock
 from drumbay.identifiers import AttemptId, BackendId, Fence, WeightVersion
 from drumbay.simulation.virtual_time import run_simulation
+from drumbay.standins.cache_transfer import CACHE_VERSION_MISMATCH, MixedVersionsError
 from drumbay.standins.engine_decoder import EngineDecoder
 from drumbay.standins.engine_model import EngineModel
 from drumbay.standins.engine_parameters import EngineParameters
@@ -374,3 +377,55 @@
             await stream
 
         run(scenario)
+
+
+class CacheTransferTest(unittest.TestCase):
+    async def resume_elsewhere(self, bench: Bench) -> GenerationRequest:
+        """Export half a completion, import it into another engine and return the resumption."""
+        first = Bench()
+        item = request("first", 100, prompt="a long conversation " * 2000)
+        half = await first.generate(msgspec.structs.replace(item, max_tokens=48))
+        export = await first.engine.export_cache(item.attempt_id)
+        await bench.engine.import_cache(export)
+        tokens = tuple(token for chunk in half for token in chunk.token_ids)
+        attempt_id = AttemptId("second")
+        return msgspec.structs.replace(item, attempt_id=attempt_id, resume_tokens=tokens)
+
+    def test_an_imported_cache_spares_prefill(self) -> None:
+        async def scenario() -> None:
+            clock = asyncio.get_running_loop().time
+            elapsed: list[float] = []
+            for bench in (Bench(), Bench()):
+                resumed = await self.resume_elsewhere(Bench() if elapsed else bench)
+                began = clock()
+                chunks = await bench.generate(resumed)
+                elapsed.append(clock() - began)
+                self.assertEqual(chunks[0].first_index, 48)
+            self.assertLess(elapsed[0], elapsed[1] - 1.0)
+
+        run(scenario)
+
+    def test_a_cache_of_other_weights_is_refused(self) -> None:
+        async def scenario() -> None:
+            bench = Bench()
+            resumed = await self.resume_elsewhere(bench)
+            await bench.load(2, 1)
+            with self.assertRaises(BackendRefusedError) as caught:
+                await bench.generate(resumed)
+            self.assertEqual(caught.exception.reason, CACHE_VERSION_MISMATCH)
+            chunks = await bench.generate(resumed)
+            self.assertEqual(chunks[-1].finish_reason, FinishReason.STOP)
+            with self.assertRaises(BackendRefusedError):
+                await self.resume_elsewhere(bench)
+
+        run(scenario)
+
+    def test_a_cache_of_mixed_weights_is_not_exported(self) -> None:
+        async def scenario() -> None:
+            bench = Bench()
+            served = bench.generate(request("a", 600))
+            await asyncio.gather(served, bench.load(2, 1))
+            with self.assertRaises(MixedVersionsError):
+                await bench.engine.export_cache(AttemptId("a"))
+
+        run(scenario)
