--- a/tests/test_routing_choice.py
+++ b/tests/test_routing_choice.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from drumbay.backends.interface import CacheEvent, CacheEventKind, EngineStatus
+from drumbay.backends.prefix_hash import BLOCK_CHARACTERS, prefix_hashes
 from drumbay.explain.records import RejectionReason
 from drumbay.identifiers import AttemptId, BackendId, BootId, Fence, WeightVersion
 from drumbay.routing.engine_choice import (
@@ -20,11 +21,17 @@
     estimated_load,
 )
 from drumbay.routing.load_view import BackendFlags, LoadView
-from drumbay.routing.prefix_index import PREFIX_BLOCK_CHARACTERS, PrefixIndex, prefix_hashes
+from drumbay.routing.prefix_index import MAX_AFFINITY_BLOCKS, PrefixIndex, affinity_hashes
 from drumbay.routing.selectors import MODEL_LABEL
 
 POLICY = ChoicePolicy(max_load=8, reserved_load=2)
 ENGINE = BackendId("engine")
+UNAVAILABILITIES = (
+    RejectionReason.DRAINED,
+    RejectionReason.LEAVING,
+    RejectionReason.UNREACHABLE,
+    RejectionReason.CIRCUIT_OPEN,
+)
 
 
 def is_selected(labels: Mapping[str, str]) -> bool:
@@ -62,10 +69,7 @@
         own_started_since_report=st.integers(0, 4),
         own_finished_since_report=st.integers(0, 4),
         weight_version=st.sampled_from([None, WeightVersion(4), WeightVersion(5)]),
-        is_reachable=st.sampled_from([True, True, True, False]),
-        circuit_admits=st.sampled_from([True, True, True, False]),
-        is_draining=st.sampled_from([False, False, False, True]),
-        is_leaving=st.sampled_from([False, False, False, True]),
+        unavailability=st.sampled_from([None, None, *UNAVAILABILITIES]),
     ),
     unique_by=lambda entry: entry.backend_id,
 )
@@ -93,10 +97,7 @@
             entry.backend_id
             for entry in views
             if entry.labels == {"tier": "gold", MODEL_LABEL: "m"}
-            and entry.is_reachable
-            and entry.circuit_admits
-            and not entry.is_draining
-            and not entry.is_leaving
+            and entry.unavailability is None
             and entry.backend_id not in request.already_tried
             and accepts_version(request, entry.weight_version)
             and estimated_load(entry) < limit
@@ -117,10 +118,8 @@
         cases = {
             RejectionReason.SELECTOR: view("x", labels={}),
             RejectionReason.MODEL: view("x", labels={"tier": "gold", MODEL_LABEL: "other"}),
-            RejectionReason.DRAINED: view("x", is_draining=True),
-            RejectionReason.LEAVING: view("x", is_leaving=True),
-            RejectionReason.UNREACHABLE: view("x", is_reachable=False),
-            RejectionReason.CIRCUIT_OPEN: view("x", circuit_admits=False),
+            RejectionReason.DRAINED: view("x", unavailability=RejectionReason.DRAINED),
+            RejectionReason.LEAVING: view("x", unavailability=RejectionReason.LEAVING),
             RejectionReason.VERSION: view("x", weight_version=WeightVersion(4)),
             RejectionReason.ALREADY_TRIED: view("tried"),
             RejectionReason.OVERLOADED: view("x", running=6),
@@ -143,6 +142,34 @@
         self.assertEqual(choice.chosen.backend_id, "e33")
 
 
+class LoadViewWithoutFlags(LoadView):
+    """Test-only fault: what other parts of the node know of a back end is lost."""
+
+    def set_flags(self, backend_id: BackendId, flags: BackendFlags) -> None:
+        del backend_id, flags
+
+
+class LeavingBackendTest(unittest.TestCase):
+    def work_after_leaving(self, loads: LoadView) -> int:
+        """Return how many attempts a back end received after it was seen to leave."""
+        received: dict[str, int] = {}
+        for name in ("staying", "leaving"):
+            loads.set_backend(BackendId(name), {"tier": "gold", MODEL_LABEL: "m"}, "z1")
+        loads.set_flags(BackendId("leaving"), BackendFlags(is_leaving=True))
+        for seed in range(20):
+            choice = choose_backend(
+                choice_request(), loads.views(), ChoicePolicy(), random.Random(seed)
+            )
+            assert choice.chosen is not None
+            name = choice.chosen.backend_id
+            received[name] = received.get(name, 0) + 1
+        return received.get("leaving", 0)
+
+    def test_leaving_back_end_gets_no_new_work(self) -> None:
+        self.assertEqual(self.work_after_leaving(LoadView()), 0)
+        self.assertGreater(self.work_after_leaving(LoadViewWithoutFlags()), 0)
+
+
 class LoadViewTest(unittest.TestCase):
     def setUp(self) -> None:
         self.loads = LoadView()
@@ -187,9 +214,18 @@
         self.assertEqual(self.loads.views()[0].running, 1)
         self.assertEqual(self.loads.views()[0].weight_version, 2)
 
-    def test_flags_reach_the_view(self) -> None:
-        self.loads.set_flags(ENGINE, BackendFlags(is_leaving=True))
-        self.assertTrue(self.loads.views()[0].is_leaving)
+    def test_flags_make_a_back_end_unavailable(self) -> None:
+        cases = {
+            RejectionReason.DRAINED: BackendFlags(is_draining=True),
+            RejectionReason.LEAVING: BackendFlags(is_leaving=True),
+            RejectionReason.UNREACHABLE: BackendFlags(is_reachable=False),
+            RejectionReason.CIRCUIT_OPEN: BackendFlags(circuit_admits=False),
+        }
+        for reason, flags in cases.items():
+            self.loads.set_flags(ENGINE, flags)
+            self.assertEqual(self.loads.views()[0].unavailability, reason)
+        self.loads.set_flags(ENGINE, BackendFlags())
+        self.assertIsNone(self.loads.views()[0].unavailability)
 
     def test_own_attempts_spread_load_between_reports(self) -> None:
         """Without the correction one lagging report draws every request to one engine."""
@@ -229,10 +265,14 @@
 
 
 class PrefixIndexTest(unittest.TestCase):
-    def test_hashes_cover_whole_blocks_only(self) -> None:
-        prompt = "x" * (2 * PREFIX_BLOCK_CHARACTERS + 5)
-        self.assertEqual(len(prefix_hashes(prompt)), 2)
-        self.assertEqual(prefix_hashes(prompt)[:1], prefix_hashes("x" * PREFIX_BLOCK_CHARACTERS))
+    def test_hashes_are_those_of_engines(self) -> None:
+        """An engine and a node must name the same prefix alike, or affinity never holds."""
+        prompt = "x" * (2 * BLOCK_CHARACTERS + 5)
+        hashes = affinity_hashes("m", prompt)
+        self.assertEqual(hashes, prefix_hashes("m", prompt))
+        self.assertEqual(len(hashes), 2)
+        self.assertEqual(len(affinity_hashes("m", prompt * 100)), MAX_AFFINITY_BLOCKS)
+        self.assertNotEqual(affinity_hashes("other", prompt), hashes)
 
     def test_share_of_the_longest_prefix(self) -> None:
         index = PrefixIndex()
