Lose the answers of orders that took effect, as a switchable fault

Change: the fault order_answer_lost; a lost answer drops the connection over HTTP. Pages of a log no longer copy the whole log.

--- a/drumbay/standins/engine_completions.py
+++ b/drumbay/standins/engine_completions.py
@@ -9,6 +9,7 @@
 from drumbay.backends.interface import (
     BackendError,
     BackendRefusedError,
+    ExchangeBrokenError,
     GenerationRequest,
     StaleFenceError,
     TokenChunk,
@@ -62,7 +63,7 @@
             )
         elif isinstance(error, StaleFenceError):
             self.send_error_body(HTTP_CONFLICT, error.code, str(error))
-        elif self.engine.crashed:
+        elif isinstance(error, ExchangeBrokenError) or self.engine.crashed:
             self.drop_connection()
         else:
             self.send_error_body(HTTP_SERVER_ERROR, error.code, str(error))
--- a/drumbay/standins/engine_context.py
+++ b/drumbay/standins/engine_context.py
@@ -12,6 +12,7 @@
 ENGINE_FAULTS = (
     FaultKind.SWAP_FAILS,
     FaultKind.SWAP_FAILS_ACKNOWLEDGED,
+    FaultKind.ORDER_ANSWER_LOST,
     FaultKind.CROSSED_ANSWER,
     FaultKind.TRUNCATED_ANSWER,
     FaultKind.LATE_ANSWER,
--- a/drumbay/standins/execution_log.py
+++ b/drumbay/standins/execution_log.py
@@ -3,6 +3,7 @@
 The proofs read these records. Each is appended at the moment of the effect.
 """
 
+import itertools
 from collections import deque
 from enum import StrEnum
 
@@ -253,5 +254,5 @@
         dropped = self._total - len(self._records)
         start = max(first, dropped)
         offset = start - dropped
-        chosen = tuple(self._records)[offset : offset + count]
+        chosen = tuple(itertools.islice(self._records, offset, offset + count))
         return ExecutionLogPage(first=start, total=self._total, records=chosen)
--- a/drumbay/standins/faults.py
+++ b/drumbay/standins/faults.py
@@ -16,6 +16,9 @@
     SWAP_FAILS = "swap_fails"
     """An order to load a version is answered with a failure; the old weights stay."""
 
+    ORDER_ANSWER_LOST = "order_answer_lost"
+    """An order is carried out, but its answer is lost."""
+
     CROSSED_ANSWER = "crossed_answer"
     """A request is answered with the answer of the previous one."""
 
--- a/drumbay/standins/order_queue.py
+++ b/drumbay/standins/order_queue.py
@@ -15,6 +15,7 @@
 from drumbay.standins.engine_context import EngineContext
 from drumbay.standins.engine_orders import LoadedWeights, OrderExecutor
 from drumbay.standins.execution_log import OrderHandled, OrderOutcome
+from drumbay.standins.faults import FaultKind
 
 
 class OrderQueue:
@@ -83,6 +84,8 @@
         except DrumbayError as error:
             result = BackendError(f"{error.code}: {error}")
         self._log(order, outcome)
+        if self._context.faults.strikes(FaultKind.ORDER_ANSWER_LOST):
+            result = ExchangeBrokenError("the answer was lost")
         self._answer(number, result)
 
     def _answer(self, number: int, result: EngineStatus | BackendError) -> None:
--- a/tests/test_engine_model.py
+++ b/tests/test_engine_model.py
@@ -258,6 +258,16 @@
 
         run(scenario)
 
+    def test_an_order_whose_answer_was_lost_took_effect(self) -> None:
+        async def scenario() -> None:
+            bench = Bench()
+            bench.arm(FaultKind.ORDER_ANSWER_LOST)
+            with self.assertRaises(ExchangeBrokenError):
+                await bench.load(2, 1)
+            self.assertEqual(bench.engine.true_version, 2)
+
+        run(scenario)
+
     def test_a_version_that_is_not_loaded_is_refused(self) -> None:
         async def scenario() -> None:
             bench = Bench()
