Tell the owner of a rollout about tokens that contradict an engine's report

Cause: the node that sees the tokens is rarely the one that owns the rollout. Change: EngineStamp, a datagram sent on a difference only. Without replicas a watcher confirms by the key-value service every 15 s in place of 5 s.

--- a/drumbay/bench/weights_cluster.py
+++ b/drumbay/bench/weights_cluster.py
@@ -16,6 +16,10 @@
 from drumbay.resources.schema import Selector, WeightPolicy, WeightRollback
 from drumbay.simulation.gated_clients import GatedEngineClient
 from drumbay.simulation.host import Location, SimulatedHost
+from drumbay.simulation.latency import LatencyModel
+from drumbay.simulation.network import SimulatedNetwork
+from drumbay.simulation.trace import Trace
+from drumbay.simulation.transport import SimulatedTransport
 from drumbay.standins.engine_model import EngineModel
 from drumbay.standins.engine_parameters import EngineParameters
 from drumbay.standins.execution_log import OrderHandled, OrderOutcome
@@ -74,16 +78,19 @@
     ) -> None:
         """Start the machine and its service."""
         self.host = SimulatedHost(name, Address(name, 1), Location(zone="z", region="r"))
+        cluster.node_network.add_host(self.host)
         process = self.host.start()
         self.lease_fence: Fence | None = None
         self.records: list[DecisionRecord] = []
         self.service = service_type(
             clock=self.host.clock(),
             engine_client=GatedEngineClient(process, client),
+            transport=SimulatedTransport(cluster.node_network, self.host.address, process),
             node_id=NodeId(name),
             view=lambda: cluster.view,
             engines_of=lambda _policy: cluster.addresses,
             lease_fence=lambda _model: self.lease_fence,
+            owner_address=lambda _model: cluster.owner_address,
             needs=lambda _model: cluster.needs,
             record=self.records.append,
             task_owner=TaskOwner(),
@@ -101,6 +108,8 @@
         engines: The engines.
         addresses: Where the engines are reached.
         network: Network between nodes and engines.
+        node_network: Network between nodes.
+        owner_address: Where nodes believe the owner of the rollout to be.
         view: The configuration in force on every node.
         needs: Versions that running samples need.
         loads: Orders as the engines saw them.
@@ -132,6 +141,8 @@
             for engine in self.engines
         )
         self.network = BackendNetwork(self.clock)
+        self.node_network = SimulatedNetwork(random.Random(1), LatencyModel(), Trace(kept_events=0))
+        self.owner_address: Address | None = None
         by_url = {f"http://{engine.backend_id}": engine for engine in self.engines}
         self.client = MemoryEngineClient(self.clock, by_url, self.network)
         self.needs: tuple[VersionNeed, ...] = ()
--- a/drumbay/configuration/service.py
+++ b/drumbay/configuration/service.py
@@ -39,6 +39,9 @@
 
 ROLE_PERIOD_SECONDS = 1.0
 CONFIRM_PERIOD_SECONDS = 5.0
+STORE_CONFIRM_PERIOD_SECONDS = 15.0
+"""Between confirmations by the rate-limited key-value service, without replicas."""
+
 PROPOSAL_PROBABILITY = 0.25
 
 
@@ -169,11 +172,16 @@
         while True:
             self._elect()
             if self.watching and self._clock.monotonic() >= next_confirmation:
-                next_confirmation = self._clock.monotonic() + CONFIRM_PERIOD_SECONDS
                 await self._confirm()
+                next_confirmation = self._clock.monotonic() + self._confirm_period_seconds()
                 await self._maintain_replica_set()
             await self._clock.sleep(ROLE_PERIOD_SECONDS)
 
+    def _confirm_period_seconds(self) -> float:
+        if self._applied.state.replica_set.members:
+            return CONFIRM_PERIOD_SECONDS
+        return STORE_CONFIRM_PERIOD_SECONDS
+
     async def _load(self) -> None:
         backoff = Backoff(self._generator)
         while not await self._confirm():
--- a/drumbay/weights/service.py
+++ b/drumbay/weights/service.py
@@ -15,6 +15,7 @@
     StaleFenceError,
 )
 from drumbay.clock import Clock
+from drumbay.comm.interface import Address, Message, Transport
 from drumbay.configuration.view import ConfigurationView
 from drumbay.explain.records import DecisionRecord, SubjectKind
 from drumbay.identifiers import BackendId, BootId, Fence, NodeId, WeightVersion
@@ -65,6 +66,15 @@
     )
 
 
+class EngineStamp(Message, frozen=True, kw_only=True):
+    """Datagram to the owner of a rollout: tokens contradict what an engine reports."""
+
+    model: str
+    engine: BackendId
+    boot_id: BootId
+    version: WeightVersion
+
+
 class WeightRolloutService:
     """Rolls out weights on this node's own rollouts.
 
@@ -83,10 +93,12 @@
         *,
         clock: Clock,
         engine_client: EngineClient,
+        transport: Transport,
         node_id: NodeId,
         view: Callable[[], ConfigurationView],
         engines_of: Callable[[WeightPolicy], tuple[BackendAddress, ...]],
         lease_fence: Callable[[str], Fence | None],
+        owner_address: Callable[[str], Address | None],
         needs: Callable[[str], tuple[VersionNeed, ...]],
         record: Callable[[DecisionRecord], None],
         task_owner: TaskOwner,
@@ -97,11 +109,13 @@
         Args:
             clock: Time.
             engine_client: Operations on engines.
+            transport: Messages to and from the owner of a rollout.
             node_id: This node, for the decision records.
             view: The configuration in force.
             engines_of: Returns the engines that a policy selects.
             lease_fence: Returns the fence of the lease on a model's rollout while this
                 node owns it, else ``None``.
+            owner_address: Returns where the owner of a model's rollout is reached.
             needs: Returns the versions of a model that running samples need.
             record: Takes each decision.
             task_owner: Owner of the background tasks.
@@ -109,6 +123,8 @@
         """
         self._clock = clock
         self._engine_client = engine_client
+        self._transport = transport
+        self._owner_address = owner_address
         self._node_id = node_id
         self._view = view
         self._engines_of = engines_of
@@ -125,7 +141,8 @@
         self._status_calls = asyncio.Semaphore(CONCURRENT_STATUS_CALLS)
 
     def start(self) -> None:
-        """Start the background task."""
+        """Register the message handler and start the background task."""
+        self._transport.handle_datagrams(EngineStamp, self._handle_stamp)
         self._task_owner.spawn(self._run(), "weight rollout")
 
     def publish(self, model: str, version: WeightVersion) -> None:
@@ -136,10 +153,36 @@
         self._handle(model, VersionPublished(version=version))
 
     def observe_stamp(
-        self, model: str, engine: BackendId, boot_id: BootId, version: WeightVersion
+        self,
+        model: str,
+        engine: BackendId,
+        boot_id: BootId,
+        version: WeightVersion,
+        reported_version: WeightVersion,
     ) -> None:
-        """Take in the version that a chunk of tokens names."""
-        self._handle(model, StampObserved(engine=engine, boot_id=boot_id, version=version))
+        """Take in the version that a chunk of tokens names.
+
+        Args:
+            model: Name of the model.
+            engine: The engine.
+            boot_id: Run of the engine process.
+            version: Version that the chunk names.
+            reported_version: Version that the engine last reported; only a difference is
+                told to the owner.
+        """
+        if version == reported_version:
+            return
+        stamp = EngineStamp(model=model, engine=engine, boot_id=boot_id, version=version)
+        if self._lease_fence(model) is not None:
+            self._handle_stamp(self._transport.address, stamp)
+            return
+        owner = self._owner_address(model)
+        if owner is not None:
+            self._transport.send_datagram(owner, stamp)
+
+    def _handle_stamp(self, _source: Address, stamp: EngineStamp) -> None:
+        observed = StampObserved(engine=stamp.engine, boot_id=stamp.boot_id, version=stamp.version)
+        self._handle(stamp.model, observed)
 
     def target(self, model: str) -> WeightVersion | None:
         """Return the version this node rolls out, if it owns the model's rollout."""
--- a/tests/test_weight_rollout.py
+++ b/tests/test_weight_rollout.py
@@ -176,8 +176,16 @@
             await cluster.wait_until(lambda: cluster.true_versions().count(2) == ENGINES - 1, 60)
             await asyncio.sleep(5)
             engine = cluster.engines[0]
-            node.service.observe_stamp(
-                "modelos", engine.backend_id, engine.boot_id, engine.true_version
+            cluster.owner_address = node.host.address
+            status = await engine.status()
+            other = cluster.add_node("other")
+            await asyncio.sleep(1)
+            other.service.observe_stamp(
+                "modelos",
+                engine.backend_id,
+                engine.boot_id,
+                engine.true_version,
+                status.weight_version,
             )
             await asyncio.sleep(30)
 
