Settle orders without an answer by the engine's report

Cause: an engine whose order got no answer held its place in the rollout for 90 s. With the rule off, a rollout with one order held back for 80 s does not end within 60 s.

--- a/drumbay/bench/configuration.py
+++ b/drumbay/bench/configuration.py
@@ -15,13 +15,10 @@
 import numpy
 from loguru import logger
 
-from drumbay.bench.configuration_cluster import (
-    ConfigurationCluster,
-    commit_times,
-    find_reversions,
-)
+from drumbay.bench.configuration_cluster import ConfigurationCluster
+from drumbay.bench.configuration_history import commit_times, find_reversions
+from drumbay.bench.configuration_objects import ObjectCost, measure_objects, sample_route
 from drumbay.identifiers import Revision
-from drumbay.resources.schema import Route, RouteKind, Selector
 from drumbay.simulation.host import Location
 from drumbay.simulation.latency import LatencyModel
 from drumbay.simulation.network import Cut, Scope
@@ -37,6 +34,7 @@
 """A node of the first region, which has a majority of the replicas."""
 
 CUT_SECONDS = 30.0
+OBJECT_COUNTS = (1000, 5000)
 RESOURCE_COUNT = 50
 CHANGE_COUNT = 10
 CHANGE_PERIOD_SECONDS = 3.0
@@ -93,26 +91,18 @@
     Attributes:
         seed: Seed of the runs.
         measurements: One for each size.
+        object_costs: Cost of resources on one node.
         seconds_per_doubling: Slope of the longest time in force over log2 of the nodes.
         idle_bytes_per_node_per_added_node: Slope of the idle bytes over the nodes.
     """
 
     seed: int
     measurements: tuple[ConfigurationMeasurement, ...]
+    object_costs: tuple[ObjectCost, ...]
     seconds_per_doubling: float
     idle_bytes_per_node_per_added_node: float
 
 
-def _route(index: int, priority: int) -> Route:
-    return Route(
-        name=f"ruta-{index}",
-        route_kind=RouteKind.LIVE,
-        selector=Selector(match_labels={"pool": "modelos", "zone": "miraflores"}),
-        model="modelos",
-        priority=priority,
-    )
-
-
 def _locations() -> tuple[Location, ...]:
     return tuple(
         Location(zone=f"{region}-{zone}", region=region)
@@ -178,7 +168,9 @@
 
     async def _change(self, index: int, priority: int, node: str = WRITER_NODE) -> Revision:
         operators = self._cluster.nodes[node].operators
-        result = await operators.apply(_route(index, priority), None, f"set-{index}-{priority}")
+        result = await operators.apply(
+            sample_route(index, priority), None, f"set-{index}-{priority}"
+        )
         if result.committed_revision is None:
             raise RuntimeError(f"change was not committed: {result.detail}")
         return result.committed_revision
@@ -257,6 +249,7 @@
     return ConfigurationReport(
         seed=seed,
         measurements=tuple(measurements),
+        object_costs=tuple(measure_objects(count) for count in OBJECT_COUNTS),
         seconds_per_doubling=_slope([float(numpy.log2(n)) for n in node_counts], longest),
         idle_bytes_per_node_per_added_node=_slope([float(n) for n in node_counts], idle),
     )
--- a/drumbay/weights/events.py
+++ b/drumbay/weights/events.py
@@ -19,7 +19,7 @@
 
     min_serving_share: float = 0.5
     max_staleness_versions: int = 1
-    max_concurrent_loads: int = 64
+    max_concurrent_loads: int = 256
 
 
 class VersionNeed(msgspec.Struct, frozen=True, kw_only=True):
--- a/drumbay/weights/planner.py
+++ b/drumbay/weights/planner.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from drumbay.backends.interface import EngineStatus
 from drumbay.identifiers import BackendId, Fence, WeightVersion
 from drumbay.weights.capacity import serving_floor, spare_by_version
 from drumbay.weights.engines import EngineRecord, OpenOrder
@@ -28,7 +29,8 @@
     VersionPublished,
     Withdrawal,
 )
-from drumbay.weights.fences import lease_fence, order_fence
+from drumbay.weights.fences import order_fence
+from drumbay.weights.order_choice import engines_to_order, order_reason
 from drumbay.weights.target import is_withdrawn, target_version
 
 ORDER_LIMIT_SECONDS = 120.0
@@ -37,6 +39,9 @@
 TAKEOVER_SECONDS = 3.0
 """How long a new owner waits for the engines' reports before it gives orders."""
 
+ARRIVAL_LIMIT_SECONDS = 10.0
+"""An engine that has not seen an order's fence by then counts as not having got it."""
+
 FIRST_RETRY_SECONDS = 1.0
 FAILURES_BEFORE_SET_ASIDE = 3
 SET_ASIDE_SECONDS = 60.0
@@ -129,6 +134,7 @@
             case StatusReported(status=status):
                 self._take_version(status.weight_version)
                 record.take_status(status, now)
+                yield from self._settle_open_order(record, status, now)
             case StatusMissed():
                 record.lose()
             case StampObserved(boot_id=boot_id, version=version):
@@ -136,7 +142,7 @@
                     detail = f"acknowledged, but its tokens are of version {version}"
                     yield from self._fail(record, detail, now)
             case OrderSucceeded(fence=fence, status=status):
-                yield from self._succeed(record, fence, status.weight_version, event, now)
+                yield from self._succeed(record, fence, status, now)
             case OrderFailed():
                 yield from self._take_failure(record, event, now)
 
@@ -173,20 +179,27 @@
             record.open_order = None
             record.lose()
 
+    def _settle_open_order(
+        self, record: EngineRecord, status: EngineStatus, now: float
+    ) -> Iterator[RolloutDecision]:
+        """End an order whose answer is missing by what the engine reports."""
+        order = record.open_order
+        if order is None:
+            return
+        if status.highest_fence == order.fence and record.version == order.version:
+            yield from self._succeed(record, order.fence, status, now)
+        elif status.highest_fence < order.fence and now - order.given_at > ARRIVAL_LIMIT_SECONDS:
+            yield from self._fail(record, "the order did not arrive", now)
+
     def _succeed(
-        self,
-        record: EngineRecord,
-        fence: Fence,
-        version: WeightVersion,
-        event: OrderSucceeded,
-        now: float,
+        self, record: EngineRecord, fence: Fence, status: EngineStatus, now: float
     ) -> Iterator[RolloutDecision]:
         if record.open_order is None or record.open_order.fence != fence:
             return
         ordered = record.open_order.version
-        record.take_success(event.status, now)
-        if version != ordered:
-            yield from self._fail(record, f"acknowledged, but reports version {version}", now)
+        record.take_success(status, now)
+        if record.version != ordered:
+            yield from self._fail(record, f"acknowledged, but reports {record.version}", now)
             return
         record.failures = 0
         record.set_aside = False
@@ -238,7 +251,10 @@
         if free <= 0:
             return
         spare = self._spare_by_version(now)
-        for record in self._candidates(now):
+        waiting = engines_to_order(
+            self._engines.values(), self._target, self._withdrawals, self._lease_fence, now
+        )
+        for record in waiting:
             if free <= 0:
                 return
             assert record.version is not None
@@ -247,7 +263,7 @@
             if record.version in spare:
                 spare[record.version] -= 1
             free -= 1
-            yield self._order(record, self._reason(record), now)
+            yield self._order(record, order_reason(record, self._target, done=self._done), now)
 
     def _knows_engines(self, now: float) -> bool:
         """Tell whether the engines' reports are in, so that a new owner can plan."""
@@ -276,41 +292,6 @@
         ]
         return spare_by_version(self._engines.values(), useful, now)
 
-    def _candidates(self, now: float) -> list[EngineRecord]:
-        candidates = [
-            record
-            for record in self._engines.values()
-            if record.is_serving(now)
-            and record.version is not None
-            and record.version != self._target
-            and now >= record.retry_at
-        ]
-        candidates.sort(key=self._order_key)
-        return candidates
-
-    def _order_key(self, record: EngineRecord) -> tuple[bool, int, int, int, int, str]:
-        """Return the place of an engine in the rollout.
-
-        Engines with a withdrawn version come first, then those without failures. Of the
-        engines that an earlier owner gave an order, the newest orders come first: these
-        engines may still be loading, and an order to them costs no more capacity. Then
-        come the oldest versions and the idlest engines.
-        """
-        version = record.version or 0
-        kept = not is_withdrawn(WeightVersion(version), self._withdrawals)
-        earlier = lease_fence(record.highest_fence) != self._lease_fence
-        inherited = record.highest_fence if earlier else 0
-        return (kept, record.failures, -inherited, version, record.load, record.engine)
-
-    def _reason(self, record: EngineRecord) -> OrderReason:
-        assert record.version is not None
-        assert self._target is not None
-        if record.failures > 0:
-            return OrderReason.RETRY
-        if record.version > self._target:
-            return OrderReason.ROLLBACK
-        return OrderReason.STATUS_BEHIND if self._done else OrderReason.NEW_VERSION
-
     def _order(self, record: EngineRecord, reason: OrderReason, now: float) -> LoadEngine:
         assert self._target is not None
         assert self._lease_fence is not None
--- a/drumbay/weights/service.py
+++ b/drumbay/weights/service.py
@@ -51,7 +51,8 @@
 STATUS_TIMEOUT_SECONDS = 2.0
 CONCURRENT_STATUS_CALLS = 64
 ORDER_TIMEOUT_SECONDS = 90.0
-DEFAULT_CONCURRENT_LOADS = 64
+DEFAULT_CONCURRENT_LOADS = 256
+"""With fewer, the store idles while engines load; see the design note for the figures."""
 
 
 def withdrawals_of(view: ConfigurationView, model: str) -> tuple[Withdrawal, ...]:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -10,11 +10,8 @@
 
 from loguru import logger
 
-from drumbay.bench.configuration_cluster import (
-    ConfigurationCluster,
-    ServiceType,
-    find_reversions,
-)
+from drumbay.bench.configuration_cluster import ConfigurationCluster, ServiceType
+from drumbay.bench.configuration_history import find_reversions
 from drumbay.configuration.dissemination import Dissemination
 from drumbay.configuration.errors import ConfigurationNotCurrentError
 from drumbay.configuration.messages import (
--- a/tests/test_weight_planner.py
+++ b/tests/test_weight_planner.py
@@ -162,6 +162,15 @@
         driver.send(Tick())
         self.assertEqual(len(driver.orders), count)
 
+    def test_report_with_the_fence_and_version_of_an_order_ends_it(self) -> None:
+        driver = Driver(1)
+        driver.send(VersionPublished(version=WeightVersion(2)))
+        order = driver.orders[0]
+        driver.send(StatusReported(status=status(order.engine, 1, order.fence)))
+        self.assertIn(order.engine, driver.planner.busy_engines())
+        driver.send(StatusReported(status=status(order.engine, 2, order.fence)))
+        self.assertNotIn(order.engine, driver.planner.busy_engines())
+
     def test_small_group_changes_one_engine_at_a_time_unless_all_must_serve(self) -> None:
         for share, expected in ((0.9, 1), (1.0, 0)):
             planner = RolloutPlanner(RolloutPolicy(min_serving_share=share))
--- a/tests/test_weight_rollout.py
+++ b/tests/test_weight_rollout.py
@@ -14,6 +14,7 @@
 from drumbay.simulation.virtual_time import run_simulation
 from drumbay.standins.execution_log import OrderHandled, OrderOutcome
 from drumbay.standins.faults import FaultCommand, FaultKind
+from drumbay.weights.engines import EngineRecord
 from drumbay.weights.events import PolicyChanged, RolloutDecision, RolloutEvent, VersionNeed
 from drumbay.weights.planner import RolloutPlanner
 from drumbay.weights.service import WeightRolloutService
@@ -68,6 +69,15 @@
     return False
 
 
+class WaitingPlanner(RolloutPlanner):
+    """Fault: an order ends by its answer or its time limit only."""
+
+    def _settle_open_order(
+        self, record: EngineRecord, status: EngineStatus, now: float
+    ) -> Iterator[RolloutDecision]:
+        return iter(())
+
+
 class NoWithdrawalPlanner(RolloutPlanner):
     """Fault: an operator's rollback is not part of the target."""
 
@@ -284,6 +294,22 @@
         with self.assertRaises(TimeoutError):
             self.run_rollout(scenario, NoWithdrawalPlanner)
 
+    def test_order_without_an_answer_is_settled_by_the_report(self) -> None:
+        async def scenario(cluster: RolloutCluster, node: RolloutNode) -> None:
+            lost = FaultCommand(fault=FaultKind.ORDER_ANSWER_LOST, count=1)
+            cluster.engines[0].faults.apply(lost)
+            cluster.publish(2, node)
+            await cluster.wait_until(
+                lambda: "weights_rollout_done" in [record.event for record in node.records], 60
+            )
+
+        # The emulator breaks the exchange, so a lost answer alone is noticed at once.
+        self.assertEqual(set(self.run_rollout(scenario).true_versions()), {2})
+        held = {BackendId("engine-001"): 80.0}
+        self.assertEqual(set(self.run_rollout(scenario, held=held).true_versions()), {2})
+        with self.assertRaises(TimeoutError):
+            self.run_rollout(scenario, WaitingPlanner, held)
+
     def test_restarted_engine_is_brought_up_again(self) -> None:
         async def scenario(cluster: RolloutCluster, node: RolloutNode) -> None:
             cluster.publish(2, node)
