Prove changes of the replica set

Runs: tests.test_configuration_replicas (3) passes. With revisions applied before a replica stored them, a change is reported as accepted and reverts at the next start in an outage; the checker reports it.

--- /dev/null
+++ b/tests/test_configuration_replicas.py
@@ -0,0 +1,155 @@
+"""Changes of the replica set in whole clusters."""
+
+import asyncio
+import tempfile
+import unittest
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import ClassVar
+
+from loguru import logger
+
+from drumbay.bench.configuration_cluster import ConfigurationCluster, ServiceType
+from drumbay.bench.configuration_history import find_reversions
+from drumbay.configuration.messages import ConfigurationUpdate
+from drumbay.configuration.outcomes import WriteOutcome
+from drumbay.configuration.replication import ReplicaClient
+from drumbay.configuration.service import ConfigurationService
+from drumbay.configuration.state import ConfigurationState
+from drumbay.identifiers import NodeId
+from drumbay.resources.schema import Route, RouteKind, Selector
+from drumbay.simulation.host import Location
+from drumbay.simulation.virtual_time import run_simulation
+from drumbay.standins.kv_faults import KeyValueFaults
+
+ZONES = tuple(Location(zone=zone, region="lima") for zone in ("miraflores", "surquillo"))
+SETTLE_SECONDS = 60.0
+REPLACED_SECONDS = 240.0
+
+Scenario = Callable[[ConfigurationCluster], Awaitable[None]]
+
+
+def setUpModule() -> None:
+    logger.remove()
+
+
+def route(priority: int) -> Route:
+    return Route(name="consulta", route_kind=RouteKind.LIVE, selector=Selector(), priority=priority)
+
+
+class UnstoredClient(ReplicaClient):
+    """Fault: a revision is put in force before any replica has stored it."""
+
+    async def store(self, state: ConfigurationState, update: ConfigurationUpdate) -> None:
+        return
+
+
+class UnstoredService(ConfigurationService):
+    replica_client_type: ClassVar[type[ReplicaClient]] = UnstoredClient
+
+
+class ReplicaSetChangeTest(unittest.TestCase):
+    def run_cluster(
+        self, scenario: Scenario, service_type: ServiceType = ConfigurationService
+    ) -> ConfigurationCluster:
+        async def main(folder: Path) -> ConfigurationCluster:
+            cluster = ConfigurationCluster(
+                seed=11, locations=ZONES, node_count=7, disk_count=4, folder=folder
+            )
+            # The fourth disk is a spare that joins later.
+            spare = cluster.nodes["node-003"]
+            cluster.set_members([node for node in cluster.nodes.values() if node is not spare])
+            for node in cluster.nodes.values():
+                if node is not spare:
+                    node.start(service_type)
+            await cluster.wait_loaded()
+            await asyncio.sleep(SETTLE_SECONDS)
+            await scenario(cluster)
+            return cluster
+
+        with tempfile.TemporaryDirectory() as folder:
+            return run_simulation(lambda: main(Path(folder)))
+
+    async def write(self, cluster: ConfigurationCluster, priority: int) -> WriteOutcome:
+        operators = cluster.nodes["node-006"].operators
+        return (await operators.apply(route(priority), None, f"set-{priority}")).outcome
+
+    def members(self, cluster: ConfigurationCluster) -> tuple[str, ...]:
+        state = cluster.nodes["node-006"].service.applied.state
+        self.assertEqual(state.replica_set.previous, ())
+        return state.replica_set.members
+
+    def test_lost_replica_is_replaced_and_its_successor_vouches(self) -> None:
+        async def scenario(cluster: ConfigurationCluster) -> None:
+            service_type = type(cluster.nodes["node-006"].service)
+            self.assertEqual(self.members(cluster), ("node-000", "node-001", "node-002"))
+            await self.write(cluster, 1)
+            await cluster.nodes["node-000"].kill()
+            cluster.nodes["node-003"].start(service_type)
+            cluster.set_members(
+                [node for node in cluster.nodes.values() if node.name != "node-000"]
+            )
+            await asyncio.sleep(REPLACED_SECONDS)
+            self.assertEqual(self.members(cluster), ("node-001", "node-002", "node-003"))
+            self.assertEqual(await self.write(cluster, 2), WriteOutcome.ACCEPTED)
+            cluster.model.set_faults(KeyValueFaults(outage=True))
+            for name in ("node-001", "node-002", "node-003", "node-006"):
+                await cluster.nodes[name].kill()
+            # The replaced replica is back with its old disk, beside one of the new set.
+            cluster.set_members(list(cluster.nodes.values()))
+            for name in ("node-000", "node-003", "node-006"):
+                cluster.nodes[name].start(service_type)
+            await asyncio.sleep(10)
+            self.assertFalse(cluster.nodes["node-006"].service.readiness().ready)
+            cluster.nodes["node-002"].start(service_type)
+            await asyncio.sleep(10)
+            self.assertTrue(cluster.nodes["node-006"].service.readiness().ready)
+
+        cluster = self.run_cluster(scenario)
+        self.assertEqual(find_reversions(cluster.observations), [])
+
+    def test_change_that_no_replica_stores_is_not_accepted(self) -> None:
+        outcomes: list[WriteOutcome] = []
+
+        async def scenario(cluster: ConfigurationCluster) -> None:
+            service_type = type(cluster.nodes["node-006"].service)
+            await self.write(cluster, 1)
+            for name in ("node-000", "node-001", "node-002"):
+                await cluster.nodes[name].kill()
+            outcomes.append(await self.write(cluster, 2))
+            cluster.model.set_faults(KeyValueFaults(outage=True))
+            await cluster.nodes["node-006"].kill()
+            for name in ("node-000", "node-001", "node-002", "node-006"):
+                cluster.nodes[name].start(service_type)
+            await asyncio.sleep(20)
+
+        green = self.run_cluster(scenario)
+        self.assertEqual(outcomes, [WriteOutcome.UNKNOWN_YET])
+        self.assertEqual(find_reversions(green.observations), [])
+        red = self.run_cluster(scenario, UnstoredService)
+        self.assertEqual(outcomes[1:], [WriteOutcome.ACCEPTED])
+        self.assertNotEqual(find_reversions(red.observations), [])
+
+    def test_operator_replaces_a_set_whose_majority_is_lost(self) -> None:
+        async def scenario(cluster: ConfigurationCluster) -> None:
+            for name in ("node-000", "node-001"):
+                await cluster.nodes[name].kill()
+            self.assertEqual(await self.write(cluster, 1), WriteOutcome.UNKNOWN_YET)
+            operators = cluster.nodes["node-006"].operators
+            await operators.force_replica_set((NodeId("node-002"),))
+            await cluster.wait_in_force(cluster.model.revision, 16.0)
+            settled = await operators.operation_status("set-1")
+            self.assertEqual(settled.outcome, WriteOutcome.ACCEPTED)
+            cluster.model.set_faults(KeyValueFaults(outage=True))
+            await cluster.nodes["node-006"].kill()
+            cluster.nodes["node-006"].start()
+            await asyncio.sleep(5)
+            view = cluster.nodes["node-006"].service.snapshot()
+            self.assertEqual(view.routes["consulta"].priority, 1)
+
+        cluster = self.run_cluster(scenario)
+        self.assertEqual(find_reversions(cluster.observations), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
