--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -27,14 +27,13 @@
 from drumbay.configuration.state import ApplyOutcome, ConfigurationState
 from drumbay.configuration.watcher import ConfigurationWatcher
 from drumbay.identifiers import NodeId, Revision
-from drumbay.resources.schema import Route, RouteKind, Selector
 from drumbay.simulation.host import Location
 from drumbay.simulation.network import Cut, Scope
 from drumbay.simulation.virtual_time import run_simulation
 from drumbay.standins.kv_faults import KeyValueFaults
+from tests.configuration_support import ZONES, route
 
-LIMA = tuple(Location(zone=zone, region="lima") for zone in ("miraflores", "surquillo"))
-TWO_REGIONS = (*LIMA, Location(zone="zwolle-hal", region="nl-oost"))
+TWO_REGIONS = (*ZONES, Location(zone="zwolle-hal", region="nl-oost"))
 REPLICA_SET_SECONDS = 60.0
 OUTAGE = KeyValueFaults(outage=True)
 
@@ -43,10 +42,6 @@
     logger.remove()
 
 
-def route(priority: int, name: str = "consulta") -> Route:
-    return Route(name=name, route_kind=RouteKind.LIVE, selector=Selector(), priority=priority)
-
-
 class AnyReplicaDecides(ReplicaClient):
     """Fault: one replica is taken for a majority."""
 
@@ -119,7 +114,7 @@
         scenario: Scenario,
         service_type: ServiceType = ConfigurationService,
         *,
-        locations: tuple[Location, ...] = LIMA,
+        locations: tuple[Location, ...] = ZONES,
         node_count: int = 6,
         disk_count: int = 3,
         history_limit: int = 1000,
--- a/tests/test_configuration_operators.py
+++ b/tests/test_configuration_operators.py
@@ -18,24 +18,18 @@
 from drumbay.configuration.outcomes import WriteOutcome, WriteResult
 from drumbay.identifiers import Revision
 from drumbay.kv.interface import Put
-from drumbay.resources.schema import Drain, Route, RouteKind, Selector
-from drumbay.simulation.host import Location
+from drumbay.resources.schema import Drain, Selector
 from drumbay.simulation.virtual_time import run_simulation
 from drumbay.standins.kv_faults import KeyValueFaults
 from drumbay.standins.kv_model import KeyValueModel
 from drumbay.standins.kv_records import LoggedChange
-
-ZONES = tuple(Location(zone=zone, region="lima") for zone in ("miraflores", "surquillo"))
+from tests.configuration_support import ZONES, route
 
 
 def setUpModule() -> None:
     logger.remove()
 
 
-def route(priority: int, name: str = "consulta") -> Route:
-    return Route(name=name, route_kind=RouteKind.LIVE, selector=Selector(), priority=priority)
-
-
 class NoReadBack(OperatorService):
     """Fault: a write without an answer is taken for one without an effect."""
 
--- a/tests/test_configuration_replicas.py
+++ b/tests/test_configuration_replicas.py
@@ -17,12 +17,10 @@
 from drumbay.configuration.service import ConfigurationService
 from drumbay.configuration.state import ConfigurationState
 from drumbay.identifiers import NodeId
-from drumbay.resources.schema import Route, RouteKind, Selector
-from drumbay.simulation.host import Location
 from drumbay.simulation.virtual_time import run_simulation
 from drumbay.standins.kv_faults import KeyValueFaults
+from tests.configuration_support import ZONES, route
 
-ZONES = tuple(Location(zone=zone, region="lima") for zone in ("miraflores", "surquillo"))
 SETTLE_SECONDS = 60.0
 REPLACED_SECONDS = 240.0
 
@@ -33,10 +31,6 @@
     logger.remove()
 
 
-def route(priority: int) -> Route:
-    return Route(name="consulta", route_kind=RouteKind.LIVE, selector=Selector(), priority=priority)
-
-
 class UnstoredClient(ReplicaClient):
     """Fault: a revision is put in force before any replica has stored it."""
 
