Add ownership of named resources: shared leases with growing fences

Cause: groups, steps and weight changes each need one owner, without a control machine, and an owner that was paused and lost its lease unaware must do no harm.

Change: LeaseState decides requests and standing (valid, suspended, unconfirmed) from typed events; OwnershipView and PlacementTable are pure as well; OwnershipManager does the I/O. The fence is the create revision of the resource's key. A lost answer is settled by reading the key. FenceGuard is the receivers' check. The transaction answer of the stand-in now names its own revision and not a later one.

A paused owner's late order: refused with the fence check, carried out of turn without it.

Conclusion: receivers' fences carry safety; clocks only narrow the time of double work.

--- /dev/null
+++ b/drumbay/kv/backoff.py
@@ -0,0 +1,32 @@
+"""Exponential backoff with jitter, for clients of a service that limits its rate."""
+
+import random
+
+
+class Backoff:
+    """Delays that double up to a bound, each drawn from the upper half of its range."""
+
+    def __init__(
+        self, generator: random.Random, *, first_seconds: float, longest_seconds: float
+    ) -> None:
+        """Start at the first delay.
+
+        Args:
+            generator: Source of jitter.
+            first_seconds: Bound of the first delay.
+            longest_seconds: Bound of every delay.
+        """
+        self._generator = generator
+        self._first_seconds = first_seconds
+        self._longest_seconds = longest_seconds
+        self._bound_seconds = first_seconds
+
+    def reset(self) -> None:
+        """Start again at the first delay."""
+        self._bound_seconds = self._first_seconds
+
+    def next_delay_seconds(self) -> float:
+        """Return the next delay."""
+        bound_seconds = self._bound_seconds
+        self._bound_seconds = min(2 * bound_seconds, self._longest_seconds)
+        return self._generator.uniform(0.5 * bound_seconds, bound_seconds)
--- a/drumbay/kv/etcd_gateway.py
+++ b/drumbay/kv/etcd_gateway.py
@@ -8,7 +8,8 @@
 
 import asyncio
 import math
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
+from contextlib import aclosing
 from typing import TypeVar
 
 import msgspec
@@ -127,12 +128,14 @@
 
     async def watch_prefix(
         self, prefix: str, start_revision: Revision
-    ) -> AsyncIterator[WatchBatch]:
+    ) -> AsyncGenerator[WatchBatch, None]:
         """Yield the changes of ``prefix`` from ``start_revision`` on, until cancelled."""
         base_url = self._base_urls[self._preferred]
         try:
-            async for batch in watch_gateway(base_url, prefix, start_revision, self._clock):
-                yield batch
+            watch = watch_gateway(base_url, prefix, start_revision, self._clock)
+            async with aclosing(watch) as batches:
+                async for batch in batches:
+                    yield batch
         except KeyValueUnavailableError:
             self._prefer_next()
             raise
--- a/drumbay/kv/etcd_watch.py
+++ b/drumbay/kv/etcd_watch.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from urllib.parse import urlsplit
 
 import msgspec
@@ -78,7 +78,7 @@
 
 async def watch_gateway(
     base_url: str, prefix: str, start_revision: Revision, clock: Clock
-) -> AsyncIterator[WatchBatch]:
+) -> AsyncGenerator[WatchBatch, None]:
     """Yield the changes of ``prefix`` from ``start_revision`` on, until cancelled.
 
     Raises:
--- a/drumbay/kv/memory.py
+++ b/drumbay/kv/memory.py
@@ -1,7 +1,8 @@
 """The key-value store straight on the in-process model, for simulations and tests."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncGenerator, Callable
+from contextlib import aclosing
 from typing import TypeVar
 
 from drumbay.clock import Clock
@@ -77,11 +78,12 @@
 
     async def watch_prefix(
         self, prefix: str, start_revision: Revision
-    ) -> AsyncIterator[WatchBatch]:
+    ) -> AsyncGenerator[WatchBatch, None]:
         """Yield the changes of ``prefix`` from ``start_revision`` on, until cancelled."""
         self._model.injector.admit(self._model.now())
-        async for batch in watch_model(self._model, prefix, start_revision):
-            yield batch
+        async with aclosing(watch_model(self._model, prefix, start_revision)) as batches:
+            async for batch in batches:
+                yield batch
 
     async def _read(self, operation: Callable[[], ResultT]) -> ResultT:
         try:
--- a/drumbay/ownership/__init__.py
+++ b/drumbay/ownership/__init__.py
@@ -1,1 +1,1 @@
-"""Leases with fencing tokens over the key-value service."""
+"""Ownership of named resources: leases with a fence that only grows."""
--- /dev/null
+++ b/drumbay/ownership/manager.py
@@ -0,0 +1,368 @@
+"""The ownership manager of one node: campaigns, keeps the lease and reports changes."""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Callable, Sequence
+from contextlib import suppress
+
+from drumbay.clock import Clock
+from drumbay.exceptions import DeadlineExceededError
+from drumbay.identifiers import Fence, NodeId, Revision
+from drumbay.kv.backoff import Backoff
+from drumbay.kv.interface import (
+    KeyValueError,
+    KeyValueStore,
+    LeaseNotFoundError,
+    WatchEvent,
+)
+from drumbay.observability.logs import log_event
+from drumbay.ownership.campaign import CampaignOutcome, OwnershipKeys
+from drumbay.ownership.lease_state import (
+    Announce,
+    GrantLease,
+    KeyGone,
+    KeyWon,
+    LeaseDecision,
+    LeaseEvent,
+    LeaseGone,
+    LeaseHeld,
+    LeaseState,
+    RenewLease,
+    RequestFailed,
+    Tick,
+)
+from drumbay.ownership.placement import PlacementTable
+from drumbay.ownership.records import (
+    OWNERSHIP_PREFIX,
+    ChangeReason,
+    OwnerRecord,
+    OwnershipChange,
+    OwnershipParameters,
+    Standing,
+)
+from drumbay.ownership.view import OwnershipView
+from drumbay.tasks import TaskOwner
+
+MINIMUM_WAIT_SECONDS = 0.001
+
+ChangeListener = Callable[[OwnershipChange], None]
+
+
+class OwnershipManager:
+    """Keeps this node's share of the named resources under one lease."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        store: KeyValueStore,
+        node_id: NodeId,
+        task_owner: TaskOwner,
+        generator: random.Random,
+        *,
+        live_members: Callable[[], Sequence[NodeId]],
+        parameters: OwnershipParameters | None = None,
+        lease_state: LeaseState | None = None,
+    ) -> None:
+        """Create a manager that campaigns for nothing.
+
+        Args:
+            clock: Time.
+            store: The key-value service.
+            node_id: This node.
+            task_owner: Runs the manager's tasks.
+            generator: Source of jitter.
+            live_members: Returns the nodes that are believed live, this one included.
+            parameters: Timing.
+            lease_state: Decides about the lease; for tests.
+        """
+        self._parameters = parameters or OwnershipParameters()
+        self._clock = clock
+        self._store = store
+        self._task_owner = task_owner
+        self._generator = generator
+        self._live_members = live_members
+        self._keys = OwnershipKeys(store, node_id)
+        self._placement = PlacementTable(node_id, self._parameters)
+        self._state = lease_state or LeaseState(self._parameters)
+        self._view = OwnershipView()
+        self._names: dict[str, None] = {}
+        self._listeners: dict[ChangeListener, None] = {}
+        self._lease_backoff = self._make_backoff()
+        self._campaign_backoff = self._make_backoff()
+        self._campaign_wakeup = asyncio.Event()
+        self._lease_wakeup = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Start to campaign and to keep the lease."""
+        self._tasks = [
+            self._task_owner.spawn(self._run_lease(), "ownership-lease"),
+            self._task_owner.spawn(self._run_campaigns(), "ownership-campaigns"),
+            self._task_owner.spawn(self._run_watch(), "ownership-watch"),
+        ]
+
+    async def stop(self) -> None:
+        """Give up all ownership and the lease, so that successors need not wait."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks = []
+        self._names.clear()
+        lease_id = self._state.lease_id
+        for name, fence in self._state.holdings.items():
+            self._handle(KeyGone(name=name, fence=fence, reason=ChangeReason.RESIGNED))
+        if lease_id is None:
+            return
+        try:
+            await self._store.revoke_lease(lease_id)
+        except KeyValueError as error:
+            log_event("ownership_revoke_failed", level="WARNING", error=error.code)
+
+    def campaign(self, name: str) -> None:
+        """Take part in the ownership of a resource."""
+        self._names[name] = None
+
+    async def withdraw(self, name: str) -> None:
+        """Take part no longer, and give up the resource if it is owned."""
+        self._names.pop(name, None)
+        fence = self._state.fence(name)
+        if fence is not None:
+            await self._resign(name, fence)
+
+    def add_listener(self, listener: ChangeListener) -> None:
+        """Call ``listener`` with each change of this node's standing for a resource."""
+        self._listeners[listener] = None
+
+    def remove_listener(self, listener: ChangeListener) -> None:
+        """Stop calling ``listener``."""
+        self._listeners.pop(listener, None)
+
+    async def changes(self) -> AsyncIterator[OwnershipChange]:
+        """Yield the changes of this node's standing from the first ``anext()`` on."""
+        queue: asyncio.Queue[OwnershipChange] = asyncio.Queue()
+        self.add_listener(queue.put_nowait)
+        try:
+            while True:
+                yield await queue.get()
+        finally:
+            self.remove_listener(queue.put_nowait)
+
+    def holds(self, name: str, now: float) -> Fence | None:
+        """Return the fence if this node may hand out new authority for a resource."""
+        if self._state.standing(name, now) is Standing.VALID:
+            return self._state.fence(name)
+        return None
+
+    def fence_to_continue(self, name: str, now: float) -> Fence | None:
+        """Return the fence for work whose every receiver checks it.
+
+        Besides the time while :meth:`holds` answers, this goes on while the key-value
+        service can not be reached.
+        """
+        if self._state.standing(name, now) in (Standing.VALID, Standing.UNCONFIRMED):
+            return self._state.fence(name)
+        return None
+
+    def standing(self, name: str, now: float) -> Standing:
+        """Return how far this node may act for a resource."""
+        return self._state.standing(name, now)
+
+    def likely_owners(self, name: str) -> tuple[NodeId, ...]:
+        """Return the nodes that should own a resource, best first, without any request."""
+        self._placement.set_members(self._live_members())
+        return self._placement.candidates(name)
+
+    async def find_owner(self, name: str) -> OwnerRecord | None:
+        """Ask the key-value service who owns a resource.
+
+        Raises:
+            KeyValueError: The service did not answer.
+        """
+        return await self._keys.read(name)
+
+    async def _run_lease(self) -> None:
+        while True:
+            self._lease_wakeup.clear()
+            for request in self._handle(Tick()):
+                await self._request_lease(request)
+            await self._wait_for_lease_wakeup()
+
+    async def _wait_for_lease_wakeup(self) -> None:
+        wakeup_at = self._state.next_wakeup()
+        if wakeup_at is None:
+            await self._lease_wakeup.wait()
+            return
+        # NOTE: a timer may fire a little early; a shorter wait could then repeat for ever.
+        seconds = max(wakeup_at - self._clock.monotonic(), MINIMUM_WAIT_SECONDS)
+        with suppress(DeadlineExceededError):
+            await self._clock.wait_for(self._lease_wakeup.wait(), seconds)
+
+    async def _request_lease(self, decision: GrantLease | RenewLease) -> None:
+        # NOTE: the time must be taken before the request leaves; see lease_state.
+        sent_at = self._clock.monotonic()
+        try:
+            held = await self._grant_or_renew(decision, sent_at)
+        except LeaseNotFoundError:
+            assert isinstance(decision, RenewLease)
+            self._handle(LeaseGone(lease_id=decision.lease_id))
+            return
+        except KeyValueError as error:
+            log_event("ownership_lease_request_failed", level="WARNING", error=error.code)
+            delay_seconds = self._lease_backoff.next_delay_seconds()
+            self._handle(RequestFailed(sent_at=sent_at, retry_delay_seconds=delay_seconds))
+            return
+        self._lease_backoff.reset()
+        self._handle(held)
+        self._campaign_wakeup.set()
+
+    async def _grant_or_renew(self, decision: GrantLease | RenewLease, sent_at: float) -> LeaseHeld:
+        if isinstance(decision, GrantLease):
+            grant = await self._store.grant_lease(self._parameters.ttl_seconds)
+            return LeaseHeld(
+                lease_id=grant.lease_id, sent_at=sent_at, ttl_seconds=grant.ttl_seconds
+            )
+        ttl_seconds = await self._store.keep_lease_alive(decision.lease_id)
+        return LeaseHeld(lease_id=decision.lease_id, sent_at=sent_at, ttl_seconds=ttl_seconds)
+
+    async def _run_campaigns(self) -> None:
+        while True:
+            self._campaign_wakeup.clear()
+            try:
+                await self._campaign_for_all()
+                delay_seconds = self._parameters.check_interval_seconds
+            except KeyValueError as error:
+                log_event("ownership_campaign_failed", level="WARNING", error=error.code)
+                await self._clock.sleep(self._campaign_backoff.next_delay_seconds())
+                continue
+            with suppress(DeadlineExceededError):
+                await self._clock.wait_for(self._campaign_wakeup.wait(), delay_seconds)
+
+    async def _campaign_for_all(self) -> None:
+        self._placement.set_members(self._live_members())
+        now = self._clock.monotonic()
+        due = [name for name in self._names if self._is_campaign_due(name, now)]
+        self._state.want_lease(now, bool(due))
+        self._lease_wakeup.set()
+        for name in due:
+            await self._campaign_once(name)
+
+    def _is_campaign_due(self, name: str, now: float) -> bool:
+        delay_seconds = self._placement.campaign_delay_seconds(name)
+        absent_seconds = self._view.absent_seconds(name, now)
+        if delay_seconds is None or absent_seconds is None:
+            return False
+        return absent_seconds >= delay_seconds
+
+    async def _campaign_once(self, name: str) -> None:
+        lease_id = self._state.lease_id
+        now = self._clock.monotonic()
+        if lease_id is None or self._state.lease_standing(now) is not Standing.VALID:
+            return
+        result = await self._keys.create(name, lease_id)
+        self._campaign_backoff.reset()
+        if result.outcome is CampaignOutcome.LEASE_LOST:
+            self._handle(LeaseGone(lease_id=lease_id))
+        if result.owner is not None and self._view.observe(result.owner):
+            self._observe_owner(result.owner)
+
+    async def _run_watch(self) -> None:
+        backoff = self._make_backoff()
+        while True:
+            if not self._is_candidate():
+                await self._clock.sleep(self._parameters.check_interval_seconds)
+                continue
+            try:
+                await self._load_view()
+                backoff.reset()
+                await self._follow_view()
+            except KeyValueError as error:
+                log_event("ownership_watch_broken", level="WARNING", error=error.code)
+                await self._clock.sleep(backoff.next_delay_seconds())
+
+    def _is_candidate(self) -> bool:
+        self._placement.set_members(self._live_members())
+        if self._state.holdings:
+            return True
+        return any(self._placement.own_rank(name) is not None for name in self._names)
+
+    async def _load_view(self) -> None:
+        result = await self._store.range_prefix(OWNERSHIP_PREFIX)
+        for gone in self._view.load(result, self._clock.monotonic()):
+            self._observe_removal(gone)
+        for owner in self._view.owners():
+            self._observe_owner(owner)
+
+    async def _follow_view(self) -> None:
+        """Apply changes until it is time to read all owners anew."""
+        start_revision = Revision(self._view.loaded_revision + 1)
+        jitter = self._generator.uniform(0.75, 1.25)
+        seconds = self._parameters.resync_interval_seconds * jitter
+        with suppress(DeadlineExceededError):
+            await self._clock.wait_for(self._follow_from(start_revision), seconds)
+
+    async def _follow_from(self, start_revision: Revision) -> None:
+        async for batch in self._store.watch_prefix(OWNERSHIP_PREFIX, start_revision):
+            for event in batch.events:
+                self._apply_event(event)
+
+    def _apply_event(self, event: WatchEvent) -> None:
+        for gone in self._view.apply(event, self._clock.monotonic()):
+            self._observe_removal(gone)
+        owner = self._view.owner(event.key.removeprefix(OWNERSHIP_PREFIX))
+        if owner is not None:
+            self._observe_owner(owner)
+
+    def _observe_owner(self, owner: OwnerRecord) -> None:
+        """Take in that a key exists: every key bound to this node's lease is its own."""
+        if owner.lease_id != self._state.lease_id:
+            return
+        if owner.name in self._names:
+            won = KeyWon(name=owner.name, fence=owner.fence, lease_id=owner.lease_id)
+            self._handle(won)
+            return
+        # A campaign's request arrived after the node withdrew.
+        self._task_owner.spawn(self._resign(owner.name, owner.fence), "ownership-resign")
+
+    def _observe_removal(self, owner: OwnerRecord) -> None:
+        removal = KeyGone(name=owner.name, fence=owner.fence, reason=ChangeReason.KEY_REMOVED)
+        self._handle(removal)
+        self._campaign_wakeup.set()
+
+    async def _resign(self, name: str, fence: Fence) -> None:
+        """Stop acting as owner, then remove the key."""
+        self._handle(KeyGone(name=name, fence=fence, reason=ChangeReason.RESIGNED))
+        try:
+            await self._keys.remove(name, fence)
+        except KeyValueError as error:
+            log_event("ownership_resign_failed", level="WARNING", resource=name, error=error.code)
+
+    def _handle(self, event: LeaseEvent) -> tuple[GrantLease | RenewLease, ...]:
+        """Pass an event to the lease state, announce changes, return the requests due."""
+        requests: list[GrantLease | RenewLease] = []
+        decisions: tuple[LeaseDecision, ...] = self._state.handle(self._clock.monotonic(), event)
+        for decision in decisions:
+            if isinstance(decision, Announce):
+                self._announce(decision.change)
+            else:
+                requests.append(decision)
+        if not isinstance(event, Tick):
+            self._lease_wakeup.set()
+        return tuple(requests)
+
+    def _announce(self, change: OwnershipChange) -> None:
+        log_event(
+            "ownership_changed",
+            resource=change.name,
+            fence=int(change.fence),
+            standing=change.standing.value,
+            reason=change.reason.value,
+        )
+        for listener in list(self._listeners):
+            listener(change)
+
+    def _make_backoff(self) -> Backoff:
+        return Backoff(
+            self._generator,
+            first_seconds=self._parameters.first_retry_seconds,
+            longest_seconds=self._parameters.longest_retry_seconds,
+        )
--- a/drumbay/standins/kv_faults.py
+++ b/drumbay/standins/kv_faults.py
@@ -74,10 +74,19 @@
 
 
 class FaultInjector:
-    """Decides the fate of each operation from the faults in force."""
+    """Decides the fate of each operation from the faults in force.
+
+    Attributes:
+        arrived: Operations that arrived so far, watches being opened included.
+        refused: How many of them were refused.
+        unanswered: How many writes lost their request or their answer.
+    """
 
     def __init__(self, generator: random.Random) -> None:
         """Create an injector of a healthy service."""
+        self.arrived = 0
+        self.refused = 0
+        self.unanswered = 0
         self._generator = generator
         self._faults = KeyValueFaults()
         self._bucket: TokenBucket | None = None
@@ -105,9 +114,12 @@
             KeyValueUnavailableError: The service is in an outage.
             KeyValueRateLimitedError: The rate limit is reached.
         """
+        self.arrived += 1
+        self.refused += 1
         self.check_outage()
         if self._bucket is not None and not self._bucket.take(now):
             raise KeyValueRateLimitedError("too many requests")
+        self.refused -= 1
 
     def check_outage(self) -> None:
         """Refuse if the service is in an outage.
@@ -130,6 +142,12 @@
 
     def draw_write_fate(self) -> WriteFate:
         """Return what becomes of the next write."""
+        fate = self._draw_fate()
+        if fate is not WriteFate.ANSWERED:
+            self.unanswered += 1
+        return fate
+
+    def _draw_fate(self) -> WriteFate:
         if self._lost_requests_left > 0:
             self._lost_requests_left -= 1
             return WriteFate.REQUEST_LOST
--- a/drumbay/standins/kv_server.py
+++ b/drumbay/standins/kv_server.py
@@ -135,7 +135,10 @@
         compares = tuple(_to_compare(compare) for compare in request.compare)
         operations = tuple(_to_operation(operation) for operation in request.success)
         result = self.model.transact(compares, operations)
-        return messages.TransactionResponse(header=self.header(), succeeded=result.succeeded)
+        # NOTE: clients take this revision as that of their own change, so it must not be
+        # read anew: a lease that expires meanwhile makes another one.
+        header = messages.ResponseHeader(revision=str(result.revision))
+        return messages.TransactionResponse(header=header, succeeded=result.succeeded)
 
 
 class _CompactionHandler(_OperationHandler):
--- a/drumbay/standins/kv_watch.py
+++ b/drumbay/standins/kv_watch.py
@@ -1,7 +1,7 @@
 """Asynchronous watches on the key-value model."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 
 from drumbay.exceptions import DeadlineExceededError
 from drumbay.identifiers import Revision
@@ -14,7 +14,7 @@
 
 async def watch_model(
     model: KeyValueModel, prefix: str, start_revision: Revision
-) -> AsyncIterator[WatchBatch]:
+) -> AsyncGenerator[WatchBatch, None]:
     """Yield the changes of ``prefix`` from ``start_revision`` on, until cancelled.
 
     A ``start_revision`` of 0 stands for the next revision, as in etcd.
--- a/tests/test_kv_gateway.py
+++ b/tests/test_kv_gateway.py
@@ -130,7 +130,7 @@
         for _ in range(20):
             watch = store.watch_prefix("/k", revision)
             await anext(watch)
-            await watch.aclose()  # type: ignore[attr-defined]
+            await watch.aclose()
         await asyncio.wait_for(self.wait_until_unwatched(), 10.0)
 
     async def wait_until_unwatched(self) -> None:
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,326 @@
+"""Ownership over the simulated cluster, with and without its mechanisms."""
+
+import asyncio
+import functools
+import random
+import unittest
+from collections.abc import Callable
+
+import msgspec
+from loguru import logger
+
+from drumbay.bench.ownership_cluster import (
+    Claim,
+    OrderReceiver,
+    OwnershipCluster,
+    OwnershipNode,
+    find_orders_out_of_turn,
+    find_unfounded_claims,
+    read_reigns,
+)
+from drumbay.identifiers import Fence
+from drumbay.kv.interface import Delete
+from drumbay.ownership.fence_guard import FenceGuard
+from drumbay.ownership.lease_state import LeaseDecision, LeaseEvent, LeaseHeld, LeaseState
+from drumbay.ownership.records import OWNERSHIP_PREFIX, ChangeReason, OwnershipParameters, Standing
+from drumbay.simulation.virtual_time import run_simulation
+from drumbay.standins.kv_faults import KeyValueFaults
+from drumbay.standins.kv_records import ChangeCause, LoggedChange
+
+NAME = "stream/drafts"
+PARAMETERS = OwnershipParameters()
+OUTAGE = KeyValueFaults(outage=True)
+HEALTHY = KeyValueFaults()
+
+
+def setUpModule() -> None:
+    logger.disable("drumbay")
+
+
+def tearDownModule() -> None:
+    logger.enable("drumbay")
+
+
+class UncheckedFenceGuard(FenceGuard):
+    """Fault: the receiver accepts every fence."""
+
+    def admit(self, name: str, fence: Fence) -> None:
+        del name, fence
+
+
+class ReceiptTimeLeaseState(LeaseState):
+    """Fault: validity is counted from the receipt of the answer."""
+
+    def handle(self, now: float, event: LeaseEvent) -> tuple[LeaseDecision, ...]:
+        if isinstance(event, LeaseHeld):
+            event = msgspec.structs.replace(event, sent_at=now)
+        return super().handle(now, event)
+
+
+def standings(node: OwnershipNode) -> list[tuple[Standing, ChangeReason]]:
+    return [(change.standing, change.reason) for change in node.changes]
+
+
+async def start_pair(seed: int = 1) -> tuple[OwnershipCluster, OwnershipNode, OwnershipNode]:
+    """Return a cluster of two nodes, its owner and the other one."""
+    cluster = OwnershipCluster(seed=seed, node_count=2)
+    for node in cluster.nodes.values():
+        node.start([NAME])
+    owner = await cluster.wait_for_owner(NAME)
+    (other,) = [node for node in cluster.nodes.values() if node is not owner]
+    return cluster, owner, other
+
+
+async def pause_owner_before_an_order(guard: FenceGuard) -> OrderReceiver:
+    """Freeze the owner between its check and its order until another one took over."""
+    cluster, owner, other = await start_pair()
+    receiver = OrderReceiver(guard)
+    for node in cluster.nodes.values():
+        node.start_ordering(NAME, receiver, gap_seconds=0.5)
+    await asyncio.sleep(5.25)
+    owner.host.freeze()
+    await asyncio.sleep(60.0)
+    owner.host.wake()
+    await asyncio.sleep(10.0)
+    assert {order.node for order in receiver.accepted} == {owner.host.name, other.host.name}
+    return receiver
+
+
+async def claim_under_faults(
+    seed: int, make_state: Callable[[OwnershipParameters], LeaseState]
+) -> tuple[OwnershipCluster, list[Claim]]:
+    """Sample claims for some minutes of random delays, lost answers, outages and freezes."""
+    cluster = OwnershipCluster(seed=seed, node_count=3, make_state=make_state)
+    generator = random.Random(seed)
+    claims: list[Claim] = []
+    for node in cluster.nodes.values():
+        node.start([NAME])
+    for _ in range(12):
+        faults = KeyValueFaults(
+            outage=generator.random() < 0.2,
+            request_delay_seconds=generator.choice([0.0, 0.1, 1.0]),
+            answer_delay_seconds=generator.choice([0.0, 0.1, 3.5]),
+            lost_answer_probability=generator.choice([0.0, 0.3]),
+            lost_request_probability=generator.choice([0.0, 0.3]),
+        )
+        cluster.model.set_faults(faults)
+        node = generator.choice(list(cluster.nodes.values()))
+        if generator.random() < 0.5:
+            node.host.freeze()
+        claims.extend(await cluster.run_for(generator.uniform(5.0, 30.0), [NAME]))
+        node.host.wake()
+    return cluster, claims
+
+
+class FencingTest(unittest.TestCase):
+    def test_paused_owner_does_no_harm(self) -> None:
+        receiver = run_simulation(lambda: pause_owner_before_an_order(FenceGuard()))
+        self.assertEqual(find_orders_out_of_turn(receiver.accepted), [])
+        self.assertEqual(receiver.refused, 1)
+
+    def test_checker_reports_the_harm_without_the_fence_check(self) -> None:
+        receiver = run_simulation(lambda: pause_owner_before_an_order(UncheckedFenceGuard()))
+        self.assertEqual(len(find_orders_out_of_turn(receiver.accepted)), 1)
+
+
+class ClaimTest(unittest.TestCase):
+    def test_claims_end_before_the_lease_does(self) -> None:
+        total = 0
+        for seed in range(10):
+            scenario = functools.partial(claim_under_faults, seed, LeaseState)
+            cluster, claims = run_simulation(scenario)
+            self.assertEqual(find_unfounded_claims(cluster.model, claims), [], f"seed {seed}")
+            total += len(claims)
+        self.assertGreater(total, 1000)
+
+    def test_checker_reports_claims_counted_from_the_receipt(self) -> None:
+        unfounded: list[Claim] = []
+        for seed in range(10):
+            scenario = functools.partial(claim_under_faults, seed, ReceiptTimeLeaseState)
+            cluster, claims = run_simulation(scenario)
+            unfounded.extend(find_unfounded_claims(cluster.model, claims))
+            if unfounded:
+                break
+        self.assertNotEqual(unfounded, [])
+
+    def test_same_seed_gives_the_same_history(self) -> None:
+        logs = [
+            run_simulation(lambda: claim_under_faults(3, LeaseState))[0].model.log for _ in range(2)
+        ]
+        self.assertEqual(logs[0], logs[1])
+
+
+class FailureTest(unittest.TestCase):
+    """Single failures and what both nodes announce."""
+
+    def test_freeze_beyond_the_lease(self) -> None:
+        async def scenario() -> None:
+            cluster, owner, other = await start_pair()
+            first = owner.manager.holds(NAME, cluster.model.now())
+            owner.host.freeze()
+            await asyncio.sleep(60.0)
+            second = other.manager.holds(NAME, cluster.model.now())
+            assert first is not None and second is not None
+            self.assertGreater(second, first)
+            now = cluster.model.now()
+            self.assertIs(owner.manager.standing(NAME, now), Standing.SUSPENDED)
+            self.assertIsNone(owner.manager.fence_to_continue(NAME, now))
+            owner.host.wake()
+            await asyncio.sleep(1.0)
+            # The watch's events came in during the freeze and are seen first.
+            self.assertEqual(standings(owner)[-1], (Standing.NOT_HELD, ChangeReason.KEY_REMOVED))
+
+        run_simulation(scenario)
+
+    def test_outage_longer_than_the_lease(self) -> None:
+        async def scenario() -> None:
+            cluster, owner, other = await start_pair()
+            fence = owner.manager.holds(NAME, cluster.model.now())
+            cluster.model.set_faults(OUTAGE)
+            await asyncio.sleep(600.0)
+            now = cluster.model.now()
+            self.assertIsNone(owner.manager.holds(NAME, now))
+            self.assertEqual(owner.manager.fence_to_continue(NAME, now), fence)
+            self.assertEqual(other.changes, [])
+            cluster.model.set_faults(HEALTHY)
+            await cluster.wait_for_owner(NAME)
+            self.assertEqual(
+                standings(owner)[:4],
+                [
+                    (Standing.VALID, ChangeReason.CAMPAIGN_WON),
+                    (Standing.SUSPENDED, ChangeReason.VALIDITY_ENDED),
+                    (Standing.UNCONFIRMED, ChangeReason.SERVICE_UNREACHABLE),
+                    (Standing.NOT_HELD, ChangeReason.LEASE_LOST),
+                ],
+            )
+            fences = [reign.fence for reign in read_reigns(cluster.model, NAME)]
+            self.assertEqual(len(fences), 2)
+            self.assertLess(fences[0], fences[1])
+
+        run_simulation(scenario)
+
+    def test_outage_shorter_than_the_lease_changes_nothing(self) -> None:
+        async def scenario() -> None:
+            cluster, owner, _ = await start_pair()
+            cluster.model.set_faults(OUTAGE)
+            await asyncio.sleep(6.0)
+            cluster.model.set_faults(HEALTHY)
+            await asyncio.sleep(30.0)
+            self.assertEqual(len(owner.changes), 1)
+            self.assertEqual(len(read_reigns(cluster.model, NAME)), 1)
+
+        run_simulation(scenario)
+
+    def test_lost_answers_of_grant_and_campaign(self) -> None:
+        async def scenario() -> None:
+            cluster = OwnershipCluster(seed=1, node_count=1)
+            node = cluster.nodes["node-000"]
+            cluster.model.set_faults(KeyValueFaults(lost_answers=1))
+
+            def lose_campaign_answer() -> None:
+                # The first grant's answer was lost, so a campaign follows the second.
+                if len(cluster.model.log) == 2:
+                    cluster.model.remove_listener(lose_campaign_answer)
+                    cluster.model.set_faults(KeyValueFaults(lost_answers=1))
+
+            cluster.model.add_listener(lose_campaign_answer)
+            node.start([NAME])
+            await cluster.wait_for_owner(NAME)
+            (reign,) = read_reigns(cluster.model, NAME)
+            (change,) = node.changes
+            self.assertEqual(change.fence, reign.fence)
+            self.assertEqual(cluster.model.injector.unanswered, 2)
+
+        run_simulation(scenario)
+
+    def test_two_nodes_that_both_believe_to_be_alone(self) -> None:
+        async def scenario() -> None:
+            cluster = OwnershipCluster(seed=1, node_count=2)
+            cluster.live_members = lambda observer: [observer]
+            for node in cluster.nodes.values():
+                node.start([NAME])
+            claims = await cluster.run_for(30.0, [NAME])
+            self.assertEqual(len({claim.node for claim in claims}), 1)
+            self.assertEqual(len(read_reigns(cluster.model, NAME)), 1)
+            await cluster.nodes[claims[0].node].host.kill()
+            successor = await cluster.wait_for_owner(NAME)
+            self.assertNotEqual(successor.host.name, claims[0].node)
+
+        run_simulation(scenario)
+
+    def test_planned_stop_hands_over_at_once(self) -> None:
+        async def scenario() -> None:
+            cluster, owner, _ = await start_pair()
+            stopped_at = cluster.model.now()
+            await owner.manager.stop()
+            await owner.host.kill()
+            await cluster.wait_for_owner(NAME)
+            self.assertLess(cluster.model.now() - stopped_at, 1.0)
+            self.assertEqual(standings(owner)[-1], (Standing.NOT_HELD, ChangeReason.RESIGNED))
+
+        run_simulation(scenario)
+
+    def test_withdrawal_leaves_the_other_resources(self) -> None:
+        async def scenario() -> None:
+            cluster = OwnershipCluster(seed=1, node_count=1)
+            node = cluster.nodes["node-000"]
+            node.start(["a", "b"])
+            await cluster.wait_for_owner("a")
+            await cluster.wait_for_owner("b")
+            await node.manager.withdraw("a")
+            await asyncio.sleep(100.0)
+            claims = cluster.claims(["a", "b"])
+            self.assertEqual([claim.name for claim in claims], ["b"])
+            self.assertIsNone(await node.manager.find_owner("a"))
+
+        run_simulation(scenario)
+
+    def test_key_removed_by_hand(self) -> None:
+        async def scenario() -> None:
+            cluster, owner, _ = await start_pair()
+            cluster.model.transact((), (Delete(key=OWNERSHIP_PREFIX + NAME),))
+            await asyncio.sleep(0.01)
+            self.assertEqual(standings(owner)[1], (Standing.NOT_HELD, ChangeReason.KEY_REMOVED))
+            await cluster.wait_for_owner(NAME)
+
+        run_simulation(scenario)
+
+    def test_stalled_watch_delays_the_successor_to_the_next_full_read(self) -> None:
+        async def scenario() -> None:
+            cluster, owner, other = await start_pair()
+            cluster.model.set_faults(KeyValueFaults(watches_stalled=True))
+            await owner.host.kill()
+            limit_seconds = PARAMETERS.ttl_seconds + 1.5 * PARAMETERS.resync_interval_seconds
+            self.assertIs(await cluster.wait_for_owner(NAME, limit_seconds), other)
+
+        run_simulation(scenario)
+
+    def test_many_resources_spread_and_move_alone(self) -> None:
+        async def scenario() -> None:
+            names = [f"group/{index}" for index in range(40)]
+            cluster = OwnershipCluster(seed=1, node_count=10)
+            for node in cluster.nodes.values():
+                node.start(names)
+            await asyncio.sleep(10.0)
+            before = {claim.name: claim for claim in cluster.claims(names)}
+            self.assertEqual(len(before), 40)
+            owners = [claim.node for claim in before.values()]
+            self.assertLessEqual(max(owners.count(name) for name in cluster.nodes), 10)
+            await cluster.nodes["node-003"].host.kill()
+            await asyncio.sleep(30.0)
+            after = {claim.name: claim for claim in cluster.claims(names)}
+            moved = [
+                name
+                for name in names
+                if before[name]
+                != msgspec.structs.replace(after[name], at_seconds=before[name].at_seconds)
+            ]
+            self.assertEqual(moved, [name for name in names if before[name].node == "node-003"])
+            expired = [
+                entry
+                for entry in cluster.model.log
+                if isinstance(entry, LoggedChange) and entry.cause is ChangeCause.LEASE_EXPIRED
+            ]
+            self.assertEqual(len(expired), 1)
+
+        run_simulation(scenario)
