--- a/drumbay/ownership/lease_state.py
+++ b/drumbay/ownership/lease_state.py
@@ -28,11 +28,13 @@
         lease_id: The lease.
         sent_at: Monotonic time before the request was sent.
         ttl_seconds: Time to live, counted by the service from when it served the request.
+        renew_delay_seconds: How long after ``sent_at`` to send the next renewal.
     """
 
     lease_id: int
     sent_at: float
     ttl_seconds: float
+    renew_delay_seconds: float
 
 
 class RequestFailed(msgspec.Struct, frozen=True, kw_only=True):
@@ -183,7 +185,7 @@
         margin_seconds = self._parameters.safety_margin_seconds
         valid_until = event.sent_at + event.ttl_seconds - margin_seconds
         self._valid_until = max(self._valid_until, valid_until)
-        self._next_request_at = event.sent_at + self._parameters.renew_interval_seconds
+        self._next_request_at = event.sent_at + event.renew_delay_seconds
 
     def _handle_failure(self, now: float, event: RequestFailed) -> None:
         self._request_in_flight = False
--- a/drumbay/ownership/manager.py
+++ b/drumbay/ownership/manager.py
@@ -7,13 +7,12 @@
 
 from drumbay.clock import Clock
 from drumbay.exceptions import DeadlineExceededError
-from drumbay.identifiers import Fence, NodeId, Revision
+from drumbay.identifiers import Fence, NodeId
 from drumbay.kv.backoff import Backoff
 from drumbay.kv.interface import (
     KeyValueError,
     KeyValueStore,
     LeaseNotFoundError,
-    WatchEvent,
 )
 from drumbay.observability.logs import log_event
 from drumbay.ownership.campaign import CampaignOutcome, OwnershipKeys
@@ -33,7 +32,6 @@
 )
 from drumbay.ownership.placement import PlacementTable
 from drumbay.ownership.records import (
-    OWNERSHIP_PREFIX,
     ChangeReason,
     OwnerRecord,
     OwnershipChange,
@@ -41,10 +39,14 @@
     Standing,
 )
 from drumbay.ownership.view import OwnershipView
+from drumbay.ownership.watcher import OwnershipWatcher
 from drumbay.tasks import TaskOwner
 
 MINIMUM_WAIT_SECONDS = 0.001
 
+SHORTEST_RENEW_SHARE = 0.8
+"""Shortest time between renewals, as a share of the longest."""
+
 ChangeListener = Callable[[OwnershipChange], None]
 
 
@@ -84,13 +86,24 @@
         self._keys = OwnershipKeys(store, node_id)
         self._placement = PlacementTable(node_id, self._parameters)
         self._state = lease_state or LeaseState(self._parameters)
-        self._view = OwnershipView()
         self._names: dict[str, None] = {}
         self._listeners: dict[ChangeListener, None] = {}
         self._lease_backoff = self._make_backoff()
+        self._lease_wakeup = asyncio.Event()
         self._campaign_backoff = self._make_backoff()
         self._campaign_wakeup = asyncio.Event()
-        self._lease_wakeup = asyncio.Event()
+        self._view = OwnershipView()
+        self._watcher = OwnershipWatcher(
+            clock,
+            store,
+            self._view,
+            generator,
+            self._parameters,
+            is_needed=self._is_candidate,
+            on_owner=self._observe_owner,
+            on_removal=self._observe_removal,
+            on_loaded=self._campaign_wakeup.set,
+        )
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
@@ -98,7 +111,7 @@
         self._tasks = [
             self._task_owner.spawn(self._run_lease(), "ownership-lease"),
             self._task_owner.spawn(self._run_campaigns(), "ownership-campaigns"),
-            self._task_owner.spawn(self._run_watch(), "ownership-watch"),
+            self._task_owner.spawn(self._watcher.run(), "ownership-watch"),
         ]
 
     async def stop(self) -> None:
@@ -218,11 +231,18 @@
     async def _grant_or_renew(self, decision: GrantLease | RenewLease, sent_at: float) -> LeaseHeld:
         if isinstance(decision, GrantLease):
             grant = await self._store.grant_lease(self._parameters.ttl_seconds)
-            return LeaseHeld(
-                lease_id=grant.lease_id, sent_at=sent_at, ttl_seconds=grant.ttl_seconds
-            )
-        ttl_seconds = await self._store.keep_lease_alive(decision.lease_id)
-        return LeaseHeld(lease_id=decision.lease_id, sent_at=sent_at, ttl_seconds=ttl_seconds)
+            lease_id, ttl_seconds = grant.lease_id, grant.ttl_seconds
+        else:
+            lease_id = decision.lease_id
+            ttl_seconds = await self._store.keep_lease_alive(lease_id)
+        # NOTE: without jitter, nodes that started together would renew together for ever.
+        jitter = self._generator.uniform(SHORTEST_RENEW_SHARE, 1.0)
+        return LeaseHeld(
+            lease_id=lease_id,
+            sent_at=sent_at,
+            ttl_seconds=ttl_seconds,
+            renew_delay_seconds=self._parameters.renew_interval_seconds * jitter,
+        )
 
     async def _run_campaigns(self) -> None:
         while True:
@@ -265,53 +285,12 @@
         if result.owner is not None and self._view.observe(result.owner):
             self._observe_owner(result.owner)
 
-    async def _run_watch(self) -> None:
-        backoff = self._make_backoff()
-        while True:
-            if not self._is_candidate():
-                await self._clock.sleep(self._parameters.check_interval_seconds)
-                continue
-            try:
-                await self._load_view()
-                backoff.reset()
-                await self._follow_view()
-            except KeyValueError as error:
-                log_event("ownership_watch_broken", level="WARNING", error=error.code)
-                await self._clock.sleep(backoff.next_delay_seconds())
-
     def _is_candidate(self) -> bool:
         self._placement.set_members(self._live_members())
         if self._state.holdings:
             return True
         return any(self._placement.own_rank(name) is not None for name in self._names)
 
-    async def _load_view(self) -> None:
-        result = await self._store.range_prefix(OWNERSHIP_PREFIX)
-        for gone in self._view.load(result, self._clock.monotonic()):
-            self._observe_removal(gone)
-        for owner in self._view.owners():
-            self._observe_owner(owner)
-
-    async def _follow_view(self) -> None:
-        """Apply changes until it is time to read all owners anew."""
-        start_revision = Revision(self._view.loaded_revision + 1)
-        jitter = self._generator.uniform(0.75, 1.25)
-        seconds = self._parameters.resync_interval_seconds * jitter
-        with suppress(DeadlineExceededError):
-            await self._clock.wait_for(self._follow_from(start_revision), seconds)
-
-    async def _follow_from(self, start_revision: Revision) -> None:
-        async for batch in self._store.watch_prefix(OWNERSHIP_PREFIX, start_revision):
-            for event in batch.events:
-                self._apply_event(event)
-
-    def _apply_event(self, event: WatchEvent) -> None:
-        for gone in self._view.apply(event, self._clock.monotonic()):
-            self._observe_removal(gone)
-        owner = self._view.owner(event.key.removeprefix(OWNERSHIP_PREFIX))
-        if owner is not None:
-            self._observe_owner(owner)
-
     def _observe_owner(self, owner: OwnerRecord) -> None:
         """Take in that a key exists: every key bound to this node's lease is its own."""
         if owner.lease_id != self._state.lease_id:
--- a/drumbay/ownership/records.py
+++ b/drumbay/ownership/records.py
@@ -28,8 +28,8 @@
 
     Attributes:
         ttl_seconds: Time to live of a node's lease; bounds the time to a successor.
-        renew_interval_seconds: Time between renewals; a third of the time to live lets
-            two renewals in a row fail.
+        renew_interval_seconds: Longest time between renewals, a little less by jitter; a
+            third of the time to live lets two renewals in a row fail.
         safety_margin_seconds: Taken off a lease's validity: it covers clocks that run at
             different rates and the time between a check and the act.
         first_retry_seconds: Bound of the first delay after a failed request.
