Draw old load reports towards the mean, and compare four samples

Cause: nodes that share reports of the same age herd. In the queueing bench (41 nodes, 70 workers, degree 32, service 1 s, reports each 2 s, intensity 0.8) more samples made the delay longer, not shorter.

Change: a reported load loses its distance from the mean of the eligible back ends with the mean service time of the node's own attempts. Four samples in place of two.

--- a/drumbay/bench/subset_queueing.py
+++ b/drumbay/bench/subset_queueing.py
@@ -2,12 +2,14 @@
 
 A worker runs a fixed number of requests at once and queues the rest first come, first
 served. Nodes choose by the cost of ``drumbay.routing.engine_choice`` in compact form: the
-lagging report, corrected by their own starts and ends since, less a gain for a cached
-prefix, the least of a few random samples and one known holder of the prefix. A cached
+lagging report, drawn towards the mean as it ages and corrected by their own starts and ends
+since, less a gain for a cached prefix; the least of a few random samples and one known
+holder of the prefix. A cached
 prefix shortens the service. Batch-dependent token rates are not modelled.
 """
 
 import heapq
+import math
 import random as random_module
 from collections import OrderedDict
 from collections.abc import Sequence
@@ -34,6 +36,8 @@
         service_sigma: Standard deviation of the logarithm of the service time.
         report_interval_seconds: Time between two load reports of a worker.
         report_lag_seconds: Time from a report's moment to its arrival at the nodes.
+        report_memory_services: Mean service times over which a report loses its weight;
+            ``None``: never.
         sample_count: Samples compared, the d of the power of d choices.
         prefix_count: Different prompt prefixes.
         prefix_exponent: Exponent of their Zipf popularity.
@@ -53,7 +57,8 @@
     service_sigma: float = 1.0
     report_interval_seconds: float = 2.0
     report_lag_seconds: float = 0.25
-    sample_count: int = 2
+    report_memory_services: float | None = 1.0
+    sample_count: int = 4
     prefix_count: int = 2000
     prefix_exponent: float = 1.0
     cached_prefixes: int = 16
@@ -170,6 +175,12 @@
         self._end_at = settings.warm_up_seconds + settings.duration_seconds
         self._delays: list[float] = []
         self._hit_count = 0
+        self._mean_report = 0.0
+        self._memory_seconds = (
+            None
+            if settings.report_memory_services is None
+            else settings.report_memory_services * settings.mean_service_seconds
+        )
         self._cache_event_count = 0
 
     def run(self) -> QueueingResult:
@@ -227,7 +238,7 @@
         best = samples[0]
         best_cost = float("inf")
         for index in samples:
-            cost = self._believed_load(node, index)
+            cost = self._believed_load(node, index, now)
             if index == holder:
                 cost -= self._settings.prefix_gain
             if cost < best_cost:
@@ -244,15 +255,19 @@
                 if stored_at <= visible_until and index in members
             ]
             if known:
-                return min(known, key=lambda index: self._believed_load(node, index))
+                return min(known, key=lambda index: self._believed_load(node, index, now))
         return self._node_holders.get((node, prefix))
 
-    def _believed_load(self, node: int, index: int) -> float:
+    def _believed_load(self, node: int, index: int, now: float) -> float:
         worker = self._workers[index]
         record = self._own.get((node, index))
+        believed: float = worker.reported_load
+        if self._memory_seconds is not None:
+            memory = math.exp((worker.reported_at - now) / self._memory_seconds)
+            believed = self._mean_report + (believed - self._mean_report) * memory
         if record is None:
-            return worker.reported_load
-        corrected = worker.reported_load + record.correction(worker.reported_at)
+            return believed
+        corrected = believed + record.correction(worker.reported_at)
         return max(len(record.starts), corrected)
 
     def _own_record(self, node: int, index: int) -> _OwnRecord:
@@ -309,7 +324,9 @@
             self._push(now + settings.report_interval_seconds, _EventKind.REPORT, index, None)
             return
         assert isinstance(payload, tuple)
+        before = worker.reported_load
         worker.reported_load, worker.reported_at = payload
+        self._mean_report += (worker.reported_load - before) / self._graph.worker_count
 
     def _result(self) -> QueueingResult:
         # NOTE: requests still queued at the end count with their delay so far; without
--- a/drumbay/bench/subsets.py
+++ b/drumbay/bench/subsets.py
@@ -286,7 +286,7 @@
     duration_seconds: Annotated[float, typer.Option(help="Simulated time measured.")] = 30.0,
     report_interval_seconds: Annotated[float, typer.Option(help="Between load reports.")] = 2.0,
     intensity: Annotated[float, typer.Option(help="Offered work by capacity.")] = 0.8,
-    sample_count: Annotated[int, typer.Option(help="Workers compared per choice.")] = 2,
+    sample_count: Annotated[int, typer.Option(help="Workers compared per choice.")] = 4,
     cache_events: Annotated[bool, typer.Option(help="Nodes hear cache events.")] = False,
     json_output: Annotated[bool, typer.Option("--json", help="Print the report as JSON.")] = False,
 ) -> None:
--- a/drumbay/routing/engine_choice.py
+++ b/drumbay/routing/engine_choice.py
@@ -3,10 +3,16 @@
 Candidates that may not serve the request are removed, each with its reason. Among the
 eligible ones the cheapest of a few random samples is taken: the power of d choices
 (Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", IEEE TPDS 12(10),
-2001). Sampling keeps nodes that share lagging load reports from all taking the same back
-end. The eligible candidate with the best prefix affinity is sampled in addition.
+2001). The eligible candidate with the best prefix affinity is sampled in addition.
+
+Nodes that share the same old reports tend to send their work to the same few back ends
+(Mitzenmacher, "How Useful Is Old Information?", IEEE TPDS 11(1), 2000). A reported load is
+therefore drawn towards the mean of the eligible back ends as it ages, at the pace at which
+requests end there; see ``docs/design/routing.md`` for what this and the number of samples
+were measured to do.
 """
 
+import math
 import random as random_module
 from collections.abc import Mapping, Sequence
 
@@ -30,6 +36,7 @@
         own_outstanding: This node's attempts that have not ended.
         own_started_since_report: Those of them that the report cannot contain.
         own_finished_since_report: This node's attempts that the report still counts.
+        mean_service_seconds: Mean duration of this node's attempts on it; ``None`` if unknown.
         weight_version: Version that serves new requests; ``None`` if unknown.
         highest_fence: Newest fence the back end is known to have seen.
         unavailability: Why it may not be used at all (drained, leaving, unreachable, circuit
@@ -45,6 +52,7 @@
     own_outstanding: int = 0
     own_started_since_report: int = 0
     own_finished_since_report: int = 0
+    mean_service_seconds: float | None = None
     weight_version: WeightVersion | None = None
     highest_fence: Fence = Fence(0)
     unavailability: RejectionReason | None = None
@@ -91,19 +99,18 @@
             honour priorities, so it overtakes most of the queue.
         other_zone_cost: Cost of leaving this node's zone.
         prefix_affinity_gain: Cost saved when the whole prompt is cached.
-        stale_report_cost: Cost of a back end whose report is missing or too old.
-        max_report_age_seconds: Age from which a report is too old.
+        report_memory_services: Mean service times after which a reported load has lost all
+            but 1/e of its distance from the mean.
     """
 
-    sample_count: int = 2
+    sample_count: int = 4
     max_load: int = 256
     reserved_load: int = 32
     reserved_priority: int = 1
     priority_waiting_weight: float = 0.25
     other_zone_cost: float = 1.0
     prefix_affinity_gain: float = 4.0
-    stale_report_cost: float = 2.0
-    max_report_age_seconds: float = 10.0
+    report_memory_services: float = 1.0
 
 
 class Choice(msgspec.Struct, frozen=True, kw_only=True):
@@ -137,15 +144,14 @@
         return tuple(verdicts)
 
 
-def estimated_load(view: BackendView, waiting_weight: float = 1.0) -> float:
+def estimated_load(view: BackendView) -> int:
     """Return the requests a back end is thought to hold now.
 
     The lagging report is corrected by what this node itself started and finished since;
     this node's own outstanding attempts are a lower bound.
     """
     correction = view.own_started_since_report - view.own_finished_since_report
-    reported = view.running + waiting_weight * view.waiting
-    return max(view.own_outstanding, reported + correction)
+    return max(view.own_outstanding, view.running + view.waiting + correction)
 
 
 def choose_backend(
@@ -173,7 +179,8 @@
     if not eligible:
         return Choice(chosen=None, candidates=candidates, rejections=rejections, costs={})
     sampled = _sample(request, candidates, eligible, policy.sample_count, random)
-    costs = {index: _cost(request, candidates[index], policy) for index in sampled}
+    mean_load = _mean_reported_load([candidates[index] for index in eligible])
+    costs = {index: _cost(request, candidates[index], policy, mean_load) for index in sampled}
     chosen = min(sampled, key=costs.__getitem__)
     for index in eligible:
         rejections[index] = RejectionReason.NOT_SAMPLED
@@ -240,13 +247,34 @@
     return sampled
 
 
-def _cost(request: ChoiceRequest, view: BackendView, policy: ChoicePolicy) -> float:
+def _mean_reported_load(views: Sequence[BackendView]) -> float:
+    """Return the mean over the back ends that reported, 0 if none did."""
+    loads = [view.running + view.waiting for view in views if view.reported_at is not None]
+    return sum(loads) / len(loads) if loads else 0.0
+
+
+def _cost(
+    request: ChoiceRequest, view: BackendView, policy: ChoicePolicy, mean_load: float
+) -> float:
     is_prioritized = request.priority >= policy.reserved_priority
     waiting_weight = policy.priority_waiting_weight if is_prioritized else 1.0
-    cost = estimated_load(view, waiting_weight)
+    reported = view.running + waiting_weight * view.waiting
+    memory = _report_memory(request.now, view, policy)
+    believed = mean_load + (reported - mean_load) * memory
+    correction = view.own_started_since_report - view.own_finished_since_report
+    cost = max(view.own_outstanding, believed + correction)
     if view.zone != request.zone:
         cost += policy.other_zone_cost
-    reported_at = view.reported_at
-    if reported_at is None or request.now - reported_at > policy.max_report_age_seconds:
-        cost += policy.stale_report_cost
     return cost - policy.prefix_affinity_gain * request.prefix_affinity.get(view.backend_id, 0.0)
+
+
+def _report_memory(now: float, view: BackendView, policy: ChoicePolicy) -> float:
+    """Return how much of a report still holds, from 1 (new) to 0 (old or missing)."""
+    if view.reported_at is None:
+        return 0.0
+    if view.mean_service_seconds is None:
+        return 1.0
+    memory_seconds = policy.report_memory_services * view.mean_service_seconds
+    if memory_seconds <= 0:
+        return 0.0
+    return math.exp(min(0.0, view.reported_at - now) / memory_seconds)
--- a/drumbay/routing/load_view.py
+++ b/drumbay/routing/load_view.py
@@ -19,6 +19,9 @@
 MAX_FINISHED_ATTEMPTS = 1024
 """Ended attempts remembered per back end until a report that knows of them arrives."""
 
+SERVICE_TIME_WEIGHT = 0.1
+"""Weight of the newest attempt in the moving mean of the service time."""
+
 _NO_FENCE = Fence(0)
 
 
@@ -76,8 +79,16 @@
     finished: deque[_FinishedAttempt] = field(
         default_factory=lambda: deque(maxlen=MAX_FINISHED_ATTEMPTS)
     )
+    mean_service_seconds: float | None = None
     view: BackendView | None = None
 
+    def observe_service(self, seconds: float) -> None:
+        """Take in the duration of one of this node's attempts."""
+        if self.mean_service_seconds is None:
+            self.mean_service_seconds = seconds
+        else:
+            self.mean_service_seconds += SERVICE_TIME_WEIGHT * (seconds - self.mean_service_seconds)
+
     def correct_from(self, refers_to: float) -> None:
         """Count anew what a report that refers to a moment cannot know."""
         while self.finished and self.finished[0].finished_at <= refers_to:
@@ -135,6 +146,7 @@
         started_at = entry.started_at.pop(attempt_id, None)
         if started_at is None:
             return
+        entry.observe_service(now - started_at)
         entry.finished.append(_FinishedAttempt(started_at=started_at, finished_at=now))
         if entry.reported_at is None or started_at > entry.reported_at:
             entry.started_since_report -= 1
@@ -197,6 +209,7 @@
         own_outstanding=len(entry.started_at),
         own_started_since_report=entry.started_since_report,
         own_finished_since_report=entry.finished_since_report,
+        mean_service_seconds=entry.mean_service_seconds,
         weight_version=entry.weight_version,
         highest_fence=entry.highest_fence,
         unavailability=entry.flags.unavailability(),
--- a/tests/test_routing_choice.py
+++ b/tests/test_routing_choice.py
@@ -134,6 +134,20 @@
                 [entry.rejection for entry in choice.verdicts()], [None, reason], reason
             )
 
+    def test_an_old_report_counts_less(self) -> None:
+        """An old report of an idle back end must not draw every node's requests."""
+        old = view("old", running=0, reported_at=-30.0, mean_service_seconds=1.0)
+        new = view("new", running=2, reported_at=0.9, mean_service_seconds=1.0)
+        busy = view("busy", running=5, reported_at=0.9, mean_service_seconds=1.0)
+
+        def chosen(policy: ChoicePolicy) -> str:
+            choice = choose_backend(choice_request(), [old, new, busy], policy, random.Random(1))
+            assert choice.chosen is not None
+            return choice.chosen.backend_id
+
+        self.assertEqual(chosen(ChoicePolicy()), "new")
+        self.assertEqual(chosen(ChoicePolicy(report_memory_services=1e9)), "old")
+
     def test_prefix_holder_is_compared_even_if_not_sampled(self) -> None:
         views = [view(f"e{index}", running=1) for index in range(50)]
         request = choice_request(prefix_affinity={BackendId("e33"): 1.0})
@@ -198,6 +212,8 @@
         self.loads.finish_attempt(ENGINE, AttemptId("after"), 4.6)
         self.loads.finish_attempt(ENGINE, AttemptId("after"), 4.6)
         self.assertEqual(estimated_load(self.loads.views()[0]), 9)
+        mean_seconds = self.loads.views()[0].mean_service_seconds
+        self.assertAlmostEqual(mean_seconds or 0.0, 0.9 * 3.5 + 0.1 * 1.6)
 
     def test_attempt_that_ended_before_the_report_arrived(self) -> None:
         self.loads.start_attempt(ENGINE, AttemptId("a"), 1.0)
