Choose only among a node's own set of workers; spare most admissions the shares

Cause: sets of workers were computed but nothing could be told of them; and each admission weighed the demand of every class of work.

Change: assign_groups gives a node's set over all groups, each in full degree. The directory offers and the monitor polls only watched back ends; without a set they are all watched, as before. A class below its guaranteed places is admitted without weighing demands, which max-min fairness would give it in any case.

Conclusion: a node takes its set into use with BackendDirectory.set_watched.

--- a/drumbay/limits/admission.py
+++ b/drumbay/limits/admission.py
@@ -163,6 +163,7 @@
         self._in_flight = 0
         self._routes: dict[str, _Route] = {}
         self._classes = {kind: _Flow(policy.window_seconds, now) for kind in RouteKind}
+        self._guaranteed = _guaranteed_places(policy)
 
     @property
     def in_flight(self) -> int:
@@ -230,8 +231,7 @@
         if free <= 0:
             return RefusalReason.NODE_CAPACITY
         held = self._classes[limits.route_kind].in_flight
-        share = self._fair_share(limits.route_kind, held + 1, now)
-        if held >= share:
+        if not self._is_within_share(limits.route_kind, held, now):
             return RefusalReason.FAIR_SHARE
         if limits.priority <= 0 and free <= self._priority_reserve(limits.route_kind):
             return RefusalReason.PRIORITY_RESERVE
@@ -239,6 +239,13 @@
             return RefusalReason.ROUTE_RATE
         return None
 
+    def _is_within_share(self, route_kind: RouteKind, held: int, now: float) -> bool:
+        # NOTE: max-min fairness gives every class its weight's part of the places if it asks
+        # for them, so that the demands need not be weighed below it.
+        if held < self._guaranteed[route_kind]:
+            return True
+        return held < self._fair_share(route_kind, held + 1, now)
+
     def _fair_share(self, route_kind: RouteKind, own_places: int, now: float) -> float:
         policy = self._policy
         demands = [
@@ -276,6 +283,14 @@
         )
 
 
+def _guaranteed_places(policy: AdmissionPolicy) -> dict[RouteKind, int]:
+    total_weight = sum(policy.class_weights.of(kind) for kind in RouteKind)
+    return {
+        kind: math.floor(policy.max_in_flight * policy.class_weights.of(kind) / total_weight)
+        for kind in RouteKind
+    }
+
+
 def _rate_bucket(limits: RouteLimits, now: float, initial: float | None = None) -> TokenBucket:
     capacity = max(1.0, limits.max_rate_per_second * limits.burst_seconds)
     return TokenBucket(
--- a/drumbay/node/backend_monitor.py
+++ b/drumbay/node/backend_monitor.py
@@ -43,19 +43,23 @@
         self._polled: set[BackendAddress] = set()
 
     def watch_all(self) -> None:
-        """Start to poll every engine of the directory that is not polled yet."""
-        for address in self._directory.addresses(BackendKind.ENGINE):
+        """Start to poll every watched engine that is not polled yet."""
+        for address in self._directory.watched_addresses(BackendKind.ENGINE):
             if address in self._polled:
                 continue
             self._polled.add(address)
             self._task_owner.spawn(self._poll_forever(address), f"poll-{address.backend_id}")
 
     async def _poll_forever(self, address: BackendAddress) -> None:
-        while self._directory.address(address.backend_id) == address:
+        while self._is_current(address):
             self._on_changes(await self._poll(address))
             await self._clock.sleep(self._poll_interval_seconds)
         self._polled.discard(address)
 
+    def _is_current(self, address: BackendAddress) -> bool:
+        is_known = self._directory.address(address.backend_id) == address
+        return is_known and self._directory.is_watched(address.backend_id)
+
     async def _poll(self, address: BackendAddress) -> tuple[AvailabilityChange, ...]:
         try:
             status = await self._client.status(address, timeout_seconds=POLL_TIMEOUT_SECONDS)
--- a/drumbay/routing/directory.py
+++ b/drumbay/routing/directory.py
@@ -75,6 +75,7 @@
         self._circuit_policy = circuit_policy or CircuitPolicy()
         self._entries: dict[BackendId, _Entry] = {}
         self._leaving: frozenset[BackendId] = frozenset()
+        self._watched: frozenset[BackendId] | None = None
         self._load = LoadView()
         self.prefixes = PrefixIndex()
 
@@ -202,8 +203,16 @@
         else:
             entry.breaker.record_failure(permit, now)
 
+    def set_watched(self, watched: frozenset[BackendId] | None) -> None:
+        """Set which back ends this node watches and chooses from; ``None``: all."""
+        self._watched = watched
+
+    def is_watched(self, backend_id: BackendId) -> bool:
+        """Return whether this node watches a back end."""
+        return self._watched is None or backend_id in self._watched
+
     def views(self, now: float) -> list[BackendView]:
-        """Return every back end as a choice sees it at ``now``."""
+        """Return the watched back ends as a choice sees them at ``now``."""
         for backend_id, entry in self._entries.items():
             flags = BackendFlags(
                 is_reachable=entry.is_reachable,
@@ -212,13 +221,19 @@
                 is_leaving=entry.is_leaving,
             )
             self._load.set_flags(backend_id, flags)
-        return self._load.views()
+        return [view for view in self._load.views() if self.is_watched(view.backend_id)]
 
     def address(self, backend_id: BackendId) -> BackendAddress | None:
         """Return where a back end is reached; ``None`` if it is not known."""
         entry = self._entries.get(backend_id)
         return entry.address if entry else None
 
+    def watched_addresses(self, kind: BackendKind) -> tuple[BackendAddress, ...]:
+        """Return the addresses of the watched back ends of one kind, sorted."""
+        return tuple(
+            address for address in self.addresses(kind) if self.is_watched(address.backend_id)
+        )
+
     def addresses(self, kind: BackendKind | None = None) -> tuple[BackendAddress, ...]:
         """Return the addresses of all back ends, of one kind if given, sorted."""
         return tuple(
--- a/drumbay/routing/subsets.py
+++ b/drumbay/routing/subsets.py
@@ -21,7 +21,7 @@
 """
 
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from enum import StrEnum
 from typing import TypeVar
 
@@ -29,6 +29,7 @@
 import xxhash
 
 from drumbay.identifiers import BackendId, NodeId
+from drumbay.resources.schema import BackendGroup
 
 DEFAULT_DEGREE = 32
 MIN_NODES_PER_WORKER = 2
@@ -102,6 +103,28 @@
     return tuple(sorted(chosen))
 
 
+def assign_groups(
+    node_id: NodeId,
+    nodes: Sequence[NodeMember],
+    groups: Iterable[BackendGroup],
+    policy: SubsetPolicy,
+) -> frozenset[BackendId]:
+    """Return the workers of one node over all groups.
+
+    Each group is assigned on its own and in full degree, so that a small group is not
+    missed by the nodes because a large one stands beside it.
+    """
+    assigned: list[BackendId] = []
+    for group in groups:
+        workers = [
+            WorkerMember(backend_id=BackendId(backend.id), zone=backend.zone)
+            for backend in group.backends
+        ]
+        own_policy = msgspec.structs.replace(policy, salt=f"{policy.salt}{group.name}")
+        assigned.extend(assign_workers(node_id, nodes, workers, own_policy))
+    return frozenset(assigned)
+
+
 def nodes_per_worker(node_count: int, worker_count: int, degree: int) -> int:
     """Return how many nodes are guaranteed to watch each worker (random regular).
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -46,9 +46,9 @@
 class AdmissionWithoutShares(AdmissionController):
     """Test-only fault: whoever comes first takes the places."""
 
-    def _fair_share(self, route_kind: RouteKind, own_places: int, now: float) -> float:
-        del route_kind, own_places, now
-        return CAPACITY
+    def _is_within_share(self, route_kind: RouteKind, held: int, now: float) -> bool:
+        del route_kind, held, now
+        return True
 
 
 def controller(
--- a/tests/test_routing_subsets.py
+++ b/tests/test_routing_subsets.py
@@ -16,12 +16,16 @@
 )
 from drumbay.bench.subset_queueing import QueueingSettings, QueueingSimulation
 from drumbay.bench.subsets import run_subset_bench
+from drumbay.configuration.view import ConfigurationView
 from drumbay.identifiers import BackendId, NodeId
+from drumbay.resources.schema import Backend, BackendGroup, BackendKind
+from drumbay.routing.directory import BackendDirectory
 from drumbay.routing.subsets import (
     NodeMember,
     SubsetDesign,
     SubsetPolicy,
     WorkerMember,
+    assign_groups,
     assign_workers,
     nodes_per_worker,
 )
@@ -119,6 +123,33 @@
             assign_workers(NodeId("?"), make_nodes(3), make_workers(3), SubsetPolicy()), ()
         )
 
+    def test_each_group_is_assigned_in_full_degree(self) -> None:
+        groups = [
+            BackendGroup(
+                name=name,
+                backend_kind=BackendKind.ENGINE,
+                backends=tuple(
+                    Backend(id=f"{name}-{index}", url="http://127.0.0.1:1", zone="z0")
+                    for index in range(size)
+                ),
+            )
+            for name, size in (("large", 60), ("small", 5))
+        ]
+        nodes = make_nodes(30)
+        watched = assign_groups(nodes[0].node_id, nodes, groups, SubsetPolicy(degree=8))
+        counts = [sum(entry.startswith(name) for entry in watched) for name in ("large", "small")]
+        self.assertGreaterEqual(counts[0], 8)
+        self.assertEqual(counts[1], 5)
+        directory = BackendDirectory()
+        directory.apply_configuration(
+            ConfigurationView(groups={group.name: group for group in groups}), 0.0
+        )
+        self.assertEqual(len(directory.views(0.0)), 65)
+        directory.set_watched(watched)
+        self.assertEqual({view.backend_id for view in directory.views(0.0)}, watched)
+        addresses = directory.watched_addresses(BackendKind.ENGINE)
+        self.assertEqual({address.backend_id for address in addresses}, watched)
+
     def test_same_zone_weight_prefers_the_zone(self) -> None:
         nodes, workers = make_nodes(30), make_workers(60)
 
