--- a/drumbay/backends/memory.py
+++ b/drumbay/backends/memory.py
@@ -1,7 +1,6 @@
 """Clients that call emulated back ends in the same process, on any clock."""
 
 from collections.abc import AsyncIterator, Awaitable, Coroutine, Mapping
-from contextlib import aclosing
 from typing import TypeVar
 
 from drumbay.backends.interface import (
@@ -28,6 +27,12 @@
 ResultT = TypeVar("ResultT")
 
 
+class AnswerLostError(ExchangeBrokenError):
+    """The network lost an answer; the back end was not told."""
+
+    code = "answer_lost"
+
+
 class BackendNetwork:
     """The network between one node and its back ends, with switchable cuts.
 
@@ -69,11 +74,11 @@
         """Carry an answer, or one chunk of it, back.
 
         Raises:
-            ExchangeBrokenError: The way is cut.
+            AnswerLostError: The way is cut.
         """
         await self._clock.sleep(self.latency_seconds)
         if base_url in self._answers_cut or base_url in self._requests_cut:
-            raise ExchangeBrokenError(f"the answer of {base_url} was lost")
+            raise AnswerLostError(f"the answer of {base_url} was lost")
 
 
 class _Exchange:
@@ -146,13 +151,20 @@
         sequence = ChunkSequence(request)
         model = self._model(engine)
         await exchange.send()
-        async with aclosing(model.generate(request)) as chunks:
-            while True:
-                chunk = await exchange.receive(anext(chunks, None))
-                if chunk is None:
-                    break
+        chunks = model.generate(request)
+        lost = False
+        try:
+            while (chunk := await exchange.receive(anext(chunks, None))) is not None:
                 sequence.accept(chunk)
                 yield chunk
+        except AnswerLostError:
+            # NOTE: an engine behind a cut does not learn that its caller has gone.
+            lost = True
+            model.run_unread(chunks)
+            raise
+        finally:
+            if not lost:
+                await chunks.aclose()
         sequence.end()
 
     async def cancel(self, engine: BackendAddress, attempt_id: AttemptId) -> None:
--- a/drumbay/standins/engine_model.py
+++ b/drumbay/standins/engine_model.py
@@ -11,6 +11,7 @@
 from contextlib import aclosing
 
 from drumbay.backends.interface import (
+    BackendError,
     BackendNotReachedError,
     CacheEvent,
     EngineStatus,
@@ -141,6 +142,10 @@
             async for chunk in chunks:
                 yield chunk
 
+    def run_unread(self, chunks: AsyncGenerator[TokenChunk]) -> None:
+        """Go on with a stream whose reader is cut off, until it ends or is cancelled."""
+        self._context.tasks.spawn(_read_to_the_end(chunks), "unread-stream")
+
     async def cancel(self, attempt_id: AttemptId) -> None:
         """Stop an attempt; its stream ends with the finish reason ``cancelled``.
 
@@ -221,3 +226,12 @@
         if run.ended:
             raise ExchangeBrokenError(f"{self.backend_id} died")
         return run
+
+
+async def _read_to_the_end(chunks: AsyncGenerator[TokenChunk]) -> None:
+    async with aclosing(chunks):
+        try:
+            async for _chunk in chunks:
+                continue
+        except BackendError:
+            return
--- a/drumbay/standins/engine_server.py
+++ b/drumbay/standins/engine_server.py
@@ -29,7 +29,7 @@
     EngineHandler,
 )
 from drumbay.standins.engine_model import EngineModel
-from drumbay.standins.http_shell import HTTP_BAD_REQUEST, EmulatorServer
+from drumbay.standins.http_shell import HTTP_BAD_REQUEST, EmulatorServer, ProcessCommand
 from drumbay.tasks import TaskOwner
 
 
@@ -163,6 +163,10 @@
         """Name of the engine."""
         return self._engine.backend_id
 
+    def carry_out(self, command: ProcessCommand) -> None:
+        """Crash or freeze the process, and let it recover later."""
+        self._server.carry_out(command)
+
     def start(self) -> None:
         """Bind the port and serve."""
         self._server.start()
--- a/drumbay/standins/process_context.py
+++ b/drumbay/standins/process_context.py
@@ -12,6 +12,7 @@
 
 FREEZE_HOLD = "freeze"
 BOOT_ID_BITS = 48
+MILLISECONDS_PER_SECOND = 1000
 
 
 class ProcessContext:
@@ -62,7 +63,10 @@
     def start_run(self) -> BootId:
         """Draw the identity of a new run of the process and log its start."""
         bits = self.random_source.getrandbits(BOOT_ID_BITS)
-        boot_id = BootId(f"{self.backend_id}-{bits:012x}")
+        # NOTE: a process that is killed and started with the same seed draws the same bits;
+        # the time of the start tells the two runs apart.
+        started = round(self.clock.wall() * MILLISECONDS_PER_SECOND)
+        boot_id = BootId(f"{self.backend_id}-{started:x}-{bits:012x}")
         now = self.clock.monotonic()
         record = ProcessStarted(time_seconds=now, source=self.backend_id, boot_id=boot_id)
         self.log.append(record)
--- a/drumbay/standins/service_server.py
+++ b/drumbay/standins/service_server.py
@@ -18,7 +18,7 @@
 from drumbay.clock import Clock
 from drumbay.exceptions import Execution
 from drumbay.identifiers import AttemptId, BackendId
-from drumbay.standins.http_shell import EmulatorServer, JsonHandler
+from drumbay.standins.http_shell import EmulatorServer, JsonHandler, ProcessCommand
 from drumbay.standins.service_model import ServiceModel, TruncatedAnswerError
 
 HTTP_TOO_MANY_REQUESTS = 429
@@ -147,6 +147,10 @@
         """Name of the service."""
         return self._service.backend_id
 
+    def carry_out(self, command: ProcessCommand) -> None:
+        """Crash or freeze the process, and let it recover later."""
+        self._server.carry_out(command)
+
     def start(self) -> None:
         """Bind the port and serve."""
         self._server.start()
--- a/tests/test_engine_model.py
+++ b/tests/test_engine_model.py
@@ -52,6 +52,9 @@
     def monotonic(self) -> float:
         return asyncio.get_running_loop().time()
 
+    def wall(self) -> float:
+        return self.monotonic()
+
 
 class Bench:
     """One engine and a client of it."""
@@ -232,6 +235,33 @@
 
         run(scenario)
 
+    def test_a_process_started_again_with_its_seed_has_another_identity(self) -> None:
+        async def scenario() -> None:
+            first = Bench().engine.boot_id
+            await asyncio.sleep(1.0)
+            self.assertNotEqual(Bench().engine.boot_id, first)
+
+        run(scenario)
+
+    def test_an_engine_behind_a_cut_goes_on_until_it_is_cancelled(self) -> None:
+        async def scenario() -> None:
+            bench = Bench()
+            streams = [
+                asyncio.ensure_future(bench.generate(request(name, 400))) for name in ("a", "b")
+            ]
+            await asyncio.sleep(1.0)
+            bench.network.cut_answers(URL)
+            results = await asyncio.gather(*streams, return_exceptions=True)
+            self.assertTrue(all(isinstance(r, ExchangeBrokenError) for r in results))
+            self.assertEqual(bench.ended(), {})
+            await bench.client.cancel(ADDRESS, AttemptId("b"))
+            await asyncio.sleep(60.0)
+            outcomes = {name: record.outcome for name, record in bench.ended().items()}
+            expected = {"a": GenerationOutcome.FINISHED, "b": GenerationOutcome.CANCELLED}
+            self.assertEqual(outcomes, expected)
+
+        run(scenario)
+
 
 class OrderTest(unittest.TestCase):
     def test_an_older_fence_is_refused_before_and_during_a_load(self) -> None:
