--- a/drumbay/standins/process_context.py
+++ b/drumbay/standins/process_context.py
@@ -7,10 +7,9 @@
 from drumbay.identifiers import BackendId, BootId
 from drumbay.standins.execution_log import ExecutionLog, ProcessCrashed, ProcessStarted
 from drumbay.standins.faults import SLOW_FACTOR, FaultKind, FaultSwitches
-from drumbay.standins.process_gate import ProcessGate
+from drumbay.standins.process_gate import FREEZE_HOLD, ProcessGate
 from drumbay.tasks import TaskOwner
 
-FREEZE_HOLD = "freeze"
 BOOT_ID_BITS = 48
 MILLISECONDS_PER_SECOND = 1000
 
--- a/drumbay/standins/process_gate.py
+++ b/drumbay/standins/process_gate.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+FREEZE_HOLD = "freeze"
+"""Name of the hold of a frozen process."""
+
 
 class ProcessGate:
     """Holds back all work while at least one hold is placed."""
--- a/drumbay/standins/simple_process.py
+++ b/drumbay/standins/simple_process.py
@@ -4,9 +4,7 @@
 
 from drumbay.standins.execution_log import ExecutionLog
 from drumbay.standins.faults import FaultKind, FaultSwitches
-from drumbay.standins.process_gate import ProcessGate
-
-FREEZE_HOLD = "freeze"
+from drumbay.standins.process_gate import FREEZE_HOLD, ProcessGate
 
 
 class SimpleProcess:
--- a/tests/test_engine_model.py
+++ b/tests/test_engine_model.py
@@ -21,8 +21,8 @@
 )
 from drumbay.backends.memory import BackendNetwork, MemoryEngineClient
 from drumbay.backends.prefix_hash import prefix_hashes
-from drumbay.clock import SystemClock
 from drumbay.identifiers import AttemptId, BackendId, Fence, WeightVersion
+from drumbay.simulation.outside_clock import OutsideClock
 from drumbay.simulation.virtual_time import run_simulation
 from drumbay.standins.cache_transfer import CACHE_VERSION_MISMATCH, MixedVersionsError
 from drumbay.standins.engine_decoder import EngineDecoder
@@ -46,21 +46,11 @@
 TIMEOUT_SECONDS = 1000.0
 
 
-class LoopClock(SystemClock):
-    """Time of the running loop, which is virtual here."""
-
-    def monotonic(self) -> float:
-        return asyncio.get_running_loop().time()
-
-    def wall(self) -> float:
-        return self.monotonic()
-
-
 class Bench:
     """One engine and a client of it."""
 
     def __init__(self, parameters: EngineParameters | None = None) -> None:
-        clock = LoopClock()
+        clock = OutsideClock()
         source = random.Random(7)
         version = WeightVersion(1)
         self.engine = EngineModel(clock, BackendId("engine"), MODEL, version, source, parameters)
--- a/tests/test_service_model.py
+++ b/tests/test_service_model.py
@@ -15,8 +15,8 @@
     ExchangeBrokenError,
 )
 from drumbay.backends.memory import BackendNetwork, MemoryApplicationClient
-from drumbay.clock import SystemClock
 from drumbay.identifiers import AttemptId, BackendId
+from drumbay.simulation.outside_clock import OutsideClock
 from drumbay.simulation.virtual_time import run_simulation
 from drumbay.standins.application_model import ApplicationModel, answer_digest
 from drumbay.standins.execution_log import ApplicationExecuted, ApplicationRefused
@@ -27,18 +27,11 @@
 ADDRESS = BackendAddress(BackendId("application"), URL)
 
 
-class LoopClock(SystemClock):
-    """Time of the running loop, which is virtual here."""
-
-    def monotonic(self) -> float:
-        return asyncio.get_running_loop().time()
-
-
 class Bench:
     """One application server and a client of it."""
 
     def __init__(self, parameters: ServiceParameters | None = None) -> None:
-        clock = LoopClock()
+        clock = OutsideClock()
         backend_id = BackendId("application")
         self.server = ApplicationModel(clock, backend_id, random.Random(3), parameters)
         self.network = BackendNetwork(clock)
--- a/tests/test_trainer_model.py
+++ b/tests/test_trainer_model.py
@@ -1,11 +1,10 @@
 """The emulated trainer consumes by cursor, publishes versions and restarts."""
 
-import asyncio
 import unittest
 
-from drumbay.clock import SystemClock
 from drumbay.exceptions import UnavailableError
 from drumbay.identifiers import Cursor, SampleId, StreamName, WeightVersion
+from drumbay.simulation.outside_clock import OutsideClock
 from drumbay.simulation.virtual_time import run_simulation
 from drumbay.standins.execution_log import SampleConsumed, StepFinished, TrainerRestarted
 from drumbay.standins.trainer_model import (
@@ -17,13 +16,6 @@
 from drumbay.standins.weight_store_model import WeightStoreModel, WeightStoreParameters
 
 
-class LoopClock(SystemClock):
-    """Time of the running loop, which is virtual here."""
-
-    def monotonic(self) -> float:
-        return asyncio.get_running_loop().time()
-
-
 class EndlessSamples:
     """Serves three samples at a time; every third pull fails."""
 
@@ -64,7 +56,7 @@
 
 class TrainerModelTest(unittest.TestCase):
     def build(self) -> tuple[TrainerModel, WeightStoreModel]:
-        clock = LoopClock()
+        clock = OutsideClock()
         store = WeightStoreModel(clock, "store", WeightStoreParameters(version_bytes=1))
         store.publish("m", WeightVersion(1))
         trainer = TrainerModel(
