Join the services into a node and run both deployments as processes

Cause: the services existed side by side; no request went from a caller to a back end, and no sample to a trainer, in separate processes. Ruled out: a central process for control (every node runs the same program), processes that start others (a shell script starts the demo's), a watch of the key-value service by every node for resources (they spread by gossip). Change: node assembly over a passed-in environment, streams handed to their owners, rollout and weight supervisors, planned stop, node command, acceptance run that compares what callers and the trainer got with the emulators' execution logs, demo of both deployments. Before and after: before, nothing ran.

--- a/Makefile
+++ b/Makefile
@@ -25,5 +25,8 @@
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/mypy
 
+demo: $(STAMP) ## Run both deployments as processes and check them
+	bash demo/run.sh
+
 test: check ## All checks and the tests
 	$(PYTHON) -m unittest discover --start-directory tests --top-level-directory .
--- /dev/null
+++ b/drumbay/acceptance/verification.py
@@ -0,0 +1,178 @@
+"""Compares what callers and the trainer got with what the emulators truly did."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from drumbay.acceptance.calls import Caller
+from drumbay.acceptance.records import (
+    AcceptancePlan,
+    AcceptanceResult,
+    BookingResult,
+    Disagreement,
+    LiveResult,
+)
+from drumbay.api.schema import ResourceListBody
+from drumbay.resources.schema import BackendGroup, BackendKind
+from drumbay.standins.application_model import ApplicationOperation, answer_digest
+from drumbay.standins.execution_log import (
+    AnyExecutionRecord,
+    ApplicationExecuted,
+    ExecutionLogPage,
+    GenerationEnded,
+    SampleConsumed,
+)
+
+
+class DeploymentLogs:
+    """Execution logs of a whole deployment.
+
+    Args:
+        engines: Records of all engines.
+        applications: Records of all applications.
+        trainer: Records of the trainer.
+    """
+
+    def __init__(
+        self,
+        engines: list[AnyExecutionRecord],
+        applications: list[AnyExecutionRecord],
+        trainer: list[AnyExecutionRecord],
+    ) -> None:
+        """Sort the records that are compared."""
+        self.generations = [entry for entry in engines if isinstance(entry, GenerationEnded)]
+        executed = [entry for entry in applications if isinstance(entry, ApplicationExecuted)]
+        self.bookings = [
+            entry for entry in executed if entry.operation == ApplicationOperation.BOOKING
+        ]
+        self.consumed = [entry for entry in trainer if isinstance(entry, SampleConsumed)]
+
+
+async def fetch_logs(caller: Caller, plan: AcceptancePlan) -> DeploymentLogs:
+    """Read the execution logs of every emulator that the resources name.
+
+    Raises:
+        CallFailedError: A log could not be read.
+    """
+    listing = await caller.get(f"{plan.nodes[0]}/v1/resources/BackendGroup", ResourceListBody)
+    engines: list[AnyExecutionRecord] = []
+    applications: list[AnyExecutionRecord] = []
+    for item in listing.items:
+        assert isinstance(item.resource, BackendGroup)
+        target = engines if item.resource.backend_kind is BackendKind.ENGINE else applications
+        for backend in item.resource.backends:
+            target.extend(await _fetch_log(caller, backend.url))
+    return DeploymentLogs(engines, applications, await _fetch_log(caller, plan.trainer))
+
+
+async def _fetch_log(caller: Caller, base_url: str) -> list[AnyExecutionRecord]:
+    records: list[AnyExecutionRecord] = []
+    while True:
+        page = await caller.get(f"{base_url}/log?first={len(records)}", ExecutionLogPage)
+        records.extend(page.records)
+        if not page.records or len(records) >= page.total:
+            return records
+
+
+def verify(
+    plan: AcceptancePlan, result: AcceptanceResult, logs: DeploymentLogs
+) -> tuple[Disagreement, ...]:
+    """Return every promise that the logs contradict."""
+    findings: list[Disagreement] = []
+    findings.extend(_check_bookings(result.bookings, logs.bookings))
+    findings.extend(_check_live(result.live, logs.generations))
+    findings.extend(_check_samples(plan, logs))
+    return tuple(findings)
+
+
+def _check_bookings(
+    results: Iterable[BookingResult], executed: list[ApplicationExecuted]
+) -> Iterable[Disagreement]:
+    by_key: dict[str, list[ApplicationExecuted]] = {}
+    for entry in executed:
+        by_key.setdefault(entry.idempotency_key or "", []).append(entry)
+    for result in results:
+        runs = by_key.get(result.key, [])
+        if len(runs) > 1:
+            yield _disagreement("at_most_once", result.key, f"ran {len(runs)} times")
+        if not runs and result.answers:
+            yield _disagreement("whole_answers", result.key, "answered without a run")
+        digests = {run.answer_digest for run in runs}
+        for answer in result.answers:
+            if answer_digest(answer) not in digests:
+                yield _disagreement("whole_answers", result.key, "an answer nobody gave")
+        told_only_not_run = not result.answers and result.may_have_run == 0
+        if runs and told_only_not_run:
+            yield _disagreement("refused_not_run", result.key, "refused as not run, and it ran")
+
+
+def _check_live(
+    results: Iterable[LiveResult], generations: list[GenerationEnded]
+) -> Iterable[Disagreement]:
+    truth = _versions_by_request(generations)
+    for result in results:
+        if result.failure:
+            yield _disagreement("planned_stop", result.request_id, f"failed: {result.failure}")
+            continue
+        told = [(span.weight_version, span.token_count) for span in result.spans]
+        if sum(count for _, count in told) != len(result.token_ids):
+            yield _disagreement("whole_answers", result.request_id, "spans miss tokens")
+        produced = truth.get(result.request_id, Counter())
+        for version, count in told:
+            if produced[version] < count:
+                yield _disagreement(
+                    "named_versions", result.request_id, f"{count} tokens of version {version}"
+                )
+
+
+def _versions_by_request(generations: list[GenerationEnded]) -> dict[str, Counter[int]]:
+    """Count the tokens per version that engines produced for each request or sample."""
+    truth: dict[str, Counter[int]] = {}
+    for entry in generations:
+        subject = entry.attempt_id.rpartition("~")[0]
+        counts = truth.setdefault(subject, Counter())
+        for span in entry.spans:
+            counts[span.weight_version] += span.count
+    return truth
+
+
+def _check_samples(plan: AcceptancePlan, logs: DeploymentLogs) -> Iterable[Disagreement]:
+    consumed = Counter(entry.sample_id for entry in logs.consumed)
+    for sample_id, count in consumed.items():
+        if count > 1:
+            yield _disagreement("exactly_once", sample_id, f"consumed {count} times")
+    expected = plan.steps * plan.samples_per_step
+    if len(consumed) != expected:
+        yield _disagreement(
+            "exactly_once", plan.stream, f"{len(consumed)} samples consumed, not {expected}"
+        )
+    truth = _versions_by_sample(logs.generations)
+    for entry in logs.consumed:
+        yield from _check_sample(entry, truth.get(entry.sample_id, frozenset()))
+
+
+def _versions_by_sample(generations: list[GenerationEnded]) -> dict[str, frozenset[int]]:
+    truth: dict[str, frozenset[int]] = {}
+    for entry in generations:
+        sample_id = entry.attempt_id.rsplit("/", 2)[0]
+        versions = frozenset(span.weight_version for span in entry.spans)
+        truth[sample_id] = truth.get(sample_id, frozenset()) | versions
+    return truth
+
+
+def _check_sample(entry: SampleConsumed, produced: frozenset[int]) -> Iterable[Disagreement]:
+    if not set(entry.weight_versions) <= produced:
+        yield _disagreement(
+            "named_versions",
+            entry.sample_id,
+            f"names {entry.weight_versions}, engines used {sorted(produced)}",
+        )
+    if min(entry.weight_versions) < entry.oldest_accepted_version:
+        yield _disagreement(
+            "staleness",
+            entry.sample_id,
+            f"version {min(entry.weight_versions)}, bound {entry.oldest_accepted_version}",
+        )
+
+
+def _disagreement(promise: str, subject: str, detail: str) -> Disagreement:
+    return Disagreement(promise=promise, subject=subject, detail=detail)
--- /dev/null
+++ b/drumbay/acceptance/workload.py
@@ -0,0 +1,195 @@
+"""The load of an acceptance run: live requests, lookups, bookings, rollouts, one stop."""
+
+import asyncio
+import os
+import signal
+
+import msgspec
+
+from drumbay.acceptance.calls import Caller, CallFailedError
+from drumbay.acceptance.records import (
+    AcceptancePlan,
+    AcceptanceResult,
+    BookingResult,
+    LiveResult,
+)
+from drumbay.api.schema import CompletionAnswer, CompletionBody, RolloutSubmission
+from drumbay.clock import Clock
+from drumbay.exceptions import Execution
+from drumbay.rollout.sample import RolloutPrompt
+from drumbay.standins.trainer_server import TrainerStatus
+
+POLL_SECONDS = 0.2
+STEP_TIMEOUT_SECONDS = 60.0
+LIVE_MAXIMUM_TOKENS = 48
+SAMPLE_MAXIMUM_TOKENS = 96
+CONCURRENT_SENDINGS = 2
+LOOKUPS_PER_STEP = 16
+PROMPTS_PER_GROUP = 4
+
+
+class StepTimeoutError(CallFailedError):
+    """A training step did not end in time."""
+
+    code = "step_timeout"
+
+
+class Workload:
+    """Drives one deployment.
+
+    Args:
+        clock: Time.
+        caller: Sends the requests.
+        plan: What is driven.
+    """
+
+    def __init__(self, clock: Clock, caller: Caller, plan: AcceptancePlan) -> None:
+        """Create a workload that has sent nothing."""
+        self._clock = clock
+        self._caller = caller
+        self._plan = plan
+        self._nodes = list(plan.nodes)
+        self._sent = 0
+        self._live: list[LiveResult] = []
+        self._bookings: list[BookingResult] = []
+        self._lookups_answered = 0
+        self._lookups_failed = 0
+
+    def _next_node(self) -> str:
+        self._sent += 1
+        return self._nodes[self._sent % len(self._nodes)]
+
+    async def run(self) -> AcceptanceResult:
+        """Run every step.
+
+        Raises:
+            CallFailedError: A rollout was refused, or a step did not end.
+        """
+        for step in range(self._plan.steps):
+            await self._run_step(step)
+        return AcceptanceResult(
+            live=tuple(self._live),
+            bookings=tuple(self._bookings),
+            lookups_answered=self._lookups_answered,
+            lookups_failed=self._lookups_failed,
+        )
+
+    async def _run_step(self, step: int) -> None:
+        await self._submit(step)
+        plan = self._plan
+        requests = [self._send_live(step, number) for number in range(plan.live_requests)]
+        requests += [self._send_booking(step, number) for number in range(plan.bookings)]
+        requests += [self._send_lookup(number) for number in range(LOOKUPS_PER_STEP)]
+        is_last = step == plan.steps - 1
+        stopping = self._stop_node() if is_last else None
+        await asyncio.gather(*requests, *([stopping] if stopping else []))
+        await self._wait_for_step(step)
+
+    async def _submit(self, step: int) -> None:
+        prompts = tuple(
+            RolloutPrompt(
+                text=f"{self._plan.stream} step {step} prompt {index // PROMPTS_PER_GROUP}",
+                group=f"{step}-{index // PROMPTS_PER_GROUP}",
+                max_tokens=SAMPLE_MAXIMUM_TOKENS,
+                seed=index,
+            )
+            for index in range(self._plan.samples_per_step)
+        )
+        submission = RolloutSubmission(
+            stream=self._plan.stream, step=step, model=self._plan.model, prompts=prompts
+        )
+        body = msgspec.json.encode(submission)
+        await self._retry_until_done("/v1/rollouts", body)
+
+    async def _retry_until_done(self, path: str, body: bytes) -> None:
+        """Send a request that has no effect the second time until it is answered."""
+        ends_at = self._clock.monotonic() + STEP_TIMEOUT_SECONDS
+        while True:
+            try:
+                await self._caller.send("POST", self._next_node() + path, body)
+                return
+            except CallFailedError:
+                if self._clock.monotonic() > ends_at:
+                    raise
+            await self._clock.sleep(POLL_SECONDS)
+
+    async def _send_live(self, step: int, number: int) -> None:
+        await self._clock.sleep(number * 0.02)
+        body = CompletionBody(
+            model=self._plan.model,
+            prompt=f"question {step} {number}",
+            max_tokens=LIVE_MAXIMUM_TOKENS,
+            seed=number,
+        )
+        url = self._next_node() + "/v1/completions"
+        try:
+            response = await self._caller.send("POST", url, msgspec.json.encode(body))
+        except CallFailedError as error:
+            failure = error.error.code if error.error else "connection_lost"
+            request_id = error.error.request_id or "" if error.error else ""
+            self._live.append(LiveResult(request_id=request_id, failure=failure))
+            return
+        answer = msgspec.json.decode(response.body, type=CompletionAnswer)
+        self._live.append(
+            LiveResult(
+                request_id=answer.id,
+                token_ids=answer.token_ids,
+                spans=answer.spans,
+                finish_reason=answer.finish_reason,
+            )
+        )
+
+    async def _send_booking(self, step: int, number: int) -> None:
+        """Send one booking twice at once and once more later, with one key."""
+        await self._clock.sleep(number * 0.03)
+        key = f"{self._plan.stream}-{step}-{number}"
+        sendings = (self._send_keyed(key, number) for _ in range(CONCURRENT_SENDINGS))
+        results = await asyncio.gather(*sendings)
+        results.append(await self._send_keyed(key, number))
+        answers = tuple(result for result in results if isinstance(result, bytes))
+        executions = [result for result in results if isinstance(result, Execution)]
+        self._bookings.append(
+            BookingResult(
+                key=key,
+                answers=answers,
+                not_run=executions.count(Execution.NOT_RUN),
+                may_have_run=executions.count(Execution.MAY_HAVE_RUN),
+            )
+        )
+
+    async def _send_keyed(self, key: str, number: int) -> bytes | Execution:
+        url = f"{self._next_node()}/app/articles/article-{number % 5}"
+        headers = {"Idempotency-Key": key, "Drumbay-Repeatable": "false"}
+        try:
+            response = await self._caller.send("POST", url, b"{}", headers)
+        except CallFailedError as error:
+            if error.error is None or not error.error.run:
+                return Execution.MAY_HAVE_RUN
+            return Execution(error.error.run)
+        return response.body
+
+    async def _send_lookup(self, number: int) -> None:
+        await self._clock.sleep(number * 0.05)
+        url = f"{self._next_node()}/app/articles/article-{number % 5}"
+        try:
+            await self._caller.send("GET", url)
+            self._lookups_answered += 1
+        except CallFailedError:
+            self._lookups_failed += 1
+
+    async def _stop_node(self) -> None:
+        """Begin the planned stop of the last node; later requests go to the others."""
+        process_id = self._plan.stop_process_id
+        if process_id is None:
+            return
+        await self._clock.sleep(0.25)
+        self._nodes.pop()
+        os.kill(process_id, signal.SIGTERM)
+
+    async def _wait_for_step(self, step: int) -> None:
+        ends_at = self._clock.monotonic() + STEP_TIMEOUT_SECONDS
+        url = self._plan.trainer + "/admin/status"
+        while (await self._caller.get(url, TrainerStatus)).step <= step:
+            if self._clock.monotonic() > ends_at:
+                raise StepTimeoutError(f"step {step} did not end", None)
+            await self._clock.sleep(POLL_SECONDS)
--- a/drumbay/api/application.py
+++ b/drumbay/api/application.py
@@ -13,7 +13,12 @@
 )
 from drumbay.api.interface import NodeInterface
 from drumbay.api.resources import OperationHandler, ResourceHandler, ResourceListHandler
-from drumbay.api.rollouts import RolloutsHandler, SamplesHandler, WeightVersionsHandler
+from drumbay.api.rollouts import (
+    CheckpointHandler,
+    RolloutsHandler,
+    SamplesHandler,
+    WeightVersionsHandler,
+)
 
 MAXIMUM_BODY_BYTES = 16 * 1024 * 1024
 MAXIMUM_HEADER_BYTES = 64 * 1024
@@ -35,6 +40,7 @@
             (r"/app/.*", ApplicationHandler, arguments),
             (r"/v1/rollouts", RolloutsHandler, arguments),
             (r"/v1/streams/([^/]+)/samples", SamplesHandler, arguments),
+            (r"/v1/streams/([^/]+)/checkpoint", CheckpointHandler, arguments),
             (r"/v1/models/([^/]+)/versions", WeightVersionsHandler, arguments),
             (r"/v1/resources", ResourceListHandler, arguments),
             (r"/v1/resources/([^/]+)", ResourceListHandler, arguments),
--- a/drumbay/api/interface.py
+++ b/drumbay/api/interface.py
@@ -58,6 +58,10 @@
         """Return the batch at a cursor, fixing it if this is the first pull."""
         ...
 
+    async def checkpointed(self, stream: StreamName, cursor: Cursor) -> None:
+        """Take note of the next cursor that a trainer's checkpoint holds."""
+        ...
+
     async def announce_weights(self, model: str, announcement: WeightAnnouncement) -> None:
         """Take note of a newly published weight version."""
         ...
--- a/drumbay/api/rollouts.py
+++ b/drumbay/api/rollouts.py
@@ -3,7 +3,7 @@
 from typing import ClassVar
 
 from drumbay.api.base import ApiHandler
-from drumbay.api.schema import RolloutSubmission, WeightAnnouncement
+from drumbay.api.schema import CheckpointBody, RolloutSubmission, WeightAnnouncement
 from drumbay.identifiers import Cursor, StreamName, WeightVersion
 from drumbay.resources.schema import Role
 
@@ -37,6 +37,19 @@
         self.write_record(batch)
 
 
+class CheckpointHandler(ApiHandler):
+    """``POST /v1/streams/{stream}/checkpoint``."""
+
+    allowed_roles: ClassVar[tuple[Role, ...]] = (Role.TRAINER, Role.OPERATOR)
+
+    async def post(self, stream: str) -> None:
+        """Take note of a trainer's checkpoint, so that older batches may be deleted."""
+        body = self.decode_body(CheckpointBody)
+        await self.node.checkpointed(StreamName(stream), Cursor(body.cursor))
+        self.set_status(204)
+        await self.finish()
+
+
 class WeightVersionsHandler(ApiHandler):
     """``POST /v1/models/{model}/versions``."""
 
--- a/drumbay/api/schema.py
+++ b/drumbay/api/schema.py
@@ -5,6 +5,7 @@
 from drumbay.explain.records import DecisionRecord
 from drumbay.identifiers import BackendId, BootId, NodeId, Revision, SampleId, WeightVersion
 from drumbay.resources.schema import AnyResource
+from drumbay.rollout.sample import RolloutPrompt, TokenSpan
 
 
 class ApiRecord(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -85,16 +86,6 @@
     spans: tuple[VersionSpan, ...]
 
 
-class RolloutPrompt(ApiRecord, frozen=True, kw_only=True):
-    """One sample to generate."""
-
-    index: int
-    prompt: str
-    max_tokens: int = 1024
-    seed: int = 0
-    target_tokens: int | None = None
-
-
 class RolloutSubmission(ApiRecord, frozen=True, kw_only=True):
     """Body of ``POST /v1/rollouts``: the samples of one step of one stream."""
 
@@ -105,35 +96,56 @@
 
 
 class RolloutReceipt(msgspec.Struct, frozen=True, kw_only=True):
-    """Answer to a rollout submission."""
+    """Answer to a rollout submission; submitting a step again has no effect."""
 
     stream: str
     step: int
-    accepted: int
-    already_known: int
     owner: NodeId
 
 
 class DeliveredSample(msgspec.Struct, frozen=True, kw_only=True):
-    """One sample as a trainer receives it."""
+    """One sample as a trainer receives it.
+
+    Attributes:
+        sample_id: Identity of the sample; it reaches the trainer exactly once.
+        step: Step that asked for it.
+        index: Index of its prompt in the step, from 0.
+        prompt: Prompt text.
+        text: Completion.
+        token_ids: Tokens of the completion.
+        weight_versions: Versions that produced the tokens, in order of first use.
+        spans: Which version, engine run and attempt produced which tokens.
+        cursor: Position of the batch that holds the sample.
+    """
 
     sample_id: SampleId
+    cursor: int
+    weight_versions: tuple[WeightVersion, ...]
     step: int
     index: int
     prompt: str
     text: str
     token_ids: tuple[int, ...]
-    spans: tuple[VersionSpan, ...]
+    spans: tuple[TokenSpan, ...]
 
 
 class BatchBody(msgspec.Struct, frozen=True, kw_only=True):
-    """Answer to a pull: the batch that is fixed at this cursor."""
+    """Answer to a pull: the batch that is fixed at this cursor.
+
+    While no sample is ready the batch is empty and ``next_cursor`` equals ``cursor``.
+    """
 
     stream: str
     cursor: int
     next_cursor: int
     oldest_version: WeightVersion
-    samples: tuple[DeliveredSample, ...]
+    samples: tuple[DeliveredSample, ...] = ()
+
+
+class CheckpointBody(ApiRecord, frozen=True, kw_only=True):
+    """Body of ``POST /v1/streams/{stream}/checkpoint``: the next cursor it holds."""
+
+    cursor: int
 
 
 class WeightAnnouncement(ApiRecord, frozen=True, kw_only=True):
@@ -172,7 +184,7 @@
 
 
 class ApplyOutcomeBody(msgspec.Struct, frozen=True, kw_only=True):
-    """What became of a change: ``accepted`` or ``unknown`` (ask again by the id)."""
+    """What became of a change: ``accepted`` or ``unknown_yet`` (ask again by the id)."""
 
     outcome: str
     operation_id: str
--- a/drumbay/cli/main.py
+++ b/drumbay/cli/main.py
@@ -3,7 +3,7 @@
 import typer
 
 from drumbay import __version__
-from drumbay.cli import explain, operators, token
+from drumbay.cli import acceptance, explain, node, operators, standin, token
 
 app = typer.Typer(
     name="drumbay",
@@ -23,6 +23,7 @@
     typer.echo(__version__)
 
 
+app.command()(node.node)
 app.command()(operators.apply)
 app.command()(operators.get)
 app.command()(operators.describe)
@@ -31,6 +32,8 @@
 app.command()(operators.status)
 app.command()(explain.explain)
 app.command()(token.token)
+app.command()(acceptance.acceptance)
+app.add_typer(standin.app)
 
 
 def run() -> None:
--- a/drumbay/cli/operators.py
+++ b/drumbay/cli/operators.py
@@ -15,7 +15,7 @@
 
 DEFAULT_SERVER = "http://127.0.0.1:8080"
 OPERATION_ID_BYTES = 12
-UNKNOWN_OUTCOME = "unknown"
+UNKNOWN_OUTCOME = "unknown_yet"
 
 Server = Annotated[
     str, typer.Option("--server", "-s", envvar="DRUMBAY_SERVER", help="Base URL of a node.")
--- a/drumbay/cli/standin.py
+++ b/drumbay/cli/standin.py
@@ -16,6 +16,7 @@
 from drumbay.standins.engine_model import EngineModel
 from drumbay.standins.engine_parameters import EngineParameters
 from drumbay.standins.engine_server import EngineServer
+from drumbay.standins.kv_server import serve_key_value_standin
 from drumbay.standins.machine_list_model import MachineListModel
 from drumbay.standins.machine_list_server import MachineListServer
 from drumbay.standins.scoring_model import ScoringModel
@@ -51,14 +52,19 @@
         ...
 
 
-async def _serve(server: Server) -> None:
-    """Serve until the process is told to end."""
+async def _until_told_to_end() -> None:
+    """Wait for SIGINT or SIGTERM."""
     ended = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, ended.set)
-    server.start()
     await ended.wait()
+
+
+async def _serve(server: Server) -> None:
+    """Serve until the process is told to end."""
+    server.start()
+    await _until_told_to_end()
     await server.stop()
 
 
@@ -249,3 +255,19 @@
         await _serve(MachineListServer(emulated, clock, host=host, port=port))
 
     asyncio.run(run())
+
+
+@app.command(epilog="Example: drumbay standin key-value --port 2379")
+def key_value(
+    host: Host = "127.0.0.1",
+    port: Port = 2379,
+) -> None:
+    """Emulate the key-value service (etcd v3 JSON gateway)."""
+
+    async def run() -> None:
+        serving = asyncio.ensure_future(serve_key_value_standin(host, port))
+        await _until_told_to_end()
+        serving.cancel()
+        await asyncio.gather(serving, return_exceptions=True)
+
+    asyncio.run(run())
--- a/drumbay/delivery/service.py
+++ b/drumbay/delivery/service.py
@@ -182,6 +182,14 @@
         """
         return self._owned(stream).owner.add_sample(sample)
 
+    def recorded_floor(self, stream: StreamName) -> WeightVersion:
+        """Return the oldest accepted version that the stream's log records.
+
+        Raises:
+            NotOwnerError: This node does not own the stream.
+        """
+        return self._owned(stream).owner.state.oldest_accepted_version
+
     def missing(self, stream: StreamName) -> tuple[OutstandingSample, ...]:
         """Return the samples of a stream that have still to be generated.
 
--- /dev/null
+++ b/drumbay/machines/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's list of live and leaving machines."""
--- /dev/null
+++ b/drumbay/node/operations.py
@@ -0,0 +1,132 @@
+"""Operators' operations on resources, as the HTTP interface offers them."""
+
+from drumbay.api.schema import (
+    ApplyBody,
+    ApplyOutcomeBody,
+    ResourceBody,
+    ResourceListBody,
+)
+from drumbay.configuration.errors import ConflictError, OperationReusedError
+from drumbay.configuration.operators import OperatorService
+from drumbay.configuration.outcomes import WriteOutcome, WriteResult
+from drumbay.configuration.service import ConfigurationService
+from drumbay.configuration.view import ConfigurationView
+from drumbay.exceptions import ConfigurationError, DrumbayError, Execution, RequestFailedError
+from drumbay.identifiers import Revision
+from drumbay.requests.errors import (
+    ConflictingWriteError,
+    InvalidRequestError,
+    NotFoundError,
+    NotReadyError,
+)
+from drumbay.resources.checks import check_resource
+from drumbay.resources.schema import AnyResource
+
+RETRY_AFTER_SECONDS = 1.0
+
+
+class ResourceOperations:
+    """Reads and writes resources for operators.
+
+    Args:
+        configuration: The configuration in force.
+        operators: Writes through the key-value service.
+    """
+
+    def __init__(self, configuration: ConfigurationService, operators: OperatorService) -> None:
+        """Create the operations."""
+        self._configuration = configuration
+        self._operators = operators
+
+    def resources(self, kind: str | None, name: str | None) -> ResourceListBody:
+        """Return the resources in force, of one kind and name if given."""
+        view = self._configuration.snapshot()
+        items = [
+            ResourceBody(resource=resource, mod_revision=_revision_of(view, resource))
+            for resource in all_resources(view)
+            if kind in (None, type(resource).__name__) and name in (None, resource.name)
+        ]
+        return ResourceListBody(revision=view.revision, items=tuple(items))
+
+    async def apply(self, body: ApplyBody) -> ApplyOutcomeBody:
+        """Create or change a resource.
+
+        Raises:
+            RequestFailedError: The change was refused.
+        """
+        try:
+            check_resource(body.resource)
+            result = await self._operators.apply(
+                body.resource, body.expected_revision, body.operation_id
+            )
+        except DrumbayError as error:
+            raise _as_request_failure(error) from error
+        return _outcome(result)
+
+    async def delete(
+        self, kind: str, name: str, operation_id: str, expected_revision: Revision | None
+    ) -> ApplyOutcomeBody:
+        """Remove a resource.
+
+        Raises:
+            NotFoundError: There is no such resource in force here.
+            RequestFailedError: The change was refused.
+        """
+        found = self.resources(kind, name).items
+        if not found:
+            raise NotFoundError(f"{kind}/{name} does not exist", execution=Execution.NOT_RUN)
+        try:
+            result = await self._operators.delete(
+                found[0].resource, expected_revision, operation_id
+            )
+        except DrumbayError as error:
+            raise _as_request_failure(error) from error
+        return _outcome(result)
+
+    async def operation(self, operation_id: str) -> ApplyOutcomeBody:
+        """Return what became of an earlier change."""
+        return _outcome(await self._operators.operation_status(operation_id))
+
+
+def all_resources(view: ConfigurationView) -> list[AnyResource]:
+    """Return every resource of a view, by kind and name."""
+    resources: list[AnyResource] = []
+    resources.extend(view.groups.values())
+    resources.extend(view.routes.values())
+    resources.extend(view.policies.values())
+    resources.extend(view.drains.values())
+    resources.extend(view.rollbacks.values())
+    resources.extend(view.tokens.values())
+    resources.sort(key=lambda resource: (type(resource).__name__, resource.name))
+    return resources
+
+
+def _revision_of(view: ConfigurationView, resource: AnyResource) -> Revision:
+    key = f"{type(resource).__name__}/{resource.name}"
+    return view.resource_revisions.get(key, Revision(0))
+
+
+def _outcome(result: WriteResult) -> ApplyOutcomeBody:
+    if result.outcome is WriteOutcome.REFUSED:
+        raise NotReadyError(
+            f"the change was not made: {result.detail}",
+            execution=Execution.NOT_RUN,
+            retry_after_seconds=RETRY_AFTER_SECONDS,
+        )
+    return ApplyOutcomeBody(
+        outcome=result.outcome.value,
+        operation_id=result.operation_id,
+        mod_revision=result.committed_revision,
+    )
+
+
+def _as_request_failure(error: DrumbayError) -> RequestFailedError:
+    if isinstance(error, RequestFailedError):
+        return error
+    if isinstance(error, ConflictError | OperationReusedError):
+        return ConflictingWriteError(str(error), execution=Execution.NOT_RUN)
+    if isinstance(error, ConfigurationError):
+        return InvalidRequestError(str(error), execution=Execution.NOT_RUN)
+    return NotReadyError(
+        str(error), execution=Execution.NOT_RUN, retry_after_seconds=RETRY_AFTER_SECONDS
+    )
--- /dev/null
+++ b/drumbay/node/process.py
@@ -0,0 +1,99 @@
+"""One node as a process: real clock, network, disk and back ends, and its signals."""
+
+import asyncio
+import secrets
+import signal
+from random import Random
+
+from drumbay.backends.connector import HttpConnector
+from drumbay.backends.http_application import HttpApplicationClient
+from drumbay.backends.http_engine import HttpEngineClient
+from drumbay.clock import SystemClock
+from drumbay.comm.tornado_transport import TornadoTransport, new_boot_id
+from drumbay.kv.etcd_gateway import EtcdGatewayStore
+from drumbay.machines.http import HttpMachineListClient
+from drumbay.node.environment import NodeEnvironment
+from drumbay.node.node import Node
+from drumbay.node.server import start_http_server
+from drumbay.observability.logs import log_event
+from drumbay.settings import NodeSettings
+from drumbay.storage.durable_log import DurableLog
+from drumbay.tasks import TaskOwner
+from drumbay.weights.http_store import HttpWeightStoreClient
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+async def run_node(settings: NodeSettings, cluster_key: bytes) -> None:
+    """Run a node until it is told to stop.
+
+    The first SIGTERM or SIGINT starts a planned stop: no new requests, those in flight run
+    to their end. A second one ends the process at once.
+
+    Raises:
+        ListenError: The peer address cannot be used.
+        OSError: The HTTP address cannot be used.
+        StorageError: The data folder cannot be used.
+    """
+    transport_tasks = TaskOwner()
+    clock = SystemClock()
+    boot_id = new_boot_id()
+    transport = TornadoTransport(
+        settings.peers.address, cluster_key, clock, transport_tasks, boot_id=boot_id
+    )
+    machine_list = settings.machine_list
+    weight_store = settings.weight_store
+    connector = HttpConnector()
+    environment = NodeEnvironment(
+        clock=clock,
+        transport=transport,
+        store=EtcdGatewayStore(settings.key_value.urls, clock),
+        engine_client=HttpEngineClient(connector, transport_tasks),
+        application_client=HttpApplicationClient(connector),
+        machine_list=HttpMachineListClient(machine_list.url) if machine_list else None,
+        weight_store=HttpWeightStoreClient(weight_store.url) if weight_store else None,
+        open_log=DurableLog.open,
+        random=Random(secrets.randbits(64)),
+        boot_id=boot_id,
+    )
+    node = Node(settings, environment)
+    await transport.start()
+    node.start()
+    server = start_http_server(node, settings.http)
+    log_event(
+        "node_listening",
+        node_id=settings.node_id,
+        http=f"{settings.http.host}:{settings.http.port}",
+        peers=f"{settings.peers.host}:{settings.peers.port}",
+    )
+    is_planned = await _wait_for_stop(node)
+    server.stop()
+    if is_planned:
+        await node.finish_stop()
+        await server.close_all_connections()
+    connector.close()
+    await transport.close()
+    await transport_tasks.close()
+
+
+async def _wait_for_stop(node: Node) -> bool:
+    """Wait for a signal and drain; return whether the drain ended before a second one."""
+    stop = asyncio.Event()
+    kill = asyncio.Event()
+
+    def handle_signal() -> None:
+        if stop.is_set():
+            kill.set()
+        stop.set()
+
+    loop = asyncio.get_running_loop()
+    for number in STOP_SIGNALS:
+        loop.add_signal_handler(number, handle_signal)
+    await stop.wait()
+    drain = asyncio.ensure_future(node.drain())
+    killed = asyncio.ensure_future(kill.wait())
+    await asyncio.wait((drain, killed), return_when=asyncio.FIRST_COMPLETED)
+    is_planned = drain.done()
+    for task in (drain, killed):
+        task.cancel()
+    return is_planned
--- /dev/null
+++ b/drumbay/node/request_services.py
@@ -0,0 +1,66 @@
+"""The request path of a node, joined: routes, admission, dispatch, live and application."""
+
+from random import Random
+
+from drumbay.backends.interface import ApplicationClient, EngineClient
+from drumbay.clock import Clock
+from drumbay.configuration.view import ConfigurationView
+from drumbay.explain.recorder import DecisionRecorder
+from drumbay.limits.admission import AdmissionController, AdmissionPolicy
+from drumbay.limits.retry_budget import RetryBudget, RetryBudgetPolicy
+from drumbay.observability.logs import log_event
+from drumbay.requests.admission_gate import AdmissionGate
+from drumbay.requests.application import ApplicationRequestService
+from drumbay.requests.dispatcher import Dispatcher
+from drumbay.requests.live import LiveRequestService
+from drumbay.requests.once import OnceRunner
+from drumbay.requests.route_table import RouteTable
+from drumbay.routing.directory import BackendDirectory
+from drumbay.routing.selectors import InvalidSelectorError
+
+
+class RequestServices:
+    """Everything that serves callers' requests on one node.
+
+    Attributes:
+        gate: Admission of requests.
+        dispatcher: Choice of back ends.
+        live: Live generation requests.
+        applications: Application requests.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        zone: str,
+        engine_client: EngineClient,
+        application_client: ApplicationClient,
+        directory: BackendDirectory,
+        recorder: DecisionRecorder,
+        once: OnceRunner,
+        random: Random,
+    ) -> None:
+        """Join the services; there are no routes until a configuration comes."""
+        now = clock.monotonic()
+        budget = RetryBudget(RetryBudgetPolicy(), now)
+        self.routes = RouteTable(())
+        self.gate = AdmissionGate(clock, AdmissionController(AdmissionPolicy(), now))
+        self.dispatcher = Dispatcher(clock, zone, directory, recorder, random)
+        self.live = LiveRequestService(clock, engine_client, self.dispatcher, self.gate, budget)
+        self.applications = ApplicationRequestService(
+            clock, application_client, self.dispatcher, self.gate, budget, once
+        )
+
+    def apply_configuration(self, view: ConfigurationView) -> None:
+        """Take in the routes in force; with an invalid selector the earlier ones stay."""
+        routes = tuple(view.routes.values())
+        try:
+            table = RouteTable(routes)
+        except InvalidSelectorError as error:
+            log_event("routes_refused", level="ERROR", detail=str(error))
+            return
+        self.routes = table
+        self.gate.set_routes(routes)
+        self.live.set_routes(table)
+        self.applications.set_routes(table)
--- /dev/null
+++ b/drumbay/node/rollouts.py
@@ -0,0 +1,210 @@
+"""Generates the samples of the streams that this node owns."""
+
+import math
+
+from drumbay.backends.interface import BackendAddress, EngineClient
+from drumbay.clock import Clock
+from drumbay.delivery.exceptions import NotOwnerError
+from drumbay.delivery.service import DeliveryService
+from drumbay.explain.recorder import DecisionRecorder
+from drumbay.explain.records import SubjectKind
+from drumbay.identifiers import BackendId, BootId, Fence, StreamName, WeightVersion
+from drumbay.observability.logs import log_event
+from drumbay.ownership.manager import OwnershipManager
+from drumbay.resources.schema import WeightPolicy
+from drumbay.rollout.events import EngineLost, EngineReported, FloorChanged, WantedSample
+from drumbay.rollout.policy import policy_for
+from drumbay.rollout.runner import RolloutRunner
+from drumbay.rollout.sample import Sample
+from drumbay.rollout.scheduler import RolloutScheduler
+from drumbay.rollout.staleness import FloorForecast
+from drumbay.routing.directory import BackendDirectory
+from drumbay.routing.selectors import MODEL_LABEL, LabelPredicate, compile_selector
+from drumbay.tasks import TaskOwner
+
+ENGINE_REFRESH_SECONDS = 0.5
+ROLLOUT_SLOTS_PER_ENGINE = 32
+OWNERSHIP_PREFIX = "stream."
+
+
+class _OwnedRollouts:
+    """One owned stream: its policy, runner and what is known of its trainer and engines."""
+
+    def __init__(self, policy: WeightPolicy, runner: RolloutRunner, floor: WeightVersion) -> None:
+        self.policy = policy
+        self.runner = runner
+        self.floor = floor
+        self.floor_rose_at: float | None = None
+        self.rise_interval_seconds = math.inf
+        self.engines: tuple[BackendId, ...] = ()
+
+
+class RolloutSupervisor:
+    """Runs one rollout runner per owned stream.
+
+    Args:
+        clock: Time.
+        boot_id: Identity of this run of the process.
+        engine_client: Talks to engines.
+        directory: Back ends as this node knows them.
+        delivery: The replicated log of the owned streams.
+        ownership: Says whether a stream's lease still holds.
+        recorder: Takes decision records.
+        task_owner: Owns the runners' tasks.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        boot_id: BootId,
+        engine_client: EngineClient,
+        directory: BackendDirectory,
+        delivery: DeliveryService,
+        ownership: OwnershipManager,
+        recorder: DecisionRecorder,
+        task_owner: TaskOwner,
+    ) -> None:
+        """Create a supervisor without streams."""
+        self._clock = clock
+        self._boot_id = boot_id
+        self._engine_client = engine_client
+        self._directory = directory
+        self._delivery = delivery
+        self._ownership = ownership
+        self._recorder = recorder
+        self._task_owner = task_owner
+        self._policies: dict[StreamName, WeightPolicy] = {}
+        self._selectors: dict[StreamName, LabelPredicate] = {}
+        self._owned: dict[StreamName, _OwnedRollouts] = {}
+
+    def set_policies(self, policies: tuple[WeightPolicy, ...]) -> None:
+        """Take in the weight policies in force."""
+        self._policies = {policy.stream: policy for policy in policies}
+        self._selectors = {policy.stream: compile_selector(policy.selector) for policy in policies}
+
+    def start_stream(self, stream: StreamName, fence: Fence) -> None:
+        """Begin to generate the missing samples of a stream."""
+        policy = self._policies.get(stream)
+        if policy is None:
+            return
+        self.stop_stream(stream)
+        runner = RolloutRunner(
+            stream,
+            policy.model,
+            self._boot_id,
+            RolloutScheduler(policy_for(policy.objective)),
+            self._engine_client,
+            self._address_of,
+            self._clock,
+            self._task_owner,
+            on_finished=lambda sample: self._handle_finished(stream, sample),
+            may_send=lambda: self._still_owns(stream, fence),
+        )
+        floor = self._delivery.recorded_floor(stream)
+        self._owned[stream] = _OwnedRollouts(policy, runner, floor)
+        self._announce_floor(self._owned[stream])
+        runner.start()
+        self._task_owner.spawn(self._follow_engines(stream), f"rollout-engines-{stream}")
+        self.refresh(stream)
+
+    def stop_stream(self, stream: StreamName) -> None:
+        """Stop generating samples of a stream."""
+        owned = self._owned.pop(stream, None)
+        if owned is not None:
+            owned.runner.stop()
+
+    def refresh(self, stream: StreamName) -> None:
+        """Give the runner the samples that are missing now."""
+        owned = self._owned.get(stream)
+        if owned is None:
+            return
+        try:
+            missing = self._delivery.missing(stream)
+        except NotOwnerError:
+            self.stop_stream(stream)
+            return
+        owned.runner.set_wanted(
+            WantedSample(key=sample.key, prompt=sample.prompt) for sample in missing
+        )
+
+    def observe_floor(self, stream: StreamName, oldest_version: WeightVersion) -> None:
+        """Take note of the oldest version that the trainer now accepts."""
+        owned = self._owned.get(stream)
+        if owned is None or oldest_version <= owned.floor:
+            return
+        now = self._clock.monotonic()
+        if owned.floor_rose_at is not None:
+            owned.rise_interval_seconds = now - owned.floor_rose_at
+        owned.floor_rose_at = now
+        owned.floor = oldest_version
+        self._announce_floor(owned)
+
+    def _announce_floor(self, owned: _OwnedRollouts) -> None:
+        rose_at = owned.floor_rose_at
+        interval = owned.rise_interval_seconds
+        forecast = FloorForecast(
+            accepted=owned.floor,
+            next_rise_at=math.inf if rose_at is None else rose_at + interval,
+            rise_interval_seconds=interval,
+        )
+        owned.runner.handle(FloorChanged(forecast=forecast))
+
+    def _address_of(self, backend_id: BackendId) -> BackendAddress | None:
+        return self._directory.address(backend_id)
+
+    def _still_owns(self, stream: StreamName, fence: Fence) -> bool:
+        name = OWNERSHIP_PREFIX + stream
+        return self._ownership.fence_to_continue(name, self._clock.monotonic()) == fence
+
+    def _handle_finished(self, stream: StreamName, sample: Sample) -> None:
+        try:
+            added = self._delivery.add_sample(stream, sample)
+        except NotOwnerError:
+            self.stop_stream(stream)
+            return
+        sample_id = sample.key.sample_id(stream)
+        versions = ", ".join(
+            f"{span.weight_version} for {span.token_count} tokens by {span.attempt_id}"
+            for span in sample.spans
+        )
+        self._recorder.record(
+            SubjectKind.SAMPLE,
+            sample_id,
+            "sample_finished" if added else "sample_duplicate",
+            detail=f"versions: {versions}",
+        )
+        log_event("sample_finished", sample_id=sample_id, tokens=len(sample.token_ids))
+
+    async def _follow_engines(self, stream: StreamName) -> None:
+        """Tell the runner which engines may be used, while the stream is owned."""
+        owned = self._owned.get(stream)
+        while owned is not None and self._owned.get(stream) is owned:
+            self._report_engines(stream, owned)
+            await self._clock.sleep(ENGINE_REFRESH_SECONDS)
+
+    def _report_engines(self, stream: StreamName, owned: _OwnedRollouts) -> None:
+        selects = self._selectors.get(stream)
+        if selects is None:
+            return
+        views = [
+            view
+            for view in self._directory.views(self._clock.monotonic())
+            if selects(view.labels)
+            and view.labels.get(MODEL_LABEL) == owned.policy.model
+            and view.unavailability is None
+        ]
+        usable = tuple(view.backend_id for view in views)
+        for backend_id in owned.engines:
+            if backend_id not in usable:
+                owned.runner.handle(EngineLost(backend_id=backend_id))
+        owned.engines = usable
+        for view in views:
+            owned.runner.handle(
+                EngineReported(
+                    backend_id=view.backend_id,
+                    version=view.weight_version,
+                    slots=ROLLOUT_SLOTS_PER_ENGINE,
+                    other_load=view.own_outstanding,
+                )
+            )
--- /dev/null
+++ b/drumbay/node/weights.py
@@ -0,0 +1,165 @@
+"""Weight rollouts on one node: ownership per model, published versions, decisions."""
+
+from collections.abc import Callable
+
+from drumbay.backends.interface import BackendAddress
+from drumbay.clock import Clock
+from drumbay.comm.interface import Address, Message, Transport, TransportError
+from drumbay.configuration.service import ConfigurationService
+from drumbay.explain.records import DecisionRecord
+from drumbay.identifiers import Fence, NodeId, WeightVersion
+from drumbay.node.environment import NodeEnvironment
+from drumbay.observability.logs import log_event
+from drumbay.ownership.manager import OwnershipManager
+from drumbay.resources.schema import WeightPolicy
+from drumbay.routing.directory import BackendDirectory
+from drumbay.routing.selectors import MODEL_LABEL, compile_selector
+from drumbay.tasks import TaskOwner
+from drumbay.weights.events import VersionNeed
+from drumbay.weights.service import WeightRolloutService
+from drumbay.weights.store_interface import WeightStoreClient, WeightStoreUnavailableError
+
+RESOURCE_PREFIX = "weights."
+STORE_POLL_SECONDS = 1.0
+ANNOUNCE_TIMEOUT_SECONDS = 2.0
+
+
+class AnnounceVersionRequest(Message, frozen=True, kw_only=True):
+    """A trainer has published a version."""
+
+    model: str
+    version: WeightVersion
+
+
+class VersionNoted(Message, frozen=True, kw_only=True):
+    """The receiver took note of a published version."""
+
+
+class WeightSupervisor:
+    """Owns some models' rollouts and feeds them with published versions.
+
+    Args:
+        environment: The outside world of the node.
+        node_id: This node.
+        ownership: Leases with fences.
+        configuration: The configuration in force.
+        directory: Back ends as this node knows them.
+        record: Takes decision records.
+        address_of: Returns the address of a live node.
+        task_owner: Owns the background tasks.
+    """
+
+    def __init__(
+        self,
+        *,
+        environment: NodeEnvironment,
+        node_id: NodeId,
+        ownership: OwnershipManager,
+        configuration: ConfigurationService,
+        directory: BackendDirectory,
+        record: Callable[[DecisionRecord], None],
+        address_of: Callable[[NodeId], Address | None],
+        task_owner: TaskOwner,
+    ) -> None:
+        """Create a supervisor without models."""
+        self._clock: Clock = environment.clock
+        self._transport: Transport = environment.transport
+        self._store: WeightStoreClient | None = environment.weight_store
+        self._node_id = node_id
+        self._ownership = ownership
+        self._directory = directory
+        self._address_of = address_of
+        self._task_owner = task_owner
+        self._models: frozenset[str] = frozenset()
+        self._service = WeightRolloutService(
+            clock=environment.clock,
+            engine_client=environment.engine_client,
+            transport=environment.transport,
+            node_id=node_id,
+            view=configuration.snapshot,
+            engines_of=self._engines_of,
+            lease_fence=self._lease_fence,
+            owner_address=self._owner_address,
+            needs=_no_needs,
+            record=record,
+            task_owner=task_owner,
+        )
+
+    def start(self) -> None:
+        """Serve announcements and start the rollouts."""
+        self._transport.handle_calls(AnnounceVersionRequest, self._handle_announcement)
+        self._service.start()
+        if self._store is not None:
+            self._task_owner.spawn(self._follow_store(self._store), "weight-store")
+
+    def set_policies(self, policies: tuple[WeightPolicy, ...]) -> None:
+        """Campaign for the models of the policies in force."""
+        models = frozenset(policy.model for policy in policies)
+        for model in sorted(models - self._models):
+            self._ownership.campaign(RESOURCE_PREFIX + model)
+        for model in sorted(self._models - models):
+            withdrawal = self._ownership.withdraw(RESOURCE_PREFIX + model)
+            self._task_owner.spawn(withdrawal, f"withdraw-weights-{model}")
+        self._models = models
+
+    async def announce(self, model: str, version: WeightVersion) -> None:
+        """Tell the nodes that may own the model's rollout about a published version."""
+        self._service.publish(model, version)
+        request = AnnounceVersionRequest(model=model, version=version)
+        for candidate in self._ownership.likely_owners(RESOURCE_PREFIX + model):
+            address = self._address_of(candidate)
+            if candidate != self._node_id and address is not None:
+                await self._tell(address, request)
+
+    async def _tell(self, address: Address, request: AnnounceVersionRequest) -> None:
+        try:
+            await self._transport.call(address, request, timeout_seconds=ANNOUNCE_TIMEOUT_SECONDS)
+        except TransportError as error:
+            log_event("version_not_announced", level="WARNING", error=error.code)
+
+    async def _handle_announcement(self, request: AnnounceVersionRequest) -> VersionNoted:
+        self._service.publish(request.model, request.version)
+        return VersionNoted()
+
+    async def _follow_store(self, store: WeightStoreClient) -> None:
+        """Poll the weight store for the models that this node may own."""
+        while True:
+            for model in sorted(self._models):
+                if self._node_id in self._ownership.likely_owners(RESOURCE_PREFIX + model):
+                    await self._poll_store(store, model)
+            await self._clock.sleep(STORE_POLL_SECONDS)
+
+    async def _poll_store(self, store: WeightStoreClient, model: str) -> None:
+        try:
+            versions = await store.versions(model)
+        except WeightStoreUnavailableError as error:
+            log_event("weight_store_unavailable", level="WARNING", detail=str(error))
+            return
+        for version in versions:
+            self._service.publish(model, version)
+
+    def _lease_fence(self, model: str) -> Fence | None:
+        # NOTE: engines check the fence, so a rollout goes on while the key-value service is
+        # out; see docs/design/ownership.md.
+        name = RESOURCE_PREFIX + model
+        return self._ownership.fence_to_continue(name, self._clock.monotonic())
+
+    def _owner_address(self, model: str) -> Address | None:
+        """Return the address of the node that most likely owns a model's rollout."""
+        for candidate in self._ownership.likely_owners(RESOURCE_PREFIX + model):
+            return self._address_of(candidate)
+        return None
+
+    def _engines_of(self, policy: WeightPolicy) -> tuple[BackendAddress, ...]:
+        selects = compile_selector(policy.selector)
+        addresses = (
+            self._directory.address(view.backend_id)
+            for view in self._directory.views(self._clock.monotonic())
+            if selects(view.labels) and view.labels.get(MODEL_LABEL) == policy.model
+        )
+        return tuple(address for address in addresses if address is not None)
+
+
+def _no_needs(model: str) -> tuple[VersionNeed, ...]:
+    """Return no version that must stay loaded: running samples go on under the next one."""
+    return ()
--- a/drumbay/requests/application.py
+++ b/drumbay/requests/application.py
@@ -32,6 +32,7 @@
 from drumbay.requests.route_table import CompiledRoute, RouteTable
 
 RETRY_AFTER_SECONDS = 1.0
+SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
 
 
 class ApplicationRequestService:
@@ -81,9 +82,7 @@
             raise NoRouteError(
                 f"no application route carries the path {call.path}", execution=Execution.NOT_RUN
             )
-        repeatable = call.repeatable
-        if repeatable is None:
-            repeatable = compiled.route.repeatable
+        repeatable = _is_repeatable(call, compiled)
         with self._gate.admitted(compiled.route):
             run = _ApplicationRun(self._clock, call, compiled)
             self._retry_budget.record_request(self._clock.monotonic())
@@ -194,6 +193,16 @@
             self.execution = Execution.MAY_HAVE_RUN
 
 
+def _is_repeatable(call: ApplicationCall, compiled: CompiledRoute) -> bool:
+    """Return what the caller declared, else what the method or the route says.
+
+    Safe methods have no effect and may be repeated (RFC 9110, section 9.2.1).
+    """
+    if call.repeatable is not None:
+        return call.repeatable
+    return call.method in SAFE_METHODS or compiled.route.repeatable
+
+
 def _digest(call: ApplicationCall) -> str:
     """Return the digest by which a reused key is recognised."""
     digest = xxhash.xxh3_128()
--- /dev/null
+++ b/drumbay/requests/claimed_once.py
@@ -0,0 +1,73 @@
+"""At-most-once execution through claims on a quorum of replicas."""
+
+from drumbay.backends.interface import ApplicationAnswer, BackendRefusedError
+from drumbay.claims.outcomes import ClaimAnswered, ClaimFailed
+from drumbay.claims.records import StoredAnswer
+from drumbay.claims.service import ClaimService
+from drumbay.exceptions import Execution, RequestFailedError
+from drumbay.identifiers import AttemptId, IdempotencyKey
+from drumbay.requests.once import Dispatch
+
+KEY_SEPARATOR = "/"
+
+
+class ClaimedOnceRunner:
+    """Implements :class:`drumbay.requests.once.OnceRunner` by claims.
+
+    Args:
+        claims: Claims idempotency keys.
+    """
+
+    def __init__(self, claims: ClaimService) -> None:
+        """Use the node's claim service."""
+        self._claims = claims
+
+    async def run(
+        self,
+        *,
+        scope: str,
+        key: IdempotencyKey,
+        digest: str,
+        dispatch: Dispatch,
+        remaining_seconds: float,
+    ) -> ApplicationAnswer:
+        """Run ``dispatch`` at most once per scope and key.
+
+        Raises:
+            RequestFailedError: It was not served; the error says whether it may have run.
+        """
+        scoped_key = IdempotencyKey(f"{scope}{KEY_SEPARATOR}{key}")
+
+        async def run_claimed(attempt_id: AttemptId) -> StoredAnswer:
+            return _stored(await _dispatch_claimed(dispatch))
+
+        outcome = await self._claims.run_once(scoped_key, bytes.fromhex(digest), run_claimed)
+        match outcome:
+            case ClaimAnswered(answer=answer, attempt_id=attempt_id):
+                return ApplicationAnswer(
+                    attempt_id=attempt_id,
+                    status=answer.status,
+                    body=answer.body,
+                    content_type=answer.content_type,
+                )
+            case ClaimFailed():
+                raise outcome.to_error()
+
+
+async def _dispatch_claimed(dispatch: Dispatch) -> ApplicationAnswer:
+    """Dispatch, and tell the claim service by its own exception when nothing ran.
+
+    Raises:
+        BackendRefusedError: No back end has run the request.
+        RequestFailedError: It may have run.
+    """
+    try:
+        return await dispatch()
+    except RequestFailedError as error:
+        if error.execution is Execution.NOT_RUN:
+            raise BackendRefusedError(error.code, error.retry_after_seconds) from error
+        raise
+
+
+def _stored(answer: ApplicationAnswer) -> StoredAnswer:
+    return StoredAnswer(status=answer.status, content_type=answer.content_type, body=answer.body)
--- a/drumbay/requests/errors.py
+++ b/drumbay/requests/errors.py
@@ -19,6 +19,20 @@
     http_status: ClassVar[int] = 400
 
 
+class NotFoundError(RequestFailedError):
+    """What the request names does not exist."""
+
+    code = "not_found"
+    http_status: ClassVar[int] = 404
+
+
+class ConflictingWriteError(RequestFailedError):
+    """Another operator changed the resource first; nothing was written."""
+
+    code = "conflict"
+    http_status: ClassVar[int] = 409
+
+
 class PermissionDeniedError(RequestFailedError):
     """The bearer may not do this."""
 
--- a/drumbay/settings.py
+++ b/drumbay/settings.py
@@ -99,6 +99,13 @@
     poll_interval_seconds: Annotated[float, Meta(gt=0)] = 1.0
 
 
+class WeightStoreSettings(_Section, frozen=True, kw_only=True):
+    """Where published weight versions are listed."""
+
+    url: str
+    poll_interval_seconds: Annotated[float, Meta(gt=0)] = 2.0
+
+
 class LogSettings(_Section, frozen=True, kw_only=True):
     """What is logged."""
 
@@ -116,6 +123,7 @@
         peers: Address and key for other nodes.
         key_value: The platform's key-value service.
         machine_list: The platform's machine list, if there is one.
+        weight_store: The weight store, if new versions are to be noticed there.
         data_folder: Folder for bulk data; a node without one keeps nothing on disk.
         logs: Logging.
     """
@@ -127,6 +135,7 @@
     peers: PeerSettings
     key_value: KeyValueSettings
     machine_list: MachineListSettings | None = None
+    weight_store: WeightStoreSettings | None = None
     data_folder: str | None = None
     logs: LogSettings = LogSettings()
 
--- a/drumbay/storage/interface.py
+++ b/drumbay/storage/interface.py
@@ -1,6 +1,7 @@
 """The record log interface and its exceptions."""
 
 from collections.abc import Iterator, Sequence
+from pathlib import Path
 from typing import NewType, Protocol
 
 from drumbay.exceptions import UnavailableError
@@ -83,3 +84,15 @@
     async def close(self) -> None:
         """Wait for the writes under way and release the files."""
         ...
+
+
+class LogOpener(Protocol):
+    """Opens a record log below a data folder, on a disk or a simulated one."""
+
+    def __call__(self, folder: Path, name: str, *, new_store_id: StoreId) -> RecordLog:
+        """Open the log ``name``; ``new_store_id`` names the store if it is new.
+
+        Raises:
+            StorageError: The log cannot be opened.
+        """
+        ...
