--- a/drumbay/comm/authentication.py
+++ b/drumbay/comm/authentication.py
@@ -5,9 +5,9 @@
 grows with every frame of that boot. A receiver keeps a sliding window over the counters of
 each boot (as IPsec does, RFC 4303, section 3.4.3), so a frame is accepted once.
 
-The wall clock matters only for the first frame of a boot that the receiver does not know: it
-must be recent, and not older than the receiver itself, which bounds what can be replayed to a
-process that has restarted and forgotten its windows.
+The wall clock matters only for the first frame of a boot that the receiver does not know, and for
+frames with lower counters than that: they must be recent, and not older than the receiver itself,
+which bounds what can be replayed to a process that has restarted and forgotten its windows.
 """
 
 import hashlib
@@ -127,10 +127,16 @@
 
 
 class ReplayWindow:
-    """The counters of one sender that were accepted lately."""
+    """The counters of one sender that were accepted lately.
 
-    def __init__(self) -> None:
-        """Create a window that has accepted nothing."""
+    Attributes:
+        first_counter: Counter of the first frame that was accepted.
+        last_used_seconds: Monotonic time of the last frame.
+    """
+
+    def __init__(self, first_counter: int) -> None:
+        """Create a window that has accepted nothing; ``first_counter`` comes first."""
+        self.first_counter = first_counter
         self._highest = 0
         self._seen = 0
         self.last_used_seconds = 0.0
@@ -202,24 +208,28 @@
 
     def _window_of(self, header: FrameHeader) -> ReplayWindow:
         window = self._windows.get(header.boot_id)
+        if window is not None and header.counter >= window.first_counter:
+            return window
+        # NOTE: frames below the first one may be from before this process started: the boot
+        # is known, but whether a former boot of this receiver took them in is not.
+        self._check_age(header)
         if window is not None:
             return window
-        self._check_first_frame(header)
         if len(self._windows) >= MAX_SENDERS:
             self._forget_idle_senders()
         if len(self._windows) >= MAX_SENDERS:
             raise TooManySendersError(f"{MAX_SENDERS} senders are in use")
-        window = ReplayWindow()
+        window = ReplayWindow(header.counter)
         self._windows[header.boot_id] = window
         return window
 
-    def _check_first_frame(self, header: FrameHeader) -> None:
+    def _check_age(self, header: FrameHeader) -> None:
         age_seconds = self._clock.wall() - header.wall_seconds
         if abs(age_seconds) > FIRST_FRAME_MAX_AGE_SECONDS:
-            raise ReplayedFrameError(f"first frame of a boot is {age_seconds:.1f} s old")
+            raise ReplayedFrameError(f"frame of a boot not met before is {age_seconds:.1f} s old")
         oldest_seconds = self._started_wall_seconds - CLOCK_SKEW_ALLOWANCE_SECONDS
         if header.wall_seconds < oldest_seconds:
-            raise ReplayedFrameError("first frame of a boot is older than this process")
+            raise ReplayedFrameError("frame of a boot not met before is older than this process")
 
     def _forget_idle_senders(self) -> None:
         """Drop windows idle for so long that a replay would fail the age check.
