Bind frames on a connection to a nonce of the accepting side

Cause: requests and replies shared the datagrams' rule. A machine whose clock is more than a minute off could not call nodes that did not know its boot, and a frame sent in the five seconds before a restart could be replayed after it. Call ids were per peer, so a stolen reply of one peer could have passed for another's.

Change: the accepting side sends a random nonce; every frame of the connection is signed for it, counters of each direction must grow, and call ids are unique per boot. Clocks no longer matter for calls. A frozen peer sends no nonce, so a call on a new connection to it is PeerUnreachableError, which is true.

Tests: replay on the same and on another connection, clocks two hours apart, a peer that is no node.

--- a/drumbay/comm/authentication.py
+++ b/drumbay/comm/authentication.py
@@ -2,12 +2,16 @@
 
 Each frame carries an HMAC-SHA-256 tag truncated to 128 bits (RFC 2104, section 5) over its
 header, its payload and the destination. The header names the sender's boot and a counter that
-grows with every frame of that boot. A receiver keeps a sliding window over the counters of
-each boot (as IPsec does, RFC 4303, section 3.4.3), so a frame is accepted once.
+grows with every frame of that boot.
 
-The wall clock matters only for the first frame of a boot that the receiver does not know, and for
-frames with lower counters than that: they must be recent, and not older than the receiver itself,
-which bounds what can be replayed to a process that has restarted and forgotten its windows.
+On a connection the destination includes a nonce that the accepting side has drawn for it, and
+counters must grow: a frame is worth nothing on another connection or a second time.
+
+Datagrams have no such start. A receiver keeps a sliding window over the counters of each boot
+(as IPsec does, RFC 4303, section 3.4.3). The wall clock matters only for the first frame of a
+boot that the receiver does not know, and for frames with lower counters than that: they must be
+recent, and not older than the receiver itself, which bounds what can be replayed to a process
+that has restarted and forgotten its windows.
 """
 
 import hashlib
@@ -162,12 +166,58 @@
         return True
 
 
-class FrameOpener:
-    """Verifies frames of one channel (requests, replies or datagrams).
+class _VerifiedFrame(msgspec.Struct, frozen=True, kw_only=True):
+    """A frame whose tag fits."""
 
-    Channels have windows of their own, since a frame on one may be much delayed against
-    frames on another.
-    """
+    header: FrameHeader
+    payload: bytes
+
+
+def _verify(key: bytes, destination: str, frame: bytes) -> _VerifiedFrame:
+    try:
+        sealed = _SEALED_DECODER.decode(frame)
+    except msgspec.MsgspecError as error:
+        raise InvalidFrameError(str(error)) from error
+    expected = _compute_tag(key, destination, sealed.header, sealed.payload)
+    if not hmac.compare_digest(expected, sealed.tag):
+        raise BadTagError("the tag does not fit the frame")
+    try:
+        header = _HEADER_DECODER.decode(sealed.header)
+    except msgspec.MsgspecError as error:
+        raise InvalidFrameError(str(error)) from error
+    return _VerifiedFrame(header=header, payload=sealed.payload)
+
+
+class ConnectionOpener:
+    """Verifies the frames of one direction of one connection, which arrive in order."""
+
+    def __init__(self, cluster_key: bytes) -> None:
+        """Create an opener that has seen no frame.
+
+        Raises:
+            InvalidClusterKeyError: The key is too short.
+        """
+        self._key = _check_key(cluster_key)
+        self._last_counter = 0
+
+    def open(self, destination: str, frame: bytes) -> OpenedFrame:
+        """Verify a frame that should be for ``destination``.
+
+        Raises:
+            InvalidFrameError: The bytes are not a sealed frame.
+            BadTagError: The tag does not fit.
+            ReplayedFrameError: The counter has not grown.
+        """
+        verified = _verify(self._key, destination, frame)
+        counter = verified.header.counter
+        if counter <= self._last_counter:
+            raise ReplayedFrameError(f"counter {counter} after {self._last_counter}")
+        self._last_counter = counter
+        return OpenedFrame(boot_id=verified.header.boot_id, payload=verified.payload)
+
+
+class DatagramOpener:
+    """Verifies datagrams, which may be late, lost or doubled."""
 
     def __init__(self, cluster_key: bytes, clock: Clock) -> None:
         """Create an opener that knows no sender.
@@ -189,22 +239,13 @@
             ReplayedFrameError: The frame was seen before or is too old to tell.
             TooManySendersError: The sender is new and the table of senders is full.
         """
-        try:
-            sealed = _SEALED_DECODER.decode(frame)
-        except msgspec.MsgspecError as error:
-            raise InvalidFrameError(str(error)) from error
-        expected = _compute_tag(self._key, destination, sealed.header, sealed.payload)
-        if not hmac.compare_digest(expected, sealed.tag):
-            raise BadTagError("the tag does not fit the frame")
-        try:
-            header = _HEADER_DECODER.decode(sealed.header)
-        except msgspec.MsgspecError as error:
-            raise InvalidFrameError(str(error)) from error
+        verified = _verify(self._key, destination, frame)
+        header = verified.header
         window = self._window_of(header)
         if not window.accept(header.counter):
             raise ReplayedFrameError(f"counter {header.counter} was seen or is too old")
         window.last_used_seconds = self._clock.monotonic()
-        return OpenedFrame(boot_id=header.boot_id, payload=sealed.payload)
+        return OpenedFrame(boot_id=header.boot_id, payload=verified.payload)
 
     def _window_of(self, header: FrameHeader) -> ReplayWindow:
         window = self._windows.get(header.boot_id)
--- a/drumbay/comm/call_server.py
+++ b/drumbay/comm/call_server.py
@@ -3,6 +3,7 @@
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 from tornado.tcpserver import TCPServer
 
+from drumbay.comm.authentication import ConnectionOpener
 from drumbay.comm.codec import (
     MAX_FRAME_BYTES,
     Envelope,
@@ -14,7 +15,13 @@
     encode_envelope,
     type_tag_of,
 )
-from drumbay.comm.frame_stream import MAX_WRITE_BUFFER_BYTES, read_frame, write_frame
+from drumbay.comm.frame_stream import (
+    MAX_WRITE_BUFFER_BYTES,
+    bind_to_connection,
+    read_frame,
+    send_nonce,
+    write_frame,
+)
 from drumbay.comm.interface import Address, CallHandler, Failure, Message
 from drumbay.comm.session import TransportSession, destination_of
 from drumbay.exceptions import DeadlineExceededError, DrumbayError
@@ -51,9 +58,10 @@
 class _Connection:
     """State of one accepted connection."""
 
-    def __init__(self, stream: IOStream, peer: Address) -> None:
+    def __init__(self, stream: IOStream, nonce: str, opener: ConnectionOpener) -> None:
         self.stream = stream
-        self.peer = peer
+        self.nonce = nonce
+        self.opener = opener
         self.running_calls = 0
 
 
@@ -81,7 +89,14 @@
             return
         stream.set_nodelay(True)
         stream.max_write_buffer_size = MAX_WRITE_BUFFER_BYTES
-        connection = _Connection(stream, peer)
+        try:
+            nonce = send_nonce(stream)
+        except StreamClosedError:
+            return
+        connection = _Connection(stream, nonce, self._session.new_connection_opener())
+        await self._serve_until_closed(connection, peer)
+
+    async def _serve_until_closed(self, connection: _Connection, peer: Address) -> None:
         self._connections[connection] = None
         try:
             await self._serve(connection)
@@ -90,7 +105,7 @@
         except FrameError as error:
             self._session.note_refusal(peer, error)
         finally:
-            stream.close()
+            connection.stream.close()
             del self._connections[connection]
 
     async def _serve(self, connection: _Connection) -> None:
@@ -103,7 +118,8 @@
             self._handle_request(connection, await read_frame(connection.stream))
 
     def _handle_request(self, connection: _Connection, frame: bytes) -> None:
-        opened = self._session.request_opener.open(destination_of(self.address), frame)
+        destination = bind_to_connection(destination_of(self.address), connection.nonce)
+        opened = connection.opener.open(destination, frame)
         envelope = decode_envelope(opened.payload)
         if envelope.kind is not FrameKind.REQUEST:
             raise InvalidFrameError(f"a {envelope.kind.name} frame where a request belongs")
@@ -148,8 +164,9 @@
         self, connection: _Connection, caller_boot: BootId, call_id: int, reply: Message
     ) -> None:
         payload = encode_envelope(FrameKind.REPLY, call_id, reply)
+        destination = bind_to_connection(caller_boot, connection.nonce)
         try:
-            write_frame(connection.stream, self._session.sealer.seal(caller_boot, payload))
+            write_frame(connection.stream, self._session.sealer.seal(destination, payload))
         except FrameTooLargeError as error:
             self._reply(connection, caller_boot, call_id, _failure_of(error))
         except (StreamClosedError, StreamBufferFullError):
--- a/drumbay/comm/frame_stream.py
+++ b/drumbay/comm/frame_stream.py
@@ -1,10 +1,16 @@
-"""Frames on a TCP stream: a 4-byte big-endian length, then the frame."""
+"""Frames on a TCP stream: a 4-byte big-endian length, then the frame.
+
+The accepting side speaks first: its first frame is a nonce to which all others are bound.
+"""
+
+import secrets
 
 from tornado.iostream import IOStream
 
-from drumbay.comm.codec import MAX_FRAME_BYTES, FrameTooLargeError
+from drumbay.comm.codec import MAX_FRAME_BYTES, FrameTooLargeError, InvalidFrameError
 
 LENGTH_BYTES = 4
+NONCE_BYTES = 16
 MAX_WRITE_BUFFER_BYTES = 4 * MAX_FRAME_BYTES
 
 
@@ -35,3 +41,33 @@
     if length > MAX_FRAME_BYTES:
         raise FrameTooLargeError(f"frame of {length} bytes announced, limit {MAX_FRAME_BYTES}")
     return await stream.read_bytes(length)
+
+
+def send_nonce(stream: IOStream) -> str:
+    """Draw and send the nonce of an accepted connection; return it.
+
+    Raises:
+        tornado.iostream.StreamClosedError: The stream was closed.
+    """
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    write_frame(stream, nonce)
+    return nonce.hex()
+
+
+async def receive_nonce(stream: IOStream) -> str:
+    """Read the nonce of an opened connection.
+
+    Raises:
+        InvalidFrameError: The peer sent something else.
+        FrameTooLargeError: The same.
+        tornado.iostream.StreamClosedError: The stream ended.
+    """
+    nonce = await read_frame(stream)
+    if len(nonce) != NONCE_BYTES:
+        raise InvalidFrameError(f"a nonce of {len(nonce)} bytes")
+    return nonce.hex()
+
+
+def bind_to_connection(destination: str, nonce: str) -> str:
+    """Return the name under which frames on one connection are signed."""
+    return f"{destination}/{nonce}"
--- a/drumbay/comm/peer_connection.py
+++ b/drumbay/comm/peer_connection.py
@@ -6,6 +6,7 @@
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 from tornado.tcpclient import TCPClient
 
+from drumbay.comm.authentication import ConnectionOpener
 from drumbay.comm.call_server import NOT_HANDLED_CODES
 from drumbay.comm.codec import (
     MAX_FRAME_BYTES,
@@ -15,7 +16,13 @@
     decode_envelope,
     encode_envelope,
 )
-from drumbay.comm.frame_stream import MAX_WRITE_BUFFER_BYTES, read_frame, write_frame
+from drumbay.comm.frame_stream import (
+    MAX_WRITE_BUFFER_BYTES,
+    bind_to_connection,
+    read_frame,
+    receive_nonce,
+    write_frame,
+)
 from drumbay.comm.interface import (
     Address,
     Failure,
@@ -37,10 +44,18 @@
     code = "too_many_outstanding_calls"
 
 
-class _PendingCall(msgspec.Struct, frozen=True, kw_only=True):
-    """A call that waits for its reply on the stream that carried the request."""
+class _Link(msgspec.Struct, frozen=True, kw_only=True, eq=False):
+    """One open connection: its stream, its nonce and the verifier of its replies."""
 
     stream: IOStream
+    nonce: str
+    opener: ConnectionOpener
+
+
+class _PendingCall(msgspec.Struct, frozen=True, kw_only=True):
+    """A call that waits for its reply on the connection that carried the request."""
+
+    link: _Link
     reply: asyncio.Future[Message]
 
 
@@ -52,9 +67,8 @@
         self._peer = peer
         self._session = session
         self._client = TCPClient()
-        self._stream: IOStream | None = None
-        self._connecting: asyncio.Task[IOStream | PeerUnreachableError] | None = None
-        self._last_call_id = 0
+        self._link: _Link | None = None
+        self._connecting: asyncio.Task[_Link | PeerUnreachableError] | None = None
         self._pending: dict[int, _PendingCall] = {}
 
     @property
@@ -66,15 +80,14 @@
         """Send a request and return the reply; errors as of ``Transport.call``."""
         clock = self._session.clock
         deadline = clock.monotonic() + timeout_seconds
-        stream = await self._connected_stream(timeout_seconds)
+        link = await self._open_link(timeout_seconds)
         if len(self._pending) >= MAX_OUTSTANDING_CALLS:
             raise TooManyOutstandingCallsError(f"{MAX_OUTSTANDING_CALLS} calls wait for replies")
-        self._last_call_id += 1
-        call_id = self._last_call_id
+        call_id = self._session.next_call_id()
         reply: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
-        self._pending[call_id] = _PendingCall(stream=stream, reply=reply)
+        self._pending[call_id] = _PendingCall(link=link, reply=reply)
         try:
-            self._send_request(stream, call_id, request)
+            self._send_request(link, call_id, request)
             message = await clock.wait_for(reply, max(0.0, deadline - clock.monotonic()))
         except DeadlineExceededError as error:
             raise ReplyLostError(f"no reply within {timeout_seconds:.3f} s") from error
@@ -86,18 +99,19 @@
             raise RemoteFailureError(message.code, message.detail)
         return message
 
-    def _send_request(self, stream: IOStream, call_id: int, request: Message) -> None:
+    def _send_request(self, link: _Link, call_id: int, request: Message) -> None:
         payload = encode_envelope(FrameKind.REQUEST, call_id, request)
-        frame = self._session.sealer.seal(destination_of(self._peer), payload)
+        destination = bind_to_connection(destination_of(self._peer), link.nonce)
+        frame = self._session.sealer.seal(destination, payload)
         try:
-            write_frame(stream, frame)
+            write_frame(link.stream, frame)
         except (StreamClosedError, StreamBufferFullError, FrameTooLargeError) as error:
             # Each of these is raised before a byte was queued.
             raise PeerUnreachableError(f"request not sent: {error}") from error
 
-    async def _connected_stream(self, timeout_seconds: float) -> IOStream:
-        if self._stream is not None and not self._stream.closed():
-            return self._stream
+    async def _open_link(self, timeout_seconds: float) -> _Link:
+        if self._link is not None and not self._link.stream.closed():
+            return self._link
         if self._connecting is None:
             self._connecting = self._session.task_owner.spawn(
                 self._connect(), name=f"connect-{destination_of(self._peer)}"
@@ -114,44 +128,51 @@
             raise PeerUnreachableError(str(outcome)) from outcome
         return outcome
 
-    def _handle_connected(self, task: asyncio.Task[IOStream | PeerUnreachableError]) -> None:
+    def _handle_connected(self, task: asyncio.Task[_Link | PeerUnreachableError]) -> None:
         self._connecting = None
 
-    async def _connect(self) -> IOStream | PeerUnreachableError:
+    async def _connect(self) -> _Link | PeerUnreachableError:
         try:
-            stream = await self._session.clock.wait_for(
-                self._client.connect(
-                    self._peer.host, self._peer.port, max_buffer_size=MAX_FRAME_BYTES
-                ),
-                CONNECT_TIMEOUT_SECONDS,
-            )
-        except (OSError, StreamClosedError, DeadlineExceededError) as error:
+            link = await self._session.clock.wait_for(self._connect_link(), CONNECT_TIMEOUT_SECONDS)
+        except (OSError, StreamClosedError, FrameError, DeadlineExceededError) as error:
             # Returned, not raised: a peer that is down is no failure of this task.
             return PeerUnreachableError(f"cannot connect: {error}")
-        stream.set_nodelay(True)
-        stream.max_write_buffer_size = MAX_WRITE_BUFFER_BYTES
-        self._stream = stream
+        self._link = link
         self._session.task_owner.spawn(
-            self._read_replies(stream), name=f"replies-{destination_of(self._peer)}"
+            self._read_replies(link), name=f"replies-{destination_of(self._peer)}"
         )
-        return stream
+        return link
 
-    async def _read_replies(self, stream: IOStream) -> None:
+    async def _connect_link(self) -> _Link:
+        stream = await self._client.connect(
+            self._peer.host, self._peer.port, max_buffer_size=MAX_FRAME_BYTES
+        )
+        stream.set_nodelay(True)
+        stream.max_write_buffer_size = MAX_WRITE_BUFFER_BYTES
+        try:
+            nonce = await receive_nonce(stream)
+        except BaseException:
+            stream.close()
+            raise
+        return _Link(stream=stream, nonce=nonce, opener=self._session.new_connection_opener())
+
+    async def _read_replies(self, link: _Link) -> None:
         try:
             while True:
-                self._handle_reply(await read_frame(stream))
+                self._handle_reply(link, await read_frame(link.stream))
         except StreamClosedError:
             pass
         except FrameError as error:
             self._session.note_refusal(self._peer, error)
         finally:
-            stream.close()
-            if self._stream is stream:
-                self._stream = None
-            self._fail_pending(stream)
-
-    def _handle_reply(self, frame: bytes) -> None:
-        opened = self._session.reply_opener.open(self._session.boot_id, frame)
+            link.stream.close()
+            if self._link is link:
+                self._link = None
+            self._fail_pending(link)
+
+    def _handle_reply(self, link: _Link, frame: bytes) -> None:
+        destination = bind_to_connection(self._session.boot_id, link.nonce)
+        opened = link.opener.open(destination, frame)
         envelope = decode_envelope(opened.payload)
         pending = self._pending.get(envelope.call_id)
         if envelope.kind is not FrameKind.REPLY or pending is None or pending.reply.done():
@@ -164,16 +185,16 @@
             return
         pending.reply.set_result(message)
 
-    def _fail_pending(self, stream: IOStream) -> None:
+    def _fail_pending(self, link: _Link) -> None:
         for pending in list(self._pending.values()):
-            if pending.stream is stream and not pending.reply.done():
+            if pending.link is link and not pending.reply.done():
                 error = ReplyLostError("the connection broke before the reply")
                 pending.reply.set_exception(error)
 
     def close(self) -> None:
         """Close the connection; waiting calls fail with :class:`ReplyLostError`."""
-        if self._stream is not None:
-            self._stream.close()
-            self._fail_pending(self._stream)
-            self._stream = None
+        if self._link is not None:
+            self._link.stream.close()
+            self._fail_pending(self._link)
+            self._link = None
         self._client.close()
--- a/drumbay/comm/session.py
+++ b/drumbay/comm/session.py
@@ -1,7 +1,7 @@
 """What all connections of one transport share: key, registry, clock and tasks."""
 
 from drumbay.clock import Clock
-from drumbay.comm.authentication import FrameOpener, FrameSealer
+from drumbay.comm.authentication import ConnectionOpener, DatagramOpener, FrameSealer
 from drumbay.comm.codec import FrameError, MessageRegistry
 from drumbay.comm.interface import Address
 from drumbay.identifiers import BootId
@@ -20,8 +20,6 @@
         task_owner: Owner of the connections' tasks.
         registry: Decoder of messages.
         sealer: Signs every frame sent.
-        request_opener: Verifies requests.
-        reply_opener: Verifies replies.
         datagram_opener: Verifies datagrams.
     """
 
@@ -34,12 +32,21 @@
         self.task_owner = task_owner
         self.registry = MessageRegistry()
         self.sealer = FrameSealer(cluster_key, boot_id, clock)
-        self.request_opener = FrameOpener(cluster_key, clock)
-        self.reply_opener = FrameOpener(cluster_key, clock)
-        self.datagram_opener = FrameOpener(cluster_key, clock)
+        self.datagram_opener = DatagramOpener(cluster_key, clock)
+        self._cluster_key = cluster_key
+        self._last_call_id = 0
         self.refusal_counts: dict[str, int] = {}
         self._refusal_logged_seconds: dict[str, float] = {}
 
+    def new_connection_opener(self) -> ConnectionOpener:
+        """Return the verifier of one direction of a new connection."""
+        return ConnectionOpener(self._cluster_key)
+
+    def next_call_id(self) -> int:
+        """Return an identity for a call that this boot has not used on any connection."""
+        self._last_call_id += 1
+        return self._last_call_id
+
     def note_refusal(self, peer: Address, error: FrameError) -> None:
         """Count a refused frame, and log it at most once per interval and code."""
         count = self.refusal_counts.get(error.code, 0) + 1
--- a/drumbay/membership/hollow.py
+++ b/drumbay/membership/hollow.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from drumbay.clock import SystemClock
-from drumbay.comm.authentication import FrameOpener, FrameSealer
+from drumbay.comm.authentication import DatagramOpener, FrameSealer
 from drumbay.comm.codec import (
     FrameError,
     FrameKind,
@@ -60,7 +60,7 @@
         self.member = member
         self.swim = swim
         self.sealer = FrameSealer(CLUSTER_KEY, member.boot_id, clock)
-        self.opener = FrameOpener(CLUSTER_KEY, clock)
+        self.opener = DatagramOpener(CLUSTER_KEY, clock)
         self.is_up = True
         self.frozen_until = 0.0
         self.inbox: list[tuple[Address, bytes]] = []
