--- a/drumbay/bench/claims_cluster.py
+++ b/drumbay/bench/claims_cluster.py
@@ -213,7 +213,14 @@
     model = KeyValueModel(clock)
     store = _TimedKeyValueStore(model, clock)
     model.transact((), (Put(key=REPLICA_SET_KEY, value=encode_replica_set(replica_set)),))
-    watcher = ReplicaSetWatcher(clock=clock, key_value_store=store, random=random.Random(1))
+    transport = await cluster.start_transport()
+    watcher = ReplicaSetWatcher(
+        clock=clock,
+        transport=transport,
+        key_value_store=store,
+        random=random.Random(1),
+        peers=lambda: (),
+    )
     await watcher.refresh()
     await cluster.replicas.pop("replica-0").close()
     candidates = tuple(
@@ -223,7 +230,7 @@
     reconfigurator = Reconfigurator(
         node_id=NodeId("replica-1"),
         clock=clock,
-        transport=await cluster.start_transport(),
+        transport=transport,
         key_value_store=store,
         random=random.Random(1),
         watcher=watcher,
--- a/drumbay/claims/messages.py
+++ b/drumbay/claims/messages.py
@@ -7,6 +7,7 @@
 from enum import StrEnum
 
 from drumbay.claims.records import AnsweredClaim, Claim, KeyRecord
+from drumbay.claims.replica_set import VersionedReplicaSet
 from drumbay.comm.interface import Message
 from drumbay.identifiers import AttemptId, Epoch, IdempotencyKey, NodeId
 from drumbay.storage.interface import StoreId
@@ -89,6 +90,16 @@
     sealed: bool
 
 
+class FetchReplicaSet(Message, frozen=True, kw_only=True):
+    """Asks any node for the newest replica set that it knows."""
+
+
+class KnownReplicaSet(Message, frozen=True, kw_only=True):
+    """The newest record that a node has read; ``None`` if it has read none."""
+
+    versioned: VersionedReplicaSet | None
+
+
 class DescribeReplica(Message, frozen=True, kw_only=True):
     """Asks a node with a disk for the identity of its claim store."""
 
--- a/drumbay/claims/record_table.py
+++ b/drumbay/claims/record_table.py
@@ -42,8 +42,8 @@
     """
 
     retention_seconds: float = 86_400.0
-    max_records: int = 1_000_000
-    max_bytes: int = 512 * 1024**2
+    max_records: int = 500_000
+    max_bytes: int = 256 * 1024**2
     max_answer_bytes: int = 64 * 1024
 
 
--- a/drumbay/claims/replica_set_watcher.py
+++ b/drumbay/claims/replica_set_watcher.py
@@ -1,8 +1,10 @@
 """Keeps the newest known replica set of a node."""
 
-from collections.abc import AsyncIterator
+import asyncio
+from collections.abc import AsyncIterator, Callable
 from random import Random
 
+from drumbay.claims.messages import FetchReplicaSet, KnownReplicaSet
 from drumbay.claims.replica_set import (
     REPLICA_SET_KEY,
     ReplicaSet,
@@ -11,6 +13,7 @@
     decode_replica_set,
 )
 from drumbay.clock import Clock
+from drumbay.comm.interface import Address, Message, Transport, TransportError
 from drumbay.exceptions import UnavailableError
 from drumbay.identifiers import Revision
 from drumbay.kv.interface import KeyValue, KeyValueStore, WatchBatch
@@ -18,20 +21,45 @@
 
 FIRST_RETRY_SECONDS = 0.5
 MAX_RETRY_SECONDS = 10.0
+PEERS_ASKED = 3
+PEER_TIMEOUT_SECONDS = 1.0
+
+PeersView = Callable[[], tuple[Address, ...]]
 
 
 class ReplicaSetWatcher:
     """Reads the replica set once and then watches it.
 
-    A stale view costs no safety: replicas refuse claims of an epoch that is over.
+    While the key-value service cannot be read, other nodes are asked for what they have read
+    from it, so that a node which starts during an outage can claim. A stale view costs no
+    safety: replicas refuse claims of an epoch that is over.
     """
 
-    def __init__(self, *, clock: Clock, key_value_store: KeyValueStore, random: Random) -> None:
-        """Create a watcher that knows nothing yet."""
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        transport: Transport,
+        key_value_store: KeyValueStore,
+        random: Random,
+        peers: PeersView,
+    ) -> None:
+        """Create a watcher that knows nothing yet.
+
+        Args:
+            clock: Time of this process.
+            transport: Where other nodes are asked and answered.
+            key_value_store: Holds the replica set.
+            random: Source of jitter, and of the choice of peers.
+            peers: Returns the addresses of other live nodes.
+        """
         self._clock = clock
+        self._transport = transport
         self._key_value_store = key_value_store
         self._random = random
+        self._peers = peers
         self._current: VersionedReplicaSet | None = None
+        transport.handle_calls(FetchReplicaSet, self._tell)
 
     @property
     def versioned(self) -> VersionedReplicaSet | None:
@@ -53,6 +81,7 @@
                 await self._follow(self._key_value_store.watch_prefix(REPLICA_SET_KEY, start))
             except UnavailableError as error:
                 log_event("replica_set_watch_broken", level="WARNING", code=error.code)
+                await self._ask_peers()
             await self._clock.sleep(delay_seconds * self._random.uniform(0.5, 1.0))
             delay_seconds = min(2 * delay_seconds, MAX_RETRY_SECONDS)
 
@@ -73,23 +102,47 @@
                 if event.key == REPLICA_SET_KEY and event.item is not None:
                     self._observe(event.item)
 
+    async def _tell(self, _request: FetchReplicaSet) -> Message:
+        return KnownReplicaSet(versioned=self._current)
+
+    async def _ask_peers(self) -> None:
+        """Take the newest record that some other nodes know."""
+        peers = self._peers()
+        asked = self._random.sample(peers, min(len(peers), PEERS_ASKED))
+        await asyncio.gather(*(self._ask(peer) for peer in asked))
+
+    async def _ask(self, peer: Address) -> None:
+        try:
+            reply = await self._transport.call(
+                peer, FetchReplicaSet(), timeout_seconds=PEER_TIMEOUT_SECONDS
+            )
+        except TransportError:
+            return
+        if isinstance(reply, KnownReplicaSet) and reply.versioned is not None:
+            self._take(reply.versioned)
+
     def _observe(self, item: KeyValue | None) -> None:
-        """Take a record unless a newer one is known."""
+        """Take what was read from the key-value service."""
         if item is None:
-            if self._current is None:
-                self._current = VersionedReplicaSet(replica_set=None, mod_revision=Revision(0))
-            return
-        if self._current is not None and item.mod_revision <= self._current.mod_revision:
+            self._take(VersionedReplicaSet(replica_set=None, mod_revision=Revision(0)))
             return
         try:
             replica_set = decode_replica_set(item.value)
         except ReplicaSetError as error:
             log_event("replica_set_invalid", level="ERROR", detail=str(error))
             return
-        self._current = VersionedReplicaSet(replica_set=replica_set, mod_revision=item.mod_revision)
-        log_event(
-            "replica_set_changed",
-            epoch=replica_set.epoch,
-            phase=replica_set.phase.value,
-            members=len(replica_set.members),
-        )
+        self._take(VersionedReplicaSet(replica_set=replica_set, mod_revision=item.mod_revision))
+
+    def _take(self, versioned: VersionedReplicaSet) -> None:
+        """Take a record unless a newer one is known."""
+        if self._current is not None and versioned.mod_revision <= self._current.mod_revision:
+            return
+        self._current = versioned
+        replica_set = versioned.replica_set
+        if replica_set is not None:
+            log_event(
+                "replica_set_changed",
+                epoch=replica_set.epoch,
+                phase=replica_set.phase.value,
+                members=len(replica_set.members),
+            )
--- a/tests/claims_world.py
+++ b/tests/claims_world.py
@@ -101,7 +101,13 @@
         random = Random(f"{world.settings.seed} {self.process.boot_id}")
         transport = SimulatedTransport(world.network, host.address, self.process)
         store = GatedKeyValueStore(self.process, MemoryKeyValueStore(world.kv, world.clock))
-        self.watcher = ReplicaSetWatcher(clock=clock, key_value_store=store, random=random)
+        self.watcher = ReplicaSetWatcher(
+            clock=clock,
+            transport=transport,
+            key_value_store=store,
+            random=random,
+            peers=lambda: tuple(each.address for each in world.hosts.values() if each != host),
+        )
         self.view = self.watcher.replica_set
         self.service = world.classes.service(
             clock=clock,
--- a/tests/test_claims_cluster.py
+++ b/tests/test_claims_cluster.py
@@ -196,6 +196,16 @@
 
         self.run_world(scenario, disk_nodes=4, executions=2)
 
+    def test_node_started_in_an_outage_learns_the_set_from_others(self) -> None:
+        async def scenario(world: World) -> None:
+            world.kv.set_faults(KeyValueFaults(outage=True))
+            for name in ("n1", "d1", "d2"):
+                await world.restart(name)
+            await world.clock.sleep(5.0)
+            self.assert_answered(await world.call("n1", KEY), replayed=False)
+
+        self.run_world(scenario)
+
     def test_interrupted_change_is_finished_by_another_coordinator(self) -> None:
         async def scenario(world: World) -> None:
             await world.call("n1", KEY, "broken")
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -5,8 +5,14 @@
 import unittest
 from pathlib import Path
 
+from drumbay.claims.acceptor import Acceptor
+from drumbay.claims.record_table import ClaimVerdict, TableLimits
+from drumbay.claims.records import Claim
+from drumbay.claims.store import ReplicaStore
+from drumbay.identifiers import AttemptId, BootId, IdempotencyKey, NodeId
 from drumbay.storage.durable_log import DurableLog
 from drumbay.storage.interface import (
+    RecordLog,
     StorageClosedError,
     StorageCorruptError,
     StorageError,
@@ -62,6 +68,33 @@
         self.assertEqual(list(log.replay()), [b"kept"])
         await log.close()
 
+    async def test_claims_outlive_the_process(self) -> None:
+        def create(log: RecordLog) -> Acceptor:
+            return Acceptor(log.store_id, TableLimits())
+
+        key = IdempotencyKey("key")
+        claims = [
+            Claim(
+                attempt_id=AttemptId(name),
+                node_id=NodeId("n"),
+                boot_id=BootId("b"),
+                digest=b"",
+                claimed_at_seconds=0.0,
+            )
+            for name in ("first", "second")
+        ]
+        store = ReplicaStore(self.open(), create)
+        row = store.acceptor.table.claim(key, claims[0], 7.0).row
+        assert row is not None
+        await store.append([row])
+        await store.take_snapshot()
+        await store.close()
+        again = ReplicaStore(self.open(), create)
+        self.assertEqual(again.running_seconds, 7.0)
+        verdict = again.acceptor.table.claim(key, claims[1], 7.0).verdict
+        self.assertIs(verdict, ClaimVerdict.HELD)
+        await again.close()
+
     async def test_second_opener_is_refused(self) -> None:
         log = self.open()
         with self.assertRaises(StorageError):
