--- a/drumbay/membership/swim.py
+++ b/drumbay/membership/swim.py
@@ -40,6 +40,8 @@
 
 FORGET_INTERVAL_SECONDS = 60.0
 LEAVE_FANOUT = 8
+EAGER_SYNCS = 3
+"""Exchanges in quick succession after one that brought news, each with another peer."""
 
 
 class Output(msgspec.Struct, frozen=True, kw_only=True):
@@ -48,10 +50,12 @@
     Attributes:
         datagrams: Datagrams to send.
         changes: Changes of the membership, in order.
+        next_tick_at: When :meth:`Swim.tick` should run next, in the time of ``now``.
     """
 
     datagrams: tuple[OutgoingDatagram, ...]
     changes: tuple[MemberChange, ...]
+    next_tick_at: float
 
 
 class Swim:
@@ -81,6 +85,7 @@
         )
         self._next_gossip_at = -math.inf
         self._next_sync_at = -math.inf
+        self._eager_syncs = EAGER_SYNCS
         self._next_reconnect_at = -math.inf
         self._next_forget_at = -math.inf
         self._expected_tick_at = math.inf
@@ -113,11 +118,10 @@
         member = msgspec.structs.replace(self.self_member, application_revision=revision)
         self._table.set_self(0.0, member)
 
-    def next_deadline(self) -> float:
-        """Return when :meth:`tick` should run next, in the time of ``now``."""
+    def _next_deadline(self) -> float:
         deadline = min(
             self._prober.next_deadline,
-            self._suspicions.next_deadline(self._member_count()),
+            self._suspicions.next_deadline,
             self._next_sync_at,
             self._next_reconnect_at,
             self._next_forget_at,
@@ -159,11 +163,12 @@
 
     def _output(self, now: float) -> Output:
         changes = self._news.take_changes()
-        self._expected_tick_at = max(now, self.next_deadline())
-        return Output(datagrams=self._outbox.take(), changes=changes)
-
-    def _member_count(self) -> int:
-        return self._table.reachable_count + 1
+        self._expected_tick_at = max(now, self._next_deadline())
+        return Output(
+            datagrams=self._outbox.take(),
+            changes=changes,
+            next_tick_at=self._expected_tick_at,
+        )
 
     def _check_pause(self, now: float) -> None:
         """Notice that this process did not run for a while, and don't blame the others.
@@ -222,14 +227,19 @@
     def _sync(self, now: float) -> None:
         if now < self._next_sync_at:
             return
-        self._next_sync_at = now + self._jittered(self._settings.sync_interval_seconds)
+        interval = self._settings.sync_interval_seconds
+        if self._eager_syncs > 0 and self._table.reachable_count > 0:
+            interval = self._settings.sync_retry_seconds
+            self._eager_syncs -= 1
+        self._next_sync_at = now + self._jittered(interval)
         for node_id in self._sample(1):
             member = self._table.get(node_id)
             if member is not None:
                 self._anti_entropy.start(member.address, node_id)
 
     def _sync_again_soon(self, now: float) -> None:
-        soon = now + self._settings.sync_retry_seconds
+        self._eager_syncs = EAGER_SYNCS
+        soon = now + self._jittered(self._settings.sync_retry_seconds)
         self._next_sync_at = min(self._next_sync_at, soon)
 
     def _reconnect(self, now: float) -> None:
--- a/drumbay/routing/load_view.py
+++ b/drumbay/routing/load_view.py
@@ -5,26 +5,60 @@
 correct the reported load. Time is passed in; nothing here does I/O.
 """
 
+from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 import msgspec
 
 from drumbay.backends.interface import EngineStatus
+from drumbay.explain.records import RejectionReason
 from drumbay.identifiers import AttemptId, BackendId, BootId, Fence, WeightVersion
 from drumbay.routing.engine_choice import BackendView
 
+MAX_FINISHED_ATTEMPTS = 1024
+"""Ended attempts remembered per back end until a report that knows of them arrives."""
+
+SERVICE_TIME_WEIGHT = 0.1
+"""Weight of the newest attempt in the moving mean of the service time."""
+
 _NO_FENCE = Fence(0)
 
 
 class BackendFlags(msgspec.Struct, frozen=True, kw_only=True):
-    """Whether a back end may be used at all, as other parts of the node know it."""
+    """Whether a back end may be used at all, as other parts of the node know it.
+
+    Attributes:
+        is_reachable: Whether the back end answers.
+        circuit_admits: Whether its circuit breaker admits a request.
+        is_draining: An operator's drain covers it.
+        is_leaving: It is leaving the cluster.
+    """
 
     is_reachable: bool = True
     circuit_admits: bool = True
     is_draining: bool = False
     is_leaving: bool = False
 
+    def unavailability(self) -> RejectionReason | None:
+        """Return why the back end may not be used, or ``None``."""
+        if self.is_draining:
+            return RejectionReason.DRAINED
+        if self.is_leaving:
+            return RejectionReason.LEAVING
+        if not self.is_reachable:
+            return RejectionReason.UNREACHABLE
+        if not self.circuit_admits:
+            return RejectionReason.CIRCUIT_OPEN
+        return None
+
+
+class _FinishedAttempt(msgspec.Struct, frozen=True, kw_only=True):
+    """Monotonic times between which one of this node's attempts ran."""
+
+    started_at: float
+    finished_at: float
+
 
 @dataclass
 class _Entry:
@@ -42,8 +76,30 @@
     started_at: dict[AttemptId, float] = field(default_factory=dict)
     started_since_report: int = 0
     finished_since_report: int = 0
+    finished: deque[_FinishedAttempt] = field(
+        default_factory=lambda: deque(maxlen=MAX_FINISHED_ATTEMPTS)
+    )
+    mean_service_seconds: float | None = None
     view: BackendView | None = None
 
+    def observe_service(self, seconds: float) -> None:
+        """Take in the duration of one of this node's attempts."""
+        if self.mean_service_seconds is None:
+            self.mean_service_seconds = seconds
+        else:
+            self.mean_service_seconds += SERVICE_TIME_WEIGHT * (seconds - self.mean_service_seconds)
+
+    def correct_from(self, refers_to: float) -> None:
+        """Count anew what a report that refers to a moment cannot know."""
+        while self.finished and self.finished[0].finished_at <= refers_to:
+            self.finished.popleft()
+        self.started_since_report = sum(
+            1 for started_at in self.started_at.values() if started_at > refers_to
+        )
+        self.finished_since_report = sum(
+            1 for attempt in self.finished if attempt.started_at <= refers_to
+        )
+
 
 class LoadView:
     """Back ends assigned to this node, with their load as this node sees it."""
@@ -82,7 +138,7 @@
         entry.started_since_report += 1
         entry.view = None
 
-    def finish_attempt(self, backend_id: BackendId, attempt_id: AttemptId) -> None:
+    def finish_attempt(self, backend_id: BackendId, attempt_id: AttemptId, now: float) -> None:
         """Count an attempt as ended, however it ended; a second call has no effect."""
         entry = self._entries.get(backend_id)
         if entry is None:
@@ -90,6 +146,8 @@
         started_at = entry.started_at.pop(attempt_id, None)
         if started_at is None:
             return
+        entry.observe_service(now - started_at)
+        entry.finished.append(_FinishedAttempt(started_at=started_at, finished_at=now))
         if entry.reported_at is None or started_at > entry.reported_at:
             entry.started_since_report -= 1
         else:
@@ -123,10 +181,7 @@
         entry.weight_version = status.weight_version
         entry.highest_fence = status.highest_fence
         entry.reported_at = refers_to
-        entry.started_since_report = sum(
-            1 for started_at in entry.started_at.values() if started_at > refers_to
-        )
-        entry.finished_since_report = 0
+        entry.correct_from(refers_to)
         entry.view = None
         return True
 
@@ -154,11 +209,9 @@
         own_outstanding=len(entry.started_at),
         own_started_since_report=entry.started_since_report,
         own_finished_since_report=entry.finished_since_report,
+        mean_service_seconds=entry.mean_service_seconds,
         weight_version=entry.weight_version,
         highest_fence=entry.highest_fence,
-        is_reachable=entry.flags.is_reachable,
-        circuit_admits=entry.flags.circuit_admits,
-        is_draining=entry.flags.is_draining,
-        is_leaving=entry.flags.is_leaving,
+        unavailability=entry.flags.unavailability(),
     )
     return entry.view
--- a/drumbay/standins/process_context.py
+++ b/drumbay/standins/process_context.py
@@ -7,11 +7,11 @@
 from drumbay.identifiers import BackendId, BootId
 from drumbay.standins.execution_log import ExecutionLog, ProcessCrashed, ProcessStarted
 from drumbay.standins.faults import SLOW_FACTOR, FaultKind, FaultSwitches
-from drumbay.standins.process_gate import ProcessGate
+from drumbay.standins.process_gate import FREEZE_HOLD, ProcessGate
 from drumbay.tasks import TaskOwner
 
-FREEZE_HOLD = "freeze"
 BOOT_ID_BITS = 48
+MILLISECONDS_PER_SECOND = 1000
 
 
 class ProcessContext:
@@ -62,7 +62,10 @@
     def start_run(self) -> BootId:
         """Draw the identity of a new run of the process and log its start."""
         bits = self.random_source.getrandbits(BOOT_ID_BITS)
-        boot_id = BootId(f"{self.backend_id}-{bits:012x}")
+        # NOTE: a process that is killed and started with the same seed draws the same bits;
+        # the time of the start tells the two runs apart.
+        started = round(self.clock.wall() * MILLISECONDS_PER_SECOND)
+        boot_id = BootId(f"{self.backend_id}-{started:x}-{bits:012x}")
         now = self.clock.monotonic()
         record = ProcessStarted(time_seconds=now, source=self.backend_id, boot_id=boot_id)
         self.log.append(record)
