Wire the watcher's peers into the node; refuse an emptied store

Cause: the node passed the watcher no transport and no peers. A store that is emptied while its process runs is opened again under the identity that the process holds; it could not vote (its epoch is lost too), but it looked like a healthy member and was never replaced.

Change: ClusterView.peer_addresses; ClaimReplica refuses an empty store that bears the identity under which it has written before, so that the member counts as absent and is replaced.

Conclusion: the new test fails without the check and passes with it.

--- a/drumbay/claims/replica.py
+++ b/drumbay/claims/replica.py
@@ -22,7 +22,7 @@
 from drumbay.comm.interface import Message, Transport
 from drumbay.identifiers import NodeId
 from drumbay.observability.logs import log_event
-from drumbay.storage.interface import RecordLog, StorageError
+from drumbay.storage.interface import RecordLog, StorageCorruptError, StorageError, StoreId
 from drumbay.tasks import TaskOwner
 
 REOPEN_INTERVAL_SECONDS = 5.0
@@ -65,6 +65,7 @@
         self._limits = limits
         self._task_owner = task_owner
         self._store: ReplicaStore | None = None
+        self._written_store_id: StoreId | None = None
         self._opened_at_seconds = 0.0
 
     def start(self) -> None:
@@ -119,18 +120,32 @@
 
     def _open(self) -> None:
         try:
-            self._store = ReplicaStore(self._open_log(), self.create_acceptor)
+            store = ReplicaStore(self._open_log(), self.create_acceptor)
+            self._check_identity(store)
         except StorageError as error:
             log_event("claim_store_failed", level="ERROR", code=error.code, detail=str(error))
             return
+        self._store = store
+        if not store.is_new:
+            self._written_store_id = store.acceptor.store_id
         self._opened_at_seconds = self._clock.monotonic()
         log_event(
             "claim_store_opened",
             node=self._node_id,
-            records=len(self._store.acceptor.table),
-            epoch=self._store.acceptor.epochs.active_epoch,
+            records=len(store.acceptor.table),
+            epoch=store.acceptor.epochs.active_epoch,
         )
 
+    def _check_identity(self, store: ReplicaStore) -> None:
+        """Refuse a store that was emptied while this process ran and kept its identity.
+
+        Raises:
+            StorageCorruptError: The store is empty but bears the identity it had before.
+        """
+        if store.is_new and store.acceptor.store_id == self._written_store_id:
+            self._task_owner.spawn(store.close(), "claim-replica-close")
+            raise StorageCorruptError("the store was emptied; restart to join as a new one")
+
     async def make_durable(self, decision: AcceptorDecision) -> Message:
         """Return the reply of a decision once its rows are on the disk.
 
@@ -146,6 +161,7 @@
         except StorageError as error:
             self._handle_storage_failure(store, error)
             raise
+        self._written_store_id = store.acceptor.store_id
         if store.snapshot_is_due:
             self._task_owner.spawn(self._take_snapshot(store), "claim-replica-snapshot")
         return decision.reply
--- a/drumbay/claims/store.py
+++ b/drumbay/claims/store.py
@@ -26,6 +26,7 @@
 
     Attributes:
         acceptor: The state in memory; it is ahead of the disk while a write is under way.
+        is_new: Whether nothing had been written when the store was opened.
         running_seconds: Running time of the newest record when the store was opened.
     """
 
@@ -45,6 +46,7 @@
         for row in log.replay():
             self.running_seconds = max(self.running_seconds, self.acceptor.load_row(row))
             self._logged_records += 1
+        self.is_new = self._logged_records == 0
 
     @property
     def size_bytes(self) -> int:
--- a/drumbay/node/cluster_view.py
+++ b/drumbay/node/cluster_view.py
@@ -44,6 +44,10 @@
         """Return the identifiers of the live nodes, sorted."""
         return tuple(sorted(member.node_id for member in self._reachable()))
 
+    def peer_addresses(self) -> tuple[Address, ...]:
+        """Return the addresses of the live nodes, this one included."""
+        return tuple(peer.address for peer in self.peers())
+
     def address_of(self, node_id: NodeId) -> Address | None:
         """Return the address of a live node; ``None`` if it is not live."""
         for member in self._reachable():
--- a/drumbay/node/coordination.py
+++ b/drumbay/node/coordination.py
@@ -69,7 +69,11 @@
             live_members=self.cluster.node_ids,
         )
         self.replica_set = ReplicaSetWatcher(
-            clock=clock, key_value_store=environment.store, random=environment.random
+            clock=clock,
+            transport=environment.transport,
+            key_value_store=environment.store,
+            random=environment.random,
+            peers=self.cluster.peer_addresses,
         )
         self._reconfigurator = Reconfigurator(
             node_id=node_id,
--- a/tests/test_claims_cluster.py
+++ b/tests/test_claims_cluster.py
@@ -245,6 +245,21 @@
 
         self.run_world(scenario)
 
+    def test_store_emptied_under_a_running_process_does_not_come_back(self) -> None:
+        async def scenario(world: World) -> None:
+            await world.call("n1", KEY, "broken")
+            world.disks["d1"].full = True
+            await world.call("n1", "other")
+            world.disks["d1"].records.clear()
+            world.disks["d1"].full = False
+            await world.clock.sleep(20.0)
+            replica_set = world.replica_set()
+            assert replica_set is not None
+            self.assertEqual([each.node_id for each in replica_set.members], ["d2", "d3", "d4"])
+            self.assert_failed(await world.call("n2", KEY), ClaimFailure.IN_PROGRESS)
+
+        self.run_world(scenario, disk_nodes=4, executions=2)
+
     def test_snapshot_drops_garbage_and_keeps_the_state(self) -> None:
         async def scenario(world: World) -> None:
             with patch("drumbay.claims.store.MIN_RECORDS_BEFORE_SNAPSHOT", 20):
