Carry stream logs over changes of the replica set

Cause: two faults at the seam of claims and delivery. A change of members copied only claims, so that a new member had no stream log: an entry chosen by d1 and d2 of d1, d2, d3 was lost to the majority d3, d4 after d1 was replaced. And a stream replica took its epoch from the node's view of the set, so that a node which had lost its disk voted on streams with an empty log. Both handed out another batch at a cursor that had been handed out before.

Ruled out: recovery from the old set by the new owner. The old members may be gone by then, and the owner would need both sets.

Change: Reconfigurator copies other parts of the state, early and again after the seal; StreamTransfer and StreamStateCopier do so for stream logs, sending only what a target lacks. Stream replicas take their epoch from ClaimReplica.voting_epoch, which is durable and sealed. Ballots hold the epoch: an owner that recovers its stream from a changed set may not reuse the ballot of its last proposal in the old one.

Conclusion: tests.test_delivery_epochs reports "cursor changed its bytes" without the copy and with the node's view as the epoch, and neither with the change.

--- a/drumbay/claims/reconfigurator.py
+++ b/drumbay/claims/reconfigurator.py
@@ -24,7 +24,7 @@
     encode_replica_set,
 )
 from drumbay.claims.replica_set_watcher import ReplicaSetWatcher
-from drumbay.claims.state_copy import StateCopier
+from drumbay.claims.state_copy import EpochStatePart, StateCopier
 from drumbay.clock import Clock
 from drumbay.comm.interface import Address, Message, Transport, TransportError
 from drumbay.exceptions import UnavailableError
@@ -74,6 +74,7 @@
         watcher: ReplicaSetWatcher,
         candidates: CandidatesView,
         policy: ReplacementPolicy,
+        other_parts: tuple[EpochStatePart, ...] = (),
     ) -> None:
         """Create a coordinator.
 
@@ -86,6 +87,7 @@
             watcher: The node's view of the replica set.
             candidates: Returns the live nodes that have a disk.
             policy: When to change the set.
+            other_parts: State beside the claims that the members hold.
         """
         self._node_id = node_id
         self._clock = clock
@@ -96,6 +98,7 @@
         self._candidates = candidates
         self._planner = ReplacementPlanner(policy)
         self._copier = StateCopier(transport, random)
+        self._other_parts = other_parts
         self._due_since: float | None = None
         self._due_revision = Revision(0)
         # The change that this coordinator announced; it does not wait for its turn there.
@@ -172,6 +175,8 @@
         replica_set = versioned.replica_set
         if replica_set is not None and replica_set.is_active:
             await self._copier.prepare(replica_set, target)
+            old_members = tuple(each for each in present if each in replica_set.members)
+            await self._copy_other_parts(old_members, target)
         changed = begin_change(replica_set, target)
         await self._compare_and_swap(versioned.mod_revision, changed)
         announced = self._watcher.versioned
@@ -231,6 +236,13 @@
     async def copy_records(self, sources: tuple[ReplicaMember, ...], current: ReplicaSet) -> None:
         """Give the records of sealed members to every member of the target."""
         await self._copier.copy(sources, current)
+        await self._copy_other_parts(sources, current.target)
+
+    async def _copy_other_parts(
+        self, sources: tuple[ReplicaMember, ...], target: tuple[ReplicaMember, ...]
+    ) -> None:
+        for part in self._other_parts:
+            await part.copy(sources, target)
 
     async def _seal_members(self, current: ReplicaSet) -> tuple[ReplicaMember, ...]:
         """Seal every member that can be reached; return those.
--- a/drumbay/claims/replica.py
+++ b/drumbay/claims/replica.py
@@ -20,7 +20,7 @@
 from drumbay.claims.store import ReplicaStore
 from drumbay.clock import Clock
 from drumbay.comm.interface import Message, Transport
-from drumbay.identifiers import NodeId
+from drumbay.identifiers import Epoch, NodeId
 from drumbay.observability.logs import log_event
 from drumbay.storage.interface import RecordLog, StorageCorruptError, StorageError, StoreId
 from drumbay.tasks import TaskOwner
@@ -28,6 +28,9 @@
 REOPEN_INTERVAL_SECONDS = 5.0
 """Time between attempts to open a store again after its disk failed."""
 
+NO_EPOCH = Epoch(-1)
+"""Equal to no epoch that a request can name."""
+
 OpenLog = Callable[[], RecordLog]
 
 
@@ -99,6 +102,16 @@
         """
         return self._require_store().acceptor
 
+    def voting_epoch(self) -> Epoch:
+        """Return the epoch in which this store may vote now; ``NO_EPOCH`` if in none.
+
+        Other replicas of the same disk take their epoch from here, so that a seal or a lost
+        disk stops them too.
+        """
+        if self._store is None or self.acceptor.epochs.sealed:
+            return NO_EPOCH
+        return self.acceptor.epochs.active_epoch
+
     @property
     def size_bytes(self) -> int:
         """Return the space taken on the disk in bytes."""
--- a/drumbay/claims/state_copy.py
+++ b/drumbay/claims/state_copy.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from random import Random
+from typing import Protocol
 
 import msgspec
 
@@ -27,6 +28,23 @@
 JOURNAL_ID_BITS = 64
 
 
+class EpochStatePart(Protocol):
+    """Other state that lives on the members and must reach the next epoch."""
+
+    async def copy(
+        self, sources: tuple[ReplicaMember, ...], target: tuple[ReplicaMember, ...]
+    ) -> None:
+        """Bring the state of the sources to the target members; may be repeated.
+
+        It is called once before the seal, to make the copy after the seal short, and once
+        with the sealed members as sources.
+
+        Raises:
+            UnavailableError: A member failed during the copy.
+        """
+        ...
+
+
 class UnexpectedReplyError(UnavailableError):
     """A replica answered an order with a message of another kind."""
 
--- a/drumbay/delivery/messages.py
+++ b/drumbay/delivery/messages.py
@@ -9,15 +9,18 @@
 class Ballot(msgspec.Struct, frozen=True, order=True):
     """Number of one ownership of a stream, as a Paxos ballot.
 
-    The fence of the ownership lease orders ballots. The boot identity keeps two ballots
-    apart even if the key-value service ever granted one fence twice.
+    The fence of the ownership lease orders ballots. The epoch of the replica set gives an
+    owner another ballot when it recovers the log from a changed set: its last proposal in
+    the old set may have reached a replica that the recovery did not hear. The boot identity
+    keeps two ballots apart even if the key-value service ever granted one fence twice.
     """
 
     fence: Fence
+    epoch: Epoch
     boot_id: BootId
 
 
-NO_BALLOT = Ballot(Fence(-1), BootId(""))
+NO_BALLOT = Ballot(Fence(-1), Epoch(-1), BootId(""))
 """Lower than every ballot of an owner."""
 
 
--- a/drumbay/delivery/replica.py
+++ b/drumbay/delivery/replica.py
@@ -116,6 +116,26 @@
             await self._log.append(_encode(stream, outcome.records))
         return outcome.reply
 
+    async def adopt(
+        self,
+        stream: StreamName,
+        choose_records: Callable[[Acceptor], tuple[AcceptorRecord, ...]],
+    ) -> None:
+        """Take in what another replica held of a stream, and make it durable.
+
+        Args:
+            stream: The stream.
+            choose_records: Returns the records that this replica lacks.
+
+        Raises:
+            StorageError: The write failed.
+        """
+        acceptor = self._acceptor(stream)
+        records = choose_records(acceptor)
+        for record in records:
+            acceptor.restore(record)
+        await self._log.append(_encode(stream, records))
+
     def _all_records(self) -> list[bytes]:
         encoded: list[bytes] = []
         for stream, acceptor in self.acceptors.items():
--- a/drumbay/delivery/service.py
+++ b/drumbay/delivery/service.py
@@ -110,7 +110,7 @@
         """
         self.release(stream)
         view = self._current_view()
-        ballot = Ballot(fence, self._boot_id)
+        ballot = Ballot(fence, view.epoch, self._boot_id)
         histories = await call_majority(
             self._tasks,
             view.members,
--- a/drumbay/node/coordination.py
+++ b/drumbay/node/coordination.py
@@ -8,6 +8,7 @@
 from drumbay.configuration.operators import OperatorService
 from drumbay.configuration.service import ConfigurationService
 from drumbay.delivery.quorum import ReplicaView
+from drumbay.delivery.state_copy import StreamStateCopier
 from drumbay.identifiers import Epoch, NodeId
 from drumbay.membership.service import MembershipConfiguration, MembershipService
 from drumbay.node.cluster_view import DATA_FOLDER_LABEL, LABEL_SET, ClusterView
@@ -84,6 +85,7 @@
             watcher=self.replica_set,
             candidates=self.cluster.replica_candidates,
             policy=ReplacementPolicy(),
+            other_parts=(StreamStateCopier(environment.transport),),
         )
         self._has_disk = data_folder is not None
 
--- a/drumbay/node/node.py
+++ b/drumbay/node/node.py
@@ -27,7 +27,6 @@
 from drumbay.explain.store import DecisionStore
 from drumbay.identifiers import (
     Cursor,
-    Epoch,
     NodeId,
     RequestId,
     Revision,
@@ -179,14 +178,10 @@
             node_id=self._node_id,
             data_folder=Path(self._settings.data_folder),
             open_log=environment.open_log,
-            current_epoch=self._replica_epoch,
             random=environment.random,
             task_owner=self._tasks,
         )
 
-    def _replica_epoch(self) -> Epoch:
-        return self._coordination.stream_replicas().epoch
-
     def _configuration_revision(self) -> Revision:
         return self._coordination.configuration.snapshot().revision
 
--- a/drumbay/node/replicas.py
+++ b/drumbay/node/replicas.py
@@ -1,6 +1,5 @@
 """The disk-holding half of a node: replicas of claims and of sample streams."""
 
-from collections.abc import Callable
 from pathlib import Path
 from random import Random
 
@@ -9,7 +8,8 @@
 from drumbay.clock import Clock
 from drumbay.comm.interface import Transport
 from drumbay.delivery.replica import DeliveryReplica
-from drumbay.identifiers import Epoch, NodeId
+from drumbay.delivery.transfer import StreamTransfer
+from drumbay.identifiers import NodeId
 from drumbay.storage.interface import LogOpener, StoreId
 from drumbay.tasks import TaskOwner
 
@@ -27,7 +27,6 @@
         node_id: This node.
         data_folder: Folder for the logs.
         open_log: Opens a log.
-        current_epoch: Replica set epoch in which this node may vote on streams.
         random: Source of store identities.
         task_owner: Owns the replicas' tasks.
     """
@@ -40,7 +39,6 @@
         node_id: NodeId,
         data_folder: Path,
         open_log: LogOpener,
-        current_epoch: Callable[[], Epoch],
         random: Random,
         task_owner: TaskOwner,
     ) -> None:
@@ -61,12 +59,16 @@
             limits=TableLimits(),
             task_owner=task_owner,
         )
-        self.streams = DeliveryReplica(transport, self._stream_log, current_epoch)
+        # NOTE: the streams' epoch is that of the claim store, not the node's view of the set:
+        # a sealed store, or one that lost its disk, must not vote on streams either.
+        self.streams = DeliveryReplica(transport, self._stream_log, self.claims.voting_epoch)
+        self._stream_transfer = StreamTransfer(transport, self.streams)
 
     def start(self) -> None:
         """Restore the replicas and begin to serve."""
         self.claims.start()
         self.streams.start()
+        self._stream_transfer.start()
 
     async def close(self) -> None:
         """Stop to vote and close the logs."""
--- a/tests/claims_world.py
+++ b/tests/claims_world.py
@@ -27,7 +27,8 @@
 )
 from drumbay.claims.replica_set_watcher import ReplicaSetWatcher
 from drumbay.claims.service import ClaimPolicy, ClaimService, Dispatch
-from drumbay.comm.interface import Address
+from drumbay.claims.state_copy import EpochStatePart
+from drumbay.comm.interface import Address, Transport
 from drumbay.exceptions import Execution
 from drumbay.identifiers import AttemptId, IdempotencyKey, NodeId
 from drumbay.kv.interface import Put
@@ -100,6 +101,7 @@
         node_id = NodeId(host.name)
         random = Random(f"{world.settings.seed} {self.process.boot_id}")
         transport = SimulatedTransport(world.network, host.address, self.process)
+        self.transport = transport
         store = GatedKeyValueStore(self.process, MemoryKeyValueStore(world.kv, world.clock))
         self.watcher = ReplicaSetWatcher(
             clock=clock,
@@ -152,6 +154,7 @@
             watcher=self.watcher,
             candidates=world.candidates,
             policy=world.settings.replacement,
+            other_parts=world.other_parts(transport),
         )
         if world.settings.coordinate:
             self.process.spawn(self.reconfigurator.run(), "reconfigure")
@@ -193,6 +196,10 @@
             for name in self.disks
         )
 
+    def other_parts(self, transport: Transport) -> tuple[EpochStatePart, ...]:
+        """Return what epoch changes copy beside the claims."""
+        return ()
+
     def start(self, name: str) -> None:
         self.nodes[name] = Node(self, self.hosts[name])
 
--- /dev/null
+++ b/tests/test_delivery_epochs.py
@@ -0,0 +1,139 @@
+"""Stream logs over changes of the replica set and losses of disks."""
+
+import unittest
+from collections.abc import Callable
+
+from loguru import logger
+
+from drumbay.claims.state_copy import EpochStatePart
+from drumbay.comm.interface import Transport
+from drumbay.delivery.exceptions import QuorumUnavailableError
+from drumbay.delivery.quorum import ReplicaView
+from drumbay.delivery.replica import DeliveryReplica
+from drumbay.delivery.service import DeliveryService
+from drumbay.delivery.state_copy import StreamStateCopier
+from drumbay.delivery.transfer import StreamTransfer
+from drumbay.identifiers import Epoch, Fence
+from drumbay.simulation.virtual_time import run_simulation
+from drumbay.storage.interface import StoreId
+from drumbay.storage.simulated_log import SimulatedLog
+from tests.claims_world import Node, Settings, World
+from tests.delivery_cluster import STREAM, RecordingTrainer, finish_missing, prompts
+
+
+class StreamWorld(World):
+    """Disk nodes that also keep stream logs."""
+
+    def __init__(self, *, copies_streams: bool, follows_store: bool, coordinate: bool) -> None:
+        super().__init__(settings=Settings(disk_nodes=4, coordinate=coordinate))
+        self.copies_streams = copies_streams
+        self.follows_store = follows_store
+        self.trainer = RecordingTrainer()
+
+    def other_parts(self, transport: Transport) -> tuple[EpochStatePart, ...]:
+        return (StreamStateCopier(transport),) if self.copies_streams else ()
+
+    def start(self, name: str) -> None:
+        super().start(name)
+        node = self.nodes[name]
+        if name in self.disks:
+            node.process.run(lambda: self.start_streams(name, node))
+
+    def start_streams(self, name: str, node: Node) -> None:
+        log = SimulatedLog(
+            self.disks[name],
+            "streams",
+            clock=node.clock,
+            new_store_id=StoreId(name),
+            commit_seconds=0.0005,
+        )
+        epoch = node.replica.voting_epoch if self.follows_store else self.view_epoch(node)
+        replica = DeliveryReplica(node.transport, log, epoch)
+        replica.start()
+        StreamTransfer(node.transport, replica).start()
+
+    @staticmethod
+    def view_epoch(node: Node) -> Callable[[], Epoch]:
+        """Return the epoch that the node believes in, whatever its disk remembers."""
+
+        def epoch() -> Epoch:
+            view = node.watcher.replica_set()
+            return Epoch(0) if view is None else view.epoch
+
+        return epoch
+
+    def view(self, node: Node) -> ReplicaView:
+        current = node.watcher.replica_set()
+        assert current is not None
+        members = tuple(member.address for member in current.members)
+        return ReplicaView(epoch=current.epoch, members=members)
+
+    async def pull_as_owner(self, name: str, fence: int) -> None:
+        """Take the stream over at a node and hand out its first batch."""
+        node = self.nodes[name]
+        owner = DeliveryService(
+            node.transport, node.clock, node.owner, node.process.boot_id, lambda: self.view(node)
+        )
+
+        async def run() -> None:
+            await owner.take_over(STREAM, Fence(fence))
+            await owner.submit_step(STREAM, 0, prompts(4))
+            finish_missing(owner, 1, name)
+            await self.trainer.pull(owner, 0, 0)
+
+        await node.process.spawn(run(), "owner")
+
+
+class StreamEpochTest(unittest.TestCase):
+    def setUp(self) -> None:
+        logger.disable("drumbay")
+        self.addCleanup(logger.enable, "drumbay")
+
+    def run_world(self, world: Callable[[], StreamWorld], *, lose_disk: bool) -> list[str]:
+        """Hand out a batch held by d1 and d2 only, lose d1, and hand it out again.
+
+        The second owner hears d3 and either the replacement of d1 or d1 with an empty disk.
+        """
+
+        async def main() -> list[str]:
+            cluster = world()
+            await cluster.start_all()
+            if not cluster.settings.coordinate:
+                await self.start_first_epoch(cluster)
+            cluster.cut("n1", "d3")
+            await cluster.pull_as_owner("n1", 1)
+            if lose_disk:
+                await cluster.restart("d1", lose_disk=True)
+            else:
+                await cluster.kill("d1")
+            await cluster.clock.sleep(20.0)
+            cluster.cut("n2", "d2")
+            try:
+                await cluster.pull_as_owner("n2", 2)
+            except QuorumUnavailableError:
+                return ["refused"]
+            return cluster.trainer.violations()
+
+        return run_simulation(main)
+
+    async def start_first_epoch(self, cluster: StreamWorld) -> None:
+        """Let one coordinator make the first set, and none change it later."""
+        reconfigurator = cluster.nodes["d1"].reconfigurator
+        await cluster.nodes["d1"].process.spawn(reconfigurator.step(), "step")
+        await cluster.clock.sleep(1.0)
+
+    def test_new_member_gets_the_stream_logs(self) -> None:
+        def world(copies: bool) -> Callable[[], StreamWorld]:
+            return lambda: StreamWorld(copies_streams=copies, follows_store=True, coordinate=True)
+
+        self.assertEqual(self.run_world(world(True), lose_disk=False), [])
+        without = self.run_world(world(False), lose_disk=False)
+        self.assertIn("cursor changed its bytes", without)
+
+    def test_store_that_lost_its_disk_does_not_vote(self) -> None:
+        def world(follows: bool) -> Callable[[], StreamWorld]:
+            return lambda: StreamWorld(copies_streams=True, follows_store=follows, coordinate=False)
+
+        self.assertEqual(self.run_world(world(True), lose_disk=True), ["refused"])
+        without = self.run_world(world(False), lose_disk=True)
+        self.assertIn("cursor changed its bytes", without)
