Prove the request path against the emulators' logs

Cause: whole answers, truthful refusals and bounded retries of the request path were built but not proved; an engine that ends an attempt as cancelled would have passed for a whole answer. Ruled out: trusting the client's own check of a stream's end (the service checks again, and the test runs with a client that swallows the break). Change: the end of a stream needs its last chunk; a cancelled attempt counts as broken and is resumed. Tests on virtual time: cut and crossed streams, refusals against the execution log, retry budget, overload, explanation. Before and after: with the check of the end off a cut stream is delivered short, with it whole; with every error taken for 'not run' the log shows a run, with the rule none; with the retry budget off the attempts during an outage exceed the bounded ones (11 tests, red and green in one run).

--- a/drumbay/requests/application.py
+++ b/drumbay/requests/application.py
@@ -32,6 +32,7 @@
 from drumbay.requests.route_table import CompiledRoute, RouteTable
 
 RETRY_AFTER_SECONDS = 1.0
+PROVES_NOT_RUN: tuple[type[Exception], ...] = (BackendNotReachedError, BackendRefusedError)
 SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
 
 
@@ -189,7 +190,7 @@
         """Remember the failed back end, and whether the request may have run there."""
         if self.current is not None:
             self.failed_backends |= {self.current}
-        if not isinstance(error, BackendNotReachedError | BackendRefusedError):
+        if not isinstance(error, PROVES_NOT_RUN):
             self.execution = Execution.MAY_HAVE_RUN
 
 
--- a/drumbay/requests/live.py
+++ b/drumbay/requests/live.py
@@ -15,6 +15,7 @@
     BackendNotReachedError,
     BackendRefusedError,
     EngineClient,
+    ExchangeBrokenError,
     TokenChunk,
 )
 from drumbay.clock import Clock
@@ -180,8 +181,10 @@
                 )
                 async for chunk in stream:
                     run.progress.accept(address.backend_id, generation, chunk)
+                    completed = run.progress.is_finished
                     yield chunk
-                completed = run.progress.finish_reason is not None
+                if not completed:
+                    raise ExchangeBrokenError("the stream ended without its last chunk")
         finally:
             if not completed:
                 await self._engine_client.cancel(address, attempt_id)
--- a/drumbay/requests/progress.py
+++ b/drumbay/requests/progress.py
@@ -3,6 +3,7 @@
 from drumbay.api.schema import VersionSpan
 from drumbay.backends.interface import (
     AnswerMismatchError,
+    ExchangeBrokenError,
     FinishReason,
     GenerationRequest,
     TokenChunk,
@@ -17,7 +18,12 @@
         """Start with no token."""
         self._token_ids: list[int] = []
         self._spans: list[VersionSpan] = []
-        self.finish_reason: FinishReason | None = None
+        self._finish_reason: FinishReason | None = None
+
+    @property
+    def is_finished(self) -> bool:
+        """Return whether the last chunk has been taken in."""
+        return self._finish_reason is not None
 
     @property
     def token_ids(self) -> tuple[int, ...]:
@@ -39,6 +45,7 @@
 
         Raises:
             AnswerMismatchError: It belongs to another attempt or is out of order.
+            ExchangeBrokenError: The engine cancelled the attempt; the chunk is not taken.
         """
         if chunk.attempt_id != request.attempt_id:
             raise AnswerMismatchError(f"a chunk of attempt {chunk.attempt_id}")
@@ -46,8 +53,10 @@
             raise AnswerMismatchError(
                 f"a chunk from token {chunk.first_index}, expected {len(self._token_ids)}"
             )
+        if chunk.finish_reason is FinishReason.CANCELLED:
+            raise ExchangeBrokenError("the engine cancelled the attempt")
         self._token_ids.extend(chunk.token_ids)
-        self.finish_reason = chunk.finish_reason
+        self._finish_reason = chunk.finish_reason
         if chunk.token_ids:
             self._extend_spans(backend_id, chunk)
 
--- /dev/null
+++ b/tests/test_requests.py
@@ -0,0 +1,204 @@
+"""The request path: whole answers, truthful refusals, bounded retries."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from drumbay.backends.interface import (
+    ApplicationAnswer,
+    BackendNotReachedError,
+    BackendRefusedError,
+    TokenChunk,
+)
+from drumbay.backends.memory import MemoryEngineClient
+from drumbay.exceptions import Execution, RequestFailedError
+from drumbay.explain.records import RejectionReason
+from drumbay.limits.circuit_breaker import CircuitPolicy
+from drumbay.limits.retry_budget import RetryBudget
+from drumbay.requests import application as application_module
+from drumbay.requests.errors import OverloadedError
+from drumbay.requests.progress import CompletionProgress
+from drumbay.standins.execution_log import (
+    ApplicationExecuted,
+    GenerationAccepted,
+    GenerationEnded,
+    GenerationOutcome,
+)
+from drumbay.standins.faults import FaultKind
+from tests.requests_world import (
+    ForgivingEngineClient,
+    RequestsWorld,
+    RouteLimits,
+    simulate,
+    url_of,
+)
+
+MAXIMUM_TOKENS = 40
+LONG_ANSWER_TOKENS = 400
+REQUESTS_WHILE_ALL_FAILS = 60
+NEVER_OPEN = CircuitPolicy(min_failures=1_000_000)
+
+
+def tokens_of(chunks: list[TokenChunk]) -> list[int]:
+    return [token for chunk in chunks for token in chunk.token_ids]
+
+
+def generations_of(world: RequestsWorld) -> list[GenerationEnded]:
+    records = [entry for engine in world.engines for entry in engine.log.records()]
+    return [entry for entry in records if isinstance(entry, GenerationEnded)]
+
+
+def executions_of(world: RequestsWorld) -> list[ApplicationExecuted]:
+    records = [entry for server in world.servers for entry in server.log.records()]
+    return [entry for entry in records if isinstance(entry, ApplicationExecuted)]
+
+
+async def undisturbed_tokens(world: RequestsWorld) -> list[int]:
+    return tokens_of(await world.generate(MAXIMUM_TOKENS))
+
+
+class WholeAnswerTest(unittest.TestCase):
+    def disturbed(
+        self, fault: FaultKind, client_type: type[MemoryEngineClient] = MemoryEngineClient
+    ) -> tuple[list[int], list[GenerationEnded]]:
+        async def scenario(world: RequestsWorld) -> tuple[list[int], list[GenerationEnded]]:
+            world.arm(fault)
+            return tokens_of(await world.generate(MAXIMUM_TOKENS)), generations_of(world)
+
+        return simulate(scenario, client_type=client_type)
+
+    def test_cut_stream_goes_on_where_it_broke(self) -> None:
+        expected = simulate(undisturbed_tokens)
+        tokens, generations = self.disturbed(FaultKind.TRUNCATED_ANSWER)
+        self.assertEqual(tokens, expected)
+        outcomes = [entry.outcome for entry in generations]
+        self.assertIn(GenerationOutcome.TRUNCATED, outcomes)
+
+    def test_cut_stream_is_short_without_the_check_of_its_end(self) -> None:
+        expected = simulate(undisturbed_tokens)
+        with mock.patch.object(CompletionProgress, "is_finished", True):
+            tokens, _ = self.disturbed(FaultKind.TRUNCATED_ANSWER, ForgivingEngineClient)
+        self.assertLess(len(tokens), len(expected))
+        tokens, _ = self.disturbed(FaultKind.TRUNCATED_ANSWER, ForgivingEngineClient)
+        self.assertEqual(tokens, expected)
+
+    def test_crossed_answer_is_not_delivered(self) -> None:
+        async def scenario(world: RequestsWorld) -> list[list[int]]:
+            first = tokens_of(await world.generate(MAXIMUM_TOKENS))
+            world.arm(FaultKind.CROSSED_ANSWER, count=2)
+            return [first, tokens_of(await world.generate(MAXIMUM_TOKENS))]
+
+        first, second = simulate(scenario)
+        self.assertEqual(first, second)
+
+    def test_every_break_ends_in_a_typed_error(self) -> None:
+        async def scenario(world: RequestsWorld) -> RequestFailedError | None:
+            world.arm(FaultKind.TRUNCATED_ANSWER, count=None)
+            try:
+                await world.generate(LONG_ANSWER_TOKENS)
+            except RequestFailedError as error:
+                return error
+            return None
+
+        error = simulate(scenario)
+        self.assertIsInstance(error, RequestFailedError)
+        assert error is not None
+        self.assertEqual(error.execution, Execution.MAY_HAVE_RUN)
+
+
+class RefusalTest(unittest.TestCase):
+    def test_not_run_only_if_no_engine_took_it(self) -> None:
+        async def scenario(world: RequestsWorld) -> tuple[Execution, int]:
+            for engine in world.engines:
+                world.network.cut_requests(url_of(engine.backend_id))
+            try:
+                await world.generate()
+            except RequestFailedError as error:
+                records = [entry for engine in world.engines for entry in engine.log.records()]
+                taken = [entry for entry in records if isinstance(entry, GenerationAccepted)]
+                return error.execution, len(taken)
+            raise AssertionError("the request was answered")
+
+        self.assertEqual(simulate(scenario), (Execution.NOT_RUN, 0))
+
+    def lost_answer(self) -> tuple[RequestFailedError, int]:
+        async def scenario(world: RequestsWorld) -> tuple[RequestFailedError, int]:
+            for server in world.servers:
+                world.network.cut_answers(url_of(server.backend_id))
+            error = await world.call("POST")
+            await world.clock.sleep(1.0)
+            assert isinstance(error, RequestFailedError)
+            return error, len(executions_of(world))
+
+        return simulate(scenario, limits=RouteLimits(timeout_seconds=5.0))
+
+    def test_lost_answer_may_have_run_and_is_not_repeated(self) -> None:
+        error, executions = self.lost_answer()
+        self.assertEqual(error.execution, Execution.MAY_HAVE_RUN)
+        self.assertEqual(executions, 1)
+
+    def test_lost_answer_called_not_run_is_found_by_the_log(self) -> None:
+        everything = (BackendNotReachedError, BackendRefusedError, Exception)
+        with mock.patch.object(application_module, "PROVES_NOT_RUN", everything):
+            error, executions = self.lost_answer()
+        self.assertEqual(error.execution, Execution.NOT_RUN)
+        self.assertGreater(executions, 0)
+
+    def test_lookup_is_repeated_elsewhere(self) -> None:
+        async def scenario(world: RequestsWorld) -> ApplicationAnswer | RequestFailedError:
+            world.network.cut_answers(url_of(world.servers[0].backend_id))
+            world.network.cut_answers(url_of(world.servers[1].backend_id))
+            return await world.call("GET")
+
+        self.assertIsInstance(simulate(scenario), ApplicationAnswer)
+
+    def test_overload_refuses_at_once_and_says_when_to_come_back(self) -> None:
+        async def scenario(world: RequestsWorld) -> tuple[float, RequestFailedError]:
+            running = asyncio.ensure_future(world.generate(200))
+            await world.clock.sleep(0.1)
+            before = world.clock.monotonic()
+            try:
+                await world.generate()
+            except RequestFailedError as error:
+                running.cancel()
+                return world.clock.monotonic() - before, error
+            raise AssertionError("the request was admitted")
+
+        waited_seconds, error = simulate(scenario, limits=RouteLimits(max_concurrency=1))
+        self.assertIsInstance(error, OverloadedError)
+        self.assertEqual(error.execution, Execution.NOT_RUN)
+        self.assertEqual(waited_seconds, 0.0)
+        self.assertIsNotNone(error.retry_after_seconds)
+
+
+class RetryTest(unittest.TestCase):
+    def attempts_while_all_fails(self) -> int:
+        async def scenario(world: RequestsWorld) -> int:
+            world.arm(FaultKind.TRUNCATED_ANSWER, count=None)
+            for _ in range(REQUESTS_WHILE_ALL_FAILS):
+                try:
+                    await world.generate(LONG_ANSWER_TOKENS)
+                except RequestFailedError:
+                    await world.clock.sleep(0.1)
+            return len(generations_of(world))
+
+        return simulate(scenario, limits=RouteLimits(circuit=NEVER_OPEN))
+
+    def test_budget_bounds_the_attempts(self) -> None:
+        bounded = self.attempts_while_all_fails()
+        with mock.patch.object(RetryBudget, "try_withdraw", lambda budget, now: True):
+            unbounded = self.attempts_while_all_fails()
+        self.assertLess(bounded, 0.7 * unbounded)
+
+
+class ExplanationTest(unittest.TestCase):
+    def test_dispatch_names_every_candidate(self) -> None:
+        async def scenario(world: RequestsWorld) -> int:
+            await world.generate()
+            records = world.records("node~boot~1")
+            rejections = [verdict.rejection for verdict in records[0].candidates]
+            self.assertEqual(rejections[0], None)
+            self.assertEqual(rejections.count(RejectionReason.MODEL), 3)
+            return len(rejections)
+
+        self.assertEqual(simulate(scenario), 6)
