--- a/drumbay/delivery/service.py
+++ b/drumbay/delivery/service.py
@@ -40,11 +40,19 @@
 
 
 class DeliveryParameters(msgspec.Struct, frozen=True, kw_only=True):
-    """Timing and retention of the delivery service."""
+    """Timing and retention of the delivery service.
+
+    Attributes:
+        call_timeout_seconds: Time limit of one call to a replica.
+        pull_poll_seconds: Time between looks at the finished samples during a pull.
+        trim_margin: Batches kept below the trainer's checkpointed cursor.
+        max_open_steps: Newest steps that may be unfinished when a batch is composed.
+    """
 
     call_timeout_seconds: float = 1.0
     pull_poll_seconds: float = 0.02
     trim_margin: int = DEFAULT_TRIM_MARGIN
+    max_open_steps: int | None = None
 
 
 class OwnedStream:
@@ -118,7 +126,11 @@
         )
         recovered = recover_log(histories)
         owner = StreamOwner(
-            stream, ballot, recovered.snapshot, trim_margin=self._parameters.trim_margin
+            stream,
+            ballot,
+            recovered.snapshot,
+            trim_margin=self._parameters.trim_margin,
+            max_open_steps=self._parameters.max_open_steps,
         )
         owned = OwnedStream(owner, view)
         for encoded in recovered.entries:
--- a/drumbay/delivery/stream_owner.py
+++ b/drumbay/delivery/stream_owner.py
@@ -70,8 +70,19 @@
         snapshot: StreamSnapshot,
         *,
         trim_margin: int = DEFAULT_TRIM_MARGIN,
+        max_open_steps: int | None = None,
     ) -> None:
-        """Start an ownership at a recovered snapshot; entries follow by ``choose``."""
+        """Start an ownership at a recovered snapshot; entries follow by ``choose``.
+
+        Args:
+            stream: The sample stream.
+            ballot: Number of this ownership.
+            snapshot: Where the recovered log starts.
+            trim_margin: Batches kept below the trainer's checkpointed cursor.
+            max_open_steps: How many of the newest steps may have unfinished samples when
+                a batch is composed; ``None`` for any number. It bounds how long a long
+                sample is put off while shorter ones of later steps overtake it.
+        """
         self.stream = stream
         self.ballot = ballot
         self.state = StreamState(snapshot)
@@ -82,6 +93,7 @@
         self._base = StreamState(snapshot)
         self._since_base: list[LogEntry] = []
         self._trim_margin = trim_margin
+        self._max_open_steps = max_open_steps
 
     def choose(self, entry: LogEntry) -> None:
         """Apply an entry that a majority accepted at the next position."""
@@ -179,11 +191,24 @@
         samples = select_samples(self.ready.values(), floor, max_samples)
         if len(samples) < max(1, min_samples):
             raise NothingReadyError(f"{len(samples)} fresh samples, {min_samples} wanted")
+        overdue = self._overdue_count(floor)
+        if overdue:
+            raise NothingReadyError(f"{overdue} samples of an overdue step are not ready")
         batch = Batch(
             stream=self.stream, cursor=cursor, oldest_accepted_version=floor, samples=samples
         )
         return FixBatch(entry=BatchFixed(batch=batch))
 
+    def _overdue_count(self, floor: WeightVersion) -> int:
+        """Return how many samples of steps that must be whole by now are not ready."""
+        if self._max_open_steps is None:
+            return 0
+        first_open_step = self.state.next_step - self._max_open_steps
+        overdue = [key for key in self.state.outstanding if key.step < first_open_step]
+        return sum(
+            1 for key in overdue if key not in self.ready or not is_fresh(self.ready[key], floor)
+        )
+
     def decide_trim(self, checkpointed: Cursor) -> Trim | None:
         """Return what to trim after the trainer checkpointed a cursor.
 
--- a/drumbay/rollout/lengths.py
+++ b/drumbay/rollout/lengths.py
@@ -1,7 +1,7 @@
 """Expected lengths of samples, from the observed lengths of finished ones."""
 
 import bisect
-from collections.abc import Sequence
+import itertools
 
 DEFAULT_EXPECTED_TOKENS = 256.0
 OVERRUN_FACTOR = 1.5
@@ -21,10 +21,12 @@
         """Create an estimator without observations."""
         self._recent: list[int] = []
         self._sorted: list[int] = []
+        self._sums: list[int] = []
         self._groups: dict[str, list[int]] = {}
 
     def observe(self, group: str, token_count: int) -> None:
         """Record the length of a finished sample."""
+        self._sums = []
         self._recent.append(token_count)
         bisect.insort(self._sorted, token_count)
         if len(self._recent) > MAX_OBSERVATIONS:
@@ -38,18 +40,30 @@
 
     def expected_tokens(self, group: str, generated: int = 0) -> float:
         """Return the expected whole length, given that ``generated`` tokens exist."""
-        of_group = [length for length in self._groups.get(group, []) if length > generated]
-        if of_group:
-            return _mean(of_group)
-        longer = self._sorted[bisect.bisect_right(self._sorted, generated) :]
-        if longer:
-            return _mean(longer)
+        of_group = self._groups.get(group)
+        if of_group is not None:
+            longer_of_group = [length for length in of_group if length > generated]
+            if longer_of_group:
+                return sum(longer_of_group) / len(longer_of_group)
+        first_longer = bisect.bisect_right(self._sorted, generated)
+        longer_count = len(self._sorted) - first_longer
+        if longer_count > 0:
+            sums = self._cumulative_sums()
+            return (sums[-1] - sums[first_longer]) / longer_count
         return max(DEFAULT_EXPECTED_TOKENS, generated * OVERRUN_FACTOR)
 
+    def _cumulative_sums(self) -> list[int]:
+        """Return the sums of the shortest lengths: of none, of one, and so on."""
+        if not self._sums:
+            self._sums = list(itertools.accumulate(self._sorted, initial=0))
+        return self._sums
+
+    def quantile(self, share: float) -> float:
+        """Return the length below which this share of recent samples lies; 0 without any."""
+        if not self._sorted:
+            return 0.0
+        return float(self._sorted[min(len(self._sorted) - 1, int(share * len(self._sorted)))])
+
     def expected_remaining(self, group: str, generated: int) -> float:
         """Return the expected number of tokens still to be generated."""
         return self.expected_tokens(group, generated) - generated
-
-
-def _mean(lengths: Sequence[int]) -> float:
-    return sum(lengths) / len(lengths)
--- a/drumbay/rollout/placement.py
+++ b/drumbay/rollout/placement.py
@@ -39,7 +39,7 @@
         if oldest is None or sample.backend_id not in self._state.engines:
             return False
         finish_at = now + self.expected_seconds(sample, sample.backend_id, sample.token_count)
-        if oldest >= self._state.forecast.accepted_at(finish_at):
+        if oldest >= self._state.forecast.accepted_when_taken(sample.key.step, finish_at):
             return False
         return any(
             engine.version is not None
@@ -70,7 +70,7 @@
     ) -> DispatchVerdict:
         oldest = sample.oldest_with(version) if kept_tokens else version
         finish_at = now + self.expected_seconds(sample, backend_id, kept_tokens)
-        return judge_dispatch(oldest, self._state.forecast, finish_at)
+        return judge_dispatch(oldest, self._state.forecast, sample.key.step, finish_at)
 
     def has_room(self, backend_id: BackendId, now: float) -> bool:
         """Return whether an engine may take one more rollout now."""
@@ -85,11 +85,13 @@
         """Return the best engine that may take a sample now."""
         best: BackendId | None = None
         best_cost = (math.inf, math.inf, math.inf)
-        newest = self._newest_version()
+        newest = max(self._newest_version(), self._state.forecast.newest_version)
         for backend_id, engine in self._state.engines.items():
             version = engine.version
             if version is None or not self.has_room(backend_id, now):
                 continue
+            if version < newest and self._awaits_load(now):
+                continue
             verdict = self._judge(sample, backend_id, version, sample.token_count, now)
             if verdict is DispatchVerdict.NOT_ACCEPTED:
                 continue
@@ -102,6 +104,13 @@
                 best, best_cost = backend_id, cost
         return best
 
+    def _awaits_load(self, now: float) -> bool:
+        """Return whether engines are still expected to load the newest version."""
+        since_publication = now - self._state.newest_published_at
+        return (
+            self._policy.newest_version_first and since_publication < self._policy.load_wait_seconds
+        )
+
     def should_restart(self, sample: TrackedSample, backend_id: BackendId, now: float) -> bool:
         """Return whether held tokens would expire although a new start would not."""
         version = self._state.engines[backend_id].version
@@ -124,6 +133,17 @@
         known = [version for version in versions if version is not None]
         return max(known, default=WeightVersion(0))
 
+    def is_held(self, sample: TrackedSample) -> bool:
+        """Return whether a short sample waits for the weights of its step's turn."""
+        forecast = self._state.forecast
+        if self._policy.hold_below_quantile <= 0.0 or sample.spans:
+            return False
+        its_turn = sample.key.step <= forecast.next_step
+        if its_turn and forecast.newest_version >= forecast.version_next:
+            return False
+        expected = self._lengths.expected_tokens(sample.prompt.group)
+        return expected < self._lengths.quantile(self._policy.hold_below_quantile)
+
     def best_move(self, sample: TrackedSample, now: float) -> Move | None:
         """Return the best move of a running sample, if one gains more than it costs."""
         source = sample.backend_id
--- a/drumbay/rollout/scheduler.py
+++ b/drumbay/rollout/scheduler.py
@@ -1,6 +1,6 @@
 """Pure decisions about rollouts: which sample runs where, and which one is stopped."""
 
-from drumbay.identifiers import BackendId
+from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.rollout.decode_rate import DecodeRateModel
 from drumbay.rollout.events import (
     AttemptFailure,
@@ -40,6 +40,7 @@
         self._lengths = LengthEstimator()
         self._placement = Placement(policy, self._state, self._lengths)
         self._attempts = 0
+        self._kept_accepted = WeightVersion(0)
 
     def handle(self, event: RolloutEvent, now: float) -> tuple[RolloutDecision, ...]:
         """Take an event at a monotonic time and return what to do, in order."""
@@ -52,7 +53,7 @@
             case EngineLost(backend_id=backend_id):
                 self._state.engines.pop(backend_id, None)
             case FloorChanged(forecast=forecast):
-                self._state.forecast = forecast
+                self._state.update_forecast(forecast, now)
             case ChunkReceived():
                 # NOTE: chunks are frequent; they free no place, so nothing else is decided.
                 return self._take_chunk(event, now)
@@ -137,22 +138,30 @@
             elif self._policy.avoid_expiry and self._placement.is_doomed(sample, now):
                 decisions.append(self._cancel(sample, CancelReason.WOULD_EXPIRE))
                 sample.spans = ()
-        for sample in self._state.samples.values():
-            sample.keep_accepted(self._state.forecast.accepted)
+        accepted = self._state.forecast.accepted
+        if accepted > self._kept_accepted:
+            self._kept_accepted = accepted
+            for sample in self._state.samples.values():
+                sample.keep_accepted(accepted)
         return decisions
 
     def _dispatch_queued(self, now: float) -> list[RolloutDecision]:
         decisions: list[RolloutDecision] = []
         if not self._placement.any_room(now):
             return decisions
-        for sample in sorted(self._state.queued(), key=self._queue_order):
-            if sample.not_before > now:
-                continue
+        startable = [
+            sample
+            for sample in self._state.queued()
+            if sample.not_before <= now and not self._placement.is_held(sample)
+        ]
+        for sample in sorted(startable, key=self._queue_order):
             backend_id = self._placement.choose_engine(sample, now)
             if backend_id is not None:
                 if self._placement.should_restart(sample, backend_id, now):
                     sample.spans = ()
                 decisions.append(self._start(sample, backend_id, now))
+                if not self._placement.any_room(now):
+                    break
         return decisions
 
     def _queue_order(self, sample: TrackedSample) -> tuple[float, ...]:
--- a/drumbay/rollout/scheduler_state.py
+++ b/drumbay/rollout/scheduler_state.py
@@ -1,5 +1,7 @@
 """What the rollout scheduler knows about samples and engines."""
 
+import math
+
 import msgspec
 
 from drumbay.identifiers import BackendId, WeightVersion
@@ -11,7 +13,7 @@
 STAMP_VALIDITY_SECONDS = 30.0
 """How long a stamp overrides the version that its engine reports."""
 
-NO_FORECAST = FloorForecast(accepted=WeightVersion(0))
+NO_FORECAST = FloorForecast(accepted=WeightVersion(0), accepted_next=WeightVersion(0))
 
 
 class TrackedSample(msgspec.Struct, kw_only=True):
@@ -127,8 +129,15 @@
         self.engines: dict[BackendId, TrackedEngine] = {}
         self.step_sizes: dict[int, int] = {}
         self.forecast = NO_FORECAST
+        self.newest_published_at = -math.inf
         self._running_on: dict[BackendId, int] = {}
 
+    def update_forecast(self, forecast: FloorForecast, now: float) -> None:
+        """Take a newer forecast."""
+        if forecast.newest_version > self.forecast.newest_version:
+            self.newest_published_at = now
+        self.forecast = forecast
+
     def queued(self) -> list[TrackedSample]:
         """Return the samples that wait for an engine."""
         return [sample for sample in self.samples.values() if sample.attempt is None]
--- a/drumbay/rollout/staleness.py
+++ b/drumbay/rollout/staleness.py
@@ -1,8 +1,8 @@
 """Staleness rules: pure decisions against the versions that a trainer accepts.
 
-The trainer states its floor, the oldest version it accepts. The floor rises by one with
-every step the trainer takes, so a forecast tells whether a sample that ends later will
-still be accepted. The forecast only saves work: delivery checks the truth again.
+The trainer states the oldest version that it accepts. A forecast tells whether a sample
+will still be accepted when it is taken. The forecast only saves work: running samples are
+checked against what the trainer states, and delivery checks again at the hand-over.
 """
 
 import math
@@ -16,24 +16,39 @@
 
 
 class FloorForecast(msgspec.Struct, frozen=True, kw_only=True):
-    """The oldest accepted version now, and when it is expected to rise.
+    """What the trainer accepts now, and what it will accept when it takes later batches.
+
+    Each step that the trainer takes raises the oldest accepted version by one. It waits for
+    the samples of the step it collects, so the step of a sample says more than the time
+    about the versions that will be accepted when it is taken.
 
     Attributes:
         accepted: Oldest version that the trainer accepts now.
-        next_rise_at: Monotonic time of the next expected rise, in seconds.
-        rise_interval_seconds: Expected time between later rises.
+        accepted_next: Oldest version that it will accept when it collects its next batch.
+        newest_version: Newest version that is published; engines will load it.
+        version_next: Version that it will have when it collects its next batch.
+        next_step: Step whose samples make up most of the next batch.
+        next_collection_at: When that batch is collected, in monotonic seconds.
+        interval_seconds: Expected time between batches.
+        deferrable_steps: By how many batches a late sample may be put off.
     """
 
     accepted: WeightVersion
-    next_rise_at: float = math.inf
-    rise_interval_seconds: float = math.inf
-
-    def accepted_at(self, at: float) -> WeightVersion:
-        """Return the oldest version that is expected to be accepted at a later time."""
-        if at < self.next_rise_at:
-            return self.accepted
-        later_rises = (at - self.next_rise_at) // self.rise_interval_seconds
-        return WeightVersion(self.accepted + 1 + int(later_rises))
+    accepted_next: WeightVersion
+    newest_version: WeightVersion = WeightVersion(0)
+    version_next: WeightVersion = WeightVersion(0)
+    next_step: int = 0
+    next_collection_at: float = 0.0
+    interval_seconds: float = 60.0
+    deferrable_steps: int = 0
+
+    def accepted_when_taken(self, step: int, finish_at: float) -> WeightVersion:
+        """Return the oldest version accepted when a sample is expected to be taken."""
+        batches = max(0, step - self.next_step)
+        due_at = self.next_collection_at + batches * self.interval_seconds
+        batches_late = math.ceil((finish_at - due_at) / self.interval_seconds)
+        deferred = min(max(0, batches_late), self.deferrable_steps)
+        return WeightVersion(self.accepted_next + batches + deferred)
 
 
 class DispatchVerdict(StrEnum):
@@ -48,12 +63,12 @@
 
 
 def judge_dispatch(
-    version: WeightVersion, forecast: FloorForecast, expected_finish_at: float
+    version: WeightVersion, forecast: FloorForecast, step: int, expected_finish_at: float
 ) -> DispatchVerdict:
-    """Judge a dispatch whose oldest token will be of ``version``."""
+    """Judge a dispatch whose oldest token will be of ``version``, for a sample of a step."""
     if version < forecast.accepted:
         return DispatchVerdict.NOT_ACCEPTED
-    if version < forecast.accepted_at(expected_finish_at):
+    if version < forecast.accepted_when_taken(step, expected_finish_at):
         return DispatchVerdict.WOULD_EXPIRE
     return DispatchVerdict.ALLOWED
 
