--- a/drumbay/standins/engine_model.py
+++ b/drumbay/standins/engine_model.py
@@ -7,10 +7,11 @@
 """
 
 import random
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 from contextlib import aclosing
 
 from drumbay.backends.interface import (
+    BackendError,
     BackendNotReachedError,
     CacheEvent,
     EngineStatus,
@@ -21,6 +22,7 @@
 )
 from drumbay.clock import Clock
 from drumbay.identifiers import AttemptId, BackendId, BootId, Fence, WeightVersion
+from drumbay.standins.cache_transfer import CacheExport
 from drumbay.standins.engine_context import EngineContext
 from drumbay.standins.engine_orders import LoadedWeights, WeightSource
 from drumbay.standins.engine_parameters import EngineParameters
@@ -92,6 +94,10 @@
         """Version that truly produces tokens, whatever the engine claims."""
         return self._run.weights.version
 
+    def watch_crashes(self, on_crash: Callable[[], None]) -> None:
+        """Have ``on_crash`` called whenever the process dies."""
+        self._context.on_crash = on_crash
+
     def crash(self) -> None:
         """End the process at once; every stream breaks and nothing is kept."""
         if self._run.ended:
@@ -136,6 +142,10 @@
             async for chunk in chunks:
                 yield chunk
 
+    def run_unread(self, chunks: AsyncGenerator[TokenChunk]) -> None:
+        """Go on with a stream whose reader is cut off, until it ends or is cancelled."""
+        self._context.tasks.spawn(_read_to_the_end(chunks), "unread-stream")
+
     async def cancel(self, attempt_id: AttemptId) -> None:
         """Stop an attempt; its stream ends with the finish reason ``cancelled``.
 
@@ -179,6 +189,29 @@
         run = await self._reach()
         return run.cache_events(after_sequence)
 
+    async def export_cache(self, attempt_id: AttemptId) -> CacheExport:
+        """Return the keys and values of an attempt, running or ended.
+
+        Raises:
+            BackendNotReachedError: The process is down.
+            UnknownAttemptError: They are not held.
+            MixedVersionsError: The weights changed while they were computed.
+        """
+        run = await self._reach()
+        return run.cache_transfers.export(attempt_id)
+
+    async def import_cache(self, export: CacheExport) -> None:
+        """Take keys and values for a completion that is resumed here.
+
+        Raises:
+            BackendNotReachedError: The process is down.
+            BackendRefusedError: Other weights are loaded.
+        """
+        run = await self._reach()
+        rate = self._context.parameters.cache_transfer_bytes_per_second
+        await self._context.work(export.size_bytes / rate)
+        run.cache_transfers.accept(export)
+
     def _start(self, fence: Fence) -> EngineRun:
         boot_id = self._context.start_run()
         weights = LoadedWeights(self._initial_model, self._initial_version, fence)
@@ -193,3 +226,12 @@
         if run.ended:
             raise ExchangeBrokenError(f"{self.backend_id} died")
         return run
+
+
+async def _read_to_the_end(chunks: AsyncGenerator[TokenChunk]) -> None:
+    async with aclosing(chunks):
+        try:
+            async for _chunk in chunks:
+                continue
+        except BackendError:
+            return
--- a/drumbay/standins/process_context.py
+++ b/drumbay/standins/process_context.py
@@ -1,16 +1,17 @@
 """What the parts of an emulated process share over restarts."""
 
 import random
+from collections.abc import Callable
 
 from drumbay.clock import Clock
 from drumbay.identifiers import BackendId, BootId
 from drumbay.standins.execution_log import ExecutionLog, ProcessCrashed, ProcessStarted
 from drumbay.standins.faults import SLOW_FACTOR, FaultKind, FaultSwitches
-from drumbay.standins.process_gate import ProcessGate
+from drumbay.standins.process_gate import FREEZE_HOLD, ProcessGate
 from drumbay.tasks import TaskOwner
 
-FREEZE_HOLD = "freeze"
 BOOT_ID_BITS = 48
+MILLISECONDS_PER_SECOND = 1000
 
 
 class ProcessContext:
@@ -24,6 +25,7 @@
         faults: Switchable faults.
         freeze_gate: Held while the process is frozen.
         tasks: Owner of the background tasks.
+        on_crash: Called when the process dies; a server closes its connections.
     """
 
     def __init__(
@@ -41,6 +43,7 @@
         self.faults = FaultSwitches(supported_faults)
         self.freeze_gate = ProcessGate()
         self.tasks = TaskOwner()
+        self.on_crash: Callable[[], None] | None = None
 
     def freeze(self) -> None:
         """Stop all work; requests are taken from the network but nothing is answered."""
@@ -59,14 +62,19 @@
     def start_run(self) -> BootId:
         """Draw the identity of a new run of the process and log its start."""
         bits = self.random_source.getrandbits(BOOT_ID_BITS)
-        boot_id = BootId(f"{self.backend_id}-{bits:012x}")
+        # NOTE: a process that is killed and started with the same seed draws the same bits;
+        # the time of the start tells the two runs apart.
+        started = round(self.clock.wall() * MILLISECONDS_PER_SECOND)
+        boot_id = BootId(f"{self.backend_id}-{started:x}-{bits:012x}")
         now = self.clock.monotonic()
         record = ProcessStarted(time_seconds=now, source=self.backend_id, boot_id=boot_id)
         self.log.append(record)
         return boot_id
 
     def log_crash(self, boot_id: BootId) -> None:
-        """Log the death of a run."""
+        """Log the death of a run and report it."""
         now = self.clock.monotonic()
         record = ProcessCrashed(time_seconds=now, source=self.backend_id, boot_id=boot_id)
         self.log.append(record)
+        if self.on_crash is not None:
+            self.on_crash()
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -10,11 +10,8 @@
 
 from loguru import logger
 
-from drumbay.bench.configuration_cluster import (
-    ConfigurationCluster,
-    ServiceType,
-    find_reversions,
-)
+from drumbay.bench.configuration_cluster import ConfigurationCluster, ServiceType
+from drumbay.bench.configuration_history import find_reversions
 from drumbay.configuration.dissemination import Dissemination
 from drumbay.configuration.errors import ConfigurationNotCurrentError
 from drumbay.configuration.messages import (
@@ -24,20 +21,20 @@
     ReplicaReadReply,
     ReplicaSet,
 )
-from drumbay.configuration.operators import WriteOutcome
+from drumbay.configuration.outcomes import WriteOutcome
 from drumbay.configuration.replication import ReplicaClient
 from drumbay.configuration.service import ConfigurationService
 from drumbay.configuration.state import ApplyOutcome, ConfigurationState
 from drumbay.configuration.watcher import ConfigurationWatcher
 from drumbay.identifiers import NodeId, Revision
-from drumbay.resources.schema import Route, RouteKind, Selector
 from drumbay.simulation.host import Location
 from drumbay.simulation.network import Cut, Scope
 from drumbay.simulation.virtual_time import run_simulation
 from drumbay.standins.kv_faults import KeyValueFaults
+from tests.configuration_support import ZONES, route
 
-LIMA = tuple(Location(zone=zone, region="lima") for zone in ("miraflores", "surquillo"))
-TWO_REGIONS = (*LIMA, Location(zone="zwolle-hal", region="nl-oost"))
+TWO_REGIONS = (*ZONES, Location(zone="zwolle-hal", region="nl-oost"))
+REPLICA_SET_SECONDS = 60.0
 OUTAGE = KeyValueFaults(outage=True)
 
 
@@ -45,10 +42,6 @@
     logger.remove()
 
 
-def route(priority: int, name: str = "consulta") -> Route:
-    return Route(name=name, route_kind=RouteKind.LIVE, selector=Selector(), priority=priority)
-
-
 class AnyReplicaDecides(ReplicaClient):
     """Fault: one replica is taken for a majority."""
 
@@ -121,7 +114,7 @@
         scenario: Scenario,
         service_type: ServiceType = ConfigurationService,
         *,
-        locations: tuple[Location, ...] = LIMA,
+        locations: tuple[Location, ...] = ZONES,
         node_count: int = 6,
         disk_count: int = 3,
         history_limit: int = 1000,
@@ -140,7 +133,7 @@
             cluster.start_all(service_type)
             await cluster.wait_loaded()
             # The nodes with disks enter the replica set in two steps.
-            await asyncio.sleep(20)
+            await asyncio.sleep(REPLICA_SET_SECONDS)
             await scenario(cluster)
             return cluster
 
