Let receivers' refusals end ownership; keep the lease in a class of its own

Cause: a node that alone is cut off from the key-value service could not learn of its successor before the service came back, and the manager still had two jobs. Measured: the cut-off owner gave one order under its old fence after the receiver had seen the newer one, refused; with the check off more than 100 were carried out out of turn (the test asserts both).

--- a/drumbay/bench/ownership_cluster.py
+++ b/drumbay/bench/ownership_cluster.py
@@ -58,12 +58,16 @@
         self._guard = guard
 
     def order(self, name: str, order: AcceptedOrder) -> None:
-        """Carry out an order, or count its refusal."""
+        """Carry out an order.
+
+        Raises:
+            StaleOwnerError: A newer fence was seen.
+        """
         try:
             self._guard.admit(name, order.fence)
         except StaleOwnerError:
             self.refused += 1
-            return
+            raise
         self.accepted.append(order)
 
 
@@ -73,12 +77,16 @@
     Attributes:
         host: The machine.
         manager: The manager of its running process.
+        store: The machine's way to the key-value service.
         changes: Every change that the managers of this machine announced.
     """
 
     def __init__(self, cluster: "OwnershipCluster", host: SimulatedHost) -> None:
         """Create a machine without process."""
         self.host = host
+        self.store = MemoryKeyValueStore(
+            cluster.model, cluster.model.clock, timeout_seconds=CLIENT_TIMEOUT_SECONDS
+        )
         self.changes: list[OwnershipChange] = []
         self._cluster = cluster
         self._boots = 0
@@ -93,12 +101,9 @@
         process = self.host.start()
         self._boots += 1
         cluster = self._cluster
-        store = MemoryKeyValueStore(
-            cluster.model, cluster.model.clock, timeout_seconds=CLIENT_TIMEOUT_SECONDS
-        )
         self.manager = OwnershipManager(
             self.host.clock(),
-            GatedKeyValueStore(process, store),
+            GatedKeyValueStore(process, self.store),
             self.node_id,
             TaskOwner(),
             random.Random(f"{cluster.seed} {self.host.name} {self._boots}"),
@@ -133,7 +138,10 @@
                 order = AcceptedOrder(
                     at_seconds=clock.monotonic(), node=self.host.name, fence=fence
                 )
-                receiver.order(name, order)
+                try:
+                    receiver.order(name, order)
+                except StaleOwnerError:
+                    await self.manager.report_refusal(name, fence)
             await clock.sleep(WRITE_INTERVAL_SECONDS - gap_seconds)
 
 
--- a/drumbay/kv/memory.py
+++ b/drumbay/kv/memory.py
@@ -29,7 +29,11 @@
 
 
 class MemoryKeyValueStore:
-    """A client of the model; it acts out the faults as a client would meet them."""
+    """A client of the model; it acts out the faults as a client would meet them.
+
+    Attributes:
+        reachable: Whether this client reaches the service; others may while it does not.
+    """
 
     def __init__(
         self,
@@ -45,6 +49,7 @@
             clock: The client's clock.
             timeout_seconds: How long the client waits for an answer.
         """
+        self.reachable = True
         self._model = model
         self._clock = clock
         self._timeout_seconds = timeout_seconds
@@ -80,20 +85,29 @@
         self, prefix: str, start_revision: Revision
     ) -> AsyncGenerator[WatchBatch, None]:
         """Yield the changes of ``prefix`` from ``start_revision`` on, until cancelled."""
-        self._model.injector.admit(self._model.now())
+        self._admit()
         async with aclosing(watch_model(self._model, prefix, start_revision)) as batches:
             async for batch in batches:
+                self._check_reachable()
                 yield batch
 
+    def _admit(self) -> None:
+        self._check_reachable()
+        self._model.injector.admit(self._model.now())
+
+    def _check_reachable(self) -> None:
+        if not self.reachable:
+            raise KeyValueUnavailableError("no route to the service")
+
     async def _read(self, operation: Callable[[], ResultT]) -> ResultT:
         try:
-            self._model.injector.admit(self._model.now())
+            self._admit()
             return await self._exchange(operation, WriteFate.ANSWERED)
         except DeadlineExceededError as error:
             raise KeyValueUnavailableError("no answer to a read") from error
 
     async def _write(self, operation: Callable[[], ResultT]) -> ResultT:
-        self._model.injector.admit(self._model.now())
+        self._admit()
         fate = self._model.injector.draw_write_fate()
         try:
             return await self._exchange(operation, fate)
--- a/drumbay/ownership/manager.py
+++ b/drumbay/ownership/manager.py
@@ -9,27 +9,11 @@
 from drumbay.exceptions import DeadlineExceededError
 from drumbay.identifiers import Fence, NodeId
 from drumbay.kv.backoff import Backoff
-from drumbay.kv.interface import (
-    KeyValueError,
-    KeyValueStore,
-    LeaseNotFoundError,
-)
+from drumbay.kv.interface import KeyValueError, KeyValueStore
 from drumbay.observability.logs import log_event
 from drumbay.ownership.campaign import CampaignOutcome, OwnershipKeys
-from drumbay.ownership.lease_state import (
-    Announce,
-    GrantLease,
-    KeyGone,
-    KeyWon,
-    LeaseDecision,
-    LeaseEvent,
-    LeaseGone,
-    LeaseHeld,
-    LeaseState,
-    RenewLease,
-    RequestFailed,
-    Tick,
-)
+from drumbay.ownership.lease_keeper import LeaseKeeper
+from drumbay.ownership.lease_state import KeyGone, KeyWon, LeaseGone, LeaseState
 from drumbay.ownership.placement import PlacementTable
 from drumbay.ownership.records import (
     ChangeReason,
@@ -42,11 +26,6 @@
 from drumbay.ownership.watcher import OwnershipWatcher
 from drumbay.tasks import TaskOwner
 
-MINIMUM_WAIT_SECONDS = 0.001
-
-SHORTEST_RENEW_SHARE = 0.8
-"""Shortest time between renewals, as a share of the longest."""
-
 ChangeListener = Callable[[OwnershipChange], None]
 
 
@@ -73,7 +52,8 @@
             node_id: This node.
             task_owner: Runs the manager's tasks.
             generator: Source of jitter.
-            live_members: Returns the nodes that are believed live, this one included.
+            live_members: Returns the nodes that are believed live, this one included, in
+                a stable order: another order makes every rank be worked out anew.
             parameters: Timing.
             lease_state: Decides about the lease; for tests.
         """
@@ -81,17 +61,27 @@
         self._clock = clock
         self._store = store
         self._task_owner = task_owner
-        self._generator = generator
         self._live_members = live_members
         self._keys = OwnershipKeys(store, node_id)
         self._placement = PlacementTable(node_id, self._parameters)
         self._state = lease_state or LeaseState(self._parameters)
         self._names: dict[str, None] = {}
         self._listeners: dict[ChangeListener, None] = {}
-        self._lease_backoff = self._make_backoff()
-        self._lease_wakeup = asyncio.Event()
-        self._campaign_backoff = self._make_backoff()
+        self._campaign_backoff = Backoff(
+            generator,
+            first_seconds=self._parameters.first_retry_seconds,
+            longest_seconds=self._parameters.longest_retry_seconds,
+        )
         self._campaign_wakeup = asyncio.Event()
+        self._keeper = LeaseKeeper(
+            clock,
+            store,
+            self._state,
+            generator,
+            self._parameters,
+            on_change=self._announce,
+            on_held=self._campaign_wakeup.set,
+        )
         self._view = OwnershipView()
         self._watcher = OwnershipWatcher(
             clock,
@@ -109,7 +99,7 @@
     def start(self) -> None:
         """Start to campaign and to keep the lease."""
         self._tasks = [
-            self._task_owner.spawn(self._run_lease(), "ownership-lease"),
+            self._task_owner.spawn(self._keeper.run(), "ownership-lease"),
             self._task_owner.spawn(self._run_campaigns(), "ownership-campaigns"),
             self._task_owner.spawn(self._watcher.run(), "ownership-watch"),
         ]
@@ -123,7 +113,7 @@
         self._names.clear()
         lease_id = self._state.lease_id
         for name, fence in self._state.holdings.items():
-            self._handle(KeyGone(name=name, fence=fence, reason=ChangeReason.RESIGNED))
+            self._keeper.handle(KeyGone(name=name, fence=fence, reason=ChangeReason.RESIGNED))
         if lease_id is None:
             return
         try:
@@ -142,8 +132,17 @@
         if fence is not None:
             await self._resign(name, fence)
 
+    async def report_refusal(self, name: str, fence: Fence) -> None:
+        """Stop owning a resource because a receiver has seen a newer fence than ``fence``.
+
+        A node that alone is cut off from the key-value service learns of its successor in
+        this way.
+        """
+        if self._state.fence(name) == fence:
+            await self._resign(name, fence, ChangeReason.SUPERSEDED)
+
     def add_listener(self, listener: ChangeListener) -> None:
-        """Call ``listener`` with each change of this node's standing for a resource."""
+        """Call ``listener``, which must not raise, with each change of this node's standing."""
         self._listeners[listener] = None
 
     def remove_listener(self, listener: ChangeListener) -> None:
@@ -193,57 +192,6 @@
         """
         return await self._keys.read(name)
 
-    async def _run_lease(self) -> None:
-        while True:
-            self._lease_wakeup.clear()
-            for request in self._handle(Tick()):
-                await self._request_lease(request)
-            await self._wait_for_lease_wakeup()
-
-    async def _wait_for_lease_wakeup(self) -> None:
-        wakeup_at = self._state.next_wakeup()
-        if wakeup_at is None:
-            await self._lease_wakeup.wait()
-            return
-        # NOTE: a timer may fire a little early; a shorter wait could then repeat for ever.
-        seconds = max(wakeup_at - self._clock.monotonic(), MINIMUM_WAIT_SECONDS)
-        with suppress(DeadlineExceededError):
-            await self._clock.wait_for(self._lease_wakeup.wait(), seconds)
-
-    async def _request_lease(self, decision: GrantLease | RenewLease) -> None:
-        # NOTE: the time must be taken before the request leaves; see lease_state.
-        sent_at = self._clock.monotonic()
-        try:
-            held = await self._grant_or_renew(decision, sent_at)
-        except LeaseNotFoundError:
-            assert isinstance(decision, RenewLease)
-            self._handle(LeaseGone(lease_id=decision.lease_id))
-            return
-        except KeyValueError as error:
-            log_event("ownership_lease_request_failed", level="WARNING", error=error.code)
-            delay_seconds = self._lease_backoff.next_delay_seconds()
-            self._handle(RequestFailed(sent_at=sent_at, retry_delay_seconds=delay_seconds))
-            return
-        self._lease_backoff.reset()
-        self._handle(held)
-        self._campaign_wakeup.set()
-
-    async def _grant_or_renew(self, decision: GrantLease | RenewLease, sent_at: float) -> LeaseHeld:
-        if isinstance(decision, GrantLease):
-            grant = await self._store.grant_lease(self._parameters.ttl_seconds)
-            lease_id, ttl_seconds = grant.lease_id, grant.ttl_seconds
-        else:
-            lease_id = decision.lease_id
-            ttl_seconds = await self._store.keep_lease_alive(lease_id)
-        # NOTE: without jitter, nodes that started together would renew together for ever.
-        jitter = self._generator.uniform(SHORTEST_RENEW_SHARE, 1.0)
-        return LeaseHeld(
-            lease_id=lease_id,
-            sent_at=sent_at,
-            ttl_seconds=ttl_seconds,
-            renew_delay_seconds=self._parameters.renew_interval_seconds * jitter,
-        )
-
     async def _run_campaigns(self) -> None:
         while True:
             self._campaign_wakeup.clear()
@@ -261,17 +209,16 @@
         self._placement.set_members(self._live_members())
         now = self._clock.monotonic()
         due = [name for name in self._names if self._is_campaign_due(name, now)]
-        self._state.want_lease(now, bool(due))
-        self._lease_wakeup.set()
+        self._keeper.want_lease(bool(due))
         for name in due:
             await self._campaign_once(name)
 
     def _is_campaign_due(self, name: str, now: float) -> bool:
-        delay_seconds = self._placement.campaign_delay_seconds(name)
         absent_seconds = self._view.absent_seconds(name, now)
-        if delay_seconds is None or absent_seconds is None:
+        if absent_seconds is None:
             return False
-        return absent_seconds >= delay_seconds
+        delay_seconds = self._placement.campaign_delay_seconds(name)
+        return delay_seconds is not None and absent_seconds >= delay_seconds
 
     async def _campaign_once(self, name: str) -> None:
         lease_id = self._state.lease_id
@@ -281,7 +228,7 @@
         result = await self._keys.create(name, lease_id)
         self._campaign_backoff.reset()
         if result.outcome is CampaignOutcome.LEASE_LOST:
-            self._handle(LeaseGone(lease_id=lease_id))
+            self._keeper.handle(LeaseGone(lease_id=lease_id))
         if result.owner is not None and self._view.observe(result.owner):
             self._observe_owner(result.owner)
 
@@ -297,51 +244,26 @@
             return
         if owner.name in self._names:
             won = KeyWon(name=owner.name, fence=owner.fence, lease_id=owner.lease_id)
-            self._handle(won)
+            self._keeper.handle(won)
             return
         # A campaign's request arrived after the node withdrew.
         self._task_owner.spawn(self._resign(owner.name, owner.fence), "ownership-resign")
 
     def _observe_removal(self, owner: OwnerRecord) -> None:
         removal = KeyGone(name=owner.name, fence=owner.fence, reason=ChangeReason.KEY_REMOVED)
-        self._handle(removal)
+        self._keeper.handle(removal)
         self._campaign_wakeup.set()
 
-    async def _resign(self, name: str, fence: Fence) -> None:
+    async def _resign(
+        self, name: str, fence: Fence, reason: ChangeReason = ChangeReason.RESIGNED
+    ) -> None:
         """Stop acting as owner, then remove the key."""
-        self._handle(KeyGone(name=name, fence=fence, reason=ChangeReason.RESIGNED))
+        self._keeper.handle(KeyGone(name=name, fence=fence, reason=reason))
         try:
             await self._keys.remove(name, fence)
         except KeyValueError as error:
             log_event("ownership_resign_failed", level="WARNING", resource=name, error=error.code)
 
-    def _handle(self, event: LeaseEvent) -> tuple[GrantLease | RenewLease, ...]:
-        """Pass an event to the lease state, announce changes, return the requests due."""
-        requests: list[GrantLease | RenewLease] = []
-        decisions: tuple[LeaseDecision, ...] = self._state.handle(self._clock.monotonic(), event)
-        for decision in decisions:
-            if isinstance(decision, Announce):
-                self._announce(decision.change)
-            else:
-                requests.append(decision)
-        if not isinstance(event, Tick):
-            self._lease_wakeup.set()
-        return tuple(requests)
-
     def _announce(self, change: OwnershipChange) -> None:
-        log_event(
-            "ownership_changed",
-            resource=change.name,
-            fence=int(change.fence),
-            standing=change.standing.value,
-            reason=change.reason.value,
-        )
         for listener in list(self._listeners):
             listener(change)
-
-    def _make_backoff(self) -> Backoff:
-        return Backoff(
-            self._generator,
-            first_seconds=self._parameters.first_retry_seconds,
-            longest_seconds=self._parameters.longest_retry_seconds,
-        )
--- a/drumbay/ownership/records.py
+++ b/drumbay/ownership/records.py
@@ -79,6 +79,7 @@
     LEASE_LOST = "lease_lost"
     KEY_REMOVED = "key_removed"
     RESIGNED = "resigned"
+    SUPERSEDED = "superseded"
 
 
 class OwnershipChange(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -86,6 +86,20 @@
     return receiver
 
 
+async def cut_owner_off(guard: FenceGuard) -> tuple[OrderReceiver, OwnershipNode]:
+    """Cut only the owner off from the key-value service for some minutes."""
+    cluster, owner, _ = await start_pair()
+    receiver = OrderReceiver(guard)
+    for node in cluster.nodes.values():
+        node.start_ordering(NAME, receiver, gap_seconds=0.5)
+    owner.store.reachable = False
+    await asyncio.sleep(180.0)
+    owner.store.reachable = True
+    await asyncio.sleep(10.0)
+    assert {order.node for order in receiver.accepted} == set(cluster.nodes)
+    return receiver, owner
+
+
 async def claim_under_faults(
     seed: int, make_state: Callable[[OwnershipParameters], LeaseState]
 ) -> tuple[OwnershipCluster, list[Claim]]:
@@ -122,6 +136,23 @@
         receiver = run_simulation(lambda: pause_owner_before_an_order(UncheckedFenceGuard()))
         self.assertEqual(len(find_orders_out_of_turn(receiver.accepted)), 1)
 
+    def test_owner_that_alone_is_cut_off_does_no_harm(self) -> None:
+        receiver, owner = run_simulation(lambda: cut_owner_off(FenceGuard()))
+        self.assertEqual(find_orders_out_of_turn(receiver.accepted), [])
+        self.assertEqual(receiver.refused, 1)
+        self.assertEqual(
+            standings(owner)[1:4],
+            [
+                (Standing.SUSPENDED, ChangeReason.VALIDITY_ENDED),
+                (Standing.UNCONFIRMED, ChangeReason.SERVICE_UNREACHABLE),
+                (Standing.NOT_HELD, ChangeReason.SUPERSEDED),
+            ],
+        )
+
+    def test_checker_reports_the_cut_off_owner_without_the_fence_check(self) -> None:
+        receiver, _ = run_simulation(lambda: cut_owner_off(UncheckedFenceGuard()))
+        self.assertGreater(len(find_orders_out_of_turn(receiver.accepted)), 100)
+
 
 class ClaimTest(unittest.TestCase):
     def test_claims_end_before_the_lease_does(self) -> None:
