--- a/drumbay/bench/subset_queueing.py
+++ b/drumbay/bench/subset_queueing.py
@@ -11,7 +11,6 @@
 import heapq
 import math
 import random as random_module
-from collections import OrderedDict
 from collections.abc import Sequence
 from enum import IntEnum
 from itertools import accumulate
@@ -19,10 +18,9 @@
 import msgspec
 import numpy as np
 
+from drumbay.bench.queueing_state import Job, OwnRecord, Worker
 from drumbay.bench.subset_graph import SubsetGraph
 
-_QUEUE_COMPACTION_LENGTH = 4096
-
 
 class QueueingSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Workload and knowledge of one simulation.
@@ -97,55 +95,6 @@
     REPORT = 2
 
 
-class _Job:
-    __slots__ = ("arrived_at", "node", "prefix", "started_at", "work_seconds")
-
-    def __init__(self, arrived_at: float, node: int, prefix: int, work_seconds: float) -> None:
-        self.arrived_at = arrived_at
-        self.node = node
-        self.prefix = prefix
-        self.work_seconds = work_seconds
-        self.started_at = -1.0
-
-
-class _Worker:
-    """True state of one worker, and the report the nodes hold of it."""
-
-    __slots__ = ("cache", "queue", "queue_head", "reported_at", "reported_load", "running")
-
-    def __init__(self) -> None:
-        self.running = 0
-        self.queue: list[_Job] = []
-        self.queue_head = 0
-        self.cache: OrderedDict[int, None] = OrderedDict()
-        self.reported_load = 0
-        self.reported_at = -1.0
-
-    @property
-    def waiting(self) -> int:
-        return len(self.queue) - self.queue_head
-
-
-class _OwnRecord:
-    """One node's own attempts on one worker: starts, and start and end of ended ones."""
-
-    __slots__ = ("ended", "report_seen", "starts")
-
-    def __init__(self) -> None:
-        self.starts: list[float] = []
-        self.ended: list[tuple[float, float]] = []
-        self.report_seen = -1.0
-
-    def correction(self, reported_at: float) -> int:
-        """Return what to add to a report: own starts less own ends since its moment."""
-        if self.report_seen != reported_at:
-            self.report_seen = reported_at
-            self.ended = [pair for pair in self.ended if pair[1] > reported_at]
-        started = sum(1 for started_at in self.starts if started_at > reported_at)
-        ended = sum(1 for started_at, _ in self.ended if started_at <= reported_at)
-        return started - ended
-
-
 class QueueingSimulation:
     """One run; :meth:`run` may be called once."""
 
@@ -160,8 +109,8 @@
         self._graph = graph
         self._settings = settings
         self._random = random
-        self._workers = [_Worker() for _ in range(graph.worker_count)]
-        self._own: dict[tuple[int, int], _OwnRecord] = {}
+        self._workers = [Worker() for _ in range(graph.worker_count)]
+        self._own: dict[tuple[int, int], OwnRecord] = {}
         self._holders: list[dict[int, float]] = [{} for _ in range(settings.prefix_count)]
         self._node_holders: dict[tuple[int, int], int] = {}
         self._set_members = [frozenset(workers) for workers in graph.worker_sets]
@@ -200,7 +149,7 @@
                 self._arrive(now)
                 self._push(now + self._random.expovariate(rate), _EventKind.ARRIVAL, 0, rate)
             elif kind == _EventKind.COMPLETION:
-                assert isinstance(payload, _Job)
+                assert isinstance(payload, Job)
                 self._complete(index, payload, now)
             else:
                 self._report(index, payload, now)
@@ -218,7 +167,7 @@
         )[0]
         mean_log = np.log(settings.mean_service_seconds) - settings.service_sigma**2 / 2
         work = self._random.lognormvariate(mean_log, settings.service_sigma)
-        job = _Job(now, node, prefix, work)
+        job = Job(now, node, prefix, work)
         chosen = self._choose(node, prefix, now)
         self._own_record(node, chosen).starts.append(now)
         self._node_holders[(node, prefix)] = chosen
@@ -270,15 +219,14 @@
         corrected = believed + record.correction(worker.reported_at)
         return max(len(record.starts), corrected)
 
-    def _own_record(self, node: int, index: int) -> _OwnRecord:
+    def _own_record(self, node: int, index: int) -> OwnRecord:
         record = self._own.get((node, index))
         if record is None:
-            record = self._own[(node, index)] = _OwnRecord()
+            record = self._own[(node, index)] = OwnRecord()
         return record
 
-    def _start(self, index: int, worker: _Worker, job: _Job, now: float) -> None:
+    def _start(self, index: int, worker: Worker, job: Job, now: float) -> None:
         worker.running += 1
-        job.started_at = now
         is_hit = job.prefix in worker.cache
         self._cache(index, worker, job.prefix, now)
         work = job.work_seconds
@@ -289,7 +237,7 @@
             self._hit_count += is_hit
         self._push(now + work, _EventKind.COMPLETION, index, job)
 
-    def _cache(self, index: int, worker: _Worker, prefix: int, now: float) -> None:
+    def _cache(self, index: int, worker: Worker, prefix: int, now: float) -> None:
         if prefix not in worker.cache:
             self._cache_event_count += 1
             if self._random.random() >= self._settings.cache_event_loss:
@@ -301,25 +249,20 @@
             self._holders[evicted].pop(index, None)
             self._cache_event_count += 1
 
-    def _complete(self, index: int, job: _Job, now: float) -> None:
+    def _complete(self, index: int, job: Job, now: float) -> None:
         worker = self._workers[index]
         worker.running -= 1
         record = self._own_record(job.node, index)
         record.starts.remove(job.arrived_at)
         record.ended.append((job.arrived_at, now))
-        if worker.waiting:
-            following = worker.queue[worker.queue_head]
-            worker.queue_head += 1
-            if worker.queue_head > _QUEUE_COMPACTION_LENGTH:
-                del worker.queue[: worker.queue_head]
-                worker.queue_head = 0
-            self._start(index, worker, following, now)
+        if worker.queue:
+            self._start(index, worker, worker.queue.popleft(), now)
 
     def _report(self, index: int, payload: object, now: float) -> None:
         worker = self._workers[index]
         settings = self._settings
         if payload is None:
-            observed = (worker.running + worker.waiting, now)
+            observed = (worker.running + len(worker.queue), now)
             self._push(now + settings.report_lag_seconds, _EventKind.REPORT, index, observed)
             self._push(now + settings.report_interval_seconds, _EventKind.REPORT, index, None)
             return
@@ -334,11 +277,11 @@
         pending = [
             self._end_at - job.arrived_at
             for worker in self._workers
-            for job in worker.queue[worker.queue_head :]
+            for job in worker.queue
             if job.arrived_at >= self._settings.warm_up_seconds
         ]
         delays = np.array(self._delays + pending)
-        backlog = sum(worker.waiting for worker in self._workers)
+        backlog = sum(len(worker.queue) for worker in self._workers)
         return QueueingResult(
             request_count=len(delays),
             delay_mean_seconds=float(delays.mean()),
--- a/drumbay/routing/engine_choice.py
+++ b/drumbay/routing/engine_choice.py
@@ -109,7 +109,7 @@
     reserved_priority: int = 1
     priority_waiting_weight: float = 0.25
     other_zone_cost: float = 1.0
-    prefix_affinity_gain: float = 4.0
+    prefix_affinity_gain: float = 2.0
     report_memory_services: float = 1.0
 
 
