Recover streams after a change of the replica set

Cause: an owner that finds its stream recovered in an earlier replica set refuses every request as not the owner, and nothing made it recover: the stream stood still until its lease was lost.

Change: DeliveryService.outdated_streams; StreamService polls it and takes such streams over again under the same fence. The epoch stands last in a ballot, with a default, so that other uses of ballots stay as they are.

--- a/drumbay/delivery/messages.py
+++ b/drumbay/delivery/messages.py
@@ -16,11 +16,11 @@
     """
 
     fence: Fence
-    epoch: Epoch
     boot_id: BootId
+    epoch: Epoch = Epoch(0)
 
 
-NO_BALLOT = Ballot(Fence(-1), Epoch(-1), BootId(""))
+NO_BALLOT = Ballot(Fence(-1), BootId(""))
 """Lower than every ballot of an owner."""
 
 
--- a/drumbay/delivery/service.py
+++ b/drumbay/delivery/service.py
@@ -104,6 +104,15 @@
         """Return the streams that this node believes to own."""
         return tuple(self._streams)
 
+    @property
+    def outdated_streams(self) -> tuple[StreamName, ...]:
+        """Return the owned streams whose log must be recovered from a new replica set."""
+        view = self._current_view()
+        if not view.members:
+            return ()
+        owned = self._streams.items()
+        return tuple(stream for stream, each in owned if each.view.epoch != view.epoch)
+
     def release(self, stream: StreamName) -> None:
         """Stop owning a stream, e.g. after its lease was lost; finished samples are dropped."""
         if self._streams.pop(stream, None) is not None:
@@ -118,7 +127,7 @@
         """
         self.release(stream)
         view = self._current_view()
-        ballot = Ballot(fence, view.epoch, self._boot_id)
+        ballot = Ballot(fence, self._boot_id, view.epoch)
         histories = await call_majority(
             self._tasks,
             view.members,
--- a/drumbay/node/streams.py
+++ b/drumbay/node/streams.py
@@ -24,6 +24,7 @@
 FORWARD_TIMEOUT_SECONDS = 10.0
 PULL_WAIT_SECONDS = 1.0
 TAKE_OVER_RETRY_SECONDS = 0.5
+REPLICA_SET_POLL_SECONDS = 0.5
 RESOURCE_PREFIX = "stream."
 
 ReplyT = TypeVar("ReplyT", bound=Message)
@@ -88,6 +89,7 @@
         self._transport.handle_calls(PullRequest, self._handle_pull)
         self._transport.handle_calls(CheckpointRequest, self._handle_checkpoint)
         self._ownership.add_listener(self._handle_ownership)
+        self._task_owner.spawn(self._follow_replica_set(), "stream-replica-set")
 
     def set_streams(self, streams: frozenset[StreamName]) -> None:
         """Campaign for the streams of the configuration in force."""
@@ -123,6 +125,16 @@
             self._worker.start_stream(stream, fence)
             return
 
+    async def _follow_replica_set(self) -> None:
+        """Recover the owned streams again after each change of the replica set."""
+        while True:
+            await self._clock.sleep(REPLICA_SET_POLL_SECONDS)
+            for stream in self._delivery.outdated_streams:
+                name = RESOURCE_PREFIX + stream
+                fence = self._ownership.fence_to_continue(name, self._clock.monotonic())
+                if fence is not None:
+                    await self._take_over(stream, fence)
+
     async def submit(self, request: SubmitStepRequest) -> NodeId:
         """Record a step; returns the owner.
 
--- a/tests/test_delivery_epochs.py
+++ b/tests/test_delivery_epochs.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections.abc import Callable
+from typing import cast
 
 from loguru import logger
 
@@ -13,7 +14,9 @@
 from drumbay.delivery.service import DeliveryService
 from drumbay.delivery.state_copy import StreamStateCopier
 from drumbay.delivery.transfer import StreamTransfer
-from drumbay.identifiers import Epoch, Fence
+from drumbay.identifiers import Epoch, Fence, NodeId, StreamName, WeightVersion
+from drumbay.node.streams import StreamService
+from drumbay.ownership.manager import OwnershipManager
 from drumbay.simulation.virtual_time import run_simulation
 from drumbay.storage.interface import StoreId
 from drumbay.storage.simulated_log import SimulatedLog
@@ -68,12 +71,15 @@
         members = tuple(member.address for member in current.members)
         return ReplicaView(epoch=current.epoch, members=members)
 
+    def delivery(self, node: Node) -> DeliveryService:
+        return DeliveryService(
+            node.transport, node.clock, node.owner, node.process.boot_id, lambda: self.view(node)
+        )
+
     async def pull_as_owner(self, name: str, fence: int) -> None:
         """Take the stream over at a node and hand out its first batch."""
         node = self.nodes[name]
-        owner = DeliveryService(
-            node.transport, node.clock, node.owner, node.process.boot_id, lambda: self.view(node)
-        )
+        owner = self.delivery(node)
 
         async def run() -> None:
             await owner.take_over(STREAM, Fence(fence))
@@ -84,6 +90,29 @@
         await node.process.spawn(run(), "owner")
 
 
+class HeldOwnership:
+    """Ownership of every stream under one fence, for good."""
+
+    def add_listener(self, _listener: object) -> None:
+        return
+
+    def fence_to_continue(self, _name: str, _now: float) -> Fence:
+        return Fence(1)
+
+
+class IdleWorker:
+    """Generates nothing."""
+
+    def start_stream(self, stream: StreamName, fence: Fence) -> None:
+        return
+
+    def stop_stream(self, stream: StreamName) -> None:
+        return
+
+    def observe_floor(self, stream: StreamName, oldest_version: WeightVersion) -> None:
+        return
+
+
 class StreamEpochTest(unittest.TestCase):
     def setUp(self) -> None:
         logger.disable("drumbay")
@@ -137,3 +166,39 @@
         self.assertEqual(self.run_world(world(True), lose_disk=True), ["refused"])
         without = self.run_world(world(False), lose_disk=True)
         self.assertIn("cursor changed its bytes", without)
+
+    def test_owner_recovers_its_streams_after_a_change(self) -> None:
+        async def main() -> None:
+            cluster = StreamWorld(copies_streams=True, follows_store=True, coordinate=True)
+            await cluster.start_all()
+            node = cluster.nodes["n1"]
+            owner = cluster.delivery(node)
+            service = StreamService(
+                clock=node.clock,
+                transport=node.transport,
+                node_id=NodeId("n1"),
+                ownership=cast(OwnershipManager, HeldOwnership()),
+                delivery=owner,
+                worker=IdleWorker(),
+                address_of=lambda _node_id: None,
+                task_owner=node.owner,
+            )
+
+            async def work() -> None:
+                service.start()
+                await owner.take_over(STREAM, Fence(1))
+                await owner.submit_step(STREAM, 0, prompts(4))
+                finish_missing(owner, 1, "first")
+                await cluster.trainer.pull(owner, 0, 0)
+                await cluster.kill("d1")
+                await node.clock.sleep(20.0)
+                finish_missing(owner, 1, "second")
+                await cluster.trainer.pull(owner, 0, 0)
+                await cluster.trainer.pull(owner, 1, 0)
+
+            await node.process.spawn(work(), "owner")
+            self.assertEqual(cluster.view(node).epoch, 2)
+            self.assertEqual([each.cursor for each in cluster.trainer.log], [0, 0, 1])
+            self.assertEqual(cluster.trainer.violations(), [])
+
+        run_simulation(main)
