Forecast the trainer's floor from its pulls

Cause: the scheduler's forecast now speaks of the step a trainer collects; the node gave it only the time between floor rises. Ruled out: asking the trainer for its schedule (pulls tell enough: one that pulled lately is collecting, else it trains). Change: TrainerView, fed by pulls and by the missing samples of the stream.

--- a/drumbay/node/rollouts.py
+++ b/drumbay/node/rollouts.py
@@ -1,7 +1,5 @@
 """Generates the samples of the streams that this node owns."""
 
-import math
-
 from drumbay.backends.interface import BackendAddress, EngineClient
 from drumbay.clock import Clock
 from drumbay.delivery.exceptions import NotOwnerError
@@ -17,8 +15,9 @@
 from drumbay.rollout.runner import RolloutRunner
 from drumbay.rollout.sample import Sample
 from drumbay.rollout.scheduler import RolloutScheduler
-from drumbay.rollout.staleness import FloorForecast
+from drumbay.rollout.trainer_view import TrainerView
 from drumbay.routing.directory import BackendDirectory
+from drumbay.routing.engine_choice import BackendView
 from drumbay.routing.selectors import MODEL_LABEL, LabelPredicate, compile_selector
 from drumbay.tasks import TaskOwner
 
@@ -30,12 +29,10 @@
 class _OwnedRollouts:
     """One owned stream: its policy, runner and what is known of its trainer and engines."""
 
-    def __init__(self, policy: WeightPolicy, runner: RolloutRunner, floor: WeightVersion) -> None:
+    def __init__(self, policy: WeightPolicy, runner: RolloutRunner, trainer: TrainerView) -> None:
         self.policy = policy
         self.runner = runner
-        self.floor = floor
-        self.floor_rose_at: float | None = None
-        self.rise_interval_seconds = math.inf
+        self.trainer = trainer
         self.engines: tuple[BackendId, ...] = ()
 
 
@@ -101,9 +98,8 @@
             on_finished=lambda sample: self._handle_finished(stream, sample),
             may_send=lambda: self._still_owns(stream, fence),
         )
-        floor = self._delivery.recorded_floor(stream)
-        self._owned[stream] = _OwnedRollouts(policy, runner, floor)
-        self._announce_floor(self._owned[stream])
+        trainer = TrainerView(self._delivery.recorded_floor(stream), self._clock.monotonic())
+        self._owned[stream] = _OwnedRollouts(policy, runner, trainer)
         runner.start()
         self._task_owner.spawn(self._follow_engines(stream), f"rollout-engines-{stream}")
         self.refresh(stream)
@@ -129,26 +125,13 @@
         )
 
     def observe_floor(self, stream: StreamName, oldest_version: WeightVersion) -> None:
-        """Take note of the oldest version that the trainer now accepts."""
+        """Take note of a pull and of the oldest version that the trainer now accepts."""
         owned = self._owned.get(stream)
-        if owned is None or oldest_version <= owned.floor:
+        if owned is None:
             return
         now = self._clock.monotonic()
-        if owned.floor_rose_at is not None:
-            owned.rise_interval_seconds = now - owned.floor_rose_at
-        owned.floor_rose_at = now
-        owned.floor = oldest_version
-        self._announce_floor(owned)
-
-    def _announce_floor(self, owned: _OwnedRollouts) -> None:
-        rose_at = owned.floor_rose_at
-        interval = owned.rise_interval_seconds
-        forecast = FloorForecast(
-            accepted=owned.floor,
-            next_rise_at=math.inf if rose_at is None else rose_at + interval,
-            rise_interval_seconds=interval,
-        )
-        owned.runner.handle(FloorChanged(forecast=forecast))
+        if owned.trainer.observe_pull(oldest_version, now):
+            owned.runner.handle(FloorChanged(forecast=owned.trainer.forecast(now)))
 
     def _address_of(self, backend_id: BackendId) -> BackendAddress | None:
         return self._directory.address(backend_id)
@@ -180,7 +163,10 @@
         """Tell the runner which engines may be used, while the stream is owned."""
         owned = self._owned.get(stream)
         while owned is not None and self._owned.get(stream) is owned:
-            self._report_engines(stream, owned)
+            try:
+                self._report_engines(stream, owned)
+            except NotOwnerError:
+                self.stop_stream(stream)
             await self._clock.sleep(ENGINE_REFRESH_SECONDS)
 
     def _report_engines(self, stream: StreamName, owned: _OwnedRollouts) -> None:
@@ -199,6 +185,7 @@
             if backend_id not in usable:
                 owned.runner.handle(EngineLost(backend_id=backend_id))
         owned.engines = usable
+        self._report_trainer(stream, owned, views)
         for view in views:
             owned.runner.handle(
                 EngineReported(
@@ -208,3 +195,12 @@
                     other_load=view.own_outstanding,
                 )
             )
+
+    def _report_trainer(
+        self, stream: StreamName, owned: _OwnedRollouts, views: list[BackendView]
+    ) -> None:
+        now = self._clock.monotonic()
+        versions = [view.weight_version for view in views if view.weight_version is not None]
+        steps = [sample.key.step for sample in self._delivery.missing(stream)]
+        owned.trainer.observe_work(min(steps, default=0), max(versions, default=WeightVersion(0)))
+        owned.runner.handle(FloorChanged(forecast=owned.trainer.forecast(now)))
