--- a/drumbay/bench/weights.py
+++ b/drumbay/bench/weights.py
@@ -16,6 +16,7 @@
 from drumbay.identifiers import Fence
 from drumbay.simulation.virtual_time import run_simulation
 from drumbay.standins.engine_parameters import EngineParameters
+from drumbay.standins.faults import FaultCommand, FaultKind
 from drumbay.standins.weight_store_model import WeightStoreParameters
 
 ENGINE_COUNT = 700
@@ -27,6 +28,9 @@
 HIGHEST_RATE_BYTES_PER_SECOND = 640e9
 SEARCH_STEPS = 7
 RUN_LIMIT_SECONDS = 120.0
+FAILING_SHARES = (0.0, 0.02, 0.1)
+FAILURE_LOADS = 256
+FAILURE_RATE_BYTES_PER_SECOND = 60e9
 OWNER_WARM_UP_SECONDS = 10.0
 
 
@@ -37,6 +41,7 @@
         engines: Engines of the model.
         max_concurrent_loads: Most engines that read from the store at once.
         bytes_per_second: Rate of the store, shared by all readers.
+        failing_share: Share of the engines whose first swap fails.
         seconds: From the publication until every engine truly serves the version;
             ``None`` if it took longer than the run's limit.
         most_busy: Most engines that worked on orders at once.
@@ -46,6 +51,7 @@
     engines: int
     max_concurrent_loads: int
     bytes_per_second: float
+    failing_share: float
     seconds: float | None
     most_busy: int
     simulation_processor_seconds: float
@@ -73,6 +79,7 @@
         min_serving_share: Share of engines that keeps serving.
         lowest_possible_bytes_per_second: All bytes over the whole limit.
         required: Result for each number of concurrent loads.
+        with_failures: Rollouts in which some engines' first swap fails.
     """
 
     engines: int
@@ -81,10 +88,14 @@
     min_serving_share: float
     lowest_possible_bytes_per_second: float
     required: tuple[RequiredRate, ...]
+    with_failures: tuple[RolloutMeasurement, ...]
 
 
 def measure_rollout(
-    engine_count: int, max_concurrent_loads: int, bytes_per_second: float
+    engine_count: int,
+    max_concurrent_loads: int,
+    bytes_per_second: float,
+    failing_share: float = 0.0,
 ) -> RolloutMeasurement:
     """Roll one version out on virtual time."""
 
@@ -101,6 +112,8 @@
         node = cluster.add_node("owner")
         node.lease_fence = Fence(1)
         await asyncio.sleep(OWNER_WARM_UP_SECONDS)
+        for engine in cluster.engines[: round(failing_share * engine_count)]:
+            engine.faults.apply(FaultCommand(fault=FaultKind.SWAP_FAILS, count=1))
         started = time.process_time()
         cluster.publish(2, node)
         seconds: float | None
@@ -112,6 +125,7 @@
             engines=engine_count,
             max_concurrent_loads=max_concurrent_loads,
             bytes_per_second=bytes_per_second,
+            failing_share=failing_share,
             seconds=seconds,
             most_busy=cluster.most_busy(),
             simulation_processor_seconds=time.process_time() - started,
@@ -153,6 +167,10 @@
         min_serving_share=MIN_SERVING_SHARE,
         lowest_possible_bytes_per_second=engine_count * VERSION_BYTES / TIME_LIMIT_SECONDS,
         required=tuple(_search(engine_count, loads) for loads in concurrent_loads),
+        with_failures=tuple(
+            measure_rollout(engine_count, FAILURE_LOADS, FAILURE_RATE_BYTES_PER_SECOND, share)
+            for share in FAILING_SHARES
+        ),
     )
 
 
