--- a/tests/test_claims_cluster.py
+++ b/tests/test_claims_cluster.py
@@ -196,6 +196,16 @@
 
         self.run_world(scenario, disk_nodes=4, executions=2)
 
+    def test_node_started_in_an_outage_learns_the_set_from_others(self) -> None:
+        async def scenario(world: World) -> None:
+            world.kv.set_faults(KeyValueFaults(outage=True))
+            for name in ("n1", "d1", "d2"):
+                await world.restart(name)
+            await world.clock.sleep(5.0)
+            self.assert_answered(await world.call("n1", KEY), replayed=False)
+
+        self.run_world(scenario)
+
     def test_interrupted_change_is_finished_by_another_coordinator(self) -> None:
         async def scenario(world: World) -> None:
             await world.call("n1", KEY, "broken")
@@ -235,6 +245,21 @@
 
         self.run_world(scenario)
 
+    def test_store_emptied_under_a_running_process_does_not_come_back(self) -> None:
+        async def scenario(world: World) -> None:
+            await world.call("n1", KEY, "broken")
+            world.disks["d1"].full = True
+            await world.call("n1", "other")
+            world.disks["d1"].records.clear()
+            world.disks["d1"].full = False
+            await world.clock.sleep(20.0)
+            replica_set = world.replica_set()
+            assert replica_set is not None
+            self.assertEqual([each.node_id for each in replica_set.members], ["d2", "d3", "d4"])
+            self.assert_failed(await world.call("n2", KEY), ClaimFailure.IN_PROGRESS)
+
+        self.run_world(scenario, disk_nodes=4, executions=2)
+
     def test_snapshot_drops_garbage_and_keeps_the_state(self) -> None:
         async def scenario(world: World) -> None:
             with patch("drumbay.claims.store.MIN_RECORDS_BEFORE_SNAPSHOT", 20):
