Forecast what a trainer will accept from its pulls

Cause: the scheduler's forecast counts the trainer's batches, and the node fed it seconds between rises of the floor, which the trainer itself stretches by waiting.

Change: TrainerProgress (pure) follows pulls and delivered samples; the node's rollout supervisor uses it. DeliveryService.progress says how far a stream has come.

Interface change: RolloutSupervisor keeps a TrainerProgress per stream in place of the time of the last rise.

--- a/drumbay/delivery/service.py
+++ b/drumbay/delivery/service.py
@@ -55,6 +55,19 @@
     max_open_steps: int | None = None
 
 
+class StreamProgress(msgspec.Struct, frozen=True, kw_only=True):
+    """How far a stream has come.
+
+    Attributes:
+        delivered_samples: Samples in batches since this node took the stream over or since
+            the snapshot it started from; only differences mean anything.
+        outstanding_steps: Steps of the samples in no batch, in ascending order.
+    """
+
+    delivered_samples: int
+    outstanding_steps: tuple[int, ...]
+
+
 class OwnedStream:
     """An owner and the lock that keeps its proposals one at a time."""
 
@@ -210,6 +223,18 @@
         """
         return self._owned(stream).owner.missing()
 
+    def progress(self, stream: StreamName) -> StreamProgress:
+        """Return how far a stream has come.
+
+        Raises:
+            NotOwnerError: This node does not own the stream.
+        """
+        state = self._owned(stream).owner.state
+        return StreamProgress(
+            delivered_samples=state.delivered_samples,
+            outstanding_steps=tuple(sorted(key.step for key in state.outstanding)),
+        )
+
     async def pull(
         self,
         stream: StreamName,
--- a/drumbay/delivery/stream_state.py
+++ b/drumbay/delivery/stream_state.py
@@ -28,6 +28,8 @@
         self.outstanding = {held.key: held for held in start.outstanding}
         self.batches: dict[Cursor, Batch] = {}
         self.batch_positions: dict[Cursor, int] = {}
+        # NOTE: counts from the snapshot on; only differences mean anything.
+        self.delivered_samples = 0
         self.refused: dict[Cursor, None] = dict.fromkeys(start.refused)
 
     def apply(self, entry: LogEntry) -> None:
@@ -59,6 +61,7 @@
             raise LogInvariantError(f"batch {batch.cursor} chosen after {self.next_cursor}")
         for sample in batch.samples:
             self.outstanding.pop(sample.key, None)
+        self.delivered_samples += len(batch.samples)
         self.batches[batch.cursor] = batch
         self.batch_positions[batch.cursor] = self.next_position
         self.next_cursor = Cursor(batch.cursor + 1)
--- a/drumbay/node/rollouts.py
+++ b/drumbay/node/rollouts.py
@@ -1,7 +1,5 @@
 """Generates the samples of the streams that this node owns."""
 
-import math
-
 from drumbay.backends.interface import BackendAddress, EngineClient
 from drumbay.clock import Clock
 from drumbay.delivery.exceptions import NotOwnerError
@@ -18,6 +16,7 @@
 from drumbay.rollout.sample import Sample
 from drumbay.rollout.scheduler import RolloutScheduler
 from drumbay.rollout.staleness import FloorForecast
+from drumbay.rollout.trainer_progress import TrainerProgress
 from drumbay.routing.directory import BackendDirectory
 from drumbay.routing.selectors import MODEL_LABEL, LabelPredicate, compile_selector
 from drumbay.tasks import TaskOwner
@@ -33,9 +32,10 @@
     def __init__(self, policy: WeightPolicy, runner: RolloutRunner, floor: WeightVersion) -> None:
         self.policy = policy
         self.runner = runner
-        self.floor = floor
-        self.floor_rose_at: float | None = None
-        self.rise_interval_seconds = math.inf
+        self.progress = TrainerProgress(
+            policy.max_staleness_versions, policy.samples_per_step, floor
+        )
+        self.forecast: FloorForecast | None = None
         self.engines: tuple[BackendId, ...] = ()
 
 
@@ -103,7 +103,7 @@
         )
         floor = self._delivery.recorded_floor(stream)
         self._owned[stream] = _OwnedRollouts(policy, runner, floor)
-        self._announce_floor(self._owned[stream])
+        self._announce_floor(stream, self._owned[stream])
         runner.start()
         self._task_owner.spawn(self._follow_engines(stream), f"rollout-engines-{stream}")
         self.refresh(stream)
@@ -131,24 +131,28 @@
     def observe_floor(self, stream: StreamName, oldest_version: WeightVersion) -> None:
         """Take note of the oldest version that the trainer now accepts."""
         owned = self._owned.get(stream)
-        if owned is None or oldest_version <= owned.floor:
+        if owned is None:
+            return
+        try:
+            delivered = self._delivery.progress(stream).delivered_samples
+        except NotOwnerError:
+            return
+        owned.progress.observe_pull(oldest_version, delivered, self._clock.monotonic())
+        self._announce_floor(stream, owned)
+
+    def _announce_floor(self, stream: StreamName, owned: _OwnedRollouts) -> None:
+        """Give the scheduler a forecast, if it differs from the last one."""
+        try:
+            progress = self._delivery.progress(stream)
+        except NotOwnerError:
             return
         now = self._clock.monotonic()
-        if owned.floor_rose_at is not None:
-            owned.rise_interval_seconds = now - owned.floor_rose_at
-        owned.floor_rose_at = now
-        owned.floor = oldest_version
-        self._announce_floor(owned)
-
-    def _announce_floor(self, owned: _OwnedRollouts) -> None:
-        rose_at = owned.floor_rose_at
-        interval = owned.rise_interval_seconds
-        forecast = FloorForecast(
-            accepted=owned.floor,
-            next_rise_at=math.inf if rose_at is None else rose_at + interval,
-            rise_interval_seconds=interval,
+        forecast = owned.progress.forecast(
+            progress.delivered_samples, progress.outstanding_steps, now
         )
-        owned.runner.handle(FloorChanged(forecast=forecast))
+        if forecast.differs_from(owned.forecast):
+            owned.forecast = forecast
+            owned.runner.handle(FloorChanged(forecast=forecast))
 
     def _address_of(self, backend_id: BackendId) -> BackendAddress | None:
         return self._directory.address(backend_id)
@@ -180,6 +184,7 @@
         """Tell the runner which engines may be used, while the stream is owned."""
         owned = self._owned.get(stream)
         while owned is not None and self._owned.get(stream) is owned:
+            self._announce_floor(stream, owned)
             self._report_engines(stream, owned)
             await self._clock.sleep(ENGINE_REFRESH_SECONDS)
 
--- a/drumbay/rollout/staleness.py
+++ b/drumbay/rollout/staleness.py
@@ -42,6 +42,12 @@
     interval_seconds: float = 60.0
     deferrable_steps: int = 0
 
+    def differs_from(self, other: "FloorForecast | None") -> bool:
+        """Return whether decisions may differ from those under another forecast."""
+        if other is None:
+            return True
+        return msgspec.structs.replace(other, next_collection_at=self.next_collection_at) != self
+
     def accepted_when_taken(self, step: int, finish_at: float) -> WeightVersion:
         """Return the oldest version accepted when a sample is expected to be taken."""
         batches = max(0, step - self.next_step)
