--- a/drumbay/node/rollouts.py
+++ b/drumbay/node/rollouts.py
@@ -15,9 +15,9 @@
 from drumbay.rollout.runner import RolloutRunner
 from drumbay.rollout.sample import Sample
 from drumbay.rollout.scheduler import RolloutScheduler
-from drumbay.rollout.trainer_view import TrainerView
+from drumbay.rollout.staleness import FloorForecast
+from drumbay.rollout.trainer_progress import TrainerProgress
 from drumbay.routing.directory import BackendDirectory
-from drumbay.routing.engine_choice import BackendView
 from drumbay.routing.selectors import MODEL_LABEL, LabelPredicate, compile_selector
 from drumbay.tasks import TaskOwner
 
@@ -29,10 +29,13 @@
 class _OwnedRollouts:
     """One owned stream: its policy, runner and what is known of its trainer and engines."""
 
-    def __init__(self, policy: WeightPolicy, runner: RolloutRunner, trainer: TrainerView) -> None:
+    def __init__(self, policy: WeightPolicy, runner: RolloutRunner, floor: WeightVersion) -> None:
         self.policy = policy
         self.runner = runner
-        self.trainer = trainer
+        self.progress = TrainerProgress(
+            policy.max_staleness_versions, policy.samples_per_step, floor
+        )
+        self.forecast: FloorForecast | None = None
         self.engines: tuple[BackendId, ...] = ()
 
 
@@ -98,8 +101,9 @@
             on_finished=lambda sample: self._handle_finished(stream, sample),
             may_send=lambda: self._still_owns(stream, fence),
         )
-        trainer = TrainerView(self._delivery.recorded_floor(stream), self._clock.monotonic())
-        self._owned[stream] = _OwnedRollouts(policy, runner, trainer)
+        floor = self._delivery.recorded_floor(stream)
+        self._owned[stream] = _OwnedRollouts(policy, runner, floor)
+        self._announce_floor(stream, self._owned[stream])
         runner.start()
         self._task_owner.spawn(self._follow_engines(stream), f"rollout-engines-{stream}")
         self.refresh(stream)
@@ -125,13 +129,30 @@
         )
 
     def observe_floor(self, stream: StreamName, oldest_version: WeightVersion) -> None:
-        """Take note of a pull and of the oldest version that the trainer now accepts."""
+        """Take note of the oldest version that the trainer now accepts."""
         owned = self._owned.get(stream)
         if owned is None:
             return
+        try:
+            delivered = self._delivery.progress(stream).delivered_samples
+        except NotOwnerError:
+            return
+        owned.progress.observe_pull(oldest_version, delivered, self._clock.monotonic())
+        self._announce_floor(stream, owned)
+
+    def _announce_floor(self, stream: StreamName, owned: _OwnedRollouts) -> None:
+        """Give the scheduler a forecast, if it differs from the last one."""
+        try:
+            progress = self._delivery.progress(stream)
+        except NotOwnerError:
+            return
         now = self._clock.monotonic()
-        if owned.trainer.observe_pull(oldest_version, now):
-            owned.runner.handle(FloorChanged(forecast=owned.trainer.forecast(now)))
+        forecast = owned.progress.forecast(
+            progress.delivered_samples, progress.outstanding_steps, now
+        )
+        if forecast.differs_from(owned.forecast):
+            owned.forecast = forecast
+            owned.runner.handle(FloorChanged(forecast=forecast))
 
     def _address_of(self, backend_id: BackendId) -> BackendAddress | None:
         return self._directory.address(backend_id)
@@ -163,10 +184,8 @@
         """Tell the runner which engines may be used, while the stream is owned."""
         owned = self._owned.get(stream)
         while owned is not None and self._owned.get(stream) is owned:
-            try:
-                self._report_engines(stream, owned)
-            except NotOwnerError:
-                self.stop_stream(stream)
+            self._announce_floor(stream, owned)
+            self._report_engines(stream, owned)
             await self._clock.sleep(ENGINE_REFRESH_SECONDS)
 
     def _report_engines(self, stream: StreamName, owned: _OwnedRollouts) -> None:
@@ -185,7 +204,6 @@
             if backend_id not in usable:
                 owned.runner.handle(EngineLost(backend_id=backend_id))
         owned.engines = usable
-        self._report_trainer(stream, owned, views)
         for view in views:
             owned.runner.handle(
                 EngineReported(
@@ -195,12 +213,3 @@
                     other_load=view.own_outstanding,
                 )
             )
-
-    def _report_trainer(
-        self, stream: StreamName, owned: _OwnedRollouts, views: list[BackendView]
-    ) -> None:
-        now = self._clock.monotonic()
-        versions = [view.weight_version for view in views if view.weight_version is not None]
-        steps = [sample.key.step for sample in self._delivery.missing(stream)]
-        owned.trainer.observe_work(min(steps, default=0), max(versions, default=WeightVersion(0)))
-        owned.runner.handle(FloorChanged(forecast=owned.trainer.forecast(now)))
