Let a planned stop wait for dispatches whose callers have gone

Cause: a caller that goes away leaves the gate, while its unrepeatable request is still being dispatched in a task of the claim service. A planned stop that saw an empty gate would cut it off, and its key would stay unknown for the whole retention.

Change: ClaimService.dispatches_under_way; Node.drain waits until it is 0. ClaimPolicy has a module of its own.

Conclusion: tests.test_claims_cluster checks the count while a caller is gone and after; no test at the level of the node covers the wait.

--- a/drumbay/claims/service.py
+++ b/drumbay/claims/service.py
@@ -15,6 +15,7 @@
 from drumbay.claims.claimant import Claimant, ClaimResult, DispatchPermitted, GaveUp
 from drumbay.claims.messages import ReleaseClaim, StoreAnswer
 from drumbay.claims.outcomes import ClaimAnswered, ClaimFailed, ClaimFailure, ClaimOutcome
+from drumbay.claims.policy import ClaimPolicy
 from drumbay.claims.propagation import Propagator, ReplicaSetView
 from drumbay.claims.records import AnsweredClaim, Claim, StoredAnswer
 from drumbay.claims.replica_set import ReplicaSet
@@ -30,27 +31,6 @@
 _VIEW_POLL_SECONDS = 0.05
 
 
-class ClaimPolicy(msgspec.Struct, frozen=True, kw_only=True):
-    """Time limits of a dispatcher.
-
-    Attributes:
-        vote_timeout_seconds: Limit of one round of votes.
-        claim_timeout_seconds: Limit of all rounds, and of the wait for an epoch change.
-        max_claim_age_seconds: A claim older than this is not dispatched. It must be far
-            below the retention of the replicas.
-        store_timeout_seconds: How long an answer waits to be stored on a majority.
-        retry_after_seconds: What callers are told to wait.
-        max_rounds: Attempts of one call to win the key.
-    """
-
-    vote_timeout_seconds: float = 0.5
-    claim_timeout_seconds: float = 2.0
-    max_claim_age_seconds: float = 10.0
-    store_timeout_seconds: float = 0.5
-    retry_after_seconds: float = 1.0
-    max_rounds: int = 3
-
-
 def _is_usable(replica_set: ReplicaSet, stale_epoch: Epoch) -> bool:
     """Return whether claims may be made in a replica set."""
     return replica_set.is_active and replica_set.epoch > stale_epoch
@@ -100,6 +80,7 @@
         self._task_owner = task_owner
         self._policy = policy or ClaimPolicy()
         self._attempts_made = 0
+        self._dispatches_under_way = 0
         self._propagator = Propagator(
             clock=clock,
             transport=transport,
@@ -109,6 +90,15 @@
             call_timeout_seconds=self._policy.vote_timeout_seconds,
         )
 
+    @property
+    def dispatches_under_way(self) -> int:
+        """Return the dispatches not yet answered and stored, those of gone callers included.
+
+        A planned stop waits until there is none: one that is cut off stays unknown for the
+        whole retention.
+        """
+        return self._dispatches_under_way
+
     async def run_once(
         self, key: IdempotencyKey, digest: bytes, dispatch: Dispatch
     ) -> ClaimOutcome:
@@ -225,9 +215,14 @@
     async def _run_dispatch(self, attempt: _Attempt, dispatch: Dispatch) -> ClaimOutcome:
         """Dispatch in a task of the service, which outlives a caller that goes away."""
         task = self._task_owner.spawn(self._dispatch(attempt, dispatch), "claim-dispatch")
+        self._dispatches_under_way += 1
+        task.add_done_callback(self._note_dispatch_end)
         outcome: ClaimOutcome = await asyncio.shield(task)
         return outcome
 
+    def _note_dispatch_end(self, _task: asyncio.Task[ClaimOutcome]) -> None:
+        self._dispatches_under_way -= 1
+
     async def _dispatch(self, attempt: _Attempt, dispatch: Dispatch) -> ClaimOutcome:
         if self._age_seconds(attempt) > self._policy.max_claim_age_seconds:
             self._release(attempt)
--- a/drumbay/node/node.py
+++ b/drumbay/node/node.py
@@ -148,7 +148,7 @@
 
     def _make_request_services(self) -> RequestServices:
         environment = self._environment
-        claims = ClaimService(
+        self._claims = ClaimService(
             clock=self._clock,
             transport=environment.transport,
             node_id=self._node_id,
@@ -164,7 +164,7 @@
             application_client=environment.application_client,
             directory=self._directory,
             recorder=self._recorder,
-            once=ClaimedOnceRunner(claims),
+            once=ClaimedOnceRunner(self._claims),
             random=environment.random,
         )
 
@@ -211,7 +211,8 @@
         """Refuse new requests and wait until those in flight have ended."""
         self._requests.gate.is_stopping = True
         log_event("node_draining", node_id=self._node_id, in_flight=self._requests.gate.in_flight)
-        while self._requests.gate.in_flight > 0:
+        # A caller that went away leaves the gate, while its unrepeatable request goes on.
+        while self._requests.gate.in_flight > 0 or self._claims.dispatches_under_way > 0:
             await self._clock.sleep(DRAIN_POLL_SECONDS)
 
     async def stop(self) -> None:
--- a/tests/claims_world.py
+++ b/tests/claims_world.py
@@ -12,6 +12,7 @@
 )
 from drumbay.claims.acceptor import Acceptor
 from drumbay.claims.outcomes import ClaimAnswered, ClaimFailed, ClaimOutcome
+from drumbay.claims.policy import ClaimPolicy
 from drumbay.claims.reconfigurator import Reconfigurator, ReplicaCandidate
 from drumbay.claims.record_table import TableLimits
 from drumbay.claims.records import StoredAnswer
@@ -26,7 +27,7 @@
     encode_replica_set,
 )
 from drumbay.claims.replica_set_watcher import ReplicaSetWatcher
-from drumbay.claims.service import ClaimPolicy, ClaimService, Dispatch
+from drumbay.claims.service import ClaimService, Dispatch
 from drumbay.claims.state_copy import EpochStatePart
 from drumbay.comm.interface import Address, Transport
 from drumbay.exceptions import Execution
--- a/tests/test_claims_cluster.py
+++ b/tests/test_claims_cluster.py
@@ -76,8 +76,10 @@
     def test_caller_that_goes_away_finds_its_answer_later(self) -> None:
         async def scenario(world: World) -> None:
             self.assertIsNone(await world.call("n1", KEY, delay=1.0, patience=0.1))
+            self.assertEqual(world.nodes["n1"].service.dispatches_under_way, 1)
             self.assert_failed(await world.call("n2", KEY), ClaimFailure.IN_PROGRESS)
             await world.clock.sleep(2.0)
+            self.assertEqual(world.nodes["n1"].service.dispatches_under_way, 0)
             self.assert_answered(await world.call("n2", KEY), replayed=True)
 
         self.run_world(scenario)
--- a/tests/test_claims_scenarios.py
+++ b/tests/test_claims_scenarios.py
@@ -11,12 +11,13 @@
 from drumbay.claims.claimant import Claimant
 from drumbay.claims.messages import ClaimKey, ClaimRejection, ReleaseClaim
 from drumbay.claims.outcomes import ClaimAnswered, ClaimFailed, ClaimFailure
+from drumbay.claims.policy import ClaimPolicy
 from drumbay.claims.reconfigurator import Reconfigurator
 from drumbay.claims.record_table import TableLimits
 from drumbay.claims.records import Claim
 from drumbay.claims.replica import ClaimReplica
 from drumbay.claims.replica_set import ReplicaMember, ReplicaSet
-from drumbay.claims.service import ClaimPolicy, ClaimService
+from drumbay.claims.service import ClaimService
 from drumbay.comm.interface import Message
 from drumbay.simulation.latency import LatencyModel
 from drumbay.simulation.virtual_time import run_simulation
