--- a/tests/claims_world.py
+++ b/tests/claims_world.py
@@ -12,6 +12,7 @@
 )
 from drumbay.claims.acceptor import Acceptor
 from drumbay.claims.outcomes import ClaimAnswered, ClaimFailed, ClaimOutcome
+from drumbay.claims.policy import ClaimPolicy
 from drumbay.claims.reconfigurator import Reconfigurator, ReplicaCandidate
 from drumbay.claims.record_table import TableLimits
 from drumbay.claims.records import StoredAnswer
@@ -26,8 +27,9 @@
     encode_replica_set,
 )
 from drumbay.claims.replica_set_watcher import ReplicaSetWatcher
-from drumbay.claims.service import ClaimPolicy, ClaimService, Dispatch
-from drumbay.comm.interface import Address
+from drumbay.claims.service import ClaimService, Dispatch
+from drumbay.claims.state_copy import EpochStatePart
+from drumbay.comm.interface import Address, Transport
 from drumbay.exceptions import Execution
 from drumbay.identifiers import AttemptId, IdempotencyKey, NodeId
 from drumbay.kv.interface import Put
@@ -100,8 +102,15 @@
         node_id = NodeId(host.name)
         random = Random(f"{world.settings.seed} {self.process.boot_id}")
         transport = SimulatedTransport(world.network, host.address, self.process)
+        self.transport = transport
         store = GatedKeyValueStore(self.process, MemoryKeyValueStore(world.kv, world.clock))
-        self.watcher = ReplicaSetWatcher(clock=clock, key_value_store=store, random=random)
+        self.watcher = ReplicaSetWatcher(
+            clock=clock,
+            transport=transport,
+            key_value_store=store,
+            random=random,
+            peers=lambda: tuple(each.address for each in world.hosts.values() if each != host),
+        )
         self.view = self.watcher.replica_set
         self.service = world.classes.service(
             clock=clock,
@@ -146,6 +155,7 @@
             watcher=self.watcher,
             candidates=world.candidates,
             policy=world.settings.replacement,
+            other_parts=world.other_parts(transport),
         )
         if world.settings.coordinate:
             self.process.spawn(self.reconfigurator.run(), "reconfigure")
@@ -187,6 +197,10 @@
             for name in self.disks
         )
 
+    def other_parts(self, transport: Transport) -> tuple[EpochStatePart, ...]:
+        """Return what epoch changes copy beside the claims."""
+        return ()
+
     def start(self, name: str) -> None:
         self.nodes[name] = Node(self, self.hosts[name])
 
