Introduce boots whose clock is wrong, so that their datagrams are heard

Cause: datagrams of a machine whose clock is more than a minute off were taken for replays by every node that did not know its boot, so the membership held it for dead.

Ruled out: dropping the age check (a restarted receiver would take in what its former boot has handled); a wider window (only moves the limit).

Test: clocks two hours apart, datagrams never arrive with introductions off and do with them on.

--- a/drumbay/comm/authentication.py
+++ b/drumbay/comm/authentication.py
@@ -11,7 +11,8 @@
 (as IPsec does, RFC 4303, section 3.4.3). The wall clock matters only for the first frame of a
 boot that the receiver does not know, and for frames with lower counters than that: they must be
 recent, and not older than the receiver itself, which bounds what can be replayed to a process
-that has restarted and forgotten its windows.
+that has restarted and forgotten its windows. A boot that fails this is asked over a connection
+(see :mod:`drumbay.comm.introduction`).
 """
 
 import hashlib
@@ -51,6 +52,12 @@
     code = "replayed_frame"
 
 
+class UnfamiliarBootError(FrameError):
+    """A datagram of an unknown boot is too old, or too far in the future, to be taken in."""
+
+    code = "unfamiliar_boot"
+
+
 class TooManySendersError(FrameError):
     """More boots are in use than the receiver keeps windows for."""
 
@@ -116,6 +123,11 @@
         self._clock = clock
         self._counter = 0
 
+    @property
+    def counter(self) -> int:
+        """Return the counter of the last frame."""
+        return self._counter
+
     def seal(self, destination: str, payload: bytes) -> bytes:
         """Return a frame for ``destination`` that carries ``payload``."""
         self._counter += 1
@@ -237,6 +249,7 @@
             InvalidFrameError: The bytes are not a sealed frame.
             BadTagError: The tag does not fit.
             ReplayedFrameError: The frame was seen before or is too old to tell.
+            UnfamiliarBootError: The boot is not known and the frame's time is no proof.
             TooManySendersError: The sender is new and the table of senders is full.
         """
         verified = _verify(self._key, destination, frame)
@@ -247,30 +260,43 @@
         window.last_used_seconds = self._clock.monotonic()
         return OpenedFrame(boot_id=header.boot_id, payload=verified.payload)
 
+    def admit(self, boot_id: BootId, counter: int) -> None:
+        """Take in frames of a boot after ``counter``, whatever its clock says.
+
+        Raises:
+            TooManySendersError: The table of senders is full.
+        """
+        if boot_id not in self._windows:
+            self._add_window(boot_id, counter + 1)
+
     def _window_of(self, header: FrameHeader) -> ReplayWindow:
         window = self._windows.get(header.boot_id)
-        if window is not None and header.counter >= window.first_counter:
-            return window
+        if window is None:
+            if not self._is_recent(header):
+                raise UnfamiliarBootError(f"boot {header.boot_id} is not known")
+            return self._add_window(header.boot_id, header.counter)
         # NOTE: frames below the first one may be from before this process started: the boot
         # is known, but whether a former boot of this receiver took them in is not.
-        self._check_age(header)
-        if window is not None:
-            return window
+        if header.counter < window.first_counter and not self._is_recent(header):
+            raise ReplayedFrameError(f"counter {header.counter} is older than this process")
+        return window
+
+    def _add_window(self, boot_id: BootId, first_counter: int) -> ReplayWindow:
         if len(self._windows) >= MAX_SENDERS:
             self._forget_idle_senders()
         if len(self._windows) >= MAX_SENDERS:
             raise TooManySendersError(f"{MAX_SENDERS} senders are in use")
-        window = ReplayWindow(header.counter)
-        self._windows[header.boot_id] = window
+        window = ReplayWindow(first_counter)
+        window.last_used_seconds = self._clock.monotonic()
+        self._windows[boot_id] = window
         return window
 
-    def _check_age(self, header: FrameHeader) -> None:
+    def _is_recent(self, header: FrameHeader) -> bool:
+        """Return whether a frame is about as old as it says, and younger than this process."""
         age_seconds = self._clock.wall() - header.wall_seconds
-        if abs(age_seconds) > FIRST_FRAME_MAX_AGE_SECONDS:
-            raise ReplayedFrameError(f"frame of a boot not met before is {age_seconds:.1f} s old")
         oldest_seconds = self._started_wall_seconds - CLOCK_SKEW_ALLOWANCE_SECONDS
-        if header.wall_seconds < oldest_seconds:
-            raise ReplayedFrameError("frame of a boot not met before is older than this process")
+        is_in_time = abs(age_seconds) <= FIRST_FRAME_MAX_AGE_SECONDS
+        return is_in_time and header.wall_seconds >= oldest_seconds
 
     def _forget_idle_senders(self) -> None:
         """Drop windows idle for so long that a replay would fail the age check.
--- a/drumbay/comm/tornado_transport.py
+++ b/drumbay/comm/tornado_transport.py
@@ -7,6 +7,7 @@
 from tornado.netutil import bind_sockets
 
 from drumbay.clock import Clock
+from drumbay.comm.authentication import UnfamiliarBootError
 from drumbay.comm.call_server import CallServer
 from drumbay.comm.codec import (
     MAX_DATAGRAM_BYTES,
@@ -26,6 +27,11 @@
     PeerUnreachableError,
     TransportError,
 )
+from drumbay.comm.introduction import (
+    INTRODUCTION_TIMEOUT_SECONDS,
+    BootQuestion,
+    Introductions,
+)
 from drumbay.comm.peer_connection import PeerConnection
 from drumbay.comm.session import TransportSession, destination_of
 from drumbay.identifiers import BootId
@@ -97,6 +103,8 @@
         self._datagram_endpoint: asyncio.DatagramTransport | None = None
         self._connections: dict[Address, PeerConnection] = {}
         self._closed = False
+        self._introductions = Introductions(self._session, self._ask_for_introduction)
+        self.handle_calls(BootQuestion, self._introductions.answer)
 
     @property
     def address(self) -> Address:
@@ -175,6 +183,9 @@
             raise PeerUnreachableError("the transport is closed")
         return await self._connection_to(peer).call(request, timeout_seconds)
 
+    async def _ask_for_introduction(self, peer: Address, question: Message) -> Message:
+        return await self.call(peer, question, timeout_seconds=INTRODUCTION_TIMEOUT_SECONDS)
+
     def _connection_to(self, peer: Address) -> PeerConnection:
         connection = self._connections.pop(peer, None)
         if connection is None:
@@ -219,6 +230,10 @@
             if handler is None:
                 return
             message = self._session.registry.decode(envelope)
+        except UnfamiliarBootError as error:
+            self._session.note_refusal(sender, error)
+            self._introductions.request(sender)
+            return
         except FrameError as error:
             self._session.note_refusal(sender, error)
             return
--- a/tests/test_comm_transport.py
+++ b/tests/test_comm_transport.py
@@ -30,6 +30,7 @@
     ReplyLostError,
     Transport,
 )
+from drumbay.comm.introduction import Introductions
 from drumbay.comm.tornado_transport import ListenError, TornadoTransport
 from drumbay.exceptions import ConfigurationError
 from drumbay.tasks import TaskOwner
@@ -246,6 +247,24 @@
         reply = await client.call(server.address, request, timeout_seconds=LONG_SECONDS)
         self.assertEqual(reply, EchoReply(number=1))
 
+    async def datagram_over_different_clocks(self, attempts: int) -> bool:
+        """Send a datagram again and again; return whether one has arrived after introduction."""
+        server, client = await self.start_transport(), await self.start_transport(skew=-7200.0)
+        arrived = asyncio.Event()
+        server.handle_datagrams(EchoDatagram, lambda sender, message: arrived.set())
+        for _ in range(attempts):
+            client.send_datagram(server.address, EchoDatagram(body=b""))
+            if arrived.is_set():
+                break
+            await asyncio.sleep(0.05)
+        self.assertGreater(server.refusal_counts["unfamiliar_boot"], 0)
+        return arrived.is_set()
+
+    async def test_machines_with_different_clocks_hear_each_others_datagrams(self) -> None:
+        with unittest.mock.patch.object(Introductions, "request", lambda *arguments: None):
+            self.assertFalse(await self.datagram_over_different_clocks(attempts=20))
+        self.assertTrue(await self.datagram_over_different_clocks(attempts=400))
+
     async def test_peer_that_is_no_node_is_unreachable(self) -> None:
         async def greet(stream: IOStream) -> None:
             await stream.write(b"220 mail.example ESMTP\r\n")
