--- a/tests/test_membership_bench.py
+++ b/tests/test_membership_bench.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from drumbay.bench.membership import run_membership_bench
+from drumbay.bench.membership_memory import measure_bytes_per_member
 from drumbay.bench.transport import run_transport_bench
 
 
@@ -21,3 +22,9 @@
     def test_all_calls_are_counted(self) -> None:
         report = run_transport_bench(call_count=40, concurrency=4, body_bytes=10)
         self.assertEqual((report.call_count, report.concurrency), (40, 4))
+
+
+class MembershipMemoryTest(unittest.TestCase):
+    def test_memory_grows_with_the_members_alone(self) -> None:
+        small, large = measure_bytes_per_member(200), measure_bytes_per_member(800)
+        self.assertLess(abs(large - small) / small, 0.25)
