Give each recovery of a stream its own ballot and move logs to new replica sets

Cause: two recoveries of one owner under one fence may read different majorities and propose different entries at one position under one ballot; a replica that held the first one granted the second without storing it, so a majority was counted that did not exist, and a later owner could hand out other bytes. Found by review; the random histories take a new fence for each recovery and could not show it.

Change: ballots carry a recovery number, and an acceptor never grants another entry under the ballot it holds. A gap in the recovered log is an error instead of an entry without effect. The owner's side of the log moved out of service.py.

--- a/drumbay/delivery/acceptor.py
+++ b/drumbay/delivery/acceptor.py
@@ -18,7 +18,7 @@
     StreamTrimRequest,
 )
 
-MAX_PAGE_BYTES = 4 * 1024 * 1024
+MAX_PAGE_BYTES = 1024 * 1024
 """A promise reply ends its page with the entry that passes this size."""
 
 DEFAULT_MAX_RETAINED_BYTES = 512 * 1024 * 1024
@@ -113,7 +113,8 @@
             return self._refusal()
         held = self.accepted.get(request.position)
         if held is not None and held.ballot == request.ballot:
-            return self._grant()
+            # NOTE: one ballot has one entry at a position; another one is never granted.
+            return self._grant() if held.entry == request.entry else self._refusal()
         if request.position < self.below_position:
             # NOTE: trimmed positions were chosen; accepting one again changes nothing.
             return self._grant()
--- a/drumbay/delivery/log_entries.py
+++ b/drumbay/delivery/log_entries.py
@@ -38,11 +38,7 @@
     replacements: tuple[OutstandingSample, ...]
 
 
-class NoOperation(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Fills a position that no owner is known to have used."""
-
-
-LogEntry = StepSubmitted | BatchFixed | BatchRefused | NoOperation
+LogEntry = StepSubmitted | BatchFixed | BatchRefused
 
 
 class StreamSnapshot(msgspec.Struct, frozen=True, kw_only=True):
--- a/drumbay/delivery/messages.py
+++ b/drumbay/delivery/messages.py
@@ -7,14 +7,22 @@
 
 
 class Ballot(msgspec.Struct, frozen=True, order=True):
-    """Number of one ownership of a stream, as a Paxos ballot.
+    """Number of one recovery of a stream's log, as a Paxos ballot.
 
     The fence of the ownership lease orders ballots. The boot identity keeps two ballots
-    apart even if the key-value service ever granted one fence twice.
+    apart even if the key-value service ever granted one fence twice, and the recovery
+    number keeps two recoveries of one owner apart: they may read different majorities and
+    so propose different entries at a position, which one ballot must never do.
+
+    Attributes:
+        fence: Fence of the ownership lease.
+        boot_id: Run of the owner's process.
+        recovery: Number of the recovery in that run.
     """
 
     fence: Fence
     boot_id: BootId
+    recovery: int = 0
 
 
 NO_BALLOT = Ballot(Fence(-1), BootId(""))
--- a/drumbay/delivery/recovery.py
+++ b/drumbay/delivery/recovery.py
@@ -8,12 +8,8 @@
 
 import msgspec
 
-from drumbay.delivery.log_entries import (
-    NoOperation,
-    StreamSnapshot,
-    decode_snapshot,
-    encode_entry,
-)
+from drumbay.delivery.exceptions import LogInvariantError
+from drumbay.delivery.log_entries import StreamSnapshot, decode_snapshot
 from drumbay.delivery.messages import AcceptedEntry
 
 
@@ -40,8 +36,11 @@
     """Combine the histories of a majority.
 
     A snapshot holds only chosen entries, so the one that reaches furthest replaces the
-    entries below it. A position that no history holds was not chosen; it gets an entry
-    without effect.
+    entries below it. Owners propose one entry at a time, so a majority that holds a later
+    position holds all earlier ones too.
+
+    Raises:
+        LogInvariantError: A position is missing, as after replicas lost their disks.
     """
     newest = StreamSnapshot()
     highest: dict[int, AcceptedEntry] = {}
@@ -54,8 +53,9 @@
             if held is None or entry.ballot > held.ballot:
                 highest[entry.position] = entry
     end = max(highest, default=-1) + 1
-    entries = [
-        highest[position].entry if position in highest else encode_entry(NoOperation())
-        for position in range(newest.next_position, end)
-    ]
-    return RecoveredLog(snapshot=newest, entries=tuple(entries))
+    positions = range(newest.next_position, end)
+    missing = [position for position in positions if position not in highest]
+    if missing:
+        raise LogInvariantError(f"no replica holds position {missing[0]} of {end}")
+    entries = tuple(highest[position].entry for position in positions)
+    return RecoveredLog(snapshot=newest, entries=entries)
--- /dev/null
+++ b/drumbay/delivery/replicated_log.py
@@ -0,0 +1,195 @@
+"""Shell of an owner's side of a stream's replicated log."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from drumbay.comm.interface import Address, Message, Transport
+from drumbay.delivery.log_entries import (
+    LogEntry,
+    StreamSnapshot,
+    decode_entry,
+    encode_entry,
+    encode_snapshot,
+)
+from drumbay.delivery.messages import (
+    AcceptedEntry,
+    Ballot,
+    StreamAcceptRequest,
+    StreamConfirmRequest,
+    StreamPromiseReply,
+    StreamPromiseRequest,
+    StreamTrimRequest,
+)
+from drumbay.delivery.quorum import ReplicaView, call_majority, granted_or_none
+from drumbay.delivery.recovery import ReplicaHistory, recover_log
+from drumbay.delivery.stream_owner import DEFAULT_TRIM_MARGIN, StreamOwner
+from drumbay.identifiers import BootId, Fence, StreamName
+from drumbay.observability.logs import log_event
+from drumbay.tasks import TaskOwner
+
+
+class DeliveryParameters(msgspec.Struct, frozen=True, kw_only=True):
+    """Timing and retention of the delivery service.
+
+    Attributes:
+        call_timeout_seconds: Time limit of one call to a replica.
+        pull_poll_seconds: Time between looks at the finished samples during a pull.
+        trim_margin: Batches kept below the trainer's checkpointed cursor.
+        max_open_steps: Newest steps that may be unfinished when a batch is composed.
+    """
+
+    call_timeout_seconds: float = 1.0
+    pull_poll_seconds: float = 0.02
+    trim_margin: int = DEFAULT_TRIM_MARGIN
+    max_open_steps: int | None = None
+
+
+class OwnedStream:
+    """An owner and the lock that keeps its proposals one at a time."""
+
+    def __init__(self, owner: StreamOwner, view: ReplicaView) -> None:
+        """Hold an owner whose log was recovered from ``view``."""
+        self.owner = owner
+        self.view = view
+        self.lock = asyncio.Lock()
+
+    @property
+    def stream(self) -> StreamName:
+        """Return the name of the stream."""
+        return self.owner.stream
+
+
+class ReplicatedLog:
+    """Recovers streams from their replicas and has entries accepted by a majority."""
+
+    def __init__(
+        self,
+        transport: Transport,
+        tasks: TaskOwner,
+        boot_id: BootId,
+        current_view: Callable[[], ReplicaView],
+        parameters: DeliveryParameters,
+    ) -> None:
+        """Create the owner's side; see :class:`~drumbay.delivery.service.DeliveryService`."""
+        self._transport = transport
+        self._tasks = tasks
+        self._boot_id = boot_id
+        self._current_view = current_view
+        self._parameters = parameters
+        self._recoveries = 0
+
+    async def recover(self, stream: StreamName, fence: Fence) -> OwnedStream:
+        """Read the log from a majority and have a majority accept it under a new ballot.
+
+        Raises:
+            OwnerDeposedError: A newer owner exists.
+            QuorumUnavailableError: No majority of the replicas answered.
+            LogInvariantError: The replicas' logs contradict each other.
+        """
+        view = self._current_view()
+        self._recoveries += 1
+        ballot = Ballot(fence, self._boot_id, self._recoveries)
+        histories = await call_majority(
+            self._tasks,
+            view.members,
+            lambda member: self._promise_history(member, stream, view, ballot),
+        )
+        recovered = recover_log(histories)
+        owner = StreamOwner(
+            stream,
+            ballot,
+            recovered.snapshot,
+            trim_margin=self._parameters.trim_margin,
+            max_open_steps=self._parameters.max_open_steps,
+        )
+        owned = OwnedStream(owner, view)
+        if recovered.snapshot.next_position > 0:
+            # NOTE: a new member of the replica set has no snapshot yet.
+            await self.trim(owned, recovered.snapshot)
+        for encoded in recovered.entries:
+            await self.propose(owned, decode_entry(encoded))
+        log_event(
+            "stream_recovered",
+            stream=stream,
+            fence=fence,
+            epoch=view.epoch,
+            next_cursor=owner.state.next_cursor,
+            entries=len(recovered.entries),
+        )
+        return owned
+
+    async def propose(self, owned: OwnedStream, entry: LogEntry) -> None:
+        """Have a majority accept an entry at the next position, and apply it.
+
+        Raises:
+            OwnerDeposedError: A newer owner exists.
+            QuorumUnavailableError: The entry may be accepted; it stays ``unresolved``.
+        """
+        owned.owner.unresolved = entry
+        request = StreamAcceptRequest(
+            stream=owned.stream,
+            epoch=owned.view.epoch,
+            ballot=owned.owner.ballot,
+            position=owned.owner.state.next_position,
+            entry=encode_entry(entry),
+        )
+        await self._call_majority(owned, request)
+        owned.owner.choose(entry)
+
+    async def confirm(self, owned: OwnedStream) -> None:
+        """Check with a majority that no newer owner exists.
+
+        As the read index of Raft (Ongaro, 2014, section 6.4): an owner that was paused and
+        replaced must not serve a batch that its successor has refused.
+        """
+        request = StreamConfirmRequest(
+            stream=owned.stream, epoch=owned.view.epoch, ballot=owned.owner.ballot
+        )
+        await self._call_majority(owned, request)
+
+    async def trim(self, owned: OwnedStream, snapshot: StreamSnapshot) -> None:
+        """Have a majority replace the entries below a snapshot by it.
+
+        Raises:
+            OwnerDeposedError: A newer owner exists.
+            QuorumUnavailableError: Some replicas may not have trimmed.
+        """
+        request = StreamTrimRequest(
+            stream=owned.stream,
+            epoch=owned.view.epoch,
+            ballot=owned.owner.ballot,
+            below_position=snapshot.next_position,
+            snapshot=encode_snapshot(snapshot),
+        )
+        await self._call_majority(owned, request)
+
+    async def _promise_history(
+        self, member: Address, stream: StreamName, view: ReplicaView, ballot: Ballot
+    ) -> ReplicaHistory | None:
+        """Read all pages of one replica; ``None`` if it refused."""
+        snapshot: bytes | None = None
+        entries: list[AcceptedEntry] = []
+        from_position: int | None = 0
+        while from_position is not None:
+            request = StreamPromiseRequest(
+                stream=stream, epoch=view.epoch, ballot=ballot, from_position=from_position
+            )
+            reply = granted_or_none(await self._call(member, request))
+            if not isinstance(reply, StreamPromiseReply):
+                return None
+            snapshot = snapshot if reply.snapshot is None else reply.snapshot
+            entries.extend(reply.entries)
+            from_position = reply.next_position
+        return ReplicaHistory(snapshot=snapshot, entries=tuple(entries))
+
+    async def _call(self, member: Address, request: Message) -> Message:
+        timeout_seconds = self._parameters.call_timeout_seconds
+        return await self._transport.call(member, request, timeout_seconds=timeout_seconds)
+
+    async def _call_majority(self, owned: OwnedStream, request: Message) -> None:
+        async def call(member: Address) -> object | None:
+            return granted_or_none(await self._call(member, request))
+
+        await call_majority(self._tasks, owned.view.members, call)
--- a/drumbay/delivery/service.py
+++ b/drumbay/delivery/service.py
@@ -1,12 +1,12 @@
 """Shell of the stream owners of one node."""
 
-import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
+from contextlib import asynccontextmanager
 
 import msgspec
 
 from drumbay.clock import Clock
-from drumbay.comm.interface import Address, Message, Transport
+from drumbay.comm.interface import Transport
 from drumbay.delivery.batch import Batch, OutstandingSample
 from drumbay.delivery.exceptions import (
     NothingReadyError,
@@ -14,24 +14,12 @@
     OwnerDeposedError,
     StaleBatchError,
 )
-from drumbay.delivery.log_entries import LogEntry, decode_entry, encode_entry, encode_snapshot
-from drumbay.delivery.messages import (
-    AcceptedEntry,
-    Ballot,
-    StreamAcceptRequest,
-    StreamConfirmRequest,
-    StreamPromiseReply,
-    StreamPromiseRequest,
-    StreamTrimRequest,
-)
-from drumbay.delivery.quorum import ReplicaView, call_majority, granted_or_none
-from drumbay.delivery.recovery import ReplicaHistory, recover_log
+from drumbay.delivery.quorum import ReplicaView
+from drumbay.delivery.replicated_log import DeliveryParameters, OwnedStream, ReplicatedLog
 from drumbay.delivery.stream_owner import (
-    DEFAULT_TRIM_MARGIN,
     FixBatch,
     HandOut,
     RefuseBatch,
-    StreamOwner,
 )
 from drumbay.identifiers import BootId, Cursor, Fence, StreamName, WeightVersion
 from drumbay.observability.logs import log_event
@@ -39,22 +27,6 @@
 from drumbay.tasks import TaskOwner
 
 
-class DeliveryParameters(msgspec.Struct, frozen=True, kw_only=True):
-    """Timing and retention of the delivery service.
-
-    Attributes:
-        call_timeout_seconds: Time limit of one call to a replica.
-        pull_poll_seconds: Time between looks at the finished samples during a pull.
-        trim_margin: Batches kept below the trainer's checkpointed cursor.
-        max_open_steps: Newest steps that may be unfinished when a batch is composed.
-    """
-
-    call_timeout_seconds: float = 1.0
-    pull_poll_seconds: float = 0.02
-    trim_margin: int = DEFAULT_TRIM_MARGIN
-    max_open_steps: int | None = None
-
-
 class StreamProgress(msgspec.Struct, frozen=True, kw_only=True):
     """How far a stream has come.
 
@@ -68,16 +40,6 @@
     outstanding_steps: tuple[int, ...]
 
 
-class OwnedStream:
-    """An owner and the lock that keeps its proposals one at a time."""
-
-    def __init__(self, owner: StreamOwner, view: ReplicaView) -> None:
-        """Hold an owner whose log was recovered from ``view``."""
-        self.owner = owner
-        self.view = view
-        self.lock = asyncio.Lock()
-
-
 class DeliveryService:
     """Hands batches of the streams that this node owns to their trainers."""
 
@@ -91,6 +53,7 @@
         *,
         on_work_changed: Callable[[StreamName], None] | None = None,
         parameters: DeliveryParameters | None = None,
+        log_type: type[ReplicatedLog] = ReplicatedLog,
     ) -> None:
         """Create a service that owns no stream.
 
@@ -102,15 +65,14 @@
             current_view: Replica set configuration in force.
             on_work_changed: Called when ``missing`` of a stream may have changed.
             parameters: Timing and retention.
+            log_type: The owner's side of the replicated log.
         """
-        self._transport = transport
         self._clock = clock
-        self._tasks = tasks
-        self._boot_id = boot_id
         self._current_view = current_view
         self._on_work_changed = on_work_changed or (lambda stream: None)
         self._parameters = parameters or DeliveryParameters()
         self._streams: dict[StreamName, OwnedStream] = {}
+        self._log = log_type(transport, tasks, boot_id, current_view, self._parameters)
 
     @property
     def owned_streams(self) -> tuple[StreamName, ...]:
@@ -128,58 +90,43 @@
         Raises:
             OwnerDeposedError: A newer owner exists.
             QuorumUnavailableError: No majority of the replicas answered.
+            LogInvariantError: The replicas' logs contradict each other.
         """
         self.release(stream)
-        view = self._current_view()
-        ballot = Ballot(fence, self._boot_id)
-        histories = await call_majority(
-            self._tasks,
-            view.members,
-            lambda member: self._promise_history(member, stream, view, ballot),
-        )
-        recovered = recover_log(histories)
-        owner = StreamOwner(
-            stream,
-            ballot,
-            recovered.snapshot,
-            trim_margin=self._parameters.trim_margin,
-            max_open_steps=self._parameters.max_open_steps,
-        )
-        owned = OwnedStream(owner, view)
-        for encoded in recovered.entries:
-            await self._propose(owned, decode_entry(encoded))
-        self._streams[stream] = owned
-        log_event(
-            "stream_taken_over",
-            stream=stream,
-            fence=fence,
-            next_cursor=owner.state.next_cursor,
-            entries=len(recovered.entries),
-        )
+        self._streams[stream] = await self._log.recover(stream, fence)
         self._on_work_changed(stream)
 
-    async def _promise_history(
-        self, member: Address, stream: StreamName, view: ReplicaView, ballot: Ballot
-    ) -> ReplicaHistory | None:
-        """Read all pages of one replica; ``None`` if it refused."""
-        snapshot: bytes | None = None
-        entries: list[AcceptedEntry] = []
-        from_position: int | None = 0
-        while from_position is not None:
-            request = StreamPromiseRequest(
-                stream=stream, epoch=view.epoch, ballot=ballot, from_position=from_position
-            )
-            reply = granted_or_none(await self._call(member, request))
-            if not isinstance(reply, StreamPromiseReply):
-                return None
-            snapshot = snapshot if reply.snapshot is None else reply.snapshot
-            entries.extend(reply.entries)
-            from_position = reply.next_position
-        return ReplicaHistory(snapshot=snapshot, entries=tuple(entries))
-
-    async def _call(self, member: Address, request: Message) -> Message:
-        timeout_seconds = self._parameters.call_timeout_seconds
-        return await self._transport.call(member, request, timeout_seconds=timeout_seconds)
+    async def _recover_again(self, owned: OwnedStream) -> None:
+        """Recover from the replica set in force, which is another than before.
+
+        The stream stays owned, with its finished samples, if that does not succeed yet.
+        """
+        renewed = await self._log.recover(owned.stream, owned.owner.ballot.fence)
+        for sample in owned.owner.ready.values():
+            renewed.owner.add_sample(sample)
+        if self._streams.get(owned.stream) is owned:
+            self._streams[owned.stream] = renewed
+
+    @asynccontextmanager
+    async def _exclusive(self, stream: StreamName) -> AsyncIterator[OwnedStream]:
+        """Hold an owned stream whose replica set is in force and whose log is resolved."""
+        while True:
+            owned = self._owned(stream)
+            async with owned.lock:
+                if self._streams.get(stream) is not owned:
+                    continue
+                try:
+                    if owned.view.epoch != self._current_view().epoch:
+                        await self._recover_again(owned)
+                        continue
+                    if owned.owner.unresolved is not None:
+                        await self._log.propose(owned, owned.owner.unresolved)
+                    yield owned
+                except OwnerDeposedError:
+                    if self._streams.get(stream) is owned:
+                        self.release(stream)
+                    raise
+                return
 
     async def submit_step(
         self, stream: StreamName, step: int, prompts: Iterable[RolloutPrompt]
@@ -191,12 +138,10 @@
             StepOutOfOrderError: An earlier step was not submitted.
             QuorumUnavailableError: The step may be recorded; submit it again.
         """
-        owned = self._owned(stream)
-        async with owned.lock:
-            await self._resolve(owned)
+        async with self._exclusive(stream) as owned:
             entry = owned.owner.decide_submit(step, prompts)
             if entry is not None:
-                await self._propose(owned, entry)
+                await self._log.propose(owned, entry)
         self._on_work_changed(stream)
 
     def add_sample(self, stream: StreamName, sample: Sample) -> bool:
@@ -282,9 +227,7 @@
         oldest_version: WeightVersion,
         min_samples: int,
     ) -> Batch:
-        owned = self._owned(stream)
-        async with owned.lock:
-            await self._resolve(owned)
+        async with self._exclusive(stream) as owned:
             if owned.owner.drop_stale(oldest_version):
                 self._on_work_changed(stream)
             decision = owned.owner.decide_pull(
@@ -292,13 +235,13 @@
             )
             match decision:
                 case HandOut(batch=batch):
-                    await self._confirm(owned)
+                    await self._log.confirm(owned)
                     return batch
                 case FixBatch(entry=fixed):
-                    await self._propose(owned, fixed)
+                    await self._log.propose(owned, fixed)
                     return fixed.batch
                 case RefuseBatch(entry=refused):
-                    await self._propose(owned, refused)
+                    await self._log.propose(owned, refused)
                     self._log_refusal(stream, cursor, oldest_version)
                     raise StaleBatchError(f"batch {cursor} is older than {oldest_version}")
 
@@ -315,64 +258,13 @@
             NotOwnerError: This node does not own the stream.
             QuorumUnavailableError: Some replicas may not have trimmed; a later call will.
         """
-        owned = self._owned(stream)
-        async with owned.lock:
+        async with self._exclusive(stream) as owned:
             trim = owned.owner.decide_trim(cursor)
-            if trim is None:
-                return
-            request = StreamTrimRequest(
-                stream=stream,
-                epoch=owned.view.epoch,
-                ballot=owned.owner.ballot,
-                below_position=trim.below_position,
-                snapshot=encode_snapshot(trim.snapshot),
-            )
-            await self._call_majority(owned, request)
-
-    async def _confirm(self, owned: OwnedStream) -> None:
-        """Check with a majority that no newer owner exists.
-
-        As the read index of Raft (Ongaro, 2014, section 6.4): an owner that was paused and
-        replaced must not serve a batch that its successor has refused.
-        """
-        request = StreamConfirmRequest(
-            stream=owned.owner.stream, epoch=owned.view.epoch, ballot=owned.owner.ballot
-        )
-        await self._call_majority(owned, request)
-
-    async def _resolve(self, owned: OwnedStream) -> None:
-        """Propose again the entry whose fate is unknown, if any."""
-        if owned.owner.unresolved is not None:
-            await self._propose(owned, owned.owner.unresolved)
-
-    async def _propose(self, owned: OwnedStream, entry: LogEntry) -> None:
-        owned.owner.unresolved = entry
-        request = StreamAcceptRequest(
-            stream=owned.owner.stream,
-            epoch=owned.view.epoch,
-            ballot=owned.owner.ballot,
-            position=owned.owner.state.next_position,
-            entry=encode_entry(entry),
-        )
-        await self._call_majority(owned, request)
-        owned.owner.choose(entry)
-
-    async def _call_majority(self, owned: OwnedStream, request: Message) -> None:
-        async def call(member: Address) -> object | None:
-            return granted_or_none(await self._call(member, request))
-
-        try:
-            await call_majority(self._tasks, owned.view.members, call)
-        except OwnerDeposedError:
-            if self._streams.get(owned.owner.stream) is owned:
-                self.release(owned.owner.stream)
-            raise
+            if trim is not None:
+                await self._log.trim(owned, trim.snapshot)
 
     def _owned(self, stream: StreamName) -> OwnedStream:
         owned = self._streams.get(stream)
         if owned is None:
             raise NotOwnerError(f"stream {stream} is not owned here")
-        if owned.view.epoch != self._current_view().epoch:
-            # NOTE: the log must be recovered from a majority of the new replica set.
-            raise NotOwnerError(f"stream {stream} was recovered in an earlier replica set")
         return owned
--- a/drumbay/delivery/stream_owner.py
+++ b/drumbay/delivery/stream_owner.py
@@ -54,9 +54,8 @@
 
 
 class Trim(msgspec.Struct, frozen=True, kw_only=True):
-    """Replace the entries below a position on every replica."""
+    """Replace the entries below the snapshot's position on every replica."""
 
-    below_position: int
     snapshot: StreamSnapshot
 
 
@@ -224,4 +223,4 @@
         del self._since_base[:count]
         self._base.forget_below(first_kept)
         self.state.forget_below(first_kept)
-        return Trim(below_position=below_position, snapshot=self._base.snapshot())
+        return Trim(snapshot=self._base.snapshot())
--- a/drumbay/delivery/stream_state.py
+++ b/drumbay/delivery/stream_state.py
@@ -6,7 +6,6 @@
     BatchFixed,
     BatchRefused,
     LogEntry,
-    NoOperation,
     StepSubmitted,
     StreamSnapshot,
 )
@@ -45,8 +44,6 @@
                 self._apply_batch(entry)
             case BatchRefused():
                 self._apply_refusal(entry)
-            case NoOperation():
-                pass
         self.next_position += 1
 
     def _apply_step(self, entry: StepSubmitted) -> None:
