--- a/drumbay/delivery/service.py
+++ b/drumbay/delivery/service.py
@@ -79,6 +79,15 @@
         """Return the streams that this node believes to own."""
         return tuple(self._streams)
 
+    @property
+    def outdated_streams(self) -> tuple[StreamName, ...]:
+        """Return the owned streams whose log must be recovered from a new replica set."""
+        view = self._current_view()
+        if not view.members:
+            return ()
+        owned = self._streams.items()
+        return tuple(stream for stream, each in owned if each.view.epoch != view.epoch)
+
     def release(self, stream: StreamName) -> None:
         """Stop owning a stream, e.g. after its lease was lost; finished samples are dropped."""
         if self._streams.pop(stream, None) is not None:
@@ -96,6 +105,18 @@
         self._streams[stream] = await self._log.recover(stream, fence)
         self._on_work_changed(stream)
 
+    async def recover_outdated(self, stream: StreamName) -> None:
+        """Recover an owned stream now if the replica set changed.
+
+        Every other operation does so too; this one is for a stream without requests.
+
+        Raises:
+            NotOwnerError: This node does not own the stream any more.
+            QuorumUnavailableError: No majority of the new set answered; try again.
+        """
+        async with self._exclusive(stream):
+            return
+
     async def _recover_again(self, owned: OwnedStream) -> None:
         """Recover from the replica set in force, which is another than before.
 
