Keep candidates from crowding out renewals at a rate-limited key-value service

Cause: with 410 nodes that started together and 20 operations a second allowed, some of 40 resources had no owner after 300 s: about 120 candidates retried reads and watches against the renewals. Ruled out: longer delays for all, since first candidates and owners need the service at once. Change: candidates that are first for nothing spread their first read over 15 s and retry six times more slowly; a broken watch goes on from the last known revision without a read; the periodic read no longer reopens the watch. Tests that need a settled pair of nodes now wait for that span.

--- a/drumbay/ownership/manager.py
+++ b/drumbay/ownership/manager.py
@@ -23,7 +23,7 @@
     Standing,
 )
 from drumbay.ownership.view import OwnershipView
-from drumbay.ownership.watcher import OwnershipWatcher
+from drumbay.ownership.watcher import OwnershipWatcher, Urgency
 from drumbay.tasks import TaskOwner
 
 ChangeListener = Callable[[OwnershipChange], None]
@@ -89,7 +89,7 @@
             self._view,
             generator,
             self._parameters,
-            is_needed=self._is_candidate,
+            urgency=self._urgency,
             on_owner=self._observe_owner,
             on_removal=self._observe_removal,
             on_loaded=self._campaign_wakeup.set,
@@ -102,6 +102,7 @@
             self._task_owner.spawn(self._keeper.run(), "ownership-lease"),
             self._task_owner.spawn(self._run_campaigns(), "ownership-campaigns"),
             self._task_owner.spawn(self._watcher.run(), "ownership-watch"),
+            self._task_owner.spawn(self._watcher.run_resync(), "ownership-resync"),
         ]
 
     async def stop(self) -> None:
@@ -232,11 +233,14 @@
         if result.owner is not None and self._view.observe(result.owner):
             self._observe_owner(result.owner)
 
-    def _is_candidate(self) -> bool:
+    def _urgency(self) -> Urgency:
         self._placement.set_members(self._live_members())
         if self._state.holdings:
-            return True
-        return any(self._placement.own_rank(name) is not None for name in self._names)
+            return Urgency.FIRST
+        ranks = [self._placement.own_rank(name) for name in self._names]
+        if 0 in ranks:
+            return Urgency.FIRST
+        return Urgency.NONE if all(rank is None for rank in ranks) else Urgency.STANDBY
 
     def _observe_owner(self, owner: OwnerRecord) -> None:
         """Take in that a key exists: every key bound to this node's lease is its own."""
--- a/drumbay/ownership/records.py
+++ b/drumbay/ownership/records.py
@@ -37,8 +37,10 @@
         candidates: Nodes, by placement rank, that campaign for one resource.
         fallback_delay_seconds: How much longer each next rank waits before it campaigns.
         check_interval_seconds: How often a node looks for resources to campaign for.
-        resync_interval_seconds: How often a candidate reads all owners anew, in case its
-            watch is open but delivers nothing.
+        resync_interval_seconds: Longest time between a candidate's reads of all owners,
+            in case its watch is open but delivers nothing.
+        standby_spread_seconds: Span over which candidates that are first for nothing
+            spread their first read.
     """
 
     ttl_seconds: float = 15.0
@@ -50,6 +52,7 @@
     fallback_delay_seconds: float = 3.0
     check_interval_seconds: float = 1.0
     resync_interval_seconds: float = 60.0
+    standby_spread_seconds: float = 15.0
 
 
 class Standing(StrEnum):
--- a/drumbay/ownership/view.py
+++ b/drumbay/ownership/view.py
@@ -33,12 +33,26 @@
         self._absent_since: dict[str, float] = {}
         self._revisions: dict[str, Revision] = {}
         self._loaded_revision = Revision(0)
+        self._complete_revision = Revision(0)
 
     @property
     def loaded_revision(self) -> Revision:
         """Return the revision of the last read of all owners; 0 if there was none."""
         return self._loaded_revision
 
+    @property
+    def complete_revision(self) -> Revision:
+        """Return the revision up to which every change is known."""
+        return self._complete_revision
+
+    def advance(self, revision: Revision) -> None:
+        """Take in that every change up to ``revision`` was applied."""
+        self._complete_revision = max(self._complete_revision, revision)
+
+    def forget_loaded(self) -> None:
+        """Take in that changes were missed: all owners must be read again."""
+        self._loaded_revision = Revision(0)
+
     def owner(self, name: str) -> OwnerRecord | None:
         """Return the last known owner of a resource."""
         return self._owners.get(name)
@@ -66,6 +80,7 @@
         for owner in found:
             self.observe(owner)
         self._loaded_revision = result.revision
+        self.advance(result.revision)
         return tuple(gone)
 
     def apply(self, event: WatchEvent, now: float) -> tuple[OwnerRecord, ...]:
--- a/drumbay/ownership/watcher.py
+++ b/drumbay/ownership/watcher.py
@@ -2,13 +2,17 @@
 
 import random
 from collections.abc import Callable
-from contextlib import suppress
+from enum import StrEnum
 
 from drumbay.clock import Clock
-from drumbay.exceptions import DeadlineExceededError
 from drumbay.identifiers import Revision
 from drumbay.kv.backoff import Backoff
-from drumbay.kv.interface import KeyValueError, KeyValueStore, WatchEvent
+from drumbay.kv.interface import (
+    KeyValueError,
+    KeyValueStore,
+    WatchCompactedError,
+    WatchEvent,
+)
 from drumbay.observability.logs import log_event
 from drumbay.ownership.records import OWNERSHIP_PREFIX, OwnerRecord, OwnershipParameters
 from drumbay.ownership.view import OwnershipView
@@ -16,6 +20,20 @@
 SHORTEST_RESYNC_SHARE = 0.75
 """Shortest time between full reads, as a share of the longest."""
 
+STANDBY_RETRY_FACTOR = 6.0
+"""How many times longer a node waits before a retry while others come before it."""
+
+
+class Urgency(StrEnum):
+    """How soon a node must know the owners."""
+
+    NONE = "none"
+    STANDBY = "standby"
+    """It campaigns only if better candidates do not: it leaves them the service's rate."""
+
+    FIRST = "first"
+    """It owns a resource or is the first candidate of one."""
+
 
 class OwnershipWatcher:
     """Reads all owners, follows their changes, and starts anew when the watch breaks."""
@@ -28,7 +46,7 @@
         generator: random.Random,
         parameters: OwnershipParameters,
         *,
-        is_needed: Callable[[], bool],
+        urgency: Callable[[], Urgency],
         on_owner: Callable[[OwnerRecord], None],
         on_removal: Callable[[OwnerRecord], None],
         on_loaded: Callable[[], None],
@@ -41,8 +59,7 @@
             view: Takes in what is read.
             generator: Source of jitter.
             parameters: Timing.
-            is_needed: Returns whether this node needs to know the owners; while it does
-                not, nothing is sent.
+            urgency: Returns how soon this node must know the owners.
             on_owner: Called with an owner that was read.
             on_removal: Called with an owner whose key is gone.
             on_loaded: Called after a read of all owners.
@@ -52,7 +69,7 @@
         self._view = view
         self._generator = generator
         self._parameters = parameters
-        self._is_needed = is_needed
+        self._urgency = urgency
         self._on_owner = on_owner
         self._on_removal = on_removal
         self._on_loaded = on_loaded
@@ -64,16 +81,48 @@
 
     async def run(self) -> None:
         """Watch until cancelled."""
+        await self._wait_for_need()
+        if self._urgency() is Urgency.STANDBY:
+            await self._sleep_up_to(self._parameters.standby_spread_seconds)
         while True:
-            if not self._is_needed():
-                await self._clock.sleep(self._parameters.check_interval_seconds)
-                continue
+            await self._wait_for_need()
             try:
-                await self._load()
+                if self._view.loaded_revision == 0:
+                    await self._load()
                 await self._follow()
+            except WatchCompactedError:
+                self._view.forget_loaded()
             except KeyValueError as error:
                 log_event("ownership_watch_broken", level="WARNING", error=error.code)
-                await self._clock.sleep(self._backoff.next_delay_seconds())
+            await self._clock.sleep(self._next_retry_seconds())
+
+    async def run_resync(self) -> None:
+        """Read all owners from time to time until cancelled.
+
+        A watch may be open and deliver nothing.
+        """
+        while True:
+            jitter = self._generator.uniform(SHORTEST_RESYNC_SHARE, 1.0)
+            await self._clock.sleep(self._parameters.resync_interval_seconds * jitter)
+            if self._view.loaded_revision == 0:
+                continue
+            try:
+                await self._load()
+            except KeyValueError as error:
+                log_event("ownership_read_failed", level="WARNING", error=error.code)
+
+    async def _wait_for_need(self) -> None:
+        while self._urgency() is Urgency.NONE:
+            await self._clock.sleep(self._parameters.check_interval_seconds)
+
+    async def _sleep_up_to(self, seconds: float) -> None:
+        await self._clock.sleep(self._generator.uniform(0.0, seconds))
+
+    def _next_retry_seconds(self) -> float:
+        delay_seconds = self._backoff.next_delay_seconds()
+        if self._urgency() is Urgency.FIRST:
+            return delay_seconds
+        return delay_seconds * STANDBY_RETRY_FACTOR
 
     async def _load(self) -> None:
         result = await self._store.range_prefix(OWNERSHIP_PREFIX)
@@ -84,19 +133,12 @@
         self._on_loaded()
 
     async def _follow(self) -> None:
-        """Apply changes until it is time to read all owners anew."""
-        jitter = self._generator.uniform(SHORTEST_RESYNC_SHARE, 1.0)
-        seconds = self._parameters.resync_interval_seconds * jitter
-        with suppress(DeadlineExceededError):
-            await self._clock.wait_for(self._follow_changes(), seconds)
-        self._backoff.reset()
-
-    async def _follow_changes(self) -> None:
-        start_revision = Revision(self._view.loaded_revision + 1)
+        start_revision = Revision(self._view.complete_revision + 1)
         async for batch in self._store.watch_prefix(OWNERSHIP_PREFIX, start_revision):
             self._backoff.reset()
             for event in batch.events:
                 self._apply(event)
+            self._view.advance(batch.revision)
 
     def _apply(self, event: WatchEvent) -> None:
         for gone in self._view.apply(event, self._clock.monotonic()):
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -67,6 +67,8 @@
     for node in cluster.nodes.values():
         node.start([NAME])
     owner = await cluster.wait_for_owner(NAME)
+    # The other candidate reads the owners for the first time within this span.
+    await asyncio.sleep(PARAMETERS.standby_spread_seconds)
     (other,) = [node for node in cluster.nodes.values() if node is not owner]
     return cluster, owner, other
 
