--- a/drumbay/membership/news.py
+++ b/drumbay/membership/news.py
@@ -70,33 +70,52 @@
         if news is not None:
             self._react(now, news, update.accuser)
             self._queue.add(update)
+        else:
+            self._correct(update)
 
-    def merge_synced(self, now: float, sender: NodeId, record: Member) -> bool:
-        """Take in a record of an anti-entropy exchange; return whether it was news.
+    def merge_synced_updates(self, now: float, updates: tuple[StateUpdate, ...]) -> bool:
+        """Take in what an anti-entropy exchange tells; return whether any of it was news.
 
-        NOTE: after a cut each side holds the other side's members for dead. If the sides
-        believed each other, everyone would be dead until it refuted. So a death learned in an
-        exchange is only a suspicion, and everyone gets the time to refute.
+        NOTE: an exchange never accuses. After a cut each side holds the other side's members
+        for dead; if the sides believed each other, everyone would be dead until it refuted.
+        A member that a peer holds for dead is probed next instead.
         """
-        if record.node_id == self._table.self_member.node_id:
-            self._hear_of_self(now, state_update_of(record))
-            return False
-        known = self._table.get(record.node_id)
-        if known is not None and known.is_reachable and record.state is MemberState.DEAD:
-            record = msgspec.structs.replace(record, state=MemberState.SUSPECT)
-        news = self._table.apply_record(now, record)
-        if news is None:
-            return False
-        self._react(now, news, sender)
-        if news.previous is None:
-            # Others know it already, or will learn of it from the new member itself.
-            return True
-        if news.previous.boot_id == record.boot_id:
-            accuser = sender if record.state is MemberState.SUSPECT else NO_ACCUSER
-            self._queue.add(state_update_of(news.member, accuser))
-        else:
-            self._queue.add(news.member)
-        return True
+        any_news = False
+        for update in updates:
+            if update.node_id == self._table.self_member.node_id:
+                self._hear_of_self(now, update)
+                continue
+            known = self._table.get(update.node_id)
+            if known is not None and known.is_reachable and update.state is MemberState.DEAD:
+                self._schedule.probe_soon(known)
+                continue
+            if update.state is MemberState.SUSPECT:
+                update = msgspec.structs.replace(update, state=MemberState.ALIVE)
+            news = self._table.apply_update(now, update)
+            if news is not None:
+                self._react(now, news, NO_ACCUSER)
+                self._queue.add(update)
+                any_news = True
+        return any_news
+
+    def merge_synced_members(self, now: float, members: tuple[Member, ...]) -> bool:
+        """Take in records that this node asked for; return whether any was news."""
+        any_news = False
+        for record in members:
+            if record.node_id == self._table.self_member.node_id:
+                self._hear_of_self(now, state_update_of(record))
+                continue
+            if record.state is MemberState.SUSPECT:
+                record = msgspec.structs.replace(record, state=MemberState.ALIVE)
+            news = self._table.apply_record(now, record)
+            if news is None:
+                continue
+            any_news = True
+            self._react(now, news, NO_ACCUSER)
+            if news.previous is not None:
+                # A new member is announced by itself; a restarted one may have been missed.
+                self._queue.add(record)
+        return any_news
 
     def suspect(self, now: float, target: Member) -> None:
         """Suspect a member that did not answer this node's probe."""
@@ -110,7 +129,7 @@
 
     def end_suspicions(self, now: float) -> None:
         """Declare dead the members whose suspicion has run out."""
-        for node_id in self._suspicions.expired(now, self._member_count()):
+        for node_id in self._suspicions.expired(now):
             self._suspicions.end(node_id)
             member = self._table.get(node_id)
             if member is not None and member.state is MemberState.SUSPECT:
@@ -125,6 +144,17 @@
         self._table.set_self(now, msgspec.structs.replace(own, state=MemberState.LEFT))
         self._announce_self(now, own.incarnation + 1, full=False)
 
+    def _correct(self, update: StateUpdate) -> None:
+        """Pass on again what overrides an outdated accusation: somebody has missed it."""
+        known = self._table.get(update.node_id)
+        if (
+            known is not None
+            and known.state is MemberState.ALIVE
+            and update.state is not MemberState.ALIVE
+            and update.incarnation < known.incarnation
+        ):
+            self._queue.add_if_absent(state_update_of(known))
+
     def _member_count(self) -> int:
         return self._table.reachable_count + 1
 
@@ -165,6 +195,7 @@
         """Refute what is said about this node, if it is not what the node announces."""
         own = self._table.self_member
         if update.incarnation < own.incarnation:
+            self._correct(update)
             return
         same_boot = update.boot_mark == boot_mark_of(own.boot_id)
         if same_boot and update.state is own.state and update.incarnation == own.incarnation:
--- a/drumbay/membership/swim.py
+++ b/drumbay/membership/swim.py
@@ -24,8 +24,10 @@
     Nack,
     OutgoingDatagram,
     Ping,
-    SyncRecords,
+    SyncMembers,
     SyncRequest,
+    SyncUpdates,
+    SyncWanted,
 )
 from drumbay.membership.news import NewsHandler
 from drumbay.membership.outbox import Outbox
@@ -34,12 +36,16 @@
 from drumbay.membership.records import (
     Member,
     MemberChange,
+    MemberChangeKind,
     MembershipSettings,
+    MemberState,
 )
 from drumbay.membership.suspicion import SuspicionTimers
 
 FORGET_INTERVAL_SECONDS = 60.0
 LEAVE_FANOUT = 8
+EAGER_SYNCS = 3
+"""Exchanges in quick succession after one that brought news, each with another peer."""
 
 
 class Output(msgspec.Struct, frozen=True, kw_only=True):
@@ -48,10 +54,12 @@
     Attributes:
         datagrams: Datagrams to send.
         changes: Changes of the membership, in order.
+        next_tick_at: When :meth:`Swim.tick` should run next, in the time of ``now``.
     """
 
     datagrams: tuple[OutgoingDatagram, ...]
     changes: tuple[MemberChange, ...]
+    next_tick_at: float
 
 
 class Swim:
@@ -81,6 +89,7 @@
         )
         self._next_gossip_at = -math.inf
         self._next_sync_at = -math.inf
+        self._eager_syncs = EAGER_SYNCS
         self._next_reconnect_at = -math.inf
         self._next_forget_at = -math.inf
         self._expected_tick_at = math.inf
@@ -100,6 +109,11 @@
         """Return how many other members are alive or merely suspected."""
         return self._table.reachable_count
 
+    @property
+    def alive_count(self) -> int:
+        """Return how many members are alive and not suspected, the node itself included."""
+        return sum(1 for each in self._table.members() if each.state is MemberState.ALIVE)
+
     def members(self) -> tuple[Member, ...]:
         """Return every known member, the node itself included."""
         return self._table.members()
@@ -113,11 +127,10 @@
         member = msgspec.structs.replace(self.self_member, application_revision=revision)
         self._table.set_self(0.0, member)
 
-    def next_deadline(self) -> float:
-        """Return when :meth:`tick` should run next, in the time of ``now``."""
+    def _next_deadline(self) -> float:
         deadline = min(
             self._prober.next_deadline,
-            self._suspicions.next_deadline(self._member_count()),
+            self._suspicions.next_deadline,
             self._next_sync_at,
             self._next_reconnect_at,
             self._next_forget_at,
@@ -159,11 +172,14 @@
 
     def _output(self, now: float) -> Output:
         changes = self._news.take_changes()
-        self._expected_tick_at = max(now, self.next_deadline())
-        return Output(datagrams=self._outbox.take(), changes=changes)
-
-    def _member_count(self) -> int:
-        return self._table.reachable_count + 1
+        if any(each.kind is MemberChangeKind.RETURNED for each in changes):
+            self._reconnect_soon(now)
+        self._expected_tick_at = max(now, self._next_deadline())
+        return Output(
+            datagrams=self._outbox.take(),
+            changes=changes,
+            next_tick_at=self._expected_tick_at,
+        )
 
     def _check_pause(self, now: float) -> None:
         """Notice that this process did not run for a while, and don't blame the others.
@@ -189,14 +205,23 @@
             self._prober.handle_indirect_ping(now, message)
         elif isinstance(message, Nack):
             self._prober.handle_nack(message)
-        elif isinstance(message, SyncRequest):
+        else:
+            self._handle_sync(now, sender, message)
+
+    def _handle_sync(self, now: float, sender: Address, message: MembershipDatagram) -> None:
+        any_news = False
+        if isinstance(message, SyncRequest):
             self._news.merge_record(now, message.record)
             self._anti_entropy.handle_request(sender, message)
-        elif isinstance(message, SyncRecords):
-            for record in message.bucket_members:
-                if self._news.merge_synced(now, message.sender, record):
-                    self._sync_again_soon(now)
-            self._anti_entropy.handle_records(sender, message)
+        elif isinstance(message, SyncUpdates):
+            any_news = self._news.merge_synced_updates(now, message.bucket_updates)
+            self._anti_entropy.handle_updates(sender, message)
+        elif isinstance(message, SyncWanted):
+            self._anti_entropy.handle_wanted(sender, message)
+        elif isinstance(message, SyncMembers):
+            any_news = self._news.merge_synced_members(now, message.members)
+        if any_news:
+            self._sync_again_soon(now)
 
     def _sample(self, count: int) -> list[NodeId]:
         reachable = self._table.reachable()
@@ -222,14 +247,19 @@
     def _sync(self, now: float) -> None:
         if now < self._next_sync_at:
             return
-        self._next_sync_at = now + self._jittered(self._settings.sync_interval_seconds)
+        interval = self._settings.sync_interval_seconds
+        if self._eager_syncs > 0 and self._table.reachable_count > 0:
+            interval = self._settings.sync_retry_seconds
+            self._eager_syncs -= 1
+        self._next_sync_at = now + self._jittered(interval)
         for node_id in self._sample(1):
             member = self._table.get(node_id)
             if member is not None:
                 self._anti_entropy.start(member.address, node_id)
 
     def _sync_again_soon(self, now: float) -> None:
-        soon = now + self._settings.sync_retry_seconds
+        self._eager_syncs = EAGER_SYNCS
+        soon = now + self._jittered(self._settings.sync_retry_seconds)
         self._next_sync_at = min(self._next_sync_at, soon)
 
     def _reconnect(self, now: float) -> None:
@@ -249,6 +279,11 @@
             address, node_id = self._random.choice(targets)
             self._anti_entropy.start(address, node_id)
 
+    def _reconnect_soon(self, now: float) -> None:
+        """A dead member is back: a cut may have healed, and the others are back as well."""
+        soon = now + self._jittered(self._settings.sync_retry_seconds)
+        self._next_reconnect_at = min(self._next_reconnect_at, soon)
+
     def _is_known(self, seed: Address) -> bool:
         return self._table.at_address(seed) is not None
 
