--- a/tests/test_comm_frames.py
+++ b/tests/test_comm_frames.py
@@ -10,7 +10,7 @@
     FIRST_FRAME_MAX_AGE_SECONDS,
     REPLAY_WINDOW_FRAMES,
     BadTagError,
-    FrameOpener,
+    DatagramOpener,
     FrameSealer,
     InvalidClusterKeyError,
     ReplayedFrameError,
@@ -90,7 +90,7 @@
         self.clock = ManualClock()
         self.sealer = FrameSealer(KEY, BootId("boot-a"), self.clock)
         self.clock.now += 1.0
-        self.opener = FrameOpener(KEY, self.clock)
+        self.opener = DatagramOpener(KEY, self.clock)
 
     def test_opens_once(self) -> None:
         frame = self.sealer.seal("b", b"payload")
@@ -118,30 +118,41 @@
         frame = self.sealer.seal("b", b"payload")
         self.opener.open("b", frame)
         self.clock.now += 10.0
-        restarted = FrameOpener(KEY, self.clock)
+        restarted = DatagramOpener(KEY, self.clock)
         with self.assertRaises(ReplayedFrameError):
             restarted.open("b", frame)
         restarted.open("b", self.sealer.seal("b", b"payload"))
 
+    def test_restarted_receiver_refuses_older_frames_of_a_boot_it_has_just_met(self) -> None:
+        """A newer frame opens the window; what the former boot took in must not slip in by it."""
+        before = self.sealer.seal("b", b"payload")
+        self.opener.open("b", before)
+        self.clock.now += 10.0
+        restarted = DatagramOpener(KEY, self.clock)
+        restarted.open("b", self.sealer.seal("b", b"payload"))
+        with self.assertRaises(ReplayedFrameError):
+            restarted.open("b", before)
+
     def test_old_first_frame_is_refused_and_a_known_boot_may_be_late(self) -> None:
-        first, second = self.sealer.seal("b", b"1"), self.sealer.seal("b", b"2")
-        self.opener.open("b", second)
-        self.clock.now += FIRST_FRAME_MAX_AGE_SECONDS + 1.0
+        first, second, third = (self.sealer.seal("b", b"payload") for _ in range(3))
         self.opener.open("b", first)
-        fresh = FrameOpener(KEY, ManualClock(0.0))
+        self.opener.open("b", third)
+        self.clock.now += FIRST_FRAME_MAX_AGE_SECONDS + 1.0
+        self.opener.open("b", second)
+        fresh = DatagramOpener(KEY, ManualClock(0.0))
         with self.assertRaises(ReplayedFrameError):
             fresh.open("b", second)
 
     def test_short_key_is_refused(self) -> None:
         with self.assertRaises(InvalidClusterKeyError):
-            FrameOpener(b"short", self.clock)
+            DatagramOpener(b"short", self.clock)
 
     @settings(derandomize=True, max_examples=200, deadline=None)
     @given(st.lists(st.integers(min_value=0, max_value=3 * REPLAY_WINDOW_FRAMES), max_size=60))
     def test_window_accepts_no_counter_twice_and_every_recent_one(
         self, counters: list[int]
     ) -> None:
-        window = ReplayWindow()
+        window = ReplayWindow(first_counter=1)
         accepted: list[int] = []
         for counter in counters:
             highest = max(accepted, default=0)
