--- a/drumbay/simulation/process.py
+++ b/drumbay/simulation/process.py
@@ -183,6 +183,9 @@
 
     task = asyncio.get_running_loop().create_task(run(), context=Context())
     task.add_done_callback(_retrieve_exception)
+    if isinstance(outside, Coroutine):
+        # A task that is cancelled before its first step never awaits what it was given.
+        task.add_done_callback(lambda _task: outside.close())
     return task
 
 
