--- a/drumbay/delivery/service.py
+++ b/drumbay/delivery/service.py
@@ -40,11 +40,32 @@
 
 
 class DeliveryParameters(msgspec.Struct, frozen=True, kw_only=True):
-    """Timing and retention of the delivery service."""
+    """Timing and retention of the delivery service.
+
+    Attributes:
+        call_timeout_seconds: Time limit of one call to a replica.
+        pull_poll_seconds: Time between looks at the finished samples during a pull.
+        trim_margin: Batches kept below the trainer's checkpointed cursor.
+        max_open_steps: Newest steps that may be unfinished when a batch is composed.
+    """
 
     call_timeout_seconds: float = 1.0
     pull_poll_seconds: float = 0.02
     trim_margin: int = DEFAULT_TRIM_MARGIN
+    max_open_steps: int | None = None
+
+
+class StreamProgress(msgspec.Struct, frozen=True, kw_only=True):
+    """How far a stream has come.
+
+    Attributes:
+        delivered_samples: Samples in batches since this node took the stream over or since
+            the snapshot it started from; only differences mean anything.
+        outstanding_steps: Steps of the samples in no batch, in ascending order.
+    """
+
+    delivered_samples: int
+    outstanding_steps: tuple[int, ...]
 
 
 class OwnedStream:
@@ -96,6 +117,15 @@
         """Return the streams that this node believes to own."""
         return tuple(self._streams)
 
+    @property
+    def outdated_streams(self) -> tuple[StreamName, ...]:
+        """Return the owned streams whose log must be recovered from a new replica set."""
+        view = self._current_view()
+        if not view.members:
+            return ()
+        owned = self._streams.items()
+        return tuple(stream for stream, each in owned if each.view.epoch != view.epoch)
+
     def release(self, stream: StreamName) -> None:
         """Stop owning a stream, e.g. after its lease was lost; finished samples are dropped."""
         if self._streams.pop(stream, None) is not None:
@@ -110,7 +140,7 @@
         """
         self.release(stream)
         view = self._current_view()
-        ballot = Ballot(fence, self._boot_id)
+        ballot = Ballot(fence, self._boot_id, view.epoch)
         histories = await call_majority(
             self._tasks,
             view.members,
@@ -118,7 +148,11 @@
         )
         recovered = recover_log(histories)
         owner = StreamOwner(
-            stream, ballot, recovered.snapshot, trim_margin=self._parameters.trim_margin
+            stream,
+            ballot,
+            recovered.snapshot,
+            trim_margin=self._parameters.trim_margin,
+            max_open_steps=self._parameters.max_open_steps,
         )
         owned = OwnedStream(owner, view)
         for encoded in recovered.entries:
@@ -198,6 +232,18 @@
         """
         return self._owned(stream).owner.missing()
 
+    def progress(self, stream: StreamName) -> StreamProgress:
+        """Return how far a stream has come.
+
+        Raises:
+            NotOwnerError: This node does not own the stream.
+        """
+        state = self._owned(stream).owner.state
+        return StreamProgress(
+            delivered_samples=state.delivered_samples,
+            outstanding_steps=tuple(sorted(key.step for key in state.outstanding)),
+        )
+
     async def pull(
         self,
         stream: StreamName,
--- a/drumbay/node/coordination.py
+++ b/drumbay/node/coordination.py
@@ -8,6 +8,7 @@
 from drumbay.configuration.operators import OperatorService
 from drumbay.configuration.service import ConfigurationService
 from drumbay.delivery.quorum import ReplicaView
+from drumbay.delivery.state_copy import StreamStateCopier
 from drumbay.identifiers import Epoch, NodeId
 from drumbay.membership.service import MembershipConfiguration, MembershipService
 from drumbay.node.cluster_view import DATA_FOLDER_LABEL, LABEL_SET, ClusterView
@@ -69,7 +70,11 @@
             live_members=self.cluster.node_ids,
         )
         self.replica_set = ReplicaSetWatcher(
-            clock=clock, key_value_store=environment.store, random=environment.random
+            clock=clock,
+            transport=environment.transport,
+            key_value_store=environment.store,
+            random=environment.random,
+            peers=self.cluster.peer_addresses,
         )
         self._reconfigurator = Reconfigurator(
             node_id=node_id,
@@ -80,6 +85,7 @@
             watcher=self.replica_set,
             candidates=self.cluster.replica_candidates,
             policy=ReplacementPolicy(),
+            other_parts=(StreamStateCopier(environment.transport),),
         )
         self._has_disk = data_folder is not None
 
