Add a bench of hollow nodes and of polls over HTTP

Cause: docs/CAPACITY.md needs slopes of what one node costs, and nothing ran whole nodes at more than a few. Change: drumbay bench scale runs real nodes on virtual time in one process and counts messages, bytes, polls, store operations, processor time and memory by node; drumbay bench polls measures one poll of an engine over loopback HTTP.

--- a/drumbay/cli/main.py
+++ b/drumbay/cli/main.py
@@ -3,7 +3,7 @@
 import typer
 
 from drumbay import __version__
-from drumbay.cli import acceptance, explain, node, operators, simulate, standin, token
+from drumbay.cli import acceptance, bench, explain, node, operators, simulate, standin, token
 
 app = typer.Typer(
     name="drumbay",
@@ -35,6 +35,7 @@
 app.command()(acceptance.acceptance)
 app.command()(simulate.simulate)
 app.add_typer(standin.app)
+app.add_typer(bench.app)
 
 
 def run() -> None:
