Work out the cluster view only when the members change

Cause: each call built 410 records and sorted them, several times a second a node, and the configuration service rebuilt its peer directory as it never saw the same tuple twice. Ruled out: a change listener of the membership; comparing the tuples of members by identity is cheap and cannot miss a change. Conclusion: what it costs no longer grows by the work of each call.

--- a/drumbay/node/cluster_view.py
+++ b/drumbay/node/cluster_view.py
@@ -1,5 +1,7 @@
 """Who the other nodes are, in the forms in which the services ask for it."""
 
+from collections.abc import Iterable, Iterator
+
 from drumbay.api.schema import MemberBody
 from drumbay.claims.reconfigurator import ReplicaCandidate
 from drumbay.comm.interface import Address
@@ -7,6 +9,7 @@
 from drumbay.identifiers import NodeId
 from drumbay.membership.records import Member
 from drumbay.membership.service import MembershipService
+from drumbay.routing.subsets import NodeMember
 
 DATA_FOLDER_LABEL = "has_data_folder"
 LABEL_SET = "true"
@@ -15,6 +18,10 @@
 class ClusterView:
     """Adapts the membership to what each service needs.
 
+    What it returns is worked out again only when the members change. The same tuple is
+    returned until then, also after news that does not concern its content, so that callers
+    can tell by identity that nothing changed.
+
     Args:
         membership: The membership of this node.
     """
@@ -22,45 +29,59 @@
     def __init__(self, membership: MembershipService) -> None:
         """Read from ``membership``."""
         self._membership = membership
+        self._members: tuple[Member, ...] = ()
+        self._peers: tuple[PeerView, ...] = ()
+        self._node_ids: tuple[NodeId, ...] = ()
+        self._addresses: dict[NodeId, Address] = {}
+        self._subset_nodes: tuple[NodeMember, ...] = ()
 
-    def _reachable(self) -> list[Member]:
-        return [member for member in self._membership.members() if member.is_reachable]
+    def _refresh(self) -> None:
+        members = self._membership.members()
+        # NOTE: a member that did not change is the same object, so this compares pointers.
+        if members == self._members:
+            return
+        self._members = members
+        peers = tuple(sorted(_peers_of(members), key=lambda peer: peer.node_id))
+        if peers == self._peers:
+            return
+        self._peers = peers
+        self._node_ids = tuple(peer.node_id for peer in peers)
+        self._addresses = {peer.node_id: peer.address for peer in peers}
+        self._subset_nodes = tuple(
+            NodeMember(node_id=peer.node_id, zone=peer.zone) for peer in peers
+        )
 
     def peers(self) -> tuple[PeerView, ...]:
         """Return the live nodes, this one included, sorted by identifier."""
-        peers = (
-            PeerView(
-                node_id=member.node_id,
-                address=member.address,
-                zone=member.zone,
-                region=member.region,
-                has_data_folder=_has_disk(member),
-            )
-            for member in self._reachable()
-        )
-        return tuple(sorted(peers, key=lambda peer: peer.node_id))
+        self._refresh()
+        return self._peers
 
     def node_ids(self) -> tuple[NodeId, ...]:
         """Return the identifiers of the live nodes, sorted."""
-        return tuple(sorted(member.node_id for member in self._reachable()))
+        self._refresh()
+        return self._node_ids
+
+    def subset_nodes(self) -> tuple[NodeMember, ...]:
+        """Return the live nodes among which back ends are shared out, sorted."""
+        self._refresh()
+        return self._subset_nodes
 
     def peer_addresses(self) -> tuple[Address, ...]:
         """Return the addresses of the live nodes, this one included."""
-        return tuple(peer.address for peer in self.peers())
+        self._refresh()
+        return tuple(self._addresses.values())
 
     def address_of(self, node_id: NodeId) -> Address | None:
         """Return the address of a live node; ``None`` if it is not live."""
-        for member in self._reachable():
-            if member.node_id == node_id:
-                return member.address
-        return None
+        self._refresh()
+        return self._addresses.get(node_id)
 
     def replica_candidates(self) -> tuple[ReplicaCandidate, ...]:
         """Return the live nodes that have a disk."""
         return tuple(
-            ReplicaCandidate(node_id=member.node_id, address=member.address, zone=member.zone)
-            for member in self._reachable()
-            if _has_disk(member)
+            ReplicaCandidate(node_id=peer.node_id, address=peer.address, zone=peer.zone)
+            for peer in self.peers()
+            if peer.has_data_folder
         )
 
     def bodies(self) -> tuple[MemberBody, ...]:
@@ -77,5 +98,18 @@
         )
 
 
+def _peers_of(members: Iterable[Member]) -> Iterator[PeerView]:
+    """Yield the members that count as live."""
+    for member in members:
+        if member.is_reachable:
+            yield PeerView(
+                node_id=member.node_id,
+                address=member.address,
+                zone=member.zone,
+                region=member.region,
+                has_data_folder=_has_disk(member),
+            )
+
+
 def _has_disk(member: Member) -> bool:
     return member.labels.get(DATA_FOLDER_LABEL) == LABEL_SET
