--- a/drumbay/delivery/stream_state.py
+++ b/drumbay/delivery/stream_state.py
@@ -6,7 +6,6 @@
     BatchFixed,
     BatchRefused,
     LogEntry,
-    NoOperation,
     StepSubmitted,
     StreamSnapshot,
 )
@@ -28,6 +27,8 @@
         self.outstanding = {held.key: held for held in start.outstanding}
         self.batches: dict[Cursor, Batch] = {}
         self.batch_positions: dict[Cursor, int] = {}
+        # NOTE: counts from the snapshot on; only differences mean anything.
+        self.delivered_samples = 0
         self.refused: dict[Cursor, None] = dict.fromkeys(start.refused)
 
     def apply(self, entry: LogEntry) -> None:
@@ -43,8 +44,6 @@
                 self._apply_batch(entry)
             case BatchRefused():
                 self._apply_refusal(entry)
-            case NoOperation():
-                pass
         self.next_position += 1
 
     def _apply_step(self, entry: StepSubmitted) -> None:
@@ -59,6 +58,7 @@
             raise LogInvariantError(f"batch {batch.cursor} chosen after {self.next_cursor}")
         for sample in batch.samples:
             self.outstanding.pop(sample.key, None)
+        self.delivered_samples += len(batch.samples)
         self.batches[batch.cursor] = batch
         self.batch_positions[batch.cursor] = self.next_position
         self.next_cursor = Cursor(batch.cursor + 1)
