Separate the back ends a node watches from those it knows

Cause: the owners of weight rollouts and sample streams list engines through the directory's views and would have missed those outside the node's set. Also, attempts refused within a millisecond counted towards the mean service time, which sets how fast reports lose their weight.

Change: views lists all back ends, watched_views those a choice may take; only attempts that succeeded count towards the mean service time.

Conclusion: sets can be put to use without cutting off owners.

--- a/drumbay/requests/dispatcher.py
+++ b/drumbay/requests/dispatcher.py
@@ -96,7 +96,9 @@
             priority=route.priority,
             prefix_affinity=affinity,
         )
-        choice = choose_backend(request, self._directory.views(now), self._policy, self._random)
+        choice = choose_backend(
+            request, self._directory.watched_views(now), self._policy, self._random
+        )
         chosen = choice.chosen
         address = self._directory.address(chosen.backend_id) if chosen else None
         self._recorder.record(
--- a/drumbay/routing/directory.py
+++ b/drumbay/routing/directory.py
@@ -192,7 +192,8 @@
         now: float,
     ) -> None:
         """Count an attempt as ended."""
-        self._load.finish_attempt(backend_id, attempt_id, now)
+        succeeded = outcome.succeeded is True
+        self._load.finish_attempt(backend_id, attempt_id, now, succeeded=succeeded)
         entry = self._entries.get(backend_id)
         if entry is None:
             return
@@ -204,7 +205,11 @@
             entry.breaker.record_failure(permit, now)
 
     def set_watched(self, watched: frozenset[BackendId] | None) -> None:
-        """Set which back ends this node watches and chooses from; ``None``: all."""
+        """Set which back ends this node watches and chooses from; ``None``: all.
+
+        The owner of a weight rollout or a sample stream must watch all engines of its
+        policy besides its own set.
+        """
         self._watched = watched
 
     def is_watched(self, backend_id: BackendId) -> bool:
@@ -212,7 +217,7 @@
         return self._watched is None or backend_id in self._watched
 
     def views(self, now: float) -> list[BackendView]:
-        """Return the watched back ends as a choice sees them at ``now``."""
+        """Return every back end as this node sees it at ``now``, watched or not."""
         for backend_id, entry in self._entries.items():
             flags = BackendFlags(
                 is_reachable=entry.is_reachable,
@@ -221,7 +226,14 @@
                 is_leaving=entry.is_leaving,
             )
             self._load.set_flags(backend_id, flags)
-        return [view for view in self._load.views() if self.is_watched(view.backend_id)]
+        return self._load.views()
+
+    def watched_views(self, now: float) -> list[BackendView]:
+        """Return the watched back ends as a choice sees them at ``now``."""
+        views = self.views(now)
+        if self._watched is None:
+            return views
+        return [view for view in views if view.backend_id in self._watched]
 
     def address(self, backend_id: BackendId) -> BackendAddress | None:
         """Return where a back end is reached; ``None`` if it is not known."""
--- a/drumbay/routing/load_view.py
+++ b/drumbay/routing/load_view.py
@@ -138,15 +138,22 @@
         entry.started_since_report += 1
         entry.view = None
 
-    def finish_attempt(self, backend_id: BackendId, attempt_id: AttemptId, now: float) -> None:
-        """Count an attempt as ended, however it ended; a second call has no effect."""
+    def finish_attempt(
+        self, backend_id: BackendId, attempt_id: AttemptId, now: float, *, succeeded: bool = True
+    ) -> None:
+        """Count an attempt as ended, however it ended; a second call has no effect.
+
+        Only the duration of one that succeeded counts towards the mean service time: a
+        refusal within a millisecond says nothing about it.
+        """
         entry = self._entries.get(backend_id)
         if entry is None:
             return
         started_at = entry.started_at.pop(attempt_id, None)
         if started_at is None:
             return
-        entry.observe_service(now - started_at)
+        if succeeded:
+            entry.observe_service(now - started_at)
         entry.finished.append(_FinishedAttempt(started_at=started_at, finished_at=now))
         if entry.reported_at is None or started_at > entry.reported_at:
             entry.started_since_report -= 1
--- a/tests/test_routing_choice.py
+++ b/tests/test_routing_choice.py
@@ -214,6 +214,9 @@
         self.assertEqual(estimated_load(self.loads.views()[0]), 9)
         mean_seconds = self.loads.views()[0].mean_service_seconds
         self.assertAlmostEqual(mean_seconds or 0.0, 0.9 * 3.5 + 0.1 * 1.6)
+        self.loads.start_attempt(ENGINE, AttemptId("refused"), 5.0)
+        self.loads.finish_attempt(ENGINE, AttemptId("refused"), 5.0, succeeded=False)
+        self.assertEqual(self.loads.views()[0].mean_service_seconds, mean_seconds)
 
     def test_attempt_that_ended_before_the_report_arrived(self) -> None:
         self.loads.start_attempt(ENGINE, AttemptId("a"), 1.0)
--- a/tests/test_routing_subsets.py
+++ b/tests/test_routing_subsets.py
@@ -144,9 +144,10 @@
         directory.apply_configuration(
             ConfigurationView(groups={group.name: group for group in groups}), 0.0
         )
-        self.assertEqual(len(directory.views(0.0)), 65)
+        self.assertEqual(len(directory.watched_views(0.0)), 65)
         directory.set_watched(watched)
-        self.assertEqual({view.backend_id for view in directory.views(0.0)}, watched)
+        self.assertEqual({view.backend_id for view in directory.watched_views(0.0)}, watched)
+        self.assertEqual(len(directory.views(0.0)), 65)
         addresses = directory.watched_addresses(BackendKind.ENGINE)
         self.assertEqual({address.backend_id for address in addresses}, watched)
 
