Share the believed load between the choice and its bench

Cause: the formula stood twice, so that a change of one would have left the bench measuring another.

Change: both call believed_load.

Conclusion: the bench measures what the node does.

--- a/drumbay/bench/subset_queueing.py
+++ b/drumbay/bench/subset_queueing.py
@@ -20,6 +20,7 @@
 
 from drumbay.bench.queueing_state import Job, OwnRecord, Worker
 from drumbay.bench.subset_graph import SubsetGraph
+from drumbay.routing.engine_choice import believed_load
 
 
 class QueueingSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -210,14 +211,16 @@
     def _believed_load(self, node: int, index: int, now: float) -> float:
         worker = self._workers[index]
         record = self._own.get((node, index))
-        believed: float = worker.reported_load
+        memory = 1.0
         if self._memory_seconds is not None:
             memory = math.exp((worker.reported_at - now) / self._memory_seconds)
-            believed = self._mean_report + (believed - self._mean_report) * memory
-        if record is None:
-            return believed
-        corrected = believed + record.correction(worker.reported_at)
-        return max(len(record.starts), corrected)
+        return believed_load(
+            reported=worker.reported_load,
+            mean_reported=self._mean_report,
+            memory=memory,
+            correction=0 if record is None else record.correction(worker.reported_at),
+            own_outstanding=0 if record is None else len(record.starts),
+        )
 
     def _own_record(self, node: int, index: int) -> OwnRecord:
         record = self._own.get((node, index))
--- a/drumbay/routing/engine_choice.py
+++ b/drumbay/routing/engine_choice.py
@@ -154,6 +154,27 @@
     return max(view.own_outstanding, view.running + view.waiting + correction)
 
 
+def believed_load(
+    *,
+    reported: float,
+    mean_reported: float,
+    memory: float,
+    correction: int,
+    own_outstanding: int,
+) -> float:
+    """Return the load by which back ends are compared.
+
+    Args:
+        reported: Load in the last report.
+        mean_reported: Mean of the last reports of the back ends that may be chosen.
+        memory: How much of the report still holds, 0 to 1.
+        correction: Own attempts started, less those ended, since the report's moment.
+        own_outstanding: Own attempts that have not ended, a lower bound.
+    """
+    believed = mean_reported + (reported - mean_reported) * memory
+    return max(own_outstanding, believed + correction)
+
+
 def choose_backend(
     request: ChoiceRequest,
     candidates: Sequence[BackendView],
@@ -260,9 +281,13 @@
     waiting_weight = policy.priority_waiting_weight if is_prioritized else 1.0
     reported = view.running + waiting_weight * view.waiting
     memory = _report_memory(request.now, view, policy)
-    believed = mean_load + (reported - mean_load) * memory
-    correction = view.own_started_since_report - view.own_finished_since_report
-    cost = max(view.own_outstanding, believed + correction)
+    cost = believed_load(
+        reported=reported,
+        mean_reported=mean_load,
+        memory=memory,
+        correction=view.own_started_since_report - view.own_finished_since_report,
+        own_outstanding=view.own_outstanding,
+    )
     if view.zone != request.zone:
         cost += policy.other_zone_cost
     return cost - policy.prefix_affinity_gain * request.prefix_affinity.get(view.backend_id, 0.0)
