--- a/tests/test_rollout_bench.py
+++ b/tests/test_rollout_bench.py
@@ -9,6 +9,7 @@
 from drumbay.delivery.messages import Ballot
 from drumbay.delivery.stream_owner import FixBatch, StreamOwner
 from drumbay.identifiers import BootId, Cursor, Fence, WeightVersion
+from drumbay.resources.schema import RolloutObjective
 from drumbay.rollout.trainer_progress import TrainerProgress
 from tests.delivery_cluster import STREAM, finished, prompts
 
@@ -61,6 +62,8 @@
             ours = run_variant(parameters, variants["drumbay"], 1)
             self.assertEqual(ours, run_variant(parameters, variants["drumbay"], 1))
             self.assertLess(ours.idle_share, baseline.idle_share)
+            if deployment.objective is RolloutObjective.STALENESS:
+                self.assertLess(ours.mean_staleness_versions, baseline.mean_staleness_versions)
             self.assertLessEqual(ours.max_staleness_versions, parameters.max_staleness_versions)
 
 
