--- a/tests/broken_nodes.py
+++ b/tests/broken_nodes.py
@@ -21,7 +21,7 @@
 )
 from drumbay.backends.memory import MemoryApplicationClient, _Exchange
 from drumbay.delivery.log_entries import LogEntry
-from drumbay.delivery.service import DeliveryService, OwnedStream
+from drumbay.delivery.replicated_log import OwnedStream, ReplicatedLog
 from drumbay.identifiers import AttemptId, Cursor, IdempotencyKey, StreamName, WeightVersion
 from drumbay.node.environment import NodeEnvironment
 from drumbay.node.node import Node
@@ -135,7 +135,7 @@
 
 
 async def propose_without_replicas(
-    _service: DeliveryService, owned: OwnedStream, entry: LogEntry
+    _log: ReplicatedLog, owned: OwnedStream, entry: LogEntry
 ) -> None:
     """Stand in for the owner's proposal: nothing is stored on the replicas."""
     owned.owner.choose(entry)
--- a/tests/test_simulation_promises.py
+++ b/tests/test_simulation_promises.py
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from drumbay.backends.memory import MemoryApplicationClient
-from drumbay.delivery.service import DeliveryService
+from drumbay.delivery.replicated_log import ReplicatedLog
 from drumbay.node.node import Node
 from drumbay.simulation.checkers import Promise
 from drumbay.simulation.cluster import NodeFactory
@@ -114,7 +114,7 @@
             KillHost(at_seconds=20.0 + 10.0 * number, duration_seconds=3.0, host=f"{zone}-1")
             for number, zone in enumerate(ZONES)
         )
-        with mock.patch.object(DeliveryService, "_propose", broken_nodes.propose_without_replicas):
+        with mock.patch.object(ReplicatedLog, "propose", broken_nodes.propose_without_replicas):
             broken = self.broken_promises(scenario, faults, Node)
         self.assertIn(Promise.EXACTLY_ONCE, broken)
         self.assertEqual(self.broken_promises(scenario, faults, Node), set())
