Make fault plans fair to what three replicas can keep, and end them in time

Ruled out: leaving disk losses out. They stay, with a repair time between losses of different hosts.

--- a/drumbay/simulation/callers.py
+++ b/drumbay/simulation/callers.py
@@ -22,6 +22,7 @@
     RequestReturned,
     VersionSpan,
 )
+from drumbay.simulation.outside_clock import virtual_now
 from drumbay.standins.application_model import answer_digest
 
 MOST_INVOCATIONS = 4
@@ -43,7 +44,7 @@
         """Note that it was sent."""
         self._history.add(
             RequestInvoked(
-                time_seconds=_now(),
+                time_seconds=virtual_now(),
                 invocation_id=self.invocation_id,
                 operation_id=self.operation_id,
                 node_id=self.node_id,
@@ -55,7 +56,7 @@
         """Note how it ended."""
         self._history.add(
             RequestReturned(
-                time_seconds=_now(),
+                time_seconds=virtual_now(),
                 invocation_id=self.invocation_id,
                 outcome=outcome,
                 answer=answer,
@@ -75,14 +76,12 @@
             if chunk.token_ids
         )
         self._history.add(
-            CompletionReturned(time_seconds=_now(), invocation_id=self.invocation_id, spans=spans)
+            CompletionReturned(
+                time_seconds=virtual_now(), invocation_id=self.invocation_id, spans=spans
+            )
         )
 
 
-def _now() -> float:
-    return asyncio.get_running_loop().time()
-
-
 def outcome_of(error: DrumbayError) -> RequestOutcome:
     """Return what a caller learns from a failure."""
     if isinstance(error, RequestFailedError):
--- a/drumbay/simulation/cluster.py
+++ b/drumbay/simulation/cluster.py
@@ -226,11 +226,11 @@
         self.platform.worker(backend).restart()
 
     def fail_swaps(self, backend: str, count: int, *, acknowledged: bool) -> None:
-        """Let the next weight swaps of an engine fail."""
+        """Let the next weight swaps of an engine fail; none any more if ``count`` is 0."""
         self.platform.fail_swaps(backend, count, acknowledged=acknowledged)
 
     def disturb_answers(self, backend: str, kind: BackendFaultKind, count: int) -> None:
-        """Let the next answers of a back end be crossed, cut off or late."""
+        """Let the next answers of a back end be disturbed; none any more if ``count`` is 0."""
         self.platform.disturb_answers(backend, kind, count)
 
     def set_machine_list_lag(self, lag_seconds: float | None) -> None:
--- a/drumbay/simulation/fault_plan.py
+++ b/drumbay/simulation/fault_plan.py
@@ -60,6 +60,9 @@
         quiet_seconds: Time without faults at the end.
         longest_freeze_seconds: Longest freeze; longer than every lease.
         longest_outage_seconds: Longest outage of the key-value service and of cuts.
+        disk_repair_seconds: Least time between disk losses of different hosts. What a
+            majority of replicas has stored is gone with a majority of the disks, so the
+            lost copy must be made anew before the next disk may go.
     """
 
     kinds: tuple[FaultKind, ...] = tuple(FaultKind)
@@ -68,6 +71,7 @@
     quiet_seconds: float = 120.0
     longest_freeze_seconds: float = 60.0
     longest_outage_seconds: float = 120.0
+    disk_repair_seconds: float = 120.0
 
 
 def draw_fault_plan(
@@ -83,7 +87,23 @@
         faults += drawer.draw_arrival(kinds, now)
         now += random.expovariate(1.0 / schedule.mean_interval_seconds)
     timely = [_end_by(fault, latest) for fault in faults if fault.at_seconds < latest]
-    return FaultPlan(faults=tuple(sorted(timely, key=lambda fault: fault.at_seconds)))
+    timely.sort(key=lambda fault: fault.at_seconds)
+    return FaultPlan(faults=_spare_disks(timely, schedule.disk_repair_seconds))
+
+
+def _spare_disks(faults: list[AnyFault], repair_seconds: float) -> tuple[AnyFault, ...]:
+    """Leave out disk losses that follow too soon on that of another host."""
+    kept: list[AnyFault] = []
+    last: LoseDisk | None = None
+    for fault in faults:
+        if isinstance(fault, LoseDisk):
+            if last is not None and fault.host != last.host:
+                repaired_at = last.at_seconds + last.duration_seconds + repair_seconds
+                if fault.at_seconds < repaired_at:
+                    continue
+            last = fault
+        kept.append(fault)
+    return tuple(kept)
 
 
 def _end_by(fault: AnyFault, latest: float) -> AnyFault:
@@ -203,6 +223,7 @@
     def _draw_swap_failure(self, at: float) -> AnyFault:
         return FailSwaps(
             at_seconds=at,
+            duration_seconds=self._random.uniform(10.0, 60.0),
             backend=self._random.choice(self._targets.engines),
             count=self._random.randint(1, 2),
             acknowledged=self._random.random() < 0.7,
@@ -217,6 +238,7 @@
         backends = self._targets.engines + self._targets.applications
         return DisturbAnswers(
             at_seconds=at,
+            duration_seconds=self._random.uniform(10.0, 60.0),
             backend=self._random.choice(backends),
             disturbance=self._random.choice(kinds),
             count=self._random.randint(1, 5),
--- a/drumbay/simulation/faults.py
+++ b/drumbay/simulation/faults.py
@@ -94,7 +94,13 @@
 
 
 class FailSwaps(Fault, frozen=True, kw_only=True):
-    """An engine's next weight swaps fail, some acknowledged as done."""
+    """An engine's next weight swaps fail, some acknowledged as done.
+
+    Attributes:
+        backend: The engine.
+        count: How many swaps fail, unless the duration ends first.
+        acknowledged: Whether a failed swap is answered as done.
+    """
 
     backend: str
     count: int
@@ -102,7 +108,13 @@
 
 
 class DisturbAnswers(Fault, frozen=True, kw_only=True):
-    """The next answers of a back end are crossed, cut off or late."""
+    """The next answers of a back end are crossed, cut off or late.
+
+    Attributes:
+        backend: The back end.
+        disturbance: What happens to an answer.
+        count: How many answers it happens to, unless the duration ends first.
+    """
 
     backend: str
     disturbance: BackendFaultKind
--- a/drumbay/simulation/outside_clock.py
+++ b/drumbay/simulation/outside_clock.py
@@ -10,12 +10,17 @@
 ResultT = TypeVar("ResultT")
 
 
+def virtual_now() -> float:
+    """Return virtual time in seconds."""
+    return asyncio.get_running_loop().time()
+
+
 class OutsideClock:
     """Virtual time without skew, freezes and kills; implements :class:`drumbay.clock.Clock`."""
 
     def monotonic(self) -> float:
         """Return virtual time in seconds."""
-        return asyncio.get_running_loop().time()
+        return virtual_now()
 
     def wall(self) -> float:
         """Return the true wall clock in seconds since the Unix epoch."""
--- a/drumbay/simulation/platform.py
+++ b/drumbay/simulation/platform.py
@@ -101,13 +101,14 @@
         self.key_value.compact(self.key_value.revision)
 
     def fail_swaps(self, backend: str, count: int, *, acknowledged: bool) -> None:
-        """Let the next weight swaps of an engine fail."""
+        """Let the next weight swaps of an engine fail; none any more if ``count`` is 0."""
         kind = FaultKind.SWAP_FAILS_ACKNOWLEDGED if acknowledged else FaultKind.SWAP_FAILS
-        self.worker(backend).faults.apply(FaultCommand(fault=kind, count=count))
+        self.disturb_answers(backend, kind, count)
 
     def disturb_answers(self, backend: str, kind: FaultKind, count: int) -> None:
-        """Let the next answers of a back end be crossed, cut off or late."""
-        self.worker(backend).faults.apply(FaultCommand(fault=kind, count=count))
+        """Let the next answers of a back end be disturbed; none any more if ``count`` is 0."""
+        command = FaultCommand(fault=kind, armed=count > 0, count=count)
+        self.worker(backend).faults.apply(command)
 
     async def close(self) -> None:
         """End all back ends."""
