--- a/drumbay/cli/simulate.py
+++ b/drumbay/cli/simulate.py
@@ -25,6 +25,13 @@
     history_file: Annotated[
         Path | None, typer.Option(help="Write the history of the last run there, as JSON lines.")
     ] = None,
+    plan_file: Annotated[
+        Path | None, typer.Option(help="Inject the faults of this file, not those of the seed.")
+    ] = None,
+    shrink_to: Annotated[
+        Path | None,
+        typer.Option(help="After a broken promise, write the shortest plan that still breaks it."),
+    ] = None,
     list_: Annotated[bool, typer.Option("--list", help="List the shipped scenarios.")] = False,
 ) -> None:
     """Run a scenario on a virtual clock with faults, and check its history.
@@ -45,5 +52,7 @@
         seeds=seeds if seeds is not None else f"{seed}..{seed}",
         json=json,
         history_file=history_file,
+        plan_file=plan_file,
+        shrink_to=shrink_to,
     )
     command.run_command(options)
--- a/drumbay/simulation/command.py
+++ b/drumbay/simulation/command.py
@@ -13,8 +13,10 @@
 from drumbay.exceptions import ConfigurationError
 from drumbay.node.node import Node
 from drumbay.simulation.checkers import Violation
+from drumbay.simulation.faults import FaultPlan
 from drumbay.simulation.runner import RunReport, RunResult, run_scenario
 from drumbay.simulation.scenario import Scenario, find_scenario, shipped_scenarios
+from drumbay.simulation.shrink import shrink_plan
 
 CONTEXT_SECONDS = 5.0
 MOST_CONTEXT_EVENTS = 40
@@ -27,6 +29,12 @@
     code = "invalid_seed_range"
 
 
+class InvalidPlanError(ConfigurationError):
+    """A file is no plan of faults."""
+
+    code = "invalid_fault_plan"
+
+
 class SimulationOptions(msgspec.Struct, frozen=True, kw_only=True):
     """What was asked for on the command line.
 
@@ -35,12 +43,16 @@
         seeds: Range of seeds, ``A..B``.
         json: Whether reports are printed as JSON.
         history_file: Where the history of the last run is written.
+        plan_file: Faults to inject in place of those drawn from the seed.
+        shrink_to: Where the shortest plan that still breaks a promise is written.
     """
 
     scenario: str
     seeds: str
     json: bool
     history_file: Path | None
+    plan_file: Path | None = None
+    shrink_to: Path | None = None
 
 
 def list_scenarios() -> None:
@@ -56,7 +68,8 @@
     with typed_exit():
         scenario = find_scenario(options.scenario)
         seeds = parse_seeds(options.seeds)
-    reports = _run_all(scenario, options, seeds)
+        plan = None if options.plan_file is None else load_plan(options.plan_file)
+    reports = _run_all(scenario, options, seeds, plan)
     if options.json:
         print_record(reports, OutputFormat.JSON)
     else:
@@ -77,29 +90,67 @@
     return range(int(first), int(last) + 1)
 
 
-def _run_all(scenario: Scenario, options: SimulationOptions, seeds: range) -> list[RunReport]:
+def load_plan(file: Path) -> FaultPlan:
+    """Read a plan of faults.
+
+    Raises:
+        InvalidPlanError: The file cannot be read or is no plan.
+    """
+    try:
+        return msgspec.json.decode(file.read_bytes(), type=FaultPlan)
+    except (OSError, msgspec.MsgspecError) as error:
+        raise InvalidPlanError(f"{file}: {error}") from error
+
+
+def _run_all(
+    scenario: Scenario, options: SimulationOptions, seeds: range, plan: FaultPlan | None
+) -> list[RunReport]:
     reports = []
     for seed in seeds:
-        result = _run_one(scenario, seed, quiet=options.json)
+        result = _run_one(scenario, seed, plan, quiet=options.json)
         reports.append(result.report)
         if options.history_file is not None:
             options.history_file.write_bytes(result.history.to_json_lines())
         if result.report.violations and not options.json:
-            _print_violations(options.scenario, result)
+            _print_violations(options, result)
+        if result.report.violations and options.shrink_to is not None:
+            _shrink(scenario, result, options.shrink_to)
     return reports
 
 
-def _run_one(chosen: Scenario, seed: int, *, quiet: bool) -> RunResult:
+def _shrink(scenario: Scenario, result: RunResult, file: Path) -> None:
+    """Write the shortest plan that still breaks the first broken promise."""
+    seed = result.report.seed
+    promise = result.report.violations[0].promise
+
+    def breaks(plan: FaultPlan) -> bool:
+        report = _run_one(scenario, seed, plan, quiet=True).report
+        return any(violation.promise is promise for violation in report.violations)
+
+    shortest = shrink_plan(result.plan, breaks)
+    file.write_bytes(msgspec.json.format(msgspec.json.encode(shortest)))
+    typer.echo(
+        f"seed {seed}: {len(shortest.faults)} of {len(result.plan.faults)} faults still break"
+        f" {promise}; written to {file}",
+        err=True,
+    )
+
+
+def _run_one(chosen: Scenario, seed: int, plan: FaultPlan | None, *, quiet: bool) -> RunResult:
     columns = (TextColumn("{task.description}"), BarColumn(), TimeElapsedColumn())
     console = Console(stderr=True)
     with Progress(*columns, console=console, disable=quiet, transient=True) as progress:
         task = progress.add_task(f"{chosen.name} seed {seed}", total=chosen.duration_seconds)
         return run_scenario(
-            chosen, seed, Node, lambda seconds: progress.update(task, completed=seconds)
+            chosen,
+            seed,
+            Node,
+            lambda seconds: progress.update(task, completed=seconds),
+            plan,
         )
 
 
-def _print_violations(name: str, result: RunResult) -> None:
+def _print_violations(options: SimulationOptions, result: RunResult) -> None:
     report = result.report
     shown = report.violations[:MOST_VIOLATIONS_SHOWN]
     for violation in shown:
@@ -111,7 +162,8 @@
     hidden = len(report.violations) - len(shown)
     if hidden:
         typer.echo(f"seed {report.seed}: {hidden} more violations")
-    typer.echo(f"replay: drumbay simulate --scenario {name} --seed {report.seed}")
+    plan = "" if options.plan_file is None else f" --plan-file {options.plan_file}"
+    typer.echo(f"replay: drumbay simulate --scenario {options.scenario} --seed {report.seed}{plan}")
 
 
 def _print_context(result: RunResult, violation: Violation) -> None:
--- a/tests/test_simulation_faults.py
+++ b/tests/test_simulation_faults.py
@@ -21,6 +21,7 @@
 )
 from drumbay.simulation.network import Cut
 from drumbay.simulation.scenario import ScenarioError, find_scenario, shipped_scenarios
+from drumbay.simulation.shrink import shrink_plan
 from drumbay.simulation.virtual_time import run_simulation
 from drumbay.standins.faults import FaultKind as BackendFaultKind
 
@@ -129,6 +130,21 @@
         self.assertGreaterEqual(kills, sum(change.startswith("start") for change in changes))
 
 
+class ShrinkTest(unittest.TestCase):
+    def test_only_what_breaks_the_promise_is_left(self) -> None:
+        schedule = FaultSchedule(mean_interval_seconds=5.0)
+        plan = draw_fault_plan(Random(1), TARGETS, schedule, 1800.0)
+        kill = KillHost(at_seconds=1.0, host="n1")
+        freeze = FreezeHost(at_seconds=2.0, host="n2")
+        faults = (*plan.faults[:40], kill, *plan.faults[40:80], freeze, *plan.faults[80:])
+
+        def breaks(shorter: FaultPlan) -> bool:
+            return kill in shorter.faults and freeze in shorter.faults
+
+        shortest = shrink_plan(FaultPlan(faults=faults), breaks)
+        self.assertEqual(shortest.faults, (kill, freeze))
+
+
 class FaultInjectorTest(unittest.TestCase):
     def test_overlapping_kills_start_the_host_once_at_the_end_of_the_last(self) -> None:
         first = KillHost(at_seconds=1.0, duration_seconds=5.0, host="n1")
