--- a/drumbay/delivery/replicated_log.py
+++ b/drumbay/delivery/replicated_log.py
@@ -1,7 +1,7 @@
 """Shell of an owner's side of a stream's replicated log."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 
@@ -29,6 +29,9 @@
 from drumbay.observability.logs import log_event
 from drumbay.tasks import TaskOwner
 
+RESTORE_WINDOW_ENTRIES = 16
+"""Entries that a recovery has accepted at once; a batch is at most 2 MiB."""
+
 
 class DeliveryParameters(msgspec.Struct, frozen=True, kw_only=True):
     """Timing and retention of the delivery service.
@@ -108,8 +111,7 @@
         if recovered.snapshot.next_position > 0:
             # NOTE: a new member of the replica set has no snapshot yet.
             await self.trim(owned, recovered.snapshot)
-        for encoded in recovered.entries:
-            await self.propose(owned, decode_entry(encoded))
+        await self.restore(owned, recovered.entries)
         log_event(
             "stream_recovered",
             stream=stream,
@@ -120,6 +122,28 @@
         )
         return owned
 
+    async def restore(self, owned: OwnedStream, entries: Sequence[bytes]) -> None:
+        """Have a majority accept recovered entries again, and apply them.
+
+        The entries are fixed, so several are under way at once.
+
+        Raises:
+            OwnerDeposedError: A newer owner exists.
+            QuorumUnavailableError: No majority of the replicas answered.
+        """
+        first = owned.owner.state.next_position
+        for start in range(0, len(entries), RESTORE_WINDOW_ENTRIES):
+            window = entries[start : start + RESTORE_WINDOW_ENTRIES]
+            accepts = [
+                self._accept(owned, first + start + offset, encoded)
+                for offset, encoded in enumerate(window)
+            ]
+            for outcome in await asyncio.gather(*accepts, return_exceptions=True):
+                if outcome is not None:
+                    raise outcome
+        for encoded in entries:
+            owned.owner.choose(decode_entry(encoded))
+
     async def propose(self, owned: OwnedStream, entry: LogEntry) -> None:
         """Have a majority accept an entry at the next position, and apply it.
 
@@ -128,15 +152,18 @@
             QuorumUnavailableError: The entry may be accepted; it stays ``unresolved``.
         """
         owned.owner.unresolved = entry
+        await self._accept(owned, owned.owner.state.next_position, encode_entry(entry))
+        owned.owner.choose(entry)
+
+    async def _accept(self, owned: OwnedStream, position: int, encoded: bytes) -> None:
         request = StreamAcceptRequest(
             stream=owned.stream,
             epoch=owned.view.epoch,
             ballot=owned.owner.ballot,
-            position=owned.owner.state.next_position,
-            entry=encode_entry(entry),
+            position=position,
+            entry=encoded,
         )
         await self._call_majority(owned, request)
-        owned.owner.choose(entry)
 
     async def confirm(self, owned: OwnedStream) -> None:
         """Check with a majority that no newer owner exists.
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 import unittest
+from collections.abc import Sequence
 
 from drumbay.delivery.acceptor import Acceptor, AcceptorOutcome
 from drumbay.delivery.batch import Batch
@@ -16,7 +17,7 @@
     QuorumUnavailableError,
     StepOutOfOrderError,
 )
-from drumbay.delivery.log_entries import BatchFixed, LogEntry
+from drumbay.delivery.log_entries import BatchFixed, LogEntry, decode_entry
 from drumbay.delivery.messages import StreamAcceptRequest, StreamConfirmRequest, StreamReply
 from drumbay.delivery.replica import DeliveryReplica
 from drumbay.delivery.replicated_log import OwnedStream, ReplicatedLog
@@ -66,15 +67,9 @@
 class ForgetfulLog(ReplicatedLog):
     """Fault: a new owner takes over the submitted steps but not the fixed batches."""
 
-    async def recover(self, stream: StreamName, fence: Fence) -> OwnedStream:
-        self.recovering = True
-        owned = await super().recover(stream, fence)
-        self.recovering = False
-        return owned
-
-    async def propose(self, owned: OwnedStream, entry: LogEntry) -> None:
-        if not (self.recovering and isinstance(entry, BatchFixed)):
-            await super().propose(owned, entry)
+    async def restore(self, owned: OwnedStream, entries: Sequence[bytes]) -> None:
+        kept = [e for e in entries if not isinstance(decode_entry(e), BatchFixed)]
+        await super().restore(owned, kept)
 
 
 class UnconfirmedLog(ReplicatedLog):
