--- a/drumbay/rollout/runner.py
+++ b/drumbay/rollout/runner.py
@@ -45,11 +45,13 @@
 
     Attributes:
         attempt_timeout_seconds: Longest time of one attempt.
-        chunk_timeout_seconds: Longest time without a chunk.
+        first_chunk_timeout_seconds: Longest time in the engine's queue and prefill.
+        chunk_timeout_seconds: Longest time between chunks.
         tick_seconds: Time between decisions when nothing happens.
     """
 
     attempt_timeout_seconds: float = 1800.0
+    first_chunk_timeout_seconds: float = 120.0
     chunk_timeout_seconds: float = 30.0
     tick_seconds: float = 0.25
 
@@ -221,7 +223,9 @@
         chunks = self._engines.generate(
             engine, request, timeout_seconds=self._parameters.attempt_timeout_seconds
         )
-        while (chunk := await self._next_chunk(chunks)) is not None:
+        limit_seconds = self._parameters.first_chunk_timeout_seconds
+        while (chunk := await self._next_chunk(chunks, limit_seconds)) is not None:
+            limit_seconds = self._parameters.chunk_timeout_seconds
             if not self._is_current(decision):
                 # NOTE: a wait that ends in the moment of its cancellation returns its result.
                 raise ExchangeBrokenError("the attempt was cancelled")
@@ -248,10 +252,10 @@
                 stamped_version=chunk.weight_version,
             )
 
-    async def _next_chunk(self, chunks: AsyncIterator[TokenChunk]) -> TokenChunk | None:
-        return await self._clock.wait_for(
-            anext(chunks, None), self._parameters.chunk_timeout_seconds
-        )
+    async def _next_chunk(
+        self, chunks: AsyncIterator[TokenChunk], limit_seconds: float
+    ) -> TokenChunk | None:
+        return await self._clock.wait_for(anext(chunks, None), limit_seconds)
 
     def _report_failure(
         self,
