Leave engines that fail at once alone, and refuse entries that fit no frame

Cause: an attempt that broke without a token left its engine looking least loaded, so it drew every sample again after 50 ms. An entry above the frame limit could never be accepted, and as its outcome counted as unknown it would have been proposed again before any other for ever.

Change: a failure without a token backs the engine off for 1 s, doubling to 32 s. Entries above 3 MiB are refused before they are proposed. Tests also cover the hold of short samples.

--- a/drumbay/delivery/exceptions.py
+++ b/drumbay/delivery/exceptions.py
@@ -63,6 +63,12 @@
     code = "stream_log_full"
 
 
+class EntryTooLargeError(DeliveryError):
+    """A step or a batch does not fit into one frame; nothing was recorded."""
+
+    code = "stream_entry_too_large"
+
+
 class EpochMismatchError(UnavailableError):
     """The sender uses another replica set configuration than this replica."""
 
--- a/drumbay/delivery/replicated_log.py
+++ b/drumbay/delivery/replicated_log.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from drumbay.comm.interface import Address, Message, Transport
+from drumbay.delivery.exceptions import EntryTooLargeError
 from drumbay.delivery.log_entries import (
     LogEntry,
     StreamSnapshot,
@@ -29,6 +30,9 @@
 from drumbay.observability.logs import log_event
 from drumbay.tasks import TaskOwner
 
+MAX_ENTRY_BYTES = 3 * 1024 * 1024
+"""Limit of an encoded entry; a frame, with its envelope, is limited to 4 MiB."""
+
 RESTORE_WINDOW_ENTRIES = 16
 """Entries that a recovery has accepted at once; a batch is at most 2 MiB."""
 
@@ -148,11 +152,16 @@
         """Have a majority accept an entry at the next position, and apply it.
 
         Raises:
+            EntryTooLargeError: The entry was not proposed.
             OwnerDeposedError: A newer owner exists.
             QuorumUnavailableError: The entry may be accepted; it stays ``unresolved``.
         """
+        encoded = encode_entry(entry)
+        if len(encoded) > MAX_ENTRY_BYTES:
+            # NOTE: once proposed it would be proposed again before any other, for ever.
+            raise EntryTooLargeError(f"{len(encoded)} bytes, limit {MAX_ENTRY_BYTES}")
         owned.owner.unresolved = entry
-        await self._accept(owned, owned.owner.state.next_position, encode_entry(entry))
+        await self._accept(owned, owned.owner.state.next_position, encoded)
         owned.owner.choose(entry)
 
     async def _accept(self, owned: OwnedStream, position: int, encoded: bytes) -> None:
--- a/drumbay/rollout/scheduler.py
+++ b/drumbay/rollout/scheduler.py
@@ -3,7 +3,6 @@
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.rollout.decode_rate import DecodeRateModel
 from drumbay.rollout.events import (
-    AttemptFailure,
     Cancel,
     CancelReason,
     ChunkReceived,
@@ -24,7 +23,6 @@
 from drumbay.rollout.scheduler_state import SchedulerState, TrackedEngine, TrackedSample
 from drumbay.rollout.staleness import accepted_prefix
 
-ENGINE_BACKOFF_SECONDS = 1.0
 SAMPLE_BACKOFF_SECONDS = 0.05
 PRIORITY_RESUMED = 1
 PRIORITY_LAST_OF_STEP = 2
@@ -121,9 +119,8 @@
         if sample is None or sample.backend_id is None:
             return
         engine = self._state.engines.get(sample.backend_id)
-        if engine is not None and event.failure is not AttemptFailure.BROKEN:
-            backoff_seconds = event.retry_after_seconds or ENGINE_BACKOFF_SECONDS
-            engine.not_before = max(engine.not_before, now + backoff_seconds)
+        if engine is not None and sample.awaits_tokens:
+            engine.observe_failure(now, event.retry_after_seconds)
         self._state.end_attempt(sample)
         sample.not_before = now + SAMPLE_BACKOFF_SECONDS
         if not self._policy.keep_partial:
--- a/drumbay/rollout/scheduler_state.py
+++ b/drumbay/rollout/scheduler_state.py
@@ -13,6 +13,8 @@
 STAMP_VALIDITY_SECONDS = 30.0
 """How long a stamp overrides the version that its engine reports."""
 
+FIRST_BACKOFF_SECONDS = 1.0
+MAX_BACKOFF_DOUBLINGS = 5
 NO_FORECAST = FloorForecast(accepted=WeightVersion(0), accepted_next=WeightVersion(0))
 
 
@@ -76,6 +78,7 @@
             it differs. A swap that failed though acknowledged shows up here.
         stamped_at: When a chunk was stamped last.
         not_before: Earliest time of the next dispatch.
+        failures: Attempts in a row that failed without a token.
         rate: Time per token by batch size.
     """
 
@@ -83,6 +86,7 @@
     stamped_version: WeightVersion | None = None
     stamped_at: float = 0.0
     not_before: float = 0.0
+    failures: int = 0
     rate: DecodeRateModel
 
     @property
@@ -114,8 +118,19 @@
             self.stamped_version = None
         self.report = report
 
+    def observe_failure(self, now: float, retry_after_seconds: float | None) -> None:
+        """Leave the engine alone for a time that doubles with each failure in a row.
+
+        An engine that fails at once would otherwise look like the least loaded one.
+        """
+        doublings = min(self.failures, MAX_BACKOFF_DOUBLINGS)
+        self.failures += 1
+        backoff_seconds = retry_after_seconds or FIRST_BACKOFF_SECONDS * 2**doublings
+        self.not_before = max(self.not_before, now + backoff_seconds)
+
     def observe_stamp(self, version: WeightVersion, now: float) -> None:
         """Take the version of a chunk, which is the truth whatever was reported."""
+        self.failures = 0
         self.stamped_version = None if version == self.report.version else version
         self.stamped_at = now
 
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -12,6 +12,7 @@
     CursorAheadError,
     CursorTrimmedError,
     DeliveryError,
+    EntryTooLargeError,
     NothingReadyError,
     OwnerDeposedError,
     QuorumUnavailableError,
@@ -24,7 +25,7 @@
 from drumbay.delivery.service import DeliveryService
 from drumbay.exceptions import UnavailableError
 from drumbay.identifiers import Cursor, Fence, StreamName, WeightVersion
-from drumbay.rollout.sample import Sample, SampleKey
+from drumbay.rollout.sample import RolloutPrompt, Sample, SampleKey
 from tests.delivery_cluster import (
     STREAM,
     Cluster,
@@ -309,6 +310,10 @@
             await trainer.pull(owner, 1, 1)
         with self.assertRaises(StepOutOfOrderError):
             await owner.submit_step(STREAM, 5, prompts(1))
+        large = RolloutPrompt(text="x" * 4_000_000, group="g", max_tokens=1)
+        with self.assertRaises(EntryTooLargeError):
+            await owner.submit_step(STREAM, 1, [large])
+        await owner.submit_step(STREAM, 1, prompts(1))
 
     async def test_replica_set_change_moves_log_and_snapshot_to_the_new_member(self) -> None:
         cluster = Cluster()
--- a/tests/test_rollout_scheduler.py
+++ b/tests/test_rollout_scheduler.py
@@ -1,5 +1,6 @@
 """Decisions of the rollout scheduler."""
 
+import itertools
 import random
 import unittest
 
@@ -60,6 +61,18 @@
     return FloorChanged(forecast=forecast)
 
 
+def trainer(newest: int, version_next: int, next_step: int) -> FloorChanged:
+    """Return the forecast of a trainer that accepts versions one behind its own."""
+    forecast = FloorForecast(
+        accepted=WeightVersion(newest - 1),
+        accepted_next=WeightVersion(version_next - 1),
+        newest_version=WeightVersion(newest),
+        version_next=WeightVersion(version_next),
+        next_step=next_step,
+    )
+    return FloorChanged(forecast=forecast)
+
+
 def span(version: int, first: int, count: int) -> TokenSpan:
     return TokenSpan(
         weight_version=WeightVersion(version),
@@ -188,6 +201,38 @@
         decisions = driver.feed(chunk(dispatch, span(1, 0, 5)), TimePassed())
         self.assertEqual([type(decision) for decision in decisions], [Cancel])
 
+    def test_engine_that_fails_at_once_is_left_alone_for_longer_each_time(self) -> None:
+        driver = Driver(RolloutScheduler(IDLE_TIME))
+        driver.feed(engine("broken", 1), wanted(1))
+        starts = []
+        for _ in range(100):
+            for held in list(driver.running.values()):
+                starts.append(driver.now)
+                driver.feed(
+                    SampleFailed(key=held.key, attempt=held.attempt, failure=AttemptFailure.BROKEN)
+                )
+            driver.now += 0.5
+            driver.feed(TimePassed())
+        gaps = [after - before for before, after in itertools.pairwise(starts)]
+        self.assertEqual(gaps, [1.0, 2.0, 4.0, 8.0, 16.0])
+
+    def test_short_samples_wait_for_the_weights_of_their_step(self) -> None:
+        for policy, early in ((STALENESS, [1]), (IDLE_TIME, [0, 1])):
+            driver = Driver(RolloutScheduler(policy))
+            driver.feed(engine("e1", 1, slots=8), wanted(2))
+            for index, length in ((0, 10), (1, 900)):
+                dispatch = driver.running[SampleKey(0, index)]
+                driver.feed(chunk(dispatch, span(1, 0, length)))
+                driver.feed(SampleFinished(key=dispatch.key, attempt=dispatch.attempt))
+            driver.feed(trainer(newest=1, version_next=2, next_step=1))
+            decisions = driver.feed(wanted(2, step=1))
+            self.assertEqual(sorted(decision.key.index for decision in decisions), early)
+            published = driver.feed(trainer(newest=2, version_next=2, next_step=1))
+            self.assertEqual([d for d in published if isinstance(d, Dispatch)], [])
+            loaded = driver.feed(engine("e1", 2, slots=8))
+            late = [d.key.index for d in loaded if isinstance(d, Dispatch)]
+            self.assertEqual(late, [0] if policy is STALENESS else [])
+
     def test_random_events_never_break_the_invariants(self) -> None:
         for seed in range(30):
             for policy in (IDLE_TIME, STALENESS, BASELINE_POLICY):
