--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 import unittest
+from collections.abc import Sequence
 
 from drumbay.delivery.acceptor import Acceptor, AcceptorOutcome
 from drumbay.delivery.batch import Batch
@@ -11,19 +12,20 @@
     CursorAheadError,
     CursorTrimmedError,
     DeliveryError,
+    EntryTooLargeError,
     NothingReadyError,
     OwnerDeposedError,
     QuorumUnavailableError,
     StepOutOfOrderError,
 )
-from drumbay.delivery.log_entries import BatchFixed, LogEntry
+from drumbay.delivery.log_entries import BatchFixed, LogEntry, decode_entry
 from drumbay.delivery.messages import StreamAcceptRequest, StreamConfirmRequest, StreamReply
 from drumbay.delivery.replica import DeliveryReplica
 from drumbay.delivery.replicated_log import OwnedStream, ReplicatedLog
 from drumbay.delivery.service import DeliveryService
 from drumbay.exceptions import UnavailableError
 from drumbay.identifiers import Cursor, Fence, StreamName, WeightVersion
-from drumbay.rollout.sample import Sample, SampleKey
+from drumbay.rollout.sample import RolloutPrompt, Sample, SampleKey
 from tests.delivery_cluster import (
     STREAM,
     Cluster,
@@ -66,15 +68,9 @@
 class ForgetfulLog(ReplicatedLog):
     """Fault: a new owner takes over the submitted steps but not the fixed batches."""
 
-    async def recover(self, stream: StreamName, fence: Fence) -> OwnedStream:
-        self.recovering = True
-        owned = await super().recover(stream, fence)
-        self.recovering = False
-        return owned
-
-    async def propose(self, owned: OwnedStream, entry: LogEntry) -> None:
-        if not (self.recovering and isinstance(entry, BatchFixed)):
-            await super().propose(owned, entry)
+    async def restore(self, owned: OwnedStream, entries: Sequence[bytes]) -> None:
+        kept = [e for e in entries if not isinstance(decode_entry(e), BatchFixed)]
+        await super().restore(owned, kept)
 
 
 class UnconfirmedLog(ReplicatedLog):
@@ -314,6 +310,10 @@
             await trainer.pull(owner, 1, 1)
         with self.assertRaises(StepOutOfOrderError):
             await owner.submit_step(STREAM, 5, prompts(1))
+        large = RolloutPrompt(text="x" * 4_000_000, group="g", max_tokens=1)
+        with self.assertRaises(EntryTooLargeError):
+            await owner.submit_step(STREAM, 1, [large])
+        await owner.submit_step(STREAM, 1, prompts(1))
 
     async def test_replica_set_change_moves_log_and_snapshot_to_the_new_member(self) -> None:
         cluster = Cluster()
