Bound every step of a planned stop, and refuse by answer while it lasts

Up to Python 3.11 asyncio.wait_for drops a cancellation that comes in the same moment as the result. The membership loop waits by it; woken by a datagram of a peer that leaves while its tasks are cancelled, it goes on, and TaskOwner.close waits for it for ever.

--- a/drumbay/api/application.py
+++ b/drumbay/api/application.py
@@ -11,6 +11,7 @@
     ReadyHandler,
     StatusHandler,
 )
+from drumbay.api.intake import RequestIntake
 from drumbay.api.interface import NodeInterface
 from drumbay.api.resources import OperationHandler, ResourceHandler, ResourceListHandler
 from drumbay.api.rollouts import (
@@ -24,14 +25,21 @@
 MAXIMUM_HEADER_BYTES = 64 * 1024
 
 
-def make_application(node: NodeInterface, authentication: bool) -> Application:
+def make_application(
+    node: NodeInterface, authentication: bool, intake: RequestIntake | None = None
+) -> Application:
     """Return the HTTP application that serves ``node``.
 
     Args:
         node: Carries out the operations.
         authentication: Whether bearer tokens are required.
+        intake: Counts the requests, and says whether new ones are taken.
     """
-    arguments = {"node": node, "authentication": authentication}
+    arguments = {
+        "node": node,
+        "authentication": authentication,
+        "intake": intake or RequestIntake(),
+    }
     probe = {"node": node}
     return Application(
         [
--- a/drumbay/api/base.py
+++ b/drumbay/api/base.py
@@ -1,5 +1,6 @@
 """Base of the HTTP handlers: typed bodies, typed errors, bearer tokens."""
 
+import asyncio
 import hashlib
 import hmac
 from typing import Any, ClassVar, TypeVar
@@ -7,6 +8,7 @@
 import msgspec
 from tornado.web import RequestHandler
 
+from drumbay.api.intake import RequestIntake
 from drumbay.api.interface import NodeInterface
 from drumbay.api.schema import ErrorBody, ErrorDetail
 from drumbay.exceptions import DrumbayError, Execution, RequestFailedError
@@ -14,6 +16,7 @@
 from drumbay.observability.logs import log_event
 from drumbay.requests.errors import (
     AuthenticationRequiredError,
+    NotReadyError,
     PermissionDeniedError,
     not_run,
 )
@@ -25,24 +28,70 @@
 REQUEST_ID_HEADER = "X-Request-Id"
 TIMEOUT_HEADER = "Drumbay-Timeout-Seconds"
 BEARER_PREFIX = "Bearer "
+STOPPING_RETRY_AFTER_SECONDS = 1.0
 
 
 class ApiHandler(RequestHandler):
     """A handler that speaks JSON and turns exceptions into typed error bodies."""
 
     allowed_roles: ClassVar[tuple[Role, ...]] = (Role.OPERATOR,)
+    served_while_stopping: ClassVar[bool] = False
 
-    def initialize(self, node: NodeInterface, authentication: bool) -> None:
-        """Take the node that carries out the operations."""
+    def initialize(
+        self, node: NodeInterface, authentication: bool, intake: RequestIntake | None = None
+    ) -> None:
+        """Take the node that carries out the operations.
+
+        Args:
+            node: Carries out the operations.
+            authentication: Whether bearer tokens are required.
+            intake: Counts the requests, and says whether new ones are taken.
+        """
         self.node = node
         self.authentication = authentication
+        self.intake = intake or RequestIntake()
         self.request_id: RequestId | None = None
+        self._is_counted = False
+        self._is_answered = False
 
     def prepare(self) -> None:
-        """Refuse a request whose bearer token does not allow it."""
+        """Refuse a request at a stopping node, and one whose bearer token does not allow it."""
+        self.intake.begin()
+        self._is_counted = True
+        if self.intake.is_stopping:
+            # Asks the client to send its next request over a new connection, to another node.
+            self.set_header("Connection", "close")
+            if not self.served_while_stopping:
+                raise NotReadyError(
+                    "this node is stopping",
+                    execution=Execution.NOT_RUN,
+                    retry_after_seconds=STOPPING_RETRY_AFTER_SECONDS,
+                )
         if self.authentication:
             self._check_role(self._role_of_bearer())
 
+    def finish(self, chunk: str | bytes | dict[str, Any] | None = None) -> "asyncio.Future[None]":
+        """End the answer; the request is in flight until its last byte is written."""
+        self._is_answered = True
+        try:
+            written = super().finish(chunk)
+        except BaseException:
+            self._end_count()
+            raise
+        written.add_done_callback(lambda future: self._end_count())
+        return written
+
+    def on_connection_close(self) -> None:
+        """Note that the caller is gone; what it asked for may still be under way."""
+        # NOTE: tornado does not resolve the future of a write that the connection's end broke.
+        if self._is_answered:
+            self._end_count()
+
+    def _end_count(self) -> None:
+        if self._is_counted:
+            self._is_counted = False
+            self.intake.end()
+
     def _check_role(self, role: Role) -> None:
         if role not in self.allowed_roles:
             raise PermissionDeniedError(
@@ -136,6 +185,8 @@
         if error is None:
             return
         detail = self.error_detail(error)
+        if self.intake.is_stopping:
+            self.set_header("Connection", "close")
         if isinstance(error, RequestFailedError):
             self.set_status(error.http_status)
         if detail.retry_after_seconds is not None:
--- a/drumbay/api/diagnostics.py
+++ b/drumbay/api/diagnostics.py
@@ -16,6 +16,7 @@
     """``GET /v1/explain/{kind}/{id}``."""
 
     allowed_roles: ClassVar[tuple[Role, ...]] = (Role.OPERATOR, Role.CALLER, Role.TRAINER)
+    served_while_stopping: ClassVar[bool] = True
 
     async def get(self, kind: str, subject_id: str) -> None:
         """Return the decision records of a request, a sample or a back end."""
@@ -29,6 +30,8 @@
 class StatusHandler(ApiHandler):
     """``GET /v1/status``."""
 
+    served_while_stopping: ClassVar[bool] = True
+
     def get(self) -> None:
         """Return the node's state."""
         self.write_record(self.node.status())
--- a/drumbay/clock.py
+++ b/drumbay/clock.py
@@ -59,7 +59,11 @@
         Raises:
             DeadlineExceededError: The limit passed first.
         """
+        # NOTE: not asyncio.wait_for: up to Python 3.11 it drops a cancellation that comes in
+        # the same moment as the result (python/cpython#86296), and a task that waits in a
+        # loop would then never end.
         try:
-            return await asyncio.wait_for(awaitable, timeout_seconds)
+            async with asyncio.timeout(timeout_seconds):
+                return await awaitable
         except TimeoutError as error:
             raise DeadlineExceededError(f"no result within {timeout_seconds:.3f} s") from error
--- a/drumbay/node/coordination.py
+++ b/drumbay/node/coordination.py
@@ -98,11 +98,6 @@
         if self._has_disk:
             self._task_owner.spawn(self._reconfigurator.run(), "replica-set-change")
 
-    async def stop(self) -> None:
-        """Give up ownerships and leave the membership."""
-        await self.ownership.stop()
-        await self.membership.leave()
-
     def stream_replicas(self) -> ReplicaView:
         """Return the replica set as stream owners use it."""
         current = self.replica_set.replica_set()
--- a/drumbay/node/node.py
+++ b/drumbay/node/node.py
@@ -43,6 +43,7 @@
 from drumbay.node.replicas import NodeReplicas
 from drumbay.node.request_services import RequestServices
 from drumbay.node.rollouts import RolloutSupervisor
+from drumbay.node.stop_sequence import StopStep, run_stop_steps
 from drumbay.node.stream_messages import CheckpointRequest, PullRequest, SubmitStepRequest
 from drumbay.node.streams import StreamService
 from drumbay.node.weights import WeightSupervisor
@@ -56,6 +57,10 @@
 from drumbay.tasks import TaskOwner
 
 DRAIN_POLL_SECONDS = 0.05
+OWNERSHIP_LIMIT_SECONDS = 5.0
+MEMBERSHIP_LIMIT_SECONDS = 5.0
+TASKS_LIMIT_SECONDS = 8.0
+LOGS_LIMIT_SECONDS = 5.0
 
 
 class Node:
@@ -207,23 +212,56 @@
         self._streams.set_streams(streams)
         log_event("configuration_in_force", node_id=self._node_id, revision=view.revision)
 
-    async def drain(self) -> None:
-        """Refuse new requests and wait until those in flight have ended."""
+    def refuse_new_requests(self) -> None:
+        """Take no more requests; those in flight go on."""
         self._requests.gate.is_stopping = True
         log_event("node_draining", node_id=self._node_id, in_flight=self._requests.gate.in_flight)
+
+    @property
+    def longest_request_seconds(self) -> float:
+        """Return the longest time that a request in flight may take by its route."""
+        return self._requests.longest_timeout_seconds
+
+    async def drain(self) -> None:
+        """Refuse new requests and wait until those in flight have ended."""
+        self.refuse_new_requests()
+        await self.wait_idle()
+
+    async def wait_idle(self) -> None:
+        """Wait until no request is in flight."""
         while self._requests.gate.in_flight > 0:
             await self._clock.sleep(DRAIN_POLL_SECONDS)
 
     async def stop(self) -> None:
-        """Stop in an orderly way: drain, then :meth:`finish_stop`."""
+        """Stop in an orderly way: drain, then the steps of :meth:`stop_steps`."""
         await self.drain()
-        await self.finish_stop()
+        await run_stop_steps(self.stop_steps())
 
-    async def finish_stop(self) -> None:
-        """Give up ownerships, leave the membership and close the logs."""
-        await self._coordination.stop()
-        await self.close()
-        log_event("node_stopped", node_id=self._node_id)
+    def stop_steps(self) -> tuple[StopStep, ...]:
+        """Return the steps after the drain: hand over, leave the membership, close the logs."""
+        coordination = self._coordination
+        steps = [
+            StopStep(
+                name="give-up-ownership",
+                run=coordination.ownership.stop,
+                limit_seconds=OWNERSHIP_LIMIT_SECONDS,
+            ),
+            StopStep(
+                name="leave-membership",
+                run=coordination.membership.leave,
+                limit_seconds=MEMBERSHIP_LIMIT_SECONDS,
+            ),
+            StopStep(name="end-tasks", run=self._tasks.close, limit_seconds=TASKS_LIMIT_SECONDS),
+        ]
+        if self._replicas is not None:
+            steps.append(
+                StopStep(
+                    name="close-logs",
+                    run=self._replicas.close,
+                    limit_seconds=LOGS_LIMIT_SECONDS,
+                )
+            )
+        return tuple(steps)
 
     async def close(self) -> None:
         """End every task and close the logs at once."""
--- a/drumbay/node/process.py
+++ b/drumbay/node/process.py
@@ -14,7 +14,9 @@
 from drumbay.machines.http import HttpMachineListClient
 from drumbay.node.environment import NodeEnvironment
 from drumbay.node.node import Node
-from drumbay.node.server import start_http_server
+from drumbay.node.planned_stop import PlannedStop
+from drumbay.node.server import NodeHttpServer
+from drumbay.node.stop_sequence import StopStep
 from drumbay.observability.logs import log_event
 from drumbay.settings import NodeSettings
 from drumbay.storage.durable_log import DurableLog
@@ -22,13 +24,15 @@
 from drumbay.weights.http_store import HttpWeightStoreClient
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+NETWORK_LIMIT_SECONDS = 8.0
 
 
 async def run_node(settings: NodeSettings, cluster_key: bytes) -> None:
     """Run a node until it is told to stop.
 
-    The first SIGTERM or SIGINT starts a planned stop: no new requests, those in flight run
-    to their end. A second one ends the process at once.
+    The first SIGTERM or SIGINT starts a planned stop: new requests are refused, those in
+    flight run to their end. A second one ends the process at once. Nothing is lost by that:
+    what must last is on the disks of a majority before it is acted upon.
 
     Raises:
         ListenError: The peer address cannot be used.
@@ -59,41 +63,41 @@
     node = Node(settings, environment)
     await transport.start()
     node.start()
-    server = start_http_server(node, settings.http)
+    server = NodeHttpServer(node, settings.http, clock)
+    server.start()
     log_event(
         "node_listening",
         node_id=settings.node_id,
         http=f"{settings.http.host}:{settings.http.port}",
         peers=f"{settings.peers.host}:{settings.peers.port}",
     )
-    is_planned = await _wait_for_stop(node)
-    server.stop()
-    if is_planned:
-        await node.finish_stop()
-        await server.close_all_connections()
+    await _wait_for_signal()
+    stop = PlannedStop(node, server, settings.stop, clock)
+    await stop.drain()
+    network = StopStep(
+        name="close-network",
+        run=lambda: _close_network(connector, transport, transport_tasks),
+        limit_seconds=NETWORK_LIMIT_SECONDS,
+    )
+    await stop.finish(network)
+    log_event("node_stopped", node_id=settings.node_id)
+
+
+async def _close_network(
+    connector: HttpConnector, transport: TornadoTransport, transport_tasks: TaskOwner
+) -> None:
     connector.close()
     await transport.close()
     await transport_tasks.close()
 
 
-async def _wait_for_stop(node: Node) -> bool:
-    """Wait for a signal and drain; return whether the drain ended before a second one."""
+async def _wait_for_signal() -> None:
+    """Wait for the first signal; a second one then ends the process at once."""
     stop = asyncio.Event()
-    kill = asyncio.Event()
-
-    def handle_signal() -> None:
-        if stop.is_set():
-            kill.set()
-        stop.set()
-
     loop = asyncio.get_running_loop()
     for number in STOP_SIGNALS:
-        loop.add_signal_handler(number, handle_signal)
+        loop.add_signal_handler(number, stop.set)
     await stop.wait()
-    drain = asyncio.ensure_future(node.drain())
-    killed = asyncio.ensure_future(kill.wait())
-    await asyncio.wait((drain, killed), return_when=asyncio.FIRST_COMPLETED)
-    is_planned = drain.done()
-    for task in (drain, killed):
-        task.cancel()
-    return is_planned
+    for number in STOP_SIGNALS:
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_DFL)
--- a/drumbay/node/request_services.py
+++ b/drumbay/node/request_services.py
@@ -27,6 +27,7 @@
         dispatcher: Choice of back ends.
         live: Live generation requests.
         applications: Application requests.
+        longest_timeout_seconds: Longest time limit that any route has had.
     """
 
     def __init__(
@@ -45,6 +46,7 @@
         now = clock.monotonic()
         budget = RetryBudget(RetryBudgetPolicy(), now)
         self.routes = RouteTable(())
+        self.longest_timeout_seconds = 0.0
         self.gate = AdmissionGate(clock, AdmissionController(AdmissionPolicy(), now))
         self.dispatcher = Dispatcher(clock, zone, directory, recorder, random)
         self.live = LiveRequestService(clock, engine_client, self.dispatcher, self.gate, budget)
@@ -61,6 +63,8 @@
             log_event("routes_refused", level="ERROR", detail=str(error))
             return
         self.routes = table
+        limits = (route.timeout_seconds for route in routes)
+        self.longest_timeout_seconds = max((self.longest_timeout_seconds, *limits))
         self.gate.set_routes(routes)
         self.live.set_routes(table)
         self.applications.set_routes(table)
--- a/drumbay/node/server.py
+++ b/drumbay/node/server.py
@@ -1,4 +1,4 @@
-"""The HTTP server of a node process."""
+"""The HTTP server of a node process, and its planned stop."""
 
 import ssl
 
@@ -9,24 +9,67 @@
     MAXIMUM_HEADER_BYTES,
     make_application,
 )
+from drumbay.api.intake import RequestIntake
 from drumbay.api.interface import NodeInterface
+from drumbay.clock import Clock
 from drumbay.settings import HttpSettings
 
+IDLE_POLL_SECONDS = 0.05
+LAST_BYTES_SECONDS = 0.25
 
-def start_http_server(node: NodeInterface, settings: HttpSettings) -> HTTPServer:
-    """Listen for callers, trainers and operators.
 
-    Raises:
-        OSError: The address cannot be used.
+class NodeHttpServer:
+    """Serves callers, trainers and operators.
+
+    Args:
+        node: Carries out the operations.
+        settings: Address, certificate and authentication.
+        clock: Time.
     """
-    server = HTTPServer(
-        make_application(node, settings.authentication),
-        ssl_options=_ssl_context(settings),
-        max_body_size=MAXIMUM_BODY_BYTES,
-        max_header_size=MAXIMUM_HEADER_BYTES,
-    )
-    server.listen(settings.port, settings.host)
-    return server
+
+    def __init__(self, node: NodeInterface, settings: HttpSettings, clock: Clock) -> None:
+        """Create a server that does not listen yet."""
+        self._settings = settings
+        self._clock = clock
+        self._intake = RequestIntake()
+        self._server = HTTPServer(
+            make_application(node, settings.authentication, self._intake),
+            ssl_options=_ssl_context(settings),
+            max_body_size=MAXIMUM_BODY_BYTES,
+            max_header_size=MAXIMUM_HEADER_BYTES,
+        )
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests have not got their whole answer."""
+        return self._intake.in_flight
+
+    def start(self) -> None:
+        """Listen.
+
+        Raises:
+            OSError: The address cannot be used.
+        """
+        self._server.listen(self._settings.port, self._settings.host)
+
+    def refuse_new_requests(self) -> None:
+        """Go on accepting connections, and answer their requests with a typed refusal."""
+        self._intake.is_stopping = True
+
+    async def wait_idle(self) -> None:
+        """Wait until no request is in flight."""
+        while self._intake.in_flight > 0:
+            await self._clock.sleep(IDLE_POLL_SECONDS)
+
+    def stop_listening(self) -> None:
+        """Accept no more connections; those that are open stay open."""
+        self._server.stop()
+
+    async def close(self) -> None:
+        """Close the connections that are open."""
+        # A streamed answer's end mark is counted as written when it is queued.
+        await self._clock.sleep(LAST_BYTES_SECONDS)
+        await self._server.close_all_connections()
 
 
 def _ssl_context(settings: HttpSettings) -> ssl.SSLContext | None:
--- a/drumbay/settings.py
+++ b/drumbay/settings.py
@@ -112,6 +112,18 @@
     level: str = "INFO"
 
 
+class StopSettings(_Section, frozen=True, kw_only=True):
+    """How the node stops.
+
+    Attributes:
+        lame_duck_seconds: How long a stopping node at least goes on accepting connections,
+            and refuses their requests, so that callers and load balancers learn of the stop
+            by an answer and not by a refused connection.
+    """
+
+    lame_duck_seconds: Annotated[float, Meta(ge=0, le=60)] = 2.0
+
+
 class NodeSettings(_Section, frozen=True, kw_only=True):
     """Settings of one node.
 
@@ -126,6 +138,7 @@
         weight_store: The weight store, if new versions are to be noticed there.
         data_folder: Folder for bulk data; a node without one keeps nothing on disk.
         logs: Logging.
+        stop: The planned stop.
     """
 
     node_id: Name
@@ -138,6 +151,7 @@
     weight_store: WeightStoreSettings | None = None
     data_folder: str | None = None
     logs: LogSettings = LogSettings()
+    stop: StopSettings = StopSettings()
 
 
 class SettingsOverrides(msgspec.Struct, frozen=True, kw_only=True):
--- a/drumbay/tasks.py
+++ b/drumbay/tasks.py
@@ -6,12 +6,20 @@
 
 from drumbay.observability.logs import log_event
 
+CLOSE_ROUNDS = 5
+CLOSE_ROUND_SECONDS = 1.0
+
 
 class TaskOwner:
     """Starts background tasks, reports their failures and cancels them on close."""
 
-    def __init__(self) -> None:
-        """Create an owner without tasks."""
+    def __init__(self, close_rounds: int = CLOSE_ROUNDS) -> None:
+        """Create an owner without tasks.
+
+        Args:
+            close_rounds: How often :meth:`close` cancels a task that has not ended.
+        """
+        self._close_rounds = close_rounds
         # NOTE: a dict keeps insertion order; cancelling in set order would make
         # simulations differ from run to run.
         self._tasks: dict[asyncio.Task[Any], None] = {}
@@ -38,8 +46,17 @@
             )
 
     async def close(self) -> None:
-        """Cancel every task and wait until all have ended."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        """Cancel every task and wait until all have ended.
+
+        A task that goes on after a cancellation, or that was started since, is cancelled in
+        the next round. Tasks that are left after the last round are reported and given up.
+        """
+        for _ in range(self._close_rounds):
+            tasks = list(self._tasks)
+            if not tasks:
+                return
+            for task in tasks:
+                task.cancel()
+            await asyncio.wait(tasks, timeout=CLOSE_ROUND_SECONDS)
+        for task in self._tasks:
+            log_event("task_not_ended", level="ERROR", task=task.get_name())
--- /dev/null
+++ b/tests/process_deployment.py
@@ -0,0 +1,213 @@
+"""A deployment of separate processes on loopback, for tests."""
+
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import msgspec
+from tornado.httpclient import HTTPResponse
+
+from drumbay.acceptance.calls import Caller, CallFailedError
+from drumbay.api.schema import StatusBody
+from drumbay.clock import SystemClock
+from drumbay.standins.execution_log import AnyExecutionRecord, ExecutionLogPage
+
+READY_LIMIT_SECONDS = 30.0
+END_LIMIT_SECONDS = 30.0
+POLL_SECONDS = 0.05
+NODE_COUNT = 3
+
+
+class NotReachedError(AssertionError):
+    """A process did not reach the expected state within the limit."""
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free for TCP and UDP now."""
+    held: list[socket.socket] = []
+    ports: list[int] = []
+    while len(ports) < count:
+        stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        stream.bind(("127.0.0.1", 0))
+        datagram = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        held += [stream, datagram]
+        try:
+            datagram.bind(stream.getsockname())
+        except OSError:
+            continue
+        ports.append(stream.getsockname()[1])
+    for each in held:
+        each.close()
+    return ports
+
+
+class Deployment:
+    """Three nodes, a key-value emulator, and the emulators that a test adds.
+
+    Attributes:
+        caller: Sends HTTP requests.
+        clock: The system's clock.
+    """
+
+    def __init__(self) -> None:
+        """Choose ports and write the nodes' settings; nothing runs yet."""
+        self._folder = tempfile.TemporaryDirectory()
+        self.folder = Path(self._folder.name)
+        self._ports = iter(free_ports(24))
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._urls: dict[str, str] = {}
+        self._commands: dict[str, tuple[str, ...]] = {}
+        self.caller = Caller()
+        self.clock = SystemClock()
+        (self.folder / "cluster.key").write_bytes(os.urandom(32).hex().encode())
+
+    def url(self, name: str) -> str:
+        """Return the base URL of a process."""
+        return self._urls[name]
+
+    def process(self, name: str) -> subprocess.Popen[bytes]:
+        """Return a process that was started."""
+        return self._processes[name]
+
+    def log_text(self, name: str) -> str:
+        """Return what a process has logged."""
+        return (self.folder / f"{name}.log").read_text(errors="replace")
+
+    def start_standin(self, name: str, kind: str, *arguments: str) -> str:
+        """Start an emulator and return its URL."""
+        port = next(self._ports)
+        self._urls[name] = f"http://127.0.0.1:{port}"
+        self._commands[name] = ("standin", kind, "--port", str(port), *arguments)
+        self.restart(name)
+        return self._urls[name]
+
+    def start_nodes(
+        self, key_value_url: str, lame_duck_seconds: tuple[float, ...] = (0.5, 0.5, 0.5)
+    ) -> None:
+        """Start the nodes ``node-1`` to ``node-3``, each with a data folder."""
+        peers = [next(self._ports) for _ in range(NODE_COUNT)]
+        seeds = ", ".join(f'"127.0.0.1:{port}"' for port in peers)
+        for index, peer_port in enumerate(peers):
+            name = f"node-{index + 1}"
+            port = next(self._ports)
+            settings = self.folder / f"{name}.toml"
+            settings.write_text(f"""node_id = "{name}"
+zone = "zone-{index + 1}"
+region = "test"
+data_folder = "{self.folder}/{name}-data"
+[http]
+host = "127.0.0.1"
+port = {port}
+[peers]
+host = "127.0.0.1"
+port = {peer_port}
+cluster_key_file = "cluster.key"
+seeds = [{seeds}]
+[key_value]
+urls = ["{key_value_url}"]
+[stop]
+lame_duck_seconds = {lame_duck_seconds[index]}
+""")
+            self._urls[name] = f"http://127.0.0.1:{port}"
+            self._commands[name] = ("node", "--settings", str(settings))
+            self.restart(name)
+
+    def restart(self, name: str) -> None:
+        """Start a process again with the arguments of its first start."""
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self._processes[name] = subprocess.Popen(
+                (sys.executable, "-m", "drumbay", *self._commands[name]),
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+            )
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process."""
+        self._processes[name].send_signal(number)
+
+    async def wait_end(self, name: str, limit_seconds: float = END_LIMIT_SECONDS) -> int:
+        """Wait until a process has ended and return its exit status."""
+        process = self._processes[name]
+        ends_at = self.clock.monotonic() + limit_seconds
+        while process.poll() is None:
+            if self.clock.monotonic() > ends_at:
+                raise NotReachedError(f"{name} did not end:\n{self.log_text(name)[-2000:]}")
+            await self.clock.sleep(POLL_SECONDS)
+        return process.returncode
+
+    async def wait_answer(self, name: str, path: str) -> HTTPResponse:
+        """Wait until a process answers a GET request with success."""
+        ends_at = self.clock.monotonic() + READY_LIMIT_SECONDS
+        while True:
+            try:
+                return await self.caller.send("GET", self._urls[name] + path)
+            except CallFailedError as error:
+                if self.clock.monotonic() > ends_at:
+                    raise NotReachedError(
+                        f"{name}{path}: {error}\n{self.log_text(name)[-2000:]}"
+                    ) from error
+            await self.clock.sleep(POLL_SECONDS)
+
+    async def wait_ready(self) -> None:
+        """Wait until every node is ready and sees all others."""
+        for index in range(NODE_COUNT):
+            await self.wait_answer(f"node-{index + 1}", "/readyz")
+
+    async def status(self, name: str) -> StatusBody:
+        """Return the status of a node."""
+        return await self.caller.get(self._urls[name] + "/v1/status", StatusBody)
+
+    async def apply(self, *resources: str) -> None:
+        """Apply resources in YAML at the first node, and wait until all nodes have them."""
+        await asyncio.to_thread(self._run_apply, resources)
+        revision = (await self.status("node-1")).configuration_revision
+        ends_at = self.clock.monotonic() + READY_LIMIT_SECONDS
+        for index in range(1, NODE_COUNT):
+            while (await self.status(f"node-{index + 1}")).configuration_revision < revision:
+                if self.clock.monotonic() > ends_at:
+                    raise NotReachedError(f"node-{index + 1} lacks revision {revision}")
+                await self.clock.sleep(POLL_SECONDS)
+
+    def _run_apply(self, resources: tuple[str, ...]) -> None:
+        file = self.folder / "resources.yaml"
+        file.write_text("\n---\n".join(resources))
+        command = (sys.executable, "-m", "drumbay", "apply", "-f", str(file))
+        applied = subprocess.run(
+            (*command, "--server", self._urls["node-1"]),
+            capture_output=True,
+            timeout=READY_LIMIT_SECONDS,
+            check=False,
+        )
+        if applied.returncode != 0:
+            raise NotReachedError(f"apply failed: {applied.stdout!r} {applied.stderr!r}")
+
+    async def execution_log(self, name: str) -> list[AnyExecutionRecord]:
+        """Return what an emulator truly did."""
+        records: list[AnyExecutionRecord] = []
+        while True:
+            url = f"{self._urls[name]}/log?first={len(records)}"
+            page = await self.caller.get(url, ExecutionLogPage)
+            records.extend(page.records)
+            if not page.records or len(records) >= page.total:
+                return records
+
+    async def arm_fault(self, name: str, path: str, body: msgspec.Struct) -> None:
+        """Send a command to an emulator's fault switches."""
+        await self.caller.send("POST", self._urls[name] + path, msgspec.json.encode(body))
+
+    def close(self) -> None:
+        """End every process that was started."""
+        self.caller.close()
+        for process in self._processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self._processes.values():
+            process.wait()
+        self._folder.cleanup()
