--- a/drumbay/node/node.py
+++ b/drumbay/node/node.py
@@ -153,7 +153,7 @@
 
     def _make_request_services(self) -> RequestServices:
         environment = self._environment
-        claims = ClaimService(
+        self._claims = ClaimService(
             clock=self._clock,
             transport=environment.transport,
             node_id=self._node_id,
@@ -169,7 +169,7 @@
             application_client=environment.application_client,
             directory=self._directory,
             recorder=self._recorder,
-            once=ClaimedOnceRunner(claims),
+            once=ClaimedOnceRunner(self._claims),
             random=environment.random,
         )
 
@@ -229,7 +229,8 @@
 
     async def wait_idle(self) -> None:
         """Wait until no request is in flight."""
-        while self._requests.gate.in_flight > 0:
+        # A caller that went away leaves the gate, while its unrepeatable request goes on.
+        while self._requests.gate.in_flight > 0 or self._claims.dispatches_under_way > 0:
             await self._clock.sleep(DRAIN_POLL_SECONDS)
 
     async def stop(self) -> None:
