--- a/drumbay/node/streams.py
+++ b/drumbay/node/streams.py
@@ -130,10 +130,12 @@
         while True:
             await self._clock.sleep(REPLICA_SET_POLL_SECONDS)
             for stream in self._delivery.outdated_streams:
-                name = RESOURCE_PREFIX + stream
-                fence = self._ownership.fence_to_continue(name, self._clock.monotonic())
-                if fence is not None:
-                    await self._take_over(stream, fence)
+                try:
+                    await self._delivery.recover_outdated(stream)
+                except DrumbayError as error:
+                    log_event(
+                        "stream_recovery_failed", level="WARNING", stream=stream, error=error.code
+                    )
 
     async def submit(self, request: SubmitStepRequest) -> NodeId:
         """Record a step; returns the owner.
