Form the replica set of a young cluster without waiting for a confirmation

Cause: a node that restarted during an outage of the key-value service was not ready within 30 s (found by real processes). Without a replica set the watchers propose one only after a confirmation by the key-value service, every 15 s, and then with a chance of a quarter; the outage began about 20 s after the first start and there was no set yet.

Change: while the set is in transition or has fewer than three members, watchers propose every second (same chance). The set is then formed within seconds; with a formed set nothing changes.

--- a/drumbay/configuration/service.py
+++ b/drumbay/configuration/service.py
@@ -43,6 +43,8 @@
 """Between confirmations by the rate-limited key-value service, without replicas."""
 
 PROPOSAL_PROBABILITY = 0.25
+FEWEST_REPLICAS = 3
+"""A majority of fewer does not survive the loss of one."""
 
 
 class ConfigurationService:
@@ -171,12 +173,23 @@
         next_confirmation = self._clock.monotonic()
         while True:
             self._elect()
-            if self.watching and self._clock.monotonic() >= next_confirmation:
+            is_due = self._clock.monotonic() >= next_confirmation
+            if self.watching and is_due:
                 await self._confirm()
                 next_confirmation = self._clock.monotonic() + self._confirm_period_seconds()
+            if self.watching and (is_due or self.is_replica_set_forming()):
                 await self._maintain_replica_set()
             await self._clock.sleep(ROLE_PERIOD_SECONDS)
 
+    def is_replica_set_forming(self) -> bool:
+        """Return whether a failure now would find too few replicas.
+
+        Without a replica set nobody can start during an outage of the key-value service, so
+        the set of a young cluster does not wait for the next confirmation.
+        """
+        replica_set = self._applied.state.replica_set
+        return len(replica_set.members) < FEWEST_REPLICAS or bool(replica_set.previous)
+
     def _confirm_period_seconds(self) -> float:
         if self._applied.state.replica_set.members:
             return CONFIRM_PERIOD_SECONDS
--- a/tests/test_configuration_replicas.py
+++ b/tests/test_configuration_replicas.py
@@ -23,6 +23,7 @@
 
 SETTLE_SECONDS = 60.0
 REPLACED_SECONDS = 240.0
+YOUNG_SECONDS = 12.0
 
 Scenario = Callable[[ConfigurationCluster], Awaitable[None]]
 
@@ -42,6 +43,39 @@
     replica_client_type: ClassVar[type[ReplicaClient]] = UnstoredClient
 
 
+class LateFormingService(ConfigurationService):
+    """Fault: the replica set of a young cluster waits for the next confirmation."""
+
+    def is_replica_set_forming(self) -> bool:
+        return False
+
+
+class YoungClusterTest(unittest.TestCase):
+    """A node restarts during an outage that begins soon after the first start of all."""
+
+    def is_ready_after_restart(self, service_type: ServiceType) -> bool:
+        async def main(folder: Path) -> bool:
+            cluster = ConfigurationCluster(
+                seed=3, locations=ZONES, node_count=5, disk_count=3, folder=folder
+            )
+            cluster.start_all(service_type)
+            await cluster.wait_loaded()
+            await asyncio.sleep(YOUNG_SECONDS)
+            cluster.model.set_faults(KeyValueFaults(outage=True))
+            restarted = cluster.nodes["node-001"]
+            await restarted.kill()
+            restarted.start(service_type)
+            await asyncio.sleep(10)
+            return restarted.service.readiness().ready
+
+        with tempfile.TemporaryDirectory() as folder:
+            return run_simulation(lambda: main(Path(folder)))
+
+    def test_replica_set_forms_within_seconds(self) -> None:
+        self.assertFalse(self.is_ready_after_restart(LateFormingService))
+        self.assertTrue(self.is_ready_after_restart(ConfigurationService))
+
+
 class ReplicaSetChangeTest(unittest.TestCase):
     def run_cluster(
         self, scenario: Scenario, service_type: ServiceType = ConfigurationService
