Import a command's module only when it is called

Cause: the command line imported every command, so a node held the emulators, the benches and the simulation, and needed the libraries of the optional extras; when one bench failed to import, no node started.

Change: a table of commands; only the one that is called is imported, all of them for help.

--- a/drumbay/cli/main.py
+++ b/drumbay/cli/main.py
@@ -1,43 +1,84 @@
-"""Entry point of the command line."""
+"""Entry point of the command line.
 
+A command's module is imported when the command is called: a node then holds no code of the
+emulators, the simulation and the benches in memory, and needs none of their libraries.
+"""
+
+import sys
+from importlib import import_module
+
+import msgspec
 import typer
 
 from drumbay import __version__
-from drumbay.cli import acceptance, bench, explain, node, operators, simulate, standin, token
 
-app = typer.Typer(
-    name="drumbay",
-    no_args_is_help=True,
-    help="A rollout service for reinforcement learning beside live traffic.",
-)
+
+class CommandSource(msgspec.Struct, frozen=True):
+    """Where a command is defined.
+
+    Attributes:
+        module: Module to import.
+        attribute: A function, or a ``typer.Typer`` of more commands.
+    """
+
+    module: str
+    attribute: str
+
+
+COMMANDS: dict[str, CommandSource] = {
+    "node": CommandSource("drumbay.cli.node", "node"),
+    "apply": CommandSource("drumbay.cli.operators", "apply"),
+    "get": CommandSource("drumbay.cli.operators", "get"),
+    "describe": CommandSource("drumbay.cli.operators", "describe"),
+    "delete": CommandSource("drumbay.cli.operators", "delete"),
+    "operation": CommandSource("drumbay.cli.operators", "operation"),
+    "status": CommandSource("drumbay.cli.operators", "status"),
+    "explain": CommandSource("drumbay.cli.explain", "explain"),
+    "token": CommandSource("drumbay.cli.token", "token"),
+    "acceptance": CommandSource("drumbay.cli.acceptance", "acceptance"),
+    "simulate": CommandSource("drumbay.cli.simulate", "simulate"),
+    "standin": CommandSource("drumbay.cli.standin", "app"),
+    "bench": CommandSource("drumbay.cli.bench", "app"),
+}
 
 
-@app.callback()
 def main() -> None:
     """Run training rollouts beside live traffic."""
 
 
-@app.command()
 def version() -> None:
     """Print the version."""
     typer.echo(__version__)
 
 
-app.command()(node.node)
-app.command()(operators.apply)
-app.command()(operators.get)
-app.command()(operators.describe)
-app.command()(operators.delete)
-app.command()(operators.operation)
-app.command()(operators.status)
-app.command()(explain.explain)
-app.command()(token.token)
-app.command()(acceptance.acceptance)
-app.command()(simulate.simulate)
-app.add_typer(standin.app)
-app.add_typer(bench.app)
+def make_app(arguments: list[str]) -> typer.Typer:
+    """Return the command line for some arguments.
+
+    It has the one command that the first argument names, or else all commands, for the help
+    text and for the message about an unknown one.
+    """
+    app = typer.Typer(
+        name="drumbay",
+        no_args_is_help=True,
+        help="A rollout service for reinforcement learning beside live traffic.",
+    )
+    app.callback()(main)
+    app.command()(version)
+    called = arguments[0] if arguments else ""
+    for name in [called] if called in COMMANDS else COMMANDS:
+        _add_command(app, name)
+    return app
+
+
+def _add_command(app: typer.Typer, name: str) -> None:
+    source = COMMANDS[name]
+    target = getattr(import_module(source.module), source.attribute)
+    if isinstance(target, typer.Typer):
+        app.add_typer(target, name=name)
+    else:
+        app.command(name=name)(target)
 
 
 def run() -> None:
     """Run the command line."""
-    app()
+    make_app(sys.argv[1:])()
