--- a/tests/process_deployment.py
+++ b/tests/process_deployment.py
@@ -211,3 +211,18 @@
         for process in self._processes.values():
             process.wait()
         self._folder.cleanup()
+
+
+def group_of(deployment: Deployment, kind: str, model: str | None, *names: str) -> str:
+    """Return a back end group with the named emulators."""
+    model_line = f"model: {model}\n" if model else ""
+    backends = "".join(
+        f'  - {{id: {name}, url: "{deployment.url(name)}", zone: zone-1}}\n' for name in names
+    )
+    head = f"kind: BackendGroup\nname: {kind}s\nbackend_kind: {kind}\n{model_line}"
+    return f"{head}labels: {{pool: {kind}s}}\nbackends:\n{backends}"
+
+
+def live_route(model: str) -> str:
+    """Return a live route of a model to all engines."""
+    return f"kind: Route\nname: live\nroute_kind: live\nmodel: {model}\nselector: {{}}\n"
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -13,23 +13,12 @@
 from drumbay.api.schema import CompletionAnswer, CompletionBody, ErrorBody
 from drumbay.node.stop_sequence import StopStep, run_stop_steps
 from drumbay.standins.execution_log import GenerationAccepted, GenerationEnded
-from tests.process_deployment import Deployment
+from tests.process_deployment import Deployment, group_of, live_route
 
 LIMIT_SECONDS = 20.0
 MODEL = "model"
 LONG_TOKENS = 60
 STEP_SECONDS = "0.1"
-LIVE_ROUTE = f"kind: Route\nname: live\nroute_kind: live\nmodel: {MODEL}\nselector: {{}}\n"
-
-
-def group_of(deployment: Deployment, kind: str, *names: str) -> str:
-    """Return a back end group with the named emulators."""
-    model = f"model: {MODEL}\n" if kind == "engine" else ""
-    backends = "".join(
-        f'  - {{id: {name}, url: "{deployment.url(name)}", zone: zone-1}}\n' for name in names
-    )
-    head = f"kind: BackendGroup\nname: {kind}s\nbackend_kind: {kind}\n{model}"
-    return f"{head}labels: {{pool: {kind}s}}\nbackends:\n{backends}"
 
 
 def _return(run: Awaitable[object]) -> Awaitable[object]:
@@ -86,7 +75,9 @@
         self.deployment.start_standin("engine-1", "engine", *arguments)
         self.deployment.start_nodes(key_value, lame_duck_seconds=(0.5, LIMIT_SECONDS, 0.5))
         await self.deployment.wait_ready()
-        await self.deployment.apply(group_of(self.deployment, "engine", "engine-1"), LIVE_ROUTE)
+        await self.deployment.apply(
+            group_of(self.deployment, "engine", MODEL, "engine-1"), live_route(MODEL)
+        )
 
     async def test_nothing_is_cut_off_and_new_requests_are_refused(self) -> None:
         with self.subTest("an idle node refuses, and a second signal ends it at once"):
