--- a/drumbay/node/node.py
+++ b/drumbay/node/node.py
@@ -33,6 +33,7 @@
     StreamName,
     WeightVersion,
 )
+from drumbay.node.backend_subset import BackendSubset
 from drumbay.node.backends import BackendSupervisor
 from drumbay.node.batches import batch_body, empty_batch_body
 from drumbay.node.coordination import CoordinationServices
@@ -96,8 +97,10 @@
             environment.engine_client,
             environment.machine_list,
             self._directory,
+            BackendSubset(self._node_id, self._coordination.cluster.subset_nodes, self._directory),
             self._recorder,
             self._tasks,
+            environment.random,
         )
         self._requests = self._make_request_services()
         self._recorded = RecordedRequests(
@@ -121,6 +124,7 @@
             ownership=self._coordination.ownership,
             recorder=self._recorder,
             task_owner=self._tasks,
+            pin_engines=self._backends.pin,
         )
         self._streams = StreamService(
             clock=self._clock,
--- a/drumbay/node/rollouts.py
+++ b/drumbay/node/rollouts.py
@@ -1,5 +1,7 @@
 """Generates the samples of the streams that this node owns."""
 
+from collections.abc import Callable
+
 from drumbay.backends.interface import BackendAddress, EngineClient
 from drumbay.clock import Clock
 from drumbay.delivery.exceptions import NotOwnerError
@@ -51,6 +53,7 @@
         ownership: Says whether a stream's lease still holds.
         recorder: Takes decision records.
         task_owner: Owns the runners' tasks.
+        pin_engines: Told, by stream, which engines must be watched while it is owned.
     """
 
     def __init__(
@@ -64,6 +67,7 @@
         ownership: OwnershipManager,
         recorder: DecisionRecorder,
         task_owner: TaskOwner,
+        pin_engines: Callable[[str, tuple[BackendId, ...]], None],
     ) -> None:
         """Create a supervisor without streams."""
         self._clock = clock
@@ -74,6 +78,7 @@
         self._ownership = ownership
         self._recorder = recorder
         self._task_owner = task_owner
+        self._pin_engines = pin_engines
         self._policies: dict[StreamName, WeightPolicy] = {}
         self._selectors: dict[StreamName, LabelPredicate] = {}
         self._owned: dict[StreamName, _OwnedRollouts] = {}
@@ -113,6 +118,7 @@
         owned = self._owned.pop(stream, None)
         if owned is not None:
             owned.runner.stop()
+            self._pin_engines(OWNERSHIP_PREFIX + stream, ())
 
     def refresh(self, stream: StreamName) -> None:
         """Give the runner the samples that are missing now."""
@@ -192,11 +198,16 @@
         selects = self._selectors.get(stream)
         if selects is None:
             return
+        model = owned.policy.model
+        selected = self._directory.select(selects, model)
+        self._pin_engines(
+            OWNERSHIP_PREFIX + stream, tuple(address.backend_id for address in selected)
+        )
         views = [
             view
             for view in self._directory.views(self._clock.monotonic())
             if selects(view.labels)
-            and view.labels.get(MODEL_LABEL) == owned.policy.model
+            and view.labels.get(MODEL_LABEL) == model
             and view.unavailability is None
         ]
         usable = tuple(view.backend_id for view in views)
--- a/drumbay/node/weights.py
+++ b/drumbay/node/weights.py
@@ -13,7 +13,7 @@
 from drumbay.ownership.manager import OwnershipManager
 from drumbay.resources.schema import WeightPolicy
 from drumbay.routing.directory import BackendDirectory
-from drumbay.routing.selectors import MODEL_LABEL, compile_selector
+from drumbay.routing.selectors import compile_selector
 from drumbay.tasks import TaskOwner
 from drumbay.weights.events import VersionNeed
 from drumbay.weights.service import WeightRolloutService
@@ -151,13 +151,7 @@
         return None
 
     def _engines_of(self, policy: WeightPolicy) -> tuple[BackendAddress, ...]:
-        selects = compile_selector(policy.selector)
-        addresses = (
-            self._directory.address(view.backend_id)
-            for view in self._directory.views(self._clock.monotonic())
-            if selects(view.labels) and view.labels.get(MODEL_LABEL) == policy.model
-        )
-        return tuple(address for address in addresses if address is not None)
+        return self._directory.select(compile_selector(policy.selector), policy.model)
 
 
 def _no_needs(model: str) -> tuple[VersionNeed, ...]:
--- a/drumbay/requests/dispatcher.py
+++ b/drumbay/requests/dispatcher.py
@@ -82,9 +82,8 @@
         """
         now = self._clock.monotonic()
         route = needs.compiled.route
-        affinity = self._directory.prefixes.affinities(
-            affinity_hashes(route.model, needs.prompt), needs.required_version
-        )
+        hashes = affinity_hashes(route.model, needs.prompt)
+        affinity = self._directory.prefixes.affinities(hashes, needs.required_version)
         request = ChoiceRequest(
             now=now,
             zone=self._zone,
@@ -99,6 +98,11 @@
         choice = choose_backend(request, self._directory.views(now), self._policy, self._random)
         chosen = choice.chosen
         address = self._directory.address(chosen.backend_id) if chosen else None
+        if chosen is not None and chosen.weight_version is not None:
+            # Own requests are what a node surely hears of; events of the engine come late,
+            # and at larger sizes they are not asked for.
+            prefixes = self._directory.prefixes
+            prefixes.record_dispatch(chosen.backend_id, hashes, chosen.weight_version)
         self._recorder.record(
             needs.subject_kind,
             needs.subject_id,
--- a/drumbay/routing/directory.py
+++ b/drumbay/routing/directory.py
@@ -18,7 +18,7 @@
 from drumbay.routing.engine_choice import BackendView
 from drumbay.routing.load_view import BackendFlags, LoadView
 from drumbay.routing.prefix_index import PrefixIndex
-from drumbay.routing.selectors import compile_selector, labels_of
+from drumbay.routing.selectors import MODEL_LABEL, LabelPredicate, compile_selector, labels_of
 
 REPORT_FAILURES_TO_UNREACHABLE = 3
 
@@ -76,6 +76,7 @@
         self._entries: dict[BackendId, _Entry] = {}
         self._leaving: frozenset[BackendId] = frozenset()
         self._watched: frozenset[BackendId] | None = None
+        self._watched_entries: dict[BackendId, _Entry] = self._entries
         self._load = LoadView()
         self.prefixes = PrefixIndex()
 
@@ -108,6 +109,7 @@
                 replacement.drained_by = entry.drained_by
             self._entries[backend_id] = replacement
             self._load.set_backend(backend_id, labels, backend.zone)
+        self._select_watched()
         return self._apply_drains(view)
 
     def _remove(self, backend_id: BackendId) -> None:
@@ -173,6 +175,11 @@
         lost = was_reachable and not entry.is_reachable
         return (_reachability_change(backend_id, False),) if lost else ()
 
+    def is_failing(self, backend_id: BackendId) -> bool:
+        """Return whether reports failed lately, but not often enough to give up."""
+        entry = self._entries.get(backend_id)
+        return entry is not None and 0 < entry.report_failures < REPORT_FAILURES_TO_UNREACHABLE
+
     def start_attempt(
         self, backend_id: BackendId, attempt_id: AttemptId, now: float
     ) -> CircuitPermit | None:
@@ -206,6 +213,19 @@
     def set_watched(self, watched: frozenset[BackendId] | None) -> None:
         """Set which back ends this node watches and chooses from; ``None``: all."""
         self._watched = watched
+        self._select_watched()
+
+    def _select_watched(self) -> None:
+        """Pick the watched entries, in the order of the configuration."""
+        watched = self._watched
+        if watched is None:
+            self._watched_entries = self._entries
+        else:
+            self._watched_entries = {
+                backend_id: entry
+                for backend_id, entry in self._entries.items()
+                if backend_id in watched
+            }
 
     def is_watched(self, backend_id: BackendId) -> bool:
         """Return whether this node watches a back end."""
@@ -213,7 +233,8 @@
 
     def views(self, now: float) -> list[BackendView]:
         """Return the watched back ends as a choice sees them at ``now``."""
-        for backend_id, entry in self._entries.items():
+        views: list[BackendView] = []
+        for backend_id, entry in self._watched_entries.items():
             flags = BackendFlags(
                 is_reachable=entry.is_reachable,
                 circuit_admits=entry.breaker.admits(now),
@@ -221,7 +242,18 @@
                 is_leaving=entry.is_leaving,
             )
             self._load.set_flags(backend_id, flags)
-        return [view for view in self._load.views() if self.is_watched(view.backend_id)]
+            view = self._load.view(backend_id)
+            if view is not None:
+                views.append(view)
+        return views
+
+    def select(self, selects: LabelPredicate, model: str) -> tuple[BackendAddress, ...]:
+        """Return the addresses of a model's back ends by their labels, watched or not."""
+        return tuple(
+            entry.address
+            for entry in self._entries.values()
+            if entry.labels.get(MODEL_LABEL) == model and selects(entry.labels)
+        )
 
     def address(self, backend_id: BackendId) -> BackendAddress | None:
         """Return where a back end is reached; ``None`` if it is not known."""
--- a/drumbay/routing/load_view.py
+++ b/drumbay/routing/load_view.py
@@ -190,6 +190,13 @@
         entry = self._entries.get(backend_id)
         return 0 if entry is None else len(entry.started_at)
 
+    def view(self, backend_id: BackendId) -> BackendView | None:
+        """Return the view of one back end; ``None`` if it is not known."""
+        entry = self._entries.get(backend_id)
+        if entry is None:
+            return None
+        return entry.view or _build_view(backend_id, entry)
+
     def views(self) -> list[BackendView]:
         """Return the views of all back ends, in the order they were added."""
         return [
