--- a/drumbay/bench/scale_meters.py
+++ b/drumbay/bench/scale_meters.py
@@ -15,7 +15,7 @@
     TokenChunk,
 )
 from drumbay.clock import SystemClock
-from drumbay.comm.authentication import FrameOpener, FrameSealer
+from drumbay.comm.authentication import DatagramOpener, FrameSealer
 from drumbay.comm.codec import FrameKind, encode_envelope
 from drumbay.comm.interface import Message
 from drumbay.identifiers import AttemptId, BootId, Fence, NodeId, WeightVersion
@@ -57,7 +57,7 @@
     """Measure the sealing and opening of a small datagram."""
     clock = SystemClock()
     sealer = FrameSealer(SAMPLE_KEY, BootId(f"{1:016x}"), clock)
-    opener = FrameOpener(SAMPLE_KEY, clock)
+    opener = DatagramOpener(SAMPLE_KEY, clock)
     message = Gossip(sender=NodeId("node-000"))
     payload = encode_envelope(FrameKind.DATAGRAM, 0, message)
     frame = sealer.seal(SAMPLE_PEER, payload)
