Let a few nodes read the machine list in turns and tell the others

Cause: every node read the whole list each second: 410 reads a second of a list that names every machine, tens of KB each. Ruled out: a longer interval for all, which breaks the seconds in which a leaving back end must get no new work; asking a reader each second, which costs the readers more than they may spend. Change: up to 16 nodes nothing changes. Above, two nodes of each zone read in turns by the wall clock, one read a second in all. A reader that sees a change calls every node; nodes compare digests with a reader each 5 to 10 s, and 1 s after joining. A back end is leaving while any reader says so. Red: with a reader that tells nobody only 6 of 40 nodes learn; green: 40 of 40 within 2.5 s. Interface: MachineListWatcher takes keyword arguments and is made by the node; BackendSupervisor no longer takes the machine list. Conclusion: reads no longer grow with the nodes.

--- a/drumbay/node/backends.py
+++ b/drumbay/node/backends.py
@@ -1,4 +1,4 @@
-"""Back ends of a node: directory, reports, machine list, and records of what changed."""
+"""Back ends of a node: directory, reports, and records of what changed."""
 
 from random import Random
 
@@ -8,8 +8,6 @@
 from drumbay.explain.recorder import DecisionRecorder
 from drumbay.explain.records import SubjectKind
 from drumbay.identifiers import BackendId
-from drumbay.machines.interface import MachineListClient
-from drumbay.machines.watcher import MachineListWatcher
 from drumbay.node.backend_monitor import BackendMonitor
 from drumbay.node.backend_subset import BackendSubset
 from drumbay.observability.logs import log_event
@@ -27,7 +25,6 @@
     Args:
         clock: Time.
         engine_client: Talks to engines.
-        machine_list: The platform's machine list, if there is one.
         directory: Takes what is learned.
         subset: Says which back ends are watched.
         recorder: Takes decision records.
@@ -39,7 +36,6 @@
         self,
         clock: Clock,
         engine_client: EngineClient,
-        machine_list: MachineListClient | None,
         directory: BackendDirectory,
         subset: BackendSubset,
         recorder: DecisionRecorder,
@@ -48,7 +44,6 @@
     ) -> None:
         """Create a supervisor that watches nothing yet."""
         self._clock = clock
-        self._machine_list = machine_list
         self._directory = directory
         self._subset = subset
         self._recorder = recorder
@@ -58,12 +53,8 @@
         )
 
     def start(self) -> None:
-        """Start to follow the live nodes and the machine list."""
+        """Start to follow the live nodes."""
         self._task_owner.spawn(self._follow_members(), "backend-subset")
-        if self._machine_list is None:
-            return
-        watcher = MachineListWatcher(self._clock, self._machine_list, self._set_leaving)
-        self._task_owner.spawn(watcher.run(), "machine-list")
 
     def apply_configuration(self, view: ConfigurationView) -> None:
         """Take in the groups and drains in force."""
@@ -83,7 +74,8 @@
             if self._subset.refresh():
                 self._monitor.watch_all()
 
-    def _set_leaving(self, leaving: tuple[BackendId, ...]) -> None:
+    def set_leaving(self, leaving: tuple[BackendId, ...]) -> None:
+        """Take in which back ends the machine list names as leaving."""
         self._record_changes(self._directory.set_leaving(leaving))
 
     def _record_changes(self, changes: tuple[AvailabilityChange, ...]) -> None:
--- a/drumbay/node/node.py
+++ b/drumbay/node/node.py
@@ -33,6 +33,7 @@
     StreamName,
     WeightVersion,
 )
+from drumbay.machines.watcher import MachineListWatcher
 from drumbay.node.backend_subset import BackendSubset
 from drumbay.node.backends import BackendSupervisor
 from drumbay.node.batches import batch_body, empty_batch_body
@@ -95,13 +96,13 @@
         self._backends = BackendSupervisor(
             self._clock,
             environment.engine_client,
-            environment.machine_list,
             self._directory,
             BackendSubset(self._node_id, self._coordination.cluster.subset_nodes, self._directory),
             self._recorder,
             self._tasks,
             environment.random,
         )
+        self._machines = self._make_machine_watcher()
         self._requests = self._make_request_services()
         self._recorded = RecordedRequests(
             self._requests.live, self._requests.applications, self._recorder
@@ -150,6 +151,22 @@
             self._coordination.configuration, self._coordination.operators
         )
 
+    def _make_machine_watcher(self) -> MachineListWatcher | None:
+        environment = self._environment
+        if environment.machine_list is None:
+            return None
+        return MachineListWatcher(
+            clock=self._clock,
+            transport=environment.transport,
+            client=environment.machine_list,
+            node_id=self._node_id,
+            boot_id=environment.boot_id,
+            members=self._coordination.cluster.peers,
+            on_leaving=self._backends.set_leaving,
+            random=environment.random,
+            task_owner=self._tasks,
+        )
+
     def _make_request_services(self) -> RequestServices:
         environment = self._environment
         self._claims = ClaimService(
@@ -197,6 +214,8 @@
         self._streams.start()
         self._weights.start()
         self._backends.start()
+        if self._machines is not None:
+            self._machines.start()
         self._coordination.configuration.on_change(self._apply_configuration)
         self._coordination.start()
         log_event("node_started", node_id=self._node_id, boot_id=self._environment.boot_id)
--- /dev/null
+++ b/tests/test_machine_list.py
@@ -0,0 +1,203 @@
+"""A few nodes read the machine list; every node soon knows which back ends are leaving."""
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from drumbay.comm.interface import Address
+from drumbay.configuration.messages import PeerView
+from drumbay.identifiers import BackendId, BootId, NodeId
+from drumbay.machines.interface import (
+    MachineListUnavailableError,
+    MachineRecord,
+    MachineState,
+)
+from drumbay.machines.leaving import LeavingReports
+from drumbay.machines.messages import LeavingReport
+from drumbay.machines.readers import readers_of, seconds_to_turn
+from drumbay.machines.watcher import MachineListWatcher
+from drumbay.simulation.host import Location, SimulatedHost
+from drumbay.simulation.latency import LatencyModel
+from drumbay.simulation.network import Cut, Scope, SimulatedNetwork
+from drumbay.simulation.trace import Trace
+from drumbay.simulation.transport import SimulatedTransport
+from drumbay.simulation.virtual_time import run_simulation
+from drumbay.tasks import TaskOwner
+
+ZONES = ("a-0", "a-1", "b-0")
+ENGINE = BackendId("engine-7")
+
+
+class MachineList:
+    """The platform's list; it may be out."""
+
+    def __init__(self) -> None:
+        self.reads = 0
+        self.is_out = False
+        self.leaving: tuple[BackendId, ...] = ()
+
+    async def read(self) -> tuple[MachineRecord, ...]:
+        if self.is_out:
+            raise MachineListUnavailableError("out")
+        self.reads += 1
+        return tuple(MachineRecord(name=name, state=MachineState.LEAVING) for name in self.leaving)
+
+
+class SilentWatcher(MachineListWatcher):
+    """Test-only fault: a reader that sees a change tells nobody."""
+
+    async def _tell_all(self, report: LeavingReport) -> None:
+        return
+
+    async def _repair(self) -> None:
+        return
+
+
+class World:
+    """Nodes that run only the machine list watcher."""
+
+    def __init__(self, count: int, watcher_type: type[MachineListWatcher]) -> None:
+        self.list = MachineList()
+        self.network = SimulatedNetwork(Random(1), LatencyModel(), Trace(0))
+        self.members = tuple(
+            PeerView(
+                node_id=NodeId(f"node-{index:02d}"),
+                address=Address(f"10.0.0.{index + 1}", 7000),
+                zone=ZONES[index % len(ZONES)],
+                region=ZONES[index % len(ZONES)][0],
+            )
+            for index in range(count)
+        )
+        self.known: dict[NodeId, tuple[BackendId, ...]] = {}
+        for peer in self.members:
+            self._start(peer, watcher_type)
+
+    def _start(self, peer: PeerView, watcher_type: type[MachineListWatcher]) -> None:
+        host = SimulatedHost(
+            peer.node_id, peer.address, Location(zone=peer.zone, region=peer.region)
+        )
+        self.network.add_host(host)
+        process = host.start()
+
+        def take(leaving: tuple[BackendId, ...]) -> None:
+            self.known[peer.node_id] = leaving
+
+        watcher = watcher_type(
+            clock=host.clock(),
+            transport=SimulatedTransport(self.network, host.address, process),
+            client=self.list,
+            node_id=peer.node_id,
+            boot_id=BootId(peer.node_id),
+            members=lambda: self.members,
+            on_leaving=take,
+            random=Random(peer.node_id),
+            task_owner=TaskOwner(),
+        )
+        process.run(watcher.start)
+
+    def informed(self) -> int:
+        """Return how many nodes know that the engine is leaving."""
+        return sum(ENGINE in leaving for leaving in self.known.values())
+
+
+def simulate(
+    count: int,
+    scenario: Callable[[World], Awaitable[None]],
+    watcher_type: type[MachineListWatcher] = MachineListWatcher,
+) -> None:
+    async def main() -> None:
+        await scenario(World(count, watcher_type))
+
+    run_simulation(main)
+
+
+class MachineListTest(unittest.TestCase):
+    def test_every_node_knows_within_seconds_and_few_read(self) -> None:
+        async def scenario(world: World) -> None:
+            # Half a turn apart from the reads, which fall on whole seconds.
+            await asyncio.sleep(20.5)
+            reads = world.list.reads
+            await asyncio.sleep(30.0)
+            self.assertEqual(world.list.reads - reads, 30)
+            world.list.leaving = (ENGINE,)
+            await asyncio.sleep(2.5)
+            self.assertEqual(world.informed(), 40)
+            world.list.leaving = ()
+            await asyncio.sleep(8.0)
+            self.assertEqual(world.informed(), 0)
+
+        simulate(40, scenario)
+
+    def test_without_the_calls_the_others_never_know(self) -> None:
+        async def scenario(world: World) -> None:
+            await asyncio.sleep(20.0)
+            world.list.leaving = (ENGINE,)
+            await asyncio.sleep(30.0)
+            self.assertEqual(world.informed(), 6)
+
+        simulate(40, scenario, SilentWatcher)
+
+    def test_a_small_cluster_reads_by_itself(self) -> None:
+        async def scenario(world: World) -> None:
+            world.list.leaving = (ENGINE,)
+            await asyncio.sleep(1.5)
+            self.assertEqual(world.informed(), 5)
+            self.assertGreaterEqual(world.list.reads, 5)
+
+        simulate(5, scenario)
+
+    def test_a_region_that_was_cut_off_learns_and_an_outage_keeps_the_set(self) -> None:
+        async def scenario(world: World) -> None:
+            await asyncio.sleep(20.0)
+            cut = Cut(scope=Scope.REGION, source="a", target="b")
+            world.network.cut(cut, both_ways=True)
+            world.list.leaving = (ENGINE,)
+            await asyncio.sleep(8.0)
+            self.assertEqual(world.informed(), 40)
+            world.list.is_out = True
+            world.network.heal(cut, both_ways=True)
+            await asyncio.sleep(30.0)
+            self.assertEqual(world.informed(), 40)
+
+        simulate(40, scenario)
+
+
+class ReadersTest(unittest.TestCase):
+    def test_two_readers_of_each_zone_take_turns(self) -> None:
+        peers = tuple(
+            PeerView(
+                node_id=NodeId(f"node-{index}"),
+                address=Address("10.0.0.1", index),
+                zone=ZONES[index % 3],
+                region="r",
+            )
+            for index in range(30)
+        )
+        readers = readers_of(peers)
+        zones = [peer.zone for peer in peers if peer.node_id in readers]
+        self.assertEqual(sorted(zones), sorted(ZONES * 2))
+        turns = sorted((100.5 + seconds_to_turn(rank, 6, 100.5)) % 6 for rank in range(6))
+        self.assertEqual(turns, [0.0, 1.0, 2.0, 3.0, 4.0, 5.0])
+
+    def test_a_back_end_leaves_while_any_reader_says_so(self) -> None:
+        def report(reader: str, sequence: int, *leaving: str) -> LeavingReport:
+            return LeavingReport(
+                reader=NodeId(reader),
+                boot_id=BootId("1"),
+                sequence=sequence,
+                leaving=tuple(BackendId(name) for name in leaving),
+            )
+
+        reports = LeavingReports()
+        self.assertTrue(reports.take(report("n1", 2, "x")))
+        self.assertTrue(reports.take(report("n2", 1)))
+        self.assertEqual(reports.leaving(), ("x",))
+        self.assertFalse(reports.take(report("n1", 1)))
+        digest = reports.digest()
+        self.assertTrue(reports.take(report("n1", 3)))
+        self.assertNotEqual(reports.digest(), digest)
+        self.assertEqual(reports.leaving(), ())
+        reports.take(report("n1", 4, "x"))
+        reports.keep_only((NodeId("n2"),))
+        self.assertEqual(reports.leaving(), ())
