Let most nodes hear of the replica set from others

Cause: every node read the replica set at its start and kept a watch on it open at the rate-limited key-value service. Ruled out: asking peers alone, which would leave nodes up to ten seconds behind an epoch. Change: nodes that watch the configuration, and those with a disk, watch the key, for a minute at a time. A node that learns of a newer record tells three others by datagram; nodes that do not watch ask another one each 5 to 10 s. A node that knows nothing and hears nothing reads the key. Interface: ReplicaSetWatcher takes may_watch; by default it watches, as before. Conclusion: open watches and reads no longer grow with the nodes; replicas refuse claims of an epoch that is over, so a late node loses time, not safety.

--- a/drumbay/claims/replica_set_watcher.py
+++ b/drumbay/claims/replica_set_watcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
+from contextlib import suppress
 from random import Random
 
 from drumbay.claims.messages import FetchReplicaSet, KnownReplicaSet
@@ -14,7 +15,7 @@
 )
 from drumbay.clock import Clock
 from drumbay.comm.interface import Address, Message, Transport, TransportError
-from drumbay.exceptions import UnavailableError
+from drumbay.exceptions import DeadlineExceededError, UnavailableError
 from drumbay.identifiers import Revision
 from drumbay.kv.interface import KeyValue, KeyValueStore, WatchBatch
 from drumbay.observability.logs import log_event
@@ -23,12 +24,22 @@
 MAX_RETRY_SECONDS = 10.0
 PEERS_ASKED = 3
 PEER_TIMEOUT_SECONDS = 1.0
+NEWS_FANOUT = 3
+REPAIR_INTERVAL_SECONDS = 10.0
+"""How often a node that does not watch the key asks another one."""
+
+ROLE_INTERVAL_SECONDS = 60.0
+"""How long a watch runs before the node looks whether it should still watch."""
 
 PeersView = Callable[[], tuple[Address, ...]]
 
 
 class ReplicaSetWatcher:
-    """Reads the replica set once and then watches it.
+    """Keeps the replica set: some nodes watch the key, the others hear from them.
+
+    The key-value service is rate-limited, so most nodes do not watch. A node that learns of
+    a newer record tells a few others, who do the same (rumour mongering, Demers et al. 1987,
+    section 1.4), and nodes that do not watch ask another one now and then.
 
     While the key-value service cannot be read, other nodes are asked for what they have read
     from it, so that a node which starts during an outage can claim. A stale view costs no
@@ -43,6 +54,7 @@
         key_value_store: KeyValueStore,
         random: Random,
         peers: PeersView,
+        may_watch: Callable[[], bool] = lambda: True,
     ) -> None:
         """Create a watcher that knows nothing yet.
 
@@ -52,14 +64,17 @@
             key_value_store: Holds the replica set.
             random: Source of jitter, and of the choice of peers.
             peers: Returns the addresses of other live nodes.
+            may_watch: Returns whether this node should watch the key.
         """
         self._clock = clock
         self._transport = transport
         self._key_value_store = key_value_store
         self._random = random
         self._peers = peers
+        self._may_watch = may_watch
         self._current: VersionedReplicaSet | None = None
         transport.handle_calls(FetchReplicaSet, self._tell)
+        transport.handle_datagrams(KnownReplicaSet, self._hear)
 
     @property
     def versioned(self) -> VersionedReplicaSet | None:
@@ -75,15 +90,31 @@
         delay_seconds = FIRST_RETRY_SECONDS
         while True:
             try:
-                revision = await self.refresh()
+                if self._may_watch():
+                    await self._watch()
+                else:
+                    await self._listen()
                 delay_seconds = FIRST_RETRY_SECONDS
-                start = Revision(revision + 1)
-                await self._follow(self._key_value_store.watch_prefix(REPLICA_SET_KEY, start))
             except UnavailableError as error:
                 log_event("replica_set_watch_broken", level="WARNING", code=error.code)
-                await self._ask_peers()
+                await self._ask_peers(PEERS_ASKED)
+                delay_seconds = min(2 * delay_seconds, MAX_RETRY_SECONDS)
             await self._clock.sleep(delay_seconds * self._random.uniform(0.5, 1.0))
-            delay_seconds = min(2 * delay_seconds, MAX_RETRY_SECONDS)
+
+    async def _watch(self) -> None:
+        """Read the key and follow its changes for a while."""
+        revision = await self.refresh()
+        batches = self._key_value_store.watch_prefix(REPLICA_SET_KEY, Revision(revision + 1))
+        seconds = ROLE_INTERVAL_SECONDS * self._random.uniform(0.75, 1.0)
+        with suppress(DeadlineExceededError):
+            await self._clock.wait_for(self._follow(batches), seconds)
+
+    async def _listen(self) -> None:
+        """Ask another node, and the key-value service if no record was ever heard of."""
+        await self._ask_peers(1)
+        if self._current is None:
+            await self.refresh()
+        await self._clock.sleep(REPAIR_INTERVAL_SECONDS * self._random.uniform(0.5, 1.0))
 
     async def refresh(self) -> Revision:
         """Read the key; return the revision of the read.
@@ -105,10 +136,19 @@
     async def _tell(self, _request: FetchReplicaSet) -> Message:
         return KnownReplicaSet(versioned=self._current)
 
-    async def _ask_peers(self) -> None:
+    def _hear(self, _sender: Address, news: KnownReplicaSet) -> None:
+        if news.versioned is not None:
+            self._take(news.versioned)
+
+    def _others(self, count: int) -> list[Address]:
+        """Return some other nodes, drawn at random."""
+        own = self._transport.address
+        others = [peer for peer in self._peers() if peer != own]
+        return self._random.sample(others, min(len(others), count))
+
+    async def _ask_peers(self, count: int) -> None:
         """Take the newest record that some other nodes know."""
-        peers = self._peers()
-        asked = self._random.sample(peers, min(len(peers), PEERS_ASKED))
+        asked = self._others(count)
         await asyncio.gather(*(self._ask(peer) for peer in asked))
 
     async def _ask(self, peer: Address) -> None:
@@ -138,6 +178,8 @@
         if self._current is not None and versioned.mod_revision <= self._current.mod_revision:
             return
         self._current = versioned
+        for peer in self._others(NEWS_FANOUT):
+            self._transport.send_datagram(peer, KnownReplicaSet(versioned=versioned))
         replica_set = versioned.replica_set
         if replica_set is not None:
             log_event(
--- a/drumbay/node/coordination.py
+++ b/drumbay/node/coordination.py
@@ -75,6 +75,7 @@
             key_value_store=environment.store,
             random=environment.random,
             peers=self.cluster.peer_addresses,
+            may_watch=self._watches_key_value_service,
         )
         self._reconfigurator = Reconfigurator(
             node_id=node_id,
@@ -89,6 +90,10 @@
         )
         self._has_disk = data_folder is not None
 
+    def _watches_key_value_service(self) -> bool:
+        """Return whether this node watches the service rather than hear from others."""
+        return self._has_disk or self.configuration.watching
+
     def start(self) -> None:
         """Start every service."""
         self.membership.start()
