--- a/drumbay/cli/bench.py
+++ b/drumbay/cli/bench.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from drumbay.bench.backend_polls import run_poll_bench
+from drumbay.bench.memory import run_memory_bench
 from drumbay.bench.scale import measure_scale
 from drumbay.bench.scale_cluster import ClusterSize
 
@@ -42,3 +43,13 @@
     """
     logger.remove()
     _print_report(run_poll_bench(count))
+
+
+@app.command()
+def memory() -> None:
+    """Measure what a thousand objects of each kind add to a node's memory.
+
+    Example: drumbay bench memory
+    """
+    logger.remove()
+    _print_report(run_memory_bench())
