--- a/drumbay/routing/directory.py
+++ b/drumbay/routing/directory.py
@@ -199,7 +199,8 @@
         now: float,
     ) -> None:
         """Count an attempt as ended."""
-        self._load.finish_attempt(backend_id, attempt_id, now)
+        succeeded = outcome.succeeded is True
+        self._load.finish_attempt(backend_id, attempt_id, now, succeeded=succeeded)
         entry = self._entries.get(backend_id)
         if entry is None:
             return
@@ -211,7 +212,11 @@
             entry.breaker.record_failure(permit, now)
 
     def set_watched(self, watched: frozenset[BackendId] | None) -> None:
-        """Set which back ends this node watches and chooses from; ``None``: all."""
+        """Set which back ends this node watches and chooses from; ``None``: all.
+
+        The owner of a weight rollout or a sample stream must watch all engines of its
+        policy besides its own set.
+        """
         self._watched = watched
         self._select_watched()
 
@@ -232,9 +237,16 @@
         return self._watched is None or backend_id in self._watched
 
     def views(self, now: float) -> list[BackendView]:
+        """Return every back end as this node sees it at ``now``, watched or not."""
+        return self._views_of(self._entries, now)
+
+    def watched_views(self, now: float) -> list[BackendView]:
         """Return the watched back ends as a choice sees them at ``now``."""
+        return self._views_of(self._watched_entries, now)
+
+    def _views_of(self, entries: Mapping[BackendId, _Entry], now: float) -> list[BackendView]:
         views: list[BackendView] = []
-        for backend_id, entry in self._watched_entries.items():
+        for backend_id, entry in entries.items():
             flags = BackendFlags(
                 is_reachable=entry.is_reachable,
                 circuit_admits=entry.breaker.admits(now),
--- a/tests/test_backend_subset.py
+++ b/tests/test_backend_subset.py
@@ -76,7 +76,7 @@
         return subset
 
     def watched(self) -> Counter[str]:
-        return Counter(view.backend_id.split("-")[0] for view in self.directory.views(0.0))
+        return Counter(view.backend_id.split("-")[0] for view in self.directory.watched_views(0.0))
 
     def test_the_share_bounds_large_groups_and_keeps_small_ones_whole(self) -> None:
         self.subset()
