Bound the prefix index by what a node may watch

Change: 512 entries an engine, 12 MB for 64. Conclusion: the index fits beside the rest of a node in 128 MB.

--- a/drumbay/routing/prefix_index.py
+++ b/drumbay/routing/prefix_index.py
@@ -14,7 +14,8 @@
 from drumbay.identifiers import BackendId, WeightVersion
 
 MAX_AFFINITY_BLOCKS = 64
-DEFAULT_MAX_ENTRIES_PER_BACKEND = 4096
+DEFAULT_MAX_ENTRIES_PER_BACKEND = 512
+"""An entry takes 366 bytes, and a node may watch a hundred engines; see docs/CAPACITY.md."""
 _NO_SEQUENCE = -1
 
 
