--- a/drumbay/bench/memory.py
+++ b/drumbay/bench/memory.py
@@ -131,10 +131,10 @@
 
 
 def _build_samples(count: int) -> list[SampleBuilder]:
-    return [_build_sample(number) for number in range(count)]
+    return [make_sample(number) for number in range(count)]
 
 
-def _build_sample(number: int) -> SampleBuilder:
+def make_sample(number: int) -> SampleBuilder:
     """Return a whole sample that came token by token."""
     prompt = RolloutPrompt(
         text=f"{number:0{PROMPT_CHARACTERS}d}", group=f"group-{number}", max_tokens=SAMPLE_TOKENS
@@ -209,7 +209,7 @@
 def run_memory_bench() -> MemoryReport:
     """Measure every slope; run it in a fresh process."""
     resident_bytes = int(psutil.Process().memory_info().rss)
-    sample: Sample = _build_sample(1).finish()
+    sample: Sample = make_sample(1).finish()
     slopes = (
         _configuration_slope(),
         _slope("back ends", _build_back_ends),
--- a/drumbay/cli/bench.py
+++ b/drumbay/cli/bench.py
@@ -11,6 +11,7 @@
 from drumbay.bench.memory import run_memory_bench
 from drumbay.bench.scale import measure_scale
 from drumbay.bench.scale_cluster import ClusterSize
+from drumbay.bench.stream_log import run_stream_log_bench
 
 app = typer.Typer(name="bench", no_args_is_help=True, help="Measure this program.")
 
@@ -53,3 +54,16 @@
     """
     logger.remove()
     _print_report(run_memory_bench())
+
+
+@app.command("stream-log")
+def stream_log(
+    samples: Annotated[int, typer.Option(min=1, help="Samples of a batch.")] = 256,
+    streams: Annotated[int, typer.Option(min=1, help="Streams that append at once.")] = 8,
+) -> None:
+    """Measure how fast one replica makes batches of sample streams durable.
+
+    Example: drumbay bench stream-log --samples 256
+    """
+    logger.remove()
+    _print_report(run_stream_log_bench(batch_samples=samples, streams=streams))
--- a/tests/test_scale_bench.py
+++ b/tests/test_scale_bench.py
@@ -2,8 +2,10 @@
 
 import unittest
 
+from drumbay.bench.backend_polls import run_poll_bench
 from drumbay.bench.scale import ScaleMeasurement, ScalePlan, measure_scale
 from drumbay.bench.scale_cluster import ClusterSize
+from drumbay.bench.stream_log import run_stream_log_bench
 
 SIZE = ClusterSize(nodes=4, workers=6)
 PLAN = ScalePlan(settle_seconds=5.0, steady_seconds=10.0)
@@ -24,3 +26,16 @@
         self.assertGreater(first.status_polls.mean, 0)
         self.assertGreater(first.store_operations, 0)
         self.assertEqual(run().traffic, first.traffic)
+
+
+class PartBenchesTest(unittest.TestCase):
+    def test_a_poll_is_counted_in_both_directions(self) -> None:
+        report = run_poll_bench(polls=5)
+        for cost in (report.status, report.cache_events):
+            self.assertGreater(cost.sent_bytes, 100)
+            self.assertGreater(cost.received_bytes, 100)
+
+    def test_the_stream_log_counts_whole_batches(self) -> None:
+        report = run_stream_log_bench(batch_samples=2, streams=2, batches=2)
+        self.assertGreater(report.bytes_per_token, 4.0)
+        self.assertGreater(report.commits_per_second, 0.0)
