Let each step of the acceptance run begin under the weights of the one before

Cause: in one demo run no sample named the new version: step 1 was generated before the engines had swapped, so the demo showed no weight change although it passed. Ruled out: a fault of the rollout (the other deployment of that run swapped in time, and the old version was inside the bound).

--- a/drumbay/acceptance/verification.py
+++ b/drumbay/acceptance/verification.py
@@ -145,11 +145,25 @@
         yield _disagreement(
             "exactly_once", plan.stream, f"{len(consumed)} samples consumed, not {expected}"
         )
+    yield from _check_weight_change(plan, logs)
     truth = _versions_by_sample(logs.generations)
     for entry in logs.consumed:
         yield from _check_sample(entry, truth.get(entry.sample_id, frozenset()))
 
 
+def _check_weight_change(plan: AcceptancePlan, logs: DeploymentLogs) -> Iterable[Disagreement]:
+    """Each step begins after the weights of the one before are on all engines."""
+    for step in range(1, plan.steps):
+        before = _newest_version(logs, step - 1)
+        if _newest_version(logs, step) <= before:
+            yield _disagreement("weight_change", plan.stream, f"step {step} made none after it")
+
+
+def _newest_version(logs: DeploymentLogs, step: int) -> int:
+    versions = (max(entry.weight_versions) for entry in logs.consumed if entry.step == step)
+    return max(versions, default=0)
+
+
 def _versions_by_sample(generations: list[GenerationEnded]) -> dict[str, frozenset[int]]:
     truth: dict[str, frozenset[int]] = {}
     for entry in generations:
--- a/drumbay/acceptance/workload.py
+++ b/drumbay/acceptance/workload.py
@@ -13,9 +13,17 @@
     BookingResult,
     LiveResult,
 )
-from drumbay.api.schema import CompletionAnswer, CompletionBody, RolloutSubmission
+from drumbay.api.schema import (
+    CompletionAnswer,
+    CompletionBody,
+    ResourceListBody,
+    RolloutSubmission,
+)
+from drumbay.backends.interface import EngineStatus
+from drumbay.backends.wire import STATUS_PATH
 from drumbay.clock import Clock
 from drumbay.exceptions import Execution
+from drumbay.resources.schema import BackendGroup
 from drumbay.rollout.sample import RolloutPrompt
 from drumbay.standins.trainer_server import TrainerStatus
 
@@ -25,6 +33,7 @@
 SAMPLE_MAXIMUM_TOKENS = 96
 CONCURRENT_SENDINGS = 2
 LOOKUPS_PER_STEP = 16
+LOOKUP_SENDINGS = 2
 PROMPTS_PER_GROUP = 4
 
 
@@ -84,6 +93,7 @@
         stopping = self._stop_node() if is_last else None
         await asyncio.gather(*requests, *([stopping] if stopping else []))
         await self._wait_for_step(step)
+        await self._wait_for_weights()
 
     async def _submit(self, step: int) -> None:
         prompts = tuple(
@@ -169,13 +179,19 @@
         return response.body
 
     async def _send_lookup(self, number: int) -> None:
+        """Look up one article; a refusal is taken to the next node."""
         await self._clock.sleep(number * 0.05)
-        url = f"{self._next_node()}/app/articles/article-{number % 5}"
-        try:
-            await self._caller.send("GET", url)
-            self._lookups_answered += 1
-        except CallFailedError:
-            self._lookups_failed += 1
+        for _ in range(LOOKUP_SENDINGS):
+            url = f"{self._next_node()}/app/articles/article-{number % 5}"
+            try:
+                await self._caller.send("GET", url)
+            except CallFailedError as error:
+                if error.error is None or error.error.run != Execution.NOT_RUN:
+                    break
+            else:
+                self._lookups_answered += 1
+                return
+        self._lookups_failed += 1
 
     async def _stop_node(self) -> None:
         """Begin the planned stop of the last node; later requests go to the others."""
@@ -193,3 +209,27 @@
             if self._clock.monotonic() > ends_at:
                 raise StepTimeoutError(f"step {step} did not end", None)
             await self._clock.sleep(POLL_SECONDS)
+
+    async def _wait_for_weights(self) -> None:
+        """Wait until every engine of the model serves the trainer's newest version."""
+        status = await self._caller.get(self._plan.trainer + "/admin/status", TrainerStatus)
+        listing = await self._caller.get(
+            f"{self._plan.nodes[0]}/v1/resources/BackendGroup", ResourceListBody
+        )
+        groups = [item.resource for item in listing.items]
+        engines = [
+            backend.url
+            for group in groups
+            if isinstance(group, BackendGroup) and group.model == self._plan.model
+            for backend in group.backends
+        ]
+        ends_at = self._clock.monotonic() + STEP_TIMEOUT_SECONDS
+        for url in engines:
+            while await self._served_version(url) < status.weight_version:
+                if self._clock.monotonic() > ends_at:
+                    raise StepTimeoutError(f"{url} did not load {status.weight_version}", None)
+                await self._clock.sleep(POLL_SECONDS)
+
+    async def _served_version(self, engine_url: str) -> int:
+        status = await self._caller.get(engine_url + STATUS_PATH, EngineStatus)
+        return status.weight_version
