Number orders on when a lease's validity returns under its fence

Cause: when the validity of the lease on a weight rollout ended and came back with the same fence (a paused owner, a slow key-value service), the planner numbered its orders from 1 again. Engines had seen higher numbers, refused the first order as stale, and the planner took that for a newer owner and gave no order again while it kept the lease: no weights moved and the trainer waited. The open orders were forgotten too, so that the capacity floor was counted without engines that were still loading.

Ruled out: a lost batch (the samples were outstanding and generated, each time under a version that the trainer no longer accepted).

Change: orders and their numbers are forgotten only at a fence other than the last one. The random events of the planner's test now suspend and resume the ownership.

--- a/drumbay/weights/planner.py
+++ b/drumbay/weights/planner.py
@@ -67,6 +67,7 @@
         self._lease_fence: Fence | None = None
         self._owner_since = 0.0
         self._refused_fence: Fence | None = None
+        self._numbered_fence: Fence | None = None
         self._sequence = 0
         self._target: WeightVersion | None = None
         self._started_at = 0.0
@@ -173,11 +174,23 @@
             return
         self._lease_fence = fence
         self._owner_since = now
+        for record in self._engines.values():
+            record.lose()
+        if fence is not None and fence != self._numbered_fence:
+            self._begin_numbering(fence)
+
+    def _begin_numbering(self, fence: Fence) -> None:
+        """Forget the orders under an earlier fence.
+
+        NOTE: a lease whose validity was in doubt for a while comes back with the same fence.
+        Its orders are still open then, and its numbers go on: an engine refuses an order
+        with a number that it has seen.
+        """
+        self._numbered_fence = fence
         self._sequence = 0
         self._target = None
         for record in self._engines.values():
             record.open_order = None
-            record.lose()
 
     def _settle_open_order(
         self, record: EngineRecord, status: EngineStatus, now: float
--- a/tests/test_weight_planner.py
+++ b/tests/test_weight_planner.py
@@ -90,7 +90,9 @@
             self.fence += 1
             self.open.clear()
             self.send(OwnershipChanged(lease_fence=Fence(self.fence)))
-        elif draw < 0.15:
+        elif draw < 0.12:
+            self.suspend_ownership()
+        elif draw < 0.17:
             self.send(StatusMissed(engine=engine))
         elif draw < 0.5 and engine in self.open:
             self.end_order(self.open.pop(engine))
@@ -98,6 +100,12 @@
             self.report(engine)
             self.send(Tick())
 
+    def suspend_ownership(self) -> None:
+        """Let the lease's validity end and begin again under the same fence."""
+        self.send(OwnershipChanged(lease_fence=None))
+        self.now += self.generator.uniform(0.0, 20.0)
+        self.send(OwnershipChanged(lease_fence=Fence(self.fence)))
+
     def policy_changed(self) -> PolicyChanged:
         policy = RolloutPolicy(min_serving_share=SHARE)
         return PolicyChanged(policy=policy, withdrawals=self.withdrawals)
@@ -162,6 +170,22 @@
         driver.send(Tick())
         self.assertEqual(len(driver.orders), count)
 
+    def test_resumed_ownership_keeps_its_orders_and_numbers_on(self) -> None:
+        driver = Driver(1)
+        driver.send(VersionPublished(version=WeightVersion(2)))
+        given = list(driver.orders)
+        driver.send(OwnershipChanged(lease_fence=None))
+        driver.now += 5.0
+        driver.send(OwnershipChanged(lease_fence=Fence(1)))
+        for engine in ENGINES:
+            driver.report(engine)
+        self.assertEqual(driver.planner.busy_engines(), tuple(order.engine for order in given))
+        driver.send(VersionPublished(version=WeightVersion(3)))
+        superseding = driver.orders[len(given) :]
+        self.assertEqual(len(superseding), len(given))
+        newest = max(order.fence for order in given)
+        self.assertTrue(all(order.fence > newest for order in superseding))
+
     def test_report_with_the_fence_and_version_of_an_order_ends_it(self) -> None:
         driver = Driver(1)
         driver.send(VersionPublished(version=WeightVersion(2)))
