Tell the rollout owner when tokens bear another stamp; make the stamps' proof bite again

Cause: nothing told the owner of a weight rollout that an engine's tokens contradict its report. Ruled out: a fault of the checker (it reports nothing because nothing wrong was consumed). Change: ObservedEngineClient passes stamps to the weight service. The fault now spans all nodes, names no version, and two swaps per engine fail; no assertion changed.

--- a/drumbay/node/node.py
+++ b/drumbay/node/node.py
@@ -16,7 +16,8 @@
     VersionSpan,
     WeightAnnouncement,
 )
-from drumbay.backends.interface import ApplicationAnswer, TokenChunk
+from drumbay.backends.interface import ApplicationAnswer, BackendAddress, TokenChunk
+from drumbay.backends.observed import ObservedEngineClient
 from drumbay.claims.service import ClaimService
 from drumbay.configuration.view import ConfigurationView
 from drumbay.delivery.service import DeliveryService
@@ -108,6 +109,7 @@
             environment.random,
         )
         self._machines = self._make_machine_watcher()
+        self._engine_client = ObservedEngineClient(environment.engine_client, self._observe_stamp)
         self._requests = self._make_request_services()
         self._recorded = RecordedRequests(
             self._requests.live, self._requests.applications, self._recorder
@@ -124,7 +126,7 @@
         self._rollouts = RolloutSupervisor(
             clock=self._clock,
             boot_id=environment.boot_id,
-            engine_client=environment.engine_client,
+            engine_client=self._engine_client,
             directory=self._directory,
             delivery=self._delivery,
             ownership=self._coordination.ownership,
@@ -186,7 +188,7 @@
         return RequestServices(
             clock=self._clock,
             zone=self._settings.zone,
-            engine_client=environment.engine_client,
+            engine_client=self._engine_client,
             application_client=environment.application_client,
             directory=self._directory,
             recorder=self._recorder,
@@ -208,6 +210,9 @@
             task_owner=self._tasks,
         )
 
+    def _observe_stamp(self, model: str, engine: BackendAddress, chunk: TokenChunk) -> None:
+        self._weights.observe_stamp(model, engine, chunk)
+
     def _configuration_revision(self) -> Revision:
         return self._coordination.configuration.snapshot().revision
 
--- a/drumbay/node/weights.py
+++ b/drumbay/node/weights.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from drumbay.backends.interface import BackendAddress
+from drumbay.backends.interface import BackendAddress, TokenChunk
 from drumbay.clock import Clock
 from drumbay.comm.interface import Address, Message, Transport, TransportError
 from drumbay.configuration.service import ConfigurationService
@@ -102,6 +102,15 @@
             self._task_owner.spawn(withdrawal, f"withdraw-weights-{model}")
         self._models = models
 
+    def observe_stamp(self, model: str, engine: BackendAddress, chunk: TokenChunk) -> None:
+        """Take in which version and boot an engine stamped on its tokens."""
+        reported = self._directory.reported_version(engine.backend_id)
+        if reported is None:
+            return
+        self._service.observe_stamp(
+            model, engine.backend_id, chunk.boot_id, chunk.weight_version, reported
+        )
+
     async def announce(self, model: str, version: WeightVersion) -> None:
         """Tell the nodes that may own the model's rollout about a published version."""
         self._service.publish(model, version)
--- a/drumbay/routing/directory.py
+++ b/drumbay/routing/directory.py
@@ -12,7 +12,7 @@
 from drumbay.backends.interface import BackendAddress, EngineStatus
 from drumbay.configuration.view import ConfigurationView
 from drumbay.explain.records import RejectionReason
-from drumbay.identifiers import AttemptId, BackendId, BootId
+from drumbay.identifiers import AttemptId, BackendId, BootId, WeightVersion
 from drumbay.limits.circuit_breaker import CircuitBreaker, CircuitPermit, CircuitPolicy
 from drumbay.resources.schema import BackendKind
 from drumbay.routing.engine_choice import BackendView
@@ -267,6 +267,10 @@
             if entry.labels.get(MODEL_LABEL) == model and selects(entry.labels)
         )
 
+    def reported_version(self, backend_id: BackendId) -> WeightVersion | None:
+        """Return the version that a back end last reported; ``None`` if it has not."""
+        return self._load.reported_version(backend_id)
+
     def address(self, backend_id: BackendId) -> BackendAddress | None:
         """Return where a back end is reached; ``None`` if it is not known."""
         entry = self._entries.get(backend_id)
--- a/drumbay/routing/load_view.py
+++ b/drumbay/routing/load_view.py
@@ -192,6 +192,11 @@
         entry.view = None
         return True
 
+    def reported_version(self, backend_id: BackendId) -> WeightVersion | None:
+        """Return the version that a back end last reported."""
+        entry = self._entries.get(backend_id)
+        return None if entry is None else entry.weight_version
+
     def outstanding(self, backend_id: BackendId) -> int:
         """Return this node's attempts on a back end that have not ended."""
         entry = self._entries.get(backend_id)
--- a/tests/broken_nodes.py
+++ b/tests/broken_nodes.py
@@ -27,6 +27,7 @@
 from drumbay.node.node import Node
 from drumbay.requests.once import Dispatch
 from drumbay.settings import NodeSettings
+from drumbay.simulation.cluster import NodeFactory
 
 
 class UnclaimedOnceRunner:
@@ -83,11 +84,11 @@
 
 
 class OrderTrustingEngineClient:
-    """Stamps tokens with the version last ordered, not with the engine's own stamp."""
+    """Believes the orders: names no version, and stamps tokens with the one last ordered."""
 
-    def __init__(self, client: EngineClient) -> None:
+    def __init__(self, client: EngineClient, ordered: dict[BackendAddress, WeightVersion]) -> None:
         self._trusted = client
-        self._ordered: dict[BackendAddress, WeightVersion] = {}
+        self._ordered = ordered
 
     async def order(
         self, engine: BackendAddress, order: FencedOrder, *, timeout_seconds: float
@@ -100,7 +101,9 @@
     async def generate(
         self, engine: BackendAddress, request: GenerationRequest, *, timeout_seconds: float
     ) -> AsyncIterator[TokenChunk]:
-        chunks = self._trusted.generate(engine, request, timeout_seconds=timeout_seconds)
+        # A request that names a version is refused by an engine that does not serve it.
+        trusting = msgspec.structs.replace(request, weight_version=None)
+        chunks = self._trusted.generate(engine, trusting, timeout_seconds=timeout_seconds)
         async for chunk in chunks:
             version = self._ordered.get(engine, chunk.weight_version)
             yield msgspec.structs.replace(chunk, weight_version=version)
@@ -152,6 +155,12 @@
         self._requests.gate.is_stopping = True
 
 
-def make_order_trusting_node(settings: NodeSettings, environment: NodeEnvironment) -> Node:
-    client = OrderTrustingEngineClient(environment.engine_client)
-    return Node(settings, msgspec.structs.replace(environment, engine_client=client))
+def order_trusting_nodes() -> NodeFactory:
+    """Return a maker of nodes that all believe the orders given by any of them."""
+    ordered: dict[BackendAddress, WeightVersion] = {}
+
+    def make_node(settings: NodeSettings, environment: NodeEnvironment) -> Node:
+        client = OrderTrustingEngineClient(environment.engine_client, ordered)
+        return Node(settings, msgspec.structs.replace(environment, engine_client=client))
+
+    return make_node
--- a/tests/test_simulation_promises.py
+++ b/tests/test_simulation_promises.py
@@ -30,6 +30,8 @@
 from tests.simulated_runs import ZONES, small_scenario
 
 SEED = 3
+SWAPS_THAT_FAIL = 2
+"""Per engine: enough for samples to be generated while the old weights serve."""
 BOOKINGS = LoadSection(bookings_per_second=3.0, operators=0)
 LOOKUPS = LoadSection(lookups_per_second=5.0, operators=0)
 APPLICATIONS = ("balie-app-1", "balie-app-2", "balie-app-3")
@@ -103,13 +105,13 @@
                 at_seconds=10.0,
                 duration_seconds=40.0,
                 backend=engine,
-                count=1,
+                count=SWAPS_THAT_FAIL,
                 acknowledged=True,
             )
             for engine in ENGINES
         )
         self.assert_guarded(
-            Promise.SAMPLE_VERSIONS, small_scenario(), faults, broken_nodes.make_order_trusting_node
+            Promise.SAMPLE_VERSIONS, small_scenario(), faults, broken_nodes.order_trusting_nodes()
         )
 
     def test_staleness_needs_the_trainers_bound(self) -> None:
