Explain why a sample went to an engine

Cause: the record of a sample began with its end; why it went to an engine, or was stopped, could not be asked.

Change: each dispatch carries the engines as the choice saw them, and the node records dispatches and cancellations. One function judges an engine for the choice and the record.

--- a/drumbay/node/rollouts.py
+++ b/drumbay/node/rollouts.py
@@ -10,7 +10,15 @@
 from drumbay.observability.logs import log_event
 from drumbay.ownership.manager import OwnershipManager
 from drumbay.resources.schema import WeightPolicy
-from drumbay.rollout.events import EngineLost, EngineReported, FloorChanged, WantedSample
+from drumbay.rollout.events import (
+    Cancel,
+    Dispatch,
+    EngineLost,
+    EngineReported,
+    FloorChanged,
+    RolloutDecision,
+    WantedSample,
+)
 from drumbay.rollout.policy import policy_for
 from drumbay.rollout.runner import RolloutRunner
 from drumbay.rollout.sample import Sample
@@ -99,6 +107,7 @@
             self._clock,
             self._task_owner,
             on_finished=lambda sample: self._handle_finished(stream, sample),
+            on_decision=lambda decision: self._record_decision(stream, decision),
             may_send=lambda: self._still_owns(stream, fence),
         )
         floor = self._delivery.recorded_floor(stream)
@@ -161,6 +170,28 @@
         name = OWNERSHIP_PREFIX + stream
         return self._ownership.fence_to_continue(name, self._clock.monotonic()) == fence
 
+    def _record_decision(self, stream: StreamName, decision: RolloutDecision) -> None:
+        sample_id = decision.key.sample_id(stream)
+        match decision:
+            case Dispatch():
+                self._recorder.record(
+                    SubjectKind.SAMPLE,
+                    sample_id,
+                    "sample_dispatched",
+                    detail=(
+                        f"attempt {decision.attempt} under version {decision.version}, priority "
+                        f"{decision.priority}, resumed from token {decision.kept_tokens}"
+                    ),
+                    candidates=decision.candidates,
+                )
+            case Cancel():
+                self._recorder.record(
+                    SubjectKind.SAMPLE,
+                    sample_id,
+                    "sample_cancelled",
+                    detail=f"attempt {decision.attempt}: {decision.reason}",
+                )
+
     def _handle_finished(self, stream: StreamName, sample: Sample) -> None:
         try:
             added = self._delivery.add_sample(stream, sample)
--- a/drumbay/rollout/events.py
+++ b/drumbay/rollout/events.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from drumbay.explain.records import CandidateVerdict
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.rollout.sample import RolloutPrompt, SampleKey, TokenSpan
 from drumbay.rollout.staleness import FloorForecast
@@ -118,6 +119,7 @@
         version: Version that the request names.
         priority: Priority at the engine; larger runs first.
         kept_tokens: Leading tokens to resume from; the others are dropped.
+        candidates: Engines as the choice saw them, the chosen one first.
     """
 
     key: SampleKey
@@ -127,6 +129,7 @@
     version: WeightVersion
     priority: int
     kept_tokens: int
+    candidates: tuple[CandidateVerdict, ...] = ()
 
 
 class CancelReason(StrEnum):
--- a/drumbay/rollout/placement.py
+++ b/drumbay/rollout/placement.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from drumbay.explain.records import CandidateVerdict, RejectionReason
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.rollout.lengths import LengthEstimator
 from drumbay.rollout.policy import SchedulingPolicy
@@ -85,25 +86,62 @@
         """Return the best engine that may take a sample now."""
         best: BackendId | None = None
         best_cost = (math.inf, math.inf, math.inf)
-        newest = max(self._newest_version(), self._state.forecast.newest_version)
-        for backend_id, engine in self._state.engines.items():
-            version = engine.version
-            if version is None or not self.has_room(backend_id, now):
+        for backend_id in self._state.engines:
+            if self._rejection(sample, backend_id, now) is not None:
                 continue
-            if version < newest and self._awaits_load(now):
-                continue
-            verdict = self._judge(sample, backend_id, version, sample.token_count, now)
-            if verdict is DispatchVerdict.NOT_ACCEPTED:
-                continue
-            expires = verdict is DispatchVerdict.WOULD_EXPIRE
-            # NOTE: on the newest weights nothing better can be had, so the sample starts.
-            if expires and self._policy.avoid_expiry and version < newest:
-                continue
-            cost = self._cost(sample, backend_id, version, expires)
+            cost = self._cost(sample, backend_id, now)
             if cost < best_cost:
                 best, best_cost = backend_id, cost
         return best
 
+    def candidates(
+        self, sample: TrackedSample, chosen: BackendId, now: float
+    ) -> tuple[CandidateVerdict, ...]:
+        """Return every engine as the choice for a sample saw it, the chosen one first."""
+        others = [backend_id for backend_id in self._state.engines if backend_id != chosen]
+        verdicts = [self._verdict(sample, chosen, None, now)]
+        for backend_id in others:
+            rejection = self._rejection(sample, backend_id, now) or RejectionReason.HIGHER_COST
+            verdicts.append(self._verdict(sample, backend_id, rejection, now))
+        return tuple(verdicts)
+
+    def _verdict(
+        self,
+        sample: TrackedSample,
+        backend_id: BackendId,
+        rejection: RejectionReason | None,
+        now: float,
+    ) -> CandidateVerdict:
+        return CandidateVerdict(
+            backend_id=backend_id,
+            rejection=rejection,
+            cost=self.expected_seconds(sample, backend_id, sample.token_count),
+            weight_version=self._state.engines[backend_id].version,
+            outstanding=self._state.batch_on(backend_id),
+        )
+
+    def _rejection(
+        self, sample: TrackedSample, backend_id: BackendId, now: float
+    ) -> RejectionReason | None:
+        """Return why an engine may not take a sample now."""
+        engine = self._state.engines[backend_id]
+        version = engine.version
+        if engine.not_before > now:
+            return RejectionReason.CIRCUIT_OPEN
+        if not self.has_room(backend_id, now):
+            return RejectionReason.OVERLOADED
+        if version is None:
+            return RejectionReason.VERSION
+        newest = max(self._newest_version(), self._state.forecast.newest_version)
+        verdict = self._judge(sample, backend_id, version, sample.token_count, now)
+        if verdict is DispatchVerdict.NOT_ACCEPTED:
+            return RejectionReason.VERSION
+        # NOTE: on the newest weights nothing better can be had, so the sample starts.
+        expires = verdict is DispatchVerdict.WOULD_EXPIRE and self._policy.avoid_expiry
+        if version < newest and (expires or self._awaits_load(now)):
+            return RejectionReason.VERSION
+        return None
+
     def _awaits_load(self, now: float) -> bool:
         """Return whether engines are still expected to load the newest version."""
         since_publication = now - self._state.newest_published_at
@@ -121,12 +159,16 @@
         return resumed is not DispatchVerdict.ALLOWED and started is DispatchVerdict.ALLOWED
 
     def _cost(
-        self, sample: TrackedSample, backend_id: BackendId, version: WeightVersion, expires: bool
+        self, sample: TrackedSample, backend_id: BackendId, now: float
     ) -> tuple[float, float, float]:
+        version = self._state.engines[backend_id].version
+        assert version is not None
+        verdict = self._judge(sample, backend_id, version, sample.token_count, now)
+        expires = float(verdict is DispatchVerdict.WOULD_EXPIRE)
         batch = float(self._state.batch_on(backend_id))
         if self._policy.newest_version_first:
-            return (float(expires), float(-version), batch)
-        return (float(expires and self._policy.avoid_expiry), batch, float(-version))
+            return (expires, float(-version), batch)
+        return (expires if self._policy.avoid_expiry else 0.0, batch, float(-version))
 
     def _newest_version(self) -> WeightVersion:
         versions = [engine.version for engine in self._state.engines.values()]
--- a/drumbay/rollout/runner.py
+++ b/drumbay/rollout/runner.py
@@ -24,6 +24,7 @@
     Cancel,
     ChunkReceived,
     Dispatch,
+    RolloutDecision,
     RolloutEvent,
     SampleFailed,
     SampleFinished,
@@ -80,6 +81,7 @@
         tasks: TaskOwner,
         *,
         on_finished: Callable[[Sample], None],
+        on_decision: Callable[[RolloutDecision], None] = lambda decision: None,
         may_send: Callable[[], bool] = lambda: True,
         builder_type: type[SampleBuilder] = SampleBuilder,
         parameters: RunnerParameters | None = None,
@@ -96,6 +98,7 @@
             clock: Time.
             tasks: Owner of the attempts.
             on_finished: Takes each finished sample.
+            on_decision: Takes each decision before it is performed, e.g. to record it.
             may_send: Whether the ownership lease still holds; asked right before a send.
             builder_type: Collects the chunks of a sample.
             parameters: Time limits.
@@ -109,6 +112,7 @@
         self._clock = clock
         self._tasks = tasks
         self._on_finished = on_finished
+        self._on_decision = on_decision
         self._may_send = may_send
         self._builder_type = builder_type
         self._parameters = parameters or RunnerParameters()
@@ -143,6 +147,7 @@
     def handle(self, event: RolloutEvent) -> None:
         """Give an event to the scheduler and perform its decisions."""
         for decision in self._scheduler.handle(event, self._clock.monotonic()):
+            self._on_decision(decision)
             match decision:
                 case Dispatch():
                     self._dispatch(decision)
--- a/drumbay/rollout/scheduler.py
+++ b/drumbay/rollout/scheduler.py
@@ -173,6 +173,7 @@
         version = self._state.engines[backend_id].named_version
         assert version is not None
         self._attempts += 1
+        candidates = self._placement.candidates(sample, backend_id, now)
         self._state.start_attempt(sample, self._attempts, backend_id, version, now)
         return Dispatch(
             key=sample.key,
@@ -182,6 +183,7 @@
             version=version,
             priority=self._priority(sample),
             kept_tokens=sample.token_count,
+            candidates=candidates,
         )
 
     def _priority(self, sample: TrackedSample) -> int:
--- a/tests/test_rollout_scheduler.py
+++ b/tests/test_rollout_scheduler.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 
+from drumbay.explain.records import RejectionReason
 from drumbay.identifiers import AttemptId, BackendId, BootId, WeightVersion
 from drumbay.resources.schema import RolloutObjective
 from drumbay.rollout.events import (
@@ -170,7 +171,11 @@
             driver = Driver(RolloutScheduler(policy))
             driver.feed(engine("old", 1), engine("new", 2, other_load=2))
             decisions = driver.feed(wanted(1))
-            chosen += [d.backend_id for d in decisions if isinstance(d, Dispatch)]
+            dispatch = next(d for d in decisions if isinstance(d, Dispatch))
+            chosen.append(dispatch.backend_id)
+            first, second = dispatch.candidates
+            self.assertEqual((first.backend_id, first.rejection), (dispatch.backend_id, None))
+            self.assertEqual(second.rejection, RejectionReason.HIGHER_COST)
         self.assertEqual(chosen, ["old", "new"])
 
     def test_no_start_that_would_expire_while_newer_weights_exist(self) -> None:
@@ -200,6 +205,10 @@
         dispatch = next(iter(driver.running.values()))
         decisions = driver.feed(chunk(dispatch, span(1, 0, 5)), TimePassed())
         self.assertEqual([type(decision) for decision in decisions], [Cancel])
+        started = driver.feed(engine("honest", 2))
+        dispatch = next(d for d in started if isinstance(d, Dispatch))
+        rejections = {each.backend_id: each.rejection for each in dispatch.candidates}
+        self.assertEqual(rejections, {"honest": None, "liar": RejectionReason.VERSION})
 
     def test_engine_that_fails_at_once_is_left_alone_for_longer_each_time(self) -> None:
         driver = Driver(RolloutScheduler(IDLE_TIME))
