--- a/drumbay/cli/bench.py
+++ b/drumbay/cli/bench.py
@@ -67,3 +67,26 @@
     """
     logger.remove()
     _print_report(run_stream_log_bench(batch_samples=samples, streams=streams))
+
+
+@app.command()
+def rollout(
+    deployment: Annotated[
+        list[str] | None, typer.Argument(help="Deployments to run; all by default.")
+    ] = None,
+) -> None:
+    """Compare trainer idle share and staleness with the plain baseline, in virtual time."""
+    # NOTE: the model needs simpy, which is installed for simulations only.
+    from drumbay.bench.rollout import format_report, run_rollout_bench
+
+    typer.echo(format_report(run_rollout_bench(deployment_names=deployment or ())))
+
+
+@app.command()
+def delivery(
+    batches: Annotated[int, typer.Option(help="Batches delivered for the rate.")] = 100,
+) -> None:
+    """Measure sample delivery on a real disk and over loopback connections."""
+    from drumbay.bench.delivery import run_delivery_bench
+
+    _print_report(run_delivery_bench(batches=batches))
