--- a/drumbay/simulation/observation.py
+++ b/drumbay/simulation/observation.py
@@ -97,11 +97,13 @@
                 finished=finished and number == len(ended.spans),
             )
         )
-    if ended.outcome is not GenerationOutcome.CRASHED:
+    # NOTE: nobody waits for an attempt whose stream was closed before, say by the death of
+    # the node that read it.
+    closed_at = engine.closed_at_seconds.get(ended.attempt_id, ended.time_seconds)
+    if ended.outcome is not GenerationOutcome.CRASHED or closed_at < ended.time_seconds:
+        finished_at = min(closed_at, ended.time_seconds)
         history.add(
-            ExecutionFinished(
-                time_seconds=ended.time_seconds, execution_id=ended.attempt_id, answer=b""
-            )
+            ExecutionFinished(time_seconds=finished_at, execution_id=ended.attempt_id, answer=b"")
         )
 
 
--- a/drumbay/simulation/observed_engine.py
+++ b/drumbay/simulation/observed_engine.py
@@ -5,6 +5,7 @@
 
 from drumbay.backends.interface import GenerationRequest, TokenChunk
 from drumbay.identifiers import AttemptId
+from drumbay.simulation.outside_clock import virtual_now
 from drumbay.standins.engine_model import EngineModel
 
 
@@ -14,15 +15,18 @@
     Attributes:
         requests: Every request that reached the engine, by attempt.
         active: Streams that are open now.
+        closed_at_seconds: When the stream of an attempt was closed, by either side.
     """
 
     requests: dict[AttemptId, GenerationRequest]
     active: int
+    closed_at_seconds: dict[AttemptId, float]
 
     def keep_requests(self) -> None:
         """Start to keep requests; call it before the first one."""
         self.requests = {}
         self.active = 0
+        self.closed_at_seconds = {}
 
     async def generate(self, request: GenerationRequest) -> AsyncGenerator[TokenChunk]:
         """Run one attempt; see the base class."""
@@ -34,3 +38,4 @@
                     yield chunk
         finally:
             self.active -= 1
+            self.closed_at_seconds[request.attempt_id] = virtual_now()
