Measure what a forwarded request costs a node

Change: drumbay bench forwarding runs one real node between callers and an emulated engine on loopback and measures the node's thread.

--- a/drumbay/bench/backend_polls.py
+++ b/drumbay/bench/backend_polls.py
@@ -18,6 +18,7 @@
 from drumbay.clock import SystemClock
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.standins.engine_model import EngineModel
+from drumbay.standins.engine_parameters import EngineParameters
 from drumbay.standins.engine_server import EngineServer
 from drumbay.tasks import TaskOwner
 
@@ -52,19 +53,27 @@
     cache_events: ExchangeCost
 
 
-class _EngineThread:
-    """An emulated engine that serves HTTP in a thread of its own."""
+class EngineThread:
+    """An emulated engine that serves HTTP in a thread of its own.
 
-    def __init__(self) -> None:
+    Attributes:
+        base_url: Where it is reached once started.
+    """
+
+    def __init__(self, parameters: EngineParameters | None = None) -> None:
+        """Create an engine that is not started."""
         self.base_url = ""
+        self._parameters = parameters or EngineParameters()
         self._started = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
     def start(self) -> None:
+        """Start to serve, and wait until it does."""
         self._thread.start()
         self._started.wait()
 
     def stop(self) -> None:
+        """End the thread."""
         self._loop.call_soon_threadsafe(self._stopping.set)
         self._thread.join()
 
@@ -75,7 +84,9 @@
         self._loop = asyncio.get_running_loop()
         self._stopping = asyncio.Event()
         clock = SystemClock()
-        model = EngineModel(clock, ENGINE, "model", WeightVersion(1), random.Random(1))
+        model = EngineModel(
+            clock, ENGINE, "model", WeightVersion(1), random.Random(1), parameters=self._parameters
+        )
         server = EngineServer(model, clock, host=LOOPBACK, port=0)
         server.start()
         self.base_url = server.base_url
@@ -162,7 +173,7 @@
 
 def run_poll_bench(polls: int = 500) -> PollReport:
     """Measure both exchanges of a poll over loopback."""
-    engine = _EngineThread()
+    engine = EngineThread()
     engine.start()
     port = int(engine.base_url.rpartition(":")[2])
 
--- a/drumbay/cli/bench.py
+++ b/drumbay/cli/bench.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from drumbay.bench.backend_polls import run_poll_bench
+from drumbay.bench.forwarding import run_forwarding_bench
 from drumbay.bench.memory import run_memory_bench
 from drumbay.bench.scale import measure_scale
 from drumbay.bench.scale_cluster import ClusterSize
@@ -67,3 +68,15 @@
     """
     logger.remove()
     _print_report(run_stream_log_bench(batch_samples=samples, streams=streams))
+
+
+@app.command()
+def forwarding(
+    requests: Annotated[int, typer.Option(min=1, help="Requests to measure.")] = 100,
+) -> None:
+    """Measure a node's processor time for one forwarded request and one chunk.
+
+    Example: drumbay bench forwarding
+    """
+    logger.remove()
+    _print_report(run_forwarding_bench(requests=requests))
--- a/tests/test_scale_bench.py
+++ b/tests/test_scale_bench.py
@@ -3,6 +3,7 @@
 import unittest
 
 from drumbay.bench.backend_polls import run_poll_bench
+from drumbay.bench.forwarding import run_forwarding_bench
 from drumbay.bench.scale import ScaleMeasurement, ScalePlan, measure_scale
 from drumbay.bench.scale_cluster import ClusterSize
 from drumbay.bench.stream_log import run_stream_log_bench
@@ -39,3 +40,9 @@
         report = run_stream_log_bench(batch_samples=2, streams=2, batches=2)
         self.assertGreater(report.bytes_per_token, 4.0)
         self.assertGreater(report.commits_per_second, 0.0)
+
+    def test_requests_are_forwarded_at_both_sizes_of_chunks(self) -> None:
+        report = run_forwarding_bench(requests=4, idle_seconds=0.2)
+        self.assertEqual([cost.chunk_tokens for cost in report.costs], [1, 16])
+        self.assertGreater(min(cost.cpu_milliseconds for cost in report.costs), 0.0)
+        self.assertGreater(report.idle_milliseconds, 0.0)
