Fit slopes over reports of the scale bench; measure finished samples

Change: drumbay bench slopes reads reports, fits a line through each figure and extrapolates; drumbay bench memory also measures finished samples.

--- a/drumbay/bench/memory.py
+++ b/drumbay/bench/memory.py
@@ -134,6 +134,10 @@
     return [make_sample(number) for number in range(count)]
 
 
+def _build_finished(count: int) -> list[Sample]:
+    return [make_sample(number).finish() for number in range(count)]
+
+
 def make_sample(number: int) -> SampleBuilder:
     """Return a whole sample that came token by token."""
     prompt = RolloutPrompt(
@@ -215,6 +219,7 @@
         _slope("back ends", _build_back_ends),
         _slope("prefixes of one engine", _build_prefixes),
         _slope(f"outstanding samples of {SAMPLE_TOKENS} tokens", _build_samples),
+        _slope(f"finished samples of {SAMPLE_TOKENS} tokens", _build_finished),
         _slope(f"answered claims of {ANSWER_BYTES} bytes", _build_claims),
         _slope(f"decision records of {CANDIDATES} candidates", _build_decisions),
     )
--- a/drumbay/cli/bench.py
+++ b/drumbay/cli/bench.py
@@ -1,6 +1,7 @@
 """``drumbay bench``: measurements of this program on this machine."""
 
 import sys
+from pathlib import Path
 from typing import Annotated
 
 import msgspec
@@ -12,7 +13,9 @@
 from drumbay.bench.memory import run_memory_bench
 from drumbay.bench.scale import measure_scale
 from drumbay.bench.scale_cluster import ClusterSize
+from drumbay.bench.scale_fit import fit_slopes, read_measurement
 from drumbay.bench.stream_log import run_stream_log_bench
+from drumbay.cli.errors import typed_exit
 
 app = typer.Typer(name="bench", no_args_is_help=True, help="Measure this program.")
 
@@ -80,3 +83,16 @@
     """
     logger.remove()
     _print_report(run_forwarding_bench(requests=requests))
+
+
+@app.command()
+def slopes(
+    reports: Annotated[list[Path], typer.Argument(help="Reports of the scale bench.")],
+    nodes: Annotated[int, typer.Option(min=1, help="Size to extrapolate to.")] = 410,
+) -> None:
+    """Fit lines through reports of the scale bench and extrapolate.
+
+    Example: drumbay bench slopes 10.json 50.json 100.json --nodes 410
+    """
+    with typed_exit():
+        _print_report(fit_slopes([read_measurement(file) for file in reports], nodes))
--- a/tests/test_scale_bench.py
+++ b/tests/test_scale_bench.py
@@ -2,10 +2,13 @@
 
 import unittest
 
+import msgspec
+
 from drumbay.bench.backend_polls import run_poll_bench
 from drumbay.bench.forwarding import run_forwarding_bench
 from drumbay.bench.scale import ScaleMeasurement, ScalePlan, measure_scale
 from drumbay.bench.scale_cluster import ClusterSize
+from drumbay.bench.scale_fit import fit_slopes
 from drumbay.bench.stream_log import run_stream_log_bench
 
 SIZE = ClusterSize(nodes=4, workers=6)
@@ -28,6 +31,18 @@
         self.assertGreater(first.store_operations, 0)
         self.assertEqual(run().traffic, first.traffic)
 
+    def test_slopes_follow_a_straight_line(self) -> None:
+        first = run()
+        second = msgspec.structs.replace(
+            first, nodes=first.nodes * 3, store_operations=first.store_operations + 8.0
+        )
+        fit = fit_slopes([first, second], target_nodes=first.nodes * 5)
+        slopes = {slope.figure: slope for slope in fit.slopes}
+        operations = slopes["store_operations_per_second"]
+        self.assertAlmostEqual(operations.per_node, 1.0)
+        self.assertAlmostEqual(operations.extrapolated, first.store_operations + 16.0)
+        self.assertAlmostEqual(slopes["status_polls_per_second"].per_node, 0.0)
+
 
 class PartBenchesTest(unittest.TestCase):
     def test_a_poll_is_counted_in_both_directions(self) -> None:
