--- a/drumbay/bench/memory.py
+++ b/drumbay/bench/memory.py
@@ -124,7 +124,7 @@
 
 
 def _build_prefixes(count: int) -> object:
-    index = PrefixIndex()
+    index = PrefixIndex(max_entries_per_backend=count)
     hashes = tuple(f"{number:032x}" for number in range(count))
     index.record_dispatch(BackendId("engine"), hashes, WeightVersion(1))
     return index
