--- a/drumbay/bench/scale.py
+++ b/drumbay/bench/scale.py
@@ -213,10 +213,8 @@
         cluster = self._cluster
         started = asyncio.get_running_loop().time()
         revision = await cluster.apply(route(0, turn + 1))
-        await cluster.wait_until(
-            lambda: all(
-                node.node.status().configuration_revision >= revision for node in cluster.nodes
-            ),
+        await cluster.wait_for_nodes(
+            lambda node: node.node.status().configuration_revision >= revision,
             CHANGE_LIMIT_SECONDS,
         )
         return asyncio.get_running_loop().time() - started
--- a/drumbay/bench/scale_cluster.py
+++ b/drumbay/bench/scale_cluster.py
@@ -231,7 +231,7 @@
             TimeoutError: Some node was not ready in time.
         """
         self.nodes = [HollowNode(self, host) for host in self._hosts]
-        return await self.wait_until(lambda: all(node.ready for node in self.nodes), limit_seconds)
+        return await self.wait_for_nodes(lambda node: node.ready, limit_seconds)
 
     async def configure(self) -> None:
         """Apply groups, routes and weight policies through one node."""
@@ -253,17 +253,20 @@
             raise RuntimeError(f"change was not committed: {outcome.outcome}")
         return outcome.mod_revision
 
-    async def wait_until(self, condition: Callable[[], bool], limit_seconds: float) -> float:
-        """Wait for a condition; return the seconds it took.
+    async def wait_for_nodes(
+        self, holds: Callable[[HollowNode], bool], limit_seconds: float
+    ) -> float:
+        """Wait until a condition has held at each node; return the seconds it took.
 
         Raises:
             TimeoutError: It did not come true in time.
         """
         started = asyncio.get_running_loop().time()
-        while not condition():
-            elapsed = asyncio.get_running_loop().time() - started
-            if elapsed > limit_seconds:
-                raise TimeoutError(f"not true within {limit_seconds} s")
+        # A node's status names every member, so nodes are not asked again once it held.
+        pending = list(self.nodes)
+        while pending := [node for node in pending if not holds(node)]:
+            if asyncio.get_running_loop().time() - started > limit_seconds:
+                raise TimeoutError(f"not true within {limit_seconds} s at {len(pending)} nodes")
             await asyncio.sleep(POLL_SECONDS)
         return asyncio.get_running_loop().time() - started
 
