Ask for leaving back ends anew after a pause, before any send

Cause: a node that was paused (stopped, starved) chose back ends on waking by the machine list from before the pause, so that a back end got work seconds after it was announced as leaving.

Ruled out: a late machine list (the list showed the change 5 s before) and the reading loop (it read within milliseconds of the waking; the waiting requests were sent before its answer).

Work for a back end that leaves is refused as not run, right before the send, for live requests, application requests and samples alike. While the list is out the last known set stays in force and holds no request back.

--- a/drumbay/machines/watcher.py
+++ b/drumbay/machines/watcher.py
@@ -13,6 +13,7 @@
 from drumbay.comm.interface import Address, Message, Transport, TransportError
 from drumbay.configuration.messages import PeerView
 from drumbay.identifiers import BackendId, BootId, NodeId
+from drumbay.machines.freshness import Freshness
 from drumbay.machines.interface import (
     MachineListClient,
     MachineListUnavailableError,
@@ -90,6 +91,7 @@
         self._readers: tuple[NodeId, ...] = ()
         self._readers_of: tuple[PeerView, ...] | None = None
         self._calls = asyncio.Semaphore(CONCURRENT_CALLS)
+        self._freshness = Freshness(clock, self._renew)
 
     def start(self) -> None:
         """Serve other nodes, and start to read and to ask."""
@@ -97,6 +99,20 @@
         self._transport.handle_calls(FetchLeaving, self._handle_fetch)
         self._task_owner.spawn(self._read_forever(), "machine-list")
         self._task_owner.spawn(self._repair_forever(), "machine-list-repair")
+        self._task_owner.spawn(self._freshness.run(), "machine-list-freshness")
+
+    async def ensure_fresh(self) -> None:
+        """Return once what is known is not from before a pause of this process.
+
+        While neither the list nor a reader answers, the last known set stays in force.
+        """
+        await self._freshness.ensure()
+
+    async def _renew(self) -> None:
+        if self._node_id in self._current_readers():
+            await self._read()
+        else:
+            await self._repair()
 
     @property
     def is_shared(self) -> bool:
--- a/drumbay/node/node.py
+++ b/drumbay/node/node.py
@@ -16,6 +16,7 @@
     VersionSpan,
     WeightAnnouncement,
 )
+from drumbay.backends.guarded import GuardedApplicationClient, GuardedEngineClient
 from drumbay.backends.interface import ApplicationAnswer, BackendAddress, TokenChunk
 from drumbay.backends.observed import ObservedEngineClient
 from drumbay.claims.service import ClaimService
@@ -27,6 +28,7 @@
 from drumbay.explain.service import ExplainService
 from drumbay.explain.store import DecisionStore
 from drumbay.identifiers import (
+    BackendId,
     Cursor,
     NodeId,
     RequestId,
@@ -109,7 +111,8 @@
             environment.random,
         )
         self._machines = self._make_machine_watcher()
-        self._engine_client = ObservedEngineClient(environment.engine_client, self._observe_stamp)
+        guarded = GuardedEngineClient(environment.engine_client, self._may_send)
+        self._engine_client = ObservedEngineClient(guarded, self._observe_stamp)
         self._requests = self._make_request_services()
         self._recorded = RecordedRequests(
             self._requests.live, self._requests.applications, self._recorder
@@ -189,7 +192,9 @@
             clock=self._clock,
             zone=self._settings.zone,
             engine_client=self._engine_client,
-            application_client=environment.application_client,
+            application_client=GuardedApplicationClient(
+                environment.application_client, self._may_send
+            ),
             directory=self._directory,
             recorder=self._recorder,
             once=ClaimedOnceRunner(self._claims),
@@ -210,6 +215,12 @@
             task_owner=self._tasks,
         )
 
+    async def _may_send(self, backend_id: BackendId) -> bool:
+        """Return whether a back end may get work, also after a pause of this process."""
+        if self._machines is not None:
+            await self._machines.ensure_fresh()
+        return not self._directory.is_leaving(backend_id)
+
     def _observe_stamp(self, model: str, engine: BackendAddress, chunk: TokenChunk) -> None:
         self._weights.observe_stamp(model, engine, chunk)
 
--- a/drumbay/routing/directory.py
+++ b/drumbay/routing/directory.py
@@ -152,6 +152,10 @@
                 )
         return tuple(changes)
 
+    def is_leaving(self, backend_id: BackendId) -> bool:
+        """Return whether the machine list names a back end as leaving."""
+        return backend_id in self._leaving
+
     def record_report(self, status: EngineStatus, now: float) -> tuple[AvailabilityChange, ...]:
         """Take in a back end's report of itself."""
         entry = self._entries.get(status.backend_id)
--- a/tests/test_machine_list.py
+++ b/tests/test_machine_list.py
@@ -20,6 +20,7 @@
 from drumbay.simulation.host import Location, SimulatedHost
 from drumbay.simulation.latency import LatencyModel
 from drumbay.simulation.network import Cut, Scope, SimulatedNetwork
+from drumbay.simulation.process import SimulatedProcess
 from drumbay.simulation.trace import Trace
 from drumbay.simulation.transport import SimulatedTransport
 from drumbay.simulation.virtual_time import run_simulation
@@ -36,8 +37,10 @@
         self.reads = 0
         self.is_out = False
         self.leaving: tuple[BackendId, ...] = ()
+        self.latency_seconds = 0.0
 
     async def read(self) -> tuple[MachineRecord, ...]:
+        await asyncio.sleep(self.latency_seconds)
         if self.is_out:
             raise MachineListUnavailableError("out")
         self.reads += 1
@@ -54,6 +57,13 @@
         return
 
 
+class TrustingWatcher(MachineListWatcher):
+    """Test-only fault: what was known before a pause is trusted."""
+
+    async def ensure_fresh(self) -> None:
+        return
+
+
 class World:
     """Nodes that run only the machine list watcher."""
 
@@ -70,6 +80,8 @@
             for index in range(count)
         )
         self.known: dict[NodeId, tuple[BackendId, ...]] = {}
+        self.processes: dict[NodeId, SimulatedProcess] = {}
+        self.watchers: dict[NodeId, MachineListWatcher] = {}
         for peer in self.members:
             self._start(peer, watcher_type)
 
@@ -94,8 +106,24 @@
             random=Random(peer.node_id),
             task_owner=TaskOwner(),
         )
+        self.processes[peer.node_id] = process
+        self.watchers[peer.node_id] = watcher
         process.run(watcher.start)
 
+    async def sends_after_pause(self, node_id: NodeId) -> bool:
+        """Pause a node while the engine starts to leave; return whether it gets work then."""
+        process = self.processes[node_id]
+        process.freeze()
+        await asyncio.sleep(5.0)
+        self.list.leaving = (ENGINE,)
+        await asyncio.sleep(15.0)
+        process.wake()
+        return await process.spawn(self._decides_to_send(node_id), "request")
+
+    async def _decides_to_send(self, node_id: NodeId) -> bool:
+        await self.watchers[node_id].ensure_fresh()
+        return ENGINE not in self.known[node_id]
+
     def informed(self) -> int:
         """Return how many nodes know that the engine is leaving."""
         return sum(ENGINE in leaving for leaving in self.known.values())
@@ -163,6 +191,36 @@
         simulate(40, scenario)
 
 
+class PauseTest(unittest.TestCase):
+    def sends_after_pause(self, count: int, watcher_type: type[MachineListWatcher]) -> bool:
+        outcomes: list[bool] = []
+
+        async def scenario(world: World) -> None:
+            world.list.latency_seconds = 0.01
+            await asyncio.sleep(20.0)
+            outcomes.append(await world.sends_after_pause(world.members[0].node_id))
+
+        simulate(count, scenario, watcher_type)
+        return outcomes[0]
+
+    def test_a_paused_node_asks_before_it_sends(self) -> None:
+        for count in (5, 40):
+            self.assertFalse(self.sends_after_pause(count, MachineListWatcher))
+
+    def test_a_paused_node_that_trusts_what_it_knew_sends(self) -> None:
+        self.assertTrue(self.sends_after_pause(5, TrustingWatcher))
+
+    def test_an_outage_of_the_list_holds_no_request_back(self) -> None:
+        async def scenario(world: World) -> None:
+            world.list.is_out = True
+            await asyncio.sleep(1.0)
+            before = asyncio.get_running_loop().time()
+            await world.watchers[world.members[0].node_id].ensure_fresh()
+            self.assertEqual(asyncio.get_running_loop().time(), before)
+
+        simulate(5, scenario)
+
+
 class ReadersTest(unittest.TestCase):
     def test_two_readers_of_each_zone_take_turns(self) -> None:
         peers = tuple(
