Let a starting node ask the replicas often while no majority answers

Cause: a starting node waited with one growing delay, up to 5 s, for the replicas and for the rate-limited key-value service alike. A majority that returned for 2.4 s was missed, and the node stayed unready beyond the limit for an accepted change.

Change: the replicas are asked every 0.25 to 0.5 s; the growing delay remains for the key-value service alone.

With the former interval (SlowlyAskingService) the directed test's node is not ready 2 s after the majority has returned, with the shipped one it is.

--- a/drumbay/configuration/service.py
+++ b/drumbay/configuration/service.py
@@ -42,6 +42,9 @@
 STORE_CONFIRM_PERIOD_SECONDS = 15.0
 """Between confirmations by the rate-limited key-value service, without replicas."""
 
+LOAD_RETRY_SECONDS = 0.5
+"""Between the questions of a starting node to the replicas, which are not rate-limited."""
+
 PROPOSAL_PROBABILITY = 0.25
 FEWEST_REPLICAS = 3
 """A majority of fewer does not survive the loss of one."""
@@ -58,12 +61,14 @@
         replica_client_type: Class of the client of the replicas.
         dissemination_type: Class of the exchange with peers.
         watcher_type: Class of the watch.
+        load_retry_seconds: Longest time between a starting node's questions to the replicas.
     """
 
     state_type: ClassVar[type[ConfigurationState]] = ConfigurationState
     replica_client_type: ClassVar[type[ReplicaClient]] = ReplicaClient
     dissemination_type: ClassVar[type[Dissemination]] = Dissemination
     watcher_type: ClassVar[type[ConfigurationWatcher]] = ConfigurationWatcher
+    load_retry_seconds: ClassVar[float] = LOAD_RETRY_SECONDS
 
     def __init__(
         self,
@@ -197,8 +202,17 @@
 
     async def _load(self) -> None:
         backoff = Backoff(self._generator)
-        while not await self._confirm():
-            await self._clock.sleep(backoff.next_delay_seconds())
+        next_store_read = self._clock.monotonic()
+        while True:
+            # NOTE: replicas come back at any moment, and this node serves nothing before;
+            # only the rate-limited key-value service is spared.
+            reads_store = self._clock.monotonic() >= next_store_read
+            if await self._confirm(reads_store=reads_store):
+                break
+            if reads_store:
+                next_store_read = self._clock.monotonic() + backoff.next_delay_seconds()
+            share = self._generator.uniform(0.5, 1.0)
+            await self._clock.sleep(share * self.load_retry_seconds)
         self._applied.mark_loaded()
         if self._replica is not None:
             self._mark_replica_complete(self._replica)
@@ -210,15 +224,18 @@
         except OSError as error:
             log_event("configuration_store_failed", level="ERROR", detail=str(error))
 
-    async def _confirm(self) -> bool:
+    async def _confirm(self, *, reads_store: bool = True) -> bool:
         """Learn whether anything newer is in force, put it in force, and report success.
 
         A majority of the replicas is asked first, which costs the rate-limited key-value
         service nothing; it is read when no majority answers.
+
+        Args:
+            reads_store: Whether the key-value service may be read at all.
         """
         asked_at = self._clock.monotonic()
         try:
-            update = await self._read_newest()
+            update = await self._read_newest(reads_store=reads_store)
             if update is not None:
                 await self._commit(update)
         except (ReplicaMajorityError, KeyValueError) as error:
@@ -227,10 +244,12 @@
         self._applied.confirm(asked_at)
         return True
 
-    async def _read_newest(self) -> ConfigurationUpdate | None:
+    async def _read_newest(self, *, reads_store: bool) -> ConfigurationUpdate | None:
         try:
             return await self._replicas.read(self._applied.state)
         except ReplicaMajorityError:
+            if not reads_store:
+                raise
             result = await self._store.range_prefix(RESOURCE_PREFIX)
         update = update_from_range(result)
         return None if self._has_content_of(update) else update
--- a/tests/test_configuration_replicas.py
+++ b/tests/test_configuration_replicas.py
@@ -50,6 +50,43 @@
         return False
 
 
+class SlowlyAskingService(ConfigurationService):
+    """Fault: a starting node asks the replicas as seldom as the key-value service."""
+
+    load_retry_seconds: ClassVar[float] = 5.0
+
+
+class ReturningMajorityTest(unittest.TestCase):
+    """A node starts while a majority of the replicas is out, and the majority returns."""
+
+    def is_ready_soon(self, service_type: ServiceType) -> bool:
+        async def main(folder: Path) -> bool:
+            cluster = ConfigurationCluster(
+                seed=3, locations=ZONES, node_count=5, disk_count=3, folder=folder
+            )
+            cluster.start_all(service_type)
+            await cluster.wait_loaded()
+            await asyncio.sleep(SETTLE_SECONDS)
+            cluster.model.set_faults(KeyValueFaults(outage=True))
+            for name in ("node-000", "node-001", "node-004"):
+                await cluster.nodes[name].kill()
+            starting = cluster.nodes["node-004"]
+            starting.start(service_type)
+            operations = starting.store.operations
+            await asyncio.sleep(30)
+            self.assertLess(starting.store.operations - operations, 20)
+            cluster.nodes["node-001"].start(service_type)
+            await asyncio.sleep(2)
+            return starting.service.readiness().ready
+
+        with tempfile.TemporaryDirectory() as folder:
+            return run_simulation(lambda: main(Path(folder)))
+
+    def test_the_starting_node_is_ready_soon(self) -> None:
+        self.assertFalse(self.is_ready_soon(SlowlyAskingService))
+        self.assertTrue(self.is_ready_soon(ConfigurationService))
+
+
 class YoungClusterTest(unittest.TestCase):
     """A node restarts during an outage that begins soon after the first start of all."""
 
