Let a node's planned stop wait for operators' changes

Cause: Node.stop waited for callers' requests and claimed dispatches, not for operators' changes, so that a change whose commit was slow was cut off and its operator had to ask for its outcome.

Ruled out: the node process itself, whose HTTP server counts every request in flight; Node.stop is what the simulation and the benches stop a node by.

Change: operations on resources are counted and the drain waits for them; new changes are refused as not run once the node stops.

--- a/drumbay/node/node.py
+++ b/drumbay/node/node.py
@@ -254,6 +254,7 @@
     def refuse_new_requests(self) -> None:
         """Take no more requests; those in flight go on."""
         self._requests.gate.is_stopping = True
+        self._operations.is_stopping = True
         log_event("node_draining", node_id=self._node_id, in_flight=self._requests.gate.in_flight)
 
     @property
@@ -269,9 +270,13 @@
     async def wait_idle(self) -> None:
         """Wait until no request is in flight."""
         # A caller that went away leaves the gate, while its unrepeatable request goes on.
-        while self._requests.gate.in_flight > 0 or self._claims.dispatches_under_way > 0:
+        while self._in_flight() > 0:
             await self._clock.sleep(DRAIN_POLL_SECONDS)
 
+    def _in_flight(self) -> int:
+        requests = self._requests.gate.in_flight + self._claims.dispatches_under_way
+        return requests + self._operations.in_flight
+
     async def stop(self) -> None:
         """Stop in an orderly way: drain, then the steps of :meth:`stop_steps`."""
         await self.drain()
--- a/drumbay/node/operations.py
+++ b/drumbay/node/operations.py
@@ -1,5 +1,8 @@
 """Operators' operations on resources, as the HTTP interface offers them."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
+
 from drumbay.api.schema import (
     ApplyBody,
     ApplyOutcomeBody,
@@ -31,13 +34,35 @@
     Args:
         configuration: The configuration in force.
         operators: Writes through the key-value service.
+
+    Attributes:
+        in_flight: Operations under way, which a planned stop waits for.
+        is_stopping: Whether changes are refused since the node stops.
     """
 
     def __init__(self, configuration: ConfigurationService, operators: OperatorService) -> None:
         """Create the operations."""
+        self.in_flight = 0
+        self.is_stopping = False
         self._configuration = configuration
         self._operators = operators
 
+    @contextmanager
+    def _counted(self) -> Iterator[None]:
+        self.in_flight += 1
+        try:
+            yield
+        finally:
+            self.in_flight -= 1
+
+    def _require_running(self) -> None:
+        if self.is_stopping:
+            raise NotReadyError(
+                "the node is stopping",
+                execution=Execution.NOT_RUN,
+                retry_after_seconds=RETRY_AFTER_SECONDS,
+            )
+
     def resources(self, kind: str | None, name: str | None) -> ResourceListBody:
         """Return the resources in force, of one kind and name if given."""
         view = self._configuration.snapshot()
@@ -54,11 +79,13 @@
         Raises:
             RequestFailedError: The change was refused.
         """
+        self._require_running()
         try:
             check_resource(body.resource)
-            result = await self._operators.apply(
-                body.resource, body.expected_revision, body.operation_id
-            )
+            with self._counted():
+                result = await self._operators.apply(
+                    body.resource, body.expected_revision, body.operation_id
+                )
         except DrumbayError as error:
             raise _as_request_failure(error) from error
         return _outcome(result)
@@ -72,20 +99,23 @@
             NotFoundError: There is no such resource in force here.
             RequestFailedError: The change was refused.
         """
+        self._require_running()
         found = self.resources(kind, name).items
         if not found:
             raise NotFoundError(f"{kind}/{name} does not exist", execution=Execution.NOT_RUN)
         try:
-            result = await self._operators.delete(
-                found[0].resource, expected_revision, operation_id
-            )
+            with self._counted():
+                result = await self._operators.delete(
+                    found[0].resource, expected_revision, operation_id
+                )
         except DrumbayError as error:
             raise _as_request_failure(error) from error
         return _outcome(result)
 
     async def operation(self, operation_id: str) -> ApplyOutcomeBody:
         """Return what became of an earlier change."""
-        return _outcome(await self._operators.operation_status(operation_id))
+        with self._counted():
+            return _outcome(await self._operators.operation_status(operation_id))
 
 
 def all_resources(view: ConfigurationView) -> list[AnyResource]:
