Repeat a membership exchange soon while members are unknown

Cause: an exchange takes four datagrams and keeps no state. A node that had just started, with one of them lost, knew one member for up to 30 s, although the others probed it all the time. It found no majority of the replicas and stayed unready.

Ruled out: the replicas and the key-value service (the other nodes had the change in force within 0.1 s) and seeds that cannot be reached.

Change: unknown members named by a peer, or a datagram of an unknown sender, bring the next exchange forward to the retry interval.

--- a/drumbay/membership/anti_entropy.py
+++ b/drumbay/membership/anti_entropy.py
@@ -57,8 +57,12 @@
         if chosen:
             self._tell_of_buckets(sender, chosen, wanted=tuple(chosen))
 
-    def handle_updates(self, sender: Address, message: SyncUpdates) -> None:
-        """Ask for unknown members, and tell of the buckets that the peer wants."""
+    def handle_updates(self, sender: Address, message: SyncUpdates) -> bool:
+        """Ask for unknown members, and tell of the buckets that the peer wants.
+
+        Returns:
+            Whether there are unknown members; a lost datagram leaves them unknown.
+        """
         unknown = [each.node_id for each in message.bucket_updates if self._is_unknown(each)]
         if unknown:
             wanted = SyncWanted(sender=self._self_id(), node_ids=tuple(unknown))
@@ -66,6 +70,7 @@
         buckets = [each for each in message.wanted_buckets if 0 <= each < DIGEST_BUCKETS]
         if buckets:
             self._tell_of_buckets(sender, buckets[:MAX_BUCKETS_PER_EXCHANGE], wanted=())
+        return bool(unknown)
 
     def handle_wanted(self, sender: Address, message: SyncWanted) -> None:
         """Send the full records that the peer asked for."""
--- a/drumbay/membership/swim.py
+++ b/drumbay/membership/swim.py
@@ -161,8 +161,18 @@
         for update in message.updates:
             self._news.merge_update(now, update)
         self._handle(now, sender, message)
+        if self._table.get(message.sender) is None:
+            self._note_incomplete(now)
         return self._output(now)
 
+    def _note_incomplete(self, now: float) -> None:
+        """Members exist that this node does not know.
+
+        NOTE: an exchange takes four datagrams and keeps no state. With one of them lost, a
+        node that has just started would know hardly anybody until the next exchange.
+        """
+        self._sync_again_soon(now)
+
     def leave(self, now: float) -> Output:
         """Announce that this node leaves; it goes on answering until it is stopped."""
         self._news.announce_left(now)
@@ -215,7 +225,8 @@
             self._anti_entropy.handle_request(sender, message)
         elif isinstance(message, SyncUpdates):
             any_news = self._news.merge_synced_updates(now, message.bucket_updates)
-            self._anti_entropy.handle_updates(sender, message)
+            if self._anti_entropy.handle_updates(sender, message):
+                self._note_incomplete(now)
         elif isinstance(message, SyncWanted):
             self._anti_entropy.handle_wanted(sender, message)
         elif isinstance(message, SyncMembers):
--- a/tests/test_membership_failures.py
+++ b/tests/test_membership_failures.py
@@ -242,6 +242,29 @@
         self.assertEqual(history.kinds(), {"left": len(cluster.nodes) - 1})
 
 
+class JoinUnderLossTest(unittest.TestCase):
+    def longest_join_seconds(self) -> float:
+        """Return how long a node that comes back under 30 % loss lacks a member, at most."""
+        longest = 0.0
+        for seed in range(30):
+            cluster, _ = joined_cluster(6, seed=seed)
+            cluster.loss_rate = 0.3
+            cluster.kill(5)
+            cluster.run_for(30.0)
+            cluster.restart(5)
+            swim = cluster.nodes[5].swim
+            began = cluster.now
+            while len(swim.members()) < len(cluster.nodes):
+                cluster.run_for(0.1)
+            longest = max(longest, cluster.now - began)
+        return longest
+
+    def test_a_lost_exchange_is_repeated_soon(self) -> None:
+        with without(Swim, "_note_incomplete"):
+            self.assertGreater(self.longest_join_seconds(), 20.0)
+        self.assertLess(self.longest_join_seconds(), 12.0)
+
+
 class DeterminismTest(unittest.TestCase):
     def test_one_seed_gives_one_history(self) -> None:
         histories = []
