Serve metrics of each node from its own registry

Cause: /metrics served the process-wide registry of prometheus-client, which held nothing of drumbay and would clash for several nodes in one process.

Change: NodeMetrics counts requests, attempts, retries, refusals, claims and samples in the shells (recorded requests, dispatcher, admission gate, claimed runner, rollout supervisor). NodeStateCollector reads configuration, members, back ends, streams, weight rollouts and refused frames at the time of a scrape only. The process adds CPU and memory. Labels hold names of routes, streams and codes only, so their number doesn't grow with requests or back ends.

Ruled out: counting state changes as they happen (state read at a scrape can't drift and costs nothing in between); back-end ids as labels (705 series on each of 410 nodes).

Interfaces: NodeInterface.metrics_registry, NodeEnvironment.refused_frames (optional), RecordedRequests and ClaimedOnceRunner take clock and metrics, DeliveryService takes on_samples_stale (optional), RolloutPlanner.is_done.

--- a/drumbay/api/application.py
+++ b/drumbay/api/application.py
@@ -50,7 +50,7 @@
             (r"/v1/status", StatusHandler, arguments),
             (r"/healthz", HealthHandler, probe),
             (r"/readyz", ReadyHandler, probe),
-            (r"/metrics", MetricsHandler),
+            (r"/metrics", MetricsHandler, probe),
         ],
         log_function=lambda handler: None,
     )
--- a/drumbay/api/diagnostics.py
+++ b/drumbay/api/diagnostics.py
@@ -58,10 +58,10 @@
         self.finish("ok\n" if ready else "not ready\n")
 
 
-class MetricsHandler(RequestHandler):
+class MetricsHandler(_ProbeHandler):
     """``GET /metrics`` for Prometheus."""
 
     def get(self) -> None:
-        """Return the metrics of this process."""
+        """Return the metrics of the node."""
         self.set_header("Content-Type", CONTENT_TYPE_LATEST)
-        self.finish(generate_latest())
+        self.finish(generate_latest(self.node.metrics_registry()))
--- a/drumbay/api/interface.py
+++ b/drumbay/api/interface.py
@@ -1,8 +1,10 @@
 """What the HTTP handlers need of a node. The node implements it; tests may stand in."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from typing import Protocol
 
+from prometheus_client import CollectorRegistry
+
 from drumbay.api.schema import (
     ApplyBody,
     ApplyOutcomeBody,
@@ -32,8 +34,11 @@
         """Return an id for a request that came in at this node."""
         ...
 
-    def generate(self, request: LiveRequest) -> AsyncIterator[TokenChunk]:
-        """Serve a live generation request; yields chunks of one whole completion."""
+    def generate(self, request: LiveRequest) -> AsyncGenerator[TokenChunk, None]:
+        """Serve a live generation request; yields chunks of one whole completion.
+
+        Closing the generator cancels the generation.
+        """
         ...
 
     def spans_of(self, request_id: RequestId) -> tuple[VersionSpan, ...]:
@@ -92,6 +97,10 @@
         """Return this node's state."""
         ...
 
+    def metrics_registry(self) -> CollectorRegistry:
+        """Return the registry of this node's metrics."""
+        ...
+
     def access_tokens(self) -> tuple[AccessToken, ...]:
         """Return the tokens that are in force at this node."""
         ...
--- a/drumbay/delivery/service.py
+++ b/drumbay/delivery/service.py
@@ -52,6 +52,7 @@
         current_view: Callable[[], ReplicaView],
         *,
         on_work_changed: Callable[[StreamName], None] | None = None,
+        on_samples_stale: Callable[[StreamName, int], None] | None = None,
         parameters: DeliveryParameters | None = None,
         log_type: type[ReplicatedLog] = ReplicatedLog,
     ) -> None:
@@ -64,12 +65,14 @@
             boot_id: Identity of this run of the process.
             current_view: Replica set configuration in force.
             on_work_changed: Called when ``missing`` of a stream may have changed.
+            on_samples_stale: Told how many finished samples of a stream were dropped.
             parameters: Timing and retention.
             log_type: The owner's side of the replicated log.
         """
         self._clock = clock
         self._current_view = current_view
         self._on_work_changed = on_work_changed or (lambda stream: None)
+        self._on_samples_stale = on_samples_stale or (lambda stream, count: None)
         self._parameters = parameters or DeliveryParameters()
         self._streams: dict[StreamName, OwnedStream] = {}
         self._log = log_type(transport, tasks, boot_id, current_view, self._parameters)
@@ -249,7 +252,9 @@
         min_samples: int,
     ) -> Batch:
         async with self._exclusive(stream) as owned:
-            if owned.owner.drop_stale(oldest_version):
+            stale = owned.owner.drop_stale(oldest_version)
+            if stale:
+                self._on_samples_stale(stream, len(stale))
                 self._on_work_changed(stream)
             decision = owned.owner.decide_pull(
                 cursor, max_samples, oldest_version, min_samples=min_samples
--- a/drumbay/node/environment.py
+++ b/drumbay/node/environment.py
@@ -1,5 +1,6 @@
 """Everything a node takes from outside: time, network, platform, back ends, randomness."""
 
+from collections.abc import Callable
 from random import Random
 
 import msgspec
@@ -28,6 +29,7 @@
         open_log: Opens record logs below the data folder.
         random: Seeded source of random numbers.
         boot_id: Identity of this run of the process.
+        refused_frames: Returns the frames refused so far, by code, for the metrics.
     """
 
     clock: Clock
@@ -40,3 +42,4 @@
     open_log: LogOpener
     random: Random
     boot_id: BootId
+    refused_frames: Callable[[], dict[str, int]] = dict
--- a/drumbay/node/node.py
+++ b/drumbay/node/node.py
@@ -3,6 +3,8 @@
 from collections.abc import AsyncGenerator
 from pathlib import Path
 
+from prometheus_client import CollectorRegistry
+
 from drumbay import __version__
 from drumbay.api.schema import (
     ApplyBody,
@@ -43,10 +45,12 @@
 from drumbay.node.replicas import NodeReplicas
 from drumbay.node.request_services import RequestServices
 from drumbay.node.rollouts import RolloutSupervisor
+from drumbay.node.state_metrics import NodeStateCollector
 from drumbay.node.stream_messages import CheckpointRequest, PullRequest, SubmitStepRequest
 from drumbay.node.streams import StreamService
 from drumbay.node.weights import WeightSupervisor
 from drumbay.observability.logs import log_event
+from drumbay.observability.metrics import NodeMetrics
 from drumbay.requests.claimed_once import ClaimedOnceRunner
 from drumbay.requests.identity import IdentityFactory
 from drumbay.requests.records import ApplicationCall, LiveRequest
@@ -77,6 +81,7 @@
         self._clock = environment.clock
         self._node_id = NodeId(settings.node_id)
         self._tasks = TaskOwner()
+        self._metrics = NodeMetrics()
         self._identities = IdentityFactory(self._node_id, environment.boot_id)
         self._coordination = CoordinationServices(settings, environment, self._tasks)
         self._directory = BackendDirectory()
@@ -101,7 +106,7 @@
         )
         self._requests = self._make_request_services()
         self._recorded = RecordedRequests(
-            self._requests.live, self._requests.applications, self._recorder
+            self._requests, self._recorder, self._clock, self._metrics
         )
         self._replicas = self._make_replicas()
         self._delivery = DeliveryService(
@@ -111,6 +116,7 @@
             environment.boot_id,
             self._coordination.stream_replicas,
             on_work_changed=lambda stream: self._rollouts.refresh(stream),
+            on_samples_stale=self._metrics.record_samples_stale,
         )
         self._rollouts = RolloutSupervisor(
             clock=self._clock,
@@ -121,6 +127,7 @@
             ownership=self._coordination.ownership,
             recorder=self._recorder,
             task_owner=self._tasks,
+            metrics=self._metrics,
         )
         self._streams = StreamService(
             clock=self._clock,
@@ -131,6 +138,7 @@
             worker=self._rollouts,
             address_of=self._coordination.cluster.address_of,
             task_owner=self._tasks,
+            metrics=self._metrics,
         )
         self._weights = WeightSupervisor(
             environment=environment,
@@ -145,6 +153,18 @@
         self._operations = ResourceOperations(
             self._coordination.configuration, self._coordination.operators
         )
+        self._metrics.registry.register(self._make_state_collector())
+
+    def _make_state_collector(self) -> NodeStateCollector:
+        return NodeStateCollector(
+            clock=self._clock,
+            coordination=self._coordination,
+            directory=self._directory,
+            delivery=self._delivery,
+            weights=self._weights,
+            in_flight=lambda: self._requests.gate.in_flight,
+            refused_frames=self._environment.refused_frames,
+        )
 
     def _make_request_services(self) -> RequestServices:
         environment = self._environment
@@ -164,8 +184,9 @@
             application_client=environment.application_client,
             directory=self._directory,
             recorder=self._recorder,
-            once=ClaimedOnceRunner(self._claims),
+            once=ClaimedOnceRunner(self._claims, self._clock, self._metrics),
             random=environment.random,
+            metrics=self._metrics,
         )
 
     def _make_replicas(self) -> NodeReplicas | None:
@@ -330,6 +351,10 @@
             owned=tuple(self._delivery.owned_streams),
         )
 
+    def metrics_registry(self) -> CollectorRegistry:
+        """Return the registry of this node's metrics."""
+        return self._metrics.registry
+
     def access_tokens(self) -> tuple[AccessToken, ...]:
         """Return the tokens that are in force at this node."""
         return tuple(self._coordination.configuration.snapshot().tokens.values())
--- a/drumbay/node/process.py
+++ b/drumbay/node/process.py
@@ -5,6 +5,8 @@
 import signal
 from random import Random
 
+from prometheus_client import ProcessCollector
+
 from drumbay.backends.connector import HttpConnector
 from drumbay.backends.http_application import HttpApplicationClient
 from drumbay.backends.http_engine import HttpEngineClient
@@ -55,8 +57,10 @@
         open_log=DurableLog.open,
         random=Random(secrets.randbits(64)),
         boot_id=boot_id,
+        refused_frames=lambda: transport.refusal_counts,
     )
     node = Node(settings, environment)
+    ProcessCollector(registry=node.metrics_registry())
     await transport.start()
     node.start()
     server = start_http_server(node, settings.http)
--- a/drumbay/node/request_services.py
+++ b/drumbay/node/request_services.py
@@ -9,12 +9,14 @@
 from drumbay.limits.admission import AdmissionController, AdmissionPolicy
 from drumbay.limits.retry_budget import RetryBudget, RetryBudgetPolicy
 from drumbay.observability.logs import log_event
+from drumbay.observability.metrics import NO_ROUTE, NodeMetrics
 from drumbay.requests.admission_gate import AdmissionGate
 from drumbay.requests.application import ApplicationRequestService
 from drumbay.requests.dispatcher import Dispatcher
 from drumbay.requests.live import LiveRequestService
 from drumbay.requests.once import OnceRunner
 from drumbay.requests.route_table import RouteTable
+from drumbay.resources.schema import RouteKind
 from drumbay.routing.directory import BackendDirectory
 from drumbay.routing.selectors import InvalidSelectorError
 
@@ -40,18 +42,29 @@
         recorder: DecisionRecorder,
         once: OnceRunner,
         random: Random,
+        metrics: NodeMetrics | None = None,
     ) -> None:
         """Join the services; there are no routes until a configuration comes."""
         now = clock.monotonic()
         budget = RetryBudget(RetryBudgetPolicy(), now)
         self.routes = RouteTable(())
-        self.gate = AdmissionGate(clock, AdmissionController(AdmissionPolicy(), now))
-        self.dispatcher = Dispatcher(clock, zone, directory, recorder, random)
+        self.gate = AdmissionGate(clock, AdmissionController(AdmissionPolicy(), now), metrics)
+        self.dispatcher = Dispatcher(clock, zone, directory, recorder, random, metrics=metrics)
         self.live = LiveRequestService(clock, engine_client, self.dispatcher, self.gate, budget)
         self.applications = ApplicationRequestService(
             clock, application_client, self.dispatcher, self.gate, budget, once
         )
 
+    def live_route_name(self, model: str) -> str:
+        """Return the name of the live route of a model, for metrics."""
+        compiled = self.routes.for_model(RouteKind.LIVE, model)
+        return compiled.route.name if compiled else NO_ROUTE
+
+    def application_route_name(self, path: str) -> str:
+        """Return the name of the application route of a path, for metrics."""
+        compiled = self.routes.for_path(path)
+        return compiled.route.name if compiled else NO_ROUTE
+
     def apply_configuration(self, view: ConfigurationView) -> None:
         """Take in the routes in force; with an invalid selector the earlier ones stay."""
         routes = tuple(view.routes.values())
--- a/drumbay/node/rollouts.py
+++ b/drumbay/node/rollouts.py
@@ -8,6 +8,7 @@
 from drumbay.explain.records import SubjectKind
 from drumbay.identifiers import BackendId, BootId, Fence, StreamName, WeightVersion
 from drumbay.observability.logs import log_event
+from drumbay.observability.metrics import NodeMetrics
 from drumbay.ownership.manager import OwnershipManager
 from drumbay.resources.schema import WeightPolicy
 from drumbay.rollout.events import EngineLost, EngineReported, FloorChanged, WantedSample
@@ -51,6 +52,7 @@
         ownership: Says whether a stream's lease still holds.
         recorder: Takes decision records.
         task_owner: Owns the runners' tasks.
+        metrics: Counts finished samples.
     """
 
     def __init__(
@@ -64,8 +66,10 @@
         ownership: OwnershipManager,
         recorder: DecisionRecorder,
         task_owner: TaskOwner,
+        metrics: NodeMetrics,
     ) -> None:
         """Create a supervisor without streams."""
+        self._metrics = metrics
         self._clock = clock
         self._boot_id = boot_id
         self._engine_client = engine_client
@@ -167,6 +171,8 @@
         except NotOwnerError:
             self.stop_stream(stream)
             return
+        if added:
+            self._metrics.record_sample_finished(stream)
         sample_id = sample.key.sample_id(stream)
         versions = ", ".join(
             f"{span.weight_version} for {span.token_count} tokens by {span.attempt_id}"
--- /dev/null
+++ b/drumbay/node/state_metrics.py
@@ -0,0 +1,153 @@
+"""Prometheus metrics read off a node's state whenever ``/metrics`` is asked for."""
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+from prometheus_client.registry import Collector
+
+from drumbay.clock import Clock
+from drumbay.delivery.exceptions import NotOwnerError
+from drumbay.delivery.service import DeliveryService
+from drumbay.membership.records import MemberState
+from drumbay.node.coordination import CoordinationServices
+from drumbay.node.weights import WeightSupervisor
+from drumbay.routing.directory import BackendDirectory
+
+AVAILABLE = "none"
+"""Value of the label ``reason`` for back ends that may get work."""
+
+
+class NodeStateCollector(Collector):
+    """Reads the state of one node's services; costs nothing between two scrapes.
+
+    Args:
+        clock: Time.
+        coordination: Membership and configuration.
+        directory: Back ends as the node knows them.
+        delivery: Streams that the node owns.
+        weights: Rollouts of weights that the node owns.
+        in_flight: Returns the requests in flight.
+        refused_frames: Returns the frames refused so far, by code.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        coordination: CoordinationServices,
+        directory: BackendDirectory,
+        delivery: DeliveryService,
+        weights: WeightSupervisor,
+        in_flight: Callable[[], int],
+        refused_frames: Callable[[], dict[str, int]],
+    ) -> None:
+        """Create a collector; register it with the node's registry."""
+        self._clock = clock
+        self._coordination = coordination
+        self._directory = directory
+        self._delivery = delivery
+        self._weights = weights
+        self._in_flight = in_flight
+        self._refused_frames = refused_frames
+
+    def describe(self) -> tuple[Metric, ...]:
+        """Return nothing, so that registering does not read the state."""
+        return ()
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield every metric as of now."""
+        yield _gauge("drumbay_requests_in_flight", "Requests in flight.", self._in_flight())
+        yield from self._configuration()
+        yield self._members()
+        yield self._backends()
+        yield from self._streams()
+        yield from self._rollouts()
+        yield self._frames()
+
+    def _configuration(self) -> Iterator[Metric]:
+        readiness = self._coordination.configuration.readiness()
+        yield _gauge(
+            "drumbay_configuration_revision", "Revision in force.", int(readiness.revision)
+        )
+        yield _gauge("drumbay_configuration_ready", "1 once one is loaded.", int(readiness.ready))
+        age = GaugeMetricFamily(
+            "drumbay_configuration_confirmed_age_seconds",
+            "Time since nothing newer was known to be in force; absent before the first time.",
+        )
+        if readiness.confirmed_age_seconds is not None:
+            age.add_metric((), readiness.confirmed_age_seconds)
+        yield age
+
+    def _members(self) -> Metric:
+        counts = Counter(member.state for member in self._coordination.membership.members())
+        family = GaugeMetricFamily("drumbay_members", "Known nodes by state.", labels=("state",))
+        for state in MemberState:
+            family.add_metric((state.name.lower(),), counts[state])
+        return family
+
+    def _backends(self) -> Metric:
+        views = self._directory.views(self._clock.monotonic())
+        reasons = Counter(
+            AVAILABLE if view.unavailability is None else view.unavailability.value
+            for view in views
+        )
+        family = GaugeMetricFamily(
+            "drumbay_backends", "Back ends by why they get no work.", labels=("reason",)
+        )
+        for reason in sorted({AVAILABLE, *reasons}):
+            family.add_metric((reason,), reasons[reason])
+        return family
+
+    def _streams(self) -> Iterator[Metric]:
+        owned = GaugeMetricFamily(
+            "drumbay_stream_owned", "1 for each stream that this node owns.", labels=("stream",)
+        )
+        delivered = GaugeMetricFamily(
+            "drumbay_stream_delivered_samples",
+            "Samples in fixed batches since the stream began.",
+            labels=("stream",),
+        )
+        missing = GaugeMetricFamily(
+            "drumbay_stream_missing_samples", "Samples still to be generated.", labels=("stream",)
+        )
+        for stream in self._delivery.owned_streams:
+            try:
+                progress = self._delivery.progress(stream)
+                missing_count = len(self._delivery.missing(stream))
+            except NotOwnerError:
+                continue
+            owned.add_metric((stream,), 1)
+            delivered.add_metric((stream,), progress.delivered_samples)
+            missing.add_metric((stream,), missing_count)
+        yield from (owned, delivered, missing)
+
+    def _rollouts(self) -> Iterator[Metric]:
+        target = GaugeMetricFamily(
+            "drumbay_weights_target_version",
+            "Version that this node rolls out, for the models whose rollout it owns.",
+            labels=("model",),
+        )
+        done = GaugeMetricFamily(
+            "drumbay_weights_rollout_done", "1 if the rollout has ended.", labels=("model",)
+        )
+        loading = GaugeMetricFamily(
+            "drumbay_weights_loading_engines", "Engines that work on an order.", labels=("model",)
+        )
+        for rollout in self._weights.owned_rollouts():
+            target.add_metric((rollout.model,), rollout.target)
+            done.add_metric((rollout.model,), int(rollout.done))
+            loading.add_metric((rollout.model,), rollout.loading_engines)
+        yield from (target, done, loading)
+
+    def _frames(self) -> Metric:
+        family = CounterMetricFamily(
+            "drumbay_frames_refused", "Frames of other nodes refused, by code.", labels=("code",)
+        )
+        for code, count in sorted(self._refused_frames().items()):
+            family.add_metric((code,), count)
+        return family
+
+
+def _gauge(name: str, text: str, value: float) -> GaugeMetricFamily:
+    return GaugeMetricFamily(name, text, value=value)
--- a/drumbay/node/streams.py
+++ b/drumbay/node/streams.py
@@ -5,7 +5,12 @@
 
 from drumbay.clock import Clock
 from drumbay.comm.interface import Address, Message, RemoteFailureError, Transport, TransportError
-from drumbay.delivery.exceptions import DeliveryError, NothingReadyError, NotOwnerError
+from drumbay.delivery.exceptions import (
+    DeliveryError,
+    NothingReadyError,
+    NotOwnerError,
+    StaleBatchError,
+)
 from drumbay.delivery.service import DeliveryService
 from drumbay.exceptions import DrumbayError, UnavailableError
 from drumbay.identifiers import Fence, NodeId, StreamName, WeightVersion
@@ -17,6 +22,7 @@
     SubmitStepRequest,
 )
 from drumbay.observability.logs import log_event
+from drumbay.observability.metrics import NodeMetrics
 from drumbay.ownership.manager import OwnershipManager
 from drumbay.ownership.records import OwnershipChange, Standing
 from drumbay.tasks import TaskOwner
@@ -58,6 +64,7 @@
         worker: Generates samples of the owned streams.
         address_of: Returns the address of a live node.
         task_owner: Owns take-overs under way.
+        metrics: Counts refused pulls.
     """
 
     def __init__(
@@ -71,8 +78,10 @@
         worker: StreamWorker,
         address_of: Callable[[NodeId], Address | None],
         task_owner: TaskOwner,
+        metrics: NodeMetrics | None = None,
     ) -> None:
         """Create a service that owns no stream."""
+        self._metrics = metrics or NodeMetrics()
         self._clock = clock
         self._transport = transport
         self._node_id = node_id
@@ -205,6 +214,9 @@
             )
         except NothingReadyError:
             return PullReply(batch=None)
+        except StaleBatchError:
+            self._metrics.record_batch_stale(request.stream)
+            raise
         return PullReply(batch=batch)
 
     async def _handle_checkpoint(self, request: CheckpointRequest) -> StreamAcknowledgement:
--- a/drumbay/node/weights.py
+++ b/drumbay/node/weights.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from drumbay.backends.interface import BackendAddress
 from drumbay.clock import Clock
 from drumbay.comm.interface import Address, Message, Transport, TransportError
@@ -24,6 +26,15 @@
 ANNOUNCE_TIMEOUT_SECONDS = 2.0
 
 
+class OwnedRollout(msgspec.Struct, frozen=True, kw_only=True):
+    """State of a rollout that this node owns."""
+
+    model: str
+    target: WeightVersion
+    done: bool
+    loading_engines: int
+
+
 class AnnounceVersionRequest(Message, frozen=True, kw_only=True):
     """A trainer has published a version."""
 
@@ -138,6 +149,20 @@
         for version in versions:
             self._service.publish(model, version)
 
+    def owned_rollouts(self) -> tuple[OwnedRollout, ...]:
+        """Return the rollouts that this node owns and that have a target."""
+        owned = (model for model in sorted(self._models) if self._lease_fence(model) is not None)
+        return tuple(
+            OwnedRollout(
+                model=model,
+                target=target,
+                done=self._service.is_done(model),
+                loading_engines=len(self._service.busy_engines(model)),
+            )
+            for model in owned
+            if (target := self._service.target(model)) is not None
+        )
+
     def _lease_fence(self, model: str) -> Fence | None:
         # NOTE: engines check the fence, so a rollout goes on while the key-value service is
         # out; see docs/design/ownership.md.
--- a/drumbay/requests/admission_gate.py
+++ b/drumbay/requests/admission_gate.py
@@ -6,10 +6,12 @@
 from drumbay.clock import Clock
 from drumbay.exceptions import Execution
 from drumbay.limits.admission import AdmissionController, Refusal, RouteLimits
+from drumbay.observability.metrics import NodeMetrics
 from drumbay.requests.errors import NotReadyError, OverloadedError
 from drumbay.resources.schema import Route
 
 STOPPING_RETRY_AFTER_SECONDS = 1.0
+STOPPING_REASON = "stopping"
 
 
 class AdmissionGate:
@@ -18,10 +20,17 @@
     Args:
         clock: Time.
         controller: Limits and fair shares.
+        metrics: Counts refusals.
     """
 
-    def __init__(self, clock: Clock, controller: AdmissionController) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        controller: AdmissionController,
+        metrics: NodeMetrics | None = None,
+    ) -> None:
         """Create an open gate."""
+        self._metrics = metrics or NodeMetrics()
         self._clock = clock
         self._controller = controller
         self._routes: tuple[str, ...] = ()
@@ -52,6 +61,7 @@
             OverloadedError: A limit is reached; nothing has run.
         """
         if self.is_stopping:
+            self._metrics.record_refusal(route.name, STOPPING_REASON)
             raise NotReadyError(
                 "this node is stopping",
                 execution=Execution.NOT_RUN,
@@ -59,6 +69,7 @@
             )
         permit = self._controller.try_admit(route.name, self._clock.monotonic())
         if isinstance(permit, Refusal):
+            self._metrics.record_refusal(route.name, permit.reason.value)
             raise OverloadedError(
                 f"route {route.name}: {permit.reason.value}",
                 execution=Execution.NOT_RUN,
--- a/drumbay/requests/claimed_once.py
+++ b/drumbay/requests/claimed_once.py
@@ -4,11 +4,15 @@
 from drumbay.claims.outcomes import ClaimAnswered, ClaimFailed
 from drumbay.claims.records import StoredAnswer
 from drumbay.claims.service import ClaimService
+from drumbay.clock import Clock
 from drumbay.exceptions import Execution, RequestFailedError
 from drumbay.identifiers import AttemptId, IdempotencyKey
+from drumbay.observability.metrics import NodeMetrics
 from drumbay.requests.once import Dispatch
 
 KEY_SEPARATOR = "/"
+RAN = "ran"
+REPLAYED = "replayed"
 
 
 class ClaimedOnceRunner:
@@ -16,11 +20,15 @@
 
     Args:
         claims: Claims idempotency keys.
+        clock: Time.
+        metrics: Counts claims.
     """
 
-    def __init__(self, claims: ClaimService) -> None:
+    def __init__(self, claims: ClaimService, clock: Clock, metrics: NodeMetrics) -> None:
         """Use the node's claim service."""
         self._claims = claims
+        self._clock = clock
+        self._metrics = metrics
 
     async def run(
         self,
@@ -38,12 +46,16 @@
         """
         scoped_key = IdempotencyKey(f"{scope}{KEY_SEPARATOR}{key}")
 
+        started_at = self._clock.monotonic()
+
         async def run_claimed(attempt_id: AttemptId) -> StoredAnswer:
+            self._metrics.record_claim_duration(self._clock.monotonic() - started_at)
             return _stored(await _dispatch_claimed(dispatch))
 
         outcome = await self._claims.run_once(scoped_key, bytes.fromhex(digest), run_claimed)
         match outcome:
-            case ClaimAnswered(answer=answer, attempt_id=attempt_id):
+            case ClaimAnswered(answer=answer, attempt_id=attempt_id, replayed=replayed):
+                self._metrics.record_claim(REPLAYED if replayed else RAN)
                 return ApplicationAnswer(
                     attempt_id=attempt_id,
                     status=answer.status,
@@ -51,6 +63,7 @@
                     content_type=answer.content_type,
                 )
             case ClaimFailed():
+                self._metrics.record_claim(outcome.failure.value)
                 raise outcome.to_error()
 
 
--- a/drumbay/requests/dispatcher.py
+++ b/drumbay/requests/dispatcher.py
@@ -12,6 +12,7 @@
 from drumbay.explain.recorder import DecisionRecorder
 from drumbay.explain.records import DecisionRecord, SubjectKind
 from drumbay.identifiers import AttemptId, BackendId, WeightVersion
+from drumbay.observability.metrics import AttemptEnd, NodeMetrics
 from drumbay.requests.errors import NoBackendError
 from drumbay.requests.route_table import CompiledRoute
 from drumbay.routing.directory import AttemptOutcome, BackendDirectory
@@ -21,6 +22,10 @@
 NO_BACKEND_RETRY_AFTER_SECONDS = 1.0
 
 
+_SUCCESS_OF = {AttemptEnd.SUCCEEDED: True, AttemptEnd.FAILED: False}
+"""What an end tells the circuit breaker; refusals and cancellations tell nothing."""
+
+
 class AttemptNeeds(msgspec.Struct, frozen=True, kw_only=True):
     """What one attempt needs of a back end.
 
@@ -55,6 +60,7 @@
         recorder: Takes the decision records.
         random: Source of the choice's samples.
         policy: Weights and limits of the choice.
+        metrics: Counts attempts and retries.
     """
 
     def __init__(
@@ -65,6 +71,7 @@
         recorder: DecisionRecorder,
         random: Random,
         policy: ChoicePolicy | None = None,
+        metrics: NodeMetrics | None = None,
     ) -> None:
         """Create a dispatcher."""
         self._clock = clock
@@ -73,6 +80,7 @@
         self._recorder = recorder
         self._random = random
         self._policy = policy or ChoicePolicy()
+        self._metrics = metrics or NodeMetrics()
 
     def choose(self, needs: AttemptNeeds) -> BackendAddress:
         """Choose the back end of one attempt and record the decision.
@@ -114,6 +122,8 @@
                 execution=Execution.NOT_RUN,
                 retry_after_seconds=NO_BACKEND_RETRY_AFTER_SECONDS,
             )
+        if needs.already_tried:
+            self._metrics.record_retry(route.name)
         return address
 
     @contextmanager
@@ -126,17 +136,21 @@
         backend_id = address.backend_id
         permit = self._directory.start_attempt(backend_id, attempt_id, self._clock.monotonic())
         if permit is None:
+            self._metrics.record_attempt(AttemptEnd.REFUSED)
             raise BackendRefusedError("circuit_open")
-        outcome = AttemptOutcome(succeeded=None)
+        end = AttemptEnd.CANCELLED
         try:
             yield
-            outcome = AttemptOutcome(succeeded=True)
+            end = AttemptEnd.SUCCEEDED
         except BackendRefusedError:
+            end = AttemptEnd.REFUSED
             raise
         except BackendError:
-            outcome = AttemptOutcome(succeeded=False)
+            end = AttemptEnd.FAILED
             raise
         finally:
+            outcome = AttemptOutcome(succeeded=_SUCCESS_OF.get(end))
+            self._metrics.record_attempt(end)
             self._directory.finish_attempt(
                 backend_id, attempt_id, permit, outcome, self._clock.monotonic()
             )
--- a/drumbay/weights/planner.py
+++ b/drumbay/weights/planner.py
@@ -77,6 +77,11 @@
         """Return the version the rollout leads to; ``None`` if none is published."""
         return self._target
 
+    @property
+    def is_done(self) -> bool:
+        """Return whether every engine that is not set aside serves the target."""
+        return self._done
+
     def busy_engines(self) -> tuple[BackendId, ...]:
         """Return the engines that work on an order."""
         return tuple(
--- a/drumbay/weights/service.py
+++ b/drumbay/weights/service.py
@@ -190,6 +190,11 @@
         planner = self._planners.get(model)
         return planner.target if planner is not None else None
 
+    def is_done(self, model: str) -> bool:
+        """Return whether the rollout of a model that this node owns has ended."""
+        planner = self._planners.get(model)
+        return planner is not None and planner.is_done
+
     def busy_engines(self, model: str) -> tuple[BackendId, ...]:
         """Return the engines that are loading by this node's orders."""
         planner = self._planners.get(model)
--- a/tests/requests_world.py
+++ b/tests/requests_world.py
@@ -35,6 +35,7 @@
 )
 from drumbay.limits.circuit_breaker import CircuitPolicy
 from drumbay.node.request_services import RequestServices
+from drumbay.observability.metrics import NodeMetrics
 from drumbay.requests.identity import IdentityFactory
 from drumbay.requests.once import Dispatch
 from drumbay.requests.records import ApplicationCall, LiveRequest
@@ -106,6 +107,7 @@
         self,
         limits: RouteLimits,
         client_type: type[MemoryEngineClient] = MemoryEngineClient,
+        metrics: NodeMetrics | None = None,
     ) -> None:
         host = SimulatedHost("node", Address("10.0.0.1", 1), Location(zone="a", region="r"))
         host.start()
@@ -129,15 +131,17 @@
         servers_by_url: Mapping[str, ServiceModel] = {
             url_of(server.backend_id): server for server in self.servers
         }
+        self.recorder = DecisionRecorder(self.clock, node_id, lambda: Revision(1), self.decisions)
         self.services = RequestServices(
             clock=self.clock,
             zone="a",
             engine_client=client_type(self.clock, engines_by_url, self.network),
             application_client=MemoryApplicationClient(self.clock, servers_by_url, self.network),
             directory=self.directory,
-            recorder=DecisionRecorder(self.clock, node_id, lambda: Revision(1), self.decisions),
+            recorder=self.recorder,
             once=DirectOnceRunner(),
             random=Random(SEED),
+            metrics=metrics,
         )
         view = make_view(limits)
         self.directory.apply_configuration(view, self.clock.monotonic())
