Test the HTTP interface, and mend what the tests found

Found and mended, each by a test that failed before: * Errors lost the X-Request-Id header (tornado clears the headers before it writes an error). * A caller that went away between two chunks, or that waited for a whole answer, didn't cancel its generation. With the cancellation taken out again the test times out in both cases.

Also changed, covered by tests that were written with the change: * Unknown paths answered HTML; refusals by tornado itself (405) said may_have_run. Both are typed and not_run now. * A token without the Bearer scheme was accepted; 401 names the scheme (RFC 9110, 11.6.1). * With authentication on, a node without configuration answers not_ready in place of 401. * Retry-After is rounded up, not to the nearest second. * An unexpected exception after the first chunk of a stream becomes a typed event as well. * One parser of Drumbay-Timeout-Seconds: infinite and overlong values are refused.

Bodies and headers over the bounds are refused by tornado before any handler: 400 without a typed body, or a closed connection for headers. This is tested as it is.

--- a/drumbay/api/application.py
+++ b/drumbay/api/application.py
@@ -3,6 +3,7 @@
 from tornado.web import Application
 
 from drumbay.api.applications import ApplicationHandler
+from drumbay.api.base import UnknownPathHandler
 from drumbay.api.completions import ChatCompletionsHandler, CompletionsHandler
 from drumbay.api.diagnostics import (
     ExplainHandler,
@@ -52,5 +53,7 @@
             (r"/readyz", ReadyHandler, probe),
             (r"/metrics", MetricsHandler, probe),
         ],
+        default_handler_class=UnknownPathHandler,
+        default_handler_args=arguments,
         log_function=lambda handler: None,
     )
--- a/drumbay/api/base.py
+++ b/drumbay/api/base.py
@@ -2,18 +2,23 @@
 
 import hashlib
 import hmac
+import math
 from typing import Any, ClassVar, TypeVar
 
 import msgspec
-from tornado.web import RequestHandler
+from tornado.web import HTTPError, RequestHandler
 
 from drumbay.api.interface import NodeInterface
 from drumbay.api.schema import ErrorBody, ErrorDetail
 from drumbay.exceptions import DrumbayError, Execution, RequestFailedError
 from drumbay.identifiers import RequestId
+from drumbay.limits.deadline import TIMEOUT_HEADER, InvalidTimeoutError, parse_timeout_seconds
 from drumbay.observability.logs import log_event
 from drumbay.requests.errors import (
     AuthenticationRequiredError,
+    InvalidRequestError,
+    NotFoundError,
+    NotReadyError,
     PermissionDeniedError,
     not_run,
 )
@@ -23,8 +28,10 @@
 
 JSON_CONTENT_TYPE = "application/json"
 REQUEST_ID_HEADER = "X-Request-Id"
-TIMEOUT_HEADER = "Drumbay-Timeout-Seconds"
 BEARER_PREFIX = "Bearer "
+NOT_READY_RETRY_AFTER_SECONDS = 1.0
+METHOD_NOT_ALLOWED_STATUS = 405
+UNAUTHORIZED_STATUS = 401
 
 
 class ApiHandler(RequestHandler):
@@ -51,10 +58,17 @@
 
     def _role_of_bearer(self) -> Role:
         header = self.request.headers.get("Authorization", "")
-        digest = hashlib.sha256(header.removeprefix(BEARER_PREFIX).encode()).hexdigest()
-        for token in self.node.access_tokens():
-            if hmac.compare_digest(token.sha256, digest):
-                return token.role
+        if header.startswith(BEARER_PREFIX):
+            digest = hashlib.sha256(header.removeprefix(BEARER_PREFIX).encode()).hexdigest()
+            for token in self.node.access_tokens():
+                if hmac.compare_digest(token.sha256, digest):
+                    return token.role
+        if not self.node.status().ready:
+            raise NotReadyError(
+                "this node knows no token yet",
+                execution=Execution.NOT_RUN,
+                retry_after_seconds=NOT_READY_RETRY_AFTER_SECONDS,
+            )
         raise AuthenticationRequiredError("no valid bearer token", execution=Execution.NOT_RUN)
 
     def decode_body(self, body_type: type[BodyT]) -> BodyT:
@@ -85,18 +99,15 @@
         """Return the time limit the caller stated, if any.
 
         Raises:
-            InvalidRequestError: The header is no positive number.
+            InvalidRequestError: The header is no positive, finite number of seconds.
         """
         text = self.request.headers.get(TIMEOUT_HEADER)
         if text is None:
             return None
         try:
-            seconds = float(text)
-        except ValueError as error:
-            raise not_run(f"{TIMEOUT_HEADER}: expected a number of seconds") from error
-        if not seconds > 0:
-            raise not_run(f"{TIMEOUT_HEADER}: expected a positive number")
-        return seconds
+            return parse_timeout_seconds(text)
+        except InvalidTimeoutError as error:
+            raise not_run(f"{TIMEOUT_HEADER}: {error}") from error
 
     def new_request_id(self) -> RequestId:
         """Give this request an id and name it in the answer."""
@@ -121,6 +132,8 @@
                 retry_after_seconds=error.retry_after_seconds,
                 request_id=self.request_id,
             )
+        if isinstance(error, HTTPError):
+            return _detail_of_http_error(error)
         code = error.code if isinstance(error, DrumbayError) else DrumbayError.code
         return ErrorDetail(
             code=code,
@@ -132,21 +145,24 @@
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Answer with the typed body of the exception that ended the handler."""
         exception_info = kwargs.get("exc_info")
-        error = exception_info[1] if exception_info else None
-        if error is None:
-            return
+        error = exception_info[1] if exception_info else HTTPError(status_code)
         detail = self.error_detail(error)
         if isinstance(error, RequestFailedError):
             self.set_status(error.http_status)
+        # NOTE: tornado has cleared the headers set before the failure.
+        if self.request_id is not None:
+            self.set_header(REQUEST_ID_HEADER, self.request_id)
+        if self.get_status() == UNAUTHORIZED_STATUS:
+            self.set_header("WWW-Authenticate", BEARER_PREFIX.strip())
         if detail.retry_after_seconds is not None:
-            self.set_header("Retry-After", str(max(1, round(detail.retry_after_seconds))))
+            self.set_header("Retry-After", str(max(1, math.ceil(detail.retry_after_seconds))))
         self.set_header("Content-Type", JSON_CONTENT_TYPE)
         self.finish(msgspec.json.encode(ErrorBody(error=detail)))
 
     def log_exception(self, *arguments: Any) -> None:
         """Log a failed request as one event; refusals are ordinary."""
         error = arguments[1]
-        level = "INFO" if isinstance(error, RequestFailedError) else "ERROR"
+        level = "INFO" if isinstance(error, RequestFailedError | HTTPError) else "ERROR"
         log_event(
             "request_failed",
             level=level,
@@ -155,3 +171,25 @@
             error=type(error).__name__,
             detail=str(error),
         )
+
+
+class UnknownPathHandler(ApiHandler):
+    """Any path that no handler serves."""
+
+    def prepare(self) -> None:
+        """Refuse the request.
+
+        Raises:
+            NotFoundError: Always.
+        """
+        raise NotFoundError(f"no such path: {self.request.path}", execution=Execution.NOT_RUN)
+
+
+def _detail_of_http_error(error: HTTPError) -> ErrorDetail:
+    """Return a refusal of tornado itself, made before any handler ran."""
+    is_method = error.status_code == METHOD_NOT_ALLOWED_STATUS
+    return ErrorDetail(
+        code="method_not_allowed" if is_method else InvalidRequestError.code,
+        detail=error.log_message or error.reason or str(error),
+        run=Execution.NOT_RUN.value,
+    )
--- a/drumbay/api/completions.py
+++ b/drumbay/api/completions.py
@@ -1,5 +1,7 @@
 """OpenAI-compatible completions and chat completions, whole or streamed (SSE)."""
 
+import asyncio
+from contextlib import aclosing
 from typing import ClassVar
 
 import msgspec
@@ -13,7 +15,6 @@
     ErrorBody,
 )
 from drumbay.backends.interface import TokenChunk
-from drumbay.exceptions import DrumbayError
 from drumbay.requests.records import LiveRequest
 from drumbay.resources.schema import Role
 
@@ -26,6 +27,9 @@
 
     allowed_roles: ClassVar[tuple[Role, ...]] = (Role.CALLER, Role.OPERATOR)
 
+    _serving: "asyncio.Task[None] | None" = None
+    _is_caller_gone = False
+
     async def post(self) -> None:
         """Serve one completion."""
         body = self.decode_body(CompletionBody)
@@ -41,13 +45,27 @@
             target_tokens=body.target_tokens,
             timeout_seconds=self.caller_timeout_seconds(),
         )
-        if body.stream:
-            await self._stream(request)
-        else:
-            await self._answer_whole(request)
+        self._serving = asyncio.current_task()
+        try:
+            if body.stream:
+                await self._stream(request)
+            else:
+                await self._answer_whole(request)
+        except asyncio.CancelledError:
+            if not self._is_caller_gone:
+                raise
+        finally:
+            self._serving = None
+
+    def on_connection_close(self) -> None:
+        """Cancel the generation: nobody waits for its answer any more."""
+        self._is_caller_gone = True
+        if self._serving is not None:
+            self._serving.cancel()
 
     async def _answer_whole(self, request: LiveRequest) -> None:
-        chunks = [chunk async for chunk in self.node.generate(request)]
+        async with aclosing(self.node.generate(request)) as generation:
+            chunks = [chunk async for chunk in generation]
         token_ids = tuple(token for chunk in chunks for token in chunk.token_ids)
         finish_reason = chunks[-1].finish_reason
         answer = CompletionAnswer(
@@ -64,15 +82,17 @@
         """Stream chunks; a failure after the first one becomes a typed error event."""
         started = False
         try:
-            async for chunk in self.node.generate(request):
-                started = True
-                await self._write_chunk(chunk)
+            async with aclosing(self.node.generate(request)) as generation:
+                async for chunk in generation:
+                    started = True
+                    await self._write_chunk(chunk)
             self.write(END_OF_STREAM)
         except StreamClosedError:
             return
-        except DrumbayError as error:
+        except Exception as error:
             if not started:
                 raise
+            self.log_exception(type(error), error)
             self._write_event(msgspec.json.encode(ErrorBody(error=self.error_detail(error))))
         await self.finish()
 
