--- a/drumbay/cli/client.py
+++ b/drumbay/cli/client.py
@@ -1,5 +1,6 @@
 """Blocking HTTP client of one node, for the commands of operators."""
 
+from pathlib import Path
 from typing import TypeVar
 from urllib.parse import quote
 
@@ -29,12 +30,20 @@
     Args:
         server: Base URL of the node.
         token: Bearer token, if the node requires one.
+        certificate_authority_file: PEM certificates that sign the node's; the system's are
+            used if ``None``.
     """
 
-    def __init__(self, server: str, token: str | None = None) -> None:
+    def __init__(
+        self,
+        server: str,
+        token: str | None = None,
+        certificate_authority_file: Path | None = None,
+    ) -> None:
         """Use the node at ``server``."""
         self._server = server.rstrip("/")
         self._token = token
+        self._certificate_authority_file = certificate_authority_file
 
     def resources(self, kind: str | None = None, name: str | None = None) -> ResourceListBody:
         """Return the resources in force at the node."""
@@ -74,6 +83,7 @@
         return self._decode(self._fetch("GET", "/v1/status"), StatusBody)
 
     def _fetch(self, method: str, path: str, body: bytes | None = None) -> HTTPResponse:
+        authority = self._certificate_authority_file
         headers = {"Authorization": f"Bearer {self._token}"} if self._token else {}
         request = HTTPRequest(
             self._server + path,
@@ -81,6 +91,7 @@
             body=body,
             headers=headers,
             request_timeout=REQUEST_TIMEOUT_SECONDS,
+            ca_certs=str(authority) if authority is not None else None,
         )
         client = HTTPClient()
         try:
--- a/drumbay/cli/explain.py
+++ b/drumbay/cli/explain.py
@@ -7,7 +7,13 @@
 
 from drumbay.cli.client import NodeClient
 from drumbay.cli.errors import ExitCode, typed_exit
-from drumbay.cli.operators import DEFAULT_SERVER, Output, Server, Token
+from drumbay.cli.operators import (
+    DEFAULT_SERVER,
+    CertificateAuthority,
+    Output,
+    Server,
+    Token,
+)
 from drumbay.cli.output import OutputFormat, print_record
 from drumbay.explain.records import CandidateVerdict, DecisionRecord, SubjectKind
 
@@ -17,6 +23,7 @@
     subject_id: Annotated[str, typer.Argument(help="Request, sample or back-end id.")],
     server: Server = DEFAULT_SERVER,
     token: Token = None,
+    ca_file: CertificateAuthority = None,
     output: Output = OutputFormat.TABLE,
 ) -> None:
     """Show the decisions about a request, a sample or a back end.
@@ -24,7 +31,7 @@
     Example: drumbay explain request 'node-1~4f2a~17'
     """
     with typed_exit():
-        explanation = NodeClient(server, token).explain(kind, subject_id)
+        explanation = NodeClient(server, token, ca_file).explain(kind, subject_id)
         if output is not OutputFormat.TABLE:
             print_record(explanation, output)
             return
--- a/drumbay/cli/main.py
+++ b/drumbay/cli/main.py
@@ -1,5 +1,7 @@
 """Entry point of the command line."""
 
+import logging
+
 import typer
 
 from drumbay import __version__
@@ -15,6 +17,8 @@
 @app.callback()
 def main() -> None:
     """Run training rollouts beside live traffic."""
+    # NOTE: commands show a failed connection as their own error; a node logs it as an event.
+    logging.basicConfig(handlers=[logging.NullHandler()])
 
 
 @app.command()
--- a/drumbay/cli/operators.py
+++ b/drumbay/cli/operators.py
@@ -21,6 +21,16 @@
     str, typer.Option("--server", "-s", envvar="DRUMBAY_SERVER", help="Base URL of a node.")
 ]
 Token = Annotated[str | None, typer.Option("--token", envvar="DRUMBAY_TOKEN", help="Bearer token.")]
+CertificateAuthority = Annotated[
+    Path | None,
+    typer.Option(
+        "--ca-file",
+        envvar="DRUMBAY_CA_FILE",
+        exists=True,
+        dir_okay=False,
+        help="PEM certificates that sign the node's; the system's if not given.",
+    ),
+]
 Output = Annotated[OutputFormat, typer.Option("--output", "-o", help="Output format.")]
 ExpectedRevision = Annotated[
     int | None,
@@ -32,6 +42,7 @@
     file: Annotated[Path, typer.Option("--file", "-f", help="YAML file with resources.")],
     server: Server = DEFAULT_SERVER,
     token: Token = None,
+    ca_file: CertificateAuthority = None,
     expected_revision: ExpectedRevision = None,
     output: Output = OutputFormat.TABLE,
 ) -> None:
@@ -40,7 +51,7 @@
     Example: drumbay apply -f groups.yaml --server http://127.0.0.1:8080
     """
     with typed_exit():
-        client = NodeClient(server, token)
+        client = NodeClient(server, token, ca_file)
         revision = None if expected_revision is None else Revision(expected_revision)
         for resource in load_resources(file):
             body = ApplyBody(
@@ -57,6 +68,7 @@
     name: Annotated[str | None, typer.Argument(help="Name of one resource.")] = None,
     server: Server = DEFAULT_SERVER,
     token: Token = None,
+    ca_file: CertificateAuthority = None,
     output: Output = OutputFormat.TABLE,
 ) -> None:
     """List the resources in force at a node.
@@ -64,7 +76,7 @@
     Example: drumbay get BackendGroup -o yaml
     """
     with typed_exit():
-        listing = NodeClient(server, token).resources(kind, name)
+        listing = NodeClient(server, token, ca_file).resources(kind, name)
         if output is not OutputFormat.TABLE:
             print_record(listing, output)
             return
@@ -77,13 +89,14 @@
     name: Annotated[str, typer.Argument(help="Name of the resource.")],
     server: Server = DEFAULT_SERVER,
     token: Token = None,
+    ca_file: CertificateAuthority = None,
 ) -> None:
     """Show one resource with every field.
 
     Example: drumbay describe Route drafting
     """
     with typed_exit():
-        listing = NodeClient(server, token).resources(kind, name)
+        listing = NodeClient(server, token, ca_file).resources(kind, name)
         if not listing.items:
             typer.echo(f"error: not_found: {kind}/{name}", err=True)
             raise typer.Exit(ExitCode.FAILED)
@@ -95,6 +108,7 @@
     name: Annotated[str, typer.Argument(help="Name of the resource.")],
     server: Server = DEFAULT_SERVER,
     token: Token = None,
+    ca_file: CertificateAuthority = None,
     expected_revision: ExpectedRevision = None,
     output: Output = OutputFormat.TABLE,
 ) -> None:
@@ -105,7 +119,7 @@
     with typed_exit():
         revision = None if expected_revision is None else Revision(expected_revision)
         operation_id = secrets.token_hex(OPERATION_ID_BYTES)
-        outcome = NodeClient(server, token).delete(kind, name, operation_id, revision)
+        outcome = NodeClient(server, token, ca_file).delete(kind, name, operation_id, revision)
         _print_outcome(f"{kind}/{name}", outcome, output)
 
 
@@ -113,6 +127,7 @@
     operation_id: Annotated[str, typer.Argument(help="Id printed by apply or delete.")],
     server: Server = DEFAULT_SERVER,
     token: Token = None,
+    ca_file: CertificateAuthority = None,
     output: Output = OutputFormat.TABLE,
 ) -> None:
     """Ask what became of an earlier change whose outcome was not known.
@@ -120,12 +135,15 @@
     Example: drumbay operation 3f0c9a0d2b7e4c51
     """
     with typed_exit():
-        _print_outcome("operation", NodeClient(server, token).operation(operation_id), output)
+        _print_outcome(
+            "operation", NodeClient(server, token, ca_file).operation(operation_id), output
+        )
 
 
 def status(
     server: Server = DEFAULT_SERVER,
     token: Token = None,
+    ca_file: CertificateAuthority = None,
     output: Output = OutputFormat.TABLE,
 ) -> None:
     """Show a node's state and the members it sees.
@@ -133,7 +151,7 @@
     Example: drumbay status -o json
     """
     with typed_exit():
-        state = NodeClient(server, token).status()
+        state = NodeClient(server, token, ca_file).status()
         if output is not OutputFormat.TABLE:
             print_record(state, output)
             return
--- a/drumbay/node/process.py
+++ b/drumbay/node/process.py
@@ -35,6 +35,7 @@
     Raises:
         ListenError: The peer address cannot be used.
         OSError: The HTTP address cannot be used.
+        CertificateError: The certificate or private key cannot be used.
         StorageError: The data folder cannot be used.
     """
     transport_tasks = TaskOwner()
@@ -45,7 +46,9 @@
     )
     machine_list = settings.machine_list
     weight_store = settings.weight_store
-    connector = HttpConnector()
+    connector = HttpConnector(
+        certificate_authority_file=settings.backends.certificate_authority_file
+    )
     environment = NodeEnvironment(
         clock=clock,
         transport=transport,
--- a/drumbay/node/server.py
+++ b/drumbay/node/server.py
@@ -10,13 +10,21 @@
     make_application,
 )
 from drumbay.api.interface import NodeInterface
+from drumbay.exceptions import ConfigurationError
 from drumbay.settings import HttpSettings
 
 
+class CertificateError(ConfigurationError):
+    """The certificate or the private key of the HTTP interface cannot be used."""
+
+    code = "invalid_certificate"
+
+
 def start_http_server(node: NodeInterface, settings: HttpSettings) -> HTTPServer:
     """Listen for callers, trainers and operators.
 
     Raises:
+        CertificateError: The certificate or private key cannot be used.
         OSError: The address cannot be used.
     """
     server = HTTPServer(
@@ -33,5 +41,8 @@
     if settings.certificate_file is None:
         return None
     context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    context.load_cert_chain(settings.certificate_file, settings.private_key_file)
+    try:
+        context.load_cert_chain(settings.certificate_file, settings.private_key_file)
+    except (OSError, ssl.SSLError) as error:
+        raise CertificateError(f"{settings.certificate_file}: {error}") from error
     return context
--- a/drumbay/observability/logs.py
+++ b/drumbay/observability/logs.py
@@ -1,5 +1,6 @@
 """Structured logs: one line of key=value pairs per event, through loguru."""
 
+import logging
 import sys
 from typing import TYPE_CHECKING
 
@@ -28,8 +29,22 @@
     return "{extra[line]}\n"
 
 
+class _LibraryLogHandler(logging.Handler):
+    """Takes what libraries log, so that it comes out as events too."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log one message of a library."""
+        log_event(
+            "library_message",
+            level=record.levelname,
+            logger=record.name,
+            detail=record.getMessage(),
+        )
+
+
 def configure_logs(level: str = "INFO") -> None:
-    """Send logs to standard error, one key=value line per event."""
+    """Send logs to standard error, one key=value line per event, those of libraries included."""
+    logging.basicConfig(handlers=[_LibraryLogHandler()], level=logging.WARNING, force=True)
     logger.remove()
     logger.add(sys.stderr, level=level, format=_format_record, colorize=False, backtrace=False)
 
--- a/drumbay/settings.py
+++ b/drumbay/settings.py
@@ -48,7 +48,8 @@
     Attributes:
         host: IP address to listen on.
         port: TCP port.
-        certificate_file: PEM certificate chain; TLS is used if set.
+        certificate_file: PEM certificate chain; TLS is used if set. Relative paths of files
+            start at the folder of the settings file.
         private_key_file: PEM private key of the certificate.
         authentication: Whether bearer tokens are required.
     """
@@ -106,6 +107,17 @@
     poll_interval_seconds: Annotated[float, Meta(gt=0)] = 2.0
 
 
+class BackendSettings(_Section, frozen=True, kw_only=True):
+    """How back ends are reached.
+
+    Attributes:
+        certificate_authority_file: PEM certificates that sign those of back ends with an
+            ``https`` address; the system's are used if not set.
+    """
+
+    certificate_authority_file: str | None = None
+
+
 class LogSettings(_Section, frozen=True, kw_only=True):
     """What is logged."""
 
@@ -124,6 +136,7 @@
         key_value: The platform's key-value service.
         machine_list: The platform's machine list, if there is one.
         weight_store: The weight store, if new versions are to be noticed there.
+        backends: How back ends are reached.
         data_folder: Folder for bulk data; a node without one keeps nothing on disk.
         logs: Logging.
     """
@@ -136,6 +149,7 @@
     key_value: KeyValueSettings
     machine_list: MachineListSettings | None = None
     weight_store: WeightStoreSettings | None = None
+    backends: BackendSettings = BackendSettings()
     data_folder: str | None = None
     logs: LogSettings = LogSettings()
 
@@ -175,7 +189,7 @@
         expected, key = split_validation_error(error)
         raise SettingsError(file, key, expected) from error
     _check_addresses(file, settings)
-    return settings
+    return _with_file_paths(file, settings)
 
 
 def split_validation_error(error: msgspec.ValidationError) -> tuple[str, str]:
@@ -206,6 +220,35 @@
         raise SettingsError(file, "peers.seeds", "each address once")
 
 
+def _with_file_paths(file: Path, settings: NodeSettings) -> NodeSettings:
+    """Return the settings with certificate files relative to the settings file resolved.
+
+    Raises:
+        SettingsError: One of them cannot be read.
+    """
+    http = msgspec.structs.replace(
+        settings.http,
+        certificate_file=_readable(file, "http.certificate_file", settings.http.certificate_file),
+        private_key_file=_readable(file, "http.private_key_file", settings.http.private_key_file),
+    )
+    authority = settings.backends.certificate_authority_file
+    backends = BackendSettings(
+        certificate_authority_file=_readable(file, "backends.certificate_authority_file", authority)
+    )
+    return msgspec.structs.replace(settings, http=http, backends=backends)
+
+
+def _readable(file: Path, key: str, path: str | None) -> str | None:
+    if path is None:
+        return None
+    resolved = file.parent / path
+    try:
+        resolved.read_bytes()
+    except OSError as error:
+        raise SettingsError(file, key, f"a readable file ({error.strerror})") from error
+    return str(resolved)
+
+
 def load_cluster_key(settings: NodeSettings, settings_file: Path) -> bytes:
     """Read the cluster key; a relative path starts at the settings file's folder.
 
--- /dev/null
+++ b/tests/test_tls.py
@@ -0,0 +1,158 @@
+"""TLS: a node serves HTTPS; the command line and the client of back ends verify it."""
+
+import asyncio
+import contextlib
+import ipaddress
+import ssl
+import tempfile
+import unittest
+from datetime import UTC, datetime, timedelta
+from pathlib import Path
+
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
+from tornado.testing import bind_unused_port
+from typer.testing import CliRunner
+
+from drumbay.backends.connector import HttpCall, HttpConnector
+from drumbay.backends.interface import BackendNotReachedError
+from drumbay.cli.client import NodeClient
+from drumbay.cli.errors import ExitCode, ServerUnreachableError
+from drumbay.cli.main import app
+from drumbay.node.server import CertificateError, start_http_server
+from drumbay.settings import HttpSettings, SettingsError, load_settings
+from tests.api_node import StandInNode
+from tests.test_settings import VALID
+
+
+def write_certificate(folder: Path, name: str, address: str) -> None:
+    """Write a self-signed certificate for an IP address and its private key."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    subject = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
+    alternative = x509.SubjectAlternativeName([x509.IPAddress(ipaddress.ip_address(address))])
+    now = datetime.now(UTC)
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(subject)
+        .issuer_name(subject)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - timedelta(days=1))
+        .not_valid_after(now + timedelta(days=1))
+        .add_extension(alternative, critical=False)
+        .sign(key, hashes.SHA256())
+    )
+    pem = serialization.Encoding.PEM
+    plain = serialization.NoEncryption()
+    private = key.private_bytes(pem, serialization.PrivateFormat.PKCS8, plain)
+    (folder / f"{name}.crt").write_bytes(certificate.public_bytes(pem))
+    (folder / f"{name}.key").write_bytes(private)
+
+
+class TlsTestCase(unittest.IsolatedAsyncioTestCase):
+    folder: Path
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        super().setUpClass()
+        folder = tempfile.TemporaryDirectory()
+        cls.addClassCleanup(folder.cleanup)
+        cls.folder = Path(folder.name)
+        write_certificate(cls.folder, "node", "127.0.0.1")
+        write_certificate(cls.folder, "elsewhere", "10.0.0.9")
+
+    def serve(self, name: str) -> str:
+        """Serve a stand-in node with a certificate; return its base URL."""
+        socket, port = bind_unused_port()
+        socket.close()
+        server = start_http_server(StandInNode(), self.settings(name, port))
+        self.addCleanup(server.stop)
+        return f"https://127.0.0.1:{port}"
+
+    def settings(self, name: str, port: int) -> HttpSettings:
+        return HttpSettings(
+            host="127.0.0.1",
+            port=port,
+            certificate_file=str(self.folder / f"{name}.crt"),
+            private_key_file=str(self.folder / f"{name}.key"),
+        )
+
+    async def fetch(self, url: str, authority: str | None) -> int:
+        """Fetch as a node fetches from a back end; return the status."""
+        file = None if authority is None else str(self.folder / authority)
+        connector = HttpConnector(certificate_authority_file=file)
+        with contextlib.closing(connector):
+            answer = await connector.exchange(
+                HttpCall(method="GET", url=f"{url}/healthz", headers={}, timeout_seconds=5.0)
+            )
+            await answer.body(1024)
+            return answer.status
+
+
+class BackendTlsTest(TlsTestCase):
+    async def test_a_known_authority_is_accepted(self) -> None:
+        self.assertEqual(await self.fetch(self.serve("node"), "node.crt"), 200)
+
+    async def test_unverified_back_ends_get_no_request(self) -> None:
+        for name, authority in (("node", None), ("node", "elsewhere.crt"), ("elsewhere", None)):
+            case = self.subTest(name=name, authority=authority)
+            with case, self.assertRaises(BackendNotReachedError):
+                await self.fetch(self.serve(name), authority)
+
+    async def test_a_certificate_for_another_address_is_refused(self) -> None:
+        with self.assertRaises(BackendNotReachedError):
+            await self.fetch(self.serve("elsewhere"), "elsewhere.crt")
+
+
+class CommandLineTlsTest(TlsTestCase):
+    async def status_from(self, name: str, authority: str | None) -> str:
+        file = None if authority is None else self.folder / authority
+        client = NodeClient(self.serve(name), certificate_authority_file=file)
+        return (await asyncio.to_thread(client.status)).node_id
+
+    async def test_client(self) -> None:
+        self.assertEqual(await self.status_from("node", "node.crt"), "node-1")
+        for name, authority in (("node", None), ("elsewhere", "elsewhere.crt")):
+            with self.subTest(name=name), self.assertRaises(ServerUnreachableError):
+                await self.status_from(name, authority)
+
+    async def test_flag(self) -> None:
+        arguments = ["status", "--server", self.serve("node")]
+        runner = CliRunner()
+        trusted = [*arguments, "--ca-file", str(self.folder / "node.crt")]
+        result = await asyncio.to_thread(runner.invoke, app, trusted)
+        self.assertEqual(result.exit_code, ExitCode.SUCCESS, result.output)
+        result = await asyncio.to_thread(runner.invoke, app, arguments)
+        self.assertEqual(result.exit_code, ExitCode.UNREACHABLE, result.output)
+
+    async def test_plain_http_is_not_served_on_a_tls_port(self) -> None:
+        client = NodeClient(self.serve("node").replace("https", "http"))
+        with self.assertRaises(ServerUnreachableError):
+            await asyncio.to_thread(client.status)
+
+
+class TlsSettingsTest(TlsTestCase):
+    def load(self, text: str) -> None:
+        file = self.folder / "node.toml"
+        file.write_text(text)
+        settings = load_settings(file)
+        self.assertEqual(
+            settings.backends.certificate_authority_file, str(self.folder / "node.crt")
+        )
+
+    def test_paths_start_at_the_settings_file(self) -> None:
+        self.load(VALID + '[backends]\ncertificate_authority_file = "node.crt"\n')
+
+    def test_missing_file(self) -> None:
+        with self.assertRaises(SettingsError) as caught:
+            self.load(VALID + '[backends]\ncertificate_authority_file = "none.crt"\n')
+        self.assertEqual(caught.exception.key, "backends.certificate_authority_file")
+
+    def test_key_of_another_certificate(self) -> None:
+        (self.folder / "mixed.crt").write_bytes((self.folder / "node.crt").read_bytes())
+        (self.folder / "mixed.key").write_bytes((self.folder / "elsewhere.key").read_bytes())
+        with self.assertRaises(CertificateError) as caught:
+            start_http_server(StandInNode(), self.settings("mixed", 1))
+        self.assertIsInstance(caught.exception.__cause__, ssl.SSLError)
