--- a/drumbay/cli/client.py
+++ b/drumbay/cli/client.py
@@ -1,11 +1,14 @@
 """Blocking HTTP client of one node, for the commands of operators."""
 
+import socket
+import ssl
 from pathlib import Path
 from typing import TypeVar
 from urllib.parse import quote
 
 import msgspec
 from tornado.httpclient import HTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
+from tornado.simple_httpclient import HTTPStreamClosedError, HTTPTimeoutError
 
 from drumbay.api.schema import (
     ApplyBody,
@@ -15,12 +18,16 @@
     ResourceListBody,
     StatusBody,
 )
-from drumbay.cli.errors import ServerRefusedError, ServerUnreachableError
+from drumbay.cli.errors import OutcomeUnknownError, ServerRefusedError, ServerUnreachableError
+from drumbay.exceptions import Execution
 from drumbay.explain.records import SubjectKind
 from drumbay.identifiers import Revision
 
 REQUEST_TIMEOUT_SECONDS = 30.0
 
+NOT_SENT: tuple[type[OSError], ...] = (ConnectionRefusedError, socket.gaierror, ssl.SSLError)
+"""Failures before the first byte of a request; any other may come after the last one."""
+
 RecordT = TypeVar("RecordT")
 
 
@@ -55,8 +62,7 @@
         """Create or change a resource."""
         kind = type(body.resource).__name__
         path = f"/v1/resources/{kind}/{quote(body.resource.name, safe='')}"
-        response = self._fetch("PUT", path, msgspec.json.encode(body))
-        return self._decode(response, ApplyOutcomeBody)
+        return self._change("PUT", path, body.operation_id, msgspec.json.encode(body))
 
     def delete(
         self, kind: str, name: str, operation_id: str, expected_revision: Revision | None
@@ -66,7 +72,7 @@
         query = f"?operation_id={quote(operation_id, safe='')}"
         if expected_revision is not None:
             query += f"&expected_revision={expected_revision}"
-        return self._decode(self._fetch("DELETE", path + query), ApplyOutcomeBody)
+        return self._change("DELETE", path + query, operation_id)
 
     def operation(self, operation_id: str) -> ApplyOutcomeBody:
         """Return what became of an earlier change."""
@@ -82,6 +88,24 @@
         """Return the node's state."""
         return self._decode(self._fetch("GET", "/v1/status"), StatusBody)
 
+    def _change(
+        self, method: str, path: str, operation_id: str, body: bytes | None = None
+    ) -> ApplyOutcomeBody:
+        """Send a change.
+
+        Raises:
+            OutcomeUnknownError: It was sent, and its outcome is not known.
+            ServerRefusedError: It was not made.
+            ServerUnreachableError: It was not sent.
+        """
+        try:
+            response = self._fetch(method, path, body)
+        except (ServerRefusedError, ServerUnreachableError) as error:
+            if error.may_have_run:
+                raise OutcomeUnknownError(operation_id, str(error)) from error
+            raise
+        return self._decode(response, ApplyOutcomeBody)
+
     def _fetch(self, method: str, path: str, body: bytes | None = None) -> HTTPResponse:
         authority = self._certificate_authority_file
         headers = {"Authorization": f"Bearer {self._token}"} if self._token else {}
@@ -99,7 +123,9 @@
         except HTTPClientError as error:
             raise _refusal(error) from error
         except OSError as error:
-            raise ServerUnreachableError(f"{self._server}: {error}") from error
+            may_have_run = not isinstance(error, NOT_SENT)
+            detail = f"{self._server}: {error}"
+            raise ServerUnreachableError(detail, may_have_run=may_have_run) from error
         finally:
             client.close()
 
@@ -109,9 +135,18 @@
 
 def _refusal(error: HTTPClientError) -> ServerRefusedError | ServerUnreachableError:
     if error.response is None or not error.response.body:
-        return ServerUnreachableError(str(error))
+        return ServerUnreachableError(str(error), may_have_run=_may_have_run(error))
     try:
         detail = msgspec.json.decode(error.response.body, type=ErrorBody).error
     except msgspec.MsgspecError:
-        return ServerRefusedError(str(error.code), str(error))
-    return ServerRefusedError(detail.code, detail.detail)
+        return ServerRefusedError(str(error.code), str(error), may_have_run=True)
+    may_have_run = detail.run == Execution.MAY_HAVE_RUN
+    return ServerRefusedError(detail.code, detail.detail, may_have_run=may_have_run)
+
+
+def _may_have_run(error: HTTPClientError) -> bool:
+    """Return whether the request may have been sent before the exchange failed."""
+    if isinstance(error, HTTPTimeoutError):
+        # NOTE: tornado tells the phase of a timeout by its message only.
+        return "connecting" not in str(error)
+    return isinstance(error, HTTPStreamClosedError)
--- a/drumbay/cli/errors.py
+++ b/drumbay/cli/errors.py
@@ -21,24 +21,46 @@
 
 
 class ServerUnreachableError(DrumbayError):
-    """The node named by ``--server`` could not be reached."""
+    """The node named by ``--server`` gave no answer.
+
+    Attributes:
+        may_have_run: Whether the request may have been sent.
+    """
 
     code = "server_unreachable"
 
+    def __init__(self, detail: str, *, may_have_run: bool = False) -> None:
+        """Store the detail and whether the request may have been sent."""
+        super().__init__(detail)
+        self.may_have_run = may_have_run
+
 
 class ServerRefusedError(DrumbayError):
     """The node refused the operation.
 
     Attributes:
         remote_code: Code of the failure at the node.
+        may_have_run: Whether the operation may have been carried out.
     """
 
     code = "server_refused"
 
-    def __init__(self, remote_code: str, detail: str) -> None:
+    def __init__(self, remote_code: str, detail: str, *, may_have_run: bool = False) -> None:
         """Store the node's code and detail."""
         super().__init__(f"{remote_code}: {detail}")
         self.remote_code = remote_code
+        self.may_have_run = may_have_run
+
+
+class OutcomeUnknownError(DrumbayError):
+    """A change was sent, and no answer came back: it may be in force."""
+
+    code = "outcome_unknown"
+
+    def __init__(self, operation_id: str, detail: str) -> None:
+        """Name the operation by which the outcome can be learned."""
+        super().__init__(f"{detail}; ask with: drumbay operation {operation_id}")
+        self.operation_id = operation_id
 
 
 def exit_code_of(error: DrumbayError) -> ExitCode:
@@ -47,6 +69,8 @@
         return ExitCode.INVALID_INPUT
     if isinstance(error, ServerRefusedError):
         return ExitCode.REFUSED
+    if isinstance(error, OutcomeUnknownError):
+        return ExitCode.UNKNOWN_OUTCOME
     if isinstance(error, ServerUnreachableError):
         return ExitCode.UNREACHABLE
     return ExitCode.FAILED
--- a/drumbay/cli/explain.py
+++ b/drumbay/cli/explain.py
@@ -5,6 +5,7 @@
 
 import typer
 
+from drumbay.api.schema import ExplanationBody
 from drumbay.cli.client import NodeClient
 from drumbay.cli.errors import ExitCode, typed_exit
 from drumbay.cli.operators import (
@@ -32,19 +33,23 @@
     """
     with typed_exit():
         explanation = NodeClient(server, token, ca_file).explain(kind, subject_id)
-        if output is not OutputFormat.TABLE:
+        if output is OutputFormat.TABLE:
+            _print_explanation(explanation)
+        else:
             print_record(explanation, output)
-            return
-        for record in explanation.records:
-            _print_decision(record)
-        typer.echo(
-            f"{len(explanation.records)} decisions; {explanation.nodes_answered} of "
-            f"{explanation.nodes_asked} nodes answered"
-        )
         if not explanation.records:
             raise typer.Exit(ExitCode.FAILED)
 
 
+def _print_explanation(explanation: ExplanationBody) -> None:
+    for record in explanation.records:
+        _print_decision(record)
+    typer.echo(
+        f"{len(explanation.records)} decisions; {explanation.nodes_answered} of "
+        f"{explanation.nodes_asked} nodes answered"
+    )
+
+
 def _print_decision(record: DecisionRecord) -> None:
     time = datetime.fromtimestamp(record.wall_time_seconds, UTC).isoformat(timespec="milliseconds")
     typer.echo(
--- a/drumbay/cli/main.py
+++ b/drumbay/cli/main.py
@@ -5,7 +5,17 @@
 import typer
 
 from drumbay import __version__
-from drumbay.cli import acceptance, bench, explain, node, operators, simulate, standin, token
+from drumbay.cli import (
+    acceptance,
+    bench,
+    explain,
+    node,
+    operators,
+    schema,
+    simulate,
+    standin,
+    token,
+)
 
 app = typer.Typer(
     name="drumbay",
@@ -23,7 +33,10 @@
 
 @app.command()
 def version() -> None:
-    """Print the version."""
+    """Print the version.
+
+    Example: drumbay version
+    """
     typer.echo(__version__)
 
 
@@ -38,6 +51,7 @@
 app.command()(token.token)
 app.command()(acceptance.acceptance)
 app.command()(simulate.simulate)
+app.command()(schema.schema)
 app.add_typer(standin.app)
 app.add_typer(bench.app)
 
--- a/drumbay/cli/operators.py
+++ b/drumbay/cli/operators.py
@@ -9,8 +9,9 @@
 from drumbay.api.schema import ApplyBody, ApplyOutcomeBody, ResourceBody
 from drumbay.cli.client import NodeClient
 from drumbay.cli.errors import ExitCode, typed_exit
-from drumbay.cli.output import OutputFormat, print_record, print_table
+from drumbay.cli.output import Change, ChangeList, OutputFormat, print_record, print_table
 from drumbay.identifiers import Revision
+from drumbay.resources.checks import check_resource
 from drumbay.resources.files import load_resources
 
 DEFAULT_SERVER = "http://127.0.0.1:8080"
@@ -53,14 +54,24 @@
     with typed_exit():
         client = NodeClient(server, token, ca_file)
         revision = None if expected_revision is None else Revision(expected_revision)
-        for resource in load_resources(file):
-            body = ApplyBody(
-                resource=resource,
-                operation_id=secrets.token_hex(OPERATION_ID_BYTES),
-                expected_revision=revision,
-            )
-            label = f"{type(resource).__name__}/{resource.name}"
-            _print_outcome(label, client.apply(body), output)
+        resources = load_resources(file)
+        for resource in resources:
+            check_resource(resource)
+        changes: list[Change] = []
+        try:
+            for resource in resources:
+                body = ApplyBody(
+                    resource=resource,
+                    operation_id=secrets.token_hex(OPERATION_ID_BYTES),
+                    expected_revision=revision,
+                )
+                kind = type(resource).__name__
+                outcome = client.apply(body)
+                changes.append(Change(kind=kind, name=resource.name, outcome=outcome))
+        finally:
+            # NOTE: after a failure, the changes before it are in force.
+            _print_changes(changes, output)
+        _exit_if_unknown(changes)
 
 
 def get(
@@ -120,7 +131,9 @@
         revision = None if expected_revision is None else Revision(expected_revision)
         operation_id = secrets.token_hex(OPERATION_ID_BYTES)
         outcome = NodeClient(server, token, ca_file).delete(kind, name, operation_id, revision)
-        _print_outcome(f"{kind}/{name}", outcome, output)
+        changes = [Change(kind=kind, name=name, outcome=outcome)]
+        _print_changes(changes, output)
+        _exit_if_unknown(changes)
 
 
 def operation(
@@ -135,9 +148,13 @@
     Example: drumbay operation 3f0c9a0d2b7e4c51
     """
     with typed_exit():
-        _print_outcome(
-            "operation", NodeClient(server, token, ca_file).operation(operation_id), output
-        )
+        outcome = NodeClient(server, token, ca_file).operation(operation_id)
+        if output is OutputFormat.TABLE:
+            typer.echo(_outcome_line("operation", outcome))
+        else:
+            print_record(outcome, output)
+        if outcome.outcome == UNKNOWN_OUTCOME:
+            raise typer.Exit(ExitCode.UNKNOWN_OUTCOME)
 
 
 def status(
@@ -185,12 +202,21 @@
     return str(route_kind) if route_kind else ""
 
 
-def _print_outcome(label: str, outcome: ApplyOutcomeBody, output: OutputFormat) -> None:
-    """Print what became of a change; an unknown outcome ends with its own exit code."""
-    if output is OutputFormat.TABLE:
-        revision = "-" if outcome.mod_revision is None else str(outcome.mod_revision)
-        typer.echo(f"{label} {outcome.outcome} revision {revision} id {outcome.operation_id}")
-    else:
-        print_record(outcome, output)
-    if outcome.outcome == UNKNOWN_OUTCOME:
+def _print_changes(changes: list[Change], output: OutputFormat) -> None:
+    """Print what became of changes."""
+    if output is not OutputFormat.TABLE:
+        print_record(ChangeList(changes=tuple(changes)), output)
+        return
+    for change in changes:
+        typer.echo(_outcome_line(f"{change.kind}/{change.name}", change.outcome))
+
+
+def _outcome_line(label: str, outcome: ApplyOutcomeBody) -> str:
+    revision = "-" if outcome.mod_revision is None else str(outcome.mod_revision)
+    return f"{label} {outcome.outcome} revision {revision} id {outcome.operation_id}"
+
+
+def _exit_if_unknown(changes: list[Change]) -> None:
+    """End with the exit code of unknown outcomes if there is one among the changes."""
+    if any(change.outcome.outcome == UNKNOWN_OUTCOME for change in changes):
         raise typer.Exit(ExitCode.UNKNOWN_OUTCOME)
--- a/drumbay/cli/output.py
+++ b/drumbay/cli/output.py
@@ -8,6 +8,8 @@
 from rich.console import Console
 from rich.table import Table
 
+from drumbay.api.schema import ApplyOutcomeBody
+
 
 class OutputFormat(StrEnum):
     """How a command prints its result."""
@@ -17,6 +19,20 @@
     YAML = "yaml"
 
 
+class Change(msgspec.Struct, frozen=True, kw_only=True):
+    """What became of a change of one resource."""
+
+    kind: str
+    name: str
+    outcome: ApplyOutcomeBody
+
+
+class ChangeList(msgspec.Struct, frozen=True, kw_only=True):
+    """Output of ``drumbay apply`` and ``drumbay delete``, in the order of the changes."""
+
+    changes: tuple[Change, ...]
+
+
 def print_record(record: object, output: OutputFormat) -> None:
     """Print a typed record as JSON or YAML."""
     if output is OutputFormat.YAML:
--- /dev/null
+++ b/drumbay/cli/schema.py
@@ -0,0 +1,103 @@
+"""``drumbay schema``: JSON Schema of everything that is read or printed."""
+
+from enum import StrEnum
+from typing import Annotated, Any
+
+import msgspec
+import typer
+
+from drumbay.api.schema import (
+    ApplyBody,
+    ApplyOutcomeBody,
+    BatchBody,
+    ChatCompletionBody,
+    CheckpointBody,
+    CompletionAnswer,
+    CompletionBody,
+    ErrorBody,
+    ExplanationBody,
+    ResourceListBody,
+    RolloutReceipt,
+    RolloutSubmission,
+    StatusBody,
+    WeightAnnouncement,
+)
+from drumbay.backends.interface import TokenChunk
+from drumbay.cli.output import ChangeList, OutputFormat, print_record
+from drumbay.resources.schema import (
+    AccessToken,
+    BackendGroup,
+    Drain,
+    Route,
+    WeightPolicy,
+    WeightRollback,
+)
+from drumbay.settings import NodeSettings
+
+SCHEMA_DIALECT = "https://json-schema.org/draft/2020-12/schema"
+REFERENCE_TEMPLATE = "#/$defs/{name}"
+
+RESOURCE_TYPES = (BackendGroup, Route, WeightPolicy, WeightRollback, Drain, AccessToken)
+HTTP_TYPES = (
+    ErrorBody,
+    CompletionBody,
+    ChatCompletionBody,
+    CompletionAnswer,
+    TokenChunk,
+    RolloutSubmission,
+    RolloutReceipt,
+    BatchBody,
+    CheckpointBody,
+    WeightAnnouncement,
+    ApplyBody,
+    ApplyOutcomeBody,
+    ResourceListBody,
+    ExplanationBody,
+    StatusBody,
+)
+
+
+class SchemaSubject(StrEnum):
+    """What a schema describes."""
+
+    RESOURCES = "resources"
+    SETTINGS = "settings"
+    HTTP = "http"
+    OUTPUT = "output"
+
+
+_TYPES: dict[SchemaSubject, tuple[type[msgspec.Struct], ...]] = {
+    SchemaSubject.RESOURCES: RESOURCE_TYPES,
+    SchemaSubject.SETTINGS: (NodeSettings,),
+    SchemaSubject.HTTP: HTTP_TYPES,
+    SchemaSubject.OUTPUT: (
+        ChangeList,
+        ApplyOutcomeBody,
+        ResourceListBody,
+        ExplanationBody,
+        StatusBody,
+    ),
+}
+
+
+def schema(
+    subject: Annotated[SchemaSubject, typer.Argument(help="What to describe.")],
+) -> None:
+    """Print the JSON Schema of resources, settings, HTTP bodies or this program's output.
+
+    Example: drumbay schema resources > resources.schema.json
+    """
+    print_record(schema_of(subject), OutputFormat.JSON)
+
+
+def schema_of(subject: SchemaSubject) -> dict[str, Any]:
+    """Return one schema document that admits any of the subject's records."""
+    references, definitions = msgspec.json.schema_components(
+        _TYPES[subject], ref_template=REFERENCE_TEMPLATE
+    )
+    return {
+        "$schema": SCHEMA_DIALECT,
+        "title": f"drumbay {subject.value}",
+        "anyOf": list(references),
+        "$defs": definitions,
+    }
--- a/drumbay/cli/simulate.py
+++ b/drumbay/cli/simulate.py
@@ -30,6 +30,8 @@
     """Run a scenario on a virtual clock with faults, and check its history.
 
     Exits with 1 if a promise is broken.
+
+    Example: drumbay simulate --scenario vakhandel-oost --seeds 1..5 --json
     """
     with typed_exit():
         try:
--- a/drumbay/node/backends.py
+++ b/drumbay/node/backends.py
@@ -7,7 +7,7 @@
 from drumbay.explain.records import SubjectKind
 from drumbay.identifiers import BackendId
 from drumbay.machines.interface import MachineListClient
-from drumbay.machines.watcher import MachineListWatcher
+from drumbay.machines.watcher import DEFAULT_POLL_INTERVAL_SECONDS, MachineListWatcher
 from drumbay.node.backend_monitor import BackendMonitor
 from drumbay.observability.logs import log_event
 from drumbay.routing.directory import AvailabilityChange, BackendDirectory
@@ -24,6 +24,7 @@
         directory: Takes what is learned.
         recorder: Takes decision records.
         task_owner: Owns the polling tasks.
+        machine_list_interval_seconds: Time between two reads of the machine list.
     """
 
     def __init__(
@@ -34,6 +35,7 @@
         directory: BackendDirectory,
         recorder: DecisionRecorder,
         task_owner: TaskOwner,
+        machine_list_interval_seconds: float = DEFAULT_POLL_INTERVAL_SECONDS,
     ) -> None:
         """Create a supervisor that watches nothing yet."""
         self._clock = clock
@@ -41,6 +43,7 @@
         self._directory = directory
         self._recorder = recorder
         self._task_owner = task_owner
+        self._machine_list_interval_seconds = machine_list_interval_seconds
         self._monitor = BackendMonitor(
             clock, engine_client, directory, self._record_changes, task_owner
         )
@@ -49,7 +52,12 @@
         """Start to watch the machine list."""
         if self._machine_list is None:
             return
-        watcher = MachineListWatcher(self._clock, self._machine_list, self._set_leaving)
+        watcher = MachineListWatcher(
+            self._clock,
+            self._machine_list,
+            self._set_leaving,
+            self._machine_list_interval_seconds,
+        )
         self._task_owner.spawn(watcher.run(), "machine-list")
 
     def apply_configuration(self, view: ConfigurationView) -> None:
--- a/drumbay/node/node.py
+++ b/drumbay/node/node.py
@@ -103,6 +103,7 @@
             self._directory,
             self._recorder,
             self._tasks,
+            settings.machine_list_interval_seconds,
         )
         self._requests = self._make_request_services()
         self._recorded = RecordedRequests(
@@ -149,6 +150,7 @@
             record=self._decisions.add,
             address_of=self._coordination.cluster.address_of,
             task_owner=self._tasks,
+            store_interval_seconds=settings.weight_store_interval_seconds,
         )
         self._operations = ResourceOperations(
             self._coordination.configuration, self._coordination.operators
--- a/drumbay/node/weights.py
+++ b/drumbay/node/weights.py
@@ -22,7 +22,7 @@
 from drumbay.weights.store_interface import WeightStoreClient, WeightStoreUnavailableError
 
 RESOURCE_PREFIX = "weights."
-STORE_POLL_SECONDS = 1.0
+DEFAULT_STORE_INTERVAL_SECONDS = 1.0
 ANNOUNCE_TIMEOUT_SECONDS = 2.0
 
 
@@ -58,6 +58,7 @@
         record: Takes decision records.
         address_of: Returns the address of a live node.
         task_owner: Owns the background tasks.
+        store_interval_seconds: Time between two reads of the weight store.
     """
 
     def __init__(
@@ -71,6 +72,7 @@
         record: Callable[[DecisionRecord], None],
         address_of: Callable[[NodeId], Address | None],
         task_owner: TaskOwner,
+        store_interval_seconds: float = DEFAULT_STORE_INTERVAL_SECONDS,
     ) -> None:
         """Create a supervisor without models."""
         self._clock: Clock = environment.clock
@@ -81,6 +83,7 @@
         self._directory = directory
         self._address_of = address_of
         self._task_owner = task_owner
+        self._store_interval_seconds = store_interval_seconds
         self._models: frozenset[str] = frozenset()
         self._service = WeightRolloutService(
             clock=environment.clock,
@@ -138,7 +141,7 @@
             for model in sorted(self._models):
                 if self._node_id in self._ownership.likely_owners(RESOURCE_PREFIX + model):
                     await self._poll_store(store, model)
-            await self._clock.sleep(STORE_POLL_SECONDS)
+            await self._clock.sleep(self._store_interval_seconds)
 
     async def _poll_store(self, store: WeightStoreClient, model: str) -> None:
         try:
--- a/drumbay/settings.py
+++ b/drumbay/settings.py
@@ -104,7 +104,7 @@
     """Where published weight versions are listed."""
 
     url: str
-    poll_interval_seconds: Annotated[float, Meta(gt=0)] = 2.0
+    poll_interval_seconds: Annotated[float, Meta(gt=0)] = 1.0
 
 
 class BackendSettings(_Section, frozen=True, kw_only=True):
@@ -124,6 +124,10 @@
     level: str = "INFO"
 
 
+DEFAULT_MACHINE_LIST = MachineListSettings(url="")
+DEFAULT_WEIGHT_STORE = WeightStoreSettings(url="")
+
+
 class NodeSettings(_Section, frozen=True, kw_only=True):
     """Settings of one node.
 
@@ -153,6 +157,16 @@
     data_folder: str | None = None
     logs: LogSettings = LogSettings()
 
+    @property
+    def machine_list_interval_seconds(self) -> float:
+        """Return the time between two reads of the machine list."""
+        return (self.machine_list or DEFAULT_MACHINE_LIST).poll_interval_seconds
+
+    @property
+    def weight_store_interval_seconds(self) -> float:
+        """Return the time between two reads of the weight store."""
+        return (self.weight_store or DEFAULT_WEIGHT_STORE).poll_interval_seconds
+
 
 class SettingsOverrides(msgspec.Struct, frozen=True, kw_only=True):
     """Values given as flags; ``None`` keeps the file's value."""
