--- a/drumbay/cli/operators.py
+++ b/drumbay/cli/operators.py
@@ -9,8 +9,9 @@
 from drumbay.api.schema import ApplyBody, ApplyOutcomeBody, ResourceBody
 from drumbay.cli.client import NodeClient
 from drumbay.cli.errors import ExitCode, typed_exit
-from drumbay.cli.output import OutputFormat, print_record, print_table
+from drumbay.cli.output import Change, ChangeList, OutputFormat, print_record, print_table
 from drumbay.identifiers import Revision
+from drumbay.resources.checks import check_resource
 from drumbay.resources.files import load_resources
 
 DEFAULT_SERVER = "http://127.0.0.1:8080"
@@ -21,6 +22,16 @@
     str, typer.Option("--server", "-s", envvar="DRUMBAY_SERVER", help="Base URL of a node.")
 ]
 Token = Annotated[str | None, typer.Option("--token", envvar="DRUMBAY_TOKEN", help="Bearer token.")]
+CertificateAuthority = Annotated[
+    Path | None,
+    typer.Option(
+        "--ca-file",
+        envvar="DRUMBAY_CA_FILE",
+        exists=True,
+        dir_okay=False,
+        help="PEM certificates that sign the node's; the system's if not given.",
+    ),
+]
 Output = Annotated[OutputFormat, typer.Option("--output", "-o", help="Output format.")]
 ExpectedRevision = Annotated[
     int | None,
@@ -32,6 +43,7 @@
     file: Annotated[Path, typer.Option("--file", "-f", help="YAML file with resources.")],
     server: Server = DEFAULT_SERVER,
     token: Token = None,
+    ca_file: CertificateAuthority = None,
     expected_revision: ExpectedRevision = None,
     output: Output = OutputFormat.TABLE,
 ) -> None:
@@ -40,16 +52,26 @@
     Example: drumbay apply -f groups.yaml --server http://127.0.0.1:8080
     """
     with typed_exit():
-        client = NodeClient(server, token)
+        client = NodeClient(server, token, ca_file)
         revision = None if expected_revision is None else Revision(expected_revision)
-        for resource in load_resources(file):
-            body = ApplyBody(
-                resource=resource,
-                operation_id=secrets.token_hex(OPERATION_ID_BYTES),
-                expected_revision=revision,
-            )
-            label = f"{type(resource).__name__}/{resource.name}"
-            _print_outcome(label, client.apply(body), output)
+        resources = load_resources(file)
+        for resource in resources:
+            check_resource(resource)
+        changes: list[Change] = []
+        try:
+            for resource in resources:
+                body = ApplyBody(
+                    resource=resource,
+                    operation_id=secrets.token_hex(OPERATION_ID_BYTES),
+                    expected_revision=revision,
+                )
+                kind = type(resource).__name__
+                outcome = client.apply(body)
+                changes.append(Change(kind=kind, name=resource.name, outcome=outcome))
+        finally:
+            # NOTE: after a failure, the changes before it are in force.
+            _print_changes(changes, output)
+        _exit_if_unknown(changes)
 
 
 def get(
@@ -57,6 +79,7 @@
     name: Annotated[str | None, typer.Argument(help="Name of one resource.")] = None,
     server: Server = DEFAULT_SERVER,
     token: Token = None,
+    ca_file: CertificateAuthority = None,
     output: Output = OutputFormat.TABLE,
 ) -> None:
     """List the resources in force at a node.
@@ -64,7 +87,7 @@
     Example: drumbay get BackendGroup -o yaml
     """
     with typed_exit():
-        listing = NodeClient(server, token).resources(kind, name)
+        listing = NodeClient(server, token, ca_file).resources(kind, name)
         if output is not OutputFormat.TABLE:
             print_record(listing, output)
             return
@@ -77,13 +100,14 @@
     name: Annotated[str, typer.Argument(help="Name of the resource.")],
     server: Server = DEFAULT_SERVER,
     token: Token = None,
+    ca_file: CertificateAuthority = None,
 ) -> None:
     """Show one resource with every field.
 
     Example: drumbay describe Route drafting
     """
     with typed_exit():
-        listing = NodeClient(server, token).resources(kind, name)
+        listing = NodeClient(server, token, ca_file).resources(kind, name)
         if not listing.items:
             typer.echo(f"error: not_found: {kind}/{name}", err=True)
             raise typer.Exit(ExitCode.FAILED)
@@ -95,6 +119,7 @@
     name: Annotated[str, typer.Argument(help="Name of the resource.")],
     server: Server = DEFAULT_SERVER,
     token: Token = None,
+    ca_file: CertificateAuthority = None,
     expected_revision: ExpectedRevision = None,
     output: Output = OutputFormat.TABLE,
 ) -> None:
@@ -105,14 +130,17 @@
     with typed_exit():
         revision = None if expected_revision is None else Revision(expected_revision)
         operation_id = secrets.token_hex(OPERATION_ID_BYTES)
-        outcome = NodeClient(server, token).delete(kind, name, operation_id, revision)
-        _print_outcome(f"{kind}/{name}", outcome, output)
+        outcome = NodeClient(server, token, ca_file).delete(kind, name, operation_id, revision)
+        changes = [Change(kind=kind, name=name, outcome=outcome)]
+        _print_changes(changes, output)
+        _exit_if_unknown(changes)
 
 
 def operation(
     operation_id: Annotated[str, typer.Argument(help="Id printed by apply or delete.")],
     server: Server = DEFAULT_SERVER,
     token: Token = None,
+    ca_file: CertificateAuthority = None,
     output: Output = OutputFormat.TABLE,
 ) -> None:
     """Ask what became of an earlier change whose outcome was not known.
@@ -120,12 +148,19 @@
     Example: drumbay operation 3f0c9a0d2b7e4c51
     """
     with typed_exit():
-        _print_outcome("operation", NodeClient(server, token).operation(operation_id), output)
+        outcome = NodeClient(server, token, ca_file).operation(operation_id)
+        if output is OutputFormat.TABLE:
+            typer.echo(_outcome_line("operation", outcome))
+        else:
+            print_record(outcome, output)
+        if outcome.outcome == UNKNOWN_OUTCOME:
+            raise typer.Exit(ExitCode.UNKNOWN_OUTCOME)
 
 
 def status(
     server: Server = DEFAULT_SERVER,
     token: Token = None,
+    ca_file: CertificateAuthority = None,
     output: Output = OutputFormat.TABLE,
 ) -> None:
     """Show a node's state and the members it sees.
@@ -133,7 +168,7 @@
     Example: drumbay status -o json
     """
     with typed_exit():
-        state = NodeClient(server, token).status()
+        state = NodeClient(server, token, ca_file).status()
         if output is not OutputFormat.TABLE:
             print_record(state, output)
             return
@@ -167,12 +202,21 @@
     return str(route_kind) if route_kind else ""
 
 
-def _print_outcome(label: str, outcome: ApplyOutcomeBody, output: OutputFormat) -> None:
-    """Print what became of a change; an unknown outcome ends with its own exit code."""
-    if output is OutputFormat.TABLE:
-        revision = "-" if outcome.mod_revision is None else str(outcome.mod_revision)
-        typer.echo(f"{label} {outcome.outcome} revision {revision} id {outcome.operation_id}")
-    else:
-        print_record(outcome, output)
-    if outcome.outcome == UNKNOWN_OUTCOME:
+def _print_changes(changes: list[Change], output: OutputFormat) -> None:
+    """Print what became of changes."""
+    if output is not OutputFormat.TABLE:
+        print_record(ChangeList(changes=tuple(changes)), output)
+        return
+    for change in changes:
+        typer.echo(_outcome_line(f"{change.kind}/{change.name}", change.outcome))
+
+
+def _outcome_line(label: str, outcome: ApplyOutcomeBody) -> str:
+    revision = "-" if outcome.mod_revision is None else str(outcome.mod_revision)
+    return f"{label} {outcome.outcome} revision {revision} id {outcome.operation_id}"
+
+
+def _exit_if_unknown(changes: list[Change]) -> None:
+    """End with the exit code of unknown outcomes if there is one among the changes."""
+    if any(change.outcome.outcome == UNKNOWN_OUTCOME for change in changes):
         raise typer.Exit(ExitCode.UNKNOWN_OUTCOME)
--- a/drumbay/node/rollouts.py
+++ b/drumbay/node/rollouts.py
@@ -10,6 +10,7 @@
 from drumbay.explain.records import SubjectKind
 from drumbay.identifiers import BackendId, BootId, Fence, StreamName, WeightVersion
 from drumbay.observability.logs import log_event
+from drumbay.observability.metrics import NodeMetrics
 from drumbay.ownership.manager import OwnershipManager
 from drumbay.resources.schema import WeightPolicy
 from drumbay.rollout.events import (
@@ -32,7 +33,7 @@
 from drumbay.tasks import TaskOwner
 
 ENGINE_REFRESH_SECONDS = 0.5
-ROLLOUT_SLOTS_PER_ENGINE = 32
+ROLLOUT_SLOTS_PER_ENGINE = 16
 OWNERSHIP_PREFIX = "stream."
 
 
@@ -62,6 +63,7 @@
         recorder: Takes decision records.
         task_owner: Owns the runners' tasks.
         pin_engines: Told, by stream, which engines must be watched while it is owned.
+        metrics: Counts finished samples.
     """
 
     def __init__(
@@ -76,8 +78,10 @@
         recorder: DecisionRecorder,
         task_owner: TaskOwner,
         pin_engines: Callable[[str, tuple[BackendId, ...]], None],
+        metrics: NodeMetrics,
     ) -> None:
         """Create a supervisor without streams."""
+        self._metrics = metrics
         self._clock = clock
         self._boot_id = boot_id
         self._engine_client = engine_client
@@ -204,6 +208,8 @@
         except NotOwnerError:
             self.stop_stream(stream)
             return
+        if added:
+            self._metrics.record_sample_finished(stream)
         sample_id = sample.key.sample_id(stream)
         versions = ", ".join(
             f"{span.weight_version} for {span.token_count} tokens by {span.attempt_id}"
