--- a/drumbay/node/node.py
+++ b/drumbay/node/node.py
@@ -16,7 +16,8 @@
     VersionSpan,
     WeightAnnouncement,
 )
-from drumbay.backends.interface import ApplicationAnswer, TokenChunk
+from drumbay.backends.interface import ApplicationAnswer, BackendAddress, TokenChunk
+from drumbay.backends.observed import ObservedEngineClient
 from drumbay.claims.service import ClaimService
 from drumbay.configuration.view import ConfigurationView
 from drumbay.delivery.service import DeliveryService
@@ -33,6 +34,8 @@
     StreamName,
     WeightVersion,
 )
+from drumbay.machines.watcher import MachineListWatcher
+from drumbay.node.backend_subset import BackendSubset
 from drumbay.node.backends import BackendSupervisor
 from drumbay.node.batches import batch_body, empty_batch_body
 from drumbay.node.coordination import CoordinationServices
@@ -99,11 +102,14 @@
         self._backends = BackendSupervisor(
             self._clock,
             environment.engine_client,
-            environment.machine_list,
             self._directory,
+            BackendSubset(self._node_id, self._coordination.cluster.subset_nodes, self._directory),
             self._recorder,
             self._tasks,
+            environment.random,
         )
+        self._machines = self._make_machine_watcher()
+        self._engine_client = ObservedEngineClient(environment.engine_client, self._observe_stamp)
         self._requests = self._make_request_services()
         self._recorded = RecordedRequests(
             self._requests.live, self._requests.applications, self._recorder
@@ -120,12 +126,13 @@
         self._rollouts = RolloutSupervisor(
             clock=self._clock,
             boot_id=environment.boot_id,
-            engine_client=environment.engine_client,
+            engine_client=self._engine_client,
             directory=self._directory,
             delivery=self._delivery,
             ownership=self._coordination.ownership,
             recorder=self._recorder,
             task_owner=self._tasks,
+            pin_engines=self._backends.pin,
         )
         self._streams = StreamService(
             clock=self._clock,
@@ -151,6 +158,22 @@
             self._coordination.configuration, self._coordination.operators
         )
 
+    def _make_machine_watcher(self) -> MachineListWatcher | None:
+        environment = self._environment
+        if environment.machine_list is None:
+            return None
+        return MachineListWatcher(
+            clock=self._clock,
+            transport=environment.transport,
+            client=environment.machine_list,
+            node_id=self._node_id,
+            boot_id=environment.boot_id,
+            members=self._coordination.cluster.peers,
+            on_leaving=self._backends.set_leaving,
+            random=environment.random,
+            task_owner=self._tasks,
+        )
+
     def _make_request_services(self) -> RequestServices:
         environment = self._environment
         self._claims = ClaimService(
@@ -165,7 +188,7 @@
         return RequestServices(
             clock=self._clock,
             zone=self._settings.zone,
-            engine_client=environment.engine_client,
+            engine_client=self._engine_client,
             application_client=environment.application_client,
             directory=self._directory,
             recorder=self._recorder,
@@ -187,6 +210,9 @@
             task_owner=self._tasks,
         )
 
+    def _observe_stamp(self, model: str, engine: BackendAddress, chunk: TokenChunk) -> None:
+        self._weights.observe_stamp(model, engine, chunk)
+
     def _configuration_revision(self) -> Revision:
         return self._coordination.configuration.snapshot().revision
 
@@ -198,6 +224,8 @@
         self._streams.start()
         self._weights.start()
         self._backends.start()
+        if self._machines is not None:
+            self._machines.start()
         self._coordination.configuration.on_change(self._apply_configuration)
         self._coordination.start()
         log_event("node_started", node_id=self._node_id, boot_id=self._environment.boot_id)
--- a/drumbay/node/rollouts.py
+++ b/drumbay/node/rollouts.py
@@ -1,5 +1,7 @@
 """Generates the samples of the streams that this node owns."""
 
+from collections.abc import Callable
+
 from drumbay.backends.interface import BackendAddress, EngineClient
 from drumbay.clock import Clock
 from drumbay.delivery.exceptions import NotOwnerError
@@ -10,7 +12,15 @@
 from drumbay.observability.logs import log_event
 from drumbay.ownership.manager import OwnershipManager
 from drumbay.resources.schema import WeightPolicy
-from drumbay.rollout.events import EngineLost, EngineReported, FloorChanged, WantedSample
+from drumbay.rollout.events import (
+    Cancel,
+    Dispatch,
+    EngineLost,
+    EngineReported,
+    FloorChanged,
+    RolloutDecision,
+    WantedSample,
+)
 from drumbay.rollout.policy import policy_for
 from drumbay.rollout.runner import RolloutRunner
 from drumbay.rollout.sample import Sample
@@ -51,6 +61,7 @@
         ownership: Says whether a stream's lease still holds.
         recorder: Takes decision records.
         task_owner: Owns the runners' tasks.
+        pin_engines: Told, by stream, which engines must be watched while it is owned.
     """
 
     def __init__(
@@ -64,6 +75,7 @@
         ownership: OwnershipManager,
         recorder: DecisionRecorder,
         task_owner: TaskOwner,
+        pin_engines: Callable[[str, tuple[BackendId, ...]], None],
     ) -> None:
         """Create a supervisor without streams."""
         self._clock = clock
@@ -74,6 +86,7 @@
         self._ownership = ownership
         self._recorder = recorder
         self._task_owner = task_owner
+        self._pin_engines = pin_engines
         self._policies: dict[StreamName, WeightPolicy] = {}
         self._selectors: dict[StreamName, LabelPredicate] = {}
         self._owned: dict[StreamName, _OwnedRollouts] = {}
@@ -99,6 +112,7 @@
             self._clock,
             self._task_owner,
             on_finished=lambda sample: self._handle_finished(stream, sample),
+            on_decision=lambda decision: self._record_decision(stream, decision),
             may_send=lambda: self._still_owns(stream, fence),
         )
         floor = self._delivery.recorded_floor(stream)
@@ -113,6 +127,7 @@
         owned = self._owned.pop(stream, None)
         if owned is not None:
             owned.runner.stop()
+            self._pin_engines(OWNERSHIP_PREFIX + stream, ())
 
     def refresh(self, stream: StreamName) -> None:
         """Give the runner the samples that are missing now."""
@@ -161,6 +176,28 @@
         name = OWNERSHIP_PREFIX + stream
         return self._ownership.fence_to_continue(name, self._clock.monotonic()) == fence
 
+    def _record_decision(self, stream: StreamName, decision: RolloutDecision) -> None:
+        sample_id = decision.key.sample_id(stream)
+        match decision:
+            case Dispatch():
+                self._recorder.record(
+                    SubjectKind.SAMPLE,
+                    sample_id,
+                    "sample_dispatched",
+                    detail=(
+                        f"attempt {decision.attempt} under version {decision.version}, priority "
+                        f"{decision.priority}, resumed from token {decision.kept_tokens}"
+                    ),
+                    candidates=decision.candidates,
+                )
+            case Cancel():
+                self._recorder.record(
+                    SubjectKind.SAMPLE,
+                    sample_id,
+                    "sample_cancelled",
+                    detail=f"attempt {decision.attempt}: {decision.reason}",
+                )
+
     def _handle_finished(self, stream: StreamName, sample: Sample) -> None:
         try:
             added = self._delivery.add_sample(stream, sample)
@@ -192,11 +229,16 @@
         selects = self._selectors.get(stream)
         if selects is None:
             return
+        model = owned.policy.model
+        selected = self._directory.select(selects, model)
+        self._pin_engines(
+            OWNERSHIP_PREFIX + stream, tuple(address.backend_id for address in selected)
+        )
         views = [
             view
             for view in self._directory.views(self._clock.monotonic())
             if selects(view.labels)
-            and view.labels.get(MODEL_LABEL) == owned.policy.model
+            and view.labels.get(MODEL_LABEL) == model
             and view.unavailability is None
         ]
         usable = tuple(view.backend_id for view in views)
--- a/drumbay/node/weights.py
+++ b/drumbay/node/weights.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from drumbay.backends.interface import BackendAddress
+from drumbay.backends.interface import BackendAddress, TokenChunk
 from drumbay.clock import Clock
 from drumbay.comm.interface import Address, Message, Transport, TransportError
 from drumbay.configuration.service import ConfigurationService
@@ -13,7 +13,7 @@
 from drumbay.ownership.manager import OwnershipManager
 from drumbay.resources.schema import WeightPolicy
 from drumbay.routing.directory import BackendDirectory
-from drumbay.routing.selectors import MODEL_LABEL, compile_selector
+from drumbay.routing.selectors import compile_selector
 from drumbay.tasks import TaskOwner
 from drumbay.weights.events import VersionNeed
 from drumbay.weights.service import WeightRolloutService
@@ -102,6 +102,15 @@
             self._task_owner.spawn(withdrawal, f"withdraw-weights-{model}")
         self._models = models
 
+    def observe_stamp(self, model: str, engine: BackendAddress, chunk: TokenChunk) -> None:
+        """Take in which version and boot an engine stamped on its tokens."""
+        reported = self._directory.reported_version(engine.backend_id)
+        if reported is None:
+            return
+        self._service.observe_stamp(
+            model, engine.backend_id, chunk.boot_id, chunk.weight_version, reported
+        )
+
     async def announce(self, model: str, version: WeightVersion) -> None:
         """Tell the nodes that may own the model's rollout about a published version."""
         self._service.publish(model, version)
@@ -151,13 +160,7 @@
         return None
 
     def _engines_of(self, policy: WeightPolicy) -> tuple[BackendAddress, ...]:
-        selects = compile_selector(policy.selector)
-        addresses = (
-            self._directory.address(view.backend_id)
-            for view in self._directory.views(self._clock.monotonic())
-            if selects(view.labels) and view.labels.get(MODEL_LABEL) == policy.model
-        )
-        return tuple(address for address in addresses if address is not None)
+        return self._directory.select(compile_selector(policy.selector), policy.model)
 
 
 def _no_needs(model: str) -> tuple[VersionNeed, ...]:
--- a/drumbay/rollout/runner.py
+++ b/drumbay/rollout/runner.py
@@ -24,6 +24,7 @@
     Cancel,
     ChunkReceived,
     Dispatch,
+    RolloutDecision,
     RolloutEvent,
     SampleFailed,
     SampleFinished,
@@ -45,11 +46,13 @@
 
     Attributes:
         attempt_timeout_seconds: Longest time of one attempt.
-        chunk_timeout_seconds: Longest time without a chunk.
+        first_chunk_timeout_seconds: Longest time in the engine's queue and prefill.
+        chunk_timeout_seconds: Longest time between chunks.
         tick_seconds: Time between decisions when nothing happens.
     """
 
     attempt_timeout_seconds: float = 1800.0
+    first_chunk_timeout_seconds: float = 120.0
     chunk_timeout_seconds: float = 30.0
     tick_seconds: float = 0.25
 
@@ -78,6 +81,7 @@
         tasks: TaskOwner,
         *,
         on_finished: Callable[[Sample], None],
+        on_decision: Callable[[RolloutDecision], None] = lambda decision: None,
         may_send: Callable[[], bool] = lambda: True,
         builder_type: type[SampleBuilder] = SampleBuilder,
         parameters: RunnerParameters | None = None,
@@ -94,6 +98,7 @@
             clock: Time.
             tasks: Owner of the attempts.
             on_finished: Takes each finished sample.
+            on_decision: Takes each decision before it is performed, e.g. to record it.
             may_send: Whether the ownership lease still holds; asked right before a send.
             builder_type: Collects the chunks of a sample.
             parameters: Time limits.
@@ -107,6 +112,7 @@
         self._clock = clock
         self._tasks = tasks
         self._on_finished = on_finished
+        self._on_decision = on_decision
         self._may_send = may_send
         self._builder_type = builder_type
         self._parameters = parameters or RunnerParameters()
@@ -141,6 +147,7 @@
     def handle(self, event: RolloutEvent) -> None:
         """Give an event to the scheduler and perform its decisions."""
         for decision in self._scheduler.handle(event, self._clock.monotonic()):
+            self._on_decision(decision)
             match decision:
                 case Dispatch():
                     self._dispatch(decision)
@@ -221,7 +228,9 @@
         chunks = self._engines.generate(
             engine, request, timeout_seconds=self._parameters.attempt_timeout_seconds
         )
-        while (chunk := await self._next_chunk(chunks)) is not None:
+        limit_seconds = self._parameters.first_chunk_timeout_seconds
+        while (chunk := await self._next_chunk(chunks, limit_seconds)) is not None:
+            limit_seconds = self._parameters.chunk_timeout_seconds
             if not self._is_current(decision):
                 # NOTE: a wait that ends in the moment of its cancellation returns its result.
                 raise ExchangeBrokenError("the attempt was cancelled")
@@ -248,10 +257,10 @@
                 stamped_version=chunk.weight_version,
             )
 
-    async def _next_chunk(self, chunks: AsyncIterator[TokenChunk]) -> TokenChunk | None:
-        return await self._clock.wait_for(
-            anext(chunks, None), self._parameters.chunk_timeout_seconds
-        )
+    async def _next_chunk(
+        self, chunks: AsyncIterator[TokenChunk], limit_seconds: float
+    ) -> TokenChunk | None:
+        return await self._clock.wait_for(anext(chunks, None), limit_seconds)
 
     def _report_failure(
         self,
