Give up a stream's lease when the replicas have promised a newer owner

Cause: an owner that alone is cut off from the key-value service holds its lease in good faith until it asks; the replicas' refusal told the delivery service but not the ownership, so the node would have tried to take the stream over again and again under the old fence. Ruled out: releasing on any failure of a quorum (a cut proves nothing about a successor). Change: StreamService reports the refusal; the lease is resigned as superseded. Conclusion: receivers' refusals end ownership for streams as they do for weights.

--- a/drumbay/node/streams.py
+++ b/drumbay/node/streams.py
@@ -9,6 +9,7 @@
     DeliveryError,
     NothingReadyError,
     NotOwnerError,
+    OwnerDeposedError,
     StaleBatchError,
 )
 from drumbay.delivery.service import DeliveryService
@@ -33,6 +34,7 @@
 REPLICA_SET_POLL_SECONDS = 0.5
 RESOURCE_PREFIX = "stream."
 
+ResultT = TypeVar("ResultT")
 ReplyT = TypeVar("ReplyT", bound=Message)
 
 
@@ -127,6 +129,9 @@
         while self._ownership.fence_to_continue(name, self._clock.monotonic()) == fence:
             try:
                 await self._delivery.take_over(stream, fence)
+            except OwnerDeposedError:
+                await self._report_deposed(stream, fence)
+                return
             except (UnavailableError, DeliveryError) as error:
                 log_event("take_over_failed", level="WARNING", stream=stream, error=error.code)
                 await self._clock.sleep(TAKE_OVER_RETRY_SECONDS)
@@ -134,6 +139,27 @@
             self._worker.start_stream(stream, fence)
             return
 
+    async def _report_deposed(self, stream: StreamName, fence: Fence | None) -> None:
+        """Give up a lease whose successor the replicas have promised."""
+        if fence is None:
+            return
+        log_event("stream_owner_deposed", level="WARNING", stream=stream, fence=fence)
+        await self._ownership.report_refusal(RESOURCE_PREFIX + stream, fence)
+
+    async def _as_owner(self, stream: StreamName, work: Awaitable[ResultT]) -> ResultT:
+        """Do the owner's work; a replica that has promised a newer owner ends the lease.
+
+        Raises:
+            OwnerDeposedError: A newer owner exists.
+        """
+        name = RESOURCE_PREFIX + stream
+        fence = self._ownership.fence_to_continue(name, self._clock.monotonic())
+        try:
+            return await work
+        except OwnerDeposedError:
+            await self._report_deposed(stream, fence)
+            raise
+
     async def _follow_replica_set(self) -> None:
         """Recover the owned streams again after each change of the replica set."""
         while True:
@@ -199,19 +225,21 @@
         raise last_error
 
     async def _handle_submit(self, request: SubmitStepRequest) -> StreamAcknowledgement:
-        await self._delivery.submit_step(request.stream, request.step, request.prompts)
+        work = self._delivery.submit_step(request.stream, request.step, request.prompts)
+        await self._as_owner(request.stream, work)
         return StreamAcknowledgement(owner=self._node_id)
 
     async def _handle_pull(self, request: PullRequest) -> PullReply:
         self._worker.observe_floor(request.stream, request.oldest_version)
         try:
-            batch = await self._delivery.pull(
+            work = self._delivery.pull(
                 request.stream,
                 request.cursor,
                 request.max_samples,
                 request.oldest_version,
                 wait_seconds=PULL_WAIT_SECONDS,
             )
+            batch = await self._as_owner(request.stream, work)
         except NothingReadyError:
             return PullReply(batch=None)
         except StaleBatchError:
@@ -220,7 +248,8 @@
         return PullReply(batch=batch)
 
     async def _handle_checkpoint(self, request: CheckpointRequest) -> StreamAcknowledgement:
-        await self._delivery.checkpointed(request.stream, request.cursor)
+        work = self._delivery.checkpointed(request.stream, request.cursor)
+        await self._as_owner(request.stream, work)
         return StreamAcknowledgement(owner=self._node_id)
 
 
