--- /dev/null
+++ b/drumbay/backends/delegating.py
@@ -0,0 +1,65 @@
+"""Base of engine clients that add something to another client."""
+
+from collections.abc import AsyncGenerator
+from contextlib import aclosing
+
+from drumbay.backends.interface import (
+    BackendAddress,
+    CacheEvent,
+    EngineClient,
+    EngineStatus,
+    FencedOrder,
+    GenerationRequest,
+    TokenChunk,
+)
+from drumbay.identifiers import AttemptId
+
+
+class DelegatingEngineClient:
+    """Implements :class:`drumbay.backends.interface.EngineClient` by another client.
+
+    Args:
+        client: Does the work.
+    """
+
+    def __init__(self, client: EngineClient) -> None:
+        """Delegate to ``client``."""
+        self._client = client
+
+    async def generate(
+        self, engine: BackendAddress, request: GenerationRequest, *, timeout_seconds: float
+    ) -> AsyncGenerator[TokenChunk, None]:
+        """Yield the chunks of one attempt; see the interface.
+
+        Closing it closes the stream of the client below at once.
+        """
+        chunks = self._client.generate(engine, request, timeout_seconds=timeout_seconds)
+        if not isinstance(chunks, AsyncGenerator):
+            async for chunk in chunks:
+                yield chunk
+            return
+        async with aclosing(chunks):
+            async for chunk in chunks:
+                yield chunk
+
+    async def cancel(self, engine: BackendAddress, attempt_id: AttemptId) -> None:
+        """Ask an engine to stop an attempt; see the interface."""
+        await self._client.cancel(engine, attempt_id)
+
+    async def order(
+        self, engine: BackendAddress, order: FencedOrder, *, timeout_seconds: float
+    ) -> EngineStatus:
+        """Give a fenced order; see the interface."""
+        return await self._client.order(engine, order, timeout_seconds=timeout_seconds)
+
+    async def status(self, engine: BackendAddress, *, timeout_seconds: float) -> EngineStatus:
+        """Return the engine's own report; see the interface."""
+        return await self._client.status(engine, timeout_seconds=timeout_seconds)
+
+    async def cache_events(
+        self, engine: BackendAddress, after_sequence: int, *, timeout_seconds: float
+    ) -> tuple[CacheEvent, ...]:
+        """Return published cache events; see the interface."""
+        return await self._client.cache_events(
+            engine, after_sequence, timeout_seconds=timeout_seconds
+        )
--- a/drumbay/backends/guarded.py
+++ b/drumbay/backends/guarded.py
@@ -3,20 +3,18 @@
 from collections.abc import AsyncGenerator, Awaitable, Callable
 from contextlib import aclosing
 
+from drumbay.backends.delegating import DelegatingEngineClient
 from drumbay.backends.interface import (
     ApplicationAnswer,
     ApplicationClient,
     ApplicationRequest,
     BackendAddress,
     BackendRefusedError,
-    CacheEvent,
     EngineClient,
-    EngineStatus,
-    FencedOrder,
     GenerationRequest,
     TokenChunk,
 )
-from drumbay.identifiers import AttemptId, BackendId
+from drumbay.identifiers import BackendId
 
 LEAVING = "leaving"
 """Reason of the refusal of work for a back end that is about to leave."""
@@ -55,8 +53,8 @@
         return await self._client.exchange(server, request, timeout_seconds=timeout_seconds)
 
 
-class GuardedEngineClient:
-    """Implements :class:`drumbay.backends.interface.EngineClient` over another client.
+class GuardedEngineClient(DelegatingEngineClient):
+    """An engine client that asks before each generation.
 
     Only generations are work; orders and questions reach an engine that is leaving too.
 
@@ -67,7 +65,7 @@
 
     def __init__(self, client: EngineClient, may_send: WorkCheck) -> None:
         """Guard ``client``."""
-        self._client = client
+        super().__init__(client)
         self._may_send = may_send
 
     async def generate(
@@ -79,33 +77,7 @@
             BackendRefusedError: The engine may not get work; the attempt did not run.
         """
         await _require_work_allowed(self._may_send, engine.backend_id)
-        chunks = self._client.generate(engine, request, timeout_seconds=timeout_seconds)
-        if not isinstance(chunks, AsyncGenerator):
-            async for chunk in chunks:
-                yield chunk
-            return
+        chunks = super().generate(engine, request, timeout_seconds=timeout_seconds)
         async with aclosing(chunks):
             async for chunk in chunks:
                 yield chunk
-
-    async def cancel(self, engine: BackendAddress, attempt_id: AttemptId) -> None:
-        """Ask an engine to stop an attempt; see the interface."""
-        await self._client.cancel(engine, attempt_id)
-
-    async def order(
-        self, engine: BackendAddress, order: FencedOrder, *, timeout_seconds: float
-    ) -> EngineStatus:
-        """Give a fenced order; see the interface."""
-        return await self._client.order(engine, order, timeout_seconds=timeout_seconds)
-
-    async def status(self, engine: BackendAddress, *, timeout_seconds: float) -> EngineStatus:
-        """Return the engine's own report; see the interface."""
-        return await self._client.status(engine, timeout_seconds=timeout_seconds)
-
-    async def cache_events(
-        self, engine: BackendAddress, after_sequence: int, *, timeout_seconds: float
-    ) -> tuple[CacheEvent, ...]:
-        """Return published cache events; see the interface."""
-        return await self._client.cache_events(
-            engine, after_sequence, timeout_seconds=timeout_seconds
-        )
