Let an earlier crash end an execution for the planned-stop checker

The history had no record of an execution's death.

Change: ExecutionAborted, from the engine's log. An abort at the stop's own time still counts against the stop; the checker's test has both.

--- a/drumbay/simulation/checkers/planned_stop.py
+++ b/drumbay/simulation/checkers/planned_stop.py
@@ -3,6 +3,7 @@
 from drumbay.simulation.checkers.violation import Limits, Promise, Violation
 from drumbay.simulation.history import (
     BackendStopped,
+    ExecutionAborted,
     ExecutionFinished,
     ExecutionStarted,
     History,
@@ -52,6 +53,9 @@
     finished = {
         finished.execution_id: finished.time_seconds for finished in history.of(ExecutionFinished)
     }
+    aborted = {
+        aborted.execution_id: aborted.time_seconds for aborted in history.of(ExecutionAborted)
+    }
     violations = []
     for stop in history.of(BackendStopped):
         if not stop.planned:
@@ -59,6 +63,9 @@
         for started in history.of(ExecutionStarted):
             if started.backend_id != stop.backend_id or started.time_seconds > stop.time_seconds:
                 continue
+            if aborted.get(started.execution_id, float("inf")) < stop.time_seconds:
+                # An earlier crash ended it, not this stop.
+                continue
             if finished.get(started.execution_id, float("inf")) > stop.time_seconds:
                 detail = f"running on {stop.backend_id} when its planned stop ended it"
                 violations.append(_violation(started.operation_id, stop.time_seconds, detail))
--- a/drumbay/simulation/history.py
+++ b/drumbay/simulation/history.py
@@ -94,6 +94,12 @@
     answer: bytes
 
 
+class ExecutionAborted(HistoryEvent, frozen=True, kw_only=True):
+    """An execution ended without an answer, by the death of its back end."""
+
+    execution_id: str
+
+
 class TokensProduced(HistoryEvent, frozen=True, kw_only=True):
     """An engine produced consecutive tokens of an operation.
 
@@ -273,6 +279,7 @@
     | RequestReturned
     | ExecutionStarted
     | ExecutionFinished
+    | ExecutionAborted
     | TokensProduced
     | CompletionReturned
     | StepRequested
--- a/drumbay/simulation/observation.py
+++ b/drumbay/simulation/observation.py
@@ -10,6 +10,7 @@
 )
 from drumbay.identifiers import BackendId, Revision
 from drumbay.simulation.history import (
+    ExecutionAborted,
     ExecutionFinished,
     ExecutionStarted,
     History,
@@ -100,7 +101,11 @@
     # NOTE: nobody waits for an attempt whose stream was closed before, say by the death of
     # the node that read it.
     closed_at = engine.closed_at_seconds.get(ended.attempt_id, ended.time_seconds)
-    if ended.outcome is not GenerationOutcome.CRASHED or closed_at < ended.time_seconds:
+    if ended.outcome is GenerationOutcome.CRASHED and closed_at >= ended.time_seconds:
+        history.add(
+            ExecutionAborted(time_seconds=ended.time_seconds, execution_id=ended.attempt_id)
+        )
+    else:
         finished_at = min(closed_at, ended.time_seconds)
         history.add(
             ExecutionFinished(time_seconds=finished_at, execution_id=ended.attempt_id, answer=b"")
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -28,6 +28,7 @@
     CompletionReturned,
     ConfigurationAccepted,
     ConfigurationInForce,
+    ExecutionAborted,
     ExecutionFinished,
     ExecutionStarted,
     History,
@@ -250,6 +251,10 @@
         self.assert_good(run, finished(2, run, b""), planned)
         self.assert_good(run, crash)
         self.assert_bad(Promise.PLANNED_STOP, run, planned)
+        before = ExecutionAborted(time_seconds=2, execution_id=run.execution_id)
+        self.assert_good(run, before, planned)
+        with_it = ExecutionAborted(time_seconds=3, execution_id=run.execution_id)
+        self.assert_bad(Promise.PLANNED_STOP, run, with_it, planned)
 
     def test_configuration_never_reverts(self) -> None:
         self.assert_good(in_force(0, 5), in_force(1, 5, boot=2), in_force(2, 6, boot=2))
