--- a/drumbay/cli/bench_forwarding.py
+++ b/drumbay/cli/bench_forwarding.py
@@ -27,7 +27,8 @@
 ) -> None:
     """Compare requests through a node with requests straight to the back end.
 
-    Example: bench/forwarding.sh, which starts the processes and calls this command.
+    Example: drumbay bench forwarding, as bench/forwarding.sh calls it after it has started
+    the processes.
     """
     targets = ForwardingTargets(
         node=node,
--- a/drumbay/node/server.py
+++ b/drumbay/node/server.py
@@ -12,12 +12,19 @@
 from drumbay.api.intake import RequestIntake
 from drumbay.api.interface import NodeInterface
 from drumbay.clock import Clock
+from drumbay.exceptions import ConfigurationError
 from drumbay.settings import HttpSettings
 
 IDLE_POLL_SECONDS = 0.05
 LAST_BYTES_SECONDS = 0.25
 
 
+class CertificateError(ConfigurationError):
+    """The certificate or the private key of the HTTP interface cannot be used."""
+
+    code = "invalid_certificate"
+
+
 class NodeHttpServer:
     """Serves callers, trainers and operators.
 
@@ -76,5 +83,8 @@
     if settings.certificate_file is None:
         return None
     context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    context.load_cert_chain(settings.certificate_file, settings.private_key_file)
+    try:
+        context.load_cert_chain(settings.certificate_file, settings.private_key_file)
+    except (OSError, ssl.SSLError) as error:
+        raise CertificateError(f"{settings.certificate_file}: {error}") from error
     return context
