--- a/drumbay/routing/engine_choice.py
+++ b/drumbay/routing/engine_choice.py
@@ -14,6 +14,7 @@
 
 import math
 import random as random_module
+import statistics
 from collections.abc import Mapping, Sequence
 
 import msgspec
@@ -92,6 +93,9 @@
 
     Attributes:
         sample_count: Random candidates compared, the d of the power of d choices.
+        old_report_seconds: Median age of the reports from which they count as old.
+        sample_count_when_old: Random candidates compared on old reports. Nodes that compare
+            many by the same old reports send their work to the same few.
         max_load: Estimated load from which a back end is overloaded.
         reserved_load: Part of ``max_load`` kept for prioritized requests.
         reserved_priority: Priority from which a request may use the reserved part.
@@ -104,6 +108,8 @@
     """
 
     sample_count: int = 4
+    old_report_seconds: float = 5.0
+    sample_count_when_old: int = 2
     max_load: int = 256
     reserved_load: int = 32
     reserved_priority: int = 1
@@ -199,8 +205,10 @@
     eligible = [index for index, reason in enumerate(rejections) if reason is None]
     if not eligible:
         return Choice(chosen=None, candidates=candidates, rejections=rejections, costs={})
-    sampled = _sample(request, candidates, eligible, policy.sample_count, random)
-    mean_load = _mean_reported_load([candidates[index] for index in eligible])
+    eligible_views = [candidates[index] for index in eligible]
+    sample_count = _sample_count(request.now, eligible_views, policy)
+    sampled = _sample(request, candidates, eligible, sample_count, random)
+    mean_load = _mean_reported_load(eligible_views)
     costs = {index: _cost(request, candidates[index], policy, mean_load) for index in sampled}
     chosen = min(sampled, key=costs.__getitem__)
     for index in eligible:
@@ -246,6 +254,15 @@
     return newest is None or version <= newest
 
 
+def _sample_count(now: float, views: Sequence[BackendView], policy: ChoicePolicy) -> int:
+    """Return how many candidates to compare, given how old the reports are."""
+    ages = [now - view.reported_at for view in views if view.reported_at is not None]
+    # The median, so that one back end that stopped to report does not decide for the others.
+    if not ages or statistics.median_low(ages) <= policy.old_report_seconds:
+        return policy.sample_count
+    return policy.sample_count_when_old
+
+
 def _sample(
     request: ChoiceRequest,
     candidates: Sequence[BackendView],
--- a/tests/test_routing_choice.py
+++ b/tests/test_routing_choice.py
@@ -148,6 +148,20 @@
         self.assertEqual(chosen(ChoicePolicy()), "new")
         self.assertEqual(chosen(ChoicePolicy(report_memory_services=1e9)), "old")
 
+    def test_fewer_candidates_are_compared_on_old_reports(self) -> None:
+        def compared(reported_at: float, missing: int = 0) -> int:
+            views = [view(f"e{n}", reported_at=reported_at) for n in range(9)]
+            views += [view(f"m{n}", reported_at=None) for n in range(missing)]
+            choice = choose_backend(choice_request(), views, ChoicePolicy(), random.Random(1))
+            return len(choice.costs)
+
+        self.assertEqual(compared(reported_at=0.0), 4)
+        self.assertEqual(compared(reported_at=-11.0), 2)
+        self.assertEqual(compared(reported_at=0.0, missing=5), 4)
+        views = [view("old", reported_at=-99.0), *(view(f"e{n}") for n in range(8))]
+        choice = choose_backend(choice_request(), views, ChoicePolicy(), random.Random(1))
+        self.assertEqual(len(choice.costs), 4)
+
     def test_prefix_holder_is_compared_even_if_not_sampled(self) -> None:
         views = [view(f"e{index}", running=1) for index in range(50)]
         request = choice_request(prefix_affinity={BackendId("e33"): 1.0})
