Report simulations and benches as one HTML page, compared seed by seed

Runs without a counterpart are named and left out.

Ruled out: one reader per kind of report. Each bench has its own records, and these change. Which values of a figure are better follows from its name; where the name does not say, pairs are counted as higher and lower only.

The layout of the page itself was not seen in a browser.

--- a/drumbay/cli/main.py
+++ b/drumbay/cli/main.py
@@ -11,6 +11,7 @@
     explain,
     node,
     operators,
+    report,
     schema,
     simulate,
     standin,
@@ -52,6 +53,7 @@
 app.command()(acceptance.acceptance)
 app.command()(simulate.simulate)
 app.command()(schema.schema)
+app.command()(report.report)
 app.add_typer(standin.app)
 app.add_typer(bench.app)
 
--- /dev/null
+++ b/drumbay/report/__init__.py
@@ -0,0 +1,1 @@
+"""Reports of simulations and benches as one self-contained HTML file."""
--- /dev/null
+++ b/drumbay/report/comparison.py
@@ -0,0 +1,203 @@
+"""Compares runs pair by pair on the same seeds. Pure."""
+
+import math
+from collections.abc import Iterable
+from enum import StrEnum
+from statistics import median
+
+import msgspec
+
+from drumbay.exceptions import ConfigurationError
+from drumbay.report.runs import SERIES_SEPARATOR, Run, RunFile
+
+
+class NothingToCompareError(ConfigurationError):
+    """The two sides have no run in common."""
+
+    code = "nothing_to_compare"
+
+
+class Direction(StrEnum):
+    """Which values of a figure are better."""
+
+    LOWER = "lower"
+    HIGHER = "higher"
+    NEITHER = "neither"
+
+
+_LOWER_IS_BETTER = (
+    "idle",
+    "staleness",
+    "wasted",
+    "violation",
+    "bytes_sent",
+    "latency",
+    "p50",
+    "p90",
+    "p99",
+    "cpu",
+    "processor",
+    "memory",
+    "overhead",
+    "seconds_per_step",
+    "failed",
+    "refused",
+)
+_HIGHER_IS_BETTER = (
+    "answered",
+    "completions",
+    "samples",
+    "fresh_share",
+    "calls_per_second",
+    "requests_per_second",
+)
+
+
+def direction_of(figure: str) -> Direction:
+    """Return which values of a figure are better, as its name says."""
+    # NOTE: the first list goes first: "refused_requests_per_second" is no gain.
+    if any(part in figure for part in _LOWER_IS_BETTER):
+        return Direction.LOWER
+    if any(part in figure for part in _HIGHER_IS_BETTER):
+        return Direction.HIGHER
+    return Direction.NEITHER
+
+
+class Pair(msgspec.Struct, frozen=True, kw_only=True):
+    """One figure of two runs of one seed."""
+
+    seed: int | None
+    first: float
+    second: float
+
+
+class FigureComparison(msgspec.Struct, frozen=True, kw_only=True):
+    """One figure over all pairs of a series.
+
+    Attributes:
+        series: What was run.
+        figure: Dotted path of the figure.
+        direction: Which values are better.
+        pairs: The pairs, by seed.
+    """
+
+    series: str
+    figure: str
+    direction: Direction
+    pairs: tuple[Pair, ...]
+
+    @property
+    def median_ratio(self) -> float | None:
+        """Return the median of second by first; ``None`` if a first value is 0."""
+        if any(pair.first == 0 for pair in self.pairs):
+            return None
+        return median(pair.second / pair.first for pair in self.pairs)
+
+    @property
+    def higher(self) -> int:
+        """Return the pairs whose second value is the higher one."""
+        return sum(pair.second > pair.first for pair in self.pairs)
+
+    @property
+    def lower(self) -> int:
+        """Return the pairs whose second value is the lower one."""
+        return sum(pair.second < pair.first for pair in self.pairs)
+
+    @property
+    def better(self) -> int | None:
+        """Return the pairs whose second value is better; ``None`` if neither is."""
+        counts = {Direction.LOWER: self.lower, Direction.HIGHER: self.higher}
+        return counts.get(self.direction)
+
+    @property
+    def worse(self) -> int | None:
+        """Return the pairs whose second value is worse; ``None`` if neither is."""
+        counts = {Direction.LOWER: self.higher, Direction.HIGHER: self.lower}
+        return counts.get(self.direction)
+
+
+class Comparison(msgspec.Struct, frozen=True, kw_only=True):
+    """A comparison of two sides.
+
+    Attributes:
+        first: Name of the first side.
+        second: Name of the second side.
+        figures: One entry per series and figure.
+        unpaired: Runs without a counterpart, by series and seed; they are left out.
+    """
+
+    first: str
+    second: str
+    figures: tuple[FigureComparison, ...]
+    unpaired: tuple[str, ...]
+
+
+def compare_files(first: RunFile, second: RunFile) -> Comparison:
+    """Compare runs of the same series and seed in two files.
+
+    Raises:
+        NothingToCompareError: They have none in common.
+    """
+    return _compare(first.label, first.runs, second.label, second.runs)
+
+
+def compare_with_baseline(file: RunFile, baseline: str) -> tuple[Comparison, ...]:
+    """Compare each variant of a report with the variant of the same parent named ``baseline``.
+
+    Raises:
+        NothingToCompareError: There is no such variant.
+    """
+    names = dict.fromkeys(_variant(run) for run in file.runs)
+    first = tuple(_as_parent(run) for run in file.runs if _variant(run) == baseline)
+    if not first:
+        raise NothingToCompareError(f"{file.label}: no series is named {baseline}")
+    others = [name for name in names if name != baseline]
+    return tuple(
+        _compare(
+            baseline,
+            first,
+            name,
+            tuple(_as_parent(run) for run in file.runs if _variant(run) == name),
+        )
+        for name in others
+    )
+
+
+def _variant(run: Run) -> str:
+    return run.series.rpartition(SERIES_SEPARATOR)[2]
+
+
+def _as_parent(run: Run) -> Run:
+    return msgspec.structs.replace(run, series=run.series.rpartition(SERIES_SEPARATOR)[0])
+
+
+def _compare(
+    first_label: str, first: Iterable[Run], second_label: str, second: Iterable[Run]
+) -> Comparison:
+    first_runs = {(run.series, run.seed): run for run in first}
+    second_runs = {(run.series, run.seed): run for run in second}
+    common = [key for key in first_runs if key in second_runs]
+    if not common:
+        raise NothingToCompareError(f"{first_label} and {second_label} have no run in common")
+    pairs: dict[tuple[str, str], list[Pair]] = {}
+    for key in common:
+        one, other = first_runs[key], second_runs[key]
+        for figure, value in one.values.items():
+            compared = other.values.get(figure)
+            if compared is None or not (math.isfinite(value) and math.isfinite(compared)):
+                continue
+            pair = Pair(seed=one.seed, first=value, second=compared)
+            pairs.setdefault((one.series, figure), []).append(pair)
+    unpaired = [f"{s} seed {seed}" for s, seed in (*first_runs, *second_runs)]
+    shared = {f"{s} seed {seed}" for s, seed in common}
+    return Comparison(
+        first=first_label,
+        second=second_label,
+        figures=tuple(
+            FigureComparison(
+                series=series, figure=figure, direction=direction_of(figure), pairs=tuple(found)
+            )
+            for (series, figure), found in pairs.items()
+        ),
+        unpaired=tuple(name for name in unpaired if name not in shared),
+    )
