--- a/drumbay/api/base.py
+++ b/drumbay/api/base.py
@@ -1,5 +1,6 @@
 """Base of the HTTP handlers: typed bodies, typed errors, bearer tokens."""
 
+import asyncio
 import hashlib
 import hmac
 import math
@@ -8,6 +9,7 @@
 import msgspec
 from tornado.web import HTTPError, RequestHandler
 
+from drumbay.api.intake import RequestIntake
 from drumbay.api.interface import NodeInterface
 from drumbay.api.schema import ErrorBody, ErrorDetail
 from drumbay.exceptions import DrumbayError, Execution, RequestFailedError
@@ -29,6 +31,7 @@
 JSON_CONTENT_TYPE = "application/json"
 REQUEST_ID_HEADER = "X-Request-Id"
 BEARER_PREFIX = "Bearer "
+STOPPING_RETRY_AFTER_SECONDS = 1.0
 NOT_READY_RETRY_AFTER_SECONDS = 1.0
 METHOD_NOT_ALLOWED_STATUS = 405
 UNAUTHORIZED_STATUS = 401
@@ -38,18 +41,63 @@
     """A handler that speaks JSON and turns exceptions into typed error bodies."""
 
     allowed_roles: ClassVar[tuple[Role, ...]] = (Role.OPERATOR,)
+    served_while_stopping: ClassVar[bool] = False
 
-    def initialize(self, node: NodeInterface, authentication: bool) -> None:
-        """Take the node that carries out the operations."""
+    def initialize(
+        self, node: NodeInterface, authentication: bool, intake: RequestIntake | None = None
+    ) -> None:
+        """Take the node that carries out the operations.
+
+        Args:
+            node: Carries out the operations.
+            authentication: Whether bearer tokens are required.
+            intake: Counts the requests, and says whether new ones are taken.
+        """
         self.node = node
         self.authentication = authentication
+        self.intake = intake or RequestIntake()
         self.request_id: RequestId | None = None
+        self._is_counted = False
 
     def prepare(self) -> None:
-        """Refuse a request whose bearer token does not allow it."""
+        """Refuse a request at a stopping node, and one whose bearer token does not allow it."""
+        self.intake.begin()
+        self._is_counted = True
+        if self.intake.is_stopping:
+            # Asks the client to send its next request over a new connection, to another node.
+            self.set_header("Connection", "close")
+            if not self.served_while_stopping:
+                raise NotReadyError(
+                    "this node is stopping",
+                    execution=Execution.NOT_RUN,
+                    retry_after_seconds=STOPPING_RETRY_AFTER_SECONDS,
+                )
         if self.authentication:
             self._check_role(self._role_of_bearer())
 
+    def finish(self, chunk: str | bytes | dict[str, Any] | None = None) -> "asyncio.Future[None]":
+        """End the answer; the request is in flight until its last byte is written."""
+        try:
+            written = super().finish(chunk)
+        except BaseException:
+            self._end_count()
+            raise
+        written.add_done_callback(lambda future: self._end_count())
+        return written
+
+    def compute_etag(self) -> str | None:
+        """Return no entity tag.
+
+        Tornado would hash every answer, and answer 304 in the name of an application that
+        knows nothing of the tag.
+        """
+        return None
+
+    def _end_count(self) -> None:
+        if self._is_counted:
+            self._is_counted = False
+            self.intake.end()
+
     def _check_role(self, role: Role) -> None:
         if role not in self.allowed_roles:
             raise PermissionDeniedError(
@@ -147,6 +195,8 @@
         exception_info = kwargs.get("exc_info")
         error = exception_info[1] if exception_info else HTTPError(status_code)
         detail = self.error_detail(error)
+        if self.intake.is_stopping:
+            self.set_header("Connection", "close")
         if isinstance(error, RequestFailedError):
             self.set_status(error.http_status)
         # NOTE: tornado has cleared the headers set before the failure.
--- a/drumbay/node/node.py
+++ b/drumbay/node/node.py
@@ -18,7 +18,9 @@
     VersionSpan,
     WeightAnnouncement,
 )
-from drumbay.backends.interface import ApplicationAnswer, TokenChunk
+from drumbay.backends.guarded import GuardedApplicationClient, GuardedEngineClient
+from drumbay.backends.interface import ApplicationAnswer, BackendAddress, TokenChunk
+from drumbay.backends.observed import ObservedEngineClient
 from drumbay.claims.service import ClaimService
 from drumbay.configuration.view import ConfigurationView
 from drumbay.delivery.service import DeliveryService
@@ -28,6 +30,7 @@
 from drumbay.explain.service import ExplainService
 from drumbay.explain.store import DecisionStore
 from drumbay.identifiers import (
+    BackendId,
     Cursor,
     NodeId,
     RequestId,
@@ -35,6 +38,8 @@
     StreamName,
     WeightVersion,
 )
+from drumbay.machines.watcher import MachineListWatcher
+from drumbay.node.backend_subset import BackendSubset
 from drumbay.node.backends import BackendSupervisor
 from drumbay.node.batches import batch_body, empty_batch_body
 from drumbay.node.coordination import CoordinationServices
@@ -46,6 +51,7 @@
 from drumbay.node.request_services import RequestServices
 from drumbay.node.rollouts import RolloutSupervisor
 from drumbay.node.state_metrics import NodeStateCollector
+from drumbay.node.stop_sequence import StopStep, run_stop_steps
 from drumbay.node.stream_messages import CheckpointRequest, PullRequest, SubmitStepRequest
 from drumbay.node.streams import StreamService
 from drumbay.node.weights import WeightSupervisor
@@ -60,6 +66,10 @@
 from drumbay.tasks import TaskOwner
 
 DRAIN_POLL_SECONDS = 0.05
+OWNERSHIP_LIMIT_SECONDS = 5.0
+MEMBERSHIP_LIMIT_SECONDS = 5.0
+TASKS_LIMIT_SECONDS = 8.0
+LOGS_LIMIT_SECONDS = 5.0
 
 
 class Node:
@@ -99,12 +109,15 @@
         self._backends = BackendSupervisor(
             self._clock,
             environment.engine_client,
-            environment.machine_list,
             self._directory,
+            BackendSubset(self._node_id, self._coordination.cluster.subset_nodes, self._directory),
             self._recorder,
             self._tasks,
-            settings.machine_list_interval_seconds,
+            environment.random,
         )
+        self._machines = self._make_machine_watcher()
+        guarded = GuardedEngineClient(environment.engine_client, self._may_send)
+        self._engine_client = ObservedEngineClient(guarded, self._observe_stamp)
         self._requests = self._make_request_services()
         self._recorded = RecordedRequests(
             self._requests, self._recorder, self._clock, self._metrics
@@ -122,12 +135,13 @@
         self._rollouts = RolloutSupervisor(
             clock=self._clock,
             boot_id=environment.boot_id,
-            engine_client=environment.engine_client,
+            engine_client=self._engine_client,
             directory=self._directory,
             delivery=self._delivery,
             ownership=self._coordination.ownership,
             recorder=self._recorder,
             task_owner=self._tasks,
+            pin_engines=self._backends.pin,
             metrics=self._metrics,
         )
         self._streams = StreamService(
@@ -168,6 +182,22 @@
             refused_frames=self._environment.refused_frames,
         )
 
+    def _make_machine_watcher(self) -> MachineListWatcher | None:
+        environment = self._environment
+        if environment.machine_list is None:
+            return None
+        return MachineListWatcher(
+            clock=self._clock,
+            transport=environment.transport,
+            client=environment.machine_list,
+            node_id=self._node_id,
+            boot_id=environment.boot_id,
+            members=self._coordination.cluster.peers,
+            on_leaving=self._backends.set_leaving,
+            random=environment.random,
+            task_owner=self._tasks,
+        )
+
     def _make_request_services(self) -> RequestServices:
         environment = self._environment
         self._claims = ClaimService(
@@ -182,8 +212,10 @@
         return RequestServices(
             clock=self._clock,
             zone=self._settings.zone,
-            engine_client=environment.engine_client,
-            application_client=environment.application_client,
+            engine_client=self._engine_client,
+            application_client=GuardedApplicationClient(
+                environment.application_client, self._may_send
+            ),
             directory=self._directory,
             recorder=self._recorder,
             once=ClaimedOnceRunner(self._claims, self._clock, self._metrics),
@@ -205,6 +237,15 @@
             task_owner=self._tasks,
         )
 
+    async def _may_send(self, backend_id: BackendId) -> bool:
+        """Return whether a back end may get work, also after a pause of this process."""
+        if self._machines is not None:
+            await self._machines.ensure_fresh()
+        return not self._directory.is_leaving(backend_id)
+
+    def _observe_stamp(self, model: str, engine: BackendAddress, chunk: TokenChunk) -> None:
+        self._weights.observe_stamp(model, engine, chunk)
+
     def _configuration_revision(self) -> Revision:
         return self._coordination.configuration.snapshot().revision
 
@@ -216,6 +257,8 @@
         self._streams.start()
         self._weights.start()
         self._backends.start()
+        if self._machines is not None:
+            self._machines.start()
         self._coordination.configuration.on_change(self._apply_configuration)
         self._coordination.start()
         log_event("node_started", node_id=self._node_id, boot_id=self._environment.boot_id)
@@ -230,24 +273,57 @@
         self._streams.set_streams(streams)
         log_event("configuration_in_force", node_id=self._node_id, revision=view.revision)
 
-    async def drain(self) -> None:
-        """Refuse new requests and wait until those in flight have ended."""
+    def refuse_new_requests(self) -> None:
+        """Take no more requests; those in flight go on."""
         self._requests.gate.is_stopping = True
         log_event("node_draining", node_id=self._node_id, in_flight=self._requests.gate.in_flight)
+
+    @property
+    def longest_request_seconds(self) -> float:
+        """Return the longest time that a request in flight may take by its route."""
+        return self._requests.longest_timeout_seconds
+
+    async def drain(self) -> None:
+        """Refuse new requests and wait until those in flight have ended."""
+        self.refuse_new_requests()
+        await self.wait_idle()
+
+    async def wait_idle(self) -> None:
+        """Wait until no request is in flight."""
         # A caller that went away leaves the gate, while its unrepeatable request goes on.
         while self._requests.gate.in_flight > 0 or self._claims.dispatches_under_way > 0:
             await self._clock.sleep(DRAIN_POLL_SECONDS)
 
     async def stop(self) -> None:
-        """Stop in an orderly way: drain, then :meth:`finish_stop`."""
+        """Stop in an orderly way: drain, then the steps of :meth:`stop_steps`."""
         await self.drain()
-        await self.finish_stop()
+        await run_stop_steps(self.stop_steps())
 
-    async def finish_stop(self) -> None:
-        """Give up ownerships, leave the membership and close the logs."""
-        await self._coordination.stop()
-        await self.close()
-        log_event("node_stopped", node_id=self._node_id)
+    def stop_steps(self) -> tuple[StopStep, ...]:
+        """Return the steps after the drain: hand over, leave the membership, close the logs."""
+        coordination = self._coordination
+        steps = [
+            StopStep(
+                name="give-up-ownership",
+                run=coordination.ownership.stop,
+                limit_seconds=OWNERSHIP_LIMIT_SECONDS,
+            ),
+            StopStep(
+                name="leave-membership",
+                run=coordination.membership.leave,
+                limit_seconds=MEMBERSHIP_LIMIT_SECONDS,
+            ),
+            StopStep(name="end-tasks", run=self._tasks.close, limit_seconds=TASKS_LIMIT_SECONDS),
+        ]
+        if self._replicas is not None:
+            steps.append(
+                StopStep(
+                    name="close-logs",
+                    run=self._replicas.close,
+                    limit_seconds=LOGS_LIMIT_SECONDS,
+                )
+            )
+        return tuple(steps)
 
     async def close(self) -> None:
         """End every task and close the logs at once."""
--- a/drumbay/node/rollouts.py
+++ b/drumbay/node/rollouts.py
@@ -1,5 +1,7 @@
 """Generates the samples of the streams that this node owns."""
 
+from collections.abc import Callable
+
 from drumbay.backends.interface import BackendAddress, EngineClient
 from drumbay.clock import Clock
 from drumbay.delivery.exceptions import NotOwnerError
@@ -11,7 +13,15 @@
 from drumbay.observability.metrics import NodeMetrics
 from drumbay.ownership.manager import OwnershipManager
 from drumbay.resources.schema import WeightPolicy
-from drumbay.rollout.events import EngineLost, EngineReported, FloorChanged, WantedSample
+from drumbay.rollout.events import (
+    Cancel,
+    Dispatch,
+    EngineLost,
+    EngineReported,
+    FloorChanged,
+    RolloutDecision,
+    WantedSample,
+)
 from drumbay.rollout.policy import policy_for
 from drumbay.rollout.runner import RolloutRunner
 from drumbay.rollout.sample import Sample
@@ -19,11 +29,11 @@
 from drumbay.rollout.staleness import FloorForecast
 from drumbay.rollout.trainer_progress import TrainerProgress
 from drumbay.routing.directory import BackendDirectory
-from drumbay.routing.selectors import MODEL_LABEL, LabelPredicate, compile_selector
+from drumbay.routing.policy_engines import PolicyEngines
 from drumbay.tasks import TaskOwner
 
 ENGINE_REFRESH_SECONDS = 0.5
-ROLLOUT_SLOTS_PER_ENGINE = 32
+ROLLOUT_SLOTS_PER_ENGINE = 16
 OWNERSHIP_PREFIX = "stream."
 
 
@@ -52,6 +62,7 @@
         ownership: Says whether a stream's lease still holds.
         recorder: Takes decision records.
         task_owner: Owns the runners' tasks.
+        pin_engines: Told, by stream, which engines must be watched while it is owned.
         metrics: Counts finished samples.
     """
 
@@ -66,6 +77,7 @@
         ownership: OwnershipManager,
         recorder: DecisionRecorder,
         task_owner: TaskOwner,
+        pin_engines: Callable[[str, tuple[BackendId, ...]], None],
         metrics: NodeMetrics,
     ) -> None:
         """Create a supervisor without streams."""
@@ -78,14 +90,14 @@
         self._ownership = ownership
         self._recorder = recorder
         self._task_owner = task_owner
+        self._pin_engines = pin_engines
         self._policies: dict[StreamName, WeightPolicy] = {}
-        self._selectors: dict[StreamName, LabelPredicate] = {}
+        self._policy_engines = PolicyEngines(directory)
         self._owned: dict[StreamName, _OwnedRollouts] = {}
 
     def set_policies(self, policies: tuple[WeightPolicy, ...]) -> None:
         """Take in the weight policies in force."""
         self._policies = {policy.stream: policy for policy in policies}
-        self._selectors = {policy.stream: compile_selector(policy.selector) for policy in policies}
 
     def start_stream(self, stream: StreamName, fence: Fence) -> None:
         """Begin to generate the missing samples of a stream."""
@@ -103,6 +115,7 @@
             self._clock,
             self._task_owner,
             on_finished=lambda sample: self._handle_finished(stream, sample),
+            on_decision=lambda decision: self._record_decision(stream, decision),
             may_send=lambda: self._still_owns(stream, fence),
         )
         floor = self._delivery.recorded_floor(stream)
@@ -117,6 +130,7 @@
         owned = self._owned.pop(stream, None)
         if owned is not None:
             owned.runner.stop()
+            self._pin_engines(OWNERSHIP_PREFIX + stream, ())
 
     def refresh(self, stream: StreamName) -> None:
         """Give the runner the samples that are missing now."""
@@ -165,6 +179,28 @@
         name = OWNERSHIP_PREFIX + stream
         return self._ownership.fence_to_continue(name, self._clock.monotonic()) == fence
 
+    def _record_decision(self, stream: StreamName, decision: RolloutDecision) -> None:
+        sample_id = decision.key.sample_id(stream)
+        match decision:
+            case Dispatch():
+                self._recorder.record(
+                    SubjectKind.SAMPLE,
+                    sample_id,
+                    "sample_dispatched",
+                    detail=(
+                        f"attempt {decision.attempt} under version {decision.version}, priority "
+                        f"{decision.priority}, resumed from token {decision.kept_tokens}"
+                    ),
+                    candidates=decision.candidates,
+                )
+            case Cancel():
+                self._recorder.record(
+                    SubjectKind.SAMPLE,
+                    sample_id,
+                    "sample_cancelled",
+                    detail=f"attempt {decision.attempt}: {decision.reason}",
+                )
+
     def _handle_finished(self, stream: StreamName, sample: Sample) -> None:
         try:
             added = self._delivery.add_sample(stream, sample)
@@ -195,15 +231,17 @@
             await self._clock.sleep(ENGINE_REFRESH_SECONDS)
 
     def _report_engines(self, stream: StreamName, owned: _OwnedRollouts) -> None:
-        selects = self._selectors.get(stream)
-        if selects is None:
+        policy = self._policies.get(stream)
+        if policy is None:
             return
+        engines = self._policy_engines.of(policy)
+        self._pin_engines(
+            OWNERSHIP_PREFIX + stream, tuple(address.backend_id for address in engines)
+        )
         views = [
             view
-            for view in self._directory.views(self._clock.monotonic())
-            if selects(view.labels)
-            and view.labels.get(MODEL_LABEL) == owned.policy.model
-            and view.unavailability is None
+            for view in self._directory.views_for(engines, self._clock.monotonic())
+            if view.unavailability is None
         ]
         usable = tuple(view.backend_id for view in views)
         for backend_id in owned.engines:
--- a/drumbay/node/weights.py
+++ b/drumbay/node/weights.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from drumbay.backends.interface import BackendAddress
+from drumbay.backends.interface import BackendAddress, TokenChunk
 from drumbay.clock import Clock
 from drumbay.comm.interface import Address, Message, Transport, TransportError
 from drumbay.configuration.service import ConfigurationService
@@ -15,7 +15,7 @@
 from drumbay.ownership.manager import OwnershipManager
 from drumbay.resources.schema import WeightPolicy
 from drumbay.routing.directory import BackendDirectory
-from drumbay.routing.selectors import MODEL_LABEL, compile_selector
+from drumbay.routing.policy_engines import PolicyEngines
 from drumbay.tasks import TaskOwner
 from drumbay.weights.events import VersionNeed
 from drumbay.weights.service import WeightRolloutService
@@ -91,7 +91,7 @@
             transport=environment.transport,
             node_id=node_id,
             view=configuration.snapshot,
-            engines_of=self._engines_of,
+            engines_of=PolicyEngines(directory).of,
             lease_fence=self._lease_fence,
             owner_address=self._owner_address,
             needs=_no_needs,
@@ -116,6 +116,15 @@
             self._task_owner.spawn(withdrawal, f"withdraw-weights-{model}")
         self._models = models
 
+    def observe_stamp(self, model: str, engine: BackendAddress, chunk: TokenChunk) -> None:
+        """Take in which version and boot an engine stamped on its tokens."""
+        reported = self._directory.reported_version(engine.backend_id)
+        if reported is None:
+            return
+        self._service.observe_stamp(
+            model, engine.backend_id, chunk.boot_id, chunk.weight_version, reported
+        )
+
     async def announce(self, model: str, version: WeightVersion) -> None:
         """Tell the nodes that may own the model's rollout about a published version."""
         self._service.publish(model, version)
@@ -178,15 +187,6 @@
             return self._address_of(candidate)
         return None
 
-    def _engines_of(self, policy: WeightPolicy) -> tuple[BackendAddress, ...]:
-        selects = compile_selector(policy.selector)
-        addresses = (
-            self._directory.address(view.backend_id)
-            for view in self._directory.views(self._clock.monotonic())
-            if selects(view.labels) and view.labels.get(MODEL_LABEL) == policy.model
-        )
-        return tuple(address for address in addresses if address is not None)
-
 
 def _no_needs(model: str) -> tuple[VersionNeed, ...]:
     """Return no version that must stay loaded: running samples go on under the next one."""
--- a/drumbay/settings.py
+++ b/drumbay/settings.py
@@ -97,7 +97,6 @@
     """Where the platform's list of live and leaving machines is read."""
 
     url: str
-    poll_interval_seconds: Annotated[float, Meta(gt=0)] = 1.0
 
 
 class WeightStoreSettings(_Section, frozen=True, kw_only=True):
@@ -124,7 +123,18 @@
     level: str = "INFO"
 
 
-DEFAULT_MACHINE_LIST = MachineListSettings(url="")
+class StopSettings(_Section, frozen=True, kw_only=True):
+    """How the node stops.
+
+    Attributes:
+        lame_duck_seconds: How long a stopping node at least goes on accepting connections,
+            and refuses their requests, so that callers and load balancers learn of the stop
+            by an answer and not by a refused connection.
+    """
+
+    lame_duck_seconds: Annotated[float, Meta(ge=0, le=60)] = 2.0
+
+
 DEFAULT_WEIGHT_STORE = WeightStoreSettings(url="")
 
 
@@ -143,6 +153,7 @@
         backends: How back ends are reached.
         data_folder: Folder for bulk data; a node without one keeps nothing on disk.
         logs: Logging.
+        stop: The planned stop.
     """
 
     node_id: Name
@@ -156,11 +167,7 @@
     backends: BackendSettings = BackendSettings()
     data_folder: str | None = None
     logs: LogSettings = LogSettings()
-
-    @property
-    def machine_list_interval_seconds(self) -> float:
-        """Return the time between two reads of the machine list."""
-        return (self.machine_list or DEFAULT_MACHINE_LIST).poll_interval_seconds
+    stop: StopSettings = StopSettings()
 
     @property
     def weight_store_interval_seconds(self) -> float:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -22,7 +22,7 @@
     StatusBody,
 )
 from drumbay.cli.errors import ExitCode
-from drumbay.cli.main import app
+from drumbay.cli.main import make_app
 from drumbay.cli.output import ChangeList
 from drumbay.cli.schema import SCHEMA_DIALECT, SchemaSubject
 from drumbay.exceptions import Execution
@@ -34,6 +34,8 @@
 DRAINS = "kind: Drain\nname: one\nselector: {}\n---\nkind: Drain\nname: two\nselector: {}\n"
 UNREACHABLE_SERVER = "http://127.0.0.1:1"
 
+app = make_app([])
+
 
 def commands(group: typer.Typer, path: tuple[str, ...] = ()) -> Iterator[tuple[str, ...]]:
     """Yield the path of every command below a group."""
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -19,7 +19,7 @@
     VariantReport,
 )
 from drumbay.cli.errors import ExitCode
-from drumbay.cli.main import app
+from drumbay.cli.main import make_app
 from drumbay.report.comparison import (
     Direction,
     FigureComparison,
@@ -33,6 +33,8 @@
 
 SEEDS = (1, 2, 3)
 
+app = make_app(["report"])
+
 
 def simulated(seed: int, idle: float, samples: int) -> dict[str, Any]:
     """Return a report of one run, in the shape of ``drumbay simulate --json``."""
@@ -197,7 +199,10 @@
             self.assertEqual(self.report(name)[0], ExitCode.INVALID_INPUT)
 
     def test_the_command_line_starts_without_plotting(self) -> None:
-        check = "import sys, drumbay.cli.main; print('matplotlib' in sys.modules)"
+        check = (
+            "import sys; from drumbay.cli.main import make_app; make_app([]);"
+            " print('matplotlib' in sys.modules)"
+        )
         result = subprocess.run(
             [sys.executable, "-c", check], capture_output=True, text=True, check=True
         )
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -20,12 +20,15 @@
 from drumbay.backends.interface import BackendNotReachedError
 from drumbay.cli.client import NodeClient
 from drumbay.cli.errors import ExitCode, ServerUnreachableError
-from drumbay.cli.main import app
-from drumbay.node.server import CertificateError, start_http_server
+from drumbay.cli.main import make_app
+from drumbay.clock import SystemClock
+from drumbay.node.server import CertificateError, NodeHttpServer
 from drumbay.settings import HttpSettings, SettingsError, load_settings
 from tests.api_node import StandInNode
 from tests.test_settings import VALID
 
+app = make_app([])
+
 
 def write_certificate(folder: Path, name: str, address: str) -> None:
     """Write a self-signed certificate for an IP address and its private key."""
@@ -67,8 +70,9 @@
         """Serve a stand-in node with a certificate; return its base URL."""
         socket, port = bind_unused_port()
         socket.close()
-        server = start_http_server(StandInNode(), self.settings(name, port))
-        self.addCleanup(server.stop)
+        server = NodeHttpServer(StandInNode(), self.settings(name, port), SystemClock())
+        server.start()
+        self.addCleanup(server.stop_listening)
         return f"https://127.0.0.1:{port}"
 
     def settings(self, name: str, port: int) -> HttpSettings:
@@ -154,5 +158,5 @@
         (self.folder / "mixed.crt").write_bytes((self.folder / "node.crt").read_bytes())
         (self.folder / "mixed.key").write_bytes((self.folder / "elsewhere.key").read_bytes())
         with self.assertRaises(CertificateError) as caught:
-            start_http_server(StandInNode(), self.settings("mixed", 1))
+            NodeHttpServer(StandInNode(), self.settings("mixed", 1), SystemClock())
         self.assertIsInstance(caught.exception.__cause__, ssl.SSLError)
