--- a/drumbay/api/diagnostics.py
+++ b/drumbay/api/diagnostics.py
@@ -54,11 +54,17 @@
     """``GET /readyz``: the node has a configuration and takes new work."""
 
     def get(self) -> None:
-        """Answer 200 if the node takes new work, else 503."""
+        """Answer 200 if the node takes new work, else 503; the text says why."""
         status = self.node.status()
         ready = status.ready and not status.draining
+        age_seconds = status.configuration_confirmed_age_seconds
+        confirmed = "never" if age_seconds is None else f"{age_seconds:.1f} s ago"
+        state = "stopping" if status.draining else status.configuration_state
         self.set_status(200 if ready else 503)
-        self.finish("ok\n" if ready else "not ready\n")
+        self.finish(
+            f"{'ready' if ready else 'not ready'}: {state}, "
+            f"revision {status.configuration_revision}, confirmed {confirmed}\n"
+        )
 
 
 class MetricsHandler(_ProbeHandler):
--- a/drumbay/api/schema.py
+++ b/drumbay/api/schema.py
@@ -216,7 +216,21 @@
 
 
 class StatusBody(msgspec.Struct, frozen=True, kw_only=True):
-    """State of one node."""
+    """State of one node.
+
+    Attributes:
+        node_id: The node.
+        boot_id: This run of its process.
+        version: Version of the program.
+        ready: Whether a configuration has been loaded.
+        draining: Whether the node is stopping and refuses new work.
+        configuration_revision: Revision in force on the node.
+        configuration_state: ``starting``, ``current``, or ``unconfirmed`` when nobody has
+            confirmed of late that nothing newer is in force.
+        configuration_confirmed_age_seconds: Time since the last confirmation.
+        members: Nodes as this one sees them.
+        owned: Sample streams that the node owns.
+    """
 
     node_id: NodeId
     boot_id: BootId
@@ -224,5 +238,7 @@
     ready: bool
     draining: bool
     configuration_revision: Revision
+    configuration_state: str
+    configuration_confirmed_age_seconds: float | None
     members: tuple[MemberBody, ...]
     owned: tuple[str, ...]
--- a/drumbay/cli/operators.py
+++ b/drumbay/cli/operators.py
@@ -174,7 +174,8 @@
             return
         typer.echo(
             f"node {state.node_id} boot {state.boot_id} ready {state.ready} "
-            f"draining {state.draining} revision {state.configuration_revision}"
+            f"draining {state.draining} revision {state.configuration_revision} "
+            f"{state.configuration_state}"
         )
         rows = [
             (member.node_id, member.zone, member.region, member.state, str(member.incarnation))
--- a/drumbay/configuration/service.py
+++ b/drumbay/configuration/service.py
@@ -342,4 +342,4 @@
             )
         except KeyValueError as error:
             # NOTE: a lost answer needs no settling: the watch brings what was written.
-            log_event("replica_set_change_failed", level="WARNING", error=error.code)
+            log_event("configuration_replicas_change_failed", level="WARNING", error=error.code)
--- a/drumbay/node/node.py
+++ b/drumbay/node/node.py
@@ -418,13 +418,16 @@
     def status(self) -> StatusBody:
         """Return this node's state."""
         coordination = self._coordination
+        readiness = coordination.configuration.readiness()
         return StatusBody(
             node_id=self._node_id,
             boot_id=self._environment.boot_id,
             version=__version__,
-            ready=coordination.configuration.readiness().ready,
+            ready=readiness.ready,
             draining=self._requests.gate.is_stopping,
             configuration_revision=self._configuration_revision(),
+            configuration_state=readiness.reason.value,
+            configuration_confirmed_age_seconds=readiness.confirmed_age_seconds,
             members=coordination.cluster.bodies(),
             owned=tuple(self._delivery.owned_streams),
         )
--- a/drumbay/observability/logs.py
+++ b/drumbay/observability/logs.py
@@ -42,11 +42,16 @@
         )
 
 
+def _write_line(line: str) -> None:
+    # NOTE: looked up for each line, as a test runner may replace and close the stream.
+    sys.stderr.write(line)
+
+
 def configure_logs(level: str = "INFO") -> None:
     """Send logs to standard error, one key=value line per event, those of libraries included."""
     logging.basicConfig(handlers=[_LibraryLogHandler()], level=logging.WARNING, force=True)
     logger.remove()
-    logger.add(sys.stderr, level=level, format=_format_record, colorize=False, backtrace=False)
+    logger.add(_write_line, level=level, format=_format_record, colorize=False, backtrace=False)
 
 
 def log_event(event: str, *, level: str = "INFO", **fields: LogValue) -> None:
--- a/tests/api_node.py
+++ b/tests/api_node.py
@@ -142,6 +142,8 @@
             ready=self.ready,
             draining=self.draining,
             configuration_revision=Revision(7),
+            configuration_state="current" if self.ready else "starting",
+            configuration_confirmed_age_seconds=0.5 if self.ready else None,
             members=(),
             owned=(),
         )
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -262,10 +262,17 @@
     authentication = True
 
     def test_probes_need_no_token_and_mean_what_they_say(self) -> None:
-        cases = [(False, False, 503), (True, False, 200), (True, True, 503), (False, True, 503)]
-        for ready, draining, expected in cases:
+        cases = [
+            (False, False, 503, "not ready: starting, revision 7, confirmed never"),
+            (True, False, 200, "ready: current, revision 7, confirmed 0.5 s ago"),
+            (True, True, 503, "not ready: stopping, revision 7, confirmed 0.5 s ago"),
+            (False, True, 503, "not ready: stopping, revision 7, confirmed never"),
+        ]
+        for ready, draining, expected, text in cases:
             with self.subTest(ready=ready, draining=draining):
                 self.node.ready, self.node.draining = ready, draining
-                self.assertEqual(self.fetch("/readyz").code, expected)
+                response = self.fetch("/readyz")
+                self.assertEqual(response.code, expected)
+                self.assertEqual(response.body.decode().strip(), text)
                 self.assertEqual(self.fetch("/healthz").code, 200)
                 self.assertEqual(self.fetch("/metrics").code, 200)
