--- a/drumbay/cli/main.py
+++ b/drumbay/cli/main.py
@@ -38,6 +38,7 @@
     "token": CommandSource("drumbay.cli.token", "token"),
     "acceptance": CommandSource("drumbay.cli.acceptance", "acceptance"),
     "simulate": CommandSource("drumbay.cli.simulate", "simulate"),
+    "report": CommandSource("drumbay.cli.report", "report"),
     "schema": CommandSource("drumbay.cli.schema", "schema"),
     "standin": CommandSource("drumbay.cli.standin", "app"),
     "bench": CommandSource("drumbay.cli.bench", "app"),
