--- a/drumbay/api/diagnostics.py
+++ b/drumbay/api/diagnostics.py
@@ -54,17 +54,23 @@
     """``GET /readyz``: the node has a configuration and takes new work."""
 
     def get(self) -> None:
-        """Answer 200 if the node takes new work, else 503."""
+        """Answer 200 if the node takes new work, else 503; the text says why."""
         status = self.node.status()
         ready = status.ready and not status.draining
+        age_seconds = status.configuration_confirmed_age_seconds
+        confirmed = "never" if age_seconds is None else f"{age_seconds:.1f} s ago"
+        state = "stopping" if status.draining else status.configuration_state
         self.set_status(200 if ready else 503)
-        self.finish("ok\n" if ready else "not ready\n")
+        self.finish(
+            f"{'ready' if ready else 'not ready'}: {state}, "
+            f"revision {status.configuration_revision}, confirmed {confirmed}\n"
+        )
 
 
-class MetricsHandler(RequestHandler):
+class MetricsHandler(_ProbeHandler):
     """``GET /metrics`` for Prometheus."""
 
     def get(self) -> None:
-        """Return the metrics of this process."""
+        """Return the metrics of the node."""
         self.set_header("Content-Type", CONTENT_TYPE_LATEST)
-        self.finish(generate_latest())
+        self.finish(generate_latest(self.node.metrics_registry()))
--- a/drumbay/cli/explain.py
+++ b/drumbay/cli/explain.py
@@ -5,9 +5,16 @@
 
 import typer
 
+from drumbay.api.schema import ExplanationBody
 from drumbay.cli.client import NodeClient
 from drumbay.cli.errors import ExitCode, typed_exit
-from drumbay.cli.operators import DEFAULT_SERVER, Output, Server, Token
+from drumbay.cli.operators import (
+    DEFAULT_SERVER,
+    CertificateAuthority,
+    Output,
+    Server,
+    Token,
+)
 from drumbay.cli.output import OutputFormat, print_record
 from drumbay.explain.records import CandidateVerdict, DecisionRecord, SubjectKind
 
@@ -17,6 +24,7 @@
     subject_id: Annotated[str, typer.Argument(help="Request, sample or back-end id.")],
     server: Server = DEFAULT_SERVER,
     token: Token = None,
+    ca_file: CertificateAuthority = None,
     output: Output = OutputFormat.TABLE,
 ) -> None:
     """Show the decisions about a request, a sample or a back end.
@@ -24,20 +32,24 @@
     Example: drumbay explain request 'node-1~4f2a~17'
     """
     with typed_exit():
-        explanation = NodeClient(server, token).explain(kind, subject_id)
-        if output is not OutputFormat.TABLE:
+        explanation = NodeClient(server, token, ca_file).explain(kind, subject_id)
+        if output is OutputFormat.TABLE:
+            _print_explanation(explanation)
+        else:
             print_record(explanation, output)
-            return
-        for record in explanation.records:
-            _print_decision(record)
-        typer.echo(
-            f"{len(explanation.records)} decisions; {explanation.nodes_answered} of "
-            f"{explanation.nodes_asked} nodes answered"
-        )
         if not explanation.records:
             raise typer.Exit(ExitCode.FAILED)
 
 
+def _print_explanation(explanation: ExplanationBody) -> None:
+    for record in explanation.records:
+        _print_decision(record)
+    typer.echo(
+        f"{len(explanation.records)} decisions; {explanation.nodes_answered} of "
+        f"{explanation.nodes_asked} nodes answered"
+    )
+
+
 def _print_decision(record: DecisionRecord) -> None:
     time = datetime.fromtimestamp(record.wall_time_seconds, UTC).isoformat(timespec="milliseconds")
     typer.echo(
--- a/drumbay/node/weights.py
+++ b/drumbay/node/weights.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from drumbay.backends.interface import BackendAddress, TokenChunk
 from drumbay.clock import Clock
 from drumbay.comm.interface import Address, Message, Transport, TransportError
@@ -13,17 +15,26 @@
 from drumbay.ownership.manager import OwnershipManager
 from drumbay.resources.schema import WeightPolicy
 from drumbay.routing.directory import BackendDirectory
-from drumbay.routing.selectors import compile_selector
+from drumbay.routing.policy_engines import PolicyEngines
 from drumbay.tasks import TaskOwner
 from drumbay.weights.events import VersionNeed
 from drumbay.weights.service import WeightRolloutService
 from drumbay.weights.store_interface import WeightStoreClient, WeightStoreUnavailableError
 
 RESOURCE_PREFIX = "weights."
-STORE_POLL_SECONDS = 1.0
+DEFAULT_STORE_INTERVAL_SECONDS = 1.0
 ANNOUNCE_TIMEOUT_SECONDS = 2.0
 
 
+class OwnedRollout(msgspec.Struct, frozen=True, kw_only=True):
+    """State of a rollout that this node owns."""
+
+    model: str
+    target: WeightVersion
+    done: bool
+    loading_engines: int
+
+
 class AnnounceVersionRequest(Message, frozen=True, kw_only=True):
     """A trainer has published a version."""
 
@@ -47,6 +58,7 @@
         record: Takes decision records.
         address_of: Returns the address of a live node.
         task_owner: Owns the background tasks.
+        store_interval_seconds: Time between two reads of the weight store.
     """
 
     def __init__(
@@ -60,6 +72,7 @@
         record: Callable[[DecisionRecord], None],
         address_of: Callable[[NodeId], Address | None],
         task_owner: TaskOwner,
+        store_interval_seconds: float = DEFAULT_STORE_INTERVAL_SECONDS,
     ) -> None:
         """Create a supervisor without models."""
         self._clock: Clock = environment.clock
@@ -70,6 +83,7 @@
         self._directory = directory
         self._address_of = address_of
         self._task_owner = task_owner
+        self._store_interval_seconds = store_interval_seconds
         self._models: frozenset[str] = frozenset()
         self._service = WeightRolloutService(
             clock=environment.clock,
@@ -77,7 +91,7 @@
             transport=environment.transport,
             node_id=node_id,
             view=configuration.snapshot,
-            engines_of=self._engines_of,
+            engines_of=PolicyEngines(directory).of,
             lease_fence=self._lease_fence,
             owner_address=self._owner_address,
             needs=_no_needs,
@@ -136,7 +150,7 @@
             for model in sorted(self._models):
                 if self._node_id in self._ownership.likely_owners(RESOURCE_PREFIX + model):
                     await self._poll_store(store, model)
-            await self._clock.sleep(STORE_POLL_SECONDS)
+            await self._clock.sleep(self._store_interval_seconds)
 
     async def _poll_store(self, store: WeightStoreClient, model: str) -> None:
         try:
@@ -147,6 +161,20 @@
         for version in versions:
             self._service.publish(model, version)
 
+    def owned_rollouts(self) -> tuple[OwnedRollout, ...]:
+        """Return the rollouts that this node owns and that have a target."""
+        owned = (model for model in sorted(self._models) if self._lease_fence(model) is not None)
+        return tuple(
+            OwnedRollout(
+                model=model,
+                target=target,
+                done=self._service.is_done(model),
+                loading_engines=len(self._service.busy_engines(model)),
+            )
+            for model in owned
+            if (target := self._service.target(model)) is not None
+        )
+
     def _lease_fence(self, model: str) -> Fence | None:
         # NOTE: engines check the fence, so a rollout goes on while the key-value service is
         # out; see docs/design/ownership.md.
@@ -159,9 +187,6 @@
             return self._address_of(candidate)
         return None
 
-    def _engines_of(self, policy: WeightPolicy) -> tuple[BackendAddress, ...]:
-        return self._directory.select(compile_selector(policy.selector), policy.model)
-
 
 def _no_needs(model: str) -> tuple[VersionNeed, ...]:
     """Return no version that must stay loaded: running samples go on under the next one."""
