Say not ready in place of no route on a node without a configuration

Cause 1: a node that had just started and knew no route answered 404 no_route, which tells a caller not to come back.

Cause 2: a call to an emulated back end that was cancelled while its request was on the way left a coroutine that was never awaited (a RuntimeWarning at the end of simulated runs).

Both tests fail without the change: the refusals are no_route, and the warning is caught once.

--- a/drumbay/api/base.py
+++ b/drumbay/api/base.py
@@ -17,6 +17,7 @@
 from drumbay.limits.deadline import TIMEOUT_HEADER, InvalidTimeoutError, parse_timeout_seconds
 from drumbay.observability.logs import log_event
 from drumbay.requests.errors import (
+    NOT_READY_RETRY_AFTER_SECONDS,
     AuthenticationRequiredError,
     InvalidRequestError,
     NotFoundError,
@@ -32,7 +33,6 @@
 REQUEST_ID_HEADER = "X-Request-Id"
 BEARER_PREFIX = "Bearer "
 STOPPING_RETRY_AFTER_SECONDS = 1.0
-NOT_READY_RETRY_AFTER_SECONDS = 1.0
 METHOD_NOT_ALLOWED_STATUS = 405
 UNAUTHORIZED_STATUS = 401
 
--- a/drumbay/backends/memory.py
+++ b/drumbay/backends/memory.py
@@ -102,7 +102,8 @@
         """
         try:
             await self.send()
-        except BackendNotReachedError:
+        except BaseException:
+            # NOTE: the caller may be cancelled here too, e.g. at the end of a simulation.
             if isinstance(awaitable, Coroutine):
                 awaitable.close()
             raise
--- a/drumbay/node/node.py
+++ b/drumbay/node/node.py
@@ -220,6 +220,7 @@
             recorder=self._recorder,
             once=ClaimedOnceRunner(self._claims, self._clock, self._metrics),
             random=environment.random,
+            is_ready=lambda: self._coordination.configuration.readiness().ready,
             metrics=self._metrics,
         )
 
--- a/drumbay/node/request_services.py
+++ b/drumbay/node/request_services.py
@@ -1,5 +1,6 @@
 """The request path of a node, joined: routes, admission, dispatch, live and application."""
 
+from collections.abc import Callable
 from random import Random
 
 from drumbay.backends.interface import ApplicationClient, EngineClient
@@ -43,6 +44,7 @@
         recorder: DecisionRecorder,
         once: OnceRunner,
         random: Random,
+        is_ready: Callable[[], bool],
         metrics: NodeMetrics | None = None,
     ) -> None:
         """Join the services; there are no routes until a configuration comes."""
@@ -52,9 +54,11 @@
         self.longest_timeout_seconds = 0.0
         self.gate = AdmissionGate(clock, AdmissionController(AdmissionPolicy(), now), metrics)
         self.dispatcher = Dispatcher(clock, zone, directory, recorder, random, metrics=metrics)
-        self.live = LiveRequestService(clock, engine_client, self.dispatcher, self.gate, budget)
+        self.live = LiveRequestService(
+            clock, engine_client, self.dispatcher, self.gate, budget, is_ready
+        )
         self.applications = ApplicationRequestService(
-            clock, application_client, self.dispatcher, self.gate, budget, once
+            clock, application_client, self.dispatcher, self.gate, budget, once, is_ready
         )
 
     def live_route_name(self, model: str) -> str:
--- a/drumbay/requests/application.py
+++ b/drumbay/requests/application.py
@@ -1,5 +1,7 @@
 """Application requests: repeatable ones are retried, others run at most once."""
 
+from collections.abc import Callable
+
 import xxhash
 
 from drumbay.backends.interface import (
@@ -22,8 +24,8 @@
 from drumbay.requests.errors import (
     BackendFailedError,
     NoBackendError,
-    NoRouteError,
     RequestTimeoutError,
+    no_route,
     not_run,
 )
 from drumbay.requests.identity import attempt_of
@@ -46,6 +48,7 @@
         gate: Admission.
         retry_budget: Bounds the retries of the node.
         once: Runs requests that may not be repeated at most once.
+        is_ready: Returns whether this node has a configuration.
     """
 
     def __init__(
@@ -56,6 +59,7 @@
         gate: AdmissionGate,
         retry_budget: RetryBudget,
         once: OnceRunner,
+        is_ready: Callable[[], bool],
     ) -> None:
         """Create a service without routes."""
         self._clock = clock
@@ -64,6 +68,7 @@
         self._gate = gate
         self._retry_budget = retry_budget
         self._once = once
+        self._is_ready = is_ready
         self._routes = RouteTable(())
 
     def set_routes(self, routes: RouteTable) -> None:
@@ -75,13 +80,14 @@
 
         Raises:
             NoRouteError: No application route carries the path.
+            NotReadyError: This node has no configuration yet.
             InvalidRequestError: It may not be repeated and has no idempotency key.
             RequestFailedError: It was not served; the error says whether it may have run.
         """
         compiled = self._routes.for_path(call.path)
         if compiled is None:
-            raise NoRouteError(
-                f"no application route carries the path {call.path}", execution=Execution.NOT_RUN
+            raise no_route(
+                f"no application route carries the path {call.path}", is_ready=self._is_ready()
             )
         repeatable = _is_repeatable(call, compiled)
         with self._gate.admitted(compiled.route):
--- a/drumbay/requests/errors.py
+++ b/drumbay/requests/errors.py
@@ -4,6 +4,8 @@
 
 from drumbay.exceptions import Execution, RequestFailedError
 
+NOT_READY_RETRY_AFTER_SECONDS = 1.0
+
 
 class NoRouteError(RequestFailedError):
     """No route carries the request."""
@@ -118,3 +120,19 @@
     return InvalidRequestError(
         detail, execution=Execution.NOT_RUN, retry_after_seconds=retry_after_seconds
     )
+
+
+def no_route(detail: str, *, is_ready: bool) -> RequestFailedError:
+    """Return the refusal of a request that no known route carries.
+
+    Args:
+        detail: What was looked for.
+        is_ready: Whether this node has the configuration; without it, it knows no route.
+    """
+    if is_ready:
+        return NoRouteError(detail, execution=Execution.NOT_RUN)
+    return NotReadyError(
+        "this node has no configuration yet",
+        execution=Execution.NOT_RUN,
+        retry_after_seconds=NOT_READY_RETRY_AFTER_SECONDS,
+    )
--- a/drumbay/requests/live.py
+++ b/drumbay/requests/live.py
@@ -5,7 +5,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 from contextlib import aclosing
 
 from drumbay.api.schema import VersionSpan
@@ -30,8 +30,8 @@
 from drumbay.requests.errors import (
     BackendFailedError,
     NoBackendError,
-    NoRouteError,
     RequestTimeoutError,
+    no_route,
 )
 from drumbay.requests.identity import attempt_of
 from drumbay.requests.progress import CompletionProgress, attempt_request
@@ -52,6 +52,7 @@
         dispatcher: Chooses engines.
         gate: Admission.
         retry_budget: Bounds the retries of the node.
+        is_ready: Returns whether this node has a configuration.
     """
 
     def __init__(
@@ -61,6 +62,7 @@
         dispatcher: Dispatcher,
         gate: AdmissionGate,
         retry_budget: RetryBudget,
+        is_ready: Callable[[], bool],
     ) -> None:
         """Create a service without routes."""
         self._clock = clock
@@ -68,6 +70,7 @@
         self._dispatcher = dispatcher
         self._gate = gate
         self._retry_budget = retry_budget
+        self._is_ready = is_ready
         self._routes = RouteTable(())
         self._spans: OrderedDict[RequestId, tuple[VersionSpan, ...]] = OrderedDict()
 
@@ -84,6 +87,7 @@
 
         Raises:
             NoRouteError: No live route carries the model.
+            NotReadyError: This node has no configuration yet.
             OverloadedError: A limit is reached.
             NoBackendError: No engine can serve now.
             BackendFailedError: Every attempt broke.
@@ -91,8 +95,8 @@
         """
         compiled = self._routes.for_model(RouteKind.LIVE, request.model)
         if compiled is None:
-            raise NoRouteError(
-                f"no live route carries the model {request.model}", execution=Execution.NOT_RUN
+            raise no_route(
+                f"no live route carries the model {request.model}", is_ready=self._is_ready()
             )
         with self._gate.admitted(compiled.route):
             run = _LiveRun(self._clock, request, compiled)
--- a/tests/requests_world.py
+++ b/tests/requests_world.py
@@ -124,6 +124,7 @@
         ]
         self.network = BackendNetwork(self.clock)
         self.directory = BackendDirectory(limits.circuit)
+        self.is_ready = True
         self.decisions = DecisionStore()
         node_id = NodeId("node")
         self._identities = IdentityFactory(node_id, BootId("boot"))
@@ -141,6 +142,7 @@
             recorder=self.recorder,
             once=DirectOnceRunner(),
             random=Random(SEED),
+            is_ready=lambda: self.is_ready,
             metrics=metrics,
         )
         view = make_view(limits)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -1,11 +1,14 @@
 """The request path: whole answers, truthful refusals, bounded retries."""
 
 import asyncio
+import gc
 import unittest
+import warnings
 from unittest import mock
 
 from drumbay.backends.interface import (
     ApplicationAnswer,
+    BackendAddress,
     BackendNotReachedError,
     BackendRefusedError,
     TokenChunk,
@@ -16,8 +19,9 @@
 from drumbay.limits.circuit_breaker import CircuitPolicy
 from drumbay.limits.retry_budget import RetryBudget
 from drumbay.requests import application as application_module
-from drumbay.requests.errors import OverloadedError
+from drumbay.requests.errors import NoRouteError, NotReadyError, OverloadedError
 from drumbay.requests.progress import CompletionProgress
+from drumbay.requests.route_table import RouteTable
 from drumbay.standins.execution_log import (
     ApplicationExecuted,
     GenerationAccepted,
@@ -152,6 +156,40 @@
 
         self.assertIsInstance(simulate(scenario), ApplicationAnswer)
 
+    def test_a_node_without_a_configuration_says_so(self) -> None:
+        """Not that there is no such route, which would send the caller away for good."""
+
+        async def scenario(world: RequestsWorld) -> list[type[object]]:
+            empty = RouteTable(())
+            world.services.live.set_routes(empty)
+            world.services.applications.set_routes(empty)
+            refusals: list[type[object]] = []
+            for world.is_ready in (False, True):
+                refusals.append(type(await world.call("GET")))
+                try:
+                    await world.generate()
+                except RequestFailedError as error:
+                    refusals.append(type(error))
+            return refusals
+
+        expected = [NotReadyError, NotReadyError, NoRouteError, NoRouteError]
+        self.assertEqual(simulate(scenario), expected)
+
+    def test_a_call_cancelled_on_its_way_leaves_nothing_behind(self) -> None:
+        async def scenario(world: RequestsWorld) -> None:
+            backend = BackendAddress(backend_id=world.engines[0].backend_id, base_url="there")
+            client = MemoryEngineClient(world.clock, {"there": world.engines[0]}, world.network)
+            call = asyncio.ensure_future(client.status(backend, timeout_seconds=1.0))
+            await asyncio.sleep(world.network.latency_seconds / 2)
+            call.cancel()
+            await asyncio.wait([call])
+
+        with warnings.catch_warnings(record=True) as caught:
+            warnings.simplefilter("always")
+            simulate(scenario)
+            gc.collect()
+        self.assertEqual([str(warning.message) for warning in caught], [])
+
     def test_overload_refuses_at_once_and_says_when_to_come_back(self) -> None:
         async def scenario(world: RequestsWorld) -> tuple[float, RequestFailedError]:
             running = asyncio.ensure_future(world.generate(200))
