Open a stream replica's log again after a failed write

Cause: after one failed write (a full disk) a record log refuses every later one until it is opened again. The claim replica opened its log again, the stream replica never did: it was out until its process ended.

Ruled out: the owner's recovery (it tried twice a second and was refused by the replicas) and the replica set (the members were live and active).

Change: the replica refuses every request after a failed write, reads its state back from the disk, every 5 s until that works, and serves again. A store that was emptied meanwhile has another identity and stays out.

--- a/drumbay/delivery/replica.py
+++ b/drumbay/delivery/replica.py
@@ -23,7 +23,8 @@
     StreamTrimRequest,
 )
 from drumbay.identifiers import Epoch, StreamName
-from drumbay.storage.interface import RecordLog
+from drumbay.observability.logs import log_event
+from drumbay.storage.interface import RecordLog, StorageClosedError, StorageError
 
 
 class StoredRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -41,8 +42,11 @@
     """Serves the log requests of stream owners from one record log.
 
     A reply leaves only after everything it relies on is durable. The memory state runs
-    ahead of the disk; after a failed write the record log refuses every later one, so no
-    reply can rely on a lost record.
+    ahead of the disk; after a failed write the replica refuses every request until its state
+    has been read back from the disk, so no reply can rely on a lost record.
+
+    Attributes:
+        on_storage_failure: Told of the log whose write failed.
     """
 
     def __init__(
@@ -65,24 +69,80 @@
         self._log = log
         self._current_epoch = current_epoch
         self._max_retained_bytes = max_retained_bytes
-        self.acceptors: dict[StreamName, Acceptor] = {}
+        self._acceptors: dict[StreamName, Acceptor] = {}
+        self._has_failed = False
+        self.on_storage_failure: Callable[[RecordLog], None] = lambda _log: None
 
-    def start(self) -> None:
-        """Restore every stream from the record log and begin to serve."""
-        for encoded in self._log.replay():
+    @property
+    def acceptors(self) -> dict[StreamName, Acceptor]:
+        """Return the state of every stream.
+
+        Raises:
+            StorageClosedError: A write failed, and the state was not read back yet.
+        """
+        self._require_open()
+        return self._acceptors
+
+    def restore_from(self, log: RecordLog) -> None:
+        """Take the state from a log and write to it from now on.
+
+        Raises:
+            StorageError: The log could not be read.
+        """
+        self._acceptors = {}
+        for encoded in log.replay():
             stored = _decoder.decode(encoded)
             self._acceptor(stored.stream).restore(stored.record)
+        self._log = log
+        self._has_failed = False
+
+    def start(self) -> None:
+        """Restore every stream from the record log and begin to serve."""
+        self.restore_from(self._log)
         self._transport.handle_calls(StreamPromiseRequest, self._handle_promise)
         self._transport.handle_calls(StreamAcceptRequest, self._handle_accept)
         self._transport.handle_calls(StreamConfirmRequest, self._handle_confirm)
         self._transport.handle_calls(StreamTrimRequest, self._handle_trim)
 
+    async def close(self) -> None:
+        """Wait for the writes under way and release the files."""
+        await self._log.close()
+
     def _acceptor(self, stream: StreamName) -> Acceptor:
-        if stream not in self.acceptors:
-            self.acceptors[stream] = Acceptor(max_retained_bytes=self._max_retained_bytes)
-        return self.acceptors[stream]
+        if stream not in self._acceptors:
+            self._acceptors[stream] = Acceptor(max_retained_bytes=self._max_retained_bytes)
+        return self._acceptors[stream]
+
+    async def _write(self, records: list[bytes], *, replaces_all: bool = False) -> None:
+        """Make records durable.
+
+        Raises:
+            StorageError: The write failed; nothing is served until the state is read back.
+        """
+        log = self._log
+        try:
+            if replaces_all:
+                await log.snapshot(records)
+            else:
+                await log.append(records)
+        except StorageError as error:
+            if log is self._log and not self._has_failed:
+                self._has_failed = True
+                log_event("stream_store_failed", level="ERROR", code=error.code, detail=str(error))
+                self.on_storage_failure(log)
+            raise
+
+    def _require_open(self) -> None:
+        """Raise an error unless the state can be relied on.
+
+        Raises:
+            StorageClosedError: A write failed, and the state was not read back yet.
+        """
+        if self._has_failed:
+            raise StorageClosedError("the stream store is not open")
 
     def _acceptor_for(self, request: StreamRequest) -> Acceptor:
+        self._require_open()
         epoch = self._current_epoch()
         if request.epoch != epoch:
             raise EpochMismatchError(f"request of epoch {request.epoch}, replica in {epoch}")
@@ -105,7 +165,7 @@
     async def _handle_trim(self, request: StreamTrimRequest) -> Message:
         outcome = self._acceptor_for(request).trim(request)
         if outcome.records:
-            await self._log.snapshot(self._all_records())
+            await self._write(self._all_records(), replaces_all=True)
             return outcome.reply
         return await self._reply_when_durable(request.stream, outcome)
 
@@ -113,7 +173,7 @@
         if outcome.reply.granted:
             # NOTE: an empty append still waits for the earlier ones: a repeated request
             # finds its record in memory while the first write is under way.
-            await self._log.append(_encode(stream, outcome.records))
+            await self._write(_encode(stream, outcome.records))
         return outcome.reply
 
     async def adopt(
@@ -130,15 +190,16 @@
         Raises:
             StorageError: The write failed.
         """
+        self._require_open()
         acceptor = self._acceptor(stream)
         records = choose_records(acceptor)
         for record in records:
             acceptor.restore(record)
-        await self._log.append(_encode(stream, records))
+        await self._write(_encode(stream, records))
 
     def _all_records(self) -> list[bytes]:
         encoded: list[bytes] = []
-        for stream, acceptor in self.acceptors.items():
+        for stream, acceptor in self._acceptors.items():
             records: list[AcceptorRecord] = [PromisedRecord(ballot=acceptor.promised)]
             if acceptor.snapshot is not None:
                 records.append(
--- a/drumbay/node/replicas.py
+++ b/drumbay/node/replicas.py
@@ -7,10 +7,11 @@
 from drumbay.claims.replica import ClaimReplica
 from drumbay.clock import Clock
 from drumbay.comm.interface import Transport
+from drumbay.delivery.reopening import ReplicaReopener
 from drumbay.delivery.replica import DeliveryReplica
 from drumbay.delivery.transfer import StreamTransfer
 from drumbay.identifiers import NodeId
-from drumbay.storage.interface import LogOpener, StoreId
+from drumbay.storage.interface import LogOpener, RecordLog, StoreId
 from drumbay.tasks import TaskOwner
 
 CLAIM_LOG_NAME = "claims"
@@ -48,9 +49,10 @@
             StorageError: A log cannot be opened.
         """
         claim_store_id = _new_store_id(random)
-        self._stream_log = open_log(
-            data_folder, STREAM_LOG_NAME, new_store_id=_new_store_id(random)
-        )
+
+        def open_stream_log() -> RecordLog:
+            return open_log(data_folder, STREAM_LOG_NAME, new_store_id=_new_store_id(random))
+
         self.claims = ClaimReplica(
             node_id=node_id,
             clock=clock,
@@ -61,19 +63,21 @@
         )
         # NOTE: the streams' epoch is that of the claim store, not the node's view of the set:
         # a sealed store, or one that lost its disk, must not vote on streams either.
-        self.streams = DeliveryReplica(transport, self._stream_log, self.claims.voting_epoch)
+        self.streams = DeliveryReplica(transport, open_stream_log(), self.claims.voting_epoch)
+        self._reopener = ReplicaReopener(self.streams, open_stream_log, clock, task_owner)
         self._stream_transfer = StreamTransfer(transport, self.streams)
 
     def start(self) -> None:
         """Restore the replicas and begin to serve."""
         self.claims.start()
         self.streams.start()
+        self._reopener.start()
         self._stream_transfer.start()
 
     async def close(self) -> None:
         """Stop to vote and close the logs."""
         await self.claims.close()
-        await self._stream_log.close()
+        await self.streams.close()
 
 
 def _new_store_id(random: Random) -> StoreId:
