--- a/drumbay/cli/standin.py
+++ b/drumbay/cli/standin.py
@@ -95,6 +95,7 @@
         float, typer.Option(help="Time each sequence of the batch adds to a step.")
     ] = 0.001,
     load_seconds: Annotated[float, typer.Option(help="Time to load fetched weights.")] = 2.0,
+    chunk_tokens: Annotated[int, typer.Option(min=1, help="Tokens of a streamed chunk.")] = 16,
 ) -> None:
     """Emulate a model engine with OpenAI-compatible completions."""
 
@@ -106,6 +107,7 @@
             max_batch=max_batch,
             max_waiting=max_waiting,
             load_seconds=load_seconds,
+            chunk_tokens=chunk_tokens,
             rate=BatchRate(step_seconds=step_seconds, step_seconds_per_sequence=sequence_seconds),
         )
         emulated = EngineModel(
