--- a/drumbay/cli/bench.py
+++ b/drumbay/cli/bench.py
@@ -107,19 +107,32 @@
     deployment: Annotated[
         list[str] | None, typer.Argument(help="Deployments to run; all by default.")
     ] = None,
+    json: Annotated[
+        bool, typer.Option("--json", help="Print JSON, e.g. for drumbay report.")
+    ] = False,
 ) -> None:
-    """Compare trainer idle share and staleness with the plain baseline, in virtual time."""
+    """Compare trainer idle share and staleness with the plain baseline, in virtual time.
+
+    Example: drumbay bench rollout
+    """
     # NOTE: the model needs simpy, which is installed for simulations only.
     from drumbay.bench.rollout import format_report, run_rollout_bench
 
-    typer.echo(format_report(run_rollout_bench(deployment_names=deployment or ())))
+    report = run_rollout_bench(deployment_names=deployment or ())
+    if json:
+        _print_report(report)
+    else:
+        typer.echo(format_report(report))
 
 
 @app.command()
 def delivery(
     batches: Annotated[int, typer.Option(help="Batches delivered for the rate.")] = 100,
 ) -> None:
-    """Measure sample delivery on a real disk and over loopback connections."""
+    """Measure sample delivery on a real disk and over loopback connections.
+
+    Example: drumbay bench delivery --batches 100
+    """
     from drumbay.bench.delivery import run_delivery_bench
 
     _print_report(run_delivery_bench(batches=batches))
--- a/drumbay/cli/main.py
+++ b/drumbay/cli/main.py
@@ -4,6 +4,7 @@
 emulators, the simulation and the benches in memory, and needs none of their libraries.
 """
 
+import logging
 import sys
 from importlib import import_module
 
@@ -37,6 +38,8 @@
     "token": CommandSource("drumbay.cli.token", "token"),
     "acceptance": CommandSource("drumbay.cli.acceptance", "acceptance"),
     "simulate": CommandSource("drumbay.cli.simulate", "simulate"),
+    "report": CommandSource("drumbay.cli.report", "report"),
+    "schema": CommandSource("drumbay.cli.schema", "schema"),
     "standin": CommandSource("drumbay.cli.standin", "app"),
     "bench": CommandSource("drumbay.cli.bench", "app"),
 }
@@ -44,10 +47,15 @@
 
 def main() -> None:
     """Run training rollouts beside live traffic."""
+    # NOTE: commands show a failed connection as their own error; a node logs it as an event.
+    logging.basicConfig(handlers=[logging.NullHandler()])
 
 
 def version() -> None:
-    """Print the version."""
+    """Print the version.
+
+    Example: drumbay version
+    """
     typer.echo(__version__)
 
 
--- a/drumbay/node/node.py
+++ b/drumbay/node/node.py
@@ -3,6 +3,8 @@
 from collections.abc import AsyncGenerator
 from pathlib import Path
 
+from prometheus_client import CollectorRegistry
+
 from drumbay import __version__
 from drumbay.api.schema import (
     ApplyBody,
@@ -16,6 +18,7 @@
     VersionSpan,
     WeightAnnouncement,
 )
+from drumbay.backends.guarded import GuardedApplicationClient, GuardedEngineClient
 from drumbay.backends.interface import ApplicationAnswer, BackendAddress, TokenChunk
 from drumbay.backends.observed import ObservedEngineClient
 from drumbay.claims.service import ClaimService
@@ -27,6 +30,7 @@
 from drumbay.explain.service import ExplainService
 from drumbay.explain.store import DecisionStore
 from drumbay.identifiers import (
+    BackendId,
     Cursor,
     NodeId,
     RequestId,
@@ -46,11 +50,13 @@
 from drumbay.node.replicas import NodeReplicas
 from drumbay.node.request_services import RequestServices
 from drumbay.node.rollouts import RolloutSupervisor
+from drumbay.node.state_metrics import NodeStateCollector
 from drumbay.node.stop_sequence import StopStep, run_stop_steps
 from drumbay.node.stream_messages import CheckpointRequest, PullRequest, SubmitStepRequest
 from drumbay.node.streams import StreamService
 from drumbay.node.weights import WeightSupervisor
 from drumbay.observability.logs import log_event
+from drumbay.observability.metrics import NodeMetrics
 from drumbay.requests.claimed_once import ClaimedOnceRunner
 from drumbay.requests.identity import IdentityFactory
 from drumbay.requests.records import ApplicationCall, LiveRequest
@@ -85,6 +91,7 @@
         self._clock = environment.clock
         self._node_id = NodeId(settings.node_id)
         self._tasks = TaskOwner()
+        self._metrics = NodeMetrics()
         self._identities = IdentityFactory(self._node_id, environment.boot_id)
         self._coordination = CoordinationServices(settings, environment, self._tasks)
         self._directory = BackendDirectory()
@@ -109,10 +116,11 @@
             environment.random,
         )
         self._machines = self._make_machine_watcher()
-        self._engine_client = ObservedEngineClient(environment.engine_client, self._observe_stamp)
+        guarded = GuardedEngineClient(environment.engine_client, self._may_send)
+        self._engine_client = ObservedEngineClient(guarded, self._observe_stamp)
         self._requests = self._make_request_services()
         self._recorded = RecordedRequests(
-            self._requests.live, self._requests.applications, self._recorder
+            self._requests, self._recorder, self._clock, self._metrics
         )
         self._replicas = self._make_replicas()
         self._delivery = DeliveryService(
@@ -122,6 +130,7 @@
             environment.boot_id,
             self._coordination.stream_replicas,
             on_work_changed=lambda stream: self._rollouts.refresh(stream),
+            on_samples_stale=self._metrics.record_samples_stale,
         )
         self._rollouts = RolloutSupervisor(
             clock=self._clock,
@@ -133,6 +142,7 @@
             recorder=self._recorder,
             task_owner=self._tasks,
             pin_engines=self._backends.pin,
+            metrics=self._metrics,
         )
         self._streams = StreamService(
             clock=self._clock,
@@ -143,6 +153,7 @@
             worker=self._rollouts,
             address_of=self._coordination.cluster.address_of,
             task_owner=self._tasks,
+            metrics=self._metrics,
         )
         self._weights = WeightSupervisor(
             environment=environment,
@@ -153,10 +164,23 @@
             record=self._decisions.add,
             address_of=self._coordination.cluster.address_of,
             task_owner=self._tasks,
+            store_interval_seconds=settings.weight_store_interval_seconds,
         )
         self._operations = ResourceOperations(
             self._coordination.configuration, self._coordination.operators
         )
+        self._metrics.registry.register(self._make_state_collector())
+
+    def _make_state_collector(self) -> NodeStateCollector:
+        return NodeStateCollector(
+            clock=self._clock,
+            coordination=self._coordination,
+            directory=self._directory,
+            delivery=self._delivery,
+            weights=self._weights,
+            in_flight=lambda: self._requests.gate.in_flight,
+            refused_frames=self._environment.refused_frames,
+        )
 
     def _make_machine_watcher(self) -> MachineListWatcher | None:
         environment = self._environment
@@ -189,11 +213,14 @@
             clock=self._clock,
             zone=self._settings.zone,
             engine_client=self._engine_client,
-            application_client=environment.application_client,
+            application_client=GuardedApplicationClient(
+                environment.application_client, self._may_send
+            ),
             directory=self._directory,
             recorder=self._recorder,
-            once=ClaimedOnceRunner(self._claims),
+            once=ClaimedOnceRunner(self._claims, self._clock, self._metrics),
             random=environment.random,
+            metrics=self._metrics,
         )
 
     def _make_replicas(self) -> NodeReplicas | None:
@@ -210,6 +237,12 @@
             task_owner=self._tasks,
         )
 
+    async def _may_send(self, backend_id: BackendId) -> bool:
+        """Return whether a back end may get work, also after a pause of this process."""
+        if self._machines is not None:
+            await self._machines.ensure_fresh()
+        return not self._directory.is_leaving(backend_id)
+
     def _observe_stamp(self, model: str, engine: BackendAddress, chunk: TokenChunk) -> None:
         self._weights.observe_stamp(model, engine, chunk)
 
@@ -243,6 +276,7 @@
     def refuse_new_requests(self) -> None:
         """Take no more requests; those in flight go on."""
         self._requests.gate.is_stopping = True
+        self._operations.is_stopping = True
         log_event("node_draining", node_id=self._node_id, in_flight=self._requests.gate.in_flight)
 
     @property
@@ -258,9 +292,13 @@
     async def wait_idle(self) -> None:
         """Wait until no request is in flight."""
         # A caller that went away leaves the gate, while its unrepeatable request goes on.
-        while self._requests.gate.in_flight > 0 or self._claims.dispatches_under_way > 0:
+        while self._in_flight() > 0:
             await self._clock.sleep(DRAIN_POLL_SECONDS)
 
+    def _in_flight(self) -> int:
+        requests = self._requests.gate.in_flight + self._claims.dispatches_under_way
+        return requests + self._operations.in_flight
+
     async def stop(self) -> None:
         """Stop in an orderly way: drain, then the steps of :meth:`stop_steps`."""
         await self.drain()
@@ -385,17 +423,24 @@
     def status(self) -> StatusBody:
         """Return this node's state."""
         coordination = self._coordination
+        readiness = coordination.configuration.readiness()
         return StatusBody(
             node_id=self._node_id,
             boot_id=self._environment.boot_id,
             version=__version__,
-            ready=coordination.configuration.readiness().ready,
+            ready=readiness.ready,
             draining=self._requests.gate.is_stopping,
             configuration_revision=self._configuration_revision(),
+            configuration_state=readiness.reason.value,
+            configuration_confirmed_age_seconds=readiness.confirmed_age_seconds,
             members=coordination.cluster.bodies(),
             owned=tuple(self._delivery.owned_streams),
         )
 
+    def metrics_registry(self) -> CollectorRegistry:
+        """Return the registry of this node's metrics."""
+        return self._metrics.registry
+
     def access_tokens(self) -> tuple[AccessToken, ...]:
         """Return the tokens that are in force at this node."""
         return tuple(self._coordination.configuration.snapshot().tokens.values())
--- a/drumbay/node/process.py
+++ b/drumbay/node/process.py
@@ -5,6 +5,8 @@
 import signal
 from random import Random
 
+from prometheus_client import ProcessCollector
+
 from drumbay.backends.connector import HttpConnector
 from drumbay.backends.http_application import HttpApplicationClient
 from drumbay.backends.http_engine import HttpEngineClient
@@ -37,6 +39,7 @@
     Raises:
         ListenError: The peer address cannot be used.
         OSError: The HTTP address cannot be used.
+        CertificateError: The certificate or private key cannot be used.
         StorageError: The data folder cannot be used.
     """
     transport_tasks = TaskOwner()
@@ -47,7 +50,9 @@
     )
     machine_list = settings.machine_list
     weight_store = settings.weight_store
-    connector = HttpConnector()
+    connector = HttpConnector(
+        certificate_authority_file=settings.backends.certificate_authority_file
+    )
     environment = NodeEnvironment(
         clock=clock,
         transport=transport,
@@ -59,8 +64,10 @@
         open_log=DurableLog.open,
         random=Random(secrets.randbits(64)),
         boot_id=boot_id,
+        refused_frames=lambda: transport.refusal_counts,
     )
     node = Node(settings, environment)
+    ProcessCollector(registry=node.metrics_registry())
     await transport.start()
     node.start()
     server = NodeHttpServer(node, settings.http, clock)
--- a/drumbay/node/rollouts.py
+++ b/drumbay/node/rollouts.py
@@ -10,6 +10,7 @@
 from drumbay.explain.records import SubjectKind
 from drumbay.identifiers import BackendId, BootId, Fence, StreamName, WeightVersion
 from drumbay.observability.logs import log_event
+from drumbay.observability.metrics import NodeMetrics
 from drumbay.ownership.manager import OwnershipManager
 from drumbay.resources.schema import WeightPolicy
 from drumbay.rollout.events import (
@@ -28,11 +29,11 @@
 from drumbay.rollout.staleness import FloorForecast
 from drumbay.rollout.trainer_progress import TrainerProgress
 from drumbay.routing.directory import BackendDirectory
-from drumbay.routing.selectors import MODEL_LABEL, LabelPredicate, compile_selector
+from drumbay.routing.policy_engines import PolicyEngines
 from drumbay.tasks import TaskOwner
 
 ENGINE_REFRESH_SECONDS = 0.5
-ROLLOUT_SLOTS_PER_ENGINE = 32
+ROLLOUT_SLOTS_PER_ENGINE = 16
 OWNERSHIP_PREFIX = "stream."
 
 
@@ -62,6 +63,7 @@
         recorder: Takes decision records.
         task_owner: Owns the runners' tasks.
         pin_engines: Told, by stream, which engines must be watched while it is owned.
+        metrics: Counts finished samples.
     """
 
     def __init__(
@@ -76,8 +78,10 @@
         recorder: DecisionRecorder,
         task_owner: TaskOwner,
         pin_engines: Callable[[str, tuple[BackendId, ...]], None],
+        metrics: NodeMetrics,
     ) -> None:
         """Create a supervisor without streams."""
+        self._metrics = metrics
         self._clock = clock
         self._boot_id = boot_id
         self._engine_client = engine_client
@@ -88,13 +92,12 @@
         self._task_owner = task_owner
         self._pin_engines = pin_engines
         self._policies: dict[StreamName, WeightPolicy] = {}
-        self._selectors: dict[StreamName, LabelPredicate] = {}
+        self._policy_engines = PolicyEngines(directory)
         self._owned: dict[StreamName, _OwnedRollouts] = {}
 
     def set_policies(self, policies: tuple[WeightPolicy, ...]) -> None:
         """Take in the weight policies in force."""
         self._policies = {policy.stream: policy for policy in policies}
-        self._selectors = {policy.stream: compile_selector(policy.selector) for policy in policies}
 
     def start_stream(self, stream: StreamName, fence: Fence) -> None:
         """Begin to generate the missing samples of a stream."""
@@ -204,6 +207,8 @@
         except NotOwnerError:
             self.stop_stream(stream)
             return
+        if added:
+            self._metrics.record_sample_finished(stream)
         sample_id = sample.key.sample_id(stream)
         versions = ", ".join(
             f"{span.weight_version} for {span.token_count} tokens by {span.attempt_id}"
@@ -226,20 +231,17 @@
             await self._clock.sleep(ENGINE_REFRESH_SECONDS)
 
     def _report_engines(self, stream: StreamName, owned: _OwnedRollouts) -> None:
-        selects = self._selectors.get(stream)
-        if selects is None:
+        policy = self._policies.get(stream)
+        if policy is None:
             return
-        model = owned.policy.model
-        selected = self._directory.select(selects, model)
+        engines = self._policy_engines.of(policy)
         self._pin_engines(
-            OWNERSHIP_PREFIX + stream, tuple(address.backend_id for address in selected)
+            OWNERSHIP_PREFIX + stream, tuple(address.backend_id for address in engines)
         )
         views = [
             view
-            for view in self._directory.views(self._clock.monotonic())
-            if selects(view.labels)
-            and view.labels.get(MODEL_LABEL) == model
-            and view.unavailability is None
+            for view in self._directory.views_for(engines, self._clock.monotonic())
+            if view.unavailability is None
         ]
         usable = tuple(view.backend_id for view in views)
         for backend_id in owned.engines:
--- a/drumbay/weights/service.py
+++ b/drumbay/weights/service.py
@@ -190,6 +190,11 @@
         planner = self._planners.get(model)
         return planner.target if planner is not None else None
 
+    def is_done(self, model: str) -> bool:
+        """Return whether the rollout of a model that this node owns has ended."""
+        planner = self._planners.get(model)
+        return planner is not None and planner.is_done
+
     def busy_engines(self, model: str) -> tuple[BackendId, ...]:
         """Return the engines that are loading by this node's orders."""
         planner = self._planners.get(model)
@@ -209,6 +214,9 @@
             for version in self._published.get(model, []):
                 self._handle(model, VersionPublished(version=version))
         fence = self._lease_fence(model)
+        if fence is None and not self._owned.get(model, False):
+            # Most nodes own no rollout; they would tell their planner the same for ever.
+            return
         engines = self._engines_of(policy)
         for engine in engines:
             self._addresses[engine.backend_id] = engine
