--- a/drumbay/configuration/replication.py
+++ b/drumbay/configuration/replication.py
@@ -21,7 +21,9 @@
 from drumbay.identifiers import NodeId
 from drumbay.tasks import TaskOwner
 
-REPLICA_CALL_TIMEOUT_SECONDS = 2.0
+REPLICA_CALL_TIMEOUT_SECONDS = 6.0
+"""Above the round trip of a network that delays seconds: a shorter limit would take such a
+network for a cut and keep a change from ever being stored by a majority."""
 
 ReplyT = TypeVar("ReplyT", bound=Message)
 
