Measure live latency beside a trainer: drumbay bench sharing

Cause: nothing measured what rollouts cost live requests. Change: whole nodes and emulated engines in virtual time, sizes of both deployments, bursty live traffic with the same arrivals in each variant, with and without a trainer.

--- /dev/null
+++ b/drumbay/bench/sharing_world.py
@@ -0,0 +1,253 @@
+"""One run of live traffic beside a trainer: whole nodes and emulated engines in virtual time."""
+
+import asyncio
+import tempfile
+from pathlib import Path
+from random import Random
+
+import msgspec
+
+from drumbay.backends.interface import TokenChunk
+from drumbay.exceptions import DrumbayError
+from drumbay.node.node import Node
+from drumbay.requests.records import LiveRequest
+from drumbay.resources.schema import AnyResource, Route, RouteKind
+from drumbay.simulation.cluster import SimulatedCluster
+from drumbay.simulation.deployment import initial_resources, plan_deployment
+from drumbay.simulation.gateway import NodeRun
+from drumbay.simulation.history import History
+from drumbay.simulation.latency import LatencyModel
+from drumbay.simulation.load import BurstClock, generate_arrivals
+from drumbay.simulation.outside_clock import virtual_now
+from drumbay.simulation.racing_operators import RacingOperators
+from drumbay.simulation.scenario import PoolKind, Scenario, find_scenario
+from drumbay.simulation.trace import Trace
+from drumbay.simulation.trainers import SimulatedTrainer
+from drumbay.simulation.virtual_time import run_simulation
+
+CALL_TIMEOUT_SECONDS = 60.0
+START_SECONDS = 60.0
+"""Virtual time at which the load starts, after the set-up, so that the arrivals of a seed
+are the same in each variant."""
+
+
+class SharingLoad(msgspec.Struct, frozen=True, kw_only=True):
+    """Load of a run.
+
+    Attributes:
+        duration_seconds: Virtual time in which live requests start.
+        samples_per_step: Samples of one training step; 0 runs no trainer.
+        step_seconds: Time of one training step.
+        sample_tokens: Most tokens of one sample.
+        live_per_second: Live requests outside bursts; 0 sends none.
+        live_tokens: Most tokens of one live completion.
+        burst_factor: Rate within a burst over the usual one.
+        burst_interval_seconds: Mean time between bursts.
+        burst_seconds: Length of a burst.
+        live_priority: Priority of the live route.
+    """
+
+    duration_seconds: float = 60.0
+    samples_per_step: int = 512
+    step_seconds: float = 20.0
+    sample_tokens: int = 2048
+    live_per_second: float = 4.0
+    live_tokens: int = 64
+    burst_factor: float = 6.0
+    burst_interval_seconds: float = 20.0
+    burst_seconds: float = 6.0
+    live_priority: int = 0
+
+
+class LiveOutcome(msgspec.Struct, frozen=True, kw_only=True):
+    """One live request as its caller saw it.
+
+    Attributes:
+        first_token_seconds: Time to the first token; ``None`` if there was none.
+        total_seconds: Time to the last token or to the failure.
+        failure: Code of the failure; empty if it was answered.
+    """
+
+    first_token_seconds: float | None
+    total_seconds: float
+    failure: str = ""
+
+
+class SharingRun(msgspec.Struct, frozen=True, kw_only=True):
+    """What one run showed.
+
+    Attributes:
+        live: The live requests.
+        idle_share: Share of time that the trainer waited for samples; 0 without one.
+        steps: Steps that the trainer finished.
+        sample_tokens: Tokens of the samples that the trainer consumed.
+    """
+
+    live: tuple[LiveOutcome, ...]
+    idle_share: float
+    steps: int
+    sample_tokens: int
+
+
+def run_sharing(scenario_name: str, load: SharingLoad, seed: int) -> SharingRun:
+    """Run a deployment without faults.
+
+    Args:
+        scenario_name: Shipped scenario that gives zones, nodes, engines and delays.
+        load: Live traffic and trainer.
+        seed: Seed of all chance.
+    """
+    scenario = _with_load(find_scenario(scenario_name), load)
+    with tempfile.TemporaryDirectory(prefix="drumbay-sharing-") as folder:
+        world = _SharingWorld(scenario, load, seed, Path(folder))
+        return run_simulation(world.main)
+
+
+def _with_load(scenario: Scenario, load: SharingLoad) -> Scenario:
+    trainers = tuple(
+        msgspec.structs.replace(
+            trainer,
+            samples_per_step=load.samples_per_step,
+            step_seconds=load.step_seconds,
+            max_tokens=load.sample_tokens,
+        )
+        for trainer in scenario.trainers
+        if load.samples_per_step > 0
+    )
+    bursts = msgspec.structs.replace(
+        scenario.load,
+        burst_factor=load.burst_factor,
+        burst_interval_seconds=load.burst_interval_seconds,
+        burst_seconds=load.burst_seconds,
+    )
+    return msgspec.structs.replace(scenario, trainers=trainers, load=bursts)
+
+
+class _MeasuredTrainer(SimulatedTrainer):
+    """A trainer that counts what it consumed."""
+
+    @property
+    def consumed_tokens(self) -> int:
+        """Return the tokens of the samples consumed so far."""
+        return sum(len(sample.token_ids) for sample in self._delivered)
+
+
+class _SharingWorld:
+    """The nodes, callers and trainer of one run."""
+
+    def __init__(
+        self,
+        scenario: Scenario,
+        load: SharingLoad,
+        seed: int,
+        folder: Path,
+    ) -> None:
+        self._scenario = scenario
+        self._load = load
+        self._seed = seed
+        self._deployment = plan_deployment(scenario)
+        self._folder = folder
+        self._live: list[LiveOutcome] = []
+        self._picks = self._random_for("picks")
+        self._model = next(pool.model for pool in scenario.pools if pool.kind is PoolKind.ENGINE)
+
+    def _random_for(self, purpose: str) -> Random:
+        return Random(f"{self._seed}/{purpose}")
+
+    async def main(self) -> SharingRun:
+        """Run to the end."""
+        network = self._scenario.network
+        latency = LatencyModel(
+            same_zone_seconds=network.same_zone_seconds,
+            same_region_seconds=network.same_region_seconds,
+            between_regions_seconds=network.between_regions_seconds,
+        )
+        random = self._random_for("cluster")
+        self._cluster = SimulatedCluster(
+            self._deployment, latency, network.client_seconds, Node, random, Trace(), self._folder
+        )
+        await self._cluster.start()
+        await self._set_up()
+        trainers = [self._start_trainer(index) for index in range(len(self._scenario.trainers))]
+        until_seconds = virtual_now() + self._load.duration_seconds
+        running = [asyncio.ensure_future(trainer.run(until_seconds)) for trainer in trainers]
+        await self._send_live(until_seconds)
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+        await self._cluster.stop()
+        return SharingRun(
+            live=tuple(self._live),
+            idle_share=sum(trainer.idle_share() for trainer in trainers),
+            steps=sum(trainer.model.step for trainer in trainers),
+            sample_tokens=sum(trainer.consumed_tokens for trainer in trainers),
+        )
+
+    async def _set_up(self) -> None:
+        operators = RacingOperators(
+            self._cluster.gateway,
+            History(),
+            self._random_for("operators"),
+            self._cluster.node_ids,
+        )
+        resources = initial_resources(self._scenario, self._deployment)
+        await operators.set_up(tuple(self._adjusted(resource) for resource in resources))
+        await asyncio.sleep(START_SECONDS - virtual_now())
+
+    def _adjusted(self, resource: AnyResource) -> AnyResource:
+        if isinstance(resource, Route) and resource.route_kind is RouteKind.LIVE:
+            return msgspec.structs.replace(resource, priority=self._load.live_priority)
+        return resource
+
+    def _start_trainer(self, index: int) -> _MeasuredTrainer:
+        section = self._scenario.trainers[index]
+        return _MeasuredTrainer(
+            section,
+            self._cluster.gateway,
+            History(),
+            self._random_for(f"trainer-{section.stream}"),
+            self._cluster.node_ids,
+            self._cluster.platform.weight_store,
+        )
+
+    async def _send_live(self, until_seconds: float) -> None:
+        random = self._random_for("live")
+        bursts = BurstClock(random, self._scenario.load)
+        rate = self._load.live_per_second
+        await generate_arrivals(random, rate, bursts, until_seconds, self._complete)
+        await asyncio.sleep(max(0.0, until_seconds - virtual_now()))
+
+    async def _complete(self, number: int) -> None:
+        started_at = virtual_now()
+        first_token_at: list[float] = []
+
+        async def read(run: NodeRun) -> None:
+            request = LiveRequest(
+                request_id=run.node.new_request_id(),
+                model=self._model,
+                prompt=f"live question {number}",
+                max_tokens=self._load.live_tokens,
+            )
+            async for chunk in run.node.generate(request):
+                self._note_first(first_token_at, chunk)
+
+        node_id = self._picks.choice(self._cluster.node_ids)
+        failure = ""
+        try:
+            await self._cluster.gateway.call(node_id, read, CALL_TIMEOUT_SECONDS)
+        except DrumbayError as error:
+            failure = error.code
+        first = first_token_at[0] - started_at if first_token_at else None
+        if first is not None:
+            first += self._cluster.gateway.client_latency_seconds
+        self._live.append(
+            LiveOutcome(
+                first_token_seconds=first,
+                total_seconds=virtual_now() - started_at,
+                failure=failure,
+            )
+        )
+
+    def _note_first(self, first_token_at: list[float], chunk: TokenChunk) -> None:
+        if not first_token_at and chunk.token_ids:
+            first_token_at.append(virtual_now())
--- a/drumbay/cli/bench.py
+++ b/drumbay/cli/bench.py
@@ -16,6 +16,7 @@
 from drumbay.bench.scale_fit import fit_slopes, read_measurement
 from drumbay.bench.stream_log import run_stream_log_bench
 from drumbay.cli.bench_forwarding import forwarding
+from drumbay.cli.bench_sharing import sharing
 from drumbay.cli.errors import typed_exit
 
 app = typer.Typer(name="bench", no_args_is_help=True, help="Measure this program.")
@@ -26,6 +27,7 @@
 
 
 app.command()(forwarding)
+app.command()(sharing)
 
 
 @app.command()
