Share engines between live requests and rollouts by the operator's weights

Cause: rollouts filled all 16 places of an engine, engines do not interrupt a running request, and the last samples of a step had a larger priority than a live route without one. The weights are fields of the weight policy (`sharing`).

--- a/drumbay/bench/sharing.py
+++ b/drumbay/bench/sharing.py
@@ -7,28 +7,41 @@
 import msgspec
 
 from drumbay.bench.sharing_world import SharingLoad, SharingRun, run_sharing
+from drumbay.resources.schema import EngineSharing
+from drumbay.simulation.scenario import find_scenario
 
 DEPLOYMENT_NAMES = ("bitacora-andina", "vakhandel-oost")
 DEFAULT_SEEDS = (1, 2, 3)
 MEDIAN = 0.5
 TAIL = 0.99
 
+NO_SHARING = EngineSharing(live_weight=0.0, headroom_places=0, preempt=False)
+"""Rollouts may fill every place, and are never stopped for live requests."""
+
 
 class SharingVariant(msgspec.Struct, frozen=True, kw_only=True):
     """What is compared.
 
     Attributes:
         name: Name in the report.
+        sharing: How engines are shared.
         with_rollouts: Whether a trainer runs.
     """
 
     name: str
+    sharing: EngineSharing
     with_rollouts: bool = True
 
 
 VARIANTS = (
-    SharingVariant(name="no rollouts", with_rollouts=False),
-    SharingVariant(name="not shared"),
+    SharingVariant(name="no rollouts", sharing=EngineSharing(), with_rollouts=False),
+    SharingVariant(name="not shared", sharing=NO_SHARING),
+    SharingVariant(name="shares only", sharing=EngineSharing(headroom_places=0, preempt=False)),
+    SharingVariant(name="shares, headroom", sharing=EngineSharing(preempt=False)),
+    SharingVariant(name="shares, pre-emption", sharing=EngineSharing(headroom_places=0)),
+    SharingVariant(name="all", sharing=EngineSharing()),
+    SharingVariant(name="all, headroom 1", sharing=EngineSharing(headroom_places=1)),
+    SharingVariant(name="all, headroom 4", sharing=EngineSharing(headroom_places=4)),
 )
 
 
@@ -96,7 +109,7 @@
 def _run(deployment: str, variant: SharingVariant, seed: int, load: SharingLoad) -> SharingRun:
     if not variant.with_rollouts:
         load = msgspec.structs.replace(load, samples_per_step=0)
-    return run_sharing(deployment, load, seed)
+    return run_sharing(find_scenario(deployment), load, seed, variant.sharing)
 
 
 def percentile(values: Sequence[float], share: float) -> float:
--- a/drumbay/bench/sharing_world.py
+++ b/drumbay/bench/sharing_world.py
@@ -11,7 +11,7 @@
 from drumbay.exceptions import DrumbayError
 from drumbay.node.node import Node
 from drumbay.requests.records import LiveRequest
-from drumbay.resources.schema import AnyResource, Route, RouteKind
+from drumbay.resources.schema import AnyResource, EngineSharing, Route, RouteKind, WeightPolicy
 from drumbay.simulation.cluster import SimulatedCluster
 from drumbay.simulation.deployment import initial_resources, plan_deployment
 from drumbay.simulation.gateway import NodeRun
@@ -20,7 +20,7 @@
 from drumbay.simulation.load import BurstClock, generate_arrivals
 from drumbay.simulation.outside_clock import virtual_now
 from drumbay.simulation.racing_operators import RacingOperators
-from drumbay.simulation.scenario import PoolKind, Scenario, find_scenario
+from drumbay.simulation.scenario import PoolKind, Scenario
 from drumbay.simulation.trace import Trace
 from drumbay.simulation.trainers import SimulatedTrainer
 from drumbay.simulation.virtual_time import run_simulation
@@ -89,17 +89,20 @@
     sample_tokens: int
 
 
-def run_sharing(scenario_name: str, load: SharingLoad, seed: int) -> SharingRun:
+def run_sharing(
+    scenario: Scenario, load: SharingLoad, seed: int, sharing: EngineSharing | None = None
+) -> SharingRun:
     """Run a deployment without faults.
 
     Args:
-        scenario_name: Shipped scenario that gives zones, nodes, engines and delays.
+        scenario: Gives zones, nodes, engines and delays; its load is replaced.
         load: Live traffic and trainer.
         seed: Seed of all chance.
+        sharing: How engines are shared; the default if not given.
     """
-    scenario = _with_load(find_scenario(scenario_name), load)
+    scenario = _with_load(scenario, load)
     with tempfile.TemporaryDirectory(prefix="drumbay-sharing-") as folder:
-        world = _SharingWorld(scenario, load, seed, Path(folder))
+        world = _SharingWorld(scenario, load, seed, Path(folder), sharing or EngineSharing())
         return run_simulation(world.main)
 
 
@@ -141,10 +144,12 @@
         load: SharingLoad,
         seed: int,
         folder: Path,
+        sharing: EngineSharing,
     ) -> None:
         self._scenario = scenario
         self._load = load
         self._seed = seed
+        self._sharing = sharing
         self._deployment = plan_deployment(scenario)
         self._folder = folder
         self._live: list[LiveOutcome] = []
@@ -197,6 +202,8 @@
     def _adjusted(self, resource: AnyResource) -> AnyResource:
         if isinstance(resource, Route) and resource.route_kind is RouteKind.LIVE:
             return msgspec.structs.replace(resource, priority=self._load.live_priority)
+        if isinstance(resource, WeightPolicy):
+            return msgspec.structs.replace(resource, sharing=self._sharing)
         return resource
 
     def _start_trainer(self, index: int) -> _MeasuredTrainer:
--- a/drumbay/node/rollouts.py
+++ b/drumbay/node/rollouts.py
@@ -13,6 +13,7 @@
 from drumbay.observability.metrics import NodeMetrics
 from drumbay.ownership.manager import OwnershipManager
 from drumbay.resources.schema import WeightPolicy
+from drumbay.rollout.engine_allotments import EngineAllotments
 from drumbay.rollout.events import (
     Cancel,
     Dispatch,
@@ -29,11 +30,11 @@
 from drumbay.rollout.staleness import FloorForecast
 from drumbay.rollout.trainer_progress import TrainerProgress
 from drumbay.routing.directory import BackendDirectory
+from drumbay.routing.engine_choice import BackendView
 from drumbay.routing.policy_engines import PolicyEngines
 from drumbay.tasks import TaskOwner
 
 ENGINE_REFRESH_SECONDS = 0.5
-ROLLOUT_SLOTS_PER_ENGINE = 16
 OWNERSHIP_PREFIX = "stream."
 
 
@@ -94,6 +95,7 @@
         self._policies: dict[StreamName, WeightPolicy] = {}
         self._policy_engines = PolicyEngines(directory)
         self._owned: dict[StreamName, _OwnedRollouts] = {}
+        self._allotments = EngineAllotments()
 
     def set_policies(self, policies: tuple[WeightPolicy, ...]) -> None:
         """Take in the weight policies in force."""
@@ -130,6 +132,7 @@
         owned = self._owned.pop(stream, None)
         if owned is not None:
             owned.runner.stop()
+            self._allotments.forget_stream(stream)
             self._pin_engines(OWNERSHIP_PREFIX + stream, ())
 
     def refresh(self, stream: StreamName) -> None:
@@ -249,11 +252,22 @@
                 owned.runner.handle(EngineLost(backend_id=backend_id))
         owned.engines = usable
         for view in views:
-            owned.runner.handle(
-                EngineReported(
-                    backend_id=view.backend_id,
-                    version=view.weight_version,
-                    slots=ROLLOUT_SLOTS_PER_ENGINE,
-                    other_load=view.own_outstanding,
-                )
-            )
+            owned.runner.handle(self._engine_report(stream, policy, view))
+
+    def _engine_report(
+        self, stream: StreamName, policy: WeightPolicy, view: BackendView
+    ) -> EngineReported:
+        rollouts = {
+            name: owned.runner.running_on(view.backend_id) for name, owned in self._owned.items()
+        }
+        allotment = self._allotments.allot(
+            stream, policy.sharing, view, rollouts, self._clock.monotonic()
+        )
+        return EngineReported(
+            backend_id=view.backend_id,
+            version=view.weight_version,
+            slots=allotment.rollout_slots + allotment.live_load,
+            other_load=allotment.live_load,
+            excess=allotment.excess,
+            contended=allotment.contended,
+        )
--- a/drumbay/requests/live.py
+++ b/drumbay/requests/live.py
@@ -23,6 +23,7 @@
 from drumbay.explain.records import SubjectKind
 from drumbay.identifiers import AttemptId, BackendId, RequestId
 from drumbay.limits.deadline import Deadline
+from drumbay.limits.engine_priority import live_engine_priority
 from drumbay.limits.retry_budget import RetryBudget
 from drumbay.observability.logs import log_event
 from drumbay.requests.admission_gate import AdmissionGate
@@ -168,7 +169,7 @@
             prompt=request.prompt,
             max_tokens=request.max_tokens,
             progress=run.progress,
-            priority=run.compiled.route.priority,
+            priority=live_engine_priority(run.compiled.route.priority),
             seed=request.seed,
             target_tokens=request.target_tokens,
         )
--- a/drumbay/resources/schema.py
+++ b/drumbay/resources/schema.py
@@ -19,6 +19,7 @@
 PositiveInteger = Annotated[int, Meta(ge=1)]
 NonNegativeInteger = Annotated[int, Meta(ge=0)]
 PositiveFloat = Annotated[float, Meta(gt=0)]
+NonNegativeFloat = Annotated[float, Meta(ge=0)]
 Share = Annotated[float, Meta(ge=0, le=1)]
 
 
@@ -126,6 +127,27 @@
     STALENESS = "staleness"
 
 
+class EngineSharing(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """How the engines of a policy are shared between live requests and rollouts.
+
+    Attributes:
+        engine_places: Requests that one engine decodes at once.
+        live_weight: Weight of live requests when both ask for more than there is; 0 leaves
+            rollouts all places.
+        rollout_weight: Weight of rollouts.
+        headroom_places: Places kept free for live requests beyond their recent demand, on
+            engines that serve live requests.
+        preempt: Whether rollouts beyond their share are stopped, and resumed later from
+            their tokens, while live requests wait for a place.
+    """
+
+    engine_places: PositiveInteger = 16
+    live_weight: NonNegativeFloat = 4.0
+    rollout_weight: PositiveFloat = 2.0
+    headroom_places: NonNegativeInteger = 2
+    preempt: bool = True
+
+
 class WeightPolicy(Resource, frozen=True, kw_only=True, tag_field="kind"):
     """How the weights of one model are rolled out and how old samples may be.
 
@@ -137,6 +159,7 @@
         objective: Whether trainer idle time or staleness is weighed more.
         min_serving_share: Share of engines that keeps serving during a rollout.
         samples_per_step: Samples that make a step whole.
+        sharing: How its engines are shared with live requests.
     """
 
     model: str
@@ -146,6 +169,7 @@
     objective: RolloutObjective = RolloutObjective.IDLE_TIME
     min_serving_share: Share = 0.5
     samples_per_step: PositiveInteger = 64
+    sharing: EngineSharing = EngineSharing()
 
 
 class WeightRollback(Resource, frozen=True, kw_only=True, tag_field="kind"):
--- a/drumbay/rollout/events.py
+++ b/drumbay/rollout/events.py
@@ -29,14 +29,18 @@
     Attributes:
         backend_id: The engine.
         version: Version that serves new requests; ``None`` takes no new work.
-        slots: Rollouts that may run there at once.
+        slots: Requests that may run there at once, those of ``other_load`` included.
         other_load: Requests of other work in its batch and queue.
+        excess: Rollouts to stop there now, because other work waits for their places.
+        contended: Whether other work asks for more than its share of the engine.
     """
 
     backend_id: BackendId
     version: WeightVersion | None
     slots: int
     other_load: int = 0
+    excess: int = 0
+    contended: bool = False
 
 
 class EngineLost(msgspec.Struct, frozen=True, kw_only=True):
@@ -138,6 +142,7 @@
     STALE_TOKENS = "stale_tokens"
     WOULD_EXPIRE = "would_expire"
     MOVE = "move"
+    PREEMPTED = "preempted"
     NOT_WANTED = "not_wanted"
 
 
--- a/drumbay/rollout/runner.py
+++ b/drumbay/rollout/runner.py
@@ -131,6 +131,10 @@
         for key in list(self._running):
             self._cancel_attempt(key)
 
+    def running_on(self, backend_id: BackendId) -> int:
+        """Return the number of attempts under way on an engine."""
+        return sum(1 for run in self._running.values() if run.engine.backend_id == backend_id)
+
     async def _tick(self) -> None:
         while True:
             await self._clock.sleep(self._parameters.tick_seconds)
--- a/drumbay/rollout/scheduler.py
+++ b/drumbay/rollout/scheduler.py
@@ -1,6 +1,7 @@
 """Pure decisions about rollouts: which sample runs where, and which one is stopped."""
 
 from drumbay.identifiers import BackendId, WeightVersion
+from drumbay.limits.engine_priority import GUARANTEED_PRIORITY
 from drumbay.rollout.decode_rate import DecodeRateModel
 from drumbay.rollout.events import (
     Cancel,
@@ -48,6 +49,7 @@
                 decisions.extend(self._change_work(event))
             case EngineReported():
                 self._update_engine(event, now)
+                decisions.extend(self._preempt(event))
             case EngineLost(backend_id=backend_id):
                 self._state.engines.pop(backend_id, None)
             case FloorChanged(forecast=forecast):
@@ -85,6 +87,14 @@
             self._state.engines[report.backend_id] = engine
         engine.update(report, now)
 
+    def _preempt(self, report: EngineReported) -> list[RolloutDecision]:
+        """Stop rollouts that other work waits for: of the latest step, with fewest tokens."""
+        if report.excess <= 0:
+            return []
+        running = [s for s in self._state.running() if s.backend_id == report.backend_id]
+        running.sort(key=lambda sample: (-sample.key.step, sample.token_count, sample.key))
+        return [self._cancel(sample, CancelReason.PREEMPTED) for sample in running[: report.excess]]
+
     def _take_chunk(self, event: ChunkReceived, now: float) -> tuple[RolloutDecision, ...]:
         sample = self._state.attempt(event.key, event.attempt)
         if sample is None or sample.backend_id is None:
@@ -181,11 +191,16 @@
             attempt=self._attempts,
             backend_id=backend_id,
             version=version,
-            priority=self._priority(sample),
+            priority=self._priority(sample) + self._guaranteed_priority(backend_id),
             kept_tokens=sample.token_count,
             candidates=candidates,
         )
 
+    def _guaranteed_priority(self, backend_id: BackendId) -> int:
+        """Return what lets rollouts pass other work that asks for more than its share."""
+        contended = self._state.engines[backend_id].report.contended
+        return GUARANTEED_PRIORITY if contended else 0
+
     def _priority(self, sample: TrackedSample) -> int:
         if not self._policy.prioritise_last:
             return 0
