--- a/drumbay/cli/bench.py
+++ b/drumbay/cli/bench.py
@@ -109,6 +109,9 @@
     deployment: Annotated[
         list[str] | None, typer.Argument(help="Deployments to run; all by default.")
     ] = None,
+    json: Annotated[
+        bool, typer.Option("--json", help="Print JSON, e.g. for drumbay report.")
+    ] = False,
 ) -> None:
     """Compare trainer idle share and staleness with the plain baseline, in virtual time.
 
@@ -117,7 +120,11 @@
     # NOTE: the model needs simpy, which is installed for simulations only.
     from drumbay.bench.rollout import format_report, run_rollout_bench
 
-    typer.echo(format_report(run_rollout_bench(deployment_names=deployment or ())))
+    report = run_rollout_bench(deployment_names=deployment or ())
+    if json:
+        _print_report(report)
+    else:
+        typer.echo(format_report(report))
 
 
 @app.command()
