Give a claimed request its final answer at its time limit

Cause: the runner of requests that may not be repeated ignored the time left; with slow replicas a caller waited beyond its own limit. Ruled out: cancelling the dispatch (it goes on, and its answer is stored for the retry). Change: the claimed run is awaited for the remaining time; the caller is told may_have_run and when to come back.

--- a/drumbay/requests/claimed_once.py
+++ b/drumbay/requests/claimed_once.py
@@ -1,18 +1,24 @@
 """At-most-once execution through claims on a quorum of replicas."""
 
+from collections.abc import Coroutine
+from typing import Any
+
 from drumbay.backends.interface import ApplicationAnswer, BackendRefusedError
-from drumbay.claims.outcomes import ClaimAnswered, ClaimFailed
+from drumbay.claims.outcomes import ClaimAnswered, ClaimFailed, ClaimOutcome
 from drumbay.claims.records import StoredAnswer
 from drumbay.claims.service import ClaimService
 from drumbay.clock import Clock
-from drumbay.exceptions import Execution, RequestFailedError
+from drumbay.exceptions import DeadlineExceededError, Execution, RequestFailedError
 from drumbay.identifiers import AttemptId, IdempotencyKey
 from drumbay.observability.metrics import NodeMetrics
+from drumbay.requests.errors import RequestTimeoutError
 from drumbay.requests.once import Dispatch
 
 KEY_SEPARATOR = "/"
 RAN = "ran"
 REPLAYED = "replayed"
+TIMED_OUT = "timed_out"
+RETRY_AFTER_SECONDS = 1.0
 
 
 class ClaimedOnceRunner:
@@ -52,7 +58,8 @@
             self._metrics.record_claim_duration(self._clock.monotonic() - started_at)
             return _stored(await _dispatch_claimed(dispatch))
 
-        outcome = await self._claims.run_once(scoped_key, bytes.fromhex(digest), run_claimed)
+        claimed = self._claims.run_once(scoped_key, bytes.fromhex(digest), run_claimed)
+        outcome = await self._within(claimed, remaining_seconds)
         match outcome:
             case ClaimAnswered(answer=answer, attempt_id=attempt_id, replayed=replayed):
                 self._metrics.record_claim(REPLAYED if replayed else RAN)
@@ -66,6 +73,26 @@
                 self._metrics.record_claim(outcome.failure.value)
                 raise outcome.to_error()
 
+    async def _within(
+        self, claimed: Coroutine[Any, Any, ClaimOutcome], limit_seconds: float
+    ) -> ClaimOutcome:
+        """Await a claimed run with a time limit.
+
+        A dispatch under way goes on, and its answer is stored for the caller's retry.
+
+        Raises:
+            RequestTimeoutError: The limit passed; the request may have run.
+        """
+        try:
+            return await self._clock.wait_for(claimed, limit_seconds)
+        except DeadlineExceededError as error:
+            self._metrics.record_claim(TIMED_OUT)
+            raise RequestTimeoutError(
+                "the time limit passed",
+                execution=Execution.MAY_HAVE_RUN,
+                retry_after_seconds=RETRY_AFTER_SECONDS,
+            ) from error
+
 
 async def _dispatch_claimed(dispatch: Dispatch) -> ApplicationAnswer:
     """Dispatch, and tell the claim service by its own exception when nothing ran.
