--- a/drumbay/api/completions.py
+++ b/drumbay/api/completions.py
@@ -84,7 +84,9 @@
         try:
             async with aclosing(self.node.generate(request)) as generation:
                 async for chunk in generation:
-                    started = True
+                    if not started:
+                        started = True
+                        self.set_header("Content-Type", EVENT_STREAM_CONTENT_TYPE)
                     await self._write_chunk(chunk)
             self.write(END_OF_STREAM)
         except StreamClosedError:
@@ -97,7 +99,6 @@
         await self.finish()
 
     async def _write_chunk(self, chunk: TokenChunk) -> None:
-        self.set_header("Content-Type", EVENT_STREAM_CONTENT_TYPE)
         self._write_event(msgspec.json.encode(chunk))
         await self.flush()
 
