Hedge slow application requests that may be repeated

Cause: one late answer made its caller wait although other servers were free. Change: after the 95th percentile of the route's recent durations a second server is asked, within the retry budget and max_attempts; the first answer counts. Requests that may not be repeated are never hedged.

--- a/drumbay/requests/application.py
+++ b/drumbay/requests/application.py
@@ -1,6 +1,7 @@
 """Application requests: repeatable ones are retried, others run at most once."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import xxhash
 
@@ -8,9 +9,8 @@
     ApplicationAnswer,
     ApplicationClient,
     ApplicationRequest,
+    BackendAddress,
     BackendError,
-    BackendNotReachedError,
-    BackendRefusedError,
 )
 from drumbay.clock import Clock
 from drumbay.exceptions import Execution
@@ -22,19 +22,20 @@
 from drumbay.requests.admission_gate import AdmissionGate
 from drumbay.requests.dispatcher import AttemptNeeds, Dispatcher
 from drumbay.requests.errors import (
+    PROVES_NOT_RUN,
     BackendFailedError,
     NoBackendError,
     RequestTimeoutError,
     no_route,
     not_run,
 )
+from drumbay.requests.hedging import RecentLatency, first_answer
 from drumbay.requests.identity import attempt_of
 from drumbay.requests.once import OnceRunner
 from drumbay.requests.records import ApplicationCall
 from drumbay.requests.route_table import CompiledRoute, RouteTable
 
 RETRY_AFTER_SECONDS = 1.0
-PROVES_NOT_RUN: tuple[type[Exception], ...] = (BackendNotReachedError, BackendRefusedError)
 SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
 
 
@@ -70,6 +71,7 @@
         self._once = once
         self._is_ready = is_ready
         self._routes = RouteTable(())
+        self._latencies: dict[str, RecentLatency] = {}
 
     def set_routes(self, routes: RouteTable) -> None:
         """Take in the routes in force."""
@@ -117,12 +119,45 @@
         """
         while True:
             try:
-                return await self._attempt(run)
+                return await self._attempt(run, may_repeat=may_repeat)
             except BackendError as error:
                 run.note_failure(error)
                 self._check_may_retry(run, error, may_repeat)
 
-    async def _attempt(self, run: "_ApplicationRun") -> ApplicationAnswer:
+    async def _attempt(self, run: "_ApplicationRun", *, may_repeat: bool) -> ApplicationAnswer:
+        """Try one server, and a second one if it is slow and the request may be repeated."""
+        started_at = self._clock.monotonic()
+        first = self._start_attempt(run)
+        latency = self._latencies.setdefault(run.compiled.route.name, RecentLatency())
+        delay_seconds = latency.hedge_delay_seconds()
+        if delay_seconds is None or not may_repeat:
+            answer = await first
+        else:
+            answer = await first_answer(self._clock, first, delay_seconds, lambda: self._hedge(run))
+        # NOTE: with a hedge, the time since the first attempt; else each hedge that wins
+        # would shorten the delay of the next ones.
+        latency.observe(self._clock.monotonic() - started_at)
+        return answer
+
+    def _hedge(self, run: "_ApplicationRun") -> Coroutine[Any, Any, ApplicationAnswer] | None:
+        """Return an attempt at another server, if the limits on attempts allow one."""
+        if run.attempt_count >= run.compiled.route.max_attempts:
+            return None
+        if not self._retry_budget.try_withdraw(self._clock.monotonic()):
+            return None
+        if run.current is not None:
+            run.failed_backends |= {run.current}
+        try:
+            return self._start_attempt(run)
+        except NoBackendError:
+            return None
+
+    def _start_attempt(self, run: "_ApplicationRun") -> Coroutine[Any, Any, ApplicationAnswer]:
+        """Choose a server and return the exchange with it.
+
+        Raises:
+            NoBackendError: No server can serve now.
+        """
         call = run.call
         run.attempt_count += 1
         attempt_id = attempt_of(call.request_id, run.attempt_count)
@@ -150,8 +185,13 @@
             content_type=call.content_type,
             idempotency_key=call.idempotency_key,
         )
+        return self._exchange(run, address, request)
+
+    async def _exchange(
+        self, run: "_ApplicationRun", address: BackendAddress, request: ApplicationRequest
+    ) -> ApplicationAnswer:
         remaining = run.deadline.remaining_seconds(self._clock.monotonic())
-        with self._dispatcher.attempt(address, attempt_id):
+        with self._dispatcher.attempt(address, request.attempt_id):
             return await self._client.exchange(address, request, timeout_seconds=remaining)
 
     def _check_may_retry(
--- a/drumbay/requests/errors.py
+++ b/drumbay/requests/errors.py
@@ -2,11 +2,16 @@
 
 from typing import ClassVar
 
+from drumbay.backends.interface import BackendNotReachedError, BackendRefusedError
 from drumbay.exceptions import Execution, RequestFailedError
 
 NOT_READY_RETRY_AFTER_SECONDS = 1.0
 
 
+PROVES_NOT_RUN: tuple[type[Exception], ...] = (BackendNotReachedError, BackendRefusedError)
+"""Failures of an attempt after which the request certainly has not run."""
+
+
 class NoRouteError(RequestFailedError):
     """No route carries the request."""
 
--- /dev/null
+++ b/tests/test_hedging.py
@@ -0,0 +1,73 @@
+"""Hedged application requests, with servers of which one answer in twenty is late."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+import msgspec
+
+from drumbay.backends.interface import ApplicationAnswer
+from drumbay.limits.retry_budget import RetryBudgetPolicy
+from drumbay.requests.hedging import RecentLatency
+from drumbay.simulation.virtual_time import run_simulation
+from drumbay.standins.execution_log import ApplicationExecuted
+from drumbay.standins.faults import FaultCommand, FaultKind
+from tests.requests_world import NO_LIMITS, RequestsWorld
+
+REQUESTS = 400
+PAUSE_SECONDS = 0.05
+LATE_SECONDS = 4.0
+LATE_EVERY = 20
+WARM_UP_REQUESTS = 40
+
+
+class HedgingRun(msgspec.Struct, frozen=True, kw_only=True):
+    """What callers saw, and what the servers truly ran."""
+
+    late_answers: int
+    executions: int
+
+
+def run_requests(method: str) -> HedgingRun:
+    async def main() -> HedgingRun:
+        world = RequestsWorld(NO_LIMITS)
+        seconds: list[float] = []
+
+        async def call() -> None:
+            started_at = world.clock.monotonic()
+            answer = await world.call(method)
+            assert isinstance(answer, ApplicationAnswer), answer
+            seconds.append(world.clock.monotonic() - started_at)
+
+        calls = []
+        for number in range(REQUESTS):
+            if number >= WARM_UP_REQUESTS and number % LATE_EVERY == 0:
+                server = world.servers[number // LATE_EVERY % len(world.servers)]
+                server.faults.apply(FaultCommand(fault=FaultKind.LATE_ANSWER, count=1))
+            calls.append(asyncio.ensure_future(call()))
+            await world.clock.sleep(PAUSE_SECONDS)
+        await asyncio.gather(*calls)
+        records = [entry for server in world.servers for entry in server.log.records()]
+        return HedgingRun(
+            late_answers=sum(duration > LATE_SECONDS for duration in seconds),
+            executions=sum(isinstance(record, ApplicationExecuted) for record in records),
+        )
+
+    return run_simulation(main)
+
+
+class HedgingTest(unittest.TestCase):
+    def test_lookups_do_not_wait_for_late_answers_within_the_retry_budget(self) -> None:
+        with mock.patch.object(RecentLatency, "hedge_delay_seconds", return_value=None):
+            self.assertGreaterEqual(run_requests("GET").late_answers, 10)
+        hedged = run_requests("GET")
+        self.assertEqual(hedged.late_answers, 0)
+        policy = RetryBudgetPolicy()
+        seconds = REQUESTS * PAUSE_SECONDS
+        earned = REQUESTS * policy.retry_ratio + seconds * policy.min_retries_per_second
+        self.assertLessEqual(hedged.executions, REQUESTS + earned + policy.max_balance)
+
+    def test_requests_that_may_not_be_repeated_are_not_hedged(self) -> None:
+        with mock.patch("drumbay.requests.application._is_repeatable", return_value=True):
+            self.assertGreater(run_requests("POST").executions, REQUESTS)
+        self.assertEqual(run_requests("POST").executions, REQUESTS)
