--- a/drumbay/cli/bench.py
+++ b/drumbay/cli/bench.py
@@ -15,6 +15,7 @@
 from drumbay.bench.scale_cluster import ClusterSize
 from drumbay.bench.scale_fit import fit_slopes, read_measurement
 from drumbay.bench.stream_log import run_stream_log_bench
+from drumbay.cli.bench_coordination import register as register_coordination
 from drumbay.cli.bench_forwarding import forwarding
 from drumbay.cli.bench_sharing import sharing
 from drumbay.cli.errors import typed_exit
@@ -28,6 +29,7 @@
 
 app.command()(forwarding)
 app.command()(sharing)
+register_coordination(app)
 
 
 @app.command()
