--- /dev/null
+++ b/tests/test_engine_truth.py
@@ -0,0 +1,218 @@
+"""The emulated engine does what its execution log says, and obeys fenced orders."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from drumbay.backends.interface import (
+    BackendRefusedError,
+    ExchangeBrokenError,
+    FinishReason,
+    GenerationRequest,
+    StaleFenceError,
+    TokenChunk,
+)
+from drumbay.identifiers import AttemptId, WeightVersion
+from drumbay.standins.engine_decoder import EngineDecoder
+from drumbay.standins.engine_parameters import EngineParameters
+from drumbay.standins.execution_log import (
+    GenerationEnded,
+    GenerationOutcome,
+    GenerationRefused,
+    OrderHandled,
+    OrderOutcome,
+)
+from drumbay.standins.faults import FaultKind
+from drumbay.standins.generation import Generation
+from drumbay.standins.token_source import token_at, tokens_digest
+from tests.engine_world import (
+    ADDRESS,
+    MODEL,
+    URL,
+    Bench,
+    request,
+    run,
+    spans_of,
+)
+
+
+async def serve_through_a_swap(bench: Bench) -> list[AttemptId]:
+    """Return the attempts whose answer differs from the log or from its versions' tokens."""
+    requests = [request(f"a{number}", 40 + 40 * number) for number in range(24)]
+    served = (bench.generate(item) for item in requests)
+    await asyncio.gather(bench.load(2, 1), *served)
+    ended = bench.ended()
+    return [
+        item.attempt_id
+        for item in requests
+        if not answer_is_true(bench.answers[item.attempt_id], ended[item.attempt_id], item)
+    ]
+
+
+def answer_is_true(
+    chunks: list[TokenChunk], record: GenerationEnded, item: GenerationRequest
+) -> bool:
+    tokens = [token for chunk in chunks for token in chunk.token_ids]
+    truth = [
+        token_at(MODEL, item.seed, item.prompt, chunk.weight_version, chunk.first_index + offset)
+        for chunk in chunks
+        for offset in range(len(chunk.token_ids))
+    ]
+    whole = len(tokens) == item.max_tokens and chunks[-1].finish_reason is FinishReason.STOP
+    as_logged = record.spans == spans_of(chunks) and record.digest == tokens_digest(tokens)
+    return whole and as_logged and tokens == truth
+
+
+class TruthTest(unittest.TestCase):
+    def test_answers_agree_with_the_log_and_with_the_versions(self) -> None:
+        async def scenario() -> None:
+            bench = Bench()
+            self.assertEqual(await serve_through_a_swap(bench), [])
+            versions = {span.weight_version for end in bench.ended().values() for span in end.spans}
+            self.assertEqual(versions, {1, 2})
+
+        run(scenario)
+
+    def test_an_engine_that_stamps_the_wrong_version_is_found(self) -> None:
+        class NextVersionDecoder(EngineDecoder):
+            """Test-only fault: chunks name the version after the one that made them."""
+
+            def _emit(
+                self,
+                generation: Generation,
+                first: int,
+                tokens: tuple[int, ...],
+                version: WeightVersion,
+            ) -> None:
+                super()._emit(generation, first, tokens, WeightVersion(version + 1))
+
+        async def scenario() -> None:
+            with mock.patch("drumbay.standins.engine_run.EngineDecoder", NextVersionDecoder):
+                bench = Bench()
+            self.assertEqual(len(await serve_through_a_swap(bench)), 24)
+
+        run(scenario)
+
+    def test_a_swap_acknowledged_without_effect_shows_in_stamps_and_log_only(self) -> None:
+        async def scenario() -> None:
+            bench = Bench()
+            bench.arm(FaultKind.SWAP_FAILS_ACKNOWLEDGED)
+            await bench.load(2, 1)
+            status = await bench.client.status(ADDRESS, timeout_seconds=1.0)
+            self.assertEqual(status.weight_version, 2)
+            chunks = await bench.generate(request("a", weight_version=WeightVersion(2)))
+            self.assertEqual({chunk.weight_version for chunk in chunks}, {1})
+            orders = [r for r in bench.engine.log.records() if isinstance(r, OrderHandled)]
+            self.assertEqual([r.outcome for r in orders], [OrderOutcome.FAILED_ACKNOWLEDGED])
+
+        run(scenario)
+
+    def test_refused_requests_did_not_run(self) -> None:
+        async def scenario() -> None:
+            bench = Bench(EngineParameters(max_batch=2, max_waiting=2))
+            names = [f"a{number}" for number in range(8)]
+            results = await asyncio.gather(
+                *(bench.generate(request(name)) for name in names), return_exceptions=True
+            )
+            refused = {
+                name
+                for name, result in zip(names, results, strict=True)
+                if isinstance(result, BackendRefusedError)
+            }
+            records = bench.engine.log.records()
+            logged = {r.attempt_id for r in records if isinstance(r, GenerationRefused)}
+            self.assertEqual(len(refused), 4)
+            self.assertEqual(logged, refused)
+            self.assertTrue(refused.isdisjoint(bench.ended()))
+
+        run(scenario)
+
+    def test_a_crash_breaks_streams_and_the_log_holds_what_was_produced(self) -> None:
+        async def scenario() -> None:
+            bench = Bench()
+            stream = asyncio.ensure_future(bench.generate(request("a", 400)))
+            await asyncio.sleep(1.0)
+            first_boot = bench.engine.boot_id
+            bench.engine.crash()
+            with self.assertRaises(ExchangeBrokenError):
+                await stream
+            record = bench.ended()[AttemptId("a")]
+            self.assertEqual(record.outcome, GenerationOutcome.CRASHED)
+            self.assertEqual(record.spans, spans_of(bench.answers[AttemptId("a")]))
+            bench.engine.restart()
+            chunks = await bench.generate(request("b"))
+            self.assertNotEqual(chunks[0].boot_id, first_boot)
+
+        run(scenario)
+
+    def test_a_process_started_again_with_its_seed_has_another_identity(self) -> None:
+        async def scenario() -> None:
+            first = Bench().engine.boot_id
+            await asyncio.sleep(1.0)
+            self.assertNotEqual(Bench().engine.boot_id, first)
+
+        run(scenario)
+
+    def test_an_engine_behind_a_cut_goes_on_until_it_is_cancelled(self) -> None:
+        async def scenario() -> None:
+            bench = Bench()
+            streams = [
+                asyncio.ensure_future(bench.generate(request(name, 400))) for name in ("a", "b")
+            ]
+            await asyncio.sleep(1.0)
+            bench.network.cut_answers(URL)
+            results = await asyncio.gather(*streams, return_exceptions=True)
+            self.assertTrue(all(isinstance(r, ExchangeBrokenError) for r in results))
+            self.assertEqual(bench.ended(), {})
+            await bench.client.cancel(ADDRESS, AttemptId("b"))
+            await asyncio.sleep(60.0)
+            outcomes = {name: record.outcome for name, record in bench.ended().items()}
+            expected = {"a": GenerationOutcome.FINISHED, "b": GenerationOutcome.CANCELLED}
+            self.assertEqual(outcomes, expected)
+
+        run(scenario)
+
+
+class OrderTest(unittest.TestCase):
+    def test_an_older_fence_is_refused_before_and_during_a_load(self) -> None:
+        async def scenario() -> None:
+            bench = Bench()
+            slow = asyncio.ensure_future(bench.load(2, 5))
+            await asyncio.sleep(0.5)
+            with self.assertRaises(StaleFenceError):
+                await bench.load(3, 4)
+            await bench.load(4, 6)
+            with self.assertRaises(StaleFenceError):
+                await slow
+            self.assertEqual(bench.engine.true_version, 4)
+
+        run(scenario)
+
+    def test_an_order_goes_on_when_its_answer_is_lost(self) -> None:
+        async def scenario() -> None:
+            bench = Bench()
+            bench.network.cut_answers(URL)
+            with self.assertRaises(ExchangeBrokenError):
+                await bench.load(2, 1)
+            self.assertEqual(bench.engine.true_version, 2)
+
+        run(scenario)
+
+    def test_an_order_whose_answer_was_lost_took_effect(self) -> None:
+        async def scenario() -> None:
+            bench = Bench()
+            bench.arm(FaultKind.ORDER_ANSWER_LOST)
+            with self.assertRaises(ExchangeBrokenError):
+                await bench.load(2, 1)
+            self.assertEqual(bench.engine.true_version, 2)
+
+        run(scenario)
+
+    def test_a_version_that_is_not_loaded_is_refused(self) -> None:
+        async def scenario() -> None:
+            bench = Bench()
+            with self.assertRaises(BackendRefusedError) as caught:
+                await bench.generate(request("a", weight_version=WeightVersion(2)))
+            self.assertEqual(caught.exception.reason, "version_not_loaded")
+
+        run(scenario)
