Answer completions in OpenAI's form

Cause: callers use OpenAI's clients; the node's answers and events had only drumbay's own fields, without choices, object and created. Ruled out: a second set of paths (the extra fields do no harm to such clients). Change: whole answers and events carry OpenAI's fields beside drumbay's, for completions and chats; one ChatMessage record instead of two. Before and after: the new test of both paths fails without the fields and passes with them; API and metric tests pass.

--- a/drumbay/api/completions.py
+++ b/drumbay/api/completions.py
@@ -12,19 +12,26 @@
     ChatCompletionBody,
     CompletionAnswer,
     CompletionBody,
+    CompletionEvent,
     ErrorBody,
+    Usage,
 )
-from drumbay.backends.interface import TokenChunk
+from drumbay.backends.interface import FinishReason, TokenChunk
+from drumbay.backends.wire import ChatDelta, ChatMessage, Choice
 from drumbay.requests.records import LiveRequest
 from drumbay.resources.schema import Role
 
 EVENT_STREAM_CONTENT_TYPE = "text/event-stream"
+ASSISTANT_ROLE = "assistant"
 END_OF_STREAM = b"data: [DONE]\n\n"
 
 
 class CompletionsHandler(ApiHandler):
     """``POST /v1/completions``."""
 
+    answer_object: ClassVar[str] = "text_completion"
+    event_object: ClassVar[str] = "text_completion"
+
     allowed_roles: ClassVar[tuple[Role, ...]] = (Role.CALLER, Role.OPERATOR)
 
     _serving: "asyncio.Task[None] | None" = None
@@ -68,10 +75,15 @@
             chunks = [chunk async for chunk in generation]
         token_ids = tuple(token for chunk in chunks for token in chunk.token_ids)
         finish_reason = chunks[-1].finish_reason
+        text = "".join(chunk.text for chunk in chunks)
         answer = CompletionAnswer(
             id=request.request_id,
+            object=self.answer_object,
+            created=self.node.wall_seconds(),
             model=request.model,
-            text="".join(chunk.text for chunk in chunks),
+            choices=(self.whole_choice(text, finish_reason),),
+            usage=Usage(completion_tokens=len(token_ids)),
+            text=text,
             token_ids=token_ids,
             finish_reason=finish_reason.value if finish_reason else "",
             spans=self.node.spans_of(request.request_id),
@@ -87,7 +99,7 @@
                     if not started:
                         started = True
                         self.set_header("Content-Type", EVENT_STREAM_CONTENT_TYPE)
-                    await self._write_chunk(chunk)
+                    await self._write_chunk(request, chunk)
             self.write(END_OF_STREAM)
         except StreamClosedError:
             return
@@ -98,10 +110,30 @@
             self._write_event(msgspec.json.encode(ErrorBody(error=self.error_detail(error))))
         await self.finish()
 
-    async def _write_chunk(self, chunk: TokenChunk) -> None:
-        self._write_event(msgspec.json.encode(chunk))
+    async def _write_chunk(self, request: LiveRequest, chunk: TokenChunk) -> None:
+        event = CompletionEvent(
+            id=request.request_id,
+            object=self.event_object,
+            created=self.node.wall_seconds(),
+            model=request.model,
+            choices=(self.event_choice(chunk),),
+            attempt_id=chunk.attempt_id,
+            boot_id=chunk.boot_id,
+            weight_version=chunk.weight_version,
+            first_index=chunk.first_index,
+            token_ids=chunk.token_ids,
+        )
+        self._write_event(msgspec.json.encode(event))
         await self.flush()
 
+    def whole_choice(self, text: str, finish_reason: FinishReason | None) -> Choice:
+        """Return the choice of a whole answer."""
+        return Choice(text=text, finish_reason=finish_reason)
+
+    def event_choice(self, chunk: TokenChunk) -> Choice:
+        """Return the choice of one event."""
+        return Choice(text=chunk.text, finish_reason=chunk.finish_reason)
+
     def _write_event(self, data: bytes) -> None:
         self.write(b"data: " + data + b"\n\n")
 
@@ -109,8 +141,20 @@
 class ChatCompletionsHandler(CompletionsHandler):
     """``POST /v1/chat/completions``."""
 
+    answer_object: ClassVar[str] = "chat.completion"
+    event_object: ClassVar[str] = "chat.completion.chunk"
+
     async def post(self) -> None:
         """Serve one chat completion; the messages become one prompt."""
         body = self.decode_body(ChatCompletionBody)
         prompt = "\n".join(f"{message.role}: {message.content}" for message in body.messages)
         await self._serve(body, prompt)
+
+    def whole_choice(self, text: str, finish_reason: FinishReason | None) -> Choice:
+        """Return the choice of a whole answer."""
+        message = ChatMessage(role=ASSISTANT_ROLE, content=text)
+        return Choice(message=message, finish_reason=finish_reason)
+
+    def event_choice(self, chunk: TokenChunk) -> Choice:
+        """Return the choice of one event."""
+        return Choice(delta=ChatDelta(content=chunk.text), finish_reason=chunk.finish_reason)
--- a/drumbay/api/interface.py
+++ b/drumbay/api/interface.py
@@ -34,6 +34,10 @@
         """Return an id for a request that came in at this node."""
         ...
 
+    def wall_seconds(self) -> int:
+        """Return the node's wall clock in seconds since the Unix epoch."""
+        ...
+
     def generate(self, request: LiveRequest) -> AsyncGenerator[TokenChunk, None]:
         """Serve a live generation request; yields chunks of one whole completion.
 
--- a/drumbay/api/schema.py
+++ b/drumbay/api/schema.py
@@ -2,8 +2,17 @@
 
 import msgspec
 
+from drumbay.backends.wire import ChatMessage, Choice
 from drumbay.explain.records import DecisionRecord
-from drumbay.identifiers import BackendId, BootId, NodeId, Revision, SampleId, WeightVersion
+from drumbay.identifiers import (
+    AttemptId,
+    BackendId,
+    BootId,
+    NodeId,
+    Revision,
+    SampleId,
+    WeightVersion,
+)
 from drumbay.resources.schema import AnyResource
 from drumbay.rollout.sample import RolloutPrompt, TokenSpan
 
@@ -47,13 +56,6 @@
     target_tokens: int | None = None
 
 
-class ChatMessage(msgspec.Struct, frozen=True, kw_only=True):
-    """One message of a chat."""
-
-    role: str
-    content: str
-
-
 class ChatCompletionBody(msgspec.Struct, frozen=True, kw_only=True):
     """Body of ``POST /v1/chat/completions``; unknown OpenAI fields are ignored."""
 
@@ -75,17 +77,68 @@
     token_count: int
 
 
+class Usage(msgspec.Struct, frozen=True, kw_only=True):
+    """Tokens of a completion; those of the prompt are the engine's to count."""
+
+    completion_tokens: int
+
+
 class CompletionAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """Whole answer of a completion request."""
+    """Whole answer of a completion request: OpenAI's fields, then drumbay's own.
+
+    Attributes:
+        id: Identity of the request.
+        object: ``text_completion`` or ``chat.completion``.
+        created: Seconds since the Unix epoch.
+        model: The model.
+        choices: The one choice.
+        usage: Tokens generated.
+        text: Text of the completion.
+        token_ids: Tokens of the completion.
+        finish_reason: Why it ended.
+        spans: Which version and engine produced which tokens.
+    """
 
     id: str
+    object: str
+    created: int
     model: str
+    choices: tuple[Choice, ...]
+    usage: Usage
     text: str
     token_ids: tuple[int, ...]
     finish_reason: str
     spans: tuple[VersionSpan, ...]
 
 
+class CompletionEvent(msgspec.Struct, frozen=True, kw_only=True):
+    """One server-sent event of a streamed completion: OpenAI's fields, then drumbay's own.
+
+    Attributes:
+        id: Identity of the request.
+        object: ``text_completion`` or ``chat.completion.chunk``.
+        created: Seconds since the Unix epoch.
+        model: The model.
+        choices: The one choice, with the new text.
+        attempt_id: The attempt that produced the tokens.
+        boot_id: Run of the engine that produced them.
+        weight_version: Version that produced them.
+        first_index: Index of the first token in the whole completion.
+        token_ids: The tokens.
+    """
+
+    id: str
+    object: str
+    created: int
+    model: str
+    choices: tuple[Choice, ...]
+    attempt_id: AttemptId
+    boot_id: BootId
+    weight_version: WeightVersion
+    first_index: int
+    token_ids: tuple[int, ...]
+
+
 class RolloutSubmission(ApiRecord, frozen=True, kw_only=True):
     """Body of ``POST /v1/rollouts``: the samples of one step of one stream."""
 
--- a/drumbay/node/node.py
+++ b/drumbay/node/node.py
@@ -341,6 +341,10 @@
         """Return an id for a request that came in at this node."""
         return self._identities.next_request()
 
+    def wall_seconds(self) -> int:
+        """Return the node's wall clock in seconds since the Unix epoch."""
+        return int(self._clock.wall())
+
     def generate(self, request: LiveRequest) -> AsyncGenerator[TokenChunk, None]:
         """Serve a live generation request."""
         return self._recorded.generate(request)
--- a/tests/api_node.py
+++ b/tests/api_node.py
@@ -40,6 +40,9 @@
     return f"secret-of-{role}"
 
 
+CREATED_SECONDS = 1_750_000_000
+
+
 class StandInNode:
     """Answers every operation; ``failure`` is raised where the operation says."""
 
@@ -65,6 +68,9 @@
     def new_request_id(self) -> RequestId:
         return RequestId("node-1~boot~1")
 
+    def wall_seconds(self) -> int:
+        return CREATED_SECONDS
+
     async def generate(self, request: LiveRequest) -> AsyncGenerator[TokenChunk, None]:
         self.calls.append(request)
         try:
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -22,7 +22,7 @@
     OverloadedError,
 )
 from drumbay.resources.schema import Role
-from tests.api_node import CHUNKS, StandInNode, token_for
+from tests.api_node import CHUNKS, CREATED_SECONDS, StandInNode, token_for
 
 COMPLETION = {"model": "advies", "prompt": "which primer"}
 DRAIN = {"resource": {"kind": "Drain", "name": "d", "selector": {}}, "operation_id": "o"}
@@ -223,6 +223,31 @@
         self.assertEqual(len(events), CHUNKS + 1)
         self.assertEqual(events[-1], "[DONE]")
 
+    def test_answers_and_events_have_the_fields_of_openai(self) -> None:
+        chat = {"model": "m", "messages": [{"role": "user", "content": "hi"}]}
+        for path, body, whole_object, event_object in (
+            ("/v1/completions", COMPLETION, "text_completion", "text_completion"),
+            ("/v1/chat/completions", chat, "chat.completion", "chat.completion.chunk"),
+        ):
+            with self.subTest(path):
+                whole = json.loads(self.send("POST", path, body).body)
+                self.assertEqual(
+                    (whole["object"], whole["created"]), (whole_object, CREATED_SECONDS)
+                )
+                streamed = self.send("POST", path, body | {"stream": True})
+                events = [json.loads(event) for event in self.events(streamed)[:-1]]
+                self.assertEqual({event["object"] for event in events}, {event_object})
+                self.assertEqual({event["id"] for event in events}, {events[0]["id"]})
+                if path == "/v1/completions":
+                    texts = [event["choices"][0]["text"] for event in events]
+                    text = whole["choices"][0]["text"]
+                else:
+                    texts = [event["choices"][0]["delta"]["content"] for event in events]
+                    text = whole["choices"][0]["message"]["content"]
+                self.assertEqual("".join(texts), text)
+                reason = whole["choices"][0]["finish_reason"]
+                self.assertEqual(events[-1]["choices"][0]["finish_reason"], reason)
+
     def test_error_before_the_first_chunk_has_its_own_status(self) -> None:
         self.node.failure = OverloadedError("full", execution=Execution.NOT_RUN)
         self.assertEqual(self.complete(stream=True).code, 429)
