--- a/tests/test_simulation_faults.py
+++ b/tests/test_simulation_faults.py
@@ -173,7 +173,15 @@
 class ScenarioTest(unittest.TestCase):
     def test_shipped_scenarios_are_valid_and_bear_their_names(self) -> None:
         names = shipped_scenarios()
-        self.assertEqual(names, ("bitacora-andina", "target-size", "vakhandel-oost"))
+        expected = (
+            "bitacora-andina",
+            "bitacora-andina-short",
+            "small",
+            "target-size",
+            "vakhandel-oost",
+            "vakhandel-oost-short",
+        )
+        self.assertEqual(names, expected)
         self.assertEqual(tuple(find_scenario(name).name for name in names), names)
 
     def test_target_size_has_410_nodes(self) -> None:
