Ask the peer that was just heard for the members that are missing

Cause: a node that had just started knew one member, which was gone, and went on asking that one, while members that it did not know probed it all the time.

Change: the next exchange goes to the sender of the datagram that showed that members are missing.

--- a/drumbay/membership/swim.py
+++ b/drumbay/membership/swim.py
@@ -90,6 +90,7 @@
         self._next_gossip_at = -math.inf
         self._next_sync_at = -math.inf
         self._eager_syncs = EAGER_SYNCS
+        self._informed_peer: Address | None = None
         self._next_reconnect_at = -math.inf
         self._next_forget_at = -math.inf
         self._expected_tick_at = math.inf
@@ -162,15 +163,16 @@
             self._news.merge_update(now, update)
         self._handle(now, sender, message)
         if self._table.get(message.sender) is None:
-            self._note_incomplete(now)
+            self._note_incomplete(now, sender)
         return self._output(now)
 
-    def _note_incomplete(self, now: float) -> None:
-        """Members exist that this node does not know.
+    def _note_incomplete(self, now: float, informed_peer: Address) -> None:
+        """Members exist that this node does not know, and ``informed_peer`` knows of some.
 
         NOTE: an exchange takes four datagrams and keeps no state. With one of them lost, a
         node that has just started would know hardly anybody until the next exchange.
         """
+        self._informed_peer = informed_peer
         self._sync_again_soon(now)
 
     def leave(self, now: float) -> Output:
@@ -226,7 +228,7 @@
         elif isinstance(message, SyncUpdates):
             any_news = self._news.merge_synced_updates(now, message.bucket_updates)
             if self._anti_entropy.handle_updates(sender, message):
-                self._note_incomplete(now)
+                self._note_incomplete(now, sender)
         elif isinstance(message, SyncWanted):
             self._anti_entropy.handle_wanted(sender, message)
         elif isinstance(message, SyncMembers):
@@ -258,11 +260,17 @@
     def _sync(self, now: float) -> None:
         if now < self._next_sync_at:
             return
+        informed_peer, self._informed_peer = self._informed_peer, None
         interval = self._settings.sync_interval_seconds
-        if self._eager_syncs > 0 and self._table.reachable_count > 0:
+        has_peer = informed_peer is not None or self._table.reachable_count > 0
+        if self._eager_syncs > 0 and has_peer:
             interval = self._settings.sync_retry_seconds
             self._eager_syncs -= 1
         self._next_sync_at = now + self._jittered(interval)
+        if informed_peer is not None:
+            # NOTE: it has just been heard; the members that are known may all be gone.
+            self._anti_entropy.start(informed_peer, None)
+            return
         for node_id in self._sample(1):
             member = self._table.get(node_id)
             if member is not None:
