Count a restarted engine as serving, and order it again soon

Cause: an order whose outcome is not known keeps its engine out of the serving count until it may be ordered again; after three failures in a row that is the end of the set-aside, 60 s. With three engines and half of them to serve, one such engine blocked every other: after three crashes of all engines (35, 41 and 47 s) no order was given until the end of the run, and the trainer waited for good. Found as test_staleness_needs_the_trainers_bound: its run with the mechanism on broke exactly_once (drafts/3/* never consumed). Ruled out: a lost lease (the owner held fence 17 throughout), the stale_fence at 46.5 s (an order overtaken by a newer one of the same owner, and ignored), retrying alone (the wait shortened, still no order: the engine was not counted as serving). Change: a report with another boot ends the doubt about the open order and shortens the wait to 5 s at most; not to zero, so that an engine that dies of its orders gets them with pauses.

--- a/drumbay/weights/engines.py
+++ b/drumbay/weights/engines.py
@@ -6,6 +6,10 @@
 REPORT_LIMIT_SECONDS = 15.0
 """An engine whose last report is older does not count as serving."""
 
+RESTART_RETRY_SECONDS = 5.0
+"""Longest wait for an order after a restart, which may have mended what failed before. It is
+not zero, so that an engine that dies of its orders does not get them without a pause."""
+
 STAMP_GRACE_SECONDS = 2.0
 """Tokens made before a swap may arrive after its acknowledgement by this much."""
 
@@ -66,16 +70,25 @@
     def take_status(self, status: EngineStatus, now: float) -> None:
         """Take in the engine's own report."""
         if status.boot_id != self._boot_id:
-            # A restarted engine has forgotten the order it worked on.
-            self._boot_id = status.boot_id
-            self.open_order = None
-            self._disproved_version = None
+            self._take_restart(status.boot_id, now)
         self._reported_at = now
         self.load = status.running + status.waiting
         self.highest_fence = status.highest_fence
         if status.weight_version != self._disproved_version:
             self.version = status.weight_version
 
+    def _take_restart(self, boot_id: BootId, now: float) -> None:
+        """Take in that the engine has restarted.
+
+        It has forgotten the order it worked on, and is not kept busy by one whose outcome was
+        not known.
+        """
+        self._boot_id = boot_id
+        self.open_order = None
+        self._disproved_version = None
+        self.uncertain_until = 0.0
+        self.retry_at = min(self.retry_at, now + RESTART_RETRY_SECONDS)
+
     def take_success(self, status: EngineStatus, now: float) -> None:
         """Take in that the engine acknowledged its order."""
         self._disproved_version = None
