Handle the scripts' processes in one place

Cause: demo/run.sh and bench/forwarding.sh each started, awaited and ended processes by their own copy; the bench's copy waited for an end without limit. Change: scripts/processes.sh, sourced by both; a process that does not end in 15 s is named and fails the script. Conclusion: one copy.

--- a/bench/forwarding.sh
+++ b/bench/forwarding.sh
@@ -5,43 +5,10 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-drumbay=(.venv/bin/python -m drumbay)
+source scripts/processes.sh
+
 base=${BASE_PORT:-23000}
 engines=11
-work=$(mktemp -d)
-process_ids=()
-
-end_processes() {
-    local status=$?
-    kill -TERM "${process_ids[@]}" 2>/dev/null || true
-    for process_id in "${process_ids[@]}"; do
-        wait "$process_id" || true
-    done
-    if [ "$status" -ne 0 ]; then
-        tail -n 5 "$work"/*.log >&2
-    fi
-    rm -rf "$work"
-    exit "$status"
-}
-trap end_processes EXIT
-
-start() { # name, arguments of drumbay ...
-    local name=$1
-    shift
-    "${drumbay[@]}" "$@" >"$work/$name.log" 2>&1 &
-    process_ids+=($!)
-}
-
-await_url() { # url
-    for _ in $(seq 300); do
-        if curl --silent --fail --output /dev/null --max-time 1 "$1"; then
-            return 0
-        fi
-        sleep 0.1
-    done
-    echo "no answer from $1" >&2
-    return 1
-}
 
 write_settings() { # node number
     cat >"$work/node-$1.toml" <<TOML
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -4,54 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-drumbay=(.venv/bin/python -m drumbay)
-work=$(mktemp -d)
-process_ids=()
-process_names=()
-
-end_processes() {
-    local status=$?
-    for process_id in "${process_ids[@]}"; do
-        kill -TERM "$process_id" 2>/dev/null || true
-    done
-    for name in "${!process_ids[@]}"; do
-        await_end "${process_ids[$name]}" "${process_names[$name]}" || status=1
-    done
-    rm -rf "$work"
-    exit "$status"
-}
-
-await_end() { # process id, name
-    for _ in $(seq 150); do
-        kill -0 "$1" 2>/dev/null || return 0
-        sleep 0.1
-    done
-    echo "$2 did not end:" >&2
-    tail -n 8 "$work/$2.log" >&2
-    kill -KILL "$1"
-    return 1
-}
-trap end_processes EXIT
-
-start() { # name, arguments of drumbay ...
-    local name=$1
-    shift
-    "${drumbay[@]}" "$@" >"$work/$name.log" 2>&1 &
-    process_ids+=($!)
-    process_names+=("$name")
-}
-
-await_url() { # url
-    for _ in $(seq 300); do
-        if curl --silent --fail --output /dev/null --max-time 1 "$1"; then
-            return 0
-        fi
-        sleep 0.1
-    done
-    echo "no answer from $1" >&2
-    tail -n 3 "$work"/*.log >&2
-    return 1
-}
+source scripts/processes.sh
 
 write_settings() { # name, region, base port, node number, zone
     cat >"$work/$1-node-$4.toml" <<TOML
