--- /dev/null
+++ b/drumbay/batches/ledger.py
@@ -0,0 +1,175 @@
+"""Batch jobs in the key-value store: what is accepted, listed or ended, and by whom.
+
+Keys of a batch job, below ``PREFIX`` and its identifier:
+
+* ``owner``: the :class:`OwnerRecord`. Every write of results compares its revision, so that an
+  owner that was replaced, or an ended batch job, takes no more results: the revision is the
+  fencing token.
+* ``spec/NNNN``: parts of the submitted batch job.
+* ``results/NNNNNNNN``: results from that position on. Each key is written once.
+
+A write whose answer is lost may be carried out later. It is repeated unchanged until the store
+answers; once any copy has been carried out, the others fail their comparison.
+"""
+
+import msgspec
+
+from drumbay.batches.exceptions import BatchEndedError, BatchMovedError, BatchNotFoundError
+from drumbay.batches.records import (
+    BatchId,
+    BatchSpec,
+    ItemResult,
+    OwnerRecord,
+    OwnerState,
+)
+from drumbay.identifiers import Revision
+from drumbay.kv.interface import KeyValueStore, ModRevisionIs, Put
+
+PREFIX = "drumbay/batches/"
+PART_BYTES = 600_000
+ABSENT = Revision(0)
+
+_encoder = msgspec.msgpack.Encoder()
+_owner_decoder = msgspec.msgpack.Decoder(OwnerRecord)
+_spec_decoder = msgspec.msgpack.Decoder(BatchSpec)
+_results_decoder = msgspec.msgpack.Decoder(tuple[ItemResult, ...])
+
+
+class StoredOwner(msgspec.Struct, frozen=True, kw_only=True):
+    """An owner record and the revision that fences its writes."""
+
+    record: OwnerRecord
+    revision: Revision
+
+
+class StoredBatch(msgspec.Struct, frozen=True, kw_only=True):
+    """All that the store holds of a batch job."""
+
+    owner: StoredOwner
+    spec: BatchSpec
+    results: tuple[ItemResult, ...]
+
+
+class BatchLedger:
+    """Reads and writes batch jobs; every method may raise ``KeyValueError``."""
+
+    def __init__(self, store: KeyValueStore) -> None:
+        """Use a key-value store."""
+        self._store = store
+
+    async def accept(self, spec: BatchSpec, owner: OwnerRecord) -> Revision | None:
+        """Store a new batch job; return the owner's revision, ``None`` if it exists already."""
+        key = _owner_key(spec.batch_id)
+        encoded = _encoder.encode(spec)
+        parts = [encoded[at : at + PART_BYTES] for at in range(0, len(encoded), PART_BYTES)]
+        puts = [Put(key=key, value=_encoder.encode(owner))]
+        for number, part in enumerate(parts):
+            puts.append(Put(key=f"{PREFIX}{spec.batch_id}/spec/{number:04d}", value=part))
+        outcome = await self._store.transact(
+            (ModRevisionIs(key=key, mod_revision=ABSENT),), tuple(puts)
+        )
+        return outcome.revision if outcome.succeeded else None
+
+    async def read_owner(self, batch_id: BatchId) -> StoredOwner:
+        """Return who owns a batch job.
+
+        Raises:
+            BatchNotFoundError: There is no such batch job.
+        """
+        found = await self._store.range_prefix(_owner_key(batch_id))
+        for item in found.items:
+            record = _owner_decoder.decode(item.value)
+            return StoredOwner(record=record, revision=item.mod_revision)
+        raise BatchNotFoundError(batch_id)
+
+    async def replace_owner(
+        self, batch_id: BatchId, before: StoredOwner, record: OwnerRecord
+    ) -> Revision:
+        """Put another owner record in the place of the one read before.
+
+        Raises:
+            BatchMovedError: The record had changed in between.
+        """
+        key = _owner_key(batch_id)
+        outcome = await self._store.transact(
+            (ModRevisionIs(key=key, mod_revision=before.revision),),
+            (Put(key=key, value=_encoder.encode(record)),),
+        )
+        if not outcome.succeeded:
+            raise BatchMovedError(batch_id)
+        return outcome.revision
+
+    async def read(self, batch_id: BatchId) -> StoredBatch:
+        """Return a batch job whole.
+
+        Raises:
+            BatchNotFoundError: There is no such batch job.
+        """
+        found = await self._store.range_prefix(f"{PREFIX}{batch_id}/")
+        owner: StoredOwner | None = None
+        spec = b""
+        results: list[ItemResult] = []
+        for item in sorted(found.items, key=lambda entry: entry.key):
+            part = item.key.removeprefix(f"{PREFIX}{batch_id}/")
+            if part == "owner":
+                record = _owner_decoder.decode(item.value)
+                owner = StoredOwner(record=record, revision=item.mod_revision)
+            elif part.startswith("spec/"):
+                spec += item.value
+            else:
+                results.extend(_results_decoder.decode(item.value))
+        if owner is None:
+            raise BatchNotFoundError(batch_id)
+        return StoredBatch(owner=owner, spec=_spec_decoder.decode(spec), results=tuple(results))
+
+    async def read_results(self, batch_id: BatchId) -> tuple[ItemResult, ...]:
+        """Return everything listed, in the order of positions."""
+        found = await self._store.range_prefix(f"{PREFIX}{batch_id}/results/")
+        results: list[ItemResult] = []
+        for item in sorted(found.items, key=lambda entry: entry.key):
+            results.extend(_results_decoder.decode(item.value))
+        return tuple(results)
+
+    async def append(
+        self,
+        batch_id: BatchId,
+        owner_revision: Revision,
+        position: int,
+        results: tuple[ItemResult, ...],
+    ) -> None:
+        """List results from a position on; repeat unchanged after an unknown outcome.
+
+        Raises:
+            BatchMovedError: Another node owns the batch job.
+            BatchEndedError: The batch job has ended.
+        """
+        owner_key = _owner_key(batch_id)
+        result_key = f"{PREFIX}{batch_id}/results/{position:08d}"
+        outcome = await self._store.transact(
+            (
+                ModRevisionIs(key=owner_key, mod_revision=owner_revision),
+                ModRevisionIs(key=result_key, mod_revision=ABSENT),
+            ),
+            (Put(key=result_key, value=_encoder.encode(results)),),
+        )
+        if outcome.succeeded:
+            return
+        await self.check_owner(batch_id, owner_revision)
+        # NOTE: only the owner writes here, and always the same: an earlier copy was carried out.
+
+    async def check_owner(self, batch_id: BatchId, owner_revision: Revision) -> None:
+        """Return if the owner's revision still holds.
+
+        Raises:
+            BatchMovedError: Another node owns the batch job.
+            BatchEndedError: The batch job has ended.
+        """
+        owner = await self.read_owner(batch_id)
+        if owner.record.state is OwnerState.ENDED:
+            raise BatchEndedError(batch_id)
+        if owner.revision != owner_revision:
+            raise BatchMovedError(batch_id)
+
+
+def _owner_key(batch_id: BatchId) -> str:
+    return f"{PREFIX}{batch_id}/owner"
--- /dev/null
+++ b/drumbay/batches/peers.py
@@ -0,0 +1,135 @@
+"""Calls between nodes: msgpack over HTTP/1.1, served and sent by tornado."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import msgspec
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPServerRequest, ResponseStartLine
+from tornado.httputil import HTTPHeaders
+
+from drumbay.batches.messages import PeerReply, PeerRequest
+from drumbay.clock import Clock
+from drumbay.comm.http_exchange import (
+    ExchangeBrokenError,
+    ExchangeNotSentError,
+    HttpExchange,
+    HttpRequest,
+    NetworkAddress,
+)
+from drumbay.exceptions import DeadlineExceededError, UnavailableError
+
+CONNECT_TIMEOUT_SECONDS = 0.3
+PEER_PATH = "/peer"
+
+_encoder = msgspec.msgpack.Encoder()
+_request_decoder = msgspec.msgpack.Decoder(PeerRequest)
+_reply_decoder = msgspec.msgpack.Decoder(PeerReply)
+
+
+class PeerUnavailableError(UnavailableError):
+    """A node did not answer a call."""
+
+    code = "peer_unavailable"
+
+
+class PeerClient(Protocol):
+    """Calls another node."""
+
+    async def call(
+        self, address: NetworkAddress, request: PeerRequest, timeout_seconds: float
+    ) -> PeerReply:
+        """Return the node's reply.
+
+        Raises:
+            PeerUnavailableError: No reply came in time.
+        """
+        ...
+
+
+class HttpPeerClient:
+    """Calls other nodes, a connection per call."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Use a clock for time limits."""
+        self._clock = clock
+
+    async def call(
+        self, address: NetworkAddress, request: PeerRequest, timeout_seconds: float
+    ) -> PeerReply:
+        """Return the node's reply.
+
+        Raises:
+            PeerUnavailableError: No reply came in time.
+        """
+        outgoing = HttpRequest(
+            method="POST",
+            target=PEER_PATH,
+            headers=(("Host", str(address)),),
+            body=_encoder.encode(request),
+        )
+        try:
+            body = await self._clock.wait_for(_exchange(address, outgoing), timeout_seconds)
+            return _reply_decoder.decode(body)
+        except (
+            ExchangeNotSentError,
+            ExchangeBrokenError,
+            DeadlineExceededError,
+            msgspec.DecodeError,
+        ) as error:
+            raise PeerUnavailableError(f"{address}: {type(error).__name__}") from error
+
+
+async def _exchange(address: NetworkAddress, request: HttpRequest) -> bytes:
+    exchange = await HttpExchange.open(address, request, CONNECT_TIMEOUT_SECONDS)
+    try:
+        await exchange.read_status()
+        return await exchange.read_body()
+    finally:
+        exchange.close()
+
+
+class PeerServer:
+    """Serves calls of other nodes."""
+
+    def __init__(self, handle: Callable[[PeerRequest], Awaitable[PeerReply]]) -> None:
+        """Answer each call with ``handle``."""
+        self._handle = handle
+        self._server = HTTPServer(self._accept)
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def listen(self, address: NetworkAddress) -> None:
+        """Listen at an address.
+
+        Raises:
+            OSError: The address is taken.
+        """
+        self._server.listen(address.port, address.host)
+
+    def stop(self) -> None:
+        """Accept no more connections."""
+        self._server.stop()
+
+    def _accept(self, request: HTTPServerRequest) -> None:
+        task = asyncio.get_running_loop().create_task(self._answer(request))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, request: HTTPServerRequest) -> None:
+        try:
+            decoded = _request_decoder.decode(request.body)
+        except msgspec.DecodeError:
+            _reply(request, 400, b"")
+            return
+        _reply(request, 200, _encoder.encode(await self._handle(decoded)))
+
+
+def _reply(request: HTTPServerRequest, status: int, body: bytes) -> None:
+    connection = request.connection
+    if connection is None:
+        return
+    headers = HTTPHeaders({"Content-Length": str(len(body))})
+    written = connection.write_headers(ResponseStartLine("HTTP/1.1", status, ""), headers, body)
+    written.add_done_callback(lambda future: future.cancelled() or future.exception())
+    connection.finish()
--- /dev/null
+++ b/drumbay/batches/records.py
@@ -0,0 +1,108 @@
+"""Batch jobs, their items and results."""
+
+from enum import StrEnum
+from typing import NewType
+
+import msgspec
+
+from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.identifiers import WeightVersion
+
+BatchId = NewType("BatchId", str)
+ItemId = NewType("ItemId", str)
+
+
+class BatchItem(msgspec.Struct, frozen=True, kw_only=True):
+    """One request of a batch job. ``token_limit`` counts the prompt and the longest output."""
+
+    item_id: ItemId
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    token_limit: int
+    expected_tokens: int
+    group: str
+
+
+class BatchSpec(msgspec.Struct, frozen=True, kw_only=True):
+    """A batch job as its client submitted it.
+
+    ``queue_limit_seconds`` is how long after the submission an item may be given up.
+    ``one_version_only`` asks that one weight version makes all of an item's text.
+    """
+
+    batch_id: BatchId
+    host: str
+    route_name: str
+    service: str
+    model: str
+    step: int
+    minimum_version: WeightVersion
+    wanted_groups: int
+    attempts: int
+    queue_limit_seconds: float
+    one_version_only: bool
+    items: tuple[BatchItem, ...]
+
+
+class ResultState(StrEnum):
+    """How an item ended."""
+
+    DONE = "done"
+    DEAD = "dead"
+
+
+class ItemResult(msgspec.Struct, frozen=True, kw_only=True):
+    """The end of an item; its position in the batch job never changes."""
+
+    item_id: ItemId
+    state: ResultState
+    text: str = ""
+    versions: tuple[WeightVersion, ...] = ()
+
+    def size_bytes(self) -> int:
+        """Return about how many bytes the result takes on the wire."""
+        return len(self.text) + 128
+
+
+class ResultPage(msgspec.Struct, frozen=True, kw_only=True):
+    """Results from ``position`` on; ``total`` counts the items of the batch job."""
+
+    total: int
+    position: int
+    results: tuple[ItemResult, ...]
+
+    @property
+    def next_position(self) -> int:
+        """Return the position after the last result."""
+        return self.position + len(self.results)
+
+
+class OwnerState(StrEnum):
+    """Whether a batch job takes more results."""
+
+    OPEN = "open"
+    ENDED = "ended"
+
+
+class OwnerRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Who runs a batch job: the node's address and the boot of its process."""
+
+    address: NetworkAddress
+    boot: str
+    state: OwnerState
+    total: int
+
+
+def page_of(
+    results: list[ItemResult] | tuple[ItemResult, ...], total: int, position: int, size_bytes: int
+) -> ResultPage:
+    """Return the results from a position on: at least one if there is one, bounded in size."""
+    taken: list[ItemResult] = []
+    used_bytes = 0
+    for result in results[position:]:
+        used_bytes += result.size_bytes()
+        if taken and used_bytes > size_bytes:
+            break
+        taken.append(result)
+    return ResultPage(total=total, position=position, results=tuple(taken))
--- /dev/null
+++ b/drumbay/batches/runner.py
@@ -0,0 +1,394 @@
+"""Runs one owned batch job: performs the scheduler's decisions and lists results durably."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+
+import msgspec
+
+from drumbay.batches.exceptions import BatchEndedError, BatchError, BatchNotFoundError
+from drumbay.batches.ledger import BatchLedger
+from drumbay.batches.records import (
+    BatchId,
+    BatchSpec,
+    ItemId,
+    ItemResult,
+    ResultPage,
+    ResultState,
+    page_of,
+)
+from drumbay.batches.scheduler import BatchScheduler, RunFailure, StartRun, StopRun
+from drumbay.clock import Clock
+from drumbay.identifiers import BackendId, Revision
+from drumbay.kv.interface import KeyValueError
+from drumbay.observability.logs import log_event
+from drumbay.tasks import TaskOwner
+from drumbay.workers.directory import WorkerDirectory, WorkerRecord
+from drumbay.workers.interface import WorkerClient, WorkerStream
+from drumbay.workers.records import (
+    WorkerBrokenError,
+    WorkerFailedError,
+    WorkerMisdirectedError,
+    WorkerRefusedError,
+    WorkerRejectedError,
+    WorkerRequest,
+    WorkerUnreachableError,
+)
+
+TICK_SECONDS = 0.1
+FLUSH_INTERVAL_SECONDS = 0.25
+"""Results wait this long for others: each write is one priced call to the store."""
+
+FLUSH_BYTES = 500_000
+STORE_RETRY_SECONDS = 0.15
+OWNER_CHECK_SECONDS = 1.5
+"""Without a successful write for this long, the owner asks the store whether it still owns."""
+
+PAGE_BYTES = 900_000
+REFUSED_PAUSE_SECONDS = 0.12
+MISDIRECTED_PAUSE_SECONDS = 1.0
+RUN_BUDGET_SECONDS = 30.0
+WAKE_DELAY_SECONDS = 0.005
+
+
+class Ownership(msgspec.Struct, frozen=True, kw_only=True):
+    """What makes this node the owner: the revision that fences its writes."""
+
+    batch_id: BatchId
+    revision: Revision
+
+
+class BatchRunner:
+    """Owns one batch job until it is ended, moved or let go."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        ledger: BatchLedger,
+        directory: WorkerDirectory,
+        client: WorkerClient,
+        task_owner: TaskOwner,
+        spec: BatchSpec,
+        revision: Revision,
+        listed: tuple[ItemResult, ...],
+        *,
+        on_lost: Callable[[BatchId], None],
+    ) -> None:
+        """Create a runner for the items that are not yet listed.
+
+        Args:
+            clock: Time.
+            ledger: Where results are listed.
+            directory: The workers.
+            client: Calls to workers.
+            task_owner: Runs the runner's tasks.
+            spec: The batch job.
+            revision: The owner's revision in the ledger.
+            listed: Results that stand in the store already.
+            on_lost: Called when another node owns the batch job, or it has ended.
+        """
+        self.spec = spec
+        self.revision = revision
+        self._clock = clock
+        self._ledger = ledger
+        self._directory = directory
+        self._client = client
+        self._task_owner = task_owner
+        self._on_lost = on_lost
+        self._scheduler = BatchScheduler(spec, clock.monotonic(), listed)
+        self._listed: list[ItemResult] = list(listed)
+        self._pending: list[ItemResult] = []
+        self._runs: dict[ItemId, asyncio.Task[None]] = {}
+        self._wakeup = asyncio.Event()
+        self._flush_wakeup = asyncio.Event()
+        self._listed_changed = asyncio.Event()
+        self._confirmed_at = clock.monotonic()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._closed = False
+
+    def start(self) -> None:
+        """Start to run items."""
+        name = self.spec.batch_id
+        self._tasks = [
+            self._task_owner.spawn(self._run_scheduling(), f"batch-schedule-{name}"),
+            self._task_owner.spawn(self._run_listing(), f"batch-list-{name}"),
+        ]
+        log_event(
+            "batch_owned",
+            batch=name,
+            model=self.spec.model,
+            step=self.spec.step,
+            items=len(self.spec.items),
+            listed=len(self._listed),
+            minimum_version=self.spec.minimum_version,
+            revision=self.revision,
+        )
+
+    def close(self) -> None:
+        """Stop every run; what is not listed is forgotten."""
+        if self._closed:
+            return
+        self._closed = True
+        for task in [*self._runs.values(), *self._tasks]:
+            if task is not asyncio.current_task():
+                task.cancel()
+        self._announce_listed()
+
+    @property
+    def is_finished(self) -> bool:
+        """Return whether every item is listed."""
+        return len(self._listed) == len(self.spec.items)
+
+    def wake(self) -> None:
+        """Plan again, since the workers have changed."""
+        self._wakeup.set()
+
+    # Reading
+
+    async def read(self, position: int, wait_seconds: float) -> ResultPage:
+        """Return results from a position on, waiting until there is one or time is up."""
+        deadline = self._clock.monotonic() + wait_seconds
+        while len(self._listed) <= position and not self._closed and not self.is_finished:
+            remaining = deadline - self._clock.monotonic()
+            if remaining <= 0:
+                break
+            with suppress(TimeoutError):
+                async with asyncio.timeout(remaining):
+                    await self._listed_changed.wait()
+        return page_of(self._listed, len(self.spec.items), position, PAGE_BYTES)
+
+    def body(self, item_id: ItemId) -> bytes:
+        """Return the body of an item.
+
+        Raises:
+            BatchNotFoundError: The batch job has no such item.
+        """
+        for item in self.spec.items:
+            if item.item_id == item_id:
+                return item.body
+        raise BatchNotFoundError(f"{self.spec.batch_id}/{item_id}")
+
+    def _announce_listed(self) -> None:
+        self._listed_changed.set()
+        self._listed_changed = asyncio.Event()
+
+    # Scheduling
+
+    async def _run_scheduling(self) -> None:
+        while not self._scheduler.is_finished:
+            now = self._clock.monotonic()
+            for result in self._scheduler.expire(now):
+                self._add_result(result)
+            workers = {
+                record.worker.worker_id: record
+                for record in self._directory.of_service(self.spec.service)
+            }
+            for decision in self._scheduler.plan(workers, now):
+                self._perform(decision, workers)
+            self._wakeup.clear()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(TICK_SECONDS):
+                    await self._wakeup.wait()
+            # NOTE: several runs end in one moment; one plan for all of them.
+            await self._clock.sleep(WAKE_DELAY_SECONDS)
+
+    def _perform(
+        self, decision: StartRun | StopRun, workers: dict[BackendId, WorkerRecord]
+    ) -> None:
+        match decision:
+            case StartRun(item=item, worker_id=worker_id):
+                record = workers[worker_id]
+                record.in_flight += 1
+                task = self._task_owner.spawn(self._run_item(decision, record), "batch-item")
+                self._runs[item.item_id] = task
+            case StopRun(item_id=item_id, worker_id=worker_id, reason=reason):
+                log_event(
+                    "item_run_stopped",
+                    batch=self.spec.batch_id,
+                    item=item_id,
+                    worker=worker_id,
+                    reason=reason,
+                )
+                if reason == "silent":
+                    self._directory.observe_failure(worker_id, self._clock.monotonic())
+                task = self._runs.pop(item_id)
+                task.cancel()
+
+    async def _run_item(self, start: StartRun, record: WorkerRecord) -> None:
+        item_id = start.item.item_id
+        task = asyncio.current_task()
+        failure: RunFailure | None = None
+        try:
+            await self._stream(start, record)
+        except asyncio.CancelledError:
+            failure = RunFailure.STOPPED
+            raise
+        except WorkerMisdirectedError:
+            failure = RunFailure.REFUSED
+            self._pause(record, MISDIRECTED_PAUSE_SECONDS)
+        except WorkerUnreachableError:
+            failure = RunFailure.REFUSED
+            self._directory.observe_failure(record.worker.worker_id, self._clock.monotonic())
+        except WorkerRefusedError:
+            failure = RunFailure.REFUSED
+            self._pause(record, REFUSED_PAUSE_SECONDS)
+        except WorkerBrokenError:
+            failure = RunFailure.BROKEN
+        except WorkerFailedError:
+            failure = RunFailure.FAILED
+        except WorkerRejectedError:
+            failure = RunFailure.REJECTED
+        finally:
+            record.in_flight -= 1
+            if self._runs.get(item_id) is task:
+                del self._runs[item_id]
+            if not self._closed:
+                self._finish_run(item_id, record, failure)
+
+    def _pause(self, record: WorkerRecord, seconds: float) -> None:
+        self._directory.pause(record.worker.worker_id, self._clock.monotonic(), seconds)
+
+    def _finish_run(
+        self, item_id: ItemId, record: WorkerRecord, failure: RunFailure | None
+    ) -> None:
+        if failure is None:
+            result = self._scheduler.take_completion(item_id)
+            self._directory.observe_success(record.worker.worker_id)
+        else:
+            log_event(
+                "item_run_failed",
+                batch=self.spec.batch_id,
+                item=item_id,
+                worker=record.worker.worker_id,
+                failure=failure,
+            )
+            result = self._scheduler.take_failure(item_id, failure, self._clock.monotonic())
+        if result is not None:
+            self._add_result(result)
+        self._wakeup.set()
+
+    async def _stream(self, start: StartRun, record: WorkerRecord) -> None:
+        item = start.item
+        request = WorkerRequest(
+            request_id=item.item_id,
+            method="POST",
+            target=item.target,
+            host=self.spec.host,
+            headers=item.headers,
+            body=item.body,
+            budget_seconds=RUN_BUDGET_SECONDS,
+            resume_after=start.resume_after,
+        )
+        async with self._client.stream(record.worker, request) as stream:
+            self._take_head(item.item_id, record, stream)
+            worker_id = record.worker.worker_id
+            async for events in stream.events():
+                now = self._clock.monotonic()
+                for event in events:
+                    elapsed = self._scheduler.take_event(item.item_id, event, now)
+                    if elapsed is not None and len(events) == 1:
+                        self._directory.observe_pace(worker_id, elapsed)
+                    self._directory.observe_version(worker_id, self.spec.model, event.version)
+
+    def _take_head(self, item_id: ItemId, record: WorkerRecord, stream: WorkerStream) -> None:
+        now = self._clock.monotonic()
+        worker_id = record.worker.worker_id
+        if stream.load is not None:
+            self._directory.observe_load(worker_id, stream.load, now)
+        if stream.version is None:
+            return
+        self._directory.observe_version(worker_id, self.spec.model, stream.version)
+        if not self._scheduler.take_head(item_id, stream.version, now):
+            raise WorkerMisdirectedError(f"weights {stream.version} on {worker_id}")
+
+    # Listing
+
+    def _add_result(self, result: ItemResult) -> None:
+        self._pending.append(result)
+        self._flush_wakeup.set()
+        if result.state is ResultState.DEAD:
+            log_event("item_given_up", batch=self.spec.batch_id, item=result.item_id)
+
+    async def _run_listing(self) -> None:
+        try:
+            while not self.is_finished:
+                with suppress(TimeoutError):
+                    async with asyncio.timeout(OWNER_CHECK_SECONDS):
+                        await self._flush_wakeup.wait()
+                self._flush_wakeup.clear()
+                await self._list_pending()
+                await self._check_owner()
+        except BatchError as error:
+            self._lose(error)
+            return
+        log_event("batch_listed", batch=self.spec.batch_id, items=len(self._listed))
+        await self._watch_owner()
+
+    async def _watch_owner(self) -> None:
+        """Notice an end or a new owner also after the last result."""
+        try:
+            while True:
+                await self._clock.sleep(4 * OWNER_CHECK_SECONDS)
+                await self._check_owner()
+        except BatchError as error:
+            self._lose(error)
+
+    def _lose(self, error: BatchError) -> None:
+        log_event(
+            "batch_lost",
+            level="INFO" if isinstance(error, BatchEndedError) else "WARNING",
+            batch=self.spec.batch_id,
+            reason=error.code,
+            listed=len(self._listed),
+            items=len(self.spec.items),
+        )
+        self.close()
+        self._on_lost(self.spec.batch_id)
+
+    async def _list_pending(self) -> None:
+        if not self._pending:
+            return
+        if not self._scheduler.is_finished:
+            await self._clock.sleep(FLUSH_INTERVAL_SECONDS)
+        while self._pending:
+            count = self._fitting()
+            await self._append(tuple(self._pending[:count]))
+            self._listed.extend(self._pending[:count])
+            del self._pending[:count]
+            self._announce_listed()
+
+    def _fitting(self) -> int:
+        used_bytes = 0
+        for count, result in enumerate(self._pending):
+            used_bytes += result.size_bytes()
+            if count and used_bytes > FLUSH_BYTES:
+                return count
+        return len(self._pending)
+
+    async def _append(self, results: tuple[ItemResult, ...]) -> None:
+        """Write results until the store says that they stand."""
+        position = len(self._listed)
+        while True:
+            try:
+                await self._ledger.append(self.spec.batch_id, self.revision, position, results)
+            except KeyValueError as error:
+                log_event(
+                    "batch_append_failed",
+                    level="WARNING",
+                    batch=self.spec.batch_id,
+                    position=position,
+                    error=error.code,
+                )
+                await self._clock.sleep(STORE_RETRY_SECONDS)
+                continue
+            self._confirmed_at = self._clock.monotonic()
+            return
+
+    async def _check_owner(self) -> None:
+        if self._clock.monotonic() - self._confirmed_at < OWNER_CHECK_SECONDS:
+            return
+        try:
+            await self._ledger.check_owner(self.spec.batch_id, self.revision)
+        except KeyValueError:
+            return
+        self._confirmed_at = self._clock.monotonic()
--- /dev/null
+++ b/drumbay/batches/service.py
@@ -0,0 +1,406 @@
+"""The batch jobs of one node: accept, run as owner, read and end at any node.
+
+No node is registered anywhere. A batch job's owner stands in the store; a node that is asked
+about a batch job forwards to the owner, and takes the batch job over if the owner does not
+answer. Clients ask twice a second, so that a dead owner is noticed by their next call.
+"""
+
+import msgspec
+
+from drumbay.batches.exceptions import (
+    BatchEndedError,
+    BatchMovedError,
+    BatchNotFoundError,
+    BatchOutcomeUnknownError,
+    BatchRefusedError,
+    BatchUnavailableError,
+)
+from drumbay.batches.ledger import BatchLedger, StoredOwner
+from drumbay.batches.messages import (
+    BodyReply,
+    DoneReply,
+    EndBatch,
+    HandOver,
+    NotFoundReply,
+    NotOwnerReply,
+    PageReply,
+    PeerReply,
+    PeerRequest,
+    ReadBody,
+    ReadResults,
+    UnavailableReply,
+)
+from drumbay.batches.peers import PeerClient, PeerUnavailableError
+from drumbay.batches.records import (
+    BatchId,
+    BatchSpec,
+    ItemId,
+    ItemResult,
+    OwnerRecord,
+    OwnerState,
+    ResultPage,
+    page_of,
+)
+from drumbay.batches.runner import PAGE_BYTES, BatchRunner
+from drumbay.clock import Clock
+from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.exceptions import Execution
+from drumbay.identifiers import Revision
+from drumbay.kv.interface import (
+    KeyValueError,
+    KeyValueOutcomeUnknownError,
+    KeyValueStore,
+)
+from drumbay.observability.logs import log_event
+from drumbay.tasks import TaskOwner
+from drumbay.workers.directory import WorkerDirectory
+from drumbay.workers.interface import WorkerClient
+
+ACCEPT_LIMIT_SECONDS = 4.0
+"""How long a submission waits for a store that is away before it is refused."""
+
+READ_LIMIT_SECONDS = 1.0
+END_LIMIT_SECONDS = 3.5
+STORE_RETRY_SECONDS = 0.1
+PEER_SLACK_SECONDS = 0.7
+REFUSED_RETRY_SECONDS = 1.0
+OWNER_ATTEMPTS = 4
+KNOWN_OWNERS = 4_096
+
+
+class ServiceIdentity(msgspec.Struct, frozen=True, kw_only=True):
+    """This process: where peers call it, and its boot."""
+
+    address: NetworkAddress
+    boot: str
+
+
+class BatchService:
+    """Batch jobs, from submission to end."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        store: KeyValueStore,
+        directory: WorkerDirectory,
+        client: WorkerClient,
+        peers: PeerClient,
+        task_owner: TaskOwner,
+        identity: ServiceIdentity,
+    ) -> None:
+        """Create a service that owns nothing."""
+        self._clock = clock
+        self._ledger = BatchLedger(store)
+        self._directory = directory
+        self._client = client
+        self._peers = peers
+        self._task_owner = task_owner
+        self._identity = identity
+        self._runners: dict[BatchId, BatchRunner] = {}
+        self._owners: dict[BatchId, StoredOwner] = {}
+        self._leaving = False
+        directory.add_listener(self._wake_runners)
+
+    def _wake_runners(self) -> None:
+        for runner in self._runners.values():
+            runner.wake()
+
+    @property
+    def owned(self) -> int:
+        """Return how many batch jobs this node runs."""
+        return len(self._runners)
+
+    def unfinished(self) -> int:
+        """Return how many owned batch jobs have unlisted items."""
+        return sum(1 for runner in self._runners.values() if not runner.is_finished)
+
+    # Submission
+
+    async def submit(self, spec: BatchSpec) -> None:
+        """Take a batch job durably; a repeated submission is taken once.
+
+        Raises:
+            BatchRefusedError: The batch job was not taken and never will be.
+            BatchOutcomeUnknownError: It may have been taken.
+        """
+        owner = self._owner_record(OwnerState.OPEN, len(spec.items))
+        deadline = self._clock.monotonic() + ACCEPT_LIMIT_SECONDS
+        uncertain = False
+        while True:
+            try:
+                revision = await self._ledger.accept(spec, owner)
+                break
+            except KeyValueError as error:
+                uncertain = uncertain or isinstance(error, KeyValueOutcomeUnknownError)
+                log_event(
+                    "batch_accept_failed",
+                    level="WARNING",
+                    batch=spec.batch_id,
+                    error=error.code,
+                    uncertain=uncertain,
+                )
+                if self._clock.monotonic() + STORE_RETRY_SECONDS > deadline:
+                    raise _refusal(uncertain) from error
+                await self._clock.sleep(STORE_RETRY_SECONDS)
+        if revision is None:
+            revision = await self._own_revision(spec.batch_id) if uncertain else None
+        if revision is None:
+            log_event("batch_submitted_again", batch=spec.batch_id)
+            return
+        log_event("batch_accepted", batch=spec.batch_id, items=len(spec.items), step=spec.step)
+        if not self._leaving:
+            self._run(spec, revision, ())
+
+    async def _own_revision(self, batch_id: BatchId) -> Revision | None:
+        """Return the revision of a record that an unanswered write of this node left."""
+        try:
+            stored = await self._ledger.read_owner(batch_id)
+        except (KeyValueError, BatchNotFoundError):
+            return None
+        is_own = stored.record.boot == self._identity.boot
+        return stored.revision if is_own and batch_id not in self._runners else None
+
+    def _owner_record(self, state: OwnerState, total: int) -> OwnerRecord:
+        return OwnerRecord(
+            address=self._identity.address, boot=self._identity.boot, state=state, total=total
+        )
+
+    def _run(self, spec: BatchSpec, revision: Revision, listed: tuple[ItemResult, ...]) -> None:
+        runner = BatchRunner(
+            self._clock,
+            self._ledger,
+            self._directory,
+            self._client,
+            self._task_owner,
+            spec,
+            revision,
+            listed,
+            on_lost=self._forget_runner,
+        )
+        self._runners[spec.batch_id] = runner
+        self._owners.pop(spec.batch_id, None)
+        runner.start()
+
+    def _forget_runner(self, batch_id: BatchId) -> None:
+        self._runners.pop(batch_id, None)
+        self._owners.pop(batch_id, None)
+
+    # Reading, bodies, ends
+
+    async def read(self, batch_id: BatchId, position: int, wait_seconds: float) -> ResultPage:
+        """Return results from a position on.
+
+        Raises:
+            BatchNotFoundError: There is no such batch job.
+            BatchUnavailableError: Nobody could answer.
+        """
+        deadline = self._clock.monotonic() + wait_seconds + READ_LIMIT_SECONDS
+        for _ in range(OWNER_ATTEMPTS):
+            runner = self._runners.get(batch_id)
+            if runner is not None:
+                return await runner.read(position, wait_seconds)
+            owner = await self._find_owner(batch_id, deadline)
+            if owner.record.state is OwnerState.ENDED:
+                return await self._read_stored(batch_id, position, owner.record.total, deadline)
+            request = ReadResults(batch_id=batch_id, position=position, wait_seconds=wait_seconds)
+            reply = await self._ask(owner, request, wait_seconds + PEER_SLACK_SECONDS)
+            if isinstance(reply, PageReply):
+                return reply.page
+            wait_seconds = 0.0
+            await self._take_over(batch_id, owner)
+        raise BatchUnavailableError(batch_id)
+
+    async def _read_stored(
+        self, batch_id: BatchId, position: int, total: int, deadline: float
+    ) -> ResultPage:
+        while True:
+            try:
+                results = await self._ledger.read_results(batch_id)
+                return page_of(results, total, position, PAGE_BYTES)
+            except KeyValueError as error:
+                await self._pause_until(deadline, error)
+
+    async def body(self, batch_id: BatchId, item_id: ItemId) -> bytes:
+        """Return the body of an item of an open batch job.
+
+        Raises:
+            BatchNotFoundError: There is no such batch job or item.
+            BatchEndedError: The batch job has ended.
+            BatchUnavailableError: Nobody could answer.
+        """
+        deadline = self._clock.monotonic() + READ_LIMIT_SECONDS
+        for _ in range(OWNER_ATTEMPTS):
+            runner = self._runners.get(batch_id)
+            if runner is not None:
+                return runner.body(item_id)
+            owner = await self._find_owner(batch_id, deadline)
+            if owner.record.state is OwnerState.ENDED:
+                raise BatchEndedError(batch_id)
+            request = ReadBody(batch_id=batch_id, item_id=item_id)
+            reply = await self._ask(owner, request, PEER_SLACK_SECONDS)
+            if isinstance(reply, BodyReply):
+                return reply.body
+            if isinstance(reply, NotFoundReply):
+                raise BatchNotFoundError(f"{batch_id}/{item_id}")
+            await self._take_over(batch_id, owner)
+        raise BatchUnavailableError(batch_id)
+
+    async def end(self, batch_id: BatchId) -> None:
+        """End a batch job durably: it lists nothing more and its items run no more.
+
+        Raises:
+            BatchNotFoundError: There is no such batch job.
+            BatchUnavailableError: The store did not answer.
+        """
+        deadline = self._clock.monotonic() + END_LIMIT_SECONDS
+        while True:
+            owner = await self._find_owner(batch_id, deadline, fresh=True)
+            if owner.record.state is OwnerState.ENDED:
+                break
+            try:
+                ended = msgspec.structs.replace(owner.record, state=OwnerState.ENDED)
+                await self._ledger.replace_owner(batch_id, owner, ended)
+                break
+            except BatchMovedError:
+                continue
+            except KeyValueError as error:
+                await self._pause_until(deadline, error)
+        log_event("batch_ended", batch=batch_id)
+        self._stop_runner(batch_id)
+        if owner.record.address != self._identity.address:
+            # Tell the owner at once; it would notice at its next write or check.
+            self._task_owner.spawn(self._tell_end(batch_id, owner), "batch-end")
+
+    async def _tell_end(self, batch_id: BatchId, owner: StoredOwner) -> None:
+        await self._ask(owner, EndBatch(batch_id=batch_id), PEER_SLACK_SECONDS)
+
+    def _stop_runner(self, batch_id: BatchId) -> None:
+        runner = self._runners.pop(batch_id, None)
+        self._owners.pop(batch_id, None)
+        if runner is not None:
+            runner.close()
+
+    # Owners
+
+    async def _find_owner(
+        self, batch_id: BatchId, deadline: float, *, fresh: bool = False
+    ) -> StoredOwner:
+        known = None if fresh else self._owners.get(batch_id)
+        if known is not None:
+            return known
+        while True:
+            try:
+                owner = await self._ledger.read_owner(batch_id)
+                break
+            except KeyValueError as error:
+                await self._pause_until(deadline, error)
+        if len(self._owners) >= KNOWN_OWNERS:
+            self._owners.pop(next(iter(self._owners)))
+        self._owners[batch_id] = owner
+        return owner
+
+    async def _pause_until(self, deadline: float, error: KeyValueError) -> None:
+        if self._clock.monotonic() + STORE_RETRY_SECONDS > deadline:
+            raise BatchUnavailableError(error.code) from error
+        await self._clock.sleep(STORE_RETRY_SECONDS)
+
+    async def _ask(
+        self, owner: StoredOwner, request: PeerRequest, timeout_seconds: float
+    ) -> PeerReply:
+        if owner.record.address == self._identity.address:
+            # An earlier process of this machine, or this one before it learnt that it owns.
+            return NotOwnerReply()
+        try:
+            return await self._peers.call(owner.record.address, request, timeout_seconds)
+        except PeerUnavailableError as error:
+            log_event(
+                "batch_owner_silent",
+                level="WARNING",
+                batch=request.batch_id,
+                owner=str(owner.record.address),
+                detail=str(error),
+            )
+            return UnavailableReply()
+
+    async def _take_over(self, batch_id: BatchId, silent: StoredOwner) -> None:
+        """Own a batch job whose owner did not answer for it.
+
+        The record is read again: if it has changed, the new owner is asked instead.
+        """
+        self._owners.pop(batch_id, None)
+        if self._leaving:
+            return
+        try:
+            owner = await self._ledger.read_owner(batch_id)
+            if owner.revision != silent.revision or owner.record.state is OwnerState.ENDED:
+                return
+            record = self._owner_record(OwnerState.OPEN, owner.record.total)
+            revision = await self._ledger.replace_owner(batch_id, owner, record)
+            stored = await self._ledger.read(batch_id)
+        except BatchMovedError:
+            return
+        except KeyValueError as error:
+            raise BatchUnavailableError(error.code) from error
+        if stored.owner.revision != revision or batch_id in self._runners:
+            return
+        log_event(
+            "batch_taken_over",
+            level="WARNING",
+            batch=batch_id,
+            previous=str(silent.record.address),
+            listed=len(stored.results),
+            items=len(stored.spec.items),
+        )
+        self._run(stored.spec, revision, stored.results)
+
+    # Calls of other nodes
+
+    async def handle_peer(self, request: PeerRequest) -> PeerReply:
+        """Answer a call of another node, as the owner only."""
+        runner = self._runners.get(request.batch_id)
+        match request:
+            case EndBatch(batch_id=batch_id):
+                self._stop_runner(batch_id)
+                return DoneReply()
+            case HandOver(batch_id=batch_id):
+                return await self._accept_hand_over(batch_id)
+            case _ if runner is None:
+                return NotOwnerReply()
+            case ReadResults(position=position, wait_seconds=wait_seconds):
+                return PageReply(page=await runner.read(position, wait_seconds))
+            case ReadBody(item_id=item_id):
+                try:
+                    return BodyReply(body=runner.body(item_id))
+                except BatchNotFoundError:
+                    return NotFoundReply()
+
+    async def _accept_hand_over(self, batch_id: BatchId) -> PeerReply:
+        try:
+            owner = await self._ledger.read_owner(batch_id)
+            await self._take_over(batch_id, owner)
+        except (KeyValueError, BatchNotFoundError, BatchUnavailableError):
+            return UnavailableReply()
+        return DoneReply()
+
+    def turn_away(self) -> None:
+        """Own no further batch job; those that are owned go on."""
+        self._leaving = True
+
+    def leave(self) -> None:
+        """Own nothing more: the process is about to end; the next caller takes over."""
+        self._leaving = True
+        for batch_id in list(self._runners):
+            self._stop_runner(batch_id)
+
+
+def _refusal(uncertain: bool) -> BatchRefusedError | BatchOutcomeUnknownError:
+    if uncertain:
+        return BatchOutcomeUnknownError(
+            "the store did not say whether it took the batch job",
+            execution=Execution.MAY_HAVE_RUN,
+        )
+    return BatchRefusedError(
+        "the store is away",
+        execution=Execution.NOT_RUN,
+        retry_after_seconds=REFUSED_RETRY_SECONDS,
+    )
--- /dev/null
+++ b/drumbay/comm/http_exchange.py
@@ -0,0 +1,242 @@
+"""One HTTP/1.1 request and its streamed answer on a connection of its own.
+
+Built on tornado's ``HTTP1Connection``. A connection serves one exchange: surplus bytes after
+an answer, as a faulty server sends them, can then never be taken for another answer. Closing
+the exchange closes the connection, which tells the server to stop working.
+"""
+
+import asyncio
+import socket
+from collections import deque
+
+import msgspec
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPInputError,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream, StreamClosedError
+
+from drumbay.exceptions import UnavailableError
+
+MAXIMUM_HEADER_BYTES = 65_536
+MAXIMUM_BODY_BYTES = 256 * 1024 * 1024
+USER_TIMEOUT_MILLISECONDS = 4_000
+
+
+class NetworkAddress(msgspec.Struct, frozen=True, order=True):
+    """Where a process listens."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return ``host:port``."""
+        return f"{self.host}:{self.port}"
+
+    @classmethod
+    def parse(cls, text: str) -> "NetworkAddress":
+        """Parse ``host:port``.
+
+        Raises:
+            ValueError: The text has another form.
+        """
+        host, _, port = text.rpartition(":")
+        if not host:
+            raise ValueError(f"not host:port: {text!r}")
+        return cls(host, int(port))
+
+
+class ExchangeNotSentError(UnavailableError):
+    """The connection was not opened: the server has not seen the request."""
+
+    code = "exchange_not_sent"
+
+
+class ExchangeBrokenError(UnavailableError):
+    """The connection ended before the answer was complete: the request may have run."""
+
+    code = "exchange_broken"
+
+
+class HttpRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A request to send."""
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes = b""
+
+
+class _AnswerDelegate(HTTPMessageDelegate):
+    """Collects what arrives and wakes the one reader."""
+
+    def __init__(self, stream: IOStream) -> None:
+        self.stream = stream
+        self.status: int | None = None
+        self.headers = HTTPHeaders()
+        self.chunks: deque[bytes] = deque()
+        self.complete = False
+        self.broken = False
+        self._waiter: asyncio.Future[None] | None = None
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        if isinstance(start_line, ResponseStartLine) and start_line.code >= 200:
+            self.status = start_line.code
+            self.headers = headers
+            self.wake()
+
+    def data_received(self, chunk: bytes) -> None:
+        self.chunks.append(chunk)
+        self.wake()
+
+    def finish(self) -> None:
+        # NOTE: a body without a length ends with its connection; tornado then reports the end
+        # also after a reset, which must not look complete.
+        if self.stream.error is not None:
+            self.broken = True
+        else:
+            self.complete = True
+        self.wake()
+
+    def on_connection_close(self) -> None:
+        self.broken = not self.complete
+        self.wake()
+
+    def wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    async def wait(self) -> None:
+        self._waiter = asyncio.get_running_loop().create_future()
+        await self._waiter
+
+
+class HttpExchange:
+    """An open exchange: send, read the head, read chunks, close."""
+
+    def __init__(self, stream: IOStream) -> None:
+        """Take over a connected stream."""
+        self._stream = stream
+        self._delegate = _AnswerDelegate(stream)
+        parameters = HTTP1ConnectionParameters(
+            no_keep_alive=True,
+            max_header_size=MAXIMUM_HEADER_BYTES,
+            max_body_size=MAXIMUM_BODY_BYTES,
+            decompress=False,
+        )
+        self._connection = HTTP1Connection(stream, True, parameters)
+        self._reader: asyncio.Task[None] | None = None
+
+    @classmethod
+    async def open(
+        cls, address: NetworkAddress, request: HttpRequest, connect_timeout_seconds: float
+    ) -> "HttpExchange":
+        """Connect and send a request.
+
+        Raises:
+            ExchangeNotSentError: No connection came up in time.
+        """
+        stream = IOStream(_new_socket())
+        try:
+            async with asyncio.timeout(connect_timeout_seconds):
+                await stream.connect((address.host, address.port))
+        except (StreamClosedError, TimeoutError, OSError) as error:
+            stream.close()
+            raise ExchangeNotSentError(f"{address}: {type(error).__name__}") from error
+        except asyncio.CancelledError:
+            stream.close()
+            raise
+        exchange = cls(stream)
+        exchange._send(request)
+        return exchange
+
+    def _send(self, request: HttpRequest) -> None:
+        headers = HTTPHeaders()
+        for name, value in request.headers:
+            headers.add(name, value)
+        headers["Content-Length"] = str(len(request.body))
+        headers["Connection"] = "close"
+        start_line = RequestStartLine(request.method, request.target, "HTTP/1.1")
+        sent = self._connection.write_headers(start_line, headers, request.body or None)
+        sent.add_done_callback(_take_exception)
+        self._connection.finish()
+        self._reader = asyncio.get_running_loop().create_task(self._read())
+
+    async def _read(self) -> None:
+        try:
+            await self._connection.read_response(self._delegate)
+        except (StreamClosedError, HTTPInputError, OSError):
+            pass
+        finally:
+            self._delegate.broken = not self._delegate.complete
+            self._delegate.wake()
+
+    @property
+    def headers(self) -> HTTPHeaders:
+        """Return the answer's headers; empty before :meth:`read_status` has returned."""
+        return self._delegate.headers
+
+    async def read_status(self) -> int:
+        """Wait for the answer's head and return its status.
+
+        Raises:
+            ExchangeBrokenError: The connection ended first.
+        """
+        while self._delegate.status is None:
+            if self._delegate.broken:
+                raise ExchangeBrokenError("no answer")
+            await self._delegate.wait()
+        return self._delegate.status
+
+    async def read_chunk(self) -> bytes | None:
+        """Return the next bytes of the body, or ``None`` at its proper end.
+
+        Raises:
+            ExchangeBrokenError: The connection ended before the body did.
+        """
+        while not self._delegate.chunks:
+            if self._delegate.complete:
+                return None
+            if self._delegate.broken:
+                raise ExchangeBrokenError("answer cut off")
+            await self._delegate.wait()
+        joined = b"".join(self._delegate.chunks)
+        self._delegate.chunks.clear()
+        return joined
+
+    async def read_body(self) -> bytes:
+        """Return the whole rest of the body.
+
+        Raises:
+            ExchangeBrokenError: The connection ended before the body did.
+        """
+        parts: list[bytes] = []
+        while (chunk := await self.read_chunk()) is not None:
+            parts.append(chunk)
+        return b"".join(parts)
+
+    def close(self) -> None:
+        """Close the connection; the server drops what it still works on."""
+        if self._reader is not None:
+            self._reader.cancel()
+        self._stream.close()
+
+
+def _new_socket() -> socket.socket:
+    plain = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    # A peer without power says nothing: unacknowledged bytes end the connection.
+    plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS)
+    return plain
+
+
+def _take_exception(future: "asyncio.Future[None]") -> None:
+    """Mark a failed write as seen; the reader reports the broken connection."""
+    if not future.cancelled():
+        future.exception()
--- /dev/null
+++ b/drumbay/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of clients: routes, and forwarding to workers with deadlines and hedging."""
--- /dev/null
+++ b/drumbay/forwarding/routes.py
@@ -0,0 +1,96 @@
+"""Routes that operators configure, and the choice of a route for a request."""
+
+from enum import StrEnum
+
+import msgspec
+
+
+class RequestKind(StrEnum):
+    """What may be done with the requests of a route."""
+
+    IDEMPOTENT = "idempotent"
+    AT_MOST_ONCE = "at_most_once"
+    ROLLOUT = "rollout"
+
+
+class ServiceShare(msgspec.Struct, frozen=True, kw_only=True):
+    """A service that takes a share of a route's requests."""
+
+    service: str
+    weight: float
+
+
+class Route(msgspec.Struct, frozen=True, kw_only=True):
+    """Requests of one host below one path prefix."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RequestKind
+    shares: tuple[ServiceShare, ...]
+    timeout_seconds: float
+    target_seconds: float
+    attempts: int
+    queue_limit_seconds: float = 60.0
+    one_version_only: bool = False
+
+
+class RequestLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """Bounds of what a client may send."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 33_554_432
+    header_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+class RoutingConfiguration(msgspec.Struct, frozen=True, kw_only=True):
+    """One version of the operators' configuration, whole."""
+
+    version: int
+    routes: tuple[Route, ...]
+    limits: RequestLimits
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of the host with the longest prefix of the path."""
+        name = host.partition(":")[0].lower()
+        matching = [
+            route
+            for route in self.routes
+            if route.host.lower() == name and path.startswith(route.path_prefix)
+        ]
+        return max(matching, key=lambda route: len(route.path_prefix), default=None)
+
+
+class RouteTable:
+    """The configuration in force; it never goes back to an older version."""
+
+    def __init__(self) -> None:
+        """Create a table without a configuration."""
+        self._current: RoutingConfiguration | None = None
+        self._credits: dict[str, dict[str, float]] = {}
+
+    @property
+    def current(self) -> RoutingConfiguration | None:
+        """Return the configuration in force; ``None`` before the first."""
+        return self._current
+
+    def apply(self, configuration: RoutingConfiguration) -> bool:
+        """Put a configuration in force unless it is older; return whether it was newer."""
+        if self._current is not None and configuration.version <= self._current.version:
+            return False
+        self._current = configuration
+        return True
+
+    def choose_service(self, route: Route) -> str:
+        """Return the service for the next request: smooth weighted round robin."""
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        credits = self._credits.setdefault(route.name, {})
+        total = 0.0
+        for share in route.shares:
+            credits[share.service] = credits.get(share.service, 0.0) + share.weight
+            total += share.weight
+        chosen = max(route.shares, key=lambda share: credits[share.service])
+        credits[chosen.service] -= total
+        return chosen.service
--- /dev/null
+++ b/drumbay/ownership/leader.py
@@ -0,0 +1,168 @@
+"""One leader among all nodes: a key under a lease, whose revision is the fence.
+
+Every machine counts as one holder. A machine that takes over from another stays quiet for the
+time of a lease, so that no two holders give orders in turns within it.
+"""
+
+import random
+
+import msgspec
+
+from drumbay.clock import Clock
+from drumbay.identifiers import Fence, Revision
+from drumbay.kv.interface import (
+    KeyValueError,
+    KeyValueStore,
+    LeaseNotFoundError,
+    ModRevisionIs,
+    Put,
+)
+from drumbay.observability.logs import log_event
+
+PREFIX = "drumbay/leader/"
+CURRENT_KEY = f"{PREFIX}current"
+LAST_KEY = f"{PREFIX}last"
+RENEWALS_PER_LEASE = 3
+SAFETY_SHARE = 0.2
+"""The leader counts its lease as over when this share of it is left."""
+
+RETRY_SECONDS = 0.4
+JITTER_SECONDS = 0.5
+WATCH_LIMIT_SECONDS = 12.0
+
+
+class LeaderRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Who leads: the machine and the boot of its process."""
+
+    machine: str
+    boot: str
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(LeaderRecord)
+
+
+class _Seen(msgspec.Struct, frozen=True, kw_only=True):
+    """The leader's keys as last read."""
+
+    current: LeaderRecord | None
+    current_revision: Revision
+    last: LeaderRecord | None
+    revision: Revision
+
+
+class LeaderElection:
+    """Campaigns for the lead, and says whether this node may give orders."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        store: KeyValueStore,
+        record: LeaderRecord,
+        generator: random.Random,
+        lease_seconds: float,
+    ) -> None:
+        """Create a candidate that does not lead."""
+        self._clock = clock
+        self._store = store
+        self._record = record
+        self._generator = generator
+        self._lease_seconds = lease_seconds
+        self._fence: Fence | None = None
+        self._valid_until = float("-inf")
+        self._quiet_until = float("-inf")
+        self._lease_id: int | None = None
+
+    def fence(self, now: float) -> Fence | None:
+        """Return the fence for orders given now; ``None`` if this node must not give any."""
+        if self._quiet_until <= now < self._valid_until:
+            return self._fence
+        return None
+
+    def step_down(self, reason: str) -> None:
+        """Lead no more, since a newer fence was seen."""
+        log_event("leader_stepped_down", level="WARNING", reason=reason, fence=self._fence)
+        self._valid_until = float("-inf")
+
+    async def run(self) -> None:
+        """Campaign and lead until cancelled."""
+        while True:
+            try:
+                seen = await self._read()
+                if seen.current is None or seen.current.machine == self._record.machine:
+                    await self._campaign(seen)
+                else:
+                    await self._wait_for_change(seen)
+            except KeyValueError as error:
+                log_event("leader_election_failed", level="DEBUG", error=error.code)
+                await self._clock.sleep(RETRY_SECONDS)
+
+    async def resign(self) -> None:
+        """Give up the lead, so that a successor need not wait for the lease."""
+        self._valid_until = float("-inf")
+        if self._lease_id is None:
+            return
+        try:
+            await self._store.revoke_lease(self._lease_id)
+        except KeyValueError as error:
+            log_event("leader_resign_failed", level="WARNING", error=error.code)
+
+    async def _read(self) -> _Seen:
+        found = await self._store.range_prefix(PREFIX)
+        items = {item.key: item for item in found.items}
+        current = items.get(CURRENT_KEY)
+        last = items.get(LAST_KEY)
+        return _Seen(
+            current=_decoder.decode(current.value) if current else None,
+            current_revision=current.mod_revision if current else Revision(0),
+            last=_decoder.decode(last.value) if last else None,
+            revision=found.revision,
+        )
+
+    async def _campaign(self, seen: _Seen) -> None:
+        started_at = self._clock.monotonic()
+        lease = await self._store.grant_lease(self._lease_seconds)
+        value = _encoder.encode(self._record)
+        outcome = await self._store.transact(
+            (ModRevisionIs(key=CURRENT_KEY, mod_revision=seen.current_revision),),
+            (
+                Put(key=CURRENT_KEY, value=value, lease_id=lease.lease_id),
+                Put(key=LAST_KEY, value=value),
+            ),
+        )
+        if not outcome.succeeded:
+            return
+        self._lease_id = lease.lease_id
+        self._fence = Fence(outcome.revision)
+        self._extend(started_at, lease.ttl_seconds)
+        is_successor = seen.last is not None and seen.last.machine != self._record.machine
+        now = self._clock.monotonic()
+        self._quiet_until = now + self._lease_seconds if is_successor else now
+        log_event("leader_elected", fence=self._fence, successor=is_successor)
+        await self._keep(lease.lease_id, lease.ttl_seconds)
+
+    def _extend(self, asked_at: float, ttl_seconds: float) -> None:
+        self._valid_until = asked_at + ttl_seconds * (1.0 - SAFETY_SHARE)
+
+    async def _keep(self, lease_id: int, ttl_seconds: float) -> None:
+        while self._clock.monotonic() < self._valid_until:
+            await self._clock.sleep(ttl_seconds / RENEWALS_PER_LEASE)
+            asked_at = self._clock.monotonic()
+            try:
+                remaining_seconds = await self._store.keep_lease_alive(lease_id)
+            except LeaseNotFoundError:
+                break
+            except KeyValueError:
+                continue
+            if self._valid_until != float("-inf"):
+                self._extend(asked_at, remaining_seconds)
+        self._valid_until = float("-inf")
+        log_event("leader_lost", level="WARNING", fence=self._fence)
+
+    async def _wait_for_change(self, seen: _Seen) -> None:
+        deadline = self._clock.monotonic() + WATCH_LIMIT_SECONDS
+        start = Revision(seen.revision + 1)
+        async for batch in self._store.watch_prefix(PREFIX, start):
+            if batch.events or self._clock.monotonic() > deadline:
+                break
+        await self._clock.sleep(self._generator.uniform(0.0, JITTER_SECONDS))
--- /dev/null
+++ b/drumbay/serving/node.py
@@ -0,0 +1,170 @@
+"""One serving node: routes, workers, batch jobs and the leader's duties, assembled.
+
+The node takes everything from outside: clock, store, workers, peers. It keeps nothing that
+must last; a restarted node reads the store and is whole.
+"""
+
+import random
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from drumbay.batches.messages import PeerReply, PeerRequest
+from drumbay.batches.peers import PeerClient
+from drumbay.batches.service import BatchService, ServiceIdentity
+from drumbay.clock import Clock
+from drumbay.forwarding.forwarder import Forwarder
+from drumbay.forwarding.routes import RouteTable, RoutingConfiguration
+from drumbay.kv.follower import PrefixFeed, PrefixFollower
+from drumbay.kv.interface import KeyValueStore
+from drumbay.observability.logs import log_event
+from drumbay.ownership.leader import LeaderElection, LeaderRecord
+from drumbay.tasks import TaskOwner
+from drumbay.weights.version_coordinator import NamedVersions, VersionCoordinator
+from drumbay.workers.directory import WorkerDirectory
+from drumbay.workers.interface import WorkerClient
+
+UNFINISHED_CHECK_SECONDS = 0.1
+
+
+class ServingSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """What a serving node is told about itself.
+
+    ``stop_seconds`` bounds a planned stop; ``turn_away_seconds`` is how long the node still
+    takes requests after it has said that it is leaving.
+    """
+
+    machine: str
+    zone: str
+    identity: ServiceIdentity
+    lease_seconds: float = 3.0
+    stop_seconds: float = 7.0
+    turn_away_seconds: float = 2.5
+
+
+class ServingEnvironment(msgspec.Struct, frozen=True, kw_only=True):
+    """What a serving node uses."""
+
+    clock: Clock
+    store: KeyValueStore
+    workers: WorkerClient
+    peers: PeerClient
+    generator: random.Random
+
+
+class ServingNode:
+    """A node's services; the caller connects them to servers."""
+
+    def __init__(self, settings: ServingSettings, environment: ServingEnvironment) -> None:
+        """Assemble the services; nothing runs yet."""
+        self._settings = settings
+        self._environment = environment
+        clock = environment.clock
+        self._tasks = TaskOwner()
+        self.directory = WorkerDirectory()
+        self.routes = RouteTable()
+        self.named_versions = NamedVersions()
+        self.forwarder = Forwarder(
+            clock, self.directory, self.routes, environment.workers, settings.zone
+        )
+        self.batches = BatchService(
+            clock,
+            environment.store,
+            self.directory,
+            environment.workers,
+            environment.peers,
+            self._tasks,
+            settings.identity,
+        )
+        self._leader = LeaderElection(
+            clock,
+            environment.store,
+            LeaderRecord(machine=settings.machine, boot=settings.identity.boot),
+            environment.generator,
+            settings.lease_seconds,
+        )
+        self._coordinator = VersionCoordinator(
+            clock,
+            self.directory,
+            environment.workers,
+            self._leader,
+            self.named_versions,
+            self._tasks,
+            settings.machine,
+        )
+        self._leaving = False
+        self._requests_open = 0
+
+    def start(self, feeds: tuple[PrefixFeed, ...]) -> None:
+        """Follow the feeds and take part in the election."""
+        environment = self._environment
+        for feed in feeds:
+            follower = PrefixFollower(
+                environment.clock, environment.store, feed, environment.generator
+            )
+            self._tasks.spawn(follower.run(), f"follow-{feed.prefix}")
+        self._tasks.spawn(self._leader.run(), "leader-election")
+        self._tasks.spawn(self._coordinator.run(), "version-coordinator")
+        log_event(
+            "node_started",
+            node=self._settings.machine,
+            zone=self._settings.zone,
+            boot=self._settings.identity.boot,
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether new clients may come."""
+        return self.knows_enough and not self._leaving
+
+    @property
+    def knows_enough(self) -> bool:
+        """Return whether a configuration and the workers are known."""
+        return self.routes.current is not None and self.directory.loaded
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether a planned stop has begun."""
+        return self._leaving
+
+    def apply_configuration(self, configuration: RoutingConfiguration) -> None:
+        """Put a configuration in force unless it is older than the one in force."""
+        if not self.routes.apply(configuration):
+            return
+        log_event(
+            "configuration_in_force",
+            version=configuration.version,
+            routes=len(configuration.routes),
+        )
+
+    async def handle_peer(self, request: PeerRequest) -> PeerReply:
+        """Answer another node."""
+        return await self.batches.handle_peer(request)
+
+    def track(self, handler: Callable[[], Awaitable[None]], name: str) -> None:
+        """Run a request's handler; a planned stop waits for it."""
+        self._requests_open += 1
+        self._tasks.spawn(self._run_tracked(handler), name)
+
+    async def _run_tracked(self, handler: Callable[[], Awaitable[None]]) -> None:
+        try:
+            await handler()
+        finally:
+            self._requests_open -= 1
+
+    async def stop(self) -> None:
+        """Stop as planned: turn new clients away, finish what is open, let batch jobs go."""
+        clock = self._environment.clock
+        deadline = clock.monotonic() + self._settings.stop_seconds
+        log_event("node_stopping", requests=self._requests_open, batches=self.batches.owned)
+        self._leaving = True
+        self.batches.turn_away()
+        await self._leader.resign()
+        await clock.sleep(self._settings.turn_away_seconds)
+        while clock.monotonic() < deadline:
+            if not self._requests_open and not self.batches.unfinished():
+                break
+            await clock.sleep(UNFINISHED_CHECK_SECONDS)
+        self.batches.leave()
+        await self._tasks.close()
+        log_event("node_stopped", node=self._settings.machine)
--- /dev/null
+++ b/drumbay/weights/version_coordinator.py
@@ -0,0 +1,175 @@
+"""Gives the leader's load orders and follows them until they are carried out."""
+
+import asyncio
+from contextlib import suppress
+
+from drumbay.clock import Clock
+from drumbay.identifiers import BackendId, Fence, WeightVersion
+from drumbay.observability.logs import log_event
+from drumbay.ownership.leader import LeaderElection
+from drumbay.tasks import TaskOwner
+from drumbay.weights.version_planner import LoadPolicy, LoadVersion, VersionPlanner
+from drumbay.workers.directory import WorkerDirectory, WorkerRecord
+from drumbay.workers.interface import WorkerClient
+from drumbay.workers.records import LoadMode, LoadOrder, OrderOutcome, WorkerError, WorkerStatus
+
+TICK_SECONDS = 0.25
+CALL_LIMIT_SECONDS = 0.6
+STATUS_INTERVAL_SECONDS = 0.3
+IDLE_LIMIT_SECONDS = 1.2
+"""A worker that is idle at its old version this long after an order did not take it."""
+
+
+class NamedVersions:
+    """The newest version that each model's trainer has named."""
+
+    def __init__(self) -> None:
+        """Start without versions."""
+        self._versions: dict[str, WeightVersion] = {}
+        self.changed = asyncio.Event()
+
+    def name(self, model: str, version: WeightVersion) -> None:
+        """Take a version; an older one than known is passed over."""
+        if version <= self._versions.get(model, WeightVersion(0)):
+            return
+        self._versions[model] = version
+        log_event("version_named", model=model, version=version)
+        self.changed.set()
+
+    @property
+    def newest(self) -> dict[str, WeightVersion]:
+        """Return the newest version by model."""
+        return self._versions
+
+
+class VersionCoordinator:
+    """Loads named versions on the workers while this node leads."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        directory: WorkerDirectory,
+        client: WorkerClient,
+        leader: LeaderElection,
+        named: NamedVersions,
+        task_owner: TaskOwner,
+        holder: str,
+        policy: LoadPolicy | None = None,
+    ) -> None:
+        """Create a coordinator that gives orders as ``holder``."""
+        self._clock = clock
+        self._directory = directory
+        self._client = client
+        self._leader = leader
+        self._named = named
+        self._task_owner = task_owner
+        self._holder = holder
+        self._policy = policy or LoadPolicy()
+        self._planner = VersionPlanner(self._policy)
+        self.one_version_models: frozenset[str] = frozenset()
+
+    async def run(self) -> None:
+        """Plan and give orders until cancelled."""
+        while True:
+            now = self._clock.monotonic()
+            fence = self._leader.fence(now)
+            if fence is not None:
+                records = self._directory.all_records()
+                for load in self._planner.plan(self._named.newest, records.values(), now):
+                    self._planner.note_started(load.worker_id, now)
+                    record = records[load.worker_id]
+                    self._task_owner.spawn(self._load(load, record, fence), "load-version")
+            self._named.changed.clear()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(TICK_SECONDS):
+                    await self._named.changed.wait()
+
+    async def _load(self, load: LoadVersion, record: WorkerRecord, fence: Fence) -> None:
+        started_at = self._clock.monotonic()
+        outcome = "failed"
+        try:
+            if await self._order(load, record, fence):
+                outcome = await self._follow(load, record)
+        except WorkerError as error:
+            outcome = error.code
+        finally:
+            if outcome == "loaded":
+                self._planner.note_ended(load.worker_id)
+            else:
+                self._planner.note_failed(load.worker_id, self._clock.monotonic())
+            log_event(
+                "load_ended",
+                worker=load.worker_id,
+                model=load.model,
+                version=load.version,
+                fence=fence,
+                outcome=outcome,
+                elapsed_seconds=round(self._clock.monotonic() - started_at, 3),
+            )
+
+    async def _order(self, load: LoadVersion, record: WorkerRecord, fence: Fence) -> bool:
+        """Give the order; return whether the load may be under way."""
+        status = await self._client.status(record.worker)
+        self._take_status(load.worker_id, status)
+        if status.busy:
+            return True
+        if status.versions.get(load.model, WeightVersion(0)) >= load.version:
+            return True
+        if self._leader.fence(self._clock.monotonic()) != fence:
+            return False
+        is_strict = load.model in self.one_version_models
+        order = LoadOrder(
+            model=load.model,
+            version=load.version,
+            mode=LoadMode.FINISH_FIRST if is_strict else LoadMode.KEEP_RUNNING,
+            holder=self._holder,
+            fence=fence,
+            expected_sequence=status.sequence,
+        )
+        try:
+            outcome = await self._client.order(record.worker, order)
+        except WorkerError as error:
+            # Unanswered: it may have been taken, or may be carried out later. The sequence
+            # number voids it once the worker has taken another order.
+            outcome = None
+            log_event("order_unanswered", level="WARNING", worker=load.worker_id, error=error.code)
+        log_event(
+            "order_given",
+            worker=load.worker_id,
+            model=load.model,
+            version=load.version,
+            fence=fence,
+            sequence=status.sequence,
+            outcome=outcome,
+        )
+        if outcome is OrderOutcome.FENCED:
+            self._leader.step_down("fenced")
+            return False
+        return outcome is not OrderOutcome.REFUSED
+
+    async def _follow(self, load: LoadVersion, record: WorkerRecord) -> str:
+        """Wait until the version is loaded; return the outcome."""
+        started_at = self._clock.monotonic()
+        await self._clock.sleep(self._policy.expected_seconds)
+        idle_seen = 0
+        while True:
+            if record.versions.get(load.model, WeightVersion(0)) >= load.version:
+                return "loaded"
+            elapsed = self._clock.monotonic() - started_at
+            if elapsed > self._policy.give_up_seconds:
+                return "timed_out"
+            with suppress(WorkerError):
+                status = await self._client.status(record.worker)
+                self._take_status(load.worker_id, status)
+                if status.versions.get(load.model, WeightVersion(0)) >= load.version:
+                    return "loaded"
+                idle_seen = 0 if status.busy else idle_seen + 1
+                if idle_seen >= 2 and elapsed > IDLE_LIMIT_SECONDS:
+                    return "not_taken"
+            await self._clock.sleep(STATUS_INTERVAL_SECONDS)
+
+    def _take_status(self, worker_id: BackendId, status: WorkerStatus) -> None:
+        for model, version in status.versions.items():
+            known = self._directory.get(worker_id)
+            if known is not None and version > known.versions.get(model, WeightVersion(0)):
+                self._directory.observe_version(worker_id, model, version)
--- /dev/null
+++ b/drumbay/weights/version_planner.py
@@ -0,0 +1,133 @@
+"""Pure decisions of the leader: which worker loads which version next.
+
+A step may use the newest named version and the one before. So workers two versions behind are
+loaded first, and of the others only as many as keep half of the workers at the newest version:
+each worker then skips every second version, which halves the loads when several models share
+the workers. With one model, every worker follows each version.
+"""
+
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from drumbay.identifiers import BackendId, WeightVersion
+from drumbay.workers.directory import WorkerRecord
+from drumbay.workers.records import WorkerState
+
+ACCEPTED_LAG = 1
+"""How many versions behind the newest a step still accepts."""
+
+
+class LoadPolicy(msgspec.Struct, frozen=True, kw_only=True):
+    """Limits of loading: more than ``at_once`` loads slow each other down."""
+
+    at_once: int = 2
+    expected_seconds: float = 0.9
+    give_up_seconds: float = 4.0
+    retry_seconds: float = 0.4
+
+
+class LoadVersion(msgspec.Struct, frozen=True, kw_only=True):
+    """Decision: a worker should load a version."""
+
+    worker_id: BackendId
+    model: str
+    version: WeightVersion
+
+
+class _Candidate(msgspec.Struct, frozen=True, kw_only=True, order=True):
+    """A load that is wanted; smaller sorts first."""
+
+    is_optional: bool
+    current: int
+    busy: int
+    worker_id: BackendId
+    model: str
+    target: int
+
+
+class VersionPlanner:
+    """Chooses loads; knows which are under way."""
+
+    def __init__(self, policy: LoadPolicy) -> None:
+        """Create a planner without loads under way."""
+        self._policy = policy
+        self._loading: dict[BackendId, float] = {}
+        self._not_before: dict[BackendId, float] = {}
+
+    def note_started(self, worker_id: BackendId, now: float) -> None:
+        """Note that a worker was told to load."""
+        self._loading[worker_id] = now
+
+    def note_ended(self, worker_id: BackendId) -> None:
+        """Note that a worker's load is over."""
+        self._loading.pop(worker_id, None)
+
+    def note_failed(self, worker_id: BackendId, now: float) -> None:
+        """Try a worker again later."""
+        self._loading.pop(worker_id, None)
+        self._not_before[worker_id] = now + self._policy.retry_seconds
+
+    def plan(
+        self,
+        named: Mapping[str, WeightVersion],
+        records: Iterable[WorkerRecord],
+        now: float,
+    ) -> tuple[LoadVersion, ...]:
+        """Return the loads to start now, at most as many as may run at once."""
+        records = [r for r in records if r.worker.state is WorkerState.READY]
+        room = self._policy.at_once - len(self._loading)
+        candidates: list[_Candidate] = []
+        for model, newest in named.items():
+            candidates.extend(self._candidates(model, newest, records, len(named), now))
+        loads: list[LoadVersion] = []
+        taken: set[BackendId] = set()
+        for candidate in sorted(candidates):
+            if room <= 0:
+                break
+            if candidate.worker_id in taken:
+                continue
+            taken.add(candidate.worker_id)
+            room -= 1
+            loads.append(
+                LoadVersion(
+                    worker_id=candidate.worker_id,
+                    model=candidate.model,
+                    version=WeightVersion(candidate.target),
+                )
+            )
+        return tuple(loads)
+
+    def _candidates(
+        self,
+        model: str,
+        newest: WeightVersion,
+        records: list[WorkerRecord],
+        model_count: int,
+        now: float,
+    ) -> list[_Candidate]:
+        holders = [r for r in records if model in r.versions]
+        at_newest = sum(1 for r in holders if r.versions[model] >= newest)
+        wanted = len(holders) if model_count == 1 else max(1, len(holders) // 2)
+        behind = [r for r in holders if r.versions[model] < newest]
+        behind.sort(key=lambda r: (r.versions[model], r.in_flight, r.worker.worker_id))
+        found: list[_Candidate] = []
+        for record in behind:
+            worker_id = record.worker.worker_id
+            is_optional = newest - record.versions[model] <= ACCEPTED_LAG
+            if is_optional and at_newest >= wanted:
+                continue
+            at_newest += 1
+            if worker_id in self._loading or now < self._not_before.get(worker_id, now):
+                continue
+            found.append(
+                _Candidate(
+                    is_optional=is_optional,
+                    current=record.versions[model],
+                    busy=record.in_flight,
+                    worker_id=worker_id,
+                    model=model,
+                    target=newest,
+                )
+            )
+        return found
--- /dev/null
+++ b/drumbay/workers/directory.py
@@ -0,0 +1,164 @@
+"""Which workers can take a request now: discovery, load, pace and recent failures."""
+
+from collections.abc import Callable, Iterable, Mapping
+
+import msgspec
+
+from drumbay.identifiers import BackendId, WeightVersion
+from drumbay.workers.records import Worker, WorkerLoad, WorkerState
+
+LOAD_REPORT_LIFETIME_SECONDS = 0.6
+"""How long a load report counts; runs last about as long."""
+
+PACE_SMOOTHING = 0.3
+FAILURE_PAUSE_SECONDS = 0.8
+LONGEST_PAUSE_SECONDS = 4.0
+
+
+class WorkerRecord(msgspec.Struct, kw_only=True):
+    """A worker and what this node has seen of it."""
+
+    worker: Worker
+    versions: dict[str, WeightVersion]
+    in_flight: int = 0
+    others: int = 0
+    reported_at: float = float("-inf")
+    paused_until: float = float("-inf")
+    failures: int = 0
+    pace_seconds: float | None = None
+    latency_seconds: float | None = None
+
+    def busy(self, now: float) -> int:
+        """Return the requests on the worker as far as known."""
+        if now - self.reported_at > LOAD_REPORT_LIFETIME_SECONDS:
+            return self.in_flight
+        return self.in_flight + self.others
+
+    def free_slots(self, now: float) -> int:
+        """Return the places that this node may still take; never more than its slots."""
+        return max(0, self.worker.slots - self.busy(now))
+
+    def is_available(self, now: float) -> bool:
+        """Return whether new requests may go there."""
+        return self.worker.state is WorkerState.READY and now >= self.paused_until
+
+
+class WorkerDirectory:
+    """The workers of all services; changes wake the listeners."""
+
+    def __init__(self) -> None:
+        """Create an empty directory."""
+        self._records: dict[BackendId, WorkerRecord] = {}
+        self._listeners: list[Callable[[], None]] = []
+        self.loaded = False
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after each change of the set of workers."""
+        self._listeners.append(listener)
+
+    def replace_all(self, workers: Iterable[Worker]) -> None:
+        """Take a snapshot of discovery; workers that it lacks are gone."""
+        by_id = {worker.worker_id: worker for worker in workers}
+        for worker_id in [known for known in self._records if known not in by_id]:
+            del self._records[worker_id]
+        for worker in by_id.values():
+            self._put(worker)
+        self.loaded = True
+        self._announce()
+
+    def put(self, worker: Worker) -> None:
+        """Take in a new or changed worker."""
+        self._put(worker)
+        self._announce()
+
+    def remove(self, worker_id: BackendId) -> None:
+        """Forget a worker that has left."""
+        self._records.pop(worker_id, None)
+        self._announce()
+
+    def _put(self, worker: Worker) -> None:
+        record = self._records.get(worker.worker_id)
+        if record is None:
+            self._records[worker.worker_id] = WorkerRecord(
+                worker=worker, versions=dict(worker.versions)
+            )
+            return
+        record.worker = worker
+        # A stream's head is newer than discovery, and versions only rise.
+        for model, version in worker.versions.items():
+            record.versions[model] = max(version, record.versions.get(model, version))
+
+    def _announce(self) -> None:
+        for listener in self._listeners:
+            listener()
+
+    def get(self, worker_id: BackendId) -> WorkerRecord | None:
+        """Return one worker."""
+        return self._records.get(worker_id)
+
+    def of_service(self, service: str) -> list[WorkerRecord]:
+        """Return the workers of a service, in a stable order."""
+        found = [r for r in self._records.values() if r.worker.service == service]
+        return sorted(found, key=lambda record: record.worker.worker_id)
+
+    def with_model(self, model: str) -> list[WorkerRecord]:
+        """Return the workers that hold a model, in a stable order."""
+        found = [r for r in self._records.values() if model in r.versions]
+        return sorted(found, key=lambda record: record.worker.worker_id)
+
+    def all_records(self) -> Mapping[BackendId, WorkerRecord]:
+        """Return every worker."""
+        return self._records
+
+    def observe_version(self, worker_id: BackendId, model: str, version: WeightVersion) -> None:
+        """Take the version that an answer named."""
+        record = self._records.get(worker_id)
+        if record is not None:
+            record.versions[model] = version
+
+    def observe_load(self, worker_id: BackendId, load: WorkerLoad, now: float) -> None:
+        """Take a load report: what is beyond this node's own requests belongs to others."""
+        record = self._records.get(worker_id)
+        if record is not None:
+            record.others = max(0, load.running + load.waiting - record.in_flight)
+            record.reported_at = now
+
+    def observe_pace(self, worker_id: BackendId, seconds_per_event: float) -> None:
+        """Take the time between two events of a stream."""
+        record = self._records.get(worker_id)
+        if record is not None:
+            record.pace_seconds = _smooth(record.pace_seconds, seconds_per_event)
+
+    def observe_latency(self, worker_id: BackendId, seconds: float) -> None:
+        """Take the time of a whole answer."""
+        record = self._records.get(worker_id)
+        if record is not None:
+            record.latency_seconds = _smooth(record.latency_seconds, seconds)
+            record.failures = 0
+
+    def observe_success(self, worker_id: BackendId) -> None:
+        """Forget earlier failures."""
+        record = self._records.get(worker_id)
+        if record is not None:
+            record.failures = 0
+
+    def observe_failure(self, worker_id: BackendId, now: float) -> None:
+        """Pause a worker; the pause doubles with each failure in a row."""
+        record = self._records.get(worker_id)
+        if record is None:
+            return
+        pause_seconds = min(LONGEST_PAUSE_SECONDS, FAILURE_PAUSE_SECONDS * 2**record.failures)
+        record.failures = min(record.failures + 1, 8)
+        record.paused_until = now + pause_seconds
+
+    def pause(self, worker_id: BackendId, now: float, seconds: float) -> None:
+        """Send a worker nothing for a while, without counting a failure."""
+        record = self._records.get(worker_id)
+        if record is not None:
+            record.paused_until = max(record.paused_until, now + seconds)
+
+
+def _smooth(previous: float | None, value: float) -> float:
+    if previous is None:
+        return value
+    return previous + PACE_SMOOTHING * (value - previous)
--- /dev/null
+++ b/drumbay/workers/records.py
@@ -0,0 +1,149 @@
+"""What is known about workers, and what is exchanged with them."""
+
+from collections.abc import Mapping
+from enum import StrEnum
+
+import msgspec
+
+from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.exceptions import UnavailableError
+from drumbay.identifiers import BackendId, Fence, WeightVersion
+
+
+class WorkerState(StrEnum):
+    """Whether a worker takes new requests."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class Worker(msgspec.Struct, frozen=True, kw_only=True):
+    """One worker as discovery describes it. ``versions`` maps models to weight versions."""
+
+    worker_id: BackendId
+    service: str
+    address: NetworkAddress
+    zone: str
+    slots: int
+    state: WorkerState
+    versions: Mapping[str, WeightVersion]
+
+
+class WorkerLoad(msgspec.Struct, frozen=True, kw_only=True):
+    """Load that a worker reports: requests running, requests waiting, places."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class WorkerRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A request for one worker.
+
+    ``headers`` go out unchanged; ``budget_seconds`` tells the worker how long to work;
+    ``resume_after`` asks for the events after that number.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    host: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    budget_seconds: float
+    resume_after: int | None = None
+
+
+class WorkerAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """A worker's whole answer, to be returned unchanged."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    load: WorkerLoad | None
+
+
+class StreamEvent(msgspec.Struct, frozen=True, kw_only=True):
+    """One event of a stream, with the weight version that made it."""
+
+    number: int
+    data: str
+    version: WeightVersion
+
+
+class LoadMode(StrEnum):
+    """What happens to runs of a model whose weights are replaced."""
+
+    FINISH_FIRST = "finish_first"
+    KEEP_RUNNING = "keep_running"
+
+
+class WorkerStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """A worker's own report. ``sequence`` counts the orders it has taken."""
+
+    busy: bool
+    sequence: int
+    versions: Mapping[str, WeightVersion]
+
+
+class LoadOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """An order to load one version of a model, valid only at ``expected_sequence``."""
+
+    model: str
+    version: WeightVersion
+    mode: LoadMode
+    holder: str
+    fence: Fence
+    expected_sequence: int
+
+
+class OrderOutcome(StrEnum):
+    """What a worker answered to an order."""
+
+    STARTED = "started"
+    ALREADY_HELD = "already_held"
+    CONFLICT = "conflict"
+    FENCED = "fenced"
+    REFUSED = "refused"
+
+
+class WorkerError(UnavailableError):
+    """A worker did not serve a request."""
+
+    code = "worker"
+
+
+class WorkerRefusedError(WorkerError):
+    """The worker proved that it did not run the request."""
+
+    code = "worker_refused"
+
+
+class WorkerMisdirectedError(WorkerRefusedError):
+    """Another worker, or other weights, stand at the address; the request did not run."""
+
+    code = "worker_misdirected"
+
+
+class WorkerUnreachableError(WorkerRefusedError):
+    """No connection came up; the request did not reach the worker."""
+
+    code = "worker_unreachable"
+
+
+class WorkerBrokenError(WorkerError):
+    """No whole answer came; the request may have run."""
+
+    code = "worker_broken"
+
+
+class WorkerFailedError(WorkerError):
+    """The worker ran the request and failed."""
+
+    code = "worker_failed"
+
+
+class WorkerRejectedError(WorkerError):
+    """The worker says that the request can never be served."""
+
+    code = "worker_rejected"
