--- a/drumbay/batches/messages.py
+++ b/drumbay/batches/messages.py
@@ -61,6 +61,4 @@
 
 
 PeerRequest = ReadResults | ReadBody | EndBatch | HandOver
-PeerReply = (
-    PageReply | BodyReply | DoneReply | NotOwnerReply | NotFoundReply | UnavailableReply
-)
+PeerReply = PageReply | BodyReply | DoneReply | NotOwnerReply | NotFoundReply | UnavailableReply
--- a/drumbay/batches/peers.py
+++ b/drumbay/batches/peers.py
@@ -6,8 +6,7 @@
 
 import msgspec
 from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPServerRequest, ResponseStartLine
-from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 
 from drumbay.batches.messages import PeerReply, PeerRequest
 from drumbay.clock import Clock
--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -69,15 +69,6 @@
     budget_seconds: float
 
 
-class _Progress(msgspec.Struct, kw_only=True):
-    """What has happened to one request so far."""
-
-    sent: int = 0
-    refusals: int = 0
-    may_have_run: bool = False
-    tried: set[str] = msgspec.field(default_factory=set)
-
-
 class Forwarder:
     """Serves requests of routes that are answered at once."""
 
@@ -90,11 +81,11 @@
         zone: str,
     ) -> None:
         """Create a forwarder for a node in ``zone``."""
-        self._clock = clock
-        self._directory = directory
+        self.clock = clock
+        self.directory = directory
+        self.client = client
+        self.zone = zone
         self._routes = routes
-        self._client = client
-        self._zone = zone
 
     async def forward(self, route: Route, request: ClientRequest) -> WorkerAnswer:
         """Return a worker's whole answer.
@@ -102,87 +93,115 @@
         Raises:
             RequestFailedError: The final answer is a failure; says whether it may have run.
         """
-        started_at = self._clock.monotonic()
-        deadline = started_at + min(request.budget_seconds, route.timeout_seconds)
-        service = self._routes.choose_service(route)
-        progress = _Progress()
-        attempts: dict[asyncio.Task[WorkerAnswer], WorkerRecord] = {}
+        forwarding = _Forwarding(self, route, self._routes.choose_service(route), request)
         try:
-            return await self._run(route, request, service, deadline, progress, attempts)
+            return await forwarding.run()
         except RequestFailedError as error:
-            log_event(
-                "request_failed",
-                level="WARNING",
-                request=request.request_id,
-                route=route.name,
-                service=service,
-                error=error.code,
-                execution=error.execution,
-                sent=progress.sent,
-                refusals=progress.refusals,
-                workers=",".join(sorted(progress.tried)),
-                elapsed_seconds=round(self._clock.monotonic() - started_at, 4),
-            )
+            forwarding.log_failure(error)
             raise
         finally:
-            for task in attempts:
-                task.cancel()
+            forwarding.close()
 
-    async def _run(
-        self,
-        route: Route,
-        request: ClientRequest,
-        service: str,
-        deadline: float,
-        progress: _Progress,
-        attempts: dict[asyncio.Task[WorkerAnswer], WorkerRecord],
-    ) -> WorkerAnswer:
-        hedge_seconds = route.target_seconds * HEDGE_SHARE_OF_TARGET
-        next_hedge = self._clock.monotonic()
+
+class _Forwarding:
+    """One client request on its way: the attempts so far and those under way."""
+
+    def __init__(
+        self, forwarder: Forwarder, route: Route, service: str, request: ClientRequest
+    ) -> None:
+        self._clock = forwarder.clock
+        self._directory = forwarder.directory
+        self._client = forwarder.client
+        self._zone = forwarder.zone
+        self._route = route
+        self._service = service
+        self._request = request
+        self._started_at = self._clock.monotonic()
+        limit_seconds = min(request.budget_seconds, route.timeout_seconds)
+        self._deadline = self._started_at + limit_seconds
+        self._next_send = self._started_at
+        self._attempts: dict[asyncio.Task[WorkerAnswer], WorkerRecord] = {}
+        self._sent = 0
+        self._refusals = 0
+        self._may_have_run = False
+        self._tried: set[str] = set()
+
+    async def run(self) -> WorkerAnswer:
+        """Send until an answer is whole or nothing more can be done."""
         while True:
             now = self._clock.monotonic()
-            remaining = deadline - now
+            remaining = self._deadline - now
             if remaining < MINIMUM_BUDGET_SECONDS:
-                raise self._timed_out(progress)
-            if now >= next_hedge and self._may_send(route, progress, bool(attempts)):
-                record = self._choose(service, progress, now)
-                if record is not None:
-                    self._send(record, request, remaining, progress, attempts)
-                elif not attempts:
-                    raise self._no_worker(progress)
-                next_hedge = now + hedge_seconds
-            if not attempts:
-                if not self._may_send(route, progress, False):
-                    raise self._exhausted(progress)
-                next_hedge = now
-                await self._clock.sleep(min(REFUSAL_PAUSE_SECONDS, remaining))
-                continue
-            wait_seconds = remaining
-            if self._may_send(route, progress, True):
-                wait_seconds = min(remaining, max(next_hedge - now, MINIMUM_BUDGET_SECONDS))
-            done, _ = await asyncio.wait(
-                attempts, timeout=wait_seconds, return_when=asyncio.FIRST_COMPLETED
-            )
-            for task in done:
-                record = attempts.pop(task)
-                answer = self._settle(task, record, progress)
+                raise self._failure(timed_out=True)
+            if now >= self._next_send and self._may_send():
+                self._send_to_next(now, remaining)
+            if self._attempts:
+                answer = await self._wait(now, remaining)
                 if answer is not None:
                     return answer
-                next_hedge = self._clock.monotonic()
+            elif self._may_send():
+                await self._clock.sleep(min(REFUSAL_PAUSE_SECONDS, remaining))
+            else:
+                raise self._failure(timed_out=False)
+
+    def close(self) -> None:
+        """Close what is under way; its workers stop working on it."""
+        for task in self._attempts:
+            task.cancel()
+
+    def log_failure(self, error: RequestFailedError) -> None:
+        """Log the final failure with what led to it."""
+        log_event(
+            "request_failed",
+            level="WARNING",
+            request=self._request.request_id,
+            route=self._route.name,
+            service=self._service,
+            error=error.code,
+            execution=error.execution,
+            sent=self._sent,
+            refusals=self._refusals,
+            workers=",".join(sorted(self._tried)),
+            elapsed_seconds=round(self._clock.monotonic() - self._started_at, 4),
+        )
 
-    def _may_send(self, route: Route, progress: _Progress, is_hedge: bool) -> bool:
-        if progress.refusals > MAXIMUM_REFUSALS:
-            return False
-        if route.kind is RequestKind.AT_MOST_ONCE:
-            return not is_hedge and not progress.may_have_run
-        return progress.sent - progress.refusals < route.attempts
+    async def _wait(self, now: float, remaining: float) -> WorkerAnswer | None:
+        """Wait for an attempt to end, or until another may be sent."""
+        wait_seconds = remaining
+        if self._may_send():
+            until_send = max(self._next_send - now, MINIMUM_BUDGET_SECONDS)
+            wait_seconds = min(remaining, until_send)
+        done, _ = await asyncio.wait(
+            self._attempts, timeout=wait_seconds, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            answer = self._settle(task, self._attempts.pop(task))
+            if answer is not None:
+                return answer
+            self._next_send = self._clock.monotonic()
+        return None
 
-    def _choose(self, service: str, progress: _Progress, now: float) -> WorkerRecord | None:
-        records = self._directory.of_service(service)
+    def _may_send(self) -> bool:
+        if self._refusals > MAXIMUM_REFUSALS:
+            return False
+        if self._route.kind is RequestKind.AT_MOST_ONCE:
+            return not self._attempts and not self._may_have_run
+        return self._sent - self._refusals < self._route.attempts
+
+    def _send_to_next(self, now: float, remaining: float) -> None:
+        self._next_send = now + self._route.target_seconds * HEDGE_SHARE_OF_TARGET
+        record = self._choose(now)
+        if record is not None:
+            self._send(record, remaining)
+        elif not self._attempts:
+            raise self._failure(timed_out=False)
+
+    def _choose(self, now: float) -> WorkerRecord | None:
+        records = self._directory.of_service(self._service)
         available = [record for record in records if record.is_available(now)]
-        untried = [r for r in available if r.worker.worker_id not in progress.tried]
+        untried = [r for r in available if r.worker.worker_id not in self._tried]
         candidates = untried or available
-        if not candidates and not progress.sent:
+        if not candidates and not self._sent:
             candidates = [record for record in records if record.worker.state == "ready"]
         if not candidates:
             return None
@@ -199,16 +218,10 @@
             record.worker.worker_id,
         )
 
-    def _send(
-        self,
-        record: WorkerRecord,
-        request: ClientRequest,
-        remaining: float,
-        progress: _Progress,
-        attempts: dict[asyncio.Task[WorkerAnswer], WorkerRecord],
-    ) -> None:
-        progress.sent += 1
-        progress.tried.add(record.worker.worker_id)
+    def _send(self, record: WorkerRecord, remaining: float) -> None:
+        self._sent += 1
+        self._tried.add(record.worker.worker_id)
+        request = self._request
         outgoing = WorkerRequest(
             request_id=request.request_id,
             method=request.method,
@@ -219,7 +232,7 @@
             budget_seconds=remaining,
         )
         task = asyncio.get_running_loop().create_task(self._attempt(record, outgoing))
-        attempts[task] = record
+        self._attempts[task] = record
 
     async def _attempt(self, record: WorkerRecord, request: WorkerRequest) -> WorkerAnswer:
         started_at = self._clock.monotonic()
@@ -241,7 +254,7 @@
         return answer
 
     def _settle(
-        self, task: "asyncio.Task[WorkerAnswer]", record: WorkerRecord, progress: _Progress
+        self, task: "asyncio.Task[WorkerAnswer]", record: WorkerRecord
     ) -> WorkerAnswer | None:
         """Take a finished attempt; return its answer if it is final."""
         now = self._clock.monotonic()
@@ -249,41 +262,28 @@
         try:
             return task.result()
         except WorkerMisdirectedError:
-            progress.refusals += 1
+            self._refusals += 1
             self._directory.pause(worker_id, now, MISDIRECTED_PAUSE_SECONDS)
         except WorkerUnreachableError:
-            progress.refusals += 1
+            self._refusals += 1
             self._directory.observe_failure(worker_id, now)
         except WorkerRefusedError:
-            progress.refusals += 1
+            self._refusals += 1
             self._directory.pause(worker_id, now, REFUSAL_PAUSE_SECONDS)
         except WorkerBrokenError:
-            progress.may_have_run = True
+            self._may_have_run = True
             self._directory.observe_failure(worker_id, now)
         except WorkerError:
-            progress.may_have_run = True
+            self._may_have_run = True
         return None
 
-    def _timed_out(self, progress: _Progress) -> RequestFailedError:
-        if progress.sent == progress.refusals:
-            return self._no_worker(progress)
-        return RequestTimedOutError(
-            "no answer before the deadline", execution=Execution.MAY_HAVE_RUN
-        )
-
-    def _exhausted(self, progress: _Progress) -> RequestFailedError:
-        if progress.may_have_run:
-            return AnswerLostError("no whole answer came", execution=Execution.MAY_HAVE_RUN)
-        return self._no_worker(progress)
-
-    @staticmethod
-    def _no_worker(progress: _Progress) -> RequestFailedError:
-        if progress.sent > progress.refusals:
-            return AnswerLostError("no whole answer came", execution=Execution.MAY_HAVE_RUN)
-        return NoWorkerError(
-            "no worker took the request",
-            execution=Execution.NOT_RUN,
-            retry_after_seconds=RETRY_AFTER_SECONDS,
-        )
-
-
+    def _failure(self, *, timed_out: bool) -> RequestFailedError:
+        """Return the final answer: what the client may conclude about the request."""
+        if not self._may_have_run and self._sent == self._refusals:
+            return NoWorkerError(
+                "no worker took the request",
+                execution=Execution.NOT_RUN,
+                retry_after_seconds=RETRY_AFTER_SECONDS,
+            )
+        kind = RequestTimedOutError if timed_out else AnswerLostError
+        return kind("no whole answer came", execution=Execution.MAY_HAVE_RUN)
