Start long items first on fast, fresh workers; use what was made of returning items

Three things cost time: long items start anywhere and late; 96 starts were thrown at a worker that refused while it loaded; the groups left out of a step come back in the next one and start again from nothing.

Change: items expected to be long start first, on fast workers with the newest weights; of the groups beyond those waited for, the longest start last; an item with many events moves to a clearly faster worker; after a refusal a worker gets one probe at a time for that model; runs of an ended batch job go on for 8 s and their text is adopted by the next batch job if its versions fit; the last results are listed without waiting; half of the workers take each version while versions follow quickly, all of them 15 s after it was named.

Ruled out: loads as a cause of stalls (7 gaps over 0.25 s, all on the slowed worker).

--- a/drumbay/batches/records.py
+++ b/drumbay/batches/records.py
@@ -65,6 +65,16 @@
         return len(self.text) + 128
 
 
+class PartialText(msgspec.Struct, frozen=True, kw_only=True):
+    """What was made of an item whose batch job ended before it: events up to a number."""
+
+    item_id: ItemId
+    texts: tuple[str, ...]
+    last_number: int
+    versions: tuple[WeightVersion, ...]
+    complete: bool
+
+
 class ResultPage(msgspec.Struct, frozen=True, kw_only=True):
     """Results from ``position`` on; ``total`` counts the items of the batch job."""
 
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -1,7 +1,7 @@
 """Runs one owned batch job: performs the scheduler's decisions and lists results durably."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Iterable
 from contextlib import suppress
 
 import msgspec
@@ -13,13 +13,14 @@
     BatchSpec,
     ItemId,
     ItemResult,
+    PartialText,
     ResultPage,
     ResultState,
     page_of,
 )
 from drumbay.batches.scheduler import BatchScheduler, RunFailure, StartRun, StopRun
 from drumbay.clock import Clock
-from drumbay.identifiers import BackendId, Revision
+from drumbay.identifiers import BackendId, Revision, WeightVersion
 from drumbay.kv.interface import KeyValueError
 from drumbay.observability.logs import log_event
 from drumbay.tasks import TaskOwner
@@ -39,13 +40,19 @@
 FLUSH_INTERVAL_SECONDS = 0.25
 """Results wait this long for others: each write is one priced call to the store."""
 
+LAST_ITEMS = 8
+LAST_FLUSH_INTERVAL_SECONDS = 0.03
+"""The last items decide when a step is whole; their results hardly wait."""
+
+LINGER_SECONDS = 8.0
+"""How long runs go on after the end of a batch job: their items may come back in the next."""
+
 FLUSH_BYTES = 500_000
 STORE_RETRY_SECONDS = 0.15
 OWNER_CHECK_SECONDS = 1.5
 """Without a successful write for this long, the owner asks the store whether it still owns."""
 
 PAGE_BYTES = 900_000
-REFUSED_PAUSE_SECONDS = 0.12
 MISDIRECTED_PAUSE_SECONDS = 1.0
 RUN_BUDGET_SECONDS = 30.0
 WAKE_DELAY_SECONDS = 0.005
@@ -96,6 +103,7 @@
         self._task_owner = task_owner
         self._on_lost = on_lost
         self._scheduler = BatchScheduler(spec, clock.monotonic(), listed)
+        self._unlisted_texts: dict[ItemId, ItemResult] = {}
         self._listed: list[ItemResult] = list(listed)
         self._pending: list[ItemResult] = []
         self._runs: dict[ItemId, asyncio.Task[None]] = {}
@@ -105,10 +113,17 @@
         self._confirmed_at = clock.monotonic()
         self._tasks: list[asyncio.Task[None]] = []
         self._closed = False
+        self._lingering = False
 
-    def start(self) -> None:
-        """Start to run items."""
+    def start(self, partial_texts: tuple[PartialText, ...]) -> None:
+        """Start to run items, from what earlier batch jobs made of them."""
+        if self._closed or self._lingering:
+            return
         name = self.spec.batch_id
+        for partial_text in partial_texts:
+            self._scheduler.adopt(partial_text)
+        for result in self._scheduler.take_adopted_results():
+            self._add_result(result)
         self._tasks = [
             self._task_owner.spawn(self._run_scheduling(), f"batch-schedule-{name}"),
             self._task_owner.spawn(self._run_listing(), f"batch-list-{name}"),
@@ -126,14 +141,65 @@
 
     def close(self) -> None:
         """Stop every run; what is not listed is forgotten."""
-        if self._closed:
-            return
+        self._stop_tasks()
         self._closed = True
-        for task in [*self._runs.values(), *self._tasks]:
+        for task in self._runs.values():
+            task.cancel()
+
+    def linger(self) -> None:
+        """Start and list nothing more, but let runs go on for items that may come back."""
+        self._stop_tasks()
+        self._lingering = True
+        self._unlisted_texts.update({result.item_id: result for result in self._pending})
+        timer = self._clock.sleep(LINGER_SECONDS)
+        self._task_owner.spawn(self._close_after(timer), f"batch-linger-{self.spec.batch_id}")
+
+    async def _close_after(self, timer: Awaitable[None]) -> None:
+        await timer
+        self.close()
+
+    def _stop_tasks(self) -> None:
+        for task in self._tasks:
             if task is not asyncio.current_task():
                 task.cancel()
+        self._tasks = []
         self._announce_listed()
 
+    @property
+    def is_lingering(self) -> bool:
+        """Return whether the runner still works on items of an ended batch job."""
+        return self._lingering and not self._closed
+
+    def give_up_texts(
+        self, item_ids: Iterable[ItemId], minimum_version: WeightVersion
+    ) -> tuple[PartialText, ...]:
+        """Stop the runs of items and return their texts, those that a newer step may use."""
+        given: list[PartialText] = []
+        for item_id in item_ids:
+            partial_text = self._whole_text(item_id, minimum_version)
+            if partial_text is None:
+                partial_text = self._scheduler.partial_text(item_id, minimum_version)
+            task = self._runs.pop(item_id, None)
+            if task is not None:
+                task.cancel()
+            if partial_text is not None:
+                given.append(partial_text)
+        return tuple(given)
+
+    def _whole_text(self, item_id: ItemId, minimum_version: WeightVersion) -> PartialText | None:
+        result = self._unlisted_texts.get(item_id)
+        if result is None or result.state is not ResultState.DONE:
+            return None
+        if min(result.versions) < minimum_version:
+            return None
+        return PartialText(
+            item_id=item_id,
+            texts=(result.text,),
+            last_number=0,
+            versions=result.versions,
+            complete=True,
+        )
+
     @property
     def is_finished(self) -> bool:
         """Return whether every item is listed."""
@@ -231,7 +297,9 @@
             self._directory.observe_failure(record.worker.worker_id, self._clock.monotonic())
         except WorkerRefusedError:
             failure = RunFailure.REFUSED
-            self._pause(record, REFUSED_PAUSE_SECONDS)
+            self._directory.observe_refusal(
+                record.worker.worker_id, self.spec.model, self._clock.monotonic()
+            )
         except WorkerBrokenError:
             failure = RunFailure.BROKEN
         except WorkerFailedError:
@@ -242,7 +310,7 @@
             record.in_flight -= 1
             if self._runs.get(item_id) is task:
                 del self._runs[item_id]
-            if not self._closed:
+            if not self._closed and not (self._lingering and failure is RunFailure.STOPPED):
                 self._finish_run(item_id, record, failure)
 
     def _pause(self, record: WorkerRecord, seconds: float) -> None:
@@ -253,7 +321,6 @@
     ) -> None:
         if failure is None:
             result = self._scheduler.take_completion(item_id)
-            self._directory.observe_success(record.worker.worker_id)
         else:
             log_event(
                 "item_run_failed",
@@ -287,12 +354,13 @@
                 for event in events:
                     elapsed = self._scheduler.take_event(item.item_id, event, now)
                     if elapsed is not None and len(events) == 1:
-                        self._directory.observe_pace(worker_id, elapsed)
+                        self._directory.observe_pace(worker_id, elapsed, now)
                     self._directory.observe_version(worker_id, self.spec.model, event.version)
 
     def _take_head(self, item_id: ItemId, record: WorkerRecord, stream: WorkerStream) -> None:
         now = self._clock.monotonic()
         worker_id = record.worker.worker_id
+        self._directory.observe_acceptance(worker_id, self.spec.model)
         if stream.load is not None:
             self._directory.observe_load(worker_id, stream.load, now)
         if stream.version is None:
@@ -304,6 +372,9 @@
     # Listing
 
     def _add_result(self, result: ItemResult) -> None:
+        if self._lingering:
+            self._unlisted_texts[result.item_id] = result
+            return
         self._pending.append(result)
         self._flush_wakeup.set()
         if result.state is ResultState.DEAD:
@@ -342,14 +413,19 @@
             listed=len(self._listed),
             items=len(self.spec.items),
         )
-        self.close()
+        if isinstance(error, BatchEndedError):
+            self.linger()
+        else:
+            self.close()
         self._on_lost(self.spec.batch_id)
 
     async def _list_pending(self) -> None:
         if not self._pending:
             return
         if not self._scheduler.is_finished:
-            await self._clock.sleep(FLUSH_INTERVAL_SECONDS)
+            is_near_end = self._scheduler.unfinished <= LAST_ITEMS
+            interval = LAST_FLUSH_INTERVAL_SECONDS if is_near_end else FLUSH_INTERVAL_SECONDS
+            await self._clock.sleep(interval)
         while self._pending:
             count = self._fitting()
             await self._append(tuple(self._pending[:count]))
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -5,21 +5,28 @@
 
 import msgspec
 
-from drumbay.batches.records import BatchItem, BatchSpec, ItemId, ItemResult, ResultState
+from drumbay.batches.item_order import ItemOrder
+from drumbay.batches.records import (
+    BatchItem,
+    BatchSpec,
+    ItemId,
+    ItemResult,
+    PartialText,
+    ResultState,
+)
+from drumbay.batches.worker_choice import WorkerChoice
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.workers.directory import WorkerRecord
 from drumbay.workers.records import StreamEvent
 
 SILENCE_BEFORE_FIRST_EVENT_SECONDS = 1.6
-SILENCE_BETWEEN_EVENTS_SECONDS = 0.7
-SILENCE_WHILE_LOADING_SECONDS = 2.0
-SLOW_FACTOR = 2.2
-"""A worker whose events come this many times later than the median worker's is slow."""
-
+SILENCE_BETWEEN_EVENTS_SECONDS = 1.2
 MAXIMUM_MOVES = 3
 FAILURE_DELAY_SECONDS = 0.15
-DEFAULT_PACE_SECONDS = 0.045
-MINIMUM_EVENTS_BEFORE_MOVE = 3
+REFUSAL_DELAY_SECONDS = 0.05
+EVENTS_BEFORE_LEAVING_A_SLOW_WORKER = 3
+EVENTS_BEFORE_SEEKING_A_FASTER_WORKER = 25
+"""An item with so many events is likely to have many more: lengths have a long tail."""
 
 
 class StopReason(StrEnum):
@@ -27,8 +34,6 @@
 
     SILENT = "silent"
     SLOW_WORKER = "slow_worker"
-    OLD_VERSION = "old_version"
-    WORKER_GONE = "worker_gone"
 
 
 class StartRun(msgspec.Struct, frozen=True, kw_only=True):
@@ -64,6 +69,7 @@
     """Progress of one item."""
 
     item: BatchItem
+    is_long: bool
     worker_id: BackendId | None = None
     texts: list[str] = msgspec.field(default_factory=list)
     last_number: int | None = None
@@ -80,33 +86,70 @@
         self.versions.clear()
         self.last_number = None
 
+    def release(self) -> None:
+        self.worker_id = None
+        self.events_in_run = 0
+
 
 class BatchScheduler:
     """Decides from events alone; deterministic.
 
-    Groups start in the order in which they were submitted, since groups that come back from an
-    earlier batch job stand first and are waited for; the items of a group go to one worker while
-    it has room, since they share a prompt that the worker then reads once.
+    Items that are expected to be long start first and go to the fastest workers with the newest
+    weights: they decide when a step is whole, and what is made under the newest weights can
+    still be used when the item comes back in the next step.
     """
 
-    def __init__(self, spec: BatchSpec, started_at: float, listed: Sequence[ItemResult]) -> None:
-        """Create a scheduler for the items that are not yet listed."""
+    def __init__(
+        self,
+        spec: BatchSpec,
+        started_at: float,
+        listed: Sequence[ItemResult],
+    ) -> None:
+        """Create a scheduler for the items that are not yet listed.
+
+        Args:
+            spec: The batch job.
+            started_at: Monotonic time from which the queue limit runs.
+            listed: Results that stand already.
+        """
         self._spec = spec
         self._give_up_at = started_at + spec.queue_limit_seconds
         done = {result.item_id for result in listed}
+        order = ItemOrder(spec)
         self._items = {
-            item.item_id: _ItemState(item=item) for item in spec.items if item.item_id not in done
+            item.item_id: _ItemState(item=item, is_long=order.is_long(item))
+            for item in order.items()
+            if item.item_id not in done
         }
-        self._group_workers: dict[str, BackendId] = {}
+        self._finished: list[ItemResult] = []
+
+    def adopt(self, partial_text: PartialText) -> None:
+        """Go on from what an earlier batch job made of an item, if its versions fit."""
+        state = self._items.get(partial_text.item_id)
+        if state is None or not self._versions_fit(partial_text.versions):
+            return
+        state.texts = list(partial_text.texts)
+        state.last_number = partial_text.last_number
+        state.versions = list(partial_text.versions)
+        if partial_text.complete:
+            self._finished.append(self._result(state))
+            del self._items[state.item.item_id]
+
+    def take_adopted_results(self) -> tuple[ItemResult, ...]:
+        """Return the results of items that earlier batch jobs had finished, once."""
+        results = tuple(self._finished)
+        self._finished.clear()
+        return results
 
     @property
     def is_finished(self) -> bool:
         """Return whether every item has a result."""
         return not self._items
 
-    def running(self) -> int:
-        """Return how many items are at workers."""
-        return sum(1 for state in self._items.values() if state.worker_id is not None)
+    @property
+    def unfinished(self) -> int:
+        """Return how many items have no result."""
+        return len(self._items)
 
     def take_event(self, item_id: ItemId, event: StreamEvent, now: float) -> float | None:
         """Add an event to an item's text; return the seconds since the last one.
@@ -142,22 +185,26 @@
         state = self._items.get(item_id)
         if state is None:
             return None
-        if not self._versions_fit(state):
+        if not self._versions_fit(state.versions):
             state.forget_text()
-            self._release(state)
+            state.release()
             return None
         del self._items[item_id]
+        return self._result(state)
+
+    @staticmethod
+    def _result(state: _ItemState) -> ItemResult:
         return ItemResult(
-            item_id=item_id,
+            item_id=state.item.item_id,
             state=ResultState.DONE,
             text="\n".join(state.texts),
             versions=tuple(sorted(state.versions)),
         )
 
-    def _versions_fit(self, state: _ItemState) -> bool:
-        if not state.versions or min(state.versions) < self._spec.minimum_version:
+    def _versions_fit(self, versions: Sequence[WeightVersion]) -> bool:
+        if not versions or min(versions) < self._spec.minimum_version:
             return False
-        return not self._spec.one_version_only or len(state.versions) == 1
+        return not self._spec.one_version_only or len(versions) == 1
 
     def take_failure(self, item_id: ItemId, failure: RunFailure, now: float) -> ItemResult | None:
         """Note a run that ended early; return a result if the item is given up."""
@@ -165,7 +212,7 @@
         if state is None:
             return None
         worker_id = state.worker_id
-        self._release(state)
+        state.release()
         match failure:
             case RunFailure.REJECTED:
                 return self._give_up(state)
@@ -179,7 +226,7 @@
             case RunFailure.BROKEN:
                 state.avoid = worker_id
             case RunFailure.REFUSED:
-                state.not_before = now + FAILURE_DELAY_SECONDS / 3
+                state.not_before = now + REFUSAL_DELAY_SECONDS
                 state.avoid = worker_id
             case RunFailure.STOPPED:
                 pass
@@ -189,48 +236,46 @@
         del self._items[state.item.item_id]
         return ItemResult(item_id=state.item.item_id, state=ResultState.DEAD)
 
-    @staticmethod
-    def _release(state: _ItemState) -> None:
-        state.worker_id = None
-        state.events_in_run = 0
-
     def expire(self, now: float) -> tuple[ItemResult, ...]:
         """Give up every item once the batch job's queue limit has passed."""
         if now < self._give_up_at:
             return ()
         return tuple(self._give_up(state) for state in list(self._items.values()))
 
+    def partial_text(self, item_id: ItemId, minimum_version: WeightVersion) -> PartialText | None:
+        """Return what was made of an unfinished item, if newer steps may use it."""
+        state = self._items.get(item_id)
+        if state is None or state.last_number is None:
+            return None
+        if min(state.versions) < minimum_version:
+            return None
+        return PartialText(
+            item_id=item_id,
+            texts=tuple(state.texts),
+            last_number=state.last_number,
+            versions=tuple(state.versions),
+            complete=False,
+        )
+
     def plan(self, workers: Mapping[BackendId, WorkerRecord], now: float) -> tuple[Decision, ...]:
         """Return what to stop and what to start now.
 
         ``workers`` are the workers of the batch job's service. The caller adds to their
         ``in_flight`` for each start before it plans again.
         """
+        choice = WorkerChoice(self._spec, workers, now)
         decisions: list[Decision] = []
-        decisions.extend(self._stops(workers, now))
-        free = {
-            worker_id: record.free_slots(now)
-            for worker_id, record in workers.items()
-            if self._may_run_on(record, now)
-        }
+        decisions.extend(self._stops(choice, now))
         for state in self._items.values():
             if state.worker_id is not None or now < state.not_before:
                 continue
-            if not any(free.values()):
+            if not choice.has_room:
                 break
-            worker_id = self._place(state, workers, free)
-            if worker_id is None:
-                continue
-            decisions.append(self._start(state, worker_id, now))
-            free[worker_id] -= 1
+            worker_id = choice.take(state.item.group, state.avoid, is_long=state.is_long)
+            if worker_id is not None:
+                decisions.append(self._start(state, worker_id, now))
         return tuple(decisions)
 
-    def _may_run_on(self, record: WorkerRecord, now: float) -> bool:
-        if not record.is_available(now):
-            return False
-        version = record.versions.get(self._spec.model)
-        return version is not None and version >= self._spec.minimum_version
-
     def _start(self, state: _ItemState, worker_id: BackendId, now: float) -> StartRun:
         state.worker_id = worker_id
         state.events_in_run = 0
@@ -238,79 +283,39 @@
         if self._spec.one_version_only:
             # Another worker may hold another version; one version makes the whole text.
             state.forget_text()
-        self._group_workers.setdefault(state.item.group, worker_id)
         return StartRun(item=state.item, worker_id=worker_id, resume_after=state.last_number)
 
-    def _place(
-        self,
-        state: _ItemState,
-        workers: Mapping[BackendId, WorkerRecord],
-        free: Mapping[BackendId, int],
-    ) -> BackendId | None:
-        preferred = self._group_workers.get(state.item.group)
-        if preferred is not None and preferred != state.avoid and free.get(preferred, 0) > 0:
-            return preferred
-        candidates = [worker_id for worker_id, count in free.items() if count > 0]
-        others = [worker_id for worker_id in candidates if worker_id != state.avoid]
-        candidates = others or candidates
-        if not candidates:
-            return None
-        median = self._median_pace(workers)
-
-        def cost(worker_id: BackendId) -> tuple[float, float, str]:
-            record = workers[worker_id]
-            pace = record.pace_seconds or median
-            taken = 1.0 - free[worker_id] / max(1, record.worker.slots)
-            return (pace > SLOW_FACTOR * median, taken, worker_id)
-
-        chosen = min(candidates, key=cost)
-        self._group_workers[state.item.group] = chosen
-        return chosen
-
-    @staticmethod
-    def _median_pace(workers: Mapping[BackendId, WorkerRecord]) -> float:
-        paces = sorted(r.pace_seconds for r in workers.values() if r.pace_seconds is not None)
-        if not paces:
-            return DEFAULT_PACE_SECONDS
-        return paces[(len(paces) - 1) // 2]
-
-    def _stops(self, workers: Mapping[BackendId, WorkerRecord], now: float) -> list[StopRun]:
-        median = self._median_pace(workers)
+    def _stops(self, choice: WorkerChoice, now: float) -> list[StopRun]:
         stops: list[StopRun] = []
-        spare = sum(
-            record.free_slots(now)
-            for record in workers.values()
-            if self._may_run_on(record, now) and not self._is_slow(record, median)
-        )
         for state in self._items.values():
             if state.worker_id is None:
                 continue
-            record = workers.get(state.worker_id)
             if self._is_silent(state, now):
                 stops.append(self._stop(state, StopReason.SILENT))
-            elif record is not None and spare > 0 and self._should_move(state, record, median):
-                spare -= 1
+            elif self._should_move(state, choice):
                 state.moves += 1
                 stops.append(self._stop(state, StopReason.SLOW_WORKER))
         return stops
 
     @staticmethod
-    def _is_slow(record: WorkerRecord, median: float) -> bool:
-        return record.pace_seconds is not None and record.pace_seconds > SLOW_FACTOR * median
-
-    def _should_move(self, state: _ItemState, record: WorkerRecord, median: float) -> bool:
-        return (
-            self._is_slow(record, median)
-            and state.moves < MAXIMUM_MOVES
-            and state.events_in_run >= MINIMUM_EVENTS_BEFORE_MOVE
-        )
+    def _should_move(state: _ItemState, choice: WorkerChoice) -> bool:
+        assert state.worker_id is not None
+        if state.moves >= MAXIMUM_MOVES:
+            return False
+        if state.events_in_run < EVENTS_BEFORE_LEAVING_A_SLOW_WORKER:
+            return False
+        if choice.is_slow(state.worker_id):
+            return choice.reserve_faster(state.worker_id)
+        if state.events_in_run < EVENTS_BEFORE_SEEKING_A_FASTER_WORKER:
+            return False
+        return choice.reserve_faster(state.worker_id)
 
     @staticmethod
     def _is_silent(state: _ItemState, now: float) -> bool:
         silence = now - state.heard_at
         if state.events_in_run == 0:
             return silence > SILENCE_BEFORE_FIRST_EVENT_SECONDS
-        return silence > SILENCE_BETWEEN_EVENTS_SECONDS + SILENCE_WHILE_LOADING_SECONDS / 2
+        return silence > SILENCE_BETWEEN_EVENTS_SECONDS
 
     @staticmethod
     def _stop(state: _ItemState, reason: StopReason) -> StopRun:
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -5,6 +5,9 @@
 answer. Clients ask twice a second, so that a dead owner is noticed by their next call.
 """
 
+import asyncio
+from collections.abc import Callable
+
 import msgspec
 
 from drumbay.batches.exceptions import (
@@ -23,6 +26,7 @@
     ItemResult,
     OwnerRecord,
     OwnerState,
+    PartialText,
     ResultPage,
     page_of,
 )
@@ -45,10 +49,13 @@
     HandOver,
     NotFoundReply,
     NotOwnerReply,
+    OwnerRequest,
     PageReply,
+    PartialTextsReply,
     PeerReply,
     ReadBody,
     ReadResults,
+    TakePartialTexts,
     UnavailableReply,
 )
 from drumbay.peers.transport import PeerClient, PeerUnavailableError
@@ -63,6 +70,7 @@
 END_LIMIT_SECONDS = 3.5
 STORE_RETRY_SECONDS = 0.1
 PEER_SLACK_SECONDS = 0.7
+PARTIAL_TEXTS_LIMIT_SECONDS = 0.15
 REFUSED_RETRY_SECONDS = 1.0
 OWNER_ATTEMPTS = 4
 KNOWN_OWNERS = 4_096
@@ -87,8 +95,9 @@
         peers: PeerClient,
         task_owner: TaskOwner,
         identity: ServiceIdentity,
+        known_nodes: Callable[[], list[NetworkAddress]],
     ) -> None:
-        """Create a service that owns nothing."""
+        """Create a service that owns nothing; ``known_nodes`` lists the other nodes."""
         self._clock = clock
         self._ledger = BatchLedger(store)
         self._directory = directory
@@ -96,7 +105,9 @@
         self._peers = peers
         self._task_owner = task_owner
         self._identity = identity
+        self._known_nodes = known_nodes
         self._runners: dict[BatchId, BatchRunner] = {}
+        self._lingering: list[BatchRunner] = []
         self._owners: dict[BatchId, StoredOwner] = {}
         self._leaving = False
         directory.add_listener(self._wake_runners)
@@ -149,7 +160,41 @@
             return
         log_event("batch_accepted", batch=spec.batch_id, items=len(spec.items), step=spec.step)
         if not self._leaving:
-            self._run(spec, revision, ())
+            runner = self._own(spec, revision, ())
+            self._task_owner.spawn(self._start(runner), f"batch-start-{spec.batch_id}")
+
+    async def _start(self, runner: BatchRunner) -> None:
+        runner.start(await self._collect_partial_texts(runner.spec))
+
+    async def _collect_partial_texts(self, spec: BatchSpec) -> tuple[PartialText, ...]:
+        """Return what this and other nodes have made of items that came back."""
+        request = TakePartialTexts(
+            item_ids=tuple(item.item_id for item in spec.items),
+            minimum_version=spec.minimum_version,
+        )
+        calls = [self._ask_partial_texts(node, request) for node in self._known_nodes()]
+        found = [self._give_up_texts(request)]
+        found.extend(await asyncio.gather(*calls))
+        partial_texts = {p.item_id: p for given in found for p in given}
+        if partial_texts:
+            log_event("partial_texts_adopted", batch=spec.batch_id, items=len(partial_texts))
+        return tuple(partial_texts.values())
+
+    async def _ask_partial_texts(
+        self, node: NetworkAddress, request: TakePartialTexts
+    ) -> tuple[PartialText, ...]:
+        try:
+            reply = await self._peers.call(node, request, PARTIAL_TEXTS_LIMIT_SECONDS)
+        except PeerUnavailableError:
+            return ()
+        return reply.partial_texts if isinstance(reply, PartialTextsReply) else ()
+
+    def _give_up_texts(self, request: TakePartialTexts) -> tuple[PartialText, ...]:
+        self._lingering = [runner for runner in self._lingering if runner.is_lingering]
+        given: list[PartialText] = []
+        for runner in self._lingering:
+            given.extend(runner.give_up_texts(request.item_ids, request.minimum_version))
+        return tuple(given)
 
     async def _own_revision(self, batch_id: BatchId) -> Revision | None:
         """Return the revision of a record that an unanswered write of this node left."""
@@ -165,7 +210,9 @@
             address=self._identity.address, boot=self._identity.boot, state=state, total=total
         )
 
-    def _run(self, spec: BatchSpec, revision: Revision, listed: tuple[ItemResult, ...]) -> None:
+    def _own(
+        self, spec: BatchSpec, revision: Revision, listed: tuple[ItemResult, ...]
+    ) -> BatchRunner:
         runner = BatchRunner(
             self._clock,
             self._ledger,
@@ -179,10 +226,12 @@
         )
         self._runners[spec.batch_id] = runner
         self._owners.pop(spec.batch_id, None)
-        runner.start()
+        return runner
 
     def _forget_runner(self, batch_id: BatchId) -> None:
-        self._runners.pop(batch_id, None)
+        runner = self._runners.pop(batch_id, None)
+        if runner is not None and runner.is_lingering:
+            self._lingering.append(runner)
         self._owners.pop(batch_id, None)
 
     # Reading, bodies, ends
@@ -275,10 +324,12 @@
         await self._ask(owner, EndBatch(batch_id=batch_id), PEER_SLACK_SECONDS)
 
     def _stop_runner(self, batch_id: BatchId) -> None:
+        """Let the runs of an ended batch job go on for a while; it lists nothing more."""
         runner = self._runners.pop(batch_id, None)
         self._owners.pop(batch_id, None)
         if runner is not None:
-            runner.close()
+            runner.linger()
+            self._lingering.append(runner)
 
     # Owners
 
@@ -305,7 +356,7 @@
         await self._clock.sleep(STORE_RETRY_SECONDS)
 
     async def _ask(
-        self, owner: StoredOwner, request: BatchRequest, timeout_seconds: float
+        self, owner: StoredOwner, request: OwnerRequest, timeout_seconds: float
     ) -> PeerReply:
         if owner.record.address == self._identity.address:
             # An earlier process of this machine, or this one before it learnt that it owns.
@@ -351,12 +402,14 @@
             listed=len(stored.results),
             items=len(stored.spec.items),
         )
-        self._run(stored.spec, revision, stored.results)
+        self._own(stored.spec, revision, stored.results).start(())
 
     # Calls of other nodes
 
     async def handle_peer(self, request: BatchRequest) -> PeerReply:
         """Answer a call of another node, as the owner only."""
+        if isinstance(request, TakePartialTexts):
+            return PartialTextsReply(partial_texts=self._give_up_texts(request))
         runner = self._runners.get(request.batch_id)
         match request:
             case EndBatch(batch_id=batch_id):
@@ -389,8 +442,9 @@
     def leave(self) -> None:
         """Own nothing more: the process is about to end; the next caller takes over."""
         self._leaving = True
-        for batch_id in list(self._runners):
-            self._stop_runner(batch_id)
+        for runner in [*self._runners.values(), *self._lingering]:
+            runner.close()
+        self._runners.clear()
 
 
 def _refusal(uncertain: bool) -> BatchRefusedError | BatchOutcomeUnknownError:
--- /dev/null
+++ b/drumbay/batches/worker_choice.py
@@ -0,0 +1,96 @@
+"""Which worker an item goes to, from the room, pace and weights of the workers."""
+
+from collections.abc import Mapping
+
+from drumbay.batches.records import BatchSpec
+from drumbay.identifiers import BackendId, WeightVersion
+from drumbay.workers.directory import WorkerRecord
+
+SLOW_FACTOR = 2.2
+"""A worker whose events come this many times later than the median worker's is slow."""
+
+FASTER_FACTOR = 0.85
+"""Moving to a worker pays if its events come within this share of the time."""
+
+OLD_WEIGHTS_PENALTY = 0.2
+OCCUPANCY_PENALTY = 0.1
+DEFAULT_PACE_SECONDS = 0.045
+
+
+class WorkerChoice:
+    """The choices of one planning round; counts the places that it gives away."""
+
+    def __init__(
+        self, spec: BatchSpec, workers: Mapping[BackendId, WorkerRecord], now: float
+    ) -> None:
+        """Look at the workers once."""
+        self._workers = workers
+        self._free = {
+            worker_id: record.free_slots_for(spec.model, now)
+            for worker_id, record in workers.items()
+            if record.versions.get(spec.model, WeightVersion(-1)) >= spec.minimum_version
+        }
+        self._room = sum(self._free.values())
+        seen = [record.current_pace(now) for record in workers.values()]
+        paces = sorted(pace for pace in seen if pace is not None)
+        self._median = paces[(len(paces) - 1) // 2] if paces else DEFAULT_PACE_SECONDS
+        self._paces = {
+            worker_id: record.current_pace(now) or self._median
+            for worker_id, record in workers.items()
+        }
+        self._versions = {
+            worker_id: record.versions.get(spec.model, WeightVersion(-1))
+            for worker_id, record in workers.items()
+        }
+        self._newest = max(self._versions.values(), default=WeightVersion(-1))
+        self._group_workers: dict[str, BackendId] = {}
+
+    @property
+    def has_room(self) -> bool:
+        """Return whether any worker has a free place."""
+        return self._room > 0
+
+    def is_slow(self, worker_id: BackendId) -> bool:
+        """Return whether a worker is much slower than most."""
+        return self._paces.get(worker_id, self._median) > SLOW_FACTOR * self._median
+
+    def reserve_faster(self, worker_id: BackendId) -> bool:
+        """Set aside a place on a clearly faster worker; return whether there is one."""
+        limit = FASTER_FACTOR * self._paces.get(worker_id, self._median)
+        faster = [w for w, count in self._free.items() if count > 0 and self._paces[w] < limit]
+        if not faster:
+            return False
+        self._give(min(faster, key=lambda w: (self._paces[w], w)))
+        return True
+
+    def take(self, group: str, avoid: BackendId | None, *, is_long: bool) -> BackendId | None:
+        """Give away a place for an item; ``None`` if only slow workers have one."""
+        candidates = [worker_id for worker_id, count in self._free.items() if count > 0]
+        candidates = [w for w in candidates if w != avoid] or candidates
+        if not candidates:
+            return None
+        cost = self._cost_of_long if is_long else self._cost_of_short
+        chosen = min(candidates, key=lambda w: (self.is_slow(w), cost(w, group), w))
+        self._group_workers.setdefault(group, chosen)
+        self._give(chosen)
+        return chosen
+
+    def _give(self, worker_id: BackendId) -> None:
+        self._free[worker_id] -= 1
+        self._room -= 1
+
+    def _occupancy(self, worker_id: BackendId) -> float:
+        return 1.0 - self._free[worker_id] / max(1, self._workers[worker_id].worker.slots)
+
+    def _cost_of_long(self, worker_id: BackendId, group: str) -> float:
+        del group
+        relative_pace = self._paces[worker_id] / self._median
+        is_old = self._versions[worker_id] < self._newest
+        penalty = OLD_WEIGHTS_PENALTY if is_old else 0.0
+        return relative_pace + penalty + OCCUPANCY_PENALTY * self._occupancy(worker_id)
+
+    def _cost_of_short(self, worker_id: BackendId, group: str) -> float:
+        # The items of a group share a prompt, which a worker reads once.
+        shares_prompt = self._group_workers.get(group) == worker_id
+        occupancy = self._occupancy(worker_id) * self._paces[worker_id] / self._median
+        return occupancy - shares_prompt
--- a/drumbay/peers/directory.py
+++ b/drumbay/peers/directory.py
@@ -66,6 +66,11 @@
         found.sort(key=lambda address: self._known[address] > now)
         return found[:count]
 
+    def responsive(self) -> list[NetworkAddress]:
+        """Return every node that is not known to be silent."""
+        now = self._clock.monotonic()
+        return [address for address, silent_until in self._known.items() if silent_until <= now]
+
     async def run(self) -> None:
         """Register, then find the others now and again, until cancelled."""
         await self._register()
--- a/drumbay/peers/messages.py
+++ b/drumbay/peers/messages.py
@@ -2,8 +2,9 @@
 
 import msgspec
 
-from drumbay.batches.records import BatchId, ItemId, ResultPage
+from drumbay.batches.records import BatchId, ItemId, PartialText, ResultPage
 from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.identifiers import WeightVersion
 from drumbay.kv.interface import (
     Delete,
     LeaseGrant,
@@ -41,6 +42,19 @@
     batch_id: BatchId
 
 
+class TakePartialTexts(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Ask a node for what it has made of items whose earlier batch job has ended."""
+
+    item_ids: tuple[ItemId, ...]
+    minimum_version: WeightVersion
+
+
+class PartialTextsReply(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Texts that the node has given up; it works on their items no more."""
+
+    partial_texts: tuple[PartialText, ...]
+
+
 class PageReply(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Results."""
 
@@ -140,11 +154,13 @@
     """The store did not say whether it carried out the write."""
 
 
-BatchRequest = ReadResults | ReadBody | EndBatch | HandOver
+OwnerRequest = ReadResults | ReadBody | EndBatch | HandOver
+BatchRequest = OwnerRequest | TakePartialTexts
 StoreRequest = RelayRange | RelayTransaction | RelayKeepAlive | RelayGrant
 PeerRequest = BatchRequest | StoreRequest | Hello
 PeerReply = (
     PageReply
+    | PartialTextsReply
     | BodyReply
     | DoneReply
     | NotOwnerReply
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -94,6 +94,7 @@
             environment.peers,
             self._tasks,
             settings.identity,
+            self._peer_directory.responsive,
         )
         self.leader = LeaderElection(
             clock,
--- a/drumbay/weights/version_planner.py
+++ b/drumbay/weights/version_planner.py
@@ -2,8 +2,8 @@
 
 A step may use the newest named version and the one before. So workers two versions behind are
 loaded first, and of the others only as many as keep half of the workers at the newest version:
-each worker then skips every second version, which halves the loads when several models share
-the workers. With one model, every worker follows each version.
+while versions follow each other quickly, each worker then skips every second one, which halves
+the loads. A version that stays the newest for longer is loaded on every worker.
 """
 
 from collections.abc import Iterable, Mapping
@@ -25,6 +25,7 @@
     expected_seconds: float = 0.9
     give_up_seconds: float = 4.0
     retry_seconds: float = 0.4
+    everywhere_after_seconds: float = 15.0
 
 
 class LoadVersion(msgspec.Struct, frozen=True, kw_only=True):
@@ -35,6 +36,13 @@
     version: WeightVersion
 
 
+class LoadKey(msgspec.Struct, frozen=True):
+    """A version of a model."""
+
+    model: str
+    version: WeightVersion
+
+
 class _Candidate(msgspec.Struct, frozen=True, kw_only=True, order=True):
     """A load that is wanted; smaller sorts first."""
 
@@ -54,6 +62,7 @@
         self._policy = policy
         self._loading: dict[BackendId, float] = {}
         self._not_before: dict[BackendId, float] = {}
+        self._named_at: dict[LoadKey, float] = {}
 
     def note_started(self, worker_id: BackendId, now: float) -> None:
         """Note that a worker was told to load."""
@@ -79,7 +88,7 @@
         room = self._policy.at_once - len(self._loading)
         candidates: list[_Candidate] = []
         for model, newest in named.items():
-            candidates.extend(self._candidates(model, newest, records, len(named), now))
+            candidates.extend(self._candidates(model, newest, records, now))
         loads: list[LoadVersion] = []
         taken: set[BackendId] = set()
         for candidate in sorted(candidates):
@@ -98,17 +107,26 @@
             )
         return tuple(loads)
 
+    def _wanted(self, key: LoadKey, holder_count: int, now: float) -> int:
+        """Return on how many workers the newest version should be by now."""
+        named_at = self._named_at.get(key)
+        if named_at is None:
+            self._named_at = {k: t for k, t in self._named_at.items() if k.model != key.model}
+            named_at = self._named_at[key] = now
+        if now - named_at >= self._policy.everywhere_after_seconds:
+            return holder_count
+        return max(1, holder_count // 2)
+
     def _candidates(
         self,
         model: str,
         newest: WeightVersion,
         records: list[WorkerRecord],
-        model_count: int,
         now: float,
     ) -> list[_Candidate]:
         holders = [r for r in records if model in r.versions]
         at_newest = sum(1 for r in holders if r.versions[model] >= newest)
-        wanted = len(holders) if model_count == 1 else max(1, len(holders) // 2)
+        wanted = self._wanted(LoadKey(model, newest), len(holders), now)
         behind = [r for r in holders if r.versions[model] < newest]
         behind.sort(key=lambda r: (r.versions[model], r.in_flight, r.worker.worker_id))
         found: list[_Candidate] = []
--- a/drumbay/workers/directory.py
+++ b/drumbay/workers/directory.py
@@ -11,10 +11,22 @@
 """How long a load report counts; runs last about as long."""
 
 PACE_SMOOTHING = 0.3
+PACE_LIFETIME_SECONDS = 4.0
+"""A pace that was seen longer ago says nothing: the worker may have recovered."""
+
+FIRST_REFUSAL_PAUSE_SECONDS = 0.1
+LONGEST_REFUSAL_PAUSE_SECONDS = 0.8
 FAILURE_PAUSE_SECONDS = 0.8
 LONGEST_PAUSE_SECONDS = 4.0
 
 
+class Refusals(msgspec.Struct, kw_only=True):
+    """Refusals in a row of requests for one model, as while its weights are loaded."""
+
+    count: int = 0
+    paused_until: float = float("-inf")
+
+
 class WorkerRecord(msgspec.Struct, kw_only=True):
     """A worker and what this node has seen of it."""
 
@@ -26,6 +38,8 @@
     paused_until: float = float("-inf")
     failures: int = 0
     pace_seconds: float | None = None
+    paced_at: float = float("-inf")
+    refusals: dict[str, Refusals] = msgspec.field(default_factory=dict)
     latency_seconds: float | None = None
 
     def busy(self, now: float) -> int:
@@ -42,6 +56,23 @@
         """Return whether new requests may go there."""
         return self.worker.state is WorkerState.READY and now >= self.paused_until
 
+    def free_slots_for(self, model: str, now: float) -> int:
+        """Return the places for requests of a model: after refusals, one probe at a time."""
+        if not self.is_available(now):
+            return 0
+        refusals = self.refusals.get(model)
+        if refusals is None:
+            return self.free_slots(now)
+        if now < refusals.paused_until:
+            return 0
+        return min(1, self.free_slots(now))
+
+    def current_pace(self, now: float) -> float | None:
+        """Return the seconds between events of a stream if seen lately."""
+        if now - self.paced_at > PACE_LIFETIME_SECONDS:
+            return None
+        return self.pace_seconds
+
 
 class WorkerDirectory:
     """The workers of all services; changes wake the listeners."""
@@ -123,23 +154,37 @@
             record.others = max(0, load.running + load.waiting - record.in_flight)
             record.reported_at = now
 
-    def observe_pace(self, worker_id: BackendId, seconds_per_event: float) -> None:
+    def observe_pace(self, worker_id: BackendId, seconds_per_event: float, now: float) -> None:
         """Take the time between two events of a stream."""
         record = self._records.get(worker_id)
         if record is not None:
-            record.pace_seconds = _smooth(record.pace_seconds, seconds_per_event)
+            record.pace_seconds = _smooth(record.current_pace(now), seconds_per_event)
+            record.paced_at = now
 
-    def observe_latency(self, worker_id: BackendId, seconds: float) -> None:
-        """Take the time of a whole answer."""
+    def observe_refusal(self, worker_id: BackendId, model: str, now: float) -> None:
+        """Pause a model on a worker; the pause doubles with each refused probe."""
+        record = self._records.get(worker_id)
+        if record is None:
+            return
+        refusals = record.refusals.setdefault(model, Refusals())
+        if now < refusals.paused_until:
+            return
+        pause_seconds = FIRST_REFUSAL_PAUSE_SECONDS * 2**refusals.count
+        refusals.count += 1
+        refusals.paused_until = now + min(pause_seconds, LONGEST_REFUSAL_PAUSE_SECONDS)
+
+    def observe_acceptance(self, worker_id: BackendId, model: str) -> None:
+        """Note that a worker took a request for a model."""
         record = self._records.get(worker_id)
         if record is not None:
-            record.latency_seconds = _smooth(record.latency_seconds, seconds)
+            record.refusals.pop(model, None)
             record.failures = 0
 
-    def observe_success(self, worker_id: BackendId) -> None:
-        """Forget earlier failures."""
+    def observe_latency(self, worker_id: BackendId, seconds: float) -> None:
+        """Take the time of a whole answer."""
         record = self._records.get(worker_id)
         if record is not None:
+            record.latency_seconds = _smooth(record.latency_seconds, seconds)
             record.failures = 0
 
     def observe_failure(self, worker_id: BackendId, now: float) -> None:
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -4,13 +4,15 @@
 import unittest
 from collections import Counter
 
+import msgspec
+
 from drumbay.batches.exceptions import (
     BatchEndedError,
     BatchNotFoundError,
     BatchOutcomeUnknownError,
     BatchRefusedError,
 )
-from drumbay.batches.records import BatchId, ItemId, ItemResult, ResultState
+from drumbay.batches.records import BatchId, BatchSpec, ItemId, ItemResult, ResultState
 from drumbay.identifiers import WeightVersion
 from drumbay.standins.kv_faults import KeyValueFaults
 from drumbay.standins.worker_pool import WorkerFaults, whole_text
@@ -19,6 +21,11 @@
 BATCH = BatchId("batch")
 
 
+def renamed(spec: BatchSpec, name: str) -> BatchSpec:
+    """Return a batch job of the same items under another identifier."""
+    return msgspec.structs.replace(spec, batch_id=BatchId(name))
+
+
 class CalmTest(unittest.TestCase):
     def check_whole(self, results: tuple[ItemResult, ...], items: int) -> None:
         self.assertEqual(len(results), items)
@@ -83,6 +90,86 @@
 
         play(scenario)
 
+    def test_a_poll_right_after_the_submission_leaves_the_owner(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            for node in world.nodes:
+                node.lead()
+            await asyncio.sleep(5.0)
+            await world.nodes[0].batches.submit(batch_spec())
+            await read_all(world.nodes[1].batches, BATCH)
+            self.assertEqual([node.batches.owned for node in world.nodes], [1, 0])
+            self.assertEqual(len(world.workers.runs), 12)
+
+        play(scenario)
+
+
+class ReturningItemsTest(unittest.TestCase):
+    """Groups that were not whole come back in a later batch job under the same ids."""
+
+    async def end_early(self, world: ServingWorld, version: int) -> dict[str, int]:
+        """End a batch job midway; return how many events each unfinished item has had."""
+        for node in world.nodes:
+            node.lead()
+        for number in (1, 2, 3):
+            world.workers[f"worker-{number}"].versions["m"] = WeightVersion(version)
+        for entry in world.workers.entries():
+            for node in world.nodes:
+                node.directory.put(entry)
+        await asyncio.sleep(5.0)
+        await world.nodes[0].batches.submit(batch_spec(groups=3))
+        await asyncio.sleep(0.42)
+        await world.nodes[1].batches.end(BATCH)
+        await asyncio.sleep(0.05)
+        return {run.request_id: run.events for run in world.workers.runs if run.ended_at is None}
+
+    def test_what_was_made_is_used_when_its_versions_fit(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            made = await self.end_early(world, version=2)
+            self.assertGreater(len(made), 1)
+            again = renamed(batch_spec(groups=3, minimum_version=2), "again")
+            await world.nodes[1].batches.submit(again)
+            results = await read_all(world.nodes[0].batches, BatchId("again"))
+            self.assertEqual(len(results), 12)
+            for result in results:
+                self.assertEqual(result.text, whole_text(result.item_id))
+                self.assertEqual(result.versions, (WeightVersion(2),))
+            for item_id, events in made.items():
+                first, second = world.workers.runs_of(item_id)
+                self.assertGreaterEqual(second.resume_after or 0, events)
+                assert first.ended_at is not None
+                self.assertLess(first.ended_at - second.started_at, 0.4)
+
+        play(scenario)
+
+    def test_what_was_made_by_older_weights_is_made_again(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            made = await self.end_early(world, version=1)
+            for number in (1, 2, 3):
+                world.workers[f"worker-{number}"].versions["m"] = WeightVersion(2)
+            for entry in world.workers.entries():
+                for node in world.nodes:
+                    node.directory.put(entry)
+            again = renamed(batch_spec(groups=3, minimum_version=2), "again")
+            await world.nodes[1].batches.submit(again)
+            results = await read_all(world.nodes[0].batches, BatchId("again"))
+            for result in results:
+                self.assertEqual(result.text, whole_text(result.item_id))
+                self.assertEqual(result.versions, (WeightVersion(2),))
+            for item_id in made:
+                self.assertIsNone(world.workers.runs_of(item_id)[-1].resume_after)
+
+        play(scenario)
+
+    def test_runs_of_an_ended_batch_job_stop_after_a_while(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            for number in (1, 2, 3):
+                world.workers[f"worker-{number}"].faults.slowdown = 20.0
+            await self.end_early(world, version=2)
+            await asyncio.sleep(9.0)
+            self.assertTrue(all(run.ended_at is not None for run in world.workers.runs))
+
+        play(scenario)
+
 
 class EndTest(unittest.TestCase):
     def test_after_an_end_nothing_runs_and_what_is_listed_stays(self) -> None:
