Keep groups that are likely to be left out of a step for the newest weights

Change: nodes say which items an ended batch job had left unfinished, so that their groups are known to be waited for; the longest of the other groups wait up to 2.5 s for a worker with the newest named version, so that their text can be used in the next step; the results of the last two groups are listed at once.

--- a/drumbay/batches/item_order.py
+++ b/drumbay/batches/item_order.py
@@ -1,13 +1,13 @@
 """The order in which a batch job's items start: what takes longest first.
 
 A trainer waits for ``wanted_groups`` whole groups. Groups that came back from an earlier batch
-job stand first, at most half of the wanted ones, and are waited for. Of the others, those with
-the longest items are likely to be left out; they start last.
+job are waited for in any case. Of the others, those with the longest items are likely to be
+left out and to come back: they are postponed.
 """
 
 import statistics
 
-from drumbay.batches.records import BatchItem, BatchSpec
+from drumbay.batches.records import BatchItem, BatchSpec, ItemId
 
 LONG_FACTOR = 2.5
 """An item with this many times the median expected output counts as long."""
@@ -16,9 +16,15 @@
 class ItemOrder:
     """Orders the items of one batch job by their expected output."""
 
-    def __init__(self, spec: BatchSpec) -> None:
-        """Work out which items are long and which groups can wait."""
+    def __init__(self, spec: BatchSpec, returned: frozenset[ItemId] = frozenset()) -> None:
+        """Work out which items are long and which groups can wait.
+
+        Args:
+            spec: The batch job.
+            returned: Items known to come back from an earlier batch job.
+        """
         self._spec = spec
+        self._returned_groups = {item.group for item in spec.items if item.item_id in returned}
         expected = [item.expected_tokens for item in spec.items]
         self._long_tokens = LONG_FACTOR * statistics.median(expected) if expected else 0.0
         self._postponed = self._postponed_groups()
@@ -27,12 +33,16 @@
         """Return whether an item is expected to run much longer than most."""
         return item.expected_tokens > self._long_tokens
 
+    def is_postponed(self, item: BatchItem) -> bool:
+        """Return whether an item's group is likely to be left out of the step."""
+        return item.group in self._postponed
+
     def items(self) -> list[BatchItem]:
         """Return the items in the order in which to start them."""
         return sorted(
             self._spec.items,
             key=lambda item: (
-                item.group in self._postponed,
+                self.is_postponed(item),
                 not self.is_long(item),
                 -item.expected_tokens if self.is_long(item) else 0,
             ),
@@ -42,10 +52,9 @@
         longest: dict[str, int] = {}
         for item in self._spec.items:
             longest[item.group] = max(longest.get(item.group, 0), item.expected_tokens)
-        groups = list(longest)
-        spare = len(groups) - self._spec.wanted_groups
+        spare = len(longest) - self._spec.wanted_groups
         if spare <= 0 or self._spec.wanted_groups <= 0:
             return frozenset()
-        new_groups = groups[self._spec.wanted_groups // 2 :]
+        new_groups = [group for group in longest if group not in self._returned_groups]
         new_groups.sort(key=lambda group: longest[group], reverse=True)
         return frozenset(new_groups[:spare])
--- a/drumbay/batches/records.py
+++ b/drumbay/batches/records.py
@@ -75,6 +75,13 @@
     complete: bool
 
 
+class ReturnedItems(msgspec.Struct, frozen=True, kw_only=True):
+    """Items of a batch job that an earlier one had left unfinished, and their usable texts."""
+
+    item_ids: tuple[ItemId, ...] = ()
+    partial_texts: tuple[PartialText, ...] = ()
+
+
 class ResultPage(msgspec.Struct, frozen=True, kw_only=True):
     """Results from ``position`` on; ``total`` counts the items of the batch job."""
 
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -16,6 +16,7 @@
     PartialText,
     ResultPage,
     ResultState,
+    ReturnedItems,
     page_of,
 )
 from drumbay.batches.scheduler import BatchScheduler, RunFailure, StartRun, StopRun
@@ -40,9 +41,9 @@
 FLUSH_INTERVAL_SECONDS = 0.25
 """Results wait this long for others: each write is one priced call to the store."""
 
-LAST_ITEMS = 8
+LAST_GROUPS = 2
 LAST_FLUSH_INTERVAL_SECONDS = 0.03
-"""The last items decide when a step is whole; their results hardly wait."""
+"""The last groups decide when a step is whole; their results hardly wait."""
 
 LINGER_SECONDS = 8.0
 """How long runs go on after the end of a batch job: their items may come back in the next."""
@@ -79,6 +80,7 @@
         revision: Revision,
         listed: tuple[ItemResult, ...],
         *,
+        newest_version: Callable[[], WeightVersion],
         on_lost: Callable[[BatchId], None],
     ) -> None:
         """Create a runner for the items that are not yet listed.
@@ -92,6 +94,7 @@
             spec: The batch job.
             revision: The owner's revision in the ledger.
             listed: Results that stand in the store already.
+            newest_version: Returns the newest version named for the batch job's model.
             on_lost: Called when another node owns the batch job, or it has ended.
         """
         self.spec = spec
@@ -102,6 +105,7 @@
         self._client = client
         self._task_owner = task_owner
         self._on_lost = on_lost
+        self._newest_version = newest_version
         self._scheduler = BatchScheduler(spec, clock.monotonic(), listed)
         self._unlisted_texts: dict[ItemId, ItemResult] = {}
         self._listed: list[ItemResult] = list(listed)
@@ -115,13 +119,12 @@
         self._closed = False
         self._lingering = False
 
-    def start(self, partial_texts: tuple[PartialText, ...]) -> None:
+    def start(self, returned: ReturnedItems) -> None:
         """Start to run items, from what earlier batch jobs made of them."""
         if self._closed or self._lingering:
             return
         name = self.spec.batch_id
-        for partial_text in partial_texts:
-            self._scheduler.adopt(partial_text)
+        self._scheduler.adopt(returned)
         for result in self._scheduler.take_adopted_results():
             self._add_result(result)
         self._tasks = [
@@ -172,10 +175,12 @@
 
     def give_up_texts(
         self, item_ids: Iterable[ItemId], minimum_version: WeightVersion
-    ) -> tuple[PartialText, ...]:
+    ) -> ReturnedItems:
         """Stop the runs of items and return their texts, those that a newer step may use."""
+        own = {item.item_id for item in self.spec.items}
+        returned = [item_id for item_id in item_ids if item_id in own]
         given: list[PartialText] = []
-        for item_id in item_ids:
+        for item_id in returned:
             partial_text = self._whole_text(item_id, minimum_version)
             if partial_text is None:
                 partial_text = self._scheduler.partial_text(item_id, minimum_version)
@@ -184,7 +189,7 @@
                 task.cancel()
             if partial_text is not None:
                 given.append(partial_text)
-        return tuple(given)
+        return ReturnedItems(item_ids=tuple(returned), partial_texts=tuple(given))
 
     def _whole_text(self, item_id: ItemId, minimum_version: WeightVersion) -> PartialText | None:
         result = self._unlisted_texts.get(item_id)
@@ -249,7 +254,7 @@
                 record.worker.worker_id: record
                 for record in self._directory.of_service(self.spec.service)
             }
-            for decision in self._scheduler.plan(workers, now):
+            for decision in self._scheduler.plan(workers, self._newest_version(), now):
                 self._perform(decision, workers)
             self._wakeup.clear()
             with suppress(TimeoutError):
@@ -423,7 +428,7 @@
         if not self._pending:
             return
         if not self._scheduler.is_finished:
-            is_near_end = self._scheduler.unfinished <= LAST_ITEMS
+            is_near_end = self._scheduler.missing_groups <= LAST_GROUPS
             interval = LAST_FLUSH_INTERVAL_SECONDS if is_near_end else FLUSH_INTERVAL_SECONDS
             await self._clock.sleep(interval)
         while self._pending:
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -1,5 +1,6 @@
 """Pure decisions about the items of one batch job: which runs where, which one moves."""
 
+from collections import Counter
 from collections.abc import Mapping, Sequence
 from enum import StrEnum
 
@@ -13,14 +14,19 @@
     ItemResult,
     PartialText,
     ResultState,
+    ReturnedItems,
 )
-from drumbay.batches.worker_choice import WorkerChoice
+from drumbay.batches.worker_choice import PlaceRequest, WorkerChoice
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.workers.directory import WorkerRecord
 from drumbay.workers.records import StreamEvent
 
 SILENCE_BEFORE_FIRST_EVENT_SECONDS = 1.6
 SILENCE_BETWEEN_EVENTS_SECONDS = 1.2
+NEWEST_WAIT_SECONDS = 2.5
+"""Postponed items wait so long for a worker with the newest weights: what those make can be
+used when the items come back in the next step."""
+
 MAXIMUM_MOVES = 3
 FAILURE_DELAY_SECONDS = 0.15
 REFUSAL_DELAY_SECONDS = 0.05
@@ -69,7 +75,8 @@
     """Progress of one item."""
 
     item: BatchItem
-    is_long: bool
+    is_long: bool = False
+    is_postponed: bool = False
     worker_id: BackendId | None = None
     texts: list[str] = msgspec.field(default_factory=list)
     last_number: int | None = None
@@ -115,16 +122,32 @@
         self._spec = spec
         self._give_up_at = started_at + spec.queue_limit_seconds
         done = {result.item_id for result in listed}
-        order = ItemOrder(spec)
+        self._started_at = started_at
         self._items = {
-            item.item_id: _ItemState(item=item, is_long=order.is_long(item))
-            for item in order.items()
-            if item.item_id not in done
+            item.item_id: _ItemState(item=item) for item in spec.items if item.item_id not in done
         }
+        self._unfinished_groups = Counter(state.item.group for state in self._items.values())
+        self._arrange(frozenset())
         self._finished: list[ItemResult] = []
 
-    def adopt(self, partial_text: PartialText) -> None:
-        """Go on from what an earlier batch job made of an item, if its versions fit."""
+    def _arrange(self, returned: frozenset[ItemId]) -> None:
+        order = ItemOrder(self._spec, returned)
+        arranged: dict[ItemId, _ItemState] = {}
+        for item in order.items():
+            state = self._items.get(item.item_id)
+            if state is not None:
+                state.is_long = order.is_long(item)
+                state.is_postponed = order.is_postponed(item)
+                arranged[item.item_id] = state
+        self._items = arranged
+
+    def adopt(self, returned: ReturnedItems) -> None:
+        """Go on from what an earlier batch job made of items, if its versions fit."""
+        self._arrange(frozenset(returned.item_ids))
+        for partial_text in returned.partial_texts:
+            self._adopt_text(partial_text)
+
+    def _adopt_text(self, partial_text: PartialText) -> None:
         state = self._items.get(partial_text.item_id)
         if state is None or not self._versions_fit(partial_text.versions):
             return
@@ -133,7 +156,7 @@
         state.versions = list(partial_text.versions)
         if partial_text.complete:
             self._finished.append(self._result(state))
-            del self._items[state.item.item_id]
+            self._remove(state)
 
     def take_adopted_results(self) -> tuple[ItemResult, ...]:
         """Return the results of items that earlier batch jobs had finished, once."""
@@ -189,9 +212,22 @@
             state.forget_text()
             state.release()
             return None
-        del self._items[item_id]
+        self._remove(state)
         return self._result(state)
 
+    def _remove(self, state: _ItemState) -> None:
+        del self._items[state.item.item_id]
+        self._unfinished_groups[state.item.group] -= 1
+
+    @property
+    def missing_groups(self) -> int:
+        """Return how many more whole groups the trainer waits for."""
+        whole = sum(1 for count in self._unfinished_groups.values() if not count)
+        listed_groups = len({item.group for item in self._spec.items}) - len(
+            self._unfinished_groups
+        )
+        return max(0, self._spec.wanted_groups - whole - listed_groups)
+
     @staticmethod
     def _result(state: _ItemState) -> ItemResult:
         return ItemResult(
@@ -233,7 +269,7 @@
         return None
 
     def _give_up(self, state: _ItemState) -> ItemResult:
-        del self._items[state.item.item_id]
+        self._remove(state)
         return ItemResult(item_id=state.item.item_id, state=ResultState.DEAD)
 
     def expire(self, now: float) -> tuple[ItemResult, ...]:
@@ -257,13 +293,22 @@
             complete=False,
         )
 
-    def plan(self, workers: Mapping[BackendId, WorkerRecord], now: float) -> tuple[Decision, ...]:
+    def plan(
+        self,
+        workers: Mapping[BackendId, WorkerRecord],
+        newest_version: WeightVersion,
+        now: float,
+    ) -> tuple[Decision, ...]:
         """Return what to stop and what to start now.
 
-        ``workers`` are the workers of the batch job's service. The caller adds to their
-        ``in_flight`` for each start before it plans again.
+        Args:
+            workers: Workers of the batch job's service. The caller adds to their
+                ``in_flight`` for each start before it plans again.
+            newest_version: Newest version that the model's trainer has named.
+            now: Monotonic time.
         """
-        choice = WorkerChoice(self._spec, workers, now)
+        choice = WorkerChoice(self._spec, workers, newest_version, now)
+        awaits_newest = now < self._started_at + NEWEST_WAIT_SECONDS
         decisions: list[Decision] = []
         decisions.extend(self._stops(choice, now))
         for state in self._items.values():
@@ -271,7 +316,13 @@
                 continue
             if not choice.has_room:
                 break
-            worker_id = choice.take(state.item.group, state.avoid, is_long=state.is_long)
+            request = PlaceRequest(
+                group=state.item.group,
+                avoid=state.avoid,
+                is_long=state.is_long,
+                newest_only=state.is_postponed and awaits_newest,
+            )
+            worker_id = choice.take(request)
             if worker_id is not None:
                 decisions.append(self._start(state, worker_id, now))
         return tuple(decisions)
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -28,13 +28,14 @@
     OwnerState,
     PartialText,
     ResultPage,
+    ReturnedItems,
     page_of,
 )
 from drumbay.batches.runner import PAGE_BYTES, BatchRunner
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.exceptions import Execution
-from drumbay.identifiers import Revision
+from drumbay.identifiers import Revision, WeightVersion
 from drumbay.kv.interface import (
     KeyValueError,
     KeyValueOutcomeUnknownError,
@@ -96,8 +97,21 @@
         task_owner: TaskOwner,
         identity: ServiceIdentity,
         known_nodes: Callable[[], list[NetworkAddress]],
+        newest_version: Callable[[str], WeightVersion],
     ) -> None:
-        """Create a service that owns nothing; ``known_nodes`` lists the other nodes."""
+        """Create a service that owns nothing.
+
+        Args:
+            clock: Time.
+            store: The key-value service.
+            directory: The workers.
+            client: Calls to workers.
+            peers: Calls to other nodes.
+            task_owner: Runs the service's tasks.
+            identity: This process.
+            known_nodes: Lists the other nodes.
+            newest_version: Returns the newest version named for a model.
+        """
         self._clock = clock
         self._ledger = BatchLedger(store)
         self._directory = directory
@@ -106,6 +120,7 @@
         self._task_owner = task_owner
         self._identity = identity
         self._known_nodes = known_nodes
+        self._newest_version = newest_version
         self._runners: dict[BatchId, BatchRunner] = {}
         self._lingering: list[BatchRunner] = []
         self._owners: dict[BatchId, StoredOwner] = {}
@@ -164,37 +179,40 @@
             self._task_owner.spawn(self._start(runner), f"batch-start-{spec.batch_id}")
 
     async def _start(self, runner: BatchRunner) -> None:
-        runner.start(await self._collect_partial_texts(runner.spec))
+        runner.start(await self._collect_returned(runner.spec))
 
-    async def _collect_partial_texts(self, spec: BatchSpec) -> tuple[PartialText, ...]:
+    async def _collect_returned(self, spec: BatchSpec) -> ReturnedItems:
         """Return what this and other nodes have made of items that came back."""
         request = TakePartialTexts(
             item_ids=tuple(item.item_id for item in spec.items),
             minimum_version=spec.minimum_version,
         )
-        calls = [self._ask_partial_texts(node, request) for node in self._known_nodes()]
+        calls = [self._ask_returned(node, request) for node in self._known_nodes()]
         found = [self._give_up_texts(request)]
         found.extend(await asyncio.gather(*calls))
-        partial_texts = {p.item_id: p for given in found for p in given}
-        if partial_texts:
-            log_event("partial_texts_adopted", batch=spec.batch_id, items=len(partial_texts))
-        return tuple(partial_texts.values())
-
-    async def _ask_partial_texts(
-        self, node: NetworkAddress, request: TakePartialTexts
-    ) -> tuple[PartialText, ...]:
+        returned = _joined(found)
+        if returned.item_ids:
+            log_event(
+                "items_returned",
+                batch=spec.batch_id,
+                items=len(returned.item_ids),
+                usable=len(returned.partial_texts),
+            )
+        return returned
+
+    async def _ask_returned(self, node: NetworkAddress, request: TakePartialTexts) -> ReturnedItems:
         try:
             reply = await self._peers.call(node, request, PARTIAL_TEXTS_LIMIT_SECONDS)
         except PeerUnavailableError:
-            return ()
-        return reply.partial_texts if isinstance(reply, PartialTextsReply) else ()
+            return ReturnedItems()
+        return reply.returned if isinstance(reply, PartialTextsReply) else ReturnedItems()
 
-    def _give_up_texts(self, request: TakePartialTexts) -> tuple[PartialText, ...]:
+    def _give_up_texts(self, request: TakePartialTexts) -> ReturnedItems:
         self._lingering = [runner for runner in self._lingering if runner.is_lingering]
-        given: list[PartialText] = []
-        for runner in self._lingering:
-            given.extend(runner.give_up_texts(request.item_ids, request.minimum_version))
-        return tuple(given)
+        return _joined(
+            runner.give_up_texts(request.item_ids, request.minimum_version)
+            for runner in self._lingering
+        )
 
     async def _own_revision(self, batch_id: BatchId) -> Revision | None:
         """Return the revision of a record that an unanswered write of this node left."""
@@ -222,6 +240,7 @@
             spec,
             revision,
             listed,
+            newest_version=lambda: self._newest_version(spec.model),
             on_lost=self._forget_runner,
         )
         self._runners[spec.batch_id] = runner
@@ -402,14 +421,14 @@
             listed=len(stored.results),
             items=len(stored.spec.items),
         )
-        self._own(stored.spec, revision, stored.results).start(())
+        self._own(stored.spec, revision, stored.results).start(ReturnedItems())
 
     # Calls of other nodes
 
     async def handle_peer(self, request: BatchRequest) -> PeerReply:
         """Answer a call of another node, as the owner only."""
         if isinstance(request, TakePartialTexts):
-            return PartialTextsReply(partial_texts=self._give_up_texts(request))
+            return PartialTextsReply(returned=self._give_up_texts(request))
         runner = self._runners.get(request.batch_id)
         match request:
             case EndBatch(batch_id=batch_id):
@@ -447,6 +466,16 @@
         self._runners.clear()
 
 
+def _joined(found: Iterable[ReturnedItems]) -> ReturnedItems:
+    """Return what several batch jobs or nodes knew, each item once."""
+    item_ids: dict[ItemId, None] = {}
+    partial_texts: dict[ItemId, PartialText] = {}
+    for returned in found:
+        item_ids.update(dict.fromkeys(returned.item_ids))
+        partial_texts.update({text.item_id: text for text in returned.partial_texts})
+    return ReturnedItems(item_ids=tuple(item_ids), partial_texts=tuple(partial_texts.values()))
+
+
 def _refusal(uncertain: bool) -> BatchRefusedError | BatchOutcomeUnknownError:
     if uncertain:
         return BatchOutcomeUnknownError(
--- a/drumbay/batches/worker_choice.py
+++ b/drumbay/batches/worker_choice.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Mapping
 
+import msgspec
+
 from drumbay.batches.records import BatchSpec
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.workers.directory import WorkerRecord
@@ -17,11 +19,28 @@
 DEFAULT_PACE_SECONDS = 0.045
 
 
+class PlaceRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """An item that needs a place.
+
+    ``avoid`` is a worker to pass over if there is another; ``newest_only`` asks for the newest
+    weights.
+    """
+
+    group: str
+    avoid: BackendId | None
+    is_long: bool
+    newest_only: bool
+
+
 class WorkerChoice:
     """The choices of one planning round; counts the places that it gives away."""
 
     def __init__(
-        self, spec: BatchSpec, workers: Mapping[BackendId, WorkerRecord], now: float
+        self,
+        spec: BatchSpec,
+        workers: Mapping[BackendId, WorkerRecord],
+        newest_version: WeightVersion,
+        now: float,
     ) -> None:
         """Look at the workers once."""
         self._workers = workers
@@ -42,7 +61,7 @@
             worker_id: record.versions.get(spec.model, WeightVersion(-1))
             for worker_id, record in workers.items()
         }
-        self._newest = max(self._versions.values(), default=WeightVersion(-1))
+        self._newest = newest_version
         self._group_workers: dict[str, BackendId] = {}
 
     @property
@@ -63,15 +82,17 @@
         self._give(min(faster, key=lambda w: (self._paces[w], w)))
         return True
 
-    def take(self, group: str, avoid: BackendId | None, *, is_long: bool) -> BackendId | None:
-        """Give away a place for an item; ``None`` if only slow workers have one."""
+    def take(self, request: PlaceRequest) -> BackendId | None:
+        """Give away a place; ``None`` if no worker that fits has one."""
         candidates = [worker_id for worker_id, count in self._free.items() if count > 0]
-        candidates = [w for w in candidates if w != avoid] or candidates
+        if request.newest_only:
+            candidates = [w for w in candidates if self._versions[w] >= self._newest]
+        candidates = [w for w in candidates if w != request.avoid] or candidates
         if not candidates:
             return None
-        cost = self._cost_of_long if is_long else self._cost_of_short
-        chosen = min(candidates, key=lambda w: (self.is_slow(w), cost(w, group), w))
-        self._group_workers.setdefault(group, chosen)
+        cost = self._cost_of_long if request.is_long else self._cost_of_short
+        chosen = min(candidates, key=lambda w: (self.is_slow(w), cost(w, request.group), w))
+        self._group_workers.setdefault(request.group, chosen)
         self._give(chosen)
         return chosen
 
--- a/drumbay/peers/messages.py
+++ b/drumbay/peers/messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from drumbay.batches.records import BatchId, ItemId, PartialText, ResultPage
+from drumbay.batches.records import BatchId, ItemId, ResultPage, ReturnedItems
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.identifiers import WeightVersion
 from drumbay.kv.interface import (
@@ -50,9 +50,9 @@
 
 
 class PartialTextsReply(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Texts that the node has given up; it works on their items no more."""
+    """What the node knew of the items; it works on them no more."""
 
-    partial_texts: tuple[PartialText, ...]
+    returned: ReturnedItems
 
 
 class PageReply(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -95,6 +95,7 @@
             self._tasks,
             settings.identity,
             self._peer_directory.responsive,
+            self.named_versions.newest_of,
         )
         self.leader = LeaderElection(
             clock,
--- a/drumbay/weights/version_coordinator.py
+++ b/drumbay/weights/version_coordinator.py
@@ -36,6 +36,10 @@
         log_event("version_named", model=model, version=version)
         self.changed.set()
 
+    def newest_of(self, model: str) -> WeightVersion:
+        """Return the newest version of a model; 0 if none is named."""
+        return self._versions.get(model, WeightVersion(0))
+
     @property
     def newest(self) -> dict[str, WeightVersion]:
         """Return the newest version by model."""
