--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -269,6 +269,15 @@
         match decision:
             case StartRun(item=item, worker_id=worker_id):
                 record = workers[worker_id]
+                log_event(
+                    "item_run_started",
+                    batch=self.spec.batch_id,
+                    item=item.item_id,
+                    worker=worker_id,
+                    version=record.versions.get(self.spec.model),
+                    in_flight=record.in_flight,
+                    resume_after=decision.resume_after,
+                )
                 record.in_flight += 1
                 task = self._task_owner.spawn(self._run_item(decision, record), "batch-item")
                 self._runs[item.item_id] = task
@@ -382,8 +391,14 @@
             return
         self._pending.append(result)
         self._flush_wakeup.set()
-        if result.state is ResultState.DEAD:
-            log_event("item_given_up", batch=self.spec.batch_id, item=result.item_id)
+        log_event(
+            "item_finished",
+            batch=self.spec.batch_id,
+            item=result.item_id,
+            state=result.state,
+            versions=",".join(str(version) for version in result.versions),
+            missing_groups=self._scheduler.missing_groups,
+        )
 
     async def _run_listing(self) -> None:
         try:
