Save texts of long items under way; tell nodes of loads; let long items go first

Change: the owner saves new pieces of texts with 20 events or more once a second, and a new owner continues them: at once if the old process has ended, after 2.2 s if it may be alive (it notices its replacement within 1.5 s), so that two workers never continue one item. The leader tells every node of a load as it orders it. Long and resumed items carry a higher priority. A worker's best pace is remembered, paces are averaged more slowly, and an item seeks a faster worker once.

Tests: a new owner goes on from what a dead one saved; it waits for one that may be alive.

--- a/drumbay/batches/ledger.py
+++ b/drumbay/batches/ledger.py
@@ -6,6 +6,8 @@
   owner that was replaced, or an ended batch job, takes no more results: the revision is the
   fencing token.
 * ``spec/NNNN``: parts of the submitted batch job.
+* ``progress/NNNN``: pieces of the texts of long items under way, so that a new owner need not
+  make them again.
 * ``results/NNNNNNNN``: results from that position on. Each key is written once.
 
 A write whose answer is lost may be carried out later. It is repeated unchanged until the store
@@ -18,9 +20,11 @@
 from drumbay.batches.records import (
     BatchId,
     BatchSpec,
+    ItemId,
     ItemResult,
     OwnerRecord,
     OwnerState,
+    PartialText,
 )
 from drumbay.identifiers import Revision
 from drumbay.kv.interface import KeyValueStore, ModRevisionIs, Put
@@ -32,6 +36,7 @@
 _encoder = msgspec.msgpack.Encoder()
 _owner_decoder = msgspec.msgpack.Decoder(OwnerRecord)
 _spec_decoder = msgspec.msgpack.Decoder(BatchSpec)
+_progress_decoder = msgspec.msgpack.Decoder(tuple[PartialText, ...])
 _results_decoder = msgspec.msgpack.Decoder(tuple[ItemResult, ...])
 
 
@@ -48,6 +53,7 @@
     owner: StoredOwner
     spec: BatchSpec
     results: tuple[ItemResult, ...]
+    progress: tuple[PartialText, ...]
 
 
 class BatchLedger:
@@ -109,6 +115,7 @@
         owner: StoredOwner | None = None
         spec = b""
         results: list[ItemResult] = []
+        progress: dict[ItemId, PartialText] = {}
         for item in sorted(found.items, key=lambda entry: entry.key):
             part = item.key.removeprefix(f"{PREFIX}{batch_id}/")
             if part == "owner":
@@ -116,11 +123,19 @@
                 owner = StoredOwner(record=record, revision=item.mod_revision)
             elif part.startswith("spec/"):
                 spec += item.value
+            elif part.startswith("progress/"):
+                for piece in _progress_decoder.decode(item.value):
+                    _extend(progress, piece)
             else:
                 results.extend(_results_decoder.decode(item.value))
         if owner is None:
             raise BatchNotFoundError(batch_id)
-        return StoredBatch(owner=owner, spec=_spec_decoder.decode(spec), results=tuple(results))
+        return StoredBatch(
+            owner=owner,
+            spec=_spec_decoder.decode(spec),
+            results=tuple(results),
+            progress=tuple(progress.values()),
+        )
 
     async def read_results(self, batch_id: BatchId) -> tuple[ItemResult, ...]:
         """Return everything listed, in the order of positions."""
@@ -157,6 +172,21 @@
         await self.check_owner(batch_id, owner_revision)
         # NOTE: only the owner writes here, and always the same: an earlier copy was carried out.
 
+    async def save_progress(
+        self,
+        batch_id: BatchId,
+        owner_revision: Revision,
+        number: int,
+        pieces: tuple[PartialText, ...],
+    ) -> bool:
+        """Store pieces of texts; return whether this node still owns the batch job."""
+        key = f"{PREFIX}{batch_id}/progress/{owner_revision:012d}-{number:04d}"
+        outcome = await self._store.transact(
+            (ModRevisionIs(key=_owner_key(batch_id), mod_revision=owner_revision),),
+            (Put(key=key, value=_encoder.encode(pieces)),),
+        )
+        return outcome.succeeded
+
     async def check_owner(self, batch_id: BatchId, owner_revision: Revision) -> None:
         """Return if the owner's revision still holds.
 
@@ -171,5 +201,17 @@
             raise BatchMovedError(batch_id)
 
 
+def _extend(progress: dict[ItemId, PartialText], piece: PartialText) -> None:
+    """Add a piece to the text it continues; a gap makes it useless."""
+    before = progress.get(piece.item_id)
+    if before is None or piece.first:
+        if piece.first:
+            progress[piece.item_id] = piece
+        return
+    progress[piece.item_id] = msgspec.structs.replace(
+        piece, texts=before.texts + piece.texts, first=True
+    )
+
+
 def _owner_key(batch_id: BatchId) -> str:
     return f"{PREFIX}{batch_id}/owner"
--- a/drumbay/batches/records.py
+++ b/drumbay/batches/records.py
@@ -66,13 +66,20 @@
 
 
 class PartialText(msgspec.Struct, frozen=True, kw_only=True):
-    """What was made of an item whose batch job ended before it: events up to a number."""
+    """What was made of an item that is not finished: events up to a number.
+
+    ``first`` says that the texts begin with the first event; otherwise they continue an
+    earlier piece. ``versions`` are those of the whole text up to here. ``generation`` grows
+    when an item's text is thrown away and made again.
+    """
 
     item_id: ItemId
     texts: tuple[str, ...]
     last_number: int
     versions: tuple[WeightVersion, ...]
-    complete: bool
+    complete: bool = False
+    first: bool = True
+    generation: int = 0
 
 
 class ReturnedItems(msgspec.Struct, frozen=True, kw_only=True):
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -53,17 +53,26 @@
 OWNER_CHECK_SECONDS = 1.5
 """Without a successful write for this long, the owner asks the store whether it still owns."""
 
+PROGRESS_INTERVAL_SECONDS = 1.0
+PROGRESS_EVENTS = 20
+"""Items with so many events are saved now and then: they would take long to make again."""
+
+RESUME_DELAY_SECONDS = 2.2
+RESUME_EVENTS = 60
+"""An owner that may be alive stops within OWNER_CHECK_SECONDS of its replacement; only texts
+that took longer to make are worth waiting until then."""
+
 PAGE_BYTES = 900_000
 MISDIRECTED_PAUSE_SECONDS = 1.0
 RUN_BUDGET_SECONDS = 30.0
 WAKE_DELAY_SECONDS = 0.005
 
 
-class Ownership(msgspec.Struct, frozen=True, kw_only=True):
-    """What makes this node the owner: the revision that fences its writes."""
+class _Saved(msgspec.Struct, frozen=True, kw_only=True):
+    """How many texts of an item are saved, and of which generation."""
 
-    batch_id: BatchId
-    revision: Revision
+    count: int
+    generation: int
 
 
 class BatchRunner:
@@ -130,6 +139,7 @@
         self._tasks = [
             self._task_owner.spawn(self._run_scheduling(), f"batch-schedule-{name}"),
             self._task_owner.spawn(self._run_listing(), f"batch-list-{name}"),
+            self._task_owner.spawn(self._run_progress(), f"batch-progress-{name}"),
         ]
         log_event(
             "batch_owned",
@@ -359,6 +369,7 @@
             body=item.body,
             budget_seconds=RUN_BUDGET_SECONDS,
             resume_after=start.resume_after,
+            priority=start.priority,
         )
         async with self._client.stream(record.worker, request) as stream:
             self._take_head(item.item_id, record, stream)
@@ -439,6 +450,40 @@
             self.close()
         self._on_lost(self.spec.batch_id)
 
+    async def _run_progress(self) -> None:
+        """Save the texts of long items, each piece once, until every item is finished."""
+        saved: dict[ItemId, _Saved] = {}
+        number = 0
+        while not self._scheduler.is_finished:
+            await self._clock.sleep(PROGRESS_INTERVAL_SECONDS)
+            pieces = _new_pieces(self._scheduler.progress(PROGRESS_EVENTS), saved)
+            if not pieces:
+                continue
+            number += 1
+            try:
+                if not await self._ledger.save_progress(
+                    self.spec.batch_id, self.revision, number, pieces
+                ):
+                    return
+            except KeyValueError:
+                # Pieces must follow each other: send whole texts again next time.
+                saved.clear()
+                continue
+            self._confirmed_at = self._clock.monotonic()
+
+    def resume(self, stored: tuple[PartialText, ...], *, owner_is_gone: bool) -> None:
+        """Go on from what the owner before has saved; call before :meth:`start`.
+
+        An owner that may still be alive must have noticed its replacement before one of its
+        items is continued; an item with a short text is rather made again.
+        """
+        now = self._clock.monotonic()
+        if owner_is_gone:
+            self._scheduler.resume_from(stored, now)
+            return
+        long = [text for text in stored if len(text.texts) >= RESUME_EVENTS]
+        self._scheduler.resume_from(long, now + RESUME_DELAY_SECONDS)
+
     async def _list_pending(self) -> None:
         if not self._pending:
             return
@@ -488,3 +533,20 @@
         except KeyValueError:
             return
         self._confirmed_at = self._clock.monotonic()
+
+
+def _new_pieces(
+    texts: tuple[PartialText, ...], saved: dict[ItemId, _Saved]
+) -> tuple[PartialText, ...]:
+    """Return what came since the last call, and count it as saved."""
+    pieces: list[PartialText] = []
+    for text in texts:
+        before = saved.get(text.item_id)
+        is_same = before is not None and before.generation == text.generation
+        count = before.count if before is not None and is_same else 0
+        if len(text.texts) <= count:
+            continue
+        saved[text.item_id] = _Saved(count=len(text.texts), generation=text.generation)
+        piece = msgspec.structs.replace(text, texts=text.texts[count:], first=count == 0)
+        pieces.append(piece)
+    return tuple(pieces)
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -1,7 +1,7 @@
 """Pure decisions about the items of one batch job: which runs where, which one moves."""
 
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from enum import StrEnum
 
 import msgspec
@@ -27,7 +27,13 @@
 """Postponed items wait so long for a worker with the newest weights: what those make can be
 used when the items come back in the next step."""
 
+PRIORITY_LONG = 2
+PRIORITY_NORMAL = 5
+PRIORITY_POSTPONED = 6
+"""Long items decide when a step is whole; workers admit them before short ones."""
+
 MAXIMUM_MOVES = 3
+MAXIMUM_MOVES_TO_FASTER = 1
 FAILURE_DELAY_SECONDS = 0.15
 REFUSAL_DELAY_SECONDS = 0.05
 EVENTS_BEFORE_LEAVING_A_SLOW_WORKER = 3
@@ -48,6 +54,7 @@
     item: BatchItem
     worker_id: BackendId
     resume_after: int | None
+    priority: int
 
 
 class StopRun(msgspec.Struct, frozen=True, kw_only=True):
@@ -86,9 +93,11 @@
     not_before: float = 0.0
     failures: int = 0
     moves: int = 0
+    generation: int = 0
     avoid: BackendId | None = None
 
     def forget_text(self) -> None:
+        self.generation += 1
         self.texts.clear()
         self.versions.clear()
         self.last_number = None
@@ -278,6 +287,22 @@
             return ()
         return tuple(self._give_up(state) for state in list(self._items.values()))
 
+    def progress(self, minimum_events: int) -> tuple[PartialText, ...]:
+        """Return the texts so far of unfinished items with at least so many events."""
+        return tuple(
+            self._partial_text(state)
+            for state in self._items.values()
+            if len(state.texts) >= minimum_events
+        )
+
+    def resume_from(self, partial_texts: Iterable[PartialText], not_before: float) -> None:
+        """Go on from what a replaced owner made, once it has certainly stopped."""
+        for partial_text in partial_texts:
+            self._adopt_text(partial_text)
+            state = self._items.get(partial_text.item_id)
+            if state is not None and state.last_number is not None:
+                state.not_before = not_before
+
     def partial_text(self, item_id: ItemId, minimum_version: WeightVersion) -> PartialText | None:
         """Return what was made of an unfinished item, if newer steps may use it."""
         state = self._items.get(item_id)
@@ -285,12 +310,17 @@
             return None
         if min(state.versions) < minimum_version:
             return None
+        return self._partial_text(state)
+
+    @staticmethod
+    def _partial_text(state: _ItemState) -> PartialText:
+        assert state.last_number is not None
         return PartialText(
-            item_id=item_id,
+            item_id=state.item.item_id,
             texts=tuple(state.texts),
             last_number=state.last_number,
             versions=tuple(state.versions),
-            complete=False,
+            generation=state.generation,
         )
 
     def plan(
@@ -334,7 +364,18 @@
         if self._spec.one_version_only:
             # Another worker may hold another version; one version makes the whole text.
             state.forget_text()
-        return StartRun(item=state.item, worker_id=worker_id, resume_after=state.last_number)
+        return StartRun(
+            item=state.item,
+            worker_id=worker_id,
+            resume_after=state.last_number,
+            priority=self._priority(state),
+        )
+
+    @staticmethod
+    def _priority(state: _ItemState) -> int:
+        if state.is_long or state.last_number is not None:
+            return PRIORITY_LONG
+        return PRIORITY_POSTPONED if state.is_postponed else PRIORITY_NORMAL
 
     def _stops(self, choice: WorkerChoice, now: float) -> list[StopRun]:
         stops: list[StopRun] = []
@@ -357,6 +398,8 @@
             return False
         if choice.is_slow(state.worker_id):
             return choice.reserve_faster(state.worker_id)
+        if state.moves >= MAXIMUM_MOVES_TO_FASTER:
+            return False
         if state.events_in_run < EVENTS_BEFORE_SEEKING_A_FASTER_WORKER:
             return False
         return choice.reserve_faster(state.worker_id)
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -59,7 +59,7 @@
     TakePartialTexts,
     UnavailableReply,
 )
-from drumbay.peers.transport import PeerClient, PeerUnavailableError
+from drumbay.peers.transport import PeerClient, PeerGoneError, PeerUnavailableError
 from drumbay.tasks import TaskOwner
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
@@ -76,6 +76,10 @@
 OWNER_ATTEMPTS = 4
 KNOWN_OWNERS = 4_096
 
+_GONE = NotOwnerReply
+"""This reply comes from a later process at the owner's address, or from nobody: the process
+that owned the batch job has ended, or has let it go."""
+
 
 class ServiceIdentity(msgspec.Struct, frozen=True, kw_only=True):
     """This process: where peers call it, and its boot."""
@@ -275,7 +279,7 @@
             if isinstance(reply, PageReply):
                 return reply.page
             wait_seconds = 0.0
-            await self._take_over(batch_id, owner)
+            await self._take_over(batch_id, owner, owner_is_gone=isinstance(reply, _GONE))
         raise BatchUnavailableError(batch_id)
 
     async def _read_stored(
@@ -310,7 +314,7 @@
                 return reply.body
             if isinstance(reply, NotFoundReply):
                 raise BatchNotFoundError(f"{batch_id}/{item_id}")
-            await self._take_over(batch_id, owner)
+            await self._take_over(batch_id, owner, owner_is_gone=isinstance(reply, _GONE))
         raise BatchUnavailableError(batch_id)
 
     async def end(self, batch_id: BatchId) -> None:
@@ -382,6 +386,14 @@
             return NotOwnerReply()
         try:
             return await self._peers.call(owner.record.address, request, timeout_seconds)
+        except PeerGoneError:
+            log_event(
+                "batch_owner_gone",
+                level="WARNING",
+                batch=request.batch_id,
+                owner=str(owner.record.address),
+            )
+            return NotOwnerReply()
         except PeerUnavailableError as error:
             log_event(
                 "batch_owner_silent",
@@ -392,7 +404,9 @@
             )
             return UnavailableReply()
 
-    async def _take_over(self, batch_id: BatchId, silent: StoredOwner) -> None:
+    async def _take_over(
+        self, batch_id: BatchId, silent: StoredOwner, *, owner_is_gone: bool
+    ) -> None:
         """Own a batch job whose owner did not answer for it.
 
         The record is read again: if it has changed, the new owner is asked instead.
@@ -418,10 +432,14 @@
             level="WARNING",
             batch=batch_id,
             previous=str(silent.record.address),
+            owner_is_gone=owner_is_gone,
             listed=len(stored.results),
+            saved=len(stored.progress),
             items=len(stored.spec.items),
         )
-        self._own(stored.spec, revision, stored.results).start(ReturnedItems())
+        runner = self._own(stored.spec, revision, stored.results)
+        runner.resume(stored.progress, owner_is_gone=owner_is_gone)
+        runner.start(ReturnedItems())
 
     # Calls of other nodes
 
@@ -449,7 +467,7 @@
     async def _accept_hand_over(self, batch_id: BatchId) -> PeerReply:
         try:
             owner = await self._ledger.read_owner(batch_id)
-            await self._take_over(batch_id, owner)
+            await self._take_over(batch_id, owner, owner_is_gone=False)
         except (KeyValueError, BatchNotFoundError, BatchUnavailableError):
             return UnavailableReply()
         return DoneReply()
--- a/drumbay/batches/worker_choice.py
+++ b/drumbay/batches/worker_choice.py
@@ -11,7 +11,7 @@
 SLOW_FACTOR = 2.2
 """A worker whose events come this many times later than the median worker's is slow."""
 
-FASTER_FACTOR = 0.85
+FASTER_FACTOR = 0.8
 """Moving to a worker pays if its events come within this share of the time."""
 
 OLD_WEIGHTS_PENALTY = 0.2
--- a/drumbay/comm/http_exchange.py
+++ b/drumbay/comm/http_exchange.py
@@ -56,6 +56,12 @@
     code = "exchange_not_sent"
 
 
+class ExchangeRefusedError(ExchangeNotSentError):
+    """Nobody listens at the address: the process there has ended."""
+
+    code = "exchange_refused"
+
+
 class ExchangeBrokenError(UnavailableError):
     """The connection ended before the answer was complete: the request may have run."""
 
@@ -148,6 +154,8 @@
                 await stream.connect((address.host, address.port))
         except (StreamClosedError, TimeoutError, OSError) as error:
             stream.close()
+            if isinstance(getattr(error, "real_error", error), ConnectionRefusedError):
+                raise ExchangeRefusedError(str(address)) from error
             raise ExchangeNotSentError(f"{address}: {type(error).__name__}") from error
         except asyncio.CancelledError:
             stream.close()
--- a/drumbay/peers/messages.py
+++ b/drumbay/peers/messages.py
@@ -4,7 +4,7 @@
 
 from drumbay.batches.records import BatchId, ItemId, ResultPage, ReturnedItems
 from drumbay.comm.http_exchange import NetworkAddress
-from drumbay.identifiers import WeightVersion
+from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.kv.interface import (
     Delete,
     LeaseGrant,
@@ -89,6 +89,14 @@
     address: NetworkAddress
 
 
+class LoadingNotice(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """The leader tells that a worker loads weights for some seconds."""
+
+    worker_id: BackendId
+    model: str
+    seconds: float
+
+
 class RelayedPut(msgspec.Struct, frozen=True, kw_only=True):
     """An operation of a relayed transaction; without a value the key is removed."""
 
@@ -157,7 +165,7 @@
 OwnerRequest = ReadResults | ReadBody | EndBatch | HandOver
 BatchRequest = OwnerRequest | TakePartialTexts
 StoreRequest = RelayRange | RelayTransaction | RelayKeepAlive | RelayGrant
-PeerRequest = BatchRequest | StoreRequest | Hello
+PeerRequest = BatchRequest | StoreRequest | Hello | LoadingNotice
 PeerReply = (
     PageReply
     | PartialTextsReply
--- a/drumbay/peers/transport.py
+++ b/drumbay/peers/transport.py
@@ -12,6 +12,7 @@
 from drumbay.comm.http_exchange import (
     ExchangeBrokenError,
     ExchangeNotSentError,
+    ExchangeRefusedError,
     HttpExchange,
     HttpRequest,
     NetworkAddress,
@@ -33,6 +34,12 @@
     code = "peer_unavailable"
 
 
+class PeerGoneError(PeerUnavailableError):
+    """Nobody listens at a node's address: its process has ended."""
+
+    code = "peer_gone"
+
+
 class PeerClient(Protocol):
     """Calls another node."""
 
@@ -60,6 +67,7 @@
         """Return the node's reply.
 
         Raises:
+            PeerGoneError: The node's process has ended.
             PeerUnavailableError: No reply came in time.
         """
         outgoing = HttpRequest(
@@ -71,6 +79,8 @@
         try:
             body = await self._clock.wait_for(_exchange(address, outgoing), timeout_seconds)
             return _reply_decoder.decode(body)
+        except ExchangeRefusedError as error:
+            raise PeerGoneError(str(address)) from error
         except (
             ExchangeNotSentError,
             ExchangeBrokenError,
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -6,11 +6,13 @@
 
 import random
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 import msgspec
 
 from drumbay.batches.service import BatchService, ServiceIdentity
 from drumbay.clock import Clock
+from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.forwarding.forwarder import Forwarder
 from drumbay.forwarding.routes import RouteTable, RoutingConfiguration
 from drumbay.kv.follower import PrefixFeed, PrefixFollower
@@ -21,6 +23,7 @@
 from drumbay.peers.messages import (
     DoneReply,
     Hello,
+    LoadingNotice,
     PeerReply,
     PeerRequest,
     RelayGrant,
@@ -29,13 +32,14 @@
     RelayTransaction,
 )
 from drumbay.peers.store_relay import RelayingStore, StoreRelayServer
-from drumbay.peers.transport import PeerClient
+from drumbay.peers.transport import PeerClient, PeerUnavailableError
 from drumbay.tasks import TaskOwner
 from drumbay.weights.version_coordinator import NamedVersions, VersionCoordinator
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
 
 UNFINISHED_CHECK_SECONDS = 0.1
+NOTICE_TIMEOUT_SECONDS = 0.3
 
 
 class ServingSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -112,6 +116,7 @@
             self.named_versions,
             self._tasks,
             settings.machine,
+            self._announce_loading,
         )
         self._leaving = False
         self._requests_open = 0
@@ -157,12 +162,28 @@
             routes=len(configuration.routes),
         )
 
+    def _announce_loading(self, notice: LoadingNotice) -> None:
+        self._note_loading(notice)
+        for address in self._peer_directory.responsive():
+            self._tasks.spawn(self._tell(address, notice), "loading-notice")
+
+    async def _tell(self, address: NetworkAddress, notice: LoadingNotice) -> None:
+        with suppress(PeerUnavailableError):
+            await self._environment.peers.call(address, notice, NOTICE_TIMEOUT_SECONDS)
+
+    def _note_loading(self, notice: LoadingNotice) -> None:
+        until = self._environment.clock.monotonic() + notice.seconds
+        self.directory.note_loading(notice.worker_id, notice.model, until)
+
     async def handle_peer(self, request: PeerRequest) -> PeerReply:
         """Answer another node."""
         match request:
             case Hello(address=address):
                 self._peer_directory.note(address)
                 return DoneReply()
+            case LoadingNotice():
+                self._note_loading(request)
+                return DoneReply()
             case RelayRange() | RelayTransaction() | RelayKeepAlive() | RelayGrant():
                 return await self._relay_server.handle(request)
             case _:
--- a/drumbay/standins/worker_pool.py
+++ b/drumbay/standins/worker_pool.py
@@ -34,6 +34,7 @@
 )
 
 LONGEST_TEXT_EVENTS = 16
+LONG_TEXT_EVENTS = 160
 
 
 class WorkerFaults(msgspec.Struct, kw_only=True):
@@ -101,6 +102,7 @@
     """All workers of a deployment.
 
     Attributes:
+        long_texts: Whether every text has 160 events; otherwise up to 16, by the request.
         runs: Every run that began, oldest first.
         orders: Every order that arrived, oldest first.
     """
@@ -121,6 +123,7 @@
         self._workers: dict[BackendId, EmulatedWorker] = {}
         self._listeners: list[Callable[[Worker], None]] = []
         self._tasks: set[asyncio.Task[None]] = set()
+        self.long_texts = False
         self.runs: list[LoggedRun] = []
         self.orders: list[LoggedOrder] = []
 
@@ -202,10 +205,18 @@
                 raise WorkerRejectedError("422")
             model = dict(request.headers).get("model", "m")
             seconds = self._seconds_per_event
-            yield EmulatedStream(self._clock, emulated, run, request, model, seconds)
+            count = self._text_events(request.request_id)
+            yield EmulatedStream(self._clock, emulated, run, request, model, seconds, count)
         finally:
             self._end(emulated, run)
 
+    def _text_events(self, request_id: str) -> int:
+        return LONG_TEXT_EVENTS if self.long_texts else text_events(request_id)
+
+    def text(self, request_id: str) -> str:
+        """Return the whole text of a request."""
+        return _text(request_id, self._text_events(request_id))
+
     async def _reach(self, worker: Worker) -> EmulatedWorker:
         emulated = self._workers.get(worker.worker_id)
         if emulated is None or emulated.faults.dark:
@@ -319,6 +330,7 @@
         request: WorkerRequest,
         model: str,
         seconds_per_event: float,
+        event_count: int,
     ) -> None:
         """Prepare the events after ``resume_after``."""
         self._clock = clock
@@ -327,6 +339,7 @@
         self._request = request
         self._model = model
         self._seconds_per_event = seconds_per_event
+        self._event_count = event_count
         self.version: WeightVersion | None = emulated.versions.get(model)
         self.load: WorkerLoad | None = None
 
@@ -334,7 +347,7 @@
         """Yield one event at a time."""
         faults = self._emulated.faults
         first = (self._request.resume_after or 0) + 1
-        for number in range(first, text_events(self._request.request_id) + 1):
+        for number in range(first, self._event_count + 1):
             await self._clock.sleep(self._seconds_per_event * faults.slowdown)
             if faults.dark:
                 await self._clock.sleep(3_600.0)
@@ -354,5 +367,8 @@
 
 def whole_text(request_id: str) -> str:
     """Return the whole text of a request."""
-    count = text_events(request_id)
+    return _text(request_id, text_events(request_id))
+
+
+def _text(request_id: str, count: int) -> str:
     return "\n".join(f"{request_id}:{number}" for number in range(1, count + 1))
--- a/drumbay/weights/version_coordinator.py
+++ b/drumbay/weights/version_coordinator.py
@@ -1,12 +1,14 @@
 """Gives the leader's load orders and follows them until they are carried out."""
 
 import asyncio
+from collections.abc import Callable
 from contextlib import suppress
 
 from drumbay.clock import Clock
 from drumbay.identifiers import BackendId, Fence, WeightVersion
 from drumbay.observability.logs import log_event
 from drumbay.ownership.leader import LeaderElection
+from drumbay.peers.messages import LoadingNotice
 from drumbay.tasks import TaskOwner
 from drumbay.weights.version_planner import LoadPolicy, LoadVersion, VersionPlanner
 from drumbay.workers.directory import WorkerDirectory, WorkerRecord
@@ -58,9 +60,22 @@
         named: NamedVersions,
         task_owner: TaskOwner,
         holder: str,
+        announce: Callable[[LoadingNotice], None],
         policy: LoadPolicy | None = None,
     ) -> None:
-        """Create a coordinator that gives orders as ``holder``."""
+        """Create a coordinator that gives orders as ``holder``.
+
+        Args:
+            clock: Time.
+            directory: The workers.
+            client: Calls to workers.
+            leader: Says whether this node may give orders.
+            named: The versions to load.
+            task_owner: Runs the loads.
+            holder: This machine, as workers know it.
+            announce: Tells the nodes, this one included, of a load that begins.
+            policy: Limits of loading.
+        """
         self._clock = clock
         self._directory = directory
         self._client = client
@@ -68,6 +83,7 @@
         self._named = named
         self._task_owner = task_owner
         self._holder = holder
+        self._announce = announce
         self._policy = policy or LoadPolicy()
         self._planner = VersionPlanner(self._policy)
         self.one_version_models: frozenset[str] = frozenset()
@@ -130,6 +146,11 @@
             fence=fence,
             expected_sequence=status.sequence,
         )
+        self._announce(
+            LoadingNotice(
+                worker_id=load.worker_id, model=load.model, seconds=self._policy.expected_seconds
+            )
+        )
         try:
             outcome = await self._client.order(record.worker, order)
         except WorkerError as error:
--- a/drumbay/workers/directory.py
+++ b/drumbay/workers/directory.py
@@ -10,7 +10,7 @@
 LOAD_REPORT_LIFETIME_SECONDS = 0.6
 """How long a load report counts; runs last about as long."""
 
-PACE_SMOOTHING = 0.3
+PACE_SMOOTHING = 0.15
 PACE_LIFETIME_SECONDS = 4.0
 """A pace that was seen longer ago says nothing: the worker may have recovered."""
 
@@ -39,6 +39,8 @@
     failures: int = 0
     pace_seconds: float | None = None
     paced_at: float = float("-inf")
+    best_pace_seconds: float | None = None
+    loading_until: dict[str, float] = msgspec.field(default_factory=dict)
     refusals: dict[str, Refusals] = msgspec.field(default_factory=dict)
     latency_seconds: float | None = None
 
@@ -58,7 +60,7 @@
 
     def free_slots_for(self, model: str, now: float) -> int:
         """Return the places for requests of a model: after refusals, one probe at a time."""
-        if not self.is_available(now):
+        if not self.is_available(now) or now < self.loading_until.get(model, now):
             return 0
         refusals = self.refusals.get(model)
         if refusals is None:
@@ -68,9 +70,9 @@
         return min(1, self.free_slots(now))
 
     def current_pace(self, now: float) -> float | None:
-        """Return the seconds between events of a stream if seen lately."""
+        """Return the seconds between events of a stream: as seen lately, or at the best."""
         if now - self.paced_at > PACE_LIFETIME_SECONDS:
-            return None
+            return self.best_pace_seconds
         return self.pace_seconds
 
 
@@ -117,7 +119,9 @@
         record.worker = worker
         # A stream's head is newer than discovery, and versions only rise.
         for model, version in worker.versions.items():
-            record.versions[model] = max(version, record.versions.get(model, version))
+            if version > record.versions.get(model, WeightVersion(-1)):
+                record.versions[model] = version
+                record.loading_until.pop(model, None)
 
     def _announce(self) -> None:
         for listener in self._listeners:
@@ -144,8 +148,11 @@
     def observe_version(self, worker_id: BackendId, model: str, version: WeightVersion) -> None:
         """Take the version that an answer named."""
         record = self._records.get(worker_id)
-        if record is not None:
-            record.versions[model] = version
+        if record is None:
+            return
+        if version > record.versions.get(model, version):
+            record.loading_until.pop(model, None)
+        record.versions[model] = version
 
     def observe_load(self, worker_id: BackendId, load: WorkerLoad, now: float) -> None:
         """Take a load report: what is beyond this node's own requests belongs to others."""
@@ -160,6 +167,15 @@
         if record is not None:
             record.pace_seconds = _smooth(record.current_pace(now), seconds_per_event)
             record.paced_at = now
+            best = record.best_pace_seconds
+            if best is None or record.pace_seconds < best:
+                record.best_pace_seconds = record.pace_seconds
+
+    def note_loading(self, worker_id: BackendId, model: str, until: float) -> None:
+        """Send a worker nothing for a model whose weights it loads until then."""
+        record = self._records.get(worker_id)
+        if record is not None:
+            record.loading_until[model] = until
 
     def observe_refusal(self, worker_id: BackendId, model: str, now: float) -> None:
         """Pause a model on a worker; the pause doubles with each refused probe."""
--- a/drumbay/workers/records.py
+++ b/drumbay/workers/records.py
@@ -41,7 +41,8 @@
     """A request for one worker.
 
     ``headers`` go out unchanged; ``budget_seconds`` tells the worker how long to work;
-    ``resume_after`` asks for the events after that number.
+    ``resume_after`` asks for the events after that number; ``priority`` says which requests
+    the worker admits first (0 the most urgent), ``None`` leaves it to the worker.
     """
 
     request_id: str
@@ -52,6 +53,7 @@
     body: bytes
     budget_seconds: float
     resume_after: int | None = None
+    priority: int | None = None
 
 
 class WorkerAnswer(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -233,6 +233,38 @@
 
         play(scenario, node_count=1)
 
+    def test_a_new_owner_goes_on_from_what_a_dead_one_saved(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            world.workers.long_texts = True
+            await world.nodes[0].batches.submit(batch_spec(groups=1))
+            await asyncio.sleep(5.0)
+            await world.nodes[0].kill()
+            results = await read_all(world.nodes[1].batches, BATCH)
+            for result in results:
+                self.assertEqual(result.text, world.workers.text(result.item_id))
+            resumed = [run for run in world.workers.runs if (run.resume_after or 0) >= 60]
+            self.assertEqual(len(resumed), 4)
+
+        play(scenario)
+
+    def test_a_new_owner_waits_before_it_continues_what_a_living_one_may_still_run(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            world.workers.long_texts = True
+            await world.nodes[0].batches.submit(batch_spec(groups=1))
+            await asyncio.sleep(5.0)
+            world.peers.cut.add(world.nodes[0].address)
+            results = await read_all(world.nodes[1].batches, BATCH)
+            for result in results:
+                self.assertEqual(result.text, world.workers.text(result.item_id))
+            resumed = [run for run in world.workers.runs if run.resume_after is not None]
+            self.assertEqual(len(resumed), 4)
+            for run in resumed:
+                before = world.workers.runs_of(run.request_id)[0]
+                assert before.ended_at is not None
+                self.assertLess(before.ended_at, run.started_at + 0.4)
+
+        play(scenario)
+
     def test_a_replaced_owner_lists_nothing_more(self) -> None:
         """The old owner is alive, but no node reaches it; both run items, one lists them."""
 
