Keep connections to workers for requests that may be repeated

Change: repeatable requests share kept connections; one is used again only if nothing has arrived on it since its answer, the answer had a length and did not announce a close. A kept connection that turns out to be closed is replaced by a new one without counting as a lost answer. Requests that may run once only get a connection of their own. Tests: reuse, closed under the request, surplus bytes, announced close.

--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -370,6 +370,7 @@
             budget_seconds=RUN_BUDGET_SECONDS,
             resume_after=start.resume_after,
             priority=start.priority,
+            repeatable=True,
         )
         async with self._client.stream(record.worker, request) as stream:
             self._take_head(item.item_id, record, stream)
--- a/drumbay/comm/http_exchange.py
+++ b/drumbay/comm/http_exchange.py
@@ -1,11 +1,12 @@
-"""One HTTP/1.1 request and its streamed answer on a connection of its own.
+"""One HTTP/1.1 request and its streamed answer.
 
-Built on tornado's ``HTTP1Connection``. A connection serves one exchange: surplus bytes after
-an answer, as a faulty server sends them, can then never be taken for another answer. Closing
-the exchange closes the connection, which tells the server to stop working.
+Built on tornado's ``HTTP1Connection``. Closing an exchange closes its connection, which tells
+the server to stop working. A connection whose answer is whole may be given to a
+:class:`ConnectionPool` and serve another exchange.
 """
 
 import asyncio
+import re
 import socket
 from collections import deque
 
@@ -20,11 +21,20 @@
 )
 from tornado.iostream import IOStream, StreamClosedError
 
+from drumbay.clock import Clock
 from drumbay.exceptions import UnavailableError
 
 MAXIMUM_HEADER_BYTES = 65_536
 MAXIMUM_BODY_BYTES = 256 * 1024 * 1024
 USER_TIMEOUT_MILLISECONDS = 4_000
+DEFAULT_IDLE_SECONDS = 2.0
+"""How long an idle connection is used again if the server does not say how long it keeps it."""
+
+IDLE_MARGIN_SECONDS = 1.0
+MAXIMUM_IDLE_PER_ADDRESS = 16
+
+
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 
 
 class NetworkAddress(msgspec.Struct, frozen=True, order=True):
@@ -123,15 +133,84 @@
         await self._waiter
 
 
+class _IdleConnection(msgspec.Struct, frozen=True):
+    """A connection without an exchange, to be used again until a monotonic time."""
+
+    stream: IOStream
+    usable_until: float
+
+    def is_clean(self, now: float) -> bool:
+        """Return whether the connection is open and has received nothing since its answer."""
+        if now >= self.usable_until or self.stream.closed():
+            return False
+        # NOTE: IOStream has no public way to ask for bytes that it has read already.
+        if self.stream._read_buffer_size:
+            return False
+        try:
+            self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        # Either surplus bytes, which belong to no request, or the end of the connection.
+        return False
+
+
+class ConnectionPool:
+    """Idle connections by address; the one used last is used first."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Create an empty pool."""
+        self._clock = clock
+        self._idle: dict[NetworkAddress, list[_IdleConnection]] = {}
+
+    def take(self, address: NetworkAddress) -> IOStream | None:
+        """Return a clean idle connection, if there is one; close those that are not."""
+        now = self._clock.monotonic()
+        connections = self._idle.get(address, [])
+        while connections:
+            connection = connections.pop()
+            if connection.is_clean(now):
+                return connection.stream
+            connection.stream.close()
+        self._idle.pop(address, None)
+        return None
+
+    def put(self, address: NetworkAddress, stream: IOStream, idle_seconds: float) -> None:
+        """Keep a connection whose answer is whole."""
+        connections = self._idle.setdefault(address, [])
+        if len(connections) >= MAXIMUM_IDLE_PER_ADDRESS:
+            connections.pop(0).stream.close()
+        until = self._clock.monotonic() + idle_seconds
+        connections.append(_IdleConnection(stream, until))
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for connections in self._idle.values():
+            for connection in connections:
+                connection.stream.close()
+        self._idle.clear()
+
+
 class HttpExchange:
-    """An open exchange: send, read the head, read chunks, close."""
+    """An open exchange: send, read the head, read chunks, close.
 
-    def __init__(self, stream: IOStream) -> None:
+    Attributes:
+        is_reused: Whether the connection had served an exchange before. The server may have
+            closed it in the same moment, without having seen the request.
+    """
+
+    def __init__(
+        self, stream: IOStream, address: NetworkAddress, pool: ConnectionPool | None
+    ) -> None:
         """Take over a connected stream."""
+        self.is_reused = False
         self._stream = stream
+        self._address = address
+        self._pool = pool
         self._delegate = _AnswerDelegate(stream)
         parameters = HTTP1ConnectionParameters(
-            no_keep_alive=True,
+            no_keep_alive=pool is None,
             max_header_size=MAXIMUM_HEADER_BYTES,
             max_body_size=MAXIMUM_BODY_BYTES,
             decompress=False,
@@ -141,13 +220,24 @@
 
     @classmethod
     async def open(
-        cls, address: NetworkAddress, request: HttpRequest, connect_timeout_seconds: float
+        cls,
+        address: NetworkAddress,
+        request: HttpRequest,
+        connect_timeout_seconds: float,
+        pool: ConnectionPool | None = None,
     ) -> "HttpExchange":
-        """Connect and send a request.
+        """Send a request on a connection of ``pool``, or on a new one.
 
         Raises:
+            ExchangeRefusedError: Nobody listens at the address.
             ExchangeNotSentError: No connection came up in time.
         """
+        idle = pool.take(address) if pool is not None else None
+        if idle is not None:
+            exchange = cls(idle, address, pool)
+            exchange.is_reused = True
+            exchange._send(request)
+            return exchange
         stream = IOStream(_new_socket())
         try:
             async with asyncio.timeout(connect_timeout_seconds):
@@ -160,7 +250,7 @@
         except asyncio.CancelledError:
             stream.close()
             raise
-        exchange = cls(stream)
+        exchange = cls(stream, address, pool)
         exchange._send(request)
         return exchange
 
@@ -169,7 +259,8 @@
         for name, value in request.headers:
             headers.add(name, value)
         headers["Content-Length"] = str(len(request.body))
-        headers["Connection"] = "close"
+        if self._pool is None:
+            headers["Connection"] = "close"
         start_line = RequestStartLine(request.method, request.target, "HTTP/1.1")
         sent = self._connection.write_headers(start_line, headers, request.body or None)
         sent.add_done_callback(_take_exception)
@@ -229,6 +320,31 @@
             parts.append(chunk)
         return b"".join(parts)
 
+    @property
+    def is_answered(self) -> bool:
+        """Return whether any part of an answer has come."""
+        return self._delegate.status is not None
+
+    async def finish(self) -> None:
+        """Keep the connection for another exchange if its answer is whole; close it if not."""
+        if self._pool is None or not self._delegate.complete or not self._may_stay_open():
+            self.close()
+            return
+        if self._reader is not None:
+            await self._reader
+        self._pool.put(self._address, self._stream, self._idle_seconds())
+
+    def _may_stay_open(self) -> bool:
+        headers = self._delegate.headers
+        has_end = "Content-Length" in headers or "Transfer-Encoding" in headers
+        return has_end and headers.get("Connection", "").lower() != "close"
+
+    def _idle_seconds(self) -> float:
+        found = _KEEP_ALIVE_TIMEOUT.search(self._delegate.headers.get("Keep-Alive", ""))
+        if found is None:
+            return DEFAULT_IDLE_SECONDS
+        return max(0.0, float(found.group(1)) - IDLE_MARGIN_SECONDS)
+
     def close(self) -> None:
         """Close the connection; the server drops what it still works on."""
         if self._reader is not None:
--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -230,6 +230,7 @@
             headers=request.headers,
             body=request.body,
             budget_seconds=remaining,
+            repeatable=self._route.kind is RequestKind.IDEMPOTENT,
         )
         task = asyncio.get_running_loop().create_task(self._attempt(record, outgoing))
         self._attempts[task] = record
--- a/drumbay/workers/records.py
+++ b/drumbay/workers/records.py
@@ -42,7 +42,8 @@
 
     ``headers`` go out unchanged; ``budget_seconds`` tells the worker how long to work;
     ``resume_after`` asks for the events after that number; ``priority`` says which requests
-    the worker admits first (0 the most urgent), ``None`` leaves it to the worker.
+    the worker admits first (0 the most urgent), ``None`` leaves it to the worker. A request
+    that is ``repeatable`` may be sent again when a kept connection turns out to be closed.
     """
 
     request_id: str
@@ -54,6 +55,7 @@
     budget_seconds: float
     resume_after: int | None = None
     priority: int | None = None
+    repeatable: bool = False
 
 
 class WorkerAnswer(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -7,6 +7,7 @@
 import unittest
 from pathlib import Path
 
+import msgspec
 from drumbay_platform.events import EventParser
 from drumbay_platform.feeds import parse_configuration, parse_worker
 from drumbay_platform.settings import parse_settings
@@ -246,6 +247,7 @@
 
     async def asyncSetUp(self) -> None:
         self.client = PlatformWorkerClient(SystemClock())
+        self.addCleanup(self.client.close)
 
     async def server(self, text: str, *, reset: bool = False) -> Worker:
         server = ScriptedServer(lambda _: text.encode(), reset=reset)
@@ -275,6 +277,9 @@
             resume_after=resume_after,
         )
 
+    def repeatable(self) -> WorkerRequest:
+        return msgspec.structs.replace(self.request(), repeatable=True)
+
     async def events(self, worker: Worker) -> list[StreamEvent]:
         found: list[StreamEvent] = []
         async with self.client.stream(worker, self.request(4)) as stream:
@@ -298,6 +303,39 @@
             self.assertIn(line, sent)
         self.assertEqual(sent.count("X-Drumbay-Attempt-Id"), 1)
 
+    async def test_a_repeatable_request_uses_a_kept_connection(self) -> None:
+        worker = await self.server(self.head + "Content-Length: 2\r\n\r\nok")
+        self.scripted.keep = True
+        for _ in range(3):
+            answer = await self.client.call(worker, self.repeatable())
+            self.assertEqual(answer.body, b"ok")
+        self.assertEqual(self.scripted.connections, 1)
+        await self.client.call(worker, self.request())
+        self.assertEqual(self.scripted.connections, 2)
+
+    async def test_a_kept_connection_that_was_closed_is_not_an_answer_lost(self) -> None:
+        worker = await self.server(self.head + "Content-Length: 2\r\n\r\nok")
+        for _ in range(3):
+            answer = await self.client.call(worker, self.repeatable())
+            self.assertEqual(answer.body, b"ok")
+        self.assertEqual(len(self.scripted.requests), 3)
+
+    async def test_a_connection_with_surplus_bytes_is_not_kept(self) -> None:
+        text = self.head + "Content-Length: 2\r\n\r\nok" + self.head + "Content-Length: 1\r\n\r\nx"
+        worker = await self.server(text)
+        self.scripted.keep = True
+        for _ in range(3):
+            answer = await self.client.call(worker, self.repeatable())
+            self.assertEqual(answer.body, b"ok")
+        self.assertEqual(self.scripted.connections, 3)
+
+    async def test_a_connection_that_the_worker_will_close_is_not_kept(self) -> None:
+        worker = await self.server(self.head + "Connection: close\r\nContent-Length: 2\r\n\r\nok")
+        self.scripted.keep = True
+        for _ in range(2):
+            await self.client.call(worker, self.repeatable())
+        self.assertEqual(self.scripted.connections, 2)
+
     async def test_a_cut_answer_is_broken(self) -> None:
         worker = await self.server(self.head + "Content-Length: 20\r\n\r\nok")
         with self.assertRaises(WorkerBrokenError):
