Notice silent connections to the store by a heartbeat; ask the store less

A node tells the others who owns a new or ended batch job; an end uses the owner it knows and lets the comparison decide. Red first: without the heartbeat's suspicion, test_a_watch_that_fell_silent_is_replaced_in_time fails.

--- a/drumbay/batches/ledger.py
+++ b/drumbay/batches/ledger.py
@@ -25,6 +25,7 @@
     OwnerRecord,
     OwnerState,
     PartialText,
+    StoredOwner,
 )
 from drumbay.identifiers import Revision
 from drumbay.kv.interface import KeyValueStore, ModRevisionIs, Put
@@ -40,13 +41,6 @@
 _results_decoder = msgspec.msgpack.Decoder(tuple[ItemResult, ...])
 
 
-class StoredOwner(msgspec.Struct, frozen=True, kw_only=True):
-    """An owner record and the revision that fences its writes."""
-
-    record: OwnerRecord
-    revision: Revision
-
-
 class StoredBatch(msgspec.Struct, frozen=True, kw_only=True):
     """All that the store holds of a batch job."""
 
--- a/drumbay/batches/records.py
+++ b/drumbay/batches/records.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from drumbay.comm.http_exchange import NetworkAddress
-from drumbay.identifiers import WeightVersion
+from drumbay.identifiers import Revision, WeightVersion
 
 BatchId = NewType("BatchId", str)
 ItemId = NewType("ItemId", str)
@@ -118,6 +118,13 @@
     total: int
 
 
+class StoredOwner(msgspec.Struct, frozen=True, kw_only=True):
+    """An owner record and the revision that fences its writes."""
+
+    record: OwnerRecord
+    revision: Revision
+
+
 def page_of(
     results: list[ItemResult] | tuple[ItemResult, ...], total: int, position: int, size_bytes: int
 ) -> ResultPage:
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -18,7 +18,7 @@
     BatchRefusedError,
     BatchUnavailableError,
 )
-from drumbay.batches.ledger import BatchLedger, StoredOwner
+from drumbay.batches.ledger import BatchLedger
 from drumbay.batches.records import (
     BatchId,
     BatchSpec,
@@ -29,6 +29,7 @@
     PartialText,
     ResultPage,
     ReturnedItems,
+    StoredOwner,
     page_of,
 )
 from drumbay.batches.runner import PAGE_BYTES, BatchRunner
@@ -50,6 +51,7 @@
     HandOver,
     NotFoundReply,
     NotOwnerReply,
+    OwnerNotice,
     OwnerRequest,
     PageReply,
     PartialTextsReply,
@@ -102,6 +104,7 @@
         identity: ServiceIdentity,
         known_nodes: Callable[[], list[NetworkAddress]],
         newest_version: Callable[[str], WeightVersion],
+        announce: Callable[[OwnerNotice], None],
     ) -> None:
         """Create a service that owns nothing.
 
@@ -115,6 +118,7 @@
             identity: This process.
             known_nodes: Lists the other nodes.
             newest_version: Returns the newest version named for a model.
+            announce: Tells the other nodes who owns a batch job.
         """
         self._clock = clock
         self._ledger = BatchLedger(store)
@@ -125,6 +129,7 @@
         self._identity = identity
         self._known_nodes = known_nodes
         self._newest_version = newest_version
+        self._announce = announce
         self._runners: dict[BatchId, BatchRunner] = {}
         self._lingering: list[BatchRunner] = []
         self._owners: dict[BatchId, StoredOwner] = {}
@@ -180,8 +185,23 @@
         log_event("batch_accepted", batch=spec.batch_id, items=len(spec.items), step=spec.step)
         if not self._leaving:
             runner = self._own(spec, revision, ())
+            self._announce_owner(spec.batch_id, StoredOwner(record=owner, revision=revision))
             self._task_owner.spawn(self._start(runner), f"batch-start-{spec.batch_id}")
 
+    def _announce_owner(self, batch_id: BatchId, owner: StoredOwner) -> None:
+        self._announce(OwnerNotice(batch_id=batch_id, owner=owner))
+
+    def note_owner(self, notice: OwnerNotice) -> None:
+        """Remember who owns a batch job; the store decides if this turns out to be wrong."""
+        known = self._owners.get(notice.batch_id)
+        if known is None or known.revision < notice.owner.revision:
+            self._remember_owner(notice.batch_id, notice.owner)
+
+    def _remember_owner(self, batch_id: BatchId, owner: StoredOwner) -> None:
+        if len(self._owners) >= KNOWN_OWNERS:
+            self._owners.pop(next(iter(self._owners)))
+        self._owners[batch_id] = owner
+
     async def _start(self, runner: BatchRunner) -> None:
         runner.start(await self._collect_returned(runner.spec))
 
@@ -326,19 +346,23 @@
         """
         deadline = self._clock.monotonic() + END_LIMIT_SECONDS
         while True:
-            owner = await self._find_owner(batch_id, deadline, fresh=True)
+            owner = await self._find_owner(batch_id, deadline)
             if owner.record.state is OwnerState.ENDED:
-                break
+                return
             try:
                 ended = msgspec.structs.replace(owner.record, state=OwnerState.ENDED)
-                await self._ledger.replace_owner(batch_id, owner, ended)
+                revision = await self._ledger.replace_owner(batch_id, owner, ended)
                 break
             except BatchMovedError:
-                continue
+                self._owners.pop(batch_id, None)
             except KeyValueError as error:
+                self._owners.pop(batch_id, None)
                 await self._pause_until(deadline, error)
         log_event("batch_ended", batch=batch_id)
         self._stop_runner(batch_id)
+        stored = StoredOwner(record=ended, revision=revision)
+        self._remember_owner(batch_id, stored)
+        self._announce_owner(batch_id, stored)
         if owner.record.address != self._identity.address:
             # Tell the owner at once; it would notice at its next write or check.
             self._task_owner.spawn(self._tell_end(batch_id, owner), "batch-end")
@@ -356,10 +380,8 @@
 
     # Owners
 
-    async def _find_owner(
-        self, batch_id: BatchId, deadline: float, *, fresh: bool = False
-    ) -> StoredOwner:
-        known = None if fresh else self._owners.get(batch_id)
+    async def _find_owner(self, batch_id: BatchId, deadline: float) -> StoredOwner:
+        known = self._owners.get(batch_id)
         if known is not None:
             return known
         while True:
@@ -368,9 +390,7 @@
                 break
             except KeyValueError as error:
                 await self._pause_until(deadline, error)
-        if len(self._owners) >= KNOWN_OWNERS:
-            self._owners.pop(next(iter(self._owners)))
-        self._owners[batch_id] = owner
+        self._remember_owner(batch_id, owner)
         return owner
 
     async def _pause_until(self, deadline: float, error: KeyValueError) -> None:
--- a/drumbay/peers/directory.py
+++ b/drumbay/peers/directory.py
@@ -1,24 +1,31 @@
-"""The other nodes that this one can call.
+"""The other nodes that this one can call, and whether this one reaches the store.
 
-Each node writes its address into the store once, and greets the nodes that it finds there.
+Each node keeps its address in the store under a lease and greets the nodes that it finds there.
 An entry whose node does not answer is passed over for a while; nothing depends on the list
-being exact.
+being exact. Renewing the lease is also the heartbeat that tells whether connections to the
+store still work: a waiting watch cannot tell a calm store from a silent one.
 """
 
 import random
+from collections.abc import Callable
 
 import msgspec
 
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
-from drumbay.kv.interface import KeyValueError, KeyValueStore, Put
+from drumbay.kv.interface import KeyValueError, KeyValueStore, LeaseNotFoundError, Put
 from drumbay.observability.logs import log_event
 from drumbay.peers.messages import Hello
 from drumbay.peers.transport import PeerClient, PeerUnavailableError
 
 PREFIX = "drumbay/nodes/"
 HELLO_TIMEOUT_SECONDS = 0.5
-FIRST_RETRY_SECONDS = 0.5
+RETRY_SECONDS = 0.5
+LEASE_SECONDS = 5.0
+HEARTBEAT_SECONDS = 1.0
+LONGEST_GAP_SECONDS = 2.5
+"""A heartbeat that comes this long after the last one follows a pause of the process."""
+
 REFRESH_SECONDS = 120.0
 SETTLE_SECONDS = 2.0
 """Nodes that start together have written their entries by then."""
@@ -39,13 +46,24 @@
         peers: PeerClient,
         address: NetworkAddress,
         generator: random.Random,
+        on_store_suspect: Callable[[], None],
     ) -> None:
-        """Create a directory that knows nobody."""
+        """Create a directory that knows nobody.
+
+        Args:
+            clock: Time.
+            store: The key-value service, reached directly.
+            peers: Calls to other nodes.
+            address: This node.
+            generator: Source of the order in which nodes are tried.
+            on_store_suspect: Called when connections to the store may be dead.
+        """
         self._clock = clock
         self._store = store
         self._peers = peers
         self._address = address
         self._generator = generator
+        self._on_store_suspect = on_store_suspect
         self._known: dict[NetworkAddress, float] = {}
 
     def note(self, address: NetworkAddress) -> None:
@@ -72,21 +90,47 @@
         return [address for address, silent_until in self._known.items() if silent_until <= now]
 
     async def run(self) -> None:
-        """Register, then find the others now and again, until cancelled."""
-        await self._register()
+        """Find the other nodes now and again, until cancelled."""
         await self._clock.sleep(SETTLE_SECONDS)
         while True:
             await self._find()
             await self._clock.sleep(REFRESH_SECONDS)
 
-    async def _register(self) -> None:
-        entry = Put(key=f"{PREFIX}{self._address}", value=_encoder.encode(self._address))
+    async def run_heartbeat(self) -> None:
+        """Keep this node's entry under its lease, until cancelled."""
+        while True:
+            try:
+                lease_id = await self._register()
+                await self._keep(lease_id)
+            except LeaseNotFoundError:
+                continue
+            except KeyValueError:
+                await self._clock.sleep(RETRY_SECONDS)
+
+    async def _register(self) -> int:
+        lease = await self._store.grant_lease(LEASE_SECONDS)
+        entry = Put(
+            key=f"{PREFIX}{self._address}",
+            value=_encoder.encode(self._address),
+            lease_id=lease.lease_id,
+        )
+        await self._store.transact((), (entry,))
+        return lease.lease_id
+
+    async def _keep(self, lease_id: int) -> None:
+        """Renew the lease until it is gone."""
+        beaten_at = self._clock.monotonic()
         while True:
+            await self._clock.sleep(HEARTBEAT_SECONDS)
+            if self._clock.monotonic() - beaten_at > LONGEST_GAP_SECONDS:
+                self._on_store_suspect()
             try:
-                await self._store.transact((), (entry,))
-                return
+                await self._store.keep_lease_alive(lease_id)
+            except LeaseNotFoundError:
+                raise
             except KeyValueError:
-                await self._clock.sleep(FIRST_RETRY_SECONDS)
+                self._on_store_suspect()
+            beaten_at = self._clock.monotonic()
 
     async def _find(self) -> None:
         try:
--- a/drumbay/peers/messages.py
+++ b/drumbay/peers/messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from drumbay.batches.records import BatchId, ItemId, ResultPage, ReturnedItems
+from drumbay.batches.records import BatchId, ItemId, ResultPage, ReturnedItems, StoredOwner
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.kv.interface import (
@@ -89,6 +89,13 @@
     address: NetworkAddress
 
 
+class OwnerNotice(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A node tells who owns a batch job, so that the others need not read it."""
+
+    batch_id: BatchId
+    owner: StoredOwner
+
+
 class LoadingNotice(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """The leader tells that a worker loads weights for some seconds."""
 
@@ -165,7 +172,7 @@
 OwnerRequest = ReadResults | ReadBody | EndBatch | HandOver
 BatchRequest = OwnerRequest | TakePartialTexts
 StoreRequest = RelayRange | RelayTransaction | RelayKeepAlive | RelayGrant
-PeerRequest = BatchRequest | StoreRequest | Hello | LoadingNotice
+PeerRequest = BatchRequest | StoreRequest | Hello | LoadingNotice | OwnerNotice
 PeerReply = (
     PageReply
     | PartialTextsReply
--- a/drumbay/peers/store_relay.py
+++ b/drumbay/peers/store_relay.py
@@ -6,6 +6,7 @@
 its comparison the second time.
 """
 
+import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import NoReturn
 
@@ -64,6 +65,13 @@
         self._peers = peers
         self._directory = directory
         self._suspect_until = float("-inf")
+        self._suspected = asyncio.Event()
+
+    def suspect(self) -> None:
+        """Take connections to the service for dead: other nodes are asked, watches end."""
+        self._suspect_until = self._clock.monotonic() + SUSPECT_SECONDS
+        self._suspected.set()
+        self._suspected = asyncio.Event()
 
     async def range_prefix(self, prefix: str) -> RangeResult:
         """Return every key that starts with ``prefix``."""
@@ -98,9 +106,25 @@
         """End a lease; not relayed, since it runs out by itself."""
         await self._direct.revoke_lease(lease_id)
 
-    def watch_prefix(self, prefix: str, start_revision: Revision) -> AsyncIterator[WatchBatch]:
-        """Watch directly; a follower reads snapshots, which are relayed, while this fails."""
-        return self._direct.watch_prefix(prefix, start_revision)
+    async def watch_prefix(
+        self, prefix: str, start_revision: Revision
+    ) -> AsyncIterator[WatchBatch]:
+        """Watch directly, until the connection is suspected to be dead.
+
+        A follower reads snapshots, which are relayed, while this fails.
+        """
+        batches = self._direct.watch_prefix(prefix, start_revision)
+        while True:
+            suspected = asyncio.ensure_future(self._suspected.wait())
+            coming = asyncio.ensure_future(_next(batches))
+            try:
+                await asyncio.wait({coming, suspected}, return_when=asyncio.FIRST_COMPLETED)
+                if not coming.done():
+                    raise KeyValueUnavailableError("the connection may be dead")
+                yield coming.result()
+            finally:
+                suspected.cancel()
+                coming.cancel()
 
     async def _call(
         self, direct: Callable[[], Awaitable[object]], request: StoreRequest
@@ -116,10 +140,10 @@
             raise
         except KeyValueOutcomeUnknownError:
             # It may have been done: only the caller knows whether to try again.
-            self._suspect_until = self._clock.monotonic() + SUSPECT_SECONDS
+            self.suspect()
             raise
         except KeyValueError:
-            self._suspect_until = self._clock.monotonic() + SUSPECT_SECONDS
+            self.suspect()
             reply = None if is_suspect else await self._relay(request)
             if reply is None:
                 raise
@@ -180,6 +204,10 @@
                 return GrantReply(lease=await self._direct.grant_lease(ttl_seconds))
 
 
+async def _next(batches: AsyncIterator[WatchBatch]) -> WatchBatch:
+    return await anext(batches)
+
+
 def _as_reply(result: object) -> PeerReply:
     match result:
         case RangeResult():
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -24,6 +24,7 @@
     DoneReply,
     Hello,
     LoadingNotice,
+    OwnerNotice,
     PeerReply,
     PeerRequest,
     RelayGrant,
@@ -78,7 +79,12 @@
         self._tasks = TaskOwner()
         address = settings.identity.address
         self._peer_directory = PeerDirectory(
-            clock, environment.store, environment.peers, address, environment.generator
+            clock,
+            environment.store,
+            environment.peers,
+            address,
+            environment.generator,
+            self._suspect_store,
         )
         self._relay_server = StoreRelayServer(environment.store)
         self._store = RelayingStore(
@@ -100,6 +106,7 @@
             settings.identity,
             self._peer_directory.responsive,
             self.named_versions.newest_of,
+            self._tell_all,
         )
         self.leader = LeaderElection(
             clock,
@@ -128,6 +135,7 @@
             follower = PrefixFollower(environment.clock, self._store, feed, environment.generator)
             self._tasks.spawn(follower.run(), f"follow-{feed.prefix}")
         self._tasks.spawn(self._peer_directory.run(), "peer-directory")
+        self._tasks.spawn(self._peer_directory.run_heartbeat(), "store-heartbeat")
         self._tasks.spawn(self.leader.run(), "leader-election")
         self._tasks.spawn(self._coordinator.run(), "version-coordinator")
         log_event(
@@ -162,12 +170,18 @@
             routes=len(configuration.routes),
         )
 
+    def _suspect_store(self) -> None:
+        self._store.suspect()
+
     def _announce_loading(self, notice: LoadingNotice) -> None:
         self._note_loading(notice)
+        self._tell_all(notice)
+
+    def _tell_all(self, notice: LoadingNotice | OwnerNotice) -> None:
         for address in self._peer_directory.responsive():
-            self._tasks.spawn(self._tell(address, notice), "loading-notice")
+            self._tasks.spawn(self._tell(address, notice), "notice")
 
-    async def _tell(self, address: NetworkAddress, notice: LoadingNotice) -> None:
+    async def _tell(self, address: NetworkAddress, notice: LoadingNotice | OwnerNotice) -> None:
         with suppress(PeerUnavailableError):
             await self._environment.peers.call(address, notice, NOTICE_TIMEOUT_SECONDS)
 
@@ -181,6 +195,9 @@
             case Hello(address=address):
                 self._peer_directory.note(address)
                 return DoneReply()
+            case OwnerNotice():
+                self.batches.note_owner(request)
+                return DoneReply()
             case LoadingNotice():
                 self._note_loading(request)
                 return DoneReply()
--- a/tests/serving_world.py
+++ b/tests/serving_world.py
@@ -51,10 +51,16 @@
 class WorldNode:
     """One process of a node; a restart makes another one at the same address."""
 
-    def __init__(self, world: "ServingWorld", number: int, boot: int) -> None:
+    def __init__(
+        self,
+        world: "ServingWorld",
+        number: int,
+        boot: int,
+        store: MemoryKeyValueStore | None = None,
+    ) -> None:
         self._world = world
         self.address = NetworkAddress(f"10.0.0.{number}", 7000)
-        self.store = MemoryKeyValueStore(world.model, world.clock, timeout_seconds=1.0)
+        self.store = store or MemoryKeyValueStore(world.model, world.clock, timeout_seconds=1.0)
         identity = ServiceIdentity(address=self.address, boot=f"boot-{number}-{boot}")
         self.node = ServingNode(
             ServingSettings(machine=str(self.address), zone="zone-1", identity=identity),
--- /dev/null
+++ b/tests/test_store_follower.py
@@ -0,0 +1,174 @@
+"""Following a prefix of the store: outages, silent connections, lost history, relayed reads."""
+
+import asyncio
+import random
+import unittest
+from collections.abc import AsyncGenerator
+
+from drumbay.clock import Clock
+from drumbay.identifiers import Revision
+from drumbay.kv.follower import PrefixFeed, PrefixFollower
+from drumbay.kv.interface import KeyValue, Put, WatchBatch, WatchEvent
+from drumbay.kv.memory import MemoryKeyValueStore
+from drumbay.simulation.outside_clock import OutsideClock
+from drumbay.standins.kv_faults import KeyValueFaults
+from drumbay.standins.kv_model import KeyValueModel
+from tests.serving_world import ServingWorld, WorldNode, play
+
+IN_FORCE_SECONDS = 2.0
+
+
+class SilentStore(MemoryKeyValueStore):
+    """A client whose waiting watches say nothing more once it was cut off, as TCP may do."""
+
+    def __init__(self, model: KeyValueModel, clock: Clock) -> None:
+        super().__init__(model, clock, timeout_seconds=1.0)
+        self.cuts = 0
+
+    def cut(self) -> None:
+        """Cut the client off; its open watches are dead from now on."""
+        self.reachable = False
+        self.cuts += 1
+
+    async def watch_prefix(
+        self, prefix: str, start_revision: Revision
+    ) -> AsyncGenerator[WatchBatch, None]:
+        opened_at_cut = self.cuts
+        async for batch in super().watch_prefix(prefix, start_revision):
+            if self.cuts != opened_at_cut:
+                await asyncio.sleep(3_600.0)
+            yield batch
+
+
+class Seen:
+    """What a follower was told."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, bytes] = {}
+
+    def take_snapshot(self, items: tuple[KeyValue, ...]) -> None:
+        self.values = {item.key: item.value for item in items}
+
+    def take_event(self, event: WatchEvent) -> None:
+        if event.item is None:
+            self.values.pop(event.key, None)
+        else:
+            self.values[event.key] = event.item.value
+
+
+class FollowerTest(unittest.TestCase):
+    async def follow(
+        self, world: ServingWorld, store: SilentStore | None = None
+    ) -> tuple[WorldNode, Seen]:
+        seen = Seen()
+        node = world.nodes[0]
+        if store is not None:
+            node = WorldNode(world, 9, 0, store)
+        feed = PrefixFeed(
+            prefix="config/", on_snapshot=seen.take_snapshot, on_event=seen.take_event
+        )
+        world.nodes[1].lead()
+        node.node.start((feed,))
+        await asyncio.sleep(5.0)
+        return node, seen
+
+    @staticmethod
+    def put(world: ServingWorld, value: bytes) -> None:
+        world.model.transact((), (Put(key="config/a", value=value),))
+
+    def test_changes_are_seen_at_once(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            _, seen = await self.follow(world)
+            for number in range(5):
+                self.put(world, str(number).encode())
+                await asyncio.sleep(0.2)
+                self.assertEqual(seen.values, {"config/a": str(number).encode()})
+
+        play(scenario)
+
+    def test_a_watch_that_fell_silent_is_replaced_in_time(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            store = SilentStore(world.model, world.clock)
+            _, seen = await self.follow(world, store)
+            store.cut()
+            await asyncio.sleep(3.0)
+            store.reachable = True
+            await asyncio.sleep(1.0)
+            self.put(world, b"new")
+            await asyncio.sleep(IN_FORCE_SECONDS)
+            self.assertEqual(seen.values, {"config/a": b"new"})
+
+        play(scenario)
+
+    def test_a_node_that_alone_is_cut_off_hears_through_others(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            store = SilentStore(world.model, world.clock)
+            _, seen = await self.follow(world, store)
+            store.cut()
+            await asyncio.sleep(2.0)
+            self.put(world, b"new")
+            await asyncio.sleep(IN_FORCE_SECONDS)
+            self.assertEqual(seen.values, {"config/a": b"new"})
+
+        play(scenario)
+
+    def test_changes_made_while_history_was_dropped_are_seen(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            _, seen = await self.follow(world)
+            world.model.set_faults(KeyValueFaults(watches_stalled=True))
+            self.put(world, b"1")
+            self.put(world, b"2")
+            world.model.compact(world.model.revision)
+            world.model.set_faults(KeyValueFaults())
+            await asyncio.sleep(IN_FORCE_SECONDS)
+            self.assertEqual(seen.values, {"config/a": b"2"})
+
+        play(scenario)
+
+    def test_what_was_seen_stays_while_the_store_is_away(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            _, seen = await self.follow(world)
+            self.put(world, b"1")
+            await asyncio.sleep(0.5)
+            world.model.set_faults(KeyValueFaults(outage=True))
+            await asyncio.sleep(30.0)
+            self.assertEqual(seen.values, {"config/a": b"1"})
+            world.model.set_faults(KeyValueFaults())
+            self.put(world, b"2")
+            await asyncio.sleep(IN_FORCE_SECONDS)
+            self.assertEqual(seen.values, {"config/a": b"2"})
+
+        play(scenario)
+
+    def test_a_calm_store_is_asked_little(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            await self.follow(world)
+            before = world.model.injector.arrived
+            await asyncio.sleep(60.0)
+            # Two nodes: a heartbeat a second each, and the leader's lease.
+            self.assertLess(world.model.injector.arrived - before, 2 * 60 + 60 + 20)
+
+        play(scenario)
+
+
+class DirectClockTest(unittest.TestCase):
+    def test_a_follower_needs_no_relay(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            seen = Seen()
+            feed = PrefixFeed(
+                prefix="config/", on_snapshot=seen.take_snapshot, on_event=seen.take_event
+            )
+            store = MemoryKeyValueStore(world.model, world.clock)
+            follower = PrefixFollower(OutsideClock(), store, feed, random.Random(1))
+            task = asyncio.ensure_future(follower.run())
+            await asyncio.sleep(0.1)
+            FollowerTest.put(world, b"1")
+            await asyncio.sleep(0.5)
+            self.assertEqual(seen.values, {"config/a": b"1"})
+            task.cancel()
+
+        play(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
