--- a/drumbay/batches/item_order.py
+++ b/drumbay/batches/item_order.py
@@ -5,8 +5,6 @@
 left out and to come back: they are postponed.
 """
 
-import statistics
-
 from drumbay.batches.records import BatchItem, BatchSpec, ItemId
 
 LONG_FACTOR = 2.5
@@ -25,8 +23,9 @@
         """
         self._spec = spec
         self._returned_groups = {item.group for item in spec.items if item.item_id in returned}
-        expected = [item.expected_tokens for item in spec.items]
-        self._long_tokens = LONG_FACTOR * statistics.median(expected) if expected else 0.0
+        expected = sorted(item.expected_tokens for item in spec.items)
+        median = expected[len(expected) // 2] if expected else 0
+        self._long_tokens = LONG_FACTOR * median
         self._postponed = self._postponed_groups()
 
     def is_long(self, item: BatchItem) -> bool:
