--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -23,9 +23,10 @@
 
 SILENCE_BEFORE_FIRST_EVENT_SECONDS = 1.6
 SILENCE_BETWEEN_EVENTS_SECONDS = 1.2
-NEWEST_WAIT_SECONDS = 2.5
-"""Postponed items wait so long for a worker with the newest weights: what those make can be
-used when the items come back in the next step."""
+NEWER_WAIT_SECONDS = 4.0
+NEWER_LOADING_WAIT_SECONDS = 4.8
+"""Postponed items wait so long for weights newer than those at the start, or longer while such
+weights are named and being loaded: what older ones make is too old when the items come back."""
 
 PRIORITY_LONG = 2
 PRIORITY_NORMAL = 5
@@ -132,6 +133,7 @@
         self._give_up_at = started_at + spec.queue_limit_seconds
         done = {result.item_id for result in listed}
         self._started_at = started_at
+        self._named_at_start: WeightVersion | None = None
         self._items = {
             item.item_id: _ItemState(item=item) for item in spec.items if item.item_id not in done
         }
@@ -338,7 +340,7 @@
             now: Monotonic time.
         """
         choice = WorkerChoice(self._spec, workers, newest_version, now)
-        awaits_newest = now < self._started_at + NEWEST_WAIT_SECONDS
+        postponed_minimum = self._postponed_minimum(newest_version, now)
         decisions: list[Decision] = []
         decisions.extend(self._stops(choice, now))
         for state in self._items.values():
@@ -350,13 +352,25 @@
                 group=state.item.group,
                 avoid=state.avoid,
                 is_long=state.is_long,
-                newest_only=state.is_postponed and awaits_newest,
+                minimum_version=(
+                    postponed_minimum if state.is_postponed else self._spec.minimum_version
+                ),
             )
             worker_id = choice.take(request)
             if worker_id is not None:
                 decisions.append(self._start(state, worker_id, now))
         return tuple(decisions)
 
+    def _postponed_minimum(self, newest_version: WeightVersion, now: float) -> WeightVersion:
+        """Return the version that postponed items wait for."""
+        if self._named_at_start is None:
+            self._named_at_start = newest_version
+        is_named = newest_version > self._named_at_start
+        limit = NEWER_LOADING_WAIT_SECONDS if is_named else NEWER_WAIT_SECONDS
+        if now >= self._started_at + limit:
+            return self._spec.minimum_version
+        return WeightVersion(self._named_at_start + 1)
+
     def _start(self, state: _ItemState, worker_id: BackendId, now: float) -> StartRun:
         state.worker_id = worker_id
         state.events_in_run = 0
--- a/drumbay/batches/worker_choice.py
+++ b/drumbay/batches/worker_choice.py
@@ -22,14 +22,13 @@
 class PlaceRequest(msgspec.Struct, frozen=True, kw_only=True):
     """An item that needs a place.
 
-    ``avoid`` is a worker to pass over if there is another; ``newest_only`` asks for the newest
-    weights.
+    ``avoid`` is a worker to pass over if there is another.
     """
 
     group: str
     avoid: BackendId | None
     is_long: bool
-    newest_only: bool
+    minimum_version: WeightVersion
 
 
 class WorkerChoice:
@@ -85,8 +84,7 @@
     def take(self, request: PlaceRequest) -> BackendId | None:
         """Give away a place; ``None`` if no worker that fits has one."""
         candidates = [worker_id for worker_id, count in self._free.items() if count > 0]
-        if request.newest_only:
-            candidates = [w for w in candidates if self._versions[w] >= self._newest]
+        candidates = [w for w in candidates if self._versions[w] >= request.minimum_version]
         candidates = [w for w in candidates if w != request.avoid] or candidates
         if not candidates:
             return None
--- /dev/null
+++ b/tests/test_batch_decisions.py
@@ -0,0 +1,176 @@
+"""Pure decisions about items: order, placement, postponed groups, moves, priorities."""
+
+import unittest
+
+import msgspec
+
+from drumbay.batches.item_order import ItemOrder
+from drumbay.batches.records import BatchSpec, ItemId
+from drumbay.batches.scheduler import (
+    NEWER_LOADING_WAIT_SECONDS,
+    NEWER_WAIT_SECONDS,
+    PRIORITY_LONG,
+    PRIORITY_NORMAL,
+    BatchScheduler,
+    Decision,
+    StartRun,
+    StopReason,
+    StopRun,
+)
+from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.identifiers import BackendId, WeightVersion
+from drumbay.workers.directory import WorkerDirectory
+from drumbay.workers.records import StreamEvent, Worker, WorkerState
+from tests.serving_world import MODEL, SERVICE, batch_spec
+
+
+def spec_with_lengths(lengths: dict[str, int]) -> BatchSpec:
+    """Return a batch job of three groups in which some items are expected to be long."""
+    spec = batch_spec(groups=3, group_size=2)
+    items = tuple(
+        msgspec.structs.replace(item, expected_tokens=lengths.get(item.item_id, 50))
+        for item in spec.items
+    )
+    return msgspec.structs.replace(spec, items=items, wanted_groups=2)
+
+
+class ItemOrderTest(unittest.TestCase):
+    def test_long_items_start_first_and_the_longest_group_last(self) -> None:
+        spec = spec_with_lengths({"batch-0-1": 400, "batch-1-0": 900})
+        order = ItemOrder(spec)
+        self.assertEqual(
+            [item.item_id for item in order.items()],
+            ["batch-0-1", "batch-0-0", "batch-2-0", "batch-2-1", "batch-1-0", "batch-1-1"],
+        )
+        self.assertTrue(order.is_postponed(spec.items[2]))
+
+    def test_a_group_that_came_back_is_never_postponed(self) -> None:
+        spec = spec_with_lengths({"batch-0-1": 400, "batch-1-0": 900})
+        order = ItemOrder(spec, frozenset({ItemId("batch-1-1")}))
+        self.assertFalse(order.is_postponed(spec.items[2]))
+        self.assertTrue(order.is_postponed(spec.items[0]))
+
+    def test_nothing_is_postponed_when_every_group_is_wanted(self) -> None:
+        spec = spec_with_lengths({"batch-1-0": 900})
+        order = ItemOrder(msgspec.structs.replace(spec, wanted_groups=3))
+        self.assertFalse(any(order.is_postponed(item) for item in spec.items))
+
+
+class SchedulerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.directory = WorkerDirectory()
+        for number in (1, 2, 3):
+            self.put(number, 1)
+
+    def put(self, number: int, version: int) -> None:
+        self.directory.put(
+            Worker(
+                worker_id=BackendId(f"w{number}"),
+                service=SERVICE,
+                address=NetworkAddress("h", number),
+                zone="z",
+                slots=8,
+                state=WorkerState.READY,
+                versions={MODEL: WeightVersion(version)},
+            )
+        )
+
+    def plan(self, scheduler: BatchScheduler, now: float, newest: int = 1) -> tuple[Decision, ...]:
+        workers = {r.worker.worker_id: r for r in self.directory.of_service(SERVICE)}
+        decisions = scheduler.plan(workers, WeightVersion(newest), now)
+        for decision in decisions:
+            if isinstance(decision, StartRun):
+                workers[decision.worker_id].in_flight += 1
+        return decisions
+
+    @staticmethod
+    def started(decisions: tuple[Decision, ...]) -> dict[str, StartRun]:
+        return {d.item.item_id: d for d in decisions if isinstance(d, StartRun)}
+
+    def start_and_finish(self, scheduler: BatchScheduler) -> list[str]:
+        """Start what can start at 0 s, finish it, and return which items that were."""
+        started = self.started(self.plan(scheduler, 0.0))
+        for item_id, run in started.items():
+            event = StreamEvent(number=1, data="x", version=WeightVersion(1))
+            scheduler.take_event(ItemId(item_id), event, 0.1)
+            scheduler.take_completion(ItemId(item_id))
+            record = self.directory.get(run.worker_id)
+            assert record is not None
+            record.in_flight -= 1
+        return list(started)
+
+    def test_long_items_go_to_fast_workers_with_priority(self) -> None:
+        for worker, pace in (("w1", 0.05), ("w2", 0.03), ("w3", 0.05)):
+            self.directory.observe_pace(BackendId(worker), pace, 0.0)
+        spec = spec_with_lengths({"batch-0-1": 900})
+        scheduler = BatchScheduler(msgspec.structs.replace(spec, wanted_groups=3), 0.0, ())
+        started = self.started(self.plan(scheduler, 0.0))
+        self.assertEqual(len(started), 6)
+        self.assertEqual(started["batch-0-1"].worker_id, "w2")
+        self.assertEqual(started["batch-0-1"].priority, PRIORITY_LONG)
+        self.assertEqual(started["batch-2-1"].priority, PRIORITY_NORMAL)
+
+    def test_a_postponed_group_waits_for_newer_weights(self) -> None:
+        scheduler = BatchScheduler(spec_with_lengths({"batch-1-0": 900}), 0.0, ())
+        self.assertEqual(len(self.start_and_finish(scheduler)), 4)
+        self.assertEqual(self.plan(scheduler, 3.0, newest=2), ())
+        self.put(3, 2)
+        started = self.started(self.plan(scheduler, 3.5, newest=2))
+        self.assertEqual({run.worker_id for run in started.values()}, {"w3"})
+        self.assertEqual(set(started), {"batch-1-0", "batch-1-1"})
+
+    def test_a_postponed_group_does_not_wait_for_ever(self) -> None:
+        scheduler = BatchScheduler(spec_with_lengths({"batch-1-0": 900}), 0.0, ())
+        self.start_and_finish(scheduler)
+        self.assertEqual(self.plan(scheduler, NEWER_WAIT_SECONDS - 0.1), ())
+        self.assertEqual(len(self.plan(scheduler, NEWER_WAIT_SECONDS)), 2)
+        again = BatchScheduler(spec_with_lengths({"batch-1-0": 900}), 0.0, ())
+        self.start_and_finish(again)
+        self.assertEqual(self.plan(again, NEWER_WAIT_SECONDS, newest=2), ())
+        self.assertEqual(len(self.plan(again, NEWER_LOADING_WAIT_SECONDS, newest=2)), 2)
+
+    def test_a_refused_worker_gets_one_probe_at_a_time(self) -> None:
+        for worker in ("w1", "w2"):
+            self.directory.pause(BackendId(worker), 0.0, 100.0)
+        self.directory.observe_refusal(BackendId("w3"), MODEL, 0.0)
+        scheduler = BatchScheduler(batch_spec(groups=3), 0.0, ())
+        self.assertEqual(self.plan(scheduler, 0.05), ())
+        self.assertEqual(len(self.plan(scheduler, 0.11)), 1)
+        self.directory.observe_acceptance(BackendId("w3"), MODEL)
+        self.assertEqual(len(self.plan(scheduler, 0.12)), 7)
+
+    def test_a_worker_that_loads_gets_nothing_for_that_model(self) -> None:
+        self.directory.note_loading(BackendId("w1"), MODEL, 0.9)
+        self.directory.note_loading(BackendId("w2"), "other", 0.9)
+        scheduler = BatchScheduler(batch_spec(groups=4), 0.0, ())
+        workers = {run.worker_id for run in self.started(self.plan(scheduler, 0.0)).values()}
+        self.assertEqual(workers, {"w2", "w3"})
+        self.put(1, 2)
+        more = BatchScheduler(batch_spec("more", groups=4), 0.1, ())
+        workers = {run.worker_id for run in self.started(self.plan(more, 0.1)).values()}
+        self.assertIn("w1", workers)
+
+    def test_an_item_with_many_events_moves_to_a_faster_worker_once(self) -> None:
+        self.directory.observe_pace(BackendId("w1"), 0.03, 0.0)
+        for worker in ("w2", "w3"):
+            self.directory.observe_pace(BackendId(worker), 0.05, 0.0)
+        for worker in ("w1", "w3"):
+            self.directory.pause(BackendId(worker), 0.0, 0.5)
+        scheduler = BatchScheduler(batch_spec(groups=1, group_size=1), 0.0, ())
+        self.assertEqual(self.started(self.plan(scheduler, 0.0))["batch-0-0"].worker_id, "w2")
+        for number in range(1, 40):
+            event = StreamEvent(number=number, data="x", version=WeightVersion(1))
+            scheduler.take_event(ItemId("batch-0-0"), event, 0.02 * number)
+        (stop,) = self.plan(scheduler, 0.8)
+        self.assertEqual(
+            stop,
+            StopRun(
+                item_id=ItemId("batch-0-0"),
+                worker_id=BackendId("w2"),
+                reason=StopReason.SLOW_WORKER,
+            ),
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
