Count and time what a serving node does; serve it at /metrics of the peer address

Requests, batch jobs, runs of items, results, store calls and loads are counted with prometheus-client, labels without ids.

--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -24,6 +24,7 @@
 from drumbay.identifiers import BackendId, Revision, WeightVersion
 from drumbay.kv.interface import KeyValueError
 from drumbay.observability.logs import log_event
+from drumbay.observability.serving_metrics import ServingMetrics
 from drumbay.tasks import TaskOwner
 from drumbay.workers.directory import WorkerDirectory, WorkerRecord
 from drumbay.workers.interface import WorkerClient, WorkerStream
@@ -85,6 +86,7 @@
         directory: WorkerDirectory,
         client: WorkerClient,
         task_owner: TaskOwner,
+        metrics: ServingMetrics,
         spec: BatchSpec,
         revision: Revision,
         listed: tuple[ItemResult, ...],
@@ -100,6 +102,7 @@
             directory: The workers.
             client: Calls to workers.
             task_owner: Runs the runner's tasks.
+            metrics: Counts runs and results.
             spec: The batch job.
             revision: The owner's revision in the ledger.
             listed: Results that stand in the store already.
@@ -113,6 +116,8 @@
         self._directory = directory
         self._client = client
         self._task_owner = task_owner
+        self._metrics = metrics
+        self._started_at = clock.monotonic()
         self._on_lost = on_lost
         self._newest_version = newest_version
         self._scheduler = BatchScheduler(spec, clock.monotonic(), listed)
@@ -343,6 +348,7 @@
     def _finish_run(
         self, item_id: ItemId, record: WorkerRecord, failure: RunFailure | None
     ) -> None:
+        self._metrics.count_item_run("complete" if failure is None else failure)
         if failure is None:
             result = self._scheduler.take_completion(item_id)
         else:
@@ -402,6 +408,7 @@
             self._unlisted_texts[result.item_id] = result
             return
         self._pending.append(result)
+        self._metrics.observe_item(self._clock.monotonic() - self._started_at)
         self._flush_wakeup.set()
         log_event(
             "item_finished",
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -43,6 +43,7 @@
     KeyValueStore,
 )
 from drumbay.observability.logs import log_event
+from drumbay.observability.serving_metrics import ServingMetrics
 from drumbay.peers.messages import (
     BatchRequest,
     BodyReply,
@@ -105,6 +106,7 @@
         known_nodes: Callable[[], list[NetworkAddress]],
         newest_version: Callable[[str], WeightVersion],
         announce: Callable[[OwnerNotice], None],
+        metrics: ServingMetrics,
     ) -> None:
         """Create a service that owns nothing.
 
@@ -119,6 +121,7 @@
             known_nodes: Lists the other nodes.
             newest_version: Returns the newest version named for a model.
             announce: Tells the other nodes who owns a batch job.
+            metrics: Counts what happens to batch jobs.
         """
         self._clock = clock
         self._ledger = BatchLedger(store)
@@ -130,6 +133,7 @@
         self._known_nodes = known_nodes
         self._newest_version = newest_version
         self._announce = announce
+        self._metrics = metrics
         self._runners: dict[BatchId, BatchRunner] = {}
         self._lingering: list[BatchRunner] = []
         self._owners: dict[BatchId, StoredOwner] = {}
@@ -175,13 +179,16 @@
                     uncertain=uncertain,
                 )
                 if self._clock.monotonic() + STORE_RETRY_SECONDS > deadline:
+                    self._metrics.count_batch("refused")
                     raise _refusal(uncertain) from error
                 await self._clock.sleep(STORE_RETRY_SECONDS)
         if revision is None:
             revision = await self._own_revision(spec.batch_id) if uncertain else None
         if revision is None:
+            self._metrics.count_batch("submitted_again")
             log_event("batch_submitted_again", batch=spec.batch_id)
             return
+        self._metrics.count_batch("accepted")
         log_event("batch_accepted", batch=spec.batch_id, items=len(spec.items), step=spec.step)
         if not self._leaving:
             runner = self._own(spec, revision, ())
@@ -261,6 +268,7 @@
             self._directory,
             self._client,
             self._task_owner,
+            self._metrics,
             spec,
             revision,
             listed,
@@ -358,6 +366,7 @@
             except KeyValueError as error:
                 self._owners.pop(batch_id, None)
                 await self._pause_until(deadline, error)
+        self._metrics.count_batch("ended")
         log_event("batch_ended", batch=batch_id)
         self._stop_runner(batch_id)
         stored = StoredOwner(record=ended, revision=revision)
@@ -447,6 +456,7 @@
             raise BatchUnavailableError(error.code) from error
         if stored.owner.revision != revision or batch_id in self._runners:
             return
+        self._metrics.count_batch("taken_over")
         log_event(
             "batch_taken_over",
             level="WARNING",
--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -13,6 +13,7 @@
 from drumbay.exceptions import Execution, RequestFailedError
 from drumbay.forwarding.routes import RequestKind, Route, RouteTable
 from drumbay.observability.logs import log_event
+from drumbay.observability.serving_metrics import ServingMetrics
 from drumbay.workers.directory import WorkerDirectory, WorkerRecord
 from drumbay.workers.interface import WorkerClient
 from drumbay.workers.records import (
@@ -79,6 +80,7 @@
         routes: RouteTable,
         client: WorkerClient,
         zone: str,
+        metrics: ServingMetrics,
     ) -> None:
         """Create a forwarder for a node in ``zone``."""
         self.clock = clock
@@ -86,6 +88,7 @@
         self.client = client
         self.zone = zone
         self._routes = routes
+        self._metrics = metrics
 
     async def forward(self, route: Route, request: ClientRequest) -> WorkerAnswer:
         """Return a worker's whole answer.
@@ -94,13 +97,19 @@
             RequestFailedError: The final answer is a failure; says whether it may have run.
         """
         forwarding = _Forwarding(self, route, self._routes.choose_service(route), request)
+        started_at = self.clock.monotonic()
+        outcome = "cancelled"
         try:
-            return await forwarding.run()
+            answer = await forwarding.run()
+            outcome = "answered"
+            return answer
         except RequestFailedError as error:
+            outcome = error.code
             forwarding.log_failure(error)
             raise
         finally:
             forwarding.close()
+            self._metrics.count_request(route.name, outcome, self.clock.monotonic() - started_at)
 
 
 class _Forwarding:
--- a/drumbay/kv/follower.py
+++ b/drumbay/kv/follower.py
@@ -87,8 +87,9 @@
         if connected == self._connected:
             return
         self._connected = connected
+        event = "store_regained" if connected else "store_lost"
         log_event(
-            "store_regained" if connected else "store_lost",
+            event,
             level="INFO" if connected else "WARNING",
             prefix=self._feed.prefix,
             revision=self._revision,
--- /dev/null
+++ b/drumbay/observability/serving_metrics.py
@@ -0,0 +1,98 @@
+"""Counters and latency histograms of a serving node, in the Prometheus text format."""
+
+from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+
+REQUEST_BUCKETS_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10)
+ITEM_BUCKETS_SECONDS = (0.25, 0.5, 1, 2, 4, 6, 8, 12, 20, 60)
+STORE_BUCKETS_SECONDS = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1)
+
+
+class ServingMetrics:
+    """What a serving node counts; labels hold names of routes, operations and outcomes only."""
+
+    def __init__(self) -> None:
+        """Register the metrics in a registry of their own."""
+        self._registry = CollectorRegistry()
+        self._requests = Counter(
+            "drumbay_serving_requests",
+            "Clients' requests by final answer.",
+            ("route", "outcome"),
+            registry=self._registry,
+        )
+        self._request_seconds = Histogram(
+            "drumbay_serving_request_seconds",
+            "Time from taking a request to its final answer.",
+            ("route",),
+            buckets=REQUEST_BUCKETS_SECONDS,
+            registry=self._registry,
+        )
+        self._batches = Counter(
+            "drumbay_serving_batches",
+            "Batch jobs by what happened to them at this node.",
+            ("event",),
+            registry=self._registry,
+        )
+        self._item_runs = Counter(
+            "drumbay_serving_item_runs",
+            "Runs of batch items by how they ended.",
+            ("outcome",),
+            registry=self._registry,
+        )
+        self._item_seconds = Histogram(
+            "drumbay_serving_item_seconds",
+            "Time from taking a batch job to an item's result.",
+            buckets=ITEM_BUCKETS_SECONDS,
+            registry=self._registry,
+        )
+        self._store_calls = Counter(
+            "drumbay_serving_store_calls",
+            "Calls to the key-value service by outcome.",
+            ("outcome",),
+            registry=self._registry,
+        )
+        self._store_seconds = Histogram(
+            "drumbay_serving_store_seconds",
+            "Time of direct calls to the key-value service.",
+            buckets=STORE_BUCKETS_SECONDS,
+            registry=self._registry,
+        )
+        self._loads = Counter(
+            "drumbay_serving_loads",
+            "Loads of weights that this node ordered, by outcome.",
+            ("outcome",),
+            registry=self._registry,
+        )
+
+    def count_request(self, route: str, outcome: str, seconds: float) -> None:
+        """Count a client's request that got its final answer."""
+        self._requests.labels(route, outcome).inc()
+        self._request_seconds.labels(route).observe(seconds)
+
+    def count_batch(self, event: str) -> None:
+        """Count something that happened to a batch job."""
+        self._batches.labels(event).inc()
+
+    def count_item_run(self, outcome: str) -> None:
+        """Count the end of an item's run."""
+        self._item_runs.labels(outcome).inc()
+
+    def observe_item(self, seconds: float) -> None:
+        """Take the time from a batch job's start to an item's result."""
+        self._item_seconds.observe(seconds)
+
+    def count_store_call(self, outcome: str, seconds: float) -> None:
+        """Count a direct call to the key-value service."""
+        self._store_calls.labels(outcome).inc()
+        self._store_seconds.observe(seconds)
+
+    def count_relayed_store_call(self) -> None:
+        """Count a call that another node carried out."""
+        self._store_calls.labels("relayed").inc()
+
+    def count_load(self, outcome: str) -> None:
+        """Count the end of a load."""
+        self._loads.labels(outcome).inc()
+
+    def render(self) -> bytes:
+        """Return all metrics as text."""
+        return generate_latest(self._registry)
--- a/drumbay/peers/store_relay.py
+++ b/drumbay/peers/store_relay.py
@@ -27,6 +27,7 @@
     WatchBatch,
 )
 from drumbay.observability.logs import log_event
+from drumbay.observability.serving_metrics import ServingMetrics
 from drumbay.peers.directory import PeerDirectory
 from drumbay.peers.messages import (
     GrantReply,
@@ -57,13 +58,19 @@
     """A :class:`drumbay.kv.interface.KeyValueStore` with a second way to the service."""
 
     def __init__(
-        self, clock: Clock, direct: KeyValueStore, peers: PeerClient, directory: PeerDirectory
+        self,
+        clock: Clock,
+        direct: KeyValueStore,
+        peers: PeerClient,
+        directory: PeerDirectory,
+        metrics: ServingMetrics,
     ) -> None:
         """Use ``direct`` while it works, and the nodes of ``directory`` otherwise."""
         self._clock = clock
         self._direct = direct
         self._peers = peers
         self._directory = directory
+        self._metrics = metrics
         self._suspect_until = float("-inf")
         self._suspected = asyncio.Event()
 
@@ -135,7 +142,7 @@
             if reply is not None:
                 return reply
         try:
-            return _as_reply(await direct())
+            return _as_reply(await self._measured(direct))
         except LeaseNotFoundError:
             raise
         except KeyValueOutcomeUnknownError:
@@ -149,6 +156,17 @@
                 raise
             return reply
 
+    async def _measured(self, direct: Callable[[], Awaitable[object]]) -> object:
+        started_at = self._clock.monotonic()
+        outcome = "done"
+        try:
+            return await direct()
+        except KeyValueError as error:
+            outcome = error.code
+            raise
+        finally:
+            self._metrics.count_store_call(outcome, self._clock.monotonic() - started_at)
+
     async def _relay(self, request: StoreRequest) -> PeerReply | None:
         """Return another node's reply; ``None`` if none had an effect."""
         for address in self._directory.candidates(RELAY_ATTEMPTS):
@@ -167,6 +185,7 @@
                 case LeaseGoneReply():
                     raise LeaseNotFoundError("the lease is over")
                 case _:
+                    self._metrics.count_relayed_store_call()
                     log_event("store_call_relayed", level="DEBUG", by=str(address))
                     return reply
         return None
--- a/drumbay/peers/transport.py
+++ b/drumbay/peers/transport.py
@@ -22,6 +22,7 @@
 
 CONNECT_TIMEOUT_SECONDS = 0.3
 PEER_PATH = "/peer"
+METRICS_PATH = "/metrics"
 
 _encoder = msgspec.msgpack.Encoder()
 _request_decoder = msgspec.msgpack.Decoder(PeerRequest)
@@ -102,9 +103,14 @@
 class PeerServer:
     """Serves calls of other nodes."""
 
-    def __init__(self, handle: Callable[[PeerRequest], Awaitable[PeerReply]]) -> None:
-        """Answer each call with ``handle``."""
+    def __init__(
+        self,
+        handle: Callable[[PeerRequest], Awaitable[PeerReply]],
+        render_metrics: Callable[[], bytes],
+    ) -> None:
+        """Answer each call with ``handle``, and ``GET /metrics`` with what is rendered."""
         self._handle = handle
+        self._render_metrics = render_metrics
         self._server = HTTPServer(self._accept)
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -126,6 +132,9 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _answer(self, request: HTTPServerRequest) -> None:
+        if request.path == METRICS_PATH:
+            _reply(request, 200, self._render_metrics())
+            return
         try:
             decoded = _request_decoder.decode(request.body)
         except msgspec.DecodeError:
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -18,6 +18,7 @@
 from drumbay.kv.follower import PrefixFeed, PrefixFollower
 from drumbay.kv.interface import KeyValueStore
 from drumbay.observability.logs import log_event
+from drumbay.observability.serving_metrics import ServingMetrics
 from drumbay.ownership.leader import LeaderElection, LeaderRecord
 from drumbay.peers.directory import PeerDirectory
 from drumbay.peers.messages import (
@@ -77,6 +78,7 @@
         self._environment = environment
         clock = environment.clock
         self._tasks = TaskOwner()
+        self.metrics = ServingMetrics()
         address = settings.identity.address
         self._peer_directory = PeerDirectory(
             clock,
@@ -88,13 +90,18 @@
         )
         self._relay_server = StoreRelayServer(environment.store)
         self._store = RelayingStore(
-            clock, environment.store, environment.peers, self._peer_directory
+            clock, environment.store, environment.peers, self._peer_directory, self.metrics
         )
         self.directory = WorkerDirectory()
         self.routes = RouteTable()
         self.named_versions = NamedVersions()
         self.forwarder = Forwarder(
-            clock, self.directory, self.routes, environment.workers, settings.zone
+            clock,
+            self.directory,
+            self.routes,
+            environment.workers,
+            settings.zone,
+            self.metrics,
         )
         self.batches = BatchService(
             clock,
@@ -107,6 +114,7 @@
             self._peer_directory.responsive,
             self.named_versions.newest_of,
             self._tell_all,
+            self.metrics,
         )
         self.leader = LeaderElection(
             clock,
@@ -124,6 +132,7 @@
             self._tasks,
             settings.machine,
             self._announce_loading,
+            self.metrics,
         )
         self._leaving = False
         self._requests_open = 0
--- a/drumbay/weights/version_coordinator.py
+++ b/drumbay/weights/version_coordinator.py
@@ -7,6 +7,7 @@
 from drumbay.clock import Clock
 from drumbay.identifiers import BackendId, Fence, WeightVersion
 from drumbay.observability.logs import log_event
+from drumbay.observability.serving_metrics import ServingMetrics
 from drumbay.ownership.leader import LeaderElection
 from drumbay.peers.messages import LoadingNotice
 from drumbay.tasks import TaskOwner
@@ -61,6 +62,7 @@
         task_owner: TaskOwner,
         holder: str,
         announce: Callable[[LoadingNotice], None],
+        metrics: ServingMetrics,
         policy: LoadPolicy | None = None,
     ) -> None:
         """Create a coordinator that gives orders as ``holder``.
@@ -74,6 +76,7 @@
             task_owner: Runs the loads.
             holder: This machine, as workers know it.
             announce: Tells the nodes, this one included, of a load that begins.
+            metrics: Counts the loads.
             policy: Limits of loading.
         """
         self._clock = clock
@@ -84,6 +87,7 @@
         self._task_owner = task_owner
         self._holder = holder
         self._announce = announce
+        self._metrics = metrics
         self._policy = policy or LoadPolicy()
         self._planner = VersionPlanner(self._policy)
         self.one_version_models: frozenset[str] = frozenset()
@@ -117,6 +121,7 @@
                 self._planner.note_ended(load.worker_id)
             else:
                 self._planner.note_failed(load.worker_id, self._clock.monotonic())
+            self._metrics.count_load(outcome)
             log_event(
                 "load_ended",
                 worker=load.worker_id,
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -19,6 +19,7 @@
     RoutingConfiguration,
     ServiceShare,
 )
+from drumbay.observability.serving_metrics import ServingMetrics
 from tests.serving_world import ServingWorld, play
 
 LOOKUPS = "lookups"
@@ -55,7 +56,9 @@
             world.workers.add(f"lookup-{number}", LOOKUPS)
         directory = world.nodes[0].directory
         directory.replace_all(world.workers.entries())
-        return Forwarder(world.clock, directory, RouteTable(), world.workers, "zone-1")
+        return Forwarder(
+            world.clock, directory, RouteTable(), world.workers, "zone-1", ServingMetrics()
+        )
 
     def test_an_answer_is_the_workers_own(self) -> None:
         async def scenario(world: ServingWorld) -> None:
--- a/tests/test_platform_serving.py
+++ b/tests/test_platform_serving.py
@@ -75,7 +75,7 @@
             generator=random.Random(1),
         )
         self.node = ServingNode(settings, environment)
-        self.peers = PeerServer(self.node.handle_peer)
+        self.peers = PeerServer(self.node.handle_peer, self.node.metrics.render)
         self.ingress = Ingress(self.node)
 
     def start(self) -> None:
@@ -192,6 +192,17 @@
             await eventually(is_added)
             self.assertEqual((await process.ask("POST", "/l/1")).status, 404)
 
+    async def test_metrics_are_served_to_the_operators(self) -> None:
+        self.configure(1, "/l/")
+        process = await self.start()
+        async with asyncio.timeout(LIMIT_SECONDS):
+            await process.ask("POST", "/l/1", b"question")
+            answer = await process.ask("GET", "/metrics", address=process.peer_address)
+        self.assertIn(
+            b'drumbay_serving_requests_total{outcome="answered",route="/l/"} 1.0', answer.body
+        )
+        self.assertIn(b"drumbay_serving_store_seconds_bucket", answer.body)
+
     async def test_a_batch_job_through_any_node(self) -> None:
         self.configure(1, "/l/")
         first = await self.start()
