--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -102,6 +102,7 @@
         try:
             answer = await forwarding.run()
             outcome = "answered"
+            forwarding.log_answer(answer)
             return answer
         except RequestFailedError as error:
             outcome = error.code
@@ -158,10 +159,24 @@
         for task in self._attempts:
             task.cancel()
 
+    def log_answer(self, answer: WorkerAnswer) -> None:
+        """Log the answer and the attempts that led to it."""
+        log_event(
+            "request_served",
+            request=self._request.request_id,
+            route=self._route.name,
+            service=self._service,
+            status=answer.status,
+            sent=self._sent,
+            refusals=self._refusals,
+            workers=",".join(sorted(self._tried)),
+            elapsed_seconds=round(self._clock.monotonic() - self._started_at, 4),
+        )
+
     def log_failure(self, error: RequestFailedError) -> None:
         """Log the final failure with what led to it."""
         log_event(
-            "request_failed",
+            "request_not_served",
             level="WARNING",
             request=self._request.request_id,
             route=self._route.name,
--- a/drumbay/observability/logs.py
+++ b/drumbay/observability/logs.py
@@ -2,6 +2,7 @@
 
 import logging
 import sys
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from logfmter import Logfmter
@@ -47,11 +48,16 @@
     sys.stderr.write(line)
 
 
-def configure_logs(level: str = "INFO") -> None:
-    """Send logs to standard error, one key=value line per event, those of libraries included."""
+def configure_logs(level: str = "INFO", write_line: Callable[[str], None] = _write_line) -> None:
+    """Send logs out, one key=value line per event, those of libraries included.
+
+    Args:
+        level: Name of the lowest level that is written.
+        write_line: Takes each line; standard error by default.
+    """
     logging.basicConfig(handlers=[_LibraryLogHandler()], level=logging.WARNING, force=True)
     logger.remove()
-    logger.add(_write_line, level=level, format=_format_record, colorize=False, backtrace=False)
+    logger.add(write_line, level=level, format=_format_record, colorize=False, backtrace=False)
 
 
 def log_event(event: str, *, level: str = "INFO", **fields: LogValue) -> None:
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -148,7 +148,7 @@
         self._tasks.spawn(self.leader.run(), "leader-election")
         self._tasks.spawn(self._coordinator.run(), "version-coordinator")
         log_event(
-            "node_started",
+            "serving_started",
             node=self._settings.machine,
             zone=self._settings.zone,
             boot=self._settings.identity.boot,
@@ -174,7 +174,7 @@
         if not self.routes.apply(configuration):
             return
         log_event(
-            "configuration_in_force",
+            "routes_in_force",
             version=configuration.version,
             routes=len(configuration.routes),
         )
@@ -230,7 +230,7 @@
         """Stop as planned: turn new clients away, finish what is open, let batch jobs go."""
         clock = self._environment.clock
         deadline = clock.monotonic() + self._settings.stop_seconds
-        log_event("node_stopping", requests=self._requests_open, batches=self.batches.owned)
+        log_event("serving_stopping", requests=self._requests_open, batches=self.batches.owned)
         self._leaving = True
         self.batches.turn_away()
         await self.leader.resign()
@@ -241,7 +241,7 @@
             await clock.sleep(UNFINISHED_CHECK_SECONDS)
         self.batches.leave()
         await self.close()
-        log_event("node_stopped", node=self._settings.machine)
+        log_event("serving_stopped", node=self._settings.machine)
 
     async def close(self) -> None:
         """End everything at once, as the end of the process would."""
--- a/tests/test_operations_document.py
+++ b/tests/test_operations_document.py
@@ -9,7 +9,7 @@
 from prometheus_client import CollectorRegistry
 
 from drumbay.node import state_metrics
-from drumbay.observability import metrics
+from drumbay.observability import metrics, serving_metrics
 from drumbay.observability.metrics import NodeMetrics
 from tests.documents import DOCS, sections
 from tests.log_events import events_in_code
@@ -59,7 +59,7 @@
     def metrics_in_code(self) -> set[str]:
         """Return every name in the modules that define metrics."""
         names = set()
-        for module in (metrics, state_metrics):
+        for module in (metrics, state_metrics, serving_metrics):
             tree = ast.parse(Path(str(module.__file__)).read_text())
             for node in ast.walk(tree):
                 if isinstance(node, ast.Constant) and str(node.value).startswith("drumbay_"):
@@ -76,6 +76,10 @@
         counters = {family.name for family in registry.collect() if family.type == "counter"}
         documented = {name for name in rows("Metrics") if name.endswith("_total")}
         counters.add("drumbay_frames_refused")
+        counters |= {
+            f"drumbay_serving_{name}"
+            for name in ("requests", "batches", "item_runs", "store_calls", "loads")
+        }
         self.assertEqual(documented, {f"{name}_total" for name in counters})
 
 
