Renew long items under newer weights beside their first run

Cause: groups left out of a step come back two steps later, which accepts no text of the weights they were made under; they start from nothing, 7 s for the longest, and each step waits for them.

Change: no group waits; once workers have newer weights than at the start of the step, and places to spare, each item with 25 events or more gets a second run there, at the lowest priority. Whichever is whole first gives the result; what the renewal made goes on in the later step. Runs that no later step can use end with the batch job. Runs have a module of their own (item_run.py), the scheduler keeps the decisions.

--- /dev/null
+++ b/drumbay/batches/item_run.py
@@ -0,0 +1,106 @@
+"""One run of an item: what a worker has made of it so far."""
+
+import msgspec
+
+from drumbay.batches.records import BatchItem, ItemId, ItemResult, PartialText, ResultState
+from drumbay.identifiers import BackendId, WeightVersion
+from drumbay.workers.records import StreamEvent
+
+
+class RunKey(msgspec.Struct, frozen=True, order=True):
+    """Names a run. A renewal is a second run of an item, under newer weights."""
+
+    item_id: ItemId
+    is_renewal: bool = False
+
+
+class ItemRun(msgspec.Struct, kw_only=True):
+    """Progress of one run over all the workers that it has been at.
+
+    Attributes:
+        item: What runs.
+        worker_id: Where it runs now; ``None`` while it waits for a place.
+        texts: Data of the events so far, in order.
+        last_number: Number of the last event.
+        versions: Weight versions that made events, in the order of their first one.
+        events_here: Events from the worker it is at.
+        heard_at: Monotonic time of the last event or start.
+        not_before: Monotonic time before which it does not start again.
+        failures: Runs that the workers answered with a failure.
+        moves: How often it was moved off a slow worker.
+        generation: How often its text was thrown away.
+        avoid: Worker that it should not go to if there is another.
+    """
+
+    item: BatchItem
+    worker_id: BackendId | None = None
+    texts: list[str] = msgspec.field(default_factory=list)
+    last_number: int | None = None
+    versions: list[WeightVersion] = msgspec.field(default_factory=list)
+    events_here: int = 0
+    heard_at: float = 0.0
+    not_before: float = 0.0
+    failures: int = 0
+    moves: int = 0
+    generation: int = 0
+    avoid: BackendId | None = None
+
+    def start(self, worker_id: BackendId, now: float) -> None:
+        """Note that it runs at a worker."""
+        self.worker_id = worker_id
+        self.events_here = 0
+        self.heard_at = now
+
+    def release(self) -> None:
+        """Note that it is at no worker."""
+        self.worker_id = None
+        self.events_here = 0
+
+    def forget_text(self) -> None:
+        """Throw away what was made."""
+        self.generation += 1
+        self.texts.clear()
+        self.versions.clear()
+        self.last_number = None
+
+    def take(self, event: StreamEvent, now: float) -> float | None:
+        """Add an event; return the seconds since the last one.
+
+        The first event at a worker has no time: prompt and queue stand before it.
+        """
+        if self.last_number is not None and event.number <= self.last_number:
+            return None
+        self.texts.append(event.data)
+        self.last_number = event.number
+        if event.version not in self.versions:
+            self.versions.append(event.version)
+        elapsed = now - self.heard_at if self.events_here else None
+        self.events_here += 1
+        self.heard_at = now
+        return elapsed
+
+    def adopt(self, partial_text: PartialText) -> None:
+        """Go on from a text that was made before."""
+        self.texts = list(partial_text.texts)
+        self.last_number = partial_text.last_number
+        self.versions = list(partial_text.versions)
+
+    def result(self) -> ItemResult:
+        """Return the finished item."""
+        return ItemResult(
+            item_id=self.item.item_id,
+            state=ResultState.DONE,
+            text="\n".join(self.texts),
+            versions=tuple(sorted(self.versions)),
+        )
+
+    def partial_text(self) -> PartialText:
+        """Return what was made so far; there must be some."""
+        assert self.last_number is not None
+        return PartialText(
+            item_id=self.item.item_id,
+            texts=tuple(self.texts),
+            last_number=self.last_number,
+            versions=tuple(self.versions),
+            generation=self.generation,
+        )
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from drumbay.batches.item_order import ItemOrder
+from drumbay.batches.item_run import ItemRun, RunKey
 from drumbay.batches.records import (
     BatchItem,
     BatchSpec,
@@ -23,22 +24,20 @@
 
 SILENCE_BEFORE_FIRST_EVENT_SECONDS = 1.6
 SILENCE_BETWEEN_EVENTS_SECONDS = 1.2
-NEWER_WAIT_SECONDS = 4.0
-NEWER_LOADING_WAIT_SECONDS = 4.8
-"""Postponed items wait so long for weights newer than those at the start, or longer while such
-weights are named and being loaded: what older ones make is too old when the items come back."""
 
 PRIORITY_LONG = 2
 PRIORITY_NORMAL = 5
 PRIORITY_POSTPONED = 6
+PRIORITY_RENEWAL = 7
 """Long items decide when a step is whole; workers admit them before short ones."""
 
 MAXIMUM_MOVES = 3
 MAXIMUM_MOVES_TO_FASTER = 1
+MAXIMUM_RENEWALS = 8
 FAILURE_DELAY_SECONDS = 0.15
 REFUSAL_DELAY_SECONDS = 0.05
 EVENTS_BEFORE_LEAVING_A_SLOW_WORKER = 3
-EVENTS_BEFORE_SEEKING_A_FASTER_WORKER = 25
+EVENTS_OF_A_LONG_TEXT = 25
 """An item with so many events is likely to have many more: lengths have a long tail."""
 
 
@@ -47,11 +46,13 @@
 
     SILENT = "silent"
     SLOW_WORKER = "slow_worker"
+    SUPERSEDED = "superseded"
 
 
 class StartRun(msgspec.Struct, frozen=True, kw_only=True):
     """Decision: run an item on a worker, continuing after ``resume_after`` events."""
 
+    key: RunKey
     item: BatchItem
     worker_id: BackendId
     resume_after: int | None
@@ -59,9 +60,9 @@
 
 
 class StopRun(msgspec.Struct, frozen=True, kw_only=True):
-    """Decision: stop the run of an item; the item is run again."""
+    """Decision: stop a run; unless it is superseded, the item is run again."""
 
-    item_id: ItemId
+    key: RunKey
     worker_id: BackendId
     reason: StopReason
 
@@ -79,41 +80,14 @@
     STOPPED = "stopped"
 
 
-class _ItemState(msgspec.Struct, kw_only=True):
-    """Progress of one item."""
-
-    item: BatchItem
-    is_long: bool = False
-    is_postponed: bool = False
-    worker_id: BackendId | None = None
-    texts: list[str] = msgspec.field(default_factory=list)
-    last_number: int | None = None
-    versions: list[WeightVersion] = msgspec.field(default_factory=list)
-    events_in_run: int = 0
-    heard_at: float = 0.0
-    not_before: float = 0.0
-    failures: int = 0
-    moves: int = 0
-    generation: int = 0
-    avoid: BackendId | None = None
-
-    def forget_text(self) -> None:
-        self.generation += 1
-        self.texts.clear()
-        self.versions.clear()
-        self.last_number = None
-
-    def release(self) -> None:
-        self.worker_id = None
-        self.events_in_run = 0
-
-
 class BatchScheduler:
     """Decides from events alone; deterministic.
 
-    Items that are expected to be long start first and go to the fastest workers with the newest
-    weights: they decide when a step is whole, and what is made under the newest weights can
-    still be used when the item comes back in the next step.
+    Items that are expected to be long start first and go to fast workers: they decide when a
+    step is whole. A group that is left out comes back in a later step, which accepts no text of
+    old weights. So a long item gets a second run, a renewal, once workers have newer weights
+    than at the start and places to spare; whichever run is whole first gives the result, and
+    what the renewal has made can be used when the item comes back.
     """
 
     def __init__(
@@ -132,42 +106,46 @@
         self._spec = spec
         self._give_up_at = started_at + spec.queue_limit_seconds
         done = {result.item_id for result in listed}
-        self._started_at = started_at
         self._named_at_start: WeightVersion | None = None
-        self._items = {
-            item.item_id: _ItemState(item=item) for item in spec.items if item.item_id not in done
+        self._runs = {
+            item.item_id: ItemRun(item=item) for item in spec.items if item.item_id not in done
         }
-        self._unfinished_groups = Counter(state.item.group for state in self._items.values())
-        self._arrange(frozenset())
+        self._renewals: dict[ItemId, ItemRun] = {}
+        self._superseded: list[StopRun] = []
         self._finished: list[ItemResult] = []
+        self._unfinished_groups = Counter(run.item.group for run in self._runs.values())
+        self._order = ItemOrder(spec)
+        self._arrange()
+
+    def _arrange(self) -> None:
+        ordered = [item.item_id for item in self._order.items()]
+        self._runs = {item_id: self._runs[item_id] for item_id in ordered if item_id in self._runs}
 
-    def _arrange(self, returned: frozenset[ItemId]) -> None:
-        order = ItemOrder(self._spec, returned)
-        arranged: dict[ItemId, _ItemState] = {}
-        for item in order.items():
-            state = self._items.get(item.item_id)
-            if state is not None:
-                state.is_long = order.is_long(item)
-                state.is_postponed = order.is_postponed(item)
-                arranged[item.item_id] = state
-        self._items = arranged
+    # What came before
 
     def adopt(self, returned: ReturnedItems) -> None:
         """Go on from what an earlier batch job made of items, if its versions fit."""
-        self._arrange(frozenset(returned.item_ids))
+        self._order = ItemOrder(self._spec, frozenset(returned.item_ids))
+        self._arrange()
         for partial_text in returned.partial_texts:
             self._adopt_text(partial_text)
 
+    def resume_from(self, partial_texts: Iterable[PartialText], not_before: float) -> None:
+        """Go on from what a replaced owner made, once it has certainly stopped."""
+        for partial_text in partial_texts:
+            self._adopt_text(partial_text)
+            run = self._runs.get(partial_text.item_id)
+            if run is not None and run.last_number is not None:
+                run.not_before = not_before
+
     def _adopt_text(self, partial_text: PartialText) -> None:
-        state = self._items.get(partial_text.item_id)
-        if state is None or not self._versions_fit(partial_text.versions):
+        run = self._runs.get(partial_text.item_id)
+        if run is None or not self._versions_fit(partial_text.versions):
             return
-        state.texts = list(partial_text.texts)
-        state.last_number = partial_text.last_number
-        state.versions = list(partial_text.versions)
+        run.adopt(partial_text)
         if partial_text.complete:
-            self._finished.append(self._result(state))
-            self._remove(state)
+            self._finished.append(run.result())
+            self._remove(partial_text.item_id)
 
     def take_adopted_results(self) -> tuple[ItemResult, ...]:
         """Return the results of items that earlier batch jobs had finished, once."""
@@ -175,155 +153,136 @@
         self._finished.clear()
         return results
 
+    # Progress
+
     @property
     def is_finished(self) -> bool:
         """Return whether every item has a result."""
-        return not self._items
+        return not self._runs
 
     @property
-    def unfinished(self) -> int:
-        """Return how many items have no result."""
-        return len(self._items)
+    def missing_groups(self) -> int:
+        """Return how many more whole groups the trainer waits for."""
+        unfinished = sum(1 for count in self._unfinished_groups.values() if count)
+        total = len({item.group for item in self._spec.items})
+        return max(0, self._spec.wanted_groups - (total - unfinished))
 
-    def take_event(self, item_id: ItemId, event: StreamEvent, now: float) -> float | None:
-        """Add an event to an item's text; return the seconds since the last one.
+    def progress(self, minimum_events: int) -> tuple[PartialText, ...]:
+        """Return the texts so far of unfinished items with at least so many events."""
+        return tuple(
+            run.partial_text() for run in self._runs.values() if len(run.texts) >= minimum_events
+        )
 
-        The first event of a run has no time: prompt and queue stand before it.
-        """
-        state = self._items.get(item_id)
-        if state is None:
-            return None
-        if state.last_number is not None and event.number <= state.last_number:
-            return None
-        state.texts.append(event.data)
-        state.last_number = event.number
-        if event.version not in state.versions:
-            state.versions.append(event.version)
-        elapsed = now - state.heard_at if state.events_in_run else None
-        state.events_in_run += 1
-        state.heard_at = now
-        return elapsed
-
-    def take_head(self, item_id: ItemId, version: WeightVersion, now: float) -> bool:
+    def partial_text(self, item_id: ItemId, minimum_version: WeightVersion) -> PartialText | None:
+        """Return what was made of an unfinished item, if a newer step may use it."""
+        for run in (self._renewals.get(item_id), self._runs.get(item_id)):
+            if run is None or run.last_number is None or min(run.versions) < minimum_version:
+                continue
+            return run.partial_text()
+        return None
+
+    def useless_after_end(self) -> tuple[RunKey, ...]:
+        """Return the runs whose text no later step accepts: it accepts only newer versions."""
+        keys: list[RunKey] = []
+        for is_renewal, runs in ((False, self._runs), (True, self._renewals)):
+            for item_id, run in runs.items():
+                if not run.versions or min(run.versions) <= self._spec.minimum_version:
+                    keys.append(RunKey(item_id, is_renewal))
+        return tuple(keys)
+
+    # Events of runs
+
+    def _run(self, key: RunKey) -> ItemRun | None:
+        return (self._renewals if key.is_renewal else self._runs).get(key.item_id)
+
+    def take_event(self, key: RunKey, event: StreamEvent, now: float) -> float | None:
+        """Add an event to a run; return the seconds since the last one, if it tells a pace."""
+        run = self._run(key)
+        return run.take(event, now) if run is not None else None
+
+    def take_head(self, key: RunKey, version: WeightVersion, now: float) -> bool:
         """Note the head of an answer; return whether its version may make the text."""
-        state = self._items.get(item_id)
-        if state is None:
+        run = self._run(key)
+        if run is None:
             return False
-        state.heard_at = now
+        run.heard_at = now
         if version < self._spec.minimum_version:
             return False
-        return not self._spec.one_version_only or state.versions in ([], [version])
+        return not self._spec.one_version_only or run.versions in ([], [version])
 
-    def take_completion(self, item_id: ItemId) -> ItemResult | None:
+    def take_completion(self, key: RunKey) -> ItemResult | None:
         """Finish an item whose stream is complete; ``None`` if its text cannot be used."""
-        state = self._items.get(item_id)
-        if state is None:
+        run = self._run(key)
+        if run is None:
             return None
-        if not self._versions_fit(state.versions):
-            state.forget_text()
-            state.release()
+        if not self._versions_fit(run.versions):
+            run.forget_text()
+            run.release()
             return None
-        self._remove(state)
-        return self._result(state)
-
-    def _remove(self, state: _ItemState) -> None:
-        del self._items[state.item.item_id]
-        self._unfinished_groups[state.item.group] -= 1
-
-    @property
-    def missing_groups(self) -> int:
-        """Return how many more whole groups the trainer waits for."""
-        whole = sum(1 for count in self._unfinished_groups.values() if not count)
-        listed_groups = len({item.group for item in self._spec.items}) - len(
-            self._unfinished_groups
-        )
-        return max(0, self._spec.wanted_groups - whole - listed_groups)
-
-    @staticmethod
-    def _result(state: _ItemState) -> ItemResult:
-        return ItemResult(
-            item_id=state.item.item_id,
-            state=ResultState.DONE,
-            text="\n".join(state.texts),
-            versions=tuple(sorted(state.versions)),
-        )
+        run.release()
+        self._remove(key.item_id)
+        return run.result()
 
     def _versions_fit(self, versions: Sequence[WeightVersion]) -> bool:
         if not versions or min(versions) < self._spec.minimum_version:
             return False
         return not self._spec.one_version_only or len(versions) == 1
 
-    def take_failure(self, item_id: ItemId, failure: RunFailure, now: float) -> ItemResult | None:
+    def take_failure(self, key: RunKey, failure: RunFailure, now: float) -> ItemResult | None:
         """Note a run that ended early; return a result if the item is given up."""
-        state = self._items.get(item_id)
-        if state is None:
+        run = self._run(key)
+        if run is None:
             return None
-        worker_id = state.worker_id
-        state.release()
+        if key.is_renewal:
+            del self._renewals[key.item_id]
+            return None
+        worker_id = run.worker_id
+        run.release()
         match failure:
             case RunFailure.REJECTED:
-                return self._give_up(state)
+                return self._give_up(key.item_id)
             case RunFailure.FAILED:
-                state.failures += 1
-                state.forget_text()
-                if state.failures >= self._spec.attempts:
-                    return self._give_up(state)
-                state.not_before = now + FAILURE_DELAY_SECONDS
-                state.avoid = worker_id
+                run.failures += 1
+                run.forget_text()
+                if run.failures >= self._spec.attempts:
+                    return self._give_up(key.item_id)
+                run.not_before = now + FAILURE_DELAY_SECONDS
+                run.avoid = worker_id
             case RunFailure.BROKEN:
-                state.avoid = worker_id
+                run.avoid = worker_id
             case RunFailure.REFUSED:
-                state.not_before = now + REFUSAL_DELAY_SECONDS
-                state.avoid = worker_id
+                run.not_before = now + REFUSAL_DELAY_SECONDS
+                run.avoid = worker_id
             case RunFailure.STOPPED:
                 pass
         return None
 
-    def _give_up(self, state: _ItemState) -> ItemResult:
-        self._remove(state)
-        return ItemResult(item_id=state.item.item_id, state=ResultState.DEAD)
-
     def expire(self, now: float) -> tuple[ItemResult, ...]:
         """Give up every item once the batch job's queue limit has passed."""
         if now < self._give_up_at:
             return ()
-        return tuple(self._give_up(state) for state in list(self._items.values()))
-
-    def progress(self, minimum_events: int) -> tuple[PartialText, ...]:
-        """Return the texts so far of unfinished items with at least so many events."""
-        return tuple(
-            self._partial_text(state)
-            for state in self._items.values()
-            if len(state.texts) >= minimum_events
-        )
-
-    def resume_from(self, partial_texts: Iterable[PartialText], not_before: float) -> None:
-        """Go on from what a replaced owner made, once it has certainly stopped."""
-        for partial_text in partial_texts:
-            self._adopt_text(partial_text)
-            state = self._items.get(partial_text.item_id)
-            if state is not None and state.last_number is not None:
-                state.not_before = not_before
-
-    def partial_text(self, item_id: ItemId, minimum_version: WeightVersion) -> PartialText | None:
-        """Return what was made of an unfinished item, if newer steps may use it."""
-        state = self._items.get(item_id)
-        if state is None or state.last_number is None:
-            return None
-        if min(state.versions) < minimum_version:
-            return None
-        return self._partial_text(state)
-
-    @staticmethod
-    def _partial_text(state: _ItemState) -> PartialText:
-        assert state.last_number is not None
-        return PartialText(
-            item_id=state.item.item_id,
-            texts=tuple(state.texts),
-            last_number=state.last_number,
-            versions=tuple(state.versions),
-            generation=state.generation,
-        )
+        return tuple(self._give_up(item_id) for item_id in list(self._runs))
+
+    def _give_up(self, item_id: ItemId) -> ItemResult:
+        self._remove(item_id)
+        return ItemResult(item_id=item_id, state=ResultState.DEAD)
+
+    def _remove(self, item_id: ItemId) -> None:
+        """Forget an item that has a result, and stop what still runs of it."""
+        run = self._runs.pop(item_id)
+        self._unfinished_groups[run.item.group] -= 1
+        renewal = self._renewals.pop(item_id, None)
+        for is_renewal, left in ((False, run), (True, renewal)):
+            if left is not None and left.worker_id is not None:
+                self._superseded.append(
+                    StopRun(
+                        key=RunKey(item_id, is_renewal),
+                        worker_id=left.worker_id,
+                        reason=StopReason.SUPERSEDED,
+                    )
+                )
+
+    # Planning
 
     def plan(
         self,
@@ -339,94 +298,119 @@
             newest_version: Newest version that the model's trainer has named.
             now: Monotonic time.
         """
+        if self._named_at_start is None:
+            self._named_at_start = newest_version
         choice = WorkerChoice(self._spec, workers, newest_version, now)
-        postponed_minimum = self._postponed_minimum(newest_version, now)
-        decisions: list[Decision] = []
-        decisions.extend(self._stops(choice, now))
-        for state in self._items.values():
-            if state.worker_id is not None or now < state.not_before:
+        decisions: list[Decision] = [*self._superseded, *self._stops(choice, now)]
+        self._superseded.clear()
+        decisions.extend(self._starts(choice, now))
+        decisions.extend(self._start_renewals(choice, now))
+        return tuple(decisions)
+
+    def _starts(self, choice: WorkerChoice, now: float) -> list[StartRun]:
+        starts: list[StartRun] = []
+        for item_id, run in self._runs.items():
+            if run.worker_id is not None or now < run.not_before:
                 continue
             if not choice.has_room:
                 break
             request = PlaceRequest(
-                group=state.item.group,
-                avoid=state.avoid,
-                is_long=state.is_long,
-                minimum_version=(
-                    postponed_minimum if state.is_postponed else self._spec.minimum_version
-                ),
+                group=run.item.group,
+                avoid=run.avoid,
+                is_long=self._order.is_long(run.item),
+                minimum_version=self._spec.minimum_version,
             )
             worker_id = choice.take(request)
             if worker_id is not None:
-                decisions.append(self._start(state, worker_id, now))
-        return tuple(decisions)
+                starts.append(self._start(RunKey(item_id), run, worker_id, now))
+        return starts
 
-    def _postponed_minimum(self, newest_version: WeightVersion, now: float) -> WeightVersion:
-        """Return the version that postponed items wait for."""
-        if self._named_at_start is None:
-            self._named_at_start = newest_version
-        is_named = newest_version > self._named_at_start
-        limit = NEWER_LOADING_WAIT_SECONDS if is_named else NEWER_WAIT_SECONDS
-        if now >= self._started_at + limit:
-            return self._spec.minimum_version
-        return WeightVersion(self._named_at_start + 1)
-
-    def _start(self, state: _ItemState, worker_id: BackendId, now: float) -> StartRun:
-        state.worker_id = worker_id
-        state.events_in_run = 0
-        state.heard_at = now
-        if self._spec.one_version_only:
+    def _start(self, key: RunKey, run: ItemRun, worker_id: BackendId, now: float) -> StartRun:
+        if self._spec.one_version_only and run.texts:
             # Another worker may hold another version; one version makes the whole text.
-            state.forget_text()
+            run.forget_text()
+        run.start(worker_id, now)
         return StartRun(
-            item=state.item,
+            key=key,
+            item=run.item,
             worker_id=worker_id,
-            resume_after=state.last_number,
-            priority=self._priority(state),
+            resume_after=run.last_number,
+            priority=self._priority(key, run),
         )
 
-    @staticmethod
-    def _priority(state: _ItemState) -> int:
-        if state.is_long or state.last_number is not None:
+    def _priority(self, key: RunKey, run: ItemRun) -> int:
+        if key.is_renewal:
+            return PRIORITY_RENEWAL
+        if self._order.is_long(run.item) or run.last_number is not None:
             return PRIORITY_LONG
-        return PRIORITY_POSTPONED if state.is_postponed else PRIORITY_NORMAL
+        return PRIORITY_POSTPONED if self._order.is_postponed(run.item) else PRIORITY_NORMAL
+
+    def _start_renewals(self, choice: WorkerChoice, now: float) -> list[StartRun]:
+        """Start second runs of long items under weights newer than at the start."""
+        assert self._named_at_start is not None
+        newer = WeightVersion(self._named_at_start + 1)
+        starts: list[StartRun] = []
+        for item_id, run in self._runs.items():
+            if len(self._renewals) >= MAXIMUM_RENEWALS or not choice.has_room:
+                break
+            if item_id in self._renewals or not self._is_worth_renewing(run, newer):
+                continue
+            request = PlaceRequest(
+                group=run.item.group, avoid=None, is_long=True, minimum_version=newer
+            )
+            worker_id = choice.take(request)
+            if worker_id is None:
+                break
+            renewal = ItemRun(item=run.item)
+            self._renewals[item_id] = renewal
+            starts.append(self._start(RunKey(item_id, True), renewal, worker_id, now))
+        return starts
+
+    @staticmethod
+    def _is_worth_renewing(run: ItemRun, newer: WeightVersion) -> bool:
+        if run.worker_id is None or len(run.texts) < EVENTS_OF_A_LONG_TEXT:
+            return False
+        return min(run.versions) < newer
 
     def _stops(self, choice: WorkerChoice, now: float) -> list[StopRun]:
         stops: list[StopRun] = []
-        for state in self._items.values():
-            if state.worker_id is None:
+        for item_id, run in self._runs.items():
+            if run.worker_id is None:
                 continue
-            if self._is_silent(state, now):
-                stops.append(self._stop(state, StopReason.SILENT))
-            elif self._should_move(state, choice):
-                state.moves += 1
-                stops.append(self._stop(state, StopReason.SLOW_WORKER))
+            if _is_silent(run, now):
+                stops.append(_stop(RunKey(item_id), run, StopReason.SILENT))
+            elif self._should_move(run, choice):
+                run.moves += 1
+                stops.append(_stop(RunKey(item_id), run, StopReason.SLOW_WORKER))
+        for item_id, run in self._renewals.items():
+            if _is_silent(run, now):
+                stops.append(_stop(RunKey(item_id, True), run, StopReason.SILENT))
         return stops
 
     @staticmethod
-    def _should_move(state: _ItemState, choice: WorkerChoice) -> bool:
-        assert state.worker_id is not None
-        if state.moves >= MAXIMUM_MOVES:
-            return False
-        if state.events_in_run < EVENTS_BEFORE_LEAVING_A_SLOW_WORKER:
+    def _should_move(run: ItemRun, choice: WorkerChoice) -> bool:
+        assert run.worker_id is not None
+        if run.moves >= MAXIMUM_MOVES:
             return False
-        if choice.is_slow(state.worker_id):
-            return choice.reserve_faster(state.worker_id)
-        if state.moves >= MAXIMUM_MOVES_TO_FASTER:
+        if run.events_here < EVENTS_BEFORE_LEAVING_A_SLOW_WORKER:
             return False
-        if state.events_in_run < EVENTS_BEFORE_SEEKING_A_FASTER_WORKER:
+        if choice.is_slow(run.worker_id):
+            return choice.reserve_faster(run.worker_id)
+        if run.moves >= MAXIMUM_MOVES_TO_FASTER or run.events_here < EVENTS_OF_A_LONG_TEXT:
             return False
-        return choice.reserve_faster(state.worker_id)
+        return choice.reserve_faster(run.worker_id)
 
-    @staticmethod
-    def _is_silent(state: _ItemState, now: float) -> bool:
-        silence = now - state.heard_at
-        if state.events_in_run == 0:
-            return silence > SILENCE_BEFORE_FIRST_EVENT_SECONDS
-        return silence > SILENCE_BETWEEN_EVENTS_SECONDS
 
-    @staticmethod
-    def _stop(state: _ItemState, reason: StopReason) -> StopRun:
-        assert state.worker_id is not None
-        state.avoid = state.worker_id
-        return StopRun(item_id=state.item.item_id, worker_id=state.worker_id, reason=reason)
+def _is_silent(run: ItemRun, now: float) -> bool:
+    if run.worker_id is None:
+        return False
+    silence = now - run.heard_at
+    if run.events_here == 0:
+        return silence > SILENCE_BEFORE_FIRST_EVENT_SECONDS
+    return silence > SILENCE_BETWEEN_EVENTS_SECONDS
+
+
+def _stop(key: RunKey, run: ItemRun, reason: StopReason) -> StopRun:
+    assert run.worker_id is not None
+    run.avoid = run.worker_id
+    return StopRun(key=key, worker_id=run.worker_id, reason=reason)
