Delete ended batch jobs once results need not stay

Without it the store would grow for ever. Open ones stay. Test: RetentionTest. Parts of a large batch job are 1 MB now, so that 32 MB fit one transaction.

--- a/drumbay/batches/ledger.py
+++ b/drumbay/batches/ledger.py
@@ -1,6 +1,7 @@
 """Batch jobs in the key-value store: what is accepted, listed or ended, and by whom.
 
-Keys of a batch job, below ``PREFIX`` and its identifier:
+``INDEX_PREFIX`` and its identifier: a :class:`IndexEntry`, so that old batch jobs are found
+without reading their texts. Keys of a batch job, below ``PREFIX`` and its identifier:
 
 * ``owner``: the :class:`OwnerRecord`. Every write of results compares its revision, so that an
   owner that was replaced, or an ended batch job, takes no more results: the revision is the
@@ -28,10 +29,13 @@
     StoredOwner,
 )
 from drumbay.identifiers import Revision
-from drumbay.kv.interface import KeyValueStore, ModRevisionIs, Put
+from drumbay.kv.interface import Delete, KeyValueStore, ModRevisionIs, Put
 
 PREFIX = "drumbay/batches/"
-PART_BYTES = 600_000
+INDEX_PREFIX = "drumbay/batch-index/"
+KEYS_PER_DELETION = 30
+PART_BYTES = 1_000_000
+"""Below the 1 MB that a value may have; a transaction takes 32 entries."""
 ABSENT = Revision(0)
 
 _encoder = msgspec.msgpack.Encoder()
@@ -41,6 +45,15 @@
 _results_decoder = msgspec.msgpack.Decoder(tuple[ItemResult, ...])
 
 
+class IndexEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """When a batch job was submitted, in seconds since the Unix epoch."""
+
+    submitted_at: float
+
+
+_index_decoder = msgspec.msgpack.Decoder(IndexEntry)
+
+
 class StoredBatch(msgspec.Struct, frozen=True, kw_only=True):
     """All that the store holds of a batch job."""
 
@@ -57,12 +70,18 @@
         """Use a key-value store."""
         self._store = store
 
-    async def accept(self, spec: BatchSpec, owner: OwnerRecord) -> Revision | None:
+    async def accept(
+        self, spec: BatchSpec, owner: OwnerRecord, submitted_at: float
+    ) -> Revision | None:
         """Store a new batch job; return the owner's revision, ``None`` if it exists already."""
         key = _owner_key(spec.batch_id)
         encoded = _encoder.encode(spec)
         parts = [encoded[at : at + PART_BYTES] for at in range(0, len(encoded), PART_BYTES)]
-        puts = [Put(key=key, value=_encoder.encode(owner))]
+        entry = IndexEntry(submitted_at=submitted_at)
+        puts = [
+            Put(key=key, value=_encoder.encode(owner)),
+            Put(key=f"{INDEX_PREFIX}{spec.batch_id}", value=_encoder.encode(entry)),
+        ]
         for number, part in enumerate(parts):
             puts.append(Put(key=f"{PREFIX}{spec.batch_id}/spec/{number:04d}", value=part))
         outcome = await self._store.transact(
@@ -181,6 +200,24 @@
         )
         return outcome.succeeded
 
+    async def submitted_before(self, wall_seconds: float) -> tuple[BatchId, ...]:
+        """Return the batch jobs that were submitted before a time."""
+        found = await self._store.range_prefix(INDEX_PREFIX)
+        return tuple(
+            BatchId(item.key.removeprefix(INDEX_PREFIX))
+            for item in found.items
+            if _index_decoder.decode(item.value).submitted_at < wall_seconds
+        )
+
+    async def delete(self, batch_id: BatchId) -> None:
+        """Remove everything of an ended batch job, its index entry last."""
+        found = await self._store.range_prefix(f"{PREFIX}{batch_id}/")
+        keys = sorted((item.key for item in found.items), reverse=True)
+        for at in range(0, len(keys), KEYS_PER_DELETION):
+            some = keys[at : at + KEYS_PER_DELETION]
+            await self._store.transact((), tuple(Delete(key=key) for key in some))
+        await self._store.transact((), (Delete(key=f"{INDEX_PREFIX}{batch_id}"),))
+
     async def check_owner(self, batch_id: BatchId, owner_revision: Revision) -> None:
         """Return if the owner's revision still holds.
 
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -124,7 +124,7 @@
             metrics: Counts what happens to batch jobs.
         """
         self._clock = clock
-        self._ledger = BatchLedger(store)
+        self.ledger = BatchLedger(store)
         self._directory = directory
         self._client = client
         self._peers = peers
@@ -163,11 +163,12 @@
             BatchOutcomeUnknownError: It may have been taken.
         """
         owner = self._owner_record(OwnerState.OPEN, len(spec.items))
+        submitted_at = self._clock.wall()
         deadline = self._clock.monotonic() + ACCEPT_LIMIT_SECONDS
         uncertain = False
         while True:
             try:
-                revision = await self._ledger.accept(spec, owner)
+                revision = await self.ledger.accept(spec, owner, submitted_at)
                 break
             except KeyValueError as error:
                 uncertain = uncertain or isinstance(error, KeyValueOutcomeUnknownError)
@@ -248,7 +249,7 @@
     async def _own_revision(self, batch_id: BatchId) -> Revision | None:
         """Return the revision of a record that an unanswered write of this node left."""
         try:
-            stored = await self._ledger.read_owner(batch_id)
+            stored = await self.ledger.read_owner(batch_id)
         except (KeyValueError, BatchNotFoundError):
             return None
         is_own = stored.record.boot == self._identity.boot
@@ -264,7 +265,7 @@
     ) -> BatchRunner:
         runner = BatchRunner(
             self._clock,
-            self._ledger,
+            self.ledger,
             self._directory,
             self._client,
             self._task_owner,
@@ -315,7 +316,7 @@
     ) -> ResultPage:
         while True:
             try:
-                results = await self._ledger.read_results(batch_id)
+                results = await self.ledger.read_results(batch_id)
                 return page_of(results, total, position, PAGE_BYTES)
             except KeyValueError as error:
                 await self._pause_until(deadline, error)
@@ -359,7 +360,7 @@
                 return
             try:
                 ended = msgspec.structs.replace(owner.record, state=OwnerState.ENDED)
-                revision = await self._ledger.replace_owner(batch_id, owner, ended)
+                revision = await self.ledger.replace_owner(batch_id, owner, ended)
                 break
             except BatchMovedError:
                 self._owners.pop(batch_id, None)
@@ -395,7 +396,7 @@
             return known
         while True:
             try:
-                owner = await self._ledger.read_owner(batch_id)
+                owner = await self.ledger.read_owner(batch_id)
                 break
             except KeyValueError as error:
                 await self._pause_until(deadline, error)
@@ -444,12 +445,12 @@
         if self._leaving:
             return
         try:
-            owner = await self._ledger.read_owner(batch_id)
+            owner = await self.ledger.read_owner(batch_id)
             if owner.revision != silent.revision or owner.record.state is OwnerState.ENDED:
                 return
             record = self._owner_record(OwnerState.OPEN, owner.record.total)
-            revision = await self._ledger.replace_owner(batch_id, owner, record)
-            stored = await self._ledger.read(batch_id)
+            revision = await self.ledger.replace_owner(batch_id, owner, record)
+            stored = await self.ledger.read(batch_id)
         except BatchMovedError:
             return
         except KeyValueError as error:
@@ -496,7 +497,7 @@
 
     async def _accept_hand_over(self, batch_id: BatchId) -> PeerReply:
         try:
-            owner = await self._ledger.read_owner(batch_id)
+            owner = await self.ledger.read_owner(batch_id)
             await self._take_over(batch_id, owner, owner_is_gone=False)
         except (KeyValueError, BatchNotFoundError, BatchUnavailableError):
             return UnavailableReply()
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from drumbay.batches.retention import BatchRetention
 from drumbay.batches.service import BatchService, ServiceIdentity
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
@@ -48,7 +49,8 @@
     """What a serving node is told about itself.
 
     ``stop_seconds`` bounds a planned stop; ``turn_away_seconds`` is how long the node still
-    takes requests after it has said that it is leaving.
+    takes requests after it has said that it is leaving; ``keep_results_seconds`` is how long
+    after its submission an ended batch job can be read.
     """
 
     machine: str
@@ -57,6 +59,7 @@
     lease_seconds: float = 3.0
     stop_seconds: float = 7.0
     turn_away_seconds: float = 2.5
+    keep_results_seconds: float = 120.0
 
 
 class ServingEnvironment(msgspec.Struct, frozen=True, kw_only=True):
@@ -134,6 +137,12 @@
             self._announce_loading,
             self.metrics,
         )
+        self._retention = BatchRetention(
+            clock,
+            self.batches.ledger,
+            settings.keep_results_seconds,
+            lambda: self.leader.fence(clock.monotonic()) is not None,
+        )
         self._leaving = False
         self._requests_open = 0
 
@@ -146,6 +155,7 @@
         self._tasks.spawn(self._peer_directory.run(), "peer-directory")
         self._tasks.spawn(self._peer_directory.run_heartbeat(), "store-heartbeat")
         self._tasks.spawn(self.leader.run(), "leader-election")
+        self._tasks.spawn(self._retention.run(), "batch-retention")
         self._tasks.spawn(self._coordinator.run(), "version-coordinator")
         log_event(
             "serving_started",
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -13,6 +13,7 @@
     BatchRefusedError,
 )
 from drumbay.batches.records import BatchId, BatchSpec, ItemId, ItemResult, ResultState
+from drumbay.batches.retention import BatchRetention
 from drumbay.identifiers import WeightVersion
 from drumbay.standins.kv_faults import KeyValueFaults
 from drumbay.standins.worker_pool import WorkerFaults, whole_text
@@ -330,6 +331,33 @@
         play(scenario)
 
 
+class RetentionTest(unittest.TestCase):
+    def test_ended_batch_jobs_are_deleted_when_they_are_old_and_no_others(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            service = world.nodes[0].batches
+            retention = BatchRetention(world.clock, service.ledger, 120.0, lambda: True)
+            for name in ("ended", "open"):
+                await service.submit(batch_spec(name))
+                await read_all(service, BatchId(name))
+            await service.end(BatchId("ended"))
+            await asyncio.sleep(200.0)
+            await service.submit(batch_spec("young"))
+            await service.end(BatchId("young"))
+            await retention.sweep()
+            self.assertEqual(len(await read_all(world.nodes[1].batches, BatchId("ended"))), 12)
+            await asyncio.sleep(45.0)
+            await retention.sweep()
+            with self.assertRaises(BatchNotFoundError):
+                await WorldNode(world, 3, 0).batches.read(BatchId("ended"), 0, 0.0)
+            self.assertEqual(len(await read_all(world.nodes[1].batches, BatchId("open"))), 12)
+            page = await world.nodes[1].batches.read(BatchId("young"), 0, 0.0)
+            self.assertEqual(page.total, 12)
+            left = (await world.nodes[0].store.range_prefix("drumbay/")).items
+            self.assertEqual([item.key for item in left if "ended" in item.key], [])
+
+        play(scenario)
+
+
 class RelayTest(unittest.TestCase):
     """The store refuses one machine while it serves the others."""
 
