Take renewals back: no gain, and they take places where these are scarce

Kept: the runs' module, runs that no later step can use end with the batch job, items that are given up stop running.

--- a/drumbay/batches/item_run.py
+++ b/drumbay/batches/item_run.py
@@ -1,21 +1,14 @@
-"""One run of an item: what a worker has made of it so far."""
+"""The run of an item: what workers have made of it so far."""
 
 import msgspec
 
-from drumbay.batches.records import BatchItem, ItemId, ItemResult, PartialText, ResultState
+from drumbay.batches.records import BatchItem, ItemResult, PartialText, ResultState
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.workers.records import StreamEvent
 
 
-class RunKey(msgspec.Struct, frozen=True, order=True):
-    """Names a run. A renewal is a second run of an item, under newer weights."""
-
-    item_id: ItemId
-    is_renewal: bool = False
-
-
 class ItemRun(msgspec.Struct, kw_only=True):
-    """Progress of one run over all the workers that it has been at.
+    """Progress of an item over all the workers that it has been at.
 
     Attributes:
         item: What runs.
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -7,7 +7,6 @@
 import msgspec
 
 from drumbay.batches.exceptions import BatchEndedError, BatchError, BatchNotFoundError
-from drumbay.batches.item_run import RunKey
 from drumbay.batches.ledger import BatchLedger
 from drumbay.batches.records import (
     BatchId,
@@ -128,7 +127,7 @@
         self._unlisted_texts: dict[ItemId, ItemResult] = {}
         self._listed: list[ItemResult] = list(listed)
         self._pending: list[ItemResult] = []
-        self._runs: dict[RunKey, asyncio.Task[None]] = {}
+        self._runs: dict[ItemId, asyncio.Task[None]] = {}
         self._wakeup = asyncio.Event()
         self._flush_wakeup = asyncio.Event()
         self._listed_changed = asyncio.Event()
@@ -173,8 +172,8 @@
         self._stop_tasks()
         self._lingering = True
         self._unlisted_texts.update({result.item_id: result for result in self._pending})
-        for key in self._scheduler.useless_after_end():
-            self._cancel_run(key)
+        for item_id in self._scheduler.useless_after_end():
+            self._cancel_run(item_id)
         timer = self._clock.sleep(LINGER_SECONDS)
         self._task_owner.spawn(self._close_after(timer), f"batch-linger-{self.spec.batch_id}")
 
@@ -205,14 +204,13 @@
             partial_text = self._whole_text(item_id, minimum_version)
             if partial_text is None:
                 partial_text = self._scheduler.partial_text(item_id, minimum_version)
-            self._cancel_run(RunKey(item_id))
-            self._cancel_run(RunKey(item_id, is_renewal=True))
+            self._cancel_run(item_id)
             if partial_text is not None:
                 given.append(partial_text)
         return ReturnedItems(item_ids=tuple(returned), partial_texts=tuple(given))
 
-    def _cancel_run(self, key: RunKey) -> None:
-        task = self._runs.pop(key, None)
+    def _cancel_run(self, item_id: ItemId) -> None:
+        task = self._runs.pop(item_id, None)
         if task is not None:
             task.cancel()
 
@@ -292,13 +290,12 @@
         self, decision: StartRun | StopRun, workers: dict[BackendId, WorkerRecord]
     ) -> None:
         match decision:
-            case StartRun(key=key, worker_id=worker_id):
+            case StartRun(item=item, worker_id=worker_id):
                 record = workers[worker_id]
                 log_event(
                     "item_run_started",
                     batch=self.spec.batch_id,
-                    item=key.item_id,
-                    renewal=key.is_renewal,
+                    item=item.item_id,
                     worker=worker_id,
                     version=record.versions.get(self.spec.model),
                     in_flight=record.in_flight,
@@ -306,22 +303,21 @@
                 )
                 record.in_flight += 1
                 task = self._task_owner.spawn(self._run_item(decision, record), "batch-item")
-                self._runs[key] = task
-            case StopRun(key=key, worker_id=worker_id, reason=reason):
+                self._runs[item.item_id] = task
+            case StopRun(item_id=item_id, worker_id=worker_id, reason=reason):
                 log_event(
                     "item_run_stopped",
                     batch=self.spec.batch_id,
-                    item=key.item_id,
-                    renewal=key.is_renewal,
+                    item=item_id,
                     worker=worker_id,
                     reason=reason,
                 )
                 if reason == "silent":
                     self._directory.observe_failure(worker_id, self._clock.monotonic())
-                self._cancel_run(key)
+                self._cancel_run(item_id)
 
     async def _run_item(self, start: StartRun, record: WorkerRecord) -> None:
-        key = start.key
+        item_id = start.item.item_id
         task = asyncio.current_task()
         failure: RunFailure | None = None
         try:
@@ -348,28 +344,29 @@
             failure = RunFailure.REJECTED
         finally:
             record.in_flight -= 1
-            if self._runs.get(key) is task:
-                del self._runs[key]
+            if self._runs.get(item_id) is task:
+                del self._runs[item_id]
             if not self._closed and not (self._lingering and failure is RunFailure.STOPPED):
-                self._finish_run(key, record, failure)
+                self._finish_run(item_id, record, failure)
 
     def _pause(self, record: WorkerRecord, seconds: float) -> None:
         self._directory.pause(record.worker.worker_id, self._clock.monotonic(), seconds)
 
-    def _finish_run(self, key: RunKey, record: WorkerRecord, failure: RunFailure | None) -> None:
+    def _finish_run(
+        self, item_id: ItemId, record: WorkerRecord, failure: RunFailure | None
+    ) -> None:
         self._metrics.count_item_run("complete" if failure is None else failure)
         if failure is None:
-            result = self._scheduler.take_completion(key)
+            result = self._scheduler.take_completion(item_id)
         else:
             log_event(
                 "item_run_failed",
                 batch=self.spec.batch_id,
-                item=key.item_id,
-                renewal=key.is_renewal,
+                item=item_id,
                 worker=record.worker.worker_id,
                 failure=failure,
             )
-            result = self._scheduler.take_failure(key, failure, self._clock.monotonic())
+            result = self._scheduler.take_failure(item_id, failure, self._clock.monotonic())
         if result is not None:
             self._add_result(result)
         self._wakeup.set()
@@ -389,17 +386,17 @@
             repeatable=True,
         )
         async with self._client.stream(record.worker, request) as stream:
-            self._take_head(start.key, record, stream)
+            self._take_head(item.item_id, record, stream)
             worker_id = record.worker.worker_id
             async for events in stream.events():
                 now = self._clock.monotonic()
                 for event in events:
-                    elapsed = self._scheduler.take_event(start.key, event, now)
+                    elapsed = self._scheduler.take_event(item.item_id, event, now)
                     if elapsed is not None and len(events) == 1:
                         self._directory.observe_pace(worker_id, elapsed, now)
                     self._directory.observe_version(worker_id, self.spec.model, event.version)
 
-    def _take_head(self, key: RunKey, record: WorkerRecord, stream: WorkerStream) -> None:
+    def _take_head(self, item_id: ItemId, record: WorkerRecord, stream: WorkerStream) -> None:
         now = self._clock.monotonic()
         worker_id = record.worker.worker_id
         self._directory.observe_acceptance(worker_id, self.spec.model)
@@ -408,7 +405,7 @@
         if stream.version is None:
             return
         self._directory.observe_version(worker_id, self.spec.model, stream.version)
-        if not self._scheduler.take_head(key, stream.version, now):
+        if not self._scheduler.take_head(item_id, stream.version, now):
             raise WorkerMisdirectedError(f"weights {stream.version} on {worker_id}")
 
     # Listing
