--- /dev/null
+++ b/drumbay/batches/listing.py
@@ -0,0 +1,180 @@
+"""Lists the results of one owned batch job durably, and serves them to readers."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from contextlib import suppress
+
+from drumbay.batches.exceptions import BatchError
+from drumbay.batches.ledger import BatchLedger
+from drumbay.batches.records import BatchSpec, ItemResult, ResultPage, page_of
+from drumbay.clock import Clock
+from drumbay.identifiers import Revision
+from drumbay.kv.interface import KeyValueError
+from drumbay.observability.logs import log_event
+
+FLUSH_INTERVAL_SECONDS = 0.25
+"""Results wait this long for others: each write is one priced call to the store."""
+
+LAST_FLUSH_INTERVAL_SECONDS = 0.03
+"""The last groups decide when a step is whole; their results hardly wait."""
+
+FLUSH_BYTES = 500_000
+PAGE_BYTES = 900_000
+STORE_RETRY_SECONDS = 0.15
+OWNER_CHECK_SECONDS = 1.0
+"""Without a successful write for this long, the owner asks the store whether it still owns."""
+
+WATCH_OWNER_SECONDS = 6.0
+"""How often the owner of a wholly listed batch job looks whether it has ended."""
+
+
+class ResultListing:
+    """The results of a batch job: those that the store has, and those that it shall get."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        ledger: BatchLedger,
+        spec: BatchSpec,
+        revision: Revision,
+        listed: Sequence[ItemResult],
+        *,
+        is_urgent: Callable[[], bool],
+        on_lost: Callable[[BatchError], None],
+    ) -> None:
+        """Create a listing.
+
+        Args:
+            clock: Time.
+            ledger: Where results are listed.
+            spec: The batch job.
+            revision: The owner's revision in the ledger.
+            listed: Results that stand in the store already.
+            is_urgent: Returns whether results should hardly wait for others.
+            on_lost: Called once when another node owns the batch job, or it has ended.
+        """
+        self._clock = clock
+        self._ledger = ledger
+        self._spec = spec
+        self._revision = revision
+        self._is_urgent = is_urgent
+        self._on_lost = on_lost
+        self._listed: list[ItemResult] = list(listed)
+        self._pending: list[ItemResult] = []
+        self._pending_changed = asyncio.Event()
+        self._listed_changed = asyncio.Event()
+        self._confirmed_at = clock.monotonic()
+        self._closed = False
+
+    @property
+    def listed_count(self) -> int:
+        """Return how many results the store has."""
+        return len(self._listed)
+
+    @property
+    def is_whole(self) -> bool:
+        """Return whether every item is listed."""
+        return len(self._listed) == len(self._spec.items)
+
+    @property
+    def pending(self) -> tuple[ItemResult, ...]:
+        """Return the results that the store has not taken yet."""
+        return tuple(self._pending)
+
+    def add(self, result: ItemResult) -> None:
+        """List a result soon."""
+        self._pending.append(result)
+        self._pending_changed.set()
+
+    def confirm(self) -> None:
+        """Note that the store has just taken a write of this owner."""
+        self._confirmed_at = self._clock.monotonic()
+
+    def close(self) -> None:
+        """Let waiting readers go."""
+        self._closed = True
+        self._announce()
+
+    async def read(self, position: int, wait_seconds: float) -> ResultPage:
+        """Return results from a position on, waiting until there is one or time is up."""
+        deadline = self._clock.monotonic() + wait_seconds
+        while len(self._listed) <= position and not self._closed and not self.is_whole:
+            remaining = deadline - self._clock.monotonic()
+            if remaining <= 0:
+                break
+            with suppress(TimeoutError):
+                async with asyncio.timeout(remaining):
+                    await self._listed_changed.wait()
+        return page_of(self._listed, len(self._spec.items), position, PAGE_BYTES)
+
+    async def run(self) -> None:
+        """List results until all are, then watch the ownership, until it is lost."""
+        try:
+            while not self.is_whole:
+                with suppress(TimeoutError):
+                    async with asyncio.timeout(OWNER_CHECK_SECONDS):
+                        await self._pending_changed.wait()
+                self._pending_changed.clear()
+                await self._list_pending()
+                await self._check_owner()
+            log_event("batch_listed", batch=self._spec.batch_id, items=len(self._listed))
+            while True:
+                await self._clock.sleep(WATCH_OWNER_SECONDS)
+                await self._check_owner()
+        except BatchError as error:
+            self._on_lost(error)
+
+    async def _list_pending(self) -> None:
+        if not self._pending:
+            return
+        is_last = len(self._listed) + len(self._pending) == len(self._spec.items)
+        if not is_last:
+            is_urgent = self._is_urgent()
+            interval = LAST_FLUSH_INTERVAL_SECONDS if is_urgent else FLUSH_INTERVAL_SECONDS
+            await self._clock.sleep(interval)
+        while self._pending:
+            count = self._fitting()
+            await self._append(tuple(self._pending[:count]))
+            self._listed.extend(self._pending[:count])
+            del self._pending[:count]
+            self._announce()
+
+    def _fitting(self) -> int:
+        used_bytes = 0
+        for count, result in enumerate(self._pending):
+            used_bytes += result.size_bytes()
+            if count and used_bytes > FLUSH_BYTES:
+                return count
+        return len(self._pending)
+
+    async def _append(self, results: tuple[ItemResult, ...]) -> None:
+        """Write results, always the same, until the store says that they stand."""
+        position = len(self._listed)
+        while True:
+            try:
+                await self._ledger.append(self._spec.batch_id, self._revision, position, results)
+            except KeyValueError as error:
+                log_event(
+                    "batch_append_failed",
+                    level="WARNING",
+                    batch=self._spec.batch_id,
+                    position=position,
+                    error=error.code,
+                )
+                await self._clock.sleep(STORE_RETRY_SECONDS)
+                continue
+            self.confirm()
+            return
+
+    async def _check_owner(self) -> None:
+        if self._clock.monotonic() - self._confirmed_at < OWNER_CHECK_SECONDS:
+            return
+        try:
+            await self._ledger.check_owner(self._spec.batch_id, self._revision)
+        except KeyValueError:
+            return
+        self.confirm()
+
+    def _announce(self) -> None:
+        self._listed_changed.set()
+        self._listed_changed = asyncio.Event()
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -1,13 +1,13 @@
-"""Runs one owned batch job: performs the scheduler's decisions and lists results durably."""
+"""Runs one owned batch job: performs the scheduler's decisions and lists what comes of them."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 
-import msgspec
-
 from drumbay.batches.exceptions import BatchEndedError, BatchError, BatchNotFoundError
 from drumbay.batches.ledger import BatchLedger
+from drumbay.batches.listing import ResultListing
+from drumbay.batches.progress import ProgressSaver
 from drumbay.batches.records import (
     BatchId,
     BatchSpec,
@@ -17,12 +17,10 @@
     ResultPage,
     ResultState,
     ReturnedItems,
-    page_of,
 )
-from drumbay.batches.scheduler import BatchScheduler, RunFailure, StartRun, StopRun
+from drumbay.batches.scheduler import BatchScheduler, RunFailure, StartRun, StopReason, StopRun
 from drumbay.clock import Clock
 from drumbay.identifiers import BackendId, Revision, WeightVersion
-from drumbay.kv.interface import KeyValueError
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
 from drumbay.tasks import TaskOwner
@@ -39,44 +37,20 @@
 )
 
 TICK_SECONDS = 0.1
-FLUSH_INTERVAL_SECONDS = 0.25
-"""Results wait this long for others: each write is one priced call to the store."""
+WAKE_DELAY_SECONDS = 0.005
+"""Several runs end in one moment; one plan is made for all of them."""
 
 LAST_GROUPS = 2
-LAST_FLUSH_INTERVAL_SECONDS = 0.03
-"""The last groups decide when a step is whole; their results hardly wait."""
-
 LINGER_SECONDS = 8.0
-"""How long runs go on after the end of a batch job: their items may come back in the next."""
-
-FLUSH_BYTES = 500_000
-STORE_RETRY_SECONDS = 0.15
-OWNER_CHECK_SECONDS = 1.0
-"""Without a successful write for this long, the owner asks the store whether it still owns."""
-
-PROGRESS_INTERVAL_SECONDS = 1.0
-PROGRESS_EVENTS = 20
-"""Items with so many events are saved now and then: they would take long to make again."""
+"""How long runs go on after the end of a batch job: their items may come back in a later one."""
 
 RESUME_DELAY_SECONDS = 1.7
 RESUME_EVENTS = 45
-"""An owner that may be alive stops within OWNER_CHECK_SECONDS of its replacement; only texts
-that took longer to make are worth waiting until then."""
-
-WATCH_OWNER_SECONDS = 6.0
-"""How often the owner of a wholly listed batch job looks whether it has ended."""
+"""An owner that may be alive stops within ``OWNER_CHECK_SECONDS`` of its replacement; only
+texts that took longer to make are worth waiting until then."""
 
-PAGE_BYTES = 900_000
 MISDIRECTED_PAUSE_SECONDS = 1.0
 RUN_BUDGET_SECONDS = 30.0
-WAKE_DELAY_SECONDS = 0.005
-
-
-class _Saved(msgspec.Struct, frozen=True, kw_only=True):
-    """How many texts of an item are saved, and of which generation."""
-
-    count: int
-    generation: int
 
 
 class BatchRunner:
@@ -115,7 +89,6 @@
         self.spec = spec
         self.revision = revision
         self._clock = clock
-        self._ledger = ledger
         self._directory = directory
         self._client = client
         self._task_owner = task_owner
@@ -125,17 +98,37 @@
         self._newest_version = newest_version
         self._scheduler = BatchScheduler(spec, clock.monotonic(), listed)
         self._unlisted_texts: dict[ItemId, ItemResult] = {}
-        self._listed: list[ItemResult] = list(listed)
-        self._pending: list[ItemResult] = []
+        self._listing = ResultListing(
+            clock,
+            ledger,
+            spec,
+            revision,
+            listed,
+            is_urgent=lambda: self._scheduler.missing_groups <= LAST_GROUPS,
+            on_lost=self._lose,
+        )
+        self._progress = ProgressSaver(
+            clock, ledger, spec.batch_id, revision, self._scheduler, self._listing.confirm
+        )
         self._runs: dict[ItemId, asyncio.Task[None]] = {}
         self._wakeup = asyncio.Event()
-        self._flush_wakeup = asyncio.Event()
-        self._listed_changed = asyncio.Event()
-        self._confirmed_at = clock.monotonic()
         self._tasks: list[asyncio.Task[None]] = []
         self._closed = False
         self._lingering = False
 
+    def resume(self, stored: tuple[PartialText, ...], *, owner_is_gone: bool) -> None:
+        """Go on from what the owner before has saved; call before :meth:`start`.
+
+        An owner that may still be alive must have noticed its replacement before one of its
+        items is continued; an item with a short text is rather made again.
+        """
+        now = self._clock.monotonic()
+        if owner_is_gone:
+            self._scheduler.resume_from(stored, now)
+            return
+        long = [text for text in stored if len(text.texts) >= RESUME_EVENTS]
+        self._scheduler.resume_from(long, now + RESUME_DELAY_SECONDS)
+
     def start(self, returned: ReturnedItems) -> None:
         """Start to run items, from what earlier batch jobs made of them."""
         if self._closed or self._lingering:
@@ -146,8 +139,8 @@
             self._add_result(result)
         self._tasks = [
             self._task_owner.spawn(self._run_scheduling(), f"batch-schedule-{name}"),
-            self._task_owner.spawn(self._run_listing(), f"batch-list-{name}"),
-            self._task_owner.spawn(self._run_progress(), f"batch-progress-{name}"),
+            self._task_owner.spawn(self._listing.run(), f"batch-list-{name}"),
+            self._task_owner.spawn(self._progress.run(), f"batch-progress-{name}"),
         ]
         log_event(
             "batch_owned",
@@ -155,7 +148,7 @@
             model=self.spec.model,
             step=self.spec.step,
             items=len(self.spec.items),
-            listed=len(self._listed),
+            listed=self._listing.listed_count,
             minimum_version=self.spec.minimum_version,
             revision=self.revision,
         )
@@ -171,14 +164,13 @@
         """Start and list nothing more, but let runs go on for items that may come back."""
         self._stop_tasks()
         self._lingering = True
-        self._unlisted_texts.update({result.item_id: result for result in self._pending})
+        self._unlisted_texts.update({result.item_id: result for result in self._listing.pending})
         for item_id in self._scheduler.useless_after_end():
             self._cancel_run(item_id)
-        timer = self._clock.sleep(LINGER_SECONDS)
-        self._task_owner.spawn(self._close_after(timer), f"batch-linger-{self.spec.batch_id}")
+        self._task_owner.spawn(self._close_later(), f"batch-linger-{self.spec.batch_id}")
 
-    async def _close_after(self, timer: Awaitable[None]) -> None:
-        await timer
+    async def _close_later(self) -> None:
+        await self._clock.sleep(LINGER_SECONDS)
         self.close()
 
     def _stop_tasks(self) -> None:
@@ -186,7 +178,7 @@
             if task is not asyncio.current_task():
                 task.cancel()
         self._tasks = []
-        self._announce_listed()
+        self._listing.close()
 
     @property
     def is_lingering(self) -> bool:
@@ -231,7 +223,7 @@
     @property
     def is_finished(self) -> bool:
         """Return whether every item is listed."""
-        return len(self._listed) == len(self.spec.items)
+        return self._listing.is_whole
 
     def wake(self) -> None:
         """Plan again, since the workers have changed."""
@@ -241,15 +233,7 @@
 
     async def read(self, position: int, wait_seconds: float) -> ResultPage:
         """Return results from a position on, waiting until there is one or time is up."""
-        deadline = self._clock.monotonic() + wait_seconds
-        while len(self._listed) <= position and not self._closed and not self.is_finished:
-            remaining = deadline - self._clock.monotonic()
-            if remaining <= 0:
-                break
-            with suppress(TimeoutError):
-                async with asyncio.timeout(remaining):
-                    await self._listed_changed.wait()
-        return page_of(self._listed, len(self.spec.items), position, PAGE_BYTES)
+        return await self._listing.read(position, wait_seconds)
 
     def body(self, item_id: ItemId) -> bytes:
         """Return the body of an item.
@@ -262,10 +246,6 @@
                 return item.body
         raise BatchNotFoundError(f"{self.spec.batch_id}/{item_id}")
 
-    def _announce_listed(self) -> None:
-        self._listed_changed.set()
-        self._listed_changed = asyncio.Event()
-
     # Scheduling
 
     async def _run_scheduling(self) -> None:
@@ -283,7 +263,6 @@
             with suppress(TimeoutError):
                 async with asyncio.timeout(TICK_SECONDS):
                     await self._wakeup.wait()
-            # NOTE: several runs end in one moment; one plan for all of them.
             await self._clock.sleep(WAKE_DELAY_SECONDS)
 
     def _perform(
@@ -312,7 +291,7 @@
                     worker=worker_id,
                     reason=reason,
                 )
-                if reason == "silent":
+                if reason is StopReason.SILENT:
                     self._directory.observe_failure(worker_id, self._clock.monotonic())
                 self._cancel_run(item_id)
 
@@ -414,9 +393,8 @@
         if self._lingering:
             self._unlisted_texts[result.item_id] = result
             return
-        self._pending.append(result)
+        self._listing.add(result)
         self._metrics.observe_item(self._clock.monotonic() - self._started_at)
-        self._flush_wakeup.set()
         log_event(
             "item_finished",
             batch=self.spec.batch_id,
@@ -426,37 +404,13 @@
             missing_groups=self._scheduler.missing_groups,
         )
 
-    async def _run_listing(self) -> None:
-        try:
-            while not self.is_finished:
-                with suppress(TimeoutError):
-                    async with asyncio.timeout(OWNER_CHECK_SECONDS):
-                        await self._flush_wakeup.wait()
-                self._flush_wakeup.clear()
-                await self._list_pending()
-                await self._check_owner()
-        except BatchError as error:
-            self._lose(error)
-            return
-        log_event("batch_listed", batch=self.spec.batch_id, items=len(self._listed))
-        await self._watch_owner()
-
-    async def _watch_owner(self) -> None:
-        """Notice an end or a new owner also after the last result."""
-        try:
-            while True:
-                await self._clock.sleep(WATCH_OWNER_SECONDS)
-                await self._check_owner()
-        except BatchError as error:
-            self._lose(error)
-
     def _lose(self, error: BatchError) -> None:
         log_event(
             "batch_lost",
             level="INFO" if isinstance(error, BatchEndedError) else "WARNING",
             batch=self.spec.batch_id,
             reason=error.code,
-            listed=len(self._listed),
+            listed=self._listing.listed_count,
             items=len(self.spec.items),
         )
         if isinstance(error, BatchEndedError):
@@ -464,104 +418,3 @@
         else:
             self.close()
         self._on_lost(self.spec.batch_id)
-
-    async def _run_progress(self) -> None:
-        """Save the texts of long items, each piece once, until every item is finished."""
-        saved: dict[ItemId, _Saved] = {}
-        number = 0
-        while not self._scheduler.is_finished:
-            await self._clock.sleep(PROGRESS_INTERVAL_SECONDS)
-            pieces = _new_pieces(self._scheduler.progress(PROGRESS_EVENTS), saved)
-            if not pieces:
-                continue
-            number += 1
-            try:
-                if not await self._ledger.save_progress(
-                    self.spec.batch_id, self.revision, number, pieces
-                ):
-                    return
-            except KeyValueError:
-                # Pieces must follow each other: send whole texts again next time.
-                saved.clear()
-                continue
-            self._confirmed_at = self._clock.monotonic()
-
-    def resume(self, stored: tuple[PartialText, ...], *, owner_is_gone: bool) -> None:
-        """Go on from what the owner before has saved; call before :meth:`start`.
-
-        An owner that may still be alive must have noticed its replacement before one of its
-        items is continued; an item with a short text is rather made again.
-        """
-        now = self._clock.monotonic()
-        if owner_is_gone:
-            self._scheduler.resume_from(stored, now)
-            return
-        long = [text for text in stored if len(text.texts) >= RESUME_EVENTS]
-        self._scheduler.resume_from(long, now + RESUME_DELAY_SECONDS)
-
-    async def _list_pending(self) -> None:
-        if not self._pending:
-            return
-        if not self._scheduler.is_finished:
-            is_near_end = self._scheduler.missing_groups <= LAST_GROUPS
-            interval = LAST_FLUSH_INTERVAL_SECONDS if is_near_end else FLUSH_INTERVAL_SECONDS
-            await self._clock.sleep(interval)
-        while self._pending:
-            count = self._fitting()
-            await self._append(tuple(self._pending[:count]))
-            self._listed.extend(self._pending[:count])
-            del self._pending[:count]
-            self._announce_listed()
-
-    def _fitting(self) -> int:
-        used_bytes = 0
-        for count, result in enumerate(self._pending):
-            used_bytes += result.size_bytes()
-            if count and used_bytes > FLUSH_BYTES:
-                return count
-        return len(self._pending)
-
-    async def _append(self, results: tuple[ItemResult, ...]) -> None:
-        """Write results until the store says that they stand."""
-        position = len(self._listed)
-        while True:
-            try:
-                await self._ledger.append(self.spec.batch_id, self.revision, position, results)
-            except KeyValueError as error:
-                log_event(
-                    "batch_append_failed",
-                    level="WARNING",
-                    batch=self.spec.batch_id,
-                    position=position,
-                    error=error.code,
-                )
-                await self._clock.sleep(STORE_RETRY_SECONDS)
-                continue
-            self._confirmed_at = self._clock.monotonic()
-            return
-
-    async def _check_owner(self) -> None:
-        if self._clock.monotonic() - self._confirmed_at < OWNER_CHECK_SECONDS:
-            return
-        try:
-            await self._ledger.check_owner(self.spec.batch_id, self.revision)
-        except KeyValueError:
-            return
-        self._confirmed_at = self._clock.monotonic()
-
-
-def _new_pieces(
-    texts: tuple[PartialText, ...], saved: dict[ItemId, _Saved]
-) -> tuple[PartialText, ...]:
-    """Return what came since the last call, and count it as saved."""
-    pieces: list[PartialText] = []
-    for text in texts:
-        before = saved.get(text.item_id)
-        is_same = before is not None and before.generation == text.generation
-        count = before.count if before is not None and is_same else 0
-        if len(text.texts) <= count:
-            continue
-        saved[text.item_id] = _Saved(count=len(text.texts), generation=text.generation)
-        piece = msgspec.structs.replace(text, texts=text.texts[count:], first=count == 0)
-        pieces.append(piece)
-    return tuple(pieces)
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -183,7 +183,7 @@
     # Events of runs
 
     def take_event(self, item_id: ItemId, event: StreamEvent, now: float) -> float | None:
-        """Add an event to an item's text; return the seconds since the last, if they tell a pace."""
+        """Add an event to an item's text; return the seconds since the last that tell a pace."""
         run = self._runs.get(item_id)
         return run.take(event, now) if run is not None else None
 
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -19,6 +19,7 @@
     BatchUnavailableError,
 )
 from drumbay.batches.ledger import BatchLedger
+from drumbay.batches.listing import PAGE_BYTES
 from drumbay.batches.records import (
     BatchId,
     BatchSpec,
@@ -32,7 +33,7 @@
     StoredOwner,
     page_of,
 )
-from drumbay.batches.runner import PAGE_BYTES, BatchRunner
+from drumbay.batches.runner import BatchRunner
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.exceptions import Execution
