Split the batch service: owners and returning items have modules of their own

Owner lookup, calls to owners and what comes back from ended batch jobs moved out unchanged; the hand-over call, which nothing sent, is gone.

--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -5,8 +5,7 @@
 answer. Clients ask twice a second, so that a dead owner is noticed by their next call.
 """
 
-import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import msgspec
 
@@ -20,19 +19,19 @@
 )
 from drumbay.batches.ledger import BatchLedger
 from drumbay.batches.listing import PAGE_BYTES
+from drumbay.batches.owners import STORE_RETRY_SECONDS, OwnerTable, ServiceIdentity
 from drumbay.batches.records import (
     BatchId,
     BatchSpec,
     ItemId,
     ItemResult,
-    OwnerRecord,
     OwnerState,
-    PartialText,
     ResultPage,
     ReturnedItems,
     StoredOwner,
     page_of,
 )
+from drumbay.batches.returning import ReturningItems
 from drumbay.batches.runner import BatchRunner
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
@@ -50,20 +49,17 @@
     BodyReply,
     DoneReply,
     EndBatch,
-    HandOver,
     NotFoundReply,
     NotOwnerReply,
     OwnerNotice,
-    OwnerRequest,
     PageReply,
     PartialTextsReply,
     PeerReply,
     ReadBody,
     ReadResults,
     TakePartialTexts,
-    UnavailableReply,
 )
-from drumbay.peers.transport import PeerClient, PeerGoneError, PeerUnavailableError
+from drumbay.peers.transport import PeerClient
 from drumbay.tasks import TaskOwner
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
@@ -73,26 +69,8 @@
 
 READ_LIMIT_SECONDS = 1.0
 END_LIMIT_SECONDS = 3.5
-STORE_RETRY_SECONDS = 0.1
-PEER_SLACK_SECONDS = 0.5
-OWNER_WAIT_SECONDS = 0.4
-"""An owner is asked to wait so long at a time, so that one that stands still is soon noticed."""
-
-PARTIAL_TEXTS_LIMIT_SECONDS = 0.15
 REFUSED_RETRY_SECONDS = 1.0
 OWNER_ATTEMPTS = 4
-KNOWN_OWNERS = 4_096
-
-_GONE = NotOwnerReply
-"""This reply comes from a later process at the owner's address, or from nobody: the process
-that owned the batch job has ended, or has let it go."""
-
-
-class ServiceIdentity(msgspec.Struct, frozen=True, kw_only=True):
-    """This process: where peers call it, and its boot."""
-
-    address: NetworkAddress
-    boot: str
 
 
 class BatchService:
@@ -131,16 +109,12 @@
         self.ledger = BatchLedger(store)
         self._directory = directory
         self._client = client
-        self._peers = peers
         self._task_owner = task_owner
-        self._identity = identity
-        self._known_nodes = known_nodes
         self._newest_version = newest_version
-        self._announce = announce
         self._metrics = metrics
         self._runners: dict[BatchId, BatchRunner] = {}
-        self._lingering: list[BatchRunner] = []
-        self._owners: dict[BatchId, StoredOwner] = {}
+        self._owners = OwnerTable(clock, self.ledger, peers, identity, announce)
+        self._returning = ReturningItems(peers, known_nodes)
         self._leaving = False
         directory.add_listener(self._wake_runners)
 
@@ -166,7 +140,7 @@
             BatchRefusedError: The batch job was not taken and never will be.
             BatchOutcomeUnknownError: It may have been taken.
         """
-        owner = self._owner_record(OwnerState.OPEN, len(spec.items))
+        owner = self._owners.own_record(len(spec.items))
         submitted_at = self._clock.wall()
         deadline = self._clock.monotonic() + ACCEPT_LIMIT_SECONDS
         uncertain = False
@@ -197,58 +171,11 @@
         log_event("batch_accepted", batch=spec.batch_id, items=len(spec.items), step=spec.step)
         if not self._leaving:
             runner = self._own(spec, revision, ())
-            self._announce_owner(spec.batch_id, StoredOwner(record=owner, revision=revision))
+            self._owners.announce(spec.batch_id, StoredOwner(record=owner, revision=revision))
             self._task_owner.spawn(self._start(runner), f"batch-start-{spec.batch_id}")
 
-    def _announce_owner(self, batch_id: BatchId, owner: StoredOwner) -> None:
-        self._announce(OwnerNotice(batch_id=batch_id, owner=owner))
-
-    def note_owner(self, notice: OwnerNotice) -> None:
-        """Remember who owns a batch job; the store decides if this turns out to be wrong."""
-        known = self._owners.get(notice.batch_id)
-        if known is None or known.revision < notice.owner.revision:
-            self._remember_owner(notice.batch_id, notice.owner)
-
-    def _remember_owner(self, batch_id: BatchId, owner: StoredOwner) -> None:
-        if len(self._owners) >= KNOWN_OWNERS:
-            self._owners.pop(next(iter(self._owners)))
-        self._owners[batch_id] = owner
-
     async def _start(self, runner: BatchRunner) -> None:
-        runner.start(await self._collect_returned(runner.spec))
-
-    async def _collect_returned(self, spec: BatchSpec) -> ReturnedItems:
-        """Return what this and other nodes have made of items that came back."""
-        request = TakePartialTexts(
-            item_ids=tuple(item.item_id for item in spec.items),
-            minimum_version=spec.minimum_version,
-        )
-        calls = [self._ask_returned(node, request) for node in self._known_nodes()]
-        found = [self._give_up_texts(request)]
-        found.extend(await asyncio.gather(*calls))
-        returned = _joined(found)
-        if returned.item_ids:
-            log_event(
-                "items_returned",
-                batch=spec.batch_id,
-                items=len(returned.item_ids),
-                usable=len(returned.partial_texts),
-            )
-        return returned
-
-    async def _ask_returned(self, node: NetworkAddress, request: TakePartialTexts) -> ReturnedItems:
-        try:
-            reply = await self._peers.call(node, request, PARTIAL_TEXTS_LIMIT_SECONDS)
-        except PeerUnavailableError:
-            return ReturnedItems()
-        return reply.returned if isinstance(reply, PartialTextsReply) else ReturnedItems()
-
-    def _give_up_texts(self, request: TakePartialTexts) -> ReturnedItems:
-        self._lingering = [runner for runner in self._lingering if runner.is_lingering]
-        return _joined(
-            runner.give_up_texts(request.item_ids, request.minimum_version)
-            for runner in self._lingering
-        )
+        runner.start(await self._returning.collect(runner.spec))
 
     async def _own_revision(self, batch_id: BatchId) -> Revision | None:
         """Return the revision of a record that an unanswered write of this node left."""
@@ -256,13 +183,12 @@
             stored = await self.ledger.read_owner(batch_id)
         except (KeyValueError, BatchNotFoundError):
             return None
-        is_own = stored.record.boot == self._identity.boot
+        is_own = self._owners.is_own_boot(stored.record)
         return stored.revision if is_own and batch_id not in self._runners else None
 
-    def _owner_record(self, state: OwnerState, total: int) -> OwnerRecord:
-        return OwnerRecord(
-            address=self._identity.address, boot=self._identity.boot, state=state, total=total
-        )
+    def note_owner(self, notice: OwnerNotice) -> None:
+        """Take what another node tells about an owner."""
+        self._owners.note(notice)
 
     def _own(
         self, spec: BatchSpec, revision: Revision, listed: tuple[ItemResult, ...]
@@ -281,14 +207,13 @@
             on_lost=self._forget_runner,
         )
         self._runners[spec.batch_id] = runner
-        self._owners.pop(spec.batch_id, None)
         return runner
 
     def _forget_runner(self, batch_id: BatchId) -> None:
         runner = self._runners.pop(batch_id, None)
         if runner is not None and runner.is_lingering:
-            self._lingering.append(runner)
-        self._owners.pop(batch_id, None)
+            self._returning.keep(runner)
+        self._owners.forget(batch_id)
 
     # Reading, bodies, ends
 
@@ -304,31 +229,17 @@
             runner = self._runners.get(batch_id)
             if runner is not None:
                 return await runner.read(position, wait_seconds)
-            owner = await self._find_owner(batch_id, deadline)
+            owner = await self._owners.find(batch_id, deadline)
             if owner.record.state is OwnerState.ENDED:
                 return await self._read_stored(batch_id, position, owner.record.total, deadline)
-            reply = await self._ask_results(owner, batch_id, position, wait_seconds)
+            reply = await self._owners.ask_results(owner, batch_id, position, wait_seconds)
             if isinstance(reply, PageReply):
                 return reply.page
             wait_seconds = 0.0
-            await self._take_over(batch_id, owner, owner_is_gone=isinstance(reply, _GONE))
+            is_gone = isinstance(reply, NotOwnerReply)
+            await self._take_over(batch_id, owner, owner_is_gone=is_gone)
         raise BatchUnavailableError(batch_id)
 
-    async def _ask_results(
-        self, owner: StoredOwner, batch_id: BatchId, position: int, wait_seconds: float
-    ) -> PeerReply:
-        """Ask an owner until it has results from a position on or the time is up."""
-        until = self._clock.monotonic() + wait_seconds
-        while True:
-            remaining = max(0.0, until - self._clock.monotonic())
-            wait = min(remaining, OWNER_WAIT_SECONDS)
-            request = ReadResults(batch_id=batch_id, position=position, wait_seconds=wait)
-            reply = await self._ask(owner, request, wait + PEER_SLACK_SECONDS)
-            if not isinstance(reply, PageReply) or remaining <= wait:
-                return reply
-            if reply.page.results or position >= reply.page.total:
-                return reply
-
     async def _read_stored(
         self, batch_id: BatchId, position: int, total: int, deadline: float
     ) -> ResultPage:
@@ -337,7 +248,7 @@
                 results = await self.ledger.read_results(batch_id)
                 return page_of(results, total, position, PAGE_BYTES)
             except KeyValueError as error:
-                await self._pause_until(deadline, error)
+                await self._owners.pause_until(deadline, error)
 
     async def body(self, batch_id: BatchId, item_id: ItemId) -> bytes:
         """Return the body of an item of an open batch job.
@@ -352,16 +263,17 @@
             runner = self._runners.get(batch_id)
             if runner is not None:
                 return runner.body(item_id)
-            owner = await self._find_owner(batch_id, deadline)
+            owner = await self._owners.find(batch_id, deadline)
             if owner.record.state is OwnerState.ENDED:
                 raise BatchEndedError(batch_id)
             request = ReadBody(batch_id=batch_id, item_id=item_id)
-            reply = await self._ask(owner, request, PEER_SLACK_SECONDS)
+            reply = await self._owners.ask(owner, request)
             if isinstance(reply, BodyReply):
                 return reply.body
             if isinstance(reply, NotFoundReply):
                 raise BatchNotFoundError(f"{batch_id}/{item_id}")
-            await self._take_over(batch_id, owner, owner_is_gone=isinstance(reply, _GONE))
+            is_gone = isinstance(reply, NotOwnerReply)
+            await self._take_over(batch_id, owner, owner_is_gone=is_gone)
         raise BatchUnavailableError(batch_id)
 
     async def end(self, batch_id: BatchId) -> None:
@@ -373,7 +285,7 @@
         """
         deadline = self._clock.monotonic() + END_LIMIT_SECONDS
         while True:
-            owner = await self._find_owner(batch_id, deadline)
+            owner = await self._owners.find(batch_id, deadline)
             if owner.record.state is OwnerState.ENDED:
                 return
             try:
@@ -381,77 +293,32 @@
                 revision = await self.ledger.replace_owner(batch_id, owner, ended)
                 break
             except BatchMovedError:
-                self._owners.pop(batch_id, None)
+                self._owners.forget(batch_id)
             except KeyValueError as error:
-                self._owners.pop(batch_id, None)
-                await self._pause_until(deadline, error)
+                self._owners.forget(batch_id)
+                await self._owners.pause_until(deadline, error)
         self._metrics.count_batch("ended")
         log_event("batch_ended", batch=batch_id)
         self._stop_runner(batch_id)
         stored = StoredOwner(record=ended, revision=revision)
-        self._remember_owner(batch_id, stored)
-        self._announce_owner(batch_id, stored)
-        if owner.record.address != self._identity.address:
+        self._owners.announce(batch_id, stored)
+        if not self._owners.is_own_address(owner.record):
             # Tell the owner at once; it would notice at its next write or check.
             self._task_owner.spawn(self._tell_end(batch_id, owner), "batch-end")
 
     async def _tell_end(self, batch_id: BatchId, owner: StoredOwner) -> None:
-        await self._ask(owner, EndBatch(batch_id=batch_id), PEER_SLACK_SECONDS)
+        await self._owners.ask(owner, EndBatch(batch_id=batch_id))
 
     def _stop_runner(self, batch_id: BatchId) -> None:
         """Let the runs of an ended batch job go on for a while; it lists nothing more."""
         runner = self._runners.pop(batch_id, None)
-        self._owners.pop(batch_id, None)
+        self._owners.forget(batch_id)
         if runner is not None:
             runner.linger()
-            self._lingering.append(runner)
+            self._returning.keep(runner)
 
     # Owners
 
-    async def _find_owner(self, batch_id: BatchId, deadline: float) -> StoredOwner:
-        known = self._owners.get(batch_id)
-        if known is not None:
-            return known
-        while True:
-            try:
-                owner = await self.ledger.read_owner(batch_id)
-                break
-            except KeyValueError as error:
-                await self._pause_until(deadline, error)
-        self._remember_owner(batch_id, owner)
-        return owner
-
-    async def _pause_until(self, deadline: float, error: KeyValueError) -> None:
-        if self._clock.monotonic() + STORE_RETRY_SECONDS > deadline:
-            raise BatchUnavailableError(error.code) from error
-        await self._clock.sleep(STORE_RETRY_SECONDS)
-
-    async def _ask(
-        self, owner: StoredOwner, request: OwnerRequest, timeout_seconds: float
-    ) -> PeerReply:
-        if owner.record.address == self._identity.address:
-            # An earlier process of this machine, or this one before it learnt that it owns.
-            return NotOwnerReply()
-        try:
-            return await self._peers.call(owner.record.address, request, timeout_seconds)
-        except PeerGoneError:
-            log_event(
-                "batch_owner_gone",
-                level="WARNING",
-                batch=request.batch_id,
-                owner=str(owner.record.address),
-            )
-            return NotOwnerReply()
-        except PeerUnavailableError as error:
-            log_event(
-                "batch_owner_silent",
-                level="WARNING",
-                batch=request.batch_id,
-                owner=str(owner.record.address),
-                detail=str(error),
-            )
-            return UnavailableReply()
-
     async def _take_over(
         self, batch_id: BatchId, silent: StoredOwner, *, owner_is_gone: bool
     ) -> None:
@@ -459,14 +326,14 @@
 
         The record is read again: if it has changed, the new owner is asked instead.
         """
-        self._owners.pop(batch_id, None)
+        self._owners.forget(batch_id)
         if self._leaving:
             return
         try:
             owner = await self.ledger.read_owner(batch_id)
             if owner.revision != silent.revision or owner.record.state is OwnerState.ENDED:
                 return
-            record = self._owner_record(OwnerState.OPEN, owner.record.total)
+            record = self._owners.own_record(owner.record.total)
             revision = await self.ledger.replace_owner(batch_id, owner, record)
             stored = await self.ledger.read(batch_id)
         except BatchMovedError:
@@ -495,14 +362,12 @@
     async def handle_peer(self, request: BatchRequest) -> PeerReply:
         """Answer a call of another node, as the owner only."""
         if isinstance(request, TakePartialTexts):
-            return PartialTextsReply(returned=self._give_up_texts(request))
+            return PartialTextsReply(returned=self._returning.give_up(request))
         runner = self._runners.get(request.batch_id)
         match request:
             case EndBatch(batch_id=batch_id):
                 self._stop_runner(batch_id)
                 return DoneReply()
-            case HandOver(batch_id=batch_id):
-                return await self._accept_hand_over(batch_id)
             case _ if runner is None:
                 return NotOwnerReply()
             case ReadResults(position=position, wait_seconds=wait_seconds):
@@ -513,14 +378,6 @@
                 except BatchNotFoundError:
                     return NotFoundReply()
 
-    async def _accept_hand_over(self, batch_id: BatchId) -> PeerReply:
-        try:
-            owner = await self.ledger.read_owner(batch_id)
-            await self._take_over(batch_id, owner, owner_is_gone=False)
-        except (KeyValueError, BatchNotFoundError, BatchUnavailableError):
-            return UnavailableReply()
-        return DoneReply()
-
     def turn_away(self) -> None:
         """Own no further batch job; those that are owned go on."""
         self._leaving = True
@@ -528,21 +385,12 @@
     def leave(self) -> None:
         """Own nothing more: the process is about to end; the next caller takes over."""
         self._leaving = True
-        for runner in [*self._runners.values(), *self._lingering]:
+        self._returning.close()
+        for runner in self._runners.values():
             runner.close()
         self._runners.clear()
 
 
-def _joined(found: Iterable[ReturnedItems]) -> ReturnedItems:
-    """Return what several batch jobs or nodes knew, each item once."""
-    item_ids: dict[ItemId, None] = {}
-    partial_texts: dict[ItemId, PartialText] = {}
-    for returned in found:
-        item_ids.update(dict.fromkeys(returned.item_ids))
-        partial_texts.update({text.item_id: text for text in returned.partial_texts})
-    return ReturnedItems(item_ids=tuple(item_ids), partial_texts=tuple(partial_texts.values()))
-
-
 def _refusal(uncertain: bool) -> BatchRefusedError | BatchOutcomeUnknownError:
     if uncertain:
         return BatchOutcomeUnknownError(
--- a/drumbay/peers/messages.py
+++ b/drumbay/peers/messages.py
@@ -36,12 +36,6 @@
     batch_id: BatchId
 
 
-class HandOver(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Ask a node to take over a batch job that its owner lets go."""
-
-    batch_id: BatchId
-
-
 class TakePartialTexts(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Ask a node for what it has made of items whose earlier batch job has ended."""
 
@@ -169,7 +163,7 @@
     """The store did not say whether it carried out the write."""
 
 
-OwnerRequest = ReadResults | ReadBody | EndBatch | HandOver
+OwnerRequest = ReadResults | ReadBody | EndBatch
 BatchRequest = OwnerRequest | TakePartialTexts
 StoreRequest = RelayRange | RelayTransaction | RelayKeepAlive | RelayGrant
 PeerRequest = BatchRequest | StoreRequest | Hello | LoadingNotice | OwnerNotice
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -10,8 +10,9 @@
 
 import msgspec
 
+from drumbay.batches.owners import ServiceIdentity
 from drumbay.batches.retention import BatchRetention
-from drumbay.batches.service import BatchService, ServiceIdentity
+from drumbay.batches.service import BatchService
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.forwarding.forwarder import Forwarder
--- a/tests/serving_world.py
+++ b/tests/serving_world.py
@@ -5,8 +5,9 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
+from drumbay.batches.owners import ServiceIdentity
 from drumbay.batches.records import BatchId, BatchItem, BatchSpec, ItemId, ItemResult
-from drumbay.batches.service import BatchService, ServiceIdentity
+from drumbay.batches.service import BatchService
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.exceptions import DeadlineExceededError
--- a/tests/test_platform_serving.py
+++ b/tests/test_platform_serving.py
@@ -12,7 +12,7 @@
 from drumbay_platform.store import PlatformStore
 from tornado.testing import bind_unused_port
 
-from drumbay.batches.service import ServiceIdentity
+from drumbay.batches.owners import ServiceIdentity
 from drumbay.clock import SystemClock
 from drumbay.comm.http_exchange import HttpExchange, HttpRequest, NetworkAddress
 from drumbay.identifiers import WeightVersion
