--- /dev/null
+++ b/tests/test_platform_processes.py
@@ -0,0 +1,156 @@
+"""The platform's processes as real ones: start, settings, signals, planned stop."""
+
+import asyncio
+import json
+import os
+import random
+import signal
+import sys
+import tempfile
+import unittest
+from asyncio.subprocess import PIPE, Process
+from pathlib import Path
+
+from tornado.testing import bind_unused_port
+
+from drumbay.clock import SystemClock
+from drumbay.comm.http_exchange import (
+    ExchangeBrokenError,
+    ExchangeNotSentError,
+    HttpExchange,
+    HttpRequest,
+    NetworkAddress,
+)
+from drumbay.kv.interface import Put
+from drumbay.standins.kv_model import KeyValueModel
+from tests.platform_emulator import PlatformStoreServer
+
+ROOT = Path(__file__).resolve().parent.parent
+LIMIT_SECONDS = 60.0
+"""Long against every step on a busy machine; a step that never comes fails the test."""
+
+
+def free_port() -> int:
+    """Return a port that nobody listens at."""
+    listener, port = bind_unused_port()
+    listener.close()
+    return port
+
+
+class ProcessTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.model = KeyValueModel(SystemClock(), generator=random.Random(1))
+        self.store = PlatformStoreServer(self.model)
+        self.addAsyncCleanup(self.store.close)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.settings_file = Path(folder.name) / "settings.conf"
+        self.ready = NetworkAddress("127.0.0.1", free_port())
+        self.write_settings()
+
+    def write_settings(self, **changes: str) -> None:
+        fields = {
+            "node": "machine-1",
+            "ip": "127.0.0.1",
+            "zone": "z",
+            "listen.front": f"127.0.0.1:{free_port()}",
+            "listen.ready": str(self.ready),
+            "portRange": f"{free_port()},0",
+            "bounds.graceS": "6",
+            "platform.addr": str(self.store.address),
+            **changes,
+        }
+        lines = [f"{name}={value}\n" for name, value in fields.items() if value]
+        self.settings_file.write_text("".join(lines))
+
+    async def start(self, *arguments: str) -> Process:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "platform" / "run.py"),
+            *arguments,
+            stdout=PIPE,
+            env={**os.environ, "DRUMBAY_NODE_FILE": str(self.settings_file)},
+        )
+        self.addCleanup(self.end, process)
+        return process
+
+    @staticmethod
+    def end(process: Process) -> None:
+        if process.returncode is None:
+            process.kill()
+
+    async def wait_line(self, process: Process, word: str) -> str:
+        """Return the first line of the output that has a word in it."""
+        assert process.stdout is not None
+        async with asyncio.timeout(LIMIT_SECONDS):
+            while line := (await process.stdout.readline()).decode():
+                if word in line:
+                    return line
+        raise AssertionError(f"the output ended without {word}")
+
+    async def ask_ready(self) -> int | None:
+        headers = (("Host", str(self.ready)),)
+        request = HttpRequest(method="GET", target="/readyz", headers=headers)
+        try:
+            exchange = await HttpExchange.open(self.ready, request, 1.0)
+            try:
+                return await exchange.read_status()
+            finally:
+                exchange.close()
+        except (ExchangeNotSentError, ExchangeBrokenError):
+            return None
+
+    def put(self, key: str, value: object) -> None:
+        self.model.transact((), (Put(key=key, value=json.dumps(value).encode()),))
+
+    async def test_an_edge_process_serves_and_stops_as_planned(self) -> None:
+        process = await self.start("edge")
+        await self.wait_line(process, "event=serving_started")
+        self.assertEqual(await self.ask_ready(), 503)
+        self.put("op/config", {"ver": 1, "routes": []})
+        await self.wait_line(process, "event=routes_in_force")
+        async with asyncio.timeout(LIMIT_SECONDS):
+            while True:
+                if await self.ask_ready() == 200:
+                    break
+                await asyncio.sleep(0.05)
+            process.send_signal(signal.SIGHUP)
+            await self.wait_line(process, "event=settings_changed")
+            self.assertEqual(await self.ask_ready(), 200)
+            process.send_signal(signal.SIGTERM)
+            await self.wait_line(process, "event=serving_stopped")
+            self.assertEqual(await process.wait(), 0)
+
+    async def test_a_storage_process_outlives_sighup_and_says_that_it_is_empty(self) -> None:
+        process = await self.start("storage")
+        await self.wait_line(process, "event=storage_started")
+        process.send_signal(signal.SIGHUP)
+        await self.wait_line(process, "event=settings_changed")
+        self.put("op/retire/machine-1", {"deadlineS": 10})
+        await self.wait_line(process, "event=retire_reported")
+        (status,) = self.model.range_prefix("status/retire/machine-1").items
+        self.assertEqual(json.loads(status.value), {"state": "done"})
+        process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(LIMIT_SECONDS):
+            self.assertEqual(await process.wait(), 0)
+
+    async def test_settings_are_checked_before_anything_starts(self) -> None:
+        process = await self.start("check")
+        line = await self.wait_line(process, "event=settings_usable")
+        self.assertIn("zone=z", line)
+        for arguments, changes, word in (
+            (("edge",), {"platform.addr": ""}, "platform.addr"),
+            (("edge",), {"listen.front": ""}, "listen.front"),
+            (("edge",), {"portRange": "many"}, "many"),
+            (("other",), {}, "edge, storage, check"),
+            ((), {}, "edge, storage, check"),
+        ):
+            self.write_settings(**changes)
+            process = await self.start(*arguments)
+            self.assertIn(word, await self.wait_line(process, "event=settings_not_usable"))
+            async with asyncio.timeout(LIMIT_SECONDS):
+                self.assertEqual(await process.wait(), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
