--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -52,7 +52,6 @@
     NotFoundReply,
     NotOwnerReply,
     OwnerNotice,
-    PaceNotice,
     PageReply,
     PartialTextsReply,
     PeerReply,
@@ -88,7 +87,7 @@
         identity: ServiceIdentity,
         known_nodes: Callable[[], list[NetworkAddress]],
         newest_version: Callable[[str], WeightVersion],
-        announce: Callable[[OwnerNotice | PaceNotice], None],
+        announce: Callable[[OwnerNotice], None],
         metrics: ServingMetrics,
     ) -> None:
         """Create a service that owns nothing.
@@ -103,7 +102,7 @@
             identity: This process.
             known_nodes: Lists the other nodes.
             newest_version: Returns the newest version named for a model.
-            announce: Tells the other nodes who owns a batch job, and paces of workers.
+            announce: Tells the other nodes who owns a batch job.
             metrics: Counts what happens to batch jobs.
         """
         self._clock = clock
@@ -112,7 +111,6 @@
         self._client = client
         self._task_owner = task_owner
         self._newest_version = newest_version
-        self._announce = announce
         self._metrics = metrics
         self._runners: dict[BatchId, BatchRunner] = {}
         self._owners = OwnerTable(clock, self.ledger, peers, identity, announce)
@@ -318,8 +316,6 @@
         if runner is not None:
             runner.linger()
             self._returning.keep(runner)
-            # The next batch job may be another node's, and wants fast workers for long items.
-            self._announce(PaceNotice(best_pace_seconds=self._directory.best_paces()))
 
     # Owners
 
--- a/drumbay/batches/worker_choice.py
+++ b/drumbay/batches/worker_choice.py
@@ -16,11 +16,6 @@
 
 OLD_WEIGHTS_PENALTY = 0.2
 OCCUPANCY_PENALTY = 0.1
-FAST_FACTOR = 1.15
-FAST_RESERVE = 0.25
-"""Share of the places of fast workers that short items leave to long ones while slower workers
-have room: a run is slower the more run beside it, and long items decide when a step is whole."""
-
 DEFAULT_PACE_SECONDS = 0.045
 
 
@@ -61,7 +56,6 @@
             worker_id: record.current_pace(now) or self._median
             for worker_id, record in workers.items()
         }
-        self._best = min(self._paces.values(), default=DEFAULT_PACE_SECONDS)
         self._versions = {
             worker_id: record.versions.get(spec.model, WeightVersion(-1))
             for worker_id, record in workers.items()
@@ -117,6 +111,5 @@
     def _cost_of_short(self, worker_id: BackendId, group: str) -> float:
         # The items of a group share a prompt, which a worker reads once.
         shares_prompt = self._group_workers.get(group) == worker_id
-        is_fast = self._paces[worker_id] <= FAST_FACTOR * self._best
-        occupancy = self._occupancy(worker_id) + (FAST_RESERVE if is_fast else 0.0)
+        occupancy = self._occupancy(worker_id) * self._paces[worker_id] / self._median
         return occupancy - shares_prompt
--- a/drumbay/peers/messages.py
+++ b/drumbay/peers/messages.py
@@ -90,12 +90,6 @@
     owner: StoredOwner
 
 
-class PaceNotice(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """A node tells the best paces of workers that it has seen, in seconds between events."""
-
-    best_pace_seconds: dict[BackendId, float]
-
-
 class LoadingNotice(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """The leader tells that a worker loads weights for some seconds."""
 
@@ -172,7 +166,7 @@
 OwnerRequest = ReadResults | ReadBody | EndBatch
 BatchRequest = OwnerRequest | TakePartialTexts
 StoreRequest = RelayRange | RelayTransaction | RelayKeepAlive | RelayGrant
-PeerRequest = BatchRequest | StoreRequest | Hello | LoadingNotice | OwnerNotice | PaceNotice
+PeerRequest = BatchRequest | StoreRequest | Hello | LoadingNotice | OwnerNotice
 PeerReply = (
     PageReply
     | PartialTextsReply
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -28,7 +28,6 @@
     Hello,
     LoadingNotice,
     OwnerNotice,
-    PaceNotice,
     PeerReply,
     PeerRequest,
     RelayGrant,
@@ -198,13 +197,11 @@
         self._note_loading(notice)
         self._tell_all(notice)
 
-    def _tell_all(self, notice: LoadingNotice | OwnerNotice | PaceNotice) -> None:
+    def _tell_all(self, notice: LoadingNotice | OwnerNotice) -> None:
         for address in self._peer_directory.responsive():
             self._tasks.spawn(self._tell(address, notice), "notice")
 
-    async def _tell(
-        self, address: NetworkAddress, notice: LoadingNotice | OwnerNotice | PaceNotice
-    ) -> None:
+    async def _tell(self, address: NetworkAddress, notice: LoadingNotice | OwnerNotice) -> None:
         with suppress(PeerUnavailableError):
             await self._environment.peers.call(address, notice, NOTICE_TIMEOUT_SECONDS)
 
@@ -221,9 +218,6 @@
             case OwnerNotice():
                 self.batches.note_owner(request)
                 return DoneReply()
-            case PaceNotice(best_pace_seconds=paces):
-                self.directory.note_best_paces(paces)
-                return DoneReply()
             case LoadingNotice():
                 self._note_loading(request)
                 return DoneReply()
--- a/drumbay/workers/directory.py
+++ b/drumbay/workers/directory.py
@@ -171,24 +171,6 @@
             if best is None or record.pace_seconds < best:
                 record.best_pace_seconds = record.pace_seconds
 
-    def best_paces(self) -> dict[BackendId, float]:
-        """Return the best pace of each worker that this node has seen one of."""
-        return {
-            worker_id: record.best_pace_seconds
-            for worker_id, record in self._records.items()
-            if record.best_pace_seconds is not None
-        }
-
-    def note_best_paces(self, paces: Mapping[BackendId, float]) -> None:
-        """Take the best paces that another node has seen."""
-        for worker_id, pace_seconds in paces.items():
-            record = self._records.get(worker_id)
-            if record is None:
-                continue
-            best = record.best_pace_seconds
-            if best is None or pace_seconds < best:
-                record.best_pace_seconds = pace_seconds
-
     def note_loading(self, worker_id: BackendId, model: str, until: float) -> None:
         """Send a worker nothing for a model whose weights it loads until then."""
         record = self._records.get(worker_id)
