--- a/tests/test_version_loading.py
+++ b/tests/test_version_loading.py
@@ -109,6 +109,28 @@
 
         play(scenario, node_count=3)
 
+    def test_a_successor_of_a_leader_that_resigned_waits_as_well(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            for node in world.nodes:
+                node.lead()
+            await asyncio.sleep(1.0)
+            for node in world.nodes:
+                node.named.name("m", WeightVersion(2))
+            await asyncio.sleep(0.5)
+            now = world.clock.monotonic()
+            leader = next(node for node in world.nodes if node.leader.fence(now) is not None)
+            await leader.leader.resign()
+            for node in world.nodes:
+                node.named.name("m", WeightVersion(3))
+            await leader.kill()
+            await asyncio.sleep(33.0)
+            orders = world.workers.orders
+            holders = [logged.order.holder for logged in orders]
+            change = next(i for i, holder in enumerate(holders) if holder != holders[0])
+            self.assertGreaterEqual(orders[change].at - orders[change - 1].at, LEASE_SECONDS)
+
+        play(scenario, node_count=3)
+
     def test_a_restarted_leader_leads_again_at_once_with_a_newer_fence(self) -> None:
         async def scenario(world: ServingWorld) -> None:
             world.nodes[0].lead()
