--- a/drumbay/batches/worker_choice.py
+++ b/drumbay/batches/worker_choice.py
@@ -17,6 +17,8 @@
 OLD_WEIGHTS_PENALTY = 0.2
 OCCUPANCY_PENALTY = 0.1
 DEFAULT_PACE_SECONDS = 0.045
+UNVERSIONED = WeightVersion(0)
+"""Version of a model that a worker does not name: fit for batch jobs that ask for none."""
 
 
 class PlaceRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -46,7 +48,7 @@
         self._free = {
             worker_id: record.free_slots_for(spec.model, now)
             for worker_id, record in workers.items()
-            if record.versions.get(spec.model, WeightVersion(-1)) >= spec.minimum_version
+            if record.versions.get(spec.model, UNVERSIONED) >= spec.minimum_version
         }
         self._room = sum(self._free.values())
         seen = [record.current_pace(now) for record in workers.values()]
@@ -57,7 +59,7 @@
             for worker_id, record in workers.items()
         }
         self._versions = {
-            worker_id: record.versions.get(spec.model, WeightVersion(-1))
+            worker_id: record.versions.get(spec.model, UNVERSIONED)
             for worker_id, record in workers.items()
         }
         self._newest = newest_version
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -122,6 +122,12 @@
             [stop.reason for stop in stops if isinstance(stop, StopRun)], ["given_up"] * 2
         )
 
+    def test_a_batch_job_that_asks_for_no_version_runs_on_workers_that_name_none(self) -> None:
+        spec = msgspec.structs.replace(batch_spec(groups=2, minimum_version=0), model="")
+        self.assertEqual(len(self.plan(BatchScheduler(spec, 0.0, ()), 0.0)), 8)
+        spec = msgspec.structs.replace(spec, minimum_version=WeightVersion(1))
+        self.assertEqual(self.plan(BatchScheduler(spec, 0.0, ()), 0.0), ())
+
     def test_a_refused_worker_gets_one_probe_at_a_time(self) -> None:
         for worker in ("w1", "w2"):
             self.directory.pause(BackendId(worker), 0.0, 100.0)
