Explain a failed request, batch job or item from log files alone

drumbay explain-logs ID FILES... reads the processes' lines, prints the cause first and then each decision in order over all processes. Tests: test_explain_logs. It runs on an operator's machine; nothing of it is loaded by the nodes.

--- a/drumbay/cli/main.py
+++ b/drumbay/cli/main.py
@@ -35,6 +35,7 @@
     "operation": CommandSource("drumbay.cli.operators", "operation"),
     "status": CommandSource("drumbay.cli.operators", "status"),
     "explain": CommandSource("drumbay.cli.explain", "explain"),
+    "explain-logs": CommandSource("drumbay.cli.explain_logs", "explain_logs"),
     "token": CommandSource("drumbay.cli.token", "token"),
     "acceptance": CommandSource("drumbay.cli.acceptance", "acceptance"),
     "simulate": CommandSource("drumbay.cli.simulate", "simulate"),
--- /dev/null
+++ b/tests/test_explain_logs.py
@@ -0,0 +1,99 @@
+"""The command that explains an id from log files alone."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from typer.testing import CliRunner
+
+from drumbay.cli.main import make_app
+from drumbay.explain.log_lines import LogLine, parse_line
+from drumbay.explain.log_story import tell
+
+DAY = "2026-12-02T10:00:"
+LOOKUPS = f"""\
+time={DAY}01.000+00:00 level=info event=request_served request=r1 route=l status=200 sent=2 \
+refusals=0 workers=w1,w2 elapsed_seconds=0.09
+time={DAY}02.000+00:00 level=warning event=request_not_served request=r2 route=l service=s \
+error=request_timed_out execution=may_have_run sent=1 refusals=0 workers=w1 elapsed_seconds=1.5
+time={DAY}03.000+00:00 level=warning event=request_not_served request=r3 route=l service=s \
+error=request_timed_out execution=may_have_run sent=2 refusals=0 workers=w1,w2 elapsed_seconds=1.5
+time={DAY}04.000+00:00 level=warning event=request_not_served request=r4 route=l service=s \
+error=no_worker execution=not_run sent=3 refusals=3 workers=w1,w2,w3 elapsed_seconds=0.1
+time={DAY}05.000+00:00 level=warning event=request_not_served request=r5 route=l service=s \
+error=no_worker execution=not_run sent=0 refusals=0 workers= elapsed_seconds=0.0
+time={DAY}06.000+00:00 level=info event=request_without_route request=r6 host=h path=/x \
+configuration=7
+"""
+BATCH = f"""\
+time={DAY}10.000+00:00 level=info event=batch_accepted batch=b1 items=2 step=1
+time={DAY}10.010+00:00 level=info event=item_run_started batch=b1 item=i1 worker=w1 version=1
+time={DAY}10.900+00:00 level=info event=item_run_started batch=b1 item=i2 worker=w1 version=1
+time={DAY}11.000+00:00 level=info event=item_finished batch=b1 item=i1 state=done missing_groups=1
+time={DAY}12.000+00:00 level=warning event=item_run_failed batch=b1 item=i2 worker=w1 failure=broken
+time={DAY}12.100+00:00 level=warning event=batch_append_failed batch=b1 position=1 error=x
+"""
+OTHER_NODE = f"""\
+time={DAY}13.000+00:00 level=warning event=batch_taken_over batch=b1 previous=n1:1 listed=1 saved=1
+time={DAY}13.010+00:00 level=info event=item_run_started batch=b1 item=i2 worker=w2 version=1
+time={DAY}15.000+00:00 level=info event=item_finished batch=b1 item=i2 state=done missing_groups=0
+time={DAY}15.100+00:00 level=info event=batch_listed batch=b1 items=2
+some other output
+"""
+
+
+class StoryTest(unittest.TestCase):
+    def lines(self, text: str, process: str = "n1") -> list[LogLine]:
+        parsed = [parse_line(line, process) for line in text.splitlines()]
+        return [line for line in parsed if line is not None]
+
+    def cause(self, subject_id: str) -> str:
+        lines = self.lines(LOOKUPS) + self.lines(BATCH) + self.lines(OTHER_NODE, "n2")
+        story = tell(subject_id, lines)
+        assert story is not None
+        return story.cause
+
+    def test_lookups(self) -> None:
+        self.assertEqual(self.cause("r1"), "answered 200 after 0.09 s, sent to 2 worker(s): w1,w2")
+        self.assertIn("no whole answer within 1.5 s from w1; 2 other", self.cause("r2"))
+        self.assertIn("each of the 3 sends was refused", self.cause("r4"))
+        self.assertIn("no_worker (not_run): no worker of s could be used", self.cause("r5"))
+        self.assertIn("no route for h/x in configuration 7 at n1", self.cause("r6"))
+
+    def test_a_late_batch_job(self) -> None:
+        cause = self.cause("b1")
+        self.assertIn("listed whole after 5.10 s", cause)
+        self.assertIn("1 x batch_append_failed", cause)
+        self.assertIn("taken over from n1:1 by n2 after 3.00 s with 1 listed and 1 saved", cause)
+        self.assertIn(
+            "item i2 done after 4.10 s in 2 run(s) on 2 worker(s); interrupted: 1 x broken,"
+            " started 0.90 s late",
+            cause,
+        )
+
+    def test_an_item(self) -> None:
+        self.assertEqual(self.cause("i1"), "done after 0.99 s in 1 run(s) on 1 worker(s)")
+
+    def test_lines_of_the_bench_name_their_process(self) -> None:
+        text = f'   4.5 edge-1 time={DAY}01.000+00:00 level=info event=e detail="two words" a=1'
+        line = parse_line(text, "file")
+        assert line is not None
+        self.assertEqual((line.process, line.event), ("edge-1", "e"))
+        self.assertEqual(line.fields, {"detail": "two words", "a": "1"})
+
+    def test_the_command(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            (Path(folder) / "n1.log").write_text(BATCH)
+            (Path(folder) / "n2.log").write_text(OTHER_NODE)
+            done = CliRunner().invoke(make_app(["explain-logs"]), ["explain-logs", "b1", folder])
+            self.assertEqual(done.exit_code, 0, done.output)
+            self.assertIn("listed whole after 5.10 s", done.output.splitlines()[0])
+            self.assertIn("n2 batch_taken_over previous=n1:1", done.output)
+            missing = CliRunner().invoke(
+                make_app(["explain-logs"]), ["explain-logs", "nobody", folder]
+            )
+            self.assertNotEqual(missing.exit_code, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
