--- /dev/null
+++ b/tests/test_batch_store.py
@@ -0,0 +1,139 @@
+"""Batch jobs and the store: outages, lost answers, deletion, calls through other nodes."""
+
+import asyncio
+import unittest
+
+from drumbay.batches.exceptions import (
+    BatchNotFoundError,
+    BatchOutcomeUnknownError,
+    BatchRefusedError,
+)
+from drumbay.batches.records import BatchId
+from drumbay.batches.retention import BatchRetention
+from drumbay.standins.kv_faults import KeyValueFaults
+from tests.serving_world import ServingWorld, WorldNode, batch_spec, play, read_all
+
+BATCH = BatchId("batch")
+
+
+class StoreTest(unittest.TestCase):
+    def test_positions_are_listed_only_once_the_store_has_them(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            await world.nodes[0].batches.submit(batch_spec())
+            world.model.set_faults(KeyValueFaults(outage=True))
+            await asyncio.sleep(4.0)
+            page = await world.nodes[0].batches.read(BATCH, 0, 0.0)
+            self.assertEqual(page.results, ())
+            world.model.set_faults(KeyValueFaults())
+            results = await read_all(world.nodes[0].batches, BATCH)
+            self.assertEqual(len(results), 12)
+            self.assertEqual(len(world.workers.runs), 12)
+
+        play(scenario)
+
+    def test_lost_answers_of_the_store_change_nothing(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            world.model.set_faults(KeyValueFaults(lost_answers=1))
+            await world.nodes[0].batches.submit(batch_spec())
+            world.model.set_faults(KeyValueFaults(lost_answer_probability=0.6))
+            results = await read_all(world.nodes[0].batches, BATCH, 60.0)
+            world.model.set_faults(KeyValueFaults())
+            self.assertEqual(len({result.item_id for result in results}), 12)
+            again = await read_all(world.nodes[1].batches, BATCH)
+            self.assertEqual(again, results)
+
+        play(scenario)
+
+    def test_a_submission_is_refused_when_the_store_is_away_for_long(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            world.model.set_faults(KeyValueFaults(outage=True))
+            with self.assertRaises(BatchRefusedError) as raised:
+                await world.nodes[0].batches.submit(batch_spec())
+            self.assertIsNotNone(raised.exception.retry_after_seconds)
+            await asyncio.sleep(10.0)
+            self.assertEqual(world.workers.runs, [])
+
+        play(scenario)
+
+    def test_a_submission_that_may_have_been_taken_is_not_refused(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            world.model.set_faults(KeyValueFaults(lost_answers=100))
+            with self.assertRaises(BatchOutcomeUnknownError):
+                await world.nodes[0].batches.submit(batch_spec())
+
+        play(scenario)
+
+
+class RetentionTest(unittest.TestCase):
+    def test_ended_batch_jobs_are_deleted_when_they_are_old_and_no_others(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            service = world.nodes[0].batches
+            retention = BatchRetention(world.clock, service.ledger, 120.0, lambda: True)
+            for name in ("ended", "open"):
+                await service.submit(batch_spec(name))
+                await read_all(service, BatchId(name))
+            await service.end(BatchId("ended"))
+            await asyncio.sleep(200.0)
+            await service.submit(batch_spec("young"))
+            await service.end(BatchId("young"))
+            await retention.sweep()
+            self.assertEqual(len(await read_all(world.nodes[1].batches, BatchId("ended"))), 12)
+            await asyncio.sleep(45.0)
+            await retention.sweep()
+            with self.assertRaises(BatchNotFoundError):
+                await WorldNode(world, 3, 0).batches.read(BatchId("ended"), 0, 0.0)
+            self.assertEqual(len(await read_all(world.nodes[1].batches, BatchId("open"))), 12)
+            page = await world.nodes[1].batches.read(BatchId("young"), 0, 0.0)
+            self.assertEqual(page.total, 12)
+            left = (await world.nodes[0].store.range_prefix("drumbay/")).items
+            self.assertEqual([item.key for item in left if "ended" in item.key], [])
+
+        play(scenario)
+
+
+class RelayTest(unittest.TestCase):
+    """The store refuses one machine while it serves the others."""
+
+    async def submit_and_cut(self, world: ServingWorld) -> None:
+        for node in world.nodes:
+            node.lead()
+        await asyncio.sleep(5.0)
+        await world.nodes[0].batches.submit(batch_spec(groups=10))
+        world.nodes[0].store.reachable = False
+
+    def test_an_owner_that_alone_is_cut_off_lists_through_another_node(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            await self.submit_and_cut(world)
+            results = await read_all(world.nodes[1].batches, BATCH, 6.0)
+            self.assertEqual(len(results), 40)
+            self.assertEqual(len(world.workers.runs), 40)
+            self.assertEqual(world.nodes[0].batches.owned, 1)
+
+        play(scenario)
+
+    def test_a_node_that_alone_is_cut_off_still_takes_batch_jobs(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            await self.submit_and_cut(world)
+            await world.nodes[0].batches.submit(batch_spec("other"))
+            results = await read_all(world.nodes[0].batches, BatchId("other"), 6.0)
+            self.assertEqual(len(results), 12)
+
+        play(scenario)
+
+    def test_a_leader_that_alone_is_cut_off_keeps_its_lease(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            for node in world.nodes:
+                node.lead()
+            await asyncio.sleep(5.0)
+            now = world.clock.monotonic()
+            leader = next(n for n in world.nodes if n.leader.fence(now) is not None)
+            fence = leader.leader.fence(now)
+            leader.store.reachable = False
+            await asyncio.sleep(10.0)
+            self.assertEqual(leader.leader.fence(world.clock.monotonic()), fence)
+
+        play(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
