Let few nodes watch the store, and the others follow these

Nodes also read each other's entries and greeted each other one by one.

A copy never goes back to an older revision. Only watchers campaign for the lead. Entries of nodes are a feed like others: greetings and their listing are gone.

--- a/drumbay/kv/follower.py
+++ b/drumbay/kv/follower.py
@@ -5,81 +5,67 @@
 """
 
 import random
-from collections.abc import Callable
-
-import msgspec
 
 from drumbay.clock import Clock
 from drumbay.identifiers import Revision
 from drumbay.kv.backoff import Backoff
-from drumbay.kv.interface import (
-    KeyValue,
-    KeyValueError,
-    KeyValueStore,
-    WatchCompactedError,
-    WatchEvent,
-)
+from drumbay.kv.interface import KeyValueError, KeyValueStore, WatchCompactedError
+from drumbay.kv.mirror import FeedMirror
 from drumbay.observability.logs import log_event
 
 FIRST_RETRY_SECONDS = 0.05
 LONGEST_RETRY_SECONDS = 0.8
 
 
-class PrefixFeed(msgspec.Struct, frozen=True, kw_only=True):
-    """What is followed, and who is told.
-
-    ``pause_seconds`` passes after each batch of changes, so that changes that come together
-    cost one call.
-    """
-
-    prefix: str
-    on_snapshot: Callable[[tuple[KeyValue, ...]], None]
-    on_event: Callable[[WatchEvent], None]
-    pause_seconds: float = 0.1
-
-
 class PrefixFollower:
-    """Keeps one feed up to date."""
+    """Keeps one copy up to date from the service itself."""
 
     def __init__(
-        self, clock: Clock, store: KeyValueStore, feed: PrefixFeed, generator: random.Random
+        self, clock: Clock, store: KeyValueStore, mirror: FeedMirror, generator: random.Random
     ) -> None:
-        """Create a follower that has read nothing."""
+        """Create a follower; it goes on from what the copy knows already."""
         self._clock = clock
         self._store = store
-        self._feed = feed
+        self._mirror = mirror
         self._backoff = Backoff(
             generator, first_seconds=FIRST_RETRY_SECONDS, longest_seconds=LONGEST_RETRY_SECONDS
         )
-        self._revision: Revision | None = None
+        self._needs_snapshot = mirror.revision is None
         self._connected = True
 
     async def run(self) -> None:
         """Follow until cancelled."""
-        while True:
-            try:
-                await self._follow()
-            except WatchCompactedError:
-                log_event("store_history_lost", level="WARNING", prefix=self._feed.prefix)
-                self._revision = None
-            except KeyValueError as error:
-                self._note_connection(False, error.code)
-                self._revision = None
-                await self._clock.sleep(self._backoff.next_delay_seconds())
+        try:
+            while True:
+                await self._run_once()
+        finally:
+            self._mirror.is_connected = False
+
+    async def _run_once(self) -> None:
+        try:
+            await self._follow()
+        except WatchCompactedError:
+            log_event("store_history_lost", level="WARNING", prefix=self._mirror.feed.prefix)
+            self._needs_snapshot = True
+            self._mirror.is_connected = False
+        except KeyValueError as error:
+            self._note_connection(False, error.code)
+            self._needs_snapshot = True
+            self._mirror.is_connected = False
+            await self._clock.sleep(self._backoff.next_delay_seconds())
 
     async def _follow(self) -> None:
-        if self._revision is None:
-            found = await self._store.range_prefix(self._feed.prefix)
-            self._feed.on_snapshot(found.items)
-            self._revision = found.revision
-        start = Revision(self._revision + 1)
-        async for batch in self._store.watch_prefix(self._feed.prefix, start):
+        mirror = self._mirror
+        if self._needs_snapshot:
+            mirror.take_snapshot(await self._store.range_prefix(mirror.feed.prefix))
+            self._needs_snapshot = False
+        mirror.is_connected = True
+        start = Revision((mirror.revision or 0) + 1)
+        async for batch in self._store.watch_prefix(mirror.feed.prefix, start):
             self._note_connection(True, None)
-            for event in batch.events:
-                self._feed.on_event(event)
-            self._revision = max(self._revision, batch.revision)
+            mirror.take_batch(batch)
             if batch.events:
-                await self._clock.sleep(self._feed.pause_seconds)
+                await self._clock.sleep(mirror.feed.pause_seconds)
 
     def _note_connection(self, connected: bool, error: str | None) -> None:
         if connected:
@@ -91,7 +77,7 @@
         log_event(
             event,
             level="INFO" if connected else "WARNING",
-            prefix=self._feed.prefix,
-            revision=self._revision,
+            prefix=self._mirror.feed.prefix,
+            revision=self._mirror.revision,
             error=error,
         )
--- /dev/null
+++ b/drumbay/kv/mirror.py
@@ -0,0 +1,138 @@
+"""A copy of one prefix of the key-value service: its items, revision and recent changes.
+
+The copy is fed by a snapshot and the changes after it, read from the service or from another
+node's copy. Revisions of the service rise with each change, so copies of several nodes can be
+compared, and a copy never goes back to an older revision.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+import msgspec
+
+from drumbay.identifiers import Revision
+from drumbay.kv.interface import KeyValue, RangeResult, WatchBatch, WatchEvent
+
+MAXIMUM_HISTORY = 500
+"""Changes that are kept for readers; one that is further behind gets a snapshot."""
+
+
+class PrefixFeed(msgspec.Struct, frozen=True, kw_only=True):
+    """What is followed, and who is told.
+
+    ``pause_seconds`` passes after each batch of changes, so that changes that come together
+    cost one call.
+    """
+
+    prefix: str
+    on_snapshot: Callable[[tuple[KeyValue, ...]], None]
+    on_event: Callable[[WatchEvent], None]
+    pause_seconds: float = 0.1
+
+
+class FeedCursor(msgspec.Struct, frozen=True, kw_only=True):
+    """Up to which revision a reader knows a prefix; 0 if it knows nothing."""
+
+    prefix: str
+    revision: Revision
+
+
+class FeedChanges(msgspec.Struct, frozen=True, kw_only=True):
+    """What a reader lacks of a prefix: a snapshot, or the events after its revision."""
+
+    prefix: str
+    revision: Revision
+    snapshot: tuple[KeyValue, ...] | None = None
+    events: tuple[WatchEvent, ...] = ()
+
+
+class FeedMirror:
+    """The copy of one prefix, and the feed that is told of its changes.
+
+    Attributes:
+        feed: Who is told.
+        is_connected: Whether the copy is being kept up to date from the service itself.
+    """
+
+    def __init__(self, feed: PrefixFeed) -> None:
+        """Create a copy that knows nothing."""
+        self.feed = feed
+        self.is_connected = False
+        self._items: dict[str, KeyValue] = {}
+        self._revision: Revision | None = None
+        self._history: deque[WatchEvent] = deque()
+        self._history_start = Revision(0)
+        self._changed = asyncio.Event()
+
+    @property
+    def revision(self) -> Revision | None:
+        """Return the revision up to which the copy is complete; ``None`` if nothing is known."""
+        return self._revision
+
+    @property
+    def cursor(self) -> FeedCursor:
+        """Return what this copy knows, as a reader of another one."""
+        return FeedCursor(prefix=self.feed.prefix, revision=self._revision or Revision(0))
+
+    @property
+    def changed(self) -> asyncio.Event:
+        """Return the event that is set at the next change."""
+        return self._changed
+
+    def take_snapshot(self, found: RangeResult) -> None:
+        """Take the whole prefix, unless the copy is newer already."""
+        if self._revision is not None and found.revision < self._revision:
+            return
+        self._items = {item.key: item for item in found.items}
+        self._revision = found.revision
+        self._history.clear()
+        self._history_start = found.revision
+        self.feed.on_snapshot(found.items)
+        self._announce()
+
+    def take_batch(self, batch: WatchBatch) -> None:
+        """Take changes that follow what the copy knows; known ones are passed over."""
+        known = self._revision
+        if known is None:
+            return
+        events = [event for event in batch.events if event.mod_revision > known]
+        for event in events:
+            self._apply(event)
+            self.feed.on_event(event)
+        self._revision = max(known, batch.revision)
+        if events:
+            self._announce()
+
+    def take_changes(self, changes: FeedChanges) -> None:
+        """Take what another copy has told."""
+        if changes.snapshot is not None:
+            self.take_snapshot(RangeResult(revision=changes.revision, items=changes.snapshot))
+        else:
+            self.take_batch(WatchBatch(revision=changes.revision, events=changes.events))
+
+    def changes_for(self, cursor: FeedCursor) -> FeedChanges | None:
+        """Return what a reader lacks; ``None`` if that is nothing, or it knows more."""
+        if self._revision is None or cursor.revision > self._revision:
+            return None
+        prefix = self.feed.prefix
+        if cursor.revision < self._history_start or not cursor.revision:
+            items = tuple(self._items[key] for key in sorted(self._items))
+            return FeedChanges(prefix=prefix, revision=self._revision, snapshot=items)
+        events = tuple(e for e in self._history if e.mod_revision > cursor.revision)
+        if not events:
+            return None
+        return FeedChanges(prefix=prefix, revision=self._revision, events=events)
+
+    def _apply(self, event: WatchEvent) -> None:
+        if event.item is None:
+            self._items.pop(event.key, None)
+        else:
+            self._items[event.key] = event.item
+        self._history.append(event)
+        if len(self._history) > MAXIMUM_HISTORY:
+            self._history_start = self._history.popleft().mod_revision
+
+    def _announce(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
--- a/drumbay/ownership/leader.py
+++ b/drumbay/ownership/leader.py
@@ -5,6 +5,7 @@
 """
 
 import random
+from collections.abc import Callable
 
 import msgspec
 
@@ -29,6 +30,7 @@
 RETRY_SECONDS = 0.4
 JITTER_SECONDS = 0.5
 WATCH_LIMIT_SECONDS = 60.0
+CANDIDACY_CHECK_SECONDS = 0.5
 
 
 class LeaderRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -61,13 +63,24 @@
         record: LeaderRecord,
         generator: random.Random,
         lease_seconds: float,
+        is_candidate: Callable[[], bool],
     ) -> None:
-        """Create a candidate that does not lead."""
+        """Create a node that does not lead.
+
+        Args:
+            clock: Time.
+            store: The key-value service.
+            record: This node.
+            generator: Source of random delays.
+            lease_seconds: Time of a lease.
+            is_candidate: Returns whether this node is to campaign.
+        """
         self._clock = clock
         self._store = store
         self._record = record
         self._generator = generator
         self._lease_seconds = lease_seconds
+        self._is_candidate = is_candidate
         self._fence: Fence | None = None
         self._valid_until = float("-inf")
         self._quiet_until = float("-inf")
@@ -87,6 +100,9 @@
     async def run(self) -> None:
         """Campaign and lead until cancelled."""
         while True:
+            if not self._is_candidate():
+                await self._clock.sleep(CANDIDACY_CHECK_SECONDS)
+                continue
             try:
                 seen = await self._read()
                 if seen.current is None or seen.current.machine == self._record.machine:
--- a/drumbay/peers/directory.py
+++ b/drumbay/peers/directory.py
@@ -1,9 +1,10 @@
 """The other nodes that this one can call, and whether this one reaches the store.
 
-Each node keeps its address in the store under a lease and greets the nodes that it finds there.
-An entry whose node does not answer is passed over for a while; nothing depends on the list
-being exact. Renewing the lease is also the heartbeat that tells whether connections to the
-store still work: a waiting watch cannot tell a calm store from a silent one.
+Each node keeps its address in the store under a lease. The entries are a feed like others, so
+that every node knows them. An entry whose node does not answer is passed over for a while;
+nothing depends on the list being exact. Renewing the lease is also the heartbeat that tells
+whether connections to the store still work: a waiting watch cannot tell a calm store from a
+silent one.
 """
 
 import random
@@ -13,24 +14,34 @@
 
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
-from drumbay.kv.interface import KeyValueError, KeyValueStore, LeaseNotFoundError, Put
+from drumbay.identifiers import Revision
+from drumbay.kv.interface import (
+    KeyValue,
+    KeyValueError,
+    KeyValueStore,
+    LeaseNotFoundError,
+    Put,
+    WatchEvent,
+)
+from drumbay.kv.mirror import PrefixFeed
 from drumbay.observability.logs import log_event
-from drumbay.peers.messages import Hello
-from drumbay.peers.transport import PeerClient, PeerUnavailableError
+from drumbay.peers.watchers import RegisteredNode, WatcherRanking
 
 PREFIX = "drumbay/nodes/"
-HELLO_TIMEOUT_SECONDS = 0.5
 RETRY_SECONDS = 0.5
-LEASE_SECONDS = 5.0
+LEASE_SECONDS = 7.5
 HEARTBEAT_SECONDS = 1.0
-LONGEST_GAP_SECONDS = 2.5
-"""A heartbeat that comes this long after the last one follows a pause of the process."""
+FOLLOWER_HEARTBEAT_SECONDS = 2.5
+"""A node that does not watch the store learns of its silence from those that do."""
 
-REFRESH_SECONDS = 120.0
-SETTLE_SECONDS = 2.0
-"""Nodes that start together have written their entries by then."""
+LONGEST_EXTRA_GAP_SECONDS = 1.5
+"""A heartbeat that comes so much later than planned follows a pause of the process."""
 
 SILENCE_PAUSE_SECONDS = 2.0
+GONE_PAUSE_SECONDS = 30.0
+"""Entries go when leases run out in an outage, while their nodes live on."""
+
+FEED_PAUSE_SECONDS = 0.3
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(NetworkAddress)
@@ -43,7 +54,6 @@
         self,
         clock: Clock,
         store: KeyValueStore,
-        peers: PeerClient,
         address: NetworkAddress,
         generator: random.Random,
         on_store_suspect: Callable[[], None],
@@ -53,61 +63,127 @@
         Args:
             clock: Time.
             store: The key-value service, reached directly.
-            peers: Calls to other nodes.
             address: This node.
             generator: Source of the order in which nodes are tried.
             on_store_suspect: Called when connections to the store may be dead.
         """
         self._clock = clock
         self._store = store
-        self._peers = peers
         self._address = address
         self._generator = generator
         self._on_store_suspect = on_store_suspect
-        self._known: dict[NetworkAddress, float] = {}
+        self._silent_until: dict[NetworkAddress, float] = {}
+        self._registered: dict[NetworkAddress, Revision] = {}
+        self._lease_id: int | None = None
+        self._leaving = False
+        self.ranking = WatcherRanking(nodes=())
+        self.confirmed_at = float("-inf")
+        """Monotonic time at which the store was last asked with success."""
+
+    # The feed of entries
+
+    @property
+    def feed(self) -> PrefixFeed:
+        """Return the feed of the nodes' entries."""
+        return PrefixFeed(
+            prefix=PREFIX,
+            on_snapshot=self._take_snapshot,
+            on_event=self._take_event,
+            pause_seconds=FEED_PAUSE_SECONDS,
+        )
 
-    def note(self, address: NetworkAddress) -> None:
-        """Remember a node that has named itself."""
+    def _take_snapshot(self, items: tuple[KeyValue, ...]) -> None:
+        found = {_decoder.decode(item.value): item.create_revision for item in items}
+        for address in [known for known in self._registered if known not in found]:
+            self._note_gone(address)
+        for address, revision in found.items():
+            self._note_registered(address, revision)
+        self._rank()
+
+    def _take_event(self, event: WatchEvent) -> None:
+        if event.item is None:
+            self._note_gone(NetworkAddress.parse(event.key.removeprefix(PREFIX)))
+        else:
+            address = _decoder.decode(event.item.value)
+            self._note_registered(address, event.item.create_revision)
+        self._rank()
+
+    def _note_registered(self, address: NetworkAddress, revision: Revision) -> None:
+        if self._registered.get(address) == revision:
+            return
+        self._registered[address] = revision
         if address != self._address:
-            self._known[address] = float("-inf")
+            self._silent_until[address] = float("-inf")
+
+    def _note_gone(self, address: NetworkAddress) -> None:
+        if self._registered.pop(address, None) is not None and address != self._address:
+            self._silent_until[address] = self._clock.monotonic() + GONE_PAUSE_SECONDS
+
+    def _rank(self) -> None:
+        """Rank the nodes anew, unless all entries have gone: then the last ones stand."""
+        if not self._registered:
+            return
+        self.ranking = WatcherRanking.of(
+            RegisteredNode(registered_at=revision, address=address)
+            for address, revision in self._registered.items()
+        )
+        self._forget_long_gone()
+
+    def _forget_long_gone(self) -> None:
+        now = self._clock.monotonic()
+        for address, silent_until in list(self._silent_until.items()):
+            if address not in self._registered and silent_until <= now:
+                del self._silent_until[address]
+
+    # Nodes to call
 
     def note_silent(self, address: NetworkAddress) -> None:
         """Ask a node that did not answer last for a while."""
-        if address in self._known:
-            self._known[address] = self._clock.monotonic() + SILENCE_PAUSE_SECONDS
+        if address in self._silent_until:
+            until = self._clock.monotonic() + SILENCE_PAUSE_SECONDS
+            self._silent_until[address] = max(self._silent_until[address], until)
+
+    def is_silent(self, address: NetworkAddress) -> bool:
+        """Return whether a node did not answer lately."""
+        silent_until = self._silent_until.get(address, float("-inf"))
+        return silent_until > self._clock.monotonic()
 
     def candidates(self, count: int) -> list[NetworkAddress]:
         """Return some nodes to call, in the order to try them."""
-        now = self._clock.monotonic()
-        found = list(self._known)
+        found = list(self._silent_until)
         self._generator.shuffle(found)
-        found.sort(key=lambda address: self._known[address] > now)
+        found.sort(key=self.is_silent)
         return found[:count]
 
     def responsive(self) -> list[NetworkAddress]:
         """Return every node that is not known to be silent."""
-        now = self._clock.monotonic()
-        return [address for address, silent_until in self._known.items() if silent_until <= now]
+        return [address for address in self._silent_until if not self.is_silent(address)]
 
-    async def run(self) -> None:
-        """Find the other nodes now and again, until cancelled."""
-        await self._clock.sleep(SETTLE_SECONDS)
-        while True:
-            await self._find()
-            await self._clock.sleep(REFRESH_SECONDS)
+    # This node's entry
 
     async def run_heartbeat(self) -> None:
         """Keep this node's entry under its lease, until cancelled."""
-        while True:
+        while not self._leaving:
             try:
-                lease_id = await self._register()
-                await self._keep(lease_id)
+                self._lease_id = await self._register()
+                await self._keep(self._lease_id)
             except LeaseNotFoundError:
                 continue
             except KeyValueError:
                 await self._clock.sleep(RETRY_SECONDS)
 
+    async def leave(self) -> None:
+        """Remove this node's entry, so that another node watches in its place."""
+        self._leaving = True
+        if self._lease_id is None:
+            return
+        try:
+            await self._store.revoke_lease(self._lease_id)
+        except KeyValueError as error:
+            log_event("node_entry_not_removed", level="WARNING", error=error.code)
+
     async def _register(self) -> int:
+        asked_at = self._clock.monotonic()
         lease = await self._store.grant_lease(LEASE_SECONDS)
         entry = Put(
             key=f"{PREFIX}{self._address}",
@@ -115,38 +191,27 @@
             lease_id=lease.lease_id,
         )
         await self._store.transact((), (entry,))
+        self.confirmed_at = asked_at
         return lease.lease_id
 
     async def _keep(self, lease_id: int) -> None:
         """Renew the lease until it is gone."""
         beaten_at = self._clock.monotonic()
         while True:
-            await self._clock.sleep(HEARTBEAT_SECONDS)
-            if self._clock.monotonic() - beaten_at > LONGEST_GAP_SECONDS:
+            interval_seconds = self._heartbeat_seconds()
+            await self._clock.sleep(interval_seconds)
+            asked_at = self._clock.monotonic()
+            if asked_at - beaten_at > interval_seconds + LONGEST_EXTRA_GAP_SECONDS:
                 self._on_store_suspect()
             try:
                 await self._store.keep_lease_alive(lease_id)
+                self.confirmed_at = asked_at
             except LeaseNotFoundError:
                 raise
             except KeyValueError:
                 self._on_store_suspect()
             beaten_at = self._clock.monotonic()
 
-    async def _find(self) -> None:
-        try:
-            found = await self._store.range_prefix(PREFIX)
-        except KeyValueError as error:
-            log_event("peers_not_read", level="WARNING", error=error.code)
-            return
-        for item in found.items:
-            address = _decoder.decode(item.value)
-            if address in self._known or address == self._address:
-                continue
-            self.note(address)
-            await self._greet(address)
-
-    async def _greet(self, address: NetworkAddress) -> None:
-        try:
-            await self._peers.call(address, Hello(address=self._address), HELLO_TIMEOUT_SECONDS)
-        except PeerUnavailableError:
-            self.note_silent(address)
+    def _heartbeat_seconds(self) -> float:
+        is_watcher = self.ranking.is_watcher(self._address)
+        return HEARTBEAT_SECONDS if is_watcher else FOLLOWER_HEARTBEAT_SECONDS
--- a/drumbay/peers/messages.py
+++ b/drumbay/peers/messages.py
@@ -3,7 +3,6 @@
 import msgspec
 
 from drumbay.batches.records import BatchId, ItemId, ResultPage, ReturnedItems, StoredOwner
-from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.kv.interface import (
     Delete,
@@ -13,6 +12,7 @@
     RangeResult,
     TransactionResult,
 )
+from drumbay.kv.mirror import FeedChanges, FeedCursor
 
 
 class ReadResults(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -77,10 +77,21 @@
     """The owner could not carry out the call now."""
 
 
-class Hello(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """A node names itself."""
+class FollowFeeds(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Ask a node that watches the store for what changed after what the caller knows."""
 
-    address: NetworkAddress
+    cursors: tuple[FeedCursor, ...]
+    wait_seconds: float
+
+
+class FeedsReply(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Changes, and how long ago the node last knew that it had missed none.
+
+    ``age_seconds`` is ``None`` if the node does not follow the store itself.
+    """
+
+    age_seconds: float | None
+    changes: tuple[FeedChanges, ...] = ()
 
 
 class OwnerNotice(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -166,7 +177,7 @@
 OwnerRequest = ReadResults | ReadBody | EndBatch
 BatchRequest = OwnerRequest | TakePartialTexts
 StoreRequest = RelayRange | RelayTransaction | RelayKeepAlive | RelayGrant
-PeerRequest = BatchRequest | StoreRequest | Hello | LoadingNotice | OwnerNotice
+PeerRequest = BatchRequest | StoreRequest | FollowFeeds | LoadingNotice | OwnerNotice
 PeerReply = (
     PageReply
     | PartialTextsReply
@@ -175,6 +186,7 @@
     | NotOwnerReply
     | NotFoundReply
     | UnavailableReply
+    | FeedsReply
     | RangeReply
     | TransactionReply
     | KeepAliveReply
--- a/drumbay/peers/store_relay.py
+++ b/drumbay/peers/store_relay.py
@@ -132,6 +132,7 @@
             finally:
                 suspected.cancel()
                 coming.cancel()
+                coming.add_done_callback(_take_exception)
 
     async def _call(
         self, direct: Callable[[], Awaitable[object]], request: StoreRequest
@@ -223,6 +224,12 @@
                 return GrantReply(lease=await self._direct.grant_lease(ttl_seconds))
 
 
+def _take_exception(task: "asyncio.Future[WatchBatch]") -> None:
+    """Mark a failure as seen that comes as the watch is given up."""
+    if not task.cancelled():
+        task.exception()
+
+
 async def _next(batches: AsyncIterator[WatchBatch]) -> WatchBatch:
     return await anext(batches)
 
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -17,15 +17,16 @@
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.forwarding.forwarder import Forwarder
 from drumbay.forwarding.routes import RouteTable, RoutingConfiguration
-from drumbay.kv.follower import PrefixFeed, PrefixFollower
 from drumbay.kv.interface import KeyValueStore
+from drumbay.kv.mirror import PrefixFeed
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
 from drumbay.ownership.leader import LeaderElection, LeaderRecord
 from drumbay.peers.directory import PeerDirectory
+from drumbay.peers.feeds import SharedFeeds
 from drumbay.peers.messages import (
     DoneReply,
-    Hello,
+    FollowFeeds,
     LoadingNotice,
     OwnerNotice,
     PeerReply,
@@ -87,7 +88,6 @@
         self._peer_directory = PeerDirectory(
             clock,
             environment.store,
-            environment.peers,
             address,
             environment.generator,
             self._suspect_store,
@@ -96,6 +96,15 @@
         self._store = RelayingStore(
             clock, environment.store, environment.peers, self._peer_directory, self.metrics
         )
+        self._feeds = SharedFeeds(
+            clock,
+            environment.store,
+            self._store,
+            environment.peers,
+            self._peer_directory,
+            address,
+            environment.generator,
+        )
         self.directory = WorkerDirectory()
         self.routes = RouteTable()
         self.named_versions = NamedVersions()
@@ -126,6 +135,7 @@
             LeaderRecord(machine=settings.machine, boot=settings.identity.boot),
             environment.generator,
             settings.lease_seconds,
+            lambda: self._feeds.is_watcher,
         )
         self._coordinator = VersionCoordinator(
             clock,
@@ -149,11 +159,7 @@
 
     def start(self, feeds: tuple[PrefixFeed, ...]) -> None:
         """Follow the feeds and take part in the election."""
-        environment = self._environment
-        for feed in feeds:
-            follower = PrefixFollower(environment.clock, self._store, feed, environment.generator)
-            self._tasks.spawn(follower.run(), f"follow-{feed.prefix}")
-        self._tasks.spawn(self._peer_directory.run(), "peer-directory")
+        self._tasks.spawn(self._feeds.run(feeds), "feeds")
         self._tasks.spawn(self._peer_directory.run_heartbeat(), "store-heartbeat")
         self._tasks.spawn(self.leader.run(), "leader-election")
         self._tasks.spawn(self._retention.run(), "batch-retention")
@@ -212,9 +218,8 @@
     async def handle_peer(self, request: PeerRequest) -> PeerReply:
         """Answer another node."""
         match request:
-            case Hello(address=address):
-                self._peer_directory.note(address)
-                return DoneReply()
+            case FollowFeeds():
+                return await self._feeds.answer(request)
             case OwnerNotice():
                 self.batches.note_owner(request)
                 return DoneReply()
@@ -245,6 +250,7 @@
         self._leaving = True
         self.batches.turn_away()
         await self.leader.resign()
+        await self._peer_directory.leave()
         await clock.sleep(self._settings.turn_away_seconds)
         while clock.monotonic() < deadline:
             if not self._requests_open and not self.batches.unfinished():
--- a/drumbay/weights/version_planner.py
+++ b/drumbay/weights/version_planner.py
@@ -31,7 +31,6 @@
     retry_seconds: float = 0.4
     everywhere_after_seconds: float = 15.0
 
-
     def at_once(self, worker_count: int) -> int:
         """Return how many of so many workers may load at the same time."""
         return max(self.minimum_at_once, round(self.share_at_once * worker_count))
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -7,9 +7,10 @@
 
 from drumbay.clock import Clock
 from drumbay.identifiers import Revision
-from drumbay.kv.follower import PrefixFeed, PrefixFollower
+from drumbay.kv.follower import PrefixFollower
 from drumbay.kv.interface import KeyValue, Put, WatchBatch, WatchEvent
 from drumbay.kv.memory import MemoryKeyValueStore
+from drumbay.kv.mirror import FeedMirror, PrefixFeed
 from drumbay.simulation.outside_clock import OutsideClock
 from drumbay.standins.kv_faults import KeyValueFaults
 from drumbay.standins.kv_model import KeyValueModel
@@ -159,7 +160,7 @@
                 prefix="config/", on_snapshot=seen.take_snapshot, on_event=seen.take_event
             )
             store = MemoryKeyValueStore(world.model, world.clock)
-            follower = PrefixFollower(OutsideClock(), store, feed, random.Random(1))
+            follower = PrefixFollower(OutsideClock(), store, FeedMirror(feed), random.Random(1))
             task = asyncio.ensure_future(follower.run())
             await asyncio.sleep(0.1)
             FollowerTest.put(world, b"1")
--- a/tests/test_version_loading.py
+++ b/tests/test_version_loading.py
@@ -61,7 +61,6 @@
             planner.note_started(load.worker_id, 0.0)
         self.assertEqual(planner.plan(named, records, 0.1), ())
 
-
     def test_more_workers_load_more_at_once(self) -> None:
         for worker_count, at_once in ((3, 2), (6, 2), (23, 9), (24, 10)):
             directory = self.directory(**{f"w{number}": 1 for number in range(worker_count)})
