Let the batch jobs of a model keep their owner

Cause: each step of a trainer was owned by whichever node its submission reached. A new owner knows no pace of any worker, opens its own connections, and asks every node of the deployment for items that come back.

Change: a submission is stored with the owner of the stream's batch job before and handed to it; if that does not take it within 0.2 s the node that was asked owns it, by compare-and-swap, and an owner that took it after all stops. Items that come back are asked of the stream's recent owners, not of all nodes. A takeover is announced as well.

--- a/drumbay/batches/owners.py
+++ b/drumbay/batches/owners.py
@@ -1,18 +1,27 @@
 """Who owns which batch job, as far as this node knows, and calls to owners."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Container
 
 import msgspec
 
 from drumbay.batches.exceptions import BatchUnavailableError
 from drumbay.batches.ledger import BatchLedger
-from drumbay.batches.records import BatchId, OwnerRecord, OwnerState, StoredOwner
+from drumbay.batches.records import (
+    BatchId,
+    BatchSpec,
+    BatchStream,
+    OwnerRecord,
+    OwnerState,
+    StoredOwner,
+)
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.kv.interface import KeyValueError
 from drumbay.observability.logs import log_event
 from drumbay.peers.messages import (
+    DoneReply,
     NotOwnerReply,
+    OwnBatch,
     OwnerNotice,
     OwnerRequest,
     PageReply,
@@ -28,6 +37,11 @@
 """An owner is asked to wait so long at a time, so that one that stands still is soon noticed."""
 
 KNOWN_OWNERS = 4_096
+KNOWN_STREAMS = 256
+HAND_OVER_SECONDS = 0.2
+"""A submission waits so long for the owner of its stream; then this node owns it."""
+
+RECENT_OWNER_SECONDS = 60.0
 
 
 class ServiceIdentity(msgspec.Struct, frozen=True, kw_only=True):
@@ -37,6 +51,13 @@
     boot: str
 
 
+class _StreamOwners(msgspec.Struct, kw_only=True):
+    """Who owned the batch jobs of a stream: the newest owner, and when each was last named."""
+
+    newest: StoredOwner
+    named_at: dict[NetworkAddress, float]
+
+
 class OwnerTable:
     """Owners by batch job. The store decides if what is known turns out to be wrong."""
 
@@ -55,15 +76,54 @@
         self._identity = identity
         self._announce = announce
         self._known: dict[BatchId, StoredOwner] = {}
+        self._streams: dict[BatchStream, _StreamOwners] = {}
 
-    def own_record(self, total: int) -> OwnerRecord:
+    def own_record(self, stream: BatchStream, total: int) -> OwnerRecord:
         """Return the record that makes this process the owner of a batch job."""
         return OwnerRecord(
             address=self._identity.address,
             boot=self._identity.boot,
             state=OwnerState.OPEN,
             total=total,
+            stream=stream,
+        )
+
+    def record_for(self, spec: BatchSpec, reachable: Container[NetworkAddress]) -> OwnerRecord:
+        """Return the record of the owner that a new batch job is to have.
+
+        The owner of the batch job before knows the paces of the workers, has open connections
+        to them, and may still work on items that come back.
+        """
+        own = self.own_record(spec.stream, len(spec.items))
+        owners = self._streams.get(spec.stream)
+        if owners is None or owners.newest.record.address not in reachable:
+            return own
+        newest = owners.newest.record
+        return msgspec.structs.replace(own, address=newest.address, boot=newest.boot)
+
+    def recent_owners(self, stream: BatchStream) -> list[NetworkAddress]:
+        """Return the other nodes that have lately owned batch jobs of a stream."""
+        owners = self._streams.get(stream)
+        if owners is None:
+            return []
+        since = self._clock.monotonic() - RECENT_OWNER_SECONDS
+        found = [address for address, named_at in owners.named_at.items() if named_at >= since]
+        return [address for address in found if address != self._identity.address]
+
+    async def hand_over(self, spec: BatchSpec, owner: StoredOwner) -> bool:
+        """Give a batch job to the owner that the store names; return whether it took it."""
+        request = OwnBatch(spec=spec, owner=owner)
+        try:
+            reply = await self._peers.call(owner.record.address, request, HAND_OVER_SECONDS)
+        except PeerUnavailableError:
+            reply = UnavailableReply()
+        log_event(
+            "batch_handed_over",
+            batch=spec.batch_id,
+            owner=str(owner.record.address),
+            taken=isinstance(reply, DoneReply),
         )
+        return isinstance(reply, DoneReply)
 
     def is_own_boot(self, record: OwnerRecord) -> bool:
         """Return whether this very process wrote a record."""
@@ -88,7 +148,22 @@
         """Read the owner again next time."""
         self._known.pop(batch_id, None)
 
+    def _note_stream(self, owner: StoredOwner) -> None:
+        stream = owner.record.stream
+        address = owner.record.address
+        now = self._clock.monotonic()
+        known = self._streams.get(stream)
+        if known is None:
+            if len(self._streams) >= KNOWN_STREAMS:
+                self._streams.pop(next(iter(self._streams)))
+            self._streams[stream] = _StreamOwners(newest=owner, named_at={address: now})
+            return
+        known.named_at[address] = now
+        if owner.revision > known.newest.revision:
+            known.newest = owner
+
     def _remember(self, batch_id: BatchId, owner: StoredOwner) -> None:
+        self._note_stream(owner)
         if len(self._known) >= KNOWN_OWNERS:
             self._known.pop(next(iter(self._known)))
         self._known[batch_id] = owner
--- a/drumbay/batches/records.py
+++ b/drumbay/batches/records.py
@@ -24,6 +24,13 @@
     group: str
 
 
+class BatchStream(msgspec.Struct, frozen=True, kw_only=True):
+    """The batch jobs that follow each other: those of one model at one service."""
+
+    service: str
+    model: str
+
+
 class BatchSpec(msgspec.Struct, frozen=True, kw_only=True):
     """A batch job as its client submitted it.
 
@@ -44,6 +51,11 @@
     one_version_only: bool
     items: tuple[BatchItem, ...]
 
+    @property
+    def stream(self) -> BatchStream:
+        """Return the stream that the batch job belongs to."""
+        return BatchStream(service=self.service, model=self.model)
+
 
 class ResultState(StrEnum):
     """How an item ended."""
@@ -116,6 +128,7 @@
     boot: str
     state: OwnerState
     total: int
+    stream: BatchStream
 
 
 class StoredOwner(msgspec.Struct, frozen=True, kw_only=True):
--- a/drumbay/batches/returning.py
+++ b/drumbay/batches/returning.py
@@ -1,11 +1,11 @@
 """Items that come back: groups that an ended batch job had left out, in a later one.
 
 The node that owned the ended batch job lets their runs go on for a while. The owner of the
-later one asks every node for them.
+later one asks the owners before it for them.
 """
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 from drumbay.batches.records import BatchSpec, ItemId, PartialText, ReturnedItems
 from drumbay.batches.runner import BatchRunner
@@ -21,10 +21,9 @@
 class ReturningItems:
     """What this node still makes of items of ended batch jobs, and what others do."""
 
-    def __init__(self, peers: PeerClient, known_nodes: Callable[[], list[NetworkAddress]]) -> None:
-        """Ask the nodes that ``known_nodes`` lists."""
+    def __init__(self, peers: PeerClient) -> None:
+        """Create a record of nothing; ask other nodes with ``peers``."""
         self._peers = peers
-        self._known_nodes = known_nodes
         self._lingering: list[BatchRunner] = []
 
     def keep(self, runner: BatchRunner) -> None:
@@ -45,16 +44,14 @@
             for runner in self._lingering
         )
 
-    async def collect(self, spec: BatchSpec) -> ReturnedItems:
-        """Return what this and the other nodes have made of a batch job's items."""
+    async def collect(self, spec: BatchSpec, nodes: Iterable[NetworkAddress]) -> ReturnedItems:
+        """Return what this and the given nodes have made of a batch job's items."""
         request = TakePartialTexts(
             item_ids=tuple(item.item_id for item in spec.items),
             minimum_version=spec.minimum_version,
         )
         found = [self.give_up(request)]
-        found.extend(
-            await asyncio.gather(*(self._ask(node, request) for node in self._known_nodes()))
-        )
+        found.extend(await asyncio.gather(*(self._ask(node, request) for node in nodes)))
         returned = _joined(found)
         if returned.item_ids:
             log_event(
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -25,6 +25,7 @@
     BatchSpec,
     ItemId,
     ItemResult,
+    OwnerRecord,
     OwnerState,
     ResultPage,
     ReturnedItems,
@@ -51,6 +52,7 @@
     EndBatch,
     NotFoundReply,
     NotOwnerReply,
+    OwnBatch,
     OwnerNotice,
     PageReply,
     PartialTextsReply,
@@ -114,7 +116,8 @@
         self._metrics = metrics
         self._runners: dict[BatchId, BatchRunner] = {}
         self._owners = OwnerTable(clock, self.ledger, peers, identity, announce)
-        self._returning = ReturningItems(peers, known_nodes)
+        self._returning = ReturningItems(peers)
+        self._known_nodes = known_nodes
         self._leaving = False
         directory.add_listener(self._wake_runners)
 
@@ -140,7 +143,7 @@
             BatchRefusedError: The batch job was not taken and never will be.
             BatchOutcomeUnknownError: It may have been taken.
         """
-        owner = self._owners.own_record(len(spec.items))
+        owner = self._owners.record_for(spec, self._known_nodes())
         submitted_at = self._clock.wall()
         deadline = self._clock.monotonic() + ACCEPT_LIMIT_SECONDS
         uncertain = False
@@ -162,29 +165,49 @@
                     raise _refusal(uncertain) from error
                 await self._clock.sleep(STORE_RETRY_SECONDS)
         if revision is None:
-            revision = await self._own_revision(spec.batch_id) if uncertain else None
+            revision = await self._written_revision(spec.batch_id, owner) if uncertain else None
         if revision is None:
             self._metrics.count_batch("submitted_again")
             log_event("batch_submitted_again", batch=spec.batch_id)
             return
         self._metrics.count_batch("accepted")
         log_event("batch_accepted", batch=spec.batch_id, items=len(spec.items), step=spec.step)
-        if not self._leaving:
-            runner = self._own(spec, revision, ())
-            self._owners.announce(spec.batch_id, StoredOwner(record=owner, revision=revision))
-            self._task_owner.spawn(self._start(runner), f"batch-start-{spec.batch_id}")
+        stored = StoredOwner(record=owner, revision=revision)
+        if self._owners.is_own_boot(owner):
+            self._start_owned(spec, stored)
+        elif not await self._owners.hand_over(spec, stored):
+            await self._take_back(spec, stored)
+
+    def _start_owned(self, spec: BatchSpec, owner: StoredOwner) -> None:
+        """Run a new batch job whose owner this process is; a leaving one does not."""
+        if self._leaving or spec.batch_id in self._runners:
+            return
+        runner = self._own(spec, owner.revision, ())
+        self._owners.announce(spec.batch_id, owner)
+        self._task_owner.spawn(self._start(runner), f"batch-start-{spec.batch_id}")
+
+    async def _take_back(self, spec: BatchSpec, owner: StoredOwner) -> None:
+        """Own a batch job that its owner did not take; if it has after all, it stops."""
+        record = self._owners.own_record(spec.stream, len(spec.items))
+        try:
+            revision = await self.ledger.replace_owner(spec.batch_id, owner, record)
+        except (BatchMovedError, KeyValueError):
+            # The next reader finds an owner that does not know the batch job.
+            return
+        self._start_owned(spec, StoredOwner(record=record, revision=revision))
 
     async def _start(self, runner: BatchRunner) -> None:
-        runner.start(await self._returning.collect(runner.spec))
+        nodes = self._owners.recent_owners(runner.spec.stream)
+        runner.start(await self._returning.collect(runner.spec, nodes))
 
-    async def _own_revision(self, batch_id: BatchId) -> Revision | None:
+    async def _written_revision(self, batch_id: BatchId, owner: OwnerRecord) -> Revision | None:
         """Return the revision of a record that an unanswered write of this node left."""
         try:
             stored = await self.ledger.read_owner(batch_id)
         except (KeyValueError, BatchNotFoundError):
             return None
-        is_own = self._owners.is_own_boot(stored.record)
-        return stored.revision if is_own and batch_id not in self._runners else None
+        is_written = stored.record == owner and batch_id not in self._runners
+        return stored.revision if is_written else None
 
     def note_owner(self, notice: OwnerNotice) -> None:
         """Take what another node tells about an owner."""
@@ -333,7 +356,7 @@
             owner = await self.ledger.read_owner(batch_id)
             if owner.revision != silent.revision or owner.record.state is OwnerState.ENDED:
                 return
-            record = self._owners.own_record(owner.record.total)
+            record = self._owners.own_record(owner.record.stream, owner.record.total)
             revision = await self.ledger.replace_owner(batch_id, owner, record)
             stored = await self.ledger.read(batch_id)
         except BatchMovedError:
@@ -354,6 +377,7 @@
             items=len(stored.spec.items),
         )
         runner = self._own(stored.spec, revision, stored.results)
+        self._owners.announce(batch_id, stored.owner)
         runner.resume(stored.progress, owner_is_gone=owner_is_gone)
         runner.start(ReturnedItems())
 
@@ -363,6 +387,8 @@
         """Answer a call of another node, as the owner only."""
         if isinstance(request, TakePartialTexts):
             return PartialTextsReply(returned=self._returning.give_up(request))
+        if isinstance(request, OwnBatch):
+            return self._accept_ownership(request)
         runner = self._runners.get(request.batch_id)
         match request:
             case EndBatch(batch_id=batch_id):
@@ -378,6 +404,12 @@
                 except BatchNotFoundError:
                     return NotFoundReply()
 
+    def _accept_ownership(self, request: OwnBatch) -> PeerReply:
+        if self._leaving or not self._owners.is_own_boot(request.owner.record):
+            return NotOwnerReply()
+        self._start_owned(request.spec, request.owner)
+        return DoneReply()
+
     def turn_away(self) -> None:
         """Own no further batch job; those that are owned go on."""
         self._leaving = True
--- a/drumbay/peers/messages.py
+++ b/drumbay/peers/messages.py
@@ -2,7 +2,14 @@
 
 import msgspec
 
-from drumbay.batches.records import BatchId, ItemId, ResultPage, ReturnedItems, StoredOwner
+from drumbay.batches.records import (
+    BatchId,
+    BatchSpec,
+    ItemId,
+    ResultPage,
+    ReturnedItems,
+    StoredOwner,
+)
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.kv.interface import (
     Delete,
@@ -36,6 +43,18 @@
     batch_id: BatchId
 
 
+class OwnBatch(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Give a node a batch job that the store names it the owner of."""
+
+    spec: BatchSpec
+    owner: StoredOwner
+
+    @property
+    def batch_id(self) -> BatchId:
+        """Return the batch job."""
+        return self.spec.batch_id
+
+
 class TakePartialTexts(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Ask a node for what it has made of items whose earlier batch job has ended."""
 
@@ -174,7 +193,7 @@
     """The store did not say whether it carried out the write."""
 
 
-OwnerRequest = ReadResults | ReadBody | EndBatch
+OwnerRequest = ReadResults | ReadBody | EndBatch | OwnBatch
 BatchRequest = OwnerRequest | TakePartialTexts
 StoreRequest = RelayRange | RelayTransaction | RelayKeepAlive | RelayGrant
 PeerRequest = BatchRequest | StoreRequest | FollowFeeds | LoadingNotice | OwnerNotice
--- a/tests/serving_world.py
+++ b/tests/serving_world.py
@@ -34,6 +34,7 @@
         self._clock = clock
         self.nodes: dict[NetworkAddress, WorldNode] = {}
         self.cut: set[NetworkAddress] = set()
+        self.lose_replies: set[NetworkAddress] = set()
 
     async def call(
         self, address: NetworkAddress, request: PeerRequest, timeout_seconds: float
@@ -44,7 +45,11 @@
             raise PeerUnavailableError(str(address))
         await self._clock.sleep(0.001)
         try:
-            return await self._clock.wait_for(node.node.handle_peer(request), timeout_seconds)
+            reply = await self._clock.wait_for(node.node.handle_peer(request), timeout_seconds)
+            if address in self.lose_replies:
+                await self._clock.sleep(timeout_seconds)
+                raise PeerUnavailableError(str(address))
+            return reply
         except DeadlineExceededError as error:
             raise PeerUnavailableError(str(address)) from error
 
