Add a fault soak of the platform's real processes

What: platform/soak.py starts four edge processes, stand-ins for store and workers, and proxies between them; faults, callers and an operator are drawn from a seed; twelve checks read only what callers and back ends saw.

--- a/drumbay/peers/store_relay.py
+++ b/drumbay/peers/store_relay.py
@@ -54,6 +54,10 @@
 """After a failure, other nodes are asked first for this long."""
 
 
+FAILURES_BEFORE_SUSPECT = 2
+"""The service may lose a single answer; the connections are dead if none comes."""
+
+
 class RelayingStore:
     """A :class:`drumbay.kv.interface.KeyValueStore` with a second way to the service."""
 
@@ -72,6 +76,7 @@
         self._directory = directory
         self._metrics = metrics
         self._suspect_until = float("-inf")
+        self._failures = 0
         self._suspected = asyncio.Event()
 
     def suspect(self) -> None:
@@ -143,12 +148,16 @@
             if reply is not None:
                 return reply
         try:
-            return _as_reply(await self._measured(direct))
+            reply = _as_reply(await self._measured(direct))
+            self._failures = 0
+            return reply
         except LeaseNotFoundError:
             raise
         except KeyValueOutcomeUnknownError:
             # It may have been done: only the caller knows whether to try again.
-            self.suspect()
+            self._failures += 1
+            if self._failures >= FAILURES_BEFORE_SUSPECT:
+                self.suspect()
             raise
         except KeyValueError:
             self.suspect()
--- a/drumbay/standins/worker_pool.py
+++ b/drumbay/standins/worker_pool.py
@@ -73,6 +73,7 @@
     resume_after: int | None = None
     ended_at: float | None = None
     events: int = 0
+    versions: list[WeightVersion] = []
 
 
 class LoggedOrder(msgspec.Struct, frozen=True, kw_only=True):
@@ -356,6 +357,8 @@
                 raise WorkerBrokenError("stream cut")
             self._run.events += 1
             version = self._emulated.versions.get(self._model, WeightVersion(0))
+            if version not in self._run.versions:
+                self._run.versions.append(version)
             data = f"{self._request.request_id}:{number}"
             yield (StreamEvent(number=number, data=data, version=version),)
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -13,6 +13,7 @@
 from drumbay_platform.settings import parse_settings
 from drumbay_platform.store import PlatformStore
 from drumbay_platform.workers import PlatformWorkerClient
+from drumbay_soak.store_server import PlatformStoreServer
 
 from drumbay.clock import SystemClock
 from drumbay.exceptions import ConfigurationError
@@ -39,7 +40,7 @@
     WorkerState,
     WorkerUnreachableError,
 )
-from tests.platform_emulator import PlatformStoreServer, ScriptedServer
+from tests.scripted_server import ScriptedServer
 
 ROOT = Path(__file__).resolve().parent.parent
 
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -11,6 +11,7 @@
 from asyncio.subprocess import PIPE, Process
 from pathlib import Path
 
+from drumbay_soak.store_server import PlatformStoreServer
 from tornado.testing import bind_unused_port
 
 from drumbay.clock import SystemClock
@@ -23,7 +24,6 @@
 )
 from drumbay.kv.interface import Put
 from drumbay.standins.kv_model import KeyValueModel
-from tests.platform_emulator import PlatformStoreServer
 
 ROOT = Path(__file__).resolve().parent.parent
 LIMIT_SECONDS = 60.0
--- a/tests/test_platform_serving.py
+++ b/tests/test_platform_serving.py
@@ -10,6 +10,7 @@
 from drumbay_platform.feeds import NodeFeeds
 from drumbay_platform.ingress import Ingress
 from drumbay_platform.store import PlatformStore
+from drumbay_soak.store_server import PlatformStoreServer
 from tornado.testing import bind_unused_port
 
 from drumbay.batches.owners import ServiceIdentity
@@ -21,7 +22,6 @@
 from drumbay.serving.node import ServingEnvironment, ServingNode, ServingSettings
 from drumbay.standins.kv_model import KeyValueModel
 from drumbay.standins.worker_pool import EmulatedWorkerPool, whole_text
-from tests.platform_emulator import PlatformStoreServer
 
 HOST = "h.example"
 LIMIT_SECONDS = 30.0
--- /dev/null
+++ b/tests/test_soak_checks.py
@@ -0,0 +1,310 @@
+"""The soak's checks find each broken promise; its faults and proxy do what they say."""
+
+import asyncio
+import unittest
+
+from drumbay_soak.checks import check
+from drumbay_soak.fault_plan import QUIET_END_SECONDS, Fault, FaultKind, draw_faults
+from drumbay_soak.history import (
+    AcceptedConfiguration,
+    BatchHistory,
+    BatchRead,
+    ClientCall,
+    ConfigurationProbe,
+    History,
+    ProcessExit,
+)
+from drumbay_soak.main import read_regressions
+from drumbay_soak.proxy import FaultyProxy, ProxyMode
+
+from drumbay.batches.records import ItemId, ItemResult, ResultState
+from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.identifiers import BackendId, Fence, WeightVersion
+from drumbay.standins.worker_pool import LoggedOrder, LoggedRun
+from drumbay.workers.records import LoadMode, LoadOrder, OrderOutcome
+
+LIMIT_SECONDS = 30.0
+STARTED_AT = 1_000.0
+VERSION = WeightVersion(3)
+
+
+def run(request_id: str, at: float = 1.0, events: int = 1) -> LoggedRun:
+    return LoggedRun(
+        worker_id=BackendId("w"),
+        request_id=request_id,
+        started_at=STARTED_AT + at,
+        budget_seconds=1.0,
+        events=events,
+        versions=[VERSION],
+    )
+
+
+def call(request_id: str, status: int | None = 200, **changes: object) -> ClientCall:
+    made = ClientCall(
+        request_id=request_id,
+        node=0,
+        boot=1,
+        sent_at=STARTED_AT + 1.0,
+        ended_at=STARTED_AT + 1.1,
+        may_repeat=False,
+        body=b"body",
+        status=status,
+        answer=b"body",
+        answered_id=request_id,
+    )
+    for name, value in changes.items():
+        setattr(made, name, value)
+    return made
+
+
+def result(item_id: str = "i", text: str = "text", version: int = VERSION) -> ItemResult:
+    return ItemResult(
+        item_id=ItemId(item_id),
+        state=ResultState.DONE,
+        text=text,
+        versions=(WeightVersion(version),),
+    )
+
+
+def order(holder: str, fence: int, at: float) -> LoggedOrder:
+    return LoggedOrder(
+        worker_id=BackendId("w"),
+        order=LoadOrder(
+            model="m",
+            version=VERSION,
+            mode=LoadMode.KEEP_RUNNING,
+            holder=holder,
+            fence=Fence(fence),
+            expected_sequence=0,
+        ),
+        at=STARTED_AT + at,
+        outcome=OrderOutcome.STARTED,
+    )
+
+
+def batch(*reads: BatchRead, final: tuple[ItemResult, ...] | None = None) -> BatchHistory:
+    return BatchHistory(
+        batch_id="b",
+        item_ids=("i",),
+        minimum_version=2,
+        attempts=3,
+        accepted_at=STARTED_AT,
+        reads=list(reads),
+        final=final,
+    )
+
+
+def read(found: ItemResult) -> BatchRead:
+    return BatchRead(node=0, position=0, results=(found,))
+
+
+def fault(kind: FaultKind, at: float, target: int = 0) -> Fault:
+    return Fault(at_seconds=at, kind=kind, target=target, for_seconds=1.0)
+
+
+class ChecksTest(unittest.TestCase):
+    def history(self, *faults: Fault) -> History:
+        return History(started_at=STARTED_AT, faults=faults)
+
+    def check_broken(self, history: History, promise: str) -> None:
+        self.assertEqual([found.promise for found in check(history)], [promise])
+
+    def test_a_sound_history_breaks_nothing(self) -> None:
+        history = self.history()
+        history.calls = [call("a"), call("b", 503)]
+        history.runs = [run("a"), run("i")]
+        history.texts = {"i": "text"}
+        history.batches = [batch(read(result()), final=(result(),))]
+        history.configurations = [AcceptedConfiguration(version=1, accepted_at=STARTED_AT)]
+        history.probes = [self.probe(0.5, is_served=False), self.probe(1.5, is_served=True)]
+        history.orders = [order("n1", 5, 0.0), order("n1", 5, 1.0), order("n2", 9, 4.1)]
+        self.assertEqual(check(history), ())
+
+    def test_an_answer_of_another_request(self) -> None:
+        history = self.history()
+        history.calls = [call("a", answered_id="b")]
+        self.check_broken(history, "whole_answers")
+        history.calls = [call("a", answer=b"bod")]
+        self.check_broken(history, "whole_answers")
+
+    def test_a_refused_request_that_ran(self) -> None:
+        history = self.history()
+        history.calls, history.runs = [call("a", 503)], [run("a")]
+        self.check_broken(history, "refused_not_run")
+
+    def test_a_request_that_ran_twice(self) -> None:
+        history = self.history()
+        history.calls, history.runs = [call("a")], [run("a"), run("a")]
+        self.check_broken(history, "at_most_once")
+        history.calls[0].may_repeat = True
+        self.assertEqual(check(history), ())
+
+    def test_a_position_that_changed(self) -> None:
+        history = self.history()
+        other = result(text="other")
+        history.runs, history.texts = [run("i")], {"i": "other"}
+        history.batches = [batch(read(result()), read(other), final=(other,))]
+        promises = [found.promise for found in check(history)]
+        self.assertEqual(promises, ["stable_positions", "nothing_lost"])
+
+    def test_a_batch_job_that_is_gone_or_not_whole(self) -> None:
+        history = self.history()
+        history.batches = [batch()]
+        self.check_broken(history, "nothing_lost")
+        history.batches = [batch(final=())]
+        self.check_broken(history, "nothing_lost")
+
+    def test_a_text_that_is_not_whole_or_has_wrong_versions(self) -> None:
+        for found in (result(text="te"), result(version=1), result(version=7)):
+            history = self.history()
+            history.runs, history.texts = [run("i")], {"i": "text"}
+            history.batches = [batch(final=(found,))]
+            self.check_broken(history, "true_results")
+
+    def test_an_item_given_up_without_reason(self) -> None:
+        dead = ItemResult(item_id=ItemId("i"), state=ResultState.DEAD)
+        history = self.history()
+        history.batches = [batch(final=(dead,))]
+        self.check_broken(history, "true_results")
+        history.runs = [run("i", events=0)] * 3
+        self.assertEqual(check(history), ())
+
+    def test_an_item_that_starts_after_the_end(self) -> None:
+        history = self.history()
+        ended = batch(final=())
+        ended.ended_at = STARTED_AT + 5.0
+        history.batches, history.runs = [ended], [run("i", at=8.5)]
+        self.check_broken(history, "ended_stays_ended")
+
+    @staticmethod
+    def probe(at: float, *, is_served: bool, boot: int = 1) -> ConfigurationProbe:
+        return ConfigurationProbe(
+            node=0, boot=boot, version=1, sent_at=STARTED_AT + at, is_served=is_served
+        )
+
+    def test_a_configuration_that_is_late(self) -> None:
+        history = self.history()
+        history.configurations = [AcceptedConfiguration(version=1, accepted_at=STARTED_AT)]
+        history.probes = [self.probe(2.5, is_served=False)]
+        self.check_broken(history, "configuration_in_force")
+        calm = msg_replace(history, (fault(FaultKind.STORE_DOWN, 1.0),))
+        self.assertEqual(check(calm), ())
+
+    def test_a_configuration_that_reverts(self) -> None:
+        history = self.history()
+        history.probes = [self.probe(1.0, is_served=True), self.probe(1.4, is_served=False)]
+        self.check_broken(history, "configuration_never_reverts")
+        history.probes[1] = self.probe(1.4, is_served=False, boot=2)
+        self.assertEqual(check(history), ())
+
+    def test_two_holders(self) -> None:
+        history = self.history()
+        history.orders = [order("n1", 5, 0.0), order("n2", 9, 1.0)]
+        self.check_broken(history, "orders_in_turn")
+        history.orders = [order("n1", 5, 0.0), order("n2", 5, 4.0)]
+        self.check_broken(history, "orders_in_turn")
+
+    def test_a_stop_that_cuts_a_request_off(self) -> None:
+        history = self.history(fault(FaultKind.NODE_STOPPED, 0.5))
+        history.calls = [call("a", None)]
+        self.check_broken(history, "stop_cuts_nothing")
+        killed = msg_replace(history, (fault(FaultKind.NODE_KILLED, 0.5),))
+        self.assertEqual(check(killed), ())
+
+    def test_a_process_that_ends_by_itself(self) -> None:
+        history = self.history()
+        history.exits = [ProcessExit(node=1, at=STARTED_AT, code=1)]
+        self.check_broken(history, "processes_stay")
+
+
+def msg_replace(history: History, faults: tuple[Fault, ...]) -> History:
+    """Return a history of the same sights under other faults."""
+    return History(
+        started_at=history.started_at,
+        faults=faults,
+        calls=history.calls,
+        probes=history.probes,
+        configurations=history.configurations,
+    )
+
+
+class PlanTest(unittest.TestCase):
+    def test_a_seed_always_draws_the_same_faults(self) -> None:
+        def draw(seed: int) -> tuple[Fault, ...]:
+            return draw_faults(seed, length_seconds=120.0, node_count=4, worker_count=9)
+
+        self.assertEqual(draw(5), draw(5))
+        self.assertNotEqual(draw(5), draw(6))
+        drawn = [found for seed in range(200) for found in draw(seed)]
+        self.assertEqual({found.kind for found in drawn}, set(FaultKind))
+        self.assertLess(max(found.at_seconds for found in drawn), 120.0 - QUIET_END_SECONDS)
+
+    def test_regressions_can_be_read(self) -> None:
+        for regression in read_regressions():
+            self.assertTrue(regression.cause)
+
+
+class ProxyTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.received = asyncio.Queue[bytes]()
+        server = await asyncio.start_server(self.echo, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        self.proxy = FaultyProxy(NetworkAddress("127.0.0.1", port), delay_seconds=0.05)
+        await self.proxy.start()
+        self.addAsyncCleanup(self.proxy.close)
+
+    async def echo(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while chunk := await reader.read(100):
+            self.received.put_nowait(chunk)
+            writer.write(chunk)
+        writer.close()
+
+    async def open(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.proxy.address.port)
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def exchange(self) -> bytes:
+        reader, writer = await self.open()
+        writer.write(b"x")
+        async with asyncio.timeout(LIMIT_SECONDS):
+            return await reader.read(1)
+
+    async def test_bytes_pass_with_and_without_a_delay(self) -> None:
+        for mode in (ProxyMode.PASS, ProxyMode.DELAY):
+            self.proxy.set_mode(mode)
+            self.assertEqual(await self.exchange(), b"x")
+
+    async def test_a_reset_ends_connections_with_an_error(self) -> None:
+        reader, writer = await self.open()
+        writer.write(b"x")
+        async with asyncio.timeout(LIMIT_SECONDS):
+            self.assertEqual(await reader.read(1), b"x")
+            self.proxy.set_mode(ProxyMode.RESET)
+            with self.assertRaises(ConnectionError):
+                while await reader.read(1):
+                    pass
+
+    async def test_what_a_silent_proxy_holds_passes_after_it(self) -> None:
+        self.proxy.set_mode(ProxyMode.SILENT)
+        waiting = asyncio.create_task(self.exchange())
+        for _ in range(20):
+            await asyncio.sleep(0.005)
+        self.assertFalse(waiting.done())
+        self.assertTrue(self.received.empty())
+        self.proxy.set_mode(ProxyMode.PASS)
+        self.assertEqual(await waiting, b"x")
+
+    async def test_one_way_lets_requests_pass_and_holds_answers(self) -> None:
+        self.proxy.set_mode(ProxyMode.ONE_WAY)
+        waiting = asyncio.create_task(self.exchange())
+        async with asyncio.timeout(LIMIT_SECONDS):
+            self.assertEqual(await self.received.get(), b"x")
+        self.assertFalse(waiting.done())
+        self.proxy.set_mode(ProxyMode.PASS)
+        self.assertEqual(await waiting, b"x")
+
+
+if __name__ == "__main__":
+    unittest.main()
