Replace an owner once, and not because its link is full

Two faults: several nodes read whole batch jobs of 0.7 MB from an owner behind a narrow link, whose answers then took more than the 0.9 s after which it counted as silent; and a node that had just put itself into the owner record answered that it was not the owner while it still read the batch job. Ruled out: faults on the owners' machines (none in force there at that time).

Change: a node that takes over lets those wait that ask for the batch job; a node that gets no answer from an owner pings it before it takes over, and tells its client to come back if the owner is alive; pages between nodes hold 256 KB. Since bursts of starts at one node also delay its answers, an owner with an open batch job is passed over for the next one.

Also: where workers check fences, a leader that follows another machine no longer stays quiet for 3 s; it leaves alone only workers that were ordered in that time, of which every node is told. The leader's lease is 2 s, not 3 s.

--- a/drumbay/batches/listing.py
+++ b/drumbay/batches/listing.py
@@ -95,8 +95,11 @@
         self._closed = True
         self._announce()
 
-    async def read(self, position: int, wait_seconds: float) -> ResultPage:
-        """Return results from a position on, waiting until there is one or time is up."""
+    async def read(self, position: int, wait_seconds: float, size_bytes: int) -> ResultPage:
+        """Return results from a position on, waiting until there is one or time is up.
+
+        The page has at least one result if there is one, and otherwise up to ``size_bytes``.
+        """
         deadline = self._clock.monotonic() + wait_seconds
         while len(self._listed) <= position and not self._closed and not self.is_whole:
             remaining = deadline - self._clock.monotonic()
@@ -105,7 +108,7 @@
             with suppress(TimeoutError):
                 async with asyncio.timeout(remaining):
                     await self._listed_changed.wait()
-        return page_of(self._listed, len(self._spec.items), position, PAGE_BYTES)
+        return page_of(self._listed, len(self._spec.items), position, size_bytes)
 
     async def run(self) -> None:
         """List results until all are, then watch the ownership, until it is lost."""
--- a/drumbay/batches/owners.py
+++ b/drumbay/batches/owners.py
@@ -19,6 +19,7 @@
 from drumbay.kv.interface import KeyValueError
 from drumbay.observability.logs import log_event
 from drumbay.peers.messages import (
+    BusyReply,
     DoneReply,
     NotOwnerReply,
     OwnBatch,
@@ -26,6 +27,7 @@
     OwnerRequest,
     PageReply,
     PeerReply,
+    Ping,
     ReadResults,
     UnavailableReply,
 )
@@ -33,6 +35,7 @@
 
 STORE_RETRY_SECONDS = 0.1
 PEER_SLACK_SECONDS = 0.5
+PING_SECONDS = 0.4
 OWNER_WAIT_SECONDS = 0.4
 """An owner is asked to wait so long at a time, so that one that stands still is soon noticed."""
 
@@ -52,9 +55,9 @@
 
 
 class _StreamOwners(msgspec.Struct, kw_only=True):
-    """Who owned the batch jobs of a stream: the newest owner, and when each was last named."""
+    """Who owned the batch jobs of a stream: each one's newest record, and when it was named."""
 
-    newest: StoredOwner
+    latest: dict[NetworkAddress, StoredOwner]
     named_at: dict[NetworkAddress, float]
 
 
@@ -91,24 +94,35 @@
     def record_for(self, spec: BatchSpec, reachable: Container[NetworkAddress]) -> OwnerRecord:
         """Return the record of the owner that a new batch job is to have.
 
-        The owner of the batch job before knows the paces of the workers, has open connections
-        to them, and may still work on items that come back.
+        An owner of earlier batch jobs of the stream knows the paces of the workers, has open
+        connections to them, and may still work on items that come back. One that has an open
+        batch job is passed over.
         """
         own = self.own_record(spec.stream, len(spec.items))
         owners = self._streams.get(spec.stream)
-        if owners is None or owners.newest.record.address not in reachable:
+        if owners is None:
             return own
-        newest = owners.newest.record
-        return msgspec.structs.replace(own, address=newest.address, boot=newest.boot)
+        busy = self._owners_of_open()
+        for named in sorted(owners.latest.values(), key=lambda o: o.revision, reverse=True):
+            address = named.record.address
+            if address in reachable and address not in busy:
+                return msgspec.structs.replace(own, address=address, boot=named.record.boot)
+        return own
+
+    def _owners_of_open(self) -> set[NetworkAddress]:
+        """Return the nodes that run batch jobs: one more would share their processor."""
+        return {
+            owner.record.address
+            for owner in self._known.values()
+            if owner.record.state is OwnerState.OPEN
+        }
 
     def recent_owners(self, stream: BatchStream) -> list[NetworkAddress]:
         """Return the other nodes that have lately owned batch jobs of a stream."""
         owners = self._streams.get(stream)
         if owners is None:
             return []
-        since = self._clock.monotonic() - RECENT_OWNER_SECONDS
-        found = [address for address, named_at in owners.named_at.items() if named_at >= since]
-        return [address for address in found if address != self._identity.address]
+        return [address for address in owners.latest if address != self._identity.address]
 
     async def hand_over(self, spec: BatchSpec, owner: StoredOwner) -> bool:
         """Give a batch job to the owner that the store names; return whether it took it."""
@@ -156,11 +170,13 @@
         if known is None:
             if len(self._streams) >= KNOWN_STREAMS:
                 self._streams.pop(next(iter(self._streams)))
-            self._streams[stream] = _StreamOwners(newest=owner, named_at={address: now})
-            return
+            known = self._streams[stream] = _StreamOwners(latest={}, named_at={})
         known.named_at[address] = now
-        if owner.revision > known.newest.revision:
-            known.newest = owner
+        newest = known.latest.get(address)
+        if newest is None or owner.revision > newest.revision:
+            known.latest[address] = owner
+        for old in [a for a, at in known.named_at.items() if at < now - RECENT_OWNER_SECONDS]:
+            del known.named_at[old], known.latest[old]
 
     def _remember(self, batch_id: BatchId, owner: StoredOwner) -> None:
         self._note_stream(owner)
@@ -205,6 +221,7 @@
         :class:`NotOwnerReply` also if nobody listens at its address, or if it is this node's:
         the process that owned the batch job has ended, or has let it go.
         :class:`UnavailableReply` if no reply came: it may stand still, or be cut off.
+        :class:`BusyReply` if no reply came in time from a node that is alive.
         """
         if self.is_own_address(owner.record):
             return NotOwnerReply()
@@ -217,6 +234,8 @@
             )
             return NotOwnerReply()
         except PeerUnavailableError as error:
+            if await self._is_alive(address):
+                return BusyReply()
             log_event(
                 "batch_owner_silent",
                 level="WARNING",
@@ -226,6 +245,14 @@
             )
             return UnavailableReply()
 
+    async def _is_alive(self, address: NetworkAddress) -> bool:
+        """Return whether a node that did not answer in time only has much to do, or to send."""
+        try:
+            await self._peers.call(address, Ping(), PING_SECONDS)
+        except PeerUnavailableError:
+            return False
+        return True
+
     async def ask_results(
         self, owner: StoredOwner, batch_id: BatchId, position: int, wait_seconds: float
     ) -> PeerReply:
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -231,9 +231,9 @@
 
     # Reading
 
-    async def read(self, position: int, wait_seconds: float) -> ResultPage:
+    async def read(self, position: int, wait_seconds: float, size_bytes: int) -> ResultPage:
         """Return results from a position on, waiting until there is one or time is up."""
-        return await self._listing.read(position, wait_seconds)
+        return await self._listing.read(position, wait_seconds, size_bytes)
 
     def body(self, item_id: ItemId) -> bytes:
         """Return the body of an item.
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -5,6 +5,7 @@
 answer. Clients ask twice a second, so that a dead owner is noticed by their next call.
 """
 
+import asyncio
 from collections.abc import Callable
 
 import msgspec
@@ -48,6 +49,7 @@
 from drumbay.peers.messages import (
     BatchRequest,
     BodyReply,
+    BusyReply,
     DoneReply,
     EndBatch,
     NotFoundReply,
@@ -73,6 +75,9 @@
 END_LIMIT_SECONDS = 3.5
 REFUSED_RETRY_SECONDS = 1.0
 OWNER_ATTEMPTS = 4
+PEER_PAGE_BYTES = 256_000
+"""Several nodes ask an owner at the same time, and its link is narrow: larger pages would make
+it seem silent. The clients of these nodes read on."""
 
 
 class BatchService:
@@ -115,6 +120,7 @@
         self._newest_version = newest_version
         self._metrics = metrics
         self._runners: dict[BatchId, BatchRunner] = {}
+        self._taking: dict[BatchId, asyncio.Event] = {}
         self._owners = OwnerTable(clock, self.ledger, peers, identity, announce)
         self._returning = ReturningItems(peers)
         self._known_nodes = known_nodes
@@ -175,7 +181,9 @@
         stored = StoredOwner(record=owner, revision=revision)
         if self._owners.is_own_boot(owner):
             self._start_owned(spec, stored)
-        elif not await self._owners.hand_over(spec, stored):
+        elif await self._owners.hand_over(spec, stored):
+            self._owners.note(OwnerNotice(batch_id=spec.batch_id, owner=stored))
+        else:
             await self._take_back(spec, stored)
 
     def _start_owned(self, spec: BatchSpec, owner: StoredOwner) -> None:
@@ -251,7 +259,7 @@
         for _ in range(OWNER_ATTEMPTS):
             runner = self._runners.get(batch_id)
             if runner is not None:
-                return await runner.read(position, wait_seconds)
+                return await runner.read(position, wait_seconds, PAGE_BYTES)
             owner = await self._owners.find(batch_id, deadline)
             if owner.record.state is OwnerState.ENDED:
                 return await self._read_stored(batch_id, position, owner.record.total, deadline)
@@ -259,6 +267,8 @@
             if isinstance(reply, PageReply):
                 return reply.page
             wait_seconds = 0.0
+            if isinstance(reply, BusyReply):
+                break
             is_gone = isinstance(reply, NotOwnerReply)
             await self._take_over(batch_id, owner, owner_is_gone=is_gone)
         raise BatchUnavailableError(batch_id)
@@ -295,6 +305,8 @@
                 return reply.body
             if isinstance(reply, NotFoundReply):
                 raise BatchNotFoundError(f"{batch_id}/{item_id}")
+            if isinstance(reply, BusyReply):
+                break
             is_gone = isinstance(reply, NotOwnerReply)
             await self._take_over(batch_id, owner, owner_is_gone=is_gone)
         raise BatchUnavailableError(batch_id)
@@ -345,13 +357,38 @@
     async def _take_over(
         self, batch_id: BatchId, silent: StoredOwner, *, owner_is_gone: bool
     ) -> None:
-        """Own a batch job whose owner did not answer for it.
-
-        The record is read again: if it has changed, the new owner is asked instead.
-        """
+        """Own a batch job whose owner did not answer for it; callers meanwhile wait."""
         self._owners.forget(batch_id)
         if self._leaving:
             return
+        if await self._wait_while_taking(batch_id):
+            return
+        taken = self._taking[batch_id] = asyncio.Event()
+        try:
+            await self._replace_owner(batch_id, silent, owner_is_gone=owner_is_gone)
+        finally:
+            del self._taking[batch_id]
+            taken.set()
+
+    async def _wait_while_taking(self, batch_id: BatchId) -> bool:
+        """Wait until a takeover that is under way here has ended; return whether one was.
+
+        The store names this node the owner before it has read the batch job: whoever asks in
+        between must not take it for one that has lost it.
+        """
+        taken = self._taking.get(batch_id)
+        if taken is None:
+            return False
+        await taken.wait()
+        return True
+
+    async def _replace_owner(
+        self, batch_id: BatchId, silent: StoredOwner, *, owner_is_gone: bool
+    ) -> None:
+        """Take the place of an owner in the store, and run the batch job.
+
+        The record is read again: if it has changed, the new owner is asked instead.
+        """
         try:
             owner = await self.ledger.read_owner(batch_id)
             if owner.revision != silent.revision or owner.record.state is OwnerState.ENDED:
@@ -389,6 +426,7 @@
             return PartialTextsReply(returned=self._returning.give_up(request))
         if isinstance(request, OwnBatch):
             return self._accept_ownership(request)
+        await self._wait_while_taking(request.batch_id)
         runner = self._runners.get(request.batch_id)
         match request:
             case EndBatch(batch_id=batch_id):
@@ -397,7 +435,8 @@
             case _ if runner is None:
                 return NotOwnerReply()
             case ReadResults(position=position, wait_seconds=wait_seconds):
-                return PageReply(page=await runner.read(position, wait_seconds))
+                page = await runner.read(position, wait_seconds, PEER_PAGE_BYTES)
+                return PageReply(page=page)
             case ReadBody(item_id=item_id):
                 try:
                     return BodyReply(body=runner.body(item_id))
--- a/drumbay/ownership/leader.py
+++ b/drumbay/ownership/leader.py
@@ -1,7 +1,9 @@
-"""One leader among all nodes: a key under a lease, whose revision is the fence.
+"""One leader among the nodes: a key under a lease, whose revision is the fence.
 
-Every machine counts as one holder. A machine that takes over from another stays quiet for the
-time of a lease, so that no two holders give orders in turns within it.
+Every machine counts as one holder. Where workers do not check fences, a machine that takes over
+from another stays quiet for a while, so that no two holders give orders in turns. Where they do,
+an order of the machine before is refused, and it is enough to leave each worker alone that the
+machine before has lately given an order.
 """
 
 import random
@@ -53,6 +55,20 @@
     revision: Revision
 
 
+class LeadPolicy(msgspec.Struct, frozen=True, kw_only=True):
+    """Times of the lead.
+
+    Attributes:
+        lease_seconds: How long the leader's key stays without a renewal.
+        turn_seconds: Orders of two machines to one worker lie at least so far apart.
+        quiet_seconds: How long a leader that follows another machine gives no order at all.
+    """
+
+    lease_seconds: float = 2.0
+    turn_seconds: float = 3.0
+    quiet_seconds: float = 3.0
+
+
 class LeaderElection:
     """Campaigns for the lead, and says whether this node may give orders."""
 
@@ -62,7 +78,7 @@
         store: KeyValueStore,
         record: LeaderRecord,
         generator: random.Random,
-        lease_seconds: float,
+        policy: LeadPolicy,
         is_candidate: Callable[[], bool],
     ) -> None:
         """Create a node that does not lead.
@@ -72,14 +88,14 @@
             store: The key-value service.
             record: This node.
             generator: Source of random delays.
-            lease_seconds: Time of a lease.
+            policy: Times of the lead.
             is_candidate: Returns whether this node is to campaign.
         """
         self._clock = clock
         self._store = store
         self._record = record
         self._generator = generator
-        self._lease_seconds = lease_seconds
+        self._policy = policy
         self._is_candidate = is_candidate
         self._fence: Fence | None = None
         self._valid_until = float("-inf")
@@ -137,7 +153,7 @@
 
     async def _campaign(self, seen: _Seen) -> None:
         started_at = self._clock.monotonic()
-        lease = await self._store.grant_lease(self._lease_seconds)
+        lease = await self._store.grant_lease(self._policy.lease_seconds)
         value = _encoder.encode(self._record)
         outcome = await self._store.transact(
             (ModRevisionIs(key=CURRENT_KEY, mod_revision=seen.current_revision),),
@@ -153,7 +169,7 @@
         self._extend(started_at, lease.ttl_seconds)
         is_successor = seen.last is not None and seen.last.machine != self._record.machine
         now = self._clock.monotonic()
-        self._quiet_until = now + self._lease_seconds if is_successor else now
+        self._quiet_until = now + self._policy.quiet_seconds if is_successor else now
         log_event("leader_elected", fence=self._fence, successor=is_successor)
         await self._keep(lease.lease_id, lease.ttl_seconds)
 
--- a/drumbay/peers/messages.py
+++ b/drumbay/peers/messages.py
@@ -92,6 +92,14 @@
     """The batch job has no such item."""
 
 
+class Ping(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Ask whether a node is alive."""
+
+
+class BusyReply(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """The owner is alive, but did not answer in time. Not sent: made at the calling node."""
+
+
 class UnavailableReply(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """The owner could not carry out the call now."""
 
@@ -121,11 +129,15 @@
 
 
 class LoadingNotice(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """The leader tells that a worker loads weights for some seconds."""
+    """The leader tells that it orders a worker to load weights, which takes some seconds.
+
+    ``holder`` is the leader's machine.
+    """
 
     worker_id: BackendId
     model: str
     seconds: float
+    holder: str
 
 
 class RelayedPut(msgspec.Struct, frozen=True, kw_only=True):
@@ -196,12 +208,13 @@
 OwnerRequest = ReadResults | ReadBody | EndBatch | OwnBatch
 BatchRequest = OwnerRequest | TakePartialTexts
 StoreRequest = RelayRange | RelayTransaction | RelayKeepAlive | RelayGrant
-PeerRequest = BatchRequest | StoreRequest | FollowFeeds | LoadingNotice | OwnerNotice
+PeerRequest = BatchRequest | StoreRequest | FollowFeeds | LoadingNotice | OwnerNotice | Ping
 PeerReply = (
     PageReply
     | PartialTextsReply
     | BodyReply
     | DoneReply
+    | BusyReply
     | NotOwnerReply
     | NotFoundReply
     | UnavailableReply
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -21,7 +21,7 @@
 from drumbay.kv.mirror import PrefixFeed
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
-from drumbay.ownership.leader import LeaderElection, LeaderRecord
+from drumbay.ownership.leader import LeaderElection, LeaderRecord, LeadPolicy
 from drumbay.peers.directory import PeerDirectory
 from drumbay.peers.feeds import SharedFeeds
 from drumbay.peers.messages import (
@@ -31,6 +31,7 @@
     OwnerNotice,
     PeerReply,
     PeerRequest,
+    Ping,
     RelayGrant,
     RelayKeepAlive,
     RelayRange,
@@ -52,13 +53,16 @@
 
     ``stop_seconds`` bounds a planned stop; ``turn_away_seconds`` is how long the node still
     takes requests after it has said that it is leaving; ``keep_results_seconds`` is how long
-    after its submission an ended batch job can be read.
+    after its submission an ended batch job can be read; orders of two machines to one worker
+    lie at least ``turn_seconds`` apart; ``workers_check_fences`` says whether workers refuse an
+    order with a fence below one that they have seen.
     """
 
     machine: str
     zone: str
     identity: ServiceIdentity
-    lease_seconds: float = 3.0
+    turn_seconds: float = 3.0
+    workers_check_fences: bool = False
     stop_seconds: float = 7.0
     turn_away_seconds: float = 2.5
     keep_results_seconds: float = 120.0
@@ -134,7 +138,10 @@
             self._store,
             LeaderRecord(machine=settings.machine, boot=settings.identity.boot),
             environment.generator,
-            settings.lease_seconds,
+            LeadPolicy(
+                turn_seconds=settings.turn_seconds,
+                quiet_seconds=0.0 if settings.workers_check_fences else settings.turn_seconds,
+            ),
             lambda: self._feeds.is_watcher,
         )
         self._coordinator = VersionCoordinator(
@@ -147,6 +154,7 @@
             settings.machine,
             self._announce_loading,
             self.metrics,
+            settings.turn_seconds,
         )
         self._retention = BatchRetention(
             clock,
@@ -212,12 +220,15 @@
             await self._environment.peers.call(address, notice, NOTICE_TIMEOUT_SECONDS)
 
     def _note_loading(self, notice: LoadingNotice) -> None:
+        self._coordinator.note_order(notice)
         until = self._environment.clock.monotonic() + notice.seconds
         self.directory.note_loading(notice.worker_id, notice.model, until)
 
     async def handle_peer(self, request: PeerRequest) -> PeerReply:
         """Answer another node."""
         match request:
+            case Ping():
+                return DoneReply()
             case FollowFeeds():
                 return await self._feeds.answer(request)
             case OwnerNotice():
--- a/drumbay/weights/version_coordinator.py
+++ b/drumbay/weights/version_coordinator.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from contextlib import suppress
 
+import msgspec
+
 from drumbay.clock import Clock
 from drumbay.identifiers import BackendId, Fence, WeightVersion
 from drumbay.observability.logs import log_event
@@ -49,6 +51,13 @@
         return self._versions
 
 
+class _LastOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """Which machine ordered a worker last, and when."""
+
+    holder: str
+    at: float
+
+
 class VersionCoordinator:
     """Loads named versions on the workers while this node leads."""
 
@@ -63,6 +72,7 @@
         holder: str,
         announce: Callable[[LoadingNotice], None],
         metrics: ServingMetrics,
+        turn_seconds: float,
         policy: LoadPolicy | None = None,
     ) -> None:
         """Create a coordinator that gives orders as ``holder``.
@@ -77,6 +87,7 @@
             holder: This machine, as workers know it.
             announce: Tells the nodes, this one included, of a load that begins.
             metrics: Counts the loads.
+            turn_seconds: Orders of two machines to one worker lie at least so far apart.
             policy: Limits of loading.
         """
         self._clock = clock
@@ -88,6 +99,8 @@
         self._holder = holder
         self._announce = announce
         self._metrics = metrics
+        self._turn_seconds = turn_seconds
+        self._ordered: dict[BackendId, _LastOrder] = {}
         self._policy = policy or LoadPolicy()
         self._planner = VersionPlanner(self._policy)
         self.one_version_models: frozenset[str] = frozenset()
@@ -99,7 +112,8 @@
             fence = self._leader.fence(now)
             if fence is not None:
                 records = self._directory.all_records()
-                for load in self._planner.plan(self._named.newest, records.values(), now):
+                mine = [record for record in records.values() if self._is_my_turn(record, now)]
+                for load in self._planner.plan(self._named.newest, mine, now):
                     self._planner.note_started(load.worker_id, now)
                     record = records[load.worker_id]
                     self._task_owner.spawn(self._load(load, record, fence), "load-version")
@@ -108,6 +122,18 @@
                 async with asyncio.timeout(TICK_SECONDS):
                     await self._named.changed.wait()
 
+    def note_order(self, notice: LoadingNotice) -> None:
+        """Remember who orders a worker to load."""
+        now = self._clock.monotonic()
+        self._ordered[notice.worker_id] = _LastOrder(holder=notice.holder, at=now)
+
+    def _is_my_turn(self, record: WorkerRecord, now: float) -> bool:
+        """Return whether no other machine has given a worker an order for long enough."""
+        last = self._ordered.get(record.worker.worker_id)
+        if last is None or last.holder == self._holder:
+            return True
+        return now - last.at >= self._turn_seconds
+
     async def _load(self, load: LoadVersion, record: WorkerRecord, fence: Fence) -> None:
         started_at = self._clock.monotonic()
         outcome = "failed"
@@ -153,7 +179,10 @@
         )
         self._announce(
             LoadingNotice(
-                worker_id=load.worker_id, model=load.model, seconds=self._policy.expected_seconds
+                worker_id=load.worker_id,
+                model=load.model,
+                seconds=self._policy.expected_seconds,
+                holder=self._holder,
             )
         )
         try:
--- a/tests/serving_world.py
+++ b/tests/serving_world.py
@@ -13,7 +13,7 @@
 from drumbay.exceptions import DeadlineExceededError
 from drumbay.identifiers import WeightVersion
 from drumbay.kv.memory import MemoryKeyValueStore
-from drumbay.peers.messages import PeerReply, PeerRequest
+from drumbay.peers.messages import PeerReply, PeerRequest, Ping
 from drumbay.peers.transport import PeerUnavailableError
 from drumbay.serving.node import ServingEnvironment, ServingNode, ServingSettings
 from drumbay.simulation.outside_clock import OutsideClock
@@ -35,6 +35,7 @@
         self.nodes: dict[NetworkAddress, WorldNode] = {}
         self.cut: set[NetworkAddress] = set()
         self.lose_replies: set[NetworkAddress] = set()
+        self.congested: set[NetworkAddress] = set()
 
     async def call(
         self, address: NetworkAddress, request: PeerRequest, timeout_seconds: float
@@ -44,6 +45,9 @@
             await self._clock.sleep(min(0.3, timeout_seconds))
             raise PeerUnavailableError(str(address))
         await self._clock.sleep(0.001)
+        if address in self.congested and not isinstance(request, Ping):
+            await self._clock.sleep(timeout_seconds)
+            raise PeerUnavailableError(str(address))
         try:
             reply = await self._clock.wait_for(node.node.handle_peer(request), timeout_seconds)
             if address in self.lose_replies:
@@ -69,7 +73,12 @@
         self.store = store or MemoryKeyValueStore(world.model, world.clock, timeout_seconds=1.0)
         identity = ServiceIdentity(address=self.address, boot=f"boot-{number}-{boot}")
         self.node = ServingNode(
-            ServingSettings(machine=str(self.address), zone="zone-1", identity=identity),
+            ServingSettings(
+                machine=str(self.address),
+                zone="zone-1",
+                identity=identity,
+                workers_check_fences=world.workers_check_fences,
+            ),
             ServingEnvironment(
                 clock=world.clock,
                 store=self.store,
@@ -100,7 +109,10 @@
 class ServingWorld:
     """A store, workers and nodes."""
 
-    def __init__(self, node_count: int = 2, worker_count: int = 3) -> None:
+    def __init__(
+        self, node_count: int = 2, worker_count: int = 3, workers_check_fences: bool = False
+    ) -> None:
+        self.workers_check_fences = workers_check_fences
         self.clock = OutsideClock()
         self.model = KeyValueModel(self.clock)
         self.workers = EmulatedWorkerPool(self.clock)
@@ -115,11 +127,17 @@
             await node.kill()
 
 
-def play(scenario: Callable[[ServingWorld], Awaitable[ResultT]], **sizes: int) -> ResultT:
+def play(
+    scenario: Callable[[ServingWorld], Awaitable[ResultT]],
+    *,
+    node_count: int = 2,
+    worker_count: int = 3,
+    workers_check_fences: bool = False,
+) -> ResultT:
     """Run a scenario in a fresh world on virtual time."""
 
     async def main() -> ResultT:
-        world = ServingWorld(**sizes)
+        world = ServingWorld(node_count, worker_count, workers_check_fences)
         try:
             return await scenario(world)
         finally:
--- a/tests/test_batch_owners.py
+++ b/tests/test_batch_owners.py
@@ -2,8 +2,14 @@
 
 import asyncio
 import unittest
+from contextlib import suppress
 
+from drumbay.batches.exceptions import BatchUnavailableError
+from drumbay.batches.ledger import BatchLedger
 from drumbay.batches.records import BatchId
+from drumbay.kv.memory import MemoryKeyValueStore
+from drumbay.peers.messages import PageReply, ReadResults
+from drumbay.standins.kv_faults import KeyValueFaults
 from tests.serving_world import ServingWorld, WorldNode, batch_spec, play, read_all
 
 
@@ -15,6 +21,8 @@
         await asyncio.sleep(5.0)
         await world.nodes[0].batches.submit(batch_spec("first"))
         await read_all(world.nodes[0].batches, BatchId("first"))
+        await world.nodes[0].batches.end(BatchId("first"))
+        await asyncio.sleep(0.1)
 
     def owned(self, world: ServingWorld) -> list[int]:
         return [node.batches.owned for node in world.nodes]
@@ -27,12 +35,28 @@
         async def scenario(world: ServingWorld) -> None:
             await self.start(world)
             await world.nodes[2].batches.submit(batch_spec("second"))
-            self.assertEqual(self.owned(world), [2, 0, 0])
+            self.assertEqual(self.owned(world), [1, 0, 0])
             await self.check_whole(world, world.nodes[1], "second")
             self.assertEqual(len(world.workers.runs), 24)
 
         play(scenario, node_count=3)
 
+    def test_an_owner_with_an_open_batch_job_is_passed_over(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            await self.start(world)
+            await world.nodes[2].batches.submit(batch_spec("second"))
+            await world.nodes[2].batches.submit(batch_spec("third"))
+            self.assertEqual(self.owned(world), [1, 0, 1])
+            for name in ("second", "third"):
+                await self.check_whole(world, world.nodes[1], name)
+                await world.nodes[1].batches.end(BatchId(name))
+            await asyncio.sleep(0.1)
+            await world.nodes[1].batches.submit(batch_spec("fourth"))
+            await world.nodes[1].batches.submit(batch_spec("fifth"))
+            self.assertEqual(self.owned(world), [1, 0, 1])
+
+        play(scenario, node_count=3)
+
     def test_a_dead_owner_is_passed_over_in_time(self) -> None:
         async def scenario(world: ServingWorld) -> None:
             await self.start(world)
@@ -41,10 +65,11 @@
             await world.nodes[2].batches.submit(batch_spec("second"))
             self.assertLess(world.clock.monotonic() - asked_at, 0.35)
             self.assertEqual(self.owned(world)[1:], [0, 1])
+            await self.check_whole(world, world.nodes[1], "second")
+            await world.nodes[1].batches.end(BatchId("second"))
             await asyncio.sleep(0.1)
             await world.nodes[1].batches.submit(batch_spec("third"))
-            self.assertEqual(self.owned(world)[1:], [0, 2])
-            await self.check_whole(world, world.nodes[1], "second")
+            self.assertEqual(self.owned(world)[1:], [0, 1])
 
         play(scenario, node_count=3)
 
@@ -63,10 +88,10 @@
             await self.start(world)
             world.peers.lose_replies.add(world.nodes[0].address)
             await world.nodes[2].batches.submit(batch_spec("second"))
-            self.assertEqual(self.owned(world), [2, 0, 1])
+            self.assertEqual(self.owned(world), [1, 0, 1])
             await self.check_whole(world, world.nodes[2], "second")
             await asyncio.sleep(3.0)
-            self.assertEqual(self.owned(world), [1, 0, 1])
+            self.assertEqual(self.owned(world), [0, 0, 1])
 
         play(scenario, node_count=3)
 
@@ -82,5 +107,66 @@
         play(scenario, node_count=3)
 
 
+class TakeoverTest(unittest.TestCase):
+    """Many nodes ask for a batch job at the same time."""
+
+    async def ask_everywhere(self, world: ServingWorld, seconds: float) -> None:
+        """Poll at every other node as clients that look at batch jobs do."""
+        until = world.clock.monotonic() + seconds
+
+        async def poll(node: WorldNode) -> None:
+            while world.clock.monotonic() < until:
+                with suppress(BatchUnavailableError):
+                    await node.batches.read(BatchId("batch"), 0, 0.0)
+                await asyncio.sleep(0.07)
+
+        await asyncio.gather(*(poll(node) for node in world.nodes[1:]))
+
+    def test_a_dead_owner_is_replaced_once_also_while_the_store_is_slow(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            world.workers.long_texts = True
+            await world.nodes[0].batches.submit(batch_spec(groups=1))
+            await asyncio.sleep(2.0)
+            await world.nodes[0].kill()
+            world.model.set_faults(KeyValueFaults(request_delay_seconds=0.2))
+            await self.ask_everywhere(world, 5.0)
+            for item in batch_spec(groups=1).items:
+                self.assertEqual(len(world.workers.runs_of(item.item_id)), 2)
+
+        play(scenario, node_count=6)
+
+    def test_a_node_that_has_just_taken_over_is_not_replaced_at_once(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            world.workers.long_texts = True
+            await world.nodes[0].batches.submit(batch_spec(groups=1))
+            await asyncio.sleep(2.0)
+            await world.nodes[0].kill()
+            world.model.set_faults(KeyValueFaults(request_delay_seconds=0.2))
+            first = asyncio.create_task(world.nodes[1].batches.read(BatchId("batch"), 0, 0.0))
+            ledger = BatchLedger(MemoryKeyValueStore(world.model, world.clock))
+            async with asyncio.timeout(5.0):
+                while True:
+                    owner = await ledger.read_owner(BatchId("batch"))
+                    if owner.record.address == world.nodes[1].address:
+                        break
+            request = ReadResults(batch_id=BatchId("batch"), position=0, wait_seconds=0.0)
+            self.assertIsInstance(await world.nodes[1].node.handle_peer(request), PageReply)
+            await first
+
+        play(scenario)
+
+    def test_an_owner_whose_link_is_full_stays_the_owner(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            world.workers.long_texts = True
+            await world.nodes[0].batches.submit(batch_spec(groups=1))
+            await asyncio.sleep(1.0)
+            world.peers.congested.add(world.nodes[0].address)
+            await self.ask_everywhere(world, 4.0)
+            self.assertEqual(world.nodes[0].batches.owned, 1)
+            self.assertEqual(len(world.workers.runs), 4)
+
+        play(scenario, node_count=6)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -52,6 +52,7 @@
 portRange=7720,7735
 bounds.graceS=8
 bounds.leaseMs=3000
+bounds.fencing=true
 platform.addr=10.200.1.7:8169
 something.new=1
 """
@@ -90,7 +91,8 @@
         self.assertEqual(settings.node, "edge-a-1")
         self.assertEqual(str(settings.front), "10.1.0.10:8161")
         self.assertEqual(settings.first_port, 7720)
-        self.assertEqual(settings.lease_seconds, 3.0)
+        self.assertEqual(settings.turn_seconds, 3.0)
+        self.assertTrue(settings.workers_check_fences)
 
     def test_settings_that_lack_a_field_are_refused_with_its_name(self) -> None:
         with self.assertRaisesRegex(ConfigurationError, r"platform\.addr"):
--- a/tests/test_version_loading.py
+++ b/tests/test_version_loading.py
@@ -117,6 +117,33 @@
 
         play(scenario, node_count=3)
 
+    def test_where_workers_check_fences_only_workers_ordered_lately_are_left_alone(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            for node in world.nodes:
+                node.lead()
+            await asyncio.sleep(1.0)
+            for node in world.nodes:
+                node.named.name("m", WeightVersion(2))
+            await asyncio.sleep(0.5)
+            now = world.clock.monotonic()
+            leader = next(n for n in world.nodes if n.leader.fence(now) is not None)
+            ordered = {logged.worker_id: logged.at for logged in world.workers.orders}
+            self.assertEqual(len(ordered), 2)
+            await leader.kill()
+            for node in world.nodes:
+                node.named.name("m", WeightVersion(3))
+            await asyncio.sleep(10.0)
+            later = [o for o in world.workers.orders if o.order.holder != str(leader.address)]
+            firsts: dict[str, float] = {}
+            for logged in later:
+                firsts.setdefault(logged.worker_id, logged.at)
+            for worker_id, at in ordered.items():
+                self.assertGreaterEqual(firsts.get(worker_id, at + 9.0) - at, LEASE_SECONDS)
+            others = [at for worker_id, at in firsts.items() if worker_id not in ordered]
+            self.assertLess(min(others) - now, 2.8)
+
+        play(scenario, node_count=3, worker_count=6, workers_check_fences=True)
+
     def test_a_successor_of_a_leader_that_resigned_waits_as_well(self) -> None:
         async def scenario(world: ServingWorld) -> None:
             for node in world.nodes:
