--- a/drumbay/ownership/leader.py
+++ b/drumbay/ownership/leader.py
@@ -33,7 +33,7 @@
 RETRY_SECONDS = 0.4
 JITTER_SECONDS = 0.5
 WATCH_LIMIT_SECONDS = 60.0
-CANDIDACY_CHECK_SECONDS = 0.5
+CANDIDACY_CHECK_SECONDS = 0.1
 
 
 class LeaderRecord(msgspec.Struct, frozen=True, kw_only=True):
