--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -5,7 +5,6 @@
 answer. Clients ask twice a second, so that a dead owner is noticed by their next call.
 """
 
-import asyncio
 from collections.abc import Callable
 
 import msgspec
@@ -20,21 +19,18 @@
 )
 from drumbay.batches.ledger import BatchLedger
 from drumbay.batches.listing import PAGE_BYTES
+from drumbay.batches.owned import OwnedBatches
 from drumbay.batches.owners import STORE_RETRY_SECONDS, OwnerTable, ServiceIdentity
 from drumbay.batches.records import (
     BatchId,
     BatchSpec,
     ItemId,
-    ItemResult,
     OwnerRecord,
     OwnerState,
     ResultPage,
-    ReturnedItems,
     StoredOwner,
     page_of,
 )
-from drumbay.batches.returning import ReturningItems
-from drumbay.batches.runner import BatchRunner
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.exceptions import Execution
@@ -114,31 +110,30 @@
         """
         self._clock = clock
         self.ledger = BatchLedger(store)
-        self._directory = directory
-        self._client = client
         self._task_owner = task_owner
-        self._newest_version = newest_version
         self._metrics = metrics
-        self._runners: dict[BatchId, BatchRunner] = {}
-        self._taking: dict[BatchId, asyncio.Event] = {}
-        self._owners = OwnerTable(clock, self.ledger, peers, identity, announce)
-        self._returning = ReturningItems(peers)
         self._known_nodes = known_nodes
-        self._leaving = False
-        directory.add_listener(self._wake_runners)
-
-    def _wake_runners(self) -> None:
-        for runner in self._runners.values():
-            runner.wake()
+        self._owners = OwnerTable(clock, self.ledger, peers, identity, announce)
+        self._owned = OwnedBatches(
+            clock,
+            self.ledger,
+            self._owners,
+            directory,
+            client,
+            peers,
+            task_owner,
+            newest_version,
+            metrics,
+        )
 
     @property
     def owned(self) -> int:
         """Return how many batch jobs this node runs."""
-        return len(self._runners)
+        return len(self._owned)
 
     def unfinished(self) -> int:
         """Return how many owned batch jobs have unlisted items."""
-        return sum(1 for runner in self._runners.values() if not runner.is_finished)
+        return self._owned.unfinished()
 
     # Submission
 
@@ -179,34 +174,7 @@
         self._metrics.count_batch("accepted")
         log_event("batch_accepted", batch=spec.batch_id, items=len(spec.items), step=spec.step)
         stored = StoredOwner(record=owner, revision=revision)
-        if self._owners.is_own_boot(owner):
-            self._start_owned(spec, stored)
-        elif await self._owners.hand_over(spec, stored):
-            self._owners.note(OwnerNotice(batch_id=spec.batch_id, owner=stored))
-        else:
-            await self._take_back(spec, stored)
-
-    def _start_owned(self, spec: BatchSpec, owner: StoredOwner) -> None:
-        """Run a new batch job whose owner this process is; a leaving one does not."""
-        if self._leaving or spec.batch_id in self._runners:
-            return
-        runner = self._own(spec, owner.revision, ())
-        self._owners.announce(spec.batch_id, owner)
-        self._task_owner.spawn(self._start(runner), f"batch-start-{spec.batch_id}")
-
-    async def _take_back(self, spec: BatchSpec, owner: StoredOwner) -> None:
-        """Own a batch job that its owner did not take; if it has after all, it stops."""
-        record = self._owners.own_record(spec.stream, len(spec.items))
-        try:
-            revision = await self.ledger.replace_owner(spec.batch_id, owner, record)
-        except (BatchMovedError, KeyValueError):
-            # The next reader finds an owner that does not know the batch job.
-            return
-        self._start_owned(spec, StoredOwner(record=record, revision=revision))
-
-    async def _start(self, runner: BatchRunner) -> None:
-        nodes = self._owners.recent_owners(runner.spec.stream)
-        runner.start(await self._returning.collect(runner.spec, nodes))
+        await self._owned.place(spec, stored)
 
     async def _written_revision(self, batch_id: BatchId, owner: OwnerRecord) -> Revision | None:
         """Return the revision of a record that an unanswered write of this node left."""
@@ -214,38 +182,13 @@
             stored = await self.ledger.read_owner(batch_id)
         except (KeyValueError, BatchNotFoundError):
             return None
-        is_written = stored.record == owner and batch_id not in self._runners
+        is_written = stored.record == owner and self._owned.get(batch_id) is None
         return stored.revision if is_written else None
 
     def note_owner(self, notice: OwnerNotice) -> None:
         """Take what another node tells about an owner."""
         self._owners.note(notice)
 
-    def _own(
-        self, spec: BatchSpec, revision: Revision, listed: tuple[ItemResult, ...]
-    ) -> BatchRunner:
-        runner = BatchRunner(
-            self._clock,
-            self.ledger,
-            self._directory,
-            self._client,
-            self._task_owner,
-            self._metrics,
-            spec,
-            revision,
-            listed,
-            newest_version=lambda: self._newest_version(spec.model),
-            on_lost=self._forget_runner,
-        )
-        self._runners[spec.batch_id] = runner
-        return runner
-
-    def _forget_runner(self, batch_id: BatchId) -> None:
-        runner = self._runners.pop(batch_id, None)
-        if runner is not None and runner.is_lingering:
-            self._returning.keep(runner)
-        self._owners.forget(batch_id)
-
     # Reading, bodies, ends
 
     async def read(self, batch_id: BatchId, position: int, wait_seconds: float) -> ResultPage:
@@ -257,7 +200,7 @@
         """
         deadline = self._clock.monotonic() + wait_seconds + READ_LIMIT_SECONDS
         for _ in range(OWNER_ATTEMPTS):
-            runner = self._runners.get(batch_id)
+            runner = self._owned.get(batch_id)
             if runner is not None:
                 return await runner.read(position, wait_seconds, PAGE_BYTES)
             owner = await self._owners.find(batch_id, deadline)
@@ -270,7 +213,7 @@
             if isinstance(reply, BusyReply):
                 break
             is_gone = isinstance(reply, NotOwnerReply)
-            await self._take_over(batch_id, owner, owner_is_gone=is_gone)
+            await self._owned.take_over(batch_id, owner, owner_is_gone=is_gone)
         raise BatchUnavailableError(batch_id)
 
     async def _read_stored(
@@ -293,7 +236,7 @@
         """
         deadline = self._clock.monotonic() + READ_LIMIT_SECONDS
         for _ in range(OWNER_ATTEMPTS):
-            runner = self._runners.get(batch_id)
+            runner = self._owned.get(batch_id)
             if runner is not None:
                 return runner.body(item_id)
             owner = await self._owners.find(batch_id, deadline)
@@ -308,7 +251,7 @@
             if isinstance(reply, BusyReply):
                 break
             is_gone = isinstance(reply, NotOwnerReply)
-            await self._take_over(batch_id, owner, owner_is_gone=is_gone)
+            await self._owned.take_over(batch_id, owner, owner_is_gone=is_gone)
         raise BatchUnavailableError(batch_id)
 
     async def end(self, batch_id: BatchId) -> None:
@@ -334,7 +277,7 @@
                 await self._owners.pause_until(deadline, error)
         self._metrics.count_batch("ended")
         log_event("batch_ended", batch=batch_id)
-        self._stop_runner(batch_id)
+        self._owned.stop(batch_id)
         stored = StoredOwner(record=ended, revision=revision)
         self._owners.announce(batch_id, stored)
         if not self._owners.is_own_address(owner.record):
@@ -344,93 +287,19 @@
     async def _tell_end(self, batch_id: BatchId, owner: StoredOwner) -> None:
         await self._owners.ask(owner, EndBatch(batch_id=batch_id))
 
-    def _stop_runner(self, batch_id: BatchId) -> None:
-        """Let the runs of an ended batch job go on for a while; it lists nothing more."""
-        runner = self._runners.pop(batch_id, None)
-        self._owners.forget(batch_id)
-        if runner is not None:
-            runner.linger()
-            self._returning.keep(runner)
-
-    # Owners
-
-    async def _take_over(
-        self, batch_id: BatchId, silent: StoredOwner, *, owner_is_gone: bool
-    ) -> None:
-        """Own a batch job whose owner did not answer for it; callers meanwhile wait."""
-        self._owners.forget(batch_id)
-        if self._leaving:
-            return
-        if await self._wait_while_taking(batch_id):
-            return
-        taken = self._taking[batch_id] = asyncio.Event()
-        try:
-            await self._replace_owner(batch_id, silent, owner_is_gone=owner_is_gone)
-        finally:
-            del self._taking[batch_id]
-            taken.set()
-
-    async def _wait_while_taking(self, batch_id: BatchId) -> bool:
-        """Wait until a takeover that is under way here has ended; return whether one was.
-
-        The store names this node the owner before it has read the batch job: whoever asks in
-        between must not take it for one that has lost it.
-        """
-        taken = self._taking.get(batch_id)
-        if taken is None:
-            return False
-        await taken.wait()
-        return True
-
-    async def _replace_owner(
-        self, batch_id: BatchId, silent: StoredOwner, *, owner_is_gone: bool
-    ) -> None:
-        """Take the place of an owner in the store, and run the batch job.
-
-        The record is read again: if it has changed, the new owner is asked instead.
-        """
-        try:
-            owner = await self.ledger.read_owner(batch_id)
-            if owner.revision != silent.revision or owner.record.state is OwnerState.ENDED:
-                return
-            record = self._owners.own_record(owner.record.stream, owner.record.total)
-            revision = await self.ledger.replace_owner(batch_id, owner, record)
-            stored = await self.ledger.read(batch_id)
-        except BatchMovedError:
-            return
-        except KeyValueError as error:
-            raise BatchUnavailableError(error.code) from error
-        if stored.owner.revision != revision or batch_id in self._runners:
-            return
-        self._metrics.count_batch("taken_over")
-        log_event(
-            "batch_taken_over",
-            level="WARNING",
-            batch=batch_id,
-            previous=str(silent.record.address),
-            owner_is_gone=owner_is_gone,
-            listed=len(stored.results),
-            saved=len(stored.progress),
-            items=len(stored.spec.items),
-        )
-        runner = self._own(stored.spec, revision, stored.results)
-        self._owners.announce(batch_id, stored.owner)
-        runner.resume(stored.progress, owner_is_gone=owner_is_gone)
-        runner.start(ReturnedItems())
-
     # Calls of other nodes
 
     async def handle_peer(self, request: BatchRequest) -> PeerReply:
         """Answer a call of another node, as the owner only."""
         if isinstance(request, TakePartialTexts):
-            return PartialTextsReply(returned=self._returning.give_up(request))
+            return PartialTextsReply(returned=self._owned.give_up_texts(request))
         if isinstance(request, OwnBatch):
             return self._accept_ownership(request)
-        await self._wait_while_taking(request.batch_id)
-        runner = self._runners.get(request.batch_id)
+        await self._owned.wait_while_taking(request.batch_id)
+        runner = self._owned.get(request.batch_id)
         match request:
             case EndBatch(batch_id=batch_id):
-                self._stop_runner(batch_id)
+                self._owned.stop(batch_id)
                 return DoneReply()
             case _ if runner is None:
                 return NotOwnerReply()
@@ -444,22 +313,18 @@
                     return NotFoundReply()
 
     def _accept_ownership(self, request: OwnBatch) -> PeerReply:
-        if self._leaving or not self._owners.is_own_boot(request.owner.record):
+        if self._owned.is_leaving or not self._owners.is_own_boot(request.owner.record):
             return NotOwnerReply()
-        self._start_owned(request.spec, request.owner)
+        self._owned.start(request.spec, request.owner)
         return DoneReply()
 
     def turn_away(self) -> None:
         """Own no further batch job; those that are owned go on."""
-        self._leaving = True
+        self._owned.is_leaving = True
 
     def leave(self) -> None:
         """Own nothing more: the process is about to end; the next caller takes over."""
-        self._leaving = True
-        self._returning.close()
-        for runner in self._runners.values():
-            runner.close()
-        self._runners.clear()
+        self._owned.leave()
 
 
 def _refusal(uncertain: bool) -> BatchRefusedError | BatchOutcomeUnknownError:
