--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -24,6 +24,13 @@
 
 SILENCE_BEFORE_FIRST_EVENT_SECONDS = 1.6
 SILENCE_BETWEEN_EVENTS_SECONDS = 1.2
+SILENCE_WITH_ROOM_ELSEWHERE_SECONDS = 0.6
+"""A run that waits for a place, or lost it to a more urgent one, goes on at a worker that has
+one; some ten events come in this time even from a worker that is slow."""
+
+LONGEST_PLAN_GAP_SECONDS = 0.4
+"""Plans follow each other by a tenth of a second. After a longer gap this process has stood
+still or was busy, and events that came meanwhile are not read yet."""
 
 PRIORITY_LONG = 2
 PRIORITY_NORMAL = 5
@@ -99,6 +106,8 @@
         """
         self._spec = spec
         self._give_up_at = started_at + spec.queue_limit_seconds
+        self._planned_at = started_at
+        self._listening_since = started_at
         done = {result.item_id for result in listed}
         self._runs = {
             item.item_id: ItemRun(item=item) for item in spec.items if item.item_id not in done
@@ -274,6 +283,9 @@
             newest_version: Newest version that the model's trainer has named.
             now: Monotonic time.
         """
+        if now - self._planned_at > LONGEST_PLAN_GAP_SECONDS:
+            self._listening_since = now
+        self._planned_at = now
         choice = WorkerChoice(self._spec, workers, newest_version, now)
         decisions: list[Decision] = [*self._given_up, *self._stops(choice, now)]
         self._given_up.clear()
@@ -320,13 +332,25 @@
         for run in self._runs.values():
             if run.worker_id is None:
                 continue
-            if _is_silent(run, now):
+            if self._is_silent(run, choice, now):
                 stops.append(_stop(run, StopReason.SILENT))
             elif self._should_move(run, choice):
                 run.moves += 1
                 stops.append(_stop(run, StopReason.SLOW_WORKER))
         return stops
 
+    def _is_silent(self, run: ItemRun, choice: WorkerChoice, now: float) -> bool:
+        assert run.worker_id is not None
+        silence = now - max(run.heard_at, self._listening_since)
+        if silence <= SILENCE_WITH_ROOM_ELSEWHERE_SECONDS:
+            return False
+        limit = (
+            SILENCE_BETWEEN_EVENTS_SECONDS
+            if run.events_here
+            else SILENCE_BEFORE_FIRST_EVENT_SECONDS
+        )
+        return silence > limit or choice.reserve_other(run.worker_id)
+
     @staticmethod
     def _should_move(run: ItemRun, choice: WorkerChoice) -> bool:
         assert run.worker_id is not None
@@ -341,15 +365,6 @@
         return choice.reserve_faster(run.worker_id)
 
 
-def _is_silent(run: ItemRun, now: float) -> bool:
-    if run.worker_id is None:
-        return False
-    silence = now - run.heard_at
-    if run.events_here == 0:
-        return silence > SILENCE_BEFORE_FIRST_EVENT_SECONDS
-    return silence > SILENCE_BETWEEN_EVENTS_SECONDS
-
-
 def _stop(run: ItemRun, reason: StopReason) -> StopRun:
     assert run.worker_id is not None
     run.avoid = run.worker_id
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -85,6 +85,40 @@
     def started(decisions: tuple[Decision, ...]) -> dict[str, StartRun]:
         return {d.item.item_id: d for d in decisions if isinstance(d, StartRun)}
 
+    def silent_runs(self, scheduler: BatchScheduler, now: float) -> int:
+        return sum(
+            1
+            for decision in self.plan(scheduler, now)
+            if isinstance(decision, StopRun) and decision.reason is StopReason.SILENT
+        )
+
+    def plan_calmly(self, scheduler: BatchScheduler, since: float, until: float) -> int:
+        """Plan each tenth of a second; return how many runs were stopped for their silence."""
+        ticks = round((until - since) * 10)
+        return sum(self.silent_runs(scheduler, since + tick / 10) for tick in range(1, ticks + 1))
+
+    def test_a_run_that_waits_goes_where_there_is_room(self) -> None:
+        scheduler = BatchScheduler(batch_spec(groups=1, group_size=2), 0.0, ())
+        self.plan(scheduler, 0.0)
+        self.assertEqual(self.plan_calmly(scheduler, 0.0, 0.5), 0)
+        self.assertEqual(self.plan_calmly(scheduler, 0.5, 0.7), 2)
+
+    def test_a_run_that_waits_stays_where_nothing_is_free_elsewhere(self) -> None:
+        scheduler = BatchScheduler(batch_spec(groups=1, group_size=2), 0.0, ())
+        (start, *_) = self.started(self.plan(scheduler, 0.0)).values()
+        for record in self.directory.of_service(SERVICE):
+            if record.worker.worker_id != start.worker_id:
+                record.in_flight = record.worker.slots
+        self.assertEqual(self.plan_calmly(scheduler, 0.0, 1.5), 0)
+        self.assertEqual(self.plan_calmly(scheduler, 1.5, 1.7), 2)
+
+    def test_after_a_pause_of_this_process_runs_are_heard_out(self) -> None:
+        scheduler = BatchScheduler(batch_spec(groups=1, group_size=2), 0.0, ())
+        self.plan(scheduler, 0.0)
+        self.assertEqual(self.silent_runs(scheduler, 5.0), 0)
+        self.assertEqual(self.plan_calmly(scheduler, 5.0, 5.5), 0)
+        self.assertEqual(self.plan_calmly(scheduler, 5.5, 5.7), 2)
+
     def test_long_items_go_to_fast_workers_with_priority(self) -> None:
         for worker, pace in (("w1", 0.05), ("w2", 0.03), ("w3", 0.05)):
             self.directory.observe_pace(BackendId(worker), pace, 0.0)
