--- a/drumbay/batches/worker_choice.py
+++ b/drumbay/batches/worker_choice.py
@@ -83,18 +83,6 @@
         self._give(min(faster, key=lambda w: (self._paces[w], w)))
         return True
 
-    def reserve_other(self, worker_id: BackendId) -> bool:
-        """Set aside a place on another worker that is not slow; return whether there is one."""
-        others = [
-            w
-            for w, count in self._free.items()
-            if count > 0 and w != worker_id and not self.is_slow(w)
-        ]
-        if not others:
-            return False
-        self._give(max(others, key=lambda w: (self._free[w], w)))
-        return True
-
     def take(self, request: PlaceRequest) -> BackendId | None:
         """Give away a place; ``None`` if no worker that fits has one."""
         candidates = [worker_id for worker_id, count in self._free.items() if count > 0]
