Cut a watcher off at several moments, with watches that fall silent

This test plays the cut at four moments between heartbeats, with a client whose open watches say nothing more.

--- a/tests/test_shared_feeds.py
+++ b/tests/test_shared_feeds.py
@@ -1,7 +1,6 @@
 """Few nodes watch the store, the others follow these: cost, failures of watchers, no way back."""
 
 import asyncio
-import random
 import unittest
 
 from drumbay.comm.http_exchange import NetworkAddress
@@ -11,6 +10,7 @@
 from drumbay.peers.watchers import RegisteredNode, WatcherRanking
 from drumbay.standins.kv_faults import KeyValueFaults
 from tests.serving_world import ServingWorld, WorldNode, play
+from tests.test_store_follower import SilentStore
 
 NODES = 20
 IN_FORCE_SECONDS = 2.0
@@ -140,7 +140,6 @@
 
 class SharedFeedsTest(unittest.TestCase):
     async def start(self, world: ServingWorld) -> list[Seen]:
-        random.Random(1).shuffle(world.nodes)
         seen: list[Seen] = []
         for node in world.nodes:
             seen.append(Seen())
@@ -195,14 +194,22 @@
         play(scenario, node_count=NODES)
 
     def test_a_watcher_that_alone_is_cut_off_from_the_store_is_left(self) -> None:
-        async def scenario(world: ServingWorld) -> None:
-            seen = await self.start(world)
-            self.watchers(world)[1].store.reachable = False
-            self.put(world, b"1")
-            await asyncio.sleep(IN_FORCE_SECONDS)
-            self.check_in_force(seen, b"1")
-
-        play(scenario, node_count=NODES)
+        """At every moment between two of its heartbeats."""
+        for phase in range(4):
+
+            async def scenario(world: ServingWorld, phase: int = phase) -> None:
+                store = SilentStore(world.model, world.clock)
+                number = int(world.nodes[1].address.host.rpartition(".")[2])
+                world.nodes[1] = WorldNode(world, number, 0, store)
+                seen = await self.start(world)
+                await asyncio.sleep(0.25 * phase)
+                store.cut()
+                self.put(world, b"1")
+                await asyncio.sleep(IN_FORCE_SECONDS)
+                self.check_in_force(seen, b"1")
+
+            with self.subTest(phase=phase):
+                play(scenario, node_count=NODES)
 
     def test_without_any_watcher_the_others_watch(self) -> None:
         async def scenario(world: ServingWorld) -> None:
