Count a request as cut off by a stop only if the node had it

Finding of the soak: (60 s) broke stop_cuts_nothing for 7 requests to a node that had been stopped as planned. Cause: the check. The callers of the soak do not look at readiness and go on sending to a node until it is back; a connection that was refused while its process was gone counted as a request that was cut off. Ruled out: the product (the node said serving_stopped 2.6 s after the signal with nothing open). Change: a call says whether a connection came up; one that never did is no request in flight. A request that was sent and got no answer counts as before.

--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -208,6 +208,9 @@
         history = self.history(fault(FaultKind.NODE_STOPPED, 0.5))
         history.calls = [call("a", None)]
         self.check_broken(history, "stop_cuts_nothing")
+        history.calls[0].is_sent = False
+        self.assertEqual(check(history), ())
+        history.calls[0].is_sent = True
         killed = msg_replace(history, (fault(FaultKind.NODE_KILLED, 0.5),))
         self.assertEqual(check(killed), ())
 
