Score whole texts by reward requests before they are listed

Ruled out: a second way of forwarding. A reward request goes through the forwarder, by the route that is in force when it is sent, with its choice of worker, hedging, kept connections and expected incarnation.

Change: an item with a reward request is finished once its text is whole and scored. The scheduler decides when to ask (once the stream is complete) and when to ask again or give up: after as many failures of workers as both routes allow. Whole texts are saved as such and come back as such; an end or the loss of ownership stops the requests. A 504 of a worker is no failure of the run. A broken reward request makes the submission a 400.

Tests: tests/test_rewards (decisions, places, whole nodes), the simulation over seeds scores every second batch job and checks each score, two tests over sockets. Without the code they fail: no result of theirs has a score.

--- a/drumbay/batches/item_run.py
+++ b/drumbay/batches/item_run.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from drumbay.batches.records import BatchItem, ItemResult, PartialText, ResultState
+from drumbay.batches.records import BatchItem, ItemResult, PartialText, ResultState, Reward
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.workers.records import StreamEvent
 
@@ -23,6 +23,12 @@
         moves: How often it was moved off a slow worker.
         generation: How often its text was thrown away.
         avoid: Worker that it should not go to if there is another.
+        complete: Whether the text is whole; it then waits for its score, if it needs one.
+        reward: Score of the whole text.
+        is_scoring: Whether its reward request is under way.
+        score_not_before: Monotonic time before which its reward request is not made again.
+        reward_failures: Reward requests that a worker ran and failed.
+        reward_attempts: Reward requests that brought no score, in a row.
     """
 
     item: BatchItem
@@ -37,6 +43,12 @@
     moves: int = 0
     generation: int = 0
     avoid: BackendId | None = None
+    complete: bool = False
+    reward: Reward | None = None
+    is_scoring: bool = False
+    score_not_before: float = 0.0
+    reward_failures: int = 0
+    reward_attempts: int = 0
 
     def start(self, worker_id: BackendId, now: float) -> None:
         """Note that it runs at a worker."""
@@ -55,6 +67,13 @@
         self.texts.clear()
         self.versions.clear()
         self.last_number = None
+        self.complete = False
+        self.reward = None
+
+    @property
+    def is_finished(self) -> bool:
+        """Return whether nothing is missing: a whole text, and its score if it needs one."""
+        return self.complete and self.item.accepts(self.reward)
 
     def take(self, event: StreamEvent, now: float) -> float | None:
         """Add an event; return the seconds since the last one.
@@ -77,6 +96,9 @@
         self.texts = list(partial_text.texts)
         self.last_number = partial_text.last_number
         self.versions = list(partial_text.versions)
+        self.complete = partial_text.complete
+        has_score = self.item.reward_request is not None and self.item.accepts(partial_text.reward)
+        self.reward = partial_text.reward if has_score else None
 
     def result(self) -> ItemResult:
         """Return the finished item."""
@@ -85,6 +107,7 @@
             state=ResultState.DONE,
             text="\n".join(self.texts),
             versions=tuple(sorted(self.versions)),
+            reward=self.reward,
         )
 
     def partial_text(self) -> PartialText:
@@ -95,5 +118,7 @@
             texts=tuple(self.texts),
             last_number=self.last_number,
             versions=tuple(self.versions),
+            complete=self.complete,
             generation=self.generation,
+            reward=self.reward,
         )
--- a/drumbay/batches/owned.py
+++ b/drumbay/batches/owned.py
@@ -15,6 +15,7 @@
     StoredOwner,
 )
 from drumbay.batches.returning import ReturningItems
+from drumbay.batches.reward_scorer import RewardScorer
 from drumbay.batches.runner import BatchRunner
 from drumbay.clock import Clock
 from drumbay.identifiers import Revision, WeightVersion
@@ -42,6 +43,7 @@
         owners: OwnerTable,
         directory: WorkerDirectory,
         client: WorkerClient,
+        scorer: RewardScorer,
         peers: PeerClient,
         task_owner: TaskOwner,
         newest_version: Callable[[str], WeightVersion],
@@ -55,6 +57,7 @@
             owners: Who owns which batch job.
             directory: The workers.
             client: Calls to workers.
+            scorer: Makes reward requests.
             peers: Calls to other nodes.
             task_owner: Runs the tasks of runners.
             newest_version: Returns the newest version named for a model.
@@ -66,6 +69,7 @@
         self._owners = owners
         self._directory = directory
         self._client = client
+        self._scorer = scorer
         self._task_owner = task_owner
         self._newest_version = newest_version
         self._metrics = metrics
@@ -131,6 +135,7 @@
             self._ledger,
             self._directory,
             self._client,
+            self._scorer,
             self._task_owner,
             self._metrics,
             spec,
--- a/drumbay/batches/progress.py
+++ b/drumbay/batches/progress.py
@@ -17,10 +17,11 @@
 
 
 class _Saved(msgspec.Struct, frozen=True, kw_only=True):
-    """How many texts of an item are saved, and of which generation."""
+    """How many texts of an item are saved, of which generation, and whether as a whole one."""
 
     count: int
     generation: int
+    complete: bool
 
 
 class ProgressSaver:
@@ -72,9 +73,12 @@
             before = self._saved.get(text.item_id)
             is_same = before is not None and before.generation == text.generation
             count = before.count if before is not None and is_same else 0
-            if len(text.texts) <= count:
+            was_complete = before is not None and is_same and before.complete
+            if len(text.texts) <= count and text.complete == was_complete:
                 continue
-            self._saved[text.item_id] = _Saved(count=len(text.texts), generation=text.generation)
+            self._saved[text.item_id] = _Saved(
+                count=len(text.texts), generation=text.generation, complete=text.complete
+            )
             piece = msgspec.structs.replace(text, texts=text.texts[count:], first=count == 0)
             pieces.append(piece)
         return tuple(pieces)
--- a/drumbay/batches/records.py
+++ b/drumbay/batches/records.py
@@ -12,8 +12,30 @@
 ItemId = NewType("ItemId", str)
 
 
+class RewardRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """The request whose answer scores an item's text, made once the text is whole.
+
+    A scoring service answers it, by the route of ``host`` and ``target``. It may be repeated.
+    """
+
+    request_id: str
+    host: str
+    target: str
+    body: bytes
+
+
+class Reward(msgspec.Struct, frozen=True, kw_only=True):
+    """A text's score: the stamp of the answer to the reward request of that identifier."""
+
+    request_id: str
+    stamp: str
+
+
 class BatchItem(msgspec.Struct, frozen=True, kw_only=True):
-    """One request of a batch job. ``token_limit`` counts the prompt and the longest output."""
+    """One request of a batch job. ``token_limit`` counts the prompt and the longest output.
+
+    An item with a ``reward_request`` is finished once its text is whole and scored.
+    """
 
     item_id: ItemId
     target: str
@@ -22,6 +44,13 @@
     token_limit: int
     expected_tokens: int
     group: str
+    reward_request: RewardRequest | None = None
+
+    def accepts(self, reward: Reward | None) -> bool:
+        """Return whether a whole text with this score, or none, is a finished item."""
+        if self.reward_request is None:
+            return True
+        return reward is not None and reward.request_id == self.reward_request.request_id
 
 
 class BatchStream(msgspec.Struct, frozen=True, kw_only=True):
@@ -71,6 +100,7 @@
     state: ResultState
     text: str = ""
     versions: tuple[WeightVersion, ...] = ()
+    reward: Reward | None = None
 
     def size_bytes(self) -> int:
         """Return about how many bytes the result takes on the wire."""
@@ -82,7 +112,8 @@
 
     ``first`` says that the texts begin with the first event; otherwise they continue an
     earlier piece. ``versions`` are those of the whole text up to here. ``generation`` grows
-    when an item's text is thrown away and made again.
+    when an item's text is thrown away and made again. ``reward`` is the score of a complete
+    text, if it has one.
     """
 
     item_id: ItemId
@@ -92,6 +123,7 @@
     complete: bool = False
     first: bool = True
     generation: int = 0
+    reward: Reward | None = None
 
 
 class ReturnedItems(msgspec.Struct, frozen=True, kw_only=True):
--- /dev/null
+++ b/drumbay/batches/reward_scorer.py
@@ -0,0 +1,194 @@
+"""Makes the reward requests of items: one scoring service's answer becomes a text's score.
+
+A reward request goes the way of a client's request, through the forwarder, by the route that
+is in force when it is made.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager, suppress
+from enum import StrEnum
+
+import msgspec
+
+from drumbay.batches.records import Reward, RewardRequest
+from drumbay.batches.scoring_places import ScoringPlaces, Ticket, place_limit
+from drumbay.clock import Clock
+from drumbay.exceptions import UnavailableError
+from drumbay.forwarding.forwarder import ClientRequest, Forwarder, ForwardingError
+from drumbay.forwarding.routes import RequestKind, Route, RouteTable
+from drumbay.observability.logs import log_event
+from drumbay.observability.serving_metrics import ServingMetrics
+from drumbay.workers.directory import WorkerDirectory
+
+REWARD_BUDGET_SECONDS = 2.0
+"""How long workers are given for one reward request; after that it is made again."""
+
+ADMIT_INTERVAL_SECONDS = 0.1
+"""A request that waits looks so often whether workers have come or have become free."""
+
+
+class RewardFailure(StrEnum):
+    """Why a reward request brought no score."""
+
+    NO_ROUTE = "no_route"
+    NOT_SERVED = "not_served"
+    REJECTED = "rejected"
+
+
+class RewardNotGivenError(UnavailableError):
+    """A reward request brought no score.
+
+    Attributes:
+        reason: Why.
+        worker_failures: How many workers ran the request and failed.
+        attempts: How many workers the route allows; 0 if there is no route.
+    """
+
+    code = "reward_not_given"
+
+    def __init__(self, reason: RewardFailure, worker_failures: int, attempts: int) -> None:
+        """Store what is known."""
+        super().__init__(reason)
+        self.reason = reason
+        self.worker_failures = worker_failures
+        self.attempts = attempts
+
+
+class RewardScorer:
+    """Scores the texts of all batch jobs of one node."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        forwarder: Forwarder,
+        routes: RouteTable,
+        directory: WorkerDirectory,
+        metrics: ServingMetrics,
+    ) -> None:
+        """Create a scorer.
+
+        Args:
+            clock: Time.
+            forwarder: Sends the requests.
+            routes: The configuration in force.
+            directory: The workers, whose places bound the requests under way.
+            metrics: Counts the requests.
+        """
+        self._clock = clock
+        self._forwarder = forwarder
+        self._routes = routes
+        self._directory = directory
+        self._metrics = metrics
+        self._queues: dict[str, _ScoringQueue] = {}
+
+    async def score(self, request: RewardRequest, batch_started_at: float) -> Reward:
+        """Return the score of a whole text.
+
+        Args:
+            request: The reward request.
+            batch_started_at: When the item's batch job began; the oldest goes first.
+
+        Raises:
+            RewardNotGivenError: No score came.
+        """
+        asked_at = self._clock.monotonic()
+        outcome = "cancelled"
+        try:
+            route = self._route(request)
+            async with self._queue(route).place(batch_started_at):
+                reward = await self._ask(request)
+            outcome = "scored"
+            return reward
+        except RewardNotGivenError as error:
+            outcome = error.reason
+            raise
+        finally:
+            self._metrics.count_reward(outcome, self._clock.monotonic() - asked_at)
+
+    def _route(self, request: RewardRequest) -> Route:
+        current = self._routes.current
+        route = current.find(request.host, request.target) if current is not None else None
+        if route is None:
+            raise RewardNotGivenError(RewardFailure.NO_ROUTE, 0, 0)
+        # It may be repeated, whatever the route allows clients.
+        return msgspec.structs.replace(route, kind=RequestKind.IDEMPOTENT)
+
+    def _queue(self, route: Route) -> "_ScoringQueue":
+        queue = self._queues.get(route.name)
+        if queue is None:
+            queue = self._queues[route.name] = _ScoringQueue(lambda: self._limit(route.name))
+        return queue
+
+    def _limit(self, route_name: str) -> int:
+        """Return how many reward requests of a route may be under way now."""
+        current = self._routes.current
+        routes = current.routes if current is not None else ()
+        records = [
+            record
+            for route in routes
+            if route.name == route_name
+            for share in route.shares
+            for record in self._directory.of_service(share.service)
+        ]
+        return place_limit(records, self._clock.monotonic())
+
+    async def _ask(self, request: RewardRequest) -> Reward:
+        # The route may have changed while the request waited.
+        route = self._route(request)
+        outgoing = ClientRequest(
+            request_id=request.request_id,
+            method="POST",
+            target=request.target,
+            host=request.host,
+            headers=(),
+            body=request.body,
+            budget_seconds=REWARD_BUDGET_SECONDS,
+        )
+        try:
+            answer = await self._forwarder.forward(route, outgoing)
+        except ForwardingError as error:
+            raise RewardNotGivenError(
+                RewardFailure.NOT_SERVED, error.worker_failures, route.attempts
+            ) from error
+        if not 200 <= answer.status < 300:
+            log_event("reward_rejected", request=request.request_id, status=answer.status)
+            raise RewardNotGivenError(RewardFailure.REJECTED, 0, route.attempts)
+        return Reward(request_id=request.request_id, stamp=answer.stamp)
+
+
+class _ScoringQueue:
+    """Performs the decisions about the reward requests of one route."""
+
+    def __init__(self, limit: Callable[[], int]) -> None:
+        self._limit = limit
+        self._places = ScoringPlaces()
+        self._admitted: dict[Ticket, asyncio.Event] = {}
+
+    @asynccontextmanager
+    async def place(self, batch_started_at: float) -> AsyncIterator[None]:
+        """Wait for a place and keep it until the context is left."""
+        ticket = self._places.wait(batch_started_at)
+        admitted = self._admitted[ticket] = asyncio.Event()
+        try:
+            await self._wait(admitted)
+            yield
+        finally:
+            del self._admitted[ticket]
+            if admitted.is_set():
+                self._places.release()
+            else:
+                self._places.leave(ticket)
+            self._admit()
+
+    async def _wait(self, admitted: asyncio.Event) -> None:
+        self._admit()
+        while not admitted.is_set():
+            with suppress(TimeoutError):
+                async with asyncio.timeout(ADMIT_INTERVAL_SECONDS):
+                    await admitted.wait()
+            self._admit()
+
+    def _admit(self) -> None:
+        for ticket in self._places.admit(self._limit()):
+            self._admitted[ticket].set()
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -17,8 +17,18 @@
     ResultPage,
     ResultState,
     ReturnedItems,
+    RewardRequest,
+)
+from drumbay.batches.reward_scorer import RewardNotGivenError, RewardScorer
+from drumbay.batches.scheduler import (
+    BatchScheduler,
+    Decision,
+    RunFailure,
+    ScoreText,
+    StartRun,
+    StopReason,
+    StopRun,
 )
-from drumbay.batches.scheduler import BatchScheduler, RunFailure, StartRun, StopReason, StopRun
 from drumbay.clock import Clock
 from drumbay.identifiers import BackendId, Revision, WeightVersion
 from drumbay.observability.logs import log_event
@@ -27,12 +37,13 @@
 from drumbay.workers.directory import WorkerDirectory, WorkerRecord
 from drumbay.workers.interface import WorkerClient, WorkerStream
 from drumbay.workers.records import (
-    WorkerBrokenError,
+    WorkerError,
     WorkerFailedError,
     WorkerMisdirectedError,
     WorkerRefusedError,
     WorkerRejectedError,
     WorkerRequest,
+    WorkerTimedOutError,
     WorkerUnreachableError,
 )
 
@@ -62,6 +73,7 @@
         ledger: BatchLedger,
         directory: WorkerDirectory,
         client: WorkerClient,
+        scorer: RewardScorer,
         task_owner: TaskOwner,
         metrics: ServingMetrics,
         spec: BatchSpec,
@@ -78,6 +90,7 @@
             ledger: Where results are listed.
             directory: The workers.
             client: Calls to workers.
+            scorer: Makes reward requests.
             task_owner: Runs the runner's tasks.
             metrics: Counts runs and results.
             spec: The batch job.
@@ -91,6 +104,7 @@
         self._clock = clock
         self._directory = directory
         self._client = client
+        self._scorer = scorer
         self._task_owner = task_owner
         self._metrics = metrics
         self._started_at = clock.monotonic()
@@ -111,6 +125,7 @@
             clock, ledger, spec.batch_id, revision, self._scheduler, self._listing.confirm
         )
         self._runs: dict[ItemId, asyncio.Task[None]] = {}
+        self._scoring: dict[ItemId, asyncio.Task[None]] = {}
         self._wakeup = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._closed = False
@@ -157,6 +172,7 @@
         """Stop every run; what is not listed is forgotten."""
         self._stop_tasks()
         self._closed = True
+        self._cancel_scoring()
         for task in self._runs.values():
             task.cancel()
 
@@ -164,11 +180,17 @@
         """Start and list nothing more, but let runs go on for items that may come back."""
         self._stop_tasks()
         self._lingering = True
+        self._cancel_scoring()
         self._unlisted_texts.update({result.item_id: result for result in self._listing.pending})
         for item_id in self._scheduler.useless_after_end():
             self._cancel_run(item_id)
         self._task_owner.spawn(self._close_later(), f"batch-linger-{self.spec.batch_id}")
 
+    def _cancel_scoring(self) -> None:
+        for task in self._scoring.values():
+            task.cancel()
+        self._scoring.clear()
+
     async def _close_later(self) -> None:
         await self._clock.sleep(LINGER_SECONDS)
         self.close()
@@ -218,6 +240,7 @@
             last_number=0,
             versions=result.versions,
             complete=True,
+            reward=result.reward,
         )
 
     @property
@@ -265,9 +288,7 @@
                     await self._wakeup.wait()
             await self._clock.sleep(WAKE_DELAY_SECONDS)
 
-    def _perform(
-        self, decision: StartRun | StopRun, workers: dict[BackendId, WorkerRecord]
-    ) -> None:
+    def _perform(self, decision: Decision, workers: dict[BackendId, WorkerRecord]) -> None:
         match decision:
             case StartRun(item=item, worker_id=worker_id):
                 record = workers[worker_id]
@@ -294,6 +315,39 @@
                 if reason is StopReason.SILENT:
                     self._directory.observe_failure(worker_id, self._clock.monotonic())
                 self._cancel_run(item_id)
+            case ScoreText(item_id=item_id, request=request):
+                log_event(
+                    "reward_requested",
+                    batch=self.spec.batch_id,
+                    item=item_id,
+                    request=request.request_id,
+                )
+                task = self._task_owner.spawn(self._score_text(item_id, request), "item-reward")
+                self._scoring[item_id] = task
+
+    async def _score_text(self, item_id: ItemId, request: RewardRequest) -> None:
+        try:
+            reward = await self._scorer.score(request, self._started_at)
+        except RewardNotGivenError as error:
+            result = self._scheduler.take_reward_failure(
+                item_id, error.worker_failures, error.attempts, self._clock.monotonic()
+            )
+            log_event(
+                "item_not_scored",
+                level="WARNING",
+                batch=self.spec.batch_id,
+                item=item_id,
+                request=request.request_id,
+                reason=error.reason,
+                worker_failures=error.worker_failures,
+                given_up=result is not None,
+            )
+        else:
+            result = self._scheduler.take_reward(item_id, reward)
+        self._scoring.pop(item_id, None)
+        if result is not None:
+            self._add_result(result)
+        self._wakeup.set()
 
     async def _run_item(self, start: StartRun, record: WorkerRecord) -> None:
         item_id = start.item.item_id
@@ -304,23 +358,8 @@
         except asyncio.CancelledError:
             failure = RunFailure.STOPPED
             raise
-        except WorkerMisdirectedError:
-            failure = RunFailure.REFUSED
-            self._pause(record, MISDIRECTED_PAUSE_SECONDS)
-        except WorkerUnreachableError:
-            failure = RunFailure.REFUSED
-            self._directory.observe_failure(record.worker.worker_id, self._clock.monotonic())
-        except WorkerRefusedError:
-            failure = RunFailure.REFUSED
-            self._directory.observe_refusal(
-                record.worker.worker_id, self.spec.model, self._clock.monotonic()
-            )
-        except WorkerBrokenError:
-            failure = RunFailure.BROKEN
-        except WorkerFailedError:
-            failure = RunFailure.FAILED
-        except WorkerRejectedError:
-            failure = RunFailure.REJECTED
+        except WorkerError as error:
+            failure = self._observe(record, error)
         finally:
             record.in_flight -= 1
             if self._runs.get(item_id) is task:
@@ -328,8 +367,26 @@
             if not self._closed and not (self._lingering and failure is RunFailure.STOPPED):
                 self._finish_run(item_id, record, failure)
 
-    def _pause(self, record: WorkerRecord, seconds: float) -> None:
-        self._directory.pause(record.worker.worker_id, self._clock.monotonic(), seconds)
+    def _observe(self, record: WorkerRecord, error: WorkerError) -> RunFailure:
+        """Take what a failed run tells about its worker; return how the run ended."""
+        worker_id = record.worker.worker_id
+        now = self._clock.monotonic()
+        match error:
+            case WorkerMisdirectedError():
+                self._directory.pause(worker_id, now, MISDIRECTED_PAUSE_SECONDS)
+                return RunFailure.REFUSED
+            case WorkerUnreachableError():
+                self._directory.observe_failure(worker_id, now)
+                return RunFailure.REFUSED
+            case WorkerRefusedError():
+                self._directory.observe_refusal(worker_id, self.spec.model, now)
+                return RunFailure.REFUSED
+            case WorkerRejectedError():
+                return RunFailure.REJECTED
+            case WorkerFailedError() if not isinstance(error, WorkerTimedOutError):
+                return RunFailure.FAILED
+            case _:
+                return RunFailure.BROKEN
 
     def _finish_run(
         self, item_id: ItemId, record: WorkerRecord, failure: RunFailure | None
@@ -390,6 +447,9 @@
     # Listing
 
     def _add_result(self, result: ItemResult) -> None:
+        scoring = self._scoring.pop(result.item_id, None)
+        if scoring is not None:
+            scoring.cancel()
         if self._lingering:
             self._unlisted_texts[result.item_id] = result
             return
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -16,6 +16,8 @@
     PartialText,
     ResultState,
     ReturnedItems,
+    Reward,
+    RewardRequest,
 )
 from drumbay.batches.worker_choice import PlaceRequest, WorkerChoice
 from drumbay.identifiers import BackendId, WeightVersion
@@ -38,6 +40,10 @@
 MAXIMUM_MOVES_TO_FASTER = 1
 FAILURE_DELAY_SECONDS = 0.15
 REFUSAL_DELAY_SECONDS = 0.05
+FIRST_SCORE_RETRY_SECONDS = 0.1
+LONGEST_SCORE_RETRY_SECONDS = 0.8
+"""Pause after a reward request without a score; it doubles from the first to the longest."""
+
 EVENTS_BEFORE_LEAVING_A_SLOW_WORKER = 3
 EVENTS_OF_A_LONG_TEXT = 25
 """An item with so many events is likely to have many more: lengths have a long tail."""
@@ -68,7 +74,14 @@
     reason: StopReason
 
 
-Decision = StartRun | StopRun
+class ScoreText(msgspec.Struct, frozen=True, kw_only=True):
+    """Decision: make the reward request of an item whose text is whole."""
+
+    item_id: ItemId
+    request: RewardRequest
+
+
+Decision = StartRun | StopRun | ScoreText
 
 
 class RunFailure(StrEnum):
@@ -141,7 +154,7 @@
         if run is None or not self._versions_fit(partial_text.versions):
             return
         run.adopt(partial_text)
-        if partial_text.complete:
+        if run.is_finished:
             self._finished.append(run.result())
             self._remove(partial_text.item_id)
 
@@ -204,7 +217,10 @@
         return not self._spec.one_version_only or run.versions in ([], [version])
 
     def take_completion(self, item_id: ItemId) -> ItemResult | None:
-        """Finish an item whose stream is complete; ``None`` if its text cannot be used."""
+        """Take the end of a complete stream; return the result of an item that is finished.
+
+        ``None`` if the text waits for its score, or cannot be used.
+        """
         run = self._runs.get(item_id)
         if run is None:
             return None
@@ -213,9 +229,49 @@
             run.release()
             return None
         run.release()
-        self._remove(item_id)
+        run.complete = True
+        return self._take_finished(run)
+
+    def _take_finished(self, run: ItemRun) -> ItemResult | None:
+        if not run.is_finished:
+            return None
+        self._remove(run.item.item_id)
         return run.result()
 
+    # Events of reward requests
+
+    def take_reward(self, item_id: ItemId, reward: Reward) -> ItemResult | None:
+        """Take the score of a whole text; return the result of the item."""
+        run = self._runs.get(item_id)
+        if run is None or not run.complete:
+            return None
+        run.is_scoring = False
+        run.reward = reward
+        return self._take_finished(run)
+
+    def take_reward_failure(
+        self, item_id: ItemId, worker_failures: int, attempts: int, now: float
+    ) -> ItemResult | None:
+        """Note a reward request without a score; return a result if the item is given up.
+
+        Args:
+            item_id: The item.
+            worker_failures: How many workers ran the request and failed.
+            attempts: How many workers the route of the reward request allows.
+            now: Monotonic time.
+        """
+        run = self._runs.get(item_id)
+        if run is None:
+            return None
+        run.is_scoring = False
+        run.reward_failures += worker_failures
+        if run.reward_failures >= max(attempts, self._spec.attempts):
+            return self._give_up(item_id)
+        pause_seconds = FIRST_SCORE_RETRY_SECONDS * 2 ** min(run.reward_attempts, 8)
+        run.score_not_before = now + min(pause_seconds, LONGEST_SCORE_RETRY_SECONDS)
+        run.reward_attempts += 1
+        return None
+
     def _versions_fit(self, versions: Sequence[WeightVersion]) -> bool:
         if not versions or min(versions) < self._spec.minimum_version:
             return False
@@ -287,12 +343,24 @@
         decisions: list[Decision] = [*self._given_up, *self._stops(choice, now)]
         self._given_up.clear()
         decisions.extend(self._starts(choice, now))
+        decisions.extend(self._scores(now))
         return tuple(decisions)
 
+    def _scores(self, now: float) -> list[ScoreText]:
+        scores: list[ScoreText] = []
+        for run in self._runs.values():
+            request = run.item.reward_request
+            if not run.complete or run.is_scoring or request is None:
+                continue
+            if now >= run.score_not_before:
+                run.is_scoring = True
+                scores.append(ScoreText(item_id=run.item.item_id, request=request))
+        return scores
+
     def _starts(self, choice: WorkerChoice, now: float) -> list[StartRun]:
         starts: list[StartRun] = []
         for run in self._runs.values():
-            if run.worker_id is not None or now < run.not_before:
+            if run.worker_id is not None or run.complete or now < run.not_before:
                 continue
             if not choice.has_room:
                 break
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -31,6 +31,7 @@
     StoredOwner,
     page_of,
 )
+from drumbay.batches.reward_scorer import RewardScorer
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.exceptions import Execution
@@ -85,6 +86,7 @@
         store: KeyValueStore,
         directory: WorkerDirectory,
         client: WorkerClient,
+        scorer: RewardScorer,
         peers: PeerClient,
         task_owner: TaskOwner,
         identity: ServiceIdentity,
@@ -100,6 +102,7 @@
             store: The key-value service.
             directory: The workers.
             client: Calls to workers.
+            scorer: Makes reward requests.
             peers: Calls to other nodes.
             task_owner: Runs the service's tasks.
             identity: This process.
@@ -120,6 +123,7 @@
             self._owners,
             directory,
             client,
+            scorer,
             peers,
             task_owner,
             newest_version,
--- a/drumbay/explain/log_story.py
+++ b/drumbay/explain/log_story.py
@@ -29,7 +29,7 @@
     if not own:
         return None
     if any(line.get("item") == subject_id for line in own):
-        return Story(cause=_item_cause(own), lines=tuple(own))
+        return Story(cause=_item_cause(own), lines=_with_reward_requests(own, known))
     if any(line.get("batch") == subject_id for line in own):
         return _batch_story(own)
     return Story(cause=_request_cause(own, known), lines=tuple(own))
@@ -87,14 +87,33 @@
     done = [line for line in own if line.event in ("item_finished",)]
     seconds = own[-1].at - own[0].at
     state = done[-1].get("state") if done else "unfinished"
+    asked = [line for line in own if line.event == "reward_requested"]
     interruptions = ", ".join(f"{count} x {name}" for name, count in sorted(ends.items()))
     return (
         f"{state} after {seconds:.2f} s in {len(starts)} run(s)"
         f" on {len({line.get('worker') for line in starts})} worker(s)"
         + (f"; interrupted: {interruptions}" if interruptions else "")
+        + (_reward_cause(own, asked) if asked else "")
     )
 
 
+def _reward_cause(own: Sequence[LogLine], asked: Sequence[LogLine]) -> str:
+    """Return when a text was whole, and what became of its reward requests."""
+    failures = Counter(line.get("reason") for line in own if line.event == "item_not_scored")
+    reasons = ", ".join(f"{count} x {name}" for name, count in sorted(failures.items()))
+    return (
+        f"; text whole after {asked[0].at - own[0].at:.2f} s,"
+        f" {len(asked)} request(s) for its score" + (f", without one: {reasons}" if reasons else "")
+    )
+
+
+def _with_reward_requests(own: Sequence[LogLine], known: Sequence[LogLine]) -> tuple[LogLine, ...]:
+    """Return an item's lines and those of its reward requests, in the order of time."""
+    requests = {line.get("request") for line in own if line.event == "reward_requested"}
+    more = [line for line in known if line.get("request") in requests and line not in own]
+    return tuple(sorted([*own, *more], key=lambda line: line.at))
+
+
 def _batch_story(own: Sequence[LogLine]) -> Story:
     accepted = next((line for line in own if line.event == "batch_accepted"), own[0])
     slow = _slowest_items(own)
--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -23,6 +23,7 @@
     WorkerMisdirectedError,
     WorkerRefusedError,
     WorkerRequest,
+    WorkerTimedOutError,
     WorkerUnreachableError,
 )
 
@@ -38,20 +39,40 @@
 MISDIRECTED_PAUSE_SECONDS = 5.0
 
 
-class NoWorkerError(RequestFailedError):
+class ForwardingError(RequestFailedError):
+    """A request was not served.
+
+    Attributes:
+        worker_failures: How many workers ran the request and failed.
+    """
+
+    def __init__(
+        self,
+        detail: str,
+        *,
+        execution: Execution,
+        retry_after_seconds: float | None = None,
+        worker_failures: int = 0,
+    ) -> None:
+        """Store what is known about the failure."""
+        super().__init__(detail, execution=execution, retry_after_seconds=retry_after_seconds)
+        self.worker_failures = worker_failures
+
+
+class NoWorkerError(ForwardingError):
     """No worker could take the request."""
 
     code = "no_worker"
 
 
-class RequestTimedOutError(RequestFailedError):
+class RequestTimedOutError(ForwardingError):
     """The deadline or the route's time limit passed without an answer."""
 
     code = "request_timed_out"
     http_status = 504
 
 
-class AnswerLostError(RequestFailedError):
+class AnswerLostError(ForwardingError):
     """The request may have run, but no whole answer came."""
 
     code = "answer_lost"
@@ -94,7 +115,7 @@
         """Return a worker's whole answer.
 
         Raises:
-            RequestFailedError: The final answer is a failure; says whether it may have run.
+            ForwardingError: The final answer is a failure; says whether it may have run.
         """
         forwarding = _Forwarding(self, route, self._routes.choose_service(route), request)
         started_at = self.clock.monotonic()
@@ -104,7 +125,7 @@
             outcome = "answered"
             forwarding.log_answer(answer)
             return answer
-        except RequestFailedError as error:
+        except ForwardingError as error:
             outcome = error.code
             forwarding.log_failure(error)
             raise
@@ -133,6 +154,7 @@
         self._attempts: dict[asyncio.Task[WorkerAnswer], WorkerRecord] = {}
         self._sent = 0
         self._refusals = 0
+        self._worker_failures = 0
         self._may_have_run = False
         self._tried: set[str] = set()
 
@@ -173,7 +195,7 @@
             elapsed_seconds=round(self._clock.monotonic() - self._started_at, 4),
         )
 
-    def log_failure(self, error: RequestFailedError) -> None:
+    def log_failure(self, error: ForwardingError) -> None:
         """Log the final failure with what led to it."""
         log_event(
             "request_not_served",
@@ -298,11 +320,14 @@
         except WorkerBrokenError:
             self._may_have_run = True
             self._directory.observe_failure(worker_id, now)
+        except WorkerTimedOutError:
+            self._may_have_run = True
         except WorkerError:
             self._may_have_run = True
+            self._worker_failures += 1
         return None
 
-    def _failure(self, *, timed_out: bool) -> RequestFailedError:
+    def _failure(self, *, timed_out: bool) -> ForwardingError:
         """Return the final answer: what the client may conclude about the request."""
         if not self._may_have_run and self._sent == self._refusals:
             return NoWorkerError(
@@ -311,4 +336,8 @@
                 retry_after_seconds=RETRY_AFTER_SECONDS,
             )
         kind = RequestTimedOutError if timed_out else AnswerLostError
-        return kind("no whole answer came", execution=Execution.MAY_HAVE_RUN)
+        return kind(
+            "no whole answer came",
+            execution=Execution.MAY_HAVE_RUN,
+            worker_failures=self._worker_failures,
+        )
--- a/drumbay/observability/serving_metrics.py
+++ b/drumbay/observability/serving_metrics.py
@@ -44,6 +44,18 @@
             buckets=ITEM_BUCKETS_SECONDS,
             registry=self._registry,
         )
+        self._rewards = Counter(
+            "drumbay_serving_rewards",
+            "Reward requests by outcome.",
+            ("outcome",),
+            registry=self._registry,
+        )
+        self._reward_seconds = Histogram(
+            "drumbay_serving_reward_seconds",
+            "Time from asking for a score to its answer, with the wait for a place.",
+            buckets=REQUEST_BUCKETS_SECONDS,
+            registry=self._registry,
+        )
         self._store_calls = Counter(
             "drumbay_serving_store_calls",
             "Calls to the key-value service by outcome.",
@@ -80,6 +92,11 @@
         """Take the time from a batch job's start to an item's result."""
         self._item_seconds.observe(seconds)
 
+    def count_reward(self, outcome: str, seconds: float) -> None:
+        """Count a reward request that got its score or brought none."""
+        self._rewards.labels(outcome).inc()
+        self._reward_seconds.observe(seconds)
+
     def count_store_call(self, outcome: str, seconds: float) -> None:
         """Count a direct call to the key-value service."""
         self._store_calls.labels(outcome).inc()
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -12,6 +12,7 @@
 
 from drumbay.batches.owners import ServiceIdentity
 from drumbay.batches.retention import BatchRetention
+from drumbay.batches.reward_scorer import RewardScorer
 from drumbay.batches.service import BatchService
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
@@ -139,6 +140,7 @@
             self._store,
             self.directory,
             environment.workers,
+            RewardScorer(clock, self.forwarder, self.routes, self.directory, self.metrics),
             environment.peers,
             self._tasks,
             settings.identity,
--- a/drumbay/standins/worker_pool.py
+++ b/drumbay/standins/worker_pool.py
@@ -75,6 +75,11 @@
     events: int = 0
     versions: list[WeightVersion] = []
 
+    @property
+    def stamp(self) -> str:
+        """Return the worker's mark of this run, that no other run bears."""
+        return f"{self.worker_id}/{self.request_id}/{self.started_at}"
+
 
 class LoggedOrder(msgspec.Struct, frozen=True, kw_only=True):
     """One order that reached a worker."""
@@ -104,6 +109,7 @@
 
     Attributes:
         long_texts: Whether every text has 160 events; otherwise up to 16, by the request.
+        failing_requests: Requests that every worker answers with a failure.
         runs: Every run that began, oldest first.
         orders: Every order that arrived, oldest first.
     """
@@ -125,6 +131,7 @@
         self._listeners: list[Callable[[Worker], None]] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self.long_texts = False
+        self.failing_requests: set[str] = set()
         self.runs: list[LoggedRun] = []
         self.orders: list[LoggedOrder] = []
 
@@ -170,6 +177,16 @@
         """Return the runs of one request."""
         return [run for run in self.runs if run.request_id == request_id]
 
+    def first_whole_at(self, request_id: str) -> float | None:
+        """Return when a run made the last event of a request's text; ``None`` if none did."""
+        count = self._text_events(request_id)
+        ends = [
+            run.ended_at
+            for run in self.runs_of(request_id)
+            if run.ended_at is not None and (run.resume_after or 0) + run.events >= count
+        ]
+        return min(ends, default=None)
+
     # Calls
 
     async def call(self, worker: Worker, request: WorkerRequest) -> WorkerAnswer:
@@ -183,13 +200,14 @@
             self._end(emulated, run)
         if emulated.faults.lose_answers:
             raise WorkerBrokenError("answer lost")
-        if emulated.faults.failing:
+        if emulated.faults.failing or request.request_id in self.failing_requests:
             raise WorkerFailedError("500")
         return WorkerAnswer(
             status=200,
             headers=(("Worker", worker.worker_id),),
             body=request.body,
             load=self._load_of(emulated),
+            stamp=run.stamp,
         )
 
     @asynccontextmanager
--- a/drumbay/workers/directory.py
+++ b/drumbay/workers/directory.py
@@ -46,9 +46,13 @@
 
     def busy(self, now: float) -> int:
         """Return the requests on the worker as far as known."""
+        return self.in_flight + self.others_busy(now)
+
+    def others_busy(self, now: float) -> int:
+        """Return the requests of other nodes on the worker as far as known."""
         if now - self.reported_at > LOAD_REPORT_LIFETIME_SECONDS:
-            return self.in_flight
-        return self.in_flight + self.others
+            return 0
+        return self.others
 
     def free_slots(self, now: float) -> int:
         """Return the places that this node may still take; never more than its slots."""
--- a/drumbay/workers/records.py
+++ b/drumbay/workers/records.py
@@ -59,12 +59,16 @@
 
 
 class WorkerAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """A worker's whole answer, to be returned unchanged."""
+    """A worker's whole answer, to be returned unchanged.
+
+    ``stamp`` is the worker's own mark of the run that made the answer.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
     load: WorkerLoad | None
+    stamp: str = ""
 
 
 class StreamEvent(msgspec.Struct, frozen=True, kw_only=True):
@@ -147,6 +151,12 @@
     code = "worker_failed"
 
 
+class WorkerTimedOutError(WorkerFailedError):
+    """The worker ran the request until its time was up."""
+
+    code = "worker_timed_out"
+
+
 class WorkerRejectedError(WorkerError):
     """The worker says that the request can never be served."""
 
--- a/tests/serving_world.py
+++ b/tests/serving_world.py
@@ -6,11 +6,25 @@
 from typing import TypeVar
 
 from drumbay.batches.owners import ServiceIdentity
-from drumbay.batches.records import BatchId, BatchItem, BatchSpec, ItemId, ItemResult
+from drumbay.batches.records import (
+    BatchId,
+    BatchItem,
+    BatchSpec,
+    ItemId,
+    ItemResult,
+    RewardRequest,
+)
 from drumbay.batches.service import BatchService
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.exceptions import DeadlineExceededError
+from drumbay.forwarding.routes import (
+    RequestKind,
+    RequestLimits,
+    Route,
+    RoutingConfiguration,
+    ServiceShare,
+)
 from drumbay.identifiers import WeightVersion
 from drumbay.kv.memory import MemoryKeyValueStore
 from drumbay.peers.messages import PeerReply, PeerRequest, Ping
@@ -25,6 +39,20 @@
 
 SERVICE = "engines"
 MODEL = "m"
+SCORING_SERVICE = "scores"
+SCORING_ROUTE = Route(
+    name="scores",
+    host="scores.example",
+    path_prefix="/scores/",
+    kind=RequestKind.IDEMPOTENT,
+    shares=(ServiceShare(service=SCORING_SERVICE, weight=1.0),),
+    timeout_seconds=1.5,
+    target_seconds=0.15,
+    attempts=3,
+)
+SCORING_CONFIGURATION = RoutingConfiguration(
+    version=1, routes=(SCORING_ROUTE,), limits=RequestLimits()
+)
 
 
 class LoopbackPeers:
@@ -90,6 +118,8 @@
         )
         self.directory = self.node.directory
         self.directory.replace_all(world.workers.entries())
+        if world.configuration is not None:
+            self.node.apply_configuration(world.configuration)
         world.workers.add_listener(self.directory.put)
         self.batches = self.node.batches
         self.leader = self.node.leader
@@ -116,6 +146,7 @@
         worker_count: int = 3,
         workers_check_fences: bool = False,
         settle_seconds: float = 0.0,
+        scorer_count: int = 0,
     ) -> None:
         self.settle_seconds = settle_seconds
         self.workers_check_fences = workers_check_fences
@@ -124,6 +155,9 @@
         self.workers = EmulatedWorkerPool(self.clock)
         for number in range(1, worker_count + 1):
             self.workers.add(f"worker-{number}", SERVICE, {MODEL: WeightVersion(1)})
+        for number in range(1, scorer_count + 1):
+            self.workers.add(f"scorer-{number}", SCORING_SERVICE)
+        self.configuration = SCORING_CONFIGURATION if scorer_count else None
         self.peers = LoopbackPeers(self.clock)
         self.nodes = [WorldNode(self, number, 0) for number in range(1, node_count + 1)]
 
@@ -140,11 +174,14 @@
     worker_count: int = 3,
     workers_check_fences: bool = False,
     settle_seconds: float = 0.0,
+    scorer_count: int = 0,
 ) -> ResultT:
     """Run a scenario in a fresh world on virtual time."""
 
     async def main() -> ResultT:
-        world = ServingWorld(node_count, worker_count, workers_check_fences, settle_seconds)
+        world = ServingWorld(
+            node_count, worker_count, workers_check_fences, settle_seconds, scorer_count
+        )
         try:
             return await scenario(world)
         finally:
@@ -162,8 +199,12 @@
     attempts: int = 3,
     queue_limit_seconds: float = 40.0,
     one_version_only: bool = False,
+    scored: bool = False,
 ) -> BatchSpec:
-    """Return a batch job whose texts the emulated workers know."""
+    """Return a batch job whose texts the emulated workers know.
+
+    With ``scored``, each item asks for a score under the name of :func:`reward_id`.
+    """
     items = [
         BatchItem(
             item_id=ItemId(f"{name}-{group}-{number}"),
@@ -173,6 +214,7 @@
             token_limit=100,
             expected_tokens=50,
             group=f"group-{group}",
+            reward_request=_reward_request(f"{name}-{group}-{number}") if scored else None,
         )
         for group in range(groups)
         for number in range(group_size)
@@ -193,6 +235,17 @@
     )
 
 
+def reward_id(item_id: str) -> str:
+    """Return the identifier of an item's reward request."""
+    return f"reward-{item_id}"
+
+
+def _reward_request(item_id: str) -> RewardRequest:
+    return RewardRequest(
+        request_id=reward_id(item_id), host="scores.example", target="/scores/1", body=b"text"
+    )
+
+
 async def read_all(
     service: BatchService, batch_id: BatchId, limit_seconds: float = 20.0
 ) -> tuple[ItemResult, ...]:
--- a/tests/test_explain_logs.py
+++ b/tests/test_explain_logs.py
@@ -40,6 +40,15 @@
 time={DAY}15.100+00:00 level=info event=batch_listed batch=b1 items=2
 some other output
 """
+REWARD = f"""\
+time={DAY}20.000+00:00 level=info event=item_run_started batch=b2 item=i3 worker=w1 version=1
+time={DAY}21.000+00:00 level=info event=reward_requested batch=b2 item=i3 request=s3
+time={DAY}22.000+00:00 level=warning event=request_not_served request=s3 route=s service=s \
+error=no_worker execution=not_run sent=3 refusals=3 workers=w8,w9 elapsed_seconds=0.1
+time={DAY}22.000+00:00 level=warning event=item_not_scored batch=b2 item=i3 request=s3 \
+reason=not_served worker_failures=0 given_up=false
+time={DAY}22.100+00:00 level=info event=reward_requested batch=b2 item=i3 request=s3
+"""
 
 
 class StoryTest(unittest.TestCase):
@@ -74,6 +83,16 @@
     def test_an_item(self) -> None:
         self.assertEqual(self.cause("i1"), "done after 0.99 s in 1 run(s) on 1 worker(s)")
 
+    def test_a_text_without_its_score(self) -> None:
+        story = tell("i3", self.lines(LOOKUPS) + self.lines(REWARD))
+        assert story is not None
+        self.assertEqual(
+            story.cause,
+            "unfinished after 2.10 s in 1 run(s) on 1 worker(s); text whole after 1.00 s,"
+            " 2 request(s) for its score, without one: 1 x not_served",
+        )
+        self.assertIn("request_not_served", [line.event for line in story.lines])
+
     def test_lines_of_the_bench_name_their_process(self) -> None:
         text = f'   4.5 edge-1 time={DAY}01.000+00:00 level=info event=e detail="two words" a=1'
         line = parse_line(text, "file")
--- a/tests/test_operations_document.py
+++ b/tests/test_operations_document.py
@@ -78,7 +78,14 @@
         counters.add("drumbay_frames_refused")
         counters |= {
             f"drumbay_serving_{name}"
-            for name in ("requests", "batches", "item_runs", "store_calls", "loads")
+            for name in (
+                "requests",
+                "batches",
+                "item_runs",
+                "rewards",
+                "store_calls",
+                "loads",
+            )
         }
         self.assertEqual(documented, {f"{name}_total" for name in counters})
 
--- a/tests/test_platform_serving.py
+++ b/tests/test_platform_serving.py
@@ -246,6 +246,49 @@
             self.assertEqual((await first.ask("GET", "/lots/none")).status, 404)
             self.assertEqual((await first.ask("POST", "/p/1", b"{}")).status, 400)
 
+    def scored_batch(self, scorer: object) -> bytes:
+        item = {
+            "id": "item-1",
+            "path": "/p/x",
+            "headers": {"model": "m"},
+            "body": base64.b64encode(b"prompt").decode(),
+            "numTokens": 50,
+            "group": "g",
+            "scorer": scorer,
+        }
+        batch = {"trainStep": 1, "model": "m", "minVer": 1, "desired": 1, "requests": [item]}
+        return json.dumps(batch).encode()
+
+    async def test_a_result_bears_the_stamp_of_its_reward_call(self) -> None:
+        self.configure(1, "/l/")
+        process = await self.start()
+        scorer = {
+            "id": "score-1",
+            "host": HOST,
+            "path": "/l/score",
+            "body": base64.b64encode(b"text").decode(),
+        }
+        async with asyncio.timeout(LIMIT_SECONDS):
+            answer = await process.ask("POST", "/p/1", self.scored_batch(scorer), request_id="b1")
+            self.assertEqual(answer.status, 202)
+            page: dict[str, list[dict[str, object]]] = {"results": []}
+            while not page["results"]:
+                page = json.loads((await process.ask("GET", "/lots/b1?sinceRev=0")).body)
+            (call,) = self.workers.runs_of("score-1")
+            self.assertEqual(page["results"][0]["score"], call.stamp)
+
+    async def test_a_batch_job_with_a_broken_scorer_is_refused_for_good(self) -> None:
+        self.configure(1, "/l/")
+        process = await self.start()
+        sound = {"id": "score-1", "host": HOST, "path": "/l/score", "body": ""}
+        async with asyncio.timeout(LIMIT_SECONDS):
+            for broken in ({"id": ""}, {"host": ""}, {"path": "l"}, {"body": "%"}, {"id": 7}):
+                body = self.scored_batch({**sound, **broken})
+                answer = await process.ask("POST", "/p/1", body, request_id="b1")
+                self.assertEqual(answer.status, 400)
+            self.assertEqual((await process.ask("GET", "/lots/b1?sinceRev=0")).status, 404)
+            self.assertEqual(self.workers.runs, [])
+
     async def test_a_planned_stop_finishes_what_is_open(self) -> None:
         self.configure(1, "/l/")
         process = await self.start()
--- a/tests/test_serving_simulation.py
+++ b/tests/test_serving_simulation.py
@@ -20,7 +20,7 @@
 from drumbay.identifiers import WeightVersion
 from drumbay.standins.kv_faults import KeyValueFaults
 from drumbay.standins.worker_pool import WorkerFaults
-from tests.serving_world import ServingWorld, WorldNode, batch_spec, play
+from tests.serving_world import ServingWorld, WorldNode, batch_spec, play, reward_id
 
 SEEDS = range(1, 41)
 FAULTY_SECONDS = 40.0
@@ -71,7 +71,9 @@
         return self.generator.choice([node for node in self.nodes if node is not None])
 
     async def submit(self, number: int) -> None:
-        spec = batch_spec(f"batch-{number}", groups=3, queue_limit_seconds=400.0)
+        spec = batch_spec(
+            f"batch-{number}", groups=3, queue_limit_seconds=400.0, scored=number % 2 == 1
+        )
         try:
             await self.pick().batches.submit(spec)
         except RequestFailedError:
@@ -154,13 +156,15 @@
         self.world.model.set_faults(KeyValueFaults())
 
     async def fault_worker(self) -> None:
-        worker = self.world.workers[f"worker-{self.generator.randint(1, 3)}"]
+        kind = self.generator.choice(("worker", "scorer"))
+        worker = self.world.workers[f"{kind}-{self.generator.randint(1, 3)}"]
         worker.faults = self.generator.choice(
             (
                 WorkerFaults(dark=True),
                 WorkerFaults(slowdown=6.0),
                 WorkerFaults(break_after_events=2),
                 WorkerFaults(full=True),
+                WorkerFaults(lose_answers=True),
             )
         )
         await asyncio.sleep(self.generator.uniform(0.5, 5.0))
@@ -203,9 +207,28 @@
                 reader.violations.append(f"{result.item_id}: text is not whole")
             elif not result.versions:
                 reader.violations.append(f"{result.item_id}: names no version")
+            else:
+                self.check_score(reader, result)
         if reader.batch_id not in self.ended and len(names) != reader.total:
             reader.violations.append(f"{reader.batch_id}: {len(names)} of {reader.total} listed")
 
+    def check_score(self, reader: Reader, result: ItemResult) -> None:
+        """Note a score that is not the stamp of a call made after the text was whole."""
+        number = int(reader.batch_id.removeprefix("batch-"))
+        if number % 2 == 0:
+            if result.reward is not None:
+                reader.violations.append(f"{result.item_id}: a score that nobody asked for")
+            return
+        stamp = result.reward.stamp if result.reward is not None else None
+        calls = self.world.workers.runs_of(reward_id(result.item_id))
+        call = next((call for call in calls if call.stamp == stamp), None)
+        if call is None:
+            reader.violations.append(f"{result.item_id}: score {stamp} of no call")
+            return
+        whole = self.world.workers.first_whole_at(result.item_id)
+        if whole is None or call.started_at < whole:
+            reader.violations.append(f"{result.item_id}: scored before its text was whole")
+
 
 class SeedTest(unittest.TestCase):
     def test_histories_hold_over_seeds(self) -> None:
@@ -218,7 +241,7 @@
                 return violations
 
             with self.subTest(seed=seed):
-                self.assertEqual(play(scenario, node_count=NODES), [])
+                self.assertEqual(play(scenario, node_count=NODES, scorer_count=3), [])
 
 
 if __name__ == "__main__":
