--- a/drumbay/batches/listing.py
+++ b/drumbay/batches/listing.py
@@ -167,6 +167,12 @@
                 await self._clock.sleep(STORE_RETRY_SECONDS)
                 continue
             self.confirm()
+            log_event(
+                "results_listed",
+                batch=self._spec.batch_id,
+                position=position,
+                results=len(results),
+            )
             return
 
     async def _check_owner(self) -> None:
--- a/drumbay/cli/main.py
+++ b/drumbay/cli/main.py
@@ -36,6 +36,7 @@
     "status": CommandSource("drumbay.cli.operators", "status"),
     "explain": CommandSource("drumbay.cli.explain", "explain"),
     "explain-logs": CommandSource("drumbay.cli.explain_logs", "explain_logs"),
+    "explain-steps": CommandSource("drumbay.cli.explain_steps", "explain_steps"),
     "token": CommandSource("drumbay.cli.token", "token"),
     "acceptance": CommandSource("drumbay.cli.acceptance", "acceptance"),
     "simulate": CommandSource("drumbay.cli.simulate", "simulate"),
--- a/tests/test_explain_logs.py
+++ b/tests/test_explain_logs.py
@@ -9,6 +9,7 @@
 from drumbay.cli.main import make_app
 from drumbay.explain.log_lines import LogLine, parse_line
 from drumbay.explain.log_story import tell
+from drumbay.explain.step_ledger import account_steps
 
 DAY = "2026-12-02T10:00:"
 LOOKUPS = f"""\
@@ -51,6 +52,48 @@
 """
 
 
+class StepLedgerTest(unittest.TestCase):
+    def test_the_item_that_made_a_step_whole_tells_where_the_time_went(self) -> None:
+        text = f"""\
+time={DAY}10.000+00:00 level=info event=batch_accepted batch=b1 items=2 step=4
+time={DAY}10.010+00:00 level=info event=batch_owned batch=b1 model=m step=4 items=2
+time={DAY}10.100+00:00 level=info event=item_run_started batch=b1 item=i1 worker=w1
+time={DAY}11.000+00:00 level=info event=item_run_started batch=b1 item=i2 worker=w1
+time={DAY}11.500+00:00 level=info event=item_finished batch=b1 item=i1 missing_groups=1
+time={DAY}12.000+00:00 level=warning event=item_run_failed batch=b1 item=i2 failure=broken
+time={DAY}12.100+00:00 level=info event=item_run_started batch=b1 item=i2 worker=w2
+time={DAY}14.000+00:00 level=info event=reward_requested batch=b1 item=i2 request=s2
+time={DAY}14.100+00:00 level=info event=item_finished batch=b1 item=i2 missing_groups=0
+time={DAY}14.200+00:00 level=info event=results_listed batch=b1 position=1 results=1
+time={DAY}14.500+00:00 level=info event=batch_ended batch=b1
+time={DAY}15.000+00:00 level=info event=batch_accepted batch=b2 items=2 step=5
+"""
+        parsed = [parse_line(line, "n1") for line in text.splitlines()]
+        whole, open_step = account_steps(line for line in parsed if line is not None)
+        assert whole.last is not None
+        assert whole.whole_after is not None
+        assert whole.last.listed_after is not None
+        self.assertEqual((whole.model, whole.step, whole.late_starts), ("m", 4, 1))
+        self.assertAlmostEqual(whole.whole_after, 4.1, 3)
+        self.assertAlmostEqual(whole.last.started_after, 1.0, 3)
+        self.assertAlmostEqual(whole.last.text_after, 4.0, 3)
+        self.assertAlmostEqual(whole.last.score_seconds, 0.1, 3)
+        self.assertAlmostEqual(whole.last.listed_after, 4.2, 3)
+        self.assertEqual((whole.last.runs, whole.last.interruptions), (2, ("broken",)))
+        self.assertIsNone(open_step.last)
+
+    def test_the_command_prints_a_line_a_step(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            (Path(folder) / "n1.log").write_text(BATCH)
+            (Path(folder) / "n2.log").write_text(OTHER_NODE)
+            arguments = ["explain-steps", folder]
+            result = CliRunner().invoke(make_app(arguments), arguments)
+        self.assertEqual(result.exit_code, 0)
+        (row,) = result.output.splitlines()[1:]
+        self.assertIn("i2", row)
+        self.assertIn("broken", row)
+
+
 class StoryTest(unittest.TestCase):
     def lines(self, text: str, process: str = "n1") -> list[LogLine]:
         parsed = [parse_line(line, process) for line in text.splitlines()]
