Stop what the next batch job cannot use at the end; count groups that came back as wanted

And a step counted as whole while a group that had come back, for which the trainer waits in any case, was still running: the table of steps showed up to 2 s between whole and ended.

Change: the next batch job comes with the next version and accepts versions as far behind as this one did; only runs that it can use go on. Listed texts of groups that come back are offered too. missing_groups counts each group that came back and enough others.

--- a/drumbay/batches/item_order.py
+++ b/drumbay/batches/item_order.py
@@ -12,7 +12,11 @@
 
 
 class ItemOrder:
-    """Orders the items of one batch job by their expected output."""
+    """Orders the items of one batch job by their expected output.
+
+    Attributes:
+        returned_groups: Groups that came back, as far as known: the trainer waits for each.
+    """
 
     def __init__(self, spec: BatchSpec, returned: frozenset[ItemId] = frozenset()) -> None:
         """Work out which items are long and which groups can wait.
@@ -22,7 +26,9 @@
             returned: Items known to come back from an earlier batch job.
         """
         self._spec = spec
-        self._returned_groups = {item.group for item in spec.items if item.item_id in returned}
+        self.returned_groups = frozenset(
+            item.group for item in spec.items if item.item_id in returned
+        )
         expected = sorted(item.expected_tokens for item in spec.items)
         median = expected[len(expected) // 2] if expected else 0
         self._long_tokens = LONG_FACTOR * median
@@ -54,6 +60,6 @@
         spare = len(longest) - self._spec.wanted_groups
         if spare <= 0 or self._spec.wanted_groups <= 0:
             return frozenset()
-        new_groups = [group for group in longest if group not in self._returned_groups]
+        new_groups = [group for group in longest if group not in self.returned_groups]
         new_groups.sort(key=lambda group: longest[group], reverse=True)
         return frozenset(new_groups[:spare])
--- a/drumbay/batches/listing.py
+++ b/drumbay/batches/listing.py
@@ -77,9 +77,9 @@
         return len(self._listed) == len(self._spec.items)
 
     @property
-    def pending(self) -> tuple[ItemResult, ...]:
-        """Return the results that the store has not taken yet."""
-        return tuple(self._pending)
+    def results(self) -> tuple[ItemResult, ...]:
+        """Return all results, also those that the store has not taken yet."""
+        return (*self._listed, *self._pending)
 
     def add(self, result: ItemResult) -> None:
         """List a result soon."""
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -110,8 +110,9 @@
         self._started_at = clock.monotonic()
         self._on_lost = on_lost
         self._newest_version = newest_version
+        self._version_at_start = newest_version()
         self._scheduler = BatchScheduler(spec, clock.monotonic(), listed)
-        self._unlisted_texts: dict[ItemId, ItemResult] = {}
+        self._finished: dict[ItemId, ItemResult] = {}
         self._listing = ResultListing(
             clock,
             ledger,
@@ -181,11 +182,22 @@
         self._stop_tasks()
         self._lingering = True
         self._cancel_scoring()
-        self._unlisted_texts.update({result.item_id: result for result in self._listing.pending})
-        for item_id in self._scheduler.useless_after_end():
+        self._finished.update({result.item_id: result for result in self._listing.results})
+        for item_id in self._scheduler.useless_after_end(self._next_minimum_version()):
             self._cancel_run(item_id)
         self._task_owner.spawn(self._close_later(), f"batch-linger-{self.spec.batch_id}")
 
+    def _next_minimum_version(self) -> WeightVersion:
+        """Return the oldest version that the trainer's next batch job will accept.
+
+        It comes with the next version, and accepts versions as far behind as this one did. A
+        node that knew no version when this one came cannot tell how far that is.
+        """
+        lag = self._version_at_start - self.spec.minimum_version
+        if lag < 0:
+            return WeightVersion(self.spec.minimum_version + 1)
+        return WeightVersion(self._newest_version() + 1 - lag)
+
     def _cancel_scoring(self) -> None:
         for task in self._scoring.values():
             task.cancel()
@@ -229,7 +241,7 @@
             task.cancel()
 
     def _whole_text(self, item_id: ItemId, minimum_version: WeightVersion) -> PartialText | None:
-        result = self._unlisted_texts.get(item_id)
+        result = self._finished.get(item_id)
         if result is None or result.state is not ResultState.DONE:
             return None
         if min(result.versions) < minimum_version:
@@ -451,7 +463,7 @@
         if scoring is not None:
             scoring.cancel()
         if self._lingering:
-            self._unlisted_texts[result.item_id] = result
+            self._finished[result.item_id] = result
             return
         self._listing.add(result)
         self._metrics.observe_item(self._clock.monotonic() - self._started_at)
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -173,10 +173,16 @@
 
     @property
     def missing_groups(self) -> int:
-        """Return how many more whole groups the trainer waits for."""
-        unfinished = sum(1 for count in self._unfinished_groups.values() if count)
-        total = len({item.group for item in self._spec.items})
-        return max(0, self._spec.wanted_groups - (total - unfinished))
+        """Return how many more whole groups the trainer waits for.
+
+        It waits for each group that came back, and for so many others that it has enough.
+        """
+        unfinished = {group for group, count in self._unfinished_groups.items() if count}
+        returned = self._order.returned_groups
+        others = {item.group for item in self._spec.items} - returned
+        wanted_others = max(0, self._spec.wanted_groups - len(returned))
+        finished_others = len(others) - len(others & unfinished)
+        return len(returned & unfinished) + max(0, wanted_others - finished_others)
 
     def progress(self, minimum_events: int) -> tuple[PartialText, ...]:
         """Return the texts so far of unfinished items with at least so many events."""
@@ -191,12 +197,12 @@
             return None
         return run.partial_text()
 
-    def useless_after_end(self) -> tuple[ItemId, ...]:
-        """Return the items whose text no later step accepts: it accepts only newer versions."""
+    def useless_after_end(self, next_minimum_version: WeightVersion) -> tuple[ItemId, ...]:
+        """Return the items whose text a later step with that minimum does not accept."""
         return tuple(
             item_id
             for item_id, run in self._runs.items()
-            if not run.versions or min(run.versions) <= self._spec.minimum_version
+            if not run.versions or min(run.versions) < next_minimum_version
         )
 
     # Events of runs
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from drumbay.batches.item_order import ItemOrder
-from drumbay.batches.records import BatchSpec, ItemId
+from drumbay.batches.records import BatchSpec, ItemId, ReturnedItems
 from drumbay.batches.scheduler import (
     PRIORITY_LONG,
     PRIORITY_NORMAL,
@@ -134,7 +134,7 @@
             text = scheduler.partial_text(ItemId("batch-0-0"), WeightVersion(2))
             self.assertEqual(text is not None, is_usable)
             useless = () if is_usable else (ItemId("batch-0-0"),)
-            self.assertEqual(scheduler.useless_after_end(), useless)
+            self.assertEqual(scheduler.useless_after_end(WeightVersion(2)), useless)
             self.setUp()
 
     def test_items_that_are_given_up_stop_running(self) -> None:
@@ -153,6 +153,18 @@
         spec = msgspec.structs.replace(spec, minimum_version=WeightVersion(1))
         self.assertEqual(self.plan(BatchScheduler(spec, 0.0, ()), 0.0), ())
 
+    def test_a_step_is_whole_with_each_group_that_came_back_and_enough_others(self) -> None:
+        spec = msgspec.structs.replace(batch_spec(groups=4, group_size=1), wanted_groups=2)
+        scheduler = BatchScheduler(spec, 0.0, ())
+        scheduler.adopt(ReturnedItems(item_ids=(ItemId("batch-0-0"),)))
+        self.plan(scheduler, 0.0)
+        self.assertEqual(scheduler.missing_groups, 2)
+        for item, missing in (("batch-1-0", 1), ("batch-2-0", 1), ("batch-0-0", 0)):
+            event = StreamEvent(number=1, data="x", version=WeightVersion(1))
+            scheduler.take_event(ItemId(item), event, 0.1)
+            scheduler.take_completion(ItemId(item))
+            self.assertEqual(scheduler.missing_groups, missing)
+
     def test_a_refused_worker_gets_one_probe_at_a_time(self) -> None:
         for worker in ("w1", "w2"):
             self.directory.pause(BackendId(worker), 0.0, 100.0)
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -157,6 +157,32 @@
 
         play(scenario)
 
+    def test_runs_that_the_next_batch_job_cannot_use_stop_at_the_end(self) -> None:
+        """The workers hold version 2; the next batch job accepts 2 and newer, or only 3."""
+        for named_at_the_end, goes_on in ((2, True), (3, False)):
+
+            async def scenario(
+                world: ServingWorld, named: int = named_at_the_end, goes_on: bool = goes_on
+            ) -> None:
+                world.workers.long_texts = True
+                node = world.nodes[0]
+                for number in (1, 2, 3):
+                    world.workers[f"worker-{number}"].versions["m"] = WeightVersion(2)
+                for entry in world.workers.entries():
+                    node.directory.put(entry)
+                node.named.name("m", WeightVersion(2))
+                await node.batches.submit(batch_spec(minimum_version=1))
+                await asyncio.sleep(1.0)
+                node.named.name("m", WeightVersion(named))
+                await node.batches.end(BATCH)
+                await asyncio.sleep(0.1)
+                self.assertEqual(len(world.workers.runs), 12)
+                going = [run for run in world.workers.runs if run.ended_at is None]
+                self.assertEqual(len(going), 12 if goes_on else 0)
+
+            with self.subTest(named_at_the_end=named_at_the_end):
+                play(scenario)
+
     def test_runs_of_an_ended_batch_job_stop_after_a_while(self) -> None:
         async def scenario(world: ServingWorld) -> None:
             for number in (1, 2, 3):
