Use workers whose entries lapsed in an outage of the store for a while longer

Cause: workers' entries lapse while the store is away.

Ruled out: keeping every worker that vanishes at once with others, whatever the store did: a zone that is taken away looks the same.

--- a/drumbay/kv/follower.py
+++ b/drumbay/kv/follower.py
@@ -31,7 +31,7 @@
             generator, first_seconds=FIRST_RETRY_SECONDS, longest_seconds=LONGEST_RETRY_SECONDS
         )
         self._needs_snapshot = mirror.revision is None
-        self._connected = True
+        self._lost_at: float | None = None
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -49,7 +49,7 @@
             self._needs_snapshot = True
             self._mirror.is_connected = False
         except KeyValueError as error:
-            self._note_connection(False, error.code)
+            self._note_lost(error.code)
             self._needs_snapshot = True
             self._mirror.is_connected = False
             await self._clock.sleep(self._backoff.next_delay_seconds())
@@ -57,27 +57,40 @@
     async def _follow(self) -> None:
         mirror = self._mirror
         if self._needs_snapshot:
-            mirror.take_snapshot(await self._store.range_prefix(mirror.feed.prefix))
+            found = await self._store.range_prefix(mirror.feed.prefix)
+            mirror.take_snapshot(found, self._unseen_seconds())
             self._needs_snapshot = False
+            self._note_regained()
         mirror.is_connected = True
         start = Revision((mirror.revision or 0) + 1)
         async for batch in self._store.watch_prefix(mirror.feed.prefix, start):
-            self._note_connection(True, None)
+            self._backoff.reset()
             mirror.take_batch(batch)
             if batch.events:
                 await self._clock.sleep(mirror.feed.pause_seconds)
 
-    def _note_connection(self, connected: bool, error: str | None) -> None:
-        if connected:
-            self._backoff.reset()
-        if connected == self._connected:
+    def _unseen_seconds(self) -> float:
+        return 0.0 if self._lost_at is None else self._clock.monotonic() - self._lost_at
+
+    def _note_lost(self, error: str) -> None:
+        if self._lost_at is not None:
             return
-        self._connected = connected
-        event = "store_regained" if connected else "store_lost"
+        self._lost_at = self._clock.monotonic()
         log_event(
-            event,
-            level="INFO" if connected else "WARNING",
+            "store_lost",
+            level="WARNING",
             prefix=self._mirror.feed.prefix,
             revision=self._mirror.revision,
             error=error,
         )
+
+    def _note_regained(self) -> None:
+        if self._lost_at is None:
+            return
+        log_event(
+            "store_regained",
+            prefix=self._mirror.feed.prefix,
+            revision=self._mirror.revision,
+            unseen_seconds=round(self._unseen_seconds(), 3),
+        )
+        self._lost_at = None
--- a/drumbay/kv/mirror.py
+++ b/drumbay/kv/mirror.py
@@ -21,12 +21,13 @@
 class PrefixFeed(msgspec.Struct, frozen=True, kw_only=True):
     """What is followed, and who is told.
 
+    ``on_snapshot`` takes the items, and for how many seconds before changes went unseen.
     ``pause_seconds`` passes after each batch of changes, so that changes that come together
     cost one call.
     """
 
     prefix: str
-    on_snapshot: Callable[[tuple[KeyValue, ...]], None]
+    on_snapshot: Callable[[tuple[KeyValue, ...], float], None]
     on_event: Callable[[WatchEvent], None]
     pause_seconds: float = 0.1
 
@@ -39,11 +40,15 @@
 
 
 class FeedChanges(msgspec.Struct, frozen=True, kw_only=True):
-    """What a reader lacks of a prefix: a snapshot, or the events after its revision."""
+    """What a reader lacks of a prefix: a snapshot, or the events after its revision.
+
+    ``unseen_seconds`` is for how long changes went unseen before the snapshot.
+    """
 
     prefix: str
     revision: Revision
     snapshot: tuple[KeyValue, ...] | None = None
+    unseen_seconds: float = 0.0
     events: tuple[WatchEvent, ...] = ()
 
 
@@ -63,6 +68,7 @@
         self._revision: Revision | None = None
         self._history: deque[WatchEvent] = deque()
         self._history_start = Revision(0)
+        self._unseen_seconds = 0.0
         self._changed = asyncio.Event()
 
     @property
@@ -80,15 +86,19 @@
         """Return the event that is set at the next change."""
         return self._changed
 
-    def take_snapshot(self, found: RangeResult) -> None:
-        """Take the whole prefix, unless the copy is newer already."""
+    def take_snapshot(self, found: RangeResult, unseen_seconds: float = 0.0) -> None:
+        """Take the whole prefix, unless the copy is newer already.
+
+        ``unseen_seconds`` is for how long changes went unseen before.
+        """
         if self._revision is not None and found.revision < self._revision:
             return
         self._items = {item.key: item for item in found.items}
         self._revision = found.revision
         self._history.clear()
         self._history_start = found.revision
-        self.feed.on_snapshot(found.items)
+        self._unseen_seconds = unseen_seconds
+        self.feed.on_snapshot(found.items, unseen_seconds)
         self._announce()
 
     def take_batch(self, batch: WatchBatch) -> None:
@@ -107,7 +117,8 @@
     def take_changes(self, changes: FeedChanges) -> None:
         """Take what another copy has told."""
         if changes.snapshot is not None:
-            self.take_snapshot(RangeResult(revision=changes.revision, items=changes.snapshot))
+            found = RangeResult(revision=changes.revision, items=changes.snapshot)
+            self.take_snapshot(found, changes.unseen_seconds)
         else:
             self.take_batch(WatchBatch(revision=changes.revision, events=changes.events))
 
@@ -118,7 +129,12 @@
         prefix = self.feed.prefix
         if cursor.revision < self._history_start or not cursor.revision:
             items = tuple(self._items[key] for key in sorted(self._items))
-            return FeedChanges(prefix=prefix, revision=self._revision, snapshot=items)
+            return FeedChanges(
+                prefix=prefix,
+                revision=self._revision,
+                snapshot=items,
+                unseen_seconds=self._unseen_seconds,
+            )
         events = tuple(e for e in self._history if e.mod_revision > cursor.revision)
         if not events:
             return None
--- a/drumbay/peers/directory.py
+++ b/drumbay/peers/directory.py
@@ -100,7 +100,8 @@
             pause_seconds=FEED_PAUSE_SECONDS,
         )
 
-    def _take_snapshot(self, items: tuple[KeyValue, ...]) -> None:
+    def _take_snapshot(self, items: tuple[KeyValue, ...], unseen_seconds: float) -> None:
+        del unseen_seconds
         found = {_decoder.decode(item.value): item.create_revision for item in items}
         for address in [known for known in self._registered if known not in found]:
             self._note_gone(address)
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from contextlib import suppress
 
 import msgspec
@@ -44,10 +44,18 @@
 from drumbay.weights.version_coordinator import NamedVersions, VersionCoordinator
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
+from drumbay.workers.records import Worker
 
 UNFINISHED_CHECK_SECONDS = 0.1
 NOTICE_TIMEOUT_SECONDS = 0.3
 
+LAPSE_SECONDS = 2.0
+"""After changes went unseen for so long, entries may be missing because they lapsed."""
+
+RETURN_SECONDS = 1.6
+"""Workers whose entries lapsed are back within about 2 s of the store's return, and a worker that
+is gone must get nothing 2 s after that is known."""
+
 
 class ServingSettings(msgspec.Struct, frozen=True, kw_only=True):
     """What a serving node is told about itself.
@@ -220,6 +228,32 @@
             routes=len(configuration.routes),
         )
 
+    def take_workers(self, workers: Iterable[Worker], unseen_seconds: float) -> None:
+        """Take a snapshot of discovery, before which changes went unseen for some time.
+
+        Entries of workers lapse in an outage of the store. Those that live are back shortly
+        after its return; until then they go on being used.
+        """
+        now = self._environment.clock.monotonic()
+        if unseen_seconds < LAPSE_SECONDS:
+            self.directory.replace_all(workers)
+            return
+        kept = self.directory.replace_all(workers, now + RETURN_SECONDS)
+        if kept:
+            log_event(
+                "missing_workers_kept",
+                workers=",".join(kept),
+                unseen_seconds=round(unseen_seconds, 3),
+            )
+            self._tasks.spawn(self._drop_missing_workers(), "missing-workers")
+
+    async def _drop_missing_workers(self) -> None:
+        clock = self._environment.clock
+        await clock.sleep(RETURN_SECONDS)
+        dropped = self.directory.drop_missing(clock.monotonic())
+        if dropped:
+            log_event("missing_workers_dropped", level="WARNING", workers=",".join(dropped))
+
     def _suspect_store(self) -> None:
         self._store.suspect()
 
--- a/drumbay/workers/directory.py
+++ b/drumbay/workers/directory.py
@@ -43,6 +43,7 @@
     loading_until: dict[str, float] = msgspec.field(default_factory=dict)
     refusals: dict[str, Refusals] = msgspec.field(default_factory=dict)
     latency_seconds: float | None = None
+    missing_until: float | None = None
 
     def busy(self, now: float) -> int:
         """Return the requests on the worker as far as known."""
@@ -93,15 +94,42 @@
         """Call ``listener`` after each change of the set of workers."""
         self._listeners.append(listener)
 
-    def replace_all(self, workers: Iterable[Worker]) -> None:
-        """Take a snapshot of discovery; workers that it lacks are gone."""
+    def replace_all(
+        self, workers: Iterable[Worker], missing_until: float | None = None
+    ) -> tuple[BackendId, ...]:
+        """Take a snapshot of discovery.
+
+        Workers that it lacks are gone. With ``missing_until``, those that were ready are kept
+        until :meth:`drop_missing` is called at that monotonic time.
+
+        Returns:
+            The workers that are kept though the snapshot lacks them.
+        """
         by_id = {worker.worker_id: worker for worker in workers}
+        kept: list[BackendId] = []
         for worker_id in [known for known in self._records if known not in by_id]:
-            del self._records[worker_id]
+            record = self._records[worker_id]
+            if missing_until is None or record.worker.state is not WorkerState.READY:
+                del self._records[worker_id]
+                continue
+            record.missing_until = missing_until
+            kept.append(worker_id)
         for worker in by_id.values():
             self._put(worker)
         self.loaded = True
         self._announce()
+        return tuple(kept)
+
+    def drop_missing(self, now: float) -> tuple[BackendId, ...]:
+        """Forget the workers that have not come back in time, and return them."""
+        dropped = [
+            worker_id
+            for worker_id, record in self._records.items()
+            if record.missing_until is not None and record.missing_until <= now
+        ]
+        for worker_id in dropped:
+            self.remove(worker_id)
+        return tuple(dropped)
 
     def put(self, worker: Worker) -> None:
         """Take in a new or changed worker."""
@@ -121,6 +149,7 @@
             )
             return
         record.worker = worker
+        record.missing_until = None
         # A stream's head is newer than discovery, and versions only rise.
         for model, version in worker.versions.items():
             if version > record.versions.get(model, WeightVersion(-1)):
--- a/tests/test_shared_feeds.py
+++ b/tests/test_shared_feeds.py
@@ -44,7 +44,7 @@
             prefix="config/", on_snapshot=self.take_snapshot, on_event=self.take_event
         )
 
-    def take_snapshot(self, items: tuple[KeyValue, ...]) -> None:
+    def take_snapshot(self, items: tuple[KeyValue, ...], unseen_seconds: float) -> None:
         self.values.extend(found.value for found in items)
 
     def take_event(self, change: WatchEvent) -> None:
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -47,7 +47,7 @@
     def __init__(self) -> None:
         self.values: dict[str, bytes] = {}
 
-    def take_snapshot(self, items: tuple[KeyValue, ...]) -> None:
+    def take_snapshot(self, items: tuple[KeyValue, ...], unseen_seconds: float) -> None:
         self.values = {item.key: item.value for item in items}
 
     def take_event(self, event: WatchEvent) -> None:
