Keep connections for reports and orders; prefer workers to which one is kept

Ruled out: sharing the connections of requests: a late answer to a request could be taken for the answer to an order.

Change: reports and orders keep connections of their own, and an answer that names a request is none of theirs. The forwarder orders workers by a free place, latency in steps of 40 ms, load in halves, a kept connection, the zone. A send counts on its worker at once, so that requests sent in the same moment spread; before, all nine of a burst went to one worker (test).

--- a/drumbay/comm/http_exchange.py
+++ b/drumbay/comm/http_exchange.py
@@ -176,6 +176,14 @@
         self._idle.pop(address, None)
         return None
 
+    def has(self, address: NetworkAddress) -> bool:
+        """Return whether there seems to be an idle connection; it may turn out to be closed."""
+        now = self._clock.monotonic()
+        return any(
+            now < connection.usable_until and not connection.stream.closed()
+            for connection in self._idle.get(address, [])
+        )
+
     def put(self, address: NetworkAddress, stream: IOStream, idle_seconds: float) -> None:
         """Keep a connection whose answer is whole."""
         connections = self._idle.setdefault(address, [])
--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -33,6 +33,13 @@
 HEDGE_SHARE_OF_TARGET = 0.45
 """A second worker is asked once this share of the route's target has passed."""
 
+LATENCY_STEP_SECONDS = 0.04
+UNKNOWN_LATENCY_SECONDS = 0.03
+"""A worker that was never asked counts as a sound one."""
+
+LOAD_STEPS = 2
+"""Workers up to half full count as equally loaded."""
+
 MAXIMUM_REFUSALS = 6
 RETRY_AFTER_SECONDS = 0.25
 REFUSAL_PAUSE_SECONDS = 0.05
@@ -253,13 +260,19 @@
             return None
         return min(candidates, key=lambda record: self._cost(record, now))
 
-    def _cost(self, record: WorkerRecord, now: float) -> tuple[bool, float, bool, str]:
-        """Order by a free place, then by the expected time, then by the zone."""
-        latency = record.latency_seconds or 0.0
+    def _cost(self, record: WorkerRecord, now: float) -> tuple[bool, int, int, bool, bool, str]:
+        """Order by a free place, time, load, a kept connection, then the zone.
+
+        Times that differ by less than a step tell nothing: single requests differ by more.
+        A connection costs more than what a request weighs between zones.
+        """
+        latency = record.latency_seconds or UNKNOWN_LATENCY_SECONDS
         waiting = record.busy(now) / max(1, record.worker.slots)
         return (
             record.free_slots(now) == 0,
-            round(latency * (1.0 + waiting) + 0.01 * waiting, 2),
+            round(latency / LATENCY_STEP_SECONDS),
+            int(LOAD_STEPS * waiting),
+            not self._client.keeps_connection(record.worker),
             record.worker.zone != self._zone,
             record.worker.worker_id,
         )
@@ -278,12 +291,14 @@
             budget_seconds=remaining,
             repeatable=self._route.kind is RequestKind.IDEMPOTENT,
         )
+        record.in_flight += 1
         task = asyncio.get_running_loop().create_task(self._attempt(record, outgoing))
+        # A task that is cancelled before it runs never comes to a ``finally`` of its own.
+        task.add_done_callback(lambda _: _note_ended(record))
         self._attempts[task] = record
 
     async def _attempt(self, record: WorkerRecord, request: WorkerRequest) -> WorkerAnswer:
         started_at = self._clock.monotonic()
-        record.in_flight += 1
         try:
             answer = await self._client.call(record.worker, request)
         except asyncio.CancelledError:
@@ -292,8 +307,6 @@
             if elapsed_seconds > (record.latency_seconds or 0.0):
                 self._directory.observe_latency(record.worker.worker_id, elapsed_seconds)
             raise
-        finally:
-            record.in_flight -= 1
         now = self._clock.monotonic()
         self._directory.observe_latency(record.worker.worker_id, now - started_at)
         if answer.load is not None:
@@ -341,3 +354,7 @@
             execution=Execution.MAY_HAVE_RUN,
             worker_failures=self._worker_failures,
         )
+
+
+def _note_ended(record: WorkerRecord) -> None:
+    record.in_flight -= 1
--- a/drumbay/standins/worker_pool.py
+++ b/drumbay/standins/worker_pool.py
@@ -110,6 +110,7 @@
     Attributes:
         long_texts: Whether every text has 160 events; otherwise up to 16, by the request.
         failing_requests: Requests that every worker answers with a failure.
+        kept_connections: Workers to which a caller seems to keep a connection.
         runs: Every run that began, oldest first.
         orders: Every order that arrived, oldest first.
     """
@@ -132,6 +133,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.long_texts = False
         self.failing_requests: set[str] = set()
+        self.kept_connections: set[BackendId] = set()
         self.runs: list[LoggedRun] = []
         self.orders: list[LoggedOrder] = []
 
@@ -189,6 +191,10 @@
 
     # Calls
 
+    def keeps_connection(self, worker: Worker) -> bool:
+        """Return whether a worker is one of those in :attr:`kept_connections`."""
+        return worker.worker_id in self.kept_connections
+
     async def call(self, worker: Worker, request: WorkerRequest) -> WorkerAnswer:
         """Answer a request after the worker's time."""
         emulated = await self._reach(worker)
--- a/drumbay/workers/interface.py
+++ b/drumbay/workers/interface.py
@@ -45,6 +45,10 @@
     Cancelling a call closes its connection, upon which the worker stops working on it.
     """
 
+    def keeps_connection(self, worker: Worker) -> bool:
+        """Return whether a repeatable request would need no new connection."""
+        ...
+
     async def call(self, worker: Worker, request: WorkerRequest) -> WorkerAnswer:
         """Send a request and return the whole answer.
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from collections import Counter
 
 from drumbay.exceptions import Execution
 from drumbay.forwarding.forwarder import (
@@ -19,6 +20,7 @@
     RoutingConfiguration,
     ServiceShare,
 )
+from drumbay.identifiers import BackendId
 from drumbay.observability.serving_metrics import ServingMetrics
 from tests.serving_world import ServingWorld, play
 
@@ -83,6 +85,31 @@
 
         play(scenario)
 
+    def test_a_kept_connection_is_used_while_its_worker_is_no_slower(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            forwarder = self.forwarder(world)
+            world.workers.kept_connections.add(BackendId("lookup-3"))
+            for number in range(5):
+                await forwarder.forward(route(), request(f"r{number}"))
+            self.assertEqual({run.worker_id for run in world.workers.runs}, {"lookup-3"})
+            world.workers["lookup-3"].faults.slowdown = 4.0
+            for number in range(12):
+                await forwarder.forward(route(), request(f"s{number}"))
+            self.assertNotEqual(world.workers.runs[-1].worker_id, "lookup-3")
+
+        play(scenario)
+
+    def test_many_requests_at_once_are_spread_over_the_workers(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            forwarder = self.forwarder(world)
+            world.workers.kept_connections.add(BackendId("lookup-3"))
+            sends = (forwarder.forward(route(), request(f"r{number}")) for number in range(9))
+            await asyncio.gather(*sends)
+            busiest = Counter(run.worker_id for run in world.workers.runs).most_common(1)
+            self.assertLessEqual(busiest[0][1], 4)
+
+        play(scenario)
+
     def test_a_dark_worker_costs_no_request(self) -> None:
         async def scenario(world: ServingWorld) -> None:
             forwarder = self.forwarder(world)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -18,7 +18,7 @@
 from drumbay.clock import SystemClock
 from drumbay.exceptions import ConfigurationError
 from drumbay.forwarding.routes import RequestKind
-from drumbay.identifiers import BackendId, Revision, WeightVersion
+from drumbay.identifiers import BackendId, Fence, Revision, WeightVersion
 from drumbay.kv.interface import (
     Delete,
     KeyValueOutcomeUnknownError,
@@ -31,9 +31,12 @@
 )
 from drumbay.standins.kv_model import KeyValueModel
 from drumbay.workers.records import (
+    LoadMode,
+    LoadOrder,
     StreamEvent,
     Worker,
     WorkerBrokenError,
+    WorkerError,
     WorkerMisdirectedError,
     WorkerRefusedError,
     WorkerRequest,
@@ -341,6 +344,42 @@
             await self.client.call(worker, self.repeatable())
         self.assertEqual(self.scripted.connections, 2)
 
+    async def test_reports_share_a_kept_connection_of_their_own(self) -> None:
+        report = b'{"models":[{"name":"m","ver":3}],"busy":false,"seq":1}'
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(report)}\r\n\r\n"
+        worker = await self.server(head + report.decode())
+        self.scripted.keep = True
+        for _ in range(3):
+            status = await self.client.status(worker)
+            self.assertEqual(status.versions, {"m": WeightVersion(3)})
+        self.assertEqual(self.scripted.connections, 1)
+        with self.assertRaises(WorkerError):
+            await self.client.call(worker, self.repeatable())
+        self.assertEqual(self.scripted.connections, 2)
+
+    async def test_the_answer_to_a_request_is_no_answer_to_an_order(self) -> None:
+        worker = await self.server(self.head + "Content-Length: 2\r\n\r\nok")
+        self.scripted.keep = True
+        order = LoadOrder(
+            model="m",
+            version=WeightVersion(2),
+            mode=LoadMode.KEEP_RUNNING,
+            holder="n",
+            fence=Fence(1),
+            expected_sequence=0,
+        )
+        with self.assertRaises(WorkerError):
+            await self.client.order(worker, order)
+
+    async def test_a_kept_connection_is_known_until_it_is_used_up(self) -> None:
+        worker = await self.server(self.head + "Content-Length: 2\r\n\r\nok")
+        self.scripted.keep = True
+        self.assertFalse(self.client.keeps_connection(worker))
+        await self.client.call(worker, self.repeatable())
+        self.assertTrue(self.client.keeps_connection(worker))
+        self.client.close()
+        self.assertFalse(self.client.keeps_connection(worker))
+
     async def test_a_cut_answer_is_broken(self) -> None:
         worker = await self.server(self.head + "Content-Length: 20\r\n\r\nok")
         with self.assertRaises(WorkerBrokenError):
