Split the runner of batch jobs; name the watchers' heartbeat for what it is

Change: item_scoring.py performs the decisions about reward requests, run_failure.py tells what a failed run says of its worker.

--- /dev/null
+++ b/drumbay/batches/item_scoring.py
@@ -0,0 +1,97 @@
+"""The reward requests of one batch job that are under way: performs the scheduler's decisions."""
+
+import asyncio
+from collections.abc import Callable
+
+from drumbay.batches.records import BatchId, ItemId, ItemResult
+from drumbay.batches.reward_scorer import RewardNotGivenError, RewardScorer
+from drumbay.batches.scheduler import BatchScheduler, ScoreText
+from drumbay.clock import Clock
+from drumbay.observability.logs import log_event
+from drumbay.tasks import TaskOwner
+
+
+class ItemScoring:
+    """Asks for scores, and tells the scheduler what came of it."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        scorer: RewardScorer,
+        scheduler: BatchScheduler,
+        task_owner: TaskOwner,
+        batch_id: BatchId,
+        on_result: Callable[[ItemResult], None],
+        on_change: Callable[[], None],
+    ) -> None:
+        """Create one without requests.
+
+        Args:
+            clock: Time.
+            scorer: Makes reward requests.
+            scheduler: Decides what becomes of an item.
+            task_owner: Runs the requests.
+            batch_id: The batch job.
+            on_result: Called with the result of an item that is finished or given up.
+            on_change: Called when the scheduler may decide anew.
+        """
+        self._clock = clock
+        self._scorer = scorer
+        self._scheduler = scheduler
+        self._task_owner = task_owner
+        self._batch_id = batch_id
+        self._on_result = on_result
+        self._on_change = on_change
+        self._started_at = clock.monotonic()
+        self._tasks: dict[ItemId, asyncio.Task[None]] = {}
+
+    def start(self, decision: ScoreText) -> None:
+        """Make the reward request of an item."""
+        log_event(
+            "reward_requested",
+            batch=self._batch_id,
+            item=decision.item_id,
+            request=decision.request.request_id,
+        )
+        task = self._task_owner.spawn(self._score(decision), "item-reward")
+        self._tasks[decision.item_id] = task
+
+    def stop(self, item_id: ItemId) -> None:
+        """Stop the request of an item, if one is under way."""
+        task = self._tasks.pop(item_id, None)
+        if task is not None:
+            task.cancel()
+
+    def stop_all(self) -> None:
+        """Stop every request."""
+        for item_id in list(self._tasks):
+            self.stop(item_id)
+
+    async def _score(self, decision: ScoreText) -> None:
+        item_id = decision.item_id
+        try:
+            reward = await self._scorer.score(decision.request, self._started_at)
+        except RewardNotGivenError as error:
+            result = self._note_failure(decision, error)
+        else:
+            result = self._scheduler.take_reward(item_id, reward)
+        self._tasks.pop(item_id, None)
+        if result is not None:
+            self._on_result(result)
+        self._on_change()
+
+    def _note_failure(self, decision: ScoreText, error: RewardNotGivenError) -> ItemResult | None:
+        result = self._scheduler.take_reward_failure(
+            decision.item_id, error.worker_failures, error.attempts, self._clock.monotonic()
+        )
+        log_event(
+            "item_not_scored",
+            level="WARNING",
+            batch=self._batch_id,
+            item=decision.item_id,
+            request=decision.request.request_id,
+            reason=error.reason,
+            worker_failures=error.worker_failures,
+            given_up=result is not None,
+        )
+        return result
--- /dev/null
+++ b/drumbay/batches/run_failure.py
@@ -0,0 +1,41 @@
+"""What a failed run of an item tells: how it ended, and what its worker is good for."""
+
+from drumbay.batches.scheduler import RunFailure
+from drumbay.workers.directory import WorkerDirectory
+from drumbay.workers.records import (
+    Worker,
+    WorkerError,
+    WorkerFailedError,
+    WorkerMisdirectedError,
+    WorkerRefusedError,
+    WorkerRejectedError,
+    WorkerTimedOutError,
+    WorkerUnreachableError,
+)
+
+MISDIRECTED_PAUSE_SECONDS = 1.0
+
+
+def observe_failure(
+    directory: WorkerDirectory, worker: Worker, model: str, error: WorkerError, now: float
+) -> RunFailure:
+    """Note in the directory what a failed run of a model tells; return how the run ended."""
+    worker_id = worker.worker_id
+    match error:
+        case WorkerMisdirectedError():
+            directory.pause(worker_id, now, MISDIRECTED_PAUSE_SECONDS)
+            return RunFailure.REFUSED
+        case WorkerUnreachableError():
+            directory.observe_failure(worker_id, now)
+            return RunFailure.REFUSED
+        case WorkerRefusedError():
+            directory.observe_refusal(worker_id, model, now)
+            return RunFailure.REFUSED
+        case WorkerRejectedError():
+            return RunFailure.REJECTED
+        case WorkerTimedOutError():
+            return RunFailure.BROKEN
+        case WorkerFailedError():
+            return RunFailure.FAILED
+        case _:
+            return RunFailure.BROKEN
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -5,6 +5,7 @@
 from contextlib import suppress
 
 from drumbay.batches.exceptions import BatchEndedError, BatchError, BatchNotFoundError
+from drumbay.batches.item_scoring import ItemScoring
 from drumbay.batches.ledger import BatchLedger
 from drumbay.batches.listing import ResultListing
 from drumbay.batches.progress import ProgressSaver
@@ -17,9 +18,9 @@
     ResultPage,
     ResultState,
     ReturnedItems,
-    RewardRequest,
 )
-from drumbay.batches.reward_scorer import RewardNotGivenError, RewardScorer
+from drumbay.batches.reward_scorer import RewardScorer
+from drumbay.batches.run_failure import observe_failure
 from drumbay.batches.scheduler import (
     BatchScheduler,
     Decision,
@@ -38,13 +39,8 @@
 from drumbay.workers.interface import WorkerClient, WorkerStream
 from drumbay.workers.records import (
     WorkerError,
-    WorkerFailedError,
     WorkerMisdirectedError,
-    WorkerRefusedError,
-    WorkerRejectedError,
     WorkerRequest,
-    WorkerTimedOutError,
-    WorkerUnreachableError,
 )
 
 TICK_SECONDS = 0.1
@@ -60,7 +56,6 @@
 """An owner that may be alive stops within ``OWNER_CHECK_SECONDS`` of its replacement; only
 texts that took longer to make are worth waiting until then."""
 
-MISDIRECTED_PAUSE_SECONDS = 1.0
 RUN_BUDGET_SECONDS = 30.0
 
 
@@ -104,7 +99,6 @@
         self._clock = clock
         self._directory = directory
         self._client = client
-        self._scorer = scorer
         self._task_owner = task_owner
         self._metrics = metrics
         self._started_at = clock.monotonic()
@@ -126,8 +120,16 @@
             clock, ledger, spec.batch_id, revision, self._scheduler, self._listing.confirm
         )
         self._runs: dict[ItemId, asyncio.Task[None]] = {}
-        self._scoring: dict[ItemId, asyncio.Task[None]] = {}
         self._wakeup = asyncio.Event()
+        self._scoring = ItemScoring(
+            clock,
+            scorer,
+            self._scheduler,
+            task_owner,
+            spec.batch_id,
+            on_result=self._add_result,
+            on_change=self._wakeup.set,
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self._closed = False
         self._lingering = False
@@ -173,7 +175,7 @@
         """Stop every run; what is not listed is forgotten."""
         self._stop_tasks()
         self._closed = True
-        self._cancel_scoring()
+        self._scoring.stop_all()
         for task in self._runs.values():
             task.cancel()
 
@@ -181,7 +183,7 @@
         """Start and list nothing more, but let runs go on for items that may come back."""
         self._stop_tasks()
         self._lingering = True
-        self._cancel_scoring()
+        self._scoring.stop_all()
         self._finished.update({result.item_id: result for result in self._listing.results})
         for item_id in self._scheduler.useless_after_end(self._next_minimum_version()):
             self._cancel_run(item_id)
@@ -198,11 +200,6 @@
             return WeightVersion(self.spec.minimum_version + 1)
         return WeightVersion(self._newest_version() + 1 - lag)
 
-    def _cancel_scoring(self) -> None:
-        for task in self._scoring.values():
-            task.cancel()
-        self._scoring.clear()
-
     async def _close_later(self) -> None:
         await self._clock.sleep(LINGER_SECONDS)
         self.close()
@@ -327,39 +324,8 @@
                 if reason is StopReason.SILENT:
                     self._directory.observe_failure(worker_id, self._clock.monotonic())
                 self._cancel_run(item_id)
-            case ScoreText(item_id=item_id, request=request):
-                log_event(
-                    "reward_requested",
-                    batch=self.spec.batch_id,
-                    item=item_id,
-                    request=request.request_id,
-                )
-                task = self._task_owner.spawn(self._score_text(item_id, request), "item-reward")
-                self._scoring[item_id] = task
-
-    async def _score_text(self, item_id: ItemId, request: RewardRequest) -> None:
-        try:
-            reward = await self._scorer.score(request, self._started_at)
-        except RewardNotGivenError as error:
-            result = self._scheduler.take_reward_failure(
-                item_id, error.worker_failures, error.attempts, self._clock.monotonic()
-            )
-            log_event(
-                "item_not_scored",
-                level="WARNING",
-                batch=self.spec.batch_id,
-                item=item_id,
-                request=request.request_id,
-                reason=error.reason,
-                worker_failures=error.worker_failures,
-                given_up=result is not None,
-            )
-        else:
-            result = self._scheduler.take_reward(item_id, reward)
-        self._scoring.pop(item_id, None)
-        if result is not None:
-            self._add_result(result)
-        self._wakeup.set()
+            case ScoreText():
+                self._scoring.start(decision)
 
     async def _run_item(self, start: StartRun, record: WorkerRecord) -> None:
         item_id = start.item.item_id
@@ -371,7 +337,9 @@
             failure = RunFailure.STOPPED
             raise
         except WorkerError as error:
-            failure = self._observe(record, error)
+            now = self._clock.monotonic()
+            model = self.spec.model
+            failure = observe_failure(self._directory, record.worker, model, error, now)
         finally:
             record.in_flight -= 1
             if self._runs.get(item_id) is task:
@@ -379,27 +347,6 @@
             if not self._closed and not (self._lingering and failure is RunFailure.STOPPED):
                 self._finish_run(item_id, record, failure)
 
-    def _observe(self, record: WorkerRecord, error: WorkerError) -> RunFailure:
-        """Take what a failed run tells about its worker; return how the run ended."""
-        worker_id = record.worker.worker_id
-        now = self._clock.monotonic()
-        match error:
-            case WorkerMisdirectedError():
-                self._directory.pause(worker_id, now, MISDIRECTED_PAUSE_SECONDS)
-                return RunFailure.REFUSED
-            case WorkerUnreachableError():
-                self._directory.observe_failure(worker_id, now)
-                return RunFailure.REFUSED
-            case WorkerRefusedError():
-                self._directory.observe_refusal(worker_id, self.spec.model, now)
-                return RunFailure.REFUSED
-            case WorkerRejectedError():
-                return RunFailure.REJECTED
-            case WorkerFailedError() if not isinstance(error, WorkerTimedOutError):
-                return RunFailure.FAILED
-            case _:
-                return RunFailure.BROKEN
-
     def _finish_run(
         self, item_id: ItemId, record: WorkerRecord, failure: RunFailure | None
     ) -> None:
@@ -459,9 +406,7 @@
     # Listing
 
     def _add_result(self, result: ItemResult) -> None:
-        scoring = self._scoring.pop(result.item_id, None)
-        if scoring is not None:
-            scoring.cancel()
+        self._scoring.stop(result.item_id)
         if self._lingering:
             self._finished[result.item_id] = result
             return
--- a/drumbay/peers/directory.py
+++ b/drumbay/peers/directory.py
@@ -31,7 +31,7 @@
 RETRY_SECONDS = 0.5
 LEASE_SECONDS = 7.5
 HEARTBEAT_SECONDS = 1.0
-SHARED_HEARTBEATS_PER_FRESHNESS = 6
+WATCHER_HEARTBEATS_PER_IN_FORCE_TIME = 6
 """A node that others follow reaches the store so often in the time in which a configuration is to
 be in force: the others leave it once that has not happened for half of this time."""
 
@@ -74,7 +74,7 @@
             in_force_seconds: Within this time after its acceptance, a configuration is to be in
                 force at every node.
         """
-        self._shared_heartbeat_seconds = in_force_seconds / SHARED_HEARTBEATS_PER_FRESHNESS
+        self._watcher_heartbeat_seconds = in_force_seconds / WATCHER_HEARTBEATS_PER_IN_FORCE_TIME
         self._clock = clock
         self._store = store
         self._address = address
@@ -225,5 +225,5 @@
         if not self.ranking.is_watcher(self._address):
             return FOLLOWER_HEARTBEAT_SECONDS
         if self.ranking.has_followers:
-            return min(HEARTBEAT_SECONDS, self._shared_heartbeat_seconds)
+            return min(HEARTBEAT_SECONDS, self._watcher_heartbeat_seconds)
         return HEARTBEAT_SECONDS
