Say once that a watch of the store is lost, and once that it works again

Change: for how long changes went unseen, and whether watches work, are two things now; the first decides about missing workers, the second is logged.

--- a/drumbay/kv/follower.py
+++ b/drumbay/kv/follower.py
@@ -31,6 +31,7 @@
             generator, first_seconds=FIRST_RETRY_SECONDS, longest_seconds=LONGEST_RETRY_SECONDS
         )
         self._needs_snapshot = mirror.revision is None
+        self._unseen_since: float | None = None
         self._lost_at: float | None = None
 
     async def run(self) -> None:
@@ -60,22 +61,29 @@
             found = await self._store.range_prefix(mirror.feed.prefix)
             mirror.take_snapshot(found, self._unseen_seconds())
             self._needs_snapshot = False
-            self._note_regained()
+            self._unseen_since = None
         mirror.is_connected = True
         start = Revision((mirror.revision or 0) + 1)
         async for batch in self._store.watch_prefix(mirror.feed.prefix, start):
             self._backoff.reset()
+            self._note_regained()
             mirror.take_batch(batch)
             if batch.events:
                 await self._clock.sleep(mirror.feed.pause_seconds)
 
     def _unseen_seconds(self) -> float:
-        return 0.0 if self._lost_at is None else self._clock.monotonic() - self._lost_at
+        """Return for how long neither a watch nor a snapshot has told of changes."""
+        if self._unseen_since is None:
+            return 0.0
+        return self._clock.monotonic() - self._unseen_since
 
     def _note_lost(self, error: str) -> None:
+        now = self._clock.monotonic()
+        if self._unseen_since is None:
+            self._unseen_since = now
         if self._lost_at is not None:
             return
-        self._lost_at = self._clock.monotonic()
+        self._lost_at = now
         log_event(
             "store_lost",
             level="WARNING",
@@ -85,12 +93,13 @@
         )
 
     def _note_regained(self) -> None:
+        """Log that watches work again; snapshots may have come through other nodes before."""
         if self._lost_at is None:
             return
         log_event(
             "store_regained",
             prefix=self._mirror.feed.prefix,
             revision=self._mirror.revision,
-            unseen_seconds=round(self._unseen_seconds(), 3),
+            watch_lost_seconds=round(self._clock.monotonic() - self._lost_at, 3),
         )
         self._lost_at = None
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -3,7 +3,9 @@
 import asyncio
 import random
 import unittest
+from collections import Counter
 from collections.abc import AsyncGenerator
+from unittest.mock import patch
 
 from drumbay.clock import Clock
 from drumbay.identifiers import Revision
@@ -113,6 +115,27 @@
 
         play(scenario)
 
+    def test_a_node_that_alone_is_cut_off_says_so_once(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            store = SilentStore(world.model, world.clock)
+            await self.follow(world, store)
+            with patch("drumbay.kv.follower.log_event") as log_event:
+                store.cut()
+                for number in range(8):
+                    self.put(world, str(number).encode())
+                    await asyncio.sleep(1.0)
+                store.reachable = True
+                await asyncio.sleep(2.0)
+                self.put(world, b"end")
+                await asyncio.sleep(2.0)
+            events = Counter(
+                (call.args[0], call.kwargs["prefix"]) for call in log_event.call_args_list
+            )
+            self.assertEqual(events["store_lost", "config/"], 1)
+            self.assertEqual(events["store_regained", "config/"], 1)
+
+        play(scenario)
+
     def test_changes_made_while_history_was_dropped_are_seen(self) -> None:
         async def scenario(world: ServingWorld) -> None:
             _, seen = await self.follow(world)
