--- a/drumbay/standins/worker_pool.py
+++ b/drumbay/standins/worker_pool.py
@@ -201,13 +201,13 @@
         run = self._begin(emulated, request)
         try:
             await self._clock.sleep(self._answer_seconds * emulated.faults.slowdown)
+            if emulated.faults.failing or request.request_id in self.failing_requests:
+                raise WorkerFailedError("500")
             run.events = 1
         finally:
             self._end(emulated, run)
         if emulated.faults.lose_answers:
             raise WorkerBrokenError("answer lost")
-        if emulated.faults.failing or request.request_id in self.failing_requests:
-            raise WorkerFailedError("500")
         return WorkerAnswer(
             status=200,
             headers=(("Worker", worker.worker_id),),
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+import msgspec
 from drumbay_soak.checks import check
 from drumbay_soak.fault_plan import QUIET_END_SECONDS, Fault, FaultKind, draw_faults
 from drumbay_soak.history import (
@@ -17,7 +18,7 @@
 from drumbay_soak.main import read_regressions
 from drumbay_soak.proxy import FaultyProxy, ProxyMode
 
-from drumbay.batches.records import ItemId, ItemResult, ResultState
+from drumbay.batches.records import ItemId, ItemResult, ResultState, Reward
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.identifiers import BackendId, Fence, WeightVersion
 from drumbay.standins.worker_pool import LoggedOrder, LoggedRun
@@ -161,6 +162,30 @@
             history.batches = [batch(final=(found,))]
             self.check_broken(history, "true_results")
 
+    def test_a_score_that_is_missing_or_was_asked_for_too_early(self) -> None:
+        history = self.history()
+        history.texts = {"i": "text"}
+        early, late = run("score-i", at=0.0), run("score-i", at=9.0)
+        whole = run("i")
+        whole.ended_at = STARTED_AT + 5.0
+        history.runs = [whole, early, late]
+        for stamp, is_true in (
+            (late.stamp, True),
+            (early.stamp, False),
+            ("x", False),
+            (None, False),
+        ):
+            reward = Reward(request_id="score-i", stamp=stamp) if stamp is not None else None
+            found = msgspec.structs.replace(result(), reward=reward)
+            scored = batch(final=(found,))
+            scored.reward_ids = {"i": "score-i"}
+            history.batches = [scored]
+            promises = [violation.promise for violation in check(history)]
+            self.assertEqual(promises, [] if is_true else ["true_scores"])
+            scored.reward_ids = {}
+            promises = [violation.promise for violation in check(history)]
+            self.assertEqual(promises, ["true_scores"] if stamp is not None else [])
+
     def test_an_item_given_up_without_reason(self) -> None:
         dead = ItemResult(item_id=ItemId("i"), state=ResultState.DEAD)
         history = self.history()
@@ -168,6 +193,10 @@
         self.check_broken(history, "true_results")
         history.runs = [run("i", events=0)] * 3
         self.assertEqual(check(history), ())
+        history.runs = [run("score-i", events=0)] * 3
+        self.check_broken(history, "true_results")
+        history.batches[0].reward_ids = {"i": "score-i"}
+        self.assertEqual(check(history), ())
 
     def test_an_item_that_starts_after_the_end(self) -> None:
         history = self.history()
