--- a/drumbay/batches/worker_choice.py
+++ b/drumbay/batches/worker_choice.py
@@ -51,11 +51,11 @@
             if record.versions.get(spec.model, UNVERSIONED) >= spec.minimum_version
         }
         self._room = sum(self._free.values())
-        seen = [record.current_pace(now) for record in workers.values()]
+        seen = [record.pace.current(now) for record in workers.values()]
         paces = sorted(pace for pace in seen if pace is not None)
         self._median = paces[(len(paces) - 1) // 2] if paces else DEFAULT_PACE_SECONDS
         self._paces = {
-            worker_id: record.current_pace(now) or self._median
+            worker_id: record.pace.current(now) or self._median
             for worker_id, record in workers.items()
         }
         self._versions = {
--- a/drumbay/workers/directory.py
+++ b/drumbay/workers/directory.py
@@ -5,14 +5,14 @@
 import msgspec
 
 from drumbay.identifiers import BackendId, WeightVersion
+from drumbay.workers.pace import PaceEstimate
 from drumbay.workers.records import Worker, WorkerLoad, WorkerState
 
 LOAD_REPORT_LIFETIME_SECONDS = 0.6
 """How long a load report counts; runs last about as long."""
 
-PACE_SMOOTHING = 0.15
-PACE_LIFETIME_SECONDS = 4.0
-"""A pace that was seen longer ago says nothing: the worker may have recovered."""
+LATENCY_SMOOTHING = 0.15
+"""Weight of the newest answer's time in a worker's latency: about the last ten answers count."""
 
 FIRST_REFUSAL_PAUSE_SECONDS = 0.1
 LONGEST_REFUSAL_PAUSE_SECONDS = 0.8
@@ -37,9 +37,7 @@
     reported_at: float = float("-inf")
     paused_until: float = float("-inf")
     failures: int = 0
-    pace_seconds: float | None = None
-    paced_at: float = float("-inf")
-    best_pace_seconds: float | None = None
+    pace: PaceEstimate = msgspec.field(default_factory=PaceEstimate)
     loading_until: dict[str, float] = msgspec.field(default_factory=dict)
     refusals: dict[str, Refusals] = msgspec.field(default_factory=dict)
     latency_seconds: float | None = None
@@ -74,12 +72,6 @@
             return 0
         return min(1, self.free_slots(now))
 
-    def current_pace(self, now: float) -> float | None:
-        """Return the seconds between events of a stream: as seen lately, or at the best."""
-        if now - self.paced_at > PACE_LIFETIME_SECONDS:
-            return self.best_pace_seconds
-        return self.pace_seconds
-
 
 class WorkerDirectory:
     """The workers of all services; changes wake the listeners."""
@@ -198,11 +190,7 @@
         """Take the time between two events of a stream."""
         record = self._records.get(worker_id)
         if record is not None:
-            record.pace_seconds = _smooth(record.current_pace(now), seconds_per_event)
-            record.paced_at = now
-            best = record.best_pace_seconds
-            if best is None or record.pace_seconds < best:
-                record.best_pace_seconds = record.pace_seconds
+            record.pace.observe(seconds_per_event, now)
 
     def note_loading(self, worker_id: BackendId, model: str, until: float) -> None:
         """Send a worker nothing for a model whose weights it loads until then."""
@@ -255,4 +243,4 @@
 def _smooth(previous: float | None, value: float) -> float:
     if previous is None:
         return value
-    return previous + PACE_SMOOTHING * (value - previous)
+    return previous + LATENCY_SMOOTHING * (value - previous)
--- a/tests/test_lapsed_workers.py
+++ b/tests/test_lapsed_workers.py
@@ -34,7 +34,7 @@
         self.assertEqual(self.directory.drop_missing(5.0), ())
         record = self.directory.get(GONE)
         assert record is not None
-        self.assertEqual(record.current_pace(1.0), 0.04)
+        self.assertEqual(record.pace.current(1.0), 0.04)
 
     def test_one_that_does_not_come_back_is_gone(self) -> None:
         self.directory.replace_all(self.workers[1:], 5.0)
