Spread the items of a batch job by the tokens that they are to generate

Cause: long items all went to the worker with the smallest pace. A worker of this deployment holds 30,202 tokens, three of the longest texts; more are preempted, and a preempted run stands still. Change: a worker's crowding is the expected tokens of the runs there over what its places hold with average items; long items weigh it against pace, short ones against sharing their group's prompt.

--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -311,6 +311,7 @@
                     resume_after=decision.resume_after,
                 )
                 record.in_flight += 1
+                record.expected_tokens += item.expected_tokens
                 task = self._task_owner.spawn(self._run_item(decision, record), "batch-item")
                 self._runs[item.item_id] = task
             case StopRun(item_id=item_id, worker_id=worker_id, reason=reason):
@@ -342,6 +343,7 @@
             failure = observe_failure(self._directory, record.worker, model, error, now)
         finally:
             record.in_flight -= 1
+            record.expected_tokens -= start.item.expected_tokens
             if self._runs.get(item_id) is task:
                 del self._runs[item_id]
             if not self._closed and not (self._lingering and failure is RunFailure.STOPPED):
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -372,6 +372,7 @@
                 break
             request = PlaceRequest(
                 group=run.item.group,
+                expected_tokens=run.item.expected_tokens,
                 avoid=run.avoid,
                 is_long=self._order.is_long(run.item),
                 minimum_version=self._spec.minimum_version,
--- a/drumbay/batches/worker_choice.py
+++ b/drumbay/batches/worker_choice.py
@@ -15,7 +15,12 @@
 """Moving to a worker pays if its events come within this share of the time."""
 
 OLD_WEIGHTS_PENALTY = 0.2
-OCCUPANCY_PENALTY = 0.1
+CROWDING_PENALTY = 0.3
+"""Added to a worker's relative pace for long items, times its crowding."""
+
+SHARED_PROMPT_BONUS = 1.0
+"""Crowding that is accepted to send an item where its prompt is kept: all places of a worker."""
+
 DEFAULT_PACE_SECONDS = 0.045
 UNVERSIONED = WeightVersion(0)
 """Version of a model that a worker does not name: fit for batch jobs that ask for none."""
@@ -28,13 +33,20 @@
     """
 
     group: str
+    expected_tokens: int
     avoid: BackendId | None
     is_long: bool
     minimum_version: WeightVersion
 
 
 class WorkerChoice:
-    """The choices of one planning round; counts the places that it gives away."""
+    """The choices of one planning round; counts the places that it gives away.
+
+    A worker keeps the tokens of every run in its memory. Several long texts on one worker
+    exceed it, and the worker then preempts some of them for seconds. So items are spread by the
+    tokens that they are expected to generate. A worker's crowding is their sum over what its
+    places would hold with items of average length.
+    """
 
     def __init__(
         self,
@@ -63,6 +75,11 @@
             for worker_id, record in workers.items()
         }
         self._newest = newest_version
+        self._average_tokens = _average_tokens(spec)
+        self._tokens = {
+            worker_id: record.expected_tokens + record.others_busy(now) * self._average_tokens
+            for worker_id, record in workers.items()
+        }
         self._group_workers: dict[str, BackendId] = {}
 
     @property
@@ -94,24 +111,31 @@
         chosen = min(candidates, key=lambda w: (self.is_slow(w), cost(w, request.group), w))
         self._group_workers.setdefault(request.group, chosen)
         self._give(chosen)
+        self._tokens[chosen] += request.expected_tokens
         return chosen
 
     def _give(self, worker_id: BackendId) -> None:
         self._free[worker_id] -= 1
         self._room -= 1
 
-    def _occupancy(self, worker_id: BackendId) -> float:
-        return 1.0 - self._free[worker_id] / max(1, self._workers[worker_id].worker.slots)
+    def _crowding(self, worker_id: BackendId) -> float:
+        slots = max(1, self._workers[worker_id].worker.slots)
+        return self._tokens[worker_id] / (slots * self._average_tokens)
 
     def _cost_of_long(self, worker_id: BackendId, group: str) -> float:
         del group
         relative_pace = self._paces[worker_id] / self._median
         is_old = self._versions[worker_id] < self._newest
         penalty = OLD_WEIGHTS_PENALTY if is_old else 0.0
-        return relative_pace + penalty + OCCUPANCY_PENALTY * self._occupancy(worker_id)
+        return relative_pace + penalty + CROWDING_PENALTY * self._crowding(worker_id)
 
     def _cost_of_short(self, worker_id: BackendId, group: str) -> float:
         # The items of a group share a prompt, which a worker reads once.
         shares_prompt = self._group_workers.get(group) == worker_id
-        occupancy = self._occupancy(worker_id) * self._paces[worker_id] / self._median
-        return occupancy - shares_prompt
+        crowding = self._crowding(worker_id) * self._paces[worker_id] / self._median
+        return crowding - SHARED_PROMPT_BONUS * shares_prompt
+
+
+def _average_tokens(spec: BatchSpec) -> float:
+    total = sum(item.expected_tokens for item in spec.items)
+    return max(1.0, total / max(1, len(spec.items)))
