--- /dev/null
+++ b/tests/test_worker_pace.py
@@ -0,0 +1,103 @@
+"""The pace of workers: what one odd event, or a worker that turned slow, does to decisions."""
+
+import unittest
+
+import msgspec
+
+from drumbay.batches.scheduler import BatchScheduler, StartRun
+from drumbay.batches.worker_choice import WorkerChoice
+from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.identifiers import BackendId, WeightVersion
+from drumbay.workers.directory import WorkerDirectory
+from drumbay.workers.records import Worker, WorkerState
+from tests.serving_world import MODEL, SERVICE, batch_spec
+
+FIRST, SECOND, THIRD = BackendId("w1"), BackendId("w2"), BackendId("w3")
+USUAL_SECONDS = 0.04
+
+
+class DirectoryTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.directory = WorkerDirectory()
+        for number, worker_id in enumerate((FIRST, SECOND, THIRD)):
+            self.directory.put(
+                Worker(
+                    worker_id=worker_id,
+                    service=SERVICE,
+                    address=NetworkAddress("h", number),
+                    zone="z",
+                    slots=8,
+                    state=WorkerState.READY,
+                    versions={MODEL: WeightVersion(1)},
+                )
+            )
+            self.observe(worker_id, [USUAL_SECONDS] * 10)
+
+    def observe(self, worker_id: BackendId, times: list[float], now: float = 0.0) -> None:
+        for seconds in times:
+            self.directory.observe_pace(worker_id, seconds, now)
+
+    def choice(self, now: float = 0.0) -> WorkerChoice:
+        workers = {r.worker.worker_id: r for r in self.directory.of_service(SERVICE)}
+        return WorkerChoice(batch_spec(), workers, WeightVersion(1), now)
+
+
+class WorkerPaceTest(DirectoryTest):
+    def test_one_late_event_does_not_make_a_worker_slow(self) -> None:
+        self.observe(FIRST, [1.0])
+        self.assertFalse(self.choice().is_slow(FIRST))
+
+    def test_events_read_together_do_not_make_a_worker_fast(self) -> None:
+        self.observe(FIRST, [0.001, 0.001, 0.001])
+        self.assertFalse(self.choice().reserve_faster(SECOND))
+        self.assertFalse(self.choice(now=10.0).reserve_faster(SECOND))
+
+    def test_a_worker_that_turned_slow_shows_after_four_events(self) -> None:
+        self.observe(FIRST, [4 * USUAL_SECONDS] * 4)
+        self.assertTrue(self.choice().is_slow(FIRST))
+        self.assertTrue(self.choice().reserve_faster(FIRST))
+
+    def test_a_worker_that_was_slow_long_ago_is_tried_again(self) -> None:
+        self.observe(FIRST, [4 * USUAL_SECONDS] * 7)
+        self.assertFalse(self.choice(now=10.0).is_slow(FIRST))
+
+    def test_long_items_are_spread_over_workers_of_like_pace(self) -> None:
+        self.observe(FIRST, [0.95 * USUAL_SECONDS] * 10)
+        spec = batch_spec(groups=6, group_size=1)
+        items = tuple(
+            msgspec.structs.replace(item, expected_tokens=900 if number < 3 else 10)
+            for number, item in enumerate(spec.items)
+        )
+        spec = msgspec.structs.replace(spec, items=items)
+        workers = {r.worker.worker_id: r for r in self.directory.of_service(SERVICE)}
+        decisions = BatchScheduler(spec, 0.0, ()).plan(workers, WeightVersion(1), 0.0)
+        long = {
+            decision.worker_id
+            for decision in decisions
+            if isinstance(decision, StartRun) and decision.item.expected_tokens == 900
+        }
+        self.assertEqual(long, {FIRST, SECOND, THIRD})
+
+
+class ExpectedVersionTest(DirectoryTest):
+    def room(self, now: float) -> bool:
+        spec = msgspec.structs.replace(batch_spec(), minimum_version=WeightVersion(2))
+        workers = {r.worker.worker_id: r for r in self.directory.of_service(SERVICE)}
+        return WorkerChoice(spec, workers, WeightVersion(2), now).has_room
+
+    def test_a_worker_is_used_as_soon_as_its_load_is_due(self) -> None:
+        self.assertFalse(self.room(0.0))
+        self.directory.note_loading(FIRST, MODEL, WeightVersion(2), 0.9)
+        self.assertFalse(self.room(0.8))
+        self.assertTrue(self.room(1.0))
+
+    def test_an_answer_under_the_old_weights_takes_the_expectation_back(self) -> None:
+        self.directory.note_loading(FIRST, MODEL, WeightVersion(2), 0.9)
+        self.directory.observe_version(FIRST, MODEL, WeightVersion(1), 0.5)
+        self.assertTrue(self.room(1.0))
+        self.directory.observe_version(FIRST, MODEL, WeightVersion(1), 1.0)
+        self.assertFalse(self.room(1.1))
+
+
+if __name__ == "__main__":
+    unittest.main()
