List the results of a nearly whole step by groups, not by items

Change: a result is urgent only if it completes a group that the step needs; it interrupts the wait. The owner's check is made when a write is overdue, at a fixed time.

--- a/drumbay/batches/listing.py
+++ b/drumbay/batches/listing.py
@@ -15,14 +15,15 @@
 FLUSH_INTERVAL_SECONDS = 0.4
 """Results wait this long for others: each write is one priced call to the store."""
 
-LAST_FLUSH_INTERVAL_SECONDS = 0.03
-"""The last groups decide when a step is whole; their results hardly wait."""
+URGENT_FLUSH_SECONDS = 0.03
+"""An urgent result hardly waits: only for those that end in the same moment."""
 
 FLUSH_BYTES = 500_000
 PAGE_BYTES = 900_000
 STORE_RETRY_SECONDS = 0.15
-OWNER_CHECK_SECONDS = 1.0
-"""Without a successful write for this long, the owner asks the store whether it still owns."""
+OWNER_CHECK_SECONDS = 1.2
+"""Without a successful write for this long, the owner lists what it has, or else asks the store
+whether it still owns. A little longer than results and saved texts wait for a write."""
 
 WATCH_OWNER_SECONDS = 6.0
 """How often the owner of a wholly listed batch job looks whether it has ended."""
@@ -39,7 +40,6 @@
         revision: Revision,
         listed: Sequence[ItemResult],
         *,
-        is_urgent: Callable[[], bool],
         on_lost: Callable[[BatchError], None],
     ) -> None:
         """Create a listing.
@@ -50,18 +50,18 @@
             spec: The batch job.
             revision: The owner's revision in the ledger.
             listed: Results that stand in the store already.
-            is_urgent: Returns whether results should hardly wait for others.
             on_lost: Called once when another node owns the batch job, or it has ended.
         """
         self._clock = clock
         self._ledger = ledger
         self._spec = spec
         self._revision = revision
-        self._is_urgent = is_urgent
         self._on_lost = on_lost
         self._listed: list[ItemResult] = list(listed)
         self._pending: list[ItemResult] = []
+        self._pending_since = float("inf")
         self._pending_changed = asyncio.Event()
+        self._urgent = asyncio.Event()
         self._listed_changed = asyncio.Event()
         self._confirmed_at = clock.monotonic()
         self._closed = False
@@ -81,10 +81,14 @@
         """Return all results, also those that the store has not taken yet."""
         return (*self._listed, *self._pending)
 
-    def add(self, result: ItemResult) -> None:
-        """List a result soon."""
+    def add(self, result: ItemResult, *, is_urgent: bool) -> None:
+        """List a result soon; an urgent one, with all that wait, at once."""
+        if not self._pending:
+            self._pending_since = self._clock.monotonic()
         self._pending.append(result)
         self._pending_changed.set()
+        if is_urgent:
+            self._urgent.set()
 
     def confirm(self) -> None:
         """Note that the store has just taken a write of this owner."""
@@ -114,9 +118,7 @@
         """List results until all are, then watch the ownership, until it is lost."""
         try:
             while not self.is_whole:
-                with suppress(TimeoutError):
-                    async with asyncio.timeout(OWNER_CHECK_SECONDS):
-                        await self._pending_changed.wait()
+                await self._wait_until(self._pending_changed, self._check_due_at())
                 self._pending_changed.clear()
                 await self._list_pending()
                 await self._check_owner()
@@ -127,19 +129,32 @@
         except BatchError as error:
             self._on_lost(error)
 
+    def _check_due_at(self) -> float:
+        return self._confirmed_at + OWNER_CHECK_SECONDS
+
+    async def _wait_until(self, event: asyncio.Event, until: float) -> None:
+        """Wait for an event, at the longest until a monotonic time."""
+        remaining_seconds = until - self._clock.monotonic()
+        if remaining_seconds <= 0 or event.is_set():
+            return
+        with suppress(TimeoutError):
+            async with asyncio.timeout(remaining_seconds):
+                await event.wait()
+
     async def _list_pending(self) -> None:
         if not self._pending:
             return
-        is_last = len(self._listed) + len(self._pending) == len(self._spec.items)
-        if not is_last:
-            is_urgent = self._is_urgent()
-            interval = LAST_FLUSH_INTERVAL_SECONDS if is_urgent else FLUSH_INTERVAL_SECONDS
-            await self._clock.sleep(interval)
+        flush_at = self._pending_since + FLUSH_INTERVAL_SECONDS
+        await self._wait_until(self._urgent, min(flush_at, self._check_due_at()))
+        if self._urgent.is_set():
+            await self._clock.sleep(URGENT_FLUSH_SECONDS)
+        self._urgent.clear()
         while self._pending:
             count = self._fitting()
             await self._append(tuple(self._pending[:count]))
             self._listed.extend(self._pending[:count])
             del self._pending[:count]
+            self._pending_since = self._clock.monotonic()
             self._announce()
 
     def _fitting(self) -> int:
@@ -176,11 +191,18 @@
             return
 
     async def _check_owner(self) -> None:
-        if self._clock.monotonic() - self._confirmed_at < OWNER_CHECK_SECONDS:
+        if self._clock.monotonic() < self._check_due_at():
             return
         try:
             await self._ledger.check_owner(self._spec.batch_id, self._revision)
-        except KeyValueError:
+        except KeyValueError as error:
+            log_event(
+                "batch_owner_check_failed",
+                level="DEBUG",
+                batch=self._spec.batch_id,
+                error=error.code,
+            )
+            await self._clock.sleep(STORE_RETRY_SECONDS)
             return
         self.confirm()
 
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -48,6 +48,9 @@
 """Several runs end in one moment; one plan is made for all of them."""
 
 LAST_GROUPS = 2
+"""When no more groups than this are missing, a group that is whole is listed at once: its trainer
+waits for it. Others wait for a write that is due."""
+
 LINGER_SECONDS = 8.0
 """How long runs go on after the end of a batch job: their items may come back in a later one."""
 
@@ -106,6 +109,7 @@
         self._newest_version = newest_version
         self._version_at_start = newest_version()
         self._scheduler = BatchScheduler(spec, clock.monotonic(), listed)
+        self._missing_groups = self._scheduler.missing_groups
         self._finished: dict[ItemId, ItemResult] = {}
         self._listing = ResultListing(
             clock,
@@ -113,7 +117,6 @@
             spec,
             revision,
             listed,
-            is_urgent=lambda: self._scheduler.missing_groups <= LAST_GROUPS,
             on_lost=self._lose,
         )
         self._progress = ProgressSaver(
@@ -412,7 +415,7 @@
         if self._lingering:
             self._finished[result.item_id] = result
             return
-        self._listing.add(result)
+        self._listing.add(result, is_urgent=self._is_urgent())
         self._metrics.observe_item(self._clock.monotonic() - self._started_at)
         log_event(
             "item_finished",
@@ -423,6 +426,14 @@
             missing_groups=self._scheduler.missing_groups,
         )
 
+    def _is_urgent(self) -> bool:
+        """Return whether the result that has just come completes one of the last groups."""
+        before = self._missing_groups
+        self._missing_groups = self._scheduler.missing_groups
+        if self._scheduler.is_finished:
+            return True
+        return self._missing_groups < before <= LAST_GROUPS
+
     def _lose(self, error: BatchError) -> None:
         log_event(
             "batch_lost",
