Read what the store holds of an ended batch job by pages; a slow answer is not a lost one

A read took the whole batch job from the store, 1.9 MB as worked out, in two or three answers; each had to be whole within 0.35 to 1 s, over a link of 60 Mbit/s that the answers to other readers share, and readers wait 1.5 s. Change: a read takes one answer of the store from its position on (a write holds 64 results at the most); the time limit holds for each part of an answer.

--- a/drumbay/batches/ledger.py
+++ b/drumbay/batches/ledger.py
@@ -26,7 +26,9 @@
     OwnerRecord,
     OwnerState,
     PartialText,
+    ResultPage,
     StoredOwner,
+    page_of,
 )
 from drumbay.identifiers import Revision
 from drumbay.kv.interface import Delete, KeyValueStore, ModRevisionIs, Put
@@ -38,6 +40,9 @@
 """Below the 1 MB that a value may have; a transaction takes 32 entries."""
 ABSENT = Revision(0)
 
+RESULTS_PER_WRITE = 64
+"""At the most, so that the write that holds a position is found from the position."""
+
 _encoder = msgspec.msgpack.Encoder()
 _owner_decoder = msgspec.msgpack.Decoder(OwnerRecord)
 _spec_decoder = msgspec.msgpack.Decoder(BatchSpec)
@@ -150,13 +155,29 @@
             progress=tuple(progress.values()),
         )
 
-    async def read_results(self, batch_id: BatchId) -> tuple[ItemResult, ...]:
-        """Return everything listed, in the order of positions."""
-        found = await self._store.range_prefix(f"{PREFIX}{batch_id}/results/")
+    async def read_results(
+        self, batch_id: BatchId, position: int, total: int, size_bytes: int
+    ) -> ResultPage:
+        """Return listed results from a position on: one if there is any, else up to a size.
+
+        One answer of the store is read where it holds that position: a batch job may be several
+        megabytes, which take a second on the link of a small machine.
+        """
+        prefix = _result_prefix(batch_id)
+        is_far = position >= RESULTS_PER_WRITE
+        after = _result_key(batch_id, position - RESULTS_PER_WRITE) if is_far else ""
         results: list[ItemResult] = []
-        for item in sorted(found.items, key=lambda entry: entry.key):
-            results.extend(_results_decoder.decode(item.value))
-        return tuple(results)
+        while not results:
+            found = await self._store.range_page(prefix, after)
+            for item in found.items:
+                start = int(item.key.removeprefix(prefix))
+                listed = _results_decoder.decode(item.value)
+                results.extend(listed[max(0, position - start) :])
+            if not found.has_more:
+                break
+            after = found.items[-1].key
+        page = page_of(results, total, 0, size_bytes)
+        return msgspec.structs.replace(page, position=position)
 
     async def append(
         self,
@@ -172,7 +193,7 @@
             BatchEndedError: The batch job has ended.
         """
         owner_key = _owner_key(batch_id)
-        result_key = f"{PREFIX}{batch_id}/results/{position:08d}"
+        result_key = _result_key(batch_id, position)
         outcome = await self._store.transact(
             (
                 ModRevisionIs(key=owner_key, mod_revision=owner_revision),
@@ -244,5 +265,13 @@
     )
 
 
+def _result_prefix(batch_id: BatchId) -> str:
+    return f"{PREFIX}{batch_id}/results/"
+
+
+def _result_key(batch_id: BatchId, position: int) -> str:
+    return f"{_result_prefix(batch_id)}{position:08d}"
+
+
 def _owner_key(batch_id: BatchId) -> str:
     return f"{PREFIX}{batch_id}/owner"
--- a/drumbay/batches/listing.py
+++ b/drumbay/batches/listing.py
@@ -5,7 +5,7 @@
 from contextlib import suppress
 
 from drumbay.batches.exceptions import BatchError
-from drumbay.batches.ledger import BatchLedger
+from drumbay.batches.ledger import RESULTS_PER_WRITE, BatchLedger
 from drumbay.batches.records import BatchSpec, ItemResult, ResultPage, page_of
 from drumbay.clock import Clock
 from drumbay.identifiers import Revision
@@ -166,11 +166,12 @@
 
     def _fitting(self) -> int:
         used_bytes = 0
-        for count, result in enumerate(self._pending):
+        some = self._pending[:RESULTS_PER_WRITE]
+        for count, result in enumerate(some):
             used_bytes += result.size_bytes()
             if count and used_bytes > FLUSH_BYTES:
                 return count
-        return len(self._pending)
+        return len(some)
 
     async def _append(self, results: tuple[ItemResult, ...]) -> None:
         """Write results, always the same, until the store says that they stand."""
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -29,7 +29,6 @@
     OwnerState,
     ResultPage,
     StoredOwner,
-    page_of,
 )
 from drumbay.batches.reward_scorer import RewardScorer
 from drumbay.clock import Clock
@@ -225,8 +224,7 @@
     ) -> ResultPage:
         while True:
             try:
-                results = await self.ledger.read_results(batch_id)
-                return page_of(results, total, position, PAGE_BYTES)
+                return await self.ledger.read_results(batch_id, position, total, PAGE_BYTES)
             except KeyValueError as error:
                 await self._owners.pause_until(deadline, error)
 
--- a/drumbay/bench/configuration_cluster.py
+++ b/drumbay/bench/configuration_cluster.py
@@ -64,6 +64,11 @@
         self._pass()
         return await self._inner.range_prefix(prefix)
 
+    async def range_page(self, prefix: str, after: str) -> RangeResult:
+        """Return the keys of ``prefix`` that sort after a key."""
+        self._pass()
+        return await self._inner.range_page(prefix, after)
+
     async def transact(
         self, compares: tuple[ModRevisionIs, ...], operations: tuple[Put | Delete, ...]
     ) -> TransactionResult:
--- a/drumbay/kv/etcd_gateway.py
+++ b/drumbay/kv/etcd_gateway.py
@@ -77,9 +77,15 @@
     async def range_prefix(self, prefix: str) -> RangeResult:
         """Return every key that starts with ``prefix``."""
         key = prefix.encode()
-        request = messages.RangeRequest(
-            key=messages.find_range_start(key), range_end=messages.find_range_end(key)
-        )
+        return await self._range(messages.find_range_start(key), messages.find_range_end(key))
+
+    async def range_page(self, prefix: str, after: str) -> RangeResult:
+        """Return the keys of ``prefix`` that sort after a key; etcd does not page by itself."""
+        start = max(messages.find_range_start(prefix.encode()), after.encode() + b"\0")
+        return await self._range(start, messages.find_range_end(prefix.encode()))
+
+    async def _range(self, start: bytes, end: bytes) -> RangeResult:
+        request = messages.RangeRequest(key=start, range_end=end)
         try:
             body = await self._request(messages.RANGE_PATH, request, messages.RangeResponse)
         except KeyValueOutcomeUnknownError as error:
--- a/drumbay/kv/interface.py
+++ b/drumbay/kv/interface.py
@@ -57,10 +57,14 @@
 
 
 class RangeResult(msgspec.Struct, frozen=True, kw_only=True):
-    """The keys of a range at one revision of the store, sorted by key."""
+    """The keys of a range at one revision of the store, sorted by key.
+
+    ``has_more`` says that the store ended the answer before the range did.
+    """
 
     revision: Revision
     items: tuple[KeyValue, ...]
+    has_more: bool = False
 
 
 class ModRevisionIs(msgspec.Struct, frozen=True, kw_only=True):
@@ -125,6 +129,10 @@
         """Return every key that starts with ``prefix`` (linearizable read)."""
         ...
 
+    async def range_page(self, prefix: str, after: str) -> RangeResult:
+        """Return the keys of ``prefix`` that sort after a key, as many as one answer holds."""
+        ...
+
     async def transact(
         self,
         compares: tuple[ModRevisionIs, ...],
--- a/drumbay/kv/memory.py
+++ b/drumbay/kv/memory.py
@@ -61,6 +61,10 @@
         """Return every key that starts with ``prefix``."""
         return await self._read(lambda: self._model.range_prefix(prefix))
 
+    async def range_page(self, prefix: str, after: str) -> RangeResult:
+        """Return the keys of ``prefix`` that sort after a key."""
+        return await self._read(lambda: self._model.range_page(prefix, after))
+
     async def transact(
         self,
         compares: tuple[ModRevisionIs, ...],
--- a/drumbay/peers/messages.py
+++ b/drumbay/peers/messages.py
@@ -150,9 +150,10 @@
 
 
 class RelayRange(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Ask a node to read a prefix of the store."""
+    """Ask a node to read a prefix of the store; with ``after``, one page after that key."""
 
     prefix: str
+    after: str | None = None
 
 
 class RelayTransaction(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/drumbay/peers/store_relay.py
+++ b/drumbay/peers/store_relay.py
@@ -92,6 +92,13 @@
         )
         return reply.result if isinstance(reply, RangeReply) else _unexpected(reply)
 
+    async def range_page(self, prefix: str, after: str) -> RangeResult:
+        """Return the keys of ``prefix`` that sort after a key, as many as one answer holds."""
+        reply = await self._call(
+            lambda: self._direct.range_page(prefix, after), RelayRange(prefix=prefix, after=after)
+        )
+        return reply.result if isinstance(reply, RangeReply) else _unexpected(reply)
+
     async def transact(
         self, compares: tuple[ModRevisionIs, ...], operations: tuple[Put | Delete, ...]
     ) -> TransactionResult:
@@ -221,8 +228,10 @@
 
     async def _carry_out(self, request: StoreRequest) -> PeerReply:
         match request:
-            case RelayRange(prefix=prefix):
-                return RangeReply(result=await self._direct.range_prefix(prefix))
+            case RelayRange(prefix=prefix, after=after):
+                if after is None:
+                    return RangeReply(result=await self._direct.range_prefix(prefix))
+                return RangeReply(result=await self._direct.range_page(prefix, after))
             case RelayTransaction(compares=compares, operations=operations):
                 plain = tuple(from_relayed(operation) for operation in operations)
                 return TransactionReply(result=await self._direct.transact(compares, plain))
--- a/drumbay/simulation/gated_clients.py
+++ b/drumbay/simulation/gated_clients.py
@@ -46,6 +46,10 @@
         """Return every key that starts with ``prefix``."""
         return await self._process.call_out(self._store.range_prefix(prefix))
 
+    async def range_page(self, prefix: str, after: str) -> RangeResult:
+        """Return the keys of ``prefix`` that sort after a key."""
+        return await self._process.call_out(self._store.range_page(prefix, after))
+
     async def transact(
         self,
         compares: tuple[ModRevisionIs, ...],
--- a/drumbay/standins/kv_model.py
+++ b/drumbay/standins/kv_model.py
@@ -43,6 +43,8 @@
 """Revision of an empty store, as in etcd."""
 
 DEFAULT_HISTORY_LIMIT = 10_000
+PAGE_BYTES = 1_000_000
+"""Bytes of values in a page, as the users' store answers."""
 
 
 class _Lease(msgspec.Struct, kw_only=True):
@@ -131,6 +133,20 @@
         items = tuple(self._items[key] for key in keys)
         return RangeResult(revision=self._revision, items=items)
 
+    def range_page(self, prefix: str, after: str) -> RangeResult:
+        """Return the keys of ``prefix`` after a key: at least one, up to ``PAGE_BYTES``."""
+        found = [item for item in self.range_prefix(prefix).items if item.key > after]
+        page: list[KeyValue] = []
+        size_bytes = 0
+        for item in found:
+            size_bytes += len(item.value)
+            if page and size_bytes > PAGE_BYTES:
+                break
+            page.append(item)
+        return RangeResult(
+            revision=self._revision, items=tuple(page), has_more=len(page) < len(found)
+        )
+
     def transact(
         self,
         compares: tuple[ModRevisionIs, ...],
