Leave a dead worker after 0.7 s, and do not blame a sound one for a stalled run

Change: a worker that made events and now makes none for any of the batch job's runs there has gone after 0.7 s. A run that is silent while its neighbours are heard is stopped after 1.2 s as before, but no longer pauses its worker (reason 'stalled'). Tests: the two new ones of test_batch_decisions fail on the code before.

--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -26,6 +26,11 @@
 
 SILENCE_BEFORE_FIRST_EVENT_SECONDS = 1.6
 SILENCE_BETWEEN_EVENTS_SECONDS = 1.2
+"""A run is stopped after so long without an event: its worker may have preempted it."""
+
+SILENCE_OF_A_WORKER_SECONDS = 0.7
+"""A worker that made events and now makes none for any run has gone. Many times the 0.04 s between
+events, and more than a plan may be late by."""
 
 LONGEST_PLAN_GAP_SECONDS = 0.4
 """Plans follow each other by a tenth of a second. After a longer gap this process has stood
@@ -53,6 +58,7 @@
     """Why a run is stopped."""
 
     SILENT = "silent"
+    STALLED = "stalled"
     SLOW_WORKER = "slow_worker"
     GIVEN_UP = "given_up"
 
@@ -401,18 +407,32 @@
 
     def _stops(self, choice: WorkerChoice, now: float) -> list[StopRun]:
         stops: list[StopRun] = []
+        silent_workers = self._silent_workers(now)
         for run in self._runs.values():
             if run.worker_id is None:
                 continue
-            if self._is_silent(run, now):
-                stops.append(_stop(run, StopReason.SILENT))
+            if self._is_silent(run, run.worker_id in silent_workers, now):
+                is_dead = run.worker_id in silent_workers or not run.events_here
+                stops.append(_stop(run, StopReason.SILENT if is_dead else StopReason.STALLED))
             elif self._should_move(run, choice):
                 run.moves += 1
                 stops.append(_stop(run, StopReason.SLOW_WORKER))
         return stops
 
-    def _is_silent(self, run: ItemRun, now: float) -> bool:
+    def _silent_workers(self, now: float) -> set[BackendId]:
+        """Return the workers that made events of these items and lately make none at all."""
+        heard_at: dict[BackendId, float] = {}
+        for run in self._runs.values():
+            if run.worker_id is not None and run.events_here:
+                latest = heard_at.get(run.worker_id, self._listening_since)
+                heard_at[run.worker_id] = max(latest, run.heard_at)
+        limit = SILENCE_OF_A_WORKER_SECONDS
+        return {worker_id for worker_id, latest in heard_at.items() if now - latest > limit}
+
+    def _is_silent(self, run: ItemRun, worker_is_silent: bool, now: float) -> bool:
         silence = now - max(run.heard_at, self._listening_since)
+        if worker_is_silent:
+            return silence > SILENCE_OF_A_WORKER_SECONDS
         limit = (
             SILENCE_BETWEEN_EVENTS_SECONDS
             if run.events_here
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -11,6 +11,7 @@
     PRIORITY_NORMAL,
     BatchScheduler,
     Decision,
+    RunFailure,
     StartRun,
     StopReason,
     StopRun,
@@ -103,6 +104,45 @@
         self.assertEqual(self.plan_calmly(scheduler, 0.0, 1.5), 0)
         self.assertEqual(self.plan_calmly(scheduler, 1.5, 1.7), 2)
 
+    def hear(self, scheduler: BatchScheduler, item_id: str, now: float) -> None:
+        event = StreamEvent(number=round(now * 10), data="x", version=WeightVersion(1))
+        scheduler.take_event(ItemId(item_id), event, now)
+
+    def stops_by(
+        self, scheduler: BatchScheduler, heard: tuple[str, ...], until: float
+    ) -> dict[str, StopReason]:
+        """Plan each tenth of a second; items of ``heard`` go on making events."""
+        stops: dict[str, StopReason] = {}
+        for tick in range(6, round(until * 10) + 1):
+            for item_id in heard:
+                self.hear(scheduler, item_id, tick / 10)
+            for decision in self.plan(scheduler, tick / 10):
+                if isinstance(decision, StopRun):
+                    stops[decision.item_id] = decision.reason
+                    scheduler.take_failure(decision.item_id, RunFailure.STOPPED, tick / 10)
+        return stops
+
+    def two_runs_at_one_worker(self) -> BatchScheduler:
+        scheduler = BatchScheduler(batch_spec(groups=1, group_size=2), 0.0, ())
+        started = self.started(self.plan(scheduler, 0.0))
+        self.assertEqual(len({start.worker_id for start in started.values()}), 1)
+        for tick in range(1, 6):
+            self.plan(scheduler, tick / 10)
+            for item_id in started:
+                self.hear(scheduler, item_id, tick / 10)
+        return scheduler
+
+    def test_a_worker_that_makes_no_event_at_all_is_left_sooner_than_one_run(self) -> None:
+        both = {"batch-0-0": StopReason.SILENT, "batch-0-1": StopReason.SILENT}
+        self.assertEqual(self.stops_by(self.two_runs_at_one_worker(), (), 1.1), {})
+        self.assertEqual(self.stops_by(self.two_runs_at_one_worker(), (), 1.4), both)
+
+    def test_a_run_that_stalls_on_a_sound_worker_is_no_failure_of_the_worker(self) -> None:
+        heard = ("batch-0-1",)
+        stalled = {"batch-0-0": StopReason.STALLED}
+        self.assertEqual(self.stops_by(self.two_runs_at_one_worker(), heard, 1.6), {})
+        self.assertEqual(self.stops_by(self.two_runs_at_one_worker(), heard, 1.8), stalled)
+
     def test_after_a_pause_of_this_process_runs_are_heard_out(self) -> None:
         scheduler = BatchScheduler(batch_spec(groups=1, group_size=2), 0.0, ())
         self.plan(scheduler, 0.0)
