Let a restarted node go on with the batch jobs that it owned, before anybody asks

Change: a key for each open batch job below its owner's address, in the transactions that write the owner record; a process that is not the first at its address reads them once and takes over what is still its own, by compare-and-swap. Tests: test_a_restarted_owner_goes_on_before_anybody_asks fails without the change.

--- a/drumbay/batches/ledger.py
+++ b/drumbay/batches/ledger.py
@@ -1,7 +1,10 @@
 """Batch jobs in the key-value store: what is accepted, listed or ended, and by whom.
 
 ``INDEX_PREFIX`` and its identifier: a :class:`IndexEntry`, so that old batch jobs are found
-without reading their texts. Keys of a batch job, below ``PREFIX`` and its identifier:
+without reading their texts. ``OPEN_PREFIX``, the owner's address and the identifier: an empty
+value while the batch job is open, so that a restarted node finds what it owned.
+
+Keys of a batch job, below ``PREFIX`` and its identifier:
 
 * ``owner``: the :class:`OwnerRecord`. Every write of results compares its revision, so that an
   owner that was replaced, or an ended batch job, takes no more results: the revision is the
@@ -30,11 +33,13 @@
     StoredOwner,
     page_of,
 )
+from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.identifiers import Revision
 from drumbay.kv.interface import Delete, KeyValueStore, ModRevisionIs, Put
 
 PREFIX = "drumbay/batches/"
 INDEX_PREFIX = "drumbay/batch-index/"
+OPEN_PREFIX = "drumbay/batches-open/"
 KEYS_PER_DELETION = 30
 PART_BYTES = 1_000_000
 """Below the 1 MB that a value may have; a transaction takes 32 entries."""
@@ -86,6 +91,7 @@
         puts = [
             Put(key=key, value=_encoder.encode(owner)),
             Put(key=f"{INDEX_PREFIX}{spec.batch_id}", value=_encoder.encode(entry)),
+            Put(key=_open_key(owner.address, spec.batch_id), value=b""),
         ]
         for number, part in enumerate(parts):
             puts.append(Put(key=f"{PREFIX}{spec.batch_id}/spec/{number:04d}", value=part))
@@ -115,9 +121,14 @@
             BatchMovedError: The record had changed in between.
         """
         key = _owner_key(batch_id)
+        operations: list[Put | Delete] = [Put(key=key, value=_encoder.encode(record))]
+        is_open = record.state is OwnerState.OPEN
+        if not is_open or record.address != before.record.address:
+            operations.append(Delete(key=_open_key(before.record.address, batch_id)))
+        if is_open:
+            operations.append(Put(key=_open_key(record.address, batch_id), value=b""))
         outcome = await self._store.transact(
-            (ModRevisionIs(key=key, mod_revision=before.revision),),
-            (Put(key=key, value=_encoder.encode(record)),),
+            (ModRevisionIs(key=key, mod_revision=before.revision),), tuple(operations)
         )
         if not outcome.succeeded:
             raise BatchMovedError(batch_id)
@@ -221,6 +232,12 @@
         )
         return outcome.succeeded
 
+    async def open_at(self, address: NetworkAddress) -> tuple[BatchId, ...]:
+        """Return the open batch jobs whose owner has an address."""
+        prefix = _open_key(address, BatchId(""))
+        found = await self._store.range_prefix(prefix)
+        return tuple(BatchId(item.key.removeprefix(prefix)) for item in found.items)
+
     async def submitted_before(self, wall_seconds: float) -> tuple[BatchId, ...]:
         """Return the batch jobs that were submitted before a time."""
         found = await self._store.range_prefix(INDEX_PREFIX)
@@ -265,6 +282,10 @@
     )
 
 
+def _open_key(address: NetworkAddress, batch_id: BatchId) -> str:
+    return f"{OPEN_PREFIX}{address}/{batch_id}"
+
+
 def _result_prefix(batch_id: BatchId) -> str:
     return f"{PREFIX}{batch_id}/results/"
 
--- a/drumbay/batches/owned.py
+++ b/drumbay/batches/owned.py
@@ -3,7 +3,11 @@
 import asyncio
 from collections.abc import Callable
 
-from drumbay.batches.exceptions import BatchMovedError, BatchUnavailableError
+from drumbay.batches.exceptions import (
+    BatchMovedError,
+    BatchNotFoundError,
+    BatchUnavailableError,
+)
 from drumbay.batches.ledger import BatchLedger
 from drumbay.batches.owners import OwnerTable
 from drumbay.batches.records import (
@@ -219,6 +223,20 @@
         runner.resume(stored.progress, owner_is_gone=owner_is_gone)
         runner.start(ReturnedItems())
 
+    async def take_up(self, batch_id: BatchId) -> None:
+        """Own a batch job again that an earlier process at this address owned.
+
+        Its trainer would notice only by its next call, and that may be held for seconds by a
+        connection that died with the process.
+        """
+        try:
+            owner = await self._ledger.read_owner(batch_id)
+        except BatchNotFoundError:
+            return
+        is_own = self._owners.is_own_address(owner.record)
+        if is_own and not self._owners.is_own_boot(owner.record):
+            await self.take_over(batch_id, owner, owner_is_gone=True)
+
     # Ends
 
     def stop(self, batch_id: BatchId) -> None:
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -70,6 +70,9 @@
 READ_LIMIT_SECONDS = 1.0
 END_LIMIT_SECONDS = 3.5
 REFUSED_RETRY_SECONDS = 1.0
+TAKE_UP_RETRY_SECONDS = 0.5
+"""A store that is away for seconds is asked some times only; readers find an owner as well."""
+
 OWNER_ATTEMPTS = 4
 PEER_PAGE_BYTES = 256_000
 """Several nodes ask an owner at the same time, and its link is narrow: larger pages would make
@@ -111,6 +114,7 @@
             metrics: Counts what happens to batch jobs.
         """
         self._clock = clock
+        self._identity = identity
         self.ledger = BatchLedger(store)
         self._task_owner = task_owner
         self._metrics = metrics
@@ -138,6 +142,17 @@
         """Return how many owned batch jobs have unlisted items."""
         return self._owned.unfinished()
 
+    async def take_up_own(self) -> None:
+        """Own again what an earlier process at this address owned; the store may be away."""
+        while True:
+            try:
+                for batch_id in await self.ledger.open_at(self._identity.address):
+                    await self._owned.take_up(batch_id)
+                return
+            except (KeyValueError, BatchUnavailableError) as error:
+                log_event("own_batches_not_read", level="WARNING", error=error.code)
+                await self._clock.sleep(TAKE_UP_RETRY_SECONDS)
+
     # Submission
 
     async def submit(self, spec: BatchSpec) -> None:
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -47,6 +47,7 @@
 from drumbay.workers.records import Worker
 
 UNFINISHED_CHECK_SECONDS = 0.1
+KNOWLEDGE_CHECK_SECONDS = 0.05
 NOTICE_TIMEOUT_SECONDS = 0.3
 
 LAPSE_SECONDS = 2.0
@@ -75,6 +76,7 @@
         turn_away_seconds: How long the node still takes requests after it has said that it is
             leaving.
         keep_results_seconds: How long after its submission an ended batch job can be read.
+        is_restart: Whether an earlier process at this address may have owned batch jobs.
     """
 
     machine: str
@@ -87,6 +89,7 @@
     stop_seconds: float = 7.0
     turn_away_seconds: float = 2.5
     keep_results_seconds: float = 120.0
+    is_restart: bool = False
 
 
 class ServingEnvironment(msgspec.Struct, frozen=True, kw_only=True):
@@ -196,6 +199,8 @@
         self._tasks.spawn(self.leader.run(), "leader-election")
         self._tasks.spawn(self._retention.run(), "batch-retention")
         self._tasks.spawn(self._coordinator.run(), "version-coordinator")
+        if self._settings.is_restart:
+            self._tasks.spawn(self._take_up_own_batches(), "own-batches")
         log_event(
             "serving_started",
             node=self._settings.machine,
@@ -247,6 +252,12 @@
             )
             self._tasks.spawn(self._drop_missing_workers(), "missing-workers")
 
+    async def _take_up_own_batches(self) -> None:
+        """Go on with the batch jobs of the process before, once workers are known."""
+        while not self.directory.loaded:
+            await self._environment.clock.sleep(KNOWLEDGE_CHECK_SECONDS)
+        await self.batches.take_up_own()
+
     async def _drop_missing_workers(self) -> None:
         clock = self._environment.clock
         await clock.sleep(RETURN_SECONDS)
--- a/tests/serving_world.py
+++ b/tests/serving_world.py
@@ -107,6 +107,7 @@
                 identity=identity,
                 workers_check_fences=world.workers_check_fences,
                 settle_seconds=world.settle_seconds,
+                is_restart=boot > 0,
             ),
             ServingEnvironment(
                 clock=world.clock,
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -270,6 +270,35 @@
 
         play(scenario)
 
+    def test_a_restarted_owner_goes_on_before_anybody_asks(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            await world.nodes[0].batches.submit(batch_spec(groups=10))
+            await asyncio.sleep(0.3)
+            await world.nodes[0].kill()
+            restarted = WorldNode(world, 1, 1)
+            restarted.lead()
+            await asyncio.sleep(5.0)
+            page = await restarted.batches.read(BATCH, 0, 0.0)
+            self.assertEqual(len(page.results), 40)
+
+        play(scenario, node_count=1)
+
+    def test_a_restarted_owner_leaves_what_another_node_has_taken(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            await world.nodes[0].batches.submit(batch_spec(groups=10))
+            await asyncio.sleep(0.3)
+            await world.nodes[0].kill()
+            await read_all(world.nodes[1].batches, BATCH)
+            restarted = WorldNode(world, 1, 1)
+            restarted.lead()
+            await asyncio.sleep(2.0)
+            self.assertEqual(restarted.batches.owned, 0)
+            self.assertEqual(await restarted.batches.ledger.open_at(restarted.address), ())
+            await world.nodes[1].batches.end(BATCH)
+            self.assertEqual(await restarted.batches.ledger.open_at(world.nodes[1].address), ())
+
+        play(scenario)
+
     def test_a_new_owner_waits_before_it_continues_what_a_living_one_may_still_run(self) -> None:
         async def scenario(world: ServingWorld) -> None:
             world.workers.long_texts = True
