Take no pace from the last event of a text, or from events that arrived together

Ruled out: workers that really differ (their speeds are alike in this deployment). Change: the time between two events is told once another event follows, and only for events that arrived alone. Test: test_the_last_event_of_a_text_tells_no_pace fails on the code before (0.01 is told).

--- a/drumbay/batches/item_run.py
+++ b/drumbay/batches/item_run.py
@@ -17,6 +17,7 @@
         last_number: Number of the last event.
         versions: Weight versions that made events, in the order of their first one.
         events_here: Events from the worker it is at.
+        untold_gap: Seconds between the last two events; told once another event follows.
         heard_at: Monotonic time of the last event or start.
         not_before: Monotonic time before which it does not start again.
         failures: Runs that the workers answered with a failure.
@@ -37,6 +38,7 @@
     last_number: int | None = None
     versions: list[WeightVersion] = msgspec.field(default_factory=list)
     events_here: int = 0
+    untold_gap: float | None = None
     heard_at: float = 0.0
     not_before: float = 0.0
     failures: int = 0
@@ -54,6 +56,7 @@
         """Note that it runs at a worker."""
         self.worker_id = worker_id
         self.events_here = 0
+        self.untold_gap = None
         self.heard_at = now
 
     def release(self) -> None:
@@ -75,10 +78,12 @@
         """Return whether nothing is missing: a whole text, and its score if it needs one."""
         return self.complete and self.item.accepts(self.reward)
 
-    def take(self, event: StreamEvent, now: float) -> float | None:
-        """Add an event; return the seconds since the last one.
+    def take(self, event: StreamEvent, now: float, *, arrived_alone: bool) -> float | None:
+        """Add an event; return the seconds between the two events before it.
 
-        The first event at a worker has no time: prompt and queue stand before it.
+        The first event at a worker has no time: prompt and queue stand before it. The last one
+        of a text holds fewer tokens than others and comes sooner: a time is told only once
+        another event follows. An event that arrived with others has no time of its own.
         """
         if self.last_number is not None and event.number <= self.last_number:
             return None
@@ -86,10 +91,11 @@
         self.last_number = event.number
         if event.version not in self.versions:
             self.versions.append(event.version)
-        elapsed = now - self.heard_at if self.events_here else None
+        told = self.untold_gap
+        self.untold_gap = now - self.heard_at if self.events_here and arrived_alone else None
         self.events_here += 1
         self.heard_at = now
-        return elapsed
+        return told
 
     def adopt(self, partial_text: PartialText) -> None:
         """Go on from a text that was made before."""
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -395,8 +395,10 @@
             async for events in stream.events():
                 now = self._clock.monotonic()
                 for event in events:
-                    elapsed = self._scheduler.take_event(item.item_id, event, now)
-                    if elapsed is not None and len(events) == 1:
+                    elapsed = self._scheduler.take_event(
+                        item.item_id, event, now, arrived_alone=len(events) == 1
+                    )
+                    if elapsed is not None:
                         self._directory.observe_pace(worker_id, elapsed, now)
                     self._directory.observe_version(worker_id, self.spec.model, event.version, now)
 
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -213,10 +213,12 @@
 
     # Events of runs
 
-    def take_event(self, item_id: ItemId, event: StreamEvent, now: float) -> float | None:
-        """Add an event to an item's text; return the seconds since the last that tell a pace."""
+    def take_event(
+        self, item_id: ItemId, event: StreamEvent, now: float, *, arrived_alone: bool = True
+    ) -> float | None:
+        """Add an event to an item's text; return seconds between events that tell a pace."""
         run = self._runs.get(item_id)
-        return run.take(event, now) if run is not None else None
+        return run.take(event, now, arrived_alone=arrived_alone) if run is not None else None
 
     def take_head(self, item_id: ItemId, version: WeightVersion, now: float) -> bool:
         """Note the head of an answer; return whether its version may make the text."""
--- a/tests/test_worker_pace.py
+++ b/tests/test_worker_pace.py
@@ -4,12 +4,13 @@
 
 import msgspec
 
+from drumbay.batches.records import ItemId
 from drumbay.batches.scheduler import BatchScheduler, StartRun
 from drumbay.batches.worker_choice import WorkerChoice
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.workers.directory import WorkerDirectory
-from drumbay.workers.records import Worker, WorkerState
+from drumbay.workers.records import StreamEvent, Worker, WorkerState
 from tests.serving_world import MODEL, SERVICE, batch_spec
 
 FIRST, SECOND, THIRD = BackendId("w1"), BackendId("w2"), BackendId("w3")
@@ -78,6 +79,18 @@
         }
         self.assertEqual(long, {FIRST, SECOND, THIRD})
 
+    def test_the_last_event_of_a_text_tells_no_pace(self) -> None:
+        scheduler = BatchScheduler(batch_spec(groups=1, group_size=1), 0.0, ())
+        workers = {r.worker.worker_id: r for r in self.directory.of_service(SERVICE)}
+        scheduler.plan(workers, WeightVersion(1), 0.0)
+        told: list[float] = []
+        for number, now in enumerate((0.1, 0.14, 0.18, 0.22, 0.23)):
+            event = StreamEvent(number=number, data="x", version=WeightVersion(1))
+            gap = scheduler.take_event(ItemId("batch-0-0"), event, now)
+            if gap is not None:
+                told.append(round(gap, 3))
+        self.assertEqual(told, [0.04, 0.04, 0.04])
+
 
 class ExpectedVersionTest(DirectoryTest):
     def room(self, now: float) -> bool:
