List results each second once few items are left

Change: results wait a second for others once a quarter of the items or less is left, whatever the number of groups; the result that makes the step whole is listed at once as before.

--- a/drumbay/batches/listing.py
+++ b/drumbay/batches/listing.py
@@ -16,8 +16,8 @@
 """Results wait this long for others: each write is one priced call to the store."""
 
 LAST_FLUSH_INTERVAL_SECONDS = 1.0
-"""The same while the step lacks few groups. A trainer that has just read pauses for half a second:
-results listed shortly before the last ones would make it read those late."""
+"""The same while few items are left, whose results come one by one. A trainer that has just read
+pauses for half a second: results listed shortly before the last ones make it read those late."""
 
 URGENT_FLUSH_SECONDS = 0.03
 """An urgent result hardly waits: only for those that end in the same moment."""
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -51,8 +51,8 @@
 WAKE_DELAY_SECONDS = 0.005
 """Several runs end in one moment; one plan is made for all of them."""
 
-LAST_GROUPS = 2
-"""With no more groups missing than this, the step is about to be whole."""
+LAST_ITEMS_SHARE = 0.25
+"""With no more than this share of the items left, the results come one by one."""
 
 LINGER_SECONDS = 8.0
 """How long runs go on after the end of a batch job: their items may come back in a later one."""
@@ -433,9 +433,8 @@
         )
 
     def _flush_interval_seconds(self) -> float:
-        if 0 < self._scheduler.missing_groups <= LAST_GROUPS:
-            return LAST_FLUSH_INTERVAL_SECONDS
-        return FLUSH_INTERVAL_SECONDS
+        has_few_left = self._scheduler.unfinished <= LAST_ITEMS_SHARE * len(self.spec.items)
+        return LAST_FLUSH_INTERVAL_SECONDS if has_few_left else FLUSH_INTERVAL_SECONDS
 
     def _is_urgent(self) -> bool:
         """Return whether the result that has just come is the one the trainer waits for."""
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -177,6 +177,11 @@
         """Return whether every item has a result."""
         return not self._runs
 
+    @property
+    def unfinished(self) -> int:
+        """Return how many items have no result."""
+        return len(self._runs)
+
     @property
     def missing_groups(self) -> int:
         """Return how many more whole groups the trainer waits for.
