Continue the texts of a dead worker where events are made; end only a watcher's entry at a stop

Change: an item that goes on after a failure prefers workers that made an event for this node in the last second; a leaving node removes its entry only if it watches for others. Test: test_an_item_of_a_dead_worker_goes_where_events_are_made fails on the code before.

--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -389,6 +389,7 @@
                 avoid=run.avoid,
                 is_long=self._order.is_long(run.item),
                 minimum_version=self._spec.minimum_version,
+                prefers_heard=run.last_number is not None and run.avoid is not None,
             )
             worker_id = choice.take(request)
             if worker_id is not None:
--- a/drumbay/batches/worker_choice.py
+++ b/drumbay/batches/worker_choice.py
@@ -29,7 +29,9 @@
 class PlaceRequest(msgspec.Struct, frozen=True, kw_only=True):
     """An item that needs a place.
 
-    ``avoid`` is a worker to pass over if there is another.
+    ``avoid`` is a worker to pass over if there is another. With ``prefers_heard``, workers come
+    first that have lately made events for this node: another one may have died with the worker
+    that the item was at, and would not be missed before it fails this item as well.
     """
 
     group: str
@@ -37,6 +39,7 @@
     avoid: BackendId | None
     is_long: bool
     minimum_version: WeightVersion
+    prefers_heard: bool = False
 
 
 class WorkerChoice:
@@ -57,6 +60,7 @@
     ) -> None:
         """Look at the workers once."""
         self._workers = workers
+        self._heard = {w for w, record in workers.items() if record.pace.is_heard(now)}
         self._versions = {
             worker_id: record.version_of(spec.model, now) or UNVERSIONED
             for worker_id, record in workers.items()
@@ -108,7 +112,11 @@
         if not candidates:
             return None
         cost = self._cost_of_long if request.is_long else self._cost_of_short
-        chosen = min(candidates, key=lambda w: (self.is_slow(w), cost(w, request.group), w))
+        unheard = set(candidates) - self._heard if request.prefers_heard else set()
+        chosen = min(
+            candidates,
+            key=lambda w: (self.is_slow(w), w in unheard, cost(w, request.group), w),
+        )
         self._group_workers.setdefault(request.group, chosen)
         self._give(chosen)
         self._tokens[chosen] += request.expected_tokens
--- a/drumbay/peers/directory.py
+++ b/drumbay/peers/directory.py
@@ -194,9 +194,12 @@
                 await self._clock.sleep(RETRY_SECONDS)
 
     async def leave(self) -> None:
-        """Remove this node's entry, so that another node watches in its place."""
+        """Remove this node's entry if it watches, so that another node does in its place.
+
+        Other entries run out by themselves, or are written anew by a restart within seconds.
+        """
         self._leaving = True
-        if self._lease_id is None:
+        if self._lease_id is None or not self.ranking.is_watcher(self._address):
             return
         try:
             await self._store.revoke_lease(self._lease_id)
--- a/drumbay/workers/pace.py
+++ b/drumbay/workers/pace.py
@@ -14,6 +14,9 @@
 PACE_LIFETIME_SECONDS = 4.0
 """A pace that was seen longer ago says nothing: the worker may have recovered."""
 
+HEARD_SECONDS = 1.0
+"""A worker that made an event so lately is alive; a dead one is noticed in about that time."""
+
 
 class PaceEstimate:
     """The seconds between events on one worker, over all runs of this node there."""
@@ -34,6 +37,10 @@
             median = statistics.median_low(self._samples)
             self._best = median if self._best is None else min(self._best, median)
 
+    def is_heard(self, now: float) -> bool:
+        """Return whether the worker made an event for this node in the last second."""
+        return now - self._seen_at < HEARD_SECONDS
+
     def current(self, now: float) -> float | None:
         """Return the seconds between events, as seen lately, or else the best ever seen.
 
--- a/tests/test_worker_pace.py
+++ b/tests/test_worker_pace.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from drumbay.batches.records import ItemId
-from drumbay.batches.scheduler import BatchScheduler, StartRun
+from drumbay.batches.scheduler import BatchScheduler, RunFailure, StartRun
 from drumbay.batches.worker_choice import WorkerChoice
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.identifiers import BackendId, WeightVersion
@@ -79,6 +79,18 @@
         }
         self.assertEqual(long, {FIRST, SECOND, THIRD})
 
+    def test_an_item_of_a_dead_worker_goes_where_events_are_made(self) -> None:
+        self.directory.observe_pace(SECOND, USUAL_SECONDS, 5.0)
+        scheduler = BatchScheduler(batch_spec(groups=1, group_size=1), 0.0, ())
+        workers = {r.worker.worker_id: r for r in self.directory.of_service(SERVICE)}
+        scheduler.plan(workers, WeightVersion(1), 4.0)
+        event = StreamEvent(number=1, data="x", version=WeightVersion(1))
+        scheduler.take_event(ItemId("batch-0-0"), event, 4.1)
+        scheduler.take_failure(ItemId("batch-0-0"), RunFailure.BROKEN, 5.1)
+        (start,) = scheduler.plan(workers, WeightVersion(1), 5.2)
+        assert isinstance(start, StartRun)
+        self.assertEqual((start.worker_id, start.resume_after), (SECOND, 1))
+
     def test_the_last_event_of_a_text_tells_no_pace(self) -> None:
         scheduler = BatchScheduler(batch_spec(groups=1, group_size=1), 0.0, ())
         workers = {r.worker.worker_id: r for r in self.directory.of_service(SERVICE)}
