--- a/drumbay/bench/backend_polls.py
+++ b/drumbay/bench/backend_polls.py
@@ -14,7 +14,6 @@
 from drumbay.backends.connector import HttpConnector
 from drumbay.backends.http_engine import HttpEngineClient
 from drumbay.backends.interface import BackendAddress
-from drumbay.bench.scale_meters import IP_AND_TCP_HEADER_BYTES
 from drumbay.clock import SystemClock
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.standins.engine_model import EngineModel
@@ -22,6 +21,9 @@
 from drumbay.standins.engine_server import EngineServer
 from drumbay.tasks import TaskOwner
 
+IP_AND_TCP_HEADER_BYTES = 52
+"""With TCP timestamps, as Linux sends them; acknowledgements alone are not counted."""
+
 LOOPBACK = "127.0.0.1"
 ENGINE = BackendId("engine-000")
 TIMEOUT_SECONDS = 5.0
--- a/drumbay/cli/bench.py
+++ b/drumbay/cli/bench.py
@@ -1,7 +1,6 @@
 """``drumbay bench``: measurements of this program on this machine."""
 
 import sys
-from pathlib import Path
 from typing import Annotated
 
 import msgspec
@@ -11,14 +10,10 @@
 from drumbay.bench.backend_polls import run_poll_bench
 from drumbay.bench.forwarding_cost import run_forwarding_cost_bench
 from drumbay.bench.memory import run_memory_bench
-from drumbay.bench.scale import measure_scale
-from drumbay.bench.scale_cluster import ClusterSize
-from drumbay.bench.scale_fit import fit_slopes, read_measurement
 from drumbay.bench.stream_log import run_stream_log_bench
 from drumbay.cli.bench_coordination import register as register_coordination
 from drumbay.cli.bench_forwarding import forwarding
 from drumbay.cli.bench_sharing import sharing
-from drumbay.cli.errors import typed_exit
 
 app = typer.Typer(name="bench", no_args_is_help=True, help="Measure this program.")
 
@@ -32,20 +27,6 @@
 register_coordination(app)
 
 
-@app.command()
-def scale(
-    nodes: Annotated[int, typer.Option(min=1, help="Hollow nodes.")] = 10,
-    workers: Annotated[int, typer.Option(min=1, help="Configured back ends.")] = 20,
-    seed: Annotated[int, typer.Option(help="Seed of every random choice.")] = 1,
-) -> None:
-    """Measure what a node costs among hollow nodes on virtual time.
-
-    Example: drumbay bench scale --nodes 50 --workers 85
-    """
-    logger.remove()
-    _print_report(measure_scale(ClusterSize(nodes=nodes, workers=workers), seed=seed))
-
-
 @app.command()
 def polls(
     count: Annotated[int, typer.Option(min=1, help="Polls to measure.")] = 500,
@@ -93,19 +74,6 @@
     _print_report(run_forwarding_cost_bench(requests=requests))
 
 
-@app.command()
-def slopes(
-    reports: Annotated[list[Path], typer.Argument(help="Reports of the scale bench.")],
-    nodes: Annotated[int, typer.Option(min=1, help="Size to extrapolate to.")] = 410,
-) -> None:
-    """Fit lines through reports of the scale bench and extrapolate.
-
-    Example: drumbay bench slopes 10.json 50.json 100.json --nodes 410
-    """
-    with typed_exit():
-        _print_report(fit_slopes([read_measurement(file) for file in reports], nodes))
-
-
 @app.command()
 def rollout(
     deployment: Annotated[
--- a/tests/test_backend_subset.py
+++ b/tests/test_backend_subset.py
@@ -10,7 +10,6 @@
     CacheEvent,
     EngineStatus,
 )
-from drumbay.bench.scale_meters import HollowEngineClient
 from drumbay.configuration.view import ConfigurationView
 from drumbay.identifiers import BackendId, NodeId
 from drumbay.node.backend_monitor import BackendMonitor, PollPace
@@ -22,6 +21,7 @@
 from drumbay.simulation.outside_clock import OutsideClock
 from drumbay.simulation.virtual_time import run_simulation
 from drumbay.tasks import TaskOwner
+from tests.idle_engines import IdleEngineClient
 
 NODES = tuple(NodeMember(node_id=NodeId(f"n{index:02d}"), zone="z") for index in range(40))
 
@@ -42,7 +42,7 @@
     return ConfigurationView(groups=groups)
 
 
-class CountingClient(HollowEngineClient):
+class CountingClient(IdleEngineClient):
     """Counts polls by engine; some engines cannot be reached."""
 
     def __init__(self, unreachable: frozenset[str] = frozenset()) -> None:
