Judge a worker's pace by what was seen lately, and remember paces that lie apart in time

The owner's processor is busy while it starts a hundred runs; events then are read in bunches, a window of seven has a small median, and the smallest median ever seen stood as the worker's pace from then on. Change: a worker counts as slow only by seven times between events seen lately; what is remembered beyond 4 s is a median of up to nine paces half a second apart, from three on. Tests: test_the_busy_start_of_a_batch_job_does_not_make_a_worker_fast fails on the code before; three tests now give seven times where one was enough, since one is no pace any more.

--- a/drumbay/batches/worker_choice.py
+++ b/drumbay/batches/worker_choice.py
@@ -74,6 +74,9 @@
         seen = [record.pace.current(now) for record in workers.values()]
         paces = sorted(pace for pace in seen if pace is not None)
         self._median = paces[(len(paces) - 1) // 2] if paces else DEFAULT_PACE_SECONDS
+        self._recent_paces = {
+            worker_id: record.pace.recent(now) for worker_id, record in workers.items()
+        }
         self._paces = {
             worker_id: record.pace.current(now) or self._median
             for worker_id, record in workers.items()
@@ -92,8 +95,9 @@
         return self._room > 0
 
     def is_slow(self, worker_id: BackendId) -> bool:
-        """Return whether a worker is much slower than most."""
-        return self._paces.get(worker_id, self._median) > SLOW_FACTOR * self._median
+        """Return whether a worker lately was much slower than most are."""
+        recent = self._recent_paces.get(worker_id)
+        return recent is not None and recent > SLOW_FACTOR * self._median
 
     def reserve_faster(self, worker_id: BackendId) -> bool:
         """Set aside a place on a clearly faster worker; return whether there is one."""
--- a/drumbay/workers/pace.py
+++ b/drumbay/workers/pace.py
@@ -1,7 +1,9 @@
 """How fast a worker makes the events of a stream, told from the times between events.
 
 One late event says little about a worker: it may have preempted that run, or this process may
-have read late, and then reads several events at once. So the pace is a median.
+have read late, and then reads several events at once. Nor do a few dozen events in a row, while
+this process is busy with the start of a batch job. So a pace is a median, and what is remembered
+for later is a median of paces that lie apart in time.
 """
 
 import statistics
@@ -17,6 +19,14 @@
 HEARD_SECONDS = 1.0
 """A worker that made an event so lately is alive; a dead one is noticed in about that time."""
 
+REMEMBERED_PACES = 9
+REMEMBER_INTERVAL_SECONDS = 0.5
+"""The start of a batch job keeps a small machine busy for about a second: nine paces, half a second
+apart, reach well beyond it."""
+
+MINIMUM_REMEMBERED_PACES = 3
+"""With fewer, all may come from one start of a batch job."""
+
 
 class PaceEstimate:
     """The seconds between events on one worker, over all runs of this node there."""
@@ -25,7 +35,8 @@
         """Start without a sample."""
         self._samples: deque[float] = deque(maxlen=PACE_SAMPLES)
         self._seen_at = float("-inf")
-        self._best: float | None = None
+        self._remembered: deque[float] = deque(maxlen=REMEMBERED_PACES)
+        self._remembered_at = float("-inf")
 
     def observe(self, seconds: float, now: float) -> None:
         """Take the seconds between two events of a run."""
@@ -33,19 +44,28 @@
             self._samples.clear()
         self._samples.append(seconds)
         self._seen_at = now
-        if len(self._samples) == PACE_SAMPLES:
-            median = statistics.median_low(self._samples)
-            self._best = median if self._best is None else min(self._best, median)
+        is_due = now - self._remembered_at >= REMEMBER_INTERVAL_SECONDS
+        if is_due and len(self._samples) == PACE_SAMPLES:
+            self._remembered.append(statistics.median_low(self._samples))
+            self._remembered_at = now
 
     def is_heard(self, now: float) -> bool:
         """Return whether the worker made an event for this node in the last second."""
         return now - self._seen_at < HEARD_SECONDS
 
+    def recent(self, now: float) -> float | None:
+        """Return the seconds between the last events; ``None`` if too few were seen lately."""
+        is_known = len(self._samples) == PACE_SAMPLES
+        if not is_known or now - self._seen_at > PACE_LIFETIME_SECONDS:
+            return None
+        return statistics.median_low(self._samples)
+
     def current(self, now: float) -> float | None:
-        """Return the seconds between events, as seen lately, or else the best ever seen.
+        """Return the seconds between events, as seen lately or else as remembered.
 
         ``None`` if too few events were ever seen.
         """
-        if now - self._seen_at > PACE_LIFETIME_SECONDS:
-            return self._best
-        return statistics.median_low(self._samples)
+        recent = self.recent(now)
+        if recent is not None or len(self._remembered) < MINIMUM_REMEMBERED_PACES:
+            return recent
+        return statistics.median_low(self._remembered)
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -19,6 +19,7 @@
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.workers.directory import WorkerDirectory
+from drumbay.workers.pace import PACE_SAMPLES
 from drumbay.workers.records import StreamEvent, Worker, WorkerState
 from tests.serving_world import MODEL, SERVICE, batch_spec
 
@@ -74,6 +75,10 @@
             )
         )
 
+    def see_pace(self, worker: str, seconds: float) -> None:
+        for _ in range(PACE_SAMPLES):
+            self.directory.observe_pace(BackendId(worker), seconds, 0.0)
+
     def plan(self, scheduler: BatchScheduler, now: float, newest: int = 1) -> tuple[Decision, ...]:
         workers = {r.worker.worker_id: r for r in self.directory.of_service(SERVICE)}
         decisions = scheduler.plan(workers, WeightVersion(newest), now)
@@ -152,7 +157,7 @@
 
     def test_long_items_go_to_fast_workers_with_priority(self) -> None:
         for worker, pace in (("w1", 0.05), ("w2", 0.03), ("w3", 0.05)):
-            self.directory.observe_pace(BackendId(worker), pace, 0.0)
+            self.see_pace(worker, pace)
         spec = spec_with_lengths({"batch-0-1": 900})
         scheduler = BatchScheduler(msgspec.structs.replace(spec, wanted_groups=3), 0.0, ())
         started = self.started(self.plan(scheduler, 0.0))
@@ -228,9 +233,9 @@
         self.assertIn("w1", workers)
 
     def test_an_item_with_many_events_moves_to_a_faster_worker_once(self) -> None:
-        self.directory.observe_pace(BackendId("w1"), 0.03, 0.0)
+        self.see_pace("w1", 0.03)
         for worker in ("w2", "w3"):
-            self.directory.observe_pace(BackendId(worker), 0.05, 0.0)
+            self.see_pace(worker, 0.05)
         for worker in ("w1", "w3"):
             self.directory.pause(BackendId(worker), 0.0, 0.5)
         scheduler = BatchScheduler(batch_spec(groups=1, group_size=1), 0.0, ())
--- a/tests/test_lapsed_workers.py
+++ b/tests/test_lapsed_workers.py
@@ -11,6 +11,7 @@
 from drumbay.serving.node import RETURN_SECONDS
 from drumbay.standins.kv_faults import KeyValueFaults
 from drumbay.workers.directory import WorkerDirectory
+from drumbay.workers.pace import PACE_SAMPLES
 from drumbay.workers.records import Worker, WorkerState
 from tests.serving_world import ServingWorld, play
 
@@ -28,7 +29,8 @@
         return sorted(self.directory.all_records())
 
     def test_a_worker_that_comes_back_keeps_what_is_known_of_it(self) -> None:
-        self.directory.observe_pace(GONE, 0.04, 1.0)
+        for _ in range(PACE_SAMPLES):
+            self.directory.observe_pace(GONE, 0.04, 1.0)
         self.assertEqual(self.directory.replace_all(self.workers[1:], 5.0), (GONE,))
         self.directory.put(self.workers[0])
         self.assertEqual(self.directory.drop_missing(5.0), ())
--- a/tests/test_worker_pace.py
+++ b/tests/test_worker_pace.py
@@ -53,6 +53,17 @@
         self.assertFalse(self.choice().reserve_faster(SECOND))
         self.assertFalse(self.choice(now=10.0).reserve_faster(SECOND))
 
+    def test_the_busy_start_of_a_batch_job_does_not_make_a_worker_fast(self) -> None:
+        self.observe(FIRST, [0.5 * USUAL_SECONDS] * 20)
+        self.observe(SECOND, [USUAL_SECONDS] * 10, now=10.0)
+        self.assertFalse(self.choice(now=10.0).reserve_faster(SECOND))
+
+    def test_a_worker_that_is_always_fast_is_remembered_as_such(self) -> None:
+        for tick in range(6):
+            self.observe(FIRST, [0.5 * USUAL_SECONDS] * 7, now=float(tick))
+        self.observe(SECOND, [USUAL_SECONDS] * 10, now=20.0)
+        self.assertTrue(self.choice(now=20.0).reserve_faster(SECOND))
+
     def test_a_worker_that_turned_slow_shows_after_four_events(self) -> None:
         self.observe(FIRST, [4 * USUAL_SECONDS] * 4)
         self.assertTrue(self.choice().is_slow(FIRST))
