Move runs off slow workers only, and none that is about to end

Change: that rule goes with its test (test_an_item_with_many_events_moves_to_a_faster_worker_once); an item that is not expected to be long leaves a slow worker after five events, a long one after three as before. Test: test_only_a_slow_worker_is_left_and_sooner_by_a_long_item.

--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -42,16 +42,16 @@
 """Long items decide when a step is whole; workers admit them before short ones."""
 
 MAXIMUM_MOVES = 3
-MAXIMUM_MOVES_TO_FASTER = 1
 FAILURE_DELAY_SECONDS = 0.15
 REFUSAL_DELAY_SECONDS = 0.05
 FIRST_SCORE_RETRY_SECONDS = 0.1
 LONGEST_SCORE_RETRY_SECONDS = 0.8
 """Pause after a reward request without a score; it doubles from the first to the longest."""
 
-EVENTS_BEFORE_LEAVING_A_SLOW_WORKER = 3
-EVENTS_OF_A_LONG_TEXT = 25
-"""An item with so many events is likely to have many more: lengths have a long tail."""
+EVENTS_BEFORE_A_LONG_ITEM_MOVES = 3
+EVENTS_BEFORE_ANOTHER_ITEM_MOVES = 5
+"""A move costs about as much as some events: an item that was not expected to be long is moved once
+it has made so many that it is likely to have many more."""
 
 
 class StopReason(StrEnum):
@@ -448,16 +448,13 @@
         )
         return silence > limit
 
-    @staticmethod
-    def _should_move(run: ItemRun, choice: WorkerChoice) -> bool:
+    def _should_move(self, run: ItemRun, choice: WorkerChoice) -> bool:
         assert run.worker_id is not None
         if run.moves >= MAXIMUM_MOVES:
             return False
-        if run.events_here < EVENTS_BEFORE_LEAVING_A_SLOW_WORKER:
-            return False
-        if choice.is_slow(run.worker_id):
-            return choice.reserve_faster(run.worker_id)
-        if run.moves >= MAXIMUM_MOVES_TO_FASTER or run.events_here < EVENTS_OF_A_LONG_TEXT:
+        is_long = self._order.is_long(run.item)
+        needed = EVENTS_BEFORE_A_LONG_ITEM_MOVES if is_long else EVENTS_BEFORE_ANOTHER_ITEM_MOVES
+        if run.events_here < needed or not choice.is_slow(run.worker_id):
             return False
         return choice.reserve_faster(run.worker_id)
 
