Admit requests by their tenant's key, and name the tenant to workers

Cause: where a configuration names tenants, requests were run without a look at their key, the key went on to the worker, and no worker was told a tenant.

Ruled out: asking the store for each key (a priced call each, and no service in an outage); keeping keys as they are (they would stand in dumps of state).

Change: a table of key digests is built once a configuration; a pure decision admits, refuses for good (401), or, at a node that has not heard of changes for longer than a configuration may take to be in force, asks the caller to come back (503 with Retry-After), since a 401 or 404 is final for callers. Batch jobs keep the tenant that submitted them, also after the key is gone; another tenant's caller sees none of them. The key and a forged tenant's name reach no worker.

Tests: test_tenants, test_platform_tenants; with the decision taken out by hand all three tests of the latter fail.

Left: the tenant's priority is not used yet; a refused request's body is read before it is refused.

--- a/drumbay/batches/owned.py
+++ b/drumbay/batches/owned.py
@@ -119,7 +119,7 @@
 
     async def _take_back(self, spec: BatchSpec, owner: StoredOwner) -> None:
         """Own a batch job that its owner did not take; if it has after all, it stops."""
-        record = self._owners.own_record(spec.stream, len(spec.items))
+        record = self._owners.own_record(spec.stream, len(spec.items), spec.tenant)
         try:
             revision = await self._ledger.replace_owner(spec.batch_id, owner, record)
         except (BatchMovedError, KeyValueError):
@@ -198,7 +198,8 @@
             owner = await self._ledger.read_owner(batch_id)
             if owner.revision != silent.revision or owner.record.state is OwnerState.ENDED:
                 return
-            record = self._owners.own_record(owner.record.stream, owner.record.total)
+            before = owner.record
+            record = self._owners.own_record(before.stream, before.total, before.tenant)
             revision = await self._ledger.replace_owner(batch_id, owner, record)
             stored = await self._ledger.read(batch_id)
         except BatchMovedError:
--- a/drumbay/batches/owners.py
+++ b/drumbay/batches/owners.py
@@ -32,6 +32,7 @@
     UnavailableReply,
 )
 from drumbay.peers.transport import PeerClient, PeerGoneError, PeerUnavailableError
+from drumbay.tenants.records import TenantName
 
 STORE_RETRY_SECONDS = 0.1
 PEER_SLACK_SECONDS = 0.5
@@ -81,7 +82,7 @@
         self._known: dict[BatchId, StoredOwner] = {}
         self._streams: dict[BatchStream, _StreamOwners] = {}
 
-    def own_record(self, stream: BatchStream, total: int) -> OwnerRecord:
+    def own_record(self, stream: BatchStream, total: int, tenant: TenantName | None) -> OwnerRecord:
         """Return the record that makes this process the owner of a batch job."""
         return OwnerRecord(
             address=self._identity.address,
@@ -89,6 +90,7 @@
             state=OwnerState.OPEN,
             total=total,
             stream=stream,
+            tenant=tenant,
         )
 
     def record_for(self, spec: BatchSpec, reachable: Container[NetworkAddress]) -> OwnerRecord:
@@ -98,7 +100,7 @@
         connections to them, and may still work on items that come back. One that has an open
         batch job is passed over.
         """
-        own = self.own_record(spec.stream, len(spec.items))
+        own = self.own_record(spec.stream, len(spec.items), spec.tenant)
         owners = self._streams.get(spec.stream)
         if owners is None:
             return own
--- a/drumbay/batches/records.py
+++ b/drumbay/batches/records.py
@@ -7,6 +7,7 @@
 
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.identifiers import Revision, WeightVersion
+from drumbay.tenants.records import TenantName
 
 BatchId = NewType("BatchId", str)
 ItemId = NewType("ItemId", str)
@@ -65,6 +66,8 @@
 
     ``queue_limit_seconds`` is how long after the submission an item may be given up.
     ``one_version_only`` asks that one weight version makes all of an item's text.
+    ``tenant`` is the one whose key submitted it: its items run for him, whatever becomes of
+    the key. ``None`` where no keys are asked for.
     """
 
     batch_id: BatchId
@@ -79,6 +82,7 @@
     queue_limit_seconds: float
     one_version_only: bool
     items: tuple[BatchItem, ...]
+    tenant: TenantName | None = None
 
     @property
     def stream(self) -> BatchStream:
@@ -154,13 +158,18 @@
 
 
 class OwnerRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """Who runs a batch job: the node's address and the boot of its process."""
+    """Who runs a batch job: the node's address and the boot of its process.
+
+    ``tenant`` stands here too, so that a node can tell whose an ended batch job is without
+    reading its texts.
+    """
 
     address: NetworkAddress
     boot: str
     state: OwnerState
     total: int
     stream: BatchStream
+    tenant: TenantName | None = None
 
 
 class StoredOwner(msgspec.Struct, frozen=True, kw_only=True):
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -388,6 +388,7 @@
             resume_after=start.resume_after,
             priority=start.priority,
             repeatable=True,
+            tenant=self.spec.tenant,
         )
         async with self._client.stream(record.worker, request) as stream:
             self._take_head(item.item_id, record, stream)
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -61,6 +61,7 @@
 )
 from drumbay.peers.transport import PeerClient
 from drumbay.tasks import TaskOwner
+from drumbay.tenants.records import TenantName
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
 
@@ -209,19 +210,27 @@
 
     # Reading, bodies, ends
 
-    async def read(self, batch_id: BatchId, position: int, wait_seconds: float) -> ResultPage:
+    async def read(
+        self,
+        batch_id: BatchId,
+        position: int,
+        wait_seconds: float,
+        tenant: TenantName | None = None,
+    ) -> ResultPage:
         """Return results from a position on.
 
         Raises:
-            BatchNotFoundError: There is no such batch job.
+            BatchNotFoundError: There is no such batch job, or it is another tenant's.
             BatchUnavailableError: Nobody could answer.
         """
         deadline = self._clock.monotonic() + wait_seconds + READ_LIMIT_SECONDS
         for _ in range(OWNER_ATTEMPTS):
             runner = self._owned.get(batch_id)
             if runner is not None:
+                self._check_visible(batch_id, runner.spec.tenant, tenant)
                 return await runner.read(position, wait_seconds, PAGE_BYTES)
             owner = await self._owners.find(batch_id, deadline)
+            self._check_visible(batch_id, owner.record.tenant, tenant)
             if owner.record.state is OwnerState.ENDED:
                 return await self._read_stored(batch_id, position, owner.record.total, deadline)
             reply = await self._owners.ask_results(owner, batch_id, position, wait_seconds)
@@ -234,6 +243,15 @@
             await self._owned.take_over(batch_id, owner, owner_is_gone=is_gone)
         raise BatchUnavailableError(batch_id)
 
+    @staticmethod
+    def _check_visible(
+        batch_id: BatchId, holder: TenantName | None, caller: TenantName | None
+    ) -> None:
+        """Hide a batch job from other tenants as if it did not exist."""
+        if caller is not None and holder is not None and caller != holder:
+            log_event("batch_of_another_tenant", batch=batch_id, holder=holder, caller=caller)
+            raise BatchNotFoundError(batch_id)
+
     async def _read_stored(
         self, batch_id: BatchId, position: int, total: int, deadline: float
     ) -> ResultPage:
@@ -243,11 +261,13 @@
             except KeyValueError as error:
                 await self._owners.pause_until(deadline, error)
 
-    async def body(self, batch_id: BatchId, item_id: ItemId) -> bytes:
+    async def body(
+        self, batch_id: BatchId, item_id: ItemId, tenant: TenantName | None = None
+    ) -> bytes:
         """Return the body of an item of an open batch job.
 
         Raises:
-            BatchNotFoundError: There is no such batch job or item.
+            BatchNotFoundError: There is no such batch job or item, or it is another tenant's.
             BatchEndedError: The batch job has ended.
             BatchUnavailableError: Nobody could answer.
         """
@@ -255,8 +275,10 @@
         for _ in range(OWNER_ATTEMPTS):
             runner = self._owned.get(batch_id)
             if runner is not None:
+                self._check_visible(batch_id, runner.spec.tenant, tenant)
                 return runner.body(item_id)
             owner = await self._owners.find(batch_id, deadline)
+            self._check_visible(batch_id, owner.record.tenant, tenant)
             if owner.record.state is OwnerState.ENDED:
                 raise BatchEndedError(batch_id)
             request = ReadBody(batch_id=batch_id, item_id=item_id)
@@ -271,16 +293,17 @@
             await self._owned.take_over(batch_id, owner, owner_is_gone=is_gone)
         raise BatchUnavailableError(batch_id)
 
-    async def end(self, batch_id: BatchId) -> None:
+    async def end(self, batch_id: BatchId, tenant: TenantName | None = None) -> None:
         """End a batch job durably: it lists nothing more and its items run no more.
 
         Raises:
-            BatchNotFoundError: There is no such batch job.
+            BatchNotFoundError: There is no such batch job, or it is another tenant's.
             BatchUnavailableError: The store did not answer.
         """
         deadline = self._clock.monotonic() + END_LIMIT_SECONDS
         while True:
             owner = await self._owners.find(batch_id, deadline)
+            self._check_visible(batch_id, owner.record.tenant, tenant)
             if owner.record.state is OwnerState.ENDED:
                 return
             try:
--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -14,6 +14,7 @@
 from drumbay.forwarding.routes import RequestKind, Route, RouteTable
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
+from drumbay.tenants.records import TenantName
 from drumbay.workers.directory import WorkerDirectory, WorkerRecord
 from drumbay.workers.interface import WorkerClient
 from drumbay.workers.records import (
@@ -87,7 +88,7 @@
 
 
 class ClientRequest(msgspec.Struct, frozen=True, kw_only=True):
-    """A client's request, as it goes out to a worker."""
+    """A client's request, as it goes out to a worker; ``tenant`` is the one whose key it had."""
 
     request_id: str
     method: str
@@ -96,6 +97,7 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     budget_seconds: float
+    tenant: TenantName | None = None
 
 
 class Forwarder:
@@ -290,6 +292,7 @@
             body=request.body,
             budget_seconds=remaining,
             repeatable=self._route.kind is RequestKind.IDEMPOTENT,
+            tenant=request.tenant,
         )
         record.in_flight += 1
         task = asyncio.get_running_loop().create_task(self._attempt(record, outgoing))
--- a/drumbay/forwarding/routes.py
+++ b/drumbay/forwarding/routes.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from drumbay.tenants.records import KeyTable
+
 
 class RequestKind(StrEnum):
     """What may be done with the requests of a route."""
@@ -21,7 +23,7 @@
 
 
 class Route(msgspec.Struct, frozen=True, kw_only=True):
-    """Requests of one host below one path prefix."""
+    """Requests of one host below one path prefix; a public one needs no key."""
 
     name: str
     host: str
@@ -33,6 +35,7 @@
     attempts: int
     queue_limit_seconds: float = 60.0
     one_version_only: bool = False
+    is_public: bool = False
 
 
 class RequestLimits(msgspec.Struct, frozen=True, kw_only=True):
@@ -45,22 +48,30 @@
 
 
 class RoutingConfiguration(msgspec.Struct, frozen=True, kw_only=True):
-    """One version of the operators' configuration, whole."""
+    """One version of the operators' configuration, whole.
+
+    ``keys`` is ``None`` where it names no tenants: then no request needs a key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     limits: RequestLimits
+    keys: KeyTable | None = None
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of the host with the longest prefix of the path."""
-        name = host.partition(":")[0].lower()
-        matching = [
-            route
-            for route in self.routes
-            if route.host.lower() == name and path.startswith(route.path_prefix)
-        ]
+        matching = [r for r in self._of_host(host) if path.startswith(r.path_prefix)]
         return max(matching, key=lambda route: len(route.path_prefix), default=None)
 
+    def batches_need_key(self, host: str) -> bool:
+        """Return whether calls about batch jobs need a key: unless all their routes are public."""
+        routes = [r for r in self._of_host(host) if r.kind is RequestKind.ROLLOUT]
+        return not routes or not all(route.is_public for route in routes)
+
+    def _of_host(self, host: str) -> list[Route]:
+        name = host.partition(":")[0].lower()
+        return [route for route in self.routes if route.host.lower() == name]
+
 
 class RouteTable:
     """The configuration in force; it never goes back to an older version."""
--- a/drumbay/observability/serving_metrics.py
+++ b/drumbay/observability/serving_metrics.py
@@ -19,6 +19,12 @@
             ("route", "outcome"),
             registry=self._registry,
         )
+        self._refused_keys = Counter(
+            "drumbay_serving_refused_keys",
+            "Requests that were not admitted, by reason.",
+            ("reason",),
+            registry=self._registry,
+        )
         self._request_seconds = Histogram(
             "drumbay_serving_request_seconds",
             "Time from taking a request to its final answer.",
@@ -75,6 +81,10 @@
             registry=self._registry,
         )
 
+    def count_refused_key(self, reason: str) -> None:
+        """Count a request whose key was missing, not known, or could not be judged here."""
+        self._refused_keys.labels(reason).inc()
+
     def count_request(self, route: str, outcome: str, seconds: float) -> None:
         """Count a client's request that got its final answer."""
         self._requests.labels(route, outcome).inc()
--- a/drumbay/peers/feeds.py
+++ b/drumbay/peers/feeds.py
@@ -80,6 +80,7 @@
         self._mirrors: dict[str, FeedMirror] = {}
         self._source: NetworkAddress | None = None
         self._direct_until = float("-inf")
+        self._confirmed_at = float("-inf")
         self._add(directory.feed)
 
     def _add(self, feed: PrefixFeed) -> None:
@@ -100,6 +101,20 @@
             return None
         return self._clock.monotonic() - self._directory.confirmed_at
 
+    def confirmed_age_seconds(self) -> float:
+        """Return how long ago this node last knew that its copies were up to date.
+
+        Unlike :meth:`age_seconds` it counts what other nodes told, and what was known before
+        the way to the store or to them was lost. Infinite if that never was.
+        """
+        age_seconds = self.age_seconds()
+        if age_seconds is not None:
+            self._note_confirmed(age_seconds)
+        return self._clock.monotonic() - self._confirmed_at
+
+    def _note_confirmed(self, age_seconds: float) -> None:
+        self._confirmed_at = max(self._confirmed_at, self._clock.monotonic() - age_seconds)
+
     # Following
 
     async def run(self, feeds: Sequence[PrefixFeed], settle_seconds: float) -> None:
@@ -179,7 +194,10 @@
             mirror = self._mirrors.get(changes.prefix)
             if mirror is not None:
                 mirror.take_changes(changes)
-        return reply.age_seconds is not None and reply.age_seconds <= self._fresh_seconds
+        if reply.age_seconds is None or reply.age_seconds > self._fresh_seconds:
+            return False
+        self._note_confirmed(reply.age_seconds)
+        return True
 
     async def _probe_store(self) -> None:
         """Watch the store if it answers this node; the nodes that watch cannot tell."""
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -41,6 +41,8 @@
 from drumbay.peers.store_relay import RelayingStore, StoreRelayServer
 from drumbay.peers.transport import PeerClient, PeerUnavailableError
 from drumbay.tasks import TaskOwner
+from drumbay.tenants.access import admit
+from drumbay.tenants.records import TenantName
 from drumbay.weights.version_coordinator import NamedVersions, VersionCoordinator
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
@@ -224,6 +226,32 @@
         """Return whether a planned stop has begun."""
         return self._leaving
 
+    def admit(self, key: str | None, *, needs_key: bool) -> TenantName | None:
+        """Return the tenant of a request by its key; ``None`` where none is needed.
+
+        Raises:
+            UnknownKeyError: The request is refused for good.
+            KeysOutdatedError: This node cannot tell; another may.
+        """
+        current = self.routes.current
+        return admit(
+            current.keys if current is not None else None,
+            key,
+            needs_key=needs_key,
+            configuration_age_seconds=self.configuration_age_seconds,
+            in_force_seconds=self._settings.in_force_seconds,
+        )
+
+    @property
+    def may_lack_configuration(self) -> bool:
+        """Return whether a newer configuration may be in force that this node has missed."""
+        return self.configuration_age_seconds > self._settings.in_force_seconds
+
+    @property
+    def configuration_age_seconds(self) -> float:
+        """Return how long ago this node last knew that its configuration was the newest."""
+        return self._feeds.confirmed_age_seconds()
+
     def apply_configuration(self, configuration: RoutingConfiguration) -> None:
         """Put a configuration in force unless it is older than the one in force."""
         if not self.routes.apply(configuration):
@@ -232,6 +260,7 @@
             "routes_in_force",
             version=configuration.version,
             routes=len(configuration.routes),
+            keys=len(configuration.keys.owners) if configuration.keys is not None else None,
         )
 
     def take_workers(self, workers: Iterable[Worker], unseen_seconds: float) -> None:
--- a/drumbay/standins/worker_pool.py
+++ b/drumbay/standins/worker_pool.py
@@ -14,6 +14,7 @@
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.identifiers import BackendId, WeightVersion
+from drumbay.tenants.records import TenantName
 from drumbay.workers.records import (
     LoadOrder,
     OrderOutcome,
@@ -71,6 +72,8 @@
     started_at: float
     budget_seconds: float
     resume_after: int | None = None
+    tenant: TenantName | None = None
+    headers: tuple[tuple[str, str], ...] = ()
     ended_at: float | None = None
     events: int = 0
     versions: list[WeightVersion] = []
@@ -264,6 +267,8 @@
             started_at=self._clock.monotonic(),
             budget_seconds=request.budget_seconds,
             resume_after=request.resume_after,
+            tenant=request.tenant,
+            headers=request.headers,
         )
         self.runs.append(run)
         return run
--- a/drumbay/workers/records.py
+++ b/drumbay/workers/records.py
@@ -8,6 +8,7 @@
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.exceptions import UnavailableError
 from drumbay.identifiers import BackendId, Fence, WeightVersion
+from drumbay.tenants.records import TenantName
 
 
 class WorkerState(StrEnum):
@@ -44,6 +45,7 @@
     ``resume_after`` asks for the events after that number; ``priority`` says which requests
     the worker admits first (0 the most urgent), ``None`` leaves it to the worker. A request
     that is ``repeatable`` may be sent again when a kept connection turns out to be closed.
+    ``tenant`` is told to the worker in place of the caller's key.
     """
 
     request_id: str
@@ -56,6 +58,7 @@
     resume_after: int | None = None
     priority: int | None = None
     repeatable: bool = False
+    tenant: TenantName | None = None
 
 
 class WorkerAnswer(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/test_platform_serving.py
+++ b/tests/test_platform_serving.py
@@ -97,6 +97,7 @@
         host: str = HOST,
         address: NetworkAddress | None = None,
         request_id: str = "r1",
+        headers: tuple[tuple[str, str], ...] = (),
     ) -> Answer:
         request = HttpRequest(
             method=method,
@@ -106,6 +107,7 @@
                 ("X-Drumbay-Attempt-Id", request_id),
                 ("X-Drumbay-Deadline-Ms", "20000"),
                 ("X-Drumbay-Wait-Ms", "1000"),
+                *headers,
             ),
             body=body,
         )
@@ -123,7 +125,9 @@
         await eventually(is_ready)
 
 
-class ServingTest(unittest.IsolatedAsyncioTestCase):
+class ServingFixture(unittest.IsolatedAsyncioTestCase):
+    """Two nodes, a lookup worker and an engine, with the store between them."""
+
     async def asyncSetUp(self) -> None:
         clock = SystemClock()
         self.model = KeyValueModel(clock, generator=random.Random(1))
@@ -162,6 +166,8 @@
             await process.until_ready()
         return self.processes[0]
 
+
+class ServingTest(ServingFixture):
     async def test_a_node_without_a_configuration_is_not_ready_and_promises_not_run(self) -> None:
         process = self.processes[0]
         process.start()
--- /dev/null
+++ b/tests/test_platform_tenants.py
@@ -0,0 +1,128 @@
+"""Keys over sockets: who is admitted, what workers are told, whose batch jobs are seen."""
+
+import asyncio
+import base64
+import json
+import unittest
+
+from tests.test_platform_serving import (
+    HOST,
+    LIMIT_SECONDS,
+    Answer,
+    NodeProcess,
+    ServingFixture,
+    eventually,
+)
+
+NORTH, SOUTH = "key-north", "key-south"
+
+
+class TenantTest(ServingFixture):
+    def configure_tenants(self, version: int, **keys: str) -> None:
+        common = {"host": HOST, "timeoutMs": 20_000, "targetMs": 5_000, "attempts": 2}
+        lookups = {**common, "name": "l", "pathPrefix": "/l/", "kind": "idempotent"}
+        rollouts = {**common, "name": "r", "pathPrefix": "/p/", "kind": "rollout"}
+        opened = {**lookups, "name": "o", "pathPrefix": "/o/", "public": True}
+        routes = [
+            {**lookups, "svc": "lookups"},
+            {**opened, "svc": "lookups"},
+            {**rollouts, "svc": "engines"},
+        ]
+        tenants = [{"name": name, "apiKeys": [key]} for name, key in keys.items()]
+        self.put("op/config", {"ver": version, "routes": routes, "tenants": tenants})
+
+    async def ask(
+        self,
+        method: str,
+        target: str,
+        key: str | None,
+        body: bytes = b"",
+        *,
+        request_id: str = "r1",
+        process: NodeProcess | None = None,
+    ) -> Answer:
+        headers: tuple[tuple[str, str], ...] = (("X-Drumbay-Tenant", "forged"),)
+        if key is not None:
+            headers += (("Authorization", f"Bearer {key}"),)
+        asked = process or self.processes[0]
+        return await asked.ask(method, target, body, request_id=request_id, headers=headers)
+
+    async def test_only_known_keys_are_served_and_workers_get_the_tenant(self) -> None:
+        self.configure_tenants(1, north=NORTH, south=SOUTH)
+        await self.start()
+        async with asyncio.timeout(LIMIT_SECONDS):
+            for key in (None, "other"):
+                self.assertEqual((await self.ask("POST", "/l/1", key)).status, 401)
+            self.assertEqual(self.workers.runs, [])
+            self.assertEqual((await self.ask("POST", "/l/1", SOUTH)).status, 200)
+            self.assertEqual((await self.ask("POST", "/o/1", None)).status, 200)
+        tenants = [run.tenant for run in self.workers.runs]
+        self.assertEqual(tenants, ["south", None])
+        for run in self.workers.runs:
+            sent = " ".join(f"{name}: {value}" for name, value in run.headers).lower()
+            for private in (SOUTH, "authorization", "forged"):
+                self.assertNotIn(private, sent)
+
+    async def test_a_key_that_was_taken_away_is_refused_and_one_that_was_added_is_taken(
+        self,
+    ) -> None:
+        self.configure_tenants(1, north=NORTH)
+        await self.start()
+        async with asyncio.timeout(LIMIT_SECONDS):
+            self.assertEqual((await self.ask("POST", "/l/1", NORTH)).status, 200)
+            self.configure_tenants(2, south=SOUTH)
+
+            async def is_added() -> bool:
+                return (await self.ask("POST", "/l/1", SOUTH)).status == 200
+
+            await eventually(is_added)
+            self.assertEqual((await self.ask("POST", "/l/1", NORTH)).status, 401)
+
+    def batch(self) -> bytes:
+        item = {
+            "id": "item-1",
+            "path": "/p/x",
+            "headers": {"model": "m", "Authorization": f"Bearer {NORTH}"},
+            "body": base64.b64encode(b"prompt").decode(),
+            "numTokens": 50,
+            "group": "g",
+        }
+        batch = {"trainStep": 1, "model": "m", "minVer": 1, "desired": 1, "requests": [item]}
+        return json.dumps(batch).encode()
+
+    async def test_a_batch_job_belongs_to_its_tenant_at_every_node(self) -> None:
+        self.configure_tenants(1, north=NORTH, south=SOUTH)
+        first = await self.start()
+        second = self.processes[1]
+        async with asyncio.timeout(LIMIT_SECONDS):
+            for key in (None, "other"):
+                refused = await self.ask("POST", "/p/1", key, self.batch(), request_id="b1")
+                self.assertEqual(refused.status, 401)
+            taken = await self.ask("POST", "/p/1", NORTH, self.batch(), request_id="b1")
+            self.assertEqual(taken.status, 202)
+            for process in (first, second):
+                for method, target in (
+                    ("GET", "/lots/b1?sinceRev=0"),
+                    ("GET", "/items/b1?id=item-1"),
+                    ("DELETE", "/lots/b1"),
+                ):
+                    foreign = await self.ask(method, target, SOUTH, process=process)
+                    self.assertEqual((method, foreign.status), (method, 404))
+                    unknown = await self.ask(method, target, None, process=process)
+                    self.assertEqual((method, unknown.status), (method, 401))
+
+            async def is_listed() -> bool:
+                answer = await self.ask("GET", "/lots/b1?sinceRev=0", NORTH, process=second)
+                return answer.status == 200 and bool(json.loads(answer.body)["results"])
+
+            await eventually(is_listed)
+            self.assertEqual((await self.ask("DELETE", "/lots/b1", NORTH)).status, 200)
+            ended = await self.ask("GET", "/lots/b1?sinceRev=0", SOUTH, process=second)
+            self.assertEqual(ended.status, 404)
+        (run,) = self.workers.runs_of("item-1")
+        self.assertEqual(run.tenant, "north")
+        self.assertNotIn("Authorization", dict(run.headers))
+
+
+if __name__ == "__main__":
+    unittest.main()
