Report usage by tenant and window, once, under the leader's fence

Cause: no node reported usage.

Ways weighed: counts in the store under a key a node and window (a priced write a node and window); a push of every request to the leader (a connection a request); counts that go along with the calls by which followers ask their watcher anyway, and the leader asks the few watchers once a second. The two others were not built.

Change: each node counts a request in the window in which its first run began (a refusal proves that none did), by a time of day that passes over jumps of the clock. A window's report is fixed once every node has told of everything before its end, or after 0.6 of the time until it is due, is written to the store under the leader's fence before the platform is told, and is repeated unchanged until accepted, by a successor too. A leader that follows another machine calls the platform only after a turn.

Tests: test_usage. Red by hand: a report not stored first, no turn, missing nodes not waited for, fixed reports not repeated. Counts that go along with calls stay green when left out, since the leader then asks the nodes itself.

--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -15,6 +15,7 @@
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
 from drumbay.tenants.records import TenantName
+from drumbay.usage.counter import UsageCounter
 from drumbay.workers.directory import WorkerDirectory, WorkerRecord
 from drumbay.workers.interface import WorkerClient
 from drumbay.workers.records import (
@@ -111,14 +112,16 @@
         client: WorkerClient,
         zone: str,
         metrics: ServingMetrics,
+        usage: UsageCounter,
     ) -> None:
-        """Create a forwarder for a node in ``zone``."""
+        """Create a forwarder for a node in ``zone``, which counts the requests of tenants."""
         self.clock = clock
         self.directory = directory
         self.client = client
         self.zone = zone
         self._routes = routes
         self._metrics = metrics
+        self._usage = usage
 
     async def forward(self, route: Route, request: ClientRequest) -> WorkerAnswer:
         """Return a worker's whole answer.
@@ -128,6 +131,7 @@
         """
         forwarding = _Forwarding(self, route, self._routes.choose_service(route), request)
         started_at = self.clock.monotonic()
+        ticket = self._usage.open() if request.tenant is not None else None
         outcome = "cancelled"
         try:
             answer = await forwarding.run()
@@ -140,9 +144,18 @@
             raise
         finally:
             forwarding.close()
+            if ticket is not None and request.tenant is not None:
+                self._usage.close(ticket, request.tenant, forwarding.began_at)
             self._metrics.count_request(route.name, outcome, self.clock.monotonic() - started_at)
 
 
+class _Attempt(msgspec.Struct, frozen=True):
+    """A send to one worker, at a monotonic time."""
+
+    record: WorkerRecord
+    sent_at: float
+
+
 class _Forwarding:
     """One client request on its way: the attempts so far and those under way."""
 
@@ -160,7 +173,10 @@
         limit_seconds = min(request.budget_seconds, route.timeout_seconds)
         self._deadline = self._started_at + limit_seconds
         self._next_send = self._started_at
-        self._attempts: dict[asyncio.Task[WorkerAnswer], WorkerRecord] = {}
+        self._attempts: dict[asyncio.Task[WorkerAnswer], _Attempt] = {}
+        self.began_at: float | None = None
+        """When the first run may have begun; known for good once the request has its answer."""
+
         self._sent = 0
         self._refusals = 0
         self._worker_failures = 0
@@ -187,9 +203,14 @@
 
     def close(self) -> None:
         """Close what is under way; its workers stop working on it."""
-        for task in self._attempts:
+        for task, attempt in self._attempts.items():
+            self._note_began(attempt)
             task.cancel()
 
+    def _note_began(self, attempt: _Attempt) -> None:
+        if self.began_at is None or attempt.sent_at < self.began_at:
+            self.began_at = attempt.sent_at
+
     def log_answer(self, answer: WorkerAnswer) -> None:
         """Log the answer and the attempts that led to it."""
         log_event(
@@ -298,7 +319,7 @@
         task = asyncio.get_running_loop().create_task(self._attempt(record, outgoing))
         # A task that is cancelled before it runs never comes to a ``finally`` of its own.
         task.add_done_callback(lambda _: _note_ended(record))
-        self._attempts[task] = record
+        self._attempts[task] = _Attempt(record, self._clock.monotonic())
 
     async def _attempt(self, record: WorkerRecord, request: WorkerRequest) -> WorkerAnswer:
         started_at = self._clock.monotonic()
@@ -316,14 +337,14 @@
             self._directory.observe_load(record.worker.worker_id, answer.load, now)
         return answer
 
-    def _settle(
-        self, task: "asyncio.Task[WorkerAnswer]", record: WorkerRecord
-    ) -> WorkerAnswer | None:
+    def _settle(self, task: "asyncio.Task[WorkerAnswer]", attempt: _Attempt) -> WorkerAnswer | None:
         """Take a finished attempt; return its answer if it is final."""
         now = self._clock.monotonic()
-        worker_id = record.worker.worker_id
+        worker_id = attempt.record.worker.worker_id
         try:
-            return task.result()
+            answer = task.result()
+            self._note_began(attempt)
+            return answer
         except WorkerMisdirectedError:
             self._refusals += 1
             self._directory.pause(worker_id, now, MISDIRECTED_PAUSE_SECONDS)
@@ -334,11 +355,14 @@
             self._refusals += 1
             self._directory.pause(worker_id, now, REFUSAL_PAUSE_SECONDS)
         except WorkerBrokenError:
+            self._note_began(attempt)
             self._may_have_run = True
             self._directory.observe_failure(worker_id, now)
         except WorkerTimedOutError:
+            self._note_began(attempt)
             self._may_have_run = True
         except WorkerError:
+            self._note_began(attempt)
             self._may_have_run = True
             self._worker_failures += 1
         return None
--- a/drumbay/observability/serving_metrics.py
+++ b/drumbay/observability/serving_metrics.py
@@ -74,6 +74,12 @@
             buckets=STORE_BUCKETS_SECONDS,
             registry=self._registry,
         )
+        self._duties = Counter(
+            "drumbay_serving_duties",
+            "Calls to the platform under the leader's fence, by duty and outcome.",
+            ("duty", "outcome"),
+            registry=self._registry,
+        )
         self._loads = Counter(
             "drumbay_serving_loads",
             "Loads of weights that this node ordered, by outcome.",
@@ -120,6 +126,10 @@
         """Count the end of a load."""
         self._loads.labels(outcome).inc()
 
+    def count_duty(self, duty: str, outcome: str) -> None:
+        """Count a call to the platform under the leader's fence."""
+        self._duties.labels(duty, outcome).inc()
+
     def render(self) -> bytes:
         """Return all metrics as text."""
         return generate_latest(self._registry)
--- a/drumbay/ownership/leader.py
+++ b/drumbay/ownership/leader.py
@@ -101,6 +101,7 @@
         self._fence: Fence | None = None
         self._valid_until = float("-inf")
         self._quiet_until = float("-inf")
+        self._duties_from = float("-inf")
         self._lease_id: int | None = None
 
     def fence(self, now: float) -> Fence | None:
@@ -109,6 +110,18 @@
             return self._fence
         return None
 
+    def duty_fence(self, now: float) -> Fence | None:
+        """Return the fence for a call to the platform; ``None`` if this node must make none.
+
+        A leader that follows another machine makes none for a turn: the calls of two machines
+        must not come in turns, also where the platform refuses older fences.
+        """
+        return self.fence(now) if now >= self._duties_from else None
+
+    def guard(self, fence: Fence) -> ModRevisionIs:
+        """Return the comparison that holds while no other node has been elected since."""
+        return ModRevisionIs(key=CURRENT_KEY, mod_revision=Revision(fence))
+
     def step_down(self, reason: str) -> None:
         """Lead no more, since a newer fence was seen."""
         log_event("leader_stepped_down", level="WARNING", reason=reason, fence=self._fence)
@@ -171,6 +184,7 @@
         is_successor = seen.last is not None and seen.last.machine != self._record.machine
         now = self._clock.monotonic()
         self._quiet_until = now + self._policy.quiet_seconds if is_successor else now
+        self._duties_from = now + self._policy.turn_seconds if is_successor else now
         log_event("leader_elected", fence=self._fence, successor=is_successor)
         await self._keep(lease.lease_id, lease.ttl_seconds)
 
--- a/drumbay/peers/directory.py
+++ b/drumbay/peers/directory.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 
 import msgspec
@@ -176,6 +176,10 @@
         found.sort(key=self.is_silent)
         return found[:count]
 
+    def others_responsive(self, addresses: Iterable[NetworkAddress]) -> list[NetworkAddress]:
+        """Return those of some nodes that are not this one, nor known to be silent."""
+        return [a for a in addresses if a != self._address and not self.is_silent(a)]
+
     def responsive(self) -> list[NetworkAddress]:
         """Return every node that is not known to be silent."""
         return [address for address in self._silent_until if not self.is_silent(address)]
--- a/drumbay/peers/feeds.py
+++ b/drumbay/peers/feeds.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
@@ -20,6 +20,7 @@
 from drumbay.peers.directory import PeerDirectory
 from drumbay.peers.messages import FeedsReply, FollowFeeds
 from drumbay.peers.transport import PeerClient, PeerUnavailableError
+from drumbay.usage.records import NodeUsage
 
 FRESH_SHARE = 0.5
 """A node that has not reached the store for this share of the time in which a configuration must
@@ -54,6 +55,7 @@
         address: NetworkAddress,
         generator: random.Random,
         in_force_seconds: float,
+        report_usage: Callable[[], NodeUsage | None],
     ) -> None:
         """Create copies of nothing but the nodes' entries.
 
@@ -67,7 +69,9 @@
             generator: Source of random delays.
             in_force_seconds: Within this time after its acceptance, a configuration is to be in
                 force at every node.
+            report_usage: Returns what this node has counted, to be told to a watcher.
         """
+        self._report_usage = report_usage
         self._fresh_seconds = FRESH_SHARE * in_force_seconds
         self._poll_seconds = POLL_SHARE * self._fresh_seconds
         self._clock = clock
@@ -182,7 +186,9 @@
     async def _ask(self, address: NetworkAddress, wait_seconds: float) -> bool:
         """Take what a node knows more; return whether that is up to date."""
         cursors = tuple(mirror.cursor for mirror in self._mirrors.values())
-        request = FollowFeeds(cursors=cursors, wait_seconds=wait_seconds)
+        request = FollowFeeds(
+            cursors=cursors, wait_seconds=wait_seconds, usage=self._report_usage()
+        )
         try:
             reply = await self._peers.call(address, request, wait_seconds + POLL_SLACK_SECONDS)
         except PeerUnavailableError:
--- a/drumbay/peers/messages.py
+++ b/drumbay/peers/messages.py
@@ -20,6 +20,7 @@
     TransactionResult,
 )
 from drumbay.kv.mirror import FeedChanges, FeedCursor
+from drumbay.usage.records import NodeUsage
 
 
 class ReadResults(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -105,10 +106,14 @@
 
 
 class FollowFeeds(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Ask a node that watches the store for what changed after what the caller knows."""
+    """Ask a node that watches the store for what changed after what the caller knows.
+
+    ``usage`` is what the caller has counted: it goes along with a call that is made anyway.
+    """
 
     cursors: tuple[FeedCursor, ...]
     wait_seconds: float
+    usage: NodeUsage | None = None
 
 
 class FeedsReply(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -141,6 +146,22 @@
     holder: str
 
 
+class CollectUsage(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Ask a node for what it and its followers have counted."""
+
+
+class UsageNotice(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A node that is about to end tells what it has counted."""
+
+    usage: NodeUsage
+
+
+class UsageReply(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """What a node knows of the counts of processes, its own included."""
+
+    nodes: tuple[NodeUsage, ...]
+
+
 class RelayedPut(msgspec.Struct, frozen=True, kw_only=True):
     """An operation of a relayed transaction; without a value the key is removed."""
 
@@ -210,7 +231,10 @@
 OwnerRequest = ReadResults | ReadBody | EndBatch | OwnBatch
 BatchRequest = OwnerRequest | TakePartialTexts
 StoreRequest = RelayRange | RelayTransaction | RelayKeepAlive | RelayGrant
-PeerRequest = BatchRequest | StoreRequest | FollowFeeds | LoadingNotice | OwnerNotice | Ping
+UsageRequest = CollectUsage | UsageNotice
+PeerRequest = (
+    BatchRequest | StoreRequest | UsageRequest | FollowFeeds | LoadingNotice | OwnerNotice | Ping
+)
 PeerReply = (
     PageReply
     | PartialTextsReply
@@ -221,6 +245,7 @@
     | NotFoundReply
     | UnavailableReply
     | FeedsReply
+    | UsageReply
     | RangeReply
     | TransactionReply
     | KeepAliveReply
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -16,6 +16,7 @@
 from drumbay.batches.service import BatchService
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.duties.interface import PlatformDuties
 from drumbay.forwarding.forwarder import Forwarder
 from drumbay.forwarding.routes import RouteTable, RoutingConfiguration
 from drumbay.kv.interface import KeyValueStore
@@ -26,6 +27,7 @@
 from drumbay.peers.directory import PeerDirectory
 from drumbay.peers.feeds import SharedFeeds
 from drumbay.peers.messages import (
+    CollectUsage,
     DoneReply,
     FollowFeeds,
     LoadingNotice,
@@ -37,12 +39,15 @@
     RelayKeepAlive,
     RelayRange,
     RelayTransaction,
+    UsageNotice,
+    UsageReply,
 )
 from drumbay.peers.store_relay import RelayingStore, StoreRelayServer
 from drumbay.peers.transport import PeerClient, PeerUnavailableError
 from drumbay.tasks import TaskOwner
 from drumbay.tenants.access import admit
 from drumbay.tenants.records import TenantName
+from drumbay.usage.service import UsageService, UsageSettings
 from drumbay.weights.version_coordinator import NamedVersions, VersionCoordinator
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
@@ -80,6 +85,7 @@
             leaving.
         keep_results_seconds: How long after its submission an ended batch job can be read.
         is_restart: Whether an earlier process at this address may have owned batch jobs.
+        usage: What usage reports are to be; ``None`` where none are asked for.
     """
 
     machine: str
@@ -93,16 +99,18 @@
     turn_away_seconds: float = 2.5
     keep_results_seconds: float = 120.0
     is_restart: bool = False
+    usage: UsageSettings | None = None
 
 
 class ServingEnvironment(msgspec.Struct, frozen=True, kw_only=True):
-    """What a serving node uses."""
+    """What a serving node uses; ``duties`` is ``None`` where the platform has none for it."""
 
     clock: Clock
     store: KeyValueStore
     workers: WorkerClient
     peers: PeerClient
     generator: random.Random
+    duties: PlatformDuties | None = None
 
 
 class ServingNode:
@@ -116,6 +124,7 @@
         self._tasks = TaskOwner()
         self.metrics = ServingMetrics()
         address = settings.identity.address
+        self._usage = UsageService(clock, settings.usage, settings.identity)
         self._peer_directory = PeerDirectory(
             clock,
             environment.store,
@@ -137,6 +146,7 @@
             address,
             environment.generator,
             settings.in_force_seconds,
+            self._usage.own_report,
         )
         self.directory = WorkerDirectory()
         self.routes = RouteTable()
@@ -148,6 +158,7 @@
             environment.workers,
             settings.zone,
             self.metrics,
+            self._usage.counter,
         )
         self.batches = BatchService(
             clock,
@@ -202,6 +213,7 @@
         self._tasks.spawn(self.leader.run(), "leader-election")
         self._tasks.spawn(self._retention.run(), "batch-retention")
         self._tasks.spawn(self._coordinator.run(), "version-coordinator")
+        self._start_duties()
         if self._settings.is_restart:
             self._tasks.spawn(self._take_up_own_batches(), "own-batches")
         log_event(
@@ -211,6 +223,22 @@
             boot=self._settings.identity.boot,
         )
 
+    def _start_duties(self) -> None:
+        """Make the calls to the platform that are asked for, while this node leads."""
+        environment = self._environment
+        if environment.duties is None or self._settings.usage is None:
+            return
+        reporting = self._usage.run(
+            self._store,
+            self.leader,
+            environment.duties,
+            environment.peers,
+            self._peer_directory,
+            self._settings.machine,
+            self.metrics,
+        )
+        self._tasks.spawn(reporting, "usage-reports")
+
     @property
     def is_ready(self) -> bool:
         """Return whether new clients may come."""
@@ -321,7 +349,13 @@
             case Ping():
                 return DoneReply()
             case FollowFeeds():
+                self._usage.take(request.usage)
                 return await self._feeds.answer(request)
+            case CollectUsage():
+                return UsageReply(nodes=self._usage.known())
+            case UsageNotice():
+                self._usage.take(request.usage)
+                return DoneReply()
             case OwnerNotice():
                 self.batches.note_owner(request)
                 return DoneReply()
@@ -359,6 +393,10 @@
                 break
             await clock.sleep(UNFINISHED_CHECK_SECONDS)
         self.batches.leave()
+        watchers = self._peer_directory.ranking.watchers
+        await self._usage.tell(
+            self._environment.peers, self._peer_directory.others_responsive(watchers)
+        )
         await self.close()
         log_event("serving_stopped", node=self._settings.machine)
 
--- a/tests/serving_world.py
+++ b/tests/serving_world.py
@@ -33,7 +33,9 @@
 from drumbay.simulation.outside_clock import OutsideClock
 from drumbay.simulation.virtual_time import run_simulation
 from drumbay.standins.kv_model import KeyValueModel
+from drumbay.standins.platform_duties import EmulatedPlatformDuties
 from drumbay.standins.worker_pool import EmulatedWorkerPool
+from drumbay.usage.service import UsageSettings
 
 ResultT = TypeVar("ResultT")
 
@@ -108,6 +110,7 @@
                 workers_check_fences=world.workers_check_fences,
                 settle_seconds=world.settle_seconds,
                 is_restart=boot > 0,
+                usage=world.usage,
             ),
             ServingEnvironment(
                 clock=world.clock,
@@ -115,6 +118,7 @@
                 workers=world.workers,
                 peers=world.peers,
                 generator=random.Random(100 * number + boot),
+                duties=world.duties,
             ),
         )
         self.directory = self.node.directory
@@ -148,11 +152,14 @@
         workers_check_fences: bool = False,
         settle_seconds: float = 0.0,
         scorer_count: int = 0,
+        usage: UsageSettings | None = None,
     ) -> None:
+        self.usage = usage
         self.settle_seconds = settle_seconds
         self.workers_check_fences = workers_check_fences
         self.clock = OutsideClock()
         self.model = KeyValueModel(self.clock)
+        self.duties = EmulatedPlatformDuties(self.clock)
         self.workers = EmulatedWorkerPool(self.clock)
         for number in range(1, worker_count + 1):
             self.workers.add(f"worker-{number}", SERVICE, {MODEL: WeightVersion(1)})
@@ -176,12 +183,13 @@
     workers_check_fences: bool = False,
     settle_seconds: float = 0.0,
     scorer_count: int = 0,
+    usage: UsageSettings | None = None,
 ) -> ResultT:
     """Run a scenario in a fresh world on virtual time."""
 
     async def main() -> ResultT:
         world = ServingWorld(
-            node_count, worker_count, workers_check_fences, settle_seconds, scorer_count
+            node_count, worker_count, workers_check_fences, settle_seconds, scorer_count, usage
         )
         try:
             return await scenario(world)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -22,6 +22,9 @@
 )
 from drumbay.identifiers import BackendId
 from drumbay.observability.serving_metrics import ServingMetrics
+from drumbay.usage.counter import UsageCounter
+from drumbay.usage.records import WindowLength
+from drumbay.usage.window_clock import WindowClock
 from tests.serving_world import ServingWorld, play
 
 LOOKUPS = "lookups"
@@ -58,8 +61,17 @@
             world.workers.add(f"lookup-{number}", LOOKUPS)
         directory = world.nodes[0].directory
         directory.replace_all(world.workers.entries())
+        self.usage = UsageCounter(
+            WindowClock(world.clock), WindowLength(5.0), world.nodes[0].address, "boot"
+        )
         return Forwarder(
-            world.clock, directory, RouteTable(), world.workers, "zone-1", ServingMetrics()
+            world.clock,
+            directory,
+            RouteTable(),
+            world.workers,
+            "zone-1",
+            ServingMetrics(),
+            self.usage,
         )
 
     def test_an_answer_is_the_workers_own(self) -> None:
