--- a/tests/scripted_server.py
+++ b/tests/scripted_server.py
@@ -16,6 +16,7 @@
         self._reset = reset
         self._server: asyncio.Server | None = None
         self.requests: list[str] = []
+        self.bodies: list[bytes] = []
         self.connections = 0
         self._writers: list[asyncio.StreamWriter] = []
         self.keep = False
@@ -52,7 +53,7 @@
         self.requests.append(head)
         for line in head.lower().split("\r\n"):
             if line.startswith("content-length:"):
-                await reader.readexactly(int(line.split(":")[1]))
+                self.bodies.append(await reader.readexactly(int(line.split(":")[1])))
         writer.write(self._script(head))
         await writer.drain()
         return True
