--- a/tests/test_operations_document.py
+++ b/tests/test_operations_document.py
@@ -85,6 +85,8 @@
                 "rewards",
                 "store_calls",
                 "loads",
+                "duties",
+                "refused_keys",
             )
         }
         self.assertEqual(documented, {f"{name}_total" for name in counters})
