Remove benches of mechanisms that nothing on the serving path uses

Cause: of 6,214 lines of benches most measured parts beside what serves users: polls, memory, the stream log, forwarding of the second product, choices, load knowledge, subsets, membership, claims, delivery, ownership, and the spread of configuration and weights there. A reader met them first.

Ruled out: taking the clusters away that tests of the mechanisms use (configuration, ownership, weights) and the subset graph, which two tests of routing/subsets.py need; all of these stay, as do the mechanisms.

--- a/tests/test_routing_subsets.py
+++ b/tests/test_routing_subsets.py
@@ -14,8 +14,6 @@
     capacity_share,
     demand_shares,
 )
-from drumbay.bench.subset_queueing import QueueingSettings, QueueingSimulation
-from drumbay.bench.subsets import run_subset_bench
 from drumbay.configuration.view import ConfigurationView
 from drumbay.identifiers import BackendId, NodeId
 from drumbay.resources.schema import Backend, BackendGroup, BackendKind
@@ -189,24 +187,3 @@
         self.assertGreater(capacities[SubsetDesign.RANDOM_REGULAR], 0.9)
         self.assertLess(capacities[SubsetDesign.RANDOM_MODULAR], 0.6)
         self.assertLess(capacities[SubsetDesign.ZONE_MODULAR], 0.6)
-
-    def test_forgetting_old_reports_lessens_the_delay(self) -> None:
-        graph = build_graph(41, 70, SubsetPolicy(degree=16))
-        shares = demand_shares(graph, Demand.UNIFORM, random.Random(1))
-        with_memory, without = (
-            QueueingSimulation(
-                graph,
-                shares,
-                QueueingSettings(duration_seconds=10.0, report_memory_services=services),
-                random.Random(1),
-            ).run()
-            for services in (1.0, None)
-        )
-        self.assertLess(with_memory.delay_mean_seconds, 0.75 * without.delay_mean_seconds)
-
-    def test_bench_repeats_itself(self) -> None:
-        first, second = (
-            run_subset_bench(node_count=6, worker_count=12, degrees=(4,)) for _ in range(2)
-        )
-        self.assertEqual(first, second)
-        self.assertEqual(len(first.results), 4)
