Order the number of workers under the leader's fence: what stands is kept

Cause: where the platform lets the system order workers, nobody kept their number: a worker that is lost for good stays lost.

Ruled out: a copy of the platform's own number (nothing can be read back); ordering at each loss (a worker that crashed or is replaced is back within seconds by itself).

Change: the first leader writes down how many workers stood in each zone; a pure planner orders that number again once a zone has had fewer for a boot plus 4 s, repeats unchanged what the platform did not accept, and keeps to the operators' bounds. A headroom above what stands is a setting of the planner, 1.0 until it is measured.

Tests: test_scaling.

--- a/drumbay/forwarding/routes.py
+++ b/drumbay/forwarding/routes.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from drumbay.scaling.records import ServiceScaling
 from drumbay.tenants.records import KeyTable
 
 
@@ -50,13 +51,15 @@
 class RoutingConfiguration(msgspec.Struct, frozen=True, kw_only=True):
     """One version of the operators' configuration, whole.
 
-    ``keys`` is ``None`` where it names no tenants: then no request needs a key.
+    ``keys`` is ``None`` where it names no tenants: then no request needs a key. ``scaling`` names
+    the services whose number of workers may be ordered.
     """
 
     version: int
     routes: tuple[Route, ...]
     limits: RequestLimits
     keys: KeyTable | None = None
+    scaling: tuple[ServiceScaling, ...] = ()
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of the host with the longest prefix of the path."""
--- /dev/null
+++ b/drumbay/scaling/keeper.py
@@ -0,0 +1,159 @@
+"""Orders worker counts from the platform while this node leads."""
+
+from collections import Counter
+
+import msgspec
+
+from drumbay.clock import Clock
+from drumbay.duties.interface import DutyOutcome, DutyToken, PlatformDuties, WorkerCount
+from drumbay.forwarding.routes import RouteTable
+from drumbay.identifiers import Fence
+from drumbay.kv.interface import KeyValueError, KeyValueStore, Put
+from drumbay.observability.logs import log_event
+from drumbay.observability.serving_metrics import ServingMetrics
+from drumbay.ownership.leader import LeaderElection
+from drumbay.scaling.planner import ScalingPolicy, WorkerCountPlanner
+from drumbay.scaling.records import ServiceScaling, ServiceZone, ZoneWorkers
+from drumbay.workers.directory import WorkerDirectory
+from drumbay.workers.records import WorkerState
+
+TICK_SECONDS = 0.5
+STANDING_KEY = "drumbay/scaling/standing"
+
+
+class _Standing(msgspec.Struct, frozen=True, kw_only=True):
+    """How many workers stood at first, by service and zone."""
+
+    places: tuple[ZoneWorkers, ...]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(_Standing)
+
+
+class _Lead(msgspec.Struct, frozen=True):
+    """The fence under which this node orders, and what stood at first."""
+
+    fence: Fence
+    standing: dict[ServiceZone, int]
+
+
+class WorkerCountKeeper:
+    """Keeps the number of workers that the planner wants."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        store: KeyValueStore,
+        routes: RouteTable,
+        directory: WorkerDirectory,
+        leader: LeaderElection,
+        duties: PlatformDuties,
+        holder: str,
+        metrics: ServingMetrics,
+        policy: ScalingPolicy | None = None,
+    ) -> None:
+        """Create a keeper that does not lead.
+
+        Args:
+            clock: Time.
+            store: The key-value service.
+            routes: The configuration in force, which bounds the counts.
+            directory: The workers.
+            leader: Says whether this node holds the duty.
+            duties: The platform.
+            holder: This machine, as the platform knows it.
+            metrics: Counts orders.
+            policy: How many workers are wanted.
+        """
+        self._clock = clock
+        self._store = store
+        self._routes = routes
+        self._directory = directory
+        self._leader = leader
+        self._duties = duties
+        self._holder = holder
+        self._metrics = metrics
+        self._policy = policy or ScalingPolicy()
+        self._planner = WorkerCountPlanner(self._policy)
+        self._lead: _Lead | None = None
+
+    async def run(self) -> None:
+        """Order until cancelled."""
+        while True:
+            await self._clock.sleep(TICK_SECONDS)
+            fence = self._leader.duty_fence(self._clock.monotonic())
+            current = self._routes.current
+            if fence is None or current is None or not self._directory.loaded:
+                self._lead = None
+                continue
+            try:
+                await self._keep(fence, current.scaling)
+            except KeyValueError as error:
+                log_event("worker_counts_not_read", level="WARNING", error=error.code)
+                self._lead = None
+
+    async def _keep(self, fence: Fence, scalings: tuple[ServiceScaling, ...]) -> None:
+        if not scalings:
+            return
+        if self._lead is None or self._lead.fence != fence:
+            self._planner = WorkerCountPlanner(self._policy)
+            self._lead = _Lead(fence, await self._read_standing(fence, scalings))
+        for scaling in scalings:
+            there = self._workers_of(scaling)
+            now = self._clock.monotonic()
+            for order in self._planner.plan(scaling, self._lead.standing, there, now):
+                if not await self._order(order, fence):
+                    return
+
+    async def _order(self, order: WorkerCount, fence: Fence) -> bool:
+        """Give one order; return whether this node may give more."""
+        if self._leader.duty_fence(self._clock.monotonic()) != fence:
+            return False
+        token = DutyToken(holder=self._holder, fence=fence)
+        outcome = await self._duties.set_worker_count(token, order)
+        self._planner.note_outcome(order, outcome, self._clock.monotonic())
+        self._metrics.count_duty("worker_count", outcome)
+        log_event(
+            "worker_count_ordered",
+            service=order.service,
+            zone=order.zone,
+            workers=order.workers,
+            fence=fence,
+            outcome=outcome,
+        )
+        if outcome is DutyOutcome.FENCED:
+            self._leader.step_down("fenced")
+        return outcome is not DutyOutcome.FENCED
+
+    def _workers_of(self, scaling: ServiceScaling) -> tuple[ZoneWorkers, ...]:
+        """Return the workers in each zone where the service may have some."""
+        ready: Counter[str] = Counter(dict.fromkeys(scaling.zone_prices, 0))
+        for record in self._directory.of_service(scaling.service):
+            if record.worker.state is WorkerState.READY:
+                ready[record.worker.zone] += 1
+        return tuple(
+            ZoneWorkers(place=ServiceZone(scaling.service, zone), ready=count)
+            for zone, count in sorted(ready.items())
+        )
+
+    async def _read_standing(
+        self, fence: Fence, scalings: tuple[ServiceScaling, ...]
+    ) -> dict[ServiceZone, int]:
+        """Return what stood when the first leader looked; the first one writes it down."""
+        found = await self._store.range_prefix(STANDING_KEY)
+        known: dict[ServiceZone, int] = {}
+        for item in found.items:
+            known = {zone.place: zone.ready for zone in _decoder.decode(item.value).places}
+        missing = [
+            zone
+            for scaling in scalings
+            for zone in self._workers_of(scaling)
+            if zone.place not in known
+        ]
+        if missing:
+            known.update({zone.place: zone.ready for zone in missing})
+            places = tuple(ZoneWorkers(place=p, ready=n) for p, n in known.items())
+            put = Put(key=STANDING_KEY, value=_encoder.encode(_Standing(places=places)))
+            await self._store.transact((self._leader.guard(fence),), (put,))
+        return known
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -44,6 +44,7 @@
 )
 from drumbay.peers.store_relay import RelayingStore, StoreRelayServer
 from drumbay.peers.transport import PeerClient, PeerUnavailableError
+from drumbay.scaling.keeper import WorkerCountKeeper
 from drumbay.tasks import TaskOwner
 from drumbay.tenants.access import admit
 from drumbay.tenants.records import TenantName
@@ -86,6 +87,7 @@
         keep_results_seconds: How long after its submission an ended batch job can be read.
         is_restart: Whether an earlier process at this address may have owned batch jobs.
         usage: What usage reports are to be; ``None`` where none are asked for.
+        orders_workers: Whether the number of workers is this system's to order.
     """
 
     machine: str
@@ -100,6 +102,7 @@
     keep_results_seconds: float = 120.0
     is_restart: bool = False
     usage: UsageSettings | None = None
+    orders_workers: bool = False
 
 
 class ServingEnvironment(msgspec.Struct, frozen=True, kw_only=True):
@@ -225,19 +228,32 @@
 
     def _start_duties(self) -> None:
         """Make the calls to the platform that are asked for, while this node leads."""
-        environment = self._environment
-        if environment.duties is None or self._settings.usage is None:
+        duties = self._environment.duties
+        if duties is None:
             return
-        reporting = self._usage.run(
-            self._store,
-            self.leader,
-            environment.duties,
-            environment.peers,
-            self._peer_directory,
-            self._settings.machine,
-            self.metrics,
-        )
-        self._tasks.spawn(reporting, "usage-reports")
+        if self._settings.usage is not None:
+            reporting = self._usage.run(
+                self._store,
+                self.leader,
+                duties,
+                self._environment.peers,
+                self._peer_directory,
+                self._settings.machine,
+                self.metrics,
+            )
+            self._tasks.spawn(reporting, "usage-reports")
+        if self._settings.orders_workers:
+            keeper = WorkerCountKeeper(
+                self._environment.clock,
+                self._store,
+                self.routes,
+                self.directory,
+                self.leader,
+                duties,
+                self._settings.machine,
+                self.metrics,
+            )
+            self._tasks.spawn(keeper.run(), "worker-counts")
 
     @property
     def is_ready(self) -> bool:
--- a/tests/serving_world.py
+++ b/tests/serving_world.py
@@ -111,6 +111,7 @@
                 settle_seconds=world.settle_seconds,
                 is_restart=boot > 0,
                 usage=world.usage,
+                orders_workers=world.orders_workers,
             ),
             ServingEnvironment(
                 clock=world.clock,
@@ -153,8 +154,10 @@
         settle_seconds: float = 0.0,
         scorer_count: int = 0,
         usage: UsageSettings | None = None,
+        orders_workers: bool = False,
     ) -> None:
         self.usage = usage
+        self.orders_workers = orders_workers
         self.settle_seconds = settle_seconds
         self.workers_check_fences = workers_check_fences
         self.clock = OutsideClock()
@@ -184,12 +187,19 @@
     settle_seconds: float = 0.0,
     scorer_count: int = 0,
     usage: UsageSettings | None = None,
+    orders_workers: bool = False,
 ) -> ResultT:
     """Run a scenario in a fresh world on virtual time."""
 
     async def main() -> ResultT:
         world = ServingWorld(
-            node_count, worker_count, workers_check_fences, settle_seconds, scorer_count, usage
+            node_count,
+            worker_count,
+            workers_check_fences,
+            settle_seconds,
+            scorer_count,
+            usage,
+            orders_workers,
         )
         try:
             return await scenario(world)
--- a/tests/test_platform_duties.py
+++ b/tests/test_platform_duties.py
@@ -67,12 +67,14 @@
 class DutySettingsTest(unittest.TestCase):
     def test_usage_is_reported_where_it_is_a_duty(self) -> None:
         self.assertIsNone(parse_settings(SETTINGS).usage)
+        self.assertFalse(parse_settings(SETTINGS).orders_workers)
         text = (
             f"{SETTINGS}cloudApi.addr=10.200.0.53:8560\ncloudApi.duties=metering,autoscale\n"
             "bounds.reportWindowS=4\nbounds.usageLateS=9\n"
         )
         settings = parse_settings(text)
         assert settings.usage is not None
+        self.assertTrue(settings.orders_workers)
         self.assertEqual(settings.usage.window_seconds, 4.0)
         self.assertEqual(settings.usage.due_seconds, 9.0)
         self.assertEqual(str(settings.duties_address), "10.200.0.53:8560")
--- /dev/null
+++ b/tests/test_scaling.py
@@ -0,0 +1,139 @@
+"""Worker counts: what is ordered, when it is ordered again, and by whom."""
+
+import asyncio
+import json
+import unittest
+
+from drumbay_platform.feeds import parse_configuration
+
+from drumbay.duties.interface import DutyOutcome, WorkerCount
+from drumbay.forwarding.routes import RequestLimits, RoutingConfiguration
+from drumbay.scaling.planner import (
+    REPLACE_MARGIN_SECONDS,
+    RETRY_SECONDS,
+    ScalingPolicy,
+    WorkerCountPlanner,
+)
+from drumbay.scaling.records import ServiceScaling, ServiceZone, ZoneWorkers
+from tests.serving_world import SERVICE, ServingWorld, play
+
+NEAR, FAR = ServiceZone(SERVICE, "near"), ServiceZone(SERVICE, "far")
+SCALING = ServiceScaling(
+    service=SERVICE,
+    minimum=1,
+    maximum=5,
+    boot_seconds=4.0,
+    zone_prices={"near": 1.0, "far": 0.8},
+)
+PATIENCE_SECONDS = SCALING.boot_seconds + REPLACE_MARGIN_SECONDS
+
+
+class PlannerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.planner = WorkerCountPlanner(ScalingPolicy())
+        self.standing = {NEAR: 3, FAR: 2}
+
+    def plan(self, now: float, *, near: int = 3, far: int = 2) -> list[tuple[str, int]]:
+        there = (ZoneWorkers(place=NEAR, ready=near), ZoneWorkers(place=FAR, ready=far))
+        orders = self.planner.plan(SCALING, self.standing, there, now)
+        return [(order.zone, order.workers) for order in orders]
+
+    def test_what_stands_is_not_ordered(self) -> None:
+        self.assertEqual([self.plan(float(now)) for now in range(60)], [[]] * 60)
+
+    def test_workers_that_stay_away_are_ordered_again(self) -> None:
+        self.assertEqual(self.plan(0.0), [])
+        self.assertEqual(self.plan(10.0, near=2), [])
+        self.assertEqual(self.plan(10.0 + PATIENCE_SECONDS - 0.1, near=2), [])
+        self.assertEqual(self.plan(10.0 + PATIENCE_SECONDS, near=2), [("near", 3)])
+        self.assertEqual(self.plan(11.0 + PATIENCE_SECONDS, near=2), [])
+
+    def test_a_worker_that_comes_back_by_itself_is_not_ordered(self) -> None:
+        self.plan(0.0)
+        self.plan(10.0, near=2)
+        self.plan(14.0)
+        self.assertEqual(self.plan(15.0, near=2), [])
+        self.assertEqual(self.plan(14.0 + PATIENCE_SECONDS, near=2), [])
+
+    def test_a_count_that_was_not_accepted_is_ordered_again(self) -> None:
+        self.plan(0.0)
+        self.plan(10.0, near=2)
+        now = 10.0 + PATIENCE_SECONDS
+        self.assertEqual(self.plan(now, near=2), [("near", 3)])
+        order = WorkerCount(service=SERVICE, zone="near", workers=3)
+        self.planner.note_outcome(order, DutyOutcome.UNANSWERED, now)
+        self.assertEqual(self.plan(now + RETRY_SECONDS / 2, near=2), [])
+        self.assertEqual(self.plan(now + RETRY_SECONDS, near=2), [("near", 3)])
+
+    def test_counts_keep_to_what_operators_allow(self) -> None:
+        self.planner = WorkerCountPlanner(ScalingPolicy(headroom=2.0))
+        self.assertEqual(self.plan(0.0), [("near", 5), ("far", 4)])
+
+
+class KeeperTest(unittest.TestCase):
+    def test_a_successor_orders_what_stood_at_first(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            limits = ServiceScaling(
+                service=SERVICE,
+                minimum=1,
+                maximum=9,
+                boot_seconds=4.0,
+                zone_prices={"zone-1": 1.0},
+            )
+            configuration = RoutingConfiguration(
+                version=1, routes=(), limits=RequestLimits(), scaling=(limits,)
+            )
+            for node in world.nodes:
+                node.node.apply_configuration(configuration)
+                node.lead()
+            await asyncio.sleep(3.0)
+            self.assertEqual(world.duties.calls, [])
+            for node in world.nodes:
+                node.directory.replace_all(world.workers.entries()[:2])
+            leader = next(n for n in world.nodes if n.leader.fence(world.clock.monotonic()))
+            await leader.kill()
+            await asyncio.sleep(20.0)
+            (call,) = world.duties.calls[:1]
+            self.assertEqual(call.count, WorkerCount(service=SERVICE, zone="zone-1", workers=3))
+            self.assertNotEqual(call.token.holder, str(leader.address))
+
+        play(scenario, node_count=3, worker_count=3, orders_workers=True)
+
+    def test_nothing_is_ordered_where_it_is_no_duty(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            for node in world.nodes:
+                node.lead()
+                node.directory.replace_all(world.workers.entries()[:1])
+            await asyncio.sleep(20.0)
+            self.assertEqual(world.duties.calls, [])
+
+        play(scenario, node_count=3, worker_count=3)
+
+
+class ConfigurationTest(unittest.TestCase):
+    def test_only_services_with_bounds_are_scaled(self) -> None:
+        scaling = {
+            "min": 1,
+            "max": 15,
+            "bootS": 4.0,
+            "spotPrice": 0.2,
+            "zonePrices": {"a": 1.0, "b": 0.8},
+        }
+        services = [{"name": "engines", "scaling": scaling}, {"name": "lookups"}]
+        found = parse_configuration(json.dumps({"ver": 1, "routes": [], "svcs": services}).encode())
+        self.assertEqual(
+            found.scaling,
+            (
+                ServiceScaling(
+                    service="engines",
+                    minimum=1,
+                    maximum=15,
+                    boot_seconds=4.0,
+                    zone_prices={"a": 1.0, "b": 0.8},
+                ),
+            ),
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
