--- a/scripts/compare_trees.py
+++ b/scripts/compare_trees.py
@@ -54,6 +54,7 @@
     program: Path
     site: Path
     reason: str
+    options: tuple[str, ...] = ()
 
     def play(self, tree: Path, day: str, seed: int) -> PlayedDay:
         """Play a day in a tree.
@@ -62,7 +63,7 @@
             ValueError: The program printed no row of figures.
         """
         command = [str(self.program), "run", str(self.site), day, "--seed", str(seed)]
-        command += ["--why", self.reason]
+        command += ["--why", self.reason, *self.options]
         done = subprocess.run(command, cwd=tree, capture_output=True, text=True, check=False)
         for line in (done.stdout + done.stderr).splitlines():
             found = ROW.match(line)
@@ -90,10 +91,14 @@
     seed: Annotated[list[int], typer.Option(help="A seed; may be given several times.")],
     why: Annotated[str, typer.Option(help="The hypothesis, for the journal of the plays.")],
     jobs: Annotated[int, typer.Option(min=1, help="Plays at the same time.")] = 2,
+    option: Annotated[
+        list[str] | None, typer.Option(help="Passed on to the program, as --option=--small.")
+    ] = None,
     plot: Annotated[Path | None, typer.Option(help="Where to draw the pairs.")] = None,
 ) -> None:
     """Play each day with each seed in both trees, and print the pairs."""
-    comparison = Comparison(program=program, site=site, reason=why)
+    options = tuple(option or ())
+    comparison = Comparison(program=program, site=site, reason=why, options=options)
     cases = [(name, number) for name in day for number in seed]
     with ThreadPoolExecutor(jobs) as executor:
         plays = [
