Count the workers that stand over a while, and never order fewer than there are

Cause: the first leader wrote down how many workers were ready when it looked, 14 s before traffic, while workers still registered: 2 of 23. Without a headroom the lower bound of the operators was ordered in place of none seen, which does the same harm (read in the code, not played).

Ruled out: waiting a fixed time before the first look (a slow start would be mistaken again); the largest count ever seen (old and new workers are ready together while they are replaced).

Change: a count stands once it has not been lower for 8 s, and only grows; an order never asks for fewer workers than are ready; a successor goes on from what is stored.

Tests: workers that register one after the other, that are being replaced, and a stored count that is too low.

--- a/drumbay/scaling/keeper.py
+++ b/drumbay/scaling/keeper.py
@@ -22,7 +22,7 @@
 
 
 class _Standing(msgspec.Struct, frozen=True, kw_only=True):
-    """How many workers stood at first, by service and zone."""
+    """How many workers have stood in each zone."""
 
     places: tuple[ZoneWorkers, ...]
 
@@ -31,13 +31,6 @@
 _decoder = msgspec.msgpack.Decoder(_Standing)
 
 
-class _Lead(msgspec.Struct, frozen=True):
-    """The fence under which this node orders, and what stood at first."""
-
-    fence: Fence
-    standing: dict[ServiceZone, int]
-
-
 class WorkerCountKeeper:
     """Keeps the number of workers that the planner wants."""
 
@@ -76,7 +69,8 @@
         self._metrics = metrics
         self._policy = policy or ScalingPolicy()
         self._planner = WorkerCountPlanner(self._policy)
-        self._lead: _Lead | None = None
+        self._stored: dict[ServiceZone, int] = {}
+        self._fence: Fence | None = None
 
     async def run(self) -> None:
         """Order until cancelled."""
@@ -85,26 +79,27 @@
             fence = self._leader.duty_fence(self._clock.monotonic())
             current = self._routes.current
             if fence is None or current is None or not self._directory.loaded:
-                self._lead = None
+                self._fence = None
                 continue
             try:
                 await self._keep(fence, current.scaling)
             except KeyValueError as error:
-                log_event("worker_counts_not_read", level="WARNING", error=error.code)
-                self._lead = None
+                log_event("worker_counts_not_kept", level="WARNING", error=error.code)
+                self._fence = None
 
     async def _keep(self, fence: Fence, scalings: tuple[ServiceScaling, ...]) -> None:
         if not scalings:
             return
-        if self._lead is None or self._lead.fence != fence:
-            self._planner = WorkerCountPlanner(self._policy)
-            self._lead = _Lead(fence, await self._read_standing(fence, scalings))
+        if self._fence != fence:
+            await self._take_up()
+            self._fence = fence
         for scaling in scalings:
             there = self._workers_of(scaling)
             now = self._clock.monotonic()
-            for order in self._planner.plan(scaling, self._lead.standing, there, now):
+            for order in self._planner.plan(scaling, there, now):
                 if not await self._order(order, fence):
                     return
+        await self._store_standing(fence)
 
     async def _order(self, order: WorkerCount, fence: Fence) -> bool:
         """Give one order; return whether this node may give more."""
@@ -137,23 +132,23 @@
             for zone, count in sorted(ready.items())
         )
 
-    async def _read_standing(
-        self, fence: Fence, scalings: tuple[ServiceScaling, ...]
-    ) -> dict[ServiceZone, int]:
-        """Return what stood when the first leader looked; the first one writes it down."""
+    async def _take_up(self) -> None:
+        """Go on from what the leader before knew."""
         found = await self._store.range_prefix(STANDING_KEY)
-        known: dict[ServiceZone, int] = {}
-        for item in found.items:
-            known = {zone.place: zone.ready for zone in _decoder.decode(item.value).places}
-        missing = [
-            zone
-            for scaling in scalings
-            for zone in self._workers_of(scaling)
-            if zone.place not in known
-        ]
-        if missing:
-            known.update({zone.place: zone.ready for zone in missing})
-            places = tuple(ZoneWorkers(place=p, ready=n) for p, n in known.items())
-            put = Put(key=STANDING_KEY, value=_encoder.encode(_Standing(places=places)))
-            await self._store.transact((self._leader.guard(fence),), (put,))
-        return known
+        self._stored = {
+            zone.place: zone.ready
+            for item in found.items
+            for zone in _decoder.decode(item.value).places
+        }
+        self._planner = WorkerCountPlanner(self._policy)
+        self._planner.restore(self._stored)
+
+    async def _store_standing(self, fence: Fence) -> None:
+        """Write down what stands, for a successor, when it has changed."""
+        standing = self._planner.standing
+        if standing == self._stored:
+            return
+        places = tuple(ZoneWorkers(place=p, ready=n) for p, n in sorted(standing.items()))
+        put = Put(key=STANDING_KEY, value=_encoder.encode(_Standing(places=places)))
+        await self._store.transact((self._leader.guard(fence),), (put,))
+        self._stored = standing
--- a/drumbay/scaling/planner.py
+++ b/drumbay/scaling/planner.py
@@ -8,6 +8,10 @@
 from drumbay.duties.interface import DutyOutcome, WorkerCount
 from drumbay.scaling.records import ServiceScaling, ServiceZone, ZoneWorkers
 
+STANDING_SECONDS = 8.0
+"""A count that was never lower for so long stands: longer than workers take to register one after
+the other, and to be replaced."""
+
 REPLACE_MARGIN_SECONDS = 4.0
 """A worker that crashed or is being replaced is back within seconds by itself. Only a number that
 stays too low for this long beyond a boot is ordered again."""
@@ -20,82 +24,127 @@
     """How many workers are wanted.
 
     Attributes:
-        headroom: Wanted workers for each one that stood when the system first saw the service.
+        headroom: Wanted workers for each one that stands by itself.
     """
 
     headroom: float = 1.0
 
 
+class _Seen(msgspec.Struct, frozen=True):
+    """A number of ready workers, since a monotonic time."""
+
+    at: float
+    ready: int
+
+
 class _Place(msgspec.Struct, kw_only=True):
-    """What is known of one service in one zone."""
+    """What is known of one service in one zone.
 
-    ordered: int
-    ordered_at: float
+    Attributes:
+        standing: How many workers have stood there; ``None`` before that is known.
+        ordered: The count ordered last; ``None`` if none was, or it may not have arrived.
+        ordered_at: When that was.
+        seen: Ready workers lately, with the times at which the number changed.
+        short_since: Since when fewer than wanted are ready.
+        not_before: When an order may be given again.
+    """
+
+    standing: int | None = None
+    ordered: int | None = None
+    ordered_at: float = float("-inf")
+    seen: list[_Seen] = msgspec.field(default_factory=list)
     short_since: float | None = None
     not_before: float = float("-inf")
 
 
 class WorkerCountPlanner:
-    """Orders a count when another one is wanted, and again when workers stay away."""
+    """Orders a count when more workers are wanted, and again when workers stay away.
+
+    It never asks for fewer than there are.
+    """
 
     def __init__(self, policy: ScalingPolicy) -> None:
         """Know nothing of any zone."""
         self._policy = policy
         self._places: dict[ServiceZone, _Place] = {}
 
+    @property
+    def standing(self) -> dict[ServiceZone, int]:
+        """Return how many workers have stood in each zone, as far as known."""
+        return {
+            place: known.standing
+            for place, known in self._places.items()
+            if known.standing is not None
+        }
+
+    def restore(self, standing: Mapping[ServiceZone, int]) -> None:
+        """Take what a planner before this one knew."""
+        for place, count in standing.items():
+            self._places.setdefault(place, _Place()).standing = count
+
     def plan(
-        self,
-        scaling: ServiceScaling,
-        standing: Mapping[ServiceZone, int],
-        workers: Iterable[ZoneWorkers],
-        now: float,
+        self, scaling: ServiceScaling, workers: Iterable[ZoneWorkers], now: float
     ) -> tuple[WorkerCount, ...]:
         """Return the counts to order now.
 
         Args:
             scaling: What operators allow.
-            standing: How many workers stood in each zone at first.
             workers: What there is.
             now: Monotonic time.
         """
         orders: list[WorkerCount] = []
         for zone in workers:
-            stood = standing.get(zone.place)
-            if stood is None:
+            known = self._places.setdefault(zone.place, _Place())
+            _observe(known, zone.ready, now)
+            if known.standing is None:
                 continue
-            wanted = self._wanted(scaling, stood)
-            place = self._places.setdefault(zone.place, _Place(ordered=stood, ordered_at=now))
-            if now >= place.not_before and self._is_due(scaling, place, wanted, zone.ready, now):
-                place.ordered = wanted
-                place.ordered_at = now
-                place.short_since = None
+            wanted = self._wanted(scaling, known.standing)
+            if now >= known.not_before and _is_due(scaling, known, wanted, zone.ready, now):
+                known.ordered = wanted
+                known.ordered_at = now
+                known.short_since = None
                 orders.append(
                     WorkerCount(service=zone.place.service, zone=zone.place.zone, workers=wanted)
                 )
         return tuple(orders)
 
-    def _wanted(self, scaling: ServiceScaling, stood: int) -> int:
-        return min(scaling.maximum, max(scaling.minimum, ceil(self._policy.headroom * stood)))
-
-    @staticmethod
-    def _is_due(
-        scaling: ServiceScaling, place: _Place, wanted: int, ready: int, now: float
-    ) -> bool:
-        if wanted != place.ordered:
-            return True
-        if ready >= wanted:
-            place.short_since = None
-            return False
-        if place.short_since is None:
-            place.short_since = now
-        patience_seconds = scaling.boot_seconds + REPLACE_MARGIN_SECONDS
-        return now - max(place.short_since, place.ordered_at) >= patience_seconds
+    def _wanted(self, scaling: ServiceScaling, standing: int) -> int:
+        return min(scaling.maximum, ceil(self._policy.headroom * standing))
 
     def note_outcome(self, order: WorkerCount, outcome: DutyOutcome, now: float) -> None:
         """Order again later what the platform did not accept, or may not have."""
-        place = self._places.get(ServiceZone(order.service, order.zone))
-        if place is None or outcome is DutyOutcome.ACCEPTED:
+        known = self._places.get(ServiceZone(order.service, order.zone))
+        if known is None or outcome is DutyOutcome.ACCEPTED:
             return
         # An order that may have been carried out is repeated unchanged, so that it does no harm.
-        place.ordered = -1
-        place.not_before = now + RETRY_SECONDS
+        known.ordered = None
+        known.ordered_at = float("-inf")
+        known.short_since = float("-inf")
+        known.not_before = now + RETRY_SECONDS
+
+
+def _observe(known: _Place, ready: int, now: float) -> None:
+    """Take a count; the fewest of a while count as standing if that is more than before.
+
+    Workers register one after the other, and while some are replaced, old and new ones are
+    ready together: neither the first count nor the largest one tells how many there are to be.
+    """
+    if not known.seen or known.seen[-1].ready != ready:
+        known.seen.append(_Seen(at=now, ready=ready))
+    since = now - STANDING_SECONDS
+    while len(known.seen) > 1 and known.seen[1].at <= since:
+        known.seen.pop(0)
+    if known.seen[0].at <= since:
+        fewest = min(seen.ready for seen in known.seen)
+        known.standing = max(known.standing or 0, fewest)
+
+
+def _is_due(scaling: ServiceScaling, known: _Place, wanted: int, ready: int, now: float) -> bool:
+    if ready >= wanted:
+        known.short_since = None
+        return False
+    if known.short_since is None:
+        known.short_since = now
+    is_new = wanted > (known.ordered or known.standing or 0)
+    patience_seconds = scaling.boot_seconds + REPLACE_MARGIN_SECONDS
+    return is_new or now - max(known.short_since, known.ordered_at) >= patience_seconds
--- a/drumbay/scaling/records.py
+++ b/drumbay/scaling/records.py
@@ -23,7 +23,7 @@
     zone_prices: Mapping[str, float]
 
 
-class ServiceZone(msgspec.Struct, frozen=True):
+class ServiceZone(msgspec.Struct, frozen=True, order=True):
     """The workers of a service in one zone: what one order is about."""
 
     service: str
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -11,6 +11,7 @@
 from drumbay.scaling.planner import (
     REPLACE_MARGIN_SECONDS,
     RETRY_SECONDS,
+    STANDING_SECONDS,
     ScalingPolicy,
     WorkerCountPlanner,
 )
@@ -31,16 +32,34 @@
 class PlannerTest(unittest.TestCase):
     def setUp(self) -> None:
         self.planner = WorkerCountPlanner(ScalingPolicy())
-        self.standing = {NEAR: 3, FAR: 2}
+        self.planner.restore({NEAR: 3, FAR: 2})
 
     def plan(self, now: float, *, near: int = 3, far: int = 2) -> list[tuple[str, int]]:
         there = (ZoneWorkers(place=NEAR, ready=near), ZoneWorkers(place=FAR, ready=far))
-        orders = self.planner.plan(SCALING, self.standing, there, now)
+        orders = self.planner.plan(SCALING, there, now)
         return [(order.zone, order.workers) for order in orders]
 
     def test_what_stands_is_not_ordered(self) -> None:
         self.assertEqual([self.plan(float(now)) for now in range(60)], [[]] * 60)
 
+    def test_workers_that_register_one_after_the_other_are_all_counted(self) -> None:
+        self.planner = WorkerCountPlanner(ScalingPolicy())
+        for now, (near, far) in enumerate([(0, 0), (0, 1), (2, 1), (3, 2)]):
+            self.assertEqual(self.plan(float(now), near=near, far=far), [])
+        for now in range(4, 30):
+            self.assertEqual(self.plan(float(now)), [])
+        self.assertEqual(self.planner.standing, {NEAR: 3, FAR: 2})
+
+    def test_workers_that_are_being_replaced_do_not_count_twice(self) -> None:
+        for now in range(60):
+            near = 5 if 20 <= now < 20 + STANDING_SECONDS - 1 else 3
+            self.assertEqual(self.plan(float(now), near=near), [])
+        self.assertEqual(self.planner.standing[NEAR], 3)
+
+    def test_no_order_asks_for_fewer_workers_than_there_are(self) -> None:
+        self.planner.restore({NEAR: 1, FAR: 0})
+        self.assertEqual([self.plan(float(now)) for now in range(60)], [[]] * 60)
+
     def test_workers_that_stay_away_are_ordered_again(self) -> None:
         self.assertEqual(self.plan(0.0), [])
         self.assertEqual(self.plan(10.0, near=2), [])
@@ -67,6 +86,7 @@
 
     def test_counts_keep_to_what_operators_allow(self) -> None:
         self.planner = WorkerCountPlanner(ScalingPolicy(headroom=2.0))
+        self.planner.restore({NEAR: 3, FAR: 2})
         self.assertEqual(self.plan(0.0), [("near", 5), ("far", 4)])
 
 
@@ -86,7 +106,7 @@
             for node in world.nodes:
                 node.node.apply_configuration(configuration)
                 node.lead()
-            await asyncio.sleep(3.0)
+            await asyncio.sleep(12.0)
             self.assertEqual(world.duties.calls, [])
             for node in world.nodes:
                 node.directory.replace_all(world.workers.entries()[:2])
