--- a/tests/test_shared_feeds.py
+++ b/tests/test_shared_feeds.py
@@ -267,7 +267,7 @@
             self.put(world, b"1")
             await asyncio.sleep(IN_FORCE_SECONDS)
             self.check_in_force(seen, b"1")
-            # 1,117 with retries each 0.4 to 1 s; most are tries of three watchers, and relayed ones.
+            # 1,117 with retries each 0.4 to 1 s; most are tries of three watchers.
             self.assertLess(asked, 540)
 
         play(scenario, node_count=NODES)
