Let the soak ask for keys, take a key away with each configuration, and hold the duties

Cause: the soak played neither tenants nor the platform's API, so that no run of real processes under faults tried keys, reports and orders.

Change: every caller of the soak has a tenant's key; each configuration takes one key away, which is tried at every node; a stand-in of the platform's API takes reports and orders. Checks: workers are told the tenant, removed keys are refused within 2 s in calm, no window is reported with two counts, fences of the calls never fall and have one holder each. Each check has a history that breaks it in test_soak_checks.

--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -14,14 +14,18 @@
     ConfigurationProbe,
     History,
     ProcessExit,
+    RemovedKeyProbe,
 )
 from drumbay_soak.main import read_regressions
 from drumbay_soak.proxy import FaultyProxy, ProxyMode
 
 from drumbay.batches.records import ItemId, ItemResult, ResultState, Reward
 from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.duties.interface import DutyToken, UsageReport
 from drumbay.identifiers import BackendId, Fence, WeightVersion
+from drumbay.standins.platform_duties import LoggedCall
 from drumbay.standins.worker_pool import LoggedOrder, LoggedRun
+from drumbay.tenants.records import TenantName
 from drumbay.workers.records import LoadMode, LoadOrder, OrderOutcome
 
 LIMIT_SECONDS = 30.0
@@ -226,6 +230,53 @@
         history.probes[1] = self.probe(1.4, is_served=False, boot=2)
         self.assertEqual(check(history), ())
 
+    def test_a_worker_that_is_told_another_tenant(self) -> None:
+        history = self.history()
+        history.tenant = TenantName("t")
+        told, untold, reward = run("a"), run("b"), run("score-i")
+        told.tenant = history.tenant
+        history.runs = [told]
+        self.assertEqual(check(history), ())
+        history.runs = [told, untold]
+        self.check_broken(history, "tenants_are_told")
+        scored = batch(final=())
+        scored.accepted_at = None
+        scored.reward_ids = {"i": "score-i"}
+        history.runs, history.batches = [told, reward], [scored]
+        self.assertEqual(check(history), ())
+
+    def test_a_removed_key_that_is_still_taken(self) -> None:
+        history = self.history()
+        history.configurations = [AcceptedConfiguration(version=2, accepted_at=STARTED_AT)]
+        for at, status, is_broken in ((1.9, 200, False), (2.1, 200, True), (2.1, 401, False)):
+            history.removed_keys = [
+                RemovedKeyProbe(node=0, version=2, sent_at=STARTED_AT + at, status=status)
+            ]
+            expected = ["removed_keys_are_refused"] if is_broken else []
+            self.assertEqual([found.promise for found in check(history)], expected)
+
+    @staticmethod
+    def duty_call(holder: str, fence: int, count: int = 1) -> LoggedCall:
+        report = UsageReport(window=7, counts={TenantName("t"): count})
+        token = DutyToken(holder=holder, fence=Fence(fence))
+        return LoggedCall(at=STARTED_AT, token=token, report=report)
+
+    def test_a_window_that_is_reported_with_two_counts(self) -> None:
+        history = self.history()
+        history.duty_calls = [self.duty_call("n1", 5), self.duty_call("n1", 5)]
+        self.assertEqual(check(history), ())
+        history.duty_calls.append(self.duty_call("n1", 5, count=2))
+        self.check_broken(history, "one_report_a_window")
+
+    def test_two_holders_of_a_duty(self) -> None:
+        history = self.history()
+        history.duty_calls = [self.duty_call("n1", 5), self.duty_call("n2", 6)]
+        self.assertEqual(check(history), ())
+        history.duty_calls.append(self.duty_call("n1", 5))
+        self.check_broken(history, "duties_in_turn")
+        history.duty_calls = [self.duty_call("n1", 5), self.duty_call("n2", 5)]
+        self.check_broken(history, "duties_in_turn")
+
     def test_two_holders(self) -> None:
         history = self.history()
         history.orders = [order("n1", 5, 0.0), order("n2", 9, 1.0)]
