--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -133,7 +133,9 @@
                 if STREAM in (await self.deployment.status(name)).owned:
                     return name
             await asyncio.sleep(0.1)
-        raise NotReachedError(f"none of {among} owns the stream")
+        # The folder with the logs goes with the test: without them a failure cannot be traced.
+        logs = "\n".join(f"{name}:\n{self.deployment.log_text(name)[-4000:]}" for name in NODES)
+        raise NotReachedError(f"none of {among} owns the stream\n{logs}")
 
     async def submit_step(self, node: str) -> None:
         prompts = tuple(
