Let items of many events leave workers that are slower by a fifth, once

Cause: a third of the workers of the shifted deployment are slower by 1.3, and a step takes as long as its longest item, of 145 events.

Change: an item that is expected to be long, or has made 25 events, may leave a worker slower than the median by 1.2 for a clearly faster one, once.

Tests: the assertion that a long item stays with a worker slower by 1.67 held the old decision and is replaced: at 1.33 long items leave after 3 events and others after 25, at 1.17 none does, and none does so twice; a usual item still stays at 1.67. The new test fails without the change.

--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -53,6 +53,10 @@
 """A move costs about as much as some events: an item that was not expected to be long is moved once
 it has made so many that it is likely to have many more."""
 
+EVENTS_OF_A_LONG_ITEM = 25
+"""An item that has made so many is taken for a long one, whatever was expected: lengths have a long
+tail, and expectations are often far off."""
+
 
 class StopReason(StrEnum):
     """Why a run is stopped."""
@@ -454,8 +458,12 @@
             return False
         is_long = self._order.is_long(run.item)
         needed = EVENTS_BEFORE_A_LONG_ITEM_MOVES if is_long else EVENTS_BEFORE_ANOTHER_ITEM_MOVES
-        if run.events_here < needed or not choice.is_slow(run.worker_id):
+        if run.events_here < needed:
             return False
+        if not choice.is_slow(run.worker_id):
+            is_decisive = is_long or len(run.texts) >= EVENTS_OF_A_LONG_ITEM
+            if run.moves or not is_decisive or not choice.is_slower(run.worker_id):
+                return False
         return choice.reserve_faster(run.worker_id)
 
 
--- a/drumbay/batches/worker_choice.py
+++ b/drumbay/batches/worker_choice.py
@@ -11,6 +11,10 @@
 SLOW_FACTOR = 2.2
 """A worker whose events come this many times later than the median worker's is slow."""
 
+SLOWER_FACTOR = 1.2
+"""A worker whose events come this many times later than the median worker's delays an item of many
+events by more than a move does. Paces of like workers differ by a few hundredths."""
+
 FASTER_FACTOR = 0.8
 """Moving to a worker pays if its events come within this share of the time."""
 
@@ -101,6 +105,11 @@
         recent = self._recent_paces.get(worker_id)
         return recent is not None and recent > SLOW_FACTOR * self._median
 
+    def is_slower(self, worker_id: BackendId) -> bool:
+        """Return whether a worker lately was slower than most are by more than they differ."""
+        recent = self._recent_paces.get(worker_id)
+        return recent is not None and recent > SLOWER_FACTOR * self._median
+
     def reserve_faster(self, worker_id: BackendId) -> bool:
         """Set aside a place on a clearly faster worker; return whether there is one."""
         limit = FASTER_FACTOR * self._paces.get(worker_id, self._median)
