--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -38,6 +38,19 @@
 )
 
 
+def lookup(name: str, tenant: TenantName) -> ClientRequest:
+    return ClientRequest(
+        request_id=name,
+        method="GET",
+        target="/",
+        host="h",
+        headers=(),
+        body=b"",
+        budget_seconds=1.5,
+        tenant=tenant,
+    )
+
+
 class SteppedClock:
     """Time that a test sets."""
 
@@ -172,17 +185,8 @@
         await asyncio.sleep(1.0)
 
     async def look_up(self, world: ServingWorld, node: WorldNode, name: str) -> None:
-        request = ClientRequest(
-            request_id=name,
-            method="GET",
-            target="/",
-            host="h",
-            headers=(),
-            body=b"",
-            budget_seconds=1.5,
-            tenant=NORTH if len(world.workers.runs) % 2 else SOUTH,
-        )
-        await node.node.forwarder.forward(ROUTE, request)
+        tenant = NORTH if len(world.workers.runs) % 2 else SOUTH
+        await node.node.forwarder.forward(ROUTE, lookup(name, tenant))
 
     async def load(self, world: ServingWorld, seconds: float) -> None:
         """Let the nodes that are up serve a lookup each half second."""
@@ -348,19 +352,7 @@
             node.directory.replace_all(world.workers.entries())
             counter = node.node.forwarder._usage
             with self.assertRaises(ForwardingError):
-                await node.node.forwarder.forward(
-                    ROUTE,
-                    ClientRequest(
-                        request_id="r",
-                        method="GET",
-                        target="/",
-                        host="h",
-                        headers=(),
-                        body=b"",
-                        budget_seconds=1.5,
-                        tenant=NORTH,
-                    ),
-                )
+                await node.node.forwarder.forward(ROUTE, lookup("r", NORTH))
             self.assertEqual(counter.report().windows, ())
 
         play(scenario, usage=UsageSettings())
