--- a/drumbay/batches/records.py
+++ b/drumbay/batches/records.py
@@ -66,8 +66,8 @@
 
     ``queue_limit_seconds`` is how long after the submission an item may be given up.
     ``one_version_only`` asks that one weight version makes all of an item's text.
-    ``tenant`` is the one whose key submitted it: its items run for him, whatever becomes of
-    the key. ``None`` where no keys are asked for.
+    ``tenant`` is the one whose key submitted it: its items run for that tenant, whatever
+    becomes of the key. ``None`` where no keys are asked for.
     """
 
     batch_id: BatchId
--- a/drumbay/tenants/access.py
+++ b/drumbay/tenants/access.py
@@ -6,7 +6,7 @@
 from drumbay.tenants.records import KeyTable, TenantName
 
 OUTDATED_RETRY_SECONDS = 0.3
-"""When a caller may come back whose key is not known at a node that is behind: his next try reaches
+"""When a caller may come back whose key is not known at a node that is behind: the next try reaches
 another node, which needs no time."""
 
 
--- a/drumbay/tenants/records.py
+++ b/drumbay/tenants/records.py
@@ -18,7 +18,7 @@
 
 
 class Tenant(msgspec.Struct, frozen=True, kw_only=True):
-    """One tenant and the keys that are his in one configuration."""
+    """One tenant and its keys in one configuration."""
 
     name: TenantName
     key_digests: tuple[KeyDigest, ...]
