--- a/tests/test_shared_feeds.py
+++ b/tests/test_shared_feeds.py
@@ -272,6 +272,26 @@
 
         play(scenario, node_count=NODES)
 
+    def test_nodes_that_restart_in_an_outage_are_there_at_its_end(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            await self.start(world)
+            world.model.set_faults(KeyValueFaults(outage=True))
+            for node in list(world.nodes):
+                await node.kill()
+            world.nodes = [WorldNode(world, number, 1) for number in range(1, NODES + 1)]
+            seen = [Seen() for _ in world.nodes]
+            for node, found in zip(world.nodes, seen, strict=True):
+                node.node.start((found.feed(),))
+            await asyncio.sleep(10.0)
+            world.model.set_faults(KeyValueFaults())
+            self.put(world, b"1")
+            await asyncio.sleep(1.5)
+            self.check_in_force(seen, b"1")
+            now = world.clock.monotonic()
+            self.assertTrue(any(node.leader.fence(now) for node in world.nodes))
+
+        play(scenario, node_count=NODES, workers_check_fences=True)
+
 
 if __name__ == "__main__":
     unittest.main()
