--- a/drumbay/batches/worker_choice.py
+++ b/drumbay/batches/worker_choice.py
@@ -13,9 +13,9 @@
 
 SLOWER_FACTOR = 1.2
 """A worker whose events come this many times later than the median worker's delays an item of many
-events by more than a move does. Paces of like workers differ by a few hundredths; a step whose longest
-item of 145 events stays with a worker slower by 1.3 is whole after 9.4 s in place of 7.2 s (steps of
-one day with three trainers)."""
+events by more than a move does. Paces of like workers differ by a few hundredths; a step whose
+longest item of 145 events stays with a worker slower by 1.3 is whole after 9.4 s in place of 7.2 s
+(steps of one day with three trainers)."""
 
 FASTER_FACTOR = 0.8
 """Moving to a worker pays if its events come within this share of the time."""
