Tell nodes of loads and owners in one call a node at a time

Ruled out: fewer loads at once (a version would be everywhere later); kept connections of owners (2,379 at 30 machines with 59 MB: 12 KB each, so that 3,925 at 300 machines are under 50 MB).

Change: what is to be told to a node waits while a call to it is under way and goes along with the next one, bounded to 4,096 notices a node.

Test: test_notices; 1,000 notices to 5 nodes cost 5 calls (5,000 before, by the code).

--- a/drumbay/peers/messages.py
+++ b/drumbay/peers/messages.py
@@ -146,6 +146,12 @@
     holder: str
 
 
+class Notices(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """All that a node has to tell another one by now."""
+
+    notices: tuple[LoadingNotice | OwnerNotice, ...]
+
+
 class CollectUsage(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Ask a node for what it and its followers have counted."""
 
@@ -232,9 +238,7 @@
 BatchRequest = OwnerRequest | TakePartialTexts
 StoreRequest = RelayRange | RelayTransaction | RelayKeepAlive | RelayGrant
 UsageRequest = CollectUsage | UsageNotice
-PeerRequest = (
-    BatchRequest | StoreRequest | UsageRequest | FollowFeeds | LoadingNotice | OwnerNotice | Ping
-)
+PeerRequest = BatchRequest | StoreRequest | UsageRequest | FollowFeeds | Notices | Ping
 PeerReply = (
     PageReply
     | PartialTextsReply
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -6,7 +6,6 @@
 
 import random
 from collections.abc import Awaitable, Callable, Iterable
-from contextlib import suppress
 
 import msgspec
 
@@ -15,7 +14,6 @@
 from drumbay.batches.reward_scorer import RewardScorer
 from drumbay.batches.service import BatchService
 from drumbay.clock import Clock
-from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.duties.interface import PlatformDuties
 from drumbay.forwarding.forwarder import Forwarder
 from drumbay.forwarding.routes import RouteTable, RoutingConfiguration
@@ -31,6 +29,7 @@
     DoneReply,
     FollowFeeds,
     LoadingNotice,
+    Notices,
     OwnerNotice,
     PeerReply,
     PeerRequest,
@@ -42,8 +41,9 @@
     UsageNotice,
     UsageReply,
 )
+from drumbay.peers.notices import NoticeQueues
 from drumbay.peers.store_relay import RelayingStore, StoreRelayServer
-from drumbay.peers.transport import PeerClient, PeerUnavailableError
+from drumbay.peers.transport import PeerClient
 from drumbay.scaling.keeper import WorkerCountKeeper
 from drumbay.tasks import TaskOwner
 from drumbay.tenants.access import admit
@@ -57,7 +57,6 @@
 UNFINISHED_CHECK_SECONDS = 0.1
 KNOWLEDGE_CHECK_SECONDS = 0.05
 """A starting node looks so often whether it knows the workers; that takes tenths of a second."""
-NOTICE_TIMEOUT_SECONDS = 0.3
 
 LAPSE_SECONDS = 2.0
 """After changes went unseen for so long, entries may be missing because they lapsed."""
@@ -125,6 +124,7 @@
         self._environment = environment
         clock = environment.clock
         self._tasks = TaskOwner()
+        self._notices = NoticeQueues(environment.peers, self._tasks)
         self.metrics = ServingMetrics()
         address = settings.identity.address
         self._usage = UsageService(clock, settings.usage, settings.identity)
@@ -348,12 +348,14 @@
         self._tell_all(notice)
 
     def _tell_all(self, notice: LoadingNotice | OwnerNotice) -> None:
-        for address in self._peer_directory.responsive():
-            self._tasks.spawn(self._tell(address, notice), "notice")
+        self._notices.tell(self._peer_directory.responsive(), notice)
 
-    async def _tell(self, address: NetworkAddress, notice: LoadingNotice | OwnerNotice) -> None:
-        with suppress(PeerUnavailableError):
-            await self._environment.peers.call(address, notice, NOTICE_TIMEOUT_SECONDS)
+    def _take_notices(self, notices: Iterable[LoadingNotice | OwnerNotice]) -> None:
+        for notice in notices:
+            if isinstance(notice, OwnerNotice):
+                self.batches.note_owner(notice)
+            else:
+                self._note_loading(notice)
 
     def _note_loading(self, notice: LoadingNotice) -> None:
         self._coordinator.note_order(notice)
@@ -373,11 +375,8 @@
             case UsageNotice():
                 self._usage.take(request.usage)
                 return DoneReply()
-            case OwnerNotice():
-                self.batches.note_owner(request)
-                return DoneReply()
-            case LoadingNotice():
-                self._note_loading(request)
+            case Notices():
+                self._take_notices(request.notices)
                 return DoneReply()
             case RelayRange() | RelayTransaction() | RelayKeepAlive() | RelayGrant():
                 return await self._relay_server.handle(request)
--- /dev/null
+++ b/tests/test_notices.py
@@ -0,0 +1,93 @@
+"""Notices to other nodes: few calls for many notices, in order, whatever a slow node does."""
+
+import asyncio
+import unittest
+
+from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.identifiers import BackendId, WeightVersion
+from drumbay.peers.messages import DoneReply, LoadingNotice, Notices, PeerReply, PeerRequest
+from drumbay.peers.notices import LONGEST_QUEUE, NoticeQueues
+from drumbay.peers.transport import PeerUnavailableError
+from drumbay.simulation.virtual_time import run_simulation
+from drumbay.tasks import TaskOwner
+from tests.serving_world import ServingWorld, play
+
+NODES = tuple(NetworkAddress(f"10.0.0.{number}", 7000) for number in range(5))
+SLOW = NODES[0]
+
+
+def loading(number: int) -> LoadingNotice:
+    return LoadingNotice(
+        worker_id=BackendId(f"w{number}"),
+        model="m",
+        version=WeightVersion(2),
+        seconds=0.9,
+        holder="n",
+    )
+
+
+class RecordingPeers:
+    """Notes what each node is told; one node answers nothing."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+        self.told: dict[NetworkAddress, list[str]] = {}
+
+    async def call(
+        self, address: NetworkAddress, request: PeerRequest, timeout_seconds: float
+    ) -> PeerReply:
+        assert isinstance(request, Notices)
+        self.calls += 1
+        if address == SLOW:
+            await asyncio.sleep(timeout_seconds)
+            raise PeerUnavailableError(str(address))
+        await asyncio.sleep(0.001)
+        told = self.told.setdefault(address, [])
+        told += [n.worker_id for n in request.notices if isinstance(n, LoadingNotice)]
+        return DoneReply()
+
+
+class NoticeQueuesTest(unittest.TestCase):
+    def tell(self, count: int) -> RecordingPeers:
+        async def main() -> RecordingPeers:
+            peers, tasks = RecordingPeers(), TaskOwner()
+            queues = NoticeQueues(peers, tasks)
+            for number in range(count):
+                queues.tell(NODES, loading(number))
+            await asyncio.sleep(2.0)
+            await tasks.close()
+            return peers
+
+        return run_simulation(main)
+
+    def test_notices_that_come_together_cost_a_call_a_node(self) -> None:
+        peers = self.tell(1_000)
+        self.assertEqual(peers.calls, len(NODES))
+        expected = [f"w{number}" for number in range(1_000)]
+        self.assertEqual(peers.told, dict.fromkeys(NODES[1:], expected))
+
+    def test_the_oldest_are_dropped_for_a_node_that_is_too_slow(self) -> None:
+        peers = self.tell(LONGEST_QUEUE + 10)
+        self.assertEqual(peers.told[NODES[1]][0], "w10")
+        self.assertEqual(len(peers.told[NODES[1]]), LONGEST_QUEUE)
+
+    def test_every_node_hears_of_the_loads_of_the_leader(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            for node in world.nodes:
+                node.lead()
+            await asyncio.sleep(1.0)
+            for node in world.nodes:
+                node.named.name("m", WeightVersion(2))
+            await asyncio.sleep(0.5)
+            loads = [
+                sorted(r.worker.worker_id for r in n.directory.all_records().values() if r.loads)
+                for n in world.nodes
+            ]
+            self.assertTrue(loads[0])
+            self.assertEqual(loads, [loads[0]] * len(loads))
+
+        play(scenario, node_count=4, worker_count=6, workers_check_fences=True)
+
+
+if __name__ == "__main__":
+    unittest.main()
