--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -5,7 +5,13 @@
 
 import msgspec
 from drumbay_soak.checks import check
-from drumbay_soak.fault_plan import QUIET_END_SECONDS, Fault, FaultKind, draw_faults
+from drumbay_soak.fault_plan import (
+    QUIET_END_SECONDS,
+    Fault,
+    FaultKind,
+    FaultSchedule,
+    draw_faults,
+)
 from drumbay_soak.history import (
     AcceptedConfiguration,
     BatchHistory,
@@ -294,6 +300,47 @@
         killed = msg_replace(history, (fault(FaultKind.NODE_KILLED, 0.5),))
         self.assertEqual(check(killed), ())
 
+    def test_a_request_that_crosses_the_end_of_a_kept_connection_is_not_cut_off(self) -> None:
+        history = self.history(fault(FaultKind.NODE_STOPPED, 10.0))
+        times = {"sent_at": STARTED_AT + 11.0, "ended_at": STARTED_AT + 11.1}
+        history.calls = [call("a", None, is_reused=True, **times)]
+        self.assertEqual(check(history), ())
+        history.runs = [run("a", 11.05)]
+        self.check_broken(history, "stop_cuts_nothing")
+        history.runs = []
+        history.calls = [call("a", None, is_reused=True, **times | {"sent_at": STARTED_AT + 10.5})]
+        self.check_broken(history, "stop_cuts_nothing")
+
+    def test_lookups_that_are_lost_while_connections_are_silent(self) -> None:
+        history = self.history(fault(FaultKind.CONNECTIONS_SILENT, 0.5))
+        history.calls = [call(str(n), may_repeat=True) for n in range(100)]
+        self.assertEqual(check(history), ())
+        for lost in history.calls[:2]:
+            lost.status = 504
+        self.check_broken(history, "lookups_are_served")
+        history.faults = (fault(FaultKind.WORKER_FULL, 0.5),)
+        self.assertEqual(check(history), ())
+
+    def test_lookups_that_are_late(self) -> None:
+        history = self.history()
+        history.calls = [call(str(n), may_repeat=True) for n in range(100)]
+        for late in history.calls[:4]:
+            late.ended_at = late.sent_at + 1.5
+        self.check_broken(history, "lookups_are_served")
+
+    def test_a_step_that_is_late_while_connections_are_silent(self) -> None:
+        found = batch(read(result()), final=(result(),))
+        found.ended_at = STARTED_AT + 12.0
+        history = self.history(fault(FaultKind.CONNECTIONS_SILENT, 0.5))
+        history.runs = [run("i")]
+        history.texts = {"i": "text"}
+        history.batches = [found]
+        self.check_broken(history, "steps_are_whole_in_time")
+        found.whole_at = STARTED_AT + 7.0
+        self.check_broken(history, "steps_are_whole_in_time")
+        found.whole_at = STARTED_AT + 2.0
+        self.assertEqual(check(history), ())
+
     def test_a_process_that_ends_by_itself(self) -> None:
         history = self.history()
         history.exits = [ProcessExit(node=1, at=STARTED_AT, code=1)]
@@ -314,7 +361,9 @@
 class PlanTest(unittest.TestCase):
     def test_a_seed_always_draws_the_same_faults(self) -> None:
         def draw(seed: int) -> tuple[Fault, ...]:
-            return draw_faults(seed, length_seconds=120.0, node_count=4, worker_count=9)
+            return draw_faults(
+                seed, FaultSchedule(length_seconds=120.0, node_count=4, worker_count=9)
+            )
 
         self.assertEqual(draw(5), draw(5))
         self.assertNotEqual(draw(5), draw(6))
@@ -379,6 +428,19 @@
         self.proxy.set_mode(ProxyMode.PASS)
         self.assertEqual(await waiting, b"x")
 
+    async def test_open_connections_fall_silent_for_good_and_new_ones_work(self) -> None:
+        reader, writer = await self.open()
+        writer.write(b"x")
+        async with asyncio.timeout(LIMIT_SECONDS):
+            self.assertEqual(await reader.read(1), b"x")
+            self.received.get_nowait()
+            self.proxy.silence_open()
+            writer.write(b"y")
+            for _ in range(3):
+                self.assertEqual(await self.exchange(), b"x")
+                self.assertEqual(self.received.get_nowait(), b"x")
+        self.assertTrue(self.received.empty())
+
     async def test_one_way_lets_requests_pass_and_holds_answers(self) -> None:
         self.proxy.set_mode(ProxyMode.ONE_WAY)
         waiting = asyncio.create_task(self.exchange())
