Log connections that say nothing, pauses of workers, and how long a watch was unheard

Cause: the logs could not tell the incident's hypotheses apart. Nothing said that a connection was given up without a byte, how old it was, that a worker was paused and why, or how long ago a watch that is lost was last heard.

Change: every connection to workers and to the store is remembered with the times at which it was opened, asked and last heard (drumbay/comm/open_connections.py). connection_silent and worker_paused are logged and counted (drumbay_serving_silent_connections_total, drumbay_serving_worker_pauses_total); store_lost says unheard_seconds. No decision changes.

--- a/drumbay/comm/http_exchange.py
+++ b/drumbay/comm/http_exchange.py
@@ -22,6 +22,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from drumbay.clock import Clock
+from drumbay.comm.open_connections import OpenConnection, OpenConnections
 from drumbay.exceptions import UnavailableError
 
 MAXIMUM_HEADER_BYTES = 65_536
@@ -90,8 +91,9 @@
 class _AnswerDelegate(HTTPMessageDelegate):
     """Collects what arrives and wakes the one reader."""
 
-    def __init__(self, stream: IOStream) -> None:
+    def __init__(self, stream: IOStream, connection: OpenConnection | None) -> None:
         self.stream = stream
+        self.connection = connection
         self.status: int | None = None
         self.headers = HTTPHeaders()
         self.chunks: deque[bytes] = deque()
@@ -102,15 +104,21 @@
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
+        self._note_heard()
         if isinstance(start_line, ResponseStartLine) and start_line.code >= 200:
             self.status = start_line.code
             self.headers = headers
             self.wake()
 
     def data_received(self, chunk: bytes) -> None:
+        self._note_heard()
         self.chunks.append(chunk)
         self.wake()
 
+    def _note_heard(self) -> None:
+        if self.connection is not None:
+            self.connection.note_heard()
+
     def finish(self) -> None:
         # NOTE: a body without a length ends with its connection; tornado then reports the end
         # also after a reset, which must not look complete.
@@ -118,6 +126,8 @@
             self.broken = True
         else:
             self.complete = True
+            if self.connection is not None:
+                self.connection.note_answered()
         self.wake()
 
     def on_connection_close(self) -> None:
@@ -138,6 +148,7 @@
 
     stream: IOStream
     usable_until: float
+    connection: OpenConnection | None
 
     def is_clean(self, now: float) -> bool:
         """Return whether the connection is open and has received nothing since its answer."""
@@ -159,19 +170,20 @@
 class ConnectionPool:
     """Idle connections by address; the one used last is used first."""
 
-    def __init__(self, clock: Clock) -> None:
-        """Create an empty pool."""
+    def __init__(self, clock: Clock, connections: OpenConnections | None = None) -> None:
+        """Create an empty pool; ``connections`` remembers those that are opened for it."""
+        self.connections = connections
         self._clock = clock
         self._idle: dict[NetworkAddress, list[_IdleConnection]] = {}
 
-    def take(self, address: NetworkAddress) -> IOStream | None:
+    def take(self, address: NetworkAddress) -> _IdleConnection | None:
         """Return a clean idle connection, if there is one; close those that are not."""
         now = self._clock.monotonic()
         connections = self._idle.get(address, [])
         while connections:
             connection = connections.pop()
             if connection.is_clean(now):
-                return connection.stream
+                return connection
             connection.stream.close()
         self._idle.pop(address, None)
         return None
@@ -184,13 +196,19 @@
             for connection in self._idle.get(address, [])
         )
 
-    def put(self, address: NetworkAddress, stream: IOStream, idle_seconds: float) -> None:
+    def put(
+        self,
+        address: NetworkAddress,
+        stream: IOStream,
+        idle_seconds: float,
+        connection: OpenConnection | None = None,
+    ) -> None:
         """Keep a connection whose answer is whole."""
         connections = self._idle.setdefault(address, [])
         if len(connections) >= MAXIMUM_IDLE_PER_ADDRESS:
             connections.pop(0).stream.close()
         until = self._clock.monotonic() + idle_seconds
-        connections.append(_IdleConnection(stream, until))
+        connections.append(_IdleConnection(stream, until, connection))
 
     def close(self) -> None:
         """Close every idle connection."""
@@ -209,14 +227,19 @@
     """
 
     def __init__(
-        self, stream: IOStream, address: NetworkAddress, pool: ConnectionPool | None
+        self,
+        stream: IOStream,
+        address: NetworkAddress,
+        pool: ConnectionPool | None,
+        connection: OpenConnection | None,
     ) -> None:
         """Take over a connected stream."""
+        self._opened = connection
         self.is_reused = False
         self._stream = stream
         self._address = address
         self._pool = pool
-        self._delegate = _AnswerDelegate(stream)
+        self._delegate = _AnswerDelegate(stream, connection)
         parameters = HTTP1ConnectionParameters(
             no_keep_alive=pool is None,
             max_header_size=MAXIMUM_HEADER_BYTES,
@@ -233,16 +256,19 @@
         request: HttpRequest,
         connect_timeout_seconds: float,
         pool: ConnectionPool | None = None,
+        connections: OpenConnections | None = None,
     ) -> "HttpExchange":
         """Send a request on a connection of ``pool``, or on a new one.
 
+        A new one is remembered by the pool's ``connections``, without a pool by those passed in.
+
         Raises:
             ExchangeRefusedError: Nobody listens at the address.
             ExchangeNotSentError: No connection came up in time.
         """
         idle = pool.take(address) if pool is not None else None
         if idle is not None:
-            exchange = cls(idle, address, pool)
+            exchange = cls(idle.stream, address, pool, idle.connection)
             exchange.is_reused = True
             exchange._send(request)
             return exchange
@@ -258,7 +284,9 @@
         except asyncio.CancelledError:
             stream.close()
             raise
-        exchange = cls(stream, address, pool)
+        registry = pool.connections if pool is not None else connections
+        opened = registry.add(stream, str(address)) if registry is not None else None
+        exchange = cls(stream, address, pool, opened)
         exchange._send(request)
         return exchange
 
@@ -269,6 +297,8 @@
         headers["Content-Length"] = str(len(request.body))
         if self._pool is None:
             headers["Connection"] = "close"
+        if self._opened is not None:
+            self._opened.note_asked()
         start_line = RequestStartLine(request.method, request.target, "HTTP/1.1")
         sent = self._connection.write_headers(start_line, headers, request.body or None)
         sent.add_done_callback(_take_exception)
@@ -340,7 +370,7 @@
             return
         if self._reader is not None:
             await self._reader
-        self._pool.put(self._address, self._stream, self._idle_seconds())
+        self._pool.put(self._address, self._stream, self._idle_seconds(), self._opened)
 
     def _may_stay_open(self) -> bool:
         headers = self._delegate.headers
@@ -353,8 +383,13 @@
             return DEFAULT_IDLE_SECONDS
         return max(0.0, float(found.group(1)) - IDLE_MARGIN_SECONDS)
 
-    def close(self) -> None:
-        """Close the connection; the server drops what it still works on."""
+    def close(self, expected_seconds: float = 0.0) -> None:
+        """Close the connection; the server drops what it still works on.
+
+        ``expected_seconds`` is how long the server was allowed to say nothing.
+        """
+        if self._opened is not None:
+            self._opened.note_given_up(expected_seconds)
         if self._reader is not None:
             self._reader.cancel()
         self._stream.close()
--- a/drumbay/kv/follower.py
+++ b/drumbay/kv/follower.py
@@ -50,6 +50,7 @@
         self._needs_snapshot = mirror.revision is None
         self._unseen_since: float | None = None
         self._lost_at: float | None = None
+        self._heard_at = clock.monotonic()
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -77,12 +78,14 @@
         if self._needs_snapshot:
             found = await self._store.range_prefix(mirror.feed.prefix)
             mirror.take_snapshot(found, self._unseen_seconds())
+            self._heard_at = self._clock.monotonic()
             self._needs_snapshot = False
             self._unseen_since = None
         mirror.is_connected = True
         start = Revision((mirror.revision or 0) + 1)
         async for batch in self._store.watch_prefix(mirror.feed.prefix, start):
             self._backoff.reset()
+            self._heard_at = self._clock.monotonic()
             self._note_regained()
             mirror.take_batch(batch)
             if batch.events:
@@ -107,6 +110,7 @@
             prefix=self._mirror.feed.prefix,
             revision=self._mirror.revision,
             error=error,
+            unheard_seconds=round(now - self._heard_at, 3),
         )
 
     def _note_regained(self) -> None:
--- a/drumbay/observability/serving_metrics.py
+++ b/drumbay/observability/serving_metrics.py
@@ -87,6 +87,25 @@
             registry=self._registry,
         )
 
+        self._silent_connections = Counter(
+            "drumbay_serving_silent_connections",
+            "Connections that were given up without a word from the peer.",
+            registry=self._registry,
+        )
+        self._worker_pauses = Counter(
+            "drumbay_serving_worker_pauses",
+            "Pauses of workers after failures in a row.",
+            registry=self._registry,
+        )
+
+    def count_silent_connection(self) -> None:
+        """Count a connection that was given up without a word from the peer."""
+        self._silent_connections.inc()
+
+    def count_worker_pause(self) -> None:
+        """Count a pause of a worker after a failure."""
+        self._worker_pauses.inc()
+
     def count_refused_key(self, reason: str) -> None:
         """Count a request whose key was missing, not known, or could not be judged here."""
         self._refused_keys.labels(reason).inc()
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -14,6 +14,7 @@
 from drumbay.batches.reward_scorer import RewardScorer
 from drumbay.batches.service import BatchService
 from drumbay.clock import Clock
+from drumbay.comm.open_connections import OpenConnections
 from drumbay.duties.interface import PlatformDuties
 from drumbay.forwarding.forwarder import Forwarder
 from drumbay.forwarding.routes import RouteTable, RoutingConfiguration
@@ -105,7 +106,11 @@
 
 
 class ServingEnvironment(msgspec.Struct, frozen=True, kw_only=True):
-    """What a serving node uses; ``duties`` is ``None`` where the platform has none for it."""
+    """What a serving node uses.
+
+    ``duties`` is ``None`` where the platform has none for it; ``connections`` are those that the
+    clients passed in have opened, ``None`` where these open none.
+    """
 
     clock: Clock
     store: KeyValueStore
@@ -113,6 +118,7 @@
     peers: PeerClient
     generator: random.Random
     duties: PlatformDuties | None = None
+    connections: OpenConnections | None = None
 
 
 class ServingNode:
@@ -152,6 +158,9 @@
             self._usage.own_report,
         )
         self.directory = WorkerDirectory()
+        self.directory.count_pauses_with(self.metrics.count_worker_pause)
+        if environment.connections is not None:
+            environment.connections.count_silent_with(self.metrics.count_silent_connection)
         self.routes = RouteTable()
         self.named_versions = NamedVersions()
         self.forwarder = Forwarder(
--- a/drumbay/workers/directory.py
+++ b/drumbay/workers/directory.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from drumbay.identifiers import BackendId, WeightVersion
+from drumbay.observability.logs import log_event
 from drumbay.workers.pace import PaceEstimate
 from drumbay.workers.records import Worker, WorkerLoad, WorkerState
 
@@ -105,12 +106,17 @@
         """Create an empty directory."""
         self._records: dict[BackendId, WorkerRecord] = {}
         self._listeners: list[Callable[[], None]] = []
+        self._on_pause: Callable[[], None] = lambda: None
         self.loaded = False
 
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after each change of the set of workers."""
         self._listeners.append(listener)
 
+    def count_pauses_with(self, on_pause: Callable[[], None]) -> None:
+        """Call ``on_pause`` for each pause after a failure."""
+        self._on_pause = on_pause
+
     def replace_all(
         self, workers: Iterable[Worker], missing_until: float | None = None
     ) -> tuple[BackendId, ...]:
@@ -262,6 +268,14 @@
         pause_seconds = min(LONGEST_PAUSE_SECONDS, FAILURE_PAUSE_SECONDS * 2**record.failures)
         record.failures = min(record.failures + 1, 8)
         record.paused_until = now + pause_seconds
+        self._on_pause()
+        log_event(
+            "worker_paused",
+            level="WARNING",
+            worker=worker_id,
+            failures=record.failures,
+            pause_seconds=pause_seconds,
+        )
 
     def pause(self, worker_id: BackendId, now: float, seconds: float) -> None:
         """Send a worker nothing for a while, without counting a failure."""
--- a/tests/test_operations_document.py
+++ b/tests/test_operations_document.py
@@ -87,6 +87,8 @@
                 "loads",
                 "duties",
                 "refused_keys",
+                "silent_connections",
+                "worker_pauses",
             )
         }
         self.assertEqual(documented, {f"{name}_total" for name in counters})
