Tell that a watch is alive from its own answers, and replace what fell silent with it

Cause: a waiting watch counted as alive as long as the heartbeat was answered, over a connection of its own. While open connections were silent every node missed versions, configurations and workers for up to 20 s, and still took its configuration for fresh, so that 404 and 401, which are final, were given on knowledge that was outdated, and steps waited for weights that nobody loaded.

Change: a watch promises an answer each quiet_seconds, 0.4 of the time in which a configuration must be in force; one that is overdue by 0.6 s is dead, whatever other connections say. Where the service answers at once after a dead watch, open connections have fallen silent: those that nobody has heard since are closed if their holder goes on over a new one by itself (idle ones, questions that may be asked again, other watches). Heartbeats of watchers with followers go back to one a second, as they do not tell ages any more. An etcd watch, which is one endless answer, ends after 6 s of kernel probes in place of 45 and more.

--- a/drumbay/comm/http_exchange.py
+++ b/drumbay/comm/http_exchange.py
@@ -105,6 +105,8 @@
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
         self._note_heard()
+        if self.connection is not None:
+            self.connection.is_replaceable = False
         if isinstance(start_line, ResponseStartLine) and start_line.code >= 200:
             self.status = start_line.code
             self.headers = headers
@@ -209,6 +211,8 @@
             connections.pop(0).stream.close()
         until = self._clock.monotonic() + idle_seconds
         connections.append(_IdleConnection(stream, until, connection))
+        if connection is not None:
+            connection.is_replaceable = True
 
     def close(self) -> None:
         """Close every idle connection."""
@@ -271,6 +275,8 @@
             exchange = cls(idle.stream, address, pool, idle.connection)
             exchange.is_reused = True
             exchange._send(request)
+            if idle.connection is not None:
+                idle.connection.is_replaceable = True
             return exchange
         stream = IOStream(_new_socket())
         try:
@@ -314,6 +320,11 @@
             self._delegate.broken = not self._delegate.complete
             self._delegate.wake()
 
+    def allow_replacement(self) -> None:
+        """Let the connection be closed when it may have fallen silent: the caller asks again."""
+        if self._opened is not None:
+            self._opened.is_replaceable = True
+
     @property
     def headers(self) -> HTTPHeaders:
         """Return the answer's headers; empty before :meth:`read_status` has returned."""
--- a/drumbay/comm/open_connections.py
+++ b/drumbay/comm/open_connections.py
@@ -17,6 +17,11 @@
 what a report, an order, a lookup or a call of the store takes."""
 
 
+RECENT_SECONDS = 0.35
+"""A connection on which the peer was heard so lately is alive: many times the 0.04 s between the
+events of a stream, and less than any silence that is taken for one."""
+
+
 class Closable(Protocol):
     """The stream of a connection."""
 
@@ -37,6 +42,8 @@
         opened_at: When it came up.
         asked_at: When the last question went out on it; ``None`` once that is answered.
         heard_at: When the peer was last heard: at the opening, or with the last byte.
+        is_replaceable: Whether its holder goes on over another one by itself if it is closed: it
+            waits in a pool, or its question can be asked again and has no answer yet.
     """
 
     def __init__(self, registry: "OpenConnections", stream: Closable, peer: str) -> None:
@@ -47,6 +54,7 @@
         self.opened_at = registry.clock.monotonic()
         self.heard_at = self.opened_at
         self.asked_at: float | None = None
+        self.is_replaceable = False
 
     def note_asked(self) -> None:
         """Note that a question goes out."""
@@ -60,6 +68,13 @@
         """Note that the answer is whole."""
         self.asked_at = None
 
+    def close_if_unheard(self, since: float) -> bool:
+        """Close it if it can be replaced and has been silent since a time; return whether."""
+        if not self.is_replaceable or self.heard_at >= since or self._stream.closed():
+            return False
+        self._stream.close()
+        return True
+
     def note_given_up(self, expected_seconds: float = 0.0) -> None:
         """Note that nobody waits for the answer any more.
 
@@ -93,6 +108,21 @@
         self._connections.add(connection)
         return connection
 
+    def close_unheard(self) -> None:
+        """Close what may have fallen silent, after one open connection was found to have.
+
+        New connections work in the same moment, and all that was open may have gone with that one:
+        found one by one, each costs a request or a watch its own time limit.
+        """
+        since = self.clock.monotonic() - RECENT_SECONDS
+        closed = sum(connection.close_if_unheard(since) for connection in list(self._connections))
+        log_event(
+            "connections_renewed",
+            level="WARNING",
+            closed=closed,
+            connections=len(self._connections),
+        )
+
     def report_silent(self, connection: OpenConnection, unheard_seconds: float) -> None:
         """Log a connection that was given up without a word from its peer."""
         self._on_silent()
--- a/drumbay/kv/etcd_gateway.py
+++ b/drumbay/kv/etcd_gateway.py
@@ -22,6 +22,7 @@
 from drumbay.kv import gateway_messages as messages
 from drumbay.kv.etcd_watch import watch_gateway
 from drumbay.kv.interface import (
+    LONGEST_QUIET_SECONDS,
     Delete,
     KeyValueError,
     KeyValueOutcomeUnknownError,
@@ -133,9 +134,18 @@
         await self._request(messages.LEASE_REVOKE_PATH, request, messages.LeaseRevokeResponse)
 
     async def watch_prefix(
-        self, prefix: str, start_revision: Revision
+        self,
+        prefix: str,
+        start_revision: Revision,
+        quiet_seconds: float = LONGEST_QUIET_SECONDS,
     ) -> AsyncGenerator[WatchBatch, None]:
-        """Yield the changes of ``prefix`` from ``start_revision`` on, until cancelled."""
+        """Yield the changes of ``prefix`` from ``start_revision`` on, until cancelled.
+
+        An etcd watch is one answer without an end, in which a calm prefix says nothing for any
+        time: probes of the kernel tell whether its connection lives, and ``quiet_seconds`` is
+        not used.
+        """
+        del quiet_seconds
         base_url = self._base_urls[self._preferred]
         try:
             watch = watch_gateway(base_url, prefix, start_revision, self._clock)
--- a/drumbay/kv/etcd_watch.py
+++ b/drumbay/kv/etcd_watch.py
@@ -30,7 +30,11 @@
 )
 
 CONNECT_TIMEOUT_SECONDS = 2.0
-TCP_KEEPALIVE_SECONDS = 5
+TCP_KEEPALIVE_SECONDS = 2
+TCP_KEEPALIVE_PROBES = 2
+"""A connection that fell silent ends after 6 s; the system's own nine probes take three times as
+long and more, in which changes go unseen while other connections work."""
+
 MAX_LINE_BYTES = 64 * 1024 * 1024
 MAX_QUEUED_LINES = 64
 UNLIMITED_BODY_BYTES = 2**62
@@ -126,6 +130,7 @@
     stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     stream.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, TCP_KEEPALIVE_SECONDS)
     stream.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, TCP_KEEPALIVE_SECONDS)
+    stream.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, TCP_KEEPALIVE_PROBES)
     return stream
 
 
--- a/drumbay/kv/follower.py
+++ b/drumbay/kv/follower.py
@@ -5,11 +5,20 @@
 """
 
 import random
+from collections.abc import AsyncIterator, Callable
 
 from drumbay.clock import Clock
+from drumbay.exceptions import DeadlineExceededError
 from drumbay.identifiers import Revision
 from drumbay.kv.backoff import Backoff
-from drumbay.kv.interface import KeyValueError, KeyValueStore, WatchCompactedError
+from drumbay.kv.interface import (
+    LONGEST_QUIET_SECONDS,
+    KeyValueError,
+    KeyValueStore,
+    WatchBatch,
+    WatchCompactedError,
+    WatchSilentError,
+)
 from drumbay.kv.mirror import FeedMirror
 from drumbay.kv.return_signal import ReturnSignal
 from drumbay.observability.logs import log_event
@@ -19,6 +28,13 @@
 """While the service is away, each retry is a priced call, and up to two more by other nodes. The
 heartbeat of the node, at a tenth of the price, tells when the service is back."""
 
+QUIET_SLACK_SECONDS = 0.6
+"""How much later than promised a batch may come: a hundred times what a calm service takes."""
+
+PROMPT_SECONDS = 0.3
+"""A snapshot that takes no longer, right after a watch was overdue by twice that, shows that the
+service answers: the watch's connection was silent."""
+
 
 class PrefixFollower:
     """Keeps one copy up to date from the service itself."""
@@ -30,6 +46,8 @@
         mirror: FeedMirror,
         generator: random.Random,
         returned: ReturnSignal | None = None,
+        quiet_seconds: float = LONGEST_QUIET_SECONDS,
+        on_silent_connection: Callable[[], None] | None = None,
     ) -> None:
         """Create a follower; it goes on from what the copy knows already.
 
@@ -39,7 +57,12 @@
             mirror: The copy to keep up to date.
             generator: Source of jitter.
             returned: Tells that the service answers this node again; a retry then comes at once.
+            quiet_seconds: How long a watch may say nothing before it counts as dead.
+            on_silent_connection: Called when a watch was dead though the service answers at once.
         """
+        self._quiet_seconds = quiet_seconds
+        self._on_silent_connection = on_silent_connection
+        self._was_silent = False
         self._returned = returned or ReturnSignal()
         self._clock = clock
         self._store = store
@@ -69,6 +92,7 @@
             self._mirror.is_connected = False
         except KeyValueError as error:
             self._note_lost(error.code)
+            self._was_silent = isinstance(error, WatchSilentError)
             self._needs_snapshot = True
             self._mirror.is_connected = False
             await self._returned.wait(self._clock, self._backoff.next_delay_seconds())
@@ -76,21 +100,50 @@
     async def _follow(self) -> None:
         mirror = self._mirror
         if self._needs_snapshot:
+            asked_at = self._clock.monotonic()
             found = await self._store.range_prefix(mirror.feed.prefix)
             mirror.take_snapshot(found, self._unseen_seconds())
-            self._heard_at = self._clock.monotonic()
+            self._note_heard(asked_at)
+            self._judge_silence(self._heard_at - asked_at)
             self._needs_snapshot = False
             self._unseen_since = None
         mirror.is_connected = True
         start = Revision((mirror.revision or 0) + 1)
-        async for batch in self._store.watch_prefix(mirror.feed.prefix, start):
+        batches = self._store.watch_prefix(mirror.feed.prefix, start, self._quiet_seconds)
+        while True:
+            batch = await self._next(batches)
             self._backoff.reset()
-            self._heard_at = self._clock.monotonic()
+            self._note_heard(self._clock.monotonic())
             self._note_regained()
             mirror.take_batch(batch)
             if batch.events:
                 await self._clock.sleep(mirror.feed.pause_seconds)
 
+    async def _next(self, batches: AsyncIterator[WatchBatch]) -> WatchBatch:
+        """Return the next batch of a watch.
+
+        A watch is told to be alive by its own answers only: its connection may be silent for
+        good while others to the same service work.
+
+        Raises:
+            WatchSilentError: It is overdue.
+        """
+        limit_seconds = self._quiet_seconds + QUIET_SLACK_SECONDS
+        try:
+            return await self._clock.wait_for(anext(batches), limit_seconds)
+        except DeadlineExceededError as error:
+            raise WatchSilentError(f"nothing for {limit_seconds:.1f} s") from error
+
+    def _note_heard(self, complete_at: float) -> None:
+        self._heard_at = self._clock.monotonic()
+        self._mirror.confirm(complete_at)
+
+    def _judge_silence(self, answer_seconds: float) -> None:
+        """Tell that connections fell silent if the service was there all the time."""
+        was_silent, self._was_silent = self._was_silent, False
+        if was_silent and answer_seconds <= PROMPT_SECONDS and self._on_silent_connection:
+            self._on_silent_connection()
+
     def _unseen_seconds(self) -> float:
         """Return for how long neither a watch nor a snapshot has told of changes."""
         if self._unseen_since is None:
--- a/drumbay/kv/interface.py
+++ b/drumbay/kv/interface.py
@@ -39,6 +39,12 @@
     code = "lease_not_found"
 
 
+class WatchSilentError(KeyValueUnavailableError):
+    """A watch said nothing for longer than it may."""
+
+    code = "watch_silent"
+
+
 class WatchCompactedError(KeyValueError):
     """The revision a watch should start from is no longer held; read a snapshot."""
 
@@ -117,6 +123,10 @@
     events: tuple[WatchEvent, ...]
 
 
+LONGEST_QUIET_SECONDS = 20.0
+"""How long a watch may say nothing where nobody depends on it: each answer is a priced call."""
+
+
 class KeyValueStore(Protocol):
     """Operations of the key-value service.
 
@@ -157,9 +167,17 @@
         """End a lease and remove its keys."""
         ...
 
-    def watch_prefix(self, prefix: str, start_revision: Revision) -> AsyncIterator[WatchBatch]:
+    def watch_prefix(
+        self,
+        prefix: str,
+        start_revision: Revision,
+        quiet_seconds: float = LONGEST_QUIET_SECONDS,
+    ) -> AsyncIterator[WatchBatch]:
         """Yield the changes of ``prefix`` from ``start_revision`` on, until cancelled.
 
+        Where the service can be asked again, a batch without events comes each ``quiet_seconds``
+        in which nothing changed. A caller may take a watch that says nothing for longer as dead.
+
         Raises:
             WatchCompactedError: The start revision is no longer held.
             KeyValueUnavailableError: The watch broke; start again from the last revision.
--- a/drumbay/kv/memory.py
+++ b/drumbay/kv/memory.py
@@ -9,6 +9,7 @@
 from drumbay.exceptions import DeadlineExceededError
 from drumbay.identifiers import Revision
 from drumbay.kv.interface import (
+    LONGEST_QUIET_SECONDS,
     Delete,
     KeyValueOutcomeUnknownError,
     KeyValueUnavailableError,
@@ -86,11 +87,15 @@
         await self._write(lambda: self._model.revoke_lease(lease_id))
 
     async def watch_prefix(
-        self, prefix: str, start_revision: Revision
+        self,
+        prefix: str,
+        start_revision: Revision,
+        quiet_seconds: float = LONGEST_QUIET_SECONDS,
     ) -> AsyncGenerator[WatchBatch, None]:
         """Yield the changes of ``prefix`` from ``start_revision`` on, until cancelled."""
         self._admit()
-        async with aclosing(watch_model(self._model, prefix, start_revision)) as batches:
+        watch = watch_model(self._model, prefix, start_revision, quiet_seconds)
+        async with aclosing(watch) as batches:
             async for batch in batches:
                 self._check_reachable()
                 yield batch
--- a/drumbay/kv/mirror.py
+++ b/drumbay/kv/mirror.py
@@ -23,13 +23,20 @@
 
     ``on_snapshot`` takes the items, and for how many seconds before changes went unseen.
     ``pause_seconds`` passes after each batch of changes, so that changes that come together
-    cost one call.
+    cost one call. ``quiet_seconds`` is how long a watch may say nothing before it counts as dead;
+    ``None`` where the age of the copy must be known, within the time that its reader allows.
     """
 
     prefix: str
     on_snapshot: Callable[[tuple[KeyValue, ...], float], None]
     on_event: Callable[[WatchEvent], None]
     pause_seconds: float = 0.1
+    quiet_seconds: float | None = None
+
+    @property
+    def tells_age(self) -> bool:
+        """Return whether the age of the copy must be known."""
+        return self.quiet_seconds is None
 
 
 class FeedCursor(msgspec.Struct, frozen=True, kw_only=True):
@@ -58,12 +65,16 @@
     Attributes:
         feed: Who is told.
         is_connected: Whether the copy is being kept up to date from the service itself.
+        confirmed_at: Monotonic time at which the copy was last known to be complete: told by its
+            own watch or snapshot, never by another connection, which may work while this one
+            is silent.
     """
 
     def __init__(self, feed: PrefixFeed) -> None:
         """Create a copy that knows nothing."""
         self.feed = feed
         self.is_connected = False
+        self.confirmed_at = float("-inf")
         self._items: dict[str, KeyValue] = {}
         self._revision: Revision | None = None
         self._history: deque[WatchEvent] = deque()
@@ -86,6 +97,10 @@
         """Return the event that is set at the next change."""
         return self._changed
 
+    def confirm(self, at: float) -> None:
+        """Note that the copy was complete at a monotonic time."""
+        self.confirmed_at = max(self.confirmed_at, at)
+
     def take_snapshot(self, found: RangeResult, unseen_seconds: float = 0.0) -> None:
         """Take the whole prefix, unless the copy is newer already.
 
--- a/drumbay/peers/directory.py
+++ b/drumbay/peers/directory.py
@@ -3,8 +3,8 @@
 Each node keeps its address in the store under a lease. The entries are a feed like others, so
 that every node knows them. An entry whose node does not answer is passed over for a while;
 nothing depends on the list being exact. Renewing the lease is also the heartbeat that tells
-whether connections to the store still work: a waiting watch cannot tell a calm store from a
-silent one.
+whether this node reaches the store, and when the store is back. It tells nothing of other
+connections: one that is open may be silent while the heartbeat, on a new one, is answered.
 """
 
 import asyncio
@@ -20,6 +20,7 @@
 from drumbay.identifiers import Revision
 from drumbay.kv.backoff import Backoff
 from drumbay.kv.interface import (
+    LONGEST_QUIET_SECONDS,
     KeyValue,
     KeyValueError,
     KeyValueStore,
@@ -42,10 +43,6 @@
 node that does not answer is passed over."""
 
 HEARTBEAT_SECONDS = 1.0
-WATCHER_HEARTBEATS_PER_IN_FORCE_TIME = 6
-"""A node that others follow reaches the store so often in the time in which a configuration is to
-be in force: the others leave it once that has not happened for half of this time."""
-
 FOLLOWER_HEARTBEAT_SECONDS = 6.0
 """Three in the time of a lease. A node that does not watch the store learns of its silence from
 those that do; at 165 nodes, renewals each 2.5 s were an eighth of all priced calls."""
@@ -74,7 +71,6 @@
         address: NetworkAddress,
         generator: random.Random,
         on_store_suspect: Callable[[], None],
-        in_force_seconds: float,
     ) -> None:
         """Create a directory that knows nobody.
 
@@ -84,10 +80,7 @@
             address: This node.
             generator: Source of the order in which nodes are tried.
             on_store_suspect: Called when connections to the store may be dead.
-            in_force_seconds: Within this time after its acceptance, a configuration is to be in
-                force at every node.
         """
-        self._watcher_heartbeat_seconds = in_force_seconds / WATCHER_HEARTBEATS_PER_IN_FORCE_TIME
         self._clock = clock
         self._store = store
         self._address = address
@@ -103,8 +96,6 @@
         self._backoff = Backoff(
             generator, first_seconds=FIRST_RETRY_SECONDS, longest_seconds=LONGEST_RETRY_SECONDS
         )
-        self.confirmed_at = float("-inf")
-        """Monotonic time at which the store was last asked with success."""
 
     # The feed of entries
 
@@ -116,6 +107,7 @@
             on_snapshot=self._take_snapshot,
             on_event=self._take_event,
             pause_seconds=FEED_PAUSE_SECONDS,
+            quiet_seconds=LONGEST_QUIET_SECONDS,
         )
 
     def _take_snapshot(self, items: tuple[KeyValue, ...], unseen_seconds: float) -> None:
@@ -221,7 +213,6 @@
             log_event("node_entry_not_removed", level="WARNING", error=error.code)
 
     async def _register(self) -> int:
-        asked_at = self._clock.monotonic()
         lease = await self._store.grant_lease(LEASE_SECONDS)
         entry = Put(
             key=f"{PREFIX}{self._address}",
@@ -230,7 +221,7 @@
         )
         await self._store.transact((), (entry,))
         self._backoff.reset()
-        self._note_confirmed(asked_at)
+        self.store_returned.note_answer()
         return lease.lease_id
 
     async def _keep(self, lease_id: int) -> None:
@@ -246,7 +237,7 @@
                 self._on_store_suspect()
             try:
                 await self._store.keep_lease_alive(lease_id)
-                self._note_confirmed(asked_at)
+                self.store_returned.note_answer()
             except LeaseNotFoundError:
                 raise
             except KeyValueError:
@@ -254,13 +245,6 @@
                 self._on_store_suspect()
             beaten_at = self._clock.monotonic()
 
-    def _note_confirmed(self, asked_at: float) -> None:
-        self.confirmed_at = asked_at
-        self.store_returned.note_answer()
-
     def _heartbeat_seconds(self) -> float:
-        if not self.ranking.is_watcher(self._address):
-            return FOLLOWER_HEARTBEAT_SECONDS
-        if self.ranking.has_followers:
-            return min(HEARTBEAT_SECONDS, self._watcher_heartbeat_seconds)
-        return HEARTBEAT_SECONDS
+        is_watcher = self.ranking.is_watcher(self._address)
+        return HEARTBEAT_SECONDS if is_watcher else FOLLOWER_HEARTBEAT_SECONDS
--- a/drumbay/peers/feeds.py
+++ b/drumbay/peers/feeds.py
@@ -27,6 +27,13 @@
 """A node that has not reached the store for this share of the time in which a configuration must
 be in force is not followed: what remains is for finding another one, and for its pauses."""
 
+QUIET_SHARE = 0.4
+"""A watch whose copy must be known to be fresh answers at least once in this share of the time in
+which a configuration must be in force: often enough that followers find its node fresh, and that a
+watch on a silent connection is replaced within that time (0.8 of 2 s, and 0.6 s of slack). A watch
+of 20 s let every node miss each change for up to 20 s while connections were silent; shorter ones
+cost one more priced call a second and watcher."""
+
 POLL_SHARE = 0.6
 """A call is held for this share of the time for which a node counts as fresh."""
 
@@ -61,6 +68,7 @@
         generator: random.Random,
         in_force_seconds: float,
         report_usage: Callable[[], NodeUsage | None],
+        on_silent_connection: Callable[[], None],
     ) -> None:
         """Create copies of nothing but the nodes' entries.
 
@@ -75,9 +83,12 @@
             in_force_seconds: Within this time after its acceptance, a configuration is to be in
                 force at every node.
             report_usage: Returns what this node has counted, to be told to a watcher.
+            on_silent_connection: Called when a watch was dead though the service answers.
         """
         self._report_usage = report_usage
         self._fresh_seconds = FRESH_SHARE * in_force_seconds
+        self._quiet_seconds = QUIET_SHARE * in_force_seconds
+        self._on_silent_connection = on_silent_connection
         self._poll_seconds = POLL_SHARE * self._fresh_seconds
         self._clock = clock
         self._direct = direct
@@ -89,7 +100,6 @@
         self._mirrors: dict[str, FeedMirror] = {}
         self._source: NetworkAddress | None = None
         self._direct_until = float("-inf")
-        self._confirmed_at = float("-inf")
         self._probe_backoff = Backoff(
             generator,
             first_seconds=FIRST_PROBE_PAUSE_SECONDS,
@@ -114,7 +124,7 @@
         """
         if not all(mirror.is_connected for mirror in self._mirrors.values()):
             return None
-        return self._clock.monotonic() - self._directory.confirmed_at
+        return self.confirmed_age_seconds()
 
     def confirmed_age_seconds(self) -> float:
         """Return how long ago this node last knew that its copies were up to date.
@@ -122,13 +132,12 @@
         Unlike :meth:`age_seconds` it counts what other nodes told, and what was known before
         the way to the store or to them was lost. Infinite if that never was.
         """
-        age_seconds = self.age_seconds()
-        if age_seconds is not None:
-            self._note_confirmed(age_seconds)
-        return self._clock.monotonic() - self._confirmed_at
+        now = self._clock.monotonic()
+        return max((now - mirror.confirmed_at for mirror in self._aged()), default=0.0)
 
-    def _note_confirmed(self, age_seconds: float) -> None:
-        self._confirmed_at = max(self._confirmed_at, self._clock.monotonic() - age_seconds)
+    def _aged(self) -> list[FeedMirror]:
+        """Return the copies whose age counts."""
+        return [mirror for mirror in self._mirrors.values() if mirror.feed.tells_age]
 
     # Following
 
@@ -172,6 +181,8 @@
                     mirror,
                     self._generator,
                     self._directory.store_returned,
+                    mirror.feed.quiet_seconds or self._quiet_seconds,
+                    self._on_silent_connection,
                 ).run()
             )
             for mirror in self._mirrors.values()
@@ -220,7 +231,8 @@
                 mirror.take_changes(changes)
         if reply.age_seconds is None or reply.age_seconds > self._fresh_seconds:
             return False
-        self._note_confirmed(reply.age_seconds)
+        for mirror in self._aged():
+            mirror.confirm(self._clock.monotonic() - reply.age_seconds)
         return True
 
     async def _probe_store(self) -> None:
--- a/drumbay/peers/store_relay.py
+++ b/drumbay/peers/store_relay.py
@@ -13,6 +13,7 @@
 from drumbay.clock import Clock
 from drumbay.identifiers import Revision
 from drumbay.kv.interface import (
+    LONGEST_QUIET_SECONDS,
     Delete,
     KeyValueError,
     KeyValueOutcomeUnknownError,
@@ -126,13 +127,16 @@
         await self._direct.revoke_lease(lease_id)
 
     async def watch_prefix(
-        self, prefix: str, start_revision: Revision
+        self,
+        prefix: str,
+        start_revision: Revision,
+        quiet_seconds: float = LONGEST_QUIET_SECONDS,
     ) -> AsyncIterator[WatchBatch]:
         """Watch directly, until the connection is suspected to be dead.
 
         A follower reads snapshots, which are relayed, while this fails.
         """
-        batches = self._direct.watch_prefix(prefix, start_revision)
+        batches = self._direct.watch_prefix(prefix, start_revision, quiet_seconds)
         while True:
             suspected = asyncio.ensure_future(self._suspected.wait())
             coming = asyncio.ensure_future(_next(batches))
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -140,7 +140,6 @@
             address,
             environment.generator,
             self._suspect_store,
-            settings.in_force_seconds,
         )
         self._relay_server = StoreRelayServer(environment.store)
         self._store = RelayingStore(
@@ -156,6 +155,7 @@
             environment.generator,
             settings.in_force_seconds,
             self._usage.own_report,
+            self._renew_connections,
         )
         self.directory = WorkerDirectory()
         self.directory.count_pauses_with(self.metrics.count_worker_pause)
@@ -349,6 +349,11 @@
         if dropped:
             log_event("missing_workers_dropped", level="WARNING", workers=",".join(dropped))
 
+    def _renew_connections(self) -> None:
+        """Replace what may have fallen silent together with a connection that has."""
+        if self._environment.connections is not None:
+            self._environment.connections.close_unheard()
+
     def _suspect_store(self) -> None:
         self._store.suspect()
 
--- a/drumbay/simulation/gated_clients.py
+++ b/drumbay/simulation/gated_clients.py
@@ -20,6 +20,7 @@
 )
 from drumbay.identifiers import AttemptId, Revision, WeightVersion
 from drumbay.kv.interface import (
+    LONGEST_QUIET_SECONDS,
     Delete,
     KeyValueStore,
     LeaseGrant,
@@ -70,9 +71,16 @@
         """End a lease and remove its keys."""
         await self._process.call_out(self._store.revoke_lease(lease_id))
 
-    def watch_prefix(self, prefix: str, start_revision: Revision) -> AsyncIterator[WatchBatch]:
+    def watch_prefix(
+        self,
+        prefix: str,
+        start_revision: Revision,
+        quiet_seconds: float = LONGEST_QUIET_SECONDS,
+    ) -> AsyncIterator[WatchBatch]:
         """Yield the changes of ``prefix`` from ``start_revision`` on."""
-        return self._process.iterate_out(self._store.watch_prefix(prefix, start_revision))
+        return self._process.iterate_out(
+            self._store.watch_prefix(prefix, start_revision, quiet_seconds)
+        )
 
 
 class GatedEngineClient:
