Send what follows an unanswered send over a new connection

Cause: each attempt of a request took another kept connection. Where these had fallen silent, the attempts that a route allows were used up on them, and the caller waited out its deadline.

Ruled out: more attempts (three of three failed too), and leaving all kept connections of a worker after one was slow (slow workers are common, silent connections are not: that would cost a new connection for each slow answer).

Change: only the first send takes a kept connection; a send after one without an answer opens its own. Where the route allows a single worker, that worker is asked once more over a new connection if the first one was kept. Refusals, which are answers, change nothing.

--- a/drumbay/comm/http_exchange.py
+++ b/drumbay/comm/http_exchange.py
@@ -261,16 +261,20 @@
         connect_timeout_seconds: float,
         pool: ConnectionPool | None = None,
         connections: OpenConnections | None = None,
+        *,
+        fresh: bool = False,
     ) -> "HttpExchange":
         """Send a request on a connection of ``pool``, or on a new one.
 
+        A new one is opened if the pool has none, or for a ``fresh`` exchange.
+
         A new one is remembered by the pool's ``connections``, without a pool by those passed in.
 
         Raises:
             ExchangeRefusedError: Nobody listens at the address.
             ExchangeNotSentError: No connection came up in time.
         """
-        idle = pool.take(address) if pool is not None else None
+        idle = pool.take(address) if pool is not None and not fresh else None
         if idle is not None:
             exchange = cls(idle.stream, address, pool, idle.connection)
             exchange.is_reused = True
--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -150,10 +150,11 @@
 
 
 class _Attempt(msgspec.Struct, frozen=True):
-    """A send to one worker, at a monotonic time."""
+    """A send to one worker, at a monotonic time; ``was_kept`` if its connection seemed kept."""
 
     record: WorkerRecord
     sent_at: float
+    was_kept: bool
 
 
 class _Forwarding:
@@ -262,11 +263,23 @@
             return False
         if self._route.kind is RequestKind.AT_MOST_ONCE:
             return not self._attempts and not self._may_have_run
+        return self._has_attempts_left() or self._unproved() is not None
+
+    def _has_attempts_left(self) -> bool:
         return self._sent - self._refusals < self._route.attempts
 
+    def _unproved(self) -> WorkerRecord | None:
+        """Return the worker to ask again, over a new connection, if none was used so far.
+
+        It may not have seen the request, whose kept connection may be silent: asking it again
+        uses up none of the workers that the route allows.
+        """
+        kept = [attempt.record for attempt in self._attempts.values() if attempt.was_kept]
+        return kept[0] if kept and len(kept) == self._sent - self._refusals else None
+
     def _send_to_next(self, now: float, remaining: float) -> None:
         self._next_send = now + self._route.target_seconds * HEDGE_SHARE_OF_TARGET
-        record = self._choose(now)
+        record = self._choose(now) if self._has_attempts_left() else self._unproved()
         if record is not None:
             self._send(record, remaining)
         elif not self._attempts:
@@ -301,6 +314,10 @@
         )
 
     def _send(self, record: WorkerRecord, remaining: float) -> None:
+        # The first send may take a kept connection. What follows a send without an answer does
+        # not: if kept ones have fallen silent, each of them would cost an attempt.
+        is_fresh = self._sent > self._refusals
+        was_kept = not is_fresh and self._client.keeps_connection(record.worker)
         self._sent += 1
         self._tried.add(record.worker.worker_id)
         request = self._request
@@ -314,12 +331,13 @@
             budget_seconds=remaining,
             repeatable=self._route.kind is RequestKind.IDEMPOTENT,
             tenant=request.tenant,
+            fresh_connection=is_fresh,
         )
         record.in_flight += 1
         task = asyncio.get_running_loop().create_task(self._attempt(record, outgoing))
         # A task that is cancelled before it runs never comes to a ``finally`` of its own.
         task.add_done_callback(lambda _: _note_ended(record))
-        self._attempts[task] = _Attempt(record, self._clock.monotonic())
+        self._attempts[task] = _Attempt(record, self._clock.monotonic(), was_kept)
 
     async def _attempt(self, record: WorkerRecord, request: WorkerRequest) -> WorkerAnswer:
         started_at = self._clock.monotonic()
--- a/drumbay/workers/records.py
+++ b/drumbay/workers/records.py
@@ -45,7 +45,8 @@
     ``resume_after`` asks for the events after that number; ``priority`` says which requests
     the worker admits first (0 the most urgent), ``None`` leaves it to the worker. A request
     that is ``repeatable`` may be sent again when a kept connection turns out to be closed.
-    ``tenant`` is told to the worker in place of the caller's key.
+    ``tenant`` is told to the worker in place of the caller's key. With ``fresh_connection`` it
+    goes out over a new connection: those that are kept may have fallen silent.
     """
 
     request_id: str
@@ -59,6 +60,7 @@
     priority: int | None = None
     repeatable: bool = False
     tenant: TenantName | None = None
+    fresh_connection: bool = False
 
 
 class WorkerAnswer(msgspec.Struct, frozen=True, kw_only=True):
