--- a/drumbay/standins/worker_pool.py
+++ b/drumbay/standins/worker_pool.py
@@ -114,6 +114,7 @@
         long_texts: Whether every text has 160 events; otherwise up to 16, by the request.
         failing_requests: Requests that every worker answers with a failure.
         kept_connections: Workers to which a caller seems to keep a connection.
+        silences: How often the open connections of all workers have fallen silent.
         runs: Every run that began, oldest first.
         orders: Every order that arrived, oldest first.
     """
@@ -137,6 +138,7 @@
         self.long_texts = False
         self.failing_requests: set[str] = set()
         self.kept_connections: set[BackendId] = set()
+        self.silences = 0
         self.runs: list[LoggedRun] = []
         self.orders: list[LoggedOrder] = []
 
@@ -234,7 +236,9 @@
             model = dict(request.headers).get("model", "m")
             seconds = self._seconds_per_event
             count = self._text_events(request.request_id)
-            yield EmulatedStream(self._clock, emulated, run, request, model, seconds, count)
+            stream = EmulatedStream(self._clock, emulated, run, request, model, seconds, count)
+            stream.is_cut_off_by(self)
+            yield stream
         finally:
             self._end(emulated, run)
 
@@ -372,6 +376,13 @@
         self._event_count = event_count
         self.version: WeightVersion | None = emulated.versions.get(model)
         self.load: WorkerLoad | None = None
+        self._pool: EmulatedWorkerPool | None = None
+        self._silences = 0
+
+    def is_cut_off_by(self, pool: EmulatedWorkerPool) -> None:
+        """Let the stream say nothing more once the open connections of a pool fall silent."""
+        self._pool = pool
+        self._silences = pool.silences
 
     async def events(self) -> AsyncIterator[tuple[StreamEvent, ...]]:
         """Yield one event at a time."""
@@ -381,6 +392,8 @@
             await self._clock.sleep(self._seconds_per_event * faults.slowdown)
             if faults.dark:
                 await self._clock.sleep(3_600.0)
+            if self._pool is not None and self._pool.silences != self._silences:
+                await self._clock.sleep(3_600.0)
             limit = faults.break_after_events
             if limit is not None and self._run.events >= limit:
                 raise WorkerBrokenError("stream cut")
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -25,6 +25,7 @@
 from drumbay_soak.proxy import FaultyProxy
 from drumbay_soak.worker_server import WorkerServer
 
+from drumbay.batches.scheduler import SILENCE_OF_A_WORKER_SECONDS
 from drumbay.clock import SystemClock
 from drumbay.forwarding.forwarder import ClientRequest, Forwarder, ForwardingError
 from drumbay.forwarding.routes import RequestKind, Route, RouteTable, ServiceShare
@@ -35,11 +36,17 @@
 from drumbay.usage.window_clock import WindowClock
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.records import Worker, WorkerRequest
+from tests.serving_world import ServingWorld, batch_spec, play
 
 SERVICE = "lookups"
 WORKERS = 3
 KEPT_PER_WORKER = 4
 LOOKUPS = 24
+ITEMS = 12
+NOTICED_SECONDS = 1.0
+"""The silence of a worker that made events, a plan, and one question on a new connection."""
+
+PAUSED_SECONDS = 3.5
 INTERVAL_SECONDS = 0.1
 BUDGET_SECONDS = 8.0
 """Long against every step on a busy machine; only a lookup that is lost takes so long."""
@@ -147,5 +154,56 @@
                 self.assertEqual(sum(served), LOOKUPS)
 
 
+class StreamsTest(unittest.TestCase):
+    def test_items_go_on_at_once_when_all_their_streams_fall_silent(self) -> None:
+        """Workers that answer at once on a new connection are not paused."""
+
+        async def scenario(world: ServingWorld) -> None:
+            world.workers.long_texts = True
+            await world.nodes[0].batches.submit(batch_spec())
+            await asyncio.sleep(2.0)
+            self.assertEqual(len(world.workers.runs), ITEMS)
+            world.workers.silences += 1
+            silent_since = world.clock.monotonic()
+            await asyncio.sleep(NOTICED_SECONDS)
+            restarted = world.workers.runs[ITEMS:]
+            self.assertEqual(len({run.request_id for run in restarted}), ITEMS)
+            for run in restarted:
+                self.assertGreater(run.resume_after or 0, 0)
+                self.assertGreater(run.started_at - silent_since, SILENCE_OF_A_WORKER_SECONDS)
+
+        play(scenario)
+
+    def test_a_worker_that_does_not_answer_on_a_new_connection_is_paused(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            world.workers.long_texts = True
+            await world.nodes[0].batches.submit(batch_spec())
+            await asyncio.sleep(2.0)
+            world.workers["worker-1"].faults.dark = True
+            dark_since = world.clock.monotonic()
+            await asyncio.sleep(PAUSED_SECONDS)
+            later = [run for run in world.workers.runs if run.started_at > dark_since]
+            self.assertGreater(len(later), 0)
+            self.assertNotIn("worker-1", {run.worker_id for run in later})
+
+        play(scenario, worker_count=4)
+
+    def test_a_worker_that_answers_but_makes_nothing_is_paused(self) -> None:
+        """Two silences in a row, the second over connections opened after the first."""
+
+        async def scenario(world: ServingWorld) -> None:
+            world.workers.long_texts = True
+            await world.nodes[0].batches.submit(batch_spec())
+            await asyncio.sleep(2.0)
+            world.workers["worker-1"].faults.slowdown = 1_000.0
+            await asyncio.sleep(PAUSED_SECONDS)
+            before = len(world.workers.runs)
+            await asyncio.sleep(1.0)
+            later = world.workers.runs[before:]
+            self.assertNotIn("worker-1", {run.worker_id for run in later})
+
+        play(scenario)
+
+
 if __name__ == "__main__":
     unittest.main()
