Ask a worker over a new connection before its silent streams count against it

Cause: streams of all workers fall silent together where open connections do. Each silent stream was one more failure in a row of its worker, so that every worker was paused for up to 4 s at once, though each answered on a new connection in milliseconds.

Ruled out: shorter pauses (a worker that has gone dark must be left: the two tests beside this one), and telling silence from the share of workers that are silent together (a service may have one or two workers).

Change: a worker whose streams fall silent gets nothing new until it has answered a report over a new connection, or 0.6 s have passed. If it answers, and does not load weights, its connections were silent: what is open and unheard is replaced, and its items go on. If it does not, or makes nothing again within 5 s without an event in between, it is paused as before. A run that never made an event is told apart in the log (unstarted).

--- a/drumbay/batches/owned.py
+++ b/drumbay/batches/owned.py
@@ -31,6 +31,7 @@
 from drumbay.tasks import TaskOwner
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
+from drumbay.workers.silence_check import SilenceCheck
 
 
 class OwnedBatches:
@@ -47,6 +48,7 @@
         owners: OwnerTable,
         directory: WorkerDirectory,
         client: WorkerClient,
+        silence_check: SilenceCheck,
         scorer: RewardScorer,
         peers: PeerClient,
         task_owner: TaskOwner,
@@ -61,6 +63,7 @@
             owners: Who owns which batch job.
             directory: The workers.
             client: Calls to workers.
+            silence_check: Asks workers whose streams are silent.
             scorer: Makes reward requests.
             peers: Calls to other nodes.
             task_owner: Runs the tasks of runners.
@@ -73,6 +76,7 @@
         self._owners = owners
         self._directory = directory
         self._client = client
+        self._silence_check = silence_check
         self._scorer = scorer
         self._task_owner = task_owner
         self._newest_version = newest_version
@@ -139,6 +143,7 @@
             self._ledger,
             self._directory,
             self._client,
+            self._silence_check,
             self._scorer,
             self._task_owner,
             self._metrics,
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -46,6 +46,7 @@
     WorkerMisdirectedError,
     WorkerRequest,
 )
+from drumbay.workers.silence_check import SilenceCheck
 
 TICK_SECONDS = 0.1
 WAKE_DELAY_SECONDS = 0.005
@@ -74,6 +75,7 @@
         ledger: BatchLedger,
         directory: WorkerDirectory,
         client: WorkerClient,
+        silence_check: SilenceCheck,
         scorer: RewardScorer,
         task_owner: TaskOwner,
         metrics: ServingMetrics,
@@ -91,6 +93,7 @@
             ledger: Where results are listed.
             directory: The workers.
             client: Calls to workers.
+            silence_check: Asks workers whose streams are silent.
             scorer: Makes reward requests.
             task_owner: Runs the runner's tasks.
             metrics: Counts runs and results.
@@ -105,6 +108,7 @@
         self._clock = clock
         self._directory = directory
         self._client = client
+        self._silence_check = silence_check
         self._task_owner = task_owner
         self._metrics = metrics
         self._started_at = clock.monotonic()
@@ -329,8 +333,11 @@
                     worker=worker_id,
                     reason=reason,
                 )
-                if reason is StopReason.SILENT:
-                    self._directory.observe_failure(worker_id, self._clock.monotonic())
+                if reason in (StopReason.SILENT, StopReason.UNSTARTED):
+                    # The worker may live: streams of all workers fall silent together where open
+                    # connections do, and pausing them all stops the step for seconds.
+                    made_events = reason is StopReason.SILENT
+                    self._silence_check.suspect(worker_id, made_events=made_events)
                 self._cancel_run(item_id)
             case ScoreText():
                 self._scoring.start(decision)
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -62,6 +62,9 @@
     """Why a run is stopped."""
 
     SILENT = "silent"
+    """Its worker made events and makes none any more, for any run."""
+    UNSTARTED = "unstarted"
+    """It never made an event there."""
     STALLED = "stalled"
     SLOW_WORKER = "slow_worker"
     GIVEN_UP = "given_up"
@@ -424,8 +427,7 @@
             if run.worker_id is None:
                 continue
             if self._is_silent(run, run.worker_id in silent_workers, now):
-                is_dead = run.worker_id in silent_workers or not run.events_here
-                stops.append(_stop(run, StopReason.SILENT if is_dead else StopReason.STALLED))
+                stops.append(_stop(run, _silence_reason(run, silent_workers)))
             elif self._should_move(run, choice):
                 run.moves += 1
                 stops.append(_stop(run, StopReason.SLOW_WORKER))
@@ -467,6 +469,12 @@
         return choice.reserve_faster(run.worker_id)
 
 
+def _silence_reason(run: ItemRun, silent_workers: set[BackendId]) -> StopReason:
+    if run.worker_id in silent_workers:
+        return StopReason.SILENT
+    return StopReason.STALLED if run.events_here else StopReason.UNSTARTED
+
+
 def _stop(run: ItemRun, reason: StopReason) -> StopRun:
     assert run.worker_id is not None
     run.avoid = run.worker_id
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -64,6 +64,7 @@
 from drumbay.tenants.records import TenantName
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
+from drumbay.workers.silence_check import SilenceCheck
 
 ACCEPT_LIMIT_SECONDS = 4.0
 """How long a submission waits for a store that is away before it is refused."""
@@ -89,6 +90,7 @@
         store: KeyValueStore,
         directory: WorkerDirectory,
         client: WorkerClient,
+        silence_check: SilenceCheck,
         scorer: RewardScorer,
         peers: PeerClient,
         task_owner: TaskOwner,
@@ -105,6 +107,7 @@
             store: The key-value service.
             directory: The workers.
             client: Calls to workers.
+            silence_check: Asks workers whose streams are silent.
             scorer: Makes reward requests.
             peers: Calls to other nodes.
             task_owner: Runs the service's tasks.
@@ -127,6 +130,7 @@
             self._owners,
             directory,
             client,
+            silence_check,
             scorer,
             peers,
             task_owner,
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -54,6 +54,7 @@
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
 from drumbay.workers.records import Worker
+from drumbay.workers.silence_check import SilenceCheck
 
 UNFINISHED_CHECK_SECONDS = 0.1
 KNOWLEDGE_CHECK_SECONDS = 0.05
@@ -177,6 +178,13 @@
             self._store,
             self.directory,
             environment.workers,
+            SilenceCheck(
+                clock,
+                self.directory,
+                environment.workers,
+                self._tasks,
+                self._renew_connections,
+            ),
             RewardScorer(clock, self.forwarder, self.routes, self.directory, self.metrics),
             environment.peers,
             self._tasks,
--- a/drumbay/standins/worker_pool.py
+++ b/drumbay/standins/worker_pool.py
@@ -289,8 +289,9 @@
 
     # Orders
 
-    async def status(self, worker: Worker) -> WorkerStatus:
-        """Report the worker's state."""
+    async def status(self, worker: Worker, *, fresh_connection: bool = False) -> WorkerStatus:
+        """Report the worker's state; every call is as one over a new connection."""
+        del fresh_connection
         emulated = await self._reach(worker)
         return WorkerStatus(
             busy=emulated.busy, sequence=emulated.sequence, versions=dict(emulated.versions)
--- a/drumbay/workers/directory.py
+++ b/drumbay/workers/directory.py
@@ -277,6 +277,13 @@
             pause_seconds=pause_seconds,
         )
 
+    def end_pause(self, worker_id: BackendId, now: float) -> None:
+        """Let a worker get new requests again."""
+        record = self._records.get(worker_id)
+        if record is not None:
+            record.paused_until = min(record.paused_until, now)
+            self._announce()
+
     def pause(self, worker_id: BackendId, now: float, seconds: float) -> None:
         """Send a worker nothing for a while, without counting a failure."""
         record = self._records.get(worker_id)
--- a/drumbay/workers/interface.py
+++ b/drumbay/workers/interface.py
@@ -71,8 +71,8 @@
         """
         ...
 
-    async def status(self, worker: Worker) -> WorkerStatus:
-        """Return the worker's report.
+    async def status(self, worker: Worker, *, fresh_connection: bool = False) -> WorkerStatus:
+        """Return the worker's report, over a new connection if asked for.
 
         Raises:
             WorkerError: No report came.
--- a/drumbay/workers/pace.py
+++ b/drumbay/workers/pace.py
@@ -53,6 +53,10 @@
         """Return whether the worker made an event for this node in the last second."""
         return now - self._seen_at < HEARD_SECONDS
 
+    def is_heard_since(self, moment: float) -> bool:
+        """Return whether the worker made an event for this node after a monotonic time."""
+        return self._seen_at > moment
+
     def recent(self, now: float) -> float | None:
         """Return the seconds between the last events; ``None`` if too few were seen lately."""
         is_known = len(self._samples) == PACE_SAMPLES
