Prove copies fresh once for all nodes that watch, in place of each one's short watches

Cause: watches that answer each 0.8 s are a priced call a second and node.

Ruled out: fewer nodes that watch (three that are killed together leave the others without news for 2.8 s, over the 2 s in which a configuration must be in force); reads that may be old (their age is not bounded); the heartbeat (its answer says nothing of changes).

Change: standing watches wait 20 s again. When a copy has been without a proof for 0.3 to 0.45 of the time in which a configuration must be in force, one node asks for changes over a new connection and tells the others that watch up to which change it is complete; those that know as much have the proof too, those that know less ask for themselves. A change that comes so and that the standing watch does not tell within 0.3 s shows silent connections; watches and what else is open are renewed then, also where workers' connections were found silent. The age of a copy still rests on its own proofs alone.

Test: tests/test_freshness.py, new with the mechanism: in 60 s six nodes ask less than 100 times, no copy is older than 1.2 s at any moment, changes are in force at every node within 2 s while all open watches are silent, at four moments, and a node that is cut off from store and nodes says so.

--- a/drumbay/comm/http_exchange.py
+++ b/drumbay/comm/http_exchange.py
@@ -324,11 +324,6 @@
             self._delegate.broken = not self._delegate.complete
             self._delegate.wake()
 
-    def allow_replacement(self) -> None:
-        """Let the connection be closed when it may have fallen silent: the caller asks again."""
-        if self._opened is not None:
-            self._opened.is_replaceable = True
-
     @property
     def headers(self) -> HTTPHeaders:
         """Return the answer's headers; empty before :meth:`read_status` has returned."""
--- a/drumbay/kv/follower.py
+++ b/drumbay/kv/follower.py
@@ -103,6 +103,7 @@
             asked_at = self._clock.monotonic()
             found = await self._store.range_prefix(mirror.feed.prefix)
             mirror.take_snapshot(found, self._unseen_seconds())
+            mirror.watched_to = found.revision
             self._note_heard(asked_at)
             self._judge_silence(self._heard_at - asked_at)
             self._needs_snapshot = False
@@ -116,6 +117,7 @@
             self._note_heard(self._clock.monotonic())
             self._note_regained()
             mirror.take_batch(batch)
+            mirror.watched_to = batch.revision
             if batch.events:
                 await self._clock.sleep(mirror.feed.pause_seconds)
 
--- a/drumbay/kv/mirror.py
+++ b/drumbay/kv/mirror.py
@@ -12,7 +12,13 @@
 import msgspec
 
 from drumbay.identifiers import Revision
-from drumbay.kv.interface import KeyValue, RangeResult, WatchBatch, WatchEvent
+from drumbay.kv.interface import (
+    LONGEST_QUIET_SECONDS,
+    KeyValue,
+    RangeResult,
+    WatchBatch,
+    WatchEvent,
+)
 
 MAXIMUM_HISTORY = 500
 """Changes that are kept for readers; one that is further behind gets a snapshot."""
@@ -23,20 +29,16 @@
 
     ``on_snapshot`` takes the items, and for how many seconds before changes went unseen.
     ``pause_seconds`` passes after each batch of changes, so that changes that come together
-    cost one call. ``quiet_seconds`` is how long a watch may say nothing before it counts as dead;
-    ``None`` where the age of the copy must be known, within the time that its reader allows.
+    cost one call. ``quiet_seconds`` is how long a watch may say nothing before it counts as dead.
+    ``tells_age`` says whether the age of the copy counts for that of all copies of a node.
     """
 
     prefix: str
     on_snapshot: Callable[[tuple[KeyValue, ...], float], None]
     on_event: Callable[[WatchEvent], None]
     pause_seconds: float = 0.1
-    quiet_seconds: float | None = None
-
-    @property
-    def tells_age(self) -> bool:
-        """Return whether the age of the copy must be known."""
-        return self.quiet_seconds is None
+    quiet_seconds: float = LONGEST_QUIET_SECONDS
+    tells_age: bool = True
 
 
 class FeedCursor(msgspec.Struct, frozen=True, kw_only=True):
@@ -66,8 +68,10 @@
         feed: Who is told.
         is_connected: Whether the copy is being kept up to date from the service itself.
         confirmed_at: Monotonic time at which the copy was last known to be complete: told by its
-            own watch or snapshot, never by another connection, which may work while this one
-            is silent.
+            own watch or snapshot, or by a proof of its last change, never by the mere answer on
+            another connection, which may work while this one is silent.
+        watched_to: Up to which revision the standing watch, or the snapshot before it, has told.
+        last_change: Revision of the newest change that is known.
     """
 
     def __init__(self, feed: PrefixFeed) -> None:
@@ -75,6 +79,8 @@
         self.feed = feed
         self.is_connected = False
         self.confirmed_at = float("-inf")
+        self.watched_to = Revision(0)
+        self.last_change = Revision(0)
         self._items: dict[str, KeyValue] = {}
         self._revision: Revision | None = None
         self._history: deque[WatchEvent] = deque()
@@ -110,6 +116,8 @@
             return
         self._items = {item.key: item for item in found.items}
         self._revision = found.revision
+        newest = max((item.mod_revision for item in found.items), default=self.last_change)
+        self.last_change = max(self.last_change, newest)
         self._history.clear()
         self._history_start = found.revision
         self._unseen_seconds = unseen_seconds
@@ -127,6 +135,7 @@
             self.feed.on_event(event)
         self._revision = max(known, batch.revision)
         if events:
+            self.last_change = max(self.last_change, events[-1].mod_revision)
             self._announce()
 
     def take_changes(self, changes: FeedChanges) -> None:
--- a/drumbay/peers/directory.py
+++ b/drumbay/peers/directory.py
@@ -20,7 +20,6 @@
 from drumbay.identifiers import Revision
 from drumbay.kv.backoff import Backoff
 from drumbay.kv.interface import (
-    LONGEST_QUIET_SECONDS,
     KeyValue,
     KeyValueError,
     KeyValueStore,
@@ -107,7 +106,7 @@
             on_snapshot=self._take_snapshot,
             on_event=self._take_event,
             pause_seconds=FEED_PAUSE_SECONDS,
-            quiet_seconds=LONGEST_QUIET_SECONDS,
+            tells_age=False,
         )
 
     def _take_snapshot(self, items: tuple[KeyValue, ...], unseen_seconds: float) -> None:
--- a/drumbay/peers/feeds.py
+++ b/drumbay/peers/feeds.py
@@ -19,21 +19,16 @@
 from drumbay.observability.logs import log_event
 from drumbay.peers.directory import PREFIX as NODES_PREFIX
 from drumbay.peers.directory import PeerDirectory
-from drumbay.peers.messages import FeedsReply, FollowFeeds
+from drumbay.peers.freshness import FreshnessProver
+from drumbay.peers.messages import FeedConfirmed, FeedsReply, FollowFeeds
 from drumbay.peers.transport import PeerClient, PeerUnavailableError
+from drumbay.tasks import TaskOwner
 from drumbay.usage.records import NodeUsage
 
 FRESH_SHARE = 0.5
 """A node that has not reached the store for this share of the time in which a configuration must
 be in force is not followed: what remains is for finding another one, and for its pauses."""
 
-QUIET_SHARE = 0.4
-"""A watch whose copy must be known to be fresh answers at least once in this share of the time in
-which a configuration must be in force: often enough that followers find its node fresh, and that a
-watch on a silent connection is replaced within that time (0.8 of 2 s, and 0.6 s of slack). A watch
-of 20 s let every node miss each change for up to 20 s while connections were silent; shorter ones
-cost one more priced call a second and watcher."""
-
 POLL_SHARE = 0.6
 """A call is held for this share of the time for which a node counts as fresh."""
 
@@ -69,6 +64,8 @@
         in_force_seconds: float,
         report_usage: Callable[[], NodeUsage | None],
         on_silent_connection: Callable[[], None],
+        tell_watchers: Callable[[FeedConfirmed], None],
+        task_owner: TaskOwner,
     ) -> None:
         """Create copies of nothing but the nodes' entries.
 
@@ -84,10 +81,15 @@
                 force at every node.
             report_usage: Returns what this node has counted, to be told to a watcher.
             on_silent_connection: Called when a watch was dead though the service answers.
+            tell_watchers: Tells the other nodes that watch what this one has proved.
+            task_owner: Runs short waits.
         """
         self._report_usage = report_usage
         self._fresh_seconds = FRESH_SHARE * in_force_seconds
-        self._quiet_seconds = QUIET_SHARE * in_force_seconds
+        self._in_force_seconds = in_force_seconds
+        self._tell_watchers = tell_watchers
+        self._task_owner = task_owner
+        self._provers: dict[str, FreshnessProver] = {}
         self._on_silent_connection = on_silent_connection
         self._poll_seconds = POLL_SHARE * self._fresh_seconds
         self._clock = clock
@@ -181,20 +183,41 @@
                     mirror,
                     self._generator,
                     self._directory.store_returned,
-                    mirror.feed.quiet_seconds or self._quiet_seconds,
+                    mirror.feed.quiet_seconds,
                     self._on_silent_connection,
                 ).run()
             )
             for mirror in self._mirrors.values()
         ]
+        self._provers = {mirror.feed.prefix: self._prover(mirror) for mirror in self._aged()}
+        tasks.extend(asyncio.ensure_future(prover.run()) for prover in self._provers.values())
         try:
             while self._follows_directly():
                 await self._clock.sleep(MODE_CHECK_SECONDS)
         finally:
+            self._provers = {}
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _prover(self, mirror: FeedMirror) -> FreshnessProver:
+        return FreshnessProver(
+            self._clock,
+            self._direct,
+            mirror,
+            self._generator,
+            self._task_owner,
+            self._in_force_seconds,
+            self._tell_watchers,
+            self._on_silent_connection,
+        )
+
+    def take_confirmed(self, confirmed: FeedConfirmed) -> None:
+        """Take what another node that watches has proved; nothing while this one does not."""
+        prover = self._provers.get(confirmed.prefix)
+        if prover is not None:
+            prover.take(confirmed)
+
     async def _follow_nodes(self) -> None:
         """Ask one node for changes, or find another node to ask."""
         if self._source is not None and await self._ask(self._source, self._poll_seconds):
--- a/drumbay/peers/messages.py
+++ b/drumbay/peers/messages.py
@@ -10,7 +10,7 @@
     ReturnedItems,
     StoredOwner,
 )
-from drumbay.identifiers import BackendId, WeightVersion
+from drumbay.identifiers import BackendId, Revision, WeightVersion
 from drumbay.kv.interface import (
     Delete,
     LeaseGrant,
@@ -146,10 +146,21 @@
     holder: str
 
 
+class FeedConfirmed(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A node tells up to which change of a prefix it had all, some time ago."""
+
+    prefix: str
+    last_change: Revision
+    age_seconds: float
+
+
+Notice = LoadingNotice | OwnerNotice | FeedConfirmed
+
+
 class Notices(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """All that a node has to tell another one by now."""
 
-    notices: tuple[LoadingNotice | OwnerNotice, ...]
+    notices: tuple[Notice, ...]
 
 
 class CollectUsage(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/drumbay/peers/notices.py
+++ b/drumbay/peers/notices.py
@@ -8,7 +8,7 @@
 
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.observability.logs import log_event
-from drumbay.peers.messages import LoadingNotice, Notices, OwnerNotice
+from drumbay.peers.messages import Notice, Notices
 from drumbay.peers.transport import PeerClient, PeerUnavailableError
 from drumbay.tasks import TaskOwner
 
@@ -26,11 +26,9 @@
         """Wait for nothing."""
         self._peers = peers
         self._task_owner = task_owner
-        self._waiting: dict[NetworkAddress, list[LoadingNotice | OwnerNotice]] = {}
+        self._waiting: dict[NetworkAddress, list[Notice]] = {}
 
-    def tell(
-        self, addresses: Iterable[NetworkAddress], notice: LoadingNotice | OwnerNotice
-    ) -> None:
+    def tell(self, addresses: Iterable[NetworkAddress], notice: Notice) -> None:
         """Tell nodes of something, soon and at most once."""
         for address in addresses:
             queue = self._waiting.get(address)
--- a/drumbay/peers/store_relay.py
+++ b/drumbay/peers/store_relay.py
@@ -83,6 +83,10 @@
     def suspect(self) -> None:
         """Take connections to the service for dead: other nodes are asked, watches end."""
         self._suspect_until = self._clock.monotonic() + SUSPECT_SECONDS
+        self.end_watches()
+
+    def end_watches(self) -> None:
+        """End the watches, whose connections may be dead; their followers begin new ones."""
         self._suspected.set()
         self._suspected = asyncio.Event()
 
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -28,8 +28,10 @@
 from drumbay.peers.messages import (
     CollectUsage,
     DoneReply,
+    FeedConfirmed,
     FollowFeeds,
     LoadingNotice,
+    Notice,
     Notices,
     OwnerNotice,
     PeerReply,
@@ -157,6 +159,8 @@
             settings.in_force_seconds,
             self._usage.own_report,
             self._renew_connections,
+            self._tell_watchers,
+            self._tasks,
         )
         self.directory = WorkerDirectory()
         self.directory.count_pauses_with(self.metrics.count_worker_pause)
@@ -359,6 +363,7 @@
 
     def _renew_connections(self) -> None:
         """Replace what may have fallen silent together with a connection that has."""
+        self._store.end_watches()
         if self._environment.connections is not None:
             self._environment.connections.close_unheard()
 
@@ -372,12 +377,19 @@
     def _tell_all(self, notice: LoadingNotice | OwnerNotice) -> None:
         self._notices.tell(self._peer_directory.responsive(), notice)
 
-    def _take_notices(self, notices: Iterable[LoadingNotice | OwnerNotice]) -> None:
+    def _tell_watchers(self, notice: FeedConfirmed) -> None:
+        watchers = self._peer_directory.ranking.watchers
+        self._notices.tell(self._peer_directory.others_responsive(watchers), notice)
+
+    def _take_notices(self, notices: Iterable[Notice]) -> None:
         for notice in notices:
-            if isinstance(notice, OwnerNotice):
-                self.batches.note_owner(notice)
-            else:
-                self._note_loading(notice)
+            match notice:
+                case OwnerNotice():
+                    self.batches.note_owner(notice)
+                case FeedConfirmed():
+                    self._feeds.take_confirmed(notice)
+                case LoadingNotice():
+                    self._note_loading(notice)
 
     def _note_loading(self, notice: LoadingNotice) -> None:
         self._coordinator.note_order(notice)
--- a/drumbay/standins/kv_watch.py
+++ b/drumbay/standins/kv_watch.py
@@ -41,9 +41,9 @@
                 next_revision = max(next_revision, Revision(batch.revision + 1))
                 is_quiet = model.now() >= quiet_until
                 if batch.events or is_quiet:
+                    yield batch
                     model.injector.arrived += is_quiet
                     quiet_until = model.now() + quiet_seconds
-                    yield batch
                     continue
             await _wait_for_change(model, changed, quiet_until)
     finally:
--- /dev/null
+++ b/tests/test_freshness.py
@@ -0,0 +1,80 @@
+"""Copies are proved fresh for few calls; a change that a silent watch misses is seen in time."""
+
+import asyncio
+import unittest
+
+from drumbay.kv.interface import Put
+from tests.serving_world import ServingWorld, WorldNode, play
+from tests.test_shared_feeds import KEY, Seen
+from tests.test_store_follower import SilentStore
+
+NODES = 6
+IN_FORCE_SECONDS = 2.0
+CALM_SECONDS = 60.0
+PROOFS = CALM_SECONDS / 0.6
+"""One node asks for all of them, each 0.6 s at the soonest."""
+
+
+class FreshnessTest(unittest.TestCase):
+    async def start(self, world: ServingWorld) -> list[Seen]:
+        self.stores = [SilentStore(world.model, world.clock) for _ in range(NODES)]
+        world.nodes = [
+            WorldNode(world, 10 + number, 0, store) for number, store in enumerate(self.stores)
+        ]
+        seen = [Seen() for _ in world.nodes]
+        for node, found in zip(world.nodes, seen, strict=True):
+            node.node.start((found.feed(),))
+        await asyncio.sleep(5.0)
+        return seen
+
+    @staticmethod
+    def put(world: ServingWorld, value: bytes) -> None:
+        world.model.transact((), (Put(key=KEY, value=value),))
+
+    def test_one_node_asks_for_all(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            await self.start(world)
+            before = sum(store.polls for store in self.stores)
+            oldest = 0.0
+            for _ in range(round(CALM_SECONDS * 20)):
+                await asyncio.sleep(0.05)
+                ages = [node.node.configuration_age_seconds for node in world.nodes]
+                oldest = max(oldest, *ages)
+            self.assertLess(oldest, 0.6 * IN_FORCE_SECONDS)
+            polls = sum(store.polls for store in self.stores) - before
+            self.assertLess(polls, PROOFS)
+
+        play(scenario, node_count=0)
+
+    def test_changes_are_in_force_while_all_open_watches_are_silent(self) -> None:
+        for phase in range(4):
+
+            async def scenario(world: ServingWorld, phase: int = phase) -> None:
+                seen = await self.start(world)
+                await asyncio.sleep(0.15 * phase)
+                for store in self.stores:
+                    store.silence_open()
+                for number in range(3):
+                    self.put(world, b"%d" % number)
+                    await asyncio.sleep(IN_FORCE_SECONDS)
+                    for found in seen:
+                        self.assertEqual(found.values[-1:], [b"%d" % number])
+
+            with self.subTest(phase=phase):
+                play(scenario, node_count=0)
+
+    def test_a_node_that_cannot_prove_its_copy_says_how_old_it_is(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            await self.start(world)
+            node, store = world.nodes[0], self.stores[0]
+            world.peers.cut = {other.address for other in world.nodes}
+            store.cut()
+            await asyncio.sleep(5.0)
+            self.assertGreater(node.node.configuration_age_seconds, 4.0)
+            self.assertTrue(node.node.may_lack_configuration)
+
+        play(scenario, node_count=0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -13,6 +13,7 @@
 from drumbay.kv.interface import LONGEST_QUIET_SECONDS, KeyValue, Put, WatchBatch, WatchEvent
 from drumbay.kv.memory import MemoryKeyValueStore
 from drumbay.kv.mirror import FeedMirror, PrefixFeed
+from drumbay.peers.freshness import POLL_SECONDS
 from drumbay.simulation.outside_clock import OutsideClock
 from drumbay.standins.kv_faults import KeyValueFaults
 from drumbay.standins.kv_model import KeyValueModel
@@ -31,6 +32,7 @@
     def __init__(self, model: KeyValueModel, clock: Clock) -> None:
         super().__init__(model, clock, timeout_seconds=1.0)
         self.cuts = 0
+        self.polls = 0
 
     def silence_open(self) -> None:
         """Let the watches that are open now say nothing more."""
@@ -48,6 +50,7 @@
         quiet_seconds: float = LONGEST_QUIET_SECONDS,
     ) -> AsyncGenerator[WatchBatch, None]:
         opened_at_cut = self.cuts
+        self.polls += quiet_seconds <= POLL_SECONDS
         async for batch in super().watch_prefix(prefix, start_revision, quiet_seconds):
             if self.cuts != opened_at_cut:
                 await asyncio.sleep(3_600.0)
