--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -5,6 +5,7 @@
 import os
 import random
 import signal
+import subprocess
 import sys
 import tempfile
 import unittest
@@ -152,5 +153,28 @@
                 self.assertEqual(await process.wait(), 2)
 
 
+class StartTest(unittest.TestCase):
+    def test_a_change_of_the_settings_during_the_start_does_not_end_the_process(self) -> None:
+        """Symptom: a node ended with signal 1 in a soak (``node 3 ended by itself, code -1``).
+
+        SIGHUP came while the program was being imported; its handler is set once the loop runs.
+        """
+        driver = (
+            "import os, runpy, signal, sys, types\n"
+            "module = types.ModuleType('drumbay_platform.main')\n"
+            "def hang_up(name):\n"
+            "    os.kill(os.getpid(), signal.SIGHUP)\n"
+            "    return lambda arguments: print('alive')\n"
+            "module.__getattr__ = hang_up\n"
+            "sys.modules['drumbay_platform'] = types.ModuleType('drumbay_platform')\n"
+            "sys.modules['drumbay_platform.main'] = module\n"
+            f"runpy.run_path({str(ROOT / 'platform' / 'run.py')!r}, run_name='__main__')\n"
+        )
+        ended = subprocess.run(
+            [sys.executable, "-c", driver], capture_output=True, timeout=LIMIT_SECONDS, check=False
+        )
+        self.assertEqual((ended.returncode, ended.stdout), (0, b"alive\n"))
+
+
 if __name__ == "__main__":
     unittest.main()
