Give kept connections, and a serving node's settings, modules of their own

Change: ConnectionPool and its idle connections stand in comm/connection_pool.py, the records of a serving node's settings and environment in serving/settings.py. No line of logic changes.

--- /dev/null
+++ b/drumbay/comm/connection_pool.py
@@ -0,0 +1,89 @@
+"""Connections that have served an exchange and wait to serve another one."""
+
+import socket
+
+import msgspec
+from tornado.iostream import IOStream
+
+from drumbay.clock import Clock
+from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.open_connections import OpenConnection, OpenConnections
+
+MAXIMUM_IDLE_PER_ADDRESS = 16
+
+
+class IdleConnection(msgspec.Struct, frozen=True):
+    """A connection without an exchange, to be used again until a monotonic time."""
+
+    stream: IOStream
+    usable_until: float
+    connection: OpenConnection | None
+
+    def is_clean(self, now: float) -> bool:
+        """Return whether the connection is open and has received nothing since its answer."""
+        if now >= self.usable_until or self.stream.closed():
+            return False
+        # NOTE: IOStream has no public way to ask for bytes that it has read already.
+        if self.stream._read_buffer_size:
+            return False
+        try:
+            self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        # Either surplus bytes, which belong to no request, or the end of the connection.
+        return False
+
+
+class ConnectionPool:
+    """Idle connections by address; the one used last is used first."""
+
+    def __init__(self, clock: Clock, connections: OpenConnections | None = None) -> None:
+        """Create an empty pool; ``connections`` remembers those that are opened for it."""
+        self.connections = connections
+        self._clock = clock
+        self._idle: dict[NetworkAddress, list[IdleConnection]] = {}
+
+    def take(self, address: NetworkAddress) -> IdleConnection | None:
+        """Return a clean idle connection, if there is one; close those that are not."""
+        now = self._clock.monotonic()
+        connections = self._idle.get(address, [])
+        while connections:
+            connection = connections.pop()
+            if connection.is_clean(now):
+                return connection
+            connection.stream.close()
+        self._idle.pop(address, None)
+        return None
+
+    def has(self, address: NetworkAddress) -> bool:
+        """Return whether there seems to be an idle connection; it may turn out to be closed."""
+        now = self._clock.monotonic()
+        return any(
+            now < connection.usable_until and not connection.stream.closed()
+            for connection in self._idle.get(address, [])
+        )
+
+    def put(
+        self,
+        address: NetworkAddress,
+        stream: IOStream,
+        idle_seconds: float,
+        connection: OpenConnection | None = None,
+    ) -> None:
+        """Keep a connection whose answer is whole."""
+        connections = self._idle.setdefault(address, [])
+        if len(connections) >= MAXIMUM_IDLE_PER_ADDRESS:
+            connections.pop(0).stream.close()
+        until = self._clock.monotonic() + idle_seconds
+        connections.append(IdleConnection(stream, until, connection))
+        if connection is not None:
+            connection.is_replaceable = True
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for connections in self._idle.values():
+            for connection in connections:
+                connection.stream.close()
+        self._idle.clear()
--- a/drumbay/comm/http_exchange.py
+++ b/drumbay/comm/http_exchange.py
@@ -2,13 +2,14 @@
 
 Built on tornado's ``HTTP1Connection``. Closing an exchange closes its connection, which tells
 the server to stop working. A connection whose answer is whole may be given to a
-:class:`ConnectionPool` and serve another exchange.
+:class:`drumbay.comm.connection_pool.ConnectionPool` and serve another exchange.
 """
 
 import asyncio
 import re
 import socket
 from collections import deque
+from typing import TYPE_CHECKING
 
 import msgspec
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
@@ -21,10 +22,12 @@
 )
 from tornado.iostream import IOStream, StreamClosedError
 
-from drumbay.clock import Clock
 from drumbay.comm.open_connections import OpenConnection, OpenConnections
 from drumbay.exceptions import UnavailableError
 
+if TYPE_CHECKING:
+    from drumbay.comm.connection_pool import ConnectionPool
+
 MAXIMUM_HEADER_BYTES = 65_536
 MAXIMUM_BODY_BYTES = 256 * 1024 * 1024
 USER_TIMEOUT_MILLISECONDS = 4_000
@@ -32,7 +35,6 @@
 """How long an idle connection is used again if the server does not say how long it keeps it."""
 
 IDLE_MARGIN_SECONDS = 1.0
-MAXIMUM_IDLE_PER_ADDRESS = 16
 
 
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
@@ -145,83 +147,6 @@
         await self._waiter
 
 
-class _IdleConnection(msgspec.Struct, frozen=True):
-    """A connection without an exchange, to be used again until a monotonic time."""
-
-    stream: IOStream
-    usable_until: float
-    connection: OpenConnection | None
-
-    def is_clean(self, now: float) -> bool:
-        """Return whether the connection is open and has received nothing since its answer."""
-        if now >= self.usable_until or self.stream.closed():
-            return False
-        # NOTE: IOStream has no public way to ask for bytes that it has read already.
-        if self.stream._read_buffer_size:
-            return False
-        try:
-            self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        # Either surplus bytes, which belong to no request, or the end of the connection.
-        return False
-
-
-class ConnectionPool:
-    """Idle connections by address; the one used last is used first."""
-
-    def __init__(self, clock: Clock, connections: OpenConnections | None = None) -> None:
-        """Create an empty pool; ``connections`` remembers those that are opened for it."""
-        self.connections = connections
-        self._clock = clock
-        self._idle: dict[NetworkAddress, list[_IdleConnection]] = {}
-
-    def take(self, address: NetworkAddress) -> _IdleConnection | None:
-        """Return a clean idle connection, if there is one; close those that are not."""
-        now = self._clock.monotonic()
-        connections = self._idle.get(address, [])
-        while connections:
-            connection = connections.pop()
-            if connection.is_clean(now):
-                return connection
-            connection.stream.close()
-        self._idle.pop(address, None)
-        return None
-
-    def has(self, address: NetworkAddress) -> bool:
-        """Return whether there seems to be an idle connection; it may turn out to be closed."""
-        now = self._clock.monotonic()
-        return any(
-            now < connection.usable_until and not connection.stream.closed()
-            for connection in self._idle.get(address, [])
-        )
-
-    def put(
-        self,
-        address: NetworkAddress,
-        stream: IOStream,
-        idle_seconds: float,
-        connection: OpenConnection | None = None,
-    ) -> None:
-        """Keep a connection whose answer is whole."""
-        connections = self._idle.setdefault(address, [])
-        if len(connections) >= MAXIMUM_IDLE_PER_ADDRESS:
-            connections.pop(0).stream.close()
-        until = self._clock.monotonic() + idle_seconds
-        connections.append(_IdleConnection(stream, until, connection))
-        if connection is not None:
-            connection.is_replaceable = True
-
-    def close(self) -> None:
-        """Close every idle connection."""
-        for connections in self._idle.values():
-            for connection in connections:
-                connection.stream.close()
-        self._idle.clear()
-
-
 class HttpExchange:
     """An open exchange: send, read the head, read chunks, close.
 
@@ -234,7 +159,7 @@
         self,
         stream: IOStream,
         address: NetworkAddress,
-        pool: ConnectionPool | None,
+        pool: "ConnectionPool | None",
         connection: OpenConnection | None,
     ) -> None:
         """Take over a connected stream."""
@@ -259,7 +184,7 @@
         address: NetworkAddress,
         request: HttpRequest,
         connect_timeout_seconds: float,
-        pool: ConnectionPool | None = None,
+        pool: "ConnectionPool | None" = None,
         connections: OpenConnections | None = None,
         *,
         fresh: bool = False,
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -4,21 +4,13 @@
 must last; a restarted node reads the store and is whole.
 """
 
-import random
 from collections.abc import Awaitable, Callable, Iterable
 
-import msgspec
-
-from drumbay.batches.owners import ServiceIdentity
 from drumbay.batches.retention import BatchRetention
 from drumbay.batches.reward_scorer import RewardScorer
 from drumbay.batches.service import BatchService
-from drumbay.clock import Clock
-from drumbay.comm.open_connections import OpenConnections
-from drumbay.duties.interface import PlatformDuties
 from drumbay.forwarding.forwarder import Forwarder
 from drumbay.forwarding.routes import RouteTable, RoutingConfiguration
-from drumbay.kv.interface import KeyValueStore
 from drumbay.kv.mirror import PrefixFeed
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
@@ -46,15 +38,14 @@
 )
 from drumbay.peers.notices import NoticeQueues
 from drumbay.peers.store_relay import RelayingStore, StoreRelayServer
-from drumbay.peers.transport import PeerClient
 from drumbay.scaling.keeper import WorkerCountKeeper
+from drumbay.serving.settings import ServingEnvironment, ServingSettings
 from drumbay.tasks import TaskOwner
 from drumbay.tenants.access import admit
 from drumbay.tenants.records import TenantName
-from drumbay.usage.service import UsageService, UsageSettings
+from drumbay.usage.service import UsageService
 from drumbay.weights.version_coordinator import NamedVersions, VersionCoordinator
 from drumbay.workers.directory import WorkerDirectory
-from drumbay.workers.interface import WorkerClient
 from drumbay.workers.records import Worker
 from drumbay.workers.silence_check import SilenceCheck
 
@@ -70,60 +61,6 @@
 is gone must get nothing 2 s after that is known."""
 
 
-class ServingSettings(msgspec.Struct, frozen=True, kw_only=True):
-    """What a serving node is told about itself.
-
-    Attributes:
-        machine: Name of the machine, under which it gives orders.
-        zone: Where it stands; workers of the same zone are preferred.
-        identity: The address for other nodes, and the boot of the process.
-        in_force_seconds: Within this time after its acceptance, a configuration is to be in force
-            at every node.
-        settle_seconds: How long a node that starts together with all others waits before it
-            looks for them.
-        turn_seconds: Orders of two machines to one worker lie at least so far apart.
-        workers_check_fences: Whether workers refuse an order with a fence below one that they
-            have seen.
-        stop_seconds: Longest planned stop.
-        turn_away_seconds: How long the node still takes requests after it has said that it is
-            leaving.
-        keep_results_seconds: How long after its submission an ended batch job can be read.
-        is_restart: Whether an earlier process at this address may have owned batch jobs.
-        usage: What usage reports are to be; ``None`` where none are asked for.
-        orders_workers: Whether the number of workers is this system's to order.
-    """
-
-    machine: str
-    zone: str
-    identity: ServiceIdentity
-    in_force_seconds: float = 2.0
-    settle_seconds: float = 0.0
-    turn_seconds: float = 3.0
-    workers_check_fences: bool = False
-    stop_seconds: float = 7.0
-    turn_away_seconds: float = 2.5
-    keep_results_seconds: float = 120.0
-    is_restart: bool = False
-    usage: UsageSettings | None = None
-    orders_workers: bool = False
-
-
-class ServingEnvironment(msgspec.Struct, frozen=True, kw_only=True):
-    """What a serving node uses.
-
-    ``duties`` is ``None`` where the platform has none for it; ``connections`` are those that the
-    clients passed in have opened, ``None`` where these open none.
-    """
-
-    clock: Clock
-    store: KeyValueStore
-    workers: WorkerClient
-    peers: PeerClient
-    generator: random.Random
-    duties: PlatformDuties | None = None
-    connections: OpenConnections | None = None
-
-
 class ServingNode:
     """A node's services; the caller connects them to servers."""
 
--- a/tests/serving_world.py
+++ b/tests/serving_world.py
@@ -29,7 +29,8 @@
 from drumbay.kv.memory import MemoryKeyValueStore
 from drumbay.peers.messages import PeerReply, PeerRequest, Ping
 from drumbay.peers.transport import PeerUnavailableError
-from drumbay.serving.node import ServingEnvironment, ServingNode, ServingSettings
+from drumbay.serving.node import ServingNode
+from drumbay.serving.settings import ServingEnvironment, ServingSettings
 from drumbay.simulation.outside_clock import OutsideClock
 from drumbay.simulation.virtual_time import run_simulation
 from drumbay.standins.kv_model import KeyValueModel
--- a/tests/test_platform_serving.py
+++ b/tests/test_platform_serving.py
@@ -19,7 +19,8 @@
 from drumbay.identifiers import WeightVersion
 from drumbay.kv.interface import Put
 from drumbay.peers.transport import HttpPeerClient, PeerServer
-from drumbay.serving.node import ServingEnvironment, ServingNode, ServingSettings
+from drumbay.serving.node import ServingNode
+from drumbay.serving.settings import ServingEnvironment, ServingSettings
 from drumbay.standins.kv_model import KeyValueModel
 from drumbay.standins.worker_pool import EmulatedWorkerPool, whole_text
 
