--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: help install format check test demo
+.PHONY: help install format check test soak demo
 
 help: ## List the commands
 	@grep -hE '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/' | expand -t 14
@@ -28,5 +28,9 @@
 demo: $(STAMP) ## Run both deployments as processes and check them
 	bash demo/run.sh
 
+soak: $(STAMP) ## The fault soak, short and seeded: silent connections alone, then every fault
+	$(PYTHON) platform/soak.py --seed 4 --seconds 40 --only connections_silent
+	$(PYTHON) platform/soak.py --seed 101 --seconds 40
+
 test: check ## All checks and the tests
 	$(PYTHON) -m tests
