Date proofs of copies by their questions, and take none that waited for a paused process

Cause: found by reading. A watch's answer, or what another node told, may wait in the sockets of a process that stands still; read after the pause it made an old copy look fresh, so that a final 404 or 401 could rest on knowledge from before the pause.

What other nodes prove is taken only by a process that has run without a gap for as long as a notice may take.

Test: test_what_waited_for_a_process_that_stood_still_is_no_proof, new with the mechanism.

--- a/drumbay/kv/follower.py
+++ b/drumbay/kv/follower.py
@@ -104,7 +104,8 @@
             found = await self._store.range_prefix(mirror.feed.prefix)
             mirror.take_snapshot(found, self._unseen_seconds())
             mirror.watched_to = found.revision
-            self._note_heard(asked_at)
+            self._note_heard()
+            mirror.confirm(asked_at)
             self._judge_silence(self._heard_at - asked_at)
             self._needs_snapshot = False
             self._unseen_since = None
@@ -114,7 +115,7 @@
         while True:
             batch = await self._next(batches)
             self._backoff.reset()
-            self._note_heard(self._clock.monotonic())
+            self._note_heard()
             self._note_regained()
             mirror.take_batch(batch)
             mirror.watched_to = batch.revision
@@ -136,9 +137,8 @@
         except DeadlineExceededError as error:
             raise WatchSilentError(f"nothing for {limit_seconds:.1f} s") from error
 
-    def _note_heard(self, complete_at: float) -> None:
+    def _note_heard(self) -> None:
         self._heard_at = self._clock.monotonic()
-        self._mirror.confirm(complete_at)
 
     def _judge_silence(self, answer_seconds: float) -> None:
         """Tell that connections fell silent if the service was there all the time."""
--- a/drumbay/kv/mirror.py
+++ b/drumbay/kv/mirror.py
@@ -67,9 +67,9 @@
     Attributes:
         feed: Who is told.
         is_connected: Whether the copy is being kept up to date from the service itself.
-        confirmed_at: Monotonic time at which the copy was last known to be complete: told by its
-            own watch or snapshot, or by a proof of its last change, never by the mere answer on
-            another connection, which may work while this one is silent.
+        confirmed_at: Monotonic time at which the copy was last known to be complete: when a
+            question was asked whose answer proved it. Not when an answer of a watch came, which
+            may have waited for a process that stood still, nor when another connection worked.
         watched_to: Up to which revision the standing watch, or the snapshot before it, has told.
         last_change: Revision of the newest change that is known.
     """
--- a/drumbay/peers/feeds.py
+++ b/drumbay/peers/feeds.py
@@ -21,6 +21,8 @@
 from drumbay.peers.directory import PeerDirectory
 from drumbay.peers.freshness import FreshnessProver
 from drumbay.peers.messages import FeedConfirmed, FeedsReply, FollowFeeds
+from drumbay.peers.notices import NOTICE_TIMEOUT_SECONDS
+from drumbay.peers.standstill import Standstill
 from drumbay.peers.transport import PeerClient, PeerUnavailableError
 from drumbay.tasks import TaskOwner
 from drumbay.usage.records import NodeUsage
@@ -90,6 +92,7 @@
         self._tell_watchers = tell_watchers
         self._task_owner = task_owner
         self._provers: dict[str, FreshnessProver] = {}
+        self._standstill = Standstill(clock)
         self._on_silent_connection = on_silent_connection
         self._poll_seconds = POLL_SHARE * self._fresh_seconds
         self._clock = clock
@@ -153,6 +156,7 @@
         """
         for feed in feeds:
             self._add(feed)
+        self._task_owner.spawn(self._standstill.run(), "standstill")
         await self._clock.sleep(settle_seconds)
         await self._find_nodes()
         while True:
@@ -213,9 +217,12 @@
         )
 
     def take_confirmed(self, confirmed: FeedConfirmed) -> None:
-        """Take what another node that watches has proved; nothing while this one does not."""
+        """Take what another node that watches has proved; nothing while this one does not.
+
+        What waited for a process that stood still is old by as long as that lasted.
+        """
         prover = self._provers.get(confirmed.prefix)
-        if prover is not None:
+        if prover is not None and self._standstill.has_run_for(NOTICE_TIMEOUT_SECONDS):
             prover.take(confirmed)
 
     async def _follow_nodes(self) -> None:
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -6,6 +6,7 @@
 from drumbay.kv.interface import Put
 from drumbay.peers.feeds import FRESH_SHARE
 from drumbay.peers.freshness import PROOF_SHARE, PROOF_SPREAD
+from drumbay.peers.standstill import Standstill
 from tests.serving_world import ServingWorld, WorldNode, play
 from tests.test_shared_feeds import KEY, Seen
 from tests.test_store_follower import SilentStore
@@ -73,6 +74,25 @@
             with self.subTest(phase=phase):
                 play(scenario, node_count=0)
 
+    def test_what_waited_for_a_process_that_stood_still_is_no_proof(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            standstill = Standstill(world.clock)
+            self.assertFalse(standstill.has_run_for(0.3))
+            ticks = asyncio.ensure_future(standstill.run())
+            await asyncio.sleep(1.0)
+            self.assertTrue(standstill.has_run_for(0.3))
+            ticks.cancel()
+            await asyncio.sleep(5.0)
+            self.assertFalse(standstill.has_run_for(0.3))
+            ticks = asyncio.ensure_future(standstill.run())
+            await asyncio.sleep(0.26)
+            self.assertFalse(standstill.has_run_for(0.3))
+            await asyncio.sleep(0.5)
+            self.assertTrue(standstill.has_run_for(0.3))
+            ticks.cancel()
+
+        play(scenario)
+
     def test_a_node_that_cannot_prove_its_copy_says_how_old_it_is(self) -> None:
         async def scenario(world: ServingWorld) -> None:
             await self.start(world)
