Bound every watch of the store, also of those that wait for one change

The time limit of watches had moved from the store's client to the followers of prefixes, so that a candidate for the lead waited without one: where only its watch fell silent, it never learnt that the leader had gone.

Change: the relaying store, through which all watches go, ends one that is overdue by 1.2 s.

Test: test_a_candidate_whose_watch_alone_fell_silent_leads_after_the_leader_is_gone fails without the change (no leader after 30 s) and passes with it.

--- a/drumbay/peers/store_relay.py
+++ b/drumbay/peers/store_relay.py
@@ -26,6 +26,7 @@
     RangeResult,
     TransactionResult,
     WatchBatch,
+    WatchSilentError,
 )
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
@@ -54,6 +55,9 @@
 SUSPECT_SECONDS = 1.5
 """After a failure, other nodes are asked first for this long."""
 
+WATCH_SLACK_SECONDS = 1.2
+"""Twice what a follower of a prefix allows itself: this bound is for those that only wait for one
+change, as a candidate for the lead does, and would wait for ever on a silent connection."""
 
 FAILURES_BEFORE_SUSPECT = 2
 """The service may lose a single answer; the connections are dead if none comes."""
@@ -136,7 +140,7 @@
         start_revision: Revision,
         quiet_seconds: float = LONGEST_QUIET_SECONDS,
     ) -> AsyncIterator[WatchBatch]:
-        """Watch directly, until the connection is suspected to be dead.
+        """Watch directly, until the connection is suspected to be dead, or says nothing.
 
         A follower reads snapshots, which are relayed, while this fails.
         """
@@ -145,9 +149,13 @@
             suspected = asyncio.ensure_future(self._suspected.wait())
             coming = asyncio.ensure_future(_next(batches))
             try:
-                await asyncio.wait({coming, suspected}, return_when=asyncio.FIRST_COMPLETED)
+                await asyncio.wait(
+                    {coming, suspected},
+                    timeout=quiet_seconds + WATCH_SLACK_SECONDS,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
                 if not coming.done():
-                    raise KeyValueUnavailableError("the connection may be dead")
+                    raise WatchSilentError("the connection may be dead")
                 yield coming.result()
             finally:
                 suspected.cancel()
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -2,8 +2,12 @@
 
 import asyncio
 import unittest
+from collections.abc import AsyncGenerator
 
-from drumbay.kv.interface import Put
+from drumbay.identifiers import Revision
+from drumbay.kv.interface import LONGEST_QUIET_SECONDS, Put, WatchBatch
+from drumbay.kv.memory import MemoryKeyValueStore
+from drumbay.ownership.leader import PREFIX as LEADER_PREFIX
 from drumbay.peers.feeds import FRESH_SHARE
 from drumbay.peers.freshness import PROOF_SHARE, PROOF_SPREAD
 from drumbay.peers.standstill import Standstill
@@ -21,6 +25,20 @@
 """One node asks for all of them, 0.56 s after the last proof at the soonest."""
 
 
+class LeaderWatchSilentStore(SilentStore):
+    """A client of whose open watches only that of the leader falls silent."""
+
+    def watch_prefix(
+        self,
+        prefix: str,
+        start_revision: Revision,
+        quiet_seconds: float = LONGEST_QUIET_SECONDS,
+    ) -> AsyncGenerator[WatchBatch, None]:
+        if prefix == LEADER_PREFIX:
+            return super().watch_prefix(prefix, start_revision, quiet_seconds)
+        return MemoryKeyValueStore.watch_prefix(self, prefix, start_revision, quiet_seconds)
+
+
 class FreshnessTest(unittest.TestCase):
     async def start(self, world: ServingWorld) -> list[Seen]:
         self.stores = [SilentStore(world.model, world.clock) for _ in range(NODES)]
@@ -74,6 +92,21 @@
             with self.subTest(phase=phase):
                 play(scenario, node_count=0)
 
+    def test_a_candidate_whose_watch_alone_fell_silent_leads_after_the_leader_is_gone(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            store = LeaderWatchSilentStore(world.model, world.clock)
+            candidate = WorldNode(world, 9, 0, store)
+            world.nodes[0].lead()
+            await asyncio.sleep(2.0)
+            candidate.lead()
+            await asyncio.sleep(5.0)
+            store.silence_open()
+            await world.nodes[0].kill()
+            await asyncio.sleep(LONGEST_QUIET_SECONDS + 10.0)
+            self.assertIsNotNone(candidate.leader.fence(world.clock.monotonic()))
+
+        play(scenario, node_count=1)
+
     def test_what_waited_for_a_process_that_stood_still_is_no_proof(self) -> None:
         async def scenario(world: ServingWorld) -> None:
             standstill = Standstill(world.clock)
