--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -23,6 +23,7 @@
     RemovedKeyProbe,
 )
 from drumbay_soak.main import read_regressions
+from drumbay_soak.node_process import free_address
 from drumbay_soak.proxy import FaultyProxy, ProxyMode
 
 from drumbay.batches.records import ItemId, ItemResult, ResultState, Reward
@@ -376,6 +377,12 @@
             self.assertTrue(regression.cause)
 
 
+class AddressTest(unittest.TestCase):
+    def test_no_address_is_given_twice(self) -> None:
+        addresses = [free_address() for _ in range(2_000)]
+        self.assertEqual(len(set(addresses)), len(addresses))
+
+
 class ProxyTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.received = asyncio.Queue[bytes]()
