--- a/drumbay/batches/owned.py
+++ b/drumbay/batches/owned.py
@@ -10,6 +10,7 @@
 )
 from drumbay.batches.ledger import BatchLedger
 from drumbay.batches.owners import OwnerTable
+from drumbay.batches.places import JobPlaces
 from drumbay.batches.records import (
     BatchId,
     BatchSpec,
@@ -104,6 +105,10 @@
             1 for runner in self._runners.values() if not runner.is_finished and not runner.is_held
         )
 
+    def places(self) -> tuple[JobPlaces, ...]:
+        """Return what the owned batch jobs hold and want at the workers."""
+        return tuple(runner.places() for runner in self._runners.values())
+
     def get(self, batch_id: BatchId) -> BatchRunner | None:
         """Return the runner of a batch job, if it is owned."""
         return self._runners.get(batch_id)
--- a/drumbay/batches/records.py
+++ b/drumbay/batches/records.py
@@ -67,7 +67,8 @@
     ``queue_limit_seconds`` is how long after the submission an item may be given up.
     ``one_version_only`` asks that one weight version makes all of an item's text.
     ``tenant`` is the one whose key submitted it: its items run for that tenant, whatever
-    becomes of the key. ``None`` where no keys are asked for.
+    becomes of the key. ``None`` where no keys are asked for. ``priority`` is its rank when it was
+    submitted: 0 goes first.
     """
 
     batch_id: BatchId
@@ -83,6 +84,7 @@
     one_version_only: bool
     items: tuple[BatchItem, ...]
     tenant: TenantName | None = None
+    priority: int = 0
 
     @property
     def stream(self) -> BatchStream:
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -22,6 +22,7 @@
     LAST_FLUSH_INTERVAL_SECONDS,
     ResultListing,
 )
+from drumbay.batches.places import JobPlaces
 from drumbay.batches.progress import ProgressSaver
 from drumbay.batches.records import (
     BatchId,
@@ -286,6 +287,18 @@
         now = self._clock.monotonic()
         return is_listed_so_far and self._scheduler.is_held(self._limits.held, now)
 
+    def places(self) -> JobPlaces:
+        """Return what the batch job holds and wants at the workers."""
+        return JobPlaces(
+            batch_id=self.spec.batch_id,
+            service=self.spec.service,
+            model=self.spec.model,
+            priority=self.spec.priority,
+            age_seconds=self._clock.monotonic() - self._started_at,
+            waiting=len(self._scheduler.waiting),
+            running=self._scheduler.running(),
+        )
+
     def wake(self) -> None:
         """Plan again, since the workers have changed."""
         self._wakeup.set()
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -162,6 +162,10 @@
         """Return the items that are at no worker and whose text is not whole."""
         return tuple(run.item for run in self._runs.values() if not run.is_placed)
 
+    def running(self) -> Counter[BackendId]:
+        """Return how many items run at each worker."""
+        return Counter(r.worker_id for r in self._runs.values() if r.worker_id is not None)
+
     @property
     def missing_groups(self) -> int:
         """Return how many more whole groups the trainer waits for.
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -21,6 +21,7 @@
 from drumbay.batches.listing import PAGE_BYTES
 from drumbay.batches.owned import OwnedBatches
 from drumbay.batches.owners import STORE_RETRY_SECONDS, OwnerTable, ServiceIdentity
+from drumbay.batches.places import JobPlaces
 from drumbay.batches.records import (
     BatchId,
     BatchSpec,
@@ -147,6 +148,10 @@
         """Return how many batch jobs this node runs."""
         return len(self._owned)
 
+    def places(self) -> tuple[JobPlaces, ...]:
+        """Return what the owned batch jobs hold and want at the workers."""
+        return self._owned.places()
+
     def unfinished(self) -> int:
         """Return how many owned batch jobs have unlisted items."""
         return self._owned.unfinished()
--- a/drumbay/forwarding/routes.py
+++ b/drumbay/forwarding/routes.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from drumbay.scaling.records import ServiceScaling
-from drumbay.tenants.records import KeyTable
+from drumbay.tenants.records import KeyTable, TenantName
 
 
 class RequestKind(StrEnum):
@@ -24,7 +24,10 @@
 
 
 class Route(msgspec.Struct, frozen=True, kw_only=True):
-    """Requests of one host below one path prefix; a public one needs no key."""
+    """Requests of one host below one path prefix; a public one needs no key.
+
+    ``priority`` ranks its requests where they compete for workers: 0 goes first.
+    """
 
     name: str
     host: str
@@ -37,6 +40,7 @@
     queue_limit_seconds: float = 60.0
     one_version_only: bool = False
     is_public: bool = False
+    priority: int = 0
 
 
 class RequestLimits(msgspec.Struct, frozen=True, kw_only=True):
@@ -66,6 +70,12 @@
         matching = [r for r in self._of_host(host) if path.startswith(r.path_prefix)]
         return max(matching, key=lambda route: len(route.path_prefix), default=None)
 
+    def priority_of(self, route: Route, tenant: TenantName | None) -> int:
+        """Return the rank of a request: its tenant's if that has one, else its route's."""
+        if tenant is None or self.keys is None:
+            return route.priority
+        return self.keys.priorities.get(tenant, route.priority)
+
     def batches_need_key(self, host: str) -> bool:
         """Return whether calls about batch jobs need a key: unless all their routes are public."""
         routes = [r for r in self._of_host(host) if r.kind is RequestKind.ROLLOUT]
--- a/drumbay/peers/messages.py
+++ b/drumbay/peers/messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from drumbay.batches.places import JobPlaces
 from drumbay.batches.records import (
     BatchId,
     BatchSpec,
@@ -10,6 +11,7 @@
     ReturnedItems,
     StoredOwner,
 )
+from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.identifiers import BackendId, Revision, WeightVersion
 from drumbay.kv.interface import (
     Delete,
@@ -155,7 +157,14 @@
     age_seconds: float
 
 
-Notice = LoadingNotice | OwnerNotice | FeedConfirmed | QuarantineNotice
+class PlacesNotice(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A node tells what its open batch jobs hold and want; it replaces what it told before."""
+
+    holder: NetworkAddress
+    jobs: tuple[JobPlaces, ...]
+
+
+Notice = LoadingNotice | OwnerNotice | FeedConfirmed | QuarantineNotice | PlacesNotice
 
 
 class Notices(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -164,6 +173,16 @@
     notices: tuple[Notice, ...]
 
 
+class CollectPlaces(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Ask a node what its open batch jobs hold and want."""
+
+
+class PlacesReply(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """What the open batch jobs of a node hold and want."""
+
+    jobs: tuple[JobPlaces, ...]
+
+
 class CollectUsage(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Ask a node for what it and its followers have counted."""
 
@@ -250,7 +269,9 @@
 BatchRequest = OwnerRequest | TakePartialTexts
 StoreRequest = RelayRange | RelayTransaction | RelayKeepAlive | RelayGrant
 UsageRequest = CollectUsage | UsageNotice
-PeerRequest = BatchRequest | StoreRequest | UsageRequest | FollowFeeds | Notices | Ping
+PeerRequest = (
+    BatchRequest | StoreRequest | UsageRequest | FollowFeeds | Notices | Ping | CollectPlaces
+)
 PeerReply = (
     PageReply
     | PartialTextsReply
@@ -262,6 +283,7 @@
     | UnavailableReply
     | FeedsReply
     | UsageReply
+    | PlacesReply
     | RangeReply
     | TransactionReply
     | KeepAliveReply
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -18,6 +18,7 @@
 from drumbay.peers.directory import PeerDirectory
 from drumbay.peers.feeds import SharedFeeds
 from drumbay.peers.messages import (
+    CollectPlaces,
     CollectUsage,
     DoneReply,
     FeedConfirmed,
@@ -29,6 +30,7 @@
     PeerReply,
     PeerRequest,
     Ping,
+    PlacesReply,
     RelayGrant,
     RelayKeepAlive,
     RelayRange,
@@ -366,6 +368,8 @@
             case FollowFeeds():
                 self._usage.take(request.usage)
                 return await self._feeds.answer(request)
+            case CollectPlaces():
+                return PlacesReply(jobs=self.batches.places())
             case CollectUsage():
                 return UsageReply(nodes=self._usage.known())
             case UsageNotice():
--- a/drumbay/workers/records.py
+++ b/drumbay/workers/records.py
@@ -45,11 +45,16 @@
 
 
 class WorkerLoad(msgspec.Struct, frozen=True, kw_only=True):
-    """Load that a worker reports: requests running, requests waiting, places."""
+    """Load that a worker reports: requests running, requests waiting, places.
+
+    ``slowdown`` is the time that work takes there at the moment, relative to its usual time: a
+    worker shares its machine with others. 1 where the worker does not tell.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float = 1.0
 
 
 class WorkerRequest(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -30,6 +30,7 @@
     WatchCompactedError,
 )
 from drumbay.standins.kv_model import KeyValueModel
+from drumbay.tenants.records import TenantName
 from drumbay.workers.records import (
     Listening,
     LoadMode,
@@ -38,6 +39,7 @@
     Worker,
     WorkerBrokenError,
     WorkerError,
+    WorkerLoad,
     WorkerMisdirectedError,
     WorkerRefusedError,
     WorkerRequest,
@@ -74,6 +76,7 @@
             "targetMs": 191,
             "split": [{"svc": "a", "weight": 90}, {"svc": "b", "weight": 10}],
             "attempts": 2,
+            "prio": 2,
         },
         {
             "name": "r2",
@@ -117,6 +120,18 @@
         self.assertTrue(rollouts.one_version_only)
         self.assertEqual(found.limits.body_bytes, 1000)
 
+    def test_a_tenants_rank_goes_before_its_routes(self) -> None:
+        tenants = [
+            {"name": "t1", "apiKeys": ["k1"], "prio": 1},
+            {"name": "t2", "apiKeys": ["k2"]},
+        ]
+        found = parse_configuration(json.dumps({**CONFIGURATION, "tenants": tenants}).encode())
+        lookups, rollouts = found.routes
+        self.assertEqual(found.priority_of(lookups, None), 2)
+        self.assertEqual(found.priority_of(lookups, TenantName("t1")), 1)
+        self.assertEqual(found.priority_of(lookups, TenantName("t2")), 2)
+        self.assertEqual(found.priority_of(rollouts, TenantName("t2")), 0)
+
     def test_a_kind_that_is_not_known_runs_at_most_once(self) -> None:
         route = {**CONFIGURATION["routes"][0], "kind": "novel"}  # type: ignore[index]
         found = parse_configuration(json.dumps({"ver": 1, "routes": [route]}).encode())
@@ -312,6 +327,21 @@
             self.assertIn(line, sent)
         self.assertEqual(sent.count("X-Drumbay-Attempt-Id"), 1)
 
+    async def test_a_load_report_may_tell_how_slow_the_machine_is(self) -> None:
+        reports = {
+            "3,1,8": WorkerLoad(running=3, waiting=1, slots=8),
+            "3,1,8,250": WorkerLoad(running=3, waiting=1, slots=8, slowdown=2.5),
+            "3, 1, 8, 0": WorkerLoad(running=3, waiting=1, slots=8),
+            "3,1": None,
+            "3,1,8,fast": None,
+            "3,1,8,100,9": None,
+        }
+        for text, expected in reports.items():
+            head = f"{self.head}X-Drumbay-Server-Load: {text}\r\n"
+            worker = await self.server(head + "Content-Length: 2\r\n\r\nok")
+            answer = await self.client.call(worker, self.request())
+            self.assertEqual(answer.load, expected, text)
+
     async def test_a_repeatable_request_uses_a_kept_connection(self) -> None:
         worker = await self.server(self.head + "Content-Length: 2\r\n\r\nok")
         self.scripted.keep = True
