--- a/drumbay/batches/decisions.py
+++ b/drumbay/batches/decisions.py
@@ -1,5 +1,6 @@
 """What the scheduler of a batch job decides, and how runs of its items end."""
 
+from collections.abc import Mapping
 from enum import StrEnum
 
 import msgspec
@@ -23,13 +24,27 @@
     apart_from: frozenset[BackendId] = frozenset()
 
 
+class PlaceShare(msgspec.Struct, frozen=True, kw_only=True):
+    """What other batch jobs leave to one.
+
+    Attributes:
+        held: Runs of other owners by worker; ``None`` to go by the workers' reports.
+        most_starts: How many items may start now; ``None`` if no other job competes.
+    """
+
+    held: Mapping[BackendId, int] | None = None
+    most_starts: int | None = None
+
+
 class StopReason(StrEnum):
     """Why a run is stopped."""
 
     SILENT = "silent"
     """Its worker made events and makes none any more, for any run."""
     UNSTARTED = "unstarted"
-    """It never made an event there."""
+    """It never made an event there, nor did another one lately."""
+    QUEUED = "queued"
+    """It never made an event there, while others did: it waits for a place."""
     STALLED = "stalled"
     SLOW_WORKER = "slow_worker"
     GIVEN_UP = "given_up"
--- a/drumbay/batches/owned.py
+++ b/drumbay/batches/owned.py
@@ -1,8 +1,9 @@
 """The batch jobs that this node owns: started, taken over, handed to other nodes, let go."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
+from drumbay.batches.decisions import PlaceShare
 from drumbay.batches.exceptions import (
     BatchMovedError,
     BatchNotFoundError,
@@ -10,6 +11,7 @@
 )
 from drumbay.batches.ledger import BatchLedger
 from drumbay.batches.owners import OwnerTable
+from drumbay.batches.place_exchange import PlaceExchange
 from drumbay.batches.places import JobPlaces
 from drumbay.batches.records import (
     BatchId,
@@ -23,11 +25,12 @@
 from drumbay.batches.reward_scorer import RewardScorer
 from drumbay.batches.runner import BatchRunner
 from drumbay.clock import Clock
+from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.identifiers import Revision, WeightVersion
 from drumbay.kv.interface import KeyValueError
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
-from drumbay.peers.messages import OwnerNotice, TakePartialTexts
+from drumbay.peers.messages import OwnerNotice, PlacesNotice, TakePartialTexts
 from drumbay.peers.transport import PeerClient
 from drumbay.quarantine.service import Quarantine
 from drumbay.tasks import TaskOwner
@@ -56,6 +59,7 @@
         peers: PeerClient,
         task_owner: TaskOwner,
         newest_version: Callable[[str], WeightVersion],
+        tell: Callable[[Iterable[NetworkAddress], PlacesNotice], None],
         metrics: ServingMetrics,
     ) -> None:
         """Own nothing.
@@ -72,6 +76,7 @@
             peers: Calls to other nodes.
             task_owner: Runs the tasks of runners.
             newest_version: Returns the newest version named for a model.
+            tell: Sends a notice to other nodes.
             metrics: Counts what happens to batch jobs.
         """
         self.is_leaving = False
@@ -89,12 +94,23 @@
         self._runners: dict[BatchId, BatchRunner] = {}
         self._taking: dict[BatchId, asyncio.Event] = {}
         self._returning = ReturningItems(peers)
+        self._exchange = PlaceExchange(
+            clock, owners.own_address, self.places, owners.owners_of_open, tell, self._wake_runners
+        )
         directory.add_listener(self._wake_runners)
 
     def _wake_runners(self) -> None:
         for runner in self._runners.values():
             runner.wake()
 
+    def take_places(self, notice: PlacesNotice) -> None:
+        """Take what another owner's batch jobs hold and want."""
+        self._exchange.take(notice)
+
+    async def exchange_places(self) -> None:
+        """Tell other owners what the batch jobs here hold and want, until cancelled."""
+        await self._exchange.run()
+
     def __len__(self) -> int:
         """Return how many batch jobs are owned."""
         return len(self._runners)
@@ -106,8 +122,23 @@
         )
 
     def places(self) -> tuple[JobPlaces, ...]:
-        """Return what the owned batch jobs hold and want at the workers."""
-        return tuple(runner.places() for runner in self._runners.values())
+        """Return what the owned batch jobs hold and want, and what ended ones still hold."""
+        runners = (*self._runners.values(), *self._returning.lingering)
+        return tuple(runner.places() for runner in runners)
+
+    def _share_for(self, job: JobPlaces) -> PlaceShare:
+        """Return what other batch jobs leave to one."""
+        now = self._clock.monotonic()
+        places = sum(
+            record.worker.slots
+            for record in self._directory.of_service(job.service)
+            if record.is_available(now)
+        )
+        shared = self._exchange.shared
+        return PlaceShare(
+            held=shared.held_by_others(),
+            most_starts=shared.start_limit(job, self.places(), places),
+        )
 
     def get(self, batch_id: BatchId) -> BatchRunner | None:
         """Return the runner of a batch job, if it is owned."""
@@ -164,6 +195,8 @@
             listed,
             newest_version=lambda: self._newest_version(spec.model),
             on_lost=self._forget,
+            share_for=self._share_for,
+            on_places_changed=self._exchange.note_change,
         )
         self._runners[spec.batch_id] = runner
         return runner
--- a/drumbay/batches/owners.py
+++ b/drumbay/batches/owners.py
@@ -82,6 +82,11 @@
         self._known: dict[BatchId, StoredOwner] = {}
         self._streams: dict[BatchStream, _StreamOwners] = {}
 
+    @property
+    def own_address(self) -> NetworkAddress:
+        """Return where other nodes call this one."""
+        return self._identity.address
+
     def own_record(self, stream: BatchStream, total: int, tenant: TenantName | None) -> OwnerRecord:
         """Return the record that makes this process the owner of a batch job."""
         return OwnerRecord(
@@ -104,14 +109,14 @@
         owners = self._streams.get(spec.stream)
         if owners is None:
             return own
-        busy = self._owners_of_open()
+        busy = self.owners_of_open()
         for named in sorted(owners.latest.values(), key=lambda o: o.revision, reverse=True):
             address = named.record.address
             if address in reachable and address not in busy:
                 return msgspec.structs.replace(own, address=address, boot=named.record.boot)
         return own
 
-    def _owners_of_open(self) -> set[NetworkAddress]:
+    def owners_of_open(self) -> set[NetworkAddress]:
         """Return the nodes that run batch jobs: one more would share their processor."""
         return {
             owner.record.address
--- a/drumbay/batches/places.py
+++ b/drumbay/batches/places.py
@@ -16,7 +16,9 @@
         service: The service whose workers run its items.
         model: The model that the items ask for.
         priority: Its rank; 0 goes first.
-        age_seconds: How long ago it was submitted, when this was told.
+        began_at: When its owner took it, in seconds of that machine's clock: the same figure for
+            all who hear of it, so that all put jobs into the same order.
+        age_seconds: How long ago that was when this was told.
         waiting: Items that need a place and have none.
         running: Runs by worker.
     """
@@ -25,6 +27,7 @@
     service: str
     model: str
     priority: int
+    began_at: float
     age_seconds: float
     waiting: int
     running: Mapping[BackendId, int]
--- a/drumbay/batches/returning.py
+++ b/drumbay/batches/returning.py
@@ -30,6 +30,11 @@
         """Keep the runner of an ended batch job while it lingers."""
         self._lingering.append(runner)
 
+    @property
+    def lingering(self) -> tuple[BatchRunner, ...]:
+        """Return the runners that still work on items of ended batch jobs."""
+        return tuple(runner for runner in self._lingering if runner.is_lingering)
+
     def close(self) -> None:
         """Stop every run."""
         for runner in self._lingering:
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -6,6 +6,7 @@
 
 from drumbay.batches.decisions import (
     Decision,
+    PlaceShare,
     RunFailure,
     ScoreText,
     StartLimits,
@@ -37,6 +38,7 @@
 from drumbay.batches.reward_scorer import RewardScorer
 from drumbay.batches.run_failure import observe_failure
 from drumbay.batches.scheduler import BatchScheduler
+from drumbay.batches.worker_choice import UNVERSIONED
 from drumbay.clock import Clock
 from drumbay.identifiers import BackendId, Revision, WeightVersion
 from drumbay.observability.logs import log_event
@@ -69,6 +71,10 @@
 
 RUN_BUDGET_SECONDS = 30.0
 
+_SILENT_REASONS = frozenset(
+    {StopReason.SILENT, StopReason.UNSTARTED, StopReason.QUEUED, StopReason.STALLED}
+)
+
 
 class BatchRunner:
     """Owns one batch job until it is ended, moved or let go."""
@@ -90,6 +96,8 @@
         *,
         newest_version: Callable[[], WeightVersion],
         on_lost: Callable[[BatchId], None],
+        share_for: Callable[[JobPlaces], PlaceShare],
+        on_places_changed: Callable[[], None],
     ) -> None:
         """Create a runner for the items that are not yet listed.
 
@@ -108,6 +116,8 @@
             listed: Results that stand in the store already.
             newest_version: Returns the newest version named for the batch job's model.
             on_lost: Called when another node owns the batch job, or it has ended.
+            share_for: Returns what other batch jobs leave to this one.
+            on_places_changed: Called after items came, started or ended.
         """
         self.spec = spec
         self.revision = revision
@@ -120,6 +130,9 @@
         self._metrics = metrics
         self._started_at = clock.monotonic()
         self._on_lost = on_lost
+        self._share_for = share_for
+        self._on_places_changed = on_places_changed
+        self._began_at = clock.wall()
         self._newest_version = newest_version
         self._version_at_start = newest_version()
         self._scheduler = BatchScheduler(spec, clock.monotonic(), listed)
@@ -288,15 +301,35 @@
         return is_listed_so_far and self._scheduler.is_held(self._limits.held, now)
 
     def places(self) -> JobPlaces:
-        """Return what the batch job holds and wants at the workers."""
+        """Return what the batch job holds and wants at the workers.
+
+        What could start nowhere, were every place free, is not wanted: others may go first.
+        """
+        now = self._clock.monotonic()
+        running = self._scheduler.running()
+        waiting = 0
+        if not self._lingering:
+            room = self._usable_places(now) - running.total()
+            waiting = max(0, min(room, self._scheduler.startable(self._limits.held, now)))
         return JobPlaces(
             batch_id=self.spec.batch_id,
             service=self.spec.service,
             model=self.spec.model,
             priority=self.spec.priority,
-            age_seconds=self._clock.monotonic() - self._started_at,
-            waiting=len(self._scheduler.waiting),
-            running=self._scheduler.running(),
+            began_at=self._began_at,
+            age_seconds=now - self._started_at,
+            waiting=waiting,
+            running=running,
+        )
+
+    def _usable_places(self, now: float) -> int:
+        """Return the places of the workers that may run items, taken ones included."""
+        model = self.spec.model
+        return sum(
+            record.worker.slots
+            for record in self._directory.of_service(self.spec.service)
+            if record.takes(model, now)
+            and (record.version_of(model, now) or UNVERSIONED) >= self.spec.minimum_version
         )
 
     def wake(self) -> None:
@@ -332,8 +365,12 @@
                 for record in self._directory.of_service(self.spec.service)
             }
             limits = self._limits = self._quarantine.limits(self._scheduler.waiting)
-            for decision in self._scheduler.plan(workers, self._newest_version(), now, limits):
+            share = self._share_for(self.places())
+            decisions = self._scheduler.plan(workers, self._newest_version(), now, limits, share)
+            for decision in decisions:
                 self._perform(decision, workers)
+            if decisions:
+                self._on_places_changed()
             self._wakeup.clear()
             with suppress(TimeoutError):
                 async with asyncio.timeout(TICK_SECONDS):
@@ -365,7 +402,7 @@
                     worker=worker_id,
                     reason=reason,
                 )
-                if reason in (StopReason.SILENT, StopReason.UNSTARTED, StopReason.STALLED):
+                if reason in _SILENT_REASONS:
                     self._quarantine.note_silent(item_id)
                 if reason is StopReason.SILENT:
                     # The worker may live: streams of all workers fall silent together where open
@@ -400,6 +437,7 @@
             record.expected_tokens -= start.item.expected_tokens
             if self._runs.get(item_id) is task:
                 del self._runs[item_id]
+            self._on_places_changed()
             if not self._closed and not (self._lingering and failure is RunFailure.STOPPED):
                 self._finish_run(item_id, record, failure)
 
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -5,6 +5,7 @@
 
 from drumbay.batches.decisions import (
     Decision,
+    PlaceShare,
     RunFailure,
     ScoreText,
     StartLimits,
@@ -64,6 +65,7 @@
 
 
 NO_LIMITS = StartLimits()
+WHOLE_SHARE = PlaceShare()
 
 
 class BatchScheduler:
@@ -162,6 +164,13 @@
         """Return the items that are at no worker and whose text is not whole."""
         return tuple(run.item for run in self._runs.values() if not run.is_placed)
 
+    def startable(self, held: Set[ItemId], now: float) -> int:
+        """Return how many items only lack a place."""
+        return sum(
+            not run.is_placed and now >= run.not_before and run.item.item_id not in held
+            for run in self._runs.values()
+        )
+
     def running(self) -> Counter[BackendId]:
         """Return how many items run at each worker."""
         return Counter(r.worker_id for r in self._runs.values() if r.worker_id is not None)
@@ -338,6 +347,7 @@
         newest_version: WeightVersion,
         now: float,
         limits: StartLimits = NO_LIMITS,
+        share: PlaceShare = WHOLE_SHARE,
     ) -> tuple[Decision, ...]:
         """Return what to stop and what to start now.
 
@@ -347,14 +357,17 @@
             newest_version: Newest version that the model's trainer has named.
             now: Monotonic time.
             limits: Items that must not start as others do.
+            share: What other batch jobs leave to this one.
         """
         if now - self._planned_at > LONGEST_PLAN_GAP_SECONDS:
             self._listening_since = now
         self._planned_at = now
-        choice = WorkerChoice(self._spec, workers, newest_version, now, limits.apart_from)
+        choice = WorkerChoice(
+            self._spec, workers, newest_version, now, limits.apart_from, share.held
+        )
         decisions: list[Decision] = [*self._given_up, *self._stops(choice, now)]
         self._given_up.clear()
-        decisions.extend(self._starts(choice, now, limits))
+        decisions.extend(self._starts(choice, now, limits, share.most_starts))
         decisions.extend(self._scores(now))
         return tuple(decisions)
 
@@ -369,12 +382,14 @@
                 scores.append(ScoreText(item_id=run.item.item_id, request=request))
         return scores
 
-    def _starts(self, choice: WorkerChoice, now: float, limits: StartLimits) -> list[StartRun]:
+    def _starts(
+        self, choice: WorkerChoice, now: float, limits: StartLimits, most: int | None
+    ) -> list[StartRun]:
         starts: list[StartRun] = []
         for run in self._runs.values():
             if run.is_placed or now < run.not_before or run.item.item_id in limits.held:
                 continue
-            if not choice.has_room:
+            if not choice.has_room or (most is not None and len(starts) >= most):
                 break
             request = PlaceRequest(
                 group=run.item.group,
@@ -414,7 +429,7 @@
             if run.worker_id is None:
                 continue
             if self._is_silent(run, run.worker_id in silent_workers, now):
-                stops.append(_stop(run, _silence_reason(run, silent_workers)))
+                stops.append(_stop(run, _silence_reason(run, silent_workers, choice)))
             elif self._should_move(run, choice):
                 run.moves += 1
                 stops.append(_stop(run, StopReason.SLOW_WORKER))
@@ -456,10 +471,14 @@
         return choice.reserve_faster(run.worker_id)
 
 
-def _silence_reason(run: ItemRun, silent_workers: set[BackendId]) -> StopReason:
+def _silence_reason(
+    run: ItemRun, silent_workers: set[BackendId], choice: WorkerChoice
+) -> StopReason:
     if run.worker_id in silent_workers:
         return StopReason.SILENT
-    return StopReason.STALLED if run.events_here else StopReason.UNSTARTED
+    if run.events_here:
+        return StopReason.STALLED
+    return StopReason.QUEUED if choice.is_heard(run.worker_id) else StopReason.UNSTARTED
 
 
 def _stop(run: ItemRun, reason: StopReason) -> StopRun:
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -5,7 +5,7 @@
 answer. Clients ask twice a second, so that a dead owner is noticed by their next call.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -56,6 +56,7 @@
     PageReply,
     PartialTextsReply,
     PeerReply,
+    PlacesNotice,
     ReadBody,
     ReadResults,
     TakePartialTexts,
@@ -101,6 +102,7 @@
         known_nodes: Callable[[], list[NetworkAddress]],
         newest_version: Callable[[str], WeightVersion],
         announce: Callable[[OwnerNotice], None],
+        tell: Callable[[Iterable[NetworkAddress], PlacesNotice], None],
         metrics: ServingMetrics,
     ) -> None:
         """Create a service that owns nothing.
@@ -119,6 +121,7 @@
             known_nodes: Lists the other nodes.
             newest_version: Returns the newest version named for a model.
             announce: Tells the other nodes who owns a batch job.
+            tell: Sends a notice to some nodes.
             metrics: Counts what happens to batch jobs.
         """
         self._clock = clock
@@ -140,6 +143,7 @@
             peers,
             task_owner,
             newest_version,
+            tell,
             metrics,
         )
 
@@ -152,6 +156,14 @@
         """Return what the owned batch jobs hold and want at the workers."""
         return self._owned.places()
 
+    def take_places(self, notice: PlacesNotice) -> None:
+        """Take what another owner's batch jobs hold and want."""
+        self._owned.take_places(notice)
+
+    async def exchange_places(self) -> None:
+        """Tell other owners what the batch jobs here hold and want, until cancelled."""
+        await self._owned.exchange_places()
+
     def unfinished(self) -> int:
         """Return how many owned batch jobs have unlisted items."""
         return self._owned.unfinished()
--- a/drumbay/batches/worker_choice.py
+++ b/drumbay/batches/worker_choice.py
@@ -68,8 +68,22 @@
         newest_version: WeightVersion,
         now: float,
         apart_from: frozenset[BackendId] = frozenset(),
+        held: Mapping[BackendId, int] | None = None,
     ) -> None:
-        """Look at the workers once; items that run apart pass over those of ``apart_from``."""
+        """Look at the workers once.
+
+        Args:
+            spec: The batch job whose items need places.
+            workers: Workers of its service.
+            newest_version: Newest version that the model's trainer has named.
+            now: Monotonic time.
+            apart_from: Workers that items which run apart pass over.
+            held: Runs of other nodes by worker; ``None`` to go by the workers' reports.
+        """
+        others = {
+            worker_id: record.others_busy(now) if held is None else held.get(worker_id, 0)
+            for worker_id, record in workers.items()
+        }
         self._apart_from = set(apart_from)
         self._workers = workers
         self._heard = {w for w, record in workers.items() if record.pace.is_heard(now)}
@@ -78,7 +92,7 @@
             for worker_id, record in workers.items()
         }
         self._free = {
-            worker_id: record.free_slots_for(spec.model, now)
+            worker_id: record.free_slots_for(spec.model, now, others[worker_id])
             for worker_id, record in workers.items()
             if self._versions[worker_id] >= spec.minimum_version
         }
@@ -89,6 +103,9 @@
         self._recent_paces = {
             worker_id: record.pace.recent(now) for worker_id, record in workers.items()
         }
+        self._usual_paces = {
+            worker_id: record.pace.usual() for worker_id, record in workers.items()
+        }
         self._paces = {
             worker_id: record.pace.current(now) or self._median
             for worker_id, record in workers.items()
@@ -96,7 +113,7 @@
         self._newest = newest_version
         self._average_tokens = _average_tokens(spec)
         self._tokens = {
-            worker_id: record.expected_tokens + record.others_busy(now) * self._average_tokens
+            worker_id: record.expected_tokens + others[worker_id] * self._average_tokens
             for worker_id, record in workers.items()
         }
         self._group_workers: dict[str, BackendId] = {}
@@ -106,10 +123,21 @@
         """Return whether any worker has a free place."""
         return self._room > 0
 
+    def is_heard(self, worker_id: BackendId | None) -> bool:
+        """Return whether a worker made an event for this node in the last second."""
+        return worker_id in self._heard
+
     def is_slow(self, worker_id: BackendId) -> bool:
-        """Return whether a worker lately was much slower than most are."""
+        """Return whether a worker lately was much slower than most are, and than it usually is.
+
+        One that is always slow works as well as it can: an item that leaves it gives up a place
+        for one that another item would have taken.
+        """
         recent = self._recent_paces.get(worker_id)
-        return recent is not None and recent > SLOW_FACTOR * self._median
+        if recent is None:
+            return False
+        usual = self._usual_paces[worker_id] or self._median
+        return recent > SLOW_FACTOR * max(usual, self._median)
 
     def is_slower(self, worker_id: BackendId) -> bool:
         """Return whether a worker lately was slower than most are by more than they differ."""
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -30,6 +30,7 @@
     PeerReply,
     PeerRequest,
     Ping,
+    PlacesNotice,
     PlacesReply,
     RelayGrant,
     RelayKeepAlive,
@@ -156,6 +157,7 @@
             self._peer_directory.responsive,
             self.named_versions.newest_of,
             self._tell_all,
+            self._notices.tell,
             self.metrics,
         )
         self.leader = LeaderElection(
@@ -200,6 +202,7 @@
         self._tasks.spawn(self.leader.run(), "leader-election")
         self._tasks.spawn(self._retention.run(), "batch-retention")
         self._tasks.spawn(self._coordinator.run(), "version-coordinator")
+        self._tasks.spawn(self.batches.exchange_places(), "place-exchange")
         self._start_duties()
         if self._settings.is_restart:
             self._tasks.spawn(self._take_up_own_batches(), "own-batches")
@@ -352,6 +355,8 @@
                     self._feeds.take_confirmed(notice)
                 case LoadingNotice():
                     self._note_loading(notice)
+                case PlacesNotice():
+                    self.batches.take_places(notice)
                 case RequestSuspected() | RequestProvedSound() | WorkerProvedAlive():
                     self.quarantine.take(notice)
 
--- a/drumbay/workers/directory.py
+++ b/drumbay/workers/directory.py
@@ -74,17 +74,29 @@
         """Return whether new requests may go there."""
         return self.worker.state is WorkerState.READY and now >= self.paused_until
 
-    def free_slots_for(self, model: str, now: float) -> int:
-        """Return the places for requests of a model: after refusals, one probe at a time."""
+    def takes(self, model: str, now: float) -> bool:
+        """Return whether requests for a model may go there, should a place be free."""
         load = self.loads.get(model)
-        if not self.is_available(now) or (load is not None and now < load.until):
+        return self.is_available(now) and (load is None or now >= load.until)
+
+    def free_slots_for(self, model: str, now: float, others: int | None = None) -> int:
+        """Return the places for requests of a model: after refusals, one probe at a time.
+
+        Args:
+            model: The model.
+            now: Monotonic time.
+            others: Requests of other nodes there; ``None`` to go by the worker's last report.
+        """
+        if not self.takes(model, now):
             return 0
+        busy_others = self.others_busy(now) if others is None else others
+        free = max(0, self.worker.slots - self.in_flight - busy_others)
         refusals = self.refusals.get(model)
         if refusals is None:
-            return self.free_slots(now)
+            return free
         if now < refusals.paused_until:
             return 0
-        return min(1, self.free_slots(now))
+        return min(1, free)
 
     def version_of(self, model: str, now: float) -> WeightVersion | None:
         """Return the version of a model, as seen or as due by now; ``None`` if it holds none.
--- a/drumbay/workers/pace.py
+++ b/drumbay/workers/pace.py
@@ -64,12 +64,16 @@
             return None
         return statistics.median_low(self._samples)
 
+    def usual(self) -> float | None:
+        """Return the remembered seconds between events; ``None`` if too little is remembered."""
+        if len(self._remembered) < MINIMUM_REMEMBERED_PACES:
+            return None
+        return statistics.median_low(self._remembered)
+
     def current(self, now: float) -> float | None:
         """Return the seconds between events, as seen lately or else as remembered.
 
         ``None`` if too few events were ever seen.
         """
         recent = self.recent(now)
-        if recent is not None or len(self._remembered) < MINIMUM_REMEMBERED_PACES:
-            return recent
-        return statistics.median_low(self._remembered)
+        return recent if recent is not None else self.usual()
