--- a/drumbay/batches/decisions.py
+++ b/drumbay/batches/decisions.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from drumbay.batches.records import BatchItem, ItemId, RewardRequest
+from drumbay.batches.shared_places import Competition
 from drumbay.identifiers import BackendId
 
 
@@ -29,11 +30,11 @@
 
     Attributes:
         held: Runs of other owners by worker; ``None`` to go by the workers' reports.
-        most_starts: How many items may start now; ``None`` if no other job competes.
+        competition: What others want; ``None`` if no other job competes.
     """
 
     held: Mapping[BackendId, int] | None = None
-    most_starts: int | None = None
+    competition: Competition | None = None
 
 
 class StopReason(StrEnum):
--- a/drumbay/batches/owned.py
+++ b/drumbay/batches/owned.py
@@ -24,6 +24,7 @@
 from drumbay.batches.returning import ReturningItems
 from drumbay.batches.reward_scorer import RewardScorer
 from drumbay.batches.runner import BatchRunner
+from drumbay.batches.start_times import EventSize
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.identifiers import Revision, WeightVersion
@@ -38,6 +39,10 @@
 from drumbay.workers.interface import WorkerClient
 from drumbay.workers.silence_check import SilenceCheck
 
+SETTLE_SECONDS = 0.08
+"""Steps of several trainers often begin in one moment. Each owner waits until it has heard of the
+others' before it takes places: more than the time between two notices and a call."""
+
 
 class OwnedBatches:
     """Runners by batch job.
@@ -60,6 +65,7 @@
         task_owner: TaskOwner,
         newest_version: Callable[[str], WeightVersion],
         tell: Callable[[Iterable[NetworkAddress], PlacesNotice], None],
+        shares_workers: Callable[[BatchSpec], bool],
         metrics: ServingMetrics,
     ) -> None:
         """Own nothing.
@@ -77,6 +83,7 @@
             task_owner: Runs the tasks of runners.
             newest_version: Returns the newest version named for a model.
             tell: Sends a notice to other nodes.
+            shares_workers: Returns whether batch jobs of other routes run on the same workers.
             metrics: Counts what happens to batch jobs.
         """
         self.is_leaving = False
@@ -93,6 +100,8 @@
         self._metrics = metrics
         self._runners: dict[BatchId, BatchRunner] = {}
         self._taking: dict[BatchId, asyncio.Event] = {}
+        self._shares_workers = shares_workers
+        self._event_sizes: dict[str, EventSize] = {}
         self._returning = ReturningItems(peers)
         self._exchange = PlaceExchange(
             clock, owners.own_address, self.places, owners.owners_of_open, tell, self._wake_runners
@@ -137,7 +146,9 @@
         shared = self._exchange.shared
         return PlaceShare(
             held=shared.held_by_others(),
-            most_starts=shared.start_limit(job, self.places(), places),
+            competition=shared.competition(
+                job, self.places(), places, now, self._clock.wall() - now
+            ),
         )
 
     def get(self, batch_id: BatchId) -> BatchRunner | None:
@@ -175,6 +186,9 @@
 
     async def _start(self, runner: BatchRunner) -> None:
         nodes = self._owners.recent_owners(runner.spec.stream)
+        self._exchange.note_change()
+        if self._shares_workers(runner.spec):
+            await self._clock.sleep(SETTLE_SECONDS)
         runner.start(await self._returning.collect(runner.spec, nodes))
 
     def _own(
@@ -195,6 +209,7 @@
             listed,
             newest_version=lambda: self._newest_version(spec.model),
             on_lost=self._forget,
+            event_size=self._event_sizes.setdefault(spec.model, EventSize()),
             share_for=self._share_for,
             on_places_changed=self._exchange.note_change,
         )
--- a/drumbay/batches/records.py
+++ b/drumbay/batches/records.py
@@ -68,7 +68,7 @@
     ``one_version_only`` asks that one weight version makes all of an item's text.
     ``tenant`` is the one whose key submitted it: its items run for that tenant, whatever
     becomes of the key. ``None`` where no keys are asked for. ``priority`` is its rank when it was
-    submitted: 0 goes first.
+    submitted: 0 goes first. Its results are due after ``due_seconds``, if anything says when.
     """
 
     batch_id: BatchId
@@ -85,6 +85,7 @@
     items: tuple[BatchItem, ...]
     tenant: TenantName | None = None
     priority: int = 0
+    due_seconds: float | None = None
 
     @property
     def stream(self) -> BatchStream:
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -1,6 +1,7 @@
 """Runs one owned batch job: performs the scheduler's decisions and lists what comes of them."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 
@@ -23,7 +24,7 @@
     LAST_FLUSH_INTERVAL_SECONDS,
     ResultListing,
 )
-from drumbay.batches.places import JobPlaces
+from drumbay.batches.places import JobPlaces, start_step
 from drumbay.batches.progress import ProgressSaver
 from drumbay.batches.records import (
     BatchId,
@@ -38,6 +39,7 @@
 from drumbay.batches.reward_scorer import RewardScorer
 from drumbay.batches.run_failure import observe_failure
 from drumbay.batches.scheduler import BatchScheduler
+from drumbay.batches.start_times import EventSize
 from drumbay.batches.worker_choice import UNVERSIONED
 from drumbay.clock import Clock
 from drumbay.identifiers import BackendId, Revision, WeightVersion
@@ -96,6 +98,7 @@
         *,
         newest_version: Callable[[], WeightVersion],
         on_lost: Callable[[BatchId], None],
+        event_size: EventSize,
         share_for: Callable[[JobPlaces], PlaceShare],
         on_places_changed: Callable[[], None],
     ) -> None:
@@ -116,6 +119,7 @@
             listed: Results that stand in the store already.
             newest_version: Returns the newest version named for the batch job's model.
             on_lost: Called when another node owns the batch job, or it has ended.
+            event_size: What texts of the model have shown so far.
             share_for: Returns what other batch jobs leave to this one.
             on_places_changed: Called after items came, started or ended.
         """
@@ -132,10 +136,10 @@
         self._on_lost = on_lost
         self._share_for = share_for
         self._on_places_changed = on_places_changed
-        self._began_at = clock.wall()
+        self._began_step = start_step(clock.wall())
         self._newest_version = newest_version
         self._version_at_start = newest_version()
-        self._scheduler = BatchScheduler(spec, clock.monotonic(), listed)
+        self._scheduler = BatchScheduler(spec, clock.monotonic(), listed, event_size)
         self._missing_groups = self._scheduler.missing_groups
         self._finished: dict[ItemId, ItemResult] = {}
         self._listing = ResultListing(
@@ -151,6 +155,7 @@
             clock, ledger, spec.batch_id, revision, self._scheduler, self._listing.confirm
         )
         self._runs: dict[ItemId, asyncio.Task[None]] = {}
+        self._held: Counter[BackendId] = Counter()
         self._wakeup = asyncio.Event()
         self._scoring = ItemScoring(
             clock,
@@ -306,20 +311,23 @@
         What could start nowhere, were every place free, is not wanted: others may go first.
         """
         now = self._clock.monotonic()
-        running = self._scheduler.running()
-        waiting = 0
+        waiting: list[float | None] = []
         if not self._lingering:
-            room = self._usable_places(now) - running.total()
-            waiting = max(0, min(room, self._scheduler.startable(self._limits.held, now)))
+            room = max(0, self._usable_places(now) - self._held.total())
+            waiting = self._scheduler.latest_starts(self._limits.held, now)[:room]
+        offset = self._clock.wall() - now
         return JobPlaces(
             batch_id=self.spec.batch_id,
             service=self.spec.service,
             model=self.spec.model,
             priority=self.spec.priority,
-            began_at=self._began_at,
+            began_step=self._began_step,
             age_seconds=now - self._started_at,
-            waiting=waiting,
-            running=running,
+            waiting=len(waiting),
+            work_seconds=self._scheduler.work_seconds(),
+            due_step=start_step(self._scheduler.due_at + offset),
+            starts=Counter(start_step(at + offset) for at in waiting if at is not None),
+            running={worker_id: count for worker_id, count in self._held.items() if count},
         )
 
     def _usable_places(self, now: float) -> int:
@@ -391,6 +399,7 @@
                     resume_after=decision.resume_after,
                 )
                 record.in_flight += 1
+                self._held[worker_id] += 1
                 record.expected_tokens += item.expected_tokens
                 task = self._task_owner.spawn(self._run_item(decision, record), "batch-item")
                 self._runs[item.item_id] = task
@@ -434,6 +443,7 @@
         finally:
             self._quarantine.end(start.item, worker)
             record.in_flight -= 1
+            self._held[worker.worker_id] -= 1
             record.expected_tokens -= start.item.expected_tokens
             if self._runs.get(item_id) is task:
                 del self._runs[item_id]
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -1,5 +1,6 @@
 """Pure decisions about the items of one batch job: which runs where, which one moves."""
 
+import math
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence, Set
 
@@ -15,6 +16,7 @@
 )
 from drumbay.batches.item_order import ItemOrder
 from drumbay.batches.item_run import ItemRun
+from drumbay.batches.places import start_step
 from drumbay.batches.records import (
     BatchItem,
     BatchSpec,
@@ -25,7 +27,9 @@
     ReturnedItems,
     Reward,
 )
-from drumbay.batches.worker_choice import PlaceRequest, WorkerChoice
+from drumbay.batches.shared_places import Competition
+from drumbay.batches.start_times import EventSize, StepClock
+from drumbay.batches.worker_choice import DEFAULT_PACE_SECONDS, PlaceRequest, WorkerChoice
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.workers.directory import WorkerRecord
 from drumbay.workers.records import StreamEvent
@@ -67,6 +71,9 @@
 NO_LIMITS = StartLimits()
 WHOLE_SHARE = PlaceShare()
 
+DEFAULT_DUE_SECONDS = 10.0
+"""Where nothing says when a step is due: its items keep their order among other jobs' items."""
+
 
 class BatchScheduler:
     """Decides from events alone; deterministic.
@@ -80,6 +87,7 @@
         spec: BatchSpec,
         started_at: float,
         listed: Sequence[ItemResult],
+        event_size: EventSize | None = None,
     ) -> None:
         """Create a scheduler for the items that are not yet listed.
 
@@ -87,8 +95,13 @@
             spec: The batch job.
             started_at: Monotonic time from which the queue limit runs.
             listed: Results that stand already.
+            event_size: What texts of the model have shown so far.
         """
         self._spec = spec
+        self._due_at = started_at + (spec.due_seconds or DEFAULT_DUE_SECONDS)
+        self._event_size = event_size or EventSize()
+        self._seconds_per_event = DEFAULT_PACE_SECONDS
+        self._mean_pace = DEFAULT_PACE_SECONDS
         self._give_up_at = started_at + spec.queue_limit_seconds
         self._planned_at = started_at
         self._listening_since = started_at
@@ -164,16 +177,46 @@
         """Return the items that are at no worker and whose text is not whole."""
         return tuple(run.item for run in self._runs.values() if not run.is_placed)
 
-    def startable(self, held: Set[ItemId], now: float) -> int:
-        """Return how many items only lack a place."""
-        return sum(
-            not run.is_placed and now >= run.not_before and run.item.item_id not in held
+    @property
+    def due_at(self) -> float:
+        """Return the monotonic time at which the step is due."""
+        return self._due_at
+
+    def work_seconds(self) -> float:
+        """Return for how long one place would be taken by what the trainer still waits for."""
+        events = sum(
+            self._event_size.remaining_events(run)
             for run in self._runs.values()
+            if not run.complete and not self._order.is_postponed(run.item)
         )
+        return events * self._mean_pace
+
+    def latest_starts(self, held: Set[ItemId], now: float) -> list[float | None]:
+        """Return by when each item that only lacks a place must start, the soonest first.
 
-    def running(self) -> Counter[BackendId]:
-        """Return how many items run at each worker."""
-        return Counter(r.worker_id for r in self._runs.values() if r.worker_id is not None)
+        ``None`` stands for one that is late already, or that the trainer does not wait for.
+        """
+        return [start for _, start in self._by_latest_start(held, now)]
+
+    def _by_latest_start(self, held: Set[ItemId], now: float) -> list[tuple[ItemRun, float | None]]:
+        """Return the items that only lack a place in the order in which to start them."""
+        startable = [
+            run
+            for run in self._runs.values()
+            if not run.is_placed and now >= run.not_before and run.item.item_id not in held
+        ]
+        clock = StepClock(
+            due_at=self._due_at,
+            seconds_per_event=self._seconds_per_event,
+            event_size=self._event_size,
+        )
+        late_groups = {run.item.group for run in startable if clock.is_late(run, now)}
+        ordered: list[tuple[ItemRun, float | None]] = []
+        for run in startable:
+            is_deferrable = run.item.group in late_groups or self._order.is_postponed(run.item)
+            ordered.append((run, None if is_deferrable else clock.latest_start(run)))
+        # Stable: late items keep the order in which they would start without other jobs.
+        return sorted(ordered, key=lambda entry: math.inf if entry[1] is None else entry[1])
 
     @property
     def missing_groups(self) -> int:
@@ -242,6 +285,7 @@
             return None
         run.release()
         run.complete = True
+        self._event_size.observe(run.item, len(run.texts))
         return self._take_finished(run)
 
     def _take_finished(self, run: ItemRun) -> ItemResult | None:
@@ -365,9 +409,11 @@
         choice = WorkerChoice(
             self._spec, workers, newest_version, now, limits.apart_from, share.held
         )
+        self._seconds_per_event = choice.usual_pace
+        self._mean_pace = choice.mean_pace
         decisions: list[Decision] = [*self._given_up, *self._stops(choice, now)]
         self._given_up.clear()
-        decisions.extend(self._starts(choice, now, limits, share.most_starts))
+        decisions.extend(self._starts(choice, now, limits, share.competition))
         decisions.extend(self._scores(now))
         return tuple(decisions)
 
@@ -383,13 +429,15 @@
         return scores
 
     def _starts(
-        self, choice: WorkerChoice, now: float, limits: StartLimits, most: int | None
+        self,
+        choice: WorkerChoice,
+        now: float,
+        limits: StartLimits,
+        competition: Competition | None,
     ) -> list[StartRun]:
         starts: list[StartRun] = []
-        for run in self._runs.values():
-            if run.is_placed or now < run.not_before or run.item.item_id in limits.held:
-                continue
-            if not choice.has_room or (most is not None and len(starts) >= most):
+        for run in self._to_start(limits, competition, now):
+            if not choice.has_room:
                 break
             request = PlaceRequest(
                 group=run.item.group,
@@ -405,6 +453,29 @@
                 starts.append(self._start(run, worker_id, now))
         return starts
 
+    def _to_start(
+        self, limits: StartLimits, competition: Competition | None, now: float
+    ) -> list[ItemRun]:
+        """Return the items that may start now, as far as other batch jobs leave places."""
+        if competition is None:
+            return [
+                run
+                for run in self._runs.values()
+                if not run.is_placed
+                and now >= run.not_before
+                and run.item.item_id not in limits.held
+            ]
+        held = sum(run.worker_id is not None for run in self._runs.values())
+        chosen: list[ItemRun] = []
+        for run, latest_start in self._by_latest_start(limits.held, now):
+            step = None if latest_start is None else start_step(latest_start + competition.offset)
+            if not competition.is_promised:
+                step = None
+            is_assured = step is None and held + len(chosen) < competition.late_places
+            if is_assured or competition.free - len(chosen) > competition.before(step):
+                chosen.append(run)
+        return chosen
+
     def _start(self, run: ItemRun, worker_id: BackendId, now: float) -> StartRun:
         if self._spec.one_version_only and run.texts:
             # Another worker may hold another version; one version makes the whole text.
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -103,6 +103,7 @@
         newest_version: Callable[[str], WeightVersion],
         announce: Callable[[OwnerNotice], None],
         tell: Callable[[Iterable[NetworkAddress], PlacesNotice], None],
+        shares_workers: Callable[[BatchSpec], bool],
         metrics: ServingMetrics,
     ) -> None:
         """Create a service that owns nothing.
@@ -122,6 +123,7 @@
             newest_version: Returns the newest version named for a model.
             announce: Tells the other nodes who owns a batch job.
             tell: Sends a notice to some nodes.
+            shares_workers: Returns whether batch jobs of other routes run on the same workers.
             metrics: Counts what happens to batch jobs.
         """
         self._clock = clock
@@ -144,6 +146,7 @@
             task_owner,
             newest_version,
             tell,
+            shares_workers,
             metrics,
         )
 
--- a/drumbay/batches/shared_places.py
+++ b/drumbay/batches/shared_places.py
@@ -3,20 +3,19 @@
 The load: several training steps are open at once, and ask for more places than their workers have.
 Owners that fill each free place for themselves oversubscribe the workers: runs wait in the
 workers' queues, are given up there, and all steps are late alike. So each owner tells the others
-what its jobs hold and want, and all put the jobs into one order. A job takes what is free beyond
-what the jobs before it still want. That is the order in which one queue for all would serve them:
-a step that began early is whole early, and its trainer goes on.
-
-Each job may hold a part of the places whatever stands before it: the longest items of a step decide
-when it is whole, and must not wait for the shortest of another one.
+what its jobs hold and want, and all put the waiting items into one order, as one queue for all
+would: those first that must start soonest to be in time. What is late already, or waited for by
+nobody, goes after them: a place that it takes makes another step late too, and where there is room
+for some steps only, all would be late. A part of the places stays open to it, so that a trainer
+whose step is late is not left behind for good.
 """
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Set
 
 import msgspec
 
-from drumbay.batches.places import JobPlaces
+from drumbay.batches.places import START_STEP_SECONDS, JobPlaces
 from drumbay.batches.records import BatchId
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.identifiers import BackendId
@@ -25,13 +24,49 @@
 """What an owner told counts for so long: more than two of its regular notices. An owner that ended
 must not keep places from the others for longer than its runs go on."""
 
-ASSURED_SHARE = 0.5
-"""Share of the places that is divided evenly; the rest goes by the order of the jobs. Trainers are
-told apart by no more than half, and the longest items of each step start at once."""
+LATE_SHARE = 0.15
+"""Share of the places that late items may hold while others wait that can still be in time, divided
+evenly between the jobs that have some: a late step still ends, and its trainer goes on."""
+
+
+USABLE_SHARE = 0.85
+"""Share of the places that is taken on average while items wait: the rest goes to the time between
+the end of a run and the next start there, and to runs that are made again."""
+
 
-PRIORITY_SECONDS = 1.0
-"""A job goes before those of the next lower rank that began less than this earlier: a fraction of
-the time a step takes, so that a lower rank is delayed and never starved."""
+class Competition(msgspec.Struct, frozen=True, kw_only=True):
+    """What other batch jobs want beside one.
+
+    Attributes:
+        is_promised: Whether there is room for the job to be in time, beside others that are.
+        free: Places of the service that nobody holds.
+        starts: How many items of jobs that go after this one must start by when, by step of the
+            time of day.
+        starts_before: The same for jobs that go before this one where both are as urgent.
+        deferrable: How many items of others wait that are late, or waited for by nobody, and
+            whose jobs began before.
+        late_places: How many places the job may hold whatever others want.
+        offset: What added to this owner's monotonic time gives its time of day.
+    """
+
+    is_promised: bool
+    free: int
+    starts: Mapping[int, int]
+    starts_before: Mapping[int, int]
+    deferrable: int
+    late_places: int
+    offset: float = 0.0
+
+    def before(self, step: int | None) -> int:
+        """Return how many waiting items of others go before one.
+
+        Args:
+            step: By when the item must start; ``None`` if it is late, or waited for by nobody.
+        """
+        if step is None:
+            return sum(self.starts.values()) + sum(self.starts_before.values()) + self.deferrable
+        sooner = sum(count for start, count in self.starts.items() if start < step)
+        return sooner + sum(count for start, count in self.starts_before.items() if start <= step)
 
 
 class _Told(msgspec.Struct, frozen=True):
@@ -78,24 +113,39 @@
         """Return the runs of other owners by worker; ``None`` if none told of any job."""
         return self._held if self._told else None
 
-    def start_limit(self, job: JobPlaces, own: Iterable[JobPlaces], places: int) -> int | None:
-        """Return how many items of a job may start now; ``None`` if no other job competes.
+    def competition(
+        self, job: JobPlaces, own: Iterable[JobPlaces], places: int, now: float, offset: float
+    ) -> Competition | None:
+        """Return what others want beside a job; ``None`` if no other one competes.
 
         Args:
             job: The job.
             own: All jobs of this owner.
-            places: Places of the workers that the job may use, taken ones included.
+            places: Places of the service's workers, taken ones included.
+            now: Monotonic time.
+            offset: What added to this owner's monotonic time gives its time of day.
         """
         others = [other for other in self._jobs(own) if other.batch_id != job.batch_id]
-        rivals = [o for o in others if o.service == job.service and o.wanted]
-        if not rivals:
+        rivals = [other for other in others if other.service == job.service and other.wanted]
+        if not any(rival.waiting for rival in rivals):
             return None
-        held = sum(sum(rival.running.values()) for rival in rivals)
-        running = sum(job.running.values())
-        before = sum(rival.waiting for rival in rivals if _order(rival) < _order(job))
-        free = max(0, places - held - running)
-        assured = int(ASSURED_SHARE * places / (1 + len(rivals))) - running
-        return max(free - before, min(free, assured), 0)
+        promised = _promised((job, *rivals), places, offset + now)
+        earlier = [rival for rival in rivals if _order(rival) < _order(job)]
+        later = [rival for rival in rivals if _order(rival) > _order(job)]
+        held = sum(sum(rival.running.values()) for rival in (*rivals, job))
+        late_jobs = 1 + sum(rival.deferrable > 0 for rival in rivals)
+        return Competition(
+            is_promised=job.batch_id in promised,
+            free=max(0, places - held),
+            starts=_starts_of(later, promised),
+            starts_before=_starts_of(earlier, promised),
+            deferrable=sum(
+                rival.deferrable if rival.batch_id in promised else rival.waiting
+                for rival in earlier
+            ),
+            late_places=int(LATE_SHARE * places / late_jobs),
+            offset=offset,
+        )
 
     def _jobs(self, own: Iterable[JobPlaces]) -> Iterable[JobPlaces]:
         yield from own
@@ -103,6 +153,31 @@
             yield from told.jobs
 
 
-def _order(job: JobPlaces) -> tuple[float, BatchId]:
-    """Return by what jobs are put into order, the smallest first."""
-    return job.began_at + PRIORITY_SECONDS * job.priority, job.batch_id
+def _starts_of(jobs: Iterable[JobPlaces], promised: Set[BatchId]) -> Counter[int]:
+    starts: Counter[int] = Counter()
+    for job in jobs:
+        if job.batch_id in promised:
+            starts.update(job.starts)
+    return starts
+
+
+def _promised(jobs: Iterable[JobPlaces], places: int, wall_seconds: float) -> frozenset[BatchId]:
+    """Return the jobs that can all be in time: as many as there is room for.
+
+    The algorithm of Moore (1968), "An n job, one machine sequencing algorithm for minimizing the
+    number of late jobs": take jobs by their due times, and leave out the longest so far whenever
+    the next one would be late.
+    """
+    rate = places * USABLE_SHARE * (1 - LATE_SHARE)
+    taken: list[JobPlaces] = []
+    for job in sorted(jobs, key=lambda job: (job.due_step, _order(job))):
+        taken.append(job)
+        seconds = max(0.0, job.due_step * START_STEP_SECONDS - wall_seconds)
+        if sum(other.work_seconds for other in taken) > rate * seconds:
+            taken.remove(max(taken, key=lambda other: (other.work_seconds, _order(other))))
+    return frozenset(job.batch_id for job in taken)
+
+
+def _order(job: JobPlaces) -> tuple[int, int, BatchId]:
+    """Return by what jobs are put into order where their items are as urgent."""
+    return job.priority, job.began_step, job.batch_id
--- a/drumbay/batches/worker_choice.py
+++ b/drumbay/batches/worker_choice.py
@@ -103,6 +103,11 @@
         self._recent_paces = {
             worker_id: record.pace.recent(now) for worker_id, record in workers.items()
         }
+        # Where machines are shared, what lasts for a moment only is no reason to leave.
+        self._slow_paces = {
+            worker_id: record.pace.sustained(now) if record.is_shared else record.pace.recent(now)
+            for worker_id, record in workers.items()
+        }
         self._usual_paces = {
             worker_id: record.pace.usual() for worker_id, record in workers.items()
         }
@@ -118,6 +123,19 @@
         }
         self._group_workers: dict[str, BackendId] = {}
 
+    @property
+    def usual_pace(self) -> float:
+        """Return the seconds between events of the median worker."""
+        return self._median
+
+    @property
+    def mean_pace(self) -> float:
+        """Return the mean seconds between events over all workers: their places differ."""
+        if not self._paces:
+            return self._median
+        # Per second, places make as many events as their paces allow: the harmonic mean counts.
+        return len(self._paces) / sum(1.0 / pace for pace in self._paces.values())
+
     @property
     def has_room(self) -> bool:
         """Return whether any worker has a free place."""
@@ -133,7 +151,7 @@
         One that is always slow works as well as it can: an item that leaves it gives up a place
         for one that another item would have taken.
         """
-        recent = self._recent_paces.get(worker_id)
+        recent = self._slow_paces.get(worker_id)
         if recent is None:
             return False
         usual = self._usual_paces[worker_id] or self._median
--- a/drumbay/forwarding/routes.py
+++ b/drumbay/forwarding/routes.py
@@ -26,7 +26,8 @@
 class Route(msgspec.Struct, frozen=True, kw_only=True):
     """Requests of one host below one path prefix; a public one needs no key.
 
-    ``priority`` ranks its requests where they compete for workers: 0 goes first.
+    ``priority`` ranks its requests where they compete for workers: 0 goes first. All results of a
+    batch job are due ``due_seconds`` after its submission; ``None`` if nothing says when.
     """
 
     name: str
@@ -38,6 +39,7 @@
     target_seconds: float
     attempts: int
     queue_limit_seconds: float = 60.0
+    due_seconds: float | None = None
     one_version_only: bool = False
     is_public: bool = False
     priority: int = 0
@@ -106,6 +108,15 @@
         self._current = configuration
         return True
 
+    def rollout_routes_of(self, service: str) -> int:
+        """Return how many routes submit batch jobs to a service."""
+        routes = self._current.routes if self._current is not None else ()
+        return sum(
+            route.kind is RequestKind.ROLLOUT
+            and any(share.service == service for share in route.shares)
+            for route in routes
+        )
+
     def choose_service(self, route: Route) -> str:
         """Return the service for the next request: smooth weighted round robin."""
         if len(route.shares) == 1:
--- a/drumbay/workers/directory.py
+++ b/drumbay/workers/directory.py
@@ -39,7 +39,8 @@
     """A worker and what this node has seen of it.
 
     ``in_flight`` counts this node's requests there; ``expected_tokens`` is the sum of what those
-    of batch items are expected to generate, which the worker keeps in its memory meanwhile.
+    of batch items are expected to generate, which the worker keeps in its memory meanwhile. A
+    worker that ``is_shared`` says that others use its machine as well.
     """
 
     worker: Worker
@@ -47,6 +48,7 @@
     in_flight: int = 0
     expected_tokens: int = 0
     others: int = 0
+    is_shared: bool = False
     reported_at: float = float("-inf")
     paused_until: float = float("-inf")
     failures: int = 0
@@ -238,6 +240,7 @@
         if record is not None:
             record.others = max(0, load.running + load.waiting - record.in_flight)
             record.reported_at = now
+            record.is_shared = load.is_shared
 
     def observe_pace(self, worker_id: BackendId, seconds_per_event: float, now: float) -> None:
         """Take the time between two events of a stream."""
--- a/drumbay/workers/pace.py
+++ b/drumbay/workers/pace.py
@@ -27,6 +27,17 @@
 MINIMUM_REMEMBERED_PACES = 3
 """With fewer, all may come from one start of a batch job."""
 
+USUAL_PACES = 40
+"""Paces that a worker's usual one is the median of: twenty seconds of work, many times what a
+neighbour on its machine or a fault slows it for."""
+
+MINIMUM_USUAL_PACES = 8
+"""With fewer, a worker that is slow since it is known would count as slow by its nature."""
+
+SUSTAINED_SECONDS = 0.8
+"""A worker that shares its machine is slowed for moments of half a second, again and again. Only
+what lasts longer than that is worth leaving it for."""
+
 
 class PaceEstimate:
     """The seconds between events on one worker, over all runs of this node there."""
@@ -36,6 +47,8 @@
         self._samples: deque[float] = deque(maxlen=PACE_SAMPLES)
         self._seen_at = float("-inf")
         self._remembered: deque[float] = deque(maxlen=REMEMBERED_PACES)
+        self._usual: deque[float] = deque(maxlen=USUAL_PACES)
+        self._lately: deque[tuple[float, float]] = deque()
         self._remembered_at = float("-inf")
 
     def observe(self, seconds: float, now: float) -> None:
@@ -44,9 +57,15 @@
             self._samples.clear()
         self._samples.append(seconds)
         self._seen_at = now
-        is_due = now - self._remembered_at >= REMEMBER_INTERVAL_SECONDS
-        if is_due and len(self._samples) == PACE_SAMPLES:
-            self._remembered.append(statistics.median_low(self._samples))
+        if len(self._samples) < PACE_SAMPLES:
+            return
+        pace = statistics.median_low(self._samples)
+        self._lately.append((now, pace))
+        while self._lately[0][0] < now - SUSTAINED_SECONDS:
+            self._lately.popleft()
+        if now - self._remembered_at >= REMEMBER_INTERVAL_SECONDS:
+            self._remembered.append(pace)
+            self._usual.append(pace)
             self._remembered_at = now
 
     def is_heard(self, now: float) -> bool:
@@ -64,8 +83,19 @@
             return None
         return statistics.median_low(self._samples)
 
+    def sustained(self, now: float) -> float | None:
+        """Return the least of the last moments' paces: how slow the worker is all the time."""
+        if self.recent(now) is None:
+            return None
+        return min(pace for _, pace in self._lately)
+
     def usual(self) -> float | None:
-        """Return the remembered seconds between events; ``None`` if too little is remembered."""
+        """Return the seconds between events over a long time; ``None`` if too few were seen."""
+        if len(self._usual) < MINIMUM_USUAL_PACES:
+            return None
+        return statistics.median_low(self._usual)
+
+    def _remembered_pace(self) -> float | None:
         if len(self._remembered) < MINIMUM_REMEMBERED_PACES:
             return None
         return statistics.median_low(self._remembered)
@@ -76,4 +106,4 @@
         ``None`` if too few events were ever seen.
         """
         recent = self.recent(now)
-        return recent if recent is not None else self.usual()
+        return recent if recent is not None else self._remembered_pace()
--- a/drumbay/workers/records.py
+++ b/drumbay/workers/records.py
@@ -48,13 +48,15 @@
     """Load that a worker reports: requests running, requests waiting, places.
 
     ``slowdown`` is the time that work takes there at the moment, relative to its usual time: a
-    worker shares its machine with others. 1 where the worker does not tell.
+    worker shares its machine with others. 1 where the worker does not tell; ``is_shared`` says
+    whether it does.
     """
 
     running: int
     waiting: int
     slots: int
     slowdown: float = 1.0
+    is_shared: bool = False
 
 
 class WorkerRequest(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -330,8 +330,8 @@
     async def test_a_load_report_may_tell_how_slow_the_machine_is(self) -> None:
         reports = {
             "3,1,8": WorkerLoad(running=3, waiting=1, slots=8),
-            "3,1,8,250": WorkerLoad(running=3, waiting=1, slots=8, slowdown=2.5),
-            "3, 1, 8, 0": WorkerLoad(running=3, waiting=1, slots=8),
+            "3,1,8,250": WorkerLoad(running=3, waiting=1, slots=8, slowdown=2.5, is_shared=True),
+            "3, 1, 8, 0": WorkerLoad(running=3, waiting=1, slots=8, is_shared=True),
             "3,1": None,
             "3,1,8,fast": None,
             "3,1,8,100,9": None,
