--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -173,6 +173,7 @@
         self._limits = StartLimits()
         self._closed = False
         self._lingering = False
+        self._is_promised = True
 
     def resume(self, stored: tuple[PartialText, ...], *, owner_is_gone: bool) -> None:
         """Go on from what the owner before has saved; call before :meth:`start`.
@@ -334,6 +335,30 @@
             running={worker_id: count for worker_id, count in self._held.items() if count},
         )
 
+    def _share_of_places(self) -> PlaceShare:
+        """Return what other batch jobs leave to this one; log when it begins or ceases to wait."""
+        own = self.places()
+        share = self._share_for(own)
+        competition = share.competition
+        is_promised = competition is None or competition.is_promised
+        if competition is not None and own.waiting and is_promised != self._is_promised:
+            self._is_promised = is_promised
+            self._metrics.count_step_turn("in_time" if is_promised else "deferred")
+            log_event(
+                "step_in_time" if is_promised else "step_deferred",
+                batch=self.spec.batch_id,
+                model=self.spec.model,
+                age_seconds=round(own.age_seconds, 3),
+                due_in_seconds=round(self._scheduler.due_at - self._clock.monotonic(), 3),
+                work_seconds=round(own.work_seconds, 3),
+                others_work_seconds=round(competition.others_work_seconds, 3),
+                places=competition.places,
+                free=competition.free,
+                waiting=own.waiting,
+                missed=own.missed,
+            )
+        return share
+
     def _usable_places(self, now: float) -> int:
         """Return the places of the workers that may run items, taken ones included."""
         model = self.spec.model
@@ -377,7 +402,7 @@
                 for record in self._directory.of_service(self.spec.service)
             }
             limits = self._limits = self._quarantine.limits(self._scheduler.waiting)
-            share = self._share_for(self.places())
+            share = self._share_of_places()
             decisions = self._scheduler.plan(workers, self._newest_version(), now, limits, share)
             for decision in decisions:
                 self._perform(decision, workers)
--- a/drumbay/batches/shared_places.py
+++ b/drumbay/batches/shared_places.py
@@ -29,11 +29,18 @@
 evenly between the jobs that have some: a late step still ends, and its trainer goes on."""
 
 
+TOLERANCE_SECONDS = 0.5
+"""A step that is expected late by less than this counts as in time: its work is an expectation, and
+leaving it out costs its trainer many times as much."""
+
+
 class Competition(msgspec.Struct, frozen=True, kw_only=True):
     """What other batch jobs want beside one.
 
     Attributes:
         is_promised: Whether there is room for the job to be in time, beside others that are.
+        places: Places of the service's workers, taken ones included.
+        others_work_seconds: For how long one place would be taken by the other jobs.
         free: Places of the service that nobody holds.
         starts: How many items of jobs that go after this one must start by when, by step of the
             time of day.
@@ -45,6 +52,8 @@
     """
 
     is_promised: bool
+    places: int
+    others_work_seconds: float
     free: int
     starts: Mapping[int, int]
     starts_before: Mapping[int, int]
@@ -131,6 +140,8 @@
         late_jobs = 1 + sum(rival.deferrable > 0 for rival in rivals)
         return Competition(
             is_promised=job.batch_id in promised,
+            places=places,
+            others_work_seconds=sum(rival.work_seconds for rival in rivals),
             free=max(0, places - held),
             starts=_starts_of(later, promised),
             starts_before=_starts_of(earlier, promised),
@@ -175,7 +186,7 @@
     taken: list[JobPlaces] = []
     for job in jobs:
         taken.append(job)
-        seconds = max(0.0, job.due_step * START_STEP_SECONDS - wall_seconds)
+        seconds = max(0.0, job.due_step * START_STEP_SECONDS + TOLERANCE_SECONDS - wall_seconds)
         if sum(other.work_seconds for other in taken) > places * seconds:
             taken.remove(max(taken, key=lambda o: (-o.missed, o.work_seconds, _order(o))))
     return taken
--- a/drumbay/observability/serving_metrics.py
+++ b/drumbay/observability/serving_metrics.py
@@ -50,6 +50,12 @@
             buckets=ITEM_BUCKETS_SECONDS,
             registry=self._registry,
         )
+        self._step_turns = Counter(
+            "drumbay_serving_step_turns",
+            "Steps that were deferred while others had to be in time, or got their turn again.",
+            ("turn",),
+            registry=self._registry,
+        )
         self._rewards = Counter(
             "drumbay_serving_rewards",
             "Reward requests by outcome.",
@@ -147,6 +153,10 @@
         """Take the time from a batch job's start to an item's result."""
         self._item_seconds.observe(seconds)
 
+    def count_step_turn(self, turn: str) -> None:
+        """Count a step that is deferred, or gets its turn."""
+        self._step_turns.labels(turn).inc()
+
     def count_reward(self, outcome: str, seconds: float) -> None:
         """Count a reward request that got its score or brought none."""
         self._rewards.labels(outcome).inc()
--- a/drumbay/peers/notices.py
+++ b/drumbay/peers/notices.py
@@ -8,7 +8,7 @@
 
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.observability.logs import log_event
-from drumbay.peers.messages import Notice, Notices
+from drumbay.peers.messages import Notice, Notices, PlacesNotice
 from drumbay.peers.transport import PeerClient, PeerUnavailableError
 from drumbay.tasks import TaskOwner
 
@@ -29,13 +29,18 @@
         self._waiting: dict[NetworkAddress, list[Notice]] = {}
 
     def tell(self, addresses: Iterable[NetworkAddress], notice: Notice) -> None:
-        """Tell nodes of something, soon and at most once."""
+        """Tell nodes of something, soon and at most once.
+
+        What a node's batch jobs hold replaces what waits to be told of them.
+        """
         for address in addresses:
             queue = self._waiting.get(address)
             if queue is None:
                 self._waiting[address] = [notice]
                 self._task_owner.spawn(self._send(address), "notices")
                 continue
+            if isinstance(notice, PlacesNotice):
+                queue[:] = [waiting for waiting in queue if not isinstance(waiting, PlacesNotice)]
             queue.append(notice)
             if len(queue) > LONGEST_QUEUE:
                 queue.pop(0)
--- a/tests/test_shared_places.py
+++ b/tests/test_shared_places.py
@@ -1,19 +1,23 @@
 """Places shared between batch jobs: the order of items, and three steps beside each other."""
 
+import asyncio
 import unittest
 from collections import Counter
 
 import msgspec
 
 from drumbay.batches.decisions import PlaceShare, RunFailure, StartRun, StopReason, StopRun
+from drumbay.batches.place_exchange import PlaceExchange
 from drumbay.batches.places import JobPlaces, start_step
 from drumbay.batches.records import BatchId, BatchItem, BatchSpec, ItemId
 from drumbay.batches.scheduler import BatchScheduler
 from drumbay.batches.shared_places import TOLD_LIFETIME_SECONDS, SharedPlaces
 from drumbay.batches.start_times import EventSize
 from drumbay.batches.step_history import StepHistory
+from drumbay.clock import SystemClock
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.identifiers import BackendId, WeightVersion
+from drumbay.peers.messages import PlacesNotice
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.records import StreamEvent, Worker, WorkerState
 from tests.serving_world import MODEL, SERVICE, batch_spec
@@ -22,6 +26,19 @@
 W1, W2 = BackendId("w1"), BackendId("w2")
 
 
+class StandingClock(SystemClock):
+    """A clock that stands still; who sleeps goes on at once."""
+
+    def monotonic(self) -> float:
+        return 0.0
+
+    def wall(self) -> float:
+        return 0.0
+
+    async def sleep(self, seconds: float) -> None:
+        await asyncio.sleep(0)
+
+
 def job(name: str, **changes: object) -> JobPlaces:
     """Return a job that began at 0, is due at 8 s and wants and holds nothing."""
     plain = JobPlaces(
@@ -312,3 +329,56 @@
                 if isinstance(decision, StopRun):
                     stops[decision.item_id] = decision.reason
         self.assertEqual(stops, {"batch-0-1": StopReason.QUEUED})
+
+
+class PlaceExchangeTest(unittest.IsolatedAsyncioTestCase):
+    """Two owners and a node that owns nothing, told by a fake that delivers at once."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = StandingClock()
+        self.told: list[tuple[NetworkAddress, PlacesNotice]] = []
+        self.jobs: tuple[JobPlaces, ...] = ()
+        self.exchange = PlaceExchange(
+            self.clock,
+            FIRST,
+            lambda: self.jobs,
+            lambda: (FIRST, SECOND),
+            lambda addresses, notice: self.told.extend((a, notice) for a in addresses),
+            lambda: None,
+        )
+        self.task = asyncio.create_task(self.exchange.run())
+        self.addCleanup(self.task.cancel)
+        await self.settle()
+
+    async def settle(self) -> None:
+        for _ in range(10):
+            await asyncio.sleep(0)
+
+    async def test_a_node_without_jobs_says_nothing(self) -> None:
+        self.exchange.note_change()
+        await self.settle()
+        self.assertEqual(self.told, [])
+
+    async def test_changes_are_told_to_other_owners_only(self) -> None:
+        self.jobs = (job("a", waiting=2),)
+        self.exchange.note_change()
+        await self.settle()
+        self.assertEqual([address for address, _ in self.told], [SECOND])
+        self.assertEqual(self.told[0][1].jobs, self.jobs)
+
+    async def test_the_last_job_is_told_to_have_ended(self) -> None:
+        self.jobs = (job("a", waiting=2),)
+        self.exchange.note_change()
+        await self.settle()
+        self.jobs = ()
+        self.exchange.note_change()
+        await self.settle()
+        self.assertEqual(self.told[-1][1].jobs, ())
+
+    async def test_an_owner_that_is_heard_of_by_its_notice_alone_is_told_too(self) -> None:
+        third = NetworkAddress("h", 3)
+        self.exchange.take(PlacesNotice(holder=third, jobs=(job("c", waiting=1),)))
+        self.jobs = (job("a", waiting=2),)
+        self.exchange.note_change()
+        await self.settle()
+        self.assertEqual({address for address, _ in self.told}, {SECOND, third})
--- a/tests/test_worker_pace.py
+++ b/tests/test_worker_pace.py
@@ -4,14 +4,14 @@
 
 import msgspec
 
-from drumbay.batches.decisions import RunFailure, StartRun
+from drumbay.batches.decisions import RunFailure, StartRun, StopReason, StopRun
 from drumbay.batches.records import ItemId
 from drumbay.batches.scheduler import BatchScheduler
 from drumbay.batches.worker_choice import PlaceRequest, WorkerChoice
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.workers.directory import WorkerDirectory
-from drumbay.workers.records import StreamEvent, Worker, WorkerState
+from drumbay.workers.records import StreamEvent, Worker, WorkerLoad, WorkerState
 from tests.serving_world import MODEL, SERVICE, batch_spec
 
 FIRST, SECOND, THIRD = BackendId("w1"), BackendId("w2"), BackendId("w3")
@@ -168,3 +168,90 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class SharedMachineTest(DirectoryTest):
+    """Workers that share their machines are slowed for moments, and some are always slower."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        for worker_id in (FIRST, SECOND, THIRD):
+            load = WorkerLoad(running=0, waiting=0, slots=8, is_shared=True)
+            self.directory.observe_load(worker_id, load, 0.0)
+
+    def work(self, worker_id: BackendId, factor: float, since: float, until: float) -> None:
+        """Let a worker make an event each tenth of a second, at a pace."""
+        for tick in range(round(since * 10), round(until * 10)):
+            self.observe(worker_id, [factor * USUAL_SECONDS], now=tick / 10)
+
+    def test_a_worker_that_is_always_slow_is_not_left(self) -> None:
+        self.work(FIRST, 2.5, 0.0, 8.0)
+        self.work(SECOND, 1.0, 0.0, 8.0)
+        self.work(THIRD, 1.0, 0.0, 8.0)
+        self.assertFalse(self.choice(now=8.0).is_slow(FIRST))
+        # One that turns slower than it is used to be is.
+        self.work(FIRST, 10.0, 8.0, 10.0)
+        self.assertTrue(self.choice(now=10.0).is_slow(FIRST))
+
+    def test_a_moment_of_slowness_is_waited_for(self) -> None:
+        for worker_id in (FIRST, SECOND, THIRD):
+            self.work(worker_id, 1.0, 0.0, 8.0)
+        self.work(FIRST, 2.5, 8.0, 8.7)
+        self.assertFalse(self.choice(now=8.7).is_slow(FIRST))
+        self.work(FIRST, 2.5, 8.7, 9.8)
+        self.assertTrue(self.choice(now=9.8).is_slow(FIRST))
+
+    def test_a_long_item_goes_where_events_usually_come_soonest(self) -> None:
+        self.work(FIRST, 1.0, 0.0, 8.0)
+        self.work(SECOND, 2.0, 0.0, 8.0)
+        self.work(THIRD, 2.0, 0.0, 8.0)
+        # For half a second the usually fastest worker is the slowest.
+        self.work(FIRST, 2.5, 8.0, 8.5)
+        request = PlaceRequest(
+            group="g",
+            expected_tokens=50,
+            avoid=None,
+            is_long=True,
+            minimum_version=WeightVersion(1),
+        )
+        self.assertEqual(self.choice(now=8.5).take(request), FIRST)
+
+    def test_an_item_moves_only_for_a_gain_that_pays(self) -> None:
+        self.work(FIRST, 2.5, 0.0, 8.0)
+        self.work(SECOND, 1.0, 0.0, 8.0)
+        choice = self.choice(now=8.0)
+        gain_seconds = 1.5 * USUAL_SECONDS
+        self.assertIsNone(choice.reserve_faster(FIRST, 1.01 * gain_seconds))
+        self.assertEqual(choice.reserve_faster(FIRST, 0.99 * gain_seconds), SECOND)
+
+    def test_a_moved_item_goes_on_where_its_place_was_set_aside(self) -> None:
+        spec = batch_spec(groups=1, group_size=3)
+        scheduler = BatchScheduler(spec, 0.0, ())
+        workers = {r.worker.worker_id: r for r in self.directory.of_service(SERVICE)}
+        for worker_id in (SECOND, THIRD):
+            self.directory.observe_failure(worker_id, 0.0)
+        starts = scheduler.plan(workers, WeightVersion(1), 0.0)
+        moved = starts[0].item.item_id if isinstance(starts[0], StartRun) else ItemId("")
+        for number in range(8):
+            event = StreamEvent(number=number, data="x", version=WeightVersion(1))
+            scheduler.take_event(moved, event, 0.4 * number)
+        self.work(FIRST, 1.0, 0.0, 8.0)
+        for worker_id in (SECOND, THIRD):
+            self.work(worker_id, 1.0, 0.0, 12.0)
+            self.directory.end_pause(worker_id, 8.0)
+        self.work(FIRST, 12.0, 8.0, 12.0)
+        for number in range(8, 12):
+            event = StreamEvent(number=number, data="x", version=WeightVersion(1))
+            scheduler.take_event(moved, event, 0.2 + number)
+        stops = [
+            d for d in scheduler.plan(workers, WeightVersion(1), 12.0) if isinstance(d, StopRun)
+        ]
+        target = [stop.item_id for stop in stops if stop.reason is StopReason.SLOW_WORKER]
+        self.assertEqual(target, [moved])
+        scheduler.take_failure(moved, RunFailure.STOPPED, 12.0)
+        again = [
+            d
+            for d in scheduler.plan(workers, WeightVersion(1), 12.01)
+            if isinstance(d, StartRun) and d.item.item_id == moved
+        ]
+        self.assertEqual([d.worker_id for d in again], [SECOND])
