Let items that had begun, or that no step has time for, wait for no others

Change: an item is deferred as late only if it lost its time by waiting; one that had begun goes on.

--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -345,9 +345,10 @@
             self._is_promised = is_promised
             self._metrics.count_step_turn("in_time" if is_promised else "deferred")
             log_event(
-                "step_in_time" if is_promised else "step_deferred",
+                "step_turn",
                 batch=self.spec.batch_id,
                 model=self.spec.model,
+                is_in_time=is_promised,
                 age_seconds=round(own.age_seconds, 3),
                 due_in_seconds=round(self._scheduler.due_at - self._clock.monotonic(), 3),
                 work_seconds=round(own.work_seconds, 3),
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -103,6 +103,7 @@
             event_size: What texts of the model have shown so far.
         """
         self._spec = spec
+        self._began_at = started_at
         self._due_at = started_at + (spec.due_seconds or DEFAULT_DUE_SECONDS)
         self._event_size = event_size or EventSize()
         self._seconds_per_event = DEFAULT_PACE_SECONDS
@@ -211,6 +212,7 @@
             if not run.is_placed and now >= run.not_before and run.item.item_id not in held
         ]
         clock = StepClock(
+            began_at=self._began_at,
             due_at=self._due_at,
             seconds_per_event=self._seconds_per_event,
             event_size=self._event_size,
@@ -218,7 +220,9 @@
         late_groups = {run.item.group for run in startable if clock.is_late(run, now)}
         ordered: list[tuple[ItemRun, float | None]] = []
         for run in startable:
-            is_deferrable = run.item.group in late_groups or self._order.is_postponed(run.item)
+            is_deferrable = not run.texts and (
+                run.item.group in late_groups or self._order.is_postponed(run.item)
+            )
             ordered.append((run, None if is_deferrable else clock.latest_start(run)))
         # Stable: late items keep the order in which they would start without other jobs.
         return sorted(ordered, key=lambda entry: math.inf if entry[1] is None else entry[1])
--- a/drumbay/batches/start_times.py
+++ b/drumbay/batches/start_times.py
@@ -43,8 +43,9 @@
 
 
 class StepClock(msgspec.Struct, frozen=True, kw_only=True):
-    """When a step is due, and how long an event takes. Times are monotonic seconds."""
+    """When a step began and is due, and how long an event takes. Times are monotonic seconds."""
 
+    began_at: float
     due_at: float
     seconds_per_event: float
     event_size: EventSize
@@ -55,5 +56,12 @@
         return self.due_at - RESERVE_SECONDS - seconds
 
     def is_late(self, run: ItemRun, now: float) -> bool:
-        """Return whether an item that starts now is expected too late."""
-        return now > self.latest_start(run) + GRACE_SECONDS
+        """Return whether an item has waited for so long that it is expected too late.
+
+        One that had begun goes on, and one that takes longer than a step has was never in time:
+        the trainer waits for both, and each moment that they wait makes it later.
+        """
+        latest_start = self.latest_start(run)
+        if run.texts or latest_start <= self.began_at:
+            return False
+        return now > latest_start + GRACE_SECONDS
--- a/tests/test_operations_document.py
+++ b/tests/test_operations_document.py
@@ -83,6 +83,7 @@
                 "batches",
                 "item_runs",
                 "rewards",
+                "step_turns",
                 "store_calls",
                 "loads",
                 "duties",
