--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -220,9 +220,8 @@
         late_groups = {run.item.group for run in startable if clock.is_late(run, now)}
         ordered: list[tuple[ItemRun, float | None]] = []
         for run in startable:
-            is_deferrable = not run.texts and (
-                run.item.group in late_groups or self._order.is_postponed(run.item)
-            )
+            is_spare = run.item.group in late_groups or self._order.is_postponed(run.item)
+            is_deferrable = clock.is_late(run, now) or (is_spare and not run.texts)
             ordered.append((run, None if is_deferrable else clock.latest_start(run)))
         # Stable: late items keep the order in which they would start without other jobs.
         return sorted(ordered, key=lambda entry: math.inf if entry[1] is None else entry[1])
--- a/drumbay/batches/start_times.py
+++ b/drumbay/batches/start_times.py
@@ -58,10 +58,11 @@
     def is_late(self, run: ItemRun, now: float) -> bool:
         """Return whether an item has waited for so long that it is expected too late.
 
-        One that had begun goes on, and one that takes longer than a step has was never in time:
-        the trainer waits for both, and each moment that they wait makes it later.
+        Until the step is due, one that had begun goes on, and so does one that takes longer than a
+        step has: the trainer waits for both, and each moment that they wait makes it later. After
+        that other steps go first, or all would be late.
         """
         latest_start = self.latest_start(run)
-        if run.texts or latest_start <= self.began_at:
+        if now < self.due_at and (run.texts or latest_start <= self.began_at):
             return False
         return now > latest_start + GRACE_SECONDS
