--- a/drumbay/batches/decisions.py
+++ b/drumbay/batches/decisions.py
@@ -31,10 +31,12 @@
     Attributes:
         held: Runs of other owners by worker; ``None`` to go by the workers' reports.
         competition: What others want; ``None`` if no other job competes.
+        long_only: Whether only long items may start: what others hold and want is not known yet.
     """
 
     held: Mapping[BackendId, int] | None = None
     competition: Competition | None = None
+    long_only: bool = False
 
 
 class StopReason(StrEnum):
--- a/drumbay/batches/owned.py
+++ b/drumbay/batches/owned.py
@@ -1,7 +1,7 @@
 """The batch jobs that this node owns: started, taken over, handed to other nodes, let go."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from drumbay.batches.decisions import PlaceShare
 from drumbay.batches.exceptions import (
@@ -24,10 +24,13 @@
 from drumbay.batches.returning import ReturningItems
 from drumbay.batches.reward_scorer import RewardScorer
 from drumbay.batches.runner import BatchRunner
+from drumbay.batches.shared_places import Room
 from drumbay.batches.start_times import EventSize
+from drumbay.batches.step_history import MOST_MODELS
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
-from drumbay.identifiers import Revision, WeightVersion
+from drumbay.forwarding.routes import ServiceUse
+from drumbay.identifiers import BackendId, Revision, WeightVersion
 from drumbay.kv.interface import KeyValueError
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
@@ -39,10 +42,6 @@
 from drumbay.workers.interface import WorkerClient
 from drumbay.workers.silence_check import SilenceCheck
 
-SETTLE_SECONDS = 0.08
-"""Steps of several trainers often begin in one moment. Each owner waits until it has heard of the
-others' before it takes places: more than the time between two notices and a call."""
-
 
 class OwnedBatches:
     """Runners by batch job.
@@ -65,7 +64,7 @@
         task_owner: TaskOwner,
         newest_version: Callable[[str], WeightVersion],
         tell: Callable[[Iterable[NetworkAddress], PlacesNotice], None],
-        shares_workers: Callable[[BatchSpec], bool],
+        rivals: ServiceUse,
         metrics: ServingMetrics,
     ) -> None:
         """Own nothing.
@@ -83,7 +82,7 @@
             task_owner: Runs the tasks of runners.
             newest_version: Returns the newest version named for a model.
             tell: Sends a notice to other nodes.
-            shares_workers: Returns whether batch jobs of other routes run on the same workers.
+            rivals: Tells who else uses a service.
             metrics: Counts what happens to batch jobs.
         """
         self.is_leaving = False
@@ -100,11 +99,16 @@
         self._metrics = metrics
         self._runners: dict[BatchId, BatchRunner] = {}
         self._taking: dict[BatchId, asyncio.Event] = {}
-        self._shares_workers = shares_workers
+        self._rivals = rivals
         self._event_sizes: dict[str, EventSize] = {}
         self._returning = ReturningItems(peers)
         self._exchange = PlaceExchange(
-            clock, owners.own_address, self.places, owners.owners_of_open, tell, self._wake_runners
+            clock,
+            owners.identity.address,
+            owners.identity.boot,
+            self.places,
+            owners.owners_of_open,
+            tell,
         )
         directory.add_listener(self._wake_runners)
 
@@ -132,24 +136,50 @@
 
     def places(self) -> tuple[JobPlaces, ...]:
         """Return what the owned batch jobs hold and want, and what ended ones still hold."""
-        runners = (*self._runners.values(), *self._returning.lingering)
-        return tuple(runner.places() for runner in runners)
+        return tuple(runner.places() for runner in self._all_runners())
 
-    def _share_for(self, job: JobPlaces) -> PlaceShare:
+    def _share_for(self, runner: BatchRunner) -> PlaceShare:
         """Return what other batch jobs leave to one."""
         now = self._clock.monotonic()
-        places = sum(
-            record.worker.slots
-            for record in self._directory.of_service(job.service)
-            if record.is_available(now)
-        )
         shared = self._exchange.shared
-        return PlaceShare(
-            held=shared.held_by_others(),
-            competition=shared.competition(
-                job, self.places(), places, now, self._clock.wall() - now
+        shared.expire(now)
+        others = [other for other in self._all_runners() if other is not runner]
+        if not shared.holders and not others:
+            return PlaceShare()
+        service = runner.spec.service
+        held = self._held_by_others(service, now)
+        records = [r for r in self._directory.of_service(service) if r.is_available(now)]
+        taken = {} if held is None else held
+        room = Room(
+            places=sum(record.worker.slots for record in records),
+            free=sum(
+                max(0, r.worker.slots - r.in_flight - taken.get(r.worker.worker_id, 0))
+                for r in records
             ),
         )
+        own = [runner.places(), *(other.last_places for other in others)]
+        offset = self._clock.wall() - now
+        competition = shared.competition(own[0], own, room, now, offset)
+        return PlaceShare(held=held, competition=competition)
+
+    def _held_by_others(self, service: str, now: float) -> Mapping[BackendId, int] | None:
+        """Return the runs of other nodes by worker; ``None`` to go by the workers' reports.
+
+        Owners tell of batch items only. Where other requests reach the workers too, a report that
+        tells of more holds.
+        """
+        held = self._exchange.shared.held_by_others(service)
+        if held is None or self._rivals.has_only_batches(service):
+            return held
+        return {
+            record.worker.worker_id: max(
+                held.get(record.worker.worker_id, 0), record.others_busy(now)
+            )
+            for record in self._directory.of_service(service)
+        }
+
+    def _all_runners(self) -> tuple[BatchRunner, ...]:
+        return (*self._runners.values(), *self._returning.lingering)
 
     def get(self, batch_id: BatchId) -> BatchRunner | None:
         """Return the runner of a batch job, if it is owned."""
@@ -186,9 +216,6 @@
 
     async def _start(self, runner: BatchRunner) -> None:
         nodes = self._owners.recent_owners(runner.spec.stream)
-        self._exchange.note_change()
-        if self._shares_workers(runner.spec):
-            await self._clock.sleep(SETTLE_SECONDS)
         runner.start(await self._returning.collect(runner.spec, nodes))
 
     def _own(
@@ -210,13 +237,20 @@
             newest_version=lambda: self._newest_version(spec.model),
             on_lost=self._forget,
             missed=self._exchange.history.missed_before(spec.model, spec.batch_id),
-            event_size=self._event_sizes.setdefault(spec.model, EventSize()),
+            event_size=self._event_size_of(spec.model),
+            is_shared=self._rivals.batch_routes(spec.service) > 1,
             share_for=self._share_for,
             on_places_changed=self._exchange.note_change,
         )
         self._runners[spec.batch_id] = runner
+        self._exchange.note_change()
         return runner
 
+    def _event_size_of(self, model: str) -> EventSize:
+        if model not in self._event_sizes and len(self._event_sizes) >= MOST_MODELS:
+            del self._event_sizes[next(iter(self._event_sizes))]
+        return self._event_sizes.setdefault(model, EventSize())
+
     def _forget(self, batch_id: BatchId) -> None:
         runner = self._runners.pop(batch_id, None)
         if runner is not None and runner.is_lingering:
--- a/drumbay/batches/owners.py
+++ b/drumbay/batches/owners.py
@@ -83,9 +83,9 @@
         self._streams: dict[BatchStream, _StreamOwners] = {}
 
     @property
-    def own_address(self) -> NetworkAddress:
-        """Return where other nodes call this one."""
-        return self._identity.address
+    def identity(self) -> ServiceIdentity:
+        """Return this process."""
+        return self._identity
 
     def own_record(self, stream: BatchStream, total: int, tenant: TenantName | None) -> OwnerRecord:
         """Return the record that makes this process the owner of a batch job."""
--- a/drumbay/batches/place_exchange.py
+++ b/drumbay/batches/place_exchange.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 
-from drumbay.batches.places import JobPlaces, start_step
+from drumbay.batches.places import JobPlaces, NoticeNumber, time_slot
 from drumbay.batches.shared_places import SharedPlaces
 from drumbay.batches.step_history import StepHistory
 from drumbay.clock import Clock
@@ -26,20 +26,20 @@
         self,
         clock: Clock,
         own_address: NetworkAddress,
+        boot: str,
         own_jobs: Callable[[], tuple[JobPlaces, ...]],
         other_owners: Callable[[], Iterable[NetworkAddress]],
         tell: Callable[[Iterable[NetworkAddress], PlacesNotice], None],
-        on_change: Callable[[], None],
     ) -> None:
         """Create an exchange that knows nothing.
 
         Args:
             clock: Time.
             own_address: Where other nodes call this one.
+            boot: This process.
             own_jobs: Returns what this node's jobs hold and want.
             other_owners: Returns the other nodes that own open batch jobs, as far as known.
             tell: Sends a notice to some nodes.
-            on_change: Called when another owner's places have changed.
         """
         self.shared = SharedPlaces()
         self.history = StepHistory()
@@ -48,7 +48,8 @@
         self._own_jobs = own_jobs
         self._other_owners = other_owners
         self._tell = tell
-        self._on_change = on_change
+        self._boot = boot
+        self._notices = 0
         self._changed = asyncio.Event()
         self._told: tuple[JobPlaces, ...] = ()
 
@@ -58,23 +59,25 @@
 
     def take(self, notice: PlacesNotice) -> None:
         """Take what another owner tells."""
-        if notice.holder != self._own_address:
-            self.shared.take(notice.holder, notice.jobs, self._clock.monotonic())
+        if notice.holder == self._own_address:
+            return
+        now = self._clock.monotonic()
+        if self.shared.take(notice.holder, notice.jobs, now, notice.number):
             self._observe(notice.jobs)
-            self._on_change()
+            # What it told must expire even if this node has nothing to tell.
+            self._changed.set()
 
     async def run(self) -> None:
         """Tell until cancelled; says nothing while this node owns no job."""
         while True:
-            if not self._told:
+            if not self._told and not self.shared.holders:
                 await self._changed.wait()
             else:
                 with suppress(TimeoutError):
                     async with asyncio.timeout(REPEAT_SECONDS):
                         await self._changed.wait()
             self._changed.clear()
-            now = self._clock.monotonic()
-            for holder in self.shared.expire(now):
+            for holder in self.shared.expire(self._clock.monotonic()):
                 log_event("places_of_owner_expired", owner=str(holder))
             self._tell_others()
             await self._clock.sleep(TELL_INTERVAL_SECONDS)
@@ -84,11 +87,13 @@
         self._observe(jobs)
         addresses = {*self._other_owners(), *self.shared.holders} - {self._own_address}
         if addresses and (jobs or self._told):
-            notice = PlacesNotice(holder=self._own_address, jobs=jobs)
-            self._tell(sorted(addresses, key=str), notice)
+            self._notices += 1
+            number = NoticeNumber(self._boot, self._notices)
+            notice = PlacesNotice(holder=self._own_address, number=number, jobs=jobs)
+            self._tell(sorted(addresses), notice)
         self._told = jobs
 
     def _observe(self, jobs: Iterable[JobPlaces]) -> None:
-        now_step = start_step(self._clock.wall())
+        now_slot = time_slot(self._clock.wall())
         for job in jobs:
-            self.history.observe(job, now_step)
+            self.history.observe(job, now_slot)
--- a/drumbay/batches/records.py
+++ b/drumbay/batches/records.py
@@ -69,6 +69,7 @@
     ``tenant`` is the one whose key submitted it: its items run for that tenant, whatever
     becomes of the key. ``None`` where no keys are asked for. ``priority`` is its rank when it was
     submitted: 0 goes first. Its results are due after ``due_seconds``, if anything says when.
+    ``submitted_at`` is the time of day at which a node took it, in Unix seconds; 0 if not known.
     """
 
     batch_id: BatchId
@@ -86,6 +87,7 @@
     tenant: TenantName | None = None
     priority: int = 0
     due_seconds: float | None = None
+    submitted_at: float = 0.0
 
     @property
     def stream(self) -> BatchStream:
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 
+import msgspec
+
 from drumbay.batches.decisions import (
     Decision,
     PlaceShare,
@@ -24,10 +26,11 @@
     LAST_FLUSH_INTERVAL_SECONDS,
     ResultListing,
 )
-from drumbay.batches.places import JobPlaces, start_step
+from drumbay.batches.places import JobPlaces, time_slot
 from drumbay.batches.progress import ProgressSaver
 from drumbay.batches.records import (
     BatchId,
+    BatchItem,
     BatchSpec,
     ItemId,
     ItemResult,
@@ -39,6 +42,7 @@
 from drumbay.batches.reward_scorer import RewardScorer
 from drumbay.batches.run_failure import observe_failure
 from drumbay.batches.scheduler import BatchScheduler
+from drumbay.batches.shared_places import Competition
 from drumbay.batches.start_times import EventSize
 from drumbay.batches.worker_choice import UNVERSIONED
 from drumbay.clock import Clock
@@ -73,6 +77,14 @@
 
 RUN_BUDGET_SECONDS = 30.0
 
+SETTLE_SECONDS = 0.08
+"""Owners that begin in one moment have told each other by then what they want: more than the time
+between two notices and a call."""
+
+LONGEST_AGE_SECONDS = 60.0
+"""Ages come from the clocks of two machines. A step is due within seconds; a greater age tells of a
+clock that is wrong."""
+
 _SILENT_REASONS = frozenset(
     {StopReason.SILENT, StopReason.UNSTARTED, StopReason.QUEUED, StopReason.STALLED}
 )
@@ -100,7 +112,8 @@
         on_lost: Callable[[BatchId], None],
         missed: int,
         event_size: EventSize,
-        share_for: Callable[[JobPlaces], PlaceShare],
+        is_shared: bool,
+        share_for: Callable[["BatchRunner"], PlaceShare],
         on_places_changed: Callable[[], None],
     ) -> None:
         """Create a runner for the items that are not yet listed.
@@ -122,6 +135,7 @@
             on_lost: Called when another node owns the batch job, or it has ended.
             missed: How many steps of its trainer before it were late, in a row.
             event_size: What texts of the model have shown so far.
+            is_shared: Whether batch jobs of other routes run on the same workers.
             share_for: Returns what other batch jobs leave to this one.
             on_places_changed: Called after items came, started or ended.
         """
@@ -139,10 +153,12 @@
         self._share_for = share_for
         self._on_places_changed = on_places_changed
         self._missed = missed
-        self._began_step = start_step(clock.wall())
+        self._is_shared = is_shared
+        self._places: JobPlaces | None = None
         self._newest_version = newest_version
         self._version_at_start = newest_version()
-        self._scheduler = BatchScheduler(spec, clock.monotonic(), listed, event_size)
+        self._began_at = self._started_at - _age_seconds(spec, clock.wall())
+        self._scheduler = BatchScheduler(spec, self._started_at, listed, event_size, self._began_at)
         self._missing_groups = self._scheduler.missing_groups
         self._finished: dict[ItemId, ItemResult] = {}
         self._listing = ResultListing(
@@ -312,54 +328,77 @@
     def places(self) -> JobPlaces:
         """Return what the batch job holds and wants at the workers.
 
-        What could start nowhere, were every place free, is not wanted: others may go first.
+        What could start nowhere, were every place free, is not startable: others may go first.
         """
         now = self._clock.monotonic()
+        offset = self._clock.wall() - now
         waiting: list[float | None] = []
+        startable: list[float | None] = []
+        work_seconds = 0.0
         if not self._lingering:
             room = max(0, self._usable_places(now) - self._held.total())
-            waiting = self._scheduler.latest_starts(self._limits.held, now)[:room]
-        offset = self._clock.wall() - now
-        return JobPlaces(
+            waiting = self._scheduler.latest_starts(self._limits.held, now)
+            startable = waiting[:room]
+            work_seconds = self._scheduler.work_seconds()
+        due_at = self._scheduler.due_at
+        self._places = JobPlaces(
             batch_id=self.spec.batch_id,
             service=self.spec.service,
             model=self.spec.model,
             priority=self.spec.priority,
-            began_step=self._began_step,
-            age_seconds=now - self._started_at,
+            is_open=not self._lingering,
+            began_slot=time_slot(self._began_at + offset),
+            due_slot=None if due_at is None else time_slot(due_at + offset),
             missed=self._missed,
-            waiting=len(waiting),
-            work_seconds=self._scheduler.work_seconds(),
-            due_step=start_step(self._scheduler.due_at + offset),
-            starts=Counter(start_step(at + offset) for at in waiting if at is not None),
+            missing_groups=self._scheduler.missing_groups,
             running={worker_id: count for worker_id, count in self._held.items() if count},
+            waiting=len(waiting),
+            startable=len(startable),
+            starts=Counter(time_slot(at + offset) for at in startable if at is not None),
+            work_seconds=work_seconds,
         )
+        return self._places
+
+    @property
+    def last_places(self) -> JobPlaces:
+        """Return what the batch job held and wanted when that was worked out last."""
+        return self._places or self.places()
+
+    def _share_of_places(self, now: float) -> PlaceShare:
+        """Return what other batch jobs leave to this one; log when it begins or ceases to wait.
 
-    def _share_of_places(self) -> PlaceShare:
-        """Return what other batch jobs leave to this one; log when it begins or ceases to wait."""
-        own = self.places()
-        share = self._share_for(own)
+        Steps of several trainers often begin in one moment: until it is known what the others
+        want, only long items start, which go first whatever others want.
+        """
+        share = self._share_for(self)
         competition = share.competition
-        is_promised = competition is None or competition.is_promised
-        if competition is not None and own.waiting and is_promised != self._is_promised:
-            self._is_promised = is_promised
-            self._metrics.count_step_turn("in_time" if is_promised else "deferred")
-            log_event(
-                "step_turn",
-                batch=self.spec.batch_id,
-                model=self.spec.model,
-                is_in_time=is_promised,
-                age_seconds=round(own.age_seconds, 3),
-                due_in_seconds=round(self._scheduler.due_at - self._clock.monotonic(), 3),
-                work_seconds=round(own.work_seconds, 3),
-                others_work_seconds=round(competition.others_work_seconds, 3),
-                places=competition.places,
-                free=competition.free,
-                waiting=own.waiting,
-                missed=own.missed,
-            )
+        if competition is None:
+            is_settling = self._is_shared and now < self._started_at + SETTLE_SECONDS
+            return msgspec.structs.replace(share, long_only=is_settling)
+        if competition.is_promised != self._is_promised and self.last_places.startable:
+            self._is_promised = competition.is_promised
+            self._log_turn(competition, now)
         return share
 
+    def _log_turn(self, competition: Competition, now: float) -> None:
+        self._metrics.count_step_turn("in_time" if competition.is_promised else "deferred")
+        own = self.last_places
+        due_at = self._scheduler.due_at
+        log_event(
+            "step_turn",
+            batch=self.spec.batch_id,
+            model=self.spec.model,
+            is_in_time=competition.is_promised,
+            age_seconds=round(now - self._began_at, 3),
+            due_in_seconds=None if due_at is None else round(due_at - now, 3),
+            work_seconds=round(own.work_seconds, 3),
+            others_work_seconds=round(competition.others_work_seconds, 3),
+            places=competition.places,
+            free=competition.free,
+            waiting=own.waiting,
+            missed=own.missed,
+        )
+
     def _usable_places(self, now: float) -> int:
         """Return the places of the workers that may run items, taken ones included."""
         model = self.spec.model
@@ -367,6 +406,7 @@
             record.worker.slots
             for record in self._directory.of_service(self.spec.service)
             if record.takes(model, now)
+            and not record.is_refusing(model, now)
             and (record.version_of(model, now) or UNVERSIONED) >= self.spec.minimum_version
         )
 
@@ -403,7 +443,7 @@
                 for record in self._directory.of_service(self.spec.service)
             }
             limits = self._limits = self._quarantine.limits(self._scheduler.waiting)
-            share = self._share_of_places()
+            share = self._share_of_places(now)
             decisions = self._scheduler.plan(workers, self._newest_version(), now, limits, share)
             for decision in decisions:
                 self._perform(decision, workers)
@@ -432,6 +472,8 @@
                 self._held[worker_id] += 1
                 record.expected_tokens += item.expected_tokens
                 task = self._task_owner.spawn(self._run_item(decision, record), "batch-item")
+                # A task that is cancelled before it runs never comes to a ``finally`` of its own.
+                task.add_done_callback(lambda _: self._release(item, record))
                 self._runs[item.item_id] = task
             case StopRun(item_id=item_id, worker_id=worker_id, reason=reason):
                 log_event(
@@ -472,15 +514,19 @@
             failure = observe_failure(self._directory, record.worker, model, error, now)
         finally:
             self._quarantine.end(start.item, worker)
-            record.in_flight -= 1
-            self._held[worker.worker_id] -= 1
-            record.expected_tokens -= start.item.expected_tokens
             if self._runs.get(item_id) is task:
                 del self._runs[item_id]
-            self._on_places_changed()
             if not self._closed and not (self._lingering and failure is RunFailure.STOPPED):
                 self._finish_run(item_id, record, failure)
 
+    def _release(self, item: BatchItem, record: WorkerRecord) -> None:
+        """Give the place of a run back."""
+        record.in_flight -= 1
+        record.expected_tokens -= item.expected_tokens
+        self._held[record.worker.worker_id] -= 1
+        self._on_places_changed()
+        self._wakeup.set()
+
     def _finish_run(
         self, item_id: ItemId, record: WorkerRecord, failure: RunFailure | None
     ) -> None:
@@ -583,3 +629,10 @@
         else:
             self.close()
         self._on_lost(self.spec.batch_id)
+
+
+def _age_seconds(spec: BatchSpec, wall_seconds: float) -> float:
+    """Return how long ago a batch job was submitted; 0 if that is not known."""
+    if not spec.submitted_at:
+        return 0.0
+    return min(max(0.0, wall_seconds - spec.submitted_at), LONGEST_AGE_SECONDS)
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -16,7 +16,7 @@
 )
 from drumbay.batches.item_order import ItemOrder
 from drumbay.batches.item_run import ItemRun
-from drumbay.batches.places import start_step
+from drumbay.batches.places import time_slot
 from drumbay.batches.records import (
     BatchItem,
     BatchSpec,
@@ -76,8 +76,9 @@
 NO_LIMITS = StartLimits()
 WHOLE_SHARE = PlaceShare()
 
-DEFAULT_DUE_SECONDS = 10.0
-"""Where nothing says when a step is due: its items keep their order among other jobs' items."""
+NO_DUE_SECONDS = 10.0
+"""Where nothing says when a step is due, its items stand among other jobs' as if it were then; none
+of them counts as late."""
 
 
 class BatchScheduler:
@@ -93,6 +94,7 @@
         started_at: float,
         listed: Sequence[ItemResult],
         event_size: EventSize | None = None,
+        began_at: float | None = None,
     ) -> None:
         """Create a scheduler for the items that are not yet listed.
 
@@ -101,13 +103,14 @@
             started_at: Monotonic time from which the queue limit runs.
             listed: Results that stand already.
             event_size: What texts of the model have shown so far.
+            began_at: Monotonic time of the submission, if that was before ``started_at``.
         """
         self._spec = spec
-        self._began_at = started_at
-        self._due_at = started_at + (spec.due_seconds or DEFAULT_DUE_SECONDS)
+        self._began_at = started_at if began_at is None else began_at
         self._event_size = event_size or EventSize()
         self._seconds_per_event = DEFAULT_PACE_SECONDS
         self._mean_pace = DEFAULT_PACE_SECONDS
+        self._is_scarce = False
         self._give_up_at = started_at + spec.queue_limit_seconds
         self._planned_at = started_at
         self._listening_since = started_at
@@ -184,9 +187,10 @@
         return tuple(run.item for run in self._runs.values() if not run.is_placed)
 
     @property
-    def due_at(self) -> float:
-        """Return the monotonic time at which the step is due."""
-        return self._due_at
+    def due_at(self) -> float | None:
+        """Return the monotonic time at which the step is due; ``None`` if nothing says so."""
+        due_seconds = self._spec.due_seconds
+        return None if due_seconds is None else self._began_at + due_seconds
 
     def work_seconds(self) -> float:
         """Return for how long one place would be taken by what the trainer still waits for."""
@@ -213,15 +217,18 @@
         ]
         clock = StepClock(
             began_at=self._began_at,
-            due_at=self._due_at,
+            due_at=self._began_at + NO_DUE_SECONDS if self.due_at is None else self.due_at,
             seconds_per_event=self._seconds_per_event,
             event_size=self._event_size,
+            is_scarce=self._is_scarce,
         )
-        late_groups = {run.item.group for run in startable if clock.is_late(run, now)}
+        has_due = self.due_at is not None
+        late = {r.item.item_id for r in startable if has_due and clock.is_late(r, now)}
+        late_groups = {run.item.group for run in startable if run.item.item_id in late}
         ordered: list[tuple[ItemRun, float | None]] = []
         for run in startable:
             is_spare = run.item.group in late_groups or self._order.is_postponed(run.item)
-            is_deferrable = clock.is_late(run, now) or (is_spare and not run.texts)
+            is_deferrable = run.item.item_id in late or (is_spare and not run.texts)
             ordered.append((run, None if is_deferrable else clock.latest_start(run)))
         # Stable: late items keep the order in which they would start without other jobs.
         return sorted(ordered, key=lambda entry: math.inf if entry[1] is None else entry[1])
@@ -355,6 +362,8 @@
             return None
         worker_id = run.worker_id
         run.release()
+        if failure is not RunFailure.STOPPED:
+            run.target = None
         match failure:
             case RunFailure.REJECTED:
                 return self._give_up(item_id)
@@ -417,11 +426,12 @@
         choice = WorkerChoice(
             self._spec, workers, newest_version, now, limits.apart_from, share.held
         )
+        self._is_scarce = share.competition is not None and share.competition.is_scarce
         self._seconds_per_event = choice.usual_pace
         self._mean_pace = choice.mean_pace
         decisions: list[Decision] = [*self._given_up, *self._stops(choice, now)]
         self._given_up.clear()
-        decisions.extend(self._starts(choice, now, limits, share.competition))
+        decisions.extend(self._starts(choice, now, limits, share))
         decisions.extend(self._scores(now))
         return tuple(decisions)
 
@@ -437,16 +447,17 @@
         return scores
 
     def _starts(
-        self,
-        choice: WorkerChoice,
-        now: float,
-        limits: StartLimits,
-        competition: Competition | None,
+        self, choice: WorkerChoice, now: float, limits: StartLimits, share: PlaceShare
     ) -> list[StartRun]:
-        starts = self._moved(choice, now)
-        for run in self._to_start(limits, competition, now):
+        starts = self._moved(choice, now, limits)
+        competition = share.competition
+        for run, latest_start in self._to_start(limits, share, now):
             if not choice.has_room:
                 break
+            if competition is not None and not self._may_start(
+                latest_start, competition, len(starts)
+            ):
+                continue
             request = PlaceRequest(
                 group=run.item.group,
                 expected_tokens=run.item.expected_tokens,
@@ -461,38 +472,49 @@
                 starts.append(self._start(run, worker_id, now))
         return starts
 
-    def _moved(self, choice: WorkerChoice, now: float) -> list[StartRun]:
+    def _to_start(
+        self, limits: StartLimits, share: PlaceShare, now: float
+    ) -> list[tuple[ItemRun, float | None]]:
+        """Return the items to start, and by when each must start if other jobs compete."""
+        if share.competition is not None:
+            return self._by_latest_start(limits.held, now)
+        return [
+            (run, None)
+            for run in self._runs.values()
+            if not run.is_placed
+            and now >= run.not_before
+            and run.item.item_id not in limits.held
+            and (not share.long_only or self._order.is_long(run.item))
+        ]
+
+    def _may_start(
+        self, latest_start: float | None, competition: Competition, started: int
+    ) -> bool:
+        """Return whether other batch jobs leave a place for one more item."""
+        slot = None
+        if latest_start is not None and competition.is_promised:
+            slot = time_slot(latest_start + competition.offset)
+        if slot is None:
+            held = sum(run.worker_id is not None for run in self._runs.values())
+            if held < competition.late_places:
+                return True
+        return competition.free - started > competition.before(slot)
+
+    def _moved(self, choice: WorkerChoice, now: float, limits: StartLimits) -> list[StartRun]:
         """Return the starts of items that were stopped to go on at a faster worker."""
         starts: list[StartRun] = []
         for run in self._runs.values():
-            target, run.target = run.target, (run.target if run.is_placed else None)
-            if target is not None and not run.is_placed and choice.take_at(target, run.item):
+            if run.target is None or run.worker_id is not None:
+                continue
+            target, run.target = run.target, None
+            item_id = run.item.item_id
+            is_limited = item_id in limits.held or item_id in limits.apart
+            if run.complete or is_limited or now < run.not_before:
+                continue
+            if choice.take_at(target, run.item):
                 starts.append(self._start(run, target, now))
         return starts
 
-    def _to_start(
-        self, limits: StartLimits, competition: Competition | None, now: float
-    ) -> list[ItemRun]:
-        """Return the items that may start now, as far as other batch jobs leave places."""
-        if competition is None:
-            return [
-                run
-                for run in self._runs.values()
-                if not run.is_placed
-                and now >= run.not_before
-                and run.item.item_id not in limits.held
-            ]
-        held = sum(run.worker_id is not None for run in self._runs.values())
-        chosen: list[ItemRun] = []
-        for run, latest_start in self._by_latest_start(limits.held, now):
-            step = None if latest_start is None else start_step(latest_start + competition.offset)
-            if not competition.is_promised:
-                step = None
-            is_assured = step is None and held + len(chosen) < competition.late_places
-            if is_assured or competition.free - len(chosen) > competition.before(step):
-                chosen.append(run)
-        return chosen
-
     def _start(self, run: ItemRun, worker_id: BackendId, now: float) -> StartRun:
         if self._spec.one_version_only and run.texts:
             # Another worker may hold another version; one version makes the whole text.
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -35,6 +35,7 @@
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.exceptions import Execution
+from drumbay.forwarding.routes import ServiceUse
 from drumbay.identifiers import Revision, WeightVersion
 from drumbay.kv.interface import (
     KeyValueError,
@@ -103,7 +104,7 @@
         newest_version: Callable[[str], WeightVersion],
         announce: Callable[[OwnerNotice], None],
         tell: Callable[[Iterable[NetworkAddress], PlacesNotice], None],
-        shares_workers: Callable[[BatchSpec], bool],
+        rivals: ServiceUse,
         metrics: ServingMetrics,
     ) -> None:
         """Create a service that owns nothing.
@@ -123,7 +124,7 @@
             newest_version: Returns the newest version named for a model.
             announce: Tells the other nodes who owns a batch job.
             tell: Sends a notice to some nodes.
-            shares_workers: Returns whether batch jobs of other routes run on the same workers.
+            rivals: Tells who else uses a service.
             metrics: Counts what happens to batch jobs.
         """
         self._clock = clock
@@ -146,7 +147,7 @@
             task_owner,
             newest_version,
             tell,
-            shares_workers,
+            rivals,
             metrics,
         )
 
@@ -193,6 +194,7 @@
         """
         owner = self._owners.record_for(spec, self._known_nodes())
         submitted_at = self._clock.wall()
+        spec = msgspec.structs.replace(spec, submitted_at=submitted_at)
         deadline = self._clock.monotonic() + ACCEPT_LIMIT_SECONDS
         uncertain = False
         while True:
--- a/drumbay/batches/shared_places.py
+++ b/drumbay/batches/shared_places.py
@@ -11,11 +11,11 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Mapping, Set
+from collections.abc import Iterable, Mapping, Sequence, Set
 
 import msgspec
 
-from drumbay.batches.places import START_STEP_SECONDS, JobPlaces
+from drumbay.batches.places import TIME_SLOT_SECONDS, JobPlaces, NoticeNumber
 from drumbay.batches.records import BatchId
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.identifiers import BackendId
@@ -24,10 +24,14 @@
 """What an owner told counts for so long: more than two of its regular notices. An owner that ended
 must not keep places from the others for longer than its runs go on."""
 
-LATE_SHARE = 0.15
-"""Share of the places that late items may hold while others wait that can still be in time, divided
-evenly between the jobs that have some: a late step still ends, and its trainer goes on."""
+MOST_HOLDERS = 1_024
+"""Owners whose newest notice is remembered, also after their last job: more than nodes own batch
+jobs within the time that a notice may be late."""
 
+LATE_SHARE = 0.15
+"""Share of the places that late items may hold while others wait that can still be in time, one
+place at least, divided between the jobs that have some: a late step still ends, and its trainer
+goes on."""
 
 TOLERANCE_SECONDS = 0.5
 """A step that is expected late by less than this counts as in time: its work is an expectation, and
@@ -39,19 +43,20 @@
 
     Attributes:
         is_promised: Whether there is room for the job to be in time, beside others that are.
+        is_scarce: Whether there is no room for all jobs to be in time.
         places: Places of the service's workers, taken ones included.
         others_work_seconds: For how long one place would be taken by the other jobs.
         free: Places of the service that nobody holds.
-        starts: How many items of jobs that go after this one must start by when, by step of the
-            time of day.
+        starts: How many items of jobs that go after this one must start by which time slot.
         starts_before: The same for jobs that go before this one where both are as urgent.
         deferrable: How many items of others wait that are late, or waited for by nobody, and
-            whose jobs began before.
+            whose jobs go before.
         late_places: How many places the job may hold whatever others want.
         offset: What added to this owner's monotonic time gives its time of day.
     """
 
     is_promised: bool
+    is_scarce: bool
     places: int
     others_work_seconds: float
     free: int
@@ -61,16 +66,23 @@
     late_places: int
     offset: float = 0.0
 
-    def before(self, step: int | None) -> int:
+    def before(self, slot: int | None) -> int:
         """Return how many waiting items of others go before one.
 
         Args:
-            step: By when the item must start; ``None`` if it is late, or waited for by nobody.
+            slot: By when the item must start; ``None`` if it is late, or waited for by nobody.
         """
-        if step is None:
+        if slot is None:
             return sum(self.starts.values()) + sum(self.starts_before.values()) + self.deferrable
-        sooner = sum(count for start, count in self.starts.items() if start < step)
-        return sooner + sum(count for start, count in self.starts_before.items() if start <= step)
+        sooner = sum(count for start, count in self.starts.items() if start < slot)
+        return sooner + sum(count for start, count in self.starts_before.items() if start <= slot)
+
+
+class Room(msgspec.Struct, frozen=True):
+    """The places of the workers of a service that take items: all of them, and the free ones."""
+
+    places: int
+    free: int
 
 
 class _Told(msgspec.Struct, frozen=True):
@@ -86,20 +98,39 @@
     def __init__(self) -> None:
         """Know of no other owner."""
         self._told: dict[NetworkAddress, _Told] = {}
-        self._held: Counter[BackendId] = Counter()
+        self._newest: dict[NetworkAddress, NoticeNumber] = {}
+        self._held: dict[str, Counter[BackendId]] = {}
 
     @property
     def holders(self) -> tuple[NetworkAddress, ...]:
-        """Return the owners that told of open jobs lately."""
+        """Return the owners that told of jobs lately."""
         return tuple(self._told)
 
-    def take(self, holder: NetworkAddress, jobs: tuple[JobPlaces, ...], now: float) -> None:
-        """Take what an owner tells; it replaces what it told before."""
+    def take(
+        self,
+        holder: NetworkAddress,
+        jobs: tuple[JobPlaces, ...],
+        now: float,
+        number: NoticeNumber,
+    ) -> bool:
+        """Take what an owner tells, in place of what it told before.
+
+        Returns:
+            Whether it is news: a notice that comes after a newer one is passed over.
+        """
+        newest = self._newest.pop(holder, None)
+        if newest is not None and newest.boot == number.boot and newest.number >= number.number:
+            self._newest[holder] = newest
+            return False
+        if len(self._newest) >= MOST_HOLDERS:
+            del self._newest[next(iter(self._newest))]
+        self._newest[holder] = number
         self._drop(holder)
         if jobs:
             self._told[holder] = _Told(now, jobs)
             for job in jobs:
-                self._held.update(job.running)
+                self._held.setdefault(job.service, Counter()).update(job.running)
+        return True
 
     def expire(self, now: float) -> tuple[NetworkAddress, ...]:
         """Forget the owners that say nothing any more, and return them."""
@@ -111,45 +142,50 @@
     def _drop(self, holder: NetworkAddress) -> None:
         told = self._told.pop(holder, None)
         for job in told.jobs if told is not None else ():
-            self._held.subtract(job.running)
+            # Unary plus keeps what is left above zero.
+            self._held[job.service] = +(self._held[job.service] - Counter(job.running))
+            if not self._held[job.service] and not self._is_told(job.service):
+                del self._held[job.service]
+
+    def _is_told(self, service: str) -> bool:
+        return any(job.service == service for told in self._told.values() for job in told.jobs)
 
-    def held_by_others(self) -> Mapping[BackendId, int] | None:
-        """Return the runs of other owners by worker; ``None`` if none told of any job."""
-        return self._held if self._told else None
+    def held_by_others(self, service: str) -> Mapping[BackendId, int] | None:
+        """Return the runs of other owners by worker; ``None`` if none told of any job there."""
+        return self._held.get(service)
 
     def competition(
-        self, job: JobPlaces, own: Iterable[JobPlaces], places: int, now: float, offset: float
+        self, job: JobPlaces, own: Iterable[JobPlaces], room: Room, now: float, offset: float
     ) -> Competition | None:
         """Return what others want beside a job; ``None`` if no other one competes.
 
         Args:
             job: The job.
             own: All jobs of this owner.
-            places: Places of the service's workers, taken ones included.
+            room: The places of the service.
             now: Monotonic time.
             offset: What added to this owner's monotonic time gives its time of day.
         """
-        others = [other for other in self._jobs(own) if other.batch_id != job.batch_id]
-        rivals = [other for other in others if other.service == job.service and other.wanted]
-        if not any(rival.waiting for rival in rivals):
+        rivals = [
+            other
+            for other in self._jobs(own)
+            if other.batch_id != job.batch_id and other.service == job.service and other.wanted
+        ]
+        if not any(rival.startable for rival in rivals):
             return None
-        promised = _promised((job, *rivals), places, offset + now)
+        promised = _promised((job, *rivals), room.places, offset + now)
         earlier = [rival for rival in rivals if _order(rival) < _order(job)]
         later = [rival for rival in rivals if _order(rival) > _order(job)]
-        held = sum(sum(rival.running.values()) for rival in (*rivals, job))
-        late_jobs = 1 + sum(rival.deferrable > 0 for rival in rivals)
         return Competition(
             is_promised=job.batch_id in promised,
-            places=places,
+            is_scarce=len(promised) < len(rivals) + 1,
+            places=room.places,
             others_work_seconds=sum(rival.work_seconds for rival in rivals),
-            free=max(0, places - held),
+            free=room.free,
             starts=_starts_of(later, promised),
             starts_before=_starts_of(earlier, promised),
-            deferrable=sum(
-                rival.deferrable if rival.batch_id in promised else rival.waiting
-                for rival in earlier
-            ),
-            late_places=int(LATE_SHARE * places / late_jobs),
+            deferrable=sum(_late_items(rival, promised) for rival in earlier),
+            late_places=_late_places(job, rivals, promised, room.places),
             offset=offset,
         )
 
@@ -167,31 +203,74 @@
     return starts
 
 
-def _promised(jobs: Iterable[JobPlaces], places: int, wall_seconds: float) -> frozenset[BatchId]:
+def _late_items(job: JobPlaces, promised: Set[BatchId]) -> int:
+    """Return how many items of a job wait behind those that can be in time."""
+    return job.deferrable if job.batch_id in promised else job.startable
+
+
+def _late_places(
+    job: JobPlaces, rivals: Iterable[JobPlaces], promised: Set[BatchId], places: int
+) -> int:
+    """Return the part of a job of the places for late items; jobs that go before get more."""
+    late = [rival for rival in rivals if _late_items(rival, promised)]
+    share, rest = divmod(max(1, int(LATE_SHARE * places)), len(late) + 1)
+    position = sum(_order(rival) < _order(job) for rival in late)
+    return share + (position < rest)
+
+
+def _promised(jobs: Sequence[JobPlaces], places: int, wall_seconds: float) -> frozenset[BatchId]:
     """Return the jobs that can all be in time; some places are left to the others, if any."""
-    ordered = sorted(jobs, key=lambda job: (job.due_step, _order(job)))
-    taken = _in_time(ordered, places, wall_seconds)
-    if len(taken) < len(ordered):
-        taken = _in_time(ordered, places * (1 - LATE_SHARE), wall_seconds)
+    taken = _in_time(jobs, places, wall_seconds)
+    if len(taken) < len(jobs):
+        taken = _in_time(jobs, places * (1 - LATE_SHARE), wall_seconds)
     return frozenset(job.batch_id for job in taken)
 
 
-def _in_time(jobs: Iterable[JobPlaces], places: float, wall_seconds: float) -> list[JobPlaces]:
-    """Return as many jobs, given by their due times, as there is room for.
+def _in_time(jobs: Sequence[JobPlaces], places: float, wall_seconds: float) -> list[JobPlaces]:
+    """Return the jobs for which there is room, those of a higher rank before others.
 
-    The algorithm of Moore (1968), "An n job, one machine sequencing algorithm for minimizing the
-    number of late jobs": take one after the other, and leave out the longest so far whenever the
-    newest would be late. A trainer whose last steps were late is not left out before others.
+    Among jobs of one rank these are as many as there is room for, by the algorithm of Moore (1968),
+    "An n job, one machine sequencing algorithm for minimizing the number of late jobs": take one
+    after the other by their due times, and leave out the longest so far while one would be late.
+    Each late step in a row raises the rank of its trainer's next one.
     """
     taken: list[JobPlaces] = []
-    for job in jobs:
-        taken.append(job)
-        seconds = max(0.0, job.due_step * START_STEP_SECONDS + TOLERANCE_SECONDS - wall_seconds)
-        if sum(other.work_seconds for other in taken) > places * seconds:
-            taken.remove(max(taken, key=lambda o: (-o.missed, o.work_seconds, _order(o))))
+    for rank in sorted({_rank(job) for job in jobs}):
+        for job in sorted((j for j in jobs if _rank(j) == rank), key=_due):
+            taken.append(job)
+            while not _fits(taken, places, wall_seconds):
+                removable = [other for other in taken if _rank(other) == rank]
+                too_long = [o for o in removable if not _fits([o], places, wall_seconds)]
+                taken.remove(max(too_long or removable, key=_leave_out))
     return taken
 
 
+def _fits(jobs: Iterable[JobPlaces], places: float, wall_seconds: float) -> bool:
+    """Return whether all jobs can be in time, one after the other by their due times."""
+    work_seconds = 0.0
+    for job in sorted(jobs, key=_due):
+        if job.due_slot is None:
+            continue
+        work_seconds += job.work_seconds
+        due_in_seconds = job.due_slot * TIME_SLOT_SECONDS - wall_seconds
+        if work_seconds > places * max(0.0, due_in_seconds + TOLERANCE_SECONDS):
+            return False
+    return True
+
+
+def _rank(job: JobPlaces) -> int:
+    return max(0, job.priority - job.missed)
+
+
+def _due(job: JobPlaces) -> tuple[bool, int, tuple[int, int, BatchId]]:
+    return job.due_slot is None, job.due_slot or 0, _order(job)
+
+
+def _leave_out(job: JobPlaces) -> tuple[int, float, tuple[int, int, BatchId]]:
+    """Return by what a job is left out, the greatest first: the longest of those in time before."""
+    return -job.missed, job.work_seconds, _order(job)
+
+
 def _order(job: JobPlaces) -> tuple[int, int, BatchId]:
     """Return by what jobs are put into order where their items are as urgent."""
-    return job.priority, job.began_step, job.batch_id
+    return _rank(job), job.began_slot, job.batch_id
--- a/drumbay/batches/start_times.py
+++ b/drumbay/batches/start_times.py
@@ -43,12 +43,16 @@
 
 
 class StepClock(msgspec.Struct, frozen=True, kw_only=True):
-    """When a step began and is due, and how long an event takes. Times are monotonic seconds."""
+    """When a step began and is due, and how long an event takes. Times are monotonic seconds.
+
+    ``is_scarce`` says that there is no room for all steps to be in time.
+    """
 
     began_at: float
     due_at: float
     seconds_per_event: float
     event_size: EventSize
+    is_scarce: bool
 
     def latest_start(self, run: ItemRun) -> float:
         """Return by when an item must start, to be in time on a usual worker."""
@@ -56,13 +60,14 @@
         return self.due_at - RESERVE_SECONDS - seconds
 
     def is_late(self, run: ItemRun, now: float) -> bool:
-        """Return whether an item has waited for so long that it is expected too late.
+        """Return whether an item is expected too late, so that others go before it.
 
-        Until the step is due, one that had begun goes on, and so does one that takes longer than a
-        step has: the trainer waits for both, and each moment that they wait makes it later. After
-        that other steps go first, or all would be late.
+        Where there is room for all steps, one that had begun goes on, and so does one that takes
+        longer than a step has: the trainer waits for both, and each moment that they wait makes it
+        later. Where there is not, they would take the places of steps that can be in time: served
+        fell from 0.55 to 0.39 (one day of high load, one play each way).
         """
         latest_start = self.latest_start(run)
-        if now < self.due_at and (run.texts or latest_start <= self.began_at):
+        if not self.is_scarce and (run.texts or latest_start <= self.began_at):
             return False
         return now > latest_start + GRACE_SECONDS
--- a/drumbay/batches/worker_choice.py
+++ b/drumbay/batches/worker_choice.py
@@ -86,6 +86,7 @@
             for worker_id, record in workers.items()
         }
         self._batch_id = spec.batch_id
+        self._orders: dict[BackendId, int] = {}
         self._apart_from = set(apart_from)
         self._workers = workers
         self._heard = {w for w, record in workers.items() if record.pace.is_heard(now)}
@@ -160,8 +161,10 @@
         recent = self._recent_paces.get(worker_id)
         if recent is None:
             return False
-        usual = self._usual_paces[worker_id] or self._median
-        return recent > SLOW_FACTOR * max(usual, self._median)
+        usual = self._median
+        if self.is_shared(worker_id):
+            usual = max(self._usual_paces[worker_id] or self._median, self._median)
+        return recent > SLOW_FACTOR * usual
 
     def is_slower(self, worker_id: BackendId) -> bool:
         """Return whether a worker lately was slower than most are by more than they differ."""
@@ -228,7 +231,10 @@
 
     def _own_order(self, worker_id: BackendId) -> int:
         """Order like workers differently for each batch job: owners choose at the same time."""
-        return zlib.crc32(f"{self._batch_id} {worker_id}".encode())
+        found = self._orders.get(worker_id)
+        if found is None:
+            found = self._orders[worker_id] = zlib.crc32(f"{self._batch_id} {worker_id}".encode())
+        return found
 
     def _give(self, worker_id: BackendId) -> None:
         self._free[worker_id] -= 1
--- a/drumbay/forwarding/routes.py
+++ b/drumbay/forwarding/routes.py
@@ -1,6 +1,7 @@
 """Routes that operators configure, and the choice of a route for a request."""
 
 from enum import StrEnum
+from typing import Protocol
 
 import msgspec
 
@@ -88,6 +89,18 @@
         return [route for route in self.routes if route.host.lower() == name]
 
 
+class ServiceUse(Protocol):
+    """Tells which kinds of requests reach a service by the configuration in force."""
+
+    def batch_routes(self, service: str) -> int:
+        """Return how many routes submit batch jobs to a service."""
+        ...
+
+    def has_only_batches(self, service: str) -> bool:
+        """Return whether all routes to a service submit batch jobs."""
+        ...
+
+
 class RouteTable:
     """The configuration in force; it never goes back to an older version."""
 
@@ -108,14 +121,17 @@
         self._current = configuration
         return True
 
-    def rollout_routes_of(self, service: str) -> int:
+    def batch_routes(self, service: str) -> int:
         """Return how many routes submit batch jobs to a service."""
+        return sum(route.kind is RequestKind.ROLLOUT for route in self._routes_to(service))
+
+    def has_only_batches(self, service: str) -> bool:
+        """Return whether all routes to a service submit batch jobs."""
+        return all(route.kind is RequestKind.ROLLOUT for route in self._routes_to(service))
+
+    def _routes_to(self, service: str) -> list[Route]:
         routes = self._current.routes if self._current is not None else ()
-        return sum(
-            route.kind is RequestKind.ROLLOUT
-            and any(share.service == service for share in route.shares)
-            for route in routes
-        )
+        return [r for r in routes if any(share.service == service for share in r.shares)]
 
     def choose_service(self, route: Route) -> str:
         """Return the service for the next request: smooth weighted round robin."""
--- a/drumbay/peers/messages.py
+++ b/drumbay/peers/messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from drumbay.batches.places import JobPlaces
+from drumbay.batches.places import JobPlaces, NoticeNumber
 from drumbay.batches.records import (
     BatchId,
     BatchSpec,
@@ -158,9 +158,10 @@
 
 
 class PlacesNotice(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """A node tells what its open batch jobs hold and want; it replaces what it told before."""
+    """A node tells what its batch jobs hold and want; it replaces what it told before."""
 
     holder: NetworkAddress
+    number: NoticeNumber
     jobs: tuple[JobPlaces, ...]
 
 
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -158,7 +158,7 @@
             self.named_versions.newest_of,
             self._tell_all,
             self._notices.tell,
-            lambda spec: self.routes.rollout_routes_of(spec.service) > 1,
+            self.routes,
             self.metrics,
         )
         self.leader = LeaderElection(
--- a/drumbay/workers/directory.py
+++ b/drumbay/workers/directory.py
@@ -81,6 +81,11 @@
         load = self.loads.get(model)
         return self.is_available(now) and (load is None or now >= load.until)
 
+    def is_refusing(self, model: str, now: float) -> bool:
+        """Return whether the worker has refused requests for a model so lately that none goes."""
+        refusals = self.refusals.get(model)
+        return refusals is not None and now < refusals.paused_until
+
     def free_slots_for(self, model: str, now: float, others: int | None = None) -> int:
         """Return the places for requests of a model: after refusals, one probe at a time.
 
@@ -93,12 +98,9 @@
             return 0
         busy_others = self.others_busy(now) if others is None else others
         free = max(0, self.worker.slots - self.in_flight - busy_others)
-        refusals = self.refusals.get(model)
-        if refusals is None:
-            return free
-        if now < refusals.paused_until:
+        if self.is_refusing(model, now):
             return 0
-        return min(1, free)
+        return min(1, free) if model in self.refusals else free
 
     def version_of(self, model: str, now: float) -> WeightVersion | None:
         """Return the version of a model, as seen or as due by now; ``None`` if it holds none.
--- a/drumbay/workers/pace.py
+++ b/drumbay/workers/pace.py
@@ -84,9 +84,14 @@
         return statistics.median_low(self._samples)
 
     def sustained(self, now: float) -> float | None:
-        """Return the least of the last moments' paces: how slow the worker is all the time."""
+        """Return the least of the last moments' paces: how slow the worker is all the time.
+
+        ``None`` if these moments span too little time to tell.
+        """
         if self.recent(now) is None:
             return None
+        if self._lately[-1][0] - self._lately[0][0] < SUSTAINED_SECONDS / 2:
+            return None
         return min(pace for _, pace in self._lately)
 
     def usual(self) -> float | None:
--- a/tests/test_shared_places.py
+++ b/tests/test_shared_places.py
@@ -2,16 +2,17 @@
 
 import asyncio
 import unittest
+import unittest.mock
 from collections import Counter
 
 import msgspec
 
 from drumbay.batches.decisions import PlaceShare, RunFailure, StartRun, StopReason, StopRun
 from drumbay.batches.place_exchange import PlaceExchange
-from drumbay.batches.places import JobPlaces, start_step
+from drumbay.batches.places import JobPlaces, NoticeNumber, time_slot
 from drumbay.batches.records import BatchId, BatchItem, BatchSpec, ItemId
 from drumbay.batches.scheduler import BatchScheduler
-from drumbay.batches.shared_places import TOLD_LIFETIME_SECONDS, SharedPlaces
+from drumbay.batches.shared_places import TOLD_LIFETIME_SECONDS, Room, SharedPlaces
 from drumbay.batches.start_times import EventSize
 from drumbay.batches.step_history import StepHistory
 from drumbay.clock import SystemClock
@@ -27,13 +28,15 @@
 
 
 class StandingClock(SystemClock):
-    """A clock that stands still; who sleeps goes on at once."""
+    """A clock that stands still until it is set; who sleeps goes on at once."""
+
+    now = 0.0
 
     def monotonic(self) -> float:
-        return 0.0
+        return self.now
 
     def wall(self) -> float:
-        return 0.0
+        return self.now
 
     async def sleep(self, seconds: float) -> None:
         await asyncio.sleep(0)
@@ -46,72 +49,117 @@
         service=SERVICE,
         model=name,
         priority=0,
-        began_step=0,
-        age_seconds=0.0,
+        is_open=True,
+        began_slot=0,
+        due_slot=time_slot(8.0),
         missed=0,
+        missing_groups=1,
         running={},
         waiting=0,
-        work_seconds=1.0,
-        due_step=start_step(8.0),
+        startable=0,
         starts={},
+        work_seconds=1.0,
     )
+    changes.setdefault("startable", changes.get("waiting", 0))
     return msgspec.structs.replace(plain, **changes)
 
 
+def room(places: int, held: int = 0) -> Room:
+    return Room(places=places, free=places - held)
+
+
 class SharedPlacesTest(unittest.TestCase):
     def setUp(self) -> None:
         self.shared = SharedPlaces()
+        self.number = 0
+
+    def tell(self, holder: NetworkAddress, *jobs: JobPlaces, now: float = 0.0) -> None:
+        self.number += 1
+        self.assertTrue(self.shared.take(holder, jobs, now, NoticeNumber("boot", self.number)))
+
+    def held(self, worker_id: BackendId) -> int:
+        return (self.shared.held_by_others(SERVICE) or {}).get(worker_id, 0)
 
     def test_an_owner_alone_has_no_competition(self) -> None:
         own = job("a", waiting=5)
-        self.assertIsNone(self.shared.competition(own, [own], 10, 0.0, 0.0))
-        self.assertIsNone(self.shared.held_by_others())
+        self.assertIsNone(self.shared.competition(own, [own], room(10), 0.0, 0.0))
+        self.assertIsNone(self.shared.held_by_others(SERVICE))
 
     def test_what_an_owner_tells_replaces_what_it_told(self) -> None:
-        self.shared.take(FIRST, (job("a", running={W1: 3, W2: 1}),), 0.0)
-        self.shared.take(SECOND, (job("b", running={W1: 2}),), 0.0)
-        self.shared.take(FIRST, (job("a", running={W1: 1}),), 0.1)
-        held = self.shared.held_by_others()
-        assert held is not None
-        self.assertEqual((held[W1], held[W2]), (3, 0))
+        self.tell(FIRST, job("a", running={W1: 3, W2: 1}))
+        self.tell(SECOND, job("b", running={W1: 2}))
+        self.tell(FIRST, job("a", running={W1: 1}))
+        self.assertEqual((self.held(W1), self.held(W2)), (3, 0))
+        self.tell(FIRST)
+        self.tell(SECOND)
+        self.assertIsNone(self.shared.held_by_others(SERVICE))
+
+    def test_a_notice_that_was_overtaken_is_passed_over(self) -> None:
+        """A call that timed out may be handled after the next one."""
+        late = NoticeNumber("boot", 1)
+        self.number = 1
+        self.tell(FIRST, job("a", running={W1: 1}))
+        self.assertFalse(self.shared.take(FIRST, (job("a", running={W1: 9}),), 0.1, late))
+        self.assertEqual(self.held(W1), 1)
+        self.tell(FIRST)
+        self.assertFalse(self.shared.take(FIRST, (job("a", running={W1: 9}),), 0.1, late))
+        self.assertEqual(self.held(W1), 0)
+        # Another process of the same machine counts anew.
+        self.assertTrue(self.shared.take(FIRST, (), 0.1, NoticeNumber("next boot", 1)))
 
     def test_an_owner_that_says_nothing_more_holds_nothing(self) -> None:
-        self.shared.take(FIRST, (job("a", running={W1: 3}),), 0.0)
+        self.tell(FIRST, job("a", running={W1: 3}))
         self.assertEqual(self.shared.expire(TOLD_LIFETIME_SECONDS), ())
         self.assertEqual(self.shared.expire(TOLD_LIFETIME_SECONDS + 0.1), (FIRST,))
-        self.assertIsNone(self.shared.held_by_others())
+        self.assertIsNone(self.shared.held_by_others(SERVICE))
 
     def test_items_go_by_when_they_must_start(self) -> None:
         own = job("b", waiting=3, starts={20: 3})
-        self.shared.take(FIRST, (job("a", waiting=4, starts={10: 1, 20: 2, 30: 1}),), 0.0)
-        competition = self.shared.competition(own, [own], 10, 0.0, 0.0)
+        self.tell(FIRST, job("a", waiting=4, starts={10: 1, 20: 2, 30: 1}))
+        competition = self.shared.competition(own, [own], room(10), 0.0, 0.0)
         assert competition is not None
         # Of two that must start at once, that of the job that goes before starts first.
-        self.assertEqual([competition.before(step) for step in (5, 20, 40)], [0, 3, 4])
+        self.assertEqual([competition.before(slot) for slot in (5, 20, 40)], [0, 3, 4])
 
     def test_late_items_go_last_but_keep_some_places(self) -> None:
         own = job("b", waiting=3)
-        rival = job("a", waiting=9, starts={10: 6})
-        self.shared.take(FIRST, (rival,), 0.0)
-        competition = self.shared.competition(own, [own], 40, 0.0, 0.0)
+        self.tell(FIRST, job("a", waiting=9, starts={10: 6}))
+        competition = self.shared.competition(own, [own], room(40), 0.0, 0.0)
         assert competition is not None
         self.assertEqual(competition.before(None), 9)
         self.assertEqual(competition.late_places, 3)
 
+    def test_some_late_job_has_a_place_however_few_there_are(self) -> None:
+        jobs = [job(name, waiting=3) for name in "abcd"]
+        parts = []
+        for own in jobs:
+            shared = SharedPlaces()
+            others = tuple(other for other in jobs if other is not own)
+            shared.take(FIRST, others, 0.0, NoticeNumber("boot", 1))
+            competition = shared.competition(own, [own], room(6), 0.0, 0.0)
+            assert competition is not None
+            parts.append(competition.late_places)
+        self.assertEqual(parts, [1, 0, 0, 0])
+
     def test_another_services_jobs_are_no_rivals(self) -> None:
-        self.shared.take(FIRST, (job("a", waiting=9, service="other"),), 0.0)
+        self.tell(FIRST, job("a", waiting=9, service="other", running={W1: 2}))
         own = job("b", waiting=3)
-        self.assertIsNone(self.shared.competition(own, [own], 10, 0.0, 0.0))
+        self.assertIsNone(self.shared.competition(own, [own], room(10), 0.0, 0.0))
+        self.assertIsNone(self.shared.held_by_others(SERVICE))
 
     def promised(self, places: int, *jobs: JobPlaces) -> list[str]:
         found = []
+        scarce = set()
         for own in jobs:
             shared = SharedPlaces()
-            shared.take(FIRST, tuple(other for other in jobs if other is not own), 0.0)
-            competition = shared.competition(own, [own], places, 0.0, 0.0)
+            others = tuple(other for other in jobs if other is not own)
+            shared.take(FIRST, others, 0.0, NoticeNumber("boot", 1))
+            competition = shared.competition(own, [own], room(places), 0.0, 0.0)
             assert competition is not None
             if competition.is_promised:
                 found.append(str(own.batch_id))
+            scarce.add(competition.is_scarce)
+        self.assertEqual(scarce, {len(found) < len(jobs)})
         return found
 
     def test_all_steps_are_promised_where_there_is_room(self) -> None:
@@ -134,34 +182,79 @@
         ]
         self.assertEqual(self.promised(10, *jobs), ["b"])
 
+    def test_a_step_that_never_fits_leaves_the_room_to_others(self) -> None:
+        jobs = [
+            job("a", waiting=9, work_seconds=30.0),
+            job("big", waiting=9, work_seconds=1000.0, missed=1),
+            job("c", waiting=9, work_seconds=30.0),
+        ]
+        self.assertEqual(self.promised(10, *jobs), ["a", "c"])
+
+    def test_a_higher_rank_goes_first_and_late_steps_raise_the_rank(self) -> None:
+        low = job("low", waiting=9, work_seconds=50.0, priority=1)
+        high = job("high", waiting=9, work_seconds=55.0)
+        self.assertEqual(self.promised(10, low, high), ["high"])
+        missed = msgspec.structs.replace(low, missed=1)
+        self.assertEqual(self.promised(10, missed, high), ["low"])
+
     def test_a_step_that_is_nearly_whole_stays_promised(self) -> None:
         jobs = [
-            job("old", waiting=2, work_seconds=6.0, due_step=start_step(2.0)),
-            job("new", waiting=9, work_seconds=90.0, due_step=start_step(8.0)),
+            job("old", waiting=2, work_seconds=6.0, due_slot=time_slot(2.0)),
+            job("new", waiting=9, work_seconds=90.0, due_slot=time_slot(8.0)),
         ]
         self.assertEqual(self.promised(10, *jobs), ["old"])
 
+    def test_a_step_without_a_due_time_is_never_left_out(self) -> None:
+        jobs = [
+            job("a", waiting=9, work_seconds=900.0, due_slot=None),
+            job("b", waiting=9, work_seconds=60.0),
+        ]
+        self.assertEqual(self.promised(10, *jobs), ["a", "b"])
+
 
 class StepHistoryTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.history = StepHistory()
+        self.first = job("m", batch_id=BatchId("m-1"), waiting=3)
+
+    def missed(self, number: int) -> int:
+        return self.history.missed_before("m", BatchId(f"m-{number}"))
+
     def test_late_steps_are_counted_in_a_row(self) -> None:
-        history = StepHistory()
-        first = job("m", batch_id=BatchId("m-1"), waiting=3)
-        history.observe(first, start_step(7.0))
-        self.assertEqual(history.missed_before("m", BatchId("m-2")), 0)
-        history.observe(first, start_step(9.0))
-        self.assertEqual(history.missed_before("m", BatchId("m-2")), 1)
-        second = job("m", batch_id=BatchId("m-2"), waiting=3, missed=1, began_step=40, due_step=72)
-        history.observe(second, 80)
-        self.assertEqual(history.missed_before("m", BatchId("m-3")), 2)
+        self.history.observe(self.first, time_slot(7.0))
+        self.assertEqual(self.missed(2), 0)
+        self.history.observe(self.first, time_slot(9.0))
+        self.assertEqual(self.missed(2), 1)
+        second = job("m", batch_id=BatchId("m-2"), waiting=3, missed=1, began_slot=40, due_slot=72)
+        self.history.observe(second, 80)
+        self.assertEqual(self.missed(3), 2)
         # A late word of an earlier step changes nothing; the step's own count stands.
-        history.observe(first, 81)
-        self.assertEqual(history.missed_before("m", BatchId("m-3")), 2)
-        self.assertEqual(history.missed_before("m", BatchId("m-2")), 0)
+        self.history.observe(self.first, 81)
+        self.assertEqual(self.missed(3), 2)
+        self.assertEqual(self.missed(2), 1)
+
+    def test_a_step_that_was_late_stays_so_when_it_is_whole(self) -> None:
+        self.history.observe(self.first, time_slot(9.0))
+        whole = msgspec.structs.replace(self.first, missing_groups=0, startable=0)
+        self.history.observe(whole, time_slot(10.0))
+        self.assertEqual(self.missed(2), 1)
+
+    def test_groups_that_no_trainer_waits_for_make_no_step_late(self) -> None:
+        whole = msgspec.structs.replace(self.first, missing_groups=0)
+        self.history.observe(whole, time_slot(9.0))
+        self.assertEqual(self.missed(2), 0)
+
+    def test_an_ended_job_tells_nothing(self) -> None:
+        self.history.observe(self.first, time_slot(7.0))
+        ended = msgspec.structs.replace(self.first, is_open=False)
+        self.history.observe(ended, time_slot(9.0))
+        self.assertEqual(self.missed(2), 0)
 
     def test_a_step_in_time_ends_the_row(self) -> None:
-        history = StepHistory()
-        history.observe(job("m", batch_id=BatchId("m-2"), missed=2, running={W1: 1}), 20)
-        self.assertEqual(history.missed_before("m", BatchId("m-3")), 0)
+        second = msgspec.structs.replace(self.first, batch_id=BatchId("m-2"), missed=2)
+        self.history.observe(second, time_slot(7.0))
+        self.history.observe(msgspec.structs.replace(second, missing_groups=0), time_slot(9.0))
+        self.assertEqual(self.missed(3), 0)
 
 
 class EventSizeTest(unittest.TestCase):
@@ -193,7 +286,7 @@
             running=Counter(self.running.values()),
             waiting=len(waiting),
             work_seconds=self.scheduler.work_seconds(),
-            starts=Counter(start_step(at) for at in waiting if at is not None),
+            starts=Counter(time_slot(at) for at in waiting if at is not None),
         )
 
 
@@ -233,7 +326,8 @@
             for owner in owners:
                 for address, told_job in told.items():
                     if exchanging and address != owner.address:
-                        owner.shared.take(address, (told_job,), now)
+                        newest = NoticeNumber("boot", tick)
+                        owner.shared.take(address, (told_job,), now, newest)
                 self.perform(owner, told[owner.address], queues, now)
             most = max(most, sum(len(queue) for queue in queues.values()))
             self.make_events(queues, now)
@@ -247,9 +341,11 @@
         now: float,
     ) -> None:
         workers = {r.worker.worker_id: r for r in owner.directory.of_service(SERVICE)}
+        held = owner.shared.held_by_others(SERVICE)
+        taken = sum(r.in_flight + (held or {}).get(w, 0) for w, r in workers.items())
         share = PlaceShare(
-            held=owner.shared.held_by_others(),
-            competition=owner.shared.competition(own, [own], 12, now, 0.0),
+            held=held,
+            competition=owner.shared.competition(own, [own], room(12, taken), now, 0.0),
         )
         for decision in owner.scheduler.plan(workers, WeightVersion(1), now, share=share):
             if isinstance(decision, StartRun):
@@ -341,10 +437,10 @@
         self.exchange = PlaceExchange(
             self.clock,
             FIRST,
+            "boot",
             lambda: self.jobs,
             lambda: (FIRST, SECOND),
             lambda addresses, notice: self.told.extend((a, notice) for a in addresses),
-            lambda: None,
         )
         self.task = asyncio.create_task(self.exchange.run())
         self.addCleanup(self.task.cancel)
@@ -354,6 +450,18 @@
         for _ in range(10):
             await asyncio.sleep(0)
 
+    def notice(self, holder: NetworkAddress, *jobs: JobPlaces) -> PlacesNotice:
+        return PlacesNotice(holder=holder, number=NoticeNumber("boot", 1), jobs=jobs)
+
+    async def test_what_an_owner_told_expires_at_a_node_that_owns_nothing(self) -> None:
+        with unittest.mock.patch("drumbay.batches.place_exchange.REPEAT_SECONDS", 0.0):
+            self.exchange.take(self.notice(SECOND, job("c", running={W1: 30})))
+            await self.settle()
+            self.assertIsNotNone(self.exchange.shared.held_by_others(SERVICE))
+            self.clock.now = TOLD_LIFETIME_SECONDS + 0.1
+            await asyncio.sleep(0.01)
+        self.assertIsNone(self.exchange.shared.held_by_others(SERVICE))
+
     async def test_a_node_without_jobs_says_nothing(self) -> None:
         self.exchange.note_change()
         await self.settle()
@@ -377,7 +485,7 @@
 
     async def test_an_owner_that_is_heard_of_by_its_notice_alone_is_told_too(self) -> None:
         third = NetworkAddress("h", 3)
-        self.exchange.take(PlacesNotice(holder=third, jobs=(job("c", waiting=1),)))
+        self.exchange.take(self.notice(third, job("c", waiting=1)))
         self.jobs = (job("a", waiting=2),)
         self.exchange.note_change()
         await self.settle()
--- a/tests/test_worker_pace.py
+++ b/tests/test_worker_pace.py
@@ -166,10 +166,6 @@
         self.assertFalse(self.room(1.1))
 
 
-if __name__ == "__main__":
-    unittest.main()
-
-
 class SharedMachineTest(DirectoryTest):
     """Workers that share their machines are slowed for moments, and some are always slower."""
 
@@ -255,3 +251,7 @@
             if isinstance(d, StartRun) and d.item.item_id == moved
         ]
         self.assertEqual([d.worker_id for d in again], [SECOND])
+
+
+if __name__ == "__main__":
+    unittest.main()
