--- a/drumbay/batches/run_failure.py
+++ b/drumbay/batches/run_failure.py
@@ -21,15 +21,16 @@
 ) -> RunFailure:
     """Note in the directory what a failed run of a model tells; return how the run ended."""
     worker_id = worker.worker_id
+    worker_start = worker.started_at_ms
     match error:
         case WorkerMisdirectedError():
-            directory.pause(worker_id, now, MISDIRECTED_PAUSE_SECONDS)
+            directory.pause(worker_id, now, MISDIRECTED_PAUSE_SECONDS, worker_start)
             return RunFailure.REFUSED
         case WorkerUnreachableError():
-            directory.observe_failure(worker_id, now)
+            directory.observe_failure(worker_id, now, worker_start)
             return RunFailure.REFUSED
         case WorkerRefusedError():
-            directory.observe_refusal(worker_id, model, now)
+            directory.observe_refusal(worker_id, model, now, worker_start)
             return RunFailure.REFUSED
         case WorkerRejectedError():
             return RunFailure.REJECTED
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -440,6 +440,7 @@
         async with self._client.stream(record.worker, request) as stream:
             self._take_head(item.item_id, record, stream)
             worker_id = record.worker.worker_id
+            worker_start = record.worker.started_at_ms
             async for events in stream.events():
                 now = self._clock.monotonic()
                 for event in events:
@@ -447,18 +448,22 @@
                         item.item_id, event, now, arrived_alone=len(events) == 1
                     )
                     if elapsed is not None:
-                        self._directory.observe_pace(worker_id, elapsed, now)
-                    self._directory.observe_version(worker_id, self.spec.model, event.version, now)
+                        self._directory.observe_pace(worker_id, elapsed, now, worker_start)
+                    self._directory.observe_version(
+                        worker_id, self.spec.model, event.version, now, worker_start
+                    )
 
     def _take_head(self, item_id: ItemId, record: WorkerRecord, stream: WorkerStream) -> None:
         now = self._clock.monotonic()
         worker_id = record.worker.worker_id
-        self._directory.observe_acceptance(worker_id, self.spec.model)
+        worker_start = record.worker.started_at_ms
+        self._directory.observe_acceptance(worker_id, self.spec.model, worker_start)
         if stream.load is not None:
-            self._directory.observe_load(worker_id, stream.load, now)
+            self._directory.observe_load(worker_id, stream.load, now, worker_start)
         if stream.version is None:
             return
-        self._directory.observe_version(worker_id, self.spec.model, stream.version, now)
+        model = self.spec.model
+        self._directory.observe_version(worker_id, model, stream.version, now, worker_start)
         if not self._scheduler.take_head(item_id, stream.version, now):
             raise WorkerMisdirectedError(f"weights {stream.version} on {worker_id}")
 
--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -254,7 +254,7 @@
     def _note_survived(self, attempt: _Attempt) -> None:
         """Note that a worker has answered, were it with a failure."""
         if not self._quarantine.is_idle:
-            self._quarantine.note_alive(attempt.record.worker.worker_id)
+            self._quarantine.note_alive(attempt.record.worker, attempt.sent_at)
             self._quarantine.note_answer(self._fingerprint)
 
     def _note_broken(self, attempt: _Attempt, error: WorkerBrokenError) -> None:
@@ -374,6 +374,7 @@
     async def _attempt(self, record: WorkerRecord, request: WorkerRequest) -> WorkerAnswer:
         started_at = self._clock.monotonic()
         worker_id = record.worker.worker_id
+        worker_start = record.worker.started_at_ms
         self._quarantine.begin(self._fingerprint, worker_id)
         try:
             answer = await self._client.call(record.worker, request)
@@ -381,20 +382,21 @@
             # Slower than the hedge or the deadline: remember at least the time it took.
             elapsed_seconds = self._clock.monotonic() - started_at
             if elapsed_seconds > (record.latency_seconds or 0.0):
-                self._directory.observe_latency(record.worker.worker_id, elapsed_seconds)
+                self._directory.observe_latency(worker_id, elapsed_seconds, worker_start)
             raise
         finally:
             self._quarantine.end(self._fingerprint, worker_id)
         now = self._clock.monotonic()
-        self._directory.observe_latency(record.worker.worker_id, now - started_at)
+        self._directory.observe_latency(worker_id, now - started_at, worker_start)
         if answer.load is not None:
-            self._directory.observe_load(record.worker.worker_id, answer.load, now)
+            self._directory.observe_load(worker_id, answer.load, now, worker_start)
         return answer
 
     def _settle(self, task: "asyncio.Task[WorkerAnswer]", attempt: _Attempt) -> WorkerAnswer | None:
         """Take a finished attempt; return its answer if it is final."""
         now = self._clock.monotonic()
         worker_id = attempt.record.worker.worker_id
+        worker_start = attempt.record.worker.started_at_ms
         try:
             answer = task.result()
             self._note_began(attempt)
@@ -402,18 +404,18 @@
             return answer
         except WorkerMisdirectedError:
             self._refusals += 1
-            self._directory.pause(worker_id, now, MISDIRECTED_PAUSE_SECONDS)
+            self._directory.pause(worker_id, now, MISDIRECTED_PAUSE_SECONDS, worker_start)
         except WorkerUnreachableError:
             self._refusals += 1
-            self._directory.observe_failure(worker_id, now)
+            self._directory.observe_failure(worker_id, now, worker_start)
         except WorkerRefusedError:
             self._refusals += 1
-            self._directory.pause(worker_id, now, REFUSAL_PAUSE_SECONDS)
+            self._directory.pause(worker_id, now, REFUSAL_PAUSE_SECONDS, worker_start)
         except WorkerBrokenError as error:
             self._note_began(attempt)
             self._may_have_run = True
             self._note_broken(attempt, error)
-            self._directory.observe_failure(worker_id, now)
+            self._directory.observe_failure(worker_id, now, worker_start)
         except WorkerTimedOutError:
             self._note_began(attempt)
             self._note_survived(attempt)
--- a/drumbay/peers/messages.py
+++ b/drumbay/peers/messages.py
@@ -139,7 +139,8 @@
 class LoadingNotice(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """The leader tells that it orders a worker to load a version, which takes some seconds.
 
-    ``holder`` is the leader's machine.
+    ``holder`` is the leader's machine; ``started_at_ms`` the start of the worker that takes the
+    order, 0 where it does not tell.
     """
 
     worker_id: BackendId
@@ -147,6 +148,7 @@
     version: WeightVersion
     seconds: float
     holder: str
+    started_at_ms: int = 0
 
 
 class FeedConfirmed(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/drumbay/quarantine/ledger.py
+++ b/drumbay/quarantine/ledger.py
@@ -9,7 +9,6 @@
 
 from collections.abc import Iterable
 
-from drumbay.identifiers import BackendId
 from drumbay.quarantine.fingerprint import Fingerprint
 from drumbay.quarantine.records import (
     Activity,
@@ -20,6 +19,7 @@
     WorkerDeath,
     WorkerKind,
 )
+from drumbay.workers.records import WorkerStart
 
 DEATHS_UNTIL_HELD = 3
 """One worker may end by chance while it runs a request, and two in a bad minute; each further one
@@ -57,15 +57,18 @@
 
 MOST_REQUESTS = 1_024
 MOST_DEATHS = 16
-"""At 316 bytes a death (measured over 4,096 deaths by tracemalloc), at most 5.2 MB."""
+"""At 382 bytes a death (measured over 4,096 deaths by tracemalloc), at most 6.3 MB."""
 
 
 class QuarantineLedger:
-    """Deaths of workers by request."""
+    """Deaths of workers by request.
+
+    A death is of one start of a worker: one that starts again under its id may end once more.
+    """
 
     def __init__(self) -> None:
         """Know of no death."""
-        self._deaths: dict[Fingerprint, dict[BackendId, WorkerDeath]] = {}
+        self._deaths: dict[Fingerprint, dict[WorkerStart, WorkerDeath]] = {}
 
     @property
     def is_empty(self) -> bool:
@@ -92,9 +95,14 @@
                 count, ended_at = count + 1, death.ended_at
         return count
 
-    def ended_workers(self) -> frozenset[BackendId]:
-        """Return every worker that has ended under a request."""
-        return frozenset(worker_id for deaths in self._deaths.values() for worker_id in deaths)
+    def ended_workers(self) -> frozenset[WorkerStart]:
+        """Return every start of a worker that has ended under a request."""
+        return frozenset(start for deaths in self._deaths.values() for start in deaths)
+
+    def last_end_of(self, start: WorkerStart) -> float | None:
+        """Return when a start of a worker is last said to have ended; ``None`` if it is not."""
+        ends = [deaths[start].ended_at for deaths in self._deaths.values() if start in deaths]
+        return max(ends, default=None)
 
     # What is learned
 
@@ -109,18 +117,18 @@
         known = self._deaths.get(fingerprint, {})
         told = tuple(deaths)
         for death in told:
-            if death.worker_id in known and death.ended_at < known[death.worker_id].ended_at:
-                known[death.worker_id] = death
-        new = tuple(death for death in told if death.worker_id not in known)
+            if death.start in known and death.ended_at < known[death.start].ended_at:
+                known[death.start] = death
+        new = tuple(death for death in told if death.start not in known)
         if not new:
             return ()
         if fingerprint not in self._deaths and len(self._deaths) >= MOST_REQUESTS:
             self._drop_one()
         entry = self._deaths.setdefault(fingerprint, {})
         for death in new:
-            entry[death.worker_id] = death
-        for worker_id in list(entry)[: max(0, len(entry) - MOST_DEATHS)]:
-            del entry[worker_id]
+            entry[death.start] = death
+        for start in list(entry)[: max(0, len(entry) - MOST_DEATHS)]:
+            del entry[start]
         return new
 
     def _drop_one(self) -> None:
@@ -131,11 +139,11 @@
         """Forget a request that is sound; return whether it was suspected."""
         return self._deaths.pop(fingerprint, None) is not None
 
-    def withdraw(self, worker_id: BackendId) -> tuple[Fingerprint, ...]:
-        """Forget the deaths of a worker that lives; return the requests that were blamed."""
-        blamed = tuple(f for f, deaths in self._deaths.items() if worker_id in deaths)
+    def withdraw(self, start: WorkerStart) -> tuple[Fingerprint, ...]:
+        """Forget the deaths of a start that lives; return the requests that were blamed."""
+        blamed = tuple(f for f, deaths in self._deaths.items() if start in deaths)
         for fingerprint in blamed:
-            del self._deaths[fingerprint][worker_id]
+            del self._deaths[fingerprint][start]
             if not self._deaths[fingerprint]:
                 del self._deaths[fingerprint]
         return blamed
--- a/drumbay/quarantine/records.py
+++ b/drumbay/quarantine/records.py
@@ -6,6 +6,7 @@
 
 from drumbay.identifiers import BackendId
 from drumbay.quarantine.fingerprint import Fingerprint
+from drumbay.workers.records import WorkerStart
 
 
 class WorkerKind(msgspec.Struct, frozen=True, order=True):
@@ -16,12 +17,22 @@
 
 
 class WorkerDeath(msgspec.Struct, frozen=True, kw_only=True):
-    """A worker that ended while it ran a request. Times are monotonic seconds of this node."""
+    """A start of a worker that ended while it ran a request.
+
+    ``started_at_ms`` tells the starts of a worker apart, 0 where it does not tell. The other times
+    are monotonic seconds of this node.
+    """
 
     worker_id: BackendId
     kind: WorkerKind
     began_at: float
     ended_at: float
+    started_at_ms: int = 0
+
+    @property
+    def start(self) -> WorkerStart:
+        """Return which start of which worker ended."""
+        return WorkerStart(worker_id=self.worker_id, started_at_ms=self.started_at_ms)
 
 
 class ToldDeath(msgspec.Struct, frozen=True, kw_only=True):
@@ -31,6 +42,7 @@
     kind: WorkerKind
     began_seconds_ago: float
     ended_seconds_ago: float
+    started_at_ms: int = 0
 
     @classmethod
     def of(cls, death: WorkerDeath, now: float) -> "ToldDeath":
@@ -40,6 +52,7 @@
             kind=death.kind,
             began_seconds_ago=now - death.began_at,
             ended_seconds_ago=now - death.ended_at,
+            started_at_ms=death.started_at_ms,
         )
 
     def heard(self, now: float) -> WorkerDeath:
@@ -49,6 +62,7 @@
             kind=self.kind,
             began_at=now - self.began_seconds_ago,
             ended_at=now - self.ended_seconds_ago,
+            started_at_ms=self.started_at_ms,
         )
 
 
@@ -66,9 +80,15 @@
 
 
 class WorkerProvedAlive(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Notice: a worker that was taken for ended has answered."""
+    """Notice: a start of a worker that was taken for ended lives."""
 
     worker_id: BackendId
+    started_at_ms: int = 0
+
+    @property
+    def start(self) -> WorkerStart:
+        """Return which start of which worker lives."""
+        return WorkerStart(worker_id=self.worker_id, started_at_ms=self.started_at_ms)
 
 
 QuarantineNotice = RequestSuspected | RequestProvedSound | WorkerProvedAlive
--- a/drumbay/quarantine/service.py
+++ b/drumbay/quarantine/service.py
@@ -2,9 +2,13 @@
 
 A run that ends without an answer is no evidence by itself: resets, lost answers and cuts do the
 same. Its worker is looked at over a new connection. If nobody listens there, or another worker has
-the address by the time the request comes again, the worker has ended under it. Deaths are told to
-every node at once, and kept in the store for nodes that start later. An answer of a worker that was
-taken for ended takes its deaths back.
+the address by the time the request comes again, or it has started again under its id, it has ended
+under it. Deaths are told to every node at once, and kept in the store for nodes that start later.
+
+A worker that was taken for ended takes its deaths back. Where workers tell their starts, an answer
+does so only if its run began before the death: a later one may come from the next start, of which
+discovery tells some time after its first answer. The worker is then asked for a report, which names
+its start.
 """
 
 from collections import Counter
@@ -34,12 +38,16 @@
 from drumbay.tasks import TaskOwner
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
-from drumbay.workers.records import Listening, Worker
+from drumbay.workers.records import Listening, Worker, WorkerError, WorkerStart
 
 SUSPICION_SECONDS = 30.0
 """How long a run that broke may still turn out to have ended its worker: workers are back within
 seconds, and their entries lapse within some heartbeats."""
 
+REPORT_PAUSE_SECONDS = 1.0
+"""A worker that was taken for ended and answers is asked for its start so often: a report costs a
+call, and such a worker may have many answers a second."""
+
 MOST_SUSPICIONS = 1_024
 MOST_RUNS_OF_A_SUSPICION = 8
 """Requests, and broken runs of each; while answers get lost in numbers, the oldest are forgotten
@@ -61,6 +69,7 @@
             kind=_kind(self.worker),
             began_at=self.began_at,
             ended_at=self.broke_at,
+            started_at_ms=self.worker.started_at_ms,
         )
 
 
@@ -97,6 +106,8 @@
         self._runs: dict[Fingerprint, list[BackendId]] = {}
         self._checks: Counter[Fingerprint] = Counter()
         self._suspicions: dict[Fingerprint, list[_BrokenRun]] = {}
+        self._asked_at: dict[WorkerStart, float] = {}
+        directory.add_report_listener(self._note_start_alive)
 
     def add_listener(self, listener: Callable[[Fingerprint, bool], None]) -> None:
         """Call ``listener`` after each change of a request, with whether this node saw why."""
@@ -156,7 +167,7 @@
         available = [
             record.worker
             for record in records
-            if record.is_available(now) and record.worker.worker_id not in ended
+            if record.is_available(now) and record.worker.start not in ended
         ]
         return ServiceOutlook(
             ready=len(records),
@@ -263,6 +274,7 @@
             request=broken.request_id,
             fingerprint=fingerprint,
             worker=broken.worker.worker_id,
+            started_at_ms=broken.worker.started_at_ms,
             evidence=evidence,
             run_seconds=round(broken.broke_at - broken.began_at, 4),
             deaths_in_a_row=self.ledger.in_a_row(fingerprint),
@@ -284,15 +296,53 @@
         self._tell(RequestProvedSound(fingerprint=fingerprint))
         self._announce(fingerprint, was_seen=True)
 
-    def note_alive(self, worker_id: BackendId) -> None:
-        """Note that a worker has answered; one that was taken for ended lives."""
-        if not self.ledger.is_empty and self._withdraw(worker_id):
-            self._tell(WorkerProvedAlive(worker_id=worker_id))
+    def note_alive(self, worker: Worker, began_at: float) -> None:
+        """Note that a worker has answered a run that began at a monotonic time.
+
+        One that was taken for ended may live, or may have started again since.
+        """
+        ended_at = self.ledger.last_end_of(worker.start)
+        if ended_at is None:
+            return
+        if not worker.started_at_ms or began_at < ended_at:
+            self._note_start_alive(worker.start)
+        else:
+            self._ask_for_report(worker)
+
+    def _ask_for_report(self, worker: Worker) -> None:
+        """Ask a worker which start it is, unless it was asked lately."""
+        now = self._clock.monotonic()
+        self._asked_at = {
+            start: at for start, at in self._asked_at.items() if now - at < REPORT_PAUSE_SECONDS
+        }
+        if worker.start not in self._asked_at:
+            self._asked_at[worker.start] = now
+            self._task_owner.spawn(self._ask(worker), "worker-start-question")
+
+    async def _ask(self, worker: Worker) -> None:
+        try:
+            status = await self._client.status(worker)
+        except WorkerError as error:
+            log_event("worker_start_unknown", worker=worker.worker_id, error=error.code)
+            return
+        self._directory.take_status(worker.worker_id, status, self._clock.monotonic())
+
+    def _note_start_alive(self, start: WorkerStart) -> None:
+        """Note that a start of a worker lives; the deaths of others of its starts stay."""
+        if not self.ledger.is_empty and self._withdraw(start):
+            self._tell(
+                WorkerProvedAlive(worker_id=start.worker_id, started_at_ms=start.started_at_ms)
+            )
 
-    def _withdraw(self, worker_id: BackendId) -> bool:
-        blamed = self.ledger.withdraw(worker_id)
+    def _withdraw(self, start: WorkerStart) -> bool:
+        blamed = self.ledger.withdraw(start)
         if blamed:
-            log_event("worker_proved_alive", worker=worker_id, requests=",".join(blamed))
+            log_event(
+                "worker_proved_alive",
+                worker=start.worker_id,
+                started_at_ms=start.started_at_ms,
+                requests=",".join(blamed),
+            )
         for fingerprint in blamed:
             self._announce(fingerprint, was_seen=True)
         return bool(blamed)
@@ -307,8 +357,8 @@
                 self.take_deaths(fingerprint, tuple(death.heard(now) for death in told))
             case RequestProvedSound(fingerprint=fingerprint):
                 self.take_cleared(fingerprint)
-            case WorkerProvedAlive(worker_id=worker_id):
-                self._withdraw(worker_id)
+            case WorkerProvedAlive():
+                self._withdraw(notice.start)
 
     def take_deaths(self, fingerprint: Fingerprint, deaths: tuple[WorkerDeath, ...]) -> None:
         """Take deaths that another node has seen."""
--- a/drumbay/quarantine/stored.py
+++ b/drumbay/quarantine/stored.py
@@ -23,6 +23,7 @@
 from drumbay.quarantine.ledger import DEATHS_UNTIL_TRIAL, MOST_REQUESTS
 from drumbay.quarantine.records import WorkerDeath, WorkerKind
 from drumbay.quarantine.service import Quarantine
+from drumbay.workers.records import WorkerStart
 
 PREFIX = "drumbay/quarantine/"
 
@@ -40,12 +41,22 @@
 
 
 class StoredDeath(msgspec.Struct, frozen=True, kw_only=True):
-    """A death as the store keeps it; times are seconds since the Unix epoch."""
+    """A death as the store keeps it; times are seconds since the Unix epoch.
+
+    ``started_at_ms`` is the start of the worker that ended, by its own account; 0 in entries of
+    nodes that knew no starts.
+    """
 
     worker_id: BackendId
     kind: WorkerKind
     began_at: float
     ended_at: float
+    started_at_ms: int = 0
+
+    @property
+    def start(self) -> WorkerStart:
+        """Return which start of which worker ended."""
+        return WorkerStart(worker_id=self.worker_id, started_at_ms=self.started_at_ms)
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -67,7 +78,7 @@
         self._store = store
         self._quarantine = quarantine
         self._generator = generator
-        self._stored: dict[Fingerprint, frozenset[BackendId]] = {}
+        self._stored: dict[Fingerprint, frozenset[WorkerStart]] = {}
         self._due: dict[Fingerprint, float] = {}
         self._changed = asyncio.Event()
         self._backoff = Backoff(
@@ -111,7 +122,7 @@
         except msgspec.DecodeError as error:
             log_event("quarantine_not_understood", level="WARNING", key=item.key, detail=str(error))
             return
-        self._stored[fingerprint] = frozenset(death.worker_id for death in stored)
+        self._stored[fingerprint] = frozenset(death.start for death in stored)
         self._quarantine.take_deaths(fingerprint, tuple(map(self._read, stored)))
 
     def _read(self, stored: StoredDeath) -> WorkerDeath:
@@ -123,6 +134,7 @@
             kind=stored.kind,
             began_at=ended_at - (stored.ended_at - stored.began_at),
             ended_at=ended_at,
+            started_at_ms=stored.started_at_ms,
         )
 
     # Writing
@@ -181,7 +193,7 @@
             return
         if ledger.in_a_row(fingerprint) < DEATHS_UNTIL_TRIAL:
             return
-        is_known = {death.worker_id for death in deaths} <= self._stored.get(fingerprint, set())
+        is_known = {death.start for death in deaths} <= self._stored.get(fingerprint, set())
         has_room = fingerprint in self._stored or len(self._stored) < MOST_REQUESTS
         if not is_known and has_room:
             value = _encoder.encode(tuple(map(self._to_store, deaths)))
@@ -194,4 +206,5 @@
             kind=death.kind,
             began_at=death.began_at + offset,
             ended_at=death.ended_at + offset,
+            started_at_ms=death.started_at_ms,
         )
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -4,13 +4,14 @@
 must last; a restarted node reads the store and is whole.
 """
 
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Container, Iterable
 
 from drumbay.batches.retention import BatchRetention
 from drumbay.batches.reward_scorer import RewardScorer
 from drumbay.batches.service import BatchService
 from drumbay.forwarding.forwarder import Forwarder
 from drumbay.forwarding.routes import RouteTable, RoutingConfiguration
+from drumbay.identifiers import BackendId
 from drumbay.kv.mirror import PrefixFeed
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
@@ -291,17 +292,23 @@
             keys=len(configuration.keys.owners) if configuration.keys is not None else None,
         )
 
-    def take_workers(self, workers: Iterable[Worker], unseen_seconds: float) -> None:
+    def take_workers(
+        self,
+        workers: Iterable[Worker],
+        unseen_seconds: float,
+        unusable: Container[BackendId] = (),
+    ) -> None:
         """Take a snapshot of discovery, before which changes went unseen for some time.
 
         Entries of workers lapse in an outage of the store. Those that live are back shortly
-        after its return; until then they go on being used.
+        after its return; until then they go on being used. The entries of ``unusable`` ones have
+        not lapsed: they are there, and cannot be understood.
         """
         now = self._environment.clock.monotonic()
         if unseen_seconds < LAPSE_SECONDS:
             self.directory.replace_all(workers)
             return
-        kept = self.directory.replace_all(workers, now + RETURN_SECONDS)
+        kept = self.directory.replace_all(workers, now + RETURN_SECONDS, unusable)
         if kept:
             log_event(
                 "missing_workers_kept",
@@ -358,7 +365,9 @@
     def _note_loading(self, notice: LoadingNotice) -> None:
         self._coordinator.note_order(notice)
         until = self._environment.clock.monotonic() + notice.seconds
-        self.directory.note_loading(notice.worker_id, notice.model, notice.version, until)
+        # 0 is told by a leader that knows no starts, too.
+        start = notice.started_at_ms or None
+        self.directory.note_loading(notice.worker_id, notice.model, notice.version, until, start)
 
     async def handle_peer(self, request: PeerRequest) -> PeerReply:
         """Answer another node."""
--- a/drumbay/standins/worker_log.py
+++ b/drumbay/standins/worker_log.py
@@ -4,7 +4,7 @@
 
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.tenants.records import TenantName
-from drumbay.workers.records import LoadOrder, OrderOutcome
+from drumbay.workers.records import LoadOrder, OrderOutcome, WorkerStart
 
 
 class WorkerFaults(msgspec.Struct, kw_only=True):
@@ -34,9 +34,10 @@
 
 
 class LoggedRun(msgspec.Struct, kw_only=True):
-    """One run of a request at a worker."""
+    """One run of a request at a start of a worker."""
 
     worker_id: BackendId
+    worker_started_at_ms: int = 0
     request_id: str
     started_at: float
     budget_seconds: float
@@ -47,6 +48,11 @@
     events: int = 0
     versions: list[WeightVersion] = []
 
+    @property
+    def start(self) -> WorkerStart:
+        """Return which start of which worker it was."""
+        return WorkerStart(worker_id=self.worker_id, started_at_ms=self.worker_started_at_ms)
+
     @property
     def stamp(self) -> str:
         """Return the worker's mark of this run, that no other run bears."""
@@ -63,7 +69,13 @@
 
 
 class LoggedCrash(msgspec.Struct, frozen=True, kw_only=True):
-    """A worker that ended under a request."""
+    """A start of a worker that ended under a request."""
 
     worker_id: BackendId
+    worker_started_at_ms: int = 0
     at: float
+
+    @property
+    def start(self) -> WorkerStart:
+        """Return which start of which worker it was."""
+        return WorkerStart(worker_id=self.worker_id, started_at_ms=self.worker_started_at_ms)
--- a/drumbay/standins/worker_pool.py
+++ b/drumbay/standins/worker_pool.py
@@ -44,6 +44,10 @@
 RETURN_SECONDS = 3.1
 """A worker that has ended is back after so long, under another id at the same address."""
 
+RESTART_SECONDS = 2.5
+"""One that starts again under its own id is back after so long: within three heartbeats, so that
+discovery never misses it."""
+
 
 class EmulatedWorker:
     """State of one worker."""
@@ -69,6 +73,8 @@
         crashing_bodies: A request with such a body ends each worker that begins to run it.
         crash_seconds: How long it has run then.
         crashes: Workers that ended under such a request, with the time, oldest first.
+        keep_ids: Whether workers that end start again under their own id.
+        discovery_seconds: Discovery tells of a worker that is back so much later.
         kept_connections: Workers to which a caller seems to keep a connection.
         silences: How often the open connections of all workers have fallen silent.
         runs: Every run that began, oldest first.
@@ -82,9 +88,13 @@
         seconds_per_event: float = 0.05,
         answer_seconds: float = 0.03,
         load_seconds: float = 0.9,
+        tells_starts: bool = False,
     ) -> None:
-        """Create a pool without workers."""
+        """Create a pool without workers; with ``tells_starts`` they tell when they started."""
         self._clock = clock
+        self._tells_starts = tells_starts
+        self.keep_ids = False
+        self.discovery_seconds = 0.0
         self._seconds_per_event = seconds_per_event
         self._answer_seconds = answer_seconds
         self._load_seconds = load_seconds
@@ -122,11 +132,15 @@
             slots=slots,
             state=WorkerState.READY,
             versions=dict(versions or {}),
+            started_at_ms=self._now_ms() if self._tells_starts else 0,
         )
         emulated = EmulatedWorker(worker)
         self._workers[worker.worker_id] = emulated
         return emulated
 
+    def _now_ms(self) -> int:
+        return int(self._clock.wall() * 1000)
+
     def add_listener(self, listener: Callable[[Worker], None]) -> None:
         """Tell ``listener`` when a worker's entry changes, as discovery would."""
         self._listeners.append(listener)
@@ -256,6 +270,7 @@
         emulated.active += 1
         run = LoggedRun(
             worker_id=emulated.worker.worker_id,
+            worker_started_at_ms=emulated.worker.started_at_ms,
             request_id=request.request_id,
             started_at=self._clock.monotonic(),
             budget_seconds=request.budget_seconds,
@@ -280,14 +295,39 @@
         await self.end(emulated)
 
     async def end(self, emulated: EmulatedWorker) -> None:
-        """End a worker; after a while another one stands at its address."""
+        """End a worker; after a while another one stands at its address, or it starts again."""
         if emulated.has_ended:
             return
         emulated.has_ended = True
         for listener in self._end_listeners:
             listener(emulated.worker)
+        self.crashes.append(
+            LoggedCrash(
+                worker_id=emulated.worker.worker_id,
+                worker_started_at_ms=emulated.worker.started_at_ms,
+                at=self._clock.monotonic(),
+            )
+        )
+        if self.keep_ids:
+            await self._start_again(emulated)
+        else:
+            await self._replace(emulated)
+
+    async def _start_again(self, emulated: EmulatedWorker) -> None:
+        await self._clock.sleep(RESTART_SECONDS)
+        restarted = msgspec.structs.replace(
+            emulated.worker,
+            versions=dict(emulated.versions),
+            started_at_ms=max(self._now_ms(), emulated.worker.started_at_ms + 1),
+        )
+        self._workers[restarted.worker_id] = EmulatedWorker(restarted)
+        await self._clock.sleep(self.discovery_seconds)
+        if self._workers[restarted.worker_id].worker == restarted:
+            for changed in self._listeners:
+                changed(restarted)
+
+    async def _replace(self, emulated: EmulatedWorker) -> None:
         ended_id = emulated.worker.worker_id
-        self.crashes.append(LoggedCrash(worker_id=ended_id, at=self._clock.monotonic()))
         await self._clock.sleep(RETURN_SECONDS)
         del self._workers[ended_id]
         self._replaced.add(ended_id)
@@ -296,6 +336,7 @@
             emulated.worker,
             worker_id=BackendId(f"{name}~{int(number or 0) + 1}"),
             versions=dict(emulated.versions),
+            started_at_ms=self._now_ms() if self._tells_starts else 0,
         )
         self._workers[successor.worker_id] = EmulatedWorker(successor)
         for removed in self._removal_listeners:
@@ -320,7 +361,10 @@
         del fresh_connection
         emulated = await self._reach(worker)
         return WorkerStatus(
-            busy=emulated.busy, sequence=emulated.sequence, versions=dict(emulated.versions)
+            busy=emulated.busy,
+            sequence=emulated.sequence,
+            versions=dict(emulated.versions),
+            started_at_ms=emulated.worker.started_at_ms,
         )
 
     async def order(self, worker: Worker, order: LoadOrder) -> OrderOutcome:
--- a/drumbay/weights/version_coordinator.py
+++ b/drumbay/weights/version_coordinator.py
@@ -16,7 +16,7 @@
 from drumbay.weights.version_planner import LoadPolicy, LoadVersion, VersionPlanner
 from drumbay.workers.directory import WorkerDirectory, WorkerRecord
 from drumbay.workers.interface import WorkerClient
-from drumbay.workers.records import LoadMode, LoadOrder, OrderOutcome, WorkerError, WorkerStatus
+from drumbay.workers.records import LoadMode, LoadOrder, OrderOutcome, WorkerError
 
 TICK_SECONDS = 0.25
 CALL_LIMIT_SECONDS = 0.6
@@ -109,6 +109,7 @@
         self._ordered: dict[BackendId, _LastOrder] = {}
         self._policy = policy or LoadPolicy()
         self._planner = VersionPlanner(self._policy)
+        directory.add_restart_listener(self._planner.note_restarted)
         self.one_version_models: frozenset[str] = frozenset()
 
     async def run(self) -> None:
@@ -149,7 +150,10 @@
         except WorkerError as error:
             outcome = error.code
         finally:
-            if outcome == "loaded":
+            if self._has_restarted(record):
+                # The planner has forgotten this load, and may have begun another one there.
+                outcome = "restarted"
+            elif outcome == "loaded":
                 self._planner.note_ended(load.worker_id)
             else:
                 self._planner.note_failed(load.worker_id, self._clock.monotonic())
@@ -164,10 +168,20 @@
                 elapsed_seconds=round(self._clock.monotonic() - started_at, 3),
             )
 
+    def _has_restarted(self, record: WorkerRecord) -> bool:
+        """Return whether a worker has started again: a load that was under way there has ended."""
+        known = self._directory.get(record.worker.worker_id)
+        return known is not None and known.worker.start != record.worker.start
+
     async def _order(self, load: LoadVersion, record: WorkerRecord, fence: Fence) -> bool:
-        """Give the order; return whether the load may be under way."""
+        """Give the order; return whether the load may be under way.
+
+        The expected sequence is that of the start for which the load was planned.
+        """
         status = await self._client.status(record.worker)
-        self._take_status(load.worker_id, status)
+        self._directory.take_status(load.worker_id, status, self._clock.monotonic())
+        if self._has_restarted(record):
+            return False
         if status.busy:
             return True
         if status.versions.get(load.model, WeightVersion(0)) >= load.version:
@@ -190,6 +204,7 @@
                 version=load.version,
                 seconds=self._policy.expected_seconds + NOTICE_MARGIN_SECONDS,
                 holder=self._holder,
+                started_at_ms=status.started_at_ms,
             )
         )
         try:
@@ -219,6 +234,8 @@
         await self._clock.sleep(self._policy.expected_seconds)
         idle_seen = 0
         while True:
+            if self._has_restarted(record):
+                return "restarted"
             if record.versions.get(load.model, WeightVersion(0)) >= load.version:
                 return "loaded"
             elapsed = self._clock.monotonic() - started_at
@@ -226,17 +243,12 @@
                 return "timed_out"
             with suppress(WorkerError):
                 status = await self._client.status(record.worker)
-                self._take_status(load.worker_id, status)
+                self._directory.take_status(load.worker_id, status, self._clock.monotonic())
+                if self._has_restarted(record):
+                    return "restarted"
                 if status.versions.get(load.model, WeightVersion(0)) >= load.version:
                     return "loaded"
                 idle_seen = 0 if status.busy else idle_seen + 1
                 if idle_seen >= 2 and elapsed > IDLE_LIMIT_SECONDS:
                     return "not_taken"
             await self._clock.sleep(STATUS_INTERVAL_SECONDS)
-
-    def _take_status(self, worker_id: BackendId, status: WorkerStatus) -> None:
-        for model, version in status.versions.items():
-            known = self._directory.get(worker_id)
-            if known is not None and version > known.versions.get(model, WeightVersion(0)):
-                now = self._clock.monotonic()
-                self._directory.observe_version(worker_id, model, version, now)
--- a/drumbay/weights/version_planner.py
+++ b/drumbay/weights/version_planner.py
@@ -80,6 +80,11 @@
         """Note that a worker's load is over."""
         self._loading.pop(worker_id, None)
 
+    def note_restarted(self, worker_id: BackendId) -> None:
+        """Note that a worker has started again: nothing that was planned for it is under way."""
+        self._loading.pop(worker_id, None)
+        self._not_before.pop(worker_id, None)
+
     def note_failed(self, worker_id: BackendId, now: float) -> None:
         """Try a worker again later."""
         self._loading.pop(worker_id, None)
--- a/drumbay/workers/directory.py
+++ b/drumbay/workers/directory.py
@@ -1,13 +1,23 @@
-"""Which workers can take a request now: discovery, load, pace and recent failures."""
+"""Which workers can take a request now: discovery, load, pace and recent failures.
 
-from collections.abc import Callable, Iterable, Mapping
+A worker that has started again under its id is another one: it holds and knows nothing of before.
+Its record is replaced whole, and what a run at the start before still tells is passed over.
+"""
+
+from collections.abc import Callable, Container, Iterable, Mapping
 
 import msgspec
 
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.observability.logs import log_event
 from drumbay.workers.pace import PaceEstimate
-from drumbay.workers.records import Worker, WorkerLoad, WorkerState
+from drumbay.workers.records import (
+    Worker,
+    WorkerLoad,
+    WorkerStart,
+    WorkerState,
+    WorkerStatus,
+)
 
 LOAD_REPORT_LIFETIME_SECONDS = 0.6
 """How long a load report counts; runs last about as long."""
@@ -100,12 +110,18 @@
 
 
 class WorkerDirectory:
-    """The workers of all services; changes wake the listeners."""
+    """The workers of all services; changes wake the listeners.
+
+    What a run tells of its worker concerns the start that it ran at: callers name it by
+    ``started_at_ms``, and without it the one that is known is meant.
+    """
 
     def __init__(self) -> None:
         """Create an empty directory."""
         self._records: dict[BackendId, WorkerRecord] = {}
         self._listeners: list[Callable[[], None]] = []
+        self._restart_listeners: list[Callable[[BackendId], None]] = []
+        self._report_listeners: list[Callable[[WorkerStart], None]] = []
         self._on_pause: Callable[[], None] = lambda: None
         self.loaded = False
 
@@ -113,17 +129,29 @@
         """Call ``listener`` after each change of the set of workers."""
         self._listeners.append(listener)
 
+    def add_restart_listener(self, listener: Callable[[BackendId], None]) -> None:
+        """Call ``listener`` with each worker that has started again under its id."""
+        self._restart_listeners.append(listener)
+
+    def add_report_listener(self, listener: Callable[[WorkerStart], None]) -> None:
+        """Call ``listener`` with each start that has reported of itself."""
+        self._report_listeners.append(listener)
+
     def count_pauses_with(self, on_pause: Callable[[], None]) -> None:
         """Call ``on_pause`` for each pause after a failure."""
         self._on_pause = on_pause
 
     def replace_all(
-        self, workers: Iterable[Worker], missing_until: float | None = None
+        self,
+        workers: Iterable[Worker],
+        missing_until: float | None = None,
+        unusable: Container[BackendId] = (),
     ) -> tuple[BackendId, ...]:
         """Take a snapshot of discovery.
 
         Workers that it lacks are gone. With ``missing_until``, those that were ready are kept
-        until :meth:`drop_missing` is called at that monotonic time.
+        until :meth:`drop_missing` is called at that monotonic time, but for ``unusable`` ones,
+        whose entries are there and name no worker.
 
         Returns:
             The workers that are kept though the snapshot lacks them.
@@ -132,7 +160,8 @@
         kept: list[BackendId] = []
         for worker_id in [known for known in self._records if known not in by_id]:
             record = self._records[worker_id]
-            if missing_until is None or record.worker.state is not WorkerState.READY:
+            is_lapsed = worker_id not in unusable and record.worker.state is WorkerState.READY
+            if missing_until is None or not is_lapsed:
                 del self._records[worker_id]
                 continue
             record.missing_until = missing_until
@@ -167,11 +196,17 @@
     def _put(self, worker: Worker) -> None:
         record = self._records.get(worker.worker_id)
         if record is None:
-            self._records[worker.worker_id] = WorkerRecord(
-                worker=worker, versions=dict(worker.versions)
-            )
+            self._take_new(worker)
+            return
+        known_ms = record.worker.started_at_ms
+        if worker.started_at_ms > known_ms:
+            self._take_restart(worker, known_ms)
+            return
+        if 0 < worker.started_at_ms < known_ms:
+            _log_start_passed_over(worker.worker_id, worker.started_at_ms, known_ms)
             return
-        record.worker = worker
+        # One that names no start says nothing of it: what was told before holds.
+        record.worker = msgspec.structs.replace(worker, started_at_ms=known_ms)
         record.missing_until = None
         # A stream's head is newer than discovery, and versions only rise.
         for model, version in worker.versions.items():
@@ -179,16 +214,64 @@
                 record.versions[model] = version
                 record.loads.pop(model, None)
 
+    def _take_new(self, worker: Worker) -> None:
+        self._records[worker.worker_id] = WorkerRecord(
+            worker=worker, versions=dict(worker.versions)
+        )
+
+    def _take_restart(self, worker: Worker, known_ms: int) -> None:
+        """Forget all of the start before; runs there end as broken, on the record that they had."""
+        log_event(
+            "worker_started_again",
+            worker=worker.worker_id,
+            started_at_ms=worker.started_at_ms,
+            before_ms=known_ms,
+        )
+        self._take_new(worker)
+        for listener in self._restart_listeners:
+            listener(worker.worker_id)
+
+    def take_status(self, worker_id: BackendId, status: WorkerStatus, now: float) -> None:
+        """Take a worker's own report, which may tell of a start before discovery does."""
+        record = self._records.get(worker_id)
+        if record is None:
+            return
+        known_ms = record.worker.started_at_ms
+        if 0 < status.started_at_ms < known_ms:
+            _log_start_passed_over(worker_id, status.started_at_ms, known_ms)
+            return
+        if status.started_at_ms > known_ms:
+            restarted = msgspec.structs.replace(
+                record.worker,
+                versions=dict(status.versions),
+                started_at_ms=status.started_at_ms,
+            )
+            self._take_restart(restarted, known_ms)
+            self._announce()
+        else:
+            for model, version in status.versions.items():
+                if version > record.versions.get(model, WeightVersion(0)):
+                    self.observe_version(worker_id, model, version, now)
+        reported = WorkerStart(worker_id=worker_id, started_at_ms=status.started_at_ms)
+        for listener in self._report_listeners:
+            listener(reported)
+
     def _announce(self) -> None:
         for listener in self._listeners:
             listener()
 
-    def get(self, worker_id: BackendId) -> WorkerRecord | None:
-        """Return one worker."""
-        return self._records.get(worker_id)
+    def get(self, worker_id: BackendId, started_at_ms: int | None = None) -> WorkerRecord | None:
+        """Return one worker; ``None`` if it is gone, or has started again since then."""
+        record = self._records.get(worker_id)
+        if record is None or started_at_ms in (None, record.worker.started_at_ms):
+            return record
+        return None
 
     def is_replaced(self, worker: Worker) -> bool:
-        """Return whether another worker has the address of one: it has ended."""
+        """Return whether a start of a worker has ended: another one, or worker, has its address."""
+        record = self._records.get(worker.worker_id)
+        if record is not None and 0 < worker.started_at_ms < record.worker.started_at_ms:
+            return True
         return any(
             record.worker.address == worker.address and worker_id != worker.worker_id
             for worker_id, record in self._records.items()
@@ -209,10 +292,15 @@
         return self._records
 
     def observe_version(
-        self, worker_id: BackendId, model: str, version: WeightVersion, now: float
+        self,
+        worker_id: BackendId,
+        model: str,
+        version: WeightVersion,
+        now: float,
+        started_at_ms: int | None = None,
     ) -> None:
         """Take the version that an answer named, which is newer than what was expected."""
-        record = self._records.get(worker_id)
+        record = self.get(worker_id, started_at_ms)
         if record is None:
             return
         load = record.loads.get(model)
@@ -220,30 +308,49 @@
             del record.loads[model]
         record.versions[model] = version
 
-    def observe_load(self, worker_id: BackendId, load: WorkerLoad, now: float) -> None:
+    def observe_load(
+        self,
+        worker_id: BackendId,
+        load: WorkerLoad,
+        now: float,
+        started_at_ms: int | None = None,
+    ) -> None:
         """Take a load report: what is beyond this node's own requests belongs to others."""
-        record = self._records.get(worker_id)
+        record = self.get(worker_id, started_at_ms)
         if record is not None:
             record.others = max(0, load.running + load.waiting - record.in_flight)
             record.reported_at = now
 
-    def observe_pace(self, worker_id: BackendId, seconds_per_event: float, now: float) -> None:
+    def observe_pace(
+        self,
+        worker_id: BackendId,
+        seconds_per_event: float,
+        now: float,
+        started_at_ms: int | None = None,
+    ) -> None:
         """Take the time between two events of a stream."""
-        record = self._records.get(worker_id)
+        record = self.get(worker_id, started_at_ms)
         if record is not None:
             record.pace.observe(seconds_per_event, now)
 
     def note_loading(
-        self, worker_id: BackendId, model: str, version: WeightVersion, until: float
+        self,
+        worker_id: BackendId,
+        model: str,
+        version: WeightVersion,
+        until: float,
+        started_at_ms: int | None = None,
     ) -> None:
         """Send a worker nothing for a model whose weights it loads until then."""
-        record = self._records.get(worker_id)
+        record = self.get(worker_id, started_at_ms)
         if record is not None:
             record.loads[model] = LoadUnderWay(version=version, until=until)
 
-    def observe_refusal(self, worker_id: BackendId, model: str, now: float) -> None:
+    def observe_refusal(
+        self, worker_id: BackendId, model: str, now: float, started_at_ms: int | None = None
+    ) -> None:
         """Pause a model on a worker; the pause doubles with each refused probe."""
-        record = self._records.get(worker_id)
+        record = self.get(worker_id, started_at_ms)
         if record is None:
             return
         refusals = record.refusals.setdefault(model, Refusals())
@@ -253,23 +360,29 @@
         refusals.count += 1
         refusals.paused_until = now + min(pause_seconds, LONGEST_REFUSAL_PAUSE_SECONDS)
 
-    def observe_acceptance(self, worker_id: BackendId, model: str) -> None:
+    def observe_acceptance(
+        self, worker_id: BackendId, model: str, started_at_ms: int | None = None
+    ) -> None:
         """Note that a worker took a request for a model."""
-        record = self._records.get(worker_id)
+        record = self.get(worker_id, started_at_ms)
         if record is not None:
             record.refusals.pop(model, None)
             record.failures = 0
 
-    def observe_latency(self, worker_id: BackendId, seconds: float) -> None:
+    def observe_latency(
+        self, worker_id: BackendId, seconds: float, started_at_ms: int | None = None
+    ) -> None:
         """Take the time of a whole answer."""
-        record = self._records.get(worker_id)
+        record = self.get(worker_id, started_at_ms)
         if record is not None:
             record.latency_seconds = _smooth(record.latency_seconds, seconds)
             record.failures = 0
 
-    def observe_failure(self, worker_id: BackendId, now: float) -> None:
+    def observe_failure(
+        self, worker_id: BackendId, now: float, started_at_ms: int | None = None
+    ) -> None:
         """Pause a worker; the pause doubles with each failure in a row."""
-        record = self._records.get(worker_id)
+        record = self.get(worker_id, started_at_ms)
         if record is None:
             return
         pause_seconds = min(LONGEST_PAUSE_SECONDS, FAILURE_PAUSE_SECONDS * 2**record.failures)
@@ -291,13 +404,25 @@
             record.paused_until = min(record.paused_until, now)
             self._announce()
 
-    def pause(self, worker_id: BackendId, now: float, seconds: float) -> None:
+    def pause(
+        self, worker_id: BackendId, now: float, seconds: float, started_at_ms: int | None = None
+    ) -> None:
         """Send a worker nothing for a while, without counting a failure."""
-        record = self._records.get(worker_id)
+        record = self.get(worker_id, started_at_ms)
         if record is not None:
             record.paused_until = max(record.paused_until, now + seconds)
 
 
+def _log_start_passed_over(worker_id: BackendId, started_at_ms: int, known_ms: int) -> None:
+    """Log that something was told of a start that has ended: it is as old as that."""
+    log_event(
+        "worker_start_passed_over",
+        worker=worker_id,
+        started_at_ms=started_at_ms,
+        known_ms=known_ms,
+    )
+
+
 def _smooth(previous: float | None, value: float) -> float:
     if previous is None:
         return value
--- a/drumbay/workers/records.py
+++ b/drumbay/workers/records.py
@@ -31,7 +31,9 @@
 class Worker(msgspec.Struct, frozen=True, kw_only=True):
     """One worker as discovery describes it.
 
-    ``versions`` maps models to weight versions; ``release`` names that of its software.
+    ``versions`` maps models to weight versions; ``release`` names that of its software. A worker
+    may start again under its id, and then knows nothing of before: ``started_at_ms`` tells the
+    starts apart (Unix milliseconds). 0 where the worker does not tell it.
     """
 
     worker_id: BackendId
@@ -42,6 +44,19 @@
     state: WorkerState
     versions: Mapping[str, WeightVersion]
     release: str = ""
+    started_at_ms: int = 0
+
+    @property
+    def start(self) -> "WorkerStart":
+        """Return which start of the worker this is."""
+        return WorkerStart(worker_id=self.worker_id, started_at_ms=self.started_at_ms)
+
+
+class WorkerStart(msgspec.Struct, frozen=True, kw_only=True, order=True):
+    """One start of a worker; ``started_at_ms`` is 0 where the worker does not tell it."""
+
+    worker_id: BackendId
+    started_at_ms: int = 0
 
 
 class WorkerLoad(msgspec.Struct, frozen=True, kw_only=True):
@@ -111,11 +126,16 @@
 
 
 class WorkerStatus(msgspec.Struct, frozen=True, kw_only=True):
-    """A worker's own report. ``sequence`` counts the orders it has taken."""
+    """A worker's own report.
+
+    ``sequence`` counts the orders it has taken since its start, ``started_at_ms`` (0 if it does
+    not tell).
+    """
 
     busy: bool
     sequence: int
     versions: Mapping[str, WeightVersion]
+    started_at_ms: int = 0
 
 
 class LoadOrder(msgspec.Struct, frozen=True, kw_only=True):
--- a/drumbay/workers/silence_check.py
+++ b/drumbay/workers/silence_check.py
@@ -12,7 +12,7 @@
 from drumbay.tasks import TaskOwner
 from drumbay.workers.directory import WorkerDirectory, WorkerRecord
 from drumbay.workers.interface import WorkerClient
-from drumbay.workers.records import Worker, WorkerError
+from drumbay.workers.records import Worker, WorkerError, WorkerStart
 
 CHECK_SECONDS = 0.6
 """Meanwhile the worker gets nothing new; the client's own limit of a report is as long."""
@@ -54,7 +54,7 @@
         self._task_owner = task_owner
         self._on_silent_connections = on_silent_connections
         self._silent_runs: dict[BackendId, int] = {}
-        self._answered_at: dict[BackendId, float] = {}
+        self._answered_at: dict[WorkerStart, float] = {}
 
     def suspect(self, worker_id: BackendId) -> None:
         """Note a run that made events and is silent, as all others on its worker are.
@@ -77,7 +77,7 @@
         self._task_owner.spawn(self._check(record.worker), f"silence-check-{worker_id}")
 
     def _is_stuck(self, record: WorkerRecord, now: float) -> bool:
-        answered_at = self._answered_at.pop(record.worker.worker_id, None)
+        answered_at = self._answered_at.pop(record.worker.start, None)
         if answered_at is None or now - answered_at > REPEATED_SILENCE_SECONDS:
             return False
         return not record.pace.is_heard_since(answered_at)
@@ -93,12 +93,12 @@
             silent_runs = self._silent_runs.pop(worker_id)
         now = self._clock.monotonic()
         if has_lost_connections:
-            self._note_answer(worker_id, now)
+            self._note_answer(worker.start, now)
             self._directory.end_pause(worker_id, now)
             self._on_silent_connections()
             return
         for _ in range(silent_runs):
-            self._directory.observe_failure(worker_id, now)
+            self._directory.observe_failure(worker_id, now, worker.started_at_ms)
 
     async def _has_lost_connections(self, worker: Worker) -> bool:
         """Return whether a worker answers over a new connection that should have made events.
@@ -108,6 +108,7 @@
         """
         asked_at = self._clock.monotonic()
         status = await self._client.status(worker, fresh_connection=True)
+        self._directory.take_status(worker.worker_id, status, self._clock.monotonic())
         silent_runs = self._silent_runs[worker.worker_id]
         log_event(
             "silent_worker_lives",
@@ -116,9 +117,12 @@
             busy=status.busy,
             silent_runs=silent_runs,
         )
+        if self._directory.get(worker.worker_id, worker.started_at_ms) is None:
+            # It has started again: its runs have ended with the start before, not gone silent.
+            return False
         # A worker that loads weights makes no events, over connections that work.
         return silent_runs >= FEWEST_SILENT_RUNS and not status.busy
 
-    def _note_answer(self, worker_id: BackendId, now: float) -> None:
-        kept = {w: at for w, at in self._answered_at.items() if now - at < REPEATED_SILENCE_SECONDS}
-        self._answered_at = kept | {worker_id: now}
+    def _note_answer(self, start: WorkerStart, now: float) -> None:
+        kept = {s: at for s, at in self._answered_at.items() if now - at < REPEATED_SILENCE_SECONDS}
+        self._answered_at = kept | {start: now}
--- a/tests/serving_world.py
+++ b/tests/serving_world.py
@@ -159,6 +159,7 @@
         scorer_count: int = 0,
         usage: UsageSettings | None = None,
         orders_workers: bool = False,
+        workers_keep_ids: bool = False,
     ) -> None:
         self.usage = usage
         self.orders_workers = orders_workers
@@ -167,7 +168,8 @@
         self.clock = OutsideClock()
         self.model = KeyValueModel(self.clock)
         self.duties = EmulatedPlatformDuties(self.clock)
-        self.workers = EmulatedWorkerPool(self.clock)
+        self.workers = EmulatedWorkerPool(self.clock, tells_starts=workers_keep_ids)
+        self.workers.keep_ids = workers_keep_ids
         for number in range(1, worker_count + 1):
             self.workers.add(f"worker-{number}", SERVICE, {MODEL: WeightVersion(1)})
         for number in range(1, scorer_count + 1):
@@ -192,6 +194,7 @@
     scorer_count: int = 0,
     usage: UsageSettings | None = None,
     orders_workers: bool = False,
+    workers_keep_ids: bool = False,
 ) -> ResultT:
     """Run a scenario in a fresh world on virtual time."""
 
@@ -204,6 +207,7 @@
             scorer_count,
             usage,
             orders_workers,
+            workers_keep_ids,
         )
         try:
             return await scenario(world)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -151,8 +151,8 @@
     Tries of an item or a reward request share an id; each run of theirs counts.
     """
     runs = [run for run in workers.runs if run.request_id in request_ids]
-    ended = {crash.worker_id: crash.at for crash in workers.crashes}
-    times = sorted({ended[run.worker_id] for run in runs if run.worker_id in ended})
+    ended = {crash.start: crash.at for crash in workers.crashes}
+    times = sorted({ended[run.start] for run in runs if run.start in ended})
     if len(times) < FEWEST_CRASHES:
         return 0
     late = [run for run in runs if run.started_at > times[FEWEST_CRASHES - 1] + CONTACT_SECONDS]
@@ -225,6 +225,11 @@
     async def play_lookups(self, world: ServingWorld) -> None:
         await self.play_requests(world, RequestKind.IDEMPOTENT)
 
+    async def play_late_discovery(self, world: ServingWorld) -> None:
+        """Workers that are back answer before discovery tells that they started again."""
+        world.workers.discovery_seconds = 1.5
+        await self.play_requests(world, RequestKind.IDEMPOTENT)
+
     async def play_hedged_lookups(self, world: ServingWorld) -> None:
         """A worker ends only after the lookup was sent to a second one as well."""
         world.workers.crash_seconds = 0.2
@@ -302,6 +307,31 @@
             with self.subTest(kind=name):
                 play(scenario, node_count=3, worker_count=6, scorer_count=3)
 
+    def test_one_that_ends_workers_which_start_again_under_their_ids_stops_reaching_them(
+        self,
+    ) -> None:
+        """An answer of the next start to another request says nothing of the one that ended."""
+        kinds: dict[str, Callable[[ServingWorld], Awaitable[None]]] = {
+            "lookups": self.play_lookups,
+            "lookups, nodes restarted in turn": self.play_restarts_in_turn,
+            "lookups, all nodes restarted at once": self.play_restart_of_all,
+            "lookups, the store away": self.play_outage_of_the_store,
+            "lookups, discovery late": self.play_late_discovery,
+            "bookings": self.play_bookings,
+            "item": self.play_item,
+            "reward": self.play_reward,
+        }
+        for name, scenario in kinds.items():
+            for worker_count in (2, 6) if name == "item" else (6,):
+                with self.subTest(kind=name, workers=worker_count):
+                    play(
+                        scenario,
+                        node_count=3,
+                        worker_count=worker_count,
+                        scorer_count=3,
+                        workers_keep_ids=True,
+                    )
+
 
 class SoundRequestsTest(unittest.TestCase):
     """Requests that end no worker are served, whatever befalls their runs."""
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -23,6 +23,7 @@
     WorkerDeath,
     WorkerKind,
 )
+from drumbay.workers.records import WorkerStart
 
 REQUEST = Fingerprint("request")
 OTHER = Fingerprint("other")
@@ -36,6 +37,10 @@
     )
 
 
+def start(number: int, started_at_ms: int = 0) -> WorkerStart:
+    return WorkerStart(worker_id=BackendId(f"w{number}"), started_at_ms=started_at_ms)
+
+
 def outlook(available: int = 3, ready: int = 3, kind: WorkerKind = KIND) -> ServiceOutlook:
     return ServiceOutlook(ready=ready, available=available, kinds=frozenset({kind}))
 
@@ -139,10 +144,10 @@
     def test_a_worker_that_lives_takes_its_deaths_back(self) -> None:
         self.end_in_a_row(DEATHS_UNTIL_HELD)
         self.ledger.note_deaths(OTHER, [death(1, 0.0, 1.05)])
-        self.assertEqual(self.ledger.withdraw(BackendId("w1")), (REQUEST, OTHER))
+        self.assertEqual(self.ledger.withdraw(start(1)), (REQUEST, OTHER))
         self.assertEqual(self.ledger.in_a_row(REQUEST), 2)
         self.assertNotIn(OTHER, self.ledger)
-        self.assertEqual(self.ledger.ended_workers(), {"w0", "w2"})
+        self.assertEqual(self.ledger.ended_workers(), {start(0), start(2)})
 
     def test_the_last_worker_is_not_risked(self) -> None:
         self.end_in_a_row(1)
--- /dev/null
+++ b/tests/test_worker_starts.py
@@ -0,0 +1,406 @@
+"""Workers that start again under their ids: what is forgotten, and which deaths stay.
+
+A worker that has started again holds and knows nothing of before. Taken for the start before, it
+kept that start's loads, paces, pauses and runs, and each of its answers took back the deaths under
+requests that had ended it.
+"""
+
+import asyncio
+import unittest
+
+import msgspec
+
+from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.identifiers import BackendId, WeightVersion
+from drumbay.observability.serving_metrics import ServingMetrics
+from drumbay.peers.messages import LoadingNotice
+from drumbay.quarantine.fingerprint import Fingerprint
+from drumbay.quarantine.records import (
+    QuarantineNotice,
+    RequestSuspected,
+    ToldDeath,
+    WorkerKind,
+    WorkerProvedAlive,
+)
+from drumbay.quarantine.service import REPORT_PAUSE_SECONDS, Quarantine
+from drumbay.quarantine.stored import StoredDeath
+from drumbay.simulation.outside_clock import OutsideClock
+from drumbay.simulation.virtual_time import run_simulation
+from drumbay.standins.worker_pool import RESTART_SECONDS, EmulatedWorkerPool
+from drumbay.tasks import TaskOwner
+from drumbay.weights.version_planner import LoadPolicy, VersionPlanner
+from drumbay.workers.directory import WorkerDirectory, WorkerRecord
+from drumbay.workers.records import Worker, WorkerLoad, WorkerState, WorkerStatus
+from drumbay.workers.silence_check import CHECK_SECONDS, FEWEST_SILENT_RUNS, SilenceCheck
+from tests.serving_world import MODEL, SERVICE, ServingWorld, play
+
+WORKER = BackendId("w")
+REQUEST = Fingerprint("request")
+FIRST_MS = 1_700_000_000_000
+SECOND_MS = FIRST_MS + 9_000
+
+
+def worker(started_at_ms: int = FIRST_MS, version: int = 1) -> Worker:
+    return Worker(
+        worker_id=WORKER,
+        service=SERVICE,
+        address=NetworkAddress("w", 80),
+        zone="z",
+        slots=4,
+        state=WorkerState.READY,
+        versions={MODEL: WeightVersion(version)},
+        started_at_ms=started_at_ms,
+    )
+
+
+def status(started_at_ms: int, version: int = 1) -> WorkerStatus:
+    return WorkerStatus(
+        busy=False,
+        sequence=0,
+        versions={MODEL: WeightVersion(version)},
+        started_at_ms=started_at_ms,
+    )
+
+
+class DirectoryTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.directory = WorkerDirectory()
+        self.directory.put(worker(version=3))
+        self.restarted: list[BackendId] = []
+        self.directory.add_restart_listener(self.restarted.append)
+
+    def record(self) -> WorkerRecord:
+        record = self.directory.get(WORKER)
+        assert record is not None
+        return record
+
+    def load_with_everything(self) -> WorkerRecord:
+        """Let all be known of the first start that can be."""
+        record = self.record()
+        record.in_flight = 3
+        record.expected_tokens = 100
+        self.directory.observe_load(WORKER, WorkerLoad(running=4, waiting=2, slots=4), 1.0)
+        self.directory.observe_pace(WORKER, 0.5, 1.0)
+        self.directory.observe_latency(WORKER, 2.0)
+        self.directory.note_loading(WORKER, MODEL, WeightVersion(9), 50.0)
+        self.directory.observe_refusal(WORKER, MODEL, 1.0)
+        self.directory.observe_failure(WORKER, 1.0)
+        return record
+
+    def assert_new(self, version: int) -> None:
+        expected = WorkerRecord(
+            worker=worker(SECOND_MS, version), versions={MODEL: WeightVersion(version)}
+        )
+        record = msgspec.structs.replace(self.record(), pace=expected.pace)
+        self.assertEqual(record, expected)
+        self.assertIsNone(self.record().pace.current(1.0))
+        self.assertTrue(self.record().is_available(1.0))
+        self.assertEqual(self.restarted, [WORKER])
+
+    def test_a_later_start_in_discovery_replaces_the_whole_record(self) -> None:
+        self.load_with_everything()
+        self.directory.put(worker(SECOND_MS, version=2))
+        self.assert_new(version=2)
+
+    def test_a_snapshot_tells_of_a_later_start_too(self) -> None:
+        self.load_with_everything()
+        self.directory.replace_all([worker(SECOND_MS, version=2)])
+        self.assert_new(version=2)
+
+    def test_a_report_tells_of_it_before_discovery_does(self) -> None:
+        self.load_with_everything()
+        self.directory.take_status(WORKER, status(SECOND_MS, version=2), 1.0)
+        self.assert_new(version=2)
+        self.directory.put(worker(FIRST_MS, version=3))
+        self.assert_new(version=2)
+        self.directory.put(worker(SECOND_MS, version=2))
+        self.assert_new(version=2)
+
+    def test_an_earlier_start_is_passed_over(self) -> None:
+        self.directory.put(worker(SECOND_MS, version=2))
+        self.directory.put(msgspec.structs.replace(worker(), state=WorkerState.DRAINING))
+        self.directory.take_status(WORKER, status(FIRST_MS, version=8), 1.0)
+        self.assert_new(version=2)
+
+    def test_the_same_start_keeps_what_is_known(self) -> None:
+        record = self.load_with_everything()
+        for same in (worker(version=1), worker(0, version=1)):
+            self.directory.put(same)
+            self.assertIs(self.record(), record)
+            self.assertEqual(record.worker.started_at_ms, FIRST_MS)
+            self.assertEqual(record.versions[MODEL], 3)
+            self.assertEqual(record.in_flight, 3)
+        self.assertEqual(self.restarted, [])
+
+    def test_runs_of_the_start_before_say_nothing_of_the_next(self) -> None:
+        before = self.load_with_everything()
+        self.directory.put(worker(SECOND_MS, version=2))
+        before.in_flight -= 3
+        self.directory.observe_failure(WORKER, 1.0, FIRST_MS)
+        self.directory.pause(WORKER, 1.0, 5.0, FIRST_MS)
+        self.directory.observe_refusal(WORKER, MODEL, 1.0, FIRST_MS)
+        self.directory.observe_version(WORKER, MODEL, WeightVersion(9), 1.0, FIRST_MS)
+        self.directory.observe_pace(WORKER, 0.5, 1.0, FIRST_MS)
+        self.directory.observe_latency(WORKER, 2.0, FIRST_MS)
+        self.directory.note_loading(WORKER, MODEL, WeightVersion(9), 50.0, FIRST_MS)
+        load = WorkerLoad(running=4, waiting=2, slots=4)
+        self.directory.observe_load(WORKER, load, 1.0, FIRST_MS)
+        self.assert_new(version=2)
+
+    def test_one_start_is_replaced_by_the_next_and_not_by_itself(self) -> None:
+        self.assertFalse(self.directory.is_replaced(worker()))
+        self.directory.put(worker(SECOND_MS))
+        self.assertTrue(self.directory.is_replaced(worker()))
+        self.assertFalse(self.directory.is_replaced(worker(SECOND_MS)))
+        self.assertFalse(self.directory.is_replaced(worker(0)))
+
+    def test_one_that_lapsed_and_is_back_with_the_same_start_is_taken_as_it_tells(self) -> None:
+        self.directory.remove(WORKER)
+        self.directory.put(worker(version=2))
+        self.assertEqual(self.record().versions[MODEL], 2)
+        self.assertEqual(self.restarted, [])
+
+
+class Told:
+    """A quarantine over one worker of an emulated pool, and what it tells other nodes."""
+
+    def __init__(self, *, tells_starts: bool = True) -> None:
+        self.clock = OutsideClock()
+        self.pool = EmulatedWorkerPool(self.clock, tells_starts=tells_starts)
+        self.pool.keep_ids = True
+        self.first = self.pool.add("w", SERVICE)
+        self.directory = WorkerDirectory()
+        self.directory.put(self.first.worker)
+        self.notices: list[QuarantineNotice] = []
+        self.quarantine = Quarantine(
+            self.clock,
+            self.directory,
+            self.pool,
+            TaskOwner(),
+            ServingMetrics(),
+            self.notices.append,
+        )
+
+    def take_death(self) -> None:
+        """Hear that the worker has ended, by a run that began half a second ago."""
+        death = ToldDeath(
+            worker_id=WORKER,
+            kind=WorkerKind(service=SERVICE, release=""),
+            began_seconds_ago=0.5,
+            ended_seconds_ago=0.0,
+            started_at_ms=self.first.worker.started_at_ms,
+        )
+        self.quarantine.take(RequestSuspected(fingerprint=REQUEST, deaths=(death,)))
+
+    @property
+    def deaths(self) -> int:
+        return len(self.quarantine.ledger.deaths(REQUEST))
+
+
+class DeathsOfStartsTest(unittest.TestCase):
+    def test_an_answer_before_discovery_tells_takes_back_no_death(self) -> None:
+        async def scenario() -> None:
+            told = Told()
+            await asyncio.sleep(1.0)
+            told.take_death()
+            known = told.first.worker
+            await told.pool.end(told.first)
+            told.quarantine.note_alive(known, told.clock.monotonic())
+            self.assertEqual(told.deaths, 1)
+            await asyncio.sleep(0.1)
+            self.assertEqual(told.deaths, 1)
+            record = told.directory.get(WORKER)
+            assert record is not None
+            self.assertGreater(record.worker.started_at_ms, known.started_at_ms)
+            self.assertTrue(told.directory.is_replaced(known))
+            told.quarantine.note_alive(record.worker, told.clock.monotonic())
+            self.assertEqual(told.deaths, 1)
+            self.assertEqual(told.notices, [])
+
+        run_simulation(scenario)
+
+    def test_a_run_that_began_before_the_death_takes_it_back(self) -> None:
+        async def scenario() -> None:
+            told = Told()
+            await asyncio.sleep(1.0)
+            told.take_death()
+            told.quarantine.note_alive(told.first.worker, told.clock.monotonic() - 0.1)
+            self.assertEqual(told.deaths, 0)
+            started_at_ms = told.first.worker.started_at_ms
+            alive = WorkerProvedAlive(worker_id=WORKER, started_at_ms=started_at_ms)
+            self.assertEqual(told.notices, [alive])
+
+        run_simulation(scenario)
+
+    def test_one_that_lives_proves_it_by_its_report(self) -> None:
+        async def scenario() -> None:
+            told = Told()
+            await asyncio.sleep(1.0)
+            told.take_death()
+            told.quarantine.note_alive(told.first.worker, told.clock.monotonic())
+            self.assertEqual(told.deaths, 1)
+            await asyncio.sleep(0.1)
+            self.assertEqual(told.deaths, 0)
+
+        run_simulation(scenario)
+
+    def test_one_that_gives_no_report_is_asked_once_a_second(self) -> None:
+        async def scenario() -> None:
+            told = Told()
+            await asyncio.sleep(1.0)
+            told.take_death()
+            asked = 0
+            told.first.faults.full = True
+            answer = told.pool.status
+
+            async def count(worker: Worker, *, fresh_connection: bool = False) -> WorkerStatus:
+                nonlocal asked
+                asked += 1
+                return await answer(worker, fresh_connection=fresh_connection)
+
+            told.pool.status = count  # type: ignore[method-assign]
+            for _ in range(21):
+                told.quarantine.note_alive(told.first.worker, told.clock.monotonic())
+                await asyncio.sleep(REPORT_PAUSE_SECONDS / 10)
+            self.assertEqual(asked, 3)
+            self.assertEqual(told.deaths, 1)
+
+        run_simulation(scenario)
+
+    def test_where_no_start_is_told_any_answer_proves_it(self) -> None:
+        async def scenario() -> None:
+            told = Told(tells_starts=False)
+            await asyncio.sleep(1.0)
+            told.take_death()
+            told.quarantine.note_alive(told.first.worker, told.clock.monotonic())
+            self.assertEqual(told.deaths, 0)
+
+        run_simulation(scenario)
+
+    def test_a_notice_concerns_one_start(self) -> None:
+        async def scenario() -> None:
+            told = Told()
+            told.take_death()
+            started_at_ms = told.first.worker.started_at_ms
+            for other in (0, started_at_ms + 1):
+                told.quarantine.take(WorkerProvedAlive(worker_id=WORKER, started_at_ms=other))
+                self.assertEqual(told.deaths, 1)
+            told.quarantine.take(WorkerProvedAlive(worker_id=WORKER, started_at_ms=started_at_ms))
+            self.assertEqual(told.deaths, 0)
+
+        run_simulation(scenario)
+
+    def test_each_start_of_one_worker_may_end(self) -> None:
+        async def scenario() -> None:
+            told = Told()
+            for _ in range(3):
+                record = told.directory.get(WORKER)
+                assert record is not None
+                began_at = told.clock.monotonic()
+                told.quarantine.note_unanswered(REQUEST, "r", record.worker, began_at)
+                await told.pool.end(told.pool["w"])
+                told.directory.put(told.pool["w"].worker)
+                told.quarantine.verdict(REQUEST, SERVICE)
+            self.assertEqual(told.quarantine.ledger.in_a_row(REQUEST), 3)
+            self.assertEqual(told.clock.monotonic(), 3 * RESTART_SECONDS)
+
+        run_simulation(scenario)
+
+    def test_what_nodes_without_starts_have_stored_still_decodes(self) -> None:
+        class OldDeath(msgspec.Struct, frozen=True, kw_only=True):
+            worker_id: BackendId
+            kind: WorkerKind
+            began_at: float
+            ended_at: float
+
+        old = OldDeath(
+            worker_id=WORKER, kind=WorkerKind(service="s", release="r"), began_at=1.0, ended_at=2.0
+        )
+        (found,) = msgspec.msgpack.decode(msgspec.msgpack.encode((old,)), type=tuple[StoredDeath])
+        self.assertEqual(found.start, worker(0).start)
+
+
+class LoadsTest(unittest.TestCase):
+    def test_a_load_that_a_restart_ended_is_begun_again(self) -> None:
+        """The order that follows carries the expected sequence of the start that takes it."""
+
+        async def scenario(world: ServingWorld) -> None:
+            for node in world.nodes:
+                node.lead()
+            await asyncio.sleep(1.0)
+            for node in world.nodes:
+                node.named.name(MODEL, WeightVersion(2))
+            await asyncio.sleep(0.5)
+            loading = world.workers["worker-1"]
+            self.assertTrue(loading.busy)
+            await world.workers.end(loading)
+            orders = len(world.workers.orders)
+            await asyncio.sleep(1.0)
+            (again,) = world.workers.orders[orders:]
+            self.assertEqual(again.worker_id, loading.worker.worker_id)
+            self.assertEqual(again.order.expected_sequence, 0)
+            await asyncio.sleep(1.0)
+            self.assertEqual(world.workers["worker-1"].versions[MODEL], 2)
+
+        play(scenario, node_count=2, worker_count=1, workers_keep_ids=True)
+
+    def test_the_planner_forgets_what_was_under_way(self) -> None:
+        directory = WorkerDirectory()
+        directory.put(worker())
+        planner = VersionPlanner(LoadPolicy())
+        named = {MODEL: WeightVersion(2)}
+        records = list(directory.all_records().values())
+        planner.note_started(WORKER, 0.0)
+        self.assertEqual(planner.plan(named, records, 0.1), ())
+        planner.note_restarted(WORKER)
+        self.assertEqual(len(planner.plan(named, records, 0.1)), 1)
+
+    def test_a_notice_of_a_load_concerns_the_start_that_took_the_order(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            node = world.nodes[0].node
+            entry = world.workers["worker-1"].worker
+            notice = LoadingNotice(
+                worker_id=entry.worker_id,
+                model=MODEL,
+                version=WeightVersion(2),
+                seconds=2.0,
+                holder="another",
+                started_at_ms=entry.started_at_ms - 1,
+            )
+            record = node.directory.get(entry.worker_id)
+            assert record is not None
+            for started_at_ms, loads in ((entry.started_at_ms - 1, 0), (entry.started_at_ms, 1)):
+                told = msgspec.structs.replace(notice, started_at_ms=started_at_ms)
+                node._take_notices((told,))
+                self.assertEqual(len(record.loads), loads)
+
+        play(scenario, node_count=1, worker_count=1, workers_keep_ids=True)
+
+
+class SilenceCheckTest(unittest.TestCase):
+    def test_one_that_has_started_again_has_not_lost_its_connections(self) -> None:
+        async def scenario() -> None:
+            told = Told()
+            renewed: list[None] = []
+            check = SilenceCheck(
+                told.clock,
+                told.directory,
+                told.pool,
+                TaskOwner(),
+                lambda: renewed.append(None),
+            )
+            await told.pool.end(told.first)
+            for _ in range(FEWEST_SILENT_RUNS):
+                check.suspect(WORKER)
+            await asyncio.sleep(CHECK_SECONDS / 2)
+            record = told.directory.get(WORKER)
+            assert record is not None
+            self.assertGreater(record.worker.started_at_ms, told.first.worker.started_at_ms)
+            self.assertTrue(record.is_available(told.clock.monotonic()))
+            self.assertEqual(renewed, [])
+
+        run_simulation(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
