--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -142,8 +142,11 @@
             "svc": "a",
             "addr": "10.128.0.9:8080",
             "zone": "z",
+            "ver": "v1",
             "slots": 16,
             "state": "draining",
+            "warmupLeftMs": 0,
+            "seq": 4,
             "models": [{"name": "m", "ver": 3, "loras": []}],
         }
         worker = parse_worker("servers/i-1", json.dumps(entry).encode())
--- a/tests/test_platform_serving.py
+++ b/tests/test_platform_serving.py
@@ -141,7 +141,12 @@
             entry = {
                 "svc": worker.service,
                 "addr": str(worker.address),
+                "zone": worker.zone,
+                "ver": "v1",
                 "slots": worker.slots,
+                "state": "ready",
+                "warmupLeftMs": 0,
+                "seq": 1,
                 "models": [{"name": m, "ver": v} for m, v in worker.versions.items()],
             }
             self.put(f"servers/{worker.worker_id}", entry)
