Let workers start again under their ids in half of the soaks, and describe starts

Cause: the soak's workers came back under other ids only, so that it could not see a death that the next start's answers took back; its check knew one end for each id.

Change: workers tell their start. The check of requests that crash workers counts ends by start. The faults of a seed are otherwise the ones that it had.

Test that fails before: a worker that starts again under its id and ends nine times under one request broke no check (test_soak_checks).

--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -374,6 +374,23 @@
             history = self.crashing_history(kind, [*few, 40.0])
             self.check_broken(history, "crashing_requests_are_held_back")
 
+    def test_one_that_goes_on_crashing_a_worker_which_starts_again_under_its_id(self) -> None:
+        few = [1.0, 4.0, 7.0, 8.0, 9.0, 12.0, 20.0, 30.0]
+        for starts, is_broken in ((few, False), ([*few, 40.0], True)):
+            history = self.crashing_history(FaultKind.CRASHING_LOOKUP, starts)
+            for number, logged in enumerate(history.runs):
+                logged.worker_id = BackendId("w")
+                logged.worker_started_at_ms = number
+            history.crashes = [
+                LoggedCrash(
+                    worker_id=logged.worker_id,
+                    worker_started_at_ms=logged.worker_started_at_ms,
+                    at=logged.started_at + 0.05,
+                )
+                for logged in history.runs
+            ]
+            self.assertEqual(bool(check(history)), is_broken)
+
     def test_lookups_of_others_that_are_lost_beside_a_crashing_request(self) -> None:
         history = self.crashing_history(FaultKind.CRASHING_LOOKUP, [1.0])
         history.calls = [call(f"r{n}", 200 if n % 50 else 502, may_repeat=True) for n in range(100)]
@@ -436,6 +453,22 @@
         self.assertEqual({found.kind for found in drawn}, set(FaultKind))
         self.assertLess(max(found.at_seconds for found in drawn), 120.0 - QUIET_END_SECONDS)
 
+    def test_workers_keep_their_ids_in_about_half_of_the_runs_and_nothing_else_changes(
+        self,
+    ) -> None:
+        schedule = FaultSchedule(length_seconds=60.0, node_count=4, worker_count=9)
+        kept = [
+            seed
+            for seed in range(100)
+            if any(f.kind is FaultKind.WORKERS_KEEP_IDS for f in draw_faults(seed, schedule))
+        ]
+        self.assertTrue(30 <= len(kept) <= 70, len(kept))
+        wanted = frozenset({FaultKind.CRASHING_LOOKUP})
+        alone = msgspec.structs.replace(schedule, kinds=wanted)
+        both = msgspec.structs.replace(schedule, kinds=wanted | {FaultKind.WORKERS_KEEP_IDS})
+        for seed in range(5):
+            self.assertEqual(draw_faults(seed, both)[1:], draw_faults(seed, alone))
+
     def test_regressions_can_be_read(self) -> None:
         for regression in read_regressions():
             self.assertTrue(regression.cause)
