--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -407,6 +407,13 @@
             await self.client.call(worker, self.repeatable())
         self.assertEqual(self.scripted.connections, 2)
 
+    async def test_a_report_may_tell_when_the_worker_started(self) -> None:
+        for told, started_at_ms in ((b"", 0), (b',"born":1700000000000', 1_700_000_000_000)):
+            report = b'{"models":[],"busy":false,"seq":1%s}' % told
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(report)}\r\n\r\n"
+            worker = await self.server(head + report.decode())
+            self.assertEqual((await self.client.status(worker)).started_at_ms, started_at_ms)
+
     async def test_the_answer_to_a_request_is_no_answer_to_an_order(self) -> None:
         worker = await self.server(self.head + "Content-Length: 2\r\n\r\nok")
         self.scripted.keep = True
