--- a/drumbay/batches/shared_places.py
+++ b/drumbay/batches/shared_places.py
@@ -141,11 +141,12 @@
 
     def _drop(self, holder: NetworkAddress) -> None:
         told = self._told.pop(holder, None)
-        for job in told.jobs if told is not None else ():
-            # Unary plus keeps what is left above zero.
-            self._held[job.service] = +(self._held[job.service] - Counter(job.running))
-            if not self._held[job.service] and not self._is_told(job.service):
-                del self._held[job.service]
+        jobs = told.jobs if told is not None else ()
+        for job in jobs:
+            self._held[job.service] -= Counter(job.running)
+        for service in {job.service for job in jobs}:
+            if not self._is_told(service):
+                del self._held[service]
 
     def _is_told(self, service: str) -> bool:
         return any(job.service == service for told in self._told.values() for job in told.jobs)
--- a/tests/test_shared_places.py
+++ b/tests/test_shared_places.py
@@ -94,6 +94,15 @@
         self.tell(SECOND)
         self.assertIsNone(self.shared.held_by_others(SERVICE))
 
+    def test_an_owner_of_several_jobs_takes_them_back_together(self) -> None:
+        self.tell(FIRST, job("a", running={W1: 3}), job("b", running={W1: 1}))
+        self.tell(SECOND, job("c", running={W2: 1}))
+        self.assertEqual(self.held(W1), 4)
+        self.tell(FIRST)
+        self.assertEqual((self.held(W1), self.held(W2)), (0, 1))
+        self.tell(SECOND)
+        self.assertIsNone(self.shared.held_by_others(SERVICE))
+
     def test_a_notice_that_was_overtaken_is_passed_over(self) -> None:
         """A call that timed out may be handled after the next one."""
         late = NoticeNumber("boot", 1)
