--- a/drumbay/batches/decisions.py
+++ b/drumbay/batches/decisions.py
@@ -1,10 +1,12 @@
 """What the scheduler of a batch job decides, and how runs of its items end."""
 
+from collections.abc import Mapping
 from enum import StrEnum
 
 import msgspec
 
 from drumbay.batches.records import BatchItem, ItemId, RewardRequest
+from drumbay.batches.shared_places import Competition
 from drumbay.identifiers import BackendId
 
 
@@ -23,13 +25,29 @@
     apart_from: frozenset[BackendId] = frozenset()
 
 
+class PlaceShare(msgspec.Struct, frozen=True, kw_only=True):
+    """What other batch jobs leave to one.
+
+    Attributes:
+        held: Runs of other owners by worker; ``None`` to go by the workers' reports.
+        competition: What others want; ``None`` if no other job competes.
+        long_only: Whether only long items may start: what others hold and want is not known yet.
+    """
+
+    held: Mapping[BackendId, int] | None = None
+    competition: Competition | None = None
+    long_only: bool = False
+
+
 class StopReason(StrEnum):
     """Why a run is stopped."""
 
     SILENT = "silent"
     """Its worker made events and makes none any more, for any run."""
     UNSTARTED = "unstarted"
-    """It never made an event there."""
+    """It never made an event there, nor did another one lately."""
+    QUEUED = "queued"
+    """It never made an event there, while others did: it waits for a place."""
     STALLED = "stalled"
     SLOW_WORKER = "slow_worker"
     GIVEN_UP = "given_up"
--- a/drumbay/batches/owned.py
+++ b/drumbay/batches/owned.py
@@ -1,8 +1,9 @@
 """The batch jobs that this node owns: started, taken over, handed to other nodes, let go."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 
+from drumbay.batches.decisions import PlaceShare
 from drumbay.batches.exceptions import (
     BatchMovedError,
     BatchNotFoundError,
@@ -10,6 +11,7 @@
 )
 from drumbay.batches.ledger import BatchLedger
 from drumbay.batches.owners import OwnerTable
+from drumbay.batches.place_exchange import PlaceExchange
 from drumbay.batches.places import JobPlaces
 from drumbay.batches.records import (
     BatchId,
@@ -22,12 +24,17 @@
 from drumbay.batches.returning import ReturningItems
 from drumbay.batches.reward_scorer import RewardScorer
 from drumbay.batches.runner import BatchRunner
+from drumbay.batches.shared_places import Room
+from drumbay.batches.start_times import EventSize
+from drumbay.batches.step_history import MOST_MODELS
 from drumbay.clock import Clock
-from drumbay.identifiers import Revision, WeightVersion
+from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.forwarding.routes import ServiceUse
+from drumbay.identifiers import BackendId, Revision, WeightVersion
 from drumbay.kv.interface import KeyValueError
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
-from drumbay.peers.messages import OwnerNotice, TakePartialTexts
+from drumbay.peers.messages import OwnerNotice, PlacesNotice, TakePartialTexts
 from drumbay.peers.transport import PeerClient
 from drumbay.quarantine.service import Quarantine
 from drumbay.tasks import TaskOwner
@@ -56,6 +63,8 @@
         peers: PeerClient,
         task_owner: TaskOwner,
         newest_version: Callable[[str], WeightVersion],
+        tell: Callable[[Iterable[NetworkAddress], PlacesNotice], None],
+        rivals: ServiceUse,
         metrics: ServingMetrics,
     ) -> None:
         """Own nothing.
@@ -72,6 +81,8 @@
             peers: Calls to other nodes.
             task_owner: Runs the tasks of runners.
             newest_version: Returns the newest version named for a model.
+            tell: Sends a notice to other nodes.
+            rivals: Tells who else uses a service.
             metrics: Counts what happens to batch jobs.
         """
         self.is_leaving = False
@@ -88,13 +99,31 @@
         self._metrics = metrics
         self._runners: dict[BatchId, BatchRunner] = {}
         self._taking: dict[BatchId, asyncio.Event] = {}
+        self._rivals = rivals
+        self._event_sizes: dict[str, EventSize] = {}
         self._returning = ReturningItems(peers)
+        self._exchange = PlaceExchange(
+            clock,
+            owners.identity.address,
+            owners.identity.boot,
+            self.places,
+            owners.owners_of_open,
+            tell,
+        )
         directory.add_listener(self._wake_runners)
 
     def _wake_runners(self) -> None:
         for runner in self._runners.values():
             runner.wake()
 
+    def take_places(self, notice: PlacesNotice) -> None:
+        """Take what another owner's batch jobs hold and want."""
+        self._exchange.take(notice)
+
+    async def exchange_places(self) -> None:
+        """Tell other owners what the batch jobs here hold and want, until cancelled."""
+        await self._exchange.run()
+
     def __len__(self) -> int:
         """Return how many batch jobs are owned."""
         return len(self._runners)
@@ -106,8 +135,51 @@
         )
 
     def places(self) -> tuple[JobPlaces, ...]:
-        """Return what the owned batch jobs hold and want at the workers."""
-        return tuple(runner.places() for runner in self._runners.values())
+        """Return what the owned batch jobs hold and want, and what ended ones still hold."""
+        return tuple(runner.places() for runner in self._all_runners())
+
+    def _share_for(self, runner: BatchRunner) -> PlaceShare:
+        """Return what other batch jobs leave to one."""
+        now = self._clock.monotonic()
+        shared = self._exchange.shared
+        shared.expire(now)
+        others = [other for other in self._all_runners() if other is not runner]
+        if not shared.holders and not others:
+            return PlaceShare()
+        service = runner.spec.service
+        held = self._held_by_others(service, now)
+        records = [r for r in self._directory.of_service(service) if r.is_available(now)]
+        taken = {} if held is None else held
+        room = Room(
+            places=sum(record.worker.slots for record in records),
+            free=sum(
+                max(0, r.worker.slots - r.in_flight - taken.get(r.worker.worker_id, 0))
+                for r in records
+            ),
+        )
+        own = [runner.places(), *(other.last_places for other in others)]
+        offset = self._clock.wall() - now
+        competition = shared.competition(own[0], own, room, now, offset)
+        return PlaceShare(held=held, competition=competition)
+
+    def _held_by_others(self, service: str, now: float) -> Mapping[BackendId, int] | None:
+        """Return the runs of other nodes by worker; ``None`` to go by the workers' reports.
+
+        Owners tell of batch items only. Where other requests reach the workers too, a report that
+        tells of more holds.
+        """
+        held = self._exchange.shared.held_by_others(service)
+        if held is None or self._rivals.has_only_batches(service):
+            return held
+        return {
+            record.worker.worker_id: max(
+                held.get(record.worker.worker_id, 0), record.others_busy(now)
+            )
+            for record in self._directory.of_service(service)
+        }
+
+    def _all_runners(self) -> tuple[BatchRunner, ...]:
+        return (*self._runners.values(), *self._returning.lingering)
 
     def get(self, batch_id: BatchId) -> BatchRunner | None:
         """Return the runner of a batch job, if it is owned."""
@@ -164,10 +236,21 @@
             listed,
             newest_version=lambda: self._newest_version(spec.model),
             on_lost=self._forget,
+            missed=self._exchange.history.missed_before(spec.model, spec.batch_id),
+            event_size=self._event_size_of(spec.model),
+            is_shared=self._rivals.batch_routes(spec.service) > 1,
+            share_for=self._share_for,
+            on_places_changed=self._exchange.note_change,
         )
         self._runners[spec.batch_id] = runner
+        self._exchange.note_change()
         return runner
 
+    def _event_size_of(self, model: str) -> EventSize:
+        if model not in self._event_sizes and len(self._event_sizes) >= MOST_MODELS:
+            del self._event_sizes[next(iter(self._event_sizes))]
+        return self._event_sizes.setdefault(model, EventSize())
+
     def _forget(self, batch_id: BatchId) -> None:
         runner = self._runners.pop(batch_id, None)
         if runner is not None and runner.is_lingering:
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -1,10 +1,12 @@
 """Pure decisions about the items of one batch job: which runs where, which one moves."""
 
+import math
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence, Set
 
 from drumbay.batches.decisions import (
     Decision,
+    PlaceShare,
     RunFailure,
     ScoreText,
     StartLimits,
@@ -14,6 +16,7 @@
 )
 from drumbay.batches.item_order import ItemOrder
 from drumbay.batches.item_run import ItemRun
+from drumbay.batches.places import time_slot
 from drumbay.batches.records import (
     BatchItem,
     BatchSpec,
@@ -24,7 +27,9 @@
     ReturnedItems,
     Reward,
 )
-from drumbay.batches.worker_choice import PlaceRequest, WorkerChoice
+from drumbay.batches.shared_places import Competition
+from drumbay.batches.start_times import EventSize, StepClock
+from drumbay.batches.worker_choice import DEFAULT_PACE_SECONDS, PlaceRequest, WorkerChoice
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.workers.directory import WorkerRecord
 from drumbay.workers.records import StreamEvent
@@ -47,6 +52,11 @@
 """Long items decide when a step is whole; workers admit them before short ones."""
 
 MAXIMUM_MOVES = 3
+MOVE_SECONDS = 0.3
+"""What a move takes until the next event: a stop, a plan, a connection, the prompt and the text so
+far read again. Where machines are shared and workers differ, an item moves only if the rest of it
+is expected to gain more."""
+
 FAILURE_DELAY_SECONDS = 0.15
 REFUSAL_DELAY_SECONDS = 0.05
 FIRST_SCORE_RETRY_SECONDS = 0.1
@@ -64,6 +74,11 @@
 
 
 NO_LIMITS = StartLimits()
+WHOLE_SHARE = PlaceShare()
+
+NO_DUE_SECONDS = 10.0
+"""Where nothing says when a step is due, its items stand among other jobs' as if it were then; none
+of them counts as late."""
 
 
 class BatchScheduler:
@@ -78,6 +93,8 @@
         spec: BatchSpec,
         started_at: float,
         listed: Sequence[ItemResult],
+        event_size: EventSize | None = None,
+        began_at: float | None = None,
     ) -> None:
         """Create a scheduler for the items that are not yet listed.
 
@@ -85,8 +102,15 @@
             spec: The batch job.
             started_at: Monotonic time from which the queue limit runs.
             listed: Results that stand already.
+            event_size: What texts of the model have shown so far.
+            began_at: Monotonic time of the submission, if that was before ``started_at``.
         """
         self._spec = spec
+        self._began_at = started_at if began_at is None else began_at
+        self._event_size = event_size or EventSize()
+        self._seconds_per_event = DEFAULT_PACE_SECONDS
+        self._mean_pace = DEFAULT_PACE_SECONDS
+        self._is_scarce = False
         self._give_up_at = started_at + spec.queue_limit_seconds
         self._planned_at = started_at
         self._listening_since = started_at
@@ -162,9 +186,52 @@
         """Return the items that are at no worker and whose text is not whole."""
         return tuple(run.item for run in self._runs.values() if not run.is_placed)
 
-    def running(self) -> Counter[BackendId]:
-        """Return how many items run at each worker."""
-        return Counter(r.worker_id for r in self._runs.values() if r.worker_id is not None)
+    @property
+    def due_at(self) -> float | None:
+        """Return the monotonic time at which the step is due; ``None`` if nothing says so."""
+        due_seconds = self._spec.due_seconds
+        return None if due_seconds is None else self._began_at + due_seconds
+
+    def work_seconds(self) -> float:
+        """Return for how long one place would be taken by what the trainer still waits for."""
+        events = sum(
+            self._event_size.remaining_events(run)
+            for run in self._runs.values()
+            if not run.complete and not self._order.is_postponed(run.item)
+        )
+        return events * self._mean_pace
+
+    def latest_starts(self, held: Set[ItemId], now: float) -> list[float | None]:
+        """Return by when each item that only lacks a place must start, the soonest first.
+
+        ``None`` stands for one that is late already, or that the trainer does not wait for.
+        """
+        return [start for _, start in self._by_latest_start(held, now)]
+
+    def _by_latest_start(self, held: Set[ItemId], now: float) -> list[tuple[ItemRun, float | None]]:
+        """Return the items that only lack a place in the order in which to start them."""
+        startable = [
+            run
+            for run in self._runs.values()
+            if not run.is_placed and now >= run.not_before and run.item.item_id not in held
+        ]
+        clock = StepClock(
+            began_at=self._began_at,
+            due_at=self._began_at + NO_DUE_SECONDS if self.due_at is None else self.due_at,
+            seconds_per_event=self._seconds_per_event,
+            event_size=self._event_size,
+            is_scarce=self._is_scarce,
+        )
+        has_due = self.due_at is not None
+        late = {r.item.item_id for r in startable if has_due and clock.is_late(r, now)}
+        late_groups = {run.item.group for run in startable if run.item.item_id in late}
+        ordered: list[tuple[ItemRun, float | None]] = []
+        for run in startable:
+            is_spare = run.item.group in late_groups or self._order.is_postponed(run.item)
+            is_deferrable = run.item.item_id in late or (is_spare and not run.texts)
+            ordered.append((run, None if is_deferrable else clock.latest_start(run)))
+        # Stable: late items keep the order in which they would start without other jobs.
+        return sorted(ordered, key=lambda entry: math.inf if entry[1] is None else entry[1])
 
     @property
     def missing_groups(self) -> int:
@@ -233,6 +300,7 @@
             return None
         run.release()
         run.complete = True
+        self._event_size.observe(run.item, len(run.texts))
         return self._take_finished(run)
 
     def _take_finished(self, run: ItemRun) -> ItemResult | None:
@@ -294,6 +362,8 @@
             return None
         worker_id = run.worker_id
         run.release()
+        if failure is not RunFailure.STOPPED:
+            run.target = None
         match failure:
             case RunFailure.REJECTED:
                 return self._give_up(item_id)
@@ -338,6 +408,7 @@
         newest_version: WeightVersion,
         now: float,
         limits: StartLimits = NO_LIMITS,
+        share: PlaceShare = WHOLE_SHARE,
     ) -> tuple[Decision, ...]:
         """Return what to stop and what to start now.
 
@@ -347,14 +418,20 @@
             newest_version: Newest version that the model's trainer has named.
             now: Monotonic time.
             limits: Items that must not start as others do.
+            share: What other batch jobs leave to this one.
         """
         if now - self._planned_at > LONGEST_PLAN_GAP_SECONDS:
             self._listening_since = now
         self._planned_at = now
-        choice = WorkerChoice(self._spec, workers, newest_version, now, limits.apart_from)
+        choice = WorkerChoice(
+            self._spec, workers, newest_version, now, limits.apart_from, share.held
+        )
+        self._is_scarce = share.competition is not None and share.competition.is_scarce
+        self._seconds_per_event = choice.usual_pace
+        self._mean_pace = choice.mean_pace
         decisions: list[Decision] = [*self._given_up, *self._stops(choice, now)]
         self._given_up.clear()
-        decisions.extend(self._starts(choice, now, limits))
+        decisions.extend(self._starts(choice, now, limits, share))
         decisions.extend(self._scores(now))
         return tuple(decisions)
 
@@ -369,13 +446,18 @@
                 scores.append(ScoreText(item_id=run.item.item_id, request=request))
         return scores
 
-    def _starts(self, choice: WorkerChoice, now: float, limits: StartLimits) -> list[StartRun]:
-        starts: list[StartRun] = []
-        for run in self._runs.values():
-            if run.is_placed or now < run.not_before or run.item.item_id in limits.held:
-                continue
+    def _starts(
+        self, choice: WorkerChoice, now: float, limits: StartLimits, share: PlaceShare
+    ) -> list[StartRun]:
+        starts = self._moved(choice, now, limits)
+        competition = share.competition
+        for run, latest_start in self._to_start(limits, share, now):
             if not choice.has_room:
                 break
+            if competition is not None and not self._may_start(
+                latest_start, competition, len(starts)
+            ):
+                continue
             request = PlaceRequest(
                 group=run.item.group,
                 expected_tokens=run.item.expected_tokens,
@@ -390,6 +472,49 @@
                 starts.append(self._start(run, worker_id, now))
         return starts
 
+    def _to_start(
+        self, limits: StartLimits, share: PlaceShare, now: float
+    ) -> list[tuple[ItemRun, float | None]]:
+        """Return the items to start, and by when each must start if other jobs compete."""
+        if share.competition is not None:
+            return self._by_latest_start(limits.held, now)
+        return [
+            (run, None)
+            for run in self._runs.values()
+            if not run.is_placed
+            and now >= run.not_before
+            and run.item.item_id not in limits.held
+            and (not share.long_only or self._order.is_long(run.item))
+        ]
+
+    def _may_start(
+        self, latest_start: float | None, competition: Competition, started: int
+    ) -> bool:
+        """Return whether other batch jobs leave a place for one more item."""
+        slot = None
+        if latest_start is not None and competition.is_promised:
+            slot = time_slot(latest_start + competition.offset)
+        if slot is None:
+            held = sum(run.worker_id is not None for run in self._runs.values())
+            if held < competition.late_places:
+                return True
+        return competition.free - started > competition.before(slot)
+
+    def _moved(self, choice: WorkerChoice, now: float, limits: StartLimits) -> list[StartRun]:
+        """Return the starts of items that were stopped to go on at a faster worker."""
+        starts: list[StartRun] = []
+        for run in self._runs.values():
+            if run.target is None or run.worker_id is not None:
+                continue
+            target, run.target = run.target, None
+            item_id = run.item.item_id
+            is_limited = item_id in limits.held or item_id in limits.apart
+            if run.complete or is_limited or now < run.not_before:
+                continue
+            if choice.take_at(target, run.item):
+                starts.append(self._start(run, target, now))
+        return starts
+
     def _start(self, run: ItemRun, worker_id: BackendId, now: float) -> StartRun:
         if self._spec.one_version_only and run.texts:
             # Another worker may hold another version; one version makes the whole text.
@@ -414,9 +539,12 @@
             if run.worker_id is None:
                 continue
             if self._is_silent(run, run.worker_id in silent_workers, now):
-                stops.append(_stop(run, _silence_reason(run, silent_workers)))
-            elif self._should_move(run, choice):
+                stops.append(_stop(run, _silence_reason(run, silent_workers, choice)))
+                continue
+            target = self._place_to_move_to(run, choice)
+            if target is not None:
                 run.moves += 1
+                run.target = target
                 stops.append(_stop(run, StopReason.SLOW_WORKER))
         return stops
 
@@ -441,25 +569,33 @@
         )
         return silence > limit
 
-    def _should_move(self, run: ItemRun, choice: WorkerChoice) -> bool:
+    def _place_to_move_to(self, run: ItemRun, choice: WorkerChoice) -> BackendId | None:
+        """Return the worker that an item had better go on at, with a place set aside there."""
         assert run.worker_id is not None
         if run.moves >= MAXIMUM_MOVES:
-            return False
+            return None
         is_long = self._order.is_long(run.item)
         needed = EVENTS_BEFORE_A_LONG_ITEM_MOVES if is_long else EVENTS_BEFORE_ANOTHER_ITEM_MOVES
         if run.events_here < needed:
-            return False
+            return None
         if not choice.is_slow(run.worker_id):
             is_decisive = is_long or len(run.texts) >= EVENTS_OF_A_LONG_ITEM
             if run.moves or not is_decisive or not choice.is_slower(run.worker_id):
-                return False
-        return choice.reserve_faster(run.worker_id)
+                return None
+        least_gain_seconds = 0.0
+        if choice.is_shared(run.worker_id):
+            least_gain_seconds = MOVE_SECONDS / self._event_size.remaining_events(run)
+        return choice.reserve_faster(run.worker_id, least_gain_seconds)
 
 
-def _silence_reason(run: ItemRun, silent_workers: set[BackendId]) -> StopReason:
+def _silence_reason(
+    run: ItemRun, silent_workers: set[BackendId], choice: WorkerChoice
+) -> StopReason:
     if run.worker_id in silent_workers:
         return StopReason.SILENT
-    return StopReason.STALLED if run.events_here else StopReason.UNSTARTED
+    if run.events_here:
+        return StopReason.STALLED
+    return StopReason.QUEUED if choice.is_heard(run.worker_id) else StopReason.UNSTARTED
 
 
 def _stop(run: ItemRun, reason: StopReason) -> StopRun:
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -5,7 +5,7 @@
 answer. Clients ask twice a second, so that a dead owner is noticed by their next call.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -35,6 +35,7 @@
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.exceptions import Execution
+from drumbay.forwarding.routes import ServiceUse
 from drumbay.identifiers import Revision, WeightVersion
 from drumbay.kv.interface import (
     KeyValueError,
@@ -56,6 +57,7 @@
     PageReply,
     PartialTextsReply,
     PeerReply,
+    PlacesNotice,
     ReadBody,
     ReadResults,
     TakePartialTexts,
@@ -101,6 +103,8 @@
         known_nodes: Callable[[], list[NetworkAddress]],
         newest_version: Callable[[str], WeightVersion],
         announce: Callable[[OwnerNotice], None],
+        tell: Callable[[Iterable[NetworkAddress], PlacesNotice], None],
+        rivals: ServiceUse,
         metrics: ServingMetrics,
     ) -> None:
         """Create a service that owns nothing.
@@ -119,6 +123,8 @@
             known_nodes: Lists the other nodes.
             newest_version: Returns the newest version named for a model.
             announce: Tells the other nodes who owns a batch job.
+            tell: Sends a notice to some nodes.
+            rivals: Tells who else uses a service.
             metrics: Counts what happens to batch jobs.
         """
         self._clock = clock
@@ -140,6 +146,8 @@
             peers,
             task_owner,
             newest_version,
+            tell,
+            rivals,
             metrics,
         )
 
@@ -152,6 +160,14 @@
         """Return what the owned batch jobs hold and want at the workers."""
         return self._owned.places()
 
+    def take_places(self, notice: PlacesNotice) -> None:
+        """Take what another owner's batch jobs hold and want."""
+        self._owned.take_places(notice)
+
+    async def exchange_places(self) -> None:
+        """Tell other owners what the batch jobs here hold and want, until cancelled."""
+        await self._owned.exchange_places()
+
     def unfinished(self) -> int:
         """Return how many owned batch jobs have unlisted items."""
         return self._owned.unfinished()
@@ -178,6 +194,7 @@
         """
         owner = self._owners.record_for(spec, self._known_nodes())
         submitted_at = self._clock.wall()
+        spec = msgspec.structs.replace(spec, submitted_at=submitted_at)
         deadline = self._clock.monotonic() + ACCEPT_LIMIT_SECONDS
         uncertain = False
         while True:
--- a/drumbay/forwarding/routes.py
+++ b/drumbay/forwarding/routes.py
@@ -1,6 +1,7 @@
 """Routes that operators configure, and the choice of a route for a request."""
 
 from enum import StrEnum
+from typing import Protocol
 
 import msgspec
 
@@ -26,7 +27,8 @@
 class Route(msgspec.Struct, frozen=True, kw_only=True):
     """Requests of one host below one path prefix; a public one needs no key.
 
-    ``priority`` ranks its requests where they compete for workers: 0 goes first.
+    ``priority`` ranks its requests where they compete for workers: 0 goes first. All results of a
+    batch job are due ``due_seconds`` after its submission; ``None`` if nothing says when.
     """
 
     name: str
@@ -38,6 +40,7 @@
     target_seconds: float
     attempts: int
     queue_limit_seconds: float = 60.0
+    due_seconds: float | None = None
     one_version_only: bool = False
     is_public: bool = False
     priority: int = 0
@@ -86,6 +89,18 @@
         return [route for route in self.routes if route.host.lower() == name]
 
 
+class ServiceUse(Protocol):
+    """Tells which kinds of requests reach a service by the configuration in force."""
+
+    def batch_routes(self, service: str) -> int:
+        """Return how many routes submit batch jobs to a service."""
+        ...
+
+    def has_only_batches(self, service: str) -> bool:
+        """Return whether all routes to a service submit batch jobs."""
+        ...
+
+
 class RouteTable:
     """The configuration in force; it never goes back to an older version."""
 
@@ -106,6 +121,18 @@
         self._current = configuration
         return True
 
+    def batch_routes(self, service: str) -> int:
+        """Return how many routes submit batch jobs to a service."""
+        return sum(route.kind is RequestKind.ROLLOUT for route in self._routes_to(service))
+
+    def has_only_batches(self, service: str) -> bool:
+        """Return whether all routes to a service submit batch jobs."""
+        return all(route.kind is RequestKind.ROLLOUT for route in self._routes_to(service))
+
+    def _routes_to(self, service: str) -> list[Route]:
+        routes = self._current.routes if self._current is not None else ()
+        return [r for r in routes if any(share.service == service for share in r.shares)]
+
     def choose_service(self, route: Route) -> str:
         """Return the service for the next request: smooth weighted round robin."""
         if len(route.shares) == 1:
--- a/drumbay/workers/directory.py
+++ b/drumbay/workers/directory.py
@@ -49,7 +49,8 @@
     """A worker and what this node has seen of it.
 
     ``in_flight`` counts this node's requests there; ``expected_tokens`` is the sum of what those
-    of batch items are expected to generate, which the worker keeps in its memory meanwhile.
+    of batch items are expected to generate, which the worker keeps in its memory meanwhile. A
+    worker that ``is_shared`` says that others use its machine as well.
     """
 
     worker: Worker
@@ -57,6 +58,7 @@
     in_flight: int = 0
     expected_tokens: int = 0
     others: int = 0
+    is_shared: bool = False
     reported_at: float = float("-inf")
     paused_until: float = float("-inf")
     failures: int = 0
@@ -84,17 +86,31 @@
         """Return whether new requests may go there."""
         return self.worker.state is WorkerState.READY and now >= self.paused_until
 
-    def free_slots_for(self, model: str, now: float) -> int:
-        """Return the places for requests of a model: after refusals, one probe at a time."""
+    def takes(self, model: str, now: float) -> bool:
+        """Return whether requests for a model may go there, should a place be free."""
         load = self.loads.get(model)
-        if not self.is_available(now) or (load is not None and now < load.until):
-            return 0
+        return self.is_available(now) and (load is None or now >= load.until)
+
+    def is_refusing(self, model: str, now: float) -> bool:
+        """Return whether the worker has refused requests for a model so lately that none goes."""
         refusals = self.refusals.get(model)
-        if refusals is None:
-            return self.free_slots(now)
-        if now < refusals.paused_until:
+        return refusals is not None and now < refusals.paused_until
+
+    def free_slots_for(self, model: str, now: float, others: int | None = None) -> int:
+        """Return the places for requests of a model: after refusals, one probe at a time.
+
+        Args:
+            model: The model.
+            now: Monotonic time.
+            others: Requests of other nodes there; ``None`` to go by the worker's last report.
+        """
+        if not self.takes(model, now):
+            return 0
+        busy_others = self.others_busy(now) if others is None else others
+        free = max(0, self.worker.slots - self.in_flight - busy_others)
+        if self.is_refusing(model, now):
             return 0
-        return min(1, self.free_slots(now))
+        return min(1, free) if model in self.refusals else free
 
     def version_of(self, model: str, now: float) -> WeightVersion | None:
         """Return the version of a model, as seen or as due by now; ``None`` if it holds none.
@@ -320,6 +336,7 @@
         if record is not None:
             record.others = max(0, load.running + load.waiting - record.in_flight)
             record.reported_at = now
+            record.is_shared = load.is_shared
 
     def observe_pace(
         self,
