Order more workers while batch jobs wait for room

Cause: the leader ordered only what stood at first, whatever waited.

Change: the leader asks the owners of open batch jobs once a second what these hold and want; a pure estimate tells how many workers make the longest wait acceptable, another one in which zones they go, and the planner orders them in one step. What was ordered is in the store before the order is given. Old stored records decode.

--- a/drumbay/batches/owners.py
+++ b/drumbay/batches/owners.py
@@ -104,14 +104,14 @@
         owners = self._streams.get(spec.stream)
         if owners is None:
             return own
-        busy = self._owners_of_open()
+        busy = self.owners_of_open()
         for named in sorted(owners.latest.values(), key=lambda o: o.revision, reverse=True):
             address = named.record.address
             if address in reachable and address not in busy:
                 return msgspec.structs.replace(own, address=address, boot=named.record.boot)
         return own
 
-    def _owners_of_open(self) -> set[NetworkAddress]:
+    def owners_of_open(self) -> set[NetworkAddress]:
         """Return the nodes that run batch jobs: one more would share their processor."""
         return {
             owner.record.address
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -152,6 +152,10 @@
         """Return what the owned batch jobs hold and want at the workers."""
         return self._owned.places()
 
+    def owners_of_open(self) -> set[NetworkAddress]:
+        """Return the nodes that own open batch jobs, as far as this node knows."""
+        return self._owners.owners_of_open()
+
     def unfinished(self) -> int:
         """Return how many owned batch jobs have unlisted items."""
         return self._owned.unfinished()
--- a/drumbay/observability/serving_metrics.py
+++ b/drumbay/observability/serving_metrics.py
@@ -1,6 +1,6 @@
 """Counters and latency histograms of a serving node, in the Prometheus text format."""
 
-from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 REQUEST_BUCKETS_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10)
 ITEM_BUCKETS_SECONDS = (0.25, 0.5, 1, 2, 4, 6, 8, 12, 20, 60)
@@ -80,6 +80,18 @@
             ("duty", "outcome"),
             registry=self._registry,
         )
+        self._workers = Gauge(
+            "drumbay_serving_workers",
+            "Workers of a scaled service as the leader counts them: ready, needed, or ordered.",
+            ("service", "count"),
+            registry=self._registry,
+        )
+        self._waiting_items = Gauge(
+            "drumbay_serving_waiting_items",
+            "Items of open batch jobs without a place at a worker, by service, at the leader.",
+            ("service",),
+            registry=self._registry,
+        )
         self._loads = Counter(
             "drumbay_serving_loads",
             "Loads of weights that this node ordered, by outcome.",
@@ -169,6 +181,15 @@
         """Count a call to the platform under the leader's fence."""
         self._duties.labels(duty, outcome).inc()
 
+    def set_workers(
+        self, service: str, *, ready: int, needed: int, ordered: int, waiting_items: int
+    ) -> None:
+        """Take the counts of a service's workers, and the items that wait for them."""
+        self._workers.labels(service, "ready").set(ready)
+        self._workers.labels(service, "needed").set(needed)
+        self._workers.labels(service, "ordered").set(ordered)
+        self._waiting_items.labels(service).set(waiting_items)
+
     def render(self) -> bytes:
         """Return all metrics as text."""
         return generate_latest(self._registry)
--- a/drumbay/scaling/keeper.py
+++ b/drumbay/scaling/keeper.py
@@ -1,6 +1,7 @@
 """Orders worker counts from the platform while this node leads."""
 
 from collections import Counter
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
@@ -12,19 +13,26 @@
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
 from drumbay.ownership.leader import LeaderElection
+from drumbay.scaling.collector import PlacesCollector
+from drumbay.scaling.demand import DemandHistory, PlacesSample, WorkerNeed
 from drumbay.scaling.planner import WorkerCountPlanner
 from drumbay.scaling.records import ServiceScaling, ServiceZone, ZoneWorkers
 from drumbay.workers.directory import WorkerDirectory
-from drumbay.workers.records import WorkerState
+from drumbay.workers.records import Worker, WorkerState
 
 TICK_SECONDS = 0.5
+COLLECT_SECONDS = 1.0
+"""Demand that lasts shows within two samples, and a new worker serves seconds later. Asking more
+often would gain little of that, and costs each owner a call."""
+
 STANDING_KEY = "drumbay/scaling/standing"
 
 
 class _Standing(msgspec.Struct, frozen=True, kw_only=True):
-    """How many workers have stood in each zone."""
+    """How many workers have stood in each zone, and how many demand has asked for."""
 
     places: tuple[ZoneWorkers, ...]
+    raised: tuple[ZoneWorkers, ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -42,6 +50,7 @@
         directory: WorkerDirectory,
         leader: LeaderElection,
         duties: PlatformDuties,
+        collector: PlacesCollector,
         holder: str,
         metrics: ServingMetrics,
     ) -> None:
@@ -54,8 +63,9 @@
             directory: The workers.
             leader: Says whether this node holds the duty.
             duties: The platform.
+            collector: Knows what the open batch jobs hold and want.
             holder: This machine, as the platform knows it.
-            metrics: Counts orders.
+            metrics: Counts orders and workers.
         """
         self._clock = clock
         self._store = store
@@ -63,10 +73,13 @@
         self._directory = directory
         self._leader = leader
         self._duties = duties
+        self._collector = collector
         self._holder = holder
         self._metrics = metrics
         self._planner = WorkerCountPlanner()
-        self._stored: dict[ServiceZone, int] = {}
+        self._demand: dict[str, DemandHistory] = {}
+        self._collected_at = float("-inf")
+        self._stored = _Standing(places=())
         self._fence: Fence | None = None
 
     async def run(self) -> None:
@@ -77,6 +90,7 @@
             current = self._routes.current
             if fence is None or current is None or not self._directory.loaded:
                 self._fence = None
+                self._demand.clear()
                 continue
             try:
                 await self._keep(fence, current.scaling)
@@ -90,15 +104,53 @@
         if self._fence != fence:
             await self._take_up()
             self._fence = fence
+        await self._collect(scalings)
         for scaling in scalings:
-            there = self._workers_of(scaling)
-            now = self._clock.monotonic()
-            for order in self._planner.plan(scaling, there, now):
-                if not await self._order(order, fence):
-                    return
+            if not await self._keep_service(scaling, fence):
+                return
         await self._store_standing(fence)
 
-    async def _order(self, order: WorkerCount, fence: Fence) -> bool:
+    async def _collect(self, scalings: tuple[ServiceScaling, ...]) -> None:
+        """Take a sample of the demand for each service, once a second."""
+        now = self._clock.monotonic()
+        if now - self._collected_at < COLLECT_SECONDS:
+            return
+        self._collected_at = now
+        jobs = await self._collector.collect()
+        for scaling in scalings:
+            history = self._demand.setdefault(scaling.service, DemandHistory())
+            ready = self._ready_workers(scaling.service)
+            history.observe(
+                PlacesSample(
+                    at=now,
+                    workers=len(ready),
+                    places=sum(worker.slots for worker in ready),
+                    jobs=tuple(job for job in jobs if job.service == scaling.service),
+                )
+            )
+
+    async def _keep_service(self, scaling: ServiceScaling, fence: Fence) -> bool:
+        """Order what a service needs; return whether this node may give more orders."""
+        there = self._workers_of(scaling)
+        history = self._demand.setdefault(scaling.service, DemandHistory())
+        need = history.need()
+        orders = self._planner.plan(scaling, there, self._clock.monotonic(), need)
+        self._metrics.set_workers(
+            scaling.service,
+            ready=sum(zone.ready for zone in there),
+            needed=need.workers,
+            ordered=self._planner.wanted_of(scaling),
+            waiting_items=need.waiting,
+        )
+        if orders:
+            # A successor must not take workers that were ordered here for those that stood.
+            await self._store_standing(fence)
+        for order in orders:
+            if not await self._order(order, need, fence):
+                return False
+        return True
+
+    async def _order(self, order: WorkerCount, need: WorkerNeed, fence: Fence) -> bool:
         """Give one order; return whether this node may give more."""
         if self._leader.duty_fence(self._clock.monotonic()) != fence:
             return False
@@ -111,6 +163,12 @@
             service=order.service,
             zone=order.zone,
             workers=order.workers,
+            needed=need.workers,
+            ready=len(self._ready_workers(order.service)),
+            wanted_places=need.wanted,
+            waiting_items=need.waiting,
+            run_seconds=round(need.run_seconds, 3),
+            demand_age_seconds=round(self._clock.monotonic() - self._collected_at, 3),
             fence=fence,
             outcome=outcome,
         )
@@ -121,31 +179,40 @@
     def _workers_of(self, scaling: ServiceScaling) -> tuple[ZoneWorkers, ...]:
         """Return the workers in each zone where the service may have some."""
         ready: Counter[str] = Counter(dict.fromkeys(scaling.zone_prices, 0))
-        for record in self._directory.of_service(scaling.service):
-            if record.worker.state is WorkerState.READY:
-                ready[record.worker.zone] += 1
+        ready.update(worker.zone for worker in self._ready_workers(scaling.service))
         return tuple(
             ZoneWorkers(place=ServiceZone(scaling.service, zone), ready=count)
             for zone, count in sorted(ready.items())
         )
 
+    def _ready_workers(self, service: str) -> list[Worker]:
+        records = self._directory.of_service(service)
+        return [r.worker for r in records if r.worker.state is WorkerState.READY]
+
     async def _take_up(self) -> None:
         """Go on from what the leader before knew."""
         found = await self._store.range_prefix(STANDING_KEY)
-        self._stored = {
-            zone.place: zone.ready
-            for item in found.items
-            for zone in _decoder.decode(item.value).places
-        }
+        records = [_decoder.decode(item.value) for item in found.items]
+        self._stored = records[0] if records else _Standing(places=())
         self._planner = WorkerCountPlanner()
-        self._planner.restore(self._stored)
+        self._planner.restore(_counts(self._stored.places), _counts(self._stored.raised))
 
     async def _store_standing(self, fence: Fence) -> None:
-        """Write down what stands, for a successor, when it has changed."""
-        standing = self._planner.standing
+        """Write down what stands and was asked for, for a successor, when it has changed."""
+        standing = _Standing(
+            places=_zone_workers(self._planner.standing),
+            raised=_zone_workers(self._planner.raised),
+        )
         if standing == self._stored:
             return
-        places = tuple(ZoneWorkers(place=p, ready=n) for p, n in sorted(standing.items()))
-        put = Put(key=STANDING_KEY, value=_encoder.encode(_Standing(places=places)))
+        put = Put(key=STANDING_KEY, value=_encoder.encode(standing))
         await self._store.transact((self._leader.guard(fence),), (put,))
         self._stored = standing
+
+
+def _zone_workers(counts: Mapping[ServiceZone, int]) -> tuple[ZoneWorkers, ...]:
+    return tuple(ZoneWorkers(place=place, ready=count) for place, count in sorted(counts.items()))
+
+
+def _counts(zones: Iterable[ZoneWorkers]) -> dict[ServiceZone, int]:
+    return {zone.place: zone.ready for zone in zones}
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -48,6 +48,7 @@
 )
 from drumbay.quarantine.service import Quarantine
 from drumbay.quarantine.stored import StoredQuarantine
+from drumbay.scaling.collector import PlacesCollector
 from drumbay.scaling.keeper import WorkerCountKeeper
 from drumbay.serving.settings import ServingEnvironment, ServingSettings
 from drumbay.tasks import TaskOwner
@@ -227,6 +228,13 @@
             )
             self._tasks.spawn(reporting, "usage-reports")
         if self._settings.orders_workers:
+            collector = PlacesCollector(
+                self._environment.clock,
+                self._environment.peers,
+                self._settings.identity.address,
+                self.batches.places,
+                self.batches.owners_of_open,
+            )
             keeper = WorkerCountKeeper(
                 self._environment.clock,
                 self._store,
@@ -234,6 +242,7 @@
                 self.directory,
                 self.leader,
                 duties,
+                collector,
                 self._settings.machine,
                 self.metrics,
             )
