Order no workers once the store names another leader, and note what worker counts gain

Cause: what demand asked for is written before an order, but a write whose fence no longer held counted as done, and the order followed. The platform refuses such an order only where it checks fences.

Change: such a write is logged, no order follows, and the keeper takes up anew.

Test: a node whose key another leader has replaced orders nothing; with the check taken out it fails.

--- a/drumbay/scaling/keeper.py
+++ b/drumbay/scaling/keeper.py
@@ -142,9 +142,9 @@
             ordered=self._planner.wanted_of(scaling),
             waiting_items=need.waiting,
         )
-        if orders:
-            # A successor must not take workers that were ordered here for those that stood.
-            await self._store_standing(fence)
+        # A successor must not take workers that were ordered here for those that stood.
+        if orders and not await self._store_standing(fence):
+            return False
         for order in orders:
             if not await self._order(order, need, fence):
                 return False
@@ -197,17 +197,26 @@
         self._planner = WorkerCountPlanner()
         self._planner.restore(_counts(self._stored.places), _counts(self._stored.raised))
 
-    async def _store_standing(self, fence: Fence) -> None:
-        """Write down what stands and was asked for, for a successor, when it has changed."""
+    async def _store_standing(self, fence: Fence) -> bool:
+        """Write down what stands and was asked for, when it has changed.
+
+        Returns:
+            Whether the store has it; not if another node leads by now.
+        """
         standing = _Standing(
             places=_zone_workers(self._planner.standing),
             raised=_zone_workers(self._planner.raised),
         )
         if standing == self._stored:
-            return
+            return True
         put = Put(key=STANDING_KEY, value=_encoder.encode(standing))
-        await self._store.transact((self._leader.guard(fence),), (put,))
+        result = await self._store.transact((self._leader.guard(fence),), (put,))
+        if not result.succeeded:
+            log_event("worker_counts_not_kept", level="WARNING", error="fence_lost")
+            self._fence = None
+            return False
         self._stored = standing
+        return True
 
 
 def _zone_workers(counts: Mapping[ServiceZone, int]) -> tuple[ZoneWorkers, ...]:
--- a/tests/test_worker_demand.py
+++ b/tests/test_worker_demand.py
@@ -14,6 +14,7 @@
 from drumbay.forwarding.routes import RequestLimits, RoutingConfiguration
 from drumbay.identifiers import BackendId
 from drumbay.kv.interface import Put
+from drumbay.ownership.leader import CURRENT_KEY
 from drumbay.peers.messages import CollectPlaces, PeerReply, PeerRequest, PlacesReply
 from drumbay.peers.transport import PeerUnavailableError
 from drumbay.scaling.collector import TOLD_LIFETIME_SECONDS, PlacesCollector
@@ -337,6 +338,21 @@
 
         play(scenario, node_count=3, worker_count=3, orders_workers=True)
 
+    def test_a_node_whose_fence_no_longer_holds_in_the_store_orders_nothing(self) -> None:
+        """Its lease still runs by its own clock, but the store has another leader."""
+
+        async def scenario(world: ServingWorld) -> None:
+            start_with_bounds(world)
+            await asyncio.sleep(12.0)
+            await world.nodes[0].batches.submit(batch_spec(groups=100, group_size=8))
+            await asyncio.sleep(0.5)
+            other = Put(key=CURRENT_KEY, value=b"another leader")
+            await world.nodes[0].store.transact((), (other,))
+            await asyncio.sleep(3.0)
+            self.assertEqual(world.duties.calls, [])
+
+        play(scenario, node_count=1, orders_workers=True)
+
 
 if __name__ == "__main__":
     unittest.main()
