--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -168,6 +168,10 @@
         """Tell other owners what the batch jobs here hold and want, until cancelled."""
         await self._owned.exchange_places()
 
+    def owners_of_open(self) -> set[NetworkAddress]:
+        """Return the nodes that own open batch jobs, as far as this node knows."""
+        return self._owners.owners_of_open()
+
     def unfinished(self) -> int:
         """Return how many owned batch jobs have unlisted items."""
         return self._owned.unfinished()
