Bound what a node holds for callers, and wait for readers that read

Cause: a node wrote each answer whole into its connection's buffer, without a bound or a limit of time; it read each body whole before anybody was asked; the number of open requests had no bound. A process over its memory limit is killed, with every request on it. A planned stop took an answer for delivered once it stood in the buffer, and ended under readers that were still reading.

Ruled out: bodies on their way to workers as a place of their own where bytes pile up: each is held by its request, which is counted; answers of workers lying unread: they are read as they come.

Change: a pure count of the bytes held by kind, with a bound from the memory that the settings name (half of what is left beside the process's own); results are refused first, then new batch jobs, lookups last; refused before the body comes, with 503 and Retry-After. Room for an answer is set aside by the sizes that its route had of late; an answer that is ready is held without room. Answers are written in pieces; a connection to which nothing can be sent is closed after 20 s, or after 2 to 5 s where others are refused or the node is leaving. Metrics and a log line for each. Without a limit of memory in the settings nothing is refused.

The list of counters in the test of the operators' document has one more.

--- a/drumbay/observability/serving_metrics.py
+++ b/drumbay/observability/serving_metrics.py
@@ -1,6 +1,8 @@
 """Counters and latency histograms of a serving node, in the Prometheus text format."""
 
-from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from collections.abc import Callable
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 REQUEST_BUCKETS_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10)
 ITEM_BUCKETS_SECONDS = (0.25, 0.5, 1, 2, 4, 6, 8, 12, 20, 60)
@@ -110,6 +112,27 @@
             registry=self._registry,
         )
 
+        self._held_bytes = Gauge(
+            "drumbay_serving_held_bytes",
+            "Bytes of requests and of answers not yet read that are held, by kind.",
+            ("kind",),
+            registry=self._registry,
+        )
+        self._shed_requests = Counter(
+            "drumbay_serving_shed_requests",
+            "Requests without room, and answers that nobody read, by kind and reason.",
+            ("kind", "reason"),
+            registry=self._registry,
+        )
+
+    def watch_held_bytes(self, kind: str, read: Callable[[], float]) -> None:
+        """Read the bytes held of one kind whenever metrics are asked for."""
+        self._held_bytes.labels(kind).set_function(read)
+
+    def count_shed(self, kind: str, reason: str) -> None:
+        """Count a request without room, or an answer that nobody read."""
+        self._shed_requests.labels(kind, reason).inc()
+
     def count_worker_death(self) -> None:
         """Count a worker that ended under a request."""
         self._worker_deaths.inc()
--- a/drumbay/peers/transport.py
+++ b/drumbay/peers/transport.py
@@ -6,9 +6,10 @@
 
 import msgspec
 from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.httputil import HTTPServerRequest
 
 from drumbay.clock import Clock
+from drumbay.comm.answer_delivery import Delivery, HttpAnswer, deliver_answer
 from drumbay.comm.http_exchange import (
     ExchangeBrokenError,
     ExchangeNotSentError,
@@ -18,9 +19,14 @@
     NetworkAddress,
 )
 from drumbay.exceptions import DeadlineExceededError, UnavailableError
+from drumbay.observability.logs import log_event
 from drumbay.peers.messages import PeerReply, PeerRequest
 
 CONNECT_TIMEOUT_SECONDS = 0.3
+UNREAD_LIMIT_SECONDS = 5.0
+"""A reply of which nothing is read for so long is dropped: longer than any call waits for it, so
+that only a caller that was suspended or cut off loses it."""
+
 PEER_PATH = "/peer"
 METRICS_PATH = "/metrics"
 
@@ -133,21 +139,23 @@
 
     async def _answer(self, request: HTTPServerRequest) -> None:
         if request.path == METRICS_PATH:
-            _reply(request, 200, self._render_metrics())
+            await _reply(request, HttpAnswer(status=200, body=self._render_metrics()))
             return
         try:
             decoded = _request_decoder.decode(request.body)
         except msgspec.DecodeError:
-            _reply(request, 400, b"")
+            await _reply(request, HttpAnswer(status=400))
             return
-        _reply(request, 200, _encoder.encode(await self._handle(decoded)))
+        body = _encoder.encode(await self._handle(decoded))
+        await _reply(request, HttpAnswer(status=200, body=body))
 
 
-def _reply(request: HTTPServerRequest, status: int, body: bytes) -> None:
-    connection = request.connection
-    if connection is None:
+async def _reply(request: HTTPServerRequest, answer: HttpAnswer) -> None:
+    if request.connection is None:
         return
-    headers = HTTPHeaders({"Content-Length": str(len(body))})
-    written = connection.write_headers(ResponseStartLine("HTTP/1.1", status, ""), headers, body)
-    written.add_done_callback(lambda future: future.cancelled() or future.exception())
-    connection.finish()
+    if await deliver_answer(request.connection, answer, _gives_up) is Delivery.NOT_READ:
+        log_event("peer_reply_not_read", peer=request.remote_ip, body_bytes=len(answer.body))
+
+
+def _gives_up(unread_seconds: float) -> bool:
+    return unread_seconds >= UNREAD_LIMIT_SECONDS
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -49,6 +49,7 @@
 from drumbay.quarantine.service import Quarantine
 from drumbay.quarantine.stored import StoredQuarantine
 from drumbay.scaling.keeper import WorkerCountKeeper
+from drumbay.serving.held_memory import HeldMemory
 from drumbay.serving.settings import ServingEnvironment, ServingSettings
 from drumbay.tasks import TaskOwner
 from drumbay.tenants.access import admit
@@ -82,6 +83,7 @@
         self._tasks = TaskOwner()
         self._notices = NoticeQueues(environment.peers, self._tasks)
         self.metrics = ServingMetrics()
+        self.held = HeldMemory(settings.held_bytes, self.metrics)
         address = settings.identity.address
         self._usage = UsageService(clock, settings.usage, settings.identity)
         self._peer_directory = PeerDirectory(
--- a/drumbay/serving/settings.py
+++ b/drumbay/serving/settings.py
@@ -35,6 +35,7 @@
         is_restart: Whether an earlier process at this address may have owned batch jobs.
         usage: What usage reports are to be; ``None`` where none are asked for.
         orders_workers: Whether the number of workers is this system's to order.
+        held_bytes: Most bytes that are held for callers; ``None`` where no limit is known.
     """
 
     machine: str
@@ -50,6 +51,7 @@
     is_restart: bool = False
     usage: UsageSettings | None = None
     orders_workers: bool = False
+    held_bytes: int | None = None
 
 
 class ServingEnvironment(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/test_operations_document.py
+++ b/tests/test_operations_document.py
@@ -91,6 +91,7 @@
                 "worker_pauses",
                 "worker_deaths",
                 "held_requests",
+                "shed_requests",
             )
         }
         self.assertEqual(documented, {f"{name}_total" for name in counters})
--- /dev/null
+++ b/tests/test_slow_readers.py
@@ -0,0 +1,265 @@
+"""Slow readers, large answers and large bodies over sockets: bounded, counted, delivered."""
+
+import asyncio
+import socket
+import unittest
+from collections.abc import Callable
+from unittest import mock
+
+from drumbay_platform.settings import parse_settings
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPServerRequest
+from tornado.testing import bind_unused_port
+
+from drumbay.comm import answer_delivery
+from drumbay.comm.answer_delivery import Delivery, HttpAnswer, deliver_answer
+from drumbay.limits.held_bytes import PRESSED_READER_SECONDS, HeldKind, held_bytes_bound
+from drumbay.observability.serving_metrics import ServingMetrics
+from drumbay.serving.held_memory import HeldMemory, HeldRequest
+from drumbay.serving.request_intake import RequestIntake
+from tests.test_platform_adapter import SETTINGS
+from tests.test_platform_serving import HOST, LIMIT_SECONDS, ServingFixture, eventually
+
+MEGABYTE = 1_000_000
+BOUND = 8 * MEGABYTE
+ANSWER_BYTES = 2 * MEGABYTE
+LARGE_BYTES = 16 * MEGABYTE
+"""More than the buffers of a loopback connection take."""
+
+SMALL_BUFFER_BYTES = 4_096
+READ_BYTES = 131_072
+
+
+class SlowClient:
+    """A client over a connection with a small buffer, that reads only when it is told to."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+
+    async def connect(self) -> None:
+        plain = socket.socket()
+        plain.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        plain.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(plain, ("127.0.0.1", self._port))
+        self.reader, self._writer = await asyncio.open_connection(sock=plain, limit=1_024)
+
+    async def send(self, method: str, path: str, headers: str = "", body: bytes = b"") -> None:
+        head = f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n{headers}\r\n"
+        self._writer.write(head.encode() + body)
+        await self._writer.drain()
+
+    async def send_more(self, body: bytes) -> None:
+        self._writer.write(body)
+        await self._writer.drain()
+
+    async def read_head(self) -> tuple[int, dict[str, str]]:
+        lines = (await self.reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+        pairs = [line.partition(": ") for line in lines[1:] if line]
+        return int(lines[0].split()[1]), {name: value for name, _, value in pairs}
+
+    def close(self) -> None:
+        self._writer.transport.abort()
+
+
+class SlowReadersTest(unittest.IsolatedAsyncioTestCase):
+    """A server that answers each request with a body of the size that its path names."""
+
+    async def asyncSetUp(self) -> None:
+        patience = dict.fromkeys(HeldKind, 0.2)
+        for patched in (
+            mock.patch.dict(PRESSED_READER_SECONDS, patience),
+            mock.patch.object(answer_delivery, "READ_CHECK_SECONDS", 0.05),
+        ):
+            patched.start()
+            self.addCleanup(patched.stop)
+        self.metrics = ServingMetrics()
+        self.memory = HeldMemory(BOUND, self.metrics)
+        self.most_held_bytes = 0
+        self.delivered: list[Delivery] = []
+        self.tasks: set[asyncio.Task[None]] = set()
+        listener, self.port = bind_unused_port()
+        self.server = HTTPServer(RequestIntake(self.hold, self.serve))
+        self.server.add_sockets([listener])
+        self.addAsyncCleanup(self.server.close_all_connections)
+
+    @property
+    def held_bytes(self) -> int:
+        return self.memory.bytes.use.held_bytes
+
+    def hold(self, request: HTTPServerRequest) -> HeldRequest:
+        return self.memory.open(HeldKind.LOOKUP, "r", "route")
+
+    def serve(self, request: HTTPServerRequest, held: HeldRequest) -> None:
+        task = asyncio.get_running_loop().create_task(self.answer(request, held))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def answer(self, request: HTTPServerRequest, held: HeldRequest) -> None:
+        assert request.connection is not None
+        body = bytes(int(request.path.removeprefix("/")))
+        held.hold_answer(len(body))
+        self.most_held_bytes = max(self.most_held_bytes, self.held_bytes)
+        delivery = await deliver_answer(
+            request.connection,
+            HttpAnswer(status=200, body=body),
+            lambda unread_seconds: held.gives_up_reader(unread_seconds, leaving=False),
+        )
+        held.release()
+        self.delivered.append(delivery)
+
+    async def client(self) -> SlowClient:
+        client = SlowClient(self.port)
+        await client.connect()
+        self.addCleanup(client.close)
+        return client
+
+    async def until(self, check: Callable[[], bool]) -> None:
+        async def checked() -> bool:
+            return check()
+
+        await eventually(checked)
+
+    async def test_a_reader_that_reads_nothing_is_given_up_where_others_need_the_room(self) -> None:
+        async with asyncio.timeout(LIMIT_SECONDS):
+            client = await self.client()
+            await client.send("GET", f"/{LARGE_BYTES}")
+            await self.until(lambda: self.held_bytes > LARGE_BYTES)
+            await self.until(lambda: self.delivered == [Delivery.NOT_READ])
+        self.assertEqual(self.held_bytes, 0)
+        self.assertIn(
+            b'drumbay_serving_shed_requests_total{kind="lookup",reason="not_read"} 1.0',
+            self.metrics.render(),
+        )
+        self.assertIn(b'drumbay_serving_held_bytes{kind="lookup"} 0.0', self.metrics.render())
+
+    async def test_a_slow_reader_that_reads_gets_all(self) -> None:
+        """It takes far longer than a reader may read nothing: progress counts, not age."""
+        async with asyncio.timeout(LIMIT_SECONDS):
+            client = await self.client()
+            await client.send("GET", f"/{LARGE_BYTES}")
+            status, headers = await client.read_head()
+            self.assertEqual((status, headers["Content-Length"]), (200, str(LARGE_BYTES)))
+            left = LARGE_BYTES
+            while left:
+                await asyncio.sleep(0.005)
+                left -= len(await client.reader.readexactly(min(left, READ_BYTES)))
+            await self.until(lambda: self.delivered == [Delivery.SENT])
+        self.assertEqual(self.held_bytes, 0)
+
+    async def test_many_large_answers_at_once_stay_within_the_bound(self) -> None:
+        async with asyncio.timeout(LIMIT_SECONDS):
+            first = await self.client()
+            await first.send("GET", f"/{ANSWER_BYTES}")
+            await first.read_head()
+            await first.reader.readexactly(ANSWER_BYTES)
+            clients = [await self.client() for _ in range(30)]
+            for client in clients:
+                await client.send("GET", f"/{ANSWER_BYTES}")
+            heads = await asyncio.gather(*(client.read_head() for client in clients))
+            await self.until(lambda: self.held_bytes == 0)
+        refused = [headers for status, headers in heads if status == 503]
+        taken = [headers for status, headers in heads if status == 200]
+        self.assertEqual(len(taken), BOUND // ANSWER_BYTES - 1)
+        self.assertEqual(len(refused) + len(taken), len(clients))
+        self.assertTrue(all(float(headers["Retry-After"]) > 0 for headers in refused))
+        self.assertLessEqual(self.most_held_bytes, BOUND)
+
+    async def test_a_body_without_room_is_refused_before_it_comes(self) -> None:
+        self.memory.bytes.take(HeldKind.LOOKUP, BOUND)
+        async with asyncio.timeout(LIMIT_SECONDS):
+            client = await self.client()
+            await client.send("POST", "/7", f"Content-Length: {LARGE_BYTES}\r\n", bytes(10))
+            status, headers = await client.read_head()
+            self.assertEqual((status, headers["Retry-After"]), (503, "0.5"))
+            self.assertEqual(self.held_bytes, BOUND)
+            self.memory.bytes.release(HeldKind.LOOKUP, BOUND)
+            await client.send_more(bytes(LARGE_BYTES - 10))
+            await client.send("POST", "/7", "Content-Length: 3\r\n", b"abc")
+            self.assertEqual((await client.read_head())[0], 200)
+            self.assertEqual(await client.reader.readexactly(7), bytes(7))
+
+    async def test_a_body_of_no_announced_length_is_refused_once_it_has_no_room(self) -> None:
+        self.memory.bytes.take(HeldKind.LOOKUP, BOUND // 2)
+        chunk = b"%x\r\n%s\r\n" % (MEGABYTE, bytes(MEGABYTE))
+        async with asyncio.timeout(LIMIT_SECONDS):
+            client = await self.client()
+            await client.send("POST", "/7", "Transfer-Encoding: chunked\r\n")
+            for _ in range(8):
+                await client.send_more(chunk)
+            self.assertEqual((await client.read_head())[0], 503)
+            self.assertEqual(self.held_bytes, BOUND // 2)
+
+    async def test_a_body_that_breaks_off_gives_its_room_back(self) -> None:
+        async with asyncio.timeout(LIMIT_SECONDS):
+            client = await self.client()
+            await client.send("POST", "/7", f"Content-Length: {MEGABYTE}\r\n", bytes(10))
+            await self.until(lambda: self.held_bytes > MEGABYTE)
+            client.close()
+            await self.until(lambda: self.held_bytes == 0)
+
+
+class ServingNodeTest(ServingFixture):
+    """The same at a whole node, whose lookup worker answers with the body that it got."""
+
+    async def ask_slowly(self) -> SlowClient:
+        self.configure(1, "/l/")
+        process = await self.start()
+        client = SlowClient(process.front.port)
+        await client.connect()
+        self.addCleanup(client.close)
+        headers = f"X-Drumbay-Attempt-Id: r1\r\nContent-Length: {LARGE_BYTES}\r\n"
+        await client.send("POST", "/l/1", headers, bytes(LARGE_BYTES))
+        self.assertEqual((await client.read_head())[0], 200)
+        return client
+
+    async def test_a_planned_stop_waits_for_a_reader_that_reads(self) -> None:
+        node = self.processes[0].node
+        async with asyncio.timeout(LIMIT_SECONDS):
+            client = await self.ask_slowly()
+            stopping = asyncio.create_task(node.stop())
+            left = LARGE_BYTES
+            while left:
+                self.assertFalse(stopping.done() and left > LARGE_BYTES // 2)
+                left -= len(await client.reader.readexactly(min(left, READ_BYTES)))
+            await stopping
+        self.assertEqual(node.held.bytes.use.held_bytes, 0)
+
+    async def test_a_planned_stop_does_not_wait_for_a_reader_that_reads_nothing(self) -> None:
+        node = self.processes[0].node
+        shed = b'drumbay_serving_shed_requests_total{kind="lookup",reason="not_read"} 1.0'
+        with mock.patch.dict(PRESSED_READER_SECONDS, {HeldKind.LOOKUP: 0.5}):
+            async with asyncio.timeout(LIMIT_SECONDS):
+                await self.ask_slowly()
+                self.assertGreater(node.held.bytes.held(HeldKind.LOOKUP), LARGE_BYTES)
+                await node.stop()
+        self.assertEqual(node.held.bytes.use.held_bytes, 0)
+        self.assertIn(shed, node.metrics.render())
+
+    async def test_pages_go_first_and_lookups_are_served_on(self) -> None:
+        process = self.processes[0]
+        node = process.node
+        self.configure(1, "/l/")
+        await self.start()
+        bound_bytes = 10 * MEGABYTE
+        node.held.bytes = type(node.held.bytes)(bound_bytes)
+        node.held.bytes.take(HeldKind.LOOKUP, int(0.6 * bound_bytes))
+        async with asyncio.timeout(LIMIT_SECONDS):
+            page = await process.ask("GET", "/lots/b1")
+            self.assertEqual((page.status, page.headers["Retry-After"]), (503, "0.5"))
+            self.assertEqual((await process.ask("POST", "/l/1", b"question")).status, 200)
+            self.assertEqual((await process.ask("DELETE", "/lots/b1")).status, 404)
+            node.held.bytes.take(HeldKind.LOOKUP, int(0.2 * bound_bytes))
+            submission = await process.ask("POST", "/p/x", b"{}")
+            self.assertEqual((submission.status, submission.headers["Retry-After"]), (503, "0.5"))
+            self.assertEqual((await process.ask("POST", "/l/1", b"question")).status, 200)
+
+
+class SettingsTest(unittest.TestCase):
+    def test_the_bound_comes_from_the_memory_that_is_named(self) -> None:
+        self.assertIsNone(held_bytes_bound(parse_settings(SETTINGS).memory_bytes))
+        named = parse_settings(SETTINGS + "\nlimits.memoryMb=552")
+        self.assertEqual(held_bytes_bound(named.memory_bytes), 240 * MEGABYTE)
+
+
+if __name__ == "__main__":
+    unittest.main()
