Count the calls to the store by what they are for

Cause: each call is priced, and nobody could see which duty makes them: one counter knew the outcome of calls that go through the relaying client alone, none those of the heartbeat, the feeds' watches and what is carried out for other nodes.

Ruled out: a purpose passed by each caller: it would go through every interface, and be forgotten.

Change: the node's way to the store counts by operation and by the key's subject, in a metric with bounded labels, and logs the counts each 15 s and at a planned stop. Nothing is decided by it.

Test: the table of subjects, and one call of each kind counted once; it needs the new module. The list of counters in the test of the operators' document has one more.

--- a/drumbay/observability/serving_metrics.py
+++ b/drumbay/observability/serving_metrics.py
@@ -70,6 +70,12 @@
             ("outcome",),
             registry=self._registry,
         )
+        self._store_purposes = Counter(
+            "drumbay_serving_store_purposes",
+            "Calls to the key-value service, those for other nodes included, by purpose.",
+            ("operation", "subject"),
+            registry=self._registry,
+        )
         self._store_seconds = Histogram(
             "drumbay_serving_store_seconds",
             "Time of direct calls to the key-value service.",
@@ -180,6 +186,10 @@
         self._store_calls.labels(outcome).inc()
         self._store_seconds.observe(seconds)
 
+    def count_store_purpose(self, operation: str, subject: str) -> None:
+        """Count a call to the key-value service that this node makes, by what it is for."""
+        self._store_purposes.labels(operation, subject).inc()
+
     def count_relayed_store_call(self) -> None:
         """Count a call that another node carried out."""
         self._store_calls.labels("relayed").inc()
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -51,6 +51,7 @@
 from drumbay.scaling.keeper import WorkerCountKeeper
 from drumbay.serving.held_memory import HeldMemory
 from drumbay.serving.settings import ServingEnvironment, ServingSettings
+from drumbay.serving.store_calls import CountedStore
 from drumbay.tasks import TaskOwner
 from drumbay.tenants.access import admit
 from drumbay.tenants.records import TenantName
@@ -84,22 +85,24 @@
         self._notices = NoticeQueues(environment.peers, self._tasks)
         self.metrics = ServingMetrics()
         self.held = HeldMemory(settings.held_bytes, self.metrics)
+        direct_store = CountedStore(clock, environment.store, self.metrics)
+        self._counted_store = direct_store
         address = settings.identity.address
         self._usage = UsageService(clock, settings.usage, settings.identity)
         self._peer_directory = PeerDirectory(
             clock,
-            environment.store,
+            direct_store,
             address,
             environment.generator,
             self._suspect_store,
         )
-        self._relay_server = StoreRelayServer(environment.store)
+        self._relay_server = StoreRelayServer(direct_store)
         self._store = RelayingStore(
-            clock, environment.store, environment.peers, self._peer_directory, self.metrics
+            clock, direct_store, environment.peers, self._peer_directory, self.metrics
         )
         self._feeds = SharedFeeds(
             clock,
-            environment.store,
+            direct_store,
             self._store,
             environment.peers,
             self._peer_directory,
@@ -202,6 +205,7 @@
         self._tasks.spawn(self.leader.run(), "leader-election")
         self._tasks.spawn(self._retention.run(), "batch-retention")
         self._tasks.spawn(self._coordinator.run(), "version-coordinator")
+        self._tasks.spawn(self._counted_store.run_log(), "store-call-log")
         self._start_duties()
         if self._settings.is_restart:
             self._tasks.spawn(self._take_up_own_batches(), "own-batches")
@@ -416,6 +420,7 @@
             self._environment.peers, self._peer_directory.others_responsive(watchers)
         )
         await self.close()
+        self._counted_store.log_counts()
         log_event("serving_stopped", node=self._settings.machine)
 
     async def close(self) -> None:
--- /dev/null
+++ b/drumbay/serving/store_calls.py
@@ -0,0 +1,183 @@
+"""Counts the calls to the key-value service by what they are for.
+
+Each call is priced and counts against a rate that all nodes share: an operator has to see which
+duty spends them. What a call is for is told by its operation and its key, so that no caller has to
+say it, and nobody can forget to.
+"""
+
+from collections.abc import AsyncIterator
+from enum import StrEnum
+
+from drumbay.batches import ledger
+from drumbay.clock import Clock
+from drumbay.identifiers import Revision
+from drumbay.kv.interface import (
+    LONGEST_QUIET_SECONDS,
+    Delete,
+    KeyValueStore,
+    LeaseGrant,
+    ModRevisionIs,
+    Put,
+    RangeResult,
+    TransactionResult,
+    WatchBatch,
+)
+from drumbay.observability.logs import log_event
+from drumbay.observability.serving_metrics import ServingMetrics
+from drumbay.ownership import leader
+from drumbay.peers import directory
+from drumbay.quarantine import stored
+from drumbay.scaling import keeper
+from drumbay.usage import ledger as usage_ledger
+
+COUNT_LOG_SECONDS = 15.0
+"""How often the counts are logged: a process that is killed takes no more than the last of these
+along, and a line each quarter of a minute is no load."""
+
+
+class StoreOperation(StrEnum):
+    """What is asked of the service."""
+
+    READ = "read"
+    WATCH = "watch"
+    WRITE = "write"
+    LEASE_GRANT = "lease_grant"
+    LEASE_RENEWAL = "lease_renewal"
+    LEASE_END = "lease_end"
+
+
+class StoreSubject(StrEnum):
+    """What a call is about."""
+
+    BATCH_ACCEPT = "batch_accept"
+    BATCH_OWNER = "batch_owner"
+    BATCH_PROGRESS = "batch_progress"
+    BATCH_RESULTS = "batch_results"
+    BATCH_WHOLE = "batch_whole"
+    BATCH_INDEX = "batch_index"
+    BATCH_OPEN = "batch_open"
+    NODES = "nodes"
+    LEADER = "leader"
+    QUARANTINE = "quarantine"
+    SCALING = "scaling"
+    USAGE = "usage"
+    LEASE = "lease"
+    ENTRIES = "entries"
+    """Entries of operators and workers, below the platform's own keys."""
+
+
+_BATCH_PARTS = {
+    "owner": StoreSubject.BATCH_OWNER,
+    "progress": StoreSubject.BATCH_PROGRESS,
+    "results": StoreSubject.BATCH_RESULTS,
+}
+_PREFIXES = {
+    ledger.INDEX_PREFIX: StoreSubject.BATCH_INDEX,
+    ledger.OPEN_PREFIX: StoreSubject.BATCH_OPEN,
+    directory.PREFIX: StoreSubject.NODES,
+    leader.PREFIX: StoreSubject.LEADER,
+    stored.PREFIX: StoreSubject.QUARANTINE,
+    keeper.STANDING_KEY: StoreSubject.SCALING,
+    usage_ledger.PREFIX: StoreSubject.USAGE,
+}
+
+
+def subject_of_key(key: str) -> StoreSubject:
+    """Return what a key or a prefix of keys is about."""
+    if key.startswith(ledger.PREFIX):
+        part = key.removeprefix(ledger.PREFIX).partition("/")[2].partition("/")[0]
+        return _BATCH_PARTS.get(part, StoreSubject.BATCH_WHOLE)
+    for prefix, subject in _PREFIXES.items():
+        if key.startswith(prefix):
+            return subject
+    return StoreSubject.ENTRIES
+
+
+def subject_of_write(
+    compares: tuple[ModRevisionIs, ...], operations: tuple[Put | Delete, ...]
+) -> StoreSubject:
+    """Return what a transaction is about: its first operation tells."""
+    if not operations:
+        return StoreSubject.ENTRIES
+    subject = subject_of_key(operations[0].key)
+    is_new = any(compare.mod_revision == ledger.ABSENT for compare in compares)
+    if subject is StoreSubject.BATCH_OWNER and is_new:
+        return StoreSubject.BATCH_ACCEPT
+    return subject
+
+
+class CountedStore:
+    """A :class:`drumbay.kv.interface.KeyValueStore` that counts what goes through it."""
+
+    def __init__(self, clock: Clock, direct: KeyValueStore, metrics: ServingMetrics) -> None:
+        """Pass each call on to ``direct``."""
+        self._clock = clock
+        self._direct = direct
+        self._metrics = metrics
+        self._counts: dict[str, int] = {}
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """Return the number of calls by operation and subject."""
+        return dict(self._counts)
+
+    async def run_log(self) -> None:
+        """Log the counts now and then, until cancelled."""
+        while True:
+            await self._clock.sleep(COUNT_LOG_SECONDS)
+            self.log_counts()
+
+    def log_counts(self) -> None:
+        """Log how many calls were made since the start, by purpose."""
+        purposes = ",".join(f"{name}:{count}" for name, count in sorted(self._counts.items()))
+        log_event("store_calls_counted", calls=sum(self._counts.values()), purposes=purposes)
+
+    async def range_prefix(self, prefix: str) -> RangeResult:
+        """Return every key that starts with ``prefix``; counted once, whatever its pages."""
+        self._count(StoreOperation.READ, subject_of_key(prefix))
+        return await self._direct.range_prefix(prefix)
+
+    async def range_page(self, prefix: str, after: str) -> RangeResult:
+        """Return the keys of ``prefix`` that sort after a key, as many as one answer holds."""
+        self._count(StoreOperation.READ, subject_of_key(prefix))
+        return await self._direct.range_page(prefix, after)
+
+    async def transact(
+        self, compares: tuple[ModRevisionIs, ...], operations: tuple[Put | Delete, ...]
+    ) -> TransactionResult:
+        """Carry out ``operations`` atomically if all ``compares`` hold."""
+        self._count(StoreOperation.WRITE, subject_of_write(compares, operations))
+        return await self._direct.transact(compares, operations)
+
+    async def grant_lease(self, ttl_seconds: float) -> LeaseGrant:
+        """Grant a lease."""
+        self._count(StoreOperation.LEASE_GRANT, StoreSubject.LEASE)
+        return await self._direct.grant_lease(ttl_seconds)
+
+    async def keep_lease_alive(self, lease_id: int) -> float:
+        """Renew a lease and return its remaining time in seconds."""
+        self._count(StoreOperation.LEASE_RENEWAL, StoreSubject.LEASE)
+        return await self._direct.keep_lease_alive(lease_id)
+
+    async def revoke_lease(self, lease_id: int) -> None:
+        """End a lease."""
+        self._count(StoreOperation.LEASE_END, StoreSubject.LEASE)
+        await self._direct.revoke_lease(lease_id)
+
+    async def watch_prefix(
+        self,
+        prefix: str,
+        start_revision: Revision,
+        quiet_seconds: float = LONGEST_QUIET_SECONDS,
+    ) -> AsyncIterator[WatchBatch]:
+        """Yield the changes of ``prefix``; each time that more are asked for counts."""
+        subject = subject_of_key(prefix)
+        self._count(StoreOperation.WATCH, subject)
+        async for batch in self._direct.watch_prefix(prefix, start_revision, quiet_seconds):
+            yield batch
+            self._count(StoreOperation.WATCH, subject)
+
+    def _count(self, operation: StoreOperation, subject: StoreSubject) -> None:
+        purpose = f"{operation}/{subject}"
+        self._counts[purpose] = self._counts.get(purpose, 0) + 1
+        self._metrics.count_store_purpose(operation, subject)
--- a/tests/test_operations_document.py
+++ b/tests/test_operations_document.py
@@ -92,6 +92,7 @@
                 "worker_deaths",
                 "held_requests",
                 "shed_requests",
+                "store_purposes",
             )
         }
         self.assertEqual(documented, {f"{name}_total" for name in counters})
--- /dev/null
+++ b/tests/test_store_calls.py
@@ -0,0 +1,96 @@
+"""Calls to the key-value service, counted by what they are for."""
+
+import asyncio
+import random
+import unittest
+from unittest import mock
+
+from drumbay.batches.ledger import INDEX_PREFIX, OPEN_PREFIX, PREFIX
+from drumbay.clock import SystemClock
+from drumbay.identifiers import Revision
+from drumbay.kv.interface import Delete, ModRevisionIs, Put
+from drumbay.kv.memory import MemoryKeyValueStore
+from drumbay.observability.serving_metrics import ServingMetrics
+from drumbay.ownership import leader
+from drumbay.peers import directory
+from drumbay.quarantine import stored
+from drumbay.scaling import keeper
+from drumbay.serving.store_calls import (
+    CountedStore,
+    StoreSubject,
+    subject_of_key,
+    subject_of_write,
+)
+from drumbay.standins.kv_model import KeyValueModel
+from drumbay.usage import ledger as usage_ledger
+
+
+class SubjectTest(unittest.TestCase):
+    def test_what_keys_are_about(self) -> None:
+        table = {
+            f"{PREFIX}b1/owner": StoreSubject.BATCH_OWNER,
+            f"{PREFIX}b1/progress/000000000007-0001": StoreSubject.BATCH_PROGRESS,
+            f"{PREFIX}b1/results/00000064": StoreSubject.BATCH_RESULTS,
+            f"{PREFIX}b1/spec/0000": StoreSubject.BATCH_WHOLE,
+            f"{PREFIX}b1/": StoreSubject.BATCH_WHOLE,
+            INDEX_PREFIX: StoreSubject.BATCH_INDEX,
+            f"{OPEN_PREFIX}10.0.0.1:7000/b1": StoreSubject.BATCH_OPEN,
+            directory.PREFIX: StoreSubject.NODES,
+            leader.CURRENT_KEY: StoreSubject.LEADER,
+            stored.PREFIX: StoreSubject.QUARANTINE,
+            keeper.STANDING_KEY: StoreSubject.SCALING,
+            usage_ledger.REPORT_PREFIX: StoreSubject.USAGE,
+            "anything/else": StoreSubject.ENTRIES,
+        }
+        self.assertEqual({key: subject_of_key(key) for key in table}, table)
+
+    def test_a_new_batch_job_is_told_from_a_change_of_its_owner(self) -> None:
+        owner = f"{PREFIX}b1/owner"
+        put = Put(key=owner, value=b"")
+        is_new = ModRevisionIs(key=owner, mod_revision=Revision(0))
+        is_old = ModRevisionIs(key=owner, mod_revision=Revision(7))
+        self.assertIs(subject_of_write((is_new,), (put,)), StoreSubject.BATCH_ACCEPT)
+        self.assertIs(subject_of_write((is_old,), (put,)), StoreSubject.BATCH_OWNER)
+        self.assertIs(subject_of_write((), (Delete(key=owner),)), StoreSubject.BATCH_OWNER)
+
+
+class CountedStoreTest(unittest.IsolatedAsyncioTestCase):
+    async def test_each_call_counts_once_and_each_answer_of_a_watch(self) -> None:
+        clock = SystemClock()
+        model = KeyValueModel(clock, generator=random.Random(1))
+        metrics = ServingMetrics()
+        store = CountedStore(clock, MemoryKeyValueStore(model, clock), metrics)
+        lease = await store.grant_lease(5.0)
+        await store.keep_lease_alive(lease.lease_id)
+        key = f"{directory.PREFIX}n1"
+        await store.transact((), (Put(key=key, value=b"1", lease_id=lease.lease_id),))
+        found = await store.range_prefix(directory.PREFIX)
+        self.assertEqual([item.key for item in found.items], [key])
+        watch = store.watch_prefix(directory.PREFIX, Revision(found.revision + 1))
+        coming = asyncio.ensure_future(anext(watch))
+        await asyncio.sleep(0)
+        await store.revoke_lease(lease.lease_id)
+        self.assertEqual([event.key for event in (await coming).events], [key])
+        self.assertEqual(
+            store.counts,
+            {
+                "lease_grant/lease": 1,
+                "lease_renewal/lease": 1,
+                "write/nodes": 1,
+                "read/nodes": 1,
+                "watch/nodes": 1,
+                "lease_end/lease": 1,
+            },
+        )
+        self.assertIn(
+            b'drumbay_serving_store_purposes_total{operation="read",subject="nodes"} 1.0',
+            metrics.render(),
+        )
+        with mock.patch("drumbay.serving.store_calls.log_event") as log:
+            store.log_counts()
+        self.assertEqual(log.call_args.kwargs["calls"], 6)
+        self.assertIn("watch/nodes:1", log.call_args.kwargs["purposes"])
+
+
+if __name__ == "__main__":
+    unittest.main()
