Refuse a large body that stops coming while others need its room

Cause: room is set aside for a body by its announced length; a client that announced 32 MB and sent nothing would have kept that room from others for as long as it pleased.

Ruled out: a limit on the whole time of a body: a slow link takes long, and progress counts, not age.

Change: a body over 64 KB of which nothing came for 2 to 5 s while the node refuses others, or for 20 s at any time, is answered 503 with Retry-After; it has not run. Its room is given back at once.

A large body that comes slowly is taken.

--- a/drumbay/limits/held_bytes.py
+++ b/drumbay/limits/held_bytes.py
@@ -31,8 +31,8 @@
 """A request larger than its kind's share could never be taken by the rule for the others. It is
 taken while at most this share of the bound is held, so that such requests pass one at a time."""
 
-SLOWEST_READER_SECONDS = 20.0
-"""A connection over which nothing could be sent for so long has no reader left. Long against a
+LONGEST_STILL_SECONDS = 20.0
+"""A connection over which nothing went for so long has nobody at its other end. Long against a
 partition of some seconds, after which a ready answer is still of use."""
 
 ANSWER_MEMORY_SHARE = 0.95
@@ -56,19 +56,21 @@
 
     NO_ROOM = "no_room"
     NOT_READ = "not_read"
+    NOT_SENT = "not_sent"
 
 
 BOUND_SHARES = {HeldKind.RESULTS: 0.5, HeldKind.SUBMISSION: 0.75, HeldKind.LOOKUP: 1.0}
 """Up to which share of the bound each kind is taken. Results can be read again at any node at no
 loss, so they go first; a new batch job can be handed in again; a lookup has a caller who waits."""
 
-PRESSED_READER_SECONDS = {
+PRESSED_STILL_SECONDS = {
     HeldKind.RESULTS: 2.0,
     HeldKind.SUBMISSION: 5.0,
     HeldKind.LOOKUP: 5.0,
 }
-"""How long an answer may lie unread while others are refused for want of room. Sending stands still
-for a second or two when packets are lost; a page of results costs its reader only another call."""
+"""How long an answer may lie unread, or a body stop coming, while others are refused for want of
+room. Sending stands still for a second or two when packets are lost; a page of results costs its
+reader only another call."""
 
 
 class HeldBytesUse(msgspec.Struct, frozen=True, kw_only=True):
@@ -114,14 +116,15 @@
         """Give bytes back."""
         self._held[kind] -= amount_bytes
 
-    def gives_up_reader(self, kind: HeldKind, unread_seconds: float, *, leaving: bool) -> bool:
-        """Return whether a connection is closed, to which nothing could be sent for some time.
+    def gives_up(self, kind: HeldKind, still_seconds: float, *, leaving: bool) -> bool:
+        """Return whether what is held is given up, after nothing of it moved for some time.
 
+        It is an answer of which nothing was read, or a body of which nothing came.
         A node that is ``leaving`` waits for readers that read, not for others.
         """
         is_pressed = leaving or self._is_pressed()
-        limit_seconds = PRESSED_READER_SECONDS[kind] if is_pressed else SLOWEST_READER_SECONDS
-        return unread_seconds >= limit_seconds
+        limit_seconds = PRESSED_STILL_SECONDS[kind] if is_pressed else LONGEST_STILL_SECONDS
+        return still_seconds >= limit_seconds
 
     def _has_room(self, kind: HeldKind, amount_bytes: int, own_bytes: int) -> bool:
         if self._bound_bytes is None:
--- a/drumbay/serving/held_memory.py
+++ b/drumbay/serving/held_memory.py
@@ -80,11 +80,18 @@
 
     def gives_up_reader(self, unread_seconds: float, *, leaving: bool) -> bool:
         """Return whether the answer is given up, of which nothing was read for some time."""
-        if not self._memory.bytes.gives_up_reader(self._kind, unread_seconds, leaving=leaving):
+        if not self._memory.bytes.gives_up(self._kind, unread_seconds, leaving=leaving):
             return False
         self._note_shed(ShedReason.NOT_READ, self._held_bytes, unread_seconds)
         return True
 
+    def gives_up_body(self, still_seconds: float) -> bool:
+        """Return whether the request is refused, of whose body nothing came for some time."""
+        if not self._memory.bytes.gives_up(self._kind, still_seconds, leaving=False):
+            return False
+        self._note_shed(ShedReason.NOT_SENT, self._held_bytes, still_seconds)
+        return True
+
     def release(self) -> None:
         """Give back all that is held."""
         self._memory.bytes.release(self._kind, self._held_bytes)
@@ -97,7 +104,7 @@
         self._held_bytes += amount_bytes
         return True
 
-    def _note_shed(self, reason: ShedReason, amount_bytes: int, unread_seconds: float) -> None:
+    def _note_shed(self, reason: ShedReason, amount_bytes: int, still_seconds: float) -> None:
         use = self._memory.bytes.use
         self._memory.metrics.count_shed(self._kind, reason)
         log_event(
@@ -107,7 +114,7 @@
             kind=self._kind,
             reason=reason,
             amount_bytes=amount_bytes,
-            unread_seconds=unread_seconds,
+            still_seconds=still_seconds,
             held_bytes=use.held_bytes,
             bound_bytes=use.bound_bytes,
         )
--- a/drumbay/serving/request_intake.py
+++ b/drumbay/serving/request_intake.py
@@ -5,6 +5,7 @@
 and dropped, since closing a connection with unread bytes could take the answer along.
 """
 
+import asyncio
 from collections.abc import Callable
 
 from tornado.httputil import (
@@ -23,6 +24,13 @@
 """When a caller without room may come again: another node may have room at once, and answers that
 are being read free theirs within tenths of a second."""
 
+WATCHED_BODY_BYTES = 65_536
+"""A larger body holds its room while it comes, and is refused if it stops coming while others need
+that room. A smaller one holds next to nothing, and mostly comes with its headers."""
+
+BODY_CHECK_SECONDS = 0.5
+"""How often a large body is looked at; only time for which this process ran counts."""
+
 
 class RequestIntake(HTTPServerConnectionDelegate):
     """Asks for room, then reads the body and hands the request on."""
@@ -66,6 +74,8 @@
         self._fits = True
         self._is_answered = False
         self._chunks: list[bytes] = []
+        self._still_seconds = 0.0
+        self._check: asyncio.TimerHandle | None = None
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -78,10 +88,14 @@
         self._body_is_announced = announced.isascii() and announced.isdigit()
         self._held = self._hold(self._request)
         # NOTE: tornado refuses a body over the limit after this; nothing is written before.
-        self._fits = self._held.try_begin(int(announced) if self._body_is_announced else 0)
+        body_bytes = int(announced) if self._body_is_announced else 0
+        self._fits = self._held.try_begin(body_bytes)
+        if self._fits and body_bytes > WATCHED_BODY_BYTES:
+            self._check_later()
 
     def data_received(self, chunk: bytes) -> None:
         assert self._held is not None
+        self._still_seconds = 0.0
         if self._fits and not self._body_is_announced:
             self._fits = self._held.try_body(len(chunk))
         if self._fits:
@@ -95,6 +109,7 @@
             self._refuse()
             self._connection.finish()
             return
+        self._end_check()
         self._request.body = b"".join(self._chunks)
         self._chunks.clear()
         self._serve(self._request, self._held)
@@ -102,6 +117,24 @@
     def on_connection_close(self) -> None:
         self._drop()
 
+    def _check_later(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._check = loop.call_later(BODY_CHECK_SECONDS, self._check_progress)
+
+    def _check_progress(self) -> None:
+        """Refuse a body of which nothing came for some time, if its room is needed."""
+        assert self._held is not None
+        self._still_seconds += BODY_CHECK_SECONDS
+        if self._held.gives_up_body(self._still_seconds):
+            self._fits = False
+            self._refuse()
+        else:
+            self._check_later()
+
+    def _end_check(self) -> None:
+        if self._check is not None:
+            self._check.cancel()
+
     def _refuse(self) -> None:
         """Answer, once, that the request has not run and when to come again."""
         if self._is_answered:
@@ -114,6 +147,7 @@
         written.add_done_callback(lambda future: future.cancelled() or future.exception())
 
     def _drop(self) -> None:
+        self._end_check()
         self._chunks.clear()
         if self._held is not None:
             self._held.release()
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -4,9 +4,9 @@
 
 from drumbay.limits.held_bytes import (
     ANSWER_MEMORY_SHARE,
+    LONGEST_STILL_SECONDS,
     MOST_ROUTES_REMEMBERED,
     PROCESS_OWN_BYTES,
-    SLOWEST_READER_SECONDS,
     SMALLEST_BOUND_BYTES,
     ExpectedAnswerSizes,
     HeldBytes,
@@ -85,13 +85,13 @@
         for _ in range(100):
             self.assertTrue(held.try_take(RESULTS, 10**9))
         self.assertEqual(held.held(RESULTS), 10**11)
-        self.assertFalse(held.gives_up_reader(RESULTS, 19.0, leaving=False))
+        self.assertFalse(held.gives_up(RESULTS, 19.0, leaving=False))
 
     def test_who_is_given_up_unread(self) -> None:
         table = [
             # kind, held, seconds unread, leaving, given up
             (RESULTS, 100, 2.0, False, False),
-            (RESULTS, 100, SLOWEST_READER_SECONDS, False, True),
+            (RESULTS, 100, LONGEST_STILL_SECONDS, False, True),
             (RESULTS, 500, 1.5, False, False),
             (RESULTS, 500, 2.0, False, True),
             (LOOKUP, 500, 2.0, False, False),
@@ -104,7 +104,7 @@
             with self.subTest(kind=kind, held_bytes=held_bytes, unread_seconds=unread_seconds):
                 held = HeldBytes(BOUND)
                 held.take(kind, held_bytes)
-                found = held.gives_up_reader(kind, unread_seconds, leaving=leaving)
+                found = held.gives_up(kind, unread_seconds, leaving=leaving)
                 self.assertEqual(found, given_up)
 
     def test_the_bound_follows_the_memory_of_the_process(self) -> None:
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -13,8 +13,9 @@
 
 from drumbay.comm import answer_delivery
 from drumbay.comm.answer_delivery import Delivery, HttpAnswer, deliver_answer
-from drumbay.limits.held_bytes import PRESSED_READER_SECONDS, HeldKind, held_bytes_bound
+from drumbay.limits.held_bytes import PRESSED_STILL_SECONDS, HeldKind, held_bytes_bound
 from drumbay.observability.serving_metrics import ServingMetrics
+from drumbay.serving import request_intake
 from drumbay.serving.held_memory import HeldMemory, HeldRequest
 from drumbay.serving.request_intake import RequestIntake
 from tests.test_platform_adapter import SETTINGS
@@ -67,8 +68,9 @@
     async def asyncSetUp(self) -> None:
         patience = dict.fromkeys(HeldKind, 0.2)
         for patched in (
-            mock.patch.dict(PRESSED_READER_SECONDS, patience),
+            mock.patch.dict(PRESSED_STILL_SECONDS, patience),
             mock.patch.object(answer_delivery, "READ_CHECK_SECONDS", 0.05),
+            mock.patch.object(request_intake, "BODY_CHECK_SECONDS", 0.05),
         ):
             patched.start()
             self.addCleanup(patched.stop)
@@ -189,6 +191,28 @@
             self.assertEqual((await client.read_head())[0], 503)
             self.assertEqual(self.held_bytes, BOUND // 2)
 
+    async def test_a_large_body_that_stops_coming_is_refused_where_others_need_its_room(
+        self,
+    ) -> None:
+        async with asyncio.timeout(LIMIT_SECONDS):
+            client = await self.client()
+            await client.send("POST", "/7", f"Content-Length: {3 * MEGABYTE}\r\n", bytes(10))
+            self.assertEqual((await client.read_head())[0], 503)
+            self.assertEqual(self.held_bytes, 0)
+            await client.send_more(bytes(3 * MEGABYTE - 10))
+            await client.send("POST", "/7", "Content-Length: 3\r\n", b"abc")
+            self.assertEqual((await client.read_head())[0], 200)
+
+    async def test_a_large_body_that_comes_slowly_is_taken(self) -> None:
+        part = bytes(10_000)
+        async with asyncio.timeout(LIMIT_SECONDS):
+            client = await self.client()
+            await client.send("POST", "/7", f"Content-Length: {3 * MEGABYTE}\r\n")
+            for _ in range(3 * MEGABYTE // len(part)):
+                await client.send_more(part)
+                await asyncio.sleep(0.002)
+            self.assertEqual((await client.read_head())[0], 200)
+
     async def test_a_body_that_breaks_off_gives_its_room_back(self) -> None:
         async with asyncio.timeout(LIMIT_SECONDS):
             client = await self.client()
@@ -227,7 +251,7 @@
     async def test_a_planned_stop_does_not_wait_for_a_reader_that_reads_nothing(self) -> None:
         node = self.processes[0].node
         shed = b'drumbay_serving_shed_requests_total{kind="lookup",reason="not_read"} 1.0'
-        with mock.patch.dict(PRESSED_READER_SECONDS, {HeldKind.LOOKUP: 0.5}):
+        with mock.patch.dict(PRESSED_STILL_SECONDS, {HeldKind.LOOKUP: 0.5}):
             async with asyncio.timeout(LIMIT_SECONDS):
                 await self.ask_slowly()
                 self.assertGreater(node.held.bytes.held(HeldKind.LOOKUP), LARGE_BYTES)
