--- a/tests/test_platform_serving.py
+++ b/tests/test_platform_serving.py
@@ -56,7 +56,13 @@
 class NodeProcess:
     """One node with its servers, as the edge process assembles them."""
 
-    def __init__(self, store: PlatformStoreServer, workers: EmulatedWorkerPool) -> None:
+    def __init__(
+        self,
+        store: PlatformStoreServer,
+        workers: EmulatedWorkerPool,
+        *,
+        stop_seconds: float = 2.0,
+    ) -> None:
         clock = SystemClock()
         self.peer_address = free_address()
         self.front = free_address()
@@ -65,7 +71,7 @@
             machine=str(self.peer_address),
             zone="z",
             identity=ServiceIdentity(address=self.peer_address, boot="boot"),
-            stop_seconds=2.0,
+            stop_seconds=stop_seconds,
             turn_away_seconds=0.2,
         )
         environment = ServingEnvironment(
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -19,7 +19,13 @@
 from drumbay.serving.held_memory import HeldMemory, HeldRequest
 from drumbay.serving.request_intake import RequestIntake
 from tests.test_platform_adapter import SETTINGS
-from tests.test_platform_serving import HOST, LIMIT_SECONDS, ServingFixture, eventually
+from tests.test_platform_serving import (
+    HOST,
+    LIMIT_SECONDS,
+    NodeProcess,
+    ServingFixture,
+    eventually,
+)
 
 MEGABYTE = 1_000_000
 BOUND = 8 * MEGABYTE
@@ -225,6 +231,11 @@
 class ServingNodeTest(ServingFixture):
     """The same at a whole node, whose lookup worker answers with the body that it got."""
 
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        # A stop that ends because its time is over would tell nothing.
+        self.processes = [NodeProcess(self.store, self.workers, stop_seconds=LIMIT_SECONDS)]
+
     async def ask_slowly(self) -> SlowClient:
         self.configure(1, "/l/")
         process = await self.start()
