--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -21,6 +21,7 @@
 )
 from drumbay.forwarding.routes import RequestKind, Route, RouteTable
 from drumbay.identifiers import BackendId
+from drumbay.limits.worker_bodies import may_send_body
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
 from drumbay.quarantine.records import Decision, Verdict
@@ -319,6 +320,8 @@
     def _choose(self, now: float) -> WorkerRecord | None:
         records = self._directory.of_service(self._service)
         records = [r for r in records if r.worker.worker_id not in self._apart_from]
+        body_bytes = len(self._request.body)
+        records = [r for r in records if may_send_body(r.body_bytes, body_bytes)]
         available = [record for record in records if record.is_available(now)]
         untried = [r for r in available if r.worker.worker_id not in self._tried]
         candidates = untried or available
@@ -366,9 +369,10 @@
             fresh_connection=is_fresh,
         )
         record.in_flight += 1
+        record.body_bytes += len(request.body)
         task = asyncio.get_running_loop().create_task(self._attempt(record, outgoing))
         # A task that is cancelled before it runs never comes to a ``finally`` of its own.
-        task.add_done_callback(lambda _: _note_ended(record))
+        task.add_done_callback(lambda _: _note_ended(record, len(request.body)))
         self._attempts[task] = _Attempt(record, self._clock.monotonic(), was_kept)
 
     async def _attempt(self, record: WorkerRecord, request: WorkerRequest) -> WorkerAnswer:
@@ -441,5 +445,6 @@
         )
 
 
-def _note_ended(record: WorkerRecord) -> None:
+def _note_ended(record: WorkerRecord, body_bytes: int) -> None:
     record.in_flight -= 1
+    record.body_bytes -= body_bytes
--- a/drumbay/workers/directory.py
+++ b/drumbay/workers/directory.py
@@ -38,13 +38,15 @@
 class WorkerRecord(msgspec.Struct, kw_only=True):
     """A worker and what this node has seen of it.
 
-    ``in_flight`` counts this node's requests there; ``expected_tokens`` is the sum of what those
-    of batch items are expected to generate, which the worker keeps in its memory meanwhile.
+    ``in_flight`` counts this node's requests there, ``body_bytes`` the bodies that clients sent
+    with them; ``expected_tokens`` is the sum of what those of batch items are expected to generate,
+    which the worker keeps in its memory meanwhile.
     """
 
     worker: Worker
     versions: dict[str, WeightVersion]
     in_flight: int = 0
+    body_bytes: int = 0
     expected_tokens: int = 0
     others: int = 0
     reported_at: float = float("-inf")
--- /dev/null
+++ b/tests/test_worker_bodies.py
@@ -0,0 +1,66 @@
+"""Large bodies on their way to workers: no more at one worker than it can be expected to bear."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from drumbay.exceptions import Execution
+from drumbay.forwarding.records import NoWorkerError
+from drumbay.forwarding.routes import RequestKind
+from drumbay.limits import worker_bodies
+from drumbay.limits.worker_bodies import (
+    MOST_BODY_BYTES_TO_ONE_WORKER,
+    SMALL_BODY_BYTES,
+    may_send_body,
+)
+from drumbay.workers.records import WorkerAnswer
+from tests.serving_world import ServingWorld, play
+from tests.test_forwarding import LOOKUPS, forwarder_of, request, route
+
+
+class WorkerBodiesTest(unittest.TestCase):
+    def test_what_may_be_sent(self) -> None:
+        most = MOST_BODY_BYTES_TO_ONE_WORKER
+        large = SMALL_BODY_BYTES + 1
+        table = [
+            (0, 10, True),
+            (0, 5 * most, True),
+            (most - large, large, True),
+            (most - large + 1, large, False),
+            (5 * most, large, False),
+            (5 * most, SMALL_BODY_BYTES, True),
+        ]
+        for under_way_bytes, body_bytes, may_send in table:
+            with self.subTest(under_way_bytes=under_way_bytes, body_bytes=body_bytes):
+                self.assertEqual(may_send_body(under_way_bytes, body_bytes), may_send)
+
+    def test_large_bodies_do_not_pile_up_at_full_workers(self) -> None:
+        """Nine bodies of six bytes before three workers that take ten each: three are sent."""
+
+        async def scenario(world: ServingWorld) -> None:
+            for number in range(3):
+                world.workers.add(f"w{number}", LOOKUPS)
+            forwarder = forwarder_of(world.clock, world.workers)
+            at_most_once = route(RequestKind.AT_MOST_ONCE)
+            found = await asyncio.gather(
+                *(forwarder.forward(at_most_once, request(f"body-{n}")) for n in range(9)),
+                return_exceptions=True,
+            )
+            answers = [answer for answer in found if isinstance(answer, WorkerAnswer)]
+            refused = [error for error in found if isinstance(error, NoWorkerError)]
+            self.assertEqual((len(answers), len(refused)), (3, 6))
+            self.assertEqual({error.execution for error in refused}, {Execution.NOT_RUN})
+            self.assertTrue(all(error.retry_after_seconds for error in refused))
+            self.assertEqual(len(world.workers.runs), 3)
+            again = await forwarder.forward(at_most_once, request("body-9"))
+            self.assertEqual(again.body, b"body-9")
+
+        with (
+            mock.patch.object(worker_bodies, "MOST_BODY_BYTES_TO_ONE_WORKER", 10),
+            mock.patch.object(worker_bodies, "SMALL_BODY_BYTES", 0),
+        ):
+            play(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
