Tell the size of answers from answers alone, and read held bytes without a class of its own

Failures without a body made a route's answers look smaller than they are. The counted store has one name in the node.

--- a/drumbay/serving/held_memory.py
+++ b/drumbay/serving/held_memory.py
@@ -1,5 +1,7 @@
 """What a node holds for each of its callers: counted, bounded, and told when it is shed."""
 
+from functools import partial
+
 from drumbay.limits.held_bytes import (
     BODY_COPIES,
     REQUEST_OWN_BYTES,
@@ -21,27 +23,13 @@
         self.answer_sizes = ExpectedAnswerSizes()
         self.metrics = metrics
         for kind in HeldKind:
-            metrics.watch_held_bytes(kind, self._reader_of(kind))
-
-    def _reader_of(self, kind: HeldKind) -> "_HeldReader":
-        return _HeldReader(self.bytes, kind)
+            metrics.watch_held_bytes(kind, partial(self.bytes.held, kind))
 
     def open(self, kind: HeldKind, request_id: str, route_name: str | None = None) -> "HeldRequest":
         """Begin to count for one request, whose answer may have a size to be expected."""
         return HeldRequest(self, kind, request_id, route_name)
 
 
-class _HeldReader:
-    """Reads what is held of one kind, when metrics are asked for."""
-
-    def __init__(self, held: HeldBytes, kind: HeldKind) -> None:
-        self._held = held
-        self._kind = kind
-
-    def __call__(self) -> float:
-        return float(self._held.held(self._kind))
-
-
 class HeldRequest:
     """What is held for one request and its answer, until it is released."""
 
@@ -72,7 +60,8 @@
 
     def hold_answer(self, answer_bytes: int) -> None:
         """Hold an answer in place of its request, whether or not there is room."""
-        if self._route_name is not None:
+        if self._route_name is not None and answer_bytes:
+            # Failures without a body tell nothing of the size of answers.
             self._memory.answer_sizes.observe(self._route_name, answer_bytes)
         self.release()
         self._held_bytes = REQUEST_OWN_BYTES + answer_bytes
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -85,24 +85,23 @@
         self._notices = NoticeQueues(environment.peers, self._tasks)
         self.metrics = ServingMetrics()
         self.held = HeldMemory(settings.held_bytes, self.metrics)
-        direct_store = CountedStore(clock, environment.store, self.metrics)
-        self._counted_store = direct_store
+        self._direct_store = CountedStore(clock, environment.store, self.metrics)
         address = settings.identity.address
         self._usage = UsageService(clock, settings.usage, settings.identity)
         self._peer_directory = PeerDirectory(
             clock,
-            direct_store,
+            self._direct_store,
             address,
             environment.generator,
             self._suspect_store,
         )
-        self._relay_server = StoreRelayServer(direct_store)
+        self._relay_server = StoreRelayServer(self._direct_store)
         self._store = RelayingStore(
-            clock, direct_store, environment.peers, self._peer_directory, self.metrics
+            clock, self._direct_store, environment.peers, self._peer_directory, self.metrics
         )
         self._feeds = SharedFeeds(
             clock,
-            direct_store,
+            self._direct_store,
             self._store,
             environment.peers,
             self._peer_directory,
@@ -205,7 +204,7 @@
         self._tasks.spawn(self.leader.run(), "leader-election")
         self._tasks.spawn(self._retention.run(), "batch-retention")
         self._tasks.spawn(self._coordinator.run(), "version-coordinator")
-        self._tasks.spawn(self._counted_store.run_log(), "store-call-log")
+        self._tasks.spawn(self._direct_store.run_log(), "store-call-log")
         self._start_duties()
         if self._settings.is_restart:
             self._tasks.spawn(self._take_up_own_batches(), "own-batches")
@@ -420,7 +419,7 @@
             self._environment.peers, self._peer_directory.others_responsive(watchers)
         )
         await self.close()
-        self._counted_store.log_counts()
+        self._direct_store.log_counts()
         log_event("serving_stopped", node=self._settings.machine)
 
     async def close(self) -> None:
