--- a/drumbay/observability/serving_metrics.py
+++ b/drumbay/observability/serving_metrics.py
@@ -1,5 +1,7 @@
 """Counters and latency histograms of a serving node, in the Prometheus text format."""
 
+from collections.abc import Callable
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 REQUEST_BUCKETS_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10)
@@ -74,6 +76,12 @@
             ("outcome",),
             registry=self._registry,
         )
+        self._store_purposes = Counter(
+            "drumbay_serving_store_purposes",
+            "Calls to the key-value service, those for other nodes included, by purpose.",
+            ("operation", "subject"),
+            registry=self._registry,
+        )
         self._store_seconds = Histogram(
             "drumbay_serving_store_seconds",
             "Time of direct calls to the key-value service.",
@@ -128,6 +136,27 @@
             registry=self._registry,
         )
 
+        self._held_bytes = Gauge(
+            "drumbay_serving_held_bytes",
+            "Bytes of requests and of answers not yet read that are held, by kind.",
+            ("kind",),
+            registry=self._registry,
+        )
+        self._shed_requests = Counter(
+            "drumbay_serving_shed_requests",
+            "Requests without room, and answers that nobody read, by kind and reason.",
+            ("kind", "reason"),
+            registry=self._registry,
+        )
+
+    def watch_held_bytes(self, kind: str, read: Callable[[], float]) -> None:
+        """Read the bytes held of one kind whenever metrics are asked for."""
+        self._held_bytes.labels(kind).set_function(read)
+
+    def count_shed(self, kind: str, reason: str) -> None:
+        """Count a request without room, or an answer that nobody read."""
+        self._shed_requests.labels(kind, reason).inc()
+
     def count_worker_death(self) -> None:
         """Count a worker that ended under a request."""
         self._worker_deaths.inc()
@@ -179,6 +208,10 @@
         self._store_calls.labels(outcome).inc()
         self._store_seconds.observe(seconds)
 
+    def count_store_purpose(self, operation: str, subject: str) -> None:
+        """Count a call to the key-value service that this node makes, by what it is for."""
+        self._store_purposes.labels(operation, subject).inc()
+
     def count_relayed_store_call(self) -> None:
         """Count a call that another node carried out."""
         self._store_calls.labels("relayed").inc()
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -52,7 +52,9 @@
 from drumbay.quarantine.stored import StoredQuarantine
 from drumbay.scaling.collector import PlacesCollector
 from drumbay.scaling.keeper import WorkerCountKeeper
+from drumbay.serving.held_memory import HeldMemory
 from drumbay.serving.settings import ServingEnvironment, ServingSettings
+from drumbay.serving.store_calls import CountedStore
 from drumbay.tasks import TaskOwner
 from drumbay.tenants.access import admit
 from drumbay.tenants.records import TenantName
@@ -85,22 +87,24 @@
         self._tasks = TaskOwner()
         self._notices = NoticeQueues(environment.peers, self._tasks)
         self.metrics = ServingMetrics()
+        self.held = HeldMemory(settings.held_bytes, self.metrics)
+        self._direct_store = CountedStore(clock, environment.store, self.metrics)
         address = settings.identity.address
         self._usage = UsageService(clock, settings.usage, settings.identity)
         self._peer_directory = PeerDirectory(
             clock,
-            environment.store,
+            self._direct_store,
             address,
             environment.generator,
             self._suspect_store,
         )
-        self._relay_server = StoreRelayServer(environment.store)
+        self._relay_server = StoreRelayServer(self._direct_store)
         self._store = RelayingStore(
-            clock, environment.store, environment.peers, self._peer_directory, self.metrics
+            clock, self._direct_store, environment.peers, self._peer_directory, self.metrics
         )
         self._feeds = SharedFeeds(
             clock,
-            environment.store,
+            self._direct_store,
             self._store,
             environment.peers,
             self._peer_directory,
@@ -206,6 +210,7 @@
         self._tasks.spawn(self._retention.run(), "batch-retention")
         self._tasks.spawn(self._coordinator.run(), "version-coordinator")
         self._tasks.spawn(self.batches.exchange_places(), "place-exchange")
+        self._tasks.spawn(self._direct_store.run_log(), "store-call-log")
         self._start_duties()
         if self._settings.is_restart:
             self._tasks.spawn(self._take_up_own_batches(), "own-batches")
@@ -438,6 +443,7 @@
             self._environment.peers, self._peer_directory.others_responsive(watchers)
         )
         await self.close()
+        self._direct_store.log_counts()
         log_event("serving_stopped", node=self._settings.machine)
 
     async def close(self) -> None:
--- a/tests/test_operations_document.py
+++ b/tests/test_operations_document.py
@@ -92,6 +92,8 @@
                 "worker_pauses",
                 "worker_deaths",
                 "held_requests",
+                "shed_requests",
+                "store_purposes",
             )
         }
         self.assertEqual(documented, {f"{name}_total" for name in counters})
