Move the recent times of a route to a module of their own

Cause: forwarding needs the same order statistics (median, high quantile) as the hedged requests of drumbay.requests, whose module imports more than a serving node holds in memory. Ruled out: a second copy of the class.

--- a/drumbay/requests/application.py
+++ b/drumbay/requests/application.py
@@ -17,6 +17,7 @@
 from drumbay.explain.records import SubjectKind
 from drumbay.identifiers import BackendId
 from drumbay.limits.deadline import Deadline
+from drumbay.limits.recent_latency import RecentLatency
 from drumbay.limits.retry_budget import RetryBudget
 from drumbay.observability.logs import log_event
 from drumbay.requests.admission_gate import AdmissionGate
@@ -29,7 +30,7 @@
     no_route,
     not_run,
 )
-from drumbay.requests.hedging import RecentLatency, first_answer
+from drumbay.requests.hedging import first_answer
 from drumbay.requests.identity import attempt_of
 from drumbay.requests.once import OnceRunner
 from drumbay.requests.records import ApplicationCall
--- a/drumbay/requests/hedging.py
+++ b/drumbay/requests/hedging.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-from collections import deque
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any, TypeVar
 
@@ -16,30 +15,6 @@
 
 ResultT = TypeVar("ResultT")
 
-HEDGE_QUANTILE = 0.95
-MIN_HEDGE_DELAY_SECONDS = 0.02
-MIN_OBSERVATIONS = 20
-MAX_OBSERVATIONS = 100
-
-
-class RecentLatency:
-    """Durations of the last answered attempts of one route."""
-
-    def __init__(self) -> None:
-        """Start without observations."""
-        self._seconds: deque[float] = deque(maxlen=MAX_OBSERVATIONS)
-
-    def observe(self, seconds: float) -> None:
-        """Take in the duration of one answered attempt."""
-        self._seconds.append(seconds)
-
-    def hedge_delay_seconds(self) -> float | None:
-        """Return after how long an attempt counts as slow; ``None`` while too little is known."""
-        if len(self._seconds) < MIN_OBSERVATIONS:
-            return None
-        slow = sorted(self._seconds)[int(HEDGE_QUANTILE * len(self._seconds))]
-        return max(MIN_HEDGE_DELAY_SECONDS, slow)
-
 
 async def first_answer(
     clock: Clock,
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from drumbay.backends.interface import ApplicationAnswer
+from drumbay.limits.recent_latency import RecentLatency
 from drumbay.limits.retry_budget import RetryBudgetPolicy
-from drumbay.requests.hedging import RecentLatency
 from drumbay.simulation.virtual_time import run_simulation
 from drumbay.standins.execution_log import ApplicationExecuted
 from drumbay.standins.faults import FaultCommand, FaultKind
