Choose a worker for lookups by the time expected there now

Cause: the worker was chosen by kept connections and latency steps of 40 ms over all routes. The slowdown that workers report was not looked at, a worker that fails its runs was not remembered, nodes without news all took the first name, a refusal counted for 50 ms whatever a request takes, and every request was sent twice after 0.45 of its objective, however many were slow. Ruled out: power of two choices (Mitzenmacher 2001) with the same cost. Change: worker_choice.py and hedge_timing.py decide, workers/answer_pace.py remembers; expected time and age of the news in request_served, counters of hedges and refusals, a histogram of observed to expected.

--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -6,11 +6,13 @@
 """
 
 import asyncio
+import math
 
 import msgspec
 
 from drumbay.clock import Clock
 from drumbay.exceptions import Execution
+from drumbay.forwarding.hedge_timing import LATEST_SHARE_WITHOUT_BUDGET, HedgeTiming
 from drumbay.forwarding.records import (
     AnswerLostError,
     ClientRequest,
@@ -20,6 +22,13 @@
     RequestTimedOutError,
 )
 from drumbay.forwarding.routes import RequestKind, Route, RouteTable
+from drumbay.forwarding.worker_choice import (
+    WorkerChoice,
+    WorkerNews,
+    choose_worker,
+    refusal_seconds,
+    relative_time_of,
+)
 from drumbay.identifiers import BackendId
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
@@ -42,19 +51,11 @@
 MINIMUM_BUDGET_SECONDS = 0.02
 """With less time left, no worker is asked any more."""
 
-HEDGE_SHARE_OF_TARGET = 0.45
-"""A second worker is asked once this share of the route's target has passed."""
-
-LATENCY_STEP_SECONDS = 0.04
-UNKNOWN_LATENCY_SECONDS = 0.03
-"""A worker that was never asked counts as a sound one."""
-
-LOAD_STEPS = 2
-"""Workers up to half full count as equally loaded."""
-
 MAXIMUM_REFUSALS = 6
 RETRY_AFTER_SECONDS = 0.25
-REFUSAL_PAUSE_SECONDS = 0.05
+LONGEST_PAUSE_SECONDS = 0.05
+"""A request with nothing under way looks so often whether a worker has come free."""
+
 MISDIRECTED_PAUSE_SECONDS = 5.0
 
 SUSPECT_PAUSE_SECONDS = 0.02
@@ -75,18 +76,22 @@
         metrics: ServingMetrics,
         usage: UsageCounter,
         quarantine: Quarantine,
+        machine: str = "",
     ) -> None:
         """Create a forwarder for a node in ``zone``.
 
-        It counts the requests of tenants, and asks the quarantine before each run.
+        It counts the requests of tenants, and asks the quarantine before each run. Nodes on
+        different machines prefer different workers.
         """
         self.quarantine = quarantine
         self.clock = clock
         self.directory = directory
         self.client = client
         self.zone = zone
+        self.machine = machine
+        self.metrics = metrics
+        self.hedge_timing = HedgeTiming(clock.monotonic())
         self._routes = routes
-        self._metrics = metrics
         self._usage = usage
 
     async def forward(self, route: Route, request: ClientRequest) -> WorkerAnswer:
@@ -112,13 +117,17 @@
             forwarding.close(is_answered=outcome == "answered")
             if ticket is not None and request.tenant is not None:
                 self._usage.close(ticket, request.tenant, forwarding.began_at)
-            self._metrics.count_request(route.name, outcome, self.clock.monotonic() - started_at)
+            self.metrics.count_request(route.name, outcome, self.clock.monotonic() - started_at)
 
 
 class _Attempt(msgspec.Struct, frozen=True):
-    """A send to one worker, at a monotonic time; ``was_kept`` if its connection seemed kept."""
+    """A send to one worker, at a monotonic time; ``was_kept`` if its connection seemed kept.
+
+    ``choice`` tells why the worker was chosen.
+    """
 
     record: WorkerRecord
+    choice: WorkerChoice
     sent_at: float
     was_kept: bool
 
@@ -133,6 +142,9 @@
         self._directory = forwarder.directory
         self._client = forwarder.client
         self._zone = forwarder.zone
+        self._machine = forwarder.machine
+        self._metrics = forwarder.metrics
+        self._timing = forwarder.hedge_timing
         self._quarantine = forwarder.quarantine
         self._route = route
         self._service = service
@@ -142,6 +154,9 @@
         limit_seconds = min(request.budget_seconds, route.timeout_seconds)
         self._deadline = self._started_at + limit_seconds
         self._next_send = self._started_at
+        self._last_sent_at = self._started_at
+        self._is_hedge_next = False
+        self._answered_by: _Attempt | None = None
         self._attempts: dict[asyncio.Task[WorkerAnswer], _Attempt] = {}
         self.began_at: float | None = None
         """When the first run may have begun; known for good once the request has its answer."""
@@ -155,12 +170,14 @@
 
     async def run(self) -> WorkerAnswer:
         """Send until an answer is whole or nothing more can be done."""
+        self._timing.record_request(self._started_at)
         while True:
             now = self._clock.monotonic()
             remaining = self._deadline - now
             if remaining < MINIMUM_BUDGET_SECONDS:
                 raise self._failure(timed_out=True)
-            if now >= self._next_send and self._may_send() and self._is_let_through(now):
+            is_due = now >= self._next_send and self._may_send()
+            if is_due and self._is_let_through(now) and self._may_hedge(now):
                 self._send_to_next(now, remaining)
             if self._attempts:
                 answer = await self._wait(now, remaining)
@@ -168,7 +185,7 @@
                     return answer
             elif self._may_send():
                 pause_seconds = max(self._next_send - now, SUSPECT_PAUSE_SECONDS)
-                await self._clock.sleep(min(pause_seconds, REFUSAL_PAUSE_SECONDS, remaining))
+                await self._clock.sleep(min(pause_seconds, LONGEST_PAUSE_SECONDS, remaining))
             else:
                 raise self._failure(timed_out=False)
 
@@ -190,6 +207,22 @@
         self._next_send = now + SUSPECT_PAUSE_SECONDS
         return False
 
+    def _may_hedge(self, now: float) -> bool:
+        """Return whether the budget allows the next send, if that is a second copy.
+
+        Without budget, it is put off until a kept connection may be taken for a silent one.
+        """
+        if not self._is_hedge_next or not self._attempts:
+            return True
+        silent_at = self._last_sent_at + self._route.target_seconds * LATEST_SHARE_WITHOUT_BUDGET
+        may_be_silent = self._unproved() is not None
+        if self._timing.try_withdraw(now) or (may_be_silent and now >= silent_at):
+            self._metrics.count_hedge("sent")
+            return True
+        self._metrics.count_hedge("no_budget")
+        self._next_send = silent_at if may_be_silent else self._deadline
+        return False
+
     def _held_back(self, verdict: Verdict) -> RequestHeldBackError:
         has_run = self._may_have_run
         return RequestHeldBackError(
@@ -220,7 +253,9 @@
             self.began_at = attempt.sent_at
 
     def log_answer(self, answer: WorkerAnswer) -> None:
-        """Log the answer and the attempts that led to it."""
+        """Log the answer, the attempts that led to it, and why its worker was chosen."""
+        now = self._clock.monotonic()
+        choice = self._answered_by.choice if self._answered_by is not None else None
         log_event(
             "request_served",
             request=self._request.request_id,
@@ -231,7 +266,10 @@
             sent=self._sent,
             refusals=self._refusals,
             workers=",".join(sorted(self._tried)),
-            elapsed_seconds=round(self._clock.monotonic() - self._started_at, 4),
+            elapsed_seconds=round(now - self._started_at, 4),
+            expected_seconds=round(choice.expected_seconds, 4) if choice else None,
+            load_age_seconds=_finite(choice.load_age_seconds) if choice else None,
+            slowdown=round(choice.slowdown, 2) if choice else None,
         )
 
     def log_failure(self, error: ForwardingError) -> None:
@@ -287,6 +325,7 @@
             if answer is not None:
                 return answer
             self._next_send = self._clock.monotonic()
+            self._is_hedge_next = False
         return None
 
     def _may_send(self) -> bool:
@@ -299,24 +338,34 @@
     def _has_attempts_left(self) -> bool:
         return self._sent - self._refusals < self._route.attempts
 
-    def _unproved(self) -> WorkerRecord | None:
-        """Return the worker to ask again, over a new connection, if none was used so far.
+    def _unproved(self) -> _Attempt | None:
+        """Return the attempt to make again, over a new connection, if none was used so far.
 
-        It may not have seen the request, whose kept connection may be silent: asking it again
-        uses up none of the workers that the route allows.
+        Its worker may not have seen the request, whose kept connection may be silent: asking it
+        again uses up none of the workers that the route allows.
         """
-        kept = [attempt.record for attempt in self._attempts.values() if attempt.was_kept]
+        kept = [attempt for attempt in self._attempts.values() if attempt.was_kept]
         return kept[0] if kept and len(kept) == self._sent - self._refusals else None
 
     def _send_to_next(self, now: float, remaining: float) -> None:
-        self._next_send = now + self._route.target_seconds * HEDGE_SHARE_OF_TARGET
-        record = self._choose(now) if self._has_attempts_left() else self._unproved()
-        if record is not None:
-            self._send(record, remaining)
+        self._next_send = now + self._timing.delay_seconds(
+            self._route.name, self._route.target_seconds, is_awaited=self._request.is_awaited
+        )
+        self._last_sent_at = now
+        self._is_hedge_next = True
+        if not self._has_attempts_left():
+            unproved = self._unproved()
+            if unproved is not None:
+                self._send(unproved.record, unproved.choice, remaining)
+            return
+        choice = self._choose(now)
+        record = self._directory.get(choice.worker_id) if choice is not None else None
+        if choice is not None and record is not None:
+            self._send(record, choice, remaining)
         elif not self._attempts:
             raise self._failure(timed_out=False)
 
-    def _choose(self, now: float) -> WorkerRecord | None:
+    def _choose(self, now: float) -> WorkerChoice | None:
         records = self._directory.of_service(self._service)
         records = [r for r in records if r.worker.worker_id not in self._apart_from]
         available = [record for record in records if record.is_available(now)]
@@ -324,28 +373,29 @@
         candidates = untried or available
         if not candidates and not self._sent:
             candidates = [record for record in records if record.worker.state == "ready"]
-        if not candidates:
-            return None
-        return min(candidates, key=lambda record: self._cost(record, now))
-
-    def _cost(self, record: WorkerRecord, now: float) -> tuple[bool, int, int, bool, bool, str]:
-        """Order by a free place, time, load, a kept connection, then the zone.
-
-        Times that differ by less than a step tell nothing: single requests differ by more.
-        A connection costs more than what a request weighs between zones.
-        """
-        latency = record.latency_seconds or UNKNOWN_LATENCY_SECONDS
-        waiting = record.busy(now) / max(1, record.worker.slots)
-        return (
-            record.free_slots(now) == 0,
-            round(latency / LATENCY_STEP_SECONDS),
-            int(LOAD_STEPS * waiting),
-            not self._client.keeps_connection(record.worker),
-            record.worker.zone != self._zone,
-            record.worker.worker_id,
+        news = [self._news_of(record, now) for record in candidates]
+        return choose_worker(news, self._usual_seconds(), self._machine, now)
+
+    def _usual_seconds(self) -> float:
+        return self._timing.usual_seconds(self._route.name, self._route.target_seconds)
+
+    def _news_of(self, record: WorkerRecord, now: float) -> WorkerNews:
+        return WorkerNews(
+            worker_id=record.worker.worker_id,
+            slots=record.worker.slots,
+            own=record.in_flight,
+            others=record.others,
+            slowdown=record.slowdown,
+            reported_at=record.reported_at,
+            relative_time=record.answers.relative_time(now),
+            failure_share=record.answers.failure_share(now),
+            ran_at=record.answers.ran_at,
+            paused_until=record.paused_until,
+            keeps_connection=self._client.keeps_connection(record.worker),
+            is_same_zone=record.worker.zone == self._zone,
         )
 
-    def _send(self, record: WorkerRecord, remaining: float) -> None:
+    def _send(self, record: WorkerRecord, choice: WorkerChoice, remaining: float) -> None:
         # The first send may take a kept connection. What follows a send without an answer does
         # not: if kept ones have fallen silent, each of them would cost an attempt.
         is_fresh = self._sent > self._refusals
@@ -369,7 +419,7 @@
         task = asyncio.get_running_loop().create_task(self._attempt(record, outgoing))
         # A task that is cancelled before it runs never comes to a ``finally`` of its own.
         task.add_done_callback(lambda _: _note_ended(record))
-        self._attempts[task] = _Attempt(record, self._clock.monotonic(), was_kept)
+        self._attempts[task] = _Attempt(record, choice, self._clock.monotonic(), was_kept)
 
     async def _attempt(self, record: WorkerRecord, request: WorkerRequest) -> WorkerAnswer:
         started_at = self._clock.monotonic()
@@ -378,19 +428,29 @@
         try:
             answer = await self._client.call(record.worker, request)
         except asyncio.CancelledError:
-            # Slower than the hedge or the deadline: remember at least the time it took.
-            elapsed_seconds = self._clock.monotonic() - started_at
-            if elapsed_seconds > (record.latency_seconds or 0.0):
-                self._directory.observe_latency(record.worker.worker_id, elapsed_seconds)
+            self._note_given_up(worker_id, started_at)
             raise
         finally:
             self._quarantine.end(self._fingerprint, worker_id)
         now = self._clock.monotonic()
-        self._directory.observe_latency(record.worker.worker_id, now - started_at)
+        elapsed_seconds = now - started_at
+        relative_time = relative_time_of(elapsed_seconds, self._usual_seconds(), answer.load)
+        is_known = self._timing.knows(self._route.name)
+        self._directory.observe_answer(worker_id, relative_time if is_known else None, now)
+        self._timing.observe(self._route.name, elapsed_seconds)
         if answer.load is not None:
-            self._directory.observe_load(record.worker.worker_id, answer.load, now)
+            self._directory.observe_load(worker_id, answer.load, now)
         return answer
 
+    def _note_given_up(self, worker_id: BackendId, started_at: float) -> None:
+        """Remember at least the time that a run took which was slower than another or too late."""
+        now = self._clock.monotonic()
+        elapsed_seconds = now - started_at
+        usual_seconds = self._usual_seconds()
+        if elapsed_seconds > usual_seconds:
+            self._directory.observe_unanswered(worker_id, elapsed_seconds / usual_seconds, now)
+            self._timing.observe(self._route.name, elapsed_seconds)
+
     def _settle(self, task: "asyncio.Task[WorkerAnswer]", attempt: _Attempt) -> WorkerAnswer | None:
         """Take a finished attempt; return its answer if it is final."""
         now = self._clock.monotonic()
@@ -399,20 +459,26 @@
             answer = task.result()
             self._note_began(attempt)
             self._note_survived(attempt)
+            self._answered_by = attempt
+            expected_seconds = attempt.choice.expected_seconds
+            self._metrics.observe_expected_time(expected_seconds, now - attempt.sent_at)
             return answer
         except WorkerMisdirectedError:
             self._refusals += 1
             self._directory.pause(worker_id, now, MISDIRECTED_PAUSE_SECONDS)
         except WorkerUnreachableError:
             self._refusals += 1
+            self._directory.observe_failed_run(worker_id, now)
             self._directory.observe_failure(worker_id, now)
         except WorkerRefusedError:
             self._refusals += 1
-            self._directory.pause(worker_id, now, REFUSAL_PAUSE_SECONDS)
+            self._metrics.count_worker_refusal(self._route.name)
+            self._directory.pause(worker_id, now, self._refusal_seconds(attempt.record, now))
         except WorkerBrokenError as error:
             self._note_began(attempt)
             self._may_have_run = True
             self._note_broken(attempt, error)
+            self._directory.observe_failed_run(worker_id, now)
             self._directory.observe_failure(worker_id, now)
         except WorkerTimedOutError:
             self._note_began(attempt)
@@ -423,8 +489,12 @@
             self._note_survived(attempt)
             self._may_have_run = True
             self._worker_failures += 1
+            self._directory.observe_failed_run(worker_id, now)
         return None
 
+    def _refusal_seconds(self, record: WorkerRecord, now: float) -> float:
+        return refusal_seconds(self._news_of(record, now), self._usual_seconds(), now)
+
     def _failure(self, *, timed_out: bool) -> ForwardingError:
         """Return the final answer: what the client may conclude about the request."""
         if not self._may_have_run and self._sent == self._refusals:
@@ -443,3 +513,8 @@
 
 def _note_ended(record: WorkerRecord) -> None:
     record.in_flight -= 1
+
+
+def _finite(seconds: float) -> float | None:
+    """Return an age for a log line; ``None`` where there never was a report."""
+    return round(seconds, 3) if math.isfinite(seconds) else None
--- a/drumbay/forwarding/records.py
+++ b/drumbay/forwarding/records.py
@@ -71,6 +71,11 @@
     tenant: TenantName | None = None
     caller_address: str = ""
 
+    @property
+    def is_awaited(self) -> bool:
+        """Return whether a caller waits for the answer: it is not a request of the system's own."""
+        return self.caller_address != ""
+
     @property
     def fingerprint(self) -> Fingerprint:
         """Return what all tries of the same request have in common."""
--- a/drumbay/observability/serving_metrics.py
+++ b/drumbay/observability/serving_metrics.py
@@ -4,6 +4,7 @@
 
 REQUEST_BUCKETS_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10)
 ITEM_BUCKETS_SECONDS = (0.25, 0.5, 1, 2, 4, 6, 8, 12, 20, 60)
+EXPECTED_TIME_BUCKETS = (0.5, 0.75, 1, 1.5, 2, 4, 8)
 STORE_BUCKETS_SECONDS = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1)
 
 
@@ -32,6 +33,24 @@
             buckets=REQUEST_BUCKETS_SECONDS,
             registry=self._registry,
         )
+        self._hedges = Counter(
+            "drumbay_serving_hedges",
+            "Second copies of requests that were slow: sent, or held back by the budget.",
+            ("outcome",),
+            registry=self._registry,
+        )
+        self._worker_refusals = Counter(
+            "drumbay_serving_worker_refusals",
+            "Requests that a worker refused to run, by route.",
+            ("route",),
+            registry=self._registry,
+        )
+        self._expected_time = Histogram(
+            "drumbay_serving_observed_to_expected_time",
+            "Time of a worker's answer divided by the time for which the worker was chosen.",
+            buckets=EXPECTED_TIME_BUCKETS,
+            registry=self._registry,
+        )
         self._batches = Counter(
             "drumbay_serving_batches",
             "Batch jobs by what happened to them at this node.",
@@ -135,6 +154,18 @@
         self._requests.labels(route, outcome).inc()
         self._request_seconds.labels(route).observe(seconds)
 
+    def count_hedge(self, outcome: str) -> None:
+        """Count a request that was slow: its second copy was sent, or the budget was spent."""
+        self._hedges.labels(outcome).inc()
+
+    def count_worker_refusal(self, route: str) -> None:
+        """Count a worker's refusal to run a request."""
+        self._worker_refusals.labels(route).inc()
+
+    def observe_expected_time(self, expected_seconds: float, observed_seconds: float) -> None:
+        """Take the time of an answer next to the one that was expected."""
+        self._expected_time.observe(observed_seconds / expected_seconds)
+
     def count_batch(self, event: str) -> None:
         """Count something that happened to a batch job."""
         self._batches.labels(event).inc()
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -135,6 +135,7 @@
             self.metrics,
             self._usage.counter,
             self.quarantine,
+            settings.machine,
         )
         self.batches = BatchService(
             clock,
--- a/drumbay/workers/directory.py
+++ b/drumbay/workers/directory.py
@@ -6,15 +6,13 @@
 
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.observability.logs import log_event
+from drumbay.workers.answer_pace import AnswerPace
 from drumbay.workers.pace import PaceEstimate
 from drumbay.workers.records import Worker, WorkerLoad, WorkerState
 
 LOAD_REPORT_LIFETIME_SECONDS = 0.6
 """How long a load report counts; runs last about as long."""
 
-LATENCY_SMOOTHING = 0.15
-"""Weight of the newest answer's time in a worker's latency: about the last ten answers count."""
-
 FIRST_REFUSAL_PAUSE_SECONDS = 0.1
 LONGEST_REFUSAL_PAUSE_SECONDS = 0.8
 FAILURE_PAUSE_SECONDS = 0.8
@@ -40,6 +38,8 @@
 
     ``in_flight`` counts this node's requests there; ``expected_tokens`` is the sum of what those
     of batch items are expected to generate, which the worker keeps in its memory meanwhile.
+    ``pace`` is that of its streams, ``answers`` that of its whole answers; ``slowdown`` is part of
+    its last load report.
     """
 
     worker: Worker
@@ -47,13 +47,14 @@
     in_flight: int = 0
     expected_tokens: int = 0
     others: int = 0
+    slowdown: float = 1.0
     reported_at: float = float("-inf")
     paused_until: float = float("-inf")
     failures: int = 0
     pace: PaceEstimate = msgspec.field(default_factory=PaceEstimate)
+    answers: AnswerPace = msgspec.field(default_factory=AnswerPace)
     loads: dict[str, LoadUnderWay] = msgspec.field(default_factory=dict)
     refusals: dict[str, Refusals] = msgspec.field(default_factory=dict)
-    latency_seconds: float | None = None
     missing_until: float | None = None
 
     def busy(self, now: float) -> int:
@@ -225,6 +226,7 @@
         record = self._records.get(worker_id)
         if record is not None:
             record.others = max(0, load.running + load.waiting - record.in_flight)
+            record.slowdown = load.slowdown
             record.reported_at = now
 
     def observe_pace(self, worker_id: BackendId, seconds_per_event: float, now: float) -> None:
@@ -260,13 +262,25 @@
             record.refusals.pop(model, None)
             record.failures = 0
 
-    def observe_latency(self, worker_id: BackendId, seconds: float) -> None:
-        """Take the time of a whole answer."""
+    def observe_answer(self, worker_id: BackendId, relative_time: float | None, now: float) -> None:
+        """Take a whole answer and its time relative to the usual, ``None`` if that is unknown."""
         record = self._records.get(worker_id)
         if record is not None:
-            record.latency_seconds = _smooth(record.latency_seconds, seconds)
+            record.answers.observe_answer(relative_time, now)
             record.failures = 0
 
+    def observe_unanswered(self, worker_id: BackendId, relative_time: float, now: float) -> None:
+        """Take a run that was given up after a multiple of the usual time."""
+        record = self._records.get(worker_id)
+        if record is not None:
+            record.answers.observe_unanswered(relative_time, now)
+
+    def observe_failed_run(self, worker_id: BackendId, now: float) -> None:
+        """Take a request that brought no whole answer; others there may go well."""
+        record = self._records.get(worker_id)
+        if record is not None:
+            record.answers.observe_failure(now)
+
     def observe_failure(self, worker_id: BackendId, now: float) -> None:
         """Pause a worker; the pause doubles with each failure in a row."""
         record = self._records.get(worker_id)
@@ -296,9 +310,3 @@
         record = self._records.get(worker_id)
         if record is not None:
             record.paused_until = max(record.paused_until, now + seconds)
-
-
-def _smooth(previous: float | None, value: float) -> float:
-    if previous is None:
-        return value
-    return previous + LATENCY_SMOOTHING * (value - previous)
--- /dev/null
+++ b/tests/test_lookup_forwarding.py
@@ -0,0 +1,183 @@
+"""Lookups before uneven, noisy and failing workers: which worker gets them, and second copies."""
+
+import asyncio
+import unittest
+from collections import Counter
+
+import msgspec
+
+from drumbay.forwarding.forwarder import Forwarder
+from drumbay.forwarding.records import ClientRequest
+from drumbay.forwarding.routes import RequestKind, RouteTable
+from drumbay.identifiers import BackendId
+from drumbay.observability.serving_metrics import ServingMetrics
+from drumbay.usage.counter import UsageCounter
+from drumbay.usage.records import WindowLength
+from drumbay.usage.window_clock import WindowClock
+from drumbay.workers.records import WorkerLoad
+from tests.serving_world import ServingWorld, play
+from tests.test_forwarding import LOOKUPS, request, route
+
+CALLER = "10.9.0.1"
+
+
+def lookup(name: str) -> ClientRequest:
+    """Return a request whose caller waits for its answer."""
+    return msgspec.structs.replace(request(name), caller_address=CALLER)
+
+
+class LookupForwardingTest(unittest.TestCase):
+    def forwarder(self, world: ServingWorld, workers: int = 3, machine: str = "m") -> Forwarder:
+        for number in range(1, workers + 1):
+            world.workers.add(f"lookup-{number}", LOOKUPS)
+        self.directory = world.nodes[0].directory
+        self.directory.replace_all(world.workers.entries())
+        self.metrics = ServingMetrics()
+        address = world.nodes[0].address
+        usage = UsageCounter(WindowClock(world.clock), WindowLength(5.0), address, "boot")
+        return Forwarder(
+            world.clock,
+            self.directory,
+            RouteTable(),
+            world.workers,
+            "zone-1",
+            self.metrics,
+            usage,
+            world.nodes[0].node.quarantine,
+            machine,
+        )
+
+    def counted(self, line: str) -> bool:
+        return line in self.metrics.render().decode()
+
+    def test_a_reported_slowdown_moves_the_next_request(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            forwarder = self.forwarder(world)
+            world.workers.kept_connections.add(BackendId("lookup-3"))
+            for number in range(4):
+                await forwarder.forward(route(), lookup(f"r{number}"))
+            load = WorkerLoad(running=1, waiting=0, slots=4, slowdown=2.5)
+            self.directory.observe_load(BackendId("lookup-3"), load, world.clock.monotonic())
+            await forwarder.forward(route(), lookup("noisy"))
+            self.assertNotEqual(world.workers.runs[-1].worker_id, "lookup-3")
+            await asyncio.sleep(3.0)
+            await forwarder.forward(route(), lookup("quiet"))
+            self.assertEqual(world.workers.runs[-1].worker_id, "lookup-3")
+
+        play(scenario)
+
+    def test_a_worker_that_fails_its_runs_gets_few_of_them(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            forwarder = self.forwarder(world)
+            world.workers["lookup-1"].faults.failing = True
+            for number in range(30):
+                await forwarder.forward(route(), lookup(f"r{number}"))
+            counts = Counter(run.worker_id for run in world.workers.runs)
+            self.assertLessEqual(counts[BackendId("lookup-1")], 2)
+
+        play(scenario)
+
+    def test_a_node_without_news_learns_of_a_dark_worker_from_one_request(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            forwarder = self.forwarder(world)
+            await forwarder.forward(route(), lookup("first"))
+            dark = world.workers.runs[0].worker_id
+            world.workers.kept_connections.add(dark)
+            world.workers[dark].faults.dark = True
+            await forwarder.forward(route(), lookup("second"))
+            await asyncio.sleep(0.01)
+            sent_at = world.clock.monotonic()
+            await forwarder.forward(route(), lookup("third"))
+            self.assertLess(world.clock.monotonic() - sent_at, 0.05)
+
+        play(scenario)
+
+    def test_a_refusal_is_remembered_for_the_time_of_a_request(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            world.workers.kept_connections.add(BackendId("lookup-1"))
+            forwarder = self.forwarder(world)
+            for number in range(9):
+                forwarder.hedge_timing.observe("lookups", 0.2 + 0.001 * number)
+            world.workers["lookup-1"].faults.full = True
+            await forwarder.forward(route(), lookup("refused"))
+            record = self.directory.get(BackendId("lookup-1"))
+            assert record is not None
+            self.assertGreater(record.paused_until, 0.2)
+            self.assertTrue(self.counted('worker_refusals_total{route="lookups"} 1.0'))
+
+        play(scenario)
+
+    def test_nodes_without_news_choose_different_workers(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            forwarders = [self.forwarder(world, machine=f"m{number}") for number in range(30)]
+            for number, forwarder in enumerate(forwarders):
+                await forwarder.forward(route(), lookup(f"r{number}"))
+            counts = Counter(run.worker_id for run in world.workers.runs)
+            self.assertEqual(len(counts), 3)
+            self.assertLessEqual(max(counts.values()), 16)
+
+        play(scenario)
+
+    def test_a_lookup_is_hedged_before_a_request_that_nobody_waits_for(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            forwarder = self.forwarder(world)
+            for number in (1, 2, 3):
+                world.workers[f"lookup-{number}"].faults.slowdown = 1_000.0
+            sends = [
+                asyncio.ensure_future(forwarder.forward(route(), lookup("lookup"))),
+                asyncio.ensure_future(forwarder.forward(route(), request("reward"))),
+            ]
+            await asyncio.sleep(0.08)
+            self.assertEqual(len(world.workers.runs_of("lookup")), 2)
+            self.assertEqual(len(world.workers.runs_of("reward")), 1)
+            await asyncio.sleep(0.05)
+            self.assertEqual(len(world.workers.runs_of("reward")), 2)
+            for send in sends:
+                send.cancel()
+            await asyncio.gather(*sends, return_exceptions=True)
+
+        play(scenario)
+
+    def test_when_all_workers_are_slow_few_requests_are_sent_twice(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            forwarder = self.forwarder(world, workers=10)
+            for number in range(1, 11):
+                world.workers[f"lookup-{number}"].faults.slowdown = 8.0
+            sends = (forwarder.forward(route(), lookup(f"r{number}")) for number in range(100))
+            await asyncio.gather(*sends)
+            self.assertLessEqual(len(world.workers.runs), 100 + 10)
+            self.assertTrue(self.counted('hedges_total{outcome="no_budget"} 90.0'))
+
+        play(scenario)
+
+    def test_without_budget_a_silent_kept_connection_is_still_replaced(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            forwarder = self.forwarder(world)
+            for number in (1, 2, 3):
+                world.workers.kept_connections.add(BackendId(f"lookup-{number}"))
+                world.workers[f"lookup-{number}"].faults.slowdown = 1_000.0
+            while forwarder.hedge_timing.try_withdraw(world.clock.monotonic()):
+                pass
+            send = asyncio.ensure_future(forwarder.forward(route(), lookup("lookup")))
+            await asyncio.sleep(0.14)
+            self.assertEqual(len(world.workers.runs), 1)
+            await asyncio.sleep(0.02)
+            self.assertEqual(len(world.workers.runs), 2)
+            send.cancel()
+            await asyncio.gather(send, return_exceptions=True)
+
+        play(scenario)
+
+    def test_a_request_that_may_run_once_has_no_second_copy(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            forwarder = self.forwarder(world)
+            for number in (1, 2, 3):
+                world.workers[f"lookup-{number}"].faults.slowdown = 20.0
+            await forwarder.forward(route(RequestKind.AT_MOST_ONCE, attempts=3), lookup("once"))
+            self.assertEqual(len(world.workers.runs), 1)
+
+        play(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
