--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -170,7 +170,7 @@
 
     async def run(self) -> WorkerAnswer:
         """Send until an answer is whole or nothing more can be done."""
-        self._timing.record_request(self._started_at)
+        self._timing.record_request(self._started_at, is_awaited=self._request.is_awaited)
         while True:
             now = self._clock.monotonic()
             remaining = self._deadline - now
@@ -216,7 +216,8 @@
             return True
         silent_at = self._last_sent_at + self._route.target_seconds * LATEST_SHARE_WITHOUT_BUDGET
         may_be_silent = self._unproved() is not None
-        if self._timing.try_withdraw(now) or (may_be_silent and now >= silent_at):
+        is_in_budget = self._timing.try_withdraw(now, is_awaited=self._request.is_awaited)
+        if is_in_budget or (may_be_silent and now >= silent_at):
             self._metrics.count_hedge("sent")
             return True
         self._metrics.count_hedge("no_budget")
--- a/drumbay/forwarding/hedge_timing.py
+++ b/drumbay/forwarding/hedge_timing.py
@@ -28,7 +28,8 @@
 
 BUDGET_POLICY = RetryBudgetPolicy(retry_ratio=0.1, min_retries_per_second=0.5, max_balance=10.0)
 """A tenth of the requests, and one each two seconds for nodes with few; ten at once, as many as a
-node has under way at a worker that goes dark."""
+node has under way at a worker that goes dark. Callers' requests have a budget of their own: a burst
+of the system's requests must not use it up."""
 
 UNKNOWN_SHARE_OF_TARGET = 0.2
 """Until a few answers of a route were seen, its requests count as taking this share of the
@@ -39,20 +40,27 @@
 
 
 class HedgeTiming:
-    """Recent times of each route's answers, and the budget of second copies of one node."""
+    """Recent times of each route's answers, and the budgets of second copies of one node.
+
+    ``is_awaited`` tells throughout that a caller waits for the answer.
+    """
 
     def __init__(self, now: float) -> None:
-        """Start without observations and with a full budget."""
+        """Start without observations and with full budgets."""
         self._budget = RetryBudget(BUDGET_POLICY, now)
+        self._unawaited_budget = RetryBudget(BUDGET_POLICY, now)
         self._latencies: dict[str, RecentLatency] = {}
 
-    def record_request(self, now: float) -> None:
+    def record_request(self, now: float, *, is_awaited: bool) -> None:
         """Count a request."""
-        self._budget.record_request(now)
+        self._budget_of(is_awaited).record_request(now)
 
-    def try_withdraw(self, now: float) -> bool:
+    def try_withdraw(self, now: float, *, is_awaited: bool) -> bool:
         """Take one second copy from the budget; false if it is spent."""
-        return self._budget.try_withdraw(now)
+        return self._budget_of(is_awaited).try_withdraw(now)
+
+    def _budget_of(self, is_awaited: bool) -> RetryBudget:
+        return self._budget if is_awaited else self._unawaited_budget
 
     def observe(self, route_name: str, seconds: float) -> None:
         """Take the time of a worker's answer."""
@@ -76,10 +84,7 @@
         return latency.usual_seconds() if latency is not None else None
 
     def delay_seconds(self, route_name: str, target_seconds: float, *, is_awaited: bool) -> float:
-        """Return after how long a second copy goes out.
-
-        ``is_awaited`` tells that a caller waits for the answer.
-        """
+        """Return after how long a second copy goes out."""
         earliest, latest = EARLIEST_SHARE_OF_TARGET, LATEST_SHARE_OF_TARGET
         if not is_awaited:
             earliest, latest = EARLIEST_UNAWAITED_SHARE_OF_TARGET, LATEST_UNAWAITED_SHARE_OF_TARGET
--- a/tests/test_lookup_forwarding.py
+++ b/tests/test_lookup_forwarding.py
@@ -156,7 +156,8 @@
             for number in (1, 2, 3):
                 world.workers.kept_connections.add(BackendId(f"lookup-{number}"))
                 world.workers[f"lookup-{number}"].faults.slowdown = 1_000.0
-            while forwarder.hedge_timing.try_withdraw(world.clock.monotonic()):
+            timing = forwarder.hedge_timing
+            while timing.try_withdraw(world.clock.monotonic(), is_awaited=True):
                 pass
             send = asyncio.ensure_future(forwarder.forward(route(), lookup("lookup")))
             await asyncio.sleep(0.14)
--- a/tests/test_worker_choice.py
+++ b/tests/test_worker_choice.py
@@ -152,17 +152,23 @@
         sent = 0
         for number in range(1_000):
             now = NOW + number * 0.01
-            timing.record_request(now)
-            sent += timing.try_withdraw(now)
+            timing.record_request(now, is_awaited=True)
+            sent += timing.try_withdraw(now, is_awaited=True)
         self.assertLessEqual(sent, 10 + 100 + 5)
         self.assertGreaterEqual(sent, 100)
 
+    def test_a_burst_of_the_systems_requests_leaves_the_callers_budget(self) -> None:
+        timing = self.timing()
+        while timing.try_withdraw(NOW, is_awaited=False):
+            pass
+        self.assertTrue(timing.try_withdraw(NOW, is_awaited=True))
+
     def test_few_requests_may_all_be_slow(self) -> None:
         timing = self.timing()
         for number in range(50):
             now = NOW + number * 5.0
-            timing.record_request(now)
-            self.assertTrue(timing.try_withdraw(now))
+            timing.record_request(now, is_awaited=True)
+            self.assertTrue(timing.try_withdraw(now, is_awaited=True))
 
     def test_the_times_of_unused_routes_are_forgotten(self) -> None:
         timing = self.timing(0.02, 0.02, 0.02)
