Hold a failed run against its worker once another one has answered

Cause: some requests fail on every worker. Each of their tries counted against all workers that they went to, so that sound workers of a node looked as failing ones for ten seconds. Ruled out: counting only failures of different requests: the same failing request is asked for again by several callers. Change: failed runs of a request are counted when another worker answers it, and not at all if none does.

--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -164,6 +164,7 @@
         self._sent = 0
         self._refusals = 0
         self._worker_failures = 0
+        self._failed_at: list[BackendId] = []
         self._may_have_run = False
         self._tried: set[str] = set()
         self._apart_from: frozenset[BackendId] = frozenset()
@@ -463,6 +464,7 @@
             self._answered_by = attempt
             expected_seconds = attempt.choice.expected_seconds
             self._metrics.observe_expected_time(expected_seconds, now - attempt.sent_at)
+            self._blame_workers(now)
             return answer
         except WorkerMisdirectedError:
             self._refusals += 1
@@ -479,7 +481,7 @@
             self._note_began(attempt)
             self._may_have_run = True
             self._note_broken(attempt, error)
-            self._directory.observe_failed_run(worker_id, now)
+            self._failed_at.append(worker_id)
             self._directory.observe_failure(worker_id, now)
         except WorkerTimedOutError:
             self._note_began(attempt)
@@ -490,9 +492,17 @@
             self._note_survived(attempt)
             self._may_have_run = True
             self._worker_failures += 1
-            self._directory.observe_failed_run(worker_id, now)
+            self._failed_at.append(worker_id)
         return None
 
+    def _blame_workers(self, now: float) -> None:
+        """Hold failed runs against their workers, now that another one has answered.
+
+        A request that fails on every worker says nothing about any of them.
+        """
+        for worker_id in self._failed_at:
+            self._directory.observe_failed_run(worker_id, now)
+
     def _refusal_seconds(self, record: WorkerRecord, now: float) -> float:
         return refusal_seconds(self._news_of(record, now), self._usual_seconds(), now)
 
--- a/tests/test_lookup_forwarding.py
+++ b/tests/test_lookup_forwarding.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from drumbay.forwarding.forwarder import Forwarder
-from drumbay.forwarding.records import ClientRequest
+from drumbay.forwarding.records import AnswerLostError, ClientRequest
 from drumbay.forwarding.routes import RequestKind, RouteTable
 from drumbay.identifiers import BackendId
 from drumbay.observability.serving_metrics import ServingMetrics
@@ -77,6 +77,19 @@
 
         play(scenario)
 
+    def test_a_request_that_fails_everywhere_is_held_against_no_worker(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            forwarder = self.forwarder(world)
+            world.workers.failing_requests.add("bad")
+            for _ in range(10):
+                with self.assertRaises(AnswerLostError):
+                    await forwarder.forward(route(), lookup("bad"))
+            now = world.clock.monotonic()
+            for record in self.directory.of_service(LOOKUPS):
+                self.assertEqual(record.answers.failure_share(now), 0.0)
+
+        play(scenario)
+
     def test_a_node_without_news_learns_of_a_dark_worker_from_one_request(self) -> None:
         async def scenario(world: ServingWorld) -> None:
             forwarder = self.forwarder(world)
