--- a/drumbay/workers/directory.py
+++ b/drumbay/workers/directory.py
@@ -10,6 +10,7 @@
 
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.observability.logs import log_event
+from drumbay.workers.answer_pace import AnswerPace
 from drumbay.workers.pace import PaceEstimate
 from drumbay.workers.records import (
     Worker,
@@ -22,9 +23,6 @@
 LOAD_REPORT_LIFETIME_SECONDS = 0.6
 """How long a load report counts; runs last about as long."""
 
-LATENCY_SMOOTHING = 0.15
-"""Weight of the newest answer's time in a worker's latency: about the last ten answers count."""
-
 FIRST_REFUSAL_PAUSE_SECONDS = 0.1
 LONGEST_REFUSAL_PAUSE_SECONDS = 0.8
 FAILURE_PAUSE_SECONDS = 0.8
@@ -50,8 +48,9 @@
 
     ``in_flight`` counts this node's requests there, ``body_bytes`` the bodies that clients sent
     with them; ``expected_tokens`` is the sum of what those of batch items are expected to generate,
-    which the worker keeps in its memory meanwhile. A worker that ``is_shared`` says that others use
-    its machine as well.
+    which the worker keeps in its memory meanwhile. ``pace`` is that of its streams, ``answers``
+    that of its whole answers; ``slowdown`` is part of its last load report. A worker that
+    ``is_shared`` says that others use its machine as well.
     """
 
     worker: Worker
@@ -61,13 +60,14 @@
     expected_tokens: int = 0
     others: int = 0
     is_shared: bool = False
+    slowdown: float = 1.0
     reported_at: float = float("-inf")
     paused_until: float = float("-inf")
     failures: int = 0
     pace: PaceEstimate = msgspec.field(default_factory=PaceEstimate)
+    answers: AnswerPace = msgspec.field(default_factory=AnswerPace)
     loads: dict[str, LoadUnderWay] = msgspec.field(default_factory=dict)
     refusals: dict[str, Refusals] = msgspec.field(default_factory=dict)
-    latency_seconds: float | None = None
     missing_until: float | None = None
 
     def busy(self, now: float) -> int:
@@ -337,6 +337,7 @@
         record = self.get(worker_id, started_at_ms)
         if record is not None:
             record.others = max(0, load.running + load.waiting - record.in_flight)
+            record.slowdown = load.slowdown
             record.reported_at = now
             record.is_shared = load.is_shared
 
@@ -388,15 +389,39 @@
             record.refusals.pop(model, None)
             record.failures = 0
 
-    def observe_latency(
-        self, worker_id: BackendId, seconds: float, started_at_ms: int | None = None
+    def observe_answer(
+        self,
+        worker_id: BackendId,
+        relative_time: float | None,
+        now: float,
+        started_at_ms: int | None = None,
     ) -> None:
-        """Take the time of a whole answer."""
+        """Take a whole answer and its time relative to the usual, ``None`` if that is unknown."""
         record = self.get(worker_id, started_at_ms)
         if record is not None:
-            record.latency_seconds = _smooth(record.latency_seconds, seconds)
+            record.answers.observe_answer(relative_time, now)
             record.failures = 0
 
+    def observe_unanswered(
+        self,
+        worker_id: BackendId,
+        relative_time: float,
+        now: float,
+        started_at_ms: int | None = None,
+    ) -> None:
+        """Take a run that was given up after a multiple of the usual time."""
+        record = self.get(worker_id, started_at_ms)
+        if record is not None:
+            record.answers.observe_unanswered(relative_time, now)
+
+    def observe_failed_run(
+        self, worker_id: BackendId, now: float, started_at_ms: int | None = None
+    ) -> None:
+        """Take a request that brought no whole answer; others there may go well."""
+        record = self.get(worker_id, started_at_ms)
+        if record is not None:
+            record.answers.observe_failure(now)
+
     def observe_failure(
         self, worker_id: BackendId, now: float, started_at_ms: int | None = None
     ) -> None:
@@ -440,9 +465,3 @@
         started_at_ms=started_at_ms,
         known_ms=known_ms,
     )
-
-
-def _smooth(previous: float | None, value: float) -> float:
-    if previous is None:
-        return value
-    return previous + LATENCY_SMOOTHING * (value - previous)
--- a/tests/test_operations_document.py
+++ b/tests/test_operations_document.py
@@ -94,6 +94,8 @@
                 "held_requests",
                 "shed_requests",
                 "store_purposes",
+                "hedges",
+                "worker_refusals",
             )
         }
         self.assertEqual(documented, {f"{name}_total" for name in counters})
--- a/tests/test_worker_starts.py
+++ b/tests/test_worker_starts.py
@@ -81,7 +81,8 @@
         record.expected_tokens = 100
         self.directory.observe_load(WORKER, WorkerLoad(running=4, waiting=2, slots=4), 1.0)
         self.directory.observe_pace(WORKER, 0.5, 1.0)
-        self.directory.observe_latency(WORKER, 2.0)
+        self.directory.observe_answer(WORKER, 2.0, 1.0)
+        self.directory.observe_failed_run(WORKER, 1.0)
         self.directory.note_loading(WORKER, MODEL, WeightVersion(9), 50.0)
         self.directory.observe_refusal(WORKER, MODEL, 1.0)
         self.directory.observe_failure(WORKER, 1.0)
@@ -91,9 +92,13 @@
         expected = WorkerRecord(
             worker=worker(SECOND_MS, version), versions={MODEL: WeightVersion(version)}
         )
-        record = msgspec.structs.replace(self.record(), pace=expected.pace)
+        record = msgspec.structs.replace(
+            self.record(), pace=expected.pace, answers=expected.answers
+        )
         self.assertEqual(record, expected)
         self.assertIsNone(self.record().pace.current(1.0))
+        self.assertEqual(self.record().answers.relative_time(1.0), 1.0)
+        self.assertEqual(self.record().answers.failure_share(1.0), 0.0)
         self.assertTrue(self.record().is_available(1.0))
         self.assertEqual(self.restarted, [WORKER])
 
@@ -141,7 +146,9 @@
         self.directory.observe_refusal(WORKER, MODEL, 1.0, FIRST_MS)
         self.directory.observe_version(WORKER, MODEL, WeightVersion(9), 1.0, FIRST_MS)
         self.directory.observe_pace(WORKER, 0.5, 1.0, FIRST_MS)
-        self.directory.observe_latency(WORKER, 2.0, FIRST_MS)
+        self.directory.observe_answer(WORKER, 2.0, 1.0, FIRST_MS)
+        self.directory.observe_unanswered(WORKER, 2.0, 1.0, FIRST_MS)
+        self.directory.observe_failed_run(WORKER, 1.0, FIRST_MS)
         self.directory.note_loading(WORKER, MODEL, WeightVersion(9), 50.0, FIRST_MS)
         load = WorkerLoad(running=4, waiting=2, slots=4)
         self.directory.observe_load(WORKER, load, 1.0, FIRST_MS)
