Let refused requests wait for a turn at the service, and carry ranks to it

Cause: six refusals within some milliseconds ended a request, in no order between callers; ranks stopped at the configuration. Change: the forwarder asks the gate before its first send and after a turn in which all workers refused; Retry-After is the queue's prospect, spread by the request id and within a third of the caller's time; reward requests go behind lookups and keep every fourth turn; workers are told ranks where several meet at a service. Tests that fail before: test_requests_outlast_a_moment_in_which_all_workers_are_full, test_workers_are_told_ranks_only_where_several_meet.

--- a/drumbay/batches/item_scoring.py
+++ b/drumbay/batches/item_scoring.py
@@ -8,6 +8,7 @@
 from drumbay.batches.reward_scorer import RewardNotGivenError, RewardScorer
 from drumbay.batches.scheduler import BatchScheduler
 from drumbay.clock import Clock
+from drumbay.forwarding.records import RewardOrder
 from drumbay.observability.logs import log_event
 from drumbay.tasks import TaskOwner
 
@@ -22,6 +23,7 @@
         scheduler: BatchScheduler,
         task_owner: TaskOwner,
         batch_id: BatchId,
+        batch_priority: int,
         on_result: Callable[[ItemResult], None],
         on_change: Callable[[], None],
     ) -> None:
@@ -33,6 +35,7 @@
             scheduler: Decides what becomes of an item.
             task_owner: Runs the requests.
             batch_id: The batch job.
+            batch_priority: Its rank among batch jobs of the same age: 0 goes first.
             on_result: Called with the result of an item that is finished or given up.
             on_change: Called when the scheduler may decide anew.
         """
@@ -43,7 +46,7 @@
         self._batch_id = batch_id
         self._on_result = on_result
         self._on_change = on_change
-        self._started_at = clock.monotonic()
+        self._order = RewardOrder(batch_started_at=clock.monotonic(), batch_priority=batch_priority)
         self._tasks: dict[ItemId, asyncio.Task[None]] = {}
 
     def start(self, decision: ScoreText) -> None:
@@ -71,7 +74,7 @@
     async def _score(self, decision: ScoreText) -> None:
         item_id = decision.item_id
         try:
-            reward = await self._scorer.score(decision.request, self._started_at)
+            reward = await self._scorer.score(decision.request, self._order)
         except RewardNotGivenError as error:
             result = self._note_failure(decision, error)
         else:
--- a/drumbay/batches/reward_scorer.py
+++ b/drumbay/batches/reward_scorer.py
@@ -16,7 +16,7 @@
 from drumbay.clock import Clock
 from drumbay.exceptions import UnavailableError
 from drumbay.forwarding.forwarder import Forwarder
-from drumbay.forwarding.records import ClientRequest, ForwardingError
+from drumbay.forwarding.records import ClientRequest, ForwardingError, RewardOrder
 from drumbay.forwarding.routes import RequestKind, Route, RouteTable
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
@@ -91,12 +91,12 @@
         self._metrics = metrics
         self._queues: dict[str, _ScoringQueue] = {}
 
-    async def score(self, request: RewardRequest, batch_started_at: float) -> Reward:
+    async def score(self, request: RewardRequest, order: RewardOrder) -> Reward:
         """Return the score of a whole text.
 
         Args:
             request: The reward request.
-            batch_started_at: When the item's batch job began; the oldest goes first.
+            order: Which reward requests go first.
 
         Raises:
             RewardNotGivenError: No score came.
@@ -105,8 +105,8 @@
         outcome = "cancelled"
         try:
             route = self._route(request)
-            async with self._queue(route).place(batch_started_at):
-                reward = await self._ask(request)
+            async with self._queue(route).place(order.batch_started_at):
+                reward = await self._ask(request, order)
             outcome = "scored"
             return reward
         except RewardNotGivenError as error:
@@ -142,7 +142,7 @@
         ]
         return place_limit(records, self._clock.monotonic())
 
-    async def _ask(self, request: RewardRequest) -> Reward:
+    async def _ask(self, request: RewardRequest, order: RewardOrder) -> Reward:
         # The route may have changed while the request waited.
         route = self._route(request)
         outgoing = ClientRequest(
@@ -153,6 +153,8 @@
             headers=(),
             body=request.body,
             budget_seconds=REWARD_BUDGET_SECONDS,
+            priority=route.priority,
+            reward_order=order,
         )
         try:
             answer = await self._forwarder.forward(route, outgoing)
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -145,6 +145,7 @@
             self._scheduler,
             task_owner,
             spec.batch_id,
+            spec.priority,
             on_result=self._add_result,
             on_change=self._wakeup.set,
         )
--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -6,9 +6,13 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
 
 import msgspec
 
+from drumbay.admission.gate import AdmissionGate
+from drumbay.admission.records import AdmissionRejectedError, AdmissionRequest
+from drumbay.admission.service import retry_after_seconds
 from drumbay.clock import Clock
 from drumbay.exceptions import Execution
 from drumbay.forwarding.records import (
@@ -53,8 +57,15 @@
 """Workers up to half full count as equally loaded."""
 
 MAXIMUM_REFUSALS = 6
+"""After as many refusals in one turn a request waits again: each costs its worker a connection."""
+
 RETRY_AFTER_SECONDS = 0.25
+"""Callers of a service without a worker come back then, before their deadline: workers start in
+seconds, yet another node may see one already."""
+
 REFUSAL_PAUSE_SECONDS = 0.05
+"""A worker that had no place gets nothing for this time: requests take about as long there."""
+
 MISDIRECTED_PAUSE_SECONDS = 5.0
 
 SUSPECT_PAUSE_SECONDS = 0.02
@@ -88,6 +99,9 @@
         self._routes = routes
         self._metrics = metrics
         self._usage = usage
+        self.admission = AdmissionGate(clock, directory, metrics)
+        self._ranks_version: int | None = None
+        self._ranks_by_service: dict[str, frozenset[int]] = {}
 
     async def forward(self, route: Route, request: ClientRequest) -> WorkerAnswer:
         """Return a worker's whole answer.
@@ -95,7 +109,8 @@
         Raises:
             ForwardingError: The final answer is a failure; says whether it may have run.
         """
-        forwarding = _Forwarding(self, route, self._routes.choose_service(route), request)
+        service = self._routes.choose_service(route)
+        forwarding = _Forwarding(self, route, service, request, self._ranks(service))
         started_at = self.clock.monotonic()
         ticket = self._usage.open() if request.tenant is not None else None
         outcome = "cancelled"
@@ -114,6 +129,19 @@
                 self._usage.close(ticket, request.tenant, forwarding.began_at)
             self._metrics.count_request(route.name, outcome, self.clock.monotonic() - started_at)
 
+    def _ranks(self, service: str) -> frozenset[int]:
+        """Return the ranks of requests to a service, worked out once a configuration."""
+        current = self._routes.current
+        if current is None:
+            return frozenset()
+        if current.version != self._ranks_version:
+            self._ranks_version = current.version
+            self._ranks_by_service.clear()
+        ranks = self._ranks_by_service.get(service)
+        if ranks is None:
+            ranks = self._ranks_by_service[service] = current.ranks_at(service)
+        return ranks
+
 
 class _Attempt(msgspec.Struct, frozen=True):
     """A send to one worker, at a monotonic time; ``was_kept`` if its connection seemed kept."""
@@ -127,7 +155,12 @@
     """One client request on its way: the attempts so far and those under way."""
 
     def __init__(
-        self, forwarder: Forwarder, route: Route, service: str, request: ClientRequest
+        self,
+        forwarder: Forwarder,
+        route: Route,
+        service: str,
+        request: ClientRequest,
+        ranks: frozenset[int],
     ) -> None:
         self._clock = forwarder.clock
         self._directory = forwarder.directory
@@ -142,12 +175,19 @@
         limit_seconds = min(request.budget_seconds, route.timeout_seconds)
         self._deadline = self._started_at + limit_seconds
         self._next_send = self._started_at
+        self._pass = forwarder.admission.ask(service, self._admission_request())
+        self._worker_priority = request.priority if len(ranks) > 1 else None
+        """Told to workers only where requests of several ranks meet there."""
+
         self._attempts: dict[asyncio.Task[WorkerAnswer], _Attempt] = {}
         self.began_at: float | None = None
         """When the first run may have begun; known for good once the request has its answer."""
 
         self._sent = 0
         self._refusals = 0
+        self._refusals_before_turn = 0
+        self._is_service_full = False
+        self._answered_attempt_seconds: float | None = None
         self._worker_failures = 0
         self._may_have_run = False
         self._tried: set[str] = set()
@@ -155,11 +195,16 @@
 
     async def run(self) -> WorkerAnswer:
         """Send until an answer is whole or nothing more can be done."""
+        await self._take_turn(self._pass.enter())
+        self._next_send = self._clock.monotonic()
         while True:
             now = self._clock.monotonic()
             remaining = self._deadline - now
             if remaining < MINIMUM_BUDGET_SECONDS:
                 raise self._failure(timed_out=True)
+            if self._was_refused_by_all(now):
+                await self._wait_for_another_turn()
+                continue
             if now >= self._next_send and self._may_send() and self._is_let_through(now):
                 self._send_to_next(now, remaining)
             if self._attempts:
@@ -172,6 +217,52 @@
             else:
                 raise self._failure(timed_out=False)
 
+    async def _take_turn(self, turn: Awaitable[None]) -> None:
+        """Wait for the request's turn at the service.
+
+        Raises:
+            NoWorkerError: It can't be served in time; it has not run.
+        """
+        try:
+            await turn
+        except AdmissionRejectedError as error:
+            raise NoWorkerError(
+                f"not admitted: {error.decision.reason}",
+                execution=Execution.NOT_RUN,
+                retry_after_seconds=error.decision.retry_after_seconds,
+            ) from error
+
+    def _was_refused_by_all(self, now: float) -> bool:
+        """Return whether workers have refused the request for want of room, and none is left."""
+        if not self._is_service_full or self._attempts or not self._has_not_run():
+            return False
+        return self._refusals - self._refusals_before_turn > MAXIMUM_REFUSALS or not any(
+            record.is_available(now) for record in self._allowed_records()
+        )
+
+    async def _wait_for_another_turn(self) -> None:
+        await self._take_turn(self._pass.enter_again())
+        self._refusals_before_turn = self._refusals
+        self._is_service_full = False
+        self._next_send = self._clock.monotonic()
+
+    def _has_not_run(self) -> bool:
+        return not self._may_have_run and self._sent == self._refusals
+
+    def _admission_request(self) -> AdmissionRequest:
+        request = self._request
+        order = request.reward_order
+        return AdmissionRequest(
+            request_id=request.request_id,
+            flow="" if order is not None else request.tenant or request.caller_address,
+            rank=request.priority,
+            arrived_at=self._started_at,
+            deadline=self._deadline,
+            is_reward=order is not None,
+            batch_started_at=order.batch_started_at if order is not None else 0.0,
+            batch_priority=order.batch_priority if order is not None else 0,
+        )
+
     def _is_let_through(self, now: float) -> bool:
         """Return whether the request may run once more, as far as its workers have survived it.
 
@@ -214,6 +305,7 @@
                     attempt.record.worker,
                     attempt.sent_at,
                 )
+        self._pass.close(self._answered_attempt_seconds)
 
     def _note_began(self, attempt: _Attempt) -> None:
         if self.began_at is None or attempt.sent_at < self.began_at:
@@ -290,7 +382,7 @@
         return None
 
     def _may_send(self) -> bool:
-        if self._refusals > MAXIMUM_REFUSALS:
+        if self._refusals - self._refusals_before_turn > MAXIMUM_REFUSALS:
             return False
         if self._route.kind is RequestKind.AT_MOST_ONCE:
             return not self._attempts and not self._may_have_run
@@ -316,9 +408,12 @@
         elif not self._attempts:
             raise self._failure(timed_out=False)
 
-    def _choose(self, now: float) -> WorkerRecord | None:
+    def _allowed_records(self) -> list[WorkerRecord]:
         records = self._directory.of_service(self._service)
-        records = [r for r in records if r.worker.worker_id not in self._apart_from]
+        return [r for r in records if r.worker.worker_id not in self._apart_from]
+
+    def _choose(self, now: float) -> WorkerRecord | None:
+        records = self._allowed_records()
         available = [record for record in records if record.is_available(now)]
         untried = [r for r in available if r.worker.worker_id not in self._tried]
         candidates = untried or available
@@ -363,6 +458,7 @@
             budget_seconds=remaining,
             repeatable=self._route.kind is RequestKind.IDEMPOTENT,
             tenant=request.tenant,
+            priority=self._worker_priority,
             fresh_connection=is_fresh,
         )
         record.in_flight += 1
@@ -397,6 +493,7 @@
         worker_id = attempt.record.worker.worker_id
         try:
             answer = task.result()
+            self._answered_attempt_seconds = now - attempt.sent_at
             self._note_began(attempt)
             self._note_survived(attempt)
             return answer
@@ -408,6 +505,7 @@
             self._directory.observe_failure(worker_id, now)
         except WorkerRefusedError:
             self._refusals += 1
+            self._is_service_full = True
             self._directory.pause(worker_id, now, REFUSAL_PAUSE_SECONDS)
         except WorkerBrokenError as error:
             self._note_began(attempt)
@@ -427,11 +525,14 @@
 
     def _failure(self, *, timed_out: bool) -> ForwardingError:
         """Return the final answer: what the client may conclude about the request."""
-        if not self._may_have_run and self._sent == self._refusals:
+        if self._has_not_run():
+            left_seconds = self._deadline - self._clock.monotonic()
             return NoWorkerError(
                 "no worker took the request",
                 execution=Execution.NOT_RUN,
-                retry_after_seconds=RETRY_AFTER_SECONDS,
+                retry_after_seconds=retry_after_seconds(
+                    self._request.request_id, RETRY_AFTER_SECONDS, left_seconds
+                ),
             )
         kind = RequestTimedOutError if timed_out else AnswerLostError
         return kind(
--- a/drumbay/forwarding/records.py
+++ b/drumbay/forwarding/records.py
@@ -54,11 +54,19 @@
     http_status = 502
 
 
+class RewardOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """Which reward requests go first: those of the oldest batch job, then the smaller priority."""
+
+    batch_started_at: float
+    batch_priority: int
+
+
 class ClientRequest(msgspec.Struct, frozen=True, kw_only=True):
     """A client's request, as it goes out to a worker.
 
     ``tenant`` is the one whose key it had; ``caller_address`` is where it came from, empty for
-    requests of the system's own.
+    requests of the system's own. ``priority`` ranks it where requests compete: 0 goes first.
+    ``reward_order`` is given for a reward request, which goes behind callers' requests.
     """
 
     request_id: str
@@ -70,6 +78,8 @@
     budget_seconds: float
     tenant: TenantName | None = None
     caller_address: str = ""
+    priority: int = 0
+    reward_order: RewardOrder | None = None
 
     @property
     def fingerprint(self) -> Fingerprint:
--- a/drumbay/forwarding/routes.py
+++ b/drumbay/forwarding/routes.py
@@ -76,6 +76,19 @@
             return route.priority
         return self.keys.priorities.get(tenant, route.priority)
 
+    def ranks_at(self, service: str) -> frozenset[int]:
+        """Return the ranks that requests to a service may have."""
+        routes = [
+            route
+            for route in self.routes
+            if route.kind is not RequestKind.ROLLOUT
+            and any(share.service == service for share in route.shares)
+        ]
+        ranks = {route.priority for route in routes}
+        if self.keys is not None and any(not route.is_public for route in routes):
+            ranks |= set(self.keys.priorities.values())
+        return frozenset(ranks)
+
     def batches_need_key(self, host: str) -> bool:
         """Return whether calls about batch jobs need a key: unless all their routes are public."""
         routes = [r for r in self._of_host(host) if r.kind is RequestKind.ROLLOUT]
--- a/drumbay/observability/serving_metrics.py
+++ b/drumbay/observability/serving_metrics.py
@@ -1,9 +1,13 @@
 """Counters and latency histograms of a serving node, in the Prometheus text format."""
 
-from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 REQUEST_BUCKETS_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10)
 ITEM_BUCKETS_SECONDS = (0.25, 0.5, 1, 2, 4, 6, 8, 12, 20, 60)
+WAIT_BUCKETS_SECONDS = (0.001, 0.01, 0.025, 0.05, 0.1, 0.2, 0.5, 1, 2)
+HIGHEST_RANK_LABEL = 9
+"""Ranks beyond share a label, so that a configuration cannot add labels without bound."""
+
 STORE_BUCKETS_SECONDS = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1)
 
 
@@ -110,6 +114,46 @@
             registry=self._registry,
         )
 
+        self._waiting = Gauge(
+            "drumbay_serving_admission_waiting",
+            "Requests that wait for a service.",
+            ("service",),
+            registry=self._registry,
+        )
+        self._admitted = Counter(
+            "drumbay_serving_admitted",
+            "Requests that went out to a service.",
+            ("service",),
+            registry=self._registry,
+        )
+        self._admission_seconds = Histogram(
+            "drumbay_serving_admission_seconds",
+            "Time from a request's arrival until it went out.",
+            ("service",),
+            buckets=WAIT_BUCKETS_SECONDS,
+            registry=self._registry,
+        )
+        self._rejected = Counter(
+            "drumbay_serving_rejected",
+            "Requests that were not admitted, by reason and rank.",
+            ("service", "reason", "rank"),
+            registry=self._registry,
+        )
+
+    def set_waiting(self, service: str, count: int) -> None:
+        """Take how many requests wait for a service."""
+        self._waiting.labels(service).set(count)
+
+    def count_admitted(self, service: str, waited_seconds: float) -> None:
+        """Count a request that went out, with its wait."""
+        self._admitted.labels(service).inc()
+        self._admission_seconds.labels(service).observe(waited_seconds)
+
+    def count_rejected(self, service: str, reason: str, rank: int) -> None:
+        """Count a request that was not admitted."""
+        label = str(min(rank, HIGHEST_RANK_LABEL))
+        self._rejected.labels(service, reason, label).inc()
+
     def count_worker_death(self) -> None:
         """Count a worker that ended under a request."""
         self._worker_deaths.inc()
