--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -326,6 +326,26 @@
         history.faults = (fault(FaultKind.WORKER_FULL, 0.5),)
         self.assertEqual(check(history), ())
 
+    def test_lookups_that_are_lost_beside_a_crowd(self) -> None:
+        history = self.history(fault(FaultKind.LOOKUP_CROWD, 0.5))
+        history.calls = [call(str(n), may_repeat=True) for n in range(100)]
+        history.crowd_calls = [call(f"crowd-{n}", 503, may_repeat=True) for n in range(100)]
+        self.assertEqual(check(history), ())
+        for lost in history.calls[:2]:
+            lost.status = 503
+        self.check_broken(history, "lookups_are_served")
+
+    def test_a_crowd_that_is_told_to_workers_as_another_tenant(self) -> None:
+        history = self.history(fault(FaultKind.LOOKUP_CROWD, 0.5))
+        history.tenant, history.crowd_tenant = TenantName("t"), TenantName("crowd")
+        history.crowd_calls = [call("c", may_repeat=True)]
+        told = run("c")
+        told.tenant = TenantName("crowd")
+        history.runs = [told]
+        self.assertEqual(check(history), ())
+        told.tenant = TenantName("t")
+        self.check_broken(history, "tenants_are_told")
+
     def test_lookups_that_are_late(self) -> None:
         history = self.history()
         history.calls = [call(str(n), may_repeat=True) for n in range(100)]
