--- a/tests/test_operations_document.py
+++ b/tests/test_operations_document.py
@@ -91,6 +91,8 @@
                 "worker_pauses",
                 "worker_deaths",
                 "held_requests",
+                "admitted",
+                "rejected",
             )
         }
         self.assertEqual(documented, {f"{name}_total" for name in counters})
