Let load reports count as long as answers take, and wait for a service that is full

Ruled out: a fixed longer lifetime of reports, which would hold back work where answers are quick. Change: a report counts for the time of an answer; a service that has answered within five seconds is waited for up to half of the caller's time; reward requests go behind lookups whatever the ranks of their routes; two requests with one id are two.

--- a/drumbay/admission/queue.py
+++ b/drumbay/admission/queue.py
@@ -3,8 +3,8 @@
 The load it answers: a tenant's burst beside many small tenants, urgent requests beside others, and
 the reward requests of a training step, sixty at a moment, beside lookups.
 
-The smallest rank goes first; callers' requests go before reward requests; flows of one rank share
-by start-time fair queueing (Goyal, Vin and Cheng 1996, section 2), one request at a time; within a
+Callers' requests go before reward requests, and the smallest rank first. Flows of one rank share by
+start-time fair queueing (Goyal, Vin and Cheng 1996, section 2), one request at a time; within a
 flow the earliest deadline goes first. Ranks rise with the wait, and reward requests keep a part of
 the turns, so that neither is starved.
 """
@@ -100,10 +100,10 @@
         own_ahead = 0
         if own_flow is not None:
             own_ahead = sum(1 for w in own_flow.requests if w.order_in_flow < request.order_in_flow)
-        own_order = (self._rank(own_flow, now) if own_flow else request.rank, request.is_reward)
+        own_order = (request.is_reward, self._rank(own_flow, now) if own_flow else request.rank)
         ahead = own_ahead
         for key, flow in self._flows.items():
-            order = (self._rank(flow, now), key.is_reward)
+            order = (key.is_reward, self._rank(flow, now))
             if key == own_key or order > own_order:
                 continue
             is_equal = order == own_order
@@ -118,8 +118,8 @@
         return min(
             flows,
             key=lambda flow: (
-                self._rank(flow, now),
                 flow.key.is_reward,
+                self._rank(flow, now),
                 flow.start,
                 flow.requests[0].deadline,
                 flow.key.flow,
--- a/drumbay/admission/records.py
+++ b/drumbay/admission/records.py
@@ -7,9 +7,11 @@
 from drumbay.exceptions import UnavailableError
 
 
-class AdmissionRequest(msgspec.Struct, frozen=True, kw_only=True):
+class AdmissionRequest(msgspec.Struct, frozen=True, kw_only=True, eq=False):
     """A request on its way to a service; times are monotonic seconds.
 
+    Each is equal to itself only: callers choose the ids, and may use one twice.
+
     Requests of one ``flow`` share one part of the service: those of a tenant, or of a caller where
     there are no tenants. ``rank`` 0 goes first. Of reward requests, those of the batch job that
     began first (``batch_started_at``) go first, then the smaller ``batch_priority``.
--- a/drumbay/admission/service.py
+++ b/drumbay/admission/service.py
@@ -26,11 +26,12 @@
 served, or for the caller to try again at another node."""
 
 LONGEST_WAIT_SHARE_UNANSWERED = 0.25
-"""The share while the service has answered nothing since the request came: nothing speaks for this
-node then, and the caller has most of its time left for another one."""
+"""The share while the service has answered nothing of late: nothing speaks for waiting here, and
+the caller has most of its time left for another node."""
 
-ANSWER_MEMORY_SECONDS = 0.25
-"""An answer tells for so long that the service answers: several times what a lookup takes."""
+ANSWER_MEMORY_SECONDS = 5.0
+"""A service that has answered within this time and refuses now is full, not gone: places come free
+with the requests that it works on, which callers wait for no longer than some seconds."""
 
 RATE_WINDOW_SECONDS = 1.0
 """The service's rate is counted over this time, once requests have waited that long without a
@@ -63,6 +64,11 @@
         """Return whether decisions depend on what the workers bear."""
         return self._limit.is_in_force or len(self._queue) > 0
 
+    @property
+    def answer_seconds(self) -> float:
+        """Return the time of recent answers, 0 before the first."""
+        return self._limit.answer_seconds or 0.0
+
     @property
     def waiting(self) -> int:
         """Return how many requests wait."""
--- a/drumbay/batches/scoring_places.py
+++ b/drumbay/batches/scoring_places.py
@@ -66,10 +66,14 @@
         self._taken -= 1
 
 
-def place_limit(records: Iterable[WorkerRecord], now: float) -> int:
-    """Return how many reward requests one node may have under way at these workers."""
+def place_limit(records: Iterable[WorkerRecord], now: float, answer_seconds: float = 0.0) -> int:
+    """Return how many reward requests one node may have under way at these workers.
+
+    Load reports come with answers: where these take longer, reports count for as long. Otherwise
+    each node would take all places of a slow service for its own between two of them.
+    """
     places = sum(
-        max(0, record.worker.slots - record.others_busy(now))
+        max(0, record.worker.slots - record.others_busy(now, answer_seconds))
         for record in records
         if record.is_available(now)
     )
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -135,8 +135,9 @@
         self.assertLess(sum(waits) / len(waits), replay.seconds_of(others[1]))
 
     def test_reward_requests_wait_behind_lookups_and_keep_a_part(self) -> None:
+        # Whatever the ranks of their routes.
         rewards = [ask(f"reward-{n}", flow="", is_reward=True) for n in range(60)]
-        lookups = [ask(f"l{n}", at=0.001 + 0.01 * n, flow=f"t{n}") for n in range(40)]
+        lookups = [ask(f"l{n}", at=0.001 + 0.01 * n, flow=f"t{n}", rank=2) for n in range(40)]
         replay = Replay(rewards + lookups, seconds=0.03)
         self.assertLess(max(replay.seconds_of(lookup) for lookup in lookups), 0.1)
         order = [request.is_reward for request in replay.admitted]
@@ -209,6 +210,26 @@
         assert isinstance(decision, Rejected)
         self.assertEqual(decision.reason, RejectionReason.WAITED_TOO_LONG)
 
+    def test_a_service_that_has_answered_of_late_is_waited_for_longer(self) -> None:
+        admission = ServiceAdmission()
+        admission.arrive(ask("earlier", at=-3.0), -3.0, None)
+        admission.answered(0.03, -2.9)
+        first = ask("first")
+        admission.arrive(first, 0.0, None)
+        admission.take_back(first, 0.0, ROOM)
+        full = msgspec.structs.replace(ROOM, available_workers=0, places=0, pause_ends_at=0.74)
+        self.assertEqual(admission.advance(0.6, full), [])
+        self.assertEqual(admission.advance(0.74, ROOM), [Admitted(request=first)])
+
+    def test_two_requests_under_one_id_are_two(self) -> None:
+        queue = AdmissionQueue()
+        first, second = ask("same"), ask("same")
+        queue.push(first)
+        self.assertFalse(queue.remove(second))
+        queue.push(second)
+        self.assertTrue(queue.remove(first))
+        self.assertIs(queue.pop(0.0), second)
+
     def test_the_limit_ends_after_a_calm_time(self) -> None:
         admission = limited_admission()
         self.assertTrue(admission.needs_room)
