--- a/drumbay/admission/gate.py
+++ b/drumbay/admission/gate.py
@@ -32,11 +32,6 @@
         self._metrics = metrics
         self._services: dict[str, _ServiceGate] = {}
 
-    def answer_seconds(self, service: str) -> float:
-        """Return the time of a service's recent answers to this node, 0 before the first."""
-        gate = self._services.get(service)
-        return 0.0 if gate is None else gate.answer_seconds
-
     def ask(self, service: str, request: AdmissionRequest) -> "AdmissionPass":
         """Return a pass with which a request can go out to a service."""
         gate = self._services.get(service)
@@ -95,10 +90,6 @@
         self._waiters: dict[AdmissionRequest, asyncio.Future[Admitted | Rejected]] = {}
         self._timer: asyncio.TimerHandle | None = None
 
-    @property
-    def answer_seconds(self) -> float:
-        return self._admission.answer_seconds
-
     async def enter(self, request: AdmissionRequest) -> None:
         room = self._room() if self._admission.needs_room else None
         decision = self._admission.arrive(request, self._clock.monotonic(), room)
@@ -117,7 +108,7 @@
 
     def _room(self) -> ServiceRoom:
         records = self._directory.of_service(self._service)
-        return room_of(records, self._clock.monotonic(), self._admission.answer_seconds)
+        return room_of(records, self._clock.monotonic())
 
     async def _carry_out(self, decision: Admitted | Queued | Rejected) -> None:
         request = decision.request
--- a/drumbay/admission/room.py
+++ b/drumbay/admission/room.py
@@ -16,10 +16,8 @@
 again. One that failed pauses for longer."""
 
 
-def room_of(
-    records: Sequence[WorkerRecord], now: float, answer_seconds: float = 0.0
-) -> ServiceRoom:
-    """Return what a service bears from this node, whose answers take so long at present."""
+def room_of(records: Sequence[WorkerRecord], now: float) -> ServiceRoom:
+    """Return what a service bears from this node, as far as its records tell."""
     ready = [record for record in records if record.worker.state is WorkerState.READY]
     available = [record for record in ready if record.is_available(now)]
     pauses = [record.paused_until for record in ready if not record.is_available(now)]
@@ -28,7 +26,7 @@
     return ServiceRoom(
         available_workers=len(available),
         places=sum(
-            max(0, record.worker.slots - record.others_busy(now, answer_seconds)) + REQUESTS_AT_HAND
+            max(0, record.worker.slots - record.others_busy(now)) + REQUESTS_AT_HAND
             for record in soon
         ),
         pause_ends_at=min(pauses, default=None),
--- a/drumbay/admission/service.py
+++ b/drumbay/admission/service.py
@@ -64,11 +64,6 @@
         """Return whether decisions depend on what the workers bear."""
         return self._limit.is_in_force or len(self._queue) > 0
 
-    @property
-    def answer_seconds(self) -> float:
-        """Return the time of recent answers, 0 before the first."""
-        return self._limit.answer_seconds or 0.0
-
     @property
     def waiting(self) -> int:
         """Return how many requests wait."""
--- a/drumbay/batches/reward_scorer.py
+++ b/drumbay/batches/reward_scorer.py
@@ -133,13 +133,14 @@
         """Return how many reward requests of a route may be under way now."""
         current = self._routes.current
         routes = current.routes if current is not None else ()
-        services = [
-            share.service for route in routes if route.name == route_name for share in route.shares
+        records = [
+            record
+            for route in routes
+            if route.name == route_name
+            for share in route.shares
+            for record in self._directory.of_service(share.service)
         ]
-        records = [r for service in services for r in self._directory.of_service(service)]
-        admission = self._forwarder.admission
-        answer_seconds = max(map(admission.answer_seconds, services), default=0.0)
-        return place_limit(records, self._clock.monotonic(), answer_seconds)
+        return place_limit(records, self._clock.monotonic())
 
     async def _ask(self, request: RewardRequest, order: RewardOrder) -> Reward:
         # The route may have changed while the request waited.
--- a/drumbay/batches/scoring_places.py
+++ b/drumbay/batches/scoring_places.py
@@ -66,14 +66,10 @@
         self._taken -= 1
 
 
-def place_limit(records: Iterable[WorkerRecord], now: float, answer_seconds: float = 0.0) -> int:
-    """Return how many reward requests one node may have under way at these workers.
-
-    Load reports come with answers: where these take longer, reports count for as long. Otherwise
-    each node would take all places of a slow service for its own between two of them.
-    """
+def place_limit(records: Iterable[WorkerRecord], now: float) -> int:
+    """Return how many reward requests one node may have under way at these workers."""
     places = sum(
-        max(0, record.worker.slots - record.others_busy(now, answer_seconds))
+        max(0, record.worker.slots - record.others_busy(now))
         for record in records
         if record.is_available(now)
     )
--- a/drumbay/workers/directory.py
+++ b/drumbay/workers/directory.py
@@ -60,12 +60,9 @@
         """Return the requests on the worker as far as known."""
         return self.in_flight + self.others_busy(now)
 
-    def others_busy(self, now: float, run_seconds: float = 0.0) -> int:
-        """Return the requests of other nodes on the worker as far as known.
-
-        Where runs take longer than usual, what a report counted is there for as long.
-        """
-        if now - self.reported_at > max(LOAD_REPORT_LIFETIME_SECONDS, run_seconds):
+    def others_busy(self, now: float) -> int:
+        """Return the requests of other nodes on the worker as far as known."""
+        if now - self.reported_at > LOAD_REPORT_LIFETIME_SECONDS:
             return 0
         return self.others
 
--- a/tests/test_rewards.py
+++ b/tests/test_rewards.py
@@ -159,16 +159,6 @@
         records[1].reported_at = records[2].reported_at = 0.0
         self.assertEqual(place_limit(records, 0.0), 1)
 
-    def test_a_report_counts_for_as_long_as_answers_take(self) -> None:
-        directory = WorkerDirectory()
-        world = ServingWorld(node_count=0, scorer_count=1)
-        directory.replace_all(world.workers.entries())
-        (record,) = directory.of_service(SCORING_SERVICE)
-        record.others, record.reported_at = 4, 0.0
-        self.assertEqual(place_limit([record], 1.0), 2)
-        self.assertEqual(place_limit([record], 1.0, answer_seconds=1.3), 1)
-        self.assertEqual(place_limit([record], 1.4, answer_seconds=1.3), 2)
-
 
 class ScoredBatchTest(unittest.TestCase):
     """Whole nodes, emulated workers and scoring services."""
