Lower the limit of a service once in the time of an answer

Cause: the limit fell each 0.1 s while the answers of a slow service took over a second, so that it came down to one before a lower limit could show (Chiu and Jain: once a round trip). Change: at most once in the time of an answer; pauses as before. Fails before: test_the_limit_is_lowered_once_in_the_time_of_an_answer.

--- a/drumbay/admission/limit.py
+++ b/drumbay/admission/limit.py
@@ -14,7 +14,8 @@
 left half empty."""
 
 DECREASE_INTERVAL_SECONDS = 0.1
-"""Refusals within one such time tell of the same moment, and lower the limit once."""
+"""Refusals within one such time, or that of an answer, tell of the same moment and lower the limit
+once: requests under way since before show nothing of the lower limit yet."""
 
 FIRST_PAUSE_SECONDS = 0.05
 LONGEST_PAUSE_SECONDS = 0.2
@@ -79,11 +80,16 @@
     def note_refused(self, under_way: int, now: float) -> None:
         """Take that all workers refused a request, with so many under way from here."""
         self._refused_at = now
-        if now - self._lowered_at < DECREASE_INTERVAL_SECONDS:
+        self._pause(now)
+        if now - self._lowered_at < max(DECREASE_INTERVAL_SECONDS, self._recent_seconds or 0.0):
             return
         self._lowered_at = now
         before = under_way if self._limit is None else min(self._limit, float(under_way))
         self._limit = max(1.0, DECREASE_FACTOR * before)
+
+    def _pause(self, now: float) -> None:
+        if now < self._paused_until:
+            return
         pause_seconds = FIRST_PAUSE_SECONDS * 2 ** min(self._refusals_in_a_row, 8)
         self._refusals_in_a_row += 1
         self._paused_until = now + min(pause_seconds, LONGEST_PAUSE_SECONDS)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from drumbay.admission.limit import ConcurrencyLimit
 from drumbay.admission.queue import TURNS_A_REWARD, AdmissionQueue
 from drumbay.admission.records import (
     AdmissionRequest,
@@ -221,6 +222,17 @@
         self.assertEqual(admission.advance(0.6, full), [])
         self.assertEqual(admission.advance(0.74, ROOM), [Admitted(request=first)])
 
+    def test_the_limit_is_lowered_once_in_the_time_of_an_answer(self) -> None:
+        limit = ConcurrencyLimit()
+        room = msgspec.structs.replace(ROOM, places=50)
+        for _ in range(30):
+            limit.note_answered(1.2)
+        for number in range(11):
+            limit.note_refused(40, 0.1 * number)
+        self.assertEqual(limit.current(room), 28)
+        limit.note_refused(40, 1.25)
+        self.assertEqual(limit.current(room), 19)
+
     def test_two_requests_under_one_id_are_two(self) -> None:
         queue = AdmissionQueue()
         first, second = ask("same"), ask("same")
