--- a/tests/test_operations_document.py
+++ b/tests/test_operations_document.py
@@ -96,6 +96,8 @@
                 "store_purposes",
                 "hedges",
                 "worker_refusals",
+                "admitted",
+                "rejected",
             )
         }
         self.assertEqual(documented, {f"{name}_total" for name in counters})
