Use no worker of a service that is not configured, and bound what entries tell

Cause: the service of an entry was checked by nobody: one of another writer was a worker that got load orders and that seemed to replace whoever had its address. Whole numbers were unbounded: a start of 10^30 raised OverflowError where nodes encode messages, which lost the whole batch of notices and ended the writer of the stored quarantine. An address could hold blanks, line breaks and other bytes that cannot stand in a header, and a port signs, underscores and digits of other scripts.

Ruled out: to call an entry of a service that is not named broken. A configuration that names it may still come, and entries are not written again for it.

Change: an empty service is not understood. Workers of services that neither a route nor the list of services of the configuration in force names are kept out of the directory, known ones too, and looked at again with each configuration; one log line each, without what the entry calls the service. Before the first configuration no worker is in use; a node serves nothing before it either. Versions, counts and starts in entries, reports and named versions are 0 to 2^53 - 1. Host and port have one form.

--- a/drumbay/forwarding/routes.py
+++ b/drumbay/forwarding/routes.py
@@ -56,7 +56,8 @@
     """One version of the operators' configuration, whole.
 
     ``keys`` is ``None`` where it names no tenants: then no request needs a key. ``scaling`` names
-    the services whose number of workers may be ordered.
+    the services whose number of workers may be ordered, ``services`` those that are listed beside
+    the routes.
     """
 
     version: int
@@ -64,6 +65,13 @@
     limits: RequestLimits
     keys: KeyTable | None = None
     scaling: tuple[ServiceScaling, ...] = ()
+    services: frozenset[str] = frozenset()
+
+    @property
+    def named_services(self) -> frozenset[str]:
+        """Return the services that a route or the list of services names."""
+        routed = {share.service for route in self.routes for share in route.shares}
+        return self.services | routed
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of the host with the longest prefix of the path."""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -414,6 +414,19 @@
             worker = await self.server(head + report.decode())
             self.assertEqual((await self.client.status(worker)).started_at_ms, started_at_ms)
 
+    async def test_a_report_with_numbers_that_nobody_counts_to_is_none(self) -> None:
+        for number in (-1, 2**53, 10**30):
+            for report in (
+                {"models": [], "busy": False, "seq": 1, "born": number},
+                {"models": [], "busy": False, "seq": number},
+                {"models": [{"name": "m", "ver": number}], "busy": False, "seq": 1},
+            ):
+                body = json.dumps(report)
+                head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+                worker = await self.server(head + body)
+                with self.subTest(body), self.assertRaises(WorkerError):
+                    await self.client.status(worker)
+
     async def test_the_answer_to_a_request_is_no_answer_to_an_order(self) -> None:
         worker = await self.server(self.head + "Content-Length: 2\r\n\r\nok")
         self.scripted.keep = True
--- a/tests/test_platform_entries.py
+++ b/tests/test_platform_entries.py
@@ -46,6 +46,26 @@
     "no address": json.dumps({**WHOLE, "addr": SECRET}).encode(),
     "no port": json.dumps({**WHOLE, "addr": f"{SECRET}:http"}).encode(),
     "a port out of range": json.dumps({**WHOLE, "addr": "10.0.0.1:70000"}).encode(),
+    "no service": json.dumps({**WHOLE, "svc": ""}).encode(),
+    "blanks in the address": json.dumps({**WHOLE, "addr": f"10.0.0.1 {SECRET}:80"}).encode(),
+    "an address with a line break": json.dumps({**WHOLE, "addr": "10.0.0.1\r\n:80"}).encode(),
+    "an address beyond ASCII": json.dumps({**WHOLE, "addr": "h\u00e9:80"}).encode(),
+    "a port with a sign": json.dumps({**WHOLE, "addr": "10.0.0.1:+80"}).encode(),
+    "a port with a blank": json.dumps({**WHOLE, "addr": "10.0.0.1: 80"}).encode(),
+    "a port with an underscore": json.dumps({**WHOLE, "addr": "10.0.0.1:8_0"}).encode(),
+    "a port in other digits": json.dumps({**WHOLE, "addr": "10.0.0.1:\u0668\u0660"}).encode(),
+    **{
+        f"{name} {number}": json.dumps({**WHOLE, name: number}).encode()
+        for name in ("slots", "seq", "born")
+        for number in (2**53, 10**30)
+    },
+    **{f"{name} negative": json.dumps({**WHOLE, name: -1}).encode() for name in ("seq", "born")},
+    **{
+        f"version {number}": json.dumps(
+            {**WHOLE, "models": [{"name": "m", "ver": number}]}
+        ).encode()
+        for number in (-1, 2**53, 10**30)
+    },
     "no object": json.dumps([SECRET]).encode(),
     "nothing": b"",
     "cut off": json.dumps(WHOLE).encode()[:-9],
@@ -72,6 +92,7 @@
     "no text": b"\xff" + SECRET.encode(),
     "nested deeply": b'{"x":' + b"[" * 100_000,
 }
+BROKEN_VERSIONS = ('"3"', "-1", str(2**53), str(10**30))
 
 
 def encoded(fields: dict[str, Any]) -> bytes:
@@ -81,10 +102,14 @@
 class Fed:
     """A node that is fed with entries."""
 
-    def __init__(self, world: ServingWorld) -> None:
+    def __init__(
+        self, world: ServingWorld, configuration: dict[str, Any] | None = CONFIGURATION
+    ) -> None:
         self.node = world.nodes[0].node
         self.operator, self.workers = NodeFeeds(self.node, 2.0).feeds()
         self.revision = 0
+        if configuration is not None:
+            self.write("op/config", encoded(configuration))
         self.lines: list[str] = []
         self._handler = logger.add(self.lines.append, level="DEBUG", format="{message} {extra}")
 
@@ -108,6 +133,13 @@
     def known(self) -> list[str]:
         return [record.worker.worker_id for record in self.node.directory.of_service("engines")]
 
+    @property
+    def in_use(self) -> list[str]:
+        return sorted(self.node.directory.all_records())
+
+    def not_named(self) -> list[str]:
+        return [line for line in self.lines if line.startswith("worker_service_not_named")]
+
     def complaints(self) -> list[str]:
         return [line for line in self.lines if line.startswith("entry_not_understood")]
 
@@ -182,6 +214,71 @@
         play(scenario, node_count=1, worker_count=0)
 
 
+class ServicesTest(unittest.TestCase):
+    """Entries of services that the configuration in force does not name."""
+
+    def test_they_are_out_of_use_until_a_configuration_names_them(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            fed = Fed(world, configuration=None)
+            self.addCleanup(fed.close)
+            for worker_id, service in (("i-1", "engines"), ("i-2", "others"), ("i-3", "listed")):
+                fed.write(f"servers/{worker_id}", encoded({**WHOLE, "svc": service}))
+            self.assertEqual(fed.in_use, [])
+            self.assertEqual(fed.not_named(), [])
+            listed = {"svcs": [{"name": "listed"}]}
+            fed.write("op/config", encoded({**CONFIGURATION, **listed}))
+            self.assertEqual(fed.in_use, ["i-1", "i-3"])
+            (line,) = fed.not_named()
+            self.assertIn("i-2", line)
+            split = [{"svc": "others"}, {"svc": "listed", "weight": 2.0}]
+            route = {"name": "r", "host": "h", "pathPrefix": "/p/", "split": split}
+            fed.write("op/config", encoded({"ver": 2, "routes": [route]}))
+            self.assertEqual(fed.in_use, ["i-2", "i-3"])
+
+        play(scenario, node_count=1, worker_count=0)
+
+    def test_a_known_worker_gets_nothing_new_and_one_that_is_not_used_replaces_nobody(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            fed = Fed(world)
+            self.addCleanup(fed.close)
+            for worker_id in ("i-1", "i-2"):
+                fed.write(f"servers/{worker_id}", encoded(WHOLE))
+            record = fed.node.directory.get(BackendId("i-2"))
+            assert record is not None
+            fed.write("servers/i-1", encoded({**WHOLE, "svc": "others"}))
+            fed.write("servers/i-9", encoded({**WHOLE, "svc": "others"}))
+            self.assertEqual(fed.in_use, ["i-2"])
+            self.assertFalse(fed.node.directory.is_replaced(record.worker))
+            fed.write("servers/i-1", encoded(WHOLE))
+            self.assertEqual(fed.in_use, ["i-1", "i-2"])
+
+        play(scenario, node_count=1, worker_count=0)
+
+    def test_a_snapshot_and_the_end_of_an_entry_hold_for_them_too(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            fed = Fed(world)
+            self.addCleanup(fed.close)
+            for worker_id in ("i-1", "i-2", "i-3"):
+                fed.write(f"servers/{worker_id}", encoded(WHOLE))
+            unnamed = [
+                fed.item(f"servers/{worker_id}", encoded({**WHOLE, "svc": "others"}))
+                for worker_id in ("i-1", "i-2", "i-4")
+            ]
+            whole = fed.item("servers/i-3", encoded(WHOLE))
+            for _ in range(2):
+                fed.workers.on_snapshot((*unnamed, whole), 2 * LAPSE_SECONDS)
+                self.assertEqual(fed.in_use, ["i-3"])
+            self.assertEqual(len(fed.not_named()), 3)
+            fed.write("servers/i-1", b"")
+            gone = WatchEvent(key="servers/i-2", mod_revision=Revision(99), item=None)
+            fed.workers.on_event(gone)
+            route = {"name": "r", "host": "h", "pathPrefix": "/p/", "svc": "others"}
+            fed.write("op/config", encoded({"ver": 2, "routes": [route]}))
+            self.assertEqual(fed.in_use, ["i-4"])
+
+        play(scenario, node_count=1, worker_count=0)
+
+
 class OperatorEntriesTest(unittest.TestCase):
     def test_what_was_in_force_stays_and_the_others_hold(self) -> None:
         async def scenario(world: ServingWorld) -> None:
@@ -193,7 +290,8 @@
                 with self.subTest(name):
                     fed.lines.clear()
                     broken = fed.item("op/config", value)
-                    version = fed.item("op/version/m", b'{"model":"m","ver":"3"}')
+                    number = BROKEN_VERSIONS[fed.revision % len(BROKEN_VERSIONS)]
+                    version = fed.item("op/version/m", b'{"model":"m","ver":%s}' % number.encode())
                     other = fed.item("op/version/n", encoded({"model": "n", "ver": fed.revision}))
                     for _ in range(2):
                         fed.operator.on_snapshot((broken, version, other), 0.0)
