Play hedges and cuts with workers that start again, and correct the account

The row of guarantees named 8 of 9 ways, the table held 7 of them and late discovery. Hedged lookups and nodes cut off from each other are added; all nine, and late discovery, are green. With the starts taken out of the directory (trial on a scratch copy) all ten are red; an item on 6 workers is green there too, on 2 workers it is red.

--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -316,6 +316,8 @@
             "lookups, nodes restarted in turn": self.play_restarts_in_turn,
             "lookups, all nodes restarted at once": self.play_restart_of_all,
             "lookups, the store away": self.play_outage_of_the_store,
+            "lookups, nodes cut off from each other": self.play_cut_between_nodes,
+            "lookups, hedged": self.play_hedged_lookups,
             "lookups, discovery late": self.play_late_discovery,
             "bookings": self.play_bookings,
             "item": self.play_item,
