Give no load order to a worker that left while it was asked

Cause: between the plan of a load and its order lies the worker's report. A worker whose record goes meanwhile (its entry is broken, or of a service that is not named) still got the order.

Change: the order goes out only for the record that the load was planned over.

The new test fails on the code before: one order was given.

--- a/drumbay/weights/version_coordinator.py
+++ b/drumbay/weights/version_coordinator.py
@@ -201,7 +201,8 @@
         The expected sequence is that of the start for which the load was planned.
         """
         status = await self._ask(record)
-        if self._directory.has_restarted(record.worker):
+        if self._directory.get(load.worker_id) is not record:
+            # It has started again, or has left: it must get no order.
             return False
         if status.busy:
             return True
--- a/tests/test_worker_starts.py
+++ b/tests/test_worker_starts.py
@@ -511,6 +511,25 @@
 
         play(scenario, node_count=1, worker_count=1, workers_keep_ids=True)
 
+    def test_one_that_leaves_while_it_is_asked_gets_no_order(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            node = world.nodes[0]
+            ask = world.workers.status
+
+            async def leave(worker: Worker, *, fresh_connection: bool = False) -> WorkerStatus:
+                report = await ask(worker, fresh_connection=fresh_connection)
+                node.directory.remove(worker.worker_id)
+                return report
+
+            world.workers.status = leave  # type: ignore[method-assign]
+            node.lead()
+            await asyncio.sleep(1.0)
+            node.named.name(MODEL, WeightVersion(2))
+            await asyncio.sleep(1.0)
+            self.assertEqual(world.workers.orders, [])
+
+        play(scenario, node_count=1, worker_count=1)
+
     def test_the_end_of_a_load_ends_no_later_one(self) -> None:
         planner = VersionPlanner(LoadPolicy())
         first = planner.note_started(WORKER)
