--- a/drumbay/admission/limit.py
+++ b/drumbay/admission/limit.py
@@ -18,11 +18,11 @@
 once: requests under way since before show nothing of the lower limit yet."""
 
 FIRST_PAUSE_SECONDS = 0.05
-LONGEST_PAUSE_SECONDS = 0.2
+LONGEST_REFUSED_PAUSE_SECONDS = 0.2
 """After a refusal by all workers nothing goes out for this time, doubled with each in a row: places
 come free within the time of a request, and asking more often only adds refusals."""
 
-CALM_SECONDS = 1.0
+LIMIT_LIFETIME_SECONDS = 1.0
 """Without a refusal for this time and with nothing waiting, there is no limit any more."""
 
 SLOW_FACTOR = 2.0
@@ -69,13 +69,14 @@
         While all workers are paused for longer than a refusal takes, one is asked all the same:
         nothing else would tell that they are back.
         """
-        pause_ends_at = self._paused_until
-        is_soon = (
-            room.pause_ends_at is not None and room.pause_ends_at <= now + LONGEST_PAUSE_SECONDS
-        )
-        if room.available_workers == 0 and is_soon and room.pause_ends_at is not None:
-            pause_ends_at = max(pause_ends_at, room.pause_ends_at)
-        return pause_ends_at
+        ends_at = room.pause_ends_at
+        if (
+            room.available_workers
+            or ends_at is None
+            or ends_at > now + LONGEST_REFUSED_PAUSE_SECONDS
+        ):
+            return self._paused_until
+        return max(self._paused_until, ends_at)
 
     def note_refused(self, under_way: int, now: float) -> None:
         """Take that all workers refused a request, with so many under way from here."""
@@ -92,7 +93,7 @@
             return
         pause_seconds = FIRST_PAUSE_SECONDS * 2 ** min(self._refusals_in_a_row, 8)
         self._refusals_in_a_row += 1
-        self._paused_until = now + min(pause_seconds, LONGEST_PAUSE_SECONDS)
+        self._paused_until = now + min(pause_seconds, LONGEST_REFUSED_PAUSE_SECONDS)
 
     def note_answered(self, seconds: float) -> None:
         """Take an answer and the time it took."""
@@ -104,7 +105,7 @@
 
     def note_idle(self, now: float) -> None:
         """Take that nothing waits: after a calm time the limit ends."""
-        if self._limit is not None and now - self._refused_at >= CALM_SECONDS:
+        if self._limit is not None and now - self._refused_at >= LIMIT_LIFETIME_SECONDS:
             self._limit = None
 
     def _is_slow(self) -> bool:
--- a/drumbay/admission/room.py
+++ b/drumbay/admission/room.py
@@ -7,13 +7,13 @@
 from drumbay.workers.directory import WorkerRecord
 from drumbay.workers.records import WorkerState
 
-REQUESTS_AT_HAND = 1
-"""Besides its places a worker gets so many requests, lest it stand idle between two of them for as
-long as an answer and the next request are on their way."""
+EXTRA_REQUESTS_PER_WORKER = 1
+"""Sent beyond a worker's free places, so that it has the next request when one ends."""
 
 SHORT_PAUSE_SECONDS = 0.2
-"""A worker that pauses for no longer has refused a request; its places count, since they come free
-again. One that failed pauses for longer."""
+"""Places of a worker that may be asked again within this time count: they come free while a request
+waits. Those of a worker that pauses for longer, after a failure or a refusal while it is slow, do
+not count."""
 
 
 def room_of(records: Sequence[WorkerRecord], now: float) -> ServiceRoom:
@@ -26,7 +26,7 @@
     return ServiceRoom(
         available_workers=len(available),
         places=sum(
-            max(0, record.worker.slots - record.others_busy(now)) + REQUESTS_AT_HAND
+            max(0, record.worker.slots - record.others_busy(now)) + EXTRA_REQUESTS_PER_WORKER
             for record in soon
         ),
         pause_ends_at=min(pauses, default=None),
--- a/drumbay/batches/owned.py
+++ b/drumbay/batches/owned.py
@@ -64,7 +64,7 @@
         task_owner: TaskOwner,
         newest_version: Callable[[str], WeightVersion],
         tell: Callable[[Iterable[NetworkAddress], PlacesNotice], None],
-        rivals: ServiceUse,
+        service_use: ServiceUse,
         metrics: ServingMetrics,
     ) -> None:
         """Own nothing.
@@ -82,7 +82,7 @@
             task_owner: Runs the tasks of runners.
             newest_version: Returns the newest version named for a model.
             tell: Sends a notice to other nodes.
-            rivals: Tells who else uses a service.
+            service_use: Tells which kinds of requests reach a service.
             metrics: Counts what happens to batch jobs.
         """
         self.is_leaving = False
@@ -99,7 +99,7 @@
         self._metrics = metrics
         self._runners: dict[BatchId, BatchRunner] = {}
         self._taking: dict[BatchId, asyncio.Event] = {}
-        self._rivals = rivals
+        self._service_use = service_use
         self._event_sizes: dict[str, EventSize] = {}
         self._returning = ReturningItems(peers)
         self._exchange = PlaceExchange(
@@ -169,7 +169,7 @@
         tells of more holds.
         """
         held = self._exchange.shared.held_by_others(service)
-        if held is None or self._rivals.has_only_batches(service):
+        if held is None or self._service_use.has_only_batches(service):
             return held
         return {
             record.worker.worker_id: max(
@@ -238,7 +238,7 @@
             on_lost=self._forget,
             missed=self._exchange.history.missed_before(spec.model, spec.batch_id),
             event_size=self._event_size_of(spec.model),
-            is_shared=self._rivals.batch_routes(spec.service) > 1,
+            is_shared=self._service_use.batch_routes(spec.service) > 1,
             share_for=self._share_for,
             on_places_changed=self._exchange.note_change,
         )
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -190,7 +190,7 @@
         self._limits = StartLimits()
         self._closed = False
         self._lingering = False
-        self._is_promised = True
+        self._is_feasible = True
 
     def resume(self, stored: tuple[PartialText, ...], *, owner_is_gone: bool) -> None:
         """Go on from what the owner before has saved; call before :meth:`start`.
@@ -376,20 +376,20 @@
         if competition is None:
             is_settling = self._is_shared and now < self._started_at + SETTLE_SECONDS
             return msgspec.structs.replace(share, long_only=is_settling)
-        if competition.is_promised != self._is_promised and self.last_places.startable:
-            self._is_promised = competition.is_promised
+        if competition.is_feasible != self._is_feasible and self.last_places.startable:
+            self._is_feasible = competition.is_feasible
             self._log_turn(competition, now)
         return share
 
     def _log_turn(self, competition: Competition, now: float) -> None:
-        self._metrics.count_step_turn("in_time" if competition.is_promised else "deferred")
+        self._metrics.count_step_turn("in_time" if competition.is_feasible else "deferred")
         own = self.last_places
         due_at = self._scheduler.due_at
         log_event(
             "step_turn",
             batch=self.spec.batch_id,
             model=self.spec.model,
-            is_in_time=competition.is_promised,
+            is_in_time=competition.is_feasible,
             age_seconds=round(now - self._began_at, 3),
             due_in_seconds=None if due_at is None else round(due_at - now, 3),
             work_seconds=round(own.work_seconds, 3),
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -492,13 +492,13 @@
     ) -> bool:
         """Return whether other batch jobs leave a place for one more item."""
         slot = None
-        if latest_start is not None and competition.is_promised:
+        if latest_start is not None and competition.is_feasible:
             slot = time_slot(latest_start + competition.offset)
         if slot is None:
             held = sum(run.worker_id is not None for run in self._runs.values())
             if held < competition.late_places:
                 return True
-        return competition.free - started > competition.before(slot)
+        return competition.free - started > competition.count_ahead(slot)
 
     def _moved(self, choice: WorkerChoice, now: float, limits: StartLimits) -> list[StartRun]:
         """Return the starts of items that were stopped to go on at a faster worker."""
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -104,7 +104,7 @@
         newest_version: Callable[[str], WeightVersion],
         announce: Callable[[OwnerNotice], None],
         tell: Callable[[Iterable[NetworkAddress], PlacesNotice], None],
-        rivals: ServiceUse,
+        service_use: ServiceUse,
         metrics: ServingMetrics,
     ) -> None:
         """Create a service that owns nothing.
@@ -124,7 +124,7 @@
             newest_version: Returns the newest version named for a model.
             announce: Tells the other nodes who owns a batch job.
             tell: Sends a notice to some nodes.
-            rivals: Tells who else uses a service.
+            service_use: Tells which kinds of requests reach a service.
             metrics: Counts what happens to batch jobs.
         """
         self._clock = clock
@@ -147,7 +147,7 @@
             task_owner,
             newest_version,
             tell,
-            rivals,
+            service_use,
             metrics,
         )
 
--- a/drumbay/batches/shared_places.py
+++ b/drumbay/batches/shared_places.py
@@ -20,7 +20,7 @@
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.identifiers import BackendId
 
-TOLD_LIFETIME_SECONDS = 1.2
+NOTICE_LIFETIME_SECONDS = 1.2
 """What an owner told counts for so long: more than two of its regular notices. An owner that ended
 must not keep places from the others for longer than its runs go on."""
 
@@ -29,9 +29,8 @@
 jobs within the time that a notice may be late."""
 
 LATE_SHARE = 0.15
-"""Share of the places that late items may hold while others wait that can still be in time, one
-place at least, divided between the jobs that have some: a late step still ends, and its trainer
-goes on."""
+"""Share of the places, one at least, that late items may hold while items that can still be in time
+wait; divided between the jobs with late items, so that a late step still ends."""
 
 TOLERANCE_SECONDS = 0.5
 """A step that is expected late by less than this counts as in time: its work is an expectation, and
@@ -42,7 +41,7 @@
     """What other batch jobs want beside one.
 
     Attributes:
-        is_promised: Whether there is room for the job to be in time, beside others that are.
+        is_feasible: Whether there is room for the job to be in time, beside others that are.
         is_scarce: Whether there is no room for all jobs to be in time.
         places: Places of the service's workers, taken ones included.
         others_work_seconds: For how long one place would be taken by the other jobs.
@@ -55,7 +54,7 @@
         offset: What added to this owner's monotonic time gives its time of day.
     """
 
-    is_promised: bool
+    is_feasible: bool
     is_scarce: bool
     places: int
     others_work_seconds: float
@@ -66,7 +65,7 @@
     late_places: int
     offset: float = 0.0
 
-    def before(self, slot: int | None) -> int:
+    def count_ahead(self, slot: int | None) -> int:
         """Return how many waiting items of others go before one.
 
         Args:
@@ -134,7 +133,7 @@
 
     def expire(self, now: float) -> tuple[NetworkAddress, ...]:
         """Forget the owners that say nothing any more, and return them."""
-        silent = tuple(h for h, t in self._told.items() if now - t.at > TOLD_LIFETIME_SECONDS)
+        silent = tuple(h for h, t in self._told.items() if now - t.at > NOTICE_LIFETIME_SECONDS)
         for holder in silent:
             self._drop(holder)
         return silent
@@ -174,19 +173,19 @@
         ]
         if not any(rival.startable for rival in rivals):
             return None
-        promised = _promised((job, *rivals), room.places, offset + now)
-        earlier = [rival for rival in rivals if _order(rival) < _order(job)]
-        later = [rival for rival in rivals if _order(rival) > _order(job)]
+        feasible = _feasible((job, *rivals), room.places, offset + now)
+        earlier = [rival for rival in rivals if _tie_break(rival) < _tie_break(job)]
+        later = [rival for rival in rivals if _tie_break(rival) > _tie_break(job)]
         return Competition(
-            is_promised=job.batch_id in promised,
-            is_scarce=len(promised) < len(rivals) + 1,
+            is_feasible=job.batch_id in feasible,
+            is_scarce=len(feasible) < len(rivals) + 1,
             places=room.places,
             others_work_seconds=sum(rival.work_seconds for rival in rivals),
             free=room.free,
-            starts=_starts_of(later, promised),
-            starts_before=_starts_of(earlier, promised),
-            deferrable=sum(_late_items(rival, promised) for rival in earlier),
-            late_places=_late_places(job, rivals, promised, room.places),
+            starts=_starts_of(later, feasible),
+            starts_before=_starts_of(earlier, feasible),
+            deferrable=sum(_late_items(rival, feasible) for rival in earlier),
+            late_places=_late_places(job, rivals, feasible, room.places),
             offset=offset,
         )
 
@@ -196,30 +195,30 @@
             yield from told.jobs
 
 
-def _starts_of(jobs: Iterable[JobPlaces], promised: Set[BatchId]) -> Counter[int]:
+def _starts_of(jobs: Iterable[JobPlaces], feasible: Set[BatchId]) -> Counter[int]:
     starts: Counter[int] = Counter()
     for job in jobs:
-        if job.batch_id in promised:
+        if job.batch_id in feasible:
             starts.update(job.starts)
     return starts
 
 
-def _late_items(job: JobPlaces, promised: Set[BatchId]) -> int:
+def _late_items(job: JobPlaces, feasible: Set[BatchId]) -> int:
     """Return how many items of a job wait behind those that can be in time."""
-    return job.deferrable if job.batch_id in promised else job.startable
+    return job.deferrable if job.batch_id in feasible else job.startable
 
 
 def _late_places(
-    job: JobPlaces, rivals: Iterable[JobPlaces], promised: Set[BatchId], places: int
+    job: JobPlaces, rivals: Iterable[JobPlaces], feasible: Set[BatchId], places: int
 ) -> int:
     """Return the part of a job of the places for late items; jobs that go before get more."""
-    late = [rival for rival in rivals if _late_items(rival, promised)]
+    late = [rival for rival in rivals if _late_items(rival, feasible)]
     share, rest = divmod(max(1, int(LATE_SHARE * places)), len(late) + 1)
-    position = sum(_order(rival) < _order(job) for rival in late)
+    position = sum(_tie_break(rival) < _tie_break(job) for rival in late)
     return share + (position < rest)
 
 
-def _promised(jobs: Sequence[JobPlaces], places: int, wall_seconds: float) -> frozenset[BatchId]:
+def _feasible(jobs: Sequence[JobPlaces], places: int, wall_seconds: float) -> frozenset[BatchId]:
     """Return the jobs that can all be in time; some places are left to the others, if any."""
     taken = _in_time(jobs, places, wall_seconds)
     if len(taken) < len(jobs):
@@ -237,19 +236,19 @@
     """
     taken: list[JobPlaces] = []
     for rank in sorted({_rank(job) for job in jobs}):
-        for job in sorted((j for j in jobs if _rank(j) == rank), key=_due):
+        for job in sorted((j for j in jobs if _rank(j) == rank), key=_due_key):
             taken.append(job)
             while not _fits(taken, places, wall_seconds):
                 removable = [other for other in taken if _rank(other) == rank]
                 too_long = [o for o in removable if not _fits([o], places, wall_seconds)]
-                taken.remove(max(too_long or removable, key=_leave_out))
+                taken.remove(max(too_long or removable, key=_removal_key))
     return taken
 
 
 def _fits(jobs: Iterable[JobPlaces], places: float, wall_seconds: float) -> bool:
     """Return whether all jobs can be in time, one after the other by their due times."""
     work_seconds = 0.0
-    for job in sorted(jobs, key=_due):
+    for job in sorted(jobs, key=_due_key):
         if job.due_slot is None:
             continue
         work_seconds += job.work_seconds
@@ -263,15 +262,18 @@
     return max(0, job.priority - job.missed)
 
 
-def _due(job: JobPlaces) -> tuple[bool, int, tuple[int, int, BatchId]]:
-    return job.due_slot is None, job.due_slot or 0, _order(job)
+def _due_key(job: JobPlaces) -> tuple[bool, int, tuple[int, int, BatchId]]:
+    return job.due_slot is None, job.due_slot or 0, _tie_break(job)
 
 
-def _leave_out(job: JobPlaces) -> tuple[int, float, tuple[int, int, BatchId]]:
-    """Return by what a job is left out, the greatest first: the longest of those in time before."""
-    return -job.missed, job.work_seconds, _order(job)
+def _removal_key(job: JobPlaces) -> tuple[int, float, tuple[int, int, BatchId]]:
+    """Return the key of the job to leave out, the greatest first.
+
+    Fewest late steps in a row, then the longest.
+    """
+    return -job.missed, job.work_seconds, _tie_break(job)
 
 
-def _order(job: JobPlaces) -> tuple[int, int, BatchId]:
+def _tie_break(job: JobPlaces) -> tuple[int, int, BatchId]:
     """Return by what jobs are put into order where their items are as urgent."""
     return _rank(job), job.began_slot, job.batch_id
--- a/drumbay/batches/start_times.py
+++ b/drumbay/batches/start_times.py
@@ -64,8 +64,7 @@
 
         Where there is room for all steps, one that had begun goes on, and so does one that takes
         longer than a step has: the trainer waits for both, and each moment that they wait makes it
-        later. Where there is not, they would take the places of steps that can be in time: served
-        fell from 0.55 to 0.39 (one day of high load, one play each way).
+        later. Where there is not, they would take the places of steps that can be in time.
         """
         latest_start = self.latest_start(run)
         if not self.is_scarce and (run.texts or latest_start <= self.began_at):
--- a/drumbay/batches/step_history.py
+++ b/drumbay/batches/step_history.py
@@ -6,7 +6,8 @@
 from drumbay.batches.records import BatchId
 
 MOST_MODELS = 256
-"""Far more than trainers share the workers of a service; the model seen first is forgotten."""
+"""Far more than trainers share the workers; the model that was heard of last the longest ago is
+forgotten."""
 
 
 class _Step(msgspec.Struct, frozen=True):
@@ -22,7 +23,7 @@
 
 
 class StepHistory:
-    """The newest step of each model."""
+    """The newest step of each model; a model's name is the same in all services."""
 
     def __init__(self) -> None:
         """Know of no step."""
@@ -48,6 +49,7 @@
         is_past_due = job.due_slot is not None and now_slot > job.due_slot
         if latest is None and len(self._latest) >= MOST_MODELS:
             del self._latest[next(iter(self._latest))]
+        self._latest.pop(job.model, None)
         self._latest[job.model] = _Step(
             batch_id=job.batch_id,
             began_slot=job.began_slot,
--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -64,10 +64,11 @@
 """Callers of a service without a worker come back then, before their deadline: workers start in
 seconds, yet another node may see one already."""
 
-LONGEST_PAUSE_SECONDS = 0.05
+FREE_WORKER_CHECK_SECONDS = 0.05
 """A request with nothing under way looks so often whether a worker has come free."""
 
 MISDIRECTED_PAUSE_SECONDS = 5.0
+"""Another worker stands at the address: discovery tells of that within seconds."""
 
 SUSPECT_PAUSE_SECONDS = 0.02
 """A request under which a worker may have ended asks so often whether it may run: the look at the
@@ -87,7 +88,7 @@
         metrics: ServingMetrics,
         usage: UsageCounter,
         quarantine: Quarantine,
-        machine: str = "",
+        machine: str,
     ) -> None:
         """Create a forwarder for a node in ``zone``.
 
@@ -231,7 +232,7 @@
                     return answer
             elif self._may_send():
                 pause_seconds = max(self._next_send - now, SUSPECT_PAUSE_SECONDS)
-                await self._clock.sleep(min(pause_seconds, LONGEST_PAUSE_SECONDS, remaining))
+                await self._clock.sleep(min(pause_seconds, FREE_WORKER_CHECK_SECONDS, remaining))
             else:
                 raise self._failure(timed_out=False)
 
@@ -590,11 +591,13 @@
             self._note_broken(attempt, error)
             self._failed_at.append(attempt.record.worker)
             self._directory.observe_failure(worker_id, now, worker_start)
-        except WorkerTimedOutError:
+        except WorkerTimedOutError as error:
+            self._log_failed_run(attempt, error, now)
             self._note_began(attempt)
             self._note_survived(attempt)
             self._may_have_run = True
-        except WorkerError:
+        except WorkerError as error:
+            self._log_failed_run(attempt, error, now)
             self._note_began(attempt)
             self._note_survived(attempt)
             self._may_have_run = True
@@ -602,6 +605,16 @@
             self._failed_at.append(attempt.record.worker)
         return None
 
+    def _log_failed_run(self, attempt: _Attempt, error: WorkerError, now: float) -> None:
+        log_event(
+            "request_run_failed",
+            level="WARNING",
+            request=self._request.request_id,
+            worker=attempt.record.worker.worker_id,
+            error=error.code,
+            elapsed_seconds=round(now - attempt.sent_at, 4),
+        )
+
     def _blame_workers(self, now: float) -> None:
         """Hold failed runs against their workers, now that another one has answered.
 
--- a/drumbay/limits/held_bytes.py
+++ b/drumbay/limits/held_bytes.py
@@ -52,7 +52,7 @@
 
 
 class ShedReason(StrEnum):
-    """Why something was not held, or no longer."""
+    """Why a request was refused or its answer dropped."""
 
     NO_ROOM = "no_room"
     NOT_READ = "not_read"
--- a/drumbay/limits/recent_latency.py
+++ b/drumbay/limits/recent_latency.py
@@ -6,9 +6,16 @@
 from collections import deque
 
 HEDGE_QUANTILE = 0.95
+"""Nearly all attempts of a route end sooner; the rest are worth a second copy."""
+
 MIN_HEDGE_DELAY_SECONDS = 0.02
+"""A second copy sent sooner would arrive together with most answers."""
+
 MIN_OBSERVATIONS = 20
+"""With fewer, the quantile is just the slowest one seen."""
+
 MAX_OBSERVATIONS = 100
+"""Enough for the quantile, few enough to follow a change of the route."""
 
 MIN_OBSERVATIONS_OF_USUAL = 3
 """The median of fewer durations may be that of a single slow back end."""
--- a/drumbay/quarantine/stored.py
+++ b/drumbay/quarantine/stored.py
@@ -43,8 +43,8 @@
 class StoredDeath(msgspec.Struct, frozen=True, kw_only=True):
     """A death as the store keeps it; times are seconds since the Unix epoch.
 
-    ``started_at_ms`` is the start of the worker that ended, by its own account; 0 in entries of
-    nodes that knew no starts.
+    ``started_at_ms`` is the start of the worker that ended, by its own account; 0 where the
+    worker does not tell it, or the entry lacks it.
     """
 
     worker_id: BackendId
--- a/drumbay/scaling/collector.py
+++ b/drumbay/scaling/collector.py
@@ -15,7 +15,7 @@
 ANSWER_SECONDS = 0.4
 """A node answers from memory; one that takes longer is busy or cut off. The others count now."""
 
-TOLD_LIFETIME_SECONDS = 3.0
+REPLY_LIFETIME_SECONDS = 3.0
 """A node that falls silent counts with what it told for so long: its jobs outlive a short cut, and
 after that another node has taken them up and tells the same."""
 
@@ -58,7 +58,7 @@
         """Ask every owner, and return what all told lately, each batch job once."""
         owners = set(self._open_owners()) - {self._own_address}
         await asyncio.gather(*(self._ask(owner) for owner in owners))
-        since = self._clock.monotonic() - TOLD_LIFETIME_SECONDS
+        since = self._clock.monotonic() - REPLY_LIFETIME_SECONDS
         self._told = {
             owner: told
             for owner, told in self._told.items()
@@ -76,5 +76,7 @@
         except PeerUnavailableError as error:
             log_event("places_not_told", level="WARNING", owner=str(owner), detail=str(error))
             return
-        if isinstance(reply, PlacesReply):
-            self._told[owner] = _Told(at=self._clock.monotonic(), jobs=reply.jobs)
+        if not isinstance(reply, PlacesReply):
+            log_event("places_not_told", level="WARNING", owner=str(owner), detail="another reply")
+            return
+        self._told[owner] = _Told(at=self._clock.monotonic(), jobs=reply.jobs)
--- a/drumbay/scaling/planner.py
+++ b/drumbay/scaling/planner.py
@@ -78,9 +78,8 @@
 class WorkerCountPlanner:
     """Orders the counts that demand asks for, and orders again when workers stay away.
 
-    Counts do not fall below what stood at first. Demand is what decides: twice as many workers
-    without a lack of places cost 0.05 of a day's worth, and no step was whole sooner (one whole day
-    each way).
+    Counts do not fall below what stood at first. Only a lack of places raises them: workers beyond
+    that cost their price and make no step whole sooner.
     """
 
     def __init__(self) -> None:
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -386,7 +386,7 @@
     def _note_loading(self, notice: LoadingNotice) -> None:
         self._coordinator.note_order(notice)
         until = self._environment.clock.monotonic() + notice.seconds
-        # 0 is told by a leader that knows no starts, too.
+        # 0: the notice does not say which start takes the order.
         start = notice.started_at_ms or None
         self.directory.note_loading(notice.worker_id, notice.model, notice.version, until, start)
 
--- a/drumbay/serving/request_intake.py
+++ b/drumbay/serving/request_intake.py
@@ -1,8 +1,9 @@
 """Takes HTTP requests from clients, and refuses those that there is no room for.
 
 tornado's own server reads each body whole before anybody is asked. Here room is asked for when the
-headers have come. A refused request gets its answer at once; what still comes of its body is read
-and dropped, since closing a connection with unread bytes could take the answer along.
+headers have come. A refused request is answered with the first part of its body, or at its end if
+it has none; what still comes is read and dropped, since closing a connection with unread bytes
+could take the answer along.
 """
 
 import asyncio
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -71,7 +71,9 @@
     )
     address = NetworkAddress("127.0.0.1", 1)
     usage = UsageCounter(WindowClock(clock), WindowLength(5.0), address, "boot")
-    return Forwarder(clock, directory, RouteTable(), workers, "zone-1", metrics, usage, quarantine)
+    return Forwarder(
+        clock, directory, RouteTable(), workers, "zone-1", metrics, usage, quarantine, ""
+    )
 
 
 class ForwarderTest(unittest.TestCase):
@@ -92,6 +94,7 @@
             ServingMetrics(),
             self.usage,
             world.nodes[0].node.quarantine,
+            "",
         )
 
     def test_an_answer_is_the_workers_own(self) -> None:
--- a/tests/test_shared_places.py
+++ b/tests/test_shared_places.py
@@ -12,7 +12,7 @@
 from drumbay.batches.places import JobPlaces, NoticeNumber, time_slot
 from drumbay.batches.records import BatchId, BatchItem, BatchSpec, ItemId
 from drumbay.batches.scheduler import BatchScheduler
-from drumbay.batches.shared_places import TOLD_LIFETIME_SECONDS, Room, SharedPlaces
+from drumbay.batches.shared_places import NOTICE_LIFETIME_SECONDS, Room, SharedPlaces
 from drumbay.batches.start_times import EventSize
 from drumbay.batches.step_history import StepHistory
 from drumbay.clock import SystemClock
@@ -118,8 +118,8 @@
 
     def test_an_owner_that_says_nothing_more_holds_nothing(self) -> None:
         self.tell(FIRST, job("a", running={W1: 3}))
-        self.assertEqual(self.shared.expire(TOLD_LIFETIME_SECONDS), ())
-        self.assertEqual(self.shared.expire(TOLD_LIFETIME_SECONDS + 0.1), (FIRST,))
+        self.assertEqual(self.shared.expire(NOTICE_LIFETIME_SECONDS), ())
+        self.assertEqual(self.shared.expire(NOTICE_LIFETIME_SECONDS + 0.1), (FIRST,))
         self.assertIsNone(self.shared.held_by_others(SERVICE))
 
     def test_items_go_by_when_they_must_start(self) -> None:
@@ -128,14 +128,14 @@
         competition = self.shared.competition(own, [own], room(10), 0.0, 0.0)
         assert competition is not None
         # Of two that must start at once, that of the job that goes before starts first.
-        self.assertEqual([competition.before(slot) for slot in (5, 20, 40)], [0, 3, 4])
+        self.assertEqual([competition.count_ahead(slot) for slot in (5, 20, 40)], [0, 3, 4])
 
     def test_late_items_go_last_but_keep_some_places(self) -> None:
         own = job("b", waiting=3)
         self.tell(FIRST, job("a", waiting=9, starts={10: 6}))
         competition = self.shared.competition(own, [own], room(40), 0.0, 0.0)
         assert competition is not None
-        self.assertEqual(competition.before(None), 9)
+        self.assertEqual(competition.count_ahead(None), 9)
         self.assertEqual(competition.late_places, 3)
 
     def test_some_late_job_has_a_place_however_few_there_are(self) -> None:
@@ -156,7 +156,7 @@
         self.assertIsNone(self.shared.competition(own, [own], room(10), 0.0, 0.0))
         self.assertIsNone(self.shared.held_by_others(SERVICE))
 
-    def promised(self, places: int, *jobs: JobPlaces) -> list[str]:
+    def feasible(self, places: int, *jobs: JobPlaces) -> list[str]:
         found = []
         scarce = set()
         for own in jobs:
@@ -165,15 +165,15 @@
             shared.take(FIRST, others, 0.0, NoticeNumber("boot", 1))
             competition = shared.competition(own, [own], room(places), 0.0, 0.0)
             assert competition is not None
-            if competition.is_promised:
+            if competition.is_feasible:
                 found.append(str(own.batch_id))
             scarce.add(competition.is_scarce)
         self.assertEqual(scarce, {len(found) < len(jobs)})
         return found
 
-    def test_all_steps_are_promised_where_there_is_room(self) -> None:
+    def test_all_steps_are_feasible_where_there_is_room(self) -> None:
         jobs = [job(name, waiting=9, work_seconds=25.0) for name in "abc"]
-        self.assertEqual(self.promised(10, *jobs), ["a", "b", "c"])
+        self.assertEqual(self.feasible(10, *jobs), ["a", "b", "c"])
 
     def test_the_longest_step_waits_where_there_is_room_for_some_only(self) -> None:
         """Ten places for 8 s have room for 80 s of work; three steps ask for 110 s."""
@@ -181,7 +181,7 @@
             job(n, waiting=9, work_seconds=s)
             for n, s in zip("abc", (30.0, 50.0, 30.0), strict=True)
         ]
-        self.assertEqual(self.promised(10, *jobs), ["a", "c"])
+        self.assertEqual(self.feasible(10, *jobs), ["a", "c"])
 
     def test_a_trainer_whose_last_step_was_late_goes_before_others(self) -> None:
         jobs = [
@@ -189,7 +189,7 @@
             job("b", waiting=9, work_seconds=50.0, missed=1),
             job("c", waiting=9, work_seconds=35.0),
         ]
-        self.assertEqual(self.promised(10, *jobs), ["b"])
+        self.assertEqual(self.feasible(10, *jobs), ["b"])
 
     def test_a_step_that_never_fits_leaves_the_room_to_others(self) -> None:
         jobs = [
@@ -197,28 +197,28 @@
             job("big", waiting=9, work_seconds=1000.0, missed=1),
             job("c", waiting=9, work_seconds=30.0),
         ]
-        self.assertEqual(self.promised(10, *jobs), ["a", "c"])
+        self.assertEqual(self.feasible(10, *jobs), ["a", "c"])
 
     def test_a_higher_rank_goes_first_and_late_steps_raise_the_rank(self) -> None:
         low = job("low", waiting=9, work_seconds=50.0, priority=1)
         high = job("high", waiting=9, work_seconds=55.0)
-        self.assertEqual(self.promised(10, low, high), ["high"])
+        self.assertEqual(self.feasible(10, low, high), ["high"])
         missed = msgspec.structs.replace(low, missed=1)
-        self.assertEqual(self.promised(10, missed, high), ["low"])
+        self.assertEqual(self.feasible(10, missed, high), ["low"])
 
-    def test_a_step_that_is_nearly_whole_stays_promised(self) -> None:
+    def test_a_step_that_is_nearly_whole_stays_feasible(self) -> None:
         jobs = [
             job("old", waiting=2, work_seconds=6.0, due_slot=time_slot(2.0)),
             job("new", waiting=9, work_seconds=90.0, due_slot=time_slot(8.0)),
         ]
-        self.assertEqual(self.promised(10, *jobs), ["old"])
+        self.assertEqual(self.feasible(10, *jobs), ["old"])
 
     def test_a_step_without_a_due_time_is_never_left_out(self) -> None:
         jobs = [
             job("a", waiting=9, work_seconds=900.0, due_slot=None),
             job("b", waiting=9, work_seconds=60.0),
         ]
-        self.assertEqual(self.promised(10, *jobs), ["a", "b"])
+        self.assertEqual(self.feasible(10, *jobs), ["a", "b"])
 
 
 class StepHistoryTest(unittest.TestCase):
@@ -467,7 +467,7 @@
             self.exchange.take(self.notice(SECOND, job("c", running={W1: 30})))
             await self.settle()
             self.assertIsNotNone(self.exchange.shared.held_by_others(SERVICE))
-            self.clock.now = TOLD_LIFETIME_SECONDS + 0.1
+            self.clock.now = NOTICE_LIFETIME_SECONDS + 0.1
             await asyncio.sleep(0.01)
         self.assertIsNone(self.exchange.shared.held_by_others(SERVICE))
 
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -93,6 +93,7 @@
                 ServingMetrics(),
                 tell=lambda notice: None,
             ),
+            "",
         )
 
     async def add_worker(self, name: str) -> Worker:
--- a/tests/test_worker_demand.py
+++ b/tests/test_worker_demand.py
@@ -17,7 +17,7 @@
 from drumbay.ownership.leader import CURRENT_KEY
 from drumbay.peers.messages import CollectPlaces, PeerReply, PeerRequest, PlacesReply
 from drumbay.peers.transport import PeerUnavailableError
-from drumbay.scaling.collector import TOLD_LIFETIME_SECONDS, PlacesCollector
+from drumbay.scaling.collector import REPLY_LIFETIME_SECONDS, PlacesCollector
 from drumbay.scaling.demand import (
     ACCEPTABLE_WAIT_SECONDS,
     CALM_SECONDS,
@@ -292,7 +292,7 @@
             self.assertEqual(await told(), ["far", "near", "own"])
             owners.silent.add(far)
             self.assertEqual(await told(), ["far", "near", "own"])
-            await asyncio.sleep(TOLD_LIFETIME_SECONDS)
+            await asyncio.sleep(REPLY_LIFETIME_SECONDS)
             self.assertEqual(await told(), ["near", "own"])
 
         play(scenario, node_count=1)
