Give the share of a batch job a module of its own, and let operators switch parts off

Ruled out: a switch by deployment or route; each part already acts only where the configuration gives it something to do. Change: batches/job_share.py and place_sharing.py take what shares places out of runner and owned; DRUMBAY_DISABLED_PARTS names parts to switch off; reward requests are ordered by the job's submission.

--- a/drumbay/admission/gate.py
+++ b/drumbay/admission/gate.py
@@ -25,8 +25,16 @@
 class AdmissionGate:
     """The requests of one node that wait for services, and those that are under way."""
 
-    def __init__(self, clock: Clock, directory: WorkerDirectory, metrics: ServingMetrics) -> None:
-        """Create a gate before the workers of a directory."""
+    def __init__(
+        self,
+        clock: Clock,
+        directory: WorkerDirectory,
+        metrics: ServingMetrics,
+        *,
+        is_enabled: bool,
+    ) -> None:
+        """Create a gate before the workers of a directory; one that is disabled stands open."""
+        self._is_enabled = is_enabled
         self._clock = clock
         self._directory = directory
         self._metrics = metrics
@@ -38,14 +46,17 @@
         if gate is None:
             gate = _ServiceGate(service, self._clock, self._directory, self._metrics)
             self._services[service] = gate
-        return AdmissionPass(gate, request)
+        return AdmissionPass(gate, request, is_enabled=self._is_enabled)
 
 
 class AdmissionPass:
     """One request at the gate; it is closed when the request has its final answer."""
 
-    def __init__(self, gate: "_ServiceGate", request: AdmissionRequest) -> None:
-        """Create one that has not asked yet."""
+    def __init__(
+        self, gate: "_ServiceGate", request: AdmissionRequest, *, is_enabled: bool
+    ) -> None:
+        """Create one that has not asked yet; one that is not enabled need not ask."""
+        self.is_enabled = is_enabled
         self._gate = gate
         self._request = request
         self._is_under_way = False
@@ -56,6 +67,8 @@
         Raises:
             AdmissionRejectedError: It can't be served in time.
         """
+        if not self.is_enabled:
+            return
         await self._gate.enter(self._request)
         self._is_under_way = True
 
--- a/drumbay/batches/item_scoring.py
+++ b/drumbay/batches/item_scoring.py
@@ -23,7 +23,7 @@
         scheduler: BatchScheduler,
         task_owner: TaskOwner,
         batch_id: BatchId,
-        batch_priority: int,
+        order: RewardOrder,
         on_result: Callable[[ItemResult], None],
         on_change: Callable[[], None],
     ) -> None:
@@ -35,7 +35,7 @@
             scheduler: Decides what becomes of an item.
             task_owner: Runs the requests.
             batch_id: The batch job.
-            batch_priority: Its rank among batch jobs of the same age: 0 goes first.
+            order: Its place among batch jobs: the one submitted first goes first.
             on_result: Called with the result of an item that is finished or given up.
             on_change: Called when the scheduler may decide anew.
         """
@@ -46,7 +46,7 @@
         self._batch_id = batch_id
         self._on_result = on_result
         self._on_change = on_change
-        self._order = RewardOrder(batch_started_at=clock.monotonic(), batch_priority=batch_priority)
+        self._order = order
         self._tasks: dict[ItemId, asyncio.Task[None]] = {}
 
     def start(self, decision: ScoreText) -> None:
--- a/drumbay/batches/owned.py
+++ b/drumbay/batches/owned.py
@@ -1,9 +1,8 @@
 """The batch jobs that this node owns: started, taken over, handed to other nodes, let go."""
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 
-from drumbay.batches.decisions import PlaceShare
 from drumbay.batches.exceptions import (
     BatchMovedError,
     BatchNotFoundError,
@@ -11,8 +10,7 @@
 )
 from drumbay.batches.ledger import BatchLedger
 from drumbay.batches.owners import OwnerTable
-from drumbay.batches.place_exchange import PlaceExchange
-from drumbay.batches.places import JobPlaces
+from drumbay.batches.place_sharing import PlaceSharing
 from drumbay.batches.records import (
     BatchId,
     BatchSpec,
@@ -24,13 +22,10 @@
 from drumbay.batches.returning import ReturningItems
 from drumbay.batches.reward_scorer import RewardScorer
 from drumbay.batches.runner import BatchRunner
-from drumbay.batches.shared_places import Room
-from drumbay.batches.start_times import EventSize
-from drumbay.batches.step_history import MOST_MODELS
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.forwarding.routes import ServiceUse
-from drumbay.identifiers import BackendId, Revision, WeightVersion
+from drumbay.identifiers import Revision, WeightVersion
 from drumbay.kv.interface import KeyValueError
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
@@ -48,6 +43,7 @@
 
     Attributes:
         is_leaving: Whether nothing more is owned; what is owned goes on.
+        sharing: The places that the batch jobs share with those of other owners.
     """
 
     def __init__(
@@ -65,6 +61,7 @@
         newest_version: Callable[[str], WeightVersion],
         tell: Callable[[Iterable[NetworkAddress], PlacesNotice], None],
         service_use: ServiceUse,
+        shares_places: bool,
         metrics: ServingMetrics,
     ) -> None:
         """Own nothing.
@@ -83,6 +80,7 @@
             newest_version: Returns the newest version named for a model.
             tell: Sends a notice to other nodes.
             service_use: Tells which kinds of requests reach a service.
+            shares_places: Whether batch jobs share places with those of other owners.
             metrics: Counts what happens to batch jobs.
         """
         self.is_leaving = False
@@ -99,16 +97,15 @@
         self._metrics = metrics
         self._runners: dict[BatchId, BatchRunner] = {}
         self._taking: dict[BatchId, asyncio.Event] = {}
-        self._service_use = service_use
-        self._event_sizes: dict[str, EventSize] = {}
         self._returning = ReturningItems(peers)
-        self._exchange = PlaceExchange(
+        self.sharing = PlaceSharing(
             clock,
-            owners.identity.address,
-            owners.identity.boot,
-            self.places,
-            owners.owners_of_open,
+            directory,
+            owners,
+            service_use,
             tell,
+            lambda: [runner.share for runner in self._all_runners()],
+            is_enabled=shares_places,
         )
         directory.add_listener(self._wake_runners)
 
@@ -116,14 +113,6 @@
         for runner in self._runners.values():
             runner.wake()
 
-    def take_places(self, notice: PlacesNotice) -> None:
-        """Take what another owner's batch jobs hold and want."""
-        self._exchange.take(notice)
-
-    async def exchange_places(self) -> None:
-        """Tell other owners what the batch jobs here hold and want, until cancelled."""
-        await self._exchange.run()
-
     def __len__(self) -> int:
         """Return how many batch jobs are owned."""
         return len(self._runners)
@@ -134,50 +123,6 @@
             1 for runner in self._runners.values() if not runner.is_finished and not runner.is_held
         )
 
-    def places(self) -> tuple[JobPlaces, ...]:
-        """Return what the owned batch jobs hold and want, and what ended ones still hold."""
-        return tuple(runner.places() for runner in self._all_runners())
-
-    def _share_for(self, runner: BatchRunner) -> PlaceShare:
-        """Return what other batch jobs leave to one."""
-        now = self._clock.monotonic()
-        shared = self._exchange.shared
-        shared.expire(now)
-        others = [other for other in self._all_runners() if other is not runner]
-        if not shared.holders and not others:
-            return PlaceShare()
-        service = runner.spec.service
-        held = self._held_by_others(service, now)
-        records = [r for r in self._directory.of_service(service) if r.is_available(now)]
-        taken = {} if held is None else held
-        room = Room(
-            places=sum(record.worker.slots for record in records),
-            free=sum(
-                max(0, r.worker.slots - r.in_flight - taken.get(r.worker.worker_id, 0))
-                for r in records
-            ),
-        )
-        own = [runner.places(), *(other.last_places for other in others)]
-        offset = self._clock.wall() - now
-        competition = shared.competition(own[0], own, room, now, offset)
-        return PlaceShare(held=held, competition=competition)
-
-    def _held_by_others(self, service: str, now: float) -> Mapping[BackendId, int] | None:
-        """Return the runs of other nodes by worker; ``None`` to go by the workers' reports.
-
-        Owners tell of batch items only. Where other requests reach the workers too, a report that
-        tells of more holds.
-        """
-        held = self._exchange.shared.held_by_others(service)
-        if held is None or self._service_use.has_only_batches(service):
-            return held
-        return {
-            record.worker.worker_id: max(
-                held.get(record.worker.worker_id, 0), record.others_busy(now)
-            )
-            for record in self._directory.of_service(service)
-        }
-
     def _all_runners(self) -> tuple[BatchRunner, ...]:
         return (*self._runners.values(), *self._returning.lingering)
 
@@ -229,6 +174,7 @@
             self._silence_check,
             self._quarantine,
             self._scorer,
+            self.sharing,
             self._task_owner,
             self._metrics,
             spec,
@@ -236,21 +182,11 @@
             listed,
             newest_version=lambda: self._newest_version(spec.model),
             on_lost=self._forget,
-            missed=self._exchange.history.missed_before(spec.model, spec.batch_id),
-            event_size=self._event_size_of(spec.model),
-            is_shared=self._service_use.batch_routes(spec.service) > 1,
-            share_for=self._share_for,
-            on_places_changed=self._exchange.note_change,
         )
         self._runners[spec.batch_id] = runner
-        self._exchange.note_change()
+        self.sharing.note_change()
         return runner
 
-    def _event_size_of(self, model: str) -> EventSize:
-        if model not in self._event_sizes and len(self._event_sizes) >= MOST_MODELS:
-            del self._event_sizes[next(iter(self._event_sizes))]
-        return self._event_sizes.setdefault(model, EventSize())
-
     def _forget(self, batch_id: BatchId) -> None:
         runner = self._runners.pop(batch_id, None)
         if runner is not None and runner.is_lingering:
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -1,15 +1,11 @@
 """Runs one owned batch job: performs the scheduler's decisions and lists what comes of them."""
 
 import asyncio
-from collections import Counter
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 
-import msgspec
-
 from drumbay.batches.decisions import (
     Decision,
-    PlaceShare,
     RunFailure,
     ScoreText,
     StartLimits,
@@ -20,13 +16,14 @@
 from drumbay.batches.exceptions import BatchEndedError, BatchError, BatchNotFoundError
 from drumbay.batches.item_quarantine import ItemQuarantine
 from drumbay.batches.item_scoring import ItemScoring
+from drumbay.batches.job_share import JobShare
 from drumbay.batches.ledger import BatchLedger
 from drumbay.batches.listing import (
     FLUSH_INTERVAL_SECONDS,
     LAST_FLUSH_INTERVAL_SECONDS,
     ResultListing,
 )
-from drumbay.batches.places import JobPlaces, time_slot
+from drumbay.batches.place_sharing import PlaceSharing
 from drumbay.batches.progress import ProgressSaver
 from drumbay.batches.records import (
     BatchId,
@@ -42,10 +39,8 @@
 from drumbay.batches.reward_scorer import RewardScorer
 from drumbay.batches.run_failure import observe_failure
 from drumbay.batches.scheduler import BatchScheduler
-from drumbay.batches.shared_places import Competition
-from drumbay.batches.start_times import EventSize
-from drumbay.batches.worker_choice import UNVERSIONED
 from drumbay.clock import Clock
+from drumbay.forwarding.records import RewardOrder
 from drumbay.identifiers import BackendId, Revision, WeightVersion
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
@@ -77,10 +72,6 @@
 
 RUN_BUDGET_SECONDS = 30.0
 
-SETTLE_SECONDS = 0.08
-"""Owners that begin in one moment have told each other by then what they want: more than the time
-between two notices and a call."""
-
 LONGEST_AGE_SECONDS = 60.0
 """Ages come from the clocks of two machines. A step is due within seconds; a greater age tells of a
 clock that is wrong."""
@@ -102,6 +93,7 @@
         silence_check: SilenceCheck,
         quarantine: Quarantine,
         scorer: RewardScorer,
+        sharing: PlaceSharing,
         task_owner: TaskOwner,
         metrics: ServingMetrics,
         spec: BatchSpec,
@@ -110,11 +102,6 @@
         *,
         newest_version: Callable[[], WeightVersion],
         on_lost: Callable[[BatchId], None],
-        missed: int,
-        event_size: EventSize,
-        is_shared: bool,
-        share_for: Callable[["BatchRunner"], PlaceShare],
-        on_places_changed: Callable[[], None],
     ) -> None:
         """Create a runner for the items that are not yet listed.
 
@@ -126,6 +113,7 @@
             silence_check: Asks workers whose streams are silent.
             quarantine: Says which items may run.
             scorer: Makes reward requests.
+            sharing: What other batch jobs leave to this one.
             task_owner: Runs the runner's tasks.
             metrics: Counts runs and results.
             spec: The batch job.
@@ -133,11 +121,6 @@
             listed: Results that stand in the store already.
             newest_version: Returns the newest version named for the batch job's model.
             on_lost: Called when another node owns the batch job, or it has ended.
-            missed: How many steps of its trainer before it were late, in a row.
-            event_size: What texts of the model have shown so far.
-            is_shared: Whether batch jobs of other routes run on the same workers.
-            share_for: Returns what other batch jobs leave to this one.
-            on_places_changed: Called after items came, started or ended.
         """
         self.spec = spec
         self.revision = revision
@@ -150,15 +133,14 @@
         self._metrics = metrics
         self._started_at = clock.monotonic()
         self._on_lost = on_lost
-        self._share_for = share_for
-        self._on_places_changed = on_places_changed
-        self._missed = missed
-        self._is_shared = is_shared
-        self._places: JobPlaces | None = None
+        self._sharing = sharing
         self._newest_version = newest_version
         self._version_at_start = newest_version()
-        self._began_at = self._started_at - _age_seconds(spec, clock.wall())
-        self._scheduler = BatchScheduler(spec, self._started_at, listed, event_size, self._began_at)
+        began_at = self._started_at - _age_seconds(spec, clock.wall())
+        self._scheduler = BatchScheduler(
+            spec, self._started_at, listed, sharing.event_size_of(spec.model), began_at
+        )
+        self.share = JobShare(clock, directory, sharing, metrics, spec, self._scheduler, began_at)
         self._missing_groups = self._scheduler.missing_groups
         self._finished: dict[ItemId, ItemResult] = {}
         self._listing = ResultListing(
@@ -174,7 +156,6 @@
             clock, ledger, spec.batch_id, revision, self._scheduler, self._listing.confirm
         )
         self._runs: dict[ItemId, asyncio.Task[None]] = {}
-        self._held: Counter[BackendId] = Counter()
         self._wakeup = asyncio.Event()
         self._scoring = ItemScoring(
             clock,
@@ -182,7 +163,7 @@
             self._scheduler,
             task_owner,
             spec.batch_id,
-            spec.priority,
+            RewardOrder(batch_started_at=began_at, batch_priority=spec.priority),
             on_result=self._add_result,
             on_change=self._wakeup.set,
         )
@@ -190,7 +171,6 @@
         self._limits = StartLimits()
         self._closed = False
         self._lingering = False
-        self._is_feasible = True
 
     def resume(self, stored: tuple[PartialText, ...], *, owner_is_gone: bool) -> None:
         """Go on from what the owner before has saved; call before :meth:`start`.
@@ -241,6 +221,7 @@
         """Start and list nothing more, but let runs go on for items that may come back."""
         self._stop_tasks()
         self._lingering = True
+        self.share.is_open = False
         self._scoring.stop_all()
         self._finished.update({result.item_id: result for result in self._listing.results})
         for item_id in self._scheduler.useless_after_end(self._next_minimum_version()):
@@ -326,91 +307,6 @@
         now = self._clock.monotonic()
         return is_listed_so_far and self._scheduler.is_held(self._limits.held, now)
 
-    def places(self) -> JobPlaces:
-        """Return what the batch job holds and wants at the workers.
-
-        What could start nowhere, were every place free, is not startable: others may go first.
-        """
-        now = self._clock.monotonic()
-        offset = self._clock.wall() - now
-        waiting: list[float | None] = []
-        startable: list[float | None] = []
-        work_seconds = 0.0
-        if not self._lingering:
-            room = max(0, self._usable_places(now) - self._held.total())
-            waiting = self._scheduler.latest_starts(self._limits.held, now)
-            startable = waiting[:room]
-            work_seconds = self._scheduler.work_seconds()
-        due_at = self._scheduler.due_at
-        self._places = JobPlaces(
-            batch_id=self.spec.batch_id,
-            service=self.spec.service,
-            model=self.spec.model,
-            priority=self.spec.priority,
-            is_open=not self._lingering,
-            began_slot=time_slot(self._began_at + offset),
-            due_slot=None if due_at is None else time_slot(due_at + offset),
-            missed=self._missed,
-            missing_groups=self._scheduler.missing_groups,
-            running={worker_id: count for worker_id, count in self._held.items() if count},
-            waiting=len(waiting),
-            startable=len(startable),
-            starts=Counter(time_slot(at + offset) for at in startable if at is not None),
-            work_seconds=work_seconds,
-        )
-        return self._places
-
-    @property
-    def last_places(self) -> JobPlaces:
-        """Return what the batch job held and wanted when that was worked out last."""
-        return self._places or self.places()
-
-    def _share_of_places(self, now: float) -> PlaceShare:
-        """Return what other batch jobs leave to this one; log when it begins or ceases to wait.
-
-        Steps of several trainers often begin in one moment: until it is known what the others
-        want, only long items start, which go first whatever others want.
-        """
-        share = self._share_for(self)
-        competition = share.competition
-        if competition is None:
-            is_settling = self._is_shared and now < self._started_at + SETTLE_SECONDS
-            return msgspec.structs.replace(share, long_only=is_settling)
-        if competition.is_feasible != self._is_feasible and self.last_places.startable:
-            self._is_feasible = competition.is_feasible
-            self._log_turn(competition, now)
-        return share
-
-    def _log_turn(self, competition: Competition, now: float) -> None:
-        self._metrics.count_step_turn("in_time" if competition.is_feasible else "deferred")
-        own = self.last_places
-        due_at = self._scheduler.due_at
-        log_event(
-            "step_turn",
-            batch=self.spec.batch_id,
-            model=self.spec.model,
-            is_in_time=competition.is_feasible,
-            age_seconds=round(now - self._began_at, 3),
-            due_in_seconds=None if due_at is None else round(due_at - now, 3),
-            work_seconds=round(own.work_seconds, 3),
-            others_work_seconds=round(competition.others_work_seconds, 3),
-            places=competition.places,
-            free=competition.free,
-            waiting=own.waiting,
-            missed=own.missed,
-        )
-
-    def _usable_places(self, now: float) -> int:
-        """Return the places of the workers that may run items, taken ones included."""
-        model = self.spec.model
-        return sum(
-            record.worker.slots
-            for record in self._directory.of_service(self.spec.service)
-            if record.takes(model, now)
-            and not record.is_refusing(model, now)
-            and (record.version_of(model, now) or UNVERSIONED) >= self.spec.minimum_version
-        )
-
     def wake(self) -> None:
         """Plan again, since the workers have changed."""
         self._wakeup.set()
@@ -444,12 +340,13 @@
                 for record in self._directory.of_service(self.spec.service)
             }
             limits = self._limits = self._quarantine.limits(self._scheduler.waiting)
-            share = self._share_of_places(now)
+            self.share.held_items = limits.held
+            share = self.share.learn(now)
             decisions = self._scheduler.plan(workers, self._newest_version(), now, limits, share)
             for decision in decisions:
                 self._perform(decision, workers)
             if decisions:
-                self._on_places_changed()
+                self._sharing.note_change()
             self._wakeup.clear()
             with suppress(TimeoutError):
                 async with asyncio.timeout(TICK_SECONDS):
@@ -470,7 +367,7 @@
                     resume_after=decision.resume_after,
                 )
                 record.in_flight += 1
-                self._held[worker_id] += 1
+                self.share.hold(worker_id)
                 record.expected_tokens += item.expected_tokens
                 task = self._task_owner.spawn(self._run_item(decision, record), "batch-item")
                 # A task that is cancelled before it runs never comes to a ``finally`` of its own.
@@ -524,8 +421,7 @@
         """Give the place of a run back."""
         record.in_flight -= 1
         record.expected_tokens -= item.expected_tokens
-        self._held[record.worker.worker_id] -= 1
-        self._on_places_changed()
+        self.share.release(record.worker.worker_id)
         self._wakeup.set()
 
     def _finish_run(
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -105,6 +105,7 @@
         announce: Callable[[OwnerNotice], None],
         tell: Callable[[Iterable[NetworkAddress], PlacesNotice], None],
         service_use: ServiceUse,
+        shares_places: bool,
         metrics: ServingMetrics,
     ) -> None:
         """Create a service that owns nothing.
@@ -125,6 +126,7 @@
             announce: Tells the other nodes who owns a batch job.
             tell: Sends a notice to some nodes.
             service_use: Tells which kinds of requests reach a service.
+            shares_places: Whether batch jobs share places with those of other owners.
             metrics: Counts what happens to batch jobs.
         """
         self._clock = clock
@@ -148,6 +150,7 @@
             newest_version,
             tell,
             service_use,
+            shares_places,
             metrics,
         )
 
@@ -158,15 +161,15 @@
 
     def places(self) -> tuple[JobPlaces, ...]:
         """Return what the owned batch jobs hold and want at the workers."""
-        return self._owned.places()
+        return self._owned.sharing.places()
 
     def take_places(self, notice: PlacesNotice) -> None:
         """Take what another owner's batch jobs hold and want."""
-        self._owned.take_places(notice)
+        self._owned.sharing.take(notice)
 
     async def exchange_places(self) -> None:
         """Tell other owners what the batch jobs here hold and want, until cancelled."""
-        await self._owned.exchange_places()
+        await self._owned.sharing.run()
 
     def owners_of_open(self) -> set[NetworkAddress]:
         """Return the nodes that own open batch jobs, as far as this node knows."""
--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -89,6 +89,8 @@
         usage: UsageCounter,
         quarantine: Quarantine,
         machine: str,
+        *,
+        has_admission: bool = True,
     ) -> None:
         """Create a forwarder for a node in ``zone``.
 
@@ -105,7 +107,7 @@
         self.hedge_timing = HedgeTiming(clock.monotonic())
         self._routes = routes
         self._usage = usage
-        self.admission = AdmissionGate(clock, directory, metrics)
+        self.admission = AdmissionGate(clock, directory, metrics, is_enabled=has_admission)
         self._ranks_version: int | None = None
         self._ranks_by_service: dict[str, frozenset[int]] = {}
 
@@ -255,6 +257,8 @@
         """Return whether workers have refused the request for want of room, and none is left."""
         if not self._is_service_full or self._attempts or not self._has_not_run():
             return False
+        if not self._pass.is_enabled:
+            return False
         return self._refusals - self._refusals_before_turn > MAXIMUM_REFUSALS or not any(
             record.is_available(now) for record in self._allowed_records()
         )
--- a/drumbay/scaling/keeper.py
+++ b/drumbay/scaling/keeper.py
@@ -50,7 +50,7 @@
         directory: WorkerDirectory,
         leader: LeaderElection,
         duties: PlatformDuties,
-        collector: PlacesCollector,
+        collector: PlacesCollector | None,
         holder: str,
         metrics: ServingMetrics,
     ) -> None:
@@ -63,7 +63,7 @@
             directory: The workers.
             leader: Says whether this node holds the duty.
             duties: The platform.
-            collector: Knows what the open batch jobs hold and want.
+            collector: Knows what the open batch jobs hold and want; ``None`` to keep what stands.
             holder: This machine, as the platform knows it.
             metrics: Counts orders and workers.
         """
@@ -113,7 +113,7 @@
     async def _collect(self, scalings: tuple[ServiceScaling, ...]) -> None:
         """Take a sample of the demand for each service, once a second."""
         now = self._clock.monotonic()
-        if now - self._collected_at < COLLECT_SECONDS:
+        if self._collector is None or now - self._collected_at < COLLECT_SECONDS:
             return
         self._collected_at = now
         jobs = await self._collector.collect()
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -53,6 +53,7 @@
 from drumbay.scaling.collector import PlacesCollector
 from drumbay.scaling.keeper import WorkerCountKeeper
 from drumbay.serving.held_memory import HeldMemory
+from drumbay.serving.load_parts import LoadPart
 from drumbay.serving.settings import ServingEnvironment, ServingSettings
 from drumbay.serving.store_calls import CountedStore
 from drumbay.tasks import TaskOwner
@@ -87,7 +88,8 @@
         self._tasks = TaskOwner()
         self._notices = NoticeQueues(environment.peers, self._tasks)
         self.metrics = ServingMetrics()
-        self.held = HeldMemory(settings.held_bytes, self.metrics)
+        held_bytes = settings.held_bytes if settings.has(LoadPart.HELD_BYTES) else None
+        self.held = HeldMemory(held_bytes, self.metrics)
         self._direct_store = CountedStore(clock, environment.store, self.metrics)
         address = settings.identity.address
         self._usage = UsageService(clock, settings.usage, settings.identity)
@@ -143,6 +145,7 @@
             self._usage.counter,
             self.quarantine,
             settings.machine,
+            has_admission=settings.has(LoadPart.ADMISSION),
         )
         self.batches = BatchService(
             clock,
@@ -166,6 +169,7 @@
             self._tell_all,
             self._notices.tell,
             self.routes,
+            settings.has(LoadPart.SHARED_PLACES),
             self.metrics,
         )
         self.leader = LeaderElection(
@@ -220,6 +224,7 @@
             node=self._settings.machine,
             zone=self._settings.zone,
             boot=self._settings.identity.boot,
+            disabled_parts=",".join(sorted(self._settings.disabled_parts)),
         )
 
     def _start_duties(self) -> None:
@@ -253,7 +258,7 @@
                 self.directory,
                 self.leader,
                 duties,
-                collector,
+                collector if self._settings.has(LoadPart.WORKER_COUNTS) else None,
                 self._settings.machine,
                 self.metrics,
             )
--- a/drumbay/serving/settings.py
+++ b/drumbay/serving/settings.py
@@ -10,6 +10,7 @@
 from drumbay.duties.interface import PlatformDuties
 from drumbay.kv.interface import KeyValueStore
 from drumbay.peers.transport import PeerClient
+from drumbay.serving.load_parts import LoadPart
 from drumbay.usage.service import UsageSettings
 from drumbay.workers.interface import WorkerClient
 
@@ -36,6 +37,7 @@
         usage: What usage reports are to be; ``None`` where none are asked for.
         orders_workers: Whether the number of workers is this system's to order.
         held_bytes: Most bytes that are held for callers; ``None`` where no limit is known.
+        disabled_parts: Parts that decide under load and are switched off.
     """
 
     machine: str
@@ -52,6 +54,11 @@
     usage: UsageSettings | None = None
     orders_workers: bool = False
     held_bytes: int | None = None
+    disabled_parts: frozenset[LoadPart] = frozenset()
+
+    def has(self, part: LoadPart) -> bool:
+        """Return whether a part that decides under load is switched on."""
+        return part not in self.disabled_parts
 
 
 class ServingEnvironment(msgspec.Struct, frozen=True, kw_only=True):
--- /dev/null
+++ b/tests/test_load_parts.py
@@ -0,0 +1,90 @@
+"""Parts that decide under load can be switched off one by one."""
+
+import unittest
+from unittest.mock import Mock
+
+from drumbay_platform.settings import parse_settings, read_settings
+
+from drumbay.admission.gate import AdmissionGate
+from drumbay.admission.records import AdmissionRequest
+from drumbay.batches.owners import OwnerTable, ServiceIdentity
+from drumbay.batches.place_sharing import PlaceSharing
+from drumbay.batches.places import JobPlaces, NoticeNumber
+from drumbay.exceptions import ConfigurationError
+from drumbay.forwarding.routes import ServiceUse
+from drumbay.observability.serving_metrics import ServingMetrics
+from drumbay.peers.messages import PlacesNotice
+from drumbay.serving.load_parts import LoadPart, parse_disabled_parts
+from drumbay.workers.directory import WorkerDirectory
+from tests.serving_world import SERVICE, ServingWorld, play
+from tests.test_platform_adapter import SETTINGS
+from tests.test_shared_places import FIRST, SECOND, W1, StandingClock, job
+
+
+class NamesTest(unittest.TestCase):
+    def test_all_are_on_unless_named(self) -> None:
+        self.assertEqual(parse_settings(SETTINGS).disabled_parts, frozenset())
+        found = parse_settings(SETTINGS, "admission, shared_places,").disabled_parts
+        self.assertEqual(found, {LoadPart.ADMISSION, LoadPart.SHARED_PLACES})
+
+    def test_a_name_that_is_not_known_is_refused_with_those_that_are(self) -> None:
+        with self.assertRaisesRegex(ConfigurationError, "worker_counts"):
+            parse_disabled_parts("admision")
+
+    def test_the_environment_names_them(self) -> None:
+        with self.assertRaises(ConfigurationError):
+            read_settings({"DRUMBAY_NODE_FILE": "/dev/null", "DRUMBAY_DISABLED_PARTS": "x"})
+
+
+class SwitchedOffTest(unittest.TestCase):
+    def test_a_gate_that_is_off_lets_all_out_at_once(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            gate = AdmissionGate(world.clock, WorkerDirectory(), ServingMetrics(), is_enabled=False)
+            for number in range(100):
+                request = AdmissionRequest(
+                    request_id=str(number),
+                    flow="tenant",
+                    rank=0,
+                    arrived_at=0.0,
+                    deadline=0.1,
+                )
+                await gate.ask("service", request).enter()
+
+        play(scenario)
+
+    def test_jobs_that_share_nothing_heed_and_tell_nothing(self) -> None:
+        """Two jobs of this node, and one of another owner, which would go first."""
+        jobs = [_Job(job("b", waiting=9)), _Job(job("c", waiting=9))]
+        for is_enabled in (True, False):
+            owners = Mock(spec=OwnerTable)
+            owners.identity = ServiceIdentity(address=FIRST, boot="boot")
+            service_use = Mock(spec=ServiceUse)
+            service_use.batch_routes.return_value = 2
+            sharing = PlaceSharing(
+                StandingClock(),
+                WorkerDirectory(),
+                owners,
+                service_use,
+                lambda addresses, notice: None,
+                lambda: jobs,
+                is_enabled=is_enabled,
+            )
+            rival = job("a", waiting=9, running={W1: 2})
+            notice = PlacesNotice(holder=SECOND, number=NoticeNumber("other", 1), jobs=(rival,))
+            sharing.take(notice)
+            share = sharing.share_for(jobs[0], SERVICE)
+            self.assertEqual(share.competition is not None, is_enabled)
+            self.assertEqual(share.held is not None, is_enabled)
+            self.assertEqual(sharing.has_rivals(SERVICE), is_enabled)
+
+
+class _Job:
+    def __init__(self, places: JobPlaces) -> None:
+        self.last_places = places
+
+    def places(self) -> JobPlaces:
+        return self.last_places
+
+
+if __name__ == "__main__":
+    unittest.main()
