Replay trainers that take turns where there is room for some steps only

Cause: that no trainer is starved was tested for single decisions only. Change: a replay of thirty rounds of three trainers' steps; without the count of late steps the longest one is never in time (0 of 30), with it each has its turn (10 of 30).

--- a/tests/test_shared_places.py
+++ b/tests/test_shared_places.py
@@ -9,7 +9,7 @@
 
 from drumbay.batches.decisions import PlaceShare, RunFailure, StartRun, StopReason, StopRun
 from drumbay.batches.place_exchange import PlaceExchange
-from drumbay.batches.places import JobPlaces, NoticeNumber, time_slot
+from drumbay.batches.places import TIME_SLOT_SECONDS, JobPlaces, NoticeNumber, time_slot
 from drumbay.batches.records import BatchId, BatchItem, BatchSpec, ItemId
 from drumbay.batches.scheduler import BatchScheduler
 from drumbay.batches.shared_places import NOTICE_LIFETIME_SECONDS, Room, SharedPlaces
@@ -266,6 +266,55 @@
         self.assertEqual(self.missed(3), 0)
 
 
+class TurnsTest(unittest.TestCase):
+    """Three trainers ask for 1.5 times what there is room for, step after step."""
+
+    ROUNDS = 30
+    PLACES = 10
+    WORK_SECONDS = (35.0, 40.0, 45.0)
+
+    def play(self, *, counting: bool) -> Counter[str]:
+        """Return how many steps of each trainer were in time."""
+        history = StepHistory()
+        in_time: Counter[str] = Counter()
+        for number in range(self.ROUNDS):
+            began = number * 40
+            jobs = [
+                job(
+                    name,
+                    batch_id=BatchId(f"{name}-{number}"),
+                    began_slot=began,
+                    due_slot=began + time_slot(8.0),
+                    waiting=9,
+                    work_seconds=seconds,
+                    missed=history.missed_before(name, BatchId(f"{name}-{number}")),
+                )
+                for name, seconds in zip("abc", self.WORK_SECONDS, strict=True)
+            ]
+            now = began * TIME_SLOT_SECONDS
+            for own in jobs:
+                shared = SharedPlaces()
+                rivals = tuple(other for other in jobs if other is not own)
+                shared.take(FIRST, rivals, now, NoticeNumber("boot", 1))
+                competition = shared.competition(own, [own], room(self.PLACES), now, 0.0)
+                assert competition is not None
+                in_time[own.model] += competition.is_feasible
+                late = msgspec.structs.replace(
+                    own, missing_groups=0 if competition.is_feasible else 1
+                )
+                if counting:
+                    history.observe(late, began + time_slot(9.0))
+        return in_time
+
+    def test_every_trainer_has_its_turn(self) -> None:
+        in_time = self.play(counting=True)
+        self.assertGreaterEqual(min(in_time[name] for name in "abc"), self.ROUNDS // 3)
+        self.assertGreaterEqual(in_time.total(), self.ROUNDS)
+
+    def test_without_counting_late_steps_the_longest_ones_never_are(self) -> None:
+        self.assertEqual(self.play(counting=False)["c"], 0)
+
+
 class EventSizeTest(unittest.TestCase):
     def test_lengths_are_learned_from_whole_texts(self) -> None:
         size = EventSize()
