Split the forwarder: choice of the worker, turn, call and log lines apart

Cause: drumbay/forwarding/forwarder.py had 659 lines and five jobs: the turn at the service, the news of workers, the call with what it tells about a worker, the log lines, and the attempts of one request. Decisions are the same. Ruled out: a common base class for the attempts, which would have hidden which state belongs to a request.

--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -6,13 +6,10 @@
 """
 
 import asyncio
-import math
-from collections.abc import Awaitable
 
 import msgspec
 
 from drumbay.admission.gate import AdmissionGate
-from drumbay.admission.records import AdmissionRejectedError, AdmissionRequest
 from drumbay.admission.service import retry_after_seconds
 from drumbay.clock import Clock
 from drumbay.exceptions import Execution
@@ -25,17 +22,19 @@
     RequestHeldBackError,
     RequestTimedOutError,
 )
-from drumbay.forwarding.routes import RequestKind, Route, RouteTable
-from drumbay.forwarding.worker_choice import (
-    WorkerChoice,
-    WorkerNews,
-    choose_worker,
-    refusal_seconds,
-    relative_time_of,
+from drumbay.forwarding.request_log import (
+    RequestTrace,
+    log_not_served,
+    log_run_broken,
+    log_run_failed,
+    log_served,
 )
+from drumbay.forwarding.routes import RequestKind, Route, RouteTable
+from drumbay.forwarding.service_turn import ServiceTurn
+from drumbay.forwarding.worker_call import WorkerCaller
+from drumbay.forwarding.worker_choice import ChosenWorker
+from drumbay.forwarding.worker_picker import NextSend, WorkerPicker
 from drumbay.identifiers import BackendId
-from drumbay.limits.worker_bodies import may_send_body
-from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
 from drumbay.quarantine.records import Decision, Verdict
 from drumbay.quarantine.service import Quarantine
@@ -101,15 +100,13 @@
         self.clock = clock
         self.directory = directory
         self.client = client
-        self.zone = zone
-        self.machine = machine
         self.metrics = metrics
         self.hedge_timing = HedgeTiming(clock.monotonic())
+        self.picker = WorkerPicker(directory, client, self.hedge_timing, zone, machine)
+        self.caller = WorkerCaller(clock, directory, client, self.hedge_timing, quarantine)
         self._routes = routes
         self._usage = usage
         self.admission = AdmissionGate(clock, directory, metrics, is_enabled=has_admission)
-        self._ranks_version: int | None = None
-        self._ranks_by_service: dict[str, frozenset[int]] = {}
 
     async def forward(self, route: Route, request: ClientRequest) -> WorkerAnswer:
         """Return a worker's whole answer.
@@ -118,7 +115,7 @@
             ForwardingError: The final answer is a failure; says whether it may have run.
         """
         service = self._routes.choose_service(route)
-        forwarding = _Forwarding(self, route, service, request, self._ranks(service))
+        forwarding = _Forwarding(self, route, service, request, self._routes.ranks_at(service))
         started_at = self.clock.monotonic()
         ticket = self._usage.open() if request.tenant is not None else None
         outcome = "cancelled"
@@ -137,19 +134,6 @@
                 self._usage.close(ticket, request.tenant, forwarding.began_at)
             self.metrics.count_request(route.name, outcome, self.clock.monotonic() - started_at)
 
-    def _ranks(self, service: str) -> frozenset[int]:
-        """Return the ranks of requests to a service, worked out once a configuration."""
-        current = self._routes.current
-        if current is None:
-            return frozenset()
-        if current.version != self._ranks_version:
-            self._ranks_version = current.version
-            self._ranks_by_service.clear()
-        ranks = self._ranks_by_service.get(service)
-        if ranks is None:
-            ranks = self._ranks_by_service[service] = current.ranks_at(service)
-        return ranks
-
 
 class _Attempt(msgspec.Struct, frozen=True):
     """A send to one worker, at a monotonic time; ``was_kept`` if its connection seemed kept.
@@ -158,7 +142,7 @@
     """
 
     record: WorkerRecord
-    choice: WorkerChoice
+    choice: ChosenWorker
     sent_at: float
     was_kept: bool
 
@@ -177,8 +161,8 @@
         self._clock = forwarder.clock
         self._directory = forwarder.directory
         self._client = forwarder.client
-        self._zone = forwarder.zone
-        self._machine = forwarder.machine
+        self._picker = forwarder.picker
+        self._caller = forwarder.caller
         self._metrics = forwarder.metrics
         self._timing = forwarder.hedge_timing
         self._quarantine = forwarder.quarantine
@@ -193,7 +177,9 @@
         self._last_sent_at = self._started_at
         self._is_hedge_next = False
         self._answered_by: _Attempt | None = None
-        self._pass = forwarder.admission.ask(service, self._admission_request())
+        self._turn = ServiceTurn(
+            forwarder.admission, service, request, self._started_at, self._deadline
+        )
         self._worker_priority = request.priority if len(ranks) > 1 else None
         """Told to workers only where requests of several ranks meet there."""
 
@@ -209,12 +195,12 @@
         self._worker_failures = 0
         self._failed_at: list[Worker] = []
         self._may_have_run = False
-        self._tried: set[str] = set()
+        self._tried: set[BackendId] = set()
         self._apart_from: frozenset[BackendId] = frozenset()
 
     async def run(self) -> WorkerAnswer:
         """Send until an answer is whole or nothing more can be done."""
-        await self._take_turn(self._pass.enter())
+        await self._turn.take()
         self._next_send = self._clock.monotonic()
         self._timing.record_request(self._next_send, is_awaited=self._request.is_awaited)
         while True:
@@ -238,33 +224,19 @@
             else:
                 raise self._failure(timed_out=False)
 
-    async def _take_turn(self, turn: Awaitable[None]) -> None:
-        """Wait for the request's turn at the service.
-
-        Raises:
-            NoWorkerError: It can't be served in time; it has not run.
-        """
-        try:
-            await turn
-        except AdmissionRejectedError as error:
-            raise NoWorkerError(
-                f"not admitted: {error.decision.reason}",
-                execution=Execution.NOT_RUN,
-                retry_after_seconds=error.decision.retry_after_seconds,
-            ) from error
-
     def _was_refused_by_all(self, now: float) -> bool:
         """Return whether workers have refused the request for want of room, and none is left."""
         if not self._is_service_full or self._attempts or not self._has_not_run():
             return False
-        if not self._pass.is_enabled:
+        if not self._turn.is_limited:
             return False
         return self._refusals - self._refusals_before_turn > MAXIMUM_REFUSALS or not any(
-            record.is_available(now) for record in self._allowed_records()
+            record.is_available(now)
+            for record in self._picker.allowed(self._service, self._apart_from)
         )
 
     async def _wait_for_another_turn(self) -> None:
-        await self._take_turn(self._pass.enter_again())
+        await self._turn.take_another()
         self._refusals_before_turn = self._refusals
         self._is_service_full = False
         self._next_send = self._clock.monotonic()
@@ -272,20 +244,6 @@
     def _has_not_run(self) -> bool:
         return not self._may_have_run and self._sent == self._refusals
 
-    def _admission_request(self) -> AdmissionRequest:
-        request = self._request
-        order = request.reward_order
-        return AdmissionRequest(
-            request_id=request.request_id,
-            flow="" if order is not None else request.tenant or request.caller_address,
-            rank=request.priority,
-            arrived_at=self._started_at,
-            deadline=self._deadline,
-            is_reward=order is not None,
-            batch_started_at=order.batch_started_at if order is not None else 0.0,
-            batch_priority=order.batch_priority if order is not None else 0,
-        )
-
     def _is_let_through(self, now: float) -> bool:
         """Return whether the request may run once more, as far as its workers have survived it.
 
@@ -345,47 +303,31 @@
                     attempt.record.worker,
                     attempt.sent_at,
                 )
-        self._pass.close(self._answered_attempt_seconds)
+        self._turn.close(self._answered_attempt_seconds)
 
     def _note_began(self, attempt: _Attempt) -> None:
         if self.began_at is None or attempt.sent_at < self.began_at:
             self.began_at = attempt.sent_at
 
     def log_answer(self, answer: WorkerAnswer) -> None:
-        """Log the answer, the attempts that led to it, and why its worker was chosen."""
-        now = self._clock.monotonic()
+        """Log the answer, and why its worker was chosen."""
         choice = self._answered_by.choice if self._answered_by is not None else None
-        log_event(
-            "request_served",
-            request=self._request.request_id,
-            fingerprint=self._fingerprint,
-            route=self._route.name,
-            service=self._service,
-            status=answer.status,
-            sent=self._sent,
-            refusals=self._refusals,
-            workers=",".join(sorted(self._tried)),
-            elapsed_seconds=round(now - self._started_at, 4),
-            expected_seconds=round(choice.expected_seconds, 4) if choice else None,
-            load_age_seconds=_finite(choice.load_age_seconds) if choice else None,
-            slowdown=round(choice.slowdown, 2) if choice else None,
-        )
+        log_served(self._trace(), answer.status, choice)
 
     def log_failure(self, error: ForwardingError) -> None:
         """Log the final failure with what led to it."""
-        log_event(
-            "request_not_served",
-            level="WARNING",
-            request=self._request.request_id,
+        log_not_served(self._trace(), error)
+
+    def _trace(self) -> RequestTrace:
+        return RequestTrace(
+            request_id=self._request.request_id,
             fingerprint=self._fingerprint,
             route=self._route.name,
             service=self._service,
-            error=error.code,
-            execution=error.execution,
             sent=self._sent,
             refusals=self._refusals,
-            workers=",".join(sorted(self._tried)),
-            elapsed_seconds=round(self._clock.monotonic() - self._started_at, 4),
+            workers=self._tried,
+            elapsed_seconds=self._clock.monotonic() - self._started_at,
         )
 
     def _note_survived(self, attempt: _Attempt) -> None:
@@ -399,15 +341,13 @@
         self._quarantine.note_broken(
             self._fingerprint, self._request.request_id, attempt.record.worker, attempt.sent_at
         )
-        log_event(
-            "request_run_broken",
-            level="WARNING",
-            request=self._request.request_id,
-            fingerprint=self._fingerprint,
-            worker=attempt.record.worker.worker_id,
-            kept_connection=attempt.was_kept,
-            elapsed_seconds=round(self._clock.monotonic() - attempt.sent_at, 4),
-            detail=str(error),
+        log_run_broken(
+            self._request.request_id,
+            self._fingerprint,
+            attempt.record.worker,
+            error,
+            self._clock.monotonic() - attempt.sent_at,
+            was_kept=attempt.was_kept,
         )
 
     async def _wait(self, now: float, remaining: float) -> WorkerAnswer | None:
@@ -457,48 +397,23 @@
             if unproved is not None:
                 self._send(unproved.record, unproved.choice, remaining)
             return
-        choice = self._choose(now)
+        choice = self._picker.choose(self._next(), now)
         record = self._directory.get(choice.worker_id) if choice is not None else None
         if choice is not None and record is not None:
             self._send(record, choice, remaining)
         elif not self._attempts:
             raise self._failure(timed_out=False)
 
-    def _allowed_records(self) -> list[WorkerRecord]:
-        records = self._directory.of_service(self._service)
-        return [r for r in records if r.worker.worker_id not in self._apart_from]
-
-    def _choose(self, now: float) -> WorkerChoice | None:
-        body_bytes = len(self._request.body)
-        records = [r for r in self._allowed_records() if may_send_body(r.body_bytes, body_bytes)]
-        available = [record for record in records if record.is_available(now)]
-        untried = [r for r in available if r.worker.worker_id not in self._tried]
-        candidates = untried or available
-        if not candidates and not self._sent:
-            candidates = [record for record in records if record.worker.state == "ready"]
-        news = [self._news_of(record, now) for record in candidates]
-        return choose_worker(news, self._usual_seconds(), self._machine, now)
-
-    def _usual_seconds(self) -> float:
-        return self._timing.usual_seconds(self._route.name, self._route.target_seconds)
-
-    def _news_of(self, record: WorkerRecord, now: float) -> WorkerNews:
-        return WorkerNews(
-            worker_id=record.worker.worker_id,
-            slots=record.worker.slots,
-            own=record.in_flight,
-            others=record.others,
-            slowdown=record.slowdown,
-            reported_at=record.reported_at,
-            relative_time=record.answers.relative_time(now),
-            failure_share=record.answers.failure_share(now),
-            ran_at=record.answers.ran_at,
-            paused_until=record.paused_until,
-            keeps_connection=self._client.keeps_connection(record.worker),
-            is_same_zone=record.worker.zone == self._zone,
+    def _next(self) -> NextSend:
+        return NextSend(
+            route=self._route,
+            service=self._service,
+            body_bytes=len(self._request.body),
+            tried=self._tried,
+            apart_from=self._apart_from,
         )
 
-    def _send(self, record: WorkerRecord, choice: WorkerChoice, remaining: float) -> None:
+    def _send(self, record: WorkerRecord, choice: ChosenWorker, remaining: float) -> None:
         # The first send may take a kept connection. What follows a send without an answer does
         # not: if kept ones have fallen silent, each of them would cost an attempt.
         is_fresh = self._sent > self._refusals
@@ -521,46 +436,13 @@
         )
         record.in_flight += 1
         record.body_bytes += len(request.body)
-        task = asyncio.get_running_loop().create_task(self._attempt(record, outgoing))
+        task = asyncio.get_running_loop().create_task(
+            self._caller.call(record.worker, outgoing, self._route, self._fingerprint)
+        )
         # A task that is cancelled before it runs never comes to a ``finally`` of its own.
         task.add_done_callback(lambda _: _note_ended(record, len(request.body)))
         self._attempts[task] = _Attempt(record, choice, self._clock.monotonic(), was_kept)
 
-    async def _attempt(self, record: WorkerRecord, request: WorkerRequest) -> WorkerAnswer:
-        started_at = self._clock.monotonic()
-        worker_id = record.worker.worker_id
-        worker_start = record.worker.started_at_ms
-        self._quarantine.begin(self._fingerprint, worker_id)
-        try:
-            answer = await self._client.call(record.worker, request)
-        except asyncio.CancelledError:
-            self._note_given_up(record.worker, started_at)
-            raise
-        finally:
-            self._quarantine.end(self._fingerprint, worker_id)
-        now = self._clock.monotonic()
-        elapsed_seconds = now - started_at
-        relative_time = relative_time_of(elapsed_seconds, self._usual_seconds(), answer.load)
-        is_known = self._timing.knows(self._route.name)
-        self._directory.observe_answer(
-            worker_id, relative_time if is_known else None, now, worker_start
-        )
-        self._timing.observe(self._route.name, elapsed_seconds)
-        if answer.load is not None:
-            self._directory.observe_load(worker_id, answer.load, now, worker_start)
-        return answer
-
-    def _note_given_up(self, worker: Worker, started_at: float) -> None:
-        """Remember at least the time that a run took which was slower than another or too late."""
-        now = self._clock.monotonic()
-        elapsed_seconds = now - started_at
-        usual_seconds = self._usual_seconds()
-        if elapsed_seconds > usual_seconds:
-            self._directory.observe_unanswered(
-                worker.worker_id, elapsed_seconds / usual_seconds, now, worker.started_at_ms
-            )
-            self._timing.observe(self._route.name, elapsed_seconds)
-
     def _settle(self, task: "asyncio.Task[WorkerAnswer]", attempt: _Attempt) -> WorkerAnswer | None:
         """Take a finished attempt; return its answer if it is final."""
         now = self._clock.monotonic()
@@ -587,7 +469,7 @@
             self._refusals += 1
             self._is_service_full = True
             self._metrics.count_worker_refusal(self._route.name)
-            pause_seconds = self._refusal_seconds(attempt.record, now)
+            pause_seconds = self._picker.refusal_seconds(attempt.record, self._route, now)
             self._directory.pause(worker_id, now, pause_seconds, worker_start)
         except WorkerBrokenError as error:
             self._note_began(attempt)
@@ -610,14 +492,8 @@
         return None
 
     def _log_failed_run(self, attempt: _Attempt, error: WorkerError, now: float) -> None:
-        log_event(
-            "request_run_failed",
-            level="WARNING",
-            request=self._request.request_id,
-            worker=attempt.record.worker.worker_id,
-            error=error.code,
-            elapsed_seconds=round(now - attempt.sent_at, 4),
-        )
+        elapsed_seconds = now - attempt.sent_at
+        log_run_failed(self._request.request_id, attempt.record.worker, error, elapsed_seconds)
 
     def _blame_workers(self, now: float) -> None:
         """Hold failed runs against their workers, now that another one has answered.
@@ -627,9 +503,6 @@
         for worker in self._failed_at:
             self._directory.observe_failed_run(worker.worker_id, now, worker.started_at_ms)
 
-    def _refusal_seconds(self, record: WorkerRecord, now: float) -> float:
-        return refusal_seconds(self._news_of(record, now), self._usual_seconds(), now)
-
     def _failure(self, *, timed_out: bool) -> ForwardingError:
         """Return the final answer: what the client may conclude about the request."""
         if self._has_not_run():
@@ -652,8 +525,3 @@
 def _note_ended(record: WorkerRecord, body_bytes: int) -> None:
     record.in_flight -= 1
     record.body_bytes -= body_bytes
-
-
-def _finite(seconds: float) -> float | None:
-    """Return an age for a log line; ``None`` where there never was a report."""
-    return round(seconds, 3) if math.isfinite(seconds) else None
--- a/drumbay/forwarding/routes.py
+++ b/drumbay/forwarding/routes.py
@@ -129,6 +129,7 @@
         """Create a table without a configuration."""
         self._current: RoutingConfiguration | None = None
         self._credits: dict[str, dict[str, float]] = {}
+        self._ranks: dict[str, frozenset[int]] = {}
 
     @property
     def current(self) -> RoutingConfiguration | None:
@@ -140,8 +141,18 @@
         if self._current is not None and configuration.version <= self._current.version:
             return False
         self._current = configuration
+        self._ranks.clear()
         return True
 
+    def ranks_at(self, service: str) -> frozenset[int]:
+        """Return the ranks that requests to a service may have, worked out once a version."""
+        if self._current is None:
+            return frozenset()
+        ranks = self._ranks.get(service)
+        if ranks is None:
+            ranks = self._ranks[service] = self._current.ranks_at(service)
+        return ranks
+
     def batch_routes(self, service: str) -> int:
         """Return how many routes submit batch jobs to a service."""
         return sum(route.kind is RequestKind.ROLLOUT for route in self._routes_to(service))
--- a/drumbay/forwarding/worker_choice.py
+++ b/drumbay/forwarding/worker_choice.py
@@ -87,7 +87,7 @@
     is_same_zone: bool = True
 
 
-class WorkerChoice(msgspec.Struct, frozen=True, kw_only=True):
+class ChosenWorker(msgspec.Struct, frozen=True, kw_only=True):
     """A chosen worker and why: the time expected there, and what is known of its load."""
 
     worker_id: BackendId
@@ -97,20 +97,20 @@
 
 
 def choose_worker(
-    candidates: Sequence[WorkerNews], usual_seconds: float, node: str, now: float
-) -> WorkerChoice | None:
+    candidates: Sequence[WorkerNews], usual_seconds: float, machine: str, now: float
+) -> ChosenWorker | None:
     """Return the worker where a request is expected to be answered first.
 
     Args:
         candidates: The workers that the request may be sent to.
         usual_seconds: The median time of the route's answers.
-        node: The name of this node, which decides between equal workers.
+        machine: The name of this node's machine, which decides between equal workers.
         now: The monotonic time.
     """
     if not candidates:
         return None
     usual_others = _usual_others(candidates, now)
-    ranked = sorted(candidates, key=lambda news: _rank(node, news.worker_id))
+    ranked = sorted(candidates, key=lambda news: _rank(machine, news.worker_id))
 
     def cost(news: WorkerNews) -> tuple[int, float]:
         expected = usual_seconds * _relative_time_expected(news, usual_others, now)
@@ -122,7 +122,7 @@
         return round(expected / COST_STEP_SECONDS), news.ran_at
 
     chosen = min(ranked, key=cost)
-    return WorkerChoice(
+    return ChosenWorker(
         worker_id=chosen.worker_id,
         expected_seconds=usual_seconds * _relative_time_expected(chosen, usual_others, now),
         load_age_seconds=now - chosen.reported_at,
@@ -181,5 +181,5 @@
 
 
 @lru_cache(maxsize=4096)
-def _rank(node: str, worker_id: BackendId) -> bytes:
-    return hashlib.blake2b(f"{node}\0{worker_id}".encode(), digest_size=8).digest()
+def _rank(machine: str, worker_id: BackendId) -> bytes:
+    return hashlib.blake2b(f"{machine}\0{worker_id}".encode(), digest_size=8).digest()
--- a/tests/test_worker_choice.py
+++ b/tests/test_worker_choice.py
@@ -12,7 +12,7 @@
 from drumbay.forwarding.worker_choice import (
     LONGEST_REFUSAL_SECONDS,
     SHORTEST_REFUSAL_SECONDS,
-    WorkerChoice,
+    ChosenWorker,
     WorkerNews,
     choose_worker,
     refusal_seconds,
@@ -33,7 +33,7 @@
     return msgspec.structs.replace(worker, **known)
 
 
-def chosen(workers: list[WorkerNews], node: str = "node-1") -> WorkerChoice:
+def chosen(workers: list[WorkerNews], node: str = "node-1") -> ChosenWorker:
     choice = choose_worker(workers, USUAL_SECONDS, node, NOW)
     assert choice is not None
     return choice
