Split the scheduler: silence of runs and the order of starts apart

Change: run_silence tells silent workers and runs, start_order (a pure module that names its load) orders items by their latest start and tells whether one may start; pairs of an item and its latest start are a typed record. Decisions are the same. Ruled out: moving the events of items out as well; they change the same state as the plans do.

--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -1,6 +1,5 @@
 """Pure decisions about the items of one batch job: which runs where, which one moves."""
 
-import math
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence, Set
 
@@ -16,7 +15,6 @@
 )
 from drumbay.batches.item_order import ItemOrder
 from drumbay.batches.item_run import ItemRun
-from drumbay.batches.places import time_slot
 from drumbay.batches.records import (
     BatchItem,
     BatchSpec,
@@ -27,25 +25,14 @@
     ReturnedItems,
     Reward,
 )
-from drumbay.batches.shared_places import Competition
+from drumbay.batches.run_silence import RunSilence, silence_reason
+from drumbay.batches.start_order import NO_DUE_SECONDS, TimedStart, by_latest_start, may_start
 from drumbay.batches.start_times import EventSize, StepClock
 from drumbay.batches.worker_choice import DEFAULT_PACE_SECONDS, PlaceRequest, WorkerChoice
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.workers.directory import WorkerRecord
 from drumbay.workers.records import StreamEvent
 
-SILENCE_BEFORE_FIRST_EVENT_SECONDS = 1.6
-SILENCE_BETWEEN_EVENTS_SECONDS = 1.2
-"""A run is stopped after so long without an event: its worker may have preempted it."""
-
-SILENCE_OF_A_WORKER_SECONDS = 0.7
-"""A worker that made events and now makes none for any run has gone. Many times the 0.04 s between
-events, and more than a plan may be late by."""
-
-LONGEST_PLAN_GAP_SECONDS = 0.4
-"""Plans follow each other by a tenth of a second. After a longer gap this process has stood
-still or was busy, and events that came meanwhile are not read yet."""
-
 PRIORITY_LONG = 2
 PRIORITY_NORMAL = 5
 PRIORITY_POSTPONED = 6
@@ -76,10 +63,6 @@
 NO_LIMITS = StartLimits()
 WHOLE_SHARE = PlaceShare()
 
-NO_DUE_SECONDS = 10.0
-"""Where nothing says when a step is due, its items stand among other jobs' as if it were then; none
-of them counts as late."""
-
 
 class BatchScheduler:
     """Decides from events alone; deterministic.
@@ -112,8 +95,7 @@
         self._mean_pace = DEFAULT_PACE_SECONDS
         self._is_scarce = False
         self._give_up_at = started_at + spec.queue_limit_seconds
-        self._planned_at = started_at
-        self._listening_since = started_at
+        self._silence = RunSilence(started_at)
         done = {result.item_id for result in listed}
         self._runs = {
             item.item_id: ItemRun(item=item) for item in spec.items if item.item_id not in done
@@ -206,32 +188,27 @@
 
         ``None`` stands for one that is late already, or that the trainer does not wait for.
         """
-        return [start for _, start in self._by_latest_start(held, now)]
+        return [start.latest_start for start in self._by_latest_start(held, now)]
 
-    def _by_latest_start(self, held: Set[ItemId], now: float) -> list[tuple[ItemRun, float | None]]:
+    def _by_latest_start(self, held: Set[ItemId], now: float) -> list[TimedStart]:
         """Return the items that only lack a place in the order in which to start them."""
-        startable = [
-            run
-            for run in self._runs.values()
-            if not run.is_placed and now >= run.not_before and run.item.item_id not in held
-        ]
+        due_at = self.due_at
         clock = StepClock(
             began_at=self._began_at,
-            due_at=self._began_at + NO_DUE_SECONDS if self.due_at is None else self.due_at,
+            due_at=self._began_at + NO_DUE_SECONDS if due_at is None else due_at,
+            has_due=due_at is not None,
             seconds_per_event=self._seconds_per_event,
             event_size=self._event_size,
             is_scarce=self._is_scarce,
         )
-        has_due = self.due_at is not None
-        late = {r.item.item_id for r in startable if has_due and clock.is_late(r, now)}
-        late_groups = {run.item.group for run in startable if run.item.item_id in late}
-        ordered: list[tuple[ItemRun, float | None]] = []
-        for run in startable:
-            is_spare = run.item.group in late_groups or self._order.is_postponed(run.item)
-            is_deferrable = run.item.item_id in late or (is_spare and not run.texts)
-            ordered.append((run, None if is_deferrable else clock.latest_start(run)))
-        # Stable: late items keep the order in which they would start without other jobs.
-        return sorted(ordered, key=lambda entry: math.inf if entry[1] is None else entry[1])
+        return by_latest_start(self._startable(held, now), self._order, clock, now)
+
+    def _startable(self, held: Set[ItemId], now: float) -> list[ItemRun]:
+        return [
+            run
+            for run in self._runs.values()
+            if not run.is_placed and now >= run.not_before and run.item.item_id not in held
+        ]
 
     @property
     def missing_groups(self) -> int:
@@ -420,9 +397,7 @@
             limits: Items that must not start as others do.
             share: What other batch jobs leave to this one.
         """
-        if now - self._planned_at > LONGEST_PLAN_GAP_SECONDS:
-            self._listening_since = now
-        self._planned_at = now
+        self._silence.note_plan(now)
         choice = WorkerChoice(
             self._spec, workers, newest_version, now, limits.apart_from, share.held
         )
@@ -449,13 +424,15 @@
     def _starts(
         self, choice: WorkerChoice, now: float, limits: StartLimits, share: PlaceShare
     ) -> list[StartRun]:
+        held = sum(run.worker_id is not None for run in self._runs.values())
         starts = self._moved(choice, now, limits)
         competition = share.competition
-        for run, latest_start in self._to_start(limits, share, now):
+        for timed in self._to_start(limits, share, now):
+            run = timed.run
             if not choice.has_room:
                 break
-            if competition is not None and not self._may_start(
-                latest_start, competition, len(starts)
+            if competition is not None and not may_start(
+                timed.latest_start, competition, started=len(starts), held=held + len(starts)
             ):
                 continue
             request = PlaceRequest(
@@ -472,34 +449,16 @@
                 starts.append(self._start(run, worker_id, now))
         return starts
 
-    def _to_start(
-        self, limits: StartLimits, share: PlaceShare, now: float
-    ) -> list[tuple[ItemRun, float | None]]:
+    def _to_start(self, limits: StartLimits, share: PlaceShare, now: float) -> list[TimedStart]:
         """Return the items to start, and by when each must start if other jobs compete."""
         if share.competition is not None:
             return self._by_latest_start(limits.held, now)
         return [
-            (run, None)
-            for run in self._runs.values()
-            if not run.is_placed
-            and now >= run.not_before
-            and run.item.item_id not in limits.held
-            and (not share.long_only or self._order.is_long(run.item))
+            TimedStart(run, None)
+            for run in self._startable(limits.held, now)
+            if not share.long_only or self._order.is_long(run.item)
         ]
 
-    def _may_start(
-        self, latest_start: float | None, competition: Competition, started: int
-    ) -> bool:
-        """Return whether other batch jobs leave a place for one more item."""
-        slot = None
-        if latest_start is not None and competition.is_feasible:
-            slot = time_slot(latest_start + competition.offset)
-        if slot is None:
-            held = sum(run.worker_id is not None for run in self._runs.values())
-            if held < competition.late_places:
-                return True
-        return competition.free - started > competition.count_ahead(slot)
-
     def _moved(self, choice: WorkerChoice, now: float, limits: StartLimits) -> list[StartRun]:
         """Return the starts of items that were stopped to go on at a faster worker."""
         starts: list[StartRun] = []
@@ -534,12 +493,14 @@
 
     def _stops(self, choice: WorkerChoice, now: float) -> list[StopRun]:
         stops: list[StopRun] = []
-        silent_workers = self._silent_workers(now)
+        silent_workers = self._silence.silent_workers(self._runs.values(), now)
         for run in self._runs.values():
             if run.worker_id is None:
                 continue
-            if self._is_silent(run, run.worker_id in silent_workers, now):
-                stops.append(_stop(run, _silence_reason(run, silent_workers, choice)))
+            if self._silence.is_silent(run, silent_workers, now):
+                is_heard = choice.is_heard(run.worker_id)
+                reason = silence_reason(run, silent_workers, is_worker_heard=is_heard)
+                stops.append(_stop(run, reason))
                 continue
             target = self._place_to_move_to(run, choice)
             if target is not None:
@@ -548,27 +509,6 @@
                 stops.append(_stop(run, StopReason.SLOW_WORKER))
         return stops
 
-    def _silent_workers(self, now: float) -> set[BackendId]:
-        """Return the workers that made events of these items and lately make none at all."""
-        heard_at: dict[BackendId, float] = {}
-        for run in self._runs.values():
-            if run.worker_id is not None and run.events_here:
-                latest = heard_at.get(run.worker_id, self._listening_since)
-                heard_at[run.worker_id] = max(latest, run.heard_at)
-        limit = SILENCE_OF_A_WORKER_SECONDS
-        return {worker_id for worker_id, latest in heard_at.items() if now - latest > limit}
-
-    def _is_silent(self, run: ItemRun, worker_is_silent: bool, now: float) -> bool:
-        silence = now - max(run.heard_at, self._listening_since)
-        if worker_is_silent:
-            return silence > SILENCE_OF_A_WORKER_SECONDS
-        limit = (
-            SILENCE_BETWEEN_EVENTS_SECONDS
-            if run.events_here
-            else SILENCE_BEFORE_FIRST_EVENT_SECONDS
-        )
-        return silence > limit
-
     def _place_to_move_to(self, run: ItemRun, choice: WorkerChoice) -> BackendId | None:
         """Return the worker that an item had better go on at, with a place set aside there."""
         assert run.worker_id is not None
@@ -588,16 +528,6 @@
         return choice.reserve_faster(run.worker_id, least_gain_seconds)
 
 
-def _silence_reason(
-    run: ItemRun, silent_workers: set[BackendId], choice: WorkerChoice
-) -> StopReason:
-    if run.worker_id in silent_workers:
-        return StopReason.SILENT
-    if run.events_here:
-        return StopReason.STALLED
-    return StopReason.QUEUED if choice.is_heard(run.worker_id) else StopReason.UNSTARTED
-
-
 def _stop(run: ItemRun, reason: StopReason) -> StopRun:
     assert run.worker_id is not None
     run.avoid = run.worker_id
--- a/drumbay/batches/start_times.py
+++ b/drumbay/batches/start_times.py
@@ -45,7 +45,8 @@
 class StepClock(msgspec.Struct, frozen=True, kw_only=True):
     """When a step began and is due, and how long an event takes. Times are monotonic seconds.
 
-    ``is_scarce`` says that there is no room for all steps to be in time.
+    ``has_due`` is false where ``due_at`` only orders items. ``is_scarce`` says that there is no
+    room for all steps to be in time.
     """
 
     began_at: float
@@ -53,6 +54,7 @@
     seconds_per_event: float
     event_size: EventSize
     is_scarce: bool
+    has_due: bool = True
 
     def latest_start(self, run: ItemRun) -> float:
         """Return by when an item must start, to be in time on a usual worker."""
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -25,7 +25,7 @@
 from drumbay_soak.proxy import FaultyProxy
 from drumbay_soak.worker_server import WorkerServer
 
-from drumbay.batches.scheduler import SILENCE_OF_A_WORKER_SECONDS
+from drumbay.batches.run_silence import SILENCE_OF_A_WORKER_SECONDS
 from drumbay.clock import SystemClock
 from drumbay.forwarding.forwarder import Forwarder
 from drumbay.forwarding.records import ClientRequest, ForwardingError
