Test that reward requests keep their order after a takeover

Cause: the order by submission after a takeover had no test. Change: a world of two nodes in which the owner is killed while its scores are open; the order that the successor's requests carry is the submission's.

--- a/tests/test_rewards.py
+++ b/tests/test_rewards.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest.mock import patch
 
 import msgspec
 
@@ -15,9 +16,12 @@
     ResultState,
     ReturnedItems,
     Reward,
+    RewardRequest,
 )
+from drumbay.batches.reward_scorer import RewardScorer
 from drumbay.batches.scheduler import BatchScheduler
 from drumbay.batches.scoring_places import ScoringPlaces, place_limit
+from drumbay.forwarding.records import RewardOrder
 from drumbay.forwarding.routes import RequestLimits, RoutingConfiguration
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.standins.worker_pool import whole_text
@@ -273,6 +277,33 @@
 
         play(scenario, scorer_count=1)
 
+    def test_after_a_takeover_the_oldest_batch_job_still_goes_first(self) -> None:
+        """Reward requests keep their order of submission, whichever node asks for them."""
+        started: dict[int, set[float]] = {}
+        number = 0
+        score = RewardScorer.score
+
+        async def noted(scorer: RewardScorer, request: RewardRequest, order: RewardOrder) -> Reward:
+            started.setdefault(number, set()).add(order.batch_started_at)
+            return await score(scorer, request, order)
+
+        async def scenario(world: ServingWorld) -> None:
+            nonlocal number
+            submitted_at = world.clock.monotonic()
+            world.workers["scorer-1"].faults.slowdown = 1_000.0
+            await world.nodes[0].batches.submit(batch_spec(groups=1, scored=True))
+            await asyncio.sleep(5.0)
+            number = 1
+            await world.nodes[0].kill()
+            world.workers["scorer-1"].faults.slowdown = 1.0
+            await read_all(world.nodes[1].batches, BATCH, 4.0)
+            for times in (started[0], started[1]):
+                (time,) = times
+                self.assertAlmostEqual(time, submitted_at, delta=0.2)
+
+        with patch.object(RewardScorer, "score", noted):
+            play(scenario, scorer_count=1)
+
 
 if __name__ == "__main__":
     unittest.main()
