Test that a prompt kept by a start of a worker ends with it

Cause: of what is known of a worker by its id, kept prompts had no test. Change: two items of a group go to one worker in one plan; after its restart another worker is chosen.

--- a/tests/test_worker_pace.py
+++ b/tests/test_worker_pace.py
@@ -74,6 +74,34 @@
         self.assertIsNone(self.take(choice, is_apart=True))
 
 
+class KeptPromptTest(DirectoryTest):
+    """A group's items go where its prompt was read, but not where that start has ended."""
+
+    def take(self, choice: WorkerChoice) -> BackendId | None:
+        return choice.take(
+            PlaceRequest(
+                group="g",
+                expected_tokens=10,
+                avoid=None,
+                is_long=False,
+                minimum_version=WeightVersion(1),
+            )
+        )
+
+    def test_a_worker_that_started_again_is_not_chosen_for_a_prompt_it_kept(self) -> None:
+        choice = self.choice()
+        first = self.take(choice)
+        assert first is not None
+        self.assertEqual(self.take(choice), first)
+        record = self.directory.get(first)
+        assert record is not None
+        self.directory.put(msgspec.structs.replace(record.worker, started_at_ms=1_000))
+        self.directory.put(msgspec.structs.replace(record.worker, started_at_ms=2_000))
+        # As full as one item makes it: without the prompt any other worker is the better one.
+        self.directory.observe_load(first, WorkerLoad(running=1, waiting=0, slots=8), 0.0)
+        self.assertNotEqual(self.take(self.choice()), first)
+
+
 class WorkerPaceTest(DirectoryTest):
     def test_one_late_event_does_not_make_a_worker_slow(self) -> None:
         self.observe(FIRST, [1.0])
