Test that lookups which fill the service starve no reward request

Cause: with the turns of reward requests taken out, all tests of admission stayed green: the replay left the service room for both. Change: a replay in which lookups alone ask for one and a half times what the service bears; 40 scores of a step are given within 1.5 s, in a quarter of the turns.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -144,6 +144,16 @@
         order = [request.is_reward for request in replay.admitted]
         self.assertGreaterEqual(sum(order[:40]), 40 // TURNS_A_REWARD)
 
+    def test_lookups_that_fill_the_service_starve_no_reward_request(self) -> None:
+        # 133 a second are served, and 200 lookups a second come while a step waits for its scores.
+        rewards = [ask(f"reward-{n}", flow="", is_reward=True, deadline=8.0) for n in range(40)]
+        lookups = [ask(f"l{n}", at=0.001 + 0.005 * n, flow=f"t{n % 9}") for n in range(400)]
+        replay = Replay(rewards + lookups, seconds=0.03)
+        self.assertLess(max(replay.seconds_of(reward) for reward in rewards), 1.5)
+        rewards_first = sum(request.is_reward for request in replay.admitted[:100])
+        self.assertGreaterEqual(rewards_first, 20)
+        self.assertLessEqual(rewards_first, 30)
+
 
 class QueueTest(unittest.TestCase):
     def test_the_oldest_batch_job_and_its_priority_decide_between_reward_requests(self) -> None:
