--- a/drumbay/admission/room.py
+++ b/drumbay/admission/room.py
@@ -4,8 +4,8 @@
 from collections.abc import Sequence
 
 from drumbay.admission.records import ServiceRoom
-from drumbay.workers.directory import WorkerRecord
 from drumbay.workers.records import WorkerState
+from drumbay.workers.worker_record import WorkerRecord
 
 EXTRA_REQUESTS_PER_WORKER = 1
 """Sent beyond a worker's free places, so that it has the next request when one ends."""
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -46,7 +46,7 @@
 from drumbay.observability.serving_metrics import ServingMetrics
 from drumbay.quarantine.service import Quarantine
 from drumbay.tasks import TaskOwner
-from drumbay.workers.directory import WorkerDirectory, WorkerRecord
+from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient, WorkerStream
 from drumbay.workers.records import (
     WorkerError,
@@ -54,6 +54,7 @@
     WorkerRequest,
 )
 from drumbay.workers.silence_check import SilenceCheck
+from drumbay.workers.worker_record import WorkerRecord
 
 TICK_SECONDS = 0.1
 WAKE_DELAY_SECONDS = 0.005
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -30,8 +30,8 @@
 from drumbay.batches.start_times import EventSize, StepClock
 from drumbay.batches.worker_choice import DEFAULT_PACE_SECONDS, PlaceRequest, WorkerChoice
 from drumbay.identifiers import BackendId, WeightVersion
-from drumbay.workers.directory import WorkerRecord
 from drumbay.workers.records import StreamEvent
+from drumbay.workers.worker_record import WorkerRecord
 
 PRIORITY_LONG = 2
 PRIORITY_NORMAL = 5
--- a/drumbay/batches/scoring_places.py
+++ b/drumbay/batches/scoring_places.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from drumbay.workers.directory import WorkerRecord
+from drumbay.workers.worker_record import WorkerRecord
 
 SHARE_OF_PLACES = 0.67
 """Reward requests of one node take at most this share of the places that others leave."""
--- a/drumbay/batches/worker_choice.py
+++ b/drumbay/batches/worker_choice.py
@@ -7,7 +7,7 @@
 
 from drumbay.batches.records import BatchItem, BatchSpec
 from drumbay.identifiers import BackendId, WeightVersion
-from drumbay.workers.directory import WorkerRecord
+from drumbay.workers.worker_record import WorkerRecord
 
 SLOW_FACTOR = 2.2
 """A worker whose events come this many times later than the median worker's is slow."""
--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -39,7 +39,7 @@
 from drumbay.quarantine.records import Decision, Verdict
 from drumbay.quarantine.service import Quarantine
 from drumbay.usage.counter import UsageCounter
-from drumbay.workers.directory import WorkerDirectory, WorkerRecord
+from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
 from drumbay.workers.records import (
     Worker,
@@ -52,6 +52,7 @@
     WorkerTimedOutError,
     WorkerUnreachableError,
 )
+from drumbay.workers.worker_record import WorkerRecord
 
 MINIMUM_BUDGET_SECONDS = 0.02
 """With less time left, no worker is asked any more."""
--- a/drumbay/forwarding/worker_picker.py
+++ b/drumbay/forwarding/worker_picker.py
@@ -14,8 +14,9 @@
 )
 from drumbay.identifiers import BackendId
 from drumbay.limits.worker_bodies import may_send_body
-from drumbay.workers.directory import WorkerDirectory, WorkerRecord
+from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
+from drumbay.workers.worker_record import WorkerRecord
 
 
 class NextSend(msgspec.Struct, frozen=True, kw_only=True):
--- a/drumbay/weights/version_coordinator.py
+++ b/drumbay/weights/version_coordinator.py
@@ -19,7 +19,7 @@
     LoadVersion,
     VersionPlanner,
 )
-from drumbay.workers.directory import WorkerDirectory, WorkerRecord
+from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
 from drumbay.workers.records import (
     LoadMode,
@@ -28,6 +28,7 @@
     WorkerError,
     WorkerStatus,
 )
+from drumbay.workers.worker_record import WorkerRecord
 
 TICK_SECONDS = 0.25
 CALL_LIMIT_SECONDS = 0.6
--- a/drumbay/weights/version_planner.py
+++ b/drumbay/weights/version_planner.py
@@ -12,8 +12,8 @@
 import msgspec
 
 from drumbay.identifiers import BackendId, WeightVersion
-from drumbay.workers.directory import WorkerRecord
 from drumbay.workers.records import WorkerState
+from drumbay.workers.worker_record import WorkerRecord
 
 LoadUnderWayId = NewType("LoadUnderWayId", int)
 """Tells the loads of one worker apart: its record may go and come back while one is under way."""
--- a/drumbay/workers/silence_check.py
+++ b/drumbay/workers/silence_check.py
@@ -10,9 +10,10 @@
 from drumbay.identifiers import BackendId
 from drumbay.observability.logs import log_event
 from drumbay.tasks import TaskOwner
-from drumbay.workers.directory import WorkerDirectory, WorkerRecord
+from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
 from drumbay.workers.records import Worker, WorkerError, WorkerStart
+from drumbay.workers.worker_record import WorkerRecord
 
 CHECK_SECONDS = 0.6
 """Meanwhile the worker gets nothing new; the client's own limit of a report is as long."""
--- a/tests/test_worker_starts.py
+++ b/tests/test_worker_starts.py
@@ -33,9 +33,10 @@
 from drumbay.standins.worker_pool import RESTART_SECONDS, EmulatedWorkerPool
 from drumbay.tasks import TaskOwner
 from drumbay.weights.version_planner import LoadPolicy, VersionPlanner
-from drumbay.workers.directory import WorkerDirectory, WorkerRecord
+from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.records import Worker, WorkerLoad, WorkerState, WorkerStatus
 from drumbay.workers.silence_check import CHECK_SECONDS, FEWEST_SILENT_RUNS, SilenceCheck
+from drumbay.workers.worker_record import WorkerRecord
 from tests.serving_world import MODEL, SERVICE, ServingWorld, play
 
 WORKER = BackendId("w")
