--- a/drumbay/batches/owners.py
+++ b/drumbay/batches/owners.py
@@ -46,6 +46,7 @@
 """A submission waits so long for the owner of its stream; then this node owns it."""
 
 RECENT_OWNER_SECONDS = 60.0
+"""An owner that nothing names for so long is forgotten: several steps of a trainer."""
 
 
 class ServiceIdentity(msgspec.Struct, frozen=True, kw_only=True):
--- a/drumbay/batches/run_failure.py
+++ b/drumbay/batches/run_failure.py
@@ -14,6 +14,8 @@
 )
 
 MISDIRECTED_PAUSE_SECONDS = 1.0
+"""Another worker stands at the address: discovery mostly tells of that within a second, and a step
+has little time to pass over a worker that is back."""
 
 
 def observe_failure(
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -72,6 +72,7 @@
 texts that took longer to make are worth waiting until then."""
 
 RUN_BUDGET_SECONDS = 30.0
+"""A bound for runs that nothing else stops, beyond the longest text at the slowest worker."""
 
 LONGEST_AGE_SECONDS = 60.0
 """Ages come from the clocks of two machines. A step is due within seconds; a greater age tells of a
--- a/drumbay/peers/notices.py
+++ b/drumbay/peers/notices.py
@@ -13,6 +13,8 @@
 from drumbay.tasks import TaskOwner
 
 NOTICE_TIMEOUT_SECONDS = 0.3
+"""Calls between nodes take milliseconds. One that is silent for longer gets the next notice with
+what is new by then, rather than holding this one up."""
 
 LONGEST_QUEUE = 4_096
 """Notices that wait for a node that is slow; older ones are dropped. Each saves the node a refused
--- a/drumbay/workers/directory.py
+++ b/drumbay/workers/directory.py
@@ -21,8 +21,13 @@
 
 FIRST_REFUSAL_PAUSE_SECONDS = 0.1
 LONGEST_REFUSAL_PAUSE_SECONDS = 0.8
+"""A worker that refuses a model is asked again after the first, doubled each time up to the
+longest: weights are in place within seconds, and a refusal costs a connection."""
+
 FAILURE_PAUSE_SECONDS = 0.8
 LONGEST_PAUSE_SECONDS = 4.0
+"""A worker that failed gets nothing for the first, doubled each time up to the longest: a restarted
+worker is back within seconds, and one that is cut off costs each request sent there a retry."""
 
 
 class WorkerDirectory:
