Let simulations write the log lines of their nodes, in virtual time

Cause: three seeds of the small scenario break configuration_in_force, and nothing tells why: the simulation threw the nodes' log lines away. Ruled out: the history file alone; it has what is in force where, not what a node waited for.

--- a/drumbay/cli/simulate.py
+++ b/drumbay/cli/simulate.py
@@ -32,6 +32,10 @@
         Path | None,
         typer.Option(help="After a broken promise, write the shortest plan that still breaks it."),
     ] = None,
+    log_file: Annotated[
+        Path | None,
+        typer.Option(help="Write the log lines of the simulated nodes there, in virtual time."),
+    ] = None,
     list_: Annotated[bool, typer.Option("--list", help="List the shipped scenarios.")] = False,
 ) -> None:
     """Run a scenario on a virtual clock with faults, and check its history.
@@ -56,5 +60,6 @@
         history_file=history_file,
         plan_file=plan_file,
         shrink_to=shrink_to,
+        log_file=log_file,
     )
     command.run_command(options)
--- a/drumbay/observability/logs.py
+++ b/drumbay/observability/logs.py
@@ -18,8 +18,18 @@
 
 def _format_record(record: "Record") -> str:
     """Render a loguru record as one logfmt line (a format string without fields)."""
+    return render_record(record, time=record["time"].isoformat(timespec="milliseconds"))
+
+
+def render_record(record: "Record", **leading_fields: LogValue) -> str:
+    """Render a loguru record as one logfmt line (a format string without fields).
+
+    Args:
+        record: The record of one event.
+        leading_fields: Written before the level, the event and its own fields.
+    """
     fields: dict[str, object] = {
-        "time": record["time"].isoformat(timespec="milliseconds"),
+        **leading_fields,
         "level": record["level"].name.lower(),
         "event": record["message"],
     }
--- a/drumbay/simulation/command.py
+++ b/drumbay/simulation/command.py
@@ -13,6 +13,7 @@
 from drumbay.exceptions import ConfigurationError
 from drumbay.node.node import Node
 from drumbay.simulation.checkers import Violation
+from drumbay.simulation.event_log import log_to_file
 from drumbay.simulation.faults import FaultPlan
 from drumbay.simulation.runner import RunReport, RunResult, run_scenario
 from drumbay.simulation.scenario import Scenario, find_scenario, shipped_scenarios
@@ -45,6 +46,7 @@
         history_file: Where the history of the last run is written.
         plan_file: Faults to inject in place of those drawn from the seed.
         shrink_to: Where the shortest plan that still breaks a promise is written.
+        log_file: Where the log lines of the simulated nodes are written.
     """
 
     scenario: str
@@ -53,6 +55,7 @@
     history_file: Path | None
     plan_file: Path | None = None
     shrink_to: Path | None = None
+    log_file: Path | None = None
 
 
 def list_scenarios() -> None:
@@ -65,6 +68,8 @@
     """Run every seed, print the outcome, and exit with 1 if a promise is broken."""
     # NOTE: log lines of simulated nodes carry real times and drown the report.
     logger.remove()
+    if options.log_file is not None:
+        log_to_file(options.log_file)
     with typed_exit():
         scenario = find_scenario(options.scenario)
         seeds = parse_seeds(options.seeds)
--- a/tests/test_cli_simulate.py
+++ b/tests/test_cli_simulate.py
@@ -31,6 +31,7 @@
         self.plan = Path(folder.name) / "plan.json"
         self.plan.write_text(json.dumps({"faults": [KILL]}))
         self.history = Path(folder.name) / "history.jsonl"
+        self.log = Path(folder.name) / "nodes.log"
 
     def run_command(self, *arguments: str) -> tuple[int, str]:
         result = CliRunner().invoke(make_app(["simulate"]), ["simulate", *arguments])
@@ -46,12 +47,16 @@
         code, output = self.run_command(
             *("--scenario", str(self.scenario), "--seeds", "1..2", "--json"),
             *("--plan-file", str(self.plan), "--history-file", str(self.history)),
+            *("--log-file", str(self.log)),
         )
         self.assertEqual(code, 0, output)
         reports = json.loads(output)
         self.assertEqual([report["seed"] for report in reports], [1, 2])
         self.assertEqual([report["faults"] for report in reports], [1, 1])
         self.assertIn(b"NodeDisturbed", self.history.read_bytes())
+        # Virtual times and the run of the process tell how events of several nodes lie.
+        lines = self.log.read_text()
+        self.assertRegex(lines, r"time=8\.\d+ process=callao-1#2 level=info event=node_started")
 
     def test_a_broken_promise_exits_with_1_and_names_the_replay(self) -> None:
         # No change can be in force within no time at all.
