Start on the key-value service's word when no majority of replicas can be had

Cause: a starting node put nothing in force before a majority of the replicas had stored it. Its log says 'configuration_unconfirmed revision 34: 1 of 3 stored it' until the others are back, or known. Ruled out: lost or slow reads of the service (it read revision 34 at once, 2 ms after its start); gossip (a starting node must not take a peer's word). Change: after 5 s a node with a disk stores what the service says on its own disk and acts on it; it tells no peer and accepts no change before a majority has it, and goes on asking. Nodes without a disk wait as before. A service behind the node's disk is not believed. Why it holds: the service's read is in the order of all changes, and a later start in an outage finds the node's own disk (test_a_later_start_in_an_outage_does_not_go_back).

--- a/drumbay/configuration/applied.py
+++ b/drumbay/configuration/applied.py
@@ -5,6 +5,7 @@
 
 from drumbay.clock import Clock
 from drumbay.configuration.messages import (
+    NO_REVISION,
     ConfigurationReadiness,
     ConfigurationUpdate,
     ReadinessReason,
@@ -32,6 +33,7 @@
         self._callbacks: list[ChangeCallback] = []
         self._changed = asyncio.Event()
         self._loaded = False
+        self._durable_revision = NO_REVISION
         self._confirmed_at: float | None = None
 
     @property
@@ -54,21 +56,42 @@
         """Return whether a configuration has been loaded since the process started."""
         return self._loaded
 
+    @property
+    def durable(self) -> bool:
+        """Return whether a majority of the replicas has stored all that is applied."""
+        return self._durable_revision >= self.revision
+
     def add_callback(self, callback: ChangeCallback) -> None:
         """Call ``callback`` with the new view after each change; it must not raise."""
         self._callbacks.append(callback)
 
-    def apply(self, update: ConfigurationUpdate) -> ApplyOutcome:
-        """Put an update in force that is stored by a majority of the replicas."""
+    def apply(self, update: ConfigurationUpdate, *, durable: bool = True) -> ApplyOutcome:
+        """Put an update in force.
+
+        Args:
+            update: The change, or the whole configuration.
+            durable: Whether a majority of the replicas has stored it.
+        """
         outcome = self._state.apply(update)
-        if outcome is ApplyOutcome.APPLIED:
-            self._view = self._builder.build(self._state)
-            self._changed.set()
-            self._changed = asyncio.Event()
-            for callback in self._callbacks:
-                callback(self._view)
+        if outcome is not ApplyOutcome.APPLIED:
+            return outcome
+        if durable:
+            self._durable_revision = self.revision
+        self._view = self._builder.build(self._state)
+        self._wake_waiting()
+        for callback in self._callbacks:
+            callback(self._view)
         return outcome
 
+    def mark_durable(self, revision: Revision) -> None:
+        """Record that a majority of the replicas has stored all up to a revision."""
+        self._durable_revision = max(self._durable_revision, revision)
+        self._wake_waiting()
+
+    def _wake_waiting(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def mark_loaded(self) -> None:
         """Record that the start is over."""
         self._loaded = True
@@ -107,14 +130,21 @@
         )
 
     async def wait_for_revision(self, revision: Revision, timeout_seconds: float) -> bool:
-        """Wait until ``revision`` is in force here; tell whether it came in time."""
+        """Wait until ``revision`` is in force here and stored by a majority of the replicas.
+
+        Returns:
+            Whether that came in time.
+        """
         deadline = self._clock.monotonic() + timeout_seconds
-        while self.revision < revision:
+        while not self._is_accepted(revision):
             remaining_seconds = deadline - self._clock.monotonic()
             if remaining_seconds <= 0:
                 return False
             try:
                 await self._clock.wait_for(self._changed.wait(), remaining_seconds)
             except DeadlineExceededError:
-                return self.revision >= revision
+                return self._is_accepted(revision)
         return True
+
+    def _is_accepted(self, revision: Revision) -> bool:
+        return min(self.revision, self._durable_revision) >= revision
--- a/drumbay/configuration/dissemination.py
+++ b/drumbay/configuration/dissemination.py
@@ -94,6 +94,9 @@
             self._send_digest(peer.address, is_reply=False)
 
     def _send_digest(self, address: Address, *, is_reply: bool) -> None:
+        if not self._applied.durable:
+            # A peer takes what it pulls for stored by a majority of the replicas.
+            return
         digest = ConfigurationDigest(
             sender=self._node_id,
             reply_to=self._transport.address,
@@ -152,7 +155,7 @@
             self._pulling = False
 
     async def _handle_pull(self, request: ConfigurationPull) -> ConfigurationPullReply:
-        if not self._applied.loaded:
+        if not (self._applied.loaded and self._applied.durable):
             return ConfigurationPullReply(update=None)
         update = self._applied.state.update_since(request.after_revision)
         return ConfigurationPullReply(update=update)
--- a/drumbay/configuration/errors.py
+++ b/drumbay/configuration/errors.py
@@ -51,3 +51,9 @@
     """The configuration file of a replica cannot be read; it must be removed by hand."""
 
     code = "replica_file"
+
+
+class StoreBehindError(UnavailableError):
+    """The key-value service has lost what this node's disk holds, and is not to be believed."""
+
+    code = "configuration_store_behind"
--- a/drumbay/configuration/service.py
+++ b/drumbay/configuration/service.py
@@ -12,7 +12,7 @@
 from drumbay.comm.interface import Transport
 from drumbay.configuration.applied import AppliedConfiguration, ChangeCallback
 from drumbay.configuration.dissemination import Dissemination
-from drumbay.configuration.errors import ReplicaMajorityError
+from drumbay.configuration.errors import ReplicaMajorityError, StoreBehindError
 from drumbay.configuration.gossip import PeerDirectory, is_watcher
 from drumbay.configuration.messages import (
     NO_REVISION,
@@ -45,6 +45,10 @@
 LOAD_RETRY_SECONDS = 0.5
 """Between the questions of a starting node to the replicas, which are not rate-limited."""
 
+LONE_START_SECONDS = 5.0
+"""How long a starting node waits for a majority of the replicas before it takes the key-value
+service's word alone: half of the ten seconds in which a change has to be in force."""
+
 PROPOSAL_PROBABILITY = 0.25
 FEWEST_REPLICAS = 3
 """A majority of fewer does not survive the loss of one."""
@@ -62,6 +66,8 @@
         dissemination_type: Class of the exchange with peers.
         watcher_type: Class of the watch.
         load_retry_seconds: Longest time between a starting node's questions to the replicas.
+        lone_start_seconds: How long a starting node waits for a majority of the replicas
+            before it takes the key-value service's word alone.
     """
 
     state_type: ClassVar[type[ConfigurationState]] = ConfigurationState
@@ -69,6 +75,7 @@
     dissemination_type: ClassVar[type[Dissemination]] = Dissemination
     watcher_type: ClassVar[type[ConfigurationWatcher]] = ConfigurationWatcher
     load_retry_seconds: ClassVar[float] = LOAD_RETRY_SECONDS
+    lone_start_seconds: ClassVar[float] = LONE_START_SECONDS
 
     def __init__(
         self,
@@ -201,6 +208,24 @@
         return STORE_CONFIRM_PERIOD_SECONDS
 
     async def _load(self) -> None:
+        """Load the configuration from whoever can vouch for it first."""
+        ways = [self._task_owner.spawn(self._load_from_majority(), "configuration load")]
+        if self._replica is not None:
+            alone = self._load_alone(self._replica)
+            ways.append(self._task_owner.spawn(alone, "configuration lone start"))
+        done, others = await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
+        for other in others:
+            other.cancel()
+        for way in done:
+            way.result()
+        self._applied.mark_loaded()
+        if self._replica is not None:
+            self._mark_replica_complete(self._replica)
+        log_event("configuration_loaded", node=self._node_id, revision=self._applied.revision)
+        if not self._applied.durable:
+            self._task_owner.spawn(self._make_durable(), "configuration lone start repair")
+
+    async def _load_from_majority(self) -> None:
         backoff = Backoff(self._generator)
         next_store_read = self._clock.monotonic()
         while True:
@@ -211,12 +236,49 @@
                 break
             if reads_store:
                 next_store_read = self._clock.monotonic() + backoff.next_delay_seconds()
-            share = self._generator.uniform(0.5, 1.0)
-            await self._clock.sleep(share * self.load_retry_seconds)
-        self._applied.mark_loaded()
-        if self._replica is not None:
-            self._mark_replica_complete(self._replica)
-        log_event("configuration_loaded", node=self._node_id, revision=self._applied.revision)
+            await self._sleep_before_retry()
+
+    async def _sleep_before_retry(self) -> None:
+        share = self._generator.uniform(0.5, 1.0)
+        await self._clock.sleep(share * self.load_retry_seconds)
+
+    async def _load_alone(self, replica: ConfigurationReplica) -> None:
+        """Take the key-value service's word if no majority of the replicas can be had for long.
+
+        A node would serve nothing otherwise, though the service that orders all changes
+        answers it. Its own disk holds what it takes before that is in force, so that a later
+        start does not go back; a node without a disk goes on waiting.
+        """
+        await self._clock.sleep(self.lone_start_seconds)
+        backoff = Backoff(self._generator)
+        while not await self._take_from_store(replica):
+            await self._clock.sleep(backoff.next_delay_seconds())
+
+    async def _take_from_store(self, replica: ConfigurationReplica) -> bool:
+        asked_at = self._clock.monotonic()
+        try:
+            update = await self._read_store()
+            replica.store(ReplicaStore(update=update))
+        except (KeyValueError, StoreBehindError, OSError) as error:
+            log_event("configuration_lone_start_failed", level="WARNING", detail=str(error))
+            return False
+        self._put_in_force(update, durable=False)
+        self._applied.confirm(asked_at)
+        log_event("configuration_taken_alone", level="WARNING", revision=update.revision)
+        return True
+
+    async def _make_durable(self) -> None:
+        """Have a majority of the replicas store what this node took alone."""
+        while not self._applied.durable:
+            held = self._applied.state.snapshot()
+            try:
+                await self._replicas.store(self._applied.state, held)
+            except ReplicaMajorityError as error:
+                log_event("configuration_not_durable", level="WARNING", detail=str(error))
+                await self._sleep_before_retry()
+                continue
+            self._applied.mark_durable(held.revision)
+            self._dissemination.spread()
 
     def _mark_replica_complete(self, replica: ConfigurationReplica) -> None:
         try:
@@ -238,7 +300,7 @@
             update = await self._read_newest(reads_store=reads_store)
             if update is not None:
                 await self._commit(update)
-        except (ReplicaMajorityError, KeyValueError) as error:
+        except (ReplicaMajorityError, KeyValueError, StoreBehindError) as error:
             log_event("configuration_unconfirmed", level="WARNING", detail=str(error))
             return False
         self._applied.confirm(asked_at)
@@ -250,10 +312,22 @@
         except ReplicaMajorityError:
             if not reads_store:
                 raise
-            result = await self._store.range_prefix(RESOURCE_PREFIX)
-        update = update_from_range(result)
+            update = await self._read_store()
         return None if self._has_content_of(update) else update
 
+    async def _read_store(self) -> ConfigurationUpdate:
+        """Read the whole configuration from the key-value service.
+
+        Raises:
+            KeyValueError: The service did not answer.
+            StoreBehindError: It has lost what this node's disk holds.
+        """
+        update = update_from_range(await self._store.range_prefix(RESOURCE_PREFIX))
+        held = NO_REVISION if self._replica is None else self._replica.revision
+        if update.revision < held:
+            raise StoreBehindError(f"the service is at {update.revision}, the disk at {held}")
+        return update
+
     def _has_content_of(self, update: ConfigurationUpdate) -> bool:
         if not self._applied.loaded:
             return False
@@ -272,8 +346,8 @@
         await self._replicas.store(self._applied.state, update)
         self._put_in_force(update)
 
-    def _put_in_force(self, update: ConfigurationUpdate) -> ApplyOutcome:
-        outcome = self._applied.apply(update)
+    def _put_in_force(self, update: ConfigurationUpdate, *, durable: bool = True) -> ApplyOutcome:
+        outcome = self._applied.apply(update, durable=durable)
         if outcome is not ApplyOutcome.APPLIED:
             return outcome
         log_event(
