Owe a configuration only while somebody can vouch for it

Change: outages, lost disks and the committed replica sets stand in the history. A node owes a change while the service, or a majority of the replicas with their disks, was there for the whole limit. Cuts take no replica away. Strict where it was: with the service up, or a majority up, late is late; histories without these events are judged as before (test_checkers, both ways).

--- a/drumbay/simulation/disturbances.py
+++ b/drumbay/simulation/disturbances.py
@@ -4,8 +4,16 @@
 
 from drumbay.identifiers import NodeId
 from drumbay.simulation.deployment import Deployment, NodePlan
-from drumbay.simulation.faults import AnyFault, CutPath, FreezeHost, KillHost, LoseDisk
-from drumbay.simulation.history import History, NodeDisturbed, NodeRestored
+from drumbay.simulation.faults import (
+    AnyFault,
+    CutPath,
+    DisturbKeyValue,
+    FreezeHost,
+    KeyValueCondition,
+    KillHost,
+    LoseDisk,
+)
+from drumbay.simulation.history import History, KeyValueOutage, NodeDisturbed, NodeRestored
 from drumbay.simulation.network import Cut, Scope
 from drumbay.simulation.trace import Trace
 
@@ -23,11 +31,18 @@
         """Note that a fault begins or has ended."""
         self._trace.record("fault", type(fault).__name__, began)
         now = asyncio.get_running_loop().time()
+        if isinstance(fault, DisturbKeyValue) and fault.condition is KeyValueCondition.OUTAGE:
+            self._history.add(KeyValueOutage(time_seconds=now, began=began))
+        cut_off = isinstance(fault, CutPath)
+        disk_lost = isinstance(fault, LoseDisk)
         for node_id in self._disturbed_nodes(fault):
             if began:
-                self._history.add(NodeDisturbed(time_seconds=now, node_id=node_id))
+                disturbed = NodeDisturbed(
+                    time_seconds=now, node_id=node_id, cut_off=cut_off, disk_lost=disk_lost
+                )
+                self._history.add(disturbed)
             else:
-                self._history.add(NodeRestored(time_seconds=now, node_id=node_id))
+                self._history.add(NodeRestored(time_seconds=now, node_id=node_id, cut_off=cut_off))
 
     def _disturbed_nodes(self, fault: AnyFault) -> tuple[NodeId, ...]:
         match fault:
--- a/drumbay/simulation/history.py
+++ b/drumbay/simulation/history.py
@@ -194,16 +194,44 @@
 
 
 class NodeDisturbed(HistoryEvent, frozen=True, kw_only=True):
-    """From now on a node is down, frozen or cut off; ``planned`` if it ended as asked."""
+    """From now on a node is down, frozen or cut off.
+
+    Attributes:
+        node_id: The node.
+        planned: Whether it ended as asked.
+        cut_off: Whether only paths to it are cut: its process runs.
+        disk_lost: Whether its disk was emptied.
+    """
 
     node_id: NodeId
     planned: bool = False
+    cut_off: bool = False
+    disk_lost: bool = False
 
 
 class NodeRestored(HistoryEvent, frozen=True, kw_only=True):
-    """A disturbance of a node has ended."""
+    """A disturbance of a node has ended; ``cut_off`` as of its beginning."""
 
     node_id: NodeId
+    cut_off: bool = False
+
+
+class KeyValueOutage(HistoryEvent, frozen=True, kw_only=True):
+    """An outage of the key-value service began, or has ended."""
+
+    began: bool
+
+
+class ReplicaSetCommitted(HistoryEvent, frozen=True, kw_only=True):
+    """The key-value service took a new set of the configuration's replicas.
+
+    Attributes:
+        members: Nodes of which a majority stores a change before it is in force.
+        previous: Nodes of which a majority is needed too while the set changes.
+    """
+
+    members: tuple[NodeId, ...]
+    previous: tuple[NodeId, ...] = ()
 
 
 class ConfigurationInForce(HistoryEvent, frozen=True, kw_only=True):
@@ -291,6 +319,8 @@
     | NodeStarted
     | NodeDisturbed
     | NodeRestored
+    | KeyValueOutage
+    | ReplicaSetCommitted
     | ConfigurationInForce
     | ConfigurationAccepted
     | RegisterOperation
--- a/drumbay/simulation/observation.py
+++ b/drumbay/simulation/observation.py
@@ -5,6 +5,7 @@
 from drumbay.configuration.messages import (
     REPLICA_SET_KEY,
     RESOURCE_PREFIX,
+    ReplicaSet,
     StoredRecord,
     resource_key,
 )
@@ -17,6 +18,7 @@
     OrderAccepted,
     RegisterOperation,
     RegisterOperationKind,
+    ReplicaSetCommitted,
     TokensProduced,
 )
 from drumbay.simulation.observed_engine import ObservedEngine
@@ -49,6 +51,7 @@
     commits = _read_commits(platform)
     _write_commits(history, commits)
     _write_register_operations(history, commits, changes)
+    _write_replica_sets(history, platform)
 
 
 def _write_engine(history: History, engine: ObservedEngine) -> None:
@@ -163,6 +166,23 @@
     return commits
 
 
+def _write_replica_sets(history: History, platform: SimulatedPlatform) -> None:
+    for entry in platform.key_value.log:
+        if not isinstance(entry, LoggedChange):
+            continue
+        for event in entry.events:
+            if event.item is None or event.key != REPLICA_SET_KEY:
+                continue
+            committed = msgspec.msgpack.decode(event.item.value, type=ReplicaSet)
+            history.add(
+                ReplicaSetCommitted(
+                    time_seconds=entry.at_seconds,
+                    members=committed.members,
+                    previous=committed.previous,
+                )
+            )
+
+
 def _is_resource(key: str) -> bool:
     return key.startswith(RESOURCE_PREFIX) and key != REPLICA_SET_KEY
 
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -32,6 +32,7 @@
     ExecutionFinished,
     ExecutionStarted,
     History,
+    KeyValueOutage,
     LeaseHeld,
     NodeDisturbed,
     NodeRestored,
@@ -40,6 +41,7 @@
     PlannedStopStarted,
     RegisterOperation,
     RegisterOperationKind,
+    ReplicaSetCommitted,
     RequestInvoked,
     RequestOutcome,
     RequestReturned,
@@ -50,6 +52,8 @@
 )
 
 NODE = NodeId("node-1")
+OTHER_NODE = NodeId("node-2")
+THIRD_NODE = NodeId("node-3")
 ENGINE = BackendId("modelos-1")
 STREAM = StreamName("callsigns")
 READ = RegisterOperationKind.READ
@@ -270,6 +274,41 @@
         self.assert_bad(Promise.CONFIGURATION_IN_FORCE, *history, in_force(12, 2), end)
         self.assert_bad(Promise.CONFIGURATION_IN_FORCE, *history, disturbed, restored, end)
 
+    def test_configuration_is_owed_while_somebody_can_vouch_for_it(self) -> None:
+        """On seed 136 nobody could: no check may ask a node to guess what was in force.
+
+        The service was away from 40.7 to 78.0 s, one of three replicas was frozen and another
+        had lost its disk. ``configuration_unconfirmed detail="2 of 2 replicas answered"`` was
+        the emptied replica and one that may have been behind.
+        """
+        replicas = ReplicaSetCommitted(time_seconds=0, members=(NODE, OTHER_NODE, THIRD_NODE))
+        history = (
+            *(replicas, node_started(0), in_force(0, 1), accepted(1, 2)),
+            NodeDisturbed(time_seconds=2, node_id=NODE, disk_lost=True),
+            KeyValueOutage(time_seconds=3, began=True),
+            NodeRestored(time_seconds=5, node_id=NODE),
+        )
+        others_in_force = ConfigurationInForce(
+            time_seconds=1, node_id=OTHER_NODE, boot_id=BootId("1"), revision=Revision(2)
+        )
+        history = (*history, others_in_force)
+        frozen = NodeDisturbed(time_seconds=4, node_id=OTHER_NODE)
+        cut_off = NodeDisturbed(time_seconds=4, node_id=OTHER_NODE, cut_off=True)
+        woken = NodeRestored(time_seconds=18, node_id=OTHER_NODE)
+        back = KeyValueOutage(time_seconds=18, began=False)
+        end = invoked(30)
+        self.assert_good(*history, frozen, end)
+        # With the service, or with a majority of the replicas, the limit begins again.
+        for returned_source in (woken, back):
+            self.assert_good(*history, frozen, returned_source, in_force(27, 2), end)
+            self.assert_bad(Promise.CONFIGURATION_IN_FORCE, *history, frozen, returned_source, end)
+        # Two replicas with their disks are a majority; a cut of other paths takes none away.
+        for others in ((), (cut_off,)):
+            self.assert_bad(Promise.CONFIGURATION_IN_FORCE, *history, *others, end)
+        # The service alone is enough.
+        answering = tuple(each for each in history if not isinstance(each, KeyValueOutage))
+        self.assert_bad(Promise.CONFIGURATION_IN_FORCE, *answering, frozen, end)
+
     def test_configuration_is_a_register(self) -> None:
         self.assert_good(operation(WRITE, 0, 1, "x"), operation(READ, 2, 3, "x"))
         self.assert_bad(
