Act on the service's word in a running node too, when no majority can be had

Cause: the same as for starting nodes. The changes had been accepted while it was cut off; the replicas that had stored them were down by then, and the node held them back (configuration_not_durable). Ruled out: a watch that brought nothing; the lines name revisions 25 and 28. Change: the decision is a module, lone_node.py, for starts and for changes that the watch brings: after 5 s without a majority a node with a disk takes the service's word.

--- a/drumbay/configuration/service.py
+++ b/drumbay/configuration/service.py
@@ -14,6 +14,7 @@
 from drumbay.configuration.dissemination import Dissemination
 from drumbay.configuration.errors import ReplicaMajorityError, StoreBehindError
 from drumbay.configuration.gossip import PeerDirectory, is_watcher
+from drumbay.configuration.lone_node import LoneNode
 from drumbay.configuration.messages import (
     NO_REVISION,
     REPLICA_SET_KEY,
@@ -45,9 +46,9 @@
 LOAD_RETRY_SECONDS = 0.5
 """Between the questions of a starting node to the replicas, which are not rate-limited."""
 
-LONE_START_SECONDS = 5.0
-"""How long a starting node waits for a majority of the replicas before it takes the key-value
-service's word alone: half of the ten seconds in which a change has to be in force."""
+LONE_WAIT_SECONDS = 5.0
+"""How long a node waits for a majority of the replicas before it takes the key-value service's
+word alone: half of the ten seconds in which a change has to be in force."""
 
 PROPOSAL_PROBABILITY = 0.25
 FEWEST_REPLICAS = 3
@@ -66,8 +67,8 @@
         dissemination_type: Class of the exchange with peers.
         watcher_type: Class of the watch.
         load_retry_seconds: Longest time between a starting node's questions to the replicas.
-        lone_start_seconds: How long a starting node waits for a majority of the replicas
-            before it takes the key-value service's word alone.
+        lone_wait_seconds: How long a node waits for a majority of the replicas before it
+            takes the key-value service's word alone.
     """
 
     state_type: ClassVar[type[ConfigurationState]] = ConfigurationState
@@ -75,7 +76,7 @@
     dissemination_type: ClassVar[type[Dissemination]] = Dissemination
     watcher_type: ClassVar[type[ConfigurationWatcher]] = ConfigurationWatcher
     load_retry_seconds: ClassVar[float] = LOAD_RETRY_SECONDS
-    lone_start_seconds: ClassVar[float] = LONE_START_SECONDS
+    lone_wait_seconds: ClassVar[float] = LONE_WAIT_SECONDS
 
     def __init__(
         self,
@@ -116,6 +117,7 @@
             task_owner=task_owner,
             accept=self._put_in_force,
         )
+        self._lone_node = self._make_lone_node()
         self._watch_task: asyncio.Task[Any] | None = None
         self._absent_since: dict[NodeId, float] = {}
         self._known_members: tuple[PeerView, ...] = ()
@@ -157,6 +159,23 @@
             return None
         return ConfigurationReplica(self._node_id, ReplicaFile(data_folder))
 
+    def _make_lone_node(self) -> LoneNode | None:
+        if self._replica is None:
+            # Without a disk a later start in an outage could go back.
+            return None
+        return LoneNode(
+            clock=self._clock,
+            replica=self._replica,
+            applied=self._applied,
+            replicas=self._replicas,
+            put_in_force=lambda update: self._put_in_force(update, durable=False),
+            on_durable=self._dissemination.spread,
+            generator=self._generator,
+            task_owner=self._task_owner,
+            wait_seconds=self.lone_wait_seconds,
+            retry_seconds=self.load_retry_seconds,
+        )
+
     def _directory(self) -> PeerDirectory:
         members = self._members()
         if self._known_directory is None or members is not self._known_members:
@@ -210,8 +229,8 @@
     async def _load(self) -> None:
         """Load the configuration from whoever can vouch for it first."""
         ways = [self._task_owner.spawn(self._load_from_majority(), "configuration load")]
-        if self._replica is not None:
-            alone = self._load_alone(self._replica)
+        if self._lone_node is not None:
+            alone = self._load_alone(self._lone_node)
             ways.append(self._task_owner.spawn(alone, "configuration lone start"))
         done, others = await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
         for other in others:
@@ -222,8 +241,6 @@
         if self._replica is not None:
             self._mark_replica_complete(self._replica)
         log_event("configuration_loaded", node=self._node_id, revision=self._applied.revision)
-        if not self._applied.durable:
-            self._task_owner.spawn(self._make_durable(), "configuration lone start repair")
 
     async def _load_from_majority(self) -> None:
         backoff = Backoff(self._generator)
@@ -236,50 +253,28 @@
                 break
             if reads_store:
                 next_store_read = self._clock.monotonic() + backoff.next_delay_seconds()
-            await self._sleep_before_retry()
+            share = self._generator.uniform(0.5, 1.0)
+            await self._clock.sleep(share * self.load_retry_seconds)
 
-    async def _sleep_before_retry(self) -> None:
-        share = self._generator.uniform(0.5, 1.0)
-        await self._clock.sleep(share * self.load_retry_seconds)
-
-    async def _load_alone(self, replica: ConfigurationReplica) -> None:
-        """Take the key-value service's word if no majority of the replicas can be had for long.
-
-        A node would serve nothing otherwise, though the service that orders all changes
-        answers it. Its own disk holds what it takes before that is in force, so that a later
-        start does not go back; a node without a disk goes on waiting.
-        """
-        await self._clock.sleep(self.lone_start_seconds)
+    async def _load_alone(self, lone_node: LoneNode) -> None:
+        """Start on the key-value service's word if no majority can be had for long."""
+        await self._clock.sleep(self.lone_wait_seconds)
         backoff = Backoff(self._generator)
-        while not await self._take_from_store(replica):
+        while not await self._take_from_store(lone_node):
             await self._clock.sleep(backoff.next_delay_seconds())
 
-    async def _take_from_store(self, replica: ConfigurationReplica) -> bool:
+    async def _take_from_store(self, lone_node: LoneNode) -> bool:
         asked_at = self._clock.monotonic()
         try:
             update = await self._read_store()
-            replica.store(ReplicaStore(update=update))
-        except (KeyValueError, StoreBehindError, OSError) as error:
+        except (KeyValueError, StoreBehindError) as error:
             log_event("configuration_lone_start_failed", level="WARNING", detail=str(error))
             return False
-        self._put_in_force(update, durable=False)
+        if not lone_node.take(update):
+            return False
         self._applied.confirm(asked_at)
-        log_event("configuration_taken_alone", level="WARNING", revision=update.revision)
         return True
 
-    async def _make_durable(self) -> None:
-        """Have a majority of the replicas store what this node took alone."""
-        while not self._applied.durable:
-            held = self._applied.state.snapshot()
-            try:
-                await self._replicas.store(self._applied.state, held)
-            except ReplicaMajorityError as error:
-                log_event("configuration_not_durable", level="WARNING", detail=str(error))
-                await self._sleep_before_retry()
-                continue
-            self._applied.mark_durable(held.revision)
-            self._dissemination.spread()
-
     def _mark_replica_complete(self, replica: ConfigurationReplica) -> None:
         try:
             replica.mark_complete(self._applied.state.snapshot())
@@ -323,7 +318,7 @@
             StoreBehindError: It has lost what this node's disk holds.
         """
         update = update_from_range(await self._store.range_prefix(RESOURCE_PREFIX))
-        held = NO_REVISION if self._replica is None else self._replica.revision
+        held = NO_REVISION if self._lone_node is None else self._lone_node.held_revision
         if update.revision < held:
             raise StoreBehindError(f"the service is at {update.revision}, the disk at {held}")
         return update
@@ -346,6 +341,23 @@
         await self._replicas.store(self._applied.state, update)
         self._put_in_force(update)
 
+    async def _commit_watched(self, update: ConfigurationUpdate) -> None:
+        """Put a change in force that the watch brought; without a majority, after a wait.
+
+        Raises:
+            ReplicaMajorityError: It is not durable; the configuration is unchanged.
+        """
+        asked_at = self._clock.monotonic()
+        try:
+            await self._commit(update)
+        except ReplicaMajorityError:
+            lone_node = self._lone_node
+            if lone_node is None or not lone_node.is_due(asked_at) or not lone_node.take(update):
+                raise
+        else:
+            if self._lone_node is not None:
+                self._lone_node.note_majority()
+
     def _put_in_force(self, update: ConfigurationUpdate, *, durable: bool = True) -> ApplyOutcome:
         outcome = self._applied.apply(update, durable=durable)
         if outcome is not ApplyOutcome.APPLIED:
@@ -383,7 +395,7 @@
                 store=self._store,
                 generator=self._generator,
                 applied_revision=lambda: self._applied.revision,
-                deliver=self._commit,
+                deliver=self._commit_watched,
             )
             self._watch_task = self._task_owner.spawn(watcher.run(), "configuration watch")
         elif not chosen and self._watch_task is not None:
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -282,7 +282,7 @@
         the emptied replica and one that may have been behind.
         """
         replicas = ReplicaSetCommitted(time_seconds=0, members=(NODE, OTHER_NODE, THIRD_NODE))
-        history = (
+        history: tuple[AnyHistoryEvent, ...] = (
             *(replicas, node_started(0), in_force(0, 1), accepted(1, 2)),
             NodeDisturbed(time_seconds=2, node_id=NODE, disk_lost=True),
             KeyValueOutage(time_seconds=3, began=True),
--- a/tests/test_lone_start.py
+++ b/tests/test_lone_node.py
@@ -1,4 +1,4 @@
-"""A node that starts while no majority of the configuration's replicas can be had.
+"""A node that has the key-value service, and no majority of the configuration's replicas.
 
 What happened: on the seeds 9175 and 150 of ``drumbay simulate --scenario small`` a node that had
 been restarted served nothing for over 10 s, though the key-value service answered it all the time
@@ -9,8 +9,12 @@
 seed 150 all were up, but the node did not know the others for 5.5 s, since the network lost a
 quarter of the datagrams, and a call to one of them took another 5.5 s.
 
+Seed 94, played for the mend, showed the same in a node that ran: back from a cut, it heard of two
+changes that had been accepted meanwhile, and held them back as ``configuration_not_durable``, since
+the replicas that had stored them were down by then.
+
 Why: storing first keeps a change from being lost in an outage of the service. That is a reason to
-wait for a while, and none to serve nobody for as long as the replicas are away.
+wait for a while, and none to serve nobody, or by old rules, for as long as the replicas are away.
 """
 
 import asyncio
@@ -29,6 +33,7 @@
 from drumbay.identifiers import Revision
 from drumbay.kv.memory import MemoryKeyValueStore
 from drumbay.node.node import Node
+from drumbay.simulation.network import Cut, Scope
 from drumbay.simulation.runner import run_scenario
 from drumbay.simulation.scenario import find_scenario
 from drumbay.simulation.virtual_time import run_simulation
@@ -40,7 +45,7 @@
 """Within this an accepted change is in force on a node that nothing disturbs."""
 
 SETTLE_SECONDS = 60.0
-SEEDS_THAT_BROKE_THE_PROMISE = (9175, 150)
+SEEDS_THAT_BROKE_THE_PROMISE = (9175, 150, 94, 136)
 
 Scenario = Callable[[ConfigurationCluster], Awaitable[None]]
 
@@ -50,12 +55,12 @@
 
 
 class WaitingService(ConfigurationService):
-    """Fault: a starting node waits for a majority of the replicas without end."""
+    """Fault: a node waits for a majority of the replicas without end."""
 
-    lone_start_seconds: ClassVar[float] = float("inf")
+    lone_wait_seconds: ClassVar[float] = float("inf")
 
 
-class LoneStartTest(unittest.TestCase):
+class LoneNodeTest(unittest.TestCase):
     def run_cluster(
         self, scenario: Scenario, service_type: ServiceType = ConfigurationService
     ) -> ConfigurationCluster:
@@ -103,6 +108,36 @@
         self.assertFalse(self.is_ready_in_time(WaitingService))
         self.assertTrue(self.is_ready_in_time(ConfigurationService))
 
+    def is_change_in_force_in_time(self, service_type: ServiceType) -> bool:
+        """Tell whether a node that comes back from a cut takes a change of the meantime."""
+        cut = Cut(scope=Scope.HOST, source="node-002", target="node-000")
+        other_cut = Cut(scope=Scope.HOST, source="node-002", target="node-001")
+
+        async def scenario(cluster: ConfigurationCluster) -> None:
+            returning = cluster.nodes["node-002"]
+            for each in (cut, other_cut):
+                cluster.network.cut(each, both_ways=True)
+            returning.store.cut = True
+            for name in ("node-003", "node-004"):
+                await cluster.nodes[name].kill()
+            self.assertIs(await self.write(cluster, "node-000", 1), WriteOutcome.ACCEPTED)
+            for name in ("node-000", "node-001"):
+                await cluster.nodes[name].kill()
+            cluster.set_members([returning])
+            returning.store.cut = False
+            for each in (cut, other_cut):
+                cluster.network.heal(each, both_ways=True)
+            await asyncio.sleep(IN_FORCE_SECONDS)
+            self.in_time = returning.service.snapshot().revision >= self.last_revision
+
+        cluster = self.run_cluster(scenario, service_type)
+        self.assertEqual(find_reversions(cluster.observations), [])
+        return self.in_time
+
+    def test_a_node_that_runs_takes_the_services_word_too(self) -> None:
+        self.assertFalse(self.is_change_in_force_in_time(WaitingService))
+        self.assertTrue(self.is_change_in_force_in_time(ConfigurationService))
+
     def test_a_node_without_a_disk_waits_since_it_could_go_back_later(self) -> None:
         async def scenario(cluster: ConfigurationCluster) -> None:
             await self.lose_majority(cluster)
