Give processes of tests addresses that nobody else takes before they listen

Cause: the tests asked for free ports of 127.0.0.1, released them, and processes bound them later, or again after a restart. They lie where every outgoing connection of the machine draws its near port, and other plays ask for theirs. Ruled out: a process started twice; one address given twice within a play. Change: the soak's own way for all: a loopback host of the process's own, from which no connection goes out, and each port given once, free for TCP and UDP. One copy, in standins/.

--- a/tests/process_deployment.py
+++ b/tests/process_deployment.py
@@ -3,7 +3,6 @@
 import asyncio
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -16,6 +15,7 @@
 from drumbay.api.schema import StatusBody
 from drumbay.clock import SystemClock
 from drumbay.standins.execution_log import AnyExecutionRecord, ExecutionLogPage
+from drumbay.standins.free_addresses import free_address
 
 READY_LIMIT_SECONDS = 30.0
 END_LIMIT_SECONDS = 30.0
@@ -27,25 +27,6 @@
     """A process did not reach the expected state within the limit."""
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that are free for TCP and UDP now."""
-    held: list[socket.socket] = []
-    ports: list[int] = []
-    while len(ports) < count:
-        stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        stream.bind(("127.0.0.1", 0))
-        datagram = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        held += [stream, datagram]
-        try:
-            datagram.bind(stream.getsockname())
-        except OSError:
-            continue
-        ports.append(stream.getsockname()[1])
-    for each in held:
-        each.close()
-    return ports
-
-
 class Deployment:
     """Three nodes, a key-value emulator, and the emulators that a test adds.
 
@@ -55,10 +36,9 @@
     """
 
     def __init__(self) -> None:
-        """Choose ports and write the nodes' settings; nothing runs yet."""
+        """Choose a folder and write the nodes' settings; nothing runs yet."""
         self._folder = tempfile.TemporaryDirectory()
         self.folder = Path(self._folder.name)
-        self._ports = iter(free_ports(24))
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._urls: dict[str, str] = {}
         self._commands: dict[str, tuple[str, ...]] = {}
@@ -80,9 +60,10 @@
 
     def start_standin(self, name: str, kind: str, *arguments: str) -> str:
         """Start an emulator and return its URL."""
-        port = next(self._ports)
-        self._urls[name] = f"http://127.0.0.1:{port}"
-        self._commands[name] = ("standin", kind, "--port", str(port), *arguments)
+        address = free_address()
+        self._urls[name] = f"http://{address}"
+        listen = ("--host", address.host, "--port", str(address.port))
+        self._commands[name] = ("standin", kind, *listen, *arguments)
         self.restart(name)
         return self._urls[name]
 
@@ -90,22 +71,22 @@
         self, key_value_url: str, lame_duck_seconds: tuple[float, ...] = (0.5, 0.5, 0.5)
     ) -> None:
         """Start the nodes ``node-1`` to ``node-3``, each with a data folder."""
-        peers = [next(self._ports) for _ in range(NODE_COUNT)]
-        seeds = ", ".join(f'"127.0.0.1:{port}"' for port in peers)
-        for index, peer_port in enumerate(peers):
+        peers = [free_address() for _ in range(NODE_COUNT)]
+        seeds = ", ".join(f'"{peer}"' for peer in peers)
+        for index, peer in enumerate(peers):
             name = f"node-{index + 1}"
-            port = next(self._ports)
+            front = free_address()
             settings = self.folder / f"{name}.toml"
             settings.write_text(f"""node_id = "{name}"
 zone = "zone-{index + 1}"
 region = "test"
 data_folder = "{self.folder}/{name}-data"
 [http]
-host = "127.0.0.1"
-port = {port}
+host = "{front.host}"
+port = {front.port}
 [peers]
-host = "127.0.0.1"
-port = {peer_port}
+host = "{peer.host}"
+port = {peer.port}
 cluster_key_file = "cluster.key"
 seeds = [{seeds}]
 [key_value]
@@ -113,7 +94,7 @@
 [stop]
 lame_duck_seconds = {lame_duck_seconds[index]}
 """)
-            self._urls[name] = f"http://127.0.0.1:{port}"
+            self._urls[name] = f"http://{front}"
             self._commands[name] = ("node", "--settings", str(settings))
             self.restart(name)
 
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -13,7 +13,6 @@
 from pathlib import Path
 
 from drumbay_soak.store_server import PlatformStoreServer
-from tornado.testing import bind_unused_port
 
 from drumbay.clock import SystemClock
 from drumbay.comm.http_exchange import (
@@ -21,9 +20,9 @@
     ExchangeNotSentError,
     HttpExchange,
     HttpRequest,
-    NetworkAddress,
 )
 from drumbay.kv.interface import Put
+from drumbay.standins.free_addresses import free_address
 from drumbay.standins.kv_model import KeyValueModel
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -31,13 +30,6 @@
 """Long against every step on a busy machine; a step that never comes fails the test."""
 
 
-def free_port() -> int:
-    """Return a port that nobody listens at."""
-    listener, port = bind_unused_port()
-    listener.close()
-    return port
-
-
 class ProcessTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.model = KeyValueModel(SystemClock(), generator=random.Random(1))
@@ -46,17 +38,18 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.settings_file = Path(folder.name) / "settings.conf"
-        self.ready = NetworkAddress("127.0.0.1", free_port())
+        self.ready = free_address()
         self.write_settings()
 
     def write_settings(self, **changes: str) -> None:
+        peer_address = free_address()
         fields = {
             "node": "machine-1",
-            "ip": "127.0.0.1",
+            "ip": peer_address.host,
             "zone": "z",
-            "listen.front": f"127.0.0.1:{free_port()}",
+            "listen.front": str(free_address()),
             "listen.ready": str(self.ready),
-            "portRange": f"{free_port()},0",
+            "portRange": f"{peer_address.port},0",
             "bounds.graceS": "6",
             "platform.addr": str(self.store.address),
             **changes,
--- a/tests/test_platform_serving.py
+++ b/tests/test_platform_serving.py
@@ -11,7 +11,6 @@
 from drumbay_platform.ingress import Ingress
 from drumbay_platform.store import PlatformStore
 from drumbay_soak.store_server import PlatformStoreServer
-from tornado.testing import bind_unused_port
 
 from drumbay.batches.owners import ServiceIdentity
 from drumbay.clock import SystemClock
@@ -21,6 +20,7 @@
 from drumbay.peers.transport import HttpPeerClient, PeerServer
 from drumbay.serving.node import ServingNode
 from drumbay.serving.settings import ServingEnvironment, ServingSettings
+from drumbay.standins.free_addresses import free_address
 from drumbay.standins.kv_model import KeyValueModel
 from drumbay.standins.worker_pool import EmulatedWorkerPool, whole_text
 
@@ -29,13 +29,6 @@
 """Long against every step on a busy machine; a step that never comes fails the test."""
 
 
-def free_address() -> NetworkAddress:
-    """Return an address that nobody listens at."""
-    listener, port = bind_unused_port()
-    listener.close()
-    return NetworkAddress("127.0.0.1", port)
-
-
 async def eventually(check: Callable[[], Awaitable[bool]]) -> None:
     """Return once a check holds."""
     while True:
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -1,6 +1,7 @@
 """The soak's checks find each broken promise; its faults and proxy do what they say."""
 
 import asyncio
+import socket
 import time
 import unittest
 
@@ -26,7 +27,6 @@
     RemovedKeyProbe,
 )
 from drumbay_soak.main import read_regressions
-from drumbay_soak.node_process import free_address
 from drumbay_soak.proxy import FaultyProxy, ProxyMode
 from drumbay_soak.suspendable import SteadyClock
 
@@ -34,6 +34,7 @@
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.duties.interface import DutyToken, UsageReport
 from drumbay.identifiers import BackendId, Fence, WeightVersion
+from drumbay.standins.free_addresses import free_address, own_host
 from drumbay.standins.platform_duties import LoggedCall
 from drumbay.standins.worker_log import LoggedCrash, LoggedOrder, LoggedRun
 from drumbay.tenants.records import TenantName
@@ -499,6 +500,25 @@
         addresses = [free_address() for _ in range(2_000)]
         self.assertEqual(len(set(addresses)), len(addresses))
 
+    def test_connections_do_not_go_out_from_the_host_of_given_addresses(self) -> None:
+        """A connection that went out from there could take a port before its process has it.
+
+        With ports of 127.0.0.1 that are free for a moment, one of 22 plays of the test of real
+        processes ended with ``OSError: [Errno 98] Address already in use`` in
+        ``bind_sockets``, and one of 32 with ``Connection reset by peer`` from a process of
+        another play.
+        """
+        with (
+            socket.create_server((own_host(), 0)) as server,
+            socket.create_connection(server.getsockname()) as connection,
+        ):
+            self.assertNotEqual(connection.getsockname()[0], own_host())
+
+    def test_an_address_is_free_for_datagrams_too(self) -> None:
+        address = free_address()
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagram:
+            datagram.bind((address.host, address.port))
+
 
 class ProxyTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
