Keep the write of the configuration's file off the event loop

What callers saw: beside writers that fill the page cache, a node with a disk answers nobody while it makes a changed configuration durable (two fsyncs, 8.5 s at most each in the trial), and its peers may take it for dead. Cause: the replica's file was written and synced on the event loop; found by looking for more that busy disks hold up. Ruled out: the logs of claims and streams; their writer has a thread. Change: one writer thread a replica, in the order of the calls; a cancelled caller leaves the file whole. Simulations write inline, as they must use no thread.

--- a/drumbay/configuration/lone_node.py
+++ b/drumbay/configuration/lone_node.py
@@ -87,12 +87,12 @@
             self._short_since = asked_at
         return self._clock.monotonic() - self._short_since >= self._wait_seconds
 
-    def take(self, update: ConfigurationUpdate) -> bool:
+    async def take(self, update: ConfigurationUpdate) -> bool:
         """Act on what the service says; return whether this node's disk took it first."""
         after = self._applied.state.copy()
         after.apply(update)
         try:
-            self._replica.store(ReplicaStore(update=after.snapshot()))
+            await self._replica.store(ReplicaStore(update=after.snapshot()))
         except OSError as error:
             log_event("configuration_store_failed", level="ERROR", detail=str(error))
             return False
--- a/drumbay/configuration/replica.py
+++ b/drumbay/configuration/replica.py
@@ -1,5 +1,6 @@
 """The durable configuration of a node with a disk, and its file."""
 
+import asyncio
 import os
 from pathlib import Path
 
@@ -17,6 +18,7 @@
 from drumbay.configuration.state import ApplyOutcome, ConfigurationState
 from drumbay.identifiers import NodeId, Revision
 from drumbay.observability.logs import log_event
+from drumbay.storage.writer_thread import RunBlocking, run_inline
 
 FILE_NAME = "configuration.msgpack"
 FILE_FORMAT = 1
@@ -99,10 +101,21 @@
     configuration is separate.
     """
 
-    def __init__(self, node_id: NodeId, file: ReplicaFile) -> None:
-        """Load the file; a damaged one counts as an empty disk."""
+    def __init__(
+        self, node_id: NodeId, file: ReplicaFile, run_blocking: RunBlocking = run_inline
+    ) -> None:
+        """Load the file; a damaged one counts as an empty disk.
+
+        Args:
+            node_id: This node.
+            file: Holds the configuration.
+            run_blocking: Does what waits for the disk.
+        """
         self._node_id = node_id
         self._file = file
+        self._run_blocking = run_blocking
+        # One write builds on the one before it.
+        self._writing = asyncio.Lock()
         self._state = ConfigurationState()
         self._complete = False
         try:
@@ -119,18 +132,23 @@
         """Return the durable revision."""
         return self._state.revision
 
-    def store(self, request: ReplicaStore) -> ReplicaStoreReply:
+    async def store(self, request: ReplicaStore) -> ReplicaStoreReply:
         """Make an update durable and return the revision that is durable now.
 
         Raises:
             OSError: The disk refused; the earlier revision is still held.
         """
-        if self._state.classify(request.update) is ApplyOutcome.APPLIED:
-            candidate = self._state.copy()
-            candidate.apply(request.update)
-            self._file.save(ReplicaContent(complete=self._complete, snapshot=candidate.snapshot()))
-            self._state.apply(request.update)
-        return ReplicaStoreReply(revision=self._state.revision)
+        async with self._writing:
+            if self._state.classify(request.update) is ApplyOutcome.APPLIED:
+                candidate = self._state.copy()
+                candidate.apply(request.update)
+                await self._save(candidate, complete=self._complete)
+                self._state.apply(request.update)
+            return ReplicaStoreReply(revision=self._state.revision)
+
+    async def _save(self, state: ConfigurationState, *, complete: bool) -> None:
+        content = ReplicaContent(complete=complete, snapshot=state.snapshot())
+        await self._run_blocking(lambda: self._file.save(content))
 
     def read(self, request: ReplicaRead) -> ReplicaReadReply:
         """Return what is held beyond the revision asked for."""
@@ -141,7 +159,7 @@
             update=self._state.update_since(request.after_revision),
         )
 
-    def mark_complete(self, recovered: ConfigurationUpdate) -> None:
+    async def mark_complete(self, recovered: ConfigurationUpdate) -> None:
         """Record that the replica holds all that it ever acknowledged.
 
         Args:
@@ -150,7 +168,8 @@
         Raises:
             OSError: The disk refused; the replica stays incomplete.
         """
-        self.store(ReplicaStore(update=recovered))
-        if not self._complete:
-            self._file.save(ReplicaContent(complete=True, snapshot=self._state.snapshot()))
-            self._complete = True
+        await self.store(ReplicaStore(update=recovered))
+        async with self._writing:
+            if not self._complete:
+                await self._save(self._state, complete=True)
+                self._complete = True
--- a/drumbay/configuration/replication.py
+++ b/drumbay/configuration/replication.py
@@ -126,7 +126,7 @@
     async def _store_on(self, node_id: NodeId, update: ConfigurationUpdate) -> ReplicaStoreReply:
         request = ReplicaStore(update=update)
         if node_id == self._node_id and self._own_replica is not None:
-            return self._own_replica.store(request)
+            return await self._own_replica.store(request)
         return cast(ReplicaStoreReply, await self._call(node_id, request))
 
     async def _read_on(self, node_id: NodeId, request: ReplicaRead) -> ReplicaReadReply:
--- a/drumbay/configuration/service.py
+++ b/drumbay/configuration/service.py
@@ -36,6 +36,7 @@
 from drumbay.identifiers import NodeId, Revision
 from drumbay.kv.interface import KeyValueError, KeyValueStore, ModRevisionIs, Put
 from drumbay.observability.logs import log_event
+from drumbay.storage.writer_thread import RunBlocking, run_inline
 from drumbay.tasks import TaskOwner
 
 ROLE_PERIOD_SECONDS = 1.0
@@ -89,8 +90,12 @@
         generator: random.Random,
         task_owner: TaskOwner,
         data_folder: Path | None = None,
+        run_blocking: RunBlocking = run_inline,
     ) -> None:
-        """Create the service; a node with a data folder is a candidate for a replica."""
+        """Create the service; a node with a data folder is a candidate for a replica.
+
+        ``run_blocking`` does what waits for the disk.
+        """
         self._clock = clock
         self._transport = transport
         self._store = store
@@ -99,7 +104,7 @@
         self._generator = generator
         self._task_owner = task_owner
         self._applied = AppliedConfiguration(clock, self.state_type())
-        self._replica = self._open_replica(data_folder)
+        self._replica = self._open_replica(data_folder, run_blocking)
         self._replicas = self.replica_client_type(
             node_id=node_id,
             transport=transport,
@@ -154,10 +159,12 @@
         self._dissemination.start()
         self._task_owner.spawn(self._run(), "configuration service")
 
-    def _open_replica(self, data_folder: Path | None) -> ConfigurationReplica | None:
+    def _open_replica(
+        self, data_folder: Path | None, run_blocking: RunBlocking
+    ) -> ConfigurationReplica | None:
         if data_folder is None:
             return None
-        return ConfigurationReplica(self._node_id, ReplicaFile(data_folder))
+        return ConfigurationReplica(self._node_id, ReplicaFile(data_folder), run_blocking)
 
     def _make_lone_node(self) -> LoneNode | None:
         if self._replica is None:
@@ -193,7 +200,7 @@
 
     async def _handle_store(self, request: ReplicaStore) -> ReplicaStoreReply:
         assert self._replica is not None
-        return self._replica.store(request)
+        return await self._replica.store(request)
 
     async def _handle_read(self, request: ReplicaRead) -> ReplicaReadReply:
         assert self._replica is not None
@@ -239,7 +246,7 @@
             way.result()
         self._applied.mark_loaded()
         if self._replica is not None:
-            self._mark_replica_complete(self._replica)
+            await self._mark_replica_complete(self._replica)
         log_event("configuration_loaded", node=self._node_id, revision=self._applied.revision)
 
     async def _load_from_majority(self) -> None:
@@ -270,14 +277,14 @@
         except (KeyValueError, StoreBehindError) as error:
             log_event("configuration_lone_start_failed", level="WARNING", detail=str(error))
             return False
-        if not lone_node.take(update):
+        if not await lone_node.take(update):
             return False
         self._applied.confirm(asked_at)
         return True
 
-    def _mark_replica_complete(self, replica: ConfigurationReplica) -> None:
+    async def _mark_replica_complete(self, replica: ConfigurationReplica) -> None:
         try:
-            replica.mark_complete(self._applied.state.snapshot())
+            await replica.mark_complete(self._applied.state.snapshot())
         except OSError as error:
             log_event("configuration_store_failed", level="ERROR", detail=str(error))
 
@@ -352,7 +359,9 @@
             await self._commit(update)
         except ReplicaMajorityError:
             lone_node = self._lone_node
-            if lone_node is None or not lone_node.is_due(asked_at) or not lone_node.take(update):
+            if lone_node is None or not lone_node.is_due(asked_at):
+                raise
+            if not await lone_node.take(update):
                 raise
         else:
             if self._lone_node is not None:
@@ -377,10 +386,15 @@
         if replica is None or replica.revision >= self._applied.revision:
             return
         update = self._applied.state.update_since(replica.revision)
-        if update is None:
-            return
+        if update is not None:
+            storing = self._store_on_own_replica(replica, update)
+            self._task_owner.spawn(storing, "configuration own replica")
+
+    async def _store_on_own_replica(
+        self, replica: ConfigurationReplica, update: ConfigurationUpdate
+    ) -> None:
         try:
-            replica.store(ReplicaStore(update=update))
+            await replica.store(ReplicaStore(update=update))
         except OSError as error:
             log_event("configuration_store_failed", level="ERROR", detail=str(error))
 
--- a/drumbay/node/coordination.py
+++ b/drumbay/node/coordination.py
@@ -57,6 +57,7 @@
             generator=environment.random,
             task_owner=task_owner,
             data_folder=data_folder,
+            run_blocking=environment.run_blocking,
         )
         self.operators = OperatorService(
             clock=clock, store=environment.store, configuration=self.configuration
--- a/drumbay/node/environment.py
+++ b/drumbay/node/environment.py
@@ -12,6 +12,7 @@
 from drumbay.kv.interface import KeyValueStore
 from drumbay.machines.interface import MachineListClient
 from drumbay.storage.interface import LogOpener
+from drumbay.storage.writer_thread import RunBlocking, run_inline
 from drumbay.weights.store_interface import WeightStoreClient
 
 
@@ -29,6 +30,7 @@
         open_log: Opens record logs below the data folder.
         random: Seeded source of random numbers.
         boot_id: Identity of this run of the process.
+        run_blocking: Does what waits for the disk off the event loop.
         refused_frames: Returns the frames refused so far, by code, for the metrics.
     """
 
@@ -42,4 +44,5 @@
     open_log: LogOpener
     random: Random
     boot_id: BootId
+    run_blocking: RunBlocking = run_inline
     refused_frames: Callable[[], dict[str, int]] = dict
--- a/drumbay/node/process.py
+++ b/drumbay/node/process.py
@@ -22,6 +22,7 @@
 from drumbay.observability.logs import log_event
 from drumbay.settings import NodeSettings
 from drumbay.storage.durable_log import DurableLog
+from drumbay.storage.writer_thread import WriterThread
 from drumbay.tasks import TaskOwner
 from drumbay.weights.http_store import HttpWeightStoreClient
 
@@ -64,6 +65,7 @@
         open_log=DurableLog.open,
         random=Random(secrets.randbits(64)),
         boot_id=boot_id,
+        run_blocking=WriterThread("configuration").run,
         refused_frames=lambda: transport.refusal_counts,
     )
     node = Node(settings, environment)
--- a/tests/test_configuration_state.py
+++ b/tests/test_configuration_state.py
@@ -1,7 +1,9 @@
 """Pure parts of the configuration: state, replica sets, peer choice, replica file."""
 
+import asyncio
 import random
 import tempfile
+import threading
 import unittest
 from pathlib import Path
 
@@ -39,8 +41,11 @@
 )
 from drumbay.configuration.state import ApplyOutcome, ConfigurationState
 from drumbay.identifiers import NodeId, Revision
+from drumbay.storage.writer_thread import WriterThread
 
 CHANGES = 12
+BUSY_DISK_SECONDS = 5.0
+"""Longest time that a write waits for the event loop, which it must not hold up."""
 
 
 def entry(revision: int, key: str, *, removed: bool = False) -> ConfigurationEntry:
@@ -174,7 +179,7 @@
         self.assertEqual(react_to_digest(digest, Revision(5), 2), DigestReaction.REPORT_DIVERGENCE)
 
 
-class ReplicaTest(unittest.TestCase):
+class ReplicaTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
@@ -186,22 +191,22 @@
     def replica(self) -> ConfigurationReplica:
         return ConfigurationReplica(NodeId("a"), ReplicaFile(self.folder))
 
-    def test_content_and_completeness_survive_a_restart(self) -> None:
-        self.replica().store(ReplicaStore(update=self.snapshot))
+    async def test_content_and_completeness_survive_a_restart(self) -> None:
+        await self.replica().store(ReplicaStore(update=self.snapshot))
         reply = self.replica().read(ReplicaRead(after_revision=Revision(0)))
         self.assertEqual((reply.complete, reply.revision), (False, 3))
-        self.replica().mark_complete(self.snapshot)
+        await self.replica().mark_complete(self.snapshot)
         reply = self.replica().read(ReplicaRead(after_revision=Revision(0)))
         self.assertEqual((reply.complete, reply.update), (True, self.snapshot))
 
-    def test_gap_is_not_acknowledged(self) -> None:
+    async def test_gap_is_not_acknowledged(self) -> None:
         replica = self.replica()
-        replica.store(ReplicaStore(update=self.snapshot))
+        await replica.store(ReplicaStore(update=self.snapshot))
         later = ConfigurationUpdate(revision=Revision(9), base_revision=Revision(7), entries=())
-        self.assertEqual(replica.store(ReplicaStore(update=later)).revision, 3)
+        self.assertEqual((await replica.store(ReplicaStore(update=later))).revision, 3)
 
-    def test_damaged_file_counts_as_an_empty_disk(self) -> None:
-        self.replica().mark_complete(self.snapshot)
+    async def test_damaged_file_counts_as_an_empty_disk(self) -> None:
+        await self.replica().mark_complete(self.snapshot)
         path = self.folder / FILE_NAME
         content = bytearray(path.read_bytes())
         content[-3] ^= 0xFF
@@ -211,16 +216,51 @@
         reply = self.replica().read(ReplicaRead(after_revision=Revision(0)))
         self.assertEqual((reply.complete, reply.revision), (False, 0))
 
-    def test_disk_that_refuses_is_not_acknowledged(self) -> None:
+    async def test_disk_that_refuses_is_not_acknowledged(self) -> None:
         class FullDisk(ReplicaFile):
             def save(self, content: ReplicaContent) -> None:
                 raise OSError("no space left on device")
 
         replica = ConfigurationReplica(NodeId("a"), FullDisk(self.folder))
         with self.assertRaises(OSError):
-            replica.store(ReplicaStore(update=self.snapshot))
+            await replica.store(ReplicaStore(update=self.snapshot))
         self.assertEqual(replica.revision, 0)
 
+    async def test_the_event_loop_goes_on_while_the_disk_is_busy(self) -> None:
+        """Beside writers that fill the page cache a small fsync took up to 8.5 s.
+
+        The file was made durable on the event loop, so that every caller of a node with a disk
+        waited as long at each change of the configuration.
+        """
+        loop_went_on = threading.Event()
+
+        class BusyDisk(ReplicaFile):
+            def save(self, content: ReplicaContent) -> None:
+                self.waited_for_loop = loop_went_on.wait(BUSY_DISK_SECONDS)
+                super().save(content)
+
+        file = BusyDisk(self.folder)
+        replica = ConfigurationReplica(NodeId("a"), file, WriterThread("test").run)
+        storing = asyncio.ensure_future(replica.store(ReplicaStore(update=self.snapshot)))
+        await asyncio.sleep(0)
+        loop_went_on.set()
+        self.assertEqual((await storing).revision, 3)
+        self.assertTrue(file.waited_for_loop)
+
+    async def test_a_cancelled_caller_leaves_the_file_whole_and_later_writes_in_order(self) -> None:
+        replica = ConfigurationReplica(
+            NodeId("a"), ReplicaFile(self.folder), WriterThread("test").run
+        )
+        first = asyncio.ensure_future(replica.store(ReplicaStore(update=self.snapshot)))
+        await asyncio.sleep(0)
+        first.cancel()
+        later = ConfigurationUpdate(
+            revision=Revision(9), base_revision=None, entries=(entry(9, "b"),)
+        )
+        self.assertEqual((await replica.store(ReplicaStore(update=later))).revision, 9)
+        reply = self.replica().read(ReplicaRead(after_revision=Revision(0)))
+        self.assertEqual(reply.update, later)
+
 
 if __name__ == "__main__":
     unittest.main()
