Read the machine list that the platform serves, so that nodes learn who leaves

What callers saw: with nodes that run as processes no back end ever counted as leaving: new requests went to machines that were about to end, until they were gone. Cause: the HTTP client expected a JSON array where the list is an object. Ruled out: another process at the list's port (the object is the list itself); a list that fails at times (the client never read one). Why tests missed it: they and the simulations read the model of the list without HTTP. Figures: test_machine_list.HttpMachineListTest, against the emulated platform over HTTP, red before ('Expected array, got object'), green after.

--- a/drumbay/machines/http.py
+++ b/drumbay/machines/http.py
@@ -1,4 +1,4 @@
-"""Reads the machine list over HTTP: a JSON array of machines."""
+"""Reads the machine list over HTTP: a JSON object whose ``machines`` is an array."""
 
 import msgspec
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
@@ -8,6 +8,12 @@
 REQUEST_TIMEOUT_SECONDS = 2.0
 
 
+class MachineListPage(msgspec.Struct, frozen=True, kw_only=True):
+    """What the platform answers; other fields, also of a machine, are passed over."""
+
+    machines: tuple[MachineRecord, ...]
+
+
 class HttpMachineListClient:
     """Implements :class:`drumbay.machines.interface.MachineListClient` over HTTP.
 
@@ -29,6 +35,6 @@
             response = await AsyncHTTPClient().fetch(
                 self._url, request_timeout=REQUEST_TIMEOUT_SECONDS
             )
-            return msgspec.json.decode(response.body, type=tuple[MachineRecord, ...])
+            return msgspec.json.decode(response.body, type=MachineListPage).machines
         except (OSError, HTTPClientError, msgspec.MsgspecError) as error:
             raise MachineListUnavailableError(str(error)) from error
--- a/tests/test_machine_list.py
+++ b/tests/test_machine_list.py
@@ -5,13 +5,16 @@
 from collections.abc import Awaitable, Callable
 from random import Random
 
+from drumbay.clock import SystemClock
 from drumbay.comm.interface import Address
 from drumbay.configuration.messages import PeerView
 from drumbay.identifiers import BackendId, BootId, NodeId
+from drumbay.machines.http import HttpMachineListClient
 from drumbay.machines.interface import (
     MachineListUnavailableError,
     MachineRecord,
     MachineState,
+    leaving_backends,
 )
 from drumbay.machines.leaving import LeavingReports
 from drumbay.machines.messages import LeavingReport
@@ -24,6 +27,9 @@
 from drumbay.simulation.trace import Trace
 from drumbay.simulation.transport import SimulatedTransport
 from drumbay.simulation.virtual_time import run_simulation
+from drumbay.standins.machine_list_model import Machine, MachineListModel
+from drumbay.standins.machine_list_model import MachineState as EmulatedState
+from drumbay.standins.machine_list_server import MACHINES_PATH, MachineListServer
 from drumbay.tasks import TaskOwner
 
 ZONES = ("a-0", "a-1", "b-0")
@@ -259,3 +265,40 @@
         reports.take(report("n1", 4, "x"))
         reports.keep_only((NodeId("n2"),))
         self.assertEqual(reports.leaving(), ())
+
+
+class HttpMachineListTest(unittest.IsolatedAsyncioTestCase):
+    """The client of the list reads what the emulated platform serves.
+
+    It expected an array where the list is an object, so that over HTTP no read ever succeeded
+    and no node learnt that a machine leaves. Each node logged
+    ``machine_list_unavailable detail="Expected `array`, got `object`"`` about once a second, at the
+    start of ``make demo`` already. Tests and simulations read the list's model without HTTP.
+    """
+
+    async def asyncSetUp(self) -> None:
+        clock = SystemClock()
+        self.machines = MachineListModel(clock, lag_seconds=0.0)
+        self.server = MachineListServer(self.machines, clock, host="127.0.0.1", port=0)
+        self.server.start()
+        self.addAsyncCleanup(self.server.stop)
+
+    async def test_leaving_machines_are_read_over_http(self) -> None:
+        states = (EmulatedState.LIVE, EmulatedState.LEAVING, EmulatedState.GONE)
+        for state in states:
+            machine = Machine(name=state.value, address="127.0.0.1:1", zone="callao", state=state)
+            self.machines.set_machine(machine)
+        client = HttpMachineListClient(self.server.base_url + MACHINES_PATH)
+        read = await client.read()
+        self.assertEqual(
+            [(machine.name, machine.state) for machine in read],
+            [("live", MachineState.LIVE), ("leaving", MachineState.LEAVING)],
+        )
+        self.assertEqual(leaving_backends(read), (BackendId("leaving"),))
+
+    async def test_a_list_that_cannot_be_read_is_unavailable(self) -> None:
+        nowhere = HttpMachineListClient(self.server.base_url + "/nowhere")
+        other_answer = HttpMachineListClient(self.server.base_url + MACHINES_PATH + "/changes")
+        for client in (nowhere, other_answer):
+            with self.assertRaises(MachineListUnavailableError):
+                await client.read()
