Take a live request that a stopping node refuses to the next node, in the demo's load

What callers saw: nothing wrong; make demo failed once of two runs, since one of 48 live requests ended with not_ready during a planned stop. Cause: the load. not_ready with not_run and Retry-After is what a node answers from the moment it is told to stop, as test_planned_stop asks; the load took refused lookups to the next node and called each refused live request a broken promise. Change: a live request refused as not run goes to the next node once. Refusals keep node, code, detail.

--- a/drumbay/acceptance/records.py
+++ b/drumbay/acceptance/records.py
@@ -31,14 +31,40 @@
     stop_process_id: int | None = None
 
 
+class Refusal(msgspec.Struct, frozen=True, kw_only=True):
+    """A sending of a live request that was refused as not run.
+
+    Attributes:
+        node: URL of the node that refused.
+        request_id: The request, as the node names it.
+        code: Stable name of the refusal.
+        detail: What the node said.
+    """
+
+    node: str
+    request_id: str
+    code: str
+    detail: str
+
+
 class LiveResult(msgspec.Struct, frozen=True, kw_only=True):
-    """What a caller got for one live request; no spans if it failed."""
+    """What a caller got for one live request; no spans if it failed.
+
+    Attributes:
+        request_id: The request, as the node that answered names it.
+        token_ids: Tokens of the answer.
+        spans: The versions that made them.
+        finish_reason: Why the answer ended.
+        failure: Stable name of the failure; empty if the request was answered.
+        refusals: Sendings that were refused as not run, before it was answered or failed.
+    """
 
     request_id: str
     token_ids: tuple[int, ...] = ()
     spans: tuple[VersionSpan, ...] = ()
     finish_reason: str = ""
     failure: str = ""
+    refusals: tuple[Refusal, ...] = ()
 
 
 class BookingResult(msgspec.Struct, frozen=True, kw_only=True):
--- a/drumbay/acceptance/workload.py
+++ b/drumbay/acceptance/workload.py
@@ -12,6 +12,7 @@
     AcceptanceResult,
     BookingResult,
     LiveResult,
+    Refusal,
 )
 from drumbay.api.schema import (
     CompletionAnswer,
@@ -34,6 +35,9 @@
 CONCURRENT_SENDINGS = 2
 LOOKUPS_PER_STEP = 16
 LOOKUP_SENDINGS = 2
+LIVE_REFUSALS = 1
+"""Only one node stops: a caller may meet it once, and the next node has to answer."""
+
 PROMPTS_PER_GROUP = 4
 
 
@@ -131,23 +135,37 @@
             max_tokens=LIVE_MAXIMUM_TOKENS,
             seed=number,
         )
-        url = self._next_node() + "/v1/completions"
-        try:
-            response = await self._caller.send("POST", url, msgspec.json.encode(body))
-        except CallFailedError as error:
-            failure = error.error.code if error.error else "connection_lost"
-            request_id = error.error.request_id or "" if error.error else ""
-            self._live.append(LiveResult(request_id=request_id, failure=failure))
-            return
-        answer = msgspec.json.decode(response.body, type=CompletionAnswer)
-        self._live.append(
-            LiveResult(
+        self._live.append(await self.complete(msgspec.json.encode(body)))
+
+    async def complete(self, body: bytes) -> LiveResult:
+        """Send a live request; one that a node refuses as not run is taken to the next one.
+
+        A request may be on its way to a node at the moment that the node begins to stop.
+        """
+        refusals: list[Refusal] = []
+        while True:
+            node = self._next_node()
+            try:
+                response = await self._caller.send("POST", node + "/v1/completions", body)
+            except CallFailedError as error:
+                detail = error.error
+                request_id = (detail.request_id or "") if detail else ""
+                code = detail.code if detail else "connection_lost"
+                is_refused = detail is not None and detail.run == Execution.NOT_RUN
+                if detail is None or not is_refused or len(refusals) >= LIVE_REFUSALS:
+                    return LiveResult(request_id=request_id, failure=code, refusals=tuple(refusals))
+                refusals.append(
+                    Refusal(node=node, request_id=request_id, code=code, detail=detail.detail)
+                )
+                continue
+            answer = msgspec.json.decode(response.body, type=CompletionAnswer)
+            return LiveResult(
                 request_id=answer.id,
                 token_ids=answer.token_ids,
                 spans=answer.spans,
                 finish_reason=answer.finish_reason,
+                refusals=tuple(refusals),
             )
-        )
 
     async def _send_booking(self, step: int, number: int) -> None:
         """Send one booking twice at once and once more later, with one key."""
--- a/drumbay/cli/acceptance.py
+++ b/drumbay/cli/acceptance.py
@@ -63,12 +63,14 @@
     findings: tuple[Disagreement, ...],
 ) -> None:
     answered = sum(1 for live in result.live if not live.failure)
+    refused = sum(1 for live in result.live if live.refusals and not live.failure)
     replayed = sum(max(0, len(booking.answers) - 1) for booking in result.bookings)
     versions = sorted({version for entry in logs.consumed for version in entry.weight_versions})
     lines = [
         f"stream {plan.stream}: {plan.steps} steps, {len(logs.consumed)} samples consumed, "
         f"versions {versions}",
-        f"live requests: {answered} of {len(result.live)} answered whole",
+        f"live requests: {answered} of {len(result.live)} answered whole,"
+        f" {refused} of them after a refusal by the node that stopped",
         f"lookups: {result.lookups_answered} answered, {result.lookups_failed} failed",
         f"bookings: {len(result.bookings)} keys, {len(logs.bookings)} executions, "
         f"{replayed} replayed answers",
