--- a/drumbay/configuration/service.py
+++ b/drumbay/configuration/service.py
@@ -32,7 +32,7 @@
 from drumbay.configuration.replication import ReplicaClient
 from drumbay.configuration.state import ApplyOutcome, ConfigurationState
 from drumbay.configuration.view import ConfigurationView
-from drumbay.configuration.watcher import Backoff, ConfigurationWatcher, update_from_range
+from drumbay.configuration.watcher import ConfigurationWatcher, retry_backoff, update_from_range
 from drumbay.identifiers import NodeId, Revision
 from drumbay.kv.interface import KeyValueError, KeyValueStore, ModRevisionIs, Put
 from drumbay.observability.logs import log_event
@@ -250,7 +250,7 @@
         log_event("configuration_loaded", node=self._node_id, revision=self._applied.revision)
 
     async def _load_from_majority(self) -> None:
-        backoff = Backoff(self._generator)
+        backoff = retry_backoff(self._generator)
         next_store_read = self._clock.monotonic()
         while True:
             # NOTE: replicas come back at any moment, and this node serves nothing before;
@@ -266,7 +266,7 @@
     async def _load_alone(self, lone_node: LoneNode) -> None:
         """Start on the key-value service's word if no majority can be had for long."""
         await self._clock.sleep(self.lone_wait_seconds)
-        backoff = Backoff(self._generator)
+        backoff = retry_backoff(self._generator)
         while not await self._take_from_store(lone_node):
             await self._clock.sleep(backoff.next_delay_seconds())
 
--- a/drumbay/configuration/watcher.py
+++ b/drumbay/configuration/watcher.py
@@ -11,6 +11,7 @@
     ConfigurationUpdate,
 )
 from drumbay.identifiers import Revision
+from drumbay.kv.backoff import Backoff
 from drumbay.kv.interface import (
     KeyValueError,
     KeyValueStore,
@@ -24,23 +25,11 @@
 LONGEST_RETRY_SECONDS = 5.0
 
 
-class Backoff:
-    """Exponential backoff with full jitter."""
-
-    def __init__(self, generator: random.Random) -> None:
-        """Start at the first delay."""
-        self._generator = generator
-        self._limit_seconds = FIRST_RETRY_SECONDS
-
-    def reset(self) -> None:
-        """Start again at the first delay."""
-        self._limit_seconds = FIRST_RETRY_SECONDS
-
-    def next_delay_seconds(self) -> float:
-        """Return the next delay."""
-        limit_seconds = self._limit_seconds
-        self._limit_seconds = min(2 * limit_seconds, LONGEST_RETRY_SECONDS)
-        return self._generator.uniform(0.5 * limit_seconds, limit_seconds)
+def retry_backoff(generator: random.Random) -> Backoff:
+    """Return the delays between tries of what a node needs to act on its configuration."""
+    return Backoff(
+        generator, first_seconds=FIRST_RETRY_SECONDS, longest_seconds=LONGEST_RETRY_SECONDS
+    )
 
 
 def update_from_range(result: RangeResult) -> ConfigurationUpdate:
@@ -94,7 +83,7 @@
         self._applied_revision = applied_revision
         self._deliver = deliver
         self._generator = generator
-        self._backoff = Backoff(generator)
+        self._backoff = retry_backoff(generator)
 
     async def run(self) -> None:
         """Watch until cancelled."""
@@ -129,7 +118,7 @@
         await self._deliver_until_durable(update_from_range(result))
 
     async def _deliver_until_durable(self, update: ConfigurationUpdate) -> None:
-        backoff = Backoff(self._generator)
+        backoff = retry_backoff(self._generator)
         while True:
             try:
                 await self._deliver(update)
--- a/drumbay/simulation/observation.py
+++ b/drumbay/simulation/observation.py
@@ -1,5 +1,7 @@
 """Turns the logs of emulated back ends and of the key-value service into history records."""
 
+from collections.abc import Iterator
+
 import msgspec
 
 from drumbay.configuration.messages import (
@@ -10,6 +12,7 @@
     resource_key,
 )
 from drumbay.identifiers import BackendId, Revision
+from drumbay.kv.interface import KeyValue
 from drumbay.simulation.history import (
     ExecutionAborted,
     ExecutionFinished,
@@ -146,37 +149,39 @@
     operation_id: str
 
 
+def _written_keys(platform: SimulatedPlatform) -> Iterator[tuple[LoggedChange, KeyValue]]:
+    """Yield every key that was written, with the committed change that wrote it."""
+    for entry in platform.key_value.log:
+        if isinstance(entry, LoggedChange):
+            for event in entry.events:
+                if event.item is not None:
+                    yield entry, event.item
+
+
 def _read_commits(platform: SimulatedPlatform) -> list[_Commit]:
     commits = []
-    for entry in platform.key_value.log:
-        if not isinstance(entry, LoggedChange):
+    for change, item in _written_keys(platform):
+        if not _is_resource(item.key):
             continue
-        for event in entry.events:
-            if event.item is None or not _is_resource(event.key):
-                continue
-            stored = msgspec.msgpack.decode(event.item.value, type=StoredRecord)
-            commits.append(
-                _Commit(
-                    time_seconds=entry.at_seconds,
-                    key=event.key,
-                    revision=entry.revision,
-                    operation_id=stored.operation_id,
-                )
+        stored = msgspec.msgpack.decode(item.value, type=StoredRecord)
+        commits.append(
+            _Commit(
+                time_seconds=change.at_seconds,
+                key=item.key,
+                revision=change.revision,
+                operation_id=stored.operation_id,
             )
+        )
     return commits
 
 
 def _write_replica_sets(history: History, platform: SimulatedPlatform) -> None:
-    for entry in platform.key_value.log:
-        if not isinstance(entry, LoggedChange):
-            continue
-        for event in entry.events:
-            if event.item is None or event.key != REPLICA_SET_KEY:
-                continue
-            committed = msgspec.msgpack.decode(event.item.value, type=ReplicaSet)
+    for change, item in _written_keys(platform):
+        if item.key == REPLICA_SET_KEY:
+            committed = msgspec.msgpack.decode(item.value, type=ReplicaSet)
             history.add(
                 ReplicaSetCommitted(
-                    time_seconds=entry.at_seconds,
+                    time_seconds=change.at_seconds,
                     members=committed.members,
                     previous=committed.previous,
                 )
