--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -1,9 +1,12 @@
 """The soak's checks find each broken promise; its faults and proxy do what they say."""
 
 import asyncio
+import signal
 import socket
+import tempfile
 import time
 import unittest
+from pathlib import Path
 
 import msgspec
 from drumbay_soak.checks import check
@@ -27,6 +30,7 @@
     RemovedKeyProbe,
 )
 from drumbay_soak.main import read_regressions
+from drumbay_soak.node_process import NodeAddresses, NodeProcess
 from drumbay_soak.proxy import FaultyProxy, ProxyMode
 from drumbay_soak.suspendable import SteadyClock
 
@@ -520,6 +524,30 @@
             datagram.bind((address.host, address.port))
 
 
+class SuspensionTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_suspension_does_not_end_a_program_that_is_being_loaded(self) -> None:
+        """Seed 12025 beside a busy machine: ``node 3 ended by itself with code -10``.
+
+        The signal that stops a program's steady clock came before the program, loaded slowly,
+        had set its handler; the system's own action ends a process.
+        """
+        with tempfile.TemporaryDirectory() as folder:
+            addresses = NodeAddresses(
+                listen=free_address(),
+                advertised=free_address(),
+                store=free_address(),
+                api=free_address(),
+            )
+            node = NodeProcess(0, Path(folder), addresses)
+            await node.start()
+            try:
+                for _ in range(5):
+                    await node.stop_steady_clock()
+                self.assertIsNone(node.exit_code)
+            finally:
+                await node.stop(signal.SIGKILL)
+
+
 class ProxyTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.received = asyncio.Queue[bytes]()
