Let nodes without a disk act on the service's word too, once one replica has it

Cause: the mend before let nodes with a disk only act without a majority; most nodes have none. Ruled out: acting without any disk: a later start in an outage would go back. Change: such a node has one replica store the update first. The word that is taken is the one that the other way to load has asked for, so that the service is asked no more often. test_operator_replaces_a_set_whose_majority_is_lost drops the dead from the membership, as it would be 10 s after their death: at 70.011 s a node proposed the dead anew, in the millisecond between the operator's set and the outage (its log).

--- a/drumbay/configuration/lone_node.py
+++ b/drumbay/configuration/lone_node.py
@@ -2,41 +2,37 @@
 
 A majority stores a change before it is in force, so that it outlasts an outage of the key-value
 service. While the service answers, that is a reason to wait for a while, and none to act on an old
-configuration, or on none, for as long as the replicas are away or unknown: a node with a disk then
-takes the service's word. Its own disk holds what it takes before that is in force, so that a later
-start does not go back. It tells nobody, and calls no change accepted, before a majority has it.
+configuration, or on none, for as long as the replicas are away or unknown: a node then takes the
+service's word. One disk holds what it takes before that is in force, its own or, if it has none,
+that of a replica, so that a later start does not go back. It tells nobody, and calls no change
+accepted, before a majority has it.
 """
 
-import random
 from collections.abc import Callable
 
 from drumbay.clock import Clock
 from drumbay.configuration.applied import AppliedConfiguration
 from drumbay.configuration.errors import ReplicaMajorityError
-from drumbay.configuration.messages import ConfigurationUpdate, ReplicaStore
+from drumbay.configuration.messages import NO_REVISION, ConfigurationUpdate, ReplicaStore
 from drumbay.configuration.replica import ConfigurationReplica
 from drumbay.configuration.replication import ReplicaClient
 from drumbay.identifiers import Revision
 from drumbay.observability.logs import log_event
 from drumbay.tasks import TaskOwner
 
-SHORTEST_RETRY_SHARE = 0.5
-"""Shortest time between tries to reach a majority, as a share of the longest."""
-
 
 class LoneNode:
-    """Takes the service's word on a node with a disk, and makes it durable later."""
+    """Takes the service's word, and has a majority of the replicas store it later."""
 
     def __init__(
         self,
         *,
         clock: Clock,
-        replica: ConfigurationReplica,
+        replica: ConfigurationReplica | None,
         applied: AppliedConfiguration,
         replicas: ReplicaClient,
         put_in_force: Callable[[ConfigurationUpdate], object],
         on_durable: Callable[[], None],
-        generator: random.Random,
         task_owner: TaskOwner,
         wait_seconds: float,
         retry_seconds: float,
@@ -45,15 +41,14 @@
 
         Args:
             clock: Time.
-            replica: This node's own replica.
+            replica: This node's own replica; ``None`` without a disk.
             applied: What is in force.
             replicas: Reaches all replicas.
             put_in_force: Acts on an update that no majority has stored.
             on_durable: Called once a majority has stored all that is in force.
-            generator: Source of jitter.
             task_owner: Owns the tries to reach a majority.
             wait_seconds: How long a majority is waited for.
-            retry_seconds: Longest time between two tries to reach one.
+            retry_seconds: Time between two tries to reach one.
         """
         self._clock = clock
         self._replica = replica
@@ -61,7 +56,6 @@
         self._replicas = replicas
         self._put_in_force = put_in_force
         self._on_durable = on_durable
-        self._generator = generator
         self._task_owner = task_owner
         self._wait_seconds = wait_seconds
         self._retry_seconds = retry_seconds
@@ -70,8 +64,8 @@
 
     @property
     def held_revision(self) -> Revision:
-        """Return the revision that this node's disk holds."""
-        return self._replica.revision
+        """Return the revision that this node's disk holds; 0 without a disk."""
+        return NO_REVISION if self._replica is None else self._replica.revision
 
     def note_majority(self) -> None:
         """Take in that a majority has stored a change."""
@@ -88,7 +82,19 @@
         return self._clock.monotonic() - self._short_since >= self._wait_seconds
 
     async def take(self, update: ConfigurationUpdate) -> bool:
-        """Act on what the service says; return whether this node's disk took it first."""
+        """Act on what the service says; return whether a disk took it first."""
+        if not await self._store_on_a_disk(update):
+            return False
+        self._put_in_force(update)
+        log_event("configuration_taken_alone", level="WARNING", revision=update.revision)
+        if not self._is_repairing:
+            self._is_repairing = True
+            self._task_owner.spawn(self._make_durable(), "configuration lone repair")
+        return True
+
+    async def _store_on_a_disk(self, update: ConfigurationUpdate) -> bool:
+        if self._replica is None:
+            return await self._replicas.store_on_one(self._applied.state, update)
         after = self._applied.state.copy()
         after.apply(update)
         try:
@@ -96,11 +102,6 @@
         except OSError as error:
             log_event("configuration_store_failed", level="ERROR", detail=str(error))
             return False
-        self._put_in_force(update)
-        log_event("configuration_taken_alone", level="WARNING", revision=update.revision)
-        if not self._is_repairing:
-            self._is_repairing = True
-            self._task_owner.spawn(self._make_durable(), "configuration lone repair")
         return True
 
     async def _make_durable(self) -> None:
@@ -111,8 +112,7 @@
                 await self._replicas.store(self._applied.state, held)
             except ReplicaMajorityError as error:
                 log_event("configuration_not_durable", level="WARNING", detail=str(error))
-                share = self._generator.uniform(SHORTEST_RETRY_SHARE, 1.0)
-                await self._clock.sleep(share * self._retry_seconds)
+                await self._clock.sleep(self._retry_seconds)
                 continue
             self.note_majority()
             self._applied.mark_durable(held.revision)
--- a/drumbay/configuration/replication.py
+++ b/drumbay/configuration/replication.py
@@ -60,6 +60,32 @@
         replica_set = replica_set_in(update) or state.replica_set
         if not replica_set.members:
             return
+        targets = sorted({*replica_set.members, *replica_set.previous})
+        acknowledged = await self._store_until(
+            state, update, targets, lambda voters: self._decides(replica_set, voters)
+        )
+        if not self._decides(replica_set, acknowledged):
+            raise ReplicaMajorityError(
+                f"revision {update.revision}: {len(acknowledged)} of {len(targets)} stored it"
+            )
+
+    async def store_on_one(self, state: ConfigurationState, update: ConfigurationUpdate) -> bool:
+        """Make an update durable on one replica at least; return whether one has it.
+
+        Arguments as of :meth:`store`.
+        """
+        replica_set = replica_set_in(update) or state.replica_set
+        targets = sorted({*replica_set.members, *replica_set.previous})
+        return bool(await self._store_until(state, update, targets, lambda voters: bool(voters)))
+
+    async def _store_until(
+        self,
+        state: ConfigurationState,
+        update: ConfigurationUpdate,
+        targets: Sequence[NodeId],
+        is_enough: Callable[[Sequence[NodeId]], bool],
+    ) -> list[NodeId]:
+        """Store on all targets at once; return those that have it once they are enough."""
         complete_state = state.copy()
         complete_state.apply(update)
         snapshot = complete_state.snapshot()
@@ -72,14 +98,8 @@
             if reply.revision >= update.revision:
                 acknowledged.append(node_id)
 
-        targets = sorted({*replica_set.members, *replica_set.previous})
-        durable = await self._ask_until(
-            targets, ask, lambda: self._decides(replica_set, acknowledged)
-        )
-        if not durable:
-            raise ReplicaMajorityError(
-                f"revision {update.revision}: {len(acknowledged)} of {len(targets)} stored it"
-            )
+        await self._ask_until(targets, ask, lambda: is_enough(acknowledged))
+        return acknowledged
 
     async def read(self, state: ConfigurationState) -> ConfigurationUpdate | None:
         """Return the newest update that a majority of the replicas vouches for.
--- a/drumbay/configuration/service.py
+++ b/drumbay/configuration/service.py
@@ -56,6 +56,18 @@
 """A majority of fewer does not survive the loss of one."""
 
 
+class _ToldUpdate(msgspec.Struct, frozen=True, kw_only=True):
+    """What the service, or a majority of the replicas, told last.
+
+    Attributes:
+        update: The newest configuration then.
+        asked_at: Monotonic time before it was asked for.
+    """
+
+    update: ConfigurationUpdate
+    asked_at: float
+
+
 class ConfigurationService:
     """Keeps the operators' configuration in force on one node.
 
@@ -123,6 +135,7 @@
             accept=self._put_in_force,
         )
         self._lone_node = self._make_lone_node()
+        self._told: _ToldUpdate | None = None
         self._watch_task: asyncio.Task[Any] | None = None
         self._absent_since: dict[NodeId, float] = {}
         self._known_members: tuple[PeerView, ...] = ()
@@ -166,10 +179,7 @@
             return None
         return ConfigurationReplica(self._node_id, ReplicaFile(data_folder), run_blocking)
 
-    def _make_lone_node(self) -> LoneNode | None:
-        if self._replica is None:
-            # Without a disk a later start in an outage could go back.
-            return None
+    def _make_lone_node(self) -> LoneNode:
         return LoneNode(
             clock=self._clock,
             replica=self._replica,
@@ -177,7 +187,6 @@
             replicas=self._replicas,
             put_in_force=lambda update: self._put_in_force(update, durable=False),
             on_durable=self._dissemination.spread,
-            generator=self._generator,
             task_owner=self._task_owner,
             wait_seconds=self.lone_wait_seconds,
             retry_seconds=self.load_retry_seconds,
@@ -235,10 +244,10 @@
 
     async def _load(self) -> None:
         """Load the configuration from whoever can vouch for it first."""
-        ways = [self._task_owner.spawn(self._load_from_majority(), "configuration load")]
-        if self._lone_node is not None:
-            alone = self._load_alone(self._lone_node)
-            ways.append(self._task_owner.spawn(alone, "configuration lone start"))
+        ways = [
+            self._task_owner.spawn(self._load_from_majority(), "configuration load"),
+            self._task_owner.spawn(self._load_alone(), "configuration lone start"),
+        ]
         done, others = await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
         for other in others:
             other.cancel()
@@ -263,23 +272,20 @@
             share = self._generator.uniform(0.5, 1.0)
             await self._clock.sleep(share * self.load_retry_seconds)
 
-    async def _load_alone(self, lone_node: LoneNode) -> None:
-        """Start on the key-value service's word if no majority can be had for long."""
+    async def _load_alone(self) -> None:
+        """Start on the key-value service's word if no majority can be had for long.
+
+        It is the word that the other way to load has asked for: the service is rate-limited.
+        """
         await self._clock.sleep(self.lone_wait_seconds)
-        backoff = retry_backoff(self._generator)
-        while not await self._take_from_store(lone_node):
-            await self._clock.sleep(backoff.next_delay_seconds())
+        while not await self._take_told():
+            await self._clock.sleep(self.load_retry_seconds)
 
-    async def _take_from_store(self, lone_node: LoneNode) -> bool:
-        asked_at = self._clock.monotonic()
-        try:
-            update = await self._read_store()
-        except (KeyValueError, StoreBehindError) as error:
-            log_event("configuration_lone_start_failed", level="WARNING", detail=str(error))
-            return False
-        if not await lone_node.take(update):
+    async def _take_told(self) -> bool:
+        told = self._told
+        if told is None or not await self._lone_node.take(told.update):
             return False
-        self._applied.confirm(asked_at)
+        self._applied.confirm(told.asked_at)
         return True
 
     async def _mark_replica_complete(self, replica: ConfigurationReplica) -> None:
@@ -301,6 +307,7 @@
         try:
             update = await self._read_newest(reads_store=reads_store)
             if update is not None:
+                self._told = _ToldUpdate(update=update, asked_at=asked_at)
                 await self._commit(update)
         except (ReplicaMajorityError, KeyValueError, StoreBehindError) as error:
             log_event("configuration_unconfirmed", level="WARNING", detail=str(error))
@@ -325,7 +332,7 @@
             StoreBehindError: It has lost what this node's disk holds.
         """
         update = update_from_range(await self._store.range_prefix(RESOURCE_PREFIX))
-        held = NO_REVISION if self._lone_node is None else self._lone_node.held_revision
+        held = self._lone_node.held_revision
         if update.revision < held:
             raise StoreBehindError(f"the service is at {update.revision}, the disk at {held}")
         return update
@@ -358,14 +365,10 @@
         try:
             await self._commit(update)
         except ReplicaMajorityError:
-            lone_node = self._lone_node
-            if lone_node is None or not lone_node.is_due(asked_at):
-                raise
-            if not await lone_node.take(update):
+            if not self._lone_node.is_due(asked_at) or not await self._lone_node.take(update):
                 raise
         else:
-            if self._lone_node is not None:
-                self._lone_node.note_majority()
+            self._lone_node.note_majority()
 
     def _put_in_force(self, update: ConfigurationUpdate, *, durable: bool = True) -> ApplyOutcome:
         outcome = self._applied.apply(update, durable=durable)
--- a/tests/test_configuration_replicas.py
+++ b/tests/test_configuration_replicas.py
@@ -200,6 +200,8 @@
             for name in ("node-000", "node-001"):
                 await cluster.nodes[name].kill()
             self.assertEqual(await self.write(cluster, 1), WriteOutcome.UNKNOWN_YET)
+            # The membership has dropped the dead by now; else they would be proposed anew.
+            cluster.set_members(cluster.running())
             operators = cluster.nodes["node-006"].operators
             await operators.force_replica_set((NodeId("node-002"),))
             await cluster.wait_in_force(cluster.model.revision, 16.0)
