--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -40,14 +40,15 @@
 class SlowClient:
     """A client over a connection with a small buffer, that reads only when it is told to."""
 
-    def __init__(self, port: int) -> None:
+    def __init__(self, port: int, host: str = "127.0.0.1") -> None:
+        self._host = host
         self._port = port
 
     async def connect(self) -> None:
         plain = socket.socket()
         plain.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
         plain.setblocking(False)
-        await asyncio.get_running_loop().sock_connect(plain, ("127.0.0.1", self._port))
+        await asyncio.get_running_loop().sock_connect(plain, (self._host, self._port))
         self.reader, self._writer = await asyncio.open_connection(sock=plain, limit=1_024)
 
     async def send(self, method: str, path: str, headers: str = "", body: bytes = b"") -> None:
@@ -239,7 +240,7 @@
     async def ask_slowly(self) -> SlowClient:
         self.configure(1, "/l/")
         process = await self.start()
-        client = SlowClient(process.front.port)
+        client = SlowClient(process.front.port, process.front.host)
         await client.connect()
         self.addCleanup(client.close)
         headers = f"X-Drumbay-Attempt-Id: r1\r\nContent-Length: {LARGE_BYTES}\r\n"
