--- a/drumbay/configuration/service.py
+++ b/drumbay/configuration/service.py
@@ -16,8 +16,6 @@
 from drumbay.configuration.gossip import PeerDirectory, is_watcher
 from drumbay.configuration.lone_node import LoneNode
 from drumbay.configuration.messages import (
-    NO_REVISION,
-    REPLICA_SET_KEY,
     RESOURCE_PREFIX,
     ConfigurationReadiness,
     ConfigurationUpdate,
@@ -28,13 +26,13 @@
     ReplicaStoreReply,
 )
 from drumbay.configuration.replica import ConfigurationReplica, ReplicaFile
-from drumbay.configuration.replica_set import plan_replica_set
+from drumbay.configuration.replica_set_keeper import ReplicaSetKeeper
 from drumbay.configuration.replication import ReplicaClient
 from drumbay.configuration.state import ApplyOutcome, ConfigurationState
 from drumbay.configuration.view import ConfigurationView
 from drumbay.configuration.watcher import ConfigurationWatcher, retry_backoff, update_from_range
-from drumbay.identifiers import NodeId, Revision
-from drumbay.kv.interface import KeyValueError, KeyValueStore, ModRevisionIs, Put
+from drumbay.identifiers import NodeId
+from drumbay.kv.interface import KeyValueError, KeyValueStore
 from drumbay.observability.logs import log_event
 from drumbay.storage.writer_thread import RunBlocking, run_inline
 from drumbay.tasks import TaskOwner
@@ -51,10 +49,6 @@
 """How long a node waits for a majority of the replicas before it takes the key-value service's
 word alone: half of the ten seconds in which a change has to be in force."""
 
-PROPOSAL_PROBABILITY = 0.25
-FEWEST_REPLICAS = 3
-"""A majority of fewer does not survive the loss of one."""
-
 
 class _ToldUpdate(msgspec.Struct, frozen=True, kw_only=True):
     """What the service, or a majority of the replicas, told last.
@@ -134,10 +128,12 @@
             task_owner=task_owner,
             accept=self._put_in_force,
         )
+        self._replica_set_keeper = ReplicaSetKeeper(
+            clock=clock, store=store, applied=self._applied, members=members, generator=generator
+        )
         self._lone_node = self._make_lone_node()
         self._told: _ToldUpdate | None = None
         self._watch_task: asyncio.Task[Any] | None = None
-        self._absent_since: dict[NodeId, float] = {}
         self._known_members: tuple[PeerView, ...] = ()
         self._known_directory: PeerDirectory | None = None
         self._chosen_to_watch = False
@@ -225,17 +221,12 @@
                 await self._confirm()
                 next_confirmation = self._clock.monotonic() + self._confirm_period_seconds()
             if self.watching and (is_due or self.is_replica_set_forming()):
-                await self._maintain_replica_set()
+                await self._replica_set_keeper.propose()
             await self._clock.sleep(ROLE_PERIOD_SECONDS)
 
     def is_replica_set_forming(self) -> bool:
-        """Return whether a failure now would find too few replicas.
-
-        Without a replica set nobody can start during an outage of the key-value service, so
-        the set of a young cluster does not wait for the next confirmation.
-        """
-        replica_set = self._applied.state.replica_set
-        return len(replica_set.members) < FEWEST_REPLICAS or bool(replica_set.previous)
+        """Return whether the replica set must not wait for the next confirmation."""
+        return self._replica_set_keeper.is_forming()
 
     def _confirm_period_seconds(self) -> float:
         if self._applied.state.replica_set.members:
@@ -418,31 +409,3 @@
         elif not chosen and self._watch_task is not None:
             self._watch_task.cancel()
             self._watch_task = None
-
-    async def _maintain_replica_set(self) -> None:
-        """Propose a new replica set when disks came or went."""
-        members = self._members()
-        current = self._applied.state.replica_set
-        live = sorted(peer.node_id for peer in members if peer.has_data_folder)
-        now = self._clock.monotonic()
-        self._absent_since = {
-            node_id: self._absent_since.get(node_id, now)
-            for node_id in current.members
-            if node_id not in live
-        }
-        absent = {node_id: now - since for node_id, since in self._absent_since.items()}
-        planned = plan_replica_set(current, live, absent)
-        # NOTE: every watcher may propose, as any of them may be cut off from the service;
-        # chance keeps them apart and compare-and-swap lets one win.
-        if planned is None or self._generator.random() > PROPOSAL_PROBABILITY:
-            return
-        entry = self._applied.state.entry(REPLICA_SET_KEY)
-        expected = NO_REVISION if entry is None else entry.mod_revision
-        try:
-            await self._store.transact(
-                (ModRevisionIs(key=REPLICA_SET_KEY, mod_revision=Revision(expected)),),
-                (Put(key=REPLICA_SET_KEY, value=msgspec.msgpack.encode(planned)),),
-            )
-        except KeyValueError as error:
-            # NOTE: a lost answer needs no settling: the watch brings what was written.
-            log_event("configuration_replicas_change_failed", level="WARNING", error=error.code)
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -1,12 +1,7 @@
 """The soak's checks find each broken promise; its faults and proxy do what they say."""
 
-import asyncio
-import signal
-import socket
-import tempfile
 import time
 import unittest
-from pathlib import Path
 
 import msgspec
 from drumbay_soak.checks import check
@@ -30,15 +25,11 @@
     RemovedKeyProbe,
 )
 from drumbay_soak.main import read_regressions
-from drumbay_soak.node_process import NodeAddresses, NodeProcess
-from drumbay_soak.proxy import FaultyProxy, ProxyMode
 from drumbay_soak.suspendable import SteadyClock
 
 from drumbay.batches.records import ItemId, ItemResult, ResultState, Reward
-from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.duties.interface import DutyToken, UsageReport
 from drumbay.identifiers import BackendId, Fence, WeightVersion
-from drumbay.standins.free_addresses import free_address, own_host
 from drumbay.standins.platform_duties import LoggedCall
 from drumbay.standins.worker_log import LoggedCrash, LoggedOrder, LoggedRun
 from drumbay.tenants.records import TenantName
@@ -499,142 +490,6 @@
             self.assertTrue(regression.cause)
 
 
-class AddressTest(unittest.TestCase):
-    def test_no_address_is_given_twice(self) -> None:
-        addresses = [free_address() for _ in range(2_000)]
-        self.assertEqual(len(set(addresses)), len(addresses))
-
-    def test_connections_do_not_go_out_from_the_host_of_given_addresses(self) -> None:
-        """A connection that went out from there could take a port before its process has it.
-
-        With ports of 127.0.0.1 that are free for a moment, one of 22 plays of the test of real
-        processes ended with ``OSError: [Errno 98] Address already in use`` in
-        ``bind_sockets``, and one of 32 with ``Connection reset by peer`` from a process of
-        another play.
-        """
-        with (
-            socket.create_server((own_host(), 0)) as server,
-            socket.create_connection(server.getsockname()) as connection,
-        ):
-            self.assertNotEqual(connection.getsockname()[0], own_host())
-
-    def test_an_address_is_free_for_datagrams_too(self) -> None:
-        address = free_address()
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagram:
-            datagram.bind((address.host, address.port))
-
-
-class SuspensionTest(unittest.IsolatedAsyncioTestCase):
-    async def test_a_suspension_does_not_end_a_program_that_is_being_loaded(self) -> None:
-        """Seed 12025 beside a busy machine: ``node 3 ended by itself with code -10``.
-
-        The signal that stops a program's steady clock came before the program, loaded slowly,
-        had set its handler; the system's own action ends a process.
-        """
-        with tempfile.TemporaryDirectory() as folder:
-            addresses = NodeAddresses(
-                listen=free_address(),
-                advertised=free_address(),
-                store=free_address(),
-                api=free_address(),
-            )
-            node = NodeProcess(0, Path(folder), addresses)
-            await node.start()
-            try:
-                for _ in range(5):
-                    await node.stop_steady_clock()
-                self.assertIsNone(node.exit_code)
-            finally:
-                await node.stop(signal.SIGKILL)
-
-
-class ProxyTest(unittest.IsolatedAsyncioTestCase):
-    async def asyncSetUp(self) -> None:
-        self.received = asyncio.Queue[bytes]()
-        server = await asyncio.start_server(self.echo, "127.0.0.1", 0)
-        self.addCleanup(server.close)
-        port = server.sockets[0].getsockname()[1]
-        self.proxy = FaultyProxy(NetworkAddress("127.0.0.1", port), delay_seconds=0.05)
-        await self.proxy.start()
-        self.addAsyncCleanup(self.proxy.close)
-
-    async def echo(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while chunk := await reader.read(100):
-            self.received.put_nowait(chunk)
-            writer.write(chunk)
-        writer.close()
-
-    async def open(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.proxy.address.port)
-        self.addCleanup(writer.close)
-        return reader, writer
-
-    async def exchange(self) -> bytes:
-        reader, writer = await self.open()
-        writer.write(b"x")
-        async with asyncio.timeout(LIMIT_SECONDS):
-            return await reader.read(1)
-
-    async def test_bytes_pass_with_and_without_a_delay(self) -> None:
-        for mode in (ProxyMode.PASS, ProxyMode.DELAY):
-            self.proxy.set_mode(mode)
-            self.assertEqual(await self.exchange(), b"x")
-
-    async def test_a_reset_ends_connections_with_an_error(self) -> None:
-        reader, writer = await self.open()
-        writer.write(b"x")
-        async with asyncio.timeout(LIMIT_SECONDS):
-            self.assertEqual(await reader.read(1), b"x")
-            self.proxy.set_mode(ProxyMode.RESET)
-            with self.assertRaises(ConnectionError):
-                while await reader.read(1):
-                    pass
-
-    async def test_what_a_silent_proxy_holds_passes_after_it(self) -> None:
-        self.proxy.set_mode(ProxyMode.SILENT)
-        waiting = asyncio.create_task(self.exchange())
-        for _ in range(20):
-            await asyncio.sleep(0.005)
-        self.assertFalse(waiting.done())
-        self.assertTrue(self.received.empty())
-        self.proxy.set_mode(ProxyMode.PASS)
-        self.assertEqual(await waiting, b"x")
-
-    async def test_open_connections_fall_silent_for_good_and_new_ones_work(self) -> None:
-        reader, writer = await self.open()
-        writer.write(b"x")
-        async with asyncio.timeout(LIMIT_SECONDS):
-            self.assertEqual(await reader.read(1), b"x")
-            self.received.get_nowait()
-            self.proxy.silence_open()
-            writer.write(b"y")
-            for _ in range(3):
-                self.assertEqual(await self.exchange(), b"x")
-                self.assertEqual(self.received.get_nowait(), b"x")
-        self.assertTrue(self.received.empty())
-
-    async def test_one_way_lets_requests_pass_and_holds_answers(self) -> None:
-        self.proxy.set_mode(ProxyMode.ONE_WAY)
-        waiting = asyncio.create_task(self.exchange())
-        async with asyncio.timeout(LIMIT_SECONDS):
-            self.assertEqual(await self.received.get(), b"x")
-        self.assertFalse(waiting.done())
-        self.proxy.set_mode(ProxyMode.PASS)
-        self.assertEqual(await waiting, b"x")
-
-    async def test_a_proxy_that_refuses_listens_again_at_the_same_address(self) -> None:
-        address = self.proxy.address
-        self.proxy.set_mode(ProxyMode.REFUSE)
-        await asyncio.sleep(0)
-        with self.assertRaises(ConnectionRefusedError):
-            await asyncio.open_connection(address.host, address.port)
-        self.proxy.set_mode(ProxyMode.PASS)
-        await self.proxy.start()
-        self.assertEqual(self.proxy.address, address)
-        _, writer = await asyncio.open_connection(address.host, address.port)
-        writer.close()
-
-
 class SteadyClockTest(unittest.TestCase):
     def test_it_stands_still_from_its_stop_on_and_then_goes_on(self) -> None:
         clock = SteadyClock()
