Add the placement constraint: evacuated zones, allowed regions and start limits pass one gate

Ruled out: a filter in each chooser alone (a retry between choice and send goes around it), a wrapper of the worker client alone (choosers would choose what is then refused). Change: drumbay/placement with one pure decision; both places that send to workers admit each send as the last step, choosers use the same check; the worker client asks before it repeats a request. Entries that evacuate zones, allowed regions of routes and tenants, warm-up of services and the regions of zones are decoded. Start limits are unlimited so far. Conclusion: interface for the parts; without such settings nothing changes.

--- a/drumbay/batches/decisions.py
+++ b/drumbay/batches/decisions.py
@@ -11,18 +11,21 @@
 
 
 class StartLimits(msgspec.Struct, frozen=True, kw_only=True):
-    """Restrictions on starting items under which workers have crashed.
+    """Restrictions on starting items.
 
     Attributes:
         held_back: Items that must not start now.
         isolated: Items that may start only on a worker that runs no other isolated item and no
             request that is likely to crash it, so that a crash can be attributed.
         isolated_workers: Workers on which such an item or request runs already.
+        start_allowances: Items that may start now, for workers with a limit: none in an evacuated
+            zone or outside the allowed regions, few at a worker that may be cold.
     """
 
     held_back: frozenset[ItemId] = frozenset()
     isolated: frozenset[ItemId] = frozenset()
     isolated_workers: frozenset[BackendId] = frozenset()
+    start_allowances: Mapping[BackendId, int] = msgspec.field(default_factory=dict)
 
 
 class SlotShare(msgspec.Struct, frozen=True, kw_only=True):
--- a/drumbay/batches/owned.py
+++ b/drumbay/batches/owned.py
@@ -24,13 +24,15 @@
 from drumbay.batches.slot_sharing import SlotSharing
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
-from drumbay.forwarding.routes import ServiceUse
+from drumbay.forwarding.routes import BatchRegions, ServiceUse
 from drumbay.identifiers import Revision, WeightVersion
 from drumbay.kv.interface import KeyValueError
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
 from drumbay.peers.messages import OwnerNotice, PlacesNotice, TakePartialTexts
 from drumbay.peers.transport import PeerClient
+from drumbay.placement.gate import PlacementGate
+from drumbay.placement.regions import AllowedRegions
 from drumbay.quarantine.service import Quarantine
 from drumbay.tasks import TaskOwner
 from drumbay.workers.directory import WorkerDirectory
@@ -61,6 +63,8 @@
         newest_version: Callable[[str], WeightVersion],
         send_notice: Callable[[Iterable[NetworkAddress], PlacesNotice], None],
         service_use: ServiceUse,
+        batch_regions: BatchRegions,
+        placement: PlacementGate,
         shares_slots: bool,
         metrics: ServingMetrics,
     ) -> None:
@@ -80,6 +84,8 @@
             newest_version: Returns the newest weight version announced for a model.
             send_notice: Sends a notice to other nodes.
             service_use: Returns which kinds of requests reach a service.
+            batch_regions: Returns the regions in which a batch job may run and be held.
+            placement: Decides which workers may get an item.
             shares_slots: Whether batch jobs share worker slots with those of other owners.
             metrics: Counts batch job events.
         """
@@ -95,6 +101,8 @@
         self._task_owner = task_owner
         self._newest_version = newest_version
         self._metrics = metrics
+        self._batch_regions = batch_regions
+        self._placement = placement
         self._runners: dict[BatchId, BatchRunner] = {}
         self._takeovers: dict[BatchId, asyncio.Event] = {}
         self._lingering = LingeringBatches(peers)
@@ -183,6 +191,8 @@
             self.slot_sharing,
             self._task_owner,
             self._metrics,
+            self._placement,
+            lambda: self._allowed_regions(spec),
             spec,
             revision,
             listed,
@@ -193,6 +203,10 @@
         self.slot_sharing.schedule_notice()
         return runner
 
+    def _allowed_regions(self, spec: BatchSpec) -> AllowedRegions:
+        recorded = AllowedRegions.of(spec.allowed_regions)
+        return self._batch_regions.batch_regions(spec.route_name, spec.tenant, recorded)
+
     def _drop_runner(self, batch_id: BatchId) -> None:
         runner = self._runners.pop(batch_id, None)
         if runner is not None and runner.is_lingering:
--- a/drumbay/batches/records.py
+++ b/drumbay/batches/records.py
@@ -70,7 +70,8 @@
     ``tenant`` is the tenant whose key submitted the job and on whose behalf its items run, even if
     the key is revoked later; ``None`` without authentication. ``priority`` is its priority at
     submission: 0 goes first. Its results are due after ``due_seconds``, if known. ``submitted_at``
-    is when a node received it, in Unix seconds; 0 if unknown.
+    is when a node received it, in Unix seconds; 0 if unknown. ``allowed_regions`` are the regions
+    in which it may run and be held, as of its submission; empty if unrestricted.
     """
 
     batch_id: BatchId
@@ -89,6 +90,7 @@
     priority: int = 0
     due_seconds: float | None = None
     submitted_at: float = 0.0
+    allowed_regions: tuple[str, ...] = ()
 
     @property
     def stream(self) -> BatchStream:
--- a/drumbay/batches/run_failure.py
+++ b/drumbay/batches/run_failure.py
@@ -7,6 +7,7 @@
     WorkerError,
     WorkerFailedError,
     WorkerMisdirectedError,
+    WorkerNotEligibleError,
     WorkerRefusedError,
     WorkerRejectedError,
     WorkerTimedOutError,
@@ -24,6 +25,8 @@
     worker_id = worker.worker_id
     worker_start = worker.started_at_ms
     match error:
+        case WorkerNotEligibleError():
+            return RunFailure.REFUSED
         case WorkerMisdirectedError():
             directory.pause(worker_id, now, MISDIRECTED_PAUSE_SECONDS, worker_start)
             return RunFailure.REFUSED
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 
+import msgspec
+
 from drumbay.batches.decisions import (
     Decision,
     RunFailure,
@@ -39,11 +41,14 @@
 from drumbay.batches.run_failure import record_run_failure
 from drumbay.batches.scheduler import BatchScheduler
 from drumbay.batches.slot_sharing import SlotSharing
+from drumbay.batches.start_allowances import start_allowances
 from drumbay.clock import Clock
 from drumbay.forwarding.records import RewardOrder
 from drumbay.identifiers import BackendId, Revision, WeightVersion
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
+from drumbay.placement.gate import PlacementGate
+from drumbay.placement.regions import AllowedRegions
 from drumbay.quarantine.service import Quarantine
 from drumbay.tasks import TaskOwner
 from drumbay.workers.directory import WorkerDirectory
@@ -98,6 +103,8 @@
         slot_sharing: SlotSharing,
         task_owner: TaskOwner,
         metrics: ServingMetrics,
+        placement: PlacementGate,
+        allowed_regions: Callable[[], AllowedRegions],
         spec: BatchSpec,
         revision: Revision,
         listed: tuple[ItemResult, ...],
@@ -118,6 +125,8 @@
             slot_sharing: Computes the job's share of worker slots.
             task_owner: Runs the runner's tasks.
             metrics: Counts runs and results.
+            placement: Decides which workers may get an item.
+            allowed_regions: Returns the regions in which the items may run now.
             spec: The batch job.
             revision: The owner's revision in the ledger.
             listed: Results that the store contains already.
@@ -133,6 +142,8 @@
         self._quarantine = ItemQuarantine(quarantine, spec)
         self._task_owner = task_owner
         self._metrics = metrics
+        self._placement = placement
+        self._allowed_regions = allowed_regions
         self._started_at = clock.monotonic()
         self._on_lost = on_lost
         self._slot_sharing = slot_sharing
@@ -349,7 +360,12 @@
                 record.worker.worker_id: record
                 for record in self._directory.of_service(self.spec.service)
             }
-            limits = self._limits = self._quarantine.limits(self._scheduler.waiting)
+            limits = self._limits = msgspec.structs.replace(
+                self._quarantine.limits(self._scheduler.waiting),
+                start_allowances=start_allowances(
+                    self._placement, workers.values(), self._allowed_regions()
+                ),
+            )
             self.share.held_back_items = limits.held_back
             share = self.share.current_share(now)
             decisions = self._scheduler.plan(workers, self._newest_version(), now, limits, share)
@@ -468,6 +484,7 @@
             repeatable=True,
             tenant=self.spec.tenant,
         )
+        self._placement.admit(record.worker, self._allowed_regions(), item.item_id)
         async with self._client.stream(record.worker, request) as stream:
             self._handle_response_head(item.item_id, record, stream)
             worker_id = record.worker.worker_id
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -414,7 +414,13 @@
         """
         self._silence_detector.start_plan(now)
         selector = WorkerSelector(
-            self._spec, workers, newest_version, now, limits.isolated_workers, share.used_by_others
+            self._spec,
+            workers,
+            newest_version,
+            now,
+            limits.isolated_workers,
+            share.used_by_others,
+            limits.start_allowances,
         )
         self._is_overloaded = share.contention is not None and share.contention.is_overloaded
         self._median_event_interval = selector.median_event_interval
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -34,7 +34,7 @@
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.exceptions import Execution
-from drumbay.forwarding.routes import ServiceUse
+from drumbay.forwarding.routes import RouteTable
 from drumbay.identifiers import Revision, WeightVersion
 from drumbay.kv.interface import (
     KeyValueError,
@@ -62,6 +62,7 @@
     TakePartialTexts,
 )
 from drumbay.peers.transport import PeerClient
+from drumbay.placement.gate import PlacementGate
 from drumbay.quarantine.service import Quarantine
 from drumbay.tasks import TaskOwner
 from drumbay.tenants.records import TenantName
@@ -104,7 +105,8 @@
         newest_version: Callable[[str], WeightVersion],
         announce: Callable[[OwnerNotice], None],
         send_notice: Callable[[Iterable[NetworkAddress], PlacesNotice], None],
-        service_use: ServiceUse,
+        routes: RouteTable,
+        placement: PlacementGate,
         shares_slots: bool,
         metrics: ServingMetrics,
     ) -> None:
@@ -125,7 +127,8 @@
             newest_version: Returns the newest version announced for a model.
             announce: Notifies the other nodes of a batch job's owner.
             send_notice: Sends a notice to some nodes.
-            service_use: Returns which kinds of requests reach a service.
+            routes: The current configuration.
+            placement: Decides which workers may get an item.
             shares_slots: Whether batch jobs share worker slots with those of other owners.
             metrics: Counts batch job events.
         """
@@ -149,7 +152,9 @@
             task_owner,
             newest_version,
             send_notice,
-            service_use,
+            routes,
+            routes,
+            placement,
             shares_slots,
             metrics,
         )
--- a/drumbay/batches/worker_selector.py
+++ b/drumbay/batches/worker_selector.py
@@ -68,6 +68,7 @@
         now: float,
         isolated_workers: frozenset[BackendId] = frozenset(),
         used_by_others: Mapping[BackendId, int] | None = None,
+        start_allowances: Mapping[BackendId, int] | None = None,
     ) -> None:
         """Take a snapshot of the workers.
 
@@ -78,7 +79,9 @@
             now: Monotonic time.
             isolated_workers: Workers that are not available to isolated items.
             used_by_others: Runs of other nodes by worker; ``None`` to use the load reports.
+            start_allowances: Items that may start now, for workers with a limit.
         """
+        allowances = start_allowances or {}
         others = {
             worker_id: record.reported_other_requests(now)
             if used_by_others is None
@@ -95,7 +98,10 @@
             for worker_id, record in workers.items()
         }
         self._free_slots = {
-            worker_id: record.free_slots_for(spec.model, now, others[worker_id])
+            worker_id: min(
+                record.free_slots_for(spec.model, now, others[worker_id]),
+                allowances.get(worker_id, record.worker.slots),
+            )
             for worker_id, record in workers.items()
             if self._versions[worker_id] >= spec.minimum_version
         }
--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -35,7 +35,10 @@
 from drumbay.forwarding.worker_choice import ChosenWorker
 from drumbay.forwarding.worker_picker import SendCriteria, WorkerPicker
 from drumbay.identifiers import BackendId
+from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
+from drumbay.placement.gate import PlacementGate
+from drumbay.placement.regions import AllowedRegions
 from drumbay.quarantine.records import Decision, Verdict
 from drumbay.quarantine.service import Quarantine
 from drumbay.usage.counter import UsageCounter
@@ -46,6 +49,7 @@
     WorkerBrokenError,
     WorkerError,
     WorkerMisdirectedError,
+    WorkerNotEligibleError,
     WorkerRefusedError,
     WorkerRequest,
     WorkerResponse,
@@ -82,7 +86,7 @@
         directory: WorkerDirectory,
         routes: RouteTable,
         client: WorkerClient,
-        zone: str,
+        placement: PlacementGate,
         metrics: ServingMetrics,
         usage: UsageCounter,
         quarantine: Quarantine,
@@ -90,10 +94,10 @@
         *,
         has_admission: bool = True,
     ) -> None:
-        """Create a forwarder for a node in ``zone``.
+        """Create a forwarder.
 
-        ``machine`` seeds the order in which equally good workers are tried, so that nodes spread
-        over them.
+        ``placement`` decides which workers may get a request. ``machine`` seeds the order in which
+        equally good workers are tried, so that nodes spread over them.
         """
         self.quarantine = quarantine
         self.clock = clock
@@ -101,8 +105,10 @@
         self.client = client
         self.metrics = metrics
         self.hedge_timing = HedgeTiming(clock.monotonic())
-        self.picker = WorkerPicker(directory, client, self.hedge_timing, zone, machine)
-        self.caller = WorkerCaller(clock, directory, client, self.hedge_timing, quarantine)
+        self.picker = WorkerPicker(directory, client, self.hedge_timing, placement, machine)
+        self.caller = WorkerCaller(
+            clock, directory, client, self.hedge_timing, quarantine, placement
+        )
         self._routes = routes
         self._usage = usage
         self.admission = AdmissionGate(clock, directory, metrics, is_enabled=has_admission)
@@ -115,7 +121,12 @@
         """
         service = self._routes.choose_service(route)
         forwarding = _ForwardedRequest(
-            self, route, service, request, self._routes.priority_levels_of(service)
+            self,
+            route,
+            service,
+            request,
+            self._routes.priority_levels_of(service),
+            self._routes.allowed_regions(route, request.tenant).intersect(request.regions),
         )
         started_at = self.clock.monotonic()
         ticket = self._usage.open() if request.tenant is not None else None
@@ -158,6 +169,7 @@
         service: str,
         request: ClientRequest,
         priority_levels: frozenset[int],
+        regions: AllowedRegions,
     ) -> None:
         self._clock = forwarder.clock
         self._directory = forwarder.directory
@@ -170,6 +182,7 @@
         self._route = route
         self._service = service
         self._request = request
+        self._regions = regions
         self._fingerprint = request.fingerprint
         self._started_at = self._clock.monotonic()
         limit_seconds = min(request.budget_seconds, route.timeout_seconds)
@@ -202,6 +215,7 @@
 
     async def run(self) -> WorkerResponse:
         """Send attempts until one succeeds or no further attempt is allowed."""
+        self._raise_if_excluded()
         await self._admission.acquire()
         self._next_send_at = self._clock.monotonic()
         self._hedge_timing.record_request(
@@ -228,6 +242,22 @@
             else:
                 raise self._forwarding_error(timed_out=False)
 
+    def _raise_if_excluded(self) -> None:
+        """Reject a request at once that no worker may get, as far as is known.
+
+        Raises:
+            NoWorkerError: Every worker is in an evacuated zone or outside the allowed regions.
+        """
+        if self._regions.is_empty or self._picker.is_excluded(self._service, self._regions):
+            log_event(
+                "request_excluded",
+                request=self._request.request_id,
+                service=self._service,
+                restricted=self._regions.is_restricted,
+                allowed_regions=",".join(self._regions.names()),
+            )
+            raise self._forwarding_error(timed_out=False)
+
     def _needs_readmission(self, now: float) -> bool:
         """Return whether the request should queue for admission again after refusals by workers."""
         if not self._is_service_full or self._attempts or not self._has_not_run():
@@ -238,7 +268,9 @@
             self._refusal_count - self._refusals_before_admission > MAX_REFUSALS_PER_ADMISSION
             or not any(
                 record.is_available(now)
-                for record in self._picker.allowed_workers(self._service, self._avoided_workers)
+                for record in self._picker.allowed_workers(
+                    self._service, self._avoided_workers, self._regions
+                )
             )
         )
 
@@ -427,6 +459,7 @@
             body_bytes=len(self._request.body),
             tried=self._tried,
             avoided_workers=self._avoided_workers,
+            regions=self._regions,
         )
 
     def _send(self, record: WorkerRecord, choice: ChosenWorker, remaining: float) -> None:
@@ -455,7 +488,9 @@
         record.in_flight += 1
         record.body_bytes += len(request.body)
         task = asyncio.get_running_loop().create_task(
-            self._caller.call(record.worker, worker_request, self._route, self._fingerprint)
+            self._caller.call(
+                record.worker, worker_request, self._route, self._fingerprint, self._regions
+            )
         )
         # A task that is cancelled before it starts never reaches a ``finally`` block of its own.
         task.add_done_callback(lambda _: _subtract_in_flight(record, len(request.body)))
@@ -478,6 +513,8 @@
             self._metrics.observe_expected_time(expected_seconds, now - attempt.sent_at)
             self._record_worker_failures(now)
             return response
+        except WorkerNotEligibleError:
+            self._refusal_count += 1
         except WorkerMisdirectedError:
             self._refusal_count += 1
             self._directory.pause(worker_id, now, MISDIRECTED_PAUSE_SECONDS, worker_started_at_ms)
--- a/drumbay/forwarding/records.py
+++ b/drumbay/forwarding/records.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from drumbay.exceptions import Execution, RequestFailedError
+from drumbay.placement.regions import ANY_REGION, AllowedRegions
 from drumbay.quarantine.fingerprint import Fingerprint, fingerprint_of
 from drumbay.tenants.records import TenantName
 
@@ -66,7 +67,8 @@
 
     ``tenant`` is the owner of the request's API key. ``caller_address`` is the client's address,
     empty for internal requests. ``priority`` 0 is the most urgent. ``reward_order`` is set for
-    reward requests, which are queued behind client requests.
+    reward requests, which are queued behind client requests. ``regions`` restricts the request in
+    addition to its route and tenant.
     """
 
     request_id: str
@@ -80,6 +82,7 @@
     caller_address: str = ""
     priority: int = 0
     reward_order: RewardOrder | None = None
+    regions: AllowedRegions = ANY_REGION
 
     @property
     def is_interactive(self) -> bool:
--- a/drumbay/forwarding/routes.py
+++ b/drumbay/forwarding/routes.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from drumbay.placement.regions import ANY_REGION, AllowedRegions
+from drumbay.placement.warm_up import WarmUp
 from drumbay.scaling.records import ServiceScaling
 from drumbay.tenants.records import KeyTable, TenantName
 
@@ -44,6 +46,7 @@
     one_version_only: bool = False
     is_public: bool = False
     priority: int = 0
+    allowed_regions: AllowedRegions = ANY_REGION
 
 
 class RequestLimits(msgspec.Struct, frozen=True, kw_only=True):
@@ -60,7 +63,8 @@
 
     ``keys`` is ``None`` if no tenants are configured, so that no request needs an API key.
     ``scaling`` lists the services whose worker count is managed, ``services`` those declared in
-    addition to the ones that routes refer to.
+    addition to the ones that routes refer to. ``warm_ups`` lists the services whose workers bear
+    few requests after a start.
     """
 
     version: int
@@ -69,6 +73,7 @@
     keys: KeyTable | None = None
     scaling: tuple[ServiceScaling, ...] = ()
     services: frozenset[str] = frozenset()
+    warm_ups: tuple[WarmUp, ...] = ()
 
     @property
     def configured_services(self) -> frozenset[str]:
@@ -87,6 +92,12 @@
             return route.priority
         return self.keys.priorities.get(tenant, route.priority)
 
+    def allowed_regions(self, route: Route, tenant: TenantName | None) -> AllowedRegions:
+        """Return the regions that both a request's route and its tenant allow."""
+        if tenant is None or self.keys is None:
+            return route.allowed_regions
+        return route.allowed_regions.intersect(self.keys.allowed_regions.get(tenant, ANY_REGION))
+
     def priority_levels_of(self, service: str) -> frozenset[int]:
         """Return the priorities that requests to a service may have."""
         routes = [
@@ -125,6 +136,16 @@
         ...
 
 
+class BatchRegions(Protocol):
+    """Reports in which regions a batch job may run and be held in the current configuration."""
+
+    def batch_regions(
+        self, route_name: str, tenant: TenantName | None, recorded: AllowedRegions
+    ) -> AllowedRegions:
+        """Return the allowed regions; ``recorded`` ones if the route is gone."""
+        ...
+
+
 class RouteTable:
     """Holds the current configuration; older versions are ignored."""
 
@@ -158,6 +179,28 @@
             )
         return priority_levels
 
+    def allowed_regions(self, route: Route, tenant: TenantName | None) -> AllowedRegions:
+        """Return the regions in which a request may run under the current configuration."""
+        if self._current is None:
+            return route.allowed_regions
+        return self._current.allowed_regions(route, tenant)
+
+    def batch_regions(
+        self, route_name: str, tenant: TenantName | None, recorded: AllowedRegions
+    ) -> AllowedRegions:
+        """Return the regions in which a batch job may run and be held.
+
+        Args:
+            route_name: The route that accepted it.
+            tenant: Its tenant.
+            recorded: The regions allowed at its submission, used if the route is gone.
+        """
+        routes = self._current.routes if self._current is not None else ()
+        route = next((route for route in routes if route.name == route_name), None)
+        if route is None:
+            return recorded
+        return self.allowed_regions(route, tenant)
+
     def batch_routes(self, service: str) -> int:
         """Return how many routes submit batch jobs to a service."""
         return sum(route.kind is RequestKind.ROLLOUT for route in self._routes_to(service))
--- a/drumbay/forwarding/worker_call.py
+++ b/drumbay/forwarding/worker_call.py
@@ -6,6 +6,8 @@
 from drumbay.forwarding.hedge_timing import HedgeTiming
 from drumbay.forwarding.routes import Route
 from drumbay.forwarding.worker_choice import relative_latency_of
+from drumbay.placement.gate import PlacementGate
+from drumbay.placement.regions import AllowedRegions
 from drumbay.quarantine.fingerprint import Fingerprint
 from drumbay.quarantine.service import Quarantine
 from drumbay.workers.directory import WorkerDirectory
@@ -23,6 +25,7 @@
         client: WorkerClient,
         hedge_timing: HedgeTiming,
         quarantine: Quarantine,
+        placement: PlacementGate,
     ) -> None:
         """Create a caller that reports to ``directory`` and ``hedge_timing``."""
         self._clock = clock
@@ -30,15 +33,23 @@
         self._client = client
         self._hedge_timing = hedge_timing
         self._quarantine = quarantine
+        self._placement = placement
 
     async def call(
-        self, worker: Worker, request: WorkerRequest, route: Route, fingerprint: Fingerprint
+        self,
+        worker: Worker,
+        request: WorkerRequest,
+        route: Route,
+        fingerprint: Fingerprint,
+        regions: AllowedRegions,
     ) -> WorkerResponse:
         """Return the worker's complete response.
 
         Raises:
+            WorkerNotEligibleError: The worker must not get the request now; it was not sent.
             WorkerError: No complete response arrived.
         """
+        self._placement.admit(worker, regions, request.request_id)
         started_at = self._clock.monotonic()
         self._quarantine.begin_run(fingerprint, worker.worker_id)
         try:
--- a/drumbay/forwarding/worker_picker.py
+++ b/drumbay/forwarding/worker_picker.py
@@ -14,6 +14,8 @@
 )
 from drumbay.identifiers import BackendId
 from drumbay.limits.worker_bodies import may_send_body
+from drumbay.placement.gate import PlacementGate
+from drumbay.placement.regions import ANY_REGION, AllowedRegions
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
 from drumbay.workers.worker_record import WorkerRecord
@@ -22,7 +24,8 @@
 class SendCriteria(msgspec.Struct, frozen=True, kw_only=True):
     """Constraints on the worker for the next attempt.
 
-    ``tried`` workers have already received the request; ``avoided_workers`` must not receive it.
+    ``tried`` workers have already received the request; ``avoided_workers`` must not receive it,
+    nor must workers outside the allowed ``regions``.
     """
 
     route: Route
@@ -30,6 +33,7 @@
     body_bytes: int
     tried: Set[BackendId]
     avoided_workers: Set[BackendId]
+    regions: AllowedRegions = ANY_REGION
 
 
 class WorkerPicker:
@@ -40,24 +44,34 @@
         directory: WorkerDirectory,
         client: WorkerClient,
         hedge_timing: HedgeTiming,
-        zone: str,
+        placement: PlacementGate,
         machine: str,
     ) -> None:
-        """Create a picker for a node in ``zone``, based on the records of a directory.
+        """Create a picker based on the records of a directory.
 
         ``machine`` breaks ties between workers, differently on each machine.
         """
         self._directory = directory
         self._client = client
         self._hedge_timing = hedge_timing
-        self._zone = zone
+        self._placement = placement
         self._machine = machine
 
-    def allowed_workers(self, service: str, avoided_workers: Set[BackendId]) -> list[WorkerRecord]:
-        """Return the workers of a service except the avoided ones."""
-        records = self._directory.of_service(service)
+    def allowed_workers(
+        self,
+        service: str,
+        avoided_workers: Set[BackendId],
+        regions: AllowedRegions = ANY_REGION,
+    ) -> list[WorkerRecord]:
+        """Return the workers of a service that may get a request, except the avoided ones."""
+        records = self._placement.eligible(self._directory.of_service(service), regions)
         return [record for record in records if record.worker.worker_id not in avoided_workers]
 
+    def is_excluded(self, service: str, regions: AllowedRegions) -> bool:
+        """Return whether a service has workers, but none in an allowed and active zone."""
+        records = self._directory.of_service(service)
+        return bool(records) and not self._placement.in_service(records, regions)
+
     def choose(self, criteria: SendCriteria, now: float) -> ChosenWorker | None:
         """Return the worker for the next attempt; ``None`` if none is eligible.
 
@@ -66,7 +80,9 @@
         """
         records = [
             record
-            for record in self.allowed_workers(criteria.service, criteria.avoided_workers)
+            for record in self.allowed_workers(
+                criteria.service, criteria.avoided_workers, criteria.regions
+            )
             if may_send_body(record.body_bytes, criteria.body_bytes)
         ]
         available = [record for record in records if record.is_available(now)]
@@ -100,5 +116,5 @@
             last_run_at=record.response_stats.last_run_at,
             paused_until=record.paused_until,
             has_idle_connection=self._client.has_idle_connection(record.worker),
-            is_same_zone=record.worker.zone == self._zone,
+            is_same_zone=record.worker.zone == self._placement.topology.zone,
         )
--- a/drumbay/observability/serving_metrics.py
+++ b/drumbay/observability/serving_metrics.py
@@ -172,6 +172,13 @@
             registry=self._registry,
         )
 
+        self._ineligible = Counter(
+            "drumbay_serving_ineligible_workers",
+            "Sends that were refused since the worker may not get the request now, by reason.",
+            ("reason",),
+            registry=self._registry,
+        )
+
         self._waiting = Gauge(
             "drumbay_serving_admission_waiting",
             "Requests that wait for a service.",
@@ -206,6 +213,10 @@
         """Count a request rejected for lack of memory, or an unread response."""
         self._shed_requests.labels(kind, reason).inc()
 
+    def count_ineligible(self, reason: str) -> None:
+        """Count a send to a worker that was refused by a placement constraint."""
+        self._ineligible.labels(reason).inc()
+
     def set_waiting(self, service: str, count: int) -> None:
         """Set the number of requests waiting for admission to a service."""
         self._waiting.labels(service).set(count)
--- /dev/null
+++ b/drumbay/placement/gate.py
@@ -0,0 +1,110 @@
+"""Applies the placement constraints to this node's sends to workers."""
+
+from collections.abc import Iterable
+from typing import Protocol
+
+from drumbay.clock import Clock
+from drumbay.observability.logs import log_event
+from drumbay.placement.eligibility import Ineligibility, WorkerPlace, ineligibility
+from drumbay.placement.evacuations import EvacuatedZones
+from drumbay.placement.regions import ANY_REGION, AllowedRegions
+from drumbay.placement.topology import Topology
+from drumbay.placement.warm_up import StartLimiter, UnlimitedStarts
+from drumbay.workers.records import Worker, WorkerNotEligibleError
+from drumbay.workers.worker_record import WorkerRecord
+
+LASTING_REASONS = frozenset({Ineligibility.ZONE_EVACUATED, Ineligibility.REGION_NOT_ALLOWED})
+"""Reasons that a request need not wait for: they rarely end before its deadline."""
+
+
+class PlacementMetrics(Protocol):
+    """Counts refused sends."""
+
+    def count_ineligible(self, reason: str) -> None:
+        """Count a send that was refused as its last step, by reason."""
+        ...
+
+
+class PlacementGate:
+    """Decides which workers may get a request from this node now.
+
+    Attributes:
+        topology: The zones and regions.
+        evacuations: The evacuated zones.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        topology: Topology,
+        evacuations: EvacuatedZones,
+        metrics: PlacementMetrics,
+        starts: StartLimiter | None = None,
+    ) -> None:
+        """Create a gate; without ``starts`` the number of starts is not limited."""
+        self.topology = topology
+        self.evacuations = evacuations
+        self._clock = clock
+        self._metrics = metrics
+        self._starts: StartLimiter = starts or UnlimitedStarts()
+
+    def check(self, worker: Worker, regions: AllowedRegions = ANY_REGION) -> Ineligibility | None:
+        """Return why a worker may not get a request now, ``None`` if it may."""
+        place = WorkerPlace(
+            zone=worker.zone,
+            region=self.topology.region_of(worker.zone),
+            remaining_starts=self.remaining_starts(worker),
+        )
+        return ineligibility(place, regions, self.evacuations.zones)
+
+    def remaining_starts(self, worker: Worker) -> float:
+        """Return how many requests this node may start at a worker now."""
+        return self._starts.remaining_starts(worker, self._clock.monotonic())
+
+    def is_cold(self, worker: Worker) -> bool:
+        """Return whether a worker is known to be cold."""
+        return self._starts.is_cold(worker, self._clock.monotonic())
+
+    def eligible(
+        self, records: Iterable[WorkerRecord], regions: AllowedRegions = ANY_REGION
+    ) -> list[WorkerRecord]:
+        """Return the workers that may get a request now."""
+        return [record for record in records if self.check(record.worker, regions) is None]
+
+    def in_service(
+        self, records: Iterable[WorkerRecord], regions: AllowedRegions = ANY_REGION
+    ) -> list[WorkerRecord]:
+        """Return the workers that count as capacity, whether or not they may start more now."""
+        return [
+            record
+            for record in records
+            if self.check(record.worker, regions) not in LASTING_REASONS
+        ]
+
+    def admit(self, worker: Worker, regions: AllowedRegions, request_id: str) -> None:
+        """Check a send as the last step before it, and count it.
+
+        Raises:
+            WorkerNotEligibleError: The request must not be sent to this worker now.
+        """
+        reason = self.check(worker, regions)
+        if reason is None:
+            self._starts.record_start(worker, self._clock.monotonic())
+            return
+        self._metrics.count_ineligible(reason)
+        log_event(
+            "worker_not_eligible",
+            request=request_id,
+            worker=worker.worker_id,
+            zone=worker.zone,
+            reason=reason,
+            allowed_regions=",".join(regions.names()),
+        )
+        raise WorkerNotEligibleError(reason)
+
+    def may_resend(self, worker: Worker) -> bool:
+        """Return whether a request that was admitted may be sent to its worker again."""
+        if self.check(worker) is not None:
+            return False
+        self._starts.record_start(worker, self._clock.monotonic())
+        return True
--- /dev/null
+++ b/drumbay/placement/regions.py
@@ -0,0 +1,52 @@
+"""Sets of regions in which a request may run and its body may be held."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from drumbay.placement.topology import UNKNOWN_REGION
+
+
+class AllowedRegions(msgspec.Struct, frozen=True):
+    """Regions in which a request may run; ``None`` if it may run in any region.
+
+    An empty set allows no region, as when the regions of a route and a tenant do not meet.
+    """
+
+    regions: frozenset[str] | None = None
+
+    @classmethod
+    def of(cls, regions: Iterable[str]) -> "AllowedRegions":
+        """Return the configured regions; an empty configuration allows every region."""
+        return cls(frozenset(regions) or None)
+
+    @property
+    def is_restricted(self) -> bool:
+        """Return whether any region is excluded."""
+        return self.regions is not None
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no region is allowed."""
+        return self.regions is not None and not self.regions
+
+    def permits(self, region: str) -> bool:
+        """Return whether a request may run in a region; never in an unknown one if restricted."""
+        if self.regions is None:
+            return True
+        return region != UNKNOWN_REGION and region in self.regions
+
+    def intersect(self, other: "AllowedRegions") -> "AllowedRegions":
+        """Return the regions that both allow."""
+        if self.regions is None:
+            return other
+        if other.regions is None:
+            return self
+        return AllowedRegions(self.regions & other.regions)
+
+    def names(self) -> tuple[str, ...]:
+        """Return the region names in order; empty if unrestricted."""
+        return tuple(sorted(self.regions or ()))
+
+
+ANY_REGION = AllowedRegions()
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -42,6 +42,9 @@
 )
 from drumbay.peers.notices import NoticeQueues
 from drumbay.peers.store_relay import RelayingStore, StoreRelayServer
+from drumbay.placement.evacuations import EvacuatedZones
+from drumbay.placement.gate import PlacementGate
+from drumbay.placement.topology import Topology
 from drumbay.quarantine.records import (
     QuarantineNotice,
     RequestProvedSound,
@@ -123,6 +126,14 @@
         if environment.connections is not None:
             environment.connections.set_silence_callback(self.metrics.count_silent_connection)
         self.routes = RouteTable()
+        self.evacuations = EvacuatedZones()
+        self.placement = PlacementGate(
+            clock,
+            Topology(zone=settings.zone, regions=settings.regions),
+            self.evacuations,
+            self.metrics,
+        )
+        environment.workers.set_resend_check(self.placement.may_resend)
         self.announced_versions = AnnouncedVersions()
         self.quarantine = Quarantine(
             clock,
@@ -140,7 +151,7 @@
             self.directory,
             self.routes,
             environment.workers,
-            settings.zone,
+            self.placement,
             self.metrics,
             self._usage.counter,
             self.quarantine,
@@ -169,6 +180,7 @@
             self._broadcast,
             self._notice_queues.send,
             self.routes,
+            self.placement,
             settings.is_enabled(LoadFeature.SHARED_SLOTS),
             self.metrics,
         )
--- a/drumbay/serving/settings.py
+++ b/drumbay/serving/settings.py
@@ -1,6 +1,7 @@
 """Settings and dependencies of a serving node."""
 
 import random
+from collections.abc import Mapping
 
 import msgspec
 
@@ -10,6 +11,7 @@
 from drumbay.duties.interface import PlatformDuties
 from drumbay.kv.interface import KeyValueStore
 from drumbay.peers.transport import PeerClient
+from drumbay.placement.warm_up import WarmUpTolerance
 from drumbay.serving.load_features import LoadFeature
 from drumbay.usage.service import UsageSettings
 from drumbay.workers.interface import WorkerClient
@@ -36,6 +38,8 @@
         orders_workers: Whether this system manages the worker count.
         held_bytes: Memory limit for client requests and responses; ``None`` if unlimited.
         disabled_parts: Load management features that are disabled.
+        regions: Region of each zone; empty in deployments without regions.
+        warm_up_tolerance: By how much a cold worker's rate may be exceeded.
     """
 
     machine: str
@@ -53,6 +57,8 @@
     orders_workers: bool = False
     held_bytes: int | None = None
     disabled_parts: frozenset[LoadFeature] = frozenset()
+    regions: Mapping[str, str] = msgspec.field(default_factory=dict)
+    warm_up_tolerance: WarmUpTolerance = WarmUpTolerance()
 
     def is_enabled(self, feature: LoadFeature) -> bool:
         """Return whether a load management feature is enabled."""
--- a/drumbay/standins/worker_pool.py
+++ b/drumbay/standins/worker_pool.py
@@ -180,6 +180,9 @@
 
     # Requests
 
+    def set_resend_check(self, may_resend: Callable[[Worker], bool]) -> None:
+        """Ignore the check, since no request is sent again by itself."""
+
     def has_idle_connection(self, worker: Worker) -> bool:
         """Return whether the caller has an idle connection to a worker."""
         return worker.worker_id in self.idle_connections
--- a/drumbay/tenants/records.py
+++ b/drumbay/tenants/records.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from drumbay.placement.regions import ANY_REGION, AllowedRegions
+
 TenantName = NewType("TenantName", str)
 
 KeyDigest = NewType("KeyDigest", bytes)
@@ -26,16 +28,19 @@
     name: TenantName
     key_digests: tuple[KeyDigest, ...]
     priority: int | None = None
+    allowed_regions: AllowedRegions = ANY_REGION
 
 
 class KeyTable(msgspec.Struct, frozen=True, kw_only=True):
     """Maps the API keys of a configuration to tenants.
 
-    ``priorities`` contains the tenants with a priority of their own.
+    ``priorities`` contains the tenants with a priority of their own, ``allowed_regions`` those that
+    are restricted to some regions.
     """
 
     tenants_by_digest: Mapping[KeyDigest, TenantName]
     priorities: Mapping[TenantName, int] = msgspec.field(default_factory=dict)
+    allowed_regions: Mapping[TenantName, AllowedRegions] = msgspec.field(default_factory=dict)
 
     @classmethod
     def of(cls, tenants: Iterable[Tenant]) -> "KeyTable":
@@ -46,6 +51,11 @@
                 digest: tenant.name for tenant in tenant_list for digest in tenant.key_digests
             },
             priorities={t.name: t.priority for t in tenant_list if t.priority is not None},
+            allowed_regions={
+                tenant.name: tenant.allowed_regions
+                for tenant in tenant_list
+                if tenant.allowed_regions.is_restricted
+            },
         )
 
     def tenant_of(self, key: str) -> TenantName | None:
--- a/drumbay/workers/interface.py
+++ b/drumbay/workers/interface.py
@@ -1,6 +1,6 @@
 """Client interface for calls to workers."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import AbstractAsyncContextManager
 from typing import Protocol
 
@@ -46,6 +46,10 @@
     Cancelling a call closes its connection, upon which the worker stops processing it.
     """
 
+    def set_resend_check(self, may_resend: Callable[[Worker], bool]) -> None:
+        """Ask ``may_resend`` before a request whose idle connection had closed is sent again."""
+        ...
+
     def has_idle_connection(self, worker: Worker) -> bool:
         """Return whether a repeatable request could reuse an idle connection."""
         ...
--- a/drumbay/workers/records.py
+++ b/drumbay/workers/records.py
@@ -33,7 +33,8 @@
 
     ``versions`` maps models to weight versions; ``release`` is the software version. A worker that
     restarts under the same id has lost its state; ``started_at_ms`` (Unix milliseconds, 0 if
-    unknown) identifies the incarnation.
+    unknown) identifies the incarnation. ``warm_up_left_seconds`` is how long it stays cold, as of
+    its entry.
     """
 
     worker_id: BackendId
@@ -45,6 +46,7 @@
     versions: Mapping[str, WeightVersion]
     release: str = ""
     started_at_ms: int = 0
+    warm_up_left_seconds: float = 0.0
 
     @property
     def incarnation(self) -> "WorkerIncarnation":
@@ -101,7 +103,8 @@
 class WorkerResponse(msgspec.Struct, frozen=True, kw_only=True):
     """A worker's complete response, returned to the client unchanged.
 
-    ``stamp`` is the worker's identifier of the run.
+    ``stamp`` is the worker's identifier of the run. ``warm_up_left_seconds`` is how long the worker
+    stays cold, ``None`` if it does not say.
     """
 
     status: int
@@ -109,6 +112,7 @@
     body: bytes
     load: WorkerLoad | None
     stamp: str = ""
+    warm_up_left_seconds: float | None = None
 
 
 class StreamEvent(msgspec.Struct, frozen=True, kw_only=True):
@@ -172,6 +176,12 @@
     code = "worker_refused"
 
 
+class WorkerNotEligibleError(WorkerRefusedError):
+    """This node must not send the request to the worker now; it was not sent."""
+
+    code = "worker_not_eligible"
+
+
 class WorkerMisdirectedError(WorkerRefusedError):
     """Another worker, or one with other weights, has the address; the request did not run."""
 
--- a/tests/serving_world.py
+++ b/tests/serving_world.py
@@ -27,8 +27,12 @@
 )
 from drumbay.identifiers import WeightVersion
 from drumbay.kv.memory import MemoryKeyValueStore
+from drumbay.observability.serving_metrics import ServingMetrics
 from drumbay.peers.messages import PeerReply, PeerRequest, Ping
 from drumbay.peers.transport import PeerClient, PeerUnavailableError
+from drumbay.placement.evacuations import EvacuatedZones
+from drumbay.placement.gate import PlacementGate
+from drumbay.placement.topology import Topology
 from drumbay.serving.node import ServingNode
 from drumbay.serving.settings import ServingEnvironment, ServingSettings
 from drumbay.simulation.simulation_clock import SimulationClock
@@ -58,6 +62,11 @@
 )
 
 
+def unrestricted_placement(clock: Clock, zone: str = "zone-1") -> PlacementGate:
+    """Return a gate of a node in a zone, without evacuations or limits."""
+    return PlacementGate(clock, Topology(zone=zone), EvacuatedZones(), ServingMetrics())
+
+
 class LoopbackPeers:
     """In-process calls between the nodes of a world; unreachable nodes time out."""
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -31,7 +31,7 @@
 from drumbay.usage.records import WindowLength
 from drumbay.usage.window_clock import WindowClock
 from drumbay.workers.directory import WorkerDirectory
-from tests.serving_world import ServingWorld, run_in_world
+from tests.serving_world import ServingWorld, run_in_world, unrestricted_placement
 
 LOOKUPS = "lookups"
 
@@ -72,7 +72,15 @@
     address = NetworkAddress("127.0.0.1", 1)
     usage = UsageCounter(WindowClock(clock), WindowLength(5.0), address, "boot")
     return Forwarder(
-        clock, directory, RouteTable(), workers, "zone-1", metrics, usage, quarantine, ""
+        clock,
+        directory,
+        RouteTable(),
+        workers,
+        unrestricted_placement(clock),
+        metrics,
+        usage,
+        quarantine,
+        "",
     )
 
 
@@ -90,7 +98,7 @@
             directory,
             RouteTable(),
             world.workers,
-            "zone-1",
+            unrestricted_placement(world.clock),
             ServingMetrics(),
             self.usage,
             world.nodes[0].node.quarantine,
--- a/tests/test_lookup_forwarding.py
+++ b/tests/test_lookup_forwarding.py
@@ -15,7 +15,7 @@
 from drumbay.usage.records import WindowLength
 from drumbay.usage.window_clock import WindowClock
 from drumbay.workers.records import WorkerLoad
-from tests.serving_world import ServingWorld, run_in_world
+from tests.serving_world import ServingWorld, run_in_world, unrestricted_placement
 from tests.test_forwarding import LOOKUPS, request, route
 
 CALLER = "10.9.0.1"
@@ -40,7 +40,7 @@
             self.directory,
             RouteTable(),
             world.workers,
-            "zone-1",
+            unrestricted_placement(world.clock),
             self.metrics,
             usage,
             world.nodes[0].node.quarantine,
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -25,7 +25,7 @@
 from drumbay.usage.window_clock import WindowClock
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.records import Worker, WorkerRequest
-from tests.serving_world import ServingWorld, batch_spec, run_in_world
+from tests.serving_world import ServingWorld, batch_spec, run_in_world, unrestricted_placement
 
 SERVICE = "lookups"
 WORKERS = 3
@@ -68,7 +68,7 @@
             self.directory,
             RouteTable(),
             self.client,
-            "zone-1",
+            unrestricted_placement(clock),
             ServingMetrics(),
             UsageCounter(WindowClock(clock), WindowLength(5.0), self.workers[0].address, "boot"),
             Quarantine(
