Register the zone of each node in the directory of nodes

Cause: no node knows the place of another, so owners, takeovers and relays cannot stay in regions. Change: the entry of a node names its zone; an entry of an earlier release has none, and earlier releases ignore the field. PeerDirectory tells which nodes are in given regions. The counter of ineligible workers joins the list of documented counters. Conclusion: interface for regions in routing and in batch jobs.

--- a/drumbay/peers/directory.py
+++ b/drumbay/peers/directory.py
@@ -31,6 +31,8 @@
 from drumbay.kv.recovery_signal import RecoverySignal
 from drumbay.observability.logs import log_event
 from drumbay.peers.watchers import RegisteredNode, WatcherRanking
+from drumbay.placement.regions import AllowedRegions
+from drumbay.placement.topology import Topology
 
 NODE_PREFIX = "drumbay/nodes/"
 FIRST_RETRY_SECONDS = 0.5
@@ -58,8 +60,22 @@
 FEED_DEBOUNCE_SECONDS = 1.0
 """Batches the changes of a rolling restart; no caller needs new entries sooner."""
 
+
+class NodeEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """Stored entry of a node; earlier releases store no zone and ignore it."""
+
+    host: str
+    port: int
+    zone: str = ""
+
+    @property
+    def address(self) -> NetworkAddress:
+        """Return the node's address."""
+        return NetworkAddress(self.host, self.port)
+
+
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(NetworkAddress)
+_decoder = msgspec.msgpack.Decoder(NodeEntry)
 
 
 class PeerDirectory:
@@ -70,6 +86,7 @@
         clock: Clock,
         store: KeyValueStore,
         address: NetworkAddress,
+        topology: Topology,
         generator: random.Random,
         on_store_suspect: Callable[[], None],
     ) -> None:
@@ -79,12 +96,15 @@
             clock: Time source.
             store: The key-value store, reached directly.
             address: Address of this node.
+            topology: The zones and regions, and the zone of this node.
             generator: Random source for shuffling candidates.
             on_store_suspect: Called when connections to the store may be dead.
         """
         self._clock = clock
         self._store = store
         self._address = address
+        self._topology = topology
+        self._zones: dict[NetworkAddress, str] = {address: topology.zone}
         self._generator = generator
         self._on_store_suspect = on_store_suspect
         self._unresponsive_until: dict[NetworkAddress, float] = {}
@@ -113,22 +133,24 @@
 
     def _apply_snapshot(self, items: tuple[KeyValue, ...], unseen_seconds: float) -> None:
         del unseen_seconds
-        found = {_decoder.decode(item.value): item.create_revision for item in items}
+        entries = [(_decoder.decode(item.value), item.create_revision) for item in items]
+        found = {entry.address for entry, _ in entries}
         for address in [known for known in self._registered if known not in found]:
             self._remove_entry(address)
-        for address, revision in found.items():
-            self._add_entry(address, revision)
+        for entry, revision in entries:
+            self._add_entry(entry, revision)
         self._update_ranking()
 
     def _apply_event(self, event: WatchEvent) -> None:
         if event.item is None:
             self._remove_entry(NetworkAddress.parse(event.key.removeprefix(NODE_PREFIX)))
         else:
-            address = _decoder.decode(event.item.value)
-            self._add_entry(address, event.item.create_revision)
+            self._add_entry(_decoder.decode(event.item.value), event.item.create_revision)
         self._update_ranking()
 
-    def _add_entry(self, address: NetworkAddress, revision: Revision) -> None:
+    def _add_entry(self, entry: NodeEntry, revision: Revision) -> None:
+        address = entry.address
+        self._zones[address] = entry.zone
         if self._registered.get(address) == revision:
             return
         self._registered[address] = revision
@@ -157,6 +179,7 @@
         for address, unresponsive_until in list(self._unresponsive_until.items()):
             if address not in self._registered and unresponsive_until <= now:
                 del self._unresponsive_until[address]
+                self._zones.pop(address, None)
 
     # Peer selection
 
@@ -188,6 +211,20 @@
             address for address in self._unresponsive_until if not self.is_unresponsive(address)
         ]
 
+    # Places of nodes
+
+    def zone_of(self, address: NetworkAddress) -> str:
+        """Return the zone of a node, empty if it is not known."""
+        return self._zones.get(address, "")
+
+    def is_in(self, address: NetworkAddress, regions: AllowedRegions) -> bool:
+        """Return whether a node is in one of the given regions, as far as is known."""
+        return regions.permits(self._topology.region_of(self.zone_of(address)))
+
+    def responsive_in(self, regions: AllowedRegions) -> list[NetworkAddress]:
+        """Return every other node in the given regions that is not known to be unresponsive."""
+        return [address for address in self.responsive() if self.is_in(address, regions)]
+
     # Own registration
 
     async def run_heartbeat(self) -> None:
@@ -219,7 +256,11 @@
         lease = await self._store.grant_lease(LEASE_SECONDS)
         entry = Put(
             key=f"{NODE_PREFIX}{self._address}",
-            value=_encoder.encode(self._address),
+            value=_encoder.encode(
+                NodeEntry(
+                    host=self._address.host, port=self._address.port, zone=self._topology.zone
+                )
+            ),
             lease_id=lease.lease_id,
         )
         await self._store.transact((), (entry,))
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -95,11 +95,13 @@
         self.memory = MemoryAccounting(held_bytes, self.metrics)
         self._direct_store = CountedStore(clock, environment.store, self.metrics)
         address = settings.identity.address
+        topology = Topology(zone=settings.zone, regions=settings.regions)
         self._usage = UsageService(clock, settings.usage, settings.identity)
         self._peer_directory = PeerDirectory(
             clock,
             self._direct_store,
             address,
+            topology,
             environment.generator,
             self._mark_store_suspect,
         )
@@ -129,7 +131,7 @@
         self.evacuations = EvacuatedZones()
         self.placement = PlacementGate(
             clock,
-            Topology(zone=settings.zone, regions=settings.regions),
+            topology,
             self.evacuations,
             self.metrics,
         )
--- a/tests/test_node_heartbeat.py
+++ b/tests/test_node_heartbeat.py
@@ -16,6 +16,7 @@
     NODE_PREFIX,
     PeerDirectory,
 )
+from drumbay.placement.topology import Topology
 from drumbay.simulation.simulation_clock import SimulationClock
 from drumbay.simulation.virtual_time import run_simulation
 from drumbay.standins.kv_model import KeyValueModel
@@ -57,7 +58,9 @@
         async def scenario() -> int:
             clock = SimulationClock()
             store = CountingStore(KeyValueModel(clock), clock)
-            directory = PeerDirectory(clock, store, OWN, random.Random(1), lambda: None)
+            directory = PeerDirectory(
+                clock, store, OWN, Topology(zone="zone-1"), random.Random(1), lambda: None
+            )
             directory.feed.on_snapshot(entries(own_created=500), 0.0)
             heartbeat = asyncio.ensure_future(directory.run_heartbeat())
             await asyncio.sleep(1.0)
--- a/tests/test_operations_document.py
+++ b/tests/test_operations_document.py
@@ -92,6 +92,7 @@
                 "worker_pauses",
                 "worker_deaths",
                 "held_requests",
+                "ineligible_workers",
                 "shed_requests",
                 "store_purposes",
                 "hedges",
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -18,6 +18,7 @@
 from drumbay.peers.directory import PeerDirectory
 from drumbay.peers.freshness import POLL_SECONDS
 from drumbay.peers.store_relay import RelayingStore
+from drumbay.placement.topology import Topology
 from drumbay.simulation.simulation_clock import SimulationClock
 from drumbay.standins.kv_faults import KeyValueFaults
 from drumbay.standins.kv_model import KeyValueModel
@@ -242,7 +243,14 @@
         async def scenario(world: ServingWorld) -> None:
             direct = MemoryKeyValueStore(world.model, world.clock, timeout_seconds=1.0)
             address = NetworkAddress("10.0.0.9", 7000)
-            directory = PeerDirectory(world.clock, direct, address, random.Random(1), lambda: None)
+            directory = PeerDirectory(
+                world.clock,
+                direct,
+                address,
+                Topology(zone="zone-1"),
+                random.Random(1),
+                lambda: None,
+            )
             store = RelayingStore(world.clock, direct, world.peers, directory, ServingMetrics())
             silence_reports = 0
 
