Count workers of evacuated zones as no capacity

Cause: the gate kept requests out of an evacuated zone, but admission, shares of batch jobs, reward slots, paces, the quarantine, the demand for workers and the half of the workers that loads a version still counted its workers. Ruled out: hiding the workers in the directory (loads, reports and runs under way need them); a shorter demand history at the start of an evacuation (the estimate is in workers needed, not present). Change: all of them ask PlacementGate.in_service. Counts of an evacuated zone are neither learnt nor ordered; what lacks is ordered in the other zones. Evacuated workers load versions by the same rule, counted apart and after others of the same urgency. Queued requests are rejected at once when the last zone of their service goes; runners plan again; an unconfirmed attempt is not repeated into the zone. Gauge drumbay_serving_evacuated_zones.

--- a/drumbay/admission/gate.py
+++ b/drumbay/admission/gate.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import msgspec
+
 from drumbay.admission.capacity import capacity_of
 from drumbay.admission.records import (
     AdmissionRejectedError,
@@ -15,6 +17,7 @@
 from drumbay.clock import Clock
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
+from drumbay.placement.gate import PlacementGate
 from drumbay.workers.directory import WorkerDirectory
 
 DISPATCH_INTERVAL_SECONDS = 0.02
@@ -28,22 +31,34 @@
         self,
         clock: Clock,
         directory: WorkerDirectory,
+        placement: PlacementGate,
         metrics: ServingMetrics,
         *,
         is_enabled: bool,
     ) -> None:
-        """Create a gate for the workers of a directory; a disabled gate admits every request."""
+        """Create a gate for the workers of a directory; a disabled gate admits every request.
+
+        Workers that ``placement`` excludes for longer are no capacity.
+        """
         self._is_enabled = is_enabled
         self._clock = clock
         self._directory = directory
+        self._placement = placement
         self._metrics = metrics
         self._services: dict[str, _ServiceGate] = {}
+        placement.evacuations.add_listener(self._dispatch)
+
+    def _dispatch(self) -> None:
+        for gate in self._services.values():
+            gate.dispatch()
 
     def new_ticket(self, service: str, request: AdmissionRequest) -> "AdmissionTicket":
         """Return a ticket with which a request can be admitted to a service."""
         gate = self._services.get(service)
         if gate is None:
-            gate = _ServiceGate(service, self._clock, self._directory, self._metrics)
+            gate = _ServiceGate(
+                service, self._clock, self._directory, self._placement, self._metrics
+            )
             self._services[service] = gate
         return AdmissionTicket(gate, request, is_enabled=self._is_enabled)
 
@@ -92,11 +107,17 @@
     """Admission to one service."""
 
     def __init__(
-        self, service: str, clock: Clock, directory: WorkerDirectory, metrics: ServingMetrics
+        self,
+        service: str,
+        clock: Clock,
+        directory: WorkerDirectory,
+        placement: PlacementGate,
+        metrics: ServingMetrics,
     ) -> None:
         self._service = service
         self._clock = clock
         self._directory = directory
+        self._placement = placement
         self._metrics = metrics
         self._admission = ServiceAdmission()
         self._waiters: dict[AdmissionRequest, asyncio.Future[Admitted | Rejected]] = {}
@@ -116,11 +137,13 @@
             self._admission.release()
         else:
             self._admission.complete(latency_seconds, self._clock.monotonic())
-        self._dispatch()
+        self.dispatch()
 
     def _capacity(self) -> ServiceCapacity:
         records = self._directory.of_service(self._service)
-        return capacity_of(records, self._clock.monotonic())
+        in_service = self._placement.in_service(records)
+        capacity = capacity_of(in_service, self._clock.monotonic())
+        return msgspec.structs.replace(capacity, is_excluded=bool(records) and not in_service)
 
     async def _apply(self, decision: Admitted | Queued | Rejected) -> None:
         request = decision.request
@@ -168,9 +191,10 @@
 
     def _on_timer(self) -> None:
         self._timer = None
-        self._dispatch()
+        self.dispatch()
 
-    def _dispatch(self) -> None:
+    def dispatch(self) -> None:
+        """Decide on the queued requests again, as the capacity has changed."""
         if not self._admission.queue_length:
             return
         for decision in self._admission.dispatch(self._clock.monotonic(), self._capacity()):
--- a/drumbay/admission/records.py
+++ b/drumbay/admission/records.py
@@ -48,6 +48,9 @@
     WAITED_TOO_LONG = "waited_too_long"
     """It was queued and exceeded the longest allowed wait."""
 
+    ALL_ZONES_EVACUATED = "all_zones_evacuated"
+    """Every worker of the service is in an evacuated zone."""
+
 
 class Admitted(msgspec.Struct, frozen=True, kw_only=True):
     """The request may be sent now."""
@@ -96,9 +99,11 @@
             paused workers, given the load from other nodes.
         pause_ends_at: When the first pause of a worker ends; ``None`` if no worker is paused.
         report_age_seconds: Age of the newest load report; infinite if there is none.
+        is_excluded: Whether the service has workers, but all of them are in evacuated zones.
     """
 
     available_workers: int
     max_in_flight: int
     pause_ends_at: float | None
     report_age_seconds: float
+    is_excluded: bool = False
--- a/drumbay/admission/service.py
+++ b/drumbay/admission/service.py
@@ -110,7 +110,7 @@
     def dispatch(self, now: float, capacity: ServiceCapacity) -> list[Admitted | Rejected]:
         """Admit and reject queued requests; return the decisions."""
         decisions: list[Admitted | Rejected] = []
-        while len(self._queue) and self._has_capacity(capacity, now):
+        while len(self._queue) and not capacity.is_excluded and self._has_capacity(capacity, now):
             request = self._queue.pop(now)
             if now > self._wait_deadline(request, now):
                 decisions.append(self._rejection(request, now, capacity))
@@ -118,7 +118,7 @@
             self._in_flight += 1
             decisions.append(Admitted(request=request))
         for request in self._queue.requests():
-            if self._exceeds_wait_limit(request, now, capacity):
+            if capacity.is_excluded or self._exceeds_wait_limit(request, now, capacity):
                 self._queue.remove(request)
                 decisions.append(self._rejection(request, now, capacity))
         self._update_queued_since(now)
@@ -138,7 +138,7 @@
     def _reject_or_queue(
         self, request: AdmissionRequest, now: float, capacity: ServiceCapacity
     ) -> Queued | Rejected:
-        if self._exceeds_wait_limit(request, now, capacity):
+        if capacity.is_excluded or self._exceeds_wait_limit(request, now, capacity):
             return self._rejection(request, now, capacity)
         self._queue.push(request)
         self._update_queued_since(now)
@@ -162,12 +162,9 @@
         self, request: AdmissionRequest, now: float, capacity: ServiceCapacity
     ) -> Rejected:
         predicted = self._predicted_wait_seconds(request, now, capacity)
-        has_expired = now > self._wait_deadline(request, now)
         return Rejected(
             request=request,
-            reason=RejectionReason.WAITED_TOO_LONG
-            if has_expired
-            else RejectionReason.QUEUE_TOO_LONG,
+            reason=self._rejection_reason(request, now, capacity),
             predicted_wait_seconds=predicted,
             retry_after_seconds=retry_after_seconds(
                 request.request_id, predicted, request.deadline - now
@@ -176,6 +173,15 @@
             limit=self._limit.current(capacity),
         )
 
+    def _rejection_reason(
+        self, request: AdmissionRequest, now: float, capacity: ServiceCapacity
+    ) -> RejectionReason:
+        if capacity.is_excluded:
+            return RejectionReason.ALL_ZONES_EVACUATED
+        if now > self._wait_deadline(request, now):
+            return RejectionReason.WAITED_TOO_LONG
+        return RejectionReason.QUEUE_TOO_LONG
+
     def _predicted_wait_seconds(
         self, request: AdmissionRequest, now: float, capacity: ServiceCapacity
     ) -> float:
--- a/drumbay/batches/job_share.py
+++ b/drumbay/batches/job_share.py
@@ -1,7 +1,7 @@
 """Worker slots of one batch job: usage, demand, and its share when other jobs compete."""
 
 from collections import Counter
-from collections.abc import Set
+from collections.abc import Callable, Iterable, Set
 
 import msgspec
 
@@ -16,7 +16,10 @@
 from drumbay.identifiers import BackendId
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
+from drumbay.placement.gate import PlacementGate
+from drumbay.placement.regions import AllowedRegions
 from drumbay.workers.directory import WorkerDirectory
+from drumbay.workers.worker_record import WorkerRecord
 
 SETTLE_SECONDS = 0.08
 """Time for owners that start together to exchange their first slot notices."""
@@ -36,6 +39,8 @@
         directory: WorkerDirectory,
         slot_sharing: SlotSharing,
         metrics: ServingMetrics,
+        placement: PlacementGate,
+        allowed_regions: Callable[[], AllowedRegions],
         spec: BatchSpec,
         scheduler: BatchScheduler,
         submitted_at: float,
@@ -47,6 +52,8 @@
             directory: The workers.
             slot_sharing: Slot usage of the other jobs.
             metrics: Counts deferred steps.
+            placement: Decides which workers may run the items.
+            allowed_regions: Returns the regions in which the items may run now.
             spec: The batch job.
             scheduler: Schedules its items.
             submitted_at: Monotonic time of its submission.
@@ -57,6 +64,8 @@
         self._directory = directory
         self._slot_sharing = slot_sharing
         self._metrics = metrics
+        self._placement = placement
+        self._allowed_regions = allowed_regions
         self._spec = spec
         self._scheduler = scheduler
         self._submitted_at = submitted_at
@@ -85,9 +94,8 @@
         waiting: list[float | None] = []
         startable: list[float | None] = []
         if self.is_open:
-            free_slots = max(0, self._usable_slots(now) - self._running.total())
             waiting = self._scheduler.latest_starts(self.held_back_items, now)
-            startable = waiting[:free_slots]
+            startable = waiting[: self._free_slots(now)]
         due_at = self._scheduler.due_at
         self._slot_usage = JobSlotUsage(
             batch_id=self._spec.batch_id,
@@ -112,12 +120,27 @@
         """Return the result of the last :meth:`slot_usage` call."""
         return self._slot_usage or self.slot_usage()
 
-    def _usable_slots(self, now: float) -> int:
+    def _free_slots(self, now: float) -> int:
+        """Return the slots that the job's waiting items could take.
+
+        Runs that end in an evacuated zone take no slot of the other workers.
+        """
+        records = self._directory.of_service(self._spec.service)
+        in_service = self._placement.in_service(records, self._allowed_regions())
+        out_of_service = {r.worker.worker_id for r in records} - {
+            r.worker.worker_id for r in in_service
+        }
+        running = sum(
+            count for worker_id, count in self._running.items() if worker_id not in out_of_service
+        )
+        return max(0, self._usable_slots(in_service, now) - running)
+
+    def _usable_slots(self, records: Iterable[WorkerRecord], now: float) -> int:
         """Return all slots, used or free, of the workers that may run the items."""
         model = self._spec.model
         return sum(
             record.worker.slots
-            for record in self._directory.of_service(self._spec.service)
+            for record in records
             if record.accepts_model(model, now)
             and not record.is_refusing(model, now)
             and (record.version_of(model, now) or UNVERSIONED) >= self._spec.minimum_version
--- a/drumbay/batches/owned.py
+++ b/drumbay/batches/owned.py
@@ -111,11 +111,13 @@
             directory,
             owners,
             service_use,
+            placement,
             send_notice,
             lambda: [runner.share for runner in self._all_runners()],
             is_enabled=shares_slots,
         )
         directory.add_listener(self._wake_runners)
+        placement.evacuations.add_listener(self._wake_runners)
 
     def _wake_runners(self) -> None:
         for runner in self._runners.values():
--- a/drumbay/batches/reward_scorer.py
+++ b/drumbay/batches/reward_scorer.py
@@ -19,6 +19,7 @@
 from drumbay.forwarding.routes import RequestKind, Route, RouteTable
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
+from drumbay.placement.gate import PlacementGate
 from drumbay.workers.directory import WorkerDirectory
 
 REWARD_BUDGET_SECONDS = 2.0
@@ -72,6 +73,7 @@
         forwarder: Forwarder,
         routes: RouteTable,
         directory: WorkerDirectory,
+        placement: PlacementGate,
         metrics: ServingMetrics,
     ) -> None:
         """Create a scorer.
@@ -81,12 +83,14 @@
             forwarder: Sends the requests.
             routes: The current configuration.
             directory: The workers, whose slots limit the concurrent requests.
+            placement: Decides which of them count as capacity.
             metrics: Counts the requests.
         """
         self._clock = clock
         self._forwarder = forwarder
         self._routes = routes
         self._directory = directory
+        self._placement = placement
         self._metrics = metrics
         self._queues: dict[str, _ScoringQueue] = {}
 
@@ -139,7 +143,7 @@
             for share in route.shares
             for record in self._directory.of_service(share.service)
         ]
-        return slot_limit(records, self._clock.monotonic())
+        return slot_limit(self._placement.in_service(records), self._clock.monotonic())
 
     async def _send(self, request: RewardRequest, order: RewardOrder) -> Reward:
         # The route may have changed while the request was queued.
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -154,7 +154,15 @@
             spec, self._started_at, listed, slot_sharing.event_size_of(spec.model), submitted_at
         )
         self.share = JobShare(
-            clock, directory, slot_sharing, metrics, spec, self._scheduler, submitted_at
+            clock,
+            directory,
+            slot_sharing,
+            metrics,
+            placement,
+            allowed_regions,
+            spec,
+            self._scheduler,
+            submitted_at,
         )
         self._missing_groups = self._scheduler.missing_groups
         self._finished: dict[ItemId, ItemResult] = {}
@@ -360,10 +368,13 @@
                 record.worker.worker_id: record
                 for record in self._directory.of_service(self.spec.service)
             }
+            regions = self._allowed_regions()
             limits = self._limits = msgspec.structs.replace(
                 self._quarantine.limits(self._scheduler.waiting),
-                start_allowances=start_allowances(
-                    self._placement, workers.values(), self._allowed_regions()
+                start_allowances=start_allowances(self._placement, workers.values(), regions),
+                workers_in_service=frozenset(
+                    record.worker.worker_id
+                    for record in self._placement.in_service(workers.values(), regions)
                 ),
             )
             self.share.held_back_items = limits.held_back
--- a/drumbay/batches/slot_sharing.py
+++ b/drumbay/batches/slot_sharing.py
@@ -19,6 +19,7 @@
 from drumbay.forwarding.routes import ServiceUse
 from drumbay.identifiers import BackendId
 from drumbay.peers.messages import PlacesNotice
+from drumbay.placement.gate import PlacementGate
 from drumbay.workers.directory import WorkerDirectory
 
 
@@ -44,6 +45,7 @@
         directory: WorkerDirectory,
         owners: OwnerTable,
         service_use: ServiceUse,
+        placement: PlacementGate,
         send_notice: Callable[[Iterable[NetworkAddress], PlacesNotice], None],
         jobs: Callable[[], Iterable[SharingJob]],
         *,
@@ -56,6 +58,7 @@
             directory: The workers.
             owners: Maps batch jobs to owners.
             service_use: Returns which kinds of requests reach a service.
+            placement: Decides which workers count as capacity.
             send_notice: Sends a notice to other nodes.
             jobs: Returns this node's jobs, including ended ones with lingering runs.
             is_enabled: Whether slots are shared at all.
@@ -63,6 +66,7 @@
         self._clock = clock
         self._directory = directory
         self._service_use = service_use
+        self._placement = placement
         self._jobs = jobs
         self._is_enabled = is_enabled
         self._event_sizes: dict[str, EventSizeEstimate] = {}
@@ -122,7 +126,8 @@
         return SlotShare(used_by_others=used, contention=contention)
 
     def _capacity(self, service: str, used: Mapping[BackendId, int], now: float) -> SlotCapacity:
-        records = [r for r in self._directory.of_service(service) if r.is_available(now)]
+        in_service = self._placement.in_service(self._directory.of_service(service))
+        records = [record for record in in_service if record.is_available(now)]
         return SlotCapacity(
             total=sum(record.worker.slots for record in records),
             free=sum(
--- a/drumbay/batches/worker_selector.py
+++ b/drumbay/batches/worker_selector.py
@@ -69,6 +69,7 @@
         isolated_workers: frozenset[BackendId] = frozenset(),
         used_by_others: Mapping[BackendId, int] | None = None,
         start_allowances: Mapping[BackendId, int] | None = None,
+        in_service: frozenset[BackendId] | None = None,
     ) -> None:
         """Take a snapshot of the workers.
 
@@ -80,6 +81,7 @@
             isolated_workers: Workers that are not available to isolated items.
             used_by_others: Runs of other nodes by worker; ``None`` to use the load reports.
             start_allowances: Items that may start now, for workers with a limit.
+            in_service: Workers whose pace items can expect; ``None`` for all.
         """
         allowances = start_allowances or {}
         others = {
@@ -106,7 +108,10 @@
             if self._versions[worker_id] >= spec.minimum_version
         }
         self._free_total = sum(self._free_slots.values())
-        current_intervals = [record.event_intervals.current(now) for record in workers.values()]
+        # If none is in service, runs that continue are compared with each other.
+        compared = {w: r for w, r in workers.items() if in_service is None or w in in_service}
+        compared = compared or dict(workers)
+        current_intervals = [record.event_intervals.current(now) for record in compared.values()]
         intervals = sorted(interval for interval in current_intervals if interval is not None)
         self._median_interval = (
             intervals[(len(intervals) - 1) // 2] if intervals else DEFAULT_EVENT_INTERVAL_SECONDS
@@ -125,6 +130,9 @@
             worker_id: self._expected_interval(record, now) or self._median_interval
             for worker_id, record in workers.items()
         }
+        self._mean_interval = _harmonic_mean(
+            [self._expected_intervals[worker_id] for worker_id in compared], self._median_interval
+        )
         self._newest_version = newest_version
         self._average_tokens = _average_tokens(spec)
         self._tokens = {
@@ -148,12 +156,7 @@
     @property
     def mean_event_interval(self) -> float:
         """Return the harmonic mean of the workers' seconds between events."""
-        if not self._expected_intervals:
-            return self._median_interval
-        # Event rates add up, so intervals average harmonically.
-        return len(self._expected_intervals) / sum(
-            1.0 / interval for interval in self._expected_intervals.values()
-        )
+        return self._mean_interval
 
     @property
     def has_free_slot(self) -> bool:
@@ -282,6 +285,13 @@
         return token_load - SHARED_PROMPT_BONUS * shares_prompt
 
 
+def _harmonic_mean(intervals: list[float], default: float) -> float:
+    """Return the mean of intervals whose rates add up."""
+    if not intervals:
+        return default
+    return len(intervals) / sum(1.0 / interval for interval in intervals)
+
+
 def _average_tokens(spec: BatchSpec) -> float:
     total = sum(item.expected_tokens for item in spec.items)
     return max(1.0, total / max(1, len(spec.items)))
--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -111,7 +111,9 @@
         )
         self._routes = routes
         self._usage = usage
-        self.admission = AdmissionGate(clock, directory, metrics, is_enabled=has_admission)
+        self.admission = AdmissionGate(
+            clock, directory, placement, metrics, is_enabled=has_admission
+        )
 
     async def forward(self, route: Route, request: ClientRequest) -> WorkerResponse:
         """Return a worker's complete response.
@@ -442,7 +444,7 @@
         self._is_hedge_next = True
         if not self._has_attempts_left():
             unconfirmed = self._unconfirmed_attempt()
-            if unconfirmed is not None:
+            if unconfirmed is not None and self._picker.may_send(unconfirmed.record, self._regions):
                 self._send(unconfirmed.record, unconfirmed.choice, remaining)
             return
         choice = self._picker.choose(self._send_criteria(), now)
--- a/drumbay/forwarding/worker_picker.py
+++ b/drumbay/forwarding/worker_picker.py
@@ -67,6 +67,10 @@
         records = self._placement.eligible(self._directory.of_service(service), regions)
         return [record for record in records if record.worker.worker_id not in avoided_workers]
 
+    def may_send(self, record: WorkerRecord, regions: AllowedRegions) -> bool:
+        """Return whether a worker may get a request now."""
+        return self._placement.check(record.worker, regions) is None
+
     def is_excluded(self, service: str, regions: AllowedRegions) -> bool:
         """Return whether a service has workers, but none in an allowed and active zone."""
         records = self._directory.of_service(service)
--- a/drumbay/observability/serving_metrics.py
+++ b/drumbay/observability/serving_metrics.py
@@ -179,6 +179,11 @@
             registry=self._registry,
         )
 
+        self._evacuated_zones = Gauge(
+            "drumbay_serving_evacuated_zones",
+            "Zones whose workers get nothing new from this node.",
+            registry=self._registry,
+        )
         self._waiting = Gauge(
             "drumbay_serving_admission_waiting",
             "Requests that wait for a service.",
@@ -217,6 +222,10 @@
         """Count a send to a worker that was refused by a placement constraint."""
         self._ineligible.labels(reason).inc()
 
+    def set_evacuated_zones(self, count: int) -> None:
+        """Set the number of zones under evacuation."""
+        self._evacuated_zones.set(count)
+
     def set_waiting(self, service: str, count: int) -> None:
         """Set the number of requests waiting for admission to a service."""
         self._waiting.labels(service).set(count)
--- a/drumbay/placement/gate.py
+++ b/drumbay/placement/gate.py
@@ -75,6 +75,8 @@
         self, records: Iterable[WorkerRecord], regions: AllowedRegions = ANY_REGION
     ) -> list[WorkerRecord]:
         """Return the workers that count as capacity, whether or not they may start more now."""
+        if not self.evacuations.zones and not regions.is_restricted:
+            return list(records)
         return [
             record
             for record in records
--- a/drumbay/quarantine/records.py
+++ b/drumbay/quarantine/records.py
@@ -143,7 +143,7 @@
     """The workers that a request could run on.
 
     Attributes:
-        ready: Number of ready workers.
+        ready: Number of workers outside evacuated zones.
         available: Number of ready workers that accept new requests now.
         kinds: Kinds of the available workers.
     """
--- a/drumbay/quarantine/service.py
+++ b/drumbay/quarantine/service.py
@@ -20,6 +20,7 @@
 from drumbay.identifiers import BackendId
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
+from drumbay.placement.gate import PlacementGate
 from drumbay.quarantine.fingerprint import Fingerprint
 from drumbay.quarantine.ledger import CRASHES_UNTIL_TRIAL, QuarantineLedger
 from drumbay.quarantine.records import (
@@ -78,6 +79,7 @@
         self,
         clock: Clock,
         directory: WorkerDirectory,
+        placement: PlacementGate,
         client: WorkerClient,
         task_owner: TaskOwner,
         metrics: ServingMetrics,
@@ -88,6 +90,7 @@
         Args:
             clock: Time.
             directory: The workers.
+            placement: Decides which of them may get requests.
             client: Checks whether a worker accepts connections.
             task_owner: Runs the checks.
             metrics: Counts crashes and held requests.
@@ -96,6 +99,7 @@
         self.ledger = QuarantineLedger()
         self._clock = clock
         self._directory = directory
+        self._placement = placement
         self._client = client
         self._task_owner = task_owner
         self._metrics = metrics
@@ -160,7 +164,7 @@
         return msgspec.structs.replace(verdict, avoided_workers=frozenset(trials))
 
     def _availability(self, service: str, now: float) -> WorkerAvailability:
-        records = self._directory.of_service(service)
+        records = self._placement.in_service(self._directory.of_service(service))
         crashed = self.ledger.crashed_workers()
         available = [
             record.worker
--- a/drumbay/scaling/controller.py
+++ b/drumbay/scaling/controller.py
@@ -13,12 +13,14 @@
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
 from drumbay.ownership.leader import LeaderElection
+from drumbay.placement.gate import PlacementGate
 from drumbay.scaling.collector import DemandCollector
 from drumbay.scaling.demand import DemandHistory, DemandSample, WorkerEstimate
 from drumbay.scaling.planner import WorkerCountPlanner
 from drumbay.scaling.records import ServiceScaling, ServiceZone, ZoneWorkers
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.records import Worker, WorkerState
+from drumbay.workers.worker_record import WorkerRecord
 
 RECONCILE_INTERVAL_SECONDS = 0.5
 COLLECT_INTERVAL_SECONDS = 1.0
@@ -47,6 +49,7 @@
         store: KeyValueStore,
         routes: RouteTable,
         directory: WorkerDirectory,
+        placement: PlacementGate,
         leader: LeaderElection,
         duties: PlatformDuties,
         collector: DemandCollector | None,
@@ -60,6 +63,7 @@
             store: The key-value store.
             routes: Current configuration, with the bounds of the counts.
             directory: The workers.
+            placement: Tells which workers are in evacuated zones.
             leader: Tells whether this node is the leader.
             duties: Client of the platform, to which the orders are sent.
             collector: Collects demand; ``None`` to keep the baseline counts only.
@@ -70,6 +74,7 @@
         self._store = store
         self._routes = routes
         self._directory = directory
+        self._placement = placement
         self._leader = leader
         self._duties = duties
         self._collector = collector
@@ -118,7 +123,7 @@
         jobs = await self._collector.collect()
         for scaling in scalings:
             history = self._demand.setdefault(scaling.service, DemandHistory())
-            ready = self._ready_workers(scaling.service)
+            ready = self._workers_in_service(scaling.service)
             history.observe(
                 DemandSample(
                     at=now,
@@ -133,7 +138,13 @@
         workers = self._workers_by_zone(scaling)
         history = self._demand.setdefault(scaling.service, DemandHistory())
         estimate = history.estimate()
-        orders = self._planner.plan(scaling, workers, self._clock.monotonic(), estimate)
+        orders = self._planner.plan(
+            scaling,
+            workers,
+            self._clock.monotonic(),
+            estimate,
+            self._placement.evacuations.zones,
+        )
         self._metrics.set_workers(
             scaling.service,
             ready=sum(zone.ready for zone in workers),
@@ -163,7 +174,7 @@
             zone=order.zone,
             workers=order.workers,
             needed=estimate.workers,
-            ready=len(self._ready_workers(order.service)),
+            ready=len(self._workers_in_service(order.service)),
             wanted_places=estimate.wanted_slots,
             waiting_items=estimate.waiting_items,
             run_seconds=round(estimate.run_seconds, 3),
@@ -185,8 +196,11 @@
         )
 
     def _ready_workers(self, service: str) -> list[Worker]:
-        records = self._directory.of_service(service)
-        return [r.worker for r in records if r.worker.state is WorkerState.READY]
+        return _ready_workers(self._directory.of_service(service))
+
+    def _workers_in_service(self, service: str) -> list[Worker]:
+        """Return the ready workers outside evacuated zones."""
+        return _ready_workers(self._placement.in_service(self._directory.of_service(service)))
 
     async def _load_counts(self) -> None:
         """Restore the counts stored by the previous leader."""
@@ -220,6 +234,10 @@
         return True
 
 
+def _ready_workers(records: Iterable[WorkerRecord]) -> list[Worker]:
+    return [r.worker for r in records if r.worker.state is WorkerState.READY]
+
+
 def _zone_workers(counts: Mapping[ServiceZone, int]) -> tuple[ZoneWorkers, ...]:
     return tuple(
         ZoneWorkers(place=service_zone, ready=count)
--- a/drumbay/scaling/planner.py
+++ b/drumbay/scaling/planner.py
@@ -2,10 +2,11 @@
 
 Scales up in one large step, since new workers take seconds to boot, and down by one worker at a
 time after a long time of low demand. Orders are repeated when workers stay missing, as after the
-outage of a zone, but not for workers that restart by themselves.
+outage of a zone, but not for workers that restart by themselves. The counts of an evacuated zone
+stay as they are; what is missing there is ordered in the other zones.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Set
 
 import msgspec
 
@@ -128,6 +129,7 @@
         workers: Iterable[ZoneWorkers],
         now: float,
         estimate: WorkerEstimate | None = None,
+        evacuated_zones: Set[str] = frozenset(),
     ) -> tuple[WorkerCount, ...]:
         """Return the counts to order now.
 
@@ -136,10 +138,14 @@
             workers: Ready workers by zone.
             now: Monotonic time.
             estimate: Workers needed by batch jobs, if known.
+            evacuated_zones: Zones whose workers get nothing new and whose counts stay.
         """
         zones: dict[ServiceZone, _ZoneState] = {}
         for zone in workers:
             state = self._zones.setdefault(zone.place, _ZoneState())
+            if zone.place.zone in evacuated_zones:
+                _forget_recent(state)
+                continue
             _record_ready(state, zone.ready, now)
             if state.baseline is not None:
                 zones[zone.place] = state
@@ -259,6 +265,13 @@
             state.baseline = max(state.baseline or 0, lowest)
 
 
+def _forget_recent(state: _ZoneState) -> None:
+    """Forget what was seen in a zone, so that after its evacuation windows begin anew."""
+    state.samples.clear()
+    state.below_target_since = None
+    state.missing_since = None
+
+
 def _is_order_due(scaling: ServiceScaling, state: _ZoneState, now: float) -> bool:
     """Return whether the target of a zone must be ordered now."""
     if (
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -135,11 +135,15 @@
             self.evacuations,
             self.metrics,
         )
+        self.evacuations.add_listener(
+            lambda: self.metrics.set_evacuated_zones(len(self.evacuations.zones))
+        )
         environment.workers.set_resend_check(self.placement.may_resend)
         self.announced_versions = AnnouncedVersions()
         self.quarantine = Quarantine(
             clock,
             self.directory,
+            self.placement,
             environment.workers,
             self._tasks,
             self.metrics,
@@ -173,7 +177,9 @@
                 self._renew_connections,
             ),
             self.quarantine,
-            RewardScorer(clock, self.forwarder, self.routes, self.directory, self.metrics),
+            RewardScorer(
+                clock, self.forwarder, self.routes, self.directory, self.placement, self.metrics
+            ),
             environment.peers,
             self._tasks,
             settings.identity,
@@ -201,6 +207,7 @@
         self._coordinator = VersionCoordinator(
             clock,
             self.directory,
+            self.placement,
             environment.workers,
             self.leader,
             self.announced_versions,
@@ -270,6 +277,7 @@
                 self._store,
                 self.routes,
                 self.directory,
+                self.placement,
                 self.leader,
                 duties,
                 collector if self._settings.is_enabled(LoadFeature.WORKER_COUNTS) else None,
--- a/drumbay/weights/version_coordinator.py
+++ b/drumbay/weights/version_coordinator.py
@@ -12,6 +12,7 @@
 from drumbay.observability.serving_metrics import ServingMetrics
 from drumbay.ownership.leader import LeaderElection
 from drumbay.peers.messages import LoadingNotice
+from drumbay.placement.gate import PlacementGate
 from drumbay.tasks import TaskOwner
 from drumbay.weights.version_planner import (
     LoadId,
@@ -82,6 +83,7 @@
         self,
         clock: Clock,
         directory: WorkerDirectory,
+        placement: PlacementGate,
         client: WorkerClient,
         leader: LeaderElection,
         announced_versions: AnnouncedVersions,
@@ -97,6 +99,7 @@
         Args:
             clock: Source of time.
             directory: The workers.
+            placement: Tells which workers are in evacuated zones.
             client: Client of the workers.
             leader: Leader election; provides the fence of this node's leadership.
             announced_versions: The versions to load.
@@ -109,6 +112,7 @@
         """
         self._clock = clock
         self._directory = directory
+        self._placement = placement
         self._client = client
         self._leader = leader
         self._announced_versions = announced_versions
@@ -134,7 +138,10 @@
                     record for record in records.values() if self._may_order(record, now)
                 ]
                 for load in self._planner.plan(
-                    self._announced_versions.newest, eligible_records, now
+                    self._announced_versions.newest,
+                    eligible_records,
+                    now,
+                    self._placement.evacuations.zones,
                 ):
                     load_id = self._planner.record_load_started(load.worker_id)
                     record = records[load.worker_id]
--- a/drumbay/weights/version_planner.py
+++ b/drumbay/weights/version_planner.py
@@ -5,9 +5,12 @@
 the workers to serve the newest version: when versions are published in quick succession, each
 worker thus skips every second one. A version that stays the newest for longer is loaded on all
 workers.
+
+Workers of evacuated zones load too, so that a zone returns with usable versions. They are counted
+apart from the workers in service, and go last among loads of the same urgency.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Set
 from typing import NewType
 
 import msgspec
@@ -66,6 +69,7 @@
     """A possible load; the most urgent one sorts first."""
 
     is_optional: bool
+    is_evacuated: bool
     current_version: int
     active_requests: int
     worker_id: BackendId
@@ -73,6 +77,21 @@
     target_version: int
 
 
+class _LoadSlots(msgspec.Struct, kw_only=True):
+    """Loads that may still start: on all workers together, and on those in service."""
+
+    total: int
+    in_service: int
+
+    def take(self, candidate: _Candidate) -> bool:
+        """Use a slot for a load; return whether one was left."""
+        if self.total <= 0 or (self.in_service <= 0 and not candidate.is_evacuated):
+            return False
+        self.total -= 1
+        self.in_service -= not candidate.is_evacuated
+        return True
+
+
 class VersionPlanner:
     """Plans loads and tracks the ones in progress."""
 
@@ -112,24 +131,28 @@
         newest_versions: Mapping[str, WeightVersion],
         records: Iterable[WorkerRecord],
         now: float,
+        evacuated_zones: Set[str] = frozenset(),
     ) -> tuple[LoadVersion, ...]:
-        """Return the loads to start now, within the limit on concurrent loads."""
+        """Return the loads to start now, within the limits on concurrent loads."""
         records = [r for r in records if r.worker.state is WorkerState.READY]
-        free_slots = self._policy.max_concurrent_loads(sum(1 for r in records if r.versions)) - len(
-            self._loading
+        evacuated = [r for r in records if r.worker.zone in evacuated_zones]
+        in_service = [r for r in records if r.worker.zone not in evacuated_zones]
+        evacuated_ids = {record.worker.worker_id for record in evacuated}
+        loading_in_service = sum(1 for worker in self._loading if worker not in evacuated_ids)
+        slots = _LoadSlots(
+            total=self._max_concurrent_loads(records) - len(self._loading),
+            in_service=self._max_concurrent_loads(in_service) - loading_in_service,
         )
         candidates: list[_Candidate] = []
         for model, newest in newest_versions.items():
-            candidates.extend(self._candidates(model, newest, records, now))
+            candidates.extend(self._candidates(model, newest, in_service, now))
+            candidates.extend(self._candidates(model, newest, evacuated, now, is_evacuated=True))
         loads: list[LoadVersion] = []
         assigned_workers: set[BackendId] = set()
         for candidate in sorted(candidates):
-            if free_slots <= 0:
-                break
-            if candidate.worker_id in assigned_workers:
+            if candidate.worker_id in assigned_workers or not slots.take(candidate):
                 continue
             assigned_workers.add(candidate.worker_id)
-            free_slots -= 1
             loads.append(
                 LoadVersion(
                     worker_id=candidate.worker_id,
@@ -139,6 +162,9 @@
             )
         return tuple(loads)
 
+    def _max_concurrent_loads(self, records: list[WorkerRecord]) -> int:
+        return self._policy.max_concurrent_loads(sum(1 for r in records if r.versions))
+
     def _desired_worker_count(self, key: ModelVersion, model_worker_count: int, now: float) -> int:
         """Return how many workers should serve the newest version at ``now``."""
         announced_at = self._announced_at.get(key)
@@ -157,6 +183,8 @@
         newest: WeightVersion,
         records: list[WorkerRecord],
         now: float,
+        *,
+        is_evacuated: bool = False,
     ) -> list[_Candidate]:
         model_records = [r for r in records if model in r.versions]
         newest_count = sum(1 for r in model_records if r.versions[model] >= newest)
@@ -177,6 +205,7 @@
             possible_loads.append(
                 _Candidate(
                     is_optional=is_optional,
+                    is_evacuated=is_evacuated,
                     current_version=record.versions[model],
                     active_requests=record.in_flight,
                     worker_id=worker_id,
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -66,8 +66,9 @@
     directory = WorkerDirectory()
     directory.replace_all(workers.entries())
     metrics = ServingMetrics()
+    placement = unrestricted_placement(clock)
     quarantine = Quarantine(
-        clock, directory, workers, TaskOwner(), metrics, broadcast=lambda notice: None
+        clock, directory, placement, workers, TaskOwner(), metrics, broadcast=lambda notice: None
     )
     address = NetworkAddress("127.0.0.1", 1)
     usage = UsageCounter(WindowClock(clock), WindowLength(5.0), address, "boot")
@@ -76,7 +77,7 @@
         directory,
         RouteTable(),
         workers,
-        unrestricted_placement(clock),
+        placement,
         metrics,
         usage,
         quarantine,
--- a/tests/test_load_parts.py
+++ b/tests/test_load_parts.py
@@ -16,7 +16,7 @@
 from drumbay.peers.messages import PlacesNotice
 from drumbay.serving.load_features import LoadFeature, parse_disabled_parts
 from drumbay.workers.directory import WorkerDirectory
-from tests.serving_world import SERVICE, ServingWorld, run_in_world
+from tests.serving_world import SERVICE, ServingWorld, run_in_world, unrestricted_placement
 from tests.test_platform_adapter import SETTINGS
 from tests.test_shared_places import FIRST, SECOND, W1, ManualClock, job
 
@@ -39,7 +39,13 @@
 class DisabledPartsTest(unittest.TestCase):
     def test_a_disabled_gate_admits_all_at_once(self) -> None:
         async def scenario(world: ServingWorld) -> None:
-            gate = AdmissionGate(world.clock, WorkerDirectory(), ServingMetrics(), is_enabled=False)
+            gate = AdmissionGate(
+                world.clock,
+                WorkerDirectory(),
+                unrestricted_placement(world.clock),
+                ServingMetrics(),
+                is_enabled=False,
+            )
             for number in range(100):
                 request = AdmissionRequest(
                     request_id=str(number),
@@ -65,6 +71,7 @@
                 WorkerDirectory(),
                 owners,
                 service_use,
+                unrestricted_placement(ManualClock()),
                 lambda addresses, notice: None,
                 lambda: jobs,
                 is_enabled=is_enabled,
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -74,6 +74,7 @@
             Quarantine(
                 clock,
                 self.directory,
+                unrestricted_placement(clock),
                 self.client,
                 TaskOwner(),
                 ServingMetrics(),
--- a/tests/test_worker_starts.py
+++ b/tests/test_worker_starts.py
@@ -36,7 +36,7 @@
 from drumbay.workers.records import Worker, WorkerLoad, WorkerState, WorkerStatus
 from drumbay.workers.silence_check import CHECK_SECONDS, MIN_SILENT_RUNS, SilenceCheck
 from drumbay.workers.worker_record import WorkerRecord
-from tests.serving_world import MODEL, SERVICE, ServingWorld, run_in_world
+from tests.serving_world import MODEL, SERVICE, ServingWorld, run_in_world, unrestricted_placement
 
 WORKER = BackendId("w")
 REQUEST = Fingerprint("request")
@@ -241,6 +241,7 @@
         self.quarantine = Quarantine(
             self.clock,
             self.directory,
+            unrestricted_placement(self.clock),
             self.pool,
             TaskOwner(),
             ServingMetrics(),
