--- a/tests/test_worker_demand.py
+++ b/tests/test_worker_demand.py
@@ -76,6 +76,7 @@
         self.history = DemandHistory()
         self.ready = dict(BASELINES)
         self.lost: set[ServiceZone] = set()
+        self.evacuated: set[str] = set()
         self.outcomes: list[DutyOutcome] = []
         self.boots: list[tuple[float, ServiceZone, int]] = []
         self.now = 0.0
@@ -89,7 +90,9 @@
             self.boots = [boot for boot in self.boots if boot[0] > self.now]
             for service_zone in self.lost:
                 self.ready[service_zone] = 0
-            workers = sum(self.ready.values())
+            workers = sum(
+                count for zone, count in self.ready.items() if zone.zone not in self.evacuated
+            )
             jobs = (job(waiting, running),) if waiting or running else ()
             sample = DemandSample(
                 at=self.now, workers=workers, slots=SLOTS_PER_WORKER * workers, jobs=jobs
@@ -99,7 +102,7 @@
                 ZoneWorkers(place=zone, ready=count) for zone, count in sorted(self.ready.items())
             ]
             for order in self.planner.plan(
-                SCALING, zone_workers, self.now, self.history.estimate()
+                SCALING, zone_workers, self.now, self.history.estimate(), self.evacuated
             ):
                 orders.append((self.now, order.zone, order.workers))
                 self._record_outcome(order)
