--- a/drumbay/observability/serving_metrics.py
+++ b/drumbay/observability/serving_metrics.py
@@ -184,6 +184,11 @@
             "Zones whose workers get nothing new from this node.",
             registry=self._registry,
         )
+        self._evacuated_zone_requests = Gauge(
+            "drumbay_serving_evacuated_zone_requests",
+            "Requests of this node that are still at workers of evacuated zones.",
+            registry=self._registry,
+        )
         self._waiting = Gauge(
             "drumbay_serving_admission_waiting",
             "Requests that wait for a service.",
@@ -226,6 +231,10 @@
         """Set the number of zones under evacuation."""
         self._evacuated_zones.set(count)
 
+    def set_evacuated_zone_requests(self, count: Callable[[], int]) -> None:
+        """Read the number of requests at workers of evacuated zones from a function."""
+        self._evacuated_zone_requests.set_function(count)
+
     def set_waiting(self, service: str, count: int) -> None:
         """Set the number of requests waiting for admission to a service."""
         self._waiting.labels(service).set(count)
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -138,6 +138,7 @@
         self.evacuations.add_listener(
             lambda: self.metrics.set_evacuated_zones(len(self.evacuations.zones))
         )
+        self.metrics.set_evacuated_zone_requests(self._evacuated_zone_requests)
         environment.workers.set_resend_check(self.placement.may_resend)
         self.announced_versions = AnnouncedVersions()
         self.quarantine = Quarantine(
@@ -366,6 +367,13 @@
             )
             self._tasks.spawn(self._drop_missing_workers(), "missing-workers")
 
+    def _evacuated_zone_requests(self) -> int:
+        return sum(
+            record.in_flight
+            for record in self.directory.all_records().values()
+            if self.evacuations.contains(record.worker.zone)
+        )
+
     async def _reclaim_own_batches(self) -> None:
         """Resume the batch jobs of the previous process once the workers are known."""
         while not self.directory.is_loaded:
--- a/tests/test_evacuation_sends.py
+++ b/tests/test_evacuation_sends.py
@@ -224,10 +224,13 @@
             before = self.runs_at(world, "far")
             self.assertEqual(len(before), 6)
             self.evacuate(world, ZONE)
+            metrics = world.nodes[0].node.metrics
+            self.assertIn(b"drumbay_serving_evacuated_zone_requests 6.0", metrics.render())
             results = await read_all(world.nodes[0].batches, spec.batch_id, 60.0)
             self.assertEqual({result.state for result in results}, {ResultState.DONE})
             self.assertEqual(self.runs_at(world, "far"), before)
             self.assertEqual({run.events for run in before}, {160})
+            self.assertIn(b"drumbay_serving_evacuated_zone_requests 0.0", metrics.render())
 
         run_in_world(scenario, node_count=1, worker_count=0)
 
