Reject queued requests whose regions have no worker left in service

Cause: a request that may run in some regions only waited in the queue of its service until its longest wait, though an evacuation had taken the last worker that may get it. Ruled out: a check in the forwarder while the request waits (it would have to leave the queue by itself). Change: admission knows the regions of the workers in service, and each request its allowed regions.

--- a/drumbay/admission/gate.py
+++ b/drumbay/admission/gate.py
@@ -143,7 +143,11 @@
         records = self._directory.of_service(self._service)
         in_service = self._placement.in_service(records)
         capacity = capacity_of(in_service, self._clock.monotonic())
-        return msgspec.structs.replace(capacity, is_excluded=bool(records) and not in_service)
+        if not records:
+            return capacity
+        region_of = self._placement.topology.region_of
+        regions = frozenset(region_of(record.worker.zone) for record in in_service)
+        return msgspec.structs.replace(capacity, regions=regions)
 
     async def _apply(self, decision: Admitted | Queued | Rejected) -> None:
         request = decision.request
--- a/drumbay/admission/records.py
+++ b/drumbay/admission/records.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from drumbay.exceptions import UnavailableError
+from drumbay.placement.regions import ANY_REGION, AllowedRegions
 
 
 class AdmissionRequest(msgspec.Struct, frozen=True, kw_only=True, eq=False):
@@ -22,6 +23,7 @@
         batch_started_at: Monotonic submission time of a reward request's batch job; the oldest job
             goes first.
         batch_priority: Priority of that batch job; for equal times, smaller values go first.
+        allowed_regions: The regions in which it may run.
     """
 
     request_id: str
@@ -32,6 +34,7 @@
     is_reward: bool = False
     batch_started_at: float = 0.0
     batch_priority: int = 0
+    allowed_regions: AllowedRegions = ANY_REGION
 
     @property
     def order_in_flow(self) -> tuple[float, int, float, float]:
@@ -48,8 +51,8 @@
     WAITED_TOO_LONG = "waited_too_long"
     """It was queued and exceeded the longest allowed wait."""
 
-    ALL_ZONES_EVACUATED = "all_zones_evacuated"
-    """Every worker of the service is in an evacuated zone."""
+    NO_WORKER_IN_SERVICE = "no_worker_in_service"
+    """Every worker of the service is in an evacuated zone or outside the allowed regions."""
 
 
 class Admitted(msgspec.Struct, frozen=True, kw_only=True):
@@ -99,11 +102,17 @@
             paused workers, given the load from other nodes.
         pause_ends_at: When the first pause of a worker ends; ``None`` if no worker is paused.
         report_age_seconds: Age of the newest load report; infinite if there is none.
-        is_excluded: Whether the service has workers, but all of them are in evacuated zones.
+        regions: Regions of the workers outside evacuated zones; ``None`` if no worker is known.
     """
 
     available_workers: int
     max_in_flight: int
     pause_ends_at: float | None
     report_age_seconds: float
-    is_excluded: bool = False
+    regions: frozenset[str] | None = None
+
+    def excludes(self, request: AdmissionRequest) -> bool:
+        """Return whether the service has workers, but none that may get the request."""
+        if self.regions is None:
+            return False
+        return not any(request.allowed_regions.permits(region) for region in self.regions)
--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -194,7 +194,7 @@
         self._is_hedge_next = False
         self._successful_attempt: _Attempt | None = None
         self._admission = RequestAdmission(
-            forwarder.admission, service, request, self._started_at, self._deadline
+            forwarder.admission, service, request, self._started_at, self._deadline, regions
         )
         self._worker_priority = request.priority if len(priority_levels) > 1 else None
         """Passed to workers only if the service receives requests of several priorities."""
--- a/drumbay/forwarding/request_admission.py
+++ b/drumbay/forwarding/request_admission.py
@@ -6,6 +6,7 @@
 from drumbay.admission.records import AdmissionRejectedError, AdmissionRequest
 from drumbay.exceptions import Execution
 from drumbay.forwarding.records import ClientRequest, NoWorkerError
+from drumbay.placement.regions import AllowedRegions
 
 
 class RequestAdmission:
@@ -18,9 +19,12 @@
         request: ClientRequest,
         arrived_at: float,
         deadline: float,
+        allowed_regions: AllowedRegions,
     ) -> None:
         """Create an unadmitted request. Times are monotonic."""
-        self._ticket = gate.new_ticket(service, _admission_request(request, arrived_at, deadline))
+        self._ticket = gate.new_ticket(
+            service, _admission_request(request, arrived_at, deadline, allowed_regions)
+        )
 
     @property
     def is_limited(self) -> bool:
@@ -60,7 +64,7 @@
 
 
 def _admission_request(
-    request: ClientRequest, arrived_at: float, deadline: float
+    request: ClientRequest, arrived_at: float, deadline: float, allowed_regions: AllowedRegions
 ) -> AdmissionRequest:
     order = request.reward_order
     return AdmissionRequest(
@@ -72,4 +76,5 @@
         is_reward=order is not None,
         batch_started_at=order.batch_started_at if order is not None else 0.0,
         batch_priority=order.batch_priority if order is not None else 0,
+        allowed_regions=allowed_regions,
     )
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -7,13 +7,14 @@
 import msgspec
 from drumbay_platform.feeds import NodeFeeds
 
-from drumbay.admission.records import RejectionReason
+from drumbay.admission.records import Rejected, RejectionReason
 from drumbay.batches.owners import OwnerTable, ServiceIdentity
 from drumbay.batches.slot_sharing import SlotSharing
 from drumbay.batches.worker_selector import WorkerSelector
 from drumbay.forwarding.routes import ServiceUse
 from drumbay.identifiers import BackendId, Revision, WeightVersion
 from drumbay.kv.interface import Delete, Put, WatchEvent
+from drumbay.placement.regions import ANY_REGION, AllowedRegions
 from drumbay.quarantine.fingerprint import Fingerprint
 from drumbay.quarantine.records import (
     CrashReport,
@@ -192,16 +193,29 @@
 
 
 class CapacityTest(unittest.TestCase):
-    def test_admission_rejects_all_queued_requests_when_no_zone_is_left(self) -> None:
+    def test_admission_rejects_queued_requests_that_no_worker_may_get(self) -> None:
+        """The zones of their regions are evacuated; later, all zones are."""
         admission = overloaded_admission()
+        here = AllowedRegions.of(["here"])
         for number in range(2 * SLOTS):
-            admission.try_admit(make_request(f"r{number}"), 0.0, CAPACITY)
+            regions = here if number % 2 else ANY_REGION
+            request = make_request(f"r{number}", allowed_regions=regions)
+            admission.try_admit(request, 0.0, CAPACITY)
         waiting = admission.queue_length
-        self.assertGreater(waiting, 0)
-        excluded = msgspec.structs.replace(CAPACITY, is_excluded=True)
-        decisions = admission.dispatch(0.0, excluded)
-        reasons = [getattr(decision, "reason", None) for decision in decisions]
-        self.assertEqual(reasons, [RejectionReason.ALL_ZONES_EVACUATED] * waiting)
+        capacity = msgspec.structs.replace(CAPACITY, regions=frozenset({"there"}))
+        decisions = admission.dispatch(0.0, capacity)
+        rejected = [decision for decision in decisions if isinstance(decision, Rejected)]
+        self.assertTrue(rejected)
+        self.assertEqual({decision.request.allowed_regions for decision in rejected}, {here})
+        late = admission.try_admit(make_request("late", allowed_regions=here), 0.0, capacity)
+        self.assertIsInstance(late, Rejected)
+        capacity = msgspec.structs.replace(CAPACITY, regions=frozenset())
+        for _ in range(SLOTS):
+            admission.release()
+        rejected += [d for d in admission.dispatch(0.0, capacity) if isinstance(d, Rejected)]
+        reasons = {decision.reason for decision in rejected}
+        self.assertEqual(reasons, {RejectionReason.NO_WORKER_IN_SERVICE})
+        self.assertEqual(len(rejected), waiting)
 
     def test_a_batch_job_asks_for_slots_in_service_only(self) -> None:
         """Runs that end in the evacuated zone take no slot from those that start elsewhere."""
