Skip the placement constraint where nothing is constrained

Cause: each choice of a worker, each plan of a batch job and each of its slot counts built a place for every worker, and a set of all of them, also without evacuations, regions or start limits. Ruled out: caching by worker, which evacuations and configurations would have to invalidate. Change: one question for the whole list first. Capacity no longer asks for the remaining starts.

--- a/drumbay/admission/gate.py
+++ b/drumbay/admission/gate.py
@@ -145,8 +145,8 @@
         capacity = capacity_of(in_service, self._clock.monotonic())
         if not records:
             return capacity
-        region_of = self._placement.topology.region_of
-        regions = frozenset(region_of(record.worker.zone) for record in in_service)
+        zones = {record.worker.zone for record in in_service}
+        regions = frozenset(map(self._placement.topology.region_of, zones))
         return msgspec.structs.replace(capacity, regions=regions)
 
     async def _apply(self, decision: Admitted | Queued | Rejected) -> None:
--- a/drumbay/batches/job_share.py
+++ b/drumbay/batches/job_share.py
@@ -127,13 +127,18 @@
         """
         records = self._directory.of_service(self._spec.service)
         in_service = self._placement.in_service(records, self._allowed_regions())
+        running = self._running.total()
+        if len(in_service) < len(records):
+            running -= self._running_out_of_service(records, in_service)
+        return max(0, self._usable_slots(in_service, now) - running)
+
+    def _running_out_of_service(
+        self, records: Iterable[WorkerRecord], in_service: Iterable[WorkerRecord]
+    ) -> int:
         out_of_service = {r.worker.worker_id for r in records} - {
             r.worker.worker_id for r in in_service
         }
-        running = sum(
-            count for worker_id, count in self._running.items() if worker_id not in out_of_service
-        )
-        return max(0, self._usable_slots(in_service, now) - running)
+        return sum(self._running[worker_id] for worker_id in out_of_service)
 
     def _usable_slots(self, records: Iterable[WorkerRecord], now: float) -> int:
         """Return all slots, used or free, of the workers that may run the items."""
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -372,10 +372,7 @@
             limits = self._limits = msgspec.structs.replace(
                 self._quarantine.limits(self._scheduler.waiting),
                 start_allowances=start_allowances(self._placement, workers.values(), regions),
-                workers_in_service=frozenset(
-                    record.worker.worker_id
-                    for record in self._placement.in_service(workers.values(), regions)
-                ),
+                workers_in_service=self._workers_in_service(workers.values(), regions),
             )
             self.share.held_back_items = limits.held_back
             share = self.share.current_share(now)
@@ -390,6 +387,14 @@
                     await self._wakeup.wait()
             await self._clock.sleep(PLAN_DEBOUNCE_SECONDS)
 
+    def _workers_in_service(
+        self, records: Iterable[WorkerRecord], regions: AllowedRegions
+    ) -> frozenset[BackendId] | None:
+        if not self._placement.may_exclude(regions):
+            return None
+        in_service = self._placement.in_service(records, regions)
+        return frozenset(record.worker.worker_id for record in in_service)
+
     def _apply(self, decision: Decision, workers: dict[BackendId, WorkerRecord]) -> None:
         match decision:
             case StartRun(item=item, worker_id=worker_id):
--- a/drumbay/batches/start_allowances.py
+++ b/drumbay/batches/start_allowances.py
@@ -14,9 +14,12 @@
 ) -> dict[BackendId, int]:
     """Return how many items may start now at each worker that is limited."""
     allowances: dict[BackendId, int] = {}
+    may_exclude = placement.may_exclude(regions)
+    if not may_exclude and not placement.limits_starts:
+        return allowances
     for record in records:
         worker = record.worker
-        if placement.check(worker, regions) in LASTING_REASONS:
+        if may_exclude and placement.check(worker, regions) in LASTING_REASONS:
             allowances[worker.worker_id] = 0
             continue
         remaining = placement.remaining_starts(worker)
--- a/drumbay/batches/worker_selector.py
+++ b/drumbay/batches/worker_selector.py
@@ -109,8 +109,9 @@
         }
         self._free_total = sum(self._free_slots.values())
         # If none is in service, runs that continue are compared with each other.
-        compared = {w: r for w, r in workers.items() if in_service is None or w in in_service}
-        compared = compared or dict(workers)
+        compared = workers
+        if in_service is not None:
+            compared = {w: r for w, r in workers.items() if w in in_service} or workers
         current_intervals = [record.event_intervals.current(now) for record in compared.values()]
         intervals = sorted(interval for interval in current_intervals if interval is not None)
         self._median_interval = (
--- a/drumbay/placement/eligibility.py
+++ b/drumbay/placement/eligibility.py
@@ -33,6 +33,9 @@
         return Ineligibility.REGION_NOT_ALLOWED
     if place.zone in evacuated_zones:
         return Ineligibility.ZONE_EVACUATED
-    if place.remaining_starts < 1:
-        return Ineligibility.WARMING_UP
-    return None
+    return None if may_start(place.remaining_starts) else Ineligibility.WARMING_UP
+
+
+def may_start(remaining_starts: float) -> bool:
+    """Return whether this node may start another request at a worker now."""
+    return remaining_starts >= 1
--- a/drumbay/placement/gate.py
+++ b/drumbay/placement/gate.py
@@ -1,11 +1,17 @@
 """Applies the placement constraints to this node's sends to workers."""
 
+import math
 from collections.abc import Iterable
 from typing import Protocol
 
 from drumbay.clock import Clock
 from drumbay.observability.logs import log_event
-from drumbay.placement.eligibility import Ineligibility, WorkerPlace, ineligibility
+from drumbay.placement.eligibility import (
+    Ineligibility,
+    WorkerPlace,
+    ineligibility,
+    may_start,
+)
 from drumbay.placement.evacuations import EvacuatedZones
 from drumbay.placement.regions import ANY_REGION, AllowedRegions
 from drumbay.placement.topology import Topology
@@ -31,6 +37,7 @@
     Attributes:
         topology: The zones and regions.
         evacuations: The evacuated zones.
+        limits_starts: Whether workers may be limited in the requests that start there.
     """
 
     def __init__(
@@ -47,13 +54,23 @@
         self._clock = clock
         self._metrics = metrics
         self._starts: StartLimiter = starts or UnlimitedStarts()
+        self.limits_starts = starts is not None
+
+    def may_exclude(self, regions: AllowedRegions = ANY_REGION) -> bool:
+        """Return whether workers may be excluded because of their zone or region."""
+        return regions.is_restricted or bool(self.evacuations.zones)
 
     def check(self, worker: Worker, regions: AllowedRegions = ANY_REGION) -> Ineligibility | None:
         """Return why a worker may not get a request now, ``None`` if it may."""
+        return self._ineligibility(worker, regions, self.remaining_starts(worker))
+
+    def _ineligibility(
+        self, worker: Worker, regions: AllowedRegions, remaining_starts: float
+    ) -> Ineligibility | None:
         place = WorkerPlace(
             zone=worker.zone,
             region=self.topology.region_of(worker.zone),
-            remaining_starts=self.remaining_starts(worker),
+            remaining_starts=remaining_starts,
         )
         return ineligibility(place, regions, self.evacuations.zones)
 
@@ -69,18 +86,23 @@
         self, records: Iterable[WorkerRecord], regions: AllowedRegions = ANY_REGION
     ) -> list[WorkerRecord]:
         """Return the workers that may get a request now."""
-        return [record for record in records if self.check(record.worker, regions) is None]
+        candidates = self.in_service(records, regions)
+        if not self.limits_starts:
+            return candidates
+        now = self._clock.monotonic()
+        remaining_starts = self._starts.remaining_starts
+        return [r for r in candidates if may_start(remaining_starts(r.worker, now))]
 
     def in_service(
         self, records: Iterable[WorkerRecord], regions: AllowedRegions = ANY_REGION
     ) -> list[WorkerRecord]:
         """Return the workers that count as capacity, whether or not they may start more now."""
-        if not self.evacuations.zones and not regions.is_restricted:
+        if not self.may_exclude(regions):
             return list(records)
         return [
             record
             for record in records
-            if self.check(record.worker, regions) not in LASTING_REASONS
+            if self._ineligibility(record.worker, regions, math.inf) is None
         ]
 
     def admit(self, worker: Worker, regions: AllowedRegions, request_id: str) -> None:
