Let lookups wait for a start at a worker that warms up

Cause: a lookup whose workers all had no start left was rejected at once, though the next one comes free within a second; and starts that other lookups of the node took between choice and send counted as refusals by workers, of which six end a request. Ruled out: queueing in the admission, which knows places and not starts. Change: such a lookup polls, up to half of its time while it has not run, else up to its deadline. A send that the gate stops is no send, and no refusal either. Zones and regions still reject at once.

--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from drumbay.admission.gate import AdmissionGate
-from drumbay.admission.service import retry_after_seconds
+from drumbay.admission.service import MAX_WAIT_FRACTION, retry_after_seconds
 from drumbay.clock import Clock
 from drumbay.exceptions import Execution
 from drumbay.forwarding.hedge_timing import STALLED_CONNECTION_TARGET_SHARE, HedgeTiming
@@ -68,7 +68,7 @@
 """Retry-After for services without an available worker; another node may already see one."""
 
 FREE_WORKER_POLL_SECONDS = 0.05
-"""Polling interval while no attempt is in flight and no worker is free."""
+"""Polling interval while no attempt is in flight and no worker is free or may get a request."""
 
 MISDIRECTED_PAUSE_SECONDS = 5.0
 """Pause for a worker whose address now serves another one, until discovery is updated."""
@@ -452,7 +452,29 @@
         if choice is not None and record is not None:
             self._send(record, choice, remaining)
         elif not self._attempts:
+            self._wait_for_start(now)
+
+    def _wait_for_start(self, now: float) -> None:
+        """Postpone the next send if a worker will soon take another request of this node.
+
+        Raises:
+            ForwardingError: None will, or not in time.
+        """
+        may_start_later = self._picker.may_start_later(
+            self._service, self._avoided_workers, self._regions
+        )
+        if not may_start_later or now >= self._start_wait_ends_at():
             raise self._forwarding_error(timed_out=False)
+        self._next_send_at = now + FREE_WORKER_POLL_SECONDS
+
+    def _start_wait_ends_at(self) -> float:
+        """Return until when the request may wait for a start.
+
+        One that has not run is rejected early enough for a retry at another node.
+        """
+        if not self._has_not_run():
+            return self._deadline
+        return self._started_at + MAX_WAIT_FRACTION * (self._deadline - self._started_at)
 
     def _send_criteria(self) -> SendCriteria:
         return SendCriteria(
@@ -516,7 +538,8 @@
             self._record_worker_failures(now)
             return response
         except WorkerNotEligibleError:
-            self._refusal_count += 1
+            # Not sent, so no refusal by a worker: it must not use up those of the admission.
+            self._send_count -= 1
         except WorkerMisdirectedError:
             self._refusal_count += 1
             self._directory.pause(worker_id, now, MISDIRECTED_PAUSE_SECONDS, worker_started_at_ms)
--- a/drumbay/forwarding/worker_picker.py
+++ b/drumbay/forwarding/worker_picker.py
@@ -14,10 +14,12 @@
 )
 from drumbay.identifiers import BackendId
 from drumbay.limits.worker_bodies import may_send_body
+from drumbay.placement.eligibility import Ineligibility
 from drumbay.placement.gate import PlacementGate
 from drumbay.placement.regions import ANY_REGION, AllowedRegions
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
+from drumbay.workers.records import WorkerState
 from drumbay.workers.worker_record import WorkerRecord
 
 
@@ -71,6 +73,17 @@
         """Return whether a worker may get a request now."""
         return self._placement.check(record.worker, regions) is None
 
+    def may_start_later(
+        self, service: str, avoided_workers: Set[BackendId], regions: AllowedRegions
+    ) -> bool:
+        """Return whether a worker lacks only starts that this node may use soon."""
+        return any(
+            record.worker.state is WorkerState.READY
+            and record.worker.worker_id not in avoided_workers
+            and self._placement.check(record.worker, regions) is Ineligibility.WARMING_UP
+            for record in self._directory.of_service(service)
+        )
+
     def is_excluded(self, service: str, regions: AllowedRegions) -> bool:
         """Return whether a service has workers, but none in an allowed and active zone."""
         records = self._directory.of_service(service)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -24,6 +24,7 @@
 )
 from drumbay.identifiers import BackendId
 from drumbay.observability.serving_metrics import ServingMetrics
+from drumbay.placement.gate import PlacementGate
 from drumbay.quarantine.service import Quarantine
 from drumbay.standins.worker_pool import EmulatedWorkerPool
 from drumbay.tasks import TaskOwner
@@ -61,12 +62,14 @@
     )
 
 
-def forwarder_of(clock: Clock, workers: EmulatedWorkerPool) -> Forwarder:
+def forwarder_of(
+    clock: Clock, workers: EmulatedWorkerPool, placement: PlacementGate | None = None
+) -> Forwarder:
     """Return a forwarder with its dependencies for a pool of emulated workers."""
     directory = WorkerDirectory()
     directory.replace_all(workers.entries())
     metrics = ServingMetrics()
-    placement = unrestricted_placement(clock)
+    placement = placement or unrestricted_placement(clock)
     quarantine = Quarantine(
         clock, directory, placement, workers, TaskOwner(), metrics, broadcast=lambda notice: None
     )
