Pause after a send that the gate stopped

Cause: once such a send counts as none, a choice and a gate that disagree for longer repeat it without a pause until the deadline (found with the check before a repeated send taken out: the test hung). Also the capacity for admission is a function of its own now, so that a test can ask it.

--- a/drumbay/admission/capacity.py
+++ b/drumbay/admission/capacity.py
@@ -3,7 +3,10 @@
 import math
 from collections.abc import Sequence
 
+import msgspec
+
 from drumbay.admission.records import ServiceCapacity
+from drumbay.placement.gate import PlacementGate
 from drumbay.workers.records import WorkerState
 from drumbay.workers.worker_record import WorkerRecord
 
@@ -14,6 +17,19 @@
 """Workers whose pause lasts longer than this, as after a failure, do not count as capacity."""
 
 
+def capacity_in_service(
+    records: Sequence[WorkerRecord], placement: PlacementGate, now: float
+) -> ServiceCapacity:
+    """Return the capacity of the workers outside evacuated zones, with their regions."""
+    in_service = placement.in_service(records)
+    capacity = capacity_of(in_service, now)
+    if not records:
+        return capacity
+    zones = {record.worker.zone for record in in_service}
+    regions = frozenset(map(placement.topology.region_of, zones))
+    return msgspec.structs.replace(capacity, regions=regions)
+
+
 def capacity_of(records: Sequence[WorkerRecord], now: float) -> ServiceCapacity:
     """Return the estimated capacity of a service for this node."""
     ready = [record for record in records if record.worker.state is WorkerState.READY]
--- a/drumbay/admission/gate.py
+++ b/drumbay/admission/gate.py
@@ -2,9 +2,7 @@
 
 import asyncio
 
-import msgspec
-
-from drumbay.admission.capacity import capacity_of
+from drumbay.admission.capacity import capacity_in_service
 from drumbay.admission.records import (
     AdmissionRejectedError,
     AdmissionRequest,
@@ -141,13 +139,7 @@
 
     def _capacity(self) -> ServiceCapacity:
         records = self._directory.of_service(self._service)
-        in_service = self._placement.in_service(records)
-        capacity = capacity_of(in_service, self._clock.monotonic())
-        if not records:
-            return capacity
-        zones = {record.worker.zone for record in in_service}
-        regions = frozenset(map(self._placement.topology.region_of, zones))
-        return msgspec.structs.replace(capacity, regions=regions)
+        return capacity_in_service(records, self._placement, self._clock.monotonic())
 
     async def _apply(self, decision: Admitted | Queued | Rejected) -> None:
         request = decision.request
--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -73,6 +73,9 @@
 MISDIRECTED_PAUSE_SECONDS = 5.0
 """Pause for a worker whose address now serves another one, until discovery is updated."""
 
+INELIGIBLE_PAUSE_SECONDS = 0.02
+"""Pause after a send that the placement constraint stopped as its last step."""
+
 QUARANTINE_POLL_SECONDS = 0.02
 """Polling interval while the quarantine checks whether a request crashed its worker."""
 
@@ -409,7 +412,6 @@
             response = self._handle_finished(task, self._attempts.pop(task))
             if response is not None:
                 return response
-            self._next_send_at = self._clock.monotonic()
             self._is_hedge_next = False
         return None
 
@@ -524,7 +526,7 @@
         self, task: "asyncio.Task[WorkerResponse]", attempt: _Attempt
     ) -> WorkerResponse | None:
         """Process a finished attempt; return its response if it succeeded."""
-        now = self._clock.monotonic()
+        now = self._next_send_at = self._clock.monotonic()
         worker_id = attempt.record.worker.worker_id
         worker_started_at_ms = attempt.record.worker.started_at_ms
         try:
@@ -540,6 +542,7 @@
         except WorkerNotEligibleError:
             # Not sent, so no refusal by a worker: it must not use up those of the admission.
             self._send_count -= 1
+            self._next_send_at = now + INELIGIBLE_PAUSE_SECONDS
         except WorkerMisdirectedError:
             self._refusal_count += 1
             self._directory.pause(worker_id, now, MISDIRECTED_PAUSE_SECONDS, worker_started_at_ms)
