Ask the gate again once a connection to a worker is open

Ruled out: the gate's whole check at this point, which would count a start twice. Change: the client asks about the zone again before it writes to a new connection; reports and orders are not asked about.

--- a/drumbay/comm/http_exchange.py
+++ b/drumbay/comm/http_exchange.py
@@ -9,6 +9,7 @@
 import re
 import socket
 from collections import deque
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -69,6 +70,12 @@
     code = "exchange_not_sent"
 
 
+class ExchangeWithheldError(ExchangeNotSentError):
+    """The request may not be sent any more, now that the connection is established."""
+
+    code = "exchange_withheld"
+
+
 class ExchangeRefusedError(ExchangeNotSentError):
     """The connection was refused: no process listens on the address."""
 
@@ -188,14 +195,17 @@
         connections: ConnectionRegistry | None = None,
         *,
         fresh: bool = False,
+        may_send: Callable[[], bool] | None = None,
     ) -> "HttpExchange":
         """Send a request on a connection from ``pool``, or on a new one.
 
         A new connection is opened if the pool has none, or if ``fresh`` is true. It is tracked by
-        the pool's ``connections``, or by the given ones if there is no pool.
+        the pool's ``connections``, or by the given ones if there is no pool. ``may_send`` is asked
+        once it is established.
 
         Raises:
             ExchangeRefusedError: The connection was refused.
+            ExchangeWithheldError: The request may not be sent any more.
             ExchangeNotSentError: No connection was established in time.
         """
         idle = pool.take(address) if pool is not None and not fresh else None
@@ -207,6 +217,9 @@
                 idle.connection.is_replaceable = True
             return exchange
         stream = await _connect(address, connect_timeout_seconds)
+        if may_send is not None and not may_send():
+            stream.close()
+            raise ExchangeWithheldError(str(address))
         registry = pool.connections if pool is not None else connections
         tracked = registry.add(stream, str(address)) if registry is not None else None
         exchange = cls(stream, address, pool, tracked)
--- a/drumbay/placement/gate.py
+++ b/drumbay/placement/gate.py
@@ -126,6 +126,14 @@
         )
         raise WorkerNotEligibleError(reason)
 
+    def may_send_late(self, worker: Worker) -> bool:
+        """Return whether a request that was admitted may still be sent once it is connected."""
+        if not self.evacuations.contains(worker.zone):
+            return True
+        self._metrics.count_ineligible(Ineligibility.ZONE_EVACUATED)
+        log_event("request_withheld", worker=worker.worker_id, zone=worker.zone)
+        return False
+
     def may_resend(self, worker: Worker) -> bool:
         """Return whether a request that was admitted may be sent to its worker again."""
         if self.check(worker) is not None:
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -139,6 +139,7 @@
             lambda: self.metrics.set_evacuated_zones(len(self.evacuations.zones))
         )
         self.metrics.set_evacuated_zone_requests(self._evacuated_zone_requests)
+        environment.workers.set_send_check(self.placement.may_send_late)
         environment.workers.set_resend_check(self.placement.may_resend)
         self.announced_versions = AnnouncedVersions()
         self.quarantine = Quarantine(
--- a/drumbay/standins/worker_pool.py
+++ b/drumbay/standins/worker_pool.py
@@ -180,6 +180,9 @@
 
     # Requests
 
+    def set_send_check(self, may_send: Callable[[Worker], bool]) -> None:
+        """Ignore the check, since requests arrive as soon as they are sent."""
+
     def set_resend_check(self, may_resend: Callable[[Worker], bool]) -> None:
         """Ignore the check, since no request is sent again by itself."""
 
--- a/drumbay/workers/interface.py
+++ b/drumbay/workers/interface.py
@@ -46,6 +46,10 @@
     Cancelling a call closes its connection, upon which the worker stops processing it.
     """
 
+    def set_send_check(self, may_send: Callable[[Worker], bool]) -> None:
+        """Ask ``may_send`` before a request is sent on a new connection, once it is open."""
+        ...
+
     def set_resend_check(self, may_resend: Callable[[Worker], bool]) -> None:
         """Ask ``may_resend`` before a request whose idle connection had closed is sent again."""
         ...
--- a/tests/test_evacuation_sends.py
+++ b/tests/test_evacuation_sends.py
@@ -117,15 +117,18 @@
 
         run_in_world(scenario, node_count=1)
 
-    def test_a_node_asks_its_gate_before_a_client_repeats_a_request(self) -> None:
+    def test_a_node_asks_its_gate_before_a_client_sends_late_or_again(self) -> None:
         async def scenario(world: ServingWorld) -> None:
             far = world.workers.add("far", LOOKUPS, zone=ZONE).worker
-            with patch.object(world.workers, "set_resend_check") as set_check:
+            with (
+                patch.object(world.workers, "set_send_check") as send_check,
+                patch.object(world.workers, "set_resend_check") as resend_check,
+            ):
                 node = WorldNode(world, 9, 0).node
-            ((may_resend,), _) = set_check.call_args
-            self.assertTrue(may_resend(far))
+            checks = [mock.call_args.args[0] for mock in (send_check, resend_check)]
+            self.assertEqual([may_send(far) for may_send in checks], [True, True])
             node.evacuations.start(ZONE)
-            self.assertFalse(may_resend(far))
+            self.assertEqual([may_send(far) for may_send in checks], [False, False])
 
         run_in_world(scenario, node_count=1)
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -41,6 +41,7 @@
     WorkerError,
     WorkerLoad,
     WorkerMisdirectedError,
+    WorkerNotEligibleError,
     WorkerRefusedError,
     WorkerRequest,
     WorkerState,
@@ -380,6 +381,21 @@
         with self.assertRaises(WorkerUnreachableError):
             await self.client.call(worker, self.repeatable())
 
+    async def test_request_is_withheld_if_it_may_not_be_sent_once_connected(self) -> None:
+        """The zone was evacuated while the connection opened; reports go on."""
+        report = b'{"models":[],"busy":false,"seq":1}'
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(report)}\r\n\r\n"
+        worker = await self.server(head + report.decode())
+        self.client.set_send_check(lambda worker: worker.zone != "z")
+        for request in (self.request(), self.repeatable()):
+            with self.assertRaises(WorkerNotEligibleError):
+                await self.client.call(worker, request)
+            with self.assertRaises(WorkerNotEligibleError):
+                async with self.client.stream(worker, request):
+                    pass
+        self.assertEqual(self.scripted.requests, [])
+        await self.client.status(worker)
+
     async def test_request_that_may_not_be_resent_may_have_run(self) -> None:
         """The worker's zone is evacuated; it may have read the request before it closed."""
         worker = await self.server(self.head + "Content-Length: 2\r\n\r\nok")
