Load versions on workers in service before evacuated ones

Cause: evacuated workers that were further behind went first and took all concurrent loads; where their loads fail, as in a zone in trouble, they took them again and again. Ruled out: a limit for each side, which would leave the evacuated zone none while loads are few. Change: in service first, whatever the urgency; the rest of the limit is for the evacuated. Conclusion: the new test in VersionLoadTest fails with the old order.

--- a/drumbay/weights/version_planner.py
+++ b/drumbay/weights/version_planner.py
@@ -7,7 +7,7 @@
 workers.
 
 Workers of evacuated zones load too, so that a zone returns with usable versions. They are counted
-apart from the workers in service, and go last among loads of the same urgency.
+apart from the workers in service, and go last: their loads may fail while the zone is in trouble.
 """
 
 from collections.abc import Iterable, Mapping, Set
@@ -68,8 +68,8 @@
 class _Candidate(msgspec.Struct, frozen=True, kw_only=True, order=True):
     """A possible load; the most urgent one sorts first."""
 
-    is_optional: bool
     is_evacuated: bool
+    is_optional: bool
     current_version: int
     active_requests: int
     worker_id: BackendId
@@ -204,8 +204,8 @@
                 continue
             possible_loads.append(
                 _Candidate(
-                    is_optional=is_optional,
                     is_evacuated=is_evacuated,
+                    is_optional=is_optional,
                     current_version=record.versions[model],
                     active_requests=record.in_flight,
                     worker_id=worker_id,
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -391,6 +391,14 @@
         loads = self.loads(3, LoadPolicy())
         self.assertEqual(loads, ["near-0", "near-1", "far-0", "far-1"])
 
+    def test_the_evacuated_zone_waits_even_if_it_is_further_behind(self) -> None:
+        """Its loads may fail again and again, and would keep those in service from starting."""
+        for number in range(6):
+            name = BackendId(f"near-{number}")
+            self.directory.observe_version(name, MODEL, WeightVersion(8), 0.0)
+        loads = self.loads(9, LoadPolicy(min_concurrent_loads=4))
+        self.assertEqual(loads, ["near-0", "near-1", "near-2", "far-0"])
+
     def test_the_leader_counts_the_zone_apart_and_loads_there_too(self) -> None:
         """Counted together, the loaded workers of the zone would be the half."""
 
