End the wait for a start within the part of the time it may take

Cause: the last poll came up to 50 ms after half of a lookup's time. Change: a lookup whose next poll would come later is rejected at the last one before. Conclusion: tests.test_start_waits asks for at most half; it fails with the old comparison.

--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -465,9 +465,10 @@
         may_start_later = self._picker.may_start_later(
             self._service, self._avoided_workers, self._regions
         )
-        if not may_start_later or now >= self._start_wait_ends_at():
+        next_send_at = now + FREE_WORKER_POLL_SECONDS
+        if not may_start_later or next_send_at > self._start_wait_ends_at():
             raise self._forwarding_error(timed_out=False)
-        self._next_send_at = now + FREE_WORKER_POLL_SECONDS
+        self._next_send_at = next_send_at
 
     def _start_wait_ends_at(self) -> float:
         """Return until when the request may wait for a start.
