Don't list a service's workers to find that none can be excluded

Cause: each lookup filtered and sorted all workers once more before its admission. Change: asked only with evacuations or restricted regions; starts only where they are limited. Conclusion: tests of forwarding and evacuations pass.

--- a/drumbay/forwarding/worker_picker.py
+++ b/drumbay/forwarding/worker_picker.py
@@ -77,7 +77,7 @@
         self, service: str, avoided_workers: Set[BackendId], regions: AllowedRegions
     ) -> bool:
         """Return whether a worker lacks only starts that this node may use soon."""
-        return any(
+        return self._placement.limits_starts and any(
             record.worker.state is WorkerState.READY
             and record.worker.worker_id not in avoided_workers
             and self._placement.check(record.worker, regions) is Ineligibility.WARMING_UP
@@ -86,6 +86,8 @@
 
     def is_excluded(self, service: str, regions: AllowedRegions) -> bool:
         """Return whether a service has workers, but none in an allowed and active zone."""
+        if not self._placement.may_exclude(regions):
+            return False
         records = self._directory.of_service(service)
         return bool(records) and not self._placement.in_service(records, regions)
 
