--- a/drumbay/placement/gate.py
+++ b/drumbay/placement/gate.py
@@ -62,14 +62,14 @@
 
     def check(self, worker: Worker, regions: AllowedRegions = ANY_REGION) -> Ineligibility | None:
         """Return why a worker may not get a request now, ``None`` if it may."""
-        return self._ineligibility(worker, regions, self.remaining_starts(worker))
+        return self._ineligibility(worker.zone, regions, self.remaining_starts(worker))
 
     def _ineligibility(
-        self, worker: Worker, regions: AllowedRegions, remaining_starts: float
+        self, zone: str, regions: AllowedRegions, remaining_starts: float
     ) -> Ineligibility | None:
         place = WorkerPlace(
-            zone=worker.zone,
-            region=self.topology.region_of(worker.zone),
+            zone=zone,
+            region=self.topology.region_of(zone),
             remaining_starts=remaining_starts,
         )
         return ineligibility(place, regions, self.evacuations.zones)
@@ -97,13 +97,16 @@
         self, records: Iterable[WorkerRecord], regions: AllowedRegions = ANY_REGION
     ) -> list[WorkerRecord]:
         """Return the workers that count as capacity, whether or not they may start more now."""
+        records = list(records)
         if not self.may_exclude(regions):
-            return list(records)
-        return [
-            record
-            for record in records
-            if self._ineligibility(record.worker, regions, math.inf) is None
-        ]
+            return records
+        # Asked for each zone once, as there may be hundreds of workers.
+        zones = {
+            zone
+            for zone in {record.worker.zone for record in records}
+            if self._ineligibility(zone, regions, math.inf) is None
+        }
+        return [record for record in records if record.worker.zone in zones]
 
     def admit(self, worker: Worker, regions: AllowedRegions, request_id: str) -> None:
         """Check a send as the last step before it, and count it.
