--- a/drumbay/placement/gate.py
+++ b/drumbay/placement/gate.py
@@ -19,9 +19,6 @@
 from drumbay.workers.records import Worker, WorkerNotEligibleError
 from drumbay.workers.worker_record import WorkerRecord
 
-LASTING_REASONS = frozenset({Ineligibility.ZONE_EVACUATED, Ineligibility.REGION_NOT_ALLOWED})
-"""Reasons that a request need not wait for: they rarely end before its deadline."""
-
 
 class PlacementMetrics(Protocol):
     """Counts refused sends."""
