--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from drumbay.admission.gate import AdmissionGate
-from drumbay.admission.service import retry_after_seconds
+from drumbay.admission.service import MAX_WAIT_FRACTION, retry_after_seconds
 from drumbay.clock import Clock
 from drumbay.exceptions import Execution
 from drumbay.forwarding.hedge_timing import STALLED_CONNECTION_TARGET_SHARE, HedgeTiming
@@ -68,11 +68,14 @@
 """Retry-After for services without an available worker; another node may already see one."""
 
 FREE_WORKER_POLL_SECONDS = 0.05
-"""Polling interval while no attempt is in flight and no worker is free."""
+"""Polling interval while no attempt is in flight and no worker is free or may get a request."""
 
 MISDIRECTED_PAUSE_SECONDS = 5.0
 """Pause for a worker whose address now serves another one, until discovery is updated."""
 
+INELIGIBLE_PAUSE_SECONDS = 0.02
+"""Pause after a send that the placement constraint stopped as its last step."""
+
 QUARANTINE_POLL_SECONDS = 0.02
 """Polling interval while the quarantine checks whether a request crashed its worker."""
 
@@ -111,7 +114,9 @@
         )
         self._routes = routes
         self._usage = usage
-        self.admission = AdmissionGate(clock, directory, metrics, is_enabled=has_admission)
+        self.admission = AdmissionGate(
+            clock, directory, placement, metrics, is_enabled=has_admission
+        )
 
     async def forward(self, route: Route, request: ClientRequest) -> WorkerResponse:
         """Return a worker's complete response.
@@ -192,7 +197,7 @@
         self._is_hedge_next = False
         self._successful_attempt: _Attempt | None = None
         self._admission = RequestAdmission(
-            forwarder.admission, service, request, self._started_at, self._deadline
+            forwarder.admission, service, request, self._started_at, self._deadline, regions
         )
         self._worker_priority = request.priority if len(priority_levels) > 1 else None
         """Passed to workers only if the service receives requests of several priorities."""
@@ -407,7 +412,6 @@
             response = self._handle_finished(task, self._attempts.pop(task))
             if response is not None:
                 return response
-            self._next_send_at = self._clock.monotonic()
             self._is_hedge_next = False
         return None
 
@@ -442,7 +446,7 @@
         self._is_hedge_next = True
         if not self._has_attempts_left():
             unconfirmed = self._unconfirmed_attempt()
-            if unconfirmed is not None:
+            if unconfirmed is not None and self._picker.may_send(unconfirmed.record, self._regions):
                 self._send(unconfirmed.record, unconfirmed.choice, remaining)
             return
         choice = self._picker.choose(self._send_criteria(), now)
@@ -450,7 +454,30 @@
         if choice is not None and record is not None:
             self._send(record, choice, remaining)
         elif not self._attempts:
+            self._wait_for_start(now)
+
+    def _wait_for_start(self, now: float) -> None:
+        """Postpone the next send if a worker will soon take another request of this node.
+
+        Raises:
+            ForwardingError: None will, or not in time.
+        """
+        may_start_later = self._picker.may_start_later(
+            self._service, self._avoided_workers, self._regions
+        )
+        next_send_at = now + FREE_WORKER_POLL_SECONDS
+        if not may_start_later or next_send_at > self._start_wait_ends_at():
             raise self._forwarding_error(timed_out=False)
+        self._next_send_at = next_send_at
+
+    def _start_wait_ends_at(self) -> float:
+        """Return until when the request may wait for a start.
+
+        One that has not run is rejected early enough for a retry at another node.
+        """
+        if not self._has_not_run():
+            return self._deadline
+        return self._started_at + MAX_WAIT_FRACTION * (self._deadline - self._started_at)
 
     def _send_criteria(self) -> SendCriteria:
         return SendCriteria(
@@ -500,7 +527,7 @@
         self, task: "asyncio.Task[WorkerResponse]", attempt: _Attempt
     ) -> WorkerResponse | None:
         """Process a finished attempt; return its response if it succeeded."""
-        now = self._clock.monotonic()
+        now = self._next_send_at = self._clock.monotonic()
         worker_id = attempt.record.worker.worker_id
         worker_started_at_ms = attempt.record.worker.started_at_ms
         try:
@@ -514,7 +541,9 @@
             self._record_worker_failures(now)
             return response
         except WorkerNotEligibleError:
-            self._refusal_count += 1
+            # Not sent, so no refusal by a worker: it must not use up those of the admission.
+            self._send_count -= 1
+            self._next_send_at = now + INELIGIBLE_PAUSE_SECONDS
         except WorkerMisdirectedError:
             self._refusal_count += 1
             self._directory.pause(worker_id, now, MISDIRECTED_PAUSE_SECONDS, worker_started_at_ms)
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -135,11 +135,17 @@
             self.evacuations,
             self.metrics,
         )
+        self.evacuations.add_listener(
+            lambda: self.metrics.set_evacuated_zones(len(self.evacuations.zones))
+        )
+        self.metrics.set_evacuated_zone_requests(self._evacuated_zone_requests)
+        environment.workers.set_send_check(self.placement.may_send_late)
         environment.workers.set_resend_check(self.placement.may_resend)
         self.announced_versions = AnnouncedVersions()
         self.quarantine = Quarantine(
             clock,
             self.directory,
+            self.placement,
             environment.workers,
             self._tasks,
             self.metrics,
@@ -173,7 +179,9 @@
                 self._renew_connections,
             ),
             self.quarantine,
-            RewardScorer(clock, self.forwarder, self.routes, self.directory, self.metrics),
+            RewardScorer(
+                clock, self.forwarder, self.routes, self.directory, self.placement, self.metrics
+            ),
             environment.peers,
             self._tasks,
             settings.identity,
@@ -201,6 +209,7 @@
         self._coordinator = VersionCoordinator(
             clock,
             self.directory,
+            self.placement,
             environment.workers,
             self.leader,
             self.announced_versions,
@@ -270,6 +279,7 @@
                 self._store,
                 self.routes,
                 self.directory,
+                self.placement,
                 self.leader,
                 duties,
                 collector if self._settings.is_enabled(LoadFeature.WORKER_COUNTS) else None,
@@ -358,6 +368,13 @@
             )
             self._tasks.spawn(self._drop_missing_workers(), "missing-workers")
 
+    def _evacuated_zone_requests(self) -> int:
+        return sum(
+            record.in_flight
+            for record in self.directory.all_records().values()
+            if self.evacuations.contains(record.worker.zone)
+        )
+
     async def _reclaim_own_batches(self) -> None:
         """Resume the batch jobs of the previous process once the workers are known."""
         while not self.directory.is_loaded:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -41,6 +41,7 @@
     WorkerError,
     WorkerLoad,
     WorkerMisdirectedError,
+    WorkerNotEligibleError,
     WorkerRefusedError,
     WorkerRequest,
     WorkerState,
@@ -380,6 +381,33 @@
         with self.assertRaises(WorkerUnreachableError):
             await self.client.call(worker, self.repeatable())
 
+    async def test_request_is_withheld_if_it_may_not_be_sent_once_connected(self) -> None:
+        """The zone was evacuated while the connection opened; reports go on."""
+        report = b'{"models":[],"busy":false,"seq":1}'
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(report)}\r\n\r\n"
+        worker = await self.server(head + report.decode())
+        self.client.set_send_check(lambda worker: worker.zone != "z")
+        for request in (self.request(), self.repeatable()):
+            with self.assertRaises(WorkerNotEligibleError):
+                await self.client.call(worker, request)
+            with self.assertRaises(WorkerNotEligibleError):
+                async with self.client.stream(worker, request):
+                    pass
+        self.assertEqual(self.scripted.requests, [])
+        await self.client.status(worker)
+
+    async def test_request_that_may_not_be_resent_may_have_run(self) -> None:
+        """The worker's zone is evacuated; it may have read the request before it closed."""
+        worker = await self.server(self.head + "Content-Length: 2\r\n\r\nok")
+        self.scripted.keep = True
+        await self.client.call(worker, self.repeatable())
+        self.client.set_resend_check(lambda worker: worker.zone != "z")
+        self.scripted.keep = False
+        self.scripted.script = lambda _: b""
+        with self.assertRaises(WorkerBrokenError):
+            await self.client.call(worker, self.repeatable())
+        self.assertEqual(len(self.scripted.requests), 2)
+
     async def test_connection_with_surplus_bytes_is_not_reused(self) -> None:
         text = self.head + "Content-Length: 2\r\n\r\nok" + self.head + "Content-Length: 1\r\n\r\nx"
         worker = await self.server(text)
