Prefer watchers and relays of the own region

Cause: a follower polls any watcher and a relayed store call goes to any node, also across regions. Ruled out: near relays alone (a whole region may be cut off from the store), near watchers without a limit (one watcher of a large region would serve more followers than a watcher is meant to). Change: watchers of the own region come first, balanced over the nodes of the region, unless these are too many for them; relays try near nodes first and a far one last. Without regions the order stays as it was.

--- a/drumbay/peers/directory.py
+++ b/drumbay/peers/directory.py
@@ -32,7 +32,7 @@
 from drumbay.observability.logs import log_event
 from drumbay.peers.watchers import RegisteredNode, WatcherRanking
 from drumbay.placement.regions import AllowedRegions
-from drumbay.placement.topology import Topology
+from drumbay.placement.topology import Distance, Topology
 
 NODE_PREFIX = "drumbay/nodes/"
 FIRST_RETRY_SECONDS = 0.5
@@ -199,8 +199,19 @@
         found = list(self._unresponsive_until)
         self._generator.shuffle(found)
         found.sort(key=self.is_unresponsive)
+        found = self._with_near_first(found, count)
         return found[:count]
 
+    def _with_near_first(self, found: list[NetworkAddress], count: int) -> list[NetworkAddress]:
+        """Put responsive near nodes first, but a far one last among ``count``.
+
+        A whole region may be cut off from the store.
+        """
+        far = [a for a in found if not self.is_near(a) and not self.is_unresponsive(a)]
+        near = [a for a in found if self.is_near(a) and not self.is_unresponsive(a)]
+        first = near[: count - 1] + far[:1]
+        return first + [address for address in found if address not in first]
+
     def responsive_among(self, addresses: Iterable[NetworkAddress]) -> list[NetworkAddress]:
         """Return the given nodes without this one and without unresponsive ones."""
         return [a for a in addresses if a != self._address and not self.is_unresponsive(a)]
@@ -217,6 +228,10 @@
         """Return the zone of a node, empty if it is not known."""
         return self._zones.get(address, "")
 
+    def is_near(self, address: NetworkAddress) -> bool:
+        """Return whether a node is in the region of this one, or its region is not known."""
+        return self._topology.distance_to(self.zone_of(address)) is not Distance.OTHER_REGION
+
     def is_in(self, address: NetworkAddress, regions: AllowedRegions) -> bool:
         """Return whether a node is in one of the given regions, as far as is known."""
         return regions.permits(self._topology.region_of(self.zone_of(address)))
--- a/drumbay/peers/feeds.py
+++ b/drumbay/peers/feeds.py
@@ -244,7 +244,7 @@
         await self._probe_store()
 
     def _candidate_sources(self) -> list[NetworkAddress]:
-        found = self._directory.ranking.sources_for(self._address)
+        found = self._directory.ranking.sources_for(self._address, self._directory.is_near)
         return [address for address in found if not self._directory.is_unresponsive(address)]
 
     async def _poll_watcher(self, address: NetworkAddress, wait_seconds: float) -> bool:
--- a/drumbay/peers/watchers.py
+++ b/drumbay/peers/watchers.py
@@ -5,7 +5,7 @@
 follow them, so a new node never displaces an older one.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
 
@@ -58,11 +58,28 @@
         """Return whether a node is a watcher; in a small cluster, unregistered nodes are too."""
         return not self.has_followers or address in self.watchers
 
-    def sources_for(self, address: NetworkAddress) -> tuple[NetworkAddress, ...]:
-        """Return the watchers that a node may follow, rotated to balance the load."""
+    def sources_for(
+        self, address: NetworkAddress, is_near: Callable[[NetworkAddress], bool] = lambda _: True
+    ) -> tuple[NetworkAddress, ...]:
+        """Return the watchers that a node may follow, rotated to balance the load.
+
+        Near watchers come first, unless the near nodes are too many for them.
+        """
         watchers = [watcher for watcher in self.watchers if watcher != address]
-        if not watchers:
-            return ()
-        position = self.nodes.index(address) if address in self.nodes else 0
-        start = position % len(watchers)
-        return tuple(watchers[start:] + watchers[:start])
+        near = [watcher for watcher in watchers if is_near(watcher)]
+        near_nodes = [node for node in self.nodes if is_near(node)]
+        if len(near) == len(watchers) or len(near_nodes) > len(near) * NODES_PER_WATCHER:
+            return _rotate(watchers, self.nodes, address)
+        far = [watcher for watcher in watchers if not is_near(watcher)]
+        return _rotate(near, near_nodes, address) + _rotate(far, near_nodes, address)
+
+
+def _rotate(
+    watchers: Sequence[NetworkAddress], nodes: Sequence[NetworkAddress], address: NetworkAddress
+) -> tuple[NetworkAddress, ...]:
+    """Return the watchers, starting with another one for each of the nodes in turn."""
+    if not watchers:
+        return ()
+    position = nodes.index(address) if address in nodes else 0
+    start = position % len(watchers)
+    return (*watchers[start:], *watchers[:start])
