Count the way to workers of other regions

Cause: workers of another region cost as much as those of another zone, and the way to them would be learnt as slowness of the worker and counted twice. Ruled out: a learnt way per zone (few responses per node and worker). Change: an assumed round trip is added in the choice and taken off the observed time; items prefer near workers among about equal ones. Within a region, and without regions, nothing changes.

--- a/drumbay/batches/decisions.py
+++ b/drumbay/batches/decisions.py
@@ -20,12 +20,14 @@
         isolated_workers: Workers on which such an item or request runs already.
         start_allowances: Items that may start now, for workers with a limit: none in an evacuated
             zone or outside the allowed regions, few at a worker that may be cold.
+        distant_workers: Workers in another region than this node.
     """
 
     held_back: frozenset[ItemId] = frozenset()
     isolated: frozenset[ItemId] = frozenset()
     isolated_workers: frozenset[BackendId] = frozenset()
     start_allowances: Mapping[BackendId, int] = msgspec.field(default_factory=dict)
+    distant_workers: frozenset[BackendId] = frozenset()
 
 
 class SlotShare(msgspec.Struct, frozen=True, kw_only=True):
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -421,6 +421,7 @@
             limits.isolated_workers,
             share.used_by_others,
             limits.start_allowances,
+            distant_workers=limits.distant_workers,
         )
         self._is_overloaded = share.contention is not None and share.contention.is_overloaded
         self._median_event_interval = selector.median_event_interval
--- a/drumbay/batches/start_allowances.py
+++ b/drumbay/batches/start_allowances.py
@@ -6,9 +6,19 @@
 from drumbay.identifiers import BackendId
 from drumbay.placement.gate import LASTING_REASONS, PlacementGate
 from drumbay.placement.regions import AllowedRegions
+from drumbay.placement.topology import Distance, Topology
 from drumbay.workers.worker_record import WorkerRecord
 
 
+def distant_workers(topology: Topology, records: Iterable[WorkerRecord]) -> frozenset[BackendId]:
+    """Return the workers in another region than this node."""
+    return frozenset(
+        record.worker.worker_id
+        for record in records
+        if topology.distance_to(record.worker.zone) is Distance.OTHER_REGION
+    )
+
+
 def start_allowances(
     placement: PlacementGate, records: Iterable[WorkerRecord], regions: AllowedRegions
 ) -> dict[BackendId, int]:
--- a/drumbay/batches/worker_selector.py
+++ b/drumbay/batches/worker_selector.py
@@ -24,6 +24,9 @@
 older than the newest version, and for a token load of 1.
 """
 
+DISTANT_PENALTY = 0.05
+"""Part of the cost of a worker in another region: decides only between about equal workers."""
+
 SHARED_PROMPT_BONUS = 1.0
 """Extra token load accepted to reuse a cached prompt; 1 stands for all slots of a worker."""
 
@@ -69,6 +72,8 @@
         isolated_workers: frozenset[BackendId] = frozenset(),
         used_by_others: Mapping[BackendId, int] | None = None,
         start_allowances: Mapping[BackendId, int] | None = None,
+        *,
+        distant_workers: frozenset[BackendId] = frozenset(),
     ) -> None:
         """Take a snapshot of the workers.
 
@@ -80,6 +85,7 @@
             isolated_workers: Workers that are not available to isolated items.
             used_by_others: Runs of other nodes by worker; ``None`` to use the load reports.
             start_allowances: Items that may start now, for workers with a limit.
+            distant_workers: Workers in another region than this node.
         """
         allowances = start_allowances or {}
         others = {
@@ -92,6 +98,7 @@
         self._tie_break_keys: dict[BackendId, int] = {}
         self._isolated_workers = set(isolated_workers)
         self._workers = workers
+        self._distant_workers = distant_workers
         self._active = {w for w, record in workers.items() if record.event_intervals.is_active(now)}
         self._versions = {
             worker_id: record.version_of(spec.model, now) or UNVERSIONED
@@ -236,7 +243,7 @@
             key=lambda w: (
                 self.is_slow(w),
                 w in inactive,
-                cost(w, request.group),
+                cost(w, request.group) + DISTANT_PENALTY * (w in self._distant_workers),
                 self._tie_break_key(w),
             ),
         )
--- a/drumbay/forwarding/worker_choice.py
+++ b/drumbay/forwarding/worker_choice.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from drumbay.identifiers import BackendId
+from drumbay.placement.topology import Distance
 from drumbay.workers.records import WorkerLoad
 from drumbay.workers.response_stats import decay_weight
 
@@ -31,7 +32,14 @@
 """Time to open a connection."""
 
 CROSS_ZONE_SECONDS = 0.002
-"""Round trip to another zone."""
+CROSS_REGION_SECONDS = 0.024
+"""Round trips to another zone of this region, and to another region."""
+
+_ROUND_TRIP_SECONDS = {
+    Distance.SAME_ZONE: 0.0,
+    Distance.SAME_REGION: CROSS_ZONE_SECONDS,
+    Distance.OTHER_REGION: CROSS_REGION_SECONDS,
+}
 
 COST_RESOLUTION_SECONDS = 0.001
 """Costs are rounded to this; of workers with equal cost the least recently used is selected."""
@@ -73,7 +81,7 @@
     last_run_at: float = -math.inf
     paused_until: float = -math.inf
     has_idle_connection: bool = False
-    is_same_zone: bool = True
+    distance: Distance = Distance.SAME_ZONE
 
 
 class ChosenWorker(msgspec.Struct, frozen=True, kw_only=True):
@@ -105,8 +113,7 @@
         expected = typical_seconds * _expected_relative_latency(snapshot, mean_other_requests, now)
         if not snapshot.has_idle_connection:
             expected = NEW_CONNECTION_FACTOR * expected + CONNECT_SECONDS
-        if not snapshot.is_same_zone:
-            expected += CROSS_ZONE_SECONDS
+        expected += _ROUND_TRIP_SECONDS[snapshot.distance]
         expected += max(0.0, snapshot.paused_until - now)
         return round(expected / COST_RESOLUTION_SECONDS), snapshot.last_run_at
 
@@ -114,7 +121,8 @@
     return ChosenWorker(
         worker_id=chosen.worker_id,
         expected_seconds=typical_seconds
-        * _expected_relative_latency(chosen, mean_other_requests, now),
+        * _expected_relative_latency(chosen, mean_other_requests, now)
+        + cross_region_seconds(chosen.distance),
         load_age_seconds=now - chosen.reported_at,
         slowdown=_estimated_slowdown(chosen, now),
     )
@@ -131,6 +139,14 @@
     return min(MAX_REFUSAL_SECONDS, max(MIN_REFUSAL_SECONDS, service_seconds))
 
 
+def cross_region_seconds(distance: Distance) -> float:
+    """Return the part of a response time that is the way to another region.
+
+    It is not part of a worker's own latency; the short ways within a region are.
+    """
+    return CROSS_REGION_SECONDS if distance is Distance.OTHER_REGION else 0.0
+
+
 def relative_latency_of(
     elapsed_seconds: float, typical_seconds: float, load: WorkerLoad | None
 ) -> float:
