Keep requests in their regions until the last send, and out of the queue of other capacity

Cause: the regions of a request were read once at its start, rewards were bound by their own route alone, a repeat on a closed connection was not checked, and a restricted request could queue while only other regions had capacity. Ruled out: an admission queue per set of regions (the same workers would be counted by two queues). Changed test: the stand-in for RewardScorer.score in tests/test_rewards.py takes the new argument.

--- a/drumbay/batches/exceptions.py
+++ b/drumbay/batches/exceptions.py
@@ -45,6 +45,12 @@
     code = "batch_refused"
 
 
+class BatchWithoutRegionError(BatchRefusedError):
+    """No region is allowed both by the route and by the tenant of the batch job."""
+
+    code = "batch_without_region"
+
+
 class BatchOutcomeUnknownError(RequestFailedError):
     """The store did not confirm in time whether it accepted the batch job."""
 
--- a/drumbay/batches/item_scoring.py
+++ b/drumbay/batches/item_scoring.py
@@ -10,6 +10,7 @@
 from drumbay.clock import Clock
 from drumbay.forwarding.records import RewardOrder
 from drumbay.observability.logs import log_event
+from drumbay.placement.regions import AllowedRegions
 from drumbay.tasks import TaskOwner
 
 
@@ -24,6 +25,7 @@
         task_owner: TaskOwner,
         batch_id: BatchId,
         order: RewardOrder,
+        allowed_regions: Callable[[], AllowedRegions],
         on_result: Callable[[ItemResult], None],
         on_change: Callable[[], None],
     ) -> None:
@@ -36,6 +38,7 @@
             task_owner: Runs the requests.
             batch_id: The batch job.
             order: Priority of the batch job's reward requests; earlier submissions go first.
+            allowed_regions: Returns the regions in which the batch job may run now.
             on_result: Called with the result of an item that is finished or given up.
             on_change: Called when the scheduler should plan again.
         """
@@ -47,6 +50,7 @@
         self._on_result = on_result
         self._on_change = on_change
         self._order = order
+        self._allowed_regions = allowed_regions
         self._tasks: dict[ItemId, asyncio.Task[None]] = {}
 
     def start(self, decision: ScoreText) -> None:
@@ -74,7 +78,7 @@
     async def _score(self, decision: ScoreText) -> None:
         item_id = decision.item_id
         try:
-            reward = await self._scorer.score(decision.request, self._order)
+            reward = await self._scorer.score(decision.request, self._order, self._allowed_regions)
         except RewardUnavailableError as error:
             result = self._handle_failure(decision, error)
         else:
--- a/drumbay/batches/reward_scorer.py
+++ b/drumbay/batches/reward_scorer.py
@@ -19,6 +19,7 @@
 from drumbay.forwarding.routes import RequestKind, Route, RouteTable
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
+from drumbay.placement.regions import AllowedRegions
 from drumbay.workers.directory import WorkerDirectory
 
 REWARD_BUDGET_SECONDS = 2.0
@@ -90,12 +91,19 @@
         self._metrics = metrics
         self._queues: dict[str, _ScoringQueue] = {}
 
-    async def score(self, request: RewardRequest, order: RewardOrder) -> Reward:
+    async def score(
+        self,
+        request: RewardRequest,
+        order: RewardOrder,
+        allowed_regions: Callable[[], AllowedRegions],
+    ) -> Reward:
         """Return the score of a complete text.
 
         Args:
             request: The reward request.
             order: Determines which reward requests go first.
+            allowed_regions: Returns the regions in which the batch job may run now; the route
+                of the reward request may restrict it further.
 
         Raises:
             RewardUnavailableError: No score was obtained.
@@ -105,7 +113,7 @@
         try:
             route = self._route(request)
             async with self._queue(route).slot(order.batch_started_at):
-                reward = await self._send(request, order)
+                reward = await self._send(request, order, allowed_regions)
             outcome = "scored"
             return reward
         except RewardUnavailableError as error:
@@ -141,7 +149,12 @@
         ]
         return slot_limit(records, self._clock.monotonic())
 
-    async def _send(self, request: RewardRequest, order: RewardOrder) -> Reward:
+    async def _send(
+        self,
+        request: RewardRequest,
+        order: RewardOrder,
+        allowed_regions: Callable[[], AllowedRegions],
+    ) -> Reward:
         # The route may have changed while the request was queued.
         route = self._route(request)
         outgoing = ClientRequest(
@@ -154,6 +167,7 @@
             budget_seconds=REWARD_BUDGET_SECONDS,
             priority=route.priority,
             reward_order=order,
+            regions=allowed_regions(),
         )
         try:
             response = await self._forwarder.forward(route, outgoing)
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -41,7 +41,7 @@
 from drumbay.batches.run_failure import record_run_failure
 from drumbay.batches.scheduler import BatchScheduler
 from drumbay.batches.slot_sharing import SlotSharing
-from drumbay.batches.start_allowances import start_allowances
+from drumbay.batches.start_allowances import distant_workers, start_allowances
 from drumbay.clock import Clock
 from drumbay.forwarding.records import RewardOrder
 from drumbay.identifiers import BackendId, Revision, WeightVersion
@@ -184,6 +184,7 @@
             task_owner,
             spec.batch_id,
             RewardOrder(batch_started_at=submitted_at, batch_priority=spec.priority),
+            allowed_regions,
             on_result=self._add_result,
             on_change=self._wakeup.set,
         )
@@ -365,6 +366,7 @@
                 start_allowances=start_allowances(
                     self._placement, workers.values(), self._allowed_regions()
                 ),
+                distant_workers=distant_workers(self._placement.topology, workers.values()),
             )
             self.share.held_back_items = limits.held_back
             share = self.share.current_share(now)
@@ -483,8 +485,9 @@
             priority=start.priority,
             repeatable=True,
             tenant=self.spec.tenant,
+            allowed_regions=self._allowed_regions,
         )
-        self._placement.admit(record.worker, self._allowed_regions(), item.item_id)
+        self._placement.admit(record.worker, request.allowed_regions(), item.item_id)
         async with self._client.stream(record.worker, request) as stream:
             self._handle_response_head(item.item_id, record, stream)
             worker_id = record.worker.worker_id
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -237,6 +237,20 @@
         stored = StoredOwner(record=owner, revision=revision)
         await self._owned.assign(spec, stored)
 
+    async def is_accepted(self, batch_id: BatchId) -> bool:
+        """Return whether a batch job has been accepted, whether or not it has ended.
+
+        Raises:
+            BatchOutcomeUnknownError: The store did not respond.
+        """
+        try:
+            await self.ledger.read_owner(batch_id)
+        except BatchNotFoundError:
+            return False
+        except KeyValueError as error:
+            raise _refusal(uncertain=True) from error
+        return True
+
     async def _written_revision(self, batch_id: BatchId, owner: OwnerRecord) -> Revision | None:
         """Return the revision of a record that an unconfirmed write of this node stored."""
         try:
--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable, Coroutine
 
 import msgspec
 
@@ -73,6 +74,14 @@
 MISDIRECTED_PAUSE_SECONDS = 5.0
 """Pause for a worker whose address now serves another one, until discovery is updated."""
 
+EXCLUSION_POLL_SECONDS = 0.05
+"""Interval at which a request that queues for admission checks whether a worker may still get it.
+"""
+
+MAX_REGION_WAIT_FRACTION = 0.5
+"""Longest wait for the workers of the allowed regions, as a fraction of the time from arrival to
+deadline; a retry needs the rest."""
+
 QUARANTINE_POLL_SECONDS = 0.02
 """Polling interval while the quarantine checks whether a request crashed its worker."""
 
@@ -126,7 +135,7 @@
             service,
             request,
             self._routes.priority_levels_of(service),
-            self._routes.allowed_regions(route, request.tenant).intersect(request.regions),
+            lambda: self._routes.allowed_regions(route, request.tenant).intersect(request.regions),
         )
         started_at = self.clock.monotonic()
         ticket = self._usage.open() if request.tenant is not None else None
@@ -169,7 +178,7 @@
         service: str,
         request: ClientRequest,
         priority_levels: frozenset[int],
-        regions: AllowedRegions,
+        allowed_regions: Callable[[], AllowedRegions],
     ) -> None:
         self._clock = forwarder.clock
         self._directory = forwarder.directory
@@ -182,11 +191,12 @@
         self._route = route
         self._service = service
         self._request = request
-        self._regions = regions
+        self._allowed_regions = allowed_regions
         self._fingerprint = request.fingerprint
         self._started_at = self._clock.monotonic()
         limit_seconds = min(request.budget_seconds, route.timeout_seconds)
         self._deadline = self._started_at + limit_seconds
+        self._region_wait_ends_at = self._started_at + MAX_REGION_WAIT_FRACTION * limit_seconds
         self._next_send_at = self._started_at
         self._last_sent_at = self._started_at
         self._is_hedge_next = False
@@ -213,10 +223,14 @@
         self._tried: set[BackendId] = set()
         self._avoided_workers: frozenset[BackendId] = frozenset()
 
+    @property
+    def _regions(self) -> AllowedRegions:
+        """Return the regions in which the request may run now."""
+        return self._allowed_regions()
+
     async def run(self) -> WorkerResponse:
         """Send attempts until one succeeds or no further attempt is allowed."""
-        self._raise_if_excluded()
-        await self._admission.acquire()
+        await self._wait_for_admission(self._admission.acquire)
         self._next_send_at = self._clock.monotonic()
         self._hedge_timing.record_request(
             self._next_send_at, is_interactive=self._request.is_interactive
@@ -226,6 +240,9 @@
             remaining = self._deadline - now
             if remaining < MIN_BUDGET_SECONDS:
                 raise self._forwarding_error(timed_out=True)
+            if not self._attempts:
+                self._raise_if_excluded()
+                self._delay_until_region_is_free()
             if self._needs_readmission(now):
                 await self._wait_for_readmission()
                 continue
@@ -242,27 +259,70 @@
             else:
                 raise self._forwarding_error(timed_out=False)
 
+    async def _wait_for_admission(self, acquire: Callable[[], Coroutine[None, None, None]]) -> None:
+        """Wait for admission, but only while a worker may get the request.
+
+        Raises:
+            NoWorkerError: The request was not admitted, or no worker may get it any more.
+        """
+        self._raise_if_excluded()
+        if not self._picker.excludes_workers(self._regions):
+            await acquire()
+            return
+        admission = asyncio.get_running_loop().create_task(acquire())
+        try:
+            while not (await asyncio.wait({admission}, timeout=EXCLUSION_POLL_SECONDS))[0]:
+                self._raise_if_excluded()
+                self._raise_if_region_stays_full()
+            admission.result()
+        finally:
+            admission.cancel()
+
     def _raise_if_excluded(self) -> None:
-        """Reject a request at once that no worker may get, as far as is known.
+        """End a request without an attempt in flight that no worker may get, as far as is known.
 
         Raises:
-            NoWorkerError: Every worker is in an evacuated zone or outside the allowed regions.
+            ForwardingError: Every worker is in an evacuated zone or outside the allowed regions.
         """
-        if self._regions.is_empty or self._picker.is_excluded(self._service, self._regions):
-            log_event(
-                "request_excluded",
-                request=self._request.request_id,
-                service=self._service,
-                restricted=self._regions.is_restricted,
-                allowed_regions=",".join(self._regions.names()),
-            )
-            raise self._forwarding_error(timed_out=False)
+        regions = self._regions
+        if regions.is_empty or self._picker.is_excluded(self._service, regions):
+            raise self._exclusion_error("no_worker")
+
+    def _raise_if_region_stays_full(self) -> None:
+        """End a restricted request whose regions have no worker for too long.
+
+        Raises:
+            ForwardingError: It may not wait for the capacity of other regions.
+        """
+        if self._regions.is_restricted and self._free_from() > self._region_wait_ends_at:
+            raise self._exclusion_error("workers_full")
+
+    def _exclusion_error(self, reason: str) -> ForwardingError:
+        regions = self._regions
+        log_event(
+            "request_excluded",
+            request=self._request.request_id,
+            route=self._route.name,
+            service=self._service,
+            reason=reason,
+            restricted=regions.is_restricted,
+            allowed_regions=",".join(regions.names()),
+        )
+        return self._forwarding_error(timed_out=False)
+
+    def _free_from(self) -> float:
+        """Return the monotonic time from which a worker in the regions is not paused."""
+        return self._picker.free_from(self._service, self._avoided_workers, self._regions)
+
+    def _delay_until_region_is_free(self) -> None:
+        """Wait for the workers of the regions, not in the queue of the whole service."""
+        if self._regions.is_restricted and self._may_wait_after_refusal():
+            self._raise_if_region_stays_full()
+            self._next_send_at = max(self._next_send_at, self._free_from())
 
     def _needs_readmission(self, now: float) -> bool:
         """Return whether the request should queue for admission again after refusals by workers."""
-        if not self._is_service_full or self._attempts or not self._has_not_run():
-            return False
-        if not self._admission.is_limited:
+        if self._regions.is_restricted or not self._may_wait_after_refusal():
             return False
         return (
             self._refusal_count - self._refusals_before_admission > MAX_REFUSALS_PER_ADMISSION
@@ -274,8 +334,17 @@
             )
         )
 
+    def _may_wait_after_refusal(self) -> bool:
+        """Return whether admission control decides when a refused request is sent again."""
+        return (
+            self._is_service_full
+            and not self._attempts
+            and self._has_not_run()
+            and self._admission.is_limited
+        )
+
     async def _wait_for_readmission(self) -> None:
-        await self._admission.reacquire()
+        await self._wait_for_admission(self._admission.reacquire)
         self._refusals_before_admission = self._refusal_count
         self._is_service_full = False
         self._next_send_at = self._clock.monotonic()
@@ -484,13 +553,12 @@
             tenant=request.tenant,
             priority=self._worker_priority,
             fresh_connection=needs_new_connection,
+            allowed_regions=self._allowed_regions,
         )
         record.in_flight += 1
         record.body_bytes += len(request.body)
         task = asyncio.get_running_loop().create_task(
-            self._caller.call(
-                record.worker, worker_request, self._route, self._fingerprint, self._regions
-            )
+            self._caller.call(record.worker, worker_request, self._route, self._fingerprint)
         )
         # A task that is cancelled before it starts never reaches a ``finally`` block of its own.
         task.add_done_callback(lambda _: _subtract_in_flight(record, len(request.body)))
--- a/drumbay/forwarding/routes.py
+++ b/drumbay/forwarding/routes.py
@@ -154,6 +154,7 @@
         self._current: RoutingConfiguration | None = None
         self._current_weights: dict[str, dict[str, float]] = {}
         self._priority_levels: dict[str, frozenset[int]] = {}
+        self._routes_by_name: dict[str, Route] = {}
 
     @property
     def current(self) -> RoutingConfiguration | None:
@@ -166,6 +167,7 @@
             return False
         self._current = configuration
         self._priority_levels.clear()
+        self._routes_by_name = {route.name: route for route in configuration.routes}
         return True
 
     def priority_levels_of(self, service: str) -> frozenset[int]:
@@ -180,10 +182,13 @@
         return priority_levels
 
     def allowed_regions(self, route: Route, tenant: TenantName | None) -> AllowedRegions:
-        """Return the regions in which a request may run under the current configuration."""
+        """Return the regions in which a request may run under the current configuration.
+
+        A route that the configuration no longer has keeps its last regions.
+        """
         if self._current is None:
             return route.allowed_regions
-        return self._current.allowed_regions(route, tenant)
+        return self._current.allowed_regions(self._routes_by_name.get(route.name, route), tenant)
 
     def batch_regions(
         self, route_name: str, tenant: TenantName | None, recorded: AllowedRegions
@@ -195,8 +200,7 @@
             tenant: Its tenant.
             recorded: The regions allowed at its submission, used if the route is gone.
         """
-        routes = self._current.routes if self._current is not None else ()
-        route = next((route for route in routes if route.name == route_name), None)
+        route = self._routes_by_name.get(route_name)
         if route is None:
             return recorded
         return self.allowed_regions(route, tenant)
--- a/drumbay/forwarding/worker_call.py
+++ b/drumbay/forwarding/worker_call.py
@@ -5,9 +5,8 @@
 from drumbay.clock import Clock
 from drumbay.forwarding.hedge_timing import HedgeTiming
 from drumbay.forwarding.routes import Route
-from drumbay.forwarding.worker_choice import relative_latency_of
+from drumbay.forwarding.worker_choice import cross_region_seconds, relative_latency_of
 from drumbay.placement.gate import PlacementGate
-from drumbay.placement.regions import AllowedRegions
 from drumbay.quarantine.fingerprint import Fingerprint
 from drumbay.quarantine.service import Quarantine
 from drumbay.workers.directory import WorkerDirectory
@@ -41,7 +40,6 @@
         request: WorkerRequest,
         route: Route,
         fingerprint: Fingerprint,
-        regions: AllowedRegions,
     ) -> WorkerResponse:
         """Return the worker's complete response.
 
@@ -49,7 +47,7 @@
             WorkerNotEligibleError: The worker must not get the request now; it was not sent.
             WorkerError: No complete response arrived.
         """
-        self._placement.admit(worker, regions, request.request_id)
+        self._placement.admit(worker, request.allowed_regions(), request.request_id)
         started_at = self._clock.monotonic()
         self._quarantine.begin_run(fingerprint, worker.worker_id)
         try:
@@ -68,7 +66,8 @@
         now = self._clock.monotonic()
         elapsed_seconds = now - started_at
         typical_seconds = self._typical_seconds(route)
-        relative_latency = relative_latency_of(elapsed_seconds, typical_seconds, response.load)
+        worker_seconds = max(0.0, elapsed_seconds - self._way_seconds(worker))
+        relative_latency = relative_latency_of(worker_seconds, typical_seconds, response.load)
         is_known = self._hedge_timing.has_typical_latency(route.name)
         self._directory.observe_response(
             worker.worker_id, relative_latency if is_known else None, now, worker.started_at_ms
@@ -82,11 +81,16 @@
         now = self._clock.monotonic()
         elapsed_seconds = now - started_at
         typical_seconds = self._typical_seconds(route)
-        if elapsed_seconds > typical_seconds:
+        worker_seconds = elapsed_seconds - self._way_seconds(worker)
+        if worker_seconds > typical_seconds:
             self._directory.observe_cancelled_run(
-                worker.worker_id, elapsed_seconds / typical_seconds, now, worker.started_at_ms
+                worker.worker_id, worker_seconds / typical_seconds, now, worker.started_at_ms
             )
             self._hedge_timing.observe(route.name, elapsed_seconds)
 
+    def _way_seconds(self, worker: Worker) -> float:
+        """Return the part of the response time that is not the worker's own."""
+        return cross_region_seconds(self._placement.topology.distance_to(worker.zone))
+
     def _typical_seconds(self, route: Route) -> float:
         return self._hedge_timing.typical_seconds(route.name, route.target_seconds)
--- a/drumbay/forwarding/worker_picker.py
+++ b/drumbay/forwarding/worker_picker.py
@@ -1,5 +1,6 @@
 """Selects the worker for the next attempt from the node's records of a service's workers."""
 
+import math
 from collections.abc import Set
 
 import msgspec
@@ -18,6 +19,7 @@
 from drumbay.placement.regions import ANY_REGION, AllowedRegions
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
+from drumbay.workers.records import WorkerState
 from drumbay.workers.worker_record import WorkerRecord
 
 
@@ -67,10 +69,34 @@
         records = self._placement.eligible(self._directory.of_service(service), regions)
         return [record for record in records if record.worker.worker_id not in avoided_workers]
 
+    def excludes_workers(self, regions: AllowedRegions) -> bool:
+        """Return whether some zones are excluded for a request."""
+        return self._placement.excludes_workers(regions)
+
     def is_excluded(self, service: str, regions: AllowedRegions) -> bool:
-        """Return whether a service has workers, but none in an allowed and active zone."""
+        """Return whether a service has workers, but none that a request may get or wait for."""
+        if not self._placement.excludes_workers(regions):
+            return False
         records = self._directory.of_service(service)
-        return bool(records) and not self._placement.in_service(records, regions)
+        in_service = self._placement.in_service(records, regions)
+        if regions.is_restricted:
+            return not any(record.worker.state is WorkerState.READY for record in in_service)
+        return bool(records) and not in_service
+
+    def free_from(
+        self, service: str, avoided_workers: Set[BackendId], regions: AllowedRegions
+    ) -> float:
+        """Return the monotonic time from which a worker is not paused; infinite without any."""
+        records = self._placement.in_service(self._directory.of_service(service), regions)
+        return min(
+            (
+                record.paused_until
+                for record in records
+                if record.worker.state is WorkerState.READY
+                and record.worker.worker_id not in avoided_workers
+            ),
+            default=math.inf,
+        )
 
     def choose(self, criteria: SendCriteria, now: float) -> ChosenWorker | None:
         """Return the worker for the next attempt; ``None`` if none is eligible.
@@ -116,5 +142,5 @@
             last_run_at=record.response_stats.last_run_at,
             paused_until=record.paused_until,
             has_idle_connection=self._client.has_idle_connection(record.worker),
-            is_same_zone=record.worker.zone == self._placement.topology.zone,
+            distance=self._placement.topology.distance_to(record.worker.zone),
         )
--- a/drumbay/placement/gate.py
+++ b/drumbay/placement/gate.py
@@ -57,6 +57,10 @@
         )
         return ineligibility(place, regions, self.evacuations.zones)
 
+    def excludes_workers(self, regions: AllowedRegions) -> bool:
+        """Return whether some zones are excluded for a request."""
+        return regions.is_restricted or bool(self.evacuations.zones)
+
     def remaining_starts(self, worker: Worker) -> float:
         """Return how many requests this node may start at a worker now."""
         return self._starts.remaining_starts(worker, self._clock.monotonic())
@@ -102,9 +106,9 @@
         )
         raise WorkerNotEligibleError(reason)
 
-    def may_resend(self, worker: Worker) -> bool:
+    def may_resend(self, worker: Worker, regions: AllowedRegions) -> bool:
         """Return whether a request that was admitted may be sent to its worker again."""
-        if self.check(worker) is not None:
+        if self.check(worker, regions) is not None:
             return False
         self._starts.record_start(worker, self._clock.monotonic())
         return True
--- a/drumbay/placement/regions.py
+++ b/drumbay/placement/regions.py
@@ -50,3 +50,8 @@
 
 
 ANY_REGION = AllowedRegions()
+
+
+def any_region() -> AllowedRegions:
+    """Return no restriction."""
+    return ANY_REGION
--- a/drumbay/standins/worker_pool.py
+++ b/drumbay/standins/worker_pool.py
@@ -14,6 +14,7 @@
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.identifiers import BackendId, WeightVersion
+from drumbay.placement.regions import AllowedRegions
 from drumbay.standins.worker_log import LoggedCrash, LoggedOrder, LoggedRun, WorkerFaults
 from drumbay.workers.records import (
     LoadOrder,
@@ -180,7 +181,7 @@
 
     # Requests
 
-    def set_resend_check(self, may_resend: Callable[[Worker], bool]) -> None:
+    def set_resend_check(self, may_resend: Callable[[Worker, AllowedRegions], bool]) -> None:
         """Ignore the check, since no request is sent again by itself."""
 
     def has_idle_connection(self, worker: Worker) -> bool:
--- a/drumbay/workers/interface.py
+++ b/drumbay/workers/interface.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from drumbay.identifiers import WeightVersion
+from drumbay.placement.regions import AllowedRegions
 from drumbay.workers.records import (
     LoadOrder,
     OrderOutcome,
@@ -46,8 +47,11 @@
     Cancelling a call closes its connection, upon which the worker stops processing it.
     """
 
-    def set_resend_check(self, may_resend: Callable[[Worker], bool]) -> None:
-        """Ask ``may_resend`` before a request whose idle connection had closed is sent again."""
+    def set_resend_check(self, may_resend: Callable[[Worker, AllowedRegions], bool]) -> None:
+        """Ask ``may_resend`` before a request whose idle connection had closed is sent again.
+
+        It gets the worker and the regions in which the request may run at that time.
+        """
         ...
 
     def has_idle_connection(self, worker: Worker) -> bool:
--- a/drumbay/workers/records.py
+++ b/drumbay/workers/records.py
@@ -1,6 +1,6 @@
 """Records of workers, and the messages exchanged with them."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from enum import StrEnum
 
 import msgspec
@@ -8,6 +8,7 @@
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.exceptions import UnavailableError
 from drumbay.identifiers import BackendId, Fence, WeightVersion
+from drumbay.placement.regions import AllowedRegions, any_region
 from drumbay.tenants.records import TenantName
 
 
@@ -83,7 +84,7 @@
     at the worker (0 is the most urgent); ``None`` leaves it to the worker. A ``repeatable`` request
     may be resent if an idle connection turns out to be closed. ``tenant`` is sent in place of the
     client's key. With ``fresh_connection`` idle connections are not used, since they may be
-    stalled.
+    stalled. ``allowed_regions`` returns the regions in which the request may run now.
     """
 
     request_id: str
@@ -98,6 +99,7 @@
     repeatable: bool = False
     tenant: TenantName | None = None
     fresh_connection: bool = False
+    allowed_regions: Callable[[], AllowedRegions] = any_region
 
 
 class WorkerResponse(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/test_rewards.py
+++ b/tests/test_rewards.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from collections.abc import Callable
 from unittest.mock import patch
 
 import msgspec
@@ -24,6 +25,7 @@
 from drumbay.forwarding.records import RewardOrder
 from drumbay.forwarding.routes import RequestLimits, RoutingConfiguration
 from drumbay.identifiers import BackendId, WeightVersion
+from drumbay.placement.regions import AllowedRegions
 from drumbay.standins.worker_pool import full_text
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.records import StreamEvent
@@ -284,10 +286,13 @@
         score = RewardScorer.score
 
         async def recording_score(
-            scorer: RewardScorer, request: RewardRequest, order: RewardOrder
+            scorer: RewardScorer,
+            request: RewardRequest,
+            order: RewardOrder,
+            allowed_regions: Callable[[], AllowedRegions],
         ) -> Reward:
             started.setdefault(number, set()).add(order.batch_started_at)
-            return await score(scorer, request, order)
+            return await score(scorer, request, order, allowed_regions)
 
         async def scenario(world: ServingWorld) -> None:
             nonlocal number
