--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -29,6 +29,7 @@
     Put,
     WatchCompactedError,
 )
+from drumbay.placement.regions import AllowedRegions
 from drumbay.standins.kv_model import KeyValueModel
 from drumbay.tenants.records import TenantName
 from drumbay.workers.records import (
@@ -362,6 +363,28 @@
             self.assertEqual(response.body, b"ok")
         self.assertEqual(len(self.scripted.requests), 3)
 
+    async def test_request_is_not_resent_if_its_regions_have_changed(self) -> None:
+        regions = AllowedRegions.of(["a"])
+        response = (self.head + "Content-Length: 2\r\n\r\nok").encode()
+
+        def close_after_change(_: str) -> bytes:
+            nonlocal regions
+            if len(self.scripted.requests) == 1:
+                return response
+            regions = AllowedRegions.of(["b"])
+            self.scripted.keep = False
+            return b""
+
+        self.client.set_resend_check(lambda _, allowed: allowed.permits("a"))
+        request = msgspec.structs.replace(self.repeatable(), allowed_regions=lambda: regions)
+        worker = await self.server("")
+        self.scripted.script = close_after_change
+        self.scripted.keep = True
+        await self.client.call(worker, request)
+        with self.assertRaises(WorkerBrokenError):
+            await self.client.call(worker, request)
+        self.assertEqual(len(self.scripted.requests), 2)
+
     async def test_worker_that_ends_during_request_on_reused_connection_may_have_run_it(
         self,
     ) -> None:
--- a/tests/test_platform_entries.py
+++ b/tests/test_platform_entries.py
@@ -4,12 +4,19 @@
 import unittest
 from typing import Any
 
-from drumbay_platform.feeds import InvalidEntryError, NodeFeeds, parse_worker
+from drumbay_platform.feeds import (
+    InvalidEntryError,
+    NodeFeeds,
+    parse_configuration,
+    parse_worker,
+)
 from loguru import logger
 
 from drumbay.identifiers import BackendId, Revision
 from drumbay.kv.interface import KeyValue, WatchEvent
+from drumbay.placement.regions import ANY_REGION, AllowedRegions
 from drumbay.serving.node import ENTRY_EXPIRY_GAP_SECONDS
+from drumbay.tenants.records import TenantName
 from tests.serving_world import ServingWorld, run_in_world
 
 SECRET = "secret-of-a-tenant"
@@ -85,10 +92,9 @@
     "deeply nested JSON": b'{"x":' + b"[" * 100_000,
 }
 
-CONFIGURATION: dict[str, Any] = {
-    "ver": 1,
-    "routes": [{"name": "r", "host": "h", "pathPrefix": "/p/", "svc": "engines"}],
-}
+ROUTE = {"name": "r", "host": "h", "pathPrefix": "/p/", "svc": "engines"}
+CONFIGURATION: dict[str, Any] = {"ver": 1, "routes": [ROUTE]}
+INVALID_REGIONS: tuple[Any, ...] = (SECRET, 5, {"a": 1}, [5], [None], [["a"]])
 NEWER_CONFIGURATION = {**CONFIGURATION, "ver": 2, "routes": []}
 INVALID_CONFIGURATIONS: dict[str, bytes] = {
     "limits of another type": json.dumps({**NEWER_CONFIGURATION, "limits": SECRET}).encode(),
@@ -101,10 +107,29 @@
     "scaling of another type": json.dumps(
         {**NEWER_CONFIGURATION, "svcs": [{"name": "engines", "scaling": SECRET}]}
     ).encode(),
+    **{
+        f"regions of a route: {regions}": json.dumps(
+            {**CONFIGURATION, "ver": 2, "routes": [{**ROUTE, "regionsAllowed": regions}]}
+        ).encode()
+        for regions in INVALID_REGIONS
+    },
+    **{
+        f"regions of a tenant: {regions}": json.dumps(
+            {**NEWER_CONFIGURATION, "tenants": [{"name": "t", "regionsAllowed": regions}]}
+        ).encode()
+        for regions in INVALID_REGIONS
+    },
     "no version": json.dumps({"routes": []}).encode(),
     "invalid UTF-8": b"\xff" + SECRET.encode(),
     "deeply nested JSON": b'{"x":' + b"[" * 100_000,
 }
+VALID_REGIONS: tuple[tuple[Any, AllowedRegions], ...] = (
+    (None, ANY_REGION),
+    ([], ANY_REGION),
+    (["a"], AllowedRegions.of(["a"])),
+    (["b", "a", "b"], AllowedRegions.of(["a", "b"])),
+    (["not a region of the settings"], AllowedRegions.of(["not a region of the settings"])),
+)
 INVALID_VERSIONS = ('"3"', "-1", str(2**53), str(10**30))
 
 
@@ -297,6 +322,18 @@
 
 
 class OperatorEntriesTest(unittest.TestCase):
+    def test_regions_of_routes_and_tenants(self) -> None:
+        for regions, expected in VALID_REGIONS:
+            with self.subTest(regions):
+                tenants = [{"name": "t", "regionsAllowed": regions}]
+                routes = [{**ROUTE, "regionsAllowed": regions}]
+                fields = {**CONFIGURATION, "routes": routes, "tenants": tenants}
+                parsed = parse_configuration(encode(fields))
+                self.assertEqual(parsed.routes[0].allowed_regions, expected)
+                assert parsed.keys is not None
+                found = parsed.keys.allowed_regions.get(TenantName("t"), ANY_REGION)
+                self.assertEqual(found, expected)
+
     def test_invalid_entries_leave_the_last_valid_ones_in_force(self) -> None:
         async def scenario(world: ServingWorld) -> None:
             driver = FeedDriver(world)
--- a/tests/test_platform_tenants.py
+++ b/tests/test_platform_tenants.py
@@ -18,8 +18,16 @@
 
 
 class TenantTest(ServingFixture):
-    def configure_tenants(self, version: int, **keys: str) -> None:
+    def configure_tenants(
+        self,
+        version: int,
+        *,
+        route_regions: tuple[str, ...] = (),
+        tenant_regions: tuple[str, ...] = (),
+        **keys: str,
+    ) -> None:
         common = {"host": HOST, "timeoutMs": 20_000, "targetMs": 5_000, "attempts": 2}
+        common["regionsAllowed"] = list(route_regions)
         lookups = {**common, "name": "l", "pathPrefix": "/l/", "kind": "idempotent"}
         rollouts = {**common, "name": "r", "pathPrefix": "/p/", "kind": "rollout"}
         public_lookups = {**lookups, "name": "o", "pathPrefix": "/o/", "public": True}
@@ -28,7 +36,10 @@
             {**public_lookups, "svc": "lookups"},
             {**rollouts, "svc": "engines"},
         ]
-        tenants = [{"name": name, "apiKeys": [key]} for name, key in keys.items()]
+        tenants = [
+            {"name": name, "apiKeys": [key], "regionsAllowed": tenant_regions}
+            for name, key in keys.items()
+        ]
         self.put("op/config", {"ver": version, "routes": routes, "tenants": tenants})
 
     async def fetch(
@@ -123,6 +134,28 @@
         self.assertEqual(run.tenant, "north")
         self.assertNotIn("Authorization", dict(run.headers))
 
+    async def test_batch_job_without_a_common_region_is_refused_unless_accepted_before(
+        self,
+    ) -> None:
+        self.configure_tenants(1, north=NORTH)
+        await self.start()
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            accepted = await self.fetch("POST", "/p/1", NORTH, self.batch(), request_id="b1")
+            self.assertEqual(accepted.status, 202)
+            self.configure_tenants(2, route_regions=("a",), tenant_regions=("b",), north=NORTH)
+
+            async def is_in_force() -> bool:
+                response = await self.fetch("POST", "/l/1", NORTH)
+                return response.status == 503 and "Retry-After" in response.headers
+
+            await poll_until(is_in_force)
+            refused = await self.fetch("POST", "/p/1", NORTH, self.batch(), request_id="b2")
+            self.assertEqual((refused.status, "Retry-After" in refused.headers), (503, True))
+            again = await self.fetch("POST", "/p/1", NORTH, self.batch(), request_id="b1")
+            self.assertEqual(again.status, 202)
+        stored = self.model.range_prefix("drumbay/")
+        self.assertFalse([item.key for item in stored.items if "b2" in item.key])
+
 
 if __name__ == "__main__":
     unittest.main()
