Keep the regions of a request whose route or tenant is removed

Cause: when a tenant left the configuration, its batch jobs and its requests in flight were bound by the route alone, so that an item could start outside the tenant's regions. Ruled out: to end them (an accepted batch job is kept). Change: the regions recorded at the arrival bind as well while the tenant is not configured; lookups use the same rule as batch jobs. Conclusion: covered by test_regions_stay_in_force_when_the_route_or_the_tenant_is_removed.

--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -129,13 +129,16 @@
             ForwardingError: The request failed; ``execution`` says whether it may have run.
         """
         service = self._routes.choose_service(route)
+        regions = self._routes.allowed_regions(route, request.tenant)
         forwarding = _ForwardedRequest(
             self,
             route,
             service,
             request,
             self._routes.priority_levels_of(service),
-            lambda: self._routes.allowed_regions(route, request.tenant).intersect(request.regions),
+            lambda: self._routes.regions_in_force(route.name, request.tenant, regions).intersect(
+                request.regions
+            ),
         )
         started_at = self.clock.monotonic()
         ticket = self._usage.open() if request.tenant is not None else None
--- a/drumbay/forwarding/routes.py
+++ b/drumbay/forwarding/routes.py
@@ -98,6 +98,10 @@
             return route.allowed_regions
         return route.allowed_regions.intersect(self.keys.allowed_regions.get(tenant, ANY_REGION))
 
+    def has_tenant(self, tenant: TenantName | None) -> bool:
+        """Return whether a tenant is configured; true for requests without one."""
+        return tenant is None or (self.keys is not None and tenant in self.keys.allowed_regions)
+
     def priority_levels_of(self, service: str) -> frozenset[int]:
         """Return the priorities that requests to a service may have."""
         routes = [
@@ -182,28 +186,33 @@
         return priority_levels
 
     def allowed_regions(self, route: Route, tenant: TenantName | None) -> AllowedRegions:
-        """Return the regions in which a request may run under the current configuration.
-
-        A route that the configuration no longer has keeps its last regions.
-        """
+        """Return the regions in which a new request may run."""
         if self._current is None:
             return route.allowed_regions
-        return self._current.allowed_regions(self._routes_by_name.get(route.name, route), tenant)
+        return self._current.allowed_regions(route, tenant)
 
-    def batch_regions(
+    def regions_in_force(
         self, route_name: str, tenant: TenantName | None, recorded: AllowedRegions
     ) -> AllowedRegions:
-        """Return the regions in which a batch job may run and be held.
+        """Return the regions in which an earlier request may run now.
 
         Args:
-            route_name: The route that accepted it.
+            route_name: The route by which it came.
             tenant: Its tenant.
-            recorded: The regions allowed at its submission, used if the route is gone.
+            recorded: The regions allowed when it came; they stay in force if the configuration no
+                longer has its route, and restrict it further if its tenant is gone.
         """
         route = self._routes_by_name.get(route_name)
-        if route is None:
+        if self._current is None or route is None:
             return recorded
-        return self.allowed_regions(route, tenant)
+        regions = self._current.allowed_regions(route, tenant)
+        return regions if self._current.has_tenant(tenant) else regions.intersect(recorded)
+
+    def batch_regions(
+        self, route_name: str, tenant: TenantName | None, recorded: AllowedRegions
+    ) -> AllowedRegions:
+        """Return the regions in which a batch job may run and be held."""
+        return self.regions_in_force(route_name, tenant, recorded)
 
     def batch_routes(self, service: str) -> int:
         """Return how many routes submit batch jobs to a service."""
--- a/drumbay/tenants/records.py
+++ b/drumbay/tenants/records.py
@@ -34,8 +34,8 @@
 class KeyTable(msgspec.Struct, frozen=True, kw_only=True):
     """Maps the API keys of a configuration to tenants.
 
-    ``priorities`` contains the tenants with a priority of their own, ``allowed_regions`` those that
-    are restricted to some regions.
+    ``priorities`` contains the tenants with a priority of their own, ``allowed_regions`` every
+    configured tenant.
     """
 
     tenants_by_digest: Mapping[KeyDigest, TenantName]
@@ -51,11 +51,7 @@
                 digest: tenant.name for tenant in tenant_list for digest in tenant.key_digests
             },
             priorities={t.name: t.priority for t in tenant_list if t.priority is not None},
-            allowed_regions={
-                tenant.name: tenant.allowed_regions
-                for tenant in tenant_list
-                if tenant.allowed_regions.is_restricted
-            },
+            allowed_regions={tenant.name: tenant.allowed_regions for tenant in tenant_list},
         )
 
     def tenant_of(self, key: str) -> TenantName | None:
--- a/tests/test_regions_forwarding.py
+++ b/tests/test_regions_forwarding.py
@@ -213,6 +213,27 @@
 
         run_in_world(scenario)
 
+    def test_regions_stay_in_force_when_the_route_or_the_tenant_is_removed(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            self.start(world)
+            both = AllowedRegions.of(["here", "there"])
+            self.configure(2, both, HERE)
+            assert self.routes.current is not None
+            current = self.routes.current
+
+            def regions(version: int, **changes: object) -> AllowedRegions:
+                changed = msgspec.structs.replace(current, version=version, **changes)
+                self.routes.apply(changed)
+                return self.routes.regions_in_force("lookups", TENANT, HERE)
+
+            self.assertEqual(regions(3, keys=KeyTable.of([])), HERE)
+            self.assertEqual(regions(4, keys=None), HERE)
+            self.assertEqual(regions(5, routes=()), HERE)
+            other = Tenant(name=TENANT, key_digests=(), allowed_regions=THERE)
+            self.assertEqual(regions(6, keys=KeyTable.of([other])), THERE)
+
+        run_in_world(scenario)
+
 
 class CapacityTest(RegionsTest):
     """Capacity of other regions doesn't make a restricted request wait."""
