Let all routes of one name and a tenant's new regions bind, and record an empty set as such

Cause: of two routes of one name the last was taken for a request under way, the first found for a new one, so that a request of the stricter route could be sent outside its regions. While a route was gone, a change of its tenant's regions was passed over. An empty set of regions was recorded like none. Ruled out: to tell routes of one name apart by host and path (a batch job's owner record has the name only); to record None for no restriction (the release before could not decode it). Change: one rule for new and earlier requests; the recorded form of an empty set is the name of the unknown region, which the release before decodes and permits nowhere. Conclusion: test_all_routes_of_one_name_bind and test_regions_stay_in_force_when_the_route_or_the_tenant_is_removed, each red without its part.

--- a/drumbay/batches/records.py
+++ b/drumbay/batches/records.py
@@ -71,7 +71,7 @@
     the key is revoked later; ``None`` without authentication. ``priority`` is its priority at
     submission: 0 goes first. Its results are due after ``due_seconds``, if known. ``submitted_at``
     is when a node received it, in Unix seconds; 0 if unknown. ``allowed_regions`` are the regions
-    in which it may run and be held, as of its submission; empty if unrestricted.
+    in which it may run and be held, as of its submission, as in :meth:`AllowedRegions.names`.
     """
 
     batch_id: BatchId
--- a/drumbay/forwarding/routes.py
+++ b/drumbay/forwarding/routes.py
@@ -92,11 +92,19 @@
             return route.priority
         return self.keys.priorities.get(tenant, route.priority)
 
-    def allowed_regions(self, route: Route, tenant: TenantName | None) -> AllowedRegions:
-        """Return the regions that both a request's route and its tenant allow."""
+    def regions_by_route(self) -> dict[str, AllowedRegions]:
+        """Return the allowed regions by route name; all routes of one name bind."""
+        regions: dict[str, AllowedRegions] = {}
+        for route in self.routes:
+            others = regions.get(route.name, ANY_REGION)
+            regions[route.name] = route.allowed_regions.intersect(others)
+        return regions
+
+    def regions_of_tenant(self, tenant: TenantName | None) -> AllowedRegions:
+        """Return the regions that a tenant allows; any if it is not configured."""
         if tenant is None or self.keys is None:
-            return route.allowed_regions
-        return route.allowed_regions.intersect(self.keys.allowed_regions.get(tenant, ANY_REGION))
+            return ANY_REGION
+        return self.keys.allowed_regions.get(tenant, ANY_REGION)
 
     def has_tenant(self, tenant: TenantName | None) -> bool:
         """Return whether a tenant is configured; true for requests without one."""
@@ -146,7 +154,7 @@
     def batch_regions(
         self, route_name: str, tenant: TenantName | None, recorded: AllowedRegions
     ) -> AllowedRegions:
-        """Return the allowed regions; ``recorded`` ones if the route is gone."""
+        """Return the allowed regions; ``recorded`` ones bind too if route or tenant is gone."""
         ...
 
 
@@ -158,7 +166,7 @@
         self._current: RoutingConfiguration | None = None
         self._current_weights: dict[str, dict[str, float]] = {}
         self._priority_levels: dict[str, frozenset[int]] = {}
-        self._routes_by_name: dict[str, Route] = {}
+        self._regions_by_route: dict[str, AllowedRegions] = {}
 
     @property
     def current(self) -> RoutingConfiguration | None:
@@ -171,7 +179,7 @@
             return False
         self._current = configuration
         self._priority_levels.clear()
-        self._routes_by_name = {route.name: route for route in configuration.routes}
+        self._regions_by_route = configuration.regions_by_route()
         return True
 
     def priority_levels_of(self, service: str) -> frozenset[int]:
@@ -187,9 +195,7 @@
 
     def allowed_regions(self, route: Route, tenant: TenantName | None) -> AllowedRegions:
         """Return the regions in which a new request may run."""
-        if self._current is None:
-            return route.allowed_regions
-        return self._current.allowed_regions(route, tenant)
+        return self.regions_in_force(route.name, tenant, route.allowed_regions)
 
     def regions_in_force(
         self, route_name: str, tenant: TenantName | None, recorded: AllowedRegions
@@ -199,14 +205,17 @@
         Args:
             route_name: The route by which it came.
             tenant: Its tenant.
-            recorded: The regions allowed when it came; they stay in force if the configuration no
-                longer has its route, and restrict it further if its tenant is gone.
+            recorded: The regions allowed when it came; they bind as well if the configuration no
+                longer has its route or its tenant.
         """
-        route = self._routes_by_name.get(route_name)
-        if self._current is None or route is None:
+        if self._current is None:
             return recorded
-        regions = self._current.allowed_regions(route, tenant)
-        return regions if self._current.has_tenant(tenant) else regions.intersect(recorded)
+        route_regions = self._regions_by_route.get(route_name)
+        regions = self._current.regions_of_tenant(tenant)
+        if route_regions is not None:
+            regions = regions.intersect(route_regions)
+        is_configured = route_regions is not None and self._current.has_tenant(tenant)
+        return regions if is_configured else regions.intersect(recorded)
 
     def batch_regions(
         self, route_name: str, tenant: TenantName | None, recorded: AllowedRegions
--- a/drumbay/placement/regions.py
+++ b/drumbay/placement/regions.py
@@ -17,8 +17,12 @@
 
     @classmethod
     def of(cls, regions: Iterable[str]) -> "AllowedRegions":
-        """Return the configured regions; an empty configuration allows every region."""
-        return cls(frozenset(regions) or None)
+        """Return the configured or recorded regions; without any, every region is allowed.
+
+        The name of the unknown region allows none.
+        """
+        names = frozenset(regions)
+        return cls(names - {UNKNOWN_REGION} if names else None)
 
     @property
     def is_restricted(self) -> bool:
@@ -45,8 +49,10 @@
         return AllowedRegions(self.regions & other.regions)
 
     def names(self) -> tuple[str, ...]:
-        """Return the region names in order; empty if unrestricted."""
-        return tuple(sorted(self.regions or ()))
+        """Return the region names in order, as :meth:`of` reads them; empty if unrestricted."""
+        if self.regions is None:
+            return ()
+        return tuple(sorted(self.regions)) or (UNKNOWN_REGION,)
 
 
 ANY_REGION = AllowedRegions()
