Wait for a full region after many refusals, and check for its workers cheaply

Cause: (1) a restricted request was rejected after 7 refusals within milliseconds, though its regions had other or soon free workers. (2) Each restricted request, and each poll while it queued, checked all workers of the service; during an evacuation each unrestricted one did, too, and behaved differently than before. (3) A reward request kept its batch job's regions of its first send for its repeats. Ruled out: readmission to the service's queue (it moves with all regions). Change: after so many refusals it pauses 0.1 s and tries again, within half of its time; the checks stop at the first worker found; only restricted requests poll in the queue; the regions of a batch job are asked for at each send of a reward request. Conclusion: test_more_refusals_than_an_admission_allows_do_not_end_the_wait and test_hedge_after_a_change_goes_by_the_new_regions, red without their parts.

--- a/drumbay/batches/reward_scorer.py
+++ b/drumbay/batches/reward_scorer.py
@@ -167,7 +167,7 @@
             budget_seconds=REWARD_BUDGET_SECONDS,
             priority=route.priority,
             reward_order=order,
-            regions=allowed_regions(),
+            allowed_regions=allowed_regions,
         )
         try:
             response = await self._forwarder.forward(route, outgoing)
--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -63,7 +63,7 @@
 """Minimum time left for which another attempt is started."""
 
 MAX_REFUSALS_PER_ADMISSION = 6
-"""Refusals by workers after which a request goes back to the admission queue."""
+"""Refusals by workers after which a request goes back to the admission queue, or pauses."""
 
 RETRY_AFTER_SECONDS = 0.25
 """Retry-After for services without an available worker; another node may already see one."""
@@ -75,8 +75,10 @@
 """Pause for a worker whose address now serves another one, until discovery is updated."""
 
 EXCLUSION_POLL_SECONDS = 0.05
-"""Interval at which a request that queues for admission checks whether a worker may still get it.
-"""
+"""Interval at which a restricted request in the queue checks whether a worker may still get it."""
+
+REGION_RETRY_SECONDS = 0.1
+"""Pause after which a request tries the workers of its regions again that have refused it."""
 
 MAX_REGION_WAIT_FRACTION = 0.5
 """Longest wait for the workers of the allowed regions, as a fraction of the time from arrival to
@@ -137,7 +139,7 @@
             request,
             self._routes.priority_levels_of(service),
             lambda: self._routes.regions_in_force(route.name, request.tenant, regions).intersect(
-                request.regions
+                request.allowed_regions()
             ),
         )
         started_at = self.clock.monotonic()
@@ -233,6 +235,7 @@
 
     async def run(self) -> WorkerResponse:
         """Send attempts until one succeeds or no further attempt is allowed."""
+        self._raise_if_excluded()
         await self._wait_for_admission(self._admission.acquire)
         self._next_send_at = self._clock.monotonic()
         self._hedge_timing.record_request(
@@ -243,9 +246,8 @@
             remaining = self._deadline - now
             if remaining < MIN_BUDGET_SECONDS:
                 raise self._forwarding_error(timed_out=True)
-            if not self._attempts:
-                self._raise_if_excluded()
-                self._delay_until_region_is_free()
+            if self._regions.is_restricted:
+                self._delay_until_region_is_free(now)
             if self._needs_readmission(now):
                 await self._wait_for_readmission()
                 continue
@@ -263,19 +265,17 @@
                 raise self._forwarding_error(timed_out=False)
 
     async def _wait_for_admission(self, acquire: Callable[[], Coroutine[None, None, None]]) -> None:
-        """Wait for admission, but only while a worker may get the request.
+        """Wait for admission; a restricted request only while its regions have a worker for it.
 
         Raises:
             NoWorkerError: The request was not admitted, or no worker may get it any more.
         """
-        self._raise_if_excluded()
-        if not self._picker.excludes_workers(self._regions):
+        if not self._regions.is_restricted:
             await acquire()
             return
         admission = asyncio.get_running_loop().create_task(acquire())
         try:
             while not (await asyncio.wait({admission}, timeout=EXCLUSION_POLL_SECONDS))[0]:
-                self._raise_if_excluded()
                 self._raise_if_region_stays_full()
             admission.result()
         finally:
@@ -287,41 +287,53 @@
         Raises:
             ForwardingError: Every worker is in an evacuated zone or outside the allowed regions.
         """
+        if self._is_excluded():
+            raise self._exclusion_error()
+
+    def _is_excluded(self) -> bool:
         regions = self._regions
-        if regions.is_empty or self._picker.is_excluded(self._service, regions):
-            raise self._exclusion_error("no_worker")
+        return regions.is_empty or self._picker.is_excluded(self._service, regions)
 
     def _raise_if_region_stays_full(self) -> None:
-        """End a restricted request whose regions have no worker for too long.
+        """End a queued request whose regions have no worker for too long.
 
         Raises:
             ForwardingError: It may not wait for the capacity of other regions.
         """
-        if self._regions.is_restricted and self._free_from() > self._region_wait_ends_at:
-            raise self._exclusion_error("workers_full")
+        regions, ends_at = self._regions, self._region_wait_ends_at
+        if regions.is_restricted and not self._picker.is_free_by(
+            self._service, self._avoided_workers, regions, ends_at
+        ):
+            raise self._exclusion_error()
 
-    def _exclusion_error(self, reason: str) -> ForwardingError:
+    def _exclusion_error(self) -> ForwardingError:
         regions = self._regions
         log_event(
             "request_excluded",
             request=self._request.request_id,
             route=self._route.name,
             service=self._service,
-            reason=reason,
+            reason="no_worker" if self._is_excluded() else "workers_full",
             restricted=regions.is_restricted,
             allowed_regions=",".join(regions.names()),
         )
         return self._forwarding_error(timed_out=False)
 
-    def _free_from(self) -> float:
-        """Return the monotonic time from which a worker in the regions is not paused."""
-        return self._picker.free_from(self._service, self._avoided_workers, self._regions)
+    def _delay_until_region_is_free(self, now: float) -> None:
+        """Wait for the workers of the regions, not in the queue of the whole service.
 
-    def _delay_until_region_is_free(self) -> None:
-        """Wait for the workers of the regions, not in the queue of the whole service."""
-        if self._regions.is_restricted and self._may_wait_after_refusal():
-            self._raise_if_region_stays_full()
-            self._next_send_at = max(self._next_send_at, self._free_from())
+        Raises:
+            ForwardingError: They stay full for too long.
+        """
+        if not self._may_wait_after_refusal():
+            return
+        send_at = self._picker.free_from(self._service, self._avoided_workers, self._regions)
+        if self._refusal_count - self._refusals_before_admission > MAX_REFUSALS_PER_ADMISSION:
+            self._refusals_before_admission = self._refusal_count
+            send_at = max(send_at, now + REGION_RETRY_SECONDS)
+        if send_at > self._region_wait_ends_at:
+            raise self._exclusion_error()
+        self._next_send_at = max(self._next_send_at, send_at)
 
     def _needs_readmission(self, now: float) -> bool:
         """Return whether the request should queue for admission again after refusals by workers."""
--- a/drumbay/forwarding/records.py
+++ b/drumbay/forwarding/records.py
@@ -1,9 +1,11 @@
 """Client requests and the errors of forwarding them."""
 
+from collections.abc import Callable
+
 import msgspec
 
 from drumbay.exceptions import Execution, RequestFailedError
-from drumbay.placement.regions import ANY_REGION, AllowedRegions
+from drumbay.placement.regions import AllowedRegions, any_region
 from drumbay.quarantine.fingerprint import Fingerprint, fingerprint_of
 from drumbay.tenants.records import TenantName
 
@@ -67,8 +69,8 @@
 
     ``tenant`` is the owner of the request's API key. ``caller_address`` is the client's address,
     empty for internal requests. ``priority`` 0 is the most urgent. ``reward_order`` is set for
-    reward requests, which are queued behind client requests. ``regions`` restricts the request in
-    addition to its route and tenant.
+    reward requests, which are queued behind client requests. ``allowed_regions`` returns the
+    regions that restrict the request now in addition to its route and tenant.
     """
 
     request_id: str
@@ -82,7 +84,7 @@
     caller_address: str = ""
     priority: int = 0
     reward_order: RewardOrder | None = None
-    regions: AllowedRegions = ANY_REGION
+    allowed_regions: Callable[[], AllowedRegions] = any_region
 
     @property
     def is_interactive(self) -> bool:
--- a/drumbay/forwarding/worker_picker.py
+++ b/drumbay/forwarding/worker_picker.py
@@ -1,7 +1,7 @@
 """Selects the worker for the next attempt from the node's records of a service's workers."""
 
 import math
-from collections.abc import Set
+from collections.abc import Iterator, Set
 
 import msgspec
 
@@ -69,34 +69,42 @@
         records = self._placement.eligible(self._directory.of_service(service), regions)
         return [record for record in records if record.worker.worker_id not in avoided_workers]
 
-    def excludes_workers(self, regions: AllowedRegions) -> bool:
-        """Return whether some zones are excluded for a request."""
-        return self._placement.excludes_workers(regions)
-
     def is_excluded(self, service: str, regions: AllowedRegions) -> bool:
         """Return whether a service has workers, but none that a request may get or wait for."""
+        if regions.is_restricted:
+            return not any(self._ready_workers(service, frozenset(), regions))
         if not self._placement.excludes_workers(regions):
             return False
         records = self._directory.of_service(service)
-        in_service = self._placement.in_service(records, regions)
-        if regions.is_restricted:
-            return not any(record.worker.state is WorkerState.READY for record in in_service)
-        return bool(records) and not in_service
+        return bool(records) and not self._placement.in_service(records, regions)
+
+    def is_free_by(
+        self, service: str, avoided_workers: Set[BackendId], regions: AllowedRegions, time: float
+    ) -> bool:
+        """Return whether a worker is not paused any more at a monotonic time."""
+        ready = self._ready_workers(service, avoided_workers, regions)
+        return any(record.paused_until <= time for record in ready)
 
     def free_from(
         self, service: str, avoided_workers: Set[BackendId], regions: AllowedRegions
     ) -> float:
         """Return the monotonic time from which a worker is not paused; infinite without any."""
-        records = self._placement.in_service(self._directory.of_service(service), regions)
-        return min(
-            (
-                record.paused_until
-                for record in records
-                if record.worker.state is WorkerState.READY
-                and record.worker.worker_id not in avoided_workers
-            ),
-            default=math.inf,
-        )
+        ready = self._ready_workers(service, avoided_workers, regions)
+        return min((record.paused_until for record in ready), default=math.inf)
+
+    def _ready_workers(
+        self, service: str, avoided_workers: Set[BackendId], regions: AllowedRegions
+    ) -> Iterator[WorkerRecord]:
+        """Yield the workers in service; one by one, as callers often need only the first."""
+        for worker_id, record in self._directory.all_records().items():
+            worker = record.worker
+            if (
+                worker.service == service
+                and worker.state is WorkerState.READY
+                and worker_id not in avoided_workers
+                and self._placement.is_in_service(worker, regions)
+            ):
+                yield record
 
     def choose(self, criteria: SendCriteria, now: float) -> ChosenWorker | None:
         """Return the worker for the next attempt; ``None`` if none is eligible.
--- a/drumbay/placement/gate.py
+++ b/drumbay/placement/gate.py
@@ -79,11 +79,11 @@
         self, records: Iterable[WorkerRecord], regions: AllowedRegions = ANY_REGION
     ) -> list[WorkerRecord]:
         """Return the workers that count as capacity, whether or not they may start more now."""
-        return [
-            record
-            for record in records
-            if self.check(record.worker, regions) not in LASTING_REASONS
-        ]
+        return [record for record in records if self.is_in_service(record.worker, regions)]
+
+    def is_in_service(self, worker: Worker, regions: AllowedRegions = ANY_REGION) -> bool:
+        """Return whether a worker counts as capacity, whether or not it may start more now."""
+        return self.check(worker, regions) not in LASTING_REASONS
 
     def admit(self, worker: Worker, regions: AllowedRegions, request_id: str) -> None:
         """Check a send as the last step before it, and count it.
