Skip the search for near nodes and workers where there are no regions

Cause: each poll of a follower and each plan of a batch job computed distances that are all alike. Change: return early. Conclusion: behaviour is the same; covered by NodesTest and test_shared_feeds.

--- a/drumbay/batches/start_allowances.py
+++ b/drumbay/batches/start_allowances.py
@@ -12,6 +12,8 @@
 
 def distant_workers(topology: Topology, records: Iterable[WorkerRecord]) -> frozenset[BackendId]:
     """Return the workers in another region than this node."""
+    if not topology.regions:
+        return frozenset()
     return frozenset(
         record.worker.worker_id
         for record in records
--- a/drumbay/peers/watchers.py
+++ b/drumbay/peers/watchers.py
@@ -67,8 +67,10 @@
         """
         watchers = [watcher for watcher in self.watchers if watcher != address]
         near = [watcher for watcher in watchers if is_near(watcher)]
+        if len(near) == len(watchers):
+            return _rotate(watchers, self.nodes, address)
         near_nodes = [node for node in self.nodes if is_near(node)]
-        if len(near) == len(watchers) or len(near_nodes) > len(near) * NODES_PER_WATCHER:
+        if len(near_nodes) > len(near) * NODES_PER_WATCHER:
             return _rotate(watchers, self.nodes, address)
         far = [watcher for watcher in watchers if not is_near(watcher)]
         return _rotate(near, near_nodes, address) + _rotate(far, near_nodes, address)
