Shorten the tests of full regions and resends

Cause: two tests played the end of a full region, and one recorded a call by hand. Ruled out: none. Change: one of the two parts is taken out, as the test of many refusals contains it and now also checks the regions; a wrapped mock records the call. The unknown region is tested without the reading that leaves it out.

--- a/tests/test_regions_forwarding.py
+++ b/tests/test_regions_forwarding.py
@@ -33,7 +33,6 @@
 from drumbay.workers.records import Worker as WorkerEntry
 from drumbay.workers.records import (
     WorkerNotEligibleError,
-    WorkerRequest,
     WorkerResponse,
     WorkerState,
 )
@@ -180,19 +179,11 @@
                 run_in_world(scenario)
 
     def test_resend_on_a_closed_connection_goes_by_the_regions_then(self) -> None:
-        sent: list[tuple[WorkerEntry, WorkerRequest]] = []
-
         async def scenario(world: ServingWorld) -> None:
             self.start(world)
-            call = world.workers.call
-
-            async def recording_call(worker: WorkerEntry, outgoing: WorkerRequest) -> object:
-                sent.append((worker, outgoing))
-                return await call(worker, outgoing)
-
-            with patch.object(world.workers, "call", recording_call):
+            with patch.object(world.workers, "call", wraps=world.workers.call) as call:
                 await self.forward()
-            ((worker, outgoing),) = sent
+            worker, outgoing = call.call_args.args
             self.assertTrue(self.placement.may_resend(worker, outgoing.allowed_regions()))
             self.configure(2, THERE)
             self.assertFalse(self.placement.may_resend(worker, outgoing.allowed_regions()))
@@ -211,7 +202,7 @@
             await self.assert_rejected()
             with self.assertRaises(WorkerNotEligibleError):
                 worker = world.workers["unlisted/0"].worker
-                self.placement.admit(worker, AllowedRegions.of(["", "here"]), "r")
+                self.placement.admit(worker, AllowedRegions(frozenset({"", "here"})), "r")
 
         run_in_world(scenario)
 
@@ -293,13 +284,6 @@
             error = await self.assert_rejected(within_seconds=0.75)
             self.assertEqual(world.workers.runs, [])
             self.assertLess(error.retry_after_seconds or 0.0, 1.0)
-            await asyncio.sleep(1.0)
-            answer = asyncio.ensure_future(self.forward())
-            await asyncio.sleep(0.02)
-            for name in near:
-                world.workers[name].faults.full = False
-            await answer
-            self.assertLessEqual(self.zones_of_runs(), {"here-1", "here-2"})
 
         run_in_world(scenario)
 
@@ -318,6 +302,7 @@
             for name in near:
                 world.workers[name].faults.full = False
             await answer
+            self.assertTrue(all(run.worker_id in near for run in world.workers.runs))
 
         run_in_world(scenario)
 
