--- a/drumbay/batches/decisions.py
+++ b/drumbay/batches/decisions.py
@@ -21,6 +21,7 @@
         start_allowances: Items that may start now, for workers with a limit: none in an evacuated
             zone or outside the allowed regions, few at a worker that may be cold.
         workers_in_service: Workers whose zone may get items; ``None`` if all of them may.
+        distant_workers: Workers in another region than this node.
     """
 
     held_back: frozenset[ItemId] = frozenset()
@@ -28,6 +29,7 @@
     isolated_workers: frozenset[BackendId] = frozenset()
     start_allowances: Mapping[BackendId, int] = msgspec.field(default_factory=dict)
     workers_in_service: frozenset[BackendId] | None = None
+    distant_workers: frozenset[BackendId] = frozenset()
 
 
 class SlotShare(msgspec.Struct, frozen=True, kw_only=True):
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -422,6 +422,7 @@
             share.used_by_others,
             limits.start_allowances,
             limits.workers_in_service,
+            distant_workers=limits.distant_workers,
         )
         self._is_overloaded = share.contention is not None and share.contention.is_overloaded
         self._median_event_interval = selector.median_event_interval
--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable, Coroutine
 
 import msgspec
 
@@ -62,7 +63,7 @@
 """Minimum time left for which another attempt is started."""
 
 MAX_REFUSALS_PER_ADMISSION = 6
-"""Refusals by workers after which a request goes back to the admission queue."""
+"""Refusals by workers after which a request goes back to the admission queue, or pauses."""
 
 RETRY_AFTER_SECONDS = 0.25
 """Retry-After for services without an available worker; another node may already see one."""
@@ -76,6 +77,16 @@
 INELIGIBLE_PAUSE_SECONDS = 0.02
 """Pause after a send that the placement constraint stopped as its last step."""
 
+EXCLUSION_POLL_SECONDS = 0.05
+"""Interval at which a restricted request in the queue checks whether a worker may still get it."""
+
+REGION_RETRY_SECONDS = 0.1
+"""Pause after which a request tries the workers of its regions again that have refused it."""
+
+MAX_REGION_WAIT_FRACTION = 0.5
+"""Longest wait for the workers of the allowed regions, as a fraction of the time from arrival to
+deadline; a retry needs the rest."""
+
 QUARANTINE_POLL_SECONDS = 0.02
 """Polling interval while the quarantine checks whether a request crashed its worker."""
 
@@ -125,13 +136,16 @@
             ForwardingError: The request failed; ``execution`` says whether it may have run.
         """
         service = self._routes.choose_service(route)
+        regions = self._routes.allowed_regions(route, request.tenant)
         forwarding = _ForwardedRequest(
             self,
             route,
             service,
             request,
             self._routes.priority_levels_of(service),
-            self._routes.allowed_regions(route, request.tenant).intersect(request.regions),
+            lambda: self._routes.regions_in_force(route.name, request.tenant, regions).intersect(
+                request.allowed_regions()
+            ),
         )
         started_at = self.clock.monotonic()
         ticket = self._usage.open() if request.tenant is not None else None
@@ -174,7 +188,7 @@
         service: str,
         request: ClientRequest,
         priority_levels: frozenset[int],
-        regions: AllowedRegions,
+        allowed_regions: Callable[[], AllowedRegions],
     ) -> None:
         self._clock = forwarder.clock
         self._directory = forwarder.directory
@@ -187,17 +201,18 @@
         self._route = route
         self._service = service
         self._request = request
-        self._regions = regions
+        self._allowed_regions = allowed_regions
         self._fingerprint = request.fingerprint
         self._started_at = self._clock.monotonic()
         limit_seconds = min(request.budget_seconds, route.timeout_seconds)
         self._deadline = self._started_at + limit_seconds
+        self._region_wait_ends_at = self._started_at + MAX_REGION_WAIT_FRACTION * limit_seconds
         self._next_send_at = self._started_at
         self._last_sent_at = self._started_at
         self._is_hedge_next = False
         self._successful_attempt: _Attempt | None = None
         self._admission = RequestAdmission(
-            forwarder.admission, service, request, self._started_at, self._deadline, regions
+            forwarder.admission, service, request, self._started_at, self._deadline, self._regions
         )
         self._worker_priority = request.priority if len(priority_levels) > 1 else None
         """Passed to workers only if the service receives requests of several priorities."""
@@ -218,10 +233,15 @@
         self._tried: set[BackendId] = set()
         self._avoided_workers: frozenset[BackendId] = frozenset()
 
+    @property
+    def _regions(self) -> AllowedRegions:
+        """Return the regions in which the request may run now."""
+        return self._allowed_regions()
+
     async def run(self) -> WorkerResponse:
         """Send attempts until one succeeds or no further attempt is allowed."""
         self._raise_if_excluded()
-        await self._admission.acquire()
+        await self._wait_for_admission(self._admission.acquire)
         self._next_send_at = self._clock.monotonic()
         self._hedge_timing.record_request(
             self._next_send_at, is_interactive=self._request.is_interactive
@@ -231,6 +251,8 @@
             remaining = self._deadline - now
             if remaining < MIN_BUDGET_SECONDS:
                 raise self._forwarding_error(timed_out=True)
+            if self._regions.is_restricted:
+                self._delay_until_region_is_free(now)
             if self._needs_readmission(now):
                 await self._wait_for_readmission()
                 continue
@@ -247,27 +269,80 @@
             else:
                 raise self._forwarding_error(timed_out=False)
 
+    async def _wait_for_admission(self, acquire: Callable[[], Coroutine[None, None, None]]) -> None:
+        """Wait for admission; a restricted request only while its regions have a worker for it.
+
+        Raises:
+            NoWorkerError: The request was not admitted, or no worker may get it any more.
+        """
+        if not self._regions.is_restricted:
+            await acquire()
+            return
+        admission = asyncio.get_running_loop().create_task(acquire())
+        try:
+            while not (await asyncio.wait({admission}, timeout=EXCLUSION_POLL_SECONDS))[0]:
+                self._raise_if_region_stays_full()
+            admission.result()
+        finally:
+            admission.cancel()
+
     def _raise_if_excluded(self) -> None:
-        """Reject a request at once that no worker may get, as far as is known.
+        """End a request without an attempt in flight that no worker may get, as far as is known.
 
         Raises:
-            NoWorkerError: Every worker is in an evacuated zone or outside the allowed regions.
+            ForwardingError: Every worker is in an evacuated zone or outside the allowed regions.
         """
-        if self._regions.is_empty or self._picker.is_excluded(self._service, self._regions):
-            log_event(
-                "request_excluded",
-                request=self._request.request_id,
-                service=self._service,
-                restricted=self._regions.is_restricted,
-                allowed_regions=",".join(self._regions.names()),
-            )
-            raise self._forwarding_error(timed_out=False)
+        if self._is_excluded():
+            raise self._exclusion_error()
+
+    def _is_excluded(self) -> bool:
+        regions = self._regions
+        return regions.is_empty or self._picker.is_excluded(self._service, regions)
+
+    def _raise_if_region_stays_full(self) -> None:
+        """End a queued request whose regions have no worker for too long.
+
+        Raises:
+            ForwardingError: It may not wait for the capacity of other regions.
+        """
+        regions, ends_at = self._regions, self._region_wait_ends_at
+        if regions.is_restricted and not self._picker.is_free_by(
+            self._service, self._avoided_workers, regions, ends_at
+        ):
+            raise self._exclusion_error()
+
+    def _exclusion_error(self) -> ForwardingError:
+        regions = self._regions
+        log_event(
+            "request_excluded",
+            request=self._request.request_id,
+            route=self._route.name,
+            service=self._service,
+            reason="no_worker" if self._is_excluded() else "workers_full",
+            restricted=regions.is_restricted,
+            allowed_regions=",".join(regions.names()),
+        )
+        return self._forwarding_error(timed_out=False)
+
+    def _delay_until_region_is_free(self, now: float) -> None:
+        """Wait for the workers of the regions, not in the queue of the whole service.
+
+        Raises:
+            ForwardingError: They stay full for too long.
+        """
+        if not self._may_wait_after_refusal():
+            return
+        send_at = self._picker.free_from(self._service, self._avoided_workers, self._regions)
+        if self._refusal_count - self._refusals_before_admission > MAX_REFUSALS_PER_ADMISSION:
+            self._refusals_before_admission = self._refusal_count
+            send_at = max(send_at, now + REGION_RETRY_SECONDS)
+        if send_at > self._region_wait_ends_at:
+            raise self._exclusion_error()
+        self._next_send_at = max(self._next_send_at, send_at)
 
     def _needs_readmission(self, now: float) -> bool:
         """Return whether the request should queue for admission again after refusals by workers."""
-        if not self._is_service_full or self._attempts or not self._has_not_run():
-            return False
-        if not self._admission.is_limited:
+        if self._regions.is_restricted or not self._may_wait_after_refusal():
             return False
         return (
             self._refusal_count - self._refusals_before_admission > MAX_REFUSALS_PER_ADMISSION
@@ -279,8 +354,17 @@
             )
         )
 
+    def _may_wait_after_refusal(self) -> bool:
+        """Return whether admission control decides when a refused request is sent again."""
+        return (
+            self._is_service_full
+            and not self._attempts
+            and self._has_not_run()
+            and self._admission.is_limited
+        )
+
     async def _wait_for_readmission(self) -> None:
-        await self._admission.reacquire()
+        await self._wait_for_admission(self._admission.reacquire)
         self._refusals_before_admission = self._refusal_count
         self._is_service_full = False
         self._next_send_at = self._clock.monotonic()
@@ -511,13 +595,12 @@
             tenant=request.tenant,
             priority=self._worker_priority,
             fresh_connection=needs_new_connection,
+            allowed_regions=self._allowed_regions,
         )
         record.in_flight += 1
         record.body_bytes += len(request.body)
         task = asyncio.get_running_loop().create_task(
-            self._caller.call(
-                record.worker, worker_request, self._route, self._fingerprint, self._regions
-            )
+            self._caller.call(record.worker, worker_request, self._route, self._fingerprint)
         )
         # A task that is cancelled before it starts never reaches a ``finally`` block of its own.
         task.add_done_callback(lambda _: _subtract_in_flight(record, len(request.body)))
--- a/drumbay/forwarding/routes.py
+++ b/drumbay/forwarding/routes.py
@@ -92,11 +92,23 @@
             return route.priority
         return self.keys.priorities.get(tenant, route.priority)
 
-    def allowed_regions(self, route: Route, tenant: TenantName | None) -> AllowedRegions:
-        """Return the regions that both a request's route and its tenant allow."""
+    def regions_by_route(self) -> dict[str, AllowedRegions]:
+        """Return the allowed regions by route name; all routes of one name bind."""
+        regions: dict[str, AllowedRegions] = {}
+        for route in self.routes:
+            others = regions.get(route.name, ANY_REGION)
+            regions[route.name] = route.allowed_regions.intersect(others)
+        return regions
+
+    def regions_of_tenant(self, tenant: TenantName | None) -> AllowedRegions:
+        """Return the regions that a tenant allows; any if it is not configured."""
         if tenant is None or self.keys is None:
-            return route.allowed_regions
-        return route.allowed_regions.intersect(self.keys.allowed_regions.get(tenant, ANY_REGION))
+            return ANY_REGION
+        return self.keys.allowed_regions.get(tenant, ANY_REGION)
+
+    def has_tenant(self, tenant: TenantName | None) -> bool:
+        """Return whether a tenant is configured; true for requests without one."""
+        return tenant is None or (self.keys is not None and tenant in self.keys.allowed_regions)
 
     def priority_levels_of(self, service: str) -> frozenset[int]:
         """Return the priorities that requests to a service may have."""
@@ -142,7 +154,7 @@
     def batch_regions(
         self, route_name: str, tenant: TenantName | None, recorded: AllowedRegions
     ) -> AllowedRegions:
-        """Return the allowed regions; ``recorded`` ones if the route is gone."""
+        """Return the allowed regions; ``recorded`` ones bind too if route or tenant is gone."""
         ...
 
 
@@ -154,6 +166,7 @@
         self._current: RoutingConfiguration | None = None
         self._current_weights: dict[str, dict[str, float]] = {}
         self._priority_levels: dict[str, frozenset[int]] = {}
+        self._regions_by_route: dict[str, AllowedRegions] = {}
 
     @property
     def current(self) -> RoutingConfiguration | None:
@@ -166,6 +179,7 @@
             return False
         self._current = configuration
         self._priority_levels.clear()
+        self._regions_by_route = configuration.regions_by_route()
         return True
 
     def priority_levels_of(self, service: str) -> frozenset[int]:
@@ -180,26 +194,34 @@
         return priority_levels
 
     def allowed_regions(self, route: Route, tenant: TenantName | None) -> AllowedRegions:
-        """Return the regions in which a request may run under the current configuration."""
-        if self._current is None:
-            return route.allowed_regions
-        return self._current.allowed_regions(route, tenant)
+        """Return the regions in which a new request may run."""
+        return self.regions_in_force(route.name, tenant, route.allowed_regions)
 
-    def batch_regions(
+    def regions_in_force(
         self, route_name: str, tenant: TenantName | None, recorded: AllowedRegions
     ) -> AllowedRegions:
-        """Return the regions in which a batch job may run and be held.
+        """Return the regions in which an earlier request may run now.
 
         Args:
-            route_name: The route that accepted it.
+            route_name: The route by which it came.
             tenant: Its tenant.
-            recorded: The regions allowed at its submission, used if the route is gone.
+            recorded: The regions allowed when it came; they bind as well if the configuration no
+                longer has its route or its tenant.
         """
-        routes = self._current.routes if self._current is not None else ()
-        route = next((route for route in routes if route.name == route_name), None)
-        if route is None:
+        if self._current is None:
             return recorded
-        return self.allowed_regions(route, tenant)
+        route_regions = self._regions_by_route.get(route_name)
+        regions = self._current.regions_of_tenant(tenant)
+        if route_regions is not None:
+            regions = regions.intersect(route_regions)
+        is_configured = route_regions is not None and self._current.has_tenant(tenant)
+        return regions if is_configured else regions.intersect(recorded)
+
+    def batch_regions(
+        self, route_name: str, tenant: TenantName | None, recorded: AllowedRegions
+    ) -> AllowedRegions:
+        """Return the regions in which a batch job may run and be held."""
+        return self.regions_in_force(route_name, tenant, recorded)
 
     def batch_routes(self, service: str) -> int:
         """Return how many routes submit batch jobs to a service."""
--- a/drumbay/placement/gate.py
+++ b/drumbay/placement/gate.py
@@ -105,6 +105,10 @@
         }
         return [record for record in records if record.worker.zone in zones]
 
+    def is_in_service(self, worker: Worker, regions: AllowedRegions = ANY_REGION) -> bool:
+        """Return whether a worker counts as capacity, whether or not it may start more now."""
+        return self._ineligibility(worker.zone, regions, math.inf) is None
+
     def admit(self, worker: Worker, regions: AllowedRegions, request_id: str) -> None:
         """Check a send as the last step before it, and count it.
 
@@ -126,17 +130,18 @@
         )
         raise WorkerNotEligibleError(reason)
 
-    def may_send_late(self, worker: Worker) -> bool:
+    def may_send_late(self, worker: Worker, regions: AllowedRegions) -> bool:
         """Return whether a request that was admitted may still be sent once it is connected."""
-        if not self.evacuations.contains(worker.zone):
+        reason = self._ineligibility(worker.zone, regions, math.inf)
+        if reason is None:
             return True
-        self._metrics.count_ineligible(Ineligibility.ZONE_EVACUATED)
-        log_event("request_withheld", worker=worker.worker_id, zone=worker.zone)
+        self._metrics.count_ineligible(reason)
+        log_event("request_withheld", worker=worker.worker_id, zone=worker.zone, reason=reason)
         return False
 
-    def may_resend(self, worker: Worker) -> bool:
+    def may_resend(self, worker: Worker, regions: AllowedRegions) -> bool:
         """Return whether a request that was admitted may be sent to its worker again."""
-        if self.check(worker) is not None:
+        if self.check(worker, regions) is not None:
             return False
         self._starts.record_start(worker, self._clock.monotonic())
         return True
--- a/tests/test_evacuation_sends.py
+++ b/tests/test_evacuation_sends.py
@@ -16,7 +16,7 @@
 from drumbay.forwarding.worker_choice import ChosenWorker
 from drumbay.forwarding.worker_picker import SendCriteria, WorkerPicker
 from drumbay.identifiers import BackendId, WeightVersion
-from drumbay.placement.regions import AllowedRegions
+from drumbay.placement.regions import ANY_REGION, AllowedRegions
 from drumbay.placement.topology import Topology
 from drumbay.standins.worker_log import LoggedRun
 from drumbay.standins.worker_pool import full_text
@@ -126,9 +126,9 @@
             ):
                 node = WorldNode(world, 9, 0).node
             checks = [mock.call_args.args[0] for mock in (send_check, resend_check)]
-            self.assertEqual([may_send(far) for may_send in checks], [True, True])
+            self.assertEqual([may_send(far, ANY_REGION) for may_send in checks], [True, True])
             node.evacuations.start(ZONE)
-            self.assertEqual([may_send(far) for may_send in checks], [False, False])
+            self.assertEqual([may_send(far, ANY_REGION) for may_send in checks], [False, False])
 
         run_in_world(scenario, node_count=1)
 
@@ -165,7 +165,9 @@
                 world.workers[name].faults.full = True
             there = AllowedRegions.of(["there"])
             lookups = [request(str(number)) for number in range(4)]
-            lookups[2:] = [msgspec.structs.replace(each, regions=there) for each in lookups[2:]]
+            lookups[2:] = [
+                msgspec.structs.replace(each, allowed_regions=lambda: there) for each in lookups[2:]
+            ]
             calls = [
                 asyncio.ensure_future(self.assert_rejected(forwarder, route(), lookup))
                 for lookup in lookups
