Load versions of the model with the fewest serving workers first

Ruled out: the owner (owned 0.06 s after the submission), the leader (one leader all the time), the store. Change: among models, the next load goes to the one whose newest version the fewest workers have or are loading; within a model the order is as before. The planner knows the model of each load in progress.

--- a/drumbay/weights/version_coordinator.py
+++ b/drumbay/weights/version_coordinator.py
@@ -143,7 +143,7 @@
                     now,
                     self._placement.evacuations.zones,
                 ):
-                    load_id = self._planner.record_load_started(load.worker_id)
+                    load_id = self._planner.record_load_started(load.worker_id, load.model)
                     record = records[load.worker_id]
                     self._task_owner.spawn(self._load(load, load_id, record, fence), "load-version")
             self._announced_versions.changed.clear()
--- a/tests/test_version_loading.py
+++ b/tests/test_version_loading.py
@@ -52,6 +52,31 @@
         loads = self.plan_loads(directory, m=3, n=1)
         self.assertEqual(loads, [("c", "m", 3), ("d", "m", 3)])
 
+    def test_no_model_waits_until_the_others_have_loaded(self) -> None:
+        """Three models were announced at once: the last by name had no load for seconds."""
+        directory = self.make_directory(**{f"worker{number}": 1 for number in range(10)})
+        for record in directory.all_records().values():
+            record.versions["o"] = WeightVersion(1)
+        planner = VersionPlanner(LoadPolicy())
+        announced = {model: WeightVersion(2) for model in "mno"}
+        records = list(directory.all_records().values())
+        first = planner.plan(announced, records, 0.0)
+        self.assertEqual(sorted(load.model for load in first), ["m", "m", "n", "o"])
+
+    def test_model_without_a_usable_worker_goes_before_a_model_with_some(self) -> None:
+        """Workers two versions behind are more urgent only within their model."""
+        directory = self.make_directory(a=3, b=3, c=1, d=1, e=1)
+        for record in directory.all_records().values():
+            record.versions["n"] = WeightVersion(1)
+        planner = VersionPlanner(LoadPolicy())
+        announced = {"m": WeightVersion(3), "n": WeightVersion(2)}
+        records = list(directory.all_records().values())
+        loads = planner.plan(announced, records, 0.0)
+        self.assertEqual([load.model for load in loads], ["n", "n"])
+        for load in loads:
+            planner.record_load_started(load.worker_id, load.model)
+        self.assertEqual(planner.plan(announced, records, 0.1), ())
+
     def test_concurrent_loads_are_limited(self) -> None:
         directory = self.make_directory(a=1, b=1, c=1, d=1)
         planner = VersionPlanner(LoadPolicy())
@@ -60,7 +85,7 @@
         first = planner.plan(announced, records, 0.0)
         self.assertEqual(len(first), 2)
         for load in first:
-            planner.record_load_started(load.worker_id)
+            planner.record_load_started(load.worker_id, load.model)
         self.assertEqual(planner.plan(announced, records, 0.1), ())
 
     def test_concurrent_load_limit_grows_with_the_worker_count(self) -> None:
--- a/tests/test_worker_starts.py
+++ b/tests/test_worker_starts.py
@@ -550,9 +550,9 @@
 
     def test_end_of_a_load_does_not_end_a_later_one(self) -> None:
         planner = VersionPlanner(LoadPolicy())
-        first = planner.record_load_started(WORKER)
+        first = planner.record_load_started(WORKER, MODEL)
         planner.record_worker_restarted(WORKER)
-        second = planner.record_load_started(WORKER)
+        second = planner.record_load_started(WORKER, MODEL)
         self.assertFalse(planner.record_load_ended(WORKER, first))
         planner.record_load_failed(WORKER, first, 0.0)
         self.assertTrue(planner.record_load_ended(WORKER, second))
@@ -564,7 +564,7 @@
         planner = VersionPlanner(LoadPolicy())
         named = {MODEL: WeightVersion(2)}
         records = list(directory.all_records().values())
-        planner.record_load_started(WORKER)
+        planner.record_load_started(WORKER, MODEL)
         self.assertEqual(planner.plan(named, records, 0.1), ())
         planner.record_worker_restarted(WORKER)
         self.assertEqual(len(planner.plan(named, records, 0.1)), 1)
