Limit starts at workers that warm up, over all nodes together

Cause: no node knows what others send to a worker that is cold, and it falls over above its rate. Ruled out: permits from one node (a call for each send); a bound from places alone (short runs exceed it). Change: what is known of cold workers is kept per worker from entries, responses, starts, ended evacuations and lost contact; each node keeps its starts within its part of the limit, shared out by the senders it knows. Lookups prefer warm workers at equal cost and wait a quarter of their target for a start. Nothing changes for services without a rate.

--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -70,6 +70,9 @@
 FREE_WORKER_POLL_SECONDS = 0.05
 """Polling interval while no attempt is in flight and no worker is free."""
 
+MAX_START_WAIT_TARGET_SHARE = 0.25
+"""Longest wait of a request for a start at a cold worker, relative to the route's target."""
+
 MISDIRECTED_PAUSE_SECONDS = 5.0
 """Pause for a worker whose address now serves another one, until discovery is updated."""
 
@@ -445,13 +448,21 @@
             if unconfirmed is not None:
                 self._send(unconfirmed.record, unconfirmed.choice, remaining)
             return
-        choice = self._picker.choose(self._send_criteria(), now)
+        criteria = self._send_criteria()
+        choice = self._picker.choose(criteria, now)
         record = self._directory.get(choice.worker_id) if choice is not None else None
         if choice is not None and record is not None:
             self._send(record, choice, remaining)
+        elif not self._attempts and self._may_wait_for_start(now, criteria):
+            self._next_send_at = now + FREE_WORKER_POLL_SECONDS
         elif not self._attempts:
             raise self._forwarding_error(timed_out=False)
 
+    def _may_wait_for_start(self, now: float, criteria: SendCriteria) -> bool:
+        """Return whether to wait until this node may start more requests at cold workers."""
+        wait_end = self._started_at + MAX_START_WAIT_TARGET_SHARE * self._route.target_seconds
+        return now < wait_end and self._picker.waits_for_starts(criteria)
+
     def _send_criteria(self) -> SendCriteria:
         return SendCriteria(
             route=self._route,
--- a/drumbay/forwarding/routes.py
+++ b/drumbay/forwarding/routes.py
@@ -1,12 +1,13 @@
 """Routes configured by operators, and their lookup."""
 
+from collections.abc import Mapping
 from enum import StrEnum
 from typing import Protocol
 
 import msgspec
 
 from drumbay.placement.regions import ANY_REGION, AllowedRegions
-from drumbay.placement.warm_up import WarmUp
+from drumbay.placement.warm_up import WarmUp, warm_ups_by_service
 from drumbay.scaling.records import ServiceScaling
 from drumbay.tenants.records import KeyTable, TenantName
 
@@ -154,6 +155,8 @@
         self._current: RoutingConfiguration | None = None
         self._current_weights: dict[str, dict[str, float]] = {}
         self._priority_levels: dict[str, frozenset[int]] = {}
+        self.warm_ups: Mapping[str, WarmUp] = {}
+        """Services whose workers warm up at a limited rate."""
 
     @property
     def current(self) -> RoutingConfiguration | None:
@@ -165,6 +168,7 @@
         if self._current is not None and configuration.version <= self._current.version:
             return False
         self._current = configuration
+        self.warm_ups = warm_ups_by_service(configuration.warm_ups)
         self._priority_levels.clear()
         return True
 
--- a/drumbay/forwarding/worker_call.py
+++ b/drumbay/forwarding/worker_call.py
@@ -76,6 +76,9 @@
         self._hedge_timing.observe(route.name, elapsed_seconds)
         if response.load is not None:
             self._directory.observe_load(worker.worker_id, response.load, now, worker.started_at_ms)
+        self._directory.observe_warm_up(
+            worker.worker_id, response.warm_up_left_seconds, started_at, now
+        )
 
     def _record_cancelled_run(self, worker: Worker, route: Route, started_at: float) -> None:
         """Record the time of a slow cancelled run, a lower bound of its latency."""
--- a/drumbay/forwarding/worker_choice.py
+++ b/drumbay/forwarding/worker_choice.py
@@ -34,7 +34,7 @@
 """Round trip to another zone."""
 
 COST_RESOLUTION_SECONDS = 0.001
-"""Costs are rounded to this; of workers with equal cost the least recently used is selected."""
+"""Costs are rounded to this."""
 
 CONTENTION_THRESHOLD = 0.5
 CONTENTION_SLOWDOWN = 0.5
@@ -74,6 +74,7 @@
     paused_until: float = -math.inf
     has_idle_connection: bool = False
     is_same_zone: bool = True
+    is_cold: bool = False
 
 
 class ChosenWorker(msgspec.Struct, frozen=True, kw_only=True):
@@ -101,14 +102,15 @@
     mean_other_requests = _mean_other_requests(candidates, now)
     ranked = sorted(candidates, key=lambda snapshot: _rendezvous_hash(machine, snapshot.worker_id))
 
-    def cost(snapshot: WorkerSnapshot) -> tuple[int, float]:
+    def cost(snapshot: WorkerSnapshot) -> tuple[int, bool, float]:
         expected = typical_seconds * _expected_relative_latency(snapshot, mean_other_requests, now)
         if not snapshot.has_idle_connection:
             expected = NEW_CONNECTION_FACTOR * expected + CONNECT_SECONDS
         if not snapshot.is_same_zone:
             expected += CROSS_ZONE_SECONDS
         expected += max(0.0, snapshot.paused_until - now)
-        return round(expected / COST_RESOLUTION_SECONDS), snapshot.last_run_at
+        # Of workers with equal cost a warm one, then the least recently used is selected.
+        return round(expected / COST_RESOLUTION_SECONDS), snapshot.is_cold, snapshot.last_run_at
 
     chosen = min(ranked, key=cost)
     return ChosenWorker(
--- a/drumbay/forwarding/worker_picker.py
+++ b/drumbay/forwarding/worker_picker.py
@@ -14,6 +14,7 @@
 )
 from drumbay.identifiers import BackendId
 from drumbay.limits.worker_bodies import may_send_body
+from drumbay.placement.eligibility import Ineligibility
 from drumbay.placement.gate import PlacementGate
 from drumbay.placement.regions import ANY_REGION, AllowedRegions
 from drumbay.workers.directory import WorkerDirectory
@@ -72,6 +73,13 @@
         records = self._directory.of_service(service)
         return bool(records) and not self._placement.in_service(records, regions)
 
+    def waits_for_starts(self, criteria: SendCriteria) -> bool:
+        """Return whether this node has started as many requests at a worker as it may for now."""
+        return any(
+            self._placement.check(record.worker, criteria.regions) is Ineligibility.WARMING_UP
+            for record in self._directory.of_service(criteria.service)
+        )
+
     def choose(self, criteria: SendCriteria, now: float) -> ChosenWorker | None:
         """Return the worker for the next attempt; ``None`` if none is eligible.
 
@@ -117,4 +125,5 @@
             paused_until=record.paused_until,
             has_idle_connection=self._client.has_idle_connection(record.worker),
             is_same_zone=record.worker.zone == self._placement.topology.zone,
+            is_cold=self._placement.is_cold(record.worker),
         )
--- a/drumbay/observability/serving_metrics.py
+++ b/drumbay/observability/serving_metrics.py
@@ -179,6 +179,12 @@
             registry=self._registry,
         )
 
+        self._cold_workers = Gauge(
+            "drumbay_serving_cold_workers",
+            "Workers that this node counts as cold.",
+            ("service",),
+            registry=self._registry,
+        )
         self._waiting = Gauge(
             "drumbay_serving_admission_waiting",
             "Requests that wait for a service.",
@@ -213,6 +219,10 @@
         """Count a request rejected for lack of memory, or an unread response."""
         self._shed_requests.labels(kind, reason).inc()
 
+    def set_cold_workers(self, service: str, count: int) -> None:
+        """Set how many workers of a service count as cold."""
+        self._cold_workers.labels(service).set(count)
+
     def count_ineligible(self, reason: str) -> None:
         """Count a send to a worker that was refused by a placement constraint."""
         self._ineligible.labels(reason).inc()
--- /dev/null
+++ b/drumbay/placement/cold_workers.py
@@ -0,0 +1,115 @@
+"""Keeps which workers are cold, and until when. No I/O."""
+
+import math
+from collections.abc import Container
+from enum import StrEnum
+
+import msgspec
+
+from drumbay.identifiers import BackendId
+from drumbay.workers.records import Worker
+from drumbay.workers.worker_record import WorkerChange
+
+
+class ColdReason(StrEnum):
+    """Why a worker counts as cold."""
+
+    REPORTED = "reported"
+    """Its entry or a response says so."""
+
+    STARTED = "started"
+    ZONE_RETURNED = "zone_returned"
+    WAS_UNREACHABLE = "was_unreachable"
+
+
+class _ColdState(msgspec.Struct, kw_only=True):
+    """What is known of one worker; times are monotonic.
+
+    ``reported_until`` is what the worker has said; ``assumed_since`` is the last event after which
+    it is assumed to be cold for the warm-up time. ``entry_left_seconds`` is the last value from its
+    entry.
+    """
+
+    reported_until: float = -math.inf
+    assumed_since: float = -math.inf
+    assumed_reason: ColdReason = ColdReason.STARTED
+    entry_left_seconds: float = 0.0
+
+
+class ColdWorkers:
+    """The workers that may be cold.
+
+    States are kept by worker id, as a request to an ended incarnation reaches its successor at the
+    same address. What is known only ever makes a worker count as cold for longer, except that a
+    worker's own response ends what was merely assumed.
+    """
+
+    def __init__(self) -> None:
+        """Start without cold workers."""
+        self._states: dict[BackendId, _ColdState] = {}
+
+    def handle_entry(self, worker: Worker, change: WorkerChange, now: float) -> None:
+        """Apply a worker's entry; the time that it is still cold counts from now."""
+        if change is WorkerChange.STARTED:
+            self._assume_cold(worker.worker_id, ColdReason.STARTED, now)
+        elif change is WorkerChange.RETURNED:
+            self._assume_cold(worker.worker_id, ColdReason.WAS_UNREACHABLE, now)
+        left_seconds = worker.warm_up_left_seconds
+        known = self._states.get(worker.worker_id)
+        known_left_seconds = known.entry_left_seconds if known is not None else 0.0
+        # An entry that is read again unchanged says nothing new.
+        if left_seconds == known_left_seconds:
+            return
+        state = self._state(worker.worker_id)
+        state.entry_left_seconds = left_seconds
+        if left_seconds > 0:
+            state.reported_until = max(state.reported_until, now + left_seconds)
+
+    def handle_response(
+        self, worker_id: BackendId, left_seconds: float | None, asked_at: float, now: float
+    ) -> None:
+        """Apply what a response to a request of ``asked_at`` says; ``None`` if nothing."""
+        if left_seconds is None:
+            return
+        if left_seconds > 0:
+            state = self._state(worker_id)
+            state.reported_until = max(state.reported_until, now + left_seconds)
+            return
+        known = self._states.get(worker_id)
+        if known is not None and known.assumed_since < asked_at:
+            known.assumed_since = -math.inf
+
+    def handle_zone_return(self, worker_id: BackendId, now: float) -> None:
+        """Record that the evacuation of a worker's zone has ended."""
+        self._assume_cold(worker_id, ColdReason.ZONE_RETURNED, now)
+
+    def handle_contact(self, worker_id: BackendId, now: float) -> None:
+        """Record a failure to reach a worker, or its first response after failures.
+
+        A worker counts as cold from its failure too: requests are sent before the first response.
+        """
+        self._assume_cold(worker_id, ColdReason.WAS_UNREACHABLE, now)
+
+    def reason(self, worker_id: BackendId, warm_up_seconds: float, now: float) -> ColdReason | None:
+        """Return why a worker counts as cold, ``None`` if it does not."""
+        state = self._states.get(worker_id)
+        if state is None:
+            return None
+        if now < state.reported_until:
+            return ColdReason.REPORTED
+        if now < state.assumed_since + warm_up_seconds:
+            return state.assumed_reason
+        return None
+
+    def forget_except(self, known: Container[BackendId]) -> None:
+        """Forget the workers that are gone; one that appears again has started."""
+        for worker_id in [w for w in self._states if w not in known]:
+            del self._states[worker_id]
+
+    def _assume_cold(self, worker_id: BackendId, reason: ColdReason, now: float) -> None:
+        state = self._state(worker_id)
+        state.assumed_since = now
+        state.assumed_reason = reason
+
+    def _state(self, worker_id: BackendId) -> _ColdState:
+        return self._states.setdefault(worker_id, _ColdState())
--- /dev/null
+++ b/drumbay/placement/start_limits.py
@@ -0,0 +1,175 @@
+"""Limits this node's starts at workers that warm up, to its part of what all nodes may send."""
+
+import hashlib
+import math
+from collections import deque
+from collections.abc import Callable, Mapping, Sequence
+from functools import lru_cache
+from typing import NamedTuple, Protocol
+
+import msgspec
+
+from drumbay.identifiers import BackendId
+from drumbay.placement.cold_workers import ColdReason, ColdWorkers
+from drumbay.placement.warm_up import WarmUp, WarmUpTolerance
+from drumbay.workers.records import Worker
+
+WINDOW_SECONDS = 1.05
+"""The limit holds for any second; the rest allows for clocks that run at different rates."""
+
+UNKNOWN_SENDER = "unknown"
+"""A sender that a node does not know of; no address has this form."""
+
+
+class Senders(msgspec.Struct, frozen=True, kw_only=True):
+    """The nodes that may send requests to a service's workers.
+
+    ``nodes`` includes this one. ``limits_warm_workers`` is set if the part holds for workers that
+    are not known to be cold, too.
+    """
+
+    nodes: tuple[str, ...]
+    limits_warm_workers: bool
+
+
+class _Part(NamedTuple):
+    """This node's part at a worker, and what it was worked out from."""
+
+    senders: Senders
+    budget: int
+    part: int
+
+
+class SenderView(Protocol):
+    """Tells which nodes may send requests, as far as this node knows."""
+
+    def senders(self, service: str, now: float) -> Senders:
+        """Return the nodes that may send requests to a service's workers."""
+        ...
+
+
+def part_of(budget: int, nodes: Sequence[str], own: str, worker_id: BackendId) -> int:
+    """Return how many of ``budget`` starts at a worker are one node's.
+
+    What does not divide evenly goes to the nodes that rendezvous hashing ranks first for the
+    worker (Thaler and Ravishankar, IEEE/ACM Transactions on Networking 6(1), 1998). The parts of
+    all nodes of one view add up to the budget.
+    """
+    whole, rest = divmod(budget, len(nodes))
+    if not rest:
+        return whole
+    own_hash = _rendezvous_hash(own, worker_id)
+    rank = sum(_rendezvous_hash(node, worker_id) < own_hash for node in nodes)
+    return whole + (rank < rest)
+
+
+def budget_of(warm_up: WarmUp, tolerance: WarmUpTolerance, *, is_cold: bool) -> int:
+    """Return the starts a second that are shared out among the senders of one view.
+
+    For a cold worker at most half the limit, so that two views that have no node in common stay
+    within it together; at least 1, or the worker would get nothing.
+    """
+    limit = tolerance.limit(warm_up)
+    if is_cold:
+        limit = min(limit / 2, warm_up.requests_per_second)
+    return max(1, int(limit))
+
+
+class StartLimits:
+    """This node's starts in the last second, and how many more are allowed.
+
+    Implements :class:`drumbay.placement.warm_up.StartLimiter`.
+    """
+
+    def __init__(
+        self,
+        own: str,
+        warm_ups: Callable[[], Mapping[str, WarmUp]],
+        tolerance: WarmUpTolerance,
+        cold_workers: ColdWorkers,
+        sender_view: SenderView,
+        created_at: float,
+    ) -> None:
+        """Create limits of a node that has just started.
+
+        Args:
+            own: The name of this node among the senders.
+            warm_ups: Returns the services whose workers warm up, by name.
+            tolerance: By how much all nodes together may exceed the rate of a cold worker.
+            cold_workers: The workers that are cold.
+            sender_view: The nodes that may send.
+            created_at: Monotonic time of the start.
+        """
+        self._own = own
+        self._warm_ups = warm_ups
+        self._tolerance = tolerance
+        self._cold_workers = cold_workers
+        self._sender_view = sender_view
+        # The previous process at this address may have used its part just before.
+        self._first_start_at = created_at + WINDOW_SECONDS
+        self._starts: dict[BackendId, deque[float]] = {}
+        self._parts: dict[BackendId, _Part] = {}
+
+    def remaining_starts(self, worker: Worker, now: float) -> float:
+        """Return how many requests may be started now; infinite without a limit."""
+        warm_up = self._warm_ups().get(worker.service)
+        if warm_up is None:
+            return math.inf
+        is_cold = self.cold_reason(worker, now) is not None
+        senders = self._sender_view.senders(worker.service, now)
+        if not is_cold and not senders.limits_warm_workers:
+            return math.inf
+        if now < self._first_start_at:
+            return 0
+        part = self._part(worker.worker_id, warm_up, senders, is_cold=is_cold)
+        return max(0, part - self._recent_starts(worker.worker_id, now))
+
+    def _part(
+        self, worker_id: BackendId, warm_up: WarmUp, senders: Senders, *, is_cold: bool
+    ) -> int:
+        budget = budget_of(warm_up, self._tolerance, is_cold=is_cold)
+        found = self._parts.get(worker_id)
+        if found is not None and found.senders is senders and found.budget == budget:
+            return found.part
+        # One more node than known may send to a worker that turns cold unannounced.
+        nodes = senders.nodes if is_cold else (*senders.nodes, UNKNOWN_SENDER)
+        part = part_of(budget, nodes, self._own, worker_id)
+        self._parts[worker_id] = _Part(senders, budget, part)
+        return part
+
+    def cold_reason(self, worker: Worker, now: float) -> ColdReason | None:
+        """Return why a worker counts as cold; ``None`` if it does not, or its service has none."""
+        warm_up = self._warm_ups().get(worker.service)
+        if warm_up is None:
+            return None
+        return self._cold_workers.reason(worker.worker_id, warm_up.seconds, now)
+
+    def is_cold(self, worker: Worker, now: float) -> bool:
+        """Return whether a worker is known to be cold."""
+        return self.cold_reason(worker, now) is not None
+
+    def record_start(self, worker: Worker, now: float) -> None:
+        """Record that a request is sent to a worker."""
+        if worker.service in self._warm_ups():
+            self._starts.setdefault(worker.worker_id, deque()).append(now)
+            self._recent_starts(worker.worker_id, now)
+
+    def forget_idle(self, now: float) -> None:
+        """Forget the workers without a start in the last second, and all cached parts."""
+        self._parts.clear()
+        for worker_id in list(self._starts):
+            if not self._recent_starts(worker_id, now):
+                del self._starts[worker_id]
+
+    def _recent_starts(self, worker_id: BackendId, now: float) -> int:
+        starts = self._starts.get(worker_id)
+        if starts is None:
+            return 0
+        while starts and starts[0] <= now - WINDOW_SECONDS:
+            starts.popleft()
+        return len(starts)
+
+
+@lru_cache(maxsize=16_384)
+def _rendezvous_hash(node: str, worker_id: BackendId) -> bytes:
+    return hashlib.blake2b(f"{node}\0{worker_id}".encode(), digest_size=8).digest()
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -59,6 +59,7 @@
 from drumbay.serving.memory_accounting import MemoryAccounting
 from drumbay.serving.settings import ServingEnvironment, ServingSettings
 from drumbay.serving.store_calls import CountedStore
+from drumbay.serving.warm_up import WorkerWarmUps
 from drumbay.tasks import TaskOwner
 from drumbay.tenants.access import authenticate
 from drumbay.tenants.records import TenantName
@@ -129,11 +130,21 @@
             environment.connections.set_silence_callback(self.metrics.count_silent_connection)
         self.routes = RouteTable()
         self.evacuations = EvacuatedZones()
+        self._warm_ups = WorkerWarmUps(
+            clock,
+            self.routes,
+            self.directory,
+            self.evacuations,
+            settings.warm_up_tolerance,
+            address,
+            self.metrics,
+        )
         self.placement = PlacementGate(
             clock,
             topology,
             self.evacuations,
             self.metrics,
+            self._warm_ups.limits,
         )
         environment.workers.set_resend_check(self.placement.may_resend)
         self.announced_versions = AnnouncedVersions()
@@ -186,6 +197,9 @@
             settings.is_enabled(LoadFeature.SHARED_SLOTS),
             self.metrics,
         )
+        self._warm_ups.known_senders.connect(
+            self.batches.open_batch_owners, lambda: self._peer_directory.ranking.nodes
+        )
         self.leader = LeaderElection(
             clock,
             self._store,
@@ -227,6 +241,7 @@
         self._tasks.spawn(self._peer_directory.run_heartbeat(), "store-heartbeat")
         self._tasks.spawn(self.leader.run(), "leader-election")
         self._tasks.spawn(self._retention.run(), "batch-retention")
+        self._tasks.spawn(self._warm_ups.run(), "worker-warm-ups")
         self._tasks.spawn(self._coordinator.run(), "version-coordinator")
         self._tasks.spawn(self.batches.run_slot_exchange(), "place-exchange")
         self._tasks.spawn(self._direct_store.run_periodic_log(), "store-call-log")
--- a/drumbay/workers/directory.py
+++ b/drumbay/workers/directory.py
@@ -17,7 +17,12 @@
     WorkerState,
     WorkerStatus,
 )
-from drumbay.workers.worker_record import ModelRefusals, PendingWeightLoad, WorkerRecord
+from drumbay.workers.worker_record import (
+    ModelRefusals,
+    PendingWeightLoad,
+    WorkerChange,
+    WorkerRecord,
+)
 
 MIN_REFUSAL_PAUSE_SECONDS = 0.1
 MAX_REFUSAL_PAUSE_SECONDS = 0.8
@@ -41,6 +46,9 @@
         self._listeners: list[Callable[[], None]] = []
         self._restart_listeners: list[Callable[[BackendId], None]] = []
         self._report_listeners: list[Callable[[WorkerIncarnation, float], None]] = []
+        self._entry_listeners: list[Callable[[Worker, WorkerChange], None]] = []
+        self._contact_listeners: list[Callable[[BackendId], None]] = []
+        self._warm_up_listeners: list[Callable[[BackendId, float | None, float, float], None]] = []
         self._pause_callback: Callable[[], None] = lambda: None
         self.is_loaded = False
 
@@ -56,6 +64,23 @@
         """Call ``listener`` with each incarnation that sent a report, and the query time."""
         self._report_listeners.append(listener)
 
+    def add_entry_listener(self, listener: Callable[[Worker, WorkerChange], None]) -> None:
+        """Call ``listener`` with each worker as its entry is applied, or its restart is seen."""
+        self._entry_listeners.append(listener)
+
+    def add_contact_listener(self, listener: Callable[[BackendId], None]) -> None:
+        """Call ``listener`` with a worker's id at each failure and at the first response after."""
+        self._contact_listeners.append(listener)
+
+    def add_warm_up_listener(
+        self, listener: Callable[[BackendId, float | None, float, float], None]
+    ) -> None:
+        """Call ``listener`` with how long a response says that a worker stays cold.
+
+        Arguments are the worker's id, the seconds, when it was asked, and the current time.
+        """
+        self._warm_up_listeners.append(listener)
+
     def set_pause_callback(self, on_pause: Callable[[], None]) -> None:
         """Call ``on_pause`` for each pause that follows a failure."""
         self._pause_callback = on_pause
@@ -116,6 +141,8 @@
         record = self._records.get(worker.worker_id)
         if record is None:
             self._add_record(worker)
+            is_first = not self.is_loaded
+            self._notify_entry(worker, WorkerChange.LISTED if is_first else WorkerChange.STARTED)
             return
         known_ms = record.worker.started_at_ms
         if 0 < worker.started_at_ms < known_ms and record.is_start_reported:
@@ -130,7 +157,11 @@
             record.is_start_reported = False
         # An entry without a start time does not identify the incarnation: keep the known one.
         record.worker = msgspec.structs.replace(worker, started_at_ms=known_ms)
+        was_missing = record.missing_until is not None
         record.missing_until = None
+        self._notify_entry(
+            record.worker, WorkerChange.RETURNED if was_missing else WorkerChange.UPDATED
+        )
         # Versions in stream headers are newer than those from discovery, and versions only
         # increase.
         for model, version in worker.versions.items():
@@ -152,6 +183,7 @@
             before_ms=known_ms,
         )
         record = self._add_record(worker)
+        self._notify_entry(worker, WorkerChange.STARTED)
         for listener in self._restart_listeners:
             listener(worker.worker_id)
         return record
@@ -186,6 +218,7 @@
             for model, version in status.versions.items():
                 if version > record.versions.get(model, WeightVersion(0)):
                     self.observe_version(worker_id, model, version, now)
+        self.observe_warm_up(worker_id, status.warm_up_left_seconds, asked_at, now)
         incarnation = WorkerIncarnation(worker_id=worker_id, started_at_ms=status.started_at_ms)
         for listener in self._report_listeners:
             listener(incarnation, asked_at)
@@ -202,6 +235,14 @@
         record.is_start_reported = True
         self._notify_listeners()
 
+    def _notify_entry(self, worker: Worker, change: WorkerChange) -> None:
+        for listener in self._entry_listeners:
+            listener(worker, change)
+
+    def _notify_contact(self, worker_id: BackendId) -> None:
+        for listener in self._contact_listeners:
+            listener(worker_id)
+
     def _notify_listeners(self) -> None:
         for listener in self._listeners:
             listener()
@@ -276,6 +317,13 @@
             record.reported_at = now
             record.is_shared = load.is_shared
 
+    def observe_warm_up(
+        self, worker_id: BackendId, left_seconds: float | None, asked_at: float, now: float
+    ) -> None:
+        """Pass on how long a response says that a worker stays cold; ``None`` if it doesn't."""
+        for listener in self._warm_up_listeners:
+            listener(worker_id, left_seconds, asked_at, now)
+
     def observe_event_interval(
         self,
         worker_id: BackendId,
@@ -322,7 +370,12 @@
         record = self.get(worker_id, started_at_ms)
         if record is not None:
             record.refusals.pop(model, None)
+            self._end_failures(record)
+
+    def _end_failures(self, record: WorkerRecord) -> None:
+        if record.failures:
             record.failures = 0
+            self._notify_contact(record.worker.worker_id)
 
     def observe_response(
         self,
@@ -335,7 +388,7 @@
         record = self.get(worker_id, started_at_ms)
         if record is not None:
             record.response_stats.observe_response(relative_latency, now)
-            record.failures = 0
+            self._end_failures(record)
 
     def observe_cancelled_run(
         self,
@@ -369,6 +422,7 @@
         )
         record.failures = min(record.failures + 1, 8)
         record.paused_until = now + pause_seconds
+        self._notify_contact(worker_id)
         self._pause_callback()
         log_event(
             "worker_paused",
--- a/drumbay/workers/records.py
+++ b/drumbay/workers/records.py
@@ -134,13 +134,15 @@
     """A worker's status report.
 
     ``sequence`` is the number of orders accepted since its start at ``started_at_ms`` (0 if
-    unknown).
+    unknown). ``warm_up_left_seconds`` is how long the worker stays cold, ``None`` if it does not
+    say.
     """
 
     busy: bool
     sequence: int
     versions: Mapping[str, WeightVersion]
     started_at_ms: int = 0
+    warm_up_left_seconds: float | None = None
 
 
 class LoadOrder(msgspec.Struct, frozen=True, kw_only=True):
--- a/drumbay/workers/worker_record.py
+++ b/drumbay/workers/worker_record.py
@@ -1,5 +1,7 @@
 """A worker and this node's observations of it."""
 
+from enum import StrEnum
+
 import msgspec
 
 from drumbay.identifiers import WeightVersion
@@ -11,6 +13,21 @@
 """Age after which a load report is ignored."""
 
 
+class WorkerChange(StrEnum):
+    """What the entry of a worker, or its status report, shows."""
+
+    LISTED = "listed"
+    """The worker is in the first snapshot."""
+
+    STARTED = "started"
+    """It was not known during operation, or is another incarnation."""
+
+    RETURNED = "returned"
+    """Its entry was missing."""
+
+    UPDATED = "updated"
+
+
 class ModelRefusals(msgspec.Struct, kw_only=True):
     """Consecutive refusals of requests for one model, for example while its weights are loading."""
 
