Test the limits of starts at cold workers; a new owner assumes others that begin with it

Cause: owners whose jobs arrive at the same moment know only themselves, and together sent up to 47 requests a second to one worker (limit 23) in the test of an unannounced turn. Change: a node that has just become an owner assumes eight owners for a second and a half. Conclusion: parts hold when jobs of several trainers begin together, up to the assumed number.

--- a/drumbay/serving/warm_up.py
+++ b/drumbay/serving/warm_up.py
@@ -25,10 +25,14 @@
 """An owner whose batch job has ended counts on: its last starts and those of its successor fall
 into one second."""
 
-LEARNING_SECONDS = 10.0
+START_LEARNING_SECONDS = 10.0
+OWNER_LEARNING_SECONDS = 1.5
+"""For how long after its start, and after it has become an owner, a node may not know all owners.
+Jobs of several trainers often arrive at once; the second time exceeds the window of starts, so that
+the starts of a node that was the only owner no longer count when the others' parts grow."""
+
 ASSUMED_OWNERS = 8
-"""A node that has started less than this ago may not know all owners of batch jobs, and assumes at
-least this many."""
+"""Owners that a node assumes at least while it may not know all."""
 
 ASSUMED_NODES = 100
 """Nodes that are assumed while no registered node is known."""
@@ -44,7 +48,7 @@
         """Create a view of a node that has just started and knows of no other."""
         self._own = own
         self._routes = routes
-        self._created_at = created_at
+        self._learning_until = created_at + START_LEARNING_SECONDS
         self._owners: Callable[[], Iterable[NetworkAddress]] = tuple
         self._nodes: Callable[[], tuple[NetworkAddress, ...]] = tuple
         self._registered: tuple[NetworkAddress, ...] | None = None
@@ -74,8 +78,9 @@
         return senders
 
     def _owner_senders(self, now: float) -> Senders:
-        is_learning = now < self._created_at + LEARNING_SECONDS
-        names = self._names(self._recent_owners(now), ASSUMED_OWNERS if is_learning else 1)
+        names = self._names(
+            self._recent_owners(now), ASSUMED_OWNERS if now < self._learning_until else 1
+        )
         return Senders(nodes=names, limits_warm_workers=True)
 
     def _node_senders(self) -> Senders:
@@ -93,11 +98,15 @@
         return (*names, *assumed)
 
     def _recent_owners(self, now: float) -> set[NetworkAddress]:
-        for address in self._owners():
-            self._owners_seen_at[address] = now
+        """Return the owners of the last moments; begin to learn if this node is a new one."""
         for address, seen_at in list(self._owners_seen_at.items()):
             if seen_at < now - SENDER_MEMORY_SECONDS:
                 del self._owners_seen_at[address]
+        was_owner = self._own in self._owners_seen_at
+        for address in self._owners():
+            self._owners_seen_at[address] = now
+        if not was_owner and self._own in self._owners_seen_at:
+            self._learning_until = max(self._learning_until, now + OWNER_LEARNING_SECONDS)
         return set(self._owners_seen_at)
 
 
--- a/tests/serving_world.py
+++ b/tests/serving_world.py
@@ -33,6 +33,7 @@
 from drumbay.placement.evacuations import EvacuatedZones
 from drumbay.placement.gate import PlacementGate
 from drumbay.placement.topology import Topology
+from drumbay.placement.warm_up import WarmUpTolerance
 from drumbay.serving.node import ServingNode
 from drumbay.serving.settings import ServingEnvironment, ServingSettings
 from drumbay.simulation.simulation_clock import SimulationClock
@@ -124,6 +125,7 @@
                 is_restart=boot > 0,
                 usage=world.usage,
                 orders_workers=world.orders_workers,
+                warm_up_tolerance=world.warm_up_tolerance,
             ),
             ServingEnvironment(
                 clock=clock or world.clock,
@@ -171,6 +173,7 @@
         workers_keep_ids: bool = False,
     ) -> None:
         self.usage = usage
+        self.warm_up_tolerance = WarmUpTolerance()
         self.orders_workers = orders_workers
         self.settle_seconds = settle_seconds
         self.workers_check_fences = workers_check_fences
