Count a worker that cannot be reached as cold until some time after it responds

Cause: a worker that was unreachable may have lost its caches, and every node sends to it once it responds. Ruled out: any broken run as a sign (runs of a worker break together for one short cause); entries that lapsed with the store (all workers would count as cold after each outage of the store). Change: a connection that cannot be opened, or failures after the first pause, and the first response after. Conclusion: a lookup whose copy won while it still connected shows nothing; the worker's own word does.

--- a/drumbay/batches/run_failure.py
+++ b/drumbay/batches/run_failure.py
@@ -31,7 +31,7 @@
             directory.pause(worker_id, now, MISDIRECTED_PAUSE_SECONDS, worker_start)
             return RunFailure.REFUSED
         case WorkerUnreachableError():
-            directory.observe_failure(worker_id, now, worker_start)
+            directory.observe_failure(worker_id, now, worker_start, is_unreachable=True)
             return RunFailure.REFUSED
         case WorkerRefusedError():
             directory.observe_refusal(worker_id, model, now, worker_start)
--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -532,7 +532,9 @@
         except WorkerUnreachableError:
             self._refusal_count += 1
             self._directory.observe_failed_run(worker_id, now, worker_started_at_ms)
-            self._directory.observe_failure(worker_id, now, worker_started_at_ms)
+            self._directory.observe_failure(
+                worker_id, now, worker_started_at_ms, is_unreachable=True
+            )
         except WorkerRefusedError:
             self._refusal_count += 1
             self._is_service_full = True
--- a/drumbay/placement/cold_workers.py
+++ b/drumbay/placement/cold_workers.py
@@ -10,6 +10,10 @@
 from drumbay.workers.records import Worker
 from drumbay.workers.worker_record import WorkerChange
 
+UNREACHABLE_PERIODS = 3
+"""Warm-up times after which a worker that was unreachable no longer counts as cold at a node that
+has not heard from it. A node that may send it nothing meanwhile would never hear from it."""
+
 
 class ColdReason(StrEnum):
     """Why a worker counts as cold."""
@@ -34,6 +38,7 @@
     assumed_since: float = -math.inf
     assumed_reason: ColdReason = ColdReason.STARTED
     entry_left_seconds: float = 0.0
+    is_unreachable: bool = False
 
 
 class ColdWorkers:
@@ -52,8 +57,7 @@
         """Apply a worker's entry; the time that it is still cold counts from now."""
         if change is WorkerChange.STARTED:
             self._assume_cold(worker.worker_id, ColdReason.STARTED, now)
-        elif change is WorkerChange.RETURNED:
-            self._assume_cold(worker.worker_id, ColdReason.WAS_UNREACHABLE, now)
+            self._state(worker.worker_id).is_unreachable = False
         left_seconds = worker.warm_up_left_seconds
         known = self._states.get(worker.worker_id)
         known_left_seconds = known.entry_left_seconds if known is not None else 0.0
@@ -83,12 +87,13 @@
         """Record that the evacuation of a worker's zone has ended."""
         self._assume_cold(worker_id, ColdReason.ZONE_RETURNED, now)
 
-    def handle_contact(self, worker_id: BackendId, now: float) -> None:
-        """Record a failure to reach a worker, or its first response after failures.
+    def handle_contact(self, worker_id: BackendId, now: float, *, is_reachable: bool) -> None:
+        """Record that a worker is unreachable, or responds again.
 
-        A worker counts as cold from its failure too: requests are sent before the first response.
+        It counts as cold in both cases: several requests are sent before the first response.
         """
         self._assume_cold(worker_id, ColdReason.WAS_UNREACHABLE, now)
+        self._state(worker_id).is_unreachable = not is_reachable
 
     def reason(self, worker_id: BackendId, warm_up_seconds: float, now: float) -> ColdReason | None:
         """Return why a worker counts as cold, ``None`` if it does not."""
@@ -97,7 +102,8 @@
             return None
         if now < state.reported_until:
             return ColdReason.REPORTED
-        if now < state.assumed_since + warm_up_seconds:
+        periods = UNREACHABLE_PERIODS if state.is_unreachable else 1
+        if now < state.assumed_since + periods * warm_up_seconds:
             return state.assumed_reason
         return None
 
--- a/drumbay/serving/warm_up.py
+++ b/drumbay/serving/warm_up.py
@@ -197,8 +197,9 @@
     def _handle_entry(self, worker: Worker, change: WorkerChange) -> None:
         self._cold_workers.handle_entry(worker, change, self._clock.monotonic())
 
-    def _handle_contact(self, worker_id: BackendId) -> None:
-        self._cold_workers.handle_contact(worker_id, self._clock.monotonic())
+    def _handle_contact(self, worker_id: BackendId, is_reachable: bool) -> None:
+        now = self._clock.monotonic()
+        self._cold_workers.handle_contact(worker_id, now, is_reachable=is_reachable)
 
     def _handle_response(
         self, worker_id: BackendId, left_seconds: float | None, asked_at: float, now: float
--- a/drumbay/workers/directory.py
+++ b/drumbay/workers/directory.py
@@ -47,7 +47,7 @@
         self._restart_listeners: list[Callable[[BackendId], None]] = []
         self._report_listeners: list[Callable[[WorkerIncarnation, float], None]] = []
         self._entry_listeners: list[Callable[[Worker, WorkerChange], None]] = []
-        self._contact_listeners: list[Callable[[BackendId], None]] = []
+        self._contact_listeners: list[Callable[[BackendId, bool], None]] = []
         self._warm_up_listeners: list[Callable[[BackendId, float | None, float, float], None]] = []
         self._pause_callback: Callable[[], None] = lambda: None
         self.is_loaded = False
@@ -68,8 +68,11 @@
         """Call ``listener`` with each worker as its entry is applied, or its restart is seen."""
         self._entry_listeners.append(listener)
 
-    def add_contact_listener(self, listener: Callable[[BackendId], None]) -> None:
-        """Call ``listener`` with a worker's id at each failure and at the first response after."""
+    def add_contact_listener(self, listener: Callable[[BackendId, bool], None]) -> None:
+        """Call ``listener`` with a worker's id and false when it is unreachable, true when not.
+
+        Broken runs count only from the end of the first pause: several may have one short cause.
+        """
         self._contact_listeners.append(listener)
 
     def add_warm_up_listener(
@@ -157,11 +160,8 @@
             record.is_start_reported = False
         # An entry without a start time does not identify the incarnation: keep the known one.
         record.worker = msgspec.structs.replace(worker, started_at_ms=known_ms)
-        was_missing = record.missing_until is not None
         record.missing_until = None
-        self._notify_entry(
-            record.worker, WorkerChange.RETURNED if was_missing else WorkerChange.UPDATED
-        )
+        self._notify_entry(record.worker, WorkerChange.UPDATED)
         # Versions in stream headers are newer than those from discovery, and versions only
         # increase.
         for model, version in worker.versions.items():
@@ -239,9 +239,9 @@
         for listener in self._entry_listeners:
             listener(worker, change)
 
-    def _notify_contact(self, worker_id: BackendId) -> None:
+    def _notify_contact(self, record: WorkerRecord) -> None:
         for listener in self._contact_listeners:
-            listener(worker_id)
+            listener(record.worker.worker_id, not record.is_unreachable)
 
     def _notify_listeners(self) -> None:
         for listener in self._listeners:
@@ -373,9 +373,10 @@
             self._end_failures(record)
 
     def _end_failures(self, record: WorkerRecord) -> None:
-        if record.failures:
-            record.failures = 0
-            self._notify_contact(record.worker.worker_id)
+        record.failures = 0
+        if record.is_unreachable:
+            record.is_unreachable = False
+            self._notify_contact(record)
 
     def observe_response(
         self,
@@ -411,18 +412,32 @@
             record.response_stats.observe_failure(now)
 
     def observe_failure(
-        self, worker_id: BackendId, now: float, started_at_ms: int | None = None
+        self,
+        worker_id: BackendId,
+        now: float,
+        started_at_ms: int | None = None,
+        *,
+        is_unreachable: bool = False,
     ) -> None:
-        """Pause a worker; the pause doubles with each consecutive failure."""
+        """Pause a worker; the pause doubles with each consecutive failure.
+
+        Args:
+            worker_id: The worker.
+            now: Monotonic time.
+            started_at_ms: The incarnation.
+            is_unreachable: Whether no connection could be opened.
+        """
         record = self.get(worker_id, started_at_ms)
         if record is None:
             return
         pause_seconds = min(
             MAX_FAILURE_PAUSE_SECONDS, MIN_FAILURE_PAUSE_SECONDS * 2**record.failures
         )
+        if is_unreachable or (record.failures and now >= record.paused_until):
+            record.is_unreachable = True
+            self._notify_contact(record)
         record.failures = min(record.failures + 1, 8)
         record.paused_until = now + pause_seconds
-        self._notify_contact(worker_id)
         self._pause_callback()
         log_event(
             "worker_paused",
--- a/drumbay/workers/worker_record.py
+++ b/drumbay/workers/worker_record.py
@@ -22,10 +22,8 @@
     STARTED = "started"
     """It was not known during operation, or is another incarnation."""
 
-    RETURNED = "returned"
-    """Its entry was missing."""
-
     UPDATED = "updated"
+    """Also if the entry was missing while the worker remained in use."""
 
 
 class ModelRefusals(msgspec.Struct, kw_only=True):
@@ -50,7 +48,8 @@
     worker's memory. ``event_intervals`` describes streams, ``response_stats`` complete responses.
     ``other_requests``, ``slowdown`` and ``is_shared`` come from the last load report, received at
     ``reported_at``. ``is_start_reported`` is set if a status report revealed the incarnation before
-    discovery did.
+    discovery did. ``is_unreachable`` is set if no connection could be opened or the worker failed
+    again after its pause, until it responds.
     """
 
     worker: Worker
@@ -70,6 +69,7 @@
     refusals: dict[str, ModelRefusals] = msgspec.field(default_factory=dict)
     missing_until: float | None = None
     is_start_reported: bool = False
+    is_unreachable: bool = False
 
     def estimated_requests(self, now: float) -> int:
         """Return the number of requests on the worker, as far as it is known."""
