Return clients' requests to a worker that is warm again gradually

Change: the budget of a cold worker doubles each second for six seconds, for services that clients use. Conclusion: batch jobs need none, as their part at warm workers holds.

--- a/drumbay/placement/cold_workers.py
+++ b/drumbay/placement/cold_workers.py
@@ -26,6 +26,16 @@
     WAS_UNREACHABLE = "was_unreachable"
 
 
+class ColdPeriod(msgspec.Struct, frozen=True, kw_only=True):
+    """A time in which a worker counts as cold: its monotonic end, and the reason."""
+
+    until: float
+    reason: ColdReason
+
+
+NEVER_COLD = ColdPeriod(until=-math.inf, reason=ColdReason.REPORTED)
+
+
 class _ColdState(msgspec.Struct, kw_only=True):
     """What is known of one worker; times are monotonic.
 
@@ -95,17 +105,16 @@
         self._assume_cold(worker_id, ColdReason.WAS_UNREACHABLE, now)
         self._state(worker_id).is_unreachable = not is_reachable
 
-    def reason(self, worker_id: BackendId, warm_up_seconds: float, now: float) -> ColdReason | None:
-        """Return why a worker counts as cold, ``None`` if it does not."""
+    def last_period(self, worker_id: BackendId, warm_up_seconds: float) -> ColdPeriod:
+        """Return when a worker is or was cold last."""
         state = self._states.get(worker_id)
         if state is None:
-            return None
-        if now < state.reported_until:
-            return ColdReason.REPORTED
+            return NEVER_COLD
         periods = UNREACHABLE_PERIODS if state.is_unreachable else 1
-        if now < state.assumed_since + periods * warm_up_seconds:
-            return state.assumed_reason
-        return None
+        assumed_until = state.assumed_since + periods * warm_up_seconds
+        if state.reported_until >= assumed_until:
+            return ColdPeriod(until=state.reported_until, reason=ColdReason.REPORTED)
+        return ColdPeriod(until=assumed_until, reason=state.assumed_reason)
 
     def forget_except(self, known: Container[BackendId]) -> None:
         """Forget the workers that are gone; one that appears again has started."""
--- a/drumbay/placement/start_limits.py
+++ b/drumbay/placement/start_limits.py
@@ -17,6 +17,10 @@
 WINDOW_SECONDS = 1.05
 """The limit holds for any second; the rest allows for clocks that run at different rates."""
 
+RAMP_SECONDS = 6.0
+"""For how long a worker that is no longer cold gets clients' requests only gradually: twice as many
+each second. Otherwise every node would send to it at once, as it is the least used."""
+
 UNKNOWN_SENDER = "unknown"
 """A sender that a node does not know of; no address has this form."""
 
@@ -35,7 +39,7 @@
 class _Part(NamedTuple):
     """This node's part at a worker, and what it was worked out from."""
 
-    senders: Senders
+    nodes: tuple[str, ...]
     budget: int
     part: int
 
@@ -115,26 +119,30 @@
         warm_up = self._warm_ups().get(worker.service)
         if warm_up is None:
             return math.inf
-        is_cold = self.cold_reason(worker, now) is not None
+        period = self._cold_workers.last_period(worker.worker_id, warm_up.seconds)
+        warm_seconds = now - period.until
         senders = self._sender_view.senders(worker.service, now)
-        if not is_cold and not senders.limits_warm_workers:
+        if warm_seconds >= RAMP_SECONDS and not senders.limits_warm_workers:
             return math.inf
         if now < self._first_start_at:
             return 0
-        part = self._part(worker.worker_id, warm_up, senders, is_cold=is_cold)
+        budget = budget_of(warm_up, self._tolerance, is_cold=True)
+        nodes = senders.nodes
+        if warm_seconds >= 0 and senders.limits_warm_workers:
+            # One more node than known may send to a worker that turns cold unannounced.
+            budget = budget_of(warm_up, self._tolerance, is_cold=False)
+            nodes = (*nodes, UNKNOWN_SENDER)
+        elif warm_seconds >= 0:
+            budget = int(budget * 2**warm_seconds)
+        part = self._part(worker.worker_id, budget, nodes)
         return max(0, part - self._recent_starts(worker.worker_id, now))
 
-    def _part(
-        self, worker_id: BackendId, warm_up: WarmUp, senders: Senders, *, is_cold: bool
-    ) -> int:
-        budget = budget_of(warm_up, self._tolerance, is_cold=is_cold)
+    def _part(self, worker_id: BackendId, budget: int, nodes: tuple[str, ...]) -> int:
         found = self._parts.get(worker_id)
-        if found is not None and found.senders is senders and found.budget == budget:
+        if found is not None and found.budget == budget and found.nodes == nodes:
             return found.part
-        # One more node than known may send to a worker that turns cold unannounced.
-        nodes = senders.nodes if is_cold else (*senders.nodes, UNKNOWN_SENDER)
         part = part_of(budget, nodes, self._own, worker_id)
-        self._parts[worker_id] = _Part(senders, budget, part)
+        self._parts[worker_id] = _Part(nodes, budget, part)
         return part
 
     def cold_reason(self, worker: Worker, now: float) -> ColdReason | None:
@@ -142,7 +150,8 @@
         warm_up = self._warm_ups().get(worker.service)
         if warm_up is None:
             return None
-        return self._cold_workers.reason(worker.worker_id, warm_up.seconds, now)
+        period = self._cold_workers.last_period(worker.worker_id, warm_up.seconds)
+        return period.reason if now < period.until else None
 
     def is_cold(self, worker: Worker, now: float) -> bool:
         """Return whether a worker is known to be cold."""
--- a/tests/test_warm_up.py
+++ b/tests/test_warm_up.py
@@ -64,7 +64,8 @@
         self.cold = ColdWorkers()
 
     def reason(self, now: float) -> ColdReason | None:
-        return self.cold.reason(W, WARM_UP.seconds, now)
+        period = self.cold.last_period(W, WARM_UP.seconds)
+        return period.reason if now < period.until else None
 
     def check_cold_until(self, until: float, reason: ColdReason) -> None:
         self.assertEqual(self.reason(until - 0.1), reason)
@@ -267,6 +268,14 @@
         self.cold.handle_zone_return(W, now=10.0)
         self.assertLessEqual(self.remaining(10.0), 6)
 
+    def test_clients_requests_return_to_a_warm_worker_gradually(self) -> None:
+        # All nodes would send to it in the same moment, as the least recently used one.
+        self.view.known = Senders(nodes=("a",), limits_warm_workers=False)
+        self.cold.handle_zone_return(W, now=10.0)
+        warm_at = 10.0 + WARM_UP.seconds
+        allowed = [self.remaining(warm_at + seconds) for seconds in (-0.1, 0.0, 1.0, 2.0, 6.0)]
+        self.assertEqual(allowed, [11, 11, 22, 44, math.inf])
+
     def test_any_second_counts(self) -> None:
         # A count per calendar second would allow twice the part around its end.
         part = int(self.remaining(10.0))
