--- a/drumbay/serving/warm_up.py
+++ b/drumbay/serving/warm_up.py
@@ -78,9 +78,9 @@
         return senders
 
     def _owner_senders(self, now: float) -> Senders:
-        names = self._names(
-            self._recent_owners(now), ASSUMED_OWNERS if now < self._learning_until else 1
-        )
+        owners = self._recent_owners(now)
+        is_learning = self._own not in owners or now < self._learning_until
+        names = self._names(owners, ASSUMED_OWNERS if is_learning else 1)
         return Senders(nodes=names, limits_warm_workers=True)
 
     def _node_senders(self) -> Senders:
--- a/tests/test_warm_up.py
+++ b/tests/test_warm_up.py
@@ -306,7 +306,7 @@
 
 class KnownSendersTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.owners = set(addresses(3, first=1))
+        self.owners = set(addresses(4))
         self.nodes = addresses(5)
         self.known = KnownSenders(addresses(1)[0], RouteTable(), created_at=0.0)
         self.known.connect(lambda: self.owners, lambda: self.nodes)
@@ -316,22 +316,27 @@
 
     def test_a_new_node_assumes_owners_that_it_does_not_know(self) -> None:
         # It would otherwise take the part of a node alone beside the parts of all others.
-        self.assertEqual(len(self.names(1.0)), ASSUMED_OWNERS)
-        self.assertEqual(len(self.names(START_LEARNING_SECONDS + 1.0)), 4)
+        self.names(START_LEARNING_SECONDS - 1.8)
+        self.assertEqual(len(self.names(START_LEARNING_SECONDS - 0.1)), ASSUMED_OWNERS)
+        self.assertEqual(len(self.names(START_LEARNING_SECONDS + 0.1)), 4)
 
     def test_a_new_owner_assumes_others_that_begin_with_it(self) -> None:
         # Jobs of several trainers arrive at once, before the owners have heard of each other.
-        self.assertEqual(len(self.names(20.0)), 4)
-        self.owners.add(addresses(1)[0])
+        own = addresses(1)[0]
+        self.owners.remove(own)
+        self.assertEqual(len(self.names(20.0)), ASSUMED_OWNERS)
+        self.owners.add(own)
         self.assertEqual(len(self.names(20.2)), ASSUMED_OWNERS)
         self.assertEqual(len(self.names(20.3 + OWNER_LEARNING_SECONDS)), 4)
 
     def test_an_owner_counts_on_for_a_while(self) -> None:
         # Owners of one step end as those of the next begin, within the same second.
         self.names(20.0)
-        self.owners = set(addresses(2, first=7))
-        self.assertEqual(len(self.names(20.2)), 6)
-        self.assertEqual(len(self.names(20.3 + SENDER_MEMORY_SECONDS)), 3)
+        self.assertEqual(len(self.names(22.0)), 4)
+        self.owners = {addresses(1)[0], *addresses(2, first=7)}
+        self.assertEqual(len(self.names(22.2)), 6)
+        self.assertEqual(len(self.names(23.9)), 6)
+        self.assertEqual(len(self.names(22.3 + SENDER_MEMORY_SECONDS)), 3)
 
 
 class ChoiceTest(unittest.TestCase):
