--- a/drumbay/forwarding/worker_choice.py
+++ b/drumbay/forwarding/worker_choice.py
@@ -12,14 +12,13 @@
 worker.
 """
 
-import hashlib
 import math
 from collections.abc import Iterable, Sequence
-from functools import lru_cache
 
 import msgspec
 
 from drumbay.identifiers import BackendId
+from drumbay.placement.rendezvous import rendezvous_hash
 from drumbay.workers.records import WorkerLoad
 from drumbay.workers.response_stats import decay_weight
 
@@ -100,7 +99,7 @@
     if not candidates:
         return None
     mean_other_requests = _mean_other_requests(candidates, now)
-    ranked = sorted(candidates, key=lambda snapshot: _rendezvous_hash(machine, snapshot.worker_id))
+    ranked = sorted(candidates, key=lambda snapshot: rendezvous_hash(machine, snapshot.worker_id))
 
     def cost(snapshot: WorkerSnapshot) -> tuple[int, bool, float]:
         expected = typical_seconds * _expected_relative_latency(snapshot, mean_other_requests, now)
@@ -181,8 +180,3 @@
 ) -> float:
     weight = decay_weight(now - snapshot.reported_at, LOAD_DECAY_SECONDS)
     return mean_other_requests + (snapshot.other_requests - mean_other_requests) * weight
-
-
-@lru_cache(maxsize=4096)
-def _rendezvous_hash(machine: str, worker_id: BackendId) -> bytes:
-    return hashlib.blake2b(f"{machine}\0{worker_id}".encode(), digest_size=8).digest()
--- a/drumbay/placement/start_limits.py
+++ b/drumbay/placement/start_limits.py
@@ -1,16 +1,15 @@
 """Limits this node's starts at workers that warm up, to its part of what all nodes may send."""
 
-import hashlib
 import math
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
-from functools import lru_cache
 from typing import NamedTuple, Protocol
 
 import msgspec
 
 from drumbay.identifiers import BackendId
 from drumbay.placement.cold_workers import ColdReason, ColdWorkers
+from drumbay.placement.rendezvous import rendezvous_hash
 from drumbay.placement.warm_up import WarmUp, WarmUpTolerance
 from drumbay.workers.records import Worker
 
@@ -62,8 +61,8 @@
     whole, rest = divmod(budget, len(nodes))
     if not rest:
         return whole
-    own_hash = _rendezvous_hash(own, worker_id)
-    rank = sum(_rendezvous_hash(node, worker_id) < own_hash for node in nodes)
+    own_hash = rendezvous_hash(own, worker_id)
+    rank = sum(rendezvous_hash(node, worker_id) < own_hash for node in nodes)
     return whole + (rank < rest)
 
 
@@ -177,8 +176,3 @@
         while starts and starts[0] <= now - WINDOW_SECONDS:
             starts.popleft()
         return len(starts)
-
-
-@lru_cache(maxsize=16_384)
-def _rendezvous_hash(node: str, worker_id: BackendId) -> bytes:
-    return hashlib.blake2b(f"{node}\0{worker_id}".encode(), digest_size=8).digest()
