Assume more owners of batch jobs while a node may not hear of them

Cause: nodes that were cut off one by one each took the part of a node alone. Change: a node assumes eight owners while its configuration may be outdated or most of its notices do not arrive; owners count on for 20 s; owners known only from their slot usage count.

--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -176,6 +176,10 @@
         """Send the slot usage of the owned batch jobs to other owners until cancelled."""
         await self._owned.slot_sharing.run()
 
+    def competing_owners(self) -> set[NetworkAddress]:
+        """Return the nodes that own open batch jobs, also those known only by their slot usage."""
+        return self._owners.open_batch_owners() | self._owned.slot_sharing.remote_owners()
+
     def open_batch_owners(self) -> set[NetworkAddress]:
         """Return the nodes that own open batch jobs, as far as known."""
         return self._owners.open_batch_owners()
--- a/drumbay/batches/slot_sharing.py
+++ b/drumbay/batches/slot_sharing.py
@@ -79,6 +79,10 @@
         """Return the slot usage of this node's jobs."""
         return tuple(job.slot_usage() for job in self._jobs())
 
+    def remote_owners(self) -> set[NetworkAddress]:
+        """Return the other owners that have sent their slot usage."""
+        return set(self._exchange.remote_usage.owners)
+
     def schedule_notice(self) -> None:
         """Send a notice soon, as a job or one of its runs has started or ended."""
         self._exchange.schedule_notice()
--- a/drumbay/peers/notices.py
+++ b/drumbay/peers/notices.py
@@ -16,6 +16,9 @@
 MAX_QUEUE_LENGTH = 4_096
 """Per node; the oldest notices are dropped, since they are only hints."""
 
+MAX_KNOWN_OUTCOMES = 64
+"""Nodes whose last call counts in :attr:`NoticeQueues.is_cut_off`."""
+
 
 class NoticeQueues:
     """Queues of pending notices, one per node."""
@@ -25,6 +28,15 @@
         self._peers = peers
         self._task_owner = task_owner
         self._queues: dict[NetworkAddress, list[Notice]] = {}
+        self._has_arrived: dict[NetworkAddress, bool] = {}
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Return whether the last notices to most nodes did not arrive.
+
+        The notices of others then probably do not arrive here either.
+        """
+        return 2 * sum(self._has_arrived.values()) < len(self._has_arrived)
 
     def send(self, addresses: Iterable[NetworkAddress], notice: Notice) -> None:
         """Queue a notice for delivery at most once to each node.
@@ -55,7 +67,9 @@
     async def _call(self, address: NetworkAddress, notices: Notices) -> None:
         try:
             await self._peers.call(address, notices, NOTICE_TIMEOUT_SECONDS)
+            self._record_outcome(address, has_arrived=True)
         except PeerUnavailableError as error:
+            self._record_outcome(address, has_arrived=False)
             log_event(
                 "notices_not_told",
                 level="DEBUG",
@@ -63,3 +77,10 @@
                 notices=len(notices.notices),
                 error=error.code,
             )
+
+    def _record_outcome(self, address: NetworkAddress, *, has_arrived: bool) -> None:
+        """Store the outcome of the last call to a node; the longest unused one makes room."""
+        self._has_arrived.pop(address, None)
+        self._has_arrived[address] = has_arrived
+        if len(self._has_arrived) > MAX_KNOWN_OUTCOMES:
+            del self._has_arrived[next(iter(self._has_arrived))]
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -198,7 +198,9 @@
             self.metrics,
         )
         self._warm_ups.known_senders.connect(
-            self.batches.open_batch_owners, lambda: self._peer_directory.ranking.nodes
+            self.batches.competing_owners,
+            lambda: self._peer_directory.ranking.nodes,
+            lambda: self.may_have_outdated_configuration or self._notice_queues.is_cut_off,
         )
         self.leader = LeaderElection(
             clock,
--- a/drumbay/serving/warm_up.py
+++ b/drumbay/serving/warm_up.py
@@ -21,15 +21,16 @@
 SENDERS_TTL_SECONDS = 0.1
 """How long the senders of a service are kept before they are looked up again."""
 
-SENDER_MEMORY_SECONDS = 2.0
-"""An owner whose batch job has ended counts on: its last starts and those of its successor fall
-into one second."""
+SENDER_MEMORY_SECONDS = 20.0
+"""An owner whose batch job has ended counts on: it likely owns the next one, and a node that no
+longer hears of new owners keeps its part for a while."""
 
 START_LEARNING_SECONDS = 10.0
 OWNER_LEARNING_SECONDS = 1.5
-"""For how long after its start, and after it has become an owner, a node may not know all owners.
-Jobs of several trainers often arrive at once; the second time exceeds the window of starts, so that
-the starts of a node that was the only owner no longer count when the others' parts grow."""
+"""For how long after its start or being out of touch, and after it has become an owner, a node may
+not know all owners. Jobs of several trainers often arrive at once; the second time exceeds the
+window of starts, so that the starts of a node that was the only owner no longer count when the
+others' parts grow."""
 
 ASSUMED_OWNERS = 8
 """Owners that a node assumes at least while it may not know all."""
@@ -51,6 +52,7 @@
         self._learning_until = created_at + START_LEARNING_SECONDS
         self._owners: Callable[[], Iterable[NetworkAddress]] = tuple
         self._nodes: Callable[[], tuple[NetworkAddress, ...]] = tuple
+        self._is_out_of_touch: Callable[[], bool] = lambda: False
         self._registered: tuple[NetworkAddress, ...] | None = None
         self._registered_senders = Senders(nodes=(str(own),), limits_warm_workers=False)
         self._owners_seen_at: dict[NetworkAddress, float] = {}
@@ -60,10 +62,18 @@
         self,
         owners: Callable[[], Iterable[NetworkAddress]],
         nodes: Callable[[], tuple[NetworkAddress, ...]],
+        is_out_of_touch: Callable[[], bool],
     ) -> None:
-        """Set the functions that return the owners of open batch jobs and the registered nodes."""
+        """Set where to look the senders up.
+
+        Args:
+            owners: Returns the owners of open batch jobs.
+            nodes: Returns the registered nodes.
+            is_out_of_touch: Returns whether this node may have missed new owners.
+        """
         self._owners = owners
         self._nodes = nodes
+        self._is_out_of_touch = is_out_of_touch
 
     def senders(self, service: str, now: float) -> Senders:
         """Return the nodes that may send requests to a service's workers."""
@@ -79,6 +89,8 @@
 
     def _owner_senders(self, now: float) -> Senders:
         owners = self._recent_owners(now)
+        if self._is_out_of_touch():
+            self._learning_until = now + START_LEARNING_SECONDS
         is_learning = self._own not in owners or now < self._learning_until
         names = self._names(owners, ASSUMED_OWNERS if is_learning else 1)
         return Senders(nodes=names, limits_warm_workers=True)
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -48,6 +48,24 @@
 
 
 class NoticeQueuesTest(unittest.TestCase):
+    def is_cut_off(self, reached: int, unreached: int) -> bool:
+        async def main() -> bool:
+            tasks = TaskOwner()
+            queues = NoticeQueues(RecordingPeers(), tasks)
+            for address in [SLOW] * unreached + list(NODES[1 : 1 + reached]):
+                queues.send([address], loading_notice(1))
+            await asyncio.sleep(2.0)
+            await tasks.close()
+            return queues.is_cut_off
+
+        return run_simulation(main)
+
+    def test_a_node_is_cut_off_if_most_notices_do_not_arrive(self) -> None:
+        # A node with the store but without its peers would take itself for the only owner.
+        self.assertFalse(self.is_cut_off(reached=0, unreached=0))
+        self.assertFalse(self.is_cut_off(reached=1, unreached=1))
+        self.assertTrue(self.is_cut_off(reached=0, unreached=1))
+
     def send_notices(self, count: int) -> RecordingPeers:
         async def main() -> RecordingPeers:
             peers, tasks = RecordingPeers(), TaskOwner()
--- a/tests/test_warm_up.py
+++ b/tests/test_warm_up.py
@@ -309,7 +309,8 @@
         self.owners = set(addresses(4))
         self.nodes = addresses(5)
         self.known = KnownSenders(addresses(1)[0], RouteTable(), created_at=0.0)
-        self.known.connect(lambda: self.owners, lambda: self.nodes)
+        self.is_out_of_touch = False
+        self.known.connect(lambda: self.owners, lambda: self.nodes, lambda: self.is_out_of_touch)
 
     def names(self, now: float) -> tuple[str, ...]:
         return self.known.senders("engines", now).nodes
@@ -329,6 +330,13 @@
         self.assertEqual(len(self.names(20.2)), ASSUMED_OWNERS)
         self.assertEqual(len(self.names(20.3 + OWNER_LEARNING_SECONDS)), 4)
 
+    def test_a_node_out_of_touch_assumes_owners_that_it_has_not_heard_of(self) -> None:
+        # Several nodes cut off one by one would each take the part of a node alone.
+        self.names(20.0)
+        self.assertEqual(len(self.names(21.8)), 4)
+        self.is_out_of_touch = True
+        self.assertEqual(len(self.names(22.0)), ASSUMED_OWNERS)
+
     def test_an_owner_counts_on_for_a_while(self) -> None:
         # Owners of one step end as those of the next begin, within the same second.
         self.names(20.0)
