Keep batch jobs with allowed regions at nodes in them

Cause: owners, takeovers, relayed store calls, partial texts and deletions of batch jobs went to any node, whatever regions the job's route and tenant allow. Ruled out: handing bodies over in the takeover message (the store has them already); deleting by computed keys (the keys of progress are not known). Change: BodyHolders decides which nodes may hold a batch job; nodes outside ask nodes inside to take over (TakeOverBatch) or delete (DeleteBatch), and owners outside give their jobs away.

--- /dev/null
+++ b/drumbay/batches/deletion.py
@@ -0,0 +1,71 @@
+"""Deletes ended batch jobs, at a node that may read their bodies.
+
+Deletion reads a batch job to learn its keys. A node outside the allowed regions asks one inside.
+"""
+
+from drumbay.batches.body_holders import BodyHolders
+from drumbay.batches.exceptions import BatchNotFoundError, BatchUnavailableError
+from drumbay.batches.ledger import BatchLedger
+from drumbay.batches.records import BatchId, OwnerRecord, OwnerState
+from drumbay.kv.interface import KeyValueError
+from drumbay.observability.logs import log_event
+from drumbay.peers.messages import (
+    DeleteBatch,
+    DoneReply,
+    NotOwnerReply,
+    PeerReply,
+    UnavailableReply,
+)
+from drumbay.peers.transport import PeerClient, PeerUnavailableError
+
+REQUEST_ATTEMPTS = 2
+REQUEST_TIMEOUT_SECONDS = 4.0
+
+
+class BatchDeletion:
+    """Deletes ended batch jobs here or through other nodes."""
+
+    def __init__(self, ledger: BatchLedger, peers: PeerClient, holders: BodyHolders) -> None:
+        """Delete from ``ledger``; ``peers`` calls the nodes that ``holders`` allows."""
+        self._ledger = ledger
+        self._peers = peers
+        self._holders = holders
+
+    async def delete(self, batch_id: BatchId, owner: OwnerRecord) -> None:
+        """Delete an ended batch job.
+
+        Raises:
+            BatchUnavailableError: No node in the allowed regions deleted it.
+        """
+        regions = self._holders.regions_of(owner)
+        if self._holders.includes_this_node(regions):
+            await self._ledger.within(lambda: regions).delete(batch_id)
+            return
+        for address in self._holders.ranked(batch_id, regions)[:REQUEST_ATTEMPTS]:
+            try:
+                reply = await self._peers.call(
+                    address, DeleteBatch(batch_id=batch_id), REQUEST_TIMEOUT_SECONDS
+                )
+            except PeerUnavailableError:
+                continue
+            if isinstance(reply, DoneReply):
+                return
+        raise BatchUnavailableError(batch_id)
+
+    async def handle(self, request: DeleteBatch) -> PeerReply:
+        """Delete an ended batch job for a node outside its allowed regions."""
+        batch_id = request.batch_id
+        try:
+            owner = await self._ledger.read_owner(batch_id)
+            regions = self._holders.regions_of(owner.record)
+            if owner.record.state is not OwnerState.ENDED:
+                return NotOwnerReply()
+            if not self._holders.includes_this_node(regions):
+                return UnavailableReply()
+            await self._ledger.within(lambda: regions).delete(batch_id)
+        except BatchNotFoundError:
+            return DoneReply()
+        except KeyValueError as error:
+            log_event("batch_not_deleted_for", level="WARNING", batch=batch_id, error=error.code)
+            return UnavailableReply()
+        return DoneReply()
--- a/drumbay/batches/ledger.py
+++ b/drumbay/batches/ledger.py
@@ -17,6 +17,9 @@
 responds; once one copy has been applied, the comparisons of the others fail.
 """
 
+from collections.abc import Callable
+from typing import Protocol
+
 import msgspec
 
 from drumbay.batches.exceptions import BatchEndedError, BatchMovedError, BatchNotFoundError
@@ -34,7 +37,8 @@
 )
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.identifiers import Revision
-from drumbay.kv.interface import Delete, KeyValueStore, ModRevisionIs, Put
+from drumbay.kv.interface import Delete, ModRevisionIs, Put, RangeResult, TransactionResult
+from drumbay.placement.regions import AllowedRegions
 
 BATCH_PREFIX = "drumbay/batches/"
 BATCH_INDEX_PREFIX = "drumbay/batch-index/"
@@ -72,12 +76,53 @@
     progress: tuple[PartialText, ...]
 
 
+class BatchStore(Protocol):
+    """The operations of a key-value store that the ledger needs."""
+
+    async def range_prefix(self, prefix: str) -> RangeResult:
+        """Return every key that starts with ``prefix``."""
+        ...
+
+    async def range_page(self, prefix: str, after: str) -> RangeResult:
+        """Return one page of the keys of ``prefix`` that sort after a key."""
+        ...
+
+    async def transact(
+        self, compares: tuple[ModRevisionIs, ...], operations: tuple[Put | Delete, ...]
+    ) -> TransactionResult:
+        """Execute ``operations`` atomically if all ``compares`` hold, else nothing."""
+        ...
+
+
+StoreWithin = Callable[[Callable[[], AllowedRegions]], BatchStore]
+"""Returns a view of the store whose calls pass through nodes in the allowed regions only."""
+
+
 class BatchLedger:
     """Reads and writes batch jobs; every method may raise ``KeyValueError``."""
 
-    def __init__(self, store: KeyValueStore) -> None:
-        """Create a ledger in a key-value store."""
+    def __init__(
+        self,
+        store: BatchStore,
+        store_within: StoreWithin | None = None,
+        body_store: BatchStore | None = None,
+    ) -> None:
+        """Create a ledger in a key-value store.
+
+        Args:
+            store: Passes calls through any node.
+            store_within: Restricts the store; without it, it cannot be restricted.
+            body_store: Used for calls with bodies or texts; ``store`` by default.
+        """
         self._store = store
+        self._store_within = store_within
+        self._body_store = body_store or store
+
+    def within(self, allowed_regions: Callable[[], AllowedRegions]) -> "BatchLedger":
+        """Return a ledger whose calls with bodies or texts stay in the allowed regions."""
+        if self._store_within is None:
+            return self
+        return BatchLedger(self._store, self._store_within, self._store_within(allowed_regions))
 
     async def accept(
         self, spec: BatchSpec, owner: OwnerRecord, submitted_at: float
@@ -97,7 +142,7 @@
         ]
         for number, part in enumerate(parts):
             puts.append(Put(key=f"{BATCH_PREFIX}{spec.batch_id}/spec/{number:04d}", value=part))
-        outcome = await self._store.transact(
+        outcome = await self._body_store.transact(
             (ModRevisionIs(key=key, mod_revision=ABSENT),), tuple(puts)
         )
         return outcome.revision if outcome.succeeded else None
@@ -142,7 +187,7 @@
         Raises:
             BatchNotFoundError: The batch job does not exist.
         """
-        found = await self._store.range_prefix(f"{BATCH_PREFIX}{batch_id}/")
+        found = await self._body_store.range_prefix(f"{BATCH_PREFIX}{batch_id}/")
         owner: StoredOwner | None = None
         spec = b""
         results: list[ItemResult] = []
@@ -181,7 +226,7 @@
         after = _result_key(batch_id, position - RESULTS_PER_WRITE) if can_skip else ""
         results: list[ItemResult] = []
         while not results:
-            found = await self._store.range_page(prefix, after)
+            found = await self._body_store.range_page(prefix, after)
             for item in found.items:
                 start = int(item.key.removeprefix(prefix))
                 listed = _results_decoder.decode(item.value)
@@ -207,7 +252,7 @@
         """
         owner_key = _owner_key(batch_id)
         result_key = _result_key(batch_id, position)
-        outcome = await self._store.transact(
+        outcome = await self._body_store.transact(
             (
                 ModRevisionIs(key=owner_key, mod_revision=owner_revision),
                 ModRevisionIs(key=result_key, mod_revision=ABSENT),
@@ -228,7 +273,7 @@
     ) -> bool:
         """Store partial texts; return whether this node still owns the batch job."""
         key = f"{BATCH_PREFIX}{batch_id}/progress/{owner_revision:012d}-{number:04d}"
-        outcome = await self._store.transact(
+        outcome = await self._body_store.transact(
             (ModRevisionIs(key=_owner_key(batch_id), mod_revision=owner_revision),),
             (Put(key=key, value=_encoder.encode(pieces)),),
         )
@@ -250,8 +295,8 @@
         )
 
     async def delete(self, batch_id: BatchId) -> None:
-        """Delete an ended batch job, its index entry last."""
-        found = await self._store.range_prefix(f"{BATCH_PREFIX}{batch_id}/")
+        """Delete an ended batch job, its index entry last; reads its bodies to learn the keys."""
+        found = await self._body_store.range_prefix(f"{BATCH_PREFIX}{batch_id}/")
         keys = sorted((item.key for item in found.items), reverse=True)
         for offset in range(0, len(keys), KEYS_PER_DELETE):
             chunk = keys[offset : offset + KEYS_PER_DELETE]
--- a/drumbay/batches/lingering.py
+++ b/drumbay/batches/lingering.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Iterable
 
+from drumbay.batches.body_holders import BodyHolders
 from drumbay.batches.records import BatchSpec, ItemId, PartialText, ResubmittedItems
 from drumbay.batches.runner import BatchRunner
 from drumbay.comm.http_exchange import NetworkAddress
@@ -22,9 +23,19 @@
 class LingeringBatches:
     """Ended batch jobs of this node whose runs continue; requests texts from other nodes' ones."""
 
-    def __init__(self, peers: PeerClient) -> None:
-        """Create an empty collection; ``peers`` calls other nodes."""
+    def __init__(
+        self, peers: PeerClient, holders: BodyHolders, own_address: NetworkAddress
+    ) -> None:
+        """Create the empty collection of the node at ``own_address``.
+
+        Args:
+            peers: Calls other nodes.
+            holders: Decides which nodes may get texts.
+            own_address: The address of this node.
+        """
         self._peers = peers
+        self._holders = holders
+        self._own_address = own_address
         self._runners: list[BatchRunner] = []
 
     def add(self, runner: BatchRunner) -> None:
@@ -43,18 +54,28 @@
         self._runners.clear()
 
     def release_texts(self, request: TakePartialTexts) -> ResubmittedItems:
-        """Stop the runs of items and return their partial texts."""
+        """Stop the runs of items and return their partial texts.
+
+        Batch jobs that the requester may not hold keep theirs.
+        """
         self._runners = [runner for runner in self._runners if runner.is_lingering]
         return _merge(
             runner.release_texts(request.item_ids, request.minimum_version)
             for runner in self._runners
+            if self._may_hold(request.requester, runner.spec)
         )
 
+    def _may_hold(self, requester: NetworkAddress | None, spec: BatchSpec) -> bool:
+        if requester == self._own_address:
+            return True
+        return self._holders.includes(requester, self._holders.regions_of(spec))
+
     async def collect(self, spec: BatchSpec, nodes: Iterable[NetworkAddress]) -> ResubmittedItems:
         """Return the items of a batch job that this or the given nodes know, and their texts."""
         request = TakePartialTexts(
             item_ids=tuple(item.item_id for item in spec.items),
             minimum_version=spec.minimum_version,
+            requester=self._own_address,
         )
         replies = [self.release_texts(request)]
         replies.extend(
--- a/drumbay/batches/owned.py
+++ b/drumbay/batches/owned.py
@@ -3,6 +3,9 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
+import msgspec
+
+from drumbay.batches.body_holders import BodyHolders
 from drumbay.batches.exceptions import (
     BatchMovedError,
     BatchNotFoundError,
@@ -10,11 +13,12 @@
 )
 from drumbay.batches.ledger import BatchLedger
 from drumbay.batches.lingering import LingeringBatches
-from drumbay.batches.owners import OwnerTable
+from drumbay.batches.owners import ANY_PROCESS, OwnerTable
 from drumbay.batches.records import (
     BatchId,
     BatchSpec,
     ItemResult,
+    OwnerRecord,
     OwnerState,
     ResubmittedItems,
     StoredOwner,
@@ -22,14 +26,24 @@
 from drumbay.batches.reward_scorer import RewardScorer
 from drumbay.batches.runner import BatchRunner
 from drumbay.batches.slot_sharing import SlotSharing
+from drumbay.batches.takeover_requests import TakeoverRequests
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
-from drumbay.forwarding.routes import BatchRegions, ServiceUse
+from drumbay.forwarding.routes import ServiceUse
 from drumbay.identifiers import Revision, WeightVersion
 from drumbay.kv.interface import KeyValueError
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
-from drumbay.peers.messages import OwnerNotice, PlacesNotice, TakePartialTexts
+from drumbay.peers.messages import (
+    DoneReply,
+    NotOwnerReply,
+    OwnerNotice,
+    PeerReply,
+    PlacesNotice,
+    TakeOverBatch,
+    TakePartialTexts,
+    UnavailableReply,
+)
 from drumbay.peers.transport import PeerClient
 from drumbay.placement.gate import PlacementGate
 from drumbay.placement.regions import AllowedRegions
@@ -39,6 +53,11 @@
 from drumbay.workers.interface import WorkerClient
 from drumbay.workers.silence_check import SilenceCheck
 
+HAND_OVER_ATTEMPTS = 2
+"""Further nodes that are offered a batch job which its first owner did not confirm."""
+
+RELOCATION_INTERVAL_SECONDS = 1.0
+
 
 class OwnedBatches:
     """The runners of the owned batch jobs.
@@ -63,7 +82,7 @@
         newest_version: Callable[[str], WeightVersion],
         send_notice: Callable[[Iterable[NetworkAddress], PlacesNotice], None],
         service_use: ServiceUse,
-        batch_regions: BatchRegions,
+        holders: BodyHolders,
         placement: PlacementGate,
         shares_slots: bool,
         metrics: ServingMetrics,
@@ -84,7 +103,7 @@
             newest_version: Returns the newest weight version announced for a model.
             send_notice: Sends a notice to other nodes.
             service_use: Returns which kinds of requests reach a service.
-            batch_regions: Returns the regions in which a batch job may run and be held.
+            holders: Decides which nodes may hold a batch job.
             placement: Decides which workers may get an item.
             shares_slots: Whether batch jobs share worker slots with those of other owners.
             metrics: Counts batch job events.
@@ -101,11 +120,12 @@
         self._task_owner = task_owner
         self._newest_version = newest_version
         self._metrics = metrics
-        self._batch_regions = batch_regions
+        self._holders = holders
         self._placement = placement
         self._runners: dict[BatchId, BatchRunner] = {}
         self._takeovers: dict[BatchId, asyncio.Event] = {}
-        self._lingering = LingeringBatches(peers)
+        self._lingering = LingeringBatches(peers, holders, owners.identity.address)
+        self._takeover_requests = TakeoverRequests(peers, holders)
         self.slot_sharing = SlotSharing(
             clock,
             directory,
@@ -149,7 +169,7 @@
         elif await self._owners.hand_over(spec, owner):
             self._owners.handle_notice(OwnerNotice(batch_id=spec.batch_id, owner=owner))
         else:
-            await self._take_over_unconfirmed(spec, owner)
+            await self._reassign(spec, owner)
 
     def start(self, spec: BatchSpec, owner: StoredOwner) -> None:
         """Run a new batch job owned by this process; does nothing while draining."""
@@ -159,22 +179,40 @@
         self._owners.announce(spec.batch_id, owner)
         self._task_owner.spawn(self._start(runner), f"batch-start-{spec.batch_id}")
 
-    async def _take_over_unconfirmed(self, spec: BatchSpec, owner: StoredOwner) -> None:
+    async def _reassign(self, spec: BatchSpec, owner: StoredOwner) -> None:
         """Take over a batch job that its designated owner did not confirm.
 
-        If that owner accepted the job but its reply was lost, it stops once its revision has been
-        replaced.
+        A node outside the allowed regions offers it to nodes inside first. If the designated owner
+        accepted the job but its reply was lost, it stops once its revision has been replaced.
         """
-        record = self._owners.new_record(spec.stream, len(spec.items), spec.tenant)
-        try:
-            revision = await self._ledger.replace_owner(spec.batch_id, owner, record)
-        except (BatchMovedError, KeyValueError):
-            # The next reader finds an owner without the batch job, and takes over.
-            return
-        self.start(spec, StoredOwner(record=record, revision=revision))
+        records = [*self._further_owners(spec, owner), self._owners.new_record(spec)]
+        for record in records:
+            try:
+                revision = await self._ledger.replace_owner(spec.batch_id, owner, record)
+            except (BatchMovedError, KeyValueError):
+                # The next reader finds an owner without the batch job, and takes over.
+                return
+            owner = StoredOwner(record=record, revision=revision)
+            if self._owners.is_own_process(record):
+                self.start(spec, owner)
+            elif await self._owners.hand_over(spec, owner):
+                self._owners.handle_notice(OwnerNotice(batch_id=spec.batch_id, owner=owner))
+                return
+
+    def _further_owners(self, spec: BatchSpec, owner: StoredOwner) -> list[OwnerRecord]:
+        regions = self._allowed_regions(spec)
+        if self._holders.includes_this_node(regions):
+            return []
+        ranked = self._holders.ranked(spec.batch_id, regions)
+        others = [address for address in ranked if address != owner.record.address]
+        return [
+            msgspec.structs.replace(owner.record, address=address, boot=ANY_PROCESS)
+            for address in others[:HAND_OVER_ATTEMPTS]
+        ]
 
     async def _start(self, runner: BatchRunner) -> None:
-        nodes = self._owners.recent_owners(runner.spec.stream)
+        regions = self._allowed_regions(runner.spec)
+        nodes = self._owners.recent_owners(runner.spec.stream, regions)
         runner.start(await self._lingering.collect(runner.spec, nodes))
 
     def _create_runner(
@@ -182,7 +220,7 @@
     ) -> BatchRunner:
         runner = BatchRunner(
             self._clock,
-            self._ledger,
+            self._ledger.within(lambda: self._allowed_regions(spec)),
             self._directory,
             self._client,
             self._silence_check,
@@ -204,8 +242,7 @@
         return runner
 
     def _allowed_regions(self, spec: BatchSpec) -> AllowedRegions:
-        recorded = AllowedRegions.of(spec.allowed_regions)
-        return self._batch_regions.batch_regions(spec.route_name, spec.tenant, recorded)
+        return self._holders.regions_of(spec)
 
     def _drop_runner(self, batch_id: BatchId) -> None:
         runner = self._runners.pop(batch_id, None)
@@ -218,15 +255,28 @@
     async def take_over(
         self, batch_id: BatchId, lost_owner: StoredOwner, *, owner_is_gone: bool
     ) -> None:
-        """Take over a batch job whose owner did not answer; concurrent callers wait."""
+        """Take over a batch job whose owner did not answer; concurrent callers wait.
+
+        A node outside the allowed regions does not read the batch job, but asks nodes inside.
+
+        Raises:
+            BatchUnavailableError: The store, or each node that may take over, did not answer.
+        """
         self._owners.forget(batch_id)
-        if self.is_draining:
+        regions = self._holders.regions_of(lost_owner.record)
+        is_allowed = self._holders.includes_this_node(regions)
+        if is_allowed and self.is_draining:
             return
         if await self.wait_for_takeover(batch_id):
             return
         finished = self._takeovers[batch_id] = asyncio.Event()
         try:
-            await self._replace_owner(batch_id, lost_owner, owner_is_gone=owner_is_gone)
+            if is_allowed:
+                await self._replace_owner(batch_id, lost_owner, owner_is_gone=owner_is_gone)
+            elif not await self._takeover_requests.request(
+                batch_id, lost_owner.revision, regions, owner_is_gone=owner_is_gone
+            ):
+                raise BatchUnavailableError(batch_id)
         finally:
             del self._takeovers[batch_id]
             finished.set()
@@ -254,10 +304,10 @@
             owner = await self._ledger.read_owner(batch_id)
             if owner.revision != lost_owner.revision or owner.record.state is OwnerState.ENDED:
                 return
-            previous = owner.record
-            record = self._owners.new_record(previous.stream, previous.total, previous.tenant)
+            record = self._owners.takeover_record(owner.record)
             revision = await self._ledger.replace_owner(batch_id, owner, record)
-            stored = await self._ledger.read(batch_id)
+            allowed = self._ledger.within(lambda: self._holders.regions_of(record))
+            stored = await allowed.read(batch_id)
         except BatchMovedError:
             return
         except KeyValueError as error:
@@ -274,6 +324,7 @@
             listed=len(stored.results),
             saved=len(stored.progress),
             items=len(stored.spec.items),
+            allowed_regions=",".join(self._holders.regions_of(record).names()),
         )
         runner = self._create_runner(stored.spec, revision, stored.results)
         self._owners.announce(batch_id, stored.owner)
@@ -290,10 +341,48 @@
             owner = await self._ledger.read_owner(batch_id)
         except BatchNotFoundError:
             return
-        is_own = self._owners.is_own_address(owner.record)
+        is_own = self._owners.is_own_address(owner.record) and batch_id not in self._runners
         if is_own and not self._owners.is_own_process(owner.record):
             await self.take_over(batch_id, owner, owner_is_gone=True)
 
+    async def accept_takeover(self, request: TakeOverBatch) -> PeerReply:
+        """Take over a batch job for a node outside its allowed regions, without asking others."""
+        batch_id = request.batch_id
+        try:
+            owner = await self._ledger.read_owner(batch_id)
+            if owner.revision != request.owner_revision:
+                return NotOwnerReply()
+            if not self._holders.includes_this_node(self._holders.regions_of(owner.record)):
+                return UnavailableReply()
+            await self.take_over(batch_id, owner, owner_is_gone=request.owner_is_gone)
+        except BatchNotFoundError:
+            return NotOwnerReply()
+        except (KeyValueError, BatchUnavailableError) as error:
+            log_event("batch_not_taken_over", level="WARNING", batch=batch_id, error=error.code)
+            return UnavailableReply()
+        return DoneReply() if batch_id in self._runners else UnavailableReply()
+
+    async def run_relocation(self) -> None:
+        """Give away the batch jobs that this node may no longer hold, until cancelled."""
+        while True:
+            await self._clock.sleep(RELOCATION_INTERVAL_SECONDS)
+            for runner in tuple(self._runners.values()):
+                regions = self._allowed_regions(runner.spec)
+                if not self._holders.includes_this_node(regions):
+                    await self._relocate(runner, regions)
+
+    async def _relocate(self, runner: BatchRunner, regions: AllowedRegions) -> None:
+        """Let a node in the allowed regions take over; go on here if none answers."""
+        batch_id = runner.spec.batch_id
+        is_replaced = await self._takeover_requests.request(
+            batch_id, runner.revision, regions, owner_is_gone=False
+        )
+        if not is_replaced or self._runners.get(batch_id) is not runner:
+            return
+        log_event("batch_relocated", batch=batch_id, allowed_regions=",".join(regions.names()))
+        runner.close()
+        self._drop_runner(batch_id)
+
     # End
 
     def stop(self, batch_id: BatchId) -> None:
--- a/drumbay/batches/owners.py
+++ b/drumbay/batches/owners.py
@@ -1,9 +1,10 @@
 """Maps batch jobs to the nodes that own them, and calls owners."""
 
-from collections.abc import Callable, Container
+from collections.abc import Callable
 
 import msgspec
 
+from drumbay.batches.body_holders import BodyHolders
 from drumbay.batches.exceptions import BatchUnavailableError
 from drumbay.batches.ledger import BatchLedger
 from drumbay.batches.records import (
@@ -32,7 +33,7 @@
     UnavailableReply,
 )
 from drumbay.peers.transport import PeerClient, PeerGoneError, PeerUnavailableError
-from drumbay.tenants.records import TenantName
+from drumbay.placement.regions import AllowedRegions
 
 STORE_RETRY_SECONDS = 0.1
 PEER_TIMEOUT_MARGIN_SECONDS = 0.5
@@ -49,6 +50,10 @@
 """Owners that no owner record has named for this long are forgotten."""
 
 
+ANY_PROCESS = ""
+"""Boot identifier in the owner record of a node whose process is not known."""
+
+
 class ServiceIdentity(msgspec.Struct, frozen=True, kw_only=True):
     """Identifies this process: the address for peers, and its boot identifier."""
 
@@ -72,13 +77,24 @@
         ledger: BatchLedger,
         peers: PeerClient,
         identity: ServiceIdentity,
+        holders: BodyHolders,
         announce: Callable[[OwnerNotice], None],
     ) -> None:
-        """Create an empty table; ``announce`` notifies the other nodes."""
+        """Create an empty table.
+
+        Args:
+            clock: Time.
+            ledger: Batch jobs in the store.
+            peers: Calls other nodes.
+            identity: This process.
+            holders: Decides which nodes may hold a batch job.
+            announce: Notifies the other nodes of an owner.
+        """
         self._clock = clock
         self._ledger = ledger
         self._peers = peers
         self._identity = identity
+        self._holders = holders
         self._announce = announce
         self._cached: dict[BatchId, StoredOwner] = {}
         self._streams: dict[BatchStream, _StreamOwners] = {}
@@ -88,34 +104,66 @@
         """Return the identity of this process."""
         return self._identity
 
-    def new_record(self, stream: BatchStream, total: int, tenant: TenantName | None) -> OwnerRecord:
-        """Return a record that names this process the owner of a batch job."""
+    def new_record(self, spec: BatchSpec) -> OwnerRecord:
+        """Return a record that names this process the owner of a new batch job."""
         return OwnerRecord(
             address=self._identity.address,
             boot=self._identity.boot,
             state=OwnerState.OPEN,
-            total=total,
-            stream=stream,
-            tenant=tenant,
+            total=len(spec.items),
+            stream=spec.stream,
+            tenant=spec.tenant,
+            route_name=spec.route_name,
+            allowed_regions=spec.allowed_regions,
         )
 
-    def choose_owner(self, spec: BatchSpec, reachable: Container[NetworkAddress]) -> OwnerRecord:
+    def takeover_record(self, previous: OwnerRecord) -> OwnerRecord:
+        """Return a record that names this process the owner in place of another."""
+        return msgspec.structs.replace(
+            previous,
+            address=self._identity.address,
+            boot=self._identity.boot,
+            state=OwnerState.OPEN,
+        )
+
+    def choose_owner(self, spec: BatchSpec, regions: AllowedRegions) -> OwnerRecord:
         """Return the owner record of a new batch job.
 
-        A recent owner of the stream is preferred: it has event interval estimates of the
-        workers and open connections to them, and may still run resubmitted items. Nodes that
-        own an open batch job are skipped.
+        A recent owner of the stream in the allowed regions is preferred: it has event interval
+        estimates of the workers and open connections to them, and may still run resubmitted
+        items. Nodes that own an open batch job are skipped. Otherwise this node owns the batch
+        job, or another one in the allowed regions if this one is outside and knows any.
         """
-        own = self.new_record(spec.stream, len(spec.items), spec.tenant)
-        owners = self._streams.get(spec.stream)
-        if owners is None:
-            return own
+        own = self.new_record(spec)
         busy = self.open_batch_owners()
+        recent = self._idle_recent_owner(spec.stream, busy, regions)
+        if recent is not None:
+            return msgspec.structs.replace(own, address=recent.address, boot=recent.boot)
+        if self._holders.includes_this_node(regions):
+            return own
+        inside = self._holders.ranked(spec.batch_id, regions)
+        idle = [address for address in inside if address not in busy] or inside
+        log_event(
+            "batch_owner_chosen_by_region",
+            batch=spec.batch_id,
+            owner=str(idle[0] if idle else own.address),
+            nodes=len(inside),
+            allowed_regions=",".join(regions.names()),
+        )
+        return msgspec.structs.replace(own, address=idle[0], boot=ANY_PROCESS) if idle else own
+
+    def _idle_recent_owner(
+        self, stream: BatchStream, busy: set[NetworkAddress], regions: AllowedRegions
+    ) -> OwnerRecord | None:
+        owners = self._streams.get(stream)
+        if owners is None:
+            return None
+        reachable = self._holders.responsive(regions)
         for candidate in sorted(owners.latest.values(), key=lambda o: o.revision, reverse=True):
             address = candidate.record.address
             if address in reachable and address not in busy:
-                return msgspec.structs.replace(own, address=address, boot=candidate.record.boot)
-        return own
+                return candidate.record
+        return None
 
     def open_batch_owners(self) -> set[NetworkAddress]:
         """Return the nodes that own open batch jobs, as far as known."""
@@ -125,12 +173,13 @@
             if owner.record.state is OwnerState.OPEN
         }
 
-    def recent_owners(self, stream: BatchStream) -> list[NetworkAddress]:
-        """Return the other nodes that recently owned batch jobs of a stream."""
+    def recent_owners(self, stream: BatchStream, regions: AllowedRegions) -> list[NetworkAddress]:
+        """Return the other nodes in some regions that recently owned batch jobs of a stream."""
         owners = self._streams.get(stream)
         if owners is None:
             return []
-        return [address for address in owners.latest if address != self._identity.address]
+        others = [address for address in owners.latest if address != self._identity.address]
+        return [address for address in others if self._holders.includes(address, regions)]
 
     async def hand_over(self, spec: BatchSpec, owner: StoredOwner) -> bool:
         """Send a batch job to its designated owner; return whether that accepted it."""
@@ -151,6 +200,11 @@
         """Return whether a record names this process."""
         return record.boot == self._identity.boot
 
+    def may_be_own_process(self, record: OwnerRecord) -> bool:
+        """Return whether a record names this process, or any process at its address."""
+        is_any = record.boot == ANY_PROCESS and self.is_own_address(record)
+        return is_any or self.is_own_process(record)
+
     def is_own_address(self, record: OwnerRecord) -> bool:
         """Return whether a record names this process or an earlier one at its address."""
         return record.address == self._identity.address
--- a/drumbay/batches/records.py
+++ b/drumbay/batches/records.py
@@ -167,8 +167,9 @@
 class OwnerRecord(msgspec.Struct, frozen=True, kw_only=True):
     """The owner of a batch job: the node's address and the boot identifier of its process.
 
-    ``tenant`` is repeated here, so that access to an ended batch job can be checked without reading
-    its specification.
+    The last fields are repeated from the specification, so that access to a batch job can be
+    checked without reading its bodies. An empty ``boot`` names any process at the address. Earlier
+    releases store no ``route_name`` and no ``allowed_regions``; their batch jobs are unrestricted.
     """
 
     address: NetworkAddress
@@ -177,6 +178,8 @@
     total: int
     stream: BatchStream
     tenant: TenantName | None = None
+    route_name: str = ""
+    allowed_regions: tuple[str, ...] = ()
 
 
 class StoredOwner(msgspec.Struct, frozen=True, kw_only=True):
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from drumbay.batches.body_holders import BodyHolders
+from drumbay.batches.deletion import BatchDeletion
 from drumbay.batches.exceptions import (
     BatchEndedError,
     BatchMovedError,
@@ -16,7 +18,7 @@
     BatchRefusedError,
     BatchUnavailableError,
 )
-from drumbay.batches.ledger import BatchLedger
+from drumbay.batches.ledger import BatchLedger, BatchStore, StoreWithin
 from drumbay.batches.owned import OwnedBatches
 from drumbay.batches.owners import STORE_RETRY_SECONDS, OwnerTable, ServiceIdentity
 from drumbay.batches.records import (
@@ -39,7 +41,6 @@
 from drumbay.kv.interface import (
     KeyValueError,
     KeyValueOutcomeUnknownError,
-    KeyValueStore,
 )
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
@@ -47,6 +48,7 @@
     BatchRequest,
     BodyReply,
     BusyReply,
+    DeleteBatch,
     DoneReply,
     EndBatch,
     NotFoundReply,
@@ -59,6 +61,7 @@
     PlacesNotice,
     ReadBody,
     ReadResults,
+    TakeOverBatch,
     TakePartialTexts,
 )
 from drumbay.peers.transport import PeerClient
@@ -92,7 +95,8 @@
     def __init__(
         self,
         clock: Clock,
-        store: KeyValueStore,
+        store: BatchStore,
+        store_within: StoreWithin,
         directory: WorkerDirectory,
         client: WorkerClient,
         silence_check: SilenceCheck,
@@ -101,7 +105,7 @@
         peers: PeerClient,
         task_owner: TaskOwner,
         identity: ServiceIdentity,
-        known_nodes: Callable[[], list[NetworkAddress]],
+        holders: BodyHolders,
         newest_version: Callable[[str], WeightVersion],
         announce: Callable[[OwnerNotice], None],
         send_notice: Callable[[Iterable[NetworkAddress], PlacesNotice], None],
@@ -115,6 +119,7 @@
         Args:
             clock: Time.
             store: The key-value service.
+            store_within: Restricts the store to nodes in some regions.
             directory: The workers.
             client: Calls workers.
             silence_check: Probes workers whose streams are silent.
@@ -123,7 +128,7 @@
             peers: Calls other nodes.
             task_owner: Runs the service's tasks.
             identity: This process.
-            known_nodes: Lists the other nodes.
+            holders: Decides which nodes may hold a batch job.
             newest_version: Returns the newest version announced for a model.
             announce: Notifies the other nodes of a batch job's owner.
             send_notice: Sends a notice to some nodes.
@@ -134,11 +139,12 @@
         """
         self._clock = clock
         self._identity = identity
-        self.ledger = BatchLedger(store)
+        self.ledger = BatchLedger(store, store_within)
         self._task_owner = task_owner
         self._metrics = metrics
-        self._known_nodes = known_nodes
-        self._owners = OwnerTable(clock, self.ledger, peers, identity, announce)
+        self._holders = holders
+        self._owners = OwnerTable(clock, self.ledger, peers, identity, holders, announce)
+        self._deletion = BatchDeletion(self.ledger, peers, holders)
         self._owned = OwnedBatches(
             clock,
             self.ledger,
@@ -153,7 +159,7 @@
             newest_version,
             send_notice,
             routes,
-            routes,
+            holders,
             placement,
             shares_slots,
             metrics,
@@ -185,15 +191,41 @@
         return self._owned.unfinished_count()
 
     async def reclaim_own(self) -> None:
-        """Take over what an earlier process at this address owned, retrying store errors."""
-        while True:
-            try:
-                for batch_id in await self.ledger.open_batches_at(self._identity.address):
-                    await self._owned.reclaim(batch_id)
-                return
-            except (KeyValueError, BatchUnavailableError) as error:
-                log_event("own_batches_not_read", level="WARNING", error=error.code)
-                await self._clock.sleep(RECLAIM_RETRY_SECONDS)
+        """Take over what an earlier process at this address owned, retrying errors."""
+        while not await self._reclaim_all():
+            await self._clock.sleep(RECLAIM_RETRY_SECONDS)
+
+    async def _reclaim_all(self) -> bool:
+        """Return whether each batch job of this address has an owner."""
+        is_complete = True
+        try:
+            for batch_id in await self.ledger.open_batches_at(self._identity.address):
+                is_complete = await self._reclaim(batch_id) and is_complete
+        except KeyValueError as error:
+            log_event("own_batches_not_read", level="WARNING", error=error.code)
+            return False
+        return is_complete
+
+    async def _reclaim(self, batch_id: BatchId) -> bool:
+        try:
+            await self._owned.reclaim(batch_id)
+        except BatchUnavailableError as error:
+            log_event("own_batches_not_read", level="WARNING", error=error.code)
+            return False
+        return True
+
+    async def run_relocation(self) -> None:
+        """Give away batch jobs that this node may no longer hold, until cancelled."""
+        if self._holders.has_regions:
+            await self._owned.run_relocation()
+
+    async def delete_ended(self, batch_id: BatchId, owner: OwnerRecord) -> None:
+        """Delete an ended batch job from the store.
+
+        Raises:
+            BatchUnavailableError: No node that may read it answered.
+        """
+        await self._deletion.delete(batch_id, owner)
 
     # Submission
 
@@ -204,14 +236,24 @@
             BatchRefusedError: The batch job was not and will not be accepted.
             BatchOutcomeUnknownError: It may have been accepted.
         """
-        owner = self._owners.choose_owner(spec, self._known_nodes())
+        regions = self._holders.regions_of(spec)
+        if regions.is_empty:
+            log_event("batch_without_region", level="WARNING", batch=spec.batch_id)
+            self._metrics.count_batch("refused")
+            raise BatchRefusedError(
+                "its route and tenant share no region",
+                execution=Execution.NOT_RUN,
+                retry_after_seconds=REFUSED_RETRY_SECONDS,
+            )
+        owner = self._owners.choose_owner(spec, regions)
+        ledger = self.ledger.within(lambda: self._holders.regions_of(spec))
         submitted_at = self._clock.wall()
         spec = msgspec.structs.replace(spec, submitted_at=submitted_at)
         deadline = self._clock.monotonic() + ACCEPT_TIMEOUT_SECONDS
         uncertain = False
         while True:
             try:
-                revision = await self.ledger.accept(spec, owner, submitted_at)
+                revision = await ledger.accept(spec, owner, submitted_at)
                 break
             except KeyValueError as error:
                 uncertain = uncertain or isinstance(error, KeyValueOutcomeUnknownError)
@@ -274,7 +316,7 @@
             owner = await self._owners.find(batch_id, deadline)
             self._check_visible(batch_id, owner.record.tenant, tenant)
             if owner.record.state is OwnerState.ENDED:
-                return await self._read_stored(batch_id, position, owner.record.total, deadline)
+                return await self._read_stored(batch_id, position, owner.record, deadline)
             reply = await self._owners.read_results_from(owner, batch_id, position, wait_seconds)
             if isinstance(reply, PageReply):
                 return reply.page
@@ -295,11 +337,12 @@
             raise BatchNotFoundError(batch_id)
 
     async def _read_stored(
-        self, batch_id: BatchId, position: int, total: int, deadline: float
+        self, batch_id: BatchId, position: int, owner: OwnerRecord, deadline: float
     ) -> ResultPage:
+        ledger = self.ledger.within(lambda: self._holders.regions_of(owner))
         while True:
             try:
-                return await self.ledger.read_results(batch_id, position, total, RESULT_PAGE_BYTES)
+                return await ledger.read_results(batch_id, position, owner.total, RESULT_PAGE_BYTES)
             except KeyValueError as error:
                 await self._owners.wait_before_retry(deadline, error)
 
@@ -377,6 +420,10 @@
             return PartialTextsReply(returned=self._owned.release_texts(request))
         if isinstance(request, OwnBatch):
             return self._accept_ownership(request)
+        if isinstance(request, TakeOverBatch):
+            return await self._owned.accept_takeover(request)
+        if isinstance(request, DeleteBatch):
+            return await self._deletion.handle(request)
         await self._owned.wait_for_takeover(request.batch_id)
         runner = self._owned.get(request.batch_id)
         match request:
@@ -395,7 +442,7 @@
                     return NotFoundReply()
 
     def _accept_ownership(self, request: OwnBatch) -> PeerReply:
-        if self._owned.is_draining or not self._owners.is_own_process(request.owner.record):
+        if self._owned.is_draining or not self._owners.may_be_own_process(request.owner.record):
             return NotOwnerReply()
         self._owned.start(request.spec, request.owner)
         return DoneReply()
--- a/drumbay/peers/directory.py
+++ b/drumbay/peers/directory.py
@@ -31,7 +31,7 @@
 from drumbay.kv.recovery_signal import RecoverySignal
 from drumbay.observability.logs import log_event
 from drumbay.peers.watchers import RegisteredNode, WatcherRanking
-from drumbay.placement.regions import AllowedRegions
+from drumbay.placement.regions import ANY_REGION, AllowedRegions
 from drumbay.placement.topology import Topology
 
 NODE_PREFIX = "drumbay/nodes/"
@@ -194,9 +194,9 @@
         unresponsive_until = self._unresponsive_until.get(address, float("-inf"))
         return unresponsive_until > self._clock.monotonic()
 
-    def candidates(self, count: int) -> list[NetworkAddress]:
-        """Return up to ``count`` nodes in the order in which to try them."""
-        found = list(self._unresponsive_until)
+    def candidates(self, count: int, regions: AllowedRegions = ANY_REGION) -> list[NetworkAddress]:
+        """Return up to ``count`` nodes in the given regions, in the order in which to try them."""
+        found = [address for address in self._unresponsive_until if self.is_in(address, regions)]
         self._generator.shuffle(found)
         found.sort(key=self.is_unresponsive)
         return found[:count]
--- a/drumbay/peers/messages.py
+++ b/drumbay/peers/messages.py
@@ -62,11 +62,35 @@
         return self.spec.batch_id
 
 
+class TakeOverBatch(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Ask a node in the allowed regions of a batch job to become its owner, from the store.
+
+    The reply is :class:`DoneReply` if it is the owner now, :class:`NotOwnerReply` if the owner
+    record is no longer that of ``owner_revision``, else :class:`UnavailableReply`.
+    ``owner_is_gone`` tells that the previous owner has ended.
+    """
+
+    batch_id: BatchId
+    owner_revision: Revision
+    owner_is_gone: bool
+
+
+class DeleteBatch(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Ask a node in the allowed regions of an ended batch job to delete it from the store."""
+
+    batch_id: BatchId
+
+
 class TakePartialTexts(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Request a node's partial results of items whose earlier batch job has ended."""
+    """Request a node's partial results of items whose earlier batch job has ended.
+
+    Texts of batch jobs with allowed regions are returned only to a ``requester`` in these;
+    earlier releases name none.
+    """
 
     item_ids: tuple[ItemId, ...]
     minimum_version: WeightVersion
+    requester: NetworkAddress | None = None
 
 
 class PartialTextsReply(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -272,7 +296,7 @@
 
 
 OwnerRequest = ReadResults | ReadBody | EndBatch | OwnBatch
-BatchRequest = OwnerRequest | TakePartialTexts
+BatchRequest = OwnerRequest | TakePartialTexts | TakeOverBatch | DeleteBatch
 StoreRequest = RelayRange | RelayTransaction | RelayKeepAlive | RelayGrant
 UsageRequest = CollectUsage | UsageNotice
 PeerRequest = (
--- a/drumbay/peers/store_relay.py
+++ b/drumbay/peers/store_relay.py
@@ -49,6 +49,7 @@
     to_relayed,
 )
 from drumbay.peers.transport import PeerClient, PeerUnavailableError
+from drumbay.placement.regions import ANY_REGION, AllowedRegions
 
 RELAY_TIMEOUT_SECONDS = 1.2
 RELAY_ATTEMPTS = 2
@@ -94,28 +95,41 @@
         self._watches_ended.set()
         self._watches_ended = asyncio.Event()
 
-    async def range_prefix(self, prefix: str) -> RangeResult:
+    def within(self, allowed_regions: Callable[[], AllowedRegions]) -> "RegionalStore":
+        """Return a view whose calls are relayed only by nodes in the regions allowed then."""
+        return RegionalStore(self, allowed_regions)
+
+    async def range_prefix(self, prefix: str, regions: AllowedRegions = ANY_REGION) -> RangeResult:
         """Return every key that starts with ``prefix``."""
         reply = await self._call(
-            lambda: self._direct.range_prefix(prefix), RelayRange(prefix=prefix)
+            lambda: self._direct.range_prefix(prefix), RelayRange(prefix=prefix), regions
         )
         return reply.result if isinstance(reply, RangeReply) else _raise_unexpected(reply)
 
-    async def range_page(self, prefix: str, after: str) -> RangeResult:
+    async def range_page(
+        self, prefix: str, after: str, regions: AllowedRegions = ANY_REGION
+    ) -> RangeResult:
         """Return one page of the keys of ``prefix`` that sort after a key."""
         reply = await self._call(
-            lambda: self._direct.range_page(prefix, after), RelayRange(prefix=prefix, after=after)
+            lambda: self._direct.range_page(prefix, after),
+            RelayRange(prefix=prefix, after=after),
+            regions,
         )
         return reply.result if isinstance(reply, RangeReply) else _raise_unexpected(reply)
 
     async def transact(
-        self, compares: tuple[ModRevisionIs, ...], operations: tuple[Put | Delete, ...]
+        self,
+        compares: tuple[ModRevisionIs, ...],
+        operations: tuple[Put | Delete, ...],
+        regions: AllowedRegions = ANY_REGION,
     ) -> TransactionResult:
         """Execute ``operations`` atomically if all ``compares`` hold."""
         request = RelayTransaction(
             compares=compares, operations=tuple(to_relayed(o) for o in operations)
         )
-        reply = await self._call(lambda: self._direct.transact(compares, operations), request)
+        reply = await self._call(
+            lambda: self._direct.transact(compares, operations), request, regions
+        )
         return reply.result if isinstance(reply, TransactionReply) else _raise_unexpected(reply)
 
     async def grant_lease(self, ttl_seconds: float) -> LeaseGrant:
@@ -167,11 +181,14 @@
                 next_batch.add_done_callback(_retrieve_exception)
 
     async def _call(
-        self, direct_call: Callable[[], Awaitable[object]], request: StoreRequest
+        self,
+        direct_call: Callable[[], Awaitable[object]],
+        request: StoreRequest,
+        regions: AllowedRegions = ANY_REGION,
     ) -> PeerReply:
         is_suspect = self._clock.monotonic() < self._suspect_until
         if is_suspect:
-            reply = await self._relay(request)
+            reply = await self._relay(request, regions)
             if reply is not None:
                 return reply
         try:
@@ -188,7 +205,7 @@
             raise
         except KeyValueError:
             self.mark_suspect()
-            reply = None if is_suspect else await self._relay(request)
+            reply = None if is_suspect else await self._relay(request, regions)
             if reply is None:
                 raise
             return reply
@@ -204,9 +221,9 @@
         finally:
             self._metrics.count_store_call(outcome, self._clock.monotonic() - started_at)
 
-    async def _relay(self, request: StoreRequest) -> PeerReply | None:
-        """Return another node's reply; ``None`` if no node executed the call."""
-        for address in self._directory.candidates(RELAY_ATTEMPTS):
+    async def _relay(self, request: StoreRequest, regions: AllowedRegions) -> PeerReply | None:
+        """Return the reply of another node in the regions; ``None`` if none executed the call."""
+        for address in self._directory.candidates(RELAY_ATTEMPTS, regions):
             try:
                 reply = await self._peers.call(address, request, RELAY_TIMEOUT_SECONDS)
             except PeerUnavailableError:
@@ -228,6 +245,29 @@
         return None
 
 
+class RegionalStore:
+    """Calls of a :class:`RelayingStore` that are relayed only by nodes in some regions."""
+
+    def __init__(self, store: RelayingStore, allowed_regions: Callable[[], AllowedRegions]) -> None:
+        """Restrict ``store``; the regions are asked for at each call."""
+        self._store = store
+        self._allowed_regions = allowed_regions
+
+    async def range_prefix(self, prefix: str) -> RangeResult:
+        """Return every key that starts with ``prefix``."""
+        return await self._store.range_prefix(prefix, self._allowed_regions())
+
+    async def range_page(self, prefix: str, after: str) -> RangeResult:
+        """Return one page of the keys of ``prefix`` that sort after a key."""
+        return await self._store.range_page(prefix, after, self._allowed_regions())
+
+    async def transact(
+        self, compares: tuple[ModRevisionIs, ...], operations: tuple[Put | Delete, ...]
+    ) -> TransactionResult:
+        """Execute ``operations`` atomically if all ``compares`` hold."""
+        return await self._store.transact(compares, operations, self._allowed_regions())
+
+
 class StoreRelayServer:
     """Executes store calls for other nodes, over this node's direct connection only."""
 
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Awaitable, Callable, Container, Iterable
 
+from drumbay.batches.body_holders import BodyHolders
 from drumbay.batches.retention import BatchRetention
 from drumbay.batches.reward_scorer import RewardScorer
 from drumbay.batches.service import BatchService
@@ -163,6 +164,7 @@
         self.batches = BatchService(
             clock,
             self._store,
+            self._store.within,
             self.directory,
             environment.workers,
             SilenceCheck(
@@ -177,7 +179,7 @@
             environment.peers,
             self._tasks,
             settings.identity,
-            self._peer_directory.responsive,
+            BodyHolders(self.routes, topology, self._peer_directory, address),
             self.announced_versions.newest_of,
             self._broadcast,
             self._notice_queues.send,
@@ -215,6 +217,7 @@
             self.batches.ledger,
             settings.keep_results_seconds,
             lambda: self.leader.fence(clock.monotonic()) is not None,
+            self.batches.delete_ended,
         )
         self._is_stopping = False
         self._open_request_count = 0
@@ -229,6 +232,7 @@
         self._tasks.spawn(self._retention.run(), "batch-retention")
         self._tasks.spawn(self._coordinator.run(), "version-coordinator")
         self._tasks.spawn(self.batches.run_slot_exchange(), "place-exchange")
+        self._tasks.spawn(self.batches.run_relocation(), "batch-relocation")
         self._tasks.spawn(self._direct_store.run_periodic_log(), "store-call-log")
         self._start_leader_duties()
         if self._settings.is_restart:
--- a/tests/serving_world.py
+++ b/tests/serving_world.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import TypeVar
 
 from drumbay.batches.owners import ServiceIdentity
@@ -76,6 +76,7 @@
         self.cut: set[NetworkAddress] = set()
         self.lose_replies: set[NetworkAddress] = set()
         self.congested: set[NetworkAddress] = set()
+        self.delivered: list[tuple[NetworkAddress, PeerRequest]] = []
 
     async def call(
         self, address: NetworkAddress, request: PeerRequest, timeout_seconds: float
@@ -88,6 +89,7 @@
         if address in self.congested and not isinstance(request, Ping):
             await self._clock.sleep(timeout_seconds)
             raise PeerUnavailableError(str(address))
+        self.delivered.append((address, request))
         try:
             reply = await self._clock.wait_for(node.node.handle_peer(request), timeout_seconds)
             if address in self.lose_replies:
@@ -117,7 +119,8 @@
         self.node = ServingNode(
             ServingSettings(
                 machine=str(self.address),
-                zone="zone-1",
+                zone=world.zone_of(number),
+                regions=world.regions,
                 identity=identity,
                 workers_check_fences=world.workers_check_fences,
                 settle_seconds=world.settle_seconds,
@@ -169,7 +172,9 @@
         usage: UsageSettings | None = None,
         orders_workers: bool = False,
         workers_keep_ids: bool = False,
+        regions: Mapping[str, str] | None = None,
     ) -> None:
+        self.regions = dict(regions or {})
         self.usage = usage
         self.orders_workers = orders_workers
         self.settle_seconds = settle_seconds
@@ -180,13 +185,20 @@
         self.workers = EmulatedWorkerPool(self.clock, reports_start_times=workers_keep_ids)
         self.workers.keep_ids = workers_keep_ids
         for number in range(1, worker_count + 1):
-            self.workers.add(f"worker-{number}", SERVICE, {MODEL: WeightVersion(1)})
+            self.workers.add(
+                f"worker-{number}", SERVICE, {MODEL: WeightVersion(1)}, zone=self.zone_of(number)
+            )
         for number in range(1, scorer_count + 1):
             self.workers.add(f"scorer-{number}", SCORING_SERVICE)
         self.configuration = SCORING_CONFIGURATION if scorer_count else None
         self.peers = LoopbackPeers(self.clock)
         self.nodes = [WorldNode(self, number, 0) for number in range(1, node_count + 1)]
 
+    def zone_of(self, number: int) -> str:
+        """Return the zone of a node or worker: the zones with a region in turn."""
+        zones = list(self.regions) or ["zone-1"]
+        return zones[(number - 1) % len(zones)]
+
     async def close(self) -> None:
         """End every process."""
         for node in list(self.peers.nodes.values()):
@@ -204,6 +216,7 @@
     usage: UsageSettings | None = None,
     orders_workers: bool = False,
     workers_keep_ids: bool = False,
+    regions: Mapping[str, str] | None = None,
 ) -> ResultT:
     """Run a scenario in a new world on virtual time."""
 
@@ -217,6 +230,7 @@
             usage,
             orders_workers,
             workers_keep_ids,
+            regions,
         )
         try:
             return await scenario(world)
