Test batch jobs with allowed regions at several nodes

Cause: no test knew where bodies of batch jobs go. Ruled out: real processes (regions need no network).

--- /dev/null
+++ b/tests/test_batch_regions.py
@@ -0,0 +1,530 @@
+"""Batch jobs with allowed regions: which nodes hold bodies, and calls at any node."""
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable, Iterable
+
+import msgspec
+
+from drumbay.batches.exceptions import (
+    BatchEndedError,
+    BatchNotFoundError,
+    BatchOutcomeUnknownError,
+    BatchRefusedError,
+    BatchUnavailableError,
+)
+from drumbay.batches.records import BatchId, BatchSpec, ItemId, OwnerRecord, ResultState
+from drumbay.batches.retention import BatchRetention
+from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.forwarding.routes import (
+    RequestKind,
+    RequestLimits,
+    Route,
+    RoutingConfiguration,
+    ServiceShare,
+)
+from drumbay.peers.messages import (
+    DoneReply,
+    OwnBatch,
+    PartialTextsReply,
+    RelayRange,
+    RelayTransaction,
+    TakeOverBatch,
+    TakePartialTexts,
+    UnavailableReply,
+)
+from drumbay.placement.regions import AllowedRegions
+from drumbay.tenants.records import KeyTable, TenantName
+from tests.serving_world import (
+    SERVICE,
+    ServingWorld,
+    WorldNode,
+    batch_spec,
+    read_all,
+    run_in_world,
+)
+
+BATCH = BatchId("batch")
+REGIONS = {"a1": "a", "b1": "b", "a2": "a", "b2": "b"}
+"""Nodes and workers 1 and 3 are in region a, 2 and 4 in region b."""
+
+RESTRICTED = AllowedRegions.of(["a"])
+TENANT = TenantName("tenant")
+
+
+def configuration(
+    version: int, allowed: AllowedRegions, keys: KeyTable | None = None
+) -> RoutingConfiguration:
+    route = Route(
+        name="rollouts",
+        host="host.example",
+        path_prefix="/",
+        kind=RequestKind.ROLLOUT,
+        shares=(ServiceShare(service=SERVICE, weight=1.0),),
+        timeout_seconds=5.0,
+        target_seconds=1.0,
+        attempts=3,
+        allowed_regions=allowed,
+    )
+    return RoutingConfiguration(version=version, routes=(route,), limits=RequestLimits(), keys=keys)
+
+
+def configure(world: ServingWorld, applied: RoutingConfiguration) -> None:
+    world.configuration = applied
+    for node in world.peers.nodes.values():
+        node.node.apply_configuration(applied)
+
+
+def run_with_regions(
+    scenario: Callable[[ServingWorld], Awaitable[None]],
+    allowed: AllowedRegions = RESTRICTED,
+) -> None:
+    """Run a scenario once the four nodes know each other and a configuration."""
+
+    async def main(world: ServingWorld) -> None:
+        configure(world, configuration(1, allowed))
+        for node in world.nodes:
+            node.lead()
+        await asyncio.sleep(5.0)
+        await scenario(world)
+
+    run_in_world(main, node_count=4, worker_count=4, regions=REGIONS)
+
+
+def receivers_of_bodies(world: ServingWorld) -> set[NetworkAddress]:
+    """Return the nodes that got bodies or texts of batch jobs from other nodes."""
+    found = set()
+    for address, request in world.peers.delivered:
+        match request:
+            case OwnBatch():
+                found.add(address)
+            case RelayTransaction(operations=operations):
+                if any("/spec/" in o.key or "/results/" in o.key for o in operations):
+                    found.add(address)
+            case RelayRange(prefix=prefix):
+                if prefix.startswith("drumbay/batches/") and not prefix.endswith("/owner"):
+                    found.add(address)
+            case _:
+                pass
+    return found
+
+
+def cut_off(world: ServingWorld, nodes: Iterable[WorldNode]) -> None:
+    """Cut nodes off from callers and from the store."""
+    for node in nodes:
+        world.peers.cut.add(node.address)
+        node.store.reachable = False
+
+
+def reconnect(world: ServingWorld, nodes: Iterable[WorldNode]) -> None:
+    for node in nodes:
+        world.peers.cut.discard(node.address)
+        node.store.reachable = True
+
+
+def owned(world: ServingWorld) -> list[int]:
+    return [node.batches.owned_count for node in world.nodes]
+
+
+def owner_of(world: ServingWorld) -> WorldNode:
+    return next(node for node in world.nodes if node.batches.owned_count)
+
+
+class RegionsTestCase(unittest.TestCase):
+    def check_bodies_stayed(self, world: ServingWorld) -> None:
+        """Check that no node or worker of region b got a body from another node."""
+        inside = {world.nodes[0].address, world.nodes[2].address}
+        self.assertLessEqual(receivers_of_bodies(world), inside)
+        ran_at = {str(run.worker_id) for run in world.workers.runs}
+        self.assertLessEqual(ran_at, {"worker-1", "worker-3"})
+
+    async def check_results(self, node: WorldNode, name: str = "batch") -> None:
+        results = await read_all(node.batches, BatchId(name))
+        self.assertEqual(len({result.item_id for result in results}), 12)
+
+
+class OwnerTest(RegionsTestCase):
+    def test_a_node_outside_gives_a_submission_to_a_node_inside(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            await world.nodes[1].batches.submit(batch_spec())
+            self.assertEqual(owned(world)[1::2], [0, 0])
+            for node in world.nodes:
+                await self.check_results(node)
+            self.check_bodies_stayed(world)
+
+        run_with_regions(scenario)
+
+    def test_submissions_outside_spread_over_the_nodes_inside(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            for number in range(6):
+                spec = msgspec.structs.replace(batch_spec(f"batch-{number}"), model=f"m{number}")
+                await world.nodes[1].batches.submit(spec)
+            self.assertGreater(min(owned(world)[::2]), 0)
+
+        run_with_regions(scenario)
+
+    def test_a_recent_owner_outside_is_not_chosen_again(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            await world.nodes[1].batches.submit(batch_spec("first"))
+            await self.check_results(world.nodes[1], "first")
+            await world.nodes[1].batches.end(BatchId("first"))
+            configure(world, configuration(2, RESTRICTED))
+            await world.nodes[0].batches.submit(batch_spec())
+            self.assertEqual(owned(world), [1, 0, 0, 0])
+
+        run_with_regions(scenario, AllowedRegions())
+
+    def test_a_lost_node_inside_is_replaced_by_the_next_one_inside(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            for lost in (world.nodes[0], world.nodes[2]):
+                name = f"without-{lost.address.host}"
+                world.peers.cut.add(lost.address)
+                await world.nodes[1].batches.submit(batch_spec(name))
+                self.assertEqual(owned(world)[1::2], [0, 0])
+                await self.check_results(world.nodes[3], name)
+                world.peers.cut.discard(lost.address)
+                await asyncio.sleep(3.0)
+            self.check_bodies_stayed(world)
+
+        run_with_regions(scenario)
+
+    def test_without_a_node_inside_the_node_of_the_client_owns_until_one_is_back(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            inside = [world.nodes[0], world.nodes[2]]
+            cut_off(world, inside)
+            await world.nodes[1].batches.submit(batch_spec(groups=12))
+            self.assertEqual(owned(world), [0, 1, 0, 0])
+            self.check_bodies_stayed(world)
+            reconnect(world, inside)
+            await asyncio.sleep(4.0)
+            self.assertEqual(owned(world)[1::2], [0, 0])
+            self.assertEqual(len(await read_all(world.nodes[1].batches, BATCH)), 48)
+            self.check_bodies_stayed(world)
+
+        run_with_regions(scenario)
+
+    def test_a_batch_job_whose_route_and_tenant_share_no_region_is_refused(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            keys = KeyTable(tenants_by_digest={}, allowed_regions={TENANT: AllowedRegions.of("b")})
+            configure(world, configuration(2, RESTRICTED, keys))
+            spec = msgspec.structs.replace(batch_spec(), tenant=TENANT)
+            with self.assertRaises(BatchRefusedError):
+                await world.nodes[1].batches.submit(spec)
+            with self.assertRaises(BatchNotFoundError):
+                await world.nodes[1].batches.read(BATCH, 0, 0.0)
+
+        run_with_regions(scenario)
+
+    def test_records_of_the_release_before_are_unrestricted(self) -> None:
+        encoded = msgspec.msgpack.encode(
+            {
+                "address": {"host": "10.0.0.1", "port": 7000},
+                "boot": "boot",
+                "state": "open",
+                "total": 1,
+                "stream": {"service": SERVICE, "model": "m"},
+            }
+        )
+        record = msgspec.msgpack.decode(encoded, type=OwnerRecord)
+        self.assertEqual((record.route_name, record.allowed_regions), ("", ()))
+
+
+class TakeoverTest(RegionsTestCase):
+    def test_a_node_inside_takes_over_for_readers_outside(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            await world.nodes[0].batches.submit(batch_spec())
+            await world.nodes[0].kill()
+            await asyncio.gather(*(self.check_results(node) for node in world.nodes[1::2]))
+            self.assertEqual(owned(world)[1:], [0, 1, 0])
+            self.check_bodies_stayed(world)
+
+        run_with_regions(scenario)
+
+    def test_a_route_that_is_gone_leaves_the_recorded_regions(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            spec = msgspec.structs.replace(batch_spec(), allowed_regions=("a",))
+            await world.nodes[0].batches.submit(spec)
+            without = RoutingConfiguration(version=2, routes=(), limits=RequestLimits())
+            configure(world, without)
+            await world.nodes[0].kill()
+            await self.check_results(world.nodes[1])
+            self.assertEqual(owned(world)[1:], [0, 1, 0])
+            self.check_bodies_stayed(world)
+
+        run_with_regions(scenario)
+
+    def test_while_the_region_is_lost_nothing_is_held_elsewhere(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            inside = [world.nodes[0], world.nodes[2]]
+            await world.nodes[0].batches.submit(batch_spec())
+            cut_off(world, inside)
+            for node in world.nodes[1::2]:
+                for _ in range(3):
+                    with self.assertRaises(BatchUnavailableError):
+                        await node.batches.read(BATCH, 0, 0.0)
+                with self.assertRaises(BatchUnavailableError):
+                    await node.batches.body(BATCH, ItemId("batch-0-0"))
+            self.assertEqual(owned(world)[1::2], [0, 0])
+            reconnect(world, inside)
+            await asyncio.sleep(3.0)
+            await self.check_results(world.nodes[1])
+            self.check_bodies_stayed(world)
+
+        run_with_regions(scenario)
+
+    def test_a_restarted_node_that_is_outside_now_lets_a_node_inside_take_over(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            await world.nodes[1].batches.submit(batch_spec(groups=12))
+            await world.nodes[1].kill()
+            configure(world, configuration(2, RESTRICTED))
+            before = len(world.workers.runs)
+            restarted = WorldNode(world, 2, 1)
+            restarted.lead()
+            await asyncio.sleep(3.0)
+            self.assertEqual(restarted.batches.owned_count, 0)
+            self.assertEqual(sum(owned(world)[::2]), 1)
+            new_runs = {str(run.worker_id) for run in world.workers.runs[before:]}
+            self.assertLessEqual(new_runs, {"worker-1", "worker-3"})
+
+        run_with_regions(scenario, AllowedRegions())
+
+    def test_a_node_outside_refuses_to_take_over_for_others(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            await world.nodes[0].batches.submit(batch_spec())
+            owner = await world.nodes[0].batches.ledger.read_owner(BATCH)
+            request = TakeOverBatch(
+                batch_id=BATCH, owner_revision=owner.revision, owner_is_gone=False
+            )
+            reply = await world.nodes[1].node.handle_peer(request)
+            self.assertIsInstance(reply, UnavailableReply)
+            self.assertEqual(owned(world), [1, 0, 0, 0])
+            reply = await world.nodes[2].node.handle_peer(request)
+            self.assertIsInstance(reply, DoneReply)
+
+        run_with_regions(scenario)
+
+
+class StoreTest(RegionsTestCase):
+    def test_store_calls_with_bodies_are_relayed_inside_only(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            world.nodes[1].store.reachable = False
+            for number in range(8):
+                await world.nodes[1].batches.submit(batch_spec(f"batch-{number}"))
+            world.nodes[0].store.reachable = False
+            await self.check_results(world.nodes[0], "batch-0")
+            for number in range(8):
+                await world.nodes[0].batches.end(BatchId(f"batch-{number}"))
+                await world.nodes[0].batches.read(BatchId(f"batch-{number}"), 0, 0.0)
+            self.assertTrue(receivers_of_bodies(world))
+            self.check_bodies_stayed(world)
+
+        run_with_regions(scenario)
+
+    def test_a_submission_that_could_be_relayed_only_outside_is_refused(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            cut_off(world, [world.nodes[0], world.nodes[2]])
+            world.nodes[1].store.reachable = False
+            with self.assertRaises((BatchRefusedError, BatchOutcomeUnknownError)):
+                await world.nodes[1].batches.submit(batch_spec())
+            self.check_bodies_stayed(world)
+
+        run_with_regions(scenario)
+
+    def test_a_leader_outside_deletes_through_a_node_inside(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            leader = world.nodes[1]
+            await leader.batches.submit(batch_spec())
+            await self.check_results(leader)
+            await leader.batches.end(BATCH)
+            retention = BatchRetention(
+                world.clock, leader.batches.ledger, 1.0, lambda: True, leader.batches.delete_ended
+            )
+            await asyncio.sleep(125.0)
+            reads = leader.store.range_prefix
+            prefixes: list[str] = []
+
+            async def record_prefix(prefix: str) -> object:
+                prefixes.append(prefix)
+                return await reads(prefix)
+
+            leader.store.range_prefix = record_prefix  # type: ignore[method-assign, assignment]
+            await retention.sweep()
+            leader.store.range_prefix = reads  # type: ignore[method-assign]
+            self.assertNotIn(f"drumbay/batches/{BATCH}/", prefixes)
+            with self.assertRaises(BatchNotFoundError):
+                await leader.batches.ledger.read_owner(BATCH)
+
+        run_with_regions(scenario)
+
+
+class PartialTextTest(RegionsTestCase):
+    def request(self, requester: WorldNode | None) -> TakePartialTexts:
+        return TakePartialTexts(
+            item_ids=tuple(item.item_id for item in batch_spec().items),
+            minimum_version=batch_spec().minimum_version,
+            requester=requester.address if requester else None,
+        )
+
+    def test_texts_are_told_to_nodes_inside_only(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            world.workers.long_texts = True
+            await world.nodes[0].batches.submit(batch_spec())
+            await asyncio.sleep(1.0)
+            await world.nodes[0].batches.end(BATCH)
+            for requester, count in ((world.nodes[1], 0), (None, 0), (world.nodes[2], 12)):
+                reply = await world.nodes[0].node.handle_peer(self.request(requester))
+                assert isinstance(reply, PartialTextsReply)
+                self.assertEqual(len(reply.returned.item_ids), count)
+
+        run_with_regions(scenario)
+
+    def test_texts_are_asked_of_nodes_inside_only(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            world.workers.long_texts = True
+            await world.nodes[1].batches.submit(batch_spec("first"))
+            await asyncio.sleep(1.0)
+            await world.nodes[1].batches.end(BatchId("first"))
+            configure(world, configuration(2, RESTRICTED))
+            await world.nodes[0].batches.submit(batch_spec())
+            await asyncio.sleep(0.5)
+            asked = {a for a, r in world.peers.delivered if isinstance(r, TakePartialTexts)}
+            self.assertNotIn(world.nodes[1].address, asked)
+
+        run_with_regions(scenario, AllowedRegions())
+
+
+class ConfigurationChangeTest(RegionsTestCase):
+    def test_new_runs_obey_the_new_regions_at_once(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            await world.nodes[0].batches.submit(batch_spec(groups=20))
+            await asyncio.sleep(0.5)
+            started = len(world.workers.runs)
+            self.assertTrue(
+                {str(run.worker_id) for run in world.workers.runs} & {"worker-2", "worker-4"}
+            )
+            configure(world, configuration(2, RESTRICTED))
+            self.assertEqual(len(await read_all(world.nodes[0].batches, BATCH)), 80)
+            later = {str(run.worker_id) for run in world.workers.runs[started:]}
+            self.assertLessEqual(later, {"worker-1", "worker-3"})
+
+        run_with_regions(scenario, AllowedRegions())
+
+    def test_an_owner_that_is_outside_now_gives_its_batch_job_away(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            await world.nodes[1].batches.submit(batch_spec(groups=20))
+            await asyncio.sleep(1.0)
+            configure(world, configuration(2, RESTRICTED))
+            await asyncio.sleep(1.5)
+            self.assertEqual(owned(world)[1::2], [0, 0])
+            self.assertEqual(sum(owned(world)[::2]), 1)
+            results = await read_all(world.nodes[1].batches, BATCH)
+            self.assertEqual(len({result.item_id for result in results}), 80)
+            self.assertEqual(receivers_of_bodies(world), set())
+
+        run_with_regions(scenario, AllowedRegions())
+
+    def test_an_owner_outside_goes_on_while_no_node_inside_answers(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            inside = [world.nodes[0], world.nodes[2]]
+            await world.nodes[1].batches.submit(batch_spec(groups=20))
+            await asyncio.sleep(0.5)
+            started = len(world.workers.runs)
+            cut_off(world, inside)
+            configure(world, configuration(2, RESTRICTED))
+            await asyncio.sleep(5.0)
+            self.assertEqual(owned(world), [0, 1, 0, 0])
+            later = {str(run.worker_id) for run in world.workers.runs[started:]}
+            self.assertLessEqual(later, {"worker-1", "worker-3"})
+            reconnect(world, inside)
+            await asyncio.sleep(4.0)
+            self.assertEqual(owned(world)[1::2], [0, 0])
+
+        run_with_regions(scenario, AllowedRegions())
+
+
+class AnyNodeTest(RegionsTestCase):
+    """Other clients of the tenant use a batch job at nodes of every zone."""
+
+    async def check_all_calls(self, world: ServingWorld, nodes: list[WorldNode]) -> None:
+        spec = batch_spec()
+        await nodes[0].batches.submit(spec)
+        for node in nodes:
+            await asyncio.sleep(0.5)
+            await node.batches.submit(spec)
+            self.assertEqual(await node.batches.body(BATCH, spec.items[5].item_id), b"body 1 1")
+        results = await read_all(nodes[0].batches, BATCH)
+        await self.check_positions(nodes, spec, len(results))
+        for node in nodes:
+            await node.batches.end(BATCH)
+            await node.batches.submit(spec)
+            await asyncio.sleep(0.05)
+            with self.assertRaises(BatchEndedError):
+                await node.batches.body(BATCH, spec.items[0].item_id)
+        await self.check_positions(nodes, spec, len(results))
+        self.assertEqual(sum(owned(world)), 0)
+        self.assertEqual(len(world.workers.runs), len(spec.items))
+
+    async def check_positions(self, nodes: list[WorldNode], spec: BatchSpec, total: int) -> None:
+        for position in (0, 1, total - 1, total, total + 5):
+            pages = [await node.batches.read(spec.batch_id, position, 0.0) for node in nodes]
+            listed = [result.item_id for result in pages[0].results]
+            self.assertEqual(len(listed), max(0, total - position))
+            for page in pages:
+                self.assertEqual([result.item_id for result in page.results], listed)
+                self.assertEqual((page.total, page.position), (total, position))
+
+    def test_every_call_is_answered_alike_at_every_node(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            await self.check_all_calls(world, world.nodes)
+
+        run_with_regions(scenario, AllowedRegions())
+
+    def test_every_call_is_answered_alike_with_allowed_regions(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            await self.check_all_calls(world, world.nodes[::-1])
+            self.check_bodies_stayed(world)
+
+        run_with_regions(scenario)
+
+    def test_every_call_is_answered_alike_with_an_evacuated_zone(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            for node in world.nodes:
+                node.node.evacuations.start("a1")
+            await self.check_all_calls(world, world.nodes)
+            self.assertNotIn("worker-1", {str(run.worker_id) for run in world.workers.runs})
+            self.check_bodies_stayed(world)
+
+        run_with_regions(scenario)
+
+    def test_every_call_is_answered_alike_without_a_node_that_is_cut_off(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            cut_off(world, [world.nodes[2]])
+            await self.check_all_calls(world, [world.nodes[3], world.nodes[0], world.nodes[1]])
+            self.check_bodies_stayed(world)
+
+        run_with_regions(scenario)
+
+    def test_a_node_without_the_store_serves_readers_as_well(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            world.nodes[1].store.reachable = False
+            await self.check_all_calls(world, world.nodes)
+            self.check_bodies_stayed(world)
+
+        run_with_regions(scenario)
+
+    def test_items_without_an_allowed_worker_are_listed_as_dead_everywhere(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            configure(world, configuration(2, AllowedRegions.of(["c"])))
+            await world.nodes[1].batches.submit(batch_spec(queue_limit_seconds=6.0))
+            await asyncio.sleep(10.0)
+            for node in world.nodes:
+                page = await node.batches.read(BATCH, 0, 0.0)
+                self.assertEqual({result.state for result in page.results}, {ResultState.DEAD})
+                self.assertEqual(len(page.results), 12)
+            self.assertEqual(world.workers.runs, [])
+
+        run_with_regions(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
