--- a/drumbay/batches/deletion.py
+++ b/drumbay/batches/deletion.py
@@ -43,11 +43,18 @@
             return
         for address in self._holders.ranked(batch_id, regions)[:REQUEST_ATTEMPTS]:
             try:
-                reply = await self._peers.call(
+                reply: PeerReply = await self._peers.call(
                     address, DeleteBatch(batch_id=batch_id), REQUEST_TIMEOUT_SECONDS
                 )
             except PeerUnavailableError:
-                continue
+                reply = UnavailableReply()
+            log_event(
+                "batch_deletion_requested",
+                batch=batch_id,
+                node=str(address),
+                reply=type(reply).__name__,
+                allowed_regions=",".join(regions.names()),
+            )
             if isinstance(reply, DoneReply):
                 return
         raise BatchUnavailableError(batch_id)
@@ -66,6 +73,6 @@
         except BatchNotFoundError:
             return DoneReply()
         except KeyValueError as error:
-            log_event("batch_not_deleted_for", level="WARNING", batch=batch_id, error=error.code)
+            log_event("batch_not_deleted", level="WARNING", batch=batch_id, error=error.code)
             return UnavailableReply()
         return DoneReply()
--- a/drumbay/batches/retention.py
+++ b/drumbay/batches/retention.py
@@ -56,8 +56,8 @@
         for batch_id in await self._ledger.submitted_before(cutoff):
             try:
                 is_deleted = await self._delete_if_ended(batch_id)
-            except BatchUnavailableError:
-                log_event("batch_not_deleted", level="WARNING", batch=batch_id)
+            except BatchUnavailableError as error:
+                log_event("batch_not_deleted", level="WARNING", batch=batch_id, error=error.code)
                 continue
             if is_deleted:
                 log_event("batch_deleted", batch=batch_id)
