Share the calls of nodes in the allowed regions, and keep an owner that is asked to take over

Cause: takeover and deletion had the same loop; an owner asked to take over its own batch job replaced its own record and lost it. Ruled out: leaving owners out of the request (a reader that lost the owner may be the one that is cut off). Change: Delegation; accept_takeover answers at once for an owned batch job.

--- a/drumbay/batches/deletion.py
+++ b/drumbay/batches/deletion.py
@@ -4,6 +4,7 @@
 """
 
 from drumbay.batches.body_holders import BodyHolders
+from drumbay.batches.delegation import Delegation
 from drumbay.batches.exceptions import BatchNotFoundError, BatchUnavailableError
 from drumbay.batches.ledger import BatchLedger
 from drumbay.batches.records import BatchId, OwnerRecord, OwnerState
@@ -16,19 +17,17 @@
     PeerReply,
     UnavailableReply,
 )
-from drumbay.peers.transport import PeerClient, PeerUnavailableError
 
-REQUEST_ATTEMPTS = 2
-REQUEST_TIMEOUT_SECONDS = 4.0
+DELETE_TIMEOUT_SECONDS = 4.0
 
 
 class BatchDeletion:
     """Deletes ended batch jobs here or through other nodes."""
 
-    def __init__(self, ledger: BatchLedger, peers: PeerClient, holders: BodyHolders) -> None:
-        """Delete from ``ledger``; ``peers`` calls the nodes that ``holders`` allows."""
+    def __init__(self, ledger: BatchLedger, delegation: Delegation, holders: BodyHolders) -> None:
+        """Delete from ``ledger`` here where ``holders`` allows it, else by ``delegation``."""
         self._ledger = ledger
-        self._peers = peers
+        self._delegation = delegation
         self._holders = holders
 
     async def delete(self, batch_id: BatchId, owner: OwnerRecord) -> None:
@@ -41,23 +40,10 @@
         if self._holders.includes_this_node(regions):
             await self._ledger.within(lambda: regions).delete(batch_id)
             return
-        for address in self._holders.ranked(batch_id, regions)[:REQUEST_ATTEMPTS]:
-            try:
-                reply: PeerReply = await self._peers.call(
-                    address, DeleteBatch(batch_id=batch_id), REQUEST_TIMEOUT_SECONDS
-                )
-            except PeerUnavailableError:
-                reply = UnavailableReply()
-            log_event(
-                "batch_deletion_requested",
-                batch=batch_id,
-                node=str(address),
-                reply=type(reply).__name__,
-                allowed_regions=",".join(regions.names()),
-            )
-            if isinstance(reply, DoneReply):
-                return
-        raise BatchUnavailableError(batch_id)
+        request = DeleteBatch(batch_id=batch_id)
+        reply = await self._delegation.request(request, regions, DELETE_TIMEOUT_SECONDS)
+        if not isinstance(reply, DoneReply):
+            raise BatchUnavailableError(batch_id)
 
     async def handle(self, request: DeleteBatch) -> PeerReply:
         """Delete an ended batch job for a node outside its allowed regions."""
--- a/drumbay/batches/owned.py
+++ b/drumbay/batches/owned.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from drumbay.batches.body_holders import BodyHolders
+from drumbay.batches.delegation import Delegation
 from drumbay.batches.exceptions import (
     BatchMovedError,
     BatchNotFoundError,
@@ -26,7 +27,6 @@
 from drumbay.batches.reward_scorer import RewardScorer
 from drumbay.batches.runner import BatchRunner
 from drumbay.batches.slot_sharing import SlotSharing
-from drumbay.batches.takeover_requests import TakeoverRequests
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.forwarding.routes import ServiceUse
@@ -57,6 +57,8 @@
 """Further nodes that are offered a batch job which its first owner did not confirm."""
 
 RELOCATION_INTERVAL_SECONDS = 1.0
+TAKEOVER_TIMEOUT_SECONDS = 0.8
+"""A takeover takes three calls of the store; readers wait for it."""
 
 
 class OwnedBatches:
@@ -125,7 +127,7 @@
         self._runners: dict[BatchId, BatchRunner] = {}
         self._takeovers: dict[BatchId, asyncio.Event] = {}
         self._lingering = LingeringBatches(peers, holders, owners.identity.address)
-        self._takeover_requests = TakeoverRequests(peers, holders)
+        self._delegation = Delegation(peers, holders)
         self.slot_sharing = SlotSharing(
             clock,
             directory,
@@ -273,7 +275,7 @@
         try:
             if is_allowed:
                 await self._replace_owner(batch_id, lost_owner, owner_is_gone=owner_is_gone)
-            elif not await self._takeover_requests.request(
+            elif not await self._delegate_takeover(
                 batch_id, lost_owner.revision, regions, owner_is_gone=owner_is_gone
             ):
                 raise BatchUnavailableError(batch_id)
@@ -345,9 +347,26 @@
         if is_own and not self._owners.is_own_process(owner.record):
             await self.take_over(batch_id, owner, owner_is_gone=True)
 
+    async def _delegate_takeover(
+        self,
+        batch_id: BatchId,
+        owner_revision: Revision,
+        regions: AllowedRegions,
+        *,
+        owner_is_gone: bool,
+    ) -> bool:
+        """Return whether another node owns the batch job now, or its owner had changed before."""
+        request = TakeOverBatch(
+            batch_id=batch_id, owner_revision=owner_revision, owner_is_gone=owner_is_gone
+        )
+        reply = await self._delegation.request(request, regions, TAKEOVER_TIMEOUT_SECONDS)
+        return isinstance(reply, DoneReply | NotOwnerReply)
+
     async def accept_takeover(self, request: TakeOverBatch) -> PeerReply:
         """Take over a batch job for a node outside its allowed regions, without asking others."""
         batch_id = request.batch_id
+        if batch_id in self._runners:
+            return DoneReply()
         try:
             owner = await self._ledger.read_owner(batch_id)
             if owner.revision != request.owner_revision:
@@ -374,7 +393,7 @@
     async def _relocate(self, runner: BatchRunner, regions: AllowedRegions) -> None:
         """Let a node in the allowed regions take over; go on here if none answers."""
         batch_id = runner.spec.batch_id
-        is_replaced = await self._takeover_requests.request(
+        is_replaced = await self._delegate_takeover(
             batch_id, runner.revision, regions, owner_is_gone=False
         )
         if not is_replaced or self._runners.get(batch_id) is not runner:
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from drumbay.batches.body_holders import BodyHolders
+from drumbay.batches.delegation import Delegation
 from drumbay.batches.deletion import BatchDeletion
 from drumbay.batches.exceptions import (
     BatchEndedError,
@@ -144,7 +145,7 @@
         self._metrics = metrics
         self._holders = holders
         self._owners = OwnerTable(clock, self.ledger, peers, identity, holders, announce)
-        self._deletion = BatchDeletion(self.ledger, peers, holders)
+        self._deletion = BatchDeletion(self.ledger, Delegation(peers, holders), holders)
         self._owned = OwnedBatches(
             clock,
             self.ledger,
--- a/tests/test_batch_regions.py
+++ b/tests/test_batch_regions.py
@@ -28,6 +28,7 @@
     DoneReply,
     OwnBatch,
     PartialTextsReply,
+    PeerRequest,
     RelayRange,
     RelayTransaction,
     TakeOverBatch,
@@ -250,6 +251,12 @@
         record = msgspec.msgpack.decode(encoded, type=OwnerRecord)
         self.assertEqual((record.route_name, record.allowed_regions), ("", ()))
 
+    def test_requests_for_texts_of_the_release_before_name_no_requester(self) -> None:
+        fields = {"type": "TakePartialTexts", "item_ids": [], "minimum_version": 1}
+        request = msgspec.msgpack.decode(msgspec.msgpack.encode(fields), type=PeerRequest)
+        assert isinstance(request, TakePartialTexts)
+        self.assertIsNone(request.requester)
+
 
 class TakeoverTest(RegionsTestCase):
     def test_a_node_inside_takes_over_for_readers_outside(self) -> None:
@@ -327,6 +334,18 @@
 
         run_with_regions(scenario)
 
+    def test_an_owner_that_is_asked_to_take_over_stays_the_owner(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            await world.nodes[0].batches.submit(batch_spec())
+            owner = await world.nodes[0].batches.ledger.read_owner(BATCH)
+            request = TakeOverBatch(
+                batch_id=BATCH, owner_revision=owner.revision, owner_is_gone=False
+            )
+            self.assertIsInstance(await world.nodes[0].node.handle_peer(request), DoneReply)
+            self.assertEqual(await world.nodes[0].batches.ledger.read_owner(BATCH), owner)
+
+        run_with_regions(scenario)
+
 
 class StoreTest(RegionsTestCase):
     def test_store_calls_with_bodies_are_relayed_inside_only(self) -> None:
