Log the first owner and the allowed regions of accepted batch jobs

Cause: the choice was logged for repeated submissions too, where it has no effect. Ruled out: nothing. Change: keys of batch_accepted instead of an event of its own.

--- a/drumbay/batches/owners.py
+++ b/drumbay/batches/owners.py
@@ -143,13 +143,6 @@
             return own
         inside = self._holders.ranked(spec.batch_id, regions)
         idle = [address for address in inside if address not in busy] or inside
-        log_event(
-            "batch_owner_chosen_by_region",
-            batch=spec.batch_id,
-            owner=str(idle[0] if idle else own.address),
-            nodes=len(inside),
-            allowed_regions=",".join(regions.names()),
-        )
         return msgspec.structs.replace(own, address=idle[0], boot=ANY_PROCESS) if idle else own
 
     def _idle_recent_owner(
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -276,7 +276,14 @@
             log_event("batch_submitted_again", batch=spec.batch_id)
             return
         self._metrics.count_batch("accepted")
-        log_event("batch_accepted", batch=spec.batch_id, items=len(spec.items), step=spec.step)
+        log_event(
+            "batch_accepted",
+            batch=spec.batch_id,
+            items=len(spec.items),
+            step=spec.step,
+            owner=str(owner.address),
+            allowed_regions=",".join(regions.names()),
+        )
         stored = StoredOwner(record=owner, revision=revision)
         await self._owned.assign(spec, stored)
 
