Let the runs of a batch job end before it moves to a node inside its regions

Cause: a moved batch job cancelled its runs, and the new owner ran those items again. Ruled out: moving the texts along (the store has the long ones; short ones are quicker run to their end). Change: no starts, up to 3 s for the runs under way and their listing, then the takeover; where no node inside takes over the owner starts items again.

--- a/drumbay/batches/owned.py
+++ b/drumbay/batches/owned.py
@@ -57,6 +57,10 @@
 """Further nodes that are offered a batch job which its first owner did not confirm."""
 
 RELOCATION_INTERVAL_SECONDS = 1.0
+RUNS_END_SECONDS = 3.0
+"""How long the runs of a batch job that is about to move may go on."""
+
+RUNS_END_POLL_SECONDS = 0.05
 TAKEOVER_TIMEOUT_SECONDS = 0.8
 """A takeover takes three calls of the store; readers wait for it."""
 
@@ -388,23 +392,44 @@
         """Give away the batch jobs that this node may no longer hold, until cancelled."""
         while True:
             await self._clock.sleep(RELOCATION_INTERVAL_SECONDS)
-            for runner in tuple(self._runners.values()):
-                regions = self._allowed_regions(runner.spec)
-                if not self._holders.includes_this_node(regions):
-                    await self._relocate(runner, regions)
-
-    async def _relocate(self, runner: BatchRunner, regions: AllowedRegions) -> None:
+            await asyncio.gather(
+                *(
+                    self._relocate(runner)
+                    for runner in self._runners.values()
+                    if not self._is_allowed_here(runner)
+                )
+            )
+
+    def _is_allowed_here(self, runner: BatchRunner) -> bool:
+        return self._holders.includes_this_node(self._allowed_regions(runner.spec))
+
+    async def _relocate(self, runner: BatchRunner) -> None:
         """Let a node in the allowed regions take over; go on here if none answers."""
         batch_id = runner.spec.batch_id
+        runner.holds_starts = bool(
+            self._holders.ranked(batch_id, self._allowed_regions(runner.spec))
+        )
+        if runner.holds_starts:
+            await self._wait_until_idle(runner)
+        regions = self._allowed_regions(runner.spec)
+        if self._is_allowed_here(runner):
+            runner.holds_starts = False
+            return
         is_replaced = await self._delegate_takeover(
             batch_id, runner.revision, regions, owner_is_gone=False
         )
+        runner.holds_starts = False
         if not is_replaced or self._runners.get(batch_id) is not runner:
             return
         log_event("batch_relocated", batch=batch_id, allowed_regions=",".join(regions.names()))
         runner.close()
         self._drop_runner(batch_id)
 
+    async def _wait_until_idle(self, runner: BatchRunner) -> None:
+        until = self._clock.monotonic() + RUNS_END_SECONDS
+        while not runner.is_idle and self._clock.monotonic() < until:
+            await self._clock.sleep(RUNS_END_POLL_SECONDS)
+
     # End
 
     def stop(self, batch_id: BatchId) -> None:
--- a/drumbay/batches/result_log.py
+++ b/drumbay/batches/result_log.py
@@ -85,6 +85,11 @@
         """Return whether the results of all items are stored."""
         return len(self._listed) == len(self._spec.items)
 
+    @property
+    def has_pending(self) -> bool:
+        """Return whether results are not yet stored."""
+        return bool(self._pending)
+
     @property
     def results(self) -> tuple[ItemResult, ...]:
         """Return all results, including pending ones."""
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -89,7 +89,14 @@
 
 
 class BatchRunner:
-    """Runs a batch job until it ends, moves to another node or is closed."""
+    """Runs a batch job until it ends, moves to another node or is closed.
+
+    Attributes:
+        spec: The batch job.
+        revision: The owner's revision in the ledger.
+        share: Its share of worker slots.
+        holds_starts: Whether no items start, as the batch job is about to move.
+    """
 
     def __init__(
         self,
@@ -189,6 +196,7 @@
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._limits = StartLimits()
+        self.holds_starts = False
         self._closed = False
         self._lingering = False
 
@@ -328,6 +336,11 @@
         now = self._clock.monotonic()
         return has_no_pending_results and self._scheduler.is_blocked(self._limits.held_back, now)
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no item runs and every result so far is stored."""
+        return not self._runs and not self._result_log.has_pending
+
     def wake(self) -> None:
         """Plan again, as the workers have changed."""
         self._wakeup.set()
@@ -362,9 +375,7 @@
             }
             limits = self._limits = msgspec.structs.replace(
                 self._quarantine.limits(self._scheduler.waiting),
-                start_allowances=start_allowances(
-                    self._placement, workers.values(), self._allowed_regions()
-                ),
+                start_allowances=self._start_allowances(workers),
             )
             self.share.held_back_items = limits.held_back
             share = self.share.current_share(now)
@@ -379,6 +390,11 @@
                     await self._wakeup.wait()
             await self._clock.sleep(PLAN_DEBOUNCE_SECONDS)
 
+    def _start_allowances(self, workers: dict[BackendId, WorkerRecord]) -> dict[BackendId, int]:
+        if self.holds_starts:
+            return dict.fromkeys(workers, 0)
+        return start_allowances(self._placement, workers.values(), self._allowed_regions())
+
     def _apply(self, decision: Decision, workers: dict[BackendId, WorkerRecord]) -> None:
         match decision:
             case StartRun(item=item, worker_id=worker_id):
--- a/tests/test_batch_regions.py
+++ b/tests/test_batch_regions.py
@@ -459,20 +459,32 @@
 
     def test_an_owner_that_is_outside_now_gives_its_batch_job_away(self) -> None:
         async def scenario(world: ServingWorld) -> None:
-            await world.nodes[1].batches.submit(batch_spec(groups=20))
+            await world.nodes[1].batches.submit(batch_spec(groups=60))
             await asyncio.sleep(1.0)
             configure(world, configuration(2, RESTRICTED))
-            await asyncio.sleep(1.5)
+            await asyncio.sleep(4.5)
             self.assertEqual(owned(world)[1::2], [0, 0])
             self.assertEqual(sum(owned(world)[::2]), 1)
             results = await read_all(world.nodes[1].batches, BATCH)
-            self.assertEqual(len({result.item_id for result in results}), 80)
+            self.assertEqual(len({result.item_id for result in results}), 240)
+            self.assertEqual(len(world.workers.runs), 240)
             self.assertLessEqual(
                 receivers_of_bodies(world), {world.nodes[0].address, world.nodes[2].address}
             )
 
         run_with_regions(scenario, AllowedRegions())
 
+    def test_an_owner_outside_goes_on_while_the_nodes_inside_refuse(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            await world.nodes[1].batches.submit(batch_spec(groups=20))
+            configure(world, configuration(2, RESTRICTED))
+            for node in world.nodes[::2]:
+                node.batches.stop_accepting()
+            self.assertEqual(len(await read_all(world.nodes[1].batches, BATCH)), 80)
+            self.assertEqual(owned(world), [0, 1, 0, 0])
+
+        run_with_regions(scenario, AllowedRegions())
+
     def test_an_owner_outside_goes_on_while_no_node_inside_answers(self) -> None:
         async def scenario(world: ServingWorld) -> None:
             inside = [world.nodes[0], world.nodes[2]]
