Check that a takeover keeps the route and the regions in the owner record

Cause: with runs that end before a move, no test saw a record that lost them. Ruled out: nothing. Change: two assertions.

--- a/tests/test_batch_regions.py
+++ b/tests/test_batch_regions.py
@@ -293,6 +293,8 @@
             await self.check_results(world.nodes[1])
             self.assertEqual(owned(world)[1:], [0, 1, 0])
             self.check_bodies_stayed(world)
+            record = (await world.nodes[1].batches.ledger.read_owner(BATCH)).record
+            self.assertEqual((record.route_name, record.allowed_regions), ("rollouts", ("a",)))
 
         run_with_regions(scenario)
 
