Hand a new batch job over only while its owner is in the regions in force

Cause: the owner is chosen before the batch job is stored, which is tried for up to 4 s. A configuration that came meanwhile could leave that owner outside, and the body went there. Ruled out: choosing again after each attempt: the stored record names the owner already. Change: the hand-over checks the regions in force; an owner outside counts as not taking it. Conclusion: the next candidates inside are offered it, then this node owns it.

--- a/drumbay/batches/owners.py
+++ b/drumbay/batches/owners.py
@@ -175,16 +175,22 @@
         return [address for address in others if self._holders.includes(address, regions)]
 
     async def hand_over(self, spec: BatchSpec, owner: StoredOwner) -> bool:
-        """Send a batch job to its designated owner; return whether that accepted it."""
-        request = OwnBatch(spec=spec, owner=owner)
-        try:
-            reply = await self._peers.call(owner.record.address, request, HAND_OVER_TIMEOUT_SECONDS)
-        except PeerUnavailableError:
-            reply = UnavailableReply()
+        """Send a batch job to its designated owner; return whether that accepted it.
+
+        The owner may be outside the allowed regions if these have changed since it was chosen.
+        """
+        address = owner.record.address
+        reply: PeerReply = UnavailableReply()
+        if self._holders.includes(address, self._holders.regions_of(spec)):
+            try:
+                request = OwnBatch(spec=spec, owner=owner)
+                reply = await self._peers.call(address, request, HAND_OVER_TIMEOUT_SECONDS)
+            except PeerUnavailableError:
+                reply = UnavailableReply()
         log_event(
             "batch_handed_over",
             batch=spec.batch_id,
-            owner=str(owner.record.address),
+            owner=str(address),
             taken=isinstance(reply, DoneReply),
         )
         return isinstance(reply, DoneReply)
