Pause longer between refused moves of batch jobs, and wait for the regions before takeovers

Cause: an owner outside held back starts for 3 of 4 s and logged a warning each second while the nodes inside refused; a restarted node outside read its batch jobs from the store each 0.5 s, and took over before its first configuration, with the regions recorded at submission; an owner that had been replaced unknowingly answered that it had taken over, so that nobody ran the batch job until the next reader. Ruled out: asking without holding back starts: runs under way would be repeated.

--- a/drumbay/batches/body_holders.py
+++ b/drumbay/batches/body_holders.py
@@ -54,6 +54,11 @@
         """Return whether the deployment has regions at all."""
         return bool(self._topology.regions)
 
+    @property
+    def knows_regions(self) -> bool:
+        """Return whether this node has a configuration, which may restrict batch jobs."""
+        return not self.has_regions or self._routes.current is not None
+
     def regions_of(self, job: BatchSpec | OwnerRecord) -> AllowedRegions:
         """Return the regions in which a batch job may run and be held now."""
         recorded = AllowedRegions.of(job.allowed_regions)
--- a/drumbay/batches/delegation.py
+++ b/drumbay/batches/delegation.py
@@ -1,12 +1,23 @@
 """Asks nodes in the allowed regions to do what this node may not do with a batch job."""
 
 from drumbay.batches.body_holders import BodyHolders
+from drumbay.batches.records import BatchId
+from drumbay.identifiers import Revision
 from drumbay.observability.logs import log_event
-from drumbay.peers.messages import DeleteBatch, PeerReply, TakeOverBatch, UnavailableReply
+from drumbay.peers.messages import (
+    DeleteBatch,
+    DoneReply,
+    NotOwnerReply,
+    PeerReply,
+    TakeOverBatch,
+    UnavailableReply,
+)
 from drumbay.peers.transport import PeerClient, PeerUnavailableError
 from drumbay.placement.regions import AllowedRegions
 
 DELEGATION_ATTEMPTS = 3
+TAKEOVER_TIMEOUT_SECONDS = 0.8
+"""A takeover takes three calls of the store; readers wait for it."""
 
 
 class Delegation:
@@ -17,6 +28,21 @@
         self._peers = peers
         self._holders = holders
 
+    async def take_over(
+        self,
+        batch_id: BatchId,
+        owner_revision: Revision,
+        regions: AllowedRegions,
+        *,
+        owner_is_gone: bool,
+    ) -> bool:
+        """Return whether another node owns a batch job now, or its owner had changed before."""
+        request = TakeOverBatch(
+            batch_id=batch_id, owner_revision=owner_revision, owner_is_gone=owner_is_gone
+        )
+        reply = await self.request(request, regions, TAKEOVER_TIMEOUT_SECONDS)
+        return isinstance(reply, DoneReply | NotOwnerReply)
+
     async def request(
         self,
         request: TakeOverBatch | DeleteBatch,
--- a/drumbay/batches/deletion.py
+++ b/drumbay/batches/deletion.py
@@ -5,7 +5,7 @@
 
 from drumbay.batches.body_holders import BodyHolders
 from drumbay.batches.delegation import Delegation
-from drumbay.batches.exceptions import BatchNotFoundError, BatchUnavailableError
+from drumbay.batches.exceptions import BatchNotDelegatedError, BatchNotFoundError
 from drumbay.batches.ledger import BatchLedger
 from drumbay.batches.records import BatchId, OwnerRecord, OwnerState
 from drumbay.kv.interface import KeyValueError
@@ -34,7 +34,7 @@
         """Delete an ended batch job.
 
         Raises:
-            BatchUnavailableError: No node in the allowed regions deleted it.
+            BatchNotDelegatedError: No node in the allowed regions deleted it.
         """
         regions = self._holders.regions_of(owner)
         if self._holders.includes_this_node(regions):
@@ -43,7 +43,7 @@
         request = DeleteBatch(batch_id=batch_id)
         reply = await self._delegation.request(request, regions, DELETE_TIMEOUT_SECONDS)
         if not isinstance(reply, DoneReply):
-            raise BatchUnavailableError(batch_id)
+            raise BatchNotDelegatedError(batch_id)
 
     async def handle(self, request: DeleteBatch) -> PeerReply:
         """Delete an ended batch job for a node outside its allowed regions."""
--- a/drumbay/batches/exceptions.py
+++ b/drumbay/batches/exceptions.py
@@ -39,6 +39,12 @@
     code = "batch_unavailable"
 
 
+class BatchNotDelegatedError(BatchUnavailableError):
+    """No node in the allowed regions of a batch job did what this node may not do with it."""
+
+    code = "batch_not_delegated"
+
+
 class BatchRefusedError(RequestFailedError):
     """The batch job was not accepted."""
 
--- a/drumbay/batches/owned.py
+++ b/drumbay/batches/owned.py
@@ -9,6 +9,7 @@
 from drumbay.batches.delegation import Delegation
 from drumbay.batches.exceptions import (
     BatchMovedError,
+    BatchNotDelegatedError,
     BatchNotFoundError,
     BatchUnavailableError,
 )
@@ -24,6 +25,7 @@
     ResubmittedItems,
     StoredOwner,
 )
+from drumbay.batches.relocation import Relocation
 from drumbay.batches.reward_scorer import RewardScorer
 from drumbay.batches.runner import BatchRunner
 from drumbay.batches.slot_sharing import SlotSharing
@@ -56,14 +58,6 @@
 HAND_OVER_ATTEMPTS = 2
 """Further nodes that are offered a batch job which its first owner did not confirm."""
 
-RELOCATION_INTERVAL_SECONDS = 1.0
-RUNS_END_SECONDS = 3.0
-"""How long the runs of a batch job that is about to move may go on."""
-
-RUNS_END_POLL_SECONDS = 0.05
-TAKEOVER_TIMEOUT_SECONDS = 0.8
-"""A takeover takes three calls of the store; readers wait for it."""
-
 
 class OwnedBatches:
     """The runners of the owned batch jobs.
@@ -71,6 +65,7 @@
     Attributes:
         is_draining: Whether no further batch jobs are accepted; the owned ones go on.
         slot_sharing: Shares worker slots with the batch jobs of other owners.
+        relocation: Gives away batch jobs that this node may no longer hold.
     """
 
     def __init__(
@@ -132,6 +127,13 @@
         self._takeovers: dict[BatchId, asyncio.Event] = {}
         self._lingering = LingeringBatches(peers, holders, owners.identity.address)
         self._delegation = Delegation(peers, holders)
+        self.relocation = Relocation(
+            clock,
+            holders,
+            self._delegation,
+            lambda: tuple(self._runners.values()),
+            self._drop_runner,
+        )
         self.slot_sharing = SlotSharing(
             clock,
             directory,
@@ -266,9 +268,13 @@
         A node outside the allowed regions does not read the batch job, but asks nodes inside.
 
         Raises:
-            BatchUnavailableError: The store, or each node that may take over, did not answer.
+            BatchUnavailableError: The store did not answer, or this node does not know the regions
+                yet.
+            BatchNotDelegatedError: None of the nodes that this one asked took over.
         """
         self._owners.forget(batch_id)
+        if not self._holders.knows_regions:
+            raise BatchUnavailableError(batch_id)
         regions = self._holders.regions_of(lost_owner.record)
         is_allowed = self._holders.includes_this_node(regions)
         if is_allowed and self.is_draining:
@@ -282,10 +288,10 @@
                 return
             if not owner_is_gone:
                 self._holders.mark_unresponsive(lost_owner.record.address)
-            if not await self._delegate_takeover(
+            if not await self._delegation.take_over(
                 batch_id, lost_owner.revision, regions, owner_is_gone=owner_is_gone
             ):
-                raise BatchUnavailableError(batch_id)
+                raise BatchNotDelegatedError(batch_id)
         finally:
             del self._takeovers[batch_id]
             finished.set()
@@ -354,26 +360,16 @@
         if is_own and not self._owners.is_own_process(owner.record):
             await self.take_over(batch_id, owner, owner_is_gone=True)
 
-    async def _delegate_takeover(
-        self,
-        batch_id: BatchId,
-        owner_revision: Revision,
-        regions: AllowedRegions,
-        *,
-        owner_is_gone: bool,
-    ) -> bool:
-        """Return whether another node owns the batch job now, or its owner had changed before."""
-        request = TakeOverBatch(
-            batch_id=batch_id, owner_revision=owner_revision, owner_is_gone=owner_is_gone
-        )
-        reply = await self._delegation.request(request, regions, TAKEOVER_TIMEOUT_SECONDS)
-        return isinstance(reply, DoneReply | NotOwnerReply)
-
     async def accept_takeover(self, request: TakeOverBatch) -> PeerReply:
         """Take over a batch job for a node outside its allowed regions, without asking others."""
         batch_id = request.batch_id
-        if batch_id in self._runners:
+        runner = self._runners.get(batch_id)
+        if runner is not None and runner.revision >= request.owner_revision:
             return DoneReply()
+        if runner is not None:
+            # Replaced by another owner, but not yet aware of it.
+            runner.close()
+            self._drop_runner(batch_id)
         try:
             owner = await self._ledger.read_owner(batch_id)
             if owner.revision != request.owner_revision:
@@ -388,48 +384,6 @@
             return UnavailableReply()
         return DoneReply() if batch_id in self._runners else UnavailableReply()
 
-    async def run_relocation(self) -> None:
-        """Give away the batch jobs that this node may no longer hold, until cancelled."""
-        while True:
-            await self._clock.sleep(RELOCATION_INTERVAL_SECONDS)
-            await asyncio.gather(
-                *(
-                    self._relocate(runner)
-                    for runner in self._runners.values()
-                    if not self._is_allowed_here(runner)
-                )
-            )
-
-    def _is_allowed_here(self, runner: BatchRunner) -> bool:
-        return self._holders.includes_this_node(self._allowed_regions(runner.spec))
-
-    async def _relocate(self, runner: BatchRunner) -> None:
-        """Let a node in the allowed regions take over; go on here if none answers."""
-        batch_id = runner.spec.batch_id
-        runner.holds_starts = bool(
-            self._holders.ranked(batch_id, self._allowed_regions(runner.spec))
-        )
-        if runner.holds_starts:
-            await self._wait_until_idle(runner)
-        regions = self._allowed_regions(runner.spec)
-        if self._is_allowed_here(runner):
-            runner.holds_starts = False
-            return
-        is_replaced = await self._delegate_takeover(
-            batch_id, runner.revision, regions, owner_is_gone=False
-        )
-        runner.holds_starts = False
-        if not is_replaced or self._runners.get(batch_id) is not runner:
-            return
-        log_event("batch_relocated", batch=batch_id, allowed_regions=",".join(regions.names()))
-        runner.close()
-        self._drop_runner(batch_id)
-
-    async def _wait_until_idle(self, runner: BatchRunner) -> None:
-        until = self._clock.monotonic() + RUNS_END_SECONDS
-        while not runner.is_idle and self._clock.monotonic() < until:
-            await self._clock.sleep(RUNS_END_POLL_SECONDS)
-
     # End
 
     def stop(self, batch_id: BatchId) -> None:
--- a/drumbay/batches/retention.py
+++ b/drumbay/batches/retention.py
@@ -5,7 +5,7 @@
 
 from collections.abc import Awaitable, Callable
 
-from drumbay.batches.exceptions import BatchNotFoundError, BatchUnavailableError
+from drumbay.batches.exceptions import BatchNotDelegatedError, BatchNotFoundError
 from drumbay.batches.ledger import BatchLedger
 from drumbay.batches.records import BatchId, OwnerRecord, OwnerState
 from drumbay.clock import Clock
@@ -56,7 +56,7 @@
         for batch_id in await self._ledger.submitted_before(cutoff):
             try:
                 is_deleted = await self._delete_if_ended(batch_id)
-            except BatchUnavailableError as error:
+            except BatchNotDelegatedError as error:
                 log_event("batch_not_deleted", level="WARNING", batch=batch_id, error=error.code)
                 continue
             if is_deleted:
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -14,6 +14,7 @@
 from drumbay.batches.exceptions import (
     BatchEndedError,
     BatchMovedError,
+    BatchNotDelegatedError,
     BatchNotFoundError,
     BatchOutcomeUnknownError,
     BatchRefusedError,
@@ -81,6 +82,7 @@
 END_TIMEOUT_SECONDS = 3.5
 REFUSED_RETRY_SECONDS = 1.0
 RECLAIM_RETRY_SECONDS = 0.5
+MAX_RECLAIM_PAUSE_SECONDS = 8.0
 """Readers also trigger takeovers, so an unavailable store is not retried often."""
 
 OWNER_ATTEMPTS = 4
@@ -192,39 +194,41 @@
         return self._owned.unfinished_count()
 
     async def reclaim_own(self) -> None:
-        """Take over what an earlier process at this address owned, retrying errors."""
-        while not await self._reclaim_all():
-            await self._clock.sleep(RECLAIM_RETRY_SECONDS)
+        """Take over what an earlier process at this address owned, retrying errors.
+
+        The pauses grow while no node in the allowed regions of a batch job takes over.
+        """
+        pause_seconds = RECLAIM_RETRY_SECONDS
+        while True:
+            try:
+                if await self._reclaim_all():
+                    return
+                pause_seconds = min(2 * pause_seconds, MAX_RECLAIM_PAUSE_SECONDS)
+            except (KeyValueError, BatchUnavailableError) as error:
+                log_event("own_batches_not_read", level="WARNING", error=error.code)
+                pause_seconds = RECLAIM_RETRY_SECONDS
+            await self._clock.sleep(pause_seconds)
 
     async def _reclaim_all(self) -> bool:
         """Return whether each batch job of this address has an owner."""
         is_complete = True
-        try:
-            for batch_id in await self.ledger.open_batches_at(self._identity.address):
-                is_complete = await self._reclaim(batch_id) and is_complete
-        except KeyValueError as error:
-            log_event("own_batches_not_read", level="WARNING", error=error.code)
-            return False
+        for batch_id in await self.ledger.open_batches_at(self._identity.address):
+            try:
+                await self._owned.reclaim(batch_id)
+            except BatchNotDelegatedError:
+                is_complete = False
         return is_complete
 
-    async def _reclaim(self, batch_id: BatchId) -> bool:
-        try:
-            await self._owned.reclaim(batch_id)
-        except BatchUnavailableError as error:
-            log_event("own_batches_not_read", level="WARNING", error=error.code)
-            return False
-        return True
-
     async def run_relocation(self) -> None:
         """Give away batch jobs that this node may no longer hold, until cancelled."""
         if self._holders.has_regions:
-            await self._owned.run_relocation()
+            await self._owned.relocation.run()
 
     async def delete_ended(self, batch_id: BatchId, owner: OwnerRecord) -> None:
         """Delete an ended batch job from the store.
 
         Raises:
-            BatchUnavailableError: No node that may read it answered.
+            BatchNotDelegatedError: No node that may read it deleted it.
         """
         await self._deletion.delete(batch_id, owner)
 
--- a/drumbay/forwarding/routes.py
+++ b/drumbay/forwarding/routes.py
@@ -139,6 +139,11 @@
 class BatchRegions(Protocol):
     """Reports in which regions a batch job may run and be held in the current configuration."""
 
+    @property
+    def current(self) -> RoutingConfiguration | None:
+        """Return the configuration in force, if any."""
+        ...
+
     def batch_regions(
         self, route_name: str, tenant: TenantName | None, recorded: AllowedRegions
     ) -> AllowedRegions:
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -161,6 +161,7 @@
             settings.machine,
             has_admission=settings.is_enabled(LoadFeature.ADMISSION),
         )
+        self._body_holders = BodyHolders(self.routes, topology, self._peer_directory, address)
         self.batches = BatchService(
             clock,
             self._store,
@@ -179,7 +180,7 @@
             environment.peers,
             self._tasks,
             settings.identity,
-            BodyHolders(self.routes, topology, self._peer_directory, address),
+            self._body_holders,
             self.announced_versions.newest_of,
             self._broadcast,
             self._notice_queues.send,
@@ -363,8 +364,8 @@
             self._tasks.spawn(self._drop_missing_workers(), "missing-workers")
 
     async def _reclaim_own_batches(self) -> None:
-        """Resume the batch jobs of the previous process once the workers are known."""
-        while not self.directory.is_loaded:
+        """Resume the batch jobs of the previous process once workers and regions are known."""
+        while not (self.directory.is_loaded and self._body_holders.knows_regions):
             await self._environment.clock.sleep(WORKERS_POLL_SECONDS)
         await self.batches.reclaim_own()
 
