Test which node inside is preferred, and regions that are lifted in time

Cause: two decisions could be taken out without a failing test; deletions of a leader inside as well. Ruled out: none.

--- a/tests/test_batch_regions.py
+++ b/tests/test_batch_regions.py
@@ -27,6 +27,7 @@
     ServiceShare,
 )
 from drumbay.identifiers import Revision
+from drumbay.kv.interface import KeyValueError
 from drumbay.peers.messages import (
     DeleteBatch,
     DoneReply,
@@ -194,6 +195,20 @@
 
         run_with_regions(scenario)
 
+    def test_a_node_inside_that_owns_nothing_is_preferred(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            for number in range(4):
+                names = [f"first-{number}", f"second-{number}"]
+                for name in names:
+                    spec = msgspec.structs.replace(batch_spec(name), model=name)
+                    await world.nodes[1].batches.submit(spec)
+                self.assertEqual(owned(world), [1, 0, 1, 0])
+                for name in names:
+                    await world.nodes[1].batches.end(BatchId(name))
+                await asyncio.sleep(0.1)
+
+        run_with_regions(scenario)
+
     def test_a_lost_node_inside_is_replaced_by_the_next_one_inside(self) -> None:
         async def scenario(world: ServingWorld) -> None:
             for lost in (world.nodes[0], world.nodes[2]):
@@ -493,7 +508,9 @@
             for node in world.nodes[::2]:
                 node.store.reachable = False
             await retention.sweep()
-            await leader.batches.ledger.read_owner(BATCH)
+            record = (await leader.batches.ledger.read_owner(BATCH)).record
+            with self.assertRaises(KeyValueError):
+                await world.nodes[0].batches.delete_ended(BATCH, record)
             self.check_bodies_stayed(world)
             reconnect(world, world.nodes[::2])
             await asyncio.sleep(15.0)
@@ -607,6 +624,19 @@
 
         run_with_regions(scenario, AllowedRegions())
 
+    def test_regions_that_are_lifted_in_time_leave_the_owner(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            world.workers.long_texts = True
+            await world.nodes[1].batches.submit(batch_spec())
+            await asyncio.sleep(0.5)
+            configure(world, configuration(2, RESTRICTED))
+            await asyncio.sleep(1.5)
+            configure(world, configuration(3, AllowedRegions()))
+            await asyncio.sleep(4.0)
+            self.assertEqual(owned(world), [0, 1, 0, 0])
+
+        run_with_regions(scenario, AllowedRegions())
+
     def test_an_owner_outside_goes_on_while_the_nodes_inside_refuse(self) -> None:
         async def scenario(world: ServingWorld) -> None:
             await world.nodes[1].batches.submit(batch_spec(groups=20))
