--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -89,7 +89,14 @@
 
 
 class BatchRunner:
-    """Runs a batch job until it ends, moves to another node or is closed."""
+    """Runs a batch job until it ends, moves to another node or is closed.
+
+    Attributes:
+        spec: The batch job.
+        revision: The owner's revision in the ledger.
+        share: Its share of worker slots.
+        holds_starts: Whether no items start, as the batch job is about to move.
+    """
 
     def __init__(
         self,
@@ -198,6 +205,7 @@
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._limits = StartLimits()
+        self.holds_starts = False
         self._closed = False
         self._lingering = False
 
@@ -337,6 +345,11 @@
         now = self._clock.monotonic()
         return has_no_pending_results and self._scheduler.is_blocked(self._limits.held_back, now)
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no item runs and every result so far is stored."""
+        return not self._runs and not self._result_log.has_pending
+
     def wake(self) -> None:
         """Plan again, as the workers have changed."""
         self._wakeup.set()
@@ -372,7 +385,7 @@
             regions = self._allowed_regions()
             limits = self._limits = msgspec.structs.replace(
                 self._quarantine.limits(self._scheduler.waiting),
-                start_allowances=start_allowances(self._placement, workers.values(), regions),
+                start_allowances=self._start_allowances(workers, regions),
                 workers_in_service=self._workers_in_service(workers.values(), regions),
                 distant_workers=distant_workers(self._placement.topology, workers.values()),
             )
@@ -389,6 +402,13 @@
                     await self._wakeup.wait()
             await self._clock.sleep(PLAN_DEBOUNCE_SECONDS)
 
+    def _start_allowances(
+        self, workers: dict[BackendId, WorkerRecord], regions: AllowedRegions
+    ) -> dict[BackendId, int]:
+        if self.holds_starts:
+            return dict.fromkeys(workers, 0)
+        return start_allowances(self._placement, workers.values(), regions)
+
     def _workers_in_service(
         self, records: Iterable[WorkerRecord], regions: AllowedRegions
     ) -> frozenset[BackendId] | None:
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -8,15 +8,19 @@
 
 import msgspec
 
+from drumbay.batches.body_holders import BodyHolders
+from drumbay.batches.delegation import Delegation
+from drumbay.batches.deletion import BatchDeletion
 from drumbay.batches.exceptions import (
     BatchEndedError,
     BatchMovedError,
+    BatchNotDelegatedError,
     BatchNotFoundError,
     BatchOutcomeUnknownError,
     BatchRefusedError,
     BatchUnavailableError,
 )
-from drumbay.batches.ledger import BatchLedger
+from drumbay.batches.ledger import BatchLedger, BatchStore, StoreWithin
 from drumbay.batches.owned import OwnedBatches
 from drumbay.batches.owners import STORE_RETRY_SECONDS, OwnerTable, ServiceIdentity
 from drumbay.batches.records import (
@@ -39,7 +43,6 @@
 from drumbay.kv.interface import (
     KeyValueError,
     KeyValueOutcomeUnknownError,
-    KeyValueStore,
 )
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
@@ -47,6 +50,7 @@
     BatchRequest,
     BodyReply,
     BusyReply,
+    DeleteBatch,
     DoneReply,
     EndBatch,
     NotFoundReply,
@@ -59,6 +63,7 @@
     PlacesNotice,
     ReadBody,
     ReadResults,
+    TakeOverBatch,
     TakePartialTexts,
 )
 from drumbay.peers.transport import PeerClient
@@ -77,6 +82,7 @@
 END_TIMEOUT_SECONDS = 3.5
 REFUSED_RETRY_SECONDS = 1.0
 RECLAIM_RETRY_SECONDS = 0.5
+MAX_RECLAIM_PAUSE_SECONDS = 8.0
 """Readers also trigger takeovers, so an unavailable store is not retried often."""
 
 OWNER_ATTEMPTS = 4
@@ -92,7 +98,8 @@
     def __init__(
         self,
         clock: Clock,
-        store: KeyValueStore,
+        store: BatchStore,
+        store_within: StoreWithin,
         directory: WorkerDirectory,
         client: WorkerClient,
         silence_check: SilenceCheck,
@@ -101,7 +108,7 @@
         peers: PeerClient,
         task_owner: TaskOwner,
         identity: ServiceIdentity,
-        known_nodes: Callable[[], list[NetworkAddress]],
+        holders: BodyHolders,
         newest_version: Callable[[str], WeightVersion],
         announce: Callable[[OwnerNotice], None],
         send_notice: Callable[[Iterable[NetworkAddress], PlacesNotice], None],
@@ -115,6 +122,7 @@
         Args:
             clock: Time.
             store: The key-value service.
+            store_within: Restricts the store to nodes in some regions.
             directory: The workers.
             client: Calls workers.
             silence_check: Probes workers whose streams are silent.
@@ -123,7 +131,7 @@
             peers: Calls other nodes.
             task_owner: Runs the service's tasks.
             identity: This process.
-            known_nodes: Lists the other nodes.
+            holders: Decides which nodes may hold a batch job.
             newest_version: Returns the newest version announced for a model.
             announce: Notifies the other nodes of a batch job's owner.
             send_notice: Sends a notice to some nodes.
@@ -134,11 +142,12 @@
         """
         self._clock = clock
         self._identity = identity
-        self.ledger = BatchLedger(store)
+        self.ledger = BatchLedger(store, store_within)
         self._task_owner = task_owner
         self._metrics = metrics
-        self._known_nodes = known_nodes
-        self._owners = OwnerTable(clock, self.ledger, peers, identity, announce)
+        self._holders = holders
+        self._owners = OwnerTable(clock, self.ledger, peers, identity, holders, announce)
+        self._deletion = BatchDeletion(self.ledger, Delegation(peers, holders), holders)
         self._owned = OwnedBatches(
             clock,
             self.ledger,
@@ -153,7 +162,7 @@
             newest_version,
             send_notice,
             routes,
-            routes,
+            holders,
             placement,
             shares_slots,
             metrics,
@@ -189,15 +198,43 @@
         return self._owned.unfinished_count()
 
     async def reclaim_own(self) -> None:
-        """Take over what an earlier process at this address owned, retrying store errors."""
+        """Take over what an earlier process at this address owned, retrying errors.
+
+        The pauses grow while no node in the allowed regions of a batch job takes over.
+        """
+        pause_seconds = RECLAIM_RETRY_SECONDS
         while True:
             try:
-                for batch_id in await self.ledger.open_batches_at(self._identity.address):
-                    await self._owned.reclaim(batch_id)
-                return
+                if await self._reclaim_all():
+                    return
+                pause_seconds = min(2 * pause_seconds, MAX_RECLAIM_PAUSE_SECONDS)
             except (KeyValueError, BatchUnavailableError) as error:
                 log_event("own_batches_not_read", level="WARNING", error=error.code)
-                await self._clock.sleep(RECLAIM_RETRY_SECONDS)
+                pause_seconds = RECLAIM_RETRY_SECONDS
+            await self._clock.sleep(pause_seconds)
+
+    async def _reclaim_all(self) -> bool:
+        """Return whether each batch job of this address has an owner."""
+        is_complete = True
+        for batch_id in await self.ledger.open_batches_at(self._identity.address):
+            try:
+                await self._owned.reclaim(batch_id)
+            except BatchNotDelegatedError:
+                is_complete = False
+        return is_complete
+
+    async def run_relocation(self) -> None:
+        """Give away batch jobs that this node may no longer hold, until cancelled."""
+        if self._holders.has_regions:
+            await self._owned.relocation.run()
+
+    async def delete_ended(self, batch_id: BatchId, owner: OwnerRecord) -> None:
+        """Delete an ended batch job from the store.
+
+        Raises:
+            BatchNotDelegatedError: No node that may read it deleted it.
+        """
+        await self._deletion.delete(batch_id, owner)
 
     # Submission
 
@@ -208,14 +245,24 @@
             BatchRefusedError: The batch job was not and will not be accepted.
             BatchOutcomeUnknownError: It may have been accepted.
         """
-        owner = self._owners.choose_owner(spec, self._known_nodes())
+        regions = self._holders.regions_of(spec)
+        if regions.is_empty:
+            log_event("batch_without_region", level="WARNING", batch=spec.batch_id)
+            self._metrics.count_batch("refused")
+            raise BatchRefusedError(
+                "its route and tenant share no region",
+                execution=Execution.NOT_RUN,
+                retry_after_seconds=REFUSED_RETRY_SECONDS,
+            )
+        owner = self._owners.choose_owner(spec, regions)
+        ledger = self.ledger.within(lambda: self._holders.regions_of(spec))
         submitted_at = self._clock.wall()
         spec = msgspec.structs.replace(spec, submitted_at=submitted_at)
         deadline = self._clock.monotonic() + ACCEPT_TIMEOUT_SECONDS
         uncertain = False
         while True:
             try:
-                revision = await self.ledger.accept(spec, owner, submitted_at)
+                revision = await ledger.accept(spec, owner, submitted_at)
                 break
             except KeyValueError as error:
                 uncertain = uncertain or isinstance(error, KeyValueOutcomeUnknownError)
@@ -237,7 +284,14 @@
             log_event("batch_submitted_again", batch=spec.batch_id)
             return
         self._metrics.count_batch("accepted")
-        log_event("batch_accepted", batch=spec.batch_id, items=len(spec.items), step=spec.step)
+        log_event(
+            "batch_accepted",
+            batch=spec.batch_id,
+            items=len(spec.items),
+            step=spec.step,
+            owner=str(owner.address),
+            allowed_regions=",".join(regions.names()),
+        )
         stored = StoredOwner(record=owner, revision=revision)
         await self._owned.assign(spec, stored)
 
@@ -292,7 +346,7 @@
             owner = await self._owners.find(batch_id, deadline)
             self._check_visible(batch_id, owner.record.tenant, tenant)
             if owner.record.state is OwnerState.ENDED:
-                return await self._read_stored(batch_id, position, owner.record.total, deadline)
+                return await self._read_stored(batch_id, position, owner.record, deadline)
             reply = await self._owners.read_results_from(owner, batch_id, position, wait_seconds)
             if isinstance(reply, PageReply):
                 return reply.page
@@ -313,11 +367,12 @@
             raise BatchNotFoundError(batch_id)
 
     async def _read_stored(
-        self, batch_id: BatchId, position: int, total: int, deadline: float
+        self, batch_id: BatchId, position: int, owner: OwnerRecord, deadline: float
     ) -> ResultPage:
+        ledger = self.ledger.within(lambda: self._holders.regions_of(owner))
         while True:
             try:
-                return await self.ledger.read_results(batch_id, position, total, RESULT_PAGE_BYTES)
+                return await ledger.read_results(batch_id, position, owner.total, RESULT_PAGE_BYTES)
             except KeyValueError as error:
                 await self._owners.wait_before_retry(deadline, error)
 
@@ -395,6 +450,10 @@
             return PartialTextsReply(returned=self._owned.release_texts(request))
         if isinstance(request, OwnBatch):
             return self._accept_ownership(request)
+        if isinstance(request, TakeOverBatch):
+            return await self._owned.accept_takeover(request)
+        if isinstance(request, DeleteBatch):
+            return await self._deletion.handle(request)
         await self._owned.wait_for_takeover(request.batch_id)
         runner = self._owned.get(request.batch_id)
         match request:
@@ -413,7 +472,7 @@
                     return NotFoundReply()
 
     def _accept_ownership(self, request: OwnBatch) -> PeerReply:
-        if self._owned.is_draining or not self._owners.is_own_process(request.owner.record):
+        if self._owned.is_draining or not self._owners.may_be_own_process(request.owner.record):
             return NotOwnerReply()
         self._owned.start(request.spec, request.owner)
         return DoneReply()
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Awaitable, Callable, Container, Iterable
 
+from drumbay.batches.body_holders import BodyHolders
 from drumbay.batches.retention import BatchRetention
 from drumbay.batches.reward_scorer import RewardScorer
 from drumbay.batches.service import BatchService
@@ -177,9 +178,11 @@
             settings.machine,
             has_admission=settings.is_enabled(LoadFeature.ADMISSION),
         )
+        self._body_holders = BodyHolders(self.routes, topology, self._peer_directory, address)
         self.batches = BatchService(
             clock,
             self._store,
+            self._store.within,
             self.directory,
             environment.workers,
             SilenceCheck(
@@ -196,7 +199,7 @@
             environment.peers,
             self._tasks,
             settings.identity,
-            self._peer_directory.responsive,
+            self._body_holders,
             self.announced_versions.newest_of,
             self._broadcast,
             self._notice_queues.send,
@@ -240,6 +243,7 @@
             self.batches.ledger,
             settings.keep_results_seconds,
             lambda: self.leader.fence(clock.monotonic()) is not None,
+            self.batches.delete_ended,
         )
         self._is_stopping = False
         self._open_request_count = 0
@@ -255,6 +259,7 @@
         self._tasks.spawn(self._warm_ups.run(), "worker-warm-ups")
         self._tasks.spawn(self._coordinator.run(), "version-coordinator")
         self._tasks.spawn(self.batches.run_slot_exchange(), "place-exchange")
+        self._tasks.spawn(self.batches.run_relocation(), "batch-relocation")
         self._tasks.spawn(self._direct_store.run_periodic_log(), "store-call-log")
         self._start_leader_duties()
         if self._settings.is_restart:
@@ -393,8 +398,8 @@
         )
 
     async def _reclaim_own_batches(self) -> None:
-        """Resume the batch jobs of the previous process once the workers are known."""
-        while not self.directory.is_loaded:
+        """Resume the batch jobs of the previous process once workers and regions are known."""
+        while not (self.directory.is_loaded and self._body_holders.knows_regions):
             await self._environment.clock.sleep(WORKERS_POLL_SECONDS)
         await self.batches.reclaim_own()
 
