Add the ZoneEvacuation resource and drumbay evacuate

Cause: an operator could keep work off a zone only by a Drain with a selector on the zone's label; nothing named the zone as evacuated in the choice, in explanations or in the status. Ruled out: a flag on back ends (a change of each group, in conflict with other changes of them); breaking runs off; a check in each caller (live, applications and rollouts share the directory and the last check before a send). Change: resource, command, rejection reason zone_evacuated. The directory marks the back ends of the zone; the last check before a send asks for it too, since it may wait for the machine list in between. Rollouts learn of it when the configuration is applied, no longer up to 0.5 s later, and engines lost together are lost in one event: between two events samples could start on the second. The last two also hold for a Drain. Orders to load weights go on.

--- a/drumbay/api/schema.py
+++ b/drumbay/api/schema.py
@@ -283,6 +283,7 @@
         configuration_confirmed_age_seconds: Time since the last confirmation.
         members: Nodes as this one sees them.
         owned: Sample streams that the node owns.
+        evacuated_zones: Zones whose back ends get no new work from the node.
     """
 
     node_id: NodeId
@@ -295,3 +296,4 @@
     configuration_confirmed_age_seconds: float | None
     members: tuple[MemberBody, ...]
     owned: tuple[str, ...]
+    evacuated_zones: tuple[str, ...] = ()
--- a/drumbay/backends/guarded.py
+++ b/drumbay/backends/guarded.py
@@ -1,4 +1,4 @@
-"""Clients that check before each request whether the backend may still be sent work."""
+"""Clients that check as the last step before each request whether its backend may get work."""
 
 from collections.abc import AsyncGenerator, Awaitable, Callable
 from contextlib import aclosing
@@ -14,32 +14,31 @@
     GenerationRequest,
     TokenChunk,
 )
+from drumbay.explain.records import RejectionReason
 from drumbay.identifiers import BackendId
 
-LEAVING_REASON = "leaving"
-"""Rejection reason for a backend that is about to be removed."""
+SendCheck = Callable[[BackendId], Awaitable[RejectionReason | None]]
+"""Returns why a backend may not be sent work, ``None`` if it may; may wait for that."""
 
-DispatchCheck = Callable[[BackendId], Awaitable[bool]]
-"""Returns whether a backend may be sent work; may wait for up-to-date information."""
 
-
-async def _raise_unless_dispatchable(may_send: DispatchCheck, backend_id: BackendId) -> None:
-    if not await may_send(backend_id):
-        raise BackendRefusedError(LEAVING_REASON)
+async def _raise_unless_dispatchable(check_send: SendCheck, backend_id: BackendId) -> None:
+    reason = await check_send(backend_id)
+    if reason is not None:
+        raise BackendRefusedError(reason)
 
 
 class GuardedApplicationClient:
-    """An application client that sends no requests to servers that are about to be removed.
+    """An application client that sends no requests to servers that may not get work.
 
     Args:
         client: Wrapped client.
-        may_send: Checked before each request.
+        check_send: Called before each request.
     """
 
-    def __init__(self, client: ApplicationClient, may_send: DispatchCheck) -> None:
+    def __init__(self, client: ApplicationClient, check_send: SendCheck) -> None:
         """Wrap ``client``."""
         self._client = client
-        self._may_send = may_send
+        self._check_send = check_send
 
     async def exchange(
         self, server: BackendAddress, request: ApplicationRequest, *, timeout_seconds: float
@@ -49,24 +48,24 @@
         Raises:
             BackendRefusedError: The server may not be sent work; the request did not run.
         """
-        await _raise_unless_dispatchable(self._may_send, server.backend_id)
+        await _raise_unless_dispatchable(self._check_send, server.backend_id)
         return await self._client.exchange(server, request, timeout_seconds=timeout_seconds)
 
 
 class GuardedEngineClient(DelegatingEngineClient):
-    """An engine client that starts no generations on engines that are about to be removed.
+    """An engine client that starts no generations on engines that may not get work.
 
-    Orders and status requests are sent also to an engine that is about to be removed.
+    Orders and status requests are sent to these engines as well.
 
     Args:
         client: Wrapped client.
-        may_send: Checked before each generation.
+        check_send: Called before each generation.
     """
 
-    def __init__(self, client: EngineClient, may_send: DispatchCheck) -> None:
+    def __init__(self, client: EngineClient, check_send: SendCheck) -> None:
         """Wrap ``client``."""
         super().__init__(client)
-        self._may_send = may_send
+        self._check_send = check_send
 
     async def generate(
         self, engine: BackendAddress, request: GenerationRequest, *, timeout_seconds: float
@@ -76,7 +75,7 @@
         Raises:
             BackendRefusedError: The engine may not be sent work; the attempt did not run.
         """
-        await _raise_unless_dispatchable(self._may_send, engine.backend_id)
+        await _raise_unless_dispatchable(self._check_send, engine.backend_id)
         chunks = super().generate(engine, request, timeout_seconds=timeout_seconds)
         async with aclosing(chunks):
             async for chunk in chunks:
--- a/drumbay/cli/main.py
+++ b/drumbay/cli/main.py
@@ -32,6 +32,7 @@
     "get": CommandSource("drumbay.cli.operators", "get"),
     "describe": CommandSource("drumbay.cli.operators", "describe"),
     "delete": CommandSource("drumbay.cli.operators", "delete"),
+    "evacuate": CommandSource("drumbay.cli.evacuate", "evacuate"),
     "operation": CommandSource("drumbay.cli.operators", "operation"),
     "status": CommandSource("drumbay.cli.operators", "status"),
     "explain": CommandSource("drumbay.cli.explain", "explain"),
--- a/drumbay/cli/operators.py
+++ b/drumbay/cli/operators.py
@@ -1,6 +1,7 @@
 """Operator commands: apply, get, describe, delete, operation and status."""
 
 import secrets
+from collections.abc import Iterable
 from pathlib import Path
 from typing import Annotated
 
@@ -13,6 +14,7 @@
 from drumbay.identifiers import Revision
 from drumbay.resources.checks import check_resource
 from drumbay.resources.files import load_resources
+from drumbay.resources.schema import AnyResource, ZoneEvacuation
 
 DEFAULT_SERVER = "http://127.0.0.1:8080"
 OPERATION_ID_BYTES = 12
@@ -57,21 +59,31 @@
         resources = load_resources(file)
         for resource in resources:
             check_resource(resource)
-        changes: list[Change] = []
-        try:
-            for resource in resources:
-                body = ApplyBody(
-                    resource=resource,
-                    operation_id=secrets.token_hex(OPERATION_ID_BYTES),
-                    expected_revision=revision,
-                )
-                kind = type(resource).__name__
-                outcome = client.apply(body)
-                changes.append(Change(kind=kind, name=resource.name, outcome=outcome))
-        finally:
-            # Also after an error: the changes before it have been applied.
-            _print_changes(changes, output)
-        _exit_if_unknown(changes)
+        apply_resources(client, resources, revision, output)
+
+
+def apply_resources(
+    client: NodeClient,
+    resources: Iterable[AnyResource],
+    expected_revision: Revision | None,
+    output: OutputFormat,
+) -> None:
+    """Create or change resources, print the outcomes and exit if one is unknown."""
+    changes: list[Change] = []
+    try:
+        for resource in resources:
+            body = ApplyBody(
+                resource=resource,
+                operation_id=secrets.token_hex(OPERATION_ID_BYTES),
+                expected_revision=expected_revision,
+            )
+            kind = type(resource).__name__
+            outcome = client.apply(body)
+            changes.append(Change(kind=kind, name=resource.name, outcome=outcome))
+    finally:
+        # Also after an error: the changes before it have been applied.
+        _print_changes(changes, output)
+    _exit_if_unknown(changes)
 
 
 def get(
@@ -129,11 +141,22 @@
     """
     with exit_on_error():
         revision = None if expected_revision is None else Revision(expected_revision)
-        operation_id = secrets.token_hex(OPERATION_ID_BYTES)
-        outcome = NodeClient(server, token, ca_file).delete(kind, name, operation_id, revision)
-        changes = [Change(kind=kind, name=name, outcome=outcome)]
-        _print_changes(changes, output)
-        _exit_if_unknown(changes)
+        delete_resource(NodeClient(server, token, ca_file), kind, name, revision, output)
+
+
+def delete_resource(
+    client: NodeClient,
+    kind: str,
+    name: str,
+    expected_revision: Revision | None,
+    output: OutputFormat,
+) -> None:
+    """Remove a resource, print the outcome and exit if it is unknown."""
+    operation_id = secrets.token_hex(OPERATION_ID_BYTES)
+    outcome = client.delete(kind, name, operation_id, expected_revision)
+    changes = [Change(kind=kind, name=name, outcome=outcome)]
+    _print_changes(changes, output)
+    _exit_if_unknown(changes)
 
 
 def operation(
@@ -177,6 +200,8 @@
             f"draining {state.draining} revision {state.configuration_revision} "
             f"{state.configuration_state}"
         )
+        if state.evacuated_zones:
+            typer.echo(f"evacuated zones {' '.join(state.evacuated_zones)}")
         rows = [
             (member.node_id, member.zone, member.region, member.state, str(member.incarnation))
             for member in state.members
@@ -199,6 +224,8 @@
     backends = getattr(resource, "backends", None)
     if backends is not None:
         return f"{len(backends)} back ends"
+    if isinstance(resource, ZoneEvacuation):
+        return f"zone {resource.zone}"
     route_kind = getattr(resource, "route_kind", None)
     return str(route_kind) if route_kind else ""
 
--- a/drumbay/cli/schema.py
+++ b/drumbay/cli/schema.py
@@ -31,13 +31,22 @@
     Route,
     WeightPolicy,
     WeightRollback,
+    ZoneEvacuation,
 )
 from drumbay.settings import NodeSettings
 
 SCHEMA_DIALECT = "https://json-schema.org/draft/2020-12/schema"
 REFERENCE_TEMPLATE = "#/$defs/{name}"
 
-RESOURCE_TYPES = (BackendGroup, Route, WeightPolicy, WeightRollback, Drain, AccessToken)
+RESOURCE_TYPES = (
+    BackendGroup,
+    Route,
+    WeightPolicy,
+    WeightRollback,
+    Drain,
+    ZoneEvacuation,
+    AccessToken,
+)
 HTTP_TYPES = (
     ErrorBody,
     CompletionBody,
--- a/drumbay/configuration/view.py
+++ b/drumbay/configuration/view.py
@@ -20,6 +20,7 @@
     Route,
     WeightPolicy,
     WeightRollback,
+    ZoneEvacuation,
 )
 
 
@@ -38,9 +39,14 @@
     policies: dict[str, WeightPolicy] = {}
     rollbacks: dict[str, WeightRollback] = {}
     drains: dict[str, Drain] = {}
+    evacuations: dict[str, ZoneEvacuation] = {}
     tokens: dict[str, AccessToken] = {}
     resource_revisions: dict[str, Revision] = {}
 
+    def evacuated_zones(self) -> frozenset[str]:
+        """Return the zones whose back ends get no new work."""
+        return frozenset(evacuation.zone for evacuation in self.evacuations.values())
+
 
 class ViewBuilder:
     """Builds views and caches the decoded entries."""
@@ -104,5 +110,7 @@
             view.rollbacks[resource.name] = resource
         case Drain():
             view.drains[resource.name] = resource
+        case ZoneEvacuation():
+            view.evacuations[resource.name] = resource
         case AccessToken():
             view.tokens[resource.name] = resource
--- a/drumbay/explain/records.py
+++ b/drumbay/explain/records.py
@@ -20,6 +20,7 @@
 
     SELECTOR = "selector"
     DRAINED = "drained"
+    ZONE_EVACUATED = "zone_evacuated"
     LEAVING = "leaving"
     UNREACHABLE = "unreachable"
     CIRCUIT_OPEN = "circuit_open"
--- a/drumbay/node/backends.py
+++ b/drumbay/node/backends.py
@@ -11,6 +11,7 @@
 from drumbay.node.backend_monitor import BackendMonitor
 from drumbay.node.backend_subset import BackendSubset
 from drumbay.observability.logs import log_event
+from drumbay.placement.evacuations import EvacuatedZones
 from drumbay.routing.directory import AvailabilityChange, BackendDirectory
 from drumbay.tasks import TaskOwner
 
@@ -47,6 +48,7 @@
         self._subset = subset
         self._recorder = recorder
         self._task_owner = task_owner
+        self._evacuated_zones = EvacuatedZones()
         self._monitor = BackendMonitor(
             clock, engine_client, directory, self._record_changes, task_owner, random
         )
@@ -56,7 +58,8 @@
         self._task_owner.spawn(self._refresh_subset(), "backend-subset")
 
     def apply_configuration(self, view: ConfigurationView) -> None:
-        """Apply the current groups and drains."""
+        """Apply the current groups, drains and zone evacuations."""
+        self._evacuated_zones.replace_all(view.evacuated_zones())
         changes = self._directory.apply_configuration(view, self._clock.monotonic())
         self._record_changes(changes)
         self._subset.set_groups(view)
--- a/drumbay/node/node.py
+++ b/drumbay/node/node.py
@@ -208,7 +208,8 @@
     def status(self) -> StatusBody:
         """Return this node's state."""
         coordination = self._coordination
-        readiness = coordination.configuration.readiness()
+        configuration = coordination.configuration
+        readiness = configuration.readiness()
         return StatusBody(
             node_id=self._node_id,
             boot_id=self._environment.boot_id,
@@ -220,6 +221,7 @@
             configuration_confirmed_age_seconds=readiness.confirmed_age_seconds,
             members=coordination.cluster.member_bodies(),
             owned=tuple(self._delivery.owned_streams),
+            evacuated_zones=tuple(sorted(configuration.current_view().evacuated_zones())),
         )
 
     def metrics_registry(self) -> CollectorRegistry:
--- a/drumbay/node/operations.py
+++ b/drumbay/node/operations.py
@@ -125,6 +125,7 @@
     resources.extend(view.routes.values())
     resources.extend(view.policies.values())
     resources.extend(view.drains.values())
+    resources.extend(view.evacuations.values())
     resources.extend(view.rollbacks.values())
     resources.extend(view.tokens.values())
     resources.sort(key=lambda resource: (type(resource).__name__, resource.name))
--- a/drumbay/node/rollouts.py
+++ b/drumbay/node/rollouts.py
@@ -17,8 +17,8 @@
 from drumbay.rollout.events import (
     Cancel,
     Dispatch,
-    EngineLost,
     EngineReported,
+    EnginesLost,
     RolloutDecision,
     StalenessForecastChanged,
     WantedSample,
@@ -100,8 +100,10 @@
         self._allotments = EngineAllotments()
 
     def set_policies(self, policies: tuple[WeightPolicy, ...]) -> None:
-        """Apply the current weight policies."""
+        """Apply the current weight policies, and the availability of their engines."""
         self._policies = {policy.stream: policy for policy in policies}
+        for stream, owned in list(self._owned.items()):
+            self._update_engines(stream, owned)
 
     def start_stream(self, stream: StreamName, fence: Fence) -> None:
         """Start generating the missing samples of a stream."""
@@ -249,9 +251,10 @@
             if view.unavailability is None
         ]
         usable_engines = tuple(view.backend_id for view in usable_views)
-        for backend_id in owned.engines:
-            if backend_id not in usable_engines:
-                owned.runner.handle(EngineLost(backend_id=backend_id))
+        lost_engines = tuple(engine for engine in owned.engines if engine not in usable_engines)
+        if lost_engines:
+            # In one event: between two, samples could start on the engine of the second.
+            owned.runner.handle(EnginesLost(backend_ids=lost_engines))
         owned.engines = usable_engines
         for view in usable_views:
             owned.runner.handle(self._engine_report(stream, policy, view))
--- a/drumbay/node/services.py
+++ b/drumbay/node/services.py
@@ -9,6 +9,7 @@
 from drumbay.configuration.view import ConfigurationView
 from drumbay.delivery.service import DeliveryService
 from drumbay.explain.recorder import DecisionRecorder
+from drumbay.explain.records import RejectionReason
 from drumbay.explain.service import ExplainService
 from drumbay.explain.store import DecisionStore
 from drumbay.identifiers import (
@@ -82,7 +83,7 @@
             environment.random,
         )
         self._machine_watcher = self._make_machine_watcher()
-        guarded = GuardedEngineClient(environment.engine_client, self._may_send)
+        guarded = GuardedEngineClient(environment.engine_client, self._check_send)
         self._engine_client = ObservedEngineClient(guarded, self._observe_token_version)
         self._requests = self._make_request_services()
         self._recorded_requests = RecordingRequestService(
@@ -180,7 +181,7 @@
             zone=self._settings.zone,
             engine_client=self._engine_client,
             application_client=GuardedApplicationClient(
-                environment.application_client, self._may_send
+                environment.application_client, self._check_send
             ),
             directory=self._directory,
             recorder=self._recorder,
@@ -204,11 +205,11 @@
             task_owner=self._tasks,
         )
 
-    async def _may_send(self, backend_id: BackendId) -> bool:
-        """Return whether a backend may receive work; refreshes a stale machine list first."""
+    async def _check_send(self, backend_id: BackendId) -> RejectionReason | None:
+        """Return why a backend may not get work; refreshes a stale machine list first."""
         if self._machine_watcher is not None:
             await self._machine_watcher.ensure_fresh()
-        return not self._directory.is_leaving(backend_id)
+        return self._directory.send_refusal(backend_id)
 
     def _observe_token_version(self, model: str, engine: BackendAddress, chunk: TokenChunk) -> None:
         self._weights.observe_token_version(model, engine, chunk)
--- a/drumbay/resources/schema.py
+++ b/drumbay/resources/schema.py
@@ -195,6 +195,13 @@
     reason: str = ""
 
 
+class ZoneEvacuation(Resource, frozen=True, kw_only=True, tag_field="kind"):
+    """An operator's evacuation: the back ends of a zone get no new work, but load weights."""
+
+    zone: Name
+    reason: str = ""
+
+
 class Role(StrEnum):
     """Role of the bearer of an access token."""
 
@@ -210,4 +217,6 @@
     sha256: Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
 
 
-AnyResource = BackendGroup | Route | WeightPolicy | WeightRollback | Drain | AccessToken
+AnyResource = (
+    BackendGroup | Route | WeightPolicy | WeightRollback | Drain | ZoneEvacuation | AccessToken
+)
--- a/drumbay/rollout/events.py
+++ b/drumbay/rollout/events.py
@@ -43,10 +43,10 @@
     contended: bool = False
 
 
-class EngineLost(msgspec.Struct, frozen=True, kw_only=True):
-    """An engine left or is unreachable; its attempts fail separately."""
+class EnginesLost(msgspec.Struct, frozen=True, kw_only=True):
+    """Engines get no new attempts, e.g. as they left; attempts on them end separately."""
 
-    backend_id: BackendId
+    backend_ids: tuple[BackendId, ...]
 
 
 class StalenessForecastChanged(msgspec.Struct, frozen=True, kw_only=True):
@@ -103,7 +103,7 @@
 RolloutEvent = (
     WantedSamplesChanged
     | EngineReported
-    | EngineLost
+    | EnginesLost
     | StalenessForecastChanged
     | ChunkReceived
     | SampleFinished
--- a/drumbay/rollout/scheduler.py
+++ b/drumbay/rollout/scheduler.py
@@ -9,8 +9,8 @@
     CancelReason,
     ChunkReceived,
     Dispatch,
-    EngineLost,
     EngineReported,
+    EnginesLost,
     RolloutDecision,
     RolloutEvent,
     SampleFinished,
@@ -50,8 +50,9 @@
             case EngineReported():
                 self._update_engine(event, now)
                 decisions.extend(self._preempt(event))
-            case EngineLost(backend_id=backend_id):
-                self._state.engines.pop(backend_id, None)
+            case EnginesLost(backend_ids=backend_ids):
+                for backend_id in backend_ids:
+                    self._state.engines.pop(backend_id, None)
             case StalenessForecastChanged(forecast=forecast):
                 self._state.update_forecast(forecast, now)
             case ChunkReceived():
--- a/drumbay/routing/backend_choice.py
+++ b/drumbay/routing/backend_choice.py
@@ -42,8 +42,8 @@
         mean_service_seconds: Mean duration of this node's attempts on it; ``None`` if unknown.
         weight_version: Version that serves new requests; ``None`` if unknown.
         highest_fence: Highest fencing token that the backend is known to have seen.
-        unavailability: Why it must not be used (drained, leaving, unreachable, circuit open);
-            ``None`` if it is available.
+        unavailability: Why it must not be used (drained, zone evacuated, leaving, unreachable,
+            circuit open); ``None`` if it is available.
     """
 
     backend_id: BackendId
--- a/drumbay/routing/directory.py
+++ b/drumbay/routing/directory.py
@@ -58,6 +58,7 @@
     boot_id: BootId | None = None
     consecutive_report_failures: int = 0
     active_drain: str | None = None
+    is_evacuated: bool = False
     is_leaving: bool = False
 
     @property
@@ -92,7 +93,7 @@
     def apply_configuration(
         self, view: ConfigurationView, now: float
     ) -> tuple[AvailabilityChange, ...]:
-        """Apply the backend groups and drains of a configuration."""
+        """Apply the backend groups, drains and zone evacuations of a configuration."""
         self._revision += 1
         configured = {
             BackendId(backend.id): (group, backend)
@@ -117,10 +118,11 @@
                 replacement.boot_id = entry.boot_id
                 replacement.consecutive_report_failures = entry.consecutive_report_failures
                 replacement.active_drain = entry.active_drain
+                replacement.is_evacuated = entry.is_evacuated
             self._entries[backend_id] = replacement
             self._load.set_backend(backend_id, labels, backend.zone)
         self._update_watched_entries()
-        return self._apply_drains(view)
+        return self._apply_drains(view) + self._apply_evacuations(view.evacuated_zones())
 
     def _remove(self, backend_id: BackendId) -> None:
         del self._entries[backend_id]
@@ -146,6 +148,23 @@
             entry.active_drain = active_drain
         return tuple(changes)
 
+    def _apply_evacuations(self, zones: frozenset[str]) -> tuple[AvailabilityChange, ...]:
+        changes: list[AvailabilityChange] = []
+        for backend_id, entry in self._entries.items():
+            is_evacuated = entry.zone in zones
+            if is_evacuated != entry.is_evacuated:
+                entry.is_evacuated = is_evacuated
+                changes.append(
+                    AvailabilityChange(
+                        backend_id=backend_id,
+                        reason=RejectionReason.ZONE_EVACUATED,
+                        available=not is_evacuated,
+                        detail=f"evacuation of zone {entry.zone} "
+                        f"{'in force' if is_evacuated else 'ended'}",
+                    )
+                )
+        return tuple(changes)
+
     def set_leaving(self, leaving: Iterable[BackendId]) -> tuple[AvailabilityChange, ...]:
         """Set the backends that the machine list marks as leaving."""
         self._leaving = frozenset(leaving)
@@ -164,9 +183,18 @@
                 )
         return tuple(changes)
 
-    def is_leaving(self, backend_id: BackendId) -> bool:
-        """Return whether the machine list marks a backend as leaving."""
-        return backend_id in self._leaving
+    def send_refusal(self, backend_id: BackendId) -> RejectionReason | None:
+        """Return why a chosen backend must not be sent its request after all.
+
+        A request already chosen for a drained backend is still sent: only what must reach no
+        backend any more, since it is leaving or its zone is lost, is held back at this point.
+        """
+        if backend_id in self._leaving:
+            return RejectionReason.LEAVING
+        entry = self._entries.get(backend_id)
+        if entry is not None and entry.is_evacuated:
+            return RejectionReason.ZONE_EVACUATED
+        return None
 
     def record_report(self, status: EngineStatus, now: float) -> tuple[AvailabilityChange, ...]:
         """Apply a status report of a backend."""
@@ -282,6 +310,7 @@
                 is_reachable=entry.is_reachable,
                 circuit_admits=entry.breaker.admits(now),
                 is_draining=entry.active_drain is not None,
+                is_evacuated=entry.is_evacuated,
                 is_leaving=entry.is_leaving,
             )
             self._load.set_availability(backend_id, availability)
--- a/drumbay/routing/load_tracker.py
+++ b/drumbay/routing/load_tracker.py
@@ -32,18 +32,22 @@
         is_reachable: Whether the backend answers status requests.
         circuit_admits: Whether its circuit breaker admits a request.
         is_draining: Whether a drain applies to it.
+        is_evacuated: Whether its zone is being evacuated.
         is_leaving: Whether it is about to leave the cluster.
     """
 
     is_reachable: bool = True
     circuit_admits: bool = True
     is_draining: bool = False
+    is_evacuated: bool = False
     is_leaving: bool = False
 
     def unavailability(self) -> RejectionReason | None:
         """Return why the backend must not be used; ``None`` if it is available."""
         if self.is_draining:
             return RejectionReason.DRAINED
+        if self.is_evacuated:
+            return RejectionReason.ZONE_EVACUATED
         if self.is_leaving:
             return RejectionReason.LEAVING
         if not self.is_reachable:
--- a/tests/requests_world.py
+++ b/tests/requests_world.py
@@ -133,10 +133,11 @@
             url_of(server.backend_id): server for server in self.servers
         }
         self.recorder = DecisionRecorder(self.clock, node_id, lambda: Revision(1), self.decisions)
+        self.engine_client = client_type(self.clock, engines_by_url, self.network)
         self.services = RequestServices(
             clock=self.clock,
             zone="a",
-            engine_client=client_type(self.clock, engines_by_url, self.network),
+            engine_client=self.engine_client,
             application_client=MemoryApplicationClient(self.clock, servers_by_url, self.network),
             directory=self.directory,
             recorder=self.recorder,
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -25,6 +25,10 @@
 from tests.api_node import CHUNK_COUNT, CREATED_UNIX_SECONDS, FakeNode, token_for
 
 COMPLETION = {"model": "advies", "prompt": "which primer"}
+EVACUATION = {
+    "resource": {"kind": "ZoneEvacuation", "name": "z", "zone": "z"},
+    "operation_id": "o",
+}
 DRAIN = {"resource": {"kind": "Drain", "name": "d", "selector": {}}, "operation_id": "o"}
 
 
@@ -172,6 +176,8 @@
             ("POST", "/v1/models/m/versions", {"version": 1}, trainers),
             ("GET", "/v1/resources", None, operators),
             ("PUT", "/v1/resources/Drain/d", DRAIN, operators),
+            ("PUT", "/v1/resources/ZoneEvacuation/z", EVACUATION, operators),
+            ("DELETE", "/v1/resources/ZoneEvacuation/z?operation_id=o", None, operators),
             ("GET", "/v1/operations/o", None, operators),
             ("GET", "/v1/status", None, operators),
             ("GET", "/v1/explain/request/r", None, set(Role)),
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -16,6 +16,7 @@
 
 from drumbay.api.application import make_application
 from drumbay.api.schema import (
+    ApplyBody,
     ApplyOutcomeBody,
     ExplanationBody,
     ResourceListBody,
@@ -27,7 +28,7 @@
 from drumbay.cli.schema import SCHEMA_DIALECT, SchemaSubject
 from drumbay.exceptions import Execution
 from drumbay.requests.errors import ConflictingWriteError
-from drumbay.resources.schema import AccessToken
+from drumbay.resources.schema import AccessToken, ZoneEvacuation
 from tests.api_node import FakeNode
 from tests.documents import sections
 
@@ -136,6 +137,8 @@
         cases: list[tuple[tuple[str, ...], type[msgspec.Struct], ExitCode]] = [
             (("apply", "-f", str(self.file)), ChangeList, ExitCode.SUCCESS),
             (("delete", "Drain", "one"), ChangeList, ExitCode.UNKNOWN_OUTCOME),
+            (("evacuate", "hall"), ChangeList, ExitCode.SUCCESS),
+            (("evacuate", "hall", "--end"), ChangeList, ExitCode.UNKNOWN_OUTCOME),
             (("operation", "o"), ApplyOutcomeBody, ExitCode.SUCCESS),
             (("get",), ResourceListBody, ExitCode.SUCCESS),
             (("status",), StatusBody, ExitCode.SUCCESS),
@@ -153,11 +156,30 @@
                 if record is not ChangeList:
                     self.assertEqual(from_json, from_yaml)
 
+    async def test_evacuation_is_a_change_of_the_resource_named_by_the_zone(self) -> None:
+        options = ("--expected-revision", "3")
+        await self.run_command("evacuate", "hall", "--reason", "power works", *options)
+        await self.run_command("evacuate", "hall", "--end", *options)
+        body, deletion = self.node.calls
+        assert isinstance(body, ApplyBody)
+        expected = ZoneEvacuation(name="hall", zone="hall", reason="power works")
+        self.assertEqual((body.resource, body.expected_revision), (expected, 3))
+        self.assertEqual(deletion, ("ZoneEvacuation", "hall", 3))
+
+    async def test_invalid_evacuation_is_not_sent(self) -> None:
+        for arguments in (("HALL",), ("hall", "--end", "--reason", "done"), ()):
+            with self.subTest(arguments=arguments):
+                code, _ = await self.run_command("evacuate", *arguments)
+                self.assertEqual(code, ExitCode.INVALID_INPUT)
+        self.assertEqual(self.node.calls, [])
+
     async def test_rejected_change(self) -> None:
         self.node.failure = ConflictingWriteError("seen 3, found 4", execution=Execution.NOT_RUN)
         code, _ = await self.run_command("apply", "-f", str(self.file))
         self.assertEqual(code, ExitCode.REFUSED)
         self.assertEqual(len(self.node.calls), 1)
+        code, _ = await self.run_command("evacuate", "hall")
+        self.assertEqual(code, ExitCode.REFUSED)
 
     async def test_change_without_a_response_has_unknown_outcome(self) -> None:
         socket, port = bind_unused_port()
--- a/tests/test_configuration_document.py
+++ b/tests/test_configuration_document.py
@@ -19,6 +19,7 @@
     SelectorExpression,
     WeightPolicy,
     WeightRollback,
+    ZoneEvacuation,
 )
 from drumbay.settings import (
     BackendSettings,
@@ -34,7 +35,15 @@
 from tests.documents import examples, sections
 
 DOCUMENT = "CONFIGURATION.md"
-RESOURCES = (BackendGroup, Route, WeightPolicy, WeightRollback, Drain, AccessToken)
+RESOURCES = (
+    BackendGroup,
+    Route,
+    WeightPolicy,
+    WeightRollback,
+    Drain,
+    ZoneEvacuation,
+    AccessToken,
+)
 RECORDS: tuple[type[msgspec.Struct], ...] = (
     *RESOURCES,
     Backend,
