Weight rollouts count engines of an evacuated zone as no capacity

Cause: orders to load go on in an evacuated zone, and its engines counted for min_serving_share: with half of the engines evacuated and a share of 0.5, all others could load at once. Change: engines out of service are ordered at any time within max_concurrent_loads, and neither the share, the spare engines nor the surplus of a version counts them. Conclusion: without the mechanism the new test of tests.test_weight_planner fails.

--- a/drumbay/node/weights.py
+++ b/drumbay/node/weights.py
@@ -97,6 +97,7 @@
             needs=_no_version_needs,
             record=record,
             task_owner=task_owner,
+            in_service=lambda engine: not directory.is_evacuated(engine),
         )
 
     def start(self) -> None:
--- a/drumbay/routing/directory.py
+++ b/drumbay/routing/directory.py
@@ -186,15 +186,16 @@
     def send_refusal(self, backend_id: BackendId) -> RejectionReason | None:
         """Return why a chosen backend must not be sent its request after all.
 
-        A request already chosen for a drained backend is still sent: only what must reach no
-        backend any more, since it is leaving or its zone is lost, is held back at this point.
+        A drain does not hold back a request whose backend was chosen before it.
         """
         if backend_id in self._leaving:
             return RejectionReason.LEAVING
+        return RejectionReason.ZONE_EVACUATED if self.is_evacuated(backend_id) else None
+
+    def is_evacuated(self, backend_id: BackendId) -> bool:
+        """Return whether the zone of a backend is being evacuated."""
         entry = self._entries.get(backend_id)
-        if entry is not None and entry.is_evacuated:
-            return RejectionReason.ZONE_EVACUATED
-        return None
+        return entry is not None and entry.is_evacuated
 
     def record_report(self, status: EngineStatus, now: float) -> tuple[AvailabilityChange, ...]:
         """Apply a status report of a backend."""
--- a/drumbay/weights/engines.py
+++ b/drumbay/weights/engines.py
@@ -29,6 +29,7 @@
 
     Attributes:
         engine: The engine.
+        in_service: Whether it gets requests.
         version: Version that it serves, by its report or by the version of its tokens.
         load: Number of running and queued requests.
         highest_fence: Highest fencing token that the engine has seen.
@@ -43,6 +44,7 @@
     def __init__(self, engine: BackendId) -> None:
         """Create the record of an engine that has not reported."""
         self.engine = engine
+        self.in_service = True
         self.version: WeightVersion | None = None
         self.load = 0
         self.highest_fence = Fence(0)
@@ -59,6 +61,10 @@
 
     def is_serving(self, now: float) -> bool:
         """Return whether the engine counts towards the capacity for live requests."""
+        return self.in_service and self.may_be_ordered(now)
+
+    def may_be_ordered(self, now: float) -> bool:
+        """Return whether the engine reports and is not known to be busy with an order."""
         if self._reported_at is None or now - self._reported_at > MAX_REPORT_AGE_SECONDS:
             return False
         return self.pending_order is None and now >= self.maybe_busy_until
--- a/drumbay/weights/events.py
+++ b/drumbay/weights/events.py
@@ -50,9 +50,15 @@
 
 
 class EnginesChanged(msgspec.Struct, frozen=True, kw_only=True):
-    """The set of engines selected by the policy changed."""
+    """The set of engines selected by the policy changed.
+
+    Attributes:
+        engines: The engines.
+        out_of_service: Those among them that get no requests, and are no capacity.
+    """
 
     engines: tuple[BackendId, ...]
+    out_of_service: frozenset[BackendId] = frozenset()
 
 
 class NeedsChanged(msgspec.Struct, frozen=True, kw_only=True):
--- a/drumbay/weights/order_priority.py
+++ b/drumbay/weights/order_priority.py
@@ -40,7 +40,7 @@
     candidates = [
         record
         for record in engines
-        if record.is_serving(now)
+        if record.may_be_ordered(now)
         and record.version is not None
         and record.version != target
         and now >= record.retry_at
--- a/drumbay/weights/planner.py
+++ b/drumbay/weights/planner.py
@@ -118,8 +118,8 @@
                 self._withdrawals = withdrawals
             case NeedsChanged(needs=needs):
                 self._needs = needs
-            case EnginesChanged(engines=engines):
-                self._set_engines(engines)
+            case EnginesChanged():
+                self._set_engines(event)
             case OwnershipChanged(lease_fence=fence):
                 self._set_ownership(fence, now)
             case Tick():
@@ -175,10 +175,12 @@
         if event.outcome_unknown:
             record.maybe_busy_until = record.retry_at
 
-    def _set_engines(self, engines: tuple[BackendId, ...]) -> None:
+    def _set_engines(self, event: EnginesChanged) -> None:
         self._engines = {
-            engine: self._engines.get(engine) or EngineRecord(engine) for engine in engines
+            engine: self._engines.get(engine) or EngineRecord(engine) for engine in event.engines
         }
+        for engine, record in self._engines.items():
+            record.in_service = engine not in event.out_of_service
 
     def _set_ownership(self, fence: Fence | None, now: float) -> None:
         if fence == self._lease_fence:
@@ -279,22 +281,28 @@
         for record in self._engines.values():
             if record.pending_order is not None and record.pending_order.version != self._target:
                 yield self._issue_order(record, OrderReason.SUPERSEDES, now)
-        free_slots = self._free_slots(now)
-        if free_slots <= 0:
-            return
+        free_loads = self._policy.max_concurrent_loads - len(self.busy_engines())
+        spare_engines = self._spare_engines(now)
         surplus = self._surplus_by_version(now)
+        available = [
+            record
+            for record in self._engines.values()
+            if spare_engines > 0 or not record.in_service
+        ]
         pending_engines = prioritize_engines(
-            self._engines.values(), self._target, self._withdrawals, self._lease_fence, now
+            available, self._target, self._withdrawals, self._lease_fence, now
         )
         for record in pending_engines:
-            if free_slots <= 0:
+            if free_loads <= 0:
                 return
             assert record.version is not None
-            if surplus.get(record.version, 1) <= 0:
-                continue
-            if record.version in surplus:
-                surplus[record.version] -= 1
-            free_slots -= 1
+            if record.in_service:
+                if spare_engines <= 0 or surplus.get(record.version, 1) <= 0:
+                    continue
+                if record.version in surplus:
+                    surplus[record.version] -= 1
+                spare_engines -= 1
+            free_loads -= 1
             yield self._issue_order(
                 record, order_reason(record, self._target, done=self._done), now
             )
@@ -305,15 +313,14 @@
             return True
         return all(record.has_reported() for record in self._engines.values())
 
-    def _free_slots(self, now: float) -> int:
+    def _spare_engines(self, now: float) -> int:
         """Return how many more engines may be taken out of service."""
-        busy_count = len(self.busy_engines())
         serving = sum(1 for record in self._engines.values() if record.is_serving(now))
-        spare_engines = serving - self._min_serving_engines()
-        return min(spare_engines, self._policy.max_concurrent_loads - busy_count)
+        return serving - self._min_serving_engines()
 
     def _min_serving_engines(self) -> int:
-        return min_serving_engines(len(self._engines), self._policy.min_serving_share)
+        in_service = sum(1 for record in self._engines.values() if record.in_service)
+        return min_serving_engines(in_service, self._policy.min_serving_share)
 
     def _surplus_by_version(self, now: float) -> dict[WeightVersion, int]:
         assert self._target is not None
@@ -352,7 +359,7 @@
             return
         active_records = [record for record in self._engines.values() if not record.set_aside]
         if any(
-            record.version != self._target or not record.is_serving(now)
+            record.version != self._target or not record.may_be_ordered(now)
             for record in active_records
         ):
             return
--- a/drumbay/weights/service.py
+++ b/drumbay/weights/service.py
@@ -103,6 +103,7 @@
         record: Callable[[DecisionRecord], None],
         task_owner: TaskOwner,
         max_concurrent_loads: int = DEFAULT_MAX_CONCURRENT_LOADS,
+        in_service: Callable[[BackendId], bool] = lambda engine: True,
     ) -> None:
         """Create the service.
 
@@ -121,6 +122,8 @@
             task_owner: Owner of the background tasks.
             max_concurrent_loads: Maximum number of engines that read from the weight store at
                 once.
+            in_service: Returns whether an engine gets requests; one that does not is no
+                capacity, and may load at any time.
         """
         self._clock = clock
         self._engine_client = engine_client
@@ -134,6 +137,7 @@
         self._record = record
         self._task_owner = task_owner
         self._max_concurrent_loads = max_concurrent_loads
+        self._in_service = in_service
         self._planners: dict[str, WeightRolloutPlanner] = {}
         self._published: dict[str, list[WeightVersion]] = {}
         self._addresses: dict[BackendId, BackendAddress] = {}
@@ -227,9 +231,9 @@
         )
         # Ownership comes last: a new owner plans at once and needs all other inputs.
         self._handle(model, policy_changed)
-        self._handle(
-            model, EnginesChanged(engines=tuple(backend.backend_id for backend in engines))
-        )
+        engine_ids = tuple(backend.backend_id for backend in engines)
+        out_of_service = frozenset(engine for engine in engine_ids if not self._in_service(engine))
+        self._handle(model, EnginesChanged(engines=engine_ids, out_of_service=out_of_service))
         self._handle(model, NeedsChanged(needs=self._needs(model)))
         self._handle(model, OwnershipChanged(lease_fence=fence))
         self._handle(model, Tick())
--- a/tests/test_weight_planner.py
+++ b/tests/test_weight_planner.py
@@ -207,6 +207,28 @@
             planner.handle(VersionPublished(version=WeightVersion(2)), 0.0)
             self.assertEqual(len(planner.busy_engines()), expected)
 
+    def test_engines_out_of_service_load_without_being_capacity(self) -> None:
+        """Counted as capacity, they would let all engines that serve load at once."""
+        planner = WeightRolloutPlanner(WeightRolloutPolicy(min_serving_share=0.5))
+        engines = EnginesChanged(engines=ENGINES, out_of_service=frozenset(ENGINES[:4]))
+        planner.handle(engines, 0.0)
+        planner.handle(OwnershipChanged(lease_fence=Fence(1)), 0.0)
+        for engine in ENGINES:
+            planner.handle(StatusReported(status=status(engine, 1)), 0.0)
+        orders = [
+            decision
+            for decision in planner.handle(VersionPublished(version=WeightVersion(2)), 0.0)
+            if isinstance(decision, IssueLoadOrder)
+        ]
+        ordered = {order.engine for order in orders}
+        self.assertLessEqual(set(ENGINES[:4]), ordered)
+        self.assertEqual(len(ordered & set(ENGINES[4:])), 2)
+        for order in orders:
+            report = status(order.engine, 2, order.fence)
+            planner.handle(OrderSucceeded(engine=order.engine, fence=order.fence, status=report), 1)
+        last = set(planner.busy_engines())
+        self.assertEqual(last, set(ENGINES[4:]) - ordered)
+
     def test_fences_of_orders(self) -> None:
         self.assertEqual(lease_fence(order_fence(Fence(7), 3)), 7)
         self.assertGreater(order_fence(Fence(8), 0), order_fence(Fence(7), 5))
