Routes name the regions whose back ends may serve their requests

Cause: a route could be kept in a region only by labels that someone keeps in step with the zones. Ruled out: a region field on each back end (two places for one fact, which may contradict each other); a selector on an implied label (says what is selected, not what is forbidden, and an explanation could not tell the two apart). Change: Route.allowed_regions, the settings' table [regions] of zones, rejection reason region_not_allowed in the choice. Zones without a known region are outside. A retry needs a region that the route allowed on arrival and still allows. A route that leaves the field out is stored without it, since earlier releases reject unknown fields. Rollout routes may not have it: nothing reads them. The lists of resource kinds in the schema command and in the document's test follow the union of resources, so that a new kind cannot be left out of either.

--- a/drumbay/cli/schema.py
+++ b/drumbay/cli/schema.py
@@ -1,7 +1,7 @@
 """``drumbay schema``: JSON Schemas of resources, settings, HTTP bodies and output."""
 
 from enum import StrEnum
-from typing import Annotated, Any
+from typing import Annotated, Any, get_args
 
 import msgspec
 import typer
@@ -24,29 +24,13 @@
 )
 from drumbay.backends.interface import TokenChunk
 from drumbay.cli.output import ChangeList, OutputFormat, print_record
-from drumbay.resources.schema import (
-    AccessToken,
-    BackendGroup,
-    Drain,
-    Route,
-    WeightPolicy,
-    WeightRollback,
-    ZoneEvacuation,
-)
+from drumbay.resources.schema import AnyResource, Resource
 from drumbay.settings import NodeSettings
 
 SCHEMA_DIALECT = "https://json-schema.org/draft/2020-12/schema"
 REFERENCE_TEMPLATE = "#/$defs/{name}"
 
-RESOURCE_TYPES = (
-    BackendGroup,
-    Route,
-    WeightPolicy,
-    WeightRollback,
-    Drain,
-    ZoneEvacuation,
-    AccessToken,
-)
+RESOURCE_TYPES: tuple[type[Resource], ...] = get_args(AnyResource)
 HTTP_TYPES = (
     ErrorBody,
     CompletionBody,
--- a/drumbay/explain/records.py
+++ b/drumbay/explain/records.py
@@ -26,6 +26,7 @@
     CIRCUIT_OPEN = "circuit_open"
     VERSION = "version"
     MODEL = "model"
+    REGION_NOT_ALLOWED = "region_not_allowed"
     ALREADY_TRIED = "already_tried"
     OVERLOADED = "overloaded"
     NOT_SAMPLED = "not_sampled"
--- a/drumbay/node/request_services.py
+++ b/drumbay/node/request_services.py
@@ -89,5 +89,6 @@
         timeouts = (route.timeout_seconds for route in routes)
         self.max_timeout_seconds = max((self.max_timeout_seconds, *timeouts))
         self.gate.set_routes(routes)
+        self.dispatcher.set_routes(table)
         self.live.set_routes(table)
         self.applications.set_routes(table)
--- a/drumbay/node/services.py
+++ b/drumbay/node/services.py
@@ -61,7 +61,7 @@
         self._metrics = NodeMetrics()
         self._request_ids = RequestIdFactory(self._node_id, environment.boot_id)
         self._coordination = CoordinationServices(settings, environment, self._tasks)
-        self._directory = BackendDirectory()
+        self._directory = BackendDirectory(topology=settings.topology)
         self._decisions = DecisionStore()
         self._recorder = DecisionRecorder(
             self._clock, self._node_id, self._configuration_revision, self._decisions
--- a/drumbay/requests/dispatcher.py
+++ b/drumbay/requests/dispatcher.py
@@ -13,8 +13,9 @@
 from drumbay.explain.records import DecisionRecord, SubjectKind
 from drumbay.identifiers import AttemptId, BackendId, WeightVersion
 from drumbay.observability.metrics import AttemptResult, NodeMetrics
+from drumbay.placement.regions import AllowedRegions
 from drumbay.requests.errors import NoBackendError
-from drumbay.requests.route_table import CompiledRoute
+from drumbay.requests.route_table import CompiledRoute, RouteTable
 from drumbay.routing.backend_choice import ChoicePolicy, ChoiceRequest, choose_backend
 from drumbay.routing.directory import AttemptOutcome, BackendDirectory
 from drumbay.routing.prefix_index import affinity_hashes
@@ -81,6 +82,18 @@
         self._random = random
         self._policy = policy or ChoicePolicy()
         self._metrics = metrics or NodeMetrics()
+        self._routes = RouteTable(())
+
+    def set_routes(self, routes: RouteTable) -> None:
+        """Replace the routes with those of the current configuration."""
+        self._routes = routes
+
+    def _allowed_regions(self, compiled: CompiledRoute) -> AllowedRegions:
+        """Return the regions that the route allowed on arrival and still allows."""
+        current = self._routes.with_name(compiled.route.name)
+        if current is None or current is compiled:
+            return compiled.allowed_regions
+        return compiled.allowed_regions.intersect(current.allowed_regions)
 
     def choose(self, requirements: AttemptRequirements) -> BackendAddress:
         """Select the backend of one attempt and record the decision.
@@ -96,6 +109,7 @@
             now=now,
             zone=self._zone,
             matches_selector=requirements.compiled.matches,
+            allowed_regions=self._allowed_regions(requirements.compiled),
             model=route.model,
             required_version=requirements.required_version,
             oldest_version=requirements.oldest_version,
--- a/drumbay/requests/route_table.py
+++ b/drumbay/requests/route_table.py
@@ -4,15 +4,17 @@
 
 import msgspec
 
+from drumbay.placement.regions import AllowedRegions
 from drumbay.resources.schema import Route, RouteKind
 from drumbay.routing.selectors import LabelPredicate, compile_selector
 
 
 class CompiledRoute(msgspec.Struct, frozen=True, kw_only=True):
-    """A route with its selector compiled to a predicate over labels."""
+    """A route with its selector compiled to a predicate over labels, and its regions."""
 
     route: Route
     matches: LabelPredicate
+    allowed_regions: AllowedRegions
 
 
 class RouteTable:
@@ -30,19 +32,25 @@
 
     def __init__(self, routes: Iterable[Route]) -> None:
         """Compile the selectors."""
+        self._by_name: dict[str, CompiledRoute] = {}
         self._by_model: dict[tuple[RouteKind, str], CompiledRoute] = {}
         self._by_path: list[CompiledRoute] = []
         for route in sorted(routes, key=lambda entry: entry.name):
-            self._add(CompiledRoute(route=route, matches=compile_selector(route.selector)))
+            self._add(_compile_route(route))
         self._by_path.sort(key=lambda entry: -len(entry.route.path_prefix or ""))
 
     def _add(self, compiled: CompiledRoute) -> None:
         route = compiled.route
+        self._by_name[route.name] = compiled
         if route.route_kind is RouteKind.APPLICATION:
             self._by_path.append(compiled)
         elif route.model is not None:
             self._by_model.setdefault((route.route_kind, route.model), compiled)
 
+    def with_name(self, name: str) -> CompiledRoute | None:
+        """Return the route with a name, or ``None``."""
+        return self._by_name.get(name)
+
     def for_model(self, kind: RouteKind, model: str) -> CompiledRoute | None:
         """Return the route of a kind for a model, or ``None``."""
         return self._by_model.get((kind, model))
@@ -53,3 +61,11 @@
             if path.startswith(compiled.route.path_prefix or "/"):
                 return compiled
         return None
+
+
+def _compile_route(route: Route) -> CompiledRoute:
+    return CompiledRoute(
+        route=route,
+        matches=compile_selector(route.selector),
+        allowed_regions=AllowedRegions.of(route.allowed_regions or ()),
+    )
--- a/drumbay/resources/checks.py
+++ b/drumbay/resources/checks.py
@@ -51,3 +51,8 @@
         raise InvalidResourceError("path_prefix: required for an application route")
     if route.route_kind is not RouteKind.APPLICATION and route.model is None:
         raise InvalidResourceError(f"model: required for a {route.route_kind} route")
+    if route.route_kind is RouteKind.ROLLOUT and route.allowed_regions:
+        raise InvalidResourceError(
+            "allowed_regions: not for a rollout route; the selector of the WeightPolicy "
+            "says which engines get rollouts"
+        )
--- a/drumbay/resources/schema.py
+++ b/drumbay/resources/schema.py
@@ -8,7 +8,7 @@
 from typing import Annotated
 
 import msgspec
-from msgspec import Meta
+from msgspec import UNSET, Meta, UnsetType
 
 from drumbay.backends.interface import BackendAddress
 from drumbay.identifiers import BackendId, StreamName
@@ -106,6 +106,8 @@
         timeout_seconds: Timeout of a request, retries included.
         max_attempts: Maximum number of attempts of a repeatable request.
         repeatable: Whether requests may run more than once, unless the caller specifies it.
+        allowed_regions: Regions whose back ends may serve; any region if empty. Not stored
+            when left out, so that releases without the field can read the route.
     """
 
     route_kind: RouteKind
@@ -118,6 +120,7 @@
     timeout_seconds: PositiveFloat = 60.0
     max_attempts: PositiveInteger = 3
     repeatable: bool = False
+    allowed_regions: tuple[Name, ...] | UnsetType = UNSET
 
 
 class RolloutObjective(StrEnum):
--- a/drumbay/routing/backend_choice.py
+++ b/drumbay/routing/backend_choice.py
@@ -21,6 +21,8 @@
 
 from drumbay.explain.records import CandidateVerdict, RejectionReason
 from drumbay.identifiers import BackendId, Fence, WeightVersion
+from drumbay.placement.regions import ANY_REGION, AllowedRegions
+from drumbay.placement.topology import UNKNOWN_REGION
 from drumbay.routing.selectors import MODEL_LABEL, LabelPredicate
 
 
@@ -31,6 +33,7 @@
         backend_id: The backend.
         labels: Its labels, including the implied ones.
         zone: Its zone.
+        region: The region of its zone; ``UNKNOWN_REGION`` if the settings do not list the zone.
         running: Requests in its batch, from its last report.
         waiting: Requests in its queue, from its last report.
         reported_at: Monotonic time at which the report was taken; ``None`` without a report.
@@ -49,6 +52,7 @@
     backend_id: BackendId
     labels: Mapping[str, str]
     zone: str
+    region: str = UNKNOWN_REGION
     running: int = 0
     waiting: int = 0
     reported_at: float | None = None
@@ -68,6 +72,7 @@
         now: Monotonic time in seconds.
         zone: Zone of this node.
         matches_selector: Compiled label selector of the route.
+        allowed_regions: Regions in which the request may run.
         model: Model that must be loaded; ``None`` for applications.
         required_version: The only version accepted.
         oldest_version: Oldest version accepted.
@@ -81,6 +86,7 @@
     now: float
     zone: str
     matches_selector: LabelPredicate
+    allowed_regions: AllowedRegions = ANY_REGION
     model: str | None = None
     required_version: WeightVersion | None = None
     oldest_version: WeightVersion | None = None
@@ -231,6 +237,8 @@
         return RejectionReason.SELECTOR
     if request.model is not None and labels.get(MODEL_LABEL) != request.model:
         return RejectionReason.MODEL
+    if not request.allowed_regions.permits(view.region):
+        return RejectionReason.REGION_NOT_ALLOWED
     if view.unavailability is not None:
         return view.unavailability
     if not accepts_version(request, view.weight_version):
--- a/drumbay/routing/directory.py
+++ b/drumbay/routing/directory.py
@@ -14,6 +14,7 @@
 from drumbay.explain.records import RejectionReason
 from drumbay.identifiers import AttemptId, BackendId, BootId, WeightVersion
 from drumbay.limits.circuit_breaker import CircuitBreaker, CircuitPermit, CircuitPolicy
+from drumbay.placement.topology import Topology
 from drumbay.resources.schema import BackendKind
 from drumbay.routing.backend_choice import BackendView
 from drumbay.routing.load_tracker import BackendAvailability, LoadTracker
@@ -72,10 +73,14 @@
 
     Args:
         circuit_policy: Thresholds of the circuit breakers.
+        topology: The regions of zones; no region is known without it.
     """
 
-    def __init__(self, circuit_policy: CircuitPolicy | None = None) -> None:
+    def __init__(
+        self, circuit_policy: CircuitPolicy | None = None, topology: Topology | None = None
+    ) -> None:
         """Create an empty directory."""
+        self._topology = topology or Topology(zone="")
         self._circuit_policy = circuit_policy or CircuitPolicy()
         self._entries: dict[BackendId, _Entry] = {}
         self._leaving: frozenset[BackendId] = frozenset()
@@ -120,7 +125,8 @@
                 replacement.active_drain = entry.active_drain
                 replacement.is_evacuated = entry.is_evacuated
             self._entries[backend_id] = replacement
-            self._load.set_backend(backend_id, labels, backend.zone)
+            region = self._topology.region_of(backend.zone)
+            self._load.set_backend(backend_id, labels, backend.zone, region)
         self._update_watched_entries()
         return self._apply_drains(view) + self._apply_evacuations(view.evacuated_zones())
 
@@ -140,9 +146,13 @@
             ]
             active_drain = matching_drains[0] if matching_drains else None
             if (active_drain is None) != (entry.active_drain is None):
+                drain = active_drain or entry.active_drain
                 changes.append(
-                    _drain_availability_change(
-                        backend_id, active_drain or entry.active_drain or "", active_drain is None
+                    _operators_change(
+                        backend_id,
+                        RejectionReason.DRAINED,
+                        f"drain {drain}",
+                        available=active_drain is None,
                     )
                 )
             entry.active_drain = active_drain
@@ -153,16 +163,15 @@
         for backend_id, entry in self._entries.items():
             is_evacuated = entry.zone in zones
             if is_evacuated != entry.is_evacuated:
-                entry.is_evacuated = is_evacuated
                 changes.append(
-                    AvailabilityChange(
-                        backend_id=backend_id,
-                        reason=RejectionReason.ZONE_EVACUATED,
+                    _operators_change(
+                        backend_id,
+                        RejectionReason.ZONE_EVACUATED,
+                        f"evacuation of zone {entry.zone}",
                         available=not is_evacuated,
-                        detail=f"evacuation of zone {entry.zone} "
-                        f"{'in force' if is_evacuated else 'ended'}",
                     )
                 )
+            entry.is_evacuated = is_evacuated
         return tuple(changes)
 
     def set_leaving(self, leaving: Iterable[BackendId]) -> tuple[AvailabilityChange, ...]:
@@ -354,14 +363,15 @@
         )
 
 
-def _drain_availability_change(
-    backend_id: BackendId, drain: str, available: bool
+def _operators_change(
+    backend_id: BackendId, reason: RejectionReason, cause: str, *, available: bool
 ) -> AvailabilityChange:
+    """Return the change that a resource of the operators, the cause, has brought."""
     return AvailabilityChange(
         backend_id=backend_id,
-        reason=RejectionReason.DRAINED,
+        reason=reason,
         available=available,
-        detail=f"drain {drain} {'ended' if available else 'in force'}",
+        detail=f"{cause} {'ended' if available else 'in force'}",
     )
 
 
--- a/drumbay/routing/load_tracker.py
+++ b/drumbay/routing/load_tracker.py
@@ -14,6 +14,7 @@
 from drumbay.backends.interface import EngineStatus
 from drumbay.explain.records import RejectionReason
 from drumbay.identifiers import AttemptId, BackendId, BootId, Fence, WeightVersion
+from drumbay.placement.topology import UNKNOWN_REGION
 from drumbay.routing.backend_choice import BackendView
 
 MAX_FINISHED_ATTEMPTS = 1024
@@ -70,6 +71,7 @@
 
     labels: Mapping[str, str]
     zone: str
+    region: str = UNKNOWN_REGION
     availability: BackendAvailability = field(default_factory=BackendAvailability)
     running: int = 0
     waiting: int = 0
@@ -114,14 +116,21 @@
         """Create a tracker without backends."""
         self._entries: dict[BackendId, _Entry] = {}
 
-    def set_backend(self, backend_id: BackendId, labels: Mapping[str, str], zone: str) -> None:
-        """Add a backend, or update its labels and zone without resetting its load."""
+    def set_backend(
+        self,
+        backend_id: BackendId,
+        labels: Mapping[str, str],
+        zone: str,
+        region: str = UNKNOWN_REGION,
+    ) -> None:
+        """Add a backend, or update its labels and place without resetting its load."""
         entry = self._entries.get(backend_id)
         if entry is None:
-            self._entries[backend_id] = _Entry(labels=labels, zone=zone)
+            self._entries[backend_id] = _Entry(labels=labels, zone=zone, region=region)
             return
         entry.labels = labels
         entry.zone = zone
+        entry.region = region
         entry.view = None
 
     def remove_backend(self, backend_id: BackendId) -> None:
@@ -228,6 +237,7 @@
         backend_id=backend_id,
         labels=entry.labels,
         zone=entry.zone,
+        region=entry.region,
         running=entry.running,
         waiting=entry.waiting,
         reported_at=entry.reported_at,
--- a/drumbay/settings.py
+++ b/drumbay/settings.py
@@ -8,6 +8,7 @@
 
 from drumbay.comm.interface import Address
 from drumbay.exceptions import ConfigurationError
+from drumbay.placement.topology import Topology
 from drumbay.resources.schema import Name
 
 Port = Annotated[int, Meta(ge=1, le=65535)]
@@ -145,6 +146,7 @@
         node_id: Name of the node, unique in the cluster.
         zone: Availability zone.
         region: Region of the zone.
+        regions: Regions of the back ends' zones; that of ``zone`` need not be listed.
         http: Address for callers, trainers and operators.
         peers: Address and key for other nodes.
         key_value: The platform's key-value service.
@@ -168,6 +170,12 @@
     data_folder: str | None = None
     logs: LogSettings = LogSettings()
     stop: StopSettings = StopSettings()
+    regions: dict[Name, Name] = {}
+
+    @property
+    def topology(self) -> Topology:
+        """Return the known zones with their regions."""
+        return Topology(zone=self.zone, regions={**self.regions, self.zone: self.region})
 
     @property
     def weight_store_interval_seconds(self) -> float:
@@ -210,6 +218,7 @@
         expected, key = split_validation_error(error)
         raise SettingsError(file, key, expected) from error
     _check_addresses(file, settings)
+    _check_regions(file, settings)
     return _resolve_file_paths(file, settings)
 
 
@@ -241,6 +250,11 @@
         raise SettingsError(file, "peers.seeds", "each address once")
 
 
+def _check_regions(file: Path, settings: NodeSettings) -> None:
+    if settings.regions.get(settings.zone, settings.region) != settings.region:
+        raise SettingsError(file, f"regions.{settings.zone}", f"{settings.region}, as in region")
+
+
 def _resolve_file_paths(file: Path, settings: NodeSettings) -> NodeSettings:
     """Return the settings with certificate paths resolved relative to the settings file.
 
--- a/tests/requests_world.py
+++ b/tests/requests_world.py
@@ -22,7 +22,7 @@
 from drumbay.configuration.view import ConfigurationView
 from drumbay.exceptions import RequestFailedError
 from drumbay.explain.recorder import DecisionRecorder
-from drumbay.explain.records import DecisionRecord, SubjectKind
+from drumbay.explain.records import DecisionRecord, RejectionReason, SubjectKind
 from drumbay.explain.store import DecisionStore
 from drumbay.identifiers import (
     BackendId,
@@ -36,6 +36,7 @@
 from drumbay.limits.circuit_breaker import CircuitPolicy
 from drumbay.node.request_services import RequestServices
 from drumbay.observability.metrics import NodeMetrics
+from drumbay.placement.topology import Topology
 from drumbay.requests.at_most_once import Dispatch
 from drumbay.requests.identity import RequestIdFactory
 from drumbay.requests.records import ApplicationCall, LiveRequest
@@ -108,6 +109,7 @@
         limits: RouteLimits,
         client_type: type[MemoryEngineClient] = MemoryEngineClient,
         metrics: NodeMetrics | None = None,
+        topology: Topology | None = None,
     ) -> None:
         host = SimulatedHost("node", Address("10.0.0.1", 1), Location(zone="a", region="r"))
         host.start()
@@ -123,7 +125,7 @@
             for n in range(3)
         ]
         self.network = BackendNetwork(self.clock)
-        self.directory = BackendDirectory(limits.circuit)
+        self.directory = BackendDirectory(limits.circuit, topology)
         self.is_ready = True
         self.decisions = DecisionStore()
         node_id = NodeId("node")
@@ -190,6 +192,25 @@
         return self.decisions.find(SubjectKind.REQUEST, request_id)
 
 
+async def rejected_at_once(
+    world: RequestsWorld,
+) -> tuple[RequestFailedError, list[RejectionReason | None]]:
+    """Send the first request of a world; it must be rejected without any delay.
+
+    Returns:
+        The error, and why each back end was not taken.
+    """
+    before = world.clock.monotonic()
+    try:
+        await world.generate()
+    except RequestFailedError as error:
+        assert world.clock.monotonic() == before
+        (record,) = world.decision_records("node~boot~1")
+        assert record.event == "no_backend"
+        return error, [verdict.rejection for verdict in record.candidates]
+    raise AssertionError("the request was answered")
+
+
 def url_of(backend_id: str) -> str:
     return f"http://{backend_id}"
 
--- a/tests/test_configuration_document.py
+++ b/tests/test_configuration_document.py
@@ -3,23 +3,19 @@
 import tempfile
 import unittest
 from pathlib import Path
+from typing import get_args
 
 import msgspec
 
 from drumbay.resources.checks import check_resource
 from drumbay.resources.files import load_resources
 from drumbay.resources.schema import (
-    AccessToken,
+    AnyResource,
     Backend,
-    BackendGroup,
-    Drain,
     EngineSharing,
-    Route,
+    Resource,
     Selector,
     SelectorExpression,
-    WeightPolicy,
-    WeightRollback,
-    ZoneEvacuation,
 )
 from drumbay.settings import (
     BackendSettings,
@@ -35,15 +31,7 @@
 from tests.documents import examples, sections
 
 DOCUMENT = "CONFIGURATION.md"
-RESOURCES = (
-    BackendGroup,
-    Route,
-    WeightPolicy,
-    WeightRollback,
-    Drain,
-    ZoneEvacuation,
-    AccessToken,
-)
+RESOURCES: tuple[type[Resource], ...] = get_args(AnyResource)
 RECORDS: tuple[type[msgspec.Struct], ...] = (
     *RESOURCES,
     Backend,
--- a/tests/test_evacuate_command.py
+++ b/tests/test_placement_processes.py
@@ -1,4 +1,4 @@
-"""``drumbay evacuate`` against node processes: from accepted on, nothing starts in the zone."""
+"""Evacuated zones and allowed regions in force at node processes, from accepted on."""
 
 import asyncio
 import subprocess
@@ -21,7 +21,7 @@
 REQUESTS = 4
 
 
-class EvacuateCommandTest(unittest.IsolatedAsyncioTestCase):
+class PlacementTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.deployment = Deployment()
         self.addCleanup(self.deployment.close)
@@ -98,3 +98,15 @@
         self.assertEqual(await self.accepted_by("engine-1"), in_zone + 1)
         code, _ = await self.run_command("evacuate", ZONE, "--end")
         self.assertEqual(code, ExitCode.REFUSED)
+
+    async def test_route_stays_in_the_regions_that_the_settings_name(self) -> None:
+        """The settings of the node tell the region of its own zone, and not that of the other."""
+        for region, served in (("elsewhere", 0), ("test", REQUESTS)):
+            await self.deployment.apply(live_route(MODEL) + f"allowed_regions: [{region}]\n")
+            for _ in range(served):
+                await self.complete(1)
+            if not served:
+                with self.assertRaisesRegex(CallFailedError, "HTTP 503"):
+                    await self.complete(1)
+            self.assertEqual(await self.accepted_by("engine-1"), served)
+            self.assertEqual(await self.accepted_by("engine-2"), 0)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -58,6 +58,13 @@
         self.assertEqual(settings.http.port, 8080)
         self.assertEqual([seed.port for seed in settings.peers.seed_addresses()], [7081])
 
+    def test_regions_of_zones(self) -> None:
+        text = VALID + '[regions]\nsouth = "west"\n'
+        topology = load_settings(self.write(text)).topology
+        self.assertEqual(topology.regions, {"north": "east", "south": "west"})
+        error = self.load_error(text + 'north = "west"\n')
+        self.assertEqual(error.key, "regions.north")
+
     def test_flags_override_the_file(self) -> None:
         overrides = SettingsOverrides(zone="south", http_port=9090)
         settings = load_settings(self.write(VALID), overrides)
--- a/tests/test_zone_evacuation.py
+++ b/tests/test_zone_evacuation.py
@@ -21,7 +21,7 @@
 from drumbay.configuration.messages import ReadinessReason
 from drumbay.configuration.view import ConfigurationView
 from drumbay.delivery.exceptions import NotOwnerError
-from drumbay.exceptions import Execution, RequestFailedError
+from drumbay.exceptions import Execution
 from drumbay.explain.records import RejectionReason
 from drumbay.identifiers import (
     AttemptId,
@@ -67,6 +67,7 @@
     MODEL,
     RequestsWorld,
     make_configuration_view,
+    rejected_at_once,
     simulate,
     url_of,
 )
@@ -249,15 +250,9 @@
     def test_without_another_zone_requests_are_rejected_at_once_as_not_run(self) -> None:
         async def scenario(world: RequestsWorld) -> None:
             apply(world, *(evacuation(zone) for zone in "abc"))
-            before = world.clock.monotonic()
-            with self.assertRaises(RequestFailedError) as rejected:
-                await world.generate()
-            self.assertEqual(world.clock.monotonic(), before)
-            self.assertIs(rejected.exception.execution, Execution.NOT_RUN)
-            self.assertIsNotNone(rejected.exception.retry_after_seconds)
-            (record,) = world.decision_records("node~boot~1")
-            reasons = [verdict.rejection for verdict in record.candidates]
-            self.assertEqual(record.event, "no_backend")
+            error, reasons = await rejected_at_once(world)
+            self.assertIs(error.execution, Execution.NOT_RUN)
+            self.assertIsNotNone(error.retry_after_seconds)
             self.assertEqual(reasons.count(RejectionReason.ZONE_EVACUATED), 3)
 
         simulate(scenario)
