--- a/drumbay/explain/records.py
+++ b/drumbay/explain/records.py
@@ -20,11 +20,13 @@
 
     SELECTOR = "selector"
     DRAINED = "drained"
+    ZONE_EVACUATED = "zone_evacuated"
     LEAVING = "leaving"
     UNREACHABLE = "unreachable"
     CIRCUIT_OPEN = "circuit_open"
     VERSION = "version"
     MODEL = "model"
+    REGION_NOT_ALLOWED = "region_not_allowed"
     ALREADY_TRIED = "already_tried"
     OVERLOADED = "overloaded"
     NOT_SAMPLED = "not_sampled"
--- a/drumbay/routing/directory.py
+++ b/drumbay/routing/directory.py
@@ -14,6 +14,7 @@
 from drumbay.explain.records import RejectionReason
 from drumbay.identifiers import AttemptId, BackendId, BootId, WeightVersion
 from drumbay.limits.circuit_breaker import CircuitBreaker, CircuitPermit, CircuitPolicy
+from drumbay.placement.topology import Topology
 from drumbay.resources.schema import BackendKind
 from drumbay.routing.backend_choice import BackendView
 from drumbay.routing.load_tracker import BackendAvailability, LoadTracker
@@ -58,6 +59,7 @@
     boot_id: BootId | None = None
     consecutive_report_failures: int = 0
     active_drain: str | None = None
+    is_evacuated: bool = False
     is_leaving: bool = False
 
     @property
@@ -71,10 +73,14 @@
 
     Args:
         circuit_policy: Thresholds of the circuit breakers.
+        topology: The regions of zones; no region is known without it.
     """
 
-    def __init__(self, circuit_policy: CircuitPolicy | None = None) -> None:
+    def __init__(
+        self, circuit_policy: CircuitPolicy | None = None, topology: Topology | None = None
+    ) -> None:
         """Create an empty directory."""
+        self._topology = topology or Topology(zone="")
         self._circuit_policy = circuit_policy or CircuitPolicy()
         self._entries: dict[BackendId, _Entry] = {}
         self._leaving: frozenset[BackendId] = frozenset()
@@ -92,7 +98,7 @@
     def apply_configuration(
         self, view: ConfigurationView, now: float
     ) -> tuple[AvailabilityChange, ...]:
-        """Apply the backend groups and drains of a configuration."""
+        """Apply the backend groups, drains and zone evacuations of a configuration."""
         self._revision += 1
         configured = {
             BackendId(backend.id): (group, backend)
@@ -117,10 +123,12 @@
                 replacement.boot_id = entry.boot_id
                 replacement.consecutive_report_failures = entry.consecutive_report_failures
                 replacement.active_drain = entry.active_drain
+                replacement.is_evacuated = entry.is_evacuated
             self._entries[backend_id] = replacement
-            self._load.set_backend(backend_id, labels, backend.zone)
+            region = self._topology.region_of(backend.zone)
+            self._load.set_backend(backend_id, labels, backend.zone, region)
         self._update_watched_entries()
-        return self._apply_drains(view)
+        return self._apply_drains(view) + self._apply_evacuations(view.evacuated_zones())
 
     def _remove(self, backend_id: BackendId) -> None:
         del self._entries[backend_id]
@@ -138,14 +146,34 @@
             ]
             active_drain = matching_drains[0] if matching_drains else None
             if (active_drain is None) != (entry.active_drain is None):
+                drain = active_drain or entry.active_drain
                 changes.append(
-                    _drain_availability_change(
-                        backend_id, active_drain or entry.active_drain or "", active_drain is None
+                    _operators_change(
+                        backend_id,
+                        RejectionReason.DRAINED,
+                        f"drain {drain}",
+                        available=active_drain is None,
                     )
                 )
             entry.active_drain = active_drain
         return tuple(changes)
 
+    def _apply_evacuations(self, zones: frozenset[str]) -> tuple[AvailabilityChange, ...]:
+        changes: list[AvailabilityChange] = []
+        for backend_id, entry in self._entries.items():
+            is_evacuated = entry.zone in zones
+            if is_evacuated != entry.is_evacuated:
+                changes.append(
+                    _operators_change(
+                        backend_id,
+                        RejectionReason.ZONE_EVACUATED,
+                        f"evacuation of zone {entry.zone}",
+                        available=not is_evacuated,
+                    )
+                )
+            entry.is_evacuated = is_evacuated
+        return tuple(changes)
+
     def set_leaving(self, leaving: Iterable[BackendId]) -> tuple[AvailabilityChange, ...]:
         """Set the backends that the machine list marks as leaving."""
         self._leaving = frozenset(leaving)
@@ -164,9 +192,19 @@
                 )
         return tuple(changes)
 
-    def is_leaving(self, backend_id: BackendId) -> bool:
-        """Return whether the machine list marks a backend as leaving."""
-        return backend_id in self._leaving
+    def send_refusal(self, backend_id: BackendId) -> RejectionReason | None:
+        """Return why a chosen backend must not be sent its request after all.
+
+        A drain does not hold back a request whose backend was chosen before it.
+        """
+        if backend_id in self._leaving:
+            return RejectionReason.LEAVING
+        return RejectionReason.ZONE_EVACUATED if self.is_evacuated(backend_id) else None
+
+    def is_evacuated(self, backend_id: BackendId) -> bool:
+        """Return whether the zone of a backend is being evacuated."""
+        entry = self._entries.get(backend_id)
+        return entry is not None and entry.is_evacuated
 
     def record_report(self, status: EngineStatus, now: float) -> tuple[AvailabilityChange, ...]:
         """Apply a status report of a backend."""
@@ -282,6 +320,7 @@
                 is_reachable=entry.is_reachable,
                 circuit_admits=entry.breaker.admits(now),
                 is_draining=entry.active_drain is not None,
+                is_evacuated=entry.is_evacuated,
                 is_leaving=entry.is_leaving,
             )
             self._load.set_availability(backend_id, availability)
@@ -324,14 +363,15 @@
         )
 
 
-def _drain_availability_change(
-    backend_id: BackendId, drain: str, available: bool
+def _operators_change(
+    backend_id: BackendId, reason: RejectionReason, cause: str, *, available: bool
 ) -> AvailabilityChange:
+    """Return the change that a resource of the operators, the cause, has brought."""
     return AvailabilityChange(
         backend_id=backend_id,
-        reason=RejectionReason.DRAINED,
+        reason=reason,
         available=available,
-        detail=f"drain {drain} {'ended' if available else 'in force'}",
+        detail=f"{cause} {'ended' if available else 'in force'}",
     )
 
 
