Let the soak's stand-ins turn cold, lie in zones and log what reaches them

Cause: the soak knew one zone, workers that are always warm, and only runs, not requests refused by a worker. Ruled out: counting runs (refused requests count too); a node per arrival (nothing names it).

--- a/drumbay/standins/worker_log.py
+++ b/drumbay/standins/worker_log.py
@@ -59,6 +59,19 @@
         return f"{self.worker_id}/{self.request_id}/{self.started_at}"
 
 
+class LoggedArrival(msgspec.Struct, frozen=True, kw_only=True):
+    """A request that reached its worker, whether or not the worker ran it."""
+
+    worker_id: BackendId
+    service: str
+    zone: str
+    request_id: str
+    target: str
+    at: float
+    tenant: TenantName | None = None
+    is_cold: bool = False
+
+
 class LoggedOrder(msgspec.Struct, frozen=True, kw_only=True):
     """Order received by a worker."""
 
--- a/drumbay/standins/worker_pool.py
+++ b/drumbay/standins/worker_pool.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+import math
 import zlib
+from collections import deque
 from collections.abc import AsyncIterator, Callable, Coroutine, Mapping
 from contextlib import asynccontextmanager
 
@@ -14,7 +16,13 @@
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.identifiers import BackendId, WeightVersion
-from drumbay.standins.worker_log import LoggedCrash, LoggedOrder, LoggedRun, WorkerFaults
+from drumbay.standins.worker_log import (
+    LoggedArrival,
+    LoggedCrash,
+    LoggedOrder,
+    LoggedRun,
+    WorkerFaults,
+)
 from drumbay.workers.records import (
     LoadOrder,
     OrderOutcome,
@@ -48,9 +56,18 @@
 """Delay until a worker restarts under its own id: less than three heartbeats, so that discovery
 does not remove its entry."""
 
+RATE_WINDOW_SECONDS = 1.0
+"""Span over which the requests that reach a cold worker are counted."""
+
 
 class EmulatedWorker:
-    """State of an emulated worker."""
+    """State of an emulated worker.
+
+    Attributes:
+        cold_until: Monotonic time until which the worker bears only a limited rate.
+        announces_warm_up: Whether its discovery entry says how long it stays cold.
+        recent_arrivals: Times at which requests reached it while cold, in the last second.
+    """
 
     def __init__(self, worker: Worker) -> None:
         """Create a healthy, idle worker."""
@@ -62,6 +79,9 @@
         self.sequence = 0
         self.highest_fence = 0
         self.has_stopped = False
+        self.cold_until = 0.0
+        self.announces_warm_up = True
+        self.recent_arrivals: deque[float] = deque()
 
 
 class EmulatedWorkerPool:
@@ -77,6 +97,9 @@
         discovery_delay_seconds: Delay until discovery reports a restarted worker.
         idle_connections: Workers to which the caller has an idle connection.
         stall_count: Number of times that all open streams have stalled.
+        warm_up_seconds: Time for which restarted workers stay cold, by service.
+        cold_crash_rates: Requests in a second above which a cold worker ends, by service.
+        arrivals: Requests that reached a worker, refused ones included, oldest first.
         runs: Started runs, oldest first.
         orders: Received orders, oldest first.
     """
@@ -111,6 +134,9 @@
         self.crashes: list[LoggedCrash] = []
         self.idle_connections: set[BackendId] = set()
         self.stall_count = 0
+        self.warm_up_seconds: dict[str, float] = {}
+        self.cold_crash_rates: dict[str, float] = {}
+        self.arrivals: list[LoggedArrival] = []
         self.runs: list[LoggedRun] = []
         self.orders: list[LoggedOrder] = []
 
@@ -155,10 +181,21 @@
 
     def entries(self) -> list[Worker]:
         """Return the current discovery entries of all workers."""
-        return [
-            msgspec.structs.replace(emulated.worker, versions=dict(emulated.versions))
-            for emulated in self._workers.values()
-        ]
+        return [self._entry_of(emulated) for emulated in self._workers.values()]
+
+    def _entry_of(self, emulated: EmulatedWorker) -> Worker:
+        """Return the discovery entry of a worker."""
+        left = max(0.0, emulated.cold_until - self._clock.monotonic())
+        return msgspec.structs.replace(
+            emulated.worker,
+            versions=dict(emulated.versions),
+            warm_up_left_seconds=left if emulated.announces_warm_up else 0.0,
+        )
+
+    def _publish(self, emulated: EmulatedWorker) -> None:
+        entry = self._entry_of(emulated)
+        for on_changed in self._listeners:
+            on_changed(entry)
 
     def __getitem__(self, name: str) -> EmulatedWorker:
         """Return a worker by its name."""
@@ -178,6 +215,70 @@
         ]
         return min(ends, default=None)
 
+    # Warm-up
+
+    def turn_cold(self, name: str, seconds: float, *, unannounced_seconds: float = 0.0) -> None:
+        """Make a worker cold; discovery reports it after ``unannounced_seconds``."""
+        emulated = self[name]
+        emulated.cold_until = max(emulated.cold_until, self._clock.monotonic() + seconds)
+        emulated.announces_warm_up = not unannounced_seconds
+        if unannounced_seconds:
+            self._spawn(self._announce_warm_up(emulated, unannounced_seconds))
+        else:
+            self._announce(emulated)
+
+    async def _announce_warm_up(self, emulated: EmulatedWorker, delay_seconds: float) -> None:
+        await self._clock.sleep(delay_seconds)
+        emulated.announces_warm_up = True
+        if not emulated.has_stopped:
+            self._announce(emulated)
+
+    def _announce(self, emulated: EmulatedWorker) -> None:
+        """Report a warm-up now, and its end when it comes."""
+        if self._workers.get(emulated.worker.worker_id) is not emulated:
+            return
+        self._publish(emulated)
+        if self._is_cold(emulated):
+            self._spawn(self._announce_end_of_warm_up(emulated))
+
+    async def _announce_end_of_warm_up(self, emulated: EmulatedWorker) -> None:
+        await self._clock.sleep(emulated.cold_until - self._clock.monotonic())
+        if not emulated.has_stopped:
+            self._announce(emulated)
+
+    def _is_cold(self, emulated: EmulatedWorker) -> bool:
+        return self._clock.monotonic() < emulated.cold_until
+
+    def _log_arrival(self, worker: Worker, request: WorkerRequest) -> None:
+        """Log a request that reaches the process of a worker."""
+        emulated = self._workers.get(worker.worker_id)
+        if emulated is None or emulated.has_stopped or emulated.faults.unreachable:
+            return
+        now, is_cold = self._clock.monotonic(), self._is_cold(emulated)
+        self.arrivals.append(
+            LoggedArrival(
+                worker_id=worker.worker_id,
+                service=emulated.worker.service,
+                zone=emulated.worker.zone,
+                request_id=request.request_id,
+                target=request.target,
+                at=now,
+                tenant=request.tenant,
+                is_cold=is_cold,
+            )
+        )
+        if is_cold:
+            self._crash_if_overloaded(emulated, now)
+
+    def _crash_if_overloaded(self, emulated: EmulatedWorker, now: float) -> None:
+        """End a cold worker that gets requests faster than it can bear."""
+        recent = emulated.recent_arrivals
+        recent.append(now)
+        while recent[0] <= now - RATE_WINDOW_SECONDS:
+            recent.popleft()
+        if len(recent) > self.cold_crash_rates.get(emulated.worker.service, math.inf):
+            self._spawn(self.end(emulated))
+
     # Requests
 
     def set_resend_check(self, may_resend: Callable[[Worker], bool]) -> None:
@@ -202,6 +303,7 @@
 
     async def call(self, worker: Worker, request: WorkerRequest) -> WorkerResponse:
         """Run a request and return its response."""
+        self._log_arrival(worker, request)
         emulated = await self._connect(worker)
         run = self._begin_run(emulated, request)
         try:
@@ -226,6 +328,7 @@
         self, worker: Worker, request: WorkerRequest
     ) -> AsyncIterator["EmulatedStream"]:
         """Stream the text of a request, starting after the event ``resume_after``."""
+        self._log_arrival(worker, request)
         emulated = await self._connect(worker)
         run = self._begin_run(emulated, request)
         try:
@@ -323,11 +426,17 @@
             versions=dict(emulated.versions),
             started_at_ms=max(self._now_ms(), emulated.worker.started_at_ms + 1),
         )
-        self._workers[restarted.worker_id] = EmulatedWorker(restarted)
+        successor = self._add_started(restarted)
         await self._clock.sleep(self.discovery_delay_seconds)
-        if self._workers[restarted.worker_id].worker == restarted:
-            for on_changed in self._listeners:
-                on_changed(restarted)
+        self._announce(successor)
+
+    def _add_started(self, worker: Worker) -> EmulatedWorker:
+        """Add a worker that starts now, and is cold if its service warms up."""
+        started = EmulatedWorker(worker)
+        seconds = self.warm_up_seconds.get(worker.service, 0.0)
+        started.cold_until = self._clock.monotonic() + seconds
+        self._workers[worker.worker_id] = started
+        return started
 
     async def _replace(self, emulated: EmulatedWorker) -> None:
         ended_id = emulated.worker.worker_id
@@ -341,11 +450,10 @@
             versions=dict(emulated.versions),
             started_at_ms=self._now_ms() if self._reports_start_times else 0,
         )
-        self._workers[successor.worker_id] = EmulatedWorker(successor)
+        started = self._add_started(successor)
         for on_removed in self._removal_listeners:
             on_removed(ended_id)
-        for on_changed in self._listeners:
-            on_changed(successor)
+        self._announce(started)
 
     def _end_run(self, emulated: EmulatedWorker, run: LoggedRun) -> None:
         emulated.active -= 1
@@ -422,9 +530,7 @@
             return
         emulated.versions[order.model] = order.version
         emulated.busy = False
-        entry = msgspec.structs.replace(emulated.worker, versions=dict(emulated.versions))
-        for listener in self._listeners:
-            listener(entry)
+        self._publish(emulated)
 
     def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
