--- a/drumbay/standins/worker_pool.py
+++ b/drumbay/standins/worker_pool.py
@@ -7,7 +7,6 @@
 import asyncio
 import math
 import zlib
-from collections import deque
 from collections.abc import AsyncIterator, Callable, Coroutine, Mapping
 from contextlib import asynccontextmanager
 
@@ -16,6 +15,7 @@
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.identifiers import BackendId, WeightVersion
+from drumbay.standins.warm_up_state import WarmUpState
 from drumbay.standins.worker_log import (
     LoggedArrival,
     LoggedCrash,
@@ -56,18 +56,9 @@
 """Delay until a worker restarts under its own id: less than three heartbeats, so that discovery
 does not remove its entry."""
 
-RATE_WINDOW_SECONDS = 1.0
-"""Span over which the requests that reach a cold worker are counted."""
-
 
 class EmulatedWorker:
-    """State of an emulated worker.
-
-    Attributes:
-        cold_until: Monotonic time until which the worker bears only a limited rate.
-        announces_warm_up: Whether its discovery entry says how long it stays cold.
-        recent_arrivals: Times at which requests reached it while cold, in the last second.
-    """
+    """State of an emulated worker."""
 
     def __init__(self, worker: Worker) -> None:
         """Create a healthy, idle worker."""
@@ -79,9 +70,7 @@
         self.sequence = 0
         self.highest_fence = 0
         self.has_stopped = False
-        self.cold_until = 0.0
-        self.announces_warm_up = True
-        self.recent_arrivals: deque[float] = deque()
+        self.warm_up = WarmUpState()
 
 
 class EmulatedWorkerPool:
@@ -185,12 +174,11 @@
 
     def _entry_of(self, emulated: EmulatedWorker) -> Worker:
         """Return the discovery entry of a worker."""
-        left = max(0.0, emulated.cold_until - self._clock.monotonic())
-        return msgspec.structs.replace(
-            emulated.worker,
-            versions=dict(emulated.versions),
-            warm_up_left_seconds=left if emulated.announces_warm_up else 0.0,
-        )
+        entry = msgspec.structs.replace(emulated.worker, versions=dict(emulated.versions))
+        if not emulated.warm_up.cold_until:
+            return entry
+        left_seconds = emulated.warm_up.announced_seconds(self._clock.monotonic())
+        return msgspec.structs.replace(entry, warm_up_left_seconds=left_seconds)
 
     def _publish(self, emulated: EmulatedWorker) -> None:
         entry = self._entry_of(emulated)
@@ -220,8 +208,9 @@
     def turn_cold(self, name: str, seconds: float, *, unannounced_seconds: float = 0.0) -> None:
         """Make a worker cold; discovery reports it after ``unannounced_seconds``."""
         emulated = self[name]
-        emulated.cold_until = max(emulated.cold_until, self._clock.monotonic() + seconds)
-        emulated.announces_warm_up = not unannounced_seconds
+        warm_up = emulated.warm_up
+        warm_up.cold_until = max(warm_up.cold_until, self._clock.monotonic() + seconds)
+        warm_up.is_announced = not unannounced_seconds
         if unannounced_seconds:
             self._spawn(self._announce_warm_up(emulated, unannounced_seconds))
         else:
@@ -229,7 +218,7 @@
 
     async def _announce_warm_up(self, emulated: EmulatedWorker, delay_seconds: float) -> None:
         await self._clock.sleep(delay_seconds)
-        emulated.announces_warm_up = True
+        emulated.warm_up.is_announced = True
         if not emulated.has_stopped:
             self._announce(emulated)
 
@@ -238,23 +227,21 @@
         if self._workers.get(emulated.worker.worker_id) is not emulated:
             return
         self._publish(emulated)
-        if self._is_cold(emulated):
+        if emulated.warm_up.is_cold(self._clock.monotonic()):
             self._spawn(self._announce_end_of_warm_up(emulated))
 
     async def _announce_end_of_warm_up(self, emulated: EmulatedWorker) -> None:
-        await self._clock.sleep(emulated.cold_until - self._clock.monotonic())
+        await self._clock.sleep(emulated.warm_up.cold_until - self._clock.monotonic())
         if not emulated.has_stopped:
             self._announce(emulated)
 
-    def _is_cold(self, emulated: EmulatedWorker) -> bool:
-        return self._clock.monotonic() < emulated.cold_until
-
     def _log_arrival(self, worker: Worker, request: WorkerRequest) -> None:
         """Log a request that reaches the process of a worker."""
         emulated = self._workers.get(worker.worker_id)
         if emulated is None or emulated.has_stopped or emulated.faults.unreachable:
             return
-        now, is_cold = self._clock.monotonic(), self._is_cold(emulated)
+        now = self._clock.monotonic()
+        is_cold = emulated.warm_up.is_cold(now)
         self.arrivals.append(
             LoggedArrival(
                 worker_id=worker.worker_id,
@@ -267,16 +254,8 @@
                 is_cold=is_cold,
             )
         )
-        if is_cold:
-            self._crash_if_overloaded(emulated, now)
-
-    def _crash_if_overloaded(self, emulated: EmulatedWorker, now: float) -> None:
-        """End a cold worker that gets requests faster than it can bear."""
-        recent = emulated.recent_arrivals
-        recent.append(now)
-        while recent[0] <= now - RATE_WINDOW_SECONDS:
-            recent.popleft()
-        if len(recent) > self.cold_crash_rates.get(emulated.worker.service, math.inf):
+        crash_rate = self.cold_crash_rates.get(emulated.worker.service, math.inf)
+        if is_cold and emulated.warm_up.record_arrival(now) > crash_rate:
             self._spawn(self.end(emulated))
 
     # Requests
@@ -434,7 +413,7 @@
         """Add a worker that starts now, and is cold if its service warms up."""
         started = EmulatedWorker(worker)
         seconds = self.warm_up_seconds.get(worker.service, 0.0)
-        started.cold_until = self._clock.monotonic() + seconds
+        started.warm_up.cold_until = self._clock.monotonic() + seconds
         self._workers[worker.worker_id] = started
         return started
 
