--- a/tests/test_soak_placement.py
+++ b/tests/test_soak_placement.py
@@ -1,11 +1,12 @@
 """Tests of the soak's zones: checks of evacuations, cold workers and regions, and its stand-ins."""
 
 import asyncio
+import base64
 import unittest
 
 import msgspec
+from drumbay_soak.body_watch import BodyWatch, item_body
 from drumbay_soak.checks import MIN_CHECKED_CALLS, check
-from drumbay_soak.deployment import BODY_MARKER, BODY_PATTERN
 from drumbay_soak.fault_plan import (
     MODIFIER_KINDS,
     PLACEMENT_KINDS,
@@ -210,9 +211,17 @@
         for kind in (FaultKind.ZONE_EVACUATED, FaultKind.WORKERS_COLD):
             self.assertEqual({f.target for f in drawn if f.kind is kind}, {0, 1, 2})
 
-    def test_the_bodies_of_items_are_recognized(self) -> None:
-        chunk = b"..." + BODY_MARKER + b"batch-000012-3;..." + BODY_MARKER + b"lookup-1"
-        self.assertEqual(BODY_PATTERN.findall(chunk), [b"batch-000012"])
+
+class BodyWatchTest(unittest.TestCase):
+    def test_bodies_are_recognized_between_nodes_and_in_calls_of_the_store(self) -> None:
+        body = b"\x83" + item_body("batch-000012-3") + b"." * 40 + b"body of lookup-1;"
+        value = base64.b64encode(body)
+        watch = BodyWatch()
+        watch.observe(1, body)
+        watch.observe_store_call(2, b'{"value": "' + value + b'"}')
+        watch.observe_store_call(3, b'{"value":"' + value[:50])
+        seen = [(found.node, found.batch_id) for found in watch.seen]
+        self.assertEqual(seen, [(node, "batch-000012") for node in (1, 2, 3)])
 
 
 class ColdWorkersTest(unittest.IsolatedAsyncioTestCase):
