--- a/drumbay/standins/worker_pool.py
+++ b/drumbay/standins/worker_pool.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import zlib
 from collections.abc import AsyncIterator, Callable, Coroutine, Mapping
 from contextlib import asynccontextmanager
@@ -15,7 +16,14 @@
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.placement.regions import AllowedRegions
-from drumbay.standins.worker_log import LoggedCrash, LoggedOrder, LoggedRun, WorkerFaults
+from drumbay.standins.warm_up_state import WarmUpState
+from drumbay.standins.worker_log import (
+    LoggedArrival,
+    LoggedCrash,
+    LoggedOrder,
+    LoggedRun,
+    WorkerFaults,
+)
 from drumbay.workers.records import (
     LoadOrder,
     OrderOutcome,
@@ -63,6 +71,7 @@
         self.sequence = 0
         self.highest_fence = 0
         self.has_stopped = False
+        self.warm_up = WarmUpState()
 
 
 class EmulatedWorkerPool:
@@ -78,6 +87,9 @@
         discovery_delay_seconds: Delay until discovery reports a restarted worker.
         idle_connections: Workers to which the caller has an idle connection.
         stall_count: Number of times that all open streams have stalled.
+        warm_up_seconds: Time for which restarted workers stay cold, by service.
+        cold_crash_rates: Requests in a second above which a cold worker ends, by service.
+        arrivals: Requests that reached a worker, refused ones included, oldest first.
         runs: Started runs, oldest first.
         orders: Received orders, oldest first.
     """
@@ -112,6 +124,9 @@
         self.crashes: list[LoggedCrash] = []
         self.idle_connections: set[BackendId] = set()
         self.stall_count = 0
+        self.warm_up_seconds: dict[str, float] = {}
+        self.cold_crash_rates: dict[str, float] = {}
+        self.arrivals: list[LoggedArrival] = []
         self.runs: list[LoggedRun] = []
         self.orders: list[LoggedOrder] = []
 
@@ -156,10 +171,20 @@
 
     def entries(self) -> list[Worker]:
         """Return the current discovery entries of all workers."""
-        return [
-            msgspec.structs.replace(emulated.worker, versions=dict(emulated.versions))
-            for emulated in self._workers.values()
-        ]
+        return [self._entry_of(emulated) for emulated in self._workers.values()]
+
+    def _entry_of(self, emulated: EmulatedWorker) -> Worker:
+        """Return the discovery entry of a worker."""
+        entry = msgspec.structs.replace(emulated.worker, versions=dict(emulated.versions))
+        if not emulated.warm_up.cold_until:
+            return entry
+        left_seconds = emulated.warm_up.announced_seconds(self._clock.monotonic())
+        return msgspec.structs.replace(entry, warm_up_left_seconds=left_seconds)
+
+    def _publish(self, emulated: EmulatedWorker) -> None:
+        entry = self._entry_of(emulated)
+        for on_changed in self._listeners:
+            on_changed(entry)
 
     def __getitem__(self, name: str) -> EmulatedWorker:
         """Return a worker by its name."""
@@ -179,6 +204,61 @@
         ]
         return min(ends, default=None)
 
+    # Warm-up
+
+    def turn_cold(self, name: str, seconds: float, *, unannounced_seconds: float = 0.0) -> None:
+        """Make a worker cold; discovery reports it after ``unannounced_seconds``."""
+        emulated = self[name]
+        warm_up = emulated.warm_up
+        warm_up.cold_until = max(warm_up.cold_until, self._clock.monotonic() + seconds)
+        warm_up.is_announced = not unannounced_seconds
+        if unannounced_seconds:
+            self._spawn(self._announce_warm_up(emulated, unannounced_seconds))
+        else:
+            self._announce(emulated)
+
+    async def _announce_warm_up(self, emulated: EmulatedWorker, delay_seconds: float) -> None:
+        await self._clock.sleep(delay_seconds)
+        emulated.warm_up.is_announced = True
+        if not emulated.has_stopped:
+            self._announce(emulated)
+
+    def _announce(self, emulated: EmulatedWorker) -> None:
+        """Report a warm-up now, and its end when it comes."""
+        if self._workers.get(emulated.worker.worker_id) is not emulated:
+            return
+        self._publish(emulated)
+        if emulated.warm_up.is_cold(self._clock.monotonic()):
+            self._spawn(self._announce_end_of_warm_up(emulated))
+
+    async def _announce_end_of_warm_up(self, emulated: EmulatedWorker) -> None:
+        await self._clock.sleep(emulated.warm_up.cold_until - self._clock.monotonic())
+        if not emulated.has_stopped:
+            self._announce(emulated)
+
+    def _log_arrival(self, worker: Worker, request: WorkerRequest) -> None:
+        """Log a request that reaches the process of a worker."""
+        emulated = self._workers.get(worker.worker_id)
+        if emulated is None or emulated.has_stopped or emulated.faults.unreachable:
+            return
+        now = self._clock.monotonic()
+        is_cold = emulated.warm_up.is_cold(now)
+        self.arrivals.append(
+            LoggedArrival(
+                worker_id=worker.worker_id,
+                service=emulated.worker.service,
+                zone=emulated.worker.zone,
+                request_id=request.request_id,
+                target=request.target,
+                at=now,
+                tenant=request.tenant,
+                is_cold=is_cold,
+            )
+        )
+        crash_rate = self.cold_crash_rates.get(emulated.worker.service, math.inf)
+        if is_cold and emulated.warm_up.record_arrival(now) > crash_rate:
+            self._spawn(self.end(emulated))
+
     # Requests
 
     def set_send_check(self, may_send: Callable[[Worker, AllowedRegions], bool]) -> None:
@@ -206,6 +286,7 @@
 
     async def call(self, worker: Worker, request: WorkerRequest) -> WorkerResponse:
         """Run a request and return its response."""
+        self._log_arrival(worker, request)
         emulated = await self._connect(worker)
         run = self._begin_run(emulated, request)
         try:
@@ -230,6 +311,7 @@
         self, worker: Worker, request: WorkerRequest
     ) -> AsyncIterator["EmulatedStream"]:
         """Stream the text of a request, starting after the event ``resume_after``."""
+        self._log_arrival(worker, request)
         emulated = await self._connect(worker)
         run = self._begin_run(emulated, request)
         try:
@@ -327,11 +409,17 @@
             versions=dict(emulated.versions),
             started_at_ms=max(self._now_ms(), emulated.worker.started_at_ms + 1),
         )
-        self._workers[restarted.worker_id] = EmulatedWorker(restarted)
+        successor = self._add_started(restarted)
         await self._clock.sleep(self.discovery_delay_seconds)
-        if self._workers[restarted.worker_id].worker == restarted:
-            for on_changed in self._listeners:
-                on_changed(restarted)
+        self._announce(successor)
+
+    def _add_started(self, worker: Worker) -> EmulatedWorker:
+        """Add a worker that starts now, and is cold if its service warms up."""
+        started = EmulatedWorker(worker)
+        seconds = self.warm_up_seconds.get(worker.service, 0.0)
+        started.warm_up.cold_until = self._clock.monotonic() + seconds
+        self._workers[worker.worker_id] = started
+        return started
 
     async def _replace(self, emulated: EmulatedWorker) -> None:
         ended_id = emulated.worker.worker_id
@@ -345,11 +433,10 @@
             versions=dict(emulated.versions),
             started_at_ms=self._now_ms() if self._reports_start_times else 0,
         )
-        self._workers[successor.worker_id] = EmulatedWorker(successor)
+        started = self._add_started(successor)
         for on_removed in self._removal_listeners:
             on_removed(ended_id)
-        for on_changed in self._listeners:
-            on_changed(successor)
+        self._announce(started)
 
     def _end_run(self, emulated: EmulatedWorker, run: LoggedRun) -> None:
         emulated.active -= 1
@@ -426,9 +513,7 @@
             return
         emulated.versions[order.model] = order.version
         emulated.busy = False
-        entry = msgspec.structs.replace(emulated.worker, versions=dict(emulated.versions))
-        for listener in self._listeners:
-            listener(entry)
+        self._publish(emulated)
 
     def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
--- a/tests/test_warm_up_sends.py
+++ b/tests/test_warm_up_sends.py
@@ -34,11 +34,11 @@
 class CountingWorkers(EmulatedWorkerPool):
     """Workers that note each arriving request, whether or not they run it."""
 
-    arrivals: list[tuple[BackendId, float]]
+    received: list[tuple[BackendId, float]]
     warm_up_left_seconds: float | None = None
 
     def note_arrival(self, worker: Worker) -> None:
-        self.arrivals.append((worker.worker_id, self._clock.monotonic()))
+        self.received.append((worker.worker_id, self._clock.monotonic()))
 
     async def call(self, worker: Worker, request: WorkerRequest) -> WorkerResponse:
         self.note_arrival(worker)
@@ -54,8 +54,8 @@
     def peak(self, since: float = 0.0, only: BackendId | None = None) -> int:
         """Return the most requests that a worker got in any second from ``since`` on."""
         peak = 0
-        for worker_id in {worker_id for worker_id, _ in self.arrivals if only in (None, worker_id)}:
-            times = [at for w, at in self.arrivals if w == worker_id and at >= since]
+        for worker_id in {worker_id for worker_id, _ in self.received if only in (None, worker_id)}:
+            times = [at for w, at in self.received if w == worker_id and at >= since]
             for start in times:
                 peak = max(peak, sum(start <= at < start + 1.0 for at in times))
         return peak
@@ -68,7 +68,7 @@
         self.world = world
         world.warm_up_tolerance = WarmUpTolerance(factor=1.5, extra_requests=5.0)
         world.workers = self.workers = CountingWorkers(world.clock)
-        self.workers.arrivals = []
+        self.workers.received = []
         for number in range(worker_count):
             self.workers.add(f"w{number}", SERVICE, {MODEL: WeightVersion(1)}, slots=200, zone=ZONE)
             self.workers.add(f"l{number}", LOOKUPS, slots=200, zone=ZONE)
@@ -156,10 +156,10 @@
         world.set_evacuated((ZONE,))
         await world.submit_jobs()
         await asyncio.sleep(2.0)
-        self.assertEqual(world.workers.arrivals, [])
+        self.assertEqual(world.workers.received, [])
         world.set_evacuated(())
         await asyncio.sleep(20.0)
-        self.assertGreaterEqual(len(world.workers.arrivals), 6 * 64)
+        self.assertGreaterEqual(len(world.workers.received), 6 * 64)
 
     def test_many_owners_see_a_zone_return_at_once(self) -> None:
         # Each owner alone would send a burst; together they would end the workers again.
@@ -217,7 +217,7 @@
             for number, node in enumerate(world.nodes[1:]):
                 await node.batches.submit(batch_spec(f"next-{number}", groups=8, group_size=8))
             await asyncio.sleep(8.0)
-            self.assertGreater(len(world.workers.arrivals), 5 * 64)
+            self.assertGreater(len(world.workers.received), 5 * 64)
             self.assertLessEqual(world.workers.peak(since), LIMIT)
 
         run_warm_up(scenario)
@@ -233,7 +233,7 @@
             for number, node in enumerate(world.nodes):
                 await node.batches.submit(batch_spec(f"next-{number}", groups=8, group_size=8))
             await asyncio.sleep(8.0)
-            self.assertGreaterEqual(len(world.workers.arrivals), 4 * 64)
+            self.assertGreaterEqual(len(world.workers.received), 4 * 64)
             self.assertLessEqual(world.workers.peak(), LIMIT)
 
         run_warm_up(scenario)
@@ -250,7 +250,7 @@
             await asyncio.sleep(5.0)
             world.workers["w0"].faults.full = False
             await asyncio.sleep(5.0)
-            self.assertGreater(len(world.workers.arrivals), len(world.workers.runs))
+            self.assertGreater(len(world.workers.received), len(world.workers.runs))
             self.assertLessEqual(world.workers.peak(), LIMIT)
 
         run_warm_up(scenario)
@@ -326,7 +326,7 @@
             world.workers["l1"].faults.lose_responses = True
             world.workers["l2"].faults.full = True
             outcomes = await world.all_lookups()
-            self.assertGreater(len(world.workers.arrivals), outcomes["served"])
+            self.assertGreater(len(world.workers.received), outcomes["served"])
             self.assertLessEqual(world.workers.peak(), LIMIT)
 
         run_warm_up(scenario)
@@ -371,8 +371,8 @@
             since = world.world.clock.monotonic()
             for _ in range(2):
                 await world.all_lookups()
-            arrivals = [at for w, at in world.workers.arrivals if w == "l0" and at >= since]
-            self.assertGreater(len(arrivals), 0)
+            received = [at for w, at in world.workers.received if w == "l0" and at >= since]
+            self.assertGreater(len(received), 0)
             self.assertLessEqual(world.workers.peak(since, BackendId("l0")), LIMIT)
 
         run_warm_up(scenario)
