Divide the starts at warm workers among the owners that have items to start

Cause: an owner counted on for 20 s after its job. Owners in the tail of their jobs kept parts, too. Change: at a worker not known to be cold an owner starts a seventh of the limit while fewer than seven have items to start; from seven on they divide it, less the part of one more. An owner that reports that no item waits doesn't count there. An ended owner counts for 1.5 s, longer than the window of its starts. At cold workers open owners divide half the limit as before. The part kept for an unknown sender went to it by rank: with a limit of 1, half of the workers got nothing for good, and one unknown sender beside seven could exceed the limit by one. It is now a share of its own, rounded up, and none of a limit of 1.

--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -180,6 +180,10 @@
         """Return the nodes that own open batch jobs, also those known only by their slot usage."""
         return self._owners.open_batch_owners() | self._owned.slot_sharing.remote_owners()
 
+    def starting_owners(self) -> set[NetworkAddress]:
+        """Return the competing owners whose items have not all started, as far as known."""
+        return self.competing_owners() - self._owned.slot_sharing.idle_owners()
+
     def open_batch_owners(self) -> set[NetworkAddress]:
         """Return the nodes that own open batch jobs, as far as known."""
         return self._owners.open_batch_owners()
--- a/drumbay/batches/slot_contention.py
+++ b/drumbay/batches/slot_contention.py
@@ -113,6 +113,15 @@
         """Return the owners with a current report."""
         return tuple(self._reports)
 
+    @property
+    def idle_owners(self) -> frozenset[NetworkAddress]:
+        """Return the owners that have reported that no item waits."""
+        return frozenset(
+            owner
+            for owner, report in self._reports.items()
+            if not any(job.waiting for job in report.jobs)
+        )
+
     def update(
         self,
         owner: NetworkAddress,
--- a/drumbay/batches/slot_sharing.py
+++ b/drumbay/batches/slot_sharing.py
@@ -87,6 +87,10 @@
         """Return the other owners that have sent their slot usage."""
         return set(self._exchange.remote_usage.owners)
 
+    def idle_owners(self) -> frozenset[NetworkAddress]:
+        """Return the other owners that have reported that no item waits."""
+        return self._exchange.remote_usage.idle_owners
+
     def schedule_notice(self) -> None:
         """Send a notice soon, as a job or one of its runs has started or ended."""
         self._exchange.schedule_notice()
--- a/drumbay/placement/start_limits.py
+++ b/drumbay/placement/start_limits.py
@@ -20,19 +20,20 @@
 """For how long a worker that is no longer cold gets clients' requests only gradually: twice as many
 each second. Otherwise every node would send to it at once, as it is the least used."""
 
-UNKNOWN_SENDER = "unknown"
-"""A sender that a node does not know of; no address has this form."""
+SAFE_SENDERS = 7
+"""So many nodes together stay within the limit of a worker that turns cold unannounced, whatever
+they know of each other. More are safe only as far as they are counted."""
 
 
 class Senders(msgspec.Struct, frozen=True, kw_only=True):
     """The nodes that may send requests to a service's workers.
 
-    ``nodes`` includes this one. ``limits_warm_workers`` is set if the part holds for workers that
-    are not known to be cold, too.
+    Both include this one. ``nodes`` share the starts at a cold worker, ``warm_nodes`` those at a
+    worker not known to be cold; these are ``None`` if starts there are not limited.
     """
 
     nodes: tuple[str, ...]
-    limits_warm_workers: bool
+    warm_nodes: tuple[str, ...] | None = None
 
 
 class _Part(NamedTuple):
@@ -40,6 +41,7 @@
 
     nodes: tuple[str, ...]
     budget: int
+    is_cold: bool
     part: int
 
 
@@ -66,6 +68,18 @@
     return whole + (rank < rest)
 
 
+def warm_part_of(budget: int, nodes: Sequence[str], own: str, worker_id: BackendId) -> int:
+    """Return how many of ``budget`` starts at a worker not known to be cold are one node's.
+
+    Few nodes don't share out what others leave, as these may begin to send at any moment. With
+    many, one more than known may begin.
+    """
+    if len(nodes) < SAFE_SENDERS <= budget:
+        return budget // SAFE_SENDERS
+    reserved = math.ceil(budget / (len(nodes) + 1)) if budget > 1 else 0
+    return part_of(budget - reserved, nodes, own, worker_id)
+
+
 def budget_of(warm_up: WarmUp, tolerance: WarmUpTolerance, *, is_cold: bool) -> int:
     """Return the starts a second that are shared out among the senders of one view.
 
@@ -142,24 +156,25 @@
         period = self._cold_workers.last_period(worker.worker_id, warm_up.seconds)
         warm_seconds = now - period.until
         senders = self._sender_view.senders(worker.service, now)
-        if warm_seconds >= RAMP_SECONDS and not senders.limits_warm_workers:
+        if warm_seconds >= 0 and senders.warm_nodes is not None:
+            budget = budget_of(warm_up, self._tolerance, is_cold=False)
+            return self._part(worker.worker_id, budget, senders.warm_nodes, is_cold=False)
+        if warm_seconds >= RAMP_SECONDS:
             return None
         budget = budget_of(warm_up, self._tolerance, is_cold=True)
-        nodes = senders.nodes
-        if warm_seconds >= 0 and senders.limits_warm_workers:
-            # One more node than known may send to a worker that turns cold unannounced.
-            budget = budget_of(warm_up, self._tolerance, is_cold=False)
-            nodes = (*nodes, UNKNOWN_SENDER)
-        elif warm_seconds >= 0:
+        if warm_seconds >= 0:
             budget = int(budget * 2**warm_seconds)
-        return self._part(worker.worker_id, budget, nodes)
+        return self._part(worker.worker_id, budget, senders.nodes, is_cold=True)
 
-    def _part(self, worker_id: BackendId, budget: int, nodes: tuple[str, ...]) -> int:
+    def _part(
+        self, worker_id: BackendId, budget: int, nodes: tuple[str, ...], *, is_cold: bool
+    ) -> int:
         found = self._parts.get(worker_id)
-        if found is not None and found.budget == budget and found.nodes == nodes:
+        if found is not None and found[:3] == (nodes, budget, is_cold):
             return found.part
-        part = part_of(budget, nodes, self._own, worker_id)
-        self._parts[worker_id] = _Part(nodes, budget, part)
+        work_out = part_of if is_cold else warm_part_of
+        part = work_out(budget, nodes, self._own, worker_id)
+        self._parts[worker_id] = _Part(nodes, budget, is_cold, part)
         return part
 
     def cold_reason(self, worker: Worker, now: float) -> ColdReason | None:
--- a/drumbay/serving/warm_up.py
+++ b/drumbay/serving/warm_up.py
@@ -1,6 +1,6 @@
 """Connects the limits for workers that warm up to what this node learns about workers and nodes."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
@@ -21,9 +21,9 @@
 SENDERS_TTL_SECONDS = 0.1
 """How long the senders of a service are kept before they are looked up again."""
 
-SENDER_MEMORY_SECONDS = 20.0
-"""An owner whose batch job has ended counts on: it likely owns the next one, and a node that no
-longer hears of new owners keeps its part for a while."""
+SENDER_MEMORY_SECONDS = 1.5
+"""An owner whose batch job has ended, or whose items have all started, counts on while its starts
+count. Exceeds the window of starts by more than a notice takes."""
 
 START_LEARNING_SECONDS = 10.0
 OWNER_LEARNING_SECONDS = 1.5
@@ -33,12 +33,27 @@
 others' parts grow."""
 
 ASSUMED_OWNERS = 8
-"""Owners that a node assumes at least while it may not know all."""
+"""Owners that a node assumes at least at cold workers while it may not know all."""
 
 ASSUMED_NODES = 100
 """Nodes that are assumed while no registered node is known."""
 
 
+class _RecentOwners:
+    """Owners that were seen within :data:`SENDER_MEMORY_SECONDS`."""
+
+    def __init__(self) -> None:
+        self._seen_at: dict[NetworkAddress, float] = {}
+
+    def update(self, owners: Iterable[NetworkAddress], now: float) -> set[NetworkAddress]:
+        """Add the owners of now and return all."""
+        for address, seen_at in list(self._seen_at.items()):
+            if seen_at < now - SENDER_MEMORY_SECONDS:
+                del self._seen_at[address]
+        self._seen_at.update(dict.fromkeys(owners, now))
+        return set(self._seen_at)
+
+
 class KnownSenders:
     """The nodes that may send requests, as far as this node knows.
 
@@ -51,16 +66,20 @@
         self._routes = routes
         self._learning_until = created_at + START_LEARNING_SECONDS
         self._owners: Callable[[], Iterable[NetworkAddress]] = tuple
+        self._starting_owners: Callable[[], Iterable[NetworkAddress]] = tuple
         self._nodes: Callable[[], tuple[NetworkAddress, ...]] = tuple
         self._is_out_of_touch: Callable[[], bool] = lambda: False
         self._registered: tuple[NetworkAddress, ...] | None = None
-        self._registered_senders = Senders(nodes=(str(own),), limits_warm_workers=False)
-        self._owners_seen_at: dict[NetworkAddress, float] = {}
+        self._registered_senders = Senders(nodes=(str(own),))
+        self._recent_owners = _RecentOwners()
+        self._recent_starting_owners = _RecentOwners()
+        self._was_owner = False
         self._found: dict[str, tuple[float, Senders]] = {}
 
     def connect(
         self,
         owners: Callable[[], Iterable[NetworkAddress]],
+        starting_owners: Callable[[], Iterable[NetworkAddress]],
         nodes: Callable[[], tuple[NetworkAddress, ...]],
         is_out_of_touch: Callable[[], bool],
     ) -> None:
@@ -68,10 +87,12 @@
 
         Args:
             owners: Returns the owners of open batch jobs.
+            starting_owners: Returns those whose items have not all started.
             nodes: Returns the registered nodes.
             is_out_of_touch: Returns whether this node may have missed new owners.
         """
         self._owners = owners
+        self._starting_owners = starting_owners
         self._nodes = nodes
         self._is_out_of_touch = is_out_of_touch
 
@@ -88,19 +109,19 @@
         return senders
 
     def _owner_senders(self, now: float) -> Senders:
-        owners = self._recent_owners(now)
-        if self._is_out_of_touch():
-            self._learning_until = now + START_LEARNING_SECONDS
-        is_learning = self._own not in owners or now < self._learning_until
-        names = self._names(owners, ASSUMED_OWNERS if is_learning else 1)
-        return Senders(nodes=names, limits_warm_workers=True)
+        owners = self._recent_owners.update(self._owners(), now)
+        starting_owners = self._recent_starting_owners.update(self._starting_owners(), now)
+        return Senders(
+            nodes=self._names(owners, ASSUMED_OWNERS if self._is_learning(owners, now) else 1),
+            warm_nodes=self._names(starting_owners, 1),
+        )
 
     def _node_senders(self) -> Senders:
         nodes = self._nodes()
         if nodes is not self._registered:
             self._registered = nodes
             names = self._names(set(nodes), 1 if nodes else ASSUMED_NODES)
-            self._registered_senders = Senders(nodes=names, limits_warm_workers=False)
+            self._registered_senders = Senders(nodes=names)
         return self._registered_senders
 
     def _names(self, addresses: set[NetworkAddress], minimum: int) -> tuple[str, ...]:
@@ -109,17 +130,15 @@
         assumed = [f"assumed-{number}" for number in range(minimum - len(names))]
         return (*names, *assumed)
 
-    def _recent_owners(self, now: float) -> set[NetworkAddress]:
-        """Return the owners of the last moments; begin to learn if this node is a new one."""
-        for address, seen_at in list(self._owners_seen_at.items()):
-            if seen_at < now - SENDER_MEMORY_SECONDS:
-                del self._owners_seen_at[address]
-        was_owner = self._own in self._owners_seen_at
-        for address in self._owners():
-            self._owners_seen_at[address] = now
-        if not was_owner and self._own in self._owners_seen_at:
+    def _is_learning(self, owners: Container[NetworkAddress], now: float) -> bool:
+        """Return whether this node may not know all owners."""
+        is_owner = self._own in owners
+        if is_owner and not self._was_owner:
             self._learning_until = max(self._learning_until, now + OWNER_LEARNING_SECONDS)
-        return set(self._owners_seen_at)
+        self._was_owner = is_owner
+        if self._is_out_of_touch():
+            self._learning_until = now + START_LEARNING_SECONDS
+        return not is_owner or now < self._learning_until
 
 
 class WorkerWarmUps:
