Don't count owners whose end was missed as senders for good

Cause: the notice of a job's end is sent once. A node that misses it keeps the owner as open until 4,096 newer jobs have come, and counted it among the senders all that time, so that its parts shrank. Ruled out: reading owner records again (a store read for each, on the path of a send). Change: an owner counts if a record has named it within 20 s or it sends its slot usage, as those of open jobs do twice a second. Without shared slots, all open owners count as before. The same stale entries are still skipped as busy when a new owner is chosen.

--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -79,6 +79,9 @@
 RECLAIM_RETRY_SECONDS = 0.5
 """Readers also trigger takeovers, so an unavailable store is not retried often."""
 
+MAX_OWNER_SILENCE_SECONDS = 20.0
+"""An owner named longer ago counts as such only if it sends its slot usage."""
+
 OWNER_ATTEMPTS = 4
 PEER_PAGE_BYTES = 256_000
 """Smaller than pages for clients: several nodes may read from one owner, whose link would otherwise
@@ -177,8 +180,16 @@
         await self._owned.slot_sharing.run()
 
     def competing_owners(self) -> set[NetworkAddress]:
-        """Return the nodes that own open batch jobs, also those known only by their slot usage."""
-        return self._owners.open_batch_owners() | self._owned.slot_sharing.remote_owners()
+        """Return the nodes that own open batch jobs, also those known only by their slot usage.
+
+        One that has been silent for long doesn't count: the notice of its job's end was lost.
+        """
+        owners = self._owners.open_batch_owners()
+        sharing = self._owned.slot_sharing
+        if not sharing.is_enabled:
+            return owners
+        heard = self._owners.recently_named_owners(MAX_OWNER_SILENCE_SECONDS)
+        return (owners & (heard | {self._owners.identity.address})) | sharing.remote_owners()
 
     def starting_owners(self) -> set[NetworkAddress]:
         """Return the competing owners whose items have not all started, as far as known."""
--- a/drumbay/batches/slot_sharing.py
+++ b/drumbay/batches/slot_sharing.py
@@ -83,6 +83,11 @@
         """Return the slot usage of this node's jobs."""
         return tuple(job.slot_usage() for job in self._jobs())
 
+    @property
+    def is_enabled(self) -> bool:
+        """Return whether slots are shared, so that owners send their slot usage."""
+        return self._is_enabled
+
     def remote_owners(self) -> set[NetworkAddress]:
         """Return the other owners that have sent their slot usage."""
         return set(self._exchange.remote_usage.owners)
--- a/tests/test_warm_up_sends.py
+++ b/tests/test_warm_up_sends.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from drumbay.batches.records import BatchId, BatchStream, OwnerRecord, OwnerState, StoredOwner
+from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.forwarding.records import ForwardingError
 from drumbay.forwarding.routes import (
     RequestKind,
@@ -16,7 +18,8 @@
     RoutingConfiguration,
     ServiceShare,
 )
-from drumbay.identifiers import BackendId, WeightVersion
+from drumbay.identifiers import BackendId, Revision, WeightVersion
+from drumbay.peers.messages import OwnerNotice
 from drumbay.placement.start_limits import WINDOW_SECONDS
 from drumbay.placement.warm_up import WarmUp, WarmUpTolerance
 from drumbay.standins.worker_pool import EmulatedStream, EmulatedWorkerPool
@@ -199,6 +202,30 @@
 
         run_warm_up(scenario, worker_count=23)
 
+    def test_an_owner_whose_end_was_missed_counts_only_for_a_while(self) -> None:
+        # Lost notices would add up, and leave nothing to the owners that there are.
+        async def scenario(world: WarmUpWorld) -> None:
+            await world.start_nodes(2)
+            world.set_evacuated((ZONE,))
+            await world.submit_jobs()
+            own = world.nodes[0].node.batches
+            gone = OwnerRecord(
+                address=NetworkAddress("10.0.0.9", 7000),
+                boot="gone",
+                state=OwnerState.OPEN,
+                total=1,
+                stream=BatchStream(service=SERVICE, model=MODEL),
+            )
+            owner = StoredOwner(record=gone, revision=Revision(1))
+            own.handle_owner_notice(OwnerNotice(batch_id=BatchId("gone"), owner=owner))
+            await asyncio.sleep(1.0)
+            present = {node.address for node in world.nodes}
+            self.assertEqual(own.competing_owners(), {*present, gone.address})
+            await asyncio.sleep(25.0)
+            self.assertEqual(own.competing_owners(), present)
+
+        run_warm_up(scenario)
+
     def test_a_node_out_of_touch_beside_others(self) -> None:
         # It sees neither the evacuation's end nor new owners, but still has workers to send to.
         async def scenario(world: WarmUpWorld) -> None:
