Keep the rank of a node for a worker, not its part

Cause: all parts were forgotten each second, and worked out again with each change of the budget, which doubles each second after the warm-up. With 410 nodes each is 410 hashes, more than their cache holds. Ruled out: a larger cache of hashes (287,000 entries at 700 cold workers). Change: the rank among the senders is kept by worker until the senders change or the worker is gone; the part is worked out from it by a division. Tests: the calls of part_of follow its new form, what they assert is unchanged.

--- a/drumbay/placement/start_limits.py
+++ b/drumbay/placement/start_limits.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import deque
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Container, Iterable, Mapping
 from typing import NamedTuple, Protocol
 
 import msgspec
@@ -36,13 +36,11 @@
     warm_nodes: tuple[str, ...] | None = None
 
 
-class _Part(NamedTuple):
-    """This node's part at a worker, and what it was worked out from."""
+class _Rank(NamedTuple):
+    """This node's rank for a worker among the nodes that may send to it."""
 
     nodes: tuple[str, ...]
-    budget: int
-    is_cold: bool
-    part: int
+    rank: int
 
 
 class SenderView(Protocol):
@@ -53,31 +51,35 @@
         ...
 
 
-def part_of(budget: int, nodes: Sequence[str], own: str, worker_id: BackendId) -> int:
+def rank_of(nodes: Iterable[str], own: str, worker_id: BackendId) -> int:
+    """Return how many nodes rendezvous hashing ranks before one node for a worker.
+
+    Thaler and Ravishankar, IEEE/ACM Transactions on Networking 6(1), 1998.
+    """
+    own_hash = rendezvous_hash(own, worker_id)
+    return sum(rendezvous_hash(node, worker_id) < own_hash for node in nodes)
+
+
+def part_of(budget: int, node_count: int, rank: int) -> int:
     """Return how many of ``budget`` starts at a worker are one node's.
 
-    What does not divide evenly goes to the nodes that rendezvous hashing ranks first for the
-    worker (Thaler and Ravishankar, IEEE/ACM Transactions on Networking 6(1), 1998). The parts of
+    What does not divide evenly goes to the nodes with the lowest ranks for the worker. The parts of
     all nodes of one view add up to the budget.
     """
-    whole, rest = divmod(budget, len(nodes))
-    if not rest:
-        return whole
-    own_hash = rendezvous_hash(own, worker_id)
-    rank = sum(rendezvous_hash(node, worker_id) < own_hash for node in nodes)
+    whole, rest = divmod(budget, node_count)
     return whole + (rank < rest)
 
 
-def warm_part_of(budget: int, nodes: Sequence[str], own: str, worker_id: BackendId) -> int:
+def warm_part_of(budget: int, node_count: int, rank: int) -> int:
     """Return how many of ``budget`` starts at a worker not known to be cold are one node's.
 
     Few nodes don't share out what others leave, as these may begin to send at any moment. With
     many, one more than known may begin.
     """
-    if len(nodes) < SAFE_SENDERS <= budget:
+    if node_count < SAFE_SENDERS <= budget:
         return budget // SAFE_SENDERS
-    reserved = math.ceil(budget / (len(nodes) + 1)) if budget > 1 else 0
-    return part_of(budget - reserved, nodes, own, worker_id)
+    reserved = math.ceil(budget / (node_count + 1)) if budget > 1 else 0
+    return part_of(budget - reserved, node_count, rank)
 
 
 def budget_of(warm_up: WarmUp, tolerance: WarmUpTolerance, *, is_cold: bool) -> int:
@@ -125,7 +127,7 @@
         # The previous process at this address may have used its part just before.
         self._first_start_at = created_at + WINDOW_SECONDS
         self._starts: dict[BackendId, deque[float]] = {}
-        self._parts: dict[BackendId, _Part] = {}
+        self._ranks: dict[BackendId, _Rank] = {}
 
     def remaining_starts(self, worker: Worker, now: float) -> float:
         """Return how many requests may be started now; infinite without a limit."""
@@ -158,24 +160,22 @@
         senders = self._sender_view.senders(worker.service, now)
         if warm_seconds >= 0 and senders.warm_nodes is not None:
             budget = budget_of(warm_up, self._tolerance, is_cold=False)
-            return self._part(worker.worker_id, budget, senders.warm_nodes, is_cold=False)
+            rank = self._rank(worker.worker_id, senders.warm_nodes)
+            return warm_part_of(budget, len(senders.warm_nodes), rank)
         if warm_seconds >= RAMP_SECONDS:
             return None
         budget = budget_of(warm_up, self._tolerance, is_cold=True)
         if warm_seconds >= 0:
             budget = int(budget * 2**warm_seconds)
-        return self._part(worker.worker_id, budget, senders.nodes, is_cold=True)
-
-    def _part(
-        self, worker_id: BackendId, budget: int, nodes: tuple[str, ...], *, is_cold: bool
-    ) -> int:
-        found = self._parts.get(worker_id)
-        if found is not None and found[:3] == (nodes, budget, is_cold):
-            return found.part
-        work_out = part_of if is_cold else warm_part_of
-        part = work_out(budget, nodes, self._own, worker_id)
-        self._parts[worker_id] = _Part(nodes, budget, is_cold, part)
-        return part
+        return part_of(budget, len(senders.nodes), self._rank(worker.worker_id, senders.nodes))
+
+    def _rank(self, worker_id: BackendId, nodes: tuple[str, ...]) -> int:
+        found = self._ranks.get(worker_id)
+        if found is not None and (found.nodes is nodes or found.nodes == nodes):
+            return found.rank
+        rank = rank_of(nodes, self._own, worker_id)
+        self._ranks[worker_id] = _Rank(nodes, rank)
+        return rank
 
     def cold_reason(self, worker: Worker, now: float) -> ColdReason | None:
         """Return why a worker counts as cold; ``None`` if it does not, or its service has none."""
@@ -195,9 +195,10 @@
             self._starts.setdefault(worker.worker_id, deque()).append(now)
             self._recent_starts(worker.worker_id, now)
 
-    def forget_idle(self, now: float) -> None:
-        """Forget the workers without a start in the last second, and all cached parts."""
-        self._parts.clear()
+    def forget_except(self, known: Container[BackendId], now: float) -> None:
+        """Forget the workers that are gone, and starts of more than a second ago."""
+        for worker_id in [w for w in self._ranks if w not in known]:
+            del self._ranks[worker_id]
         for worker_id in list(self._starts):
             if not self._recent_starts(worker_id, now):
                 del self._starts[worker_id]
--- a/drumbay/serving/warm_up.py
+++ b/drumbay/serving/warm_up.py
@@ -192,7 +192,7 @@
         now = self._clock.monotonic()
         records = self._directory.all_records()
         self._cold_workers.forget_except(records)
-        self.limits.forget_idle(now)
+        self.limits.forget_except(records, now)
         cold: dict[BackendId, Worker] = {}
         for worker_id, record in records.items():
             reason = self.limits.cold_reason(record.worker, now)
--- a/tests/test_warm_up.py
+++ b/tests/test_warm_up.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 from collections.abc import Mapping
+from unittest.mock import patch
 
 import msgspec
 
@@ -11,6 +12,7 @@
 from drumbay.forwarding.routes import RouteTable
 from drumbay.forwarding.worker_choice import WorkerSnapshot, choose_worker
 from drumbay.identifiers import BackendId
+from drumbay.placement import start_limits
 from drumbay.placement.cold_workers import ColdReason, ColdWorkers
 from drumbay.placement.start_limits import (
     SAFE_SENDERS,
@@ -18,6 +20,7 @@
     StartLimits,
     budget_of,
     part_of,
+    rank_of,
     warm_part_of,
 )
 from drumbay.placement.warm_up import WarmUp, WarmUpTolerance
@@ -187,10 +190,13 @@
 
 class PartTest(unittest.TestCase):
     def total(self, budget: int, view: tuple[str, ...]) -> int:
-        return sum(part_of(budget, view, node, W) for node in view)
+        return sum(part_of(budget, len(view), rank_of(view, node, W)) for node in view)
+
+    def warm_part(self, budget: int, view: tuple[str, ...], node: str) -> int:
+        return warm_part_of(budget, len(view), rank_of(view, node, W))
 
     def warm_total(self, budget: int, view: tuple[str, ...]) -> int:
-        return sum(warm_part_of(budget, view, node, W) for node in view)
+        return sum(self.warm_part(budget, view, node) for node in view)
 
     def test_parts_of_one_view_add_up_to_the_budget(self) -> None:
         # Rounding up each part would exceed the limit with many nodes; down, waste most of it.
@@ -216,12 +222,12 @@
         for count in range(1, 40):
             view = tuple(str(address) for address in addresses(count))
             for unknown in (f"10.9.9.{number}:1" for number in range(20)):
-                part = warm_part_of(budget, (*view, unknown), unknown, W)
+                part = self.warm_part(budget, (*view, unknown), unknown)
                 self.assertLessEqual(self.warm_total(budget, view) + part, LIMIT)
 
     def test_a_few_senders_that_know_nothing_of_each_other_stay_within_the_limit(self) -> None:
         # Jobs of several trainers arrive at once, before the owners have heard of each other.
-        alone = [warm_part_of(LIMIT, (f"n{n}",), f"n{n}", W) for n in range(SAFE_SENDERS)]
+        alone = [self.warm_part(LIMIT, (f"n{n}",), f"n{n}") for n in range(SAFE_SENDERS)]
         self.assertLessEqual(sum(alone), LIMIT)
         self.assertGreaterEqual(min(alone), 3)
 
@@ -239,7 +245,7 @@
             node
             for number in range(60)
             for node in view
-            if part_of(11, view, node, BackendId(f"w{number}"))
+            if part_of(11, len(view), rank_of(view, node, BackendId(f"w{number}")))
         }
         self.assertGreater(len(chosen), 80)
 
@@ -320,6 +326,19 @@
         self.view.known = Senders(nodes=names, warm_nodes=names)
         self.assertLessEqual(self.remaining(10.0), 2)
 
+    def test_ranks_are_kept_while_the_budget_changes(self) -> None:
+        # With hundreds of nodes and cold workers, each choice after a change would stall the node.
+        self.view.known = Senders(nodes=("a", "b"))
+        self.cold.handle_zone_return(W, now=10.0)
+        with patch.object(start_limits, "rank_of", return_value=0) as worked_out:
+            for now in (10.0, 11.0, 31.0, 32.0, 33.0):
+                self.remaining(now)
+                self.limits.forget_except({W}, now)
+            self.assertEqual(worked_out.call_count, 1)
+            self.limits.forget_except((), 34.0)
+            self.remaining(34.0)
+            self.assertEqual(worked_out.call_count, 2)
+
 
 class KnownSendersTest(unittest.TestCase):
     def setUp(self) -> None:
