--- a/tests/test_warm_up_sends.py
+++ b/tests/test_warm_up_sends.py
@@ -189,15 +189,14 @@
 
         run_warm_up(scenario)
 
-    def test_warm_workers_start_a_job_within_two_seconds(self) -> None:
+    def test_warm_workers_start_a_job_within_a_second(self) -> None:
         # The limit must not slow a step: four owners, 23 workers.
         async def scenario(world: WarmUpWorld) -> None:
             await world.start_nodes(4)
-            started_at = world.world.clock.monotonic()
             await world.submit_jobs()
-            await asyncio.sleep(2.0)
+            await asyncio.sleep(1.0)
             runs = {run.request_id for run in world.workers.runs}
-            self.assertEqual(len(runs), 4 * 64, world.world.clock.monotonic() - started_at)
+            self.assertEqual(len(runs), 4 * 64)
 
         run_warm_up(scenario, worker_count=23)
 
