Count owners at cold workers, too, only while their items wait

Cause: after the return of a zone each open owner kept its part of half the limit, also those whose last items had started seconds ago: with eight open jobs of four trainers about one start a second and worker. Change: one set of owners for cold and warm workers, those whose items wait, and for 1.5 s more. This node is one of them only while its own items wait; when they do again, for example because runs broke, it assumes eight at cold workers for 1.5 s, as a node does that becomes an owner. Ruled out: a bound for idle owners of their own (one more rule; a new owner's does). Tests: test_owners_count_while_their_items_wait fails if this node or others never count as idle.

--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -193,7 +193,9 @@
 
     def starting_owners(self) -> set[NetworkAddress]:
         """Return the competing owners whose items have not all started, as far as known."""
-        return self.competing_owners() - self._owned.slot_sharing.idle_owners()
+        sharing = self._owned.slot_sharing
+        owners = self.competing_owners()
+        return owners - sharing.idle_owners() if sharing.is_enabled else owners
 
     def open_batch_owners(self) -> set[NetworkAddress]:
         """Return the nodes that own open batch jobs, as far as known."""
--- a/drumbay/batches/slot_sharing.py
+++ b/drumbay/batches/slot_sharing.py
@@ -69,6 +69,7 @@
         self._placement = placement
         self._jobs = jobs
         self._is_enabled = is_enabled
+        self._own_address = owners.identity.address
         self._event_sizes: dict[str, EventSizeEstimate] = {}
         self._exchange = SlotExchange(
             clock,
@@ -93,8 +94,11 @@
         return set(self._exchange.remote_usage.owners)
 
     def idle_owners(self) -> frozenset[NetworkAddress]:
-        """Return the other owners that have reported that no item waits."""
-        return self._exchange.remote_usage.idle_owners
+        """Return the owners without waiting items, from what they and this node last reported."""
+        idle = self._exchange.remote_usage.idle_owners
+        if any(job.last_slot_usage.waiting for job in self._jobs()):
+            return idle
+        return idle | {self._own_address}
 
     def schedule_notice(self) -> None:
         """Send a notice soon, as a job or one of its runs has started or ended."""
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -206,7 +206,6 @@
             self.metrics,
         )
         self._warm_ups.known_senders.connect(
-            self.batches.competing_owners,
             self.batches.starting_owners,
             lambda: self._peer_directory.ranking.nodes,
             lambda: self.may_have_outdated_configuration or self._notice_queues.is_cut_off,
--- a/drumbay/serving/warm_up.py
+++ b/drumbay/serving/warm_up.py
@@ -66,33 +66,28 @@
         self._routes = routes
         self._learning_until = created_at + START_LEARNING_SECONDS
         self._owners: Callable[[], Iterable[NetworkAddress]] = tuple
-        self._starting_owners: Callable[[], Iterable[NetworkAddress]] = tuple
         self._nodes: Callable[[], tuple[NetworkAddress, ...]] = tuple
         self._is_out_of_touch: Callable[[], bool] = lambda: False
         self._registered: tuple[NetworkAddress, ...] | None = None
         self._registered_senders = Senders(nodes=(str(own),))
         self._recent_owners = _RecentOwners()
-        self._recent_starting_owners = _RecentOwners()
         self._was_owner = False
         self._found: dict[str, tuple[float, Senders]] = {}
 
     def connect(
         self,
         owners: Callable[[], Iterable[NetworkAddress]],
-        starting_owners: Callable[[], Iterable[NetworkAddress]],
         nodes: Callable[[], tuple[NetworkAddress, ...]],
         is_out_of_touch: Callable[[], bool],
     ) -> None:
         """Set where to look the senders up.
 
         Args:
-            owners: Returns the owners of open batch jobs.
-            starting_owners: Returns those whose items have not all started.
+            owners: Returns the owners of batch jobs whose items have not all started.
             nodes: Returns the registered nodes.
             is_out_of_touch: Returns whether this node may have missed new owners.
         """
         self._owners = owners
-        self._starting_owners = starting_owners
         self._nodes = nodes
         self._is_out_of_touch = is_out_of_touch
 
@@ -110,10 +105,9 @@
 
     def _owner_senders(self, now: float) -> Senders:
         owners = self._recent_owners.update(self._owners(), now)
-        starting_owners = self._recent_starting_owners.update(self._starting_owners(), now)
         return Senders(
             nodes=self._names(owners, ASSUMED_OWNERS if self._is_learning(owners, now) else 1),
-            warm_nodes=self._names(starting_owners, 1),
+            warm_nodes=self._names(owners, 1),
         )
 
     def _node_senders(self) -> Senders:
--- a/tests/test_warm_up_sends.py
+++ b/tests/test_warm_up_sends.py
@@ -200,6 +200,25 @@
 
         run_warm_up(scenario, worker_count=23)
 
+    def test_owners_count_while_their_items_wait(self) -> None:
+        # The last items of a step run for seconds; their owners would keep parts unused.
+        async def scenario(world: WarmUpWorld) -> None:
+            await world.start_nodes(2)
+            world.set_evacuated((ZONE,))
+            await world.submit_jobs()
+            await asyncio.sleep(1.0)
+            present = {node.address for node in world.nodes}
+            for number in range(23):
+                world.workers[f"w{number}"].faults.slowdown = 6.0
+            for expected in (present, set[NetworkAddress]()):
+                for node in world.nodes:
+                    self.assertEqual(node.node.batches.starting_owners(), expected)
+                    self.assertEqual(node.node.batches.competing_owners(), present)
+                world.set_evacuated(())
+                await asyncio.sleep(1.8)
+
+        run_warm_up(scenario, worker_count=23)
+
     def test_an_owner_whose_end_was_missed_counts_only_for_a_while(self) -> None:
         # Lost notices would add up, and leave nothing to the owners that there are.
         async def scenario(world: WarmUpWorld) -> None:
