--- a/drumbay/batches/owners.py
+++ b/drumbay/batches/owners.py
@@ -125,16 +125,6 @@
             if owner.record.state is OwnerState.OPEN
         }
 
-    def recently_named_owners(self, seconds: float) -> set[NetworkAddress]:
-        """Return the nodes that an owner record has named within a time."""
-        since = self._clock.monotonic() - seconds
-        return {
-            address
-            for owners in self._streams.values()
-            for address, seen_at in owners.last_seen_at.items()
-            if seen_at >= since
-        }
-
     def recent_owners(self, stream: BatchStream) -> list[NetworkAddress]:
         """Return the other nodes that recently owned batch jobs of a stream."""
         owners = self._streams.get(stream)
@@ -225,6 +215,16 @@
         self._cache_owner(batch_id, owner)
         return owner
 
+    def recently_named_owners(self, seconds: float) -> set[NetworkAddress]:
+        """Return the nodes that an owner record has named within a time."""
+        since = self._clock.monotonic() - seconds
+        return {
+            address
+            for owners in self._streams.values()
+            for address, seen_at in owners.last_seen_at.items()
+            if seen_at >= since
+        }
+
     async def wait_before_retry(self, deadline: float, error: KeyValueError) -> None:
         """Wait before the store is read again.
 
