--- a/drumbay/batches/slot_sharing.py
+++ b/drumbay/batches/slot_sharing.py
@@ -69,6 +69,7 @@
         self._placement = placement
         self._jobs = jobs
         self._is_enabled = is_enabled
+        self._own_address = owners.identity.address
         self._event_sizes: dict[str, EventSizeEstimate] = {}
         self._exchange = SlotExchange(
             clock,
@@ -83,10 +84,22 @@
         """Return the slot usage of this node's jobs."""
         return tuple(job.slot_usage() for job in self._jobs())
 
+    @property
+    def is_enabled(self) -> bool:
+        """Return whether slots are shared, so that owners send their slot usage."""
+        return self._is_enabled
+
     def remote_owners(self) -> set[NetworkAddress]:
         """Return the other owners that have sent their slot usage."""
         return set(self._exchange.remote_usage.owners)
 
+    def idle_owners(self) -> frozenset[NetworkAddress]:
+        """Return the owners without waiting items, from what they and this node last reported."""
+        idle = self._exchange.remote_usage.idle_owners
+        if any(job.last_slot_usage.waiting for job in self._jobs()):
+            return idle
+        return idle | {self._own_address}
+
     def schedule_notice(self) -> None:
         """Send a notice soon, as a job or one of its runs has started or ended."""
         self._exchange.schedule_notice()
