Split the forwarder by job

Ruled out: a class for each kind of request, as the loop is the same for all. Change: forwarded_request.py runs one request, attempts.py keeps its attempts, request_quarantine.py asks the quarantine, request_waits.py decides without I/O what a request does that no worker takes now. forwarder.py holds what a node's requests share. MAX_REFUSALS_PER_ADMISSION moved, so a test imports it from there. The worker picker says in service and eligible only.

--- /dev/null
+++ b/drumbay/forwarding/forwarded_request.py
@@ -0,0 +1,547 @@
+"""One client request on its way: admission, sends to workers, waits, and the outcome.
+
+Idempotent requests are sent to at most ``route.attempts`` workers; the first complete response wins
+and the other attempts are cancelled. At-most-once requests are resent only if the previous
+worker certainly did not run the request.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+
+import msgspec
+
+from drumbay.admission.gate import AdmissionGate
+from drumbay.admission.service import retry_after_seconds
+from drumbay.clock import Clock
+from drumbay.exceptions import Execution
+from drumbay.forwarding.attempts import Attempt, RequestAttempts
+from drumbay.forwarding.hedge_timing import STALLED_CONNECTION_TARGET_SHARE, HedgeTiming
+from drumbay.forwarding.records import (
+    ClientRequest,
+    ForwardingError,
+    NoWorkerError,
+    RequestTimedOutError,
+    ResponseLostError,
+)
+from drumbay.forwarding.request_admission import RequestAdmission
+from drumbay.forwarding.request_log import (
+    RequestTrace,
+    log_not_served,
+    log_run_failed,
+    log_served,
+)
+from drumbay.forwarding.request_quarantine import RequestQuarantine
+from drumbay.forwarding.request_waits import (
+    QueueAgain,
+    Reject,
+    SendFrom,
+    WaitLimits,
+    after_refusal,
+    after_refusal_in_regions,
+    without_start,
+)
+from drumbay.forwarding.routes import RequestKind, Route
+from drumbay.forwarding.worker_call import WorkerCaller
+from drumbay.forwarding.worker_choice import ChosenWorker
+from drumbay.forwarding.worker_picker import SendCriteria, WorkerPicker
+from drumbay.observability.logs import log_event
+from drumbay.observability.serving_metrics import ServingMetrics
+from drumbay.placement.regions import AllowedRegions
+from drumbay.quarantine.service import Quarantine
+from drumbay.workers.directory import WorkerDirectory
+from drumbay.workers.interface import WorkerClient
+from drumbay.workers.records import (
+    WorkerBrokenError,
+    WorkerError,
+    WorkerMisdirectedError,
+    WorkerNotEligibleError,
+    WorkerRefusedError,
+    WorkerRequest,
+    WorkerResponse,
+    WorkerTimedOutError,
+    WorkerUnreachableError,
+)
+from drumbay.workers.worker_record import WorkerRecord
+
+MIN_BUDGET_SECONDS = 0.02
+"""Minimum time left for which another attempt is started."""
+
+RETRY_AFTER_SECONDS = 0.25
+"""Retry-After for services without an available worker; another node may already see one."""
+
+FREE_WORKER_POLL_SECONDS = 0.05
+"""Polling interval while no attempt is in flight and no worker is free or may get a request."""
+
+MISDIRECTED_PAUSE_SECONDS = 5.0
+"""Pause for a worker whose address now serves another one, until discovery is updated."""
+
+INELIGIBLE_PAUSE_SECONDS = 0.02
+"""Pause after a send that the placement constraint stopped as its last step."""
+
+QUEUE_CHECK_SECONDS = 0.05
+"""Interval at which a queued request bound to regions checks that these have a worker for it."""
+
+QUARANTINE_POLL_SECONDS = 0.02
+"""Polling interval while the quarantine checks whether a request crashed its worker."""
+
+
+class ForwardingServices(msgspec.Struct, frozen=True, kw_only=True):
+    """What all requests of a node share."""
+
+    clock: Clock
+    directory: WorkerDirectory
+    client: WorkerClient
+    picker: WorkerPicker
+    caller: WorkerCaller
+    metrics: ServingMetrics
+    hedge_timing: HedgeTiming
+    quarantine: Quarantine
+    admission: AdmissionGate
+
+
+class ForwardedRequest:
+    """Serves one client request: decides when to send, and handles the attempts that end."""
+
+    def __init__(
+        self,
+        services: ForwardingServices,
+        route: Route,
+        service: str,
+        request: ClientRequest,
+        priority_levels: frozenset[int],
+        allowed_regions: Callable[[], AllowedRegions],
+    ) -> None:
+        """Create a request that has not been sent.
+
+        ``priority_levels`` are those of the service's requests. ``allowed_regions`` returns the
+        regions in which the request may run now.
+        """
+        self._clock = services.clock
+        self._directory = services.directory
+        self._client = services.client
+        self._picker = services.picker
+        self._caller = services.caller
+        self._metrics = services.metrics
+        self._hedge_timing = services.hedge_timing
+        self._route = route
+        self._service = service
+        self._request = request
+        self._allowed_regions = allowed_regions
+        self._fingerprint = request.fingerprint
+        self._attempts = RequestAttempts(route)
+        self._quarantine = RequestQuarantine(
+            services.quarantine, request.request_id, self._fingerprint, service, self._attempts
+        )
+        self._started_at = self._clock.monotonic()
+        self._deadline = self._started_at + min(request.budget_seconds, route.timeout_seconds)
+        self._wait_limits = WaitLimits(arrived_at=self._started_at, deadline=self._deadline)
+        self._next_send_at = self._started_at
+        self._last_sent_at = self._started_at
+        self._is_hedge_next = False
+        self._is_service_full = False
+        self._response_seconds: float | None = None
+        self._admission = RequestAdmission(
+            services.admission, service, request, self._started_at, self._deadline, self._regions
+        )
+        self._worker_priority = request.priority if len(priority_levels) > 1 else None
+        """Passed to workers only if the service receives requests of several priorities."""
+
+    @property
+    def first_run_at(self) -> float | None:
+        """Return the monotonic time of the earliest send that may have run."""
+        return self._attempts.first_run_at
+
+    @property
+    def _regions(self) -> AllowedRegions:
+        """Return the regions in which the request may run now."""
+        return self._allowed_regions()
+
+    async def run(self) -> WorkerResponse:
+        """Send attempts until one succeeds or no further attempt is allowed."""
+        self._reject_without_workers()
+        await self._wait_for_admission(self._admission.acquire)
+        self._next_send_at = self._clock.monotonic()
+        self._hedge_timing.record_request(
+            self._next_send_at, is_interactive=self._request.is_interactive
+        )
+        while True:
+            now = self._clock.monotonic()
+            remaining = self._deadline - now
+            if remaining < MIN_BUDGET_SECONDS:
+                raise self._forwarding_error(timed_out=True)
+            if self._may_wait_after_refusal():
+                step = self._step_after_refusal(now)
+                if isinstance(step, QueueAgain):
+                    await self._wait_for_readmission()
+                    continue
+                self._apply(step)
+            is_due = now >= self._next_send_at and self._attempts.may_send
+            if is_due and self._passes_quarantine(now) and self._may_send_hedge(now):
+                self._send_to_next_worker(now, remaining)
+            if self._attempts.in_flight:
+                response = await self._wait_for_attempt(now, remaining)
+                if response is not None:
+                    return response
+            elif self._attempts.may_send:
+                pause_seconds = max(self._next_send_at - now, QUARANTINE_POLL_SECONDS)
+                await self._clock.sleep(min(pause_seconds, FREE_WORKER_POLL_SECONDS, remaining))
+            else:
+                raise self._forwarding_error(timed_out=False)
+
+    async def _wait_for_admission(self, acquire: Callable[[], Coroutine[None, None, None]]) -> None:
+        """Wait for admission; a restricted request only while its regions have a worker for it.
+
+        Raises:
+            NoWorkerError: The request was not admitted, or no worker may get it any more.
+        """
+        if not self._regions.is_restricted:
+            await acquire()
+            return
+        admission = asyncio.get_running_loop().create_task(acquire())
+        try:
+            while not (await asyncio.wait({admission}, timeout=QUEUE_CHECK_SECONDS))[0]:
+                self._reject_if_regions_stay_full()
+            admission.result()
+        finally:
+            admission.cancel()
+
+    def _reject_without_workers(self) -> None:
+        """Reject a request for which no worker is in service, before it queues.
+
+        Raises:
+            ForwardingError: Every worker is in an evacuated zone or outside the allowed regions.
+        """
+        if self._lacks_workers():
+            raise self._rejection()
+
+    def _lacks_workers(self) -> bool:
+        regions = self._regions
+        return regions.is_empty or self._picker.lacks_workers(self._service, regions)
+
+    def _reject_if_regions_stay_full(self) -> None:
+        """Reject a queued request if the workers of its regions stay full for too long.
+
+        Raises:
+            ForwardingError: They stay full; the queue itself moves with other regions too.
+        """
+        regions, ends_at = self._regions, self._wait_limits.region_wait_ends_at
+        if regions.is_restricted and not self._picker.is_free_by(
+            self._service, self._quarantine.avoided_workers, regions, ends_at
+        ):
+            raise self._rejection()
+
+    def _rejection(self) -> ForwardingError:
+        """Log that no worker is in service, or all are full; return the error for the client."""
+        regions = self._regions
+        log_event(
+            "request_excluded",
+            request=self._request.request_id,
+            route=self._route.name,
+            service=self._service,
+            reason="no_worker" if self._lacks_workers() else "workers_full",
+            restricted=regions.is_restricted,
+            allowed_regions=",".join(regions.names()),
+        )
+        return self._forwarding_error(timed_out=False)
+
+    def _step_after_refusal(self, now: float) -> SendFrom | QueueAgain | Reject | None:
+        regions, avoided_workers = self._regions, self._quarantine.avoided_workers
+        has_too_many_refusals = self._attempts.has_too_many_refusals
+        if regions.is_restricted:
+            return after_refusal_in_regions(
+                self._wait_limits,
+                self._picker.free_from(self._service, avoided_workers, regions),
+                now,
+                has_too_many_refusals=has_too_many_refusals,
+            )
+        eligible = self._picker.eligible_workers(self._service, avoided_workers, regions)
+        return after_refusal(
+            has_too_many_refusals=has_too_many_refusals,
+            has_free_worker=any(record.is_available(now) for record in eligible),
+        )
+
+    def _apply(self, step: SendFrom | Reject | None) -> None:
+        """Postpone the next send, if need be.
+
+        Raises:
+            ForwardingError: The request is rejected.
+        """
+        match step:
+            case SendFrom(time=time, forgives_refusals=forgives_refusals):
+                self._next_send_at = max(self._next_send_at, time)
+                if forgives_refusals:
+                    self._attempts.forgive_refusals()
+            case Reject():
+                raise self._rejection()
+
+    def _may_wait_after_refusal(self) -> bool:
+        """Return whether admission control decides when a refused request is sent again."""
+        return (
+            self._is_service_full
+            and not self._attempts.in_flight
+            and self._attempts.has_not_run
+            and self._admission.is_limited
+        )
+
+    async def _wait_for_readmission(self) -> None:
+        await self._wait_for_admission(self._admission.reacquire)
+        self._attempts.forgive_refusals()
+        self._is_service_full = False
+        self._next_send_at = self._clock.monotonic()
+
+    def _passes_quarantine(self, now: float) -> bool:
+        """Return whether the request may run; if not yet, postpone the next send.
+
+        Raises:
+            RequestQuarantinedError: The request must not run and no attempt is in flight.
+        """
+        if self._quarantine.allows_run():
+            return True
+        self._next_send_at = now + QUARANTINE_POLL_SECONDS
+        return False
+
+    def _may_send_hedge(self, now: float) -> bool:
+        """Return whether the next send is allowed if it is a hedge.
+
+        Without hedge budget it is delayed until a reused connection may be considered stalled.
+        """
+        if not self._is_hedge_next or not self._attempts.in_flight:
+            return True
+        stalled_at = (
+            self._last_sent_at + self._route.target_seconds * STALLED_CONNECTION_TARGET_SHARE
+        )
+        may_be_stalled = self._attempts.unconfirmed() is not None
+        is_in_budget = self._hedge_timing.try_withdraw(
+            now, is_interactive=self._request.is_interactive
+        )
+        if is_in_budget or (may_be_stalled and now >= stalled_at):
+            self._metrics.count_hedge("sent")
+            return True
+        self._metrics.count_hedge("no_budget")
+        self._next_send_at = stalled_at if may_be_stalled else self._deadline
+        return False
+
+    def close(self, *, has_succeeded: bool) -> None:
+        """Cancel attempts in flight; their workers stop processing.
+
+        Unless the request has succeeded, the workers that were still running it are reported to
+        the quarantine.
+        """
+        for task, attempt in self._attempts.in_flight.items():
+            self._attempts.record_run_start(attempt)
+            task.cancel()
+            if not has_succeeded:
+                self._quarantine.record_unanswered_run(attempt)
+        self._admission.close(self._response_seconds)
+
+    def log_success(self, response: WorkerResponse) -> None:
+        """Log the response, the attempts made and the expected latency of the selected worker."""
+        successful = self._attempts.successful
+        choice = successful.choice if successful is not None else None
+        log_served(self._trace(), response.status, choice)
+
+    def log_failure(self, error: ForwardingError) -> None:
+        """Log the final failure."""
+        log_not_served(self._trace(), error)
+
+    def _trace(self) -> RequestTrace:
+        return RequestTrace(
+            request_id=self._request.request_id,
+            fingerprint=self._fingerprint,
+            route=self._route.name,
+            service=self._service,
+            sent=self._attempts.sent,
+            refusals=self._attempts.refusals,
+            workers=self._attempts.tried,
+            elapsed_seconds=self._clock.monotonic() - self._started_at,
+        )
+
+    async def _wait_for_attempt(self, now: float, remaining: float) -> WorkerResponse | None:
+        """Wait until an attempt finishes or the next one may be sent."""
+        wait_seconds = remaining
+        if self._attempts.may_send:
+            seconds_until_send = max(self._next_send_at - now, MIN_BUDGET_SECONDS)
+            wait_seconds = min(remaining, seconds_until_send)
+        done, _ = await asyncio.wait(
+            self._attempts.in_flight, timeout=wait_seconds, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            response = self._handle_finished(task, self._attempts.in_flight.pop(task))
+            if response is not None:
+                return response
+            self._is_hedge_next = False
+        return None
+
+    def _send_to_next_worker(self, now: float, remaining: float) -> None:
+        self._next_send_at = now + self._hedge_timing.delay_seconds(
+            self._route.name,
+            self._route.target_seconds,
+            is_interactive=self._request.is_interactive,
+        )
+        self._last_sent_at = now
+        self._is_hedge_next = True
+        if not self._attempts.is_any_left:
+            unconfirmed = self._attempts.unconfirmed()
+            if unconfirmed is not None and self._picker.may_send(unconfirmed.record, self._regions):
+                self._send(unconfirmed.record, unconfirmed.choice, remaining)
+            return
+        choice = self._picker.choose(self._send_criteria(), now)
+        record = self._directory.get(choice.worker_id) if choice is not None else None
+        if choice is not None and record is not None:
+            self._send(record, choice, remaining)
+        elif not self._attempts.in_flight:
+            self._wait_for_start(now)
+
+    def _wait_for_start(self, now: float) -> None:
+        """Postpone the next send if a worker will soon take another request of this node.
+
+        Raises:
+            ForwardingError: None will, or not in time.
+        """
+        step = without_start(
+            self._wait_limits,
+            self._picker.next_start_at(
+                self._service, self._quarantine.avoided_workers, self._regions
+            ),
+            now,
+            has_not_run=self._attempts.has_not_run,
+        )
+        if isinstance(step, Reject):
+            raise self._forwarding_error(timed_out=False)
+        self._next_send_at = step.time
+
+    def _send_criteria(self) -> SendCriteria:
+        return SendCriteria(
+            route=self._route,
+            service=self._service,
+            body_bytes=len(self._request.body),
+            tried=self._attempts.tried,
+            avoided_workers=self._quarantine.avoided_workers,
+            regions=self._regions,
+        )
+
+    def _send(self, record: WorkerRecord, choice: ChosenWorker, remaining: float) -> None:
+        # Only the first attempt may reuse an idle connection: if idle connections have stalled,
+        # each reuse would waste an attempt.
+        needs_new_connection = self._attempts.sent > self._attempts.refusals
+        reused_connection = not needs_new_connection and self._client.has_idle_connection(
+            record.worker
+        )
+        self._attempts.sent += 1
+        self._attempts.tried.add(record.worker.worker_id)
+        request = self._request
+        worker_request = WorkerRequest(
+            request_id=request.request_id,
+            method=request.method,
+            target=request.target,
+            host=request.host,
+            headers=request.headers,
+            body=request.body,
+            budget_seconds=remaining,
+            repeatable=self._route.kind is RequestKind.IDEMPOTENT,
+            tenant=request.tenant,
+            priority=self._worker_priority,
+            fresh_connection=needs_new_connection,
+            allowed_regions=self._allowed_regions,
+        )
+        record.in_flight += 1
+        record.body_bytes += len(request.body)
+        task = asyncio.get_running_loop().create_task(
+            self._caller.call(record.worker, worker_request, self._route, self._fingerprint)
+        )
+        # A task that is cancelled before it starts never reaches a ``finally`` block of its own.
+        task.add_done_callback(lambda _: _subtract_in_flight(record, len(request.body)))
+        self._attempts.in_flight[task] = Attempt(
+            record, choice, self._clock.monotonic(), reused_connection
+        )
+
+    def _handle_finished(
+        self, task: "asyncio.Task[WorkerResponse]", attempt: Attempt
+    ) -> WorkerResponse | None:
+        """Process a finished attempt; return its response if it succeeded."""
+        now = self._next_send_at = self._clock.monotonic()
+        worker_id = attempt.record.worker.worker_id
+        worker_started_at_ms = attempt.record.worker.started_at_ms
+        try:
+            response = task.result()
+            self._response_seconds = now - attempt.sent_at
+            self._attempts.record_run_start(attempt)
+            self._quarantine.record_worker_alive(attempt)
+            self._attempts.successful = attempt
+            expected_seconds = attempt.choice.expected_seconds
+            self._metrics.observe_expected_time(expected_seconds, now - attempt.sent_at)
+            self._record_worker_failures(now)
+            return response
+        except WorkerNotEligibleError:
+            # Not sent, so no refusal by a worker: it must not use up those of the admission.
+            self._attempts.sent -= 1
+            self._next_send_at = now + INELIGIBLE_PAUSE_SECONDS
+        except WorkerMisdirectedError:
+            self._attempts.refusals += 1
+            self._directory.pause(worker_id, now, MISDIRECTED_PAUSE_SECONDS, worker_started_at_ms)
+        except WorkerUnreachableError:
+            self._attempts.refusals += 1
+            self._directory.observe_failed_run(worker_id, now, worker_started_at_ms)
+            self._directory.observe_failure(
+                worker_id, now, worker_started_at_ms, is_unreachable=True
+            )
+        except WorkerRefusedError:
+            self._attempts.refusals += 1
+            self._is_service_full = True
+            self._metrics.count_worker_refusal(self._route.name)
+            pause_seconds = self._picker.refusal_backoff_seconds(attempt.record, self._route, now)
+            self._directory.pause(worker_id, now, pause_seconds, worker_started_at_ms)
+        except WorkerBrokenError as error:
+            self._attempts.record_run_start(attempt)
+            self._attempts.may_have_run = True
+            self._quarantine.record_broken_run(attempt, error, now)
+            self._attempts.failed_workers.append(attempt.record.worker)
+            self._directory.observe_failure(worker_id, now, worker_started_at_ms)
+        except WorkerTimedOutError as error:
+            self._log_failed_run(attempt, error, now)
+            self._attempts.record_run_start(attempt)
+            self._quarantine.record_worker_alive(attempt)
+            self._attempts.may_have_run = True
+        except WorkerError as error:
+            self._log_failed_run(attempt, error, now)
+            self._attempts.record_run_start(attempt)
+            self._quarantine.record_worker_alive(attempt)
+            self._attempts.may_have_run = True
+            self._attempts.worker_failures += 1
+            self._attempts.failed_workers.append(attempt.record.worker)
+        return None
+
+    def _log_failed_run(self, attempt: Attempt, error: WorkerError, now: float) -> None:
+        elapsed_seconds = now - attempt.sent_at
+        log_run_failed(self._request.request_id, attempt.record.worker, error, elapsed_seconds)
+
+    def _record_worker_failures(self, now: float) -> None:
+        """Record failed runs against their workers, now that another worker has succeeded.
+
+        A request that fails on every worker says nothing about the workers.
+        """
+        for worker in self._attempts.failed_workers:
+            self._directory.observe_failed_run(worker.worker_id, now, worker.started_at_ms)
+
+    def _forwarding_error(self, *, timed_out: bool) -> ForwardingError:
+        """Return the error for the client, which says whether the request may have run."""
+        if self._attempts.has_not_run:
+            remaining_seconds = self._deadline - self._clock.monotonic()
+            return NoWorkerError(
+                "no worker took the request",
+                execution=Execution.NOT_RUN,
+                retry_after_seconds=retry_after_seconds(
+                    self._request.request_id, RETRY_AFTER_SECONDS, remaining_seconds
+                ),
+            )
+        error_class = RequestTimedOutError if timed_out else ResponseLostError
+        return error_class(
+            "no whole answer came",
+            execution=Execution.MAY_HAVE_RUN,
+            worker_failures=self._attempts.worker_failures,
+        )
+
+
+def _subtract_in_flight(record: WorkerRecord, body_bytes: int) -> None:
+    record.in_flight -= 1
+    record.body_bytes -= body_bytes
--- /dev/null
+++ b/drumbay/forwarding/request_quarantine.py
@@ -0,0 +1,88 @@
+"""Applies the node's request quarantine to one client request."""
+
+from drumbay.exceptions import Execution
+from drumbay.forwarding.attempts import Attempt, RequestAttempts
+from drumbay.forwarding.records import RequestQuarantinedError
+from drumbay.forwarding.request_log import log_run_broken
+from drumbay.identifiers import BackendId
+from drumbay.quarantine.fingerprint import Fingerprint
+from drumbay.quarantine.records import Decision, Verdict
+from drumbay.quarantine.service import Quarantine
+from drumbay.workers.records import WorkerBrokenError
+
+
+class RequestQuarantine:
+    """Queries the quarantine for a request and reports the outcomes of its runs to it.
+
+    Attributes:
+        avoided_workers: Workers that must not get the request.
+    """
+
+    def __init__(
+        self,
+        quarantine: Quarantine,
+        request_id: str,
+        fingerprint: Fingerprint,
+        service: str,
+        attempts: RequestAttempts,
+    ) -> None:
+        """Create the quarantine view of a request."""
+        self._quarantine = quarantine
+        self._request_id = request_id
+        self._fingerprint = fingerprint
+        self._service = service
+        self._attempts = attempts
+        self.avoided_workers: frozenset[BackendId] = frozenset()
+
+    def allows_run(self) -> bool:
+        """Return whether the quarantine allows another run of the request.
+
+        Raises:
+            RequestQuarantinedError: The request must not run and no attempt is in flight.
+        """
+        if self._quarantine.is_idle:
+            return True
+        verdict = self._quarantine.verdict(self._fingerprint, self._service)
+        if verdict.decision is Decision.RUN:
+            self.avoided_workers = verdict.avoided_workers
+            return True
+        if verdict.decision is Decision.HOLD and not self._attempts.in_flight:
+            self._quarantine.log_held(self._request_id, self._fingerprint, verdict)
+            raise self._error(verdict)
+        return False
+
+    def _error(self, verdict: Verdict) -> RequestQuarantinedError:
+        has_run = self._attempts.may_have_run
+        return RequestQuarantinedError(
+            f"{verdict.consecutive_crashes} workers ended under it: {verdict.reason}",
+            execution=Execution.MAY_HAVE_RUN if has_run else Execution.NOT_RUN,
+            retry_after_seconds=None if has_run else verdict.retry_after_seconds,
+            worker_failures=self._attempts.worker_failures,
+        )
+
+    def record_worker_alive(self, attempt: Attempt) -> None:
+        """Record that a worker has responded, successfully or not."""
+        if not self._quarantine.is_idle:
+            self._quarantine.record_worker_response(attempt.record.worker)
+            self._quarantine.record_response(self._fingerprint)
+
+    def record_broken_run(self, attempt: Attempt, error: WorkerBrokenError, now: float) -> None:
+        """Record a run that ended without a response; the worker may have crashed."""
+        worker = attempt.record.worker
+        self._quarantine.record_broken_run(
+            self._fingerprint, self._request_id, worker, attempt.sent_at
+        )
+        log_run_broken(
+            self._request_id,
+            self._fingerprint,
+            worker,
+            error,
+            now - attempt.sent_at,
+            was_kept=attempt.reused_connection,
+        )
+
+    def record_unanswered_run(self, attempt: Attempt) -> None:
+        """Record a run that is stopped before its worker has responded."""
+        self._quarantine.record_unanswered_run(
+            self._fingerprint, self._request_id, attempt.record.worker, attempt.sent_at
+        )
--- a/drumbay/forwarding/worker_picker.py
+++ b/drumbay/forwarding/worker_picker.py
@@ -27,8 +27,8 @@
 class SendCriteria(msgspec.Struct, frozen=True, kw_only=True):
     """Constraints on the worker for the next attempt.
 
-    ``tried`` workers have already received the request; ``avoided_workers`` must not receive it,
-    nor must workers outside the allowed ``regions``.
+    ``tried`` workers have already received the request. ``avoided_workers`` and workers outside the
+    allowed ``regions`` must not receive it.
     """
 
     route: Route
@@ -60,18 +60,18 @@
         self._placement = placement
         self._machine = machine
 
-    def allowed_workers(
+    def eligible_workers(
         self,
         service: str,
         avoided_workers: Set[BackendId],
         regions: AllowedRegions = ANY_REGION,
     ) -> list[WorkerRecord]:
-        """Return the workers of a service that may get a request, except the avoided ones."""
+        """Return the eligible workers of a service, except the avoided ones."""
         records = self._placement.eligible(self._directory.of_service(service), regions)
         return [record for record in records if record.worker.worker_id not in avoided_workers]
 
     def may_send(self, record: WorkerRecord, regions: AllowedRegions) -> bool:
-        """Return whether a worker may get a request now."""
+        """Return whether a worker is eligible for a request."""
         return self._placement.check(record.worker, regions) is None
 
     def next_start_at(
@@ -94,8 +94,11 @@
             default=math.inf,
         )
 
-    def is_excluded(self, service: str, regions: AllowedRegions) -> bool:
-        """Return whether a service has workers, but none that a request may get or wait for."""
+    def lacks_workers(self, service: str, regions: AllowedRegions) -> bool:
+        """Return whether no worker is in service for a request, now or after a wait.
+
+        An unrestricted request may wait for a worker of a service that has none at all.
+        """
         if regions.is_restricted:
             return not any(self._ready_workers(service, frozenset(), regions))
         if not self._placement.may_exclude(regions):
@@ -106,21 +109,21 @@
     def is_free_by(
         self, service: str, avoided_workers: Set[BackendId], regions: AllowedRegions, time: float
     ) -> bool:
-        """Return whether a worker is not paused any more at a monotonic time."""
+        """Return whether a ready worker is in service whose pause has ended at a monotonic time."""
         ready = self._ready_workers(service, avoided_workers, regions)
         return any(record.paused_until <= time for record in ready)
 
     def free_from(
         self, service: str, avoided_workers: Set[BackendId], regions: AllowedRegions
     ) -> float:
-        """Return the monotonic time from which a worker is not paused; infinite without any."""
+        """Return from when a ready worker in service is not paused; infinite without any."""
         ready = self._ready_workers(service, avoided_workers, regions)
         return min((record.paused_until for record in ready), default=math.inf)
 
     def _ready_workers(
         self, service: str, avoided_workers: Set[BackendId], regions: AllowedRegions
     ) -> Iterator[WorkerRecord]:
-        """Yield the workers in service; one by one, as callers often need only the first."""
+        """Yield ready workers in service; one by one, as callers often need only the first."""
         for worker_id, record in self._directory.all_records().items():
             worker = record.worker
             if (
@@ -139,7 +142,7 @@
         """
         records = [
             record
-            for record in self.allowed_workers(
+            for record in self.eligible_workers(
                 criteria.service, criteria.avoided_workers, criteria.regions
             )
             if may_send_body(record.body_bytes, criteria.body_bytes)
--- a/tests/test_regions_forwarding.py
+++ b/tests/test_regions_forwarding.py
@@ -18,7 +18,8 @@
 from drumbay.batches.scheduler import BatchScheduler
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.exceptions import Execution
-from drumbay.forwarding.forwarder import MAX_REFUSALS_PER_ADMISSION, Forwarder
+from drumbay.forwarding.attempts import MAX_REFUSALS_PER_ADMISSION
+from drumbay.forwarding.forwarder import Forwarder
 from drumbay.forwarding.records import ForwardingError, NoWorkerError
 from drumbay.forwarding.routes import RequestLimits, Route, RouteTable, RoutingConfiguration
 from drumbay.forwarding.worker_choice import CROSS_REGION_SECONDS
