Split the batch runner by job

Ruled out: a part for the scheduling loop alone, which would share most of the runner's state. Change: item_stream.py sends an item and passes on its events, reusable_texts.py decides without I/O which texts a later job can use, and start_allowances.py holds all limits that the placement constraint sets on starts. A test patches start_allowances where it is called now. Conclusion: behaviour is unchanged; the tests of batch jobs, rewards and evacuation pass.

--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -4,8 +4,6 @@
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 
-import msgspec
-
 from drumbay.batches.decisions import (
     Decision,
     RunFailure,
@@ -18,6 +16,7 @@
 from drumbay.batches.exceptions import BatchEndedError, BatchError, BatchNotFoundError
 from drumbay.batches.item_quarantine import ItemQuarantine
 from drumbay.batches.item_scoring import ItemScoring
+from drumbay.batches.item_stream import ItemStreams
 from drumbay.batches.job_share import JobShare
 from drumbay.batches.ledger import BatchLedger
 from drumbay.batches.progress import ProgressSaver
@@ -30,18 +29,18 @@
     PartialText,
     ResubmittedItems,
     ResultPage,
-    ResultState,
 )
 from drumbay.batches.result_log import (
     FLUSH_INTERVAL_SECONDS,
     TAIL_FLUSH_INTERVAL_SECONDS,
     ResultLog,
 )
+from drumbay.batches.reusable_texts import finished_text, next_minimum_version
 from drumbay.batches.reward_scorer import RewardScorer
 from drumbay.batches.run_failure import record_run_failure
 from drumbay.batches.scheduler import BatchScheduler
 from drumbay.batches.slot_sharing import SlotSharing
-from drumbay.batches.start_allowances import distant_workers, start_allowances
+from drumbay.batches.start_allowances import add_placement_limits
 from drumbay.clock import Clock
 from drumbay.forwarding.records import RewardOrder
 from drumbay.identifiers import BackendId, Revision, WeightVersion
@@ -52,12 +51,8 @@
 from drumbay.quarantine.service import Quarantine
 from drumbay.tasks import TaskOwner
 from drumbay.workers.directory import WorkerDirectory
-from drumbay.workers.interface import WorkerClient, WorkerStream
-from drumbay.workers.records import (
-    WorkerError,
-    WorkerMisdirectedError,
-    WorkerRequest,
-)
+from drumbay.workers.interface import WorkerClient
+from drumbay.workers.records import WorkerError
 from drumbay.workers.silence_check import SilenceCheck
 from drumbay.workers.worker_record import WorkerRecord
 
@@ -77,9 +72,6 @@
 fewer events than this are generated again at once instead of resumed after the delay.
 """
 
-RUN_BUDGET_SECONDS = 30.0
-"""Time limit of a run; longer than the generation of the longest text."""
-
 MAX_BATCH_AGE_SECONDS = 60.0
 """Bounds the computed age of a batch job, as clocks of two machines may differ."""
 
@@ -144,7 +136,6 @@
         self.revision = revision
         self._clock = clock
         self._directory = directory
-        self._client = client
         self._silence_check = silence_check
         self._quarantine = ItemQuarantine(quarantine, spec)
         self._task_owner = task_owner
@@ -160,6 +151,9 @@
         self._scheduler = BatchScheduler(
             spec, self._started_at, listed, slot_sharing.event_size_of(spec.model), submitted_at
         )
+        self._streams = ItemStreams(
+            clock, directory, client, placement, allowed_regions, spec, self._scheduler
+        )
         self.share = JobShare(
             clock,
             directory,
@@ -261,22 +255,13 @@
         self.share.is_open = False
         self._scoring.stop_all()
         self._finished.update({result.item_id: result for result in self._result_log.results})
-        for item_id in self._scheduler.unusable_after_end(self._next_minimum_version()):
+        minimum_version = next_minimum_version(
+            self.spec, self._version_at_start, self._newest_version()
+        )
+        for item_id in self._scheduler.unusable_after_end(minimum_version):
             self._cancel_run(item_id)
         self._task_owner.spawn(self._close_later(), f"batch-linger-{self.spec.batch_id}")
 
-    def _next_minimum_version(self) -> WeightVersion:
-        """Return the oldest version that the trainer's next batch job will accept.
-
-        The next job is expected to follow the next version, with the same lag between newest and
-        minimum version. If no version was known at the start, the minimum is assumed to increase by
-        one.
-        """
-        lag = self._version_at_start - self.spec.minimum_version
-        if lag < 0:
-            return WeightVersion(self.spec.minimum_version + 1)
-        return WeightVersion(self._newest_version() + 1 - lag)
-
     async def _close_later(self) -> None:
         await self._clock.sleep(LINGER_SECONDS)
         self.close()
@@ -301,7 +286,7 @@
         known_ids = [item_id for item_id in item_ids if item_id in own]
         texts: list[PartialText] = []
         for item_id in known_ids:
-            partial_text = self._finished_text(item_id, minimum_version)
+            partial_text = finished_text(self._finished.get(item_id), minimum_version)
             if partial_text is None:
                 partial_text = self._scheduler.partial_text(item_id, minimum_version)
             self._cancel_run(item_id)
@@ -314,21 +299,6 @@
         if task is not None:
             task.cancel()
 
-    def _finished_text(self, item_id: ItemId, minimum_version: WeightVersion) -> PartialText | None:
-        result = self._finished.get(item_id)
-        if result is None or result.state is not ResultState.DONE:
-            return None
-        if min(result.versions) < minimum_version:
-            return None
-        return PartialText(
-            item_id=item_id,
-            texts=(result.text,),
-            last_number=0,
-            versions=result.versions,
-            complete=True,
-            reward=result.reward,
-        )
-
     @property
     def is_finished(self) -> bool:
         """Return whether all results are listed."""
@@ -382,12 +352,12 @@
                 record.worker.worker_id: record
                 for record in self._directory.of_service(self.spec.service)
             }
-            regions = self._allowed_regions()
-            limits = self._limits = msgspec.structs.replace(
+            limits = self._limits = add_placement_limits(
                 self._quarantine.limits(self._scheduler.waiting),
-                start_allowances=self._start_allowances(workers, regions),
-                workers_in_service=self._workers_in_service(workers.values(), regions),
-                distant_workers=distant_workers(self._placement.topology, workers.values()),
+                self._placement,
+                workers,
+                self._allowed_regions(),
+                holds_starts=self.holds_starts,
             )
             self.share.held_back_items = limits.held_back
             share = self.share.current_share(now)
@@ -402,21 +372,6 @@
                     await self._wakeup.wait()
             await self._clock.sleep(PLAN_DEBOUNCE_SECONDS)
 
-    def _start_allowances(
-        self, workers: dict[BackendId, WorkerRecord], regions: AllowedRegions
-    ) -> dict[BackendId, int]:
-        if self.holds_starts:
-            return dict.fromkeys(workers, 0)
-        return start_allowances(self._placement, workers.values(), regions)
-
-    def _workers_in_service(
-        self, records: Iterable[WorkerRecord], regions: AllowedRegions
-    ) -> frozenset[BackendId] | None:
-        if not self._placement.may_exclude(regions):
-            return None
-        in_service = self._placement.in_service(records, regions)
-        return frozenset(record.worker.worker_id for record in in_service)
-
     def _apply(self, decision: Decision, workers: dict[BackendId, WorkerRecord]) -> None:
         match decision:
             case StartRun(item=item, worker_id=worker_id):
@@ -464,7 +419,7 @@
         worker = record.worker
         self._quarantine.begin_run(start.item, worker, self._clock.monotonic())
         try:
-            await self._stream(start, record)
+            await self._streams.run(start, record)
             self._quarantine.record_survival(start.item)
         except asyncio.CancelledError:
             failure = RunFailure.STOPPED
@@ -507,59 +462,6 @@
             self._add_result(result)
         self._wakeup.set()
 
-    async def _stream(self, start: StartRun, record: WorkerRecord) -> None:
-        item = start.item
-        request = WorkerRequest(
-            request_id=item.item_id,
-            method="POST",
-            target=item.target,
-            host=self.spec.host,
-            headers=item.headers,
-            body=item.body,
-            budget_seconds=RUN_BUDGET_SECONDS,
-            resume_after=start.resume_after,
-            priority=start.priority,
-            repeatable=True,
-            tenant=self.spec.tenant,
-            allowed_regions=self._allowed_regions,
-        )
-        self._placement.admit(record.worker, request.allowed_regions(), item.item_id)
-        async with self._client.stream(record.worker, request) as stream:
-            self._handle_response_head(item.item_id, record, stream)
-            worker_id = record.worker.worker_id
-            worker_start = record.worker.started_at_ms
-            async for events in stream.events():
-                now = self._clock.monotonic()
-                for event in events:
-                    elapsed = self._scheduler.handle_event(
-                        item.item_id, event, now, arrived_alone=len(events) == 1
-                    )
-                    if elapsed is not None:
-                        self._directory.observe_event_interval(
-                            worker_id, elapsed, now, worker_start
-                        )
-                    self._directory.observe_version(
-                        worker_id, self.spec.model, event.version, now, worker_start
-                    )
-
-    def _handle_response_head(
-        self, item_id: ItemId, record: WorkerRecord, stream: WorkerStream
-    ) -> None:
-        now = self._clock.monotonic()
-        worker_id = record.worker.worker_id
-        worker_start = record.worker.started_at_ms
-        self._directory.observe_acceptance(worker_id, self.spec.model, worker_start)
-        if stream.load is not None:
-            self._directory.observe_load(worker_id, stream.load, now, worker_start)
-        if stream.version is None:
-            return
-        model = self.spec.model
-        self._directory.observe_version(worker_id, model, stream.version, now, worker_start)
-        if not self._scheduler.handle_response_head(item_id, stream.version, now):
-            raise WorkerMisdirectedError(
-                f"worker {worker_id} has unusable weight version {stream.version}"
-            )
-
     # Results
 
     def _add_result(self, result: ItemResult) -> None:
--- a/tests/test_evacuation_sends.py
+++ b/tests/test_evacuation_sends.py
@@ -289,7 +289,7 @@
         async def scenario(world: ServingWorld) -> None:
             self.start(world)
             spec = batch_spec(groups=2)
-            with patch("drumbay.batches.runner.start_allowances", return_value={}):
+            with patch("drumbay.batches.start_allowances.start_allowances", return_value={}):
                 self.evacuate(world, ZONE)
                 await world.nodes[0].batches.submit(spec)
                 results = await read_all(world.nodes[0].batches, spec.batch_id, 60.0)
