Assemble a node's placement in its own module

Cause: the constructor of ServingNode wired evacuations, warm-up and the gate between unrelated parts. Ruled out: moving the batch regions too; they depend on the node directory and are one line. Change: serving/node_placement.py creates the three and connects them with metrics and worker client. Conclusion: behaviour is unchanged; the tests of evacuation, warm-up, regions and the platform pass.

--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -43,8 +43,6 @@
 )
 from drumbay.peers.notices import NoticeQueues
 from drumbay.peers.store_relay import RelayingStore, StoreRelayServer
-from drumbay.placement.evacuations import EvacuatedZones
-from drumbay.placement.gate import PlacementGate
 from drumbay.placement.topology import Topology
 from drumbay.quarantine.records import (
     QuarantineNotice,
@@ -58,9 +56,9 @@
 from drumbay.scaling.controller import WorkerCountController
 from drumbay.serving.load_features import LoadFeature
 from drumbay.serving.memory_accounting import MemoryAccounting
+from drumbay.serving.node_placement import NodePlacement
 from drumbay.serving.settings import ServingEnvironment, ServingSettings
 from drumbay.serving.store_calls import CountedStore
-from drumbay.serving.warm_up import WorkerWarmUps
 from drumbay.tasks import TaskOwner
 from drumbay.tenants.access import authenticate
 from drumbay.tenants.records import TenantName
@@ -130,29 +128,12 @@
         if environment.connections is not None:
             environment.connections.set_silence_callback(self.metrics.count_silent_connection)
         self.routes = RouteTable()
-        self.evacuations = EvacuatedZones()
-        self._warm_ups = WorkerWarmUps(
-            clock,
-            self.routes,
-            self.directory,
-            self.evacuations,
-            settings.warm_up_tolerance,
-            address,
-            self.metrics,
-        )
-        self.placement = PlacementGate(
-            clock,
-            topology,
-            self.evacuations,
-            self.metrics,
-            self._warm_ups.limits,
+        placement = NodePlacement(
+            settings, environment, topology, self.routes, self.directory, self.metrics
         )
-        self.evacuations.add_listener(
-            lambda: self.metrics.set_evacuated_zones(len(self.evacuations.zones))
-        )
-        self.metrics.set_evacuated_zone_requests(self._evacuated_zone_requests)
-        environment.workers.set_send_check(self.placement.may_send_late)
-        environment.workers.set_resend_check(self.placement.may_resend)
+        self.evacuations = placement.evacuations
+        self.placement = placement.gate
+        self._warm_ups = placement.warm_ups
         self.announced_versions = AnnouncedVersions()
         self.quarantine = Quarantine(
             clock,
@@ -390,13 +371,6 @@
             )
             self._tasks.spawn(self._drop_missing_workers(), "missing-workers")
 
-    def _evacuated_zone_requests(self) -> int:
-        return sum(
-            record.in_flight
-            for record in self.directory.all_records().values()
-            if self.evacuations.contains(record.worker.zone)
-        )
-
     async def _reclaim_own_batches(self) -> None:
         """Resume the batch jobs of the previous process once workers and regions are known."""
         while not (self.directory.is_loaded and self._body_holders.knows_regions):
