Use one word each for in service, eligible and allowed

Cause: the gate and its callers said excluded, allowed, usable, out of evacuated zones and no capacity for the same two things. Ruled out: renaming log events, metrics and fields; they stay. Change: a worker is in service for a request (zone not evacuated, region allowed) or eligible (a start is left too); allowed is said of regions only. Also: distant instead of far, NodeRegions instead of NodePlaces, one method regions_in_force instead of two of the same body, and may_still_send.

--- a/drumbay/admission/gate.py
+++ b/drumbay/admission/gate.py
@@ -36,7 +36,7 @@
     ) -> None:
         """Create a gate for the workers of a directory; a disabled gate admits every request.
 
-        Workers that ``placement`` excludes for longer are no capacity.
+        Only workers that are in service by ``placement`` are capacity.
         """
         self._is_enabled = is_enabled
         self._clock = clock
--- a/drumbay/admission/records.py
+++ b/drumbay/admission/records.py
@@ -111,8 +111,8 @@
     report_age_seconds: float
     regions: frozenset[str] | None = None
 
-    def excludes(self, request: AdmissionRequest) -> bool:
-        """Return whether the service has workers, but none that may get the request."""
+    def lacks_workers_for(self, request: AdmissionRequest) -> bool:
+        """Return whether the service has workers, but none in service for the request."""
         if self.regions is None:
             return False
         return not any(request.allowed_regions.permits(region) for region in self.regions)
--- a/drumbay/admission/service.py
+++ b/drumbay/admission/service.py
@@ -112,13 +112,15 @@
         decisions: list[Admitted | Rejected] = []
         while len(self._queue) and self._has_capacity(capacity, now):
             request = self._queue.pop(now)
-            if capacity.excludes(request) or now > self._wait_deadline(request, now):
+            if capacity.lacks_workers_for(request) or now > self._wait_deadline(request, now):
                 decisions.append(self._rejection(request, now, capacity))
                 continue
             self._in_flight += 1
             decisions.append(Admitted(request=request))
         for request in self._queue.requests():
-            if capacity.excludes(request) or self._exceeds_wait_limit(request, now, capacity):
+            if capacity.lacks_workers_for(request) or self._exceeds_wait_limit(
+                request, now, capacity
+            ):
                 self._queue.remove(request)
                 decisions.append(self._rejection(request, now, capacity))
         self._update_queued_since(now)
@@ -138,7 +140,7 @@
     def _reject_or_queue(
         self, request: AdmissionRequest, now: float, capacity: ServiceCapacity
     ) -> Queued | Rejected:
-        if capacity.excludes(request) or self._exceeds_wait_limit(request, now, capacity):
+        if capacity.lacks_workers_for(request) or self._exceeds_wait_limit(request, now, capacity):
             return self._rejection(request, now, capacity)
         self._queue.push(request)
         self._update_queued_since(now)
@@ -176,7 +178,7 @@
     def _rejection_reason(
         self, request: AdmissionRequest, now: float, capacity: ServiceCapacity
     ) -> RejectionReason:
-        if capacity.excludes(request):
+        if capacity.lacks_workers_for(request):
             return RejectionReason.NO_WORKER_IN_SERVICE
         if now > self._wait_deadline(request, now):
             return RejectionReason.WAITED_TOO_LONG
--- a/drumbay/batches/body_holders.py
+++ b/drumbay/batches/body_holders.py
@@ -10,7 +10,7 @@
 from drumbay.placement.topology import Topology
 
 
-class NodePlaces(Protocol):
+class NodeRegions(Protocol):
     """The other nodes and the regions they are in."""
 
     def is_in(self, address: NetworkAddress, regions: AllowedRegions) -> bool:
@@ -40,10 +40,10 @@
         self,
         routes: BatchRegions,
         topology: Topology,
-        nodes: NodePlaces,
+        nodes: NodeRegions,
         own_address: NetworkAddress,
     ) -> None:
-        """Create the decision of the node with ``own_address``."""
+        """Decide for the node with ``own_address``."""
         self._routes = routes
         self._topology = topology
         self._nodes = nodes
@@ -56,20 +56,20 @@
 
     @property
     def knows_regions(self) -> bool:
-        """Return whether this node has a configuration, which may restrict batch jobs."""
+        """Return whether this node knows how the configuration restricts batch jobs."""
         return not self.has_regions or self._routes.current is not None
 
     def regions_of(self, job: BatchSpec | OwnerRecord) -> AllowedRegions:
         """Return the regions in which a batch job may run and be held now."""
         recorded = AllowedRegions.of(job.allowed_regions)
-        return self._routes.batch_regions(job.route_name, job.tenant, recorded)
+        return self._routes.regions_in_force(job.route_name, job.tenant, recorded)
 
     def includes_this_node(self, regions: AllowedRegions) -> bool:
         """Return whether this node is in the allowed regions."""
         return regions.permits(self._topology.region)
 
     def includes(self, address: NetworkAddress | None, regions: AllowedRegions) -> bool:
-        """Return whether a node is in the allowed regions; an unknown one only if all are."""
+        """Return whether a node is in the allowed regions; an unknown one only if any region is."""
         if address == self._own_address:
             return self.includes_this_node(regions)
         if address is None:
--- a/drumbay/batches/decisions.py
+++ b/drumbay/batches/decisions.py
@@ -18,9 +18,9 @@
         isolated: Items that may start only on a worker that runs no other isolated item and no
             request that is likely to crash it, so that a crash can be attributed.
         isolated_workers: Workers on which such an item or request runs already.
-        start_allowances: Items that may start now, for workers with a limit: none in an evacuated
-            zone or outside the allowed regions, few at a worker that may be cold.
-        workers_in_service: Workers whose zone may get items; ``None`` if all of them may.
+        start_allowances: Items that may start now, for workers with a limit: none at a worker out
+            of service, few at one that may be cold.
+        workers_in_service: Workers in service; ``None`` if all are.
         distant_workers: Workers in another region than this node.
     """
 
--- a/drumbay/batches/retention.py
+++ b/drumbay/batches/retention.py
@@ -37,7 +37,7 @@
         self._ledger = ledger
         self._keep_seconds = keep_seconds
         self._is_leader = is_leader
-        self._delete_allowed = delete
+        self._delete_where_allowed = delete
 
     async def run(self) -> None:
         """Sweep periodically until cancelled."""
@@ -71,8 +71,8 @@
             return True
         if owner.record.state is not OwnerState.ENDED:
             return False
-        if self._delete_allowed is None:
+        if self._delete_where_allowed is None:
             await self._ledger.delete(batch_id)
         else:
-            await self._delete_allowed(batch_id, owner.record)
+            await self._delete_where_allowed(batch_id, owner.record)
         return True
--- a/drumbay/batches/reward_scorer.py
+++ b/drumbay/batches/reward_scorer.py
@@ -84,7 +84,7 @@
             forwarder: Sends the requests.
             routes: The current configuration.
             directory: The workers, whose slots limit the concurrent requests.
-            placement: Decides which of them count as capacity.
+            placement: Decides which of them are in service.
             metrics: Counts the requests.
         """
         self._clock = clock
--- a/drumbay/batches/slot_sharing.py
+++ b/drumbay/batches/slot_sharing.py
@@ -58,7 +58,7 @@
             directory: The workers.
             owners: Maps batch jobs to owners.
             service_use: Returns which kinds of requests reach a service.
-            placement: Decides which workers count as capacity.
+            placement: Decides which workers are in service.
             send_notice: Sends a notice to other nodes.
             jobs: Returns this node's jobs, including ended ones with lingering runs.
             is_enabled: Whether slots are shared at all.
--- a/drumbay/batches/start_allowances.py
+++ b/drumbay/batches/start_allowances.py
@@ -36,7 +36,7 @@
     placement: PlacementGate, records: Iterable[WorkerRecord], regions: AllowedRegions
 ) -> frozenset[BackendId] | None:
     """Return the workers in service; ``None`` if all are."""
-    if not placement.may_exclude(regions):
+    if not placement.may_be_out_of_service(regions):
         return None
     in_service = placement.in_service(records, regions)
     return frozenset(record.worker.worker_id for record in in_service)
--- a/drumbay/batches/worker_selector.py
+++ b/drumbay/batches/worker_selector.py
@@ -86,7 +86,7 @@
             isolated_workers: Workers that are not available to isolated items.
             used_by_others: Runs of other nodes by worker; ``None`` to use the load reports.
             start_allowances: Items that may start now, for workers with a limit.
-            in_service: Workers whose pace items can expect; ``None`` for all.
+            in_service: Workers in service, whose pace items can expect; ``None`` if all are.
             distant_workers: Workers in another region than this node.
         """
         allowances = start_allowances or {}
--- a/drumbay/forwarding/routes.py
+++ b/drumbay/forwarding/routes.py
@@ -157,7 +157,7 @@
         """Return the configuration in force, if any."""
         ...
 
-    def batch_regions(
+    def regions_in_force(
         self, route_name: str, tenant: TenantName | None, recorded: AllowedRegions
     ) -> AllowedRegions:
         """Return the allowed regions; ``recorded`` ones bind too if route or tenant is gone."""
@@ -209,7 +209,7 @@
     def regions_in_force(
         self, route_name: str, tenant: TenantName | None, recorded: AllowedRegions
     ) -> AllowedRegions:
-        """Return the regions in which an earlier request may run now.
+        """Return the regions in which an earlier request or batch job may run and be held now.
 
         Args:
             route_name: The route by which it came.
@@ -226,12 +226,6 @@
         is_configured = route_regions is not None and self._current.has_tenant(tenant)
         return regions if is_configured else regions.intersect(recorded)
 
-    def batch_regions(
-        self, route_name: str, tenant: TenantName | None, recorded: AllowedRegions
-    ) -> AllowedRegions:
-        """Return the regions in which a batch job may run and be held."""
-        return self.regions_in_force(route_name, tenant, recorded)
-
     def batch_routes(self, service: str) -> int:
         """Return how many routes submit batch jobs to a service."""
         return sum(route.kind is RequestKind.ROLLOUT for route in self._routes_to(service))
--- a/drumbay/forwarding/worker_call.py
+++ b/drumbay/forwarding/worker_call.py
@@ -66,7 +66,7 @@
         now = self._clock.monotonic()
         elapsed_seconds = now - started_at
         typical_seconds = self._typical_seconds(route)
-        worker_seconds = max(0.0, elapsed_seconds - self._way_seconds(worker))
+        worker_seconds = max(0.0, elapsed_seconds - self._round_trip_seconds(worker))
         relative_latency = relative_latency_of(worker_seconds, typical_seconds, response.load)
         is_known = self._hedge_timing.has_typical_latency(route.name)
         self._directory.observe_response(
@@ -84,15 +84,15 @@
         now = self._clock.monotonic()
         elapsed_seconds = now - started_at
         typical_seconds = self._typical_seconds(route)
-        worker_seconds = elapsed_seconds - self._way_seconds(worker)
+        worker_seconds = elapsed_seconds - self._round_trip_seconds(worker)
         if worker_seconds > typical_seconds:
             self._directory.observe_cancelled_run(
                 worker.worker_id, worker_seconds / typical_seconds, now, worker.started_at_ms
             )
             self._hedge_timing.observe(route.name, elapsed_seconds)
 
-    def _way_seconds(self, worker: Worker) -> float:
-        """Return the part of the response time that is not the worker's own."""
+    def _round_trip_seconds(self, worker: Worker) -> float:
+        """Return the part of the response time that does not count as the worker's."""
         return cross_region_seconds(self._placement.topology.distance_to(worker.zone))
 
     def _typical_seconds(self, route: Route) -> float:
--- a/drumbay/forwarding/worker_choice.py
+++ b/drumbay/forwarding/worker_choice.py
@@ -141,9 +141,9 @@
 
 
 def cross_region_seconds(distance: Distance) -> float:
-    """Return the part of a response time that is the way to another region.
+    """Return the round trip to another region, 0 within a region.
 
-    It is not part of a worker's own latency; the short ways within a region are.
+    It is not held against a worker's latency; round trips within a region are too short to matter.
     """
     return CROSS_REGION_SECONDS if distance is Distance.OTHER_REGION else 0.0
 
--- a/drumbay/forwarding/worker_picker.py
+++ b/drumbay/forwarding/worker_picker.py
@@ -101,7 +101,7 @@
         """
         if regions.is_restricted:
             return not any(self._ready_workers(service, frozenset(), regions))
-        if not self._placement.may_exclude(regions):
+        if not self._placement.may_be_out_of_service(regions):
             return False
         records = self._directory.of_service(service)
         return bool(records) and not self._placement.in_service(records, regions)
--- a/drumbay/peers/directory.py
+++ b/drumbay/peers/directory.py
@@ -203,13 +203,13 @@
         return found[:count]
 
     def _with_near_first(self, found: list[NetworkAddress], count: int) -> list[NetworkAddress]:
-        """Put responsive near nodes first, but a far one last among ``count``.
+        """Put responsive near nodes first, but a distant one last among ``count``.
 
         A whole region may be cut off from the store.
         """
-        far = [a for a in found if not self.is_near(a) and not self.is_unresponsive(a)]
+        distant = [a for a in found if not self.is_near(a) and not self.is_unresponsive(a)]
         near = [a for a in found if self.is_near(a) and not self.is_unresponsive(a)]
-        first = near[: count - 1] + far[:1]
+        first = near[: count - 1] + distant[:1]
         return first + [address for address in found if address not in first]
 
     def responsive_among(self, addresses: Iterable[NetworkAddress]) -> list[NetworkAddress]:
@@ -222,7 +222,7 @@
             address for address in self._unresponsive_until if not self.is_unresponsive(address)
         ]
 
-    # Places of nodes
+    # Zones and regions of nodes
 
     def zone_of(self, address: NetworkAddress) -> str:
         """Return the zone of a node, empty if it is not known."""
--- a/drumbay/peers/watchers.py
+++ b/drumbay/peers/watchers.py
@@ -72,8 +72,8 @@
         near_nodes = [node for node in self.nodes if is_near(node)]
         if len(near_nodes) > len(near) * NODES_PER_WATCHER:
             return _rotate(watchers, self.nodes, address)
-        far = [watcher for watcher in watchers if not is_near(watcher)]
-        return _rotate(near, near_nodes, address) + _rotate(far, near_nodes, address)
+        distant = [watcher for watcher in watchers if not is_near(watcher)]
+        return _rotate(near, near_nodes, address) + _rotate(distant, near_nodes, address)
 
 
 def _rotate(
--- a/drumbay/placement/gate.py
+++ b/drumbay/placement/gate.py
@@ -1,4 +1,8 @@
-"""Applies the placement constraints to this node's sends to workers."""
+"""Applies the placement constraint to this node's sends to workers.
+
+A worker is *in service* for a request unless its zone is evacuated or its region is not allowed. It
+is *eligible* if it is in service and this node may start another request there now.
+"""
 
 import math
 from collections.abc import Iterable
@@ -53,12 +57,12 @@
         self._starts: StartLimiter = starts or UnlimitedStarts()
         self.limits_starts = starts is not None
 
-    def may_exclude(self, regions: AllowedRegions = ANY_REGION) -> bool:
-        """Return whether workers may be excluded because of their zone or region."""
+    def may_be_out_of_service(self, regions: AllowedRegions = ANY_REGION) -> bool:
+        """Return whether any worker may be out of service, because of its zone or region."""
         return regions.is_restricted or bool(self.evacuations.zones)
 
     def check(self, worker: Worker, regions: AllowedRegions = ANY_REGION) -> Ineligibility | None:
-        """Return why a worker may not get a request now, ``None`` if it may."""
+        """Return why a worker is not eligible for a request; ``None`` if it is."""
         return self._ineligibility(worker.zone, regions, self.remaining_starts(worker))
 
     def _ineligibility(
@@ -86,20 +90,20 @@
     def eligible(
         self, records: Iterable[WorkerRecord], regions: AllowedRegions = ANY_REGION
     ) -> list[WorkerRecord]:
-        """Return the workers that may get a request now."""
-        candidates = self.in_service(records, regions)
+        """Return the eligible workers."""
+        in_service = self.in_service(records, regions)
         if not self.limits_starts:
-            return candidates
+            return in_service
         now = self._clock.monotonic()
         remaining_starts = self._starts.remaining_starts
-        return [r for r in candidates if may_start(remaining_starts(r.worker, now))]
+        return [r for r in in_service if may_start(remaining_starts(r.worker, now))]
 
     def in_service(
         self, records: Iterable[WorkerRecord], regions: AllowedRegions = ANY_REGION
     ) -> list[WorkerRecord]:
-        """Return the workers that count as capacity, whether or not they may start more now."""
+        """Return the workers in service, which are the capacity."""
         records = list(records)
-        if not self.may_exclude(regions):
+        if not self.may_be_out_of_service(regions):
             return records
         # Asked for each zone once, as there may be hundreds of workers.
         zones = {
@@ -110,7 +114,7 @@
         return [record for record in records if record.worker.zone in zones]
 
     def is_in_service(self, worker: Worker, regions: AllowedRegions = ANY_REGION) -> bool:
-        """Return whether a worker counts as capacity, whether or not it may start more now."""
+        """Return whether a worker is in service."""
         return self._ineligibility(worker.zone, regions, math.inf) is None
 
     def admit(self, worker: Worker, regions: AllowedRegions, request_id: str) -> None:
@@ -134,8 +138,8 @@
         )
         raise WorkerNotEligibleError(reason)
 
-    def may_send_late(self, worker: Worker, regions: AllowedRegions) -> bool:
-        """Return whether a request that was admitted may still be sent once it is connected."""
+    def may_still_send(self, worker: Worker, regions: AllowedRegions) -> bool:
+        """Return whether an admitted request may be sent now that its connection is open."""
         reason = self._ineligibility(worker.zone, regions, math.inf)
         if reason is None:
             return True
@@ -144,7 +148,7 @@
         return False
 
     def may_resend(self, worker: Worker, regions: AllowedRegions) -> bool:
-        """Return whether a request that was admitted may be sent to its worker again."""
+        """Return whether an admitted request may be sent to its worker again; count the send."""
         if self.check(worker, regions) is not None:
             return False
         self._starts.record_start(worker, self._clock.monotonic())
--- a/drumbay/quarantine/records.py
+++ b/drumbay/quarantine/records.py
@@ -143,8 +143,8 @@
     """The workers that a request could run on.
 
     Attributes:
-        ready: Number of workers outside evacuated zones.
-        available: Number of ready workers that accept new requests now.
+        ready: Number of workers in service.
+        available: Number of these that accept new requests now.
         kinds: Kinds of the available workers.
     """
 
--- a/drumbay/quarantine/service.py
+++ b/drumbay/quarantine/service.py
@@ -90,7 +90,7 @@
         Args:
             clock: Time.
             directory: The workers.
-            placement: Decides which of them may get requests.
+            placement: Decides which of them are in service.
             client: Checks whether a worker accepts connections.
             task_owner: Runs the checks.
             metrics: Counts crashes and held requests.
--- a/drumbay/serving/node_placement.py
+++ b/drumbay/serving/node_placement.py
@@ -47,7 +47,7 @@
             lambda: metrics.set_evacuated_zones(len(self.evacuations.zones))
         )
         metrics.set_evacuated_zone_requests(self._evacuated_zone_requests)
-        environment.workers.set_send_check(self.gate.may_send_late)
+        environment.workers.set_send_check(self.gate.may_still_send)
         environment.workers.set_resend_check(self.gate.may_resend)
 
     def _evacuated_zone_requests(self) -> int:
--- a/drumbay/weights/version_coordinator.py
+++ b/drumbay/weights/version_coordinator.py
@@ -134,12 +134,12 @@
             fence = self._leader.fence(now)
             if fence is not None:
                 records = self._directory.all_records()
-                eligible_records = [
+                loadable_records = [
                     record for record in records.values() if self._may_order(record, now)
                 ]
                 for load in self._planner.plan(
                     self._announced_versions.newest,
-                    eligible_records,
+                    loadable_records,
                     now,
                     self._placement.evacuations.zones,
                 ):
