Take outcomes and the view of the workers out of the forwarded request

Ruled out: splitting hedging off as well; it shares the next send time with the loop. Change: attempt_outcomes.py records how attempts end, request_workers.py asks the picker with the request's regions and avoided workers.

--- a/drumbay/forwarding/attempts.py
+++ b/drumbay/forwarding/attempts.py
@@ -32,6 +32,7 @@
     Attributes:
         in_flight: The attempts that have not ended, by their tasks.
         successful: The attempt that got the response.
+        response_seconds: How long that took from its send.
         first_run_at: Monotonic time of the earliest send that may have run; final once the request
             has finished.
         sent: Number of attempts.
@@ -47,6 +48,7 @@
         self._route = route
         self.in_flight: dict[asyncio.Task[WorkerResponse], Attempt] = {}
         self.successful: Attempt | None = None
+        self.response_seconds: float | None = None
         self.first_run_at: float | None = None
         self.sent = 0
         self.refusals = 0
--- a/drumbay/forwarding/forwarded_request.py
+++ b/drumbay/forwarding/forwarded_request.py
@@ -14,6 +14,7 @@
 from drumbay.admission.service import retry_after_seconds
 from drumbay.clock import Clock
 from drumbay.exceptions import Execution
+from drumbay.forwarding.attempt_outcomes import AttemptOutcome, AttemptOutcomes
 from drumbay.forwarding.attempts import Attempt, RequestAttempts
 from drumbay.forwarding.hedge_timing import STALLED_CONNECTION_TARGET_SHARE, HedgeTiming
 from drumbay.forwarding.records import (
@@ -24,12 +25,7 @@
     ResponseLostError,
 )
 from drumbay.forwarding.request_admission import RequestAdmission
-from drumbay.forwarding.request_log import (
-    RequestTrace,
-    log_not_served,
-    log_run_failed,
-    log_served,
-)
+from drumbay.forwarding.request_log import RequestTrace, log_not_served, log_served
 from drumbay.forwarding.request_quarantine import RequestQuarantine
 from drumbay.forwarding.request_waits import (
     QueueAgain,
@@ -40,27 +36,18 @@
     after_refusal_in_regions,
     without_start,
 )
+from drumbay.forwarding.request_workers import RequestWorkers
 from drumbay.forwarding.routes import RequestKind, Route
 from drumbay.forwarding.worker_call import WorkerCaller
 from drumbay.forwarding.worker_choice import ChosenWorker
-from drumbay.forwarding.worker_picker import SendCriteria, WorkerPicker
+from drumbay.forwarding.worker_picker import WorkerPicker
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
 from drumbay.placement.regions import AllowedRegions
 from drumbay.quarantine.service import Quarantine
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
-from drumbay.workers.records import (
-    WorkerBrokenError,
-    WorkerError,
-    WorkerMisdirectedError,
-    WorkerNotEligibleError,
-    WorkerRefusedError,
-    WorkerRequest,
-    WorkerResponse,
-    WorkerTimedOutError,
-    WorkerUnreachableError,
-)
+from drumbay.workers.records import WorkerRequest, WorkerResponse
 from drumbay.workers.worker_record import WorkerRecord
 
 MIN_BUDGET_SECONDS = 0.02
@@ -72,12 +59,6 @@
 FREE_WORKER_POLL_SECONDS = 0.05
 """Polling interval while no attempt is in flight and no worker is free or may get a request."""
 
-MISDIRECTED_PAUSE_SECONDS = 5.0
-"""Pause for a worker whose address now serves another one, until discovery is updated."""
-
-INELIGIBLE_PAUSE_SECONDS = 0.02
-"""Pause after a send that the placement constraint stopped as its last step."""
-
 QUEUE_CHECK_SECONDS = 0.05
 """Interval at which a queued request bound to regions checks that these have a worker for it."""
 
@@ -119,7 +100,6 @@
         self._clock = services.clock
         self._directory = services.directory
         self._client = services.client
-        self._picker = services.picker
         self._caller = services.caller
         self._metrics = services.metrics
         self._hedge_timing = services.hedge_timing
@@ -132,6 +112,16 @@
         self._quarantine = RequestQuarantine(
             services.quarantine, request.request_id, self._fingerprint, service, self._attempts
         )
+        self._workers = RequestWorkers(services.picker, self._quarantine, service, allowed_regions)
+        self._outcomes = AttemptOutcomes(
+            services.directory,
+            services.picker,
+            services.metrics,
+            self._quarantine,
+            route,
+            request.request_id,
+            self._attempts,
+        )
         self._started_at = self._clock.monotonic()
         self._deadline = self._started_at + min(request.budget_seconds, route.timeout_seconds)
         self._wait_limits = WaitLimits(arrived_at=self._started_at, deadline=self._deadline)
@@ -139,9 +129,13 @@
         self._last_sent_at = self._started_at
         self._is_hedge_next = False
         self._is_service_full = False
-        self._response_seconds: float | None = None
         self._admission = RequestAdmission(
-            services.admission, service, request, self._started_at, self._deadline, self._regions
+            services.admission,
+            service,
+            request,
+            self._started_at,
+            self._deadline,
+            self._workers.regions,
         )
         self._worker_priority = request.priority if len(priority_levels) > 1 else None
         """Passed to workers only if the service receives requests of several priorities."""
@@ -151,11 +145,6 @@
         """Return the monotonic time of the earliest send that may have run."""
         return self._attempts.first_run_at
 
-    @property
-    def _regions(self) -> AllowedRegions:
-        """Return the regions in which the request may run now."""
-        return self._allowed_regions()
-
     async def run(self) -> WorkerResponse:
         """Send attempts until one succeeds or no further attempt is allowed."""
         self._reject_without_workers()
@@ -194,7 +183,7 @@
         Raises:
             NoWorkerError: The request was not admitted, or no worker may get it any more.
         """
-        if not self._regions.is_restricted:
+        if not self._workers.regions.is_restricted:
             await acquire()
             return
         admission = asyncio.get_running_loop().create_task(acquire())
@@ -211,53 +200,45 @@
         Raises:
             ForwardingError: Every worker is in an evacuated zone or outside the allowed regions.
         """
-        if self._lacks_workers():
+        if self._workers.are_lacking():
             raise self._rejection()
 
-    def _lacks_workers(self) -> bool:
-        regions = self._regions
-        return regions.is_empty or self._picker.lacks_workers(self._service, regions)
-
     def _reject_if_regions_stay_full(self) -> None:
         """Reject a queued request if the workers of its regions stay full for too long.
 
         Raises:
             ForwardingError: They stay full; the queue itself moves with other regions too.
         """
-        regions, ends_at = self._regions, self._wait_limits.region_wait_ends_at
-        if regions.is_restricted and not self._picker.is_free_by(
-            self._service, self._quarantine.avoided_workers, regions, ends_at
-        ):
+        ends_at = self._wait_limits.region_wait_ends_at
+        if self._workers.regions.is_restricted and not self._workers.are_free_by(ends_at):
             raise self._rejection()
 
     def _rejection(self) -> ForwardingError:
         """Log that no worker is in service, or all are full; return the error for the client."""
-        regions = self._regions
+        regions = self._workers.regions
         log_event(
             "request_excluded",
             request=self._request.request_id,
             route=self._route.name,
             service=self._service,
-            reason="no_worker" if self._lacks_workers() else "workers_full",
+            reason="no_worker" if self._workers.are_lacking() else "workers_full",
             restricted=regions.is_restricted,
             allowed_regions=",".join(regions.names()),
         )
         return self._forwarding_error(timed_out=False)
 
     def _step_after_refusal(self, now: float) -> SendFrom | QueueAgain | Reject | None:
-        regions, avoided_workers = self._regions, self._quarantine.avoided_workers
         has_too_many_refusals = self._attempts.has_too_many_refusals
-        if regions.is_restricted:
+        if self._workers.regions.is_restricted:
             return after_refusal_in_regions(
                 self._wait_limits,
-                self._picker.free_from(self._service, avoided_workers, regions),
+                self._workers.free_from(),
                 now,
                 has_too_many_refusals=has_too_many_refusals,
             )
-        eligible = self._picker.eligible_workers(self._service, avoided_workers, regions)
         return after_refusal(
             has_too_many_refusals=has_too_many_refusals,
-            has_free_worker=any(record.is_available(now) for record in eligible),
+            has_free_worker=self._workers.are_available(now),
         )
 
     def _apply(self, step: SendFrom | Reject | None) -> None:
@@ -332,7 +313,7 @@
             task.cancel()
             if not has_succeeded:
                 self._quarantine.record_unanswered_run(attempt)
-        self._admission.close(self._response_seconds)
+        self._admission.close(self._attempts.response_seconds)
 
     def log_success(self, response: WorkerResponse) -> None:
         """Log the response, the attempts made and the expected latency of the selected worker."""
@@ -366,12 +347,19 @@
             self._attempts.in_flight, timeout=wait_seconds, return_when=asyncio.FIRST_COMPLETED
         )
         for task in done:
-            response = self._handle_finished(task, self._attempts.in_flight.pop(task))
-            if response is not None:
-                return response
+            outcome = self._record_outcome(task)
+            if outcome.response is not None:
+                return outcome.response
             self._is_hedge_next = False
         return None
 
+    def _record_outcome(self, task: asyncio.Task[WorkerResponse]) -> AttemptOutcome:
+        now = self._clock.monotonic()
+        outcome = self._outcomes.record(task, self._attempts.in_flight.pop(task), now)
+        self._next_send_at = now + outcome.pause_seconds
+        self._is_service_full = self._is_service_full or outcome.is_worker_full
+        return outcome
+
     def _send_to_next_worker(self, now: float, remaining: float) -> None:
         self._next_send_at = now + self._hedge_timing.delay_seconds(
             self._route.name,
@@ -382,10 +370,10 @@
         self._is_hedge_next = True
         if not self._attempts.is_any_left:
             unconfirmed = self._attempts.unconfirmed()
-            if unconfirmed is not None and self._picker.may_send(unconfirmed.record, self._regions):
+            if unconfirmed is not None and self._workers.may_send(unconfirmed.record):
                 self._send(unconfirmed.record, unconfirmed.choice, remaining)
             return
-        choice = self._picker.choose(self._send_criteria(), now)
+        choice = self._workers.choose(self._route, len(self._request.body), self._attempts, now)
         record = self._directory.get(choice.worker_id) if choice is not None else None
         if choice is not None and record is not None:
             self._send(record, choice, remaining)
@@ -400,9 +388,7 @@
         """
         step = without_start(
             self._wait_limits,
-            self._picker.next_start_at(
-                self._service, self._quarantine.avoided_workers, self._regions
-            ),
+            self._workers.next_start_at(),
             now,
             has_not_run=self._attempts.has_not_run,
         )
@@ -410,16 +396,6 @@
             raise self._forwarding_error(timed_out=False)
         self._next_send_at = step.time
 
-    def _send_criteria(self) -> SendCriteria:
-        return SendCriteria(
-            route=self._route,
-            service=self._service,
-            body_bytes=len(self._request.body),
-            tried=self._attempts.tried,
-            avoided_workers=self._quarantine.avoided_workers,
-            regions=self._regions,
-        )
-
     def _send(self, record: WorkerRecord, choice: ChosenWorker, remaining: float) -> None:
         # Only the first attempt may reuse an idle connection: if idle connections have stalled,
         # each reuse would waste an attempt.
@@ -455,74 +431,6 @@
             record, choice, self._clock.monotonic(), reused_connection
         )
 
-    def _handle_finished(
-        self, task: "asyncio.Task[WorkerResponse]", attempt: Attempt
-    ) -> WorkerResponse | None:
-        """Process a finished attempt; return its response if it succeeded."""
-        now = self._next_send_at = self._clock.monotonic()
-        worker_id = attempt.record.worker.worker_id
-        worker_started_at_ms = attempt.record.worker.started_at_ms
-        try:
-            response = task.result()
-            self._response_seconds = now - attempt.sent_at
-            self._attempts.record_run_start(attempt)
-            self._quarantine.record_worker_alive(attempt)
-            self._attempts.successful = attempt
-            expected_seconds = attempt.choice.expected_seconds
-            self._metrics.observe_expected_time(expected_seconds, now - attempt.sent_at)
-            self._record_worker_failures(now)
-            return response
-        except WorkerNotEligibleError:
-            # Not sent, so no refusal by a worker: it must not use up those of the admission.
-            self._attempts.sent -= 1
-            self._next_send_at = now + INELIGIBLE_PAUSE_SECONDS
-        except WorkerMisdirectedError:
-            self._attempts.refusals += 1
-            self._directory.pause(worker_id, now, MISDIRECTED_PAUSE_SECONDS, worker_started_at_ms)
-        except WorkerUnreachableError:
-            self._attempts.refusals += 1
-            self._directory.observe_failed_run(worker_id, now, worker_started_at_ms)
-            self._directory.observe_failure(
-                worker_id, now, worker_started_at_ms, is_unreachable=True
-            )
-        except WorkerRefusedError:
-            self._attempts.refusals += 1
-            self._is_service_full = True
-            self._metrics.count_worker_refusal(self._route.name)
-            pause_seconds = self._picker.refusal_backoff_seconds(attempt.record, self._route, now)
-            self._directory.pause(worker_id, now, pause_seconds, worker_started_at_ms)
-        except WorkerBrokenError as error:
-            self._attempts.record_run_start(attempt)
-            self._attempts.may_have_run = True
-            self._quarantine.record_broken_run(attempt, error, now)
-            self._attempts.failed_workers.append(attempt.record.worker)
-            self._directory.observe_failure(worker_id, now, worker_started_at_ms)
-        except WorkerTimedOutError as error:
-            self._log_failed_run(attempt, error, now)
-            self._attempts.record_run_start(attempt)
-            self._quarantine.record_worker_alive(attempt)
-            self._attempts.may_have_run = True
-        except WorkerError as error:
-            self._log_failed_run(attempt, error, now)
-            self._attempts.record_run_start(attempt)
-            self._quarantine.record_worker_alive(attempt)
-            self._attempts.may_have_run = True
-            self._attempts.worker_failures += 1
-            self._attempts.failed_workers.append(attempt.record.worker)
-        return None
-
-    def _log_failed_run(self, attempt: Attempt, error: WorkerError, now: float) -> None:
-        elapsed_seconds = now - attempt.sent_at
-        log_run_failed(self._request.request_id, attempt.record.worker, error, elapsed_seconds)
-
-    def _record_worker_failures(self, now: float) -> None:
-        """Record failed runs against their workers, now that another worker has succeeded.
-
-        A request that fails on every worker says nothing about the workers.
-        """
-        for worker in self._attempts.failed_workers:
-            self._directory.observe_failed_run(worker.worker_id, now, worker.started_at_ms)
-
     def _forwarding_error(self, *, timed_out: bool) -> ForwardingError:
         """Return the error for the client, which says whether the request may have run."""
         if self._attempts.has_not_run:
