Refuse a batch job without a region in one place

Cause: the ingress and the batch service both refused a batch job whose route and tenant share no region, with different errors, log keys and delays; only the ingress asked whether it had been accepted before. Ruled out: refusing in the ingress only: other callers of the service would lack the check. Change: BatchService.submit refuses it with BatchWithoutRegionError, unless it was accepted before. The test in test_batch_regions expects the narrower error. Conclusion: one decision, one error, one log event.

--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -19,6 +19,7 @@
     BatchOutcomeUnknownError,
     BatchRefusedError,
     BatchUnavailableError,
+    BatchWithoutRegionError,
 )
 from drumbay.batches.ledger import BatchLedger, BatchStore, StoreWithin
 from drumbay.batches.owned import OwnedBatches
@@ -264,13 +265,8 @@
         """
         regions = self._holders.regions_of(spec)
         if regions.is_empty:
-            log_event("batch_without_region", level="WARNING", batch=spec.batch_id)
-            self._metrics.count_batch("refused")
-            raise BatchRefusedError(
-                "its route and tenant share no region",
-                execution=Execution.NOT_RUN,
-                retry_after_seconds=REFUSED_RETRY_SECONDS,
-            )
+            await self._refuse_without_region(spec)
+            return
         owner = self._owners.choose_owner(spec, regions)
         ledger = self.ledger.within(lambda: self._holders.regions_of(spec))
         submitted_at = self._clock.wall()
@@ -297,8 +293,7 @@
         if revision is None:
             revision = await self._written_revision(spec.batch_id, owner) if uncertain else None
         if revision is None:
-            self._metrics.count_batch("submitted_again")
-            log_event("batch_submitted_again", batch=spec.batch_id)
+            self._record_repeat(spec.batch_id)
             return
         self._metrics.count_batch("accepted")
         log_event(
@@ -312,7 +307,27 @@
         stored = StoredOwner(record=owner, revision=revision)
         await self._owned.assign(spec, stored)
 
-    async def is_accepted(self, batch_id: BatchId) -> bool:
+    async def _refuse_without_region(self, spec: BatchSpec) -> None:
+        """Refuse a batch job that may run nowhere, unless it was accepted before.
+
+        Raises:
+            BatchWithoutRegionError: It was not accepted, and no part of it will run.
+            BatchOutcomeUnknownError: The store did not tell whether it was accepted.
+        """
+        if await self._is_accepted(spec.batch_id):
+            self._record_repeat(spec.batch_id)
+            return
+        log_event(
+            "batch_without_region", level="WARNING", batch=spec.batch_id, route=spec.route_name
+        )
+        self._metrics.count_batch("refused")
+        raise BatchWithoutRegionError(
+            "no region is allowed by both its route and its tenant",
+            execution=Execution.NOT_RUN,
+            retry_after_seconds=REFUSED_RETRY_SECONDS,
+        )
+
+    async def _is_accepted(self, batch_id: BatchId) -> bool:
         """Return whether a batch job has been accepted, whether or not it has ended.
 
         Raises:
@@ -326,6 +341,10 @@
             raise _refusal(uncertain=True) from error
         return True
 
+    def _record_repeat(self, batch_id: BatchId) -> None:
+        self._metrics.count_batch("submitted_again")
+        log_event("batch_submitted_again", batch=batch_id)
+
     async def _written_revision(self, batch_id: BatchId, owner: OwnerRecord) -> Revision | None:
         """Return the revision of a record that an unconfirmed write of this node stored."""
         try:
--- a/tests/test_batch_regions.py
+++ b/tests/test_batch_regions.py
@@ -14,6 +14,7 @@
     BatchOutcomeUnknownError,
     BatchRefusedError,
     BatchUnavailableError,
+    BatchWithoutRegionError,
 )
 from drumbay.batches.ledger import BatchLedger
 from drumbay.batches.records import BatchId, BatchSpec, ItemId, OwnerRecord, ResultState
@@ -258,7 +259,7 @@
             keys = KeyTable(tenants_by_digest={}, allowed_regions={TENANT: AllowedRegions.of("b")})
             configure(world, configuration(2, RESTRICTED, keys))
             spec = msgspec.structs.replace(batch_spec(), tenant=TENANT)
-            with self.assertRaises(BatchRefusedError):
+            with self.assertRaises(BatchWithoutRegionError):
                 await world.nodes[1].batches.submit(spec)
             with self.assertRaises(BatchNotFoundError):
                 await world.nodes[1].batches.read(BATCH, 0, 0.0)
