Say what placement and delegation code does in plain terms

Ruled out: changes of behaviour. Change: docstrings, private names, a named tuple. Conclusion: read again as a fresh reader.

--- a/drumbay/batches/body_holders.py
+++ b/drumbay/batches/body_holders.py
@@ -26,7 +26,7 @@
         ...
 
     def mark_unresponsive(self, address: NetworkAddress) -> None:
-        """Put a node that failed to reply last among the candidates for a while."""
+        """Move a node that failed to reply to the end of the candidates for a while."""
         ...
 
 
@@ -90,7 +90,7 @@
         )
 
     def mark_unresponsive(self, address: NetworkAddress) -> None:
-        """Ask a node that failed to reply last for a while."""
+        """Ask a node that failed to reply only after all others, for a while."""
         self._nodes.mark_unresponsive(address)
 
 
--- a/drumbay/batches/delegation.py
+++ b/drumbay/batches/delegation.py
@@ -16,8 +16,10 @@
 from drumbay.placement.regions import AllowedRegions
 
 DELEGATION_ATTEMPTS = 3
+"""Nodes that are asked at most, one after the other."""
+
 TAKEOVER_TIMEOUT_SECONDS = 0.8
-"""A takeover takes three calls of the store; readers wait for it."""
+"""A takeover makes three calls to the store, and readers wait for it."""
 
 
 class Delegation:
@@ -36,7 +38,11 @@
         *,
         owner_is_gone: bool,
     ) -> bool:
-        """Return whether another node owns a batch job now, or its owner had changed before."""
+        """Ask other nodes to take over a batch job.
+
+        Returns:
+            Whether one has, or the owner is no longer the one of ``owner_revision``.
+        """
         request = TakeOverBatch(
             batch_id=batch_id, owner_revision=owner_revision, owner_is_gone=owner_is_gone
         )
@@ -49,9 +55,9 @@
         regions: AllowedRegions,
         timeout_seconds: float,
     ) -> PeerReply:
-        """Return the first reply of a node that can serve the request.
+        """Call nodes until one can serve the request, and return its reply.
 
-        Without one, it is :class:`UnavailableReply`.
+        If none can, the reply is :class:`UnavailableReply`.
         """
         batch_id = request.batch_id
         nodes = self._holders.ranked(batch_id, regions)[:DELEGATION_ATTEMPTS]
--- a/drumbay/batches/start_allowances.py
+++ b/drumbay/batches/start_allowances.py
@@ -21,7 +21,7 @@
     *,
     holds_starts: bool,
 ) -> StartLimits:
-    """Return limits with those of the workers added; ``holds_starts`` lets no item start."""
+    """Return limits with those of the workers added; with ``holds_starts`` no item may start."""
     return msgspec.structs.replace(
         limits,
         start_allowances=dict.fromkeys(workers, 0)
--- a/drumbay/placement/cold_workers.py
+++ b/drumbay/placement/cold_workers.py
@@ -1,4 +1,4 @@
-"""Keeps which workers are cold, and until when. No I/O."""
+"""Tracks which workers are cold, and until when. No I/O."""
 
 import math
 from collections.abc import Container
@@ -55,8 +55,8 @@
     """The workers that may be cold.
 
     States are kept by worker id, as a request to an ended incarnation reaches its successor at the
-    same address. What is known only ever makes a worker count as cold for longer, except that a
-    worker's own response ends what was merely assumed.
+    same address. Only a worker's start or response may shorten a cold period, and only an assumed
+    one; everything else extends it.
     """
 
     def __init__(self) -> None:
@@ -106,7 +106,7 @@
         self._state(worker_id).is_unreachable = not is_reachable
 
     def last_period(self, worker_id: BackendId, warm_up_seconds: float) -> ColdPeriod:
-        """Return when a worker is or was cold last."""
+        """Return a worker's current or last cold period."""
         state = self._states.get(worker_id)
         if state is None:
             return NEVER_COLD
--- a/drumbay/placement/regions.py
+++ b/drumbay/placement/regions.py
@@ -10,7 +10,7 @@
 class AllowedRegions(msgspec.Struct, frozen=True):
     """Regions in which a request may run; ``None`` if it may run in any region.
 
-    An empty set allows no region, as when the regions of a route and a tenant do not meet.
+    An empty set allows no region, for example if a route and a tenant have none in common.
     """
 
     regions: frozenset[str] | None = None
@@ -19,14 +19,14 @@
     def of(cls, regions: Iterable[str]) -> "AllowedRegions":
         """Return the configured or recorded regions; without any, every region is allowed.
 
-        The name of the unknown region allows none.
+        The name of the unknown region is ignored; alone, it means that no region is allowed.
         """
         names = frozenset(regions)
         return cls(names - {UNKNOWN_REGION} if names else None)
 
     @property
     def is_restricted(self) -> bool:
-        """Return whether any region is excluded."""
+        """Return whether the request may not run in every region."""
         return self.regions is not None
 
     @property
--- a/drumbay/placement/start_limits.py
+++ b/drumbay/placement/start_limits.py
@@ -14,22 +14,22 @@
 from drumbay.workers.records import Worker
 
 WINDOW_SECONDS = 1.05
-"""The limit holds for any second; the rest allows for clocks that run at different rates."""
+"""Window in which starts count: any second, and a reserve as clocks run at different rates."""
 
 RAMP_SECONDS = 6.0
 """For how long a worker that is no longer cold gets clients' requests only gradually: twice as many
 each second. Otherwise every node would send to it at once, as it is the least used."""
 
 SAFE_SENDERS = 7
-"""So many nodes together stay within the limit of a worker that turns cold unannounced, whatever
-they know of each other. More are safe only as far as they are counted."""
+"""Number of nodes that together stay within the limit of a worker that turns cold unannounced, even
+if they do not know of each other. More do so only if they know of each other."""
 
 
 class Senders(msgspec.Struct, frozen=True, kw_only=True):
     """The nodes that may send requests to a service's workers.
 
-    Both include this one. ``nodes`` share the starts at a cold worker, ``warm_nodes`` those at a
-    worker not known to be cold; these are ``None`` if starts there are not limited.
+    Both tuples include this node. ``nodes`` share the starts at a cold worker, ``warm_nodes`` those
+    at a worker not known to be cold; these are ``None`` if starts there are not limited.
     """
 
     nodes: tuple[str, ...]
@@ -73,8 +73,9 @@
 def warm_part_of(budget: int, node_count: int, rank: int) -> int:
     """Return how many of ``budget`` starts at a worker not known to be cold are one node's.
 
-    Few nodes don't share out what others leave, as these may begin to send at any moment. With
-    many, one more than known may begin.
+    Fewer nodes than :data:`SAFE_SENDERS` get a fixed part each, if the budget has one for all, so
+    that others may begin to send at any moment. Otherwise the nodes divide the budget, less the
+    part of one that is not known yet.
     """
     if node_count < SAFE_SENDERS <= budget:
         return budget // SAFE_SENDERS
@@ -178,7 +179,7 @@
         return rank
 
     def cold_reason(self, worker: Worker, now: float) -> ColdReason | None:
-        """Return why a worker counts as cold; ``None`` if it does not, or its service has none."""
+        """Return why a worker counts as cold; ``None`` if it does not or has no limit."""
         warm_up = self._warm_ups().get(worker.service)
         if warm_up is None:
             return None
--- a/drumbay/placement/warm_up.py
+++ b/drumbay/placement/warm_up.py
@@ -1,4 +1,8 @@
-"""Limits the requests that this node starts at workers that may be cold."""
+"""Warm-up of workers, and the interface that limits starts at them.
+
+A worker is *cold* while it bears only few requests a second, for example after it has started. A
+*start* is a send of a request to a worker.
+"""
 
 import math
 from collections.abc import Mapping
--- a/drumbay/serving/warm_up.py
+++ b/drumbay/serving/warm_up.py
@@ -1,6 +1,7 @@
 """Connects the limits for workers that warm up to what this node learns about workers and nodes."""
 
 from collections.abc import Callable, Container, Iterable
+from typing import NamedTuple
 
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
@@ -22,8 +23,8 @@
 """How long the senders of a service are kept before they are looked up again."""
 
 SENDER_MEMORY_SECONDS = 1.5
-"""An owner whose batch job has ended, or whose items have all started, counts on while its starts
-count. Exceeds the window of starts by more than a notice takes."""
+"""How long an owner is remembered after its batch job has ended or its items have all started, as
+its last starts still count. Exceeds the window of starts by more than a notice takes."""
 
 START_LEARNING_SECONDS = 10.0
 OWNER_LEARNING_SECONDS = 1.5
@@ -46,7 +47,7 @@
         self._seen_at: dict[NetworkAddress, float] = {}
 
     def update(self, owners: Iterable[NetworkAddress], now: float) -> set[NetworkAddress]:
-        """Add the owners of now and return all."""
+        """Add the current owners; return all that are remembered."""
         for address, seen_at in list(self._seen_at.items()):
             if seen_at < now - SENDER_MEMORY_SECONDS:
                 del self._seen_at[address]
@@ -54,6 +55,13 @@
         return set(self._seen_at)
 
 
+class _CachedSenders(NamedTuple):
+    """Senders of a service, valid until a monotonic time."""
+
+    valid_until: float
+    senders: Senders
+
+
 class KnownSenders:
     """The nodes that may send requests, as far as this node knows.
 
@@ -72,7 +80,7 @@
         self._registered_senders = Senders(nodes=(str(own),))
         self._recent_owners = _RecentOwners()
         self._was_owner = False
-        self._found: dict[str, tuple[float, Senders]] = {}
+        self._cached: dict[str, _CachedSenders] = {}
 
     def connect(
         self,
@@ -93,20 +101,21 @@
 
     def senders(self, service: str, now: float) -> Senders:
         """Return the nodes that may send requests to a service's workers."""
-        found = self._found.get(service)
-        if found is not None and now < found[0]:
-            return found[1]
+        cached = self._cached.get(service)
+        if cached is not None and now < cached.valid_until:
+            return cached.senders
         has_only_batches = self._routes.has_only_batches(service)
         senders = self._owner_senders(now) if has_only_batches else self._node_senders()
-        if found is not None and found[1] == senders:
-            senders = found[1]
-        self._found[service] = (now + SENDERS_TTL_SECONDS, senders)
+        if cached is not None and cached.senders == senders:
+            # The same object, by which the ranks computed for it are found again quickly.
+            senders = cached.senders
+        self._cached[service] = _CachedSenders(now + SENDERS_TTL_SECONDS, senders)
         return senders
 
     def _owner_senders(self, now: float) -> Senders:
         owners = self._recent_owners.update(self._owners(), now)
         return Senders(
-            nodes=self._names(owners, ASSUMED_OWNERS if self._is_learning(owners, now) else 1),
+            nodes=self._names(owners, ASSUMED_OWNERS if self._update_learning(owners, now) else 1),
             warm_nodes=self._names(owners, 1),
         )
 
@@ -124,8 +133,8 @@
         assumed = [f"assumed-{number}" for number in range(minimum - len(names))]
         return (*names, *assumed)
 
-    def _is_learning(self, owners: Container[NetworkAddress], now: float) -> bool:
-        """Return whether this node may not know all owners."""
+    def _update_learning(self, owners: Container[NetworkAddress], now: float) -> bool:
+        """Extend the time of learning if need be; return whether this node may miss owners."""
         is_owner = self._own in owners
         if is_owner and not self._was_owner:
             self._learning_until = max(self._learning_until, now + OWNER_LEARNING_SECONDS)
@@ -136,7 +145,7 @@
 
 
 class WorkerWarmUps:
-    """Keeps which workers are cold, logs it, and limits this node's starts.
+    """Tracks which workers are cold, logs it, and limits this node's starts.
 
     Attributes:
         limits: Limits this node's starts.
