Test a batch job without a region while the store is away

Cause: nothing failed if a repeat of an accepted batch job was answered as refused, not run, while the store could not be asked. Ruled out: none. Change: a test; it fails without the look at the store.

--- a/tests/test_batch_regions.py
+++ b/tests/test_batch_regions.py
@@ -266,6 +266,23 @@
 
         run_with_regions(scenario)
 
+    def test_a_batch_job_without_a_region_may_have_run_if_the_store_does_not_respond(self) -> None:
+        """It may have been accepted before its regions were lost, so it is not called refused."""
+
+        async def scenario(world: ServingWorld) -> None:
+            await world.nodes[1].batches.submit(batch_spec())
+            keys = KeyTable(tenants_by_digest={}, allowed_regions={TENANT: AllowedRegions.of("b")})
+            configure(world, configuration(2, RESTRICTED, keys))
+            spec = msgspec.structs.replace(batch_spec(), tenant=TENANT)
+            for node in world.nodes:
+                node.store.reachable = False
+            with self.assertRaises(BatchOutcomeUnknownError):
+                await world.nodes[1].batches.submit(spec)
+            reconnect(world, world.nodes)
+            await world.nodes[1].batches.submit(spec)
+
+        run_with_regions(scenario)
+
     def test_records_of_the_release_before_are_unrestricted(self) -> None:
         encoded = msgspec.msgpack.encode(
             {
