Tell in the soak how long a worker had been cold when it got too many requests

Cause: the check did not tell whether nodes could have known. Conclusion: the check's bound is as it was.

--- a/drumbay/standins/warm_up_state.py
+++ b/drumbay/standins/warm_up_state.py
@@ -12,11 +12,13 @@
     """State of one start of a worker.
 
     Attributes:
+        cold_from: Monotonic time at which the worker turned cold last.
         cold_until: Monotonic time until which the worker bears only a limited rate.
         is_announced: Whether the worker's discovery entry says how long it stays cold.
         recent_arrivals: Times at which requests reached the worker in the last second of it.
     """
 
+    cold_from: float = 0.0
     cold_until: float = 0.0
     is_announced: bool = True
     recent_arrivals: deque[float] = msgspec.field(default_factory=deque)
@@ -25,6 +27,12 @@
         """Return whether the worker is cold."""
         return now < self.cold_until
 
+    def turn_cold(self, seconds: float, now: float) -> None:
+        """Start, or prolong, the time for which the worker is cold."""
+        if not self.is_cold(now):
+            self.cold_from = now
+        self.cold_until = max(self.cold_until, now + seconds)
+
     def announced_seconds(self, now: float) -> float:
         """Return for how long the worker's entry says it stays cold."""
         return max(0.0, self.cold_until - now) if self.is_announced else 0.0
--- a/drumbay/standins/worker_log.py
+++ b/drumbay/standins/worker_log.py
@@ -60,7 +60,10 @@
 
 
 class LoggedArrival(msgspec.Struct, frozen=True, kw_only=True):
-    """A request that reached its worker, whether or not the worker ran it."""
+    """A request that reached its worker, whether or not the worker ran it.
+
+    ``cold_seconds`` is the time since the worker turned cold, 0 if it is not cold.
+    """
 
     worker_id: BackendId
     service: str
@@ -70,6 +73,7 @@
     at: float
     tenant: TenantName | None = None
     is_cold: bool = False
+    cold_seconds: float = 0.0
 
 
 class LoggedOrder(msgspec.Struct, frozen=True, kw_only=True):
--- a/drumbay/standins/worker_pool.py
+++ b/drumbay/standins/worker_pool.py
@@ -210,7 +210,7 @@
         """Make a worker cold; discovery reports it after ``unannounced_seconds``."""
         emulated = self[name]
         warm_up = emulated.warm_up
-        warm_up.cold_until = max(warm_up.cold_until, self._clock.monotonic() + seconds)
+        warm_up.turn_cold(seconds, self._clock.monotonic())
         warm_up.is_announced = not unannounced_seconds
         if unannounced_seconds:
             self._spawn(self._announce_warm_up(emulated, unannounced_seconds))
@@ -253,6 +253,7 @@
                 at=now,
                 tenant=request.tenant,
                 is_cold=is_cold,
+                cold_seconds=now - emulated.warm_up.cold_from if is_cold else 0.0,
             )
         )
         crash_rate = self.cold_crash_rates.get(emulated.worker.service, math.inf)
@@ -417,7 +418,7 @@
         """Add a worker that starts now, and is cold if its service warms up."""
         started = EmulatedWorker(worker)
         seconds = self.warm_up_seconds.get(worker.service, 0.0)
-        started.warm_up.cold_until = self._clock.monotonic() + seconds
+        started.warm_up.turn_cold(seconds, self._clock.monotonic())
         self._workers[worker.worker_id] = started
         return started
 
