--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -4,6 +4,8 @@
 import unittest
 from pathlib import Path
 
+from drumbay_soak.known_red import known_red_checks
+
 from tests.known_red import KnownRedFormatError, read_known_red
 
 TEST = """test: tests.test_x.XTest.test_y
@@ -44,3 +46,10 @@
         for text in entries:
             with self.subTest(text=text), self.assertRaises(KnownRedFormatError):
                 self.read(text)
+
+    def test_a_soak_check_is_known_red_at_the_listed_seed_alone(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            file = Path(folder) / "KNOWN-RED.txt"
+            file.write_text(f"{TEST}\n{RUN}")
+            self.assertEqual(known_red_checks(7, file), {"steps_are_whole_in_time"})
+            self.assertEqual(known_red_checks(70, file), frozenset())
