--- a/drumbay/forwarding/forwarded_request.py
+++ b/drumbay/forwarding/forwarded_request.py
@@ -25,7 +25,12 @@
     ResponseLostError,
 )
 from drumbay.forwarding.request_admission import RequestAdmission
-from drumbay.forwarding.request_log import RequestTrace, log_not_served, log_served
+from drumbay.forwarding.request_log import (
+    RequestTrace,
+    log_not_served,
+    log_run_abandoned,
+    log_served,
+)
 from drumbay.forwarding.request_quarantine import RequestQuarantine
 from drumbay.forwarding.request_waits import (
     QueueAgain,
@@ -311,6 +316,12 @@
         for task, attempt in self._attempts.in_flight.items():
             self._attempts.record_run_start(attempt)
             task.cancel()
+            log_run_abandoned(
+                self._request.request_id,
+                attempt.record.worker,
+                self._clock.monotonic() - attempt.sent_at,
+                was_kept=attempt.reused_connection,
+            )
             if not has_succeeded:
                 self._quarantine.record_unanswered_run(attempt)
         self._admission.close(self._attempts.response_seconds)
--- a/drumbay/forwarding/request_log.py
+++ b/drumbay/forwarding/request_log.py
@@ -85,6 +85,19 @@
     )
 
 
+def log_run_abandoned(
+    request_id: str, worker: Worker, elapsed_seconds: float, *, was_kept: bool
+) -> None:
+    """Log a run that was cancelled without a response, as the request has its outcome."""
+    log_event(
+        "request_run_abandoned",
+        request=request_id,
+        worker=worker.worker_id,
+        kept_connection=was_kept,
+        elapsed_seconds=round(elapsed_seconds, 4),
+    )
+
+
 def log_run_failed(
     request_id: str, worker: Worker, error: WorkerError, elapsed_seconds: float
 ) -> None:
--- a/drumbay/standins/worker_log.py
+++ b/drumbay/standins/worker_log.py
@@ -1,5 +1,7 @@
 """Faults and log records of emulated workers."""
 
+import math
+
 import msgspec
 
 from drumbay.identifiers import BackendId, WeightVersion
@@ -34,7 +36,10 @@
 
 
 class LoggedRun(msgspec.Struct, kw_only=True):
-    """Execution of a request by a worker."""
+    """Execution of a request by a worker.
+
+    ``failed_with`` is the HTTP status with which the worker failed it, if it did.
+    """
 
     worker_id: BackendId
     worker_started_at_ms: int = 0
@@ -47,6 +52,7 @@
     ended_at: float | None = None
     events: int = 0
     versions: list[WeightVersion] = []
+    failed_with: int | None = None
 
     @property
     def incarnation(self) -> WorkerIncarnation:
@@ -63,6 +69,7 @@
     """A request that reached its worker, whether or not the worker ran it.
 
     ``cold_seconds`` is the time since the worker turned cold, 0 if it is not cold.
+    ``budget_seconds`` is the time left by the deadline handed over, infinite without a deadline.
     """
 
     worker_id: BackendId
@@ -74,6 +81,7 @@
     tenant: TenantName | None = None
     is_cold: bool = False
     cold_seconds: float = 0.0
+    budget_seconds: float = math.inf
 
 
 class LoggedOrder(msgspec.Struct, frozen=True, kw_only=True):
--- a/drumbay/standins/worker_pool.py
+++ b/drumbay/standins/worker_pool.py
@@ -47,6 +47,9 @@
 MAX_TEXT_EVENTS = 16
 LONG_TEXT_EVENTS = 160
 
+FAILED_STATUS = 500
+REJECTED_STATUS = 422
+
 CRASH_SECONDS = 0.05
 """Time that a crashing request runs before its worker ends."""
 
@@ -80,6 +83,8 @@
     Attributes:
         long_texts: Whether every text has 160 events; otherwise 2 to 16, depending on the request.
         failing_requests: Ids of requests that fail on every worker.
+        rejected_requests: Ids of streams that every worker rejects as invalid.
+        long_requests: Ids of requests whose texts have 160 events.
         crashing_bodies: Bodies of requests that crash every worker that runs them.
         crash_seconds: Time that such a request runs before the crash.
         crashes: Workers that ended, oldest first.
@@ -119,6 +124,8 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.long_texts = False
         self.failing_requests: set[str] = set()
+        self.rejected_requests: set[str] = set()
+        self.long_requests: set[str] = set()
         self.crashing_bodies: set[bytes] = set()
         self.crash_seconds = CRASH_SECONDS
         self.crashes: list[LoggedCrash] = []
@@ -254,6 +261,7 @@
                 tenant=request.tenant,
                 is_cold=is_cold,
                 cold_seconds=now - emulated.warm_up.cold_from if is_cold else 0.0,
+                budget_seconds=request.budget_seconds,
             )
         )
         crash_rate = self.cold_crash_rates.get(emulated.worker.service, math.inf)
@@ -292,8 +300,7 @@
         run = self._begin_run(emulated, request)
         try:
             await self._work(emulated, request, self._response_seconds * emulated.faults.slowdown)
-            if emulated.faults.failing or request.request_id in self.failing_requests:
-                raise WorkerFailedError("500")
+            self._raise_if_failing(emulated, run)
             run.events = 1
         finally:
             self._end_run(emulated, run)
@@ -316,10 +323,10 @@
         emulated = await self._connect(worker)
         run = self._begin_run(emulated, request)
         try:
-            if emulated.faults.failing:
-                raise WorkerFailedError("500")
-            if emulated.faults.rejecting:
-                raise WorkerRejectedError("422")
+            self._raise_if_failing(emulated, run)
+            if emulated.faults.rejecting or request.request_id in self.rejected_requests:
+                run.failed_with = REJECTED_STATUS
+                raise WorkerRejectedError(str(REJECTED_STATUS))
             model = dict(request.headers).get("model", "m")
             seconds = self._seconds_per_event
             count = self._event_count_of(request.request_id)
@@ -331,8 +338,14 @@
         finally:
             self._end_run(emulated, run)
 
+    def _raise_if_failing(self, emulated: EmulatedWorker, run: LoggedRun) -> None:
+        if emulated.faults.failing or run.request_id in self.failing_requests:
+            run.failed_with = FAILED_STATUS
+            raise WorkerFailedError(str(FAILED_STATUS))
+
     def _event_count_of(self, request_id: str) -> int:
-        return LONG_TEXT_EVENTS if self.long_texts else text_event_count(request_id)
+        is_long = self.long_texts or request_id in self.long_requests
+        return LONG_TEXT_EVENTS if is_long else text_event_count(request_id)
 
     def text(self, request_id: str) -> str:
         """Return the complete text of a request."""
--- /dev/null
+++ b/tests/test_repeated_sends.py
@@ -0,0 +1,169 @@
+"""A request that is sent again, or abandoned, must not get more time or runs than it has left."""
+
+import asyncio
+import re
+import socket
+import unittest
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+
+from drumbay_platform.workers import PlatformWorkerClient
+
+from drumbay.clock import SystemClock
+from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.identifiers import BackendId
+from drumbay.workers.records import Worker, WorkerBrokenError, WorkerRequest, WorkerState
+
+BUDGET_SECONDS = 1.5
+STALL_SECONDS = 0.7
+TOLERANCE_SECONDS = 0.1
+REQUEST_ID = "r1"
+ANSWER = (
+    f"HTTP/1.1 200 OK\r\nX-Drumbay-Attempt-Id: {REQUEST_ID}\r\nX-Drumbay-Server-Seal: s\r\n"
+    "Content-Length: 2\r\n\r\nok"
+).encode()
+LATE_ANSWER_HEAD = (
+    "X-Drumbay-Attempt-Id: earlier\r\nX-Drumbay-Server-Seal: s\r\nContent-Length: 0\r\n"
+)
+LATE_REFUSAL = f"HTTP/1.1 503 Full\r\nX-Drumbay-Not-Executed: 1\r\n{LATE_ANSWER_HEAD}\r\n".encode()
+LATE_MISDIRECTION = f"HTTP/1.1 421 Other\r\n{LATE_ANSWER_HEAD}\r\n".encode()
+LATE_REJECTION = f"HTTP/1.1 422 Invalid\r\n{LATE_ANSWER_HEAD}\r\n".encode()
+
+SMALL_BUFFER_BYTES = 2_304
+BODY_BYTES = 12_000
+"""Fits in the buffers of both sides together, not in the receiver's."""
+
+Reply = Callable[[int, asyncio.StreamWriter], Awaitable[None]]
+
+
+class ConnectionServer:
+    """Server that passes the number of a request on its connection, from 0, to a coroutine."""
+
+    def __init__(self, reply: Reply) -> None:
+        self._reply = reply
+        self.heads: list[str] = []
+        self.address = NetworkAddress("127.0.0.1", 0)
+
+    async def start(self, case: unittest.IsolatedAsyncioTestCase) -> None:
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        case.addCleanup(server.close)
+        self.address = NetworkAddress("127.0.0.1", server.sockets[0].getsockname()[1])
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        number = 0
+        with suppress(asyncio.IncompleteReadError, ConnectionError):
+            while not writer.is_closing():
+                self.heads.append((await reader.readuntil(b"\r\n\r\n")).decode())
+                await reader.readexactly(len(b"body"))
+                await self._reply(number, writer)
+                number += 1
+
+    def deadlines_seconds(self) -> list[float]:
+        """Return the deadline of each request."""
+        found = [re.search(r"X-Drumbay-Deadline-Ms: (\d+)", head) for head in self.heads]
+        return [int(match.group(1)) / 1000 for match in found if match is not None]
+
+
+class RepeatedSendTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.client = PlatformWorkerClient(SystemClock())
+        self.addCleanup(self.client.close)
+
+    async def start(self, reply: Reply) -> tuple[ConnectionServer, Worker]:
+        server = ConnectionServer(reply)
+        await server.start(self)
+        return server, worker_at(server.address)
+
+    async def test_resend_is_not_given_the_time_of_the_first_send(self) -> None:
+        async def stall_on_reuse(number: int, writer: asyncio.StreamWriter) -> None:
+            if number:
+                await asyncio.sleep(STALL_SECONDS)
+                writer.close()
+            else:
+                writer.write(ANSWER)
+
+        server, worker = await self.start(stall_on_reuse)
+        for _ in range(2):
+            await self.client.call(worker, repeatable_request())
+        _, stalled, resent = server.deadlines_seconds()
+        self.assertLessEqual(stalled, BUDGET_SECONDS)
+        self.assertLess(resent, BUDGET_SECONDS - STALL_SECONDS + TOLERANCE_SECONDS)
+
+    async def call_with_late_answer(self, late_answer: bytes) -> None:
+        """Make a call whose reused connection brings another request's answer first."""
+
+        async def answer_late(number: int, writer: asyncio.StreamWriter) -> None:
+            writer.write(late_answer if number else ANSWER)
+
+        _, worker = await self.start(answer_late)
+        await self.client.call(worker, repeatable_request())
+        await self.client.call(worker, repeatable_request())
+
+    async def test_refusal_of_another_request_does_not_count_as_not_run(self) -> None:
+        for late_answer in (LATE_REFUSAL, LATE_MISDIRECTION):
+            with self.assertRaises(WorkerBrokenError):
+                await self.call_with_late_answer(late_answer)
+
+    async def test_rejection_of_another_item_does_not_give_up_this_one(self) -> None:
+        async def answer_late(number: int, writer: asyncio.StreamWriter) -> None:
+            writer.write(LATE_REJECTION if number else ANSWER)
+
+        _, worker = await self.start(answer_late)
+        await self.client.call(worker, repeatable_request())
+        with self.assertRaises(WorkerBrokenError):
+            async with self.client.stream(worker, repeatable_request()):
+                self.fail("the answer belongs to another request")
+
+    async def test_abandoned_request_is_not_delivered_later(self) -> None:
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+            listener.setblocking(False)
+            worker = worker_at(NetworkAddress("127.0.0.1", listener.getsockname()[1]))
+            call = asyncio.create_task(self.client.call(worker, repeatable_request(BODY_BYTES)))
+            loop = asyncio.get_running_loop()
+            connection, _ = await loop.sock_accept(listener)
+            with connection:
+                await asyncio.sleep(0.1)
+                call.cancel()
+                await asyncio.wait({call})
+                self.assertLess(await read_to_the_end(connection), BODY_BYTES)
+
+
+async def read_to_the_end(connection: socket.socket) -> int:
+    """Return how many bytes arrive until the connection ends."""
+    received = 0
+    with suppress(ConnectionResetError):
+        while data := await asyncio.get_running_loop().sock_recv(connection, 65_536):
+            received += len(data)
+    return received
+
+
+def worker_at(address: NetworkAddress) -> Worker:
+    return Worker(
+        worker_id=BackendId("i-1"),
+        service="a",
+        address=address,
+        zone="z",
+        slots=1,
+        state=WorkerState.READY,
+        versions={},
+    )
+
+
+def repeatable_request(body_bytes: int = len(b"body")) -> WorkerRequest:
+    return WorkerRequest(
+        request_id=REQUEST_ID,
+        method="POST",
+        target="/l/x",
+        host="h.example",
+        headers=(),
+        body=b"body" if body_bytes == len(b"body") else bytes(body_bytes),
+        budget_seconds=BUDGET_SECONDS,
+        repeatable=True,
+    )
+
+
+if __name__ == "__main__":
+    unittest.main()
