Count the failures of an item over its owners and batch jobs

Cause: the failures of an item lived in the memory of one owner of one batch job. A takeover began at nothing, and so did the next batch job in which a trainer submits the group again under the same ids. Three batch jobs in a row used up all that is allowed; a fourth, or a change of owner, went beyond it.

A batch job gives an item up after its attempts, as before, and at once if it was rejected before or has used up its attempts twice; the third time that the rule allows is left for what an owner had not stored when it ended. While the store does not answer, items start, but one that has failed waits until its past is known. Reward requests count in the same way. The records go with their batch job.

--- /dev/null
+++ b/drumbay/batches/item_failures.py
@@ -0,0 +1,103 @@
+"""How often workers have failed the items of batch jobs, over all owners and batch jobs. No I/O.
+
+Each owner stores what it has seen in a record of its own, and the failures of an item are the sum
+over all records, as in a grow-only counter (Shapiro et al., "A comprehensive study of convergent
+and commutative replicated data types", INRIA RR-7506, 2011, section 3.1). So no write of one owner
+replaces what another one has counted.
+"""
+
+import msgspec
+
+from drumbay.batches.records import BatchId, BatchSpec, ItemId
+from drumbay.identifiers import Revision
+from drumbay.tenants.records import TenantName
+
+MAX_JOBS_WITH_ALL_ATTEMPTS = 2
+"""An item that has used up its attempts this many times is given up in later batch jobs at once."""
+
+
+MAX_RECORDS = 1_024
+"""Records of owners that a node keeps in memory."""
+
+
+class ItemFailures(msgspec.Struct, frozen=True, kw_only=True):
+    """Failures of one item: runs that failed, runs that were rejected, and reward requests."""
+
+    runs: int = 0
+    rejections: int = 0
+    rewards: int = 0
+
+    def plus(self, other: "ItemFailures") -> "ItemFailures":
+        """Return the sum."""
+        return ItemFailures(
+            runs=self.runs + other.runs,
+            rejections=self.rejections + other.rejections,
+            rewards=self.rewards + other.rewards,
+        )
+
+
+NO_FAILURES = ItemFailures()
+
+
+class PastFailures(msgspec.Struct, frozen=True, kw_only=True):
+    """Failures of an item that other owners saw, in the same batch job and in others."""
+
+    in_job: ItemFailures = NO_FAILURES
+    in_other_jobs: ItemFailures = NO_FAILURES
+
+    def plus(self, failures: ItemFailures, *, is_same_job: bool) -> "PastFailures":
+        """Return the sum with what one owner saw."""
+        if is_same_job:
+            return msgspec.structs.replace(self, in_job=self.in_job.plus(failures))
+        return msgspec.structs.replace(self, in_other_jobs=self.in_other_jobs.plus(failures))
+
+
+NO_PAST_FAILURES = PastFailures()
+
+
+class OwnerFailures(msgspec.Struct, frozen=True, kw_only=True):
+    """What one owner of a batch job has seen; the host and the tenant tell whose items they are."""
+
+    host: str
+    tenant: TenantName | None
+    items: dict[ItemId, ItemFailures]
+
+
+class OwnerKey(msgspec.Struct, frozen=True, kw_only=True):
+    """Identifies an owner of a batch job, by its revision in the ledger."""
+
+    batch_id: BatchId
+    revision: Revision
+
+
+class FailureHistory:
+    """What a node knows of failures, from its own runs and from the store."""
+
+    def __init__(self) -> None:
+        """Create an empty history."""
+        self._records: dict[OwnerKey, OwnerFailures] = {}
+
+    def put(self, key: OwnerKey, failures: OwnerFailures) -> None:
+        """Set what an owner has seen; the oldest records are dropped beyond the maximum."""
+        self._records.pop(key, None)
+        self._records[key] = failures
+        if len(self._records) > MAX_RECORDS:
+            del self._records[next(iter(self._records))]
+
+    def past(self, spec: BatchSpec, owner: OwnerKey) -> dict[ItemId, PastFailures]:
+        """Return the failures of a batch job's items that others than its present owner saw."""
+        own_ids = {item.item_id for item in spec.items}
+        past: dict[ItemId, PastFailures] = {}
+        for key, failures in self._records.items():
+            if key == owner or (failures.host, failures.tenant) != (spec.host, spec.tenant):
+                continue
+            for item_id in own_ids & failures.items.keys():
+                past[item_id] = past.get(item_id, NO_PAST_FAILURES).plus(
+                    failures.items[item_id], is_same_job=key.batch_id == spec.batch_id
+                )
+        return past
+
+
+def are_used_up(in_job: int, in_other_jobs: int, attempts: int) -> bool:
+    """Return whether so many failures leave an item no attempt in this batch job."""
+    return in_job >= attempts or in_job + in_other_jobs >= MAX_JOBS_WITH_ALL_ATTEMPTS * attempts
--- a/drumbay/batches/item_run.py
+++ b/drumbay/batches/item_run.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from drumbay.batches.item_failures import NO_PAST_FAILURES, PastFailures, are_used_up
 from drumbay.batches.records import BatchItem, ItemResult, PartialText, ResultState, Reward
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.workers.records import StreamEvent
@@ -20,6 +21,7 @@
         pending_gap: Seconds between the last two events; reported once another event follows.
         last_activity_at: Monotonic time of the last event or of the start.
         not_before: Monotonic time before which the item is not started again.
+        past: Failures that earlier owners have seen.
         failures: Runs for which a worker reported a failure.
         moves: How often the item was moved off a slow worker.
         generation: How often its text was discarded and started anew.
@@ -42,6 +44,7 @@
     pending_gap: float | None = None
     last_activity_at: float = 0.0
     not_before: float = 0.0
+    past: PastFailures = NO_PAST_FAILURES
     failures: int = 0
     moves: int = 0
     generation: int = 0
@@ -54,6 +57,20 @@
     reward_failures: int = 0
     reward_attempts: int = 0
 
+    def has_runs_left(self, attempts: int) -> bool:
+        """Return whether the item may run again, with so many attempts in each batch job."""
+        past = self.past
+        if past.in_job.rejections or past.in_other_jobs.rejections:
+            return False
+        return not are_used_up(self.failures + past.in_job.runs, past.in_other_jobs.runs, attempts)
+
+    def has_reward_requests_left(self, attempts: int) -> bool:
+        """Return whether its reward request may be sent again."""
+        past = self.past
+        return not are_used_up(
+            self.reward_failures + past.in_job.rewards, past.in_other_jobs.rewards, attempts
+        )
+
     def start(self, worker_id: BackendId, now: float) -> None:
         """Record the start on a worker."""
         self.worker_id = worker_id
--- a/drumbay/batches/item_scoring.py
+++ b/drumbay/batches/item_scoring.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from drumbay.batches.decisions import ScoreText
+from drumbay.batches.item_failures import ItemFailures
 from drumbay.batches.records import BatchId, ItemId, ItemResult
 from drumbay.batches.reward_scorer import RewardScorer, RewardUnavailableError
 from drumbay.batches.scheduler import BatchScheduler
@@ -26,6 +27,7 @@
         batch_id: BatchId,
         order: RewardOrder,
         allowed_regions: Callable[[], AllowedRegions],
+        record_failures: Callable[[ItemId, ItemFailures], None],
         on_result: Callable[[ItemResult], None],
         on_change: Callable[[], None],
     ) -> None:
@@ -39,6 +41,7 @@
             batch_id: The batch job.
             order: Priority of the batch job's reward requests; earlier submissions go first.
             allowed_regions: Returns the regions in which the batch job may run now.
+            record_failures: Called with the failures that workers reported.
             on_result: Called with the result of an item that is finished or given up.
             on_change: Called when the scheduler should plan again.
         """
@@ -47,6 +50,7 @@
         self._scheduler = scheduler
         self._task_owner = task_owner
         self._batch_id = batch_id
+        self._record_failures = record_failures
         self._on_result = on_result
         self._on_change = on_change
         self._order = order
@@ -91,6 +95,8 @@
     def _handle_failure(
         self, decision: ScoreText, error: RewardUnavailableError
     ) -> ItemResult | None:
+        if error.worker_failures:
+            self._record_failures(decision.item_id, ItemFailures(rewards=error.worker_failures))
         result = self._scheduler.handle_reward_failure(
             decision.item_id,
             error.worker_failures,
--- a/drumbay/batches/ledger.py
+++ b/drumbay/batches/ledger.py
@@ -2,6 +2,8 @@
 
 * ``drumbay/batch-index/ID``: an :class:`IndexEntry`, to find old batch jobs without reading their
   items.
+* ``drumbay/item-failures/ID/REVISION``: the :class:`OwnerFailures` that the owner with a revision
+  has seen. Only that owner writes the key.
 * ``drumbay/batches-open/ADDRESS/ID``: an empty value while the batch job is open, so that a
   restarted node finds the jobs that it owned at its address.
 
@@ -23,6 +25,7 @@
 import msgspec
 
 from drumbay.batches.exceptions import BatchEndedError, BatchMovedError, BatchNotFoundError
+from drumbay.batches.item_failures import OwnerFailures, OwnerKey
 from drumbay.batches.records import (
     BatchId,
     BatchSpec,
@@ -38,11 +41,13 @@
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.identifiers import Revision
 from drumbay.kv.interface import Delete, ModRevisionIs, Put, RangeResult, TransactionResult
+from drumbay.observability.logs import log_event
 from drumbay.placement.regions import AllowedRegions
 
 BATCH_PREFIX = "drumbay/batches/"
 BATCH_INDEX_PREFIX = "drumbay/batch-index/"
 OPEN_BATCH_PREFIX = "drumbay/batches-open/"
+ITEM_FAILURES_PREFIX = "drumbay/item-failures/"
 KEYS_PER_DELETE = 30
 SPEC_PART_BYTES = 1_000_000
 """Within the store's limits of 1 MB per value and 32 operations per transaction."""
@@ -55,6 +60,7 @@
 _owner_decoder = msgspec.msgpack.Decoder(OwnerRecord)
 _spec_decoder = msgspec.msgpack.Decoder(BatchSpec)
 _progress_decoder = msgspec.msgpack.Decoder(tuple[PartialText, ...])
+_failures_decoder = msgspec.msgpack.Decoder(OwnerFailures)
 _results_decoder = msgspec.msgpack.Decoder(tuple[ItemResult, ...])
 
 
@@ -279,6 +285,25 @@
         )
         return outcome.succeeded
 
+    async def save_failures(self, owner: OwnerKey, failures: OwnerFailures) -> None:
+        """Store all failures of items that an owner has seen so far.
+
+        They also count if the owner has been replaced meanwhile.
+        """
+        key = f"{_failures_prefix(owner.batch_id)}{owner.revision:012d}"
+        await self._store.transact((), (Put(key=key, value=_encoder.encode(failures)),))
+
+    async def read_failures(self) -> tuple[tuple[OwnerKey, OwnerFailures], ...]:
+        """Return the failures of items in all batch jobs; records of another form are skipped."""
+        found = await self._store.range_prefix(ITEM_FAILURES_PREFIX)
+        stored: list[tuple[OwnerKey, OwnerFailures]] = []
+        for item in found.items:
+            try:
+                stored.append((_owner_of_failures(item.key), _failures_decoder.decode(item.value)))
+            except (msgspec.DecodeError, ValueError) as error:
+                log_event("item_failures_invalid", level="WARNING", key=item.key, detail=str(error))
+        return tuple(stored)
+
     async def open_batches_at(self, address: NetworkAddress) -> tuple[BatchId, ...]:
         """Return the open batch jobs whose owner has the given address."""
         prefix = _open_key(address, BatchId(""))
@@ -297,7 +322,8 @@
     async def delete(self, batch_id: BatchId) -> None:
         """Delete an ended batch job, its index entry last; reads its bodies to learn the keys."""
         found = await self._body_store.range_prefix(f"{BATCH_PREFIX}{batch_id}/")
-        keys = sorted((item.key for item in found.items), reverse=True)
+        failures = await self._store.range_prefix(_failures_prefix(batch_id))
+        keys = sorted((item.key for item in (*found.items, *failures.items)), reverse=True)
         for offset in range(0, len(keys), KEYS_PER_DELETE):
             chunk = keys[offset : offset + KEYS_PER_DELETE]
             await self._store.transact((), tuple(Delete(key=key) for key in chunk))
@@ -333,6 +359,20 @@
     return f"{OPEN_BATCH_PREFIX}{address}/{batch_id}"
 
 
+def _failures_prefix(batch_id: BatchId) -> str:
+    return f"{ITEM_FAILURES_PREFIX}{batch_id}/"
+
+
+def _owner_of_failures(key: str) -> OwnerKey:
+    """Return whose failures a key holds.
+
+    Raises:
+        ValueError: The key names no revision.
+    """
+    batch_id, _, revision = key.removeprefix(ITEM_FAILURES_PREFIX).rpartition("/")
+    return OwnerKey(batch_id=BatchId(batch_id), revision=Revision(int(revision)))
+
+
 def _result_prefix(batch_id: BatchId) -> str:
     return f"{BATCH_PREFIX}{batch_id}/results/"
 
--- a/drumbay/batches/owned.py
+++ b/drumbay/batches/owned.py
@@ -13,6 +13,7 @@
     BatchNotFoundError,
     BatchUnavailableError,
 )
+from drumbay.batches.item_failures import FailureHistory
 from drumbay.batches.ledger import BatchLedger
 from drumbay.batches.lingering import LingeringBatches
 from drumbay.batches.owners import ANY_PROCESS, OwnerTable
@@ -123,6 +124,7 @@
         self._metrics = metrics
         self._holders = holders
         self._placement = placement
+        self._failure_history = FailureHistory()
         self._runners: dict[BatchId, BatchRunner] = {}
         self._takeovers: dict[BatchId, asyncio.Event] = {}
         self._lingering = LingeringBatches(peers, holders, owners.identity.address)
@@ -241,6 +243,7 @@
             self._metrics,
             self._placement,
             lambda: self._allowed_regions(spec),
+            self._failure_history,
             spec,
             revision,
             listed,
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -14,6 +14,8 @@
     StopRun,
 )
 from drumbay.batches.exceptions import BatchEndedError, BatchError, BatchNotFoundError
+from drumbay.batches.failure_log import FailureLog
+from drumbay.batches.item_failures import FailureHistory, ItemFailures
 from drumbay.batches.item_quarantine import ItemQuarantine
 from drumbay.batches.item_scoring import ItemScoring
 from drumbay.batches.item_stream import ItemStreams
@@ -72,9 +74,16 @@
 fewer events than this are generated again at once instead of resumed after the delay.
 """
 
+MAX_FAILURES_WAIT_SECONDS = 0.15
+"""How long the first start waits until it is known how often the items have failed before."""
+
 MAX_BATCH_AGE_SECONDS = 60.0
 """Bounds the computed age of a batch job, as clocks of two machines may differ."""
 
+_COUNTED_FAILURES = {
+    RunFailure.FAILED: ItemFailures(runs=1),
+    RunFailure.REJECTED: ItemFailures(rejections=1),
+}
 _NO_EVENT_REASONS = frozenset(
     {StopReason.SILENT, StopReason.UNSTARTED, StopReason.QUEUED, StopReason.STALLED}
 )
@@ -104,6 +113,7 @@
         metrics: ServingMetrics,
         placement: PlacementGate,
         allowed_regions: Callable[[], AllowedRegions],
+        failure_history: FailureHistory,
         spec: BatchSpec,
         revision: Revision,
         listed: tuple[ItemResult, ...],
@@ -126,6 +136,7 @@
             metrics: Counts runs and results.
             placement: Decides which workers may get an item.
             allowed_regions: Returns the regions in which the items may run now.
+            failure_history: What this node knows of failed items.
             spec: The batch job.
             revision: The owner's revision in the ledger.
             listed: Results that the store contains already.
@@ -184,6 +195,9 @@
             self._scheduler,
             self._result_log.confirm_ownership,
         )
+        self._failure_log = FailureLog(clock, ledger, failure_history, spec, revision)
+        self._failure_writer: asyncio.Task[None] | None = None
+        self._past_failures_known = asyncio.Event()
         self._runs: dict[ItemId, asyncio.Task[None]] = {}
         self._wakeup = asyncio.Event()
         self._scoring = ItemScoring(
@@ -194,6 +208,7 @@
             spec.batch_id,
             RewardOrder(batch_started_at=submitted_at, batch_priority=spec.priority),
             allowed_regions,
+            record_failures=self._failure_log.record,
             on_result=self._add_result,
             on_change=self._wakeup.set,
         )
@@ -224,7 +239,11 @@
         self._scheduler.reuse_texts(resubmitted)
         for result in self._scheduler.pop_reused_results():
             self._add_result(result)
+        self._failure_writer = self._task_owner.spawn(
+            self._failure_log.run(), f"batch-failures-{name}"
+        )
         self._tasks = [
+            self._task_owner.spawn(self._load_past_failures(), f"batch-past-failures-{name}"),
             self._task_owner.spawn(self._run_scheduling(), f"batch-schedule-{name}"),
             self._task_owner.spawn(self._result_log.run(), f"batch-list-{name}"),
             self._task_owner.spawn(self._progress.run(), f"batch-progress-{name}"),
@@ -243,6 +262,8 @@
     def close(self) -> None:
         """Stop every run and drop unlisted results."""
         self._stop_tasks()
+        if self._failure_writer is not None:
+            self._failure_writer.cancel()
         self._closed = True
         self._scoring.stop_all()
         for task in self._runs.values():
@@ -343,7 +364,32 @@
 
     # Scheduling
 
+    async def _load_past_failures(self) -> None:
+        """Count what other owners of these items have seen, and give up items that failed."""
+        self._apply_past_failures(is_complete=False)
+        await self._failure_log.load()
+        self._apply_past_failures(is_complete=True)
+        self._past_failures_known.set()
+        self._wakeup.set()
+
+    def _apply_past_failures(self, *, is_complete: bool) -> None:
+        past = self._failure_log.past()
+        results = self._scheduler.set_past_failures(past, is_complete=is_complete)
+        if past:
+            log_event(
+                "item_failures_loaded",
+                batch=self.spec.batch_id,
+                items=len(past),
+                given_up=len(results),
+                is_complete=is_complete,
+            )
+        for result in results:
+            self._add_result(result)
+
     async def _run_scheduling(self) -> None:
+        with suppress(TimeoutError):
+            async with asyncio.timeout(MAX_FAILURES_WAIT_SECONDS):
+                await self._past_failures_known.wait()
         while not self._scheduler.is_finished:
             now = self._clock.monotonic()
             for result in self._scheduler.expire(now):
@@ -457,6 +503,8 @@
                 worker=record.worker.worker_id,
                 failure=failure,
             )
+            if failure in _COUNTED_FAILURES:
+                self._failure_log.record(item_id, _COUNTED_FAILURES[failure])
             result = self._scheduler.handle_run_failure(item_id, failure, self._clock.monotonic())
         if result is not None:
             self._add_result(result)
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -13,6 +13,7 @@
     StopReason,
     StopRun,
 )
+from drumbay.batches.item_failures import PastFailures
 from drumbay.batches.item_order import ItemOrder
 from drumbay.batches.item_run import ItemRun
 from drumbay.batches.records import (
@@ -104,6 +105,7 @@
         self._mean_event_interval = DEFAULT_EVENT_INTERVAL_SECONDS
         self._is_overloaded = False
         self._give_up_at = started_at + spec.queue_limit_seconds
+        self._is_past_known = True
         self._silence_detector = SilenceDetector(started_at)
         listed_ids = {result.item_id for result in listed}
         self._runs = {
@@ -220,6 +222,7 @@
             for run in self._runs.values()
             if not run.is_running_or_complete
             and now >= run.not_before
+            and (self._is_past_known or not run.failures)
             and run.item.item_id not in held_back
         ]
 
@@ -332,7 +335,7 @@
             return None
         run.is_scoring = False
         run.reward_failures += worker_failures
-        if run.reward_failures >= max(attempts, self._spec.attempts):
+        if not run.has_reward_requests_left(max(attempts, self._spec.attempts)):
             return self._give_up(item_id)
         delay_seconds = MIN_SCORE_RETRY_SECONDS * 2 ** min(run.reward_attempts, 8)
         delay_seconds = min(delay_seconds, MAX_SCORE_RETRY_SECONDS)
@@ -362,7 +365,7 @@
             case RunFailure.FAILED:
                 run.failures += 1
                 run.discard_text()
-                if run.failures >= self._spec.attempts:
+                if not run.has_runs_left(self._spec.attempts):
                     return self._give_up(item_id)
                 run.not_before = now + FAILURE_DELAY_SECONDS
                 run.avoided_worker = worker_id
@@ -375,6 +378,24 @@
                 pass
         return None
 
+    def set_past_failures(
+        self, past: Mapping[ItemId, PastFailures], *, is_complete: bool
+    ) -> tuple[ItemResult, ...]:
+        """Set what earlier owners have seen; return the results of items that are given up.
+
+        Until it is complete, an item that fails does not run again.
+        """
+        self._is_past_known = is_complete
+        for item_id, failures in past.items():
+            if item_id in self._runs:
+                self._runs[item_id].past = failures
+        used_up = [
+            item_id
+            for item_id, run in self._runs.items()
+            if not run.complete and not run.has_runs_left(self._spec.attempts)
+        ]
+        return tuple(self._give_up(item_id) for item_id in used_up)
+
     def expire(self, now: float) -> tuple[ItemResult, ...]:
         """Give up all unfinished items once the queue limit has passed."""
         if now < self._give_up_at:
--- a/drumbay/serving/store_calls.py
+++ b/drumbay/serving/store_calls.py
@@ -54,6 +54,7 @@
     BATCH_WHOLE = "batch_whole"
     BATCH_INDEX = "batch_index"
     BATCH_OPEN = "batch_open"
+    ITEM_FAILURES = "item_failures"
     NODES = "nodes"
     LEADER = "leader"
     QUARANTINE = "quarantine"
@@ -71,6 +72,7 @@
 }
 _PREFIXES = {
     ledger.BATCH_INDEX_PREFIX: StoreSubject.BATCH_INDEX,
+    ledger.ITEM_FAILURES_PREFIX: StoreSubject.ITEM_FAILURES,
     ledger.OPEN_BATCH_PREFIX: StoreSubject.BATCH_OPEN,
     directory.NODE_PREFIX: StoreSubject.NODES,
     leader.LEADER_PREFIX: StoreSubject.LEADER,
--- a/tests/test_failing_items.py
+++ b/tests/test_failing_items.py
@@ -6,15 +6,40 @@
 
 import msgspec
 
+from drumbay.batches.decisions import RunFailure, StartRun
 from drumbay.batches.exceptions import BatchUnavailableError
+from drumbay.batches.item_failures import (
+    FailureHistory,
+    ItemFailures,
+    OwnerFailures,
+    OwnerKey,
+    PastFailures,
+)
+from drumbay.batches.ledger import ITEM_FAILURES_PREFIX, BatchLedger
 from drumbay.batches.records import BatchId, BatchSpec, ItemId, ResultState
+from drumbay.batches.scheduler import BatchScheduler
+from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.identifiers import BackendId, Revision, WeightVersion
+from drumbay.kv.interface import Put
 from drumbay.standins.kv_faults import KeyValueFaults
-from tests.serving_world import ServingWorld, WorldNode, batch_spec, read_all, run_in_world
+from drumbay.tenants.records import TenantName
+from drumbay.workers.records import Worker, WorkerState
+from drumbay.workers.worker_record import WorkerRecord
+from tests.serving_world import (
+    MODEL,
+    SERVICE,
+    ServingWorld,
+    WorldNode,
+    batch_spec,
+    read_all,
+    run_in_world,
+)
 
 ATTEMPTS = 3
 ALLOWED_FAILURES = 3 * ATTEMPTS
 ALLOWED_REJECTIONS = 3
 STEP_SECONDS = 2.0
+VERSION = WeightVersion(1)
 FAILING, REJECTED, LONG, SOUND = (ItemId(f"group-0-{number}") for number in range(4))
 
 
@@ -109,6 +134,91 @@
 
         run_in_world(scenario)
 
+    def test_stored_failures_are_deleted_with_their_batch_job(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            make_items_fail(world)
+            await run_step(world.nodes[0], 0)
+            ledger = BatchLedger(world.nodes[0].store)
+            self.assertEqual(len(await ledger.read_failures()), 1)
+            await ledger.delete(BatchId("step-0"))
+            self.assertEqual(await ledger.read_failures(), ())
+
+        run_in_world(scenario)
+
+    def test_a_record_of_another_form_is_passed_over(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            make_items_fail(world)
+            for name in ("no-revision", "batch/000000000001"):
+                put = Put(key=f"{ITEM_FAILURES_PREFIX}{name}", value=b"not a record")
+                await world.nodes[0].store.transact((), (put,))
+            await run_step(world.nodes[0], 0)
+            self.assertEqual(failure_counts(world), (ATTEMPTS, 1))
+
+        run_in_world(scenario)
+
+
+class PastFailuresTest(unittest.TestCase):
+    """The scheduler gives up items by what earlier owners have seen."""
+
+    def setUp(self) -> None:
+        self.scheduler = BatchScheduler(returning_group(1), 0.0, ())
+
+    def given_up(self, past: PastFailures, *, is_complete: bool = True) -> list[ItemId]:
+        results = self.scheduler.set_past_failures({FAILING: past}, is_complete=is_complete)
+        return [result.item_id for result in results]
+
+    def started(self, now: float) -> set[ItemId]:
+        worker = worker_record()
+        decisions = self.scheduler.plan({worker.worker.worker_id: worker}, VERSION, now)
+        return {decision.item.item_id for decision in decisions if isinstance(decision, StartRun)}
+
+    def test_failures_in_the_same_batch_job_use_up_its_attempts(self) -> None:
+        self.assertEqual(self.given_up(PastFailures(in_job=ItemFailures(runs=2))), [])
+        self.assertEqual(self.given_up(PastFailures(in_job=ItemFailures(runs=3))), [FAILING])
+
+    def test_an_item_gets_its_attempts_in_two_batch_jobs(self) -> None:
+        in_other_jobs = ItemFailures(runs=2 * ATTEMPTS - 1)
+        self.assertEqual(self.given_up(PastFailures(in_other_jobs=in_other_jobs)), [])
+        self.started(0.0)
+        result = self.scheduler.handle_run_failure(FAILING, RunFailure.FAILED, 0.1)
+        assert result is not None
+        self.assertEqual(result.state, ResultState.DEAD)
+
+    def test_an_item_that_was_rejected_does_not_run_again(self) -> None:
+        past = PastFailures(in_other_jobs=ItemFailures(rejections=1))
+        self.assertEqual(self.given_up(past, is_complete=False), [FAILING])
+
+    def test_a_failed_item_waits_until_its_past_is_known(self) -> None:
+        self.given_up(PastFailures(), is_complete=False)
+        self.assertIn(FAILING, self.started(0.0))
+        self.scheduler.handle_run_failure(FAILING, RunFailure.FAILED, 0.1)
+        self.assertNotIn(FAILING, self.started(2.0))
+        self.given_up(PastFailures(), is_complete=True)
+        self.assertIn(FAILING, self.started(2.0))
+
+    def test_items_of_other_tenants_with_the_same_id_are_not_counted(self) -> None:
+        spec = returning_group(1)
+        failures = {FAILING: ItemFailures(runs=1)}
+        history = FailureHistory()
+        for number, tenant in enumerate((None, TenantName("other")), start=1):
+            key = OwnerKey(batch_id=BatchId("step-0"), revision=Revision(number))
+            history.put(key, OwnerFailures(host=spec.host, tenant=tenant, items=failures))
+        owner = OwnerKey(batch_id=spec.batch_id, revision=Revision(3))
+        self.assertEqual(history.past(spec, owner)[FAILING].in_other_jobs.runs, 1)
+
+
+def worker_record() -> WorkerRecord:
+    worker = Worker(
+        worker_id=BackendId("worker-1"),
+        service=SERVICE,
+        address=NetworkAddress("worker-1", 80),
+        zone="zone-1",
+        slots=8,
+        state=WorkerState.READY,
+        versions={MODEL: VERSION},
+    )
+    return WorkerRecord(worker=worker, versions={MODEL: VERSION})
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -5,7 +5,12 @@
 import unittest
 from unittest import mock
 
-from drumbay.batches.ledger import BATCH_INDEX_PREFIX, BATCH_PREFIX, OPEN_BATCH_PREFIX
+from drumbay.batches.ledger import (
+    BATCH_INDEX_PREFIX,
+    BATCH_PREFIX,
+    ITEM_FAILURES_PREFIX,
+    OPEN_BATCH_PREFIX,
+)
 from drumbay.clock import SystemClock
 from drumbay.identifiers import Revision
 from drumbay.kv.interface import Delete, ModRevisionIs, Put
@@ -35,6 +40,7 @@
             f"{BATCH_PREFIX}b1/": StoreSubject.BATCH_WHOLE,
             BATCH_INDEX_PREFIX: StoreSubject.BATCH_INDEX,
             f"{OPEN_BATCH_PREFIX}10.0.0.1:7000/b1": StoreSubject.BATCH_OPEN,
+            f"{ITEM_FAILURES_PREFIX}b1/000000000007": StoreSubject.ITEM_FAILURES,
             directory.NODE_PREFIX: StoreSubject.NODES,
             leader.LEADER_KEY: StoreSubject.LEADER,
             stored.PREFIX: StoreSubject.QUARANTINE,
