Discard what has not arrived of a request that is abandoned

What workers saw: requests arrived up to 4.7 s after their client had been answered by another worker, with a deadline that counts from then (rule BUDGET, deadlines), when the connections of a silent worker worked again.

Cause: a request that has its answer closes the connections of its other copies. An ordinary close leaves the kernel to deliver what it still holds, for up to the four seconds of TCP_USER_TIMEOUT; the send outlives the request. The connection of an unanswered exchange is now reset, which discards it.

--- a/drumbay/comm/http_exchange.py
+++ b/drumbay/comm/http_exchange.py
@@ -8,6 +8,7 @@
 import asyncio
 import re
 import socket
+import struct
 from collections import deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -37,6 +38,8 @@
 
 IDLE_MARGIN_SECONDS = 1.0
 
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of ``SO_LINGER``: enabled, with a linger time of 0."""
 
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 
@@ -322,12 +325,17 @@
     def close(self, allowed_silence_seconds: float = 0.0) -> None:
         """Close the connection, which aborts the request if it is still running.
 
+        Bytes of an unanswered request that have not arrived are discarded: otherwise the kernel
+        would go on sending them, and the server would run the request after its caller has left.
+
         ``allowed_silence_seconds`` is how long the server was allowed to send nothing.
         """
         if self._tracked is not None:
             self._tracked.record_abandoned(allowed_silence_seconds)
         if self._reader is not None:
             self._reader.cancel()
+        if not self._delegate.complete:
+            _discard_unsent(self._stream)
         self._stream.close()
 
 
@@ -371,6 +379,12 @@
     return tcp_socket
 
 
+def _discard_unsent(stream: IOStream) -> None:
+    """Make the close of a connection reset it, which discards what the peer has not received."""
+    if not stream.closed():
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+
+
 def _retrieve_exception(future: "asyncio.Future[None]") -> None:
     """Retrieve the exception of a failed write; the reader reports the broken connection."""
     if not future.cancelled():
--- a/tests/test_soak_attempts.py
+++ b/tests/test_soak_attempts.py
@@ -138,6 +138,13 @@
         self.add_arrivals(20, (10.1, 1.4), (10.9, 1.4))
         self.assert_kept(self.promise)
 
+    def test_a_worker_that_stood_still_reads_late_what_was_sent_in_time(self) -> None:
+        self.add_arrivals(21, (10.1, 1.4), (10.9, 1.4))
+        self.history.faults = (fault(FaultKind.WORKER_PAUSED, 9.5, target=1),)
+        self.assert_broken(self.promise)
+        self.history.faults = (fault(FaultKind.WORKER_PAUSED, 9.5, target=0),)
+        self.assert_kept(self.promise)
+
     def test_sends_of_a_disturbed_node_are_not_judged(self) -> None:
         self.add_arrivals(21, (10.1, 1.4), (10.9, 1.4))
         self.history.faults = (fault(FaultKind.NODE_PAUSED, 8.5, target=1),)
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import socket
+import struct
 import tempfile
 import unittest
 from pathlib import Path
@@ -110,6 +111,29 @@
         self.proxy.set_mode(ProxyMode.PASS)
         self.assertEqual(await waiting, b"x")
 
+    async def reset_within(self, mode: ProxyMode) -> None:
+        """Send data while the proxy holds it, and reset the connection."""
+        self.proxy.set_mode(mode)
+        _, writer = await self.open()
+        writer.write(b"x")
+        await asyncio.sleep(0.05)
+        raw_socket = writer.get_extra_info("socket")
+        raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+        await asyncio.sleep(0.05)
+        self.proxy.set_mode(ProxyMode.PASS)
+
+    async def test_lost_data_of_a_reset_connection_does_not_arrive(self) -> None:
+        await self.reset_within(ProxyMode.SILENT)
+        self.assertEqual(await self.exchange(), b"x")
+        self.received.get_nowait()
+        self.assertTrue(self.received.empty())
+
+    async def test_a_paused_target_gets_data_of_a_reset_connection(self) -> None:
+        await self.reset_within(ProxyMode.PAUSED)
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            self.assertEqual(await self.received.get(), b"x")
+
     async def test_silenced_connections_stay_silent_and_new_ones_work(self) -> None:
         reader, writer = await self.open()
         writer.write(b"x")
