Count a refused resend as a run, since the first send may have run

What callers saw: a request whose kept connection closed without an answer went to the same worker over a new one; if that worker was full, the refusal said that the request had not run, though the first send may have. The attempt then did not count, and the request went to one worker more than its route allows (rule BUDGET, workers of a request); the answer could be 503 with Retry-After, which promises that it has not run.

Cause: the outcome of the second send stood for both. Same class: a later send knew nothing of the first one. Such a refusal is now a broken run (WorkerResendRefusedError); the worker is paused as after a refusal, not as after a failure, since it is full and not ill.

Evidence: test_refusal_of_a_resend_does_not_count_as_not_run failed before (WorkerRefusedError in place of WorkerBrokenError), for calls and streams, 503 and 421.

--- a/drumbay/forwarding/attempt_outcomes.py
+++ b/drumbay/forwarding/attempt_outcomes.py
@@ -17,6 +17,7 @@
     WorkerMisdirectedError,
     WorkerNotEligibleError,
     WorkerRefusedError,
+    WorkerResendRefusedError,
     WorkerResponse,
     WorkerTimedOutError,
     WorkerUnreachableError,
@@ -92,11 +93,12 @@
             pause_seconds = self._picker.refusal_backoff_seconds(attempt.record, self._route, now)
             self._directory.pause(worker_id, now, pause_seconds, worker_started_at_ms)
             return AttemptOutcome(is_worker_full=True)
+        except WorkerResendRefusedError as error:
+            self._record_broken_run(attempt, error, now)
+            pause_seconds = self._picker.refusal_backoff_seconds(attempt.record, self._route, now)
+            self._directory.pause(worker_id, now, pause_seconds, worker_started_at_ms)
         except WorkerBrokenError as error:
-            self._attempts.record_run_start(attempt)
-            self._attempts.may_have_run = True
-            self._quarantine.record_broken_run(attempt, error, now)
-            self._attempts.failed_workers.append(attempt.record.worker)
+            self._record_broken_run(attempt, error, now)
             self._directory.observe_failure(worker_id, now, worker_started_at_ms)
         except WorkerTimedOutError as error:
             self._record_failed_run(attempt, error, now)
@@ -115,6 +117,12 @@
         self._metrics.observe_expected_time(attempt.choice.expected_seconds, elapsed_seconds)
         self._record_failed_workers(now)
 
+    def _record_broken_run(self, attempt: Attempt, error: WorkerBrokenError, now: float) -> None:
+        self._attempts.record_run_start(attempt)
+        self._attempts.may_have_run = True
+        self._quarantine.record_broken_run(attempt, error, now)
+        self._attempts.failed_workers.append(attempt.record.worker)
+
     def _record_failed_run(self, attempt: Attempt, error: WorkerError, now: float) -> None:
         elapsed_seconds = now - attempt.sent_at
         log_run_failed(self._request_id, attempt.record.worker, error, elapsed_seconds)
--- a/drumbay/workers/records.py
+++ b/drumbay/workers/records.py
@@ -204,6 +204,12 @@
     code = "worker_broken"
 
 
+class WorkerResendRefusedError(WorkerBrokenError):
+    """The worker refused a request that it may have run when it was first sent."""
+
+    code = "worker_resend_refused"
+
+
 class WorkerFailedError(WorkerError):
     """The worker ran the request and failed."""
 
--- a/tests/test_repeated_sends.py
+++ b/tests/test_repeated_sends.py
@@ -28,6 +28,8 @@
 LATE_REFUSAL = f"HTTP/1.1 503 Full\r\nX-Drumbay-Not-Executed: 1\r\n{LATE_ANSWER_HEAD}\r\n".encode()
 LATE_MISDIRECTION = f"HTTP/1.1 421 Other\r\n{LATE_ANSWER_HEAD}\r\n".encode()
 LATE_REJECTION = f"HTTP/1.1 422 Invalid\r\n{LATE_ANSWER_HEAD}\r\n".encode()
+OWN_REFUSAL = LATE_REFUSAL.replace(b"earlier", REQUEST_ID.encode())
+OWN_MISDIRECTION = LATE_MISDIRECTION.replace(b"earlier", REQUEST_ID.encode())
 
 SMALL_BUFFER_BYTES = 2_304
 BODY_BYTES = 12_000
@@ -104,6 +106,30 @@
             with self.assertRaises(WorkerBrokenError):
                 await self.call_with_late_answer(late_answer)
 
+    async def test_refusal_of_a_resend_does_not_count_as_not_run(self) -> None:
+        for refusal in (OWN_REFUSAL, OWN_MISDIRECTION):
+            worker = await self.start_refusing_resends(refusal)
+            with self.assertRaises(WorkerBrokenError):
+                await self.client.call(worker, repeatable_request())
+            worker = await self.start_refusing_resends(refusal)
+            with self.assertRaises(WorkerBrokenError):
+                async with self.client.stream(worker, repeatable_request()):
+                    self.fail("the worker refused the request")
+
+    async def start_refusing_resends(self, refusal: bytes) -> Worker:
+        """Return a worker that closes a reused connection and refuses on the next one."""
+        first_answers = [ANSWER, refusal]
+
+        async def reply(number: int, writer: asyncio.StreamWriter) -> None:
+            if number:
+                writer.close()
+            else:
+                writer.write(first_answers.pop(0))
+
+        _, worker = await self.start(reply)
+        await self.client.call(worker, repeatable_request())
+        return worker
+
     async def test_rejection_of_another_item_does_not_give_up_this_one(self) -> None:
         async def answer_late(number: int, writer: asyncio.StreamWriter) -> None:
             writer.write(LATE_REJECTION if number else ANSWER)
