--- a/tests/test_platform_serving.py
+++ b/tests/test_platform_serving.py
@@ -26,6 +26,7 @@
 
 HOST = "h.example"
 TIMEOUT_SECONDS = 30.0
+SLOW_BODY_SECONDS = 0.5
 """Timeout of each test."""
 
 
@@ -203,6 +204,23 @@
             await poll_until(is_added)
             self.assertEqual((await process.fetch("POST", "/l/1")).status, 404)
 
+    async def test_time_in_which_a_body_arrives_is_not_given_to_workers(self) -> None:
+        self.configure(1, "/l/")
+        process = await self.start()
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            reader, writer = await asyncio.open_connection(process.front.host, process.front.port)
+            self.addCleanup(writer.close)
+            head = (
+                f"POST /l/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Drumbay-Attempt-Id: slow\r\n"
+                "X-Drumbay-Deadline-Ms: 1500\r\nContent-Length: 4\r\n\r\n"
+            )
+            writer.write(head.encode())
+            await asyncio.sleep(SLOW_BODY_SECONDS)
+            writer.write(b"body")
+            await reader.readuntil(b"200 OK")
+        (run,) = self.workers.runs_of("slow")
+        self.assertLess(run.budget_seconds, 1.5 - SLOW_BODY_SECONDS + 0.1)
+
     async def test_metrics_are_served_at_the_peer_address(self) -> None:
         self.configure(1, "/l/")
         process = await self.start()
