Keep the newer of two copies of what an owner has seen

While the store is away, a node knows more of the failures of its own earlier batch jobs than the store does; what it read when the store was back took the older copy. Found by reading; the test failed on the code before (1 in place of 2).

--- a/drumbay/batches/item_failures.py
+++ b/drumbay/batches/item_failures.py
@@ -78,9 +78,12 @@
         self._records: dict[OwnerKey, OwnerFailures] = {}
 
     def put(self, key: OwnerKey, failures: OwnerFailures) -> None:
-        """Set what an owner has seen; the oldest records are dropped beyond the maximum."""
-        self._records.pop(key, None)
-        self._records[key] = failures
+        """Set what an owner has seen, unless more of it is known already.
+
+        The oldest records are dropped beyond the maximum.
+        """
+        known = self._records.pop(key, None)
+        self._records[key] = failures if known is None else max(known, failures, key=_total)
         if len(self._records) > MAX_RECORDS:
             del self._records[next(iter(self._records))]
 
@@ -98,6 +101,11 @@
         return past
 
 
+def _total(failures: OwnerFailures) -> int:
+    """Return the number of failures, which only grows as an owner sees more."""
+    return sum(item.runs + item.rejections + item.rewards for item in failures.items.values())
+
+
 def are_used_up(in_job: int, in_other_jobs: int, attempts: int) -> bool:
     """Return whether so many failures leave an item no attempt in this batch job."""
     return in_job >= attempts or in_job + in_other_jobs >= MAX_JOBS_WITH_ALL_ATTEMPTS * attempts
--- a/tests/test_failing_items.py
+++ b/tests/test_failing_items.py
@@ -196,6 +196,16 @@
         self.given_up(PastFailures(), is_complete=True)
         self.assertIn(FAILING, self.started(2.0))
 
+    def test_an_older_copy_of_a_record_takes_nothing_away(self) -> None:
+        spec = returning_group(1)
+        history = FailureHistory()
+        earlier = OwnerKey(batch_id=BatchId("step-0"), revision=Revision(1))
+        for runs in (1, 2, 1):
+            failures = {FAILING: ItemFailures(runs=runs)}
+            history.put(earlier, OwnerFailures(host=spec.host, tenant=None, items=failures))
+        owner = OwnerKey(batch_id=spec.batch_id, revision=Revision(2))
+        self.assertEqual(history.past(spec, owner)[FAILING].in_other_jobs.runs, 2)
+
     def test_items_of_other_tenants_with_the_same_id_are_not_counted(self) -> None:
         spec = returning_group(1)
         failures = {FAILING: ItemFailures(runs=1)}
