Notice silent watches also when the store forgets history

Cause: open connections fell silent and the store forgot its history within the same second. The poll that shows a silent watch that it has missed a change got 410 from then on, which counted as a poll that failed; the watch stayed until its own time of quiet, 10 s, had passed.

A poll that finds history gone now expects the watch to fail or to go on, and ends it if it does neither within 0.3 s.

Evidence: test_changes_arrive_while_watches_are_silent_and_history_is_forgotten failed before.

--- a/drumbay/peers/freshness.py
+++ b/drumbay/peers/freshness.py
@@ -4,8 +4,8 @@
 connections work. When a mirror has not been confirmed for a while, one watcher polls the store for
 changes over a new connection and announces the revision up to which it is complete. A watcher that
 has reached that revision counts as confirmed too; one that has not polls the store itself. If a
-poll returns a change that the node's own watch does not deliver in time, open connections have
-gone silent.
+poll returns a change that the node's own watch does not deliver in time, or finds that the store
+has forgotten changes, open connections have gone silent.
 """
 
 import asyncio
@@ -17,7 +17,12 @@
 from drumbay.exceptions import DeadlineExceededError
 from drumbay.identifiers import Revision
 from drumbay.kv.backoff import Backoff
-from drumbay.kv.interface import KeyValueError, KeyValueStore, WatchBatch
+from drumbay.kv.interface import (
+    KeyValueError,
+    KeyValueStore,
+    WatchBatch,
+    WatchCompactedError,
+)
 from drumbay.kv.mirror import FeedMirror
 from drumbay.observability.logs import log_event
 from drumbay.peers.messages import FeedConfirmed
@@ -115,7 +120,12 @@
         """Poll for changes over a new connection and announce the result."""
         mirror = self._mirror
         poll_started_at = self._clock.monotonic()
-        batch = await self._clock.wait_for(self._poll(), POLL_TIMEOUT_SECONDS)
+        try:
+            batch = await self._clock.wait_for(self._poll(), POLL_TIMEOUT_SECONDS)
+        except WatchCompactedError:
+            # Changes were made that no poll can return. The watch fails, too, unless it is silent.
+            self._schedule_watch_check(Revision(mirror.watched_to + 1), 0.0)
+            raise
         self._behind.clear()
         mirror.apply_batch(batch)
         mirror.confirm(poll_started_at)
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -92,6 +92,19 @@
             with self.subTest(phase=phase):
                 run_in_world(scenario, node_count=0)
 
+    def test_changes_arrive_while_watches_are_silent_and_history_is_forgotten(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            seen = await self.start(world)
+            for store in self.stores:
+                store.silence_open_watches()
+            self.put(world, b"changed")
+            world.model.compact(world.model.revision)
+            await asyncio.sleep(IN_FORCE_SECONDS)
+            for found in seen:
+                self.assertEqual(found.values[-1:], [b"changed"])
+
+        run_in_world(scenario, node_count=0)
+
     def test_candidate_with_a_silent_watch_takes_over_from_a_dead_leader(self) -> None:
         async def scenario(world: ServingWorld) -> None:
             store = LeaderWatchSilentStore(world.model, world.clock)
