Let an item that runs, or has a text, go on whatever it failed before

Such an item may still be done; if it fails, it is given up as before. The test failed on the code before.

--- a/drumbay/batches/item_failures.py
+++ b/drumbay/batches/item_failures.py
@@ -15,7 +15,6 @@
 MAX_JOBS_WITH_ALL_ATTEMPTS = 2
 """An item that has used up its attempts this many times is given up in later batch jobs at once."""
 
-
 MAX_RECORDS = 1_024
 """Records of owners that a node keeps in memory."""
 
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -383,7 +383,8 @@
     ) -> tuple[ItemResult, ...]:
         """Set what earlier owners have seen; return the results of items that are given up.
 
-        Until it is complete, an item that fails does not run again.
+        Until it is complete, an item that fails does not run again. An item that runs, or has a
+        text, may still be done.
         """
         self._is_past_known = is_complete
         for item_id, failures in past.items():
@@ -392,7 +393,9 @@
         used_up = [
             item_id
             for item_id, run in self._runs.items()
-            if not run.complete and not run.has_runs_left(self._spec.attempts)
+            if not run.is_running_or_complete
+            and not run.texts
+            and not run.has_runs_left(self._spec.attempts)
         ]
         return tuple(self._give_up(item_id) for item_id in used_up)
 
--- a/tests/test_failing_items.py
+++ b/tests/test_failing_items.py
@@ -23,7 +23,7 @@
 from drumbay.kv.interface import Put
 from drumbay.standins.kv_faults import KeyValueFaults
 from drumbay.tenants.records import TenantName
-from drumbay.workers.records import Worker, WorkerState
+from drumbay.workers.records import StreamEvent, Worker, WorkerState
 from drumbay.workers.worker_record import WorkerRecord
 from tests.serving_world import (
     MODEL,
@@ -184,6 +184,16 @@
         assert result is not None
         self.assertEqual(result.state, ResultState.DEAD)
 
+    def test_an_item_that_runs_is_not_given_up_for_its_past(self) -> None:
+        self.started(0.0)
+        in_other_jobs = ItemFailures(runs=2 * ATTEMPTS)
+        self.assertEqual(self.given_up(PastFailures(in_other_jobs=in_other_jobs)), [])
+        event = StreamEvent(number=1, data="text", version=VERSION)
+        self.scheduler.handle_event(FAILING, event, 0.2)
+        result = self.scheduler.handle_completion(FAILING)
+        assert result is not None
+        self.assertEqual(result.state, ResultState.DONE)
+
     def test_an_item_that_was_rejected_does_not_run_again(self) -> None:
         past = PastFailures(in_other_jobs=ItemFailures(rejections=1))
         self.assertEqual(self.given_up(past, is_complete=False), [FAILING])
