Tighten the soak's new checks, and show that each can fail

Read again as a newcomer and as a check that must be able to fail:

- requests_run_on_few_workers left out every run beside silent connections.
The rule leaves out workers that ended or were cut off; silent connections cut off none, so the excuse is gone, with a test.

--- a/tests/test_soak_attempts.py
+++ b/tests/test_soak_attempts.py
@@ -103,8 +103,9 @@
         self.history.crashes = []
         self.history.faults = (fault(FaultKind.WORKER_SILENT, 10.0, target=2),)
         self.assert_kept(self.promise)
-        self.history.faults = (fault(FaultKind.WORKER_SLOW, 10.0, target=2),)
-        self.assert_broken(self.promise)
+        for kind in (FaultKind.WORKER_SLOW, FaultKind.CONNECTIONS_SILENT):
+            self.history.faults = (fault(kind, 10.0, target=2),)
+            self.assert_broken(self.promise)
 
 
 class DeadlineTest(AttemptCheckCase):
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -216,6 +216,18 @@
         history.batches, history.runs = [ended], [run("i", at=8.5)]
         self.assert_only_violation(history, "ended_stays_ended")
 
+    def test_an_item_of_an_ended_batch_job_that_starts_before_it_is_submitted_again(self) -> None:
+        history = self.history()
+        ended, later = batch(final_results=()), batch(final_results=())
+        ended.ended_at = STARTED_AT + 5.0
+        later.batch_id = "later"
+        later.submitted_at = later.accepted_at = STARTED_AT + 8.4
+        later.ended_at = STARTED_AT + 9.0
+        history.batches, history.runs = [ended, later], [run("i", at=8.3)]
+        self.assert_only_violation(history, "ended_stays_ended")
+        history.runs = [run("i", at=8.5)]
+        self.assertEqual(check(history), ())
+
     @staticmethod
     def probe(at: float, *, is_served: bool, boot: int = 1) -> ConfigurationProbe:
         return ConfigurationProbe(
