Rename what needed explaining in the mends of repeated sends

A newcomer stopped at MAX_JOBS_WITH_ALL_ATTEMPTS (how often what is used up?), at a comment on a poll that finds history gone, and at a docstring that had to be read twice. Names and texts alone; no logic changes.

--- a/drumbay/batches/failure_log.py
+++ b/drumbay/batches/failure_log.py
@@ -1,4 +1,4 @@
-"""Stores how often workers fail the items of an owned batch job, and loads what others stored."""
+"""Stores how often workers fail the items of an owned batch job, and reads what others stored."""
 
 import asyncio
 
@@ -24,7 +24,7 @@
 
 
 class FailureLog:
-    """The failures that one owner has seen."""
+    """The failures that one owner has seen, and its view of those that others have seen."""
 
     def __init__(
         self,
--- a/drumbay/batches/item_failures.py
+++ b/drumbay/batches/item_failures.py
@@ -12,11 +12,11 @@
 from drumbay.identifiers import Revision
 from drumbay.tenants.records import TenantName
 
-MAX_JOBS_WITH_ALL_ATTEMPTS = 2
-"""An item that has used up its attempts this many times is given up in later batch jobs at once."""
+TOTAL_ATTEMPTS_FACTOR = 2
+"""Over all batch jobs, an item gets this many times the attempts that it has in one."""
 
-MAX_RECORDS = 1_024
-"""Records of owners that a node keeps in memory."""
+MAX_OWNER_RECORDS = 1_024
+"""Records that a node keeps in memory."""
 
 
 class ItemFailures(msgspec.Struct, frozen=True, kw_only=True):
@@ -83,7 +83,7 @@
         """
         known = self._records.pop(key, None)
         self._records[key] = failures if known is None else max(known, failures, key=_total)
-        if len(self._records) > MAX_RECORDS:
+        if len(self._records) > MAX_OWNER_RECORDS:
             del self._records[next(iter(self._records))]
 
     def past(self, spec: BatchSpec, owner: OwnerKey) -> dict[ItemId, PastFailures]:
@@ -106,5 +106,5 @@
 
 
 def are_used_up(in_job: int, in_other_jobs: int, attempts: int) -> bool:
-    """Return whether so many failures leave an item no attempt in this batch job."""
-    return in_job >= attempts or in_job + in_other_jobs >= MAX_JOBS_WITH_ALL_ATTEMPTS * attempts
+    """Return whether an item with these numbers of failures has no attempt left in its job."""
+    return in_job >= attempts or in_job + in_other_jobs >= TOTAL_ATTEMPTS_FACTOR * attempts
--- a/drumbay/peers/freshness.py
+++ b/drumbay/peers/freshness.py
@@ -123,7 +123,7 @@
         try:
             batch = await self._clock.wait_for(self._poll(), POLL_TIMEOUT_SECONDS)
         except WatchCompactedError:
-            # Changes were made that no poll can return. The watch fails, too, unless it is silent.
+            # The store no longer has the changes. A working watch reports this as well.
             self._schedule_watch_check(Revision(mirror.watched_to + 1), 0.0)
             raise
         self._behind.clear()
