--- a/tests/test_repeated_sends.py
+++ b/tests/test_repeated_sends.py
@@ -43,15 +43,24 @@
 
     def __init__(self, reply: Reply) -> None:
         self._reply = reply
+        self._writers: list[asyncio.StreamWriter] = []
         self.heads: list[str] = []
         self.address = NetworkAddress("127.0.0.1", 0)
 
     async def start(self, case: unittest.IsolatedAsyncioTestCase) -> None:
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        case.addAsyncCleanup(self._close_connections)
         case.addCleanup(server.close)
         self.address = NetworkAddress("127.0.0.1", server.sockets[0].getsockname()[1])
 
+    async def _close_connections(self) -> None:
+        for writer in self._writers:
+            writer.close()
+        closed = (writer.wait_closed() for writer in self._writers)
+        await asyncio.gather(*closed, return_exceptions=True)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.append(writer)
         number = 0
         with suppress(asyncio.IncompleteReadError, ConnectionError):
             while not writer.is_closing():
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -6,6 +6,7 @@
 import struct
 import tempfile
 import unittest
+from contextlib import suppress
 from pathlib import Path
 
 from drumbay_soak.node_process import NodeAddresses, NodeProcess
@@ -70,9 +71,10 @@
         self.addAsyncCleanup(self.proxy.close)
 
     async def echo(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while chunk := await reader.read(100):
-            self.received.put_nowait(chunk)
-            writer.write(chunk)
+        with suppress(ConnectionError):
+            while chunk := await reader.read(100):
+                self.received.put_nowait(chunk)
+                writer.write(chunk)
         writer.close()
 
     async def open(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
