Hand changes on to followers while the store answers slowly

What callers saw: with 24 nodes on a busy machine a node took an API key that the configuration in force 4.6 s earlier had removed.

Cause: a watcher verified its copy by polls that it gave up after 0.6 s, with growing pauses, so a store that took longer made the copy look old although its watch was up to date. A watcher with an old copy answered without its changes, and a follower then asked nobody for up to a second and went to the slow store itself, as all others did.

Evidence: new log lines (feeds_source_lost, feeds_without_source, feeds_probe_failed). That the sighted key was taken for this reason is suspected, not traced.

Why this works: a poll goes on beside the next one, and the first answer confirms the copy as of when it was sent; a watcher hands on what it has as long as its watches work; a follower takes the stated age, and stays with such watchers until its own copy is 1.5 s old.

test_changes_reach_followers_while_polls_of_the_store_are_slow failed before (a copy 12.2 s old, 2.0 allowed); now each of 20 changes is in force at 20 nodes within 2 s.

--- a/drumbay/peers/feeds.py
+++ b/drumbay/peers/feeds.py
@@ -7,8 +7,10 @@
 """
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Sequence
+from enum import Enum, auto
 
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
@@ -30,6 +32,12 @@
 """Maximum age of a watcher's data, as a fraction of the configuration propagation bound. The rest
 is left for switching to another watcher."""
 
+MAX_FOLLOWER_AGE_FRACTION = 0.75
+"""Maximum age of a follower's data while watchers that reach the store have no recent copy."""
+
+OUTDATED_SOURCE_PAUSE_SECONDS = 0.1
+"""Pause before such watchers are polled again."""
+
 POLL_FRACTION = 0.6
 """Duration of a long poll, as a fraction of the maximum age."""
 
@@ -50,6 +58,16 @@
 more often, and detect the recovery by their heartbeats."""
 
 
+class _PollOutcome(Enum):
+    """What a poll of a watcher shows about its data."""
+
+    RECENT = auto()
+    OUTDATED = auto()
+    """It watches the store, but has not verified for some time that it misses nothing."""
+    LOST = auto()
+    """It did not reply, or does not watch the store."""
+
+
 class SharedFeeds:
     """Mirrors of this node, fed by the store or by a watcher, and served to followers."""
 
@@ -87,6 +105,7 @@
         """
         self._report_usage = report_usage
         self._max_age_seconds = MAX_AGE_FRACTION * in_force_seconds
+        self._max_follower_age_seconds = MAX_FOLLOWER_AGE_FRACTION * in_force_seconds
         self._in_force_seconds = in_force_seconds
         self._notify_watchers = notify_watchers
         self._task_owner = task_owner
@@ -232,23 +251,32 @@
 
     async def _follow_watchers(self) -> None:
         """Poll the current source for changes, or find another one."""
-        if self._source is not None and await self._poll_watcher(self._source, self._poll_seconds):
-            return
+        if self._source is not None:
+            outcome = await self._poll_watcher(self._source, self._poll_seconds)
+            if outcome is _PollOutcome.RECENT:
+                return
+        has_outdated_source = False
         for address in self._candidate_sources():
-            if await self._poll_watcher(address, 0.0):
+            outcome = await self._poll_watcher(address, 0.0)
+            if outcome is _PollOutcome.RECENT:
                 self._source = address
                 self._probe_backoff.reset()
                 log_event("feeds_from_node", source=str(address))
                 return
+            has_outdated_source = has_outdated_source or outcome is _PollOutcome.OUTDATED
         self._source = None
-        await self._probe_store()
+        if has_outdated_source and self.confirmed_age_seconds() < self._max_follower_age_seconds:
+            # The watchers reach a store that answers slowly. More watches would slow it further.
+            await self._clock.sleep(OUTDATED_SOURCE_PAUSE_SECONDS)
+        else:
+            await self._probe_store()
 
     def _candidate_sources(self) -> list[NetworkAddress]:
         found = self._directory.ranking.sources_for(self._address, self._directory.is_near)
         return [address for address in found if not self._directory.is_unresponsive(address)]
 
-    async def _poll_watcher(self, address: NetworkAddress, wait_seconds: float) -> bool:
-        """Poll a watcher and apply its changes; return whether its data is recent enough."""
+    async def _poll_watcher(self, address: NetworkAddress, wait_seconds: float) -> _PollOutcome:
+        """Poll a watcher and apply its changes."""
         cursors = tuple(mirror.cursor for mirror in self._mirrors.values())
         request = FollowFeeds(
             cursors=cursors, wait_seconds=wait_seconds, usage=self._report_usage()
@@ -257,28 +285,49 @@
         sent_at = self._clock.monotonic()
         try:
             reply = await self._peers.call(address, request, timeout_seconds)
-        except PeerUnavailableError:
+        except PeerUnavailableError as error:
             self._directory.mark_unresponsive(address)
-            return False
+            self._log_source_lost(address, str(error), self._clock.monotonic() - sent_at)
+            return _PollOutcome.LOST
         if not isinstance(reply, FeedsReply):
-            return False
+            return _PollOutcome.LOST
         for changes in reply.changes:
             mirror = self._mirrors.get(changes.prefix)
             if mirror is not None:
                 mirror.apply_changes(changes)
-        if reply.age_seconds is None or reply.age_seconds > self._max_age_seconds:
-            return False
         now = self._clock.monotonic()
         if now - sent_at > timeout_seconds:
             # The machine was suspended while the reply waited, so the stated age is not valid.
             log_event("reply_overdue", source=str(address), seconds=round(now - sent_at, 3))
-            return True
+            return _PollOutcome.RECENT
+        if reply.age_seconds is None:
+            self._log_source_lost(address, "it does not watch the store", now - sent_at)
+            return _PollOutcome.LOST
         for mirror in self._age_relevant_mirrors():
             mirror.confirm(now - reply.age_seconds)
-        return True
+        if reply.age_seconds > self._max_age_seconds:
+            detail = f"its copy is {reply.age_seconds:.3f} s old"
+            self._log_source_lost(address, detail, now - sent_at)
+            return _PollOutcome.OUTDATED
+        return _PollOutcome.RECENT
+
+    def _log_source_lost(self, address: NetworkAddress, detail: str, seconds: float) -> None:
+        log_event(
+            "feeds_source_lost",
+            source=str(address),
+            detail=detail,
+            waited_seconds=round(seconds, 3),
+            age_seconds=_rounded(self.confirmed_age_seconds()),
+        )
 
     async def _probe_store(self) -> None:
         """Switch to watching the store if it responds while no watcher is up to date."""
+        log_event(
+            "feeds_without_source",
+            watchers=len(self._directory.ranking.watchers),
+            age_seconds=_rounded(self.confirmed_age_seconds()),
+            probe_in_seconds=_rounded(max(0.0, self._next_probe_at - self._clock.monotonic())),
+        )
         jitter = self._generator.uniform(0.0, PROBE_JITTER_SECONDS)
         await self._clock.sleep(PROBE_DELAY_SECONDS + jitter)
         if self._clock.monotonic() < self._next_probe_at:
@@ -287,22 +336,28 @@
         mirror = self._mirrors[NODE_PREFIX]
         try:
             mirror.apply_snapshot(await self._direct.range_prefix(NODE_PREFIX))
-        except KeyValueError:
+        except KeyValueError as error:
+            log_event("feeds_probe_failed", error=error.code)
             return
         self._direct_watch_until = self._clock.monotonic() + DIRECT_WATCH_SECONDS
 
     # Serving followers
 
     async def serve_poll(self, request: FollowFeeds) -> FeedsReply:
-        """Serve a long poll: return new changes, or none once the poll times out."""
+        """Serve a long poll: return new changes, or none once the poll times out.
+
+        A node that watches the store returns its changes even if its copy is not known to be recent
+        enough, as there may be no better one.
+        """
         until = self._clock.monotonic() + request.wait_seconds
         while True:
             age_seconds = self.age_seconds()
-            if age_seconds is None or age_seconds > self._max_age_seconds:
-                return FeedsReply(age_seconds=age_seconds)
+            if age_seconds is None:
+                return FeedsReply(age_seconds=None)
             changes = self._changes_for(request)
+            is_outdated = age_seconds > self._max_age_seconds
             remaining = until - self._clock.monotonic()
-            if changes or remaining < MIN_WAIT_SECONDS:
+            if changes or is_outdated or remaining < MIN_WAIT_SECONDS:
                 return FeedsReply(age_seconds=age_seconds, changes=changes)
             await self._wait_for_change(min(remaining, AGE_CHECK_SECONDS))
 
@@ -324,3 +379,8 @@
         finally:
             for waiter in waiters:
                 waiter.cancel()
+
+
+def _rounded(seconds: float | None) -> float | None:
+    """Return rounded seconds; ``None`` if there are none or they are infinite."""
+    return round(seconds, 3) if seconds is not None and math.isfinite(seconds) else None
--- a/drumbay/peers/freshness.py
+++ b/drumbay/peers/freshness.py
@@ -13,6 +13,8 @@
 from collections.abc import AsyncGenerator, Callable
 from contextlib import suppress
 
+import msgspec
+
 from drumbay.clock import Clock
 from drumbay.exceptions import DeadlineExceededError
 from drumbay.identifiers import Revision
@@ -37,7 +39,8 @@
 polls first and confirms the mirrors of the others."""
 
 POLL_SECONDS = 0.001
-POLL_TIMEOUT_SECONDS = 0.6
+NEXT_POLL_SECONDS = 0.6
+"""How long a poll goes unanswered before another one is sent over a new connection."""
 
 WATCH_GRACE_SECONDS = 0.3
 """How much later than a poll a watch may deliver the same change; allows for debouncing."""
@@ -48,6 +51,13 @@
 MAX_RETRY_SECONDS = 4.0
 
 
+class _AnsweredPoll(msgspec.Struct, frozen=True, kw_only=True):
+    """The changes that a poll returned, and the monotonic time at which it was sent."""
+
+    batch: WatchBatch
+    started_at: float
+
+
 class FreshnessVerifier:
     """Keeps one mirror confirmed while this node is a watcher."""
 
@@ -80,6 +90,7 @@
         self._mirror = mirror
         self._generator = generator
         self._task_owner = task_owner
+        self._in_force_seconds = in_force_seconds
         self._verify_interval_seconds = VERIFY_FRACTION * in_force_seconds
         self._announce = announce
         self._on_silent_connection = on_silent_connection
@@ -119,23 +130,49 @@
     async def _verify(self) -> None:
         """Poll for changes over a new connection and announce the result."""
         mirror = self._mirror
-        poll_started_at = self._clock.monotonic()
         try:
-            batch = await self._clock.wait_for(self._poll(), POLL_TIMEOUT_SECONDS)
+            polled = await self._poll_until_answered()
         except WatchCompactedError:
             # The store no longer has the changes. A working watch reports this as well.
             self._schedule_watch_check(Revision(mirror.watched_to + 1), 0.0)
             raise
         self._behind.clear()
-        mirror.apply_batch(batch)
-        mirror.confirm(poll_started_at)
-        age_seconds = self._clock.monotonic() - poll_started_at
+        mirror.apply_batch(polled.batch)
+        mirror.confirm(polled.started_at)
+        age_seconds = self._clock.monotonic() - polled.started_at
         prefix = mirror.feed.prefix
         self._announce(
             FeedConfirmed(prefix=prefix, last_change=mirror.last_change, age_seconds=age_seconds)
         )
-        if batch.events:
-            self._schedule_watch_check(batch.events[-1].mod_revision, 2 * age_seconds)
+        events = polled.batch.events
+        if events:
+            self._schedule_watch_check(events[-1].mod_revision, 2 * age_seconds)
+
+    async def _poll_until_answered(self) -> _AnsweredPoll:
+        """Return the first answer; a poll that takes long goes on beside the next one.
+
+        A late answer still tells the state of the store when its poll was sent.
+
+        Raises:
+            KeyValueError: A poll failed.
+            DeadlineExceededError: None was answered while its answer would have been of use.
+        """
+        started_at: dict[asyncio.Task[WatchBatch], float] = {}
+        until = self._clock.monotonic() + self._in_force_seconds
+        try:
+            while self._clock.monotonic() < until:
+                poll = asyncio.ensure_future(self._poll())
+                started_at[poll] = self._clock.monotonic()
+                done, _ = await asyncio.wait(
+                    started_at, timeout=NEXT_POLL_SECONDS, return_when=asyncio.FIRST_COMPLETED
+                )
+                for answered in done:
+                    return _AnsweredPoll(batch=answered.result(), started_at=started_at[answered])
+        finally:
+            for poll in started_at:
+                poll.cancel()
+            await asyncio.gather(*started_at, return_exceptions=True)
+        raise DeadlineExceededError("the store did not answer a poll")
 
     async def _poll(self) -> WatchBatch:
         start_revision = Revision((self._mirror.revision or 0) + 1)
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -9,7 +9,7 @@
 from drumbay.kv.memory import MemoryKeyValueStore
 from drumbay.ownership.leader import LEADER_PREFIX
 from drumbay.peers.feeds import MAX_AGE_FRACTION
-from drumbay.peers.freshness import MAX_JITTER_FACTOR, VERIFY_FRACTION
+from drumbay.peers.freshness import MAX_JITTER_FACTOR, POLL_SECONDS, VERIFY_FRACTION
 from drumbay.peers.pause_detector import PauseDetector
 from tests.serving_world import ServingWorld, WorldNode, run_in_world
 from tests.test_shared_feeds import KEY, RecordingFeed
@@ -21,6 +21,10 @@
 SLOW_RESPONSE_SECONDS = 0.4
 """Response time of an overloaded store."""
 
+SLOW_POLL_SECONDS = 0.8
+FOLLOWED_NODE_COUNT = 20
+"""Enough nodes that most of them follow a few watchers."""
+
 MAX_POLLS = QUIET_PERIOD_SECONDS / 0.5
 """One node polls for all nodes, at intervals of at least 0.56 s."""
 
@@ -39,6 +43,21 @@
         return MemoryKeyValueStore.watch_prefix(self, prefix, start_revision, quiet_seconds)
 
 
+class SlowPollStore(MemoryKeyValueStore):
+    """Store client on which open watches work and polls take long, as on a busy machine."""
+
+    async def watch_prefix(
+        self,
+        prefix: str,
+        start_revision: Revision,
+        quiet_seconds: float = MAX_QUIET_SECONDS,
+    ) -> AsyncGenerator[WatchBatch, None]:
+        if quiet_seconds <= POLL_SECONDS:
+            await asyncio.sleep(SLOW_POLL_SECONDS)
+        async for batch in super().watch_prefix(prefix, start_revision, quiet_seconds):
+            yield batch
+
+
 class FreshnessTest(unittest.TestCase):
     async def start(self, world: ServingWorld) -> list[RecordingFeed]:
         self.stores = [SilentStore(world.model, world.clock) for _ in range(NODE_COUNT)]
@@ -105,6 +124,29 @@
 
         run_in_world(scenario, node_count=0)
 
+    def test_changes_reach_followers_while_polls_of_the_store_are_slow(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            world.nodes = [
+                WorldNode(world, number, 0, SlowPollStore(world.model, world.clock))
+                for number in range(1, FOLLOWED_NODE_COUNT + 1)
+            ]
+            seen = [RecordingFeed() for _ in world.nodes]
+            for node, found in zip(world.nodes, seen, strict=True):
+                node.node.start((found.feed(),))
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(10.0)
+            for number in range(20):
+                self.put(world, b"%d" % number)
+                await asyncio.sleep(IN_FORCE_SECONDS)
+                behind = [
+                    n for n, found in enumerate(seen) if found.values[-1:] != [b"%d" % number]
+                ]
+                ages = [node.node.configuration_age_seconds for node in world.nodes]
+                self.assertEqual(behind, [])
+                self.assertLess(max(ages), IN_FORCE_SECONDS)
+
+        run_in_world(scenario, node_count=0)
+
     def test_candidate_with_a_silent_watch_takes_over_from_a_dead_leader(self) -> None:
         async def scenario(world: ServingWorld) -> None:
             store = LeaderWatchSilentStore(world.model, world.clock)
