Count each byte that a slow client reads as progress

What callers saw: under memory pressure a client that reads slowly, but steadily, got a part of its response and a closed connection.

Cause: progress was counted by chunks of 32 KB that the kernel had taken. A full buffer is reported writable only when a third of it is free, so a steady reader showed no progress while it read about a megabyte.

Ruled out: a reader without processor time, which would fail with progress counted in bytes, too.

Why this works: at each check the bytes that the reader's side has not acknowledged are compared; any change is progress. A reader that stops is dropped as before, which its own test shows.

--- a/drumbay/comm/response_writer.py
+++ b/drumbay/comm/response_writer.py
@@ -5,6 +5,9 @@
 """
 
 import asyncio
+import fcntl
+import sys
+import termios
 from collections.abc import Callable
 from enum import StrEnum
 from http.client import responses
@@ -14,13 +17,16 @@
 from tornado.httputil import HTTPConnection, HTTPHeaders, ResponseStartLine
 
 CHUNK_BYTES = 32_768
-"""Each chunk that has been sent counts as progress of the reader."""
 
 STALL_CHECK_SECONDS = 0.5
 """Interval at which a stalled reader is checked. Stall time is counted in intervals, so that time
 for which this machine was suspended is not included."""
 
 
+_NO_BYTES = bytes(4)
+"""Room for the C ``int`` that the system call returns."""
+
+
 class DeliveryOutcome(StrEnum):
     """Outcome of writing a response."""
 
@@ -91,12 +97,21 @@
     pending_write: "asyncio.Future[None]",
     should_abort: Callable[[float], bool],
 ) -> DeliveryOutcome:
-    """Wait until a chunk has been sent; close the connection if its reader stalls too long."""
+    """Wait until a chunk has been sent; close the connection if its reader stalls too long.
+
+    Every byte that the reader takes is progress. A chunk is not a measure of it: while the
+    connection's buffer is full, the kernel takes no more until a third of the buffer is free.
+    """
     stalled_seconds = 0.0
+    queued_bytes = _queued_bytes(connection)
     while not pending_write.done():
         await asyncio.wait((pending_write,), timeout=STALL_CHECK_SECONDS)
         if pending_write.done() or _is_closed(connection):
             break
+        queued_bytes_before, queued_bytes = queued_bytes, _queued_bytes(connection)
+        if queued_bytes != queued_bytes_before:
+            stalled_seconds = 0.0
+            continue
         stalled_seconds += STALL_CHECK_SECONDS
         if should_abort(stalled_seconds):
             _close(connection)
@@ -107,6 +122,14 @@
     return DeliveryOutcome.SENT if is_sent else DeliveryOutcome.PEER_CLOSED
 
 
+def _queued_bytes(connection: HTTPConnection) -> int | None:
+    """Return the bytes in the kernel that the reader has not acknowledged; ``None`` if unknown."""
+    if not isinstance(connection, HTTP1Connection) or connection.stream.closed():
+        return None
+    buffer = fcntl.ioctl(connection.stream.fileno(), termios.TIOCOUTQ, _NO_BYTES)
+    return int.from_bytes(buffer, sys.byteorder)
+
+
 def _is_closed(connection: HTTPConnection) -> bool:
     return isinstance(connection, HTTP1Connection) and connection.stream.closed()
 
