Decide whether to watch the store only once the node is registered

Cause: a node reads the list of nodes a second after its start and watches the store if it finds few. With a slow store the others had not registered yet, so all 24 watched it, which kept it slow, and the watch of the list that would end this did not come back for 59.7 s.

Evidence: feeds_from_store nodes=0 to 2 at the start of nodes 7, 12 and 17, store_lost and store_regained by turns until feeds_from_node a minute later, after which they were up to date on the same busy machine. That rules out the busy machine as the cause alone.

Why this works: nodes that start together register together, and each reads the list after that, or after 4 s. In calm times registration takes two calls, so nothing waits.

test_simultaneous_start_with_slow_writes_makes_few_watchers failed before: 20 of 20 nodes watched the store; now 6 or fewer.

--- a/drumbay/peers/directory.py
+++ b/drumbay/peers/directory.py
@@ -79,7 +79,13 @@
 
 
 class PeerDirectory:
-    """Addresses of other nodes, with responsive nodes first."""
+    """Addresses of other nodes, with responsive nodes first.
+
+    Attributes:
+        ranking: The registered nodes, and which of them are watchers.
+        is_registered: Set once this node has registered.
+        store_recovered: Tells when the store answers this node again.
+    """
 
     def __init__(
         self,
@@ -112,6 +118,7 @@
         self._lease_id: int | None = None
         self._leaving = False
         self._role_changed = asyncio.Event()
+        self.is_registered = asyncio.Event()
         self.ranking = WatcherRanking(nodes=())
         self.store_recovered = RecoverySignal()
         self._backoff = Backoff(
@@ -279,6 +286,7 @@
             lease_id=lease.lease_id,
         )
         await self._store.transact((), (entry,))
+        self.is_registered.set()
         self._backoff.reset()
         self.store_recovered.record_success()
         return lease.lease_id
--- a/drumbay/peers/feeds.py
+++ b/drumbay/peers/feeds.py
@@ -10,10 +10,12 @@
 import math
 import random
 from collections.abc import Callable, Sequence
+from contextlib import suppress
 from enum import Enum, auto
 
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.exceptions import DeadlineExceededError
 from drumbay.kv.backoff import Backoff
 from drumbay.kv.follower import PrefixFollower
 from drumbay.kv.interface import KeyValueError, KeyValueStore
@@ -52,6 +54,9 @@
 
 PROBE_DELAY_SECONDS = 0.3
 PROBE_JITTER_SECONDS = 0.7
+MAX_REGISTRATION_SECONDS = 4.0
+"""How long a node that starts waits for its registration before it reads the list of nodes."""
+
 FIRST_PROBE_BACKOFF_SECONDS = 1.0
 MAX_PROBE_BACKOFF_SECONDS = 6.0
 """Limits billed calls during an outage, when every follower probes the store. Watchers are polled
@@ -129,6 +134,7 @@
             max_seconds=MAX_PROBE_BACKOFF_SECONDS,
         )
         self._next_probe_at = float("-inf")
+        self._has_loaded_nodes = False
         self._add(directory.feed)
 
     def _add(self, feed: PrefixFeed) -> None:
@@ -137,8 +143,7 @@
     @property
     def is_watcher(self) -> bool:
         """Return whether this node is a watcher."""
-        has_nodes = self._mirrors[NODE_PREFIX].revision is not None
-        return has_nodes and self._directory.ranking.is_watcher(self._address)
+        return self._has_loaded_nodes and self._directory.ranking.is_watcher(self._address)
 
     def age_seconds(self) -> float | None:
         """Return the age of the last confirmation that the mirrors were complete.
@@ -179,6 +184,7 @@
         self._task_owner.spawn(self._pause_detector.run(), "standstill")
         await self._clock.sleep(settle_seconds)
         await self._load_nodes()
+        self._has_loaded_nodes = True
         while True:
             if self._watches_store():
                 await self._follow_store()
@@ -186,6 +192,15 @@
                 await self._follow_watchers()
 
     async def _load_nodes(self) -> None:
+        """Read the nodes once this one is registered, or has tried to be for a limited time.
+
+        Nodes that start at the same time register at about the same time. One that read the list
+        before would take itself for one of few nodes, and all of them would watch the store.
+        """
+        with suppress(DeadlineExceededError):
+            await self._clock.wait_for(
+                self._directory.is_registered.wait(), MAX_REGISTRATION_SECONDS
+            )
         mirror = self._mirrors[NODE_PREFIX]
         while mirror.revision is None:
             try:
--- a/tests/test_shared_feeds.py
+++ b/tests/test_shared_feeds.py
@@ -2,10 +2,20 @@
 
 import asyncio
 import unittest
+from collections.abc import AsyncGenerator
 
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.identifiers import Revision
-from drumbay.kv.interface import KeyValue, Put, RangeResult, WatchBatch, WatchEvent
+from drumbay.kv.interface import (
+    MAX_QUIET_SECONDS,
+    KeyValue,
+    LeaseGrant,
+    Put,
+    RangeResult,
+    WatchBatch,
+    WatchEvent,
+)
+from drumbay.kv.memory import MemoryKeyValueStore
 from drumbay.kv.mirror import MAX_HISTORY_EVENTS, FeedCursor, FeedMirror, PrefixFeed
 from drumbay.peers.watchers import RegisteredNode, WatcherRanking
 from drumbay.standins.kv_faults import KeyValueFaults
@@ -16,6 +26,7 @@
 IN_FORCE_SECONDS = 2.0
 ALL_WATCHERS_LOST_SECONDS = 2.8
 """Allows for detecting that all watchers are lost and for switching to the store."""
+SLOW_WRITE_SECONDS = 2.0
 KEY = "config/a"
 
 
@@ -52,6 +63,25 @@
             self.values.append(change.item.value)
 
 
+class SlowWriteStore(MemoryKeyValueStore):
+    """Store client whose leases are granted late, as by a busy store; reads are fast."""
+
+    has_watched = False
+
+    async def grant_lease(self, ttl_seconds: float) -> LeaseGrant:
+        await asyncio.sleep(SLOW_WRITE_SECONDS)
+        return await super().grant_lease(ttl_seconds)
+
+    def watch_prefix(
+        self,
+        prefix: str,
+        start_revision: Revision,
+        quiet_seconds: float = MAX_QUIET_SECONDS,
+    ) -> AsyncGenerator[WatchBatch, None]:
+        self.has_watched = True
+        return super().watch_prefix(prefix, start_revision, quiet_seconds)
+
+
 class MirrorTest(unittest.TestCase):
     def mirror(self) -> tuple[FeedMirror, RecordingFeed]:
         seen = RecordingFeed()
@@ -183,6 +213,18 @@
 
         run_in_world(scenario, node_count=NODE_COUNT, settle_seconds=1.0)
 
+    def test_simultaneous_start_with_slow_writes_makes_few_watchers(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            stores = [SlowWriteStore(world.model, world.clock) for _ in range(NODE_COUNT)]
+            for number, store in enumerate(stores, 1):
+                world.nodes.append(WorldNode(world, number, 0, store))
+            for node in world.nodes:
+                node.node.start((RecordingFeed().feed(),))
+            await asyncio.sleep(10.0)
+            self.assertLessEqual(sum(store.has_watched for store in stores), 6)
+
+        run_in_world(scenario, node_count=0, settle_seconds=1.0)
+
     def test_followers_leave_a_crashed_watcher(self) -> None:
         async def scenario(world: ServingWorld) -> None:
             seen = await self.start(world)
