Lend unused starts at cold workers to nodes whose requests lack one

What callers saw, with 24 and 40 nodes: a burst at one node was rejected (no_worker) while workers were cold, though the workers could take it.

Cause: what a cold worker may get is divided into whole starts a second of each node; with 24 nodes one each or none. A node that gets several requests at once has no more than its own, while the parts of other nodes lie unused.

In a test with 24 nodes and three cold workers, 8 of 40 lookups of five bursts at one node were served, all others got no_worker.

Why this works: a request that lacks a start waits up to 0.4 s while its node asks three others for what they do not use. A loan holds for 0.3 s and counts at the lender as a start at the end of that time, so the parts of all nodes still add up in any second, which a test with random loans shows. A node whose own requests lacked a start lends nothing.

test_a_burst_at_one_of_many_nodes_is_served_by_cold_workers failed before (8 of 40 served); now 40 of 40, within the limit of 23 a second.

--- a/drumbay/forwarding/forwarded_request.py
+++ b/drumbay/forwarding/forwarded_request.py
@@ -6,7 +6,9 @@
 """
 
 import asyncio
-from collections.abc import Callable, Coroutine
+import math
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Protocol
 
 import msgspec
 
@@ -33,6 +35,7 @@
 )
 from drumbay.forwarding.request_quarantine import RequestQuarantine
 from drumbay.forwarding.request_waits import (
+    MAX_LOAN_WAIT_SECONDS,
     QueueAgain,
     Reject,
     SendFrom,
@@ -52,7 +55,7 @@
 from drumbay.quarantine.service import Quarantine
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
-from drumbay.workers.records import WorkerRequest, WorkerResponse
+from drumbay.workers.records import Worker, WorkerRequest, WorkerResponse
 from drumbay.workers.worker_record import WorkerRecord
 
 MIN_BUDGET_SECONDS = 0.02
@@ -71,6 +74,23 @@
 """Polling interval while the quarantine checks whether a request crashed its worker."""
 
 
+class StartLender(Protocol):
+    """Gets starts at cold workers from other nodes."""
+
+    def ask(self, service: str, workers: Iterable[Worker]) -> bool:
+        """Ask for a start at one of a service's workers; return whether one may come."""
+        ...
+
+
+class NoLoans:
+    """A :class:`StartLender` of a node that has no others to ask."""
+
+    def ask(self, service: str, workers: Iterable[Worker]) -> bool:
+        """Return false."""
+        del service, workers
+        return False
+
+
 class ForwardingServices(msgspec.Struct, frozen=True, kw_only=True):
     """What all requests of a node share."""
 
@@ -83,6 +103,7 @@
     hedge_timing: HedgeTiming
     quarantine: Quarantine
     admission: AdmissionGate
+    start_loans: StartLender
 
 
 class ForwardedRequest:
@@ -134,6 +155,8 @@
         self._last_sent_at = self._started_at
         self._is_hedge_next = False
         self._is_service_full = False
+        self._start_loans = services.start_loans
+        self._lacks_start_since = math.inf
         self._admission = RequestAdmission(
             services.admission,
             service,
@@ -402,11 +425,20 @@
             self._workers.next_start_at(),
             now,
             has_not_run=self._attempts.has_not_run,
+            may_borrow=self._ask_for_start(now),
         )
         if isinstance(step, Reject):
             raise self._forwarding_error(timed_out=False)
         self._next_send_at = step.time
 
+    def _ask_for_start(self, now: float) -> bool:
+        """Ask other nodes for a start, for a short time; return whether one may come."""
+        self._lacks_start_since = min(self._lacks_start_since, now)
+        if now - self._lacks_start_since > MAX_LOAN_WAIT_SECONDS:
+            return False
+        workers = self._workers.lacking_starts()
+        return self._start_loans.ask(self._service, workers)
+
     def _send(self, record: WorkerRecord, choice: ChosenWorker, remaining: float) -> None:
         # Only the first attempt may reuse an idle connection: if idle connections have stalled,
         # each reuse would waste an attempt.
--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -2,7 +2,12 @@
 
 from drumbay.admission.gate import AdmissionGate
 from drumbay.clock import Clock
-from drumbay.forwarding.forwarded_request import ForwardedRequest, ForwardingServices
+from drumbay.forwarding.forwarded_request import (
+    ForwardedRequest,
+    ForwardingServices,
+    NoLoans,
+    StartLender,
+)
 from drumbay.forwarding.hedge_timing import HedgeTiming
 from drumbay.forwarding.records import ClientRequest, ForwardingError
 from drumbay.forwarding.routes import Route, RouteTable
@@ -33,6 +38,7 @@
         machine: str,
         *,
         has_admission: bool = True,
+        start_loans: StartLender | None = None,
     ) -> None:
         """Create a forwarder.
 
@@ -58,6 +64,7 @@
             hedge_timing=self.hedge_timing,
             quarantine=quarantine,
             admission=AdmissionGate(clock, directory, placement, metrics, is_enabled=has_admission),
+            start_loans=start_loans or NoLoans(),
         )
 
     async def forward(self, route: Route, request: ClientRequest) -> WorkerResponse:
--- a/drumbay/forwarding/request_waits.py
+++ b/drumbay/forwarding/request_waits.py
@@ -10,6 +10,9 @@
 START_POLL_SECONDS = 0.05
 """Interval at which a request asks again whether a worker may get it from this node."""
 
+MAX_LOAN_WAIT_SECONDS = 0.4
+"""How long a request waits for a start from another node before its own node's decide alone."""
+
 REGION_RETRY_SECONDS = 0.1
 """Pause after which a request tries the workers of its regions again that have refused it."""
 
@@ -78,13 +81,20 @@
 
 
 def without_start(
-    limits: WaitLimits, next_start_at: float, now: float, *, has_not_run: bool
+    limits: WaitLimits,
+    next_start_at: float,
+    now: float,
+    *,
+    has_not_run: bool,
+    may_borrow: bool = False,
 ) -> SendFrom | Reject:
     """Decide on a request for which no worker has a start left.
 
     The next start is this node's, and another request may take it: so it asks again at intervals.
+    With ``may_borrow`` another node may lend a start before.
     """
     next_poll_at = now + START_POLL_SECONDS
-    if max(next_start_at, next_poll_at) > limits.start_wait_ends_at(has_not_run=has_not_run):
+    send_at = next_poll_at if may_borrow else max(next_start_at, next_poll_at)
+    if send_at > limits.start_wait_ends_at(has_not_run=has_not_run):
         return Reject()
     return SendFrom(next_poll_at)
--- a/drumbay/forwarding/request_workers.py
+++ b/drumbay/forwarding/request_workers.py
@@ -8,6 +8,7 @@
 from drumbay.forwarding.worker_choice import ChosenWorker
 from drumbay.forwarding.worker_picker import SendCriteria, WorkerPicker
 from drumbay.placement.regions import AllowedRegions
+from drumbay.workers.records import Worker
 from drumbay.workers.worker_record import WorkerRecord
 
 
@@ -60,6 +61,12 @@
             self._service, self._quarantine.avoided_workers, self.regions
         )
 
+    def lacking_starts(self) -> list[Worker]:
+        """Return the workers that may get the request but for this node's lack of starts."""
+        return self._picker.workers_lacking_starts(
+            self._service, self._quarantine.avoided_workers, self.regions
+        )
+
     def may_send(self, record: WorkerRecord) -> bool:
         """Return whether a worker is eligible for the request."""
         return self._picker.may_send(record, self.regions)
--- a/drumbay/forwarding/worker_picker.py
+++ b/drumbay/forwarding/worker_picker.py
@@ -15,11 +15,12 @@
 )
 from drumbay.identifiers import BackendId
 from drumbay.limits.worker_bodies import may_send_body
+from drumbay.placement.eligibility import may_start
 from drumbay.placement.gate import PlacementGate
 from drumbay.placement.regions import ANY_REGION, AllowedRegions
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
-from drumbay.workers.records import WorkerState
+from drumbay.workers.records import Worker, WorkerState
 from drumbay.workers.worker_record import WorkerRecord
 
 
@@ -82,14 +83,18 @@
         """
         if not self._placement.limits_starts:
             return math.inf
-        records = self._placement.in_service(self._directory.of_service(service), regions)
-        workers = [
-            record.worker
-            for record in records
-            if record.worker.state is WorkerState.READY
-            and record.worker.worker_id not in avoided_workers
-        ]
-        return self._placement.next_start_at(workers)
+        ready = self._ready_workers(service, avoided_workers, regions)
+        return self._placement.next_start_at(record.worker for record in ready)
+
+    def workers_lacking_starts(
+        self, service: str, avoided_workers: Set[BackendId], regions: AllowedRegions
+    ) -> list[Worker]:
+        """Return the ready workers in service at which this node may start nothing now."""
+        if not self._placement.limits_starts:
+            return []
+        ready = self._ready_workers(service, avoided_workers, regions)
+        workers = [record.worker for record in ready]
+        return [w for w in workers if not may_start(self._placement.remaining_starts(w))]
 
     def lacks_workers(self, service: str, regions: AllowedRegions) -> bool:
         """Return whether no worker is in service for a request, now or after a wait.
--- a/drumbay/peers/directory.py
+++ b/drumbay/peers/directory.py
@@ -209,6 +209,10 @@
         found = self._with_near_first(found, count)
         return found[:count]
 
+    def responsive_candidates(self, count: int) -> list[NetworkAddress]:
+        """Return up to ``count`` nodes that replied to their last calls, in random order."""
+        return [node for node in self.candidates(count) if not self.is_unresponsive(node)]
+
     def _with_near_first(self, found: list[NetworkAddress], count: int) -> list[NetworkAddress]:
         """Put responsive near nodes first, but a distant one last among ``count``.
 
--- a/drumbay/peers/messages.py
+++ b/drumbay/peers/messages.py
@@ -213,6 +213,19 @@
     jobs: tuple[JobSlotUsage, ...]
 
 
+class BorrowStarts(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Ask a node for unused starts at cold workers, ``count`` in all."""
+
+    worker_ids: tuple[BackendId, ...]
+    count: int
+
+
+class LentStarts(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """The starts that the caller may use, by worker."""
+
+    starts: dict[BackendId, int]
+
+
 class CollectUsage(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Request the usage counters of a node and its followers."""
 
@@ -300,7 +313,14 @@
 StoreRequest = RelayRange | RelayTransaction | RelayKeepAlive | RelayGrant
 UsageRequest = CollectUsage | UsageNotice
 PeerRequest = (
-    BatchRequest | StoreRequest | UsageRequest | FollowFeeds | Notices | Ping | CollectPlaces
+    BatchRequest
+    | StoreRequest
+    | UsageRequest
+    | FollowFeeds
+    | Notices
+    | Ping
+    | CollectPlaces
+    | BorrowStarts
 )
 PeerReply = (
     PageReply
@@ -314,6 +334,7 @@
     | FeedsReply
     | UsageReply
     | PlacesReply
+    | LentStarts
     | RangeReply
     | TransactionReply
     | KeepAliveReply
--- a/drumbay/placement/start_limits.py
+++ b/drumbay/placement/start_limits.py
@@ -1,6 +1,7 @@
 """Limits this node's starts at workers that warm up, to its part of what all nodes may send."""
 
 import math
+from bisect import insort
 from collections import deque
 from collections.abc import Callable, Container, Iterable, Mapping
 from typing import NamedTuple, Protocol
@@ -16,6 +17,9 @@
 WINDOW_SECONDS = 1.05
 """Window in which starts count: any second, and a reserve as clocks run at different rates."""
 
+LOAN_SECONDS = 0.3
+"""For how long a node may use a start that another one has lent it."""
+
 RAMP_SECONDS = 6.0
 """For how long a worker that is no longer cold gets clients' requests only gradually: twice as many
 each second. Otherwise every node would send to it at once, as it is the least used."""
@@ -128,10 +132,16 @@
         # The previous process at this address may have used its part just before.
         self._first_start_at = created_at + WINDOW_SECONDS
         self._starts: dict[BackendId, deque[float]] = {}
+        self._borrowed: dict[BackendId, deque[float]] = {}
+        """Ends of the loans that have not been used, soonest first."""
         self._ranks: dict[BackendId, _Rank] = {}
 
     def remaining_starts(self, worker: Worker, now: float) -> float:
         """Return how many requests may be started now; infinite without a limit."""
+        return self._own_starts(worker, now) + self._borrowed_starts(worker.worker_id, now)
+
+    def _own_starts(self, worker: Worker, now: float) -> float:
+        """Return how many more requests this node's part allows now; infinite without a limit."""
         part = self._current_part(worker, now)
         if part is None:
             return math.inf
@@ -139,6 +149,32 @@
             return 0
         return max(0, part - self._recent_starts(worker.worker_id, now))
 
+    def lend(self, worker: Worker, wanted: int, now: float) -> int:
+        """Give unused starts of this node's part to another node; return how many.
+
+        The borrower may use them for :data:`LOAN_SECONDS`. Here they count as starts at the end of
+        that time, so that the parts of all nodes still add up to the budget in any second.
+        """
+        own_starts = self._own_starts(worker, now)
+        if math.isinf(own_starts):
+            return 0
+        lent = min(wanted, int(own_starts))
+        for _ in range(lent):
+            insort(self._starts.setdefault(worker.worker_id, deque()), now + LOAN_SECONDS)
+        return lent
+
+    def borrow(self, worker_id: BackendId, count: int, asked_at: float) -> None:
+        """Add starts that another node has lent after it was asked at a monotonic time."""
+        ends = self._borrowed.setdefault(worker_id, deque())
+        for _ in range(count):
+            insort(ends, asked_at + LOAN_SECONDS)
+
+    def _borrowed_starts(self, worker_id: BackendId, now: float) -> int:
+        ends = self._borrowed.get(worker_id)
+        while ends and ends[0] <= now:
+            ends.popleft()
+        return len(ends) if ends else 0
+
     def next_start_at(self, worker: Worker, now: float) -> float:
         """Return from when another request may be started; infinite if this node has no part."""
         part = self._current_part(worker, now)
@@ -191,10 +227,14 @@
         return self.cold_reason(worker, now) is not None
 
     def record_start(self, worker: Worker, now: float) -> None:
-        """Record that a request is sent to a worker."""
-        if worker.service in self._warm_ups():
-            self._starts.setdefault(worker.worker_id, deque()).append(now)
-            self._recent_starts(worker.worker_id, now)
+        """Record that a request is sent to a worker, with a borrowed start if need be."""
+        if worker.service not in self._warm_ups():
+            return
+        if self._own_starts(worker, now) < 1 and self._borrowed_starts(worker.worker_id, now):
+            self._borrowed[worker.worker_id].popleft()
+            return
+        insort(self._starts.setdefault(worker.worker_id, deque()), now)
+        self._recent_starts(worker.worker_id, now)
 
     def forget_except(self, known: Container[BackendId], now: float) -> None:
         """Forget the workers that are gone, and starts of more than a second ago."""
@@ -203,6 +243,9 @@
         for worker_id in list(self._starts):
             if not self._recent_starts(worker_id, now):
                 del self._starts[worker_id]
+        for worker_id in list(self._borrowed):
+            if not self._borrowed_starts(worker_id, now):
+                del self._borrowed[worker_id]
 
     def _recent_starts(self, worker_id: BackendId, now: float) -> int:
         starts = self._starts.get(worker_id)
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -21,6 +21,7 @@
 from drumbay.peers.directory import PeerDirectory
 from drumbay.peers.feeds import SharedFeeds
 from drumbay.peers.messages import (
+    BorrowStarts,
     CollectPlaces,
     CollectUsage,
     DoneReply,
@@ -59,6 +60,7 @@
 from drumbay.serving.memory_accounting import MemoryAccounting
 from drumbay.serving.node_placement import NodePlacement
 from drumbay.serving.settings import ServingEnvironment, ServingSettings
+from drumbay.serving.start_loans import StartLoans
 from drumbay.serving.store_calls import CountedStore
 from drumbay.tasks import TaskOwner
 from drumbay.tenants.access import authenticate
@@ -148,6 +150,14 @@
         self._stored_quarantine = StoredQuarantine(
             clock, self._store, self.quarantine, environment.generator
         )
+        self._start_loans = StartLoans(
+            clock,
+            self._warm_ups.limits,
+            environment.peers,
+            self._peer_directory.responsive_candidates,
+            self.directory.all_records,
+            self._tasks,
+        )
         self.forwarder = Forwarder(
             clock,
             self.directory,
@@ -159,6 +169,7 @@
             self.quarantine,
             settings.machine,
             has_admission=settings.is_enabled(LoadFeature.ADMISSION),
+            start_loans=self._start_loans,
         )
         self._body_holders = BodyHolders(self.routes, topology, self._peer_directory, address)
         self.batches = BatchService(
@@ -452,6 +463,8 @@
             case FollowFeeds():
                 self._usage.merge(request.usage)
                 return await self._feeds.serve_poll(request)
+            case BorrowStarts():
+                return self._start_loans.lend(request)
             case CollectPlaces():
                 return PlacesReply(jobs=self.batches.slot_usage())
             case CollectUsage():
