--- a/drumbay/batches/slot_contention.py
+++ b/drumbay/batches/slot_contention.py
@@ -25,7 +25,7 @@
 
 LATE_SLOT_SHARE = 0.15
 """Share of slots, at least one, that late items may use while others can still be in time; divided
-between the jobs with late items.
+between the jobs with late items. Without any, a late step would never end.
 """
 
 LATENESS_TOLERANCE_SECONDS = 0.5
--- a/drumbay/comm/connection_registry.py
+++ b/drumbay/comm/connection_registry.py
@@ -18,7 +18,8 @@
 
 
 RECENTLY_ACTIVE_SECONDS = 0.35
-"""A connection that received data within this time counts as alive."""
+"""A connection that received data within this time counts as alive. It is many times the interval
+between the events of a stream, and less than any silence that counts as a stall."""
 
 
 class Closable(Protocol):
--- a/drumbay/configuration/replication.py
+++ b/drumbay/configuration/replication.py
@@ -22,7 +22,8 @@
 from drumbay.tasks import TaskOwner
 
 REPLICA_CALL_TIMEOUT_SECONDS = 6.0
-"""Long enough for networks with delays of seconds."""
+"""Exceeds the round trip of a network with delays of seconds. A shorter timeout would take such a
+network for a partition, and no change would ever be stored by a majority."""
 
 ReplyT = TypeVar("ReplyT", bound=Message)
 
--- a/drumbay/forwarding/worker_choice.py
+++ b/drumbay/forwarding/worker_choice.py
@@ -41,7 +41,8 @@
 }
 
 COST_RESOLUTION_SECONDS = 0.001
-"""Costs are rounded to this."""
+"""Costs are rounded to this, as smaller differences say nothing about a worker. Among equals the
+one with the oldest response is chosen, so that several stay known."""
 
 CONTENTION_THRESHOLD = 0.5
 CONTENTION_SLOWDOWN = 0.5
--- a/drumbay/limits/recent_latency.py
+++ b/drumbay/limits/recent_latency.py
@@ -6,7 +6,7 @@
 """Attempts slower than this quantile are hedged."""
 
 MIN_HEDGE_DELAY_SECONDS = 0.02
-"""Lower bound of the hedge delay."""
+"""Lower bound of the hedge delay; a hedge sent sooner would arrive together with most responses."""
 
 MIN_OBSERVATIONS = 20
 """With fewer observations, the quantile would be the maximum."""
--- a/drumbay/peers/freshness.py
+++ b/drumbay/peers/freshness.py
@@ -32,7 +32,8 @@
 
 VERIFY_FRACTION = 0.28
 """Interval between verifications, as a fraction of the configuration propagation bound. It leaves
-time for a slow response before followers consider the data too old."""
+time for a slow response before followers consider the data too old. A watch alone does not verify
+anything: while connections were silent, every node would miss changes until its watch timed out."""
 
 MAX_JITTER_FACTOR = 1.3
 """The interval is multiplied by a random factor between 1 and this, so that usually one watcher
--- a/drumbay/routing/prefix_index.py
+++ b/drumbay/routing/prefix_index.py
@@ -15,6 +15,8 @@
 
 MAX_AFFINITY_BLOCKS = 64
 DEFAULT_MAX_ENTRIES_PER_BACKEND = 512
+"""Bounds the memory of a node that watches a hundred engines; see docs/CAPACITY.md."""
+
 _NO_EVENT = -1
 
 
--- a/drumbay/storage/interface.py
+++ b/drumbay/storage/interface.py
@@ -12,7 +12,8 @@
 
 DURABLE_REPLY_TIMEOUT_SECONDS = 8.0
 """Timeout of a call to a replica that commits to disk before it replies. It allows for slow writes
-on busy disks, and is below the 10 s timeout of requests that are forwarded to a stream's owner."""
+on busy disks: a caller that gives up earlier and starts over never gets through to replicas whose
+disks are busy. It is below the 10 s timeout of requests that are forwarded to a stream's owner."""
 
 
 class StorageError(UnavailableError):
--- a/drumbay/workers/event_intervals.py
+++ b/drumbay/workers/event_intervals.py
@@ -9,7 +9,7 @@
 from collections import deque
 
 INTERVAL_SAMPLES = 7
-"""Number of intervals that a median is computed from."""
+"""Number of intervals that a median is computed from; a slowdown shows in it after four of them."""
 
 SAMPLE_LIFETIME_SECONDS = 4.0
 """Age after which samples are discarded, since the worker's rate may have changed."""
--- a/drumbay/workers/response_stats.py
+++ b/drumbay/workers/response_stats.py
@@ -7,7 +7,8 @@
 import math
 
 OBSERVATION_DECAY_SECONDS = 10.0
-"""Time constant of the exponential decay of observations."""
+"""Time constant of the exponential decay of observations. Workers turn slow for some seconds and
+recover; with a shorter memory a node with few requests would try a slow worker again each time."""
 
 LATENCY_SMOOTHING = 0.3
 """Weight of the newest response in the moving average of latencies."""
