--- a/drumbay/forwarding/forwarded_request.py
+++ b/drumbay/forwarding/forwarded_request.py
@@ -7,8 +7,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Coroutine, Iterable
-from typing import Protocol
+from collections.abc import Callable, Coroutine
 
 import msgspec
 
@@ -46,6 +45,7 @@
 )
 from drumbay.forwarding.request_workers import RequestWorkers
 from drumbay.forwarding.routes import RequestKind, Route
+from drumbay.forwarding.start_borrower import StartBorrower
 from drumbay.forwarding.worker_call import WorkerCaller
 from drumbay.forwarding.worker_choice import ChosenWorker
 from drumbay.forwarding.worker_picker import WorkerPicker
@@ -55,7 +55,7 @@
 from drumbay.quarantine.service import Quarantine
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
-from drumbay.workers.records import Worker, WorkerRequest, WorkerResponse
+from drumbay.workers.records import WorkerRequest, WorkerResponse
 from drumbay.workers.worker_record import WorkerRecord
 
 MIN_BUDGET_SECONDS = 0.02
@@ -74,23 +74,6 @@
 """Polling interval while the quarantine checks whether a request crashed its worker."""
 
 
-class StartLender(Protocol):
-    """Gets starts at cold workers from other nodes."""
-
-    def ask(self, service: str, workers: Iterable[Worker]) -> bool:
-        """Ask for a start at one of a service's workers; return whether one may come."""
-        ...
-
-
-class NoLoans:
-    """A :class:`StartLender` of a node that has no others to ask."""
-
-    def ask(self, service: str, workers: Iterable[Worker]) -> bool:
-        """Return false."""
-        del service, workers
-        return False
-
-
 class ForwardingServices(msgspec.Struct, frozen=True, kw_only=True):
     """What all requests of a node share."""
 
@@ -103,7 +86,7 @@
     hedge_timing: HedgeTiming
     quarantine: Quarantine
     admission: AdmissionGate
-    start_loans: StartLender
+    start_borrower: StartBorrower
 
 
 class ForwardedRequest:
@@ -155,7 +138,7 @@
         self._last_sent_at = self._started_at
         self._is_hedge_next = False
         self._is_service_full = False
-        self._start_loans = services.start_loans
+        self._start_borrower = services.start_borrower
         self._lacks_start_since = math.inf
         self._admission = RequestAdmission(
             services.admission,
@@ -437,7 +420,7 @@
         if now - self._lacks_start_since > MAX_LOAN_WAIT_SECONDS:
             return False
         workers = self._workers.lacking_starts()
-        return self._start_loans.ask(self._service, workers)
+        return self._start_borrower.ask(self._service, workers)
 
     def _send(self, record: WorkerRecord, choice: ChosenWorker, remaining: float) -> None:
         # Only the first attempt may reuse an idle connection: if idle connections have stalled,
--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -2,15 +2,11 @@
 
 from drumbay.admission.gate import AdmissionGate
 from drumbay.clock import Clock
-from drumbay.forwarding.forwarded_request import (
-    ForwardedRequest,
-    ForwardingServices,
-    NoLoans,
-    StartLender,
-)
+from drumbay.forwarding.forwarded_request import ForwardedRequest, ForwardingServices
 from drumbay.forwarding.hedge_timing import HedgeTiming
 from drumbay.forwarding.records import ClientRequest, ForwardingError
 from drumbay.forwarding.routes import Route, RouteTable
+from drumbay.forwarding.start_borrower import NoOtherNodes, StartBorrower
 from drumbay.forwarding.worker_call import WorkerCaller
 from drumbay.forwarding.worker_picker import WorkerPicker
 from drumbay.observability.serving_metrics import ServingMetrics
@@ -38,7 +34,7 @@
         machine: str,
         *,
         has_admission: bool = True,
-        start_loans: StartLender | None = None,
+        start_borrower: StartBorrower | None = None,
     ) -> None:
         """Create a forwarder.
 
@@ -64,7 +60,7 @@
             hedge_timing=self.hedge_timing,
             quarantine=quarantine,
             admission=AdmissionGate(clock, directory, placement, metrics, is_enabled=has_admission),
-            start_loans=start_loans or NoLoans(),
+            start_borrower=start_borrower or NoOtherNodes(),
         )
 
     async def forward(self, route: Route, request: ClientRequest) -> WorkerResponse:
--- a/drumbay/forwarding/request_waits.py
+++ b/drumbay/forwarding/request_waits.py
@@ -11,7 +11,7 @@
 """Interval at which a request asks again whether a worker may get it from this node."""
 
 MAX_LOAN_WAIT_SECONDS = 0.4
-"""How long a request waits for a start from another node before its own node's decide alone."""
+"""How long a request waits for other nodes to lend it a start."""
 
 REGION_RETRY_SECONDS = 0.1
 """Pause after which a request tries the workers of its regions again that have refused it."""
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -169,7 +169,7 @@
             self.quarantine,
             settings.machine,
             has_admission=settings.is_enabled(LoadFeature.ADMISSION),
-            start_loans=self._start_loans,
+            start_borrower=self._start_loans,
         )
         self._body_holders = BodyHolders(self.routes, topology, self._peer_directory, address)
         self.batches = BatchService(
--- a/drumbay/serving/planned_stop.py
+++ b/drumbay/serving/planned_stop.py
@@ -25,7 +25,7 @@
     """The server for clients."""
 
     async def close(self) -> None:
-        """Close the connections of clients, which bring nothing that is still answered."""
+        """Close the connections of clients, as nothing that still arrives is read."""
         ...
 
 
