Await the first request of the connections that a stopping node accepted last

What callers saw: calls over new connections ended without a response at the end of a planned stop; none had run.

Cause: a stopping node closed its connections 0.2 s after it had stopped to listen. A busy client sends its request later than that after connecting.

Ruled out: a queue that was closed (listener_closed_with_queue was not logged), and requests that were read (request_rejected_by_stop was not logged).

Why this works: a connection that is younger than a second and has brought nothing yet is awaited, up to that second. A node that never comes to rest stops to listen a second before the end of its stop, so that it has the time.

test_a_client_that_connects_last_may_take_a_while_to_send failed before: the connection was closed without a byte.

--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -497,10 +497,10 @@
         self.reject_requests()
         await self.hand_over()
 
-    async def leave(self) -> None:
-        """Announce the stop and give up duties; returns once nothing is open, or at the deadline.
+    async def leave(self, reserved_seconds: float = 0.0) -> None:
+        """Announce the stop and give up duties, and serve what arrives.
 
-        Requests that arrive meanwhile are served.
+        Returns once nothing is open, or ``reserved_seconds`` before the stop's deadline.
         """
         clock = self._environment.clock
         self._stop_deadline = clock.monotonic() + self._settings.stop_seconds
@@ -511,11 +511,11 @@
         await self.leader.resign()
         await self._peer_directory.leave()
         await clock.sleep(self._settings.turn_away_seconds)
-        await self.wait_until_drained()
+        await self.wait_until_drained(reserved_seconds)
 
-    async def wait_until_drained(self) -> None:
-        """Wait until no request and no batch job is open, or until the stop's deadline."""
-        while self._remaining_stop_seconds() > 0:
+    async def wait_until_drained(self, reserved_seconds: float = 0.0) -> None:
+        """Wait until nothing is open, or until so long before the stop's deadline."""
+        while self._remaining_stop_seconds() > reserved_seconds:
             if not self._open_request_count and not self.batches.unfinished_count():
                 return
             await self._environment.clock.sleep(DRAIN_POLL_SECONDS)
--- a/drumbay/serving/planned_stop.py
+++ b/drumbay/serving/planned_stop.py
@@ -7,7 +7,13 @@
 from drumbay.serving.node import ServingNode
 
 OPEN_CONNECTION_SECONDS = 0.2
-"""How long requests are awaited on connections that were accepted last."""
+"""How long requests are awaited on open connections once no more are accepted."""
+
+FIRST_REQUEST_SECONDS = 1.0
+"""How long the first request of a connection is awaited: a client that has just connected is about
+to send it, and a busy one may take a while."""
+
+FIRST_REQUEST_POLL_SECONDS = 0.05
 
 PEER_CALL_SECONDS = 0.3
 """How long calls of other nodes may still take once this node's own tasks have ended."""
@@ -24,6 +30,10 @@
 class ClientServer(Server, Protocol):
     """The server for clients."""
 
+    def awaits_first_request(self, max_seconds: float) -> bool:
+        """Return whether a connection that is not older has brought no request yet."""
+        ...
+
     async def close(self) -> None:
         """Close the connections of clients, as nothing that still arrives is read."""
         ...
@@ -67,9 +77,11 @@
 
     async def run(self) -> None:
         """Stop the node; returns when the process may end."""
-        await self._node.leave()
+        await self._node.leave(FIRST_REQUEST_SECONDS)
         await self._clients.stop_listening()
         await self._clock.sleep(OPEN_CONNECTION_SECONDS)
+        while self._clients.awaits_first_request(FIRST_REQUEST_SECONDS):
+            await self._clock.sleep(FIRST_REQUEST_POLL_SECONDS)
         await self._node.wait_until_drained()
         self._node.reject_requests()
         await self._node.hand_over()
--- a/drumbay/serving/request_intake.py
+++ b/drumbay/serving/request_intake.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+from weakref import WeakSet
 
 from tornado.httputil import (
     HTTPConnection,
@@ -47,16 +48,35 @@
         """
         self._reserve = reserve
         self._serve = serve
+        self._known_connections: WeakSet[object] = WeakSet()
+        self._first_requests: WeakSet[_IncomingRequest] = WeakSet()
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Handle one request of a connection."""
-        return _IncomingRequest(request_conn, self._reserve, self._serve)
+        request = _IncomingRequest(request_conn, self._reserve, self._serve)
+        if server_conn not in self._known_connections:
+            self._known_connections.add(server_conn)
+            self._first_requests.add(request)
+        return request
+
+    def awaits_first_request(self, max_seconds: float) -> bool:
+        """Return whether a connection that is not older has brought no request yet."""
+        opened_since = asyncio.get_running_loop().time() - max_seconds
+        return any(
+            request.is_awaited and request.created_at >= opened_since
+            for request in self._first_requests
+        )
 
 
 class _IncomingRequest(HTTPMessageDelegate):
-    """A request that is being received."""
+    """A request that is being received.
+
+    Attributes:
+        created_at: When the connection became ready for it, by the event loop's time.
+        is_awaited: Whether nothing of it has arrived.
+    """
 
     def __init__(
         self,
@@ -64,6 +84,8 @@
         reserve: Callable[[HTTPServerRequest], MemoryReservation],
         serve: Callable[[HTTPServerRequest, MemoryReservation], None],
     ) -> None:
+        self.created_at = asyncio.get_running_loop().time()
+        self.is_awaited = True
         self._connection = connection
         self._reserve = reserve
         self._serve = serve
@@ -80,6 +102,7 @@
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
         assert isinstance(start_line, RequestStartLine)
+        self.is_awaited = False
         self._request = HTTPServerRequest(
             connection=self._connection, start_line=start_line, headers=headers
         )
@@ -115,6 +138,7 @@
         self._serve(self._request, self._reservation)
 
     def on_connection_close(self) -> None:
+        self.is_awaited = False
         self._discard()
 
     def _schedule_stall_check(self) -> None:
--- a/tests/test_stop_cuts_answers.py
+++ b/tests/test_stop_cuts_answers.py
@@ -15,6 +15,7 @@
 
 SEND_INTERVAL_SECONDS = 0.002
 QUEUED_CONNECTIONS = 20
+SLOW_SEND_SECONDS = 0.5
 SLOWDOWN = 1_000.0
 """Makes a lookup take longer than the stop."""
 
@@ -73,6 +74,27 @@
             await stopping
         self.assertEqual(self.statuses, {"before": 504, "during": 504})
 
+    async def test_a_client_that_connects_last_may_take_a_while_to_send(self) -> None:
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            stopping = asyncio.ensure_future(self.edge.stop())
+            reader, writer = await self.connect_last()
+            await asyncio.sleep(SLOW_SEND_SECONDS)
+            writer.write(b"POST /l/1 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\n\r\n")
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            await stopping
+        self.assertTrue(head.startswith("HTTP/1.1 200"))
+
+    async def connect_last(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Return a connection that was opened just before the node listened no longer."""
+        last: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
+        while True:
+            try:
+                opened = await asyncio.open_connection(self.edge.front.host, self.edge.front.port)
+            except ConnectionRefusedError:
+                return last[-1]
+            self.addCleanup(opened[1].close)
+            last.append(opened)
+
     async def test_a_request_on_an_open_connection_is_rejected_at_the_end_of_a_stop(self) -> None:
         reader, writer = await asyncio.open_connection(self.edge.front.host, self.edge.front.port)
         self.addCleanup(writer.close)
