--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -4,6 +4,7 @@
 everything from the store.
 """
 
+import asyncio
 import math
 from collections.abc import Awaitable, Callable, Container, Iterable
 
@@ -481,10 +482,10 @@
             case _:
                 return await self.batches.handle_peer(request)
 
-    def track(self, handler: Callable[[], Awaitable[None]], name: str) -> None:
+    def track(self, handler: Callable[[], Awaitable[None]], name: str) -> asyncio.Task[None]:
         """Run a request handler in the background; a planned shutdown waits for it."""
         self._open_request_count += 1
-        self._tasks.spawn(self._run_tracked(handler), name)
+        return self._tasks.spawn(self._run_tracked(handler), name)
 
     async def _run_tracked(self, handler: Callable[[], Awaitable[None]]) -> None:
         try:
--- a/tests/test_stop_cuts_answers.py
+++ b/tests/test_stop_cuts_answers.py
@@ -3,6 +3,8 @@
 import asyncio
 import socket
 import unittest
+from collections.abc import Awaitable, Callable
+from unittest import mock
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPServerRequest
@@ -74,6 +76,26 @@
             await stopping
         self.assertEqual(self.statuses, {"before": 504, "during": 504})
 
+    async def test_a_request_whose_handler_is_cancelled_before_it_starts_gets_an_answer(
+        self,
+    ) -> None:
+        node = self.edge.node
+        track = node.track
+
+        def track_and_cancel(
+            handler: Callable[[], Awaitable[None]], name: str
+        ) -> "asyncio.Task[None]":
+            task = track(handler, name)
+            node.reject_requests()
+            task.cancel()
+            return task
+
+        with mock.patch.object(node, "track", track_and_cancel):
+            async with asyncio.timeout(TIMEOUT_SECONDS):
+                await self.send("last")
+        self.assertEqual(self.statuses, {"last": 504})
+        self.assertEqual(node.memory.bytes.usage.held_bytes, 0)
+
     async def test_a_client_that_connects_last_may_take_a_while_to_send(self) -> None:
         async with asyncio.timeout(TIMEOUT_SECONDS):
             stopping = asyncio.ensure_future(self.edge.stop())
@@ -95,6 +117,24 @@
             self.addCleanup(opened[1].close)
             last.append(opened)
 
+    async def test_requests_that_have_arrived_when_connections_are_closed_are_rejected(
+        self,
+    ) -> None:
+        address = self.edge.front
+        clients = [
+            await asyncio.open_connection(address.host, address.port)
+            for _ in range(QUEUED_CONNECTIONS)
+        ]
+        self.edge.node.reject_requests()
+        for _, writer in clients:
+            self.addCleanup(writer.close)
+            writer.write(b"POST /l/1 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\n\r\n")
+        # Written to the sockets by now, but not read by the node.
+        await self.edge.ingress.close()
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            heads = await asyncio.gather(*(reader.read(100) for reader, _ in clients))
+        self.assertEqual({head[:12] for head in heads}, {b"HTTP/1.1 503"})
+
     async def test_a_request_on_an_open_connection_is_rejected_at_the_end_of_a_stop(self) -> None:
         reader, writer = await asyncio.open_connection(self.edge.front.host, self.edge.front.port)
         self.addCleanup(writer.close)
