Judge each send of the soak by the node that made it, and each kind of call

The checks of rule BUDGET held excuses that the rule does not know: - a worker that stands still (deadlines, workers of a request): it has neither ended nor been cut off; - one disturbed node, for every send of an item: the rule looks at the machine that sent it. The senders of items and reward requests are now read from the nodes' logs; a send whose sender is not known is judged; - a restart of all nodes, for its whole time: each node is excused only from its own signal to 3 s after its next start; - silent connections and a compacted store, for as long as the fault was drawn: both are one moment; - a delay of one node's store: its process runs and reaches the store in both directions.

Deadlines are checked for crowds, probes, crashing requests and reward requests too, and workers for every call of a client, by the attempts of its route. A reward request has no client: later sends must end with the first one. Two tests that expected the excuses expect the opposite now; nine are new.

--- a/tests/test_soak_attempts.py
+++ b/tests/test_soak_attempts.py
@@ -1,10 +1,23 @@
 """Tests of the checks of attempts, deadlines and failing items: each must notice its fault."""
 
+import tempfile
+import time
 import unittest
+from datetime import UTC, datetime
+from pathlib import Path
 
+import msgspec
 from drumbay_soak.checks import check
 from drumbay_soak.fault_plan import Fault, FaultKind
-from drumbay_soak.history import ClientCall, FailingItem, History
+from drumbay_soak.history import (
+    BatchHistory,
+    ClientCall,
+    CrashingRequest,
+    Downtime,
+    FailingItem,
+    History,
+)
+from drumbay_soak.send_log import LoggedSend, read_sends
 
 from drumbay.identifiers import BackendId
 from drumbay.standins.worker_log import LoggedArrival, LoggedCrash, LoggedRun
@@ -139,13 +152,77 @@
         self.add_arrivals(20, (10.1, 1.4), (10.9, 1.4))
         self.assert_kept(self.promise)
 
-    def test_a_worker_that_stood_still_reads_late_what_was_sent_in_time(self) -> None:
+    def test_a_worker_that_stands_still_is_no_excuse(self) -> None:
         self.add_arrivals(21, (10.1, 1.4), (10.9, 1.4))
-        self.history.faults = (fault(FaultKind.WORKER_PAUSED, 9.5, target=1),)
+        for target in range(2):
+            self.history.faults = (fault(FaultKind.WORKER_PAUSED, 9.5, target=target),)
+            self.assert_broken(self.promise)
+
+    def test_each_kind_of_call_is_judged(self) -> None:
+        """Guards against a kind of call that the check leaves out."""
+        for kind in ("calls", "crowd_calls", "probe_calls"):
+            with self.subTest(kind=kind):
+                self.setUp()
+                setattr(self.history, kind, self.history.limited_calls)
+                self.history.limited_calls = []
+                self.add_arrivals(21, (10.1, DEADLINE_SECONDS + 0.6))
+                self.assert_broken(self.promise)
+
+    def test_calls_of_crashing_requests_are_judged(self) -> None:
+        crashing = CrashingRequest(kind=FaultKind.CRASHING_LOOKUP, calls=self.history.limited_calls)
+        self.history.limited_calls = []
+        self.history.crashing_requests = [crashing]
+        self.add_arrivals(21, (10.1, float("inf")))
+        self.assert_broken(self.promise)
+
+    def add_reward_requests(self, count: int) -> None:
+        reward_ids = {f"item-{number}": f"limited-{number}" for number in range(count)}
+        self.history.limited_calls = []
+        self.history.batches = [
+            BatchHistory(
+                batch_id="batch",
+                item_ids=tuple(reward_ids),
+                minimum_version=1,
+                attempts=3,
+                reward_ids=reward_ids,
+            )
+        ]
+
+    def test_a_reward_request_has_the_deadline_of_its_first_send(self) -> None:
+        self.add_reward_requests(21)
+        self.add_arrivals(21, (10.1, 2.0), (13.0, 2.0))
         self.assert_broken(self.promise)
-        self.history.faults = (fault(FaultKind.WORKER_PAUSED, 9.5, target=0),)
+
+    def test_a_reward_request_sent_again_within_its_deadline_is_allowed(self) -> None:
+        self.add_reward_requests(21)
+        self.add_arrivals(21, (10.1, 10.0), (13.0, 7.1))
         self.assert_kept(self.promise)
 
+    def test_a_restart_of_all_nodes_excuses_each_one_only_while_it_restarts_itself(self) -> None:
+        self.add_arrivals(21, (10.1, 1.4), (10.9, 1.4))
+        self.history.faults = (fault(FaultKind.NODES_RESTARTED, 9.5),)
+        for node, is_excused in ((1, False), (0, True)):
+            began_at = STARTED_AT + 9.0
+            self.history.downtimes = [
+                Downtime(node=node, began_at=began_at, ended_at=began_at + 1.0)
+            ]
+            (self.assert_kept if is_excused else self.assert_broken)(self.promise)
+
+    def test_silent_connections_excuse_as_a_reset_of_that_moment(self) -> None:
+        self.add_arrivals(21, (10.1, 1.4), (10.9, 1.4))
+        long_ago = msgspec.structs.replace(
+            fault(FaultKind.CONNECTIONS_SILENT, 7.0), duration_seconds=5.0
+        )
+        self.history.faults = (long_ago,)
+        self.assert_broken(self.promise)
+        self.history.faults = (fault(FaultKind.CONNECTIONS_SILENT, 9.0),)
+        self.assert_kept(self.promise)
+
+    def test_a_delay_of_the_store_is_no_excuse(self) -> None:
+        self.add_arrivals(21, (10.1, 1.4), (10.9, 1.4))
+        self.history.faults = (fault(FaultKind.STORE_DELAYED, 9.5, target=0),)
+        self.assert_broken(self.promise)
+
     def test_sends_of_a_disturbed_node_are_not_judged(self) -> None:
         self.add_arrivals(21, (10.1, 1.4), (10.9, 1.4))
         self.history.faults = (fault(FaultKind.NODE_PAUSED, 8.5, target=1),)
@@ -177,11 +254,47 @@
         self.add_item(422, 3, failures=3)
         self.assert_kept(self.promise)
 
-    def test_a_disturbed_node_may_have_sent_the_item(self) -> None:
+    def test_only_the_node_that_sent_the_item_is_excused_by_a_disturbance(self) -> None:
+        self.add_item(422, 3, failures=4)
+        self.history.faults = (fault(FaultKind.NODE_KILLED, 2.0, target=1),)
+        self.assert_broken(self.promise)
+        for node, is_excused in ((0, False), (1, True)):
+            self.history.sends = [LoggedSend(node=node, request_id="item", at=STARTED_AT + 2.9)]
+            (self.assert_kept if is_excused else self.assert_broken)(self.promise)
+
+    def test_the_sender_of_a_run_is_the_last_node_that_sent_the_item_before(self) -> None:
         self.add_item(422, 3, failures=4)
         self.history.faults = (fault(FaultKind.NODE_KILLED, 2.0, target=1),)
+        self.history.sends = [
+            LoggedSend(node=0, request_id="item", at=STARTED_AT + 3.4),
+            LoggedSend(node=1, request_id="item", at=STARTED_AT + 2.9),
+            LoggedSend(node=0, request_id="item", at=STARTED_AT + 1.0),
+        ]
         self.assert_kept(self.promise)
 
 
+class SendLogTest(unittest.TestCase):
+    def test_the_senders_of_items_and_requests_are_read_from_the_logs(self) -> None:
+        now = time.time()
+        lines = [
+            f"time={_log_time(now - 5.0)} level=info event=item_run_started batch=b item=item-1",
+            f"time={_log_time(now - 2.0)} level=info event=request_served request=score-1 "
+            "elapsed_seconds=1.5",
+            f"time={_log_time(now - 1.0)} level=info event=batch_owned batch=b",
+        ]
+        with tempfile.TemporaryDirectory() as folder:
+            (Path(folder) / "node-0.log").write_text("\n".join(lines[:1]))
+            (Path(folder) / "node-1.log").write_text("\n".join(lines[1:]))
+            sends = read_sends(Path(folder), range(2))
+        self.assertEqual([(s.node, s.request_id) for s in sends], [(0, "item-1"), (1, "score-1")])
+        ages = [time.monotonic() - send.at for send in sends]
+        self.assertAlmostEqual(ages[0], 5.0, delta=0.5)
+        self.assertAlmostEqual(ages[1], 3.5, delta=0.5)
+
+
+def _log_time(seconds: float) -> str:
+    return datetime.fromtimestamp(seconds, UTC).isoformat(timespec="milliseconds")
+
+
 if __name__ == "__main__":
     unittest.main()
