Tell other nodes of workers that do not respond, and avoid them until they do

What was seen: workers that stood still got requests from every node, and read them up to 3.8 s late with a deadline that counts from then; their callers had been answered by hedges.

Cause: each node found out by itself, by losing requests to the worker, and told nobody. An abandoned run only raised the worker's estimated latency. Nothing can take a request back that a kernel has accepted.

Change: a request that waits longer than nearly all of its route, at a worker that has sent this node nothing since, makes the node prefer other workers and ask that one for a response over a new connection. While none comes, up to 24 nodes are told each second. At most half of the workers are left out, those that have been silent for longest, since a service may just be slow. Client requests are never used to try the worker again.

--- a/drumbay/forwarding/forwarded_request.py
+++ b/drumbay/forwarding/forwarded_request.py
@@ -15,6 +15,7 @@
 from drumbay.admission.service import retry_after_seconds
 from drumbay.clock import Clock
 from drumbay.exceptions import Execution
+from drumbay.forwarding.answer_watch import AnswerWatch
 from drumbay.forwarding.attempt_outcomes import AttemptOutcome, AttemptOutcomes
 from drumbay.forwarding.attempts import Attempt, RequestAttempts
 from drumbay.forwarding.hedge_timing import STALLED_CONNECTION_TARGET_SHARE, HedgeTiming
@@ -56,6 +57,7 @@
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
 from drumbay.workers.records import WorkerRequest, WorkerResponse
+from drumbay.workers.unresponsive_workers import UnresponsiveWorkers
 from drumbay.workers.worker_record import WorkerRecord
 
 MIN_BUDGET_SECONDS = 0.02
@@ -87,6 +89,7 @@
     quarantine: Quarantine
     admission: AdmissionGate
     start_borrower: StartBorrower
+    unresponsive_workers: UnresponsiveWorkers
 
 
 class ForwardedRequest:
@@ -118,6 +121,7 @@
         self._allowed_regions = allowed_regions
         self._fingerprint = request.fingerprint
         self._attempts = RequestAttempts(route)
+        self._answer_watch = AnswerWatch(services.unresponsive_workers, request.request_id)
         self._quarantine = RequestQuarantine(
             services.quarantine, request.request_id, self._fingerprint, service, self._attempts
         )
@@ -360,14 +364,19 @@
         if self._attempts.may_send:
             seconds_until_send = max(self._next_send_at - now, MIN_BUDGET_SECONDS)
             wait_seconds = min(remaining, seconds_until_send)
+        in_flight = self._attempts.in_flight
+        seconds_until_check = max(self._answer_watch.next_check_at(in_flight) - now, 0.0)
         done, _ = await asyncio.wait(
-            self._attempts.in_flight, timeout=wait_seconds, return_when=asyncio.FIRST_COMPLETED
+            in_flight,
+            timeout=min(wait_seconds, seconds_until_check),
+            return_when=asyncio.FIRST_COMPLETED,
         )
         for task in done:
             outcome = self._record_outcome(task)
             if outcome.response is not None:
                 return outcome.response
             self._is_hedge_next = False
+        self._answer_watch.check(in_flight, self._clock.monotonic())
         return None
 
     def _record_outcome(self, task: asyncio.Task[WorkerResponse]) -> AttemptOutcome:
@@ -378,11 +387,13 @@
         return outcome
 
     def _send_to_next_worker(self, now: float, remaining: float) -> None:
-        self._next_send_at = now + self._hedge_timing.delay_seconds(
+        hedge_delay_seconds = self._hedge_timing.delay_seconds(
             self._route.name,
             self._route.target_seconds,
             is_interactive=self._request.is_interactive,
         )
+        self._answer_watch.set_patience(hedge_delay_seconds)
+        self._next_send_at = now + hedge_delay_seconds
         self._last_sent_at = now
         self._is_hedge_next = True
         if not self._attempts.is_any_left:
--- a/drumbay/forwarding/forwarder.py
+++ b/drumbay/forwarding/forwarder.py
@@ -16,6 +16,7 @@
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
 from drumbay.workers.records import WorkerResponse
+from drumbay.workers.unresponsive_workers import UnresponsiveWorkers
 
 
 class Forwarder:
@@ -31,6 +32,7 @@
         metrics: ServingMetrics,
         usage: UsageCounter,
         quarantine: Quarantine,
+        unresponsive_workers: UnresponsiveWorkers,
         machine: str,
         *,
         has_admission: bool = True,
@@ -45,7 +47,13 @@
         self.metrics = metrics
         self.hedge_timing = HedgeTiming(clock.monotonic())
         self.caller = WorkerCaller(
-            clock, directory, client, self.hedge_timing, quarantine, placement
+            clock,
+            directory,
+            client,
+            self.hedge_timing,
+            quarantine,
+            placement,
+            unresponsive_workers,
         )
         self._clock = clock
         self._routes = routes
@@ -61,6 +69,7 @@
             quarantine=quarantine,
             admission=AdmissionGate(clock, directory, placement, metrics, is_enabled=has_admission),
             start_borrower=start_borrower or NoOtherNodes(),
+            unresponsive_workers=unresponsive_workers,
         )
 
     async def forward(self, route: Route, request: ClientRequest) -> WorkerResponse:
--- a/drumbay/forwarding/worker_call.py
+++ b/drumbay/forwarding/worker_call.py
@@ -11,7 +11,8 @@
 from drumbay.quarantine.service import Quarantine
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
-from drumbay.workers.records import Worker, WorkerRequest, WorkerResponse
+from drumbay.workers.records import Worker, WorkerError, WorkerRequest, WorkerResponse
+from drumbay.workers.unresponsive_workers import UnresponsiveWorkers
 
 
 class WorkerCaller:
@@ -25,14 +26,16 @@
         hedge_timing: HedgeTiming,
         quarantine: Quarantine,
         placement: PlacementGate,
+        unresponsive_workers: UnresponsiveWorkers,
     ) -> None:
-        """Create a caller that reports to ``directory`` and ``hedge_timing``."""
+        """Create a caller that reports to the directory and the others."""
         self._clock = clock
         self._directory = directory
         self._client = client
         self._hedge_timing = hedge_timing
         self._quarantine = quarantine
         self._placement = placement
+        self._unresponsive_workers = unresponsive_workers
 
     async def call(
         self,
@@ -55,8 +58,13 @@
         except asyncio.CancelledError:
             self._record_cancelled_run(worker, route, started_at)
             raise
+        except WorkerError as error:
+            if error.is_response:
+                self._unresponsive_workers.record_response(worker)
+            raise
         finally:
             self._quarantine.end_run(fingerprint, worker.worker_id)
+        self._unresponsive_workers.record_response(worker)
         self._record_response(worker, route, started_at, response)
         return response
 
--- a/drumbay/forwarding/worker_picker.py
+++ b/drumbay/forwarding/worker_picker.py
@@ -139,8 +139,8 @@
     def choose(self, criteria: SendCriteria, now: float) -> ChosenWorker | None:
         """Return the worker for the next attempt; ``None`` if none is eligible.
 
-        Untried workers are preferred. The first attempt may also use a paused worker if there is no
-        other.
+        Untried workers are preferred, then those that respond. The first attempt may also use a
+        paused worker if there is no other.
         """
         records = [
             record
@@ -154,6 +154,7 @@
         candidates = untried or available
         if not candidates and not criteria.tried:
             candidates = [record for record in records if record.worker.state == "ready"]
+        candidates = _prefer_responsive(candidates, now)
         snapshots = [self._snapshot_of(record, now) for record in candidates]
         return choose_worker(snapshots, self.typical_seconds(criteria.route), self._machine, now)
 
@@ -183,3 +184,14 @@
             distance=self._placement.topology.distance_to(record.worker.zone),
             is_cold=self._placement.is_cold(record.worker),
         )
+
+
+def _prefer_responsive(candidates: list[WorkerRecord], now: float) -> list[WorkerRecord]:
+    """Leave out workers that do not respond, but at most half of all: a service may just be slow.
+
+    Of more, those that have been silent for longest are left out.
+    """
+    avoided = [record for record in candidates if record.responsiveness.is_avoided(now)]
+    avoided.sort(key=lambda record: record.responsiveness.silent_since)
+    left_out = {record.worker.worker_id for record in avoided[: len(candidates) // 2]}
+    return [record for record in candidates if record.worker.worker_id not in left_out]
--- a/drumbay/peers/messages.py
+++ b/drumbay/peers/messages.py
@@ -27,6 +27,7 @@
 from drumbay.kv.mirror import FeedChanges, FeedCursor
 from drumbay.quarantine.records import QuarantineNotice
 from drumbay.usage.records import NodeUsage
+from drumbay.workers.unresponsive_workers import ResponsivenessNotice
 
 
 class ReadResults(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -194,7 +195,14 @@
     jobs: tuple[JobSlotUsage, ...]
 
 
-Notice = LoadingNotice | OwnerNotice | FeedConfirmed | QuarantineNotice | PlacesNotice
+Notice = (
+    LoadingNotice
+    | OwnerNotice
+    | FeedConfirmed
+    | QuarantineNotice
+    | PlacesNotice
+    | ResponsivenessNotice
+)
 
 
 class Notices(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -71,6 +71,12 @@
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.records import Worker
 from drumbay.workers.silence_check import SilenceCheck
+from drumbay.workers.unresponsive_workers import (
+    ResponsivenessNotice,
+    UnresponsiveWorkers,
+    WorkerResponsive,
+    WorkerUnresponsive,
+)
 
 DRAIN_POLL_SECONDS = 0.1
 WORKERS_POLL_SECONDS = 0.05
@@ -83,6 +89,9 @@
 MISSING_WORKER_GRACE_SECONDS = 1.6
 """How long workers whose entries are missing after a store outage remain in use."""
 
+MAX_RESPONSIVENESS_RECEIVERS = 24
+"""Nodes that are told whether a worker responds; bounds the messages of a large deployment."""
+
 
 class ServingNode:
     """The services of a node; the caller connects them to servers."""
@@ -151,6 +160,13 @@
         self._stored_quarantine = StoredQuarantine(
             clock, self._store, self.quarantine, environment.generator
         )
+        self._unresponsive_workers = UnresponsiveWorkers(
+            clock,
+            self.directory,
+            environment.workers,
+            self._tasks,
+            self._announce_responsiveness,
+        )
         self._start_loans = StartLoans(
             clock,
             self._warm_ups.limits,
@@ -168,6 +184,7 @@
             self.metrics,
             self._usage.counter,
             self.quarantine,
+            self._unresponsive_workers,
             settings.machine,
             has_admission=settings.is_enabled(LoadFeature.ADMISSION),
             start_borrower=self._start_loans,
@@ -430,6 +447,10 @@
     def _broadcast(self, notice: LoadingNotice | OwnerNotice | QuarantineNotice) -> None:
         self._notice_queues.send(self._peer_directory.responsive(), notice)
 
+    def _announce_responsiveness(self, notice: ResponsivenessNotice) -> None:
+        nodes = self._peer_directory.responsive_candidates(MAX_RESPONSIVENESS_RECEIVERS)
+        self._notice_queues.send(nodes, notice)
+
     def _notify_watchers(self, notice: FeedConfirmed) -> None:
         watchers = self._peer_directory.ranking.watchers
         self._notice_queues.send(self._peer_directory.responsive_among(watchers), notice)
@@ -447,6 +468,8 @@
                     self.batches.handle_slot_notice(notice)
                 case RequestSuspected() | RequestProvedSound() | WorkerProvedAlive():
                     self.quarantine.handle_notice(notice)
+                case WorkerUnresponsive() | WorkerResponsive():
+                    self._unresponsive_workers.handle_notice(notice)
 
     def _record_weight_load(self, notice: LoadingNotice) -> None:
         self._coordinator.record_order(notice)
--- a/drumbay/standins/worker_log.py
+++ b/drumbay/standins/worker_log.py
@@ -14,6 +14,7 @@
 
     Attributes:
         unreachable: The worker does not respond and accepts no connections.
+        stands_still: Calls reach the process, which goes on with them when it does.
         slowdown: Factor applied to every duration.
         break_after_events: Number of events after which each stream breaks.
         lose_responses: Run requests, but break the connection before the response.
@@ -25,6 +26,7 @@
     """
 
     unreachable: bool = False
+    stands_still: bool = False
     slowdown: float = 1.0
     break_after_events: int | None = None
     lose_responses: bool = False
--- a/drumbay/standins/worker_pool.py
+++ b/drumbay/standins/worker_pool.py
@@ -56,6 +56,8 @@
 REPLACEMENT_SECONDS = 3.1
 """Delay until a stopped worker is replaced by one with another id at the same address."""
 
+STANDSTILL_POLL_SECONDS = 0.05
+
 RESTART_SECONDS = 2.5
 """Delay until a worker restarts under its own id: less than three heartbeats, so that discovery
 does not remove its entry."""
@@ -293,12 +295,24 @@
         await self._clock.sleep(0.001)
         return ProbeResult.ACCEPTS
 
+    async def responds(self, worker: Worker, timeout_seconds: float) -> bool:
+        """Return whether a worker responds within a time; reports take no slot."""
+        emulated = self._workers.get(worker.worker_id)
+        if emulated is None or emulated.has_stopped:
+            return False
+        if emulated.faults.unreachable or emulated.faults.stands_still:
+            await self._clock.sleep(timeout_seconds)
+            return False
+        await self._clock.sleep(0.001)
+        return True
+
     async def call(self, worker: Worker, request: WorkerRequest) -> WorkerResponse:
         """Run a request and return its response."""
         self._log_arrival(worker, request)
         emulated = await self._connect(worker)
         run = self._begin_run(emulated, request)
         try:
+            await self._wait_until_it_goes_on(emulated)
             await self._work(emulated, request, self._response_seconds * emulated.faults.slowdown)
             self._raise_if_failing(emulated, run)
             run.events = 1
@@ -386,6 +400,10 @@
             self._spawn(self._crash(emulated))
         return run
 
+    async def _wait_until_it_goes_on(self, emulated: EmulatedWorker) -> None:
+        while emulated.faults.stands_still:
+            await self._clock.sleep(STANDSTILL_POLL_SECONDS)
+
     async def _work(self, emulated: EmulatedWorker, request: WorkerRequest, seconds: float) -> None:
         """Spend time on work, which is lost if the worker ends."""
         crashes = request.body in self.crashing_bodies
--- a/drumbay/workers/interface.py
+++ b/drumbay/workers/interface.py
@@ -69,6 +69,10 @@
         """Probe the worker's address with a new connection."""
         ...
 
+    async def responds(self, worker: Worker, timeout_seconds: float) -> bool:
+        """Return whether the worker's process responds over a new connection, whatever it says."""
+        ...
+
     async def call(self, worker: Worker, request: WorkerRequest) -> WorkerResponse:
         """Send a request and return the complete response.
 
--- a/drumbay/workers/records.py
+++ b/drumbay/workers/records.py
@@ -169,33 +169,41 @@
 
 
 class WorkerError(UnavailableError):
-    """A worker did not serve a request."""
+    """A worker did not serve a request.
+
+    ``is_response`` states whether the worker itself has said so.
+    """
 
     code = "worker"
+    is_response = False
 
 
 class WorkerRefusedError(WorkerError):
     """The worker did not run the request."""
 
     code = "worker_refused"
+    is_response = True
 
 
 class WorkerNotEligibleError(WorkerRefusedError):
     """This node must not send the request to the worker now; it was not sent."""
 
     code = "worker_not_eligible"
+    is_response = False
 
 
 class WorkerMisdirectedError(WorkerRefusedError):
     """Another worker, or one with other weights, has the address; the request did not run."""
 
     code = "worker_misdirected"
+    is_response = False
 
 
 class WorkerUnreachableError(WorkerRefusedError):
     """The connection could not be opened; the request was not sent."""
 
     code = "worker_unreachable"
+    is_response = False
 
 
 class WorkerBrokenError(WorkerError):
@@ -208,12 +216,14 @@
     """The worker refused a request that it may have run when it was first sent."""
 
     code = "worker_resend_refused"
+    is_response = True
 
 
 class WorkerFailedError(WorkerError):
     """The worker ran the request and failed."""
 
     code = "worker_failed"
+    is_response = True
 
 
 class WorkerTimedOutError(WorkerFailedError):
@@ -226,3 +236,4 @@
     """The worker will never be able to serve the request."""
 
     code = "worker_rejected"
+    is_response = True
--- a/drumbay/workers/worker_record.py
+++ b/drumbay/workers/worker_record.py
@@ -8,6 +8,7 @@
 from drumbay.workers.event_intervals import EventIntervalEstimate
 from drumbay.workers.records import Worker, WorkerState
 from drumbay.workers.response_stats import ResponseStats
+from drumbay.workers.responsiveness import Responsiveness
 
 LOAD_REPORT_LIFETIME_SECONDS = 0.6
 """Age after which a load report is ignored."""
@@ -45,7 +46,8 @@
 
     ``in_flight`` counts this node's requests on the worker, ``body_bytes`` is the size of their
     bodies, and ``expected_tokens`` the total expected output of batch items, which occupies the
-    worker's memory. ``event_intervals`` describes streams, ``response_stats`` complete responses.
+    worker's memory. ``event_intervals`` describes streams, ``response_stats`` complete responses,
+    and ``responsiveness`` whether it responds at all.
     ``other_requests``, ``slowdown`` and ``is_shared`` come from the last load report, received at
     ``reported_at``. ``is_start_reported`` is set if a status report revealed the incarnation before
     discovery did. ``is_unreachable`` is set if no connection could be opened or the worker failed
@@ -65,6 +67,7 @@
     failures: int = 0
     event_intervals: EventIntervalEstimate = msgspec.field(default_factory=EventIntervalEstimate)
     response_stats: ResponseStats = msgspec.field(default_factory=ResponseStats)
+    responsiveness: Responsiveness = msgspec.field(default_factory=Responsiveness)
     pending_loads: dict[str, PendingWeightLoad] = msgspec.field(default_factory=dict)
     refusals: dict[str, ModelRefusals] = msgspec.field(default_factory=dict)
     missing_until: float | None = None
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -32,6 +32,7 @@
 from drumbay.usage.records import WindowLength
 from drumbay.usage.window_clock import WindowClock
 from drumbay.workers.directory import WorkerDirectory
+from drumbay.workers.unresponsive_workers import UnresponsiveWorkers
 from tests.serving_world import ServingWorld, run_in_world, unrestricted_placement
 
 LOOKUPS = "lookups"
@@ -84,6 +85,7 @@
         metrics,
         usage,
         quarantine,
+        UnresponsiveWorkers(clock, directory, workers, TaskOwner()),
         "",
     )
 
@@ -106,6 +108,7 @@
             ServingMetrics(),
             self.usage,
             world.nodes[0].node.quarantine,
+            UnresponsiveWorkers(world.clock, directory, world.workers, TaskOwner()),
             "",
         )
 
--- a/tests/test_lookup_forwarding.py
+++ b/tests/test_lookup_forwarding.py
@@ -11,10 +11,12 @@
 from drumbay.forwarding.routes import RequestKind, RouteTable
 from drumbay.identifiers import BackendId
 from drumbay.observability.serving_metrics import ServingMetrics
+from drumbay.tasks import TaskOwner
 from drumbay.usage.counter import UsageCounter
 from drumbay.usage.records import WindowLength
 from drumbay.usage.window_clock import WindowClock
 from drumbay.workers.records import WorkerLoad
+from drumbay.workers.unresponsive_workers import UnresponsiveWorkers
 from tests.serving_world import ServingWorld, run_in_world, unrestricted_placement
 from tests.test_forwarding import LOOKUPS, request, route
 
@@ -44,6 +46,7 @@
             self.metrics,
             usage,
             world.nodes[0].node.quarantine,
+            UnresponsiveWorkers(world.clock, self.directory, world.workers, TaskOwner()),
             machine,
         )
 
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -25,6 +25,7 @@
 from drumbay.usage.window_clock import WindowClock
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.records import Worker, WorkerRequest
+from drumbay.workers.unresponsive_workers import UnresponsiveWorkers
 from tests.serving_world import ServingWorld, batch_spec, run_in_world, unrestricted_placement
 
 SERVICE = "lookups"
@@ -80,6 +81,7 @@
                 ServingMetrics(),
                 broadcast=lambda notice: None,
             ),
+            UnresponsiveWorkers(clock, self.directory, self.client, TaskOwner()),
             "",
         )
 
--- a/tests/test_unresponsive_workers.py
+++ b/tests/test_unresponsive_workers.py
@@ -6,6 +6,9 @@
 from drumbay.forwarding.records import ForwardingError
 from drumbay.forwarding.routes import RequestLimits, RoutingConfiguration
 from drumbay.identifiers import BackendId
+from drumbay.peers.messages import Notices
+from drumbay.workers.responsiveness import AVOID_SECONDS, Responsiveness
+from drumbay.workers.unresponsive_workers import WorkerUnresponsive
 from tests.serving_world import ServingWorld, WorldNode, run_in_world
 from tests.test_forwarding import LOOKUPS, request, route
 
@@ -17,9 +20,6 @@
 PAUSE_COUNT = 5
 PAUSE_SECONDS = 4.0
 BETWEEN_PAUSES_SECONDS = 5.0
-STANDSTILL_FACTOR = 10_000.0
-"""Slows a worker down so much that it answers nothing during its pause."""
-
 ALLOWED_LATE_SENDS = 20
 """Requests that may reach workers with too long a deadline, over a whole run."""
 
@@ -37,9 +37,9 @@
             worker_id = BackendId(f"lookup-{number % WORKER_COUNT}")
             worker = self._world.workers[worker_id]
             began_at = clock.monotonic()
-            worker.faults.slowdown = STANDSTILL_FACTOR
+            worker.faults.stands_still = True
             await clock.sleep(PAUSE_SECONDS)
-            worker.faults.slowdown = 1.0
+            worker.faults.stands_still = False
             self.sends += [
                 (arrival.request_id, arrival.at - began_at)
                 for arrival in self._world.workers.arrivals
@@ -64,6 +64,115 @@
 
         run_in_world(scenario, node_count=0)
 
+    def test_a_node_learns_from_others_that_a_worker_stands_still(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            first, second = start_nodes(world)[:2]
+            await asyncio.sleep(3.0)
+            silent = BackendId("lookup-0")
+            world.workers[silent].faults.stands_still = True
+            await send_many(first, "first", 6)
+            await asyncio.sleep(0.3)
+            sent_before = sends_to(world, silent)
+            await send_many(second, "second", 6)
+            self.assertEqual(sends_to(world, silent), sent_before)
+
+        run_in_world(scenario, node_count=0)
+
+    def test_a_worker_is_used_again_once_it_responds(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            nodes = start_nodes(world)[:2]
+            await asyncio.sleep(3.0)
+            silent = BackendId("lookup-0")
+            world.workers[silent].faults.stands_still = True
+            await send_many(nodes[0], "first", 6)
+            await asyncio.sleep(2.0)
+            world.workers[silent].faults.stands_still = False
+            await asyncio.sleep(1.1)
+            for node in nodes:
+                record = node.directory.get(silent)
+                assert record is not None
+                self.assertFalse(record.responsiveness.is_avoided(world.clock.monotonic()))
+
+        run_in_world(scenario, node_count=0)
+
+    def test_a_slow_request_does_not_take_its_worker_from_other_nodes(self) -> None:
+        """Guards against announcements of workers that are alive."""
+
+        async def scenario(world: ServingWorld) -> None:
+            nodes = start_nodes(world)[:2]
+            await asyncio.sleep(3.0)
+            for number in range(WORKER_COUNT):
+                world.workers[BackendId(f"lookup-{number}")].faults.slowdown = 20.0
+            await send_many(nodes[0], "slow", 6)
+            announced = [
+                notice
+                for _, message in world.peers.delivered
+                if isinstance(message, Notices)
+                for notice in message.notices
+                if isinstance(notice, WorkerUnresponsive)
+            ]
+            self.assertEqual(announced, [])
+
+        run_in_world(scenario, node_count=0)
+
+    def test_requests_are_served_while_every_worker_stands_still_for_a_moment(self) -> None:
+        """Guards against a service that is taken away since all its workers were silent."""
+
+        async def scenario(world: ServingWorld) -> None:
+            node = start_nodes(world)[0]
+            await asyncio.sleep(3.0)
+            workers = [world.workers[BackendId(f"lookup-{n}")] for n in range(WORKER_COUNT)]
+            for worker in workers:
+                worker.faults.stands_still = True
+            sending = asyncio.create_task(send_many(node, "during", 6))
+            await asyncio.sleep(0.5)
+            for worker in workers:
+                worker.faults.stands_still = False
+            self.assertEqual(set(await sending), {"served"})
+            self.assertEqual(set(await send_many(node, "after", 6)), {"served"})
+
+        run_in_world(scenario, node_count=0)
+
+
+class ResponsivenessTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.responsiveness = Responsiveness()
+
+    def test_a_response_since_the_request_disproves_silence(self) -> None:
+        self.responsiveness.record_response(10.0)
+        self.assertFalse(self.responsiveness.record_silence(9.9, 10.1))
+        self.assertFalse(self.responsiveness.is_avoided(10.1))
+
+    def test_silence_is_news_once(self) -> None:
+        self.assertTrue(self.responsiveness.record_silence(9.9, 10.0))
+        self.assertFalse(self.responsiveness.record_silence(9.95, 10.1))
+        self.assertEqual(self.responsiveness.silent_since, 9.9)
+
+    def test_a_worker_is_avoided_until_it_responds_or_the_time_is_up(self) -> None:
+        self.responsiveness.record_silence(9.9, 10.0)
+        self.assertTrue(self.responsiveness.is_avoided(10.0 + AVOID_SECONDS - 0.1))
+        self.assertFalse(self.responsiveness.is_avoided(10.0 + AVOID_SECONDS))
+        self.responsiveness.record_silence(13.9, 14.0)
+        self.responsiveness.record_response_elsewhere()
+        self.assertFalse(self.responsiveness.is_avoided(14.1))
+
+
+def sends_to(world: ServingWorld, worker_id: BackendId) -> int:
+    return sum(arrival.worker_id == worker_id for arrival in world.workers.arrivals)
+
+
+async def send_many(node: WorldNode, name: str, count: int) -> list[str]:
+    """Send requests one after the other; return how each ended."""
+    return [await send(node, f"{name}-{number}") for number in range(count)]
+
+
+async def send(node: WorldNode, name: str) -> str:
+    try:
+        await node.node.forwarder.forward(route(), request(name))
+    except ForwardingError as error:
+        return error.code
+    return "served"
+
 
 def start_nodes(world: ServingWorld) -> list[WorldNode]:
     """Start nodes that know the workers of one service for lookups."""
@@ -85,19 +194,15 @@
 ) -> None:
     """Send requests through a node at even intervals until all pauses are over."""
 
-    async def send(name: str) -> None:
-        try:
-            await node.node.forwarder.forward(route(), request(name))
-            outcomes.append("served")
-        except ForwardingError as error:
-            outcomes.append(error.code)
+    async def send_one(name: str) -> None:
+        outcomes.append(await send(node, name))
 
     await world.clock.sleep(number * REQUEST_INTERVAL_SECONDS / NODE_COUNT)
     count = 0
     async with asyncio.TaskGroup() as tasks:
         while not pauses.done():
             count += 1
-            tasks.create_task(send(f"request-{number}-{count}"))
+            tasks.create_task(send_one(f"request-{number}-{count}"))
             await world.clock.sleep(REQUEST_INTERVAL_SECONDS)
 
 
