Count runs of failing items whose answers are cut off

Cause: a run that ends before its answer is read (the batch job ends, the item comes back in a later one, the item moves, or the connection breaks) counted as nothing, though the worker may have answered 500. With answers that are 0.3 s late and batch jobs of 0.6 s, each batch job adds two answers and counts one.

Change: for an item that has failed before, runs without any answer are counted beside its failures, over owners and batch jobs. It is given up once it has failed as often as one batch job allows and both together are three times that. Runs without an answer alone give nothing up: a result must not be dead before so many answers of 500.

Not covered: an item none of whose answers is ever read.

--- a/drumbay/batches/item_failures.py
+++ b/drumbay/batches/item_failures.py
@@ -15,16 +15,24 @@
 TOTAL_ATTEMPTS_FACTOR = 2
 """Over all batch jobs, an item gets this many times the attempts that it has in one."""
 
+POSSIBLE_FAILURES_FACTOR = 3
+"""The same, with runs that may have failed unseen."""
+
 MAX_OWNER_RECORDS = 1_024
 """Records that a node keeps in memory."""
 
 
 class ItemFailures(msgspec.Struct, frozen=True, kw_only=True):
-    """Failures of one item: runs that failed, runs that were rejected, and reward requests."""
+    """Failures of one item: runs that failed, runs that were rejected, and reward requests.
+
+    ``unanswered`` counts runs that ended without any answer, after the item had failed before: the
+    worker may have failed them, too.
+    """
 
     runs: int = 0
     rejections: int = 0
     rewards: int = 0
+    unanswered: int = 0
 
     def plus(self, other: "ItemFailures") -> "ItemFailures":
         """Return the sum."""
@@ -32,6 +40,7 @@
             runs=self.runs + other.runs,
             rejections=self.rejections + other.rejections,
             rewards=self.rewards + other.rewards,
+            unanswered=self.unanswered + other.unanswered,
         )
 
 
@@ -102,9 +111,18 @@
 
 def _total(failures: OwnerFailures) -> int:
     """Return the number of failures, which only grows as an owner sees more."""
-    return sum(item.runs + item.rejections + item.rewards for item in failures.items.values())
+    return sum(
+        item.runs + item.rejections + item.rewards + item.unanswered
+        for item in failures.items.values()
+    )
+
 
+def are_used_up(in_job: int, in_other_jobs: int, attempts: int, unanswered: int = 0) -> bool:
+    """Return whether an item with these numbers of failures has no attempt left in its job.
 
-def are_used_up(in_job: int, in_other_jobs: int, attempts: int) -> bool:
-    """Return whether an item with these numbers of failures has no attempt left in its job."""
-    return in_job >= attempts or in_job + in_other_jobs >= TOTAL_ATTEMPTS_FACTOR * attempts
+    Unanswered runs alone use up nothing: they may have been sound.
+    """
+    total = in_job + in_other_jobs
+    if in_job >= attempts or total >= TOTAL_ATTEMPTS_FACTOR * attempts:
+        return True
+    return total >= attempts and total + unanswered >= POSSIBLE_FAILURES_FACTOR * attempts
--- a/drumbay/batches/item_run.py
+++ b/drumbay/batches/item_run.py
@@ -23,6 +23,7 @@
         not_before: Monotonic time before which the item is not started again.
         past: Failures that earlier owners have seen.
         failures: Runs for which a worker reported a failure.
+        unanswered: Runs after the first failure that ended without any answer.
         moves: How often the item was moved off a slow worker.
         generation: How often its text was discarded and started anew.
         avoided_worker: Worker to avoid if another one is available.
@@ -46,6 +47,7 @@
     not_before: float = 0.0
     past: PastFailures = NO_PAST_FAILURES
     failures: int = 0
+    unanswered: int = 0
     moves: int = 0
     generation: int = 0
     avoided_worker: BackendId | None = None
@@ -62,7 +64,15 @@
         past = self.past
         if past.in_job.rejections or past.in_other_jobs.rejections:
             return False
-        return not are_used_up(self.failures + past.in_job.runs, past.in_other_jobs.runs, attempts)
+        unanswered = self.unanswered + past.in_job.unanswered + past.in_other_jobs.unanswered
+        return not are_used_up(
+            self.failures + past.in_job.runs, past.in_other_jobs.runs, attempts, unanswered
+        )
+
+    @property
+    def has_failed(self) -> bool:
+        """Return whether a worker has reported a failure, to this owner or to an earlier one."""
+        return bool(self.failures or self.past.in_job.runs or self.past.in_other_jobs.runs)
 
     def has_reward_requests_left(self, attempts: int) -> bool:
         """Return whether its reward request may be sent again."""
--- a/drumbay/batches/item_stream.py
+++ b/drumbay/batches/item_stream.py
@@ -45,6 +45,11 @@
         self._allowed_regions = allowed_regions
         self._spec = spec
         self._scheduler = scheduler
+        self._answered: set[ItemId] = set()
+
+    def has_answered(self, item_id: ItemId) -> bool:
+        """Return whether the worker of an item's last run has accepted it."""
+        return item_id in self._answered
 
     async def run(self, start: StartRun, record: WorkerRecord) -> None:
         """Send an item to a worker; return at the end of its stream.
@@ -54,6 +59,7 @@
             WorkerError: The stream did not end as it should.
         """
         item = start.item
+        self._answered.discard(item.item_id)
         request = WorkerRequest(
             request_id=item.item_id,
             method="POST",
@@ -75,6 +81,7 @@
 
     def _handle_head(self, item_id: ItemId, worker: Worker, stream: WorkerStream) -> None:
         now = self._clock.monotonic()
+        self._answered.add(item_id)
         worker_id = worker.worker_id
         worker_start = worker.started_at_ms
         model = self._spec.model
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -81,6 +81,7 @@
     RunFailure.FAILED: ItemFailures(runs=1),
     RunFailure.REJECTED: ItemFailures(rejections=1),
 }
+_UNSEEN_FAILURES = frozenset({RunFailure.STOPPED, RunFailure.BROKEN})
 _NO_EVENT_REASONS = frozenset(
     {StopReason.SILENT, StopReason.UNSTARTED, StopReason.QUEUED, StopReason.STALLED}
 )
@@ -473,11 +474,19 @@
             failure = record_run_failure(self._directory, record.worker, model, error, now)
         finally:
             self._quarantine.end_run(start.item, worker)
+            self._record_if_unanswered(item_id, failure)
             if self._runs.get(item_id) is task:
                 del self._runs[item_id]
             if not self._closed and not (self._lingering and failure is RunFailure.STOPPED):
                 self._finish_run(item_id, record, failure)
 
+    def _record_if_unanswered(self, item_id: ItemId, failure: RunFailure | None) -> None:
+        """Count a run whose worker may have failed it unseen, as it did before."""
+        is_unanswered = failure in _UNSEEN_FAILURES and not self._streams.has_answered(item_id)
+        if is_unanswered and self._scheduler.has_failed(item_id):
+            self._scheduler.record_unanswered(item_id)
+            self._failure_log.record(item_id, ItemFailures(unanswered=1))
+
     def _release_slot(self, item: BatchItem, record: WorkerRecord) -> None:
         """Free the slot of a run."""
         record.in_flight -= 1
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -378,6 +378,17 @@
                 pass
         return None
 
+    def has_failed(self, item_id: ItemId) -> bool:
+        """Return whether an unfinished item has failed before, also at earlier owners."""
+        run = self._runs.get(item_id)
+        return run is not None and run.has_failed
+
+    def record_unanswered(self, item_id: ItemId) -> None:
+        """Count a run of an unfinished item that ended without any answer."""
+        run = self._runs.get(item_id)
+        if run is not None:
+            run.unanswered += 1
+
     def set_past_failures(
         self, past: Mapping[ItemId, PastFailures], *, is_complete: bool
     ) -> tuple[ItemResult, ...]:
--- a/drumbay/standins/worker_log.py
+++ b/drumbay/standins/worker_log.py
@@ -20,6 +20,7 @@
         lose_responses: Run requests, but break the connection before the response.
         failing: Fail every run.
         rejecting: Reject every stream request as invalid.
+        failure_delay_seconds: Time until the caller gets the answer to a stream that failed.
         full: Refuse every request without running it.
         orders_unanswered: Orders get no response.
         orders_late_seconds: Delay after which unanswered orders are executed; never if 0.
@@ -32,6 +33,7 @@
     lose_responses: bool = False
     failing: bool = False
     rejecting: bool = False
+    failure_delay_seconds: float = 0.0
     full: bool = False
     orders_unanswered: bool = False
     orders_late_seconds: float = 0.0
--- a/drumbay/standins/worker_pool.py
+++ b/drumbay/standins/worker_pool.py
@@ -337,10 +337,7 @@
         emulated = await self._connect(worker)
         run = self._begin_run(emulated, request)
         try:
-            self._raise_if_failing(emulated, run)
-            if emulated.faults.rejecting or request.request_id in self.rejected_requests:
-                run.failed_with = REJECTED_STATUS
-                raise WorkerRejectedError(str(REJECTED_STATUS))
+            await self._raise_if_failing_stream(emulated, run)
             model = dict(request.headers).get("model", "m")
             seconds = self._seconds_per_event
             count = self._event_count_of(request.request_id)
@@ -352,6 +349,16 @@
         finally:
             self._end_run(emulated, run)
 
+    async def _raise_if_failing_stream(self, emulated: EmulatedWorker, run: LoggedRun) -> None:
+        try:
+            self._raise_if_failing(emulated, run)
+            if emulated.faults.rejecting or run.request_id in self.rejected_requests:
+                run.failed_with = REJECTED_STATUS
+                raise WorkerRejectedError(str(REJECTED_STATUS))
+        except WorkerError:
+            await self._clock.sleep(emulated.faults.failure_delay_seconds)
+            raise
+
     def _raise_if_failing(self, emulated: EmulatedWorker, run: LoggedRun) -> None:
         if emulated.faults.failing or run.request_id in self.failing_requests:
             run.failed_with = FAILED_STATUS
--- a/tests/test_failing_items.py
+++ b/tests/test_failing_items.py
@@ -40,6 +40,10 @@
 ALLOWED_REJECTIONS = 3
 STEP_SECONDS = 2.0
 SLOW_STORE_SECONDS = 0.3
+LATE_ANSWER_SECONDS = 0.3
+SHORT_STEP_SECONDS = 0.6
+"""Ends between the second run of a failing item and its late answer."""
+
 VERSION = WeightVersion(1)
 FAILING, REJECTED, LONG, SOUND = (ItemId(f"group-0-{number}") for number in range(4))
 
@@ -135,6 +139,21 @@
 
         run_in_world(scenario, node_count=1)
 
+    def test_failures_whose_answers_are_cut_off_by_the_end_of_a_batch_job_count(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            make_items_fail(world)
+            for number in range(1, 4):
+                faults = world.workers[f"worker-{number}"].faults
+                faults.failure_delay_seconds = LATE_ANSWER_SECONDS
+            for step in range(12):
+                spec = returning_group(step)
+                await world.nodes[step % 3].batches.submit(spec)
+                await asyncio.sleep(SHORT_STEP_SECONDS)
+                await world.nodes[step % 3].batches.end(spec.batch_id)
+            self.assert_within_limits(world)
+
+        run_in_world(scenario, node_count=3)
+
     def test_sound_items_are_done_beside_failing_ones(self) -> None:
         async def scenario(world: ServingWorld) -> None:
             make_items_fail(world)
