Send no hedge to a worker that does not respond

What was seen: beside a crowd, with slow workers, third copies of requests went to the one worker that stood still, since it was the only one that had not been tried; half of the candidates is none of one.

Cause: the rule that leaves out at most half of the workers is there for a first send, which has to go somewhere. A hedge has another copy in flight, and is of no use at a worker that does not respond.

Change: a hedge goes to responsive workers only.

Tried and reverted: a budget for copies that are sent since a kept connection may have stalled.

--- a/drumbay/forwarding/request_workers.py
+++ b/drumbay/forwarding/request_workers.py
@@ -82,5 +82,6 @@
             tried=attempts.tried,
             avoided_workers=self._quarantine.avoided_workers,
             regions=self.regions,
+            is_hedge=bool(attempts.in_flight),
         )
         return self._picker.choose(criteria, now)
--- a/drumbay/forwarding/worker_picker.py
+++ b/drumbay/forwarding/worker_picker.py
@@ -28,7 +28,7 @@
     """Constraints on the worker for the next attempt.
 
     ``tried`` workers have already received the request. ``avoided_workers`` and workers outside the
-    allowed ``regions`` must not receive it.
+    allowed ``regions`` must not receive it. ``is_hedge`` states that other attempts are in flight.
     """
 
     route: Route
@@ -37,6 +37,7 @@
     tried: Set[BackendId]
     avoided_workers: Set[BackendId]
     regions: AllowedRegions = ANY_REGION
+    is_hedge: bool = False
 
 
 class WorkerPicker:
@@ -139,8 +140,8 @@
     def choose(self, criteria: SendCriteria, now: float) -> ChosenWorker | None:
         """Return the worker for the next attempt; ``None`` if none is eligible.
 
-        Untried workers are preferred, then those that respond. The first attempt may also use a
-        paused worker if there is no other.
+        Untried workers are preferred, then those that respond; a hedge goes to no others. The first
+        attempt may also use a paused worker if there is no other.
         """
         records = [
             record
@@ -154,7 +155,7 @@
         candidates = untried or available
         if not candidates and not criteria.tried:
             candidates = [record for record in records if record.worker.state == "ready"]
-        candidates = _prefer_responsive(candidates, now)
+        candidates = _prefer_responsive(candidates, now, is_hedge=criteria.is_hedge)
         snapshots = [self._snapshot_of(record, now) for record in candidates]
         return choose_worker(snapshots, self.typical_seconds(criteria.route), self._machine, now)
 
@@ -186,12 +187,16 @@
         )
 
 
-def _prefer_responsive(candidates: list[WorkerRecord], now: float) -> list[WorkerRecord]:
-    """Leave out workers that do not respond, but at most half of all: a service may just be slow.
+def _prefer_responsive(
+    candidates: list[WorkerRecord], now: float, *, is_hedge: bool
+) -> list[WorkerRecord]:
+    """Leave out workers that do not respond: for a hedge all, otherwise at most half of all.
 
-    Of more, those that have been silent for longest are left out.
+    A service may just be slow. Of more than half, those that have been silent for longest are left
+    out.
     """
     avoided = [record for record in candidates if record.responsiveness.is_avoided(now)]
     avoided.sort(key=lambda record: record.responsiveness.silent_since)
-    left_out = {record.worker.worker_id for record in avoided[: len(candidates) // 2]}
+    count = len(avoided) if is_hedge else len(candidates) // 2
+    left_out = {record.worker.worker_id for record in avoided[:count]}
     return [record for record in candidates if record.worker.worker_id not in left_out]
--- a/tests/test_unresponsive_workers.py
+++ b/tests/test_unresponsive_workers.py
@@ -115,6 +115,23 @@
 
         run_in_world(scenario, node_count=0)
 
+    def test_no_hedge_goes_to_a_worker_that_stands_still(self) -> None:
+        """Guards against third copies of requests while the service is slow."""
+
+        async def scenario(world: ServingWorld) -> None:
+            node = start_nodes(world)[0]
+            await asyncio.sleep(3.0)
+            silent = BackendId("lookup-0")
+            world.workers[silent].faults.stands_still = True
+            await send_many(node, "first", 6)
+            sent_before = sends_to(world, silent)
+            for number in range(1, WORKER_COUNT):
+                world.workers[BackendId(f"lookup-{number}")].faults.slowdown = 10.0
+            await send_many(node, "slow", 6)
+            self.assertEqual(sends_to(world, silent), sent_before)
+
+        run_in_world(scenario, node_count=0)
+
     def test_requests_are_served_while_every_worker_stands_still_for_a_moment(self) -> None:
         """Guards against a service that is taken away since all its workers were silent."""
 
@@ -168,7 +185,7 @@
 
 async def send(node: WorldNode, name: str) -> str:
     try:
-        await node.node.forwarder.forward(route(), request(name))
+        await node.node.forwarder.forward(route(attempts=3), request(name))
     except ForwardingError as error:
         return error.code
     return "served"
@@ -178,7 +195,9 @@
     """Start nodes that know the workers of one service for lookups."""
     for number in range(WORKER_COUNT):
         world.workers.add(f"lookup-{number}", LOOKUPS)
-    world.configuration = RoutingConfiguration(version=1, routes=(route(),), limits=RequestLimits())
+    world.configuration = RoutingConfiguration(
+        version=1, routes=(route(attempts=3),), limits=RequestLimits()
+    )
     nodes = [WorldNode(world, number, 0) for number in range(1, NODE_COUNT + 1)]
     for node in nodes:
         node.lead()
