--- a/drumbay/workers/responsiveness.py
+++ b/drumbay/workers/responsiveness.py
@@ -19,11 +19,13 @@
 
     Attributes:
         heard_at: When it last sent a response to this node.
+        checked_at: When it last responded to a check of this node.
         silent_since: Send time of a request since which it has sent nothing.
         avoided_until: Until when it gets no request if there are others.
     """
 
     heard_at: float = -math.inf
+    checked_at: float = -math.inf
     silent_since: float = -math.inf
     avoided_until: float = -math.inf
 
--- a/drumbay/workers/unresponsive_workers.py
+++ b/drumbay/workers/unresponsive_workers.py
@@ -18,13 +18,16 @@
 from drumbay.workers.records import Worker
 from drumbay.workers.worker_record import WorkerRecord
 
-FIRST_CHECK_SECONDS = 0.1
+FIRST_CHECK_SECONDS = 0.05
 """Timeout of the first check, after which other nodes are told."""
 
 CHECK_SECONDS = 0.6
 CHECK_INTERVAL_SECONDS = 0.4
 """Timeout of later checks, and the pause after each one."""
 
+MIN_SECONDS_BETWEEN_SUSPICIONS = 1.0
+"""After a worker has responded to a check; bounds the checks of a slow service."""
+
 MAX_CHECKS = 30
 """A worker that never responds is left to discovery, which removes it."""
 
@@ -86,7 +89,9 @@
         """Record that a request, sent at a monotonic time, waits unusually long."""
         record = self._directory.get(worker.worker_id, worker.started_at_ms)
         now = self._clock.monotonic()
-        if record is None or not record.responsiveness.record_silence(sent_at, now):
+        if record is None or self._was_checked_recently(record, now):
+            return
+        if not record.responsiveness.record_silence(sent_at, now):
             return
         log_event(
             "worker_unresponsive",
@@ -97,6 +102,10 @@
         )
         self._task_owner.spawn(self._run_checks(record), f"response-check-{worker.worker_id}")
 
+    @staticmethod
+    def _was_checked_recently(record: WorkerRecord, now: float) -> bool:
+        return now - record.responsiveness.checked_at < MIN_SECONDS_BETWEEN_SUSPICIONS
+
     async def _run_checks(self, record: WorkerRecord) -> None:
         """Ask a worker for a response until it gives one, is gone, or has been asked often."""
         worker = record.worker
@@ -133,6 +142,7 @@
             was_announced=was_announced,
         )
         record.responsiveness.record_response(now)
+        record.responsiveness.checked_at = now
         if was_announced:
             self._broadcast(
                 WorkerResponsive(worker_id=worker.worker_id, started_at_ms=worker.started_at_ms)
--- a/tests/test_unresponsive_workers.py
+++ b/tests/test_unresponsive_workers.py
@@ -1,12 +1,15 @@
 """A worker whose process stands still accepts requests, and reads them when it goes on."""
 
 import asyncio
+import math
 import unittest
+from unittest import mock
 
 from drumbay.forwarding.records import ForwardingError
 from drumbay.forwarding.routes import RequestLimits, RoutingConfiguration
 from drumbay.identifiers import BackendId
 from drumbay.peers.messages import Notices
+from drumbay.workers.records import Worker
 from drumbay.workers.responsiveness import AVOID_SECONDS, Responsiveness
 from drumbay.workers.unresponsive_workers import WorkerUnresponsive
 from tests.serving_world import ServingWorld, WorldNode, run_in_world
@@ -115,6 +118,34 @@
 
         run_in_world(scenario, node_count=0)
 
+    def test_workers_of_a_slow_service_are_checked_once_a_second(self) -> None:
+        """Guards against checks that add to the load of workers that are overloaded."""
+
+        async def scenario(world: ServingWorld) -> None:
+            node = start_nodes(world)[0]
+            await asyncio.sleep(3.0)
+            checked_at: dict[BackendId, float] = {}
+            intervals: list[float] = []
+            responds = world.workers.responds
+
+            async def record_check(worker: Worker, timeout_seconds: float) -> bool:
+                now = world.clock.monotonic()
+                intervals.append(now - checked_at.get(worker.worker_id, -math.inf))
+                checked_at[worker.worker_id] = now
+                return await responds(worker, timeout_seconds)
+
+            with mock.patch.object(world.workers, "responds", record_check):
+                for number in range(WORKER_COUNT):
+                    world.workers[BackendId(f"lookup-{number}")].faults.slowdown = 20.0
+                async with asyncio.TaskGroup() as tasks:
+                    for number in range(40):
+                        tasks.create_task(send(node, f"slow-{number}"))
+                        await asyncio.sleep(0.1)
+            self.assertEqual(len(checked_at), WORKER_COUNT)
+            self.assertGreaterEqual(min(intervals), 1.0)
+
+        run_in_world(scenario, node_count=0)
+
     def test_no_hedge_goes_to_a_worker_that_stands_still(self) -> None:
         """Guards against third copies of requests while the service is slow."""
 
