--- a/drumbay/forwarding/forwarded_request.py
+++ b/drumbay/forwarding/forwarded_request.py
@@ -72,10 +72,6 @@
 QUEUE_CHECK_SECONDS = 0.05
 """Interval at which a queued request bound to regions checks that these have a worker for it."""
 
-UNUSUAL_LATENCY_FACTOR = 3.0
-"""Multiple of the typical latency from which a worker is suspected of not responding. Where all
-requests are slow, a hedge delay is not unusual."""
-
 QUARANTINE_POLL_SECONDS = 0.02
 """Polling interval while the quarantine checks whether a request crashed its worker."""
 
@@ -396,12 +392,7 @@
             self._route.target_seconds,
             is_interactive=self._request.is_interactive,
         )
-        typical_seconds = self._hedge_timing.typical_seconds(
-            self._route.name, self._route.target_seconds
-        )
-        self._answer_watch.set_patience(
-            max(hedge_delay_seconds, UNUSUAL_LATENCY_FACTOR * typical_seconds)
-        )
+        self._answer_watch.set_patience(hedge_delay_seconds)
         self._next_send_at = now + hedge_delay_seconds
         self._last_sent_at = now
         self._is_hedge_next = True
