--- a/drumbay/forwarding/worker_picker.py
+++ b/drumbay/forwarding/worker_picker.py
@@ -192,11 +192,11 @@
 ) -> list[WorkerRecord]:
     """Leave out workers that do not respond: for a hedge all, otherwise at most half of all.
 
-    A service may just be slow. Of more than half, those that have been silent for longest are left
-    out.
+    A service may just be slow. Of more than half, those are left out whose checks have failed for
+    longest.
     """
     avoided = [record for record in candidates if record.responsiveness.is_avoided(now)]
-    avoided.sort(key=lambda record: record.responsiveness.silent_since)
+    avoided.sort(key=lambda record: -record.responsiveness.confirmed_seconds)
     count = len(avoided) if is_hedge else len(candidates) // 2
     left_out = {record.worker.worker_id for record in avoided[:count]}
     return [record for record in candidates if record.worker.worker_id not in left_out]
--- a/drumbay/workers/responsiveness.py
+++ b/drumbay/workers/responsiveness.py
@@ -22,12 +22,14 @@
         checked_at: When it last responded to a check of this node.
         silent_since: Send time of a request since which it has sent nothing.
         avoided_until: Until when it gets no request if there are others.
+        confirmed_seconds: How long it had been silent when a check of some node last failed.
     """
 
     heard_at: float = -math.inf
     checked_at: float = -math.inf
     silent_since: float = -math.inf
     avoided_until: float = -math.inf
+    confirmed_seconds: float = 0.0
 
     def is_avoided(self, now: float) -> bool:
         """Return whether other workers are preferred."""
@@ -48,9 +50,17 @@
         is_news = not self.is_avoided(now)
         if is_news:
             self.silent_since = silent_since
+            self.confirmed_seconds = 0.0
         self.avoided_until = now + AVOID_SECONDS
         return is_news
 
+    def record_failed_check(self, silent_since: float, now: float) -> bool:
+        """Record that a check, of this node or another one, got no response; as above."""
+        is_news = self.record_silence(silent_since, now)
+        if self.is_avoided(now):
+            self.confirmed_seconds = max(self.confirmed_seconds, now - silent_since)
+        return is_news
+
     def record_response_elsewhere(self) -> None:
         """Record a response to another node; the worker is no longer avoided."""
         self.avoided_until = -math.inf
--- a/drumbay/workers/unresponsive_workers.py
+++ b/drumbay/workers/unresponsive_workers.py
@@ -123,7 +123,7 @@
     def _announce(self, record: WorkerRecord) -> None:
         now = self._clock.monotonic()
         silent_since = record.responsiveness.silent_since
-        record.responsiveness.record_silence(silent_since, now)
+        record.responsiveness.record_failed_check(silent_since, now)
         self._broadcast(
             WorkerUnresponsive(
                 worker_id=record.worker.worker_id,
@@ -156,7 +156,7 @@
         now = self._clock.monotonic()
         if isinstance(notice, WorkerResponsive):
             record.responsiveness.record_response_elsewhere()
-        elif record.responsiveness.record_silence(now - notice.silent_seconds, now):
+        elif record.responsiveness.record_failed_check(now - notice.silent_seconds, now):
             log_event(
                 "worker_announced_unresponsive",
                 worker=notice.worker_id,
--- a/tests/test_unresponsive_workers.py
+++ b/tests/test_unresponsive_workers.py
@@ -205,6 +205,25 @@
         self.assertFalse(self.responsiveness.is_avoided(14.1))
 
 
+class LeftOutWorkersTest(unittest.TestCase):
+    def test_the_worker_whose_checks_have_failed_for_longest_is_left_out(self) -> None:
+        """Guards against sends to a worker that stands still while all are suspected."""
+
+        async def scenario(world: ServingWorld) -> None:
+            node = start_nodes(world)[0]
+            await asyncio.sleep(3.0)
+            now = world.clock.monotonic()
+            records = [node.directory.get(BackendId(f"lookup-{n}")) for n in range(WORKER_COUNT)]
+            for record, silent_seconds in zip(records, (0.2, 0.7, 0.3), strict=True):
+                assert record is not None
+                record.responsiveness.record_silence(now - 0.9, now)
+                record.responsiveness.record_failed_check(now - silent_seconds, now)
+            await send_many(node, "request", 4)
+            self.assertEqual(sends_to(world, BackendId("lookup-1")), 0)
+
+        run_in_world(scenario, node_count=0)
+
+
 def sends_to(world: ServingWorld, worker_id: BackendId) -> int:
     return sum(arrival.worker_id == worker_id for arrival in world.workers.arrivals)
 
