Let hedges go to workers that are only suspected

Cause: a hedge went to no suspected worker, and in a slow service all are suspected at times.

Change: a hedge leaves out the workers whose checks have failed for half a second, and otherwise as many as a first send.

--- a/drumbay/forwarding/worker_picker.py
+++ b/drumbay/forwarding/worker_picker.py
@@ -190,13 +190,15 @@
 def _prefer_responsive(
     candidates: list[WorkerRecord], now: float, *, is_hedge: bool
 ) -> list[WorkerRecord]:
-    """Leave out workers that do not respond: for a hedge all, otherwise at most half of all.
+    """Leave out workers that do not respond, but at most half of all: a service may just be slow.
 
-    A service may just be slow. Of more than half, those are left out whose checks have failed for
-    longest.
+    Of more, those are left out whose checks have failed for longest. For a hedge, all whose checks
+    have failed for some time are left out.
     """
     avoided = [record for record in candidates if record.responsiveness.is_avoided(now)]
     avoided.sort(key=lambda record: -record.responsiveness.confirmed_seconds)
-    count = len(avoided) if is_hedge else len(candidates) // 2
+    count = len(candidates) // 2
+    if is_hedge:
+        count = max(count, sum(record.responsiveness.is_confirmed(now) for record in avoided))
     left_out = {record.worker.worker_id for record in avoided[:count]}
     return [record for record in candidates if record.worker.worker_id not in left_out]
--- a/drumbay/workers/responsiveness.py
+++ b/drumbay/workers/responsiveness.py
@@ -13,6 +13,9 @@
 AVOID_SECONDS = 3.0
 """How long a worker is avoided unless it is found silent again."""
 
+CONFIRMED_SECONDS = 0.5
+"""A worker whose checks have failed for this long is of no use for a hedge."""
+
 
 class Responsiveness(msgspec.Struct, kw_only=True):
     """What a node knows of one worker; all times are monotonic.
@@ -35,6 +38,10 @@
         """Return whether other workers are preferred."""
         return now < self.avoided_until
 
+    def is_confirmed(self, now: float) -> bool:
+        """Return whether checks have failed for longer than a slow worker takes."""
+        return self.is_avoided(now) and self.confirmed_seconds >= CONFIRMED_SECONDS
+
     def record_response(self, now: float) -> None:
         """Record a response to this node; the worker is no longer avoided."""
         self.heard_at = now
--- a/tests/test_unresponsive_workers.py
+++ b/tests/test_unresponsive_workers.py
@@ -10,8 +10,8 @@
 from drumbay.identifiers import BackendId
 from drumbay.peers.messages import Notices
 from drumbay.workers.records import Worker
-from drumbay.workers.responsiveness import AVOID_SECONDS, Responsiveness
-from drumbay.workers.unresponsive_workers import WorkerUnresponsive
+from drumbay.workers.responsiveness import AVOID_SECONDS, CONFIRMED_SECONDS, Responsiveness
+from drumbay.workers.unresponsive_workers import CHECK_SECONDS, WorkerUnresponsive
 from tests.serving_world import ServingWorld, WorldNode, run_in_world
 from tests.test_forwarding import LOOKUPS, request, route
 
@@ -155,6 +155,7 @@
             silent = BackendId("lookup-0")
             world.workers[silent].faults.stands_still = True
             await send_many(node, "first", 6)
+            await asyncio.sleep(CONFIRMED_SECONDS + CHECK_SECONDS)
             sent_before = sends_to(world, silent)
             for number in range(1, WORKER_COUNT):
                 world.workers[BackendId(f"lookup-{number}")].faults.slowdown = 10.0
