Leave unresponsive workers out before busy ones are

Cause: workers that had refused a request were taken out of the candidates first; of the one that was left, half is none.

Change: the workers to leave out are chosen among all that a request may use, before those that are paused or tried go. A request that finds the rest full waits in its queue, as without the unresponsive worker.

--- a/drumbay/forwarding/worker_picker.py
+++ b/drumbay/forwarding/worker_picker.py
@@ -143,11 +143,12 @@
         Untried workers are preferred, then those that respond; a hedge goes to no others. The first
         attempt may also use a paused worker if there is no other.
         """
+        eligible = self.eligible_workers(
+            criteria.service, criteria.avoided_workers, criteria.regions
+        )
         records = [
             record
-            for record in self.eligible_workers(
-                criteria.service, criteria.avoided_workers, criteria.regions
-            )
+            for record in _prefer_responsive(eligible, now, is_hedge=criteria.is_hedge)
             if may_send_body(record.body_bytes, criteria.body_bytes)
         ]
         available = [record for record in records if record.is_available(now)]
@@ -155,7 +156,6 @@
         candidates = untried or available
         if not candidates and not criteria.tried:
             candidates = [record for record in records if record.worker.state == "ready"]
-        candidates = _prefer_responsive(candidates, now, is_hedge=criteria.is_hedge)
         snapshots = [self._snapshot_of(record, now) for record in candidates]
         return choose_worker(snapshots, self.typical_seconds(criteria.route), self._machine, now)
 
--- a/tests/test_unresponsive_workers.py
+++ b/tests/test_unresponsive_workers.py
@@ -224,6 +224,23 @@
 
         run_in_world(scenario, node_count=0)
 
+    def test_requests_go_to_no_worker_that_stands_still_while_the_others_are_full(self) -> None:
+        """Guards against a crowd that ends up at the only worker that refuses nothing."""
+
+        async def scenario(world: ServingWorld) -> None:
+            node = start_nodes(world)[0]
+            await asyncio.sleep(3.0)
+            silent = BackendId("lookup-0")
+            world.workers[silent].faults.stands_still = True
+            await send_many(node, "first", 6)
+            sent_before = sends_to(world, silent)
+            for number in range(1, WORKER_COUNT):
+                world.workers[BackendId(f"lookup-{number}")].faults.full = True
+            await asyncio.gather(*(send(node, f"crowd-{number}") for number in range(12)))
+            self.assertEqual(sends_to(world, silent), sent_before)
+
+        run_in_world(scenario, node_count=0)
+
 
 def sends_to(world: ServingWorld, worker_id: BackendId) -> int:
     return sum(arrival.worker_id == worker_id for arrival in world.workers.arrivals)
