--- a/drumbay/forwarding/worker_picker.py
+++ b/drumbay/forwarding/worker_picker.py
@@ -140,7 +140,7 @@
     def choose(self, criteria: SendCriteria, now: float) -> ChosenWorker | None:
         """Return the worker for the next attempt; ``None`` if none is eligible.
 
-        Untried workers are preferred, then those that respond; a hedge goes to no others. The first
+        Untried workers are preferred, after those that do not respond were left out. The first
         attempt may also use a paused worker if there is no other.
         """
         eligible = self.eligible_workers(
@@ -148,7 +148,7 @@
         )
         records = [
             record
-            for record in _prefer_responsive(eligible, now, is_hedge=criteria.is_hedge)
+            for record in _without_unresponsive(eligible, now, is_hedge=criteria.is_hedge)
             if may_send_body(record.body_bytes, criteria.body_bytes)
         ]
         available = [record for record in records if record.is_available(now)]
@@ -187,18 +187,18 @@
         )
 
 
-def _prefer_responsive(
-    candidates: list[WorkerRecord], now: float, *, is_hedge: bool
+def _without_unresponsive(
+    records: list[WorkerRecord], now: float, *, is_hedge: bool
 ) -> list[WorkerRecord]:
     """Leave out workers that do not respond, but at most half of all: a service may just be slow.
 
     Of more, those are left out whose checks have failed for longest. For a hedge, all whose checks
     have failed for some time are left out.
     """
-    avoided = [record for record in candidates if record.responsiveness.is_avoided(now)]
-    avoided.sort(key=lambda record: -record.responsiveness.confirmed_seconds)
-    count = len(candidates) // 2
+    avoided = [record for record in records if record.responsiveness.is_avoided(now)]
+    avoided.sort(key=lambda record: record.responsiveness.confirmed_seconds, reverse=True)
+    count = len(records) // 2
     if is_hedge:
         count = max(count, sum(record.responsiveness.is_confirmed(now) for record in avoided))
     left_out = {record.worker.worker_id for record in avoided[:count]}
-    return [record for record in candidates if record.worker.worker_id not in left_out]
+    return [record for record in records if record.worker.worker_id not in left_out]
--- a/drumbay/workers/unresponsive_workers.py
+++ b/drumbay/workers/unresponsive_workers.py
@@ -118,7 +118,8 @@
                 self._record_end(record, was_announced=number > 0)
                 return
             self._announce(record)
-            await self._clock.sleep(CHECK_INTERVAL_SECONDS if number else 0.0)
+            if number:
+                await self._clock.sleep(CHECK_INTERVAL_SECONDS)
 
     def _announce(self, record: WorkerRecord) -> None:
         now = self._clock.monotonic()
