--- a/drumbay/standins/worker_log.py
+++ b/drumbay/standins/worker_log.py
@@ -18,6 +18,10 @@
         slowdown: Factor applied to every duration.
         break_after_events: Number of events after which each stream breaks.
         lose_responses: Run requests, but break the connection before the response.
+        lost_answer_share: Share of the runs of streams whose connection breaks in place of any
+            answer.
+        closes_idle_connections: Run requests that come over idle connections, but close these
+            before the response.
         failing: Fail every run.
         rejecting: Reject every stream request as invalid.
         failure_delay_seconds: Time until the caller gets the answer to a stream that failed.
@@ -31,6 +35,8 @@
     slowdown: float = 1.0
     break_after_events: int | None = None
     lose_responses: bool = False
+    lost_answer_share: float = 0.0
+    closes_idle_connections: bool = False
     failing: bool = False
     rejecting: bool = False
     failure_delay_seconds: float = 0.0
@@ -108,3 +114,6 @@
     def incarnation(self) -> WorkerIncarnation:
         """Return the incarnation of the worker."""
         return WorkerIncarnation(worker_id=self.worker_id, started_at_ms=self.worker_started_at_ms)
+
+
+LogRecord = LoggedArrival | LoggedRun | LoggedOrder | LoggedCrash
--- a/drumbay/standins/worker_pool.py
+++ b/drumbay/standins/worker_pool.py
@@ -24,6 +24,7 @@
     LoggedCrash,
     LoggedOrder,
     LoggedRun,
+    LogRecord,
     WorkerFaults,
 )
 from drumbay.workers.records import (
@@ -127,6 +128,7 @@
         self._listeners: list[Callable[[Worker], None]] = []
         self._removal_listeners: list[Callable[[BackendId], None]] = []
         self._end_listeners: list[Callable[[Worker], None]] = []
+        self._log_listeners: list[Callable[[LogRecord], None]] = []
         self._replaced_ids: set[BackendId] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self.long_texts = False
@@ -184,6 +186,15 @@
         """Call ``listener`` when the discovery entry of a worker is removed."""
         self._removal_listeners.append(listener)
 
+    def add_log_listener(self, listener: Callable[[LogRecord], None]) -> None:
+        """Call ``listener`` with each record; with runs again when they get a version, and end."""
+        self._log_listeners.append(listener)
+
+    def log(self, record: LogRecord) -> None:
+        """Tell the listeners of a record."""
+        for listener in self._log_listeners:
+            listener(record)
+
     def entries(self) -> list[Worker]:
         """Return the current discovery entries of all workers."""
         return [self._entry_of(emulated) for emulated in self._workers.values()]
@@ -258,20 +269,20 @@
             return
         now = self._clock.monotonic()
         is_cold = emulated.warm_up.is_cold(now)
-        self.arrivals.append(
-            LoggedArrival(
-                worker_id=worker.worker_id,
-                service=emulated.worker.service,
-                zone=emulated.worker.zone,
-                request_id=request.request_id,
-                target=request.target,
-                at=now,
-                tenant=request.tenant,
-                is_cold=is_cold,
-                cold_seconds=now - emulated.warm_up.cold_from if is_cold else 0.0,
-                budget_seconds=request.budget_seconds,
-            )
+        arrival = LoggedArrival(
+            worker_id=worker.worker_id,
+            service=emulated.worker.service,
+            zone=emulated.worker.zone,
+            request_id=request.request_id,
+            target=request.target,
+            at=now,
+            tenant=request.tenant,
+            is_cold=is_cold,
+            cold_seconds=now - emulated.warm_up.cold_from if is_cold else 0.0,
+            budget_seconds=request.budget_seconds,
         )
+        self.arrivals.append(arrival)
+        self.log(arrival)
         crash_rate = self.cold_crash_rates.get(emulated.worker.service, math.inf)
         if is_cold and emulated.warm_up.record_arrival(now) > crash_rate:
             self._spawn(self.end(emulated))
@@ -352,6 +363,8 @@
         run = self._begin_run(emulated, request)
         try:
             await self._raise_if_failing_stream(emulated, run)
+            if _loses_answer(emulated, run):
+                raise WorkerBrokenError("answer lost")
             model = dict(request.headers).get("model", "m")
             seconds = self._seconds_per_event
             count = self._event_count_of(request.request_id)
@@ -367,8 +380,10 @@
             if emulated.faults.rejecting or run.request_id in self.rejected_requests:
                 run.failed_with = REJECTED_STATUS
                 raise WorkerRejectedError(str(REJECTED_STATUS))
-        except WorkerError:
+        except WorkerError as error:
             await self._clock.sleep(emulated.faults.failure_delay_seconds)
+            if _loses_answer(emulated, run):
+                raise WorkerBrokenError("answer lost") from error
             raise
 
     def _raise_if_failing(self, emulated: EmulatedWorker, run: LoggedRun) -> None:
@@ -382,7 +397,7 @@
 
     def text(self, request_id: str) -> str:
         """Return the complete text of a request."""
-        return _make_text(request_id, self._event_count_of(request_id))
+        return make_text(request_id, self._event_count_of(request_id))
 
     async def _connect(self, worker: Worker) -> EmulatedWorker:
         if worker.worker_id in self._replaced_ids:
@@ -434,6 +449,7 @@
             headers=request.headers,
         )
         self.runs.append(run)
+        self.log(run)
         if request.body in self.crashing_bodies:
             self._spawn(self._crash(emulated))
         return run
@@ -460,13 +476,13 @@
         emulated.has_stopped = True
         for listener in self._end_listeners:
             listener(emulated.worker)
-        self.crashes.append(
-            LoggedCrash(
-                worker_id=emulated.worker.worker_id,
-                worker_started_at_ms=emulated.worker.started_at_ms,
-                at=self._clock.monotonic(),
-            )
+        crash = LoggedCrash(
+            worker_id=emulated.worker.worker_id,
+            worker_started_at_ms=emulated.worker.started_at_ms,
+            at=self._clock.monotonic(),
         )
+        self.crashes.append(crash)
+        self.log(crash)
         if self.keep_ids:
             await self._restart(emulated)
         else:
@@ -496,10 +512,9 @@
         await self._clock.sleep(REPLACEMENT_SECONDS)
         del self._workers[ended_id]
         self._replaced_ids.add(ended_id)
-        name, _, number = ended_id.partition("~")
         successor = msgspec.structs.replace(
             emulated.worker,
-            worker_id=BackendId(f"{name}~{int(number or 0) + 1}"),
+            worker_id=successor_id(ended_id),
             versions=dict(emulated.versions),
             started_at_ms=self._now_ms() if self._reports_start_times else 0,
         )
@@ -511,6 +526,7 @@
     def _end_run(self, emulated: EmulatedWorker, run: LoggedRun) -> None:
         emulated.active -= 1
         run.ended_at = self._clock.monotonic()
+        self.log(run)
 
     @staticmethod
     def _current_load(emulated: EmulatedWorker) -> WorkerLoad:
@@ -555,14 +571,14 @@
 
     def _handle_order(self, emulated: EmulatedWorker, order: LoadOrder) -> OrderOutcome:
         outcome = self._decide_outcome(emulated, order)
-        self.orders.append(
-            LoggedOrder(
-                worker_id=emulated.worker.worker_id,
-                order=order,
-                at=self._clock.monotonic(),
-                outcome=outcome,
-            )
+        logged = LoggedOrder(
+            worker_id=emulated.worker.worker_id,
+            order=order,
+            at=self._clock.monotonic(),
+            outcome=outcome,
         )
+        self.orders.append(logged)
+        self.log(logged)
         if outcome is OrderOutcome.STARTED:
             emulated.busy = True
             emulated.sequence += 1
@@ -643,10 +659,17 @@
             version = self._emulated.versions.get(self._model, WeightVersion(0))
             if version not in self._run.versions:
                 self._run.versions.append(version)
+                self._pool.log(self._run)
             data = f"{self._request.request_id}:{number}"
             yield (StreamEvent(number=number, data=data, version=version),)
 
 
+def _loses_answer(emulated: EmulatedWorker, run: LoggedRun) -> bool:
+    """Return whether the answer of a run is lost, which follows from the run alone."""
+    share = zlib.crc32(run.stamp.encode()) / 2**32
+    return share < emulated.faults.lost_answer_share
+
+
 def text_event_count(request_id: str) -> int:
     """Return the number of events in the text of a request."""
     return 2 + zlib.crc32(request_id.encode()) % (MAX_TEXT_EVENTS - 1)
@@ -654,8 +677,15 @@
 
 def full_text(request_id: str) -> str:
     """Return the complete text of a request."""
-    return _make_text(request_id, text_event_count(request_id))
+    return make_text(request_id, text_event_count(request_id))
+
+
+def successor_id(worker_id: BackendId) -> BackendId:
+    """Return the id of the worker that replaces an ended one."""
+    name, _, number = worker_id.partition("~")
+    return BackendId(f"{name}~{int(number or 0) + 1}")
 
 
-def _make_text(request_id: str, count: int) -> str:
+def make_text(request_id: str, count: int) -> str:
+    """Return the text of a request that has this many events."""
     return "\n".join(f"{request_id}:{number}" for number in range(1, count + 1))
--- a/tests/test_soak_attempts.py
+++ b/tests/test_soak_attempts.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 import msgspec
+from drumbay_soak.attempt_checks import harm_of_failing_items
 from drumbay_soak.checks import check
 from drumbay_soak.fault_plan import Fault, FaultKind
 from drumbay_soak.history import (
@@ -296,5 +297,21 @@
     return datetime.fromtimestamp(seconds, UTC).isoformat(timespec="milliseconds")
 
 
+class FailingItemsHarmTest(unittest.TestCase):
+    def test_runs_beyond_the_bound_are_counted_for_each_item(self) -> None:
+        history = History(started_at=STARTED_AT, faults=())
+        history.failing_items = [
+            FailingItem(item_id=name, status=422, allowed_failures=3) for name in ("a", "b", "c")
+        ]
+        history.runs = [
+            run(name, at=float(number), failed_with=422)
+            for name, count in (("a", 5), ("b", 3))
+            for number in range(count)
+        ]
+        harm = harm_of_failing_items(history)
+        self.assertEqual((harm.items, harm.items_beyond, harm.runs_beyond), (3, 1, 2))
+        self.assertEqual(harm.most_failures, {422: 5})
+
+
 if __name__ == "__main__":
     unittest.main()
