--- a/tests/test_repeated_sends.py
+++ b/tests/test_repeated_sends.py
@@ -12,7 +12,14 @@
 from drumbay.clock import SystemClock
 from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.identifiers import BackendId
-from drumbay.workers.records import Worker, WorkerBrokenError, WorkerRequest, WorkerState
+from drumbay.workers.records import (
+    Worker,
+    WorkerBrokenError,
+    WorkerFailedError,
+    WorkerRejectedError,
+    WorkerRequest,
+    WorkerState,
+)
 
 BUDGET_SECONDS = 1.5
 STALL_SECONDS = 0.7
@@ -100,6 +107,50 @@
         self.assertLessEqual(stalled, BUDGET_SECONDS)
         self.assertLess(resent, BUDGET_SECONDS - STALL_SECONDS + TOLERANCE_SECONDS)
 
+    async def test_request_on_a_kept_connection_that_closes_is_not_sent_again(self) -> None:
+        """Who sends a request counts its sends; the client must not add one of its own."""
+
+        async def close_on_reuse(number: int, writer: asyncio.StreamWriter) -> None:
+            if number:
+                writer.close()
+            else:
+                writer.write(ANSWER)
+
+        server, worker = await self.start(close_on_reuse)
+        await self.client.call(worker, repeatable_request())
+        with self.assertRaises(WorkerBrokenError):
+            await self.client.call(worker, repeatable_request())
+        await self.client.call(worker, repeatable_request())
+        with self.assertRaises(WorkerBrokenError):
+            async with self.client.stream(worker, repeatable_request()):
+                self.fail("the worker did not answer")
+        self.assertEqual(len(server.heads), 4)
+
+    async def test_status_of_an_item_counts_though_its_answer_is_cut_off(self) -> None:
+        for status, error_class in ((422, WorkerRejectedError), (500, WorkerFailedError)):
+
+            async def cut_off(
+                number: int, writer: asyncio.StreamWriter, status: int = status
+            ) -> None:
+                head = f"HTTP/1.1 {status} Failed\r\nX-Drumbay-Attempt-Id: {REQUEST_ID}\r\n"
+                writer.write(f"{head}Content-Length: 100\r\n\r\nless".encode())
+                writer.close()
+
+            _, worker = await self.start(cut_off)
+            with self.subTest(status=status), self.assertRaises(error_class):
+                async with self.client.stream(worker, repeatable_request()):
+                    self.fail("the item failed")
+
+    async def test_cut_off_status_of_an_unknown_request_counts_as_no_answer(self) -> None:
+        async def cut_off(number: int, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 422 Invalid\r\nContent-Length: 100\r\n\r\nless")
+            writer.close()
+
+        _, worker = await self.start(cut_off)
+        with self.assertRaises(WorkerBrokenError):
+            async with self.client.stream(worker, repeatable_request()):
+                self.fail("the answer names no request")
+
     async def call_with_late_answer(self, late_answer: bytes) -> None:
         """Make a call whose reused connection brings another request's answer first."""
 
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -143,6 +143,20 @@
             return False
         return response.body == b"body"
 
+    async def test_lookup_without_an_answer_is_sent_no_more_often_than_its_route_allows(
+        self,
+    ) -> None:
+        """Guards against a client that sends once more by itself when a kept connection closes."""
+        for attempts in (2, 3):
+            with self.subTest(attempts=attempts):
+                await self.open_idle_connections()
+                for worker in self.workers:
+                    self.pool[worker.worker_id].faults.lose_responses = True
+                self.assertFalse(await self.is_served(attempts, attempts))
+                self.assertLessEqual(len(self.pool.runs_of(f"lookup-{attempts}")), attempts)
+                for worker in self.workers:
+                    self.pool[worker.worker_id].faults.lose_responses = False
+
     async def test_lookups_are_served_while_idle_connections_are_stalled(self) -> None:
         for attempts in (1, 2, 3):
             with self.subTest(attempts=attempts):
