Count runs without an answer from the first, and repeat them less and less often

Cause: after a run that broke, an item started again at once, without limit; a run without an answer counted only if the item had failed before, and only once three answers of 500 had been read.

Each run without an answer counts now, over owners and batch jobs, in the records that have the failures. An item that has failed at least once, and whose runs without an answer may have used up three times its attempts, runs no more and is given up at the queue limit; it is no earlier, since it may be sound. One that no worker is known to have failed runs on.

Sound items, half or all of whose answers are lost, are done in time as before (two tests). Events: item_run_unanswered, with the count.

--- a/drumbay/batches/item_failures.py
+++ b/drumbay/batches/item_failures.py
@@ -25,8 +25,7 @@
 class ItemFailures(msgspec.Struct, frozen=True, kw_only=True):
     """Failures of one item: runs that failed, runs that were rejected, and reward requests.
 
-    ``unanswered`` counts runs that ended without any answer, after the item had failed before: the
-    worker may have failed them, too.
+    ``unanswered`` counts runs that ended without any answer: the worker may have failed them, too.
     """
 
     runs: int = 0
@@ -125,4 +124,13 @@
     total = in_job + in_other_jobs
     if in_job >= attempts or total >= TOTAL_ATTEMPTS_FACTOR * attempts:
         return True
-    return total >= attempts and total + unanswered >= POSSIBLE_FAILURES_FACTOR * attempts
+    return total >= attempts and may_be_used_up(total, attempts, unanswered)
+
+
+def may_be_used_up(failures: int, attempts: int, unanswered: int) -> bool:
+    """Return whether an item has no attempt left if its runs without an answer failed, too.
+
+    False for one that no worker is known to have failed: all its runs may have been sound.
+    """
+    possible = failures + unanswered
+    return failures > 0 and possible >= POSSIBLE_FAILURES_FACTOR * attempts
--- a/drumbay/batches/item_run.py
+++ b/drumbay/batches/item_run.py
@@ -2,7 +2,12 @@
 
 import msgspec
 
-from drumbay.batches.item_failures import NO_PAST_FAILURES, PastFailures, are_used_up
+from drumbay.batches.item_failures import (
+    NO_PAST_FAILURES,
+    PastFailures,
+    are_used_up,
+    may_be_used_up,
+)
 from drumbay.batches.records import BatchItem, ItemResult, PartialText, ResultState, Reward
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.workers.records import StreamEvent
@@ -23,7 +28,7 @@
         not_before: Monotonic time before which the item is not started again.
         past: Failures that earlier owners have seen.
         failures: Runs for which a worker reported a failure.
-        unanswered: Runs after the first failure that ended without any answer.
+        unanswered: Runs that ended without any answer.
         moves: How often the item was moved off a slow worker.
         generation: How often its text was discarded and started anew.
         avoided_worker: Worker to avoid if another one is available.
@@ -64,15 +69,27 @@
         past = self.past
         if past.in_job.rejections or past.in_other_jobs.rejections:
             return False
-        unanswered = self.unanswered + past.in_job.unanswered + past.in_other_jobs.unanswered
         return not are_used_up(
-            self.failures + past.in_job.runs, past.in_other_jobs.runs, attempts, unanswered
+            self.failures + past.in_job.runs,
+            past.in_other_jobs.runs,
+            attempts,
+            self.total_unanswered,
         )
 
+    def may_have_no_runs_left(self, attempts: int) -> bool:
+        """Return whether it has no runs left if those without an answer failed, too.
+
+        It must not run again, but is not known to have failed often enough to be given up.
+        """
+        past = self.past
+        failures = self.failures + past.in_job.runs + past.in_other_jobs.runs
+        return may_be_used_up(failures, attempts, self.total_unanswered)
+
     @property
-    def has_failed(self) -> bool:
-        """Return whether a worker has reported a failure, to this owner or to an earlier one."""
-        return bool(self.failures or self.past.in_job.runs or self.past.in_other_jobs.runs)
+    def total_unanswered(self) -> int:
+        """Return the number of runs without any answer, over all owners."""
+        past = self.past
+        return self.unanswered + past.in_job.unanswered + past.in_other_jobs.unanswered
 
     def has_reward_requests_left(self, attempts: int) -> bool:
         """Return whether its reward request may be sent again."""
@@ -89,6 +106,11 @@
         self.pending_gap = None
         self.last_activity_at = now
 
+    def record_unanswered(self, not_before: float) -> None:
+        """Record that its run ends without any answer; it must not run before a monotonic time."""
+        self.unanswered += 1
+        self.not_before = max(self.not_before, not_before)
+
     def release(self) -> None:
         """Record that the item has left its worker."""
         self.worker_id = None
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -54,7 +54,7 @@
 from drumbay.tasks import TaskOwner
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
-from drumbay.workers.records import WorkerError
+from drumbay.workers.records import Worker, WorkerError
 from drumbay.workers.silence_check import SilenceCheck
 from drumbay.workers.worker_record import WorkerRecord
 
@@ -474,18 +474,28 @@
             failure = record_run_failure(self._directory, record.worker, model, error, now)
         finally:
             self._quarantine.end_run(start.item, worker)
-            self._record_if_unanswered(item_id, failure)
+            self._record_if_unanswered(item_id, worker, failure)
             if self._runs.get(item_id) is task:
                 del self._runs[item_id]
             if not self._closed and not (self._lingering and failure is RunFailure.STOPPED):
                 self._finish_run(item_id, record, failure)
 
-    def _record_if_unanswered(self, item_id: ItemId, failure: RunFailure | None) -> None:
-        """Count a run whose worker may have failed it unseen, as it did before."""
-        is_unanswered = failure in _UNSEEN_FAILURES and not self._streams.has_answered(item_id)
-        if is_unanswered and self._scheduler.has_failed(item_id):
-            self._scheduler.record_unanswered(item_id)
-            self._failure_log.record(item_id, ItemFailures(unanswered=1))
+    def _record_if_unanswered(
+        self, item_id: ItemId, worker: Worker, failure: RunFailure | None
+    ) -> None:
+        """Count a run whose worker may have failed it unseen."""
+        if failure not in _UNSEEN_FAILURES or self._streams.has_answered(item_id):
+            return
+        unanswered = self._scheduler.record_unanswered(item_id, self._clock.monotonic())
+        self._failure_log.record(item_id, ItemFailures(unanswered=1))
+        log_event(
+            "item_run_unanswered",
+            batch=self.spec.batch_id,
+            item=item_id,
+            worker=worker.worker_id,
+            failure=failure,
+            unanswered=unanswered,
+        )
 
     def _release_slot(self, item: BatchItem, record: WorkerRecord) -> None:
         """Free the slot of a run."""
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -26,6 +26,7 @@
     ResultState,
     Reward,
 )
+from drumbay.batches.run_backoff import delay_seconds
 from drumbay.batches.run_silence import SilenceDetector, silence_reason
 from drumbay.batches.start_order import (
     DEFAULT_DUE_SECONDS,
@@ -99,6 +100,7 @@
             submitted_at: Monotonic time of the submission, if earlier than ``started_at``.
         """
         self._spec = spec
+        self._started_at = started_at
         self._submitted_at = started_at if submitted_at is None else submitted_at
         self._event_size = event_size or EventSizeEstimate()
         self._median_event_interval = DEFAULT_EVENT_INTERVAL_SECONDS
@@ -172,6 +174,7 @@
         until = now + MAX_SCORE_RETRY_SECONDS
         return all(
             run.item.item_id in held_back
+            or run.may_have_no_runs_left(self._spec.attempts)
             or (run.complete and not run.is_scoring and run.score_not_before > until)
             for run in self._runs.values()
         )
@@ -223,6 +226,7 @@
             if not run.is_running_or_complete
             and now >= run.not_before
             and (self._is_past_known or not run.failures)
+            and not run.may_have_no_runs_left(self._spec.attempts)
             and run.item.item_id not in held_back
         ]
 
@@ -378,16 +382,13 @@
                 pass
         return None
 
-    def has_failed(self, item_id: ItemId) -> bool:
-        """Return whether an unfinished item has failed before, also at earlier owners."""
+    def record_unanswered(self, item_id: ItemId, now: float) -> int:
+        """Count a run that ends without any answer; return how many there are of the item."""
         run = self._runs.get(item_id)
-        return run is not None and run.has_failed
-
-    def record_unanswered(self, item_id: ItemId) -> None:
-        """Count a run of an unfinished item that ended without any answer."""
-        run = self._runs.get(item_id)
-        if run is not None:
-            run.unanswered += 1
+        if run is None:
+            return 0
+        run.record_unanswered(now + delay_seconds(run.total_unanswered + 1))
+        return run.total_unanswered
 
     def set_past_failures(
         self, past: Mapping[ItemId, PastFailures], *, is_complete: bool
@@ -399,8 +400,11 @@
         """
         self._is_past_known = is_complete
         for item_id, failures in past.items():
-            if item_id in self._runs:
-                self._runs[item_id].past = failures
+            run = self._runs.get(item_id)
+            if run is not None:
+                run.past = failures
+                delay = delay_seconds(run.total_unanswered)
+                run.not_before = max(run.not_before, self._started_at + delay)
         used_up = [
             item_id
             for item_id, run in self._runs.items()
