Prefer engines that have not left an item without an answer

What callers saw: with two of three engines that lose their answers, rejected items went back and forth between these two and were not given up within 20 s.

Cause: only the last engine of an item was avoided, so that the two took turns, and the third one got none.

Engines of all runs without an answer are used only if no other has a free place.

--- a/drumbay/batches/item_run.py
+++ b/drumbay/batches/item_run.py
@@ -29,6 +29,7 @@
         past: Failures that earlier owners have seen.
         failures: Runs for which a worker reported a failure.
         unanswered: Runs that ended without any answer.
+        unanswered_on: Workers of these runs.
         moves: How often the item was moved off a slow worker.
         generation: How often its text was discarded and started anew.
         avoided_worker: Worker to avoid if another one is available.
@@ -53,6 +54,7 @@
     past: PastFailures = NO_PAST_FAILURES
     failures: int = 0
     unanswered: int = 0
+    unanswered_on: set[BackendId] = msgspec.field(default_factory=set)
     moves: int = 0
     generation: int = 0
     avoided_worker: BackendId | None = None
@@ -110,6 +112,8 @@
         """Record that its run ends without any answer; it must not run before a monotonic time."""
         self.unanswered += 1
         self.not_before = max(self.not_before, not_before)
+        if self.worker_id is not None:
+            self.unanswered_on.add(self.worker_id)
 
     def release(self) -> None:
         """Record that the item has left its worker."""
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -504,6 +504,7 @@
                 group=run.item.group,
                 expected_tokens=run.item.expected_tokens,
                 avoided_worker=run.avoided_worker,
+                unanswered_on=run.unanswered_on,
                 is_long=self._order.is_long(run.item),
                 minimum_version=self._spec.minimum_version,
                 prefers_active=run.last_number is not None and run.avoided_worker is not None,
--- a/drumbay/batches/worker_selector.py
+++ b/drumbay/batches/worker_selector.py
@@ -1,7 +1,7 @@
 """Selects workers for items by free slots, event intervals and weight versions."""
 
 import zlib
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
 
 import msgspec
 
@@ -40,7 +40,8 @@
 class SlotRequest(msgspec.Struct, frozen=True, kw_only=True):
     """An item that needs a slot.
 
-    ``avoided_worker`` is used only if no other has a slot. With ``prefers_active``, workers that
+    ``avoided_worker`` is used only if no other has a slot, and so are the workers of earlier runs
+    that got no answer, ``unanswered_on``. With ``prefers_active``, workers that
     recently sent events to this node come first: others may have failed together with the item's
     previous worker without being detected yet. An item that ``is_isolated`` shares no worker with
     other isolated items or with requests that may crash it.
@@ -49,6 +50,7 @@
     group: str
     expected_tokens: int
     avoided_worker: BackendId | None
+    unanswered_on: Set[BackendId] = frozenset()
     is_long: bool
     minimum_version: WeightVersion
     prefers_active: bool = False
@@ -238,6 +240,7 @@
         if request.is_isolated:
             candidates = [w for w in candidates if w not in self._isolated_workers]
         candidates = [w for w in candidates if w != request.avoided_worker] or candidates
+        candidates = [w for w in candidates if w not in request.unanswered_on] or candidates
         if not candidates:
             return None
         cost = self._long_item_cost if request.is_long else self._short_item_cost
