Send no request twice from the worker client: who sends it counts it

Cause: the second send was made below all that counts and decides: attempts, the quarantine, the failures of an item, the starts at cold workers, the hedge budget.

The client reports the closed connection now (WorkerConnectionClosedError), and its callers decide. An item runs again by its owner's plan, after the delay of a run without an answer. A request goes to another worker as after any broken run, and counts; only a route's single attempt is repeated, once, at its worker over a new connection, after the quarantine has agreed, if the placement still allows it; else it is rejected at once. A closed idle connection does not pause its worker. Reports and orders are sent again as before; both may arrive twice.

--- a/drumbay/batches/run_failure.py
+++ b/drumbay/batches/run_failure.py
@@ -10,7 +10,6 @@
     WorkerNotEligibleError,
     WorkerRefusedError,
     WorkerRejectedError,
-    WorkerResendRefusedError,
     WorkerTimedOutError,
     WorkerUnreachableError,
 )
@@ -37,9 +36,6 @@
         case WorkerRefusedError():
             directory.observe_refusal(worker_id, model, now, worker_start)
             return RunFailure.REFUSED
-        case WorkerResendRefusedError():
-            directory.observe_refusal(worker_id, model, now, worker_start)
-            return RunFailure.BROKEN
         case WorkerRejectedError():
             return RunFailure.REJECTED
         case WorkerTimedOutError():
--- a/drumbay/comm/http_exchange.py
+++ b/drumbay/comm/http_exchange.py
@@ -163,8 +163,6 @@
     Attributes:
         is_reused: Whether the connection came from the pool. The server may have closed it
             concurrently, without having seen the request.
-        is_resend: Whether the request was sent before, over a connection that closed without a
-            response. The server may have run it then.
     """
 
     def __init__(
@@ -177,7 +175,6 @@
         """Create an exchange on a connected stream."""
         self._tracked = connection
         self.is_reused = False
-        self.is_resend = False
         self._stream = stream
         self._address = address
         self._pool = pool
--- a/drumbay/forwarding/attempt_outcomes.py
+++ b/drumbay/forwarding/attempt_outcomes.py
@@ -13,11 +13,11 @@
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.records import (
     WorkerBrokenError,
+    WorkerConnectionClosedError,
     WorkerError,
     WorkerMisdirectedError,
     WorkerNotEligibleError,
     WorkerRefusedError,
-    WorkerResendRefusedError,
     WorkerResponse,
     WorkerTimedOutError,
     WorkerUnreachableError,
@@ -93,10 +93,10 @@
             pause_seconds = self._picker.refusal_backoff_seconds(attempt.record, self._route, now)
             self._directory.pause(worker_id, now, pause_seconds, worker_started_at_ms)
             return AttemptOutcome(is_worker_full=True)
-        except WorkerResendRefusedError as error:
+        except WorkerConnectionClosedError as error:
+            # Workers close idle connections, so this says nothing about them.
             self._record_broken_run(attempt, error, now)
-            pause_seconds = self._picker.refusal_backoff_seconds(attempt.record, self._route, now)
-            self._directory.pause(worker_id, now, pause_seconds, worker_started_at_ms)
+            self._attempts.closed = attempt
         except WorkerBrokenError as error:
             self._record_broken_run(attempt, error, now)
             self._directory.observe_failure(worker_id, now, worker_started_at_ms)
--- a/drumbay/forwarding/attempts.py
+++ b/drumbay/forwarding/attempts.py
@@ -41,6 +41,7 @@
         failed_workers: Workers on which an attempt broke or failed.
         may_have_run: Whether an attempt that has ended may have run.
         tried: The workers that have received the request.
+        closed: The attempt whose reused connection closed before the response.
     """
 
     def __init__(self, route: Route) -> None:
@@ -57,6 +58,7 @@
         self.failed_workers: list[Worker] = []
         self.may_have_run = False
         self.tried: set[BackendId] = set()
+        self.closed: Attempt | None = None
 
     @property
     def has_not_run(self) -> bool:
@@ -80,7 +82,7 @@
             return False
         if self._route.kind is RequestKind.AT_MOST_ONCE:
             return not self.in_flight and not self.may_have_run
-        return self.is_any_left or self.unconfirmed() is not None
+        return self.is_any_left or self.repeatable() is not None
 
     def running_on(self) -> frozenset[BackendId]:
         """Return the workers of the attempts in flight."""
@@ -92,11 +94,18 @@
             attempt.record.responsiveness.is_confirmed(now) for attempt in self.in_flight.values()
         )
 
+    def repeatable(self) -> Attempt | None:
+        """Return an attempt to repeat at its worker over a new connection, if no other is left.
+
+        Such a repeat does not count against ``route.attempts``, which limits the workers.
+        """
+        is_only_one = self.sent - self.refusals == 1
+        return self.unconfirmed() or (self.closed if is_only_one else None)
+
     def unconfirmed(self) -> Attempt | None:
         """Return an attempt to repeat over a new connection, if all attempts used idle connections.
 
-        The idle connection may be stalled, in which case the worker never saw the request. Such a
-        repeat does not count against ``route.attempts``.
+        The idle connection may be stalled, in which case the worker never saw the request.
         """
         reused = [attempt for attempt in self.in_flight.values() if attempt.reused_connection]
         return reused[0] if reused and len(reused) == self.sent - self.refusals else None
--- a/drumbay/forwarding/forwarded_request.py
+++ b/drumbay/forwarding/forwarded_request.py
@@ -420,9 +420,7 @@
         self._last_sent_at = now
         self._is_hedge_next = True
         if not self._attempts.is_any_left:
-            unconfirmed = self._attempts.unconfirmed()
-            if unconfirmed is not None and self._workers.may_send(unconfirmed.record):
-                self._send(unconfirmed.record, unconfirmed.choice, remaining)
+            self._repeat(remaining)
             return
         choice = self._workers.choose(self._route, len(self._request.body), self._attempts, now)
         record = self._directory.get(choice.worker_id) if choice is not None else None
@@ -431,6 +429,18 @@
         elif not self._attempts.in_flight:
             self._wait_for_start(now)
 
+    def _repeat(self, remaining: float) -> None:
+        """Send to a worker again whose reused connection stalls, or has closed.
+
+        Raises:
+            ForwardingError: The worker must not get the request any more, and no other has it.
+        """
+        repeatable = self._attempts.repeatable()
+        if repeatable is not None and self._workers.may_send(repeatable.record):
+            self._send(repeatable.record, repeatable.choice, remaining)
+        elif not self._attempts.in_flight:
+            raise self._forwarding_error(timed_out=False)
+
     def _wait_for_start(self, now: float) -> None:
         """Postpone the next send if a worker will soon take another request of this node.
 
--- a/drumbay/placement/gate.py
+++ b/drumbay/placement/gate.py
@@ -151,10 +151,3 @@
         self._metrics.count_ineligible(reason)
         log_event("request_withheld", worker=worker.worker_id, zone=worker.zone, reason=reason)
         return False
-
-    def may_resend(self, worker: Worker, regions: AllowedRegions) -> bool:
-        """Return whether an admitted request may be sent to its worker again; count the send."""
-        if self.check(worker, regions) is not None:
-            return False
-        self._starts.record_start(worker, self._clock.monotonic())
-        return True
--- a/drumbay/serving/node_placement.py
+++ b/drumbay/serving/node_placement.py
@@ -48,7 +48,6 @@
         )
         metrics.set_evacuated_zone_requests(self._evacuated_zone_requests)
         environment.workers.set_send_check(self.gate.may_still_send)
-        environment.workers.set_resend_check(self.gate.may_resend)
 
     def _evacuated_zone_requests(self) -> int:
         return sum(
--- a/drumbay/workers/interface.py
+++ b/drumbay/workers/interface.py
@@ -54,13 +54,6 @@
         """
         ...
 
-    def set_resend_check(self, may_resend: Callable[[Worker, AllowedRegions], bool]) -> None:
-        """Ask ``may_resend`` before a request whose idle connection had closed is sent again.
-
-        It gets the worker and the regions in which the request may run at that time.
-        """
-        ...
-
     def has_idle_connection(self, worker: Worker) -> bool:
         """Return whether a repeatable request could reuse an idle connection."""
         ...
--- a/drumbay/workers/records.py
+++ b/drumbay/workers/records.py
@@ -214,11 +214,14 @@
     code = "worker_broken"
 
 
-class WorkerResendRefusedError(WorkerBrokenError):
-    """The worker refused a request that it may have run when it was first sent."""
+class WorkerConnectionClosedError(WorkerBrokenError):
+    """The reused connection closed before the response.
 
-    code = "worker_resend_refused"
-    is_response = True
+    The worker may have run the request, may have crashed, or may have closed the idle connection
+    while the request was on its way.
+    """
+
+    code = "worker_connection_closed"
 
 
 class WorkerFailedError(WorkerError):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -10,6 +10,7 @@
 from drumbay.forwarding.forwarder import Forwarder
 from drumbay.forwarding.records import (
     ClientRequest,
+    ForwardingError,
     NoWorkerError,
     RequestTimedOutError,
     ResponseLostError,
@@ -90,6 +91,80 @@
     )
 
 
+class ClosedConnectionTest(unittest.TestCase):
+    """A kept connection closes before the response: the worker may have run the request."""
+
+    def start(self, world: ServingWorld, workers: int = 1) -> Forwarder:
+        for number in range(1, workers + 1):
+            emulated = world.workers.add(f"lookup-{number}", LOOKUPS)
+            emulated.faults.closes_idle_connections = True
+            world.workers.idle_connections.add(emulated.worker.worker_id)
+        return forwarder_of(world.clock, world.workers)
+
+    def test_the_only_attempt_is_repeated_at_its_worker_over_a_new_connection(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            forwarder = self.start(world, workers=3)
+            response = await forwarder.forward(route(attempts=1), request())
+            self.assertEqual(response.status, 200)
+            first, second = world.workers.runs
+            self.assertEqual(first.worker_id, second.worker_id)
+
+        run_in_world(scenario)
+
+    def test_other_attempts_go_to_other_workers(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            forwarder = self.start(world, workers=3)
+            await forwarder.forward(route(attempts=2), request())
+            self.assertEqual(len({run.worker_id for run in world.workers.runs}), 2)
+            self.assertEqual(len(world.workers.runs), 2)
+
+        run_in_world(scenario)
+
+    def test_the_only_worker_gets_the_request_again(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            forwarder = self.start(world)
+            await forwarder.forward(route(attempts=2), request())
+            self.assertEqual(len(world.workers.runs), 2)
+
+        run_in_world(scenario)
+
+    def test_the_only_attempt_is_repeated_once(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            forwarder = self.start(world)
+            world.workers["lookup-1"].faults.lose_responses = True
+            with self.assertRaises(ResponseLostError):
+                await forwarder.forward(route(attempts=1), request())
+            self.assertEqual(len(world.workers.runs), 2)
+
+        run_in_world(scenario)
+
+    def test_the_repeat_is_not_given_the_time_of_the_first_send(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            forwarder = self.start(world)
+            world.workers["lookup-1"].faults.slowdown = 4.0
+            await forwarder.forward(route(attempts=1), request(budget_seconds=1.0))
+            first, second = world.workers.runs
+            self.assertGreater(second.started_at, first.started_at + 0.1)
+            self.assertLessEqual(second.started_at + second.budget_seconds, 1.0 + 0.01)
+
+        run_in_world(scenario)
+
+    def test_refusal_of_the_repeat_does_not_count_as_not_run(self) -> None:
+        for attempts in (1, 2):
+
+            async def scenario(world: ServingWorld, attempts: int = attempts) -> None:
+                forwarder = self.start(world)
+                call = asyncio.ensure_future(forwarder.forward(route(attempts=attempts), request()))
+                await asyncio.sleep(0.01)
+                world.workers["lookup-1"].faults.full = True
+                with self.assertRaises(ForwardingError) as raised:
+                    await call
+                self.assertIs(raised.exception.execution, Execution.MAY_HAVE_RUN)
+
+            with self.subTest(attempts=attempts):
+                run_in_world(scenario)
+
+
 class ForwarderTest(unittest.TestCase):
     def forwarder(self, world: ServingWorld, workers: int = 3) -> Forwarder:
         for number in range(1, workers + 1):
