Run items without an answer again over new connections

What callers saw: once connections have stalled, or their workers close them, an item of whose run no answer came runs again over the next kept connection, which is of the same age: a wait of 1.6 s for each.

Requests leave kept connections alone after their first send; items did so by chance only. An item with a run without an answer gets a new connection now. The test failed before, with kept connections used for all runs.

--- a/drumbay/batches/decisions.py
+++ b/drumbay/batches/decisions.py
@@ -65,12 +65,16 @@
 
 
 class StartRun(msgspec.Struct, frozen=True, kw_only=True):
-    """Starts an item on a worker, resuming after event number ``resume_after``."""
+    """Starts an item on a worker, resuming after event number ``resume_after``.
+
+    With ``fresh_connection``, a connection of an earlier request is not reused.
+    """
 
     item: BatchItem
     worker_id: BackendId
     resume_after: int | None
     priority: int
+    fresh_connection: bool = False
 
 
 class StopRun(msgspec.Struct, frozen=True, kw_only=True):
--- a/drumbay/batches/item_stream.py
+++ b/drumbay/batches/item_stream.py
@@ -71,6 +71,7 @@
             resume_after=start.resume_after,
             priority=start.priority,
             repeatable=True,
+            fresh_connection=start.fresh_connection,
             tenant=self._spec.tenant,
             allowed_regions=self._allowed_regions,
         )
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -554,6 +554,8 @@
             worker_id=worker_id,
             resume_after=run.last_number,
             priority=self._priority(run),
+            # Idle connections may have stalled or be closed by their workers, all alike.
+            fresh_connection=run.total_unanswered > 0,
         )
 
     def _priority(self, run: ItemRun) -> int:
--- a/tests/test_unanswered_runs.py
+++ b/tests/test_unanswered_runs.py
@@ -6,6 +6,7 @@
 import asyncio
 import itertools
 import unittest
+from unittest.mock import patch
 
 import msgspec
 
@@ -130,6 +131,24 @@
 
 
 class SoundItemsTest(unittest.TestCase):
+    def test_an_item_without_an_answer_runs_again_over_a_new_connection(self) -> None:
+        """Guards against items that wait on one stalled idle connection after the other."""
+
+        async def scenario(world: ServingWorld) -> None:
+            lose_answers(world, LOST_SHARE)
+            spec = step(0, groups=1)
+            with patch.object(world.workers, "stream", wraps=world.workers.stream) as stream:
+                await world.nodes[0].batches.submit(spec)
+                await read_all(world.nodes[0].batches, spec.batch_id)
+            requests = [call.args[1] for call in stream.call_args_list]
+            seen: set[str] = set()
+            for request in requests:
+                self.assertEqual(request.fresh_connection, request.request_id in seen)
+                seen.add(request.request_id)
+            self.assertGreater(len(requests), len(seen))
+
+        run_in_world(scenario)
+
     def test_sound_items_whose_answers_are_lost_are_done_in_time(self) -> None:
         async def scenario(world: ServingWorld) -> None:
             lose_answers(world, 0.3)
