--- a/drumbay/batches/run_backoff.py
+++ b/drumbay/batches/run_backoff.py
@@ -5,7 +5,7 @@
 exponentially growing delay.
 """
 
-MIN_DELAY_SECONDS = 0.1
+MIN_DELAY_SECONDS = 0.05
 MAX_DELAY_SECONDS = 3.2
 """An item that no worker has failed must not wait for longer than a few seconds."""
 
