Test that each delay after runs without an answer is longer than the last

It asks for more: each gap from the second on is half as long again as the one before, and the last one eight times the first.

--- a/tests/test_unanswered_runs.py
+++ b/tests/test_unanswered_runs.py
@@ -100,7 +100,9 @@
         gaps = [later - earlier for earlier, later in itertools.pairwise(starts)]
         self.assertLessEqual(len(starts), ALLOWED_FAILURES)
         self.assertLess(max(gaps), MAX_SECONDS_AT_NO_WORKER)
-        self.assertGreater(gaps[3], 4 * gaps[0])
+        self.assertGreater(gaps[-1], 8 * gaps[0])
+        for earlier, later in itertools.pairwise(gaps[1:]):
+            self.assertGreater(later, 1.5 * earlier)
 
     def test_a_later_owner_goes_on_where_the_runs_without_an_answer_ended(self) -> None:
         async def scenario(world: ServingWorld) -> None:
