Give up an item that has failed twice, and may have used up its answers

One item had two failures that were read and seven runs without an answer: it could neither run again nor be given up, and its group returned in each step.

Cause: an item that may have used up three times its attempts was held back until three failures had been read, which could not happen any more.

It is given up if one failure at most is missing, and two were read. Workers have answered an item that fails at each run with 500 nine times by then. A sound one would need two failures of workers and seven lost answers in nine runs. After a single failure an item is still held. test_a_failing_item_that_loses_most_answers_does_not_hold_up_its_step failed before, since its second step was not whole within 6 s.

--- a/drumbay/batches/item_failures.py
+++ b/drumbay/batches/item_failures.py
@@ -18,6 +18,9 @@
 POSSIBLE_FAILURES_FACTOR = 3
 """The same, with runs that may have failed unseen."""
 
+MIN_PROVING_FAILURES = 2
+"""A single failure may be a worker's fault."""
+
 MAX_OWNER_RECORDS = 1_024
 """Records that a node keeps in memory."""
 
@@ -119,12 +122,14 @@
 def are_used_up(in_job: int, in_other_jobs: int, attempts: int, unanswered: int = 0) -> bool:
     """Return whether an item with these numbers of failures has no attempt left in its job.
 
-    Unanswered runs alone use up nothing: they may have been sound.
+    Unanswered runs alone use up nothing: they may have been sound. Together with repeated failures
+    they do, even if one failure is missing: an item held back instead would hold up all its steps.
     """
     total = in_job + in_other_jobs
     if in_job >= attempts or total >= TOTAL_ATTEMPTS_FACTOR * attempts:
         return True
-    return total >= attempts and may_be_used_up(total, attempts, unanswered)
+    proving = max(MIN_PROVING_FAILURES, attempts - 1)
+    return total >= proving and may_be_used_up(total, attempts, unanswered)
 
 
 def may_be_used_up(failures: int, attempts: int, unanswered: int) -> bool:
--- a/tests/test_unanswered_runs.py
+++ b/tests/test_unanswered_runs.py
@@ -22,6 +22,9 @@
 FIRST_ANSWER_SECONDS = 0.1
 """After this time each item has one answer, and no second run."""
 
+SECOND_ANSWER_SECONDS = 0.3
+"""After this time each item has two answers, and no third run."""
+
 LATER_STEPS = 6
 MAX_RUNS_IN_LATER_STEPS = 2 * ALLOWED_FAILURES
 MAX_SECONDS_AT_NO_WORKER = 5.0
@@ -86,6 +89,26 @@
 
         run_in_world(scenario)
 
+    def test_a_failing_item_that_loses_most_answers_does_not_hold_up_its_step(self) -> None:
+        """Guards against a group that returns in each step, and is whole in none."""
+
+        async def scenario(world: ServingWorld) -> None:
+            failing = item_ids(step(0, groups=1))
+            world.workers.failing_requests.update(failing)
+            await world.nodes[0].batches.submit(step(0, groups=1))
+            await asyncio.sleep(SECOND_ANSWER_SECONDS)
+            self.assertEqual([len(starts_of(world, item_id)) for item_id in failing], [2] * 4)
+            lose_answers(world, 1.0)
+            await asyncio.sleep(2 * STEP_SECONDS)
+            await world.nodes[0].batches.end(step(0).batch_id)
+            await world.nodes[1].batches.submit(step(1, groups=1))
+            results = await read_all(world.nodes[1].batches, step(1).batch_id, MAX_STEP_SECONDS)
+            self.assertEqual({result.state for result in results}, {ResultState.DEAD})
+            counts = [len(starts_of(world, item_id)) for item_id in failing]
+            self.assertLessEqual(max(counts), ALLOWED_FAILURES)
+
+        run_in_world(scenario)
+
     def test_runs_without_an_answer_are_repeated_less_and_less_often(self) -> None:
         async def scenario(world: ServingWorld) -> None:
             lose_answers(world, 1.0)
