Begin with shorter delays after runs without an answer, and keep those of failed items short

The first delay is 0.025 s and the longest 4 s: six add up to 1.6 s, and a failing item all of whose answers are lost still gets nine runs at most in 10 s. An item that is known to have failed gets nine runs at most in all, so that making them rare keeps its step waiting and protects nobody: its delays end at 0.8 s.

--- a/drumbay/batches/item_run.py
+++ b/drumbay/batches/item_run.py
@@ -83,9 +83,12 @@
 
         It must not run again, but is not known to have failed often enough to be given up.
         """
-        past = self.past
-        failures = self.failures + past.in_job.runs + past.in_other_jobs.runs
-        return may_be_used_up(failures, attempts, self.total_unanswered)
+        return may_be_used_up(self.total_failures, attempts, self.total_unanswered)
+
+    @property
+    def total_failures(self) -> int:
+        """Return the number of runs that workers are known to have failed, over all owners."""
+        return self.failures + self.past.in_job.runs + self.past.in_other_jobs.runs
 
     @property
     def total_unanswered(self) -> int:
--- a/drumbay/batches/run_backoff.py
+++ b/drumbay/batches/run_backoff.py
@@ -5,16 +5,23 @@
 exponentially growing delay.
 """
 
-MIN_DELAY_SECONDS = 0.05
-MAX_DELAY_SECONDS = 3.2
+MIN_DELAY_SECONDS = 0.025
+MAX_DELAY_SECONDS = 4.0
 """An item that no worker has failed must not wait for longer than a few seconds."""
 
+MAX_DELAY_OF_FAILED_ITEM_SECONDS = 0.8
+"""An item that has failed gets a limited number of runs; its step waits for the last of them."""
+
 _MAX_DOUBLINGS = 8
 
 
-def delay_seconds(unanswered: int) -> float:
-    """Return the delay after the last of a number of runs without an answer; 0 without one."""
+def delay_seconds(unanswered: int, *, has_failed: bool) -> float:
+    """Return the delay after the last of a number of runs without an answer; 0 without one.
+
+    ``has_failed`` states whether a worker is known to have failed the item.
+    """
     if not unanswered:
         return 0.0
+    longest = MAX_DELAY_OF_FAILED_ITEM_SECONDS if has_failed else MAX_DELAY_SECONDS
     doublings = min(unanswered - 1, _MAX_DOUBLINGS)
-    return min(MAX_DELAY_SECONDS, MIN_DELAY_SECONDS * 2.0**doublings)
+    return min(longest, MIN_DELAY_SECONDS * 2.0**doublings)
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -387,7 +387,9 @@
         run = self._runs.get(item_id)
         if run is None:
             return 0
-        run.record_unanswered(now + delay_seconds(run.total_unanswered + 1))
+        has_failed = run.total_failures > 0
+        delay = delay_seconds(run.total_unanswered + 1, has_failed=has_failed)
+        run.record_unanswered(now + delay)
         return run.total_unanswered
 
     def set_past_failures(
@@ -403,7 +405,8 @@
             run = self._runs.get(item_id)
             if run is not None:
                 run.past = failures
-                delay = delay_seconds(run.total_unanswered)
+                has_failed = run.total_failures > 0
+                delay = delay_seconds(run.total_unanswered, has_failed=has_failed)
                 run.not_before = max(run.not_before, self._started_at + delay)
         used_up = [
             item_id
