Stop the owner of a batch job at once when it is told of its successor

The node that got the submission had handed the batch job over, got no reply within 0.2 s, and owned it itself; the first owner had it all the same, and sent items until its first write to the store failed, 0.6 s later.

Cause: a hand-over of unknown outcome was left to the owner's check of the store, each 1.2 s or at its next write. The successor's announcement reaches the replaced owner before, and was only cached.

A node that is told of a later owner stops its own runs of the batch job now. The test failed before, with two owners 0.05 s after the announcement. Where the announcement does not arrive, the check of the store remains.

--- a/drumbay/batches/owned.py
+++ b/drumbay/batches/owned.py
@@ -257,6 +257,13 @@
     def _allowed_regions(self, spec: BatchSpec) -> AllowedRegions:
         return self._holders.regions_of(spec)
 
+    def drop_if_replaced(self, batch_id: BatchId, owner: StoredOwner) -> None:
+        """Stop a batch job if a later owner than this node is known."""
+        runner = self._runners.get(batch_id)
+        is_later = runner is not None and owner.revision > runner.revision
+        if runner is not None and is_later and owner.record.state is OwnerState.OPEN:
+            runner.handle_replacement()
+
     def _drop_runner(self, batch_id: BatchId) -> None:
         runner = self._runners.pop(batch_id, None)
         if runner is not None and runner.is_lingering:
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -13,7 +13,12 @@
     StopReason,
     StopRun,
 )
-from drumbay.batches.exceptions import BatchEndedError, BatchError, BatchNotFoundError
+from drumbay.batches.exceptions import (
+    BatchEndedError,
+    BatchError,
+    BatchMovedError,
+    BatchNotFoundError,
+)
 from drumbay.batches.failure_log import FailureLog
 from drumbay.batches.item_failures import FailureHistory, ItemFailures
 from drumbay.batches.item_quarantine import ItemQuarantine
@@ -554,6 +559,10 @@
         is_complete = previously_missing > 0 and self._missing_groups == 0
         return is_complete or self._scheduler.is_finished
 
+    def handle_replacement(self) -> None:
+        """Stop, as another owner has replaced this one; only that one may send items."""
+        self._handle_ownership_loss(BatchMovedError(self.spec.batch_id))
+
     def _handle_ownership_loss(self, error: BatchError) -> None:
         log_event(
             "batch_lost",
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -355,7 +355,8 @@
         return stored.revision if is_written else None
 
     def handle_owner_notice(self, notice: OwnerNotice) -> None:
-        """Handle another node's notice of an owner."""
+        """Handle another node's notice of an owner, who may have replaced this one."""
+        self._owned.drop_if_replaced(notice.batch_id, notice.owner)
         self._owners.handle_notice(notice)
 
     # Reads and end
--- a/tests/test_batch_owners.py
+++ b/tests/test_batch_owners.py
@@ -12,6 +12,8 @@
 from drumbay.standins.kv_faults import KeyValueFaults
 from tests.serving_world import ServingWorld, WorldNode, batch_spec, read_all, run_in_world
 
+NOTICE_SECONDS = 0.05
+
 
 class StreamOwnerTest(unittest.TestCase):
     async def run_first_batch(self, world: ServingWorld) -> None:
@@ -95,6 +97,19 @@
 
         run_in_world(scenario, node_count=3)
 
+    def test_a_replaced_owner_that_is_told_of_its_successor_sends_nothing_more(self) -> None:
+        """Guards against items that two owners run at the same time."""
+
+        async def scenario(world: ServingWorld) -> None:
+            await self.run_first_batch(world)
+            world.workers.long_texts = True
+            world.peers.lose_replies.add(world.nodes[0].address)
+            await world.nodes[2].batches.submit(batch_spec("second"))
+            await asyncio.sleep(NOTICE_SECONDS)
+            self.assertEqual(self.owned(world), [0, 0, 1])
+
+        run_in_world(scenario, node_count=3)
+
     def test_a_restarted_owner_rejects_a_hand_over_to_its_earlier_process(self) -> None:
         async def scenario(world: ServingWorld) -> None:
             await self.run_first_batch(world)
