Store the runs that were cut off when an owner stops

An owner that is replaced, or ends as planned, cancels its runs; each is a run without an answer and is counted, but the writer of the counts was cancelled with them, so that the next batch job with these items began at less.

The writer goes on for a second. The test failed before, with no record in the store.

--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -73,6 +73,9 @@
 LINGER_SECONDS = 8.0
 """How long runs continue after the end of a batch job, for items that are resubmitted."""
 
+LAST_FAILURES_SECONDS = 1.0
+"""How long failures of the runs that a stopped owner has cut off may take to be stored."""
+
 RESUME_DELAY_SECONDS = 1.7
 MIN_RESUMED_EVENTS = 45
 """A replaced owner that is still alive stops within ``OWNER_CHECK_INTERVAL_SECONDS``. Texts with
@@ -266,12 +269,20 @@
     def close(self) -> None:
         """Stop every run and drop unlisted results."""
         self._stop_tasks()
-        if self._failure_writer is not None:
-            self._failure_writer.cancel()
         self._closed = True
         self._scoring.stop_all()
         for task in self._runs.values():
             task.cancel()
+        if self._failure_writer is not None:
+            self._task_owner.spawn(
+                self._end_failure_log(self._failure_writer),
+                f"batch-last-failures-{self.spec.batch_id}",
+            )
+
+    async def _end_failure_log(self, writer: asyncio.Task[None]) -> None:
+        """Let the log store what the last runs have counted, then end it."""
+        await self._clock.sleep(LAST_FAILURES_SECONDS)
+        writer.cancel()
 
     def linger(self) -> None:
         """Stop starting items and listing results, but let runs continue for reuse."""
--- a/tests/test_unanswered_runs.py
+++ b/tests/test_unanswered_runs.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from drumbay.batches.ledger import BatchLedger
 from drumbay.batches.records import BatchId, BatchSpec, ResultState
 from tests.serving_world import ServingWorld, WorldNode, batch_spec, read_all, run_in_world
 
@@ -159,6 +160,24 @@
 
         run_in_world(scenario)
 
+    def test_runs_that_are_cut_off_when_an_owner_is_replaced_count(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            spec = step(0, groups=1)
+            world.workers.rejected_requests.update(item_ids(spec))
+            for worker in world.workers.entries():
+                world.workers[worker.worker_id].faults.failure_delay_seconds = STEP_SECONDS
+            await world.nodes[0].batches.submit(spec)
+            await asyncio.sleep(FIRST_ANSWER_SECONDS)
+            runner = world.nodes[0].batches._owned.get(spec.batch_id)
+            assert runner is not None
+            runner.handle_replacement()
+            await asyncio.sleep(1.0)
+            ((_, failures),) = await BatchLedger(world.nodes[1].store).read_failures()
+            unanswered = {item_id: item.unanswered for item_id, item in failures.items.items()}
+            self.assertEqual(unanswered, dict.fromkeys(item_ids(spec), 1))
+
+        run_in_world(scenario)
+
 
 class SoundItemsTest(unittest.TestCase):
     def test_an_item_without_an_answer_runs_again_over_a_new_connection(self) -> None:
