Repeat a request whose connection closed once, also if the repeat is refused

What callers saw: none of their own; found in the review of this landing. A request of a route with a single attempt, whose kept connection had closed, reached a worker that was full eight times within 0.04 s: one run and seven refusals.

Cause: the closed attempt stayed repeatable, since a refusal does not count as an attempt; only the limit of refusals ended it.

The attempt is forgotten when it is repeated. The test failed before, with eight arrivals for two.

--- a/drumbay/forwarding/attempts.py
+++ b/drumbay/forwarding/attempts.py
@@ -41,7 +41,8 @@
         failed_workers: Workers on which an attempt broke or failed.
         may_have_run: Whether an attempt that has ended may have run.
         tried: The workers that have received the request.
-        closed: The attempt whose reused connection closed before the response.
+        closed: The attempt whose reused connection closed before the response, until it is
+            repeated.
     """
 
     def __init__(self, route: Route) -> None:
--- a/drumbay/forwarding/forwarded_request.py
+++ b/drumbay/forwarding/forwarded_request.py
@@ -436,6 +436,7 @@
             ForwardingError: The worker must not get the request any more, and no other has it.
         """
         repeatable = self._attempts.repeatable()
+        self._attempts.closed = None
         if repeatable is not None and self._workers.may_send(repeatable.record):
             self._send(repeatable.record, repeatable.choice, remaining)
         elif not self._attempts.in_flight:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -138,6 +138,20 @@
 
         run_in_world(scenario)
 
+    def test_a_refused_repeat_is_not_repeated(self) -> None:
+        """Guards against a full worker that gets one request many times within milliseconds."""
+
+        async def scenario(world: ServingWorld) -> None:
+            forwarder = self.start(world)
+            call = asyncio.ensure_future(forwarder.forward(route(attempts=1), request()))
+            await asyncio.sleep(0.01)
+            world.workers["lookup-1"].faults.full = True
+            with self.assertRaises(ResponseLostError):
+                await call
+            self.assertEqual(len(world.workers.arrivals), 2)
+
+        run_in_world(scenario)
+
     def test_the_repeat_is_not_given_the_time_of_the_first_send(self) -> None:
         async def scenario(world: ServingWorld) -> None:
             forwarder = self.start(world)
