--- a/drumbay/batches/item_failures.py
+++ b/drumbay/batches/item_failures.py
@@ -125,8 +125,8 @@
 def are_used_up(in_job: int, in_other_jobs: int, attempts: int, unanswered: int = 0) -> bool:
     """Return whether an item with these numbers of failures has no attempt left in its job.
 
-    Unanswered runs alone use up nothing: they may have been sound. Together with repeated failures
-    they do, even if one failure is missing: an item held back instead would hold up all its steps.
+    Unanswered runs alone use up nothing: they may have been sound. With at least two failures they
+    make up for one that is missing, as an item that is held back would hold up its steps.
     """
     total = in_job + in_other_jobs
     if in_job >= attempts or total >= TOTAL_ATTEMPTS_FACTOR * attempts:
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -557,7 +557,7 @@
             worker_id=worker_id,
             resume_after=run.last_number,
             priority=self._priority(run),
-            # Idle connections may have stalled or be closed by their workers, all alike.
+            # All idle connections may have stalled, or may be closed by their workers.
             fresh_connection=run.total_unanswered > 0,
         )
 
