Review case 1: a change of the configuration leaves accepted items without workers

Cause: workers of a service that the new configuration does not name leave the directory at once, and a batch job looks for workers of the service that its route had at the submission only.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
-"""Case 1: three workers crash in a row, and an item that merely ran there starts no more."""
+"""Case 1: a batch job's route moves to another service, and its waiting items never start."""
 
 import asyncio
+import json
 import sys
 from pathlib import Path
 
@@ -11,152 +12,118 @@
     MODEL,
     Deployment,
     Record,
+    Store,
     Trainer,
     Worker,
+    configuration,
     has_trouble,
     item,
     main,
 )
 
-GROUPS = 8
+OLD_SERVICE = "engines"
+NEW_SERVICE = "engines-b"
+GROUPS = 6
 GROUP_SIZE = 4
-DESIRED = 7
-"""The trainer waits for nine tenths of the groups."""
-
+DESIRED = 6
+SLOTS = 4
 STEP_SECONDS = 12.0
-CRASHES = 3
-FIRST_CRASH_SECONDS = 1.0
-CRASH_INTERVAL_SECONDS = 1.2
-DOWN_SECONDS = 1.0
+CHANGE_SECONDS = 1.0
+"""Time from the submission to the operator's change."""
+
 AT_NO_WORKER_SECONDS = 5.0
-NAMED_SECONDS = 6.0
-SLOTS = 8
 
 
-def make_worker(name: str, store: object, record: Record) -> Worker:
-    """Return a worker whose texts have 100 events and take five seconds."""
-    return Worker(name, store, record, slots=SLOTS, events=100, seconds_per_event=0.05)
+def make_worker(name: str, store: Store, record: Record) -> Worker:
+    """Return a worker whose texts take two seconds; the first two are of the old service."""
+    service = OLD_SERVICE if name in ("w0", "w1") else NEW_SERVICE
+    return Worker(
+        name, store, record, slots=SLOTS, events=40, seconds_per_event=0.05, service=service
+    )
 
 
 class Case:
-    """The steps of one trainer, and the crashes of workers."""
+    """One step of a trainer, while the operator moves its route to another service."""
 
     def __init__(self, record: Record) -> None:
-        """Create a deployment of three nodes and six workers."""
+        """Create three nodes and two services of two workers each."""
         self.record = record
-        self.deployment = Deployment(record, nodes=3, workers=6, make_worker=make_worker)
+        self.deployment = Deployment(record, nodes=3, workers=4, make_worker=make_worker)
         self.trainer = Trainer(self.deployment)
-        self.disrupted_until = 0.0
-        self.named_at = 0.0
         self.broken = False
 
+    def write_configuration(self, version: int, service: str, services: tuple[str, ...]) -> None:
+        """Write a version, as the operator does."""
+        value = configuration(version, None, service, services)
+        self.deployment.store.put("op/config", json.dumps(value).encode())
+        self.record.add(
+            f"version {version} is acknowledged: drafts go to {service};"
+            f" services: {', '.join(services)}"
+        )
+
     async def run(self) -> int:
-        """Play two steps; return the exit code."""
+        """Play the step; return the exit code."""
         try:
+            self.write_configuration(1, OLD_SERVICE, (OLD_SERVICE, NEW_SERVICE))
             await self.deployment.start()
-            groups = [f"g0-{number}" for number in range(GROUPS)]
-            crashes = asyncio.ensure_future(self.crash_workers())
-            missing = await self.step(0, groups)
-            await crashes
-            if missing is None:
-                return 2
-            self.deployment.store.put(
-                f"op/version/{MODEL}", f'{{"model": "{MODEL}", "ver": 2}}'.encode()
-            )
-            self.named_at = self.record.now()
-            self.record.add("version 2 is named")
-            await asyncio.sleep(0.5)
-            carried = missing[: DESIRED // 2]
-            fresh = [f"g1-{number}" for number in range(GROUPS - len(carried))]
-            if await self.step(1, carried + fresh) is None:
+            await asyncio.sleep(CONTACT_SECONDS)
+            if not await self.step():
                 return 2
         finally:
             await self.deployment.close()
         return 1 if self.broken else 0
 
-    def worker_events(self) -> list[tuple[float, str, str, str]]:
-        """Return what all workers have noted."""
-        return [entry for worker in self.deployment.workers for entry in worker.log]
-
-    async def crash_workers(self) -> None:
-        """Crash a worker, then twice the one that runs most of what has crashed before."""
-        if not has_trouble():
-            return
-        await asyncio.sleep(FIRST_CRASH_SECONDS)
-        hit: dict[str, int] = {}
-        for number in range(CRASHES):
-            victims = {name for name, count in hit.items() if count == number}
-            worker = max(
-                self.deployment.workers,
-                key=lambda worker: (len(victims & worker.running.keys()), len(worker.running)),
-            )
-            for name in worker.running:
-                hit[name] = hit.get(name, 0) + 1
-            await worker.crash(DOWN_SECONDS)
-            self.disrupted_until = self.record.now()
-            await asyncio.sleep(CRASH_INTERVAL_SECONDS - DOWN_SECONDS)
-
-    async def step(self, number: int, groups: list[str]) -> list[str] | None:
-        """Play a step; return the groups that are not whole, or ``None`` if it can't be played."""
-        batch_id = f"step-{number}"
-        items = {f"{group}-{place}": group for group in groups for place in range(GROUP_SIZE)}
+    async def change(self) -> None:
+        """Move the route to the new service, and name the old one no more."""
+        await asyncio.sleep(CHANGE_SECONDS)
+        if has_trouble():
+            self.write_configuration(2, NEW_SERVICE, (NEW_SERVICE,))
+
+    async def step(self) -> bool:
+        """Play the step; return whether it could be played."""
+        items = {f"g{group}-{place}": f"g{group}" for group in range(GROUPS) for place in range(4)}
         body = {
-            "trainStep": number,
+            "trainStep": 0,
             "model": MODEL,
             "minVer": 1,
             "desired": DESIRED,
-            "requests": [item(name, group, "316,100") for name, group in items.items()],
+            "requests": [item(name, group, "316,40") for name, group in items.items()],
         }
         began_at = self.record.now()
-        if not await self.trainer.submit(batch_id, body):
-            return None
-        listed: dict[str, str] = {}
-        carried = [group for group in groups if not group.startswith(f"g{number}-")]
-        while self.record.now() < began_at + STEP_SECONDS:
-            status, page = await self.trainer.read(batch_id, len(listed))
+        if not await self.trainer.submit("step-0", body):
+            return False
+        change = asyncio.ensure_future(self.change())
+        listed: set[str] = set()
+        while len(listed) < len(items) and self.record.now() < began_at + STEP_SECONDS:
+            status, page = await self.trainer.read("step-0", len(listed))
             if status == 200:
-                for result in page["results"]:
-                    listed[result["id"]] = result["state"]
-            missing = [g for g in groups if any(items[i] == g and i not in listed for i in items)]
-            is_whole = len(groups) - len(missing) >= DESIRED and not set(carried) & set(missing)
-            if is_whole:
-                break
+                listed |= {result["id"] for result in page["results"]}
             await asyncio.sleep(0.4)
-        if not is_whole:
-            self.record.add(f"{batch_id} has run out of time, {len(missing)} groups are missing")
-            self.judge(batch_id, [name for name in items if name not in listed], list(items))
-        else:
-            self.record.add(f"{batch_id} is whole, {len(missing)} groups are missing")
-        if not await self.trainer.end(batch_id):
-            return None
-        return missing
-
-    def judge(self, batch_id: str, unlisted: list[str], items: list[str]) -> None:
-        """Apply the rule to the items that are missing as a step runs out of time."""
+        await change
+        self.record.add(f"{len(listed)} of {len(items)} items are listed")
+        if len(listed) < len(items):
+            self.judge([name for name in items if name not in listed], began_at)
+        return await self.trainer.end("step-0")
+
+    def judge(self, unlisted: list[str], began_at: float) -> None:
+        """Apply the rule to the items that are missing as the step runs out of time."""
         now = self.record.now()
-        steady_since = self.disrupted_until + CONTACT_SECONDS
-        running = sum(len(worker.running) for worker in self.deployment.workers)
-        places = SLOTS * len(self.deployment.workers)
-        others = {entry[1] for entry in self.worker_events()} & set(items) - set(unlisted)
+        workers = self.deployment.workers
+        running = sum(len(worker.running) for worker in workers)
+        places = SLOTS * len(workers)
+        begun = {entry[1] for worker in workers for entry in worker.log} - set(unlisted)
         self.record.add(
-            f"{running} of {places} places of workers are taken; {len(others)} others had begun;"
-            f" the last version was named {now - self.named_at:.1f} s ago"
-        )
-        is_excused = (
-            running * 2 >= places or not others or (0 < now - self.named_at <= NAMED_SECONDS)
+            f"the step has run out of time; {running} of {places} places of workers are taken;"
+            f" {len(begun)} others had begun; no version was named"
         )
         for name in unlisted:
-            entries = [entry for entry in self.worker_events() if entry[1] == name]
-            if any(entry[2] == "ends whole" for entry in entries):
+            entries = [entry for worker in workers for entry in worker.log if entry[1] == name]
+            is_running = any(name in worker.running for worker in workers)
+            if is_running or any(entry[2] == "ends whole" for entry in entries):
                 continue
-            is_running = any(name in worker.running for worker in self.deployment.workers)
-            left_at = max((entry[0] for entry in entries), default=0.0)
-            seconds = 0.0 if is_running else now - max(left_at, steady_since)
-            self.record.add(
-                f"item {name} of {batch_id}: at no worker for {now - left_at:.1f} s, of these"
-                f" {seconds:.1f} s of steady state; no worker has finished or failed it"
-            )
-            if seconds >= AT_NO_WORKER_SECONDS and not is_excused:
+            seconds = now - max((entry[0] for entry in entries), default=began_at)
+            self.record.add(f"item {name}: at no worker for {seconds:.1f} s of steady state")
+            if seconds >= AT_NO_WORKER_SECONDS and begun and running * 2 < places:
                 self.record.add(f"LOST is broken: item {name}")
                 self.broken = True
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -304,9 +304,11 @@
         slots: int,
         events: int,
         seconds_per_event: float,
+        service: str = SERVICE,
     ) -> None:
         """Create a worker that is not listening."""
         self.name = name
+        self.service = service
         self.starts = 0
         self.running: dict[str, float] = {}
         self.waiting = 0
@@ -342,7 +344,7 @@
     def publish(self) -> None:
         """Write the entry of this start."""
         entry = {
-            "svc": SERVICE,
+            "svc": self.service,
             "addr": f"{HOST}:{self.server.port}",
             "zone": "zone-a",
             "ver": "r1",
@@ -486,10 +488,135 @@
         return f"{item}:{number}"
 
 
+class SilentProxy:
+    """Passes connections on; those that are open can be made silent for good, without a reset."""
+
+    def __init__(self, target: int) -> None:
+        """Pass on to a port; :meth:`start` listens."""
+        self.port = free_port()
+        self.opened = 0
+        self._target = target
+        self._silent_up_to = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._accept, HOST, self.port)
+
+    def silence_open(self) -> int:
+        """Pass nothing more on over the connections that are open now; return their number."""
+        self._silent_up_to = self.opened
+        return len(self._writers) // 2
+
+    def close(self) -> None:
+        """Refuse new connections and end the open ones."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.opened += 1
+        number = self.opened
+        try:
+            other_reader, other_writer = await asyncio.open_connection(HOST, self._target)
+        except OSError:
+            writer.transport.abort()
+            return
+        ends = {writer, other_writer}
+        self._writers |= ends
+        try:
+            passing = {
+                asyncio.ensure_future(self._pass(reader, other_writer, number)),
+                asyncio.ensure_future(self._pass(other_reader, writer, number)),
+            }
+            await asyncio.wait(passing, return_when=asyncio.FIRST_COMPLETED)
+            for task in passing:
+                task.cancel()
+        except asyncio.CancelledError:
+            pass
+        finally:
+            self._writers -= ends
+            for end in ends:
+                end.close()
+
+    async def _pass(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, number: int
+    ) -> None:
+        try:
+            while chunk := await reader.read(65_536):
+                if number > self._silent_up_to:
+                    writer.write(chunk)
+                    await writer.drain()
+            while number <= self._silent_up_to and not writer.is_closing():
+                # The end of a silent connection does not get through either.
+                await asyncio.sleep(0.5)
+                if reader.exception() is not None:
+                    return
+        except OSError:
+            return
+
+
+class LookupWorker:
+    """A worker of a plain service: answers each request with its service's name."""
+
+    def __init__(self, name: str, service: str, store: Store, record: Record) -> None:
+        """Create a worker that is not listening."""
+        self.worker_id = name
+        self.service = service
+        self.arrivals: list[tuple[float, str]] = []
+        """Seconds and attempt id of each request that it has run."""
+        self._store = store
+        self._record = record
+        self.server = HttpServer(self._serve)
+
+    async def start(self) -> None:
+        """Listen and write the entry."""
+        await self.server.start()
+        self.publish("ready")
+
+    def publish(self, state: str) -> None:
+        """Write the entry."""
+        entry = {
+            "svc": self.service,
+            "addr": f"{HOST}:{self.server.port}",
+            "zone": "zone-a",
+            "ver": "r1",
+            "slots": 16,
+            "state": state,
+            "warmupLeftMs": 0,
+            "seq": 1,
+        }
+        self._store.put(f"servers/{self.worker_id}", json.dumps(entry).encode())
+
+    async def _serve(
+        self, first: str, headers: Headers, body: bytes, writer: asyncio.StreamWriter
+    ) -> bool:
+        _, target, _ = first.split(" ")
+        if headers.get("x-drumbay-expect-instance", self.worker_id) != self.worker_id:
+            writer.write(encode_answer(421, {"X-Drumbay-Not-Executed": "1"}, b""))
+        elif target == "/report":
+            report = {"stage": "mixed", "models": [], "busy": False, "seq": 0}
+            writer.write(encode_answer(200, {}, json.dumps(report).encode()))
+        else:
+            attempt = headers.get("x-drumbay-attempt-id", "")
+            self.arrivals.append((self._record.now(), attempt))
+            await asyncio.sleep(0.02)
+            answer = {
+                "X-Drumbay-Attempt-Id": attempt,
+                "X-Drumbay-Server-Seal": f"seal-{attempt}",
+                "X-Drumbay-Server-Load": "1,0,16",
+            }
+            writer.write(encode_answer(200, answer, self.service.encode()))
+        await writer.drain()
+        return True
+
+
 class Node:
     """One process of the project, started with the command of the deploy file."""
 
-    def __init__(self, number: int, store: Store, folder: Path, role: str = "edge") -> None:
+    def __init__(self, number: int, store_port: int, folder: Path, role: str = "edge") -> None:
         """Write its settings."""
         self.number = number
         self.front = free_port()
@@ -497,6 +624,7 @@
         self._role = role
         self._settings = folder / f"{role}-{number}.conf"
         self._log = folder / f"{role}-{number}.log"
+        self.peer_address = f"{HOST}:{free_port()}"
         fields = {
             "node": f"{role}-{number}",
             "role": role,
@@ -508,7 +636,7 @@
             "zones.zone-a": "region-a",
             "listen.front": f"{HOST}:{self.front}",
             "listen.ready": f"{HOST}:{free_port()}",
-            "portRange": f"{free_port()},0",
+            "portRange": f"{self.peer_address.partition(':')[2]},0",
             "bootstrap": "true",
             "countsAsLoss": "false",
             "limits.memoryMb": "300",
@@ -529,7 +657,7 @@
             "bounds.fencing": "true",
             "bounds.leaseMs": "3000",
             "bounds.thawMs": "300",
-            "platform.addr": f"{HOST}:{store.server.port}",
+            "platform.addr": f"{HOST}:{store_port}",
             "platform.form": "kv",
             "platform.writesPerS": "400",
             "platform.readsPerS": "2000",
@@ -583,16 +711,28 @@
     """A store, workers and nodes, in a temporary folder."""
 
     def __init__(
-        self, record: Record, *, nodes: int, workers: int, make_worker: Callable[..., Worker]
+        self,
+        record: Record,
+        *,
+        nodes: int,
+        workers: int = 0,
+        make_worker: Callable[..., Worker] | None = None,
+        added: int = 0,
     ) -> None:
-        """Create everything; :meth:`start` runs it."""
+        """Create everything; :meth:`start` runs it. The last ``added`` nodes start later."""
+        self._added = added
         self._folder = tempfile.TemporaryDirectory(prefix="drumbay-review-")
         self.record = record
         self.store = Store(record)
-        self.workers = [make_worker(f"w{number}", self.store, record) for number in range(workers)]
+        self.workers: list[Worker] = []
+        if make_worker is not None:
+            self.workers = [
+                make_worker(f"w{number}", self.store, record) for number in range(workers)
+            ]
         folder = Path(self._folder.name)
-        self.nodes = [Node(number, self.store, folder) for number in range(nodes)]
-        self.nodes.append(Node(0, self.store, folder, role="storage"))
+        self.proxy = SilentProxy(self.store.server.port)
+        self.nodes = [Node(number, self.proxy.port, folder) for number in range(nodes)]
+        self.nodes.append(Node(0, self.proxy.port, folder, role="storage"))
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -603,45 +743,72 @@
     async def start(self, seconds: float = 6.0) -> None:
         """Start everything and wait until the nodes serve."""
         await self.store.server.start()
+        await self.proxy.start()
         self._tasks = [asyncio.ensure_future(self.store.run())]
-        self.store.put("op/config", json.dumps(configuration()).encode())
+        if "op/config" not in self.store.items:
+            self.store.put("op/config", json.dumps(configuration()).encode())
         for worker in self.workers:
             await worker.start()
-        for node in self.nodes:
+        first = [*self.edges[: len(self.edges) - self._added], self.nodes[-1]]
+        for node in first:
             node.start()
         await asyncio.sleep(seconds)
+        for node in self.edges[len(self.edges) - self._added :]:
+            node.start()
+        if self._added:
+            await asyncio.sleep(seconds)
 
     async def close(self) -> None:
         """End all processes that were started."""
         await asyncio.gather(*(node.stop() for node in self.nodes))
         for worker in self.workers:
             worker.server.kill()
+        self.proxy.close()
         self.store.server.kill()
         for task in self._tasks:
             task.cancel()
         self._folder.cleanup()
 
 
-def configuration(version: int = 1) -> dict[str, object]:
-    """Return the operator's configuration: one route for batch jobs."""
-    return {
-        "ver": version,
-        "routes": [
+def configuration(
+    version: int = 1,
+    lookup_service: str | None = None,
+    batch_service: str = SERVICE,
+    services: tuple[str, ...] = (SERVICE, "service-a", "service-b"),
+) -> dict[str, object]:
+    """Return the operator's configuration: a route for batch jobs, and one for lookups."""
+    common = {"host": ROUTE_HOST, "attempts": 3}
+    routes: list[dict[str, object]] = [
+        {
+            **common,
+            "name": "drafts",
+            "pathPrefix": "/drafts/",
+            "svc": batch_service,
+            "kind": "rollout",
+            "timeoutMs": 10_000,
+            "targetMs": 400,
+            "dueMs": 7500,
+            "queueTtlS": 40,
+            "prio": 1,
+        }
+    ]
+    if lookup_service is not None:
+        routes.append(
             {
-                "name": "drafts",
-                "host": ROUTE_HOST,
-                "pathPrefix": "/drafts/",
-                "svc": SERVICE,
-                "kind": "rollout",
-                "timeoutMs": 10_000,
-                "targetMs": 400,
-                "dueMs": 7500,
-                "attempts": 3,
-                "queueTtlS": 40,
-                "prio": 1,
+                **common,
+                "name": "lookups",
+                "pathPrefix": "/lookups/",
+                "svc": lookup_service,
+                "kind": "idempotent",
+                "timeoutMs": 1500,
+                "targetMs": 200,
+                "prio": 2,
             }
-        ],
-        "svcs": [{"name": SERVICE, "healthPath": "/healthz", "maxConns": 150}],
+        )
+    return {
+        "ver": version,
+        "routes": routes,
+        "svcs": [{"name": name, "healthPath": "/healthz", "maxConns": 150} for name in services],
         "limits": {
             "maxHeaderBytes": 16_384,
             "maxBodyBytes": 33_554_432,
