--- a/review/1/case.py
+++ b/review/1/case.py
@@ -31,6 +31,9 @@
 CHANGE_SECONDS = 1.0
 """Time from the submission to the operator's change."""
 
+STEADY_AFTER_SECONDS = 3.0
+"""Time from the change on that is not counted: `configMs` and a second more."""
+
 AT_NO_WORKER_SECONDS = 5.0
 
 
@@ -50,6 +53,7 @@
         self.record = record
         self.deployment = Deployment(record, nodes=3, workers=4, make_worker=make_worker)
         self.trainer = Trainer(self.deployment)
+        self.changed_at = 0.0
         self.broken = False
 
     def write_configuration(self, version: int, service: str, services: tuple[str, ...]) -> None:
@@ -78,6 +82,7 @@
         await asyncio.sleep(CHANGE_SECONDS)
         if has_trouble():
             self.write_configuration(2, NEW_SERVICE, (NEW_SERVICE,))
+            self.changed_at = self.record.now()
 
     async def step(self) -> bool:
         """Play the step; return whether it could be played."""
@@ -121,8 +126,12 @@
             is_running = any(name in worker.running for worker in workers)
             if is_running or any(entry[2] == "ends whole" for entry in entries):
                 continue
-            seconds = now - max((entry[0] for entry in entries), default=began_at)
-            self.record.add(f"item {name}: at no worker for {seconds:.1f} s of steady state")
+            left_at = max((entry[0] for entry in entries), default=began_at)
+            seconds = now - max(left_at, self.changed_at + STEADY_AFTER_SECONDS)
+            self.record.add(
+                f"item {name}: at no worker for {now - left_at:.1f} s, of these {seconds:.1f} s"
+                " of steady state"
+            )
             if seconds >= AT_NO_WORKER_SECONDS and begun and running * 2 < places:
                 self.record.add(f"LOST is broken: item {name}")
                 self.broken = True
