Run items of accepted batch jobs at a service that their route has now, or has had

Cause: a batch job kept the service chosen at its submission for as long as it was open, while the worker directory follows the configuration and drops workers of services that it does not name.

Why this works: JobService selects the service at each plan. A service of the route in the current configuration goes first, if it has a worker for the items; otherwise one that the route had since the submission, which an accepted item may use as well. A node keeps the workers of services that its open batch jobs may use in its directory.

--- a/drumbay/batches/item_quarantine.py
+++ b/drumbay/batches/item_quarantine.py
@@ -39,8 +39,8 @@
         self._runs: dict[ItemId, _ActiveRun] = {}
         self._logged_held_back: set[ItemId] = set()
 
-    def limits(self, waiting: Iterable[BatchItem]) -> StartLimits:
-        """Return which waiting items are held back and which must run isolated.
+    def limits(self, waiting: Iterable[BatchItem], service: str) -> StartLimits:
+        """Return which items that wait for a service are held back and which must run isolated.
 
         Items under which workers have crashed at least twice start isolated, a few at a time, and
         only one of several identical requests; the others wait for the outcome. After a single
@@ -57,7 +57,7 @@
             fingerprint = self._fingerprint(item)
             if not self._quarantine.is_tracked(fingerprint):
                 continue
-            verdict = self._quarantine.verdict(fingerprint, self._spec.service, len(isolated))
+            verdict = self._quarantine.verdict(fingerprint, service, len(isolated))
             if not _may_start(verdict) or fingerprint in starting:
                 self._log_held_back(item, fingerprint, verdict)
                 held_back.add(item.item_id)
--- a/drumbay/batches/job_share.py
+++ b/drumbay/batches/job_share.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from drumbay.batches.decisions import SlotShare
+from drumbay.batches.job_service import JobService
 from drumbay.batches.records import BatchSpec, ItemId
 from drumbay.batches.scheduler import BatchScheduler
 from drumbay.batches.slot_contention import Contention
@@ -41,6 +42,7 @@
         metrics: ServingMetrics,
         placement: PlacementGate,
         allowed_regions: Callable[[], AllowedRegions],
+        service: JobService,
         spec: BatchSpec,
         scheduler: BatchScheduler,
         submitted_at: float,
@@ -54,6 +56,7 @@
             metrics: Counts deferred steps.
             placement: Decides which workers may run the items.
             allowed_regions: Returns the regions in which the items may run now.
+            service: The service that runs the items.
             spec: The batch job.
             scheduler: Schedules its items.
             submitted_at: Monotonic time of its submission.
@@ -66,6 +69,7 @@
         self._metrics = metrics
         self._placement = placement
         self._allowed_regions = allowed_regions
+        self._service = service
         self._spec = spec
         self._scheduler = scheduler
         self._submitted_at = submitted_at
@@ -99,7 +103,7 @@
         due_at = self._scheduler.due_at
         self._slot_usage = JobSlotUsage(
             batch_id=self._spec.batch_id,
-            service=self._spec.service,
+            service=self._service.name,
             model=self._spec.model,
             priority=self._spec.priority,
             is_open=self.is_open,
@@ -125,7 +129,7 @@
 
         Runs that end in an evacuated zone take no slot of the other workers.
         """
-        records = self._directory.of_service(self._spec.service)
+        records = self._directory.of_service(self._service.name)
         in_service = self._placement.in_service(records, self._allowed_regions())
         running = self._running.total()
         if len(in_service) < len(records):
@@ -157,12 +161,12 @@
         Steps of several trainers often start together. Until the demand of the others is known,
         only long items start, since they start first in any case.
         """
-        share = self._slot_sharing.share_for(self, self._spec.service)
+        share = self._slot_sharing.share_for(self, self._service.name)
         contention = share.contention
         if contention is None:
             is_settling = now < self._owned_at + SETTLE_SECONDS
             long_items_only = is_settling and self._slot_sharing.has_competing_routes(
-                self._spec.service
+                self._service.name
             )
             return msgspec.structs.replace(share, long_items_only=long_items_only)
         if contention.is_feasible != self._is_feasible and self.last_slot_usage.startable:
--- a/drumbay/batches/owned.py
+++ b/drumbay/batches/owned.py
@@ -14,6 +14,7 @@
     BatchUnavailableError,
 )
 from drumbay.batches.item_failures import FailureHistory
+from drumbay.batches.job_service import JobService
 from drumbay.batches.ledger import BatchLedger
 from drumbay.batches.lingering import LingeringBatches
 from drumbay.batches.owners import ANY_PROCESS, OwnerTable
@@ -32,7 +33,7 @@
 from drumbay.batches.slot_sharing import SlotSharing
 from drumbay.clock import Clock
 from drumbay.comm.http_exchange import NetworkAddress
-from drumbay.forwarding.routes import ServiceUse
+from drumbay.forwarding.routes import BatchRouting
 from drumbay.identifiers import Revision, WeightVersion
 from drumbay.kv.interface import KeyValueError
 from drumbay.observability.logs import log_event
@@ -83,7 +84,7 @@
         task_owner: TaskOwner,
         newest_version: Callable[[str], WeightVersion],
         send_notice: Callable[[Iterable[NetworkAddress], PlacesNotice], None],
-        service_use: ServiceUse,
+        routes: BatchRouting,
         holders: BodyHolders,
         placement: PlacementGate,
         shares_slots: bool,
@@ -104,7 +105,7 @@
             task_owner: Runs the tasks of runners.
             newest_version: Returns the newest weight version announced for a model.
             send_notice: Sends a notice to other nodes.
-            service_use: Returns which kinds of requests reach a service.
+            routes: The current configuration.
             holders: Decides which nodes may hold a batch job.
             placement: Decides which workers may get an item.
             shares_slots: Whether batch jobs share worker slots with those of other owners.
@@ -124,6 +125,8 @@
         self._metrics = metrics
         self._holders = holders
         self._placement = placement
+        self._routes = routes
+        self._service_listeners: list[Callable[[], None]] = []
         self._failure_history = FailureHistory()
         self._runners: dict[BatchId, BatchRunner] = {}
         self._takeovers: dict[BatchId, asyncio.Event] = {}
@@ -140,7 +143,7 @@
             clock,
             directory,
             owners,
-            service_use,
+            routes,
             placement,
             send_notice,
             lambda: [runner.share for runner in self._all_runners()],
@@ -157,6 +160,21 @@
         """Return the number of owned batch jobs."""
         return len(self._runners)
 
+    @property
+    def services(self) -> frozenset[str]:
+        """Return the services at which items of the owned batch jobs may run."""
+        return frozenset(
+            service for runner in self._runners.values() for service in runner.service.candidates
+        )
+
+    def add_service_listener(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after :attr:`services` may have changed."""
+        self._service_listeners.append(listener)
+
+    def _notify_service_listeners(self) -> None:
+        for listener in self._service_listeners:
+            listener()
+
     def unfinished_count(self) -> int:
         """Return how many owned batch jobs have unlisted items that are not blocked."""
         return sum(
@@ -244,16 +262,29 @@
             self._placement,
             lambda: self._allowed_regions(spec),
             self._failure_history,
+            self._job_service(spec),
             spec,
             revision,
             listed,
             newest_version=lambda: self._newest_version(spec.model),
             on_lost=self._drop_runner,
+            on_services_changed=self._notify_service_listeners,
         )
         self._runners[spec.batch_id] = runner
+        self._notify_service_listeners()
         self.slot_sharing.schedule_notice()
         return runner
 
+    def _job_service(self, spec: BatchSpec) -> JobService:
+        return JobService(
+            self._clock,
+            self._routes,
+            self._directory,
+            self._placement,
+            lambda: self._allowed_regions(spec),
+            spec,
+        )
+
     def _allowed_regions(self, spec: BatchSpec) -> AllowedRegions:
         return self._holders.regions_of(spec)
 
@@ -268,6 +299,7 @@
         runner = self._runners.pop(batch_id, None)
         if runner is not None and runner.is_lingering:
             self._lingering.add(runner)
+        self._notify_service_listeners()
         self._owners.forget(batch_id)
 
     # Takeover
@@ -405,6 +437,7 @@
         if runner is not None:
             runner.linger()
             self._lingering.add(runner)
+            self._notify_service_listeners()
 
     def release_texts(self, request: TakePartialTexts) -> ResubmittedItems:
         """Stop the runs of items of ended batch jobs and return their partial texts."""
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -24,6 +24,7 @@
 from drumbay.batches.item_quarantine import ItemQuarantine
 from drumbay.batches.item_scoring import ItemScoring
 from drumbay.batches.item_stream import ItemStreams
+from drumbay.batches.job_service import JobService
 from drumbay.batches.job_share import JobShare
 from drumbay.batches.ledger import BatchLedger
 from drumbay.batches.progress import ProgressSaver
@@ -100,6 +101,7 @@
 
     Attributes:
         spec: The batch job.
+        service: The service that runs its items.
         revision: The owner's revision in the ledger.
         share: Its share of worker slots.
         holds_starts: Whether no items start, as the batch job is about to move.
@@ -120,12 +122,14 @@
         placement: PlacementGate,
         allowed_regions: Callable[[], AllowedRegions],
         failure_history: FailureHistory,
+        service: JobService,
         spec: BatchSpec,
         revision: Revision,
         listed: tuple[ItemResult, ...],
         *,
         newest_version: Callable[[], WeightVersion],
         on_lost: Callable[[BatchId], None],
+        on_services_changed: Callable[[], None],
     ) -> None:
         """Create a runner for the items that are not yet listed.
 
@@ -143,13 +147,16 @@
             placement: Decides which workers may get an item.
             allowed_regions: Returns the regions in which the items may run now.
             failure_history: What this node knows of failed items.
+            service: Selects the service that runs the items.
             spec: The batch job.
             revision: The owner's revision in the ledger.
             listed: Results that the store contains already.
             newest_version: Returns the newest version announced for the batch job's model.
             on_lost: Called when another node owns the batch job, or it has ended.
+            on_services_changed: Called when the services that may run the items have changed.
         """
         self.spec = spec
+        self.service = service
         self.revision = revision
         self._clock = clock
         self._directory = directory
@@ -161,6 +168,7 @@
         self._allowed_regions = allowed_regions
         self._started_at = clock.monotonic()
         self._on_lost = on_lost
+        self._on_services_changed = on_services_changed
         self._slot_sharing = slot_sharing
         self._newest_version = newest_version
         self._version_at_start = newest_version()
@@ -178,6 +186,7 @@
             metrics,
             placement,
             allowed_regions,
+            service,
             spec,
             self._scheduler,
             submitted_at,
@@ -407,12 +416,14 @@
             now = self._clock.monotonic()
             for result in self._scheduler.expire(now):
                 self._add_result(result)
+            if self.service.update():
+                self._on_services_changed()
             workers = {
                 record.worker.worker_id: record
-                for record in self._directory.of_service(self.spec.service)
+                for record in self._directory.of_service(self.service.name)
             }
             limits = self._limits = add_placement_limits(
-                self._quarantine.limits(self._scheduler.waiting),
+                self._quarantine.limits(self._scheduler.waiting, self.service.name),
                 self._placement,
                 workers,
                 self._allowed_regions(),
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -177,6 +177,15 @@
         """Return the number of batch jobs that this node owns."""
         return len(self._owned)
 
+    @property
+    def services(self) -> frozenset[str]:
+        """Return the services at which items of the owned batch jobs may run."""
+        return self._owned.services
+
+    def add_service_listener(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after :attr:`services` may have changed."""
+        self._owned.add_service_listener(listener)
+
     def slot_usage(self) -> tuple[JobSlotUsage, ...]:
         """Return the slot usage of the owned batch jobs."""
         return self._owned.slot_sharing.slot_usage()
--- a/drumbay/forwarding/routes.py
+++ b/drumbay/forwarding/routes.py
@@ -149,6 +149,23 @@
         ...
 
 
+class BatchRouting(ServiceUse, Protocol):
+    """Reports the route of an accepted batch job in the current configuration."""
+
+    @property
+    def current(self) -> RoutingConfiguration | None:
+        """Return the configuration in force, if any."""
+        ...
+
+    def batch_route(self, name: str, host: str, path: str) -> Route | None:
+        """Return the route of a batch job; ``None`` if the configuration has none for it."""
+        ...
+
+    def choose_service(self, route: Route) -> str:
+        """Select the service for the next batch job of a route."""
+        ...
+
+
 class BatchRegions(Protocol):
     """Reports in which regions a batch job may run and be held in the current configuration."""
 
@@ -226,6 +243,19 @@
         is_configured = route_regions is not None and self._current.has_tenant(tenant)
         return regions if is_configured else regions.intersect(recorded)
 
+    def batch_route(self, name: str, host: str, path: str) -> Route | None:
+        """Return the route by which the items of an accepted batch job run now.
+
+        That is the route of its name or, if it was renamed or replaced, the one of its items' path;
+        ``None`` if the configuration has neither.
+        """
+        if self._current is None:
+            return None
+        named = next((route for route in self._current.routes if route.name == name), None)
+        route = named or self._current.find(host, path)
+        is_for_batches = route is not None and route.kind is RequestKind.ROLLOUT
+        return route if is_for_batches else None
+
     def batch_routes(self, service: str) -> int:
         """Return how many routes submit batch jobs to a service."""
         return sum(route.kind is RequestKind.ROLLOUT for route in self._routes_to(service))
