Retry items and reward requests after crashes of their workers instead of holding them

Cause: the quarantine judged items and reward requests as live requests. They are accepted work, which nobody may turn away; each hold also outlasts the 5 s for which an item may be at no worker.

Fix: a crash policy. Live requests keep HOLD, unchanged. Accepted work has RETRY: from the second crash in a row a backoff of 0.25 s, doubling to 4 s, then isolation for at most 0.5 s, all counted from the last crash, so that owners, restarts and later batch jobs add nothing. The longest wait is 4.5 s.

Tests that asked the opposite: items and reward requests in tests.test_crashing_requests, and the soak's check of crashing items and rewards, asked that they reach workers no more. They are replaced, as strict: such work starts again within 5 s of each crash (8 s where ended workers are silent), and from the sixth crash on at most each 3.9 s; the soak's accepted_work_is_run_in_calm judges every item and each reward request that crashed, over batch jobs. Checks of live requests are as they were.

--- a/drumbay/batches/item_quarantine.py
+++ b/drumbay/batches/item_quarantine.py
@@ -1,4 +1,4 @@
-"""Applies the node's request quarantine to the items of a batch job."""
+"""Applies the node's records of crashed workers to the items of a batch job."""
 
 from collections.abc import Iterable
 
@@ -8,8 +8,7 @@
 from drumbay.batches.records import BatchItem, BatchSpec, ItemId
 from drumbay.identifiers import BackendId
 from drumbay.quarantine.fingerprint import Fingerprint, fingerprint_of
-from drumbay.quarantine.ledger import CRASHES_UNTIL_TRIAL
-from drumbay.quarantine.records import Decision, Reason, Verdict
+from drumbay.quarantine.records import CrashPolicy, Decision, Verdict
 from drumbay.quarantine.service import Quarantine
 from drumbay.workers.records import (
     Worker,
@@ -42,10 +41,9 @@
     def limits(self, waiting: Iterable[BatchItem], service: str) -> StartLimits:
         """Return which items that wait for a service are held back and which must run isolated.
 
-        Items under which workers have crashed at least twice start isolated, a few at a time, and
-        only one of several identical requests; the others wait for the outcome. After a single
-        crash, identical items of a group keep running side by side: the crash may be unrelated, and
-        running them one by one would delay the step by a full generation each.
+        Items under which workers have crashed at least twice in a row back off, and then start
+        isolated, a few at a time, and only one of several identical requests. All of that ends soon
+        after the last crash, since an item must run however often workers crash under it.
         """
         if self._quarantine.is_idle:
             return StartLimits()
@@ -57,8 +55,10 @@
             fingerprint = self._fingerprint(item)
             if not self._quarantine.is_tracked(fingerprint):
                 continue
-            verdict = self._quarantine.verdict(fingerprint, service, len(isolated))
-            if not _may_start(verdict) or fingerprint in starting:
+            verdict = self._quarantine.verdict(
+                fingerprint, service, len(isolated), CrashPolicy.RETRY
+            )
+            if verdict.decision is not Decision.RUN or fingerprint in starting:
                 self._log_held_back(item, fingerprint, verdict)
                 held_back.add(item.item_id)
             elif verdict.is_trial:
@@ -81,14 +81,14 @@
     def begin_run(self, item: BatchItem, worker: Worker, now: float) -> None:
         """Record the start of a run, whose end must be recorded too."""
         self._runs[item.item_id] = _ActiveRun(item, worker, now)
-        self._quarantine.begin_run(self._fingerprint(item), worker.worker_id)
+        self._quarantine.begin_run(self._fingerprint(item), worker.worker_id, CrashPolicy.RETRY)
 
     def end_run(self, item: BatchItem, worker: Worker) -> None:
         """Record the end of a run. The item's next run may have started already."""
         run = self._runs.get(item.item_id)
         if run is not None and run.worker is worker:
             del self._runs[item.item_id]
-        self._quarantine.end_run(self._fingerprint(item), worker.worker_id)
+        self._quarantine.end_run(self._fingerprint(item), worker.worker_id, CrashPolicy.RETRY)
 
     def record_survival(self, item: BatchItem) -> None:
         """Record that a worker survived the run of an item."""
@@ -126,11 +126,3 @@
                 body=item.body,
             )
         return found
-
-
-def _may_start(verdict: Verdict) -> bool:
-    may_run_alongside = (
-        verdict.reason is Reason.RUN_IN_PROGRESS
-        and verdict.consecutive_crashes < CRASHES_UNTIL_TRIAL
-    )
-    return verdict.decision is Decision.RUN or may_run_alongside
--- a/drumbay/forwarding/forwarded_request.py
+++ b/drumbay/forwarding/forwarded_request.py
@@ -127,7 +127,12 @@
         self._attempts = RequestAttempts(route)
         self._answer_watch = AnswerWatch(services.unresponsive_workers, request.request_id)
         self._quarantine = RequestQuarantine(
-            services.quarantine, request.request_id, self._fingerprint, service, self._attempts
+            services.quarantine,
+            request.request_id,
+            self._fingerprint,
+            request.crash_policy,
+            service,
+            self._attempts,
         )
         self._workers = RequestWorkers(services.picker, self._quarantine, service, allowed_regions)
         self._outcomes = AttemptOutcomes(
@@ -494,7 +499,13 @@
         record.in_flight += 1
         record.body_bytes += len(request.body)
         task = asyncio.get_running_loop().create_task(
-            self._caller.call(record.worker, worker_request, self._route, self._fingerprint)
+            self._caller.call(
+                record.worker,
+                worker_request,
+                self._route,
+                self._fingerprint,
+                self._request.crash_policy,
+            )
         )
         # A task that is cancelled before it starts never reaches a ``finally`` block of its own.
         task.add_done_callback(lambda _: _subtract_in_flight(record, len(request.body)))
--- a/drumbay/forwarding/records.py
+++ b/drumbay/forwarding/records.py
@@ -7,6 +7,7 @@
 from drumbay.exceptions import Execution, RequestFailedError
 from drumbay.placement.regions import AllowedRegions, any_region
 from drumbay.quarantine.fingerprint import Fingerprint, fingerprint_of
+from drumbay.quarantine.records import CrashPolicy
 from drumbay.tenants.records import TenantName
 
 
@@ -91,6 +92,11 @@
         """Return whether a client waits for the response, in contrast to internal requests."""
         return self.caller_address != ""
 
+    @property
+    def crash_policy(self) -> CrashPolicy:
+        """Return what happens to the request after crashes of its workers."""
+        return CrashPolicy.HOLD if self.reward_order is None else CrashPolicy.RETRY
+
     @property
     def fingerprint(self) -> Fingerprint:
         """Return a fingerprint that is the same for all retries of the request."""
--- a/drumbay/forwarding/request_quarantine.py
+++ b/drumbay/forwarding/request_quarantine.py
@@ -5,8 +5,9 @@
 from drumbay.forwarding.records import RequestQuarantinedError
 from drumbay.forwarding.request_log import log_run_broken
 from drumbay.identifiers import BackendId
+from drumbay.quarantine.crash_retry import CRASHES_UNTIL_BACKOFF
 from drumbay.quarantine.fingerprint import Fingerprint
-from drumbay.quarantine.records import Decision, Verdict
+from drumbay.quarantine.records import CrashPolicy, Decision, Verdict
 from drumbay.quarantine.service import Quarantine
 from drumbay.workers.records import WorkerBrokenError
 
@@ -27,6 +28,7 @@
         quarantine: Quarantine,
         request_id: str,
         fingerprint: Fingerprint,
+        crash_policy: CrashPolicy,
         service: str,
         attempts: RequestAttempts,
     ) -> None:
@@ -34,6 +36,7 @@
         self._quarantine = quarantine
         self._request_id = request_id
         self._fingerprint = fingerprint
+        self._crash_policy = crash_policy
         self._service = service
         self._attempts = attempts
         self.avoided_workers: frozenset[BackendId] = frozenset()
@@ -50,7 +53,11 @@
             return False
         if self._quarantine.is_idle:
             return True
-        verdict = self._quarantine.verdict(self._fingerprint, self._service)
+        verdict = self._quarantine.verdict(
+            self._fingerprint, self._service, policy=self._crash_policy
+        )
+        if self._is_retried_alone(verdict) and self._attempts.in_flight:
+            return False
         if verdict.decision is Decision.RUN:
             self.avoided_workers = verdict.avoided_workers
             return True
@@ -59,6 +66,11 @@
             raise self._error(verdict)
         return False
 
+    def _is_retried_alone(self, verdict: Verdict) -> bool:
+        """Return whether the request is accepted work that runs on one worker at a time."""
+        is_retried = self._crash_policy is CrashPolicy.RETRY
+        return is_retried and verdict.consecutive_crashes >= CRASHES_UNTIL_BACKOFF
+
     def _may_have_crashed_workers(self, now: float) -> bool:
         """Return whether the request waits for several workers, and one does not respond.
 
--- a/drumbay/forwarding/worker_call.py
+++ b/drumbay/forwarding/worker_call.py
@@ -8,6 +8,7 @@
 from drumbay.forwarding.worker_choice import cross_region_seconds, relative_latency_of
 from drumbay.placement.gate import PlacementGate
 from drumbay.quarantine.fingerprint import Fingerprint
+from drumbay.quarantine.records import CrashPolicy
 from drumbay.quarantine.service import Quarantine
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
@@ -43,6 +44,7 @@
         request: WorkerRequest,
         route: Route,
         fingerprint: Fingerprint,
+        crash_policy: CrashPolicy,
     ) -> WorkerResponse:
         """Return the worker's complete response.
 
@@ -52,7 +54,7 @@
         """
         self._placement.admit(worker, request.allowed_regions(), request.request_id)
         started_at = self._clock.monotonic()
-        self._quarantine.begin_run(fingerprint, worker.worker_id)
+        self._quarantine.begin_run(fingerprint, worker.worker_id, crash_policy)
         try:
             response = await self._client.call(worker, request)
         except asyncio.CancelledError:
@@ -63,7 +65,7 @@
                 self._unresponsive_workers.record_response(worker)
             raise
         finally:
-            self._quarantine.end_run(fingerprint, worker.worker_id)
+            self._quarantine.end_run(fingerprint, worker.worker_id, crash_policy)
         self._unresponsive_workers.record_response(worker)
         self._record_response(worker, route, started_at, response)
         return response
--- a/drumbay/quarantine/ledger.py
+++ b/drumbay/quarantine/ledger.py
@@ -1,8 +1,9 @@
 """Records which workers crashed under which requests, and decides whether a request may run again.
 
-A request is held once workers have crashed under three consecutive runs of it, each of which began
-after the previous crash. Concurrent runs count as one, since a common cause, such as a power loss,
-may have ended all their workers. One response from any worker clears the request.
+Accepted work is retried, see :mod:`drumbay.quarantine.crash_retry`. Any other request is held once
+workers have crashed under three consecutive runs of it, each of which began after the previous
+crash. Concurrent runs count as one, since a common cause, such as a power loss, may have ended all
+their workers. One response from any worker clears the request.
 
 A worker that has not responded since a run may be unreachable: until its crash is confirmed, or it
 responds, the crash counts, but does not hold the request for long.
@@ -206,13 +207,15 @@
 
     def expire(self, now: float) -> tuple[Fingerprint, ...]:
         """Drop requests without a recent crash; return them."""
-        old = tuple(f for f in self._crashes if now - self._last_crash_at(f) > EXPIRY_SECONDS)
+        old = tuple(f for f in self._crashes if now - self.last_crash_at(f) > EXPIRY_SECONDS)
         for fingerprint in old:
             del self._crashes[fingerprint]
         return old
 
-    def _last_crash_at(self, fingerprint: Fingerprint) -> float:
-        return max(crash.ended_at for crash in self.crashes(fingerprint))
+    def last_crash_at(self, fingerprint: Fingerprint) -> float:
+        """Return when the last crash under a request was; minus infinity without any."""
+        ends = (crash.ended_at for crash in self.crashes(fingerprint))
+        return max(ends, default=float("-inf"))
 
     # Deciding
 
@@ -245,11 +248,10 @@
             return _hold(Reason.CRASHES_ITS_WORKERS, crash_count, remaining)
         if self.has_unconfirmed(fingerprint) and crash_count >= CRASHES_UNTIL_HELD:
             return _hold(Reason.WORKERS_MAY_HAVE_CRASHED, crash_count, RECOVERY_WAIT_SECONDS)
-        max_trials = max(1, availability.available // WORKERS_PER_TRIAL)
         is_trial = crash_count >= CRASHES_UNTIL_TRIAL
-        if activity.runs or (is_trial and activity.trials >= max_trials):
+        if activity.runs or (is_trial and activity.trials >= max_trials(availability)):
             return _wait(Reason.RUN_IN_PROGRESS, crash_count)
-        if is_risky and now - self._last_crash_at(fingerprint) < PROPAGATION_SECONDS:
+        if is_risky and now - self.last_crash_at(fingerprint) < PROPAGATION_SECONDS:
             return _wait(Reason.CHECK_IN_PROGRESS, crash_count)
         if is_risky:
             return _hold(Reason.FEW_WORKERS_LEFT, crash_count, RECOVERY_WAIT_SECONDS)
@@ -306,6 +308,11 @@
     )
 
 
+def max_trials(availability: WorkerAvailability) -> int:
+    """Return how many trials a node may have in progress."""
+    return max(1, availability.available // WORKERS_PER_TRIAL)
+
+
 def risks_too_many_workers(crash_count: int, availability: WorkerAvailability) -> bool:
     """Return whether too few workers would be left if the next run crashed its worker."""
     min_left = MIN_WORKERS_LEFT if crash_count < CRASHES_UNTIL_TRIAL else MIN_WORKERS_LEFT_BY_TRIAL
--- a/drumbay/quarantine/records.py
+++ b/drumbay/quarantine/records.py
@@ -107,6 +107,15 @@
 QuarantineNotice = RequestSuspected | RequestProvedSound | WorkerProvedAlive
 
 
+class CrashPolicy(StrEnum):
+    """What happens to a request under which workers have crashed."""
+
+    HOLD = "hold"
+    """It is held: its caller is told when to come back."""
+    RETRY = "retry"
+    """It is accepted work, which must run: it runs again after a capped backoff."""
+
+
 class Decision(StrEnum):
     """Whether the next run of a request may start."""
 
@@ -114,7 +123,8 @@
     WAIT = "wait"
     """The request waits a fraction of a second for the outcome of another run or check."""
     HOLD = "hold"
-    """The request is quarantined, or too few workers are available to risk another crash."""
+    """The request is quarantined or backs off, or too few workers are available to risk another
+    crash."""
 
 
 class Reason(StrEnum):
@@ -126,6 +136,7 @@
     FEW_WORKERS_LEFT = "few_workers_left"
     CRASHES_ITS_WORKERS = "crashes_its_workers"
     WORKERS_MAY_HAVE_CRASHED = "workers_may_have_crashed"
+    BACKOFF_AFTER_CRASHES = "backoff_after_crashes"
 
 
 class Verdict(msgspec.Struct, frozen=True, kw_only=True):
--- a/drumbay/quarantine/service.py
+++ b/drumbay/quarantine/service.py
@@ -11,6 +11,7 @@
 requested after this node learned of the crash counts.
 """
 
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -20,13 +21,20 @@
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
 from drumbay.placement.gate import PlacementGate
+from drumbay.quarantine.crash_retry import (
+    MAX_CHECK_WAIT_SECONDS,
+    decide_retry,
+    isolation_ends_at,
+)
 from drumbay.quarantine.fingerprint import Fingerprint
 from drumbay.quarantine.ledger import (
     CRASHES_UNTIL_TRIAL,
     QuarantineLedger,
+    max_trials,
     risks_too_many_workers,
 )
 from drumbay.quarantine.records import (
+    CrashPolicy,
     CrashReport,
     Decision,
     QuarantineNotice,
@@ -50,6 +58,11 @@
 """Minimum interval between two report requests to the same worker."""
 
 
+class _RunInProgress(msgspec.Struct, frozen=True):
+    worker_id: BackendId
+    policy: CrashPolicy
+
+
 class Quarantine:
     """Decides whether a request may run, based on crashes seen by all nodes."""
 
@@ -83,7 +96,7 @@
         self._metrics = metrics
         self._broadcast = broadcast
         self._listeners: list[Callable[[Fingerprint, bool], None]] = []
-        self._runs: dict[Fingerprint, list[BackendId]] = {}
+        self._runs: dict[Fingerprint, list[_RunInProgress]] = {}
         self._suspicions = Suspicions()
         self._checks = WorkerChecks(clock, directory, client, task_owner, self._on_condition)
         self._report_requested_at: dict[WorkerIncarnation, float] = {}
@@ -109,40 +122,70 @@
 
     # Decisions
 
-    def verdict(self, fingerprint: Fingerprint, service: str, starting: int = 0) -> Verdict:
+    def verdict(
+        self,
+        fingerprint: Fingerprint,
+        service: str,
+        starting: int = 0,
+        policy: CrashPolicy = CrashPolicy.HOLD,
+    ) -> Verdict:
         """Return whether a request may run now on a worker of a service.
 
         Args:
             fingerprint: The request.
             service: The service.
             starting: Number of other trials that the caller is about to start.
+            policy: What happens to the request after crashes.
         """
         if not self.is_tracked(fingerprint):
             return Verdict(decision=Decision.RUN)
         now = self._clock.monotonic()
         self._confirm_replaced(fingerprint, now)
-        trials = [
-            worker_id
-            for running, workers in self._runs.items()
-            if self._possible_crashes(running) >= CRASHES_UNTIL_TRIAL
-            for worker_id in workers
-        ]
+        trials = self._trials(now)
+        checks_since = now - MAX_CHECK_WAIT_SECONDS if policy is CrashPolicy.RETRY else -math.inf
         activity = RequestActivity(
             runs=self._runs_in_progress(fingerprint),
             trials=len(trials) + starting,
-            checks=self._suspicions.checks_of(fingerprint),
+            checks=self._suspicions.checks_of(fingerprint, checks_since),
         )
-        verdict = self.ledger.decide(fingerprint, self._availability(service, now), activity, now)
-        if self._possible_crashes(fingerprint) < CRASHES_UNTIL_TRIAL:
+        availability = self._availability(service, now)
+        if policy is CrashPolicy.RETRY:
+            verdict = decide_retry(
+                self.ledger.consecutive_crashes(fingerprint),
+                self.ledger.last_crash_at(fingerprint),
+                activity,
+                max_trials(availability),
+                now,
+            )
+        else:
+            verdict = self.ledger.decide(fingerprint, availability, activity, now)
+            is_trial = self._possible_crashes(fingerprint) >= CRASHES_UNTIL_TRIAL
+            verdict = msgspec.structs.replace(verdict, is_trial=is_trial)
+        if not verdict.is_trial:
             return verdict
-        return msgspec.structs.replace(verdict, is_trial=True, avoided_workers=frozenset(trials))
+        return msgspec.structs.replace(verdict, avoided_workers=frozenset(trials))
+
+    def _trials(self, now: float) -> list[BackendId]:
+        """Return the workers of all trials in progress at this node."""
+        return [
+            run.worker_id
+            for fingerprint, runs in self._runs.items()
+            if self._possible_crashes(fingerprint) >= CRASHES_UNTIL_TRIAL
+            for run in runs
+            if run.policy is CrashPolicy.HOLD or self._is_isolated(fingerprint, now)
+        ]
+
+    def _is_isolated(self, fingerprint: Fingerprint, now: float) -> bool:
+        """Return whether runs of accepted work must be isolated."""
+        crash_count = self.ledger.consecutive_crashes(fingerprint)
+        return now < isolation_ends_at(crash_count, self.ledger.last_crash_at(fingerprint))
 
     def _runs_in_progress(self, fingerprint: Fingerprint) -> int:
         """Return the number of runs of a request whose workers have not crashed under it."""
         crashes = self.ledger.crashes(fingerprint)
         return sum(
-            not any(self._has_ended(worker_id, crash) for crash in crashes)
-            for worker_id in self._runs.get(fingerprint, ())
+            not any(self._has_ended(run.worker_id, crash) for crash in crashes)
+            for run in self._runs.get(fingerprint, ())
         )
 
     def _has_ended(self, worker_id: BackendId, crash: WorkerCrash) -> bool:
@@ -201,15 +244,25 @@
 
     # Runs
 
-    def begin_run(self, fingerprint: Fingerprint, worker_id: BackendId) -> None:
+    def begin_run(
+        self,
+        fingerprint: Fingerprint,
+        worker_id: BackendId,
+        policy: CrashPolicy = CrashPolicy.HOLD,
+    ) -> None:
         """Record the beginning of a run on a worker; :meth:`end_run` must follow."""
-        self._runs.setdefault(fingerprint, []).append(worker_id)
+        self._runs.setdefault(fingerprint, []).append(_RunInProgress(worker_id, policy))
 
-    def end_run(self, fingerprint: Fingerprint, worker_id: BackendId) -> None:
+    def end_run(
+        self,
+        fingerprint: Fingerprint,
+        worker_id: BackendId,
+        policy: CrashPolicy = CrashPolicy.HOLD,
+    ) -> None:
         """Record the end of a run on a worker, with any outcome."""
-        workers = self._runs[fingerprint]
-        workers.remove(worker_id)
-        if not workers:
+        runs = self._runs[fingerprint]
+        runs.remove(_RunInProgress(worker_id, policy))
+        if not runs:
             del self._runs[fingerprint]
 
     def record_broken_run(
--- a/drumbay/quarantine/suspicions.py
+++ b/drumbay/quarantine/suspicions.py
@@ -78,9 +78,13 @@
                 return
             self.drop_request(fingerprint)
 
-    def checks_of(self, fingerprint: Fingerprint) -> int:
-        """Return how many runs of a request have workers that are being checked."""
-        return sum(run.awaits_check for run in self._runs.get(fingerprint, ()))
+    def checks_of(self, fingerprint: Fingerprint, since: float = float("-inf")) -> int:
+        """Return how many runs of a request have workers that are being checked.
+
+        Only those count that ended at a monotonic time or later.
+        """
+        runs = self._runs.get(fingerprint, ())
+        return sum(run.awaits_check and run.failed_at >= since for run in runs)
 
     def of_request(self, fingerprint: Fingerprint, now: float) -> tuple[UnansweredRun, ...]:
         """Return the runs of a request that are recent enough."""
