Do not count runs whose workers crashed as possible failures of an item

What callers saw: an item that a worker had failed once or twice, and under which workers then crashed, was started no more until its queue limit, or given up before its attempts were used.

Cause: a run without any answer counts as a possible failure, as a lost answer of 500 looks the same. A crash was counted so too; with one known failure, eight of them used the item up.

Why this works: the check of the worker that follows each broken run tells a crash from a lost answer. The crashed runs are a counter of their own, which grows only, so records of several owners still add up.

--- a/drumbay/batches/item_failures.py
+++ b/drumbay/batches/item_failures.py
@@ -31,13 +31,20 @@
 class ItemFailures(msgspec.Struct, frozen=True, kw_only=True):
     """Failures of one item: runs that failed, runs that were rejected, and reward requests.
 
-    ``unanswered`` counts runs that ended without any answer: the worker may have failed them, too.
+    ``unanswered`` counts runs that ended without any answer: the worker may have failed them, too,
+    except in the ``crashed`` ones, where it crashed.
     """
 
     runs: int = 0
     rejections: int = 0
     rewards: int = 0
     unanswered: int = 0
+    crashed: int = 0
+
+    @property
+    def possible_failures(self) -> int:
+        """Return the runs that the worker may have failed unseen."""
+        return max(0, self.unanswered - self.crashed)
 
     def plus(self, other: "ItemFailures") -> "ItemFailures":
         """Return the sum."""
@@ -46,6 +53,7 @@
             rejections=self.rejections + other.rejections,
             rewards=self.rewards + other.rewards,
             unanswered=self.unanswered + other.unanswered,
+            crashed=self.crashed + other.crashed,
         )
 
 
@@ -117,7 +125,7 @@
 def _total(failures: OwnerFailures) -> int:
     """Return the number of failures, which only grows as an owner sees more."""
     return sum(
-        item.runs + item.rejections + item.rewards + item.unanswered
+        item.runs + item.rejections + item.rewards + item.unanswered + item.crashed
         for item in failures.items.values()
     )
 
--- a/drumbay/batches/item_quarantine.py
+++ b/drumbay/batches/item_quarantine.py
@@ -1,6 +1,7 @@
 """Applies the node's records of crashed workers to the items of a batch job."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from functools import partial
 
 import msgspec
 
@@ -18,6 +19,9 @@
     WorkerRejectedError,
 )
 
+CrashListener = Callable[[ItemId, Worker], None]
+"""Called with an item and the worker that crashed while it ran the item."""
+
 
 class _ActiveRun(msgspec.Struct, frozen=True):
     """A run of an item on a worker, with its monotonic start time."""
@@ -95,25 +99,38 @@
         if not self._quarantine.is_idle:
             self._quarantine.record_response(self._fingerprint(item))
 
-    def record_error(self, item: BatchItem, error: WorkerError) -> None:
-        """Record the failure of a run."""
+    def record_error(self, item: BatchItem, error: WorkerError, on_crash: CrashListener) -> None:
+        """Record the failure of a run; ``on_crash`` is called if its worker has crashed."""
         run = self._runs.get(item.item_id)
         if run is None:
             return
         if isinstance(error, WorkerBrokenError):
             fingerprint = self._fingerprint(item)
             self._quarantine.record_broken_run(
-                fingerprint, item.item_id, run.worker, run.started_at
+                fingerprint,
+                item.item_id,
+                run.worker,
+                run.started_at,
+                partial(on_crash, item.item_id, run.worker),
             )
         elif isinstance(error, WorkerFailedError | WorkerRejectedError):
             self.record_survival(item)
 
-    def record_silence(self, item_id: ItemId) -> None:
-        """Record that a run was stopped because its worker sent no events."""
+    def record_silence(self, item_id: ItemId, on_crash: CrashListener) -> None:
+        """Record that a run was stopped because its worker sent no events.
+
+        ``on_crash`` is called if the worker has crashed.
+        """
         run = self._runs.get(item_id)
         if run is not None:
             fingerprint = self._fingerprint(run.item)
-            self._quarantine.record_unanswered_run(fingerprint, item_id, run.worker, run.started_at)
+            self._quarantine.record_unanswered_run(
+                fingerprint,
+                item_id,
+                run.worker,
+                run.started_at,
+                partial(on_crash, item_id, run.worker),
+            )
 
     def _fingerprint(self, item: BatchItem) -> Fingerprint:
         found = self._fingerprints.get(item.item_id)
--- a/drumbay/batches/item_run.py
+++ b/drumbay/batches/item_run.py
@@ -28,7 +28,7 @@
         not_before: Monotonic time before which the item is not started again.
         past: Failures that earlier owners have seen.
         failures: Runs for which a worker reported a failure.
-        unanswered: Runs that ended without any answer.
+        unanswered: Runs that ended without any answer, unless their workers crashed.
         unanswered_on: Workers of these runs.
         moves: How often the item was moved off a slow worker.
         generation: How often its text was discarded and started anew.
@@ -92,9 +92,10 @@
 
     @property
     def total_unanswered(self) -> int:
-        """Return the number of runs without any answer, over all owners."""
+        """Return the number of runs that may have failed without an answer, over all owners."""
         past = self.past
-        return self.unanswered + past.in_job.unanswered + past.in_other_jobs.unanswered
+        earlier = past.in_job.possible_failures + past.in_other_jobs.possible_failures
+        return self.unanswered + earlier
 
     def has_reward_requests_left(self, attempts: int) -> bool:
         """Return whether its reward request may be sent again."""
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -60,7 +60,7 @@
 from drumbay.tasks import TaskOwner
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
-from drumbay.workers.records import Worker, WorkerError
+from drumbay.workers.records import Worker, WorkerError, WorkerIncarnation
 from drumbay.workers.silence_check import SilenceCheck
 from drumbay.workers.worker_record import WorkerRecord
 
@@ -215,6 +215,7 @@
         # Set once the store has told how often the items have failed before, or did not answer.
         self._may_start_items = asyncio.Event()
         self._runs: dict[ItemId, asyncio.Task[None]] = {}
+        self._unanswered_runs: set[tuple[ItemId, WorkerIncarnation]] = set()
         self._wakeup = asyncio.Event()
         self._scoring = ItemScoring(
             clock,
@@ -471,7 +472,7 @@
                     reason=reason,
                 )
                 if reason in _NO_EVENT_REASONS:
-                    self._quarantine.record_silence(item_id)
+                    self._quarantine.record_silence(item_id, self._record_crashed_run)
                 if reason is StopReason.SILENT:
                     # Probed before it is paused: if connections broke, the streams of all workers
                     # fall silent together, and pausing them all would stall the step.
@@ -497,7 +498,7 @@
         except WorkerError as error:
             now = self._clock.monotonic()
             model = self.spec.model
-            self._quarantine.record_error(start.item, error)
+            self._quarantine.record_error(start.item, error, self._record_crashed_run)
             failure = record_run_failure(self._directory, record.worker, model, error, now)
         finally:
             self._quarantine.end_run(start.item, worker)
@@ -513,6 +514,7 @@
         """Count a run whose worker may have failed it unseen."""
         if failure not in _UNSEEN_FAILURES or self._streams.has_answered(item_id):
             return
+        self._unanswered_runs.add((item_id, worker.incarnation))
         unanswered = self._scheduler.record_unanswered(item_id, self._clock.monotonic())
         self._failure_log.record(item_id, ItemFailures(unanswered=1))
         log_event(
@@ -524,6 +526,22 @@
             unanswered=unanswered,
         )
 
+    def _record_crashed_run(self, item_id: ItemId, worker: Worker) -> None:
+        """Count a run without an answer no longer: its worker did not fail it, but crashed."""
+        run = (item_id, worker.incarnation)
+        if run not in self._unanswered_runs:
+            return
+        self._unanswered_runs.discard(run)
+        self._scheduler.record_crashed_run(item_id)
+        self._failure_log.record(item_id, ItemFailures(crashed=1))
+        log_event(
+            "item_run_crashed",
+            batch=self.spec.batch_id,
+            item=item_id,
+            worker=worker.worker_id,
+        )
+        self._wakeup.set()
+
     def _release_slot(self, item: BatchItem, record: WorkerRecord) -> None:
         """Free the slot of a run."""
         record.in_flight -= 1
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -392,6 +392,12 @@
         run.record_unanswered(now + delay)
         return run.total_unanswered
 
+    def record_crashed_run(self, item_id: ItemId) -> None:
+        """Take back a run without any answer, as its worker has crashed."""
+        run = self._runs.get(item_id)
+        if run is not None:
+            run.unanswered = max(0, run.unanswered - 1)
+
     def set_past_failures(
         self, past: Mapping[ItemId, PastFailures], *, is_complete: bool
     ) -> tuple[ItemResult, ...]:
--- a/drumbay/quarantine/service.py
+++ b/drumbay/quarantine/service.py
@@ -266,21 +266,34 @@
             del self._runs[fingerprint]
 
     def record_broken_run(
-        self, fingerprint: Fingerprint, request_id: str, worker: Worker, began_at: float
+        self,
+        fingerprint: Fingerprint,
+        request_id: str,
+        worker: Worker,
+        began_at: float,
+        on_crash: Callable[[], None] | None = None,
     ) -> None:
-        """Check whether the worker of a run that failed without a response has crashed."""
-        run = self._unanswered_run(fingerprint, request_id, worker, began_at)
+        """Check whether the worker of a run that failed without a response has crashed.
+
+        ``on_crash`` is called once that is certain.
+        """
+        run = self._unanswered_run(fingerprint, request_id, worker, began_at, on_crash)
         self._suspect(run, may_be_slow=False)
 
     def record_unanswered_run(
-        self, fingerprint: Fingerprint, request_id: str, worker: Worker, began_at: float
+        self,
+        fingerprint: Fingerprint,
+        request_id: str,
+        worker: Worker,
+        began_at: float,
+        on_crash: Callable[[], None] | None = None,
     ) -> None:
         """Record a run that was abandoned without a response; its worker may have crashed.
 
         If the worker is known not to respond, other nodes are told at once: the caller may ask
-        them next.
+        them next. ``on_crash`` is called once it is certain that the worker has crashed.
         """
-        run = self._unanswered_run(fingerprint, request_id, worker, began_at)
+        run = self._unanswered_run(fingerprint, request_id, worker, began_at, on_crash)
         record = self._directory.get(worker.worker_id, worker.started_at_ms)
         is_silent = record is not None and record.responsiveness.is_avoided(run.failed_at)
         run.awaits_check = not is_silent
@@ -288,7 +301,12 @@
             self._record_crash(run, WorkerCondition.SILENT)
 
     def _unanswered_run(
-        self, fingerprint: Fingerprint, request_id: str, worker: Worker, began_at: float
+        self,
+        fingerprint: Fingerprint,
+        request_id: str,
+        worker: Worker,
+        began_at: float,
+        on_crash: Callable[[], None] | None,
     ) -> UnansweredRun:
         return UnansweredRun(
             fingerprint=fingerprint,
@@ -296,6 +314,7 @@
             worker=worker,
             began_at=began_at,
             failed_at=self._clock.monotonic(),
+            on_crash=on_crash,
         )
 
     def _suspect(self, run: UnansweredRun, *, may_be_slow: bool) -> bool:
@@ -344,6 +363,8 @@
         now = self._clock.monotonic()
         fingerprint = run.fingerprint
         crash = run.crash(now, is_confirmed=condition is not WorkerCondition.SILENT)
+        if crash.is_confirmed:
+            run.notify_of_crash()
         if not self.ledger.add_crashes(fingerprint, (crash,)):
             return
         if crash.is_confirmed:
--- a/drumbay/quarantine/suspicions.py
+++ b/drumbay/quarantine/suspicions.py
@@ -1,6 +1,6 @@
 """Recent runs that ended without a response, whose workers may have crashed. No I/O."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -26,6 +26,7 @@
         began_at: When the run began.
         failed_at: When it ended without a response.
         awaits_check: Whether its worker is about to be checked for the first time.
+        on_crash: Called once it is certain that its worker has crashed.
     """
 
     fingerprint: Fingerprint
@@ -34,6 +35,13 @@
     began_at: float
     failed_at: float
     awaits_check: bool = True
+    on_crash: Callable[[], None] | None = None
+
+    def notify_of_crash(self) -> None:
+        """Report, once, that the worker has certainly crashed."""
+        if self.on_crash is not None:
+            self.on_crash()
+            self.on_crash = None
 
     def crash(self, now: float, *, is_confirmed: bool) -> WorkerCrash:
         """Return the crash of its worker, learned of now."""
--- a/tests/test_crashed_items.py
+++ b/tests/test_crashed_items.py
@@ -256,6 +256,38 @@
             with self.subTest(crashes=count):
                 self.run_started(scenario)
 
+    def test_crashes_do_not_count_as_failures_of_an_item(self) -> None:
+        """Guards against items that are given up, or wait, for failures that were crashes."""
+        for failures in (1, 2):
+
+            async def scenario(world: ServingWorld, failures: int = failures) -> None:
+                spec = batch_spec(queue_limit_seconds=600.0)
+                item = spec.items[0]
+                workers = world.workers
+                workers.failing_requests.add(item.item_id)
+                await world.nodes[0].batches.submit(spec)
+                await self.wait_for_runs(world, item.item_id, failures)
+                workers.failing_requests.discard(item.item_id)
+                workers.crashing_bodies.add(item.body)
+                await self.wait_for_runs(world, item.item_id, failures + 9)
+                workers.crashing_bodies.discard(item.body)
+                crash_at = world.clock.monotonic()
+                await asyncio.sleep(MAX_WAIT_SECONDS)
+                self.assert_starts_again(world, item.item_id, crash_at)
+                await self.assert_all_done(world.nodes[0], spec)
+
+            with self.subTest(failures=failures):
+                self.run_started(scenario)
+
+    async def wait_for_runs(self, world: ServingWorld, request_id: str, count: int) -> None:
+        """Wait until so many runs of a request have ended."""
+        async with asyncio.timeout(count * (MAX_BACKOFF_SECONDS + MAX_ISOLATION_WAIT_SECONDS)):
+            while True:
+                runs = world.workers.runs_of(request_id)
+                if len(runs) >= count and all(run.ended_at is not None for run in runs):
+                    return
+                await asyncio.sleep(POLL_SECONDS)
+
     def test_live_requests_are_held_as_before(self) -> None:
         """What lets items run again must not let live requests crash further workers."""
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -561,10 +561,10 @@
             items.begin_run(item, first, 0.0)
             items.begin_run(item, second, 1.0)
             items.end_run(item, first)
-            items.record_silence(item.item_id)
+            items.record_silence(item.item_id, mock.Mock())
             self.assertEqual(quarantine.suspected_requests, 1)
             items.end_run(item, second)
-            items.record_silence(item.item_id)
+            items.record_silence(item.item_id, mock.Mock())
             self.assertEqual(quarantine.suspected_requests, 1)
 
         run_in_world(scenario, node_count=1)
