Let keyless trainers read and end open batch jobs whose public route was withdrawn

What callers saw: with tenants configured, reads and the end of an accepted batch job of a public route were answered 401 once the route was withdrawn.

Cause: whether batch calls need a key was told by the rollout routes that the host has now; without any, a key was required. The batch job had been accepted without one.

Why this works: on a host without a rollout route a caller without a key is the anonymous one, to whom batch jobs of tenants stay hidden (404, a second test); keys are checked as before.

--- a/drumbay/forwarding/routes.py
+++ b/drumbay/forwarding/routes.py
@@ -129,9 +129,16 @@
 
         They need none if all rollout routes of the host are public.
         """
-        routes = [r for r in self._routes_of_host(host) if r.kind is RequestKind.ROLLOUT]
+        routes = self._batch_routes_of_host(host)
         return not routes or not all(route.is_public for route in routes)
 
+    def has_batch_routes(self, host: str) -> bool:
+        """Return whether the host has a rollout route; open batch jobs outlive theirs."""
+        return bool(self._batch_routes_of_host(host))
+
+    def _batch_routes_of_host(self, host: str) -> list[Route]:
+        return [r for r in self._routes_of_host(host) if r.kind is RequestKind.ROLLOUT]
+
     def _routes_of_host(self, host: str) -> list[Route]:
         name = host.partition(":")[0].lower()
         return [route for route in self.routes if route.host.lower() == name]
--- a/drumbay/tenants/access.py
+++ b/drumbay/tenants/access.py
@@ -5,6 +5,9 @@
 from drumbay.exceptions import DrumbayError, Execution, RequestFailedError
 from drumbay.tenants.records import KeyTable, TenantName
 
+ANONYMOUS = TenantName("")
+"""Caller without a key where a key may be needed; only what belongs to no tenant is visible."""
+
 OUTDATED_RETRY_SECONDS = 0.3
 """Retry-After for keys unknown to a node that may be outdated; the retry may reach another node."""
 
--- a/tests/test_platform_tenants.py
+++ b/tests/test_platform_tenants.py
@@ -24,6 +24,8 @@
         *,
         route_regions: tuple[str, ...] = (),
         tenant_regions: tuple[str, ...] = (),
+        has_public_rollouts: bool = False,
+        has_rollouts: bool = True,
         **keys: str,
     ) -> None:
         common = {"host": HOST, "timeoutMs": 20_000, "targetMs": 5_000, "attempts": 2}
@@ -34,8 +36,8 @@
         routes = [
             {**lookups, "svc": "lookups"},
             {**public_lookups, "svc": "lookups"},
-            {**rollouts, "svc": "engines"},
-        ]
+            {**rollouts, "svc": "engines", "public": has_public_rollouts},
+        ][: 3 if has_rollouts else 2]
         tenants = [
             {"name": name, "apiKeys": [key], "regionsAllowed": tenant_regions}
             for name, key in keys.items()
@@ -101,6 +103,41 @@
         batch = {"trainStep": 1, "model": "m", "minVer": 1, "desired": 1, "requests": [item]}
         return json.dumps(batch).encode()
 
+    async def test_open_batch_job_is_read_without_a_key_after_its_public_route_is_withdrawn(
+        self,
+    ) -> None:
+        """Guards against a 401 for the trainer of an accepted batch job."""
+        self.configure_tenants(1, has_public_rollouts=True, north=NORTH)
+        await self.start()
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            accepted = await self.fetch("POST", "/p/1", None, self.batch(), request_id="b1")
+            self.assertEqual(accepted.status, 202)
+            self.configure_tenants(2, has_rollouts=False, north=NORTH)
+
+            async def is_withdrawn() -> bool:
+                return (await self.fetch("POST", "/p/1", None, self.batch())).status == 404
+
+            await poll_until(is_withdrawn)
+            for _ in range(3):
+                self.assertEqual((await self.fetch("GET", "/lots/b1?sinceRev=0", None)).status, 200)
+            self.assertEqual((await self.fetch("DELETE", "/lots/b1", None)).status, 200)
+
+    async def test_batch_job_of_a_tenant_stays_hidden_after_its_route_is_withdrawn(self) -> None:
+        self.configure_tenants(1, north=NORTH, south=SOUTH)
+        await self.start()
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            accepted = await self.fetch("POST", "/p/1", NORTH, self.batch(), request_id="b1")
+            self.assertEqual(accepted.status, 202)
+            self.configure_tenants(2, has_rollouts=False, north=NORTH, south=SOUTH)
+
+            async def is_withdrawn() -> bool:
+                return (await self.fetch("POST", "/p/1", NORTH, self.batch())).status == 404
+
+            await poll_until(is_withdrawn)
+            for key, status in ((None, 404), (SOUTH, 404), (NORTH, 200)):
+                response = await self.fetch("GET", "/lots/b1?sinceRev=0", key)
+                self.assertEqual(response.status, status)
+
     async def test_batch_job_belongs_to_its_tenant_at_every_node(self) -> None:
         self.configure_tenants(1, north=NORTH, south=SOUTH)
         first = await self.start()
