Judge the waits of accepted work at the end of each batch job, as the rule does

The soak's accepted_work_is_run_in_calm asked for 5 s that were calm, owed and under half full, with short batch jobs and large steps beside it. So it was weaker than the rule.

It now judges at the moment at which a client ends a batch job or has read all of it, as the rule does for a step that runs out of time: the item is at no worker then, has been for 5 s without a disturbance, also before this batch job, others have begun, and under half of the slots are in use.

--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -443,10 +443,15 @@
 
     def test_an_item_under_which_workers_crash_is_run_again_in_calm(self) -> None:
         """Guards against items that are held back since workers crashed under them."""
-        in_time = [1.0, 1.1, 8.5, 16.0, 23.5, 30.0, 37.0, 44.0, 51.0, 58.0]
-        self.assertEqual(waiting_items(self.waiting_history(in_time)), [])
-        for starts in ([1.0, 1.1, 1.2], [*in_time[:4], *in_time[6:]]):
-            self.assertEqual(waiting_items(self.waiting_history(starts)), ["i"])
+        for starts, end, is_broken in (
+            ([1.0, 1.1, 1.2], 9.0, False),
+            ([1.0, 1.1, 1.2], 10.0, True),
+            ([1.0, 1.1, 1.2, 8.5], 16.0, False),
+            ([1.0, 1.1, 1.2, 8.5], 17.5, True),
+        ):
+            with self.subTest(starts=starts, end=end):
+                history = self.waiting_history(starts, end)
+                self.assertEqual(waiting_items(history), ["i"] if is_broken else [])
 
     def test_the_wait_of_an_item_goes_on_in_a_later_batch_job(self) -> None:
         history = self.waiting_history([1.0], end=6.0)
@@ -460,11 +465,12 @@
         history.runs.append(again)
         self.assertEqual(waiting_items(history), ["i"])
 
-    def test_waits_of_items_do_not_count_without_calm(self) -> None:
+    def test_waits_of_items_are_not_judged_without_calm(self) -> None:
         history = self.waiting_history([1.0], end=20.0)
+        self.assertEqual(waiting_items(history), ["i"])
         history.slots = {"engine": 2}
         busy = run("k", 2.0)
-        busy.worker_id, busy.ended_at = BackendId("engine-busy"), STARTED_AT + 20.0
+        busy.worker_id, busy.ended_at = BackendId("engine-busy"), STARTED_AT + 21.0
         history.runs.append(busy)
         self.assertEqual(waiting_items(history), [])
         disturbed = self.waiting_history([1.0], end=20.0)
