Let the soak's workers send answers without end, and check the memory of nodes

The soak's workers lost, cut or withheld answers, but none of their answers went on without end.

Change, before any logic: answers_endless (a quarter of the answers of an application worker), engine_answers_endless (three of ten of all answers to items) and engine_failures_endless (all answers of 422 and 500); five forms (chunks, a body without and with a length, header lines, heads of 100), slow or as fast as they are read.

--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -538,6 +538,18 @@
         history.runs.append(run("c0", 2.0))
         self.assert_only_violation(history, "crashing_requests_are_told_the_truth")
 
+    def test_a_node_that_uses_too_much_memory(self) -> None:
+        history = self.history()
+        history.peak_bytes = {(1, 1): 2**26, (1, 2): 2**28}
+        self.assert_only_violation(history, "nodes_stay_small")
+
+    def test_lookups_that_are_lost_beside_endless_answers(self) -> None:
+        history = self.history(fault(FaultKind.ANSWERS_ENDLESS, 0.0))
+        history.calls = [call(f"r-{n}", may_repeat=True) for n in range(100)]
+        self.assertEqual(check(history), ())
+        history.calls += [call(f"lost-{n}", 502, may_repeat=True) for n in range(3)]
+        self.assert_only_violation(history, "calls_are_served_beside_endless_answers")
+
     def test_a_process_that_exits_unexpectedly(self) -> None:
         history = self.history()
         history.unexpected_exits = [ProcessExit(node=1, at=STARTED_AT, code=1)]
--- a/tests/test_soak_workers.py
+++ b/tests/test_soak_workers.py
@@ -8,7 +8,14 @@
 
 from drumbay_platform.workers import PlatformWorkerClient
 from drumbay_soak.answer_faults import AnswerFault
-from drumbay_soak.fault_plan import ENGINE_ANSWER_KINDS, FaultKind, FaultSchedule, draw_faults
+from drumbay_soak.fault_plan import (
+    ENDLESS_FORM_KINDS,
+    ENGINE_ANSWER_KINDS,
+    ENGINE_ENDLESS_KINDS,
+    FaultKind,
+    FaultSchedule,
+    draw_faults,
+)
 from drumbay_soak.frames import encode_frame, split_frames
 from drumbay_soak.request_marks import FAILING_MARK, REJECTED_MARK
 from drumbay_soak.worker_log_file import WorkerLogWriter, read_worker_logs
@@ -214,6 +221,19 @@
         self.assertEqual(set().union(*found), kinds)
         self.assertIn(set(), found)
 
+    def test_endless_answers_replace_no_other_fault_of_engines(self) -> None:
+        kinds = frozenset(ENGINE_ENDLESS_KINDS)
+        for seed in range(40):
+            drawn = self.drawn(seed)
+            self.assertLessEqual(len(drawn & (kinds | frozenset(ENGINE_ANSWER_KINDS))), 1)
+            self.assertEqual(len(drawn & frozenset(ENDLESS_FORM_KINDS)), 1)
+
+    def test_endless_answers_are_drawn_only_if_selected(self) -> None:
+        drawn = self.drawn(1, frozenset({FaultKind.WORKER_KILLED}))
+        self.assertEqual(drawn, {FaultKind.WORKER_KILLED})
+        selected = frozenset({FaultKind.ENGINE_FAILURES_ENDLESS, FaultKind.ENDLESS_HEAD})
+        self.assertEqual([self.drawn(seed, selected) for seed in range(5)], [set(selected)] * 5)
+
     def test_a_selected_way_is_drawn(self) -> None:
         selected = frozenset({FaultKind.ENGINE_ANSWERS_CUT})
         self.assertEqual([self.drawn(seed, selected) for seed in range(5)], [set(selected)] * 5)
