--- a/drumbay/batches/body_holders.py
+++ b/drumbay/batches/body_holders.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from drumbay.batches.records import BatchId, BatchSpec, OwnerRecord
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.forwarding.routes import BatchRegions
 from drumbay.placement.regions import ANY_REGION, AllowedRegions
 from drumbay.placement.topology import Topology
--- a/drumbay/batches/ledger.py
+++ b/drumbay/batches/ledger.py
@@ -38,7 +38,7 @@
     StoredOwner,
     page_of,
 )
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.identifiers import Revision
 from drumbay.kv.interface import Delete, ModRevisionIs, Put, RangeResult, TransactionResult
 from drumbay.observability.logs import log_event
--- a/drumbay/batches/lingering.py
+++ b/drumbay/batches/lingering.py
@@ -11,7 +11,7 @@
 from drumbay.batches.body_holders import BodyHolders
 from drumbay.batches.records import BatchSpec, ItemId, PartialText, ResubmittedItems
 from drumbay.batches.runner import BatchRunner
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.observability.logs import log_event
 from drumbay.peers.messages import PartialTextsReply, TakePartialTexts
 from drumbay.peers.transport import PeerClient, PeerUnavailableError
--- a/drumbay/batches/owned.py
+++ b/drumbay/batches/owned.py
@@ -32,7 +32,7 @@
 from drumbay.batches.runner import BatchRunner
 from drumbay.batches.slot_sharing import SlotSharing
 from drumbay.clock import Clock
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.forwarding.routes import BatchRouting
 from drumbay.identifiers import Revision, WeightVersion
 from drumbay.kv.interface import KeyValueError
--- a/drumbay/batches/owners.py
+++ b/drumbay/batches/owners.py
@@ -16,7 +16,7 @@
     StoredOwner,
 )
 from drumbay.clock import Clock
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.kv.interface import KeyValueError
 from drumbay.observability.logs import log_event
 from drumbay.peers.messages import (
--- a/drumbay/batches/records.py
+++ b/drumbay/batches/records.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.identifiers import Revision, WeightVersion
 from drumbay.tenants.records import TenantName
 
--- a/drumbay/batches/service.py
+++ b/drumbay/batches/service.py
@@ -37,7 +37,7 @@
 from drumbay.batches.reward_scorer import RewardScorer
 from drumbay.batches.slot_usage import JobSlotUsage
 from drumbay.clock import Clock
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.exceptions import Execution
 from drumbay.forwarding.routes import RouteTable
 from drumbay.identifiers import Revision, WeightVersion
--- a/drumbay/batches/slot_contention.py
+++ b/drumbay/batches/slot_contention.py
@@ -14,7 +14,7 @@
 
 from drumbay.batches.records import BatchId
 from drumbay.batches.slot_usage import TIME_SLOT_SECONDS, JobSlotUsage, NoticeNumber
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.identifiers import BackendId
 
 NOTICE_TTL_SECONDS = 1.2
--- a/drumbay/batches/slot_exchange.py
+++ b/drumbay/batches/slot_exchange.py
@@ -8,7 +8,7 @@
 from drumbay.batches.slot_usage import JobSlotUsage, NoticeNumber, time_slot
 from drumbay.batches.step_history import StepHistory
 from drumbay.clock import Clock
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.observability.logs import log_event
 from drumbay.peers.messages import PlacesNotice
 
--- a/drumbay/batches/slot_sharing.py
+++ b/drumbay/batches/slot_sharing.py
@@ -15,7 +15,7 @@
 from drumbay.batches.start_times import EventSizeEstimate
 from drumbay.batches.step_history import MAX_TRACKED_MODELS
 from drumbay.clock import Clock
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.forwarding.routes import ServiceUse
 from drumbay.identifiers import BackendId
 from drumbay.peers.messages import PlacesNotice
--- a/drumbay/comm/connection_pool.py
+++ b/drumbay/comm/connection_pool.py
@@ -7,7 +7,7 @@
 
 from drumbay.clock import Clock
 from drumbay.comm.connection_registry import ConnectionRegistry, TrackedConnection
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 
 MAX_IDLE_PER_ADDRESS = 16
 
--- a/drumbay/comm/http_exchange.py
+++ b/drumbay/comm/http_exchange.py
@@ -11,7 +11,6 @@
 import struct
 from collections import deque
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 import msgspec
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
@@ -24,12 +23,11 @@
 )
 from tornado.iostream import IOStream, StreamClosedError
 
+from drumbay.comm.connection_pool import ConnectionPool
 from drumbay.comm.connection_registry import ConnectionRegistry, TrackedConnection
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.exceptions import UnavailableError
 
-if TYPE_CHECKING:
-    from drumbay.comm.connection_pool import ConnectionPool
-
 MAX_HEADER_BYTES = 65_536
 MAX_BODY_BYTES = 256 * 1024 * 1024
 USER_TIMEOUT_MILLISECONDS = 4_000
@@ -44,29 +42,6 @@
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 
 
-class NetworkAddress(msgspec.Struct, frozen=True, order=True):
-    """Host and port on which a process listens."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        """Return ``host:port``."""
-        return f"{self.host}:{self.port}"
-
-    @classmethod
-    def parse(cls, text: str) -> "NetworkAddress":
-        """Parse ``host:port``.
-
-        Raises:
-            ValueError: The text is malformed.
-        """
-        host, _, port = text.rpartition(":")
-        if not host:
-            raise ValueError(f"not host:port: {text!r}")
-        return cls(host, int(port))
-
-
 class ExchangeNotSentError(UnavailableError):
     """No connection was established: the server has not seen the request."""
 
@@ -169,7 +144,7 @@
         self,
         stream: IOStream,
         address: NetworkAddress,
-        pool: "ConnectionPool | None",
+        pool: ConnectionPool | None,
         connection: TrackedConnection | None,
     ) -> None:
         """Create an exchange on a connected stream."""
@@ -194,7 +169,7 @@
         address: NetworkAddress,
         request: HttpRequest,
         connect_timeout_seconds: float,
-        pool: "ConnectionPool | None" = None,
+        pool: ConnectionPool | None = None,
         connections: ConnectionRegistry | None = None,
         *,
         fresh: bool = False,
--- a/drumbay/comm/listener.py
+++ b/drumbay/comm/listener.py
@@ -7,7 +7,7 @@
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.observability.logs import log_event
 
 MAX_ACCEPT_SECONDS = 0.3
--- a/drumbay/node/server.py
+++ b/drumbay/node/server.py
@@ -12,8 +12,8 @@
 from drumbay.api.intake import RequestIntake
 from drumbay.api.interface import NodeInterface
 from drumbay.clock import Clock
-from drumbay.comm.http_exchange import NetworkAddress
 from drumbay.comm.listener import Listener
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.exceptions import ConfigurationError
 from drumbay.settings import HttpSettings
 
--- a/drumbay/peers/directory.py
+++ b/drumbay/peers/directory.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from drumbay.clock import Clock
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.exceptions import DeadlineExceededError
 from drumbay.identifiers import Revision
 from drumbay.kv.backoff import Backoff
--- a/drumbay/peers/feeds.py
+++ b/drumbay/peers/feeds.py
@@ -14,7 +14,7 @@
 from enum import Enum, auto
 
 from drumbay.clock import Clock
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.exceptions import DeadlineExceededError
 from drumbay.kv.backoff import Backoff
 from drumbay.kv.follower import PrefixFollower
--- a/drumbay/peers/messages.py
+++ b/drumbay/peers/messages.py
@@ -14,7 +14,7 @@
     StoredOwner,
 )
 from drumbay.batches.slot_usage import JobSlotUsage, NoticeNumber
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.identifiers import BackendId, Revision, WeightVersion
 from drumbay.kv.interface import (
     Delete,
--- a/drumbay/peers/notices.py
+++ b/drumbay/peers/notices.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Iterable
 
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.observability.logs import log_event
 from drumbay.peers.messages import Notice, Notices, PlacesNotice
 from drumbay.peers.transport import PeerClient, PeerUnavailableError
--- a/drumbay/peers/transport.py
+++ b/drumbay/peers/transport.py
@@ -15,9 +15,9 @@
     ExchangeRefusedError,
     HttpExchange,
     HttpRequest,
-    NetworkAddress,
 )
 from drumbay.comm.listener import Listener
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.comm.response_writer import DeliveryOutcome, HttpResponse, write_response
 from drumbay.exceptions import DeadlineExceededError, UnavailableError
 from drumbay.observability.logs import log_event
--- a/drumbay/peers/watchers.py
+++ b/drumbay/peers/watchers.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.identifiers import Revision
 
 MAX_NODES_ALL_WATCHING = 12
--- a/drumbay/scaling/collector.py
+++ b/drumbay/scaling/collector.py
@@ -7,7 +7,7 @@
 
 from drumbay.batches.slot_usage import JobSlotUsage
 from drumbay.clock import Clock
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.observability.logs import log_event
 from drumbay.peers.messages import CollectPlaces, PlacesReply
 from drumbay.peers.transport import PeerClient, PeerUnavailableError
--- a/drumbay/serving/start_loans.py
+++ b/drumbay/serving/start_loans.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from drumbay.clock import Clock
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.identifiers import BackendId
 from drumbay.observability.logs import log_event
 from drumbay.peers.messages import BorrowStarts, LentStarts
--- a/drumbay/serving/warm_up.py
+++ b/drumbay/serving/warm_up.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from drumbay.clock import Clock
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.forwarding.routes import RouteTable
 from drumbay.identifiers import BackendId
 from drumbay.observability.logs import log_event
--- a/drumbay/standins/free_addresses.py
+++ b/drumbay/standins/free_addresses.py
@@ -8,7 +8,7 @@
 import os
 import socket
 
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 
 HOSTS_PER_BLOCK = 254
 """Usable values of an octet, without 0 and 255."""
--- a/drumbay/standins/worker_pool.py
+++ b/drumbay/standins/worker_pool.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from drumbay.clock import Clock
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.exceptions import DeadlineExceededError
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.placement.regions import AllowedRegions
--- a/drumbay/usage/collector.py
+++ b/drumbay/usage/collector.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.tenants.records import TenantName
 from drumbay.usage.records import NodeUsage, WindowCounts, WindowNumber
 
--- a/drumbay/usage/counter.py
+++ b/drumbay/usage/counter.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from typing import NewType
 
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.tenants.records import TenantName
 from drumbay.usage.records import NodeUsage, WindowCounts, WindowLength, WindowNumber
 from drumbay.usage.window_clock import WindowClock
--- a/drumbay/usage/reporter.py
+++ b/drumbay/usage/reporter.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from drumbay.clock import Clock
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.duties.interface import DutyOutcome, DutyToken, PlatformDuties, UsageReport
 from drumbay.identifiers import Fence
 from drumbay.kv.interface import KeyValueError
--- a/drumbay/usage/service.py
+++ b/drumbay/usage/service.py
@@ -7,7 +7,7 @@
 
 from drumbay.batches.owners import ServiceIdentity
 from drumbay.clock import Clock
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.duties.interface import PlatformDuties
 from drumbay.kv.interface import KeyValueStore
 from drumbay.observability.logs import log_event
--- a/drumbay/workers/records.py
+++ b/drumbay/workers/records.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.exceptions import UnavailableError
 from drumbay.identifiers import BackendId, Fence, WeightVersion
 from drumbay.placement.regions import AllowedRegions, any_region
--- a/tests/endless_server.py
+++ b/tests/endless_server.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 
 PIECE = b"x" * 16_384
 SLOW_PAUSE_SECONDS = 0.02
--- a/tests/scripted_server.py
+++ b/tests/scripted_server.py
@@ -5,7 +5,7 @@
 import struct
 from collections.abc import Callable
 
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 
 
 class ScriptedServer:
--- a/tests/serving_world.py
+++ b/tests/serving_world.py
@@ -16,7 +16,7 @@
 )
 from drumbay.batches.service import BatchService
 from drumbay.clock import Clock
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.exceptions import DeadlineExceededError
 from drumbay.forwarding.routes import (
     RequestKind,
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -15,7 +15,7 @@
     PRIORITY_NORMAL,
     BatchScheduler,
 )
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.event_intervals import INTERVAL_SAMPLES
--- a/tests/test_batch_regions.py
+++ b/tests/test_batch_regions.py
@@ -19,7 +19,7 @@
 from drumbay.batches.ledger import BatchLedger
 from drumbay.batches.records import BatchId, BatchSpec, ItemId, OwnerRecord, ResultState
 from drumbay.batches.retention import BatchRetention
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.forwarding.routes import (
     RequestKind,
     RequestLimits,
--- a/tests/test_failing_items.py
+++ b/tests/test_failing_items.py
@@ -18,7 +18,7 @@
 from drumbay.batches.ledger import ITEM_FAILURES_PREFIX, BatchLedger
 from drumbay.batches.records import BatchId, BatchSpec, ItemId, ResultState
 from drumbay.batches.scheduler import BatchScheduler
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.identifiers import BackendId, Revision, WeightVersion
 from drumbay.kv.interface import Put
 from drumbay.standins.kv_faults import KeyValueFaults
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -5,7 +5,7 @@
 from collections import Counter
 
 from drumbay.clock import Clock
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.exceptions import Execution
 from drumbay.forwarding.forwarder import Forwarder
 from drumbay.forwarding.records import (
--- a/tests/test_node_heartbeat.py
+++ b/tests/test_node_heartbeat.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.identifiers import Revision
 from drumbay.kv.interface import KeyValue
 from drumbay.kv.memory import MemoryKeyValueStore
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.peers.messages import DoneReply, LoadingNotice, Notices, PeerReply, PeerRequest
 from drumbay.peers.notices import MAX_QUEUE_LENGTH, NoticeQueues
--- a/tests/test_platform_serving.py
+++ b/tests/test_platform_serving.py
@@ -14,7 +14,8 @@
 
 from drumbay.batches.owners import ServiceIdentity
 from drumbay.clock import SystemClock
-from drumbay.comm.http_exchange import HttpExchange, HttpRequest, NetworkAddress
+from drumbay.comm.http_exchange import HttpExchange, HttpRequest
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.identifiers import WeightVersion
 from drumbay.kv.interface import Put
 from drumbay.peers.transport import HttpPeerClient, PeerServer
--- a/tests/test_regions_forwarding.py
+++ b/tests/test_regions_forwarding.py
@@ -16,7 +16,7 @@
 
 from drumbay.batches.decisions import StartLimits, StartRun
 from drumbay.batches.scheduler import BatchScheduler
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.exceptions import Execution
 from drumbay.forwarding.attempts import MAX_REFUSALS_PER_ADMISSION
 from drumbay.forwarding.forwarder import Forwarder
--- a/tests/test_repeated_sends.py
+++ b/tests/test_repeated_sends.py
@@ -9,7 +9,7 @@
 from drumbay_platform.workers import PlatformWorkerClient
 
 from drumbay.clock import SystemClock
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.identifiers import BackendId
 from drumbay.workers.records import (
     Worker,
--- a/tests/test_shared_feeds.py
+++ b/tests/test_shared_feeds.py
@@ -4,7 +4,7 @@
 import unittest
 from collections.abc import AsyncGenerator
 
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.identifiers import Revision
 from drumbay.kv.interface import (
     MAX_QUIET_SECONDS,
--- a/tests/test_shared_places.py
+++ b/tests/test_shared_places.py
@@ -16,7 +16,7 @@
 from drumbay.batches.start_times import EventSizeEstimate
 from drumbay.batches.step_history import StepHistory
 from drumbay.clock import SystemClock
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.peers.messages import PlacesNotice
 from drumbay.workers.directory import WorkerDirectory
--- a/tests/test_slow_answers.py
+++ b/tests/test_slow_answers.py
@@ -7,7 +7,7 @@
 
 from drumbay_platform.store import PlatformStore
 
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.exceptions import DeadlineExceededError
 from drumbay.kv.interface import KeyValueUnavailableError
 
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -12,7 +12,7 @@
 from drumbay_soak.node_process import NodeAddresses, NodeProcess
 from drumbay_soak.proxy import FaultyProxy, ProxyMode
 
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.standins.free_addresses import free_address, loopback_host
 
 TIMEOUT_SECONDS = 30.0
--- a/tests/test_start_loans.py
+++ b/tests/test_start_loans.py
@@ -5,7 +5,7 @@
 import unittest
 from collections import Counter
 
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.forwarding.records import ForwardingError
 from drumbay.identifiers import BackendId
 from drumbay.placement.cold_workers import ColdWorkers
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -8,7 +8,7 @@
 from unittest.mock import patch
 
 from drumbay.clock import Clock
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.identifiers import Revision
 from drumbay.kv.follower import PrefixFollower
 from drumbay.kv.interface import MAX_QUIET_SECONDS, KeyValue, Put, WatchBatch, WatchEvent
--- a/tests/test_stored_results.py
+++ b/tests/test_stored_results.py
@@ -15,7 +15,7 @@
     ResultPage,
     ResultState,
 )
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.identifiers import Revision, WeightVersion
 from drumbay.kv.interface import RangeResult
 from drumbay.kv.memory import MemoryKeyValueStore
--- a/tests/test_suspended_machine.py
+++ b/tests/test_suspended_machine.py
@@ -16,7 +16,7 @@
 
 from drumbay.clock import SystemClock, run_on_system_clock
 from drumbay.comm.connection_pool import ConnectionPool
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.exceptions import DeadlineExceededError
 from drumbay.forwarding.records import RequestTimedOutError
 from drumbay.forwarding.routes import RequestKind
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.forwarding.records import ClientRequest, ForwardingError
 from drumbay.forwarding.routes import RequestKind, Route, ServiceShare
 from drumbay.identifiers import Fence
--- a/tests/test_warm_up.py
+++ b/tests/test_warm_up.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.forwarding.routes import RouteTable
 from drumbay.forwarding.worker_choice import WorkerSnapshot, choose_worker
 from drumbay.identifiers import BackendId
--- a/tests/test_warm_up_sends.py
+++ b/tests/test_warm_up_sends.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from drumbay.batches.records import BatchId, BatchStream, OwnerRecord, OwnerState, StoredOwner
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.forwarding.records import ForwardingError
 from drumbay.forwarding.routes import (
     RequestKind,
--- a/tests/test_warm_up_steps.py
+++ b/tests/test_warm_up_steps.py
@@ -8,7 +8,7 @@
 
 from drumbay.batches.slot_contention import RemoteSlotUsage
 from drumbay.batches.slot_usage import NoticeNumber
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.forwarding.routes import RouteTable
 from drumbay.identifiers import BackendId
 from drumbay.placement.cold_workers import ColdWorkers
--- a/tests/test_worker_demand.py
+++ b/tests/test_worker_demand.py
@@ -9,7 +9,7 @@
 
 from drumbay.batches.records import BatchId
 from drumbay.batches.slot_usage import JobSlotUsage
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.duties.interface import DutyOutcome, WorkerCount
 from drumbay.forwarding.routes import RequestLimits, RoutingConfiguration
 from drumbay.identifiers import BackendId
--- a/tests/test_worker_pace.py
+++ b/tests/test_worker_pace.py
@@ -8,7 +8,7 @@
 from drumbay.batches.records import ItemId
 from drumbay.batches.scheduler import BatchScheduler
 from drumbay.batches.worker_selector import SlotRequest, WorkerSelector
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.records import StreamEvent, Worker, WorkerLoad, WorkerState
--- a/tests/test_worker_starts.py
+++ b/tests/test_worker_starts.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from drumbay.comm.http_exchange import NetworkAddress
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.identifiers import BackendId, Revision, WeightVersion
 from drumbay.kv.interface import KeyValue
 from drumbay.kv.memory import MemoryKeyValueStore
