Bound what a response may cost its reader: heads, interim heads, bytes and memory

Cause: HttpExchange took what came, without backpressure, up to 256 MiB a response; nothing bounded the time of a head; interim heads were bounded by chance, by a constant of tornado; idle connections kept what their peers went on sending.

Change: transfer_limits.py (pure) has the bounds, received_response.py applies them, response_guard.py shares the memory of all bodies of a process, cuts off the largest if none completes within 0.25 s, and logs and counts (response_cut_off, drumbay_serving_cut_off_responses_total). A body is received 128 KiB ahead of its reader at most; bodies up to 64 KiB never wait for others. A head has 0.6 s from its first byte and 64 KiB, and five interim heads; the timer is extended once if this process stood still. What a head said before it broke off is kept. Idle connections are looked at each 0.5 s. Bounds: 24 MiB for a body and for all together, beside 50 to 55 MB of a node in calm, under its 128 MB.

--- a/drumbay/comm/connection_pool.py
+++ b/drumbay/comm/connection_pool.py
@@ -1,39 +1,56 @@
 """Pool of idle HTTP connections for reuse."""
 
+import asyncio
 import socket
+from enum import StrEnum
 
 import msgspec
-from tornado.iostream import IOStream
 
 from drumbay.clock import Clock
 from drumbay.comm.connection_registry import ConnectionRegistry, TrackedConnection
 from drumbay.comm.network_address import NetworkAddress
+from drumbay.comm.observed_stream import ObservedStream
+from drumbay.comm.response_guard import RESPONSE_GUARD
+from drumbay.comm.transfer_limits import ExcessReason
 
 MAX_IDLE_PER_ADDRESS = 16
+IDLE_CHECK_SECONDS = 0.5
+"""Interval at which idle connections that cannot be used any more are closed."""
+
+
+class IdleState(StrEnum):
+    """Whether an idle connection can be used."""
+
+    REUSABLE = "reusable"
+    ENDED = "ended"
+    """It has expired or is closed."""
+    HAS_SURPLUS_BYTES = "has_surplus_bytes"
+    """It has received bytes since its last response, which belong to no request."""
 
 
 class IdleConnection(msgspec.Struct, frozen=True):
     """An idle connection that may be reused until a monotonic time."""
 
-    stream: IOStream
+    stream: ObservedStream
     usable_until: float
     connection: TrackedConnection | None
 
-    def is_reusable(self, now: float) -> bool:
+    def state(self, now: float) -> IdleState:
         """Return whether the connection is open and has received nothing since its response."""
-        if now >= self.usable_until or self.stream.closed():
-            return False
+        if self.stream.closed():
+            return IdleState.ENDED
         # NOTE: IOStream has no public accessor for bytes that it has already read.
         if self.stream._read_buffer_size:
-            return False
+            return IdleState.HAS_SURPLUS_BYTES
+        if now >= self.usable_until:
+            return IdleState.ENDED
         try:
-            self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            surplus = self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
-            return True
+            return IdleState.REUSABLE
         except OSError:
-            return False
-        # Either surplus bytes that belong to no request, or the end of the connection.
-        return False
+            return IdleState.ENDED
+        return IdleState.HAS_SURPLUS_BYTES if surplus else IdleState.ENDED
 
 
 class ConnectionPool:
@@ -44,6 +61,7 @@
         self.connections = connections
         self._clock = clock
         self._idle: dict[NetworkAddress, list[IdleConnection]] = {}
+        self._check: asyncio.TimerHandle | None = None
 
     def take(self, address: NetworkAddress) -> IdleConnection | None:
         """Return a reusable idle connection if there is one; close those that are not."""
@@ -51,9 +69,10 @@
         connections = self._idle.get(address, [])
         while connections:
             connection = connections.pop()
-            if connection.is_reusable(now):
+            state = connection.state(now)
+            if state is IdleState.REUSABLE:
                 return connection
-            connection.stream.close()
+            _close(address, connection, state)
         self._idle.pop(address, None)
         return None
 
@@ -68,7 +87,7 @@
     def put(
         self,
         address: NetworkAddress,
-        stream: IOStream,
+        stream: ObservedStream,
         idle_seconds: float,
         connection: TrackedConnection | None = None,
     ) -> None:
@@ -80,6 +99,34 @@
         connections.append(IdleConnection(stream, expires_at, connection))
         if connection is not None:
             connection.is_replaceable = True
+        if self._check is None:
+            self._schedule_check()
+
+    def _schedule_check(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._check = loop.call_later(IDLE_CHECK_SECONDS, self._close_unusable)
+
+    def _close_unusable(self) -> None:
+        """Close the connections that cannot be used any more.
+
+        A peer that sends without end would keep filling buffers otherwise.
+        """
+        now = self._clock.monotonic()
+        for address, connections in list(self._idle.items()):
+            reusable: list[IdleConnection] = []
+            for connection in connections:
+                state = connection.state(now)
+                if state is IdleState.REUSABLE:
+                    reusable.append(connection)
+                else:
+                    _close(address, connection, state)
+            if reusable:
+                self._idle[address] = reusable
+            else:
+                del self._idle[address]
+        self._check = None
+        if self._idle:
+            self._schedule_check()
 
     def close(self) -> None:
         """Close every idle connection."""
@@ -87,3 +134,13 @@
             for connection in connections:
                 connection.stream.close()
         self._idle.clear()
+        if self._check is not None:
+            self._check.cancel()
+            self._check = None
+
+
+def _close(address: NetworkAddress, connection: IdleConnection, state: IdleState) -> None:
+    """Close a connection that cannot be used any more."""
+    if state is IdleState.HAS_SURPLUS_BYTES:
+        RESPONSE_GUARD.report(ExcessReason.SURPLUS_BYTES, str(address))
+    connection.stream.close()
--- a/drumbay/comm/http_exchange.py
+++ b/drumbay/comm/http_exchange.py
@@ -9,27 +9,29 @@
 import re
 import socket
 import struct
-from collections import deque
-from collections.abc import Callable
+import sys
+from collections.abc import Awaitable, Callable
 
 import msgspec
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
-from tornado.httputil import (
-    HTTPHeaders,
-    HTTPInputError,
-    HTTPMessageDelegate,
-    RequestStartLine,
-    ResponseStartLine,
-)
+from tornado.httputil import HTTPHeaders, HTTPInputError, RequestStartLine
 from tornado.iostream import IOStream, StreamClosedError
 
 from drumbay.comm.connection_pool import ConnectionPool
 from drumbay.comm.connection_registry import ConnectionRegistry, TrackedConnection
 from drumbay.comm.network_address import NetworkAddress
+from drumbay.comm.observed_stream import MAX_BUFFER_BYTES, ObservedStream
+from drumbay.comm.received_response import ReceivedResponse
+from drumbay.comm.response_guard import RESPONSE_GUARD
+from drumbay.comm.transfer_limits import (
+    DEFAULT_LIMITS,
+    MAX_UNWANTED_BODY_SECONDS,
+    ExcessReason,
+    ResponseLimits,
+)
+from drumbay.comm.unfinished_head import UnfinishedHead
 from drumbay.exceptions import UnavailableError
 
-MAX_HEADER_BYTES = 65_536
-MAX_BODY_BYTES = 256 * 1024 * 1024
 USER_TIMEOUT_MILLISECONDS = 4_000
 DEFAULT_IDLE_SECONDS = 2.0
 """How long an idle connection is reused if the server sends no ``Keep-Alive`` timeout."""
@@ -66,6 +68,12 @@
     code = "exchange_broken"
 
 
+class ExchangeExcessiveError(ExchangeBrokenError):
+    """The response exceeded a limit and was cut off: the request may have run."""
+
+    code = "exchange_excessive"
+
+
 class HttpRequest(msgspec.Struct, frozen=True, kw_only=True):
     """A request to send."""
 
@@ -75,63 +83,6 @@
     body: bytes = b""
 
 
-class _ResponseDelegate(HTTPMessageDelegate):
-    """Buffers the response and wakes its reader."""
-
-    def __init__(self, stream: IOStream, connection: TrackedConnection | None) -> None:
-        self.stream = stream
-        self.connection = connection
-        self.status: int | None = None
-        self.headers = HTTPHeaders()
-        self.chunks: deque[bytes] = deque()
-        self.complete = False
-        self.broken = False
-        self._waiter: asyncio.Future[None] | None = None
-
-    def headers_received(
-        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
-    ) -> None:
-        self._record_received()
-        if self.connection is not None:
-            self.connection.is_replaceable = False
-        if isinstance(start_line, ResponseStartLine) and start_line.code >= 200:
-            self.status = start_line.code
-            self.headers = headers
-            self.wake()
-
-    def data_received(self, chunk: bytes) -> None:
-        self._record_received()
-        self.chunks.append(chunk)
-        self.wake()
-
-    def _record_received(self) -> None:
-        if self.connection is not None:
-            self.connection.record_received()
-
-    def finish(self) -> None:
-        # NOTE: a body without a length ends with the connection. Tornado also reports the end
-        # after a reset, in which case the body is not complete.
-        if self.stream.error is not None:
-            self.broken = True
-        else:
-            self.complete = True
-            if self.connection is not None:
-                self.connection.record_response_complete()
-        self.wake()
-
-    def on_connection_close(self) -> None:
-        self.broken = not self.complete
-        self.wake()
-
-    def wake(self) -> None:
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-
-    async def wait(self) -> None:
-        self._waiter = asyncio.get_running_loop().create_future()
-        await self._waiter
-
-
 class HttpExchange:
     """An open exchange: send, read the status, read chunks, close.
 
@@ -142,10 +93,11 @@
 
     def __init__(
         self,
-        stream: IOStream,
+        stream: ObservedStream,
         address: NetworkAddress,
         pool: ConnectionPool | None,
         connection: TrackedConnection | None,
+        limits: ResponseLimits,
     ) -> None:
         """Create an exchange on a connected stream."""
         self._tracked = connection
@@ -153,15 +105,17 @@
         self._stream = stream
         self._address = address
         self._pool = pool
-        self._delegate = _ResponseDelegate(stream, connection)
+        self._response = ReceivedResponse(stream, str(address), limits, connection)
         parameters = HTTP1ConnectionParameters(
             no_keep_alive=pool is None,
-            max_header_size=MAX_HEADER_BYTES,
-            max_body_size=MAX_BODY_BYTES,
+            max_header_size=limits.head_bytes,
+            # The response itself checks its size, and says so.
+            max_body_size=sys.maxsize,
             decompress=False,
         )
         self._connection = HTTP1Connection(stream, True, parameters)
         self._reader: asyncio.Task[None] | None = None
+        self._discarding: asyncio.Task[None] | None = None
 
     @classmethod
     async def open(
@@ -174,12 +128,13 @@
         *,
         fresh: bool = False,
         may_send: Callable[[], bool] | None = None,
+        limits: ResponseLimits = DEFAULT_LIMITS,
     ) -> "HttpExchange":
         """Send a request on a connection from ``pool``, or on a new one.
 
         A new connection is opened if the pool has none, or if ``fresh`` is true. It is tracked by
         the pool's ``connections``, or by the given ones if there is no pool. ``may_send`` is asked
-        once it is established.
+        once it is established. A response beyond ``limits`` is cut off.
 
         Raises:
             ExchangeRefusedError: The connection was refused.
@@ -188,19 +143,19 @@
         """
         idle = pool.take(address) if pool is not None and not fresh else None
         if idle is not None:
-            exchange = cls(idle.stream, address, pool, idle.connection)
+            exchange = cls(idle.stream, address, pool, idle.connection, limits)
             exchange.is_reused = True
             exchange._send(request)
             if idle.connection is not None:
                 idle.connection.is_replaceable = True
             return exchange
-        stream = await _connect(address, connect_timeout_seconds)
+        stream = await connect(address, connect_timeout_seconds)
         if may_send is not None and not may_send():
             stream.close()
             raise ExchangeWithheldError(str(address))
         registry = pool.connections if pool is not None else connections
         tracked = registry.add(stream, str(address)) if registry is not None else None
-        exchange = cls(stream, address, pool, tracked)
+        exchange = cls(stream, address, pool, tracked, limits)
         exchange._send(request)
         return exchange
 
@@ -221,78 +176,130 @@
 
     async def _read(self) -> None:
         try:
-            await self._connection.read_response(self._delegate)
+            await self._connection.read_response(self._response)
         except (StreamClosedError, HTTPInputError, OSError):
             pass
         finally:
-            self._delegate.broken = not self._delegate.complete
-            self._delegate.wake()
+            self._response.end()
 
     @property
     def headers(self) -> HTTPHeaders:
         """Return the response headers; empty before :meth:`read_status` has returned."""
-        return self._delegate.headers
+        return self._response.headers
+
+    @property
+    def unfinished_head(self) -> UnfinishedHead | None:
+        """Return what the head of the response said if it broke off, or did not end."""
+        return self._response.unfinished_head
+
+    @property
+    def is_excessive(self) -> bool:
+        """Return whether the response exceeded a limit."""
+        return self._response.excess is not None
 
     async def read_status(self) -> int:
         """Wait for the response headers and return the status.
 
         Raises:
-            ExchangeBrokenError: The connection ended first.
+            ExchangeBrokenError: The connection ended first, or the head exceeded a limit.
         """
-        while self._delegate.status is None:
-            if self._delegate.broken:
-                raise ExchangeBrokenError("connection closed before the response")
-            await self._delegate.wait()
-        return self._delegate.status
+        while self._response.status is None:
+            if self._response.broken:
+                raise self._broken_error("before the response")
+            await self._response.wait()
+        return self._response.status
 
     async def read_chunk(self) -> bytes | None:
         """Return the next bytes of the body, or ``None`` at its regular end.
 
         Raises:
-            ExchangeBrokenError: The connection ended before the body did.
+            ExchangeBrokenError: The connection ended before the body did, or the body exceeded a
+                limit.
         """
-        while not self._delegate.chunks:
-            if self._delegate.complete:
+        while not self._response.has_chunks:
+            if self._response.complete:
                 return None
-            if self._delegate.broken:
-                raise ExchangeBrokenError("connection closed within the response body")
-            await self._delegate.wait()
-        data = b"".join(self._delegate.chunks)
-        self._delegate.chunks.clear()
-        return data
-
-    async def read_body(self) -> bytes:
+            if self._response.broken:
+                raise self._broken_error("within the response body")
+            await self._response.wait()
+        return self._response.take_chunks()
+
+    async def read_body(
+        self, read_chunk: Callable[[], Awaitable[bytes | None]] | None = None
+    ) -> bytes:
         """Return the rest of the body.
 
+        ``read_chunk`` takes the place of :meth:`read_chunk`, with a timeout for each chunk.
+
         Raises:
-            ExchangeBrokenError: The connection ended before the body did.
+            ExchangeBrokenError: The connection ended before the body did, or the body exceeded a
+                limit.
         """
         parts: list[bytes] = []
-        while (chunk := await self.read_chunk()) is not None:
-            parts.append(chunk)
-        return b"".join(parts)
+        try:
+            while (chunk := await (read_chunk or self.read_chunk)()) is not None:
+                await RESPONSE_GUARD.hold(self._response, len(chunk))
+                parts.append(chunk)
+            return b"".join(parts)
+        finally:
+            RESPONSE_GUARD.release(self._response)
+
+    def _broken_error(self, where: str) -> ExchangeBrokenError:
+        excess = self._response.excess
+        if excess is not None:
+            return ExchangeExcessiveError(f"cut off {where}: {excess}")
+        return ExchangeBrokenError(f"connection closed {where}")
 
     @property
     def has_response(self) -> bool:
         """Return whether the response headers have arrived."""
-        return self._delegate.status is not None
+        return self._response.status is not None
+
+    def finish_unread(self) -> None:
+        """End the exchange without the rest of the body, and without waiting for it.
+
+        The connection returns to its pool if the body ends soon, and is closed otherwise.
+        """
+        if self._pool is None or self._response.broken:
+            self.close()
+        else:
+            self._discarding = asyncio.get_running_loop().create_task(self._discard_and_finish())
+
+    async def _discard_and_finish(self) -> None:
+        await self.discard_body()
+        await self.finish()
+
+    async def discard_body(self) -> bool:
+        """Discard the rest of the body; return whether it ended soon."""
+        self._response.discard_rest()
+        try:
+            async with asyncio.timeout(MAX_UNWANTED_BODY_SECONDS):
+                while not (self._response.complete or self._response.broken):
+                    await self._response.wait()
+        except TimeoutError:
+            self._response.exceed(ExcessReason.UNWANTED_BODY)
+        return self._response.complete
+
+    def cut_off(self, reason: ExcessReason) -> None:
+        """Close the connection, as the response exceeded a limit of its reader."""
+        self._response.exceed(reason)
 
     async def finish(self) -> None:
         """Return the connection to the pool if the response is complete; close it otherwise."""
-        if self._pool is None or not self._delegate.complete or not self._is_reusable():
-            self.close()
+        if self._pool is None or not self._response.complete or not self._is_reusable():
+            self._disconnect()
             return
         if self._reader is not None:
             await self._reader
         self._pool.put(self._address, self._stream, self._idle_seconds(), self._tracked)
 
     def _is_reusable(self) -> bool:
-        headers = self._delegate.headers
+        headers = self._response.headers
         has_delimited_body = "Content-Length" in headers or "Transfer-Encoding" in headers
         return has_delimited_body and headers.get("Connection", "").lower() != "close"
 
     def _idle_seconds(self) -> float:
-        match = _KEEP_ALIVE_TIMEOUT.search(self._delegate.headers.get("Keep-Alive", ""))
+        match = _KEEP_ALIVE_TIMEOUT.search(self._response.headers.get("Keep-Alive", ""))
         if match is None:
             return DEFAULT_IDLE_SECONDS
         return max(0.0, float(match.group(1)) - IDLE_MARGIN_SECONDS)
@@ -302,26 +309,31 @@
 
         Bytes of an unanswered request that have not arrived are discarded: otherwise the kernel
         would go on sending them, and the server would run the request after its caller has left.
+        Does nothing after :meth:`finish_unread`.
 
         ``allowed_silence_seconds`` is how long the server was allowed to send nothing.
         """
+        if self._discarding is None:
+            self._disconnect(allowed_silence_seconds)
+
+    def _disconnect(self, allowed_silence_seconds: float = 0.0) -> None:
         if self._tracked is not None:
             self._tracked.record_abandoned(allowed_silence_seconds)
         if self._reader is not None:
             self._reader.cancel()
-        if not self._delegate.complete:
+        if not self._response.complete:
             _discard_unsent(self._stream)
         self._stream.close()
 
 
-async def _connect(address: NetworkAddress, timeout_seconds: float) -> IOStream:
+async def connect(address: NetworkAddress, timeout_seconds: float) -> ObservedStream:
     """Open a connection.
 
     Raises:
         ExchangeRefusedError: The connection was refused.
         ExchangeNotSentError: No connection was established in time.
     """
-    stream = IOStream(_new_socket())
+    stream = ObservedStream(_new_socket(), max_buffer_size=MAX_BUFFER_BYTES)
     try:
         async with asyncio.timeout(timeout_seconds):
             await stream.connect((address.host, address.port))
--- /dev/null
+++ b/drumbay/comm/observed_stream.py
@@ -0,0 +1,22 @@
+"""An ``IOStream`` that shows the bytes it receives to an observer."""
+
+from collections.abc import Callable
+
+from tornado.iostream import IOStream
+
+MAX_BUFFER_BYTES = 1_048_576
+
+
+class ObservedStream(IOStream):
+    """Calls :attr:`on_received` with each piece of bytes, before its reader gets them."""
+
+    on_received: Callable[[memoryview], None] | None = None
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read from the socket; see ``BaseIOStream.read_from_fd``."""
+        size_bytes = super().read_from_fd(buf)
+        if size_bytes and self.on_received is not None:
+            # Released at once: the stream resizes its buffer later.
+            with memoryview(buf) as view, view[:size_bytes] as received:
+                self.on_received(received)
+        return size_bytes
--- a/drumbay/observability/serving_metrics.py
+++ b/drumbay/observability/serving_metrics.py
@@ -141,6 +141,12 @@
             "Connections that were given up without a word from the peer.",
             registry=self._registry,
         )
+        self._cut_off_responses = Counter(
+            "drumbay_serving_cut_off_responses",
+            "Responses to this node that were cut off, by the limit that they exceeded.",
+            ("reason",),
+            registry=self._registry,
+        )
         self._worker_pauses = Counter(
             "drumbay_serving_worker_pauses",
             "Pauses of workers after failures in a row.",
@@ -271,6 +277,10 @@
         """Count a connection abandoned because the peer was silent."""
         self._silent_connections.inc()
 
+    def count_cut_off_response(self, reason: str) -> None:
+        """Count a response that exceeded a limit."""
+        self._cut_off_responses.labels(reason).inc()
+
     def count_worker_pause(self) -> None:
         """Count a pause of a worker after a failure."""
         self._worker_pauses.inc()
--- a/tests/test_operations_document.py
+++ b/tests/test_operations_document.py
@@ -94,6 +94,7 @@
                 "held_requests",
                 "ineligible_workers",
                 "shed_requests",
+                "cut_off_responses",
                 "store_purposes",
                 "hedges",
                 "worker_refusals",
--- a/tests/test_suspended_machine.py
+++ b/tests/test_suspended_machine.py
@@ -12,11 +12,10 @@
 from collections.abc import Callable, Coroutine
 from unittest import mock
 
-from tornado.iostream import IOStream
-
 from drumbay.clock import SystemClock, run_on_system_clock
 from drumbay.comm.connection_pool import ConnectionPool
 from drumbay.comm.network_address import NetworkAddress
+from drumbay.comm.observed_stream import ObservedStream
 from drumbay.exceptions import DeadlineExceededError
 from drumbay.forwarding.records import RequestTimedOutError
 from drumbay.forwarding.routes import RequestKind
@@ -123,7 +122,7 @@
     async def idle_connection_is_not_reused(self) -> None:
         server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
         address = NetworkAddress("127.0.0.1", server.sockets[0].getsockname()[1])
-        stream = IOStream(socket.socket())
+        stream = ObservedStream(socket.socket())
         await stream.connect((address.host, address.port))
         pool = ConnectionPool(self.clock)
         pool.put(address, stream, idle_seconds=2.0)
