--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -127,6 +127,15 @@
                         self.assertLess(time.monotonic() - started_at, PROMPT_SECONDS)
                         await self.assert_disconnected()
 
+    async def test_failure_without_an_id_counts_only_once_it_is_whole(self) -> None:
+        """It does not say whose answer it is; as before, it counts if all of it has come."""
+        rest, piece = BODIES["until close"]
+        worker = await self.server("HTTP/1.1 422 X\r\n" + rest, piece)
+        started_at = time.monotonic()
+        self.assertIs(await self.stream_outcome(worker), WorkerBrokenError)
+        self.assertLess(time.monotonic() - started_at, PROMPT_SECONDS)
+        await self.assert_disconnected()
+
     async def test_order_and_probe_count_though_their_answers_do_not_end(self) -> None:
         order = LoadOrder(
             model="m",
