--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -4,6 +4,7 @@
 import json
 import random
 import re
+import time
 import unittest
 from pathlib import Path
 
@@ -180,6 +181,28 @@
         self.assertEqual(len(parser.feed(b"id: 1\ndata: a\n\nid: 2\ndata: b\n")), 1)
         self.assertTrue(parser.has_incomplete_event)
 
+    def test_cost_of_an_incomplete_event_grows_with_its_size_only(self) -> None:
+        """The square of its size would take the event loop from all other requests."""
+        pieces = 2_048
+
+        def seconds(count: int) -> float:
+            parser = EventParser(WeightVersion(1))
+            started_at = time.process_time()
+            for _ in range(count):
+                parser.feed(bytes(64))
+            return time.process_time() - started_at
+
+        once = min(seconds(pieces) for _ in range(5))
+        eight_times = min(seconds(8 * pieces) for _ in range(5))
+        self.assertLess(eight_times / once, 24.0)
+
+    def test_bytes_without_event_are_counted_from_the_last_event_on(self) -> None:
+        parser = EventParser(WeightVersion(1))
+        parser.feed(b": comment\n\n" * 10)
+        self.assertEqual(parser.bytes_without_event, 110)
+        parser.feed(b"id: 1\ndata: a\n\nid: 2")
+        self.assertEqual(parser.bytes_without_event, len(b"id: 2"))
+
     def test_platform_names_occur_only_in_adapter(self) -> None:
         words = re.compile(
             r"X-Drumbay-(Attempt|Deadline|Server|Expect|Not|Weight|Wait|Length|Token)|/lots/|kv-txn|kv-watch|kv-range|tlsKey|op/config|servers/"
