Bound how slowly callers' heads and bodies may arrive

Callers saw: nothing yet; a caller that sends a head or a body without end kept its connection, and what had arrived, for as long as it liked. headerTimeoutMs of the configuration was read and applied nowhere; after a rejection the rest of a body was read without a limit of time; calls between nodes and readiness probes had the library's hour.

Change: a head must be whole within the operator's limit (3 s by default) from its first bytes on, an idle connection is not concerned; a body must come at 1 KiB a second in the mean after 30 s, else it is answered 503 (it has not run) and its connection is closed. Readiness probes and calls between nodes get 30 s, 64 KiB and 64 MiB.

Tests, failing before: test_request_body_that_hardly_comes_is_rejected_and_ends, test_request_head_that_does_not_end_is_cut_off.

--- a/drumbay/comm/transfer_limits.py
+++ b/drumbay/comm/transfer_limits.py
@@ -2,6 +2,7 @@
 
 A peer may send bytes without end. :class:`ResponseUsage` measures one response against its
 :class:`ResponseLimits`; :class:`ResponseMemory` bounds the bodies that a whole process holds.
+Sizes of requests are limits of operators; here is how slowly they may arrive.
 """
 
 from enum import StrEnum
@@ -32,6 +33,14 @@
 """Bodies up to this size are received even if others hold all of the memory."""
 
 
+MAX_REQUEST_HEAD_SECONDS = 3.0
+"""Time from the first bytes of a request's head until it is whole, unless operators set another."""
+
+BODY_GRACE_SECONDS = 30.0
+MIN_BODY_BYTES_PER_SECOND = 1_024
+"""Mean rate at which the body of a request must arrive, after the time above."""
+
+
 class ExcessReason(StrEnum):
     """Which limit a response exceeded."""
 
@@ -60,6 +69,11 @@
 REPORT_LIMITS = ResponseLimits(body_bytes=MAX_REPORT_BYTES)
 
 
+def is_body_too_slow(seconds: float, received_bytes: int) -> bool:
+    """Return whether the body of a request arrives more slowly than any sound sender's would."""
+    return seconds > BODY_GRACE_SECONDS + received_bytes / MIN_BODY_BYTES_PER_SECOND
+
+
 class ResponseUsage:
     """What one response has cost so far."""
 
--- a/drumbay/limits/held_bytes.py
+++ b/drumbay/limits/held_bytes.py
@@ -52,6 +52,7 @@
     NO_ROOM = "no_room"
     NOT_READ = "not_read"
     NOT_SENT = "not_sent"
+    TOO_SLOW = "too_slow"
 
 
 BOUND_FRACTIONS = {HeldKind.RESULTS: 0.5, HeldKind.SUBMISSION: 0.75, HeldKind.LOOKUP: 1.0}
--- a/drumbay/peers/transport.py
+++ b/drumbay/peers/transport.py
@@ -19,6 +19,7 @@
 from drumbay.comm.listener import Listener
 from drumbay.comm.network_address import NetworkAddress
 from drumbay.comm.response_writer import DeliveryOutcome, HttpResponse, write_response
+from drumbay.comm.transfer_limits import MAX_HEAD_BYTES
 from drumbay.exceptions import DeadlineExceededError, UnavailableError
 from drumbay.observability.logs import log_event
 from drumbay.peers.messages import PeerReply, PeerRequest
@@ -27,6 +28,12 @@
 STALL_TIMEOUT_SECONDS = 5.0
 """How long a reader may stall before its reply is dropped; exceeds the timeout of any call."""
 
+MAX_CALL_BYTES = 67_108_864
+"""A call may hand over a batch job, with the bodies of its items encoded."""
+
+MAX_CALL_SECONDS = 30.0
+"""Time for the head of a call, and for its body; callers give up long before."""
+
 PEER_PATH = "/peer"
 METRICS_PATH = "/metrics"
 
@@ -117,7 +124,13 @@
         """Answer calls with ``handle``, and ``GET /metrics`` with ``render_metrics``."""
         self._handle = handle
         self._render_metrics = render_metrics
-        self._server = HTTPServer(self._accept)
+        self._server = HTTPServer(
+            self._accept,
+            max_header_size=MAX_HEAD_BYTES,
+            max_body_size=MAX_CALL_BYTES,
+            idle_connection_timeout=MAX_CALL_SECONDS,
+            body_timeout=MAX_CALL_SECONDS,
+        )
         self._listener = Listener(self._server)
         self._tasks: set[asyncio.Task[None]] = set()
 
--- a/drumbay/serving/memory_accounting.py
+++ b/drumbay/serving/memory_accounting.py
@@ -83,6 +83,10 @@
         self._record_shed(ShedReason.NOT_SENT, self._reserved_bytes, stalled_seconds)
         return True
 
+    def record_slow_body(self, seconds: float) -> None:
+        """Record that a request is refused, as its body arrives too slowly."""
+        self._record_shed(ShedReason.TOO_SLOW, self._reserved_bytes, seconds)
+
     def release(self) -> None:
         """Release the whole reservation."""
         self._memory.bytes.release(self._kind, self._reserved_bytes)
--- a/drumbay/serving/request_intake.py
+++ b/drumbay/serving/request_intake.py
@@ -3,13 +3,14 @@
 tornado's own server reads the whole body before it calls the application. Here memory is reserved
 when the headers arrive. The response to a rejected request is sent when the first part of its
 body or its end arrives; the rest is read and discarded, since closing a connection with unread data
-could lose the response.
+could lose the response. A head or a body that does not end in time ends with its connection.
 """
 
 import asyncio
 from collections.abc import Callable
 from weakref import WeakSet
 
+from tornado.http1connection import HTTP1Connection
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
@@ -20,6 +21,8 @@
     ResponseStartLine,
 )
 
+from drumbay.comm.transfer_limits import MAX_REQUEST_HEAD_SECONDS, is_body_too_slow
+from drumbay.observability.logs import log_event
 from drumbay.serving.memory_accounting import MemoryReservation
 
 REJECTION_RETRY_SECONDS = 0.5
@@ -29,11 +32,19 @@
 """Larger bodies are rejected if they stall while other requests need the memory."""
 
 BODY_CHECK_SECONDS = 0.5
-"""Interval between progress checks of a large body."""
+"""Interval between progress checks of a body. Times are counted in intervals, so that time for
+which this machine was suspended is not included."""
+
+HEAD_CHECK_SECONDS = 0.5
+"""The same for heads."""
 
 
 class RequestIntake(HTTPServerConnectionDelegate):
-    """Reserves memory, then reads the body and passes the request on."""
+    """Reserves memory, then reads the body and passes the request on.
+
+    Attributes:
+        max_head_seconds: Time from the first bytes of a head until it must be whole.
+    """
 
     def __init__(
         self,
@@ -46,8 +57,11 @@
             reserve: Creates the reservation for a request, given its headers.
             serve: Handles a complete request and releases the reservation when it is done.
         """
+        self.max_head_seconds = MAX_REQUEST_HEAD_SECONDS
         self._reserve = reserve
         self._serve = serve
+        self._awaiting_head: WeakSet[_IncomingRequest] = WeakSet()
+        self._head_check: asyncio.TimerHandle | None = None
         self._known_connections: WeakSet[object] = WeakSet()
         self._first_requests: WeakSet[_IncomingRequest] = WeakSet()
 
@@ -59,8 +73,28 @@
         if server_conn not in self._known_connections:
             self._known_connections.add(server_conn)
             self._first_requests.add(request)
+        self._awaiting_head.add(request)
+        if self._head_check is None:
+            self._schedule_head_check()
         return request
 
+    def _schedule_head_check(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._head_check = loop.call_later(HEAD_CHECK_SECONDS, self._check_heads)
+
+    def _check_heads(self) -> None:
+        """Close connections whose heads have begun and do not end."""
+        for request in list(self._awaiting_head):
+            if not request.is_awaited:
+                self._awaiting_head.discard(request)
+            elif request.has_begun_head():
+                request.head_seconds += HEAD_CHECK_SECONDS
+                if request.head_seconds > self.max_head_seconds:
+                    request.cut_off_head()
+        self._head_check = None
+        if self._awaiting_head:
+            self._schedule_head_check()
+
     def awaits_first_request(self, max_seconds: float) -> bool:
         """Return whether a connection that is not older has brought no request yet."""
         opened_since = asyncio.get_running_loop().time() - max_seconds
@@ -75,7 +109,8 @@
 
     Attributes:
         created_at: When the connection became ready for it, by the event loop's time.
-        is_awaited: Whether nothing of it has arrived.
+        is_awaited: Whether its head has not arrived.
+        head_seconds: For how long the head has been arriving.
     """
 
     def __init__(
@@ -86,6 +121,7 @@
     ) -> None:
         self.created_at = asyncio.get_running_loop().time()
         self.is_awaited = True
+        self.head_seconds = 0.0
         self._connection = connection
         self._reserve = reserve
         self._serve = serve
@@ -95,8 +131,29 @@
         self._is_admitted = True
         self._has_responded = False
         self._chunks: list[bytes] = []
+        self._received_bytes = 0
+        self._body_seconds = 0.0
         self._stalled_seconds = 0.0
-        self._stall_timer: asyncio.TimerHandle | None = None
+        self._is_large = False
+        self._body_timer: asyncio.TimerHandle | None = None
+
+    def has_begun_head(self) -> bool:
+        """Return whether a part of the head has arrived."""
+        connection = self._connection
+        if not isinstance(connection, HTTP1Connection) or connection.stream is None:
+            return False
+        # NOTE: IOStream has no public accessor for bytes that it has read.
+        return bool(connection.stream._read_buffer_size)
+
+    def cut_off_head(self) -> None:
+        """Close the connection, as the head does not end."""
+        self.is_awaited = False
+        log_event("request_head_too_slow", level="WARNING", seconds=self.head_seconds)
+        self._close_connection()
+
+    def _close_connection(self) -> None:
+        if isinstance(self._connection, HTTP1Connection):
+            self._connection.close()
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -113,11 +170,13 @@
         # written by then.
         body_bytes = int(content_length) if self._has_content_length else 0
         self._is_admitted = self._reservation.try_reserve_request(body_bytes)
-        if self._is_admitted and body_bytes > MONITORED_BODY_BYTES:
-            self._schedule_stall_check()
+        self._is_large = body_bytes > MONITORED_BODY_BYTES
+        if body_bytes or not self._has_content_length:
+            self._schedule_body_check()
 
     def data_received(self, chunk: bytes) -> None:
         assert self._reservation is not None
+        self._received_bytes += len(chunk)
         self._stalled_seconds = 0.0
         if self._is_admitted and not self._has_content_length:
             self._is_admitted = self._reservation.try_reserve_body(len(chunk))
@@ -130,34 +189,43 @@
         assert self._request is not None and self._reservation is not None
         if not self._is_admitted:
             self._reject()
+            self._cancel_body_check()
             self._connection.finish()
             return
-        self._cancel_stall_check()
+        self._cancel_body_check()
         self._request.body = b"".join(self._chunks)
         self._chunks.clear()
         self._serve(self._request, self._reservation)
 
     def on_connection_close(self) -> None:
         self.is_awaited = False
+        self._cancel_body_check()
         self._discard()
 
-    def _schedule_stall_check(self) -> None:
+    def _schedule_body_check(self) -> None:
         event_loop = asyncio.get_running_loop()
-        self._stall_timer = event_loop.call_later(BODY_CHECK_SECONDS, self._check_for_stall)
+        self._body_timer = event_loop.call_later(BODY_CHECK_SECONDS, self._check_body)
 
-    def _check_for_stall(self) -> None:
-        """Reject the request if its body has stalled and its memory is needed."""
+    def _check_body(self) -> None:
+        """Reject a request whose body is too slow, or has stalled while its memory is needed."""
         assert self._reservation is not None
         self._stalled_seconds += BODY_CHECK_SECONDS
-        if self._reservation.should_reject_body(self._stalled_seconds):
+        self._body_seconds += BODY_CHECK_SECONDS
+        if is_body_too_slow(self._body_seconds, self._received_bytes):
+            if self._has_responded:
+                self._close_connection()
+                return
+            self._reservation.record_slow_body(self._body_seconds)
             self._is_admitted = False
+        elif self._is_admitted and self._is_large:
+            self._is_admitted = not self._reservation.should_reject_body(self._stalled_seconds)
+        if not self._is_admitted:
             self._reject()
-        else:
-            self._schedule_stall_check()
+        self._schedule_body_check()
 
-    def _cancel_stall_check(self) -> None:
-        if self._stall_timer is not None:
-            self._stall_timer.cancel()
+    def _cancel_body_check(self) -> None:
+        if self._body_timer is not None:
+            self._body_timer.cancel()
 
     def _reject(self) -> None:
         """Respond once with 503 and Retry-After."""
@@ -173,7 +241,6 @@
         write_future.add_done_callback(lambda future: future.cancelled() or future.exception())
 
     def _discard(self) -> None:
-        self._cancel_stall_check()
         self._chunks.clear()
         if self._reservation is not None:
             self._reservation.release()
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -11,7 +11,7 @@
 from tornado.httputil import HTTPServerRequest
 from tornado.testing import bind_unused_port
 
-from drumbay.comm import response_writer
+from drumbay.comm import response_writer, transfer_limits
 from drumbay.comm.response_writer import DeliveryOutcome, HttpResponse, write_response
 from drumbay.limits.held_bytes import (
     STALL_TIMEOUT_UNDER_PRESSURE_SECONDS,
@@ -82,6 +82,7 @@
             mock.patch.dict(STALL_TIMEOUT_UNDER_PRESSURE_SECONDS, stall_limits),
             mock.patch.object(response_writer, "STALL_CHECK_SECONDS", 0.05),
             mock.patch.object(request_intake, "BODY_CHECK_SECONDS", 0.05),
+            mock.patch.object(request_intake, "HEAD_CHECK_SECONDS", 0.05),
         ):
             patcher.start()
             self.addCleanup(patcher.stop)
@@ -91,7 +92,8 @@
         self.outcomes: list[DeliveryOutcome] = []
         self.tasks: set[asyncio.Task[None]] = set()
         listener, self.port = bind_unused_port()
-        self.server = HTTPServer(RequestIntake(self.hold, self.serve))
+        self.intake = RequestIntake(self.hold, self.serve)
+        self.server = HTTPServer(self.intake)
         self.server.add_sockets([listener])
         self.addAsyncCleanup(self.server.close_all_connections)
 
@@ -224,6 +226,34 @@
                 await asyncio.sleep(0.002)
             self.assertEqual((await client.read_head())[0], 200)
 
+    async def test_request_body_that_hardly_comes_is_rejected_and_ends(self) -> None:
+        with mock.patch.object(transfer_limits, "BODY_GRACE_SECONDS", 0.1):
+            async with asyncio.timeout(TIMEOUT_SECONDS):
+                client = await self.client()
+                await client.send("POST", "/7", "Transfer-Encoding: chunked\r\n")
+                with self.assertRaises(ConnectionError):
+                    while True:
+                        await client.send_more(b"1\r\nx\r\n")
+                        await asyncio.sleep(0.02)
+                await self.wait_until(lambda: self.held_bytes == 0)
+
+    async def test_request_head_that_does_not_end_is_cut_off(self) -> None:
+        self.intake.max_head_seconds = 0.1
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            client = await self.client()
+            with self.assertRaises(ConnectionError):
+                while True:
+                    await client.send_more(b"A: 1\r\n")
+                    await asyncio.sleep(0.02)
+
+    async def test_idle_connection_outlasts_the_limit_of_heads(self) -> None:
+        self.intake.max_head_seconds = 0.1
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            client = await self.client()
+            await asyncio.sleep(0.4)
+            await client.send("POST", "/7", "Content-Length: 3\r\n", b"abc")
+            self.assertEqual((await client.read_head())[0], 200)
+
     async def test_aborted_request_body_releases_its_memory(self) -> None:
         async with asyncio.timeout(TIMEOUT_SECONDS):
             client = await self.client()
