Test that claims outlast a lost disk while all other nodes lose power

One disk is lost and all other nodes lose power at the same moment; an answered request is still replayed, and one of unknown outcome does not run again.

--- a/tests/test_claims_cluster.py
+++ b/tests/test_claims_cluster.py
@@ -182,6 +182,24 @@
 
         self.run_world(scenario)
 
+    def test_claims_outlast_a_lost_disk_while_all_other_nodes_lose_power(self) -> None:
+        async def scenario(world: World) -> None:
+            await world.call("n1", KEY)
+            await world.call("n1", "unknown outcome", "broken")
+            names = list(world.nodes)
+            for name in names:
+                await world.kill(name)
+            await world.restart("d1", lose_disk=True)
+            for name in names:
+                if name != "d1":
+                    world.start(name)
+            await world.clock.sleep(10.0)
+            self.assert_answered(await world.call("n2", KEY), replayed=True)
+            outcome = await world.call("n2", "unknown outcome")
+            self.assert_failed(outcome, ClaimFailure.IN_PROGRESS)
+
+        self.run_world(scenario, executions=2)
+
     def test_change_waits_for_the_key_value_store(self) -> None:
         async def scenario(world: World) -> None:
             await world.call("n1", KEY, "broken")
