--- a/drumbay/comm/transfer_limits.py
+++ b/drumbay/comm/transfer_limits.py
@@ -36,10 +36,6 @@
 MAX_REQUEST_HEAD_SECONDS = 3.0
 """Time from the first bytes of a request's head until it is whole, unless operators set another."""
 
-BODY_GRACE_SECONDS = 30.0
-MIN_BODY_BYTES_PER_SECOND = 1_024
-"""Mean rate at which the body of a request must arrive, after the time above."""
-
 
 class ExcessReason(StrEnum):
     """Which limit a response exceeded."""
@@ -48,6 +44,7 @@
     HEAD_SECONDS = "head_seconds"
     INTERIM_HEADS = "interim_heads"
     BODY_BYTES = "body_bytes"
+    BODY_PACE = "body_pace"
     UNWANTED_BODY = "unwanted_body"
     PROCESS_MEMORY = "process_memory"
     SURPLUS_BYTES = "surplus_bytes"
@@ -69,9 +66,19 @@
 REPORT_LIMITS = ResponseLimits(body_bytes=MAX_REPORT_BYTES)
 
 
-def is_body_too_slow(seconds: float, received_bytes: int) -> bool:
-    """Return whether the body of a request arrives more slowly than any sound sender's would."""
-    return seconds > BODY_GRACE_SECONDS + received_bytes / MIN_BODY_BYTES_PER_SECOND
+class BodyPace(msgspec.Struct, frozen=True, kw_only=True):
+    """How slowly a body may arrive, if nothing else bounds its time."""
+
+    grace_seconds: float
+    bytes_per_second: int
+
+    def is_too_slow(self, seconds: float, received_bytes: int) -> bool:
+        """Return whether a body arrives more slowly than any sound sender's would."""
+        return seconds > self.grace_seconds + received_bytes / self.bytes_per_second
+
+
+REQUEST_PACE = BodyPace(grace_seconds=30.0, bytes_per_second=1_024)
+STORE_PACE = BodyPace(grace_seconds=5.0, bytes_per_second=16_384)
 
 
 class ResponseUsage:
--- a/drumbay/serving/request_intake.py
+++ b/drumbay/serving/request_intake.py
@@ -21,7 +21,7 @@
     ResponseStartLine,
 )
 
-from drumbay.comm.transfer_limits import MAX_REQUEST_HEAD_SECONDS, is_body_too_slow
+from drumbay.comm.transfer_limits import MAX_REQUEST_HEAD_SECONDS, REQUEST_PACE
 from drumbay.observability.logs import log_event
 from drumbay.serving.memory_accounting import MemoryReservation
 
@@ -211,7 +211,7 @@
         assert self._reservation is not None
         self._stalled_seconds += BODY_CHECK_SECONDS
         self._body_seconds += BODY_CHECK_SECONDS
-        if is_body_too_slow(self._body_seconds, self._received_bytes):
+        if REQUEST_PACE.is_too_slow(self._body_seconds, self._received_bytes):
             if self._has_responded:
                 self._close_connection()
                 return
