Pass over bodies without a length that ended with their workers in whole_answers

Passed over only if the run plays that form, the body is filler, and a worker ended during the call.

--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -538,6 +538,22 @@
         history.runs.append(run("c0", 2.0))
         self.assert_only_violation(history, "crashing_requests_are_told_the_truth")
 
+    def test_a_body_without_a_length_that_ended_with_its_worker(self) -> None:
+        """Only while such bodies are played, and only if a worker ended during the call."""
+        played, other = FaultKind.ENDLESS_UNTIL_CLOSE, FaultKind.ENDLESS_CHUNKED
+        for kind, crashed_at, body, is_broken in (
+            (played, 1.05, b"xxx", False),
+            (played, 9.0, b"xxx", True),
+            (played, 1.05, b"xxy", True),
+            (other, 1.05, b"xxx", True),
+        ):
+            history = self.history(fault(kind, 0.0))
+            history.calls = [call("a", response_body=body)]
+            crash = LoggedCrash(worker_id=BackendId("w"), at=STARTED_AT + crashed_at)
+            history.crashes = [crash]
+            broken = {violation.promise for violation in check(history)}
+            self.assertEqual("whole_answers" in broken, is_broken)
+
     def test_a_node_that_uses_too_much_memory(self) -> None:
         history = self.history()
         history.peak_bytes = {(1, 1): 2**26, (1, 2): 2**28}
