Keep a watcher's freshness check from waiting for no time at all

On virtual time a remainder below the clock's rounding made _wait_until_due wait without end: the wait ended at once and the clock stood where it was. A remainder below 1 ms is due, as in SharedFeeds. On a real clock it cost a few turns of the loop.

--- a/drumbay/peers/freshness.py
+++ b/drumbay/peers/freshness.py
@@ -30,6 +30,9 @@
 from drumbay.peers.messages import FeedConfirmed
 from drumbay.tasks import TaskOwner
 
+MIN_WAIT_SECONDS = 0.001
+"""Prevents zero-length waits caused by clock rounding."""
+
 VERIFY_FRACTION = 0.28
 """Interval between verifications, as a fraction of the configuration propagation bound. It leaves
 time for a slow response before followers consider the data too old. A watch alone does not verify
@@ -123,7 +126,7 @@
                 await self._clock.sleep(DISCONNECTED_CHECK_SECONDS)
                 continue
             remaining = self._mirror.confirmed_at + interval_seconds - self._clock.monotonic()
-            if remaining <= 0:
+            if remaining < MIN_WAIT_SECONDS:
                 return
             with suppress(DeadlineExceededError):
                 await self._clock.wait_for(self._behind.wait(), remaining)
