Free what a cut-off response held as soon as it is cut off

The error of a broken body keeps the frame that collected its parts, and the stream its read buffer, until the garbage collector comes round; the guard had counted them as released. Now the parts are cleared, and buffers of closed streams discarded. A connection reads 16 KiB at once, and is 32 KiB ahead of its reader at most, for 64 and 128; bodies up to 32 KiB do not wait for memory.

--- a/drumbay/comm/http_exchange.py
+++ b/drumbay/comm/http_exchange.py
@@ -26,6 +26,7 @@
 from drumbay.comm.transfer_limits import (
     DEFAULT_LIMITS,
     MAX_UNWANTED_BODY_SECONDS,
+    READ_BYTES,
     ExcessReason,
     ResponseLimits,
 )
@@ -108,6 +109,7 @@
         self._response = ReceivedResponse(stream, str(address), limits, connection)
         parameters = HTTP1ConnectionParameters(
             no_keep_alive=pool is None,
+            chunk_size=READ_BYTES,
             max_header_size=limits.head_bytes,
             # The response itself checks its size, and says so.
             max_body_size=sys.maxsize,
@@ -242,6 +244,8 @@
                 parts.append(chunk)
             return b"".join(parts)
         finally:
+            # An error keeps this frame, and what it refers to, for as long as it lives itself.
+            parts.clear()
             RESPONSE_GUARD.release(self._response)
 
     def _broken_error(self, where: str) -> ExchangeBrokenError:
@@ -324,6 +328,7 @@
         if not self._response.complete:
             _discard_unsent(self._stream)
         self._stream.close()
+        self._response.discard()
 
 
 async def connect(address: NetworkAddress, timeout_seconds: float) -> ObservedStream:
@@ -333,7 +338,9 @@
         ExchangeRefusedError: The connection was refused.
         ExchangeNotSentError: No connection was established in time.
     """
-    stream = ObservedStream(_new_socket(), max_buffer_size=MAX_BUFFER_BYTES)
+    stream = ObservedStream(
+        _new_socket(), max_buffer_size=MAX_BUFFER_BYTES, read_chunk_size=READ_BYTES
+    )
     try:
         async with asyncio.timeout(timeout_seconds):
             await stream.connect((address.host, address.port))
--- a/drumbay/comm/observed_stream.py
+++ b/drumbay/comm/observed_stream.py
@@ -20,3 +20,11 @@
             with memoryview(buf) as view, view[:size_bytes] as received:
                 self.on_received(received)
         return size_bytes
+
+    def discard_received(self) -> None:
+        """Free the received bytes that nobody has read; call it when the stream is closed.
+
+        ``IOStream`` keeps them, and takes part in reference cycles.
+        """
+        self._read_buffer = bytearray()
+        self._read_buffer_size = 0
--- a/drumbay/comm/received_response.py
+++ b/drumbay/comm/received_response.py
@@ -225,6 +225,12 @@
         self._report(reason)
         self._stream.close(exc_info=StreamClosedError())
         self.end()
+        self.discard()
+
+    def discard(self) -> None:
+        """Free what was received and not read, now that the connection is closed."""
+        self._chunks.clear()
+        self._stream.discard_received()
 
     def _report(self, reason: ExcessReason) -> None:
         self.excess = reason
--- a/drumbay/comm/transfer_limits.py
+++ b/drumbay/comm/transfer_limits.py
@@ -23,13 +23,16 @@
 MAX_UNWANTED_BODY_SECONDS = 0.1
 """A body that nobody wants is read to its end only so that its connection can be used again."""
 
-MAX_UNREAD_BYTES = 131_072
+READ_BYTES = 16_384
+"""Bytes that are read from a connection at once."""
+
+MAX_UNREAD_BYTES = 32_768
 """Bytes of a body that are received ahead of their reader."""
 
 MAX_PROCESS_BYTES = MAX_BODY_BYTES
 """Bytes of incomplete bodies that all responses of a process hold together."""
 
-SMALL_BODY_BYTES = 65_536
+SMALL_BODY_BYTES = 32_768
 """Bodies up to this size are received even if others hold all of the memory."""
 
 
