Judge calls beside endless answers only where no other fault takes workers away

Traced: a lookup, a booking and a reward request end all three application workers again and again meanwhile (no_worker 1,378 times in the nodes' logs). The check is to say what endless answers alone cost others; lookups_are_served judges the rest as before. Crowds stay judged.

--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -565,6 +565,8 @@
         self.assertEqual(check(history), ())
         history.calls += [call(f"lost-{n}", 502, may_repeat=True) for n in range(3)]
         self.assert_only_violation(history, "calls_are_served_beside_endless_answers")
+        history.faults = (*history.faults, fault(FaultKind.CRASHING_LOOKUP, 0.0))
+        self.assertEqual(check(history), ())
 
     def test_a_process_that_exits_unexpectedly(self) -> None:
         history = self.history()
