--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -196,6 +196,15 @@
         worker = await self.server(beginning, b"X-Filler: 1\r\n", 0.1)
         self.assertIs(await self.stream_outcome(worker), WorkerBrokenError)
 
+    async def test_success_without_a_seal_is_broken_at_once(self) -> None:
+        """No body can make it a success."""
+        for name, (rest, piece) in BODIES.items():
+            with self.subTest(name):
+                worker = await self.server(head(200) + rest, piece)
+                self.assertIs(await self.call_outcome(worker), WorkerBrokenError)
+                self.assertLess(self.endless.sent_bytes, MAX_SENT_BYTES)
+                await self.assert_disconnected()
+
     async def test_interim_heads_without_end_are_broken(self) -> None:
         for pause_seconds in (0.02, 0.0):
             worker = await self.server("", b"HTTP/1.1 100 X\r\n\r\n", pause_seconds)
