--- a/drumbay/comm/transfer_limits.py
+++ b/drumbay/comm/transfer_limits.py
@@ -17,7 +17,7 @@
 """Time from the first byte of a head until it is whole; long enough to send a lost packet again."""
 
 MAX_INTERIM_HEADS = 5
-MAX_BODY_BYTES = 25_165_824
+MAX_BODY_BYTES = 33_554_432
 MAX_REPORT_BYTES = 1_048_576
 MAX_UNWANTED_BODY_BYTES = 65_536
 MAX_UNWANTED_BODY_SECONDS = 0.1
@@ -35,7 +35,6 @@
 SMALL_BODY_BYTES = 32_768
 """Bodies up to this size are received even if others hold all of the memory."""
 
-
 MAX_REQUEST_HEAD_SECONDS = 3.0
 """Time from the first bytes of a request's head until it is whole, unless operators set another."""
 
