Count delays of items from their last run without an answer, over batch jobs

Cause: an owner that begins with the counts of others let the delay after the last run, up to 4 s, begin at its own start. A trainer that ends its batch jobs after 1.8 s and brings the item again had it wait anew each time.

Change: the count of runs without an answer has the wall clock time of the last one; what is left of the delay counts, and never more than the delay, since clocks may differ. Records of before have no time, and need no delay.

Test, failing before: test_delays_go_on_in_later_batch_jobs, 33 s at no worker on virtual time, 6.8 allowed.

--- a/drumbay/batches/item_failures.py
+++ b/drumbay/batches/item_failures.py
@@ -32,7 +32,8 @@
     """Failures of one item: runs that failed, runs that were rejected, and reward requests.
 
     ``unanswered`` counts runs that ended without any answer: the worker may have failed them, too,
-    except in the ``crashed`` ones, where it crashed.
+    except in the ``crashed`` ones, where it crashed. ``unanswered_at`` is when the last of them
+    ended, in seconds since the Unix epoch, or 0.
     """
 
     runs: int = 0
@@ -40,6 +41,7 @@
     rewards: int = 0
     unanswered: int = 0
     crashed: int = 0
+    unanswered_at: float = 0.0
 
     @property
     def possible_failures(self) -> int:
@@ -54,6 +56,7 @@
             rewards=self.rewards + other.rewards,
             unanswered=self.unanswered + other.unanswered,
             crashed=self.crashed + other.crashed,
+            unanswered_at=max(self.unanswered_at, other.unanswered_at),
         )
 
 
@@ -66,6 +69,11 @@
     in_job: ItemFailures = NO_FAILURES
     in_other_jobs: ItemFailures = NO_FAILURES
 
+    @property
+    def unanswered_at(self) -> float:
+        """Return when the last run without an answer ended; 0 if there was none."""
+        return max(self.in_job.unanswered_at, self.in_other_jobs.unanswered_at)
+
     def plus(self, failures: ItemFailures, *, is_same_job: bool) -> "PastFailures":
         """Return the sum with what one owner saw."""
         if is_same_job:
--- a/drumbay/batches/run_backoff.py
+++ b/drumbay/batches/run_backoff.py
@@ -26,3 +26,11 @@
     longest = MAX_DELAY_OF_FAILED_ITEM_SECONDS if has_failed else MAX_DELAY_SECONDS
     growth_steps = min(unanswered - 2, _MAX_GROWTH_STEPS)
     return min(longest, MIN_DELAY_SECONDS * DELAY_GROWTH_FACTOR**growth_steps)
+
+
+def remaining_delay_seconds(delay: float, unanswered_at: float, wall_now: float) -> float:
+    """Return what is left of a delay after a run that ended at a wall clock time.
+
+    Clocks of machines may differ: it is never more than the delay.
+    """
+    return min(delay, max(0.0, unanswered_at + delay - wall_now))
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -399,7 +399,12 @@
 
     def _apply_past_failures(self, *, is_complete: bool) -> None:
         past = self._failure_log.past()
-        results = self._scheduler.set_past_failures(past, is_complete=is_complete)
+        results = self._scheduler.set_past_failures(
+            past,
+            is_complete=is_complete,
+            now=self._clock.monotonic(),
+            wall_now=self._clock.wall(),
+        )
         if past:
             log_event(
                 "item_failures_loaded",
@@ -516,7 +521,9 @@
             return
         self._unanswered_runs.add((item_id, worker.incarnation))
         unanswered = self._scheduler.record_unanswered(item_id, self._clock.monotonic())
-        self._failure_log.record(item_id, ItemFailures(unanswered=1))
+        self._failure_log.record(
+            item_id, ItemFailures(unanswered=1, unanswered_at=self._clock.wall())
+        )
         log_event(
             "item_run_unanswered",
             batch=self.spec.batch_id,
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -26,7 +26,7 @@
     ResultState,
     Reward,
 )
-from drumbay.batches.run_backoff import delay_seconds
+from drumbay.batches.run_backoff import delay_seconds, remaining_delay_seconds
 from drumbay.batches.run_silence import SilenceDetector, silence_reason
 from drumbay.batches.start_order import (
     DEFAULT_DUE_SECONDS,
@@ -399,12 +399,18 @@
             run.unanswered = max(0, run.unanswered - 1)
 
     def set_past_failures(
-        self, past: Mapping[ItemId, PastFailures], *, is_complete: bool
+        self,
+        past: Mapping[ItemId, PastFailures],
+        *,
+        is_complete: bool,
+        now: float,
+        wall_now: float,
     ) -> tuple[ItemResult, ...]:
         """Set what earlier owners have seen; return the results of items that are given up.
 
-        Until it is complete, an item that fails does not run again. An item that runs, or has a
-        text, may still be done.
+        Delays count from the end of the last run, which is known by wall clock time: an owner must
+        not begin them anew. Until it is complete, an item that fails does not run again. An item
+        that runs, or has a text, may still be done.
         """
         self._is_past_known = is_complete
         for item_id, failures in past.items():
@@ -413,7 +419,8 @@
                 run.past = failures
                 has_failed = run.total_failures > 0
                 delay = delay_seconds(run.total_unanswered, has_failed=has_failed)
-                run.not_before = max(run.not_before, self._started_at + delay)
+                left = remaining_delay_seconds(delay, failures.unanswered_at, wall_now)
+                run.not_before = max(run.not_before, now + left)
         used_up = [
             item_id
             for item_id, run in self._runs.items()
--- a/tests/test_failing_items.py
+++ b/tests/test_failing_items.py
@@ -199,7 +199,9 @@
         self.scheduler = BatchScheduler(returning_group(1), 0.0, ())
 
     def given_up(self, past: PastFailures, *, is_complete: bool = True) -> list[ItemId]:
-        results = self.scheduler.set_past_failures({FAILING: past}, is_complete=is_complete)
+        results = self.scheduler.set_past_failures(
+            {FAILING: past}, is_complete=is_complete, now=0.0, wall_now=0.0
+        )
         return [result.item_id for result in results]
 
     def started(self, now: float) -> set[ItemId]:
--- a/tests/test_unanswered_runs.py
+++ b/tests/test_unanswered_runs.py
@@ -29,6 +29,9 @@
 SECOND_ANSWER_SECONDS = 0.3
 """After this time each item has two answers, and no third run."""
 
+SHORT_STEP_SECONDS = 1.8
+"""Less than the longest delay of an item."""
+
 LATER_STEPS = 6
 MAX_RUNS_IN_LATER_STEPS = 2 * ALLOWED_FAILURES
 MAX_SECONDS_AT_NO_WORKER = 5.0
@@ -148,6 +151,24 @@
 
         run_in_world(scenario, node_count=3)
 
+    def test_delays_go_on_in_later_batch_jobs(self) -> None:
+        """Guards against a sound item that waits anew in each short batch job, and never runs."""
+
+        async def scenario(world: ServingWorld) -> None:
+            lose_answers(world, 1.0)
+            for number in range(20):
+                node = world.nodes[number % 3]
+                await node.batches.submit(step(number, groups=1))
+                await asyncio.sleep(SHORT_STEP_SECONDS)
+                await node.batches.end(BatchId(f"step-{number}"))
+            ends = world.clock.monotonic()
+            for item_id in item_ids(step(0, groups=1)):
+                starts = [*starts_of(world, item_id), ends]
+                gaps = [later - earlier for earlier, later in itertools.pairwise(starts)]
+                self.assertLessEqual(max(gaps), MAX_SECONDS_AT_NO_WORKER + SHORT_STEP_SECONDS)
+
+        run_in_world(scenario, node_count=3)
+
     def test_an_item_goes_to_a_worker_that_has_not_left_it_without_an_answer(self) -> None:
         async def scenario(world: ServingWorld) -> None:
             # Few enough that each worker has free places.
