Reword what stopped a newcomer in the received response and the worker client

discard, _discard and discard_rest were three things: freeing buffers, counting unwanted bytes and passing over the rest. Names and texts only; no logic changes. test_response_limits, test_endless_answers, test_platform_adapter and the tests of the fault plan pass.

--- a/drumbay/comm/http_exchange.py
+++ b/drumbay/comm/http_exchange.py
@@ -328,7 +328,7 @@
         if not self._response.complete:
             _discard_unsent(self._stream)
         self._stream.close()
-        self._response.discard()
+        self._response.free_buffers()
 
 
 async def connect(address: NetworkAddress, timeout_seconds: float) -> ObservedStream:
--- a/drumbay/comm/observed_stream.py
+++ b/drumbay/comm/observed_stream.py
@@ -21,7 +21,7 @@
                 self.on_received(received)
         return size_bytes
 
-    def discard_received(self) -> None:
+    def free_received(self) -> None:
         """Free the received bytes that nobody has read; call it when the stream is closed.
 
         ``IOStream`` keeps them, and takes part in reference cycles.
--- a/drumbay/comm/received_response.py
+++ b/drumbay/comm/received_response.py
@@ -148,7 +148,7 @@
             return None
         self._record_received()
         if self._is_unwanted:
-            self._discard(chunk)
+            self._count_unwanted(len(chunk))
             return None
         excess = self._usage.add_body(len(chunk))
         if excess is not None:
@@ -178,10 +178,10 @@
     def discard_rest(self) -> None:
         """Discard the rest of the body as it arrives."""
         self._is_unwanted = True
-        self._discard(self.take_chunks())
+        self._count_unwanted(len(self.take_chunks()))
 
-    def _discard(self, chunk: bytes) -> None:
-        self._unwanted_bytes += len(chunk)
+    def _count_unwanted(self, size_bytes: int) -> None:
+        self._unwanted_bytes += size_bytes
         if self._unwanted_bytes > MAX_UNWANTED_BODY_BYTES:
             self.exceed(ExcessReason.UNWANTED_BODY)
 
@@ -225,12 +225,12 @@
         self._report(reason)
         self._stream.close(exc_info=StreamClosedError())
         self.end()
-        self.discard()
+        self.free_buffers()
 
-    def discard(self) -> None:
+    def free_buffers(self) -> None:
         """Free what was received and not read, now that the connection is closed."""
         self._chunks.clear()
-        self._stream.discard_received()
+        self._stream.free_received()
 
     def _report(self, reason: ExcessReason) -> None:
         self.excess = reason
