Begin the time of a head with its own first byte, also after long interim heads

Callers saw: nothing yet (found in reading the landing). A call whose worker sends interim heads of over 4 KiB in sum, and works on, would have been cut off as response_cut_off reason=head_seconds 0.6 s later.

Cause: whether the next head had begun was told from the kept beginning of the heads, which ends at 4 KiB. Change: the last four bytes are kept apart.

Test, failing before (cut off before the response: head_seconds): test_long_interim_heads_do_not_start_the_time_of_the_next_head.

--- a/drumbay/comm/received_response.py
+++ b/drumbay/comm/received_response.py
@@ -64,6 +64,7 @@
         self._connection = connection
         self._usage = ResponseUsage(limits)
         self._head = bytearray()
+        self._last_bytes = b""
         self._head_timer: asyncio.TimerHandle | None = None
         self._chunks: deque[bytes] = deque()
         self._unread_bytes = 0
@@ -81,6 +82,7 @@
             return
         kept_bytes = MAX_KEPT_BYTES - len(self._head)
         self._head += received[:kept_bytes]
+        self._last_bytes = (self._last_bytes + bytes(received[-len(HEAD_END) :]))[-len(HEAD_END) :]
         if self._head_timer is None:
             self._start_head_timer(may_extend=True)
 
@@ -129,7 +131,7 @@
         excess = self._usage.add_interim_head()
         if excess is not None:
             self.exceed(excess)
-        elif not self._head.endswith(HEAD_END):
+        elif self._last_bytes != HEAD_END:
             # The next head has begun to arrive.
             self._start_head_timer(may_extend=True)
 
--- a/tests/test_response_limits.py
+++ b/tests/test_response_limits.py
@@ -128,6 +128,17 @@
             await exchange.read_status()
         self.assertEqual(self.reasons, [ExcessReason.INTERIM_HEADS])
 
+    async def test_long_interim_heads_do_not_start_the_time_of_the_next_head(self) -> None:
+        interim = b"HTTP/1.1 103 X\r\nLink: %s\r\n\r\n" % (b"x" * 3_000)
+        server = EndlessServer(interim * 2, b"", 0.02)
+        await server.start()
+        self.addAsyncCleanup(server.close)
+        exchange = await self.open(server, ResponseLimits(head_seconds=0.1))
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.5):
+                await exchange.read_status()
+        self.assertEqual(self.reasons, [])
+
     async def test_idle_connection_that_goes_on_sending_is_closed(self) -> None:
         server = await self.endless(b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n", 0.01)
         pool = ConnectionPool(SystemClock())
