Excuse a body that ended with its worker only if that very worker ended

Now the worker must have run this request, and the body must not be empty. test_a_body_without_a_length_that_ended_with_its_worker has the two cases, which the wider check let pass.

--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -539,17 +539,20 @@
         self.assert_only_violation(history, "crashing_requests_are_told_the_truth")
 
     def test_a_body_without_a_length_that_ended_with_its_worker(self) -> None:
-        """Only while such bodies are played, and only if a worker ended during the call."""
+        """Only while such bodies are played, and only if its own worker ended during the call."""
         played, other = FaultKind.ENDLESS_UNTIL_CLOSE, FaultKind.ENDLESS_CHUNKED
-        for kind, crashed_at, body, is_broken in (
-            (played, 1.05, b"xxx", False),
-            (played, 9.0, b"xxx", True),
-            (played, 1.05, b"xxy", True),
-            (other, 1.05, b"xxx", True),
+        for kind, worker, crashed_at, body, is_broken in (
+            (played, "w", 1.05, b"xxx", False),
+            (played, "w", 9.0, b"xxx", True),
+            (played, "v", 1.05, b"xxx", True),
+            (played, "w", 1.05, b"xxy", True),
+            (played, "w", 1.05, b"", True),
+            (other, "w", 1.05, b"xxx", True),
         ):
             history = self.history(fault(kind, 0.0))
             history.calls = [call("a", response_body=body)]
-            crash = LoggedCrash(worker_id=BackendId("w"), at=STARTED_AT + crashed_at)
+            history.runs = [run("a")]
+            crash = LoggedCrash(worker_id=BackendId(worker), at=STARTED_AT + crashed_at)
             history.crashes = [crash]
             broken = {violation.promise for violation in check(history)}
             self.assertEqual("whole_answers" in broken, is_broken)
