Let the soak's engines spoil, double and unframe answers, and print each sense's harm

The soak's stand-in sent neither id, seal nor body with 422 and 500, no surplus answer of an engine, and stepped no time of day, so that nothing in it could show what a client makes of an answer that is not its request's own.

Engines now also end answers within the body, spoil heads by one malformed line or send bytes that are no answer (three of ten, or in place of all of 422 and 500), send answers without a length, and send half of their whole answers twice, at once or before the next answer of the connection. All answers to requests carry their id, failures a seal and a body, as the protocol says. The time of day of a node jumps by -2.4, -2,400 or 2,400 s.

Each play prints what repeats cost in each sense, judged or not: workers of requests, deadlines, failing items, crashing requests; beside it what became of sound items, how many runs had no answer, and the processor time that the host took away.

--- a/tests/test_soak_attempts.py
+++ b/tests/test_soak_attempts.py
@@ -7,9 +7,10 @@
 from pathlib import Path
 
 import msgspec
-from drumbay_soak.attempt_checks import harm_of_failing_items
+from drumbay_soak.attempt_checks import harm_of_failing_items, harm_of_requests
 from drumbay_soak.checks import check
 from drumbay_soak.fault_plan import Fault, FaultKind
+from drumbay_soak.harm_report import LONG_WAIT_SECONDS, count_runs, outcome_of_sound_items
 from drumbay_soak.history import (
     BatchHistory,
     ClientCall,
@@ -20,6 +21,7 @@
 )
 from drumbay_soak.send_log import LoggedSend, read_sends
 
+from drumbay.batches.records import ItemId, ItemResult, ResultState
 from drumbay.identifiers import BackendId
 from drumbay.standins.worker_log import LoggedArrival, LoggedCrash, LoggedRun
 
@@ -313,5 +315,49 @@
         self.assertEqual(harm.most_failures, {422: 5})
 
 
+class HarmReportTest(unittest.TestCase):
+    def test_sound_items_that_die_or_wait_are_counted(self) -> None:
+        batch = BatchHistory(
+            batch_id="batch",
+            item_ids=("sound", "late", "dead", "bad"),
+            minimum_version=1,
+            attempts=3,
+            accepted_at=STARTED_AT,
+            final_results=(ItemResult(item_id=ItemId("dead"), state=ResultState.DEAD),),
+        )
+        history = History(started_at=STARTED_AT, faults=(), batches=[batch])
+        history.runs = [
+            run("sound", at=0.0),
+            run("sound", at=1.0),
+            run("late", at=0.0),
+            run("late", at=7.0),
+            run("bad", at=0.0, failed_with=500),
+        ]
+        sound = outcome_of_sound_items(history)
+        self.assertEqual((sound.items, sound.dead, sound.waited), (3, 1, 1))
+        self.assertGreater(sound.longest_wait_seconds, LONG_WAIT_SECONDS)
+
+    def test_runs_without_an_answer_are_counted_from_the_logs(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            lines = [
+                f"time={_log_time(0.0)} level=info event=item_run_{name} item=i worker=w"
+                for name in ("started", "started", "unanswered")
+            ]
+            (Path(folder) / "node-0.log").write_text("\n".join(lines))
+            counts = count_runs(Path(folder))
+        self.assertEqual((counts.started, counts.unanswered), (2, 1))
+
+    def test_requests_on_too_many_workers_are_counted_also_if_they_are_allowed(self) -> None:
+        history = History(
+            started_at=STARTED_AT,
+            faults=(fault(FaultKind.WORKER_RESET, 10.0),),
+            limited_calls=[limited_call(0)],
+            worker_numbers={"application-0": 0},
+        )
+        history.runs = [run("limited-0", f"application-{number}") for number in range(3)]
+        harm = harm_of_requests(history)
+        self.assertEqual((len(harm.beyond), harm.beyond_in_all), (0, 1))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -5,12 +5,14 @@
 import socket
 import struct
 import tempfile
+import time
 import unittest
 from contextlib import suppress
 from pathlib import Path
 
 from drumbay_soak.node_process import NodeAddresses, NodeProcess
 from drumbay_soak.proxy import FaultyProxy, ProxyMode
+from drumbay_soak.suspendable import SteppedClock
 
 from drumbay.comm.network_address import NetworkAddress
 from drumbay.standins.free_addresses import free_address, loopback_host
@@ -55,11 +57,20 @@
             try:
                 for _ in range(5):
                     await node.stop_monotonic_clock()
+                    node.step_wall_clock()
                 self.assertIsNone(node.exit_code)
             finally:
                 await node.stop(signal.SIGKILL)
 
 
+class SteppedClockTest(unittest.TestCase):
+    def test_the_time_of_day_jumps_and_jumps_back(self) -> None:
+        clock = SteppedClock(-2_400.0)
+        for expected_seconds in (-2_400.0, 0.0):
+            clock.step(signal.SIGUSR2, None)
+            self.assertAlmostEqual(clock.time() - time.time(), expected_seconds, delta=1.0)
+
+
 class ProxyTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.received = asyncio.Queue[bytes]()
--- a/tests/test_soak_workers.py
+++ b/tests/test_soak_workers.py
@@ -1,6 +1,8 @@
 """Tests of the soak's workers: processes that are stopped and killed, and answers that get lost."""
 
 import asyncio
+import itertools
+import re
 import tempfile
 import unittest
 from collections.abc import Awaitable, Callable
@@ -8,10 +10,12 @@
 
 from drumbay_platform.workers import PlatformWorkerClient
 from drumbay_soak.answer_faults import AnswerFault
+from drumbay_soak.answers import FAILURE_BODY
 from drumbay_soak.fault_plan import (
     ENDLESS_FORM_KINDS,
     ENGINE_ANSWER_KINDS,
     ENGINE_ENDLESS_KINDS,
+    ENGINE_SPOILT_KINDS,
     FaultKind,
     FaultSchedule,
     draw_faults,
@@ -177,6 +181,50 @@
         runs = read_worker_logs([self.folder / "w.runs"]).runs
         self.assertEqual({run.failed_with for run in runs}, {422})
 
+    async def test_all_failures_are_replaced_by_bytes_that_are_no_answer(self) -> None:
+        outcomes = await self.outcomes(AnswerFault.FAILURES_SPOILT, REJECTED_MARK)
+        self.assertEqual(set(outcomes), {"worker_broken"})
+
+    async def test_answers_without_a_length_are_whole(self) -> None:
+        outcomes = await self.outcomes(AnswerFault.UNFRAMED, "")
+        self.assertNotIn("worker_broken", outcomes)
+
+    async def test_failures_carry_the_id_the_seal_and_a_body(self) -> None:
+        process = await self.start(streams=True)
+        assert process.worker is not None
+        address = process.worker.address
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        writer.write(
+            b"POST /x HTTP/1.1\r\nHost: h\r\nX-Drumbay-Attempt-Id: r-rejected\r\n"
+            b"X-Drumbay-Model: alpha\r\nContent-Length: 0\r\n\r\n"
+        )
+        answer = await reader.readuntil(FAILURE_BODY)
+        writer.close()
+        self.assertIn(b"HTTP/1.1 422", answer)
+        for name in (b"X-Drumbay-Attempt-Id: r-rejected", b"X-Drumbay-Server-Seal: "):
+            self.assertIn(name, answer)
+
+    async def test_surplus_answers_come_at_once_or_before_the_next(self) -> None:
+        process = await self.start(streams=True)
+        assert process.worker is not None
+        process.set_answer_fault(None, adds_surplus=True)
+        address = process.worker.address
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        for number in range(ANSWERS):
+            writer.write(
+                f"POST /x HTTP/1.1\r\nHost: h\r\nX-Drumbay-Attempt-Id: r{number}-rejected\r\n"
+                "X-Drumbay-Model: alpha\r\nContent-Length: 0\r\n\r\n".encode()
+            )
+        received = b""
+        last = f"r{ANSWERS - 1}-rejected".encode()
+        while last not in received:
+            received += await reader.read(65_536)
+        writer.close()
+        ids = re.findall(rb"X-Drumbay-Attempt-Id: (r\d+)-", received)
+        doubled = [first for first, second in itertools.pairwise(ids) if first == second]
+        self.assertGreater(len(doubled), ANSWERS // 5)
+        self.assertLess(len(doubled), ANSWERS * 4 // 5)
+
 
 class WorkerLogFileTest(unittest.TestCase):
     def test_a_run_without_an_end_was_ended_by_the_end_of_its_worker(self) -> None:
@@ -228,6 +276,17 @@
             self.assertLessEqual(len(drawn & (kinds | frozenset(ENGINE_ANSWER_KINDS))), 1)
             self.assertEqual(len(drawn & frozenset(ENDLESS_FORM_KINDS)), 1)
 
+    def test_spoilt_answers_replace_no_other_fault_of_engines(self) -> None:
+        others = frozenset({*ENGINE_ENDLESS_KINDS, *ENGINE_ANSWER_KINDS})
+        spoilt = frozenset(ENGINE_SPOILT_KINDS)
+        drawn = [self.drawn(seed) & (spoilt | others) for seed in range(200)]
+        self.assertEqual(max(map(len, drawn)), 1)
+        self.assertLessEqual(spoilt, set().union(*drawn))
+
+    def test_surplus_answers_are_drawn_in_half_of_the_runs(self) -> None:
+        drawn = [FaultKind.ENGINE_ANSWERS_SURPLUS in self.drawn(seed) for seed in range(40)]
+        self.assertTrue(10 < sum(drawn) < 30)
+
     def test_endless_answers_are_drawn_only_if_selected(self) -> None:
         drawn = self.drawn(1, frozenset({FaultKind.WORKER_KILLED}))
         self.assertEqual(drawn, {FaultKind.WORKER_KILLED})
