Skip a worker's answer to another request instead of taking it for the end of this one

A 421 so was no 421, a rejection might have run, a failure was not counted.

Cause: a worker may send an answer twice, the second copy in the place of the next answer of the connection. The client took a head that named another request for the end of the exchange and closed the connection, with the true answer on its way.

Change: such a response is read over (whole, with a known end, 1 MiB and 0.6 s, four at most) and the next head is awaited; for reports too.

Two tests of the adapter sent one id again and again over one connection; their requests have ids of their own now, the checks stay, and they pass on the code before.

--- a/drumbay/comm/connection_pool.py
+++ b/drumbay/comm/connection_pool.py
@@ -29,11 +29,15 @@
 
 
 class IdleConnection(msgspec.Struct, frozen=True):
-    """An idle connection that may be reused until a monotonic time."""
+    """An idle connection that may be reused until a monotonic time.
+
+    ``last_request_id`` is the id of the request that it served last, if that has one.
+    """
 
     stream: ObservedStream
     usable_until: float
     connection: TrackedConnection | None
+    last_request_id: str | None
 
     def state(self, now: float) -> IdleState:
         """Return whether the connection is open and has received nothing since its response."""
@@ -63,17 +67,23 @@
         self._idle: dict[NetworkAddress, list[IdleConnection]] = {}
         self._check: asyncio.TimerHandle | None = None
 
-    def take(self, address: NetworkAddress) -> IdleConnection | None:
-        """Return a reusable idle connection if there is one; close those that are not."""
+    def take(self, address: NetworkAddress, request_id: str | None = None) -> IdleConnection | None:
+        """Return a reusable idle connection if there is one; close those that are not.
+
+        One that has just served the request with the given id is left in the pool.
+        """
         now = self._clock.monotonic()
         connections = self._idle.get(address, [])
-        while connections:
-            connection = connections.pop()
+        for connection in reversed(list(connections)):
             state = connection.state(now)
-            if state is IdleState.REUSABLE:
+            if state is not IdleState.REUSABLE:
+                connections.remove(connection)
+                _close(address, connection, state)
+            elif request_id is None or connection.last_request_id != request_id:
+                connections.remove(connection)
                 return connection
-            _close(address, connection, state)
-        self._idle.pop(address, None)
+        if not connections:
+            self._idle.pop(address, None)
         return None
 
     def has(self, address: NetworkAddress) -> bool:
@@ -90,13 +100,14 @@
         stream: ObservedStream,
         idle_seconds: float,
         connection: TrackedConnection | None = None,
+        last_request_id: str | None = None,
     ) -> None:
         """Add a connection whose response is complete."""
         connections = self._idle.setdefault(address, [])
         if len(connections) >= MAX_IDLE_PER_ADDRESS:
             connections.pop(0).stream.close()
         expires_at = self._clock.monotonic() + idle_seconds
-        connections.append(IdleConnection(stream, expires_at, connection))
+        connections.append(IdleConnection(stream, expires_at, connection, last_request_id))
         if connection is not None:
             connection.is_replaceable = True
         if self._check is None:
--- a/drumbay/comm/http_exchange.py
+++ b/drumbay/comm/http_exchange.py
@@ -25,6 +25,10 @@
 from drumbay.comm.response_guard import RESPONSE_GUARD
 from drumbay.comm.transfer_limits import (
     DEFAULT_LIMITS,
+    MAX_SKIPPED_BODY_BYTES,
+    MAX_SKIPPED_BODY_SECONDS,
+    MAX_SKIPPED_RESPONSES,
+    MAX_UNWANTED_BODY_BYTES,
     MAX_UNWANTED_BODY_SECONDS,
     READ_BYTES,
     ExcessReason,
@@ -76,12 +80,17 @@
 
 
 class HttpRequest(msgspec.Struct, frozen=True, kw_only=True):
-    """A request to send."""
+    """A request to send.
+
+    ``request_id`` tells whether a connection's last request was the same one: a second response to
+    it could not be told from the response to its repetition.
+    """
 
     method: str
     target: str
     headers: tuple[tuple[str, str], ...]
     body: bytes = b""
+    request_id: str | None = None
 
 
 class HttpExchange:
@@ -106,6 +115,9 @@
         self._stream = stream
         self._address = address
         self._pool = pool
+        self._limits = limits
+        self._request_id: str | None = None
+        self._skipped_responses = 0
         self._response = ReceivedResponse(stream, str(address), limits, connection)
         parameters = HTTP1ConnectionParameters(
             no_keep_alive=pool is None,
@@ -143,7 +155,7 @@
             ExchangeWithheldError: The request may not be sent any more.
             ExchangeNotSentError: No connection was established in time.
         """
-        idle = pool.take(address) if pool is not None and not fresh else None
+        idle = pool.take(address, request.request_id) if pool is not None and not fresh else None
         if idle is not None:
             exchange = cls(idle.stream, address, pool, idle.connection, limits)
             exchange.is_reused = True
@@ -174,6 +186,7 @@
         pending_write = self._connection.write_headers(start_line, headers, request.body or None)
         pending_write.add_done_callback(_retrieve_exception)
         self._connection.finish()
+        self._request_id = request.request_id
         self._reader = asyncio.get_running_loop().create_task(self._read())
 
     async def _read(self) -> None:
@@ -211,6 +224,27 @@
             await self._response.wait()
         return self._response.status
 
+    async def skip_response(self) -> None:
+        """Pass over a response whose head has arrived, and await the next one.
+
+        Raises:
+            ExchangeBrokenError: It did not end soon, has no known end, or was one too many.
+        """
+        self._skipped_responses += 1
+        is_acceptable = self._skipped_responses <= MAX_SKIPPED_RESPONSES
+        if not is_acceptable or not self._response.has_known_end:
+            self._response.exceed(ExcessReason.SKIPPED_RESPONSES)
+        if not await self._discard_body(MAX_SKIPPED_BODY_BYTES, MAX_SKIPPED_BODY_SECONDS):
+            raise self._broken_error("within the response to another request")
+        if self._reader is not None:
+            await self._reader
+        if self._tracked is not None:
+            self._tracked.record_request_sent()
+        self._response = ReceivedResponse(
+            self._stream, str(self._address), self._limits, self._tracked
+        )
+        self._reader = asyncio.get_running_loop().create_task(self._read())
+
     async def read_chunk(self) -> bytes | None:
         """Return the next bytes of the body, or ``None`` at its regular end.
 
@@ -275,9 +309,12 @@
 
     async def discard_body(self) -> bool:
         """Discard the rest of the body; return whether it ended soon."""
-        self._response.discard_rest()
+        return await self._discard_body(MAX_UNWANTED_BODY_BYTES, MAX_UNWANTED_BODY_SECONDS)
+
+    async def _discard_body(self, limit_bytes: int, limit_seconds: float) -> bool:
+        self._response.discard_rest(limit_bytes)
         try:
-            async with asyncio.timeout(MAX_UNWANTED_BODY_SECONDS):
+            async with asyncio.timeout(limit_seconds):
                 while not (self._response.complete or self._response.broken):
                     await self._response.wait()
         except TimeoutError:
@@ -295,12 +332,13 @@
             return
         if self._reader is not None:
             await self._reader
-        self._pool.put(self._address, self._stream, self._idle_seconds(), self._tracked)
+        self._pool.put(
+            self._address, self._stream, self._idle_seconds(), self._tracked, self._request_id
+        )
 
     def _is_reusable(self) -> bool:
-        headers = self._response.headers
-        has_delimited_body = "Content-Length" in headers or "Transfer-Encoding" in headers
-        return has_delimited_body and headers.get("Connection", "").lower() != "close"
+        is_closed_by_peer = self._response.headers.get("Connection", "").lower() == "close"
+        return self._response.has_known_end and not is_closed_by_peer
 
     def _idle_seconds(self) -> float:
         match = _KEEP_ALIVE_TIMEOUT.search(self._response.headers.get("Keep-Alive", ""))
--- a/drumbay/comm/observed_stream.py
+++ b/drumbay/comm/observed_stream.py
@@ -21,6 +21,10 @@
                 self.on_received(received)
         return size_bytes
 
+    def peek_received(self) -> bytes:
+        """Return the received bytes that nobody has read, and keep them."""
+        return bytes(self._read_buffer)
+
     def free_received(self) -> None:
         """Free the received bytes that nobody has read; call it when the stream is closed.
 
--- a/drumbay/comm/received_response.py
+++ b/drumbay/comm/received_response.py
@@ -68,11 +68,14 @@
         self._head_timer: asyncio.TimerHandle | None = None
         self._chunks: deque[bytes] = deque()
         self._unread_bytes = 0
-        self._is_unwanted = False
+        self._unwanted_limit_bytes: int | None = None
         self._unwanted_bytes = 0
         self._reader_waiter: asyncio.Future[None] | None = None
         self._has_room: asyncio.Event | None = None
         stream.on_received = self._observe_head
+        buffered = stream.peek_received()
+        if buffered:
+            self._observe_head(memoryview(buffered))
 
     # Heads
 
@@ -149,7 +152,7 @@
         if self.excess is not None:
             return None
         self._record_received()
-        if self._is_unwanted:
+        if self._unwanted_limit_bytes is not None:
             self._count_unwanted(len(chunk))
             return None
         excess = self._usage.add_body(len(chunk))
@@ -177,14 +180,20 @@
         if self._has_room is not None:
             self._has_room.set()
 
-    def discard_rest(self) -> None:
-        """Discard the rest of the body as it arrives."""
-        self._is_unwanted = True
+    @property
+    def has_known_end(self) -> bool:
+        """Return whether the head tells where the body ends, before the connection does."""
+        return "Content-Length" in self.headers or "Transfer-Encoding" in self.headers
+
+    def discard_rest(self, limit_bytes: int = MAX_UNWANTED_BODY_BYTES) -> None:
+        """Discard the rest of the body as it arrives; beyond the limit it is cut off."""
+        self._unwanted_limit_bytes = limit_bytes
         self._count_unwanted(len(self.take_chunks()))
 
     def _count_unwanted(self, size_bytes: int) -> None:
         self._unwanted_bytes += size_bytes
-        if self._unwanted_bytes > MAX_UNWANTED_BODY_BYTES:
+        limit_bytes = self._unwanted_limit_bytes
+        if limit_bytes is not None and self._unwanted_bytes > limit_bytes:
             self.exceed(ExcessReason.UNWANTED_BODY)
 
     def finish(self) -> None:
--- a/drumbay/comm/transfer_limits.py
+++ b/drumbay/comm/transfer_limits.py
@@ -23,6 +23,13 @@
 MAX_UNWANTED_BODY_SECONDS = 0.1
 """A body that nobody wants is read to its end only so that its connection can be used again."""
 
+MAX_SKIPPED_RESPONSES = 4
+"""Responses to other requests that are passed over before the one to a request."""
+
+MAX_SKIPPED_BODY_BYTES = 1_048_576
+MAX_SKIPPED_BODY_SECONDS = 0.6
+"""Size and time of the body of such a response."""
+
 READ_BYTES = 16_384
 """Bytes that are read from a connection at once."""
 
@@ -48,6 +55,8 @@
     BODY_BYTES = "body_bytes"
     BODY_PACE = "body_pace"
     UNWANTED_BODY = "unwanted_body"
+    SKIPPED_RESPONSES = "skipped_responses"
+    """Too many responses to other requests came, or one without a known end."""
     PROCESS_MEMORY = "process_memory"
     SURPLUS_BYTES = "surplus_bytes"
     """Bytes came over an idle connection, for no request."""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,6 +1,7 @@
 """Tests of the platform adapter: settings, discovery entries, events, the store and workers."""
 
 import asyncio
+import itertools
 import json
 import random
 import re
@@ -294,15 +295,22 @@
             await self.put("k")
 
 
+def named_as(sent: str, response: str) -> str:
+    """Return a response that names the request that was sent, if it names request r1."""
+    name = re.search(r"X-Drumbay-Attempt-Id: (\S+)", sent)
+    return response.replace("Attempt-Id: r1\r", f"Attempt-Id: {name.group(1) if name else 'r1'}\r")
+
+
 class WorkerClientTest(unittest.IsolatedAsyncioTestCase):
     head = "HTTP/1.1 200 OK\r\nX-Drumbay-Attempt-Id: r1\r\nX-Drumbay-Server-Seal: s\r\n"
 
     async def asyncSetUp(self) -> None:
+        self.numbers = itertools.count(1)
         self.client = PlatformWorkerClient(SystemClock())
         self.addCleanup(self.client.close)
 
     async def server(self, text: str, *, reset: bool = False) -> Worker:
-        server = ScriptedServer(lambda _: text.encode(), reset=reset)
+        server = ScriptedServer(lambda sent: named_as(sent, text).encode(), reset=reset)
         await server.start()
         self.addAsyncCleanup(server.close)
         self.scripted = server
@@ -330,7 +338,12 @@
         )
 
     def repeatable(self) -> WorkerRequest:
-        return msgspec.structs.replace(self.request(), repeatable=True)
+        """Return another request each time; a connection does not serve one twice in a row."""
+        name = f"repeatable-{next(self.numbers)}"
+        headers = (("X-Drumbay-Attempt-Id", name), ("Other", "1"))
+        return msgspec.structs.replace(
+            self.request(), request_id=name, headers=headers, repeatable=True
+        )
 
     async def events(self, worker: Worker) -> list[StreamEvent]:
         found: list[StreamEvent] = []
@@ -395,8 +408,8 @@
             "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
         ]
         worker = await self.server("")
-        self.scripted.script = lambda _: (
-            responses.pop(0).encode() if responses else self.scripted.end()
+        self.scripted.script = lambda sent: (
+            named_as(sent, responses.pop(0)).encode() if responses else self.scripted.end()
         )
         self.scripted.keep = True
         await self.client.call(worker, self.repeatable())
