Read a failure or rejection from a head with malformed lines, or after bytes that are none of an answer

Callers saw: an item whose worker answered 422, 421 or 500 with one malformed header line, or with stray bytes before it, counted as a run without an answer, so that it ran again; and a call that a worker had run and answered with bytes of no answer, over a kept connection, was sent to that worker once more, as if it had closed an idle connection.

Cause: one line that is no header gave up the whole head, also the lines that name status and request; only a head at the very beginning of the bytes was looked for; and "no head" stood for "nothing has come".

Change: lines that are no header and bytes before the status line are passed over. A kept connection over which any bytes came was not idle.

--- a/drumbay/batches/decisions.py
+++ b/drumbay/batches/decisions.py
@@ -102,6 +102,8 @@
     """The worker was unreachable or did not accept the request."""
     BROKEN = "broken"
     """The stream broke or timed out; its text can be resumed."""
+    CUT_OFF = "cut_off"
+    """The worker accepted the request, but nothing of its text arrived."""
     FAILED = "failed"
     """The worker reported a failure; the text is discarded."""
     REJECTED = "rejected"
--- a/drumbay/batches/run_failure.py
+++ b/drumbay/batches/run_failure.py
@@ -4,6 +4,7 @@
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.records import (
     Worker,
+    WorkerCutOffError,
     WorkerError,
     WorkerFailedError,
     WorkerMisdirectedError,
@@ -40,6 +41,8 @@
             return RunFailure.REJECTED
         case WorkerTimedOutError():
             return RunFailure.BROKEN
+        case WorkerCutOffError():
+            return RunFailure.CUT_OFF
         case WorkerFailedError():
             return RunFailure.FAILED
         case _:
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -373,7 +373,7 @@
                     return self._give_up(item_id)
                 run.not_before = now + FAILURE_DELAY_SECONDS
                 run.avoided_worker = worker_id
-            case RunFailure.BROKEN:
+            case RunFailure.BROKEN | RunFailure.CUT_OFF:
                 run.avoided_worker = worker_id
             case RunFailure.REFUSED:
                 run.not_before = now + REFUSAL_DELAY_SECONDS
--- a/drumbay/comm/http_exchange.py
+++ b/drumbay/comm/http_exchange.py
@@ -208,9 +208,9 @@
         return self._response.unfinished_head
 
     @property
-    def is_excessive(self) -> bool:
-        """Return whether the response exceeded a limit."""
-        return self._response.excess is not None
+    def has_bytes(self) -> bool:
+        """Return whether any bytes have arrived in place of the response."""
+        return self._response.has_bytes
 
     async def read_status(self) -> int:
         """Wait for the response headers and return the status.
--- a/drumbay/comm/received_response.py
+++ b/drumbay/comm/received_response.py
@@ -138,6 +138,11 @@
             # The next head has begun to arrive.
             self._start_head_timer(may_extend=True)
 
+    @property
+    def has_bytes(self) -> bool:
+        """Return whether any bytes have arrived in its place, of a response or not."""
+        return self.status is not None or bool(self._head)
+
     @property
     def unfinished_head(self) -> UnfinishedHead | None:
         """Return what a head said that broke off; ``None`` if no head did, or it said nothing."""
--- a/drumbay/comm/unfinished_head.py
+++ b/drumbay/comm/unfinished_head.py
@@ -1,4 +1,4 @@
-"""The part of a response's head that arrived before the head broke off. Pure; no I/O."""
+"""What can be read of a response's head that broke off, or is not well-formed. Pure; no I/O."""
 
 import re
 
@@ -10,40 +10,42 @@
 
 _LINE_END = re.compile(rb"\r?\n")
 _HEAD_END = re.compile(rb"\r?\n\r?\n")
-FIRST_FINAL_STATUS = 200
+_FINAL_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [2-9]\d\d\b[^\r\n]*\r?\n")
 
 
 class UnfinishedHead(msgspec.Struct, frozen=True, kw_only=True):
-    """Status and the whole header lines of a head that has not ended."""
+    """Status and the whole, well-formed header lines of a head."""
 
     status: int
     headers: HTTPHeaders
 
 
 def parse_unfinished_head(data: bytes) -> UnfinishedHead | None:
-    """Return what a head says that begins with ``data`` and has not ended.
+    """Return what the first final head in ``data`` says as far as it goes.
 
-    Whole interim heads before it are passed over. ``None`` if its status line is not whole, or is
-    none.
+    Bytes before it, such as interim heads or bytes of no response, are passed over, and so are
+    malformed lines. ``None`` if there is no whole status line.
     """
-    while (end := _HEAD_END.search(data)) is not None and _is_interim(data):
-        data = data[end.end() :]
-    lines = [line.decode("latin-1") for line in _LINE_END.split(data)]
-    if len(lines) < 2:
+    status_line = _FINAL_STATUS_LINE.search(data)
+    if status_line is None:
         return None
-    status_line, *whole_lines = lines[:-1]
-    try:
-        start_line = parse_response_start_line(status_line)
-        headers = HTTPHeaders()
-        for line in whole_lines:
+    start_line = parse_response_start_line(status_line.group().decode("latin-1").rstrip("\r\n"))
+    return UnfinishedHead(
+        status=start_line.code, headers=_parse_whole_lines(data[status_line.start() :])
+    )
+
+
+def _parse_whole_lines(head: bytes) -> HTTPHeaders:
+    """Return the well-formed header lines of a head that begins with its status line."""
+    end = _HEAD_END.search(head)
+    whole = head if end is None else head[: end.end()]
+    _, *lines = _LINE_END.split(whole)
+    headers = HTTPHeaders()
+    for line in lines[:-1]:
+        try:
             if line:
-                headers.parse_line(line + "\r\n")
-    except HTTPInputError:
-        return None
-    if start_line.code < FIRST_FINAL_STATUS:
-        return None
-    return UnfinishedHead(status=start_line.code, headers=headers)
-
-
-def _is_interim(data: bytes) -> bool:
-    return re.match(rb"HTTP/1\.[01] 1\d\d\b", data) is not None
+                headers.parse_line(line.decode("latin-1") + "\r\n")
+        except HTTPInputError:
+            # The other lines tell all the same whose response it is.
+            continue
+    return headers
--- a/drumbay/workers/records.py
+++ b/drumbay/workers/records.py
@@ -214,6 +214,12 @@
     code = "worker_broken"
 
 
+class WorkerCutOffError(WorkerBrokenError):
+    """The worker accepted the request, but its response is incomplete."""
+
+    code = "worker_cut_off"
+
+
 class WorkerConnectionClosedError(WorkerBrokenError):
     """The reused connection closed before the response.
 
