Give a reward request that is sent again only what is left of its first budget

Cause: each repetition of a reward request had a budget of its own, 2 s from then on, without regard to the first one.

Change: workers get the time until the batch job's queue limit, counted from its submission, so that each repetition, by whichever owner, ends when the first one does. That a repetition follows after 2 s without a response is now a timeout of the node alone (REWARD_TIMEOUT_SECONDS); it closes the connection, which tells the worker to stop. Once the time of the batch job has passed, no worker is asked any more.

--- a/drumbay/batches/reward_scorer.py
+++ b/drumbay/batches/reward_scorer.py
@@ -23,8 +23,8 @@
 from drumbay.placement.regions import AllowedRegions
 from drumbay.workers.directory import WorkerDirectory
 
-REWARD_BUDGET_SECONDS = 2.0
-"""Time limit for one reward request, after which it is sent again."""
+REWARD_TIMEOUT_SECONDS = 2.0
+"""Time after which a reward request is sent again."""
 
 ADMIT_INTERVAL_SECONDS = 0.1
 """Interval at which waiting requests check for free slots."""
@@ -36,6 +36,8 @@
     NO_ROUTE = "no_route"
     NOT_SERVED = "not_served"
     REJECTED = "rejected"
+    TOO_LATE = "too_late"
+    """The time of its batch job has passed."""
 
 
 class RewardUnavailableError(UnavailableError):
@@ -105,7 +107,7 @@
 
         Args:
             request: The reward request.
-            order: Determines which reward requests go first.
+            order: Determines which reward requests go first, and when workers stop.
             allowed_regions: Returns the regions in which the batch job may run now; the route
                 of the reward request may restrict it further.
 
@@ -161,6 +163,9 @@
     ) -> Reward:
         # The route may have changed while the request was queued.
         route = self._route(request)
+        remaining = order.ends_at - self._clock.monotonic()
+        if remaining <= 0:
+            raise RewardUnavailableError(RewardFailure.TOO_LATE, 0, route.attempts)
         outgoing = ClientRequest(
             request_id=request.request_id,
             method="POST",
@@ -168,7 +173,7 @@
             host=request.host,
             headers=(),
             body=request.body,
-            budget_seconds=REWARD_BUDGET_SECONDS,
+            budget_seconds=min(REWARD_TIMEOUT_SECONDS, remaining),
             priority=route.priority,
             reward_order=order,
             allowed_regions=allowed_regions,
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -223,7 +223,11 @@
             self._scheduler,
             task_owner,
             spec.batch_id,
-            RewardOrder(batch_started_at=submitted_at, batch_priority=spec.priority),
+            RewardOrder(
+                batch_started_at=submitted_at,
+                batch_priority=spec.priority,
+                ends_at=submitted_at + spec.queue_limit_seconds,
+            ),
             allowed_regions,
             record_failures=self._failure_log.record,
             on_result=self._add_result,
--- a/drumbay/forwarding/forwarded_request.py
+++ b/drumbay/forwarding/forwarded_request.py
@@ -489,7 +489,7 @@
             host=request.host,
             headers=request.headers,
             body=request.body,
-            budget_seconds=remaining,
+            budget_seconds=request.worker_budget_seconds(remaining, self._clock.monotonic()),
             repeatable=self._route.kind is RequestKind.IDEMPOTENT,
             tenant=request.tenant,
             priority=self._worker_priority,
--- a/drumbay/forwarding/records.py
+++ b/drumbay/forwarding/records.py
@@ -59,10 +59,15 @@
 
 
 class RewardOrder(msgspec.Struct, frozen=True, kw_only=True):
-    """Queueing order of reward requests: oldest batch job first, then the lowest priority value."""
+    """Queueing order of reward requests: oldest batch job first, then the lowest priority value.
+
+    ``ends_at`` is the monotonic time at which workers stop, the same for each repetition: whoever
+    sends a request again has only what is left of its first budget.
+    """
 
     batch_started_at: float
     batch_priority: int
+    ends_at: float
 
 
 class ClientRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -92,6 +97,10 @@
         """Return whether a client waits for the response, in contrast to internal requests."""
         return self.caller_address != ""
 
+    def worker_budget_seconds(self, remaining: float, now: float) -> float:
+        """Return the time that a worker gets, if so much is left until the deadline."""
+        return remaining if self.reward_order is None else self.reward_order.ends_at - now
+
     @property
     def crash_policy(self) -> CrashPolicy:
         """Return what happens to the request after crashes of its workers."""
--- a/tests/test_rewards.py
+++ b/tests/test_rewards.py
@@ -279,6 +279,28 @@
 
         run_in_world(scenario, scorer_count=1)
 
+    def test_a_reward_request_that_is_sent_again_gets_what_is_left_of_its_budget(self) -> None:
+        """Guards against a new budget for each repetition, also by a later owner."""
+
+        async def scenario(world: ServingWorld) -> None:
+            world.workers["scorer-1"].faults.slowdown = 1_000.0
+            await world.nodes[0].batches.submit(batch_spec(groups=1, scored=True))
+            await asyncio.sleep(6.0)
+            await world.nodes[0].kill()
+            await asyncio.sleep(2.0)
+            world.workers["scorer-1"].faults.slowdown = 1.0
+            await read_all(world.nodes[1].batches, BATCH, 4.0)
+            ends: dict[str, list[float]] = {}
+            for arrival in world.workers.arrivals:
+                if arrival.service == SCORING_SERVICE:
+                    end = arrival.at + arrival.budget_seconds
+                    ends.setdefault(arrival.request_id, []).append(end)
+            self.assertGreater(max(len(times) for times in ends.values()), 2)
+            for times in ends.values():
+                self.assertLess(max(times), times[0] + 0.5)
+
+        run_in_world(scenario, scorer_count=1)
+
     def test_after_a_takeover_the_oldest_batch_job_still_goes_first(self) -> None:
         """The order of reward requests survives a takeover: it follows the submission."""
         started: dict[int, set[float]] = {}
