Give up items whose lost answers show that they fail at each run

Callers saw: an item that its workers answered with bytes of no answer in place of 422 or 500 ran up to 16 times, as nobody counted a failure, and each step waited for it until its end.

Cause: a run without an answer was held to say nothing, since a text may get lost as a failure does. But a worker that ends an exchange itself (bytes of no answer, a regular close of a new connection) and goes on with others has run the item: a cut, a reset or a crash takes all. And how many answers sound items lose can be seen.

Change: such a run counts as a lost answer 0.8 s later, if the worker is the same process and has sent something to this node since (or runs nothing else for it while others send). Each adds -log10 of the share of answers that other items of this node lose at that time. From three lost answers and evidence of 4 on (one sound item in 10,000) the item is given up, if it never got an answer; from 2 on it waits 3 s for more. Where a fifth of the answers gets lost, or more items lose all than may fail, nothing is concluded, and items run again as before. Counts and evidence are stored with the other failures, over owners and jobs. Resets say nothing, as workers reset connections beyond their limit.

What is left: items of a job of four beside which the node has seen no other item yet, and runs that a node had just sent when its batch job moved.

--- a/drumbay/batches/item_failures.py
+++ b/drumbay/batches/item_failures.py
@@ -33,7 +33,8 @@
 
     ``unanswered`` counts runs that ended without any answer: the worker may have failed them, too,
     except in the ``crashed`` ones, where it crashed. ``unanswered_at`` is when the last of them
-    ended, in seconds since the Unix epoch, or 0.
+    ended, in seconds since the Unix epoch, or 0. ``lost`` counts those of them whose worker has run
+    the item, and ``lost_evidence`` is what they say together (see ``answer_losses``).
     """
 
     runs: int = 0
@@ -42,6 +43,8 @@
     unanswered: int = 0
     crashed: int = 0
     unanswered_at: float = 0.0
+    lost: int = 0
+    lost_evidence: float = 0.0
 
     @property
     def possible_failures(self) -> int:
@@ -57,6 +60,8 @@
             unanswered=self.unanswered + other.unanswered,
             crashed=self.crashed + other.crashed,
             unanswered_at=max(self.unanswered_at, other.unanswered_at),
+            lost=self.lost + other.lost,
+            lost_evidence=self.lost_evidence + other.lost_evidence,
         )
 
 
@@ -130,10 +135,16 @@
         return past
 
 
-def _total(failures: OwnerFailures) -> int:
-    """Return the number of failures, which only grows as an owner sees more."""
+def _total(failures: OwnerFailures) -> float:
+    """Return the sum of all counts, which only grows as an owner sees more."""
     return sum(
-        item.runs + item.rejections + item.rewards + item.unanswered + item.crashed
+        item.runs
+        + item.rejections
+        + item.rewards
+        + item.unanswered
+        + item.crashed
+        + item.lost
+        + item.lost_evidence
         for item in failures.items.values()
     )
 
--- a/drumbay/batches/item_run.py
+++ b/drumbay/batches/item_run.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from drumbay.batches.answer_losses import proves_failures, suggests_failures
 from drumbay.batches.item_failures import (
     NO_PAST_FAILURES,
     PastFailures,
@@ -30,6 +31,9 @@
         failures: Runs for which a worker reported a failure.
         unanswered: Runs that ended without any answer, unless their workers crashed.
         unanswered_on: Workers of these runs.
+        lost: Those of them whose worker has run the item, although no answer could be read.
+        lost_evidence: What these say together.
+        was_accepted: Whether a worker has accepted it, so that it does not fail at each run.
         moves: How often the item was moved off a slow worker.
         generation: How often its text was discarded and started anew.
         avoided_worker: Worker to avoid if another one is available.
@@ -55,6 +59,9 @@
     failures: int = 0
     unanswered: int = 0
     unanswered_on: set[BackendId] = msgspec.field(default_factory=set)
+    lost: int = 0
+    lost_evidence: float = 0.0
+    was_accepted: bool = False
     moves: int = 0
     generation: int = 0
     avoided_worker: BackendId | None = None
@@ -71,6 +78,8 @@
         past = self.past
         if past.in_job.rejections or past.in_other_jobs.rejections:
             return False
+        if self.fails_unseen and self.total_lost >= attempts:
+            return False
         return not are_used_up(
             self.failures + past.in_job.runs,
             past.in_other_jobs.runs,
@@ -83,7 +92,9 @@
 
         It must not run again, but is not known to have failed often enough to be given up.
         """
-        return may_be_used_up(self.total_failures, attempts, self.total_unanswered)
+        return self.fails_unseen or may_be_used_up(
+            self.total_failures, attempts, self.total_unanswered
+        )
 
     @property
     def total_failures(self) -> int:
@@ -97,6 +108,27 @@
         earlier = past.in_job.possible_failures + past.in_other_jobs.possible_failures
         return self.unanswered + earlier
 
+    @property
+    def total_lost(self) -> int:
+        """Return the number of answers that it lost, over all owners."""
+        return self.lost + self.past.in_job.lost + self.past.in_other_jobs.lost
+
+    @property
+    def fails_unseen(self) -> bool:
+        """Return whether its lost answers show that it fails at each run."""
+        return not self.was_accepted and proves_failures(self.total_lost, self.total_evidence)
+
+    @property
+    def may_fail_unseen(self) -> bool:
+        """Return whether its lost answers make it likely that it fails at each run."""
+        return not self.was_accepted and suggests_failures(self.total_lost, self.total_evidence)
+
+    @property
+    def total_evidence(self) -> float:
+        """Return what its lost answers say together, over all owners."""
+        past = self.past
+        return self.lost_evidence + past.in_job.lost_evidence + past.in_other_jobs.lost_evidence
+
     def has_reward_requests_left(self, attempts: int) -> bool:
         """Return whether its reward request may be sent again."""
         past = self.past
--- a/drumbay/batches/item_stream.py
+++ b/drumbay/batches/item_stream.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from drumbay.batches.answer_losses import AnswerLosses
 from drumbay.batches.decisions import StartRun
 from drumbay.batches.records import BatchSpec, ItemId
 from drumbay.batches.scheduler import BatchScheduler
@@ -30,19 +31,21 @@
         client: WorkerClient,
         placement: PlacementGate,
         allowed_regions: Callable[[], AllowedRegions],
+        losses: AnswerLosses,
         spec: BatchSpec,
         scheduler: BatchScheduler,
     ) -> None:
         """Create the streams of a batch job.
 
         ``placement`` decides which workers may get an item, ``allowed_regions`` returns the regions
-        in which items may run now.
+        in which items may run now, ``losses`` learns which workers send answers.
         """
         self._clock = clock
         self._directory = directory
         self._client = client
         self._placement = placement
         self._allowed_regions = allowed_regions
+        self._losses = losses
         self._spec = spec
         self._scheduler = scheduler
         self._answered: set[ItemId] = set()
@@ -83,6 +86,8 @@
     def _handle_head(self, item_id: ItemId, worker: Worker, stream: WorkerStream) -> None:
         now = self._clock.monotonic()
         self._answered.add(item_id)
+        self._losses.record_activity(worker.incarnation, now)
+        self._losses.record_answer(item_id, now)
         worker_id = worker.worker_id
         worker_start = worker.started_at_ms
         model = self._spec.model
@@ -103,6 +108,7 @@
         model = self._spec.model
         async for events in stream.events():
             now = self._clock.monotonic()
+            self._losses.record_activity(worker.incarnation, now)
             for event in events:
                 elapsed = self._scheduler.handle_event(
                     item_id, event, now, arrived_alone=len(events) == 1
--- a/drumbay/batches/owned.py
+++ b/drumbay/batches/owned.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from drumbay.batches.answer_losses import AnswerLosses
 from drumbay.batches.body_holders import BodyHolders
 from drumbay.batches.delegation import Delegation
 from drumbay.batches.exceptions import (
@@ -128,6 +129,7 @@
         self._routes = routes
         self._service_listeners: list[Callable[[], None]] = []
         self._failure_history = FailureHistory()
+        self._answer_losses = AnswerLosses()
         self._runners: dict[BatchId, BatchRunner] = {}
         self._takeovers: dict[BatchId, asyncio.Event] = {}
         self._lingering = LingeringBatches(peers, holders, owners.identity.address)
@@ -262,6 +264,7 @@
             self._placement,
             lambda: self._allowed_regions(spec),
             self._failure_history,
+            self._answer_losses,
             self._job_service(spec),
             spec,
             revision,
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 
+from drumbay.batches.answer_losses import AnswerLosses
 from drumbay.batches.decisions import (
     Decision,
     RunFailure,
@@ -49,6 +50,7 @@
 from drumbay.batches.scheduler import BatchScheduler
 from drumbay.batches.slot_sharing import SlotSharing
 from drumbay.batches.start_allowances import add_placement_limits
+from drumbay.batches.unanswered_runs import UnansweredRuns
 from drumbay.clock import Clock
 from drumbay.forwarding.records import RewardOrder
 from drumbay.identifiers import BackendId, Revision, WeightVersion
@@ -60,7 +62,7 @@
 from drumbay.tasks import TaskOwner
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
-from drumbay.workers.records import Worker, WorkerError, WorkerIncarnation
+from drumbay.workers.records import Worker, WorkerAnswerLostError, WorkerError
 from drumbay.workers.silence_check import SilenceCheck
 from drumbay.workers.worker_record import WorkerRecord
 
@@ -122,6 +124,7 @@
         placement: PlacementGate,
         allowed_regions: Callable[[], AllowedRegions],
         failure_history: FailureHistory,
+        answer_losses: AnswerLosses,
         service: JobService,
         spec: BatchSpec,
         revision: Revision,
@@ -147,6 +150,7 @@
             placement: Decides which workers may get an item.
             allowed_regions: Returns the regions in which the items may run now.
             failure_history: What this node knows of failed items.
+            answer_losses: Answers that the items of this node get and lose.
             service: Selects the service that runs the items.
             spec: The batch job.
             revision: The owner's revision in the ledger.
@@ -177,7 +181,14 @@
             spec, self._started_at, listed, slot_sharing.event_size_of(spec.model), submitted_at
         )
         self._streams = ItemStreams(
-            clock, directory, client, placement, allowed_regions, spec, self._scheduler
+            clock,
+            directory,
+            client,
+            placement,
+            allowed_regions,
+            answer_losses,
+            spec,
+            self._scheduler,
         )
         self.share = JobShare(
             clock,
@@ -211,11 +222,22 @@
             self._result_log.confirm_ownership,
         )
         self._failure_log = FailureLog(clock, ledger, failure_history, spec, revision)
+        self._losses = answer_losses
+        self._unanswered = UnansweredRuns(
+            clock,
+            directory,
+            answer_losses,
+            self._scheduler,
+            self._failure_log,
+            task_owner,
+            spec.batch_id,
+            on_result=self._add_result_unless_closed,
+            on_change=self.wake,
+        )
         self._failure_writer: asyncio.Task[None] | None = None
         # Set once the store has told how often the items have failed before, or did not answer.
         self._may_start_items = asyncio.Event()
         self._runs: dict[ItemId, asyncio.Task[None]] = {}
-        self._unanswered_runs: set[tuple[ItemId, WorkerIncarnation]] = set()
         self._wakeup = asyncio.Event()
         self._scoring = ItemScoring(
             clock,
@@ -481,7 +503,7 @@
                     reason=reason,
                 )
                 if reason in _NO_EVENT_REASONS:
-                    self._quarantine.record_silence(item_id, self._record_crashed_run)
+                    self._quarantine.record_silence(item_id, self._unanswered.record_crash)
                 if reason is StopReason.SILENT:
                     # Probed before it is paused: if connections broke, the streams of all workers
                     # fall silent together, and pausing them all would stall the step.
@@ -496,6 +518,7 @@
         item_id = start.item.item_id
         task = asyncio.current_task()
         failure: RunFailure | None = None
+        is_answer_lost = False
         worker = record.worker
         self._quarantine.begin_run(start.item, worker, self._clock.monotonic())
         try:
@@ -507,51 +530,32 @@
         except WorkerError as error:
             now = self._clock.monotonic()
             model = self.spec.model
-            self._quarantine.record_error(start.item, error, self._record_crashed_run)
+            is_answer_lost = isinstance(error, WorkerAnswerLostError)
+            self._quarantine.record_error(start.item, error, self._unanswered.record_crash)
             failure = record_run_failure(self._directory, record.worker, model, error, now)
         finally:
             self._quarantine.end_run(start.item, worker)
-            self._record_if_unanswered(item_id, worker, failure)
+            self._record_if_unanswered(item_id, worker, failure, is_answer_lost=is_answer_lost)
             if self._runs.get(item_id) is task:
                 del self._runs[item_id]
             if not self._closed and not (self._lingering and failure is RunFailure.STOPPED):
                 self._finish_run(item_id, record, failure)
 
     def _record_if_unanswered(
-        self, item_id: ItemId, worker: Worker, failure: RunFailure | None
+        self,
+        item_id: ItemId,
+        worker: Worker,
+        failure: RunFailure | None,
+        *,
+        is_answer_lost: bool,
     ) -> None:
         """Count a run whose worker may have failed it unseen."""
-        if failure not in _UNSEEN_FAILURES or self._streams.has_answered(item_id):
-            return
-        self._unanswered_runs.add((item_id, worker.incarnation))
-        unanswered = self._scheduler.record_unanswered(item_id, self._clock.monotonic())
-        self._failure_log.record(
-            item_id, ItemFailures(unanswered=1, unanswered_at=self._clock.wall())
-        )
-        log_event(
-            "item_run_unanswered",
-            batch=self.spec.batch_id,
-            item=item_id,
-            worker=worker.worker_id,
-            failure=failure,
-            unanswered=unanswered,
-        )
-
-    def _record_crashed_run(self, item_id: ItemId, worker: Worker) -> None:
-        """Count a run without an answer no longer: its worker did not fail it, but crashed."""
-        run = (item_id, worker.incarnation)
-        if run not in self._unanswered_runs:
-            return
-        self._unanswered_runs.discard(run)
-        self._scheduler.record_crashed_run(item_id)
-        self._failure_log.record(item_id, ItemFailures(crashed=1))
-        log_event(
-            "item_run_crashed",
-            batch=self.spec.batch_id,
-            item=item_id,
-            worker=worker.worker_id,
-        )
-        self._wakeup.set()
+        if failure in _UNSEEN_FAILURES and not self._streams.has_answered(item_id):
+            self._unanswered.record(item_id, worker, failure, is_answer_lost=is_answer_lost)
+        elif failure in _COUNTED_FAILURES:
+            now = self._clock.monotonic()
+            self._losses.record_activity(worker.incarnation, now)
+            self._losses.record_answer(item_id, now)
 
     def _release_slot(self, item: BatchItem, record: WorkerRecord) -> None:
         """Free the slot of a run."""
@@ -599,6 +603,10 @@
             missing_groups=self._scheduler.missing_groups,
         )
 
+    def _add_result_unless_closed(self, result: ItemResult) -> None:
+        if not self._closed:
+            self._add_result(result)
+
     def _flush_interval_seconds(self) -> float:
         has_few_left = self._scheduler.unfinished_count <= TAIL_ITEM_SHARE * len(self.spec.items)
         return TAIL_FLUSH_INTERVAL_SECONDS if has_few_left else FLUSH_INTERVAL_SECONDS
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence, Set
 
+from drumbay.batches.answer_losses import MIN_LOST_ANSWERS
 from drumbay.batches.decisions import (
     Decision,
     RunFailure,
@@ -57,6 +58,12 @@
 
 FAILURE_DELAY_SECONDS = 0.15
 REFUSAL_DELAY_SECONDS = 0.05
+CHECK_DELAY_SECONDS = 1.0
+"""Longer than the check of a run whose answer was lost."""
+
+DOUBT_DELAY_SECONDS = 3.0
+"""Together with the time until a lost answer counts, less than an item may be at no worker."""
+
 MIN_SCORE_RETRY_SECONDS = 0.1
 MAX_SCORE_RETRY_SECONDS = 0.8
 """Retry delay after a reward request without a score; doubles from minimum to maximum."""
@@ -278,6 +285,7 @@
         run = self._runs.get(item_id)
         if run is None:
             return False
+        run.was_accepted = True
         run.last_activity_at = now
         if version < self._spec.minimum_version:
             return False
@@ -373,7 +381,10 @@
                     return self._give_up(item_id)
                 run.not_before = now + FAILURE_DELAY_SECONDS
                 run.avoided_worker = worker_id
-            case RunFailure.BROKEN | RunFailure.CUT_OFF:
+            case RunFailure.BROKEN:
+                run.avoided_worker = worker_id
+            case RunFailure.CUT_OFF:
+                run.was_accepted = True
                 run.avoided_worker = worker_id
             case RunFailure.REFUSED:
                 run.not_before = now + REFUSAL_DELAY_SECONDS
@@ -382,13 +393,20 @@
                 pass
         return None
 
-    def record_unanswered(self, item_id: ItemId, now: float) -> int:
-        """Count a run that ends without any answer; return how many there are of the item."""
+    def record_unanswered(self, item_id: ItemId, now: float, *, awaits_check: bool = False) -> int:
+        """Count a run that ends without any answer; return how many there are of the item.
+
+        Three may be all that a rejected item is allowed. With ``awaits_check``, it is soon known
+        what they say: the next run waits for that.
+        """
         run = self._runs.get(item_id)
         if run is None:
             return 0
         has_failed = run.total_failures > 0
-        delay = delay_seconds(run.total_unanswered + 1, has_failed=has_failed)
+        unanswered = run.total_unanswered + 1
+        delay = delay_seconds(unanswered, has_failed=has_failed)
+        if awaits_check and unanswered >= MIN_LOST_ANSWERS and not run.was_accepted:
+            delay = max(delay, CHECK_DELAY_SECONDS)
         run.record_unanswered(now + delay)
         return run.total_unanswered
 
@@ -398,6 +416,33 @@
         if run is not None:
             run.unanswered = max(0, run.unanswered - 1)
 
+    def record_lost_answer(
+        self, item_id: ItemId, count: int, evidence: float, now: float
+    ) -> ItemResult | None:
+        """Record that runs without an answer were not cut off: a worker finished or failed them.
+
+        While it is in doubt whether the item fails at each run, it waits until more is known.
+        Returns the result of an item that is given up.
+
+        Args:
+            item_id: The item.
+            count: How many such runs more there are.
+            evidence: What is known more of them, see ``answer_losses``.
+            now: Monotonic time.
+        """
+        run = self._runs.get(item_id)
+        if run is None:
+            return None
+        run.lost += count
+        run.lost_evidence += evidence
+        if run.is_running_or_complete or run.texts:
+            return None
+        if not run.has_runs_left(self._spec.attempts):
+            return self._give_up(item_id)
+        if count and run.may_fail_unseen:
+            run.not_before = max(run.not_before, now + DOUBT_DELAY_SECONDS)
+        return None
+
     def set_past_failures(
         self,
         past: Mapping[ItemId, PastFailures],
--- a/drumbay/comm/http_exchange.py
+++ b/drumbay/comm/http_exchange.py
@@ -212,6 +212,11 @@
         """Return whether any bytes have arrived in place of the response."""
         return self._response.has_bytes
 
+    @property
+    def is_ended_by_peer(self) -> bool:
+        """Return whether the peer closed the connection; a reset does not count."""
+        return self._stream.is_ended_by_peer
+
     async def read_status(self) -> int:
         """Wait for the response headers and return the status.
 
--- a/drumbay/comm/observed_stream.py
+++ b/drumbay/comm/observed_stream.py
@@ -11,6 +11,8 @@
     """Calls :attr:`on_received` with each piece of bytes, before its reader gets them."""
 
     on_received: Callable[[memoryview], None] | None = None
+    is_ended_by_peer: bool = False
+    """Whether the peer has closed its side; a reset does not count."""
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read from the socket; see ``BaseIOStream.read_from_fd``."""
@@ -19,6 +21,8 @@
             # Released at once: the stream resizes its buffer later.
             with memoryview(buf) as view, view[:size_bytes] as received:
                 self.on_received(received)
+        if size_bytes == 0:
+            self.is_ended_by_peer = True
         return size_bytes
 
     def peek_received(self) -> bytes:
--- a/drumbay/standins/worker_log.py
+++ b/drumbay/standins/worker_log.py
@@ -20,6 +20,8 @@
         lose_responses: Run requests, but break the connection before the response.
         lost_answer_share: Share of the runs of streams whose connection breaks in place of any
             answer.
+        spoilt_answer_share: Share of the runs of streams that bytes of no answer answer.
+        spoils_failures: Whether bytes of no answer come in place of all failures of streams.
         closes_idle_connections: Run requests that come over idle connections, but close these
             before the response.
         failing: Fail every run.
@@ -36,6 +38,8 @@
     break_after_events: int | None = None
     lose_responses: bool = False
     lost_answer_share: float = 0.0
+    spoilt_answer_share: float = 0.0
+    spoils_failures: bool = False
     closes_idle_connections: bool = False
     failing: bool = False
     rejecting: bool = False
--- a/drumbay/standins/worker_pool.py
+++ b/drumbay/standins/worker_pool.py
@@ -33,6 +33,7 @@
     ProbeResult,
     StreamEvent,
     Worker,
+    WorkerAnswerLostError,
     WorkerBrokenError,
     WorkerConnectionClosedError,
     WorkerError,
@@ -364,8 +365,7 @@
         run = self._begin_run(emulated, request)
         try:
             await self._raise_if_failing_stream(emulated, run)
-            if _loses_answer(emulated, run):
-                raise WorkerBrokenError("answer lost")
+            _spoil_or_lose_answer(emulated, run)
             model = dict(request.headers).get("model", "m")
             seconds = self._seconds_per_event
             count = self._event_count_of(request.request_id)
@@ -383,8 +383,9 @@
                 raise WorkerRejectedError(str(REJECTED_STATUS))
         except WorkerError as error:
             await self._clock.sleep(emulated.faults.failure_delay_seconds)
-            if _loses_answer(emulated, run):
-                raise WorkerBrokenError("answer lost") from error
+            if emulated.faults.spoils_failures:
+                raise WorkerAnswerLostError("bytes of no answer") from error
+            _spoil_or_lose_answer(emulated, run)
             raise
 
     def _raise_if_failing(self, emulated: EmulatedWorker, run: LoggedRun) -> None:
@@ -665,10 +666,13 @@
             yield (StreamEvent(number=number, data=data, version=version),)
 
 
-def _loses_answer(emulated: EmulatedWorker, run: LoggedRun) -> bool:
-    """Return whether the answer of a run is lost, which follows from the run alone."""
+def _spoil_or_lose_answer(emulated: EmulatedWorker, run: LoggedRun) -> None:
+    """Raise an error if the answer of a run is lost or spoilt, which follows from the run alone."""
     share = zlib.crc32(run.stamp.encode()) / 2**32
-    return share < emulated.faults.lost_answer_share
+    if share < emulated.faults.lost_answer_share:
+        raise WorkerBrokenError("answer lost")
+    if share < emulated.faults.spoilt_answer_share:
+        raise WorkerAnswerLostError("bytes of no answer")
 
 
 def text_event_count(request_id: str) -> int:
--- a/drumbay/workers/records.py
+++ b/drumbay/workers/records.py
@@ -214,6 +214,12 @@
     code = "worker_broken"
 
 
+class WorkerAnswerLostError(WorkerBrokenError):
+    """The worker ended the exchange itself, without a response that can be read."""
+
+    code = "worker_answer_lost"
+
+
 class WorkerCutOffError(WorkerBrokenError):
     """The worker accepted the request, but its response is incomplete."""
 
--- a/tests/test_failing_items.py
+++ b/tests/test_failing_items.py
@@ -253,6 +253,16 @@
         owner = OwnerKey(batch_id=spec.batch_id, revision=Revision(2))
         self.assertEqual(history.past(spec, owner)[FAILING].in_other_jobs.runs, 2)
 
+    def test_a_record_with_more_evidence_alone_replaces_an_older_copy(self) -> None:
+        spec = returning_group(1)
+        history = FailureHistory()
+        earlier = OwnerKey(batch_id=BatchId("step-0"), revision=Revision(1))
+        for evidence in (1.0, 4.5):
+            failures = {FAILING: ItemFailures(unanswered=3, lost=3, lost_evidence=evidence)}
+            history.put(earlier, OwnerFailures(host=spec.host, tenant=None, items=failures))
+        owner = OwnerKey(batch_id=spec.batch_id, revision=Revision(2))
+        self.assertEqual(history.past(spec, owner)[FAILING].in_other_jobs.lost_evidence, 4.5)
+
     def test_items_of_other_tenants_with_the_same_id_are_not_counted(self) -> None:
         spec = returning_group(1)
         failures = {FAILING: ItemFailures(runs=1)}
