Let one item fail at a node that has seen few others

One other item may fail, too, however few answers there were; so the third run is waited for as elsewhere.

--- a/drumbay/batches/answer_losses.py
+++ b/drumbay/batches/answer_losses.py
@@ -27,7 +27,10 @@
 """Where more answers than that are lost, nothing is concluded: sound items run again soon."""
 
 MAX_FAILING_SHARE = 0.2
-"""Items that may fail at each run, for each answer that others got."""
+"""Other items that may fail at each run, for each answer that items got."""
+
+MIN_FAILING_ITEMS = 1
+"""Other items that may do so however few answers there were."""
 
 MAX_OPEN_ITEMS = 1_024
 MAX_WORKERS = 1_024
@@ -111,7 +114,8 @@
         others = sum(
             _weight(now - lost.last_at) for other, lost in self._open.items() if other != item_id
         )
-        return self._losses + max(0.0, others - MAX_FAILING_SHARE * self._answers)
+        may_fail = MIN_FAILING_ITEMS + MAX_FAILING_SHARE * self._answers
+        return self._losses + max(0.0, others - may_fail)
 
     def _decay(self, now: float) -> None:
         weight = _weight(now - self._decayed_at)
