--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 demo: $(STAMP) ## Run both deployments as processes and check them
 	bash demo/run.sh
 
-soak: $(STAMP) ## The fault soak, short and seeded: connections, every fault, zones and regions, large steps, crashing requests, lost answers, crashes in series, answers without end
+soak: $(STAMP) ## The fault soak, short and seeded: connections, every fault, zones and regions, large steps, crashing requests, lost answers, crashes in series, answers without end, spoilt and second answers
 	$(PYTHON) platform/soak.py --seed 4 --seconds 40 --only connections_silent
 	$(PYTHON) platform/soak.py --seed 101 --seconds 40
 	$(PYTHON) platform/soak.py --seed 3 --seconds 40 --only zone_evacuated --only workers_cold --only regions_restricted
@@ -38,6 +38,7 @@
 	$(PYTHON) platform/soak.py --seed 9811 --seconds 30 --shape two_trainers --only engine_failures_endless --only endless_chunked
 	$(PYTHON) platform/soak.py --seed 9813 --seconds 30 --only answers_endless --only endless_until_close --only endless_as_fast_as_read
 	$(PYTHON) platform/soak.py --seed 9906 --seconds 35 --shape two_trainers --only engines_crash_in_series --only workers_restart_at_once
+	$(PYTHON) platform/soak.py --seed 31091 --seconds 30 --shape two_trainers --only engine_answers_spoilt --only engine_answers_surplus --only node_clock_stepped --only nodes_killed --engine-fault-share 0.05
 
 test: check ## All checks and the tests
 	$(PYTHON) -m tests
--- a/drumbay/batches/answer_losses.py
+++ b/drumbay/batches/answer_losses.py
@@ -3,7 +3,7 @@
 A worker may fail an item while its answer gets lost or cannot be read. One such run says little:
 sound items lose answers too. If other items of the same time hardly lose any, several in a row say
 that this item fails at each run. The evidence is the sum of ``-log10`` of the share of answers that
-others lost, so that evidence of 4 stands for one chance in 10,000 that the item is sound.
+others lost at that time: a sound item reaches evidence of 4 in one of 10,000 cases.
 """
 
 import math
