--- a/tests/test_soak_attempts.py
+++ b/tests/test_soak_attempts.py
@@ -326,13 +326,15 @@
             final_results=(ItemResult(item_id=ItemId("dead"), state=ResultState.DEAD),),
         )
         history = History(started_at=STARTED_AT, faults=(), batches=[batch])
+        history.expected_texts = {"late": "a\nb", "sound": ""}
         history.runs = [
             run("sound", at=0.0),
-            run("sound", at=1.0),
+            run("sound", at=60.0),
             run("late", at=0.0),
             run("late", at=7.0),
             run("bad", at=0.0, failed_with=500),
         ]
+        history.runs[0].events = 1
         sound = outcome_of_sound_items(history)
         self.assertEqual((sound.items, sound.dead, sound.waited), (3, 1, 1))
         self.assertGreater(sound.longest_wait_seconds, LONG_WAIT_SECONDS)
