Wait for what is known of lost answers also where little is known yet

An item of a small job whose answers cannot be read ran six times over two jobs of 1.5 s: evidence that was too weak to wait for sent it on, at a node that had seen few other items, and each later job began it anew. An item that lost three answers and never got one now waits 3 s wherever others hardly lose any, as far as is known, and a later owner or job waits for what is left of that.

--- a/drumbay/batches/answer_losses.py
+++ b/drumbay/batches/answer_losses.py
@@ -20,9 +20,6 @@
 MIN_EVIDENCE = 4.0
 """Evidence from which on an item counts as failing."""
 
-MIN_SUGGESTIVE_EVIDENCE = 2.0
-"""Evidence from which on an item waits until more is known."""
-
 MAX_RARE_SHARE = 0.2
 """Where more answers than that are lost, nothing is concluded: sound items run again soon."""
 
@@ -38,17 +35,8 @@
 
 def proves_failures(lost: int, evidence: float) -> bool:
     """Return whether an item fails that lost so many answers and never got one."""
-    return _is_evident(lost, evidence, MIN_EVIDENCE)
-
-
-def suggests_failures(lost: int, evidence: float) -> bool:
-    """Return whether an item that lost so many answers is more likely than not to fail."""
-    return _is_evident(lost, evidence, MIN_SUGGESTIVE_EVIDENCE)
-
-
-def _is_evident(lost: int, evidence: float, minimum: float) -> bool:
-    is_rare = evidence >= -math.log10(MAX_RARE_SHARE) * lost
-    return lost >= MIN_LOST_ANSWERS and is_rare and evidence >= minimum
+    are_rare = evidence >= -math.log10(MAX_RARE_SHARE) * lost
+    return lost >= MIN_LOST_ANSWERS and are_rare and evidence >= MIN_EVIDENCE
 
 
 class AnswerLosses:
@@ -99,12 +87,15 @@
         # Laplace's rule of succession: nothing is known before the first answer.
         return -math.log10((losses + 1) / (losses + self._answers + 2))
 
-    def are_rare(self, item_id: ItemId, now: float) -> bool:
-        """Return whether other items hardly lose answers now, as far as anything is known."""
+    def are_rare(self, now: float, item_id: ItemId | None = None) -> bool:
+        """Return whether items hardly lose answers now, as far as anything is known.
+
+        ``item_id`` is left out.
+        """
         losses = self._losses_of_sound_items(item_id, now)
         return losses <= MAX_RARE_SHARE * (losses + self._answers)
 
-    def _losses_of_sound_items(self, item_id: ItemId, now: float) -> float:
+    def _losses_of_sound_items(self, item_id: ItemId | None, now: float) -> float:
         """Return how many answers other items have lost that are likely to be sound.
 
         Items that have got no answer yet may fail at each run, up to a share of all items. If more
--- a/drumbay/batches/item_run.py
+++ b/drumbay/batches/item_run.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from drumbay.batches.answer_losses import proves_failures, suggests_failures
+from drumbay.batches.answer_losses import MIN_LOST_ANSWERS, proves_failures
 from drumbay.batches.item_failures import (
     NO_PAST_FAILURES,
     PastFailures,
@@ -120,8 +120,8 @@
 
     @property
     def may_fail_unseen(self) -> bool:
-        """Return whether its lost answers make it likely that it fails at each run."""
-        return not self.was_accepted and suggests_failures(self.total_lost, self.total_evidence)
+        """Return whether it lost so many answers that all its runs may have failed."""
+        return not self.was_accepted and self.total_lost >= MIN_LOST_ANSWERS
 
     @property
     def total_evidence(self) -> float:
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -430,6 +430,7 @@
             is_complete=is_complete,
             now=self._clock.monotonic(),
             wall_now=self._clock.wall(),
+            are_losses_rare=self._losses.are_rare(self._clock.monotonic()),
         )
         if past:
             log_event(
--- a/drumbay/batches/scheduler.py
+++ b/drumbay/batches/scheduler.py
@@ -417,18 +417,19 @@
             run.unanswered = max(0, run.unanswered - 1)
 
     def record_lost_answer(
-        self, item_id: ItemId, count: int, evidence: float, now: float
+        self, item_id: ItemId, count: int, evidence: float, now: float, *, are_losses_rare: bool
     ) -> ItemResult | None:
         """Record that runs without an answer were not cut off: a worker finished or failed them.
 
-        While it is in doubt whether the item fails at each run, it waits until more is known.
-        Returns the result of an item that is given up.
+        Where other items hardly lose answers, an item that may fail at each run waits until more
+        is known. Returns the result of an item that is given up.
 
         Args:
             item_id: The item.
             count: How many such runs more there are.
             evidence: What is known more of them, see ``answer_losses``.
             now: Monotonic time.
+            are_losses_rare: Whether other items hardly lose answers.
         """
         run = self._runs.get(item_id)
         if run is None:
@@ -439,7 +440,7 @@
             return None
         if not run.has_runs_left(self._spec.attempts):
             return self._give_up(item_id)
-        if count and run.may_fail_unseen:
+        if count and are_losses_rare and run.may_fail_unseen:
             run.not_before = max(run.not_before, now + DOUBT_DELAY_SECONDS)
         return None
 
@@ -450,6 +451,7 @@
         is_complete: bool,
         now: float,
         wall_now: float,
+        are_losses_rare: bool = False,
     ) -> tuple[ItemResult, ...]:
         """Set what earlier owners have seen; return the results of items that are given up.
 
@@ -464,6 +466,8 @@
                 run.past = failures
                 has_failed = run.total_failures > 0
                 delay = delay_seconds(run.total_unanswered, has_failed=has_failed)
+                if are_losses_rare and run.may_fail_unseen:
+                    delay = max(delay, DOUBT_DELAY_SECONDS)
                 left = remaining_delay_seconds(delay, failures.unanswered_at, wall_now)
                 run.not_before = max(run.not_before, now + left)
         used_up = [
--- a/drumbay/batches/unanswered_runs.py
+++ b/drumbay/batches/unanswered_runs.py
@@ -96,7 +96,7 @@
         """
         now = self._clock.monotonic()
         self._runs.add((item_id, worker.incarnation))
-        awaits_check = is_answer_lost and self._losses.are_rare(item_id, now)
+        awaits_check = is_answer_lost and self._losses.are_rare(now, item_id)
         unanswered = self._scheduler.record_unanswered(item_id, now, awaits_check=awaits_check)
         self._failure_log.record(
             item_id, ItemFailures(unanswered=1, unanswered_at=self._clock.wall())
@@ -160,7 +160,13 @@
         elif added < MIN_ADDED_EVIDENCE:
             return
         self._failure_log.record(lost.item_id, ItemFailures(lost=int(is_new), lost_evidence=added))
-        result = self._scheduler.record_lost_answer(lost.item_id, int(is_new), added, now)
+        result = self._scheduler.record_lost_answer(
+            lost.item_id,
+            int(is_new),
+            added,
+            now,
+            are_losses_rare=self._losses.are_rare(now, lost.item_id),
+        )
         log_event(
             "item_answer_lost",
             batch=self._batch_id,
--- a/tests/test_spoilt_answers.py
+++ b/tests/test_spoilt_answers.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from drumbay.batches.answer_losses import AnswerLosses, proves_failures, suggests_failures
+from drumbay.batches.answer_losses import AnswerLosses, proves_failures
 from drumbay.batches.records import BatchId, BatchSpec, ItemId, ResultState
 from drumbay.identifiers import BackendId
 from drumbay.workers.records import WorkerIncarnation
@@ -57,6 +57,21 @@
 
         run_in_world(scenario)
 
+    def test_an_item_of_a_small_job_waits_until_more_is_known(self) -> None:
+        """Guards against an item that runs again while its node has seen few others."""
+
+        async def scenario(world: ServingWorld) -> None:
+            spoil_failures(world)
+            rejected = item_ids(step(0, 1))[1]
+            world.workers.rejected_requests.add(rejected)
+            for number in range(2):
+                await world.nodes[0].batches.submit(step(number, 1))
+                await asyncio.sleep(1.5)
+                await world.nodes[0].batches.end(step(number).batch_id)
+            self.assertEqual(len(world.workers.runs_of(rejected)), ALLOWED_REJECTIONS)
+
+        run_in_world(scenario)
+
     def test_they_are_not_sent_again_in_later_batch_jobs(self) -> None:
         async def scenario(world: ServingWorld) -> None:
             spoil_failures(world)
@@ -135,7 +150,6 @@
     def test_nothing_is_concluded_where_a_fifth_of_the_answers_is_lost(self) -> None:
         evidence = self.evidence_after(70, lost_first=30)
         self.assertFalse(proves_failures(20, 20 * evidence))
-        self.assertFalse(suggests_failures(20, 20 * evidence))
 
     def test_losses_of_an_item_that_got_an_answer_were_chance(self) -> None:
         losses = AnswerLosses()
