Give the requests of the repeated-send tests ids of their own

A run of all tests failed in three of tests.test_repeated_sends: they sent one id again over one connection, which is not done any more, and took a late answer of another request alone for the whole of the next one. The requests have ids of their own now, the connection closes after the late answer, and it is checked that the kept connection was used; what must not count is as before.

--- a/tests/test_repeated_sends.py
+++ b/tests/test_repeated_sends.py
@@ -22,10 +22,6 @@
 
 BUDGET_SECONDS = 1.5
 REQUEST_ID = "r1"
-ANSWER = (
-    f"HTTP/1.1 200 OK\r\nX-Drumbay-Attempt-Id: {REQUEST_ID}\r\nX-Drumbay-Server-Seal: s\r\n"
-    "Content-Length: 2\r\n\r\nok"
-).encode()
 LATE_ANSWER_HEAD = (
     "X-Drumbay-Attempt-Id: earlier\r\nX-Drumbay-Server-Seal: s\r\nContent-Length: 0\r\n"
 )
@@ -40,6 +36,14 @@
 Reply = Callable[[int, asyncio.StreamWriter], Awaitable[None]]
 
 
+def answer(request_id: str) -> bytes:
+    """Return the whole answer to a request."""
+    return (
+        f"HTTP/1.1 200 OK\r\nX-Drumbay-Attempt-Id: {request_id}\r\nX-Drumbay-Server-Seal: s\r\n"
+        "Content-Length: 2\r\n\r\nok"
+    ).encode()
+
+
 class ConnectionServer:
     """Server that passes the number of a request on its connection, from 0, to a coroutine."""
 
@@ -47,6 +51,7 @@
         self._reply = reply
         self._writers: list[asyncio.StreamWriter] = []
         self.heads: list[str] = []
+        self.connections = 0
         self.address = NetworkAddress("127.0.0.1", 0)
 
     async def start(self, case: unittest.IsolatedAsyncioTestCase) -> None:
@@ -63,6 +68,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.append(writer)
+        self.connections += 1
         number = 0
         with suppress(asyncio.IncompleteReadError, ConnectionError):
             while not writer.is_closing():
@@ -89,15 +95,15 @@
             if number:
                 writer.close()
             else:
-                writer.write(ANSWER)
+                writer.write(answer(f"r{len(server.heads)}"))
 
         server, worker = await self.start(close_on_reuse)
-        await self.client.call(worker, repeatable_request())
+        await self.client.call(worker, repeatable_request("r1"))
         with self.assertRaises(WorkerBrokenError):
-            await self.client.call(worker, repeatable_request())
-        await self.client.call(worker, repeatable_request())
+            await self.client.call(worker, repeatable_request("r2"))
+        await self.client.call(worker, repeatable_request("r3"))
         with self.assertRaises(WorkerBrokenError):
-            async with self.client.stream(worker, repeatable_request()):
+            async with self.client.stream(worker, repeatable_request("r4")):
                 self.fail("the worker did not answer")
         self.assertEqual(len(server.heads), 4)
 
@@ -127,14 +133,19 @@
                 self.fail("the answer names no request")
 
     async def call_with_late_answer(self, late_answer: bytes) -> None:
-        """Make a call whose reused connection brings another request's answer first."""
+        """Make a call whose reused connection brings another request's answer, and no other."""
 
         async def answer_late(number: int, writer: asyncio.StreamWriter) -> None:
-            writer.write(late_answer if number else ANSWER)
+            writer.write(late_answer if number else answer("earlier"))
+            if number:
+                writer.close()
 
-        _, worker = await self.start(answer_late)
-        await self.client.call(worker, repeatable_request())
-        await self.client.call(worker, repeatable_request())
+        server, worker = await self.start(answer_late)
+        await self.client.call(worker, repeatable_request("earlier"))
+        try:
+            await self.client.call(worker, repeatable_request())
+        finally:
+            self.assertEqual(server.connections, 1)
 
     async def test_refusal_of_another_request_does_not_count_as_not_run(self) -> None:
         for late_answer in (LATE_REFUSAL, LATE_MISDIRECTION):
@@ -143,13 +154,16 @@
 
     async def test_rejection_of_another_item_does_not_give_up_this_one(self) -> None:
         async def answer_late(number: int, writer: asyncio.StreamWriter) -> None:
-            writer.write(LATE_REJECTION if number else ANSWER)
+            writer.write(LATE_REJECTION if number else answer("earlier"))
+            if number:
+                writer.close()
 
-        _, worker = await self.start(answer_late)
-        await self.client.call(worker, repeatable_request())
+        server, worker = await self.start(answer_late)
+        await self.client.call(worker, repeatable_request("earlier"))
         with self.assertRaises(WorkerBrokenError):
             async with self.client.stream(worker, repeatable_request()):
                 self.fail("the answer belongs to another request")
+        self.assertEqual(server.connections, 1)
 
     async def test_abandoned_request_is_not_delivered_later(self) -> None:
         with socket.socket() as listener:
@@ -158,7 +172,9 @@
             listener.listen()
             listener.setblocking(False)
             worker = worker_at(NetworkAddress("127.0.0.1", listener.getsockname()[1]))
-            call = asyncio.create_task(self.client.call(worker, repeatable_request(BODY_BYTES)))
+            call = asyncio.create_task(
+                self.client.call(worker, repeatable_request(body_bytes=BODY_BYTES))
+            )
             loop = asyncio.get_running_loop()
             connection, _ = await loop.sock_accept(listener)
             with connection:
@@ -189,9 +205,11 @@
     )
 
 
-def repeatable_request(body_bytes: int = len(b"body")) -> WorkerRequest:
+def repeatable_request(
+    request_id: str = REQUEST_ID, body_bytes: int = len(b"body")
+) -> WorkerRequest:
     return WorkerRequest(
-        request_id=REQUEST_ID,
+        request_id=request_id,
         method="POST",
         target="/l/x",
         host="h.example",
