--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 demo: $(STAMP) ## Run both deployments as processes and check them
 	bash demo/run.sh
 
-soak: $(STAMP) ## The fault soak, short and seeded: connections, every fault, zones and regions, large steps, crashing requests, lost answers, crashes in series, answers without end, spoilt and second answers
+soak: $(STAMP) ## The fault soak, short and seeded: connections, every fault, zones and regions, large steps, crashing requests, lost answers, crashes in series, answers without end, spoilt and surplus answers
 	$(PYTHON) platform/soak.py --seed 4 --seconds 40 --only connections_silent
 	$(PYTHON) platform/soak.py --seed 101 --seconds 40
 	$(PYTHON) platform/soak.py --seed 3 --seconds 40 --only zone_evacuated --only workers_cold --only regions_restricted
