--- a/tests/test_soak_attempts.py
+++ b/tests/test_soak_attempts.py
@@ -13,6 +13,7 @@
 from drumbay_soak.harm_report import LONG_WAIT_SECONDS, count_runs, outcome_of_sound_items
 from drumbay_soak.history import (
     BatchHistory,
+    BatchRead,
     ClientCall,
     CrashingRequest,
     Downtime,
@@ -339,6 +340,20 @@
         self.assertEqual((sound.items, sound.dead, sound.waited), (3, 1, 1))
         self.assertGreater(sound.longest_wait_seconds, LONG_WAIT_SECONDS)
 
+    def test_sound_items_that_die_in_a_batch_job_that_is_ended_later_are_counted(self) -> None:
+        dead = ItemResult(item_id=ItemId("dead"), state=ResultState.DEAD)
+        batch = BatchHistory(
+            batch_id="batch",
+            item_ids=("sound", "dead"),
+            minimum_version=1,
+            attempts=3,
+            accepted_at=STARTED_AT,
+            ended_at=STARTED_AT + 1.0,
+            reads=[BatchRead(node=0, position=0, results=(dead,))],
+        )
+        history = History(started_at=STARTED_AT, faults=(), batches=[batch])
+        self.assertEqual(outcome_of_sound_items(history).dead, 1)
+
     def test_runs_without_an_answer_are_counted_from_the_logs(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             lines = [
