Log what a worker that is gone had answered just before

The record of the report has no line of any worker's end: a node logs one only if a run breaks. A worker that answers and then ends breaks no run, so nothing told the hypotheses apart.

When discovery shows that a worker is gone (its entry, another incarnation, another worker at its address), worker_gone_after_answers names up to eight requests with fingerprint and age. A worker whose service is not used any more is excluded, which is no end.

No decision reads it yet.

--- a/drumbay/batches/item_quarantine.py
+++ b/drumbay/batches/item_quarantine.py
@@ -94,8 +94,17 @@
             del self._runs[item.item_id]
         self._quarantine.end_run(self._fingerprint(item), worker.worker_id, CrashPolicy.RETRY)
 
-    def record_survival(self, item: BatchItem) -> None:
-        """Record that a worker survived the run of an item."""
+    def record_answer(self, item: BatchItem, *, has_failed: bool = False) -> None:
+        """Record that a worker answered the run of an item, and whether it has failed it."""
+        run = self._runs.get(item.item_id)
+        if run is not None:
+            self._quarantine.record_answer(
+                self._fingerprint(item),
+                item.item_id,
+                run.worker,
+                run.started_at,
+                has_failed=has_failed,
+            )
         if not self._quarantine.is_idle:
             self._quarantine.record_response(self._fingerprint(item))
 
@@ -114,7 +123,7 @@
                 partial(on_crash, item.item_id, run.worker),
             )
         elif isinstance(error, WorkerFailedError | WorkerRejectedError):
-            self.record_survival(item)
+            self.record_answer(item, has_failed=True)
 
     def record_silence(self, item_id: ItemId, on_crash: CrashListener) -> None:
         """Record that a run was stopped because its worker sent no events.
--- a/drumbay/batches/runner.py
+++ b/drumbay/batches/runner.py
@@ -524,7 +524,7 @@
         self._quarantine.begin_run(start.item, worker, self._clock.monotonic())
         try:
             await self._streams.run(start, record)
-            self._quarantine.record_survival(start.item)
+            self._quarantine.record_answer(start.item)
         except asyncio.CancelledError:
             failure = RunFailure.STOPPED
             raise
--- a/drumbay/forwarding/attempt_outcomes.py
+++ b/drumbay/forwarding/attempt_outcomes.py
@@ -112,7 +112,7 @@
         elapsed_seconds = now - attempt.sent_at
         self._attempts.response_seconds = elapsed_seconds
         self._attempts.record_run_start(attempt)
-        self._quarantine.record_worker_alive(attempt)
+        self._quarantine.record_answer(attempt, has_failed=False)
         self._attempts.successful = attempt
         self._metrics.observe_expected_time(attempt.choice.expected_seconds, elapsed_seconds)
         self._record_failed_workers(now)
@@ -127,7 +127,7 @@
         elapsed_seconds = now - attempt.sent_at
         log_run_failed(self._request_id, attempt.record.worker, error, elapsed_seconds)
         self._attempts.record_run_start(attempt)
-        self._quarantine.record_worker_alive(attempt)
+        self._quarantine.record_answer(attempt, has_failed=True)
         self._attempts.may_have_run = True
 
     def _record_failed_workers(self, now: float) -> None:
--- a/drumbay/forwarding/request_quarantine.py
+++ b/drumbay/forwarding/request_quarantine.py
@@ -90,8 +90,15 @@
             worker_failures=self._attempts.worker_failures,
         )
 
-    def record_worker_alive(self, attempt: Attempt) -> None:
-        """Record that a worker has responded, successfully or not."""
+    def record_answer(self, attempt: Attempt, *, has_failed: bool) -> None:
+        """Record that a worker has answered, and whether the answer says that the run failed."""
+        self._quarantine.record_answer(
+            self._fingerprint,
+            self._request_id,
+            attempt.record.worker,
+            attempt.sent_at,
+            has_failed=has_failed,
+        )
         if not self._quarantine.is_idle:
             self._quarantine.record_worker_response(attempt.record.worker)
             self._quarantine.record_response(self._fingerprint)
--- a/drumbay/quarantine/service.py
+++ b/drumbay/quarantine/service.py
@@ -21,6 +21,7 @@
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
 from drumbay.placement.gate import PlacementGate
+from drumbay.quarantine.answered_runs import AnsweredRun, AnsweredRuns
 from drumbay.quarantine.crash_retry import (
     MAX_CHECK_WAIT_SECONDS,
     decide_retry,
@@ -53,11 +54,16 @@
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
 from drumbay.workers.records import Worker, WorkerError, WorkerIncarnation
+from drumbay.workers.worker_record import WorkerEndEvidence
 
 REPORT_REQUEST_INTERVAL_SECONDS = 1.0
 """Minimum interval between two report requests to the same worker."""
 
 
+MAX_LOGGED_ANSWERS = 8
+"""Requests that a log line names which a worker had answered before its end."""
+
+
 class _RunInProgress(msgspec.Struct, frozen=True):
     worker_id: BackendId
     policy: CrashPolicy
@@ -99,8 +105,10 @@
         self._runs: dict[Fingerprint, list[_RunInProgress]] = {}
         self._suspicions = Suspicions()
         self._checks = WorkerChecks(clock, directory, client, task_owner, self._on_condition)
+        self._answered = AnsweredRuns()
         self._report_requested_at: dict[WorkerIncarnation, float] = {}
         directory.add_report_listener(self._on_report)
+        directory.add_end_listener(self._on_worker_end)
 
     def add_listener(self, listener: Callable[[Fingerprint, bool], None]) -> None:
         """Call ``listener`` with each changed request and whether the change is from this node."""
@@ -385,6 +393,56 @@
         self._broadcast(RequestSuspected(fingerprint=fingerprint, deaths=reports))
         self._notify_listeners(fingerprint, is_local=True)
 
+    # Answers
+
+    def record_answer(
+        self,
+        fingerprint: Fingerprint,
+        request_id: str,
+        worker: Worker,
+        began_at: float,
+        *,
+        has_failed: bool,
+    ) -> None:
+        """Record that a worker answered a run, and whether the answer says that it has failed."""
+        now = self._clock.monotonic()
+        self._answered.take_expired(now)
+        self._answered.add(
+            AnsweredRun(
+                fingerprint=fingerprint,
+                request_id=request_id,
+                worker=worker,
+                began_at=began_at,
+                answered_at=now,
+                has_failed=has_failed,
+            )
+        )
+
+    def _on_worker_end(self, worker: Worker, evidence: WorkerEndEvidence) -> None:
+        answered = self._answered.take_all(worker.incarnation)
+        if answered:
+            self._log_answered(worker, evidence, answered)
+
+    def _log_answered(
+        self, worker: Worker, evidence: WorkerEndEvidence, answered: tuple[AnsweredRun, ...]
+    ) -> None:
+        """Log what a worker that is gone had answered just before, the latest last."""
+        now = self._clock.monotonic()
+        latest = answered[-MAX_LOGGED_ANSWERS:]
+        log_event(
+            "worker_gone_after_answers",
+            level="WARNING",
+            worker=worker.worker_id,
+            started_at_ms=worker.started_at_ms,
+            evidence=evidence,
+            state=worker.state,
+            answered=len(answered),
+            requests=",".join(run.request_id for run in latest),
+            fingerprints=",".join(run.fingerprint for run in latest),
+            seconds_ago=",".join(f"{now - run.answered_at:.3f}" for run in latest),
+            failed=sum(run.has_failed for run in answered),
+        )
+
     # Responses
 
     def record_response(self, fingerprint: Fingerprint) -> None:
--- a/drumbay/workers/directory.py
+++ b/drumbay/workers/directory.py
@@ -21,6 +21,7 @@
     ModelRefusals,
     PendingWeightLoad,
     WorkerChange,
+    WorkerEndEvidence,
     WorkerRecord,
 )
 
@@ -47,6 +48,7 @@
         self._restart_listeners: list[Callable[[BackendId], None]] = []
         self._report_listeners: list[Callable[[WorkerIncarnation, float], None]] = []
         self._entry_listeners: list[Callable[[Worker, WorkerChange], None]] = []
+        self._end_listeners: list[Callable[[Worker, WorkerEndEvidence], None]] = []
         self._contact_listeners: list[Callable[[BackendId, bool], None]] = []
         self._warm_up_listeners: list[Callable[[BackendId, float | None, float, float], None]] = []
         self._pause_callback: Callable[[], None] = lambda: None
@@ -68,6 +70,13 @@
         """Call ``listener`` with each worker as its entry is applied, or its restart is seen."""
         self._entry_listeners.append(listener)
 
+    def add_end_listener(self, listener: Callable[[Worker, WorkerEndEvidence], None]) -> None:
+        """Call ``listener`` with each worker that discovery shows to have ended, as last listed.
+
+        A worker whose address is taken is told, and again when its entry goes.
+        """
+        self._end_listeners.append(listener)
+
     def add_contact_listener(self, listener: Callable[[BackendId, bool], None]) -> None:
         """Call ``listener`` with a worker's id and false when it is unreachable, true when not.
 
@@ -110,6 +119,8 @@
             is_entry_lost = worker_id not in unusable and record.worker.state is WorkerState.READY
             if missing_until is None or not is_entry_lost:
                 del self._records[worker_id]
+                if worker_id not in unusable:
+                    self._notify_end(record.worker, WorkerEndEvidence.ENTRY_GONE)
                 continue
             record.missing_until = missing_until
             retained.append(worker_id)
@@ -136,13 +147,21 @@
         self._notify_listeners()
 
     def remove(self, worker_id: BackendId) -> None:
-        """Remove a worker."""
+        """Remove a worker whose entry is gone."""
+        record = self._records.pop(worker_id, None)
+        if record is not None:
+            self._notify_end(record.worker, WorkerEndEvidence.ENTRY_GONE)
+        self._notify_listeners()
+
+    def exclude(self, worker_id: BackendId) -> None:
+        """Remove a worker that is not used any more, though its entry exists."""
         self._records.pop(worker_id, None)
         self._notify_listeners()
 
     def _apply_entry(self, worker: Worker) -> None:
         record = self._records.get(worker.worker_id)
         if record is None:
+            self._notify_addresses_taken(worker)
             self._add_record(worker)
             is_first = not self.is_loaded
             self._notify_entry(worker, WorkerChange.LISTED if is_first else WorkerChange.STARTED)
@@ -182,7 +201,10 @@
             started_at_ms=worker.started_at_ms,
             before_ms=known_ms,
         )
+        previous = self._records[worker.worker_id].worker
         record = self._add_record(worker)
+        if known_ms:
+            self._notify_end(previous, WorkerEndEvidence.RESTARTED)
         self._notify_entry(worker, WorkerChange.STARTED)
         for listener in self._restart_listeners:
             listener(worker.worker_id)
@@ -239,6 +261,18 @@
         for listener in self._entry_listeners:
             listener(worker, change)
 
+    def _notify_addresses_taken(self, worker: Worker) -> None:
+        """Report the ends of workers whose address a newly listed one has."""
+        if not self.is_loaded:
+            return
+        for record in list(self._records.values()):
+            if record.worker.address == worker.address:
+                self._notify_end(record.worker, WorkerEndEvidence.ADDRESS_TAKEN)
+
+    def _notify_end(self, worker: Worker, evidence: WorkerEndEvidence) -> None:
+        for listener in self._end_listeners:
+            listener(worker, evidence)
+
     def _notify_contact(self, record: WorkerRecord) -> None:
         for listener in self._contact_listeners:
             listener(record.worker.worker_id, not record.is_unreachable)
--- a/drumbay/workers/service_filter.py
+++ b/drumbay/workers/service_filter.py
@@ -38,7 +38,7 @@
         in_use = self._services_in_use()
         if in_use is None or worker.service not in in_use:
             self._exclude(worker, in_use)
-            self._directory.remove(worker.worker_id)
+            self._directory.exclude(worker.worker_id)
             return False
         self._forget(worker.worker_id)
         self._directory.put(worker)
@@ -74,7 +74,7 @@
             if record.missing_until is None:
                 worker = msgspec.structs.replace(record.worker, versions=dict(record.versions))
                 self._excluded[worker.worker_id] = worker
-            self._directory.remove(record.worker.worker_id)
+            self._directory.exclude(record.worker.worker_id)
         for worker in list(self._excluded.values()):
             if worker.service in in_use:
                 self.put(worker)
--- a/drumbay/workers/worker_record.py
+++ b/drumbay/workers/worker_record.py
@@ -27,6 +27,17 @@
     """Also if the entry was missing while the worker remained in use."""
 
 
+class WorkerEndEvidence(StrEnum):
+    """What shows that a worker has ended."""
+
+    ENTRY_GONE = "entry_gone"
+    """Its discovery entry is gone: it has ended, or has left, or cannot reach the store."""
+    RESTARTED = "restarted"
+    """Another incarnation of it is listed, or has reported."""
+    ADDRESS_TAKEN = "address_taken"
+    """Another worker is listed at its address."""
+
+
 class ModelRefusals(msgspec.Struct, kw_only=True):
     """Consecutive refusals of requests for one model, for example while its weights are loading."""
 
