--- a/drumbay/standins/worker_pool.py
+++ b/drumbay/standins/worker_pool.py
@@ -17,6 +17,7 @@
 from drumbay.exceptions import DeadlineExceededError
 from drumbay.identifiers import BackendId, WeightVersion
 from drumbay.placement.regions import AllowedRegions
+from drumbay.standins.crash_timing import CrashTiming, crashes_in
 from drumbay.standins.warm_up_state import WarmUpState
 from drumbay.standins.worker_end import WorkerEnd
 from drumbay.standins.worker_log import (
@@ -94,7 +95,8 @@
         failing_requests: Ids of requests that fail on every worker.
         rejected_requests: Ids of streams that every worker rejects as invalid.
         long_requests: Ids of requests whose texts have 160 events.
-        crashing_bodies: Bodies of requests that crash every worker that runs them.
+        crashing_bodies: Bodies of requests that crash the workers that run them.
+        crash_timings: When they do, for bodies that do not crash each worker before it answers.
         crash_seconds: Time that such a request runs before the crash.
         crashes: Workers that ended, oldest first.
         worker_end: What callers see of workers that have ended.
@@ -138,6 +140,7 @@
         self.rejected_requests: set[str] = set()
         self.long_requests: set[str] = set()
         self.crashing_bodies: set[bytes] = set()
+        self.crash_timings: dict[bytes, CrashTiming] = {}
         self.crash_seconds = CRASH_SECONDS
         self.crashes: list[LoggedCrash] = []
         self.worker_end = WorkerEnd.REFUSES
@@ -338,11 +341,13 @@
         is_reused = worker.worker_id in self.idle_connections and not request.fresh_connection
         try:
             await self._wait_until_it_goes_on(emulated)
-            await self._work(emulated, request, self._response_seconds * emulated.faults.slowdown)
+            seconds = self._response_seconds * emulated.faults.slowdown
+            await self._work(emulated, request, run, seconds)
             self._raise_if_failing(emulated, run)
             run.events = 1
         finally:
             self._end_run(emulated, run)
+            self._crash_after_answer(emulated, request)
         if is_reused and emulated.faults.closes_idle_connections:
             raise WorkerConnectionClosedError("the idle connection was closed")
         if emulated.faults.lose_responses:
@@ -369,11 +374,12 @@
             model = dict(request.headers).get("model", "m")
             seconds = self._seconds_per_event
             count = self._event_count_of(request.request_id)
-            if request.body in self.crashing_bodies:
-                await self._work(emulated, request, 0.0)
+            if self._crashes_before_answer(request, run):
+                await self._work(emulated, request, run, 0.0)
             yield EmulatedStream(self._clock, emulated, run, request, model, seconds, count, self)
         finally:
             self._end_run(emulated, run)
+            self._crash_after_answer(emulated, request)
 
     async def _raise_if_failing_stream(self, emulated: EmulatedWorker, run: LoggedRun) -> None:
         try:
@@ -452,23 +458,43 @@
         )
         self.runs.append(run)
         self.log(run)
-        if request.body in self.crashing_bodies:
-            self._spawn(self._crash(emulated))
+        if self._crashes_before_answer(request, run):
+            self._spawn(self._crash(emulated, self.crash_seconds))
+        elif self._crash_timing_of(request) is CrashTiming.AFTER_FAILURE:
+            self.failing_requests.add(request.request_id)
         return run
 
+    def _crash_timing_of(self, request: WorkerRequest) -> CrashTiming | None:
+        if request.body not in self.crashing_bodies:
+            return None
+        return self.crash_timings.get(request.body, CrashTiming.BEFORE_ANSWER)
+
+    def _crashes_before_answer(self, request: WorkerRequest, run: LoggedRun) -> bool:
+        timing = self._crash_timing_of(request)
+        return timing is not None and timing.crashes_before_answer(run.stamp)
+
+    def _crash_after_answer(self, emulated: EmulatedWorker, request: WorkerRequest) -> None:
+        """Crash a worker that has answered a request, if the request does that."""
+        timing = self._crash_timing_of(request)
+        delay_seconds = crashes_in(timing) if timing is not None else None
+        if delay_seconds is not None and not emulated.has_stopped:
+            self._spawn(self._crash(emulated, delay_seconds))
+
     async def _wait_until_it_goes_on(self, emulated: EmulatedWorker) -> None:
         while emulated.faults.stands_still:
             await self._clock.sleep(STANDSTILL_POLL_SECONDS)
 
-    async def _work(self, emulated: EmulatedWorker, request: WorkerRequest, seconds: float) -> None:
+    async def _work(
+        self, emulated: EmulatedWorker, request: WorkerRequest, run: LoggedRun, seconds: float
+    ) -> None:
         """Spend time on work, which is lost if the worker ends."""
-        crashes = request.body in self.crashing_bodies
+        crashes = self._crashes_before_answer(request, run)
         await self._clock.sleep(self.crash_seconds if crashes else seconds)
         if emulated.has_stopped or crashes:
             await self.break_run(emulated)
 
-    async def _crash(self, emulated: EmulatedWorker) -> None:
-        await self._clock.sleep(self.crash_seconds)
+    async def _crash(self, emulated: EmulatedWorker, delay_seconds: float) -> None:
+        await self._clock.sleep(delay_seconds)
         await self.end(emulated)
 
     async def end(self, emulated: EmulatedWorker) -> None:
