Count crashes of workers that had answered the request before

What callers saw: one request went on reaching workers after it had crashed its third one, at every node, and others lost their lookups meanwhile. No node logged an end.

Cause: an answer cleared a request. It shows that a run has ended, not that its worker outlived it: a worker may crash after it, and each answer of a request that crashes a part of its workers forgot the crashes before. What was in flight on the worker was blamed in its place. Class: the end of a call was taken for proof of what comes after it.

Change: what speaks for a request is a run that its worker has outlived, by a response a second later or more. Until then the run is remembered, and the end of the worker counts as a crash under it, unless the worker was asked to leave. Nodes learn of ends from discovery (the entry goes, and the worker does not respond; another incarnation; another worker at its address), from an idle connection that the worker closes, and from checks after each answer to a suspected request. Crashes count if they are a fifth of the last runs (of at most 28 outlived ones), and are forgotten after twelve later outlived runs, which nodes tell each other. A request that ran on the same crashed workers with half the share of crashes or less is not suspected. After two workers have failed a request, the last worker is not risked before they are known to live.

--- a/drumbay/batches/item_quarantine.py
+++ b/drumbay/batches/item_quarantine.py
@@ -105,8 +105,6 @@
                 run.started_at,
                 has_failed=has_failed,
             )
-        if not self._quarantine.is_idle:
-            self._quarantine.record_response(self._fingerprint(item))
 
     def record_error(self, item: BatchItem, error: WorkerError, on_crash: CrashListener) -> None:
         """Record the failure of a run; ``on_crash`` is called if its worker has crashed."""
--- a/drumbay/comm/connection_pool.py
+++ b/drumbay/comm/connection_pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from enum import StrEnum
 
 import msgspec
@@ -66,6 +67,11 @@
         self._clock = clock
         self._idle: dict[NetworkAddress, list[IdleConnection]] = {}
         self._check: asyncio.TimerHandle | None = None
+        self._on_closed_by_peer: Callable[[NetworkAddress], None] = lambda _: None
+
+    def set_close_listener(self, listener: Callable[[NetworkAddress], None]) -> None:
+        """Call ``listener`` with the address of each idle connection that its peer has closed."""
+        self._on_closed_by_peer = listener
 
     def take(self, address: NetworkAddress, request_id: str | None = None) -> IdleConnection | None:
         """Return a reusable idle connection if there is one; close those that are not.
@@ -78,7 +84,7 @@
             state = connection.state(now)
             if state is not IdleState.REUSABLE:
                 connections.remove(connection)
-                _close(address, connection, state)
+                self._close(address, connection, state, now)
             elif request_id is None or connection.last_request_id != request_id:
                 connections.remove(connection)
                 return connection
@@ -130,7 +136,7 @@
                 if state is IdleState.REUSABLE:
                     reusable.append(connection)
                 else:
-                    _close(address, connection, state)
+                    self._close(address, connection, state, now)
             if reusable:
                 self._idle[address] = reusable
             else:
@@ -139,6 +145,16 @@
         if self._idle:
             self._schedule_check()
 
+    def _close(
+        self, address: NetworkAddress, connection: IdleConnection, state: IdleState, now: float
+    ) -> None:
+        """Close a connection that cannot be used any more."""
+        if state is IdleState.HAS_SURPLUS_BYTES:
+            RESPONSE_GUARD.report(ExcessReason.SURPLUS_BYTES, str(address))
+        connection.stream.close()
+        if state is IdleState.ENDED and now < connection.usable_until:
+            self._on_closed_by_peer(address)
+
     def close(self) -> None:
         """Close every idle connection."""
         for connections in self._idle.values():
@@ -148,10 +164,3 @@
         if self._check is not None:
             self._check.cancel()
             self._check = None
-
-
-def _close(address: NetworkAddress, connection: IdleConnection, state: IdleState) -> None:
-    """Close a connection that cannot be used any more."""
-    if state is IdleState.HAS_SURPLUS_BYTES:
-        RESPONSE_GUARD.report(ExcessReason.SURPLUS_BYTES, str(address))
-    connection.stream.close()
--- a/drumbay/forwarding/request_quarantine.py
+++ b/drumbay/forwarding/request_quarantine.py
@@ -51,6 +51,10 @@
             self._service, self._attempts.running_on()
         ):
             return False
+        if self._attempts.worker_failures and self._quarantine.awaits_workers_that_failed(
+            self._fingerprint, self._service
+        ):
+            return False
         if self._quarantine.is_idle:
             return True
         verdict = self._quarantine.verdict(
@@ -99,9 +103,6 @@
             attempt.sent_at,
             has_failed=has_failed,
         )
-        if not self._quarantine.is_idle:
-            self._quarantine.record_worker_response(attempt.record.worker)
-            self._quarantine.record_response(self._fingerprint)
 
     def record_broken_run(self, attempt: Attempt, error: WorkerBrokenError, now: float) -> None:
         """Record a run that ended without a response; the worker may have crashed."""
--- a/drumbay/quarantine/answered_runs.py
+++ b/drumbay/quarantine/answered_runs.py
@@ -9,12 +9,16 @@
 
 import msgspec
 
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.quarantine.fingerprint import Fingerprint
 from drumbay.workers.records import Worker, WorkerIncarnation
 
 OUTLIVED_AFTER_SECONDS = 1.0
 """A worker that sends something this long after an answer has outlived the run."""
 
+ALIVE_AFTER_SECONDS = 0.04
+"""A worker that responds this long after it failed a run has not crashed at once."""
+
 MEMORY_SECONDS = 5.0
 """Discovery shows within this time that a worker has ended; after it, a run was outlived."""
 
@@ -49,6 +53,7 @@
     def __init__(self) -> None:
         """Know no runs."""
         self._runs: dict[WorkerIncarnation, deque[AnsweredRun]] = {}
+        self._alive_at: dict[WorkerIncarnation, float] = {}
         self._expired_at = float("-inf")
 
     def add(self, run: AnsweredRun) -> tuple[AnsweredRun, ...]:
@@ -59,7 +64,7 @@
         if runs is None:
             runs = deque(maxlen=MAX_RUNS_PER_WORKER)
         if len(self._runs) >= MAX_WORKERS:
-            del self._runs[next(iter(self._runs))]
+            self.take_all(next(iter(self._runs)))
         runs.append(run)
         self._runs[incarnation] = runs
         return outlived
@@ -92,16 +97,33 @@
             taken.append(runs.popleft())
         if not runs:
             del self._runs[incarnation]
+            self._alive_at.pop(incarnation, None)
         return tuple(taken)
 
+    def record_alive(self, incarnation: WorkerIncarnation, at: float) -> None:
+        """Record that a worker has responded to a check that began at a time."""
+        if incarnation in self._runs:
+            self._alive_at[incarnation] = at
+
+    def was_alive_after(self, run: AnsweredRun) -> bool:
+        """Return whether a worker has responded to a check a moment after a run."""
+        alive_at = self._alive_at.get(run.worker.incarnation, float("-inf"))
+        return alive_at >= run.answered_at + ALIVE_AFTER_SECONDS
+
     def take_all(self, incarnation: WorkerIncarnation) -> tuple[AnsweredRun, ...]:
         """Remove and return the runs on a worker."""
+        self._alive_at.pop(incarnation, None)
         return tuple(self._runs.pop(incarnation, ()))
 
     def of_worker(self, incarnation: WorkerIncarnation) -> tuple[AnsweredRun, ...]:
         """Return the runs on a worker."""
         return tuple(self._runs.get(incarnation, ()))
 
+    def workers_at(self, address: NetworkAddress) -> tuple[Worker, ...]:
+        """Return the workers at an address that may not have outlived their last answers."""
+        latest = (runs[-1].worker for runs in self._runs.values())
+        return tuple(worker for worker in latest if worker.address == address)
+
     def of_request(self, fingerprint: Fingerprint, since: float) -> tuple[AnsweredRun, ...]:
         """Return the runs of a request that were answered after a time."""
         return tuple(
--- a/drumbay/quarantine/ledger.py
+++ b/drumbay/quarantine/ledger.py
@@ -3,12 +3,17 @@
 Accepted work is retried, see :mod:`drumbay.quarantine.crash_retry`. Any other request is held once
 workers have crashed under three consecutive runs of it, each of which began after the previous
 crash. Concurrent runs count as one, since a common cause, such as a power loss, may have ended all
-their workers. One response from any worker clears the request.
+their workers.
+
+An answer clears no request, since its worker may crash after it, or under the next run. What speaks
+for a request is a run that its worker has outlived: crashes count only if they are a fifth of the
+last runs, and are forgotten after a number of outlived runs.
 
 A worker that has not responded since a run may be unreachable: until its crash is confirmed, or it
 responds, the crash counts, but does not hold the request for long.
 """
 
+from collections import deque
 from collections.abc import Iterable
 
 import msgspec
@@ -59,6 +64,17 @@
 CLOCK_TOLERANCE_SECONDS = 0.01
 """Times reported by other nodes are off by up to the duration of a call."""
 
+OUTLIVED_RUNS_UNTIL_FORGOTTEN = 12
+"""A crash is forgotten once workers have outlived so many later runs of the request."""
+
+MAX_OUTLIVED_RUNS = 28
+MIN_CRASH_SHARE = 0.2
+"""Crashes that are a smaller share of a request's last runs, of which so many outlived ones are
+remembered, are taken for coincidence: frequent requests run on many workers that crash."""
+
+LIKELIER_SHARE_FACTOR = 2.0
+"""A request whose share of crashes is so much larger explains the crashes under another one."""
+
 MAX_REQUESTS = 1_024
 MAX_CRASHES_PER_REQUEST = 16
 """Bounds on the size of the ledger."""
@@ -73,6 +89,7 @@
     def __init__(self) -> None:
         """Create an empty ledger."""
         self._crashes: dict[Fingerprint, dict[WorkerIncarnation, WorkerCrash]] = {}
+        self._outlived: dict[Fingerprint, deque[float]] = {}
 
     @property
     def is_empty(self) -> bool:
@@ -92,8 +109,11 @@
         return tuple(self._crashes.get(fingerprint, {}).values())
 
     def consecutive_crashes(self, fingerprint: Fingerprint) -> int:
-        """Return the largest number of crashes whose runs each began after the previous crash."""
-        return len(_consecutive(self.crashes(fingerprint)))
+        """Return the largest number of crashes whose runs each began after the previous crash.
+
+        It is 0 if they are too small a share of the request's last runs.
+        """
+        return self._count_unless_rare(fingerprint, self.crashes(fingerprint))
 
     def confirmed(self, fingerprint: Fingerprint) -> list[WorkerCrash]:
         """Return the confirmed crashes under a request."""
@@ -101,7 +121,16 @@
 
     def confirmed_consecutive_crashes(self, fingerprint: Fingerprint) -> int:
         """Return the same for the confirmed crashes alone."""
-        return len(_consecutive(self.confirmed(fingerprint)))
+        return self._count_unless_rare(fingerprint, self.confirmed(fingerprint))
+
+    def _count_unless_rare(self, fingerprint: Fingerprint, crashes: Iterable[WorkerCrash]) -> int:
+        crash_count = len(_consecutive(crashes))
+        return crash_count if self._crash_share(fingerprint, crash_count) >= MIN_CRASH_SHARE else 0
+
+    def _crash_share(self, fingerprint: Fingerprint, crash_count: int) -> float:
+        """Return the share of a request's last runs whose workers crashed; 0 without any run."""
+        run_count = crash_count + len(self._outlived.get(fingerprint, ()))
+        return crash_count / run_count if run_count else 0.0
 
     def has_unconfirmed(self, fingerprint: Fingerprint) -> bool:
         """Return whether a worker has not responded since it ran a request."""
@@ -143,7 +172,7 @@
         later than it was, and consecutive crashes could look concurrent.
         """
         known = self._crashes.get(fingerprint, {})
-        reported = tuple(crashes)
+        reported = tuple(crash for crash in crashes if not self._is_forgotten(fingerprint, crash))
         for crash in reported:
             previous = known.get(crash.incarnation)
             if previous is not None and crash.ended_at < previous.ended_at:
@@ -177,8 +206,40 @@
         """Drop the oldest of the requests with the fewest consecutive crashes."""
         del self._crashes[min(self._crashes, key=self.consecutive_crashes)]
 
+    def record_outlived(self, fingerprint: Fingerprint, began_at: float) -> bool:
+        """Record a run that its worker has outlived; return whether a crash is forgotten by that.
+
+        Args:
+            fingerprint: The request.
+            began_at: When the run began.
+        """
+        outlived = self._outlived.pop(fingerprint, None)
+        if outlived is None:
+            outlived = deque(maxlen=MAX_OUTLIVED_RUNS)
+            if len(self._outlived) >= MAX_REQUESTS:
+                del self._outlived[next(iter(self._outlived))]
+        outlived.append(began_at)
+        self._outlived[fingerprint] = outlived
+        crashes = self._crashes.get(fingerprint, {})
+        forgotten = [
+            incarnation
+            for incarnation, crash in crashes.items()
+            if self._is_forgotten(fingerprint, crash)
+        ]
+        for incarnation in forgotten:
+            del crashes[incarnation]
+        if not crashes:
+            self._crashes.pop(fingerprint, None)
+        return bool(forgotten)
+
+    def _is_forgotten(self, fingerprint: Fingerprint, crash: WorkerCrash) -> bool:
+        """Return whether workers have outlived enough runs that began after a crash."""
+        outlived = self._outlived.get(fingerprint, ())
+        later_count = sum(began_at > crash.ended_at for began_at in outlived)
+        return later_count >= OUTLIVED_RUNS_UNTIL_FORGOTTEN
+
     def clear(self, fingerprint: Fingerprint) -> bool:
-        """Drop a request that got a response; return whether it was recorded."""
+        """Drop a request that another node has cleared; return whether it was recorded."""
         return self._crashes.pop(fingerprint, None) is not None
 
     def withdraw(self, incarnation: WorkerIncarnation) -> tuple[Fingerprint, ...]:
@@ -260,13 +321,21 @@
     def _has_likelier_cause(self, fingerprint: Fingerprint, crash_count: int) -> bool:
         """Return whether another request probably caused all crashes under this one.
 
-        It ran on all of the crashed workers and on others, and has more consecutive crashes.
+        It ran on all of the crashed workers, and has more consecutive crashes, or a much larger
+        share of its runs crashed.
         """
         own = self._crashes[fingerprint].keys()
-        return any(
-            own < others.keys() and self.consecutive_crashes(other) > crash_count
-            for other, others in self._crashes.items()
-        )
+        own_share = self._crash_share(fingerprint, crash_count)
+        for other, others in self._crashes.items():
+            if other == fingerprint or not own <= others.keys():
+                continue
+            other_count = self.consecutive_crashes(other)
+            if own < others.keys() and other_count > crash_count:
+                return True
+            other_share = self._crash_share(other, other_count)
+            if other_count >= crash_count and other_share >= LIKELIER_SHARE_FACTOR * own_share:
+                return True
+        return False
 
     def _held_until(self, fingerprint: Fingerprint, kinds: frozenset[WorkerKind]) -> float:
         """Return the end of the hold, which grows with each run after a hold that crashed again.
--- a/drumbay/quarantine/records.py
+++ b/drumbay/quarantine/records.py
@@ -86,10 +86,14 @@
     deaths: tuple[CrashReport, ...]
 
 
-class RequestProvedSound(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Notice: a worker answered a request under which others had crashed."""
+class RunOutlived(msgspec.Struct, frozen=True, kw_only=True, tag="RequestProvedSound"):
+    """Notice: a worker has outlived a run of a request under which others had crashed.
+
+    Its tag is that of the notice by which earlier releases clear the request.
+    """
 
     fingerprint: Fingerprint
+    began_seconds_ago: float = 0.0
 
 
 class WorkerProvedAlive(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -104,7 +108,7 @@
         return WorkerIncarnation(worker_id=self.worker_id, started_at_ms=self.started_at_ms)
 
 
-QuarantineNotice = RequestSuspected | RequestProvedSound | WorkerProvedAlive
+QuarantineNotice = RequestSuspected | RunOutlived | WorkerProvedAlive
 
 
 class CrashPolicy(StrEnum):
--- a/drumbay/quarantine/service.py
+++ b/drumbay/quarantine/service.py
@@ -12,16 +12,18 @@
 """
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
 from drumbay.clock import Clock
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.identifiers import BackendId
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
 from drumbay.placement.gate import PlacementGate
-from drumbay.quarantine.answered_runs import AnsweredRun, AnsweredRuns
+from drumbay.quarantine.answer_checks import AnswerChecks
+from drumbay.quarantine.answered_runs import OUTLIVED_AFTER_SECONDS, AnsweredRun, AnsweredRuns
 from drumbay.quarantine.crash_retry import (
     MAX_CHECK_WAIT_SECONDS,
     decide_retry,
@@ -40,26 +42,33 @@
     Decision,
     QuarantineNotice,
     RequestActivity,
-    RequestProvedSound,
     RequestSuspected,
+    RunOutlived,
     Verdict,
     WorkerAvailability,
     WorkerCrash,
     WorkerKind,
     WorkerProvedAlive,
 )
-from drumbay.quarantine.suspicions import Suspicions, UnansweredRun
+from drumbay.quarantine.suspicions import SuspectRun, Suspicions
 from drumbay.quarantine.worker_checks import WorkerChecks, WorkerCondition
 from drumbay.tasks import TaskOwner
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
-from drumbay.workers.records import Worker, WorkerError, WorkerIncarnation
+from drumbay.workers.records import Worker, WorkerError, WorkerIncarnation, WorkerState
 from drumbay.workers.worker_record import WorkerEndEvidence
 
 REPORT_REQUEST_INTERVAL_SECONDS = 1.0
 """Minimum interval between two report requests to the same worker."""
 
 
+MIN_WORKERS_THAT_FAILED = 2
+"""Workers that failed a request and may have crashed since, from which on the last is not risked.
+A single one is left out, since requests of others may have crashed it."""
+
+MAX_SUSPECT_ANSWERS = 16
+"""Runs, the latest ones, that a worker had answered and that its end makes suspect."""
+
 MAX_LOGGED_ANSWERS = 8
 """Requests that a log line names which a worker had answered before its end."""
 
@@ -106,9 +115,13 @@
         self._suspicions = Suspicions()
         self._checks = WorkerChecks(clock, directory, client, task_owner, self._on_condition)
         self._answered = AnsweredRuns()
+        self._answer_checks = AnswerChecks(
+            clock, client, task_owner, self._answered, self._on_answer_check
+        )
         self._report_requested_at: dict[WorkerIncarnation, float] = {}
         directory.add_report_listener(self._on_report)
         directory.add_end_listener(self._on_worker_end)
+        client.set_close_listener(self._on_connection_closed)
 
     def add_listener(self, listener: Callable[[Fingerprint, bool], None]) -> None:
         """Call ``listener`` with each changed request and whether the change is from this node."""
@@ -151,10 +164,15 @@
         self._confirm_replaced(fingerprint, now)
         trials = self._trials(now)
         checks_since = now - MAX_CHECK_WAIT_SECONDS if policy is CrashPolicy.RETRY else -math.inf
+        answered = self._open_answers(fingerprint, now)
+        failed_count = sum(run.has_failed for run in answered)
         activity = RequestActivity(
-            runs=self._runs_in_progress(fingerprint),
+            # After a failure the next run follows at once, and could crash one more worker.
+            runs=self._runs_in_progress(fingerprint) + failed_count,
             trials=len(trials) + starting,
-            checks=self._suspicions.checks_of(fingerprint, checks_since),
+            checks=self._suspicions.checks_of(fingerprint, checks_since)
+            + len(answered)
+            - failed_count,
         )
         availability = self._availability(service, now)
         if policy is CrashPolicy.RETRY:
@@ -173,6 +191,32 @@
             return verdict
         return msgspec.structs.replace(verdict, avoided_workers=frozenset(trials))
 
+    def _open_answers(self, fingerprint: Fingerprint, now: float) -> tuple[AnsweredRun, ...]:
+        """Return the answered runs of a suspected request that no worker has outlived yet."""
+        if not self.ledger.consecutive_crashes(fingerprint):
+            return ()
+        return self._answered.of_request(fingerprint, now - OUTLIVED_AFTER_SECONDS)
+
+    def awaits_workers_that_failed(self, fingerprint: Fingerprint, service: str) -> bool:
+        """Return whether a request waits until workers that failed it are known to live on.
+
+        Several may have crashed since, and one more could be the last; they are checked now.
+        """
+        now = self._clock.monotonic()
+        unchecked = [
+            run
+            for run in self._answered.of_request(fingerprint, now - OUTLIVED_AFTER_SECONDS)
+            if run.has_failed and not self._answered.was_alive_after(run)
+        ]
+        failed_on = frozenset(run.worker.worker_id for run in unchecked)
+        if len(failed_on) < MIN_WORKERS_THAT_FAILED:
+            return False
+        if not self.leaves_too_few_workers(service, failed_on):
+            return False
+        for run in unchecked:
+            self._answer_checks.start(run.worker)
+        return True
+
     def _trials(self, now: float) -> list[BackendId]:
         """Return the workers of all trials in progress at this node."""
         return [
@@ -315,8 +359,8 @@
         worker: Worker,
         began_at: float,
         on_crash: Callable[[], None] | None,
-    ) -> UnansweredRun:
-        return UnansweredRun(
+    ) -> SuspectRun:
+        return SuspectRun(
             fingerprint=fingerprint,
             request_id=request_id,
             worker=worker,
@@ -325,7 +369,7 @@
             on_crash=on_crash,
         )
 
-    def _suspect(self, run: UnansweredRun, *, may_be_slow: bool) -> bool:
+    def _suspect(self, run: SuspectRun, *, may_be_slow: bool) -> bool:
         """Suspect a request and check the worker; return false if its crash came before the run."""
         if self.ledger.has_crashed_before(run.worker.incarnation, run.began_at):
             return False
@@ -367,7 +411,7 @@
         if self.ledger.add_crashes(fingerprint, confirmed):
             self._notify_listeners(fingerprint, is_local=False)
 
-    def _record_crash(self, run: UnansweredRun, condition: WorkerCondition) -> None:
+    def _record_crash(self, run: SuspectRun, condition: WorkerCondition) -> None:
         now = self._clock.monotonic()
         fingerprint = run.fingerprint
         crash = run.crash(now, is_confirmed=condition is not WorkerCondition.SILENT)
@@ -385,7 +429,10 @@
             worker=run.worker.worker_id,
             started_at_ms=run.worker.started_at_ms,
             evidence=condition,
-            run_seconds=round(run.failed_at - run.began_at, 4),
+            run_seconds=round((run.answered_at or run.failed_at) - run.began_at, 4),
+            answered_seconds_ago=round(now - run.answered_at, 3)
+            if run.answered_at is not None
+            else None,
             failed_seconds_ago=round(now - run.failed_at, 3),
             deaths_in_a_row=self.ledger.consecutive_crashes(fingerprint),
         )
@@ -406,22 +453,84 @@
     ) -> None:
         """Record that a worker answered a run, and whether the answer says that it has failed."""
         now = self._clock.monotonic()
-        self._answered.take_expired(now)
-        self._answered.add(
-            AnsweredRun(
-                fingerprint=fingerprint,
-                request_id=request_id,
-                worker=worker,
-                began_at=began_at,
-                answered_at=now,
-                has_failed=has_failed,
-            )
+        self.record_worker_response(worker)
+        run = AnsweredRun(
+            fingerprint=fingerprint,
+            request_id=request_id,
+            worker=worker,
+            began_at=began_at,
+            answered_at=now,
+            has_failed=has_failed,
+        )
+        self._record_outlived(self._answered.add(run))
+        self._record_outlived(self._answered.take_expired(now))
+        if fingerprint in self.ledger:
+            self._answer_checks.start(worker)
+
+    def _record_outlived(self, runs: Iterable[AnsweredRun]) -> None:
+        """Record runs that their workers have outlived."""
+        now = self._clock.monotonic()
+        for run in runs:
+            fingerprint = run.fingerprint
+            is_suspected = fingerprint in self.ledger
+            if self.ledger.record_outlived(fingerprint, run.began_at):
+                self._log_forgotten(fingerprint)
+                self._notify_listeners(fingerprint, is_local=True)
+            if is_suspected:
+                self._broadcast(
+                    RunOutlived(fingerprint=fingerprint, began_seconds_ago=now - run.began_at)
+                )
+
+    def _log_forgotten(self, fingerprint: Fingerprint) -> None:
+        log_event(
+            "request_proved_sound",
+            fingerprint=fingerprint,
+            deaths_in_a_row=self.ledger.consecutive_crashes(fingerprint),
         )
 
     def _on_worker_end(self, worker: Worker, evidence: WorkerEndEvidence) -> None:
+        """Suspect what a worker answered before its end, unless it was asked to leave."""
+        answered = self._answered.of_worker(worker.incarnation)
+        if not answered:
+            return
+        self._log_answered(worker, evidence, answered)
+        if worker.state is WorkerState.DRAINING:
+            self._answered.take_all(worker.incarnation)
+        elif evidence is WorkerEndEvidence.ENTRY_GONE:
+            # It may live on without an entry.
+            self._answer_checks.start(worker, is_gone=True)
+        else:
+            self._suspect_answered(worker, WorkerCondition.REPLACED)
+
+    def _on_connection_closed(self, address: NetworkAddress) -> None:
+        """Check the worker at an address, which closed a connection and may have ended."""
+        for worker in self._answered.workers_at(address):
+            self._answer_checks.start(worker)
+
+    def _on_answer_check(self, worker: Worker, condition: WorkerCondition, since: float) -> None:
+        """Apply what a check of a worker that has answered has shown."""
+        if condition is WorkerCondition.RESPONDS:
+            self._answered.record_alive(worker.incarnation, since)
+            self._record_outlived(self._answered.take_outlived(worker.incarnation, since))
+        else:
+            self._suspect_answered(worker, condition)
+
+    def _suspect_answered(self, worker: Worker, condition: WorkerCondition) -> None:
+        """Suspect the last runs that a worker answered before it ended, or fell silent."""
+        now = self._clock.monotonic()
         answered = self._answered.take_all(worker.incarnation)
-        if answered:
-            self._log_answered(worker, evidence, answered)
+        for answer in answered[-MAX_SUSPECT_ANSWERS:]:
+            run = SuspectRun(
+                fingerprint=answer.fingerprint,
+                request_id=answer.request_id,
+                worker=answer.worker,
+                began_at=answer.began_at,
+                failed_at=now,
+                answered_at=answer.answered_at,
+            )
+            is_certain = condition is not WorkerCondition.SILENT
+            if is_certain or self._suspect(run, may_be_slow=False):
+                self._record_crash(run, condition)
 
     def _log_answered(
         self, worker: Worker, evidence: WorkerEndEvidence, answered: tuple[AnsweredRun, ...]
@@ -445,25 +554,13 @@
 
     # Responses
 
-    def record_response(self, fingerprint: Fingerprint) -> None:
-        """Clear a request to which a worker responded, with any status."""
-        self._suspicions.drop_request(fingerprint)
-        consecutive_crashes = self.ledger.consecutive_crashes(fingerprint)
-        if not self.ledger.clear(fingerprint):
-            return
-        log_event(
-            "request_proved_sound", fingerprint=fingerprint, deaths_in_a_row=consecutive_crashes
-        )
-        self._broadcast(RequestProvedSound(fingerprint=fingerprint))
-        self._notify_listeners(fingerprint, is_local=True)
-
     def record_worker_response(self, worker: Worker) -> None:
         """Record that a worker responded to a run.
 
         If it was recorded as crashed, it may be alive or may have restarted; the response may also
         have been sent before the crash.
         """
-        if self.ledger.last_learned_at(worker.incarnation) is None:
+        if self.ledger.is_empty or self.ledger.last_learned_at(worker.incarnation) is None:
             return
         if worker.started_at_ms:
             self._request_report(worker)
@@ -531,8 +628,11 @@
             case RequestSuspected(fingerprint=fingerprint, deaths=reports):
                 now = self._clock.monotonic()
                 self.add_crashes(fingerprint, tuple(report.to_crash(now) for report in reports))
-            case RequestProvedSound(fingerprint=fingerprint):
-                self.clear(fingerprint)
+            case RunOutlived(fingerprint=fingerprint):
+                began_at = self._clock.monotonic() - notice.began_seconds_ago
+                if self.ledger.record_outlived(fingerprint, began_at):
+                    self._log_forgotten(fingerprint)
+                    self._notify_listeners(fingerprint, is_local=False)
             case WorkerProvedAlive():
                 self._withdraw(notice.incarnation)
 
@@ -554,7 +654,7 @@
             self._notify_listeners(fingerprint, is_local=False)
 
     def clear(self, fingerprint: Fingerprint) -> None:
-        """Clear a request for which another node has seen a response."""
+        """Clear a request that another node has cleared."""
         self._suspicions.drop_request(fingerprint)
         if self.ledger.clear(fingerprint):
             self._notify_listeners(fingerprint, is_local=False)
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -49,8 +49,8 @@
 from drumbay.placement.topology import Topology
 from drumbay.quarantine.records import (
     QuarantineNotice,
-    RequestProvedSound,
     RequestSuspected,
+    RunOutlived,
     WorkerProvedAlive,
 )
 from drumbay.quarantine.service import Quarantine
@@ -470,7 +470,7 @@
                     self._record_weight_load(notice)
                 case PlacesNotice():
                     self.batches.handle_slot_notice(notice)
-                case RequestSuspected() | RequestProvedSound() | WorkerProvedAlive():
+                case RequestSuspected() | RunOutlived() | WorkerProvedAlive():
                     self.quarantine.handle_notice(notice)
                 case WorkerUnresponsive() | WorkerResponsive():
                     self._unresponsive_workers.handle_notice(notice)
--- a/drumbay/standins/worker_pool.py
+++ b/drumbay/standins/worker_pool.py
@@ -99,6 +99,8 @@
         crash_timings: When they do, for bodies that do not crash each worker before it answers.
         crash_seconds: Time that such a request runs before the crash.
         crashes: Workers that ended, oldest first.
+        closes_connections: Whether callers keep idle connections, and see those of ended workers
+            close.
         worker_end: What callers see of workers that have ended.
         keep_ids: Whether workers restart under their own id.
         discovery_delay_seconds: Delay until discovery reports a restarted worker.
@@ -132,6 +134,7 @@
         self._listeners: list[Callable[[Worker], None]] = []
         self._removal_listeners: list[Callable[[BackendId], None]] = []
         self._end_listeners: list[Callable[[Worker], None]] = []
+        self._close_listeners: list[Callable[[NetworkAddress], None]] = []
         self._log_listeners: list[Callable[[LogRecord], None]] = []
         self._replaced_ids: set[BackendId] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -143,6 +146,7 @@
         self.crash_timings: dict[bytes, CrashTiming] = {}
         self.crash_seconds = CRASH_SECONDS
         self.crashes: list[LoggedCrash] = []
+        self.closes_connections = True
         self.worker_end = WorkerEnd.REFUSES
         self.idle_connections: set[BackendId] = set()
         self.stall_count = 0
@@ -297,6 +301,10 @@
     def set_send_check(self, may_send: Callable[[Worker, AllowedRegions], bool]) -> None:
         """Ignore the check, since requests arrive as soon as they are sent."""
 
+    def set_close_listener(self, listener: Callable[[NetworkAddress], None]) -> None:
+        """Call ``listener`` with the address of each worker that ends and closes connections."""
+        self._close_listeners.append(listener)
+
     def has_idle_connection(self, worker: Worker) -> bool:
         """Return whether the caller has an idle connection to a worker."""
         return worker.worker_id in self.idle_connections
@@ -511,6 +519,9 @@
         )
         self.crashes.append(crash)
         self.log(crash)
+        if self.closes_connections and self.worker_end is not WorkerEnd.SILENT:
+            for on_closed in self._close_listeners:
+                on_closed(emulated.worker.address)
         if self.keep_ids:
             await self._restart(emulated)
         else:
--- a/drumbay/workers/interface.py
+++ b/drumbay/workers/interface.py
@@ -4,6 +4,7 @@
 from contextlib import AbstractAsyncContextManager
 from typing import Protocol
 
+from drumbay.comm.network_address import NetworkAddress
 from drumbay.identifiers import WeightVersion
 from drumbay.placement.regions import AllowedRegions
 from drumbay.workers.records import (
@@ -54,6 +55,13 @@
         """
         ...
 
+    def set_close_listener(self, listener: Callable[[NetworkAddress], None]) -> None:
+        """Call ``listener`` with the address of each idle connection that its worker closes.
+
+        Workers that end do that, and others from time to time.
+        """
+        ...
+
     def has_idle_connection(self, worker: Worker) -> bool:
         """Return whether a repeatable request could reuse an idle connection."""
         ...
