Run a request under which workers crashed at one node at a time

What callers saw: a client that calls five nodes in one moment crashed all workers again each time a hold ended, which is the same moment at all nodes, and after each first crash: 11 tries later than 3 s after the third crash, 11 workers ended.

Cause: a node counts its own runs only; it hears of the others' when they have ended. Class: several owners of one decision that do not know of each other.

Change: from the second crash on (in a row, or in the same moment) a node announces the run to all others and waits 0.15 s, in which a notice arrives; of those that announce at the same time the lowest address runs it, the others wait for its outcome for 1 s at most. No turns by the clock: tried first, they let a sound request run once in fourteen calls. Nothing excludes nodes that no notice reaches.

--- a/drumbay/quarantine/ledger.py
+++ b/drumbay/quarantine/ledger.py
@@ -318,6 +318,16 @@
             return _hold(Reason.FEW_WORKERS_LEFT, crash_count, RECOVERY_WAIT_SECONDS)
         return Verdict(decision=Decision.RUN, consecutive_crashes=crash_count)
 
+    def needs_announcement(self, fingerprint: Fingerprint) -> bool:
+        """Return whether nodes announce runs of a request, and run it one at a time.
+
+        It has crashed workers in a row, or in the same moment, at several nodes or hedged.
+        """
+        crash_count = self.consecutive_crashes(fingerprint)
+        if not crash_count or self._has_likelier_cause(fingerprint, crash_count):
+            return False
+        return len(self.crashes(fingerprint)) > 1
+
     def _has_likelier_cause(self, fingerprint: Fingerprint, crash_count: int) -> bool:
         """Return whether another request probably caused all crashes under this one.
 
--- a/drumbay/quarantine/records.py
+++ b/drumbay/quarantine/records.py
@@ -6,6 +6,7 @@
 
 from drumbay.identifiers import BackendId
 from drumbay.quarantine.fingerprint import Fingerprint
+from drumbay.quarantine.run_announcements import RunAnnounced
 from drumbay.workers.records import WorkerIncarnation
 
 
@@ -108,7 +109,7 @@
         return WorkerIncarnation(worker_id=self.worker_id, started_at_ms=self.started_at_ms)
 
 
-QuarantineNotice = RequestSuspected | RunOutlived | WorkerProvedAlive
+QuarantineNotice = RequestSuspected | RunOutlived | WorkerProvedAlive | RunAnnounced
 
 
 class CrashPolicy(StrEnum):
@@ -137,6 +138,7 @@
     NONE = "none"
     RUN_IN_PROGRESS = "run_under_way"
     CHECK_IN_PROGRESS = "check_under_way"
+    RUN_AT_OTHER_NODE = "run_at_other_node"
     FEW_WORKERS_LEFT = "few_workers_left"
     CRASHES_ITS_WORKERS = "crashes_its_workers"
     WORKERS_MAY_HAVE_CRASHED = "workers_may_have_crashed"
--- a/drumbay/quarantine/service.py
+++ b/drumbay/quarantine/service.py
@@ -41,6 +41,7 @@
     CrashReport,
     Decision,
     QuarantineNotice,
+    Reason,
     RequestActivity,
     RequestSuspected,
     RunOutlived,
@@ -50,6 +51,7 @@
     WorkerKind,
     WorkerProvedAlive,
 )
+from drumbay.quarantine.run_announcements import RunAnnounced, RunAnnouncements
 from drumbay.quarantine.suspicions import SuspectRun, Suspicions
 from drumbay.quarantine.worker_checks import WorkerChecks, WorkerCondition
 from drumbay.tasks import TaskOwner
@@ -90,6 +92,7 @@
         task_owner: TaskOwner,
         metrics: ServingMetrics,
         broadcast: Callable[[QuarantineNotice], None],
+        address: NetworkAddress,
     ) -> None:
         """Create an empty quarantine.
 
@@ -101,6 +104,7 @@
             task_owner: Runs the checks.
             metrics: Counts crashes and held requests.
             broadcast: Sends a notice to every other node.
+            address: Where other nodes reach this one.
         """
         self.ledger = QuarantineLedger()
         self._clock = clock
@@ -110,6 +114,7 @@
         self._task_owner = task_owner
         self._metrics = metrics
         self._broadcast = broadcast
+        self._announcements = RunAnnouncements(address, broadcast)
         self._listeners: list[Callable[[Fingerprint, bool], None]] = []
         self._runs: dict[Fingerprint, list[_RunInProgress]] = {}
         self._suspicions = Suspicions()
@@ -185,12 +190,22 @@
             )
         else:
             verdict = self.ledger.decide(fingerprint, availability, activity, now)
+            if verdict.decision is Decision.RUN and not self._may_run_here(fingerprint, now):
+                return msgspec.structs.replace(
+                    verdict, decision=Decision.WAIT, reason=Reason.RUN_AT_OTHER_NODE
+                )
             is_trial = self._possible_crashes(fingerprint) >= CRASHES_UNTIL_TRIAL
             verdict = msgspec.structs.replace(verdict, is_trial=is_trial)
         if not verdict.is_trial:
             return verdict
         return msgspec.structs.replace(verdict, avoided_workers=frozenset(trials))
 
+    def _may_run_here(self, fingerprint: Fingerprint, now: float) -> bool:
+        """Return whether no other node is about to run a request that must run alone."""
+        if not self.ledger.needs_announcement(fingerprint):
+            return True
+        return self._announcements.may_run(fingerprint, now)
+
     def _open_answers(self, fingerprint: Fingerprint, now: float) -> tuple[AnsweredRun, ...]:
         """Return the answered runs of a suspected request that no worker has outlived yet."""
         if not self.ledger.consecutive_crashes(fingerprint):
@@ -633,6 +648,8 @@
                 if self.ledger.record_outlived(fingerprint, began_at):
                     self._log_forgotten(fingerprint)
                     self._notify_listeners(fingerprint, is_local=False)
+            case RunAnnounced():
+                self._announcements.receive(notice, self._clock.monotonic())
             case WorkerProvedAlive():
                 self._withdraw(notice.incarnation)
 
--- a/drumbay/serving/node.py
+++ b/drumbay/serving/node.py
@@ -53,6 +53,7 @@
     RunOutlived,
     WorkerProvedAlive,
 )
+from drumbay.quarantine.run_announcements import RunAnnounced
 from drumbay.quarantine.service import Quarantine
 from drumbay.quarantine.stored import StoredQuarantine
 from drumbay.scaling.collector import DemandCollector
@@ -156,6 +157,7 @@
             self._tasks,
             self.metrics,
             self._broadcast,
+            address,
         )
         self._stored_quarantine = StoredQuarantine(
             clock,
@@ -470,7 +472,7 @@
                     self._record_weight_load(notice)
                 case PlacesNotice():
                     self.batches.handle_slot_notice(notice)
-                case RequestSuspected() | RunOutlived() | WorkerProvedAlive():
+                case RequestSuspected() | RunOutlived() | WorkerProvedAlive() | RunAnnounced():
                     self.quarantine.handle_notice(notice)
                 case WorkerUnresponsive() | WorkerResponsive():
                     self._unresponsive_workers.handle_notice(notice)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -72,10 +72,17 @@
     directory.replace_all(workers.entries())
     metrics = ServingMetrics()
     placement = placement or unrestricted_placement(clock)
+    address = NetworkAddress("127.0.0.1", 1)
     quarantine = Quarantine(
-        clock, directory, placement, workers, TaskOwner(), metrics, broadcast=lambda notice: None
+        clock,
+        directory,
+        placement,
+        workers,
+        TaskOwner(),
+        metrics,
+        broadcast=lambda notice: None,
+        address=address,
     )
-    address = NetworkAddress("127.0.0.1", 1)
     usage = UsageCounter(WindowClock(clock), WindowLength(5.0), address, "boot")
     return Forwarder(
         clock,
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -80,6 +80,7 @@
                 TaskOwner(),
                 ServingMetrics(),
                 broadcast=lambda notice: None,
+                address=self.workers[0].address,
             ),
             UnresponsiveWorkers(clock, self.directory, self.client, TaskOwner()),
             "",
--- a/tests/test_worker_starts.py
+++ b/tests/test_worker_starts.py
@@ -246,6 +246,7 @@
             TaskOwner(),
             ServingMetrics(),
             self.notices.append,
+            NetworkAddress("127.0.0.1", 1),
         )
 
     def receive_crash(
