Take a request without a key for the same from every address

What callers saw: without keys the client's address was a part of the fingerprint, so that a request that crashes its workers was another one for each of its clients: each had three crashes of its own.

Cause: the address was taken for the caller. The same client may have several, and several clients one; workers do not see it. Change: the content alone identifies a request without a key. Tenants are kept apart as before, so that none can get the requests of another one held.

--- a/drumbay/forwarding/records.py
+++ b/drumbay/forwarding/records.py
@@ -108,9 +108,13 @@
 
     @property
     def fingerprint(self) -> Fingerprint:
-        """Return a fingerprint that is the same for all retries of the request."""
+        """Return a fingerprint that is the same for all retries of the request.
+
+        Tenants are kept apart, so that none can get the requests of another one held. Clients
+        without a key are not: one may have several addresses, and several may have one.
+        """
         return fingerprint_of(
-            caller=self.tenant or self.caller_address,
+            caller=self.tenant or "",
             method=self.method,
             host=self.host,
             target=self.target,
--- a/drumbay/quarantine/fingerprint.py
+++ b/drumbay/quarantine/fingerprint.py
@@ -16,8 +16,7 @@
     Ids, deadlines and other headers differ between retries and are not included.
 
     Args:
-        caller: The tenant, or the address of a caller without a key; empty for internal requests
-            and for items without a tenant.
+        caller: The tenant; empty for callers without a key and for internal requests.
         method: HTTP method.
         host: Requested host.
         target: Path and query.
