Hold a repeated request only if more workers crash after it than by chance

Cause: a run answered up to 5 s before the end of its worker was suspect where a node calls a worker rarely, and nothing said how often workers end anyway. Change: a worker that closes an idle connection had not ended when that was last seen open, so that only runs of the last 1.5 s are suspect; and crashes count only if they are three times the share that the ends of other workers of the service within 30 s make likely by chance. A request that crashes all of its workers is not spared by that (at most a share of 0.9 is asked for).

--- a/drumbay/quarantine/ledger.py
+++ b/drumbay/quarantine/ledger.py
@@ -72,14 +72,33 @@
 """Crashes that are a smaller share of a request's last runs, of which so many outlived ones are
 remembered, are taken for coincidence: frequent requests run on many workers that crash."""
 
+RECENT_END_SECONDS = 30.0
+EXPOSED_SECONDS = 1.5
+"""Ends of workers within ``RECENT_END_SECONDS`` tell how likely one is by chance within the time
+after an answer in which it makes the request suspect."""
+
+CHANCE_FACTOR = 3.0
+MAX_REQUIRED_SHARE = 0.9
+"""Crashes count only if they are so many times more than those by chance."""
+
 LIKELIER_SHARE_FACTOR = 2.0
 """A request whose share of crashes is so much larger explains the crashes under another one."""
 
+MAX_RECENT_ENDS = 256
 MAX_REQUESTS = 1_024
 MAX_CRASHES_PER_REQUEST = 16
 """Bounds on the size of the ledger."""
 
 
+class _WorkerEnd(msgspec.Struct, frozen=True, kw_only=True):
+    """The end of a worker, whatever its cause, as one of a number of workers of its service."""
+
+    incarnation: WorkerIncarnation
+    service: str
+    at: float
+    worker_count: int
+
+
 class QuarantineLedger:
     """Crashes of workers by request.
 
@@ -90,6 +109,7 @@
         """Create an empty ledger."""
         self._crashes: dict[Fingerprint, dict[WorkerIncarnation, WorkerCrash]] = {}
         self._outlived: dict[Fingerprint, deque[float]] = {}
+        self._ends: deque[_WorkerEnd] = deque(maxlen=MAX_RECENT_ENDS)
 
     @property
     def is_empty(self) -> bool:
@@ -125,7 +145,22 @@
 
     def _count_unless_rare(self, fingerprint: Fingerprint, crashes: Iterable[WorkerCrash]) -> int:
         crash_count = len(_consecutive(crashes))
-        return crash_count if self._crash_share(fingerprint, crash_count) >= MIN_CRASH_SHARE else 0
+        if not crash_count:
+            return 0
+        share = self._crash_share(fingerprint, crash_count)
+        return crash_count if share >= self._required_share(fingerprint) else 0
+
+    def _required_share(self, fingerprint: Fingerprint) -> float:
+        """Return the share of a request's runs that must crash, more where others crash too."""
+        own = self._crashes[fingerprint]
+        services = {crash.kind.service for crash in own.values()}
+        other_ends = sum(
+            1 / end.worker_count
+            for end in self._ends
+            if end.service in services and end.incarnation not in own
+        )
+        by_chance = other_ends * EXPOSED_SECONDS / RECENT_END_SECONDS
+        return min(MAX_REQUIRED_SHARE, max(MIN_CRASH_SHARE, CHANCE_FACTOR * by_chance))
 
     def _crash_share(self, fingerprint: Fingerprint, crash_count: int) -> float:
         """Return the share of a request's last runs whose workers crashed; 0 without any run."""
@@ -163,6 +198,29 @@
 
     # Recording
 
+    def record_end(
+        self, incarnation: WorkerIncarnation, service: str, worker_count: int, now: float
+    ) -> None:
+        """Record that a worker of a service has ended unasked, whatever the cause.
+
+        Args:
+            incarnation: The worker.
+            service: Its service.
+            worker_count: The workers of the service, this one included.
+            now: Monotonic time.
+        """
+        if all(end.incarnation != incarnation for end in self._ends):
+            self._ends.append(
+                _WorkerEnd(
+                    incarnation=incarnation, service=service, at=now, worker_count=worker_count
+                )
+            )
+
+    def drop_old_ends(self, now: float) -> None:
+        """Drop the ends that say nothing of the present any more."""
+        while self._ends and now - self._ends[0].at > RECENT_END_SECONDS:
+            self._ends.popleft()
+
     def add_crashes(
         self, fingerprint: Fingerprint, crashes: Iterable[WorkerCrash]
     ) -> tuple[WorkerCrash, ...]:
--- a/drumbay/quarantine/service.py
+++ b/drumbay/quarantine/service.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from drumbay.clock import Clock
+from drumbay.comm.connection_pool import IDLE_CHECK_SECONDS
 from drumbay.comm.network_address import NetworkAddress
 from drumbay.identifiers import BackendId
 from drumbay.observability.logs import log_event
@@ -166,6 +167,7 @@
         if not self.is_tracked(fingerprint):
             return Verdict(decision=Decision.RUN)
         now = self._clock.monotonic()
+        self.ledger.drop_old_ends(now)
         self._confirm_replaced(fingerprint, now)
         trials = self._trials(now)
         checks_since = now - MAX_CHECK_WAIT_SECONDS if policy is CrashPolicy.RETRY else -math.inf
@@ -505,6 +507,10 @@
 
     def _on_worker_end(self, worker: Worker, evidence: WorkerEndEvidence) -> None:
         """Suspect what a worker answered before its end, unless it was asked to leave."""
+        if worker.state is not WorkerState.DRAINING:
+            others = self._directory.of_service(worker.service)
+            now = self._clock.monotonic()
+            self.ledger.record_end(worker.incarnation, worker.service, len(others) + 1, now)
         answered = self._answered.of_worker(worker.incarnation)
         if not answered:
             return
@@ -518,8 +524,13 @@
             self._suspect_answered(worker, WorkerCondition.REPLACED)
 
     def _on_connection_closed(self, address: NetworkAddress) -> None:
-        """Check the worker at an address, which closed a connection and may have ended."""
+        """Check the worker at an address, which closed a connection and may have ended.
+
+        It had not ended when the connection was last seen open.
+        """
+        alive_at = self._clock.monotonic() - IDLE_CHECK_SECONDS
         for worker in self._answered.workers_at(address):
+            self._record_outlived(self._answered.take_outlived(worker.incarnation, alive_at))
             self._answer_checks.start(worker)
 
     def _on_answer_check(self, worker: Worker, condition: WorkerCondition, since: float) -> None:
--- a/tests/test_crashes_after_answers.py
+++ b/tests/test_crashes_after_answers.py
@@ -5,6 +5,8 @@
 
 import asyncio
 import unittest
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 import msgspec
 
@@ -12,17 +14,23 @@
 from drumbay.forwarding.routes import RequestKind
 from drumbay.standins.crash_timing import CrashTiming
 from drumbay.standins.worker_end import WorkerEnd
+from drumbay.workers.records import WorkerState
 from tests.serving_world import ServingWorld, batch_spec, run_in_world
 from tests.test_crashing_requests import (
     CRASHING_BODY,
+    FAULT_AT_SECONDS,
+    LOOKUPS,
     MAX_LATER_TRIES,
     MIN_CRASHES,
     MIN_SERVED_FRACTION,
+    REGISTRATION_SECONDS,
+    RESTART_INTERVAL_SECONDS,
     SIMULATED_SECONDS,
     WORKER_RECOVERY_SECONDS,
     add_lookup_workers,
     count_late_tries,
     request,
+    restart,
     route,
     served_fraction_of_others,
     start_nodes,
@@ -50,6 +58,48 @@
     return names
 
 
+async def take_store_away(world: ServingWorld) -> None:
+    await asyncio.sleep(REGISTRATION_SECONDS)
+    for node in world.nodes:
+        node.store.reachable = False
+    await asyncio.sleep(SIMULATED_SECONDS / 2)
+    for node in world.nodes:
+        node.store.reachable = True
+
+
+async def restart_all_nodes(world: ServingWorld) -> None:
+    await asyncio.sleep(FAULT_AT_SECONDS)
+    for index in range(len(world.nodes)):
+        await restart(world, index, 1)
+
+
+async def restart_nodes_in_turn(world: ServingWorld) -> None:
+    await asyncio.sleep(FAULT_AT_SECONDS)
+    for index in range(len(world.nodes)):
+        await restart(world, index, 1)
+        await asyncio.sleep(RESTART_INTERVAL_SECONDS)
+
+
+async def cut_off_nodes(world: ServingWorld) -> None:
+    world.peers.cut.update(world.peers.nodes)
+
+
+async def kill_in_turn(world: ServingWorld, interval_seconds: float) -> None:
+    """End one of the workers that serve lookups after the other, and the first one again."""
+    killed = 0
+    ends: list[asyncio.Future[None]] = []
+    while True:
+        await asyncio.sleep(interval_seconds)
+        alive = [
+            world.workers[worker.worker_id]
+            for worker in world.workers.entries()
+            if worker.service == LOOKUPS and not world.workers[worker.worker_id].has_stopped
+        ]
+        if len(alive) > 1:
+            ends.append(asyncio.ensure_future(world.workers.end(alive[killed % len(alive)])))
+            killed += 1
+
+
 class CrashesAfterAnswersTest(unittest.TestCase):
     def run_crashes(
         self,
@@ -59,8 +109,10 @@
         keeps_ids: bool = False,
         has_others: bool = True,
         closes_connections: bool = True,
+        inject_faults: Callable[[ServingWorld], Awaitable[None]] | None = None,
     ) -> None:
         async def scenario(world: ServingWorld) -> None:
+            faults = asyncio.ensure_future(inject_faults(world)) if inject_faults else None
             add_lookup_workers(world)
             world.workers.closes_connections = closes_connections
             world.workers.worker_end = end
@@ -76,6 +128,8 @@
                 names = await call_repeatedly(world, CALL_INTERVAL_SECONDS)
             self.assertGreaterEqual(len(world.workers.crashes), MIN_CRASHES)
             self.assertLessEqual(count_late_tries(world.workers, set(names)), MAX_LATER_TRIES)
+            if faults is not None:
+                await faults
 
         run_in_world(scenario, node_count=NODE_COUNT, workers_keep_ids=keeps_ids)
 
@@ -102,6 +156,17 @@
             with self.subTest(end=end):
                 self.run_crashes(CrashTiming.AFTER_ANSWER, end=end, has_others=False)
 
+    def test_request_whose_workers_answer_and_crash_is_held_despite_faults(self) -> None:
+        faults = {
+            "the store is away": take_store_away,
+            "all nodes are restarted": restart_all_nodes,
+            "nodes are restarted in turn": restart_nodes_in_turn,
+            "nodes are cut off from each other": cut_off_nodes,
+        }
+        for name, inject_faults in faults.items():
+            with self.subTest(name):
+                self.run_crashes(CrashTiming.AFTER_ANSWER, inject_faults=inject_faults)
+
     def test_request_whose_workers_crash_a_while_after_an_answer_is_held(self) -> None:
         for has_others in (True, False):
             with self.subTest(has_others=has_others):
@@ -137,3 +202,66 @@
                 self.assertEqual(node.node.quarantine.ledger.consecutive_crashes(fingerprint), 1)
 
         run_in_world(scenario, node_count=2)
+
+
+class SoundRequestsTest(unittest.TestCase):
+    """Requests that crash no worker are not held, though workers end after they answered them."""
+
+    def run_beside_kills(self, interval_seconds: float, kill_interval_seconds: float) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            add_lookup_workers(world, count=6)
+            await start_nodes(world)
+            killer = asyncio.ensure_future(kill_in_turn(world, kill_interval_seconds))
+            served = sent = 0
+            while world.clock.monotonic() < SIMULATED_SECONDS:
+                forwarder = world.nodes[sent % len(world.nodes)].node.forwarder
+                sent += 1
+                with suppress(RequestFailedError):
+                    await forwarder.forward(
+                        route(RequestKind.IDEMPOTENT, attempts=3), request(f"s{sent}", b"sound")
+                    )
+                    served += 1
+                await asyncio.sleep(interval_seconds)
+            killer.cancel()
+            self.assertGreaterEqual(len(world.workers.crashes), MIN_CRASHES)
+            self.assertGreaterEqual(served / sent, MIN_SERVED_FRACTION)
+
+        run_in_world(scenario, node_count=NODE_COUNT)
+
+    def test_repeated_request_is_served_while_workers_are_killed_in_turn(self) -> None:
+        for interval_seconds in (0.05, 0.5, CALL_INTERVAL_SECONDS):
+            for kill_interval_seconds in (1.5, 5.0):
+                with self.subTest(calls=interval_seconds, kills=kill_interval_seconds):
+                    self.run_beside_kills(interval_seconds, kill_interval_seconds)
+
+    def test_worker_that_leaves_after_its_answer_has_not_crashed(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            add_lookup_workers(world)
+            await start_nodes(world)
+            node = world.nodes[0]
+            for number in range(9):
+                await node.node.forwarder.forward(
+                    route(RequestKind.IDEMPOTENT), request(f"s{number}", b"sound")
+                )
+            for number in (1, 2, 3):
+                worker = world.workers[f"lookup-{number}"].worker
+                node.directory.put(msgspec.structs.replace(worker, state=WorkerState.DRAINING))
+                world.workers[f"lookup-{number}"].has_stopped = True
+                node.directory.remove(worker.worker_id)
+            await asyncio.sleep(1.0)
+            self.assertTrue(node.node.quarantine.ledger.is_empty)
+
+        run_in_world(scenario, node_count=2)
+
+    def test_worker_that_only_lost_its_entry_has_not_crashed(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            add_lookup_workers(world)
+            await start_nodes(world)
+            node = world.nodes[0]
+            await node.node.forwarder.forward(route(RequestKind.IDEMPOTENT), request("s", b"sound"))
+            for number in (1, 2, 3):
+                node.directory.remove(world.workers[f"lookup-{number}"].worker.worker_id)
+            await asyncio.sleep(1.0)
+            self.assertTrue(node.node.quarantine.ledger.is_empty)
+
+        run_in_world(scenario, node_count=2)
