Check a worker that answers on and on only until suspected answers are outlived

Now it goes on only while a suspected request is not outlived, and an open answer is looked for among the last second's runs only. test_busy_worker_is_not_checked_for_ever failed before (86 checks in 30 s of virtual time, 3 allowed).

--- a/drumbay/quarantine/answer_checks.py
+++ b/drumbay/quarantine/answer_checks.py
@@ -8,6 +8,7 @@
 
 from drumbay.clock import Clock
 from drumbay.quarantine.answered_runs import OUTLIVED_AFTER_SECONDS, AnsweredRuns
+from drumbay.quarantine.fingerprint import Fingerprint
 from drumbay.quarantine.worker_checks import WorkerCondition
 from drumbay.tasks import TaskOwner
 from drumbay.workers.interface import WorkerClient
@@ -36,6 +37,7 @@
         client: WorkerClient,
         task_owner: TaskOwner,
         answered: AnsweredRuns,
+        is_suspected: Callable[[Fingerprint], bool],
         on_condition: Callable[[Worker, WorkerCondition, float], None],
     ) -> None:
         """Check no worker yet.
@@ -45,6 +47,8 @@
             client: Calls the workers.
             task_owner: Runs the checks.
             answered: The runs that the workers may not have outlived.
+            is_suspected: Tells whether a request is suspected; a worker that has answered one is
+                checked until it has outlived it.
             on_condition: Called with a worker, its condition, and the monotonic time since which
                 this holds.
         """
@@ -52,6 +56,7 @@
         self._client = client
         self._task_owner = task_owner
         self._answered = answered
+        self._is_suspected = is_suspected
         self._on_condition = on_condition
         self._checked: set[WorkerIncarnation] = set()
 
@@ -68,13 +73,20 @@
 
     async def _run(self, worker: Worker) -> None:
         try:
-            while self._answered.of_worker(worker.incarnation):
+            has_suspects = True
+            while has_suspects:
                 for pause_seconds in CHECK_PAUSES_SECONDS:
                     await self._clock.sleep(pause_seconds)
                     await self._check(worker, is_gone=False)
+                has_suspects = self._has_suspects(worker)
         finally:
             self._checked.discard(worker.incarnation)
 
+    def _has_suspects(self, worker: Worker) -> bool:
+        """Return whether a worker has answered suspected requests that it may not have outlived."""
+        runs = self._answered.of_worker(worker.incarnation)
+        return any(self._is_suspected(run.fingerprint) for run in runs)
+
     async def _check(self, worker: Worker, *, is_gone: bool) -> None:
         if not self._answered.of_worker(worker.incarnation):
             return
--- a/drumbay/quarantine/answered_runs.py
+++ b/drumbay/quarantine/answered_runs.py
@@ -6,6 +6,7 @@
 """
 
 from collections import deque
+from itertools import takewhile
 
 import msgspec
 
@@ -129,6 +130,6 @@
         return tuple(
             run
             for runs in self._runs.values()
-            for run in runs
-            if run.fingerprint == fingerprint and run.answered_at > since
+            for run in takewhile(lambda run: run.answered_at > since, reversed(runs))
+            if run.fingerprint == fingerprint
         )
--- a/drumbay/quarantine/service.py
+++ b/drumbay/quarantine/service.py
@@ -122,7 +122,12 @@
         self._checks = WorkerChecks(clock, directory, client, task_owner, self._on_condition)
         self._answered = AnsweredRuns()
         self._answer_checks = AnswerChecks(
-            clock, client, task_owner, self._answered, self._on_answer_check
+            clock,
+            client,
+            task_owner,
+            self._answered,
+            self.ledger.__contains__,
+            self._on_answer_check,
         )
         self._report_requested_at: dict[WorkerIncarnation, float] = {}
         directory.add_report_listener(self._on_report)
--- a/drumbay/standins/worker_pool.py
+++ b/drumbay/standins/worker_pool.py
@@ -99,6 +99,7 @@
         crash_timings: When they do, for bodies that do not crash each worker before it answers.
         crash_seconds: Time that such a request runs before the crash.
         crashes: Workers that ended, oldest first.
+        close_listeners: Called with the address of each worker that closes idle connections.
         closes_connections: Whether callers keep idle connections, and see those of ended workers
             close.
         worker_end: What callers see of workers that have ended.
@@ -134,7 +135,7 @@
         self._listeners: list[Callable[[Worker], None]] = []
         self._removal_listeners: list[Callable[[BackendId], None]] = []
         self._end_listeners: list[Callable[[Worker], None]] = []
-        self._close_listeners: list[Callable[[NetworkAddress], None]] = []
+        self.close_listeners: list[Callable[[NetworkAddress], None]] = []
         self._log_listeners: list[Callable[[LogRecord], None]] = []
         self._replaced_ids: set[BackendId] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -303,7 +304,7 @@
 
     def set_close_listener(self, listener: Callable[[NetworkAddress], None]) -> None:
         """Call ``listener`` with the address of each worker that ends and closes connections."""
-        self._close_listeners.append(listener)
+        self.close_listeners.append(listener)
 
     def has_idle_connection(self, worker: Worker) -> bool:
         """Return whether the caller has an idle connection to a worker."""
@@ -520,7 +521,7 @@
         self.crashes.append(crash)
         self.log(crash)
         if self.closes_connections and self.worker_end is not WorkerEnd.SILENT:
-            for on_closed in self._close_listeners:
+            for on_closed in self.close_listeners:
                 on_closed(emulated.worker.address)
         if self.keep_ids:
             await self._restart(emulated)
--- a/tests/test_crashes_after_answers.py
+++ b/tests/test_crashes_after_answers.py
@@ -7,14 +7,16 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from unittest import mock
 
 import msgspec
 
 from drumbay.exceptions import RequestFailedError
 from drumbay.forwarding.routes import RequestKind
+from drumbay.quarantine.fingerprint import Fingerprint
 from drumbay.standins.crash_timing import CrashTiming
 from drumbay.standins.worker_end import WorkerEnd
-from drumbay.workers.records import WorkerState
+from drumbay.workers.records import ProbeResult, WorkerState
 from tests.serving_world import ServingWorld, batch_spec, run_in_world
 from tests.test_crashing_requests import (
     CRASHING_BODY,
@@ -265,3 +267,27 @@
             self.assertTrue(node.node.quarantine.ledger.is_empty)
 
         run_in_world(scenario, node_count=2)
+
+    def test_busy_worker_is_not_checked_for_ever(self) -> None:
+        """Guards against checks that go on as long as a worker answers anything."""
+
+        async def scenario(world: ServingWorld) -> None:
+            quarantine = world.nodes[0].node.quarantine
+            worker = world.workers["worker-1"].worker
+            probe = mock.AsyncMock(return_value=ProbeResult.RESPONDS)
+            with mock.patch.object(world.workers, "probe", probe):
+                for number in range(600):
+                    quarantine.record_answer(
+                        Fingerprint(f"f{number}"),
+                        "r",
+                        worker,
+                        world.clock.monotonic(),
+                        has_failed=False,
+                    )
+                    if not number:
+                        world.workers.close_listeners[0](worker.address)
+                    await asyncio.sleep(0.05)
+            self.assertGreater(probe.await_count, 0)
+            self.assertLessEqual(probe.await_count, 3)
+
+        run_in_world(scenario, node_count=1)
