Leave the last worker to others after a reward request crashed several that had failed it

Cause: accepted work is never held, and its backoff counts crashes in a row, of which the runs of one call, begun before the crash of the worker before was known, are none. The check before the last worker counts workers that are known to have crashed.

test_reward_request_that_workers_fail_before_they_crash_leaves_one_worker failed before: the third crash came 0.10 s after the first.

--- a/drumbay/quarantine/crash_retry.py
+++ b/drumbay/quarantine/crash_retry.py
@@ -3,6 +3,8 @@
 Items of batch jobs and their reward requests must run, however often workers crash under them, so
 they are never held. They run again after a capped exponential backoff, at first isolated from other
 requests that may crash their worker. After a short wait for that, they run like any other request.
+If several workers have crashed under them, the last one is left to others for as long as the
+longest backoff takes.
 """
 
 from drumbay.quarantine.records import Decision, Reason, RequestActivity, Verdict
@@ -17,6 +19,11 @@
 MAX_ISOLATION_WAIT_SECONDS = 0.5
 """Together less than the 5 s for which accepted work may wait while workers are idle."""
 
+LAST_WORKER_CHECK_SECONDS = 0.5
+"""Interval at which it is seen whether more than one worker is left again."""
+
+CRASHES_UNTIL_LAST_WORKER_IS_SPARED = 2
+
 _MAX_DOUBLINGS = 8
 
 
@@ -41,6 +48,8 @@
     activity: RequestActivity,
     max_trials: int,
     now: float,
+    *,
+    is_last_worker: bool = False,
 ) -> Verdict:
     """Decide on the next run of accepted work.
 
@@ -51,6 +60,7 @@
             ``MAX_CHECK_WAIT_SECONDS``.
         max_trials: How many isolated runs this node may have in progress.
         now: Monotonic time.
+        is_last_worker: Whether several workers crashed under it, and one of many is left.
     """
     if activity.checks and crash_count + activity.checks >= CRASHES_UNTIL_BACKOFF:
         return Verdict(
@@ -66,6 +76,14 @@
             consecutive_crashes=crash_count,
             retry_after_seconds=remaining,
         )
+    remaining = last_crash_at + MAX_BACKOFF_SECONDS - now
+    if is_last_worker and remaining > 0:
+        return Verdict(
+            decision=Decision.HOLD,
+            reason=Reason.FEW_WORKERS_LEFT,
+            consecutive_crashes=crash_count,
+            retry_after_seconds=min(remaining, LAST_WORKER_CHECK_SECONDS),
+        )
     if now >= isolation_ends_at(crash_count, last_crash_at):
         return Verdict(decision=Decision.RUN, consecutive_crashes=crash_count)
     if activity.runs or activity.trials >= max_trials:
--- a/drumbay/quarantine/service.py
+++ b/drumbay/quarantine/service.py
@@ -26,6 +26,7 @@
 from drumbay.quarantine.answer_checks import AnswerChecks
 from drumbay.quarantine.answered_runs import OUTLIVED_AFTER_SECONDS, AnsweredRun, AnsweredRuns
 from drumbay.quarantine.crash_retry import (
+    CRASHES_UNTIL_LAST_WORKER_IS_SPARED,
     MAX_CHECK_WAIT_SECONDS,
     decide_retry,
     isolation_ends_at,
@@ -194,6 +195,7 @@
                 activity,
                 max_trials(availability),
                 now,
+                is_last_worker=self._is_last_worker(fingerprint, availability),
             )
         else:
             verdict = self.ledger.decide(fingerprint, availability, activity, now)
@@ -207,6 +209,12 @@
             return verdict
         return msgspec.structs.replace(verdict, avoided_workers=frozenset(trials))
 
+    def _is_last_worker(self, fingerprint: Fingerprint, availability: WorkerAvailability) -> bool:
+        """Return whether a request that crashed several workers would get the last one."""
+        crash_count = len(self.ledger.crashes(fingerprint))
+        has_crashed_several = crash_count >= CRASHES_UNTIL_LAST_WORKER_IS_SPARED
+        return has_crashed_several and availability.available <= 1 < availability.ready
+
     def _may_run_here(self, fingerprint: Fingerprint, now: float) -> bool:
         """Return whether no other node is about to run a request that must run alone."""
         if not self.ledger.needs_announcement(fingerprint):
@@ -231,7 +239,8 @@
             if run.has_failed and not self._answered.was_alive_after(run)
         ]
         failed_on = frozenset(run.worker.worker_id for run in unchecked)
-        if len(failed_on) < MIN_WORKERS_THAT_FAILED:
+        crashed_count = len(self.ledger.crashes(fingerprint))
+        if not failed_on or len(failed_on) + crashed_count < MIN_WORKERS_THAT_FAILED:
             return False
         if not self.leaves_too_few_workers(service, failed_on):
             return False
--- a/tests/test_crashes_after_answers.py
+++ b/tests/test_crashes_after_answers.py
@@ -16,6 +16,7 @@
 from drumbay.quarantine.fingerprint import Fingerprint
 from drumbay.standins.crash_timing import CrashTiming
 from drumbay.standins.worker_end import WorkerEnd
+from drumbay.standins.worker_pool import REPLACEMENT_SECONDS
 from drumbay.workers.records import ProbeResult, WorkerState
 from tests.serving_world import ServingWorld, batch_spec, run_in_world
 from tests.test_crashing_requests import (
@@ -188,6 +189,26 @@
 class AcceptedWorkTest(unittest.TestCase):
     """Crashes after the answers of items count, though items are never held."""
 
+    def test_reward_request_that_workers_fail_before_they_crash_leaves_one_worker(self) -> None:
+        async def scenario(world: ServingWorld) -> None:
+            await start_nodes(world)
+            spec = batch_spec(scored=True, queue_limit_seconds=600.0)
+            first = spec.items[0]
+            assert first.reward_request is not None
+            crashing = msgspec.structs.replace(first.reward_request, body=CRASHING_BODY)
+            item = msgspec.structs.replace(first, reward_request=crashing)
+            spec = msgspec.structs.replace(spec, items=(item, *spec.items[1:]))
+            world.workers.crashing_bodies.add(CRASHING_BODY)
+            world.workers.crash_timings[CRASHING_BODY] = CrashTiming.AFTER_FAILURE
+            await world.nodes[0].batches.submit(spec)
+            await asyncio.sleep(SIMULATED_SECONDS)
+            crashes = [crash.at for crash in world.workers.crashes]
+            self.assertGreaterEqual(len(crashes), MIN_CRASHES)
+            for first_at, third_at in zip(crashes, crashes[2:], strict=False):
+                self.assertGreater(third_at - first_at, REPLACEMENT_SECONDS)
+
+        run_in_world(scenario, node_count=NODE_COUNT, worker_count=6, scorer_count=3)
+
     def test_item_whose_worker_crashes_after_its_text_is_suspected_at_every_node(self) -> None:
         async def scenario(world: ServingWorld) -> None:
             await start_nodes(world)
