Move what becomes of workers after their answers into a module of its own, and log less of it

No decision changes but one: an end makes the last sixteen requests suspect, each once, where it was the last sixteen runs. AnswerMonitor has what service.py had of answered runs.

--- a/drumbay/quarantine/service.py
+++ b/drumbay/quarantine/service.py
@@ -12,19 +12,18 @@
 """
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import msgspec
 
 from drumbay.clock import Clock
-from drumbay.comm.connection_pool import IDLE_CHECK_SECONDS
 from drumbay.comm.network_address import NetworkAddress
 from drumbay.identifiers import BackendId
 from drumbay.observability.logs import log_event
 from drumbay.observability.serving_metrics import ServingMetrics
 from drumbay.placement.gate import PlacementGate
-from drumbay.quarantine.answer_checks import AnswerChecks
-from drumbay.quarantine.answered_runs import OUTLIVED_AFTER_SECONDS, AnsweredRun, AnsweredRuns
+from drumbay.quarantine.answer_monitor import AnswerListener, AnswerMonitor
+from drumbay.quarantine.answered_runs import AnsweredRun
 from drumbay.quarantine.crash_retry import (
     CRASHES_UNTIL_LAST_WORKER_IS_SPARED,
     MAX_CHECK_WAIT_SECONDS,
@@ -59,8 +58,7 @@
 from drumbay.tasks import TaskOwner
 from drumbay.workers.directory import WorkerDirectory
 from drumbay.workers.interface import WorkerClient
-from drumbay.workers.records import Worker, WorkerError, WorkerIncarnation, WorkerState
-from drumbay.workers.worker_record import WorkerEndEvidence
+from drumbay.workers.records import Worker, WorkerError, WorkerIncarnation
 
 REPORT_REQUEST_INTERVAL_SECONDS = 1.0
 """Minimum interval between two report requests to the same worker."""
@@ -70,12 +68,6 @@
 """Workers that failed a request and may have crashed since, from which on the last is not risked.
 A single one is left out, since requests of others may have crashed it."""
 
-MAX_SUSPECT_ANSWERS = 16
-"""Runs, the latest ones, that a worker had answered and that its end makes suspect."""
-
-MAX_LOGGED_ANSWERS = 8
-"""Requests that a log line names which a worker had answered before its end."""
-
 
 class _RunInProgress(msgspec.Struct, frozen=True):
     worker_id: BackendId
@@ -121,19 +113,15 @@
         self._runs: dict[Fingerprint, list[_RunInProgress]] = {}
         self._suspicions = Suspicions()
         self._checks = WorkerChecks(clock, directory, client, task_owner, self._on_condition)
-        self._answered = AnsweredRuns()
-        self._answer_checks = AnswerChecks(
-            clock,
-            client,
-            task_owner,
-            self._answered,
-            self.ledger.__contains__,
-            self._on_answer_check,
+        listener = AnswerListener(
+            is_suspected=self.ledger.__contains__,
+            on_outlived=self._record_outlived,
+            on_suspect=self._suspect_answered,
+            on_end=self._record_end,
         )
+        self._answers = AnswerMonitor(clock, directory, client, task_owner, listener)
         self._report_requested_at: dict[WorkerIncarnation, float] = {}
         directory.add_report_listener(self._on_report)
-        directory.add_end_listener(self._on_worker_end)
-        client.set_close_listener(self._on_connection_closed)
 
     def add_listener(self, listener: Callable[[Fingerprint, bool], None]) -> None:
         """Call ``listener`` with each changed request and whether the change is from this node."""
@@ -177,7 +165,7 @@
         self._confirm_replaced(fingerprint, now)
         trials = self._trials(now)
         checks_since = now - MAX_CHECK_WAIT_SECONDS if policy is CrashPolicy.RETRY else -math.inf
-        answered = self._open_answers(fingerprint, now)
+        answered = self._open_answers(fingerprint)
         failed_count = sum(run.has_failed for run in answered)
         activity = RequestActivity(
             # After a failure the next run follows at once, and could crash one more worker.
@@ -221,23 +209,18 @@
             return True
         return self._announcements.may_run(fingerprint, now)
 
-    def _open_answers(self, fingerprint: Fingerprint, now: float) -> tuple[AnsweredRun, ...]:
+    def _open_answers(self, fingerprint: Fingerprint) -> tuple[AnsweredRun, ...]:
         """Return the answered runs of a suspected request that no worker has outlived yet."""
         if not self.ledger.consecutive_crashes(fingerprint):
             return ()
-        return self._answered.of_request(fingerprint, now - OUTLIVED_AFTER_SECONDS)
+        return self._answers.open_runs(fingerprint)
 
     def awaits_workers_that_failed(self, fingerprint: Fingerprint, service: str) -> bool:
         """Return whether a request waits until workers that failed it are known to live on.
 
         Several may have crashed since, and one more could be the last; they are checked now.
         """
-        now = self._clock.monotonic()
-        unchecked = [
-            run
-            for run in self._answered.of_request(fingerprint, now - OUTLIVED_AFTER_SECONDS)
-            if run.has_failed and not self._answered.was_alive_after(run)
-        ]
+        unchecked = self._answers.unchecked_failures(fingerprint)
         failed_on = frozenset(run.worker.worker_id for run in unchecked)
         crashed_count = len(self.ledger.crashes(fingerprint))
         if not failed_on or len(failed_on) + crashed_count < MIN_WORKERS_THAT_FAILED:
@@ -245,7 +228,7 @@
         if not self.leaves_too_few_workers(service, failed_on):
             return False
         for run in unchecked:
-            self._answer_checks.start(run.worker)
+            self._answers.check(run.worker)
         return True
 
     def _trials(self, now: float) -> list[BackendId]:
@@ -452,9 +435,12 @@
             return
         if crash.is_confirmed:
             self._metrics.count_worker_crash()
+        deaths_in_a_row = self.ledger.consecutive_crashes(fingerprint)
+        # Each end of a worker that broke no run makes several requests suspect for the first time.
+        is_notable = run.answered_at is None or deaths_in_a_row > 1
         log_event(
             "worker_ended_under_request",
-            level="WARNING",
+            level="WARNING" if is_notable else "INFO",
             request=run.request_id,
             fingerprint=fingerprint,
             worker=run.worker.worker_id,
@@ -465,7 +451,7 @@
             if run.answered_at is not None
             else None,
             failed_seconds_ago=round(now - run.failed_at, 3),
-            deaths_in_a_row=self.ledger.consecutive_crashes(fingerprint),
+            deaths_in_a_row=deaths_in_a_row,
         )
         reports = tuple(CrashReport.of(crash, now) for crash in self.ledger.crashes(fingerprint))
         self._broadcast(RequestSuspected(fingerprint=fingerprint, deaths=reports))
@@ -493,24 +479,18 @@
             answered_at=now,
             has_failed=has_failed,
         )
-        self._record_outlived(self._answered.add(run))
-        self._record_outlived(self._answered.take_expired(now))
-        if fingerprint in self.ledger:
-            self._answer_checks.start(worker)
+        self._answers.record(run)
 
-    def _record_outlived(self, runs: Iterable[AnsweredRun]) -> None:
-        """Record runs that their workers have outlived."""
-        now = self._clock.monotonic()
-        for run in runs:
-            fingerprint = run.fingerprint
-            is_suspected = fingerprint in self.ledger
-            if self.ledger.record_outlived(fingerprint, run.began_at):
-                self._log_forgotten(fingerprint)
-                self._notify_listeners(fingerprint, is_local=True)
-            if is_suspected:
-                self._broadcast(
-                    RunOutlived(fingerprint=fingerprint, began_seconds_ago=now - run.began_at)
-                )
+    def _record_outlived(self, run: AnsweredRun) -> None:
+        """Record a run that its worker has outlived."""
+        fingerprint = run.fingerprint
+        is_suspected = fingerprint in self.ledger
+        if self.ledger.record_outlived(fingerprint, run.began_at):
+            self._log_forgotten(fingerprint)
+            self._notify_listeners(fingerprint, is_local=True)
+        if is_suspected:
+            age_seconds = self._clock.monotonic() - run.began_at
+            self._broadcast(RunOutlived(fingerprint=fingerprint, began_seconds_ago=age_seconds))
 
     def _log_forgotten(self, fingerprint: Fingerprint) -> None:
         log_event(
@@ -519,78 +499,25 @@
             deaths_in_a_row=self.ledger.consecutive_crashes(fingerprint),
         )
 
-    def _on_worker_end(self, worker: Worker, evidence: WorkerEndEvidence) -> None:
-        """Suspect what a worker answered before its end, unless it was asked to leave."""
-        if worker.state is not WorkerState.DRAINING:
-            others = self._directory.of_service(worker.service)
-            now = self._clock.monotonic()
-            self.ledger.record_end(worker.incarnation, worker.service, len(others) + 1, now)
-        answered = self._answered.of_worker(worker.incarnation)
-        if not answered:
-            return
-        self._log_answered(worker, evidence, answered)
-        if worker.state is WorkerState.DRAINING:
-            self._answered.take_all(worker.incarnation)
-        elif evidence is WorkerEndEvidence.ENTRY_GONE:
-            # It may live on without an entry.
-            self._answer_checks.start(worker, is_gone=True)
-        else:
-            self._suspect_answered(worker, WorkerCondition.REPLACED)
-
-    def _on_connection_closed(self, address: NetworkAddress) -> None:
-        """Check the worker at an address, which closed a connection and may have ended.
-
-        It had not ended when the connection was last seen open.
-        """
-        alive_at = self._clock.monotonic() - IDLE_CHECK_SECONDS
-        for worker in self._answered.workers_at(address):
-            self._record_outlived(self._answered.take_outlived(worker.incarnation, alive_at))
-            self._answer_checks.start(worker)
-
-    def _on_answer_check(self, worker: Worker, condition: WorkerCondition, since: float) -> None:
-        """Apply what a check of a worker that has answered has shown."""
-        if condition is WorkerCondition.RESPONDS:
-            self._answered.record_alive(worker.incarnation, since)
-            self._record_outlived(self._answered.take_outlived(worker.incarnation, since))
-        else:
-            self._suspect_answered(worker, condition)
-
-    def _suspect_answered(self, worker: Worker, condition: WorkerCondition) -> None:
-        """Suspect the last runs that a worker answered before it ended, or fell silent."""
-        now = self._clock.monotonic()
-        answered = self._answered.take_all(worker.incarnation)
-        for answer in answered[-MAX_SUSPECT_ANSWERS:]:
-            run = SuspectRun(
-                fingerprint=answer.fingerprint,
-                request_id=answer.request_id,
-                worker=answer.worker,
-                began_at=answer.began_at,
-                failed_at=now,
-                answered_at=answer.answered_at,
-            )
-            is_certain = condition is not WorkerCondition.SILENT
-            if is_certain or self._suspect(run, may_be_slow=False):
-                self._record_crash(run, condition)
-
-    def _log_answered(
-        self, worker: Worker, evidence: WorkerEndEvidence, answered: tuple[AnsweredRun, ...]
-    ) -> None:
-        """Log what a worker that is gone had answered just before, the latest last."""
+    def _record_end(self, worker: Worker) -> None:
+        """Record the end of a worker, which says how likely one is by chance."""
+        others = self._directory.of_service(worker.service)
         now = self._clock.monotonic()
-        latest = answered[-MAX_LOGGED_ANSWERS:]
-        log_event(
-            "worker_gone_after_answers",
-            level="WARNING",
-            worker=worker.worker_id,
-            started_at_ms=worker.started_at_ms,
-            evidence=evidence,
-            state=worker.state,
-            answered=len(answered),
-            requests=",".join(run.request_id for run in latest),
-            fingerprints=",".join(run.fingerprint for run in latest),
-            seconds_ago=",".join(f"{now - run.answered_at:.3f}" for run in latest),
-            failed=sum(run.has_failed for run in answered),
+        self.ledger.record_end(worker.incarnation, worker.service, len(others) + 1, now)
+
+    def _suspect_answered(self, answer: AnsweredRun, condition: WorkerCondition) -> None:
+        """Suspect a request whose worker has ended, or does not respond, after its answer."""
+        run = SuspectRun(
+            fingerprint=answer.fingerprint,
+            request_id=answer.request_id,
+            worker=answer.worker,
+            began_at=answer.began_at,
+            failed_at=self._clock.monotonic(),
+            answered_at=answer.answered_at,
         )
+        is_certain = condition is not WorkerCondition.SILENT
+        if is_certain or self._suspect(run, may_be_slow=False):
+            self._record_crash(run, condition)
 
     # Responses
 
@@ -682,15 +609,17 @@
         """Record crashes seen by another node."""
         new = self.ledger.add_crashes(fingerprint, crashes)
         now = self._clock.monotonic()
+        deaths_in_a_row = self.ledger.consecutive_crashes(fingerprint)
         for crash in new:
             log_event(
                 "worker_end_learned",
+                level="INFO" if deaths_in_a_row > 1 else "DEBUG",
                 fingerprint=fingerprint,
                 worker=crash.worker_id,
                 started_at_ms=crash.started_at_ms,
                 is_confirmed=crash.is_confirmed,
                 ended_seconds_ago=round(now - crash.ended_at, 3),
-                deaths_in_a_row=self.ledger.consecutive_crashes(fingerprint),
+                deaths_in_a_row=deaths_in_a_row,
             )
         if new:
             self._notify_listeners(fingerprint, is_local=False)
