--- a/drumbay/quarantine/ledger.py
+++ b/drumbay/quarantine/ledger.py
@@ -261,8 +261,8 @@
         return (*confirmed, *new)
 
     def _evict(self) -> None:
-        """Drop the oldest of the requests with the fewest consecutive crashes."""
-        del self._crashes[min(self._crashes, key=self.consecutive_crashes)]
+        """Drop the oldest of the requests with the fewest crashes."""
+        del self._crashes[min(self._crashes, key=lambda each: len(self._crashes[each]))]
 
     def record_outlived(self, fingerprint: Fingerprint, began_at: float) -> bool:
         """Record a run that its worker has outlived; return whether a crash is forgotten by that.
