--- a/tests/test_answered_runs.py
+++ b/tests/test_answered_runs.py
@@ -1,10 +1,15 @@
 """Answered runs until their workers have outlived them, and what discovery shows of their ends."""
 
+import asyncio
+import socket
 import unittest
 
 import msgspec
 
+from drumbay.clock import SystemClock
+from drumbay.comm.connection_pool import ConnectionPool
 from drumbay.comm.network_address import NetworkAddress
+from drumbay.comm.observed_stream import ObservedStream
 from drumbay.identifiers import BackendId
 from drumbay.quarantine.answered_runs import (
     MAX_RUNS_PER_WORKER,
@@ -102,3 +107,43 @@
         self.directory.replace_all([], missing_until=9.0)
         self.directory.put(msgspec.structs.replace(worker(2, port=81), slots=2))
         self.assertEqual(self.ends, [])
+
+
+class ClosedConnectionsTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against ends of workers that are seen only when the next request is sent."""
+
+    async def put_connection(self, pool: ConnectionPool, idle_seconds: float) -> NetworkAddress:
+        """Put a connection to a server that closes it soon into the pool."""
+
+        async def close_soon(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            del reader
+            await asyncio.sleep(0.05)
+            writer.close()
+
+        server = await asyncio.start_server(close_soon, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        address = NetworkAddress("127.0.0.1", server.sockets[0].getsockname()[1])
+        stream = ObservedStream(socket.socket())
+        await stream.connect((address.host, address.port))
+        pool.put(address, stream, idle_seconds)
+        return address
+
+    async def test_connection_that_its_peer_closes_is_told_without_a_request(self) -> None:
+        closed: asyncio.Queue[NetworkAddress] = asyncio.Queue()
+        pool = ConnectionPool(SystemClock())
+        self.addCleanup(pool.close)
+        pool.set_close_listener(closed.put_nowait)
+        address = await self.put_connection(pool, 60.0)
+        async with asyncio.timeout(10.0):
+            self.assertEqual(await closed.get(), address)
+
+    async def test_connection_that_has_only_expired_is_not_told(self) -> None:
+        closed: list[NetworkAddress] = []
+        pool = ConnectionPool(SystemClock())
+        self.addCleanup(pool.close)
+        pool.set_close_listener(closed.append)
+        address = await self.put_connection(pool, 0.0)
+        while pool.has(address):
+            await asyncio.sleep(0.01)
+        self.assertIsNone(pool.take(address))
+        self.assertEqual(closed, [])
