Do not hold a frequent request for crashes that others cause

Cause: a frequent request runs on every worker that others crash. Only one other request could explain all of its crashes, by share; and by number alone the frequent one explained away those that really crash their workers, of which each has fewer. Change: each crash is weighed apart: one that is also a crash of a request which crashed several workers, in twice the share of its runs or more, is explained; a request explains another one by number only if its share is no smaller.

--- a/drumbay/quarantine/ledger.py
+++ b/drumbay/quarantine/ledger.py
@@ -387,23 +387,28 @@
         return len(self.crashes(fingerprint)) > 1
 
     def _has_likelier_cause(self, fingerprint: Fingerprint, crash_count: int) -> bool:
-        """Return whether another request probably caused all crashes under this one.
+        """Return whether other requests probably caused all crashes under this one.
 
-        It ran on all of the crashed workers, and has more consecutive crashes, or a much larger
-        share of its runs crashed.
+        One ran on all of the crashed workers and on others, and has more consecutive crashes, in no
+        smaller share of its runs. Or each of the crashes is also one of a request that crashed
+        several workers, in a much larger share.
         """
         own = self._crashes[fingerprint].keys()
         own_share = self._crash_share(fingerprint, crash_count)
+        explained: set[WorkerIncarnation] = set()
         for other, others in self._crashes.items():
-            if other == fingerprint or not own <= others.keys():
+            shared = own & others.keys()
+            if other == fingerprint or not shared:
                 continue
             other_count = self.consecutive_crashes(other)
-            if own < others.keys() and other_count > crash_count:
-                return True
             other_share = self._crash_share(other, other_count)
-            if other_count >= crash_count and other_share >= LIKELIER_SHARE_FACTOR * own_share:
+            has_more = own < others.keys() and other_count > crash_count
+            if has_more and other_share >= own_share:
                 return True
-        return False
+            is_likelier = other_share >= LIKELIER_SHARE_FACTOR * own_share
+            if other_count >= CRASHES_UNTIL_TRIAL and is_likelier:
+                explained |= shared
+        return explained == own
 
     def _held_until(self, fingerprint: Fingerprint, kinds: frozenset[WorkerKind]) -> float:
         """Return the end of the hold, which grows with each run after a hold that crashed again.
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -14,6 +14,7 @@
     MAX_CRASHES_PER_REQUEST,
     MAX_HOLD_SECONDS,
     MAX_REQUESTS,
+    OUTLIVED_RUNS_UNTIL_FORGOTTEN,
     RECOVERY_WAIT_SECONDS,
     UNCONFIRMED_SECONDS,
     QuarantineLedger,
@@ -189,6 +190,49 @@
         verdict = self.ledger.decide(REQUEST, availability(available=1), IDLE, 1.0)
         self.assertEqual(verdict.reason, Reason.FEW_WORKERS_LEFT)
 
+    def test_crashes_that_other_requests_cause_do_not_hold_a_frequent_one(self) -> None:
+        """A frequent request ran on the workers that two others crashed in turn."""
+        third = Fingerprint("third")
+        for number in range(4):
+            at = float(number)
+            self.ledger.add_crashes(REQUEST, [crash(number, at, at + 0.05)])
+            cause = OTHER if number < 2 else third
+            self.ledger.add_crashes(cause, [crash(number, at, at + 0.05)])
+        for number in range(8):
+            self.ledger.record_outlived(REQUEST, -10.0 + number)
+        self.assertEqual(self.ledger.consecutive_crashes(REQUEST), 4)
+        verdict = self.ledger.decide(REQUEST, availability(), IDLE, 4.0)
+        self.assertEqual(verdict.decision, Decision.RUN)
+        for cause in (OTHER, third):
+            self.assertEqual(self.ledger.consecutive_crashes(cause), 2)
+            held = self.ledger.decide(cause, availability(available=2), IDLE, 4.0)
+            self.assertEqual(held.reason, Reason.FEW_WORKERS_LEFT)
+
+    def test_a_frequent_request_that_crashes_all_of_its_workers_is_held(self) -> None:
+        for number in range(100):
+            self.ledger.record_outlived(REQUEST, -100.0 + number)
+        ended_at = self.add_consecutive_crashes(7)
+        verdict = self.ledger.decide(REQUEST, availability(), IDLE, ended_at + 1.0)
+        self.assertEqual(verdict.reason, Reason.CRASHES_ITS_WORKERS)
+
+    def test_crashes_are_forgotten_after_outlived_runs(self) -> None:
+        ended_at = self.add_consecutive_crashes(CRASHES_UNTIL_HELD)
+        for number in range(OUTLIVED_RUNS_UNTIL_FORGOTTEN):
+            self.assertIn(REQUEST, self.ledger)
+            self.ledger.record_outlived(REQUEST, ended_at + 31.0 + number)
+        self.assertNotIn(REQUEST, self.ledger)
+
+    def test_ends_of_other_workers_raise_the_share_that_must_crash(self) -> None:
+        self.add_consecutive_crashes(CRASHES_UNTIL_HELD)
+        for number in range(6):
+            self.ledger.record_outlived(REQUEST, -10.0 + number)
+        self.assertEqual(self.ledger.consecutive_crashes(REQUEST), 3)
+        for number in range(20):
+            self.ledger.record_end(incarnation(100 + number), KIND.service, 6, float(number))
+        self.assertEqual(self.ledger.consecutive_crashes(REQUEST), 0)
+        self.ledger.drop_old_ends(100.0)
+        self.assertEqual(self.ledger.consecutive_crashes(REQUEST), 3)
+
     def test_no_third_run_begins_beside_a_hedge_while_a_worker_is_looked_at(self) -> None:
         hedged = RequestActivity(runs=1, checks=1)
         verdict = self.ledger.decide(REQUEST, availability(), hedged, 5.0)
