--- a/drumbay/quarantine/service.py
+++ b/drumbay/quarantine/service.py
@@ -164,17 +164,7 @@
         self.ledger.drop_old_ends(now)
         self._confirm_replaced(fingerprint, now)
         trials = self._trials(now)
-        checks_since = now - MAX_CHECK_WAIT_SECONDS if policy is CrashPolicy.RETRY else -math.inf
-        answered = self._open_answers(fingerprint)
-        failed_count = sum(run.has_failed for run in answered)
-        activity = RequestActivity(
-            # After a failure the next run follows at once, and could crash one more worker.
-            runs=self._runs_in_progress(fingerprint) + failed_count,
-            trials=len(trials) + starting,
-            checks=self._suspicions.checks_of(fingerprint, checks_since)
-            + len(answered)
-            - failed_count,
-        )
+        activity = self._activity(fingerprint, len(trials) + starting, policy, now)
         availability = self._availability(service, now)
         if policy is CrashPolicy.RETRY:
             verdict = decide_retry(
@@ -186,17 +176,45 @@
                 is_last_worker=self._is_last_worker(fingerprint, availability),
             )
         else:
-            verdict = self.ledger.decide(fingerprint, availability, activity, now)
-            if verdict.decision is Decision.RUN and not self._may_run_here(fingerprint, now):
-                return msgspec.structs.replace(
-                    verdict, decision=Decision.WAIT, reason=Reason.RUN_AT_OTHER_NODE
-                )
-            is_trial = self._possible_crashes(fingerprint) >= CRASHES_UNTIL_TRIAL
-            verdict = msgspec.structs.replace(verdict, is_trial=is_trial)
+            verdict = self._decide_live(fingerprint, availability, activity, now)
         if not verdict.is_trial:
             return verdict
         return msgspec.structs.replace(verdict, avoided_workers=frozenset(trials))
 
+    def _activity(
+        self, fingerprint: Fingerprint, trials: int, policy: CrashPolicy, now: float
+    ) -> RequestActivity:
+        """Return what is in progress that affects a request.
+
+        An answered run counts until its worker has outlived it: as a check, or as a run if it has
+        failed, since the next one would follow at once and could crash one more worker.
+        """
+        checks_since = now - MAX_CHECK_WAIT_SECONDS if policy is CrashPolicy.RETRY else -math.inf
+        answered = self._open_answers(fingerprint)
+        failed_count = sum(run.has_failed for run in answered)
+        checks = self._suspicions.checks_of(fingerprint, checks_since)
+        return RequestActivity(
+            runs=self._runs_in_progress(fingerprint) + failed_count,
+            trials=trials,
+            checks=checks + len(answered) - failed_count,
+        )
+
+    def _decide_live(
+        self,
+        fingerprint: Fingerprint,
+        availability: WorkerAvailability,
+        activity: RequestActivity,
+        now: float,
+    ) -> Verdict:
+        """Decide on the next run of a live request, which may have to be announced first."""
+        verdict = self.ledger.decide(fingerprint, availability, activity, now)
+        if verdict.decision is Decision.RUN and not self._may_run_here(fingerprint, now):
+            return msgspec.structs.replace(
+                verdict, decision=Decision.WAIT, reason=Reason.RUN_AT_OTHER_NODE
+            )
+        is_trial = self._possible_crashes(fingerprint) >= CRASHES_UNTIL_TRIAL
+        return msgspec.structs.replace(verdict, is_trial=is_trial)
+
     def _is_last_worker(self, fingerprint: Fingerprint, availability: WorkerAvailability) -> bool:
         """Return whether a request that crashed several workers would get the last one."""
         crash_count = len(self.ledger.crashes(fingerprint))
