--- a/drumbay/quarantine/run_announcements.py
+++ b/drumbay/quarantine/run_announcements.py
@@ -14,7 +14,7 @@
 from drumbay.comm.network_address import NetworkAddress
 from drumbay.quarantine.fingerprint import Fingerprint
 
-ARRIVAL_SECONDS = 0.15
+ARRIVAL_SECONDS = 0.3
 """Time in which an announcement reaches every node."""
 
 VALID_SECONDS = 1.0
