--- a/drumbay/quarantine/service.py
+++ b/drumbay/quarantine/service.py
@@ -3,7 +3,8 @@
 A run without a response may be due to a network fault, so its worker is asked for a response over
 a new connection. The worker crashed if the connection is refused, or if discovery replaces it.
 While it just does not respond, its crash counts but is not confirmed. Crashes are broadcast to all
-nodes at once; confirmed ones are stored for nodes that start later.
+nodes at once; confirmed ones are stored for nodes that start later. A worker may also crash after
+its answer: see :mod:`drumbay.quarantine.answer_monitor`.
 
 A crash is withdrawn when its worker turns out to be alive. If workers report their start times, a
 response is not sufficient: it may come from a restarted worker, or may have been sent before the
